kernel: add life cycle, strict settings, result codes and peer transport

Cause: every later part needs one registry, one table of results and one way to connect processes. Ruled out: a module for each role in its own go.mod (five go.sum files to merge), and net/rpc for token streams (no flow control per call). Conclusion: roles can now be built side by side.

--- /dev/null
+++ b/core/wire/frame.go
@@ -0,0 +1,222 @@
+package wire
+
+import (
+	"bufio"
+	"io"
+
+	"github.com/go-faster/errors"
+	"github.com/tinylib/msgp/msgp"
+
+	"heatherway.dev/kernel/result"
+)
+
+// FrameKind tells what a frame says.
+type FrameKind uint8
+
+// The kinds of frame.
+const (
+	// FrameQueued says that the request waits in the agent's queue.
+	FrameQueued FrameKind = iota + 1
+	// FrameStarted says that the engine runs the request.
+	FrameStarted
+	// FrameToken carries decoded text.
+	FrameToken
+	// FrameHeartbeat only shows that the connection and the agent live.
+	FrameHeartbeat
+	// FrameEnd is the last frame of a whole generation.
+	FrameEnd
+	// FrameFail ends the attempt with a result code. Text and Tokens carry the
+	// text held by the agent when Held is set.
+	FrameFail
+	// FrameElsewhere says that another agent, named in Text, holds the
+	// generation of this idempotency key; Generation is set.
+	FrameElsewhere
+)
+
+// Frame is one message of a generation stream.
+type Frame struct {
+	Kind    FrameKind
+	Attempt uint32
+	// Offset is the index of the frame's first token from the start of the
+	// generation; in FrameEnd and FrameFail it is the count of tokens.
+	Offset     uint64
+	Tokens     uint32
+	Text       string
+	Finish     string
+	Code       result.Code
+	Ran        result.Ran
+	RetryMS    uint32
+	Generation ID
+	// PromptTokens and CachedTokens are the engine's count, in FrameStarted and
+	// FrameEnd.
+	PromptTokens uint32
+	CachedTokens uint32
+	// Revision is the newest configuration revision that the agent knows.
+	Revision uint64
+	// Load is present in every kind but FrameToken.
+	Load Load
+}
+
+// MaxFrame bounds the size of one frame. The largest carries the held text of
+// a failed generation.
+const MaxFrame = 8 << 20
+
+const frameFields = 9
+
+// AppendFrame appends the encoded frame behind its length.
+func AppendFrame(b []byte, f *Frame) []byte {
+	start := len(b)
+	b = append(b, 0, 0, 0, 0)
+	if f.Kind == FrameToken {
+		b = msgp.AppendArrayHeader(b, 5)
+	} else {
+		b = msgp.AppendArrayHeader(b, frameFields+6)
+	}
+	b = msgp.AppendUint8(b, uint8(f.Kind))
+	b = msgp.AppendUint32(b, f.Attempt)
+	b = msgp.AppendUint64(b, f.Offset)
+	b = msgp.AppendUint32(b, f.Tokens)
+	b = msgp.AppendString(b, f.Text)
+	if f.Kind != FrameToken {
+		b = appendDetails(b, f)
+	}
+	n := len(b) - start - 4
+	b[start], b[start+1], b[start+2], b[start+3] = byte(n>>24), byte(n>>16), byte(n>>8), byte(n)
+	return b
+}
+
+func appendDetails(b []byte, f *Frame) []byte {
+	b = msgp.AppendString(b, f.Finish)
+	b = msgp.AppendInt(b, int(f.Code))
+	b = msgp.AppendUint8(b, uint8(f.Ran))
+	b = msgp.AppendUint32(b, f.RetryMS)
+	b = msgp.AppendString(b, string(f.Generation))
+	b = msgp.AppendUint32(b, f.PromptTokens)
+	b = msgp.AppendUint32(b, f.CachedTokens)
+	b = msgp.AppendUint64(b, f.Revision)
+	b = msgp.AppendBool(b, f.Load.Leaving)
+	b = msgp.AppendArrayHeader(b, 2+2*ClassCount)
+	b = msgp.AppendUint32(b, f.Load.Slots)
+	b = msgp.AppendUint32(b, f.Load.Running)
+	for c := range ClassCount {
+		b = msgp.AppendUint32(b, f.Load.Queued[c])
+		b = msgp.AppendUint32(b, f.Load.WaitMS[c])
+	}
+	return b
+}
+
+// DecodeFrame decodes the bytes of one frame without its length.
+func DecodeFrame(b []byte) (Frame, error) {
+	d := decoder{b: b}
+	var f Frame
+	n := d.array()
+	f.Kind = FrameKind(d.uint8())
+	f.Attempt = d.uint32()
+	f.Offset = d.uint64()
+	f.Tokens = d.uint32()
+	f.Text = d.string()
+	if f.Kind != FrameToken {
+		d.details(&f)
+	}
+	if d.err != nil {
+		return Frame{}, errors.Wrap(d.err, "decode frame")
+	}
+	if len(d.b) != 0 || f.Kind < FrameQueued || f.Kind > FrameElsewhere ||
+		n != 5 && f.Kind == FrameToken || n != frameFields+6 && f.Kind != FrameToken {
+		return Frame{}, errors.Errorf("malformed frame of kind %d with %d fields", f.Kind, n)
+	}
+	return f, nil
+}
+
+// decoder reads MessagePack values and keeps the first error.
+type decoder struct {
+	b   []byte
+	err error
+}
+
+func read[T any](d *decoder, fn func([]byte) (T, []byte, error)) T {
+	var zero T
+	if d.err != nil {
+		return zero
+	}
+	v, rest, err := fn(d.b)
+	if err != nil {
+		d.err = err
+		return zero
+	}
+	d.b = rest
+	return v
+}
+
+func (d *decoder) array() uint32  { return read(d, msgp.ReadArrayHeaderBytes) }
+func (d *decoder) uint8() uint8   { return read(d, msgp.ReadUint8Bytes) }
+func (d *decoder) uint32() uint32 { return read(d, msgp.ReadUint32Bytes) }
+func (d *decoder) uint64() uint64 { return read(d, msgp.ReadUint64Bytes) }
+func (d *decoder) string() string { return read(d, msgp.ReadStringBytes) }
+
+func (d *decoder) details(f *Frame) {
+	f.Finish = d.string()
+	f.Code = result.Code(read(d, msgp.ReadIntBytes))
+	f.Ran = result.Ran(d.uint8())
+	f.RetryMS = d.uint32()
+	f.Generation = ID(d.string())
+	f.PromptTokens = d.uint32()
+	f.CachedTokens = d.uint32()
+	f.Revision = d.uint64()
+	f.Load.Leaving = read(d, msgp.ReadBoolBytes)
+	if n := d.array(); d.err == nil && n != 2+2*ClassCount {
+		d.err = errors.Errorf("load has %d fields", n)
+	}
+	f.Load.Slots = d.uint32()
+	f.Load.Running = d.uint32()
+	for c := range ClassCount {
+		f.Load.Queued[c] = d.uint32()
+		f.Load.WaitMS[c] = d.uint32()
+	}
+}
+
+// FrameReader reads frames from a stream.
+type FrameReader struct {
+	r   *bufio.Reader
+	buf []byte
+}
+
+// frameReadBuffer keeps the cost of an open stream low; a token frame is about
+// 20 bytes.
+const frameReadBuffer = 1 << 10
+
+// NewFrameReader returns a reader of the frames in r.
+func NewFrameReader(r io.Reader) *FrameReader {
+	return &FrameReader{r: bufio.NewReaderSize(r, frameReadBuffer)}
+}
+
+// Next returns the next frame. It returns io.EOF only between frames.
+func (r *FrameReader) Next() (Frame, error) {
+	var head [4]byte
+	if _, err := io.ReadFull(r.r, head[:1]); err != nil {
+		return Frame{}, err
+	}
+	if _, err := io.ReadFull(r.r, head[1:]); err != nil {
+		return Frame{}, io.ErrUnexpectedEOF
+	}
+	n := int(head[0])<<24 | int(head[1])<<16 | int(head[2])<<8 | int(head[3])
+	if n > MaxFrame {
+		return Frame{}, errors.Errorf("frame of %d bytes exceeds %d", n, MaxFrame)
+	}
+	buf := r.buf
+	if n > cap(buf) {
+		buf = make([]byte, n)
+	}
+	buf = buf[:n]
+	if _, err := io.ReadFull(r.r, buf); err != nil {
+		return Frame{}, io.ErrUnexpectedEOF
+	}
+	if cap(buf) <= frameReadBuffer {
+		r.buf = buf
+	}
+	return DecodeFrame(buf)
+}
+
+// Buffered tells whether another frame can be read without waiting for the
+// network, so that a writer may put off its flush.
+func (r *FrameReader) Buffered() bool { return r.r.Buffered() > 4 }
--- /dev/null
+++ b/kernel/check.go
@@ -0,0 +1,86 @@
+package kernel
+
+import (
+	"heatherway.dev/kernel/result"
+	"heatherway.dev/kernel/settings"
+)
+
+// Nested is a module whose settings name further plug-ins, by namespace. Check
+// follows them.
+type Nested interface {
+	Plugins() map[string][]settings.Plugin
+}
+
+// Check decodes and validates every section of the settings without binding,
+// opening or starting anything.
+func Check(doc *settings.Document) error {
+	var s Settings
+	if err := doc.Decode(&s); err != nil {
+		return err
+	}
+	if err := checkSettings(doc.Name, s); err != nil {
+		return err
+	}
+	for _, p := range s.Roles {
+		if err := checkPlugin(doc.Name, "role", p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkPlugin(file, namespace string, p settings.Plugin) error {
+	p.SetFile(file)
+	m, err := decodeModule(namespace, p)
+	if err != nil {
+		return err
+	}
+	n, ok := m.(Nested)
+	if !ok {
+		return nil
+	}
+	for ns, list := range n.Plugins() {
+		for _, q := range list {
+			if q.Empty() {
+				continue
+			}
+			if err := checkPlugin(file, ns, q); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// decodeModule makes the module that a setting names, decodes its settings and
+// validates them.
+func decodeModule(namespace string, p settings.Plugin) (any, error) {
+	registry.Lock()
+	info, ok := registry.modules[namespace+"."+p.Name]
+	registry.Unlock()
+	if !ok {
+		return nil, p.Unknown(namespace, Names(namespace))
+	}
+	m := info.New()
+	if err := p.Decode(m); err != nil {
+		return nil, err
+	}
+	if v, ok := m.(Validator); ok {
+		if err := v.Validate(); err != nil {
+			return nil, placed(p, err)
+		}
+	}
+	return m, nil
+}
+
+func checkSettings(file string, s Settings) error {
+	switch {
+	case s.Instance.ID == "":
+		return result.New(result.SettingInvalid, "%s: instance.id: must be set", file)
+	case s.Instance.Zone == "":
+		return result.New(result.SettingInvalid, "%s: instance.zone: must be set", file)
+	case len(s.Roles) == 0:
+		return result.New(result.SettingInvalid, "%s: roles: must name at least one role", file)
+	}
+	return nil
+}
--- /dev/null
+++ b/kernel/metrics.go
@@ -0,0 +1,30 @@
+package kernel
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// readHeaderLimit bounds how long a scraper may take to send its headers.
+const readHeaderLimit = 5 * time.Second
+
+func (k *Kernel) serveMetrics() error {
+	if k.settings.Metrics.Listen == "" {
+		return nil
+	}
+	l, err := k.ctx.Listen(k.settings.Metrics.Listen)
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", k.ctx.Stats)
+	srv := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderLimit}
+	go func() {
+		if err := srv.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			k.ctx.Log.Debug("metrics listener closed", "error", err)
+		}
+	}()
+	return nil
+}
--- /dev/null
+++ b/kernel/peer/rpc.go
@@ -0,0 +1,197 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"io"
+	"net"
+	"net/http"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"heatherway.dev/kernel/result"
+)
+
+// RPCPath is where a process serves net/rpc on its internal listener.
+const RPCPath = "/internal/rpc"
+
+// DialTimeout bounds a new connection between processes.
+const DialTimeout = 250 * time.Millisecond
+
+// ErrUnreachable is returned when no connection could be made, so the call was
+// certainly not received.
+var ErrUnreachable = errors.New("peer is unreachable")
+
+// Dial opens a connection to an address within DialTimeout.
+func (s *Security) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
+	defer cancel()
+	cfg, err := s.Client()
+	if err != nil {
+		return nil, err
+	}
+	if cfg == nil {
+		return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+	}
+	return (&tls.Dialer{Config: cfg}).DialContext(ctx, "tcp", addr)
+}
+
+// Client makes net/rpc calls to one address. It connects on first use, and
+// again after a failure. It is safe for use by several goroutines.
+type Client struct {
+	addr string
+	sec  *Security
+
+	mu  sync.Mutex
+	rpc *rpc.Client
+}
+
+// NewClient returns a client for the address.
+func (s *Security) NewClient(addr string) *Client { return &Client{addr: addr, sec: s} }
+
+// Addr returns the address of the peer.
+func (c *Client) Addr() string { return c.addr }
+
+// Call makes one call and waits until it returns or ctx ends. A call that runs
+// into the end of ctx drops the connection, since net/rpc cannot tell a slow
+// peer from a silent connection; the next call makes a new one. A result code
+// of the peer comes back as *result.Error. An error that wraps ErrUnreachable
+// means that the peer did not get the call.
+func (c *Client) Call(ctx context.Context, method string, args, reply any) error {
+	cl, err := c.connect(ctx)
+	if err != nil {
+		return err
+	}
+	call := cl.Go(method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		return c.finish(cl, call.Error)
+	case <-ctx.Done():
+		c.drop(cl)
+		return ctx.Err()
+	}
+}
+
+func (c *Client) finish(cl *rpc.Client, err error) error {
+	if err == nil {
+		return nil
+	}
+	var remote rpc.ServerError
+	if errors.As(err, &remote) {
+		return decodeError(string(remote))
+	}
+	c.drop(cl)
+	return errors.Wrap(err, "rpc to "+c.addr)
+}
+
+func (c *Client) drop(cl *rpc.Client) {
+	c.mu.Lock()
+	if c.rpc == cl {
+		c.rpc = nil
+	}
+	c.mu.Unlock()
+	_ = cl.Close()
+}
+
+// Close ends the connection.
+func (c *Client) Close() {
+	c.mu.Lock()
+	cl := c.rpc
+	c.rpc = nil
+	c.mu.Unlock()
+	if cl != nil {
+		_ = cl.Close()
+	}
+}
+
+func (c *Client) connect(ctx context.Context) (*rpc.Client, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.rpc != nil {
+		return c.rpc, nil
+	}
+	conn, err := c.sec.Dial(ctx, c.addr)
+	if err != nil {
+		return nil, errors.Join(ErrUnreachable, err)
+	}
+	if err := handshake(conn); err != nil {
+		_ = conn.Close()
+		return nil, errors.Join(ErrUnreachable, err)
+	}
+	c.rpc = rpc.NewClient(conn)
+	return c.rpc, nil
+}
+
+func handshake(conn net.Conn) error {
+	if err := conn.SetDeadline(time.Now().Add(DialTimeout)); err != nil {
+		return err
+	}
+	if _, err := io.WriteString(conn, "CONNECT "+RPCPath+" HTTP/1.0\r\n\r\n"); err != nil {
+		return err
+	}
+	res, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: http.MethodConnect})
+	if err != nil {
+		return err
+	}
+	if res.StatusCode != http.StatusOK {
+		return errors.Errorf("rpc handshake refused: %s", res.Status)
+	}
+	return conn.SetDeadline(time.Time{})
+}
+
+// Handler serves the net/rpc services of one process to peers whose
+// certificate carries one of the roles. Without TLS every peer is served.
+// Receivers see each caller's role through the argument type Caller if they
+// are registered for each connection; most need only the allow list.
+type Handler struct {
+	Security *Security
+	Roles    []string
+	// Services returns name and receiver pairs for a connection from a peer
+	// with the role.
+	Services func(role string) map[string]any
+}
+
+// ServeHTTP takes over the connection of a CONNECT request.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodConnect {
+		http.Error(w, "want CONNECT", http.StatusMethodNotAllowed)
+		return
+	}
+	role := Role(r.TLS)
+	if !h.Security.Off() && !contains(h.Roles, role) {
+		http.Error(w, result.New(result.RoleForbidden, "role %q", role).Error(), http.StatusForbidden)
+		return
+	}
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	srv := rpc.NewServer()
+	for name, recv := range h.Services(role) {
+		if err := srv.RegisterName(name, recv); err != nil {
+			_ = conn.Close()
+			return
+		}
+	}
+	// A deadline may be left over from the HTTP server's header limit.
+	_ = conn.SetDeadline(time.Time{})
+	if _, err := io.WriteString(conn, "HTTP/1.0 200 Connected\r\n\r\n"); err != nil {
+		_ = conn.Close()
+		return
+	}
+	srv.ServeConn(conn)
+}
+
+func contains(list []string, s string) bool {
+	for _, v := range list {
+		if v == s {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/kernel/peer/security.go
@@ -0,0 +1,157 @@
+// Package peer connects the processes of heatherway: mutual TLS, net/rpc over
+// one HTTP listener, and clients that notice silent connections.
+package peer
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"log/slog"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"heatherway.dev/kernel/result"
+)
+
+// TLSSettings names the files of mutual TLS between processes.
+type TLSSettings struct {
+	// Off must be set to true to run without TLS; it is meant for local runs.
+	Off bool `yaml:"off"`
+	// CA is the file of certificates that peers must be signed by.
+	CA string `yaml:"ca"`
+	// Cert and Key are the files of this process.
+	Cert string `yaml:"cert"`
+	Key  string `yaml:"key"`
+}
+
+// reloadInterval bounds how long a replaced certificate file goes unnoticed.
+const reloadInterval = 10 * time.Second
+
+// Security makes TLS configurations from files and reloads them on change.
+type Security struct {
+	settings TLSSettings
+	log      *slog.Logger
+
+	mu     sync.Mutex
+	loaded *tls.Config
+	mtime  time.Time
+	next   time.Time
+}
+
+// NewSecurity loads the files once, so that wrong ones stop the process.
+func NewSecurity(s TLSSettings, log *slog.Logger) (*Security, error) {
+	sec := &Security{settings: s, log: log}
+	if s.Off {
+		log.Warn("connections between processes are not encrypted, since tls.off is set")
+		return sec, nil
+	}
+	if s.CA == "" || s.Cert == "" || s.Key == "" {
+		return nil, result.New(result.SettingInvalid, "tls: set ca, cert and key, or off: true for a local run")
+	}
+	if _, err := sec.current(); err != nil {
+		return nil, result.Wrap(result.TLSFiles, err, "cannot load TLS files")
+	}
+	return sec, nil
+}
+
+// Off tells whether TLS is switched off.
+func (s *Security) Off() bool { return s.settings.Off }
+
+func (s *Security) current() (*tls.Config, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if s.loaded != nil && now.Before(s.next) {
+		return s.loaded, nil
+	}
+	s.next = now.Add(reloadInterval)
+	mtime, err := newestChange(s.settings.CA, s.settings.Cert, s.settings.Key)
+	if err == nil && s.loaded != nil && mtime.Equal(s.mtime) {
+		return s.loaded, nil
+	}
+	var cfg *tls.Config
+	if err == nil {
+		cfg, err = load(s.settings)
+	}
+	if err != nil {
+		if s.loaded == nil {
+			return nil, err
+		}
+		s.log.Error("keeping the old TLS files, since the new ones cannot be loaded", "error", err)
+		return s.loaded, nil
+	}
+	s.loaded, s.mtime = cfg, mtime
+	return cfg, nil
+}
+
+func newestChange(files ...string) (time.Time, error) {
+	var newest time.Time
+	for _, f := range files {
+		st, err := os.Stat(f)
+		if err != nil {
+			return newest, err
+		}
+		if st.ModTime().After(newest) {
+			newest = st.ModTime()
+		}
+	}
+	return newest, nil
+}
+
+func load(s TLSSettings) (*tls.Config, error) {
+	pem, err := os.ReadFile(s.CA)
+	if err != nil {
+		return nil, err
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, errors.Errorf("no certificate in %s", s.CA)
+	}
+	cert, err := tls.LoadX509KeyPair(s.Cert, s.Key)
+	if err != nil {
+		return nil, err
+	}
+	return &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		Certificates: []tls.Certificate{cert},
+		RootCAs:      pool,
+		ClientCAs:    pool,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+	}, nil
+}
+
+// Server wraps a listener in mutual TLS, or returns it as it is when TLS is
+// off.
+func (s *Security) Server(l net.Listener) net.Listener {
+	if s.Off() {
+		return l
+	}
+	return tls.NewListener(l, &tls.Config{
+		MinVersion:         tls.VersionTLS13,
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) { return s.current() },
+	})
+}
+
+// Client returns the TLS configuration of an outgoing connection, or nil when
+// TLS is off.
+func (s *Security) Client() (*tls.Config, error) {
+	if s.Off() {
+		return nil, nil
+	}
+	return s.current()
+}
+
+// Role returns the role in a peer's certificate, which is its organisational
+// unit. It is empty without TLS.
+func Role(state *tls.ConnectionState) string {
+	if state == nil || len(state.PeerCertificates) == 0 {
+		return ""
+	}
+	if ou := state.PeerCertificates[0].Subject.OrganizationalUnit; len(ou) > 0 {
+		return ou[0]
+	}
+	return ""
+}
--- /dev/null
+++ b/kernel/settings/settings.go
@@ -0,0 +1,182 @@
+// Package settings decodes YAML settings strictly. Every error names the file,
+// line and column, and carries a result code.
+package settings
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+
+	"heatherway.dev/kernel/result"
+)
+
+// Document is a parsed settings file.
+type Document struct {
+	Name string
+	body ast.Node
+}
+
+// Load reads and parses a file.
+func Load(path string) (*Document, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, result.Wrap(result.SettingsMissing, err, "cannot read the settings file")
+	}
+	return Parse(path, b)
+}
+
+// Parse parses the text of a settings file. The name appears in errors.
+func Parse(name string, text []byte) (*Document, error) {
+	f, err := parser.ParseBytes(text, 0)
+	if err != nil {
+		return nil, locate(name, err, result.SettingsSyntax)
+	}
+	if len(f.Docs) != 1 || f.Docs[0].Body == nil {
+		return nil, result.New(result.SettingsSyntax, "%s: want exactly one YAML document", name)
+	}
+	return &Document{Name: name, body: f.Docs[0].Body}, nil
+}
+
+// Decode decodes the whole document into v. Unknown keys are refused.
+func (d *Document) Decode(v any) error { return decode(d.Name, d.body, v) }
+
+func decode(name string, node ast.Node, v any) error {
+	if err := yaml.NodeToValue(node, v, yaml.Strict()); err != nil {
+		return locate(name, err, result.SettingInvalid)
+	}
+	return nil
+}
+
+func locate(name string, err error, code result.Code) error {
+	var known *result.Error
+	if errors.As(err, &known) {
+		return known
+	}
+	var y yaml.Error
+	if !errors.As(err, &y) {
+		return result.New(code, "%s: %v", name, err)
+	}
+	if _, unknown := y.(*yaml.UnknownFieldError); unknown {
+		code = result.SettingUnknown
+	}
+	pos := y.GetToken().Position
+	return result.New(code, "%s:%d:%d: %s", name, pos.Line, pos.Column, y.GetMessage())
+}
+
+// Plugin is a setting that names a plug-in and holds its settings: a mapping
+// with exactly one key.
+type Plugin struct {
+	Name string
+	file string
+	key  ast.Node
+	node ast.Node
+}
+
+// UnmarshalYAML implements yaml.NodeUnmarshaler.
+func (p *Plugin) UnmarshalYAML(n ast.Node) error {
+	if s, ok := n.(*ast.StringNode); ok {
+		p.Name, p.key = s.Value, n
+		return nil
+	}
+	var kv *ast.MappingValueNode
+	switch m := n.(type) {
+	case *ast.MappingValueNode:
+		kv = m
+	case *ast.MappingNode:
+		if len(m.Values) == 1 {
+			kv = m.Values[0]
+		}
+	}
+	if kv == nil {
+		return &yaml.SyntaxError{Message: "want a mapping with one key, the name of the plug-in", Token: n.GetToken()}
+	}
+	p.Name, p.key, p.node = kv.Key.String(), kv.Key, kv.Value
+	return nil
+}
+
+// SetFile sets the file name used in errors.
+func (p *Plugin) SetFile(name string) { p.file = name }
+
+// Empty tells whether the setting was left out.
+func (p Plugin) Empty() bool { return p.Name == "" }
+
+// Decode decodes the plug-in's settings into v. Settings left out keep the
+// values that v has.
+func (p Plugin) Decode(v any) error {
+	if p.node == nil {
+		return nil
+	}
+	if _, null := p.node.(*ast.NullNode); null {
+		return nil
+	}
+	return decode(p.file, p.node, v)
+}
+
+// Unknown returns the error for a plug-in that is not registered.
+func (p Plugin) Unknown(kind string, have []string) error {
+	pos := p.key.GetToken().Position
+	return result.New(result.UnknownModule, "%s:%d:%d: no %s named %q, have %s",
+		p.file, pos.Line, pos.Column, kind, p.Name, strings.Join(have, ", "))
+}
+
+// Invalid returns the error for a value that Validate refuses. The path is
+// that of the key below the plug-in's settings, such as "queue.limit".
+func (p Plugin) Invalid(path, format string, args ...any) error {
+	at := p.file
+	if p.node != nil {
+		if y, err := yaml.PathString("$." + path); err == nil {
+			if n, err := y.FilterNode(p.node); err == nil && n != nil {
+				pos := n.GetToken().Position
+				at = fmt.Sprintf("%s:%d:%d", p.file, pos.Line, pos.Column)
+			}
+		}
+	}
+	return result.New(result.SettingInvalid, "%s: %s: %s", at, path, fmt.Sprintf(format, args...))
+}
+
+// FieldError is returned by a module's Validate for one wrong setting. The
+// kernel adds file, line and column.
+type FieldError struct {
+	Path    string
+	Message string
+}
+
+// Error implements error.
+func (e *FieldError) Error() string { return e.Path + ": " + e.Message }
+
+// Field returns a FieldError.
+func Field(path, format string, args ...any) error {
+	return &FieldError{Path: path, Message: fmt.Sprintf(format, args...)}
+}
+
+// InRange returns a FieldError unless low <= v <= high.
+func InRange[T int | int64 | uint64 | float64](path string, v, low, high T) error {
+	if v < low || v > high {
+		return Field(path, "%v is outside %v to %v", v, low, high)
+	}
+	return nil
+}
+
+// DurationInRange returns a FieldError unless low <= v <= high.
+func DurationInRange(path string, v, low, high time.Duration) error {
+	if v < low || v > high {
+		return Field(path, "%v is outside %v to %v", v, low, high)
+	}
+	return nil
+}
+
+// First returns the first error that is not nil.
+func First(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/kernel/stats/stats.go
@@ -0,0 +1,123 @@
+// Package stats is the one place where heatherway touches its metrics library.
+// Names are written in snake case with a unit as the last word, such as
+// "entry_first_token_ms".
+package stats
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"strings"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// Registry holds the metrics of one process.
+type Registry struct{ r metrics.Registry }
+
+// New returns an empty registry.
+func New() *Registry { return &Registry{r: metrics.NewRegistry()} }
+
+// Counter only grows.
+type Counter struct{ c metrics.Counter }
+
+// Add adds n.
+func (c Counter) Add(n int64) { c.c.Inc(n) }
+
+// Inc adds one.
+func (c Counter) Inc() { c.c.Inc(1) }
+
+// Value returns the count.
+func (c Counter) Value() int64 { return c.c.Count() }
+
+// Gauge is a value that goes up and down.
+type Gauge struct{ g metrics.Gauge }
+
+// Set replaces the value.
+func (g Gauge) Set(n int64) { g.g.Update(n) }
+
+// Value returns the value.
+func (g Gauge) Value() int64 { return g.g.Value() }
+
+// Histogram samples a distribution.
+type Histogram struct{ h metrics.Histogram }
+
+// Observe adds a sample.
+func (h Histogram) Observe(n int64) { h.h.Update(n) }
+
+// Label is one label of a metric.
+type Label struct{ Key, Value string }
+
+func name(base string, labels []Label) string {
+	if len(labels) == 0 {
+		return base
+	}
+	parts := make([]string, len(labels))
+	for i, l := range labels {
+		parts[i] = fmt.Sprintf("%s=%q", l.Key, l.Value)
+	}
+	return base + "{" + strings.Join(parts, ",") + "}"
+}
+
+// Counter returns the counter with the name, made on first use.
+func (r *Registry) Counter(base string, labels ...Label) Counter {
+	return Counter{metrics.GetOrRegisterCounter(name(base, labels), r.r)}
+}
+
+// Gauge returns the gauge with the name, made on first use.
+func (r *Registry) Gauge(base string, labels ...Label) Gauge {
+	return Gauge{metrics.GetOrRegisterGauge(name(base, labels), r.r)}
+}
+
+// Histogram returns the histogram with the name, made on first use.
+func (r *Registry) Histogram(base string, labels ...Label) Histogram {
+	const reservoir, alpha = 1028, 0.015 // the library's usual exponentially decaying sample
+	h := r.r.GetOrRegister(name(base, labels), func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewExpDecaySample(reservoir, alpha))
+	}).(metrics.Histogram)
+	return Histogram{h}
+}
+
+// Write prints every metric in the Prometheus text format.
+func (r *Registry) Write(w io.Writer) error {
+	var lines []string
+	r.r.Each(func(n string, m any) {
+		base, labels, _ := strings.Cut(n, "{")
+		labels = strings.TrimSuffix(labels, "}")
+		full := "heatherway_" + base
+		switch m := m.(type) {
+		case metrics.Counter:
+			lines = append(lines, sample(full, labels, float64(m.Count())))
+		case metrics.Gauge:
+			lines = append(lines, sample(full, labels, float64(m.Value())))
+		case metrics.Histogram:
+			s := m.Snapshot()
+			for _, q := range []float64{0.5, 0.95, 0.99} {
+				l := fmt.Sprintf("quantile=%q", fmt.Sprint(q))
+				if labels != "" {
+					l = labels + "," + l
+				}
+				lines = append(lines, sample(full, l, s.Percentile(q)))
+			}
+			lines = append(lines, sample(full+"_count", labels, float64(s.Count())))
+			lines = append(lines, sample(full+"_sum", labels, float64(s.Sum())))
+		}
+	})
+	sort.Strings(lines)
+	_, err := io.WriteString(w, strings.Join(lines, ""))
+	return err
+}
+
+func sample(n, labels string, v float64) string {
+	if labels != "" {
+		n += "{" + labels + "}"
+	}
+	return fmt.Sprintf("%s %v\n", n, v)
+}
+
+// ServeHTTP answers a scrape.
+func (r *Registry) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+	_ = r.Write(w)
+}
--- /dev/null
+++ b/modules/standard/standard.go
@@ -0,0 +1,2 @@
+// Package standard imports the modules that the heatherway binary ships with.
+package standard
