agent: add the role, the adapters and the generation store

Cause: requests need a process beside each upstream that runs and keeps them. Ruled out: keeping the text only in the entry, which loses it with the entry.

--- /dev/null
+++ b/modules/adapter/adapter.go
@@ -0,0 +1,63 @@
+// Package adapter is what an agent needs from the upstream beside it. The
+// plug-ins of namespace "adapter" implement it.
+package adapter
+
+import (
+	"context"
+
+	"heatherway.dev/core/wire"
+)
+
+// Info describes an upstream as the agent announces it.
+type Info struct {
+	Models    []string
+	Adapters  []string
+	Services  []string
+	Slots     int
+	EventsURL string
+}
+
+// Upstream is what every adapter provides.
+type Upstream interface {
+	Info() Info
+	// Probe asks for the upstream's health on a new connection.
+	Probe(ctx context.Context) error
+}
+
+// Job is one run of a generation on an engine.
+type Job struct {
+	Kind  wire.Kind
+	Class wire.Class
+	Body  []byte
+	// PrefixText and PrefixTokens are what the engine continues from.
+	PrefixText   string
+	PrefixTokens uint64
+}
+
+// Event is what an engine has produced since the event before.
+type Event struct {
+	Text   string
+	Tokens uint32
+	// Finish is set in the last event that carries output.
+	Finish string
+	// PromptTokens and CachedTokens are zero until the engine reports them.
+	PromptTokens uint32
+	CachedTokens uint32
+}
+
+// Generator is an engine that produces text.
+type Generator interface {
+	Upstream
+	// Generate runs a job and passes its output to emit until the engine has
+	// finished, emit returns an error, or ctx ends. A failure of the engine
+	// comes back as *result.Error.
+	Generate(ctx context.Context, job *Job, emit func(Event) error) error
+}
+
+// Caller is a plain service.
+type Caller interface {
+	Upstream
+	// Call runs one call. A failure comes back as *result.Error, whose Ran
+	// tells whether the service may have run it.
+	Call(ctx context.Context, args *wire.CallArgs) (*wire.CallReply, error)
+}
--- /dev/null
+++ b/modules/adapter/http.go
@@ -0,0 +1,85 @@
+package adapter
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"heatherway.dev/kernel/peer"
+	"heatherway.dev/kernel/result"
+)
+
+const (
+	// idleConnection bounds how long an unused connection to the upstream is kept.
+	idleConnection = 30 * time.Second
+	// headerLimit bounds the size of an upstream's answer headers.
+	headerLimit = 64 << 10
+	// bufferSize keeps the memory of an open stream low; an event is a few
+	// hundred bytes.
+	bufferSize = 4 << 10
+	// maxProbeBody bounds what is read of a health answer.
+	maxProbeBody = 4 << 10
+)
+
+// Transport returns the transport for work on an upstream beside the agent.
+func Transport(slots int) *http.Transport {
+	return &http.Transport{
+		DialContext:            (&net.Dialer{Timeout: peer.DialTimeout}).DialContext,
+		MaxIdleConnsPerHost:    slots,
+		IdleConnTimeout:        idleConnection,
+		MaxResponseHeaderBytes: headerLimit,
+		ReadBufferSize:         bufferSize,
+		WriteBufferSize:        bufferSize,
+		DisableCompression:     true,
+	}
+}
+
+// ProbeTransport returns a transport that makes a new connection each time.
+func ProbeTransport() *http.Transport {
+	t := Transport(1)
+	t.DisableKeepAlives = true
+	return t
+}
+
+// ProbeURL asks for a health page and wants status 200.
+func ProbeURL(ctx context.Context, c *http.Client, url string) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	res, err := c.Do(req)
+	if err != nil {
+		return TransportError(err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, maxProbeBody))
+	if res.StatusCode != http.StatusOK {
+		return result.New(result.UpstreamFailed, "health answered %d", res.StatusCode)
+	}
+	return nil
+}
+
+// TransportError gives a failed exchange its result code. Only a failure to
+// connect shows that the upstream did not get the request.
+func TransportError(err error) error {
+	var op *net.OpError
+	switch {
+	case errors.Is(err, context.Canceled):
+		return err
+	case errors.As(err, &op) && op.Op == "dial":
+		return result.Wrap(result.UpstreamNotReachable, err, "cannot connect to the upstream")
+	case errors.Is(err, context.DeadlineExceeded):
+		return result.Wrap(result.DeadlineExceeded, err, "the upstream did not answer in time")
+	default:
+		return result.Wrap(result.UpstreamFailed, err, "the connection to the upstream failed")
+	}
+}
+
+// Refused tells whether an error shows that nothing listens at the upstream's
+// address.
+func Refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
--- /dev/null
+++ b/modules/adapter/openai/body.go
@@ -0,0 +1,83 @@
+package openai
+
+import (
+	"encoding/json"
+
+	"heatherway.dev/core/wire"
+	"heatherway.dev/heatherway/modules/adapter"
+	"heatherway.dev/kernel/result"
+)
+
+const finishLength = "length"
+
+// streamOptions asks for the token counts of every chunk, where the engine
+// knows the extension, and of the whole answer.
+var streamOptions = json.RawMessage(`{"include_usage":true,"continuous_usage_stats":true}`)
+
+type fields map[string]json.RawMessage
+
+// buildBody returns the engine's body for a job. Done is set when the prefix
+// already has as many tokens as the request allows.
+func buildBody(job *adapter.Job, resume string) (body []byte, done bool, err error) {
+	f := fields{}
+	if err := json.Unmarshal(job.Body, &f); err != nil {
+		return nil, false, result.Wrap(result.MalformedBody, err, "the body is not a JSON object")
+	}
+	f["stream"] = json.RawMessage("true")
+	f["stream_options"] = streamOptions
+	f.set("priority", uint8(job.Class)) // engines serve lower numbers first
+	if job.PrefixTokens > 0 {
+		if resume == resumeFields {
+			f.set("resume_text", job.PrefixText)
+			f.set("resume_tokens", job.PrefixTokens)
+		} else if done, err = f.concat(job); done || err != nil {
+			return nil, done, err
+		}
+	}
+	body, err = json.Marshal(f)
+	return body, false, err
+}
+
+func (f fields) set(name string, v any) {
+	b, _ := json.Marshal(v) // strings and integers always encode
+	f[name] = b
+}
+
+// concat makes the prefix part of the prompt, and lowers the token limits by
+// it, since the engine counts only what it decodes.
+func (f fields) concat(job *adapter.Job) (done bool, err error) {
+	for _, name := range [...]string{"max_tokens", "max_completion_tokens"} {
+		var limit uint64
+		if json.Unmarshal(f[name], &limit) != nil {
+			continue
+		}
+		if limit <= job.PrefixTokens {
+			return true, nil
+		}
+		f.set(name, limit-job.PrefixTokens)
+	}
+	if job.Kind == wire.Chat {
+		return false, f.continueMessage(job.PrefixText)
+	}
+	var prompt string
+	if err := json.Unmarshal(f["prompt"], &prompt); err != nil {
+		return false, result.New(result.InvalidField, "prompt: only a text can be continued")
+	}
+	f.set("prompt", prompt+job.PrefixText)
+	return false, nil
+}
+
+func (f fields) continueMessage(text string) error {
+	var messages []json.RawMessage
+	if err := json.Unmarshal(f["messages"], &messages); err != nil {
+		return result.New(result.InvalidField, "messages: not a list")
+	}
+	last, err := json.Marshal(map[string]string{"role": "assistant", "content": text})
+	if err != nil {
+		return result.Wrap(result.Internal, err, "final message")
+	}
+	f.set("messages", append(messages, last))
+	f.set("continue_final_message", true)
+	f.set("add_generation_prompt", false)
+	return nil
+}
--- /dev/null
+++ b/modules/adapter/openai/openai.go
@@ -0,0 +1,156 @@
+// Package openai is the adapter for engines with an OpenAI-style interface
+// over HTTP and server-sent events.
+package openai
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+
+	"heatherway.dev/core/wire"
+	"heatherway.dev/heatherway/modules/adapter"
+	"heatherway.dev/kernel"
+	"heatherway.dev/kernel/result"
+	"heatherway.dev/kernel/settings"
+)
+
+func init() {
+	kernel.Register(kernel.ModuleInfo{ID: "adapter.openai", New: func() any {
+		return &Engine{Slots: defaultSlots, Resume: resumeFields}
+	}})
+}
+
+const (
+	defaultSlots = 8
+	maxSlots     = 4096
+	// maxErrorBody bounds what is read of an engine's error answer.
+	maxErrorBody = 4 << 10
+)
+
+// Values of the setting resume.
+const (
+	resumeFields = "fields"
+	resumeConcat = "concat"
+)
+
+// Engine is an engine and the settings of its adapter.
+type Engine struct {
+	// URL is the engine's base address, without /v1.
+	URL string `yaml:"url"`
+	// Models are the names of the models that the engine serves.
+	Models []string `yaml:"models"`
+	// Adapters are the names of the LoRA adapters that are loaded.
+	Adapters []string `yaml:"adapters"`
+	// Slots is how many requests the engine runs at once.
+	Slots int `yaml:"slots"`
+	// Resume is how the engine continues a text: "fields" sends resume_text
+	// and resume_tokens, "concat" appends the text to the prompt.
+	Resume string `yaml:"resume"`
+	// Events is the address where the engine publishes cache events.
+	Events string `yaml:"events"`
+
+	client *http.Client
+	probes *http.Client
+}
+
+// Validate implements kernel.Validator.
+func (e *Engine) Validate() error {
+	u, err := url.Parse(e.URL)
+	if err != nil || u.Host == "" {
+		return settings.Field("url", "%q is not an http address", e.URL)
+	}
+	if e.Resume != resumeFields && e.Resume != resumeConcat {
+		return settings.Field("resume", "%q is neither fields nor concat", e.Resume)
+	}
+	if len(e.Models) == 0 {
+		return settings.Field("models", "must name at least one model")
+	}
+	return settings.InRange("slots", e.Slots, 1, maxSlots)
+}
+
+// Provision implements kernel.Provisioner.
+func (e *Engine) Provision(*kernel.Context) error {
+	e.URL = strings.TrimRight(e.URL, "/")
+	e.client = &http.Client{Transport: adapter.Transport(e.Slots)}
+	e.probes = &http.Client{Transport: adapter.ProbeTransport()}
+	return nil
+}
+
+// Cleanup implements kernel.Cleaner.
+func (e *Engine) Cleanup() error {
+	if e.client != nil {
+		e.client.CloseIdleConnections()
+	}
+	return nil
+}
+
+// Info implements adapter.Upstream.
+func (e *Engine) Info() adapter.Info {
+	return adapter.Info{Models: e.Models, Adapters: e.Adapters, Slots: e.Slots, EventsURL: e.Events}
+}
+
+// Probe implements adapter.Upstream.
+func (e *Engine) Probe(ctx context.Context) error {
+	return adapter.ProbeURL(ctx, e.probes, e.URL+"/health")
+}
+
+// Generate implements adapter.Generator.
+func (e *Engine) Generate(ctx context.Context, job *adapter.Job, emit func(adapter.Event) error) error {
+	body, done, err := buildBody(job, e.Resume)
+	if err != nil {
+		return err
+	}
+	if done {
+		return emit(adapter.Event{Finish: finishLength})
+	}
+	res, err := e.post(ctx, path(job.Kind), body)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = res.Body.Close() }()
+	return readStream(res.Body, emit)
+}
+
+func path(k wire.Kind) string {
+	if k == wire.Chat {
+		return "/v1/chat/completions"
+	}
+	return "/v1/completions"
+}
+
+func (e *Engine) post(ctx context.Context, path string, body []byte) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, e.URL+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, result.Wrap(result.Internal, err, "engine request")
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Accept", "text/event-stream")
+	res, err := e.client.Do(req)
+	if err != nil {
+		return nil, adapter.TransportError(err)
+	}
+	if res.StatusCode == http.StatusOK {
+		return res, nil
+	}
+	defer func() { _ = res.Body.Close() }()
+	text, _ := io.ReadAll(io.LimitReader(res.Body, maxErrorBody))
+	return nil, statusError(res.StatusCode, string(text))
+}
+
+// statusError maps an engine's refusal; the engine has run nothing unless it
+// failed with 5xx other than 503.
+func statusError(status int, text string) error {
+	switch {
+	case status == http.StatusNotFound:
+		return result.New(result.ModelUnknown, "the engine does not know the model")
+	case status == http.StatusTooManyRequests, status == http.StatusServiceUnavailable:
+		return result.New(result.NoUpstream, "the engine answered %d", status)
+	case status >= 400 && status < 500:
+		return result.New(result.InvalidField, "the engine refused the request with %d: %s", status, text)
+	default:
+		return result.New(result.UpstreamFailed, "the engine answered %d", status)
+	}
+}
--- /dev/null
+++ b/modules/adapter/openai/stream.go
@@ -0,0 +1,122 @@
+package openai
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+
+	"github.com/go-faster/errors"
+
+	"heatherway.dev/heatherway/modules/adapter"
+	"heatherway.dev/kernel/result"
+)
+
+const (
+	readBuffer = 4 << 10
+	// maxLine bounds one event of an engine.
+	maxLine = 1 << 20
+)
+
+type usage struct {
+	Prompt     uint32 `json:"prompt_tokens"`
+	Completion uint32 `json:"completion_tokens"`
+	Details    struct {
+		Cached uint32 `json:"cached_tokens"`
+	} `json:"prompt_tokens_details"`
+}
+
+type chunk struct {
+	Choices []struct {
+		Text  string `json:"text"`
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+		Finish string `json:"finish_reason"`
+	} `json:"choices"`
+	Usage *usage          `json:"usage"`
+	Error json.RawMessage `json:"error"`
+}
+
+// counter finds how many tokens a chunk carries. Chunks without a running
+// count carry one token.
+type counter struct{ seen uint32 }
+
+func (c *counter) tokens(text string, u *usage) uint32 {
+	if u != nil && u.Completion > c.seen {
+		n := u.Completion - c.seen
+		c.seen = u.Completion
+		return n
+	}
+	if text == "" {
+		return 0
+	}
+	c.seen++
+	return 1
+}
+
+// readStream passes the events of an answer on. An answer that ends before its
+// finish reason counts as a failure of the engine.
+func readStream(r io.Reader, emit func(adapter.Event) error) error {
+	lines := bufio.NewScanner(r)
+	lines.Buffer(make([]byte, 0, readBuffer), maxLine)
+	var count counter
+	finished := false
+	for lines.Scan() {
+		data, ok := bytes.CutPrefix(lines.Bytes(), []byte("data:"))
+		if !ok {
+			continue
+		}
+		data = bytes.TrimSpace(data)
+		if string(data) == "[DONE]" {
+			break
+		}
+		ev, err := parseChunk(data, &count, finished)
+		if err != nil {
+			return err
+		}
+		finished = finished || ev.Finish != ""
+		if ev == (adapter.Event{}) {
+			continue
+		}
+		if err := emit(ev); err != nil {
+			return err
+		}
+	}
+	if finished {
+		return nil
+	}
+	return endError(lines.Err())
+}
+
+func endError(err error) error {
+	if errors.Is(err, bufio.ErrTooLong) {
+		return result.New(result.UpstreamMalformed, "an event exceeds %d bytes", maxLine)
+	}
+	if err == nil {
+		err = io.ErrUnexpectedEOF
+	}
+	return adapter.TransportError(err)
+}
+
+func parseChunk(data []byte, count *counter, finished bool) (adapter.Event, error) {
+	var c chunk
+	if err := json.Unmarshal(data, &c); err != nil {
+		return adapter.Event{}, result.Wrap(result.UpstreamMalformed, err, "an event cannot be decoded")
+	}
+	if len(c.Error) > 0 && string(c.Error) != "null" {
+		return adapter.Event{}, result.New(result.UpstreamFailed, "the engine reported an error in its stream")
+	}
+	var ev adapter.Event
+	if len(c.Choices) > 0 {
+		first := c.Choices[0]
+		ev.Text, ev.Finish = first.Text+first.Delta.Content, first.Finish
+	}
+	if !finished {
+		ev.Tokens = count.tokens(ev.Text, c.Usage)
+	}
+	if c.Usage != nil {
+		ev.PromptTokens, ev.CachedTokens = c.Usage.Prompt, c.Usage.Details.Cached
+	}
+	return ev, nil
+}
--- /dev/null
+++ b/modules/agent/agent.go
@@ -0,0 +1,199 @@
+// Package agent is the role beside each upstream: it announces the upstream,
+// queues and schedules work for it, runs the work through an adapter, and keeps
+// the output of generations so that they can be resumed.
+package agent
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"heatherway.dev/core/wire"
+	"heatherway.dev/heatherway/modules/adapter"
+	"heatherway.dev/kernel"
+	"heatherway.dev/kernel/peer"
+	"heatherway.dev/kernel/settings"
+	"heatherway.dev/kernel/stats"
+)
+
+func init() {
+	kernel.Register(kernel.ModuleInfo{ID: "role.agent", New: func() any {
+		return &Agent{Retention: Retention{Time: defaultRetention, Bytes: defaultRetained}}
+	}})
+}
+
+const (
+	defaultRetention = 60 * time.Second
+	defaultRetained  = 32 << 20
+	// eventQueue bounds the events that wait for the owner.
+	eventQueue = 256
+	// readHeaderLimit bounds how long a peer may take to send its headers.
+	readHeaderLimit = 5 * time.Second
+	// idleLimit ends a kept connection that no stream uses.
+	idleLimit = 60 * time.Second
+)
+
+// Retention limits what is kept of generations without a reader.
+type Retention struct {
+	// Time is how long a generation is kept after it has lost its reader.
+	Time time.Duration `yaml:"time"`
+	// Bytes is the most text that is kept; the generation that lost its reader
+	// first is dropped first.
+	Bytes int `yaml:"bytes"`
+}
+
+// Agent is the role and its settings.
+type Agent struct {
+	// Listen is the address of the internal listener.
+	Listen string `yaml:"listen"`
+	// Advertise is the address that others reach the listener at; by default
+	// the one that is bound.
+	Advertise string `yaml:"advertise"`
+	// Control lists the addresses of the control instances.
+	Control []string `yaml:"control"`
+	// Upstream names the adapter and holds its settings.
+	Upstream settings.Plugin `yaml:"upstream"`
+	// Retention limits the text kept for resuming.
+	Retention Retention `yaml:"retention"`
+
+	instance    kernel.Instance
+	incarnation wire.Incarnation
+	log         *slog.Logger
+	metrics     metrics
+	security    *peer.Security
+	upstream    adapter.Upstream
+	listener    net.Listener
+	server      *http.Server
+	control     *controlClient
+
+	events   chan event
+	snapshot atomic.Pointer[snapshot]
+	base     context.Context
+	cancel   context.CancelFunc
+	running  sync.WaitGroup // background goroutines
+	work     sync.WaitGroup // streams and calls that are being served
+}
+
+// Plugins implements kernel.Nested.
+func (a *Agent) Plugins() map[string][]settings.Plugin {
+	return map[string][]settings.Plugin{"adapter": {a.Upstream}}
+}
+
+// Validate implements kernel.Validator.
+func (a *Agent) Validate() error {
+	if a.Listen == "" {
+		return settings.Field("listen", "must be set")
+	}
+	if a.Upstream.Empty() {
+		return settings.Field("upstream", "must name an adapter")
+	}
+	return settings.First(
+		settings.DurationInRange("retention.time", a.Retention.Time, time.Second, time.Hour),
+		settings.InRange("retention.bytes", a.Retention.Bytes, 0, 1<<30),
+	)
+}
+
+// Provision implements kernel.Provisioner.
+func (a *Agent) Provision(c *kernel.Context) error {
+	m, err := c.Load("adapter", a.Upstream)
+	if err != nil {
+		return err
+	}
+	up, ok := m.(adapter.Upstream)
+	if !ok {
+		return settings.Field("upstream", "%s is not an upstream adapter", a.Upstream.Name)
+	}
+	l, err := c.Listen(a.Listen)
+	if err != nil {
+		return err
+	}
+	a.instance, a.log, a.security = c.Instance, c.Log, c.TLS
+	a.prepare(up, l, c.Stats)
+	return nil
+}
+
+func (a *Agent) prepare(up adapter.Upstream, l net.Listener, registry *stats.Registry) {
+	a.upstream, a.listener = up, l
+	if a.Advertise == "" {
+		a.Advertise = l.Addr().String()
+	}
+	a.metrics = newMetrics(registry)
+	a.incarnation = wire.NewIncarnation(time.Now())
+	a.control = newControlClient(a.security, a.Control)
+	a.events = make(chan event, eventQueue)
+}
+
+// Start implements kernel.Runner.
+func (a *Agent) Start(ctx context.Context) error {
+	a.base, a.cancel = context.WithCancel(ctx)
+	o := newOwner(a, time.Now())
+	o.publish(time.Now())
+	a.background(o.loop)
+	a.background(a.announceLoop)
+	a.background(a.watchLoop)
+	a.server = &http.Server{Handler: a.handler(), ReadHeaderTimeout: readHeaderLimit, IdleTimeout: idleLimit}
+	a.background(func(context.Context) { _ = a.server.Serve(a.security.Server(a.listener)) })
+	return nil
+}
+
+func (a *Agent) background(fn func(context.Context)) {
+	a.running.Add(1)
+	go func() {
+		defer a.running.Done()
+		fn(a.base)
+	}()
+}
+
+func (a *Agent) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(peer.RPCPath, &peer.Handler{
+		Security: a.security,
+		Roles:    []string{"entry", "control", "operator", "admin"},
+		Services: func(string) map[string]any { return map[string]any{wire.AgentService: &service{a}} },
+	})
+	mux.HandleFunc("POST "+wire.GeneratePath, a.serveGenerate)
+	return mux
+}
+
+// Stop implements kernel.Runner. It refuses new work at once, waits until the
+// running work is done or ctx ends, and then hands the rest over: the streams
+// end with a code that lets the entries resume them elsewhere.
+func (a *Agent) Stop(ctx context.Context) error {
+	a.drain(true)
+	done := make(chan struct{})
+	go func() { a.work.Wait(); close(done) }()
+	select {
+	case <-done:
+	case <-ctx.Done():
+		a.handOver(done)
+	}
+	a.cancel()
+	err := a.server.Close()
+	a.running.Wait()
+	a.control.close()
+	return err
+}
+
+// handOverLimit bounds how long streams take to send their last frame.
+const handOverLimit = 2 * time.Second
+
+func (a *Agent) handOver(done chan struct{}) {
+	a.post(handOverEvent{})
+	select {
+	case <-done:
+	case <-time.After(handOverLimit):
+	}
+}
+
+// drain makes the agent leave, or take work again.
+func (a *Agent) drain(leave bool) {
+	ev := drainEvent{leave: leave, done: make(chan struct{})}
+	if a.post(ev) {
+		<-ev.done
+	}
+	a.control.announceNow()
+}
--- /dev/null
+++ b/modules/agent/agent_test.go
@@ -0,0 +1,282 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"heatherway.dev/core/wire"
+	"heatherway.dev/heatherway/modules/adapter"
+	"heatherway.dev/heatherway/modules/adapter/openai"
+	"heatherway.dev/kernel"
+	"heatherway.dev/kernel/peer"
+	"heatherway.dev/kernel/result"
+	"heatherway.dev/kernel/stats"
+)
+
+// fakeEngine answers with numbered tokens "0 1 2 ..." and continues from
+// resume_tokens. Its fields may be changed while it serves.
+type fakeEngine struct {
+	*httptest.Server
+	mu     sync.Mutex
+	pause  time.Duration // between tokens
+	mute   int           // stops sending at this token in the first run
+	gate   chan struct{} // holds the first token back
+	health int
+	bodies []map[string]any
+}
+
+func newEngine(t *testing.T) *fakeEngine {
+	e := &fakeEngine{health: http.StatusOK, mute: -1}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		w.WriteHeader(e.health)
+	})
+	mux.HandleFunc("POST /v1/completions", e.complete)
+	e.Server = httptest.NewServer(mux)
+	t.Cleanup(func() { e.CloseClientConnections(); e.Close() })
+	return e
+}
+
+func (e *fakeEngine) complete(w http.ResponseWriter, r *http.Request) {
+	var body map[string]any
+	_ = json.NewDecoder(r.Body).Decode(&body)
+	e.mu.Lock()
+	e.bodies = append(e.bodies, body)
+	run, pause, mute, gate := len(e.bodies), e.pause, e.mute, e.gate
+	e.mu.Unlock()
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	_ = http.NewResponseController(w).Flush()
+	if gate != nil {
+		select {
+		case <-gate:
+		case <-r.Context().Done():
+			return
+		}
+	}
+	from, _ := body["resume_tokens"].(float64)
+	limit, _ := body["max_tokens"].(float64)
+	for i := int(from); i < int(limit); i++ {
+		if i == mute && run == 1 {
+			<-r.Context().Done()
+			return
+		}
+		if _, err := fmt.Fprintf(w, "data: {\"choices\":[{\"text\":\"%d \"}]}\n\n", i); err != nil {
+			return
+		}
+		_ = http.NewResponseController(w).Flush()
+		select {
+		case <-time.After(pause):
+		case <-r.Context().Done():
+			return
+		}
+	}
+	_, _ = io.WriteString(w, "data: {\"choices\":[{\"text\":\"\",\"finish_reason\":\"length\"}],\"usage\":{\"prompt_tokens\":5}}\n\ndata: [DONE]\n\n")
+}
+
+func (e *fakeEngine) set(change func(e *fakeEngine)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	change(e)
+}
+
+func (e *fakeEngine) seen() []map[string]any {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]map[string]any(nil), e.bodies...)
+}
+
+func startAgent(t *testing.T, up adapter.Upstream, change func(*Agent)) *Agent {
+	t.Helper()
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	sec, err := peer.NewSecurity(peer.TLSSettings{Off: true}, log)
+	assert.NilError(t, err)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	a := &Agent{
+		Retention: Retention{Time: defaultRetention, Bytes: defaultRetained},
+		instance:  kernel.Instance{ID: "agent-1", Zone: "zone-a"}, log: log, security: sec,
+	}
+	if change != nil {
+		change(a)
+	}
+	a.prepare(up, l, stats.New())
+	assert.NilError(t, a.Start(context.Background()))
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		_ = a.Stop(ctx)
+	})
+	return a
+}
+
+func engineAdapter(t *testing.T, url string, slots int) adapter.Upstream {
+	t.Helper()
+	e := &openai.Engine{URL: url, Models: []string{"letters"}, Slots: slots, Resume: "fields"}
+	assert.NilError(t, e.Validate())
+	assert.NilError(t, e.Provision(nil))
+	return e
+}
+
+func request(tokens int) *wire.GenerateRequest {
+	return &wire.GenerateRequest{
+		Generation: wire.NewID(), Attempt: 1, Organisation: "org", Class: wire.Standard,
+		Model: "letters", Kind: wire.Completion, Fingerprint: "fp",
+		Body: json.RawMessage(fmt.Sprintf(`{"model":"letters","prompt":"p","max_tokens":%d}`, tokens)),
+	}
+}
+
+// client is the entry's end of a stream.
+type client struct {
+	*wire.FrameReader
+	cancel func()
+}
+
+func open(t *testing.T, a *Agent, req *wire.GenerateRequest) *client {
+	t.Helper()
+	b, err := json.Marshal(req)
+	assert.NilError(t, err)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	hr, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+a.Advertise+wire.GeneratePath, bytes.NewReader(b))
+	assert.NilError(t, err)
+	res, err := (&http.Client{Transport: &http.Transport{}}).Do(hr)
+	assert.NilError(t, err)
+	t.Cleanup(func() { cancel(); _ = res.Body.Close() })
+	return &client{wire.NewFrameReader(res.Body), cancel}
+}
+
+// text reads until n tokens have come, or the last frame, which it returns.
+func (c *client) text(t *testing.T, next uint64, n uint64) (string, *wire.Frame) {
+	t.Helper()
+	var b strings.Builder
+	for start := next; next < start+n; {
+		f, err := c.Next()
+		assert.NilError(t, err)
+		switch f.Kind {
+		case wire.FrameToken:
+			assert.Equal(t, f.Offset, next)
+			next += uint64(f.Tokens)
+			b.WriteString(f.Text)
+		case wire.FrameEnd, wire.FrameFail, wire.FrameElsewhere:
+			return b.String(), &f
+		}
+	}
+	return b.String(), nil
+}
+
+const whole = 1 << 40
+
+func numbers(from, to int) string {
+	var b strings.Builder
+	for i := from; i < to; i++ {
+		fmt.Fprintf(&b, "%d ", i)
+	}
+	return b.String()
+}
+
+// Guards against tokens that are lost, repeated or reordered on the way from
+// the engine, and against an end frame with the wrong count.
+func TestGenerationIsDeliveredWhole(t *testing.T) {
+	a := startAgent(t, engineAdapter(t, newEngine(t).URL, 2), nil)
+	text, last := open(t, a, request(500)).text(t, 0, whole)
+	assert.Equal(t, text, numbers(0, 500))
+	assert.Equal(t, last.Kind, wire.FrameEnd)
+	assert.Equal(t, last.Offset, uint64(500))
+	assert.Equal(t, last.Finish, "length")
+	assert.Equal(t, last.PromptTokens, uint32(5))
+}
+
+// Guards against a continuation that does not start behind the given prefix.
+func TestNewAttemptContinuesBehindPrefix(t *testing.T) {
+	e := newEngine(t)
+	a := startAgent(t, engineAdapter(t, e.URL, 2), nil)
+	req := request(40)
+	req.Attempt, req.PrefixText, req.PrefixTokens = 3, numbers(0, 10), 10
+	text, last := open(t, a, req).text(t, 10, whole)
+	assert.Equal(t, text, numbers(10, 40))
+	assert.Equal(t, last.Attempt, uint32(3))
+	assert.Equal(t, e.seen()[0]["resume_text"], numbers(0, 10))
+	assert.Equal(t, e.seen()[0]["priority"], float64(wire.Standard))
+}
+
+// Guards against a generation that is lost when its entry dies, and against
+// two readers of one generation.
+func TestAttachReplacesReader(t *testing.T) {
+	e := newEngine(t)
+	e.pause = 2 * time.Millisecond
+	a := startAgent(t, engineAdapter(t, e.URL, 2), nil)
+	req := request(200)
+	first := open(t, a, req)
+	text, _ := first.text(t, 0, 50)
+	again := *req
+	again.Attach, again.Offset, again.Body = true, 30, nil
+	second := open(t, a, &again)
+	_, last := first.text(t, 50, whole)
+	assert.Equal(t, last.Code, result.Superseded)
+	second.text(t, 30, 20)
+	second.cancel()
+	third := again
+	third.Offset = 20
+	rest, last := open(t, a, &third).text(t, 20, whole)
+	assert.Equal(t, text[:len(numbers(0, 20))]+rest, numbers(0, 200))
+	assert.Equal(t, last.Kind, wire.FrameEnd)
+	rest, _ = open(t, a, &third).text(t, 20, whole) // of a finished generation
+	assert.Equal(t, rest, numbers(20, 200))
+}
+
+// Guards against two attempts of one generation that run at the same time.
+func TestNewerAttemptReplacesOlder(t *testing.T) {
+	e := newEngine(t)
+	e.pause = 2 * time.Millisecond
+	a := startAgent(t, engineAdapter(t, e.URL, 1), nil)
+	req := request(100)
+	first := open(t, a, req)
+	text, _ := first.text(t, 0, 5)
+	newer := *req
+	newer.Attempt, newer.PrefixText, newer.PrefixTokens = 2, numbers(0, 5), 5
+	second := open(t, a, &newer)
+	rest, _ := second.text(t, 5, whole)
+	assert.Equal(t, text[:len(numbers(0, 5))]+rest, numbers(0, 100))
+	_, last := first.text(t, 5, whole)
+	assert.Equal(t, last.Code, result.Superseded)
+	_, last = open(t, a, req).text(t, 0, whole)
+	assert.Equal(t, last.Code, result.Superseded)
+	assert.Equal(t, last.Ran, result.NotRun)
+}
+
+// Guards against new work on an agent that leaves, and against a drain that
+// cuts running work.
+func TestStopDrains(t *testing.T) {
+	e := newEngine(t)
+	e.pause = time.Millisecond
+	a := startAgent(t, engineAdapter(t, e.URL, 1), nil)
+	running := open(t, a, request(200))
+	running.text(t, 0, 1)
+	stopped := make(chan error, 1)
+	go func() { stopped <- a.Stop(context.Background()) }()
+	for !a.snapshot.Load().load.Leaving {
+		time.Sleep(time.Millisecond)
+	}
+	_, last := open(t, a, request(1)).text(t, 0, whole)
+	assert.Equal(t, last.Code, result.Leaving)
+	assert.Equal(t, last.Ran, result.NotRun)
+	_, last = running.text(t, 1, whole)
+	assert.Equal(t, last.Kind, wire.FrameEnd)
+	assert.Equal(t, last.Offset, uint64(200))
+	assert.NilError(t, <-stopped)
+}
--- /dev/null
+++ b/modules/agent/generation.go
@@ -0,0 +1,237 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"heatherway.dev/core/admission"
+	"heatherway.dev/core/wire"
+	"heatherway.dev/heatherway/modules/adapter"
+	"heatherway.dev/kernel/result"
+)
+
+// Causes that end the run of a generation.
+var (
+	errPreempted = errors.New("preempted by urgent work")
+	errReplaced  = errors.New("replaced by a newer attempt")
+	errDropped   = errors.New("dropped from retention")
+	errCancelled = errors.New("cancelled by the entry")
+	errHandOver  = errors.New("handed over at shutdown")
+)
+
+// expectedTokens is the cost of a generation in fair queueing before it is
+// known.
+const expectedTokens = 256
+
+// generation is one generation that the agent holds. The owner's goroutine
+// owns the fields above out.
+type generation struct {
+	id       wire.ID
+	attempt  uint32
+	detached time.Time // zero while a reader is attached
+	cancel   context.CancelCauseFunc
+
+	out      *output
+	request  *wire.GenerateRequest
+	received time.Time
+}
+
+// openEvent asks for a new attempt or an attach. The answer goes to reply.
+type openEvent struct {
+	req   *wire.GenerateRequest
+	reply chan opened
+}
+
+type opened struct {
+	gen    *generation
+	reader *reader
+	err    error
+}
+
+func (e openEvent) apply(o *owner, now time.Time) {
+	var r opened
+	if e.req.Attach {
+		r = o.attach(now, e.req)
+	} else {
+		r = o.open(now, e.req)
+	}
+	e.reply <- r
+}
+
+func (o *owner) attach(now time.Time, req *wire.GenerateRequest) opened {
+	o.heardOf(now, req.Revision)
+	g := o.generations[req.Generation]
+	if g == nil {
+		return opened{err: result.New(result.GenerationNotHeld, "generation %s", req.Generation)}
+	}
+	r, err := g.out.attach(req.Offset)
+	if err != nil {
+		return opened{err: err}
+	}
+	g.detached = time.Time{}
+	return opened{gen: g, reader: r}
+}
+
+func (o *owner) open(now time.Time, req *wire.GenerateRequest) opened {
+	older := o.generations[req.Generation]
+	if older != nil && older.attempt >= req.Attempt {
+		return opened{err: result.New(result.Superseded, "attempt %d of the generation is known", older.attempt).
+			WithRan(result.NotRun)}
+	}
+	if err := o.takesWork(now, req.Revision, req.Fingerprint, req.Permit); err != nil {
+		return opened{err: err}
+	}
+	g := &generation{
+		id: req.Generation, attempt: req.Attempt, request: req, received: now,
+		out: newOutput(req.Attempt, req.PrefixText, req.PrefixTokens),
+	}
+	if older != nil {
+		g.out.adopt(older.out)
+		o.drop(older, errReplaced)
+	}
+	r, err := g.out.attach(req.PrefixTokens)
+	if err != nil {
+		return opened{err: err}
+	}
+	o.generations[g.id] = g
+	o.launch(now, g)
+	return opened{gen: g, reader: r}
+}
+
+// launch queues the generation and starts the goroutine that runs it.
+func (o *owner) launch(now time.Time, g *generation) {
+	ctx, cancel := context.WithCancelCause(o.a.base)
+	g.cancel = cancel
+	t := &task{fingerprint: g.request.Fingerprint, verdict: make(chan verdict, 1)}
+	run := &run{a: o.a, g: g, t: t, ctx: ctx}
+	t.preempt = run.preempt
+	o.a.work.Add(1)
+	go run.loop()
+	o.admit(now, t, admission.Request{
+		Class: g.request.Class, Organisation: g.request.Organisation, Weight: g.request.Weight,
+		Cost: expectedTokens, StartBy: startBy(now, g.request.FirstTokenMS), Preemptible: true,
+	})
+}
+
+func startBy(now time.Time, ms int64) time.Time {
+	if ms <= 0 {
+		return time.Time{}
+	}
+	return now.Add(time.Duration(ms) * time.Millisecond)
+}
+
+// drop forgets a generation and ends its run and its reader.
+func (o *owner) drop(g *generation, cause error) {
+	g.cancel(cause)
+	if o.generations[g.id] == g {
+		delete(o.generations, g.id)
+	}
+	if cause == errReplaced {
+		g.out.supersede()
+	}
+}
+
+// detachEvent tells that a stream has ended.
+type detachEvent struct {
+	g *generation
+	r *reader
+}
+
+func (e detachEvent) apply(o *owner, now time.Time) {
+	if e.g.out.detach(e.r) {
+		e.g.detached = now
+	}
+}
+
+// sweep drops generations that have been without a reader for too long, and
+// the oldest of them when their text exceeds the limit.
+func (o *owner) sweep(now time.Time) {
+	if now.Before(o.nextSweep) {
+		return
+	}
+	o.nextSweep = now.Add(sweepInterval)
+	total := 0
+	for _, g := range o.generations {
+		if g.detached.IsZero() {
+			continue
+		}
+		if now.Sub(g.detached) > o.a.Retention.Time {
+			o.drop(g, errDropped)
+			continue
+		}
+		total += g.out.size()
+	}
+	for total > o.a.Retention.Bytes {
+		g := o.oldestDetached()
+		if g == nil {
+			break
+		}
+		total -= g.out.size()
+		o.drop(g, errDropped)
+	}
+	o.a.metrics.retained.Set(int64(total))
+}
+
+func (o *owner) oldestDetached() *generation {
+	var oldest *generation
+	for _, g := range o.generations {
+		if !g.detached.IsZero() && (oldest == nil || g.detached.Before(oldest.detached)) {
+			oldest = g
+		}
+	}
+	return oldest
+}
+
+// cancelEvent ends attempts of a generation up to and with attempt.
+type cancelEvent struct {
+	id      wire.ID
+	attempt uint32
+	reply   chan bool
+}
+
+func (e cancelEvent) apply(o *owner, _ time.Time) {
+	g := o.generations[e.id]
+	if g != nil && g.attempt <= e.attempt {
+		o.drop(g, errCancelled)
+	}
+	e.reply <- g != nil
+}
+
+// holdsEvent asks whether a generation is held.
+type holdsEvent struct {
+	id    wire.ID
+	reply chan bool
+}
+
+func (e holdsEvent) apply(o *owner, _ time.Time) { e.reply <- o.generations[e.id] != nil }
+
+// handOverEvent ends every run, so that entries resume it elsewhere.
+type handOverEvent struct{}
+
+func (handOverEvent) apply(o *owner, _ time.Time) {
+	for _, g := range o.generations {
+		g.cancel(errHandOver)
+	}
+}
+
+// preemptedEvent puts a task whose run has stopped back in the queue.
+type preemptedEvent struct {
+	t      *task
+	tokens float64
+}
+
+func (e preemptedEvent) apply(o *owner, now time.Time) {
+	e.t.running = false
+	o.decide(o.queue.Preempted(now, e.t.id, e.tokens))
+	o.dirty = true
+}
+
+func (g *generation) job() *adapter.Job {
+	text, tokens := g.out.held()
+	return &adapter.Job{
+		Kind: g.request.Kind, Class: g.request.Class, Body: g.request.Body,
+		PrefixText: text, PrefixTokens: tokens,
+	}
+}
--- /dev/null
+++ b/modules/agent/owner.go
@@ -0,0 +1,277 @@
+package agent
+
+import (
+	"context"
+	"math/rand"
+	"time"
+
+	"heatherway.dev/core/admission"
+	"heatherway.dev/core/config"
+	"heatherway.dev/core/wire"
+	"heatherway.dev/kernel/result"
+)
+
+const (
+	// tickInterval is how often the queue is looked at without an event.
+	tickInterval = 50 * time.Millisecond
+	// sweepInterval is how often retained generations are looked at.
+	sweepInterval = time.Second
+	// behindLimit is how long the agent takes work after it has heard of a
+	// newer configuration that it cannot fetch.
+	behindLimit = 5 * time.Second
+)
+
+// event changes the owner's state. Only the owner's goroutine calls apply.
+type event interface{ apply(o *owner, now time.Time) }
+
+// snapshot is what traffic goroutines read without asking the owner.
+type snapshot struct {
+	load     wire.Load
+	revision uint64
+	up       bool
+}
+
+// owner holds the control state of the agent.
+type owner struct {
+	a           *Agent
+	queue       *admission.Queue
+	tasks       map[uint64]*task
+	lastTask    uint64
+	generations map[wire.ID]*generation
+	leaving     bool
+	up          bool
+	revision    uint64
+	seen        uint64    // the newest revision heard of
+	behindSince time.Time // since when seen is ahead of revision
+	suspects    map[string]wire.Suspect
+	nextSweep   time.Time
+	dirty       bool
+}
+
+func newOwner(a *Agent, now time.Time) *owner {
+	o := &owner{
+		a:           a,
+		tasks:       map[uint64]*task{},
+		generations: map[wire.ID]*generation{},
+		suspects:    map[string]wire.Suspect{},
+		up:          true,
+	}
+	o.queue = admission.New(o.settings(&config.Document{}, now), rand.New(rand.NewSource(int64(a.incarnation))))
+	return o
+}
+
+func (o *owner) settings(d *config.Document, now time.Time) admission.Settings {
+	info := o.a.upstream.Info()
+	at := config.Scope{Upstream: o.a.instance.ID, Zone: o.a.instance.Zone}
+	if len(info.Models) > 0 {
+		at.Model = info.Models[0]
+	}
+	s := admission.Settings{Slots: info.Slots, QueueLimit: int(d.Int("queue.limit", at, now))}
+	for _, c := range wire.Classes() {
+		s.Floors[c] = d.Float("class."+c.String()+".floor", at, now)
+	}
+	return s
+}
+
+func (o *owner) loop(ctx context.Context) {
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case ev := <-o.a.events:
+			ev.apply(o, time.Now())
+		case now := <-tick.C:
+			o.decide(o.queue.Tick(now))
+			o.sweep(now)
+			o.dirty = true
+		case <-ctx.Done():
+			return
+		}
+		if o.dirty {
+			o.publish(time.Now())
+		}
+	}
+}
+
+// publish gives traffic goroutines a new snapshot.
+func (o *owner) publish(now time.Time) {
+	o.dirty = false
+	s := &snapshot{load: o.queue.Load(now), revision: o.revision, up: o.up}
+	s.load.Leaving = o.leaving
+	o.a.snapshot.Store(s)
+	var queued uint32
+	for _, n := range s.load.Queued {
+		queued += n
+	}
+	o.a.metrics.queued.Set(int64(queued))
+	o.a.metrics.slotsUsed.Set(int64(s.load.Running))
+}
+
+// post sends an event to the owner. It returns false once the agent has
+// stopped.
+func (a *Agent) post(ev event) bool {
+	select {
+	case a.events <- ev:
+		return true
+	case <-a.base.Done():
+		return false
+	}
+}
+
+// task is one request in the queue or in a slot.
+type task struct {
+	id          uint64
+	fingerprint string
+	verdict     chan verdict
+	// preempt stops the run of a preemptible task.
+	preempt func()
+	running bool
+}
+
+// verdict is nil when the task may run.
+type verdict = *result.Error
+
+// admit puts a task in the queue; its verdict comes through the channel.
+func (o *owner) admit(now time.Time, t *task, r admission.Request) {
+	o.lastTask++
+	t.id, r.ID = o.lastTask, o.lastTask
+	o.tasks[t.id] = t
+	o.decide(o.queue.Submit(now, r))
+	o.dirty = true
+}
+
+func (o *owner) decide(list []admission.Decision) {
+	for _, d := range list {
+		t := o.tasks[d.ID]
+		switch d.Action {
+		case admission.Run:
+			t.running = true
+			t.verdict <- nil
+		case admission.Refuse:
+			delete(o.tasks, d.ID)
+			o.a.metrics.refused.Inc()
+			t.verdict <- result.New(d.Code, "the upstream's queue does not take the request").After(d.RetryAfter)
+		case admission.Preempt:
+			o.a.metrics.preempted.Inc()
+			t.preempt()
+		}
+		o.dirty = true
+	}
+}
+
+// takesWork returns why no new work is taken, or nil.
+func (o *owner) takesWork(now time.Time, revision uint64, fingerprint string, permit wire.ID) error {
+	o.heardOf(now, revision)
+	switch {
+	case o.leaving:
+		return result.New(result.Leaving, "the agent is leaving")
+	case !o.up:
+		return result.New(result.UpstreamNotReachable, "the upstream is down")
+	case !o.behindSince.IsZero() && now.Sub(o.behindSince) > behindLimit:
+		return result.New(result.ConfigurationBehind, "revision %d is known and cannot be fetched", o.seen)
+	}
+	return o.checkSuspect(fingerprint, permit)
+}
+
+// heardOf notes the newest configuration revision that a peer knows.
+func (o *owner) heardOf(now time.Time, revision uint64) {
+	if revision <= o.seen {
+		return
+	}
+	o.seen = revision
+	if o.seen > o.revision && o.behindSince.IsZero() {
+		o.behindSince = now
+		o.a.control.watchNow()
+	}
+}
+
+func (o *owner) checkSuspect(fingerprint string, permit wire.ID) error {
+	s, ok := o.suspects[fingerprint]
+	switch {
+	case !ok:
+		return nil
+	case s.Quarantined:
+		return result.New(result.Quarantined, "the request is in quarantine").After(time.Duration(s.LeftMS) * time.Millisecond)
+	case permit == "":
+		return result.New(result.SuspectBusy, "the request is suspected of a crash and has no permit")
+	}
+	for _, t := range o.tasks {
+		if _, other := o.suspects[t.fingerprint]; other {
+			return result.New(result.SuspectBusy, "another suspect is on this upstream")
+		}
+	}
+	return nil
+}
+
+// taskDone frees the slot of a task that was granted one.
+type taskDone struct {
+	t      *task
+	tokens float64
+}
+
+func (e taskDone) apply(o *owner, now time.Time) {
+	delete(o.tasks, e.t.id)
+	o.decide(o.queue.Finish(now, e.t.id, e.tokens))
+	o.dirty = true
+}
+
+// taskCancelled withdraws a task. Its goroutine gets no verdict if it waited.
+type taskCancelled struct{ t *task }
+
+func (e taskCancelled) apply(o *owner, now time.Time) {
+	if o.tasks[e.t.id] != e.t {
+		return
+	}
+	if !o.queue.Cancel(now, e.t.id) {
+		o.decide(o.queue.Finish(now, e.t.id, 0))
+	}
+	delete(o.tasks, e.t.id)
+	o.dirty = true
+}
+
+type drainEvent struct {
+	leave bool
+	done  chan struct{}
+}
+
+func (e drainEvent) apply(o *owner, now time.Time) {
+	defer close(e.done)
+	o.leaving = e.leave
+	if e.leave {
+		o.decide(o.queue.Leave(now))
+	} else {
+		o.queue.Return()
+	}
+	o.publish(now)
+}
+
+// configEvent puts a new configuration in force.
+type configEvent struct {
+	revision uint64
+	document *config.Document
+}
+
+func (e configEvent) apply(o *owner, now time.Time) {
+	if e.revision < o.revision {
+		return
+	}
+	o.revision = e.revision
+	o.seen = max(o.seen, e.revision)
+	if o.seen == o.revision {
+		o.behindSince = time.Time{}
+	}
+	if e.document != nil {
+		o.decide(o.queue.Configure(now, o.settings(e.document, now)))
+	}
+	o.dirty = true
+}
+
+// suspectsEvent replaces the list of suspects.
+type suspectsEvent struct{ list []wire.Suspect }
+
+func (e suspectsEvent) apply(o *owner, now time.Time) {
+	o.suspects = make(map[string]wire.Suspect, len(e.list))
+	for _, s := range e.list {
+		o.suspects[s.Fingerprint] = s
+	}
+}
--- /dev/null
+++ b/modules/agent/rpc.go
@@ -0,0 +1,136 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"heatherway.dev/core/admission"
+	"heatherway.dev/core/wire"
+	"heatherway.dev/heatherway/modules/adapter"
+	"heatherway.dev/kernel/peer"
+	"heatherway.dev/kernel/result"
+)
+
+const (
+	// maxCallBody bounds the body of a service call.
+	maxCallBody = 16 << 20
+	// defaultCallLimit bounds a call that carries no deadline.
+	defaultCallLimit = 60 * time.Second
+	// callCost is the cost of a service call in fair queueing; calls of one
+	// service are taken to cost the same.
+	callCost = 1
+)
+
+// service is the receiver of the agent's net/rpc calls.
+type service struct{ a *Agent }
+
+// Call runs one call of a plain service.
+func (s *service) Call(args *wire.CallArgs, reply *wire.CallReply) error {
+	s.a.work.Add(1)
+	defer s.a.work.Done()
+	r, err := s.a.call(args)
+	if err != nil {
+		return peer.EncodeError(err)
+	}
+	*reply = *r
+	now := s.a.snapshot.Load()
+	reply.Load, reply.Revision = now.load, now.revision
+	return nil
+}
+
+// Cancel ends attempts of a generation.
+func (s *service) Cancel(args *wire.CancelArgs, reply *wire.CancelReply) error {
+	ev := cancelEvent{args.Generation, args.Attempt, make(chan bool, 1)}
+	if s.a.post(ev) {
+		reply.Held = <-ev.reply
+	}
+	return nil
+}
+
+// Probe reports the agent's state.
+func (s *service) Probe(args *wire.ProbeArgs, reply *wire.ProbeReply) error {
+	if args.Generation != "" {
+		ev := holdsEvent{args.Generation, make(chan bool, 1)}
+		if s.a.post(ev) {
+			reply.HoldsRequested = <-ev.reply
+		}
+	}
+	now := s.a.snapshot.Load()
+	reply.Incarnation, reply.UpstreamUp = s.a.incarnation, now.up
+	reply.Load, reply.Revision = now.load, now.revision
+	return nil
+}
+
+// Drain makes the agent leave, or take work again.
+func (s *service) Drain(args *wire.DrainArgs, reply *wire.DrainReply) error {
+	s.a.log.Info("drain", "reason", args.Reason, "undo", args.Undo)
+	s.a.drain(!args.Undo)
+	reply.Running = int(s.a.snapshot.Load().load.Running)
+	return nil
+}
+
+func (a *Agent) call(args *wire.CallArgs) (*wire.CallReply, error) {
+	caller, ok := a.upstream.(adapter.Caller)
+	switch {
+	case !ok:
+		return nil, result.New(result.ServiceUnknown, "the upstream is not a plain service")
+	case len(args.Body) > maxCallBody:
+		return nil, result.New(result.BodyTooLarge, "the body exceeds %d bytes", maxCallBody)
+	case args.Class >= wire.ClassCount:
+		return nil, result.New(result.InvalidField, "class: %d", args.Class)
+	}
+	ctx, cancel := context.WithTimeout(a.base, callLimit(args.DeadlineMS))
+	defer cancel()
+	t, err := a.admitCall(ctx, args)
+	if err != nil {
+		return nil, err
+	}
+	defer a.post(taskDone{t, callCost})
+	return a.runCall(ctx, caller, args)
+}
+
+func callLimit(ms int64) time.Duration {
+	if ms <= 0 {
+		return defaultCallLimit
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+func (a *Agent) runCall(ctx context.Context, caller adapter.Caller, args *wire.CallArgs) (*wire.CallReply, error) {
+	return caller.Call(ctx, args)
+}
+
+// admitCall waits for a slot.
+func (a *Agent) admitCall(ctx context.Context, args *wire.CallArgs) (*task, error) {
+	ev := callEvent{args: args, t: &task{fingerprint: args.Fingerprint, verdict: make(chan verdict, 1)}}
+	if !a.post(ev) {
+		return nil, result.New(result.Leaving, "the agent has stopped")
+	}
+	select {
+	case v := <-ev.t.verdict:
+		if v != nil {
+			return nil, v
+		}
+		return ev.t, nil
+	case <-ctx.Done():
+		a.post(taskCancelled{ev.t})
+		return nil, result.New(result.DeadlineUnreachable, "no slot was free in time").WithRan(result.NotRun)
+	}
+}
+
+// callEvent queues a service call.
+type callEvent struct {
+	args *wire.CallArgs
+	t    *task
+}
+
+func (e callEvent) apply(o *owner, now time.Time) {
+	if err := o.takesWork(now, e.args.Revision, e.args.Fingerprint, e.args.Permit); err != nil {
+		e.t.verdict <- result.From(err)
+		return
+	}
+	o.admit(now, e.t, admission.Request{
+		Class: e.args.Class, Organisation: e.args.Organisation, Weight: e.args.Weight,
+		Cost: callCost, StartBy: startBy(now, e.args.DeadlineMS),
+	})
+}
