--- a/modules/agent/agent.go
+++ b/modules/agent/agent.go
@@ -191,9 +191,7 @@
 
 // drain makes the agent leave, or take work again.
 func (a *Agent) drain(leave bool) {
-	ev := drainEvent{leave: leave, done: make(chan struct{})}
-	if a.post(ev) {
-		<-ev.done
-	}
+	ev := drainEvent{leave: leave, done: make(chan struct{}, 1)}
+	ask(a, ev, ev.done)
 	a.control.announceNow()
 }
--- a/modules/agent/owner.go
+++ b/modules/agent/owner.go
@@ -118,6 +118,21 @@
 	}
 }
 
+// ask posts an event and waits for its reply. It returns false once the agent
+// has stopped.
+func ask[T any](a *Agent, ev event, reply <-chan T) (T, bool) {
+	var zero T
+	if !a.post(ev) {
+		return zero, false
+	}
+	select {
+	case v := <-reply:
+		return v, true
+	case <-a.base.Done():
+		return zero, false
+	}
+}
+
 // task is one request in the queue or in a slot.
 type task struct {
 	id          uint64
@@ -235,7 +250,6 @@
 }
 
 func (e drainEvent) apply(o *owner, now time.Time) {
-	defer close(e.done)
 	o.leaving = e.leave
 	if e.leave {
 		o.decide(o.queue.Leave(now))
@@ -243,6 +257,7 @@
 		o.queue.Return()
 	}
 	o.publish(now)
+	e.done <- struct{}{}
 }
 
 // configEvent puts a new configuration in force.
--- a/modules/agent/rpc.go
+++ b/modules/agent/rpc.go
@@ -41,9 +41,7 @@
 // Cancel ends attempts of a generation.
 func (s *service) Cancel(args *wire.CancelArgs, reply *wire.CancelReply) error {
 	ev := cancelEvent{args.Generation, args.Attempt, make(chan bool, 1)}
-	if s.a.post(ev) {
-		reply.Held = <-ev.reply
-	}
+	reply.Held, _ = ask(s.a, ev, ev.reply)
 	return nil
 }
 
@@ -51,9 +49,7 @@
 func (s *service) Probe(args *wire.ProbeArgs, reply *wire.ProbeReply) error {
 	if args.Generation != "" {
 		ev := holdsEvent{args.Generation, make(chan bool, 1)}
-		if s.a.post(ev) {
-			reply.HoldsRequested = <-ev.reply
-		}
+		reply.HoldsRequested, _ = ask(s.a, ev, ev.reply)
 	}
 	now := s.a.snapshot.Load()
 	reply.Incarnation, reply.UpstreamUp = s.a.incarnation, now.up
--- a/modules/agent/stream.go
+++ b/modules/agent/stream.go
@@ -48,11 +48,11 @@
 		return
 	}
 	ev := openEvent{req: req, reply: make(chan opened, 1)}
-	if !a.post(ev) {
+	o, ok := ask(a, ev, ev.reply)
+	if !ok {
 		s.fail(req.Attempt, result.New(result.Leaving, "the agent has stopped"))
 		return
 	}
-	o := <-ev.reply
 	if o.err != nil {
 		s.fail(req.Attempt, o.err)
 		return
