admission: serve floors, fair shares and deadlines

Cause: the queue of an upstream served classes in strict order only. Change: floors by slot-seconds over 10 s, strict priority above them, start-time fair queueing of organisations, refusal at once by estimated wait, preemption of batch work. Standard work below its floor may preempt batch too, since minutes of batch work would otherwise keep it out. The one with the latest start tag is refused. Conclusion: the agent's owner drives it for generations and calls.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -1,5 +1,8 @@
 // Package admission decides which waiting requests of one upstream run, and
 // which are refused. Time is passed in; nothing here blocks.
+//
+// Classes are served in strict priority above guaranteed minimum shares of slot
+// time. Within a class, organisations share by start-time fair queueing.
 package admission
 
 import (
@@ -23,6 +26,7 @@
 
 // Request is one piece of work for the upstream.
 type Request struct {
+	// ID is unique among the requests that wait or run.
 	ID           uint64
 	Class        wire.Class
 	Organisation string
@@ -45,7 +49,8 @@
 	Run Action = iota + 1
 	// Refuse ends the request with the decision's code.
 	Refuse
-	// Preempt stops the running request; the caller then calls Preempted.
+	// Preempt stops the running request; the caller then calls Preempted, or
+	// Finish if the request has ended by itself.
 	Preempt
 )
 
@@ -57,93 +62,243 @@
 	RetryAfter time.Duration
 }
 
+const (
+	// minRetryAfter and maxRetryAfter bound the advice to callers.
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = 5 * time.Minute
+)
+
 // Queue holds the waiting and running requests of one upstream.
 type Queue struct {
-	settings Settings
-	rng      *rand.Rand
-	waiting  [wire.ClassCount][]Request
-	running  map[uint64]Request
-	leaving  bool
+	settings   Settings
+	rng        *rand.Rand
+	classes    [wire.ClassCount]class
+	items      map[uint64]*item
+	running    int
+	preempting int
+	seq        uint64
+	leaving    bool
+	nextForget time.Time
+	out        []Decision
 }
 
 // New returns an empty queue. The random source only jitters Retry-After.
-func New(s Settings, rng *rand.Rand) *Queue {
-	return &Queue{settings: s, rng: rng, running: map[uint64]Request{}}
+func New(now time.Time, s Settings, rng *rand.Rand) *Queue {
+	q := &Queue{rng: rng, items: map[uint64]*item{}}
+	for c := range q.classes {
+		q.classes[c] = class{flows: map[string]*flow{}, use: newUsage(now)}
+	}
+	q.apply(s)
+	return q
 }
 
 // Configure replaces the settings.
 func (q *Queue) Configure(now time.Time, s Settings) []Decision {
+	q.begin(now)
+	q.apply(s)
+	return q.settle(now)
+}
+
+// apply scales floors that promise more than there is.
+func (q *Queue) apply(s Settings) {
+	sum := 0.0
+	for _, f := range s.Floors {
+		sum += f
+	}
+	if sum > 1 {
+		for c := range s.Floors {
+			s.Floors[c] /= sum
+		}
+	}
 	q.settings = s
-	return q.fill(now)
+}
+
+// begin accounts for the time since the call before. The decisions of a call
+// are valid until the next one.
+func (q *Queue) begin(now time.Time) {
+	q.out = q.out[:0]
+	for c := range q.classes {
+		q.classes[c].use.advance(now)
+	}
+}
+
+func (q *Queue) settle(now time.Time) []Decision {
+	q.fill(now)
+	q.preempt()
+	return q.out
 }
 
 // Submit adds a request.
 func (q *Queue) Submit(now time.Time, r Request) []Decision {
+	q.begin(now)
 	if q.leaving {
-		return []Decision{{ID: r.ID, Action: Refuse, Code: result.Leaving}}
+		q.out = append(q.out, Decision{ID: r.ID, Action: Refuse, Code: result.Leaving})
+		return q.out
+	}
+	if r.Weight <= 0 {
+		r.Weight = 1
+	}
+	q.seq++
+	it := &item{Request: r, seq: q.seq}
+	q.items[r.ID] = it
+	c := &q.classes[r.Class]
+	c.push(it)
+	q.fill(now)
+	if it.waits() && c.count > q.settings.QueueLimit {
+		q.refuse(now, c.newestOfLargest(it), result.QueueFull)
 	}
-	if len(q.waiting[r.Class]) >= q.settings.QueueLimit {
-		return []Decision{{ID: r.ID, Action: Refuse, Code: result.QueueFull, RetryAfter: time.Second}}
+	if it.waits() && q.hopeless(now, it, it.flow.length()) {
+		q.refuse(now, it, result.DeadlineUnreachable)
 	}
-	q.waiting[r.Class] = append(q.waiting[r.Class], r)
-	return q.fill(now)
+	q.preempt()
+	return q.out
 }
 
 // Finish frees the slot of a running request that used the given tokens.
 func (q *Queue) Finish(now time.Time, id uint64, tokens float64) []Decision {
-	delete(q.running, id)
-	return q.fill(now)
+	q.begin(now)
+	it := q.items[id]
+	if it == nil || it.waits() {
+		return nil
+	}
+	q.classes[it.Class].observe(now.Sub(it.started))
+	q.release(it, tokens)
+	delete(q.items, id)
+	q.classes[it.Class].tidy()
+	return q.settle(now)
 }
 
 // Preempted puts a request whose preemption was asked for back in the queue.
+// It keeps its place in its organisation's line and is not refused later for
+// its deadline, since its caller already has part of the answer.
 func (q *Queue) Preempted(now time.Time, id uint64, tokens float64) []Decision {
-	r := q.running[id]
-	delete(q.running, id)
-	q.waiting[r.Class] = append([]Request{r}, q.waiting[r.Class]...)
-	return q.fill(now)
+	q.begin(now)
+	it := q.items[id]
+	if it == nil || it.waits() {
+		return nil
+	}
+	q.release(it, tokens)
+	it.resumed, it.StartBy = true, time.Time{}
+	if q.leaving {
+		q.out = append(q.out, Decision{ID: id, Action: Refuse, Code: result.Leaving})
+		delete(q.items, id)
+		return q.out
+	}
+	q.classes[it.Class].pushFront(it)
+	return q.settle(now)
+}
+
+// release takes an item out of its slot and corrects what its organisation has
+// been charged.
+func (q *Queue) release(it *item, tokens float64) {
+	c := &q.classes[it.Class]
+	if it.state == preempting {
+		q.preempting--
+	}
+	q.running--
+	c.leaveSlot(it)
+	c.charge(it.flow, tokens-it.Cost)
 }
 
-// Cancel removes a waiting request. A running one is left to Finish.
+// Cancel removes a waiting request and tells whether it waited. A running one
+// is left to Finish.
 func (q *Queue) Cancel(now time.Time, id uint64) bool {
-	for c := range q.waiting {
-		for i, r := range q.waiting[c] {
-			if r.ID == id {
-				q.waiting[c] = append(q.waiting[c][:i:i], q.waiting[c][i+1:]...)
-				return true
-			}
-		}
+	q.begin(now)
+	it := q.items[id]
+	if it == nil || !it.waits() {
+		return false
 	}
-	return false
+	q.remove(it)
+	return true
 }
 
-// Tick drops requests whose time has run out.
+func (q *Queue) remove(it *item) {
+	c := &q.classes[it.Class]
+	c.remove(it)
+	delete(q.items, it.ID)
+	c.tidy()
+}
+
+// Tick refuses requests that can no longer start in time. It is to be called
+// several times a second.
 func (q *Queue) Tick(now time.Time) []Decision {
-	var out []Decision
-	for c := range q.waiting {
-		kept := q.waiting[c][:0:0]
-		for _, r := range q.waiting[c] {
-			if !r.StartBy.IsZero() && !now.Before(r.StartBy) {
-				out = append(out, Decision{ID: r.ID, Action: Refuse, Code: result.DeadlineUnreachable, RetryAfter: time.Second})
+	q.begin(now)
+	q.fill(now)
+	for c := range q.classes {
+		q.refuseHopeless(now, &q.classes[c])
+	}
+	q.forgetIdle(now)
+	q.preempt()
+	return q.out
+}
+
+// forgetInterval is how often idle organisations are looked for.
+const forgetInterval = time.Second
+
+func (q *Queue) forgetIdle(now time.Time) {
+	if now.Before(q.nextForget) {
+		return
+	}
+	q.nextForget = now.Add(forgetInterval)
+	for c := range q.classes {
+		q.classes[c].forgetIdle()
+	}
+}
+
+func (q *Queue) refuseHopeless(now time.Time, c *class) {
+	var gone []*item
+	for _, f := range c.byStart.list {
+		position := 0
+		for _, it := range f.waiting() {
+			if q.hopeless(now, it, position+1) {
+				gone = append(gone, it)
 				continue
 			}
-			kept = append(kept, r)
+			position++
 		}
-		q.waiting[c] = kept
 	}
-	return append(out, q.fill(now)...)
+	for _, it := range gone {
+		q.refuse(now, it, result.DeadlineUnreachable)
+	}
+}
+
+// hopeless tells whether an item at a position of its organisation's line is
+// expected to start too late.
+func (q *Queue) hopeless(now time.Time, it *item, position int) bool {
+	if it.StartBy.IsZero() {
+		return false
+	}
+	left := it.StartBy.Sub(now)
+	return left <= 0 || q.wait(now, it.Class, position, it.Weight) > left
+}
+
+func (q *Queue) refuse(now time.Time, it *item, code result.Code) {
+	after := q.retryAfter(now, it.Class)
+	q.remove(it)
+	q.out = append(q.out, Decision{ID: it.ID, Action: Refuse, Code: code, RetryAfter: after})
+}
+
+// retryAfter is the time to drain the class's queue, spread over a factor of
+// two, so that callers do not return together.
+func (q *Queue) retryAfter(now time.Time, c wire.Class) time.Duration {
+	drain := q.drain(now, c, float64(q.classes[c].count))
+	d := time.Duration(float64(drain) * (1 + q.rng.Float64()))
+	return min(max(d, minRetryAfter), maxRetryAfter)
 }
 
 // Leave refuses everything that waits and all later requests.
 func (q *Queue) Leave(now time.Time) []Decision {
+	q.begin(now)
 	q.leaving = true
-	var out []Decision
-	for c := range q.waiting {
-		for _, r := range q.waiting[c] {
-			out = append(out, Decision{ID: r.ID, Action: Refuse, Code: result.Leaving})
+	for c := range q.classes {
+		for _, f := range append([]*flow(nil), q.classes[c].byStart.list...) {
+			for _, it := range append([]*item(nil), f.waiting()...) {
+				q.remove(it)
+				q.out = append(q.out, Decision{ID: it.ID, Action: Refuse, Code: result.Leaving})
+			}
 		}
-		q.waiting[c] = nil
 	}
-	return out
+	return q.out
 }
 
 // Return takes work again after Leave.
@@ -151,22 +306,12 @@
 
 // Load reports the state of the queue.
 func (q *Queue) Load(now time.Time) wire.Load {
-	l := wire.Load{Slots: uint32(q.settings.Slots), Running: uint32(len(q.running)), Leaving: q.leaving}
-	for c := range q.waiting {
-		l.Queued[c] = uint32(len(q.waiting[c]))
-	}
-	return l
-}
-
-func (q *Queue) fill(time.Time) []Decision {
-	var out []Decision
-	for c := range q.waiting {
-		for len(q.waiting[c]) > 0 && len(q.running) < q.settings.Slots {
-			r := q.waiting[c][0]
-			q.waiting[c] = q.waiting[c][1:]
-			q.running[r.ID] = r
-			out = append(out, Decision{ID: r.ID, Action: Run})
+	l := wire.Load{Slots: uint32(q.settings.Slots), Running: uint32(q.running), Leaving: q.leaving}
+	for c := range q.classes {
+		l.Queued[c] = uint32(q.classes[c].count)
+		if q.running >= q.settings.Slots {
+			l.WaitMS[c] = uint32(q.newcomerWait(now, wire.Class(c)).Milliseconds())
 		}
 	}
-	return out
+	return l
 }
--- a/modules/agent/owner.go
+++ b/modules/agent/owner.go
@@ -56,7 +56,7 @@
 		suspects:    map[string]wire.Suspect{},
 		up:          true,
 	}
-	o.queue = admission.New(o.settings(&config.Document{}, now), rand.New(rand.NewSource(int64(a.incarnation))))
+	o.queue = admission.New(now, o.settings(&config.Document{}, now), rand.New(rand.NewSource(int64(a.incarnation))))
 	return o
 }
 
