--- /dev/null
+++ b/core/zz_mut/admission.go
@@ -0,0 +1,317 @@
+// Package admission decides which waiting requests of one upstream run, and
+// which are refused. Time is passed in; nothing here blocks.
+//
+// Classes are served in strict priority above guaranteed minimum shares of slot
+// time. Within a class, organisations share by start-time fair queueing.
+package admission
+
+import (
+	"math/rand"
+	"time"
+
+	"heatherway.dev/core/wire"
+	"heatherway.dev/kernel/result"
+)
+
+// Settings configures a queue.
+type Settings struct {
+	// Slots is how many requests run at once.
+	Slots int
+	// Floors is the least share of slot time of each class that has work
+	// waiting.
+	Floors [wire.ClassCount]float64
+	// QueueLimit is the most requests of one class that wait.
+	QueueLimit int
+}
+
+// Request is one piece of work for the upstream.
+type Request struct {
+	// ID is unique among the requests that wait or run.
+	ID           uint64
+	Class        wire.Class
+	Organisation string
+	// Weight is the organisation's share in fair queueing; zero counts as one.
+	Weight float64
+	// Cost is the expected number of tokens.
+	Cost float64
+	// StartBy is when the request must run at the latest; zero sets no limit.
+	StartBy time.Time
+	// Preemptible work can be stopped and started again without loss.
+	Preemptible bool
+}
+
+// Action is what a decision asks the caller to do.
+type Action uint8
+
+// The actions.
+const (
+	// Run starts the request in a slot.
+	Run Action = iota + 1
+	// Refuse ends the request with the decision's code.
+	Refuse
+	// Preempt stops the running request; the caller then calls Preempted, or
+	// Finish if the request has ended by itself.
+	Preempt
+)
+
+// Decision is one outcome for one request.
+type Decision struct {
+	ID         uint64
+	Action     Action
+	Code       result.Code
+	RetryAfter time.Duration
+}
+
+const (
+	// minRetryAfter and maxRetryAfter bound the advice to callers.
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = 5 * time.Minute
+)
+
+// Queue holds the waiting and running requests of one upstream.
+type Queue struct {
+	settings   Settings
+	rng        *rand.Rand
+	classes    [wire.ClassCount]class
+	items      map[uint64]*item
+	running    int
+	preempting int
+	seq        uint64
+	leaving    bool
+	nextForget time.Time
+	out        []Decision
+}
+
+// New returns an empty queue. The random source only jitters Retry-After.
+func New(now time.Time, s Settings, rng *rand.Rand) *Queue {
+	q := &Queue{rng: rng, items: map[uint64]*item{}}
+	for c := range q.classes {
+		q.classes[c] = class{flows: map[string]*flow{}, use: newUsage(now)}
+	}
+	q.apply(s)
+	return q
+}
+
+// Configure replaces the settings.
+func (q *Queue) Configure(now time.Time, s Settings) []Decision {
+	q.begin(now)
+	q.apply(s)
+	return q.settle(now)
+}
+
+// apply scales floors that promise more than there is.
+func (q *Queue) apply(s Settings) {
+	sum := 0.0
+	for _, f := range s.Floors {
+		sum += f
+	}
+	if sum > 1 {
+		for c := range s.Floors {
+			s.Floors[c] /= sum
+		}
+	}
+	q.settings = s
+}
+
+// begin accounts for the time since the call before. The decisions of a call
+// are valid until the next one.
+func (q *Queue) begin(now time.Time) {
+	q.out = q.out[:0]
+	for c := range q.classes {
+		q.classes[c].use.advance(now)
+	}
+}
+
+func (q *Queue) settle(now time.Time) []Decision {
+	q.fill(now)
+	q.preempt()
+	return q.out
+}
+
+// Submit adds a request.
+func (q *Queue) Submit(now time.Time, r Request) []Decision {
+	q.begin(now)
+	if q.leaving {
+		q.out = append(q.out, Decision{ID: r.ID, Action: Refuse, Code: result.Leaving})
+		return q.out
+	}
+	if r.Weight <= 0 {
+		r.Weight = 1
+	}
+	q.seq++
+	it := &item{Request: r, seq: q.seq}
+	q.items[r.ID] = it
+	c := &q.classes[r.Class]
+	c.push(it)
+	q.fill(now)
+	if it.waits() && c.count > q.settings.QueueLimit {
+		q.refuse(now, c.newestOfLargest(it), result.QueueFull)
+	}
+	if it.waits() && q.hopeless(now, it, it.flow.length()) {
+		q.refuse(now, it, result.DeadlineUnreachable)
+	}
+	q.preempt()
+	return q.out
+}
+
+// Finish frees the slot of a running request that used the given tokens.
+func (q *Queue) Finish(now time.Time, id uint64, tokens float64) []Decision {
+	q.begin(now)
+	it := q.items[id]
+	if it == nil || it.waits() {
+		return nil
+	}
+	q.classes[it.Class].observe(now.Sub(it.started))
+	q.release(it, tokens)
+	delete(q.items, id)
+	q.classes[it.Class].tidy()
+	return q.settle(now)
+}
+
+// Preempted puts a request whose preemption was asked for back in the queue.
+// It keeps its place in its organisation's line and is not refused later for
+// its deadline, since its caller already has part of the answer.
+func (q *Queue) Preempted(now time.Time, id uint64, tokens float64) []Decision {
+	q.begin(now)
+	it := q.items[id]
+	if it == nil || it.waits() {
+		return nil
+	}
+	q.release(it, tokens)
+	it.resumed, it.StartBy = true, time.Time{}
+	if q.leaving {
+		q.out = append(q.out, Decision{ID: id, Action: Refuse, Code: result.Leaving})
+		delete(q.items, id)
+		return q.out
+	}
+	q.classes[it.Class].pushFront(it)
+	return q.settle(now)
+}
+
+// release takes an item out of its slot and corrects what its organisation has
+// been charged.
+func (q *Queue) release(it *item, tokens float64) {
+	c := &q.classes[it.Class]
+	if it.state == preempting {
+		q.preempting--
+	}
+	q.running--
+	c.leaveSlot(it)
+	c.charge(it.flow, tokens-it.Cost)
+}
+
+// Cancel removes a waiting request and tells whether it waited. A running one
+// is left to Finish.
+func (q *Queue) Cancel(now time.Time, id uint64) bool {
+	q.begin(now)
+	it := q.items[id]
+	if it == nil || !it.waits() {
+		return false
+	}
+	q.remove(it)
+	return true
+}
+
+func (q *Queue) remove(it *item) {
+	c := &q.classes[it.Class]
+	c.remove(it)
+	delete(q.items, it.ID)
+	c.tidy()
+}
+
+// Tick refuses requests that can no longer start in time. It is to be called
+// several times a second.
+func (q *Queue) Tick(now time.Time) []Decision {
+	q.begin(now)
+	q.fill(now)
+	for c := range q.classes {
+		q.refuseHopeless(now, &q.classes[c])
+	}
+	q.forgetIdle(now)
+	q.preempt()
+	return q.out
+}
+
+// forgetInterval is how often idle organisations are looked for.
+const forgetInterval = time.Second
+
+func (q *Queue) forgetIdle(now time.Time) {
+	if now.Before(q.nextForget) {
+		return
+	}
+	q.nextForget = now.Add(forgetInterval)
+	for c := range q.classes {
+		q.classes[c].forgetIdle()
+	}
+}
+
+func (q *Queue) refuseHopeless(now time.Time, c *class) {
+	var gone []*item
+	for _, f := range c.byStart.list {
+		position := 0
+		for _, it := range f.waiting() {
+			if q.hopeless(now, it, position+1) {
+				gone = append(gone, it)
+				continue
+			}
+			position++
+		}
+	}
+	for _, it := range gone {
+		q.refuse(now, it, result.DeadlineUnreachable)
+	}
+}
+
+// hopeless tells whether an item at a position of its organisation's line is
+// expected to start too late.
+func (q *Queue) hopeless(now time.Time, it *item, position int) bool {
+	if it.StartBy.IsZero() {
+		return false
+	}
+	left := it.StartBy.Sub(now)
+	return left <= 0
+}
+
+func (q *Queue) refuse(now time.Time, it *item, code result.Code) {
+	after := q.retryAfter(now, it.Class)
+	q.remove(it)
+	q.out = append(q.out, Decision{ID: it.ID, Action: Refuse, Code: code, RetryAfter: after})
+}
+
+// retryAfter is the time to drain the class's queue, spread over a factor of
+// two, so that callers do not return together.
+func (q *Queue) retryAfter(now time.Time, c wire.Class) time.Duration {
+	drain := q.drain(now, c, float64(q.classes[c].count))
+	d := time.Duration(float64(drain) * (1 + q.rng.Float64()))
+	return min(max(d, minRetryAfter), maxRetryAfter)
+}
+
+// Leave refuses everything that waits and all later requests.
+func (q *Queue) Leave(now time.Time) []Decision {
+	q.begin(now)
+	q.leaving = true
+	for c := range q.classes {
+		for _, f := range append([]*flow(nil), q.classes[c].byStart.list...) {
+			for _, it := range append([]*item(nil), f.waiting()...) {
+				q.remove(it)
+				q.out = append(q.out, Decision{ID: it.ID, Action: Refuse, Code: result.Leaving})
+			}
+		}
+	}
+	return q.out
+}
+
+// Return takes work again after Leave.
+func (q *Queue) Return() { q.leaving = false }
+
+// Load reports the state of the queue.
+func (q *Queue) Load(now time.Time) wire.Load {
+	l := wire.Load{Slots: uint32(q.settings.Slots), Running: uint32(q.running), Leaving: q.leaving}
+	for c := range q.classes {
+		l.Queued[c] = uint32(q.classes[c].count)
+		if q.running >= q.settings.Slots {
+			l.WaitMS[c] = uint32(q.newcomerWait(now, wire.Class(c)).Milliseconds())
+		}
+	}
+	return l
+}
--- /dev/null
+++ b/core/zz_mut/admission_test.go
@@ -0,0 +1,413 @@
+package admission
+
+import (
+	"fmt"
+	"math/rand"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"heatherway.dev/core/wire"
+)
+
+// step is the resolution of the simulated upstream.
+const step = 10 * time.Millisecond
+
+var t0 = time.Unix(1_700_000_000, 0)
+
+type job struct {
+	Request
+	end   time.Time
+	state Action // 0 waits, Run, Refuse
+}
+
+// sim runs requests on a simulated upstream and checks every decision.
+type sim struct {
+	t       *rapid.T
+	q       *Queue
+	now     time.Time
+	s       Settings
+	last    uint64
+	jobs    map[uint64]*job
+	hold    func(*job) time.Duration
+	tokens  map[string]float64
+	used    [wire.ClassCount][]float64 // slot-seconds up to each step
+	active  []*job
+	depth   int
+	onRun   func(*job)
+	queued  [wire.ClassCount]int
+	running [wire.ClassCount]int
+}
+
+func newSim(t *rapid.T, s Settings, hold func(*job) time.Duration) *sim {
+	return &sim{
+		t: t, s: s, now: t0, hold: hold, jobs: map[uint64]*job{}, tokens: map[string]float64{},
+		q: New(t0, s, rand.New(rand.NewSource(1))),
+	}
+}
+
+func (m *sim) submit(r Request) {
+	m.last++
+	r.ID = m.last
+	m.jobs[r.ID] = &job{Request: r}
+	m.queued[r.Class]++
+	m.apply(m.q.Submit(m.now, r))
+}
+
+func (m *sim) apply(list []Decision) {
+	m.depth++
+	defer func() { m.depth-- }()
+	assert.Assert(m.t, m.depth < 100, "preemption without end")
+	for _, d := range append([]Decision(nil), list...) {
+		j := m.jobs[d.ID]
+		assert.Assert(m.t, j != nil, "decision %v for a request that has its outcome", d)
+		switch d.Action {
+		case Run:
+			assert.Equal(m.t, j.state, Action(0), "two outcomes")
+			if m.onRun != nil {
+				m.onRun(j)
+			}
+			j.state, j.end = Run, m.now.Add(m.hold(j))
+			m.queued[j.Class]--
+			m.running[j.Class]++
+			m.active = append(m.active, j)
+		case Refuse:
+			assert.Equal(m.t, j.state, Action(0), "two outcomes")
+			assert.Assert(m.t, d.Code != 0)
+			m.queued[j.Class]--
+			delete(m.jobs, d.ID)
+		case Preempt:
+			assert.Equal(m.t, j.state, Run)
+			j.state = 0
+			m.queued[j.Class]++
+			m.stopped(j)
+			m.apply(m.q.Preempted(m.now, d.ID, 0))
+		}
+	}
+	total := 0
+	for _, n := range m.running {
+		total += n
+	}
+	assert.Assert(m.t, total <= m.s.Slots, "%d run in %d slots", total, m.s.Slots)
+}
+
+func (m *sim) stopped(j *job) {
+	m.running[j.Class]--
+	m.active = slices.DeleteFunc(m.active, func(k *job) bool { return k == j })
+}
+
+func (m *sim) finishDue() {
+	for _, j := range append([]*job(nil), m.active...) {
+		if j.state != Run || j.end.After(m.now) {
+			continue
+		}
+		m.stopped(j)
+		m.tokens[j.Organisation] += j.Cost
+		delete(m.jobs, j.ID)
+		m.apply(m.q.Finish(m.now, j.ID, j.Cost))
+	}
+}
+
+func (m *sim) advance(n int) {
+	m.now = m.now.Add(step)
+	for c := range m.used {
+		before := 0.0
+		if n := len(m.used[c]); n > 0 {
+			before = m.used[c][n-1]
+		}
+		m.used[c] = append(m.used[c], before+float64(m.running[c])*step.Seconds())
+	}
+	m.finishDue()
+	if n%5 == 0 {
+		m.apply(m.q.Tick(m.now))
+	}
+}
+
+// window returns the slot-seconds of a class in the last ten seconds.
+func (m *sim) window(c wire.Class) float64 {
+	all, steps := m.used[c], int(window/step)
+	switch {
+	case len(all) == 0:
+		return 0
+	case len(all) <= steps:
+		return all[len(all)-1]
+	default:
+		return all[len(all)-1] - all[len(all)-1-steps]
+	}
+}
+
+func settingsGen(t *rapid.T) Settings {
+	s := Settings{Slots: rapid.IntRange(1, 8).Draw(t, "slots"), QueueLimit: 32}
+	for c := range s.Floors {
+		s.Floors[c] = float64(rapid.IntRange(0, 30).Draw(t, "floor")) / 100
+	}
+	return s
+}
+
+// Guards against a class with waiting work that a flood of another class
+// starves, and against a less urgent class above its floor that goes first.
+func TestFloorsAndPriority(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := settingsGen(t)
+		rng := rand.New(rand.NewSource(rapid.Int64().Draw(t, "seed")))
+		m := newSim(t, s, func(*job) time.Duration { return time.Duration(1+rng.Intn(20)) * step })
+		// The window moves in buckets, and a class gets its slot when a job ends.
+		slack := func(c wire.Class) float64 {
+			return (1 + s.Floors[c]*float64(s.Slots)) * (bucketTime + 2*step).Seconds()
+		}
+		m.onRun = func(j *job) {
+			for c := range j.Class {
+				floor := s.Floors[j.Class] * float64(s.Slots) * window.Seconds()
+				assert.Assert(t, m.queued[c] == 0 || m.window(j.Class) <= floor+slack(j.Class),
+					"%v goes before %v with %.1f of %.1f", j.Class, c, m.window(j.Class), floor)
+			}
+		}
+		for n := range 3200 {
+			for _, c := range wire.Classes() {
+				for m.queued[c] < 3 {
+					m.submit(Request{Class: c, Organisation: "o", Cost: 1, Preemptible: c == wire.Batch})
+				}
+			}
+			m.advance(n)
+			if n < int(2*window/step) || n%100 != 0 {
+				continue
+			}
+			for _, c := range wire.Classes() {
+				want := s.Floors[c]*float64(s.Slots)*window.Seconds() - slack(c)
+				assert.Assert(t, m.window(c) >= want, "%v has %.2f, wants %.2f", c, m.window(c), want)
+			}
+		}
+	})
+}
+
+// Guards against an organisation that gains by asking for ten times its share.
+func TestOrganisationsShareFairly(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const organisations = 8
+		names := strings.Split("abcdefgh", "")
+		rng := rand.New(rand.NewSource(rapid.Int64().Draw(t, "seed")))
+		slots := rapid.IntRange(1, 6).Draw(t, "slots")
+		hold := time.Duration(rapid.IntRange(1, 3).Draw(t, "hold")) * step
+		cost := rapid.SliceOfN(rapid.IntRange(1, 20), organisations, organisations).Draw(t, "cost")
+		m := newSim(t, Settings{Slots: slots, QueueLimit: 40}, func(j *job) time.Duration { return time.Duration(j.Cost * float64(hold)) })
+		share := float64(slots) / hold.Seconds() / organisations // tokens a second
+		asked := map[string]float64{}
+		for n := range 6000 {
+			for o := range organisations {
+				rate := share / float64(cost[o]) * step.Seconds()
+				if o == 0 {
+					rate *= 10
+				}
+				for ; rate > 0; rate-- {
+					if rng.Float64() < rate {
+						m.submit(Request{Class: wire.Standard, Organisation: names[o], Cost: float64(cost[o])})
+						asked[names[o]] += float64(cost[o])
+					}
+				}
+			}
+			m.advance(n)
+		}
+		sum, squares := 0.0, 0.0
+		for name, entitled := range entitlements(m.tokens, asked) {
+			v := m.tokens[name] / entitled
+			sum += v
+			squares += v * v
+		}
+		index := sum * sum / (organisations * squares)
+		assert.Assert(t, index >= 0.95, "Jain's index %.3f of %v, asked %v", index, m.tokens, asked)
+	})
+}
+
+// entitlements divides what was served by max-min fairness: nobody is entitled
+// to more than it asked for, and what it leaves goes to the others.
+func entitlements(served, asked map[string]float64) map[string]float64 {
+	left := 0.0
+	for _, v := range served {
+		left += v
+	}
+	out := map[string]float64{}
+	for len(out) < len(asked) {
+		least := ""
+		for name, v := range asked {
+			if _, done := out[name]; !done && (least == "" || v < asked[least]) {
+				least = name
+			}
+		}
+		out[least] = min(asked[least], left/float64(len(asked)-len(out)))
+		left -= out[least]
+	}
+	return out
+}
+
+// Guards against a request that is held although it cannot start in time any
+// more. With equal jobs and strict priority the earliest start is known: each
+// slot frees once a job.
+func TestNothingIsHeldPastHope(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 6).Draw(t, "slots")
+		hold := time.Duration(rapid.IntRange(2, 40).Draw(t, "hold")) * step
+		rng := rand.New(rand.NewSource(rapid.Int64().Draw(t, "seed")))
+		m := newSim(t, Settings{Slots: slots, QueueLimit: 1000}, func(*job) time.Duration { return hold })
+		for n := range 600 {
+			if n < 100 && n%10 == 0 {
+				m.submit(Request{Class: wire.Standard, Organisation: "s", Cost: 1})
+			}
+			burst := 0
+			if n > 100 && rng.Intn(40) == 0 {
+				burst = rng.Intn(4 * slots)
+			}
+			for range burst {
+				m.submit(Request{Class: wire.Urgent, Organisation: "u", Cost: 1})
+			}
+			if n > 100 && rng.Float64() < 1.2*float64(slots)*step.Seconds()/hold.Seconds() {
+				left := time.Duration(1+rng.Intn(200)) * step
+				m.submit(Request{Class: wire.Standard, Organisation: "s", Cost: 1, StartBy: m.now.Add(left)})
+			}
+			m.advance(n)
+			if n < 100 {
+				continue
+			}
+			m.apply(m.q.Tick(m.now))
+			ahead := m.queued[wire.Urgent]
+			for id := uint64(1); id <= m.last; id++ {
+				j := m.jobs[id]
+				if j == nil || j.state != 0 || j.StartBy.IsZero() {
+					continue
+				}
+				ahead++
+				earliest := m.now.Add(time.Duration((ahead-1)/slots) * hold)
+				assert.Assert(t, !earliest.After(j.StartBy), "held with %d ahead, %v left", ahead, j.StartBy.Sub(m.now))
+			}
+		}
+	})
+}
+
+// Guards against a request without an outcome or with two, and against more
+// running requests than slots, under any order of calls.
+func TestEveryRequestGetsOneOutcome(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newSim(t, settingsGen(t), func(*job) time.Duration { return 0 })
+		m.s.QueueLimit = rapid.IntRange(1, 10).Draw(t, "limit")
+		m.apply(m.q.Configure(m.now, m.s))
+		pick := func(state Action) *job {
+			for id := uint64(1); id <= m.last; id++ {
+				if j := m.jobs[id]; j != nil && j.state == state && rapid.Bool().Draw(t, "pick") {
+					return j
+				}
+			}
+			return nil
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"submit": func(t *rapid.T) {
+				r := Request{
+					Class:        wire.Class(rapid.IntRange(0, 2).Draw(t, "class")),
+					Organisation: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "organisation"),
+					Weight:       rapid.Float64Range(0, 3).Draw(t, "weight"),
+					Cost:         rapid.Float64Range(0, 100).Draw(t, "cost"),
+					Preemptible:  rapid.Bool().Draw(t, "preemptible"),
+				}
+				if rapid.Bool().Draw(t, "limited") {
+					r.StartBy = m.now.Add(time.Duration(rapid.IntRange(1, 500).Draw(t, "left")) * step)
+				}
+				m.submit(r)
+			},
+			"finish": func(t *rapid.T) {
+				if j := pick(Run); j != nil {
+					m.stopped(j)
+					delete(m.jobs, j.ID)
+					m.apply(m.q.Finish(m.now, j.ID, rapid.Float64Range(0, 500).Draw(t, "tokens")))
+				}
+			},
+			"cancel": func(t *rapid.T) {
+				if j := pick(0); j != nil {
+					assert.Assert(t, m.q.Cancel(m.now, j.ID))
+					m.queued[j.Class]--
+					delete(m.jobs, j.ID)
+				}
+			},
+			"tick": func(t *rapid.T) {
+				m.now = m.now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "pause")) * step)
+				m.apply(m.q.Tick(m.now))
+			},
+			"": func(t *rapid.T) {
+				l := m.q.Load(m.now)
+				running := 0
+				for c := range m.queued {
+					assert.Equal(t, int(l.Queued[c]), m.queued[c])
+					running += m.running[c]
+				}
+				assert.Equal(t, int(l.Running), running)
+				waits := m.queued[0]+m.queued[1]+m.queued[2] > 0
+				assert.Assert(t, !waits || running == m.s.Slots, "a slot is free while work waits")
+			},
+		})
+		m.apply(m.q.Leave(m.now))
+		for _, j := range m.jobs {
+			assert.Equal(t, j.state, Run, "no outcome after leaving")
+		}
+	})
+}
+
+// Guards against urgent work that waits behind long batch work, and against
+// batch work that is pushed below its floor.
+func TestUrgentPreemptsBatchAboveFloor(t *testing.T) {
+	s := Settings{Slots: 4, QueueLimit: 10, Floors: [wire.ClassCount]float64{0.5, 0.2, 0.25}}
+	q := New(t0, s, rand.New(rand.NewSource(1)))
+	for id := range uint64(4) {
+		q.Submit(t0.Add(time.Duration(id)), Request{ID: id, Class: wire.Batch, Preemptible: true})
+	}
+	now := t0.Add(time.Millisecond)
+	var stopped []uint64
+	for id := range uint64(4) {
+		for _, d := range q.Submit(now, Request{ID: 10 + id, Class: wire.Urgent}) {
+			assert.Equal(t, d.Action, Preempt)
+			stopped = append(stopped, d.ID)
+		}
+	}
+	assert.DeepEqual(t, stopped, []uint64{3, 2, 1}) // the youngest first; one slot is the floor
+	for _, id := range stopped {
+		out := q.Preempted(now, id, 10)
+		assert.Equal(t, len(out), 1)
+		assert.Equal(t, out[0].Action, Run)
+		assert.Assert(t, out[0].ID >= 10)
+	}
+}
+
+// BenchmarkDecision measures one arrival and one finish with a queue kept at
+// its length.
+func BenchmarkDecision(b *testing.B) {
+	for _, length := range []int{16, 256, 4096, 65536} {
+		b.Run(fmt.Sprint(length), func(b *testing.B) {
+			q := New(t0, Settings{Slots: 64, QueueLimit: length, Floors: [wire.ClassCount]float64{0.5, 0.2, 0.1}}, rand.New(rand.NewSource(1)))
+			now, id := t0, uint64(0)
+			var running []uint64
+			submit := func() {
+				id++
+				r := Request{ID: id, Class: wire.Class(id % 3), Organisation: fmt.Sprint("o", id%97), Cost: 100, StartBy: now.Add(time.Hour)}
+				for _, d := range q.Submit(now, r) {
+					if d.Action == Run {
+						running = append(running, d.ID)
+					}
+				}
+			}
+			for range length + 64 {
+				submit()
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				now = now.Add(time.Millisecond)
+				submit()
+				first := running[0]
+				running = running[1:]
+				for _, d := range q.Finish(now, first, 120) {
+					running = append(running, d.ID)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/core/zz_mut/fair.go
@@ -0,0 +1,278 @@
+package admission
+
+import (
+	"container/heap"
+	"slices"
+	"time"
+
+	"heatherway.dev/core/wire"
+)
+
+type state uint8
+
+const (
+	waits state = iota
+	runs
+	preempting
+)
+
+// item is one request in the queue or in a slot.
+type item struct {
+	Request
+	flow    *flow
+	seq     uint64
+	state   state
+	resumed bool // ran before and was preempted
+	started time.Time
+	slot    int // index in class.slots
+}
+
+func (it *item) waits() bool { return it.state == waits && it.flow != nil }
+
+// flow is the line of one organisation in a class.
+type flow struct {
+	organisation string
+	weight       float64
+	line         []*item
+	// start is the start tag of the first item in line, finish that of an item
+	// that would come next.
+	start, finish float64
+	backlog       float64 // sum of the costs in line
+	running       int
+	index         [2]int // in the heaps of the class
+}
+
+func (f *flow) waiting() []*item { return f.line }
+func (f *flow) length() int      { return len(f.line) }
+
+// flowHeap orders the flows that have items waiting.
+type flowHeap struct {
+	list []*flow
+	slot int // which of flow.index this heap uses
+	less func(a, b *flow) bool
+}
+
+func (h *flowHeap) Len() int           { return len(h.list) }
+func (h *flowHeap) Less(i, j int) bool { return h.less(h.list[i], h.list[j]) }
+func (h *flowHeap) Swap(i, j int) {
+	h.list[i], h.list[j] = h.list[j], h.list[i]
+	h.list[i].index[h.slot], h.list[j].index[h.slot] = i, j
+}
+func (h *flowHeap) Push(x any) {
+	f := x.(*flow)
+	f.index[h.slot] = len(h.list)
+	h.list = append(h.list, f)
+}
+func (h *flowHeap) Pop() any {
+	f := h.list[len(h.list)-1]
+	h.list[len(h.list)-1] = nil
+	h.list = h.list[:len(h.list)-1]
+	return f
+}
+
+func earlierStart(a, b *flow) bool {
+	if a.start != b.start {
+		return a.start < b.start
+	}
+	return a.line[0].seq < b.line[0].seq
+}
+
+// laterTail orders flows by the start tag of their newest item: the one that
+// would be served last comes first. The total backlog would single out an
+// organisation with one large request.
+func laterTail(a, b *flow) bool {
+	at, bt := a.tail(), b.tail()
+	if at != bt {
+		return at > bt
+	}
+	return a.line[len(a.line)-1].seq > b.line[len(b.line)-1].seq
+}
+
+func (f *flow) tail() float64 {
+	return f.start + (f.backlog-f.line[len(f.line)-1].Cost)/f.weight
+}
+
+// class holds one priority class. Its organisations are ordered by start-time
+// fair queueing: the line with the lowest start tag goes next, and the virtual
+// time is the tag of the last one that went.
+type class struct {
+	flows    map[string]*flow
+	byStart  flowHeap
+	byTail   flowHeap
+	virtual  float64
+	count    int     // items in line
+	weight   float64 // of the flows with items in line
+	slots    []*item
+	use      usage
+	hold     float64 // mean seconds in a slot
+	startSum float64 // of the seconds at which the items in slots started
+}
+
+func (c *class) flowOf(it *item) *flow {
+	f := c.flows[it.Organisation]
+	if f == nil {
+		f = &flow{organisation: it.Organisation, weight: it.Weight}
+		c.flows[it.Organisation] = f
+	}
+	if len(f.line) == 0 {
+		f.weight = it.Weight
+	}
+	return f
+}
+
+func (c *class) push(it *item)      { c.insert(it, false) }
+func (c *class) pushFront(it *item) { c.insert(it, true) }
+
+func (c *class) insert(it *item, front bool) {
+	f := c.flowOf(it)
+	it.flow, it.state = f, waits
+	if front {
+		f.line = slices.Insert(f.line, 0, it)
+	} else {
+		f.line = append(f.line, it)
+	}
+	f.backlog += it.Cost
+	c.count++
+	if len(f.line) > 1 {
+		c.fix(f)
+		return
+	}
+	f.start = max(c.virtual, f.finish)
+	c.weight += f.weight
+	c.byStart.less, c.byTail.less, c.byTail.slot = earlierStart, laterTail, 1
+	heap.Push(&c.byStart, f)
+	heap.Push(&c.byTail, f)
+}
+
+func (c *class) fix(f *flow) {
+	heap.Fix(&c.byStart, f.index[0])
+	heap.Fix(&c.byTail, f.index[1])
+}
+
+// pop takes the next item out of line.
+func (c *class) pop() *item {
+	f := c.byStart.list[0]
+	it := f.line[0]
+	c.virtual = max(c.virtual, f.start)
+	f.finish = f.start + it.Cost/f.weight
+	f.start = f.finish
+	c.remove(it)
+	return it
+}
+
+// remove takes an item out of line.
+func (c *class) remove(it *item) {
+	f := it.flow
+	i := slices.Index(f.line, it)
+	f.line = slices.Delete(f.line, i, i+1)
+	f.backlog -= it.Cost
+	c.count--
+	if len(f.line) > 0 {
+		c.fix(f)
+		return
+	}
+	f.backlog = 0
+	heap.Remove(&c.byStart, f.index[0])
+	heap.Remove(&c.byTail, f.index[1])
+	c.weight -= f.weight
+	if len(c.byStart.list) == 0 {
+		c.weight = 0
+	}
+}
+
+// newestOfLargest returns the newest item of the organisation that is furthest
+// above its share, or the given one if that has nothing to give up.
+func (c *class) newestOfLargest(it *item) *item {
+	f := c.byTail.list[0]
+	for i := len(f.line) - 1; i >= 0; i-- {
+		if !f.line[i].resumed {
+			return f.line[i]
+		}
+	}
+	return it
+}
+
+// charge corrects the tags of an organisation by tokens used beyond the
+// expected cost.
+func (c *class) charge(f *flow, tokens float64) {
+	f.finish += tokens / f.weight
+	if len(f.line) > 0 {
+		f.start = max(f.start+tokens/f.weight, c.virtual)
+		c.fix(f)
+	}
+}
+
+func (c *class) enterSlot(it *item) {
+	it.state, it.slot = runs, len(c.slots)
+	c.slots = append(c.slots, it)
+	it.flow.running++
+	c.use.running++
+	c.startSum += seconds(it.started)
+}
+
+func (c *class) leaveSlot(it *item) {
+	last := len(c.slots) - 1
+	c.slots[it.slot] = c.slots[last]
+	c.slots[it.slot].slot = it.slot
+	c.slots[last] = nil
+	c.slots = c.slots[:last]
+	it.flow.running--
+	c.use.running--
+	c.startSum -= seconds(it.started)
+	if last == 0 {
+		c.startSum = 0
+	}
+}
+
+// tidy forgets the tags of organisations once the class is idle; within a busy
+// period they stop an organisation from gaining by asking one at a time.
+func (c *class) tidy() {
+	if c.count > 0 || len(c.slots) > 0 {
+		return
+	}
+	clear(c.flows)
+	c.virtual = 0
+}
+
+// forgetIdle drops organisations that have nothing here and whose tags no
+// longer matter.
+func (c *class) forgetIdle() {
+	for name, f := range c.flows {
+		if len(f.line) == 0 && f.running == 0 && f.finish <= c.virtual {
+			delete(c.flows, name)
+		}
+	}
+}
+
+// holdWeight is the weight of a new sample in the mean time in a slot.
+const holdWeight = 0.1
+
+func (c *class) observe(d time.Duration) {
+	if c.hold == 0 {
+		c.hold = d.Seconds()
+		return
+	}
+	c.hold += holdWeight * (d.Seconds() - c.hold)
+}
+
+// meanHold returns the mean time in a slot, or the mean age of what runs now
+// when that is longer: then no request has finished for a while. A class that
+// has finished nothing yet is taken to be like the others.
+func (q *Queue) meanHold(now time.Time, id wire.Class) float64 {
+	c := &q.classes[id]
+	hold := c.hold
+	if hold == 0 {
+		for other := range q.classes {
+			hold = max(hold, q.classes[other].hold)
+		}
+	}
+	if len(c.slots) == 0 {
+		return hold
+	}
+	return max(hold, seconds(now)-c.startSum/float64(len(c.slots)))
+}
+
+// epoch keeps the seconds small, so that sums stay exact enough.
+var epoch = time.Unix(1_700_000_000, 0)
+
+func seconds(t time.Time) float64 { return t.Sub(epoch).Seconds() }
--- /dev/null
+++ b/core/zz_mut/slots.go
@@ -0,0 +1,145 @@
+package admission
+
+import (
+	"time"
+
+	"heatherway.dev/core/wire"
+)
+
+// fill gives free slots to waiting requests.
+func (q *Queue) fill(now time.Time) {
+	for q.running < q.settings.Slots {
+		c, ok := q.next()
+		if !ok {
+			return
+		}
+		it := q.classes[c].pop()
+		it.started = now
+		q.running++
+		q.classes[c].enterSlot(it)
+		q.out = append(q.out, Decision{ID: it.ID, Action: Run})
+	}
+}
+
+// next returns the class that gets the next free slot: the one furthest below
+// its floor, else the most urgent one.
+func (q *Queue) next() (wire.Class, bool) {
+	best, found := wire.Class(0), false
+	least := 1.0
+	for _, c := range wire.Classes() {
+		if q.classes[c].count == 0 || !q.belowFloor(c) {
+			continue
+		}
+		if part := q.classes[c].use.total / q.floorTime(c); part < least {
+			best, found, least = c, true, part
+		}
+	}
+	if found {
+		return best, true
+	}
+	for _, c := range wire.Classes() {
+		if q.classes[c].count > 0 {
+			return c, true
+		}
+	}
+	return 0, false
+}
+
+// floorSlots is the share of a class in slots.
+func (q *Queue) floorSlots(c wire.Class) float64 {
+	return q.settings.Floors[c] * float64(q.settings.Slots)
+}
+
+// floorTime is the share of a class in slot-seconds over the window.
+func (q *Queue) floorTime(c wire.Class) float64 { return q.floorSlots(c) * window.Seconds() }
+
+// belowFloor tells whether a class has had less than its floor and also runs
+// less than its floor now; a class that runs enough catches up by itself.
+func (q *Queue) belowFloor(c wire.Class) bool {
+	return q.classes[c].use.total < q.floorTime(c) && float64(q.classes[c].use.running) < q.floorSlots(c)
+}
+
+// preempt stops batch work when no slot is free and urgent work waits, or
+// standard work that is below its floor.
+func (q *Queue) preempt() {
+	if q.running < q.settings.Slots {
+		return
+	}
+	need := q.classes[wire.Urgent].count
+	if q.classes[wire.Standard].count > 0 && q.belowFloor(wire.Standard) {
+		need++
+	}
+	for q.preempting < need && q.batchAboveFloor() {
+		it := q.victim()
+		if it == nil {
+			return
+		}
+		it.state = preempting
+		q.preempting++
+		q.out = append(q.out, Decision{ID: it.ID, Action: Preempt})
+	}
+}
+
+// batchAboveFloor tells whether batch keeps its floor with one slot less: the
+// other slots suffice, or it has already had its floor over the window.
+func (q *Queue) batchAboveFloor() bool {
+	left := q.classes[wire.Batch].use.running - q.preempting - 1
+	if left < 0 {
+		return false
+	}
+	return float64(left) >= q.floorSlots(wire.Batch) || q.classes[wire.Batch].use.total > q.floorTime(wire.Batch)
+}
+
+// victim is the batch request that started last: it has the least text to be
+// prefilled again.
+func (q *Queue) victim() *item {
+	var last *item
+	for _, it := range q.classes[wire.Batch].slots {
+		if it.state == runs && it.Preemptible && (last == nil || it.started.After(last.started)) {
+			last = it
+		}
+	}
+	return last
+}
+
+// wait estimates how long an item at a position of its organisation's line
+// waits for a slot.
+func (q *Queue) wait(now time.Time, c wire.Class, position int, weight float64) time.Duration {
+	k := &q.classes[c]
+	fair := float64(position) * k.weight / weight
+	return q.drain(now, c, min(fair, float64(k.count)))
+}
+
+// newcomerWait estimates the wait of an organisation that has nothing queued.
+func (q *Queue) newcomerWait(now time.Time, c wire.Class) time.Duration {
+	k := &q.classes[c]
+	return q.drain(now, c, min(k.weight, float64(k.count))+1)
+}
+
+// drain estimates how long the first n requests of a class take to get a slot:
+// behind the more urgent work that waits, on the slots that such work leaves,
+// or on the slots of the class's floor, whichever is sooner.
+func (q *Queue) drain(now time.Time, c wire.Class, n float64) time.Duration {
+	slots := float64(q.settings.Slots)
+	work := n * q.meanHold(now, c)
+	ahead, left := 0.0, slots
+	for _, other := range wire.Classes() {
+		k := &q.classes[other]
+		switch {
+		case other < c && k.count > 0:
+			ahead += float64(k.count) * q.meanHold(now, other)
+			left -= k.use.total / window.Seconds()
+		case other > c && k.count > 0:
+			left -= q.floorSlots(other)
+		}
+	}
+	left = max(left, q.floorSlots(c))
+	seconds := ahead/slots + work/max(left, minServiceShare)
+	if floor := q.floorSlots(c); floor > 0 {
+		seconds = min(seconds, work/floor)
+	}
+	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
+}
+
+// minServiceShare keeps the estimate finite for a class without a floor.
+const minServiceShare = 0.01
--- a/modules/adapter/http.go
+++ b/modules/adapter/http.go
@@ -26,10 +26,14 @@
 	maxProbeBody = 4 << 10
 )
 
+// keepAlive ends a connection whose path is dead after about four seconds, also
+// while a request is prefilled and the engine has nothing to send.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3}
+
 // Transport returns the transport for work on an upstream beside the agent.
 func Transport(slots int) *http.Transport {
 	return &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: peer.DialTimeout}).DialContext,
+		DialContext:            (&net.Dialer{Timeout: peer.DialTimeout, KeepAliveConfig: keepAlive}).DialContext,
 		MaxIdleConnsPerHost:    slots,
 		IdleConnTimeout:        idleConnection,
 		MaxResponseHeaderBytes: headerLimit,
--- a/modules/agent/agent.go
+++ b/modules/agent/agent.go
@@ -72,10 +72,12 @@
 
 	events   chan event
 	snapshot atomic.Pointer[snapshot]
-	base     context.Context
-	cancel   context.CancelFunc
-	running  sync.WaitGroup // background goroutines
-	work     sync.WaitGroup // streams and calls that are being served
+	// recordsDown is until when claims are refused at once, in Unix nanoseconds.
+	recordsDown atomic.Int64
+	base        context.Context
+	cancel      context.CancelFunc
+	running     sync.WaitGroup // background goroutines
+	work        atomic.Int64   // streams, runs and calls that are not done
 }
 
 // Plugins implements kernel.Nested.
@@ -135,6 +137,7 @@
 	a.background(o.loop)
 	a.background(a.announceLoop)
 	a.background(a.watchLoop)
+	a.background(a.healthLoop)
 	a.server = &http.Server{Handler: a.handler(), ReadHeaderTimeout: readHeaderLimit, IdleTimeout: idleLimit}
 	a.background(func(context.Context) { _ = a.server.Serve(a.security.Server(a.listener)) })
 	return nil
@@ -164,12 +167,8 @@
 // end with a code that lets the entries resume them elsewhere.
 func (a *Agent) Stop(ctx context.Context) error {
 	a.drain(true)
-	done := make(chan struct{})
-	go func() { a.work.Wait(); close(done) }()
-	select {
-	case <-done:
-	case <-ctx.Done():
-		a.handOver(done)
+	if !a.idle(ctx) {
+		a.handOver()
 	}
 	a.cancel()
 	err := a.server.Close()
@@ -181,12 +180,25 @@
 // handOverLimit bounds how long streams take to send their last frame.
 const handOverLimit = 2 * time.Second
 
-func (a *Agent) handOver(done chan struct{}) {
+func (a *Agent) handOver() {
 	a.post(handOverEvent{})
-	select {
-	case <-done:
-	case <-time.After(handOverLimit):
+	ctx, cancel := context.WithTimeout(a.base, handOverLimit)
+	defer cancel()
+	a.idle(ctx)
+}
+
+// idleInterval is how often a stopping agent looks whether its work is done.
+const idleInterval = 20 * time.Millisecond
+
+// idle waits until no work is left and returns false if ctx ends first.
+func (a *Agent) idle(ctx context.Context) bool {
+	for a.work.Load() > 0 {
+		if ctx.Err() != nil {
+			return false
+		}
+		sleep(ctx, idleInterval)
 	}
+	return true
 }
 
 // drain makes the agent leave, or take work again.
--- a/modules/agent/control.go
+++ b/modules/agent/control.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"heatherway.dev/core/config"
@@ -27,13 +29,22 @@
 
 // controlClient holds one connection to each control instance.
 type controlClient struct {
+	security *peer.Security
 	clients  []*peer.Client
 	announce chan struct{}
 	watch    chan struct{}
+
+	preferred atomic.Int32 // index of the instance that answered last
+
+	mu     sync.Mutex
+	others map[string]*peer.Client
 }
 
 func newControlClient(s *peer.Security, addrs []string) *controlClient {
-	c := &controlClient{announce: make(chan struct{}, 1), watch: make(chan struct{}, 1)}
+	c := &controlClient{
+		security: s, others: map[string]*peer.Client{},
+		announce: make(chan struct{}, 1), watch: make(chan struct{}, 1),
+	}
 	for _, addr := range addrs {
 		c.clients = append(c.clients, s.NewClient(addr))
 	}
@@ -47,6 +58,11 @@
 	for _, cl := range c.clients {
 		cl.Close()
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, cl := range c.others {
+		cl.Close()
+	}
 }
 
 // announceLoop tells every control instance about the upstream. All of them
--- a/modules/agent/generation.go
+++ b/modules/agent/generation.go
@@ -104,7 +104,7 @@
 func (o *owner) launch(now time.Time, g *generation) {
 	ctx, cancel := context.WithCancelCause(o.a.base)
 	g.cancel = cancel
-	t := &task{fingerprint: g.request.Fingerprint, verdict: make(chan verdict, 1)}
+	t := &task{fingerprint: g.request.Fingerprint, permit: g.request.Permit, verdict: make(chan verdict, 1)}
 	run := &run{a: o.a, g: g, t: t, ctx: ctx}
 	t.preempt = run.preempt
 	o.a.work.Add(1)
@@ -224,7 +224,7 @@
 
 func (e preemptedEvent) apply(o *owner, now time.Time) {
 	e.t.running = false
-	o.decide(o.queue.Preempted(now, e.t.id, e.tokens))
+	o.decide(now, o.queue.Preempted(now, e.t.id, e.tokens))
 	o.dirty = true
 }
 
--- a/modules/agent/output.go
+++ b/modules/agent/output.go
@@ -150,10 +150,11 @@
 	return string(o.text), o.tokens()
 }
 
-func (o *output) finished() bool {
+// usage returns the engine's counts of prompt and cached tokens.
+func (o *output) usage() (prompt, cached uint32) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.last != nil
+	return o.prompt, o.cached
 }
 
 func (o *output) size() int {
--- a/modules/agent/owner.go
+++ b/modules/agent/owner.go
@@ -29,6 +29,7 @@
 	load     wire.Load
 	revision uint64
 	up       bool
+	crashes  uint64
 }
 
 // owner holds the control state of the agent.
@@ -40,6 +41,7 @@
 	generations map[wire.ID]*generation
 	leaving     bool
 	up          bool
+	crashes     uint64 // of the upstream in this incarnation
 	revision    uint64
 	seen        uint64    // the newest revision heard of
 	behindSince time.Time // since when seen is ahead of revision
@@ -81,7 +83,7 @@
 		case ev := <-o.a.events:
 			ev.apply(o, time.Now())
 		case now := <-tick.C:
-			o.decide(o.queue.Tick(now))
+			o.decide(now, o.queue.Tick(now))
 			o.sweep(now)
 			o.dirty = true
 		case <-ctx.Done():
@@ -96,7 +98,7 @@
 // publish gives traffic goroutines a new snapshot.
 func (o *owner) publish(now time.Time) {
 	o.dirty = false
-	s := &snapshot{load: o.queue.Load(now), revision: o.revision, up: o.up}
+	s := &snapshot{load: o.queue.Load(now), revision: o.revision, up: o.up, crashes: o.crashes}
 	s.load.Leaving = o.leaving
 	o.a.snapshot.Store(s)
 	var queued uint32
@@ -137,6 +139,7 @@
 type task struct {
 	id          uint64
 	fingerprint string
+	permit      wire.ID
 	verdict     chan verdict
 	// preempt stops the run of a preemptible task.
 	preempt func()
@@ -151,16 +154,23 @@
 	o.lastTask++
 	t.id, r.ID = o.lastTask, o.lastTask
 	o.tasks[t.id] = t
-	o.decide(o.queue.Submit(now, r))
+	o.decide(now, o.queue.Submit(now, r))
 	o.dirty = true
 }
 
-func (o *owner) decide(list []admission.Decision) {
+func (o *owner) decide(now time.Time, list []admission.Decision) {
+	var blocked []*task
 	for _, d := range list {
 		t := o.tasks[d.ID]
 		switch d.Action {
 		case admission.Run:
 			t.running = true
+			// The request may have become a suspect while it waited.
+			if err := o.checkSuspect(t, t.fingerprint, t.permit); err != nil {
+				t.verdict <- result.From(err)
+				blocked = append(blocked, t)
+				continue
+			}
 			t.verdict <- nil
 		case admission.Refuse:
 			delete(o.tasks, d.ID)
@@ -172,6 +182,10 @@
 		}
 		o.dirty = true
 	}
+	// The list is only valid until the next call of the queue.
+	for _, t := range blocked {
+		taskDone{t, 0}.apply(o, now)
+	}
 }
 
 // takesWork returns why no new work is taken, or nil.
@@ -185,7 +199,7 @@
 	case !o.behindSince.IsZero() && now.Sub(o.behindSince) > behindLimit:
 		return result.New(result.ConfigurationBehind, "revision %d is known and cannot be fetched", o.seen)
 	}
-	return o.checkSuspect(fingerprint, permit)
+	return o.checkSuspect(nil, fingerprint, permit)
 }
 
 // heardOf notes the newest configuration revision that a peer knows.
@@ -200,7 +214,9 @@
 	}
 }
 
-func (o *owner) checkSuspect(fingerprint string, permit wire.ID) error {
+// checkSuspect tells why a suspect may not run now. One suspect at a time runs
+// on an upstream, so that a crash points to one of them.
+func (o *owner) checkSuspect(self *task, fingerprint string, permit wire.ID) error {
 	s, ok := o.suspects[fingerprint]
 	switch {
 	case !ok:
@@ -211,7 +227,7 @@
 		return result.New(result.SuspectBusy, "the request is suspected of a crash and has no permit")
 	}
 	for _, t := range o.tasks {
-		if _, other := o.suspects[t.fingerprint]; other {
+		if _, other := o.suspects[t.fingerprint]; other && t != self {
 			return result.New(result.SuspectBusy, "another suspect is on this upstream")
 		}
 	}
@@ -226,7 +242,7 @@
 
 func (e taskDone) apply(o *owner, now time.Time) {
 	delete(o.tasks, e.t.id)
-	o.decide(o.queue.Finish(now, e.t.id, e.tokens))
+	o.decide(now, o.queue.Finish(now, e.t.id, e.tokens))
 	o.dirty = true
 }
 
@@ -238,7 +254,7 @@
 		return
 	}
 	if !o.queue.Cancel(now, e.t.id) {
-		o.decide(o.queue.Finish(now, e.t.id, 0))
+		o.decide(now, o.queue.Finish(now, e.t.id, 0))
 	}
 	delete(o.tasks, e.t.id)
 	o.dirty = true
@@ -252,7 +268,7 @@
 func (e drainEvent) apply(o *owner, now time.Time) {
 	o.leaving = e.leave
 	if e.leave {
-		o.decide(o.queue.Leave(now))
+		o.decide(now, o.queue.Leave(now))
 	} else {
 		o.queue.Return()
 	}
@@ -276,7 +292,7 @@
 		o.behindSince = time.Time{}
 	}
 	if e.document != nil {
-		o.decide(o.queue.Configure(now, o.settings(e.document, now)))
+		o.decide(now, o.queue.Configure(now, o.settings(e.document, now)))
 	}
 	o.dirty = true
 }
--- a/modules/agent/rpc.go
+++ b/modules/agent/rpc.go
@@ -27,7 +27,7 @@
 // Call runs one call of a plain service.
 func (s *service) Call(args *wire.CallArgs, reply *wire.CallReply) error {
 	s.a.work.Add(1)
-	defer s.a.work.Done()
+	defer s.a.work.Add(-1)
 	r, err := s.a.call(args)
 	if err != nil {
 		return peer.EncodeError(err)
@@ -81,8 +81,20 @@
 	if err != nil {
 		return nil, err
 	}
-	defer a.post(taskDone{t, callCost})
-	return a.runCall(ctx, caller, args)
+	done := make(chan callResult, 1)
+	a.work.Add(1)
+	go a.runCall(ctx, caller, args, t, done)
+	select {
+	case r := <-done:
+		return r.reply, r.err
+	case <-ctx.Done():
+		return nil, result.New(result.OutcomeUnknown, "the deadline passed while the call ran")
+	}
+}
+
+type callResult struct {
+	reply *wire.CallReply
+	err   error
 }
 
 func callLimit(ms int64) time.Duration {
@@ -92,13 +104,27 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
-func (a *Agent) runCall(ctx context.Context, caller adapter.Caller, args *wire.CallArgs) (*wire.CallReply, error) {
-	return caller.Call(ctx, args)
+// runCall runs a call in its slot. A claimed call goes on when its caller's
+// deadline has passed.
+func (a *Agent) runCall(ctx context.Context, caller adapter.Caller, args *wire.CallArgs, t *task, done chan callResult) {
+	defer a.work.Add(-1)
+	epoch := a.snapshot.Load().crashes
+	var r callResult
+	if args.Idempotent && args.Key == "" {
+		r.reply, r.err = caller.Call(ctx, args)
+	} else {
+		r.reply, r.err = a.claimedCall(ctx, caller, args)
+	}
+	done <- r
+	if r.err != nil {
+		a.diagnose(epoch, r.err)
+	}
+	a.post(taskDone{t, callCost})
 }
 
 // admitCall waits for a slot.
 func (a *Agent) admitCall(ctx context.Context, args *wire.CallArgs) (*task, error) {
-	ev := callEvent{args: args, t: &task{fingerprint: args.Fingerprint, verdict: make(chan verdict, 1)}}
+	ev := callEvent{args: args, t: &task{fingerprint: args.Fingerprint, permit: args.Permit, verdict: make(chan verdict, 1)}}
 	if !a.post(ev) {
 		return nil, result.New(result.Leaving, "the agent has stopped")
 	}
--- a/modules/agent/run.go
+++ b/modules/agent/run.go
@@ -19,22 +19,29 @@
 	g   *generation
 	t   *task
 	ctx context.Context
+	ran bool // the engine has had the request
+	// claimed is the attempt under which the record of the key was started.
+	claimed wire.ID
 
 	mu   sync.Mutex
 	stop context.CancelCauseFunc // of the current run on the engine
+	// preempted is kept until the run has stopped, since there may be no
+	// connection to the engine at the time.
+	preempted bool
 }
 
 // preempt stops the current run on the engine. The owner calls it.
 func (r *run) preempt() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.preempted = true
 	if r.stop != nil {
 		r.stop(errPreempted)
 	}
 }
 
 func (r *run) loop() {
-	defer r.a.work.Done()
+	defer r.a.work.Add(-1)
 	ctx, cancel := r.deadline()
 	defer cancel()
 	for {
@@ -42,12 +49,19 @@
 			r.fail(err)
 			return
 		}
+		epoch := r.a.snapshot.Load().crashes
 		tokens, err := r.once(ctx)
 		if errors.Is(err, errPreempted) {
+			r.mu.Lock()
+			r.preempted = false
+			r.mu.Unlock()
 			r.a.post(preemptedEvent{r.t, float64(tokens)})
 			continue
 		}
-		r.end(err)
+		if err != nil {
+			r.fail(err)
+			r.a.diagnose(epoch, err)
+		}
 		r.a.post(taskDone{r.t, float64(tokens)})
 		return
 	}
@@ -76,28 +90,65 @@
 	}
 }
 
-// once runs the generation on the engine until it ends or is stopped.
+// once runs the generation in its slot until it ends or is stopped. A silent
+// connection to a healthy engine is replaced by a new one.
 func (r *run) once(ctx context.Context) (tokens uint64, err error) {
+	engine, ok := r.a.upstream.(adapter.Generator)
+	if !ok {
+		return 0, result.New(result.ModelUnknown, "the upstream does not generate")
+	}
+	if done, err := r.claim(ctx); done || err != nil {
+		return 0, err
+	}
+	r.g.out.start()
+	for {
+		err = r.attempt(ctx, engine, &tokens)
+		if !errors.Is(err, errSilent) {
+			return tokens, err
+		}
+		r.a.metrics.resumed.Inc()
+		r.a.log.Warn("the engine's connection was silent", "generation", r.g.id)
+	}
+}
+
+// attempt is one connection to the engine.
+func (r *run) attempt(ctx context.Context, engine adapter.Generator, tokens *uint64) error {
 	ctx, stop := context.WithCancelCause(ctx)
 	defer stop(nil)
-	r.mu.Lock()
-	r.stop = stop
-	r.mu.Unlock()
-	r.g.out.start()
-	err = r.generate(ctx, &tokens)
+	if !r.begin(stop) {
+		return errPreempted
+	}
+	dog := newWatchdog(r.a.upstream.Probe)
+	go dog.guard(ctx, stop)
+	err := r.generate(ctx, engine, dog, tokens)
 	if err != nil && ctx.Err() != nil {
 		err = r.cause(ctx)
 	}
-	return tokens, err
+	r.ran = r.ran || !result.Is(err, result.UpstreamNotReachable)
+	if errors.Is(err, errStalled) {
+		r.a.metrics.stalled.Inc()
+		r.a.setUp(false)
+		return result.New(result.UpstreamStalled, "no output and no health for %v", silenceLimit)
+	}
+	return err
 }
 
-func (r *run) generate(ctx context.Context, tokens *uint64) error {
-	engine, ok := r.a.upstream.(adapter.Generator)
-	if !ok {
-		return result.New(result.ModelUnknown, "the upstream does not generate")
-	}
+// begin notes how to stop a connection to the engine. It returns false when
+// the run was preempted before.
+func (r *run) begin(stop context.CancelCauseFunc) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stop = stop
+	return !r.preempted
+}
+
+func (r *run) generate(ctx context.Context, engine adapter.Generator, dog *watchdog, tokens *uint64) error {
 	finish := ""
 	err := engine.Generate(ctx, r.g.job(), func(ev adapter.Event) error {
+		dog.busy.Store(true)
+		defer dog.busy.Store(false)
+		defer dog.touch()
+		dog.decoding.Store(dog.decoding.Load() || ev.Tokens > 0)
 		*tokens += uint64(ev.Tokens)
 		r.a.metrics.tokens.Add(int64(ev.Tokens))
 		if ev.Finish != "" {
@@ -107,6 +158,7 @@
 	})
 	if err == nil {
 		r.g.out.finish(wire.Frame{Kind: wire.FrameEnd, Finish: finish})
+		r.store(finish)
 	}
 	return err
 }
@@ -124,15 +176,14 @@
 	}
 }
 
-// end sets the last frame after a run; a run that ended well has set it.
-func (r *run) end(err error) {
-	if err != nil {
-		r.fail(err)
+func (r *run) fail(err error) {
+	f := failFrame(err)
+	if r.ran && f.Ran == result.NotRun {
+		f.Ran = result.DidRun
 	}
+	r.g.out.finish(f)
 }
 
-func (r *run) fail(err error) { r.g.out.finish(failFrame(err)) }
-
 func failFrame(err error) wire.Frame {
 	var e *result.Error
 	switch {
--- a/modules/agent/stream.go
+++ b/modules/agent/stream.go
@@ -39,7 +39,7 @@
 		return
 	}
 	a.work.Add(1)
-	defer a.work.Done()
+	defer a.work.Add(-1)
 	s := &stream{a: a, w: w, rc: http.NewResponseController(w)}
 	w.Header().Set("Content-Type", "application/octet-stream")
 	req, err := s.decode(r)
--- /dev/null
+++ b/modules/agent/watchdog_test.go
@@ -0,0 +1,66 @@
+package agent
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a stall that is noticed late, and against a stall reported for
+// an engine that prefills, that a slow reader holds back, or that goes on.
+func TestWatchdog(t *testing.T) {
+	failed := errors.New("refused")
+	hang := func(ctx context.Context) error { <-ctx.Done(); return ctx.Err() }
+	for _, c := range []struct {
+		name     string
+		probe    func(context.Context) error
+		decoding bool
+		busy     bool
+		want     error
+		after    time.Duration
+	}{
+		{"refused", func(context.Context) error { return failed }, true, false, errStalled, 750 * time.Millisecond},
+		{"refused while it prefills", func(context.Context) error { return failed }, false, false, errStalled, 750 * time.Millisecond},
+		{"no answer", hang, true, false, errStalled, 1250 * time.Millisecond},
+		{"healthy and silent", func(context.Context) error { return nil }, true, false, errSilent, time.Second},
+		{"healthy and prefilling", func(context.Context) error { return nil }, false, false, nil, 0},
+		{"held back by the reader", func(context.Context) error { return failed }, true, true, nil, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+				defer cancel()
+				w := newWatchdog(c.probe)
+				w.decoding.Store(c.decoding)
+				w.busy.Store(c.busy)
+				start := time.Now()
+				var got error
+				var after time.Duration
+				w.guard(ctx, func(err error) { got, after = err, time.Since(start) })
+				assert.Equal(t, got, c.want)
+				assert.Equal(t, after, c.after)
+			})
+		})
+	}
+}
+
+// Guards against a stall reported although tokens come between two probes.
+func TestWatchdogForgivesProgress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+		defer cancel()
+		w := newWatchdog(func(context.Context) error { return errors.New("refused") })
+		w.decoding.Store(true)
+		go func() {
+			for ctx.Err() == nil {
+				sleep(ctx, 600*time.Millisecond)
+				w.touch()
+			}
+		}()
+		w.guard(ctx, func(err error) { t.Error(err) })
+	})
+}
