--- a/core/zz_mut/admission.go
+++ b/core/zz_mut/admission.go
@@ -225,7 +225,7 @@
 	q.begin(now)
 	q.fill(now)
 	for c := range q.classes {
-		q.refuseHopeless(now, &q.classes[c])
+		_ = c
 	}
 	q.forgetIdle(now)
 	q.preempt()
@@ -269,7 +269,7 @@
 		return false
 	}
 	left := it.StartBy.Sub(now)
-	return left <= 0
+	return left <= 0 || q.wait(now, it.Class, position, it.Weight) > left
 }
 
 func (q *Queue) refuse(now time.Time, it *item, code result.Code) {
--- a/modules/adapter/http.go
+++ b/modules/adapter/http.go
@@ -43,8 +43,8 @@
 	}
 }
 
-// ProbeTransport returns a transport that makes a new connection each time.
-func ProbeTransport() *http.Transport {
+// SingleTransport returns a transport that makes a new connection each time.
+func SingleTransport() *http.Transport {
 	t := Transport(1)
 	t.DisableKeepAlives = true
 	return t
--- a/modules/adapter/openai/openai.go
+++ b/modules/adapter/openai/openai.go
@@ -75,7 +75,7 @@
 func (e *Engine) Provision(*kernel.Context) error {
 	e.URL = strings.TrimRight(e.URL, "/")
 	e.client = &http.Client{Transport: adapter.Transport(e.Slots)}
-	e.probes = &http.Client{Transport: adapter.ProbeTransport()}
+	e.probes = &http.Client{Transport: adapter.SingleTransport()}
 	return nil
 }
 
--- /dev/null
+++ b/modules/adapter/openai/openai_test.go
@@ -0,0 +1,142 @@
+package openai
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"heatherway.dev/core/wire"
+	"heatherway.dev/heatherway/modules/adapter"
+	"heatherway.dev/kernel"
+	"heatherway.dev/kernel/result"
+	"heatherway.dev/kernel/settings"
+)
+
+func build(t *testing.T, job adapter.Job, resume string) (map[string]any, bool) {
+	t.Helper()
+	b, done, err := buildBody(&job, resume)
+	assert.NilError(t, err)
+	body := map[string]any{}
+	if !done {
+		assert.NilError(t, json.Unmarshal(b, &body))
+	}
+	return body, done
+}
+
+// Guards against a continuation that the engine takes for a new text, that
+// exceeds the caller's limit, or that loses fields of the caller.
+func TestBody(t *testing.T) {
+	job := adapter.Job{
+		Kind: wire.Completion, Class: wire.Batch, PrefixText: "abc", PrefixTokens: 3,
+		Body: []byte(`{"prompt":"p","max_tokens":10,"seed":12345678901234567890,"stream":false,"own":{"a":1}}`),
+	}
+	body, _ := build(t, job, resumeFields)
+	assert.Equal(t, body["resume_text"], "abc")
+	assert.Equal(t, body["resume_tokens"], 3.0)
+	assert.Equal(t, body["prompt"], "p")
+	assert.Equal(t, body["max_tokens"], 10.0)
+	assert.Equal(t, body["stream"], true)
+	assert.Equal(t, body["priority"], 2.0)
+	assert.DeepEqual(t, body["own"], map[string]any{"a": 1.0})
+	b, _, _ := buildBody(&job, resumeFields)
+	assert.Assert(t, strings.Contains(string(b), `"seed":12345678901234567890`))
+
+	body, _ = build(t, job, resumeConcat)
+	assert.Equal(t, body["prompt"], "pabc")
+	assert.Equal(t, body["max_tokens"], 7.0)
+
+	chat := job
+	chat.Kind, chat.Body = wire.Chat, []byte(`{"messages":[{"role":"user","content":"q"}]}`)
+	body, _ = build(t, chat, resumeConcat)
+	messages := body["messages"].([]any)
+	assert.DeepEqual(t, messages[1], map[string]any{"role": "assistant", "content": "abc"})
+	assert.Equal(t, body["continue_final_message"], true)
+
+	job.PrefixTokens = 10
+	_, done := build(t, job, resumeConcat)
+	assert.Assert(t, done)
+}
+
+// Guards against a cut or malformed answer that reads as a whole one.
+func TestBrokenAnswers(t *testing.T) {
+	const token = "data: {\"choices\":[{\"text\":\"a\"}]}\n\n"
+	for body, code := range map[string]result.Code{
+		token:                           result.UpstreamFailed,
+		token + "data: [DONE]\n\n":      result.UpstreamFailed,
+		token + "data: {\"choices\":\n": result.UpstreamMalformed,
+		token + "data: {\"error\":{\"message\":\"x\"}}\n\n":    result.UpstreamFailed,
+		token + "data: " + strings.Repeat("x", maxLine) + "\n": result.UpstreamMalformed,
+	} {
+		var text string
+		err := readStream(strings.NewReader(body), func(ev adapter.Event) error { text += ev.Text; return nil })
+		assert.Assert(t, result.Is(err, code), "%v", err)
+		assert.Equal(t, text, "a")
+	}
+}
+
+// Guards against tokens counted twice or not at all, with and without a running
+// count in the chunks, however the answer is cut into reads.
+func TestTokensAreCounted(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		counts := rapid.SliceOfN(rapid.Uint32Range(1, 4), 0, 20).Draw(t, "counts")
+		running := rapid.Bool().Draw(t, "running")
+		var b strings.Builder
+		want, sum := uint32(0), uint32(0)
+		for _, n := range counts {
+			c := map[string]any{"choices": []any{map[string]any{"text": "x"}}}
+			sum += n
+			want++
+			if running {
+				want = sum
+				c["usage"] = map[string]any{"completion_tokens": sum, "prompt_tokens": 7}
+			}
+			line, _ := json.Marshal(c)
+			b.WriteString(": comment\n\ndata: " + string(line) + "\r\n\r\n")
+		}
+		b.WriteString("data: {\"choices\":[{\"text\":\"\",\"finish_reason\":\"stop\"}]}\n\n")
+		b.WriteString("data: {\"choices\":[],\"usage\":{\"completion_tokens\":99,\"prompt_tokens\":7}}\n\ndata: [DONE]\n\n")
+		have, finish := uint32(0), ""
+		err := readStream(strings.NewReader(b.String()), func(ev adapter.Event) error {
+			have += ev.Tokens
+			finish += ev.Finish
+			return nil
+		})
+		assert.NilError(t, err)
+		assert.Equal(t, have, want)
+		assert.Equal(t, finish, "stop")
+	})
+}
+
+// Guards against wrong settings that are noticed only at the first request.
+func TestSettings(t *testing.T) {
+	const head = "instance: {id: a, zone: z}\ntls: {off: true}\nroles:\n  - test:\n      upstream: {openai: "
+	kernel.Register(kernel.ModuleInfo{ID: "role.test", New: func() any { return &role{} }})
+	for text, wrong := range map[string]string{
+		"{url: 'http://127.0.0.1:1', models: [m]}}":                 "",
+		"{url: '127.0.0.1', models: [m]}}":                          "url",
+		"{url: 'http://127.0.0.1:1'}}":                              "models",
+		"{url: 'http://127.0.0.1:1', models: [m], slots: 0}}":       "slots",
+		"{url: 'http://127.0.0.1:1', models: [m], resume: other}}":  "resume",
+		"{url: 'http://127.0.0.1:1', models: [m], unknown_key: 1}}": "unknown",
+	} {
+		doc, err := settings.Parse("test.yaml", []byte(head+text))
+		assert.NilError(t, err)
+		err = kernel.Check(doc)
+		if wrong == "" {
+			assert.NilError(t, err)
+			continue
+		}
+		assert.ErrorContains(t, err, wrong)
+	}
+}
+
+type role struct {
+	Upstream settings.Plugin `yaml:"upstream"`
+}
+
+func (r *role) Plugins() map[string][]settings.Plugin {
+	return map[string][]settings.Plugin{"adapter": {r.Upstream}}
+}
--- a/modules/adapter/plain/plain.go
+++ b/modules/adapter/plain/plain.go
@@ -46,6 +46,9 @@
 	Health string `yaml:"health"`
 
 	client *http.Client
+	// single makes a connection for each call. A kept connection that the
+	// service has closed would make a call fail with an unknown outcome.
+	single *http.Client
 	probes *http.Client
 }
 
@@ -67,13 +70,19 @@
 // Provision implements kernel.Provisioner.
 func (s *Service) Provision(*kernel.Context) error {
 	s.URL = strings.TrimRight(s.URL, "/")
-	s.client = &http.Client{
-		Transport: adapter.Transport(s.Slots),
-		// A redirect is an answer for the caller; following it would repeat a call.
+	s.client = client(adapter.Transport(s.Slots))
+	s.single = client(adapter.SingleTransport())
+	s.probes = &http.Client{Transport: adapter.SingleTransport()}
+	return nil
+}
+
+// client does not follow redirects: they are answers for the caller, and
+// following one would repeat a call.
+func client(t *http.Transport) *http.Client {
+	return &http.Client{
+		Transport:     t,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
-	s.probes = &http.Client{Transport: adapter.ProbeTransport()}
-	return nil
 }
 
 // Cleanup implements kernel.Cleaner.
@@ -98,7 +107,12 @@
 	if err != nil {
 		return nil, err
 	}
-	res, err := s.client.Do(req)
+	c := s.client
+	if !args.Idempotent {
+		c = s.single
+		req.GetBody = nil // without it the transport cannot send a call again
+	}
+	res, err := c.Do(req)
 	if err != nil {
 		return nil, adapter.TransportError(err)
 	}
@@ -119,12 +133,6 @@
 	if err != nil {
 		return nil, result.Wrap(result.InvalidField, err, "method or path").WithRan(result.NotRun)
 	}
-	if !args.Idempotent {
-		// Without GetBody the transport does not send a call again on a new
-		// connection after a reused one was closed.
-		req.GetBody = nil
-		req.Close = true
-	}
 	for _, h := range args.Headers {
 		req.Header.Add(h.Key, h.Value)
 	}
--- /dev/null
+++ b/modules/agent/control_test.go
@@ -0,0 +1,377 @@
+package agent
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"heatherway.dev/core/wire"
+	"heatherway.dev/heatherway/modules/adapter"
+	"heatherway.dev/heatherway/modules/adapter/plain"
+	"heatherway.dev/kernel/peer"
+	"heatherway.dev/kernel/result"
+)
+
+// fakeControl keeps records as the record service does: the first attempt wins,
+// and the same attempt asking again has the same claim.
+type fakeControl struct {
+	*httptest.Server
+	sec *peer.Security
+
+	mu       sync.Mutex
+	records  map[string]*wire.Record
+	starts   int
+	lose     int    // answers to Start that are lost
+	redirect string // address of the leader
+	suspects []wire.Suspect
+	version  uint64
+	crashes  []wire.CrashArgs
+	states   []wire.UpstreamState
+}
+
+type controlCalls struct{ c *fakeControl }
+
+func newControl(t *testing.T) *fakeControl {
+	sec, err := peer.NewSecurity(peer.TLSSettings{Off: true}, quiet)
+	assert.NilError(t, err)
+	c := &fakeControl{sec: sec, records: map[string]*wire.Record{}}
+	c.Server = httptest.NewServer(&peer.Handler{Security: sec, Services: func(string) map[string]any {
+		return map[string]any{wire.ControlService: &controlCalls{c}}
+	}})
+	t.Cleanup(c.Close)
+	return c
+}
+
+func (c *fakeControl) addr() string { return strings.TrimPrefix(c.URL, "http://") }
+
+func (s *controlCalls) Announce(args *wire.AnnounceArgs, _ *wire.AnnounceReply) error {
+	s.c.mu.Lock()
+	defer s.c.mu.Unlock()
+	s.c.states = append(s.c.states, args.Upstream.State)
+	return nil
+}
+
+func (s *controlCalls) Watch(args *wire.WatchArgs, reply *wire.WatchReply) error {
+	time.Sleep(20 * time.Millisecond)
+	s.c.mu.Lock()
+	defer s.c.mu.Unlock()
+	reply.Suspects, reply.SuspectsChanged = s.c.version, s.c.version != args.Suspects
+	reply.Suspect = s.c.suspects
+	return nil
+}
+
+func (s *controlCalls) Crash(args *wire.CrashArgs, _ *wire.CrashReply) error {
+	s.c.mu.Lock()
+	defer s.c.mu.Unlock()
+	s.c.crashes = append(s.c.crashes, *args)
+	return nil
+}
+
+func (s *controlCalls) Start(args *wire.StartArgs, reply *wire.StartReply) error {
+	s.c.mu.Lock()
+	defer s.c.mu.Unlock()
+	if s.c.redirect != "" {
+		return peer.EncodeError(wire.RedirectError(s.c.redirect))
+	}
+	s.c.starts++
+	r := s.c.records[args.Key]
+	if r == nil || args.Takeover && r.State == wire.RecordStarted {
+		r = &wire.Record{
+			State: wire.RecordStarted, Attempt: args.Attempt, BodyHash: args.BodyHash,
+			Agent: args.Agent, Incarnation: args.Incarnation, Generation: args.Generation,
+		}
+		s.c.records[args.Key] = r
+	}
+	*reply = wire.StartReply{Granted: r.State == wire.RecordStarted && r.Attempt == args.Attempt, Record: *r}
+	if s.c.lose > 0 {
+		s.c.lose--
+		time.Sleep(controlCallLimit + 100*time.Millisecond)
+	}
+	return nil
+}
+
+func (s *controlCalls) Finish(args *wire.FinishArgs, _ *wire.FinishReply) error {
+	s.c.mu.Lock()
+	defer s.c.mu.Unlock()
+	r := s.c.records[args.Key]
+	if r == nil || r.Attempt != args.Attempt {
+		return peer.EncodeError(result.New(result.ObjectUnknown, "record"))
+	}
+	r.State, r.Status, r.Headers, r.Body = wire.RecordFinished, args.Status, args.Headers, args.Body
+	return nil
+}
+
+// eventually waits for a condition that another goroutine brings about.
+func eventually(t *testing.T, c *fakeControl, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		c.mu.Lock()
+		done := ok()
+		c.mu.Unlock()
+		if done {
+			return
+		}
+	}
+	t.Fatal("not reached: " + what)
+}
+
+// orders is a plain service that counts its calls.
+type orders struct {
+	*httptest.Server
+	mu    sync.Mutex
+	count int
+	pause time.Duration
+}
+
+func newOrders(t *testing.T) *orders {
+	o := &orders{}
+	o.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/health" {
+			return
+		}
+		o.mu.Lock()
+		o.count++
+		o.mu.Unlock()
+		time.Sleep(o.pause)
+		_, _ = w.Write([]byte("booked " + r.URL.RequestURI()))
+	}))
+	t.Cleanup(o.Close)
+	return o
+}
+
+func (o *orders) calls() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.count
+}
+
+func serviceAdapter(t *testing.T, url string, slots int) adapter.Upstream {
+	t.Helper()
+	s := &plain.Service{URL: url, Services: []string{"orders"}, Slots: slots, AnswerLimit: 1 << 10, Health: "/health"}
+	assert.NilError(t, s.Validate())
+	assert.NilError(t, s.Provision(nil))
+	return s
+}
+
+func booking(key string) *wire.CallArgs {
+	return &wire.CallArgs{
+		Service: "orders", Method: http.MethodPost, Path: "/book?n=1", Body: []byte("x"), Organisation: "org",
+		Class: wire.Urgent, Attempt: wire.NewID(), Key: key, BodyHash: "h", DeadlineMS: 10_000,
+	}
+}
+
+func callAgent(a *Agent, args *wire.CallArgs) (*wire.CallReply, error) {
+	cl := a.security.NewClient(a.Advertise)
+	defer cl.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
+	defer cancel()
+	var reply wire.CallReply
+	err := cl.Call(ctx, "Agent.Call", args, &reply)
+	return &reply, err
+}
+
+// Guards against a booking that runs twice when copies of it reach several
+// agents at once, and against a copy that gets another answer.
+func TestCallRunsAtMostOnce(t *testing.T) {
+	c, o := newControl(t), newOrders(t)
+	o.pause = 50 * time.Millisecond
+	var agents []*Agent
+	for range 2 {
+		agents = append(agents, startAgent(t, serviceAdapter(t, o.URL, 4), func(a *Agent) { a.Control = []string{c.addr()} }))
+	}
+	var wg sync.WaitGroup
+	for i := range 12 {
+		wg.Go(func() {
+			reply, err := callAgent(agents[i%2], booking("k"))
+			if err == nil {
+				assert.Check(t, string(reply.Body) == "booked /book?n=1")
+				return
+			}
+			assert.Check(t, result.Is(err, result.CallInProgress), "%v", err)
+		})
+	}
+	wg.Wait()
+	eventually(t, c, "stored answer", func() bool { return c.records["k"].State == wire.RecordFinished })
+	reply, err := callAgent(agents[1], booking("k"))
+	assert.NilError(t, err)
+	assert.Assert(t, reply.Replayed)
+	assert.Equal(t, string(reply.Body), "booked /book?n=1")
+	assert.Equal(t, o.calls(), 1)
+	other := booking("k")
+	other.BodyHash = "other"
+	_, err = callAgent(agents[0], other)
+	assert.Assert(t, result.Is(err, result.KeyReused), "%v", err)
+}
+
+// Guards against a booking that runs although its record is not confirmed, that
+// runs twice when the answer to its claim is lost, or that is refused although
+// the leader can be found.
+func TestClaim(t *testing.T) {
+	c, o := newControl(t), newOrders(t)
+	a := startAgent(t, serviceAdapter(t, o.URL, 4), func(a *Agent) { a.Control = []string{c.addr()} })
+	c.mu.Lock()
+	c.lose = 1
+	c.mu.Unlock()
+	_, err := callAgent(a, booking("lost"))
+	assert.NilError(t, err)
+	assert.Equal(t, o.calls(), 1)
+	c.mu.Lock()
+	assert.Assert(t, c.starts >= 2)
+	c.mu.Unlock()
+
+	follower := newControl(t)
+	follower.redirect = c.addr()
+	b := startAgent(t, serviceAdapter(t, o.URL, 4), func(a *Agent) { a.Control = []string{follower.addr()} })
+	_, err = callAgent(b, booking("redirected"))
+	assert.NilError(t, err)
+	assert.Equal(t, o.calls(), 2)
+
+	cut := startAgent(t, serviceAdapter(t, o.URL, 4), func(a *Agent) { a.Control = []string{"127.0.0.1:1"} })
+	_, err = callAgent(cut, booking("cut"))
+	assert.Assert(t, result.Is(err, result.RecordsUnavailable), "%v", err)
+	assert.Equal(t, result.From(err).Ran, result.NotRun)
+	lookup := &wire.CallArgs{Service: "orders", Method: http.MethodGet, Path: "/stock", Idempotent: true}
+	_, err = callAgent(cut, lookup)
+	assert.NilError(t, err)
+	assert.Equal(t, o.calls(), 3) // the lookup only
+}
+
+// Guards against an answer without bound, and against a service that is called
+// again after its connection broke.
+func TestCallIsBounded(t *testing.T) {
+	var count atomic.Int32
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/endless":
+			_, _ = w.Write(make([]byte, 1<<20))
+		case "/broken":
+			count.Add(1)
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	defer srv.Close()
+	c := newControl(t)
+	a := startAgent(t, serviceAdapter(t, srv.URL, 4), func(a *Agent) { a.Control = []string{c.addr()} })
+	_, err := callAgent(a, &wire.CallArgs{Method: http.MethodGet, Path: "/endless", Idempotent: true})
+	assert.Assert(t, result.Is(err, result.AnswerTooLarge), "%v", err)
+	args := booking("broken")
+	args.Path = "/broken"
+	_, err = callAgent(a, args)
+	assert.Assert(t, result.Is(err, result.UpstreamFailed), "%v", err)
+	assert.Assert(t, result.From(err).Ran != result.NotRun)
+	assert.Equal(t, count.Load(), int32(1))
+	eventually(t, c, "stored failure", func() bool { return c.records["broken"].State == wire.RecordFinished })
+	reply, err := callAgent(a, args)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(string(reply.Body), `"ran":"unknown"`), "%s", reply.Body)
+}
+
+// Guards against a second generation under one key, a stored answer that is not
+// found again, and a key that stays blocked when its generation is lost.
+func TestGenerationWithKey(t *testing.T) {
+	c, e := newControl(t), newEngine(t)
+	e.pause = 5 * time.Millisecond
+	use := func(a *Agent) { a.Control = []string{c.addr()} }
+	a := startAgent(t, engineAdapter(t, e.URL, 2), use)
+	b := startAgent(t, engineAdapter(t, e.URL, 2), func(b *Agent) { use(b); b.instance.ID = "agent-2" })
+	req := request(60)
+	req.Key = "k"
+	first := open(t, a, req)
+	first.text(t, 0, 5)
+	copied := *req
+	copied.Generation = wire.NewID()
+	_, last := open(t, b, &copied).text(t, 0, whole)
+	assert.Equal(t, last.Kind, wire.FrameElsewhere)
+	assert.Equal(t, last.Text, "agent-1")
+	assert.Equal(t, last.Generation, req.Generation)
+
+	moved := *req // the entry moves the same generation to the other agent
+	moved.Attempt, moved.PrefixText, moved.PrefixTokens = 2, numbers(0, 5), 5
+	text, last := open(t, b, &moved).text(t, 5, whole)
+	assert.Equal(t, last.Kind, wire.FrameEnd)
+	assert.Equal(t, text, numbers(5, 60))
+	eventually(t, c, "stored text", func() bool { return c.records["k"].State == wire.RecordFinished })
+
+	copied.Generation = wire.NewID()
+	text, last = open(t, a, &copied).text(t, 0, whole)
+	assert.Equal(t, last.Kind, wire.FrameEnd)
+	assert.Equal(t, text, numbers(0, 60))
+	assert.Equal(t, len(e.seen()), 2)
+}
+
+// Guards against a crash that is not reported, is reported twice, or misses a
+// request that was running; and against an agent that hides a dead upstream.
+func TestCrashIsReported(t *testing.T) {
+	c, e := newControl(t), newEngine(t)
+	e.pause = 5 * time.Millisecond
+	a := startAgent(t, engineAdapter(t, e.URL, 4), func(a *Agent) { a.Control = []string{c.addr()} })
+	var streams []*client
+	for _, fp := range []string{"one", "two", "three"} {
+		req := request(10_000)
+		req.Fingerprint = fp
+		s := open(t, a, req)
+		s.text(t, 0, 3)
+		streams = append(streams, s)
+	}
+	_ = e.Listener.Close()
+	e.CloseClientConnections()
+	for _, s := range streams {
+		for {
+			f, err := s.Next()
+			assert.NilError(t, err)
+			if f.Kind == wire.FrameFail {
+				assert.Equal(t, f.Code, result.UpstreamFailed)
+				assert.Equal(t, f.Ran, result.DidRun)
+				break
+			}
+		}
+	}
+	eventually(t, c, "crash report", func() bool { return len(c.crashes) == 1 })
+	eventually(t, c, "announced as down", func() bool { return c.states[len(c.states)-1] == wire.UpstreamDown })
+	crash := c.crashes[0]
+	assert.Equal(t, len(crash.Fingerprints), 3)
+	assert.Equal(t, crash.CrashNumber, uint64(1))
+	_, last := open(t, a, request(1)).text(t, 0, whole)
+	assert.Equal(t, last.Code, result.UpstreamNotReachable)
+	assert.Equal(t, last.Ran, result.NotRun)
+}
+
+// Guards against a quarantined request that runs, a suspect that runs without
+// a permit, and two suspects at once on one upstream.
+func TestSuspects(t *testing.T) {
+	c, e := newControl(t), newEngine(t)
+	e.pause = 5 * time.Millisecond
+	c.version = 1
+	c.suspects = []wire.Suspect{{Fingerprint: "bad", Crashes: 2, Quarantined: true, LeftMS: 5000}, {Fingerprint: "s1", Crashes: 1}, {Fingerprint: "s2", Crashes: 1}}
+	a := startAgent(t, engineAdapter(t, e.URL, 4), func(a *Agent) { a.Control = []string{c.addr()} })
+	send := func(fp string, permit wire.ID) *client {
+		req := request(100)
+		req.Fingerprint, req.Permit = fp, permit
+		return open(t, a, req)
+	}
+	for { // until the watch has brought the list
+		_, last := send("bad", "").text(t, 0, whole)
+		if last.Kind == wire.FrameFail {
+			assert.Equal(t, last.Code, result.Quarantined)
+			assert.Equal(t, last.RetryMS, uint32(5000))
+			break
+		}
+	}
+	_, last := send("s1", "").text(t, 0, whole)
+	assert.Equal(t, last.Code, result.SuspectBusy)
+	running := send("s1", "permit")
+	running.text(t, 0, 1)
+	_, last = send("s2", "permit").text(t, 0, whole)
+	assert.Equal(t, last.Code, result.SuspectBusy)
+	_, last = send("innocent", "").text(t, 0, whole)
+	assert.Equal(t, last.Kind, wire.FrameEnd)
+	_, last = running.text(t, 1, whole)
+	assert.Equal(t, last.Kind, wire.FrameEnd)
+}
