agent: leave a control instance that is behind

Cause: a watch stayed with an instance that was cut off and sent an old configuration without an error. Change: the poll is cut once a newer revision is heard of, and the next instance is asked. Ruled out: polling all instances at once; nine polls for each agent.

--- a/modules/agent/agent_test.go
+++ b/modules/agent/agent_test.go
@@ -373,3 +373,24 @@
 	}
 	assert.Equal(t, n, maxAhead)
 }
+
+// Guards against a reader that cannot attach inside the prefix of a newer
+// attempt, although the agent itself has produced it.
+func TestNewerAttemptKeepsBoundaries(t *testing.T) {
+	older := newOutput(1, "", 0)
+	for range 5 {
+		assert.NilError(t, older.append(context.Background(), adapter.Event{Text: "xy", Tokens: 1}))
+	}
+	for prefix, offset := range map[string]uint64{"xyxyxy": 2, "xyxyzz": 3} {
+		o := newOutput(2, prefix, 3)
+		o.adopt(older)
+		r, err := o.attach(offset)
+		assert.NilError(t, err)
+		b := o.take(r)
+		assert.Assert(t, offset == 3 || b.tokens.Text == "xy")
+	}
+	o := newOutput(2, "xyxyzz", 3)
+	o.adopt(older)
+	_, err := o.attach(2)
+	assert.Assert(t, result.Is(err, result.BadResumePoint))
+}
--- a/modules/agent/control.go
+++ b/modules/agent/control.go
@@ -144,6 +144,7 @@
 func (a *Agent) watchOnce(ctx context.Context, cl *peer.Client, args *wire.WatchArgs) error {
 	ctx, cancel := context.WithTimeout(ctx, watchLimit)
 	defer cancel()
+	go a.cutWatch(ctx, cancel)
 	var reply wire.WatchReply
 	if err := cl.Call(ctx, "Control.Watch", args, &reply); err != nil {
 		return err
@@ -167,6 +168,16 @@
 	return nil
 }
 
+// cutWatch ends a long poll once a newer revision is heard of than this
+// instance has sent: it may be cut off from the others without knowing it.
+func (a *Agent) cutWatch(ctx context.Context, cancel context.CancelFunc) {
+	select {
+	case <-a.control.watch:
+		cancel()
+	case <-ctx.Done():
+	}
+}
+
 // sleep waits for d or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
--- a/modules/agent/control_test.go
+++ b/modules/agent/control_test.go
@@ -32,6 +32,7 @@
 	redirect string // address of the leader
 	suspects []wire.Suspect
 	version  uint64
+	revision uint64
 	crashes  []wire.CrashArgs
 	states   []wire.UpstreamState
 }
@@ -64,6 +65,7 @@
 	defer s.c.mu.Unlock()
 	reply.Suspects, reply.SuspectsChanged = s.c.version, s.c.version != args.Suspects
 	reply.Suspect = s.c.suspects
+	reply.Revision = s.c.revision
 	return nil
 }
 
@@ -217,7 +219,7 @@
 	c, o := newControl(t), newOrders(t)
 	a := startAgent(t, serviceAdapter(t, o.URL, 4), func(a *Agent) { a.Control = []string{c.addr()} })
 	c.mu.Lock()
-	c.lose = 1
+	c.lose = 3 // more than one round of calls
 	c.mu.Unlock()
 	_, err := callAgent(a, booking("lost"))
 	assert.NilError(t, err)
@@ -321,6 +323,7 @@
 		streams = append(streams, s)
 	}
 	_ = e.Listener.Close()
+	start := time.Now()
 	e.CloseClientConnections()
 	for _, s := range streams {
 		for {
@@ -333,6 +336,7 @@
 			}
 		}
 	}
+	t.Logf("all streams ended after %v", time.Since(start))
 	eventually(t, c, "crash report", func() bool { return len(c.crashes) == 1 })
 	eventually(t, c, "announced as down", func() bool { return c.states[len(c.states)-1] == wire.UpstreamDown })
 	crash := c.crashes[0]
@@ -375,3 +379,30 @@
 	_, last = running.text(t, 1, whole)
 	assert.Equal(t, last.Kind, wire.FrameEnd)
 }
+
+// Guards against an agent that stays with a control instance which is cut off
+// and sends an old configuration without an error.
+func TestWatchLeavesAnIsolatedInstance(t *testing.T) {
+	old, current := newControl(t), newControl(t)
+	old.revision, current.revision = 3, 7
+	a := startAgent(t, engineAdapter(t, newEngine(t).URL, 1), func(a *Agent) { a.Control = []string{old.addr(), current.addr()} })
+	eventually(t, old, "first configuration", func() bool { return a.snapshot.Load().revision == 3 })
+	req := request(1)
+	req.Revision = 7 // the entry knows a newer one
+	open(t, a, req).text(t, 0, whole)
+	eventually(t, old, "newer configuration", func() bool { return a.snapshot.Load().revision == 7 })
+}
+
+// Guards against new work under a configuration that is known to be old, and
+// against an agent that stops although it has caught up.
+func TestStopsWorkWhenBehind(t *testing.T) {
+	a := startAgent(t, engineAdapter(t, newEngine(t).URL, 1), nil)
+	now := time.Now()
+	o := newOwner(a, now)
+	assert.NilError(t, o.takesWork(now, 9, "", ""))
+	assert.NilError(t, o.takesWork(now.Add(behindLimit), 9, "", ""))
+	err := o.takesWork(now.Add(behindLimit+time.Second), 9, "", "")
+	assert.Assert(t, result.Is(err, result.ConfigurationBehind), "%v", err)
+	configEvent{revision: 9}.apply(o, now)
+	assert.NilError(t, o.takesWork(now.Add(time.Hour), 9, "", ""))
+}
--- a/modules/agent/owner.go
+++ b/modules/agent/owner.go
@@ -290,6 +290,8 @@
 	o.seen = max(o.seen, e.revision)
 	if o.seen == o.revision {
 		o.behindSince = time.Time{}
+	} else {
+		o.a.control.watchNow()
 	}
 	if e.document != nil {
 		o.decide(now, o.queue.Configure(now, o.settings(e.document, now)))
