admission: refuse the longest line when the queue is full

Change: a removed request is marked as ended; a full queue refuses the newest request of the organisation with most requests in line for its weight. Conclusion: the bound of the queue is shared by requests, slots by tokens.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -215,6 +215,7 @@
 func (q *Queue) remove(it *item) {
 	c := &q.classes[it.Class]
 	c.remove(it)
+	it.state = ended
 	delete(q.items, it.ID)
 	c.tidy()
 }
--- a/core/admission/fair.go
+++ b/core/admission/fair.go
@@ -14,6 +14,7 @@
 	waits state = iota
 	runs
 	preempting
+	ended
 )
 
 // item is one request in the queue or in a slot.
@@ -27,7 +28,7 @@
 	slot    int // index in class.slots
 }
 
-func (it *item) waits() bool { return it.state == waits && it.flow != nil }
+func (it *item) waits() bool { return it.state == waits }
 
 // flow is the line of one organisation in a class.
 type flow struct {
@@ -77,17 +78,18 @@
 	return a.line[0].seq < b.line[0].seq
 }
 
-// laterTail orders flows by the start tag of their newest item: the one that
-// would be served last comes first. The total backlog would single out an
-// organisation with one large request.
-func laterTail(a, b *flow) bool {
-	at, bt := a.tail(), b.tail()
-	if at != bt {
-		return at > bt
+// longerLine orders flows by the share of the queue that they take, since the
+// queue is bounded by the number of requests. By tokens, an organisation with
+// few large requests would look larger than one that floods with small ones.
+func longerLine(a, b *flow) bool {
+	al, bl := float64(len(a.line))/a.weight, float64(len(b.line))/b.weight
+	if al != bl {
+		return al > bl
 	}
-	return a.line[len(a.line)-1].seq > b.line[len(b.line)-1].seq
+	return a.tail() > b.tail()
 }
 
+// tail is the start tag of the newest item in line.
 func (f *flow) tail() float64 {
 	return f.start + (f.backlog-f.line[len(f.line)-1].Cost)/f.weight
 }
@@ -98,7 +100,7 @@
 type class struct {
 	flows    map[string]*flow
 	byStart  flowHeap
-	byTail   flowHeap
+	byLength flowHeap
 	virtual  float64
 	count    int     // items in line
 	weight   float64 // of the flows with items in line
@@ -140,14 +142,14 @@
 	}
 	f.start = max(c.virtual, f.finish)
 	c.weight += f.weight
-	c.byStart.less, c.byTail.less, c.byTail.slot = earlierStart, laterTail, 1
+	c.byStart.less, c.byLength.less, c.byLength.slot = earlierStart, longerLine, 1
 	heap.Push(&c.byStart, f)
-	heap.Push(&c.byTail, f)
+	heap.Push(&c.byLength, f)
 }
 
 func (c *class) fix(f *flow) {
 	heap.Fix(&c.byStart, f.index[0])
-	heap.Fix(&c.byTail, f.index[1])
+	heap.Fix(&c.byLength, f.index[1])
 }
 
 // pop takes the next item out of line.
@@ -174,7 +176,7 @@
 	}
 	f.backlog = 0
 	heap.Remove(&c.byStart, f.index[0])
-	heap.Remove(&c.byTail, f.index[1])
+	heap.Remove(&c.byLength, f.index[1])
 	c.weight -= f.weight
 	if len(c.byStart.list) == 0 {
 		c.weight = 0
@@ -184,7 +186,7 @@
 // newestOfLargest returns the newest item of the organisation that is furthest
 // above its share, or the given one if that has nothing to give up.
 func (c *class) newestOfLargest(it *item) *item {
-	f := c.byTail.list[0]
+	f := c.byLength.list[0]
 	for i := len(f.line) - 1; i >= 0; i-- {
 		if !f.line[i].resumed {
 			return f.line[i]
