--- /dev/null
+++ b/core/stream/stream.go
@@ -0,0 +1,414 @@
+// Package stream assembles the answer of one generation from the attempts that
+// run it. It decides which frames reach the caller, when a silent connection
+// is tried again, when the generation resumes on another agent, and what the
+// final outcome is. It is pure: time is passed in, and its caller executes the
+// actions that it returns.
+package stream
+
+import (
+	"strings"
+	"time"
+
+	"heatherway.dev/core/wire"
+	"heatherway.dev/kernel/result"
+)
+
+// Timing of a connection to an agent, see docs/design.md section 5.
+const (
+	// Silence is how long a connection may carry no frame. Agents send a
+	// heartbeat every 250 ms.
+	Silence = 750 * time.Millisecond
+	// AttachLimit bounds the time until a new connection to a silent agent
+	// carries its first frame.
+	AttachLimit = 250 * time.Millisecond
+)
+
+// Settings bound one answer.
+type Settings struct {
+	// Attempts is the most attempts while nothing has started; Resumes is the
+	// most once the generation has started.
+	Attempts int
+	Resumes  int
+	// Deadline ends the answer; zero sets none.
+	Deadline time.Time
+	// Resume is set when the caller already holds the first Offset tokens of
+	// the generation, received from attempt Resume.Attempt of Resume.Agent.
+	// Their text is not known here.
+	Resume *wire.EventID
+}
+
+// ActionKind tells what the driver must do.
+type ActionKind uint8
+
+// The kinds of action.
+const (
+	// Open starts attempt Attempt on an agent of the driver's choice, with the
+	// delivered text as prefix.
+	Open ActionKind = iota + 1
+	// Attach opens a new connection to Agent that reads the running attempt
+	// from Offset.
+	Attach
+	// Close ends connection Conn.
+	Close
+	// Cancel tells Agent to end its attempts up to Attempt.
+	Cancel
+	// Finish reports the final outcome. It is the last action.
+	Finish
+)
+
+// Action is one step for the driver.
+type Action struct {
+	Kind    ActionKind
+	Conn    int
+	Agent   string
+	Attempt uint32
+	Offset  uint64
+	// Generation replaces the id of the request when it is set.
+	Generation wire.ID
+	// Cause is the failure that led to a later attempt, nil for the first.
+	Cause   *result.Error
+	Outcome Outcome
+}
+
+// Outcome is the end of an answer: Err is nil when it is whole.
+type Outcome struct {
+	Err          *result.Error
+	Finish       string
+	Tokens       uint64
+	PromptTokens uint32
+	CachedTokens uint32
+	Attempts     int
+}
+
+// Assembler is the state of one answer.
+type Assembler struct {
+	set Settings
+
+	attempt uint32
+	conn    int
+	agent   string
+	// live is set while connection conn may carry frames; connected once the
+	// driver has a connection, until then the driver bounds the time.
+	live      bool
+	connected bool
+	// attaching is set from Attach until the first frame of the connection.
+	attaching bool
+	// adopt takes the attempt number of the connection's first frame.
+	adopt bool
+	heard time.Time
+
+	text    strings.Builder
+	hasText bool
+	next    uint64
+	started bool
+	// unsure is set when an earlier attempt may have run.
+	unsure   bool
+	opens    int
+	attaches int
+	prompt   uint32
+	cached   uint32
+	done     bool
+}
+
+// New returns the assembler of one answer.
+func New(set Settings) *Assembler {
+	a := &Assembler{set: set, hasText: true}
+	if r := set.Resume; r != nil {
+		a.attempt, a.next, a.agent = r.Attempt, r.Offset, r.Agent
+		a.started, a.hasText = true, r.Offset == 0
+	}
+	return a
+}
+
+// Text returns the text delivered so far, if it is known from the first token.
+func (a *Assembler) Text() (string, bool) { return a.text.String(), a.hasText }
+
+// Delivered returns the count of tokens delivered.
+func (a *Assembler) Delivered() uint64 { return a.next }
+
+// Attempt returns the number of the current attempt.
+func (a *Assembler) Attempt() uint32 { return a.attempt }
+
+// Agent returns the agent of the current attempt.
+func (a *Assembler) Agent() string { return a.agent }
+
+// Started tells whether an engine has run the generation.
+func (a *Assembler) Started() bool { return a.started }
+
+// Done tells whether the final outcome has been reported.
+func (a *Assembler) Done() bool { return a.done }
+
+// Start returns the first action.
+func (a *Assembler) Start(now time.Time) []Action {
+	if a.set.Resume != nil {
+		return a.attach(now, a.agent)
+	}
+	return a.open(now, nil)
+}
+
+// Chosen records the agent that the driver opens connection conn to.
+func (a *Assembler) Chosen(conn int, agent string) {
+	if conn == a.conn {
+		a.agent = agent
+	}
+}
+
+// Next returns when Tick must be called; the zero time means never.
+func (a *Assembler) Next() time.Time {
+	limit := a.set.Deadline
+	switch {
+	case a.live && a.attaching:
+		limit = a.heard.Add(AttachLimit)
+	case a.live && a.connected:
+		limit = a.heard.Add(Silence)
+	}
+	if d := a.set.Deadline; !d.IsZero() && d.Before(limit) {
+		return d
+	}
+	return limit
+}
+
+// Tick acts on the passage of time.
+func (a *Assembler) Tick(now time.Time) []Action {
+	if a.done {
+		return nil
+	}
+	if d := a.set.Deadline; !d.IsZero() && !now.Before(d) {
+		return a.giveUp(result.New(result.DeadlineExceeded, "the deadline passed after %d tokens", a.next).WithRan(a.ran()))
+	}
+	if due := a.Next(); !a.live || due.IsZero() || now.Before(due) {
+		return nil
+	}
+	if a.attaching {
+		return a.failed(now, result.New(result.UpstreamStalled, "the agent is silent on a new connection too"), true)
+	}
+	return append([]Action{a.closeAction()}, a.attach(now, a.agent)...)
+}
+
+// Connected restarts the silence limit of a connection that has been opened.
+func (a *Assembler) Connected(now time.Time, conn int) {
+	if conn != a.conn || !a.live || a.connected {
+		return
+	}
+	a.connected = true
+	if !a.attaching {
+		a.heard = now
+	}
+}
+
+// Lost reports the end of a connection. Reached is false when the agent
+// certainly received nothing on it.
+func (a *Assembler) Lost(now time.Time, conn int, reached bool, err *result.Error) []Action {
+	if a.done || conn != a.conn || !a.live {
+		return nil
+	}
+	return a.failed(now, err, reached)
+}
+
+// Abandon ends the answer from the caller's side.
+func (a *Assembler) Abandon(err *result.Error) []Action {
+	if a.done {
+		return nil
+	}
+	return a.giveUp(err)
+}
+
+// Frame takes one frame. Deliver tells whether its text is to be sent to the
+// caller.
+func (a *Assembler) Frame(now time.Time, conn int, f *wire.Frame) (deliver bool, acts []Action) {
+	if a.done || conn != a.conn || !a.live {
+		return false, nil
+	}
+	if f.Kind == wire.FrameElsewhere {
+		return false, a.elsewhere(now, f)
+	}
+	if a.adopt && f.Attempt != 0 {
+		a.attempt, a.adopt = f.Attempt, false
+	}
+	if f.Attempt != a.attempt {
+		return false, nil
+	}
+	a.heard, a.attaching, a.connected = now, false, true
+	switch f.Kind {
+	case wire.FrameStarted:
+		a.began(f)
+	case wire.FrameToken:
+		return a.token(now, f)
+	case wire.FrameEnd:
+		return false, a.end(now, f)
+	case wire.FrameFail:
+		return false, a.fail(now, f)
+	}
+	return false, nil
+}
+
+func (a *Assembler) began(f *wire.Frame) {
+	a.started = true
+	if f.PromptTokens > 0 {
+		a.prompt, a.cached = f.PromptTokens, f.CachedTokens
+	}
+}
+
+func (a *Assembler) token(now time.Time, f *wire.Frame) (bool, []Action) {
+	a.started = true
+	if f.Offset < a.next {
+		return false, nil
+	}
+	if f.Offset > a.next || f.Tokens == 0 {
+		return false, a.gap(now, f.Offset)
+	}
+	a.next += uint64(f.Tokens)
+	if a.hasText {
+		a.text.WriteString(f.Text)
+	}
+	return true, nil
+}
+
+func (a *Assembler) gap(now time.Time, offset uint64) []Action {
+	return a.failed(now, result.New(result.UpstreamMalformed, "frame at offset %d, expected %d", offset, a.next), true)
+}
+
+func (a *Assembler) end(now time.Time, f *wire.Frame) []Action {
+	if f.Offset != a.next {
+		return a.gap(now, f.Offset)
+	}
+	a.began(f)
+	return []Action{a.closeAction(), a.finish(Outcome{Finish: f.Finish})}
+}
+
+// fail acts on the agent's report that the attempt has ended.
+func (a *Assembler) fail(now time.Time, f *wire.Frame) []Action {
+	err := result.New(f.Code, "%s", f.Code.Info().Meaning).WithRan(f.Ran).
+		After(time.Duration(f.RetryMS) * time.Millisecond)
+	if f.Ran == result.DidRun {
+		a.started = true
+	}
+	// The text of a generation that was attached to is known only from here.
+	if !a.hasText && f.Tokens > 0 && uint64(f.Tokens) == a.next {
+		a.text.WriteString(f.Text)
+		a.hasText = true
+	}
+	if final(f.Code) {
+		return append([]Action{a.closeAction()}, a.giveUpWith(err, false)...)
+	}
+	return a.failed(now, err, f.Ran != result.NotRun)
+}
+
+// final tells whether another agent would give the same answer.
+func final(c result.Code) bool {
+	switch c {
+	case result.UpstreamFailed, result.UpstreamStalled, result.UpstreamMalformed, result.UpstreamNotReachable,
+		result.Internal, result.Leaving, result.NoUpstream, result.QueueFull, result.DeadlineUnreachable,
+		result.ConfigurationBehind, result.GenerationNotHeld, result.ModelUnknown:
+		return false
+	}
+	return true
+}
+
+// elsewhere follows the idempotency key to the agent that holds its
+// generation.
+func (a *Assembler) elsewhere(now time.Time, f *wire.Frame) []Action {
+	if a.next > 0 || f.Text == "" {
+		return a.failed(now, result.New(result.UpstreamMalformed, "unexpected reference to another agent"), true)
+	}
+	acts := []Action{a.closeAction()}
+	a.attempt, a.adopt, a.started = f.Attempt, true, true
+	attach := a.attach(now, f.Text)
+	attach[0].Generation = f.Generation
+	return append(acts, attach...)
+}
+
+// failed replaces the current attempt.
+func (a *Assembler) failed(now time.Time, err *result.Error, reached bool) []Action {
+	acts := []Action{a.closeAction()}
+	if reached {
+		a.unsure = true
+		if a.agent != "" && err.Code != result.GenerationNotHeld {
+			acts = append(acts, Action{Kind: Cancel, Agent: a.agent, Attempt: a.attempt})
+		}
+	}
+	if !a.hasText {
+		return append(acts, a.lost(err)...)
+	}
+	if a.opens >= a.limit() {
+		return append(acts, a.giveUpWith(err, false)...)
+	}
+	return append(acts, a.open(now, err)...)
+}
+
+func (a *Assembler) lost(err *result.Error) []Action {
+	e := result.Wrap(result.GenerationLost, err, "the text delivered so far is held nowhere any more")
+	return []Action{a.finish(Outcome{Err: e})}
+}
+
+func (a *Assembler) limit() int {
+	if a.started {
+		return a.set.Resumes
+	}
+	return a.set.Attempts
+}
+
+func (a *Assembler) open(now time.Time, cause *result.Error) []Action {
+	a.attempt++
+	a.opens++
+	a.newConn(now, "")
+	a.attaching, a.adopt = false, false
+	return []Action{{Kind: Open, Conn: a.conn, Attempt: a.attempt, Offset: a.next, Cause: cause}}
+}
+
+func (a *Assembler) attach(now time.Time, agent string) []Action {
+	a.attaches++
+	a.newConn(now, agent)
+	a.attaching = true
+	return []Action{{Kind: Attach, Conn: a.conn, Agent: agent, Attempt: a.attempt, Offset: a.next}}
+}
+
+func (a *Assembler) newConn(now time.Time, agent string) {
+	a.conn++
+	a.agent, a.live, a.connected, a.heard = agent, true, false, now
+}
+
+func (a *Assembler) closeAction() Action {
+	a.live = false
+	return Action{Kind: Close, Conn: a.conn}
+}
+
+// giveUp ends the answer while an attempt may still run.
+func (a *Assembler) giveUp(err *result.Error) []Action {
+	return a.giveUpWith(err, a.live)
+}
+
+func (a *Assembler) giveUpWith(err *result.Error, cancel bool) []Action {
+	var acts []Action
+	if cancel {
+		a.unsure = true
+		acts = append(acts, a.closeAction())
+		if a.agent != "" {
+			acts = append(acts, Action{Kind: Cancel, Agent: a.agent, Attempt: a.attempt})
+		}
+	}
+	if ran := a.ran(); ran != result.NotRun {
+		err.Ran = ran
+	}
+	return append(acts, a.finish(Outcome{Err: err}))
+}
+
+// ran tells what is known about earlier attempts; "not run" is said only when
+// every one of them was refused or received nothing.
+func (a *Assembler) ran() result.Ran {
+	switch {
+	case a.started:
+		return result.DidRun
+	case a.unsure:
+		return result.Unknown
+	default:
+		return result.NotRun
+	}
+}
+
+func (a *Assembler) finish(o Outcome) Action {
+	a.done, a.live = true, false
+	o.Tokens, o.Attempts = a.next, a.opens
+	o.PromptTokens, o.CachedTokens = a.prompt, a.cached
+	return Action{Kind: Finish, Outcome: o}
+}
--- /dev/null
+++ b/modules/entry/agents.go
@@ -0,0 +1,74 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"heatherway.dev/kernel/peer"
+)
+
+// Sizes of the connections to agents. The buffers are small, since a stream
+// carries a few hundred bytes a second.
+const (
+	agentBuffer     = 2 << 10
+	agentIdlePerOne = 32
+	agentIdleLimit  = 30 * time.Second
+)
+
+// agents holds the connections to other processes.
+type agents struct {
+	security *peer.Security
+	// pooled keeps idle connections; fresh opens a new one for each stream, to
+	// get past a silent one.
+	pooled *http.Transport
+	fresh  *http.Transport
+
+	mu      sync.Mutex
+	clients map[string]*peer.Client
+}
+
+func newAgents(s *peer.Security) *agents {
+	a := &agents{security: s, clients: map[string]*peer.Client{}}
+	a.pooled, a.fresh = a.transport(), a.transport()
+	a.fresh.DisableKeepAlives = true
+	return a
+}
+
+func (a *agents) transport() *http.Transport {
+	return &http.Transport{
+		// Dial returns a connection with TLS where it is on, so the URL scheme
+		// is always http.
+		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
+			return a.security.Dial(ctx, addr)
+		},
+		MaxIdleConnsPerHost: agentIdlePerOne,
+		IdleConnTimeout:     agentIdleLimit,
+		ReadBufferSize:      agentBuffer,
+		WriteBufferSize:     agentBuffer,
+		DisableCompression:  true,
+	}
+}
+
+// client returns the net/rpc client of an address.
+func (a *agents) client(addr string) *peer.Client {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	c, ok := a.clients[addr]
+	if !ok {
+		c = a.security.NewClient(addr)
+		a.clients[addr] = c
+	}
+	return c
+}
+
+func (a *agents) close() {
+	a.pooled.CloseIdleConnections()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, c := range a.clients {
+		c.Close()
+	}
+}
--- /dev/null
+++ b/modules/entry/driver.go
@@ -0,0 +1,399 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"heatherway.dev/core/config"
+	"heatherway.dev/core/stream"
+	"heatherway.dev/core/wire"
+	"heatherway.dev/kernel/result"
+)
+
+// Timing towards the caller.
+const (
+	// idleComment is how often an event stream without tokens carries a
+	// comment, so that the caller can tell silence from waiting.
+	idleComment = time.Second
+	// headWait is how long an event stream waits for its first token before
+	// the status is sent; a failure within it keeps its own HTTP status.
+	headWait = time.Second
+	// writeLimit ends an answer whose caller reads nothing.
+	writeLimit = 10 * time.Second
+	// cancelLimit bounds the message that ends an attempt.
+	cancelLimit = time.Second
+)
+
+// driver runs one generation: it executes the assembler's actions and writes
+// the answer. It belongs to the goroutine that serves the request.
+type driver struct {
+	m   *Module
+	r   *request
+	ctx context.Context
+	end context.CancelFunc
+	asm *stream.Assembler
+	out output
+
+	signals chan signal
+	conns   map[int]*conn
+	avoid   map[string]bool
+	timer   *time.Timer
+
+	outcome    *stream.Outcome
+	lastWrite  time.Time
+	firstToken time.Duration
+	// lostAt is when the current attempt was lost, zero while tokens flow.
+	lostAt time.Time
+	// pending holds text accepted before the head of the answer was sent.
+	headSent bool
+	cause    *result.Error
+	written  int64
+	extended time.Time
+	logged   bool
+}
+
+// signal is what a connection's goroutine tells the driver.
+type signal struct {
+	conn    int
+	agent   string
+	frames  []wire.Frame
+	more    bool
+	lost    bool
+	reached bool
+	err     *result.Error
+}
+
+func newDriver(ctx context.Context, m *Module, r *request) *driver {
+	scope := config.Scope{Organisation: r.organisation, Model: r.model}
+	d := &driver{
+		m: m, r: r,
+		signals: make(chan signal),
+		conns:   map[int]*conn{},
+		avoid:   map[string]bool{},
+		timer:   time.NewTimer(time.Hour),
+		asm: stream.New(stream.Settings{
+			Attempts: int(r.snap.doc.Int("retry.attempts", scope, r.begun)),
+			Resumes:  int(r.snap.doc.Int("resume.attempts", scope, r.begun)),
+			Deadline: r.deadline,
+			Resume:   r.resume,
+		}),
+	}
+	d.ctx, d.end = context.WithCancel(ctx)
+	d.out = newOutput(d)
+	return d
+}
+
+// begin runs the generation until the head of the answer can be sent: the
+// first token of an event stream, the end of a whole answer, or a failure.
+func (d *driver) begin() *result.Error {
+	now := time.Now()
+	d.execute(d.asm.Start(now))
+	d.lastWrite = now
+	for d.outcome == nil && !d.out.headReady() {
+		if d.r.stream && time.Since(now) >= headWait {
+			return nil
+		}
+		d.step()
+	}
+	if d.outcome != nil && d.outcome.Err != nil && !d.out.headReady() {
+		d.close()
+		return d.outcome.Err
+	}
+	return nil
+}
+
+// Read implements io.Reader; the generated server uses WriteTo.
+func (d *driver) Read([]byte) (int, error) { return 0, io.EOF }
+
+// Close implements io.Closer.
+func (d *driver) Close() error {
+	d.close()
+	return nil
+}
+
+// WriteTo writes the rest of the answer.
+func (d *driver) WriteTo(w io.Writer) (int64, error) {
+	d.out.attach(w)
+	d.headSent = true
+	for d.outcome == nil {
+		d.step()
+		d.idle()
+	}
+	d.out.finish(*d.outcome)
+	d.close()
+	// The generated server would add an error body after a failed write, so the
+	// failure is only logged.
+	return d.written, nil
+}
+
+// idle sends a comment when nothing has been written for a while.
+func (d *driver) idle() {
+	if now := time.Now(); d.outcome == nil && now.Sub(d.lastWrite) >= idleComment {
+		d.out.idle()
+		d.lastWrite = now
+	}
+}
+
+// step waits for one signal or for the next moment at which time matters.
+func (d *driver) step() {
+	d.setTimer(time.Now())
+	select {
+	case s := <-d.signals:
+		d.take(s)
+	case <-d.timer.C:
+		d.tick()
+	case <-d.ctx.Done():
+		d.execute(d.asm.Abandon(result.New(result.CallerGone, "the caller closed its connection")))
+	}
+}
+
+// tick gives frames that wait already precedence over the passage of time; the
+// driver may have been held up by a slow caller.
+func (d *driver) tick() {
+	select {
+	case s := <-d.signals:
+		d.take(s)
+	default:
+		d.execute(d.asm.Tick(time.Now()))
+	}
+}
+
+func (d *driver) setTimer(now time.Time) {
+	due := d.lastWrite.Add(idleComment)
+	if next := d.asm.Next(); !next.IsZero() && next.Before(due) {
+		due = next
+	}
+	d.timer.Reset(max(due.Sub(now), time.Millisecond))
+}
+
+func (d *driver) take(s signal) {
+	now := time.Now()
+	if s.agent != "" {
+		d.asm.Chosen(s.conn, s.agent)
+	}
+	if s.lost {
+		d.drop(s)
+		d.execute(d.asm.Lost(now, s.conn, s.reached, s.err))
+		return
+	}
+	if s.frames == nil {
+		d.asm.Connected(now, s.conn)
+		return
+	}
+	for i := range s.frames {
+		d.frame(now, s.conn, &s.frames[i])
+	}
+	if !s.more {
+		d.out.flush()
+	}
+}
+
+// drop forgets a connection that has ended.
+func (d *driver) drop(s signal) {
+	if c, ok := d.conns[s.conn]; ok {
+		c.cancel()
+		delete(d.conns, s.conn)
+		if c.agent != "" {
+			d.avoid[c.agent] = true
+		}
+	}
+}
+
+func (d *driver) frame(now time.Time, conn int, f *wire.Frame) {
+	if f.Kind != wire.FrameToken {
+		d.report(conn, f)
+	}
+	deliver, acts := d.asm.Frame(now, conn, f)
+	if deliver {
+		d.deliver(now, f)
+	}
+	d.execute(acts)
+}
+
+// report passes the agent's load and newest revision on to the owner.
+func (d *driver) report(conn int, f *wire.Frame) {
+	if c, ok := d.conns[conn]; ok && c.agent != "" {
+		d.m.owner.send(event{kind: eventLoad, upstream: c.agent, load: f.Load})
+	}
+	d.m.owner.seen(f.Revision)
+}
+
+func (d *driver) deliver(now time.Time, f *wire.Frame) {
+	if d.firstToken == 0 {
+		d.firstToken = now.Sub(d.r.begun)
+		d.m.metrics.firstToken[d.r.class].Observe(d.firstToken.Milliseconds())
+	}
+	if !d.lostAt.IsZero() {
+		d.m.metrics.resumeGap.Observe(now.Sub(d.lostAt).Milliseconds())
+		d.lostAt = time.Time{}
+	}
+	d.m.metrics.tokens.Add(int64(f.Tokens))
+	d.out.token(f.Text, d.eventID())
+	d.lastWrite = now
+}
+
+func (d *driver) eventID() wire.EventID {
+	return wire.EventID{Generation: d.r.generation, Agent: d.asm.Agent(), Attempt: d.asm.Attempt(), Offset: d.asm.Delivered()}
+}
+
+func (d *driver) execute(acts []stream.Action) {
+	for _, a := range acts {
+		switch a.Kind {
+		case stream.Open:
+			d.open(a)
+		case stream.Attach:
+			d.attach(a)
+		case stream.Close:
+			d.closeConn(a.Conn)
+		case stream.Cancel:
+			d.cancelAttempt(a)
+		case stream.Finish:
+			d.outcome = &a.Outcome
+		}
+	}
+}
+
+func (d *driver) closeConn(n int) {
+	if c, ok := d.conns[n]; ok {
+		c.cancel()
+		delete(d.conns, n)
+		if c.agent != "" {
+			d.avoid[c.agent] = true
+		}
+	}
+}
+
+// cancelAttempt tells an agent that nobody wants an attempt any more. It is
+// only a saving: output of the attempt would be dropped anyway.
+func (d *driver) cancelAttempt(a stream.Action) {
+	if d.keepsRunning() {
+		return
+	}
+	u, ok := d.r.snap.upstreams[a.Agent]
+	if !ok {
+		return
+	}
+	c := d.m.agents.client(u.Addr)
+	args := wire.CancelArgs{Generation: d.r.generation, Attempt: a.Attempt}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), cancelLimit)
+		defer cancel()
+		_ = c.Call(ctx, wire.AgentService+".Cancel", &args, &wire.CancelReply{})
+	}()
+}
+
+// keepsRunning tells whether the caller has gone but can come back for the
+// generation, by its last event id or its key.
+func (d *driver) keepsRunning() bool {
+	return d.ctx.Err() != nil && (d.r.key != "" || d.r.stream && d.asm.Delivered() > 0)
+}
+
+// close ends everything that belongs to the generation and logs it.
+func (d *driver) close() {
+	if d.logged {
+		return
+	}
+	d.logged = true
+	if d.outcome == nil {
+		d.execute(d.asm.Abandon(result.New(result.CallerGone, "the caller closed its connection")))
+	}
+	d.end()
+	d.timer.Stop()
+	d.m.finish(d.r, d.summary())
+}
+
+func (d *driver) summary() summary {
+	o := d.outcome
+	return summary{
+		upstream: d.asm.Agent(), attempts: o.Attempts, tokens: o.Tokens,
+		err: o.Err, firstToken: d.firstToken,
+	}
+}
+
+// conn is one connection to an agent.
+type conn struct {
+	n      int
+	agent  string
+	cancel context.CancelFunc
+}
+
+func (d *driver) newConn(n int) (*conn, context.Context) {
+	ctx, cancel := context.WithCancel(d.ctx)
+	c := &conn{n: n, cancel: cancel}
+	d.conns[n] = c
+	return c, ctx
+}
+
+func (d *driver) open(a stream.Action) {
+	if a.Cause != nil {
+		d.resumed()
+	}
+	c, ctx := d.newConn(a.Conn)
+	u, err := d.m.choose(d.r, d.avoid)
+	if err != nil {
+		go d.signal(ctx, signal{conn: a.Conn, lost: true, err: err})
+		return
+	}
+	c.agent = u.ID
+	d.asm.Chosen(a.Conn, u.ID)
+	text, _ := d.asm.Text()
+	req := d.generateRequest(a)
+	req.Body, req.PrefixText, req.PrefixTokens = d.r.body, text, a.Offset
+	d.m.metrics.attempts.Inc()
+	go d.read(ctx, c, u.Addr, d.m.agents.pooled, req)
+}
+
+func (d *driver) resumed() {
+	d.m.metrics.resumes.Inc()
+	if d.lostAt.IsZero() && d.asm.Delivered() > 0 {
+		d.lostAt = time.Now()
+	}
+}
+
+func (d *driver) attach(a stream.Action) {
+	if a.Generation != "" {
+		d.r.generation = a.Generation
+	}
+	c, ctx := d.newConn(a.Conn)
+	u, ok := d.m.owner.current().upstreams[a.Agent]
+	if !ok {
+		err := result.New(result.GenerationNotHeld, "the agent %s is gone", a.Agent)
+		go d.signal(ctx, signal{conn: a.Conn, lost: true, err: err})
+		return
+	}
+	c.agent = u.ID
+	req := d.generateRequest(a)
+	req.Attach, req.Offset = true, a.Offset
+	d.m.metrics.attaches.Inc()
+	go d.read(ctx, c, u.Addr, d.m.agents.fresh, req)
+}
+
+func (d *driver) generateRequest(a stream.Action) *wire.GenerateRequest {
+	r, now := d.r, time.Now()
+	return &wire.GenerateRequest{
+		Generation: r.generation, Attempt: a.Attempt, RequestID: r.id, Entry: d.m.instance.ID,
+		Organisation: r.organisation, Class: r.class, Weight: r.weight, Model: r.model, Kind: r.kind,
+		DeadlineMS: r.left(now), Fingerprint: r.fingerprint, Key: r.key, Revision: r.snap.revision(),
+	}
+}
+
+// signal hands a signal to the driver unless the connection has been given up.
+func (d *driver) signal(ctx context.Context, s signal) bool {
+	select {
+	case d.signals <- s:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// writer returns the response controller of an answer's writer.
+func controller(w io.Writer) *http.ResponseController {
+	rw, ok := w.(http.ResponseWriter)
+	if !ok {
+		return nil
+	}
+	return http.NewResponseController(rw)
+}
--- /dev/null
+++ b/modules/entry/entry.go
@@ -0,0 +1,229 @@
+// Package entry is the role that callers talk to. It authenticates requests,
+// chooses upstreams, relays generations as one unbroken answer, and runs calls
+// of plain services at most once where that matters.
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"heatherway.dev/core/wire"
+	"heatherway.dev/kernel"
+	"heatherway.dev/kernel/peer"
+	"heatherway.dev/kernel/settings"
+	"heatherway.dev/kernel/stats"
+)
+
+func init() {
+	kernel.Register(kernel.ModuleInfo{ID: "role.entry", New: func() any { return New() }})
+}
+
+// Limits bound what one entry accepts.
+type Limits struct {
+	// Streams is the most requests that are open at once.
+	Streams int `yaml:"streams"`
+	// Header is the most bytes of a request's headers.
+	Header int `yaml:"header"`
+	// BodyTime bounds how long a caller may take to send a request.
+	BodyTime time.Duration `yaml:"body_time"`
+}
+
+// Settings of the role.
+type Settings struct {
+	// Listen is the address that callers connect to.
+	Listen string `yaml:"listen"`
+	// Internal is the address for other processes.
+	Internal string `yaml:"internal"`
+	// Control lists the internal addresses of control instances.
+	Control []string `yaml:"control"`
+	// Grace is how long the readiness check fails before the listener closes,
+	// so that the load balancer stops sending requests first.
+	Grace time.Duration `yaml:"grace"`
+	// Limits bound what the entry accepts.
+	Limits Limits `yaml:"limits"`
+}
+
+// Module is the entry role.
+type Module struct {
+	Settings `yaml:",inline"`
+
+	instance kernel.Instance
+	log      *slog.Logger
+	security *peer.Security
+	public   net.Listener
+	internal net.Listener
+	server   *http.Server
+	peers    *http.Server
+
+	owner   *owner
+	agents  *agents
+	metrics *counters
+	slo     recorder
+	chooser chooser
+
+	ready    atomic.Bool
+	leaving  atomic.Bool
+	open     atomic.Int64
+	drain    chan struct{}
+	drainOne sync.Once
+	cancel   context.CancelFunc
+	tasks    sync.WaitGroup
+}
+
+// Default settings.
+const (
+	defaultGrace    = 3 * time.Second
+	defaultStreams  = 20000
+	defaultHeader   = 16 << 10
+	defaultBodyTime = 30 * time.Second
+)
+
+// New returns the role with its default settings.
+func New() *Module {
+	return &Module{
+		Settings: Settings{
+			Grace:  defaultGrace,
+			Limits: Limits{Streams: defaultStreams, Header: defaultHeader, BodyTime: defaultBodyTime},
+		},
+		drain: make(chan struct{}),
+	}
+}
+
+// Validate implements kernel.Validator.
+func (m *Module) Validate() error {
+	if m.Listen == "" {
+		return settings.Field("listen", "must be set")
+	}
+	if m.Internal == "" {
+		return settings.Field("internal", "must be set")
+	}
+	if len(m.Control) == 0 {
+		return settings.Field("control", "must name at least one address")
+	}
+	return settings.First(
+		settings.DurationInRange("grace", m.Grace, 0, 10*time.Minute),
+		settings.InRange("limits.streams", m.Limits.Streams, 1, 1<<20),
+		settings.InRange("limits.header", m.Limits.Header, 1<<10, 1<<20),
+		settings.DurationInRange("limits.body_time", m.Limits.BodyTime, 100*time.Millisecond, 10*time.Minute),
+	)
+}
+
+// Provision implements kernel.Provisioner.
+func (m *Module) Provision(c *kernel.Context) error {
+	m.instance = c.Instance
+	m.prepare(c.Log, c.TLS, c.Stats)
+	var err error
+	if m.public, err = c.Listen(m.Listen); err != nil {
+		return err
+	}
+	m.internal, err = c.Listen(m.Internal)
+	return err
+}
+
+// prepare makes the parts of the role.
+func (m *Module) prepare(log *slog.Logger, security *peer.Security, reg *stats.Registry) {
+	m.log, m.security = log, security
+	m.metrics = newCounters(reg)
+	m.slo = newRecorder()
+	m.chooser = twoChoices{}
+	m.agents = newAgents(security)
+	m.owner = newOwner(m)
+}
+
+// Start implements kernel.Runner. It does not wait for the first
+// configuration; until that has arrived the readiness check fails.
+func (m *Module) Start(ctx context.Context) error {
+	ctx, m.cancel = context.WithCancel(ctx)
+	m.server = m.newServer()
+	m.peers = &http.Server{Handler: m.peerHandler(), ReadHeaderTimeout: peer.DialTimeout * 4}
+	m.spawn(func() { m.owner.run(ctx) })
+	m.spawn(func() { m.owner.watch(ctx) })
+	m.spawn(func() { m.serve(m.server, m.public) })
+	m.spawn(func() { m.serve(m.peers, m.security.Server(m.internal)) })
+	return nil
+}
+
+func (m *Module) spawn(fn func()) {
+	m.tasks.Add(1)
+	go func() {
+		defer m.tasks.Done()
+		fn()
+	}()
+}
+
+func (m *Module) serve(srv *http.Server, l net.Listener) {
+	if err := srv.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		m.log.Error("listener failed", "address", l.Addr().String(), "error", err)
+	}
+}
+
+func (m *Module) newServer() *http.Server {
+	return &http.Server{
+		Handler:           m.handler(),
+		ReadHeaderTimeout: m.Limits.BodyTime,
+		MaxHeaderBytes:    m.Limits.Header,
+		IdleTimeout:       idleLimit,
+		ErrorLog:          slog.NewLogLogger(m.log.Handler(), slog.LevelDebug),
+	}
+}
+
+// idleLimit closes caller connections that carry no request.
+const idleLimit = 2 * time.Minute
+
+// Stop implements kernel.Runner: the readiness check fails for the grace
+// period, then the listener closes, and running answers finish until ctx ends.
+func (m *Module) Stop(ctx context.Context) error {
+	m.leave()
+	wait(ctx, m.Grace)
+	err := m.server.Shutdown(ctx)
+	if err != nil {
+		_ = m.server.Close()
+	}
+	_ = m.peers.Close()
+	m.cancel()
+	m.agents.close()
+	m.tasks.Wait()
+	return errors.Wrap(err, "running answers were cut by the stop limit")
+}
+
+// leave makes the readiness check fail.
+func (m *Module) leave() {
+	m.drainOne.Do(func() {
+		m.leaving.Store(true)
+		close(m.drain)
+		m.log.Info("leaving", "open", m.open.Load())
+	})
+}
+
+func (m *Module) isReady() bool { return m.ready.Load() && !m.leaving.Load() }
+
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// peerHandler serves net/rpc to other processes.
+func (m *Module) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(peer.RPCPath, m.rpcHandler())
+	return mux
+}
+
+func (m *Module) rpcHandler() http.Handler {
+	return &peer.Handler{
+		Security: m.security,
+		Roles:    []string{"control", "operator"},
+		Services: func(string) map[string]any { return map[string]any{wire.EntryService: &service{m}} },
+	}
+}
--- /dev/null
+++ b/modules/entry/fake_test.go
@@ -0,0 +1,349 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"heatherway.dev/core/config"
+	"heatherway.dev/core/wire"
+	"heatherway.dev/kernel"
+	"heatherway.dev/kernel/peer"
+	"heatherway.dev/kernel/settings"
+	"heatherway.dev/kernel/stats"
+)
+
+const testKey = "key-of-acme"
+
+func hashOf(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+func plainSecurity(t testing.TB) *peer.Security {
+	t.Helper()
+	s, err := peer.NewSecurity(peer.TLSSettings{Off: true}, slog.New(slog.DiscardHandler))
+	assert.NilError(t, err)
+	return s
+}
+
+// fakeControl answers Control calls over loopback.
+type fakeControl struct {
+	mu        sync.Mutex
+	doc       config.Document
+	upstreams []wire.Upstream
+	suspects  []wire.Suspect
+	version   uint64
+	freshSeen bool
+	abort     func(*wire.AbortArgs) wire.AbortReply
+	lookup    func(*wire.LookupArgs) wire.LookupReply
+	permits   []wire.PermitArgs
+	crashes   []wire.CrashArgs
+	permitErr error
+	watchErr  error
+}
+
+// Watch answers at once with everything.
+func (c *fakeControl) Watch(a wire.WatchArgs, r *wire.WatchReply) error {
+	time.Sleep(20 * time.Millisecond) // keeps the poll from spinning
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.watchErr != nil {
+		return c.watchErr
+	}
+	c.freshSeen = c.freshSeen || a.Fresh
+	r.Revision = c.doc.Revision
+	if a.Revision != c.doc.Revision {
+		r.Config, _ = json.Marshal(c.doc)
+	}
+	r.Members, r.MembersChanged, r.Upstreams = c.version, true, c.upstreams
+	r.Suspects, r.SuspectsChanged, r.Suspect = c.version, true, c.suspects
+	return nil
+}
+
+// Abort implements Control.Abort.
+func (c *fakeControl) Abort(a wire.AbortArgs, r *wire.AbortReply) error {
+	if c.abort == nil {
+		return fmt.Errorf("no abort expected")
+	}
+	*r = c.abort(&a)
+	return nil
+}
+
+// Lookup implements Control.Lookup.
+func (c *fakeControl) Lookup(a wire.LookupArgs, r *wire.LookupReply) error {
+	if c.lookup == nil {
+		return fmt.Errorf("no lookup expected")
+	}
+	*r = c.lookup(&a)
+	return nil
+}
+
+// Permit implements Control.Permit.
+func (c *fakeControl) Permit(a wire.PermitArgs, r *wire.PermitReply) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.permits = append(c.permits, a)
+	r.Permit = "permit-1"
+	return c.permitErr
+}
+
+// Crash implements Control.Crash.
+func (c *fakeControl) Crash(a wire.CrashArgs, r *wire.CrashReply) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.crashes = append(c.crashes, a)
+	return nil
+}
+
+func (c *fakeControl) update(fn func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	fn()
+	c.version++
+}
+
+// fakeAgent serves frames and calls as a test scripts them.
+type fakeAgent struct {
+	id       string
+	addr     string
+	server   *httptest.Server
+	mu       sync.Mutex
+	requests []wire.GenerateRequest
+	calls    []wire.CallArgs
+	cancels  []wire.CancelArgs
+	generate func(*frameWriter, *wire.GenerateRequest)
+	call     func(*wire.CallArgs, *wire.CallReply) error
+}
+
+// frameWriter writes the frames of one stream.
+type frameWriter struct {
+	w   http.ResponseWriter
+	ctx context.Context
+	req *wire.GenerateRequest
+}
+
+func (w *frameWriter) send(f wire.Frame) {
+	f.Attempt = w.req.Attempt
+	w.sendRaw(f)
+}
+
+func (w *frameWriter) sendRaw(f wire.Frame) {
+	_, _ = w.w.Write(wire.AppendFrame(nil, &f))
+	_ = http.NewResponseController(w.w).Flush()
+}
+
+// tokens sends tokens from..to-1 with the text "tN ".
+func (w *frameWriter) tokens(from, to int) {
+	for i := from; i < to; i++ {
+		w.send(wire.Frame{Kind: wire.FrameToken, Offset: uint64(i), Tokens: 1, Text: fmt.Sprintf("t%d ", i)})
+	}
+}
+
+func (w *frameWriter) end(n int) {
+	w.send(wire.Frame{Kind: wire.FrameEnd, Offset: uint64(n), Finish: "stop", PromptTokens: 7})
+}
+
+// reset breaks the connection.
+func (w *frameWriter) reset() { panic(http.ErrAbortHandler) }
+
+// Call implements Agent.Call.
+func (a *fakeAgent) Call(args wire.CallArgs, r *wire.CallReply) error {
+	a.mu.Lock()
+	a.calls = append(a.calls, args)
+	fn := a.call
+	a.mu.Unlock()
+	return peer.EncodeError(fn(&args, r))
+}
+
+// Cancel implements Agent.Cancel.
+func (a *fakeAgent) Cancel(args wire.CancelArgs, r *wire.CancelReply) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.cancels = append(a.cancels, args)
+	return nil
+}
+
+func (a *fakeAgent) seen() []wire.GenerateRequest {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return append([]wire.GenerateRequest(nil), a.requests...)
+}
+
+func newFakeAgent(t testing.TB, id string, generate func(*frameWriter, *wire.GenerateRequest)) *fakeAgent {
+	a := &fakeAgent{id: id, generate: generate}
+	mux := http.NewServeMux()
+	mux.HandleFunc(wire.GeneratePath, func(w http.ResponseWriter, r *http.Request) {
+		var req wire.GenerateRequest
+		if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		a.mu.Lock()
+		a.requests = append(a.requests, req)
+		a.mu.Unlock()
+		a.generate(&frameWriter{w, r.Context(), &req}, &req)
+	})
+	mux.Handle(peer.RPCPath, rpcHandler(t, wire.AgentService, a))
+	a.server = httptest.NewServer(mux)
+	a.server.Config.ErrorLog = slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)
+	a.addr = a.server.Listener.Addr().String()
+	t.Cleanup(func() { a.server.CloseClientConnections(); a.server.Close() })
+	return a
+}
+
+func rpcHandler(t testing.TB, name string, receiver any) http.Handler {
+	return &peer.Handler{Security: plainSecurity(t), Services: func(string) map[string]any { return map[string]any{name: receiver} }}
+}
+
+func (a *fakeAgent) upstream() wire.Upstream {
+	return wire.Upstream{ID: a.id, Incarnation: 1, Zone: "a", Addr: a.addr, Models: []string{"letters"}, Services: []string{"orders"}, Slots: 8}
+}
+
+// fleet is one entry with fakes around it.
+type fleet struct {
+	t       testing.TB
+	m       *Module
+	control *fakeControl
+	url     string
+	agents  map[string]*fakeAgent
+	stop    func()
+}
+
+func newFleet(t testing.TB, agents ...*fakeAgent) *fleet {
+	t.Helper()
+	f := &fleet{t: t, control: &fakeControl{version: 1}, agents: map[string]*fakeAgent{}}
+	f.control.doc = config.Document{Revision: 3, Defaults: map[string]string{"request.body_limit": "4096"},
+		Organisations: map[string]config.Organisation{"acme": {KeyHashes: []string{hashOf(testKey)}}}}
+	for _, a := range agents {
+		f.agents[a.id] = a
+		f.control.upstreams = append(f.control.upstreams, a.upstream())
+	}
+	mux := http.NewServeMux()
+	mux.Handle(peer.RPCPath, rpcHandler(t, wire.ControlService, f.control))
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	f.m = startEntry(t, server.Listener.Addr().String())
+	f.url = "http://" + f.m.public.Addr().String()
+	f.stop = sync.OnceFunc(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		_ = f.m.Stop(ctx)
+	})
+	t.Cleanup(f.stop)
+	f.eventually(func() bool {
+		return f.m.isReady() && len(f.m.owner.current().upstreams) == len(agents)
+	})
+	return f
+}
+
+func startEntry(t testing.TB, control string) *Module {
+	doc, err := settings.Parse("test", fmt.Appendf(nil, `
+instance: {id: entry-1, zone: a, data: ""}
+log: {level: error}
+tls: {off: true}
+roles:
+  - entry: {listen: "127.0.0.1:0", internal: "127.0.0.1:0", control: ["%s"], grace: 0s}
+`, control))
+	assert.NilError(t, err)
+	assert.NilError(t, kernel.Check(doc))
+	m := New()
+	m.Listen, m.Internal, m.Control, m.Grace = "127.0.0.1:0", "127.0.0.1:0", []string{control}, 0
+	assert.NilError(t, m.Validate())
+	provisionForTest(t, m)
+	assert.NilError(t, m.Start(context.Background()))
+	return m
+}
+
+func provisionForTest(t testing.TB, m *Module) {
+	m.instance = kernel.Instance{ID: "entry-1", Zone: "a"}
+	m.prepare(slog.New(slog.DiscardHandler), plainSecurity(t), stats.New())
+	var err error
+	m.public, err = net.Listen("tcp", m.Listen)
+	assert.NilError(t, err)
+	m.internal, err = net.Listen("tcp", m.Internal)
+	assert.NilError(t, err)
+}
+
+func (f *fleet) eventually(fn func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		if fn() {
+			return
+		}
+	}
+	f.t.Fatal("condition not reached within 5 s")
+}
+
+type reply struct {
+	status int
+	header http.Header
+	body   string
+}
+
+func (f *fleet) do(method, path, body string, headers ...string) reply {
+	f.t.Helper()
+	req, err := http.NewRequest(method, f.url+path, strings.NewReader(body))
+	assert.NilError(f.t, err)
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	res, err := http.DefaultClient.Do(req)
+	assert.NilError(f.t, err)
+	defer res.Body.Close()
+	b, _ := io.ReadAll(res.Body)
+	return reply{res.StatusCode, res.Header, string(b)}
+}
+
+// problemOf decodes the error object of a reply.
+func problemOf(t testing.TB, body string) problem {
+	t.Helper()
+	var f failure
+	assert.NilError(t, json.Unmarshal([]byte(body), &f), body)
+	return f.Problem
+}
+
+// textOf joins the text of the chunks of an event stream.
+func textOf(t testing.TB, body string) string {
+	t.Helper()
+	var b strings.Builder
+	for _, line := range strings.Split(body, "\n") {
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok || data == "[DONE]" {
+			continue
+		}
+		var c struct {
+			Choices []struct {
+				Text  string
+				Delta struct{ Content string }
+			}
+		}
+		assert.NilError(t, json.Unmarshal([]byte(data), &c), data)
+		for _, ch := range c.Choices {
+			b.WriteString(ch.Text + ch.Delta.Content)
+		}
+	}
+	return b.String()
+}
+
+func wantText(from, to int) string {
+	var b strings.Builder
+	for i := from; i < to; i++ {
+		fmt.Fprintf(&b, "t%d ", i)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/modules/entry/generate.go
@@ -0,0 +1,71 @@
+package entry
+
+import (
+	"context"
+	"io"
+
+	"heatherway.dev/api/gen/generation"
+	"heatherway.dev/core/config"
+	"heatherway.dev/core/wire"
+	"heatherway.dev/kernel/result"
+)
+
+// generationService implements the generated service generation.
+type generationService struct{ m *Module }
+
+// Complete implements generation.Service.
+func (g *generationService) Complete(ctx context.Context, p *generation.CompletionPayload) (*generation.Streamed, io.ReadCloser, error) {
+	h := callerHeaders{key: p.IdempotencyKey, class: p.Class, lastEvent: p.LastEventID, deadlineMS: p.DeadlineMs}
+	return g.generate(ctx, wire.Completion, p.Model, p.Stream, h)
+}
+
+// Chat implements generation.Service.
+func (g *generationService) Chat(ctx context.Context, p *generation.ChatPayload) (*generation.Streamed, io.ReadCloser, error) {
+	h := callerHeaders{key: p.IdempotencyKey, class: p.Class, lastEvent: p.LastEventID, deadlineMS: p.DeadlineMs}
+	return g.generate(ctx, wire.Chat, p.Model, p.Stream, h)
+}
+
+// Models implements generation.Service.
+func (g *generationService) Models(ctx context.Context, _ *generation.ModelsPayload) (*generation.ModelList, error) {
+	s := stateOf(ctx)
+	if s.refused != nil {
+		return nil, generationFailure(s.refused, s.requestID)
+	}
+	list := &generation.ModelList{Object: "list", Data: []*generation.Model{}}
+	for _, name := range s.snap.models() {
+		list.Data = append(list.Data, &generation.Model{ID: name, Object: "model", OwnedBy: "heatherway"})
+	}
+	return list, nil
+}
+
+func (g *generationService) generate(ctx context.Context, kind wire.Kind, model string, stream *bool, h callerHeaders) (*generation.Streamed, io.ReadCloser, error) {
+	s := stateOf(ctx)
+	r, err := newGeneration(s, kind, model, stream != nil && *stream, h)
+	if err == nil {
+		err = g.m.admit(ctx, r)
+	}
+	if err != nil {
+		g.m.refuse(s, r, err)
+		return nil, nil, generationFailure(err, s.requestID)
+	}
+	d := newDriver(ctx, g.m, r)
+	if err := d.begin(); err != nil {
+		return nil, nil, generationFailure(err, s.requestID)
+	}
+	res := &generation.Streamed{ContentType: d.out.contentType(), RequestID: s.requestID}
+	return res, d, nil
+}
+
+func newGeneration(s *state, kind wire.Kind, model string, stream bool, h callerHeaders) (*request, *result.Error) {
+	r, err := newRequest(s, h, config.Scope{Model: model}, "request.deadline")
+	if err != nil {
+		return nil, err
+	}
+	r.kind, r.model, r.stream = kind, model, stream
+	if err := r.setResume(h.lastEvent); err != nil {
+		return r, err
+	}
+	raw := s.raw
+	s.raw = nil
+	return r, r.setBody(raw)
+}
--- /dev/null
+++ b/modules/entry/handler.go
@@ -0,0 +1,237 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	goahttp "goa.design/goa/v3/http"
+	goa "goa.design/goa/v3/pkg"
+
+	"heatherway.dev/api/gen/generation"
+	"heatherway.dev/api/gen/health"
+	generationserver "heatherway.dev/api/gen/http/generation/server"
+	healthserver "heatherway.dev/api/gen/http/health/server"
+	servicesserver "heatherway.dev/api/gen/http/services/server"
+	"heatherway.dev/api/gen/services"
+	"heatherway.dev/core/config"
+	"heatherway.dev/core/wire"
+	"heatherway.dev/kernel/result"
+)
+
+// state belongs to one HTTP request; the generated servers pass it on in the
+// context.
+type state struct {
+	requestID    string
+	organisation string
+	// refused is set when the key is missing or unknown.
+	refused *result.Error
+	snap    *snapshot
+	begun   time.Time
+	r       *http.Request
+	w       *statusWriter
+	// raw is the request body as it came.
+	raw []byte
+}
+
+type stateKey struct{}
+
+func stateOf(ctx context.Context) *state {
+	if s, ok := ctx.Value(stateKey{}).(*state); ok {
+		return s
+	}
+	return &state{}
+}
+
+// statusWriter lets a plain service choose the HTTP status, which the
+// generated server sets to 200.
+type statusWriter struct {
+	http.ResponseWriter
+	status int
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *statusWriter) WriteHeader(code int) {
+	if code == http.StatusOK && w.status != 0 {
+		code = w.status
+	}
+	w.ResponseWriter.WriteHeader(code)
+}
+
+// Unwrap lets http.ResponseController reach the connection.
+func (w *statusWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// handler returns the caller API.
+func (m *Module) handler() http.Handler {
+	mux := goahttp.NewMuxer()
+	generationserver.New(generation.NewEndpoints(&generationService{m}), mux, decoder, encoder, m.encodeFailed, formatError).Mount(mux)
+	servicesserver.New(services.NewEndpoints(&callService{m}), mux, decoder, encoder, m.encodeFailed, formatError).Mount(mux)
+	healthserver.New(health.NewEndpoints(&healthService{m}), mux, decoder, encoder, m.encodeFailed, formatError).Mount(mux)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { m.serveCaller(mux, w, r) })
+}
+
+func (m *Module) serveCaller(mux goahttp.Muxer, w http.ResponseWriter, r *http.Request) {
+	s := &state{requestID: r.Header.Get("X-Request-Id"), begun: time.Now(), snap: m.owner.current()}
+	if s.requestID == "" || len(s.requestID) > maxRequestID {
+		s.requestID = string(wire.NewID())
+	}
+	s.w = &statusWriter{ResponseWriter: w}
+	s.organisation, s.refused = authenticate(s.snap, r)
+	r = r.WithContext(context.WithValue(r.Context(), stateKey{}, s))
+	s.r = r
+	if n := m.open.Add(1); n > int64(m.Limits.Streams) {
+		defer m.open.Add(-1)
+		writeFailure(w, result.New(result.NoUpstream, "this entry has %d requests open", n-1), s.requestID)
+		return
+	}
+	defer m.open.Add(-1)
+	m.limitBodyTime(s)
+	// The muxer answers unknown routes itself with a body of its own, so the
+	// route is looked up first.
+	if !routed(r) {
+		writeFailure(w, result.New(result.RouteUnknown, "no route %s %s", r.Method, r.URL.Path), s.requestID)
+		return
+	}
+	mux.ServeHTTP(s.w, r)
+}
+
+const maxRequestID = 128
+
+// limitBodyTime bounds how long a caller may take to send the body.
+func (m *Module) limitBodyTime(s *state) {
+	if s.r.ContentLength != 0 {
+		_ = http.NewResponseController(s.w).SetReadDeadline(s.begun.Add(m.Limits.BodyTime))
+	}
+}
+
+// endBody lifts the limit once the body has been read.
+func (s *state) endBody() {
+	_ = http.NewResponseController(s.w).SetReadDeadline(time.Time{})
+}
+
+// routed tells whether the generated servers have the route.
+func routed(r *http.Request) bool {
+	switch r.URL.Path {
+	case "/v1/completions", "/v1/chat/completions":
+		return r.Method == http.MethodPost
+	case "/v1/models", "/healthz", "/readyz":
+		return r.Method == http.MethodGet
+	}
+	rest, ok := strings.CutPrefix(r.URL.Path, servicesPrefix)
+	if !ok || strings.IndexByte(rest, '/') < 1 {
+		return false
+	}
+	switch r.Method {
+	case http.MethodGet, http.MethodPost, http.MethodPut, http.MethodDelete:
+		return true
+	}
+	return false
+}
+
+const servicesPrefix = "/v1/services/"
+
+// authenticate finds the organisation of the bearer key. Keys are compared by
+// their SHA-256 hash, which is all that the configuration holds.
+func authenticate(s *snapshot, r *http.Request) (string, *result.Error) {
+	if s.doc == nil {
+		return "", result.New(result.ControlUnavailable, "this entry has no configuration yet").WithRan(result.NotRun)
+	}
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok || key == "" {
+		return "", result.New(result.KeyMissing, "send the header Authorization: Bearer KEY")
+	}
+	sum := sha256.Sum256([]byte(key))
+	org, ok := s.keys[hex.EncodeToString(sum[:])]
+	if !ok {
+		return "", result.New(result.KeyUnknown, "the key belongs to no organisation")
+	}
+	return org, nil
+}
+
+// bodyLimit returns the largest body that the organisation may send.
+func (s *state) bodyLimit() int64 {
+	return s.snap.doc.Int("request.body_limit", config.Scope{Organisation: s.organisation}, s.begun)
+}
+
+// read reads a body up to the organisation's limit.
+func (s *state) read(body io.Reader) ([]byte, *result.Error) {
+	limit := s.bodyLimit()
+	if s.r.ContentLength > limit {
+		return nil, result.New(result.BodyTooLarge, "the body exceeds %d bytes", limit)
+	}
+	b, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err != nil {
+		return nil, result.New(result.MalformedBody, "the body could not be read")
+	}
+	if int64(len(b)) > limit {
+		return nil, result.New(result.BodyTooLarge, "the body exceeds %d bytes", limit)
+	}
+	s.endBody()
+	return b, nil
+}
+
+// bodyDecoder decodes a JSON body and keeps it as it came, so that fields
+// unknown to the API reach the engine.
+type bodyDecoder struct{ r *http.Request }
+
+func decoder(r *http.Request) goahttp.Decoder { return bodyDecoder{r} }
+
+// Decode implements goahttp.Decoder.
+func (d bodyDecoder) Decode(v any) error {
+	s := stateOf(d.r.Context())
+	if s.refused != nil {
+		return goaError(s.refused)
+	}
+	b, e := s.read(d.r.Body)
+	if e != nil {
+		return goaError(e)
+	}
+	if len(b) == 0 {
+		return io.EOF
+	}
+	if err := json.Unmarshal(b, v); err != nil {
+		return errors.Errorf("the body is not valid: %v", err)
+	}
+	s.raw = b
+	return nil
+}
+
+// goaError carries a result through the generated decoders.
+func goaError(e *result.Error) error {
+	return goa.NewServiceError(e, e.Code.String(), false, false, false)
+}
+
+// encoder writes JSON whatever the Accept header says.
+func encoder(ctx context.Context, w http.ResponseWriter) goahttp.Encoder {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("X-Request-Id", stateOf(ctx).requestID)
+	return json.NewEncoder(w)
+}
+
+func (m *Module) encodeFailed(ctx context.Context, _ http.ResponseWriter, err error) {
+	m.log.Debug("cannot write the answer", "request_id", stateOf(ctx).requestID, "error", err)
+}
+
+// healthService implements the health service.
+type healthService struct{ m *Module }
+
+// Live implements health.Service.
+func (h *healthService) Live(context.Context) error { return nil }
+
+// Ready implements health.Service.
+func (h *healthService) Ready(ctx context.Context) error {
+	if h.m.isReady() {
+		return nil
+	}
+	e := result.New(result.ControlUnavailable, "no configuration yet").WithRan(result.NotRun)
+	if h.m.leaving.Load() {
+		e = result.New(result.Leaving, "this entry is leaving")
+	}
+	return healthFailure(e, stateOf(ctx).requestID)
+}
--- /dev/null
+++ b/modules/entry/snapshot.go
@@ -0,0 +1,86 @@
+package entry
+
+import (
+	"sort"
+	"time"
+
+	"heatherway.dev/core/config"
+	"heatherway.dev/core/wire"
+)
+
+// snapshot is what traffic goroutines know. It is immutable.
+type snapshot struct {
+	doc  *config.Document
+	keys map[string]string
+	// behind is set when a newer revision is known and cannot be fetched.
+	behind    bool
+	upstreams map[string]*upstream
+	suspects  map[string]suspect
+}
+
+// upstream is the state of one upstream in a snapshot.
+type upstream struct {
+	wire.Upstream
+	load wire.Load
+	// inFlight is the work sent by this entry; since counts what was sent after
+	// the last load report.
+	inFlight int
+	since    int
+	breaker  string
+}
+
+type suspect struct {
+	quarantined bool
+	until       time.Time
+}
+
+func (s *snapshot) revision() uint64 {
+	if s.doc == nil {
+		return 0
+	}
+	return s.doc.Revision
+}
+
+func (s *snapshot) views() []wire.UpstreamView {
+	out := make([]wire.UpstreamView, 0, len(s.upstreams))
+	for _, u := range s.upstreams {
+		out = append(out, wire.UpstreamView{ID: u.ID, State: u.State, Breaker: u.breaker, InFlight: u.inFlight, Load: u.load})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
+// models returns the models served by any upstream, in order of name.
+func (s *snapshot) models() []string {
+	seen := map[string]bool{}
+	for _, u := range s.upstreams {
+		for _, n := range u.Models {
+			seen[n] = true
+		}
+	}
+	out := make([]string, 0, len(seen))
+	for n := range seen {
+		out = append(out, n)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// keyIndex maps key hashes to organisations.
+func keyIndex(d *config.Document) map[string]string {
+	keys := make(map[string]string)
+	for name, o := range d.Organisations {
+		for _, h := range o.KeyHashes {
+			keys[h] = name
+		}
+	}
+	return keys
+}
+
+func suspectIndex(list []wire.Suspect, now time.Time) map[string]suspect {
+	out := make(map[string]suspect, len(list))
+	for _, s := range list {
+		out[s.Fingerprint] = suspect{s.Quarantined, now.Add(time.Duration(s.LeftMS) * time.Millisecond)}
+	}
+	return out
+}
