--- /dev/null
+++ b/core/breaker/breaker.go
@@ -0,0 +1,255 @@
+// Package breaker decides whether an upstream may get work: a circuit breaker
+// that opens after repeated failures and lets one probe at a time through
+// after a pause. It holds no clock and no lock; one goroutine owns a Breaker.
+package breaker
+
+import "time"
+
+// Defaults of Settings.
+const (
+	// DefaultConsecutive is the number of failures in a row that opens.
+	DefaultConsecutive = 5
+	// DefaultWindow is the number of recent outcomes whose failed share counts.
+	DefaultWindow = 20
+	// DefaultShare is the failed share of a full window that opens.
+	DefaultShare = 0.5
+	// DefaultPause is the first pause before a probe.
+	DefaultPause = time.Second
+	// DefaultMaxPause bounds the doubled pause.
+	DefaultMaxPause = 30 * time.Second
+	// DefaultProbeLimit frees the probe slot when the probe's outcome was lost.
+	DefaultProbeLimit = 10 * time.Second
+)
+
+// Settings configures a Breaker. Zero fields take their defaults.
+type Settings struct {
+	Consecutive int
+	Window      int
+	Share       float64
+	Pause       time.Duration
+	MaxPause    time.Duration
+	ProbeLimit  time.Duration
+}
+
+func (s Settings) withDefaults() Settings {
+	orDefault(&s.Consecutive, DefaultConsecutive)
+	orDefault(&s.Window, DefaultWindow)
+	orDefault(&s.Share, DefaultShare)
+	orDefault(&s.Pause, DefaultPause)
+	orDefault(&s.MaxPause, DefaultMaxPause)
+	orDefault(&s.ProbeLimit, DefaultProbeLimit)
+	return s
+}
+
+func orDefault[T int | float64 | time.Duration](v *T, fallback T) {
+	if *v <= 0 {
+		*v = fallback
+	}
+}
+
+// State is the state of a Breaker.
+type State uint8
+
+// The states.
+const (
+	// Closed lets all work through.
+	Closed State = iota
+	// Open lets nothing through until the pause ends.
+	Open
+	// HalfOpen lets one probe through at a time.
+	HalfOpen
+)
+
+// String returns the name shown to operators.
+func (s State) String() string {
+	return [...]string{"closed", "open", "half-open"}[s]
+}
+
+// Outcome is what came of work that Allow let through.
+type Outcome uint8
+
+// The outcomes.
+const (
+	// Succeeded is recorded at the first sign of useful work: the started frame
+	// of a generation or the answer of a call. Waiting for the end of a
+	// generation would hold the probe slot for minutes.
+	Succeeded Outcome = iota
+	// RequestFailed means that the upstream failed the request.
+	RequestFailed
+	// ConnectFailed means that a new connection could not be made.
+	ConnectFailed
+	// PathSilent means that an existing connection went silent. It does not
+	// count: only a new connection shows whether the upstream itself failed.
+	PathSilent
+	// Abandoned means that the caller or the entry gave up; it does not count.
+	Abandoned
+)
+
+func (o Outcome) failed() bool { return o == RequestFailed || o == ConnectFailed }
+
+// Permit ties an outcome to the Allow that let the work through.
+type Permit struct {
+	epoch uint64
+	// Probe tells that this is the one probe of a half-open breaker.
+	Probe bool
+	probe uint64
+}
+
+// Breaker is the circuit breaker of one upstream incarnation. A new
+// incarnation starts with a new Breaker.
+type Breaker struct {
+	set      Settings
+	open     bool
+	epoch    uint64 // number of openings
+	closedAt time.Time
+	until    time.Time
+	pause    time.Duration
+	probes   uint64 // number of probes let through
+	probing  bool
+	probeEnd time.Time
+	inRow    int
+	recent   []bool // ring of outcomes, true for a failure
+	next     int
+	failures int
+}
+
+// New returns a closed breaker.
+func New(set Settings) *Breaker {
+	return &Breaker{set: set.withDefaults()}
+}
+
+// State returns the state at a time.
+func (b *Breaker) State(now time.Time) State {
+	switch {
+	case !b.open:
+		return Closed
+	case now.Before(b.until):
+		return Open
+	default:
+		return HalfOpen
+	}
+}
+
+// Ready tells whether Allow would let work through, without taking the probe.
+func (b *Breaker) Ready(now time.Time) bool {
+	switch b.State(now) {
+	case Closed:
+		return true
+	case Open:
+		return false
+	default:
+		return !b.probing || !now.Before(b.probeEnd)
+	}
+}
+
+// RetryAt returns the earliest time at which Allow may let work through.
+func (b *Breaker) RetryAt(now time.Time) time.Time {
+	if b.Ready(now) {
+		return now
+	}
+	if b.State(now) == Open {
+		return b.until
+	}
+	return b.probeEnd
+}
+
+// Allow asks to send work. When it returns true, the outcome has to be given
+// to Record with the permit.
+func (b *Breaker) Allow(now time.Time) (Permit, bool) {
+	if !b.Ready(now) {
+		return Permit{}, false
+	}
+	p := Permit{epoch: b.epoch}
+	if b.open {
+		b.probes++
+		b.probing = true
+		b.probeEnd = now.Add(b.set.ProbeLimit)
+		p.Probe, p.probe = true, b.probes
+	}
+	return p, true
+}
+
+// Record takes an outcome. A permit may get several: a generation first
+// succeeds in starting and may fail later. Outcomes of work that was let
+// through before the last opening describe the upstream as it was then and are
+// dropped; so are those of a probe that was replaced.
+func (b *Breaker) Record(now time.Time, p Permit, o Outcome) {
+	if p.epoch != b.epoch {
+		return
+	}
+	if b.open {
+		b.recordProbe(now, p, o)
+		return
+	}
+	if o.failed() || o == Succeeded {
+		b.count(now, o.failed())
+	}
+}
+
+func (b *Breaker) recordProbe(now time.Time, p Permit, o Outcome) {
+	if !p.Probe || p.probe != b.probes || !b.probing {
+		return
+	}
+	b.probing = false
+	switch {
+	case o.failed():
+		b.reopen(now)
+	case o == Succeeded:
+		b.close(now)
+	}
+}
+
+func (b *Breaker) count(now time.Time, failed bool) {
+	if failed {
+		b.inRow++
+	} else {
+		b.inRow = 0
+	}
+	b.push(failed)
+	full := len(b.recent) == b.set.Window
+	share := float64(b.failures) / float64(b.set.Window)
+	if b.inRow >= b.set.Consecutive || full && share >= b.set.Share {
+		b.trip(now)
+	}
+}
+
+func (b *Breaker) push(failed bool) {
+	if len(b.recent) < b.set.Window {
+		b.recent = append(b.recent, failed)
+	} else {
+		if b.recent[b.next] {
+			b.failures--
+		}
+		b.recent[b.next] = failed
+		b.next = (b.next + 1) % b.set.Window
+	}
+	if failed {
+		b.failures++
+	}
+}
+
+// trip opens a closed breaker. An upstream that fails again soon after it was
+// let in goes on with the doubled pause, so one lucky probe does not reset it.
+func (b *Breaker) trip(now time.Time) {
+	b.open = true
+	if b.pause != 0 && now.Sub(b.closedAt) < b.set.MaxPause {
+		b.reopen(now)
+		return
+	}
+	b.pause = 0
+	b.reopen(now)
+}
+
+func (b *Breaker) reopen(now time.Time) {
+	b.epoch++
+	b.probing = false
+	b.pause = min(max(2*b.pause, b.set.Pause), b.set.MaxPause)
+	b.until = now.Add(b.pause)
+}
+
+func (b *Breaker) close(now time.Time) {
+	b.open = false
+	b.closedAt = now
+	b.inRow = 0
+	b.recent, b.next, b.failures = b.recent[:0], 0, 0
+}
