pick: add upstream choice from filters, scorers and a picker

Ruled out: unitless scores, whose weights nobody can reason about; every score is an expected cost in milliseconds instead. Conclusion: the entry can be built against the API.

--- /dev/null
+++ b/core/pick/pick.go
@@ -0,0 +1,210 @@
+// Package pick chooses the upstream of a request. Filters drop upstreams that
+// cannot take it, scorers estimate in milliseconds what each of the others
+// would cost it, and a picker chooses among those. All three are plug-ins,
+// registered by name and named in a Policy. The package holds no clock and no
+// lock; one goroutine owns a Table.
+package pick
+
+import (
+	"fmt"
+	"math/rand"
+	"strings"
+	"time"
+
+	"heatherway.dev/core/wire"
+	"heatherway.dev/kernel/result"
+)
+
+// Request is what matters of a request to the choice.
+type Request struct {
+	// Model and Adapter, or Service, name what the upstream has to offer; empty
+	// fields ask for nothing.
+	Model   string
+	Adapter string
+	Service string
+	Class   wire.Class
+	// Blocks is the hash chain of the prompt (see Blocks).
+	Blocks []uint64
+	// Suspect is set when the request is suspected of crashing upstreams.
+	Suspect bool
+	// Tried names the upstreams that failed the request before.
+	Tried []string
+	// Zone and Region are those of the entry.
+	Zone   string
+	Region string
+}
+
+// Candidate is an upstream with what the entry knows about it.
+type Candidate struct {
+	wire.Upstream
+	// Load is the last report; Reported is false before the first one.
+	Load     wire.Load
+	Reported bool
+	// Sent is the number of own requests that the report cannot have seen, and
+	// Ended the number of those in the report that have ended since.
+	Sent, Ended int
+	// ServiceTime is the mean time that a request holds a slot.
+	ServiceTime time.Duration
+	// Ready is false while the circuit breaker lets nothing through.
+	Ready bool
+	// Suspects is the number of own suspects that run there.
+	Suspects int
+	// Cached is how many leading blocks of the request's prompt are cached.
+	Cached int
+}
+
+// Scored is a candidate that passed the filters.
+type Scored struct {
+	*Candidate
+	// Cost is the weighted sum of the scores, in milliseconds.
+	Cost float64
+	// Parts holds the weighted score of each scorer of the policy, in order.
+	Parts []float64
+}
+
+// Choice is the chosen upstream and the reason.
+type Choice struct {
+	Upstream wire.Upstream
+	// Cached is how many leading blocks are expected in its prefix cache.
+	Cached int
+	Why    Why
+}
+
+// Why explains a choice to logs and tests.
+type Why struct {
+	// Known and Left count the upstreams before and after the filters.
+	Known, Left int
+	// Dropped counts the upstreams that each filter of the policy dropped.
+	Dropped []Drop
+	// Cost is the cost of the chosen upstream; Parts is its sum by scorer.
+	Cost  float64
+	Parts []Part
+	// Rival is the upstream that the picker compared it with, if any.
+	Rival     string
+	RivalCost float64
+}
+
+// Drop is how many upstreams a filter dropped.
+type Drop struct {
+	Filter string
+	Count  int
+}
+
+// Part is the share of a scorer in a cost, in milliseconds.
+type Part struct {
+	Scorer string
+	Cost   float64
+}
+
+// String returns one line for logs.
+func (w Why) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "known=%d left=%d cost=%.1f", w.Known, w.Left, w.Cost)
+	for _, p := range w.Parts {
+		fmt.Fprintf(&b, " %s=%.1f", p.Scorer, p.Cost)
+	}
+	if w.Rival != "" {
+		fmt.Fprintf(&b, " rival=%s:%.1f", w.Rival, w.RivalCost)
+	}
+	for _, d := range w.Dropped {
+		if d.Count > 0 {
+			fmt.Fprintf(&b, " -%s=%d", d.Filter, d.Count)
+		}
+	}
+	return b.String()
+}
+
+// Chooser applies a policy.
+type Chooser struct {
+	filters []named[Filter]
+	scorers []weighted
+	picker  Picker
+}
+
+type named[T any] struct {
+	name string
+	do   T
+}
+
+type weighted struct {
+	named[Scorer]
+	weight float64
+}
+
+// Choose returns the upstream for a request. Without one, the error's code
+// tells whether any known upstream offers what the request asks for.
+func (c *Chooser) Choose(rng *rand.Rand, r *Request, known []Candidate) (Choice, error) {
+	why := Why{Known: len(known), Dropped: make([]Drop, len(c.filters))}
+	left := c.filter(r, known, &why)
+	if len(left) == 0 {
+		return Choice{Why: why}, refusal(r, known, why)
+	}
+	c.score(r, left)
+	chosen, rival := c.picker.Pick(rng, r, left)
+	best := left[chosen]
+	why.Cost = best.Cost
+	for i, s := range c.scorers {
+		why.Parts = append(why.Parts, Part{s.name, best.Parts[i]})
+	}
+	if rival >= 0 {
+		why.Rival, why.RivalCost = left[rival].ID, left[rival].Cost
+	}
+	return Choice{Upstream: best.Upstream, Cached: best.Cached, Why: why}, nil
+}
+
+func (c *Chooser) filter(r *Request, known []Candidate, why *Why) []Scored {
+	left := make([]Scored, 0, len(known))
+	for i := range known {
+		if f := c.firstDrop(r, &known[i]); f >= 0 {
+			why.Dropped[f].Count++
+			continue
+		}
+		left = append(left, Scored{Candidate: &known[i]})
+	}
+	for i, f := range c.filters {
+		why.Dropped[i].Filter = f.name
+	}
+	why.Left = len(left)
+	return left
+}
+
+func (c *Chooser) firstDrop(r *Request, u *Candidate) int {
+	for i, f := range c.filters {
+		if !f.do(r, u) {
+			return i
+		}
+	}
+	return -1
+}
+
+func (c *Chooser) score(r *Request, left []Scored) {
+	parts := make([]float64, len(left)*len(c.scorers))
+	for i := range left {
+		s := &left[i]
+		s.Parts, parts = parts[:len(c.scorers):len(c.scorers)], parts[len(c.scorers):]
+		for j, w := range c.scorers {
+			s.Parts[j] = w.weight * w.do(r, s.Candidate)
+			s.Cost += s.Parts[j]
+		}
+	}
+}
+
+func refusal(r *Request, known []Candidate, why Why) error {
+	offered := func(f Filter) bool {
+		for i := range known {
+			if f(r, &known[i]) {
+				return true
+			}
+		}
+		return false
+	}
+	switch {
+	case len(known) == 0:
+		return result.New(result.NoUpstream, "no upstream is known")
+	case !offered(hasModel) || !offered(hasAdapter):
+		return result.New(result.ModelUnknown, "no known upstream serves model %q with adapter %q", r.Model, r.Adapter)
+	case !offered(hasService):
+		return result.New(result.ServiceUnknown, "no known upstream offers service %q", r.Service)
+	}
+	return result.New(result.NoUpstream, "no upstream can take the request now: %s", why)
+}
--- /dev/null
+++ b/core/pick/prefix.go
@@ -0,0 +1,143 @@
+package pick
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// BlockSize is the length of a prompt block in bytes of text.
+	BlockSize = 256
+	// MaxBlocks bounds the chain of one prompt; text behind it has no affinity.
+	MaxBlocks = 128
+	// CacheExpiry is how long an entry of the map counts without news of it.
+	CacheExpiry = 60 * time.Second
+	// MaxCached bounds the blocks remembered for one upstream: 32 upstreams of
+	// a subset then take about 10 MiB.
+	MaxCached = 4096
+)
+
+// Blocks returns the hash chain of a prompt: each hash covers its block and
+// all blocks before it, so equal hashes mean equal prefixes. The chain starts
+// from model and adapter, as engines share no cache between them. A last
+// block that is not full is left out.
+func Blocks(model, adapter, prompt string) []uint64 {
+	n := min(len(prompt)/BlockSize, MaxBlocks)
+	chain := make([]uint64, 0, n)
+	last := xxhash.Sum64String(model + "\x00" + adapter)
+	var d xxhash.Digest
+	var seed [8]byte
+	for i := range n {
+		d.Reset()
+		binary.LittleEndian.PutUint64(seed[:], last)
+		_, _ = d.Write(seed[:]) // a Digest's Write never fails
+		_, _ = d.WriteString(prompt[i*BlockSize : (i+1)*BlockSize])
+		last = d.Sum64()
+		chain = append(chain, last)
+	}
+	return chain
+}
+
+// CacheEvent tells what an engine has put into its prefix cache and dropped
+// from it. The adapter translates engine hashes to the hashes of Blocks.
+type CacheEvent struct {
+	Sequence uint64
+	Stored   []uint64
+	Dropped  []uint64
+	// Cleared tells that the engine dropped everything before Stored.
+	Cleared bool
+}
+
+// Prefixes is the entry's map of one upstream's prefix cache: a hint that only
+// affects speed, never the answer.
+type Prefixes struct {
+	until    map[uint64]time.Time
+	order    []expiry // in order of time, oldest at head
+	head     int
+	sequence uint64
+	started  bool
+}
+
+type expiry struct {
+	block uint64
+	until time.Time
+}
+
+// NewPrefixes returns an empty map.
+func NewPrefixes() *Prefixes { return &Prefixes{until: map[uint64]time.Time{}} }
+
+// Len returns the number of blocks in the map.
+func (p *Prefixes) Len() int { return len(p.until) }
+
+// Learn adds the blocks of an own dispatch.
+func (p *Prefixes) Learn(now time.Time, blocks []uint64) {
+	for _, b := range blocks {
+		p.put(now, b)
+	}
+}
+
+// Apply takes a cache event. After a gap in the sequence the map may hold
+// blocks whose removal was in the lost events, so it is cleared first. Events
+// that arrive a second time or out of order are dropped.
+func (p *Prefixes) Apply(now time.Time, e CacheEvent) {
+	if p.started && e.Sequence <= p.sequence {
+		return
+	}
+	if p.started && e.Sequence != p.sequence+1 || e.Cleared {
+		p.Clear()
+	}
+	p.started, p.sequence = true, e.Sequence
+	for _, b := range e.Dropped {
+		delete(p.until, b)
+	}
+	p.Learn(now, e.Stored)
+}
+
+// Clear forgets every block but not the sequence number.
+func (p *Prefixes) Clear() {
+	clear(p.until)
+	p.order, p.head = p.order[:0], 0
+}
+
+// Match returns how many leading blocks of a chain are in the map.
+func (p *Prefixes) Match(now time.Time, blocks []uint64) int {
+	for i, b := range blocks {
+		if until, ok := p.until[b]; !ok || !now.Before(until) {
+			return i
+		}
+	}
+	return len(blocks)
+}
+
+func (p *Prefixes) put(now time.Time, block uint64) {
+	until := now.Add(CacheExpiry)
+	if have, ok := p.until[block]; ok && !until.After(have) {
+		return
+	}
+	p.until[block] = until
+	p.order = append(p.order, expiry{block, until})
+	p.evict(now)
+}
+
+// evict drops expired blocks, and the oldest beyond the bound. A block put
+// again has a later place in the order, so its earlier one is passed over.
+func (p *Prefixes) evict(now time.Time) {
+	for p.head < len(p.order) {
+		e := p.order[p.head]
+		stale := !p.until[e.block].Equal(e.until)
+		full := len(p.until) > MaxCached || len(p.order)-p.head > 2*MaxCached
+		if !stale && !full && now.Before(e.until) {
+			break
+		}
+		if !stale {
+			delete(p.until, e.block)
+		}
+		p.head++
+	}
+	if p.head > MaxCached {
+		p.order = append(p.order[:0], p.order[p.head:]...)
+		p.head = 0
+	}
+}
--- /dev/null
+++ b/core/pick/registry.go
@@ -0,0 +1,117 @@
+package pick
+
+import (
+	"fmt"
+	"maps"
+	"math/rand"
+	"slices"
+
+	"heatherway.dev/kernel/result"
+)
+
+// Filter tells whether an upstream can take a request.
+type Filter func(*Request, *Candidate) bool
+
+// Scorer estimates a cost of running a request on an upstream, in milliseconds
+// until its first token.
+type Scorer func(*Request, *Candidate) float64
+
+// Picker chooses among the candidates that passed the filters, of which there
+// is at least one. It returns the index of the chosen one, and that of the one
+// it was compared with or -1.
+type Picker interface {
+	Pick(*rand.Rand, *Request, []Scored) (chosen, rival int)
+}
+
+// PickerFunc is a function used as Picker.
+type PickerFunc func(*rand.Rand, *Request, []Scored) (chosen, rival int)
+
+// Pick implements Picker.
+func (f PickerFunc) Pick(rng *rand.Rand, r *Request, s []Scored) (int, int) { return f(rng, r, s) }
+
+// The registries are written only from init functions and read afterwards.
+var (
+	filters = map[string]Filter{}
+	scorers = map[string]Scorer{}
+	pickers = map[string]Picker{}
+)
+
+// RegisterFilter adds a filter. It is called from init and panics when the
+// name is taken.
+func RegisterFilter(name string, f Filter) { register(filters, "filter", name, f) }
+
+// RegisterScorer adds a scorer. It is called from init and panics when the
+// name is taken.
+func RegisterScorer(name string, s Scorer) { register(scorers, "scorer", name, s) }
+
+// RegisterPicker adds a picker. It is called from init and panics when the
+// name is taken.
+func RegisterPicker(name string, p Picker) { register(pickers, "picker", name, p) }
+
+func register[T any](in map[string]T, kind, name string, v T) {
+	if _, dup := in[name]; dup {
+		panic(fmt.Sprintf("pick: %s %q is registered twice", kind, name))
+	}
+	in[name] = v
+}
+
+// Weighted names a scorer and the weight of its milliseconds.
+type Weighted struct {
+	Name   string  `yaml:"name"`
+	Weight float64 `yaml:"weight"`
+}
+
+// Policy names the plug-ins of a Chooser.
+type Policy struct {
+	Filters []string   `yaml:"filters"`
+	Scorers []Weighted `yaml:"scorers"`
+	Picker  string     `yaml:"picker"`
+}
+
+// AllFilters returns the names of the filters that every policy needs for
+// correctness.
+func AllFilters() []string {
+	return []string{"model", "adapter", "service", "leaving", "breaker", "suspect", "tried"}
+}
+
+// DefaultPolicy returns the policy of the entry role.
+func DefaultPolicy() Policy {
+	return Policy{
+		Filters: AllFilters(),
+		Scorers: []Weighted{{"wait", 1}, {"prefix", 1}, {"zone", 1}},
+		Picker:  "best-of-two",
+	}
+}
+
+// New returns a chooser for the policy.
+func New(p Policy) (*Chooser, error) {
+	c := &Chooser{}
+	for _, name := range p.Filters {
+		f, err := find(filters, "filter", name)
+		if err != nil {
+			return nil, err
+		}
+		c.filters = append(c.filters, named[Filter]{name, f})
+	}
+	for _, w := range p.Scorers {
+		s, err := find(scorers, "scorer", w.Name)
+		if err != nil {
+			return nil, err
+		}
+		if !(w.Weight >= 0) {
+			return nil, result.New(result.SettingInvalid, "weight %v of scorer %q is below 0", w.Weight, w.Name)
+		}
+		c.scorers = append(c.scorers, weighted{named[Scorer]{w.Name, s}, w.Weight})
+	}
+	var err error
+	c.picker, err = find(pickers, "picker", p.Picker)
+	return c, err
+}
+
+func find[T any](in map[string]T, kind, name string) (T, error) {
+	v, ok := in[name]
+	if !ok {
+		return v, result.New(result.SettingInvalid, "unknown %s %q, want one of %v", kind, name, slices.Sorted(maps.Keys(in)))
+	}
+	return v, nil
+}
--- /dev/null
+++ b/core/pick/scorers.go
@@ -0,0 +1,68 @@
+package pick
+
+import "time"
+
+const (
+	// defaultServiceTime is used before any own request has ended.
+	defaultServiceTime = 2 * time.Second
+	// busyMS is the cost of a full batch against an empty one: decoding slows
+	// as the batch of an engine fills.
+	busyMS = 20.0
+	// blockMS is the cost of prefilling one block: 256 characters are about 64
+	// tokens, prefilled at about 5,000 tokens/s.
+	blockMS = 13.0
+	// otherZoneMS and otherRegionMS are round trips.
+	otherZoneMS   = 2.0
+	otherRegionMS = 30.0
+)
+
+func init() {
+	RegisterScorer("wait", expectedWait)
+	RegisterScorer("prefix", missingPrefix)
+	RegisterScorer("zone", distance)
+}
+
+// expectedWait corrects the last report by the own requests sent and ended
+// since it was made, and estimates the wait of a new request of its class.
+func expectedWait(r *Request, u *Candidate) float64 {
+	slots := float64(max(u.Load.Slots, u.Slots, 1))
+	reported := queuedAhead(r, u) + float64(u.Load.Running)
+	busy := max(reported+float64(u.Sent-u.Ended), 0)
+	wait := max(busy+1-slots, 0) * turnMS(r, u, reported, slots)
+	return wait + busyMS*min(busy/slots, 1)
+}
+
+func queuedAhead(r *Request, u *Candidate) float64 {
+	n := 0.0
+	for c := range r.Class + 1 {
+		n += float64(u.Load.Queued[c])
+	}
+	return n
+}
+
+// turnMS is the mean time until one of the upstream's slots becomes free. The
+// agent's own estimate is used where it has one.
+func turnMS(r *Request, u *Candidate, reported, slots float64) float64 {
+	if ahead := reported + 1 - slots; ahead >= 1 && u.Load.WaitMS[r.Class] > 0 {
+		return float64(u.Load.WaitMS[r.Class]) / ahead
+	}
+	service := u.ServiceTime
+	if service <= 0 {
+		service = defaultServiceTime
+	}
+	return float64(service) / float64(time.Millisecond) / slots
+}
+
+func missingPrefix(r *Request, u *Candidate) float64 {
+	return blockMS * float64(len(r.Blocks)-u.Cached)
+}
+
+func distance(r *Request, u *Candidate) float64 {
+	switch {
+	case u.Region != r.Region:
+		return otherRegionMS
+	case u.Zone != r.Zone:
+		return otherZoneMS
+	}
+	return 0
+}
--- /dev/null
+++ b/core/pick/table.go
@@ -0,0 +1,191 @@
+package pick
+
+import (
+	"slices"
+	"time"
+
+	"heatherway.dev/core/breaker"
+	"heatherway.dev/core/wire"
+)
+
+const (
+	// DefaultLag is how far back a report is taken to look: a request sent
+	// less than this before a report arrived may not be in it.
+	DefaultLag = 50 * time.Millisecond
+	// serviceTimeShare is the weight of the newest sample in the mean.
+	serviceTimeShare = 0.1
+	// maxEnded bounds the remembered ends of one upstream between reports.
+	maxEnded = 1024
+)
+
+// Settings configures a Table. Zero fields take their defaults.
+type Settings struct {
+	Lag     time.Duration
+	Breaker breaker.Settings
+}
+
+// Table is what one entry knows about its upstreams.
+type Table struct {
+	set  Settings
+	byID map[string]*upstream
+	ids  []string // sorted, so that choices depend on the seed alone
+}
+
+type upstream struct {
+	wire.Upstream
+	load     wire.Load
+	reported bool
+	running  map[uint64]dispatch
+	ended    []time.Time // when requests that are in the load ended
+	service  time.Duration
+	suspects int
+	breaker  *breaker.Breaker
+	prefixes *Prefixes
+}
+
+type dispatch struct {
+	sent    time.Time
+	seen    bool // the load has this request
+	suspect bool
+}
+
+// NewTable returns an empty table.
+func NewTable(set Settings) *Table {
+	if set.Lag <= 0 {
+		set.Lag = DefaultLag
+	}
+	return &Table{set: set, byID: map[string]*upstream{}}
+}
+
+// SetUpstreams replaces the subset. An upstream with a new incarnation starts
+// without history; one that is gone is forgotten.
+func (t *Table) SetUpstreams(list []wire.Upstream) {
+	next := make(map[string]*upstream, len(list))
+	for _, u := range list {
+		have := t.byID[u.ID]
+		if have == nil || have.Incarnation != u.Incarnation {
+			have = t.fresh()
+		}
+		have.Upstream = u
+		next[u.ID] = have
+	}
+	t.byID = next
+	t.ids = t.ids[:0]
+	for id := range next {
+		t.ids = append(t.ids, id)
+	}
+	slices.Sort(t.ids)
+}
+
+func (t *Table) fresh() *upstream {
+	return &upstream{
+		running:  map[uint64]dispatch{},
+		breaker:  breaker.New(t.set.Breaker),
+		prefixes: NewPrefixes(),
+	}
+}
+
+// Breaker returns the circuit breaker of an upstream, nil if it is unknown.
+func (t *Table) Breaker(id string) *breaker.Breaker {
+	if u := t.byID[id]; u != nil {
+		return u.breaker
+	}
+	return nil
+}
+
+// Prefixes returns the cache map of an upstream, nil if it is unknown.
+func (t *Table) Prefixes(id string) *Prefixes {
+	if u := t.byID[id]; u != nil {
+		return u.prefixes
+	}
+	return nil
+}
+
+// Candidates returns the upstreams in order of id as seen by one request.
+func (t *Table) Candidates(now time.Time, r *Request) []Candidate {
+	out := make([]Candidate, 0, len(t.ids))
+	for _, id := range t.ids {
+		u := t.byID[id]
+		out = append(out, Candidate{
+			Upstream:    u.Upstream,
+			Load:        u.load,
+			Reported:    u.reported,
+			Sent:        u.unseen(),
+			Ended:       len(u.ended),
+			ServiceTime: u.service,
+			Ready:       u.breaker.Ready(now),
+			Suspects:    u.suspects,
+			Cached:      u.prefixes.Match(now, r.Blocks),
+		})
+	}
+	return out
+}
+
+// Sent records that a request was sent under a number unique in this entry.
+func (t *Table) Sent(now time.Time, id string, number uint64, r *Request) {
+	u := t.byID[id]
+	if u == nil {
+		return
+	}
+	u.running[number] = dispatch{sent: now, suspect: r.Suspect}
+	if r.Suspect {
+		u.suspects++
+	}
+	u.prefixes.Learn(now, r.Blocks)
+}
+
+// Ended records the end of a request, whatever its outcome.
+func (t *Table) Ended(now time.Time, id string, number uint64) {
+	u := t.byID[id]
+	if u == nil {
+		return
+	}
+	d, ok := u.running[number]
+	if !ok {
+		return
+	}
+	delete(u.running, number)
+	if d.suspect {
+		u.suspects--
+	}
+	if d.seen && len(u.ended) < maxEnded {
+		u.ended = append(u.ended, now)
+	}
+	u.observe(now.Sub(d.sent))
+}
+
+// Report takes the load carried by a frame or reply of the request with the
+// number. That request reached the agent before the report was made; any other
+// counts as seen only when it was sent the lag before. An end is taken to be in
+// the report on the same terms.
+func (t *Table) Report(now time.Time, id string, number uint64, load wire.Load) {
+	u := t.byID[id]
+	if u == nil {
+		return
+	}
+	u.load, u.reported = load, true
+	asOf := now.Add(-t.set.Lag)
+	for n, d := range u.running {
+		d.seen = d.seen || n == number || !d.sent.After(asOf)
+		u.running[n] = d
+	}
+	u.ended = slices.DeleteFunc(u.ended, func(at time.Time) bool { return !at.After(asOf) })
+}
+
+func (u *upstream) unseen() int {
+	n := 0
+	for _, d := range u.running {
+		if !d.seen {
+			n++
+		}
+	}
+	return n
+}
+
+func (u *upstream) observe(took time.Duration) {
+	if u.service == 0 {
+		u.service = took
+		return
+	}
+	u.service += time.Duration(serviceTimeShare * float64(took-u.service))
+}
