stream: check the assembler with properties and broken variants

Cause: no token may be missing, repeated or mixed whatever connections and agents do (I1 to I4). Ruled out: comparing against one fixed text, since engines may decode other text on each attempt; the model chains every token to the text before it. Change: property test over drops, repeats, reorder, crossed frames, silence and failures; eight broken variants that it must notice; unit tests of the resume rules. A frame that names another generation ends the attempt.

--- /dev/null
+++ b/core/stream/resume_test.go
@@ -0,0 +1,127 @@
+package stream
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"heatherway.dev/core/wire"
+	"heatherway.dev/kernel/result"
+)
+
+var start = time.Unix(1000, 0)
+
+func kinds(acts []Action) []ActionKind {
+	var out []ActionKind
+	for _, a := range acts {
+		out = append(out, a.Kind)
+	}
+	return out
+}
+
+func token(attempt uint32, offset uint64) *wire.Frame {
+	return &wire.Frame{Kind: wire.FrameToken, Attempt: attempt, Offset: offset, Tokens: 1, Text: "x"}
+}
+
+func streaming(t *testing.T) *Assembler {
+	t.Helper()
+	a := New(Settings{Attempts: 3, Resumes: 8, Generation: generation})
+	a.Start(start)
+	a.Chosen(1, "agent-1")
+	a.Connected(start, 1)
+	for i := range uint64(3) {
+		deliver, _ := a.Frame(start, 1, token(1, i))
+		assert.Assert(t, deliver)
+	}
+	return a
+}
+
+// Guards the order of detection: a silent connection is tried once more on the
+// same agent before another agent is used.
+func TestSilenceAttachesThenResumesElsewhere(t *testing.T) {
+	a := streaming(t)
+	assert.Equal(t, len(a.Tick(start.Add(Silence-time.Millisecond))), 0)
+	acts := a.Tick(start.Add(Silence))
+	assert.DeepEqual(t, kinds(acts), []ActionKind{Close, Attach})
+	assert.Equal(t, acts[1].Agent, "agent-1")
+	assert.Equal(t, acts[1].Offset, uint64(3))
+	assert.Equal(t, acts[1].Attempt, uint32(1))
+	acts = a.Tick(start.Add(Silence + AttachLimit))
+	assert.DeepEqual(t, kinds(acts), []ActionKind{Close, Cancel, Open})
+	assert.Equal(t, acts[2].Attempt, uint32(2))
+}
+
+// Guards against resuming elsewhere, at the cost of a prefill, when only the
+// connection was silent.
+func TestAttachGoesOnWithTheSameAttempt(t *testing.T) {
+	a := streaming(t)
+	a.Tick(start.Add(Silence))
+	deliver, acts := a.Frame(start.Add(Silence), 2, token(1, 3))
+	assert.Assert(t, deliver && len(acts) == 0)
+	deliver, _ = a.Frame(start.Add(Silence), 1, token(1, 4))
+	assert.Assert(t, !deliver, "a frame of the replaced connection was accepted")
+}
+
+func resumed() *Assembler {
+	a := New(Settings{Attempts: 3, Resumes: 8, Generation: generation,
+		Resume: &wire.EventID{Generation: generation, Agent: "agent-1", Attempt: 2, Offset: 5}})
+	a.Start(start)
+	return a
+}
+
+// Guards the loss of entry and engine: the agent's text carries the generation
+// to another agent, behind what the caller already has.
+func TestResumePointUsesTheAgentsText(t *testing.T) {
+	a := resumed()
+	deliver, _ := a.Frame(start, 1, token(2, 5))
+	assert.Assert(t, deliver)
+	_, acts := a.Frame(start, 1, &wire.Frame{Kind: wire.FrameFail, Attempt: 2, Offset: 6, Tokens: 6, Text: "abcdef",
+		Code: result.UpstreamFailed, Ran: result.DidRun})
+	open := acts[len(acts)-1]
+	assert.Equal(t, open.Kind, Open)
+	assert.Equal(t, open.Offset, uint64(6))
+	text, known := a.Text()
+	assert.Assert(t, known)
+	assert.Equal(t, text, "abcdef")
+}
+
+// Guards against a mixture when neither the entry nor the agent has the text:
+// the caller is told that the generation is lost.
+func TestResumePointWithoutTextIsLost(t *testing.T) {
+	for name, fail := range map[string]func(*Assembler) []Action{
+		"agent gone": func(a *Assembler) []Action {
+			return a.Lost(start, 1, false, result.New(result.UpstreamNotReachable, "refused"))
+		},
+		"not held": func(a *Assembler) []Action {
+			_, acts := a.Frame(start, 1, &wire.Frame{Kind: wire.FrameFail, Attempt: 2, Code: result.GenerationNotHeld})
+			return acts
+		},
+		"text of another length": func(a *Assembler) []Action {
+			_, acts := a.Frame(start, 1, &wire.Frame{Kind: wire.FrameFail, Attempt: 2, Tokens: 9, Text: "abc", Code: result.UpstreamFailed, Ran: result.DidRun})
+			return acts
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			acts := fail(resumed())
+			last := acts[len(acts)-1]
+			assert.Equal(t, last.Kind, Finish)
+			assert.Equal(t, last.Outcome.Err.Code, result.GenerationLost)
+			assert.Equal(t, last.Outcome.Err.Ran, result.DidRun)
+		})
+	}
+}
+
+// Guards the search by idempotency key: the generation found elsewhere is read
+// from its start, whatever its attempt number.
+func TestKeyLeadsToAnotherAgent(t *testing.T) {
+	a := New(Settings{Attempts: 3, Resumes: 8, Generation: generation})
+	a.Start(start)
+	_, acts := a.Frame(start, 1, &wire.Frame{Kind: wire.FrameElsewhere, Attempt: 1, Text: "agent-7", Generation: "other"})
+	assert.DeepEqual(t, kinds(acts), []ActionKind{Close, Attach})
+	assert.Equal(t, acts[1].Agent, "agent-7")
+	assert.Equal(t, acts[1].Generation, wire.ID("other"))
+	deliver, _ := a.Frame(start, 2, token(4, 0))
+	assert.Assert(t, deliver)
+	assert.Equal(t, a.Attempt(), uint32(4))
+}
--- a/core/stream/stream.go
+++ b/core/stream/stream.go
@@ -31,6 +31,9 @@
 	Resumes  int
 	// Deadline ends the answer; zero sets none.
 	Deadline time.Time
+	// Generation is the id of the answer. A frame that names another one ends
+	// the attempt, since the connection then carries another request's answer.
+	Generation wire.ID
 	// Resume is set when the caller already holds the first Offset tokens of
 	// the generation, received from attempt Resume.Attempt of Resume.Agent.
 	// Their text is not known here.
@@ -219,6 +222,9 @@
 	if a.done || conn != a.conn || !a.live {
 		return false, nil
 	}
+	if f.Generation != "" && f.Generation != a.set.Generation && f.Kind != wire.FrameElsewhere {
+		return false, a.failed(now, result.New(result.UpstreamMalformed, "the frame belongs to another generation"), true)
+	}
 	if f.Kind == wire.FrameElsewhere {
 		return false, a.elsewhere(now, f)
 	}
@@ -313,6 +319,9 @@
 	}
 	acts := []Action{a.closeAction()}
 	a.attempt, a.adopt, a.started = f.Attempt, true, true
+	if f.Generation != "" {
+		a.set.Generation = f.Generation
+	}
 	attach := a.attach(now, f.Text)
 	attach[0].Generation = f.Generation
 	return append(acts, attach...)
--- /dev/null
+++ b/core/stream/stream_test.go
@@ -0,0 +1,323 @@
+package stream
+
+import (
+	"fmt"
+	"hash/fnv"
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"heatherway.dev/core/wire"
+	"heatherway.dev/kernel/result"
+)
+
+const (
+	answerTokens = 9
+	generation   = wire.ID("00000000000000000000000000000001")
+)
+
+// world simulates agents, connections and the caller around one assembler.
+// Every attempt decodes different text, and each token's text depends on the
+// whole text in front of it, so that any gap, repeat or mixture shows.
+type world struct {
+	pick   func(n int, what string) int
+	a      *Assembler
+	broken func(a *Assembler, conn *int, f *wire.Frame)
+
+	now      time.Time
+	conns    []*simConn
+	attempts map[uint32]*simAttempt
+	said     string
+	tokens   int
+	finishes []Outcome
+	err      error
+}
+
+// simAttempt is what one agent decodes.
+type simAttempt struct {
+	number uint32
+	first  int
+	texts  []string
+	agent  string
+}
+
+// simConn carries the frames of one attempt. Position is the next frame that
+// arrives unless the network misbehaves.
+type simConn struct {
+	n        int
+	attempt  *simAttempt
+	frames   []wire.Frame
+	position int
+	closed   bool
+}
+
+func chain(text string) string {
+	h := fnv.New64a()
+	h.Write([]byte(text))
+	return fmt.Sprintf("%x;", h.Sum64())
+}
+
+// decode makes the tokens of an attempt behind a prefix.
+func decode(number uint32, prefix string, first int) *simAttempt {
+	at := &simAttempt{number: number, first: first, agent: fmt.Sprintf("agent-%d", number)}
+	for i := first; i < answerTokens; i++ {
+		token := chain(fmt.Sprintf("%d|%s", number, prefix))
+		at.texts = append(at.texts, token)
+		prefix += token
+	}
+	return at
+}
+
+func (at *simAttempt) frames(offset int) []wire.Frame {
+	out := []wire.Frame{{Kind: wire.FrameStarted, Attempt: at.number, Offset: uint64(offset), Generation: generation}}
+	for i := max(offset, at.first); i < answerTokens; i++ {
+		out = append(out, wire.Frame{Kind: wire.FrameToken, Attempt: at.number, Offset: uint64(i), Tokens: 1, Text: at.texts[i-at.first]})
+	}
+	return append(out, wire.Frame{Kind: wire.FrameEnd, Attempt: at.number, Offset: answerTokens, Finish: "stop"})
+}
+
+func newWorld(pick func(int, string) int, broken func(*Assembler, *int, *wire.Frame)) *world {
+	start := time.Unix(1000, 0)
+	w := &world{pick: pick, broken: broken, now: start, attempts: map[uint32]*simAttempt{}}
+	w.a = New(Settings{Attempts: 3, Resumes: 6, Deadline: start.Add(time.Minute), Generation: generation})
+	w.run(w.a.Start(w.now))
+	return w
+}
+
+func (w *world) run(acts []Action) {
+	for _, act := range acts {
+		if len(w.finishes) > 0 {
+			w.fail("action %d after the final outcome", act.Kind)
+		}
+		switch act.Kind {
+		case Open:
+			w.open(act)
+		case Attach:
+			w.attach(act)
+		case Close:
+			w.conns[act.Conn-1].closed = true
+		case Finish:
+			w.finishes = append(w.finishes, act.Outcome)
+			w.checkOutcome(act.Outcome)
+		}
+	}
+}
+
+func (w *world) open(act Action) {
+	text, known := w.a.Text()
+	if !known || text != w.said || act.Offset != uint64(w.tokens) {
+		w.fail("resume with prefix of %d tokens after %d were delivered", act.Offset, w.tokens)
+	}
+	at := decode(act.Attempt, text, int(act.Offset))
+	w.attempts[act.Attempt] = at
+	w.a.Chosen(act.Conn, at.agent)
+	w.addConn(act.Conn, at, int(act.Offset))
+}
+
+func (w *world) attach(act Action) {
+	at, ok := w.attempts[act.Attempt]
+	if !ok || at.agent != act.Agent {
+		w.fail("attach to attempt %d of %q, which does not run there", act.Attempt, act.Agent)
+		return
+	}
+	w.addConn(act.Conn, at, int(act.Offset))
+}
+
+func (w *world) addConn(n int, at *simAttempt, offset int) {
+	if n != len(w.conns)+1 {
+		w.fail("connection %d opened as number %d", len(w.conns)+1, n)
+	}
+	w.conns = append(w.conns, &simConn{n: n, attempt: at, frames: at.frames(offset)})
+}
+
+func (w *world) fail(format string, args ...any) {
+	if w.err == nil {
+		w.err = errors.Errorf(format, args...)
+	}
+}
+
+func (w *world) frame(c *simConn, f wire.Frame) {
+	conn := c.n
+	if w.broken != nil {
+		w.broken(w.a, &conn, &f)
+	}
+	deliver, acts := w.a.Frame(w.now, conn, &f)
+	if deliver {
+		w.delivered(f)
+	}
+	w.run(acts)
+}
+
+// delivered checks the invariant: the token was decoded behind exactly the
+// text that the caller has.
+func (w *world) delivered(f wire.Frame) {
+	if len(w.finishes) > 0 {
+		w.fail("token after the final outcome")
+	}
+	for number := range w.attempts {
+		if f.Text == chain(fmt.Sprintf("%d|%s", number, w.said)) {
+			w.said += f.Text
+			w.tokens++
+			return
+		}
+	}
+	w.fail("token %d does not continue the %d tokens delivered", f.Offset, w.tokens)
+}
+
+func (w *world) checkOutcome(o Outcome) {
+	if o.Err == nil && w.tokens != answerTokens {
+		w.fail("whole answer reported after %d of %d tokens", w.tokens, answerTokens)
+	}
+	if o.Err != nil && o.Err.Ran == result.NotRun && w.started() {
+		w.fail("not run reported for a generation that ran")
+	}
+}
+
+func (w *world) started() bool {
+	for _, c := range w.conns {
+		if c.position > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// step lets one thing happen.
+func (w *world) step() {
+	c := w.conns[w.pick(len(w.conns), "connection")]
+	if w.pick(2, "newest") == 0 {
+		c = w.conns[len(w.conns)-1]
+	}
+	switch w.pick(16, "event") {
+	default:
+		w.next(c)
+	case 8: // the frame is dropped
+		c.position = min(c.position+1, len(c.frames))
+	case 9: // a frame is repeated or overtakes others
+		if len(c.frames) > 0 {
+			w.frame(c, c.frames[w.pick(len(c.frames), "frame")])
+		}
+	case 10:
+		w.lose(c, true)
+	case 11:
+		w.lose(c, false)
+	case 12:
+		w.send(c, wire.Frame{Kind: wire.FrameFail, Attempt: c.attempt.number, Code: result.UpstreamFailed, Ran: result.DidRun})
+	case 13:
+		w.send(c, wire.Frame{Kind: wire.FrameHeartbeat, Attempt: c.attempt.number})
+	case 14: // the connections are silent
+		w.now = w.now.Add(Silence)
+		w.run(w.a.Tick(w.now))
+	case 15: // a frame of another request arrives
+		w.send(c, wire.Frame{Kind: wire.FrameEnd, Attempt: c.attempt.number, Offset: uint64(w.tokens), Generation: "other"})
+	}
+}
+
+// send makes the agent send a frame unless the connection was never made.
+func (w *world) send(c *simConn, f wire.Frame) {
+	if len(c.frames) > 0 {
+		w.frame(c, f)
+	}
+}
+
+func (w *world) next(c *simConn) {
+	w.a.Connected(w.now, c.n)
+	if c.position < len(c.frames) {
+		c.position++
+		w.frame(c, c.frames[c.position-1])
+	}
+}
+
+func (w *world) lose(c *simConn, reached bool) {
+	reached = reached || c.position > 0
+	if !reached {
+		c.frames = nil // a connection that was never made carries nothing
+	}
+	w.run(w.a.Lost(w.now, c.n, reached, result.New(result.UpstreamNotReachable, "lost")))
+}
+
+// simulate runs the faults, then a calm time, then the deadline.
+func simulate(pick func(int, string) int, broken func(*Assembler, *int, *wire.Frame)) error {
+	w := newWorld(pick, broken)
+	for range 60 {
+		w.step()
+	}
+	for range 3 * answerTokens {
+		w.next(w.conns[len(w.conns)-1])
+	}
+	w.now = w.now.Add(2 * time.Minute)
+	w.run(w.a.Tick(w.now))
+	w.run(w.a.Tick(w.now))
+	if w.err == nil && len(w.finishes) != 1 {
+		w.fail("%d final outcomes", len(w.finishes))
+	}
+	return w.err
+}
+
+// Guards invariants I1 to I4 for one answer: the delivered tokens are the
+// prefix of one generation, and there is one final outcome, whatever the
+// connections and agents do.
+func TestAnswerIsOneGeneration(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		pick := func(n int, what string) int { return rapid.IntRange(0, n-1).Draw(t, what) }
+		assert.NilError(t, simulate(pick, nil))
+	})
+}
+
+// brokenVariants each undo one rule of the assembler.
+var brokenVariants = map[string]func(a *Assembler, conn *int, f *wire.Frame){
+	"frames of replaced attempts are accepted": func(a *Assembler, conn *int, f *wire.Frame) {
+		*conn, f.Attempt = a.conn, a.attempt
+	},
+	"a gap is accepted": func(a *Assembler, _ *int, f *wire.Frame) {
+		if f.Kind == wire.FrameToken && f.Offset > a.next {
+			f.Offset = a.next
+		}
+	},
+	"a repeated frame is accepted": func(a *Assembler, _ *int, f *wire.Frame) {
+		if f.Kind == wire.FrameToken && f.Offset < a.next {
+			f.Offset = a.next
+		}
+	},
+	"an end before the last token is accepted": func(a *Assembler, _ *int, f *wire.Frame) {
+		if f.Kind == wire.FrameEnd {
+			f.Offset = a.next
+		}
+	},
+	"a frame of another generation is accepted": func(_ *Assembler, _ *int, f *wire.Frame) {
+		f.Generation = ""
+	},
+	"the outcome is reported again": func(a *Assembler, _ *int, _ *wire.Frame) {
+		a.done = false
+	},
+	"the resume prefix lacks text": func(a *Assembler, _ *int, f *wire.Frame) {
+		if f.Kind == wire.FrameToken && f.Offset == a.next && a.next == 4 {
+			a.text.Reset()
+		}
+	},
+	"earlier attempts are forgotten in the outcome": func(a *Assembler, _ *int, _ *wire.Frame) {
+		a.started, a.unsure = false, false
+	},
+}
+
+// Guards the property itself: it has to notice each rule's absence.
+func TestPropertyNoticesBrokenVariants(t *testing.T) {
+	const seeds = 5000
+	for name, broken := range brokenVariants {
+		t.Run(name, func(t *testing.T) {
+			for seed := range int64(seeds) {
+				rng := rand.New(rand.NewSource(seed))
+				pick := func(n int, _ string) int { return rng.Intn(n) }
+				if err := simulate(pick, broken); err != nil {
+					t.Logf("seed %d: %v", seed, err)
+					return
+				}
+			}
+			t.Fatalf("no violation in %d runs", seeds)
+		})
+	}
+}
--- a/modules/entry/driver.go
+++ b/modules/entry/driver.go
@@ -78,6 +78,8 @@
 			Resumes:  int(r.snap.doc.Int("resume.attempts", scope, r.begun)),
 			Deadline: r.deadline,
 			Resume:   r.resume,
+
+			Generation: r.generation,
 		}),
 	}
 	d.ctx, d.end = context.WithCancel(ctx)
