--- a/core/stream/stream.go
+++ b/core/stream/stream.go
@@ -94,6 +94,8 @@
 	// driver has a connection, until then the driver bounds the time.
 	live      bool
 	connected bool
+	// chosen is set once agent is that of connection conn.
+	chosen bool
 	// attaching is set from Attach until the first frame of the connection.
 	attaching bool
 	// adopt takes the attempt number of the connection's first frame.
@@ -132,7 +134,8 @@
 // Attempt returns the number of the current attempt.
 func (a *Assembler) Attempt() uint32 { return a.attempt }
 
-// Agent returns the agent of the current attempt.
+// Agent returns the agent of the current attempt, or of the one before while
+// the driver still chooses.
 func (a *Assembler) Agent() string { return a.agent }
 
 // Started tells whether an engine has run the generation.
@@ -152,7 +155,7 @@
 // Chosen records the agent that the driver opens connection conn to.
 func (a *Assembler) Chosen(conn int, agent string) {
 	if conn == a.conn {
-		a.agent = agent
+		a.agent, a.chosen = agent, true
 	}
 }
 
@@ -208,6 +211,15 @@
 	return a.failed(now, err, reached)
 }
 
+// Refused reports that the driver may make no attempt on connection conn, for
+// a reason that holds for every agent.
+func (a *Assembler) Refused(conn int, err *result.Error) []Action {
+	if a.done || conn != a.conn || !a.live {
+		return nil
+	}
+	return a.giveUpWith(err, false)
+}
+
 // Abandon ends the answer from the caller's side.
 func (a *Assembler) Abandon(err *result.Error) []Action {
 	if a.done {
@@ -295,7 +307,7 @@
 		a.hasText = true
 	}
 	if final(f.Code) {
-		return append([]Action{a.closeAction()}, a.giveUpWith(err, false)...)
+		return a.giveUpWith(err, false)
 	}
 	return a.failed(now, err, f.Ran != result.NotRun)
 }
@@ -360,15 +372,15 @@
 func (a *Assembler) open(now time.Time, cause *result.Error) []Action {
 	a.attempt++
 	a.opens++
-	a.newConn(now, "")
-	a.attaching, a.adopt = false, false
+	a.newConn(now, a.agent)
+	a.attaching, a.adopt, a.chosen = false, false, false
 	return []Action{{Kind: Open, Conn: a.conn, Attempt: a.attempt, Offset: a.next, Cause: cause}}
 }
 
 func (a *Assembler) attach(now time.Time, agent string) []Action {
 	a.attaches++
 	a.newConn(now, agent)
-	a.attaching = true
+	a.attaching, a.chosen = true, true
 	return []Action{{Kind: Attach, Conn: a.conn, Agent: agent, Attempt: a.attempt, Offset: a.next}}
 }
 
@@ -384,17 +396,17 @@
 
 // giveUp ends the answer while an attempt may still run.
 func (a *Assembler) giveUp(err *result.Error) []Action {
-	return a.giveUpWith(err, a.live)
+	return a.giveUpWith(err, a.live && a.chosen)
 }
 
 func (a *Assembler) giveUpWith(err *result.Error, cancel bool) []Action {
 	var acts []Action
+	if a.live {
+		acts = append(acts, a.closeAction())
+	}
 	if cancel {
 		a.unsure = true
-		acts = append(acts, a.closeAction())
-		if a.agent != "" {
-			acts = append(acts, Action{Kind: Cancel, Agent: a.agent, Attempt: a.attempt})
-		}
+		acts = append(acts, Action{Kind: Cancel, Agent: a.agent, Attempt: a.attempt})
 	}
 	if ran := a.ran(); ran != result.NotRun {
 		err.Ran = ran
--- a/modules/entry/admit.go
+++ b/modules/entry/admit.go
@@ -4,37 +4,26 @@
 	"context"
 	"time"
 
+	"heatherway.dev/core/limit"
+	"heatherway.dev/core/stream"
 	"heatherway.dev/kernel/result"
 )
 
 // admit decides whether a request may run at all.
-func (m *Module) admit(_ context.Context, r *request) *result.Error {
-	s, ok := r.snap.suspects[r.fingerprint]
-	if !ok || !s.quarantined {
-		return nil
+func (m *Module) admit(ctx context.Context, r *request, size int) *result.Error {
+	if err := r.quarantined(); err != nil {
+		return err
 	}
-	if left := time.Until(s.until); left > 0 {
-		return result.New(result.Quarantined, "the request has crashed upstreams").After(left)
-	}
-	return nil
+	return m.admitRate(ctx, r, size)
 }
 
-// choose picks an upstream for a request.
-func (m *Module) choose(r *request, avoid map[string]bool) (*upstream, *result.Error) {
-	snap := m.owner.current()
-	q := query{model: r.model, service: r.service, class: r.class, zone: m.instance.Zone, avoid: avoid}
-	if u, ok := m.chooser.choose(snap, q); ok {
-		return u, nil
-	}
-	for _, u := range snap.upstreams {
-		if u.offers(q) {
-			return nil, result.New(result.NoUpstream, "no upstream can take the request now")
-		}
-	}
-	if r.service != "" {
-		return nil, result.New(result.ServiceUnknown, "no upstream offers service %q", r.service)
+// settle charges the output tokens of a generation.
+func (m *Module) settle(r *request, o *stream.Outcome) {
+	l := r.limitOf()
+	if o.Tokens == 0 || l.Unlimited() {
+		return
 	}
-	return nil, result.New(result.ModelUnknown, "no upstream serves model %q", r.model)
+	m.owner.send(settle{organisation: r.organisation, limit: l, more: limit.Amount{Tokens: float64(o.Tokens)}})
 }
 
 // summary is what is logged about a finished request.
--- a/modules/entry/agents.go
+++ b/modules/entry/agents.go
@@ -28,10 +28,13 @@
 
 	mu      sync.Mutex
 	clients map[string]*peer.Client
+	// idle holds clients for calls of plain services. Each call has one to
+	// itself, since a call that runs into its limit drops the connection.
+	idle map[string][]*peer.Client
 }
 
 func newAgents(s *peer.Security) *agents {
-	a := &agents{security: s, clients: map[string]*peer.Client{}}
+	a := &agents{security: s, clients: map[string]*peer.Client{}, idle: map[string][]*peer.Client{}}
 	a.pooled, a.fresh = a.transport(), a.transport()
 	a.fresh.DisableKeepAlives = true
 	return a
@@ -64,10 +67,55 @@
 	return c
 }
 
+// take returns a client that nobody else uses.
+func (a *agents) take(addr string) *peer.Client {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	list := a.idle[addr]
+	if len(list) == 0 {
+		return a.security.NewClient(addr)
+	}
+	c := list[len(list)-1]
+	a.idle[addr] = list[:len(list)-1]
+	return c
+}
+
+// release gives a client back after a call that returned.
+func (a *agents) release(c *peer.Client) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.idle[c.Addr()]) >= agentIdlePerOne {
+		c.Close()
+		return
+	}
+	a.idle[c.Addr()] = append(a.idle[c.Addr()], c)
+}
+
+// forget closes the connections to addresses that are in the subset no more.
+func (a *agents) forget(keep map[string]bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for addr, list := range a.idle {
+		if !keep[addr] {
+			closeAll(list)
+			delete(a.idle, addr)
+		}
+	}
+}
+
+func closeAll(list []*peer.Client) {
+	for _, c := range list {
+		c.Close()
+	}
+}
+
 func (a *agents) close() {
 	a.pooled.CloseIdleConnections()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	for _, list := range a.idle {
+		closeAll(list)
+	}
 	for _, c := range a.clients {
 		c.Close()
 	}
--- a/modules/entry/call.go
+++ b/modules/entry/call.go
@@ -10,15 +10,12 @@
 	"net/textproto"
 	"strconv"
 	"strings"
-	"time"
+	"sync"
 
 	"heatherway.dev/api/gen/services"
 	"heatherway.dev/core/config"
 	"heatherway.dev/core/wire"
-	"heatherway.dev/kernel/peer"
 	"heatherway.dev/kernel/result"
-
-	"github.com/go-faster/errors"
 )
 
 // callService implements the generated service services.
@@ -33,8 +30,16 @@
 	body       []byte
 	bodyHash   string
 	idempotent bool
-	attempts   int
-	upstream   string
+	// keyed is set when the caller sent an Idempotency-Key, so that asking
+	// again after an unknown outcome is safe.
+	keyed bool
+	hedge bool
+
+	// mu guards what the goroutines of a hedged call count.
+	mu       sync.Mutex
+	attempts int
+	upstream string
+	tried    []string
 }
 
 // Call implements services.Service.
@@ -42,7 +47,7 @@
 	s := stateOf(ctx)
 	k, err := newCall(s, p, body)
 	if err == nil {
-		err = c.m.admit(ctx, k.request)
+		err = c.m.admit(ctx, k.request, len(k.body))
 	}
 	if err != nil {
 		var r *request
@@ -52,10 +57,8 @@
 		c.m.refuse(s, r, err)
 		return nil, nil, servicesFailure(err, s.requestID)
 	}
-	ctx, cancel := context.WithDeadline(ctx, k.deadline)
-	defer cancel()
 	reply, err := c.m.run(ctx, k)
-	c.m.finish(k.request, summary{upstream: k.upstream, attempts: k.attempts, err: err})
+	c.m.finish(k.request, k.summary(err))
 	if err != nil {
 		return nil, nil, servicesFailure(err, s.requestID)
 	}
@@ -73,13 +76,28 @@
 	if k.body, err = s.read(body); err != nil {
 		return k, err
 	}
-	sum := sha256.Sum256(append([]byte(k.method+" "+k.path+"\n"), k.body...))
-	k.bodyHash = hex.EncodeToString(sum[:])
+	k.bodyHash = hashCall(k)
 	k.fingerprint = fingerprint(r.organisation, p.Service, []byte(k.bodyHash))
 	k.idempotent = repeatable(s, p)
+	k.keyed = k.key != ""
+	if !k.keyed {
+		k.key = recordKey(r.organisation, "call-"+string(wire.NewID()))
+	}
+	k.hedge = s.snap.doc.Bool("service.hedge", config.Scope{Service: p.Service}, s.begun)
 	return k, nil
 }
 
+// hashCall tells two calls apart that use the same key.
+func hashCall(k *call) string {
+	h := sha256.New()
+	for _, part := range []string{k.service, k.method, k.path} {
+		io.WriteString(h, part)
+		h.Write([]byte{0})
+	}
+	h.Write(k.body)
+	return hex.EncodeToString(h.Sum(nil))
+}
+
 // repeatable tells whether the call may run more than once.
 func repeatable(s *state, p *services.CallPayload) bool {
 	if p.Repeat != nil {
@@ -126,54 +144,6 @@
 	return strings.HasPrefix(name, "X-") && !strings.HasPrefix(name, "X-Heatherway-") && name != "X-Request-Id"
 }
 
-// run executes the call.
-func (m *Module) run(ctx context.Context, k *call) (*wire.CallReply, *result.Error) {
-	u, err := m.choose(k.request, nil)
-	if err != nil {
-		return nil, err
-	}
-	return m.callOnce(ctx, k, u, wire.NewID())
-}
-
-// callOnce sends the call to one agent.
-func (m *Module) callOnce(ctx context.Context, k *call, u *upstream, attempt wire.ID) (*wire.CallReply, *result.Error) {
-	now := time.Now()
-	k.attempts++
-	k.upstream = u.ID
-	args := &wire.CallArgs{
-		RequestID: k.id, Organisation: k.organisation, Class: k.class, Weight: k.weight,
-		Service: k.service, Method: k.method, Path: k.path, Headers: k.headers, Body: k.body,
-		Attempt: attempt, IssuedMS: now.UnixMilli(), DeadlineMS: k.left(now), Idempotent: k.idempotent,
-		Key: k.key, BodyHash: k.bodyHash, Fingerprint: k.fingerprint, Revision: k.snap.revision(),
-	}
-	m.owner.send(event{kind: eventSent, upstream: u.ID})
-	defer m.owner.send(event{kind: eventDone, upstream: u.ID})
-	var reply wire.CallReply
-	err := m.agents.client(u.Addr).Call(ctx, wire.AgentService+".Call", args, &reply)
-	if err != nil {
-		return nil, callError(err)
-	}
-	m.owner.send(event{kind: eventLoad, upstream: u.ID, load: reply.Load})
-	m.owner.seen(reply.Revision)
-	return &reply, nil
-}
-
-// callError gives a failed call its result: not run when no connection was
-// made, the agent's own result, or unknown.
-func callError(err error) *result.Error {
-	var known *result.Error
-	switch {
-	case errors.Is(err, peer.ErrUnreachable):
-		return result.Wrap(result.UpstreamNotReachable, err, "no connection to the agent")
-	case errors.As(err, &known):
-		return known
-	case errors.Is(err, context.DeadlineExceeded):
-		return result.Wrap(result.DeadlineExceeded, err, "no answer before the deadline").WithRan(result.Unknown)
-	default:
-		return result.Wrap(result.OutcomeUnknown, err, "the answer was lost")
-	}
-}
-
 // respond passes the answer of the service on, with its own status.
 func respond(s *state, reply *wire.CallReply) (*services.CallResult, io.ReadCloser, error) {
 	res := &services.CallResult{Status: strconv.Itoa(reply.Status), ContentType: "application/octet-stream", RequestID: s.requestID}
--- a/modules/entry/connection.go
+++ b/modules/entry/connection.go
@@ -7,53 +7,165 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"time"
 
 	"github.com/go-faster/errors"
 
+	"heatherway.dev/core/breaker"
+	"heatherway.dev/core/pick"
+	"heatherway.dev/core/stream"
 	"heatherway.dev/core/wire"
 	"heatherway.dev/kernel/result"
 )
 
-// frameBatch is the most frames handed to the driver at once.
-const frameBatch = 16
+const (
+	// frameBatch is the most frames handed to the driver at once.
+	frameBatch = 16
+	// resumePatience is how long a generation that has started waits for an
+	// upstream that can take it.
+	resumePatience = 3 * time.Second
+	// resumePause separates two looks for one.
+	resumePause = 50 * time.Millisecond
+)
+
+// conn is one connection to an agent. Its goroutine owns the fields behind n;
+// the driver only cancels it.
+type conn struct {
+	n      int
+	cancel context.CancelFunc
+
+	d       *driver
+	ticket  ticket
+	request *wire.GenerateRequest
+	// attached is set when the connection reads an attempt that already runs.
+	attached bool
+	since    time.Time
+	heard    bool
+	ran      bool
+	outcome  breaker.Outcome
+}
 
-// read opens one stream to an agent and hands its frames to the driver until
-// it ends. It owns the connection.
-func (d *driver) read(ctx context.Context, c *conn, addr string, t *http.Transport, req *wire.GenerateRequest) {
+// connect finds an upstream for an attempt and reads its frames.
+func (c *conn) connect(ctx context.Context, a stream.Action, p purpose, want pick.Request, held wire.ID, crashes int) {
 	defer c.cancel()
-	d.m.owner.send(event{kind: eventSent, upstream: c.agent})
-	defer d.m.owner.send(event{kind: eventDone, upstream: c.agent})
-	body, sent, err := d.post(ctx, c, addr, t, req)
+	permit, err := c.d.m.clear(ctx, c.d.r, held, a.Cause, crashes)
 	if err != nil {
-		d.signal(ctx, signal{conn: c.n, lost: true, reached: sent, err: lostError(err, sent)})
+		c.d.signal(ctx, signal{conn: c.n, lost: true, final: true, err: err})
+		return
+	}
+	want.Suspect = permit != ""
+	c.request.Permit = permit
+	if err := c.choose(ctx, p, want); err != nil {
+		if p == retryAttempt && notMade(err) {
+			err = a.Cause
+		}
+		c.d.signal(ctx, signal{conn: c.n, lost: true, final: true, err: err, permit: permit})
+		return
+	}
+	c.d.signal(ctx, signal{conn: c.n, agent: c.ticket.upstream.ID, permit: permit})
+	c.read(ctx, c.d.m.agents.pooled)
+}
+
+// notMade tells that a retry was not made, so that the failure which led to it
+// stands.
+func notMade(err *result.Error) bool {
+	return err.Code == result.RetryBudgetSpent || err.Code == result.NoUpstream
+}
+
+// choose waits for a resume budget or upstream if the generation has started.
+func (c *conn) choose(ctx context.Context, p purpose, want pick.Request) *result.Error {
+	end := time.Now().Add(resumePatience)
+	for {
+		got := c.d.m.owner.choose(ctx, choose{request: want, purpose: p})
+		if got.err == nil && got.wait == 0 {
+			c.ticket = got.ticket
+			return nil
+		}
+		if got.err != nil && (p != resumeAttempt || got.err.Code != result.NoUpstream || time.Now().After(end)) {
+			return got.err
+		}
+		wait(ctx, max(got.wait, resumePause))
+	}
+}
+
+// join attaches to an attempt that an agent already holds.
+func (c *conn) join(ctx context.Context, agent string, want pick.Request) {
+	defer c.cancel()
+	c.attached = true
+	got := c.d.m.owner.attach(ctx, agent, want)
+	if got.err != nil {
+		c.d.signal(ctx, signal{conn: c.n, lost: true, err: got.err})
+		return
+	}
+	c.ticket = got.ticket
+	c.d.signal(ctx, signal{conn: c.n, agent: agent})
+	c.read(ctx, c.d.m.agents.fresh)
+}
+
+// read opens the stream and hands its frames over until it ends.
+func (c *conn) read(ctx context.Context, t *http.Transport) {
+	c.since, c.outcome = time.Now(), breaker.Abandoned
+	defer func() { c.d.m.owner.send(ended{ticket: c.ticket, outcome: c.judge(ctx)}) }()
+	body, sent, err := c.post(ctx, t)
+	if err != nil {
+		if !sent {
+			c.outcome = breaker.ConnectFailed
+		}
+		c.d.signal(ctx, signal{conn: c.n, lost: true, reached: sent, err: c.lostError(err, sent)})
 		return
 	}
 	defer body.Close()
-	err = d.pump(ctx, c, wire.NewFrameReader(body))
-	d.signal(ctx, signal{conn: c.n, lost: true, reached: true, err: lostError(err, true)})
+	err = c.pump(ctx, wire.NewFrameReader(body))
+	if ctx.Err() != nil {
+		return
+	}
+	c.outcome = breaker.RequestFailed
+	c.d.signal(ctx, signal{conn: c.n, lost: true, reached: true, err: c.lostError(err, true)})
+}
+
+// judge gives the circuit breaker the outcome. Of connections that the driver
+// gave up, only a new one to a silent agent counts.
+func (c *conn) judge(ctx context.Context) breaker.Outcome {
+	if ctx.Err() == nil || c.outcome != breaker.Abandoned {
+		return c.outcome
+	}
+	if c.attached && !c.heard && time.Since(c.since) >= stream.AttachLimit && c.d.ctx.Err() == nil {
+		return breaker.ConnectFailed
+	}
+	if c.heard {
+		return breaker.PathSilent
+	}
+	return breaker.Abandoned
 }
 
-// lostError tells a connection that was never made from one that broke.
-func lostError(err error, reached bool) *result.Error {
+// lostError tells a connection that was never made from one that broke, and
+// the end of the agent from the end of the connection.
+func (c *conn) lostError(err error, reached bool) *result.Error {
 	if !reached {
 		return result.Wrap(result.UpstreamNotReachable, err, "no connection to the agent")
 	}
-	return result.Wrap(result.UpstreamFailed, err, "the connection to the agent broke")
+	e := result.Wrap(result.UpstreamFailed, err, "the connection to the agent broke").WithRan(result.Unknown)
+	if c.ran && c.d.m.agentGone(c.ticket.upstream.Addr) {
+		c.d.m.reportCrash(c.d.ctx, c.d.r, &c.ticket.upstream)
+		e.Ran = result.DidRun
+	}
+	return e
 }
 
 // post sends the request. Sent tells whether the agent may have received it.
-func (d *driver) post(ctx context.Context, c *conn, addr string, t *http.Transport, req *wire.GenerateRequest) (body io.ReadCloser, sent bool, err error) {
-	b, err := json.Marshal(req)
+func (c *conn) post(ctx context.Context, t *http.Transport) (body io.ReadCloser, sent bool, err error) {
+	b, err := json.Marshal(c.request)
 	if err != nil {
 		return nil, false, errors.Wrap(err, "encode request")
 	}
 	trace := &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) {
 			sent = true
-			d.signal(ctx, signal{conn: c.n})
+			c.d.signal(ctx, signal{conn: c.n})
 		},
 	}
-	hr, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, "http://"+addr+wire.GeneratePath, bytes.NewReader(b))
+	url := "http://" + c.ticket.upstream.Addr + wire.GeneratePath
+	hr, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, url, bytes.NewReader(b))
 	if err != nil {
 		return nil, false, errors.Wrap(err, "make request")
 	}
@@ -71,12 +183,14 @@
 
 // pump hands over frames in batches of what has already arrived. Two buffers
 // take turns: the driver has finished with one when it receives the other.
-func (d *driver) pump(ctx context.Context, c *conn, r *wire.FrameReader) error {
+func (c *conn) pump(ctx context.Context, r *wire.FrameReader) error {
 	var buffers [2][]wire.Frame
 	for turn := 0; ; turn = 1 - turn {
 		frames, err := fill(r, buffers[turn][:0])
 		buffers[turn] = frames
-		if len(frames) > 0 && !d.signal(ctx, signal{conn: c.n, frames: frames, more: r.Buffered() && err == nil}) {
+		c.note(frames)
+		more := err == nil && r.Buffered()
+		if len(frames) > 0 && !c.d.signal(ctx, signal{conn: c.n, frames: frames, more: more}) {
 			return ctx.Err()
 		}
 		if err != nil {
@@ -97,3 +211,34 @@
 		}
 	}
 }
+
+// note tells the owner what the frames show about the upstream.
+func (c *conn) note(frames []wire.Frame) {
+	for i := range frames {
+		f := &frames[i]
+		c.heard = true
+		if !c.ran && (f.Kind == wire.FrameStarted || f.Kind == wire.FrameToken) {
+			c.ran = true
+			c.d.m.owner.send(began{c.ticket})
+		}
+		if f.Kind == wire.FrameToken {
+			continue
+		}
+		c.d.m.owner.sample(report{c.ticket, f.Load})
+		c.d.m.owner.seen(f.Revision)
+		if f.Kind == wire.FrameFail {
+			c.outcome = outcomeOf(f.Code)
+		}
+	}
+}
+
+// outcomeOf tells whether a result is the upstream's fault.
+func outcomeOf(code result.Code) breaker.Outcome {
+	switch code {
+	case result.UpstreamFailed, result.UpstreamStalled, result.UpstreamMalformed, result.Internal, result.AnswerTooLarge:
+		return breaker.RequestFailed
+	case result.UpstreamNotReachable:
+		return breaker.ConnectFailed
+	}
+	return breaker.Abandoned
+}
--- /dev/null
+++ b/modules/entry/control.go
@@ -0,0 +1,54 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"heatherway.dev/core/wire"
+	"heatherway.dev/kernel/result"
+)
+
+// controlTry bounds one call to one control instance.
+const controlTry = time.Second
+
+// control calls the control instances in turn until one of them answers. The
+// one that answered last is tried first.
+func (m *Module) control(ctx context.Context, method string, args, reply any) error {
+	first := int(m.lastControl.Load())
+	var last error
+	for i := range m.Control {
+		n := (first + i) % len(m.Control)
+		err := m.controlOne(ctx, m.Control[n], method, args, reply)
+		if err == nil || !otherControl(err) {
+			m.lastControl.Store(int32(n))
+			return err
+		}
+		last = err
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return result.Wrap(result.ControlUnavailable, last, "no control instance answered")
+}
+
+func (m *Module) controlOne(ctx context.Context, addr, method string, args, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, controlTry)
+	defer cancel()
+	return m.agents.client(addr).Call(ctx, wire.ControlService+"."+method, args, reply)
+}
+
+// otherControl tells whether another instance may answer what this one did
+// not.
+func otherControl(err error) bool {
+	var known *result.Error
+	if !errors.As(err, &known) {
+		return true
+	}
+	switch known.Code {
+	case result.NotLeader, result.ControlUnavailable, result.RecordsUnavailable, result.Internal:
+		return true
+	}
+	return false
+}
--- a/modules/entry/driver.go
+++ b/modules/entry/driver.go
@@ -4,9 +4,11 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"heatherway.dev/core/config"
+	"heatherway.dev/core/pick"
 	"heatherway.dev/core/stream"
 	"heatherway.dev/core/wire"
 	"heatherway.dev/kernel/result"
@@ -38,17 +40,19 @@
 
 	signals chan signal
 	conns   map[int]*conn
-	avoid   map[string]bool
+	tried   []string
+	blocks  []uint64
 	timer   *time.Timer
+	// permit is held while a suspect runs; crashes counts the attempts that
+	// ended in what looks like a crash.
+	permit  wire.ID
+	crashes int
 
 	outcome    *stream.Outcome
 	lastWrite  time.Time
 	firstToken time.Duration
 	// lostAt is when the current attempt was lost, zero while tokens flow.
-	lostAt time.Time
-	// pending holds text accepted before the head of the answer was sent.
-	headSent bool
-	cause    *result.Error
+	lostAt   time.Time
 	written  int64
 	extended time.Time
 	logged   bool
@@ -62,7 +66,10 @@
 	more    bool
 	lost    bool
 	reached bool
-	err     *result.Error
+	// final ends the answer, since no other attempt may be made.
+	final  bool
+	err    *result.Error
+	permit wire.ID
 }
 
 func newDriver(ctx context.Context, m *Module, r *request) *driver {
@@ -71,7 +78,7 @@
 		m: m, r: r,
 		signals: make(chan signal),
 		conns:   map[int]*conn{},
-		avoid:   map[string]bool{},
+		blocks:  pick.Blocks(r.model, "", promptOf(r)),
 		timer:   time.NewTimer(time.Hour),
 		asm: stream.New(stream.Settings{
 			Attempts: int(r.snap.doc.Int("retry.attempts", scope, r.begun)),
@@ -118,7 +125,6 @@
 // WriteTo writes the rest of the answer.
 func (d *driver) WriteTo(w io.Writer) (int64, error) {
 	d.out.attach(w)
-	d.headSent = true
 	for d.outcome == nil {
 		d.step()
 		d.idle()
@@ -172,12 +178,15 @@
 
 func (d *driver) take(s signal) {
 	now := time.Now()
+	if s.permit != "" {
+		d.permit = s.permit
+	}
 	if s.agent != "" {
 		d.asm.Chosen(s.conn, s.agent)
+		return
 	}
 	if s.lost {
-		d.drop(s)
-		d.execute(d.asm.Lost(now, s.conn, s.reached, s.err))
+		d.lost(now, s)
 		return
 	}
 	if s.frames == nil {
@@ -192,21 +201,15 @@
 	}
 }
 
-// drop forgets a connection that has ended.
-func (d *driver) drop(s signal) {
-	if c, ok := d.conns[s.conn]; ok {
-		c.cancel()
-		delete(d.conns, s.conn)
-		if c.agent != "" {
-			d.avoid[c.agent] = true
-		}
+func (d *driver) lost(now time.Time, s signal) {
+	if s.final {
+		d.execute(d.asm.Refused(s.conn, s.err))
+		return
 	}
+	d.execute(d.asm.Lost(now, s.conn, s.reached, s.err))
 }
 
 func (d *driver) frame(now time.Time, conn int, f *wire.Frame) {
-	if f.Kind != wire.FrameToken {
-		d.report(conn, f)
-	}
 	deliver, acts := d.asm.Frame(now, conn, f)
 	if deliver {
 		d.deliver(now, f)
@@ -214,14 +217,6 @@
 	d.execute(acts)
 }
 
-// report passes the agent's load and newest revision on to the owner.
-func (d *driver) report(conn int, f *wire.Frame) {
-	if c, ok := d.conns[conn]; ok && c.agent != "" {
-		d.m.owner.send(event{kind: eventLoad, upstream: c.agent, load: f.Load})
-	}
-	d.m.owner.seen(f.Revision)
-}
-
 func (d *driver) deliver(now time.Time, f *wire.Frame) {
 	if d.firstToken == 0 {
 		d.firstToken = now.Sub(d.r.begun)
@@ -261,9 +256,6 @@
 	if c, ok := d.conns[n]; ok {
 		c.cancel()
 		delete(d.conns, n)
-		if c.agent != "" {
-			d.avoid[c.agent] = true
-		}
 	}
 }
 
@@ -273,17 +265,17 @@
 	if d.keepsRunning() {
 		return
 	}
-	u, ok := d.r.snap.upstreams[a.Agent]
+	u, ok := d.m.owner.current().upstreams[a.Agent]
 	if !ok {
 		return
 	}
 	c := d.m.agents.client(u.Addr)
 	args := wire.CancelArgs{Generation: d.r.generation, Attempt: a.Attempt}
-	go func() {
+	d.m.spawn(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), cancelLimit)
 		defer cancel()
 		_ = c.Call(ctx, wire.AgentService+".Cancel", &args, &wire.CancelReply{})
-	}()
+	})
 }
 
 // keepsRunning tells whether the caller has gone but can come back for the
@@ -303,6 +295,8 @@
 	}
 	d.end()
 	d.timer.Stop()
+	d.m.giveBackPermit(d.r, d.permit, d.outcome.Err == nil)
+	d.m.settle(d.r, d.outcome)
 	d.m.finish(d.r, d.summary())
 }
 
@@ -314,62 +308,59 @@
 	}
 }
 
-// conn is one connection to an agent.
-type conn struct {
-	n      int
-	agent  string
-	cancel context.CancelFunc
-}
-
-func (d *driver) newConn(n int) (*conn, context.Context) {
+func (d *driver) newConn(a stream.Action) (*conn, context.Context) {
 	ctx, cancel := context.WithCancel(d.ctx)
-	c := &conn{n: n, cancel: cancel}
-	d.conns[n] = c
+	c := &conn{n: a.Conn, cancel: cancel, d: d, request: d.generateRequest(a)}
+	d.conns[a.Conn] = c
 	return c, ctx
 }
 
 func (d *driver) open(a stream.Action) {
+	c, ctx := d.newConn(a)
+	text, _ := d.asm.Text()
+	c.request.Body, c.request.PrefixText, c.request.PrefixTokens = d.r.body, text, a.Offset
+	p := firstAttempt
 	if a.Cause != nil {
-		d.resumed()
+		p = d.again(a.Cause)
 	}
-	c, ctx := d.newConn(a.Conn)
-	u, err := d.m.choose(d.r, d.avoid)
-	if err != nil {
-		go d.signal(ctx, signal{conn: a.Conn, lost: true, err: err})
-		return
-	}
-	c.agent = u.ID
-	d.asm.Chosen(a.Conn, u.ID)
-	text, _ := d.asm.Text()
-	req := d.generateRequest(a)
-	req.Body, req.PrefixText, req.PrefixTokens = d.r.body, text, a.Offset
 	d.m.metrics.attempts.Inc()
-	go d.read(ctx, c, u.Addr, d.m.agents.pooled, req)
+	go c.connect(ctx, a, p, d.want(), d.permit, d.crashes)
 }
 
-func (d *driver) resumed() {
+// again prepares another attempt and tells which budget it draws on.
+func (d *driver) again(cause *result.Error) purpose {
+	if agent := d.asm.Agent(); agent != "" {
+		d.tried = append(d.tried, agent)
+	}
+	if crashed(cause) {
+		d.crashes++
+	}
+	if !d.asm.Started() {
+		return retryAttempt
+	}
 	d.m.metrics.resumes.Inc()
 	if d.lostAt.IsZero() && d.asm.Delivered() > 0 {
 		d.lostAt = time.Now()
 	}
+	return resumeAttempt
+}
+
+func (d *driver) want() pick.Request {
+	return pick.Request{
+		Model: d.r.model, Class: d.r.class, Blocks: d.blocks, Tried: slices.Clone(d.tried),
+		Zone: d.m.instance.Zone, Region: d.m.instance.Region,
+	}
 }
 
 func (d *driver) attach(a stream.Action) {
 	if a.Generation != "" {
 		d.r.generation = a.Generation
+		d.r.fixSeed()
 	}
-	c, ctx := d.newConn(a.Conn)
-	u, ok := d.m.owner.current().upstreams[a.Agent]
-	if !ok {
-		err := result.New(result.GenerationNotHeld, "the agent %s is gone", a.Agent)
-		go d.signal(ctx, signal{conn: a.Conn, lost: true, err: err})
-		return
-	}
-	c.agent = u.ID
-	req := d.generateRequest(a)
-	req.Attach, req.Offset = true, a.Offset
+	c, ctx := d.newConn(a)
+	c.request.Attach, c.request.Offset = true, a.Offset
 	d.m.metrics.attaches.Inc()
-	go d.read(ctx, c, u.Addr, d.m.agents.fresh, req)
+	go c.join(ctx, a.Agent, d.want())
 }
 
 func (d *driver) generateRequest(a stream.Action) *wire.GenerateRequest {
--- a/modules/entry/entry.go
+++ b/modules/entry/entry.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-faster/errors"
 
+	"heatherway.dev/core/pick"
 	"heatherway.dev/core/wire"
 	"heatherway.dev/kernel"
 	"heatherway.dev/kernel/peer"
@@ -31,6 +32,9 @@
 	Streams int `yaml:"streams"`
 	// Header is the most bytes of a request's headers.
 	Header int `yaml:"header"`
+	// Entries is an upper bound of the entries that run at the same time; it
+	// bounds what they admit together without a lease.
+	Entries int `yaml:"entries"`
 	// BodyTime bounds how long a caller may take to send a request.
 	BodyTime time.Duration `yaml:"body_time"`
 }
@@ -48,6 +52,8 @@
 	Grace time.Duration `yaml:"grace"`
 	// Limits bound what the entry accepts.
 	Limits Limits `yaml:"limits"`
+	// Choice names the filters, scorers and picker of the upstream choice.
+	Choice pick.Policy `yaml:"choice"`
 }
 
 // Module is the entry role.
@@ -66,15 +72,16 @@
 	agents  *agents
 	metrics *counters
 	slo     recorder
-	chooser chooser
 
-	ready    atomic.Bool
-	leaving  atomic.Bool
-	open     atomic.Int64
-	drain    chan struct{}
-	drainOne sync.Once
-	cancel   context.CancelFunc
-	tasks    sync.WaitGroup
+	ready   atomic.Bool
+	leaving atomic.Bool
+	open    atomic.Int64
+	// lastControl is the index of the control instance that answered last.
+	lastControl atomic.Int32
+	drain       chan struct{}
+	drainOne    sync.Once
+	cancel      context.CancelFunc
+	tasks       sync.WaitGroup
 }
 
 // Default settings.
@@ -82,6 +89,7 @@
 	defaultGrace    = 3 * time.Second
 	defaultStreams  = 20000
 	defaultHeader   = 16 << 10
+	defaultEntries  = 16
 	defaultBodyTime = 30 * time.Second
 )
 
@@ -90,7 +98,8 @@
 	return &Module{
 		Settings: Settings{
 			Grace:  defaultGrace,
-			Limits: Limits{Streams: defaultStreams, Header: defaultHeader, BodyTime: defaultBodyTime},
+			Limits: Limits{Streams: defaultStreams, Header: defaultHeader, Entries: defaultEntries, BodyTime: defaultBodyTime},
+			Choice: pick.DefaultPolicy(),
 		},
 		drain: make(chan struct{}),
 	}
@@ -111,6 +120,7 @@
 		settings.DurationInRange("grace", m.Grace, 0, 10*time.Minute),
 		settings.InRange("limits.streams", m.Limits.Streams, 1, 1<<20),
 		settings.InRange("limits.header", m.Limits.Header, 1<<10, 1<<20),
+		settings.InRange("limits.entries", m.Limits.Entries, 1, 100000),
 		settings.DurationInRange("limits.body_time", m.Limits.BodyTime, 100*time.Millisecond, 10*time.Minute),
 	)
 }
@@ -118,7 +128,9 @@
 // Provision implements kernel.Provisioner.
 func (m *Module) Provision(c *kernel.Context) error {
 	m.instance = c.Instance
-	m.prepare(c.Log, c.TLS, c.Stats)
+	if err := m.prepare(c.Log, c.TLS, c.Stats); err != nil {
+		return err
+	}
 	var err error
 	if m.public, err = c.Listen(m.Listen); err != nil {
 		return err
@@ -128,13 +140,14 @@
 }
 
 // prepare makes the parts of the role.
-func (m *Module) prepare(log *slog.Logger, security *peer.Security, reg *stats.Registry) {
+func (m *Module) prepare(log *slog.Logger, security *peer.Security, reg *stats.Registry) error {
 	m.log, m.security = log, security
 	m.metrics = newCounters(reg)
 	m.slo = newRecorder()
-	m.chooser = twoChoices{}
 	m.agents = newAgents(security)
-	m.owner = newOwner(m)
+	var err error
+	m.owner, err = newOwner(m)
+	return err
 }
 
 // Start implements kernel.Runner. It does not wait for the first
--- a/modules/entry/fake_test.go
+++ b/modules/entry/fake_test.go
@@ -270,7 +270,7 @@
 
 func provisionForTest(t testing.TB, m *Module) {
 	m.instance = kernel.Instance{ID: "entry-1", Zone: "a"}
-	m.prepare(slog.New(slog.DiscardHandler), plainSecurity(t), stats.New())
+	assert.NilError(t, m.prepare(slog.New(slog.DiscardHandler), plainSecurity(t), stats.New()))
 	var err error
 	m.public, err = net.Listen("tcp", m.Listen)
 	assert.NilError(t, err)
--- a/modules/entry/generate.go
+++ b/modules/entry/generate.go
@@ -42,7 +42,7 @@
 	s := stateOf(ctx)
 	r, err := newGeneration(s, kind, model, stream != nil && *stream, h)
 	if err == nil {
-		err = g.m.admit(ctx, r)
+		err = g.m.admit(ctx, r, len(r.body))
 	}
 	if err != nil {
 		g.m.refuse(s, r, err)
--- a/modules/entry/handler.go
+++ b/modules/entry/handler.go
@@ -159,20 +159,31 @@
 	return s.snap.doc.Int("request.body_limit", config.Scope{Organisation: s.organisation}, s.begun)
 }
 
-// read reads a body up to the organisation's limit.
+// read reads a body up to the organisation's limit. After a failure the rest
+// of the body is not waited for, so the connection cannot be used again.
 func (s *state) read(body io.Reader) ([]byte, *result.Error) {
+	b, err := s.readLimited(body)
+	if err != nil {
+		s.w.Header().Set("Connection", "close")
+		return nil, err
+	}
+	s.endBody()
+	return b, nil
+}
+
+func (s *state) readLimited(body io.Reader) ([]byte, *result.Error) {
 	limit := s.bodyLimit()
+	tooLarge := result.New(result.BodyTooLarge, "the body exceeds %d bytes", limit)
 	if s.r.ContentLength > limit {
-		return nil, result.New(result.BodyTooLarge, "the body exceeds %d bytes", limit)
+		return nil, tooLarge
 	}
 	b, err := io.ReadAll(io.LimitReader(body, limit+1))
 	if err != nil {
 		return nil, result.New(result.MalformedBody, "the body could not be read")
 	}
 	if int64(len(b)) > limit {
-		return nil, result.New(result.BodyTooLarge, "the body exceeds %d bytes", limit)
+		return nil, tooLarge
 	}
-	s.endBody()
 	return b, nil
 }
 
--- a/modules/entry/internal.go
+++ b/modules/entry/internal.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"time"
+
 	"heatherway.dev/core/wire"
 	"heatherway.dev/kernel/peer"
 )
@@ -19,7 +21,7 @@
 		Revision:  snap.revision(),
 		Behind:    snap.behind,
 		Open:      int(s.m.open.Load()),
-		Upstreams: snap.views(),
+		Upstreams: s.m.owner.views(),
 	}
 	return nil
 }
@@ -39,3 +41,21 @@
 	r.Report = b
 	return peer.EncodeError(err)
 }
+
+// views returns what the owner knows about the upstreams.
+func (o *owner) views() []wire.UpstreamView {
+	reply := make(chan []wire.UpstreamView, 1)
+	t := time.NewTimer(time.Second)
+	defer t.Stop()
+	select {
+	case o.queue <- look{reply}:
+	case <-t.C:
+		return nil
+	}
+	select {
+	case v := <-reply:
+		return v
+	case <-t.C:
+		return nil
+	}
+}
--- a/modules/entry/metrics.go
+++ b/modules/entry/metrics.go
@@ -23,6 +23,7 @@
 	eventsDropped  stats.Counter
 	watchFailures  stats.Counter
 	slowReaders    stats.Counter
+	leaseFailures  stats.Counter
 	resumeGap      stats.Histogram
 	firstToken     [wire.ClassCount]stats.Histogram
 }
@@ -41,6 +42,7 @@
 		eventsDropped:  r.Counter("entry_events_dropped_total"),
 		watchFailures:  r.Counter("entry_watch_failures_total"),
 		slowReaders:    r.Counter("entry_slow_readers_total"),
+		leaseFailures:  r.Counter("entry_lease_failures_total"),
 		resumeGap:      r.Histogram("entry_resume_gap_ms"),
 	}
 	for _, k := range wire.Classes() {
--- a/modules/entry/owner.go
+++ b/modules/entry/owner.go
@@ -3,281 +3,477 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand"
 	"sync/atomic"
 	"time"
 
+	"heatherway.dev/core/breaker"
 	"heatherway.dev/core/config"
+	"heatherway.dev/core/limit"
+	"heatherway.dev/core/pick"
+	"heatherway.dev/core/retry"
 	"heatherway.dev/core/wire"
-	"heatherway.dev/kernel/peer"
+	"heatherway.dev/kernel/result"
 )
 
-// Timing of the watch.
-const (
-	// watchWait is how long a control instance holds a watch without news.
-	watchWait = 2 * time.Second
-	// watchLimit ends a watch that does not return.
-	watchLimit = watchWait + time.Second
-	// watchPause separates attempts after a failure.
-	watchPause = 100 * time.Millisecond
-	// behindLimit is how long a newer revision may be known but not fetched.
-	behindLimit = 5 * time.Second
-)
-
-// Size and patience of the event queue.
+// Size and patience of the owner's queue.
 const (
 	eventQueue = 4096
-	// eventPatience bounds how long a sender waits to report a failure.
+	// eventPatience bounds how long a sender waits to report an outcome.
 	eventPatience = 50 * time.Millisecond
+	// ownerTick is how often lease requests are made.
+	ownerTick = 100 * time.Millisecond
+	// behindLimit is how long a newer revision may be known but not fetched.
+	behindLimit = 5 * time.Second
 )
 
-type eventKind uint8
-
-const (
-	eventSent eventKind = iota + 1
-	eventDone
-	eventLoad
-	eventRevision
-)
-
-// event is what a traffic goroutine tells the owner.
-type event struct {
-	kind     eventKind
-	upstream string
-	load     wire.Load
-	revision uint64
-	failed   bool
-}
+// input is what the owner's goroutine takes from its queue.
+type input interface{ apply(o *owner, now time.Time) }
 
-// owner holds the control state of the entry in one goroutine. Traffic reads
-// snapshots and sends events. A full queue drops load samples, since the next
-// one replaces them; other events wait for eventPatience and are then counted
-// as lost.
+// owner holds the control state of the entry in one goroutine: upstreams with
+// their load and circuit breakers, retry budget and rate limits. Traffic reads
+// snapshots, asks for decisions that change the state, and sends events. A
+// full queue drops load samples, since the next one replaces them; outcomes
+// wait for eventPatience and are then counted as lost.
 type owner struct {
-	m       *Module
-	snap    atomic.Pointer[snapshot]
-	events  chan event
-	replies chan *wire.WatchReply
-	// kick ends the wait of a watch when a newer revision is known.
+	m     *Module
+	snap  atomic.Pointer[snapshot]
+	queue chan input
+	// newest is the newest revision that any peer has shown.
 	newest atomic.Uint64
 
 	next       snapshot
-	members    uint64
-	suspectsAt uint64
 	newerSince time.Time
+	tuned      tuning
+	table      *pick.Table
+	chooser    *pick.Chooser
+	budget     *retry.Budget
+	limits     *limit.Entry
+	latency    map[string]*retry.Latency
+	inFlight   map[string]int
+	running    int
+	number     uint64
+	rng        *rand.Rand
+	list       []wire.Upstream
 }
 
-func newOwner(m *Module) *owner {
-	o := &owner{m: m, events: make(chan event, eventQueue), replies: make(chan *wire.WatchReply)}
+// tuning is the part of the configuration that the decision packages are made
+// with; a change of it makes them anew.
+type tuning struct {
+	share    float64
+	failures int64
+	pause    time.Duration
+}
+
+func newOwner(m *Module) (*owner, error) {
+	chooser, err := pick.New(m.Choice)
+	if err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	name := m.instance.ID + "/" + string(wire.NewID())
+	o := &owner{
+		m: m, queue: make(chan input, eventQueue), chooser: chooser,
+		table: pick.NewTable(pick.Settings{}), budget: retry.NewBudget(retry.Settings{}),
+		limits: limit.NewEntry(name, m.Limits.Entries), latency: map[string]*retry.Latency{},
+		inFlight: map[string]int{}, rng: rand.New(rand.NewSource(now.UnixNano())),
+	}
 	o.snap.Store(&snapshot{})
-	o.next.upstreams = map[string]*upstream{}
-	return o
+	return o, nil
 }
 
 func (o *owner) current() *snapshot { return o.snap.Load() }
 
-// send reports an event.
-func (o *owner) send(e event) {
+// sample reports something that a later report replaces.
+func (o *owner) sample(e input) {
 	select {
-	case o.events <- e:
-		return
+	case o.queue <- e:
 	default:
-	}
-	if e.kind == eventLoad {
 		o.m.metrics.samplesDropped.Inc()
+	}
+}
+
+// send reports an outcome.
+func (o *owner) send(e input) {
+	select {
+	case o.queue <- e:
 		return
+	default:
 	}
 	t := time.NewTimer(eventPatience)
 	defer t.Stop()
 	select {
-	case o.events <- e:
+	case o.queue <- e:
 	case <-t.C:
 		o.m.metrics.eventsDropped.Inc()
 	}
 }
 
 func (o *owner) run(ctx context.Context) {
-	tick := time.NewTicker(time.Second)
+	tick := time.NewTicker(ownerTick)
 	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case r := <-o.replies:
-			o.learn(r, time.Now())
-		case e := <-o.events:
-			o.take(e)
-			o.drain()
+		case e := <-o.queue:
+			e.apply(o, time.Now())
 		case now := <-tick.C:
 			o.checkBehind(now)
-		}
-		o.publish()
-	}
-}
-
-func (o *owner) drain() {
-	for range eventQueue {
-		select {
-		case e := <-o.events:
-			o.take(e)
-		default:
-			return
+			o.askLeases(now)
 		}
 	}
 }
 
-// publish hands out a copy of the state.
+// publish hands out a copy of the state that traffic reads.
 func (o *owner) publish() {
 	s := o.next
-	s.upstreams = make(map[string]*upstream, len(o.next.upstreams))
-	for id, u := range o.next.upstreams {
-		c := *u
-		s.upstreams[id] = &c
-	}
 	o.snap.Store(&s)
 	if s.doc != nil {
 		o.m.ready.Store(true)
 	}
 }
 
-func (o *owner) take(e event) {
-	if e.kind == eventRevision {
-		o.checkBehind(time.Now())
+// news is the answer of a watch.
+type news struct{ reply *wire.WatchReply }
+
+// apply takes the news. A revision lower than the current one is ignored,
+// since an accepted configuration never reverts.
+func (n news) apply(o *owner, now time.Time) {
+	r := n.reply
+	if len(r.Config) > 0 && (o.next.doc == nil || r.Revision > o.next.revision()) {
+		o.learnConfig(r.Config, now)
+	}
+	if r.MembersChanged {
+		o.learnMembers(r.Upstreams)
+	}
+	if r.SuspectsChanged {
+		o.next.suspects = suspectIndex(r.Suspect, now)
+	}
+	o.checkBehind(now)
+	o.publish()
+}
+
+func (o *owner) learnConfig(text []byte, now time.Time) {
+	doc := &config.Document{}
+	if err := json.Unmarshal(text, doc); err != nil {
+		o.m.log.Error("cannot decode the configuration", "error", err)
 		return
 	}
-	u, ok := o.next.upstreams[e.upstream]
-	if !ok {
+	o.next.doc, o.next.keys = doc, keyIndex(doc)
+	o.tune(doc, now)
+	o.m.metrics.revision.Set(int64(doc.Revision))
+	o.m.log.Info("configuration in force", "revision", doc.Revision)
+}
+
+func (o *owner) tune(doc *config.Document, now time.Time) {
+	t := tuning{
+		share:    doc.Float("retry.share", config.Scope{}, now),
+		failures: doc.Int("breaker.failures", config.Scope{}, now),
+		pause:    doc.Duration("breaker.pause", config.Scope{}, now),
+	}
+	if t == o.tuned {
 		return
 	}
-	switch e.kind {
-	case eventSent:
-		u.inFlight++
-		u.since++
-	case eventDone:
-		u.inFlight--
-	case eventLoad:
-		u.load, u.since = e.load, 0
+	o.tuned = t
+	share := t.share
+	if share == 0 {
+		share = -1 // a zero field would mean the default
 	}
+	o.budget = retry.NewBudget(retry.Settings{Share: share})
+	o.table = pick.NewTable(pick.Settings{Breaker: breaker.Settings{Consecutive: int(t.failures), Pause: t.pause}})
+	o.table.SetUpstreams(o.list)
+}
+
+// learnMembers replaces the subset. An older incarnation never replaces a
+// newer one.
+func (o *owner) learnMembers(list []wire.Upstream) {
+	byID := make(map[string]wire.Upstream, len(list))
+	kept := make([]wire.Upstream, 0, len(list))
+	for _, u := range list {
+		if was, ok := o.next.upstreams[u.ID]; ok && was.Incarnation > u.Incarnation {
+			u = was
+		}
+		byID[u.ID] = u
+		kept = append(kept, u)
+	}
+	o.next.upstreams, o.list = byID, kept
+	o.table.SetUpstreams(kept)
+	keep := make(map[string]bool, len(kept))
+	for _, u := range kept {
+		keep[u.Addr] = true
+	}
+	o.m.agents.forget(keep)
 }
 
 // seen notes the newest revision that a peer knows.
 func (o *owner) seen(revision uint64) {
-	for {
-		old := o.newest.Load()
-		if revision <= old {
-			return
-		}
+	for old := o.newest.Load(); revision > old; old = o.newest.Load() {
 		if o.newest.CompareAndSwap(old, revision) {
-			o.send(event{kind: eventRevision, revision: revision})
 			return
 		}
 	}
 }
 
 func (o *owner) checkBehind(now time.Time) {
-	if o.next.revision() >= o.newest.Load() {
+	was := o.next.behind
+	switch {
+	case o.next.revision() >= o.newest.Load():
 		o.newerSince, o.next.behind = time.Time{}, false
-		return
-	}
-	if o.newerSince.IsZero() {
+	case o.newerSince.IsZero():
 		o.newerSince = now
+	default:
+		o.next.behind = now.Sub(o.newerSince) >= behindLimit
+	}
+	if was != o.next.behind {
+		o.m.log.Warn("newer configuration known", "revision", o.newest.Load(), "refusing", o.next.behind)
+		o.publish()
 	}
-	o.next.behind = now.Sub(o.newerSince) >= behindLimit
 }
 
-// learn takes the news of a watch. A revision lower than the current one is
-// ignored, since an accepted configuration never reverts.
-func (o *owner) learn(r *wire.WatchReply, now time.Time) {
-	if len(r.Config) > 0 && (o.next.doc == nil || r.Revision > o.next.revision()) {
-		o.learnConfig(r.Config)
-	}
-	if r.MembersChanged {
-		o.members = r.Members
-		o.learnMembers(r.Upstreams)
+// purpose tells what a choice is for, which decides the budget it draws on.
+type purpose uint8
+
+const (
+	firstAttempt purpose = iota
+	retryAttempt
+	resumeAttempt
+	hedgeAttempt
+)
+
+// ticket ties what happens to an attempt to the choice that was made for it.
+type ticket struct {
+	upstream wire.Upstream
+	number   uint64
+	permit   breaker.Permit
+}
+
+// selection is the owner's answer to a choose.
+type selection struct {
+	ticket
+	// wait asks to come back later, since the resume budget is spent.
+	wait time.Duration
+	err  *result.Error
+}
+
+// choose asks for an upstream.
+type choose struct {
+	request pick.Request
+	purpose purpose
+	reply   chan selection
+}
+
+// choose gets an upstream from the owner.
+func (o *owner) choose(ctx context.Context, c choose) selection {
+	c.reply = make(chan selection, 1)
+	gone := selection{err: result.New(result.CallerGone, "the request ended").WithRan(result.NotRun)}
+	select {
+	case o.queue <- c:
+	case <-ctx.Done():
+		return gone
 	}
-	if r.SuspectsChanged {
-		o.suspectsAt = r.Suspects
-		o.next.suspects = suspectIndex(r.Suspect, now)
+	select {
+	case r := <-c.reply:
+		return r
+	case <-ctx.Done():
+		go o.settleChoice(c.reply)
+		return gone
 	}
-	o.checkBehind(now)
 }
 
-func (o *owner) learnConfig(text []byte) {
-	doc := &config.Document{}
-	if err := json.Unmarshal(text, doc); err != nil {
-		o.m.log.Error("cannot decode the configuration", "error", err)
-		return
+// settleChoice ends the attempt of a choice that nobody waits for any more.
+func (o *owner) settleChoice(reply chan selection) {
+	select {
+	case r := <-reply:
+		if r.err == nil && r.wait == 0 {
+			o.send(ended{ticket: r.ticket, outcome: breaker.Abandoned})
+		}
+	case <-time.After(time.Second):
 	}
-	o.next.doc, o.next.keys = doc, keyIndex(doc)
-	o.m.metrics.revision.Set(int64(doc.Revision))
-	o.m.log.Info("configuration in force", "revision", doc.Revision)
 }
 
-// learnMembers replaces the subset and keeps what is known about upstreams of
-// the same incarnation.
-func (o *owner) learnMembers(list []wire.Upstream) {
-	old := o.next.upstreams
-	o.next.upstreams = make(map[string]*upstream, len(list))
-	for _, w := range list {
-		u := &upstream{Upstream: w}
-		if was, ok := old[w.ID]; ok {
-			if was.Incarnation > w.Incarnation {
-				o.next.upstreams[w.ID] = was
-				continue
-			}
-			u.inFlight = was.inFlight
-			if was.Incarnation == w.Incarnation {
-				u.load, u.since, u.breaker = was.load, was.since, was.breaker
-			}
+func (c choose) apply(o *owner, now time.Time) { c.reply <- o.decide(now, c) }
+
+func (o *owner) decide(now time.Time, c choose) selection {
+	o.resolveAdapter(&c.request)
+	switch c.purpose {
+	case firstAttempt:
+		o.budget.First(now)
+	case retryAttempt, hedgeAttempt:
+		if !o.mayChoose(now, &c.request) {
+			return selection{err: result.New(result.NoUpstream, "no other upstream can take the request now")}
+		}
+		if !o.budget.Retry(now) {
+			return selection{err: result.New(result.RetryBudgetSpent, "the retry budget is spent")}
 		}
-		o.next.upstreams[w.ID] = u
+	case resumeAttempt:
+		if wait, ok := o.budget.Resume(now, o.running); !ok {
+			return selection{wait: wait}
+		}
+	}
+	return o.pick(now, &c.request)
+}
+
+// mayChoose keeps a retry that has nowhere to go from using up the budget.
+func (o *owner) mayChoose(now time.Time, r *pick.Request) bool {
+	_, err := o.chooser.Choose(o.rng, r, o.table.Candidates(now, r))
+	return err == nil
+}
+
+func (o *owner) pick(now time.Time, r *pick.Request) selection {
+	found, err := o.chooser.Choose(o.rng, r, o.table.Candidates(now, r))
+	if err != nil && len(r.Tried) > 0 {
+		// Every upstream has failed this request; the first may be back.
+		r.Tried = nil
+		found, err = o.chooser.Choose(o.rng, r, o.table.Candidates(now, r))
+	}
+	if err != nil {
+		return selection{err: result.From(err)}
 	}
+	permit, ok := o.table.Breaker(found.Upstream.ID).Allow(now)
+	if !ok {
+		return selection{err: result.New(result.NoUpstream, "no upstream can take the request now")}
+	}
+	return selection{ticket: o.dispatch(now, found.Upstream, permit, r)}
 }
 
-// watch polls the control instances, any one that answers.
-func (o *owner) watch(ctx context.Context) {
-	args := wire.WatchArgs{
-		Instance: o.m.instance.ID, Role: "entry", Zone: o.m.instance.Zone,
-		Fresh: true, WaitMS: watchWait.Milliseconds(),
+// resolveAdapter finds a model name among the adapters when no upstream serves
+// it as a model.
+func (o *owner) resolveAdapter(r *pick.Request) {
+	if r.Model == "" || r.Adapter != "" {
+		return
 	}
-	for i := 0; ctx.Err() == nil; {
-		client := o.m.agents.client(o.m.Control[i%len(o.m.Control)])
-		var reply wire.WatchReply
-		if err := o.poll(ctx, client, &args, &reply); err != nil {
-			o.m.log.Debug("watch failed", "control", client.Addr(), "error", err)
-			o.m.metrics.watchFailures.Inc()
-			i++
-			wait(ctx, watchPause)
-			continue
+	adapter := false
+	for _, u := range o.list {
+		if contains(u.Models, r.Model) {
+			return
 		}
-		// An instance that lags behind what a peer knows is left for another.
-		if reply.Revision < args.Revision || reply.Revision < o.newest.Load() {
-			i++
-			wait(ctx, watchPause)
+		adapter = adapter || contains(u.Adapters, r.Model)
+	}
+	if adapter {
+		r.Model, r.Adapter = "", r.Model
+	}
+}
+
+func contains(list []string, want string) bool {
+	for _, s := range list {
+		if s == want {
+			return true
 		}
-		o.deliver(ctx, &args, &reply)
 	}
+	return false
+}
+
+func (o *owner) dispatch(now time.Time, u wire.Upstream, permit breaker.Permit, r *pick.Request) ticket {
+	o.number++
+	o.table.Sent(now, u.ID, o.number, r)
+	o.inFlight[u.ID]++
+	o.running++
+	return ticket{upstream: u, number: o.number, permit: permit}
 }
 
-func (o *owner) poll(ctx context.Context, c *peer.Client, args *wire.WatchArgs, reply *wire.WatchReply) error {
-	ctx, cancel := context.WithTimeout(ctx, watchLimit)
-	defer cancel()
-	return c.Call(ctx, wire.ControlService+".Watch", args, reply)
+// attachTo asks to open a connection to one upstream.
+type attachTo struct {
+	id      string
+	request pick.Request
+	reply   chan selection
 }
 
-func (o *owner) deliver(ctx context.Context, args *wire.WatchArgs, reply *wire.WatchReply) {
+func (a attachTo) apply(o *owner, now time.Time) {
+	u, ok := o.next.upstreams[a.id]
+	if !ok {
+		a.reply <- selection{err: result.New(result.GenerationNotHeld, "the agent %s is gone", a.id)}
+		return
+	}
+	permit, _ := o.table.Breaker(a.id).Allow(now)
+	a.reply <- selection{ticket: o.dispatch(now, u, permit, &a.request)}
+}
+
+func (o *owner) attach(ctx context.Context, id string, r pick.Request) selection {
+	a := attachTo{id: id, request: r, reply: make(chan selection, 1)}
 	select {
-	case o.replies <- reply:
+	case o.queue <- a:
 	case <-ctx.Done():
-		return
+		return selection{err: result.New(result.CallerGone, "the request ended")}
 	}
-	args.Fresh = false
-	if len(reply.Config) > 0 && reply.Revision > args.Revision {
-		args.Revision = reply.Revision
+	return <-a.reply
+}
+
+// began reports that an upstream runs an attempt.
+type began struct{ ticket }
+
+func (e began) apply(o *owner, now time.Time) {
+	if b := o.table.Breaker(e.upstream.ID); b != nil {
+		b.Record(now, e.permit, breaker.Succeeded)
 	}
-	if reply.MembersChanged {
-		args.Members = reply.Members
+}
+
+// ended reports the end of an attempt.
+type ended struct {
+	ticket
+	outcome breaker.Outcome
+}
+
+func (e ended) apply(o *owner, now time.Time) {
+	o.table.Ended(now, e.upstream.ID, e.number)
+	if b := o.table.Breaker(e.upstream.ID); b != nil {
+		b.Record(now, e.permit, e.outcome)
 	}
-	if reply.SuspectsChanged {
-		args.Suspects = reply.Suspects
+	o.running--
+	if o.inFlight[e.upstream.ID]--; o.inFlight[e.upstream.ID] <= 0 {
+		delete(o.inFlight, e.upstream.ID)
+	}
+}
+
+// report carries an agent's load.
+type report struct {
+	ticket
+	load wire.Load
+}
+
+func (e report) apply(o *owner, now time.Time) { o.table.Report(now, e.upstream.ID, e.number, e.load) }
+
+// took reports the latency of a first attempt of an idempotent lookup.
+type took struct {
+	service string
+	latency time.Duration
+}
+
+func (e took) apply(o *owner, now time.Time) {
+	l, ok := o.latency[e.service]
+	if !ok {
+		l = &retry.Latency{}
+		o.latency[e.service] = l
+	}
+	l.Observe(now, e.latency)
+	o.publishHedge(e.service, l, now)
+}
+
+// publishHedge updates the delay after which a lookup is hedged.
+func (o *owner) publishHedge(service string, l *retry.Latency, now time.Time) {
+	delay, ok := l.HedgeDelay(now)
+	if !ok || o.next.hedge[service] == delay {
+		return
+	}
+	hedge := make(map[string]time.Duration, len(o.next.hedge)+1)
+	for k, v := range o.next.hedge {
+		hedge[k] = v
+	}
+	hedge[service] = delay
+	o.next.hedge = hedge
+	o.publish()
+}
+
+// look asks for the state shown to operators.
+type look struct{ reply chan []wire.UpstreamView }
+
+func (l look) apply(o *owner, now time.Time) {
+	var out []wire.UpstreamView
+	for _, c := range o.table.Candidates(now, &pick.Request{}) {
+		out = append(out, wire.UpstreamView{
+			ID: c.ID, State: c.State, Breaker: o.table.Breaker(c.ID).State(now).String(),
+			InFlight: o.inFlight[c.ID], Load: c.Load,
+		})
 	}
+	l.reply <- out
 }
--- a/modules/entry/request.go
+++ b/modules/entry/request.go
@@ -36,6 +36,8 @@
 	stream       bool
 	includeUsage bool
 	resume       *wire.EventID
+	// seeded is set when the caller gave no sampling seed.
+	seeded bool
 }
 
 // callerHeaders are the headers shared by all methods.
@@ -152,12 +154,18 @@
 		r.generation = wire.NewID()
 	}
 	r.body = raw
-	if o.Seed == nil {
-		r.body = withSeed(raw, seedOf(r.generation))
-	}
+	r.seeded = o.Seed == nil
+	r.fixSeed()
 	return nil
 }
 
+// fixSeed sets the seed that belongs to the generation id.
+func (r *request) fixSeed() {
+	if r.seeded {
+		r.body = withSeed(r.body, seedOf(r.generation))
+	}
+}
+
 // seedBits keeps the seed in the range that every JSON reader can hold.
 const seedBits = 31
 
@@ -199,3 +207,18 @@
 	r.resume, r.generation = &e, e.Generation
 	return nil
 }
+
+// promptOf returns the text whose prefix an engine may have cached.
+func promptOf(r *request) string {
+	var b struct {
+		Prompt   string          `json:"prompt"`
+		Messages json.RawMessage `json:"messages"`
+	}
+	if err := json.Unmarshal(r.body, &b); err != nil {
+		return ""
+	}
+	if r.kind == wire.Chat {
+		return string(b.Messages)
+	}
+	return b.Prompt
+}
--- a/modules/entry/snapshot.go
+++ b/modules/entry/snapshot.go
@@ -14,19 +14,10 @@
 	keys map[string]string
 	// behind is set when a newer revision is known and cannot be fetched.
 	behind    bool
-	upstreams map[string]*upstream
+	upstreams map[string]wire.Upstream
 	suspects  map[string]suspect
-}
-
-// upstream is the state of one upstream in a snapshot.
-type upstream struct {
-	wire.Upstream
-	load wire.Load
-	// inFlight is the work sent by this entry; since counts what was sent after
-	// the last load report.
-	inFlight int
-	since    int
-	breaker  string
+	// hedge is the time after which a lookup of a service is hedged.
+	hedge map[string]time.Duration
 }
 
 type suspect struct {
@@ -41,20 +32,11 @@
 	return s.doc.Revision
 }
 
-func (s *snapshot) views() []wire.UpstreamView {
-	out := make([]wire.UpstreamView, 0, len(s.upstreams))
-	for _, u := range s.upstreams {
-		out = append(out, wire.UpstreamView{ID: u.ID, State: u.State, Breaker: u.breaker, InFlight: u.inFlight, Load: u.load})
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
-	return out
-}
-
 // models returns the models served by any upstream, in order of name.
 func (s *snapshot) models() []string {
 	seen := map[string]bool{}
 	for _, u := range s.upstreams {
-		for _, n := range u.Models {
+		for _, n := range append(u.Models[:len(u.Models):len(u.Models)], u.Adapters...) {
 			seen[n] = true
 		}
 	}
--- /dev/null
+++ b/modules/entry/watch.go
@@ -0,0 +1,68 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"heatherway.dev/core/wire"
+	"heatherway.dev/kernel/peer"
+)
+
+// Timing of the watch.
+const (
+	// watchWait is how long a control instance holds a watch without news.
+	watchWait = 2 * time.Second
+	// watchLimit ends a watch that does not return.
+	watchLimit = watchWait + time.Second
+	// watchPause separates attempts after a failure.
+	watchPause = 100 * time.Millisecond
+)
+
+// watch polls the control instances, any one that answers.
+func (o *owner) watch(ctx context.Context) {
+	args := wire.WatchArgs{
+		Instance: o.m.instance.ID, Role: "entry", Zone: o.m.instance.Zone,
+		Fresh: true, WaitMS: watchWait.Milliseconds(),
+	}
+	for i := 0; ctx.Err() == nil; {
+		client := o.m.agents.client(o.m.Control[i%len(o.m.Control)])
+		var reply wire.WatchReply
+		if err := poll(ctx, client, &args, &reply); err != nil {
+			o.m.log.Debug("watch failed", "control", client.Addr(), "error", err)
+			o.m.metrics.watchFailures.Inc()
+			i++
+			wait(ctx, watchPause)
+			continue
+		}
+		o.deliver(ctx, &args, &reply)
+		// An instance that is behind what a peer has shown is left for another.
+		if args.Revision < o.newest.Load() {
+			i++
+			wait(ctx, watchPause)
+		}
+	}
+}
+
+func poll(ctx context.Context, c *peer.Client, args *wire.WatchArgs, reply *wire.WatchReply) error {
+	ctx, cancel := context.WithTimeout(ctx, watchLimit)
+	defer cancel()
+	return c.Call(ctx, wire.ControlService+".Watch", args, reply)
+}
+
+func (o *owner) deliver(ctx context.Context, args *wire.WatchArgs, reply *wire.WatchReply) {
+	select {
+	case o.queue <- news{reply}:
+	case <-ctx.Done():
+		return
+	}
+	args.Fresh = false
+	if len(reply.Config) > 0 && reply.Revision > args.Revision {
+		args.Revision = reply.Revision
+	}
+	if reply.MembersChanged {
+		args.Members = reply.Members
+	}
+	if reply.SuspectsChanged {
+		args.Suspects = reply.Suspects
+	}
+}
