entry: test calls, suspects, shutdown and slow readers

Cause: at-most-once, graceful stop and the suspect rules had no test. Ruled out: a real agent in these tests; fakes script the failures exactly. Change: fakes of agent and control over loopback; a write deadline on every answer that replaces the one left on the connection; Connection: close while leaving; a setting limits.write_time.

--- a/modules/entry/driver.go
+++ b/modules/entry/driver.go
@@ -22,8 +22,6 @@
 	// headWait is how long an event stream waits for its first token before
 	// the status is sent; a failure within it keeps its own HTTP status.
 	headWait = time.Second
-	// writeLimit ends an answer whose caller reads nothing.
-	writeLimit = 10 * time.Second
 	// cancelLimit bounds the message that ends an attempt.
 	cancelLimit = time.Second
 )
--- a/modules/entry/entry.go
+++ b/modules/entry/entry.go
@@ -37,6 +37,8 @@
 	Entries int `yaml:"entries"`
 	// BodyTime bounds how long a caller may take to send a request.
 	BodyTime time.Duration `yaml:"body_time"`
+	// WriteTime ends an answer whose caller has read nothing for that long.
+	WriteTime time.Duration `yaml:"write_time"`
 }
 
 // Settings of the role.
@@ -91,6 +93,9 @@
 	defaultHeader   = 16 << 10
 	defaultEntries  = 16
 	defaultBodyTime = 30 * time.Second
+	// defaultWriteTime is the limit for slow readers, see docs/design.md
+	// section 10.
+	defaultWriteTime = 10 * time.Second
 )
 
 // New returns the role with its default settings.
@@ -98,10 +103,9 @@
 	return &Module{
 		Settings: Settings{
 			Grace:  defaultGrace,
-			Limits: Limits{Streams: defaultStreams, Header: defaultHeader, Entries: defaultEntries, BodyTime: defaultBodyTime},
+			Limits: Limits{Streams: defaultStreams, Header: defaultHeader, Entries: defaultEntries, BodyTime: defaultBodyTime, WriteTime: defaultWriteTime},
 			Choice: pick.DefaultPolicy(),
 		},
-		drain: make(chan struct{}),
 	}
 }
 
@@ -122,6 +126,7 @@
 		settings.InRange("limits.header", m.Limits.Header, 1<<10, 1<<20),
 		settings.InRange("limits.entries", m.Limits.Entries, 1, 100000),
 		settings.DurationInRange("limits.body_time", m.Limits.BodyTime, 100*time.Millisecond, 10*time.Minute),
+		settings.DurationInRange("limits.write_time", m.Limits.WriteTime, 100*time.Millisecond, 10*time.Minute),
 	)
 }
 
@@ -193,26 +198,28 @@
 // Stop implements kernel.Runner: the readiness check fails for the grace
 // period, then the listener closes, and running answers finish until ctx ends.
 func (m *Module) Stop(ctx context.Context) error {
-	m.leave()
+	m.leaving.Store(true)
+	m.log.Info("leaving", "open", m.open.Load())
 	wait(ctx, m.Grace)
 	err := m.server.Shutdown(ctx)
 	if err != nil {
 		_ = m.server.Close()
+		m.awaitHandlers()
 	}
 	_ = m.peers.Close()
 	m.cancel()
-	m.agents.close()
 	m.tasks.Wait()
+	m.agents.close()
 	return errors.Wrap(err, "running answers were cut by the stop limit")
 }
 
-// leave makes the readiness check fail.
-func (m *Module) leave() {
-	m.drainOne.Do(func() {
-		m.leaving.Store(true)
-		close(m.drain)
-		m.log.Info("leaving", "open", m.open.Load())
-	})
+// handlerPatience bounds the wait for handlers whose connections were closed.
+const handlerPatience = time.Second
+
+func (m *Module) awaitHandlers() {
+	for end := time.Now().Add(handlerPatience); m.open.Load() > 0 && time.Now().Before(end); {
+		wait(context.Background(), handlerPatience/100)
+	}
 }
 
 func (m *Module) isReady() bool { return m.ready.Load() && !m.leaving.Load() }
--- a/modules/entry/fake_test.go
+++ b/modules/entry/fake_test.go
@@ -122,6 +122,7 @@
 	addr     string
 	server   *httptest.Server
 	mu       sync.Mutex
+	conns    []net.Conn
 	requests []wire.GenerateRequest
 	calls    []wire.CallArgs
 	cancels  []wire.CancelArgs
@@ -198,13 +199,28 @@
 		a.generate(&frameWriter{w, r.Context(), &req}, &req)
 	})
 	mux.Handle(peer.RPCPath, rpcHandler(t, wire.AgentService, a))
-	a.server = httptest.NewServer(mux)
+	a.server = httptest.NewUnstartedServer(mux)
+	a.server.Config.ConnState = func(c net.Conn, _ http.ConnState) {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.conns = append(a.conns, c)
+	}
+	a.server.Start()
 	a.server.Config.ErrorLog = slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)
 	a.addr = a.server.Listener.Addr().String()
-	t.Cleanup(func() { a.server.CloseClientConnections(); a.server.Close() })
+	t.Cleanup(func() { a.cut(); a.server.Close() })
 	return a
 }
 
+// cut breaks every connection to the agent.
+func (a *fakeAgent) cut() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, c := range a.conns {
+		_ = c.Close()
+	}
+}
+
 func rpcHandler(t testing.TB, name string, receiver any) http.Handler {
 	return &peer.Handler{Security: plainSecurity(t), Services: func(string) map[string]any { return map[string]any{name: receiver} }}
 }
--- a/modules/entry/handler.go
+++ b/modules/entry/handler.go
@@ -54,6 +54,7 @@
 type statusWriter struct {
 	http.ResponseWriter
 	status int
+	limit  time.Duration
 }
 
 // WriteHeader implements http.ResponseWriter.
@@ -61,6 +62,8 @@
 	if code == http.StatusOK && w.status != 0 {
 		code = w.status
 	}
+	// The deadline replaces that of the connection's previous answer.
+	_ = http.NewResponseController(w.ResponseWriter).SetWriteDeadline(time.Now().Add(w.limit))
 	w.ResponseWriter.WriteHeader(code)
 }
 
@@ -81,13 +84,16 @@
 	if s.requestID == "" || len(s.requestID) > maxRequestID {
 		s.requestID = string(wire.NewID())
 	}
-	s.w = &statusWriter{ResponseWriter: w}
+	s.w = &statusWriter{ResponseWriter: w, limit: m.Limits.WriteTime}
+	if m.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	s.organisation, s.refused = authenticate(s.snap, r)
 	r = r.WithContext(context.WithValue(r.Context(), stateKey{}, s))
 	s.r = r
 	if n := m.open.Add(1); n > int64(m.Limits.Streams) {
 		defer m.open.Add(-1)
-		writeFailure(w, result.New(result.NoUpstream, "this entry has %d requests open", n-1), s.requestID)
+		writeFailure(s.w, result.New(result.NoUpstream, "this entry has %d requests open", n-1), s.requestID)
 		return
 	}
 	defer m.open.Add(-1)
@@ -95,7 +101,7 @@
 	// The muxer answers unknown routes itself with a body of its own, so the
 	// route is looked up first.
 	if !routed(r) {
-		writeFailure(w, result.New(result.RouteUnknown, "no route %s %s", r.Method, r.URL.Path), s.requestID)
+		writeFailure(s.w, result.New(result.RouteUnknown, "no route %s %s", r.Method, r.URL.Path), s.requestID)
 		return
 	}
 	mux.ServeHTTP(s.w, r)
--- a/modules/entry/output.go
+++ b/modules/entry/output.go
@@ -318,7 +318,7 @@
 		return
 	}
 	d.extended = now
-	_ = rc.SetWriteDeadline(now.Add(writeLimit + extendEvery))
+	_ = rc.SetWriteDeadline(now.Add(d.m.Limits.WriteTime + extendEvery))
 }
 
 // writeFailed ends the generation, since the caller cannot be reached any more.
