entry: measure relay cost, added first-token time and memory

Cause: the cost targets were not measured. Ruled out: a second process, since one run compares streams through the entry with the same streams read from the agent. Change: three benchmarks in modules/entry.

--- /dev/null
+++ b/modules/entry/cost_test.go
@@ -0,0 +1,203 @@
+package entry
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"heatherway.dev/core/wire"
+)
+
+// cpuTime is the processor time that this process has used.
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// paced sends tokens at an interval, or as fast as it can.
+func paced(n int, every time.Duration) func(*frameWriter, *wire.GenerateRequest) {
+	return func(w *frameWriter, _ *wire.GenerateRequest) {
+		w.send(wire.Frame{Kind: wire.FrameStarted})
+		f := wire.Frame{Kind: wire.FrameToken, Attempt: w.req.Attempt, Tokens: 1, Text: " word"}
+		var buf []byte
+		for i := range n {
+			f.Offset = uint64(i)
+			buf = wire.AppendFrame(buf[:0], &f)
+			_, _ = w.w.Write(buf)
+			if every > 0 {
+				_ = http.NewResponseController(w.w).Flush()
+				time.Sleep(every)
+			}
+		}
+		w.end(n)
+	}
+}
+
+func streams(b *testing.B, n int, one func() error) {
+	var wg sync.WaitGroup
+	for range n {
+		wg.Go(func() {
+			if err := one(); err != nil {
+				b.Error(err)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+func post(client *http.Client, url, body string, read func(io.Reader) error) error {
+	req, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	res, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	return read(res.Body)
+}
+
+func discard(r io.Reader) error {
+	_, err := io.Copy(io.Discard, r)
+	return err
+}
+
+func agentBody() string {
+	b, _ := json.Marshal(wire.GenerateRequest{Generation: wire.NewID(), Attempt: 1})
+	return string(b)
+}
+
+// BenchmarkRelay reports the processor time that the entry adds to each token:
+// streams through the entry against the same streams read from the agent.
+func BenchmarkRelay(b *testing.B) {
+	const open, tokens = 50, 2000
+	for name, every := range map[string]time.Duration{"batched": 0, "each-alone": time.Millisecond} {
+		b.Run(name, func(b *testing.B) {
+			a := newFakeAgent(b, "agent-1", paced(tokens, every))
+			f := newFleet(b, a)
+			client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: open}}
+			var direct, through time.Duration
+			for b.Loop() {
+				t0 := cpuTime()
+				streams(b, open, func() error { return post(client, "http://"+a.addr+wire.GeneratePath, agentBody(), discard) })
+				t1 := cpuTime()
+				streams(b, open, func() error { return post(client, f.url+"/v1/completions", streamBody, discard) })
+				direct, through = direct+t1-t0, through+cpuTime()-t1
+			}
+			total := float64(b.N * open * tokens)
+			b.ReportMetric(float64(direct.Nanoseconds())/total, "direct-ns/token")
+			b.ReportMetric(float64((through-direct).Nanoseconds())/total, "entry-ns/token")
+			b.ReportMetric(1e9*total/float64((through-direct).Nanoseconds()), "tokens/s/core")
+		})
+	}
+}
+
+// BenchmarkAddedFirstToken reports how much later the first token of 200
+// running streams arrives through the entry than from the agent alone.
+func BenchmarkAddedFirstToken(b *testing.B) {
+	const open, tokens, every = 200, 100, 20 * time.Millisecond
+	const lifetime = tokens * every // streams start throughout it, so that about 200 are open
+	a := newFakeAgent(b, "agent-1", paced(tokens, every))
+	f := newFleet(b, a)
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: open}}
+	measure := func(one func(func(io.Reader) error) error) []time.Duration {
+		var mu sync.Mutex
+		var out []time.Duration
+		streams(b, open, func() error {
+			time.Sleep(rand.N(lifetime))
+			begun := time.Now()
+			return one(func(r io.Reader) error {
+				br := bufio.NewReader(r)
+				_, err := br.ReadByte()
+				mu.Lock()
+				out = append(out, time.Since(begun))
+				mu.Unlock()
+				return discardErr(br, err)
+			})
+		})
+		return out
+	}
+	var direct, through []time.Duration
+	for b.Loop() {
+		direct = append(direct, measure(func(read func(io.Reader) error) error {
+			return post(client, "http://"+a.addr+wire.GeneratePath, agentBody(), read)
+		})...)
+		through = append(through, measure(func(read func(io.Reader) error) error {
+			return post(client, f.url+"/v1/completions", streamBody, read)
+		})...)
+	}
+	slices.Sort(direct)
+	slices.Sort(through)
+	for _, q := range []int{50, 99} {
+		at := len(direct)*q/100 - 1
+		b.ReportMetric(float64(direct[at].Microseconds()), fmt.Sprintf("direct-p%d-us", q))
+		b.ReportMetric(float64((through[at] - direct[at]).Microseconds()), fmt.Sprintf("added-p%d-us", q))
+	}
+}
+
+func discardErr(r io.Reader, err error) error {
+	if err != nil {
+		return err
+	}
+	return discard(r)
+}
+
+// BenchmarkOpenStream reports the memory of an open stream. Agent and caller
+// run in this process too, so their share is measured without the entry and
+// taken off.
+func BenchmarkOpenStream(b *testing.B) {
+	const open = 500
+	hold := make(chan struct{})
+	a := newFakeAgent(b, "agent-1", func(w *frameWriter, _ *wire.GenerateRequest) {
+		w.tokens(0, 2)
+		<-hold
+	})
+	f := newFleet(b, a)
+	measure := func(url, body string) float64 {
+		before := memory()
+		var conns []io.Closer
+		for range open {
+			req, _ := http.NewRequest(http.MethodPost, url, bytes.NewReader([]byte(body)))
+			req.Header.Set("Authorization", "Bearer "+testKey)
+			res, err := http.DefaultClient.Do(req)
+			assert.NilError(b, err)
+			conns = append(conns, res.Body)
+		}
+		used := float64(memory()-before) / open
+		for _, c := range conns {
+			c.Close()
+		}
+		return used
+	}
+	for b.Loop() {
+		direct := measure("http://"+a.addr+wire.GeneratePath, agentBody())
+		through := measure(f.url+"/v1/completions", streamBody)
+		b.ReportMetric(direct/1024, "direct-KiB")
+		b.ReportMetric((through-direct)/1024, "entry-KiB")
+	}
+	close(hold)
+}
+
+func memory() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	return s.HeapInuse + s.StackInuse
+}
