--- /dev/null
+++ b/kernel/kernel_test.go
@@ -0,0 +1,114 @@
+package kernel
+
+import (
+	"context"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"heatherway.dev/kernel/result"
+	"heatherway.dev/kernel/settings"
+)
+
+// probe is a role that notes the calls of its life cycle.
+type probe struct {
+	Listen string `yaml:"listen"`
+	Fail   bool   `yaml:"fail"`
+	calls  *[]string
+}
+
+var calls []string
+
+func init() {
+	Register(ModuleInfo{ID: "role.probe", New: func() any { return &probe{calls: &calls} }})
+}
+
+func (p *probe) note(s string) { *p.calls = append(*p.calls, s) }
+
+func (p *probe) Validate() error {
+	if p.Listen == "" {
+		return settings.Field("listen", "must be set")
+	}
+	return nil
+}
+
+func (p *probe) Provision(c *Context) error {
+	p.note("provision")
+	_, err := c.Listen(p.Listen)
+	return err
+}
+
+func (p *probe) Start(context.Context) error {
+	p.note("start")
+	if p.Fail {
+		return result.New(result.StartFailed, "asked to fail")
+	}
+	return nil
+}
+
+func (p *probe) Stop(context.Context) error { p.note("stop"); return nil }
+func (p *probe) Cleanup() error             { p.note("cleanup"); return nil }
+
+const head = "instance: {id: a, zone: z}\ntls: {off: true}\nlog: {level: error}\nroles:\n"
+
+func build(t *testing.T, roles string) (*Kernel, error) {
+	t.Helper()
+	calls = nil
+	doc, err := settings.Parse("f.yaml", []byte(head+roles))
+	assert.NilError(t, err)
+	return New(doc)
+}
+
+// Guards against a role that serves while another has not got its port.
+func TestPortInUseStartsNothing(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	_, err = build(t, "- probe: {listen: '127.0.0.1:0'}\n- probe: {listen: '"+l.Addr().String()+"'}\n")
+	assert.Assert(t, result.Is(err, result.AddressInUse), "%v", err)
+	assert.Equal(t, strings.Join(calls, " "), "provision provision cleanup cleanup")
+}
+
+// Guards against roles that are left running when a later one fails to start.
+func TestFailedStartStopsEarlierRoles(t *testing.T) {
+	k, err := build(t, "- probe: {listen: '127.0.0.1:0'}\n- probe: {listen: '127.0.0.1:0', fail: true}\n")
+	assert.NilError(t, err)
+	err = k.Run(context.Background())
+	assert.Assert(t, result.Is(err, result.StartFailed), "%v", err)
+	assert.Equal(t, strings.Join(calls, " "), "provision provision start start stop cleanup cleanup")
+}
+
+// Guards against a shutdown that skips a role.
+func TestRunStopsInReverse(t *testing.T) {
+	k, err := build(t, "- probe: {listen: '127.0.0.1:0'}\n")
+	assert.NilError(t, err)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+	defer cancel()
+	assert.NilError(t, k.Run(ctx))
+	assert.Equal(t, strings.Join(calls, " "), "provision start stop cleanup")
+}
+
+// Guards against a check of settings that binds ports or misses a mistake.
+func TestCheckBindsNothing(t *testing.T) {
+	for roles, code := range map[string]result.Code{
+		"- probe: {listen: '127.0.0.1:1'}\n": 0,
+		"- probe: {}\n":                      result.SettingInvalid,
+		"- prboe: {}\n":                      result.UnknownModule,
+		"- probe: {lisen: x}\n":              result.SettingUnknown,
+	} {
+		doc, err := settings.Parse("f.yaml", []byte(head+roles))
+		assert.NilError(t, err)
+		calls = nil
+		err = Check(doc)
+		if code == 0 {
+			assert.NilError(t, err)
+		} else {
+			assert.Assert(t, result.Is(err, code), "%v", err)
+			assert.ErrorContains(t, err, "f.yaml:5")
+		}
+		assert.Equal(t, len(calls), 0)
+	}
+}
--- /dev/null
+++ b/kernel/peer/peer_test.go
@@ -0,0 +1,164 @@
+package peer
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"gotest.tools/v3/assert"
+
+	"heatherway.dev/kernel/pki"
+	"heatherway.dev/kernel/result"
+)
+
+var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
+
+// Echo is a net/rpc service for tests.
+type Echo struct{ hang chan struct{} }
+
+// Say returns its argument.
+func (Echo) Say(in string, out *string) error { *out = in; return nil }
+
+// Refuse fails with a result code.
+func (Echo) Refuse(string, *string) error {
+	return EncodeError(result.New(result.Leaving, "going").After(time.Second))
+}
+
+// Hang returns when the test ends.
+func (e Echo) Hang(string, *string) error { <-e.hang; return nil }
+
+func serve(t *testing.T, sec *Security, roles ...string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	echo := Echo{hang: make(chan struct{})}
+	srv := &http.Server{Handler: &Handler{Security: sec, Roles: roles, Services: func(string) map[string]any {
+		return map[string]any{"Echo": echo}
+	}}}
+	go func() { _ = srv.Serve(sec.Server(l)) }()
+	t.Cleanup(func() { close(echo.hang); _ = srv.Close() })
+	return l.Addr().String()
+}
+
+type authority struct {
+	*pki.Authority
+	folder string
+}
+
+func newAuthority(t *testing.T) authority {
+	t.Helper()
+	a, err := pki.NewAuthority(time.Now(), time.Hour)
+	assert.NilError(t, err)
+	p, err := a.Pair()
+	assert.NilError(t, err)
+	folder := t.TempDir()
+	assert.NilError(t, p.Write(folder, "ca"))
+	return authority{a, folder}
+}
+
+func (a authority) security(t *testing.T, name, role string, validity time.Duration) *Security {
+	t.Helper()
+	p, err := a.Issue(name, role, []net.IP{net.IPv4(127, 0, 0, 1)}, time.Now(), validity)
+	assert.NilError(t, err)
+	assert.NilError(t, p.Write(a.folder, name))
+	s, err := NewSecurity(TLSSettings{
+		CA:   filepath.Join(a.folder, "ca.pem"),
+		Cert: filepath.Join(a.folder, name+".pem"),
+		Key:  filepath.Join(a.folder, name+"-key.pem"),
+	}, quiet)
+	assert.NilError(t, err)
+	return s
+}
+
+func say(sec *Security, addr string) error {
+	c := sec.NewClient(addr)
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	var out string
+	return c.Call(ctx, "Echo.Say", "hello", &out)
+}
+
+// Guards against a peer that gets in with a foreign, expired or wrong
+// certificate.
+func TestMutualTLS(t *testing.T) {
+	a := newAuthority(t)
+	addr := serve(t, a.security(t, "server", "control", time.Hour), "agent")
+	assert.NilError(t, say(a.security(t, "agent", "agent", time.Hour), addr))
+
+	foreign := newAuthority(t)
+	for name, sec := range map[string]*Security{
+		"wrong role":        a.security(t, "entry", "entry", time.Hour),
+		"expired":           a.security(t, "old", "agent", -time.Minute),
+		"foreign authority": foreign.security(t, "agent", "agent", time.Hour),
+		"no certificate":    {settings: TLSSettings{Off: true}},
+	} {
+		assert.Assert(t, say(sec, addr) != nil, name)
+	}
+}
+
+// Guards against a renewed certificate that needs a restart.
+func TestReload(t *testing.T) {
+	a := newAuthority(t)
+	addr := serve(t, a.security(t, "server", "control", time.Hour), "agent")
+	sec := a.security(t, "agent", "entry", time.Hour)
+	assert.Assert(t, say(sec, addr) != nil)
+	renewed, err := a.Issue("agent", "agent", nil, time.Now(), time.Hour)
+	assert.NilError(t, err)
+	assert.NilError(t, renewed.Write(a.folder, "agent"))
+	sec.next, sec.mtime = time.Time{}, time.Time{}
+	assert.NilError(t, say(sec, addr))
+}
+
+// Guards against settings that switch TLS off by being left out.
+func TestTLSOffMustBeExplicit(t *testing.T) {
+	_, err := NewSecurity(TLSSettings{}, quiet)
+	assert.Assert(t, result.Is(err, result.SettingInvalid), "%v", err)
+}
+
+func plain(t *testing.T) *Security {
+	t.Helper()
+	s, err := NewSecurity(TLSSettings{Off: true}, quiet)
+	assert.NilError(t, err)
+	return s
+}
+
+// Guards against a result code that is lost on its way through net/rpc.
+func TestErrorKeepsCode(t *testing.T) {
+	sec := plain(t)
+	c := sec.NewClient(serve(t, sec))
+	defer c.Close()
+	err := c.Call(context.Background(), "Echo.Refuse", "", new(string))
+	e := result.From(err)
+	assert.Equal(t, e.Code, result.Leaving)
+	assert.Equal(t, e.RetryAfter, time.Second)
+	assert.Equal(t, e.Ran, result.NotRun)
+}
+
+// Guards against a silent connection that holds up the calls after it.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	sec := plain(t)
+	c := sec.NewClient(serve(t, sec))
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	assert.ErrorIs(t, c.Call(ctx, "Echo.Hang", "", new(string)), context.DeadlineExceeded)
+	var out string
+	assert.NilError(t, c.Call(context.Background(), "Echo.Say", "again", &out))
+	assert.Equal(t, out, "again")
+}
+
+// Guards against a call that never left being taken for one that may have run.
+func TestUnreachableIsMarked(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, l.Close())
+	err = say(plain(t), l.Addr().String())
+	assert.Assert(t, errors.Is(err, ErrUnreachable), "%v", err)
+}
--- a/kernel/peer/rpc.go
+++ b/kernel/peer/rpc.go
@@ -57,8 +57,9 @@
 func (c *Client) Addr() string { return c.addr }
 
 // Call makes one call and waits until it returns or ctx ends. A call that runs
-// into the end of ctx drops the connection, since net/rpc cannot tell a slow
-// peer from a silent connection; the next call makes a new one. A result code
+// into the deadline of ctx drops the connection, since net/rpc cannot tell a
+// slow peer from a silent connection; the next call makes a new one. Long polls
+// therefore use a client of their own. A result code
 // of the peer comes back as *result.Error. An error that wraps ErrUnreachable
 // means that the peer did not get the call.
 func (c *Client) Call(ctx context.Context, method string, args, reply any) error {
@@ -71,7 +72,9 @@
 	case <-call.Done:
 		return c.finish(cl, call.Error)
 	case <-ctx.Done():
-		c.drop(cl)
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			c.drop(cl)
+		}
 		return ctx.Err()
 	}
 }
@@ -144,9 +147,8 @@
 }
 
 // Handler serves the net/rpc services of one process to peers whose
-// certificate carries one of the roles. Without TLS every peer is served.
-// Receivers see each caller's role through the argument type Caller if they
-// are registered for each connection; most need only the allow list.
+// certificate carries one of the roles. Without TLS every peer is served, and
+// its role is empty.
 type Handler struct {
 	Security *Security
 	Roles    []string
--- a/kernel/settings/settings.go
+++ b/kernel/settings/settings.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"os"
+	"strconv"
 	"strings"
 	"time"
 
@@ -48,11 +49,36 @@
 
 func decode(name string, node ast.Node, v any) error {
 	if err := yaml.NodeToValue(node, v, yaml.Strict()); err != nil {
+		var y yaml.Error
+		if !errors.As(err, &y) {
+			err = &yaml.SyntaxError{Message: err.Error(), Token: quoted(node, err.Error()).GetToken()}
+		}
 		return locate(name, err, result.SettingInvalid)
 	}
 	return nil
 }
 
+// quoted finds the value that an error text quotes, since errors of
+// time.ParseDuration and other parsers carry no position. Without one it
+// returns the node itself.
+func quoted(node ast.Node, text string) ast.Node {
+	found := node
+	ast.Walk(visitor(func(n ast.Node) {
+		if s, ok := n.(*ast.StringNode); ok && found == node && strings.Contains(text, strconv.Quote(s.Value)) {
+			found = n
+		}
+	}), node)
+	return found
+}
+
+type visitor func(ast.Node)
+
+// Visit implements ast.Visitor.
+func (v visitor) Visit(n ast.Node) ast.Visitor {
+	v(n)
+	return v
+}
+
 func locate(name string, err error, code result.Code) error {
 	var known *result.Error
 	if errors.As(err, &known) {
@@ -128,16 +154,26 @@
 // Invalid returns the error for a value that Validate refuses. The path is
 // that of the key below the plug-in's settings, such as "queue.limit".
 func (p Plugin) Invalid(path, format string, args ...any) error {
-	at := p.file
-	if p.node != nil {
-		if y, err := yaml.PathString("$." + path); err == nil {
-			if n, err := y.FilterNode(p.node); err == nil && n != nil {
-				pos := n.GetToken().Position
-				at = fmt.Sprintf("%s:%d:%d", p.file, pos.Line, pos.Column)
-			}
-		}
+	pos := p.find(path).GetToken().Position
+	return result.New(result.SettingInvalid, "%s:%d:%d: %s: %s",
+		p.file, pos.Line, pos.Column, path, fmt.Sprintf(format, args...))
+}
+
+// find returns the node of a path, or that of the plug-in's name when the
+// setting was left out.
+func (p Plugin) find(path string) ast.Node {
+	if p.node == nil {
+		return p.key
+	}
+	y, err := yaml.PathString("$." + path)
+	if err != nil {
+		return p.key
+	}
+	n, err := y.FilterNode(p.node)
+	if err != nil || n == nil {
+		return p.key
 	}
-	return result.New(result.SettingInvalid, "%s: %s: %s", at, path, fmt.Sprintf(format, args...))
+	return n
 }
 
 // FieldError is returned by a module's Validate for one wrong setting. The
