--- /dev/null
+++ b/test/e2e/client_test.go
@@ -0,0 +1,186 @@
+package e2e
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"heatherway.dev/heatherway/internal/tokentext"
+)
+
+// call is one streamed generation as a caller sees it.
+type call struct {
+	key    string
+	class  string
+	prompt string
+	tokens int
+	// header is added to each request.
+	header map[string]string
+
+	text    strings.Builder
+	got     int
+	lastID  string
+	first   time.Duration
+	gaps    []time.Duration
+	whole   bool
+	refused *problem
+}
+
+// problem is the error object of a refused call.
+type problem struct {
+	Code    int    `json:"code"`
+	Name    string `json:"name"`
+	Message string `json:"message"`
+	Ran     string `json:"ran"`
+	RetryMS int64  `json:"retry_after_ms"`
+}
+
+func (p *problem) Error() string {
+	return fmt.Sprintf("%d %s (%s): %s", p.Code, p.Name, p.Ran, p.Message)
+}
+
+// seed fixes the sampling, so that the text is known beforehand.
+const seed = 7
+
+type chunk struct {
+	Choices []struct {
+		Text string `json:"text"`
+	} `json:"choices"`
+	Error *problem `json:"error"`
+}
+
+// stream asks the entry at addr for the generation, or for the rest of it when
+// part has been received, and reads until the stream ends. onToken may stop
+// the reading by returning false.
+func (c *call) stream(ctx context.Context, addr string, onToken func(n int) bool) error {
+	body, _ := json.Marshal(map[string]any{
+		"model": "letters", "prompt": c.prompt, "max_tokens": c.tokens, "seed": seed, "temperature": 0.7, "stream": true,
+	})
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/v1/completions", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	c.setHeaders(req)
+	began := time.Now()
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return c.refuse(res.Body)
+	}
+	return c.read(res.Body, began, onToken)
+}
+
+func (c *call) setHeaders(req *http.Request) {
+	key := c.key
+	if key == "" {
+		key = "demo"
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	req.Header.Set("Content-Type", "application/json")
+	if c.class != "" {
+		req.Header.Set("X-Heatherway-Class", c.class)
+	}
+	if c.lastID != "" {
+		req.Header.Set("Last-Event-ID", c.lastID)
+	}
+	for k, v := range c.header {
+		req.Header.Set(k, v)
+	}
+}
+
+func (c *call) refuse(r io.Reader) error {
+	var f struct{ Error *problem }
+	if err := json.NewDecoder(r).Decode(&f); err != nil || f.Error == nil {
+		return fmt.Errorf("refused without an error object: %v", err)
+	}
+	c.refused = f.Error
+	return f.Error
+}
+
+func (c *call) read(r io.Reader, began time.Time, onToken func(int) bool) error {
+	last := began
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, 1<<20)
+	id := ""
+	for lines.Scan() {
+		line := lines.Text()
+		if v, ok := strings.CutPrefix(line, "id: "); ok {
+			id = v
+			continue
+		}
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			c.whole = true
+			return nil
+		}
+		var ch chunk
+		if err := json.Unmarshal([]byte(data), &ch); err != nil {
+			return fmt.Errorf("event %q: %w", data, err)
+		}
+		if ch.Error != nil {
+			c.refused = ch.Error
+			return ch.Error
+		}
+		if len(ch.Choices) == 0 || ch.Choices[0].Text == "" {
+			continue
+		}
+		now := time.Now()
+		if c.got == 0 {
+			c.first = now.Sub(began)
+		}
+		c.gaps = append(c.gaps, now.Sub(last))
+		last = now
+		c.text.WriteString(ch.Choices[0].Text)
+		c.got += strings.Count(ch.Choices[0].Text, " ")
+		c.lastID = id
+		if onToken != nil && !onToken(c.got) {
+			return nil
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return err
+	}
+	return io.ErrUnexpectedEOF
+}
+
+// want is the only right text of the generation.
+func (c *call) want() string {
+	var b strings.Builder
+	for i := range c.tokens {
+		b.WriteString(tokentext.At(c.prompt, seed, i))
+	}
+	return b.String()
+}
+
+// check compares every token.
+func (c *call) check() error {
+	if !c.whole {
+		return fmt.Errorf("answer is not whole: %d of %d tokens", c.got, c.tokens)
+	}
+	if have, want := c.text.String(), c.want(); have != want {
+		return fmt.Errorf("text differs at byte %d of %d (have %d)", differs(have, want), len(want), len(have))
+	}
+	return nil
+}
+
+func differs(a, b string) int {
+	n := min(len(a), len(b))
+	for i := range n {
+		if a[i] != b[i] {
+			return i
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/test/e2e/path_test.go
@@ -0,0 +1,124 @@
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// streamLimit bounds one generation in a test on a busy machine.
+const streamLimit = 60 * time.Second
+
+// known tells whether an entry serves the models and all its upstreams answer.
+func (f *fleet) known(entry, engines int) error {
+	if engines == 0 {
+		return nil
+	}
+	return status("http://"+f.Entries[entry]+"/v1/models", http.StatusOK)
+}
+
+// streams runs n generations at once, spread over the entries, and returns
+// them when all have ended.
+func (f *fleet) streams(n, tokens int, each func(i int, c *call) error) []*call {
+	calls := make([]*call, n)
+	var wg sync.WaitGroup
+	for i := range n {
+		calls[i] = &call{prompt: fmt.Sprintf("reminder %d for the filter in the kitchen", i), tokens: tokens}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if err := each(i, calls[i]); err != nil {
+				f.t.Errorf("generation %d after %d tokens: %v", i, calls[i].got, err)
+			}
+		}()
+	}
+	wg.Wait()
+	return calls
+}
+
+func (f *fleet) through(ctx context.Context, c *call, i int) error {
+	if err := c.stream(ctx, f.Entries[i%len(f.Entries)], nil); err != nil {
+		return err
+	}
+	return c.check()
+}
+
+// Guards against a token lost, repeated or swapped between streams on the way
+// through separate processes.
+func TestStreamsAcrossProcesses(t *testing.T) {
+	f := newFleet(t, shape{control: 1, entries: 2, engines: 3})
+	ctx, cancel := context.WithTimeout(context.Background(), streamLimit)
+	defer cancel()
+	f.streams(60, 80, func(i int, c *call) error { return f.through(ctx, c, i) })
+}
+
+// order posts one order under a key and returns status and body.
+func order(ctx context.Context, addr, key, body string) (int, []byte, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/v1/services/orders/orders", bytes.NewReader([]byte(body)))
+	if err != nil {
+		return 0, nil, err
+	}
+	req.Header.Set("Authorization", "Bearer demo")
+	req.Header.Set("Content-Type", "application/json")
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	return res.StatusCode, b, err
+}
+
+// journal returns how often the order service ran a call with each key.
+func (f *fleet) journal() map[string]int {
+	f.t.Helper()
+	res, err := http.Get("http://" + f.Service.Addr + "/journal")
+	assert.NilError(f.t, err)
+	defer res.Body.Close()
+	var runs []struct {
+		Key   string `json:"key"`
+		Count int    `json:"count"`
+	}
+	assert.NilError(f.t, json.NewDecoder(res.Body).Decode(&runs))
+	out := map[string]int{}
+	for _, r := range runs {
+		out[r.Key] += max(r.Count, 1)
+	}
+	return out
+}
+
+// Guards against an order that runs twice, and against a repeated order that
+// gets another answer than the first.
+func TestOrderRunsOnce(t *testing.T) {
+	f := newFleet(t, shape{control: 1, entries: 2, engines: 0, service: true})
+	ctx, cancel := context.WithTimeout(context.Background(), streamLimit)
+	defer cancel()
+	code, first, err := order(ctx, f.Entries[0], "key-1", `{"item":"filter","count":2}`)
+	assert.NilError(t, err)
+	assert.Equal(t, code, http.StatusCreated, "%s", first)
+	for i := range 4 {
+		code, again, err := order(ctx, f.Entries[i%2], "key-1", `{"item":"filter","count":2}`)
+		assert.NilError(t, err)
+		assert.Equal(t, code, http.StatusCreated, "%s", again)
+		assert.Equal(t, string(again), string(first))
+	}
+	code, _, err = order(ctx, f.Entries[1], "key-1", `{"item":"wreath","count":9}`)
+	assert.NilError(t, err)
+	assert.Equal(t, code, http.StatusConflict)
+	total := 0
+	for _, n := range f.journal() {
+		total += n
+	}
+	assert.Equal(t, total, 1)
+}
