control: serve configuration, membership and records from one member

Cause: entries and agents need the Control service to run at all. Ruled out: waiting for the replicated log; it replaces the in-memory log behind the Log interface.

--- /dev/null
+++ b/core/config/change.go
@@ -0,0 +1,416 @@
+package config
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"sort"
+
+	"github.com/go-faster/errors"
+)
+
+// EditKind names what an edit does.
+type EditKind string
+
+// The kinds of edit.
+const (
+	SetDefault         EditKind = "set_default"
+	UnsetDefault       EditKind = "unset_default"
+	PutException       EditKind = "put_exception"
+	RemoveException    EditKind = "remove_exception"
+	PutOrganisation    EditKind = "put_organisation"
+	RemoveOrganisation EditKind = "remove_organisation"
+)
+
+// Edit is one step of a change.
+type Edit struct {
+	Kind EditKind `json:"kind"`
+	// Name is the key of a default, the id of an exception to remove, or the
+	// name of an organisation.
+	Name         string        `json:"name,omitempty"`
+	Value        string        `json:"value,omitempty"`
+	Exception    *Exception    `json:"exception,omitempty"`
+	Organisation *Organisation `json:"organisation,omitempty"`
+}
+
+// Change is a set of edits that are accepted or refused together.
+type Change struct {
+	// ChangeID makes a repeated change safe: it gets the first answer again.
+	ChangeID string `json:"change_id"`
+	// BaseRevision is the revision that the author saw.
+	BaseRevision uint64 `json:"base_revision"`
+	Edits        []Edit `json:"edits"`
+	Author       string `json:"author"`
+	Reason       string `json:"reason"`
+	// AtMS is the proposer's clock in Unix milliseconds.
+	AtMS int64 `json:"at_ms"`
+}
+
+// Verdict is the outcome of a change.
+type Verdict string
+
+// The verdicts.
+const (
+	Accepted Verdict = "accepted"
+	// Conflict means that another change was accepted on the same base.
+	Conflict Verdict = "conflict"
+	// Refused means that the change or the document it leads to is invalid.
+	Refused Verdict = "refused"
+)
+
+// Answer is what a change got.
+type Answer struct {
+	ChangeID string  `json:"change_id"`
+	Verdict  Verdict `json:"verdict"`
+	// Revision is the revision in force after the change was handled.
+	Revision uint64 `json:"revision"`
+	// Winner and WinnerAuthor name the first change accepted on the base of a
+	// change in conflict; they are empty when it is no longer kept.
+	Winner       string `json:"winner,omitempty"`
+	WinnerAuthor string `json:"winner_author,omitempty"`
+	// Problems lists everything wrong with a refused change.
+	Problems []string `json:"problems,omitempty"`
+}
+
+// AnswersKept is the number of changes whose answers and accepted predecessors
+// are kept: more than a day at 2,300 changes a day.
+const AnswersKept = 4096
+
+// Limits of a document, which bound its size on the wire to each process.
+const (
+	MaxExceptions    = 1000
+	MaxOrganisations = 20000
+	MaxKeyHashes     = 8
+	MaxEdits         = 500
+	maxTextBytes     = 1024
+)
+
+// handled is a change that has been answered.
+type handled struct {
+	Answer Answer `json:"answer"`
+	// Base and Author are kept of accepted changes, to name the winner.
+	Base   uint64 `json:"base"`
+	Author string `json:"author"`
+	Reason string `json:"reason"`
+	AtMS   int64  `json:"at_ms"`
+}
+
+// State is the replicated state machine of the configuration. It is not safe
+// for concurrent use; the documents it hands out are immutable.
+type State struct {
+	doc    *Document
+	recent []handled
+	byID   map[string]int
+	// dropped is how many entries of recent have been dropped; byID holds
+	// positions counted from the first entry ever.
+	dropped int
+}
+
+// NewState returns the state before the first change.
+func NewState() *State {
+	return &State{doc: emptyDocument(), byID: map[string]int{}}
+}
+
+func emptyDocument() *Document {
+	return &Document{Defaults: map[string]string{}, Organisations: map[string]Organisation{}}
+}
+
+// Document returns the configuration in force.
+func (s *State) Document() *Document { return s.doc }
+
+// Apply handles the change at a position of the log.
+func (s *State) Apply(position uint64, c Change) Answer {
+	if at, ok := s.byID[c.ChangeID]; ok && c.ChangeID != "" {
+		return s.recent[at-s.dropped].Answer
+	}
+	a := s.decide(position, c)
+	s.keep(handled{Answer: a, Base: c.BaseRevision, Author: c.Author, Reason: c.Reason, AtMS: c.AtMS})
+	return a
+}
+
+func (s *State) decide(position uint64, c Change) Answer {
+	a := Answer{ChangeID: c.ChangeID, Verdict: Refused, Revision: s.doc.Revision}
+	if a.Problems = c.problems(); len(a.Problems) > 0 {
+		return a
+	}
+	if c.BaseRevision != s.doc.Revision {
+		a.Verdict = Conflict
+		a.Winner, a.WinnerAuthor = s.winner(c.BaseRevision)
+		return a
+	}
+	next, problems := s.doc.edit(c.Edits)
+	problems = append(problems, next.Problems()...)
+	if position <= s.doc.Revision {
+		problems = append(problems, fmt.Sprintf("position %d is not beyond revision %d", position, s.doc.Revision))
+	}
+	if len(problems) > 0 {
+		a.Problems = problems
+		return a
+	}
+	next.Revision = position
+	s.doc = next
+	a.Verdict, a.Revision = Accepted, position
+	return a
+}
+
+func (s *State) winner(base uint64) (id, author string) {
+	for _, h := range s.recent {
+		if h.Answer.Verdict == Accepted && h.Base == base {
+			return h.Answer.ChangeID, h.Author
+		}
+	}
+	return "", ""
+}
+
+func (s *State) keep(h handled) {
+	if h.Answer.ChangeID == "" {
+		return
+	}
+	s.recent = append(s.recent, h)
+	s.byID[h.Answer.ChangeID] = s.dropped + len(s.recent) - 1
+	for len(s.recent) > AnswersKept {
+		delete(s.byID, s.recent[0].Answer.ChangeID)
+		s.recent = s.recent[1:]
+		s.dropped++
+	}
+}
+
+// problems checks the change apart from the document.
+func (c Change) problems() []string {
+	var out []string
+	if c.ChangeID == "" || len(c.ChangeID) > maxTextBytes {
+		out = append(out, "change_id: must be set, and short")
+	}
+	if c.Author == "" || len(c.Author) > maxTextBytes {
+		out = append(out, "author: must be set, and short")
+	}
+	if c.Reason == "" || len(c.Reason) > maxTextBytes {
+		out = append(out, "reason: must be set, and short")
+	}
+	if len(c.Edits) == 0 || len(c.Edits) > MaxEdits {
+		out = append(out, fmt.Sprintf("edits: want 1 to %d, have %d", MaxEdits, len(c.Edits)))
+	}
+	return out
+}
+
+// edit returns a changed copy of the document, and what could not be done.
+func (d *Document) edit(edits []Edit) (*Document, []string) {
+	next := d.clone()
+	var problems []string
+	for i, e := range edits {
+		if err := next.apply(e); err != nil {
+			problems = append(problems, fmt.Sprintf("edits[%d]: %v", i, err))
+		}
+	}
+	return next, problems
+}
+
+func (d *Document) clone() *Document {
+	c := emptyDocument()
+	c.Revision = d.Revision
+	c.Exceptions = append(c.Exceptions, d.Exceptions...)
+	for k, v := range d.Defaults {
+		c.Defaults[k] = v
+	}
+	for k, v := range d.Organisations {
+		c.Organisations[k] = v
+	}
+	return c
+}
+
+func (d *Document) apply(e Edit) error {
+	switch e.Kind {
+	case SetDefault:
+		d.Defaults[e.Name] = e.Value
+		return nil
+	case UnsetDefault:
+		return remove(d.Defaults, e.Name, "default")
+	case PutException:
+		return d.putException(e.Exception)
+	case RemoveException:
+		return d.removeException(e.Name)
+	case PutOrganisation:
+		if e.Organisation == nil || e.Name == "" {
+			return errors.New("put_organisation needs a name and an organisation")
+		}
+		d.Organisations[e.Name] = *e.Organisation
+		return nil
+	case RemoveOrganisation:
+		return remove(d.Organisations, e.Name, "organisation")
+	default:
+		return errors.Errorf("unknown kind of edit %q", e.Kind)
+	}
+}
+
+func remove[V any](m map[string]V, name, what string) error {
+	if _, ok := m[name]; !ok {
+		return errors.Errorf("no %s %q", what, name)
+	}
+	delete(m, name)
+	return nil
+}
+
+func (d *Document) putException(e *Exception) error {
+	if e == nil {
+		return errors.New("put_exception needs an exception")
+	}
+	for i := range d.Exceptions {
+		if d.Exceptions[i].ID == e.ID {
+			d.Exceptions[i] = *e
+			return nil
+		}
+	}
+	d.Exceptions = append(d.Exceptions, *e)
+	return nil
+}
+
+func (d *Document) removeException(id string) error {
+	for i := range d.Exceptions {
+		if d.Exceptions[i].ID == id {
+			d.Exceptions = append(d.Exceptions[:i:i], d.Exceptions[i+1:]...)
+			return nil
+		}
+	}
+	return errors.Errorf("no exception %q", id)
+}
+
+// Problems lists everything that is wrong with the document, in a fixed order.
+func (d *Document) Problems() []string {
+	var out []string
+	for _, name := range sortedKeys(d.Defaults) {
+		if err := checkValue(name, d.Defaults[name]); err != nil {
+			out = append(out, "defaults: "+err.Error())
+		}
+	}
+	if len(d.Exceptions) > MaxExceptions {
+		out = append(out, fmt.Sprintf("exceptions: %d exceed %d", len(d.Exceptions), MaxExceptions))
+	}
+	for i := range d.Exceptions {
+		for _, p := range d.Exceptions[i].problems() {
+			out = append(out, fmt.Sprintf("exception %q: %s", d.Exceptions[i].ID, p))
+		}
+	}
+	return append(out, d.organisationProblems()...)
+}
+
+func checkValue(name, value string) error {
+	k, ok := KeyOf(name)
+	if !ok {
+		return errors.Errorf("unknown key %q", name)
+	}
+	return k.Check(value)
+}
+
+func (e *Exception) problems() []string {
+	var out []string
+	if e.ID == "" || len(e.ID) > maxTextBytes {
+		out = append(out, "id: must be set, and short")
+	}
+	if e.Reason == "" || len(e.Reason) > maxTextBytes {
+		out = append(out, "reason: must be set, and short")
+	}
+	if e.UntilMS < 0 {
+		out = append(out, "until_ms: must not be negative")
+	}
+	if err := checkValue(e.Key, e.Value); err != nil {
+		return append(out, err.Error())
+	}
+	return append(out, e.Selector.problems(e.Key)...)
+}
+
+func (s Selector) problems(key string) []string {
+	k, _ := KeyOf(key)
+	var out []string
+	if s == (Selector{}) {
+		out = append(out, "selector: must select something; set the default instead")
+	}
+	for _, f := range s.fields() {
+		if f.value != "" && !contains(k.Scopes, f.scope) {
+			out = append(out, fmt.Sprintf("selector: %s cannot be set by %s", key, f.scope))
+		}
+	}
+	return out
+}
+
+type selectorField struct{ scope, value string }
+
+func (s Selector) fields() []selectorField {
+	return []selectorField{
+		{ByOrganisation, s.Organisation}, {ByModel, s.Model}, {ByZone, s.Zone},
+		{ByUpstream, s.Upstream}, {ByService, s.Service},
+	}
+}
+
+func (d *Document) organisationProblems() []string {
+	var out []string
+	if len(d.Organisations) > MaxOrganisations {
+		out = append(out, fmt.Sprintf("organisations: %d exceed %d", len(d.Organisations), MaxOrganisations))
+	}
+	owner := map[string]string{}
+	for _, name := range sortedKeys(d.Organisations) {
+		hashes := d.Organisations[name].KeyHashes
+		if len(name) > maxTextBytes || len(hashes) > MaxKeyHashes {
+			out = append(out, fmt.Sprintf("organisation %q: name too long or more than %d keys", name, MaxKeyHashes))
+		}
+		for _, h := range hashes {
+			if b, err := hex.DecodeString(h); err != nil || len(b) != sha256.Size {
+				out = append(out, fmt.Sprintf("organisation %q: %q is not a SHA-256 hash in hexadecimal", name, h))
+			}
+			if other, dup := owner[h]; dup {
+				out = append(out, fmt.Sprintf("organisation %q: key %q also belongs to %q", name, h, other))
+			}
+			owner[h] = name
+		}
+	}
+	return out
+}
+
+// KeyHash returns the form in which a caller key is stored.
+func KeyHash(key string) string {
+	h := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(h[:])
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	out := make([]string, 0, len(m))
+	for k := range m {
+		out = append(out, k)
+	}
+	sort.Strings(out)
+	return out
+}
+
+func contains(list []string, v string) bool {
+	for _, x := range list {
+		if x == v {
+			return true
+		}
+	}
+	return false
+}
+
+type snapshot struct {
+	Document *Document `json:"document"`
+	Recent   []handled `json:"recent"`
+}
+
+// Snapshot encodes the state.
+func (s *State) Snapshot() ([]byte, error) {
+	return json.Marshal(snapshot{s.doc, s.recent})
+}
+
+// Restore replaces the state by an encoded one.
+func (s *State) Restore(b []byte) error {
+	sn := snapshot{Document: emptyDocument()}
+	if err := json.Unmarshal(b, &sn); err != nil {
+		return errors.Wrap(err, "configuration snapshot")
+	}
+	next := NewState()
+	next.doc = sn.Document
+	for _, h := range sn.Recent {
+		next.keep(h)
+	}
+	*s = *next
+	return nil
+}
--- a/core/config/keys.go
+++ b/core/config/keys.go
@@ -113,8 +113,10 @@
 func (k Key) Check(text string) error {
 	switch k.Kind {
 	case Bool:
-		_, err := strconv.ParseBool(text)
-		return errors.Wrap(err, k.Name)
+		if _, err := strconv.ParseBool(text); err != nil {
+			return errors.Errorf("%s: %q is not true or false", k.Name, text)
+		}
+		return nil
 	case Text:
 		return k.checkText(text)
 	}
--- /dev/null
+++ b/modules/control/broadcast.go
@@ -0,0 +1,33 @@
+package control
+
+import (
+	"sync"
+	"time"
+)
+
+// broadcast wakes every waiter at once.
+type broadcast struct {
+	mu sync.Mutex
+	ch chan struct{}
+}
+
+// wait returns a channel that is closed at the next notify.
+func (b *broadcast) wait() <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.ch == nil {
+		b.ch = make(chan struct{})
+	}
+	return b.ch
+}
+
+func (b *broadcast) notify() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.ch != nil {
+		close(b.ch)
+		b.ch = nil
+	}
+}
+
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- /dev/null
+++ b/modules/control/control.go
@@ -0,0 +1,277 @@
+// Package control is the role of the control instances: it keeps the
+// configuration, the quarantine list, leases, orders and idempotency records
+// in replicated log groups, and the membership as soft state.
+package control
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"heatherway.dev/core/config"
+	"heatherway.dev/core/wire"
+	"heatherway.dev/kernel"
+	"heatherway.dev/kernel/peer"
+	"heatherway.dev/kernel/settings"
+	"heatherway.dev/kernel/stats"
+)
+
+func init() {
+	kernel.Register(kernel.ModuleInfo{ID: "role.control", New: func() any { return newControl() }})
+}
+
+// Bounds of the settings, and times.
+const (
+	maxRecordGroups     = 64
+	defaultRecordGroups = 4
+	readHeaderLimit     = 5 * time.Second
+	// commandTimeout bounds a command from its call to its answer. It covers an
+	// election.
+	commandTimeout = 3 * time.Second
+	// bootstrapRetry is the pause between attempts to write the bootstrap
+	// configuration.
+	bootstrapRetry = 200 * time.Millisecond
+)
+
+// Settings are the settings of the role.
+type Settings struct {
+	// Listen is the address of the internal listener.
+	Listen string `yaml:"listen"`
+	// Advertise is the address that others use; the listener's by default.
+	Advertise string `yaml:"advertise"`
+	// Members maps the ids of the initial control instances to their addresses.
+	Members map[string]string `yaml:"members"`
+	// RecordGroups is the number of log groups for idempotency records. It must
+	// be the same on every control instance and cannot change later, since a
+	// key's group follows from it.
+	RecordGroups int `yaml:"record_groups"`
+	// Bootstrap is written as the first change if the log is empty.
+	Bootstrap Bootstrap `yaml:"bootstrap"`
+}
+
+// Bootstrap is the initial configuration.
+type Bootstrap struct {
+	// Defaults replaces built-in defaults.
+	Defaults map[string]string `yaml:"defaults"`
+	// Exceptions are the initial exceptions.
+	Exceptions []BootstrapException `yaml:"exceptions"`
+	// Organisations are the initial organisations, by name.
+	Organisations map[string]BootstrapOrganisation `yaml:"organisations"`
+}
+
+// BootstrapException is an exception of the initial configuration.
+type BootstrapException struct {
+	// ID names the exception.
+	ID string `yaml:"id"`
+	// Key and Value say what holds instead of the default.
+	Key   string `yaml:"key"`
+	Value string `yaml:"value"`
+	// Reason is required.
+	Reason string `yaml:"reason"`
+	// Organisation, Model, Zone, Upstream and Service select what the exception
+	// holds for.
+	Organisation string `yaml:"organisation"`
+	Model        string `yaml:"model"`
+	Zone         string `yaml:"zone"`
+	Upstream     string `yaml:"upstream"`
+	Service      string `yaml:"service"`
+}
+
+// BootstrapOrganisation is an organisation of the initial configuration.
+type BootstrapOrganisation struct {
+	// Keys are plain caller keys, meant for local runs.
+	Keys []string `yaml:"keys"`
+	// KeyHashes are SHA-256 hashes of caller keys in hexadecimal.
+	KeyHashes []string `yaml:"key_hashes"`
+}
+
+// Control is the module of the role.
+type Control struct {
+	Settings `yaml:",inline"`
+
+	instance kernel.Instance
+	logger   *slog.Logger
+	stats    *stats.Registry
+	security *peer.Security
+	listener net.Listener
+	server   *http.Server
+
+	log     Log
+	fleet   *fleet
+	records []*records
+	members *members
+	peers   map[string]*peer.Client
+
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+func newControl() *Control {
+	return &Control{Settings: Settings{RecordGroups: defaultRecordGroups}}
+}
+
+// Validate implements kernel.Validator.
+func (c *Control) Validate() error {
+	if c.Listen == "" {
+		return settings.Field("listen", "must be set")
+	}
+	if err := settings.InRange("record_groups", c.RecordGroups, 1, maxRecordGroups); err != nil {
+		return err
+	}
+	trial := config.NewState()
+	change := c.Bootstrap.change(0)
+	if len(change.Edits) == 0 {
+		return nil
+	}
+	if a := trial.Apply(1, change); a.Verdict != config.Accepted {
+		return settings.Field("bootstrap", "%s", problemText(a.Problems))
+	}
+	return nil
+}
+
+// Provision implements kernel.Provisioner.
+func (c *Control) Provision(ctx *kernel.Context) error {
+	l, err := ctx.Listen(c.Listen)
+	if err != nil {
+		return err
+	}
+	c.listener = l
+	if c.Advertise == "" {
+		c.Advertise = l.Addr().String()
+	}
+	c.instance, c.logger, c.stats, c.security = ctx.Instance, ctx.Log, ctx.Stats, ctx.TLS
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.build()
+	return nil
+}
+
+// build makes the state machines, the log over them and the membership.
+func (c *Control) build() {
+	c.fleet = newFleet()
+	machines := []Machine{c.fleet}
+	for range c.RecordGroups {
+		r := newRecords()
+		c.records = append(c.records, r)
+		machines = append(machines, r)
+	}
+	c.log = newMemoryLog(machines)
+	c.members = newMembers(time.Now)
+	c.peers = map[string]*peer.Client{}
+	for id, addr := range c.Members {
+		if id != c.instance.ID {
+			c.peers[addr] = c.security.NewClient(addr)
+		}
+	}
+}
+
+// Start implements kernel.Runner.
+func (c *Control) Start(context.Context) error {
+	go c.members.run(c.ctx)
+	go c.bootstrap()
+	mux := http.NewServeMux()
+	mux.Handle(peer.RPCPath, &peer.Handler{Security: c.security, Roles: servedRoles, Services: c.services})
+	c.server = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderLimit}
+	go func() {
+		err := c.server.Serve(c.security.Server(c.listener))
+		if err != nil && !errors.Is(err, http.ErrServerClosed) {
+			c.logger.Error("internal listener closed", "error", err)
+		}
+	}()
+	return nil
+}
+
+// Stop implements kernel.Runner.
+func (c *Control) Stop(context.Context) error {
+	c.cancel()
+	return c.server.Close()
+}
+
+// Cleanup implements kernel.Cleaner.
+func (c *Control) Cleanup() error {
+	if c.cancel != nil {
+		c.cancel()
+	}
+	for _, p := range c.peers {
+		p.Close()
+	}
+	return nil
+}
+
+// bootstrap writes the initial configuration if there is none. Several
+// instances may try; only the first change on revision 0 is accepted.
+func (c *Control) bootstrap() {
+	change := c.Bootstrap.change(time.Now().UnixMilli())
+	if len(change.Edits) == 0 {
+		return
+	}
+	for c.ctx.Err() == nil {
+		done, err := c.tryBootstrap(change)
+		if done {
+			return
+		}
+		c.logger.Debug("bootstrap waits", "error", err)
+		select {
+		case <-time.After(bootstrapRetry):
+		case <-c.ctx.Done():
+		}
+	}
+}
+
+func (c *Control) tryBootstrap(change config.Change) (done bool, err error) {
+	if !c.log.Leader(fleetGroup).Local {
+		return c.fleet.view().Doc.Revision > 0, nil
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, commandTimeout)
+	defer cancel()
+	if err := c.log.ReadIndex(ctx, fleetGroup); err != nil {
+		return false, err
+	}
+	if c.fleet.view().Doc.Revision > 0 {
+		return true, nil
+	}
+	r, err := c.proposeFleet(ctx, fleetCommand{Change: &change})
+	if err != nil {
+		return false, err
+	}
+	c.logger.Info("bootstrap configuration written", "verdict", r.Answer.Verdict, "revision", r.Answer.Revision)
+	return true, nil
+}
+
+func (b Bootstrap) change(nowMS int64) config.Change {
+	c := config.Change{ChangeID: "bootstrap", Author: "bootstrap", Reason: "initial configuration from the settings", AtMS: nowMS}
+	for k, v := range b.Defaults {
+		c.Edits = append(c.Edits, config.Edit{Kind: config.SetDefault, Name: k, Value: v})
+	}
+	for _, e := range b.Exceptions {
+		c.Edits = append(c.Edits, config.Edit{Kind: config.PutException, Exception: e.exception()})
+	}
+	for name, o := range b.Organisations {
+		org := &config.Organisation{KeyHashes: append([]string(nil), o.KeyHashes...)}
+		for _, k := range o.Keys {
+			org.KeyHashes = append(org.KeyHashes, config.KeyHash(k))
+		}
+		c.Edits = append(c.Edits, config.Edit{Kind: config.PutOrganisation, Name: name, Organisation: org})
+	}
+	return c
+}
+
+func (e BootstrapException) exception() *config.Exception {
+	return &config.Exception{
+		ID: e.ID, Key: e.Key, Value: e.Value, Reason: e.Reason,
+		Selector: config.Selector{
+			Organisation: e.Organisation, Model: e.Model, Zone: e.Zone, Upstream: e.Upstream, Service: e.Service,
+		},
+	}
+}
+
+// nowMS is the clock put into commands.
+func nowMS() int64 { return time.Now().UnixMilli() }
+
+// recordGroup returns the group of a record key.
+func (c *Control) recordGroup(key string) uint32 {
+	return wire.KeyGroup(key, c.RecordGroups)
+}
--- /dev/null
+++ b/modules/control/log.go
@@ -0,0 +1,77 @@
+package control
+
+import (
+	"context"
+	"sync"
+
+	"heatherway.dev/kernel/result"
+)
+
+// fleetGroup is the log group of configuration, quarantine, leases and orders.
+// Groups 1 to Settings.RecordGroups hold the records.
+const fleetGroup uint32 = 0
+
+// Log is a set of replicated log groups.
+type Log interface {
+	// Propose appends a command to a group and returns the machine's answer and
+	// the command's position once it is committed and applied here.
+	Propose(ctx context.Context, group uint32, data []byte) (reply []byte, index uint64, err error)
+	// ReadIndex returns once everything committed before the call is applied
+	// here.
+	ReadIndex(ctx context.Context, group uint32) error
+	// Leader returns what is known of a group's leader.
+	Leader(group uint32) Leader
+}
+
+// Leader says who leads a group.
+type Leader struct {
+	// Local is set when this instance leads.
+	Local bool
+	// Addr is the leader's address, empty when unknown.
+	Addr string
+}
+
+// Machine is the state machine of one group. The log calls it from one
+// goroutine at a time.
+type Machine interface {
+	Apply(index uint64, command []byte) []byte
+	Snapshot() ([]byte, error)
+	Restore(snapshot []byte) error
+}
+
+// memoryLog is a log with a single member that keeps nothing on disk.
+type memoryLog struct {
+	groups []memoryGroup
+}
+
+type memoryGroup struct {
+	mu      sync.Mutex
+	index   uint64
+	machine Machine
+}
+
+func newMemoryLog(machines []Machine) *memoryLog {
+	l := &memoryLog{groups: make([]memoryGroup, len(machines))}
+	for i, m := range machines {
+		l.groups[i].machine = m
+	}
+	return l
+}
+
+func (l *memoryLog) Propose(ctx context.Context, group uint32, data []byte) ([]byte, uint64, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, 0, err
+	}
+	if int(group) >= len(l.groups) {
+		return nil, 0, result.New(result.ObjectUnknown, "no log group %d", group)
+	}
+	g := &l.groups[group]
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.index++
+	return g.machine.Apply(g.index, data), g.index, nil
+}
+
+func (l *memoryLog) ReadIndex(ctx context.Context, _ uint32) error { return ctx.Err() }
+
+func (l *memoryLog) Leader(uint32) Leader { return Leader{Local: true} }
--- a/modules/standard/standard.go
+++ b/modules/standard/standard.go
@@ -1,2 +1,6 @@
 // Package standard imports the modules that the heatherway binary ships with.
 package standard
+
+import (
+	_ "heatherway.dev/heatherway/modules/control" // role.control
+)
