standin: add an engine and an order service that fail on command

Cause: the agent, the entry and the load generator need outside systems to meet, whose every token and every run can be checked.

Ruled out: text that depends on the engine, since a resumed or mixed answer could then not be told from a right one; a test-only package, since demo and soak runs start the stand-ins as processes.

Change: roles standin-engine and standin-service over internal/fault, which serves HTTP and can reset, pause or silence connections, and internal/tokentext. A prefix that the engine would not have generated leads to other tokens. completion_tokens counts from the start of the generation, like max_tokens. A restart clears the prefix cache and skips a sequence number of its events.

Conclusion: usable over HTTP and, by Bind, Start and Fault, in process.

--- /dev/null
+++ b/internal/fault/conn.go
@@ -0,0 +1,118 @@
+package fault
+
+import (
+	"net"
+	"os"
+	"sync"
+
+	"github.com/go-faster/errors"
+)
+
+// gate holds back whoever waits for it while it is shut. Its zero value is
+// open.
+type gate struct {
+	mu sync.Mutex
+	ch chan struct{}
+}
+
+var alwaysOpen = func() chan struct{} {
+	ch := make(chan struct{})
+	close(ch)
+	return ch
+}()
+
+func (g *gate) shut() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.ch == nil {
+		g.ch = make(chan struct{})
+	}
+}
+
+func (g *gate) open() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.ch != nil {
+		close(g.ch)
+		g.ch = nil
+	}
+}
+
+// passed returns a channel that is closed once the gate is open.
+func (g *gate) passed() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.ch == nil {
+		return alwaysOpen
+	}
+	return g.ch
+}
+
+type listener struct {
+	net.Listener
+	server *Server
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	raw, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: raw, server: l.server, gone: make(chan struct{})}
+	l.server.mu.Lock()
+	defer l.server.mu.Unlock()
+	if l.server.dead {
+		_ = raw.Close()
+	}
+	l.server.conns[c] = struct{}{}
+	return c, nil
+}
+
+// conn is a connection whose writes can be held back.
+type conn struct {
+	net.Conn
+	server *Server
+	silent gate
+	once   sync.Once
+	gone   chan struct{}
+}
+
+// Read implements net.Conn. Its failure also ends a write that is held back,
+// since net/http closes a connection only after its handler has returned.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.once.Do(func() { close(c.gone) })
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	for _, g := range []*gate{&c.silent, &c.server.paused} {
+		select {
+		case <-g.passed():
+		case <-c.gone:
+			return 0, net.ErrClosed
+		}
+	}
+	return c.Conn.Write(p)
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.once.Do(func() { close(c.gone) })
+	c.server.mu.Lock()
+	delete(c.server.conns, c)
+	c.server.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// reset closes the connection with a reset instead of an orderly end.
+func (c *conn) reset() {
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		_ = t.SetLinger(0) // a failure leaves an orderly close
+	}
+	_ = c.Close()
+}
--- /dev/null
+++ b/internal/fault/fault.go
@@ -0,0 +1,272 @@
+// Package fault serves HTTP for the stand-ins of outside systems and makes
+// their connections fail on command.
+package fault
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"heatherway.dev/kernel/settings"
+)
+
+// Kind is a fault that can be ordered.
+type Kind string
+
+// The kinds of fault.
+const (
+	// Die closes the listener and resets every connection.
+	Die Kind = "die"
+	// Pause stops all work and all answers.
+	Pause Kind = "pause"
+	// Silence holds back every byte on the connections that are open now.
+	Silence Kind = "silence"
+	// Resume ends every fault.
+	Resume Kind = "resume"
+)
+
+// Path is where faults are ordered.
+const Path = "/fault"
+
+// Order is the body of a POST to Path.
+type Order struct {
+	Kind    Kind  `json:"kind"`
+	AfterMS int64 `json:"after_ms"`
+}
+
+// Settings are the settings that all stand-ins share.
+type Settings struct {
+	// Listen is the address that the stand-in serves on.
+	Listen string `yaml:"listen"`
+	// FaultListen is a second address that only takes faults. It stays open
+	// after die, so that resume can be ordered there; empty switches it off.
+	FaultListen string `yaml:"fault_listen"`
+	// ExitOnDie makes the fault die end the process.
+	ExitOnDie bool `yaml:"exit_on_die"`
+	// RestartAfter is the time after which a stand-in that died comes back;
+	// zero waits for resume.
+	RestartAfter time.Duration `yaml:"restart_after"`
+}
+
+// Check returns an error for settings out of range.
+func (s Settings) Check() error {
+	if s.Listen == "" {
+		return settings.Field("listen", "must be set")
+	}
+	return settings.DurationInRange("restart_after", s.RestartAfter, 0, maxDelay)
+}
+
+const (
+	// exitStatus is that of a process which exits on die.
+	exitStatus = 70
+	// answerDelay lets the answer to a fault order leave before the fault.
+	answerDelay = 5 * time.Millisecond
+	// maxDelay bounds the time between an order and its fault.
+	maxDelay = time.Hour
+	// readHeaderLimit bounds how long a client may take to send its headers.
+	readHeaderLimit = 10 * time.Second
+	// maxOrder bounds the body of an order in bytes.
+	maxOrder = 4 << 10
+)
+
+// Server serves a handler until a fault is ordered.
+type Server struct {
+	settings Settings
+	log      *slog.Logger
+	http     *http.Server
+	handler  http.Handler
+	onDie    func()
+	addr     string
+	paused   gate
+	faults   *http.Server // on FaultListen; nil without one
+
+	mu       sync.Mutex
+	listener net.Listener
+	conns    map[*conn]struct{}
+	dead     bool
+	stopped  bool
+}
+
+// NewServer returns a server on a bound listener. It calls onDie, which may be
+// nil, after the fault die.
+func NewServer(s Settings, l net.Listener, h http.Handler, log *slog.Logger, onDie func()) *Server {
+	srv := &Server{
+		settings: s, log: log, handler: h, onDie: onDie,
+		addr: l.Addr().String(), listener: l, conns: map[*conn]struct{}{},
+	}
+	srv.http = &http.Server{Handler: srv, ReadHeaderTimeout: readHeaderLimit}
+	return srv
+}
+
+// Addr returns the address served.
+func (s *Server) Addr() string { return s.addr }
+
+// Paused returns a channel that is closed while no pause is in force.
+func (s *Server) Paused() <-chan struct{} { return s.paused.passed() }
+
+// Start serves in the background.
+func (s *Server) Start() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.serve(s.listener)
+}
+
+func (s *Server) serve(l net.Listener) {
+	go func() {
+		if err := s.http.Serve(&listener{l, s}); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			s.log.Debug("listener closed", "error", err)
+		}
+	}()
+}
+
+// Listener binds addresses; kernel.Context is one.
+type Listener interface {
+	Listen(addr string) (net.Listener, error)
+}
+
+// ServeFaults takes faults on FaultListen, if that is set.
+func (s *Server) ServeFaults(c Listener) error {
+	if s.settings.FaultListen == "" {
+		return nil
+	}
+	l, err := c.Listen(s.settings.FaultListen)
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc(Path, s.TakeOrder)
+	s.faults = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderLimit}
+	go func() { _ = s.faults.Serve(l) }() // ends when the listener closes
+	return nil
+}
+
+// Stop ends every fault, waits for running requests until ctx ends, and closes
+// what is left.
+func (s *Server) Stop(ctx context.Context) error {
+	if s.faults != nil {
+		_ = s.faults.Close() // takes no more orders either way
+	}
+	s.mu.Lock()
+	s.stopped = true
+	s.mu.Unlock()
+	s.openGates()
+	if err := s.http.Shutdown(ctx); err != nil {
+		return errors.Wrap(s.http.Close(), "close stand-in")
+	}
+	return nil
+}
+
+// ServeHTTP takes fault orders, and passes everything else on unless paused.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == Path {
+		s.TakeOrder(w, r)
+		return
+	}
+	select {
+	case <-s.Paused():
+		s.handler.ServeHTTP(w, r)
+	case <-r.Context().Done():
+	}
+}
+
+// TakeOrder answers a POST to Path.
+func (s *Server) TakeOrder(w http.ResponseWriter, r *http.Request) {
+	// A connection kept alive would itself fall under the fault.
+	w.Header().Set("Connection", "close")
+	var o Order
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxOrder)).Decode(&o); err != nil || r.Method != http.MethodPost {
+		http.Error(w, "want a POST of a JSON fault order", http.StatusBadRequest)
+		return
+	}
+	delay := time.Duration(o.AfterMS) * time.Millisecond
+	if !o.Kind.known() || delay < 0 || delay > maxDelay {
+		http.Error(w, "unknown kind of fault or delay out of range", http.StatusBadRequest)
+		return
+	}
+	if o.Kind == Resume && delay == 0 {
+		s.Apply(Resume)
+	} else {
+		time.AfterFunc(delay+answerDelay, func() { s.Apply(o.Kind) })
+	}
+	w.WriteHeader(http.StatusAccepted)
+}
+
+func (k Kind) known() bool { return k == Die || k == Pause || k == Silence || k == Resume }
+
+// Apply makes a fault happen now.
+func (s *Server) Apply(k Kind) {
+	s.log.Info("fault", "kind", k)
+	switch k {
+	case Die:
+		s.die()
+	case Pause:
+		s.paused.shut()
+	case Silence:
+		s.eachConn(func(c *conn) { c.silent.shut() })
+	case Resume:
+		s.openGates()
+		s.revive()
+	}
+}
+
+func (s *Server) openGates() {
+	s.paused.open()
+	s.eachConn(func(c *conn) { c.silent.open() })
+}
+
+func (s *Server) eachConn(do func(*conn)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		do(c)
+	}
+}
+
+func (s *Server) die() {
+	s.mu.Lock()
+	if s.dead || s.stopped {
+		s.mu.Unlock()
+		return
+	}
+	s.dead = true
+	_ = s.listener.Close()
+	open := make([]*conn, 0, len(s.conns))
+	for c := range s.conns {
+		open = append(open, c)
+	}
+	s.mu.Unlock()
+	for _, c := range open {
+		c.reset()
+	}
+	if s.settings.ExitOnDie {
+		os.Exit(exitStatus)
+	}
+	if s.onDie != nil {
+		s.onDie()
+	}
+	if s.settings.RestartAfter > 0 {
+		time.AfterFunc(s.settings.RestartAfter, func() { s.Apply(Resume) })
+	}
+}
+
+func (s *Server) revive() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.dead || s.stopped {
+		return
+	}
+	l, err := net.Listen("tcp", s.addr)
+	if err != nil {
+		s.log.Error("cannot listen again", "error", err)
+		return
+	}
+	s.dead, s.listener = false, l
+	s.serve(l)
+}
--- /dev/null
+++ b/modules/standinengine/answer.go
@@ -0,0 +1,130 @@
+package standinengine
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+)
+
+// answer writes the tokens of a job as they come, or all at the end.
+type answer struct {
+	w      http.ResponseWriter
+	job    *job
+	id     string
+	chat   bool
+	stream bool
+}
+
+type usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+	Details          struct {
+		CachedTokens int `json:"cached_tokens"`
+	} `json:"prompt_tokens_details"`
+}
+
+type delta struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+type choice struct {
+	Index   int     `json:"index"`
+	Text    *string `json:"text,omitempty"`
+	Delta   *delta  `json:"delta,omitempty"`
+	Message *delta  `json:"message,omitempty"`
+	Finish  *string `json:"finish_reason"`
+}
+
+type chunk struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+// finishLength is the only reason to finish: every generation runs up to
+// max_tokens.
+const finishLength = "length"
+
+// follow writes the answer until it is whole or the client is gone.
+func (a *answer) follow(r *http.Request, b *batch) {
+	if a.stream {
+		a.w.Header().Set("Content-Type", "text/event-stream")
+		a.w.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(a.w).Flush() // the client is gone if this fails
+	}
+	next := a.job.prefixTokens
+	for {
+		p := b.progress(a.job)
+		if p.lost {
+			panic(http.ErrAbortHandler) // ends the connection without an answer
+		}
+		if a.stream {
+			a.tokens(next, p.produced)
+		}
+		next = p.produced
+		if next >= a.job.maxTokens {
+			a.finish(p)
+			return
+		}
+		select {
+		case <-r.Context().Done():
+			return
+		case <-a.job.changed:
+		}
+	}
+}
+
+func (a *answer) tokens(from, to int) {
+	if from >= to {
+		return
+	}
+	for i := from; i < to; i++ {
+		a.event(a.chunk(a.job.source.At(i), nil, nil))
+	}
+	_ = http.NewResponseController(a.w).Flush() // the client is gone if this fails
+}
+
+func (a *answer) finish(p progress) {
+	u := &usage{PromptTokens: a.job.promptTokens, CompletionTokens: p.produced}
+	u.TotalTokens = u.PromptTokens + u.CompletionTokens
+	u.Details.CachedTokens = p.cachedTokens
+	reason := finishLength
+	if a.stream {
+		a.event(a.chunk("", &reason, u))
+		fmt.Fprint(a.w, "data: [DONE]\n\n")
+		return
+	}
+	var text strings.Builder
+	for i := a.job.prefixTokens; i < p.produced; i++ {
+		text.WriteString(a.job.source.At(i))
+	}
+	writeJSON(a.w, http.StatusOK, a.chunk(text.String(), &reason, u))
+}
+
+func (a *answer) event(c chunk) {
+	b, err := json.Marshal(c)
+	if err != nil {
+		panic(err) // every field has a JSON form
+	}
+	fmt.Fprintf(a.w, "data: %s\n\n", b)
+}
+
+func (a *answer) chunk(text string, finish *string, u *usage) chunk {
+	c := chunk{ID: a.id, Model: a.job.model, Usage: u}
+	ch := choice{Finish: finish}
+	switch {
+	case !a.chat:
+		c.Object, ch.Text = "text_completion", &text
+	case a.stream:
+		c.Object, ch.Delta = "chat.completion.chunk", &delta{Content: text}
+	default:
+		c.Object, ch.Message = "chat.completion", &delta{Role: "assistant", Content: text}
+	}
+	c.Choices = []choice{ch}
+	return c
+}
--- /dev/null
+++ b/modules/standinengine/batch.go
@@ -0,0 +1,184 @@
+package standinengine
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"heatherway.dev/heatherway/internal/tokentext"
+)
+
+// job is one generation. The batch counts its tokens; the handler writes them
+// at its reader's pace, since their text follows from the count.
+type job struct {
+	model     string
+	prompt    string
+	seed      int64
+	priority  int
+	maxTokens int
+	// prefixText and prefixTokens are what the caller already has.
+	prefixText   string
+	prefixTokens int
+
+	source       tokentext.Source
+	promptTokens int
+	changed      chan struct{} // capacity 1
+
+	// The fields below are guarded by batch.mu.
+	cachedTokens int
+	produced     int
+	ready        time.Time
+	cancelled    bool
+	lost         bool
+}
+
+// prepare fills in what follows from the request. A prefix that this engine
+// would not have generated leads to another text, as in a real model.
+func (j *job) prepare() {
+	j.source = tokentext.New(j.prompt, j.seed)
+	if j.prefixText != j.source.Prefix(j.prefixTokens) {
+		j.source = tokentext.New(j.prompt+j.prefixText, j.seed)
+	}
+	j.promptTokens = (len(j.prompt) + charsPerToken - 1) / charsPerToken
+	j.produced = j.prefixTokens
+	j.changed = make(chan struct{}, 1)
+}
+
+func (j *job) notify() {
+	select {
+	case j.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Load is the answer to GET /load.
+type Load struct {
+	Slots   int `json:"slots"`
+	Running int `json:"running"`
+	Waiting int `json:"waiting"`
+
+	at time.Time
+}
+
+// batch decodes one token of every running job in each step.
+type batch struct {
+	settings Settings
+	crash    func()
+
+	mu      sync.Mutex
+	waiting []*job // in order of priority, then of arrival
+	running []*job
+	cache   *cache
+	loads   []Load // oldest first, the first one being load_lag old
+}
+
+func newBatch(s Settings) *batch {
+	return &batch{settings: s, cache: newCache(s.PrefixCacheBlocks, s.EventLoss, s.RandomSeed)}
+}
+
+func (b *batch) add(j *job) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	i := len(b.waiting)
+	for i > 0 && b.waiting[i-1].priority > j.priority {
+		i--
+	}
+	b.waiting = slices.Insert(b.waiting, i, j)
+}
+
+// cancel removes a job at the next step.
+func (b *batch) cancel(j *job) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	j.cancelled = true
+}
+
+// progress is the state of a job that its handler needs.
+type progress struct {
+	produced     int
+	cachedTokens int
+	lost         bool
+}
+
+func (b *batch) progress(j *job) progress {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return progress{j.produced, j.cachedTokens, j.lost}
+}
+
+// step decodes once and returns the count of new tokens.
+func (b *batch) step(now time.Time) int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	over := func(j *job) bool { return j.cancelled || j.produced >= j.maxTokens }
+	b.waiting = slices.DeleteFunc(b.waiting, func(j *job) bool { return j.cancelled })
+	b.running = slices.DeleteFunc(b.running, over)
+	for len(b.running) < b.settings.Slots && len(b.waiting) > 0 {
+		j := b.waiting[0]
+		b.waiting = slices.Delete(b.waiting, 0, 1)
+		b.start(j, now)
+	}
+	var tokens int64
+	for _, j := range b.running {
+		if now.Before(j.ready) {
+			continue
+		}
+		j.produced = min(j.produced+1, j.maxTokens)
+		tokens++
+		j.notify()
+	}
+	b.sample(now)
+	return tokens
+}
+
+func (b *batch) start(j *job, now time.Time) {
+	if t := b.settings.CrashOn; t != "" && strings.Contains(j.prompt, t) {
+		b.crash()
+	}
+	known := b.cache.use(BlockHashes(j.prompt+j.prefixText), now) * blockChars / charsPerToken
+	j.cachedTokens = min(known, j.promptTokens)
+	fresh := max(j.promptTokens+j.prefixTokens-known, 0)
+	j.ready = now.Add(time.Duration(fresh) * b.settings.PrefillPerToken)
+	b.running = append(b.running, j)
+}
+
+func (b *batch) sample(now time.Time) {
+	b.loads = append(b.loads, b.current(now))
+	due := now.Add(-b.settings.LoadLag)
+	for len(b.loads) > 1 && !b.loads[1].at.After(due) {
+		b.loads = b.loads[1:]
+	}
+}
+
+func (b *batch) current(now time.Time) Load {
+	return Load{Slots: b.settings.Slots, Running: len(b.running), Waiting: len(b.waiting), at: now}
+}
+
+// load returns the load as it was load_lag ago.
+func (b *batch) load() Load {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.loads) == 0 {
+		return Load{Slots: b.settings.Slots}
+	}
+	return b.loads[0]
+}
+
+func (b *batch) events(after uint64, now time.Time) []Event {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.cache.after(after, now.Add(-b.settings.EventLag))
+}
+
+// clear loses all jobs and the cache, as a restart does.
+func (b *batch) clear() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, j := range slices.Concat(b.waiting, b.running) {
+		j.lost = true
+		j.notify()
+	}
+	b.waiting, b.running, b.loads = nil, nil, nil
+	b.cache.clear()
+}
--- /dev/null
+++ b/modules/standinengine/cache.go
@@ -0,0 +1,118 @@
+package standinengine
+
+import (
+	"container/list"
+	"encoding/binary"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// blockChars is the length in bytes of one block of the prefix cache.
+	blockChars = 256
+	// charsPerToken is the length in bytes that counts as one prompt token.
+	charsPerToken = 4
+	// keptEvents bounds the log of cache events.
+	keptEvents = 8192
+)
+
+// Event is one line of the answer to GET /cache_events.
+type Event struct {
+	Seq    uint64 `json:"seq"`
+	Action string `json:"action"`
+	Block  string `json:"block"`
+
+	at time.Time
+}
+
+// Values of Event.Action.
+const (
+	actionAdd    = "add"
+	actionRemove = "remove"
+)
+
+// BlockHashes returns the hash of every whole block of a prompt. Each is the
+// FNV-1a hash of the hash before it, as 8 bytes in network order, and the
+// block's bytes.
+func BlockHashes(prompt string) []string {
+	var out []string
+	var chain [8]byte
+	for ; len(prompt) >= blockChars; prompt = prompt[blockChars:] {
+		h := fnv.New64a()
+		_, _ = h.Write(chain[:]) // a hash does not fail
+		_, _ = h.Write([]byte(prompt[:blockChars]))
+		binary.BigEndian.PutUint64(chain[:], h.Sum64())
+		out = append(out, fmt.Sprintf("%016x", h.Sum64()))
+	}
+	return out
+}
+
+// cache is an LRU of prompt blocks that logs what it adds and removes.
+type cache struct {
+	limit  int
+	loss   float64
+	random *rand.Rand
+	order  *list.List // the most recently used block first
+	blocks map[string]*list.Element
+	seq    uint64
+	events []Event
+}
+
+func newCache(limit int, loss float64, seed uint64) *cache {
+	c := &cache{limit: limit, loss: loss, random: rand.New(rand.NewPCG(seed, 0))}
+	c.clear()
+	return c
+}
+
+// clear drops all blocks and skips a sequence number, so that a reader of the
+// events sees a gap.
+func (c *cache) clear() {
+	c.order, c.blocks = list.New(), map[string]*list.Element{}
+	c.seq++
+}
+
+// use adds the blocks and returns how many at the front were cached.
+func (c *cache) use(hashes []string, now time.Time) int {
+	hits := 0
+	for i, h := range hashes {
+		if e, ok := c.blocks[h]; ok {
+			c.order.MoveToFront(e)
+			if hits == i {
+				hits++
+			}
+			continue
+		}
+		c.blocks[h] = c.order.PushFront(h)
+		c.log(actionAdd, h, now)
+	}
+	for len(c.blocks) > c.limit {
+		h := c.order.Remove(c.order.Back()).(string)
+		delete(c.blocks, h)
+		c.log(actionRemove, h, now)
+	}
+	return hits
+}
+
+func (c *cache) log(action, block string, now time.Time) {
+	c.seq++
+	if c.random.Float64() < c.loss {
+		return
+	}
+	if len(c.events) == keptEvents {
+		c.events = append(c.events[:0], c.events[keptEvents/2:]...)
+	}
+	c.events = append(c.events, Event{Seq: c.seq, Action: action, Block: block, at: now})
+}
+
+// after returns the events behind a sequence number that happened before a time.
+func (c *cache) after(seq uint64, before time.Time) []Event {
+	var out []Event
+	for _, e := range c.events {
+		if e.Seq > seq && !e.at.After(before) {
+			out = append(out, e)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/modules/standinengine/http.go
@@ -0,0 +1,184 @@
+package standinengine
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"heatherway.dev/heatherway/internal/tokentext"
+)
+
+const (
+	// maxBody bounds the body of a request in bytes.
+	maxBody = 32 << 20
+	// defaultMaxTokens holds for requests without max_tokens.
+	defaultMaxTokens = 16
+	// pollLimit is the longest wait of a poll for cache events.
+	pollLimit = 2 * time.Second
+	// pollStep is the time between two looks at the cache events.
+	pollStep = 10 * time.Millisecond
+)
+
+func (e *Engine) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/completions", e.generate(false))
+	mux.HandleFunc("POST /v1/chat/completions", e.generate(true))
+	mux.HandleFunc("GET /v1/models", e.listModels)
+	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, struct{}{}) })
+	mux.HandleFunc("GET /load", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, e.batch.load()) })
+	mux.HandleFunc("GET /cache_events", e.cacheEvents)
+	mux.HandleFunc("GET /orders", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, e.orders.list()) })
+	mux.HandleFunc("POST /orders", e.takeOrder)
+	return mux
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v) // the client is gone if this fails
+}
+
+func refuse(w http.ResponseWriter, status int, message string) {
+	writeJSON(w, status, map[string]any{"error": map[string]any{"message": message, "code": status}})
+}
+
+func (e *Engine) listModels(w http.ResponseWriter, _ *http.Request) {
+	type model struct {
+		ID     string `json:"id"`
+		Object string `json:"object"`
+	}
+	data := []model{}
+	for _, id := range e.orders.loaded() {
+		data = append(data, model{id, "model"})
+	}
+	writeJSON(w, http.StatusOK, map[string]any{"object": "list", "data": data})
+}
+
+func (e *Engine) takeOrder(w http.ResponseWriter, r *http.Request) {
+	var o Order
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&o); err != nil {
+		refuse(w, http.StatusBadRequest, "the body is not a JSON order")
+		return
+	}
+	switch err := e.orders.take(o); {
+	case errors.Is(err, errFence):
+		refuse(w, http.StatusConflict, err.Error())
+	case err != nil:
+		refuse(w, http.StatusBadRequest, err.Error())
+	default:
+		writeJSON(w, http.StatusOK, struct{}{})
+	}
+}
+
+func (e *Engine) cacheEvents(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.FormValue("after"), 10, 64)
+	if err != nil && r.FormValue("after") != "" {
+		refuse(w, http.StatusBadRequest, "after must be a sequence number")
+		return
+	}
+	events := e.batch.events(after, time.Now())
+	for end := time.Now().Add(pollLimit); len(events) == 0 && time.Now().Before(end); {
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(pollStep):
+		}
+		events = e.batch.events(after, time.Now())
+	}
+	w.Header().Set("Content-Type", "application/x-ndjson")
+	enc := json.NewEncoder(w)
+	for _, ev := range events {
+		_ = enc.Encode(ev) // the client is gone if this fails
+	}
+}
+
+// body holds the fields of a generation request that the engine reads.
+type body struct {
+	Model        string    `json:"model"`
+	Prompt       string    `json:"prompt"`
+	Messages     []message `json:"messages"`
+	MaxTokens    int       `json:"max_tokens"`
+	Seed         int64     `json:"seed"`
+	Stream       bool      `json:"stream"`
+	Priority     int       `json:"priority"`
+	ResumeText   string    `json:"resume_text"`
+	ResumeTokens int       `json:"resume_tokens"`
+}
+
+type message struct {
+	Role    string  `json:"role"`
+	Content content `json:"content"`
+}
+
+// content is a text or a list of parts with text.
+type content string
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (c *content) UnmarshalJSON(b []byte) error {
+	var text string
+	if json.Unmarshal(b, &text) == nil {
+		*c = content(text)
+		return nil
+	}
+	var parts []struct {
+		Text string `json:"text"`
+	}
+	if err := json.Unmarshal(b, &parts); err != nil {
+		return errors.Wrap(err, "content")
+	}
+	var all strings.Builder
+	for _, p := range parts {
+		all.WriteString(p.Text)
+	}
+	*c = content(all.String())
+	return nil
+}
+
+func (b *body) job(chat bool) *job {
+	prompt := b.Prompt
+	if chat {
+		var all []tokentext.Message
+		for _, m := range b.Messages {
+			all = append(all, tokentext.Message{Role: m.Role, Content: string(m.Content)})
+		}
+		prompt = tokentext.ChatPrompt(all)
+	}
+	if b.MaxTokens == 0 {
+		b.MaxTokens = defaultMaxTokens
+	}
+	j := &job{
+		model: b.Model, prompt: prompt, seed: b.Seed, priority: b.Priority, maxTokens: b.MaxTokens,
+		prefixText: b.ResumeText, prefixTokens: b.ResumeTokens,
+	}
+	j.prepare()
+	return j
+}
+
+func (e *Engine) generate(chat bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var b body
+		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&b); err != nil {
+			refuse(w, http.StatusBadRequest, "the body is not a JSON request")
+			return
+		}
+		if b.MaxTokens < 0 || b.ResumeTokens < 0 {
+			refuse(w, http.StatusBadRequest, "a count of tokens is negative")
+			return
+		}
+		if !slices.Contains(e.orders.loaded(), b.Model) {
+			refuse(w, http.StatusNotFound, "the model is not loaded")
+			return
+		}
+		j := b.job(chat)
+		e.batch.add(j)
+		defer e.batch.cancel(j)
+		a := answer{w: w, job: j, id: fmt.Sprintf("cmpl-%p", j), chat: chat, stream: b.Stream}
+		a.follow(r, e.batch)
+	}
+}
--- /dev/null
+++ b/modules/standinengine/standinengine.go
@@ -0,0 +1,139 @@
+// Package standinengine is a test double of an inference engine. It serves the
+// OpenAI-compatible API with continuous batching, a prefix cache, priorities,
+// resume and orders, and fails on command.
+package standinengine
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"time"
+
+	"heatherway.dev/heatherway/internal/fault"
+	"heatherway.dev/kernel"
+	"heatherway.dev/kernel/settings"
+	"heatherway.dev/kernel/stats"
+)
+
+func init() {
+	kernel.Register(kernel.ModuleInfo{ID: "role.standin-engine", New: func() any { return New() }})
+}
+
+// Settings configure the engine.
+type Settings struct {
+	fault.Settings `yaml:",inline"`
+	// Models are loaded at start.
+	Models []string `yaml:"models"`
+	// Slots is how many requests are decoded at once.
+	Slots int `yaml:"slots"`
+	// Step is the duration of one decode step of the batch.
+	Step time.Duration `yaml:"step"`
+	// PrefillPerToken is the time to prefill one token that is not cached.
+	PrefillPerToken time.Duration `yaml:"prefill_per_token"`
+	// PrefixCacheBlocks is the size of the prefix cache in blocks of 256 bytes.
+	PrefixCacheBlocks int `yaml:"prefix_cache_blocks"`
+	// LoadLag is the age of the load that GET /load reports.
+	LoadLag time.Duration `yaml:"load_lag"`
+	// EventLag is the time after which a cache event is published.
+	EventLag time.Duration `yaml:"event_lag"`
+	// EventLoss is the share of cache events that is lost.
+	EventLoss float64 `yaml:"event_loss"`
+	// ChecksFence makes the engine refuse orders with an old fencing token.
+	ChecksFence bool `yaml:"checks_fence"`
+	// CrashOn is a text that makes the engine die when it starts a prompt that
+	// contains it; empty never does.
+	CrashOn string `yaml:"crash_on"`
+	// RandomSeed fixes which cache events are lost.
+	RandomSeed uint64 `yaml:"random_seed"`
+}
+
+// Engine is the module.
+type Engine struct {
+	Settings `yaml:",inline"`
+
+	batch  *batch
+	orders *orders
+	server *fault.Server
+	cancel context.CancelFunc
+	tokens stats.Counter
+}
+
+// New returns an engine with its default settings.
+func New() *Engine {
+	return &Engine{Settings: Settings{
+		Models: []string{"letters"}, Slots: 8, Step: 20 * time.Millisecond,
+		PrefillPerToken: 100 * time.Microsecond, PrefixCacheBlocks: 4096,
+	}}
+}
+
+// Validate implements kernel.Validator.
+func (e *Engine) Validate() error {
+	const longest = time.Minute
+	return settings.First(
+		e.Check(),
+		settings.InRange("slots", e.Slots, 1, 1<<16),
+		settings.DurationInRange("step", e.Step, 100*time.Microsecond, longest),
+		settings.DurationInRange("prefill_per_token", e.PrefillPerToken, 0, longest),
+		settings.InRange("prefix_cache_blocks", e.PrefixCacheBlocks, 0, 1<<24),
+		settings.DurationInRange("load_lag", e.LoadLag, 0, longest),
+		settings.DurationInRange("event_lag", e.EventLag, 0, longest),
+		settings.InRange("event_loss", e.EventLoss, 0, 1),
+	)
+}
+
+// Provision implements kernel.Provisioner.
+func (e *Engine) Provision(c *kernel.Context) error {
+	l, err := c.Listen(e.Listen)
+	if err != nil {
+		return err
+	}
+	e.Bind(l, c.Log, c.Stats)
+	return e.server.ServeFaults(c)
+}
+
+// Bind prepares the engine to serve on a listener.
+func (e *Engine) Bind(l net.Listener, log *slog.Logger, st *stats.Registry) {
+	e.tokens = st.Counter("standin_engine_tokens")
+	e.orders = newOrders(e.Models, e.ChecksFence)
+	e.batch = newBatch(e.Settings)
+	e.server = fault.NewServer(e.Settings.Settings, l, e.routes(), log, e.batch.clear)
+	e.batch.crash = func() { go e.server.Apply(fault.Die) }
+}
+
+// Start implements kernel.Runner.
+func (e *Engine) Start(ctx context.Context) error {
+	ctx, e.cancel = context.WithCancel(ctx)
+	go e.decode(ctx)
+	e.server.Start()
+	return nil
+}
+
+// Stop implements kernel.Runner. Running generations end first.
+func (e *Engine) Stop(ctx context.Context) error {
+	defer e.cancel()
+	return e.server.Stop(ctx)
+}
+
+// Fault makes a fault happen now.
+func (e *Engine) Fault(k fault.Kind) { e.server.Apply(k) }
+
+// Addr returns the address served.
+func (e *Engine) Addr() string { return e.server.Addr() }
+
+func (e *Engine) decode(ctx context.Context) {
+	tick := time.NewTicker(e.Step)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-e.server.Paused():
+		}
+		e.tokens.Add(e.batch.step(time.Now()))
+	}
+}
--- /dev/null
+++ b/modules/standinengine/standinengine_test.go
@@ -0,0 +1,244 @@
+package standinengine
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"heatherway.dev/heatherway/internal/fault"
+	"heatherway.dev/heatherway/internal/tokentext"
+	"heatherway.dev/kernel"
+	"heatherway.dev/kernel/settings"
+	"heatherway.dev/kernel/stats"
+)
+
+// limit ends a test that hangs.
+const limit = 10 * time.Second
+
+func start(t *testing.T, change func(*Settings)) (*Engine, string) {
+	t.Helper()
+	e := New()
+	e.Step, e.PrefillPerToken = time.Millisecond, 0
+	change(&e.Settings)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	e.Bind(l, slog.New(slog.DiscardHandler), stats.New())
+	assert.NilError(t, e.Start(t.Context()))
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		_ = e.Stop(ctx)
+	})
+	return e, "http://" + e.Addr()
+}
+
+func post(t *testing.T, url, body string) *http.Response {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	t.Cleanup(cancel)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(body))
+	assert.NilError(t, err)
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = resp.Body.Close() })
+	return resp
+}
+
+type read struct {
+	text  string
+	count int
+	usage *usage
+	done  bool
+	err   error
+}
+
+func readStream(r io.Reader, most int) read {
+	var out read
+	lines := bufio.NewScanner(r)
+	for out.count < most && lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			out.done = true
+			continue
+		}
+		var c chunk
+		if out.err = json.Unmarshal([]byte(data), &c); out.err != nil {
+			return out
+		}
+		if c.Usage != nil {
+			out.usage = c.Usage
+			continue
+		}
+		if c.Choices[0].Text != nil {
+			out.text += *c.Choices[0].Text
+		} else {
+			out.text += c.Choices[0].Delta.Content
+		}
+		out.count++
+	}
+	out.err = lines.Err()
+	return out
+}
+
+const all = 1 << 20
+
+// Guards against a resumed generation that repeats, skips or changes a token.
+func TestResumeContinuesTheSameText(t *testing.T) {
+	_, url := start(t, func(*Settings) {})
+	want := tokentext.New("dear reader", 7)
+	first := readStream(post(t, url+"/v1/completions", `{"model":"letters","prompt":"dear reader","seed":7,"max_tokens":40,"stream":true}`).Body, 15)
+	assert.Equal(t, first.text, want.Prefix(15))
+	body := fmt.Sprintf(`{"model":"letters","prompt":"dear reader","seed":7,"max_tokens":40,"stream":true,"resume_text":%q,"resume_tokens":15}`, first.text)
+	rest := readStream(post(t, url+"/v1/completions", body).Body, all)
+	assert.Equal(t, first.text+rest.text, want.Prefix(40))
+	assert.Assert(t, rest.done)
+	assert.Equal(t, rest.usage.CompletionTokens, 40)
+}
+
+// Guards against a prefix of another generation being continued unnoticed.
+func TestForeignPrefixChangesTheText(t *testing.T) {
+	_, url := start(t, func(*Settings) {})
+	rest := readStream(post(t, url+"/v1/completions", `{"model":"letters","prompt":"a","max_tokens":2,"stream":true,"resume_text":" wrong","resume_tokens":1}`).Body, all)
+	assert.Assert(t, rest.text != tokentext.At("a", 0, 1))
+}
+
+// Guards against chat and whole answers having another text than streams, and
+// against usage without cached tokens.
+func TestWholeChatAnswerAndPrefixCache(t *testing.T) {
+	_, url := start(t, func(*Settings) {})
+	long := strings.Repeat("x", 3*blockChars)
+	body := fmt.Sprintf(`{"model":"letters","messages":[{"role":"user","content":%q}],"max_tokens":5}`, long)
+	for _, cached := range []int{0, 3 * blockChars / charsPerToken} {
+		var c chunk
+		assert.NilError(t, json.NewDecoder(post(t, url+"/v1/chat/completions", body).Body).Decode(&c))
+		assert.Equal(t, c.Choices[0].Message.Content, tokentext.New("user"+long, 0).Prefix(5))
+		assert.Equal(t, c.Usage.Details.CachedTokens, cached)
+	}
+	var e Event
+	resp, err := http.Get(url + "/cache_events?after=2")
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	assert.NilError(t, json.NewDecoder(resp.Body).Decode(&e))
+	assert.Equal(t, e.Seq, uint64(3))
+	assert.Equal(t, e.Block, BlockHashes("user" + long)[1])
+}
+
+// Guards against a late urgent request waiting behind earlier ones, and against
+// a closed connection holding its slot.
+func TestPriorityAndCancel(t *testing.T) {
+	b := newBatch(Settings{Slots: 1})
+	jobs := make([]*job, 3)
+	for i, priority := range []int{5, 5, 1} {
+		jobs[i] = &job{maxTokens: 100, priority: priority}
+		jobs[i].prepare()
+		b.add(jobs[i])
+		b.step(time.Now())
+	}
+	assert.Equal(t, b.load().Waiting, 2)
+	b.cancel(jobs[0])
+	b.step(time.Now())
+	assert.Equal(t, jobs[2].produced, 1)
+	assert.Equal(t, jobs[1].produced, 0)
+}
+
+// Guards against a crash that leaves connections open or that cannot end.
+func TestDieResetsAndResumeRestarts(t *testing.T) {
+	e, url := start(t, func(s *Settings) { s.CrashOn = "poison" })
+	running := post(t, url+"/v1/completions", `{"model":"letters","prompt":"a","max_tokens":100000,"stream":true}`)
+	assert.Equal(t, readStream(running.Body, 3).count, 3)
+	_, err := http.Post(url+"/v1/completions", "", strings.NewReader(`{"model":"letters","prompt":"poison"}`))
+	assert.Assert(t, err != nil)
+	assert.ErrorContains(t, readStream(running.Body, all).err, "reset")
+	_, err = http.Get(url + "/health")
+	assert.ErrorContains(t, err, "refused")
+	e.Fault(fault.Resume)
+	assert.Equal(t, readStream(post(t, url+"/v1/completions", `{"model":"letters","prompt":"a","stream":true}`).Body, all).count, defaultMaxTokens)
+}
+
+// Guards against silence that still lets bytes out, or that stops new
+// connections, and against a pause that answers.
+func TestSilenceAndPause(t *testing.T) {
+	e, url := start(t, func(*Settings) {})
+	body := `{"model":"letters","prompt":"a","max_tokens":200,"stream":true}`
+	old := post(t, url+"/v1/completions", body)
+	assert.Equal(t, readStream(old.Body, 3).count, 3)
+	e.Fault(fault.Silence)
+	quiet := make(chan read, 1)
+	go func() { quiet <- readStream(old.Body, all) }()
+	http.DefaultClient.CloseIdleConnections()
+	assert.Assert(t, readStream(post(t, url+"/v1/completions", body).Body, all).done)
+	select {
+	case <-quiet:
+		t.Fatal("the silent connection ended")
+	case <-time.After(50 * time.Millisecond):
+	}
+	e.Fault(fault.Pause)
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url+"/health", nil)
+	assert.NilError(t, err)
+	_, err = http.DefaultClient.Do(req)
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+	post(t, url+"/fault", `{"kind":"resume"}`)
+	assert.Assert(t, (<-quiet).done)
+}
+
+// Guards against an engine that takes an order of a former lease holder
+// although it checks fences.
+func TestOrdersCheckFence(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		_, url := start(t, func(s *Settings) { s.ChecksFence = checks })
+		post(t, url+"/orders", `{"fence":5,"action":"load","model":"notes"}`)
+		stale := post(t, url+"/orders", `{"fence":4,"action":"unload","model":"notes"}`)
+		assert.Equal(t, stale.StatusCode == http.StatusConflict, checks)
+		answer := post(t, url+"/v1/completions", `{"model":"notes","prompt":"a"}`)
+		assert.Equal(t, answer.StatusCode == http.StatusOK, checks)
+	}
+}
+
+// Guards against late or lost cache events and a lagging load being reported
+// at once.
+func TestLagAndLoss(t *testing.T) {
+	b := newBatch(Settings{Slots: 1, PrefixCacheBlocks: 1, EventLag: time.Second, EventLoss: 0.5, LoadLag: time.Second})
+	j := &job{maxTokens: 1, prompt: strings.Repeat("x", 50*blockChars)}
+	j.prepare()
+	t0 := time.Now()
+	b.step(t0)
+	b.add(j)
+	b.step(t0.Add(time.Millisecond))
+	assert.Equal(t, len(b.events(0, t0.Add(500*time.Millisecond))), 0)
+	n := len(b.events(0, t0.Add(2*time.Second)))
+	assert.Assert(t, n > 0 && n < 99, "%d of 99 events", n)
+	assert.Equal(t, b.load().Running, 0)
+	b.step(t0.Add(2 * time.Second))
+	assert.Equal(t, b.load().Running, 1)
+}
+
+// Guards against shared settings that the strict decoder does not know.
+func TestSettingsDecode(t *testing.T) {
+	text := `
+instance: {id: a, zone: z}
+tls: {off: true}
+roles:
+  - standin-engine: {listen: "127.0.0.1:0", restart_after: 1s, models: [letters], step: 5ms}
+`
+	doc, err := settings.Parse("test", []byte(text))
+	assert.NilError(t, err)
+	assert.NilError(t, kernel.Check(doc))
+	doc, err = settings.Parse("test", []byte(strings.Replace(text, "5ms", "0s", 1)))
+	assert.NilError(t, err)
+	assert.ErrorContains(t, kernel.Check(doc), "test:5:")
+}
