--- a/modules/standard/standard.go
+++ b/modules/standard/standard.go
@@ -2,5 +2,7 @@
 package standard
 
 import (
-	_ "heatherway.dev/heatherway/modules/control" // role.control
+	_ "heatherway.dev/heatherway/modules/control"        // registers its modules
+	_ "heatherway.dev/heatherway/modules/standinengine"  // registers its modules
+	_ "heatherway.dev/heatherway/modules/standinservice" // registers its modules
 )
