raft: add the replicated log as a pure step function

Cause: configuration, leases and idempotency records need one log that outlives processes and disks. Ruled out: joint consensus, since one voter at a time covers every change that the design needs; votes by member id alone, since a member that returns with an empty disk would vote again.

--- /dev/null
+++ b/core/raft/election.go
@@ -0,0 +1,141 @@
+package raft
+
+// campaign starts an election. Pre-candidates ask without raising their term,
+// so that a member which cannot win does not depose the leader.
+func (n *Node) campaign(role Role, transfer bool) {
+	if !n.voter() || n.role == Leader {
+		return
+	}
+	n.role, n.leader, n.votes = role, "", map[MemberID]bool{n.cfg.Self: true}
+	n.peers = nil
+	kind, term := PreVote, n.term+1
+	if role == Candidate {
+		kind = Vote
+		n.term = term
+		n.vote, n.voteDisk = n.cfg.Self, n.cfg.Disk
+		n.resetTimer()
+	}
+	if n.countVotes() {
+		return
+	}
+	for _, m := range n.Membership().Voters() {
+		if m.ID == n.cfg.Self {
+			continue
+		}
+		n.send(Message{Kind: kind, To: m.ID, ToDisk: m.Disk, Term: term,
+			Index: n.log.last(), LogTerm: n.log.lastTerm(), Transfer: transfer})
+	}
+}
+
+// handleVote answers PreVote and Vote. A request is addressed to this disk
+// identity, so the candidate's membership holds this member under it as a
+// voter: it was replaced and had caught up, whether or not it knows that yet.
+func (n *Node) handleVote(m Message) {
+	if n.hearsLeader() && !m.Transfer {
+		return
+	}
+	reply, term := VoteReply, n.term
+	free := n.vote == "" || n.vote == m.From && n.voteDisk == m.Disk
+	if m.Kind == PreVote {
+		reply, term, free = PreVoteReply, m.Term, m.Term > n.term
+	}
+	granted := free && (n.log.upToDate(m.Index, m.LogTerm) || n.cfg.faults.grantStale)
+	if !granted {
+		n.send(Message{Kind: reply, To: m.From, ToDisk: m.Disk, Reject: true})
+		return
+	}
+	if m.Kind == Vote {
+		n.vote, n.voteDisk = m.From, m.Disk
+		n.elapsed = 0
+	}
+	n.send(Message{Kind: reply, To: m.From, ToDisk: m.Disk, Term: term})
+}
+
+func (n *Node) handleVoteReply(m Message) {
+	switch {
+	case m.Kind == PreVoteReply && n.role == PreCandidate && (m.Reject || m.Term == n.term+1):
+	case m.Kind == VoteReply && n.role == Candidate:
+	default:
+		return
+	}
+	n.votes[m.From] = !m.Reject
+	n.countVotes()
+}
+
+// countVotes moves on when a majority has granted or refused.
+func (n *Node) countVotes() bool {
+	won := n.quorum(func(m Member) bool { return n.votes[m.ID] })
+	lost := n.quorum(func(m Member) bool { granted, ok := n.votes[m.ID]; return ok && !granted })
+	switch {
+	case won && n.role == PreCandidate:
+		n.campaign(Candidate, false)
+	case won:
+		n.becomeLeader()
+	case lost:
+		n.becomeFollower(n.term, "")
+	}
+	return won
+}
+
+func (n *Node) becomeLeader() {
+	n.role, n.leader, n.votes = Leader, n.cfg.Self, nil
+	n.elapsed, n.heartbeat, n.transfer = 0, 0, ""
+	n.peers = map[MemberID]*progress{}
+	n.trackPeers()
+	n.uncommitted = 0
+	for _, e := range n.log.slice(n.log.commit+1, n.log.last()) {
+		n.uncommitted += e.size()
+	}
+	n.appendOwn(Entry{Kind: Empty})
+	n.broadcastHeartbeat()
+}
+
+// trackPeers keeps one progress for each other member. A member under a new
+// disk identity starts from nothing.
+func (n *Node) trackPeers() {
+	if n.role != Leader {
+		return
+	}
+	kept := make(map[MemberID]*progress, len(n.peers))
+	for _, m := range n.Membership().Members {
+		if m.ID == n.cfg.Self {
+			continue
+		}
+		p := n.peers[m.ID]
+		if p == nil || p.disk != m.Disk && !n.cfg.faults.ignoreDisk {
+			p = &progress{disk: m.Disk, next: n.log.last() + 1, active: true}
+		}
+		kept[m.ID] = p
+	}
+	n.peers = kept
+}
+
+// Transfer asks a voter to take over as soon as it has the whole log. Until
+// then, for at most an election timeout, proposals are refused.
+func (n *Node) Transfer(to MemberID) error {
+	if n.role != Leader {
+		return ErrNotLeader
+	}
+	m, ok := n.Membership().Find(to)
+	if !ok || m.Learner || n.peers[to] == nil {
+		return ErrUnknownMember
+	}
+	n.transfer, n.transferred = to, 0
+	n.offerLeadership()
+	return nil
+}
+
+func (n *Node) offerLeadership() {
+	p := n.peers[n.transfer]
+	if n.transfer == "" || p == nil || p.match < n.log.last() {
+		return
+	}
+	n.send(Message{Kind: TimeoutNow, To: n.transfer, ToDisk: p.disk})
+}
+
+func (n *Node) tickTransfer() {
+	n.transferred++
+	if n.transferred >= n.cfg.ElectionTicks {
+		n.transfer = ""
+	}
+}
--- /dev/null
+++ b/core/raft/membership.go
@@ -0,0 +1,178 @@
+package raft
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+
+	"github.com/go-faster/errors"
+)
+
+// Membership is the set of members in order of id.
+type Membership struct {
+	Members []Member `json:"members"`
+}
+
+// Find returns the entry of a member.
+func (m Membership) Find(id MemberID) (Member, bool) {
+	for _, v := range m.Members {
+		if v.ID == id {
+			return v, true
+		}
+	}
+	return Member{}, false
+}
+
+// Voters returns the members with a vote.
+func (m Membership) Voters() []Member {
+	var out []Member
+	for _, v := range m.Members {
+		if !v.Learner {
+			out = append(out, v)
+		}
+	}
+	return out
+}
+
+func (m Membership) without(id MemberID) Membership {
+	out := make([]Member, 0, len(m.Members)+1)
+	for _, v := range m.Members {
+		if v.ID != id {
+			out = append(out, v)
+		}
+	}
+	return Membership{out}
+}
+
+func (m Membership) with(v Member) Membership {
+	out := m.without(v.ID)
+	out.Members = append(out.Members, v)
+	slices.SortFunc(out.Members, func(a, b Member) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return out
+}
+
+// ChangeKind tells what a membership change does.
+type ChangeKind uint8
+
+// Kinds of change.
+const (
+	// AddLearner adds a member without a vote. A member of the same id with
+	// another disk identity is replaced. With the same identity only the
+	// address changes.
+	AddLearner ChangeKind = iota
+	// Promote gives a learner that has caught up its vote.
+	Promote
+	// Remove takes a member out.
+	Remove
+)
+
+// Change alters the vote of at most one member, so that the quorums before and
+// after it always share a member.
+type Change struct {
+	Kind   ChangeKind
+	Member Member
+}
+
+// apply returns the membership after the change.
+func (m Membership) apply(c Change) (Membership, error) {
+	old, known := m.Find(c.Member.ID)
+	switch c.Kind {
+	case AddLearner:
+		return m.add(c.Member, old, known)
+	case Promote:
+		if !known || old.Disk != c.Member.Disk {
+			return m, ErrUnknownMember
+		}
+		old.Learner = false
+		return m.with(old), nil
+	case Remove:
+		if !known {
+			return m, ErrUnknownMember
+		}
+		return m.without(old.ID).checked()
+	default:
+		return m, ErrChangeInvalid
+	}
+}
+
+func (m Membership) add(v, old Member, known bool) (Membership, error) {
+	if v.ID == "" || v.Disk == "" {
+		return m, errors.Wrap(ErrChangeInvalid, "member without id or disk identity")
+	}
+	if known && old.Disk == v.Disk {
+		old.Addr = v.Addr
+		return m.with(old), nil
+	}
+	v.Learner = true
+	return m.with(v).checked()
+}
+
+func (m Membership) checked() (Membership, error) {
+	if len(m.Voters()) == 0 {
+		return m, errors.Wrap(ErrChangeInvalid, "no voter would be left")
+	}
+	return m, nil
+}
+
+func (m Membership) encode() []byte {
+	b, err := json.Marshal(m)
+	if err != nil {
+		panic("raft: membership cannot be encoded: " + err.Error()) // strings and bools only
+	}
+	return b
+}
+
+func decodeMembership(b []byte) (Membership, error) {
+	var m Membership
+	err := json.Unmarshal(b, &m)
+	return m, errors.Wrap(err, "raft: membership entry")
+}
+
+// Bootstrap returns the disk contents of a new group with one voter. Others
+// join it as learners.
+func Bootstrap(first Member) Stored {
+	first.Learner = false
+	m := Membership{Members: []Member{first}}
+	return Stored{
+		Hard:    HardState{Term: 1, Commit: 1},
+		Entries: []Entry{{Index: 1, Term: 1, Kind: ChangeEntry, Data: m.encode()}},
+	}
+}
+
+// membershipAt is a membership with the index of the entry that set it.
+type membershipAt struct {
+	index uint64
+	value Membership
+}
+
+// memberships holds the compacted membership and those of later entries. The
+// newest is in force as soon as it is in the log, committed or not.
+type memberships []membershipAt
+
+func (s memberships) newest() membershipAt { return s[len(s)-1] }
+
+// at returns the membership in force at an index.
+func (s memberships) at(index uint64) membershipAt {
+	for i := len(s) - 1; i > 0; i-- {
+		if s[i].index <= index {
+			return s[i]
+		}
+	}
+	return s[0]
+}
+
+// truncate drops memberships of entries from an index on.
+func (s memberships) truncate(from uint64) memberships {
+	for len(s) > 1 && s.newest().index >= from {
+		s = s[:len(s)-1]
+	}
+	return s
+}
+
+// compact drops memberships that a later one at or before the index replaced.
+func (s memberships) compact(index uint64) memberships {
+	for len(s) > 1 && s[1].index <= index {
+		s = s[1:]
+	}
+	return s
+}
--- /dev/null
+++ b/core/raft/replicate.go
@@ -0,0 +1,339 @@
+package raft
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+)
+
+// Propose appends data to the leader's log and returns its position. The entry
+// is committed only if an entry with this index and term is applied.
+func (n *Node) Propose(data []byte) (index, term uint64, err error) {
+	switch {
+	case n.role != Leader:
+		return 0, 0, ErrNotLeader
+	case n.transfer != "":
+		return 0, 0, ErrTransferring
+	case len(data) > n.cfg.EntryBytes:
+		return 0, 0, ErrTooLarge
+	case n.uncommitted > n.cfg.UncommittedBytes:
+		return 0, 0, ErrBusy
+	}
+	return n.appendOwn(Entry{Kind: Normal, Data: data}), n.term, nil
+}
+
+// ProposeChange appends a membership change. It is refused while the last one
+// is not committed and until this leader has committed an entry of its term;
+// otherwise two majorities without a common member could exist.
+func (n *Node) ProposeChange(c Change) (index, term uint64, err error) {
+	if n.role != Leader {
+		return 0, 0, ErrNotLeader
+	}
+	if n.transfer != "" {
+		return 0, 0, ErrTransferring
+	}
+	if err := n.changeAllowed(c); err != nil {
+		return 0, 0, err
+	}
+	next, err := n.Membership().apply(c)
+	if err != nil {
+		return 0, 0, err
+	}
+	index = n.appendOwn(Entry{Kind: ChangeEntry, Data: next.encode()})
+	return index, n.term, nil
+}
+
+func (n *Node) changeAllowed(c Change) error {
+	if !n.cfg.faults.changeEarly {
+		if !n.changeCommitted() {
+			return ErrChangePending
+		}
+		if !n.termCommitted() {
+			return ErrTermUncommitted
+		}
+	}
+	if c.Kind == Promote && !n.cfg.faults.promoteEarly && !n.CaughtUp(c.Member.ID) {
+		return ErrNotCaughtUp
+	}
+	return nil
+}
+
+// CaughtUp tells whether a member holds every committed entry on its disk and
+// still answers.
+func (n *Node) CaughtUp(id MemberID) bool {
+	p := n.peers[id]
+	return n.role == Leader && p != nil && p.active && p.match >= n.log.commit
+}
+
+func (n *Node) changeCommitted() bool { return n.members.newest().index <= n.log.commit }
+
+func (n *Node) termCommitted() bool {
+	t, ok := n.log.term(n.log.commit)
+	return ok && t == n.term
+}
+
+func (n *Node) appendOwn(e Entry) uint64 {
+	e.Index, e.Term = n.log.last()+1, n.term
+	n.log.append(e)
+	n.uncommitted += e.size()
+	if err := n.learnMembership(e); err != nil {
+		panic(err.Error()) // the entry was encoded by this process
+	}
+	return e.Index
+}
+
+// flush queues what each follower can be sent now. It runs once for each
+// Ready, so that proposals made in between share messages.
+func (n *Node) flush() {
+	n.startReads()
+	for _, id := range n.peerIDs() {
+		p := n.peers[id]
+		for n.sendable(p) {
+			n.sendNext(id, p)
+		}
+	}
+}
+
+// peerIDs returns the peers in a fixed order, so that a seed repeats a run.
+func (n *Node) peerIDs() []MemberID {
+	ids := make([]MemberID, 0, len(n.peers))
+	for id := range n.peers {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (n *Node) sendable(p *progress) bool {
+	if p.waiting {
+		return false
+	}
+	if p.flow != streaming {
+		return true
+	}
+	news := p.next <= n.log.last() || p.commit < n.log.commit
+	return news && len(p.flights) < n.cfg.Flights
+}
+
+func (n *Node) sendNext(id MemberID, p *progress) {
+	if p.flow == installing && p.snapshot.Index == n.log.base.Index {
+		n.sendChunk(id, p)
+		return
+	}
+	if p.next <= n.log.base.Index || p.flow == installing {
+		p.install(n.log.base)
+		n.sendChunk(id, p)
+		return
+	}
+	n.sendAppend(id, p)
+}
+
+func (n *Node) sendAppend(id MemberID, p *progress) {
+	prev := p.next - 1
+	term, ok := n.log.term(prev)
+	if !ok {
+		p.install(n.log.base)
+		n.sendChunk(id, p)
+		return
+	}
+	entries := n.log.bounded(p.next, n.cfg.MessageBytes)
+	n.send(Message{Kind: Append, To: id, ToDisk: p.disk, Index: prev, LogTerm: term,
+		Entries: entries, Commit: n.log.commit})
+	p.commit = n.log.commit
+	if p.flow == probing {
+		p.waiting = true
+		return
+	}
+	if len(entries) > 0 {
+		p.next += uint64(len(entries))
+		p.flights = append(p.flights, p.next-1)
+	}
+}
+
+func (n *Node) sendChunk(id MemberID, p *progress) {
+	n.send(Message{Kind: SnapshotChunk, To: id, ToDisk: p.disk, Snapshot: p.snapshot, Offset: p.offset})
+	p.waiting = true
+}
+
+// ChunkBytes is the most data that the caller puts into a SnapshotChunk.
+func (n *Node) ChunkBytes() int { return n.cfg.MessageBytes }
+
+func (n *Node) broadcastHeartbeat() {
+	for _, id := range n.peerIDs() {
+		p := n.peers[id]
+		n.send(Message{Kind: Heartbeat, To: id, ToDisk: p.disk,
+			Commit: min(p.match, n.log.commit), Sequence: n.reads.sequence})
+	}
+}
+
+// handleLeader takes a message from the leader of the current term.
+func (n *Node) handleLeader(m Message) {
+	if n.role == Leader {
+		return
+	}
+	if n.role != Follower {
+		n.becomeFollower(m.Term, m.From)
+	}
+	n.leader, n.elapsed = m.From, 0
+	switch m.Kind {
+	case Append:
+		n.handleAppend(m)
+	case Heartbeat:
+		n.commitTo(m.Commit)
+		n.send(Message{Kind: HeartbeatReply, To: m.From, ToDisk: m.Disk, Sequence: m.Sequence})
+	case SnapshotChunk:
+		n.handleChunk(m)
+	}
+}
+
+func (n *Node) handleAppend(m Message) {
+	reply := Message{Kind: AppendReply, To: m.From, ToDisk: m.Disk, Index: m.Index}
+	switch {
+	case m.Index < n.log.commit:
+		// Everything up to the commit index is known to match.
+		reply.Index = n.log.commit
+	case !n.log.matches(m.Index, m.LogTerm):
+		reply.Reject = true
+		reply.HintIndex, reply.HintTerm = n.log.hint(m.Index, m.LogTerm)
+	default:
+		reply.Index = n.merge(m)
+		n.commitTo(min(m.Commit, reply.Index))
+	}
+	n.send(reply)
+}
+
+// merge takes the entries over from the first one that differs, and returns
+// the last index known to match the leader. Equal entries are kept: a late
+// copy of an old message must not cut off newer ones.
+func (n *Node) merge(m Message) uint64 {
+	for i, e := range m.Entries {
+		if n.log.matches(e.Index, e.Term) {
+			continue
+		}
+		if e.Index <= n.log.last() {
+			n.truncate(e.Index)
+		}
+		n.adopt(m.Entries[i:])
+		break
+	}
+	return m.Index + uint64(len(m.Entries))
+}
+
+// truncate drops entries that the leader does not have. Going on without a
+// committed entry would answer callers wrongly, so the process ends instead.
+func (n *Node) truncate(from uint64) {
+	if from <= n.log.commit {
+		panic(fmt.Sprintf("raft: member %s would drop committed entry %d, commit index %d", n.cfg.Self, from, n.log.commit))
+	}
+	n.log.truncate(from)
+	n.members = n.members.truncate(from)
+}
+
+func (n *Node) adopt(entries []Entry) {
+	n.log.append(entries...)
+	for _, e := range entries {
+		if err := n.learnMembership(e); err != nil {
+			panic(err.Error()) // the leader encoded the entry, and messages are checked in transit
+		}
+	}
+}
+
+func (n *Node) commitTo(index uint64) {
+	n.log.commit = max(n.log.commit, min(index, n.log.last()))
+}
+
+func (n *Node) handleProgress(m Message) {
+	p := n.peers[m.From]
+	if n.role != Leader || p == nil {
+		return
+	}
+	p.active = true
+	switch m.Kind {
+	case AppendReply:
+		n.handleAppendReply(p, m)
+	case HeartbeatReply:
+		n.handleHeartbeatReply(m.From, p, m)
+	case SnapshotReply:
+		n.handleSnapshotReply(p, m)
+	}
+}
+
+func (n *Node) handleAppendReply(p *progress, m Message) {
+	if m.Reject {
+		n.handleMismatch(p, m)
+		return
+	}
+	p.acknowledge(min(m.Index, n.log.last()))
+	if p.flow == probing || p.flow == installing && p.match >= p.snapshot.Index {
+		p.probe(p.match + 1)
+		p.flow = streaming
+	}
+	n.advanceCommit()
+	if m.From == n.transfer {
+		n.offerLeadership()
+	}
+}
+
+// handleMismatch moves back to the newest entry that can match. Refusals of
+// indexes that are acknowledged already, or that were not asked for last, are
+// late.
+func (n *Node) handleMismatch(p *progress, m Message) {
+	if m.Index <= p.match || p.flow == installing || p.flow == probing && m.Index != p.next-1 {
+		return
+	}
+	index, _ := n.log.hint(m.HintIndex, m.HintTerm)
+	p.probe(index + 1)
+}
+
+// handleHeartbeatReply also repeats what may have been lost: messages are not
+// repeated by any layer below.
+func (n *Node) handleHeartbeatReply(id MemberID, p *progress, m Message) {
+	p.waiting = false
+	if p.flow == streaming && p.match < n.log.last() {
+		if len(p.flights) >= n.cfg.Flights {
+			p.flights = p.flights[1:]
+		}
+		n.sendAppend(id, p)
+	}
+	p.sequence = max(p.sequence, m.Sequence)
+	n.confirmReads()
+}
+
+// advanceCommit commits the newest entry of this term that a majority holds on
+// disk; entries of older terms are committed along with it.
+func (n *Node) advanceCommit() {
+	index := n.majorityMatch()
+	if index <= n.log.commit {
+		return
+	}
+	if t, ok := n.log.term(index); !ok || t != n.term {
+		return
+	}
+	for _, e := range n.log.slice(n.log.commit+1, index) {
+		n.uncommitted -= e.size()
+	}
+	n.log.commit = index
+	if n.changeCommitted() && !n.voter() {
+		n.becomeFollower(n.term, "")
+	}
+}
+
+// majorityMatch returns the newest index that a majority of voters holds.
+func (n *Node) majorityMatch() uint64 {
+	var held []uint64
+	for _, m := range n.Membership().Voters() {
+		switch {
+		case n.isSelf(m):
+			held = append(held, n.log.synced)
+		case n.peers[m.ID] != nil:
+			held = append(held, n.peers[m.ID].match)
+		default:
+			held = append(held, 0)
+		}
+	}
+	slices.SortFunc(held, func(a, b uint64) int { return cmp.Compare(b, a) })
+	if len(held) == 0 {
+		return 0
+	}
+	return held[len(held)/2]
+}
