load: add a load generator that checks every token

Cause: runs need traffic whose every token, refusal and latency is checked and counted by class and organisation.

Ruled out: latency from the time of sending in the open loop, since a stalled client would hide waits; it counts from the planned arrival. Follow-up requests after a refusal, since refusals are what a run measures; only a generation that has delivered tokens, or a connection that failed, goes on at the next URL.

Other subcommands add themselves in init from files of their own.

Conclusion: ready to run against an entry; that path is tested only against a test server so far.

--- /dev/null
+++ b/cmd/heatherwayctl/main.go
@@ -0,0 +1,78 @@
+// Command heatherwayctl is the operator's command line. Each subcommand stands
+// in a file of its own and adds itself in init.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"sort"
+	"syscall"
+
+	"github.com/go-faster/errors"
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"heatherway.dev/kernel/result"
+)
+
+// Exit statuses, documented in docs/operations.md.
+const (
+	exitOK     = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+const environmentPrefix = "HEATHERWAYCTL"
+
+// streams are where a subcommand writes.
+type streams struct{ out, err io.Writer }
+
+var subcommands []func(streams) *ffcli.Command
+
+// add registers a subcommand. It is called from init.
+func add(make func(streams) *ffcli.Command) { subcommands = append(subcommands, make) }
+
+func command(s streams) *ffcli.Command {
+	root := &ffcli.Command{
+		Name:       "heatherwayctl",
+		ShortUsage: "heatherwayctl <subcommand> [flags]",
+		ShortHelp:  "Operate and measure heatherway.",
+		FlagSet:    flag.NewFlagSet("heatherwayctl", flag.ContinueOnError),
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) > 0 {
+				return result.New(result.Usage, "unknown subcommand %q", args[0])
+			}
+			return flag.ErrHelp
+		},
+	}
+	for _, make := range subcommands {
+		c := make(s)
+		c.Options = append(c.Options, ff.WithEnvVarPrefix(environmentPrefix))
+		root.Subcommands = append(root.Subcommands, c)
+	}
+	sort.Slice(root.Subcommands, func(i, j int) bool { return root.Subcommands[i].Name < root.Subcommands[j].Name })
+	return root
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	err := command(streams{os.Stdout, os.Stderr}).ParseAndRun(ctx, os.Args[1:])
+	stop()
+	os.Exit(exitStatus(err, os.Stderr))
+}
+
+func exitStatus(err error, stderr io.Writer) int {
+	if err == nil || errors.Is(err, flag.ErrHelp) {
+		return exitOK
+	}
+	fmt.Fprintln(stderr, "heatherwayctl:", err)
+	if result.Is(err, result.Usage) {
+		return exitUsage
+	}
+	return exitFailed
+}
--- /dev/null
+++ b/internal/load/call.go
@@ -0,0 +1,271 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"heatherway.dev/core/wire"
+	"heatherway.dev/heatherway/internal/tokentext"
+)
+
+const (
+	// maxFollows bounds the connections behind the first one of a request.
+	maxFollows = 20
+	// followPause is the wait before a connection that follows a failed one.
+	followPause = 50 * time.Millisecond
+	// maxPause bounds the wait that an answer may ask for.
+	maxPause = 5 * time.Second
+	// maxAnswer bounds an answer that is not streamed, in bytes.
+	maxAnswer = 64 << 20
+)
+
+// call runs one request to its end.
+type call struct {
+	run     *run
+	request request
+	arrival time.Time
+	out     outcome
+	check   checker
+	last    time.Time // of the last event with tokens
+	eventID string
+	// token is called for each count of tokens received.
+	token func(int)
+}
+
+func (c *call) do(ctx context.Context) {
+	q := c.request
+	c.out = outcome{kind: q.kind, class: q.class, organisation: q.organisation.Name}
+	c.check.source = tokentext.New(q.prompt, q.seed)
+	for attempt := 0; ; attempt++ {
+		c.out.follows = attempt
+		r := c.attempt(ctx, c.run.url(q.index+attempt))
+		c.out.faults = c.check.faults
+		switch {
+		case r == nil:
+			c.out.finished = true
+			return
+		case ctx.Err() != nil:
+			c.out.cut = true
+			return
+		case !r.retry || attempt == maxFollows:
+			c.out.refusal = r.label
+			return
+		}
+		if !pause(ctx, min(max(r.after, followPause), maxPause)) {
+			c.out.cut = true
+			return
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// attempt posts the request once. It returns nil when the answer is whole.
+func (c *call) attempt(ctx context.Context, url string) *refusal {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	req, err := c.newRequest(ctx, url)
+	if err != nil {
+		return &refusal{label: err.Error()}
+	}
+	alive, stop := c.watch(cancel)
+	defer stop()
+	resp, err := c.run.client.Do(req)
+	if err != nil {
+		return c.lost(labelUnreachable)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode >= http.StatusBadRequest {
+		return c.refused(resp)
+	}
+	switch {
+	case c.request.kind != Generation:
+		return c.plain(resp.Body)
+	case c.run.Stream:
+		return c.stream(resp.Body, alive)
+	default:
+		return c.whole(resp.Body)
+	}
+}
+
+// lost is a connection that failed. Its request goes on at the next URL.
+func (c *call) lost(label string) *refusal {
+	return &refusal{label: label, retry: !c.run.Direct}
+}
+
+// refused reads an answer that carries a result code. Only a generation that
+// has begun asks again: other refusals are what the run measures.
+func (c *call) refused(resp *http.Response) *refusal {
+	var p problem
+	_ = json.NewDecoder(io.LimitReader(resp.Body, maxAnswer)).Decode(&p) // a body of another form has no code
+	r := p.refusal(resp.StatusCode)
+	r.retry = r.retry && c.eventID != ""
+	return &r
+}
+
+func (c *call) newRequest(ctx context.Context, url string) (*http.Request, error) {
+	q := c.request
+	method, path, body := http.MethodPost, "/v1/completions", c.body()
+	switch q.kind {
+	case Order:
+		path = "/v1/services/" + c.run.Service + "/orders"
+	case Lookup:
+		method, path, body = http.MethodGet, fmt.Sprintf("/v1/services/%s/lookup/%d", c.run.Service, q.index), nil
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	if !c.run.Direct {
+		c.setHeaders(req.Header)
+	}
+	return req, nil
+}
+
+func (c *call) setHeaders(h http.Header) {
+	q := c.request
+	h.Set("Authorization", "Bearer "+q.organisation.Key)
+	h.Set("X-Heatherway-Class", q.class.String())
+	name := fmt.Sprintf("load-%s-%d", c.run.name, q.index)
+	h.Set("X-Request-Id", name)
+	if q.kind == Order {
+		h.Set("Idempotency-Key", name)
+	}
+	if c.eventID != "" {
+		h.Set("Last-Event-ID", c.eventID)
+	}
+}
+
+func (c *call) body() []byte {
+	q := c.request
+	var v any = map[string]any{
+		"model": c.run.Model, "prompt": q.prompt, "seed": q.seed,
+		"max_tokens": q.tokens, "stream": c.run.Stream,
+	}
+	if q.kind == Order {
+		v = map[string]any{"item": q.index}
+	}
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // every value has a JSON form
+	}
+	return b
+}
+
+// answer is the part of a chunk or a whole answer that is checked.
+type answer struct {
+	problem
+	Choices []struct {
+		Text string `json:"text"`
+	} `json:"choices"`
+}
+
+func (a answer) text() string {
+	if len(a.Choices) == 0 {
+		return ""
+	}
+	return a.Choices[0].Text
+}
+
+// watch calls cancel when a stream is silent. An engine sends nothing while a
+// request waits, so that a direct stream is not watched.
+func (c *call) watch(cancel func()) (alive, stop func()) {
+	if c.run.Silence == 0 || c.run.Direct || !c.run.Stream || c.request.kind != Generation {
+		return func() {}, func() {}
+	}
+	t := time.AfterFunc(c.run.Silence, cancel)
+	return func() { t.Reset(c.run.Silence) }, func() { t.Stop() }
+}
+
+func (c *call) stream(r io.Reader, alive func()) *refusal {
+	events := newEventReader(r, alive)
+	for {
+		e, err := events.next()
+		if err != nil {
+			return c.lost(labelBroken)
+		}
+		if e.data == "[DONE]" {
+			c.check.end(c.request.tokens)
+			return nil
+		}
+		if r := c.event(e); r != nil {
+			return r
+		}
+	}
+}
+
+func (c *call) event(e event) *refusal {
+	var a answer
+	if err := json.Unmarshal([]byte(e.data), &a); err != nil {
+		return &refusal{label: labelMalformed}
+	}
+	if a.Error != nil {
+		r := a.refusal(http.StatusOK)
+		r.retry = r.retry && c.eventID != ""
+		return &r
+	}
+	c.received(a.text())
+	if e.id == "" {
+		return nil
+	}
+	id, err := wire.ParseEventID(e.id)
+	if err != nil {
+		c.check.faults.Wrong++
+		return nil
+	}
+	c.check.offset(id.Offset)
+	c.eventID = e.id
+	return nil
+}
+
+// received checks and times the text of one event.
+func (c *call) received(text string) {
+	n := c.check.take(text)
+	if n == 0 {
+		return
+	}
+	now := time.Now()
+	if c.out.tokens == 0 {
+		c.out.first = now.Sub(c.arrival)
+	} else {
+		c.out.gaps = append(c.out.gaps, now.Sub(c.last))
+	}
+	c.last = now
+	c.out.tokens += n
+	c.token(n)
+}
+
+func (c *call) whole(r io.Reader) *refusal {
+	b, err := io.ReadAll(io.LimitReader(r, maxAnswer))
+	if err != nil {
+		return c.lost(labelBroken)
+	}
+	var a answer
+	if err := json.Unmarshal(b, &a); err != nil {
+		return &refusal{label: labelMalformed}
+	}
+	c.received(a.text())
+	c.check.end(c.request.tokens)
+	return nil
+}
+
+func (c *call) plain(r io.Reader) *refusal {
+	if _, err := io.Copy(io.Discard, io.LimitReader(r, maxAnswer)); err != nil {
+		return c.lost(labelBroken)
+	}
+	c.out.first = time.Since(c.arrival)
+	return nil
+}
--- /dev/null
+++ b/internal/load/events.go
@@ -0,0 +1,52 @@
+package load
+
+import (
+	"bufio"
+	"io"
+	"strings"
+)
+
+// maxEvent bounds one line of an event stream in bytes.
+const maxEvent = 16 << 20
+
+// event is a server-sent event.
+type event struct{ id, data string }
+
+// eventReader reads an event stream. It calls alive for every line, comments
+// included.
+type eventReader struct {
+	lines *bufio.Scanner
+	alive func()
+}
+
+func newEventReader(r io.Reader, alive func()) *eventReader {
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, maxEvent)
+	return &eventReader{lines: s, alive: alive}
+}
+
+// next returns the next event with data. An event that the connection cuts off
+// is dropped.
+func (r *eventReader) next() (event, error) {
+	var e event
+	for r.lines.Scan() {
+		r.alive()
+		line := r.lines.Text()
+		field, value, _ := strings.Cut(line, ":")
+		value = strings.TrimPrefix(value, " ")
+		switch {
+		case line == "" && e.data != "":
+			return e, nil
+		case field == "id":
+			e.id = value
+		case field == "data" && e.data != "":
+			e.data += "\n" + value
+		case field == "data":
+			e.data = value
+		}
+	}
+	if err := r.lines.Err(); err != nil {
+		return event{}, err
+	}
+	return event{}, io.ErrUnexpectedEOF
+}
--- /dev/null
+++ b/internal/load/outcome.go
@@ -0,0 +1,69 @@
+package load
+
+import (
+	"fmt"
+	"time"
+
+	"heatherway.dev/core/wire"
+	"heatherway.dev/kernel/result"
+)
+
+// outcome is what came of one request.
+type outcome struct {
+	kind         Kind
+	class        wire.Class
+	organisation string
+	finished     bool
+	// cut is set when the run ended before the request did.
+	cut bool
+	// refusal names the result that ended the request, if it did not finish.
+	refusal string
+	tokens  int
+	faults  Faults
+	// follows counts connections behind the first one.
+	follows int
+	// first is the time from the planned arrival to the first token, or to the
+	// whole answer of a plain call.
+	first time.Duration
+	// gaps are the times between events with tokens.
+	gaps []time.Duration
+}
+
+// refusal is an answer other than the wanted one.
+type refusal struct {
+	label string
+	retry bool
+	after time.Duration
+}
+
+// Labels of failures that carry no result code.
+const (
+	labelUnreachable = "unreachable"
+	labelBroken      = "broken"
+	labelTooMany     = "client_limit"
+	labelMalformed   = "malformed_answer"
+)
+
+// problem is the error object in heatherway's answers.
+type problem struct {
+	Error *struct {
+		Code    int   `json:"code"`
+		RetryMS int64 `json:"retry_after_ms"`
+	} `json:"error"`
+}
+
+// firstCode is the lowest result code that heatherway answers with. Smaller
+// numbers are HTTP statuses in the answers of an engine.
+const firstCode = 1000
+
+func (p problem) refusal(status int) refusal {
+	if p.Error == nil || p.Error.Code < firstCode {
+		return refusal{label: fmt.Sprintf("HTTP %d", status)}
+	}
+	code := result.Code(p.Error.Code)
+	return refusal{
+		label: fmt.Sprintf("%d %s", p.Error.Code, code),
+		retry: code.Info().Retry,
+		after: time.Duration(p.Error.RetryMS) * time.Millisecond,
+	}
+}
--- /dev/null
+++ b/internal/load/plan.go
@@ -0,0 +1,93 @@
+package load
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+
+	"heatherway.dev/core/wire"
+)
+
+// Kind is a kind of request.
+type Kind string
+
+// The kinds of request.
+const (
+	Generation Kind = "generation"
+	Lookup     Kind = "lookup"
+	Order      Kind = "order"
+)
+
+// orderShare of the plain calls are orders, which must not be repeated.
+const orderShare = 0.5
+
+// request is one planned request.
+type request struct {
+	index        int
+	kind         Kind
+	class        wire.Class
+	organisation Organisation
+	prompt       string
+	seed         int64
+	tokens       int
+}
+
+// plan returns request i. It depends on the options and i only, so that a run
+// can be repeated.
+func (o *Options) plan(i int) request {
+	r := rand.New(rand.NewPCG(o.Seed, uint64(i)))
+	q := request{
+		index: i, kind: Generation,
+		class: pick(r, o.Classes), organisation: pick(r, o.Organisations),
+		seed: r.Int64(), tokens: o.OutputTokens.pick(r),
+	}
+	q.prompt = o.prompt(r, q)
+	if r.Float64() < o.ServiceShare {
+		q.kind = Lookup
+		if r.Float64() < orderShare {
+			q.kind = Order
+		}
+	}
+	return q
+}
+
+func pick[T any](r *rand.Rand, mix []Share[T]) T {
+	var sum float64
+	for _, s := range mix {
+		sum += s.Weight
+	}
+	at := r.Float64() * sum
+	for _, s := range mix {
+		if at -= s.Weight; at < 0 {
+			return s.Value
+		}
+	}
+	return mix[len(mix)-1].Value
+}
+
+func (g Range) pick(r *rand.Rand) int { return g.Min + r.IntN(g.Max-g.Min+1) }
+
+const wordChars = 7 // a word of a prompt with its space
+
+// prompt returns a text of the wanted length that begins with the shared part.
+func (o *Options) prompt(r *rand.Rand, q request) string {
+	n := o.PromptChars.pick(r)
+	shared := words(rand.New(rand.NewPCG(o.Seed, hash(q.organisation.Name))), min(o.SharedChars, n))
+	return shared + words(r, n-len(shared))
+}
+
+func hash(s string) uint64 {
+	var h uint64
+	for _, c := range []byte(s) {
+		h = h*31 + uint64(c)
+	}
+	return h
+}
+
+func words(r *rand.Rand, n int) string {
+	var b strings.Builder
+	for b.Len() < n {
+		fmt.Fprintf(&b, "%0*x ", wordChars-1, r.IntN(1<<(4*(wordChars-1))))
+	}
+	return b.String()[:n]
+}
--- /dev/null
+++ b/internal/load/report.go
@@ -0,0 +1,175 @@
+package load
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	hdr "github.com/HdrHistogram/hdrhistogram-go"
+
+	"heatherway.dev/core/wire"
+)
+
+const (
+	// longestLatency is the upper end of the histograms in microseconds.
+	longestLatency = int64(time.Hour / time.Microsecond)
+	// latencyDigits is the precision of the histograms.
+	latencyDigits = 3
+)
+
+// Report is what a run measured.
+type Report struct {
+	Seconds       float64 `json:"seconds"`
+	Total         Row     `json:"total"`
+	Classes       []Row   `json:"classes"`
+	Organisations []Row   `json:"organisations"`
+	// Plain holds the plain calls, which the other rows leave out.
+	Plain []Row `json:"plain"`
+}
+
+// Row sums up one group of requests.
+type Row struct {
+	Name     string `json:"name"`
+	Requests int64  `json:"requests"`
+	Finished int64  `json:"finished"`
+	// Cut requests still ran when the run ended.
+	Cut             int64   `json:"cut"`
+	Tokens          int64   `json:"tokens"`
+	TokensPerSecond float64 `json:"tokens_per_second"`
+	// Follows counts connections that went on with a broken stream.
+	Follows int64 `json:"follows"`
+	Faults
+	// FirstToken is the latency of the whole answer for plain calls.
+	FirstToken Quantiles `json:"first_token_ms"`
+	// BetweenTokens is the time between two events with tokens.
+	BetweenTokens Quantiles        `json:"between_tokens_ms"`
+	Refusals      map[string]int64 `json:"refusals"`
+}
+
+// Quantiles of a latency in milliseconds.
+type Quantiles struct {
+	P50 float64 `json:"p50"`
+	P95 float64 `json:"p95"`
+	P99 float64 `json:"p99"`
+	Max float64 `json:"max"`
+}
+
+// tally collects the outcomes of one group.
+type tally struct {
+	row        Row
+	first, gap *hdr.Histogram
+}
+
+func newTally() *tally {
+	return &tally{
+		row:   Row{Refusals: map[string]int64{}},
+		first: hdr.New(1, longestLatency, latencyDigits),
+		gap:   hdr.New(1, longestLatency, latencyDigits),
+	}
+}
+
+func observe(h *hdr.Histogram, d time.Duration) {
+	us := min(max(int64(d/time.Microsecond), 1), longestLatency)
+	_ = h.RecordValue(us) // it is within the range
+}
+
+func (t *tally) add(o outcome) {
+	t.row.Requests++
+	t.row.Tokens += int64(o.tokens)
+	t.row.Follows += int64(o.follows)
+	t.row.Faults.add(o.faults)
+	if o.finished {
+		t.row.Finished++
+	}
+	if o.cut {
+		t.row.Cut++
+	}
+	if o.refusal != "" {
+		t.row.Refusals[o.refusal]++
+	}
+	if o.first > 0 {
+		observe(t.first, o.first)
+	}
+	for _, g := range o.gaps {
+		observe(t.gap, g)
+	}
+}
+
+func (t *tally) result(name string, elapsed time.Duration) Row {
+	r := t.row
+	r.Name = name
+	r.TokensPerSecond = float64(r.Tokens) / elapsed.Seconds()
+	r.FirstToken, r.BetweenTokens = quantiles(t.first), quantiles(t.gap)
+	return r
+}
+
+func quantiles(h *hdr.Histogram) Quantiles {
+	if h.TotalCount() == 0 {
+		return Quantiles{}
+	}
+	ms := func(us int64) float64 { return float64(us) / 1000 }
+	return Quantiles{
+		P50: ms(h.ValueAtPercentile(50)), P95: ms(h.ValueAtPercentile(95)),
+		P99: ms(h.ValueAtPercentile(99)), Max: ms(h.Max()),
+	}
+}
+
+// recorder collects the outcomes of a run.
+type recorder struct {
+	mu            sync.Mutex
+	total         *tally
+	classes       map[wire.Class]*tally
+	organisations map[string]*tally
+	plain         map[Kind]*tally
+}
+
+func newRecorder() *recorder {
+	return &recorder{
+		total: newTally(), classes: map[wire.Class]*tally{},
+		organisations: map[string]*tally{}, plain: map[Kind]*tally{},
+	}
+}
+
+func of[K comparable](m map[K]*tally, k K) *tally {
+	t, ok := m[k]
+	if !ok {
+		t = newTally()
+		m[k] = t
+	}
+	return t
+}
+
+func (r *recorder) add(o outcome) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if o.kind != Generation {
+		of(r.plain, o.kind).add(o)
+		return
+	}
+	r.total.add(o)
+	of(r.classes, o.class).add(o)
+	of(r.organisations, o.organisation).add(o)
+}
+
+func (r *recorder) report(elapsed time.Duration) *Report {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := &Report{Seconds: elapsed.Seconds(), Total: r.total.result("total", elapsed)}
+	for _, c := range wire.Classes() {
+		if t, ok := r.classes[c]; ok {
+			out.Classes = append(out.Classes, t.result(c.String(), elapsed))
+		}
+	}
+	out.Organisations = rows(r.organisations, elapsed)
+	out.Plain = rows(r.plain, elapsed)
+	return out
+}
+
+func rows[K ~string](m map[K]*tally, elapsed time.Duration) []Row {
+	var out []Row
+	for k, t := range m {
+		out = append(out, t.result(string(k), elapsed))
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
--- /dev/null
+++ b/internal/load/run.go
@@ -0,0 +1,183 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"heatherway.dev/core/wire"
+)
+
+const (
+	// progressInterval is the time between two lines of progress.
+	progressInterval = 2 * time.Second
+	// maxOpen bounds the requests that run at once, so that an overload ends in
+	// a count instead of exhausted memory.
+	maxOpen = 20000
+	// refusedPause keeps a caller of the closed loop from spinning while every
+	// request is refused: without it, four callers sent 20,000 requests a second.
+	refusedPause = 100 * time.Millisecond
+	// dialLimit bounds the making of a connection.
+	dialLimit = 2 * time.Second
+)
+
+// run is one run of the load generator.
+type run struct {
+	Options
+	// name tells the keys and ids of this run from those of others.
+	name     string
+	client   *http.Client
+	recorder *recorder
+	slots    chan struct{}
+	calls    sync.WaitGroup
+
+	sent, running, finished, refused, tokens atomic.Int64
+}
+
+// Run sends what the options say, writes progress, and reports.
+func Run(ctx context.Context, o Options, progress io.Writer) (*Report, error) {
+	if err := o.Validate(); err != nil {
+		return nil, err
+	}
+	r := &run{
+		Options: o, name: string(wire.NewID()[:8]), recorder: newRecorder(),
+		slots: make(chan struct{}, maxOpen), client: newClient(),
+	}
+	defer r.client.CloseIdleConnections()
+	start := time.Now()
+	shown := make(chan struct{})
+	showing, stopShowing := context.WithCancel(ctx)
+	go func() { defer close(shown); r.show(showing, progress, start) }()
+
+	calls, cut := context.WithCancel(ctx)
+	defer cut()
+	r.send(ctx, calls, start)
+	timer := time.AfterFunc(o.Drain, cut)
+	r.calls.Wait()
+	timer.Stop()
+	stopShowing()
+	<-shown
+	return r.recorder.report(time.Since(start)), nil
+}
+
+func newClient() *http.Client {
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.Proxy = nil
+	t.DisableCompression = true
+	t.MaxIdleConns, t.MaxIdleConnsPerHost = maxOpen, maxOpen
+	t.DialContext = dialer(dialLimit)
+	return &http.Client{Transport: t}
+}
+
+func (r *run) url(i int) string { return r.URLs[i%len(r.URLs)] }
+
+// send starts requests until a limit is reached or sending ends.
+func (r *run) send(sending, calls context.Context, start time.Time) {
+	if r.Duration > 0 {
+		ctx, cancel := context.WithDeadline(sending, start.Add(r.Duration))
+		defer cancel()
+		sending = ctx
+	}
+	if r.Rate > 0 {
+		r.openLoop(sending, calls, start)
+		return
+	}
+	r.closedLoop(sending, calls)
+}
+
+func (r *run) limited(i int) bool { return r.Requests > 0 && i >= r.Requests }
+
+// openLoop sends at Poisson arrivals, whatever became of earlier requests.
+func (r *run) openLoop(sending, calls context.Context, start time.Time) {
+	random := rand.New(rand.NewPCG(r.Seed, ^uint64(0)))
+	arrival := start
+	for i := 0; !r.limited(i); i++ {
+		arrival = arrival.Add(time.Duration(random.ExpFloat64() / r.Rate * float64(time.Second)))
+		if !pause(sending, time.Until(arrival)) {
+			return
+		}
+		r.launch(calls, i, arrival)
+	}
+}
+
+func (r *run) launch(ctx context.Context, i int, arrival time.Time) {
+	select {
+	case r.slots <- struct{}{}:
+	default:
+		q := r.plan(i)
+		r.sent.Add(1)
+		r.done(outcome{kind: q.kind, class: q.class, organisation: q.organisation.Name, refusal: labelTooMany})
+		return
+	}
+	r.calls.Go(func() {
+		r.one(ctx, i, arrival)
+		<-r.slots
+	})
+}
+
+// closedLoop sends from callers that each wait for their answer.
+func (r *run) closedLoop(sending, calls context.Context) {
+	var next atomic.Int64
+	for range r.Concurrency {
+		r.calls.Go(func() {
+			for sending.Err() == nil {
+				i := int(next.Add(1)) - 1
+				if r.limited(i) {
+					return
+				}
+				if !r.one(calls, i, time.Now()) {
+					pause(sending, refusedPause)
+				}
+			}
+		})
+	}
+	over := make(chan struct{})
+	go func() { defer close(over); r.calls.Wait() }()
+	select {
+	case <-over:
+	case <-sending.Done():
+	}
+}
+
+// one runs request i and tells whether it finished.
+func (r *run) one(ctx context.Context, i int, arrival time.Time) bool {
+	r.sent.Add(1)
+	r.running.Add(1)
+	defer r.running.Add(-1)
+	c := call{run: r, request: r.plan(i), arrival: arrival, token: func(n int) { r.tokens.Add(int64(n)) }}
+	c.do(ctx)
+	r.done(c.out)
+	return c.out.finished
+}
+
+func (r *run) done(o outcome) {
+	if o.finished {
+		r.finished.Add(1)
+	}
+	if o.refusal != "" {
+		r.refused.Add(1)
+	}
+	r.recorder.add(o)
+}
+
+// show writes a line of progress at an interval.
+func (r *run) show(ctx context.Context, w io.Writer, start time.Time) {
+	before, at := int64(0), start
+	for pause(ctx, progressInterval) {
+		tokens, now := r.tokens.Load(), time.Now()
+		fmt.Fprintf(w, "%6.1f s  sent %d  running %d  finished %d  refused %d  tokens/s %.0f\n",
+			now.Sub(start).Seconds(), r.sent.Load(), r.running.Load(), r.finished.Load(), r.refused.Load(),
+			float64(tokens-before)/now.Sub(at).Seconds())
+		before, at = tokens, now
+	}
+}
+
+func dialer(limit time.Duration) func(context.Context, string, string) (net.Conn, error) {
+	return (&net.Dialer{Timeout: limit}).DialContext
+}
