slo: add error budgets, burn rates and their report

Cause: operators need to see by class and organisation how fast the error budget goes, and which result codes spend it.

Ruled out: deciding good or late from the histogram, since a target between two bucket bounds would be off by up to 19%; each request is compared with the objective in force when it ends.

Change: core/slo keeps counts on a grid of twelve steps per window, so that a window reaches back at most one step too far, also after a pause. Failures that callers bring about do not count.

The page was checked as markup only; no browser was at hand.

--- /dev/null
+++ b/cmd/heatherwayctl/slo.go
@@ -0,0 +1,90 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"heatherway.dev/core/slo"
+	"heatherway.dev/heatherway/internal/sloreport"
+	"heatherway.dev/kernel/result"
+)
+
+func init() { add(sloCommand) }
+
+const (
+	// snapshotLimit is the time in which an entry must deliver its snapshot.
+	snapshotLimit = 10 * time.Second
+	// maxSnapshot bounds a snapshot in bytes: 4,096 series of about 4 KB.
+	maxSnapshot = 32 << 20
+)
+
+func sloCommand(s streams) *ffcli.Command {
+	flags := flag.NewFlagSet("heatherwayctl slo", flag.ContinueOnError)
+	output := flags.String("output", string(sloreport.Text), "form of the report: text, json or html")
+	offenders := flags.Int("offenders", 10, "how many of the worst offenders to name")
+	return &ffcli.Command{
+		Name:       "slo",
+		ShortUsage: "heatherwayctl slo [flags] FILE|URL ...",
+		ShortHelp:  "Merge the service-level snapshots of entries and report budgets and burn rates.",
+		FlagSet:    flags,
+		Exec: func(ctx context.Context, args []string) error {
+			format := sloreport.Format(*output)
+			if format != sloreport.Text && format != sloreport.JSON && format != sloreport.HTML {
+				return result.New(result.Usage, "--output %q is none of text, json and html", *output)
+			}
+			if len(args) == 0 || *offenders < 0 {
+				return result.New(result.Usage, "name at least one snapshot, and a count of offenders from 0 up")
+			}
+			all, err := mergeSnapshots(ctx, args)
+			if err != nil {
+				return err
+			}
+			return sloreport.Write(s.out, slo.Evaluate(all, *offenders), format)
+		},
+	}
+}
+
+func mergeSnapshots(ctx context.Context, sources []string) (slo.Snapshot, error) {
+	all := slo.Snapshot{Layout: slo.Layout}
+	for _, source := range sources {
+		b, err := readSnapshot(ctx, source)
+		if err != nil {
+			return all, errors.Wrap(err, source)
+		}
+		one, err := slo.Decode(b)
+		if err != nil {
+			return all, errors.Wrap(err, source)
+		}
+		all = slo.Merge(all, one)
+	}
+	return all, nil
+}
+
+func readSnapshot(ctx context.Context, source string) ([]byte, error) {
+	if !strings.HasPrefix(source, "http://") && !strings.HasPrefix(source, "https://") {
+		return os.ReadFile(source)
+	}
+	ctx, cancel := context.WithTimeout(ctx, snapshotLimit)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, source, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("answered %s", resp.Status)
+	}
+	return io.ReadAll(io.LimitReader(resp.Body, maxSnapshot))
+}
--- /dev/null
+++ b/core/slo/recorder.go
@@ -0,0 +1,155 @@
+package slo
+
+import (
+	"time"
+
+	"heatherway.dev/core/wire"
+	"heatherway.dev/kernel/result"
+)
+
+// Key names a series.
+type Key struct {
+	Class        wire.Class
+	Organisation string
+}
+
+// Objective is what a series should meet.
+type Objective struct {
+	// Target is the longest good time to the first token.
+	Target time.Duration `json:"target_ns"`
+	// Share of the requests should be good.
+	Share float64 `json:"share"`
+}
+
+// Sample is a finished request.
+type Sample struct {
+	Class        wire.Class
+	Organisation string
+	// FirstToken is the time to the first token, or to the whole answer of a
+	// plain call; 0 if there was none.
+	FirstToken time.Duration
+	// Code is OK or the result that ended the request.
+	Code result.Code
+}
+
+const (
+	// MaxSeries bounds the memory of a recorder: a series takes about 3 KB.
+	MaxSeries = 4096
+	// OtherOrganisations is the name of the series that take what exceeds
+	// MaxSeries.
+	OtherOrganisations = "(other)"
+)
+
+// Recorder keeps the series of one entry. It is not safe for concurrent use.
+type Recorder struct {
+	objective func(Key) Objective
+	rings     [WindowCount]ring
+	series    map[Key]*series
+}
+
+type series struct {
+	objective Objective
+	latency   Histogram
+	counts    Counts // since the start of the series
+	slots     [WindowCount][slotCount]Counts
+}
+
+// NewRecorder returns a recorder that starts now. It looks the objective up for
+// each request, so that a changed one holds at once.
+func NewRecorder(now time.Time, objective func(Key) Objective) *Recorder {
+	r := &Recorder{objective: objective, series: map[Key]*series{}}
+	for w := range r.rings {
+		r.rings[w] = newRing(windows[w], now)
+	}
+	return r
+}
+
+// Record counts a finished request.
+func (r *Recorder) Record(now time.Time, s Sample) {
+	r.tick(now)
+	if s.Code != OK && !AgainstBudget(s.Code) {
+		return
+	}
+	k := Key{s.Class, s.Organisation}
+	e := r.of(k)
+	e.objective = r.objective(k)
+	e.counts.Total++
+	if s.FirstToken > 0 {
+		e.latency.Observe(s.FirstToken)
+	}
+	switch {
+	case s.Code != OK:
+		e.counts.fail(s.Code, 1)
+	case s.FirstToken > e.objective.Target:
+		e.counts.Late++
+	}
+}
+
+func (r *Recorder) of(k Key) *series {
+	if e, ok := r.series[k]; ok {
+		return e
+	}
+	if len(r.series) >= MaxSeries {
+		k.Organisation = OtherOrganisations
+	}
+	e, ok := r.series[k]
+	if !ok {
+		e = &series{}
+		r.series[k] = e
+	}
+	return e
+}
+
+// tick fills the slots that are due.
+func (r *Recorder) tick(now time.Time) {
+	for w := range r.rings {
+		for _, at := range r.rings[w].due(now) {
+			r.rings[w].push(at)
+			for _, e := range r.series {
+				e.slots[w][r.rings[w].head] = e.counts.shared()
+			}
+			if w == ThreeDays {
+				r.dropIdle(at)
+			}
+		}
+	}
+}
+
+// dropIdle forgets series without a request in the longest window.
+func (r *Recorder) dropIdle(now time.Time) {
+	slot, ok := r.rings[ThreeDays].base(now.Add(-windows[ThreeDays]))
+	if !ok {
+		return
+	}
+	for k, e := range r.series {
+		if e.slots[ThreeDays][slot].Total == e.counts.Total {
+			delete(r.series, k)
+		}
+	}
+}
+
+// Snapshot returns the state of all series.
+func (r *Recorder) Snapshot(now time.Time) Snapshot {
+	r.tick(now)
+	out := Snapshot{Layout: Layout, AtMS: now.UnixMilli()}
+	for k, e := range r.series {
+		s := Series{
+			Class: k.Class.String(), Organisation: k.Organisation,
+			Objective: e.objective, Latency: e.latency, Counts: e.counts.shared(),
+		}
+		for w := range s.Windows {
+			s.Windows[w] = r.within(e, w, now)
+		}
+		out.Series = append(out.Series, s)
+	}
+	out.sort()
+	return out
+}
+
+func (r *Recorder) within(e *series, w int, now time.Time) Counts {
+	slot, ok := r.rings[w].base(now.Add(-windows[w]))
+	if !ok {
+		return e.counts.shared()
+	}
+	return e.counts.minus(e.slots[w][slot])
+}
--- /dev/null
+++ b/core/slo/report.go
@@ -0,0 +1,195 @@
+package slo
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"heatherway.dev/core/wire"
+)
+
+// Level says how urgent the burn of an error budget is.
+type Level string
+
+// The levels.
+const (
+	// Fine spends the budget no faster than it is granted.
+	Fine Level = "fine"
+	// Slow spends more than the budget in days.
+	Slow Level = "slow burn"
+	// Fast spends the budget within hours.
+	Fast Level = "fast burn"
+)
+
+// Burn rates above which a level holds. Both a long and a short window must
+// exceed the rate, so that a burn which has ended does not keep its level.
+const (
+	fastHourRate     = 14.4 // 2% of a 30 d budget in 1 h
+	fastSixHoursRate = 6    // 5% of a 30 d budget in 6 h
+	slowRate         = 1
+)
+
+// smallestBudget keeps a burn rate finite for an objective of 1.
+const smallestBudget = 1e-9
+
+// Row is the service of a group of series.
+type Row struct {
+	Class        string `json:"class,omitempty"`
+	Organisation string `json:"organisation,omitempty"`
+	// Objective is set if all series of the row have the same.
+	Objective Objective `json:"objective"`
+	// Total and Bad are those of the longest window.
+	Total uint64 `json:"total"`
+	Bad   uint64 `json:"bad"`
+	// BudgetLeft is the share of the error budget of the longest window that is
+	// left; it is below 0 when more was spent.
+	BudgetLeft float64 `json:"budget_left"`
+	// Burn is the rate at which each window spent its budget: 1 spends exactly
+	// the budget of that window.
+	Burn  [WindowCount]float64 `json:"burn"`
+	Level Level                `json:"level"`
+	// P50, P95 and P99 are those since the start of the entries.
+	P50 time.Duration `json:"p50_ns"`
+	P95 time.Duration `json:"p95_ns"`
+	P99 time.Duration `json:"p99_ns"`
+	// Causes are the counts of the last hour, or of the longest window if the
+	// last hour has none.
+	Causes  Counts    `json:"causes"`
+	Latency Histogram `json:"-"`
+}
+
+// Report sums up a snapshot.
+type Report struct {
+	AtMS    int64 `json:"at_ms"`
+	Classes []Row `json:"classes"`
+	// Organisations begin with the one that has least budget left.
+	Organisations []Row `json:"organisations"`
+	// Offenders are the series with most bad requests in the last hour, then in
+	// the longest window.
+	Offenders []Row `json:"offenders"`
+}
+
+// Evaluate sums up a snapshot and names at most the given number of offenders.
+func Evaluate(s Snapshot, offenders int) Report {
+	out := Report{AtMS: s.AtMS}
+	classes := sumsBy(s, func(e Series) string { return e.Class })
+	for _, c := range wire.Classes() {
+		if all, ok := classes[c.String()]; ok {
+			r := all.row()
+			r.Class = c.String()
+			out.Classes = append(out.Classes, r)
+		}
+	}
+	for name, all := range sumsBy(s, func(e Series) string { return e.Organisation }) {
+		r := all.row()
+		r.Organisation = name
+		out.Organisations = append(out.Organisations, r)
+	}
+	slices.SortFunc(out.Organisations, func(a, b Row) int {
+		return cmp.Or(cmp.Compare(a.BudgetLeft, b.BudgetLeft), cmp.Compare(a.Organisation, b.Organisation))
+	})
+	out.Offenders = worst(s, offenders)
+	return out
+}
+
+func sumsBy(s Snapshot, group func(Series) string) map[string]*sum {
+	out := map[string]*sum{}
+	for _, e := range s.Series {
+		name := group(e)
+		if out[name] == nil {
+			out[name] = &sum{}
+		}
+		out[name].add(e)
+	}
+	return out
+}
+
+func worst(s Snapshot, most int) []Row {
+	var bad []Series
+	for _, e := range s.Series {
+		if e.Windows[ThreeDays].Bad() > 0 {
+			bad = append(bad, e)
+		}
+	}
+	slices.SortStableFunc(bad, func(a, b Series) int {
+		return cmp.Or(
+			cmp.Compare(b.Windows[Hour].Bad(), a.Windows[Hour].Bad()),
+			cmp.Compare(b.Windows[ThreeDays].Bad(), a.Windows[ThreeDays].Bad()),
+		)
+	})
+	var out []Row
+	for _, e := range bad[:min(most, len(bad))] {
+		var one sum
+		one.add(e)
+		r := one.row()
+		r.Class, r.Organisation = e.Class, e.Organisation
+		out = append(out, r)
+	}
+	return out
+}
+
+// sum adds up series with objectives of their own.
+type sum struct {
+	series    int
+	objective Objective // zero once two differ
+	windows   [WindowCount]Counts
+	budgets   [WindowCount]float64 // requests that may be bad
+	latency   Histogram
+}
+
+func (s *sum) add(e Series) {
+	if s.series == 0 {
+		s.objective = e.Objective
+	} else if s.objective != e.Objective {
+		s.objective = Objective{}
+	}
+	s.series++
+	for w := range s.windows {
+		s.windows[w] = s.windows[w].plus(e.Windows[w])
+		s.budgets[w] += Budget(e.Objective, e.Windows[w].Total)
+	}
+	s.latency.Add(&e.Latency)
+}
+
+// Budget returns how many of total requests may be bad.
+func Budget(o Objective, total uint64) float64 {
+	return max(1-o.Share, smallestBudget) * float64(total)
+}
+
+// BurnRate returns how many times the budget was spent.
+func BurnRate(bad uint64, budget float64) float64 {
+	if bad == 0 {
+		return 0
+	}
+	return float64(bad) / budget
+}
+
+func (s *sum) row() Row {
+	r := Row{
+		Objective: s.objective,
+		Total:     s.windows[ThreeDays].Total, Bad: s.windows[ThreeDays].Bad(),
+		P50: s.latency.Quantile(0.5), P95: s.latency.Quantile(0.95), P99: s.latency.Quantile(0.99),
+		Causes: s.windows[Hour], Latency: s.latency,
+	}
+	if r.Causes.Bad() == 0 {
+		r.Causes = s.windows[ThreeDays]
+	}
+	for w := range r.Burn {
+		r.Burn[w] = BurnRate(s.windows[w].Bad(), s.budgets[w])
+	}
+	r.BudgetLeft = 1 - r.Burn[ThreeDays]
+	r.Level = level(r.Burn)
+	return r
+}
+
+func level(burn [WindowCount]float64) Level {
+	switch {
+	case burn[Hour] > fastHourRate && burn[FiveMinutes] > fastHourRate,
+		burn[SixHours] > fastSixHoursRate && burn[FiveMinutes] > fastSixHoursRate:
+		return Fast
+	case burn[ThreeDays] > slowRate && burn[SixHours] > slowRate:
+		return Slow
+	default:
+		return Fine
+	}
+}
--- /dev/null
+++ b/core/slo/window.go
@@ -0,0 +1,79 @@
+package slo
+
+import "time"
+
+// WindowCount is the number of windows.
+const WindowCount = 4
+
+// Indexes of the windows.
+const (
+	FiveMinutes = iota
+	Hour
+	SixHours
+	ThreeDays
+)
+
+var windows = [WindowCount]time.Duration{5 * time.Minute, time.Hour, 6 * time.Hour, 72 * time.Hour}
+
+var windowNames = [WindowCount]string{"5 min", "1 h", "6 h", "3 d"}
+
+// Window returns the length of window i.
+func Window(i int) time.Duration { return windows[i] }
+
+// WindowName returns the name of window i.
+func WindowName(i int) string { return windowNames[i] }
+
+const (
+	// stepsPerWindow is how many states of the counts a window is divided by. A
+	// window reaches back by at most one step too far.
+	stepsPerWindow = 12
+	// slotCount covers a window, the step in which it begins, and the state
+	// behind a pause.
+	slotCount = stepsPerWindow + 2
+)
+
+// ring says at which times the slots of all series were filled for one window.
+// Slots lie on a grid of steps from the start.
+type ring struct {
+	step  time.Duration
+	times [slotCount]time.Time
+	head  int // the newest slot
+}
+
+func newRing(window time.Duration, start time.Time) ring {
+	r := ring{step: window / stepsPerWindow}
+	r.times[0] = start
+	return r
+}
+
+// due returns the slots to fill with the counts as they are before anything
+// is recorded at now. After a pause these are two: the counts have not changed
+// from the first grid time after the last slot up to the latest one.
+func (r *ring) due(now time.Time) []time.Time {
+	steps := now.Sub(r.times[r.head]) / r.step
+	if steps <= 0 {
+		return nil
+	}
+	next := r.times[r.head].Add(r.step)
+	if steps == 1 {
+		return []time.Time{next}
+	}
+	return []time.Time{next, r.times[r.head].Add(steps * r.step)}
+}
+
+func (r *ring) push(at time.Time) {
+	r.head = (r.head + 1) % slotCount
+	r.times[r.head] = at
+}
+
+// base returns the newest slot that is not younger than the limit, and false
+// if the counts began later.
+func (r *ring) base(limit time.Time) (int, bool) {
+	for i := range slotCount {
+		slot := (r.head - i + slotCount) % slotCount
+		if at := r.times[slot]; !at.IsZero() && !at.After(limit) {
+			return slot, true
+		}
+	}
+	return 0, false
+}
--- /dev/null
+++ b/internal/sloreport/html.go
@@ -0,0 +1,176 @@
+package sloreport
+
+import (
+	_ "embed"
+	"html/template"
+	"io"
+	"time"
+
+	"heatherway.dev/core/slo"
+)
+
+//go:embed page.html
+var pageText string
+
+var page = template.Must(template.New("page").Funcs(template.FuncMap{
+	"percent": percent, "rate": rate, "latency": latency, "causes": causes, "name": name,
+	"rowsOf": rowsOf, "budget": budgetPlot, "burn": burnPlot, "histogram": histogramPlot,
+	"levelClass": levelClass,
+}).Parse(pageText))
+
+type pageData struct {
+	At      string
+	Report  slo.Report
+	Shown   []slo.Row
+	Left    int
+	Windows [slo.WindowCount]string
+}
+
+// tableData is what a table of the page shows.
+type tableData struct {
+	Windows [slo.WindowCount]string
+	Rows    []slo.Row
+}
+
+func rowsOf(windows [slo.WindowCount]string, rows []slo.Row) tableData {
+	return tableData{windows, rows}
+}
+
+func writeHTML(w io.Writer, r slo.Report) error {
+	d := pageData{At: at(r), Report: r}
+	d.Shown, d.Left = organisations(r)
+	for i := range d.Windows {
+		d.Windows[i] = slo.WindowName(i)
+	}
+	return page.Execute(w, d)
+}
+
+// levelClass is the CSS class of a level.
+func levelClass(l slo.Level) string {
+	switch l {
+	case slo.Fast:
+		return "fast"
+	case slo.Slow:
+		return "slow"
+	default:
+		return "fine"
+	}
+}
+
+// Sizes of the plots in SVG units. At the width of a phone a unit is about a
+// CSS pixel.
+const (
+	plotWidth  = 320.0
+	labelWidth = 48.0
+	valueWidth = 48.0
+	barWidth   = plotWidth - labelWidth - valueWidth
+	rowHeight  = 22.0
+	barHeight  = 14.0
+	histHeight = 90.0
+)
+
+// bar is a rectangle of a plot with its label and value.
+type bar struct {
+	X, Y, Width, Height float64
+	Label, Value, Class string
+}
+
+// mark is a line across a plot.
+type mark struct {
+	X     float64
+	Label string
+	// After puts the label behind the line, where it would not fit before it.
+	After bool
+}
+
+func newMark(x float64, label string) mark { return mark{x, label, x < labelWidth} }
+
+type plot struct {
+	Height float64
+	Bars   []bar
+	Marks  []mark
+}
+
+func budgetPlot(r slo.Row) plot {
+	left := min(max(r.BudgetLeft, 0), 1)
+	return plot{Height: rowHeight, Bars: []bar{{
+		X: labelWidth, Width: left * barWidth, Height: barHeight,
+		Label: "left", Value: percent(r.BudgetLeft), Class: levelClass(r.Level),
+	}}}
+}
+
+// leastBurnScale is the burn rate at the right end of a plot of low rates.
+const leastBurnScale = 2
+
+func burnPlot(r slo.Row) plot {
+	top := float64(leastBurnScale)
+	for _, b := range r.Burn {
+		top = max(top, b)
+	}
+	p := plot{Height: slo.WindowCount * rowHeight, Marks: []mark{{X: labelWidth + barWidth/top}}}
+	for i, b := range r.Burn {
+		class := "fine"
+		if b > 1 {
+			class = "fast"
+		}
+		p.Bars = append(p.Bars, bar{
+			X: labelWidth, Y: float64(i) * rowHeight, Width: b / top * barWidth, Height: barHeight,
+			Label: slo.WindowName(i), Value: rate(b), Class: class,
+		})
+	}
+	return p
+}
+
+// ticks label the time axis of a latency plot.
+var ticks = []time.Duration{
+	time.Millisecond, 10 * time.Millisecond, 100 * time.Millisecond,
+	time.Second, 10 * time.Second, 100 * time.Second, 1000 * time.Second,
+}
+
+// histogramPlot shows the buckets side by side, which makes a logarithmic axis.
+func histogramPlot(r slo.Row) plot {
+	first, last, top := occupied(&r.Latency)
+	width := plotWidth / float64(last-first+1)
+	p := plot{Height: histHeight}
+	for i := first; i <= last; i++ {
+		h := 0.0
+		if top > 0 {
+			h = float64(r.Latency[i]) / float64(top) * histHeight
+		}
+		class := "fine"
+		if t := r.Objective.Target; t > 0 && slo.Bound(i) > t {
+			class = "fast"
+		}
+		p.Bars = append(p.Bars, bar{X: float64(i-first) * width, Y: histHeight - h, Width: width * 0.9, Height: h, Class: class})
+	}
+	for _, t := range ticks {
+		if i := bucketOf(t); i >= first && i <= last {
+			p.Marks = append(p.Marks, newMark(float64(i-first+1)*width, latency(t)))
+		}
+	}
+	return p
+}
+
+// leastBuckets keeps a plot of few buckets from showing bars of the whole width.
+const leastBuckets = 16
+
+// occupied returns the first and last bucket to show and the highest count.
+func occupied(h *slo.Histogram) (first, last int, top uint64) {
+	first = slo.BucketCount
+	for i, n := range h {
+		if n > 0 {
+			first, last, top = min(first, i), i, max(top, n)
+		}
+	}
+	first = min(first, last)
+	last = min(max(last, first+leastBuckets), slo.BucketCount-1)
+	return first, last, top
+}
+
+func bucketOf(d time.Duration) int {
+	i := 0
+	for i < slo.BucketCount-1 && slo.Bound(i) < d {
+		i++
+	}
+	return i
+}
