quarantine: add the state machine of crash reports and permits

Ruled out: counting in each entry (a request sent again reaches others), and one permit for the whole fleet (a crash makes a whole batch suspects, which would then run one by one for minutes each).

--- a/core/limit/entry.go
+++ b/core/limit/entry.go
@@ -129,8 +129,13 @@
 	return t
 }
 
-// advance decays the demand, fills the allowance and drops ended leases.
+// advance decays the demand, fills the allowance and drops ended leases. A
+// returned lease is not returned again: without an answer its tokens are lost,
+// which is safe.
 func (t *tally) advance(now time.Time, entries int) {
+	if t.pending && t.ask.Want.IsZero() && !now.Before(t.resend) {
+		t.pending = false
+	}
 	if gone := now.Sub(t.at).Seconds(); gone > 0 {
 		t.demand = t.demand.Scale(math.Exp(-gone / demandMemory.Seconds()))
 		t.allowance = t.allowance.Add(t.limit.Rate.Scale(gone * AllowanceShare / float64(entries)))
--- /dev/null
+++ b/core/quarantine/quarantine.go
@@ -0,0 +1,194 @@
+// Package quarantine finds the requests that crash upstreams. It is a state
+// machine of log group 0: every command carries its time, so every replica
+// comes to the same state.
+//
+// A request that was running when an upstream crashed becomes a suspect. From
+// then on it runs only with a permit, one run at a time in the fleet and one
+// suspect at a time on an upstream. A suspect that finishes is cleared; one
+// that is in another crash is quarantined for a time.
+package quarantine
+
+import (
+	"time"
+
+	"heatherway.dev/core/wire"
+)
+
+const (
+	// DefaultCrashes is the number of crashes that quarantine a request.
+	DefaultCrashes = 2
+	// DefaultPeriod is the length of the first quarantine.
+	DefaultPeriod = 10 * time.Minute
+	// MaxPeriod bounds the length, which doubles on each return.
+	MaxPeriod = time.Hour
+	// PermitTime is how long a permit lasts. The agent ends the run by then, so
+	// that no run outlives its permit.
+	PermitTime = 15 * time.Minute
+	// ReportGrace is how long after the end of a permit, without a finished
+	// run, no other is given: the report of a crash may still be on its way.
+	ReportGrace = 10 * time.Second
+	// SuspectTime is how long a suspect is remembered without another crash.
+	SuspectTime = 2 * time.Hour
+	// ClearedTime is how long a cleared request is remembered, so that a late
+	// report of its crash does not make it a suspect again.
+	ClearedTime = 10 * time.Minute
+	// MaxTracked bounds the requests on record, at about 300 bytes each.
+	MaxTracked = 16384
+	// keepTracked is what is kept when the bound is exceeded, so that the rule
+	// of what is dropped is not applied on every report.
+	keepTracked = MaxTracked * 15 / 16
+	// MaxReported bounds the fingerprints of one report.
+	MaxReported = 4096
+	// maxCounted bounds the crashes remembered for one request.
+	maxCounted = 16
+)
+
+// Rule is the configuration in force, put into each command by the leader.
+// Zero fields take their defaults.
+type Rule struct {
+	Crashes  uint32 `json:"crashes,omitempty"`
+	PeriodMS int64  `json:"period_ms,omitempty"`
+}
+
+func (r Rule) crashes() uint32 {
+	if r.Crashes == 0 {
+		return DefaultCrashes
+	}
+	return r.Crashes
+}
+
+func (r Rule) period(returns uint32) int64 {
+	p := r.PeriodMS
+	if p <= 0 {
+		p = DefaultPeriod.Milliseconds()
+	}
+	most := max(p, MaxPeriod.Milliseconds())
+	for ; returns > 0 && p < most; returns-- {
+		p *= 2
+	}
+	return min(p, most)
+}
+
+// Command is one entry of the log. At most one of its parts is set; a command
+// without any only lets time pass.
+type Command struct {
+	// AtMS is the leader's clock in Unix milliseconds. Time never goes back: an
+	// earlier value than before counts as the earlier command's.
+	AtMS   int64           `json:"at_ms"`
+	Rule   Rule            `json:"rule"`
+	Crash  *wire.CrashArgs `json:"crash,omitempty"`
+	Permit *Permit         `json:"permit,omitempty"`
+	Return *Return         `json:"return,omitempty"`
+	Lift   *Lift           `json:"lift,omitempty"`
+}
+
+// Permit asks to run a suspect.
+type Permit struct {
+	Fingerprint string `json:"fingerprint"`
+	// ID is chosen by the leader or the holder. Asking again under the same id
+	// gets the same permit, so a lost answer does no harm.
+	ID     wire.ID `json:"id"`
+	Holder string  `json:"holder"`
+	// Upstream is where the suspect is to run. With it, no two permits are given
+	// for one upstream; without it only the agent keeps suspects apart.
+	Upstream string `json:"upstream,omitempty"`
+}
+
+// Return gives a permit back.
+type Return struct {
+	Fingerprint string  `json:"fingerprint"`
+	ID          wire.ID `json:"id"`
+	// Finished tells that the run ended without a crash, and NotRun that it
+	// never began. Without either, a crash may still be reported.
+	Finished bool `json:"finished,omitempty"`
+	NotRun   bool `json:"not_run,omitempty"`
+}
+
+// Lift ends a quarantine by order of an operator. The request remains a
+// suspect.
+type Lift struct {
+	Fingerprint string `json:"fingerprint"`
+	Operator    string `json:"operator"`
+}
+
+// Answer is what applying a command gave. Err carries a result code.
+type Answer struct {
+	// Suspects is the state of the fingerprints of a crash report, in its order.
+	Suspects []wire.Suspect
+	// PermitUntilMS is the end of a given permit.
+	PermitUntilMS int64
+	Err           error
+}
+
+// crashKey names one crash. The agent and several entries report it.
+type crashKey struct {
+	Upstream    string           `json:"upstream"`
+	Incarnation wire.Incarnation `json:"incarnation"`
+	Number      uint64           `json:"number"`
+}
+
+// record is what is known of one request.
+type record struct {
+	Fingerprint string `json:"fingerprint"`
+	// Crashes is the number of crashes, and Strikes the part of it that counts
+	// towards the next quarantine.
+	Crashes uint32 `json:"crashes"`
+	Strikes uint32 `json:"strikes"`
+	// Counted are the crashes that have been counted, newest last.
+	Counted []crashKey `json:"counted,omitempty"`
+	// Returns is the number of quarantines so far.
+	Returns uint32 `json:"returns,omitempty"`
+	// UntilMS is the end of the quarantine, 0 without one.
+	UntilMS int64 `json:"until_ms,omitempty"`
+	// Cleared is set once the request has finished.
+	Cleared bool `json:"cleared,omitempty"`
+	// ChangedMS is the time of the last crash, end or clearing.
+	ChangedMS int64 `json:"changed_ms"`
+	// Run is the permit given last; BlockedMS is the time before which no other
+	// is given. Spent is the id of the permit given back last.
+	Run       *run    `json:"run,omitempty"`
+	BlockedMS int64   `json:"blocked_ms,omitempty"`
+	Spent     wire.ID `json:"spent,omitempty"`
+}
+
+type run struct {
+	ID       wire.ID `json:"id"`
+	Holder   string  `json:"holder"`
+	Upstream string  `json:"upstream,omitempty"`
+	UntilMS  int64   `json:"until_ms"`
+}
+
+// place tells which suspect an upstream runs, and until when at the latest.
+type place struct {
+	Fingerprint string `json:"fingerprint"`
+	UntilMS     int64  `json:"until_ms"`
+}
+
+func (r *record) quarantined(at int64) bool { return at < r.UntilMS }
+
+// running tells whether a permit may still be in use.
+func (r *record) running(at int64) bool { return r.Run != nil && at < r.Run.UntilMS }
+
+func (r *record) has(k crashKey) bool {
+	for _, c := range r.Counted {
+		if c == k {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *record) expires() int64 {
+	if r.Cleared {
+		return r.ChangedMS + ClearedTime.Milliseconds()
+	}
+	return max(r.ChangedMS, r.UntilMS) + SuspectTime.Milliseconds()
+}
+
+func (r *record) view(at int64) wire.Suspect {
+	s := wire.Suspect{Fingerprint: r.Fingerprint, Crashes: r.Crashes}
+	if r.quarantined(at) {
+		s.Quarantined, s.UntilMS, s.LeftMS = true, r.UntilMS, r.UntilMS-at
+	}
+	return s
+}
