--- /dev/null
+++ b/core/retry/retry_test.go
@@ -0,0 +1,155 @@
+package retry
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"heatherway.dev/kernel/result"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func countAfter(times []time.Time, from time.Time) int {
+	n := 0
+	for _, at := range times {
+		if at.After(from) {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a retry that goes beyond the budget's share of the window that
+// ends with it, for instance around the edge of a counter's slot.
+func TestBudgetHoldsInEveryWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b, now := NewBudget(Settings{}), start
+		var first, extra []time.Time
+		for range rapid.IntRange(1, 300).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			for range rapid.IntRange(0, 10).Draw(t, "first") {
+				b.First(now)
+				first = append(first, now)
+			}
+			for range rapid.IntRange(0, 3).Draw(t, "retries") {
+				if !b.Retry(now) {
+					continue
+				}
+				extra = append(extra, now)
+				from := now.Add(-DefaultWindow)
+				most := DefaultShare*float64(countAfter(first, from)) + DefaultReserve
+				assert.Assert(t, float64(countAfter(extra, from)) <= most)
+			}
+		}
+	})
+}
+
+// Guards against a budget that starves: steady traffic with 5% failures has to
+// get all of its retries.
+func TestBudgetCoversFewFailures(t *testing.T) {
+	b := NewBudget(Settings{})
+	for i := range 10_000 {
+		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		b.First(now)
+		assert.Assert(t, i%20 != 0 || b.Retry(now), "request %d", i)
+	}
+}
+
+// Guards against a lost zone whose generations are not resumed because the
+// retries of other requests spent the budget, and against endless resumes.
+func TestResumesHaveTheirOwnBudget(t *testing.T) {
+	b := NewBudget(Settings{})
+	for b.Retry(start) {
+	}
+	const running = 300
+	for range running + DefaultResumeReserve {
+		_, ok := b.Resume(start, running)
+		assert.Assert(t, ok)
+	}
+	wait, ok := b.Resume(start, running)
+	assert.Assert(t, !ok && wait > 0)
+	_, ok = b.Resume(start.Add(2*DefaultWindow), running)
+	assert.Assert(t, ok)
+}
+
+// Guards against a second run of a call that may have run already, and against
+// attempts that only add load.
+func TestNextNeverRepeatsWhatMayHaveRun(t *testing.T) {
+	for _, info := range result.All() {
+		for _, ran := range []result.Ran{result.NotRun, result.DidRun, result.Unknown} {
+			f := Failure{Code: info.Code, Ran: ran, Attempts: 1, Limit: 3}
+			if ran != result.NotRun || !info.Retry {
+				assert.Equal(t, Next(f), Stop, "%s %s", info.Name, ran)
+			}
+			f.Idempotent = true
+			want := Next(f)
+			f.Attempts = 3
+			assert.Equal(t, Next(f), Stop)
+			f.Attempts, f.HasDeadline = 1, true
+			assert.Equal(t, Next(f), Stop, "no time left")
+			f.Left = time.Second
+			assert.Equal(t, Next(f), want)
+		}
+	}
+	assert.Equal(t, Next(Failure{Code: result.Leaving, Limit: 2, Attempts: 1}), Elsewhere)
+	assert.Equal(t, Next(Failure{Code: result.Quarantined, Limit: 2, Attempts: 1, Idempotent: true}), Stop)
+}
+
+// Guards against hedges from too few or stale samples, and a wrong quantile.
+func TestHedgeDelay(t *testing.T) {
+	var l Latency
+	for i := range 100 {
+		_, known := l.HedgeDelay(start)
+		assert.Equal(t, known, i >= minSamples)
+		l.Observe(start, time.Duration(i+1)*time.Millisecond)
+	}
+	d, _ := l.HedgeDelay(start.Add(time.Second))
+	assert.Equal(t, d, 95*time.Millisecond)
+	_, known := l.HedgeDelay(start.Add(2 * sampleAge))
+	assert.Assert(t, !known)
+}
+
+// Guards against callers that return early or all at once.
+func TestAfterSpreadsCallers(t *testing.T) {
+	rng := rand.New(rand.NewSource(1))
+	const callers, estimate, parts = 10_000, 4 * time.Second, 10
+	var count [parts]int
+	for range callers {
+		d := After(estimate, rng)
+		assert.Assert(t, d >= estimate && d < 2*estimate)
+		assert.Assert(t, time.Duration(HeaderSeconds(d))*time.Second >= d)
+		count[int((d-estimate)*parts/estimate)]++
+	}
+	for _, n := range count {
+		assert.Assert(t, n < callers/parts*5/4, "%v", count)
+	}
+}
+
+// TestTable prints the load factor of an entry whose upstreams fail every
+// attempt: go test ./core/retry -run TestTable -v
+func TestTable(t *testing.T) {
+	const perSecond, attempts, length = 26, 3, 10 * time.Minute
+	load := func(allow func(b *Budget, now time.Time) bool) float64 {
+		b, sent, first := NewBudget(Settings{}), 0, 0
+		for at := time.Duration(0); at < length; at += time.Second / perSecond {
+			now := start.Add(at)
+			b.First(now)
+			first++
+			sent++
+			for n := 1; n < attempts && allow(b, now); n++ {
+				sent++
+			}
+		}
+		return float64(sent) / float64(first)
+	}
+	none := load(func(*Budget, time.Time) bool { return true })
+	budget := load((*Budget).Retry)
+	fmt.Printf("load factor at 100%% failure, %d/s, %d attempts: without budget %.3f, with budget %.3f\n",
+		perSecond, attempts, none, budget)
+	assert.Assert(t, budget <= 1+DefaultShare+DefaultReserve/(perSecond*DefaultWindow.Seconds()))
+}
