--- a/modules/entry/entry.go
+++ b/modules/entry/entry.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-faster/errors"
 
+	"heatherway.dev/core/pick"
 	"heatherway.dev/core/wire"
 	"heatherway.dev/kernel"
 	"heatherway.dev/kernel/peer"
@@ -31,8 +32,13 @@
 	Streams int `yaml:"streams"`
 	// Header is the most bytes of a request's headers.
 	Header int `yaml:"header"`
+	// Entries is an upper bound of the entries that run at the same time; it
+	// bounds what they admit together without a lease.
+	Entries int `yaml:"entries"`
 	// BodyTime bounds how long a caller may take to send a request.
 	BodyTime time.Duration `yaml:"body_time"`
+	// WriteTime ends an answer whose caller has read nothing for that long.
+	WriteTime time.Duration `yaml:"write_time"`
 }
 
 // Settings of the role.
@@ -48,6 +54,8 @@
 	Grace time.Duration `yaml:"grace"`
 	// Limits bound what the entry accepts.
 	Limits Limits `yaml:"limits"`
+	// Choice names the filters, scorers and picker of the upstream choice.
+	Choice pick.Policy `yaml:"choice"`
 }
 
 // Module is the entry role.
@@ -66,15 +74,16 @@
 	agents  *agents
 	metrics *counters
 	slo     recorder
-	chooser chooser
 
-	ready    atomic.Bool
-	leaving  atomic.Bool
-	open     atomic.Int64
-	drain    chan struct{}
-	drainOne sync.Once
-	cancel   context.CancelFunc
-	tasks    sync.WaitGroup
+	ready   atomic.Bool
+	leaving atomic.Bool
+	open    atomic.Int64
+	// lastControl is the index of the control instance that answered last.
+	lastControl atomic.Int32
+	drain       chan struct{}
+	drainOne    sync.Once
+	cancel      context.CancelFunc
+	tasks       sync.WaitGroup
 }
 
 // Default settings.
@@ -82,7 +91,11 @@
 	defaultGrace    = 3 * time.Second
 	defaultStreams  = 20000
 	defaultHeader   = 16 << 10
+	defaultEntries  = 16
 	defaultBodyTime = 30 * time.Second
+	// defaultWriteTime is the limit for slow readers, see docs/design.md
+	// section 10.
+	defaultWriteTime = 10 * time.Second
 )
 
 // New returns the role with its default settings.
@@ -90,9 +103,9 @@
 	return &Module{
 		Settings: Settings{
 			Grace:  defaultGrace,
-			Limits: Limits{Streams: defaultStreams, Header: defaultHeader, BodyTime: defaultBodyTime},
+			Limits: Limits{Streams: defaultStreams, Header: defaultHeader, Entries: defaultEntries, BodyTime: defaultBodyTime, WriteTime: defaultWriteTime},
+			Choice: pick.DefaultPolicy(),
 		},
-		drain: make(chan struct{}),
 	}
 }
 
@@ -111,14 +124,18 @@
 		settings.DurationInRange("grace", m.Grace, 0, 10*time.Minute),
 		settings.InRange("limits.streams", m.Limits.Streams, 1, 1<<20),
 		settings.InRange("limits.header", m.Limits.Header, 1<<10, 1<<20),
+		settings.InRange("limits.entries", m.Limits.Entries, 1, 100000),
 		settings.DurationInRange("limits.body_time", m.Limits.BodyTime, 100*time.Millisecond, 10*time.Minute),
+		settings.DurationInRange("limits.write_time", m.Limits.WriteTime, 100*time.Millisecond, 10*time.Minute),
 	)
 }
 
 // Provision implements kernel.Provisioner.
 func (m *Module) Provision(c *kernel.Context) error {
 	m.instance = c.Instance
-	m.prepare(c.Log, c.TLS, c.Stats)
+	if err := m.prepare(c.Log, c.TLS, c.Stats); err != nil {
+		return err
+	}
 	var err error
 	if m.public, err = c.Listen(m.Listen); err != nil {
 		return err
@@ -128,13 +145,14 @@
 }
 
 // prepare makes the parts of the role.
-func (m *Module) prepare(log *slog.Logger, security *peer.Security, reg *stats.Registry) {
+func (m *Module) prepare(log *slog.Logger, security *peer.Security, reg *stats.Registry) error {
 	m.log, m.security = log, security
 	m.metrics = newCounters(reg)
 	m.slo = newRecorder()
-	m.chooser = twoChoices{}
 	m.agents = newAgents(security)
-	m.owner = newOwner(m)
+	var err error
+	m.owner, err = newOwner(m)
+	return err
 }
 
 // Start implements kernel.Runner. It does not wait for the first
@@ -180,26 +198,28 @@
 // Stop implements kernel.Runner: the readiness check fails for the grace
 // period, then the listener closes, and running answers finish until ctx ends.
 func (m *Module) Stop(ctx context.Context) error {
-	m.leave()
+	m.leaving.Store(true)
+	m.log.Info("leaving", "open", m.open.Load())
 	wait(ctx, m.Grace)
 	err := m.server.Shutdown(ctx)
 	if err != nil {
 		_ = m.server.Close()
+		m.awaitHandlers()
 	}
 	_ = m.peers.Close()
 	m.cancel()
-	m.agents.close()
 	m.tasks.Wait()
+	m.agents.close()
 	return errors.Wrap(err, "running answers were cut by the stop limit")
 }
 
-// leave makes the readiness check fail.
-func (m *Module) leave() {
-	m.drainOne.Do(func() {
-		m.leaving.Store(true)
-		close(m.drain)
-		m.log.Info("leaving", "open", m.open.Load())
-	})
+// handlerPatience bounds the wait for handlers whose connections were closed.
+const handlerPatience = time.Second
+
+func (m *Module) awaitHandlers() {
+	for end := time.Now().Add(handlerPatience); m.open.Load() > 0 && time.Now().Before(end); {
+		wait(context.Background(), handlerPatience/100)
+	}
 }
 
 func (m *Module) isReady() bool { return m.ready.Load() && !m.leaving.Load() }
