--- a/modules/standard/standard.go
+++ b/modules/standard/standard.go
@@ -2,5 +2,8 @@
 package standard
 
 import (
-	_ "heatherway.dev/heatherway/modules/entry" // role entry
+	_ "heatherway.dev/heatherway/modules/control"        // registers its modules
+	_ "heatherway.dev/heatherway/modules/entry"          // registers its modules
+	_ "heatherway.dev/heatherway/modules/standinengine"  // registers its modules
+	_ "heatherway.dev/heatherway/modules/standinservice" // registers its modules
 )
