--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -37,9 +37,12 @@
 // Candidate is an upstream with what the entry knows about it.
 type Candidate struct {
 	wire.Upstream
-	// Load is the last report; Reported is false before the first one.
-	Load     wire.Load
-	Reported bool
+	// Load is the last report, and Age the time since it arrived.
+	Load wire.Load
+	Age  time.Duration
+	// Typical is the mean number of requests for each slot in the recent
+	// reports of all upstreams.
+	Typical float64
 	// Sent is the number of own requests that the report cannot have seen, and
 	// Ended the number of those in the report that have ended since.
 	Sent, Ended int
--- a/core/pick/pickers.go
+++ b/core/pick/pickers.go
@@ -2,9 +2,10 @@
 
 import "math/rand"
 
-// evenMS is the difference in cost that the weights of best-of-two hardly
-// notice. A smaller value sends more requests to the cheapest upstream, which
-// several entries then choose at once.
+// evenMS is the difference in cost from which the weights of best-of-two fall,
+// with the third power. Weights that fall faster send more requests to the
+// cheapest upstream, which many entries then choose at once; with the first
+// power an upstream that has the prefix is seldom drawn (docs/notes/upstream-choice.md).
 const evenMS = 20.0
 
 func init() {
@@ -35,7 +36,10 @@
 	return a, b
 }
 
-func drawWeight(s *Scored, lowest float64) float64 { return 1 / (evenMS + s.Cost - lowest) }
+func drawWeight(s *Scored, lowest float64) float64 {
+	w := evenMS / (evenMS + s.Cost - lowest)
+	return w * w * w
+}
 
 // draw returns a candidate other than skip with a chance in proportion to its
 // weight.
--- a/core/pick/scorers.go
+++ b/core/pick/scorers.go
@@ -1,10 +1,17 @@
 package pick
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// defaultServiceTime is used before any own request has ended.
 	defaultServiceTime = 2 * time.Second
+	// trustTime is the time constant by which a report gives way to what is
+	// typical. An upstream that was busy once sends no news to an entry that
+	// avoids it, and would be avoided for good.
+	trustTime = 2 * time.Second
 	// busyMS is the cost of a full batch against an empty one: decoding slows
 	// as the batch of an engine fills.
 	busyMS = 20.0
@@ -22,12 +29,15 @@
 	RegisterScorer("zone", distance)
 }
 
-// expectedWait corrects the last report by the own requests sent and ended
-// since it was made, and estimates the wait of a new request of its class.
+// expectedWait corrects the last report by its age and by the own requests sent
+// and ended since it was made, and estimates the wait of a new request of the
+// class.
 func expectedWait(r *Request, u *Candidate) float64 {
 	slots := float64(max(u.Load.Slots, u.Slots, 1))
 	reported := queuedAhead(r, u) + float64(u.Load.Running)
-	busy := max(reported+float64(u.Sent-u.Ended), 0)
+	trust := math.Exp(-u.Age.Seconds() / trustTime.Seconds())
+	busy := trust*(reported-float64(u.Ended)) + (1-trust)*u.Typical*slots
+	busy = max(busy, 0) + float64(u.Sent)
 	wait := max(busy+1-slots, 0) * turnMS(r, u, reported, slots)
 	return wait + busyMS*min(busy/slots, 1)
 }
--- a/core/pick/table.go
+++ b/core/pick/table.go
@@ -14,6 +14,8 @@
 	DefaultLag = 50 * time.Millisecond
 	// serviceTimeShare is the weight of the newest sample in the mean.
 	serviceTimeShare = 0.1
+	// recentReport is the age up to which a report counts as typical.
+	recentReport = time.Second
 	// maxEnded bounds the remembered ends of one upstream between reports.
 	maxEnded = 1024
 )
@@ -34,7 +36,7 @@
 type upstream struct {
 	wire.Upstream
 	load     wire.Load
-	reported bool
+	reported time.Time // when the load arrived, zero before the first report
 	running  map[uint64]dispatch
 	ended    []dispatch // that the next reports may still count as running
 	service  time.Duration
@@ -104,13 +106,14 @@
 
 // Candidates returns the upstreams in order of id as seen by one request.
 func (t *Table) Candidates(now time.Time, r *Request) []Candidate {
-	out := make([]Candidate, 0, len(t.ids))
+	out, typical := make([]Candidate, 0, len(t.ids)), t.typical(now)
 	for _, id := range t.ids {
 		u := t.byID[id]
 		out = append(out, Candidate{
 			Upstream:    u.Upstream,
 			Load:        u.load,
-			Reported:    u.reported,
+			Age:         now.Sub(u.reported),
+			Typical:     typical,
 			Sent:        u.unseen(),
 			Ended:       u.endedSeen(),
 			ServiceTime: u.service,
@@ -122,6 +125,23 @@
 	return out
 }
 
+// typical is the mean number of requests for each slot in recent reports.
+func (t *Table) typical(now time.Time) float64 {
+	busy, slots := 0.0, 0.0
+	for _, id := range t.ids {
+		u := t.byID[id]
+		if now.Sub(u.reported) > recentReport {
+			continue
+		}
+		busy += float64(u.load.Running)
+		for _, q := range u.load.Queued {
+			busy += float64(q)
+		}
+		slots += float64(u.load.Slots)
+	}
+	return busy / max(slots, 1)
+}
+
 // Sent records that a request was sent under a number unique in this entry.
 func (t *Table) Sent(now time.Time, id string, number uint64, r *Request) {
 	u := t.byID[id]
@@ -165,7 +185,7 @@
 	if u == nil {
 		return
 	}
-	u.load, u.reported = load, true
+	u.load, u.reported = load, now
 	asOf := now.Add(-t.set.Lag)
 	for n, d := range u.running {
 		d.seen = d.seen || n == number || !d.sent.After(asOf)
