--- a/core/raft/membership.go
+++ b/core/raft/membership.go
@@ -124,8 +124,10 @@
 
 func decodeMembership(b []byte) (Membership, error) {
 	var m Membership
-	err := json.Unmarshal(b, &m)
-	return m, errors.Wrap(err, "raft: membership entry")
+	if err := json.Unmarshal(b, &m); err != nil {
+		return m, errors.Wrap(err, "raft: membership entry")
+	}
+	return m, nil
 }
 
 // Bootstrap returns the disk contents of a new group with one voter. Others
--- a/core/raft/node.go
+++ b/core/raft/node.go
@@ -114,6 +114,9 @@
 		}
 	}
 	n.resetTimer()
+	if voters := n.Membership().Voters(); len(voters) == 1 && n.voter() {
+		n.timeout = 1 // a sole voter has nobody to wait for
+	}
 	return n, nil
 }
 
@@ -425,5 +428,8 @@
 // Leader returns the id of the known leader, or an empty id.
 func (n *Node) Leader() MemberID { return n.leader }
 
+// Compacted returns the index that the newest snapshot covers.
+func (n *Node) Compacted() uint64 { return n.log.base.Index }
+
 // Term returns the current term.
 func (n *Node) Term() uint64 { return n.term }
--- /dev/null
+++ b/modules/control/replica/cluster_test.go
@@ -0,0 +1,244 @@
+package replica
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"path/filepath"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"heatherway.dev/core/raft"
+	"heatherway.dev/kernel/peer"
+)
+
+// ledger is a state machine that keeps every entry, so that a lost or
+// reordered one shows. An entry proposed again after an unknown outcome is kept
+// once; an index applied again is a fault.
+type ledger struct {
+	mu      sync.Mutex
+	entries []string
+	index   uint64
+}
+
+func (l *ledger) Apply(index uint64, entry []byte) []byte {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if index <= l.index {
+		panic(fmt.Sprintf("index %d applied after %d", index, l.index))
+	}
+	l.index = index
+	if !slices.Contains(l.entries, string(entry)) {
+		l.entries = append(l.entries, string(entry))
+	}
+	return binary.AppendUvarint(nil, uint64(len(l.entries)))
+}
+
+func (l *ledger) Snapshot() []byte {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var b []byte
+	for _, e := range l.entries {
+		b = binary.AppendUvarint(b, uint64(len(e)))
+		b = append(b, e...)
+	}
+	return b
+}
+
+func (l *ledger) Restore(b []byte) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.entries = nil
+	for len(b) > 0 {
+		n, w := binary.Uvarint(b)
+		l.entries = append(l.entries, string(b[w:w+int(n)]))
+		b = b[w+int(n):]
+	}
+	return nil
+}
+
+func (l *ledger) all() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]string(nil), l.entries...)
+}
+
+// cluster is a set of instances on loopback addresses.
+type cluster struct {
+	t      testing.TB
+	peers  []Peer
+	folder string
+	groups int
+	adjust func(*Options)
+	nodes  map[raft.MemberID]*instance
+}
+
+type instance struct {
+	*Replica
+	machines map[Group]*ledger
+	server   *http.Server
+	listener *trackedListener
+}
+
+// trackedListener closes the connections it has accepted along with itself, as
+// the end of a process does. http.Server forgets connections taken over by
+// net/rpc.
+type trackedListener struct {
+	net.Listener
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+func (l *trackedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		l.mu.Lock()
+		l.conns = append(l.conns, c)
+		l.mu.Unlock()
+	}
+	return c, err
+}
+
+func (l *trackedListener) Close() error {
+	err := l.Listener.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.conns {
+		_ = c.Close()
+	}
+	return err
+}
+
+func newCluster(t testing.TB, size, groups int, adjust func(*Options)) *cluster {
+	c := &cluster{t: t, folder: t.TempDir(), groups: groups, adjust: adjust, nodes: map[raft.MemberID]*instance{}}
+	for i := range size {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		c.peers = append(c.peers, Peer{ID: raft.MemberID(fmt.Sprintf("control-%d", i+1)), Addr: l.Addr().String()})
+		assert.NilError(t, l.Close())
+	}
+	for _, p := range c.peers {
+		c.start(p)
+	}
+	t.Cleanup(func() {
+		for id := range c.nodes {
+			c.kill(id)
+		}
+	})
+	return c
+}
+
+func (c *cluster) path(id raft.MemberID) string { return filepath.Join(c.folder, string(id)) }
+
+func (c *cluster) start(p Peer) *instance {
+	c.t.Helper()
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	security, err := peer.NewSecurity(peer.TLSSettings{Off: true}, log)
+	assert.NilError(c.t, err)
+	n := &instance{machines: map[Group]*ledger{}}
+	o := Options{Self: p.ID, Peers: c.peers, Folder: c.path(p.ID), Machines: map[Group]StateMachine{}, Security: security, Log: log}
+	for g := range Group(c.groups) {
+		n.machines[g] = &ledger{}
+		o.Machines[g] = n.machines[g]
+	}
+	if c.adjust != nil {
+		c.adjust(&o)
+	}
+	n.Replica, err = Open(o)
+	assert.NilError(c.t, err)
+	services := func(string) map[string]any { return map[string]any{ServiceName: n.Service()} }
+	n.server = &http.Server{Handler: &peer.Handler{Security: security, Services: services}}
+	l, err := net.Listen("tcp", p.Addr)
+	assert.NilError(c.t, err)
+	n.listener = &trackedListener{Listener: l}
+	go func() { _ = n.server.Serve(n.listener) }()
+	assert.NilError(c.t, n.Start(context.Background()))
+	c.nodes[p.ID] = n
+	return n
+}
+
+func (c *cluster) kill(id raft.MemberID) {
+	n := c.nodes[id]
+	delete(c.nodes, id)
+	_ = n.listener.Close()
+	_ = n.server.Close()
+	_ = n.Kill()
+}
+
+func (c *cluster) peer(id raft.MemberID) Peer {
+	for _, p := range c.peers {
+		if p.ID == id {
+			return p
+		}
+	}
+	c.t.Fatalf("no peer %s", id)
+	return Peer{}
+}
+
+// eventually waits for a condition that raft reaches by itself.
+func (c *cluster) eventually(what string, ok func() bool) {
+	c.t.Helper()
+	deadline := time.Now().Add(20 * time.Second)
+	for !ok() {
+		if time.Now().After(deadline) {
+			for id, n := range c.nodes {
+				c.t.Logf("%s: %+v", id, n.Status())
+			}
+			c.t.Fatalf("not within 20 s: %s", what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func (c *cluster) leader(g Group) *instance {
+	for _, n := range c.nodes {
+		if n.Leader(g).Self {
+			return n
+		}
+	}
+	return nil
+}
+
+// formed tells whether the leader of each group has the number of voters, all
+// under the disks they run on now.
+func (c *cluster) formed(voters int) bool {
+	for g := range Group(c.groups) {
+		l := c.leader(g)
+		if l == nil {
+			return false
+		}
+		count := 0
+		for _, m := range l.Status().Groups[g].Membership.Voters() {
+			if n := c.nodes[m.ID]; n != nil && n.Identity().Disk == m.Disk {
+				count++
+			}
+		}
+		if count != voters {
+			return false
+		}
+	}
+	return true
+}
+
+// propose retries until a leader has taken the data in.
+func (c *cluster) propose(g Group, data string) {
+	c.t.Helper()
+	c.eventually("proposal "+data, func() bool {
+		l := c.leader(g)
+		if l == nil {
+			return false
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		_, _, err := l.Propose(ctx, g, []byte(data))
+		return err == nil
+	})
+}
--- /dev/null
+++ b/modules/control/replica/group.go
@@ -0,0 +1,337 @@
+package replica
+
+import (
+	"sort"
+	"sync/atomic"
+
+	"github.com/go-faster/errors"
+
+	"heatherway.dev/core/raft"
+	"heatherway.dev/kernel/result"
+)
+
+// group is one replicated log with its state machine. The owner goroutine
+// alone uses it, except for lead.
+type group struct {
+	id      Group
+	replica *Replica
+	node    *raft.Node
+	machine StateMachine
+	ready   raft.Ready
+	applied uint64
+
+	// waiters are answered when the entry at their index is applied.
+	waiters map[uint64]waiter
+	// readers are answered by ReadState or DroppedReads.
+	readers map[uint64]chan outcome
+	readID  uint64
+
+	snapshot snapshotWork
+	// leadingSince is the tick at which this member became leader.
+	leadingSince uint64
+	lead         atomic.Pointer[Lead]
+}
+
+type waiter struct {
+	term uint64
+	done chan outcome
+}
+
+// outcome answers a proposal, read or change.
+type outcome struct {
+	value []byte
+	index uint64
+	err   error
+}
+
+func sortedGroups(m map[Group]StateMachine) []Group {
+	out := make([]Group, 0, len(m))
+	for id := range m {
+		out = append(out, id)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
+	return out
+}
+
+// open builds the node and brings the state machine to the stored snapshot.
+func (g *group) open(s raft.Stored) error {
+	node, err := raft.New(g.replica.raftConfig(), s)
+	if err != nil {
+		return result.Wrap(result.LogDamaged, err, "log of a group")
+	}
+	g.node, g.applied = node, s.Snapshot.Index
+	g.waiters, g.readers = map[uint64]waiter{}, map[uint64]chan outcome{}
+	g.lead.Store(&Lead{})
+	if s.Snapshot.Index == 0 {
+		return nil
+	}
+	snapshot, err := g.replica.wal.Snapshot(g.id)
+	if err != nil {
+		return err
+	}
+	return g.restore(snapshot.Data)
+}
+
+func (g *group) restore(data []byte) error {
+	if err := g.machine.Restore(data); err != nil {
+		return result.Wrap(result.LogDamaged, err, "snapshot does not restore")
+	}
+	return nil
+}
+
+func (g *group) tick() {
+	g.node.Tick()
+	g.tickSnapshot()
+	g.tickMembers()
+}
+
+// save buffers what the round must sync. A snapshot file is synced on its own
+// before the record that refers to it.
+func (g *group) save() error {
+	r := &g.ready
+	if r.Install != nil {
+		if err := g.replica.wal.WriteSnapshot(g.id, *r.Install); err != nil {
+			return result.Wrap(result.DataFolder, err, "write snapshot")
+		}
+		g.replica.wal.Install(g.id, r.Install.Meta)
+	}
+	g.replica.wal.Append(g.id, r.Hard, r.Entries)
+	return nil
+}
+
+func (g *group) synced() {
+	if n := len(g.ready.Entries); n > 0 {
+		last := g.ready.Entries[n-1]
+		g.node.Synced(last.Index, last.Term)
+		g.replica.metrics.entries.Add(int64(n))
+	}
+}
+
+func (g *group) send() {
+	for _, m := range g.ready.Messages {
+		l := g.replica.links[m.To]
+		if l == nil {
+			continue
+		}
+		if m.Kind == raft.SnapshotChunk && !g.fillChunk(&m) {
+			continue
+		}
+		l.push(Envelope{Group: g.id, Message: m})
+	}
+}
+
+// fillChunk reads the chunk's data. The core asks again when it fails, since a
+// chunk that is not sent is as good as lost.
+func (g *group) fillChunk(m *raft.Message) bool {
+	data, err := g.replica.wal.Chunk(g.id, m.Snapshot, m.Offset, g.node.ChunkBytes())
+	if err != nil {
+		g.replica.log.Warn("snapshot chunk not sent", "group", g.id, "error", err)
+		return false
+	}
+	m.Data = data
+	return true
+}
+
+func (g *group) apply() error {
+	if s := g.ready.Install; s != nil {
+		if err := g.restore(s.Data); err != nil {
+			return err
+		}
+		g.applied = s.Meta.Index
+		g.settleSkipped(s.Meta.Index)
+	}
+	for _, e := range g.ready.Apply {
+		g.applyEntry(e)
+	}
+	g.answerReads()
+	g.publish()
+	return nil
+}
+
+func (g *group) applyEntry(e raft.Entry) {
+	var value []byte
+	if e.Kind == raft.Normal {
+		value = g.machine.Apply(e.Index, e.Data)
+	}
+	g.applied = e.Index
+	w, ok := g.waiters[e.Index]
+	if !ok {
+		return
+	}
+	delete(g.waiters, e.Index)
+	if w.term != e.Term {
+		// Another leader's entry took the place, so the proposal is not in the log.
+		w.done <- outcome{err: g.notLeader()}
+		return
+	}
+	w.done <- outcome{value: value, index: e.Index}
+}
+
+// settleSkipped answers proposals whose place a snapshot has covered: whether
+// they are in it cannot be told.
+func (g *group) settleSkipped(index uint64) {
+	for i, w := range g.waiters {
+		if i <= index {
+			delete(g.waiters, i)
+			w.done <- outcome{err: result.New(result.ControlUnavailable, "leadership was lost; the outcome is not known")}
+		}
+	}
+}
+
+// answerReads runs after Apply of the same Ready: a confirmed index is never
+// above the commit index, so it is applied.
+func (g *group) answerReads() {
+	for _, s := range g.ready.Reads {
+		if done, ok := g.readers[s.ID]; ok {
+			delete(g.readers, s.ID)
+			done <- outcome{index: s.Index}
+		}
+	}
+	for _, id := range g.ready.DroppedReads {
+		if done, ok := g.readers[id]; ok {
+			delete(g.readers, id)
+			done <- outcome{err: g.notLeader()}
+		}
+	}
+}
+
+// notLeader names the leader, or tells that there is none.
+func (g *group) notLeader() error {
+	l := g.findLead()
+	if l.ID == "" || l.Self {
+		return result.New(result.ControlUnavailable, "group %d has no leader", g.id).WithRan(result.NotRun)
+	}
+	return result.New(result.NotLeader, "%s", l.Addr)
+}
+
+func (g *group) findLead() Lead {
+	id := g.node.Leader()
+	l := Lead{ID: id, Term: g.node.Term(), Self: id == g.replica.options.Self}
+	if m, ok := g.node.Membership().Find(id); ok {
+		l.Addr = m.Addr
+	}
+	if id != "" && l.Addr == "" {
+		l.Addr = g.replica.configuredAddr(id)
+	}
+	return l
+}
+
+// publish makes the leader visible to other goroutines.
+func (g *group) publish() {
+	was := g.lead.Load()
+	now := g.findLead()
+	if *was == now {
+		return
+	}
+	g.lead.Store(&now)
+	if was.Self != now.Self {
+		g.leadingSince = g.replica.ticks
+		g.replica.metrics.leading(g.id, now.Self)
+	}
+	g.replica.log.Info("leader changed", "group", g.id, "leader", now.ID, "term", now.Term)
+}
+
+// formed tells whether a majority of the configured instances are voters. A
+// new group takes no proposals before that, since its only disk could be lost.
+func (g *group) formed() bool {
+	return len(g.node.Membership().Voters()) > len(g.replica.options.Peers)/2
+}
+
+// refusal turns a refusal of the core into a result code.
+func (g *group) refusal(err error) error {
+	switch {
+	case errors.Is(err, raft.ErrNotLeader), errors.Is(err, raft.ErrTransferring):
+		return g.notLeader()
+	case errors.Is(err, raft.ErrBusy):
+		return result.Wrap(result.ControlUnavailable, err, "proposal refused").WithRan(result.NotRun)
+	case errors.Is(err, raft.ErrTooLarge):
+		return result.Wrap(result.BodyTooLarge, err, "proposal refused")
+	default:
+		return result.Wrap(result.ChangeRefused, err, "membership change refused")
+	}
+}
+
+// snapshotWork is a snapshot on its way to the disk.
+type snapshotWork struct {
+	running bool
+	// written is set once the file is synced; the log is compacted when the
+	// followers have its entries, or at the deadline.
+	written  bool
+	meta     raft.SnapshotMeta
+	deadline uint64
+}
+
+// compactDelayTicks is how long a leader waits for followers that lag before
+// it compacts; a follower that lags longer gets the snapshot instead.
+const compactDelayTicks = 40
+
+func (g *group) tickSnapshot() {
+	s := &g.snapshot
+	if s.written && (g.followersHave(s.meta.Index) || g.replica.ticks >= s.deadline) {
+		g.compact()
+	}
+	if s.running {
+		return
+	}
+	due := g.applied-g.node.Compacted() >= g.replica.options.CompactEntries
+	if due || g.pins() {
+		g.startSnapshot()
+	}
+}
+
+func (g *group) pins() bool {
+	for _, id := range g.replica.wal.Pinning(g.replica.options.Segments) {
+		if id == g.id {
+			return true
+		}
+	}
+	return false
+}
+
+// startSnapshot takes the state in the owner goroutine and writes the file in
+// another, so that the sync of a large file holds up nothing.
+func (g *group) startSnapshot() {
+	data := g.machine.Snapshot()
+	meta, err := g.node.Describe(g.applied, uint64(len(data)))
+	if err != nil {
+		return
+	}
+	g.snapshot = snapshotWork{running: true, meta: meta}
+	r := g.replica
+	r.wait.Add(1)
+	go func() {
+		defer r.wait.Done()
+		err := r.wal.WriteSnapshot(g.id, raft.Snapshot{Meta: meta, Data: data})
+		select {
+		case r.inputs <- snapshotWritten{group: g.id, err: err}:
+		case <-r.ended:
+		}
+	}()
+}
+
+func (g *group) followersHave(index uint64) bool {
+	for _, p := range g.node.Status().Peers {
+		if p.Active && p.Match < index {
+			return false
+		}
+	}
+	return true
+}
+
+// compact drops the log up to the written snapshot. It is refused when an
+// installed snapshot was newer; then the file is dropped as stale.
+func (g *group) compact() {
+	meta, err := g.node.Compact(g.snapshot.meta.Index, g.snapshot.meta.Size)
+	g.snapshot = snapshotWork{}
+	if err != nil {
+		return
+	}
+	w := g.replica.wal
+	w.Compact(g.id, meta)
+	if err := w.Sync(); err != nil {
+		return // the next round meets the same failure and ends
+	}
+	if err := w.Clean(); err != nil {
+		g.replica.log.Warn("old log files not removed", "error", err)
+	}
+}
--- /dev/null
+++ b/modules/control/replica/input.go
@@ -0,0 +1,280 @@
+package replica
+
+import (
+	"context"
+	"time"
+
+	"heatherway.dev/core/raft"
+	"heatherway.dev/heatherway/modules/control/wal"
+	"heatherway.dev/kernel/result"
+)
+
+// input is something for the owner goroutine to take in.
+type input interface{ enter(*Replica) }
+
+type proposal struct {
+	group Group
+	data  []byte
+	done  chan outcome
+}
+
+type readRequest struct {
+	group Group
+	done  chan outcome
+}
+
+type changeRequest struct {
+	group  Group
+	change raft.Change
+	done   chan outcome
+}
+
+type transferRequest struct {
+	group Group
+	to    raft.MemberID
+	done  chan outcome
+}
+
+type statusRequest struct{ done chan Status }
+
+type handOver struct{ left chan int }
+
+type received struct{ messages []Envelope }
+
+type snapshotWritten struct {
+	group Group
+	err   error
+}
+
+type learned struct{ identity identity }
+
+// Lead says who leads a group.
+type Lead struct {
+	// ID is empty while no leader is known.
+	ID   raft.MemberID
+	Addr string
+	Term uint64
+	// Self is set when this instance leads.
+	Self bool
+}
+
+// Leader returns what this instance knows about the leader of a group.
+func (r *Replica) Leader(id Group) Lead {
+	g := r.groups[id]
+	if g == nil {
+		return Lead{}
+	}
+	return *g.lead.Load()
+}
+
+// proposalLimit bounds a proposal whose context has no deadline.
+const proposalLimit = 5 * time.Second
+
+// Propose appends data to a group's log and waits until it is applied here. It
+// returns the state machine's answer and the entry's index. Code 5035 names
+// the leader's address and means that the proposal is not in the log; code
+// 5034 means that no quorum answered in time, and its field Ran tells whether
+// the proposal may still be applied later.
+func (r *Replica) Propose(ctx context.Context, id Group, data []byte) ([]byte, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, proposalLimit)
+	defer cancel()
+	p := proposal{group: id, data: data, done: make(chan outcome, 1)}
+	out := r.ask(ctx, id, p, p.done, result.Unknown)
+	return out.value, out.index, out.err
+}
+
+// ReadIndex returns once this instance, as the leader, has applied every entry
+// that was committed when the call was made, and a majority has confirmed
+// after the call that it still leads.
+func (r *Replica) ReadIndex(ctx context.Context, id Group) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, proposalLimit)
+	defer cancel()
+	q := readRequest{group: id, done: make(chan outcome, 1)}
+	out := r.ask(ctx, id, q, q.done, result.NotRun)
+	return out.index, out.err
+}
+
+// ChangeMember makes one membership change and waits until it is committed.
+// Code 4095 refuses it, for example while another change is under way.
+func (r *Replica) ChangeMember(ctx context.Context, id Group, c raft.Change) error {
+	ctx, cancel := context.WithTimeout(ctx, proposalLimit)
+	defer cancel()
+	q := changeRequest{group: id, change: c, done: make(chan outcome, 1)}
+	return r.ask(ctx, id, q, q.done, result.Unknown).err
+}
+
+// TransferLeader asks the leader, this instance, to hand a group to another
+// voter. It returns once the request is taken in; Leader shows the outcome.
+func (r *Replica) TransferLeader(ctx context.Context, id Group, to raft.MemberID) error {
+	ctx, cancel := context.WithTimeout(ctx, proposalLimit)
+	defer cancel()
+	q := transferRequest{group: id, to: to, done: make(chan outcome, 1)}
+	return r.ask(ctx, id, q, q.done, result.NotRun).err
+}
+
+// ask hands an input to the owner and waits for its outcome. late is what is
+// known about an input that was taken in and not answered in time.
+func (r *Replica) ask(ctx context.Context, id Group, in input, done chan outcome, late result.Ran) outcome {
+	if r.groups[id] == nil {
+		return outcome{err: result.New(result.ObjectUnknown, "no group %d", id)}
+	}
+	if err := r.enter(ctx, in); err != nil {
+		return outcome{err: err}
+	}
+	select {
+	case out := <-done:
+		return out
+	case <-r.ended:
+		return outcome{err: result.New(result.ControlUnavailable, "this instance has stopped").WithRan(late)}
+	case <-ctx.Done():
+		return outcome{err: result.New(result.ControlUnavailable, "group %d: no quorum in time", id).WithRan(late)}
+	}
+}
+
+// enter queues an input; on an error the owner has not got it.
+func (r *Replica) enter(ctx context.Context, in input) error {
+	select {
+	case r.inputs <- in:
+		return nil
+	case <-r.ended:
+		return result.New(result.ControlUnavailable, "this instance has stopped").WithRan(result.NotRun)
+	case <-ctx.Done():
+		return result.New(result.ControlUnavailable, "the log takes no more proposals now").WithRan(result.NotRun)
+	}
+}
+
+func (p proposal) enter(r *Replica) {
+	g := r.groups[p.group]
+	if g.node.Role() == raft.Leader && !g.formed() {
+		p.done <- outcome{err: result.New(result.ControlUnavailable, "group %d is being formed", g.id).WithRan(result.NotRun)}
+		return
+	}
+	index, term, err := g.node.Propose(p.data)
+	if err != nil {
+		p.done <- outcome{err: g.refusal(err)}
+		return
+	}
+	g.wait(index, term, p.done)
+}
+
+// wait registers a proposal. An older one at the same index was cut out of
+// this log by another leader, but may stand in another member's log and still
+// be committed.
+func (g *group) wait(index, term uint64, done chan outcome) {
+	if old, ok := g.waiters[index]; ok {
+		old.done <- outcome{err: result.New(result.ControlUnavailable, "leadership was lost; the outcome is not known")}
+	}
+	g.waiters[index] = waiter{term, done}
+}
+
+func (q readRequest) enter(r *Replica) {
+	g := r.groups[q.group]
+	g.readID++
+	if err := g.node.Read(g.readID); err != nil {
+		q.done <- outcome{err: g.refusal(err)}
+		return
+	}
+	g.readers[g.readID] = q.done
+}
+
+func (q changeRequest) enter(r *Replica) {
+	g := r.groups[q.group]
+	index, term, err := g.node.ProposeChange(q.change)
+	if err != nil {
+		q.done <- outcome{err: g.refusal(err)}
+		return
+	}
+	g.wait(index, term, q.done)
+}
+
+func (q transferRequest) enter(r *Replica) {
+	g := r.groups[q.group]
+	if err := g.node.Transfer(q.to); err != nil {
+		q.done <- outcome{err: g.refusal(err)}
+		return
+	}
+	q.done <- outcome{}
+}
+
+func (in received) enter(r *Replica) {
+	for _, e := range in.messages {
+		if g := r.groups[e.Group]; g != nil {
+			g.node.Step(e.Message)
+		}
+	}
+}
+
+func (in snapshotWritten) enter(r *Replica) {
+	g := r.groups[in.group]
+	if in.err != nil {
+		r.log.Warn("snapshot not written", "group", g.id, "error", in.err)
+		g.snapshot = snapshotWork{}
+		return
+	}
+	g.snapshot.written = true
+	g.snapshot.deadline = r.ticks + compactDelayTicks
+}
+
+// GroupStatus is the state of a group on this instance.
+type GroupStatus struct {
+	Group Group
+	raft.Status
+}
+
+// Status is the state of this instance's groups.
+type Status struct {
+	Identity wal.Identity
+	Groups   []GroupStatus
+	Segments int
+}
+
+// Status returns the state of all groups, and an empty one after the end.
+func (r *Replica) Status() Status {
+	q := statusRequest{done: make(chan Status, 1)}
+	if r.enter(context.Background(), q) != nil {
+		return Status{}
+	}
+	select {
+	case s := <-q.done:
+		return s
+	case <-r.ended:
+		return Status{}
+	}
+}
+
+func (q statusRequest) enter(r *Replica) {
+	s := Status{Identity: r.wal.Identity(), Segments: r.wal.Segments()}
+	for _, g := range r.order {
+		s.Groups = append(s.Groups, GroupStatus{g.id, g.node.Status()})
+	}
+	q.done <- s
+}
+
+func (in handOver) enter(r *Replica) {
+	left := 0
+	for _, g := range r.order {
+		if g.node.Role() != raft.Leader {
+			continue
+		}
+		s := g.node.Status()
+		if to, ok := successor(s); ok {
+			left++
+			if !s.Transferring {
+				_ = g.node.Transfer(to) // asked again at the next call
+			}
+		}
+	}
+	in.left <- left
+}
+
+// successor returns the voter with the longest log among those that answer.
+func successor(s raft.Status) (raft.MemberID, bool) {
+	var best raft.MemberID
+	for _, m := range s.Membership.Voters() {
+		p, ok := s.Peers[m.ID]
+		if ok && p.Active && (best == "" || p.Match > s.Peers[best].Match) {
+			best = m.ID
+		}
+	}
+	return best, best != ""
+}
--- /dev/null
+++ b/modules/control/replica/link.go
@@ -0,0 +1,217 @@
+package replica
+
+import (
+	"context"
+	"time"
+
+	"heatherway.dev/core/raft"
+	"heatherway.dev/kernel/peer"
+	"heatherway.dev/kernel/stats"
+)
+
+// ServiceName is the net/rpc name of the calls between control instances.
+const ServiceName = "Raft"
+
+// Envelope is a message of one group.
+type Envelope struct {
+	Group   Group
+	Message raft.Message
+}
+
+// StepArgs carries a batch of messages to one instance.
+type StepArgs struct {
+	From     raft.MemberID
+	Messages []Envelope
+}
+
+// StepReply is empty; answers are messages of their own.
+type StepReply struct{}
+
+// IdentityArgs asks an instance who it is.
+type IdentityArgs struct{ From raft.MemberID }
+
+// IdentityReply names the member and its disk. Empty lists the groups in which
+// it has no log.
+type IdentityReply struct {
+	Member raft.MemberID
+	Disk   raft.DiskID
+	Empty  []Group
+}
+
+// Service receives the calls of other control instances. Register it under
+// ServiceName on the internal listener, for the role "control" only.
+type Service struct{ replica *Replica }
+
+// Service returns the receiver of net/rpc calls.
+func (r *Replica) Service() *Service { return &Service{r} }
+
+// Step takes a batch of messages in. It drops the batch when the owner is too
+// busy, since raft repeats what is not answered.
+func (s *Service) Step(args *StepArgs, _ *StepReply) error {
+	select {
+	case <-s.replica.ended:
+		return peer.EncodeError(errEnded)
+	default:
+	}
+	select {
+	case s.replica.inputs <- received{args.Messages}:
+	default:
+		s.replica.metrics.dropped.Add(int64(len(args.Messages)))
+	}
+	return nil
+}
+
+// identityLimit bounds how long Identity waits for the owner.
+const identityLimit = time.Second
+
+// Identity tells who this instance is.
+func (s *Service) Identity(_ *IdentityArgs, reply *IdentityReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), identityLimit)
+	defer cancel()
+	q := identityRequest{done: make(chan IdentityReply, 1)}
+	if err := s.replica.enter(ctx, q); err != nil {
+		return peer.EncodeError(err)
+	}
+	select {
+	case *reply = <-q.done:
+		return nil
+	case <-ctx.Done():
+		return peer.EncodeError(ctx.Err())
+	case <-s.replica.ended:
+		return peer.EncodeError(errEnded)
+	}
+}
+
+// link is the way to one other instance: a bounded queue and one goroutine
+// that sends what is queued, one call at a time.
+type link struct {
+	to      Peer
+	client  *peer.Client
+	queue   chan Envelope
+	replica *Replica
+}
+
+const (
+	// queuedMessages bounds what waits for one instance; more is dropped.
+	queuedMessages = 4096
+	// callMessages and callBytes bound one call.
+	callMessages = 256
+	callBytes    = 1 << 20
+	// stepLimit is when a call counts as lost. It is below the shortest
+	// election timeout, so that one silent connection costs no election.
+	stepLimit = 300 * time.Millisecond
+	// redialDelay is the pause after a failed call.
+	redialDelay = 50 * time.Millisecond
+	// identityInterval is the time between questions for a peer's identity.
+	identityInterval = 500 * time.Millisecond
+)
+
+func (r *Replica) addLink(ctx context.Context, p Peer) {
+	l := &link{to: p, client: r.options.Security.NewClient(p.Addr), queue: make(chan Envelope, queuedMessages), replica: r}
+	r.links[p.ID] = l
+	r.wait.Add(2)
+	go func() {
+		defer r.wait.Done()
+		l.run(ctx)
+	}()
+	go func() {
+		defer r.wait.Done()
+		l.askIdentity(ctx)
+	}()
+}
+
+func (l *link) push(e Envelope) {
+	select {
+	case l.queue <- e:
+	default:
+		l.replica.metrics.dropped.Inc()
+	}
+}
+
+func (l *link) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-l.queue:
+			if l.call(ctx, l.collect(e)) != nil && sleep(ctx, redialDelay) != nil {
+				return
+			}
+		}
+	}
+}
+
+// collect takes what is queued into one call.
+func (l *link) collect(first Envelope) []Envelope {
+	batch, size := []Envelope{first}, messageBytes(first.Message)
+	for len(batch) < callMessages && size < callBytes {
+		select {
+		case e := <-l.queue:
+			batch = append(batch, e)
+			size += messageBytes(e.Message)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+func messageBytes(m raft.Message) int {
+	n := len(m.Data)
+	for _, e := range m.Entries {
+		n += len(e.Data)
+	}
+	return n
+}
+
+func (l *link) call(ctx context.Context, batch []Envelope) error {
+	ctx, cancel := context.WithTimeout(ctx, stepLimit)
+	defer cancel()
+	args := &StepArgs{From: l.replica.options.Self, Messages: batch}
+	err := l.client.Call(ctx, ServiceName+".Step", args, &StepReply{})
+	if err != nil {
+		l.replica.metrics.dropped.Add(int64(len(batch)))
+		l.client.Close()
+	}
+	return err
+}
+
+// askIdentity keeps the owner informed about the instance at the other end. It
+// uses a client of its own, so that it is not held up by a batch.
+func (l *link) askIdentity(ctx context.Context) {
+	client := l.replica.options.Security.NewClient(l.to.Addr)
+	defer client.Close()
+	for {
+		l.askOnce(ctx, client)
+		if sleep(ctx, identityInterval) != nil {
+			return
+		}
+	}
+}
+
+func (l *link) askOnce(ctx context.Context, client *peer.Client) {
+	call, cancel := context.WithTimeout(ctx, identityLimit)
+	defer cancel()
+	var reply IdentityReply
+	err := client.Call(call, ServiceName+".Identity", &IdentityArgs{From: l.replica.options.Self}, &reply)
+	if err != nil || reply.Member != l.to.ID {
+		return
+	}
+	_ = l.replica.enter(ctx, learned{newIdentity(reply)})
+}
+
+type metrics struct {
+	registry *stats.Registry
+	sync     stats.Histogram
+	entries  stats.Counter
+	dropped  stats.Counter
+}
+
+func newMetrics(s *stats.Registry) metrics {
+	return metrics{
+		registry: s,
+		sync:     s.Histogram("control_log_sync_us"),
+		entries:  s.Counter("control_log_entries_total"),
+		dropped:  s.Counter("control_messages_dropped_total"),
+	}
+}
--- /dev/null
+++ b/modules/control/replica/members.go
@@ -0,0 +1,187 @@
+package replica
+
+import (
+	"strconv"
+
+	"github.com/go-faster/errors"
+
+	"heatherway.dev/core/raft"
+	"heatherway.dev/kernel/stats"
+)
+
+var errEnded = errors.New("this instance has stopped")
+
+// identity is what another instance said about itself.
+type identity struct {
+	member raft.MemberID
+	disk   raft.DiskID
+	empty  map[Group]bool
+	// tick is when the owner learned it.
+	tick uint64
+}
+
+func newIdentity(r IdentityReply) identity {
+	i := identity{member: r.Member, disk: r.Disk, empty: map[Group]bool{}}
+	for _, g := range r.Empty {
+		i.empty[g] = true
+	}
+	return i
+}
+
+func (in learned) enter(r *Replica) {
+	in.identity.tick = r.ticks
+	r.known[in.identity.member] = in.identity
+}
+
+type identityRequest struct{ done chan IdentityReply }
+
+func (q identityRequest) enter(r *Replica) {
+	reply := IdentityReply{Member: r.options.Self, Disk: r.disk}
+	for _, g := range r.order {
+		if g.empty() {
+			reply.Empty = append(reply.Empty, g.id)
+		}
+	}
+	q.done <- reply
+}
+
+// empty tells whether this member has never had a log of the group.
+func (g *group) empty() bool {
+	s := g.node.Status()
+	return s.Last == 0 && len(s.Membership.Members) == 0
+}
+
+const (
+	// freshTicks is how long an identity counts as current.
+	freshTicks = 40
+	// memberTicks is the time between checks of the membership.
+	memberTicks = 4
+	// spreadTicks is how long a leader stays before it hands a group to the
+	// member that should lead it, so that a restart does not move it twice.
+	spreadTicks = 100
+)
+
+func (r *Replica) fresh(id raft.MemberID) (identity, bool) {
+	if id == r.options.Self {
+		return identity{member: id, disk: r.disk}, true
+	}
+	i, ok := r.known[id]
+	return i, ok && r.ticks-i.tick <= freshTicks
+}
+
+func (r *Replica) configuredAddr(id raft.MemberID) string {
+	for _, p := range r.options.Peers {
+		if p.ID == id {
+			return p.Addr
+		}
+	}
+	return ""
+}
+
+func (g *group) tickMembers() {
+	if (g.replica.ticks+uint64(g.id))%memberTicks != 0 {
+		return
+	}
+	switch {
+	case g.node.Role() == raft.Leader:
+		g.repair()
+		g.spread()
+	case g.empty():
+		g.bootstrap()
+	}
+}
+
+// bootstrap starts a group with this instance as its only voter. Only the
+// configured instance with the lowest id does it, and only after every other
+// one has said that it has no log of the group: an instance that lost its disk
+// finds the others' logs and waits to be replaced instead.
+func (g *group) bootstrap() {
+	r := g.replica
+	for _, p := range r.options.Peers {
+		if p.ID < r.options.Self {
+			return
+		}
+		if p.ID == r.options.Self {
+			continue
+		}
+		if i, ok := r.fresh(p.ID); !ok || !i.empty[g.id] {
+			return
+		}
+	}
+	self := raft.Member{ID: r.options.Self, Disk: r.disk, Addr: r.configuredAddr(r.options.Self)}
+	stored := raft.Bootstrap(self)
+	r.wal.Append(g.id, &stored.Hard, stored.Entries)
+	if err := r.wal.Sync(); err != nil {
+		return // the next round meets the same failure and ends
+	}
+	node, err := raft.New(r.raftConfig(), stored)
+	if err != nil {
+		r.log.Error("group not started", "group", g.id, "error", err)
+		return
+	}
+	g.node = node
+	r.log.Info("group started", "group", g.id)
+}
+
+// repair makes the next membership change that brings the members in line with
+// the configured instances: an instance under a new disk identity is taken in
+// as a learner, and a learner that has caught up gets its vote.
+func (g *group) repair() {
+	members := g.node.Membership()
+	for _, p := range g.replica.options.Peers {
+		c, ok := g.replica.wanted(p, members)
+		if !ok {
+			continue
+		}
+		if _, _, err := g.node.ProposeChange(c); err == nil {
+			g.replica.log.Info("membership change", "group", g.id, "kind", c.Kind, "member", c.Member.ID, "disk", c.Member.Disk)
+			return
+		}
+	}
+}
+
+func (r *Replica) wanted(p Peer, members raft.Membership) (raft.Change, bool) {
+	m, member := members.Find(p.ID)
+	i, known := r.fresh(p.ID)
+	switch {
+	case !known:
+		return raft.Change{}, false
+	case !member || m.Disk != i.disk || m.Addr != p.Addr:
+		return raft.Change{Kind: raft.AddLearner, Member: raft.Member{ID: p.ID, Disk: i.disk, Addr: p.Addr}}, true
+	case m.Learner:
+		return raft.Change{Kind: raft.Promote, Member: m}, true
+	default:
+		return raft.Change{}, false
+	}
+}
+
+// spread hands the group to the voter that should lead it: group g belongs to
+// voter g modulo their number, in order of id.
+func (g *group) spread() {
+	r := g.replica
+	if r.options.KeepLeaders || r.ticks-g.leadingSince < spreadTicks {
+		return
+	}
+	s := g.node.Status()
+	voters := s.Membership.Voters()
+	if len(voters) == 0 || !s.MembershipCommitted {
+		return
+	}
+	to := voters[int(g.id)%len(voters)].ID
+	p, ok := s.Peers[to]
+	if !ok || !p.Active || p.Match < s.Commit {
+		return
+	}
+	g.leadingSince = r.ticks
+	if err := g.node.Transfer(to); err == nil {
+		r.log.Info("leadership offered", "group", g.id, "to", to)
+	}
+}
+
+func (m metrics) leading(g Group, yes bool) {
+	v := int64(0)
+	if yes {
+		v = 1
+	}
+	m.registry.Gauge("control_leader", stats.Label{Key: "group", Value: strconv.Itoa(int(g))}).Set(v)
+}
--- /dev/null
+++ b/modules/control/replica/replica_test.go
@@ -0,0 +1,137 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"heatherway.dev/core/raft"
+	"heatherway.dev/kernel/result"
+)
+
+// Guards against a group that does not form by itself, or whose members apply
+// different entries.
+func TestGroupsFormAndReplicate(t *testing.T) {
+	c := newCluster(t, 3, 4, nil)
+	c.eventually("three voters in each group", func() bool { return c.formed(3) })
+	for i := range 20 {
+		c.propose(Group(i%4), fmt.Sprint("entry ", i))
+	}
+	for g := range Group(4) {
+		want := c.leader(g).machines[g].all()
+		assert.Equal(t, len(want), 5)
+		for _, n := range c.nodes {
+			c.eventually("same entries", func() bool { return slices.Equal(n.machines[g].all(), want) })
+		}
+	}
+}
+
+// Guards against groups that all stay with one leader.
+func TestLeadersSpread(t *testing.T) {
+	c := newCluster(t, 3, 3, nil)
+	c.eventually("three leaders", func() bool {
+		return c.formed(3) && c.nodes["control-1"].Leader(0).Self && c.nodes["control-2"].Leader(1).Self && c.nodes["control-3"].Leader(2).Self
+	})
+}
+
+// Guards against an acknowledged entry that is lost when the leader dies, and
+// against restarted members that do not come back.
+func TestKilledLeader(t *testing.T) {
+	c := newCluster(t, 3, 1, nil)
+	c.eventually("three voters", func() bool { return c.formed(3) })
+	var want []string
+	for round := range 3 {
+		for i := range 10 {
+			want = append(want, fmt.Sprint(round, "-", i))
+			c.propose(0, want[len(want)-1])
+		}
+		dead := c.leader(0).options.Self
+		c.kill(dead)
+		c.eventually("new leader", func() bool { return c.leader(0) != nil })
+		c.start(c.peer(dead))
+	}
+	c.propose(0, "last")
+	want = append(want, "last")
+	for _, n := range c.nodes {
+		c.eventually("every entry once", func() bool { return slices.Equal(n.machines[0].all(), want) })
+	}
+}
+
+// Guards against a member that votes with an empty disk, and against a second
+// loss right after the repair that takes acknowledged entries with it.
+func TestLostDisksOneAfterAnother(t *testing.T) {
+	c := newCluster(t, 3, 2, func(o *Options) { o.CompactEntries = 20 })
+	c.eventually("three voters", func() bool { return c.formed(3) })
+	var want []string
+	for _, lost := range []raft.MemberID{"control-1", "control-2", "control-3", "control-1"} {
+		for i := range 30 {
+			want = append(want, fmt.Sprint(lost, "-", i, "-", len(want)))
+			c.propose(1, want[len(want)-1])
+		}
+		c.kill(lost)
+		assert.NilError(t, os.RemoveAll(c.path(lost)))
+		c.start(c.peer(lost))
+		c.eventually("three voters again", func() bool { return c.formed(3) })
+	}
+	for _, n := range c.nodes {
+		c.eventually("every entry once", func() bool { return slices.Equal(n.machines[1].all(), want) })
+	}
+}
+
+// Guards against a follower that takes a proposal in, or hides the leader.
+func TestFollowerNamesTheLeader(t *testing.T) {
+	c := newCluster(t, 3, 1, nil)
+	c.eventually("three voters", func() bool { return c.formed(3) })
+	l := c.leader(0)
+	for id, n := range c.nodes {
+		if n == l {
+			continue
+		}
+		c.eventually("leader known", func() bool { return n.Leader(0).ID == l.options.Self })
+		_, _, err := n.Propose(t.Context(), 0, []byte("x"))
+		assert.Assert(t, result.Is(err, result.NotLeader), "%s: %v", id, err)
+		assert.Equal(t, result.From(err).Message, c.peer(l.options.Self).Addr)
+	}
+}
+
+// Guards against a leader without a quorum that serves reads as current or
+// acknowledges a write.
+func TestNoQuorum(t *testing.T) {
+	c := newCluster(t, 3, 1, nil)
+	c.eventually("three voters", func() bool { return c.formed(3) })
+	l := c.leader(0)
+	_, err := l.ReadIndex(t.Context(), 0)
+	assert.NilError(t, err)
+	for _, p := range c.peers {
+		if p.ID != l.options.Self {
+			c.kill(p.ID)
+		}
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	_, _, err = l.Propose(ctx, 0, []byte("x"))
+	assert.Assert(t, result.Is(err, result.ControlUnavailable), "%v", err)
+	assert.Equal(t, result.From(err).Ran, result.Unknown)
+	_, err = l.ReadIndex(t.Context(), 0)
+	assert.Assert(t, result.Is(err, result.ControlUnavailable), "%v", err)
+	c.eventually("leader steps down", func() bool { return !l.Leader(0).Self })
+}
+
+// Guards against a shutdown that leaves the group without a leader for an
+// election timeout.
+func TestStopHandsOver(t *testing.T) {
+	c := newCluster(t, 3, 1, func(o *Options) { o.KeepLeaders = true })
+	c.eventually("three voters", func() bool { return c.formed(3) })
+	l := c.leader(0)
+	term := l.Leader(0).Term
+	assert.NilError(t, l.Stop(t.Context()))
+	delete(c.nodes, l.options.Self)
+	_ = l.server.Close()
+	c.eventually("new leader", func() bool { return c.leader(0) != nil })
+	assert.Equal(t, c.leader(0).Leader(0).Term, term+1, "an election without handing over")
+}
--- /dev/null
+++ b/modules/control/wal/snapshot.go
@@ -0,0 +1,211 @@
+package wal
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/go-faster/errors"
+
+	"heatherway.dev/core/raft"
+)
+
+// snapshotMagic starts each snapshot file. The CRC32C over the rest of the
+// file, the length of the description, the description and the data follow.
+const snapshotMagic = "HWSNAP\x00\x01"
+
+const (
+	snapshotChecksumAt = len(snapshotMagic)
+	snapshotLengthAt   = snapshotChecksumAt + 4
+	snapshotMetaAt     = snapshotLengthAt + 4
+	snapshotSuffix     = ".snap"
+	temporarySuffix    = ".tmp"
+)
+
+func (w *WAL) snapshotPath(g Group, index uint64) string {
+	return filepath.Join(w.folder, snapshotFolder, fmt.Sprintf("%08x-%016x%s", uint32(g), index, snapshotSuffix))
+}
+
+// WriteSnapshot writes a snapshot file: to a temporary file, which is synced
+// and renamed, and then the folder is synced. It is not in force before
+// Compact or Install and a Sync.
+func (w *WAL) WriteSnapshot(g Group, s raft.Snapshot) error {
+	meta, err := json.Marshal(s.Meta)
+	if err != nil {
+		return errors.Wrap(err, "encode snapshot description")
+	}
+	b := make([]byte, snapshotMetaAt, snapshotMetaAt+len(meta)+len(s.Data))
+	copy(b, snapshotMagic)
+	binary.LittleEndian.PutUint32(b[snapshotLengthAt:], uint32(len(meta)))
+	b = append(append(b, meta...), s.Data...)
+	binary.LittleEndian.PutUint32(b[snapshotChecksumAt:], crc32.Checksum(b[snapshotLengthAt:], castagnoli))
+	return writeFile(w.snapshotPath(g, s.Meta.Index), b)
+}
+
+// writeFile replaces a file so that after a crash it has its old or its new
+// contents.
+func writeFile(path string, b []byte) error {
+	tmp := path + temporarySuffix
+	f, err := os.OpenFile(tmp, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, filePermission)
+	if err != nil {
+		return errors.Wrap(err, "create "+tmp)
+	}
+	_, err = f.Write(b)
+	if err = errors.Join(err, f.Sync(), f.Close()); err != nil {
+		return errors.Wrap(err, "write "+tmp)
+	}
+	if err := os.Rename(tmp, path); err != nil {
+		return errors.Wrap(err, "rename "+tmp)
+	}
+	return syncFolder(filepath.Dir(path))
+}
+
+// Compact buffers the note that a written snapshot covers the log up to its
+// index. After the next Sync, Clean removes what is no longer needed.
+func (w *WAL) Compact(g Group, meta raft.SnapshotMeta) { w.addMark(g, meta, false) }
+
+// Install buffers the note that a written snapshot replaces the whole log.
+func (w *WAL) Install(g Group, meta raft.SnapshotMeta) { w.addMark(g, meta, true) }
+
+func (w *WAL) addMark(g Group, meta raft.SnapshotMeta, install bool) {
+	m := mark{meta.Index, meta.Term, install}
+	w.buffer = appendRecord(w.buffer, w.salt(), typeMark, g, encodeMark(m))
+	w.group(g).mark = m
+	w.mu.Lock()
+	w.snapshots[g] = meta
+	w.mu.Unlock()
+}
+
+// Clean removes the oldest segments while snapshots cover all their entries,
+// and snapshot files that were replaced. It must follow a Sync.
+func (w *WAL) Clean() error {
+	for len(w.segments) > 1 && w.covered(w.segments[0]) {
+		if err := os.Remove(w.segments[0].path); err != nil {
+			return errors.Wrap(err, "remove segment")
+		}
+		w.segments = w.segments[1:]
+	}
+	return w.dropReplacedSnapshots()
+}
+
+func (w *WAL) covered(s *segment) bool {
+	for g, last := range s.last {
+		if last > w.group(g).mark.index {
+			return false
+		}
+	}
+	return true
+}
+
+// Pinning returns the groups whose entries keep the oldest segment, when there
+// are at least so many segments. A group with few writes never fills a
+// snapshot's worth of log by itself, and would keep every later segment.
+func (w *WAL) Pinning(segments int) []Group {
+	if len(w.segments) < segments {
+		return nil
+	}
+	var out []Group
+	for g, last := range w.segments[0].last {
+		if last > w.group(g).mark.index {
+			out = append(out, g)
+		}
+	}
+	return out
+}
+
+// Segments returns the number of segment files.
+func (w *WAL) Segments() int { return len(w.segments) }
+
+// dropStaleSnapshots removes files that no synced record names.
+func (w *WAL) dropStaleSnapshots() error {
+	return w.dropSnapshots(func(g Group, index uint64) bool { return index != w.snapshots[g].Index })
+}
+
+// dropReplacedSnapshots leaves newer files alone: they may be waiting for
+// their record.
+func (w *WAL) dropReplacedSnapshots() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.dropSnapshots(func(g Group, index uint64) bool { return index < w.snapshots[g].Index })
+}
+
+func (w *WAL) dropSnapshots(stale func(Group, uint64) bool) error {
+	files, err := os.ReadDir(filepath.Join(w.folder, snapshotFolder))
+	if err != nil {
+		return errors.Wrap(err, "list snapshots")
+	}
+	for _, f := range files {
+		var g uint32
+		var index uint64
+		_, err := fmt.Sscanf(f.Name(), "%08x-%016x"+snapshotSuffix, &g, &index)
+		if err == nil && !stale(Group(g), index) {
+			continue
+		}
+		if err := os.Remove(filepath.Join(w.folder, snapshotFolder, f.Name())); err != nil && !os.IsNotExist(err) {
+			return errors.Wrap(err, "remove snapshot")
+		}
+	}
+	return nil
+}
+
+// Snapshot reads the newest snapshot of a group; its index is zero without one.
+func (w *WAL) Snapshot(g Group) (raft.Snapshot, error) {
+	w.mu.Lock()
+	meta := w.snapshots[g]
+	w.mu.Unlock()
+	if meta.Index == 0 {
+		return raft.Snapshot{}, nil
+	}
+	return w.readSnapshot(g, meta.Index)
+}
+
+func (w *WAL) readSnapshot(g Group, index uint64) (raft.Snapshot, error) {
+	path := w.snapshotPath(g, index)
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return raft.Snapshot{}, damaged(path, 0, "%v", err)
+	}
+	if len(b) < snapshotMetaAt || string(b[:len(snapshotMagic)]) != snapshotMagic {
+		return raft.Snapshot{}, damaged(path, 0, "not a snapshot of this version")
+	}
+	if crc32.Checksum(b[snapshotLengthAt:], castagnoli) != binary.LittleEndian.Uint32(b[snapshotChecksumAt:]) {
+		return raft.Snapshot{}, damaged(path, int64(snapshotChecksumAt), "checksum does not match")
+	}
+	end := snapshotMetaAt + int(binary.LittleEndian.Uint32(b[snapshotLengthAt:]))
+	var s raft.Snapshot
+	if end > len(b) {
+		return s, damaged(path, int64(snapshotLengthAt), "description is longer than the file")
+	}
+	if err := json.Unmarshal(b[snapshotMetaAt:end], &s.Meta); err != nil {
+		return s, damaged(path, int64(snapshotMetaAt), "%v", err)
+	}
+	s.Data = b[end:]
+	return s, nil
+}
+
+// Chunk reads a part of a snapshot's data. It fails when the snapshot has been
+// replaced in the meantime.
+func (w *WAL) Chunk(g Group, meta raft.SnapshotMeta, offset uint64, limit int) ([]byte, error) {
+	f, err := os.Open(w.snapshotPath(g, meta.Index))
+	if err != nil {
+		return nil, errors.Wrap(err, "open snapshot")
+	}
+	defer func() { _ = f.Close() }()
+	st, err := f.Stat()
+	if err != nil {
+		return nil, errors.Wrap(err, "stat snapshot")
+	}
+	if offset > meta.Size || uint64(st.Size()) < meta.Size {
+		return nil, errors.Errorf("offset %d is outside the snapshot", offset)
+	}
+	b := make([]byte, min(uint64(limit), meta.Size-offset))
+	start := uint64(st.Size()) - meta.Size + offset
+	if _, err := f.ReadAt(b, int64(start)); err != nil && !errors.Is(err, io.EOF) {
+		return nil, errors.Wrap(err, "read snapshot")
+	}
+	return b, nil
+}
--- /dev/null
+++ b/modules/control/wal/wal.go
@@ -0,0 +1,315 @@
+// Package wal keeps the replicated logs of several groups in one segmented
+// write-ahead log under a data folder.
+//
+// Layout: "identity.json" names the member and its disk, "wal/" holds the
+// segments and "snapshots/" one file for each snapshot.
+//
+// Write order: Append only buffers; Sync writes the buffer of all groups and
+// syncs once. Nothing may leave the process that depends on records which are
+// not synced. A new segment starts only between batches, after the previous
+// segment is synced, so a torn record can only be the last one of the last
+// segment.
+package wal
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"heatherway.dev/core/raft"
+	"heatherway.dev/kernel/result"
+)
+
+// Group numbers a replicated log.
+type Group uint32
+
+// DefaultSegmentBytes is the size from which on a new segment is started.
+const DefaultSegmentBytes = 16 << 20
+
+const (
+	segmentFolder  = "wal"
+	snapshotFolder = "snapshots"
+	filePermission = 0o600
+	dirPermission  = 0o700
+)
+
+// Options configures a write-ahead log. Zero values get their defaults.
+type Options struct {
+	SegmentBytes int64
+}
+
+// WAL is an open write-ahead log. One goroutine writes; reading snapshots and
+// writing snapshot files is safe beside it.
+type WAL struct {
+	folder   string
+	limit    int64
+	identity Identity
+	lock     *os.File
+
+	segments []*segment
+	current  *os.File
+	size     int64
+	buffer   []byte
+	pending  []position
+	failed   error
+
+	groups map[Group]*groupState
+	loaded map[Group]raft.Stored
+
+	mu        sync.Mutex
+	snapshots map[Group]raft.SnapshotMeta
+
+	// SyncTime is the duration of the last Sync.
+	SyncTime time.Duration
+}
+
+// segment describes one file. last holds the newest entry index of each group
+// in it; a segment can go once snapshots cover all of them.
+type segment struct {
+	number uint64
+	path   string
+	salt   uint32
+	// torn is set when the segment was being created and holds nothing yet.
+	torn bool
+	last map[Group]uint64
+}
+
+// position is an entry in the unsynced buffer.
+type position struct {
+	group Group
+	index uint64
+}
+
+// groupState repeats at the start of each segment what older segments would
+// have to be kept for.
+type groupState struct {
+	hard raft.HardState
+	mark mark
+}
+
+// Open opens the log of a member, and creates it in an empty folder. A torn
+// last record is cut off. Damage before it is refused with result code 1010,
+// another member's folder with 1011, a folder in use with 1006.
+func Open(folder string, member raft.MemberID, o Options) (*WAL, error) {
+	if o.SegmentBytes == 0 {
+		o.SegmentBytes = DefaultSegmentBytes
+	}
+	w := &WAL{folder: folder, limit: o.SegmentBytes, groups: map[Group]*groupState{},
+		snapshots: map[Group]raft.SnapshotMeta{}}
+	for _, f := range []string{folder, filepath.Join(folder, segmentFolder), filepath.Join(folder, snapshotFolder)} {
+		if err := os.MkdirAll(f, dirPermission); err != nil {
+			return nil, result.Wrap(result.DataFolder, err, "cannot create "+f)
+		}
+	}
+	if err := w.open(member); err != nil {
+		w.closeFiles()
+		return nil, err
+	}
+	return w, nil
+}
+
+func (w *WAL) open(member raft.MemberID) error {
+	var err error
+	if w.lock, err = lockFolder(w.folder); err != nil {
+		return err
+	}
+	replay, err := w.replaySegments()
+	if err != nil {
+		return err
+	}
+	used := len(w.segments) > 0
+	if w.loaded, err = w.restoreGroups(replay); err != nil {
+		return err
+	}
+	if err := w.checkIdentity(used, len(replay) > 0); err != nil {
+		return err
+	}
+	if err := w.openCurrent(); err != nil {
+		return err
+	}
+	return w.createIdentity(member)
+}
+
+// Identity returns the member and disk that the folder belongs to.
+func (w *WAL) Identity() Identity { return w.identity }
+
+// Loaded returns what was on the disk at Open, once; the log keeps no copy.
+func (w *WAL) Loaded() map[Group]raft.Stored {
+	l := w.loaded
+	w.loaded = nil
+	return l
+}
+
+// Append buffers entries and hard state of a group. Entries come before the
+// hard state, so that its commit index never points behind a torn end.
+func (w *WAL) Append(g Group, hard *raft.HardState, entries []raft.Entry) {
+	for _, e := range entries {
+		w.buffer = appendRecord(w.buffer, w.salt(), typeEntry, g, encodeEntry(e))
+		w.pending = append(w.pending, position{g, e.Index})
+	}
+	if hard != nil {
+		w.buffer = appendRecord(w.buffer, w.salt(), typeHard, g, encodeHard(*hard))
+		w.group(g).hard = *hard
+	}
+}
+
+// salt returns the salt of the segment that the buffer goes to. Sync starts a
+// new segment after a batch, never between Append and the write.
+func (w *WAL) salt() uint32 { return w.segments[len(w.segments)-1].salt }
+
+func (w *WAL) group(g Group) *groupState {
+	s := w.groups[g]
+	if s == nil {
+		s = &groupState{}
+		w.groups[g] = s
+	}
+	return s
+}
+
+// Sync writes everything buffered, for all groups, and syncs once. After a
+// failure the log stays failed: the kernel may have dropped the dirty pages,
+// so a repeated sync would prove nothing.
+func (w *WAL) Sync() error {
+	if w.failed != nil {
+		return w.failed
+	}
+	if len(w.buffer) == 0 {
+		return nil
+	}
+	w.failed = w.writeBuffer()
+	if w.failed == nil && w.size >= w.limit {
+		w.failed = w.roll()
+	}
+	return w.failed
+}
+
+func (w *WAL) writeBuffer() error {
+	n, err := w.current.Write(w.buffer)
+	w.size += int64(n)
+	if err != nil {
+		return errors.Wrap(err, "write "+w.current.Name())
+	}
+	start := time.Now()
+	if err := w.current.Sync(); err != nil {
+		return errors.Wrap(err, "sync "+w.current.Name())
+	}
+	w.SyncTime = time.Since(start)
+	last := w.segments[len(w.segments)-1].last
+	for _, p := range w.pending {
+		last[p.group] = max(last[p.group], p.index)
+	}
+	w.pending = w.pending[:0]
+	if cap(w.buffer) > maxKeptBuffer {
+		w.buffer = nil
+	}
+	w.buffer = w.buffer[:0]
+	return nil
+}
+
+// maxKeptBuffer bounds the memory kept between batches.
+const maxKeptBuffer = 4 << 20
+
+// roll starts a new segment. Everything in the previous one is synced.
+func (w *WAL) roll() error {
+	if err := w.current.Close(); err != nil {
+		return errors.Wrap(err, "close segment")
+	}
+	return w.createSegment(w.segments[len(w.segments)-1].number + 1)
+}
+
+func (w *WAL) segmentPath(number uint64) string {
+	return filepath.Join(w.folder, segmentFolder, fmt.Sprintf("%016x.log", number))
+}
+
+// createSegment writes a segment that starts with the state of every group, so
+// that older segments are needed for their entries only.
+func (w *WAL) createSegment(number uint64) error {
+	path := w.segmentPath(number)
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, filePermission)
+	if err != nil {
+		return errors.Wrap(err, "create segment")
+	}
+	s := &segment{number: number, path: path, salt: rand.Uint32(), last: map[Group]uint64{}}
+	head := w.segmentHead(s.salt)
+	w.current, w.size = f, int64(len(head))
+	if _, err := f.Write(head); err != nil {
+		return errors.Wrap(err, "write segment")
+	}
+	if err := f.Sync(); err != nil {
+		return errors.Wrap(err, "sync segment")
+	}
+	if n := len(w.segments); n > 0 && w.segments[n-1].number == number {
+		w.segments = w.segments[:n-1]
+	}
+	w.segments = append(w.segments, s)
+	return syncFolder(filepath.Dir(path))
+}
+
+func (w *WAL) segmentHead(salt uint32) []byte {
+	b := appendSegmentStart(nil, salt)
+	for g, s := range w.groups {
+		if s.mark.index > 0 {
+			m := mark{index: s.mark.index, term: s.mark.term}
+			b = appendRecord(b, salt, typeMark, g, encodeMark(m))
+		}
+		b = appendRecord(b, salt, typeHard, g, encodeHard(s.hard))
+	}
+	return b
+}
+
+// openCurrent opens the last segment for writing.
+func (w *WAL) openCurrent() error {
+	if len(w.segments) == 0 {
+		return w.createSegment(1)
+	}
+	s := w.segments[len(w.segments)-1]
+	f, err := os.OpenFile(s.path, os.O_WRONLY|os.O_APPEND, filePermission)
+	if err != nil {
+		return result.Wrap(result.DataFolder, err, "cannot open the last segment")
+	}
+	w.current = f
+	st, err := f.Stat()
+	if err != nil {
+		return result.Wrap(result.DataFolder, err, "cannot read the last segment")
+	}
+	w.size = st.Size()
+	if s.torn {
+		_ = f.Close()
+		return w.createSegment(s.number)
+	}
+	return nil
+}
+
+// Close releases the files. Buffered records that were not synced are dropped.
+func (w *WAL) Close() error {
+	if w.failed == nil {
+		w.failed = errors.New("write-ahead log is closed")
+	}
+	return w.closeFiles()
+}
+
+func (w *WAL) closeFiles() error {
+	var errs []error
+	for _, f := range []*os.File{w.current, w.lock} {
+		if f != nil {
+			errs = append(errs, f.Close())
+		}
+	}
+	return errors.Join(errs...)
+}
+
+func syncFolder(path string) error {
+	d, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	if err := errors.Join(d.Sync(), d.Close()); err != nil {
+		return errors.Wrap(err, "sync folder "+path)
+	}
+	return nil
+}
