--- a/core/config/change.go
+++ b/core/config/change.go
@@ -73,9 +73,13 @@
 	Problems []string `json:"problems,omitempty"`
 }
 
-// AnswersKept is the number of changes whose answers and accepted predecessors
-// are kept: more than a day at 2,300 changes a day.
-const AnswersKept = 4096
+// AnswersKept is the number of changes whose answers are kept: more than a day
+// at 2,300 changes a day. Fewer are kept when their answers exceed
+// answerBytesKept, which only many long lists of problems do.
+const (
+	AnswersKept     = 4096
+	answerBytesKept = 16 << 20
+)
 
 // Limits of a document, which bound its size on the wire to each process.
 const (
@@ -84,6 +88,8 @@
 	MaxKeyHashes     = 8
 	MaxEdits         = 500
 	maxTextBytes     = 1024
+	// maxReported bounds the part of a wrong value that a problem repeats.
+	maxReported = 64
 )
 
 // handled is a change that has been answered.
@@ -105,6 +111,8 @@
 	// dropped is how many entries of recent have been dropped; byID holds
 	// positions counted from the first entry ever.
 	dropped int
+	bytes   int
+	steps   []Step
 }
 
 // NewState returns the state before the first change.
@@ -113,7 +121,7 @@
 }
 
 func emptyDocument() *Document {
-	return &Document{Defaults: map[string]string{}, Organisations: map[string]Organisation{}}
+	return &Document{Defaults: map[string]string{}, Exceptions: []Exception{}, Organisations: map[string]Organisation{}}
 }
 
 // Document returns the configuration in force.
@@ -139,7 +147,7 @@
 		a.Winner, a.WinnerAuthor = s.winner(c.BaseRevision)
 		return a
 	}
-	next, problems := s.doc.edit(c.Edits)
+	next, problems := s.doc.edit(c.Edits, c.AtMS)
 	problems = append(problems, next.Problems()...)
 	if position <= s.doc.Revision {
 		problems = append(problems, fmt.Sprintf("position %d is not beyond revision %d", position, s.doc.Revision))
@@ -148,7 +156,9 @@
 		a.Problems = problems
 		return a
 	}
+	s.record(Step{From: s.doc.Revision, To: position, Edits: c.Edits})
 	next.Revision = position
+	next.index()
 	s.doc = next
 	a.Verdict, a.Revision = Accepted, position
 	return a
@@ -169,13 +179,23 @@
 	}
 	s.recent = append(s.recent, h)
 	s.byID[h.Answer.ChangeID] = s.dropped + len(s.recent) - 1
-	for len(s.recent) > AnswersKept {
+	s.bytes += h.size()
+	for len(s.recent) > AnswersKept || s.bytes > answerBytesKept && len(s.recent) > 1 {
+		s.bytes -= s.recent[0].size()
 		delete(s.byID, s.recent[0].Answer.ChangeID)
 		s.recent = s.recent[1:]
 		s.dropped++
 	}
 }
 
+func (h handled) size() int {
+	n := len(h.Answer.ChangeID) + len(h.Author) + len(h.Reason)
+	for _, p := range h.Answer.Problems {
+		n += len(p)
+	}
+	return n
+}
+
 // problems checks the change apart from the document.
 func (c Change) problems() []string {
 	var out []string
@@ -195,11 +215,15 @@
 }
 
 // edit returns a changed copy of the document, and what could not be done.
-func (d *Document) edit(edits []Edit) (*Document, []string) {
+func (d *Document) edit(edits []Edit, atMS int64) (*Document, []string) {
 	next := d.clone()
 	var problems []string
 	for i, e := range edits {
-		if err := next.apply(e); err != nil {
+		err := next.apply(e)
+		if err == nil && e.Exception != nil && e.Exception.UntilMS != 0 && e.Exception.UntilMS <= atMS {
+			err = errors.Errorf("exception %q ends before it begins", e.Exception.ID)
+		}
+		if err != nil {
 			problems = append(problems, fmt.Sprintf("edits[%d]: %v", i, err))
 		}
 	}
@@ -225,7 +249,7 @@
 		d.Defaults[e.Name] = e.Value
 		return nil
 	case UnsetDefault:
-		return remove(d.Defaults, e.Name, "default")
+		return removeFrom(d.Defaults, e.Name, "default")
 	case PutException:
 		return d.putException(e.Exception)
 	case RemoveException:
@@ -237,15 +261,15 @@
 		d.Organisations[e.Name] = *e.Organisation
 		return nil
 	case RemoveOrganisation:
-		return remove(d.Organisations, e.Name, "organisation")
+		return removeFrom(d.Organisations, e.Name, "organisation")
 	default:
-		return errors.Errorf("unknown kind of edit %q", e.Kind)
+		return errors.Errorf("unknown kind of edit %.*q", maxReported, e.Kind)
 	}
 }
 
-func remove[V any](m map[string]V, name, what string) error {
+func removeFrom[V any](m map[string]V, name, what string) error {
 	if _, ok := m[name]; !ok {
-		return errors.Errorf("no %s %q", what, name)
+		return errors.Errorf("no %s %.*q", what, maxReported, name)
 	}
 	delete(m, name)
 	return nil
@@ -272,7 +296,7 @@
 			return nil
 		}
 	}
-	return errors.Errorf("no exception %q", id)
+	return errors.Errorf("no exception %.*q", maxReported, id)
 }
 
 // Problems lists everything that is wrong with the document, in a fixed order.
@@ -288,7 +312,7 @@
 	}
 	for i := range d.Exceptions {
 		for _, p := range d.Exceptions[i].problems() {
-			out = append(out, fmt.Sprintf("exception %q: %s", d.Exceptions[i].ID, p))
+			out = append(out, fmt.Sprintf("exception %.*q: %s", maxReported, d.Exceptions[i].ID, p))
 		}
 	}
 	return append(out, d.organisationProblems()...)
@@ -296,8 +320,11 @@
 
 func checkValue(name, value string) error {
 	k, ok := KeyOf(name)
+	if len(value) > maxTextBytes {
+		return errors.Errorf("%.*q: value longer than %d bytes", maxReported, name, maxTextBytes)
+	}
 	if !ok {
-		return errors.Errorf("unknown key %q", name)
+		return errors.Errorf("unknown key %.*q", maxReported, name)
 	}
 	return k.Check(value)
 }
@@ -351,11 +378,11 @@
 	for _, name := range sortedKeys(d.Organisations) {
 		hashes := d.Organisations[name].KeyHashes
 		if len(name) > maxTextBytes || len(hashes) > MaxKeyHashes {
-			out = append(out, fmt.Sprintf("organisation %q: name too long or more than %d keys", name, MaxKeyHashes))
+			out = append(out, fmt.Sprintf("organisation %.*q: name too long or more than %d keys", maxReported, name, MaxKeyHashes))
 		}
 		for _, h := range hashes {
 			if b, err := hex.DecodeString(h); err != nil || len(b) != sha256.Size {
-				out = append(out, fmt.Sprintf("organisation %q: %q is not a SHA-256 hash in hexadecimal", name, h))
+				out = append(out, fmt.Sprintf("organisation %q: %.*q is not a SHA-256 hash in hexadecimal", name, maxReported, h))
 			}
 			if other, dup := owner[h]; dup {
 				out = append(out, fmt.Sprintf("organisation %q: key %q also belongs to %q", name, h, other))
@@ -393,11 +420,12 @@
 type snapshot struct {
 	Document *Document `json:"document"`
 	Recent   []handled `json:"recent"`
+	Steps    []Step    `json:"steps"`
 }
 
 // Snapshot encodes the state.
 func (s *State) Snapshot() ([]byte, error) {
-	return json.Marshal(snapshot{s.doc, s.recent})
+	return json.Marshal(snapshot{s.doc, s.recent, s.steps})
 }
 
 // Restore replaces the state by an encoded one.
@@ -407,7 +435,7 @@
 		return errors.Wrap(err, "configuration snapshot")
 	}
 	next := NewState()
-	next.doc = sn.Document
+	next.doc, next.steps = sn.Document, sn.Steps
 	for _, h := range sn.Recent {
 		next.keep(h)
 	}
--- /dev/null
+++ b/core/config/change_test.go
@@ -0,0 +1,188 @@
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func drawEdit(t *rapid.T) Edit {
+	name := rapid.SampledFrom([]string{"a", "b", ""}).Draw(t, "name")
+	key := rapid.SampledFrom([]string{"queue.limit", "request.deadline", "no.such.key"}).Draw(t, "key")
+	value := rapid.SampledFrom([]string{"5", "7s", "-1"}).Draw(t, "value")
+	switch k := rapid.SampledFrom([]EditKind{SetDefault, UnsetDefault, PutException, RemoveException, PutOrganisation, RemoveOrganisation}).Draw(t, "kind"); k {
+	case SetDefault, UnsetDefault:
+		return Edit{Kind: k, Name: key, Value: value}
+	case PutException:
+		return Edit{Kind: k, Exception: &Exception{
+			ID: name, Key: key, Value: value, Reason: rapid.SampledFrom([]string{"because", ""}).Draw(t, "reason"),
+			Selector: Selector{Model: rapid.SampledFrom([]string{"m", ""}).Draw(t, "model")},
+			UntilMS:  rapid.SampledFrom([]int64{0, 50, 5000}).Draw(t, "until"),
+		}}
+	case PutOrganisation:
+		hash := KeyHash(rapid.SampledFrom([]string{"k1", "k2"}).Draw(t, "key"))
+		return Edit{Kind: k, Name: name, Organisation: &Organisation{KeyHashes: []string{hash}}}
+	default:
+		return Edit{Kind: k, Name: name}
+	}
+}
+
+// mirror keeps what accepted edits must have led to.
+type mirror struct {
+	defaults      map[string]string
+	exceptions    map[string]Exception
+	organisations map[string]Organisation
+}
+
+func (m *mirror) apply(e Edit) {
+	switch e.Kind {
+	case SetDefault:
+		m.defaults[e.Name] = e.Value
+	case UnsetDefault:
+		delete(m.defaults, e.Name)
+	case PutException:
+		m.exceptions[e.Exception.ID] = *e.Exception
+	case RemoveException:
+		delete(m.exceptions, e.Name)
+	case PutOrganisation:
+		m.organisations[e.Name] = *e.Organisation
+	case RemoveOrganisation:
+		delete(m.organisations, e.Name)
+	}
+}
+
+func (m *mirror) check(t *rapid.T, d *Document) {
+	assert.DeepEqual(t, d.Defaults, m.defaults)
+	assert.DeepEqual(t, d.Organisations, m.organisations)
+	assert.Equal(t, len(d.Exceptions), len(m.exceptions))
+	for _, e := range d.Exceptions {
+		assert.DeepEqual(t, e, m.exceptions[e.ID])
+	}
+	for name, o := range d.Organisations {
+		got, _ := d.OrganisationOf(o.KeyHashes[0])
+		assert.Equal(t, got, name)
+	}
+}
+
+func encoded(t *rapid.T, v any) string {
+	b, err := json.Marshal(v)
+	assert.NilError(t, err)
+	return string(b)
+}
+
+// Guards against a revision that goes back, an accepted change that is lost or
+// partly applied, a repeated change that gets another answer, an invalid
+// document in force, and a state or a follower that differs after a snapshot
+// or a step.
+func TestChanges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := NewState()
+		m := mirror{map[string]string{}, map[string]Exception{}, map[string]Organisation{}}
+		answers, documents := map[string]string{}, []*Document{s.Document()}
+		for position := uint64(1); position < 30; position++ {
+			before := s.Document()
+			c := Change{
+				ChangeID:     fmt.Sprint("c", rapid.IntRange(0, 20).Draw(t, "id")),
+				BaseRevision: before.Revision, Author: "a", Reason: "r", AtMS: 100,
+				Edits: rapid.SliceOfN(rapid.Custom(drawEdit), 0, 3).Draw(t, "edits"),
+			}
+			if rapid.IntRange(0, 4).Draw(t, "stale") == 0 {
+				c.BaseRevision = uint64(rapid.IntRange(0, 20).Draw(t, "base"))
+			}
+			a := s.Apply(position, c)
+			first, repeated := answers[c.ChangeID]
+			assert.Assert(t, !repeated || first == encoded(t, a))
+			answers[c.ChangeID] = encoded(t, a)
+			if a.Verdict == Accepted && !repeated {
+				assert.Assert(t, c.BaseRevision == before.Revision && s.Document().Revision == position)
+				for _, e := range c.Edits {
+					m.apply(e)
+				}
+				documents = append(documents, s.Document())
+			} else {
+				assert.Equal(t, s.Document(), before)
+			}
+			m.check(t, s.Document())
+			assert.Equal(t, len(s.Document().Problems()), 0)
+			if rapid.IntRange(0, 5).Draw(t, "snapshot") == 0 {
+				s = restored(t, s)
+			}
+		}
+		followsEverywhere(t, s, documents)
+	})
+}
+
+func restored(t *rapid.T, s *State) *State {
+	b, err := s.Snapshot()
+	assert.NilError(t, err)
+	next := NewState()
+	assert.NilError(t, next.Restore(b))
+	return next
+}
+
+func followsEverywhere(t *rapid.T, s *State, documents []*Document) {
+	want := encoded(t, s.Document())
+	for _, d := range documents[:len(documents)-1] {
+		step, ok := Join(s.Steps(), d.Revision)
+		assert.Assert(t, ok)
+		step.Sum = Sum([]byte(want))
+		got, err := d.Advance(step)
+		assert.NilError(t, err)
+		assert.Equal(t, encoded(t, got), want)
+		step.Sum++
+		_, err = d.Advance(step)
+		assert.ErrorContains(t, err, "check sum")
+	}
+}
+
+func set(id string, base uint64, value string) Change {
+	return Change{
+		ChangeID: id, BaseRevision: base, Author: "author of " + id, Reason: "r",
+		Edits: []Edit{{Kind: SetDefault, Name: "queue.limit", Value: value}},
+	}
+}
+
+// Guards against two operators who both believe that their change on the same
+// revision was accepted, and a loser who is not told who won.
+func TestLoserLearnsTheWinner(t *testing.T) {
+	s := NewState()
+	assert.Equal(t, s.Apply(4, set("first", 0, "10")).Verdict, Accepted)
+	a := s.Apply(5, set("second", 0, "20"))
+	assert.Equal(t, a.Verdict, Conflict)
+	assert.Equal(t, a.Winner, "first")
+	assert.Equal(t, a.WinnerAuthor, "author of first")
+	assert.Equal(t, a.Revision, uint64(4))
+	assert.Equal(t, s.Document().Int("queue.limit", Scope{}, time.Time{}), int64(10))
+}
+
+// Guards against a refusal that names only the first of several problems.
+func TestEveryProblemIsListed(t *testing.T) {
+	c := Change{ChangeID: "c", Author: "a", Reason: "r", Edits: []Edit{
+		{Kind: SetDefault, Name: "queue.limit", Value: "many"},
+		{Kind: SetDefault, Name: "no.such", Value: "1"},
+		{Kind: RemoveException, Name: "missing"},
+		{Kind: PutException, Exception: &Exception{ID: "e", Key: "retry.share", Value: "2", Selector: Selector{Zone: "z"}}},
+		{Kind: PutOrganisation, Name: "o", Organisation: &Organisation{KeyHashes: []string{"plain key"}}},
+	}}
+	a := NewState().Apply(1, c)
+	assert.Equal(t, a.Verdict, Refused)
+	assert.Equal(t, len(a.Problems), 6, "%q", a.Problems)
+}
+
+// Guards against memory that grows with the number of changes.
+func TestAnswersAndStepsAreBounded(t *testing.T) {
+	s := NewState()
+	for i := range uint64(AnswersKept + 100) {
+		a := s.Apply(i+1, set(fmt.Sprint(i), i, fmt.Sprint(1+i%100)))
+		assert.Equal(t, a.Verdict, Accepted)
+	}
+	assert.Equal(t, len(s.recent), AnswersKept)
+	assert.Equal(t, len(s.byID), AnswersKept)
+	assert.Equal(t, len(s.Steps()), stepsKept)
+	assert.Equal(t, s.Apply(9999, set("4000", 0, "1")).Verdict, Accepted, "a kept answer is repeated")
+	assert.Equal(t, s.Document().Revision, uint64(AnswersKept+100))
+}
--- a/core/config/config.go
+++ b/core/config/config.go
@@ -4,6 +4,7 @@
 package config
 
 import (
+	"encoding/json"
 	"strconv"
 	"time"
 
@@ -18,6 +19,10 @@
 	Defaults      map[string]string       `json:"defaults"`
 	Exceptions    []Exception             `json:"exceptions"`
 	Organisations map[string]Organisation `json:"organisations"`
+
+	// owners maps key hashes to organisations; nil in a document put together
+	// by hand.
+	owners map[string]string
 }
 
 // Organisation is a customer of the fleet.
@@ -123,6 +128,10 @@
 
 // OrganisationOf returns the organisation that a key hash belongs to.
 func (d *Document) OrganisationOf(keyHash string) (string, bool) {
+	if d.owners != nil {
+		name, ok := d.owners[keyHash]
+		return name, ok
+	}
 	for name, o := range d.Organisations {
 		for _, h := range o.KeyHashes {
 			if h == keyHash {
@@ -132,3 +141,26 @@
 	}
 	return "", false
 }
+
+// index fills owners, so that finding the organisation of a request does not
+// depend on the number of organisations.
+func (d *Document) index() {
+	d.owners = make(map[string]string, len(d.Organisations))
+	for name, o := range d.Organisations {
+		for _, h := range o.KeyHashes {
+			d.owners[h] = name
+		}
+	}
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (d *Document) UnmarshalJSON(b []byte) error {
+	type plain Document
+	p := plain(*emptyDocument())
+	if err := json.Unmarshal(b, &p); err != nil {
+		return err
+	}
+	*d = Document(p)
+	d.index()
+	return nil
+}
--- /dev/null
+++ b/core/member/delta.go
@@ -0,0 +1,54 @@
+package member
+
+import (
+	"slices"
+	"strings"
+
+	"heatherway.dev/core/wire"
+)
+
+// Sent remembers a subset that an entry was given, by content only.
+type Sent struct {
+	Version  uint64
+	contents map[string]uint64
+}
+
+// NewSent returns what to remember of a subset.
+func NewSent(subset []wire.Upstream) *Sent {
+	s := &Sent{Version: Version(subset), contents: make(map[string]uint64, len(subset))}
+	for i := range subset {
+		s.contents[subset[i].ID] = Version(subset[i : i+1])
+	}
+	return s
+}
+
+// Difference returns what leads from the subset sent to the next one: upstreams
+// to put in place and ids to remove.
+func (s *Sent) Difference(next []wire.Upstream) (put []wire.Upstream, remove []string) {
+	kept := make(map[string]bool, len(next))
+	for i := range next {
+		kept[next[i].ID] = true
+		if s.contents[next[i].ID] != Version(next[i:i+1]) {
+			put = append(put, next[i])
+		}
+	}
+	for id := range s.contents {
+		if !kept[id] {
+			remove = append(remove, id)
+		}
+	}
+	slices.Sort(remove)
+	return put, remove
+}
+
+// Advance applies a difference to a subset, and tells whether the result has
+// the version; if not, the entry needs the whole subset.
+func Advance(subset, put []wire.Upstream, remove []string, version uint64) ([]wire.Upstream, bool) {
+	replaced := func(u wire.Upstream) bool {
+		return slices.Contains(remove, u.ID) ||
+			slices.ContainsFunc(put, func(p wire.Upstream) bool { return p.ID == u.ID })
+	}
+	next := append(slices.DeleteFunc(slices.Clone(subset), replaced), put...)
+	slices.SortFunc(next, func(a, b wire.Upstream) int { return strings.Compare(a.ID, b.ID) })
+	return next, Version(next) == version
+}
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -17,47 +17,94 @@
 	// LostMS is the silence after which an upstream is lost: three
 	// announcements.
 	LostMS = 6000
+	// GoneMS is the silence after which a lost upstream's incarnation counts as
+	// gone: as long as an agent keeps a generation without a reader.
+	GoneMS = 60 * 1000
 	// KeepMS is how long the incarnation of a lost upstream is remembered, so
 	// that a late announcement of an older one is still refused.
 	KeepMS = 3600 * 1000
 )
 
+// Announcement is what one control instance heard from an agent.
+type Announcement struct {
+	Upstream wire.Upstream
+	// Seq orders the announcements of one incarnation; agents count up.
+	Seq uint64
+	// AgeMS is the time since it was heard.
+	AgeMS int64
+}
+
 type entry struct {
 	up      wire.Upstream
+	seq     uint64
+	content uint64
 	heardMS int64
-	lost    bool
+	// directMS is when this instance itself heard the agent, zero for never.
+	directMS int64
+	lost     bool
 }
 
 // Table is the membership table. It is not safe for concurrent use.
 type Table struct {
-	byID map[string]*entry
+	sinceMS   int64
+	byID      map[string]*entry
+	byContent map[uint64]*entry
 }
 
-// NewTable returns an empty table.
-func NewTable() *Table { return &Table{byID: map[string]*entry{}} }
+// NewTable returns an empty table that starts at a time.
+func NewTable(nowMS int64) *Table {
+	return &Table{sinceMS: nowMS, byID: map[string]*entry{}, byContent: map[uint64]*entry{}}
+}
 
-// Announce handles an announcement heard at a time. Refused means that a newer
-// incarnation is known; changed that the members differ from before.
-func (t *Table) Announce(nowMS int64, up wire.Upstream) (refused, changed bool) {
+// Announce handles an announcement that this instance heard itself. Refused
+// means that a newer incarnation is known; changed that the members differ from
+// before.
+func (t *Table) Announce(nowMS int64, up wire.Upstream, seq uint64) (refused, changed bool) {
+	refused, changed = t.merge(nowMS, up, seq)
+	if !refused {
+		t.byID[up.ID].directMS = nowMS
+	}
+	return refused, changed
+}
+
+// merge takes over an announcement unless a newer one is known.
+func (t *Table) merge(heardMS int64, up wire.Upstream, seq uint64) (refused, changed bool) {
 	e, ok := t.byID[up.ID]
 	if !ok {
-		t.byID[up.ID] = &entry{up: up, heardMS: nowMS}
-		return false, true
+		e = &entry{}
+		t.byID[up.ID] = e
 	}
 	if up.Incarnation < e.up.Incarnation {
 		return true, false
 	}
-	changed = e.lost || !Equal(e.up, up)
-	e.up, e.lost = up, false
-	e.heardMS = max(e.heardMS, nowMS)
-	return false, changed
+	if e.newerThan(up.Incarnation, seq, heardMS) {
+		return false, false
+	}
+	back := e.lost || !ok
+	e.heardMS = max(e.heardMS, heardMS)
+	e.seq, e.lost = seq, false
+	return false, t.replace(e, up) || back
+}
+
+// newerThan tells whether the entry comes from a later announcement of the same
+// incarnation. Two control instances may hear an agent in turn, so that an
+// older state arrives last.
+func (e *entry) newerThan(inc wire.Incarnation, seq uint64, heardMS int64) bool {
+	if e.up.Incarnation != inc {
+		return false
+	}
+	return e.seq > seq || e.seq == seq && e.heardMS > heardMS
 }
 
-// Equal tells whether two announcements say the same.
-func Equal(a, b wire.Upstream) bool {
-	return a.ID == b.ID && a.Incarnation == b.Incarnation && a.Zone == b.Zone && a.Region == b.Region &&
-		a.Addr == b.Addr && a.State == b.State && a.Slots == b.Slots && a.EventsURL == b.EventsURL &&
-		slices.Equal(a.Models, b.Models) && slices.Equal(a.Adapters, b.Adapters) && slices.Equal(a.Services, b.Services)
+func (t *Table) replace(e *entry, up wire.Upstream) (changed bool) {
+	content := Version([]wire.Upstream{up})
+	if content == e.content {
+		return false
+	}
+	delete(t.byContent, e.content)
+	e.up, e.content = up, content
+	t.byContent[content] = e
+	return true
 }
 
 // Expire marks upstreams that have been silent too long as lost, and forgets
@@ -70,16 +117,20 @@
 		}
 		if silent >= KeepMS {
 			delete(t.byID, id)
+			delete(t.byContent, e.content)
 		}
 	}
 	return changed
 }
 
-// Gone returns whether the incarnation is known to have ended: a newer one has
-// announced itself.
-func (t *Table) Gone(id string, inc wire.Incarnation) bool {
+// Gone returns whether an incarnation is known to have ended: a newer one has
+// announced itself, or nothing has been heard of it for GoneMS.
+func (t *Table) Gone(nowMS int64, id string, inc wire.Incarnation) bool {
 	e, ok := t.byID[id]
-	return ok && e.up.Incarnation > inc
+	if !ok {
+		return nowMS-t.sinceMS >= GoneMS
+	}
+	return e.up.Incarnation > inc || nowMS-e.heardMS >= GoneMS
 }
 
 // Members returns the upstreams that are not lost, in order of id.
@@ -93,12 +144,3 @@
 	slices.SortFunc(out, func(a, b wire.Upstream) int { return strings.Compare(a.ID, b.ID) })
 	return out
 }
-
-// Incarnations returns the newest incarnation of every remembered upstream.
-func (t *Table) Incarnations() map[string]wire.Incarnation {
-	out := make(map[string]wire.Incarnation, len(t.byID))
-	for id, e := range t.byID {
-		out[id] = e.up.Incarnation
-	}
-	return out
-}
--- /dev/null
+++ b/core/member/member_test.go
@@ -0,0 +1,230 @@
+package member
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"heatherway.dev/core/wire"
+)
+
+func up(id string, inc int, state wire.UpstreamState) wire.Upstream {
+	return wire.Upstream{ID: id, Incarnation: wire.Incarnation(inc), Zone: "z", Addr: "a", Models: []string{"m"}, State: state}
+}
+
+// Guards against an older life of an agent that replaces the newer one, in
+// whatever order announcements and digests arrive.
+func TestNewestIncarnationWins(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		type said struct{ inc, seq int }
+		all := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) said {
+			return said{rapid.IntRange(1, 3).Draw(t, "inc"), rapid.IntRange(1, 4).Draw(t, "seq")}
+		}), 1, 12).Draw(t, "announcements")
+		table, newest := NewTable(0), said{}
+		for i, a := range all {
+			u := up("a", a.inc, wire.UpstreamState(a.seq%3))
+			if rapid.Bool().Draw(t, "by digest") {
+				table.Merge(int64(i), Digest{Full: []Announcement{{Upstream: u, Seq: uint64(a.seq)}}})
+			} else {
+				refused, _ := table.Announce(int64(i), u, uint64(a.seq))
+				assert.Equal(t, refused, a.inc < newest.inc)
+			}
+			if a.inc > newest.inc || a.inc == newest.inc && a.seq > newest.seq {
+				newest = a
+			}
+			have := table.Members()[0]
+			assert.Equal(t, int(have.Incarnation), newest.inc)
+			assert.Equal(t, have.State, wire.UpstreamState(newest.seq%3))
+		}
+	})
+}
+
+// Guards against an upstream that stays listed after its agent died, one that
+// is dropped too early, and a dead incarnation that never counts as gone.
+func TestLostAndGone(t *testing.T) {
+	table := NewTable(0)
+	table.Announce(0, up("a", 5, wire.UpstreamUp), 1)
+	assert.Assert(t, !table.Expire(LostMS-1) && len(table.Members()) == 1)
+	assert.Assert(t, table.Expire(LostMS) && len(table.Members()) == 0)
+	assert.Assert(t, !table.Expire(LostMS+1))
+	assert.Assert(t, !table.Gone(GoneMS-1, "a", 5) && table.Gone(GoneMS, "a", 5))
+	assert.Assert(t, table.Gone(1, "a", 4))
+	assert.Assert(t, !table.Gone(1, "unknown", 4), "a table that has just started knows nothing")
+	refused, _ := table.Announce(KeepMS-1, up("a", 4, wire.UpstreamUp), 9)
+	assert.Assert(t, refused, "a lost incarnation is still remembered")
+}
+
+// Guards against control instances that see different members although they
+// exchange digests.
+func TestDigestsConverge(t *testing.T) {
+	a, b := NewTable(0), NewTable(0)
+	a.Announce(100, up("x", 1, wire.UpstreamUp), 1)
+	a.Announce(100, up("y", 1, wire.UpstreamLeaving), 1)
+	send := func(now, since int64) {
+		unknown, _ := b.Merge(now, Digest{Heard: a.HeardSince(since, now)})
+		b.Merge(now, Digest{Full: a.Full(unknown, now)})
+	}
+	send(200, 0)
+	assert.DeepEqual(t, a.Members(), b.Members())
+	a.Announce(5000, up("x", 1, wire.UpstreamUp), 2)
+	send(5100, 4000)
+	b.Expire(100 + LostMS)
+	assert.Equal(t, len(b.Members()), 1, "only x was heard again")
+	unknown, _ := b.Merge(5200, Digest{Heard: a.HeardSince(4000, 5200)})
+	assert.Equal(t, len(unknown), 0, "known content is not sent again")
+}
+
+func fleet(t *rapid.T) []wire.Upstream {
+	n := rapid.IntRange(0, 150).Draw(t, "upstreams")
+	zones := rapid.IntRange(1, 4).Draw(t, "zones")
+	var out []wire.Upstream
+	for i := range n {
+		u := up(fmt.Sprintf("u%03d", i), 1, wire.UpstreamUp)
+		zone := rapid.IntRange(0, zones-1).Draw(t, "zone")
+		u.Zone, u.Region = fmt.Sprint("z", zone), fmt.Sprint("r", zone/2)
+		u.Models = []string{fmt.Sprint("m", rapid.IntRange(0, 1).Draw(t, "model"))}
+		if rapid.IntRange(0, 9).Draw(t, "state") == 0 {
+			u.State = wire.UpstreamLeaving
+		}
+		out = append(out, u)
+	}
+	return out
+}
+
+func of(subset []wire.Upstream, model string) []wire.Upstream {
+	return slices.DeleteFunc(slices.Clone(subset), func(u wire.Upstream) bool { return u.Models[0] != model })
+}
+
+func zones(list []wire.Upstream) int {
+	seen := map[string]bool{}
+	for _, u := range list {
+		if u.State == wire.UpstreamUp {
+			seen[u.Zone] = true
+		}
+	}
+	return len(seen)
+}
+
+// Guards against subsets that are too large, leave out usable upstreams while
+// there is room, or lie in one zone only.
+func TestSubsetBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := fleet(t)
+		subset := NewIndex(members).Subset("e", "z0")
+		for _, m := range []string{"m0", "m1"} {
+			all, mine := of(members, m), of(subset, m)
+			assert.Equal(t, len(mine), min(len(all), SubsetSize))
+			assert.Assert(t, zones(mine) >= min(2, zones(all)))
+		}
+	})
+}
+
+// Guards against churn: when one upstream comes, goes or leaves, a subset
+// changes by at most one upstream for each of its models.
+func TestSubsetIsStable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := fleet(t)
+		if len(members) == 0 {
+			return
+		}
+		at := rapid.IntRange(0, len(members)-1).Draw(t, "changed")
+		after := slices.Clone(members)
+		if rapid.Bool().Draw(t, "leaves") {
+			after[at].State = wire.UpstreamLeaving
+		} else {
+			after = slices.Delete(after, at, at+1)
+		}
+		had, has := ids(NewIndex(members).Subset("e", "z0")), ids(NewIndex(after).Subset("e", "z0"))
+		assert.Assert(t, missing(had, has) <= 1 && missing(has, had) <= 1)
+	})
+}
+
+func ids(list []wire.Upstream) []string {
+	var out []string
+	for _, u := range list {
+		out = append(out, u.ID)
+	}
+	return out
+}
+
+func missing(from, in []string) (n int) {
+	for _, id := range from {
+		if !slices.Contains(in, id) {
+			n++
+		}
+	}
+	return n
+}
+
+// targetFleet has the size of letter 1: 2,800 upstreams of 6 models in 11
+// zones of 3 regions.
+func targetFleet() []wire.Upstream {
+	var out []wire.Upstream
+	for i := range 2800 {
+		u := up(fmt.Sprintf("u%04d", i), 1, wire.UpstreamUp)
+		u.Zone, u.Region, u.Models = fmt.Sprint("z", i%11), fmt.Sprint("r", i%11%3), []string{fmt.Sprint("m", i%6)}
+		out = append(out, u)
+	}
+	return out
+}
+
+// Guards against a change of one upstream that reaches many more entries than
+// have it in their subset.
+func TestChurnAtTargetSize(t *testing.T) {
+	const entries = 300
+	members := targetFleet()
+	before, after := NewIndex(members), NewIndex(slices.Delete(slices.Clone(members), 1234, 1235))
+	changed, held := 0, 0
+	for e := range entries {
+		name, zone := fmt.Sprint("e", e), fmt.Sprint("z", e%11)
+		a, b := before.Subset(name, zone), after.Subset(name, zone)
+		if Version(a) != Version(b) {
+			changed++
+		}
+		if missing([]string{members[1234].ID}, ids(a)) == 0 {
+			held++
+		}
+	}
+	t.Logf("of %d entries %d held the upstream and %d subsets changed", entries, held, changed)
+	assert.Equal(t, changed, held)
+	assert.Assert(t, changed < entries/4)
+}
+
+func BenchmarkSubsetAtTargetSize(b *testing.B) {
+	x := NewIndex(targetFleet())
+	for b.Loop() {
+		Version(x.Subset("e1", "z1"))
+	}
+}
+
+// Guards against an entry without upstreams in its own zone whose whole subset
+// lies in one other zone.
+func TestSubsetOfForeignEntryHasTwoZones(t *testing.T) {
+	var members []wire.Upstream
+	for i := range 60 {
+		members = append(members, up(fmt.Sprintf("u%02d", i), 1, wire.UpstreamUp))
+	}
+	members[30].Zone = "other"
+	for e := range 20 {
+		assert.Equal(t, zones(NewIndex(members).Subset(fmt.Sprint("e", e), "none")), 2)
+	}
+}
+
+// Guards against an entry whose subset differs from the control instance's
+// after a difference was applied.
+func TestDifferenceLeadsToNextSubset(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		from, to := fleet(t), fleet(t)
+		put, remove := NewSent(from).Difference(to)
+		got, ok := Advance(from, put, remove, Version(to))
+		assert.Assert(t, ok)
+		assert.DeepEqual(t, ids(got), ids(to))
+		put, remove = NewSent(to).Difference(to)
+		assert.Equal(t, len(put)+len(remove), 0)
+		_, ok = Advance(from, nil, nil, Version(to)+1)
+		assert.Assert(t, !ok)
+	})
+}
--- a/core/member/subset.go
+++ b/core/member/subset.go
@@ -17,83 +17,149 @@
 	RemoteShare = 8
 )
 
-// Subset returns the upstreams that an entry knows: for each model and each
-// service the best by rendezvous hash. Those of the entry's own zone come
-// first, and at least RemoteShare places are left to other zones if they have
-// upstreams. The members are in order of id, and so is the result.
-func Subset(entry, zone string, members []wire.Upstream) []wire.Upstream {
-	chosen := map[int]bool{}
-	for _, group := range groups(members) {
-		for _, i := range choose(entry, zone, members, group) {
-			chosen[i] = true
+// Index holds the members by model and service. It is immutable and serves the
+// subsets of all entries.
+type Index struct {
+	members []wire.Upstream
+	hashes  []uint64
+	groups  [][]int
+	regions map[string]string
+}
+
+// NewIndex returns the index of members in order of id.
+func NewIndex(members []wire.Upstream) *Index {
+	x := &Index{members: members, hashes: make([]uint64, len(members)), regions: map[string]string{}}
+	byName := map[string][]int{}
+	var names []string
+	add := func(name string, i int) {
+		if byName[name] == nil {
+			names = append(names, name)
 		}
+		byName[name] = append(byName[name], i)
 	}
-	out := make([]wire.Upstream, 0, len(chosen))
 	for i := range members {
-		if chosen[i] {
-			out = append(out, members[i])
+		u := &members[i]
+		x.hashes[i] = hashText(u.ID)
+		x.regions[u.Zone] = u.Region
+		for _, m := range u.Models {
+			add("model "+m, i)
+		}
+		for _, s := range u.Services {
+			add("service "+s, i)
 		}
 	}
-	return out
+	for _, n := range names {
+		x.groups = append(x.groups, byName[n])
+	}
+	return x
 }
 
-// groups returns the positions of the members of each model and each service.
-func groups(members []wire.Upstream) map[string][]int {
-	out := map[string][]int{}
-	for i := range members {
-		for _, m := range members[i].Models {
-			out["model "+m] = append(out["model "+m], i)
+// Members returns all members.
+func (x *Index) Members() []wire.Upstream { return x.members }
+
+// Subset returns the upstreams that an entry knows, in order of id: of each
+// model and each service at most SubsetSize. Those that are up go before
+// others, those of the entry's zone before others, but RemoteShare places are
+// left to other zones. Among equals the rendezvous hash decides.
+func (x *Index) Subset(entry, zone string) []wire.Upstream {
+	c := chooser{x: x, entry: hashText(entry), zone: zone, region: x.regions[zone]}
+	chosen := make([]bool, len(x.members))
+	for _, group := range x.groups {
+		for _, i := range c.choose(group) {
+			chosen[i] = true
 		}
-		for _, s := range members[i].Services {
-			out["service "+s] = append(out["service "+s], i)
+	}
+	var out []wire.Upstream
+	for i, in := range chosen {
+		if in {
+			out = append(out, x.members[i])
 		}
 	}
 	return out
 }
 
-type scored struct {
+// chooser chooses the upstreams of one entry.
+type chooser struct {
+	x            *Index
+	entry        uint64
+	zone, region string
+}
+
+type candidate struct {
 	at   int
+	far  bool
 	hash uint64
 }
 
-func choose(entry, zone string, members []wire.Upstream, group []int) []int {
+func (c *chooser) choose(group []int) []int {
 	if len(group) <= SubsetSize {
 		return group
 	}
-	var local, remote []scored
+	var local, remote, unfit []candidate
 	for _, i := range group {
-		s := scored{i, score(entry, members[i].ID)}
-		if members[i].Zone == zone {
+		u := &c.x.members[i]
+		s := candidate{i, u.Region != c.region, mix(c.entry ^ c.x.hashes[i])}
+		switch {
+		case u.State != wire.UpstreamUp:
+			unfit = append(unfit, s)
+		case u.Zone == c.zone:
 			local = append(local, s)
-		} else {
+		default:
 			remote = append(remote, s)
 		}
 	}
 	far := min(len(remote), max(RemoteShare, SubsetSize-len(local)))
 	near := min(len(local), SubsetSize-far)
-	return append(best(local, near), best(remote, far)...)
+	out := append(best(local, near), c.bestRemote(remote, far, near == 0)...)
+	return append(out, best(unfit, SubsetSize-len(out))...)
 }
 
-func best(list []scored, n int) []int {
-	slices.SortFunc(list, func(a, b scored) int { return cmp.Compare(b.hash, a.hash) })
+// bestRemote returns the best n of other zones. When the entry's own zone has
+// none, the last place goes to a second zone if one zone took all the others.
+func (c *chooser) bestRemote(remote []candidate, n int, alone bool) []int {
+	out := best(remote, n)
+	if !alone || n < 2 {
+		return out
+	}
+	zone := c.x.members[out[0]].Zone
+	differs := func(i int) bool { return c.x.members[i].Zone != zone }
+	if slices.ContainsFunc(out, differs) {
+		return out
+	}
+	other := slices.IndexFunc(remote, func(r candidate) bool { return differs(r.at) })
+	if other >= 0 {
+		out[n-1] = remote[other].at
+	}
+	return out
+}
+
+// best sorts the list, the nearest region and then the highest hash first, and
+// returns the first n.
+func best(list []candidate, n int) []int {
+	slices.SortFunc(list, func(a, b candidate) int {
+		if a.far != b.far {
+			if b.far {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(b.hash, a.hash)
+	})
 	out := make([]int, 0, n)
-	for _, s := range list[:n] {
+	for _, s := range list[:min(n, len(list))] {
 		out = append(out, s.at)
 	}
 	return out
 }
 
-// score is the rendezvous hash of an entry and an upstream.
-func score(entry, upstream string) uint64 {
+func hashText(s string) uint64 {
 	h := fnv.New64a()
-	_, _ = h.Write([]byte(entry)) // a hash never fails
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write([]byte(upstream))
+	_, _ = h.Write([]byte(s)) // a hash never fails
 	return mix(h.Sum64())
 }
 
-// mix spreads the bits of an FNV hash, whose upper bits hardly depend on the
-// last bytes written.
+// mix is the finaliser of MurmurHash3: the upper bits of an FNV hash hardly
+// depend on the last bytes written.
 func mix(x uint64) uint64 {
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
@@ -109,35 +175,34 @@
 	if len(subset) == 0 {
 		return 0
 	}
-	h := fnv.New64a()
-	put := func(s string) {
-		_, _ = h.Write([]byte(s))
-		_, _ = h.Write([]byte{0})
+	b := make([]byte, 0, 128*len(subset))
+	for i := range subset {
+		b = appendUpstream(b, &subset[i])
 	}
-	list := func(l []string) {
-		for _, s := range l {
-			put(s)
-		}
-		put("")
+	h := fnv.New64a()
+	_, _ = h.Write(b)
+	return max(1, mix(h.Sum64()))
+}
+
+func appendUpstream(b []byte, u *wire.Upstream) []byte {
+	for _, s := range []string{u.ID, u.Zone, u.Region, u.Addr, u.EventsURL} {
+		b = appendText(b, s)
 	}
-	var n [16]byte
-	for i := range subset {
-		u := &subset[i]
-		for _, s := range []string{u.ID, u.Zone, u.Region, u.Addr, u.EventsURL} {
-			put(s)
+	for _, list := range [][]string{u.Models, u.Adapters, u.Services} {
+		for _, s := range list {
+			b = appendText(b, s)
 		}
-		list(u.Models)
-		list(u.Adapters)
-		list(u.Services)
-		putUint(n[:8], uint64(u.Incarnation))
-		putUint(n[8:], uint64(u.Slots)<<8|uint64(u.State))
-		_, _ = h.Write(n[:])
+		b = append(b, 0)
 	}
-	return max(1, mix(h.Sum64()))
+	b = appendUint(b, uint64(u.Incarnation))
+	return appendUint(b, uint64(u.Slots)<<8|uint64(u.State))
 }
 
-func putUint(b []byte, v uint64) {
+func appendText(b []byte, s string) []byte { return append(append(b, s...), 0) }
+
+func appendUint(b []byte, v uint64) []byte {
 	for i := range 8 {
-		b[i] = byte(v >> (8 * i))
+		b = append(b, byte(v>>(8*i)))
 	}
+	return b
 }
--- a/core/wire/rpc.go
+++ b/core/wire/rpc.go
@@ -128,6 +128,9 @@
 // AnnounceArgs is an agent's periodic message to a control instance.
 type AnnounceArgs struct {
 	Upstream Upstream
+	// Seq counts the announcements of this incarnation, so that control
+	// instances which hear the agent in turn keep the last state.
+	Seq uint64
 	// Revision is the newest configuration in force at the agent.
 	Revision uint64
 }
@@ -139,6 +142,13 @@
 	Refused bool
 }
 
+// LocateArgs asks for the address of an agent outside an entry's subset, such as
+// one named in a Last-Event-ID.
+type LocateArgs struct{ Instance string }
+
+// LocateReply is the agent's announcement.
+type LocateReply struct{ Upstream Upstream }
+
 // WatchArgs is a long poll for configuration, suspects and members.
 type WatchArgs struct {
 	// Instance, Role and Zone name the caller.
@@ -154,6 +164,9 @@
 	Fresh bool
 	// WaitMS bounds how long the call may hang when nothing changes.
 	WaitMS int64
+	// Deltas tells that the caller understands Step and MembersDelta. A reply
+	// that cannot be applied is answered by a watch with the version zero.
+	Deltas bool
 }
 
 // WatchReply carries what has changed; parts that have not are left out.
@@ -161,12 +174,19 @@
 	Revision uint64
 	// Config is the JSON of config.Document, empty when unchanged.
 	Config []byte
+	// Step is the JSON of the config.Step from the caller's revision, instead of
+	// Config, for a caller that asked for Deltas.
+	Step []byte
 	// Members is the version of the member list; Upstreams is the whole subset
 	// for this caller when MembersChanged is set.
 	Members        uint64
 	MembersChanged bool
 	Upstreams      []Upstream
-	Suspects       uint64
+	// MembersDelta tells that Upstreams holds only new and changed upstreams of
+	// the subset, and Removed the ids that have left it (member.Advance).
+	MembersDelta bool
+	Removed      []string
+	Suspects     uint64
 	// SuspectsChanged tells that Suspect is the whole new list.
 	SuspectsChanged bool
 	Suspect         []Suspect
--- a/modules/control/control.go
+++ b/modules/control/control.go
@@ -104,6 +104,9 @@
 	fleet   *fleet
 	records []*records
 	members *members
+	touch   touch
+	issued  versionSet
+	sent    sentSubsets
 	peers   map[string]*peer.Client
 
 	ctx    context.Context
@@ -159,7 +162,7 @@
 		machines = append(machines, r)
 	}
 	c.log = newMemoryLog(machines)
-	c.members = newMembers(time.Now)
+	c.members = newMembers(time.Now, c.stats)
 	c.peers = map[string]*peer.Client{}
 	for id, addr := range c.Members {
 		if id != c.instance.ID {
@@ -170,7 +173,12 @@
 
 // Start implements kernel.Runner.
 func (c *Control) Start(context.Context) error {
+	c.touch.try(c.ctx, c.log)
+	go c.touch.run(c.ctx, c.log)
 	go c.members.run(c.ctx)
+	for _, p := range c.peers {
+		go c.sendDigests(c.ctx, p)
+	}
 	go c.bootstrap()
 	mux := http.NewServeMux()
 	mux.Handle(peer.RPCPath, &peer.Handler{Security: c.security, Roles: servedRoles, Services: c.services})
--- a/modules/control/fleet.go
+++ b/modules/control/fleet.go
@@ -49,8 +49,11 @@
 // fleetView is an immutable snapshot of group 0 for readers.
 type fleetView struct {
 	Doc *config.Document
-	// JSON is the encoded document.
-	JSON []byte
+	// JSON is the encoded document, Sum its check sum, and Steps the latest
+	// changes that led to it.
+	JSON  []byte
+	Sum   uint64
+	Steps []config.Step
 	// Suspects is the position of the last change of the list.
 	Suspects uint64
 	List     []wire.Suspect
@@ -122,11 +125,12 @@
 
 func (f *fleet) publish() {
 	doc := f.config.Document()
-	v := &fleetView{Doc: doc, Suspects: f.version, List: f.suspects.list()}
+	v := &fleetView{Doc: doc, Steps: f.config.Steps(), Suspects: f.version, List: f.suspects.list()}
 	if old := f.current.Load(); old != nil && old.Doc == doc {
-		v.JSON = old.JSON
+		v.JSON, v.Sum = old.JSON, old.Sum
 	} else {
 		v.JSON, _ = json.Marshal(doc) // a document always encodes
+		v.Sum = config.Sum(v.JSON)
 	}
 	f.current.Store(v)
 	f.changed.notify()
--- a/modules/control/service.go
+++ b/modules/control/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"strings"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -23,8 +24,12 @@
 
 var servedRoles = []string{roleEntry, roleAgent, roleControl, roleOperator}
 
-func (c *Control) services(string) map[string]any {
-	return map[string]any{wire.ControlService: &service{c: c, forward: true}}
+func (c *Control) services(role string) map[string]any {
+	out := map[string]any{wire.ControlService: &service{c: c, forward: true}}
+	if role == roleControl || c.security.Off() {
+		out[membersService] = &memberService{c}
+	}
+	return out
 }
 
 // service is the net/rpc service of a control instance.
@@ -43,9 +48,25 @@
 	if a.Upstream.ID == "" || a.Upstream.Addr == "" || a.Upstream.Incarnation == 0 {
 		return peer.EncodeError(result.New(result.InvalidField, "an announcement needs id, address and incarnation"))
 	}
-	refused, err := s.c.members.announce(s.c.ctx, a)
+	refused, err := ask(s.c.ctx, s.c.members, func(ch chan<- bool) memberEvent { return announced{a, ch} })
+	if err != nil {
+		return peer.EncodeError(err)
+	}
 	r.Refused, r.Revision = refused, s.c.fleet.view().Doc.Revision
-	return peer.EncodeError(err)
+	// The announcement counts here in any case, but an instance that is cut off
+	// cannot pass it on, so the agent has to try another one.
+	return peer.EncodeError(s.c.touch.check(time.Now()))
+}
+
+// Locate finds the agent of a generation that is not in an entry's subset.
+func (s *service) Locate(a wire.LocateArgs, r *wire.LocateReply) error {
+	for _, u := range s.c.members.view().Index.Members() {
+		if u.ID == a.Instance {
+			r.Upstream = u
+			return nil
+		}
+	}
+	return peer.EncodeError(result.New(result.ObjectUnknown, "no agent %q", a.Instance))
 }
 
 // Crash takes a report of an upstream's crash.
@@ -107,11 +128,16 @@
 // have ended.
 func (s *service) goneIncarnation(key string) wire.Incarnation {
 	rec := s.c.records[s.c.recordGroup(key)-1].lookup(key)
-	newest, ok := s.c.members.view().Newest[rec.Agent]
-	if ok && newest > rec.Incarnation {
-		return rec.Incarnation
+	if rec.State != wire.RecordStarted {
+		return 0
+	}
+	gone, err := ask(s.c.ctx, s.c.members, func(ch chan<- bool) memberEvent {
+		return goneAsked{rec.Agent, rec.Incarnation, ch}
+	})
+	if err != nil || !gone {
+		return 0
 	}
-	return 0
+	return rec.Incarnation
 }
 
 // Finish stores the answer of an attempt.
--- a/modules/control/watch.go
+++ b/modules/control/watch.go
@@ -1,8 +1,11 @@
 package control
 
 import (
+	"encoding/json"
+	"sync"
 	"time"
 
+	"heatherway.dev/core/config"
 	"heatherway.dev/core/member"
 	"heatherway.dev/core/wire"
 	"heatherway.dev/kernel/peer"
@@ -22,9 +25,13 @@
 	if a.WaitMS > 0 {
 		limit = min(limit, milliseconds(a.WaitMS))
 	}
+	_ = s.c.members.post(watched{a}) // only feeds the status; the next watch repeats it
 	end := time.NewTimer(limit)
 	defer end.Stop()
 	for {
+		if err := s.c.touch.check(time.Now()); err != nil {
+			return peer.EncodeError(err)
+		}
 		fleetChanged, membersChanged := s.c.fleet.changed.wait(), s.c.members.changed.wait()
 		if s.fill(a, r) || a.Fresh {
 			return nil
@@ -57,22 +64,96 @@
 		Members:  a.Members,
 	}
 	if f.Doc.Revision > a.Revision {
-		r.Config = f.JSON
+		f.fillConfig(a, r)
 	}
 	if f.Suspects > a.Suspects {
 		r.SuspectsChanged, r.Suspect = true, withTimeLeft(f.List, nowMS())
 	}
 	s.fillMembers(a, r)
-	return r.Config != nil || r.SuspectsChanged || r.MembersChanged
+	return r.Config != nil || r.Step != nil || r.SuspectsChanged || r.MembersChanged
+}
+
+// fillConfig sends the changes since the caller's revision if it asks for them
+// and they are still kept, or else the whole document.
+func (f *fleetView) fillConfig(a wire.WatchArgs, r *wire.WatchReply) {
+	r.Config = f.JSON
+	step, ok := config.Join(f.Steps, a.Revision)
+	if !a.Deltas || !ok {
+		return
+	}
+	step.Sum = f.Sum
+	b, err := json.Marshal(step)
+	if err == nil && len(b) < len(f.JSON) {
+		r.Config, r.Step = nil, b
+	}
 }
 
-// fillMembers sets the subset of an entry. Agents need no members.
+// fillMembers sets the subset of an entry. Agents need no members. Until every
+// live agent has announced itself here, the subset of a caller that came from
+// another instance is left alone, since this one may know too few.
 func (s *service) fillMembers(a wire.WatchArgs, r *wire.WatchReply) {
 	if a.Role != roleEntry {
 		return
 	}
-	subset := member.Subset(a.Instance, a.Zone, s.c.members.view().List)
-	if v := member.Version(subset); v != a.Members {
-		r.Members, r.MembersChanged, r.Upstreams = v, true, subset
+	view := s.c.members.view()
+	if !view.Warm && a.Members != 0 && !s.c.issued.has(a.Members) {
+		return
+	}
+	subset := view.Index.Subset(a.Instance, a.Zone)
+	v := member.Version(subset)
+	if v == a.Members {
+		return
 	}
+	r.Members, r.MembersChanged, r.Upstreams = v, true, subset
+	if !view.Warm {
+		s.c.issued.add(v)
+	}
+	last := s.c.sent.swap(a.Instance, member.NewSent(subset))
+	if a.Deltas && a.Members != 0 && last != nil && last.Version == a.Members {
+		r.MembersDelta = true
+		r.Upstreams, r.Removed = last.Difference(subset)
+	}
+}
+
+// sentSubsets holds the subset last sent to each entry.
+type sentSubsets struct {
+	mu sync.Mutex
+	m  map[string]*member.Sent
+}
+
+// maxSent bounds the subsets remembered; past it all are forgotten, and entries
+// get a whole subset at the next change.
+const maxSent = 4096
+
+func (s *sentSubsets) swap(instance string, next *member.Sent) (last *member.Sent) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	last = s.m[instance]
+	if s.m == nil || len(s.m) >= maxSent {
+		s.m = map[string]*member.Sent{}
+	}
+	s.m[instance] = next
+	return last
+}
+
+// versionSet holds the versions of the subsets handed out while this instance
+// warms up.
+type versionSet struct {
+	mu sync.Mutex
+	m  map[uint64]bool
+}
+
+func (v *versionSet) add(version uint64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.m == nil {
+		v.m = map[uint64]bool{}
+	}
+	v.m[version] = true
+}
+
+func (v *versionSet) has(version uint64) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.m[version]
 }
--- /dev/null
+++ b/modules/control/watch_test.go
@@ -0,0 +1,75 @@
+package control
+
+import (
+	"encoding/json"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"heatherway.dev/core/config"
+	"heatherway.dev/core/member"
+	"heatherway.dev/core/wire"
+)
+
+func (c *Control) announceNow(t *testing.T, u wire.Upstream, seq uint64) {
+	t.Helper()
+	_, err := ask(t.Context(), c.members, func(ch chan<- bool) memberEvent {
+		return announced{wire.AnnounceArgs{Upstream: u, Seq: seq}, ch}
+	})
+	assert.NilError(t, err)
+}
+
+func (c *Control) changeNow(t *testing.T, change config.Change) config.Answer {
+	t.Helper()
+	change.Author, change.Reason = "a", "r"
+	r, err := c.proposeFleet(t.Context(), fleetCommand{Change: &change})
+	assert.NilError(t, err)
+	return *r.Answer
+}
+
+// Guards against an entry that follows deltas and ends up with another
+// configuration or subset than one that asks for everything.
+func TestWatchDeltas(t *testing.T) {
+	c := running(t)
+	s := &service{c: c}
+	c.announceNow(t, upstream("a1", "z1"), 1)
+	c.announceNow(t, upstream("a2", "z2"), 1)
+	waitFor(t, func() bool { return len(c.members.view().Index.Members()) == 2 })
+	edit := config.Edit{Kind: config.SetDefault, Name: "queue.limit", Value: "9"}
+	org := config.Edit{Kind: config.PutOrganisation, Name: "o", Organisation: &config.Organisation{KeyHashes: []string{config.KeyHash("k")}}}
+	c.changeNow(t, config.Change{ChangeID: "1", Edits: []config.Edit{edit, org}})
+	args := wire.WatchArgs{Instance: "e1", Role: "entry", Zone: "z1", Deltas: true}
+	var first wire.WatchReply
+	assert.NilError(t, s.Watch(args, &first))
+	assert.Assert(t, first.Config != nil && len(first.Upstreams) == 2 && !first.MembersDelta)
+	var doc config.Document
+	assert.NilError(t, json.Unmarshal(first.Config, &doc))
+
+	edit.Value = "10"
+	c.changeNow(t, config.Change{ChangeID: "2", BaseRevision: doc.Revision, Edits: []config.Edit{edit}})
+	leaving := upstream("a2", "z2")
+	leaving.State = wire.UpstreamLeaving
+	c.announceNow(t, leaving, 2)
+	waitFor(t, func() bool { return c.members.view().Index.Members()[1].State == wire.UpstreamLeaving })
+	args.Revision, args.Members = first.Revision, first.Members
+	var next wire.WatchReply
+	assert.NilError(t, s.Watch(args, &next))
+	assert.Assert(t, next.Config == nil && next.MembersDelta && len(next.Upstreams) == 1)
+	var step config.Step
+	assert.NilError(t, json.Unmarshal(next.Step, &step))
+	after, err := doc.Advance(step)
+	assert.NilError(t, err)
+	assert.Equal(t, after.Revision, next.Revision)
+	subset, ok := member.Advance(first.Upstreams, next.Upstreams, next.Removed, next.Members)
+	assert.Assert(t, ok && subset[1].State == wire.UpstreamLeaving)
+}
+
+// Guards against a version that goes down when a process asks an instance that
+// is behind the one it asked before.
+func TestWatchNeverGoesBack(t *testing.T) {
+	c := running(t)
+	args := wire.WatchArgs{Instance: "e1", Role: "entry", Revision: 77, Suspects: 78, Members: 79, WaitMS: 1}
+	var r wire.WatchReply
+	assert.NilError(t, (&service{c: c}).Watch(args, &r))
+	assert.DeepEqual(t, r, wire.WatchReply{Revision: 77, Suspects: 78, Members: 79})
+}
