e2e: wait until each entry knows every upstream

Ruled out: a fault of the entry; it had not yet had its first member list. Change: the harness asks Entry.Status for the upstreams in state up. Conclusion: the tests start from a fleet that serves.

--- a/test/e2e/harness_test.go
+++ b/test/e2e/harness_test.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
 	"os"
@@ -18,6 +19,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"heatherway.dev/kernel/peer"
 )
 
 var binaries string
@@ -81,9 +84,9 @@
 	Internals []string
 	Engines   []engine
 	Service   engine
-	// Extra is YAML for the engines' settings, Groups the record groups.
-	Step   string
-	Groups int
+	// Step is the time of one decode step of the engines.
+	Step     string
+	security *peer.Security
 }
 
 // engine is a stand-in upstream with its agent.
@@ -181,7 +184,9 @@
 // until the entries are ready and know every upstream.
 func newFleet(t *testing.T, s shape) *fleet {
 	t.Helper()
-	f := &fleet{t: t, dir: t.TempDir(), procs: map[string]*process{}, Step: s.step}
+	security, err := peer.NewSecurity(peer.TLSSettings{Off: true}, slog.New(slog.DiscardHandler))
+	assert.NilError(t, err)
+	f := &fleet{t: t, dir: t.TempDir(), procs: map[string]*process{}, Step: s.step, security: security}
 	if f.Step == "" {
 		f.Step = "5ms"
 	}
@@ -290,15 +295,12 @@
 	for _, e := range f.Entries {
 		eventually(f.t, startLimit, "entry ready", func() error { return status("http://"+e+"/readyz", http.StatusNoContent) })
 	}
+	upstreams := s.engines
 	if s.service {
-		for _, e := range f.Entries {
-			eventually(f.t, startLimit, "service known", func() error {
-				return status("http://"+e+"/v1/services/orders/lookup/0", http.StatusOK)
-			})
-		}
+		upstreams++
 	}
 	for i := range f.Entries {
-		eventually(f.t, startLimit, "all upstreams known", func() error { return f.known(i, s.engines) })
+		eventually(f.t, startLimit, "all upstreams known", func() error { return f.known(i, upstreams) })
 	}
 }
 
--- a/test/e2e/path_test.go
+++ b/test/e2e/path_test.go
@@ -12,17 +12,33 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"heatherway.dev/core/wire"
 )
 
 // streamLimit bounds one generation in a test on a busy machine.
 const streamLimit = 60 * time.Second
 
-// known tells whether an entry serves the models and all its upstreams answer.
-func (f *fleet) known(entry, engines int) error {
-	if engines == 0 {
-		return nil
+// known tells whether an entry has heard of every upstream.
+func (f *fleet) known(entry, upstreams int) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	c := f.security.NewClient(f.Internals[entry])
+	defer c.Close()
+	var r wire.EntryStatusReply
+	if err := c.Call(ctx, "Entry.Status", wire.EntryStatusArgs{}, &r); err != nil {
+		return err
+	}
+	up := 0
+	for _, u := range r.Upstreams {
+		if u.State == wire.UpstreamUp {
+			up++
+		}
+	}
+	if up < upstreams {
+		return fmt.Errorf("entry %d knows %d of %d upstreams", entry, up, upstreams)
 	}
-	return status("http://"+f.Entries[entry]+"/v1/models", http.StatusOK)
+	return nil
 }
 
 // streams runs n generations at once, spread over the entries, and returns
