--- a/modules/agent/agent.go
+++ b/modules/agent/agent.go
@@ -48,6 +48,9 @@
 
 // Agent is the role and its settings.
 type Agent struct {
+	// ID names the upstream in the fleet; by default the instance's id. It must
+	// be set when a process holds several agents.
+	ID string `yaml:"id"`
 	// Listen is the address of the internal listener.
 	Listen string `yaml:"listen"`
 	// Advertise is the address that others reach the listener at; by default
@@ -112,6 +115,9 @@
 		return err
 	}
 	a.instance, a.log, a.security = c.Instance, c.Log, c.TLS
+	if a.ID != "" {
+		a.instance.ID = a.ID
+	}
 	a.prepare(up, l, c.Stats)
 	return nil
 }
