record: bound the memory and prove at most one run

Cause: the first version had no bound on aborted attempts, gave a grant again to a new life of an agent, and let an abort expire with the attempt it fences. Change: strict expiry, refusal of attempts issued in the future, at most 64 fenced attempts a key, 524,288 records and 256 MiB a group, answers beyond that dropped with a mark; a replaced generation is fenced.

--- a/core/record/record.go
+++ b/core/record/record.go
@@ -4,9 +4,7 @@
 package record
 
 import (
-	"encoding/json"
-
-	"github.com/go-faster/errors"
+	"slices"
 
 	"heatherway.dev/core/wire"
 	"heatherway.dev/kernel/result"
@@ -16,25 +14,32 @@
 const (
 	// KeepMS is how long a record stays after its last change.
 	KeepMS = 24 * 3600 * 1000
-	// SkewMS is the most by which an entry's clock may differ from the
-	// proposer's.
+	// SkewMS is the most by which an entry's clock may differ from the clocks of
+	// the control instances.
 	SkewMS = 5 * 60 * 1000
-	// MaxAgeMS is the age from which an attempt is refused. Records and
-	// tombstones outlive every attempt that they must refuse.
+	// MaxAgeMS is the age from which an attempt is refused. An attempt is issued
+	// at most SkewMS after the record's own time, so that a record or a fence
+	// outlives every attempt that it must refuse.
 	MaxAgeMS = KeepMS - SkewMS
 )
 
-// Bounds of one group.
+// Bounds of one group. They allow 6 claims a second all day; a fleet that needs
+// more has more groups.
 const (
 	// MaxRecords bounds the number of keys.
-	MaxRecords = 1 << 20
-	// MaxBytes bounds the stored keys and answers.
-	MaxBytes = 1 << 30
-	// MaxAnswerBytes bounds one stored answer. A longer one is stored as
-	// finished without its body.
+	MaxRecords = 1 << 19
+	// MaxBytes bounds the estimated memory of records and answers.
+	MaxBytes = 256 << 20
+	// MaxAnswerBytes bounds one stored answer. Of a longer one, or one that no
+	// longer fits MaxBytes, only the status is kept.
 	MaxAnswerBytes = 1 << 20
-	// recordBytes estimates the memory of a record without key and answer.
+	// MaxFenced bounds the aborted attempts of one key.
+	MaxFenced = 64
+	// recordBytes estimates the memory of a record without its key and answer.
+	// BenchmarkRecordMemory measures it.
 	recordBytes = 512
+	// idBytes is the memory of one attempt id with its string header.
+	idBytes = 48
 )
 
 // Command is one entry of the log; exactly one of the pointers is set.
@@ -45,8 +50,8 @@
 	Start  *wire.StartArgs  `json:"start,omitempty"`
 	Finish *wire.FinishArgs `json:"finish,omitempty"`
 	Abort  *wire.AbortArgs  `json:"abort,omitempty"`
-	// Gone tells, for a takeover, that the incarnation of the record's agent is
-	// known to be gone.
+	// Gone is the incarnation of the record's agent if that is known to have
+	// ended; a takeover needs it.
 	Gone wire.Incarnation `json:"gone,omitempty"`
 }
 
@@ -60,15 +65,30 @@
 	Message string      `json:"message,omitempty"`
 }
 
-// entry is the stored state of a key.
+// entry is the stored state of a key. It is replaced, never changed, so that a
+// snapshot can be encoded while commands go on.
 type entry struct {
 	Record wire.Record `json:"record"`
-	// Fenced lists aborted attempts, which are never granted.
+	// Fenced lists aborted and replaced attempts, which are never granted.
 	Fenced []wire.ID `json:"fenced,omitempty"`
 	// ExpiresMS is pushed back by each change.
 	ExpiresMS int64 `json:"expires"`
 }
 
+func (e *entry) fenced(id wire.ID) bool { return slices.Contains(e.Fenced, id) }
+
+func (e *entry) size(key string) int64 {
+	return recordBytes + int64(len(key)) + int64(len(e.Fenced)*idBytes) + answerBytes(e.Record.Headers, e.Record.Body)
+}
+
+func answerBytes(headers []wire.Header, body []byte) int64 {
+	n := len(body)
+	for _, h := range headers {
+		n += len(h.Key) + len(h.Value)
+	}
+	return int64(n)
+}
+
 // State is the records of one group. It is not safe for concurrent use.
 type State struct {
 	now     int64
@@ -77,8 +97,8 @@
 	queue   []due
 }
 
-// due is a place in the order of expiry; it is stale when the entry's own time
-// is later.
+// due is a place in the order of expiry. It is void when the record has been
+// changed since.
 type due struct {
 	At  int64  `json:"at"`
 	Key string `json:"key"`
@@ -119,18 +139,27 @@
 
 func refuse(code result.Code, message string) Reply { return Reply{Code: code, Message: message} }
 
-func (s *State) tooOld(issuedMS int64) bool { return s.now-issuedMS > MaxAgeMS }
+// untimely returns a refusal for an attempt whose age a record could not cover.
+func (s *State) untimely(issuedMS int64) (Reply, bool) {
+	if s.now-issuedMS > MaxAgeMS {
+		return refuse(result.DeadlineUnreachable, "the attempt was issued too long ago"), true
+	}
+	if issuedMS-s.now > SkewMS {
+		return refuse(result.InvalidField, "the attempt was issued in the future"), true
+	}
+	return Reply{}, false
+}
 
 func (s *State) start(a *wire.StartArgs, gone wire.Incarnation) Reply {
-	if s.tooOld(a.IssuedMS) {
-		return refuse(result.DeadlineUnreachable, "the attempt was issued too long ago")
-	}
-	if a.IssuedMS-s.now > SkewMS {
-		return refuse(result.InvalidField, "the attempt was issued in the future")
+	if r, bad := s.untimely(a.IssuedMS); bad {
+		return r
 	}
 	e, ok := s.entries[a.Key]
 	if !ok {
-		return s.claim(a)
+		if s.full() {
+			return refuse(result.RecordsUnavailable, "the records of this group are full")
+		}
+		return s.grant(&entry{}, a)
 	}
 	if e.fenced(a.Attempt) {
 		return Reply{Record: wire.Record{State: wire.RecordAborted, Attempt: a.Attempt}}
@@ -141,58 +170,57 @@
 	if e.Record.BodyHash != a.BodyHash {
 		return refuse(result.KeyReused, "the key was used with another request")
 	}
-	if e.Record.Attempt == a.Attempt {
-		return Reply{Granted: e.Record.State == wire.RecordStarted, Record: e.Record}
+	if e.holds(a) {
+		return Reply{Granted: true, Record: e.Record}
 	}
 	if e.mayTakeOver(a, gone) {
-		return s.grant(e, a)
+		return s.takeOver(e, a)
 	}
 	return Reply{Record: e.Record}
 }
 
-func (e *entry) fenced(id wire.ID) bool {
-	for _, f := range e.Fenced {
-		if f == id {
-			return true
-		}
-	}
-	return false
+func (s *State) full() bool { return len(s.entries) >= MaxRecords || s.bytes >= MaxBytes }
+
+// holds tells whether the running attempt asks again. A new life of its agent
+// knows nothing of the run and gets no grant.
+func (e *entry) holds(a *wire.StartArgs) bool {
+	r := &e.Record
+	return r.State == wire.RecordStarted && r.Attempt == a.Attempt &&
+		r.Agent == a.Agent && r.Incarnation == a.Incarnation
 }
 
 // mayTakeOver tells whether a generation may replace the running attempt: only
 // if that is a generation too and its agent is gone.
 func (e *entry) mayTakeOver(a *wire.StartArgs, gone wire.Incarnation) bool {
 	r := &e.Record
-	return a.Takeover && a.Generation != "" && r.Generation != "" &&
-		r.State == wire.RecordStarted && gone != 0 && gone == r.Incarnation
+	return a.Takeover && a.Generation != "" && r.Generation != "" && r.Attempt != a.Attempt &&
+		r.State == wire.RecordStarted && gone != 0 && gone == r.Incarnation && len(e.Fenced) < MaxFenced
 }
 
-func (s *State) claim(a *wire.StartArgs) Reply {
-	if len(s.entries) >= MaxRecords || s.bytes >= MaxBytes {
-		return refuse(result.RecordsUnavailable, "the records of this group are full")
-	}
-	return s.grant(s.insert(a.Key), a)
-}
-
-func (s *State) insert(key string) *entry {
-	e := &entry{}
-	s.entries[key] = e
-	s.bytes += recordBytes + int64(len(key))
-	return e
+func (s *State) takeOver(e *entry, a *wire.StartArgs) Reply {
+	next := *e
+	next.Fenced = append(slices.Clip(e.Fenced), e.Record.Attempt)
+	return s.grant(&next, a)
 }
 
 func (s *State) grant(e *entry, a *wire.StartArgs) Reply {
-	e.Record = wire.Record{
+	next := &entry{Fenced: e.Fenced, Record: wire.Record{
 		State: wire.RecordStarted, Attempt: a.Attempt, BodyHash: a.BodyHash,
 		Agent: a.Agent, Incarnation: a.Incarnation, Generation: a.Generation,
-	}
-	s.touch(a.Key, e)
-	return Reply{Granted: true, Record: e.Record}
+	}}
+	s.put(a.Key, next)
+	return Reply{Granted: true, Record: next.Record}
 }
 
-func (s *State) touch(key string, e *entry) {
-	e.ExpiresMS = s.now + KeepMS
-	s.queue = append(s.queue, due{e.ExpiresMS, key})
+// put stores the next state of a key for another KeepMS.
+func (s *State) put(key string, next *entry) {
+	if old, ok := s.entries[key]; ok {
+		s.bytes -= old.size(key)
+	}
+	next.ExpiresMS = s.now + KeepMS
+	s.entries[key] = next
+	s.bytes += next.size(key)
+	s.queue = append(s.queue, due{next.ExpiresMS, key})
 }
 
 func (s *State) finish(a *wire.FinishArgs) Reply {
@@ -203,84 +231,56 @@
 	if e.Record.State == wire.RecordFinished {
 		return Reply{Record: e.Record}
 	}
-	e.Record.State, e.Record.Status = wire.RecordFinished, a.Status
-	if answerBytes(a.Headers, a.Body) <= MaxAnswerBytes {
-		e.Record.Headers, e.Record.Body = a.Headers, a.Body
-		s.bytes += answerBytes(a.Headers, a.Body)
+	next := *e
+	next.Record.State, next.Record.Status = wire.RecordFinished, a.Status
+	n := answerBytes(a.Headers, a.Body)
+	if n <= MaxAnswerBytes && s.bytes+n <= MaxBytes {
+		next.Record.Headers, next.Record.Body = a.Headers, a.Body
+	} else {
+		next.Record.Dropped = true
 	}
-	s.touch(a.Key, e)
-	return Reply{Record: e.Record}
-}
-
-func answerBytes(headers []wire.Header, body []byte) int64 {
-	n := len(body)
-	for _, h := range headers {
-		n += len(h.Key) + len(h.Value)
-	}
-	return int64(n)
+	s.put(a.Key, &next)
+	return Reply{Record: next.Record}
 }
 
 func (s *State) abort(a *wire.AbortArgs) Reply {
-	if s.tooOld(a.IssuedMS) {
-		return s.abortOld(a)
-	}
 	e, ok := s.entries[a.Key]
-	if !ok {
-		if len(s.entries) >= MaxRecords {
-			return refuse(result.RecordsUnavailable, "the records of this group are full")
-		}
-		e = s.insert(a.Key)
-		e.Record = wire.Record{State: wire.RecordAborted, Attempt: a.Attempt}
-	}
-	if e.fenced(a.Attempt) {
+	if ok && e.fenced(a.Attempt) {
 		return Reply{Aborted: true, Record: e.Record}
 	}
+	if r, bad := s.untimely(a.IssuedMS); bad {
+		// The attempt may have run under a record that has expired.
+		return refuse(result.OutcomeUnknown, r.Message)
+	}
+	if !ok {
+		e = &entry{Record: wire.Record{State: wire.RecordAborted, Attempt: a.Attempt}}
+	}
 	if e.Record.State != wire.RecordAborted && e.Record.Attempt == a.Attempt {
 		return Reply{Record: e.Record}
 	}
-	e.Fenced = append(e.Fenced, a.Attempt)
-	s.touch(a.Key, e)
-	return Reply{Aborted: true, Record: e.Record}
+	if len(e.Fenced) >= MaxFenced || !ok && s.full() {
+		return refuse(result.RecordsUnavailable, "no room to note the aborted attempt").unknown()
+	}
+	next := *e
+	next.Fenced = append(slices.Clip(e.Fenced), a.Attempt)
+	s.put(a.Key, &next)
+	return Reply{Aborted: true, Record: next.Record}
 }
 
-// abortOld answers for an attempt that could no longer start. Its record may
-// have expired, so only a record that is still there proves anything.
-func (s *State) abortOld(a *wire.AbortArgs) Reply {
-	if e, ok := s.entries[a.Key]; ok && e.fenced(a.Attempt) {
-		return Reply{Aborted: true, Record: e.Record}
-	}
-	return refuse(result.OutcomeUnknown, "the attempt is too old to tell")
+// unknown turns a refusal into one that says nothing about whether the attempt
+// ran.
+func (r Reply) unknown() Reply {
+	r.Code = result.OutcomeUnknown
+	return r
 }
 
 func (s *State) expire() {
-	for len(s.queue) > 0 && s.queue[0].At <= s.now {
+	for len(s.queue) > 0 && s.queue[0].At < s.now {
 		d := s.queue[0]
 		s.queue = s.queue[1:]
-		if e, ok := s.entries[d.Key]; ok && e.ExpiresMS <= s.now {
-			s.bytes -= recordBytes + int64(len(d.Key)) + answerBytes(e.Record.Headers, e.Record.Body)
+		if e, ok := s.entries[d.Key]; ok && e.ExpiresMS < s.now {
+			s.bytes -= e.size(d.Key)
 			delete(s.entries, d.Key)
 		}
 	}
 }
-
-type snapshot struct {
-	Now     int64             `json:"now"`
-	Bytes   int64             `json:"bytes"`
-	Entries map[string]*entry `json:"entries"`
-	Queue   []due             `json:"queue"`
-}
-
-// Snapshot encodes the state.
-func (s *State) Snapshot() ([]byte, error) {
-	return json.Marshal(snapshot{s.now, s.bytes, s.entries, s.queue})
-}
-
-// Restore replaces the state by an encoded one.
-func (s *State) Restore(b []byte) error {
-	sn := snapshot{Entries: map[string]*entry{}}
-	if err := json.Unmarshal(b, &sn); err != nil {
-		return errors.Wrap(err, "record snapshot")
-	}
-	*s = State{now: sn.Now, entries: sn.Entries, bytes: sn.Bytes, queue: sn.Queue}
-	return nil
-}
--- /dev/null
+++ b/core/record/record_test.go
@@ -0,0 +1,232 @@
+package record
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"heatherway.dev/core/wire"
+	"heatherway.dev/kernel/result"
+)
+
+const hour = 3600 * 1000
+
+// attempt is one send of a call, with what the fleet has seen of it.
+type attempt struct {
+	start    wire.StartArgs
+	grants   []int64
+	aborted  bool
+	finished bool
+}
+
+// world sends commands about a few attempts of one key in any order, again and
+// again, and late.
+type world struct {
+	s   *State
+	now int64
+	// clock is the newest time of a command so far.
+	clock    int64
+	attempts []*attempt
+	// keptUntil is the end of the life of the record of the last grant.
+	keptUntil int64
+	holder    *attempt
+}
+
+func (w *world) issue(t *rapid.T) *attempt {
+	skew := rapid.SampledFrom([]int64{-SkewMS, 0, SkewMS, 3 * SkewMS}).Draw(t, "skew")
+	a := &attempt{start: wire.StartArgs{
+		Key: "k", Attempt: wire.ID(fmt.Sprint("attempt-", len(w.attempts))), IssuedMS: w.clock + skew, BodyHash: "h",
+		Agent: "a", Incarnation: wire.Incarnation(1 + len(w.attempts)%2),
+	}}
+	w.attempts = append(w.attempts, a)
+	return a
+}
+
+func (w *world) step(t *rapid.T) {
+	w.now += rapid.SampledFrom([]int64{0, 0, 0, 1, hour, 12 * hour, MaxAgeMS, MaxAgeMS + 1, KeepMS}).Draw(t, "pause")
+	at := w.now - rapid.SampledFrom([]int64{0, 0, SkewMS}).Draw(t, "slow clock")
+	if len(w.attempts) == 0 || rapid.IntRange(0, 3).Draw(t, "new") == 0 {
+		w.issue(t)
+	}
+	a := w.attempts[rapid.IntRange(0, len(w.attempts)-1).Draw(t, "attempt")]
+	switch rapid.IntRange(0, 4).Draw(t, "command") {
+	case 0, 1:
+		w.started(t, a, w.apply(Command{AtMS: at, Start: &a.start}))
+	case 2:
+		r := w.apply(Command{AtMS: at, Abort: &wire.AbortArgs{Key: "k", Attempt: a.start.Attempt, IssuedMS: a.start.IssuedMS}})
+		assert.Assert(t, !r.Aborted || len(a.grants) == 0, "aborted after it was granted")
+		a.aborted = a.aborted || r.Aborted
+	case 3:
+		r := w.apply(Command{AtMS: at, Finish: &wire.FinishArgs{Key: "k", Attempt: a.start.Attempt, Status: 200}})
+		assert.Assert(t, r.Code != 0 || len(a.grants) > 0, "finished without a grant")
+		if r.Code == 0 && !a.finished {
+			w.keptUntil, a.finished = w.clock, true
+		}
+	default:
+		b, err := w.s.Freeze().Encode()
+		assert.NilError(t, err)
+		w.s = New()
+		assert.NilError(t, w.s.Restore(b))
+	}
+}
+
+func (w *world) apply(c Command) Reply {
+	w.clock = max(w.clock, c.AtMS)
+	return w.s.Apply(c)
+}
+
+func (w *world) started(t *rapid.T, a *attempt, r Reply) {
+	if !r.Granted {
+		return
+	}
+	assert.Assert(t, !a.aborted, "granted after it was aborted")
+	if w.holder != nil && w.holder != a {
+		assert.Assert(t, w.clock > w.keptUntil+KeepMS, "granted while another attempt's record lives")
+	}
+	if len(a.grants) > 0 {
+		assert.Equal(t, w.holder, a, "granted again after another attempt")
+		assert.Assert(t, w.clock-a.grants[0] <= KeepMS, "granted again after the record expired")
+	} else {
+		w.keptUntil = w.clock
+	}
+	a.grants, w.holder = append(a.grants, w.clock), a
+}
+
+// Guards against two attempts of one key that both run, and against "not run"
+// being told of an attempt that runs before or after, with commands lost,
+// repeated, reordered and late.
+func TestAtMostOneRun(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{s: New(), now: 1000 * hour}
+		w.apply(Command{AtMS: w.now})
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			w.step(t)
+		}
+	})
+}
+
+func startArgs(attempt, hash string) *wire.StartArgs {
+	return &wire.StartArgs{Key: "k", Attempt: wire.ID(attempt), IssuedMS: 1000, BodyHash: hash, Agent: "a", Incarnation: 7}
+}
+
+// Guards against a caller who gets the answer to another request under a key
+// used twice, and a stored answer that is lost or replaced.
+func TestAnswerBelongsToBody(t *testing.T) {
+	s := New()
+	assert.Assert(t, s.Apply(Command{AtMS: 1000, Start: startArgs("1", "h")}).Granted)
+	assert.Equal(t, s.Apply(Command{AtMS: 1000, Start: startArgs("2", "other")}).Code, result.KeyReused)
+	s.Apply(Command{AtMS: 1000, Finish: &wire.FinishArgs{Key: "k", Attempt: "1", Status: 201, Body: []byte("booked")}})
+	s.Apply(Command{AtMS: 1000, Finish: &wire.FinishArgs{Key: "k", Attempt: "1", Status: 500}})
+	r := s.Apply(Command{AtMS: 1000, Start: startArgs("2", "h")})
+	assert.Assert(t, !r.Granted && r.Record.Status == 201 && string(r.Record.Body) == "booked")
+	assert.Assert(t, !s.Apply(Command{AtMS: 1000, Start: startArgs("1", "h")}).Granted, "a finished attempt does not run again")
+}
+
+// Guards against a takeover of a run that may still go on, of a plain call, and
+// by or of the same attempt, and against the replaced attempt's late commands.
+func TestTakeover(t *testing.T) {
+	generation := func(attempt string, takeover bool) *wire.StartArgs {
+		a := startArgs(attempt, "h")
+		a.Generation, a.Takeover = "g", takeover
+		return a
+	}
+	s := New()
+	assert.Assert(t, s.Apply(Command{AtMS: 1000, Start: generation("1", false)}).Granted)
+	assert.Assert(t, !s.Apply(Command{AtMS: 1000, Start: generation("2", true)}).Granted, "nothing is known of the agent")
+	assert.Assert(t, !s.Apply(Command{AtMS: 1000, Start: generation("2", true), Gone: 6}).Granted, "another incarnation is gone")
+	assert.Assert(t, !s.Apply(Command{AtMS: 1000, Start: generation("2", false), Gone: 7}).Granted)
+	assert.Assert(t, s.Apply(Command{AtMS: 1000, Start: generation("2", true), Gone: 7}).Granted)
+	assert.Assert(t, !s.Apply(Command{AtMS: 1000, Start: generation("1", true), Gone: 7}).Granted, "replaced for good")
+	assert.Equal(t, s.Apply(Command{AtMS: 1000, Finish: &wire.FinishArgs{Key: "k", Attempt: "1"}}).Code, result.Superseded)
+
+	s = New()
+	s.Apply(Command{AtMS: 1000, Start: startArgs("1", "h")})
+	assert.Assert(t, !s.Apply(Command{AtMS: 1000, Start: generation("2", true), Gone: 7}).Granted, "a plain call is never replaced")
+}
+
+// Guards against a new life of an agent that runs a call again which its last
+// life was granted.
+func TestNewIncarnationGetsNoGrant(t *testing.T) {
+	s := New()
+	again := startArgs("1", "h")
+	assert.Assert(t, s.Apply(Command{AtMS: 1000, Start: startArgs("1", "h")}).Granted)
+	assert.Assert(t, s.Apply(Command{AtMS: 1000, Start: again}).Granted, "a lost answer is given again")
+	again.Incarnation++
+	assert.Assert(t, !s.Apply(Command{AtMS: 1000, Start: again}).Granted)
+}
+
+// Guards against a fence that ends a moment before the attempt is too old.
+func TestFenceOutlivesAttempt(t *testing.T) {
+	s := New()
+	a := startArgs("1", "h")
+	a.IssuedMS = 1000 + SkewMS
+	assert.Assert(t, s.Apply(Command{AtMS: 1000, Abort: &wire.AbortArgs{Key: "k", Attempt: "1", IssuedMS: a.IssuedMS}}).Aborted)
+	for at := int64(1000 + KeepMS - 2); at < 1000+KeepMS+3; at++ {
+		assert.Assert(t, !s.Apply(Command{AtMS: at, Start: a}).Granted)
+	}
+}
+
+// Guards against memory beyond the stated bounds, and an estimate that drifts.
+func TestMemoryIsBounded(t *testing.T) {
+	s := New()
+	body := make([]byte, MaxAnswerBytes)
+	key := func(i int) string { return fmt.Sprint("k", i) }
+	for i := range 300 {
+		a := startArgs("1", "h")
+		a.Key = key(i)
+		r := s.Apply(Command{AtMS: 1000, Start: a})
+		assert.Assert(t, r.Granted)
+		r = s.Apply(Command{AtMS: 1000, Finish: &wire.FinishArgs{Key: key(i), Attempt: "1", Body: body}})
+		assert.Equal(t, r.Record.Dropped, i >= 255)
+	}
+	assert.Assert(t, s.Bytes() <= MaxBytes)
+	for i := range MaxFenced + 1 {
+		r := s.Apply(Command{AtMS: 1000, Abort: &wire.AbortArgs{Key: "f", Attempt: wire.ID(key(i)), IssuedMS: 1000}})
+		assert.Equal(t, r.Aborted, i < MaxFenced)
+		assert.Equal(t, r.Code == result.OutcomeUnknown, i == MaxFenced)
+	}
+	assert.Equal(t, s.expireAll(), 0)
+}
+
+// expireAll passes the time at which everything of 1000 ms expires.
+func (s *State) expireAll() int {
+	s.Apply(Command{AtMS: 1000 + KeepMS})
+	s.Apply(Command{AtMS: 1001 + KeepMS})
+	return s.Len() + int(s.Bytes())
+}
+
+// Guards against records that never expire after a restart.
+func TestExpiryAfterRestore(t *testing.T) {
+	s := New()
+	assert.Assert(t, s.Apply(Command{AtMS: 1000, Start: startArgs("1", "h")}).Granted)
+	b, err := s.Freeze().Encode()
+	assert.NilError(t, err)
+	assert.NilError(t, s.Restore(b))
+	assert.Equal(t, s.Lookup("k").Attempt, wire.ID("1"))
+	assert.Equal(t, s.expireAll(), 0)
+}
+
+// BenchmarkRecordMemory measures the memory of a record without answer.
+func BenchmarkRecordMemory(b *testing.B) {
+	const n = 100000
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		s := New()
+		for i := range n {
+			id := wire.NewID()
+			s.Apply(Command{AtMS: 1000, Start: &wire.StartArgs{
+				Key: fmt.Sprint("organisation/key-", i), Attempt: id, IssuedMS: 1000,
+				BodyHash: string(id) + string(id), Agent: "agent-z03-0417", Incarnation: 1,
+			}})
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/n, "bytes/record")
+		runtime.KeepAlive(s)
+	}
+}
--- a/core/wire/rpc.go
+++ b/core/wire/rpc.go
@@ -265,6 +265,9 @@
 	Status      int
 	Headers     []Header
 	Body        []byte
+	// Dropped tells that the attempt finished with Status, but that its answer
+	// was too large to keep.
+	Dropped bool
 }
 
 // StartReply tells whether the attempt may run; if not, Record tells why.
--- a/modules/control/helpers_test.go
+++ b/modules/control/helpers_test.go
@@ -18,7 +18,7 @@
 var quiet = slog.New(slog.DiscardHandler)
 
 // running returns a control instance that serves no listener.
-func running(t *testing.T) *Control {
+func running(t testing.TB) *Control {
 	t.Helper()
 	sec, err := peer.NewSecurity(peer.TLSSettings{Off: true}, quiet)
 	assert.NilError(t, err)
@@ -32,7 +32,7 @@
 	return c
 }
 
-func waitFor(t *testing.T, done func() bool) {
+func waitFor(t testing.TB, done func() bool) {
 	t.Helper()
 	for end := time.Now().Add(5 * time.Second); !done(); time.Sleep(5 * time.Millisecond) {
 		assert.Assert(t, time.Now().Before(end), "timed out")
--- a/modules/control/records.go
+++ b/modules/control/records.go
@@ -41,8 +41,9 @@
 // Snapshot implements Machine.
 func (r *records) Snapshot() ([]byte, error) {
 	r.mu.RLock()
-	defer r.mu.RUnlock()
-	return r.state.Snapshot()
+	frozen := r.state.Freeze()
+	r.mu.RUnlock()
+	return frozen.Encode()
 }
 
 // Restore implements Machine.
