entry: keep an open stream under 64 KiB, record service levels

Cause: an open stream took 71 to 77 KiB, connections to agents were never used again, and resume points named agents outside of the subset in vain. Ruled out: an HTTP client of our own, which would save two more goroutines; larger transport buffers, which did not change the relay cost beyond the noise. Change: routes without variables bypass the muxer, frames are decoded in place (wire.FrameReader.Read) by a goroutine with a fresh stack, connections go back to the pool behind the last frame; core/slo records in the owner; Control.Locate finds agents outside of the subset; PATCH and HEAD for plain services.

--- a/api/design/design.go
+++ b/api/design/design.go
@@ -212,6 +212,7 @@
 				func(p string) any { return POST(p) },
 				func(p string) any { return PUT(p) },
 				func(p string) any { return DELETE(p) },
+				func(p string) any { return PATCH(p) },
 			} {
 				verb("/v1/services/{service}/{*path}")
 			}
--- a/api/gen/http/cli/heatherway/cli.go
+++ b/api/gen/http/cli/heatherway/cli.go
@@ -34,7 +34,7 @@
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
 	return os.Args[0] + " " + "generation complete --body '{\n      \"max_tokens\": 4851307576609460177,\n      \"model\": \"am\",\n      \"n\": 1,\n      \"prompt\": \"Quia distinctio nihil sit beatae id mollitia.\",\n      \"seed\": 4266666287426476954,\n      \"stream\": false,\n      \"temperature\": 1.191520343706535\n   }' --authorization \"Et voluptas illo saepe ullam quia.\" --idempotency-key \"3sa\" --class \"batch\" --deadline-ms 850621225990777751 --last-event-id \"5or\" --request-id \"xqy\"" + "\n" +
-		os.Args[0] + " " + "services call --service \"Quo exercitationem odit labore qui quam.\" --path \"Eos impedit atque autem.\" --authorization \"Provident voluptas et velit ab.\" --idempotency-key \"sn7\" --class \"urgent\" --deadline-ms 6775600689703863307 --last-event-id \"wpm\" --request-id \"m6j\" --repeat \"yes\" --content-type \"Porro labore iste.\" --stream \"goa.png\"" + "\n" +
+		os.Args[0] + " " + "services call --service \"Provident voluptas et velit ab.\" --path \"Minus qui ad.\" --authorization \"Voluptas ratione nostrum dolorem.\" --idempotency-key \"xm6\" --class \"standard\" --deadline-ms 1571373023753870343 --last-event-id \"wg8\" --request-id \"wa2\" --repeat \"yes\" --content-type \"Est itaque eum.\" --stream \"goa.png\"" + "\n" +
 		os.Args[0] + " " + "health live" + "\n" +
 		""
 }
@@ -367,7 +367,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "services call --service \"Quo exercitationem odit labore qui quam.\" --path \"Eos impedit atque autem.\" --authorization \"Provident voluptas et velit ab.\" --idempotency-key \"sn7\" --class \"urgent\" --deadline-ms 6775600689703863307 --last-event-id \"wpm\" --request-id \"m6j\" --repeat \"yes\" --content-type \"Porro labore iste.\" --stream \"goa.png\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "services call --service \"Provident voluptas et velit ab.\" --path \"Minus qui ad.\" --authorization \"Voluptas ratione nostrum dolorem.\" --idempotency-key \"xm6\" --class \"standard\" --deadline-ms 1571373023753870343 --last-event-id \"wg8\" --request-id \"wa2\" --repeat \"yes\" --content-type \"Est itaque eum.\" --stream \"goa.png\"")
 }
 
 // healthUsage displays the usage of the health command and its subcommands.
--- a/api/gen/http/services/client/paths.go
+++ b/api/gen/http/services/client/paths.go
@@ -30,3 +30,8 @@
 func CallServicesPath4(service string, path string) string {
 	return fmt.Sprintf("/v1/services/%v/%v", service, path)
 }
+
+// CallServicesPath5 returns the URL path to the services service call HTTP endpoint.
+func CallServicesPath5(service string, path string) string {
+	return fmt.Sprintf("/v1/services/%v/%v", service, path)
+}
--- a/api/gen/http/services/server/server.go
+++ b/api/gen/http/services/server/server.go
@@ -55,6 +55,7 @@
 			{"Call", "POST", "/v1/services/{service}/{*path}"},
 			{"Call", "PUT", "/v1/services/{service}/{*path}"},
 			{"Call", "DELETE", "/v1/services/{service}/{*path}"},
+			{"Call", "PATCH", "/v1/services/{service}/{*path}"},
 		},
 		Call: NewCallHandler(e.Call, mux, decoder, encoder, errhandler, formatter),
 	}
@@ -94,6 +95,7 @@
 	mux.Handle("POST", "/v1/services/{service}/{*path}", f)
 	mux.Handle("PUT", "/v1/services/{service}/{*path}", f)
 	mux.Handle("DELETE", "/v1/services/{service}/{*path}", f)
+	mux.Handle("PATCH", "/v1/services/{service}/{*path}", f)
 }
 
 // NewCallHandler creates a HTTP handler which loads the HTTP request and calls
--- a/core/stream/stream.go
+++ b/core/stream/stream.go
@@ -217,6 +217,11 @@
 	if a.done || conn != a.conn || !a.live {
 		return nil
 	}
+	// Nothing was sent on this connection, so only earlier attempts matter. A
+	// quarantined request is one that ran before.
+	if err.Code != result.Quarantined {
+		err.Ran = a.ran()
+	}
 	return a.giveUpWith(err, false)
 }
 
--- a/core/wire/frame.go
+++ b/core/wire/frame.go
@@ -107,8 +107,14 @@
 
 // DecodeFrame decodes the bytes of one frame without its length.
 func DecodeFrame(b []byte) (Frame, error) {
-	d := decoder{b: b}
 	var f Frame
+	err := decodeFrame(b, &f)
+	return f, err
+}
+
+func decodeFrame(b []byte, f *Frame) error {
+	d := decoder{b: b}
+	*f = Frame{}
 	n := d.array()
 	f.Kind = FrameKind(d.uint8())
 	f.Attempt = d.uint32()
@@ -116,16 +122,19 @@
 	f.Tokens = d.uint32()
 	f.Text = d.string()
 	if f.Kind != FrameToken {
-		d.details(&f)
+		d.details(f)
 	}
 	if d.err != nil {
-		return Frame{}, errors.Wrap(d.err, "decode frame")
+		*f = Frame{}
+		return errors.Wrap(d.err, "decode frame")
 	}
 	if len(d.b) != 0 || f.Kind < FrameQueued || f.Kind > FrameElsewhere ||
 		n != 5 && f.Kind == FrameToken || n != frameFields+6 && f.Kind != FrameToken {
-		return Frame{}, errors.Errorf("malformed frame of kind %d with %d fields", f.Kind, n)
+		err := errors.Errorf("malformed frame of kind %d with %d fields", f.Kind, n)
+		*f = Frame{}
+		return err
 	}
-	return f, nil
+	return nil
 }
 
 // decoder reads MessagePack values and keeps the first error.
@@ -192,16 +201,16 @@
 
 // Next returns the next frame. It returns io.EOF only between frames.
 func (r *FrameReader) Next() (Frame, error) {
-	var head [4]byte
-	if _, err := io.ReadFull(r.r, head[:1]); err != nil {
-		return Frame{}, err
-	}
-	if _, err := io.ReadFull(r.r, head[1:]); err != nil {
-		return Frame{}, io.ErrUnexpectedEOF
-	}
-	n := int(head[0])<<24 | int(head[1])<<16 | int(head[2])<<8 | int(head[3])
-	if n > MaxFrame {
-		return Frame{}, errors.Errorf("frame of %d bytes exceeds %d", n, MaxFrame)
+	var f Frame
+	err := r.Read(&f)
+	return f, err
+}
+
+// Read reads the next frame into f. It returns io.EOF only between frames.
+func (r *FrameReader) Read(f *Frame) error {
+	n, err := r.length()
+	if err != nil {
+		return err
 	}
 	buf := r.buf
 	if n > cap(buf) {
@@ -209,12 +218,29 @@
 	}
 	buf = buf[:n]
 	if _, err := io.ReadFull(r.r, buf); err != nil {
-		return Frame{}, io.ErrUnexpectedEOF
+		return io.ErrUnexpectedEOF
 	}
 	if cap(buf) <= frameReadBuffer {
 		r.buf = buf
 	}
-	return DecodeFrame(buf)
+	return decodeFrame(buf, f)
+}
+
+// length reads the length in front of a frame.
+func (r *FrameReader) length() (int, error) {
+	head, err := r.r.Peek(4)
+	if err != nil {
+		if err == io.EOF && len(head) > 0 {
+			err = io.ErrUnexpectedEOF
+		}
+		return 0, err
+	}
+	n := int(head[0])<<24 | int(head[1])<<16 | int(head[2])<<8 | int(head[3])
+	if n > MaxFrame {
+		return 0, errors.Errorf("frame of %d bytes exceeds %d", n, MaxFrame)
+	}
+	_, err = r.r.Discard(len(head))
+	return n, err
 }
 
 // Buffered tells whether another frame can be read without waiting for the
--- a/modules/entry/admit.go
+++ b/modules/entry/admit.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"heatherway.dev/core/limit"
+	"heatherway.dev/core/slo"
 	"heatherway.dev/core/stream"
 	"heatherway.dev/kernel/result"
 )
@@ -46,18 +47,20 @@
 // finish records and logs one finished request. Prompts and keys are never
 // logged.
 func (m *Module) finish(r *request, s summary) {
-	code := 0
+	code := result.Code(0)
 	if s.err != nil {
-		code = int(s.err.Code)
+		code = s.err.Code
+	}
+	took := time.Since(r.begun)
+	if r.service != "" && s.err == nil {
+		s.firstToken = took
+	}
+	if r.organisation != "" {
+		m.owner.send(finished{slo.Sample{Class: r.class, Organisation: r.organisation, FirstToken: s.firstToken, Code: code}})
 	}
-	d := time.Since(r.begun)
-	m.slo.Record(finished{
-		organisation: r.organisation, class: r.class, code: code,
-		firstToken: s.firstToken, duration: d, tokens: s.tokens,
-	})
 	m.log.Info("request",
 		"request_id", r.id, "organisation", r.organisation, "class", r.class.String(),
 		"model", r.model, "service", r.service, "upstream", s.upstream, "attempts", s.attempts,
-		"tokens", s.tokens, "code", code, "first_token_ms", s.firstToken.Milliseconds(),
-		"duration_ms", d.Milliseconds())
+		"tokens", s.tokens, "code", int(code), "first_token_ms", s.firstToken.Milliseconds(),
+		"duration_ms", took.Milliseconds())
 }
--- a/modules/entry/agents.go
+++ b/modules/entry/agents.go
@@ -13,7 +13,7 @@
 // Sizes of the connections to agents. The buffers are small, since a stream
 // carries a few hundred bytes a second.
 const (
-	agentBuffer     = 2 << 10
+	agentBuffer     = 1 << 10
 	agentIdlePerOne = 32
 	agentIdleLimit  = 30 * time.Second
 )
--- a/modules/entry/attempt.go
+++ b/modules/entry/attempt.go
@@ -31,6 +31,9 @@
 	defer cancel()
 	permit, err := m.clear(ctx, k.request, "", nil, 0)
 	if err != nil {
+		if err.Code != result.Quarantined {
+			err.Ran = result.NotRun // nothing has been sent
+		}
 		return nil, err
 	}
 	once := m.callOnce
--- a/modules/entry/call.go
+++ b/modules/entry/call.go
@@ -50,11 +50,7 @@
 		err = c.m.admit(ctx, k.request, len(k.body))
 	}
 	if err != nil {
-		var r *request
-		if k != nil {
-			r = k.request
-		}
-		c.m.refuse(s, r, err)
+		c.m.refuse(s, k.request, err)
 		return nil, nil, servicesFailure(err, s.requestID)
 	}
 	reply, err := c.m.run(ctx, k)
@@ -69,7 +65,7 @@
 	h := callerHeaders{key: p.IdempotencyKey, class: p.Class, deadlineMS: p.DeadlineMs}
 	r, err := newRequest(s, h, config.Scope{Service: p.Service}, "service.timeout")
 	if err != nil {
-		return nil, err
+		return &call{request: r}, err
 	}
 	r.service = p.Service
 	k := &call{request: r, method: s.r.Method, path: servicePath(s.r, p.Service), headers: forwarded(s.r.Header)}
--- a/modules/entry/connection.go
+++ b/modules/entry/connection.go
@@ -7,6 +7,8 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -26,6 +28,10 @@
 	resumePatience = 3 * time.Second
 	// resumePause separates two looks for one.
 	resumePause = 50 * time.Millisecond
+	// drainLimit and drainBytes bound the wait for the end of an answer behind
+	// its last frame.
+	drainLimit = 250 * time.Millisecond
+	drainBytes = 4 << 10
 )
 
 // conn is one connection to an agent. Its goroutine owns the fields behind n;
@@ -43,14 +49,24 @@
 	heard    bool
 	ran      bool
 	outcome  breaker.Outcome
+	// over is set once the last frame has arrived; the connection then goes
+	// back to the pool instead of being closed.
+	over atomic.Bool
+}
+
+// close ends the connection unless its last frame has arrived.
+func (c *conn) close() {
+	if !c.over.Load() {
+		c.cancel()
+	}
 }
 
 // connect finds an upstream for an attempt and reads its frames.
 func (c *conn) connect(ctx context.Context, a stream.Action, p purpose, want pick.Request, held wire.ID, crashes int) {
-	defer c.cancel()
 	permit, err := c.d.m.clear(ctx, c.d.r, held, a.Cause, crashes)
 	if err != nil {
 		c.d.signal(ctx, signal{conn: c.n, lost: true, final: true, err: err})
+		c.cancel()
 		return
 	}
 	want.Suspect = permit != ""
@@ -60,6 +76,7 @@
 			err = a.Cause
 		}
 		c.d.signal(ctx, signal{conn: c.n, lost: true, final: true, err: err, permit: permit})
+		c.cancel()
 		return
 	}
 	c.d.signal(ctx, signal{conn: c.n, agent: c.ticket.upstream.ID, permit: permit})
@@ -90,33 +107,61 @@
 
 // join attaches to an attempt that an agent already holds.
 func (c *conn) join(ctx context.Context, agent string, want pick.Request) {
-	defer c.cancel()
 	c.attached = true
-	got := c.d.m.owner.attach(ctx, agent, want)
-	if got.err != nil {
-		c.d.signal(ctx, signal{conn: c.n, lost: true, err: got.err})
+	t, err := c.d.m.find(ctx, agent, want)
+	if err != nil {
+		c.d.signal(ctx, signal{conn: c.n, lost: true, err: err})
+		c.cancel()
 		return
 	}
-	c.ticket = got.ticket
+	c.ticket = t
 	c.d.signal(ctx, signal{conn: c.n, agent: agent})
 	c.read(ctx, c.d.m.agents.fresh)
 }
 
+// find returns the agent with the name, which may be outside of the subset.
+func (m *Module) find(ctx context.Context, agent string, want pick.Request) (ticket, *result.Error) {
+	got := m.owner.attach(ctx, agent, want)
+	if got.err == nil {
+		return got.ticket, nil
+	}
+	var r wire.LocateReply
+	if err := m.control(ctx, "Locate", &wire.LocateArgs{ID: agent}, &r); err != nil || r.Upstream.Addr == "" {
+		return ticket{}, got.err
+	}
+	return ticket{upstream: r.Upstream}, nil
+}
+
 // read opens the stream and hands its frames over until it ends.
 func (c *conn) read(ctx context.Context, t *http.Transport) {
 	c.since, c.outcome = time.Now(), breaker.Abandoned
-	defer func() { c.d.m.owner.send(ended{ticket: c.ticket, outcome: c.judge(ctx)}) }()
 	body, sent, err := c.post(ctx, t)
 	if err != nil {
 		if !sent {
 			c.outcome = breaker.ConnectFailed
 		}
 		c.d.signal(ctx, signal{conn: c.n, lost: true, reached: sent, err: c.lostError(err, sent)})
+		c.end(ctx)
 		return
 	}
+	// A new goroutine has a small stack; that of the request would stay at the
+	// size that the request needed, 8 KiB more for the whole stream.
+	go c.follow(ctx, body)
+}
+
+// end reports the outcome of the attempt.
+func (c *conn) end(ctx context.Context) {
+	c.d.m.owner.send(ended{ticket: c.ticket, outcome: c.judge(ctx)})
+	c.cancel()
+}
+
+// follow hands the frames over until the stream ends.
+func (c *conn) follow(ctx context.Context, body io.ReadCloser) {
+	defer c.end(ctx)
 	defer body.Close()
-	err = c.pump(ctx, wire.NewFrameReader(body))
-	if ctx.Err() != nil {
+	err := c.pump(ctx, wire.NewFrameReader(body))
+	if c.over.Load() || ctx.Err() != nil {
+		drain(body)
 		return
 	}
 	c.outcome = breaker.RequestFailed
@@ -126,7 +171,7 @@
 // judge gives the circuit breaker the outcome. Of connections that the driver
 // gave up, only a new one to a silent agent counts.
 func (c *conn) judge(ctx context.Context) breaker.Outcome {
-	if ctx.Err() == nil || c.outcome != breaker.Abandoned {
+	if ctx.Err() == nil || c.outcome != breaker.Abandoned || c.over.Load() {
 		return c.outcome
 	}
 	if c.attached && !c.heard && time.Since(c.since) >= stream.AttachLimit && c.d.ctx.Err() == nil {
@@ -181,6 +226,14 @@
 	return res.Body, true, nil
 }
 
+// drain reads the end of an answer, without which the connection could not be
+// used again.
+func drain(body io.ReadCloser) {
+	t := time.AfterFunc(drainLimit, func() { _ = body.Close() })
+	defer t.Stop()
+	_, _ = io.Copy(io.Discard, io.LimitReader(body, drainBytes))
+}
+
 // pump hands over frames in batches of what has already arrived. Two buffers
 // take turns: the driver has finished with one when it receives the other.
 func (c *conn) pump(ctx context.Context, r *wire.FrameReader) error {
@@ -193,7 +246,7 @@
 		if len(frames) > 0 && !c.d.signal(ctx, signal{conn: c.n, frames: frames, more: more}) {
 			return ctx.Err()
 		}
-		if err != nil {
+		if err != nil || c.over.Load() {
 			return err
 		}
 	}
@@ -201,11 +254,11 @@
 
 func fill(r *wire.FrameReader, frames []wire.Frame) ([]wire.Frame, error) {
 	for {
-		f, err := r.Next()
-		if err != nil {
-			return frames, err
+		n := len(frames)
+		frames = slices.Grow(frames, 1)[:n+1]
+		if err := r.Read(&frames[n]); err != nil {
+			return frames[:n], err
 		}
-		frames = append(frames, f)
 		if len(frames) == frameBatch || !r.Buffered() {
 			return frames, nil
 		}
@@ -226,8 +279,12 @@
 		}
 		c.d.m.owner.sample(report{c.ticket, f.Load})
 		c.d.m.owner.seen(f.Revision)
-		if f.Kind == wire.FrameFail {
+		switch f.Kind {
+		case wire.FrameFail:
 			c.outcome = outcomeOf(f.Code)
+			c.over.Store(true)
+		case wire.FrameEnd, wire.FrameElsewhere:
+			c.over.Store(true)
 		}
 	}
 }
--- a/modules/entry/cost_test.go
+++ b/modules/entry/cost_test.go
@@ -28,7 +28,11 @@
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
-// paced sends tokens at an interval, or as fast as it can.
+// unflushed stands for an agent that writes as fast as it can and leaves the
+// flush to the buffer.
+const unflushed = time.Duration(-1)
+
+// paced sends tokens at an interval, each in a flush of its own.
 func paced(n int, every time.Duration) func(*frameWriter, *wire.GenerateRequest) {
 	return func(w *frameWriter, _ *wire.GenerateRequest) {
 		w.send(wire.Frame{Kind: wire.FrameStarted})
@@ -38,7 +42,7 @@
 			f.Offset = uint64(i)
 			buf = wire.AppendFrame(buf[:0], &f)
 			_, _ = w.w.Write(buf)
-			if every > 0 {
+			if every != unflushed {
 				_ = http.NewResponseController(w.w).Flush()
 				time.Sleep(every)
 			}
@@ -87,7 +91,7 @@
 // streams through the entry against the same streams read from the agent.
 func BenchmarkRelay(b *testing.B) {
 	const open, tokens = 50, 2000
-	for name, every := range map[string]time.Duration{"batched": 0, "each-alone": time.Millisecond} {
+	for name, every := range map[string]time.Duration{"batched": unflushed, "flushed": 0, "each-alone": time.Millisecond} {
 		b.Run(name, func(b *testing.B) {
 			a := newFakeAgent(b, "agent-1", paced(tokens, every))
 			f := newFleet(b, a)
@@ -163,13 +167,14 @@
 // taken off.
 func BenchmarkOpenStream(b *testing.B) {
 	const open = 500
-	hold := make(chan struct{})
 	a := newFakeAgent(b, "agent-1", func(w *frameWriter, _ *wire.GenerateRequest) {
 		w.tokens(0, 2)
-		<-hold
+		<-w.ctx.Done()
 	})
 	f := newFleet(b, a)
+	idle := runtime.NumGoroutine()
 	measure := func(url, body string) float64 {
+		f.eventually(func() bool { return runtime.NumGoroutine() < idle+open/10 })
 		before := memory()
 		var conns []io.Closer
 		for range open {
@@ -185,18 +190,22 @@
 		}
 		return used
 	}
+	var direct, through []float64
 	for b.Loop() {
-		direct := measure("http://"+a.addr+wire.GeneratePath, agentBody())
-		through := measure(f.url+"/v1/completions", streamBody)
-		b.ReportMetric(direct/1024, "direct-KiB")
-		b.ReportMetric((through-direct)/1024, "entry-KiB")
+		direct = append(direct, measure("http://"+a.addr+wire.GeneratePath, agentBody()))
+		through = append(through, measure(f.url+"/v1/completions", streamBody))
 	}
-	close(hold)
+	slices.Sort(direct)
+	slices.Sort(through)
+	d, t := direct[len(direct)/2], through[len(through)/2]
+	b.ReportMetric(d/1024, "direct-KiB")
+	b.ReportMetric((t-d)/1024, "entry-KiB")
 }
 
 func memory() uint64 {
-	runtime.GC()
-	runtime.GC()
+	for range 6 { // stacks shrink by half at each collection
+		runtime.GC()
+	}
 	var s runtime.MemStats
 	runtime.ReadMemStats(&s)
 	return s.HeapInuse + s.StackInuse
--- a/modules/entry/driver.go
+++ b/modules/entry/driver.go
@@ -56,6 +56,10 @@
 	logged   bool
 }
 
+// noAgent stands in event ids for an agent that has not been chosen. A resume
+// from there starts the generation, as nothing has been delivered.
+const noAgent = "-"
+
 // signal is what a connection's goroutine tells the driver.
 type signal struct {
 	conn    int
@@ -230,7 +234,11 @@
 }
 
 func (d *driver) eventID() wire.EventID {
-	return wire.EventID{Generation: d.r.generation, Agent: d.asm.Agent(), Attempt: d.asm.Attempt(), Offset: d.asm.Delivered()}
+	agent := d.asm.Agent()
+	if agent == "" {
+		agent = noAgent
+	}
+	return wire.EventID{Generation: d.r.generation, Agent: agent, Attempt: d.asm.Attempt(), Offset: d.asm.Delivered()}
 }
 
 func (d *driver) execute(acts []stream.Action) {
@@ -252,7 +260,7 @@
 
 func (d *driver) closeConn(n int) {
 	if c, ok := d.conns[n]; ok {
-		c.cancel()
+		c.close()
 		delete(d.conns, n)
 	}
 }
@@ -291,6 +299,9 @@
 	if d.outcome == nil {
 		d.execute(d.asm.Abandon(result.New(result.CallerGone, "the caller closed its connection")))
 	}
+	for n := range d.conns {
+		d.closeConn(n)
+	}
 	d.end()
 	d.timer.Stop()
 	d.m.giveBackPermit(d.r, d.permit, d.outcome.Err == nil)
@@ -307,7 +318,9 @@
 }
 
 func (d *driver) newConn(a stream.Action) (*conn, context.Context) {
-	ctx, cancel := context.WithCancel(d.ctx)
+	// The connection may outlive the driver by the time it takes to reach the
+	// end of the agent's answer.
+	ctx, cancel := context.WithCancel(context.WithoutCancel(d.ctx))
 	c := &conn{n: a.Conn, cancel: cancel, d: d, request: d.generateRequest(a)}
 	d.conns[a.Conn] = c
 	return c, ctx
@@ -377,6 +390,8 @@
 		return true
 	case <-ctx.Done():
 		return false
+	case <-d.ctx.Done():
+		return false
 	}
 }
 
--- a/modules/entry/entry.go
+++ b/modules/entry/entry.go
@@ -73,7 +73,6 @@
 	owner   *owner
 	agents  *agents
 	metrics *counters
-	slo     recorder
 
 	ready   atomic.Bool
 	leaving atomic.Bool
@@ -148,7 +147,6 @@
 func (m *Module) prepare(log *slog.Logger, security *peer.Security, reg *stats.Registry) error {
 	m.log, m.security = log, security
 	m.metrics = newCounters(reg)
-	m.slo = newRecorder()
 	m.agents = newAgents(security)
 	var err error
 	m.owner, err = newOwner(m)
--- a/modules/entry/failure.go
+++ b/modules/entry/failure.go
@@ -121,7 +121,13 @@
 
 // formatError gives every error of the generated servers the same JSON shape.
 func formatError(ctx context.Context, err error) goahttp.Statuser {
-	id := stateOf(ctx).requestID
+	s := stateOf(ctx)
+	f := formatFailure(s.requestID, err)
+	s.code = result.Code(f.Problem.Code)
+	return f
+}
+
+func formatFailure(id string, err error) *failure {
 	var g *generation.Failure
 	var s *services.Failure
 	var h *health.Failure
--- a/modules/entry/generate.go
+++ b/modules/entry/generate.go
@@ -52,6 +52,10 @@
 	if err := d.begin(); err != nil {
 		return nil, nil, generationFailure(err, s.requestID)
 	}
+	if r.stream {
+		s.w.Header().Set("Cache-Control", "no-store")
+		s.w.Header().Set("X-Accel-Buffering", "no") // read by common proxies
+	}
 	res := &generation.Streamed{ContentType: d.out.contentType(), RequestID: s.requestID}
 	return res, d, nil
 }
@@ -59,7 +63,7 @@
 func newGeneration(s *state, kind wire.Kind, model string, stream bool, h callerHeaders) (*request, *result.Error) {
 	r, err := newRequest(s, h, config.Scope{Model: model}, "request.deadline")
 	if err != nil {
-		return nil, err
+		return r, err
 	}
 	r.kind, r.model, r.stream = kind, model, stream
 	if err := r.setResume(h.lastEvent); err != nil {
--- a/modules/entry/handler.go
+++ b/modules/entry/handler.go
@@ -38,6 +38,10 @@
 	w       *statusWriter
 	// raw is the request body as it came.
 	raw []byte
+	// code is the result of a failed request. Accounted is set once the
+	// service records the outcome itself.
+	code      result.Code
+	accounted bool
 }
 
 type stateKey struct{}
@@ -70,16 +74,56 @@
 // Unwrap lets http.ResponseController reach the connection.
 func (w *statusWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
+// route names one path without variables.
+type route struct{ method, path string }
+
+// routes holds the handlers of the generated servers. Those without path
+// variables are found in a map, as the muxer would hold its own state for the
+// whole of a stream. Unknown routes are answered here too; the muxer would
+// answer them in another form.
+type routes struct {
+	fixed    map[route]http.Handler
+	services http.Handler
+}
+
+func (t *routes) find(r *http.Request) http.Handler {
+	if h, ok := t.fixed[route{r.Method, r.URL.Path}]; ok {
+		return h
+	}
+	rest, ok := strings.CutPrefix(r.URL.Path, servicesPrefix)
+	if !ok || strings.IndexByte(rest, '/') < 1 || !serviceMethods[r.Method] {
+		return nil
+	}
+	return t.services
+}
+
+const servicesPrefix = "/v1/services/"
+
+var serviceMethods = map[string]bool{
+	http.MethodGet: true, http.MethodHead: true, http.MethodPost: true,
+	http.MethodPut: true, http.MethodPatch: true, http.MethodDelete: true,
+}
+
 // handler returns the caller API.
 func (m *Module) handler() http.Handler {
 	mux := goahttp.NewMuxer()
-	generationserver.New(generation.NewEndpoints(&generationService{m}), mux, decoder, encoder, m.encodeFailed, formatError).Mount(mux)
-	servicesserver.New(services.NewEndpoints(&callService{m}), mux, decoder, encoder, m.encodeFailed, formatError).Mount(mux)
-	healthserver.New(health.NewEndpoints(&healthService{m}), mux, decoder, encoder, m.encodeFailed, formatError).Mount(mux)
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { m.serveCaller(mux, w, r) })
+	gen := generationserver.New(generation.NewEndpoints(&generationService{m}), mux, decoder, encoder, m.encodeFailed, formatError)
+	live := healthserver.New(health.NewEndpoints(&healthService{m}), mux, decoder, encoder, m.encodeFailed, formatError)
+	calls := servicesserver.New(services.NewEndpoints(&callService{m}), mux, decoder, encoder, m.encodeFailed, formatError)
+	calls.Mount(mux)
+	// goa designs cannot declare HEAD for a method whose errors have a body.
+	mux.Handle(http.MethodHead, servicesPrefix+"{service}/{*path}", calls.Call.ServeHTTP)
+	table := &routes{services: mux, fixed: map[route]http.Handler{
+		{http.MethodPost, "/v1/completions"}:      gen.Complete,
+		{http.MethodPost, "/v1/chat/completions"}: gen.Chat,
+		{http.MethodGet, "/v1/models"}:            gen.Models,
+		{http.MethodGet, "/healthz"}:              live.Live,
+		{http.MethodGet, "/readyz"}:               live.Ready,
+	}}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { m.serveCaller(table, w, r) })
 }
 
-func (m *Module) serveCaller(mux goahttp.Muxer, w http.ResponseWriter, r *http.Request) {
+func (m *Module) serveCaller(table *routes, w http.ResponseWriter, r *http.Request) {
 	s := &state{requestID: r.Header.Get("X-Request-Id"), begun: time.Now(), snap: m.owner.current()}
 	if s.requestID == "" || len(s.requestID) > maxRequestID {
 		s.requestID = string(wire.NewID())
@@ -98,13 +142,15 @@
 	}
 	defer m.open.Add(-1)
 	m.limitBodyTime(s)
-	// The muxer answers unknown routes itself with a body of its own, so the
-	// route is looked up first.
-	if !routed(r) {
+	h := table.find(r)
+	if h == nil {
 		writeFailure(s.w, result.New(result.RouteUnknown, "no route %s %s", r.Method, r.URL.Path), s.requestID)
 		return
 	}
-	mux.ServeHTTP(s.w, r)
+	h.ServeHTTP(s.w, r)
+	if s.code != 0 && !s.accounted && strings.HasPrefix(r.URL.Path, "/v1/") {
+		m.refuse(s, nil, result.New(s.code, "refused before it reached the service"))
+	}
 }
 
 const maxRequestID = 128
@@ -121,27 +167,6 @@
 	_ = http.NewResponseController(s.w).SetReadDeadline(time.Time{})
 }
 
-// routed tells whether the generated servers have the route.
-func routed(r *http.Request) bool {
-	switch r.URL.Path {
-	case "/v1/completions", "/v1/chat/completions":
-		return r.Method == http.MethodPost
-	case "/v1/models", "/healthz", "/readyz":
-		return r.Method == http.MethodGet
-	}
-	rest, ok := strings.CutPrefix(r.URL.Path, servicesPrefix)
-	if !ok || strings.IndexByte(rest, '/') < 1 {
-		return false
-	}
-	switch r.Method {
-	case http.MethodGet, http.MethodPost, http.MethodPut, http.MethodDelete:
-		return true
-	}
-	return false
-}
-
-const servicesPrefix = "/v1/services/"
-
 // authenticate finds the organisation of the bearer key. Keys are compared by
 // their SHA-256 hash, which is all that the configuration holds.
 func authenticate(s *snapshot, r *http.Request) (string, *result.Error) {
--- a/modules/entry/internal.go
+++ b/modules/entry/internal.go
@@ -1,7 +1,7 @@
 package entry
 
 import (
-	"time"
+	"context"
 
 	"heatherway.dev/core/wire"
 	"heatherway.dev/kernel/peer"
@@ -37,25 +37,18 @@
 
 // Report returns the service-level counts.
 func (s *service) Report(_ wire.EntryReportArgs, r *wire.EntryReportReply) error {
-	b, err := s.m.slo.Report()
-	r.Report = b
+	snap, err := s.m.owner.report()
+	if err == nil {
+		r.Report, err = snap.Encode()
+	}
 	return peer.EncodeError(err)
 }
 
 // views returns what the owner knows about the upstreams.
 func (o *owner) views() []wire.UpstreamView {
+	ctx, cancel := context.WithTimeout(context.Background(), reportPatience)
+	defer cancel()
 	reply := make(chan []wire.UpstreamView, 1)
-	t := time.NewTimer(time.Second)
-	defer t.Stop()
-	select {
-	case o.queue <- look{reply}:
-	case <-t.C:
-		return nil
-	}
-	select {
-	case v := <-reply:
-		return v
-	case <-t.C:
-		return nil
-	}
+	v, _ := ask(ctx, o, look{reply}, reply)
+	return v
 }
--- a/modules/entry/limits.go
+++ b/modules/entry/limits.go
@@ -110,15 +110,5 @@
 
 func (m *Module) askLimit(ctx context.Context, a admitAsk) (verdict, bool) {
 	a.reply = make(chan verdict, 1)
-	select {
-	case m.owner.queue <- a:
-	case <-ctx.Done():
-		return verdict{}, false
-	}
-	select {
-	case v := <-a.reply:
-		return v, true
-	case <-ctx.Done():
-		return verdict{}, false
-	}
+	return ask(ctx, m.owner, a, a.reply)
 }
--- a/modules/entry/metrics.go
+++ b/modules/entry/metrics.go
@@ -1,10 +1,6 @@
 package entry
 
 import (
-	"encoding/json"
-	"sync"
-	"time"
-
 	"heatherway.dev/core/wire"
 	"heatherway.dev/kernel/stats"
 )
@@ -50,65 +46,3 @@
 	}
 	return c
 }
-
-// finished is what is recorded about one request.
-type finished struct {
-	organisation string
-	class        wire.Class
-	code         int
-	firstToken   time.Duration
-	duration     time.Duration
-	tokens       uint64
-}
-
-// recorder keeps the service-level counts.
-type recorder interface {
-	Record(finished)
-	Report() ([]byte, error)
-}
-
-// counts is a recorder that keeps totals by class and organisation.
-type counts struct {
-	mu   sync.Mutex
-	rows map[countKey]*countRow
-}
-
-type countKey struct{ class, organisation string }
-
-type countRow struct {
-	Class        string `json:"class"`
-	Organisation string `json:"organisation"`
-	Requests     uint64 `json:"requests"`
-	Failed       uint64 `json:"failed"`
-	Tokens       uint64 `json:"tokens"`
-	FirstTokenMS int64  `json:"first_token_ms_sum"`
-}
-
-func newRecorder() recorder { return &counts{rows: map[countKey]*countRow{}} }
-
-func (c *counts) Record(f finished) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	k := countKey{f.class.String(), f.organisation}
-	r, ok := c.rows[k]
-	if !ok {
-		r = &countRow{Class: k.class, Organisation: k.organisation}
-		c.rows[k] = r
-	}
-	r.Requests++
-	if f.code != 0 {
-		r.Failed++
-	}
-	r.Tokens += f.tokens
-	r.FirstTokenMS += f.firstToken.Milliseconds()
-}
-
-func (c *counts) Report() ([]byte, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	rows := make([]*countRow, 0, len(c.rows))
-	for _, r := range c.rows {
-		rows = append(rows, r)
-	}
-	return json.Marshal(rows)
-}
--- a/modules/entry/output.go
+++ b/modules/entry/output.go
@@ -130,9 +130,6 @@
 
 func (o *events) attach(w io.Writer) {
 	o.w, o.rc = w, controller(w)
-	if rw, ok := w.(http.ResponseWriter); ok {
-		rw.Header().Set("Cache-Control", "no-store")
-	}
 	if len(o.buf) == 0 {
 		o.buf = append(o.buf, ": waiting\n\n"...)
 	}
--- a/modules/entry/owner.go
+++ b/modules/entry/owner.go
@@ -12,6 +12,7 @@
 	"heatherway.dev/core/limit"
 	"heatherway.dev/core/pick"
 	"heatherway.dev/core/retry"
+	"heatherway.dev/core/slo"
 	"heatherway.dev/core/wire"
 	"heatherway.dev/kernel/result"
 )
@@ -55,6 +56,7 @@
 	number     uint64
 	rng        *rand.Rand
 	list       []wire.Upstream
+	slo        *slo.Recorder
 }
 
 // tuning is the part of the configuration that the decision packages are made
@@ -78,6 +80,7 @@
 		limits: limit.NewEntry(name, m.Limits.Entries), latency: map[string]*retry.Latency{},
 		inFlight: map[string]int{}, rng: rand.New(rand.NewSource(now.UnixNano())),
 	}
+	o.slo = slo.NewRecorder(now, o.objective)
 	o.snap.Store(&snapshot{})
 	return o, nil
 }
@@ -266,19 +269,16 @@
 // choose gets an upstream from the owner.
 func (o *owner) choose(ctx context.Context, c choose) selection {
 	c.reply = make(chan selection, 1)
-	gone := selection{err: result.New(result.CallerGone, "the request ended").WithRan(result.NotRun)}
-	select {
-	case o.queue <- c:
-	case <-ctx.Done():
-		return gone
-	}
-	select {
-	case r := <-c.reply:
-		return r
-	case <-ctx.Done():
-		go o.settleChoice(c.reply)
-		return gone
+	return o.selected(ctx, c, c.reply)
+}
+
+// selected waits for a selection; one that comes too late is given back.
+func (o *owner) selected(ctx context.Context, question input, reply chan selection) selection {
+	if s, ok := ask(ctx, o, question, reply); ok {
+		return s
 	}
+	go o.settleChoice(reply)
+	return selection{err: result.New(result.CallerGone, "the request ended").WithRan(result.NotRun)}
 }
 
 // settleChoice ends the attempt of a choice that nobody waits for any more.
@@ -391,12 +391,7 @@
 
 func (o *owner) attach(ctx context.Context, id string, r pick.Request) selection {
 	a := attachTo{id: id, request: r, reply: make(chan selection, 1)}
-	select {
-	case o.queue <- a:
-	case <-ctx.Done():
-		return selection{err: result.New(result.CallerGone, "the request ended")}
-	}
-	return <-a.reply
+	return o.selected(ctx, a, a.reply)
 }
 
 // began reports that an upstream runs an attempt.
@@ -415,6 +410,9 @@
 }
 
 func (e ended) apply(o *owner, now time.Time) {
+	if e.number == 0 {
+		return // an upstream outside of the subset
+	}
 	o.table.Ended(now, e.upstream.ID, e.number)
 	if b := o.table.Breaker(e.upstream.ID); b != nil {
 		b.Record(now, e.permit, e.outcome)
--- a/modules/entry/request.go
+++ b/modules/entry/request.go
@@ -51,14 +51,15 @@
 	if s.refused != nil {
 		return nil, s.refused
 	}
-	if s.snap.behind {
-		return nil, result.New(result.ConfigurationBehind, "this entry cannot fetch the newest configuration")
-	}
+	s.accounted = true
 	doc := s.snap.doc
 	r := &request{id: s.requestID, organisation: s.organisation, snap: s.snap, begun: s.begun}
 	scope.Organisation = s.organisation
 	if err := r.setClass(h.class, doc, scope); err != nil {
-		return nil, err
+		return r, err
+	}
+	if s.snap.behind {
+		return r, result.New(result.ConfigurationBehind, "this entry cannot fetch the newest configuration")
 	}
 	r.weight = doc.Float("organisation.weight", scope, s.begun)
 	limit := doc.Duration(timeoutKey, scope, s.begun)
--- /dev/null
+++ b/modules/entry/slo.go
@@ -0,0 +1,62 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"heatherway.dev/core/config"
+	"heatherway.dev/core/slo"
+	"heatherway.dev/kernel/result"
+)
+
+// reportPatience bounds the wait for the owner's answer to an operator.
+const reportPatience = time.Second
+
+// objective returns what the requests of a series should meet. It is called by
+// the owner only.
+func (o *owner) objective(k slo.Key) slo.Objective {
+	if o.next.doc == nil {
+		return slo.Objective{}
+	}
+	at, now := config.Scope{Organisation: k.Organisation}, time.Now()
+	name := "class." + k.Class.String()
+	return slo.Objective{
+		Target: o.next.doc.Duration(name+".target", at, now),
+		Share:  o.next.doc.Float(name+".objective", at, now),
+	}
+}
+
+// finished reports a finished request of a known organisation.
+type finished struct{ sample slo.Sample }
+
+func (f finished) apply(o *owner, now time.Time) { o.slo.Record(now, f.sample) }
+
+// snapshotAsk asks for the service-level counts.
+type snapshotAsk struct{ reply chan slo.Snapshot }
+
+func (a snapshotAsk) apply(o *owner, now time.Time) { a.reply <- o.slo.Snapshot(now) }
+
+func (o *owner) report() (slo.Snapshot, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), reportPatience)
+	defer cancel()
+	reply := make(chan slo.Snapshot, 1)
+	if s, ok := ask(ctx, o, snapshotAsk{reply}, reply); ok {
+		return s, nil
+	}
+	return slo.Snapshot{}, result.New(result.Internal, "the entry did not answer in time")
+}
+
+// ask hands a question to the owner and waits for the answer until ctx ends.
+func ask[T any](ctx context.Context, o *owner, question input, reply <-chan T) (answer T, ok bool) {
+	select {
+	case o.queue <- question:
+	case <-ctx.Done():
+		return answer, false
+	}
+	select {
+	case answer = <-reply:
+		return answer, true
+	case <-ctx.Done():
+		return answer, false
+	}
+}
