wire: keep one definition of Locate

Cause: entry and control each declared it. Ruled out: two names for one message. Change: the control's definition stays.

--- a/core/wire/entry.go
+++ b/core/wire/entry.go
@@ -39,10 +39,3 @@
 // itself is gone. An agent numbers the crashes of its engine from 1, and its
 // own end can only be reported by others.
 const CrashOfAgent = 1<<64 - 1
-
-// LocateArgs asks a control instance where an agent is that may be outside of
-// the caller's subset.
-type LocateArgs struct{ ID string }
-
-// LocateReply is the agent's newest announcement.
-type LocateReply struct{ Upstream Upstream }
--- a/modules/entry/connection.go
+++ b/modules/entry/connection.go
@@ -126,7 +126,7 @@
 		return got.ticket, nil
 	}
 	var r wire.LocateReply
-	if err := m.control(ctx, "Locate", &wire.LocateArgs{ID: agent}, &r); err != nil || r.Upstream.Addr == "" {
+	if err := m.control(ctx, "Locate", &wire.LocateArgs{Instance: agent}, &r); err != nil || r.Upstream.Addr == "" {
 		return ticket{}, got.err
 	}
 	return ticket{upstream: r.Upstream}, nil
