agent, entry: keep the text of cancelled and failed attempts for other entries

The agent's failure frame carried no text, and a Cancel by the lost entry made the agent forget the generation. Ruled out: loss of the agent's store; it held every text. Change: an attach asks for the prefix in its first frame, so the new entry can resume elsewhere even after a second loss; Cancel stops the run and keeps the text; the attempts of a new entry are numbered behind a gap.

--- a/core/stream/stream.go
+++ b/core/stream/stream.go
@@ -23,6 +23,11 @@
 	AttachLimit = 250 * time.Millisecond
 )
 
+// takeoverGap separates the attempts of an entry that has taken over a
+// generation from those of the entry before it, which it cannot see. It exceeds
+// the attempts of one answer.
+const takeoverGap = 1024
+
 // Settings bound one answer.
 type Settings struct {
 	// Attempts is the most attempts while nothing has started; Resumes is the
@@ -253,6 +258,8 @@
 	}
 	a.heard, a.attaching, a.connected = now, false, true
 	switch f.Kind {
+	case wire.FrameQueued:
+		a.prefix(f)
 	case wire.FrameStarted:
 		a.began(f)
 	case wire.FrameToken:
@@ -265,6 +272,15 @@
 	return false, nil
 }
 
+// prefix takes the text that the caller received from an earlier entry.
+func (a *Assembler) prefix(f *wire.Frame) {
+	if a.hasText || uint64(f.Tokens) != a.next {
+		return
+	}
+	a.text.WriteString(f.Text)
+	a.hasText = true
+}
+
 func (a *Assembler) began(f *wire.Frame) {
 	a.started = true
 	if f.PromptTokens > 0 {
@@ -306,11 +322,6 @@
 	if f.Ran == result.DidRun {
 		a.started = true
 	}
-	// The text of a generation that was attached to is known only from here.
-	if !a.hasText && f.Tokens > 0 && uint64(f.Tokens) == a.next {
-		a.text.WriteString(f.Text)
-		a.hasText = true
-	}
 	if final(f.Code) {
 		return a.giveUpWith(err, false)
 	}
@@ -376,6 +387,9 @@
 
 func (a *Assembler) open(now time.Time, cause *result.Error) []Action {
 	a.attempt++
+	if a.set.Resume != nil && a.opens == 0 {
+		a.attempt += takeoverGap
+	}
 	a.opens++
 	a.newConn(now, a.agent)
 	a.attaching, a.adopt, a.chosen = false, false, false
--- a/core/wire/frame.go
+++ b/core/wire/frame.go
@@ -15,7 +15,8 @@
 
 // The kinds of frame.
 const (
-	// FrameQueued says that the request waits in the agent's queue.
+	// FrameQueued is the first frame of a stream. After an attach that asked for
+	// the prefix, Text and Tokens are what came before its offset.
 	FrameQueued FrameKind = iota + 1
 	// FrameStarted says that the engine runs the request.
 	FrameStarted
@@ -25,8 +26,7 @@
 	FrameHeartbeat
 	// FrameEnd is the last frame of a whole generation.
 	FrameEnd
-	// FrameFail ends the attempt with a result code. Text and Tokens carry the
-	// text held by the agent when Held is set.
+	// FrameFail ends the attempt with a result code.
 	FrameFail
 	// FrameElsewhere says that another agent, named in Text, holds the
 	// generation of this idempotency key; Generation is set.
@@ -57,8 +57,8 @@
 	Load Load
 }
 
-// MaxFrame bounds the size of one frame. The largest carries the held text of
-// a failed generation.
+// MaxFrame bounds the size of one frame. The largest carries the prefix of an
+// attach.
 const MaxFrame = 8 << 20
 
 const frameFields = 9
--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -161,6 +161,9 @@
 	// Body is then empty.
 	Attach bool   `json:"attach,omitempty"`
 	Offset uint64 `json:"offset,omitempty"`
+	// Prefix asks an attach for the text before Offset in its first frame, so
+	// that the reader can resume elsewhere if this agent is lost too.
+	Prefix bool `json:"prefix,omitempty"`
 	// Revision is the newest configuration revision that the entry knows.
 	Revision uint64 `json:"revision"`
 }
--- a/modules/agent/generation.go
+++ b/modules/agent/generation.go
@@ -191,10 +191,16 @@
 	reply   chan bool
 }
 
-func (e cancelEvent) apply(o *owner, _ time.Time) {
+// apply stops the run and keeps the text: the entry that has cancelled it may
+// be lost before its caller has heard from the next attempt, and the caller
+// then returns with an event id of this agent.
+func (e cancelEvent) apply(o *owner, now time.Time) {
 	g := o.generations[e.id]
 	if g != nil && g.attempt <= e.attempt {
-		o.drop(g, errCancelled)
+		g.cancel(errCancelled)
+		if g.detached.IsZero() {
+			g.detached = now
+		}
 	}
 	e.reply <- g != nil
 }
--- a/modules/agent/output.go
+++ b/modules/agent/output.go
@@ -178,6 +178,14 @@
 	return o.reader, nil
 }
 
+// before returns the text in front of a reader that has read nothing yet.
+func (o *output) before(r *reader) (string, uint32) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	m := o.marks[r.next-1]
+	return string(o.text[:m.bytes]), m.tokens
+}
+
 // detach ends a reader. It returns false if a newer one has taken its place.
 func (o *output) detach(r *reader) bool {
 	o.mu.Lock()
--- a/modules/agent/run.go
+++ b/modules/agent/run.go
@@ -139,7 +139,7 @@
 	case errors.Is(err, errReplaced):
 		e = result.New(result.Superseded, "a newer attempt runs")
 	case errors.Is(err, errCancelled):
-		e = result.New(result.CallerGone, "cancelled")
+		e = result.New(result.UpstreamFailed, "the attempt was cancelled")
 	case errors.Is(err, errDropped):
 		e = result.New(result.GenerationNotHeld, "dropped").WithRan(result.DidRun)
 	default:
--- a/modules/agent/stream.go
+++ b/modules/agent/stream.go
@@ -57,7 +57,7 @@
 		s.fail(req.Attempt, o.err)
 		return
 	}
-	s.follow(r, o.gen, o.reader)
+	s.follow(r, o.gen, o.reader, req.Attach && req.Prefix)
 	a.post(detachEvent{o.gen, o.reader})
 }
 
@@ -81,9 +81,14 @@
 }
 
 // follow sends frames until the generation ends, another reader takes over, or
-// the entry is gone.
-func (s *stream) follow(r *http.Request, g *generation, rd *reader) {
-	s.send(wire.Frame{Kind: wire.FrameQueued, Attempt: g.out.attempt, Generation: g.id})
+// the entry is gone. With prefix, the first frame carries the text before the
+// reader's offset.
+func (s *stream) follow(r *http.Request, g *generation, rd *reader, prefix bool) {
+	first := wire.Frame{Kind: wire.FrameQueued, Attempt: g.out.attempt, Generation: g.id}
+	if prefix {
+		first.Text, first.Tokens = g.out.before(rd)
+	}
+	s.send(first)
 	beat := time.NewTimer(heartbeatInterval)
 	defer beat.Stop()
 	for !s.dead {
--- a/modules/entry/driver.go
+++ b/modules/entry/driver.go
@@ -369,7 +369,8 @@
 		d.r.fixSeed()
 	}
 	c, ctx := d.newConn(a)
-	c.request.Attach, c.request.Offset = true, a.Offset
+	_, known := d.asm.Text()
+	c.request.Attach, c.request.Offset, c.request.Prefix = true, a.Offset, !known
 	d.m.metrics.attaches.Inc()
 	go c.join(ctx, a.Agent, d.want())
 }
