control: run on the replicated log, with the quarantine state machine

Cause: the in-memory log survives neither a restart nor a lost instance. Ruled out: answering 5035 to entries and agents, which would need them to keep a connection to the leader of each group; a follower forwards once to the leader and tries again while one is elected, since every command may be repeated. Ruled out: followers that only trust their log: each reads through the leader every 500 ms and answers 5034 after 3 s without, so that an instance cut off in silence is noticed.

--- a/core/wire/rpc.go
+++ b/core/wire/rpc.go
@@ -216,13 +216,20 @@
 type CrashReply struct{ Suspect []Suspect }
 
 // PermitArgs asks to run a suspect again, or gives the permit back when Done
-// is set; Finished then tells that the request ended without a crash.
+// is set; Finished then tells that the request ended without a crash, NotRun
+// that it never began.
 type PermitArgs struct {
 	Fingerprint string
 	Holder      string
-	Permit      ID
-	Done        bool
-	Finished    bool
+	// Upstream is where the suspect is to run, if known: no two suspects run on
+	// one upstream.
+	Upstream string
+	// Permit may be set by the holder, so that a repeated call gets the same
+	// permit; the control instance chooses one otherwise.
+	Permit   ID
+	Done     bool
+	Finished bool
+	NotRun   bool
 }
 
 // PermitReply carries the permit; its absence comes as a result code.
--- /dev/null
+++ b/modules/control/cluster_test.go
@@ -0,0 +1,149 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"heatherway.dev/core/wire"
+	"heatherway.dev/kernel"
+	"heatherway.dev/kernel/peer"
+	"heatherway.dev/kernel/result"
+	"heatherway.dev/kernel/settings"
+)
+
+// cluster is three control instances in this process, connected over loopback.
+type cluster struct {
+	addrs  []string
+	data   []string
+	stops  []func()
+	client []*peer.Client
+}
+
+func startCluster(t testing.TB) *cluster {
+	t.Helper()
+	c := &cluster{stops: make([]func(), 3)}
+	for range 3 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		c.addrs = append(c.addrs, l.Addr().String())
+		assert.NilError(t, l.Close())
+		c.data = append(c.data, t.TempDir())
+	}
+	sec, err := peer.NewSecurity(peer.TLSSettings{Off: true}, quiet)
+	assert.NilError(t, err)
+	for i := range 3 {
+		c.start(t, i)
+		c.client = append(c.client, sec.NewClient(c.addrs[i]))
+	}
+	t.Cleanup(func() {
+		for i := range 3 {
+			c.client[i].Close()
+			c.stop(i)
+		}
+	})
+	return c
+}
+
+func (c *cluster) start(t testing.TB, i int) {
+	t.Helper()
+	var members strings.Builder
+	for j, a := range c.addrs {
+		fmt.Fprintf(&members, "c%d: %q, ", j, a)
+	}
+	text := fmt.Sprintf(`
+instance: {id: c%d, zone: z%d, region: r, data: %q}
+log: {level: error}
+tls: {off: true}
+roles:
+- control:
+    listen: %s
+    record_groups: 2
+    members: {%s}
+    bootstrap: {defaults: {queue.limit: "9"}}
+`, i, i, c.data[i], c.addrs[i], members.String())
+	doc, err := settings.Parse("test.yaml", []byte(text))
+	assert.NilError(t, err)
+	k, err := kernel.New(doc)
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- k.Run(ctx) }()
+	c.stops[i] = func() {
+		cancel()
+		assert.NilError(t, <-done)
+	}
+}
+
+func (c *cluster) stop(i int) {
+	if c.stops[i] != nil {
+		c.stops[i]()
+		c.stops[i] = nil
+	}
+}
+
+// until repeats a call until it succeeds.
+func until[R any](t testing.TB, c *peer.Client, method string, args any) R {
+	t.Helper()
+	var r R
+	var err error
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		r = *new(R)
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		err = c.Call(ctx, "Control."+method, args, &r)
+		cancel()
+		if err == nil {
+			return r
+		}
+	}
+	assert.NilError(t, err)
+	return r
+}
+
+// Guards against instances that disagree, commands that need the right
+// instance, members known to one instance only, and state that is lost with an
+// instance or a restart.
+func TestThreeInstances(t *testing.T) {
+	c := startCluster(t)
+	entry := wire.WatchArgs{Instance: "e1", Role: "entry", Zone: "z0", Fresh: true}
+	waitFor(t, func() bool {
+		return until[wire.WatchReply](t, c.client[2], "Watch", entry).Revision > 0
+	})
+	until[wire.AnnounceReply](t, c.client[0], "Announce", wire.AnnounceArgs{Upstream: upstream("a1", "z0"), Seq: 1})
+	waitFor(t, func() bool {
+		return len(until[wire.WatchReply](t, c.client[1], "Watch", entry).Upstreams) == 1
+	})
+	winner := map[string]wire.ID{}
+	for i := range 8 {
+		key := fmt.Sprint("key-", i)
+		for j := range 3 {
+			a := wire.StartArgs{Key: key, Attempt: wire.NewID(), IssuedMS: nowMS(), BodyHash: "h", Agent: "a1", Incarnation: 1}
+			r := until[wire.StartReply](t, c.client[(i+j)%3], "Start", a)
+			assert.Equal(t, r.Granted, j == 0)
+			winner[key] = r.Record.Attempt
+		}
+	}
+	c.stop(0)
+	for key, attempt := range winner {
+		for _, i := range []int{1, 2} {
+			r := until[wire.LookupReply](t, c.client[i], "Lookup", wire.LookupArgs{Key: key})
+			assert.Equal(t, r.Record.Attempt, attempt)
+		}
+	}
+	c.stop(1)
+	waitFor(t, func() bool {
+		_, err := call[wire.WatchReply](t, c.client[2], "Watch", wire.WatchArgs{Instance: "e1", Role: "entry"})
+		return result.Is(err, result.ControlUnavailable)
+	})
+	c.start(t, 0)
+	c.start(t, 1)
+	for key, attempt := range winner {
+		r := until[wire.LookupReply](t, c.client[0], "Lookup", wire.LookupArgs{Key: key})
+		assert.Equal(t, r.Record.Attempt, attempt)
+	}
+}
--- a/modules/control/control.go
+++ b/modules/control/control.go
@@ -6,16 +6,19 @@
 import (
 	"context"
 	"log/slog"
-	"net"
 	"net/http"
+	"path/filepath"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"heatherway.dev/core/config"
+	"heatherway.dev/core/raft"
 	"heatherway.dev/core/wire"
+	"heatherway.dev/heatherway/modules/control/replica"
 	"heatherway.dev/kernel"
 	"heatherway.dev/kernel/peer"
+	"heatherway.dev/kernel/result"
 	"heatherway.dev/kernel/settings"
 	"heatherway.dev/kernel/stats"
 )
@@ -32,6 +35,8 @@
 	// commandTimeout bounds a command from its call to its answer. It covers an
 	// election.
 	commandTimeout = 3 * time.Second
+	// dataFolder is the folder of the log below the instance's data folder.
+	dataFolder = "control"
 	// bootstrapRetry is the pause between attempts to write the bootstrap
 	// configuration.
 	bootstrapRetry = 200 * time.Millisecond
@@ -97,7 +102,7 @@
 	logger   *slog.Logger
 	stats    *stats.Registry
 	security *peer.Security
-	listener net.Listener
+	listener *trackedListener
 	server   *http.Server
 
 	log     Log
@@ -107,7 +112,13 @@
 	touch   touch
 	issued  versionSet
 	sent    sentSubsets
-	peers   map[string]*peer.Client
+	peers   *peers
+	replica *replica.Replica
+	// syncEach syncs the log once for each command, to measure what syncing a
+	// batch gains.
+	syncEach bool
+	// logClosed is set once Stop has closed the log.
+	logClosed bool
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -142,18 +153,19 @@
 	if err != nil {
 		return err
 	}
-	c.listener = l
+	c.listener = track(l)
 	if c.Advertise == "" {
 		c.Advertise = l.Addr().String()
 	}
 	c.instance, c.logger, c.stats, c.security = ctx.Instance, ctx.Log, ctx.Stats, ctx.TLS
-	c.ctx, c.cancel = context.WithCancel(context.Background())
-	c.build()
-	return nil
+	c.begin()
+	return c.build()
 }
 
+func (c *Control) begin() { c.ctx, c.cancel = context.WithCancel(context.Background()) }
+
 // build makes the state machines, the log over them and the membership.
-func (c *Control) build() {
+func (c *Control) build() error {
 	c.fleet = newFleet()
 	machines := []Machine{c.fleet}
 	for range c.RecordGroups {
@@ -161,41 +173,104 @@
 		c.records = append(c.records, r)
 		machines = append(machines, r)
 	}
-	c.log = newMemoryLog(machines)
 	c.members = newMembers(time.Now, c.stats)
-	c.peers = map[string]*peer.Client{}
-	for id, addr := range c.Members {
-		if id != c.instance.ID {
-			c.peers[addr] = c.security.NewClient(addr)
+	c.peers = newPeers(c.security)
+	return c.openLog(machines)
+}
+
+// openLog opens the replicated log in the data folder. Without a data folder a
+// single instance keeps its state in memory, for local runs.
+func (c *Control) openLog(machines []Machine) error {
+	if c.instance.Data == "" {
+		if len(c.Members) > 1 {
+			return result.New(result.SettingInvalid, "instance.data: must be set for a control instance with other members")
 		}
+		c.logger.Warn("control state is kept in memory only, since instance.data is not set")
+		c.log = newMemoryLog(machines)
+		return nil
+	}
+	o := replica.Options{
+		Self: raft.MemberID(c.instance.ID), Folder: filepath.Join(c.instance.Data, dataFolder),
+		Machines: map[replica.Group]replica.StateMachine{}, Security: c.security, Log: c.logger, Stats: c.stats,
+		SyncEach: c.syncEach,
+	}
+	for i, m := range machines {
+		o.Machines[replica.Group(i)] = m
+	}
+	for id, addr := range c.Members {
+		o.Peers = append(o.Peers, replica.Peer{ID: raft.MemberID(id), Addr: addr})
+	}
+	if len(c.Members) == 0 {
+		o.Peers = []replica.Peer{{ID: o.Self, Addr: c.Advertise}}
+	}
+	r, err := replica.Open(o)
+	if err != nil {
+		return err
 	}
+	c.replica, c.log = r, replicatedLog{r}
+	return nil
 }
 
 // Start implements kernel.Runner.
-func (c *Control) Start(context.Context) error {
-	c.touch.try(c.ctx, c.log)
-	go c.touch.run(c.ctx, c.log)
-	go c.members.run(c.ctx)
-	for _, p := range c.peers {
-		go c.sendDigests(c.ctx, p)
-	}
-	go c.bootstrap()
+func (c *Control) Start(ctx context.Context) error {
 	mux := http.NewServeMux()
 	mux.Handle(peer.RPCPath, &peer.Handler{Security: c.security, Roles: servedRoles, Services: c.services})
 	c.server = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderLimit}
-	go func() {
-		err := c.server.Serve(c.security.Server(c.listener))
-		if err != nil && !errors.Is(err, http.ErrServerClosed) {
-			c.logger.Error("internal listener closed", "error", err)
+	go c.serve()
+	if c.replica != nil {
+		if err := c.replica.Start(ctx); err != nil {
+			return err
 		}
-	}()
+		go c.watchLog()
+	}
+	c.run()
 	return nil
 }
 
-// Stop implements kernel.Runner.
-func (c *Control) Stop(context.Context) error {
+// run starts the goroutines that need no listener.
+func (c *Control) run() {
+	go c.touch.run(c.ctx, c.reachQuorum)
+	go c.members.run(c.ctx)
+	for id, addr := range c.Members {
+		if id != c.instance.ID {
+			go c.sendDigests(c.ctx, c.security.NewClient(addr))
+		}
+	}
+	go c.bootstrap()
+}
+
+func (c *Control) serve() {
+	err := c.server.Serve(c.security.Server(c.listener))
+	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+		c.logger.Error("internal listener closed", "error", err)
+	}
+}
+
+// watchLog reports a log that ended by a failure, such as a disk that cannot be
+// synced. This instance then answers 5034, since it reaches no quorum.
+func (c *Control) watchLog() {
+	select {
+	case <-c.replica.Ended():
+	case <-c.ctx.Done():
+		return
+	}
+	if err := c.replica.Err(); err != nil {
+		c.logger.Error("the log of this control instance has ended", "error", err)
+	}
+}
+
+// Stop implements kernel.Runner. It hands over leadership while the others can
+// still reach this instance.
+func (c *Control) Stop(ctx context.Context) error {
+	var err error
+	if c.replica != nil {
+		err = c.replica.Stop(ctx)
+		c.logClosed = true
+	}
 	c.cancel()
-	return c.server.Close()
+	err = errors.Join(err, c.server.Close())
+	c.listener.closeAll()
+	return err
 }
 
 // Cleanup implements kernel.Cleaner.
@@ -203,10 +278,13 @@
 	if c.cancel != nil {
 		c.cancel()
 	}
-	for _, p := range c.peers {
-		p.Close()
+	if c.peers != nil {
+		c.peers.close()
 	}
-	return nil
+	if c.replica == nil || c.logClosed {
+		return nil
+	}
+	return c.replica.Kill()
 }
 
 // bootstrap writes the initial configuration if there is none. Several
@@ -241,7 +319,7 @@
 	if c.fleet.view().Doc.Revision > 0 {
 		return true, nil
 	}
-	r, err := c.proposeFleet(ctx, fleetCommand{Change: &change})
+	r, err := c.applyFleet(ctx, fleetCommand{Change: &change})
 	if err != nil {
 		return false, err
 	}
--- a/modules/control/fleet.go
+++ b/modules/control/fleet.go
@@ -3,32 +3,27 @@
 import (
 	"encoding/json"
 	"sync/atomic"
+	"time"
 
 	"github.com/go-faster/errors"
 
 	"heatherway.dev/core/config"
+	"heatherway.dev/core/quarantine"
 	"heatherway.dev/core/wire"
 	"heatherway.dev/kernel/result"
 )
 
 // fleetCommand is one entry of group 0; exactly one pointer is set.
 type fleetCommand struct {
-	AtMS   int64            `json:"at"`
-	Change *config.Change   `json:"change,omitempty"`
-	Crash  *wire.CrashArgs  `json:"crash,omitempty"`
-	Permit *wire.PermitArgs `json:"permit,omitempty"`
-	// NewPermit is the id of the permit that may be granted.
-	NewPermit wire.ID `json:"new_permit,omitempty"`
-	// Lift is the fingerprint whose quarantine ends.
-	Lift string `json:"lift,omitempty"`
+	AtMS       int64               `json:"at"`
+	Change     *config.Change      `json:"change,omitempty"`
+	Quarantine *quarantine.Command `json:"quarantine,omitempty"`
 }
 
 // fleetReply is the answer of group 0.
 type fleetReply struct {
 	Answer  *config.Answer `json:"answer,omitempty"`
 	Suspect []wire.Suspect `json:"suspect,omitempty"`
-	Permit  wire.ID        `json:"permit,omitempty"`
-	Done    bool           `json:"done,omitempty"`
 	refusal
 }
 
@@ -39,6 +34,14 @@
 	RetryMS int64       `json:"retry_ms,omitempty"`
 }
 
+func refusalOf(err error) refusal {
+	if err == nil {
+		return refusal{}
+	}
+	e := result.From(err)
+	return refusal{e.Code, e.Message, e.RetryAfter.Milliseconds()}
+}
+
 func (r refusal) err() error {
 	if r.Code == 0 {
 		return nil
@@ -54,82 +57,87 @@
 	JSON  []byte
 	Sum   uint64
 	Steps []config.Step
-	// Suspects is the position of the last change of the list.
+	// Suspects is the version of the list.
 	Suspects uint64
 	List     []wire.Suspect
 }
 
 // fleet is the machine of group 0. The log owns it; others read its view.
 type fleet struct {
-	config   *config.State
-	suspects suspectList
-	version  uint64
-	current  atomic.Pointer[fleetView]
-	changed  broadcast
+	config     *config.State
+	quarantine *quarantine.State
+	current    atomic.Pointer[fleetView]
+	changed    broadcast
 }
 
 func newFleet() *fleet {
-	f := &fleet{config: config.NewState(), suspects: newSuspects()}
-	f.publish()
+	f := &fleet{config: config.NewState(), quarantine: quarantine.New()}
+	f.publish(0)
 	return f
 }
 
 func (f *fleet) view() *fleetView { return f.current.Load() }
 
-// Apply implements Machine.
+// Apply implements replica.StateMachine.
 func (f *fleet) Apply(index uint64, command []byte) []byte {
 	var c fleetCommand
 	var r fleetReply
 	if err := json.Unmarshal(command, &c); err != nil {
 		r.refusal = refusal{Code: result.MalformedBody, Message: err.Error()}
 	} else {
-		r = f.apply(index, c)
-	}
-	b, err := json.Marshal(r)
-	if err != nil {
-		panic(errors.Wrap(err, "encode a reply of group 0")) // the types always encode
+		r = f.step(index, c)
+		f.publish(c.AtMS)
 	}
-	return b
+	return mustEncode(r)
 }
 
-func (f *fleet) apply(index uint64, c fleetCommand) fleetReply {
-	before := f.config.Document()
-	r, listed := f.step(index, c)
-	if listed {
-		f.version = index
-	}
-	if listed || f.config.Document() != before {
-		f.publish()
+// mustEncode encodes a value whose type always encodes.
+func mustEncode(v any) []byte {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(errors.Wrapf(err, "encode %T", v))
 	}
-	return r
+	return b
 }
 
-// step returns the answer, and whether the suspect list changed.
-func (f *fleet) step(index uint64, c fleetCommand) (r fleetReply, listed bool) {
+func (f *fleet) step(index uint64, c fleetCommand) (r fleetReply) {
 	switch {
 	case c.Change != nil:
 		a := f.config.Apply(index, *c.Change)
 		r.Answer = &a
-	case c.Crash != nil:
-		r.Suspect, listed = f.suspects.crash(c.AtMS, c.Crash, f.limits(c.AtMS))
-	case c.Permit != nil:
-		r.Permit, r.refusal, listed = f.suspects.permit(c.AtMS, c.Permit, c.NewPermit)
-	case c.Lift != "":
-		r.Done = f.suspects.lift(c.Lift)
-		listed = r.Done
+	case c.Quarantine != nil:
+		q := *c.Quarantine
+		q.AtMS, q.Rule = c.AtMS, f.rule(c.AtMS)
+		a := f.quarantine.Apply(q)
+		r.Suspect, r.refusal = a.Suspects, refusalOf(a.Err)
 	default:
 		r.refusal = refusal{Code: result.InvalidField, Message: "empty command"}
 	}
-	return r, listed
+	return r
+}
+
+// rule returns the configuration of the quarantine. It is the same on every
+// replica, since the configuration is part of the same group.
+func (f *fleet) rule(atMS int64) quarantine.Rule {
+	doc, now := f.config.Document(), time.UnixMilli(atMS)
+	return quarantine.Rule{
+		Crashes:  uint32(doc.Int("quarantine.crashes", config.Scope{}, now)),
+		PeriodMS: doc.Duration("quarantine.period", config.Scope{}, now).Milliseconds(),
+	}
 }
 
-func (f *fleet) publish() {
-	doc := f.config.Document()
-	v := &fleetView{Doc: doc, Steps: f.config.Steps(), Suspects: f.version, List: f.suspects.list()}
-	if old := f.current.Load(); old != nil && old.Doc == doc {
+// publish replaces the view if something in it has changed.
+func (f *fleet) publish(atMS int64) {
+	doc, old := f.config.Document(), f.current.Load()
+	if old != nil && old.Doc == doc && old.Suspects == f.quarantine.Version() {
+		return
+	}
+	v := &fleetView{Doc: doc, Steps: f.config.Steps(), Suspects: f.quarantine.Version()}
+	v.List = f.quarantine.List(time.UnixMilli(atMS))
+	if old != nil && old.Doc == doc {
 		v.JSON, v.Sum = old.JSON, old.Sum
 	} else {
-		v.JSON, _ = json.Marshal(doc) // a document always encodes
+		v.JSON = mustEncode(doc)
 		v.Sum = config.Sum(v.JSON)
 	}
 	f.current.Store(v)
@@ -137,25 +145,31 @@
 }
 
 type fleetSnapshot struct {
-	Config   json.RawMessage `json:"config"`
-	Suspects json.RawMessage `json:"suspects"`
-	Version  uint64          `json:"version"`
+	Config     json.RawMessage `json:"config"`
+	Quarantine json.RawMessage `json:"quarantine"`
+}
+
+// Freeze implements replica.Freezer. The state is a few megabytes at most, so
+// it is encoded at once.
+func (f *fleet) Freeze() func() []byte {
+	b := f.Snapshot()
+	return func() []byte { return b }
 }
 
-// Snapshot implements Machine.
-func (f *fleet) Snapshot() ([]byte, error) {
+// Snapshot implements replica.StateMachine.
+func (f *fleet) Snapshot() []byte {
 	cfg, err := f.config.Snapshot()
 	if err != nil {
-		return nil, err
+		panic(err) // the types always encode
 	}
-	sus, err := f.suspects.snapshot()
+	sus, err := f.quarantine.Snapshot()
 	if err != nil {
-		return nil, err
+		panic(err) // the types always encode
 	}
-	return json.Marshal(fleetSnapshot{cfg, sus, f.version})
+	return mustEncode(fleetSnapshot{cfg, sus})
 }
 
-// Restore implements Machine.
+// Restore implements replica.StateMachine.
 func (f *fleet) Restore(b []byte) error {
 	var s fleetSnapshot
 	if err := json.Unmarshal(b, &s); err != nil {
@@ -164,10 +178,11 @@
 	if err := f.config.Restore(s.Config); err != nil {
 		return err
 	}
-	if err := f.suspects.restore(s.Suspects); err != nil {
+	q, err := quarantine.Restore(s.Quarantine)
+	if err != nil {
 		return err
 	}
-	f.version = s.Version
-	f.publish()
+	f.quarantine = q
+	f.publish(0)
 	return nil
 }
--- /dev/null
+++ b/modules/control/forward.go
@@ -0,0 +1,88 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"heatherway.dev/kernel/peer"
+	"heatherway.dev/kernel/result"
+)
+
+// leaderService is the net/rpc service that control instances forward to. It
+// has the methods of Control, but answers 5035 instead of forwarding again, so
+// that two instances with different views of the leader cannot pass a call to
+// and fro. A call is forwarded rather than refused because the groups have
+// different leaders, and entries and agents would otherwise need a connection
+// to each.
+const leaderService = "ControlLeader"
+
+// leaderRetry is the pause before a call is tried again while a leader is being
+// elected.
+const leaderRetry = 50 * time.Millisecond
+
+// atLeader runs a call on the leader of a group: here, or forwarded once. It
+// tries again until ctx ends, which is safe because every command may be
+// repeated: changes, attempts, crashes and permits carry ids.
+func (s *service) atLeader(ctx context.Context, group uint32, method string, args, reply any, local func(context.Context) error) error {
+	for {
+		err := s.tryLeader(ctx, group, method, args, reply, local)
+		if err == nil || !s.forward || !again(err) {
+			return err
+		}
+		select {
+		case <-time.After(leaderRetry):
+		case <-ctx.Done():
+			return result.New(result.ControlUnavailable, "no answer from the leader of group %d in time: %v", group, err)
+		}
+	}
+}
+
+func again(err error) bool {
+	var e *result.Error
+	if !errors.As(err, &e) {
+		return true // a broken connection
+	}
+	return e.Code == result.NotLeader || e.Code == result.ControlUnavailable
+}
+
+func (s *service) tryLeader(ctx context.Context, group uint32, method string, args, reply any, local func(context.Context) error) error {
+	lead := s.c.log.Leader(group)
+	if lead.Local {
+		return local(ctx)
+	}
+	if !s.forward || lead.Addr == "" || lead.Addr == s.c.Advertise {
+		return result.New(result.NotLeader, "%s", lead.Addr)
+	}
+	return s.c.peers.to(lead.Addr).Call(ctx, leaderService+"."+method, args, reply)
+}
+
+// peers holds the clients to other control instances.
+type peers struct {
+	security *peer.Security
+	mu       sync.Mutex
+	byAddr   map[string]*peer.Client
+}
+
+func newPeers(s *peer.Security) *peers { return &peers{security: s, byAddr: map[string]*peer.Client{}} }
+
+func (p *peers) to(addr string) *peer.Client {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c, ok := p.byAddr[addr]
+	if !ok {
+		c = p.security.NewClient(addr)
+		p.byAddr[addr] = c
+	}
+	return c
+}
+
+func (p *peers) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.byAddr {
+		c.Close()
+	}
+}
--- a/modules/control/log.go
+++ b/modules/control/log.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 
+	"heatherway.dev/heatherway/modules/control/replica"
 	"heatherway.dev/kernel/result"
 )
 
@@ -17,7 +18,7 @@
 	// the command's position once it is committed and applied here.
 	Propose(ctx context.Context, group uint32, data []byte) (reply []byte, index uint64, err error)
 	// ReadIndex returns once everything committed before the call is applied
-	// here.
+	// here. Only the leader can tell.
 	ReadIndex(ctx context.Context, group uint32) error
 	// Leader returns what is known of a group's leader.
 	Leader(group uint32) Leader
@@ -29,14 +30,32 @@
 	Local bool
 	// Addr is the leader's address, empty when unknown.
 	Addr string
+	Term uint64
 }
 
 // Machine is the state machine of one group. The log calls it from one
-// goroutine at a time.
+// goroutine.
 type Machine interface {
-	Apply(index uint64, command []byte) []byte
-	Snapshot() ([]byte, error)
-	Restore(snapshot []byte) error
+	replica.StateMachine
+	replica.Freezer
+}
+
+// replicatedLog is the log over the write-ahead log and the other control
+// instances.
+type replicatedLog struct{ *replica.Replica }
+
+func (l replicatedLog) Propose(ctx context.Context, group uint32, data []byte) ([]byte, uint64, error) {
+	return l.Replica.Propose(ctx, replica.Group(group), data)
+}
+
+func (l replicatedLog) ReadIndex(ctx context.Context, group uint32) error {
+	_, err := l.Replica.ReadIndex(ctx, replica.Group(group))
+	return err
+}
+
+func (l replicatedLog) Leader(group uint32) Leader {
+	lead := l.Replica.Leader(replica.Group(group))
+	return Leader{Local: lead.Self, Addr: lead.Addr, Term: lead.Term}
 }
 
 // memoryLog is a log with a single member that keeps nothing on disk.
@@ -74,4 +93,4 @@
 
 func (l *memoryLog) ReadIndex(ctx context.Context, _ uint32) error { return ctx.Err() }
 
-func (l *memoryLog) Leader(uint32) Leader { return Leader{Local: true} }
+func (l *memoryLog) Leader(uint32) Leader { return Leader{Local: true, Term: 1} }
--- a/modules/control/records.go
+++ b/modules/control/records.go
@@ -4,8 +4,6 @@
 	"encoding/json"
 	"sync"
 
-	"github.com/go-faster/errors"
-
 	"heatherway.dev/core/record"
 	"heatherway.dev/core/wire"
 	"heatherway.dev/kernel/result"
@@ -20,33 +18,36 @@
 
 func newRecords() *records { return &records{state: record.New()} }
 
-// Apply implements Machine.
+// Apply implements replica.StateMachine.
 func (r *records) Apply(_ uint64, command []byte) []byte {
 	var c record.Command
-	var reply record.Reply
 	if err := json.Unmarshal(command, &c); err != nil {
-		reply = record.Reply{Code: result.MalformedBody, Message: err.Error()}
-	} else {
-		r.mu.Lock()
-		reply = r.state.Apply(c)
-		r.mu.Unlock()
-	}
-	b, err := json.Marshal(reply)
-	if err != nil {
-		panic(errors.Wrap(err, "encode a record reply")) // the types always encode
+		return mustEncode(record.Reply{Code: result.MalformedBody, Message: err.Error()})
 	}
-	return b
+	r.mu.Lock()
+	reply := r.state.Apply(c)
+	r.mu.Unlock()
+	return mustEncode(reply)
 }
 
-// Snapshot implements Machine.
-func (r *records) Snapshot() ([]byte, error) {
+// Freeze implements replica.Freezer.
+func (r *records) Freeze() func() []byte {
 	r.mu.RLock()
+	defer r.mu.RUnlock()
 	frozen := r.state.Freeze()
-	r.mu.RUnlock()
-	return frozen.Encode()
+	return func() []byte {
+		b, err := frozen.Encode()
+		if err != nil {
+			panic(err) // the types always encode
+		}
+		return b
+	}
 }
 
-// Restore implements Machine.
+// Snapshot implements replica.StateMachine.
+func (r *records) Snapshot() []byte { return r.Freeze()() }
+
+// Restore implements replica.StateMachine.
 func (r *records) Restore(b []byte) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/modules/control/replica/group.go
+++ b/modules/control/replica/group.go
@@ -291,8 +291,8 @@
 // startSnapshot takes the state in the owner goroutine and writes the file in
 // another, so that the sync of a large file holds up nothing.
 func (g *group) startSnapshot() {
-	data := g.machine.Snapshot()
-	meta, err := g.node.Describe(g.applied, uint64(len(data)))
+	encode := g.freeze()
+	meta, err := g.node.Describe(g.applied, 0)
 	if err != nil {
 		return
 	}
@@ -301,14 +301,26 @@
 	r.wait.Add(1)
 	go func() {
 		defer r.wait.Done()
+		data := encode()
+		meta.Size = uint64(len(data))
 		err := r.wal.WriteSnapshot(g.id, raft.Snapshot{Meta: meta, Data: data})
 		select {
-		case r.inputs <- snapshotWritten{group: g.id, err: err}:
+		case r.inputs <- snapshotWritten{group: g.id, size: meta.Size, err: err}:
 		case <-r.ended:
 		}
 	}()
 }
 
+// freeze captures the state in the owner goroutine and returns what encodes
+// it.
+func (g *group) freeze() func() []byte {
+	if f, ok := g.machine.(Freezer); ok {
+		return f.Freeze()
+	}
+	data := g.machine.Snapshot()
+	return func() []byte { return data }
+}
+
 func (g *group) followersHave(index uint64) bool {
 	for _, p := range g.node.Status().Peers {
 		if p.Active && p.Match < index {
--- a/modules/control/replica/input.go
+++ b/modules/control/replica/input.go
@@ -43,6 +43,7 @@
 
 type snapshotWritten struct {
 	group Group
+	size  uint64
 	err   error
 }
 
@@ -212,6 +213,7 @@
 		return
 	}
 	g.snapshot.written = true
+	g.snapshot.meta.Size = in.size
 	g.snapshot.deadline = r.ticks + compactDelayTicks
 }
 
--- a/modules/control/replica/replica.go
+++ b/modules/control/replica/replica.go
@@ -36,6 +36,10 @@
 	Restore([]byte) error
 }
 
+// Freezer is a StateMachine that can capture its state at once and encode it
+// in another goroutine, so that a large one does not hold up heartbeats.
+type Freezer interface{ Freeze() (encode func() []byte) }
+
 // Peer is a control instance named in the settings.
 type Peer struct {
 	ID raft.MemberID
--- a/modules/control/service.go
+++ b/modules/control/service.go
@@ -8,8 +8,10 @@
 
 	"github.com/go-faster/errors"
 
+	"heatherway.dev/core/quarantine"
 	"heatherway.dev/core/record"
 	"heatherway.dev/core/wire"
+	"heatherway.dev/heatherway/modules/control/replica"
 	"heatherway.dev/kernel/peer"
 	"heatherway.dev/kernel/result"
 )
@@ -27,7 +29,11 @@
 func (c *Control) services(role string) map[string]any {
 	out := map[string]any{wire.ControlService: &service{c: c, forward: true}}
 	if role == roleControl || c.security.Off() {
+		out[leaderService] = &service{c: c}
 		out[membersService] = &memberService{c}
+		if c.replica != nil {
+			out[replica.ServiceName] = c.replica.Service()
+		}
 	}
 	return out
 }
@@ -71,34 +77,51 @@
 
 // Crash takes a report of an upstream's crash.
 func (s *service) Crash(a wire.CrashArgs, r *wire.CrashReply) error {
-	reply, err := s.proposeFleet(fleetCommand{Crash: &a})
-	r.Suspect = withTimeLeft(reply.Suspect, nowMS())
-	return peer.EncodeError(err)
+	cmd := fleetCommand{Quarantine: &quarantine.Command{Crash: &a}}
+	return s.fleetCall("Crash", a, r, cmd, func(reply fleetReply) {
+		r.Suspect = withTimeLeft(reply.Suspect, nowMS())
+	})
 }
 
 // Permit grants or takes back the permit to run a suspect.
 func (s *service) Permit(a wire.PermitArgs, r *wire.PermitReply) error {
-	reply, err := s.proposeFleet(fleetCommand{Permit: &a, NewPermit: wire.NewID()})
-	r.Permit = reply.Permit
-	return peer.EncodeError(err)
+	if a.Done {
+		back := &quarantine.Return{Fingerprint: a.Fingerprint, ID: a.Permit, Finished: a.Finished, NotRun: a.NotRun}
+		cmd := fleetCommand{Quarantine: &quarantine.Command{Return: back}}
+		return s.fleetCall("Permit", a, r, cmd, func(fleetReply) {})
+	}
+	if a.Permit == "" {
+		a.Permit = wire.NewID()
+	}
+	ask := &quarantine.Permit{Fingerprint: a.Fingerprint, ID: a.Permit, Holder: a.Holder, Upstream: a.Upstream}
+	cmd := fleetCommand{Quarantine: &quarantine.Command{Permit: ask}}
+	return s.fleetCall("Permit", a, r, cmd, func(fleetReply) { r.Permit = a.Permit })
 }
 
-func (s *service) proposeFleet(cmd fleetCommand) (fleetReply, error) {
+// fleetCall has the leader of group 0 apply a command and sets the reply.
+func (s *service) fleetCall(method string, args, reply any, cmd fleetCommand, set func(fleetReply)) error {
 	ctx, cancel := s.context()
 	defer cancel()
-	return s.c.proposeFleet(ctx, cmd)
+	return peer.EncodeError(s.atLeader(ctx, fleetGroup, method, args, reply, func(ctx context.Context) error {
+		r, err := s.c.applyFleet(ctx, cmd)
+		if err == nil {
+			set(r)
+		}
+		return err
+	}))
 }
 
-func (c *Control) proposeFleet(ctx context.Context, cmd fleetCommand) (fleetReply, error) {
+// applyFleet applies a command to group 0 on this instance, the leader.
+func (c *Control) applyFleet(ctx context.Context, cmd fleetCommand) (fleetReply, error) {
 	var r fleetReply
 	cmd.AtMS = nowMS()
-	if err := c.propose(ctx, fleetGroup, cmd, &r); err != nil {
+	if err := c.apply(ctx, fleetGroup, cmd, &r); err != nil {
 		return r, err
 	}
 	return r, r.err()
 }
 
-func (c *Control) propose(ctx context.Context, group uint32, cmd, reply any) error {
+func (c *Control) apply(ctx context.Context, group uint32, cmd, reply any) error {
 	data, err := json.Marshal(cmd)
 	if err != nil {
 		return errors.Wrap(err, "encode command")
@@ -113,14 +136,19 @@
 	return nil
 }
 
-// Start claims a key for one attempt.
+// Start claims a key for one attempt. Without an answer the attempt is not run,
+// so its failure is 5033, "not run".
 func (s *service) Start(a wire.StartArgs, r *wire.StartReply) error {
-	cmd := record.Command{Start: &a}
-	if a.Takeover {
-		cmd.Gone = s.goneIncarnation(a.Key)
+	err := s.recordCall("Start", a.Key, a, r, func() record.Command {
+		cmd := record.Command{Start: &a}
+		if a.Takeover {
+			cmd.Gone = s.goneIncarnation(a.Key)
+		}
+		return cmd
+	}, func(reply record.Reply) { r.Granted, r.Record = reply.Granted, reply.Record })
+	if result.Is(err, result.ControlUnavailable) {
+		err = result.Wrap(result.RecordsUnavailable, err, "no claim")
 	}
-	reply, err := s.proposeRecord(a.Key, cmd)
-	r.Granted, r.Record = reply.Granted, reply.Record
 	return peer.EncodeError(err)
 }
 
@@ -141,16 +169,17 @@
 }
 
 // Finish stores the answer of an attempt.
-func (s *service) Finish(a wire.FinishArgs, _ *wire.FinishReply) error {
-	_, err := s.proposeRecord(a.Key, record.Command{Finish: &a})
-	return peer.EncodeError(err)
+func (s *service) Finish(a wire.FinishArgs, r *wire.FinishReply) error {
+	return peer.EncodeError(s.recordCall("Finish", a.Key, a, r, func() record.Command {
+		return record.Command{Finish: &a}
+	}, func(record.Reply) {}))
 }
 
 // Abort makes sure that an attempt never starts.
 func (s *service) Abort(a wire.AbortArgs, r *wire.AbortReply) error {
-	reply, err := s.proposeRecord(a.Key, record.Command{Abort: &a})
-	r.Aborted, r.Record = reply.Aborted, reply.Record
-	return peer.EncodeError(err)
+	return peer.EncodeError(s.recordCall("Abort", a.Key, a, r, func() record.Command {
+		return record.Command{Abort: &a}
+	}, func(reply record.Reply) { r.Aborted, r.Record = reply.Aborted, reply.Record }))
 }
 
 // Lookup reads a record through a quorum.
@@ -158,22 +187,31 @@
 	ctx, cancel := s.context()
 	defer cancel()
 	group := s.c.recordGroup(a.Key)
-	if err := s.c.log.ReadIndex(ctx, group); err != nil {
-		return peer.EncodeError(err)
-	}
-	r.Record = s.c.records[group-1].lookup(a.Key)
-	return nil
+	return peer.EncodeError(s.atLeader(ctx, group, "Lookup", a, r, func(ctx context.Context) error {
+		if err := s.c.log.ReadIndex(ctx, group); err != nil {
+			return err
+		}
+		r.Record = s.c.records[group-1].lookup(a.Key)
+		return nil
+	}))
 }
 
-func (s *service) proposeRecord(key string, cmd record.Command) (record.Reply, error) {
+// recordCall has the leader of a key's group apply a command and sets the
+// reply.
+func (s *service) recordCall(method, key string, args, reply any, command func() record.Command, set func(record.Reply)) error {
 	ctx, cancel := s.context()
 	defer cancel()
-	var r record.Reply
-	cmd.AtMS = nowMS()
-	if err := s.c.propose(ctx, s.c.recordGroup(key), cmd, &r); err != nil {
-		return r, err
-	}
-	return r, refusal{Code: r.Code, Message: r.Message}.err()
+	group := s.c.recordGroup(key)
+	return s.atLeader(ctx, group, method, args, reply, func(ctx context.Context) error {
+		var r record.Reply
+		cmd := command()
+		cmd.AtMS = nowMS()
+		if err := s.c.apply(ctx, group, cmd, &r); err != nil {
+			return err
+		}
+		set(r)
+		return refusal{Code: r.Code, Message: r.Message}.err()
+	})
 }
 
 func withTimeLeft(list []wire.Suspect, now int64) []wire.Suspect {
--- a/modules/control/touch.go
+++ b/modules/control/touch.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"heatherway.dev/kernel/peer"
 	"heatherway.dev/kernel/result"
 )
 
@@ -16,15 +17,58 @@
 	touchLimit = 3 * time.Second
 )
 
+// ReachArgs asks the leader of group 0 for a read through a quorum.
+type ReachArgs struct{}
+
+// ReachReply is what was committed then.
+type ReachReply struct{ Revision, Suspects uint64 }
+
+// Reach reads through a quorum.
+func (s *service) Reach(a ReachArgs, r *ReachReply) error {
+	ctx, cancel := s.context()
+	defer cancel()
+	return peer.EncodeError(s.atLeader(ctx, fleetGroup, "Reach", a, r, func(ctx context.Context) error {
+		if err := s.c.log.ReadIndex(ctx, fleetGroup); err != nil {
+			return err
+		}
+		v := s.c.fleet.view()
+		r.Revision, r.Suspects = v.Doc.Revision, v.Suspects
+		return nil
+	}))
+}
+
+// reachQuorum returns once this instance has applied what was committed when it
+// was called.
+func (c *Control) reachQuorum(ctx context.Context) error {
+	var r ReachReply
+	s := service{c: c, forward: true}
+	err := s.atLeader(ctx, fleetGroup, "Reach", ReachArgs{}, &r, func(ctx context.Context) error {
+		r = ReachReply{}
+		return c.log.ReadIndex(ctx, fleetGroup)
+	})
+	for err == nil {
+		changed, v := c.fleet.changed.wait(), c.fleet.view()
+		if v.Doc.Revision >= r.Revision && v.Suspects >= r.Suspects {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			err = result.New(result.ControlUnavailable, "this control instance is behind revision %d", r.Revision)
+		}
+	}
+	return err
+}
+
 // touch notes when this instance last reached a quorum of the control
 // instances.
 type touch struct{ last atomic.Int64 }
 
-func (t *touch) run(ctx context.Context, log Log) {
+func (t *touch) run(ctx context.Context, reach func(context.Context) error) {
 	tick := time.NewTicker(touchInterval)
 	defer tick.Stop()
 	for {
-		t.try(ctx, log)
+		t.try(ctx, reach)
 		select {
 		case <-ctx.Done():
 			return
@@ -33,11 +77,11 @@
 	}
 }
 
-func (t *touch) try(ctx context.Context, log Log) {
+func (t *touch) try(ctx context.Context, reach func(context.Context) error) {
 	ctx, cancel := context.WithTimeout(ctx, touchTimeout)
 	defer cancel()
 	begin := time.Now()
-	if log.ReadIndex(ctx, fleetGroup) == nil {
+	if reach(ctx) == nil {
 		t.last.Store(begin.UnixNano())
 	}
 }
--- a/modules/control/watch.go
+++ b/modules/control/watch.go
@@ -17,7 +17,9 @@
 // Watch waits for a change of configuration, members or suspects.
 func (s *service) Watch(a wire.WatchArgs, r *wire.WatchReply) error {
 	if a.Fresh {
-		if err := s.readThroughQuorum(); err != nil {
+		ctx, cancel := s.context()
+		defer cancel()
+		if err := s.c.reachQuorum(ctx); err != nil {
 			return peer.EncodeError(err)
 		}
 	}
@@ -29,7 +31,7 @@
 	end := time.NewTimer(limit)
 	defer end.Stop()
 	for {
-		if err := s.c.touch.check(time.Now()); err != nil {
+		if err := s.c.touch.check(time.Now()); err != nil && !a.Fresh {
 			return peer.EncodeError(err)
 		}
 		fleetChanged, membersChanged := s.c.fleet.changed.wait(), s.c.members.changed.wait()
@@ -47,12 +49,6 @@
 	}
 }
 
-func (s *service) readThroughQuorum() error {
-	ctx, cancel := s.context()
-	defer cancel()
-	return s.c.log.ReadIndex(ctx, fleetGroup)
-}
-
 // fill sets what has changed for the caller and tells whether anything has. A
 // version in the answer is never lower than the caller's, even when this
 // instance is behind.
