quarantine, agent, entry: isolate suspects by probation

Cause: one suspect an upstream until it had finished made the requests that shared a crashed batch fail with 5030 and 5037. Change: a suspect is alone among suspects for 4 new tokens; the agent holds the others instead of refusing them; the crash of a suspect in probation blames it alone; suspects are spread by a scorer.

--- a/core/pick/filters.go
+++ b/core/pick/filters.go
@@ -12,7 +12,6 @@
 	RegisterFilter("service", hasService)
 	RegisterFilter("leaving", notLeaving)
 	RegisterFilter("breaker", func(_ *Request, u *Candidate) bool { return u.Ready })
-	RegisterFilter("suspect", isolated)
 	RegisterFilter("tried", func(r *Request, u *Candidate) bool { return !slices.Contains(r.Tried, u.ID) })
 }
 
@@ -33,6 +32,3 @@
 func notLeaving(_ *Request, u *Candidate) bool {
 	return u.State == wire.UpstreamUp && !u.Load.Leaving
 }
-
-// isolated keeps two suspects apart, so that a crash names only one of them.
-func isolated(r *Request, u *Candidate) bool { return !r.Suspect || u.Suspects == 0 }
--- a/core/pick/registry.go
+++ b/core/pick/registry.go
@@ -71,14 +71,14 @@
 // AllFilters returns the names of the filters that every policy needs for
 // correctness.
 func AllFilters() []string {
-	return []string{"model", "adapter", "service", "leaving", "breaker", "suspect", "tried"}
+	return []string{"model", "adapter", "service", "leaving", "breaker", "tried"}
 }
 
 // DefaultPolicy returns the policy of the entry role.
 func DefaultPolicy() Policy {
 	return Policy{
 		Filters: AllFilters(),
-		Scorers: []Weighted{{"wait", 1}, {"prefix", 1}, {"zone", 1}},
+		Scorers: []Weighted{{"wait", 1}, {"prefix", 1}, {"zone", 1}, {"suspects", 1}},
 		Picker:  "best-of-two",
 	}
 }
--- a/core/pick/scorers.go
+++ b/core/pick/scorers.go
@@ -21,12 +21,16 @@
 	// otherZoneMS and otherRegionMS are round trips.
 	otherZoneMS   = 2.0
 	otherRegionMS = 30.0
+	// probationMS is about the time of one suspect's probation: a prefill and
+	// four tokens. An agent runs suspects one after the other.
+	probationMS = 200.0
 )
 
 func init() {
 	RegisterScorer("wait", expectedWait)
 	RegisterScorer("prefix", missingPrefix)
 	RegisterScorer("zone", distance)
+	RegisterScorer("suspects", probations)
 }
 
 // expectedWait corrects the last report by its age and by the own requests sent
@@ -67,6 +71,15 @@
 	return blockMS * float64(len(r.Blocks)-u.Cached)
 }
 
+// probations spreads the suspects of a crash over upstreams, so that they run
+// sooner and a further crash names fewer of them.
+func probations(r *Request, u *Candidate) float64 {
+	if !r.Suspect {
+		return 0
+	}
+	return probationMS * float64(u.Suspects)
+}
+
 func distance(r *Request, u *Candidate) float64 {
 	switch {
 	case u.Region != r.Region:
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -2,10 +2,12 @@
 // machine of log group 0: every command carries its time, so every replica
 // comes to the same state.
 //
-// A request that was running when an upstream crashed becomes a suspect. From
-// then on it runs only with a permit, one run at a time in the fleet and one
-// suspect at a time on an upstream. A suspect that finishes is cleared; one
-// that is in another crash is quarantined for a time.
+// A request that was running when an upstream crashed becomes a suspect. It
+// runs again in probation, with a permit: one probation of the request at a
+// time in the fleet, and one suspect in probation on an upstream. A suspect
+// that is in probation when its upstream crashes is quarantined for a time. One
+// that passes its probation stays a suspect until it finishes, but is not
+// blamed for a crash while another suspect is in probation beside it.
 package quarantine
 
 import (
@@ -21,12 +23,13 @@
 	DefaultPeriod = 10 * time.Minute
 	// MaxPeriod bounds the length, which doubles on each return.
 	MaxPeriod = time.Hour
-	// PermitTime is how long a permit lasts. The agent ends the run by then, so
-	// that no run outlives its permit.
-	PermitTime = 15 * time.Minute
-	// ReportGrace is how long after the end of a permit, without a finished
-	// run, no other is given: the report of a crash may still be on its way.
-	ReportGrace = 10 * time.Second
+	// PermitTime is how long a permit lasts: the wait for the probation of other
+	// suspects and the own probation. A holder that is lost gives none back.
+	PermitTime = time.Minute
+	// ReportGrace is how long after the end of a permit that was given back
+	// without an outcome no other is given: the report of a crash may still be
+	// on its way. Agents report within a second.
+	ReportGrace = 2 * time.Second
 	// SuspectTime is how long a suspect is remembered without another crash.
 	SuspectTime = 2 * time.Hour
 	// ClearedTime is how long a cleared request is remembered, so that a late
@@ -98,9 +101,11 @@
 type Return struct {
 	Fingerprint string  `json:"fingerprint"`
 	ID          wire.ID `json:"id"`
-	// Finished tells that the run ended without a crash, and NotRun that it
-	// never began. Without either, a crash may still be reported.
+	// Finished tells that the run ended without a crash, Passed that it goes on
+	// after its probation, and NotRun that it never began. Without any of them,
+	// a crash may still be reported.
 	Finished bool `json:"finished,omitempty"`
+	Passed   bool `json:"passed,omitempty"`
 	NotRun   bool `json:"not_run,omitempty"`
 }
 
@@ -134,6 +139,9 @@
 	// towards the next quarantine.
 	Crashes uint32 `json:"crashes"`
 	Strikes uint32 `json:"strikes"`
+	// Shared is the number of crashes that more than one suspect may have
+	// caused.
+	Shared uint32 `json:"shared,omitempty"`
 	// Counted are the crashes that have been counted, newest last.
 	Counted []crashKey `json:"counted,omitempty"`
 	// Returns is the number of quarantines so far.
--- a/core/quarantine/state.go
+++ b/core/quarantine/state.go
@@ -56,9 +56,9 @@
 	if len(a.Fingerprints) > MaxReported {
 		return Answer{Err: result.New(result.InvalidField, "%d fingerprints in one report, at most %d", len(a.Fingerprints), MaxReported)}
 	}
-	key := crashKey{a.Upstream, a.Incarnation, a.CrashNumber}
+	c := crash{key: crashKey{a.Upstream, a.Incarnation, a.CrashNumber}, blamed: s.blamed(a), probation: a.Probation}
 	for _, f := range a.Fingerprints {
-		s.count(rule, key, f)
+		s.count(rule, c, f)
 	}
 	s.bound()
 	var out []wire.Suspect
@@ -70,24 +70,74 @@
 	return Answer{Suspects: out}
 }
 
+// crash is one report while it is being counted.
+type crash struct {
+	key crashKey
+	// blamed is the request found to be at fault, and probation the one that
+	// was in probation; empty without one.
+	blamed    string
+	probation string
+}
+
+// blamed finds the request that caused a crash among the suspects that were
+// running: the one in probation, or the only one that was in most crashes of
+// unknown cause. A report by an entry, whose agent is gone, names one request
+// only, so it says nothing about those beside it.
+func (s *State) blamed(a wire.CrashArgs) string {
+	if a.Probation != "" {
+		return a.Probation
+	}
+	if a.CrashNumber == wire.CrashOfAgent {
+		return ""
+	}
+	best, most, alone := "", uint32(0), false
+	for _, f := range a.Fingerprints {
+		r := s.records[f]
+		if r == nil || r.Cleared || r.Strikes == 0 {
+			continue
+		}
+		rank := r.Shared + 1
+		switch {
+		case rank > most:
+			best, most, alone = f, rank, true
+		case rank == most:
+			alone = false
+		}
+	}
+	if !alone {
+		return ""
+	}
+	return best
+}
+
 // count counts a crash once for each request that was running.
-func (s *State) count(rule Rule, key crashKey, fingerprint string) {
+func (s *State) count(rule Rule, c crash, fingerprint string) {
 	r := s.records[fingerprint]
 	if r == nil {
 		r = &record{Fingerprint: fingerprint}
 		s.records[fingerprint] = r
 	}
-	if r.has(key) {
+	if r.has(c.key) {
 		return
 	}
 	s.version++
-	if r.Run != nil && r.Run.Upstream == key.Upstream {
+	if r.Run != nil && fingerprint == c.probation {
 		s.end(r, s.clock)
 	}
-	r.Counted = append(r.Counted, key)
+	r.Counted = append(r.Counted, c.key)
 	if extra := len(r.Counted) - maxCounted; extra > 0 {
 		r.Counted = slices.Delete(r.Counted, 0, extra)
 	}
+	switch {
+	case r.Cleared || r.Strikes == 0 || fingerprint == c.blamed:
+		s.strike(rule, r)
+	case c.blamed == "":
+		r.Shared++
+	}
+}
+
+// strike counts a crash towards quarantine.
+func (s *State) strike(rule Rule, r *record) {
 	r.Cleared = false
 	r.Crashes++
 	r.Strikes++
@@ -144,13 +194,20 @@
 
 func (s *State) giveBack(b Return) Answer {
 	r := s.records[b.Fingerprint]
-	if r == nil || r.Run == nil || r.Run.ID != b.ID {
-		return Answer{} // repeated, or ended by a crash report
+	if r == nil {
+		return Answer{}
+	}
+	if r.Run == nil || r.Run.ID != b.ID {
+		// Repeated, ended by a crash report, or finished after its probation.
+		if b.Finished && r.Spent == b.ID && r.Run == nil && !r.quarantined(s.clock) && !r.Cleared {
+			s.clear(r)
+		}
+		return Answer{}
 	}
 	switch {
 	case b.Finished && !r.quarantined(s.clock):
 		s.clear(r)
-	case b.Finished || b.NotRun:
+	case b.Finished || b.NotRun || b.Passed:
 		s.end(r, s.clock)
 	default:
 		s.end(r, s.clock+ReportGrace.Milliseconds())
--- a/core/stream/stream.go
+++ b/core/stream/stream.go
@@ -333,7 +333,7 @@
 	switch c {
 	case result.UpstreamFailed, result.UpstreamStalled, result.UpstreamMalformed, result.UpstreamNotReachable,
 		result.Internal, result.Leaving, result.NoUpstream, result.QueueFull, result.DeadlineUnreachable,
-		result.ConfigurationBehind, result.GenerationNotHeld, result.ModelUnknown:
+		result.ConfigurationBehind, result.GenerationNotHeld, result.ModelUnknown, result.SuspectBusy:
 		return false
 	}
 	return true
--- a/core/wire/rpc.go
+++ b/core/wire/rpc.go
@@ -210,6 +210,8 @@
 	Incarnation  Incarnation
 	CrashNumber  uint64
 	Fingerprints []string
+	// Probation is the one of them that was in probation; empty without one.
+	Probation string
 }
 
 // CrashReply gives the state of the reported fingerprints.
@@ -230,8 +232,21 @@
 	Done     bool
 	Finished bool
 	NotRun   bool
+	// Passed gives the permit back after the probation while the run goes on.
+	// Finished may follow under the same permit.
+	Passed bool
 }
 
+// ProbationTokens is how many new tokens a suspect must produce to pass its
+// probation. A request that crashes its upstream at a given token does so again
+// at the first token behind the delivered prefix; the others allow for tokens
+// that were decoded and not delivered.
+const ProbationTokens = 4
+
+// PermitUnavailable stands for a permit while no control instance answers. The
+// agent still isolates the suspect.
+const PermitUnavailable ID = "unavailable"
+
 // PermitReply carries the permit; its absence comes as a result code.
 type PermitReply struct{ Permit ID }
 
--- a/modules/agent/generation.go
+++ b/modules/agent/generation.go
@@ -104,12 +104,12 @@
 func (o *owner) launch(now time.Time, g *generation) {
 	ctx, cancel := context.WithCancelCause(o.a.base)
 	g.cancel = cancel
-	t := &task{fingerprint: g.request.Fingerprint, verdict: make(chan verdict, 1)}
+	t := &task{fingerprint: g.request.Fingerprint, verdict: make(chan verdict, 1), suspect: g.request.Permit != ""}
 	run := &run{a: o.a, g: g, t: t, ctx: ctx}
 	t.preempt = run.preempt
 	o.a.work.Add(1)
 	go run.loop()
-	o.admit(now, t, admission.Request{
+	o.enqueue(now, t, admission.Request{
 		Class: g.request.Class, Organisation: g.request.Organisation, Weight: g.request.Weight,
 		Cost: expectedTokens, StartBy: startBy(now, g.request.FirstTokenMS), Preemptible: true,
 	})
--- a/modules/agent/owner.go
+++ b/modules/agent/owner.go
@@ -44,6 +44,7 @@
 	seen        uint64    // the newest revision heard of
 	behindSince time.Time // since when seen is ahead of revision
 	suspects    map[string]wire.Suspect
+	probation   probation
 	nextSweep   time.Time
 	dirty       bool
 }
@@ -141,6 +142,8 @@
 	// preempt stops the run of a preemptible task.
 	preempt func()
 	running bool
+	// suspect is set for a task that starts in probation.
+	suspect bool
 }
 
 // verdict is nil when the task may run.
@@ -156,6 +159,7 @@
 }
 
 func (o *owner) decide(list []admission.Decision) {
+	var refused []*task
 	for _, d := range list {
 		t := o.tasks[d.ID]
 		switch d.Action {
@@ -164,6 +168,7 @@
 			t.verdict <- nil
 		case admission.Refuse:
 			delete(o.tasks, d.ID)
+			refused = append(refused, t)
 			o.a.metrics.refused.Inc()
 			t.verdict <- result.New(d.Code, "the upstream's queue does not take the request").After(d.RetryAfter)
 		case admission.Preempt:
@@ -172,6 +177,9 @@
 		}
 		o.dirty = true
 	}
+	for _, t := range refused {
+		o.endProbation(time.Now(), t)
+	}
 }
 
 // takesWork returns why no new work is taken, or nil.
@@ -210,11 +218,6 @@
 	case permit == "":
 		return result.New(result.SuspectBusy, "the request is suspected of a crash and has no permit")
 	}
-	for _, t := range o.tasks {
-		if _, other := o.suspects[t.fingerprint]; other {
-			return result.New(result.SuspectBusy, "another suspect is on this upstream")
-		}
-	}
 	return nil
 }
 
@@ -227,6 +230,7 @@
 func (e taskDone) apply(o *owner, now time.Time) {
 	delete(o.tasks, e.t.id)
 	o.decide(o.queue.Finish(now, e.t.id, e.tokens))
+	o.endProbation(now, e.t)
 	o.dirty = true
 }
 
@@ -235,12 +239,14 @@
 
 func (e taskCancelled) apply(o *owner, now time.Time) {
 	if o.tasks[e.t.id] != e.t {
+		o.endProbation(now, e.t)
 		return
 	}
 	if !o.queue.Cancel(now, e.t.id) {
 		o.decide(o.queue.Finish(now, e.t.id, 0))
 	}
 	delete(o.tasks, e.t.id)
+	o.endProbation(now, e.t)
 	o.dirty = true
 }
 
--- /dev/null
+++ b/modules/agent/probation.go
@@ -0,0 +1,54 @@
+package agent
+
+import (
+	"slices"
+	"time"
+
+	"heatherway.dev/core/admission"
+)
+
+// probation isolates the suspects of crashes: one of them at a time is in
+// probation, the others wait in order of arrival before they enter the queue.
+type probation struct {
+	current *task
+	waiting []heldTask
+}
+
+type heldTask struct {
+	t *task
+	r admission.Request
+}
+
+// enqueue admits a task, or holds it until the probation of another ends.
+func (o *owner) enqueue(now time.Time, t *task, r admission.Request) {
+	if !t.suspect {
+		o.admit(now, t, r)
+		return
+	}
+	if o.probation.current != nil {
+		o.probation.waiting = append(o.probation.waiting, heldTask{t, r})
+		return
+	}
+	o.probation.current = t
+	o.admit(now, t, r)
+}
+
+// endProbation lets the next suspect in when t was in probation.
+func (o *owner) endProbation(now time.Time, t *task) {
+	if o.probation.current != t {
+		o.probation.waiting = slices.DeleteFunc(o.probation.waiting, func(h heldTask) bool { return h.t == t })
+		return
+	}
+	o.probation.current = nil
+	if len(o.probation.waiting) == 0 {
+		return
+	}
+	next := o.probation.waiting[0]
+	o.probation.waiting = o.probation.waiting[1:]
+	o.enqueue(now, next.t, next.r)
+}
+
+// probationPassed tells that a suspect has produced enough tokens.
+type probationPassed struct{ t *task }
+
+func (e probationPassed) apply(o *owner, now time.Time) { o.endProbation(now, e.t) }
--- a/modules/agent/rpc.go
+++ b/modules/agent/rpc.go
@@ -98,7 +98,7 @@
 
 // admitCall waits for a slot.
 func (a *Agent) admitCall(ctx context.Context, args *wire.CallArgs) (*task, error) {
-	ev := callEvent{args: args, t: &task{fingerprint: args.Fingerprint, verdict: make(chan verdict, 1)}}
+	ev := callEvent{args: args, t: &task{fingerprint: args.Fingerprint, verdict: make(chan verdict, 1), suspect: args.Permit != ""}}
 	if !a.post(ev) {
 		return nil, result.New(result.Leaving, "the agent has stopped")
 	}
@@ -125,7 +125,7 @@
 		e.t.verdict <- result.From(err)
 		return
 	}
-	o.admit(now, e.t, admission.Request{
+	o.enqueue(now, e.t, admission.Request{
 		Class: e.args.Class, Organisation: e.args.Organisation, Weight: e.args.Weight,
 		Cost: callCost, StartBy: startBy(now, e.args.DeadlineMS),
 	})
--- a/modules/agent/run.go
+++ b/modules/agent/run.go
@@ -19,6 +19,8 @@
 	g   *generation
 	t   *task
 	ctx context.Context
+	// passed is set once a suspect's probation is over.
+	passed bool
 
 	mu   sync.Mutex
 	stop context.CancelCauseFunc // of the current run on the engine
@@ -99,6 +101,7 @@
 	finish := ""
 	err := engine.Generate(ctx, r.g.job(), func(ev adapter.Event) error {
 		*tokens += uint64(ev.Tokens)
+		r.passProbation(*tokens)
 		r.a.metrics.tokens.Add(int64(ev.Tokens))
 		if ev.Finish != "" {
 			finish = ev.Finish
@@ -111,6 +114,15 @@
 	return err
 }
 
+// passProbation lets the next suspect run once this one has proved harmless.
+func (r *run) passProbation(tokens uint64) {
+	if !r.t.suspect || r.passed || tokens < wire.ProbationTokens {
+		return
+	}
+	r.passed = true
+	r.a.post(probationPassed{r.t})
+}
+
 // cause returns why a context has ended as an error for the entry.
 func (r *run) cause(ctx context.Context) error {
 	err := context.Cause(ctx)
--- a/modules/control/service.go
+++ b/modules/control/service.go
@@ -86,7 +86,7 @@
 // Permit grants or takes back the permit to run a suspect.
 func (s *service) Permit(a wire.PermitArgs, r *wire.PermitReply) error {
 	if a.Done {
-		back := &quarantine.Return{Fingerprint: a.Fingerprint, ID: a.Permit, Finished: a.Finished, NotRun: a.NotRun}
+		back := &quarantine.Return{Fingerprint: a.Fingerprint, ID: a.Permit, Finished: a.Finished, NotRun: a.NotRun, Passed: a.Passed}
 		cmd := fleetCommand{Quarantine: &quarantine.Command{Return: back}}
 		return s.fleetCall("Permit", a, r, cmd, func(fleetReply) {})
 	}
--- a/modules/entry/attempt.go
+++ b/modules/entry/attempt.go
@@ -48,7 +48,7 @@
 // attempts repeats a call that was certainly not run, or that may run more
 // than once, on other upstreams within the retry budget.
 func (m *Module) attempts(ctx context.Context, k *call, permit wire.ID, once tryFunc) (reply *wire.CallReply, err *result.Error) {
-	defer func() { m.giveBackPermit(k.request, permit, err == nil) }()
+	defer func() { m.giveBackPermit(k.request, permit, endOfCall(err)) }()
 	most := int(k.snap.doc.Int("retry.attempts", config.Scope{}, k.begun))
 	var last *result.Error
 	for p := firstAttempt; ; p = retryAttempt {
@@ -71,12 +71,23 @@
 			if refused != nil {
 				return nil, refused.WithRan(err.Ran)
 			}
-			m.giveBackPermit(k.request, permit, false)
+			m.giveBackPermit(k.request, permit, permitLost)
 			permit = id
 		}
 	}
 }
 
+func endOfCall(err *result.Error) permitEnd {
+	switch {
+	case err == nil:
+		return permitFinished
+	case err.Ran == result.NotRun:
+		return permitUnused
+	default:
+		return permitLost
+	}
+}
+
 func (k *call) failure(err *result.Error, most int) retry.Failure {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/modules/entry/connection.go
+++ b/modules/entry/connection.go
@@ -52,6 +52,8 @@
 	// over is set once the last frame has arrived; the connection then goes
 	// back to the pool instead of being closed.
 	over atomic.Bool
+	// passed is set once a suspect has ended its probation on this connection.
+	passed atomic.Bool
 }
 
 // close ends the connection unless its last frame has arrived.
@@ -191,7 +193,7 @@
 	}
 	e := result.Wrap(result.UpstreamFailed, err, "the connection to the agent broke").WithRan(result.Unknown)
 	if c.ran && c.d.m.agentGone(c.ticket.upstream.Addr) {
-		c.d.m.reportCrash(c.d.ctx, c.d.r, &c.ticket.upstream)
+		c.d.m.reportCrash(c.d.ctx, c.d.r, &c.ticket.upstream, c.request.Permit != "" && !c.passed.Load())
 		e.Ran = result.DidRun
 	}
 	return e
--- a/modules/entry/driver.go
+++ b/modules/entry/driver.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -42,9 +43,13 @@
 	blocks  []uint64
 	timer   *time.Timer
 	// permit is held while a suspect runs; crashes counts the attempts that
-	// ended in what looks like a crash.
-	permit  wire.ID
-	crashes int
+	// ended in what looks like a crash. permitFrom is the count of tokens
+	// delivered when the permit was given, and passed the permit of an ended
+	// probation.
+	permit     wire.ID
+	permitFrom uint64
+	passed     wire.ID
+	crashes    int
 
 	outcome    *stream.Outcome
 	lastWrite  time.Time
@@ -180,8 +185,8 @@
 
 func (d *driver) take(s signal) {
 	now := time.Now()
-	if s.permit != "" {
-		d.permit = s.permit
+	if s.permit != "" && s.permit != d.permit {
+		d.permit, d.permitFrom = s.permit, d.asm.Delivered()
 	}
 	if s.agent != "" {
 		d.asm.Chosen(s.conn, s.agent)
@@ -215,6 +220,7 @@
 	deliver, acts := d.asm.Frame(now, conn, f)
 	if deliver {
 		d.deliver(now, f)
+		d.passProbation(conn)
 	}
 	d.execute(acts)
 }
@@ -304,11 +310,36 @@
 	}
 	d.end()
 	d.timer.Stop()
-	d.m.giveBackPermit(d.r, d.permit, d.outcome.Err == nil)
+	d.endPermit()
 	d.m.settle(d.r, d.outcome)
 	d.m.finish(d.r, d.summary())
 }
 
+// endPermit gives the permit of a suspect back. A suspect that has ended well
+// is cleared, also if its probation was over before.
+func (d *driver) endPermit() {
+	switch {
+	case d.outcome.Err == nil:
+		d.m.giveBackPermit(d.r, cmp.Or(d.permit, d.passed), permitFinished)
+	case d.asm.Delivered() == d.permitFrom && !crashed(d.outcome.Err):
+		d.m.giveBackPermit(d.r, d.permit, permitUnused)
+	default:
+		d.m.giveBackPermit(d.r, d.permit, permitLost)
+	}
+}
+
+// passProbation gives the permit back once a suspect has proved harmless.
+func (d *driver) passProbation(conn int) {
+	if d.permit == "" || d.asm.Delivered() < d.permitFrom+wire.ProbationTokens {
+		return
+	}
+	if c, ok := d.conns[conn]; ok {
+		c.passed.Store(true)
+	}
+	d.m.giveBackPermit(d.r, d.permit, permitPassed)
+	d.permit, d.passed = "", d.permit
+}
+
 func (d *driver) summary() summary {
 	o := d.outcome
 	return summary{
--- a/modules/entry/suspect.go
+++ b/modules/entry/suspect.go
@@ -13,11 +13,15 @@
 
 // Patience with permits.
 const (
-	// permitLimit bounds the wait for a permit; a suspect that runs elsewhere
-	// may take minutes, so the caller is told to come back.
-	permitLimit = time.Second
+	// permitLimit bounds the wait for a permit. Another run of the same request
+	// holds it for a probation, and control learns of the end of a run that
+	// crashed from the agent.
+	permitLimit = 5 * time.Second
 	// permitPause separates two requests for a permit.
-	permitPause = 100 * time.Millisecond
+	permitPause = 50 * time.Millisecond
+	// unreachableLimit is how long control may give no answer before a suspect
+	// runs without a permit.
+	unreachableLimit = 500 * time.Millisecond
 	// gonePatience bounds the check whether an agent is gone. A process that
 	// has ended refuses at once.
 	gonePatience = 50 * time.Millisecond
@@ -47,28 +51,50 @@
 	defer cancel()
 	args := wire.PermitArgs{Fingerprint: r.fingerprint, Holder: m.instance.ID + "/" + r.id}
 	for {
-		var reply wire.PermitReply
-		err := m.control(ctx, "Permit", &args, &reply)
-		if err == nil {
-			return reply.Permit, nil
-		}
-		e := result.From(err)
-		if e.Code != result.SuspectBusy || ctx.Err() != nil {
-			return "", e
+		id, err := m.askPermit(ctx, &args)
+		if err == nil || err.Code != result.SuspectBusy {
+			return id, err
 		}
 		wait(ctx, permitPause)
 		if ctx.Err() != nil {
-			return "", e
+			return "", err
 		}
 	}
 }
 
-// giveBackPermit returns a permit. Finished clears the suspect.
-func (m *Module) giveBackPermit(r *request, id wire.ID, finished bool) {
-	if id == "" {
+func (m *Module) askPermit(ctx context.Context, args *wire.PermitArgs) (wire.ID, *result.Error) {
+	ctx, cancel := context.WithTimeout(ctx, unreachableLimit)
+	defer cancel()
+	var reply wire.PermitReply
+	err := m.control(ctx, "Permit", args, &reply)
+	if err == nil {
+		return reply.Permit, nil
+	}
+	if ctx.Err() != nil {
+		return "", result.Wrap(result.ControlUnavailable, err, "no control instance gave a permit").WithRan(result.NotRun)
+	}
+	return "", result.From(err)
+}
+
+// permitEnd tells how the use of a permit has ended.
+type permitEnd uint8
+
+const (
+	permitLost     permitEnd = iota // the run failed; a crash may be reported
+	permitUnused                    // the run never began
+	permitPassed                    // the run goes on after its probation
+	permitFinished                  // the run has ended well
+)
+
+// giveBackPermit returns a permit.
+func (m *Module) giveBackPermit(r *request, id wire.ID, end permitEnd) {
+	if id == "" || id == wire.PermitUnavailable {
 		return
 	}
-	args := wire.PermitArgs{Fingerprint: r.fingerprint, Holder: m.instance.ID + "/" + r.id, Permit: id, Done: true, Finished: finished}
+	args := wire.PermitArgs{
+		Fingerprint: r.fingerprint, Holder: m.instance.ID + "/" + r.id, Permit: id, Done: true,
+		Finished: end == permitFinished, NotRun: end == permitUnused, Passed: end == permitPassed,
+	}
 	m.spawn(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), controlTry)
 		defer cancel()
@@ -92,11 +118,14 @@
 
 // reportCrash tells control that a request was running when its agent ended.
 // An agent that lives reports the crashes of its engine itself.
-func (m *Module) reportCrash(ctx context.Context, r *request, u *wire.Upstream) {
+func (m *Module) reportCrash(ctx context.Context, r *request, u *wire.Upstream, probation bool) {
 	args := wire.CrashArgs{
 		Reporter: m.instance.ID, Upstream: u.ID, Incarnation: u.Incarnation,
 		CrashNumber: wire.CrashOfAgent, Fingerprints: []string{r.fingerprint},
 	}
+	if probation {
+		args.Probation = r.fingerprint
+	}
 	ctx, cancel := context.WithTimeout(ctx, controlTry)
 	defer cancel()
 	if err := m.control(ctx, "Crash", &args, &wire.CrashReply{}); err != nil {
@@ -117,12 +146,16 @@
 	if held != "" && !crashed(cause) {
 		return held, nil
 	}
-	if !crashed(cause) && !m.suspected(r) {
+	if !crashed(cause) && !suspectedByAgent(cause) && !m.suspected(r) {
 		return "", nil
 	}
 	id, err := m.permit(ctx, r)
-	if err != nil && err.Code == result.ControlUnavailable && crashes == 1 {
-		return "", nil
+	if err != nil && err.Code == result.ControlUnavailable && crashes <= 1 {
+		return wire.PermitUnavailable, nil
 	}
 	return id, err
 }
+
+// suspectedByAgent tells whether an agent refused the request since it knew of
+// the suspicion before this entry.
+func suspectedByAgent(e *result.Error) bool { return e != nil && e.Code == result.SuspectBusy }
