entry: put suspects in probation, keep asking when agents refuse a resume

Ruled out: a longer list of attempts, which refusals use up as fast. Change: permits are given back as passed after 4 new tokens (wire.PermitArgs.Passed); without an answer of control within 500 ms a suspect runs without one; refusals of a started generation count by time (10 s), not as attempts; a resume prefers upstreams that have not failed it for 500 ms.

--- a/core/stream/resume_test.go
+++ b/core/stream/resume_test.go
@@ -125,3 +125,22 @@
 	assert.Assert(t, deliver)
 	assert.Equal(t, a.Attempt(), uint32(4))
 }
+
+// Guards a started generation against agents that refuse it for a while: it
+// goes on asking, and gives up in the end.
+func TestRefusalsDoNotUseUpAttempts(t *testing.T) {
+	a := streaming(t)
+	acts := a.Lost(start, 1, true, result.New(result.UpstreamFailed, "reset"))
+	refuse := func(at time.Time) []Action {
+		conn := acts[len(acts)-1].Conn
+		_, acts := a.Frame(at, conn, &wire.Frame{Kind: wire.FrameFail, Attempt: a.Attempt(), Code: result.QueueFull, Ran: result.NotRun})
+		return acts
+	}
+	for range 20 {
+		acts = refuse(start)
+		assert.Equal(t, acts[len(acts)-1].Kind, Open)
+	}
+	acts = refuse(start.Add(RefusalLimit))
+	assert.Equal(t, acts[len(acts)-1].Outcome.Err.Code, result.QueueFull)
+	assert.Equal(t, acts[len(acts)-1].Outcome.Err.Ran, result.DidRun)
+}
--- a/core/stream/stream.go
+++ b/core/stream/stream.go
@@ -21,6 +21,10 @@
 	// AttachLimit bounds the time until a new connection to a silent agent
 	// carries its first frame.
 	AttachLimit = 250 * time.Millisecond
+	// RefusalLimit is how long a generation that has started goes on asking
+	// agents that refuse it, such as during a flood. Refusals do not count as
+	// attempts, since they take no time and the text would be lost.
+	RefusalLimit = 10 * time.Second
 )
 
 // Settings bound one answer.
@@ -109,6 +113,9 @@
 	// unsure is set when an earlier attempt may have run.
 	unsure   bool
 	opens    int
+	refusals int
+	// refused is when the first of the latest refusals came, zero without one.
+	refused  time.Time
 	attaches int
 	prompt   uint32
 	cached   uint32
@@ -266,7 +273,7 @@
 }
 
 func (a *Assembler) began(f *wire.Frame) {
-	a.started = true
+	a.started, a.refused = true, time.Time{}
 	if f.PromptTokens > 0 {
 		a.prompt, a.cached = f.PromptTokens, f.CachedTokens
 	}
@@ -301,8 +308,11 @@
 
 // fail acts on the agent's report that the attempt has ended.
 func (a *Assembler) fail(now time.Time, f *wire.Frame) []Action {
-	err := result.New(f.Code, "%s", f.Code.Info().Meaning).WithRan(f.Ran).
-		After(time.Duration(f.RetryMS) * time.Millisecond)
+	message := f.Finish
+	if message == "" {
+		message = f.Code.Info().Meaning
+	}
+	err := result.New(f.Code, "%s", message).WithRan(f.Ran).After(time.Duration(f.RetryMS) * time.Millisecond)
 	if f.Ran == result.DidRun {
 		a.started = true
 	}
@@ -322,7 +332,7 @@
 	switch c {
 	case result.UpstreamFailed, result.UpstreamStalled, result.UpstreamMalformed, result.UpstreamNotReachable,
 		result.Internal, result.Leaving, result.NoUpstream, result.QueueFull, result.DeadlineUnreachable,
-		result.ConfigurationBehind, result.GenerationNotHeld, result.ModelUnknown:
+		result.ConfigurationBehind, result.GenerationNotHeld, result.ModelUnknown, result.SuspectBusy:
 		return false
 	}
 	return true
@@ -356,12 +366,24 @@
 	if !a.hasText {
 		return append(acts, a.lost(err)...)
 	}
-	if a.opens >= a.limit() {
+	if a.exhausted(now, err) {
 		return append(acts, a.giveUpWith(err, false)...)
 	}
 	return append(acts, a.open(now, err)...)
 }
 
+// exhausted tells whether a failure was that of the last attempt.
+func (a *Assembler) exhausted(now time.Time, err *result.Error) bool {
+	if !a.started || err.Ran != result.NotRun {
+		return a.opens-a.refusals >= a.limit()
+	}
+	a.refusals++
+	if a.refused.IsZero() {
+		a.refused = now
+	}
+	return now.Sub(a.refused) >= RefusalLimit
+}
+
 func (a *Assembler) lost(err *result.Error) []Action {
 	e := result.Wrap(result.GenerationLost, err, "the text delivered so far is held nowhere any more")
 	return []Action{a.finish(Outcome{Err: e})}
--- a/core/wire/rpc.go
+++ b/core/wire/rpc.go
@@ -216,12 +216,15 @@
 type CrashReply struct{ Suspect []Suspect }
 
 // PermitArgs asks to run a suspect again, or gives the permit back when Done
-// is set; Finished then tells that the request ended without a crash.
+// is set. Passed then tells that the probation is over while the request goes
+// on, and Finished that the request has ended without a crash; the latter
+// follows a Passed with the same Permit.
 type PermitArgs struct {
 	Fingerprint string
 	Holder      string
 	Permit      ID
 	Done        bool
+	Passed      bool
 	Finished    bool
 }
 
--- a/modules/entry/attempt.go
+++ b/modules/entry/attempt.go
@@ -29,7 +29,7 @@
 func (m *Module) run(ctx context.Context, k *call) (*wire.CallReply, *result.Error) {
 	ctx, cancel := context.WithDeadline(ctx, k.deadline)
 	defer cancel()
-	permit, err := m.clear(ctx, k.request, "", nil, 0)
+	permit, err := m.clear(ctx, k.request, "", nil, false)
 	if err != nil {
 		if err.Code != result.Quarantined {
 			err.Ran = result.NotRun // nothing has been sent
@@ -48,7 +48,7 @@
 // attempts repeats a call that was certainly not run, or that may run more
 // than once, on other upstreams within the retry budget.
 func (m *Module) attempts(ctx context.Context, k *call, permit wire.ID, once tryFunc) (reply *wire.CallReply, err *result.Error) {
-	defer func() { m.giveBackPermit(k.request, permit, err == nil) }()
+	defer func() { m.givePermitBack(k.request, permit, false, err == nil) }()
 	most := int(k.snap.doc.Int("retry.attempts", config.Scope{}, k.begun))
 	var last *result.Error
 	for p := firstAttempt; ; p = retryAttempt {
@@ -67,11 +67,10 @@
 			return nil, err
 		}
 		if crashed(err) {
-			id, refused := m.permit(ctx, k.request)
+			id, refused := m.permit(ctx, k.request, busyLimit)
 			if refused != nil {
 				return nil, refused.WithRan(err.Ran)
 			}
-			m.giveBackPermit(k.request, permit, false)
 			permit = id
 		}
 	}
@@ -92,10 +91,10 @@
 	return summary{upstream: k.upstream, attempts: k.attempts, err: err}
 }
 
-func (k *call) want(zone, region string, suspect bool) pick.Request {
+func (k *call) want(zone, region string) pick.Request {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return pick.Request{Service: k.service, Class: k.class, Suspect: suspect, Tried: slices.Clone(k.tried), Zone: zone, Region: region}
+	return pick.Request{Service: k.service, Class: k.class, Tried: slices.Clone(k.tried), Zone: zone, Region: region}
 }
 
 // begin counts an attempt.
@@ -118,7 +117,7 @@
 // send makes one attempt on an agent of the owner's choice. Nothing is sent
 // before the returned channel exists.
 func (m *Module) send(ctx context.Context, k *call, p purpose, permit wire.ID, attempt wire.ID, issued time.Time) (<-chan answered, *result.Error) {
-	got := m.owner.choose(ctx, choose{request: k.want(m.instance.Zone, m.instance.Region, permit != ""), purpose: p})
+	got := m.owner.choose(ctx, choose{request: k.want(m.instance.Zone, m.instance.Region), purpose: p})
 	if got.err != nil {
 		return nil, got.err
 	}
--- a/modules/entry/connection.go
+++ b/modules/entry/connection.go
@@ -25,7 +25,11 @@
 	frameBatch = 16
 	// resumePatience is how long a generation that has started waits for an
 	// upstream that can take it.
-	resumePatience = 3 * time.Second
+	resumePatience = 5 * time.Second
+	// triedPatience is how long it prefers one that has not failed it; an agent
+	// whose engine has just died refuses within a millisecond, and the attempts
+	// would be used up on it.
+	triedPatience = 500 * time.Millisecond
 	// resumePause separates two looks for one.
 	resumePause = 50 * time.Millisecond
 	// drainLimit and drainBytes bound the wait for the end of an answer behind
@@ -62,14 +66,13 @@
 }
 
 // connect finds an upstream for an attempt and reads its frames.
-func (c *conn) connect(ctx context.Context, a stream.Action, p purpose, want pick.Request, held wire.ID, crashes int) {
-	permit, err := c.d.m.clear(ctx, c.d.r, held, a.Cause, crashes)
+func (c *conn) connect(ctx context.Context, a stream.Action, p purpose, want pick.Request, held wire.ID) {
+	permit, err := c.d.m.clear(ctx, c.d.r, held, a.Cause, p == resumeAttempt)
 	if err != nil {
 		c.d.signal(ctx, signal{conn: c.n, lost: true, final: true, err: err})
 		c.cancel()
 		return
 	}
-	want.Suspect = permit != ""
 	c.request.Permit = permit
 	if err := c.choose(ctx, p, want); err != nil {
 		if p == retryAttempt && notMade(err) {
@@ -91,7 +94,8 @@
 
 // choose waits for a resume budget or upstream if the generation has started.
 func (c *conn) choose(ctx context.Context, p purpose, want pick.Request) *result.Error {
-	end := time.Now().Add(resumePatience)
+	now := time.Now()
+	fresh, end := now.Add(triedPatience), now.Add(resumePatience)
 	for {
 		got := c.d.m.owner.choose(ctx, choose{request: want, purpose: p})
 		if got.err == nil && got.wait == 0 {
@@ -101,6 +105,9 @@
 		if got.err != nil && (p != resumeAttempt || got.err.Code != result.NoUpstream || time.Now().After(end)) {
 			return got.err
 		}
+		if time.Now().After(fresh) {
+			want.Tried = nil
+		}
 		wait(ctx, max(got.wait, resumePause))
 	}
 }
--- a/modules/entry/driver.go
+++ b/modules/entry/driver.go
@@ -41,10 +41,11 @@
 	tried   []string
 	blocks  []uint64
 	timer   *time.Timer
-	// permit is held while a suspect runs; crashes counts the attempts that
-	// ended in what looks like a crash.
-	permit  wire.ID
-	crashes int
+	// permit is that of a suspect. Until probationEnd tokens are delivered it is
+	// in probation, which is over once passed is set.
+	permit       wire.ID
+	probationEnd uint64
+	passed       bool
 
 	outcome    *stream.Outcome
 	lastWrite  time.Time
@@ -180,8 +181,9 @@
 
 func (d *driver) take(s signal) {
 	now := time.Now()
-	if s.permit != "" {
-		d.permit = s.permit
+	if s.permit != "" && s.permit != d.permit {
+		d.permit, d.passed = s.permit, false
+		d.probationEnd = d.asm.Delivered() + probationTokens
 	}
 	if s.agent != "" {
 		d.asm.Chosen(s.conn, s.agent)
@@ -225,10 +227,15 @@
 		d.m.metrics.firstToken[d.r.class].Observe(d.firstToken.Milliseconds())
 	}
 	if !d.lostAt.IsZero() {
+		d.tried = d.tried[:0]
 		d.m.metrics.resumeGap.Observe(now.Sub(d.lostAt).Milliseconds())
 		d.lostAt = time.Time{}
 	}
 	d.m.metrics.tokens.Add(int64(f.Tokens))
+	if d.permit != "" && !d.passed && d.asm.Delivered() >= d.probationEnd {
+		d.passed = true
+		d.m.givePermitBack(d.r, d.permit, true, false)
+	}
 	d.out.token(f.Text, d.eventID())
 	d.lastWrite = now
 }
@@ -304,7 +311,9 @@
 	}
 	d.end()
 	d.timer.Stop()
-	d.m.giveBackPermit(d.r, d.permit, d.outcome.Err == nil)
+	if !d.passed || d.outcome.Err == nil {
+		d.m.givePermitBack(d.r, d.permit, false, d.outcome.Err == nil)
+	}
 	d.m.settle(d.r, d.outcome)
 	d.m.finish(d.r, d.summary())
 }
@@ -332,20 +341,21 @@
 	c.request.Body, c.request.PrefixText, c.request.PrefixTokens = d.r.body, text, a.Offset
 	p := firstAttempt
 	if a.Cause != nil {
-		p = d.again(a.Cause)
+		p = d.again()
 	}
 	d.m.metrics.attempts.Inc()
-	go c.connect(ctx, a, p, d.want(), d.permit, d.crashes)
+	held := d.permit
+	if d.passed {
+		held = "" // another run is another probation
+	}
+	go c.connect(ctx, a, p, d.want(), held)
 }
 
 // again prepares another attempt and tells which budget it draws on.
-func (d *driver) again(cause *result.Error) purpose {
+func (d *driver) again() purpose {
 	if agent := d.asm.Agent(); agent != "" {
 		d.tried = append(d.tried, agent)
 	}
-	if crashed(cause) {
-		d.crashes++
-	}
 	if !d.asm.Started() {
 		return retryAttempt
 	}
--- a/modules/entry/owner.go
+++ b/modules/entry/owner.go
@@ -322,11 +322,6 @@
 
 func (o *owner) pick(now time.Time, r *pick.Request) selection {
 	found, err := o.chooser.Choose(o.rng, r, o.table.Candidates(now, r))
-	if err != nil && len(r.Tried) > 0 {
-		// Every upstream has failed this request; the first may be back.
-		r.Tried = nil
-		found, err = o.chooser.Choose(o.rng, r, o.table.Candidates(now, r))
-	}
 	if err != nil {
 		return selection{err: result.From(err)}
 	}
--- a/modules/entry/suspect.go
+++ b/modules/entry/suspect.go
@@ -13,11 +13,18 @@
 
 // Patience with permits.
 const (
-	// permitLimit bounds the wait for a permit; a suspect that runs elsewhere
-	// may take minutes, so the caller is told to come back.
-	permitLimit = time.Second
+	// permitLimit is how long control is waited for. Without a permit the
+	// suspect runs all the same; its agent still keeps it apart from others.
+	permitLimit = 500 * time.Millisecond
+	// busyLimit is how long a request waits for another probation of the same
+	// fingerprint; startedBusyLimit holds for a generation that has started,
+	// whose text would be lost.
+	busyLimit        = time.Second
+	startedBusyLimit = 10 * time.Second
 	// permitPause separates two requests for a permit.
 	permitPause = 100 * time.Millisecond
+	// probationTokens is how many new tokens a suspect decodes in probation.
+	probationTokens = 4
 	// gonePatience bounds the check whether an agent is gone. A process that
 	// has ended refuses at once.
 	gonePatience = 50 * time.Millisecond
@@ -41,34 +48,44 @@
 	return ok
 }
 
-// permit asks for leave to run a suspect.
-func (m *Module) permit(ctx context.Context, r *request) (wire.ID, *result.Error) {
-	ctx, cancel := context.WithTimeout(ctx, permitLimit)
-	defer cancel()
+// permit asks for leave to run a suspect in probation. It is empty when no
+// control instance answers.
+func (m *Module) permit(ctx context.Context, r *request, busy time.Duration) (wire.ID, *result.Error) {
+	end := time.Now().Add(busy)
 	args := wire.PermitArgs{Fingerprint: r.fingerprint, Holder: m.instance.ID + "/" + r.id}
 	for {
-		var reply wire.PermitReply
-		err := m.control(ctx, "Permit", &args, &reply)
-		if err == nil {
-			return reply.Permit, nil
-		}
-		e := result.From(err)
-		if e.Code != result.SuspectBusy || ctx.Err() != nil {
-			return "", e
+		id, err := m.askPermit(ctx, &args)
+		switch {
+		case err == nil:
+			return id, nil
+		case err.Code == result.ControlUnavailable:
+			return "", nil
+		case err.Code != result.SuspectBusy || ctx.Err() != nil || time.Now().After(end):
+			return "", err
 		}
 		wait(ctx, permitPause)
-		if ctx.Err() != nil {
-			return "", e
-		}
 	}
 }
 
-// giveBackPermit returns a permit. Finished clears the suspect.
-func (m *Module) giveBackPermit(r *request, id wire.ID, finished bool) {
+func (m *Module) askPermit(ctx context.Context, args *wire.PermitArgs) (wire.ID, *result.Error) {
+	ctx, cancel := context.WithTimeout(ctx, permitLimit)
+	defer cancel()
+	var reply wire.PermitReply
+	if err := m.control(ctx, "Permit", args, &reply); err != nil {
+		return "", result.From(err)
+	}
+	return reply.Permit, nil
+}
+
+// givePermitBack tells control how far a suspect has come.
+func (m *Module) givePermitBack(r *request, id wire.ID, passed, finished bool) {
 	if id == "" {
 		return
 	}
-	args := wire.PermitArgs{Fingerprint: r.fingerprint, Holder: m.instance.ID + "/" + r.id, Permit: id, Done: true, Finished: finished}
+	args := wire.PermitArgs{
+		Fingerprint: r.fingerprint, Holder: m.instance.ID + "/" + r.id, Permit: id,
+		Done: true, Passed: passed, Finished: finished,
+	}
 	m.spawn(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), controlTry)
 		defer cancel()
@@ -109,20 +126,17 @@
 	return e != nil && e.Code == result.UpstreamFailed && e.Ran == result.DidRun
 }
 
-// clear gets the permit that an attempt needs, if it needs one. While control
-// cannot be reached, a request whose first crash this is may go on, so that a
-// control outage does not stop the resume of other requests; after a second
-// crash it is more likely the cause.
-func (m *Module) clear(ctx context.Context, r *request, held wire.ID, cause *result.Error, crashes int) (wire.ID, *result.Error) {
+// clear gets the permit that an attempt needs, if it needs one. A permit whose
+// probation is not over is held on to unless the upstream crashed.
+func (m *Module) clear(ctx context.Context, r *request, held wire.ID, cause *result.Error, started bool) (wire.ID, *result.Error) {
 	if held != "" && !crashed(cause) {
 		return held, nil
 	}
 	if !crashed(cause) && !m.suspected(r) {
 		return "", nil
 	}
-	id, err := m.permit(ctx, r)
-	if err != nil && err.Code == result.ControlUnavailable && crashes == 1 {
-		return "", nil
+	if started {
+		return m.permit(ctx, r, startedBusyLimit)
 	}
-	return id, err
+	return m.permit(ctx, r, busyLimit)
 }
