--- a/core/wire/rpc.go
+++ b/core/wire/rpc.go
@@ -217,15 +217,21 @@
 
 // PermitArgs asks to run a suspect again, or gives the permit back when Done
 // is set. Passed then tells that the probation is over while the request goes
-// on, and Finished that the request has ended without a crash; the latter
-// follows a Passed with the same Permit.
+// on, Finished that the request ended without a crash, and NotRun that it never
+// began. Finished may follow a Passed with the same Permit.
 type PermitArgs struct {
 	Fingerprint string
 	Holder      string
-	Permit      ID
-	Done        bool
-	Passed      bool
-	Finished    bool
+	// Upstream is where the suspect is to run, if known: no two suspects run on
+	// one upstream.
+	Upstream string
+	// Permit may be set by the holder, so that a repeated call gets the same
+	// permit; the control instance chooses one otherwise.
+	Permit   ID
+	Done     bool
+	Passed   bool
+	Finished bool
+	NotRun   bool
 }
 
 // PermitReply carries the permit; its absence comes as a result code.
