--- a/core/wire/rpc.go
+++ b/core/wire/rpc.go
@@ -218,8 +218,9 @@
 type CrashReply struct{ Suspect []Suspect }
 
 // PermitArgs asks to run a suspect again, or gives the permit back when Done
-// is set; Finished then tells that the request ended without a crash, NotRun
-// that it never began.
+// is set. Passed then tells that the probation is over while the request goes
+// on, Finished that the request ended without a crash, and NotRun that it never
+// began. Finished may follow a Passed with the same Permit.
 type PermitArgs struct {
 	Fingerprint string
 	Holder      string
@@ -230,11 +231,9 @@
 	// permit; the control instance chooses one otherwise.
 	Permit   ID
 	Done     bool
+	Passed   bool
 	Finished bool
 	NotRun   bool
-	// Passed gives the permit back after the probation while the run goes on.
-	// Finished may follow under the same permit.
-	Passed bool
 }
 
 // ProbationTokens is how many new tokens a suspect must produce to pass its
--- a/modules/entry/attempt.go
+++ b/modules/entry/attempt.go
@@ -29,7 +29,7 @@
 func (m *Module) run(ctx context.Context, k *call) (*wire.CallReply, *result.Error) {
 	ctx, cancel := context.WithDeadline(ctx, k.deadline)
 	defer cancel()
-	permit, err := m.clear(ctx, k.request, "", nil, 0)
+	permit, err := m.clear(ctx, k.request, "", nil, suspicion{})
 	if err != nil {
 		if err.Code != result.Quarantined {
 			err.Ran = result.NotRun // nothing has been sent
@@ -67,7 +67,7 @@
 			return nil, err
 		}
 		if crashed(err) {
-			id, refused := m.permit(ctx, k.request)
+			id, refused := m.permit(ctx, k.request, permitLimit)
 			if refused != nil {
 				return nil, refused.WithRan(err.Ran)
 			}
--- a/modules/entry/driver.go
+++ b/modules/entry/driver.go
@@ -231,6 +231,7 @@
 		d.m.metrics.firstToken[d.r.class].Observe(d.firstToken.Milliseconds())
 	}
 	if !d.lostAt.IsZero() {
+		d.tried = d.tried[:0]
 		d.m.metrics.resumeGap.Observe(now.Sub(d.lostAt).Milliseconds())
 		d.lostAt = time.Time{}
 	}
--- a/modules/entry/suspect.go
+++ b/modules/entry/suspect.go
@@ -13,10 +13,11 @@
 
 // Patience with permits.
 const (
-	// permitLimit bounds the wait for a permit. Another run of the same request
-	// holds it for a probation, and control learns of the end of a run that
-	// crashed from the agent.
-	permitLimit = 5 * time.Second
+	// permitLimit bounds the wait for a permit while another run of the same
+	// request is in probation, or its crash is being reported. A generation that
+	// has started waits longer, since its text would be lost.
+	permitLimit        = time.Second
+	startedPermitLimit = 10 * time.Second
 	// permitPause separates two requests for a permit.
 	permitPause = 50 * time.Millisecond
 	// unreachableLimit is how long control may give no answer before a suspect
@@ -46,8 +47,8 @@
 }
 
 // permit asks for leave to run a suspect.
-func (m *Module) permit(ctx context.Context, r *request) (wire.ID, *result.Error) {
-	ctx, cancel := context.WithTimeout(ctx, permitLimit)
+func (m *Module) permit(ctx context.Context, r *request, limit time.Duration) (wire.ID, *result.Error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	args := wire.PermitArgs{Fingerprint: r.fingerprint, Holder: m.instance.ID + "/" + r.id}
 	for {
@@ -138,19 +139,30 @@
 	return e != nil && e.Code == result.UpstreamFailed && e.Ran == result.DidRun
 }
 
+// suspicion is what an entry knows of a request itself: how many of its
+// attempts ended in what looks like a crash, and whether it has started.
+type suspicion struct {
+	crashes int
+	started bool
+}
+
 // clear gets the permit that an attempt needs, if it needs one. While control
 // cannot be reached, a request whose first crash this is may go on, so that a
 // control outage does not stop the resume of other requests; after a second
 // crash it is more likely the cause.
-func (m *Module) clear(ctx context.Context, r *request, held wire.ID, cause *result.Error, crashes int) (wire.ID, *result.Error) {
+func (m *Module) clear(ctx context.Context, r *request, held wire.ID, cause *result.Error, s suspicion) (wire.ID, *result.Error) {
 	if held != "" && !crashed(cause) {
 		return held, nil
 	}
 	if !crashed(cause) && !suspectedByAgent(cause) && !m.suspected(r) {
 		return "", nil
 	}
-	id, err := m.permit(ctx, r)
-	if err != nil && err.Code == result.ControlUnavailable && crashes <= 1 {
+	limit := permitLimit
+	if s.started {
+		limit = startedPermitLimit
+	}
+	id, err := m.permit(ctx, r, limit)
+	if err != nil && err.Code == result.ControlUnavailable && s.crashes <= 1 {
 		return wire.PermitUnavailable, nil
 	}
 	return id, err
