lease, order: add leases with fencing tokens and staged orders

Cause: two issuers of orders, or one order too many, can take the last serving upstream of a model. Ruled out: leases that end by the time in commands: a new leader whose clock is ahead would end them early. The leader counts from its own first sight of a lease and proposes the end. Change: core/lease (grants, renewals, end with a 10% margin, fencing token is the log position), core/order (staging, weight-store budget, plan that keeps the last serving upstream, one order at a time for an upstream; Gate, the agent's check of tokens), wire.Order.

--- /dev/null
+++ b/core/lease/lease.go
@@ -0,0 +1,184 @@
+// Package lease is the replicated state machine of leases with fencing tokens.
+// Its commands carry no time: the leader counts the duration by its own clock
+// (Timer) and proposes the end, so that a leader whose clock is wrong ends no
+// lease early.
+package lease
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+
+	"github.com/go-faster/errors"
+
+	"heatherway.dev/core/wire"
+	"heatherway.dev/kernel/result"
+)
+
+// Bounds.
+const (
+	// MaxNames bounds the number of names ever leased.
+	MaxNames = 64
+	// MinDurationMS and MaxDurationMS bound a lease.
+	MinDurationMS = 1000
+	MaxDurationMS = 10 * 60 * 1000
+	// marginPercent is how much longer than the duration the leader waits: the
+	// most by which the rates of two clocks may differ.
+	marginPercent = 10
+)
+
+// Lease is the state of one name. It is free when Holder is empty.
+type Lease struct {
+	Name   string `json:"name"`
+	Holder string `json:"holder,omitempty"`
+	// Request is the id of the request that was granted.
+	Request wire.ID `json:"request,omitempty"`
+	// Fence is the position of the last grant in the log; it stays when the
+	// lease ends, and no later grant has a lower one.
+	Fence      uint64 `json:"fence"`
+	DurationMS int64  `json:"duration_ms,omitempty"`
+	// Renewed is the position of the last grant or renewal.
+	Renewed uint64 `json:"renewed,omitempty"`
+}
+
+// Command is one entry of the log; exactly one pointer is set.
+type Command struct {
+	Acquire *Acquire `json:"acquire,omitempty"`
+	Renew   *Renew   `json:"renew,omitempty"`
+	Release *Release `json:"release,omitempty"`
+	Expire  *Expire  `json:"expire,omitempty"`
+}
+
+// Acquire asks for a lease. The same Request gets the same grant again.
+type Acquire struct {
+	Name       string  `json:"name"`
+	Holder     string  `json:"holder"`
+	Request    wire.ID `json:"request"`
+	DurationMS int64   `json:"duration_ms"`
+}
+
+// Renew starts the duration anew.
+type Renew struct {
+	Name  string `json:"name"`
+	Fence uint64 `json:"fence"`
+}
+
+// Release gives a lease back.
+type Release struct {
+	Name  string `json:"name"`
+	Fence uint64 `json:"fence"`
+}
+
+// Expire ends a lease that has not been renewed since.
+type Expire struct {
+	Name    string `json:"name"`
+	Fence   uint64 `json:"fence"`
+	Renewed uint64 `json:"renewed"`
+}
+
+// Reply is the answer to a command.
+type Reply struct {
+	Granted bool  `json:"granted,omitempty"`
+	Lease   Lease `json:"lease"`
+	// Code is set when the command was refused.
+	Code    result.Code `json:"code,omitempty"`
+	Message string      `json:"message,omitempty"`
+}
+
+// State is the leases of log group 0. It is not safe for concurrent use.
+type State struct{ byName map[string]Lease }
+
+// New returns a state without leases.
+func New() *State { return &State{byName: map[string]Lease{}} }
+
+// Get returns the state of a name.
+func (s *State) Get(name string) Lease { return s.byName[name] }
+
+// List returns all names that were ever leased, in order.
+func (s *State) List() []Lease {
+	out := make([]Lease, 0, len(s.byName))
+	for _, l := range s.byName {
+		out = append(out, l)
+	}
+	slices.SortFunc(out, func(a, b Lease) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Apply handles the command at a position of the log.
+func (s *State) Apply(position uint64, c Command) Reply {
+	switch {
+	case c.Acquire != nil:
+		return s.acquire(position, c.Acquire)
+	case c.Renew != nil:
+		return s.renew(position, c.Renew)
+	case c.Release != nil:
+		return s.end(c.Release.Name, func(l Lease) bool { return l.Fence == c.Release.Fence })
+	case c.Expire != nil:
+		return s.end(c.Expire.Name, func(l Lease) bool {
+			return l.Fence == c.Expire.Fence && l.Renewed == c.Expire.Renewed
+		})
+	default:
+		return refuse(result.InvalidField, "empty lease command")
+	}
+}
+
+func refuse(code result.Code, message string) Reply { return Reply{Code: code, Message: message} }
+
+func (s *State) acquire(position uint64, a *Acquire) Reply {
+	l, known := s.byName[a.Name]
+	switch {
+	case a.Name == "" || a.Holder == "" || a.Request == "":
+		return refuse(result.InvalidField, "a lease needs name, holder and request")
+	case a.DurationMS < MinDurationMS || a.DurationMS > MaxDurationMS:
+		return refuse(result.InvalidField, "the duration is out of range")
+	case !known && len(s.byName) >= MaxNames:
+		return refuse(result.InvalidField, "too many names are leased")
+	case l.Holder != "":
+		return Reply{Granted: l.Request == a.Request, Lease: l}
+	case l.Request == a.Request:
+		// The lease of this request has ended; the holder must not take a late
+		// answer for a new grant.
+		return Reply{Lease: l}
+	}
+	l = Lease{
+		Name: a.Name, Holder: a.Holder, Request: a.Request, DurationMS: a.DurationMS,
+		Fence: position, Renewed: position,
+	}
+	s.byName[a.Name] = l
+	return Reply{Granted: true, Lease: l}
+}
+
+func (s *State) renew(position uint64, r *Renew) Reply {
+	l := s.byName[r.Name]
+	if l.Holder == "" || l.Fence != r.Fence {
+		return Reply{Code: result.FenceStale, Message: "the lease has ended", Lease: l}
+	}
+	l.Renewed = position
+	s.byName[r.Name] = l
+	return Reply{Granted: true, Lease: l}
+}
+
+func (s *State) end(name string, matches func(Lease) bool) Reply {
+	l, ok := s.byName[name]
+	if ok && l.Holder != "" && matches(l) {
+		l.Holder = ""
+		s.byName[name] = l
+	}
+	return Reply{Lease: l}
+}
+
+// Snapshot encodes the state.
+func (s *State) Snapshot() ([]byte, error) { return json.Marshal(s.List()) }
+
+// Restore replaces the state by an encoded one.
+func (s *State) Restore(b []byte) error {
+	var list []Lease
+	if err := json.Unmarshal(b, &list); err != nil {
+		return errors.Wrap(err, "lease snapshot")
+	}
+	s.byName = make(map[string]Lease, len(list))
+	for _, l := range list {
+		s.byName[l.Name] = l
+	}
+	return nil
+}
--- /dev/null
+++ b/core/lease/lease_test.go
@@ -0,0 +1,141 @@
+package lease
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"heatherway.dev/core/wire"
+	"heatherway.dev/kernel/result"
+)
+
+const duration = 10000
+
+// holder is a process that wants the lease. Its clock runs at its own rate.
+type holder struct {
+	name       string
+	rate       int64 // percent
+	fence      uint64
+	validUntil int64
+	pending    *Acquire
+	sentMS     int64
+}
+
+func (h *holder) clock(now int64) int64 { return now * h.rate / 100 }
+
+func (h *holder) valid(now int64) bool { return h.clock(now) < h.validUntil }
+
+type world struct {
+	s        *State
+	timers   [2]Timer
+	leader   int
+	offset   [2]int64
+	now      int64
+	position uint64
+	fence    uint64
+	holders  []*holder
+}
+
+func (w *world) apply(c Command) Reply {
+	w.position++
+	return w.s.Apply(w.position, c)
+}
+
+// step lets one thing happen: time passes, the leader changes, a lease ends, or
+// a holder asks, asks again, renews or releases.
+func (w *world) step(t *rapid.T) {
+	w.now += rapid.SampledFrom([]int64{0, 100, 3000, duration, duration * 11 / 10}).Draw(t, "pause")
+	h := w.holders[rapid.IntRange(0, len(w.holders)-1).Draw(t, "holder")]
+	switch rapid.IntRange(0, 6).Draw(t, "event") {
+	case 0:
+		w.timers[w.leader].Step(w.now+w.offset[w.leader], nil)
+		w.leader = 1 - w.leader
+	case 1, 2:
+		for _, e := range w.timers[w.leader].Step(w.now+w.offset[w.leader], w.s.List()) {
+			w.apply(Command{Expire: &e})
+		}
+	case 3:
+		if h.pending == nil {
+			h.pending = &Acquire{Name: "orders", Holder: h.name, Request: wire.ID(fmt.Sprint("r", w.position)), DurationMS: duration}
+			h.sentMS = h.clock(w.now)
+		}
+		r := w.apply(Command{Acquire: h.pending})
+		if rapid.Bool().Draw(t, "answer lost") {
+			return
+		}
+		w.granted(t, h, r)
+		h.pending = nil
+	case 4:
+		sent := h.clock(w.now)
+		if r := w.apply(Command{Renew: &Renew{"orders", h.fence}}); r.Granted {
+			assert.Equal(t, r.Lease.Holder, h.name)
+			h.validUntil = ValidUntil(sent, duration)
+		}
+	case 5:
+		w.apply(Command{Release: &Release{"orders", h.fence}})
+		h.validUntil = 0
+	default:
+		b, err := w.s.Snapshot()
+		assert.NilError(t, err)
+		assert.NilError(t, w.s.Restore(b))
+	}
+}
+
+func (w *world) granted(t *rapid.T, h *holder, r Reply) {
+	if !r.Granted {
+		return
+	}
+	assert.Equal(t, r.Lease.Holder, h.name)
+	assert.Assert(t, r.Lease.Fence >= w.fence, "a fencing token went down")
+	w.fence = r.Lease.Fence
+	h.fence, h.validUntil = r.Lease.Fence, ValidUntil(h.sentMS, duration)
+}
+
+// Guards against two processes that both rely on one lease while leaders
+// change, clocks differ by 10%, and answers are lost, and against a fencing
+// token that goes down.
+func TestOneHolder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{s: New(), offset: [2]int64{0, rapid.Int64Range(-1e6, 1e6).Draw(t, "offset")}}
+		for i, rate := range []int64{91, 100, 109} {
+			w.holders = append(w.holders, &holder{name: fmt.Sprint("h", i), rate: rate})
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			w.step(t)
+			valid := 0
+			for _, h := range w.holders {
+				if h.valid(w.now) {
+					valid++
+				}
+			}
+			assert.Assert(t, valid <= 1, "%d holders rely on the lease", valid)
+		}
+	})
+}
+
+// Guards against a lease that never ends when its holder dies, also after a
+// change of leader, and one that ends although it was renewed.
+func TestLeaseEnds(t *testing.T) {
+	s := New()
+	a := &Acquire{Name: "orders", Holder: "h", Request: "r", DurationMS: duration}
+	assert.Assert(t, s.Apply(1, Command{Acquire: a}).Granted)
+	other := *a
+	other.Holder, other.Request = "other", "r2"
+	assert.Assert(t, !s.Apply(2, Command{Acquire: &other}).Granted)
+	var first, second Timer
+	assert.Equal(t, len(first.Step(0, s.List())), 0)
+	assert.Equal(t, len(first.Step(11000, s.List())), 0)
+	due := first.Step(11001, s.List())
+	assert.Equal(t, len(due), 1)
+	assert.Assert(t, s.Apply(3, Command{Renew: &Renew{"orders", 1}}).Granted)
+	s.Apply(4, Command{Expire: &due[0]})
+	assert.Equal(t, s.Get("orders").Holder, "h", "renewed before the end came")
+	assert.Equal(t, len(second.Step(50000, s.List())), 0, "a new leader counts from the beginning")
+	due = second.Step(61001, s.List())
+	s.Apply(5, Command{Expire: &due[0]})
+	assert.Equal(t, s.Apply(6, Command{Renew: &Renew{"orders", 1}}).Code, result.FenceStale)
+	assert.Assert(t, !s.Apply(7, Command{Acquire: a}).Granted, "the old request is not granted twice")
+	assert.Equal(t, s.Apply(8, Command{Acquire: &other}).Lease.Fence, uint64(8))
+}
--- /dev/null
+++ b/core/order/order_test.go
@@ -0,0 +1,189 @@
+package order
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"heatherway.dev/core/wire"
+	"heatherway.dev/kernel/result"
+)
+
+var models = []string{"m0", "m1"}
+
+// world is a few upstreams whose agents carry out what is released, and a
+// leader that sees them as they were up to a lag before.
+type world struct {
+	s       *State
+	now     int64
+	actual  []wire.Upstream
+	history []view
+	n       int
+}
+
+type view struct {
+	atMS    int64
+	members []wire.Upstream
+}
+
+func (w *world) note() {
+	members := slices.Clone(w.actual)
+	for i := range members {
+		members[i].Models = slices.Clone(members[i].Models)
+	}
+	w.history = append(w.history, view{w.now, members})
+}
+
+// seen returns the newest state that is at least lag old.
+func (w *world) seen(lag int64) []wire.Upstream {
+	for _, v := range slices.Backward(w.history) {
+		if w.now-v.atMS >= lag {
+			return v.members
+		}
+	}
+	return w.history[0].members
+}
+
+// serving counts the upstreams that serve a model, without those that may have
+// begun an order that takes it away.
+func (w *world) serving(model string) (n int) {
+	for _, u := range w.actual {
+		stops := slices.ContainsFunc(w.s.entries, func(e Entry) bool {
+			return e.Status == Released && e.Order.Upstream == u.ID && removesModel(&e.Order, model)
+		})
+		if slices.Contains(u.Models, model) && !stops {
+			n++
+		}
+	}
+	return n
+}
+
+func (w *world) finish(t *rapid.T) {
+	running := slices.DeleteFunc(w.s.List(), func(e Entry) bool { return e.Status != Released })
+	if len(running) == 0 {
+		return
+	}
+	o := running[rapid.IntRange(0, len(running)-1).Draw(t, "which")].Order
+	at := slices.IndexFunc(w.actual, func(u wire.Upstream) bool { return u.ID == o.Upstream })
+	u := &w.actual[at]
+	ok := rapid.IntRange(0, 4).Draw(t, "ok") > 0
+	if ok && o.Kind != wire.SetVersion {
+		u.Models = slices.DeleteFunc(slices.Clone(u.Models), func(m string) bool { return removesModel(&o, m) || m == o.Model })
+	}
+	if ok && o.Kind == wire.LoadModel {
+		u.Models = append(u.Models, o.Model)
+	}
+	w.s.Apply(Context{AtMS: w.now}, Command{Done: &wire.OrderDoneArgs{ID: o.ID, Upstream: o.Upstream, OK: ok}})
+	w.note()
+}
+
+func (w *world) stage(t *rapid.T) {
+	w.n++
+	o := wire.Order{
+		ID: wire.ID(fmt.Sprint("o", w.n)), Fence: 1, Upstream: w.actual[rapid.IntRange(0, len(w.actual)-1).Draw(t, "upstream")].ID,
+		Kind:  rapid.SampledFrom([]wire.OrderKind{wire.LoadModel, wire.UnloadModel, wire.SetVersion, wire.SetRole}).Draw(t, "kind"),
+		Model: rapid.SampledFrom(models).Draw(t, "model"), Role: "prefill",
+	}
+	if o.Kind == wire.LoadModel && rapid.Bool().Draw(t, "replaces") {
+		o.Replaces = models[1]
+		o.Model = models[0]
+	}
+	assert.Equal(t, w.s.Apply(Context{AtMS: w.now, Fence: 1}, Command{Stage: &o}).Code, result.Code(0))
+}
+
+// Guards against orders that take the last serving upstream of a model, load
+// more than the budget at once, or give an upstream two orders at once, while
+// the leader sees the upstreams with a lag.
+func TestOrdersKeepCapacity(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{s: New()}
+		for i := range rapid.IntRange(1, 4).Draw(t, "upstreams") {
+			w.actual = append(w.actual, wire.Upstream{ID: fmt.Sprint("u", i), Models: rapid.SampledFrom([][]string{{"m0"}, {"m1"}, {"m0", "m1"}}).Draw(t, "models")})
+		}
+		w.note()
+		loads := rapid.IntRange(1, 2).Draw(t, "budget")
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			w.now += rapid.SampledFrom([]int64{0, 1000, SettleMS / 2, SettleMS}).Draw(t, "pause")
+			switch rapid.IntRange(0, 2).Draw(t, "event") {
+			case 0:
+				w.stage(t)
+			case 1:
+				w.finish(t)
+			default:
+				lag := rapid.Int64Range(0, SettleMS-1).Draw(t, "lag")
+				before := []int{w.serving("m0"), w.serving("m1")}
+				ids := Plan(w.now, w.s.List(), w.seen(lag), loads)
+				w.s.Apply(Context{AtMS: w.now, Loads: loads}, Command{Release: ids})
+				for i, m := range models {
+					assert.Assert(t, before[i] == 0 || w.serving(m) > 0, "nothing serves %s any more", m)
+				}
+			}
+			assert.Assert(t, w.s.loads() <= loads)
+			busy := map[string]int{}
+			for _, e := range w.s.entries {
+				if e.Status == Released {
+					busy[e.Order.Upstream]++
+					assert.Equal(t, busy[e.Order.Upstream], 1)
+				}
+			}
+		}
+	})
+}
+
+func load(id string, fence uint64, upstream string) *wire.Order {
+	return &wire.Order{ID: wire.ID(id), Fence: fence, Upstream: upstream, Kind: wire.LoadModel, Model: "m"}
+}
+
+// Guards against an order from an issuer that has lost its lease, at control
+// and at an agent that has just restarted.
+func TestOldIssuerIsRefused(t *testing.T) {
+	s := New()
+	assert.Equal(t, s.Apply(Context{Fence: 7}, Command{Stage: load("a", 7, "u")}).Entry.Status, Staged)
+	assert.Equal(t, s.Apply(Context{Fence: 9}, Command{Stage: load("b", 9, "u")}).Entry.Status, Staged)
+	assert.Equal(t, s.Apply(Context{Fence: 9}, Command{Stage: load("c", 7, "u")}).Code, result.FenceStale)
+	assert.Equal(t, s.Apply(Context{}, Command{Stage: load("d", 9, "u")}).Code, result.FenceStale)
+	assert.Equal(t, s.List()[0].Status, Cancelled, "a new issuer drops what the old one staged")
+	assert.Equal(t, s.Apply(Context{Fence: 9}, Command{Stage: load("b", 9, "u")}).Entry.Order.ID, wire.ID("b"))
+	assert.Equal(t, len(s.List()), 2, "a repeated order is staged once")
+
+	var g Gate
+	assert.Assert(t, result.Is(g.Accept(100), result.ControlUnavailable), "a new life knows nothing")
+	g.Learn(9)
+	assert.Assert(t, result.Is(g.Accept(7), result.FenceStale))
+	assert.NilError(t, g.Accept(9))
+	assert.NilError(t, g.Accept(12))
+	assert.Assert(t, result.Is(g.Accept(9), result.FenceStale))
+	g.Learn(3)
+	assert.Assert(t, result.Is(g.Accept(9), result.FenceStale), "learning never lowers the token")
+}
+
+// Guards against an upstream that dies with an order and blocks the budget for
+// good, and against memory that grows with the number of orders.
+func TestOrdersEnd(t *testing.T) {
+	s := New()
+	x := Context{AtMS: 0, Fence: 1, Loads: 1}
+	s.Apply(x, Command{Stage: load("a", 1, "u")})
+	s.Apply(x, Command{Stage: load("b", 1, "v")})
+	s.Apply(x, Command{Release: []wire.ID{"a", "b"}})
+	assert.Equal(t, s.loads(), 1)
+	x.AtMS = MaxRunMS + 1
+	s.Apply(x, Command{Release: []wire.ID{"b"}})
+	assert.Equal(t, s.List()[0].Status, Failed)
+	assert.Equal(t, s.List()[1].Status, Released)
+	for i := range KeepFinished + 10 {
+		id := fmt.Sprint("n", i)
+		s.Apply(x, Command{Stage: load(id, 1, "u")})
+		s.Apply(x, Command{Cancel: wire.ID(id)})
+	}
+	s.Apply(x, Command{Release: nil})
+	assert.Equal(t, len(s.List()), KeepFinished+1)
+	assert.Equal(t, s.List()[0].Order.ID, wire.ID("b"), "an open order is never dropped")
+	b, err := s.Snapshot()
+	assert.NilError(t, err)
+	r := New()
+	assert.NilError(t, r.Restore(b))
+	assert.DeepEqual(t, r.List(), s.List())
+}
