control: issue orders and leases from group 0

Cause: orders need one issuer at a time and agents that refuse old ones. Ruled out: control dialling agents; orders ride on the agent's watch, which already notices silent connections. Change: Control.Lease, Order, CancelOrder (operators and control instances only), OrderDone, OrderFence; Watch carries an agent's orders; the leader ends leases and releases orders every 200 ms, and none before it has heard every live agent. Reach compares the position of the last change, so that leases and orders read at a follower are current too.

--- a/core/wire/order.go
+++ b/core/wire/order.go
@@ -52,3 +52,39 @@
 
 // OrderFenceReply is that token, read through a quorum.
 type OrderFenceReply struct{ Fence uint64 }
+
+// LeaseArgs asks for a lease, or renews or gives back the one with the fencing
+// token. The calls need the role operator or control.
+type LeaseArgs struct {
+	Name   string
+	Holder string
+	// Request is chosen by the holder for each new lease; the same request gets
+	// the same grant again.
+	Request    ID
+	DurationMS int64
+	// Fence is set to renew or give back.
+	Fence uint64
+	// Release gives the lease back.
+	Release bool
+}
+
+// LeaseReply is the state of the lease after the call. A holder may rely on a
+// grant for DurationMS from when it sent the call.
+type LeaseReply struct {
+	Granted    bool
+	Holder     string
+	Fence      uint64
+	DurationMS int64
+}
+
+// OrderArgs stages an order. Its ID makes a repeated call safe.
+type OrderArgs struct{ Order Order }
+
+// OrderReply is the state of an order.
+type OrderReply struct {
+	Status  string
+	Message string
+}
+
+// CancelOrderArgs cancels an order that has not been released.
+type CancelOrderArgs struct{ ID ID }
--- a/core/wire/rpc.go
+++ b/core/wire/rpc.go
@@ -160,6 +160,8 @@
 	Members  uint64
 	// Suspects is the version of the quarantine list that the caller has.
 	Suspects uint64
+	// Orders is the version of the agent's orders that the caller has.
+	Orders uint64
 	// Fresh asks for a read through a quorum, for a process that starts.
 	Fresh bool
 	// WaitMS bounds how long the call may hang when nothing changes.
@@ -190,6 +192,11 @@
 	// SuspectsChanged tells that Suspect is the whole new list.
 	SuspectsChanged bool
 	Suspect         []Suspect
+	// Orders is the version of the orders for this agent; when OrdersChanged is
+	// set, Order lists all that it has not reported as done.
+	Orders        uint64
+	OrdersChanged bool
+	Order         []Order
 }
 
 // Suspect is a request fingerprint that was running when an upstream crashed.
--- a/modules/control/control.go
+++ b/modules/control/control.go
@@ -236,6 +236,7 @@
 			go c.sendDigests(c.ctx, c.security.NewClient(addr))
 		}
 	}
+	go c.lead(c.ctx)
 	go c.bootstrap()
 }
 
--- a/modules/control/fleet.go
+++ b/modules/control/fleet.go
@@ -8,6 +8,8 @@
 	"github.com/go-faster/errors"
 
 	"heatherway.dev/core/config"
+	"heatherway.dev/core/lease"
+	"heatherway.dev/core/order"
 	"heatherway.dev/core/quarantine"
 	"heatherway.dev/core/wire"
 	"heatherway.dev/kernel/result"
@@ -18,12 +20,16 @@
 	AtMS       int64               `json:"at"`
 	Change     *config.Change      `json:"change,omitempty"`
 	Quarantine *quarantine.Command `json:"quarantine,omitempty"`
+	Lease      *lease.Command      `json:"lease,omitempty"`
+	Order      *order.Command      `json:"order,omitempty"`
 }
 
 // fleetReply is the answer of group 0.
 type fleetReply struct {
 	Answer  *config.Answer `json:"answer,omitempty"`
 	Suspect []wire.Suspect `json:"suspect,omitempty"`
+	Lease   *lease.Reply   `json:"lease,omitempty"`
+	Order   *order.Entry   `json:"order,omitempty"`
 	refusal
 }
 
@@ -51,7 +57,9 @@
 
 // fleetView is an immutable snapshot of group 0 for readers.
 type fleetView struct {
-	Doc *config.Document
+	// Version is the position of the last command that changed the view.
+	Version uint64
+	Doc     *config.Document
 	// JSON is the encoded document, Sum its check sum, and Steps the latest
 	// changes that led to it.
 	JSON  []byte
@@ -60,19 +68,30 @@
 	// Suspects is the version of the list.
 	Suspects uint64
 	List     []wire.Suspect
+	Leases   []lease.Lease
+	// Orders are all orders that are kept, and Released those under way by
+	// upstream.
+	Orders   []order.Entry
+	Released map[string][]wire.Order
 }
 
 // fleet is the machine of group 0. The log owns it; others read its view.
 type fleet struct {
 	config     *config.State
 	quarantine *quarantine.State
-	current    atomic.Pointer[fleetView]
-	changed    broadcast
+	leases     *lease.State
+	orders     *order.State
+	// touched is set when leases or orders may have changed since the last
+	// view.
+	touched bool
+	version uint64
+	current atomic.Pointer[fleetView]
+	changed broadcast
 }
 
 func newFleet() *fleet {
-	f := &fleet{config: config.NewState(), quarantine: quarantine.New()}
-	f.publish(0)
+	f := &fleet{config: config.NewState(), quarantine: quarantine.New(), leases: lease.New(), orders: order.New()}
+	f.publish(0, 0)
 	return f
 }
 
@@ -86,7 +105,7 @@
 		r.refusal = refusal{Code: result.MalformedBody, Message: err.Error()}
 	} else {
 		r = f.step(index, c)
-		f.publish(c.AtMS)
+		f.publish(index, c.AtMS)
 	}
 	return mustEncode(r)
 }
@@ -110,12 +129,30 @@
 		q.AtMS, q.Rule = c.AtMS, f.rule(c.AtMS)
 		a := f.quarantine.Apply(q)
 		r.Suspect, r.refusal = a.Suspects, refusalOf(a.Err)
+	case c.Lease != nil:
+		a := f.leases.Apply(index, *c.Lease)
+		r.Lease, r.refusal, f.touched = &a, refusal{Code: a.Code, Message: a.Message}, true
+	case c.Order != nil:
+		a := f.orders.Apply(f.orderContext(c.AtMS), *c.Order)
+		r.Order, r.refusal, f.touched = &a.Entry, refusal{Code: a.Code, Message: a.Message}, true
 	default:
 		r.refusal = refusal{Code: result.InvalidField, Message: "empty command"}
 	}
 	return r
 }
 
+func (f *fleet) orderContext(atMS int64) order.Context {
+	x := order.Context{AtMS: atMS, Loads: f.loads(atMS)}
+	if l := f.leases.Get(order.Lease); l.Holder != "" {
+		x.Fence = l.Fence
+	}
+	return x
+}
+
+func (f *fleet) loads(atMS int64) int {
+	return int(f.config.Document().Int("weights.loads", config.Scope{}, time.UnixMilli(atMS)))
+}
+
 // rule returns the configuration of the quarantine. It is the same on every
 // replica, since the configuration is part of the same group.
 func (f *fleet) rule(atMS int64) quarantine.Rule {
@@ -127,12 +164,13 @@
 }
 
 // publish replaces the view if something in it has changed.
-func (f *fleet) publish(atMS int64) {
+func (f *fleet) publish(index uint64, atMS int64) {
 	doc, old := f.config.Document(), f.current.Load()
-	if old != nil && old.Doc == doc && old.Suspects == f.quarantine.Version() {
+	if old != nil && old.Doc == doc && old.Suspects == f.quarantine.Version() && !f.touched {
 		return
 	}
-	v := &fleetView{Doc: doc, Steps: f.config.Steps(), Suspects: f.quarantine.Version()}
+	f.version = index
+	v := &fleetView{Version: index, Doc: doc, Steps: f.config.Steps(), Suspects: f.quarantine.Version()}
 	v.List = f.quarantine.List(time.UnixMilli(atMS))
 	if old != nil && old.Doc == doc {
 		v.JSON, v.Sum = old.JSON, old.Sum
@@ -140,13 +178,31 @@
 		v.JSON = mustEncode(doc)
 		v.Sum = config.Sum(v.JSON)
 	}
+	f.publishOrders(v, old)
 	f.current.Store(v)
 	f.changed.notify()
 }
 
+func (f *fleet) publishOrders(v, old *fleetView) {
+	if old != nil && !f.touched {
+		v.Leases, v.Orders, v.Released = old.Leases, old.Orders, old.Released
+		return
+	}
+	f.touched = false
+	v.Leases, v.Orders, v.Released = f.leases.List(), f.orders.List(), map[string][]wire.Order{}
+	for _, e := range v.Orders {
+		if e.Status == order.Released {
+			v.Released[e.Order.Upstream] = append(v.Released[e.Order.Upstream], e.Order)
+		}
+	}
+}
+
 type fleetSnapshot struct {
+	Version    uint64          `json:"version"`
 	Config     json.RawMessage `json:"config"`
 	Quarantine json.RawMessage `json:"quarantine"`
+	Leases     json.RawMessage `json:"leases"`
+	Orders     json.RawMessage `json:"orders"`
 }
 
 // Freeze implements replica.Freezer. The state is a few megabytes at most, so
@@ -158,15 +214,20 @@
 
 // Snapshot implements replica.StateMachine.
 func (f *fleet) Snapshot() []byte {
-	cfg, err := f.config.Snapshot()
-	if err != nil {
-		panic(err) // the types always encode
-	}
-	sus, err := f.quarantine.Snapshot()
+	return mustEncode(fleetSnapshot{
+		Version:    f.version,
+		Config:     mustSnapshot(f.config.Snapshot()),
+		Quarantine: mustSnapshot(f.quarantine.Snapshot()),
+		Leases:     mustSnapshot(f.leases.Snapshot()),
+		Orders:     mustSnapshot(f.orders.Snapshot()),
+	})
+}
+
+func mustSnapshot(b []byte, err error) json.RawMessage {
 	if err != nil {
 		panic(err) // the types always encode
 	}
-	return mustEncode(fleetSnapshot{cfg, sus})
+	return b
 }
 
 // Restore implements replica.StateMachine.
@@ -175,14 +236,21 @@
 	if err := json.Unmarshal(b, &s); err != nil {
 		return errors.Wrap(err, "snapshot of group 0")
 	}
-	if err := f.config.Restore(s.Config); err != nil {
-		return err
-	}
 	q, err := quarantine.Restore(s.Quarantine)
 	if err != nil {
 		return err
 	}
 	f.quarantine = q
-	f.publish(0)
+	if err := f.config.Restore(s.Config); err != nil {
+		return err
+	}
+	if err := f.leases.Restore(s.Leases); err != nil {
+		return err
+	}
+	if err := f.orders.Restore(s.Orders); err != nil {
+		return err
+	}
+	f.touched = true
+	f.publish(s.Version, 0)
 	return nil
 }
--- /dev/null
+++ b/modules/control/orders.go
@@ -0,0 +1,133 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"heatherway.dev/core/config"
+	"heatherway.dev/core/lease"
+	"heatherway.dev/core/order"
+	"heatherway.dev/core/wire"
+	"heatherway.dev/kernel/peer"
+	"heatherway.dev/kernel/result"
+)
+
+// leadInterval is how often the leader of group 0 looks for leases to end and
+// orders to release.
+const leadInterval = 200 * time.Millisecond
+
+// lead does the leader's work on group 0 until ctx ends.
+func (c *Control) lead(ctx context.Context) {
+	tick := time.NewTicker(leadInterval)
+	defer tick.Stop()
+	var timer lease.Timer
+	begin := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		if !c.log.Leader(fleetGroup).Local {
+			timer.Step(time.Since(begin).Milliseconds(), nil)
+			continue
+		}
+		v := c.fleet.view()
+		for _, e := range timer.Step(time.Since(begin).Milliseconds(), v.Leases) {
+			c.propose(ctx, fleetCommand{Lease: &lease.Command{Expire: &e}})
+		}
+		if ids := c.plan(v); len(ids) > 0 {
+			c.propose(ctx, fleetCommand{Order: &order.Command{Release: ids}})
+		}
+	}
+}
+
+// plan returns the orders to release. An instance that has just started does
+// not know yet which upstreams serve a model.
+func (c *Control) plan(v *fleetView) []wire.ID {
+	members := c.members.view()
+	if !members.Warm || len(v.Orders) == 0 {
+		return nil
+	}
+	now := nowMS()
+	loads := int(v.Doc.Int("weights.loads", config.Scope{}, time.UnixMilli(now)))
+	return order.Plan(now, v.Orders, members.Index.Members(), loads)
+}
+
+// propose applies one of the leader's own commands; one that fails is proposed
+// again from what the next look finds.
+func (c *Control) propose(ctx context.Context, cmd fleetCommand) {
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	if _, err := c.applyFleet(ctx, cmd); err != nil {
+		c.logger.Debug("command of the leader failed", "error", err)
+	}
+}
+
+// allowed checks the caller's role for a call that only operators and control
+// instances may make.
+func (s *service) allowed() error {
+	if s.c.security.Off() || s.role == roleOperator || s.role == roleControl {
+		return nil
+	}
+	return result.New(result.RoleForbidden, "role %q may not issue orders", s.role)
+}
+
+// Lease grants, renews or takes back a lease.
+func (s *service) Lease(a wire.LeaseArgs, r *wire.LeaseReply) error {
+	if err := s.allowed(); err != nil {
+		return peer.EncodeError(err)
+	}
+	cmd := lease.Command{Acquire: &lease.Acquire{Name: a.Name, Holder: a.Holder, Request: a.Request, DurationMS: a.DurationMS}}
+	switch {
+	case a.Release:
+		cmd = lease.Command{Release: &lease.Release{Name: a.Name, Fence: a.Fence}}
+	case a.Fence != 0:
+		cmd = lease.Command{Renew: &lease.Renew{Name: a.Name, Fence: a.Fence}}
+	}
+	return s.fleetCall("Lease", a, r, fleetCommand{Lease: &cmd}, func(reply fleetReply) {
+		l := reply.Lease.Lease
+		*r = wire.LeaseReply{Granted: reply.Lease.Granted, Holder: l.Holder, Fence: l.Fence, DurationMS: l.DurationMS}
+	})
+}
+
+// Order stages an order to an engine.
+func (s *service) Order(a wire.OrderArgs, r *wire.OrderReply) error {
+	return s.orderCall("Order", a, r, order.Command{Stage: &a.Order})
+}
+
+// CancelOrder cancels an order that has not been released.
+func (s *service) CancelOrder(a wire.CancelOrderArgs, r *wire.OrderReply) error {
+	return s.orderCall("CancelOrder", a, r, order.Command{Cancel: a.ID})
+}
+
+func (s *service) orderCall(method string, a any, r *wire.OrderReply, cmd order.Command) error {
+	if err := s.allowed(); err != nil {
+		return peer.EncodeError(err)
+	}
+	return s.fleetCall(method, a, r, fleetCommand{Order: &cmd}, func(reply fleetReply) {
+		*r = wire.OrderReply{Status: string(reply.Order.Status), Message: reply.Order.Message}
+	})
+}
+
+// OrderDone takes an agent's report of the end of an order.
+func (s *service) OrderDone(a wire.OrderDoneArgs, r *wire.OrderDoneReply) error {
+	return s.fleetCall("OrderDone", a, r, fleetCommand{Order: &order.Command{Done: &a}}, func(fleetReply) {})
+}
+
+// OrderFence tells an agent that has started the lowest fencing token that it
+// may accept: that of the last grant of the lease, read through a quorum. An
+// order under an earlier one is refused even if it was released before.
+func (s *service) OrderFence(_ wire.OrderFenceArgs, r *wire.OrderFenceReply) error {
+	ctx, cancel := s.context()
+	defer cancel()
+	if err := s.c.reachQuorum(ctx); err != nil {
+		return peer.EncodeError(err)
+	}
+	for _, l := range s.c.fleet.view().Leases {
+		if l.Name == order.Lease {
+			r.Fence = l.Fence
+		}
+	}
+	return nil
+}
--- a/modules/control/service.go
+++ b/modules/control/service.go
@@ -27,9 +27,9 @@
 var servedRoles = []string{roleEntry, roleAgent, roleControl, roleOperator}
 
 func (c *Control) services(role string) map[string]any {
-	out := map[string]any{wire.ControlService: &service{c: c, forward: true}}
+	out := map[string]any{wire.ControlService: &service{c: c, forward: true, role: role}}
 	if role == roleControl || c.security.Off() {
-		out[leaderService] = &service{c: c}
+		out[leaderService] = &service{c: c, role: roleControl}
 		out[membersService] = &memberService{c}
 		if c.replica != nil {
 			out[replica.ServiceName] = c.replica.Service()
@@ -43,6 +43,8 @@
 	c *Control
 	// forward lets a command be passed on to the leader.
 	forward bool
+	// role is that in the caller's certificate.
+	role string
 }
 
 func (s *service) context() (context.Context, context.CancelFunc) {
--- a/modules/control/touch.go
+++ b/modules/control/touch.go
@@ -20,8 +20,8 @@
 // ReachArgs asks the leader of group 0 for a read through a quorum.
 type ReachArgs struct{}
 
-// ReachReply is what was committed then.
-type ReachReply struct{ Revision, Suspects uint64 }
+// ReachReply names the last change that was committed then.
+type ReachReply struct{ Version uint64 }
 
 // Reach reads through a quorum.
 func (s *service) Reach(a ReachArgs, r *ReachReply) error {
@@ -31,8 +31,7 @@
 		if err := s.c.log.ReadIndex(ctx, fleetGroup); err != nil {
 			return err
 		}
-		v := s.c.fleet.view()
-		r.Revision, r.Suspects = v.Doc.Revision, v.Suspects
+		r.Version = s.c.fleet.view().Version
 		return nil
 	}))
 }
@@ -47,14 +46,14 @@
 		return c.log.ReadIndex(ctx, fleetGroup)
 	})
 	for err == nil {
-		changed, v := c.fleet.changed.wait(), c.fleet.view()
-		if v.Doc.Revision >= r.Revision && v.Suspects >= r.Suspects {
+		changed := c.fleet.changed.wait()
+		if c.fleet.view().Version >= r.Version {
 			return nil
 		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			err = result.New(result.ControlUnavailable, "this control instance is behind revision %d", r.Revision)
+			err = result.New(result.ControlUnavailable, "this control instance has not applied position %d yet", r.Version)
 		}
 	}
 	return err
--- a/modules/control/watch.go
+++ b/modules/control/watch.go
@@ -58,6 +58,7 @@
 		Revision: max(a.Revision, f.Doc.Revision),
 		Suspects: max(a.Suspects, f.Suspects),
 		Members:  a.Members,
+		Orders:   a.Orders,
 	}
 	if f.Doc.Revision > a.Revision {
 		f.fillConfig(a, r)
@@ -65,8 +66,29 @@
 	if f.Suspects > a.Suspects {
 		r.SuspectsChanged, r.Suspect = true, withTimeLeft(f.List, nowMS())
 	}
+	f.fillOrders(a, r)
 	s.fillMembers(a, r)
-	return r.Config != nil || r.Step != nil || r.SuspectsChanged || r.MembersChanged
+	return r.Config != nil || r.Step != nil || r.SuspectsChanged || r.MembersChanged || r.OrdersChanged
+}
+
+// fillOrders sets the orders that an agent has to carry out.
+func (f *fleetView) fillOrders(a wire.WatchArgs, r *wire.WatchReply) {
+	if a.Role != roleAgent {
+		return
+	}
+	list := f.Released[a.Instance]
+	if v := ordersVersion(list); v != a.Orders {
+		r.Orders, r.OrdersChanged, r.Order = v, true, list
+	}
+}
+
+// ordersVersion identifies the content of a list of orders; it is zero for an
+// empty one.
+func ordersVersion(list []wire.Order) uint64 {
+	if len(list) == 0 {
+		return 0
+	}
+	return config.Sum(mustEncode(list))
 }
 
 // fillConfig sends the changes since the caller's revision if it asks for them
