control: add the operators' service with audit log

Cause: operators need the state of the fleet, changes, lifts and drains. Ruled out: answering from one instance's soft state; each process watches only one instance, so Status asks them all. Change: Admin.Status, Configuration, Change, Suspects, Lift, Drain, Orders for the role operator; one JSON line on standard error for each change, whatever the log level, with operator, name in the certificate, reason, revision and code; peer.Handler passes on the certificate's name. Conclusion: covered by in-process tests; no administration API uses it yet.

--- a/kernel/peer/rpc.go
+++ b/kernel/peer/rpc.go
@@ -153,6 +153,16 @@
 	// Services returns name and receiver pairs for a connection from a peer
 	// with the role.
 	Services func(role string) map[string]any
+	// Named replaces Services if set, and also gets the common name in the
+	// peer's certificate, for audit logs.
+	Named func(role, name string) map[string]any
+}
+
+func (h *Handler) services(role, name string) map[string]any {
+	if h.Named != nil {
+		return h.Named(role, name)
+	}
+	return h.Services(role)
 }
 
 // ServeHTTP takes over the connection of a CONNECT request.
@@ -172,7 +182,7 @@
 		return
 	}
 	srv := rpc.NewServer()
-	for name, recv := range h.Services(role) {
+	for name, recv := range h.services(role, Name(r.TLS)) {
 		if err := srv.RegisterName(name, recv); err != nil {
 			_ = conn.Close()
 			return
--- a/kernel/peer/security.go
+++ b/kernel/peer/security.go
@@ -155,3 +155,12 @@
 	}
 	return ""
 }
+
+// Name returns the common name in a peer's certificate. It is empty without
+// TLS.
+func Name(state *tls.ConnectionState) string {
+	if state == nil || len(state.PeerCertificates) == 0 {
+		return ""
+	}
+	return state.PeerCertificates[0].Subject.CommonName
+}
--- /dev/null
+++ b/modules/control/admin.go
@@ -0,0 +1,174 @@
+package control
+
+import (
+	"encoding/json"
+	"io"
+	"log/slog"
+	"strings"
+
+	"heatherway.dev/core/config"
+	"heatherway.dev/core/quarantine"
+	"heatherway.dev/core/wire"
+	"heatherway.dev/kernel/peer"
+	"heatherway.dev/kernel/result"
+)
+
+// newAudit returns the log of changes by operators. Its lines are written
+// whatever level the other log has.
+func newAudit(w io.Writer, instance string) *slog.Logger {
+	return slog.New(slog.NewJSONHandler(w, nil)).With("instance", instance)
+}
+
+// adminService is the net/rpc service of operators.
+type adminService struct {
+	c *Control
+	// certificate is the name in the operator's certificate.
+	certificate string
+}
+
+func (s *adminService) control() *service {
+	return &service{c: s.c, forward: true, role: roleOperator}
+}
+
+// log writes one line for a change and its outcome, the code zero if it was
+// carried out.
+func (s *adminService) log(action string, by wire.Operator, revision uint64, code result.Code, more ...any) {
+	args := append([]any{
+		"action", action, "operator", by.Operator, "certificate", s.certificate,
+		"reason", by.Reason, "revision", revision, "code", int(code),
+	}, more...)
+	s.c.audit.Info("audit", args...)
+}
+
+func checkOperator(by wire.Operator) error {
+	if by.Operator == "" || strings.TrimSpace(by.Reason) == "" {
+		return result.New(result.InvalidField, "operator and reason must be set")
+	}
+	return nil
+}
+
+func codeOf(err error) result.Code {
+	if err == nil {
+		return 0
+	}
+	return result.From(err).Code
+}
+
+// Configuration returns the configuration in force.
+func (s *adminService) Configuration(_ wire.ConfigurationArgs, r *wire.ConfigurationReply) error {
+	ctx, cancel := s.control().context()
+	defer cancel()
+	if err := s.c.reachQuorum(ctx); err != nil {
+		return peer.EncodeError(err)
+	}
+	v := s.c.fleet.view()
+	r.Revision, r.Document = v.Doc.Revision, v.JSON
+	return nil
+}
+
+// Change proposes a change of the configuration.
+func (s *adminService) Change(a wire.ChangeArgs, r *wire.ChangeReply) error {
+	var change config.Change
+	if err := json.Unmarshal(a.Change, &change); err != nil {
+		return peer.EncodeError(result.New(result.MalformedBody, "change: %v", err))
+	}
+	err := s.control().changeCall(a, change, r)
+	code := codeOf(err)
+	if err == nil {
+		code = r.Code
+	}
+	by := wire.Operator{Operator: change.Author, Reason: change.Reason}
+	s.log("change", by, r.Revision, code, "change_id", change.ChangeID, "base_revision", change.BaseRevision)
+	return peer.EncodeError(err)
+}
+
+// Change takes a change that another control instance passes on.
+func (s *service) Change(a wire.ChangeArgs, r *wire.ChangeReply) error {
+	if err := s.allowed(); err != nil {
+		return peer.EncodeError(err)
+	}
+	var change config.Change
+	if err := json.Unmarshal(a.Change, &change); err != nil {
+		return peer.EncodeError(result.New(result.MalformedBody, "change: %v", err))
+	}
+	return peer.EncodeError(s.changeCall(a, change, r))
+}
+
+func (s *service) changeCall(a wire.ChangeArgs, change config.Change, r *wire.ChangeReply) error {
+	return s.leaderApply("Change", a, r, fleetCommand{Change: &change}, func(reply fleetReply) {
+		*r = changeReply(reply.Answer)
+	})
+}
+
+func changeReply(a *config.Answer) wire.ChangeReply {
+	r := wire.ChangeReply{Revision: a.Revision, Winner: a.Winner, WinnerAuthor: a.WinnerAuthor, Problems: a.Problems}
+	switch a.Verdict {
+	case config.Accepted:
+		r.Accepted = true
+	case config.Conflict:
+		r.Code = result.RevisionConflict
+	default:
+		r.Code = result.ChangeRefused
+	}
+	return r
+}
+
+// Suspects returns the quarantine list.
+func (s *adminService) Suspects(_ wire.SuspectsArgs, r *wire.SuspectsReply) error {
+	r.Suspect = withTimeLeft(s.c.fleet.view().List, nowMS())
+	return nil
+}
+
+// Lift ends a quarantine.
+func (s *adminService) Lift(a wire.LiftArgs, r *wire.LiftReply) error {
+	err := checkOperator(a.Operator)
+	if err == nil {
+		err = s.control().liftCall(a, r)
+	}
+	s.log("lift", a.Operator, s.c.fleet.view().Doc.Revision, codeOf(err), "fingerprint", a.Fingerprint)
+	return peer.EncodeError(err)
+}
+
+// Lift takes a lift that another control instance passes on.
+func (s *service) Lift(a wire.LiftArgs, r *wire.LiftReply) error {
+	if err := s.allowed(); err != nil {
+		return peer.EncodeError(err)
+	}
+	return peer.EncodeError(s.liftCall(a, r))
+}
+
+func (s *service) liftCall(a wire.LiftArgs, r *wire.LiftReply) error {
+	lift := &quarantine.Lift{Fingerprint: a.Fingerprint, Operator: a.Operator.Operator}
+	cmd := fleetCommand{Quarantine: &quarantine.Command{Lift: lift}}
+	return s.leaderApply("Lift", a, r, cmd, func(fleetReply) {})
+}
+
+// Drain passes an operator's drain on to the agent.
+func (s *adminService) Drain(a wire.AdminDrainArgs, r *wire.DrainReply) error {
+	err := checkOperator(a.Operator)
+	if err == nil {
+		err = s.drain(a, r)
+	}
+	s.log("drain", a.Operator, s.c.fleet.view().Doc.Revision, codeOf(err), "upstream", a.Instance, "undo", a.Undo)
+	return peer.EncodeError(err)
+}
+
+func (s *adminService) drain(a wire.AdminDrainArgs, r *wire.DrainReply) error {
+	u, ok := s.c.find(a.Instance)
+	if !ok {
+		return result.New(result.ObjectUnknown, "no agent %q", a.Instance)
+	}
+	ctx, cancel := s.control().context()
+	defer cancel()
+	client := s.c.security.NewClient(u.Addr)
+	defer client.Close()
+	return client.Call(ctx, wire.AgentService+".Drain", wire.DrainArgs{Reason: a.Reason, Undo: a.Undo}, r)
+}
+
+// Orders returns the orders that are kept.
+func (s *adminService) Orders(_ wire.OrdersArgs, r *wire.OrdersReply) error {
+	for _, e := range s.c.fleet.view().Orders {
+		r.Orders = append(r.Orders, wire.OrderState{Order: e.Order, Status: string(e.Status), Message: e.Message, AtMS: e.AtMS})
+	}
+	return nil
+}
--- /dev/null
+++ b/modules/control/admin_test.go
@@ -0,0 +1,142 @@
+package control
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"heatherway.dev/core/config"
+	"heatherway.dev/core/wire"
+	"heatherway.dev/kernel/peer"
+	"heatherway.dev/kernel/result"
+)
+
+// audited returns an operator's service and what it writes to the audit log.
+func audited(t *testing.T) (*adminService, *bytes.Buffer) {
+	t.Helper()
+	c, buf := running(t), &bytes.Buffer{}
+	c.audit = newAudit(buf, "c1")
+	return &adminService{c: c, certificate: "CN of an operator"}, buf
+}
+
+func change(t *testing.T, id, author string, base uint64, value string) wire.ChangeArgs {
+	t.Helper()
+	edit := config.Edit{Kind: config.SetDefault, Name: "queue.limit", Value: value}
+	b, err := json.Marshal(config.Change{ChangeID: id, BaseRevision: base, Author: author, Reason: "flood", Edits: []config.Edit{edit}})
+	assert.NilError(t, err)
+	return wire.ChangeArgs{Change: b}
+}
+
+// Guards against two operators on one revision who both win or lose, a resent
+// change that gets another answer, and a change without a line in the audit
+// log.
+func TestConcurrentOperators(t *testing.T) {
+	s, buf := audited(t)
+	const operators = 8
+	answers := make([]wire.ChangeReply, operators)
+	var wait sync.WaitGroup
+	for i := range operators {
+		args := change(t, fmt.Sprint("change-", i), fmt.Sprint("op-", i), 0, fmt.Sprint(10+i))
+		wait.Go(func() { assert.Check(t, s.Change(args, &answers[i])) })
+	}
+	wait.Wait()
+	accepted := 0
+	for i, a := range answers {
+		var again wire.ChangeReply
+		assert.NilError(t, s.Change(change(t, fmt.Sprint("change-", i), "resent", 0, "1"), &again))
+		assert.DeepEqual(t, again, a)
+		if a.Accepted {
+			accepted++
+			continue
+		}
+		assert.Equal(t, a.Code, result.RevisionConflict)
+		assert.Assert(t, strings.HasPrefix(a.Winner, "change-") && strings.HasPrefix(a.WinnerAuthor, "op-"))
+	}
+	assert.Equal(t, accepted, 1)
+	var refused wire.ChangeReply
+	assert.NilError(t, s.Change(change(t, "bad", "op", answers[0].Revision, "none"), &refused))
+	assert.Assert(t, refused.Code == result.ChangeRefused && len(refused.Problems) == 1)
+	lines := strings.Split(strings.TrimSpace(buf.String()), "\n")
+	assert.Equal(t, len(lines), 2*operators+1)
+	var line map[string]any
+	assert.NilError(t, json.Unmarshal([]byte(lines[0]), &line))
+	for _, k := range []string{"time", "operator", "certificate", "reason", "revision", "code"} {
+		assert.Assert(t, line[k] != nil, "%s missing in %s", k, lines[0])
+	}
+}
+
+// Guards against a quarantine that cannot be lifted and a lift without a name
+// or reason.
+func TestLift(t *testing.T) {
+	s, _ := audited(t)
+	for n := range uint64(2) {
+		args := wire.CrashArgs{Upstream: "a1", Incarnation: wire.Incarnation(n + 1), CrashNumber: 1, Fingerprints: []string{"fp"}}
+		assert.NilError(t, s.control().Crash(args, &wire.CrashReply{}))
+	}
+	var list wire.SuspectsReply
+	assert.NilError(t, s.Suspects(wire.SuspectsArgs{}, &list))
+	assert.Assert(t, len(list.Suspect) == 1 && list.Suspect[0].Quarantined && list.Suspect[0].LeftMS > 0)
+	permit := wire.PermitArgs{Fingerprint: "fp", Holder: "e1", Upstream: "a2"}
+	assert.ErrorContains(t, s.control().Permit(permit, &wire.PermitReply{}), "4220")
+	assert.ErrorContains(t, s.Lift(wire.LiftArgs{Fingerprint: "fp"}, &wire.LiftReply{}), "4001")
+	by := wire.Operator{Operator: "op", Reason: "fixed engine"}
+	assert.NilError(t, s.Lift(wire.LiftArgs{Operator: by, Fingerprint: "fp"}, &wire.LiftReply{}))
+	var p wire.PermitReply
+	assert.NilError(t, s.control().Permit(permit, &p))
+	assert.Assert(t, p.Permit != "")
+}
+
+type fakeAgent struct{ got chan wire.DrainArgs }
+
+func (a *fakeAgent) Drain(args wire.DrainArgs, r *wire.DrainReply) error {
+	a.got <- args
+	r.Running = 3
+	return nil
+}
+
+// Guards against a drain that does not reach the agent.
+func TestDrainIsForwarded(t *testing.T) {
+	s, buf := audited(t)
+	agent := &fakeAgent{make(chan wire.DrainArgs, 1)}
+	mux := http.NewServeMux()
+	mux.Handle(peer.RPCPath, &peer.Handler{Security: s.c.security, Services: func(string) map[string]any {
+		return map[string]any{wire.AgentService: agent}
+	}})
+	srv := httptest.NewServer(mux)
+	defer srv.Close()
+	u := upstream("a1", "z1")
+	u.Addr = srv.Listener.Addr().String()
+	s.c.announceNow(t, u, 1)
+	waitFor(t, func() bool { _, ok := s.c.find("a1"); return ok })
+	var r wire.DrainReply
+	args := wire.AdminDrainArgs{Operator: wire.Operator{Operator: "op", Reason: "repair"}, Instance: "a1"}
+	assert.NilError(t, s.Drain(args, &r))
+	assert.Equal(t, r.Running, 3)
+	assert.Equal(t, (<-agent.got).Reason, "repair")
+	args.Instance = "missing"
+	assert.ErrorContains(t, s.Drain(args, &r), "4043")
+	assert.Equal(t, strings.Count(buf.String(), `"action":"drain"`), 2)
+}
+
+// Guards against operators' calls and calls between control instances that
+// other roles can make.
+func TestServicesByRole(t *testing.T) {
+	c := &Control{security: &peer.Security{}}
+	for role, want := range map[string][2]bool{"entry": {}, "agent": {}, "operator": {true, false}, "control": {false, true}} {
+		have := c.services(role, "")
+		assert.Equal(t, have[wire.AdminService] != nil, want[0], role)
+		assert.Equal(t, have[leaderService] != nil, want[1], role)
+		assert.Equal(t, have[membersService] != nil, want[1], role)
+	}
+	entry := &service{c: c, role: roleEntry}
+	assert.ErrorContains(t, entry.Change(wire.ChangeArgs{}, &wire.ChangeReply{}), "4030")
+	assert.ErrorContains(t, entry.Lift(wire.LiftArgs{}, &wire.LiftReply{}), "4030")
+	assert.ErrorContains(t, entry.LocalStatus(wire.StatusArgs{}, &wire.LocalStatusReply{}), "4030")
+}
--- a/modules/control/cluster_test.go
+++ b/modules/control/cluster_test.go
@@ -118,6 +118,12 @@
 	waitFor(t, func() bool {
 		return len(until[wire.WatchReply](t, c.client[1], "Watch", entry).Upstreams) == 1
 	})
+	waitFor(t, func() bool {
+		var st wire.StatusReply
+		assert.NilError(t, c.client[2].Call(t.Context(), "Admin.Status", wire.StatusArgs{}, &st))
+		return len(st.Members) == 3 && st.Members[0].Error == "" && len(st.Members[0].Groups) == 3 &&
+			len(st.Processes) == 2 && st.Processes[0].Instance == "a1" && len(st.Upstreams) == 1
+	})
 	winner := map[string]wire.ID{}
 	for i := range 8 {
 		key := fmt.Sprint("key-", i)
--- a/modules/control/control.go
+++ b/modules/control/control.go
@@ -7,6 +7,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"os"
 	"path/filepath"
 	"time"
 
@@ -100,6 +101,7 @@
 
 	instance kernel.Instance
 	logger   *slog.Logger
+	audit    *slog.Logger
 	stats    *stats.Registry
 	security *peer.Security
 	listener *trackedListener
@@ -158,6 +160,7 @@
 		c.Advertise = l.Addr().String()
 	}
 	c.instance, c.logger, c.stats, c.security = ctx.Instance, ctx.Log, ctx.Stats, ctx.TLS
+	c.audit = newAudit(os.Stderr, ctx.Instance.ID)
 	c.begin()
 	return c.build()
 }
@@ -214,7 +217,7 @@
 // Start implements kernel.Runner.
 func (c *Control) Start(ctx context.Context) error {
 	mux := http.NewServeMux()
-	mux.Handle(peer.RPCPath, &peer.Handler{Security: c.security, Roles: servedRoles, Services: c.services})
+	mux.Handle(peer.RPCPath, &peer.Handler{Security: c.security, Roles: servedRoles, Named: c.services})
 	c.server = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderLimit}
 	go c.serve()
 	if c.replica != nil {
--- a/modules/control/fleet.go
+++ b/modules/control/fleet.go
@@ -122,7 +122,9 @@
 func (f *fleet) step(index uint64, c fleetCommand) (r fleetReply) {
 	switch {
 	case c.Change != nil:
-		a := f.config.Apply(index, *c.Change)
+		change := *c.Change
+		change.AtMS = c.AtMS
+		a := f.config.Apply(index, change)
 		r.Answer = &a
 	case c.Quarantine != nil:
 		q := *c.Quarantine
--- a/modules/control/service.go
+++ b/modules/control/service.go
@@ -26,8 +26,13 @@
 
 var servedRoles = []string{roleEntry, roleAgent, roleControl, roleOperator}
 
-func (c *Control) services(role string) map[string]any {
+// services returns the services for a connection from a peer with the role and
+// the name in its certificate.
+func (c *Control) services(role, name string) map[string]any {
 	out := map[string]any{wire.ControlService: &service{c: c, forward: true, role: role}}
+	if role == roleOperator || c.security.Off() {
+		out[wire.AdminService] = &adminService{c: c, certificate: name}
+	}
 	if role == roleControl || c.security.Off() {
 		out[leaderService] = &service{c: c, role: roleControl}
 		out[membersService] = &memberService{c}
@@ -68,13 +73,12 @@
 
 // Locate finds the agent of a generation that is not in an entry's subset.
 func (s *service) Locate(a wire.LocateArgs, r *wire.LocateReply) error {
-	for _, u := range s.c.members.view().Index.Members() {
-		if u.ID == a.Instance {
-			r.Upstream = u
-			return nil
-		}
+	u, ok := s.c.find(a.Instance)
+	if !ok {
+		return peer.EncodeError(result.New(result.ObjectUnknown, "no agent %q", a.Instance))
 	}
-	return peer.EncodeError(result.New(result.ObjectUnknown, "no agent %q", a.Instance))
+	r.Upstream = u
+	return nil
 }
 
 // Crash takes a report of an upstream's crash.
@@ -102,15 +106,19 @@
 
 // fleetCall has the leader of group 0 apply a command and sets the reply.
 func (s *service) fleetCall(method string, args, reply any, cmd fleetCommand, set func(fleetReply)) error {
+	return peer.EncodeError(s.leaderApply(method, args, reply, cmd, set))
+}
+
+func (s *service) leaderApply(method string, args, reply any, cmd fleetCommand, set func(fleetReply)) error {
 	ctx, cancel := s.context()
 	defer cancel()
-	return peer.EncodeError(s.atLeader(ctx, fleetGroup, method, args, reply, func(ctx context.Context) error {
+	return s.atLeader(ctx, fleetGroup, method, args, reply, func(ctx context.Context) error {
 		r, err := s.c.applyFleet(ctx, cmd)
 		if err == nil {
 			set(r)
 		}
 		return err
-	}))
+	})
 }
 
 // applyFleet applies a command to group 0 on this instance, the leader.
--- /dev/null
+++ b/modules/control/status.go
@@ -0,0 +1,118 @@
+package control
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"heatherway.dev/core/wire"
+	"heatherway.dev/kernel/peer"
+)
+
+// statusTimeout bounds how long an operator waits for instances that do not
+// answer.
+const statusTimeout = time.Second
+
+// Status returns the state of the fleet, put together from all control
+// instances, since each process watches only one.
+func (s *adminService) Status(_ wire.StatusArgs, r *wire.StatusReply) error {
+	ctx, cancel := context.WithTimeout(s.c.ctx, statusTimeout)
+	defer cancel()
+	parts := s.c.collect(ctx)
+	newest := map[string]wire.ProcessStatus{}
+	for _, p := range parts {
+		r.Members = append(r.Members, p.Control)
+		for _, q := range p.Processes {
+			if old, ok := newest[q.Instance]; !ok || q.AgeMS < old.AgeMS {
+				newest[q.Instance] = q
+			}
+		}
+	}
+	for _, q := range newest {
+		r.Processes = append(r.Processes, q)
+	}
+	slices.SortFunc(r.Members, func(a, b wire.ControlStatus) int { return cmp.Compare(a.Instance, b.Instance) })
+	slices.SortFunc(r.Processes, func(a, b wire.ProcessStatus) int { return cmp.Compare(a.Instance, b.Instance) })
+	r.Revision = s.c.fleet.view().Doc.Revision
+	r.Upstreams = slices.Clone(s.c.members.view().Index.Members())
+	slices.SortStableFunc(r.Upstreams, func(a, b wire.Upstream) int { return cmp.Compare(a.Zone, b.Zone) })
+	return nil
+}
+
+// collect asks every control instance for its part of the status.
+func (c *Control) collect(ctx context.Context) []wire.LocalStatusReply {
+	parts := []wire.LocalStatusReply{c.localStatus(ctx)}
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	for id, addr := range c.Members {
+		if id == c.instance.ID {
+			continue
+		}
+		wait.Go(func() {
+			client := c.security.NewClient(addr)
+			defer client.Close()
+			var p wire.LocalStatusReply
+			if err := client.Call(ctx, leaderService+".LocalStatus", wire.StatusArgs{}, &p); err != nil {
+				p.Control = wire.ControlStatus{Instance: id, Addr: addr, Error: err.Error()}
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			parts = append(parts, p)
+		})
+	}
+	wait.Wait()
+	return parts
+}
+
+// LocalStatus returns this instance's part of the status.
+func (s *service) LocalStatus(_ wire.StatusArgs, r *wire.LocalStatusReply) error {
+	if err := s.allowed(); err != nil {
+		return peer.EncodeError(err)
+	}
+	ctx, cancel := s.context()
+	defer cancel()
+	*r = s.c.localStatus(ctx)
+	return nil
+}
+
+func (c *Control) localStatus(ctx context.Context) wire.LocalStatusReply {
+	var r wire.LocalStatusReply
+	r.Control = wire.ControlStatus{Instance: c.instance.ID, Addr: c.Advertise, Groups: c.groups()}
+	seen, err := ask(ctx, c.members, func(ch chan<- map[string]sighting) memberEvent { return seenAsked{ch} })
+	if err != nil {
+		r.Control.Error = err.Error()
+	}
+	now := nowMS()
+	for id, s := range seen {
+		r.Processes = append(r.Processes, wire.ProcessStatus{
+			Instance: id, Role: s.Role, Zone: s.Zone, Revision: s.Revision, AgeMS: now - s.AtMS,
+		})
+	}
+	return r
+}
+
+func (c *Control) groups() []wire.GroupStatus {
+	if c.replica == nil {
+		return []wire.GroupStatus{{Group: fleetGroup, Role: "leader", Term: 1, Leader: c.instance.ID}}
+	}
+	var out []wire.GroupStatus
+	for _, g := range c.replica.Status().Groups {
+		out = append(out, wire.GroupStatus{
+			Group: uint32(g.Group), Role: g.Role.String(), Term: g.Term, Leader: string(g.Leader),
+			Commit: g.Commit, Applied: g.Applied,
+		})
+	}
+	return out
+}
+
+// find returns the upstream with the id of an agent.
+func (c *Control) find(id string) (wire.Upstream, bool) {
+	for _, u := range c.members.view().Index.Members() {
+		if u.ID == id {
+			return u, true
+		}
+	}
+	return wire.Upstream{}, false
+}
