--- a/modules/agent/owner.go
+++ b/modules/agent/owner.go
@@ -29,6 +29,7 @@
 	load     wire.Load
 	revision uint64
 	up       bool
+	crashes  uint64
 }
 
 // owner holds the control state of the agent.
@@ -40,6 +41,7 @@
 	generations map[wire.ID]*generation
 	leaving     bool
 	up          bool
+	crashes     uint64 // of the upstream in this incarnation
 	revision    uint64
 	seen        uint64    // the newest revision heard of
 	behindSince time.Time // since when seen is ahead of revision
@@ -82,7 +84,7 @@
 		case ev := <-o.a.events:
 			ev.apply(o, time.Now())
 		case now := <-tick.C:
-			o.decide(o.queue.Tick(now))
+			o.decide(now, o.queue.Tick(now))
 			o.sweep(now)
 			o.dirty = true
 		case <-ctx.Done():
@@ -97,7 +99,7 @@
 // publish gives traffic goroutines a new snapshot.
 func (o *owner) publish(now time.Time) {
 	o.dirty = false
-	s := &snapshot{load: o.queue.Load(now), revision: o.revision, up: o.up}
+	s := &snapshot{load: o.queue.Load(now), revision: o.revision, up: o.up, crashes: o.crashes}
 	s.load.Leaving = o.leaving
 	o.a.snapshot.Store(s)
 	var queued uint32
@@ -138,14 +140,16 @@
 type task struct {
 	id          uint64
 	fingerprint string
+	permit      wire.ID
 	verdict     chan verdict
 	// preempt stops the run of a preemptible task.
 	preempt func()
 	running bool
-	// suspect is set for a task that starts in probation.
-	suspect bool
 }
 
+// suspect tells whether the task starts in probation.
+func (t *task) suspect() bool { return t.permit != "" }
+
 // verdict is nil when the task may run.
 type verdict = *result.Error
 
@@ -154,17 +158,23 @@
 	o.lastTask++
 	t.id, r.ID = o.lastTask, o.lastTask
 	o.tasks[t.id] = t
-	o.decide(o.queue.Submit(now, r))
+	o.decide(now, o.queue.Submit(now, r))
 	o.dirty = true
 }
 
-func (o *owner) decide(list []admission.Decision) {
-	var refused []*task
+func (o *owner) decide(now time.Time, list []admission.Decision) {
+	var refused, blocked []*task
 	for _, d := range list {
 		t := o.tasks[d.ID]
 		switch d.Action {
 		case admission.Run:
 			t.running = true
+			// The request may have become a suspect while it waited.
+			if err := o.checkSuspect(t.fingerprint, t.permit); err != nil {
+				t.verdict <- result.From(err)
+				blocked = append(blocked, t)
+				continue
+			}
 			t.verdict <- nil
 		case admission.Refuse:
 			delete(o.tasks, d.ID)
@@ -177,8 +187,12 @@
 		}
 		o.dirty = true
 	}
+	// The list is only valid until the next call of the queue.
 	for _, t := range refused {
-		o.endProbation(time.Now(), t)
+		o.endProbation(now, t)
+	}
+	for _, t := range blocked {
+		taskDone{t, 0}.apply(o, now)
 	}
 }
 
@@ -208,6 +222,7 @@
 	}
 }
 
+// checkSuspect tells why a suspect may not run.
 func (o *owner) checkSuspect(fingerprint string, permit wire.ID) error {
 	s, ok := o.suspects[fingerprint]
 	switch {
@@ -229,7 +244,7 @@
 
 func (e taskDone) apply(o *owner, now time.Time) {
 	delete(o.tasks, e.t.id)
-	o.decide(o.queue.Finish(now, e.t.id, e.tokens))
+	o.decide(now, o.queue.Finish(now, e.t.id, e.tokens))
 	o.endProbation(now, e.t)
 	o.dirty = true
 }
@@ -243,7 +258,7 @@
 		return
 	}
 	if !o.queue.Cancel(now, e.t.id) {
-		o.decide(o.queue.Finish(now, e.t.id, 0))
+		o.decide(now, o.queue.Finish(now, e.t.id, 0))
 	}
 	delete(o.tasks, e.t.id)
 	o.endProbation(now, e.t)
@@ -258,7 +273,7 @@
 func (e drainEvent) apply(o *owner, now time.Time) {
 	o.leaving = e.leave
 	if e.leave {
-		o.decide(o.queue.Leave(now))
+		o.decide(now, o.queue.Leave(now))
 	} else {
 		o.queue.Return()
 	}
@@ -282,7 +297,7 @@
 		o.behindSince = time.Time{}
 	}
 	if e.document != nil {
-		o.decide(o.queue.Configure(now, o.settings(e.document, now)))
+		o.decide(now, o.queue.Configure(now, o.settings(e.document, now)))
 	}
 	o.dirty = true
 }
--- a/modules/agent/probation.go
+++ b/modules/agent/probation.go
@@ -21,7 +21,7 @@
 
 // enqueue admits a task, or holds it until the probation of another ends.
 func (o *owner) enqueue(now time.Time, t *task, r admission.Request) {
-	if !t.suspect {
+	if !t.suspect() {
 		o.admit(now, t, r)
 		return
 	}
@@ -52,3 +52,12 @@
 type probationPassed struct{ t *task }
 
 func (e probationPassed) apply(o *owner, now time.Time) { o.endProbation(now, e.t) }
+
+// inProbation returns the fingerprint of the suspect that runs in probation,
+// empty without one.
+func (o *owner) inProbation() string {
+	if t := o.probation.current; t != nil && t.running {
+		return t.fingerprint
+	}
+	return ""
+}
