control: fix the number of record groups, cache subsets, count calls

Cause: another record_groups after a restart would look for a key in another group and run it twice; each watch computed its subset anew. Ruled out: trusting the settings of each instance. Change: group 0 keeps the first number of record groups, and an instance with another one refuses records (5033); a subset is computed once for each change of members; metrics control_claims_total, control_watches, control_members. Conclusion: a key's group cannot change.

--- a/modules/control/control.go
+++ b/modules/control/control.go
@@ -114,6 +114,8 @@
 	touch   touch
 	issued  versionSet
 	sent    sentSubsets
+	subsets subsetCache
+	counts  counts
 	peers   *peers
 	replica *replica.Replica
 	// syncEach syncs the log once for each command, to measure what syncing a
@@ -176,6 +178,7 @@
 		c.records = append(c.records, r)
 		machines = append(machines, r)
 	}
+	c.counts = newCounts(c.stats)
 	c.members = newMembers(time.Now, c.stats)
 	c.peers = newPeers(c.security)
 	return c.openLog(machines)
--- a/modules/control/fleet.go
+++ b/modules/control/fleet.go
@@ -22,6 +22,8 @@
 	Quarantine *quarantine.Command `json:"quarantine,omitempty"`
 	Lease      *lease.Command      `json:"lease,omitempty"`
 	Order      *order.Command      `json:"order,omitempty"`
+	// RecordGroups fixes the number of record groups; the first one counts.
+	RecordGroups int `json:"record_groups,omitempty"`
 }
 
 // fleetReply is the answer of group 0.
@@ -60,6 +62,8 @@
 	// Version is the position of the last command that changed the view.
 	Version uint64
 	Doc     *config.Document
+	// RecordGroups is the number of record groups agreed on, zero before.
+	RecordGroups int
 	// JSON is the encoded document, Sum its check sum, and Steps the latest
 	// changes that led to it.
 	JSON  []byte
@@ -85,6 +89,7 @@
 	// view.
 	touched bool
 	version uint64
+	groups  int
 	current atomic.Pointer[fleetView]
 	changed broadcast
 }
@@ -137,6 +142,10 @@
 	case c.Order != nil:
 		a := f.orders.Apply(f.orderContext(c.AtMS), *c.Order)
 		r.Order, r.refusal, f.touched = &a.Entry, refusal{Code: a.Code, Message: a.Message}, true
+	case c.RecordGroups > 0:
+		if f.groups == 0 {
+			f.groups, f.touched = c.RecordGroups, true
+		}
 	default:
 		r.refusal = refusal{Code: result.InvalidField, Message: "empty command"}
 	}
@@ -172,7 +181,7 @@
 		return
 	}
 	f.version = index
-	v := &fleetView{Version: index, Doc: doc, Steps: f.config.Steps(), Suspects: f.quarantine.Version()}
+	v := &fleetView{Version: index, Doc: doc, RecordGroups: f.groups, Steps: f.config.Steps(), Suspects: f.quarantine.Version()}
 	v.List = f.quarantine.List(time.UnixMilli(atMS))
 	if old != nil && old.Doc == doc {
 		v.JSON, v.Sum = old.JSON, old.Sum
@@ -201,6 +210,7 @@
 
 type fleetSnapshot struct {
 	Version    uint64          `json:"version"`
+	Groups     int             `json:"record_groups"`
 	Config     json.RawMessage `json:"config"`
 	Quarantine json.RawMessage `json:"quarantine"`
 	Leases     json.RawMessage `json:"leases"`
@@ -218,6 +228,7 @@
 func (f *fleet) Snapshot() []byte {
 	return mustEncode(fleetSnapshot{
 		Version:    f.version,
+		Groups:     f.groups,
 		Config:     mustSnapshot(f.config.Snapshot()),
 		Quarantine: mustSnapshot(f.quarantine.Snapshot()),
 		Leases:     mustSnapshot(f.leases.Snapshot()),
@@ -252,7 +263,7 @@
 	if err := f.orders.Restore(s.Orders); err != nil {
 		return err
 	}
-	f.touched = true
+	f.groups, f.touched = s.Groups, true
 	f.publish(s.Version, 0)
 	return nil
 }
--- a/modules/control/members.go
+++ b/modules/control/members.go
@@ -53,10 +53,11 @@
 	current atomic.Pointer[membersView]
 	changed broadcast
 	dropped stats.Counter
+	count   stats.Gauge
 }
 
 func newMembers(now func() time.Time, st *stats.Registry) *members {
-	m := &members{now: now, events: make(chan memberEvent, memberQueue), dropped: st.Counter("control_member_events_dropped")}
+	m := &members{now: now, events: make(chan memberEvent, memberQueue), dropped: st.Counter("control_member_events_dropped_total"), count: st.Gauge("control_members")}
 	m.current.Store(&membersView{Index: member.NewIndex(nil)})
 	return m
 }
@@ -117,7 +118,9 @@
 		return
 	}
 	o.dirty = false
-	m.current.Store(&membersView{Index: member.NewIndex(o.table.Members()), Warm: warm})
+	list := o.table.Members()
+	m.count.Set(int64(len(list)))
+	m.current.Store(&membersView{Index: member.NewIndex(list), Warm: warm})
 	m.changed.notify()
 }
 
--- a/modules/control/orders.go
+++ b/modules/control/orders.go
@@ -33,6 +33,9 @@
 			continue
 		}
 		v := c.fleet.view()
+		if v.RecordGroups == 0 {
+			c.propose(ctx, fleetCommand{RecordGroups: c.RecordGroups})
+		}
 		for _, e := range timer.Step(time.Since(begin).Milliseconds(), v.Leases) {
 			c.propose(ctx, fleetCommand{Lease: &lease.Command{Expire: &e}})
 		}
--- a/modules/control/service.go
+++ b/modules/control/service.go
@@ -156,6 +156,7 @@
 		}
 		return cmd
 	}, func(reply record.Reply) { r.Granted, r.Record = reply.Granted, reply.Record })
+	s.c.counts.claim(r.Granted, err)
 	if result.Is(err, result.ControlUnavailable) {
 		err = result.Wrap(result.RecordsUnavailable, err, "no claim")
 	}
@@ -198,6 +199,9 @@
 	defer cancel()
 	group := s.c.recordGroup(a.Key)
 	return peer.EncodeError(s.atLeader(ctx, group, "Lookup", a, r, func(ctx context.Context) error {
+		if err := s.c.checkGroups(); err != nil {
+			return err
+		}
 		if err := s.c.log.ReadIndex(ctx, group); err != nil {
 			return err
 		}
@@ -213,6 +217,9 @@
 	defer cancel()
 	group := s.c.recordGroup(key)
 	return s.atLeader(ctx, group, method, args, reply, func(ctx context.Context) error {
+		if err := s.c.checkGroups(); err != nil {
+			return err
+		}
 		var r record.Reply
 		cmd := command()
 		cmd.AtMS = nowMS()
@@ -224,6 +231,20 @@
 	})
 }
 
+// checkGroups refuses records when this instance's number of groups is not the
+// one that the control instances agreed on at first start: a key would be looked
+// for in another group, and run twice.
+func (c *Control) checkGroups() error {
+	switch n := c.fleet.view().RecordGroups; n {
+	case c.RecordGroups:
+		return nil
+	case 0:
+		return result.New(result.ControlUnavailable, "the record groups are being formed")
+	default:
+		return result.New(result.RecordsUnavailable, "record_groups is %d here and %d in the log", c.RecordGroups, n)
+	}
+}
+
 func withTimeLeft(list []wire.Suspect, now int64) []wire.Suspect {
 	out := append([]wire.Suspect(nil), list...)
 	for i := range out {
--- a/modules/control/watch.go
+++ b/modules/control/watch.go
@@ -28,6 +28,8 @@
 		limit = min(limit, milliseconds(a.WaitMS))
 	}
 	_ = s.c.members.post(watched{a}) // only feeds the status; the next watch repeats it
+	s.c.counts.watch(1)
+	defer s.c.counts.watch(-1)
 	end := time.NewTimer(limit)
 	defer end.Stop()
 	for {
@@ -117,22 +119,54 @@
 	if !view.Warm && a.Members != 0 && !s.c.issued.has(a.Members) {
 		return
 	}
-	subset := view.Index.Subset(a.Instance, a.Zone)
-	v := member.Version(subset)
-	if v == a.Members {
+	subset := s.c.subsets.of(view.Index, a.Instance, a.Zone)
+	if subset.version == a.Members {
 		return
 	}
-	r.Members, r.MembersChanged, r.Upstreams = v, true, subset
+	r.Members, r.MembersChanged, r.Upstreams = subset.version, true, subset.list
 	if !view.Warm {
-		s.c.issued.add(v)
+		s.c.issued.add(subset.version)
 	}
-	last := s.c.sent.swap(a.Instance, member.NewSent(subset))
+	last := s.c.sent.swap(a.Instance, member.NewSent(subset.list))
 	if a.Deltas && a.Members != 0 && last != nil && last.Version == a.Members {
 		r.MembersDelta = true
-		r.Upstreams, r.Removed = last.Difference(subset)
+		r.Upstreams, r.Removed = last.Difference(subset.list)
 	}
 }
 
+// knownSubset is a subset as computed from one index.
+type knownSubset struct {
+	index   *member.Index
+	zone    string
+	list    []wire.Upstream
+	version uint64
+}
+
+// subsetCache holds the subset of each entry, since most watches end without a
+// change of members and a subset takes half a millisecond at target size.
+type subsetCache struct {
+	mu sync.Mutex
+	m  map[string]knownSubset
+}
+
+func (c *subsetCache) of(index *member.Index, instance, zone string) knownSubset {
+	c.mu.Lock()
+	known := c.m[instance]
+	c.mu.Unlock()
+	if known.index == index && known.zone == zone {
+		return known
+	}
+	known = knownSubset{index: index, zone: zone, list: index.Subset(instance, zone)}
+	known.version = member.Version(known.list)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.m == nil || len(c.m) >= maxSent {
+		c.m = map[string]knownSubset{}
+	}
+	c.m[instance] = known
+	return known
+}
+
 // sentSubsets holds the subset last sent to each entry.
 type sentSubsets struct {
 	mu sync.Mutex
--- a/modules/control/watch_test.go
+++ b/modules/control/watch_test.go
@@ -73,3 +73,17 @@
 	assert.NilError(t, (&service{c: c}).Watch(args, &r))
 	assert.DeepEqual(t, r, wire.WatchReply{Revision: 77, Suspects: 78, Members: 79})
 }
+
+// Guards against a key that is looked for in another group after record_groups
+// was changed, and would run again.
+func TestRecordGroupsAreFixed(t *testing.T) {
+	c := running(t)
+	waitFor(t, func() bool { return c.fleet.view().RecordGroups == defaultRecordGroups })
+	c.propose(t.Context(), fleetCommand{RecordGroups: 7})
+	assert.Equal(t, c.fleet.view().RecordGroups, defaultRecordGroups)
+	next := newFleet()
+	assert.NilError(t, next.Restore(c.fleet.Snapshot()))
+	assert.Equal(t, next.view().RecordGroups, defaultRecordGroups)
+	other := &Control{fleet: next, Settings: Settings{RecordGroups: 7}}
+	assert.ErrorContains(t, other.checkGroups(), "5033")
+}
