--- a/core/wire/rpc.go
+++ b/core/wire/rpc.go
@@ -217,14 +217,17 @@
 	Incarnation  Incarnation
 	CrashNumber  uint64
 	Fingerprints []string
+	// Probation is the one of them that was in probation; empty without one.
+	Probation string
 }
 
 // CrashReply gives the state of the reported fingerprints.
 type CrashReply struct{ Suspect []Suspect }
 
 // PermitArgs asks to run a suspect again, or gives the permit back when Done
-// is set; Finished then tells that the request ended without a crash, NotRun
-// that it never began.
+// is set. Passed then tells that the probation is over while the request goes
+// on, Finished that the request ended without a crash, and NotRun that it never
+// began. Finished may follow a Passed with the same Permit.
 type PermitArgs struct {
 	Fingerprint string
 	Holder      string
@@ -235,10 +238,21 @@
 	// permit; the control instance chooses one otherwise.
 	Permit   ID
 	Done     bool
+	Passed   bool
 	Finished bool
 	NotRun   bool
 }
 
+// ProbationTokens is how many new tokens a suspect must produce to pass its
+// probation. A request that crashes its upstream at a given token does so again
+// at the first token behind the delivered prefix; the others allow for tokens
+// that were decoded and not delivered.
+const ProbationTokens = 4
+
+// PermitUnavailable stands for a permit while no control instance answers. The
+// agent still isolates the suspect.
+const PermitUnavailable ID = "unavailable"
+
 // PermitReply carries the permit; its absence comes as a result code.
 type PermitReply struct{ Permit ID }
 
