--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -158,7 +158,8 @@
 	s.mu.Unlock()
 	s.openGates()
 	if err := s.http.Shutdown(ctx); err != nil {
-		return errors.Wrap(s.http.Close(), "close stand-in")
+		_ = s.http.Close()
+		return errors.Wrap(err, "running requests of the stand-in were cut")
 	}
 	return nil
 }
--- a/modules/entry/call.go
+++ b/modules/entry/call.go
@@ -118,7 +118,8 @@
 }
 
 // forwarded returns the headers that a plain service gets: those that describe
-// the body, and the caller's own extensions. Keys are not passed on.
+// the body, the caller's own extensions, and the Idempotency-Key, for services
+// that check it too. The caller's secret is not passed on.
 func forwarded(h http.Header) []wire.Header {
 	var out []wire.Header
 	for name, values := range h {
@@ -134,7 +135,7 @@
 
 func passesOn(name string) bool {
 	switch name {
-	case "Accept", "Accept-Language", "Content-Type", "If-Match", "If-None-Match":
+	case "Accept", "Accept-Language", "Content-Type", "Idempotency-Key", "If-Match", "If-None-Match":
 		return true
 	}
 	return strings.HasPrefix(name, "X-") && !strings.HasPrefix(name, "X-Heatherway-") && name != "X-Request-Id"
--- a/modules/entry/entry.go
+++ b/modules/entry/entry.go
@@ -79,8 +79,6 @@
 	open    atomic.Int64
 	// lastControl is the index of the control instance that answered last.
 	lastControl atomic.Int32
-	drain       chan struct{}
-	drainOne    sync.Once
 	cancel      context.CancelFunc
 	tasks       sync.WaitGroup
 }
@@ -208,7 +206,10 @@
 	m.cancel()
 	m.tasks.Wait()
 	m.agents.close()
-	return errors.Wrap(err, "running answers were cut by the stop limit")
+	if err != nil {
+		return errors.Wrap(err, "running answers were cut by the stop limit")
+	}
+	return nil
 }
 
 // handlerPatience bounds the wait for handlers whose connections were closed.
--- a/test/e2e/harness_test.go
+++ b/test/e2e/harness_test.go
@@ -276,17 +276,33 @@
 	<-p.done
 }
 
-// terminate asks for a graceful shutdown and waits for its end.
-func (p *process) terminate(limit time.Duration) {
+// awaitExit waits for the end of a graceful shutdown, which must succeed.
+func (p *process) awaitExit(limit time.Duration) {
 	p.t.Helper()
-	p.signal(syscall.SIGTERM)
 	select {
 	case <-p.done:
+		assert.Equal(p.t, p.cmd.ProcessState.ExitCode(), 0, "%s", p.name)
 	case <-time.After(limit):
 		p.t.Errorf("%s did not stop within %v", p.name, limit)
 	}
 }
 
+// restart runs a process that has ended once more.
+func (p *process) restart() {
+	p.t.Helper()
+	<-p.done
+	p.run()
+}
+
+func (p *process) running() bool {
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
 // startLimit bounds how long a whole fleet may take to serve on a busy machine.
 const startLimit = 30 * time.Second
 
--- a/test/e2e/loss_test.go
+++ b/test/e2e/loss_test.go
@@ -123,7 +123,12 @@
 func TestGracefulShutdownCutsNothing(t *testing.T) {
 	for _, name := range []string{"letters-0", "entry-0"} {
 		t.Run(name, func(t *testing.T) {
-			loseDuringStreams(t, lossShape, func(f *fleet) { f.procs[name].signal(syscall.SIGTERM) })
+			var stopping *process
+			loseDuringStreams(t, lossShape, func(f *fleet) {
+				stopping = f.procs[name]
+				stopping.signal(syscall.SIGTERM)
+			})
+			stopping.awaitExit(streamLimit)
 		})
 	}
 }
--- /dev/null
+++ b/test/e2e/order_test.go
@@ -0,0 +1,124 @@
+package e2e
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// orderOutcome is what a caller was told last about one order.
+type orderOutcome struct {
+	booked bool
+	notRun bool
+}
+
+// orderUntilKnown sends one order under its key, through another entry each
+// time, until it is booked. notRun tells what the last refusal said.
+func (f *fleet) orderUntilKnown(ctx context.Context, key string, first, tries int) orderOutcome {
+	var out orderOutcome
+	for i := range tries {
+		code, body, err := order(ctx, f.Entries[(first+i)%len(f.Entries)], key, `{"item":"wreath","count":1}`)
+		if err != nil {
+			out.notRun = false // the connection broke; nothing was said
+			time.Sleep(pollInterval)
+			continue
+		}
+		if code == http.StatusCreated {
+			return orderOutcome{booked: true}
+		}
+		var p struct{ Error problem }
+		if err := json.Unmarshal(body, &p); err != nil {
+			f.t.Errorf("order %s: status %d without an error object: %s", key, code, body)
+		}
+		out.notRun = p.Error.Ran == "not_run"
+		time.Sleep(max(pollInterval, min(time.Duration(p.Error.RetryMS)*time.Millisecond, time.Second)))
+	}
+	return out
+}
+
+// ordersDuring places orders while parts are taken away and checks that each
+// ran at most once, that booked ones ran, and that "not run" was true.
+func ordersDuring(t *testing.T, s shape, orders int, lose func(f *fleet)) {
+	f := newFleet(t, s)
+	ctx, cancel := context.WithTimeout(context.Background(), streamLimit)
+	defer cancel()
+	outcomes := make([]orderOutcome, orders)
+	var wg sync.WaitGroup
+	var sent atomic.Int32
+	for w := range 8 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for i := w; i < orders; i += 8 {
+				outcomes[i] = f.orderUntilKnown(ctx, fmt.Sprintf("order-%d", i), i, 12)
+				if int(sent.Add(1)) == orders/4 {
+					lose(f)
+				}
+			}
+		}()
+	}
+	wg.Wait()
+	f.checkOrders(outcomes)
+}
+
+func (f *fleet) checkOrders(outcomes []orderOutcome) {
+	f.t.Helper()
+	runs := f.journal()
+	booked := 0
+	for i, o := range outcomes {
+		n := runs[fmt.Sprintf("order-%d", i)]
+		if n > 1 {
+			f.t.Errorf("order %d ran %d times", i, n)
+		}
+		if o.booked && n != 1 {
+			f.t.Errorf("order %d was confirmed and ran %d times", i, n)
+		}
+		if o.notRun && n != 0 {
+			f.t.Errorf("order %d was called not run and ran %d times", i, n)
+		}
+		if o.booked {
+			booked++
+		}
+	}
+	f.t.Logf("%d of %d orders booked", booked, len(outcomes))
+	assert.Assert(f.t, booked >= len(outcomes)*9/10, "too few orders came through: %d", booked)
+}
+
+var orderShape = shape{control: 3, entries: 2, engines: 0, service: true}
+
+// Guards against a second run when the entry that sent an order is lost and the
+// caller repeats it through another.
+func TestOrdersWhileEntryDies(t *testing.T) {
+	ordersDuring(t, orderShape, 120, func(f *fleet) { f.procs["entry-0"].kill() })
+}
+
+// Guards against a second run when the agent that ran an order is lost and
+// comes back without memory.
+func TestOrdersWhileAgentDies(t *testing.T) {
+	ordersDuring(t, orderShape, 120, func(f *fleet) {
+		f.procs["orders-0"].kill()
+		f.procs["orders-0"].restart()
+	})
+}
+
+// Guards against a second run through an agent that is frozen with orders in
+// its hands and wakes up later.
+func TestOrdersWhileAgentPauses(t *testing.T) {
+	ordersDuring(t, orderShape, 120, func(f *fleet) {
+		f.procs["orders-0"].signal(syscall.SIGSTOP)
+		time.AfterFunc(3*time.Second, func() { f.procs["orders-0"].signal(syscall.SIGCONT) })
+	})
+}
+
+// Guards against records that are lost with a control instance.
+func TestOrdersWhileControlDies(t *testing.T) {
+	ordersDuring(t, orderShape, 120, func(f *fleet) { f.procs["control-1"].kill() })
+}
