control: keep raft messages apart from proposals

Ruled out: a longer queue, which only moves the number of proposers. The option to sync for each proposal can be set by benchmarks only. Conclusion: a flood of proposals no longer delays its own commits.

--- a/modules/control/replica/cluster_test.go
+++ b/modules/control/replica/cluster_test.go
@@ -8,9 +8,11 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -94,17 +96,42 @@
 type trackedListener struct {
 	net.Listener
 	mu    sync.Mutex
-	conns []net.Conn
+	conns []*trackedConn
+}
+
+// trackedConn can go silent: it stays open and passes nothing on.
+type trackedConn struct {
+	net.Conn
+	silent atomic.Bool
+}
+
+func (c *trackedConn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if err != nil || !c.silent.Load() {
+			return n, err
+		}
+	}
+}
+
+func (l *trackedListener) silence() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.conns {
+		c.silent.Store(true)
+	}
 }
 
 func (l *trackedListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err == nil {
-		l.mu.Lock()
-		l.conns = append(l.conns, c)
-		l.mu.Unlock()
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
 	}
-	return c, err
+	c := &trackedConn{Conn: conn}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns = append(l.conns, c)
+	return c, nil
 }
 
 func (l *trackedListener) Close() error {
@@ -117,10 +144,21 @@
 	return err
 }
 
+var clusters atomic.Uint32
+
+// loopback returns a loopback address of its own for each cluster. Outgoing
+// connections come from 127.0.0.1, so none of them takes the port of a killed
+// instance.
+func loopback() string {
+	n := clusters.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%250, n/250%250, 1+n%250)
+}
+
 func newCluster(t testing.TB, size, groups int, adjust func(*Options)) *cluster {
 	c := &cluster{t: t, folder: t.TempDir(), groups: groups, adjust: adjust, nodes: map[raft.MemberID]*instance{}}
+	host := loopback()
 	for i := range size {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", host+":0")
 		assert.NilError(t, err)
 		c.peers = append(c.peers, Peer{ID: raft.MemberID(fmt.Sprintf("control-%d", i+1)), Addr: l.Addr().String()})
 		assert.NilError(t, l.Close())
@@ -138,13 +176,19 @@
 
 func (c *cluster) path(id raft.MemberID) string { return filepath.Join(c.folder, string(id)) }
 
-func (c *cluster) start(p Peer) *instance {
+// options returns the options of an instance without state machines.
+func (c *cluster) options(p Peer) Options {
 	c.t.Helper()
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	security, err := peer.NewSecurity(peer.TLSSettings{Off: true}, log)
 	assert.NilError(c.t, err)
+	return Options{Self: p.ID, Peers: c.peers, Folder: c.path(p.ID), Machines: map[Group]StateMachine{}, Security: security, Log: log}
+}
+
+func (c *cluster) start(p Peer) *instance {
+	c.t.Helper()
 	n := &instance{machines: map[Group]*ledger{}}
-	o := Options{Self: p.ID, Peers: c.peers, Folder: c.path(p.ID), Machines: map[Group]StateMachine{}, Security: security, Log: log}
+	o := c.options(p)
 	for g := range Group(c.groups) {
 		n.machines[g] = &ledger{}
 		o.Machines[g] = n.machines[g]
@@ -152,10 +196,11 @@
 	if c.adjust != nil {
 		c.adjust(&o)
 	}
+	var err error
 	n.Replica, err = Open(o)
 	assert.NilError(c.t, err)
 	services := func(string) map[string]any { return map[string]any{ServiceName: n.Service()} }
-	n.server = &http.Server{Handler: &peer.Handler{Security: security, Services: services}}
+	n.server = &http.Server{Handler: &peer.Handler{Security: o.Security, Services: services}}
 	l, err := net.Listen("tcp", p.Addr)
 	assert.NilError(c.t, err)
 	n.listener = &trackedListener{Listener: l}
--- a/modules/control/replica/link.go
+++ b/modules/control/replica/link.go
@@ -54,9 +54,9 @@
 	default:
 	}
 	select {
-	case s.replica.inputs <- received{args.Messages}:
+	case s.replica.mail <- received{args.Messages}:
 	default:
-		s.replica.metrics.dropped.Add(int64(len(args.Messages)))
+		s.replica.metrics.refused.Add(int64(len(args.Messages)))
 	}
 	return nil
 }
@@ -204,7 +204,10 @@
 	registry *stats.Registry
 	sync     stats.Histogram
 	entries  stats.Counter
-	dropped  stats.Counter
+	// refused counts messages that came in while the owner was too busy, and
+	// dropped those that did not get out.
+	refused stats.Counter
+	dropped stats.Counter
 }
 
 func newMetrics(s *stats.Registry) metrics {
@@ -212,6 +215,7 @@
 		registry: s,
 		sync:     s.Histogram("control_log_sync_us"),
 		entries:  s.Counter("control_log_entries_total"),
-		dropped:  s.Counter("control_messages_dropped_total"),
+		refused:  s.Counter("control_messages_dropped_total", stats.Label{Key: "way", Value: "in"}),
+		dropped:  s.Counter("control_messages_dropped_total", stats.Label{Key: "way", Value: "out"}),
 	}
 }
--- a/modules/control/replica/replica.go
+++ b/modules/control/replica/replica.go
@@ -74,9 +74,10 @@
 	SegmentBytes   int64
 	// KeepLeaders stops the spreading of leaders over the members.
 	KeepLeaders bool
-	// SyncEach syncs once for each proposal instead of once for a batch. It
-	// exists to measure what group commit gains.
-	SyncEach bool
+
+	// syncEach syncs once for each input instead of once for a batch. Benchmarks
+	// set it to measure what group commit gains.
+	syncEach bool
 }
 
 func (o Options) withDefaults() Options {
@@ -104,7 +105,11 @@
 	log     *slog.Logger
 	wal     *wal.WAL
 	disk    raft.DiskID
+	// inputs carries proposals and requests, mail the messages of other
+	// instances. They are apart, so that a flood of proposals does not crowd out
+	// the acknowledgements that would commit them.
 	inputs  chan input
+	mail    chan received
 	groups  map[Group]*group
 	order   []*group
 	links   map[raft.MemberID]*link
@@ -121,8 +126,12 @@
 	cause  atomic.Pointer[error]
 }
 
-// queuedInputs bounds proposals, reads and messages waiting for the owner.
-const queuedInputs = 4096
+const (
+	// queuedInputs bounds proposals and requests waiting for the owner.
+	queuedInputs = 4096
+	// queuedMail bounds batches of messages waiting for the owner.
+	queuedMail = 256
+)
 
 // Open opens the log and restores the state machines. Nothing is sent or
 // received before Start.
@@ -137,7 +146,7 @@
 	}
 	r := &Replica{
 		options: o, log: o.Log, wal: w, disk: w.Identity().Disk,
-		inputs: make(chan input, queuedInputs),
+		inputs: make(chan input, queuedInputs), mail: make(chan received, queuedMail),
 		groups: map[Group]*group{}, links: map[raft.MemberID]*link{},
 		known: map[raft.MemberID]identity{}, ended: make(chan struct{}),
 		metrics: newMetrics(o.Stats),
@@ -283,6 +292,9 @@
 			return
 		case <-ticker.C:
 			r.tick()
+		case in := <-r.mail:
+			in.enter(r)
+			r.enterQueued()
 		case in := <-r.inputs:
 			in.enter(r)
 			r.enterQueued()
@@ -301,10 +313,16 @@
 // enterQueued takes in what arrived during the last sync, which then shares
 // the next one.
 func (r *Replica) enterQueued() {
-	if r.options.SyncEach {
+	if r.options.syncEach {
 		return
 	}
 	for range maxBatch {
+		select {
+		case in := <-r.mail:
+			in.enter(r)
+			continue
+		default:
+		}
 		select {
 		case in := <-r.inputs:
 			in.enter(r)
--- a/modules/control/replica/replica_test.go
+++ b/modules/control/replica/replica_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"gotest.tools/v3/assert"
 
 	"heatherway.dev/core/raft"
@@ -17,6 +18,7 @@
 // Guards against a group that does not form by itself, or whose members apply
 // different entries.
 func TestGroupsFormAndReplicate(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, 3, 4, nil)
 	c.eventually("three voters in each group", func() bool { return c.formed(3) })
 	for i := range 20 {
@@ -33,6 +35,7 @@
 
 // Guards against groups that all stay with one leader.
 func TestLeadersSpread(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, 3, 3, nil)
 	c.eventually("three leaders", func() bool {
 		return c.formed(3) && c.nodes["control-1"].Leader(0).Self && c.nodes["control-2"].Leader(1).Self && c.nodes["control-3"].Leader(2).Self
@@ -40,9 +43,10 @@
 }
 
 // Guards against an acknowledged entry that is lost when the leader dies, and
-// against restarted members that do not come back.
+// against restarted members that do not come back, with a snapshot or without.
 func TestKilledLeader(t *testing.T) {
-	c := newCluster(t, 3, 1, nil)
+	t.Parallel()
+	c := newCluster(t, 3, 1, func(o *Options) { o.CompactEntries = 25 })
 	c.eventually("three voters", func() bool { return c.formed(3) })
 	var want []string
 	for round := range 3 {
@@ -65,6 +69,7 @@
 // Guards against a member that votes with an empty disk, and against a second
 // loss right after the repair that takes acknowledged entries with it.
 func TestLostDisksOneAfterAnother(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, 3, 2, func(o *Options) { o.CompactEntries = 20 })
 	c.eventually("three voters", func() bool { return c.formed(3) })
 	var want []string
@@ -85,6 +90,7 @@
 
 // Guards against a follower that takes a proposal in, or hides the leader.
 func TestFollowerNamesTheLeader(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, 3, 1, nil)
 	c.eventually("three voters", func() bool { return c.formed(3) })
 	l := c.leader(0)
@@ -102,6 +108,7 @@
 // Guards against a leader without a quorum that serves reads as current or
 // acknowledges a write.
 func TestNoQuorum(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, 3, 1, nil)
 	c.eventually("three voters", func() bool { return c.formed(3) })
 	l := c.leader(0)
@@ -125,6 +132,7 @@
 // Guards against a shutdown that leaves the group without a leader for an
 // election timeout.
 func TestStopHandsOver(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, 3, 1, func(o *Options) { o.KeepLeaders = true })
 	c.eventually("three voters", func() bool { return c.formed(3) })
 	l := c.leader(0)
@@ -135,3 +143,45 @@
 	c.eventually("new leader", func() bool { return c.leader(0) != nil })
 	assert.Equal(t, c.leader(0).Leader(0).Term, term+1, "an election without handing over")
 }
+
+// Guards against connections that go silent for good and stop a group although
+// new ones work.
+func TestSilentConnections(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 3, 1, nil)
+	c.eventually("three voters", func() bool { return c.formed(3) })
+	for range 3 {
+		for _, n := range c.nodes {
+			n.listener.silence()
+		}
+		start := time.Now()
+		c.propose(0, start.String())
+		assert.Assert(t, time.Since(start) < 5*time.Second, "%v", time.Since(start))
+	}
+}
+
+// Guards against a flood of proposals that crowds out the messages which would
+// commit them, and with them the leader.
+func TestFloodOfProposals(t *testing.T) {
+	c := newCluster(t, 3, 1, func(o *Options) { o.KeepLeaders = true })
+	c.eventually("three voters", func() bool { return c.formed(3) })
+	l := c.leader(0)
+	term := l.Leader(0).Term
+	const proposers, each = 2 * queuedInputs, 5
+	errs := make(chan error, proposers)
+	for range proposers {
+		go func() {
+			var err error
+			for range each {
+				_, _, e := l.Propose(t.Context(), 0, []byte("same"))
+				err = errors.Join(err, e)
+			}
+			errs <- err
+		}()
+	}
+	for range proposers {
+		assert.NilError(t, <-errs)
+	}
+	assert.Equal(t, l.Leader(0).Term, term)
+	assert.Equal(t, l.metrics.refused.Value(), int64(0))
+}
