entry: let every open request resume, settle refused keyed calls

Cause: BenchmarkResume showed a pause of 10.6 s at p99 after a reset: the resume budget was earned by running attempts, of which none is left when all are lost at once. A refusal of a call with a key was told as not run although an earlier request with that key had run. Ruled out: a larger reserve, which does not grow with the entry's load. Change: open requests earn the budget, three resumes each in 10 s; a fenced or refused call with a key is settled by the record.

--- a/modules/entry/attempt.go
+++ b/modules/entry/attempt.go
@@ -40,7 +40,33 @@
 	if k.idempotent {
 		once = m.lookup
 	}
-	return m.attempts(ctx, k, permit, once)
+	reply, err := m.attempts(ctx, k, permit, once)
+	if err != nil && err.Ran == result.NotRun && k.keyed && !k.idempotent {
+		return m.earlier(ctx, k, err)
+	}
+	return reply, err
+}
+
+// earlierLimit bounds the look at the record of a refused call.
+const earlierLimit = 250 * time.Millisecond
+
+// earlier keeps a refusal from being taken for "the key was never run" when an
+// earlier request with the same key has run.
+func (m *Module) earlier(ctx context.Context, k *call, err *result.Error) (*wire.CallReply, *result.Error) {
+	ctx, cancel := context.WithTimeout(ctx, earlierLimit)
+	defer cancel()
+	var r wire.LookupReply
+	if e := m.control(ctx, "Lookup", &wire.LookupArgs{Key: k.key}, &r); e != nil {
+		return nil, err
+	}
+	s := settling{m: m, k: k, args: wire.AbortArgs{Key: k.key}}
+	if reply, found, done := s.judge(&r.Record); done && (reply != nil || found.Code == result.KeyReused) {
+		return reply, found
+	}
+	if s.claimed {
+		return nil, err.WithRan(result.Unknown)
+	}
+	return nil, err
 }
 
 type tryFunc func(context.Context, *call, purpose, wire.ID) (*wire.CallReply, *result.Error)
@@ -251,7 +277,9 @@
 	if err := s.m.control(ctx, "Abort", &s.args, &r); err != nil {
 		return nil, nil, false
 	}
-	if r.Aborted {
+	// The attempt may be fenced because another one, of an earlier request with
+	// the same key, holds the record; its outcome is then that of the key.
+	if r.Aborted && r.Record.State != wire.RecordStarted && r.Record.State != wire.RecordFinished {
 		return nil, result.New(result.UpstreamNotReachable, "the call did not reach the service").WithRan(result.NotRun), true
 	}
 	return s.judge(&r.Record)
--- a/modules/entry/call_test.go
+++ b/modules/entry/call_test.go
@@ -83,6 +83,12 @@
 			},
 			status: http.StatusCreated, sent: 1,
 		},
+		"fenced, but an earlier request with the key ran": {
+			abort: func(*wire.AbortArgs) wire.AbortReply {
+				return wire.AbortReply{Aborted: true, Record: wire.Record{State: wire.RecordFinished, Attempt: "other", Status: http.StatusCreated, Body: []byte("booked")}}
+			},
+			status: http.StatusCreated, sent: 1,
+		},
 		"still running at the deadline": {
 			abort: func(a *wire.AbortArgs) wire.AbortReply {
 				return wire.AbortReply{Record: wire.Record{State: wire.RecordStarted, Attempt: a.Attempt}}
@@ -168,6 +174,26 @@
 	assert.Equal(t, n.Load(), int32(1))
 }
 
+// Guards I4 across requests with one key: a refusal is not told as "not run"
+// while an earlier request may have run, and a stored answer replaces it.
+func TestRefusedCallWithAnEarlierRun(t *testing.T) {
+	f, _ := callFleet(t, func(int32, *wire.CallArgs, *wire.CallReply) error {
+		return result.New(result.QueueFull, "full")
+	})
+	var record wire.Record
+	f.control.lookup = func(*wire.LookupArgs) wire.LookupReply { return wire.LookupReply{Record: record} }
+	call := func() reply {
+		return f.do(http.MethodPost, "/v1/services/orders/book", "", "Idempotency-Key", "k")
+	}
+	assert.Equal(t, problemOf(t, call().body).Ran, "not_run")
+	record = wire.Record{State: wire.RecordStarted}
+	assert.Equal(t, problemOf(t, call().body).Ran, "unknown")
+	record = wire.Record{State: wire.RecordFinished, Status: http.StatusCreated, Body: []byte("booked")}
+	r := call()
+	assert.Equal(t, r.status, http.StatusCreated)
+	assert.Equal(t, r.header.Get("X-Heatherway-Replayed"), "true")
+}
+
 // Guards against a repeat of a call that ran and failed.
 func TestFailedCallIsNotRepeated(t *testing.T) {
 	f, n := callFleet(t, func(int32, *wire.CallArgs, *wire.CallReply) error {
--- a/modules/entry/cost_test.go
+++ b/modules/entry/cost_test.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -162,6 +163,69 @@
 	return discard(r)
 }
 
+// BenchmarkResume reports the longest pause that a caller sees between two
+// tokens when the agent breaks the connection, and when it goes silent.
+func BenchmarkResume(b *testing.B) {
+	for name, lose := range map[string]func(*frameWriter){
+		"reset":   func(w *frameWriter) { w.reset() },
+		"silence": func(w *frameWriter) { <-w.ctx.Done() },
+	} {
+		b.Run(name, func(b *testing.B) {
+			const open = 100
+			var resumed atomic.Int32
+			var pauses []time.Duration
+			for b.Loop() {
+				good := newFakeAgent(b, "agent-1", func(w *frameWriter, r *wire.GenerateRequest) {
+					resumed.Add(int32(r.Attempt - 1))
+					w.tokens(int(r.PrefixTokens), 10)
+					w.end(10)
+				})
+				bad := newFakeAgent(b, "agent-2", func(w *frameWriter, r *wire.GenerateRequest) {
+					if !r.Attach {
+						w.tokens(0, 5)
+						lose(w)
+					}
+					<-w.ctx.Done()
+				})
+				f := newFleet(b, good, bad)
+				var mu sync.Mutex
+				streams(b, open, func() error {
+					return post(http.DefaultClient, f.url+"/v1/completions", streamBody, func(r io.Reader) error {
+						p, err := longestPause(r)
+						mu.Lock()
+						pauses = append(pauses, p)
+						mu.Unlock()
+						return err
+					})
+				})
+				f.stop()
+			}
+			slices.Sort(pauses)
+			pauses = pauses[len(pauses)-int(resumed.Load()):] // those of the streams that were resumed
+			b.ReportMetric(float64(len(pauses)), "resumed")
+			b.ReportMetric(float64(pauses[len(pauses)/2].Microseconds())/1000, "p50-ms")
+			b.ReportMetric(float64(pauses[(len(pauses)-1)*99/100].Microseconds())/1000, "p99-ms")
+		})
+	}
+}
+
+// longestPause reads an event stream to its end, which must be [DONE].
+func longestPause(r io.Reader) (longest time.Duration, err error) {
+	last := time.Now()
+	s := bufio.NewScanner(r)
+	done := false
+	for s.Scan() {
+		if data, ok := strings.CutPrefix(s.Text(), "data: "); ok {
+			now := time.Now()
+			longest, last, done = max(longest, now.Sub(last)), now, data == "[DONE]"
+		}
+	}
+	if !done {
+		err = fmt.Errorf("the stream ended without [DONE]")
+	}
+	return longest, err
+}
+
 // BenchmarkOpenStream reports the memory of an open stream. Agent and caller
 // run in this process too, so their share is measured without the entry and
 // taken off.
--- a/modules/entry/owner.go
+++ b/modules/entry/owner.go
@@ -26,6 +26,10 @@
 	ownerTick = 100 * time.Millisecond
 	// behindLimit is how long a newer revision may be known but not fetched.
 	behindLimit = 5 * time.Second
+	// resumeShare is how many resumes each open request earns in the budget's
+	// window of 10 s. With one, generations that lose a second upstream within
+	// the window would wait for its end.
+	resumeShare = 3
 )
 
 // input is what the owner's goroutine takes from its queue.
@@ -52,7 +56,6 @@
 	limits     *limit.Entry
 	latency    map[string]*retry.Latency
 	inFlight   map[string]int
-	running    int
 	number     uint64
 	rng        *rand.Rand
 	list       []wire.Upstream
@@ -76,7 +79,7 @@
 	name := m.instance.ID + "/" + string(wire.NewID())
 	o := &owner{
 		m: m, queue: make(chan input, eventQueue), chooser: chooser,
-		table: pick.NewTable(pick.Settings{}), budget: retry.NewBudget(retry.Settings{}),
+		table: pick.NewTable(pick.Settings{}), budget: retry.NewBudget(retry.Settings{ResumeShare: resumeShare}),
 		limits: limit.NewEntry(name, m.Limits.Entries), latency: map[string]*retry.Latency{},
 		inFlight: map[string]int{}, rng: rand.New(rand.NewSource(now.UnixNano())),
 	}
@@ -183,7 +186,7 @@
 	if share == 0 {
 		share = -1 // a zero field would mean the default
 	}
-	o.budget = retry.NewBudget(retry.Settings{Share: share})
+	o.budget = retry.NewBudget(retry.Settings{Share: share, ResumeShare: resumeShare})
 	o.table = pick.NewTable(pick.Settings{Breaker: breaker.Settings{Consecutive: int(t.failures), Pause: t.pause}})
 	o.table.SetUpstreams(o.list)
 }
@@ -307,7 +310,9 @@
 			return selection{err: result.New(result.RetryBudgetSpent, "the retry budget is spent")}
 		}
 	case resumeAttempt:
-		if wait, ok := o.budget.Resume(now, o.running); !ok {
+		// Open requests are counted, not running attempts: when all attempts are
+		// lost at once, their number is 0 just when it matters.
+		if wait, ok := o.budget.Resume(now, int(o.m.open.Load())); !ok {
 			return selection{wait: wait}
 		}
 	}
@@ -363,7 +368,6 @@
 	o.number++
 	o.table.Sent(now, u.ID, o.number, r)
 	o.inFlight[u.ID]++
-	o.running++
 	return ticket{upstream: u, number: o.number, permit: permit}
 }
 
@@ -412,7 +416,6 @@
 	if b := o.table.Breaker(e.upstream.ID); b != nil {
 		b.Record(now, e.permit, e.outcome)
 	}
-	o.running--
 	if o.inFlight[e.upstream.ID]--; o.inFlight[e.upstream.ID] <= 0 {
 		delete(o.inFlight, e.upstream.ID)
 	}
--- a/modules/entry/suspect.go
+++ b/modules/entry/suspect.go
@@ -52,7 +52,7 @@
 // control instance answers.
 func (m *Module) permit(ctx context.Context, r *request, busy time.Duration) (wire.ID, *result.Error) {
 	end := time.Now().Add(busy)
-	args := wire.PermitArgs{Fingerprint: r.fingerprint, Holder: m.instance.ID + "/" + r.id}
+	args := wire.PermitArgs{Fingerprint: r.fingerprint, Holder: m.instance.ID + "/" + r.id, Permit: wire.NewID()}
 	for {
 		id, err := m.askPermit(ctx, &args)
 		switch {
