--- a/core/wire/rpc.go
+++ b/core/wire/rpc.go
@@ -160,6 +160,8 @@
 	Members  uint64
 	// Suspects is the version of the quarantine list that the caller has.
 	Suspects uint64
+	// Orders is the version of the agent's orders that the caller has.
+	Orders uint64
 	// Fresh asks for a read through a quorum, for a process that starts.
 	Fresh bool
 	// WaitMS bounds how long the call may hang when nothing changes.
@@ -190,6 +192,11 @@
 	// SuspectsChanged tells that Suspect is the whole new list.
 	SuspectsChanged bool
 	Suspect         []Suspect
+	// Orders is the version of the orders for this agent; when OrdersChanged is
+	// set, Order lists all that it has not reported as done.
+	Orders        uint64
+	OrdersChanged bool
+	Order         []Order
 }
 
 // Suspect is a request fingerprint that was running when an upstream crashed.
@@ -210,6 +217,8 @@
 	Incarnation  Incarnation
 	CrashNumber  uint64
 	Fingerprints []string
+	// Probation is the one of them that was in probation; empty without one.
+	Probation string
 }
 
 // CrashReply gives the state of the reported fingerprints.
@@ -234,6 +243,16 @@
 	NotRun   bool
 }
 
+// ProbationTokens is how many new tokens a suspect must produce to pass its
+// probation. A request that crashes its upstream at a given token does so again
+// at the first token behind the delivered prefix; the others allow for tokens
+// that were decoded and not delivered.
+const ProbationTokens = 4
+
+// PermitUnavailable stands for a permit while no control instance answers. The
+// agent still isolates the suspect.
+const PermitUnavailable ID = "unavailable"
+
 // PermitReply carries the permit; its absence comes as a result code.
 type PermitReply struct{ Permit ID }
 
--- a/modules/control/control.go
+++ b/modules/control/control.go
@@ -7,6 +7,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"os"
 	"path/filepath"
 	"time"
 
@@ -100,6 +101,7 @@
 
 	instance kernel.Instance
 	logger   *slog.Logger
+	audit    *slog.Logger
 	stats    *stats.Registry
 	security *peer.Security
 	listener *trackedListener
@@ -112,6 +114,8 @@
 	touch   touch
 	issued  versionSet
 	sent    sentSubsets
+	subsets subsetCache
+	counts  counts
 	peers   *peers
 	replica *replica.Replica
 	// syncEach syncs the log once for each command, to measure what syncing a
@@ -158,6 +162,7 @@
 		c.Advertise = l.Addr().String()
 	}
 	c.instance, c.logger, c.stats, c.security = ctx.Instance, ctx.Log, ctx.Stats, ctx.TLS
+	c.audit = newAudit(os.Stderr, ctx.Instance.ID)
 	c.begin()
 	return c.build()
 }
@@ -173,6 +178,7 @@
 		c.records = append(c.records, r)
 		machines = append(machines, r)
 	}
+	c.counts = newCounts(c.stats)
 	c.members = newMembers(time.Now, c.stats)
 	c.peers = newPeers(c.security)
 	return c.openLog(machines)
@@ -214,7 +220,7 @@
 // Start implements kernel.Runner.
 func (c *Control) Start(ctx context.Context) error {
 	mux := http.NewServeMux()
-	mux.Handle(peer.RPCPath, &peer.Handler{Security: c.security, Roles: servedRoles, Services: c.services})
+	mux.Handle(peer.RPCPath, &peer.Handler{Security: c.security, Roles: servedRoles, Named: c.services})
 	c.server = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderLimit}
 	go c.serve()
 	if c.replica != nil {
@@ -236,6 +242,7 @@
 			go c.sendDigests(c.ctx, c.security.NewClient(addr))
 		}
 	}
+	go c.lead(c.ctx)
 	go c.bootstrap()
 }
 
--- a/modules/entry/connection.go
+++ b/modules/entry/connection.go
@@ -56,6 +56,8 @@
 	// over is set once the last frame has arrived; the connection then goes
 	// back to the pool instead of being closed.
 	over atomic.Bool
+	// passed is set once a suspect has ended its probation on this connection.
+	passed atomic.Bool
 }
 
 // close ends the connection unless its last frame has arrived.
@@ -66,13 +68,14 @@
 }
 
 // connect finds an upstream for an attempt and reads its frames.
-func (c *conn) connect(ctx context.Context, a stream.Action, p purpose, want pick.Request, held wire.ID) {
-	permit, err := c.d.m.clear(ctx, c.d.r, held, a.Cause, p == resumeAttempt)
+func (c *conn) connect(ctx context.Context, a stream.Action, p purpose, want pick.Request, held wire.ID, crashes int) {
+	permit, err := c.d.m.clear(ctx, c.d.r, held, a.Cause, suspicion{crashes: crashes, started: p == resumeAttempt})
 	if err != nil {
 		c.d.signal(ctx, signal{conn: c.n, lost: true, final: true, err: err})
 		c.cancel()
 		return
 	}
+	want.Suspect = permit != ""
 	c.request.Permit = permit
 	if err := c.choose(ctx, p, want); err != nil {
 		if p == retryAttempt && notMade(err) {
@@ -198,7 +201,7 @@
 	}
 	e := result.Wrap(result.UpstreamFailed, err, "the connection to the agent broke").WithRan(result.Unknown)
 	if c.ran && c.d.m.agentGone(c.ticket.upstream.Addr) {
-		c.d.m.reportCrash(c.d.ctx, c.d.r, &c.ticket.upstream)
+		c.d.m.reportCrash(c.d.ctx, c.d.r, &c.ticket.upstream, c.request.Permit != "" && !c.passed.Load())
 		e.Ran = result.DidRun
 	}
 	return e
--- a/modules/entry/driver.go
+++ b/modules/entry/driver.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -41,11 +42,14 @@
 	tried   []string
 	blocks  []uint64
 	timer   *time.Timer
-	// permit is that of a suspect. Until probationEnd tokens are delivered it is
-	// in probation, which is over once passed is set.
-	permit       wire.ID
-	probationEnd uint64
-	passed       bool
+	// permit is held while a suspect runs; crashes counts the attempts that
+	// ended in what looks like a crash. permitFrom is the count of tokens
+	// delivered when the permit was given, and passed the permit of an ended
+	// probation.
+	permit     wire.ID
+	permitFrom uint64
+	passed     wire.ID
+	crashes    int
 
 	outcome    *stream.Outcome
 	lastWrite  time.Time
@@ -182,8 +186,7 @@
 func (d *driver) take(s signal) {
 	now := time.Now()
 	if s.permit != "" && s.permit != d.permit {
-		d.permit, d.passed = s.permit, false
-		d.probationEnd = d.asm.Delivered() + probationTokens
+		d.permit, d.permitFrom = s.permit, d.asm.Delivered()
 	}
 	if s.agent != "" {
 		d.asm.Chosen(s.conn, s.agent)
@@ -217,6 +220,7 @@
 	deliver, acts := d.asm.Frame(now, conn, f)
 	if deliver {
 		d.deliver(now, f)
+		d.passProbation(conn)
 	}
 	d.execute(acts)
 }
@@ -232,10 +236,6 @@
 		d.lostAt = time.Time{}
 	}
 	d.m.metrics.tokens.Add(int64(f.Tokens))
-	if d.permit != "" && !d.passed && d.asm.Delivered() >= d.probationEnd {
-		d.passed = true
-		d.m.givePermitBack(d.r, d.permit, true, false)
-	}
 	d.out.token(f.Text, d.eventID())
 	d.lastWrite = now
 }
@@ -311,13 +311,36 @@
 	}
 	d.end()
 	d.timer.Stop()
-	if !d.passed || d.outcome.Err == nil {
-		d.m.givePermitBack(d.r, d.permit, false, d.outcome.Err == nil)
-	}
+	d.endPermit()
 	d.m.settle(d.r, d.outcome)
 	d.m.finish(d.r, d.summary())
 }
 
+// endPermit gives the permit of a suspect back. A suspect that has ended well
+// is cleared, also if its probation was over before.
+func (d *driver) endPermit() {
+	switch {
+	case d.outcome.Err == nil:
+		d.m.giveBackPermit(d.r, cmp.Or(d.permit, d.passed), permitFinished)
+	case d.asm.Delivered() == d.permitFrom && !crashed(d.outcome.Err):
+		d.m.giveBackPermit(d.r, d.permit, permitUnused)
+	default:
+		d.m.giveBackPermit(d.r, d.permit, permitLost)
+	}
+}
+
+// passProbation gives the permit back once a suspect has proved harmless.
+func (d *driver) passProbation(conn int) {
+	if d.permit == "" || d.asm.Delivered() < d.permitFrom+wire.ProbationTokens {
+		return
+	}
+	if c, ok := d.conns[conn]; ok {
+		c.passed.Store(true)
+	}
+	d.m.giveBackPermit(d.r, d.permit, permitPassed)
+	d.permit, d.passed = "", d.permit
+}
+
 func (d *driver) summary() summary {
 	o := d.outcome
 	return summary{
@@ -341,21 +364,20 @@
 	c.request.Body, c.request.PrefixText, c.request.PrefixTokens = d.r.body, text, a.Offset
 	p := firstAttempt
 	if a.Cause != nil {
-		p = d.again()
+		p = d.again(a.Cause)
 	}
 	d.m.metrics.attempts.Inc()
-	held := d.permit
-	if d.passed {
-		held = "" // another run is another probation
-	}
-	go c.connect(ctx, a, p, d.want(), held)
+	go c.connect(ctx, a, p, d.want(), d.permit, d.crashes)
 }
 
 // again prepares another attempt and tells which budget it draws on.
-func (d *driver) again() purpose {
+func (d *driver) again(cause *result.Error) purpose {
 	if agent := d.asm.Agent(); agent != "" {
 		d.tried = append(d.tried, agent)
 	}
+	if crashed(cause) {
+		d.crashes++
+	}
 	if !d.asm.Started() {
 		return retryAttempt
 	}
--- a/modules/entry/suspect.go
+++ b/modules/entry/suspect.go
@@ -13,18 +13,16 @@
 
 // Patience with permits.
 const (
-	// permitLimit is how long control is waited for. Without a permit the
-	// suspect runs all the same; its agent still keeps it apart from others.
-	permitLimit = 500 * time.Millisecond
-	// busyLimit is how long a request waits for another probation of the same
-	// fingerprint; startedBusyLimit holds for a generation that has started,
-	// whose text would be lost.
-	busyLimit        = time.Second
-	startedBusyLimit = 10 * time.Second
+	// permitLimit bounds the wait for a permit while another run of the same
+	// request is in probation, or its crash is being reported. A generation that
+	// has started waits longer, since its text would be lost.
+	permitLimit        = time.Second
+	startedPermitLimit = 10 * time.Second
 	// permitPause separates two requests for a permit.
-	permitPause = 100 * time.Millisecond
-	// probationTokens is how many new tokens a suspect decodes in probation.
-	probationTokens = 4
+	permitPause = 50 * time.Millisecond
+	// unreachableLimit is how long control may give no answer before a suspect
+	// runs without a permit.
+	unreachableLimit = 500 * time.Millisecond
 	// gonePatience bounds the check whether an agent is gone. A process that
 	// has ended refuses at once.
 	gonePatience = 50 * time.Millisecond
@@ -48,43 +46,55 @@
 	return ok
 }
 
-// permit asks for leave to run a suspect in probation. It is empty when no
-// control instance answers.
-func (m *Module) permit(ctx context.Context, r *request, busy time.Duration) (wire.ID, *result.Error) {
-	end := time.Now().Add(busy)
+// permit asks for leave to run a suspect.
+func (m *Module) permit(ctx context.Context, r *request, limit time.Duration) (wire.ID, *result.Error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
 	args := wire.PermitArgs{Fingerprint: r.fingerprint, Holder: m.instance.ID + "/" + r.id, Permit: wire.NewID()}
 	for {
 		id, err := m.askPermit(ctx, &args)
-		switch {
-		case err == nil:
-			return id, nil
-		case err.Code == result.ControlUnavailable:
-			return "", nil
-		case err.Code != result.SuspectBusy || ctx.Err() != nil || time.Now().After(end):
-			return "", err
+		if err == nil || err.Code != result.SuspectBusy {
+			return id, err
 		}
 		wait(ctx, permitPause)
+		if ctx.Err() != nil {
+			return "", err
+		}
 	}
 }
 
 func (m *Module) askPermit(ctx context.Context, args *wire.PermitArgs) (wire.ID, *result.Error) {
-	ctx, cancel := context.WithTimeout(ctx, permitLimit)
+	ctx, cancel := context.WithTimeout(ctx, unreachableLimit)
 	defer cancel()
 	var reply wire.PermitReply
-	if err := m.control(ctx, "Permit", args, &reply); err != nil {
-		return "", result.From(err)
+	err := m.control(ctx, "Permit", args, &reply)
+	if err == nil {
+		return reply.Permit, nil
+	}
+	if ctx.Err() != nil {
+		return "", result.Wrap(result.ControlUnavailable, err, "no control instance gave a permit").WithRan(result.NotRun)
 	}
-	return reply.Permit, nil
+	return "", result.From(err)
 }
 
-// givePermitBack tells control how far a suspect has come.
-func (m *Module) givePermitBack(r *request, id wire.ID, passed, finished bool) {
-	if id == "" {
+// permitEnd tells how the use of a permit has ended.
+type permitEnd uint8
+
+const (
+	permitLost     permitEnd = iota // the run failed; a crash may be reported
+	permitUnused                    // the run never began
+	permitPassed                    // the run goes on after its probation
+	permitFinished                  // the run has ended well
+)
+
+// giveBackPermit returns a permit.
+func (m *Module) giveBackPermit(r *request, id wire.ID, end permitEnd) {
+	if id == "" || id == wire.PermitUnavailable {
 		return
 	}
 	args := wire.PermitArgs{
-		Fingerprint: r.fingerprint, Holder: m.instance.ID + "/" + r.id, Permit: id,
-		Done: true, Passed: passed, Finished: finished,
+		Fingerprint: r.fingerprint, Holder: m.instance.ID + "/" + r.id, Permit: id, Done: true,
+		Finished: end == permitFinished, NotRun: end == permitUnused, Passed: end == permitPassed,
 	}
 	m.spawn(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), controlTry)
@@ -109,11 +119,14 @@
 
 // reportCrash tells control that a request was running when its agent ended.
 // An agent that lives reports the crashes of its engine itself.
-func (m *Module) reportCrash(ctx context.Context, r *request, u *wire.Upstream) {
+func (m *Module) reportCrash(ctx context.Context, r *request, u *wire.Upstream, probation bool) {
 	args := wire.CrashArgs{
 		Reporter: m.instance.ID, Upstream: u.ID, Incarnation: u.Incarnation,
 		CrashNumber: wire.CrashOfAgent, Fingerprints: []string{r.fingerprint},
 	}
+	if probation {
+		args.Probation = r.fingerprint
+	}
 	ctx, cancel := context.WithTimeout(ctx, controlTry)
 	defer cancel()
 	if err := m.control(ctx, "Crash", &args, &wire.CrashReply{}); err != nil {
@@ -126,17 +139,35 @@
 	return e != nil && e.Code == result.UpstreamFailed && e.Ran == result.DidRun
 }
 
-// clear gets the permit that an attempt needs, if it needs one. A permit whose
-// probation is not over is held on to unless the upstream crashed.
-func (m *Module) clear(ctx context.Context, r *request, held wire.ID, cause *result.Error, started bool) (wire.ID, *result.Error) {
+// suspicion is what an entry knows of a request itself: how many of its
+// attempts ended in what looks like a crash, and whether it has started.
+type suspicion struct {
+	crashes int
+	started bool
+}
+
+// clear gets the permit that an attempt needs, if it needs one. While control
+// cannot be reached, a request whose first crash this is may go on, so that a
+// control outage does not stop the resume of other requests; after a second
+// crash it is more likely the cause.
+func (m *Module) clear(ctx context.Context, r *request, held wire.ID, cause *result.Error, s suspicion) (wire.ID, *result.Error) {
 	if held != "" && !crashed(cause) {
 		return held, nil
 	}
-	if !crashed(cause) && !m.suspected(r) {
+	if !crashed(cause) && !suspectedByAgent(cause) && !m.suspected(r) {
 		return "", nil
 	}
-	if started {
-		return m.permit(ctx, r, startedBusyLimit)
+	limit := permitLimit
+	if s.started {
+		limit = startedPermitLimit
+	}
+	id, err := m.permit(ctx, r, limit)
+	if err != nil && err.Code == result.ControlUnavailable && s.crashes <= 1 {
+		return wire.PermitUnavailable, nil
 	}
-	return m.permit(ctx, r, busyLimit)
+	return id, err
 }
+
+// suspectedByAgent tells whether an agent refused the request since it knew of
+// the suspicion before this entry.
+func suspectedByAgent(e *result.Error) bool { return e != nil && e.Code == result.SuspectBusy }
