--- a/modules/entry/suspect.go
+++ b/modules/entry/suspect.go
@@ -50,7 +50,7 @@
 func (m *Module) permit(ctx context.Context, r *request, limit time.Duration) (wire.ID, *result.Error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	args := wire.PermitArgs{Fingerprint: r.fingerprint, Holder: m.instance.ID + "/" + r.id}
+	args := wire.PermitArgs{Fingerprint: r.fingerprint, Holder: m.instance.ID + "/" + r.id, Permit: wire.NewID()}
 	for {
 		id, err := m.askPermit(ctx, &args)
 		if err == nil || err.Code != result.SuspectBusy {
