control: lease rate limits to entries

Cause: core/limit needs a carrier between entries and the owner of a limit. Ruled out: the configured instances as owners, which leaves a part of the organisations without leases while an instance is down; and owners without a quorum, which would give a limit an owner on each side of a partition. Change: Control.Limit with limit.Ask and limit.Grant; the owner is chosen by rendezvous hash among the instances that answered within 3 s, and any instance forwards once. Conclusion: the entry can carry its asks to any control instance.

--- a/modules/control/cluster_test.go
+++ b/modules/control/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"strings"
@@ -10,6 +11,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"heatherway.dev/core/config"
+	"heatherway.dev/core/limit"
 	"heatherway.dev/core/wire"
 	"heatherway.dev/kernel"
 	"heatherway.dev/kernel/peer"
@@ -23,11 +26,12 @@
 	data   []string
 	stops  []func()
 	client []*peer.Client
+	begin  time.Time
 }
 
 func startCluster(t testing.TB) *cluster {
 	t.Helper()
-	c := &cluster{stops: make([]func(), 3)}
+	c := &cluster{stops: make([]func(), 3), begin: time.Now()}
 	for range 3 {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		assert.NilError(t, err)
@@ -134,6 +138,7 @@
 			winner[key] = r.Record.Attempt
 		}
 	}
+	c.leaseLimits(t)
 	c.stop(0)
 	for key, attempt := range winner {
 		for _, i := range []int{1, 2} {
@@ -153,3 +158,34 @@
 		assert.Equal(t, r.Record.Attempt, attempt)
 	}
 }
+
+// leaseLimits guards against entries at different instances that are each
+// granted the whole of a limit: every ask of an organisation has one owner.
+func (c *cluster) leaseLimits(t *testing.T) {
+	t.Helper()
+	doc := until[wire.WatchReply](t, c.client[0], "Watch", wire.WatchArgs{Instance: "e1", Role: "entry", Fresh: true})
+	edit := config.Edit{Kind: config.SetDefault, Name: "organisation.requests", Value: "10"}
+	b, err := json.Marshal(config.Change{ChangeID: "limit", BaseRevision: doc.Revision, Author: "a", Reason: "r", Edits: []config.Edit{edit}})
+	assert.NilError(t, err)
+	var changed wire.ChangeReply
+	assert.NilError(t, c.client[1].Call(t.Context(), "Admin.Change", wire.ChangeArgs{Change: b}, &changed))
+	assert.Assert(t, changed.Accepted)
+	for i := range 3 {
+		waitFor(t, func() bool {
+			w := until[wire.WatchReply](t, c.client[i], "Watch", wire.WatchArgs{Instance: "e1", Role: "entry", Fresh: true})
+			return w.Revision >= changed.Revision
+		})
+	}
+	granted := 0.0
+	for n := range uint64(30) {
+		i := int(n) % 3
+		a := limit.Ask{
+			Organisation: "o", Entry: fmt.Sprint("e", i), Number: n + 1,
+			Demand: limit.Amount{Requests: 100}, Want: limit.Amount{Requests: 40}, Need: limit.Amount{Requests: 1},
+		}
+		granted += until[limit.Grant](t, c.client[i], "Limit", a).Amount.Requests
+	}
+	most := 10 * time.Since(c.begin).Seconds() // a bucket fills from its owner's start
+	t.Logf("granted %.1f of at most %.1f requests", granted, most)
+	assert.Assert(t, granted > 0 && granted <= most)
+}
--- a/modules/control/control.go
+++ b/modules/control/control.go
@@ -116,6 +116,8 @@
 	sent    sentSubsets
 	subsets subsetCache
 	counts  counts
+	alive   alive
+	limits  *limits
 	peers   *peers
 	replica *replica.Replica
 	// syncEach syncs the log once for each command, to measure what syncing a
@@ -180,6 +182,7 @@
 	}
 	c.counts = newCounts(c.stats)
 	c.members = newMembers(time.Now, c.stats)
+	c.limits = newLimits()
 	c.peers = newPeers(c.security)
 	return c.openLog(machines)
 }
@@ -239,9 +242,10 @@
 	go c.members.run(c.ctx)
 	for id, addr := range c.Members {
 		if id != c.instance.ID {
-			go c.sendDigests(c.ctx, c.security.NewClient(addr))
+			go c.sendDigests(c.ctx, id, c.security.NewClient(addr))
 		}
 	}
+	go c.limits.run(c.ctx)
 	go c.lead(c.ctx)
 	go c.bootstrap()
 }
--- a/modules/control/digests.go
+++ b/modules/control/digests.go
@@ -28,7 +28,8 @@
 }
 
 // sendDigests tells one other instance what this one hears, until ctx ends.
-func (c *Control) sendDigests(ctx context.Context, to *peer.Client) {
+func (c *Control) sendDigests(ctx context.Context, id string, to *peer.Client) {
+	defer to.Close()
 	tick := time.NewTicker(digestInterval)
 	defer tick.Stop()
 	var since int64
@@ -42,6 +43,7 @@
 		upTo, err := c.sendDigest(ctx, to, since)
 		if err == nil {
 			since = upTo
+			c.alive.note(id, time.Now())
 		}
 		if (err != nil) != failed {
 			failed = err != nil
@@ -59,9 +61,6 @@
 	if err != nil {
 		return 0, err
 	}
-	if len(list.heard) == 0 {
-		return list.upToMS, nil
-	}
 	var r member.DigestReply
 	d := member.Digest{From: c.instance.ID, Heard: list.heard}
 	if err := to.Call(ctx, membersService+".Merge", d, &r); err != nil || len(r.Unknown) == 0 {
