control: name the calls as the entry uses them, add followers of deltas

Cause: the entry sends limit.Ask to Control.Lease, which was the lease of issuers; following deltas took several calls. Conclusion: an entry follows deltas with two calls.

--- a/core/config/delta.go
+++ b/core/config/delta.go
@@ -88,3 +88,29 @@
 	_, _ = h.Write(encoded) // a hash never fails
 	return max(1, h.Sum64())
 }
+
+// Follow returns the document after the answer to a watch: the whole document
+// or a step from the current one, each in JSON, or the current one if neither
+// is set. After an error the process asks for the whole document, with the
+// revision zero.
+func Follow(current *Document, whole, step []byte) (*Document, error) {
+	switch {
+	case len(whole) > 0:
+		next := new(Document)
+		if err := json.Unmarshal(whole, next); err != nil {
+			return nil, errors.Wrap(err, "decode document")
+		}
+		return next, nil
+	case len(step) > 0:
+		var s Step
+		if err := json.Unmarshal(step, &s); err != nil {
+			return nil, errors.Wrap(err, "decode step")
+		}
+		if current == nil {
+			return nil, errors.New("a step without a document before it")
+		}
+		return current.Advance(s)
+	default:
+		return current, nil
+	}
+}
--- a/core/member/delta.go
+++ b/core/member/delta.go
@@ -52,3 +52,17 @@
 	slices.SortFunc(next, func(a, b wire.Upstream) int { return strings.Compare(a.ID, b.ID) })
 	return next, Version(next) == version
 }
+
+// Follow returns the subset after the answer to a watch, and tells whether it
+// has the answer's version; if not, the entry asks for the whole subset, with
+// the version zero.
+func Follow(current []wire.Upstream, r *wire.WatchReply) ([]wire.Upstream, bool) {
+	switch {
+	case !r.MembersChanged:
+		return current, true
+	case r.MembersDelta:
+		return Advance(current, r.Upstreams, r.Removed, r.Members)
+	default:
+		return r.Upstreams, true
+	}
+}
--- a/modules/control/cluster_test.go
+++ b/modules/control/cluster_test.go
@@ -183,7 +183,7 @@
 			Organisation: "o", Entry: fmt.Sprint("e", i), Number: n + 1,
 			Demand: limit.Amount{Requests: 100}, Want: limit.Amount{Requests: 40}, Need: limit.Amount{Requests: 1},
 		}
-		granted += until[limit.Grant](t, c.client[i], "Limit", a).Amount.Requests
+		granted += until[limit.Grant](t, c.client[i], "Lease", a).Amount.Requests
 	}
 	most := 10 * time.Since(c.begin).Seconds() // a bucket fills from its owner's start
 	t.Logf("granted %.1f of at most %.1f requests", granted, most)
--- a/modules/control/limits.go
+++ b/modules/control/limits.go
@@ -61,12 +61,12 @@
 	}
 }
 
-// Limit leases tokens of an organisation's rate limit to an entry. Any instance
+// Lease leases tokens of an organisation's rate limit to an entry. Any instance
 // may be asked; it forwards once to the owner. An instance that is cut off from
 // the quorum owns nothing, so that no limit has an owner on each side of a
 // partition; while an instance is being lost there may be two for the time of
 // touchLimit, and the new one starts with empty buckets.
-func (s *service) Limit(a limit.Ask, r *limit.Grant) error {
+func (s *service) Lease(a limit.Ask, r *limit.Grant) error {
 	if err := s.c.touch.check(time.Now()); err != nil {
 		return peer.EncodeError(err)
 	}
@@ -74,7 +74,7 @@
 	defer cancel()
 	owner := limit.OwnerOf(a.Organisation, s.c.alive.list(s.c.instance.ID, time.Now()))
 	if owner != s.c.instance.ID && s.forward {
-		err := s.c.peers.to(s.c.Members[owner]).Call(ctx, leaderService+".Limit", a, r)
+		err := s.c.peers.to(s.c.Members[owner]).Call(ctx, leaderService+".Lease", a, r)
 		return peer.EncodeError(err)
 	}
 	doc, scope, now := s.c.fleet.view().Doc, config.Scope{Organisation: a.Organisation}, time.Now()
--- a/modules/control/orders.go
+++ b/modules/control/orders.go
@@ -76,8 +76,9 @@
 	return result.New(result.RoleForbidden, "role %q may not issue orders", s.role)
 }
 
-// Lease grants, renews or takes back a lease.
-func (s *service) Lease(a wire.LeaseArgs, r *wire.LeaseReply) error {
+// OrderLease grants, renews or takes back the lease that an issuer of orders
+// holds, or another one.
+func (s *service) OrderLease(a wire.LeaseArgs, r *wire.LeaseReply) error {
 	if err := s.allowed(); err != nil {
 		return peer.EncodeError(err)
 	}
@@ -88,7 +89,7 @@
 	case a.Fence != 0:
 		cmd = lease.Command{Renew: &lease.Renew{Name: a.Name, Fence: a.Fence}}
 	}
-	return s.fleetCall("Lease", a, r, fleetCommand{Lease: &cmd}, func(reply fleetReply) {
+	return s.fleetCall("OrderLease", a, r, fleetCommand{Lease: &cmd}, func(reply fleetReply) {
 		l := reply.Lease.Lease
 		*r = wire.LeaseReply{Granted: reply.Lease.Granted, Holder: l.Holder, Fence: l.Fence, DurationMS: l.DurationMS}
 	})
--- a/modules/control/orders_test.go
+++ b/modules/control/orders_test.go
@@ -17,7 +17,7 @@
 	t.Helper()
 	var l wire.LeaseReply
 	args := wire.LeaseArgs{Name: order.Lease, Holder: "op", Request: wire.NewID(), DurationMS: 1000}
-	assert.NilError(t, s.Lease(args, &l))
+	assert.NilError(t, s.OrderLease(args, &l))
 	assert.Assert(t, l.Granted)
 	return l
 }
--- a/modules/control/watch_test.go
+++ b/modules/control/watch_test.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"encoding/json"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -42,8 +41,8 @@
 	var first wire.WatchReply
 	assert.NilError(t, s.Watch(args, &first))
 	assert.Assert(t, first.Config != nil && len(first.Upstreams) == 2 && !first.MembersDelta)
-	var doc config.Document
-	assert.NilError(t, json.Unmarshal(first.Config, &doc))
+	doc, err := config.Follow(nil, first.Config, first.Step)
+	assert.NilError(t, err)
 
 	edit.Value = "10"
 	c.changeNow(t, config.Change{ChangeID: "2", BaseRevision: doc.Revision, Edits: []config.Edit{edit}})
@@ -55,12 +54,12 @@
 	var next wire.WatchReply
 	assert.NilError(t, s.Watch(args, &next))
 	assert.Assert(t, next.Config == nil && next.MembersDelta && len(next.Upstreams) == 1)
-	var step config.Step
-	assert.NilError(t, json.Unmarshal(next.Step, &step))
-	after, err := doc.Advance(step)
+	after, err := config.Follow(doc, next.Config, next.Step)
 	assert.NilError(t, err)
 	assert.Equal(t, after.Revision, next.Revision)
-	subset, ok := member.Advance(first.Upstreams, next.Upstreams, next.Removed, next.Members)
+	_, err = config.Follow(nil, nil, next.Step)
+	assert.Assert(t, err != nil)
+	subset, ok := member.Follow(first.Upstreams, &next)
 	assert.Assert(t, ok && subset[1].State == wire.UpstreamLeaving)
 }
 
