control: tell whether a failed command may be stored

Ruled out: leaving it to the agent, which cannot see the tries in between. Conclusion: "not run" from Start now means that the claim is not stored.

--- a/modules/control/forward.go
+++ b/modules/control/forward.go
@@ -27,19 +27,33 @@
 // tries again until ctx ends, which is safe because every command may be
 // repeated: changes, attempts, crashes and permits carry ids.
 func (s *service) atLeader(ctx context.Context, group uint32, method string, args, reply any, local func(context.Context) error) error {
+	ran := result.NotRun
 	for {
 		err := s.tryLeader(ctx, group, method, args, reply, local)
 		if err == nil || !s.forward || !again(err) {
 			return err
 		}
+		if !notReceived(err) {
+			ran = result.Unknown
+		}
 		select {
 		case <-time.After(leaderRetry):
 		case <-ctx.Done():
-			return result.New(result.ControlUnavailable, "no answer from the leader of group %d in time: %v", group, err)
+			return result.New(result.ControlUnavailable, "no answer from the leader of group %d in time: %v", group, err).WithRan(ran)
 		}
 	}
 }
 
+// notReceived tells whether a failed try certainly left nothing in the log.
+func notReceived(err error) bool {
+	var e *result.Error
+	if errors.As(err, &e) {
+		return e.Ran == result.NotRun
+	}
+	return errors.Is(err, peer.ErrUnreachable)
+}
+
+// again tells whether another try may succeed.
 func again(err error) bool {
 	var e *result.Error
 	if !errors.As(err, &e) {
--- a/modules/control/service.go
+++ b/modules/control/service.go
@@ -146,8 +146,9 @@
 	return nil
 }
 
-// Start claims a key for one attempt. Without an answer the attempt is not run,
-// so its failure is 5033, "not run".
+// Start claims a key for one attempt. A failure is 5033; its field Ran is "not
+// run" only if the claim is certainly not stored, since the agent then need not
+// ask again.
 func (s *service) Start(a wire.StartArgs, r *wire.StartReply) error {
 	err := s.recordCall("Start", a.Key, a, r, func() record.Command {
 		cmd := record.Command{Start: &a}
@@ -158,7 +159,7 @@
 	}, func(reply record.Reply) { r.Granted, r.Record = reply.Granted, reply.Record })
 	s.c.counts.claim(r.Granted, err)
 	if result.Is(err, result.ControlUnavailable) {
-		err = result.Wrap(result.RecordsUnavailable, err, "no claim")
+		err = result.Wrap(result.RecordsUnavailable, err, "no claim").WithRan(result.From(err).Ran)
 	}
 	return peer.EncodeError(err)
 }
@@ -239,7 +240,7 @@
 	case c.RecordGroups:
 		return nil
 	case 0:
-		return result.New(result.ControlUnavailable, "the record groups are being formed")
+		return result.New(result.ControlUnavailable, "the record groups are being formed").WithRan(result.NotRun)
 	default:
 		return result.New(result.RecordsUnavailable, "record_groups is %d here and %d in the log", c.RecordGroups, n)
 	}
