admin: serve the administration API over mutual TLS

Cause: operators could reach control only by net/rpc, and nothing showed the history of changes or issued orders for them.

Ruled out: one goa design for both APIs, since goa generates one OpenAPI document for each design package; opening the service Admin to the role control, since a test holds it to operators. The role admin uses a service AdminProxy instead, for the role control only, and passes on the name in the operator's certificate for the audit log.

Change: role admin, design package api/admin/design, error shape shared by api/failures (design) and internal/failure (JSON). Control gains History and IssueOrder; operators share one lease of orders, since a new grant cancels what is staged. A reason of spaces only is refused. Refusals before control (TLS handshake, role, decoding) get an audit line from the role admin.

Conclusion: "go test -race -count=3 ./modules/admin" passes: wrong role, other authority, expired and missing certificate, missing reason, old base and replayed change id. Replacing a control member is not part of this change.

--- a/core/config/change.go
+++ b/core/config/change.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"sort"
+	"strings"
 
 	"github.com/go-faster/errors"
 )
@@ -92,8 +93,8 @@
 	maxReported = 64
 )
 
-// handled is a change that has been answered.
-type handled struct {
+// Past is a change that has been answered.
+type Past struct {
 	Answer Answer `json:"answer"`
 	// Base and Author are kept of accepted changes, to name the winner.
 	Base   uint64 `json:"base"`
@@ -106,7 +107,7 @@
 // for concurrent use; the documents it hands out are immutable.
 type State struct {
 	doc    *Document
-	recent []handled
+	recent []Past
 	byID   map[string]int
 	// dropped is how many entries of recent have been dropped; byID holds
 	// positions counted from the first entry ever.
@@ -124,6 +125,10 @@
 	return &Document{Defaults: map[string]string{}, Exceptions: []Exception{}, Organisations: map[string]Organisation{}}
 }
 
+// History returns the changes whose answers are kept, the oldest first. The
+// slice stays as it is when further changes are applied.
+func (s *State) History() []Past { return s.recent }
+
 // Document returns the configuration in force.
 func (s *State) Document() *Document { return s.doc }
 
@@ -133,7 +138,7 @@
 		return s.recent[at-s.dropped].Answer
 	}
 	a := s.decide(position, c)
-	s.keep(handled{Answer: a, Base: c.BaseRevision, Author: c.Author, Reason: c.Reason, AtMS: c.AtMS})
+	s.keep(Past{Answer: a, Base: c.BaseRevision, Author: c.Author, Reason: c.Reason, AtMS: c.AtMS})
 	return a
 }
 
@@ -173,7 +178,7 @@
 	return "", ""
 }
 
-func (s *State) keep(h handled) {
+func (s *State) keep(h Past) {
 	if h.Answer.ChangeID == "" {
 		return
 	}
@@ -188,7 +193,7 @@
 	}
 }
 
-func (h handled) size() int {
+func (h Past) size() int {
 	n := len(h.Answer.ChangeID) + len(h.Author) + len(h.Reason)
 	for _, p := range h.Answer.Problems {
 		n += len(p)
@@ -205,7 +210,7 @@
 	if c.Author == "" || len(c.Author) > maxTextBytes {
 		out = append(out, "author: must be set, and short")
 	}
-	if c.Reason == "" || len(c.Reason) > maxTextBytes {
+	if strings.TrimSpace(c.Reason) == "" || len(c.Reason) > maxTextBytes {
 		out = append(out, "reason: must be set, and short")
 	}
 	if len(c.Edits) == 0 || len(c.Edits) > MaxEdits {
@@ -334,7 +339,7 @@
 	if e.ID == "" || len(e.ID) > maxTextBytes {
 		out = append(out, "id: must be set, and short")
 	}
-	if e.Reason == "" || len(e.Reason) > maxTextBytes {
+	if strings.TrimSpace(e.Reason) == "" || len(e.Reason) > maxTextBytes {
 		out = append(out, "reason: must be set, and short")
 	}
 	if e.UntilMS < 0 {
@@ -419,7 +424,7 @@
 
 type snapshot struct {
 	Document *Document `json:"document"`
-	Recent   []handled `json:"recent"`
+	Recent   []Past    `json:"recent"`
 	Steps    []Step    `json:"steps"`
 }
 
--- a/core/wire/admin.go
+++ b/core/wire/admin.go
@@ -6,11 +6,19 @@
 // instance. They need a certificate with the role operator.
 const AdminService = "Admin"
 
+// AdminProxyService is the net/rpc name of the same calls made by the role
+// admin for operators. They need a certificate with the role control, and
+// carry the name in the operator's certificate.
+const AdminProxyService = "AdminProxy"
+
 // Operator says who makes a change and why. Both are required and go into the
 // audit log.
 type Operator struct {
 	Operator string
 	Reason   string
+	// Certificate is the name in the operator's certificate. Only the role admin
+	// sets it; it is ignored from others.
+	Certificate string
 }
 
 // StatusArgs asks for the state of the fleet.
@@ -72,7 +80,17 @@
 
 // ChangeArgs proposes a change, the JSON of config.Change. Its author and
 // reason are those of the operator.
-type ChangeArgs struct{ Change []byte }
+type ChangeArgs struct {
+	Change []byte
+	// Certificate is that of Operator.
+	Certificate string
+}
+
+// HistoryArgs asks for the latest changes.
+type HistoryArgs struct{ Limit int }
+
+// HistoryReply is the JSON of a list of config.Past, the latest first.
+type HistoryReply struct{ Past []byte }
 
 // ChangeReply tells what became of a change. A repeated change id gets the
 // first answer.
@@ -121,3 +139,10 @@
 	Message string
 	AtMS    int64
 }
+
+// IssueOrderArgs issues an order for an operator. The fencing token is set by
+// control.
+type IssueOrderArgs struct {
+	Operator
+	Order Order
+}
--- /dev/null
+++ b/internal/failure/failure.go
@@ -0,0 +1,139 @@
+// Package failure is the JSON form of failed requests, the same in the caller
+// API and the administration API.
+package failure
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+	goa "goa.design/goa/v3/pkg"
+
+	"heatherway.dev/kernel/result"
+)
+
+// Problem is the error object of every failed request. OpenAI clients read
+// message and type.
+type Problem struct {
+	Code         int    `json:"code"`
+	Name         string `json:"name"`
+	Type         string `json:"type"`
+	Message      string `json:"message"`
+	Ran          string `json:"ran"`
+	RetryAfterMS int64  `json:"retry_after_ms"`
+	RequestID    string `json:"request_id"`
+}
+
+// Failure is the JSON body of every failed request.
+type Failure struct {
+	Problem Problem `json:"error"`
+	status  int
+}
+
+// StatusCode implements goahttp.Statuser.
+func (f *Failure) StatusCode() int { return f.status }
+
+// New returns the body for a result.
+func New(e *result.Error, requestID string) *Failure {
+	info := e.Code.Info()
+	return &Failure{status: info.HTTP, Problem: Problem{
+		Code: int(e.Code), Name: info.Name, Type: info.Name, Message: e.Message,
+		Ran: e.Ran.String(), RetryAfterMS: retryMS(e), RequestID: requestID,
+	}}
+}
+
+// DefaultRetry is told to callers when asking again helps but nothing better
+// is known.
+const DefaultRetry = time.Second
+
+// retryMS returns the time to tell the caller; zero when asking again does not
+// help.
+func retryMS(e *result.Error) int64 {
+	if e.RetryAfter > 0 {
+		return max(e.RetryAfter.Milliseconds(), 1)
+	}
+	if e.Code.Info().Retry {
+		return DefaultRetry.Milliseconds()
+	}
+	return 0
+}
+
+// retrySeconds rounds up, so that the header never names an earlier time than
+// the body.
+func retrySeconds(ms int64) int64 { return (ms + 999) / 1000 }
+
+// groups names the errors of the API by HTTP status.
+var groups = map[int]string{
+	http.StatusBadRequest:            "bad_request",
+	http.StatusUnauthorized:          "unauthorized",
+	http.StatusForbidden:             "forbidden",
+	http.StatusNotFound:              "not_found",
+	http.StatusConflict:              "conflict",
+	http.StatusGone:                  "gone",
+	http.StatusRequestEntityTooLarge: "too_large",
+	http.StatusUnprocessableEntity:   "unprocessable",
+	http.StatusTooManyRequests:       "too_many",
+	http.StatusInternalServerError:   "internal",
+	http.StatusBadGateway:            "bad_gateway",
+	http.StatusServiceUnavailable:    "unavailable",
+	http.StatusGatewayTimeout:        "timeout",
+}
+
+// Group returns the name that the designs give the HTTP status of a result.
+func Group(e *result.Error) string {
+	if g, ok := groups[e.Code.Info().HTTP]; ok {
+		return g
+	}
+	return groups[http.StatusInternalServerError]
+}
+
+// RetryHeader returns the value of the header Retry-After, nil without one.
+func RetryHeader(ms int64) *int64 {
+	if ms == 0 {
+		return nil
+	}
+	s := retrySeconds(ms)
+	return &s
+}
+
+// Of returns the body with a problem whose fields are all set.
+func Of(code result.Code, p Problem) *Failure {
+	return &Failure{Problem: p, status: code.Info().HTTP}
+}
+
+// FromDecoder gives errors found by the generated decoders a result code. The
+// decoder's own errors carry one already. Headers names the payload fields that
+// come from headers.
+func FromDecoder(err error, headers map[string]bool) *result.Error {
+	var known *result.Error
+	if errors.As(err, &known) {
+		return known
+	}
+	var g *goa.ServiceError
+	if !errors.As(err, &g) {
+		return result.From(err)
+	}
+	switch g.Name {
+	case "missing_payload", "decode_payload":
+		return result.New(result.MalformedBody, "%s", g.Message)
+	}
+	if g.Field != nil && headers[*g.Field] {
+		return result.New(result.InvalidHeader, "%s", g.Message)
+	}
+	return result.New(result.InvalidField, "%s", g.Message)
+}
+
+// Write answers outside of the generated servers.
+func Write(w http.ResponseWriter, e *result.Error, requestID string) {
+	f := New(e, requestID)
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("X-Request-Id", requestID)
+	if f.Problem.RetryAfterMS > 0 {
+		h.Set("Retry-After", strconv.FormatInt(retrySeconds(f.Problem.RetryAfterMS), 10))
+	}
+	w.WriteHeader(f.status)
+	_ = json.NewEncoder(w).Encode(f)
+}
--- /dev/null
+++ b/modules/admin/admin.go
@@ -0,0 +1,127 @@
+// Package admin is the role that operators talk to. It serves the
+// administration API and passes every call on to a control instance, which
+// decides and writes the audit log.
+package admin
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"heatherway.dev/kernel"
+	"heatherway.dev/kernel/peer"
+	"heatherway.dev/kernel/settings"
+)
+
+func init() {
+	kernel.Register(kernel.ModuleInfo{ID: "role.admin", New: func() any { return &Module{} }})
+}
+
+// Settings of the role.
+type Settings struct {
+	// Listen is the address that operators connect to. Without TLS it must be a
+	// loopback address.
+	Listen string `yaml:"listen"`
+	// Control lists the internal addresses of control instances.
+	Control []string `yaml:"control"`
+}
+
+// Module is the admin role.
+type Module struct {
+	Settings `yaml:",inline"`
+
+	log      *slog.Logger
+	audit    *slog.Logger
+	security *peer.Security
+	listener net.Listener
+	server   *http.Server
+	clients  []*peer.Client
+	// last is the index of the control instance that answered last.
+	last atomic.Int32
+}
+
+// Limits of the HTTP server.
+const (
+	// readLimit bounds how long an operator may take to send a request.
+	readLimit = 10 * time.Second
+	// writeLimit bounds a call and its answer.
+	writeLimit = 30 * time.Second
+	idleLimit  = 2 * time.Minute
+	// callLimit bounds a call to one control instance. It is longer than the 3 s
+	// that control gives a command, so that its answer arrives.
+	callLimit = 4 * time.Second
+)
+
+// Validate implements kernel.Validator.
+func (m *Module) Validate() error {
+	if m.Listen == "" {
+		return settings.Field("listen", "must be set")
+	}
+	if len(m.Control) == 0 {
+		return settings.Field("control", "must name at least one address")
+	}
+	return nil
+}
+
+// Provision implements kernel.Provisioner.
+func (m *Module) Provision(c *kernel.Context) error {
+	if c.TLS.Off() && !loopback(m.Listen) {
+		return settings.Field("listen", "%s is not a loopback address, which tls.off requires", m.Listen)
+	}
+	m.log, m.security = c.Log, c.TLS
+	m.audit = slog.New(slog.NewJSONHandler(os.Stderr, nil)).With("instance", c.Instance.ID)
+	for _, addr := range m.Control {
+		m.clients = append(m.clients, c.TLS.NewClient(addr))
+	}
+	var err error
+	m.listener, err = c.Listen(m.Listen)
+	return err
+}
+
+func loopback(addr string) bool {
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return false
+	}
+	ip := net.ParseIP(host)
+	return ip != nil && ip.IsLoopback()
+}
+
+// Start implements kernel.Runner.
+func (m *Module) Start(context.Context) error {
+	m.server = &http.Server{
+		Handler:           m.handler(),
+		ReadHeaderTimeout: readLimit,
+		ReadTimeout:       readLimit,
+		WriteTimeout:      writeLimit,
+		IdleTimeout:       idleLimit,
+		ErrorLog:          newRefusalLog(m),
+	}
+	go m.serve()
+	return nil
+}
+
+func (m *Module) serve() {
+	err := m.server.Serve(m.security.Server(m.listener))
+	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+		m.log.Error("listener failed", "address", m.Listen, "error", err)
+	}
+}
+
+// Stop implements kernel.Runner.
+func (m *Module) Stop(ctx context.Context) error {
+	err := m.server.Shutdown(ctx)
+	for _, c := range m.clients {
+		c.Close()
+	}
+	if err != nil {
+		return errors.Wrap(err, "running calls were cut by the stop limit")
+	}
+	return nil
+}
--- a/modules/control/admin.go
+++ b/modules/control/admin.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 	"log/slog"
+	"slices"
 	"strings"
 
 	"heatherway.dev/core/config"
@@ -22,8 +23,11 @@
 // adminService is the net/rpc service of operators.
 type adminService struct {
 	c *Control
-	// certificate is the name in the operator's certificate.
+	// certificate is the name in the peer's certificate.
 	certificate string
+	// proxy is set for the role admin, which names the operator's certificate in
+	// each call.
+	proxy bool
 }
 
 func (s *adminService) control() *service {
@@ -33,8 +37,13 @@
 // log writes one line for a change and its outcome, the code zero if it was
 // carried out.
 func (s *adminService) log(action string, by wire.Operator, revision uint64, code result.Code, more ...any) {
+	certificate := s.certificate
+	if s.proxy {
+		certificate = by.Certificate
+		more = append(more, "via", s.certificate)
+	}
 	args := append([]any{
-		"action", action, "operator", by.Operator, "certificate", s.certificate,
+		"action", action, "operator", by.Operator, "certificate", certificate,
 		"reason", by.Reason, "revision", revision, "code", int(code),
 	}, more...)
 	s.c.audit.Info("audit", args...)
@@ -77,7 +86,7 @@
 	if err == nil {
 		code = r.Code
 	}
-	by := wire.Operator{Operator: change.Author, Reason: change.Reason}
+	by := wire.Operator{Operator: change.Author, Reason: change.Reason, Certificate: a.Certificate}
 	s.log("change", by, r.Revision, code, "change_id", change.ChangeID, "base_revision", change.BaseRevision)
 	return peer.EncodeError(err)
 }
@@ -113,6 +122,16 @@
 	return r
 }
 
+// History returns the latest changes, also those that were refused.
+func (s *adminService) History(a wire.HistoryArgs, r *wire.HistoryReply) error {
+	past := slices.Clone(s.c.fleet.history())
+	slices.Reverse(past)
+	past = past[:min(len(past), max(a.Limit, 0))]
+	var err error
+	r.Past, err = json.Marshal(past)
+	return peer.EncodeError(err)
+}
+
 // Suspects returns the quarantine list.
 func (s *adminService) Suspects(_ wire.SuspectsArgs, r *wire.SuspectsReply) error {
 	r.Suspect = withTimeLeft(s.c.fleet.view().List, nowMS())
--- a/modules/control/fleet.go
+++ b/modules/control/fleet.go
@@ -86,15 +86,26 @@
 	touched bool
 	version uint64
 	current atomic.Pointer[fleetView]
+	// past is apart from the view, since refused changes do not change the view.
+	past    atomic.Pointer[[]config.Past]
 	changed broadcast
 }
 
 func newFleet() *fleet {
 	f := &fleet{config: config.NewState(), quarantine: quarantine.New(), leases: lease.New(), orders: order.New()}
+	f.keepPast()
 	f.publish(0, 0)
 	return f
 }
 
+func (f *fleet) keepPast() {
+	past := f.config.History()
+	f.past.Store(&past)
+}
+
+// history returns the changes that were answered, the oldest first.
+func (f *fleet) history() []config.Past { return *f.past.Load() }
+
 func (f *fleet) view() *fleetView { return f.current.Load() }
 
 // Apply implements replica.StateMachine.
@@ -126,6 +137,7 @@
 		change.AtMS = c.AtMS
 		a := f.config.Apply(index, change)
 		r.Answer = &a
+		f.keepPast()
 	case c.Quarantine != nil:
 		q := *c.Quarantine
 		q.AtMS, q.Rule = c.AtMS, f.rule(c.AtMS)
@@ -253,6 +265,7 @@
 		return err
 	}
 	f.touched = true
+	f.keepPast()
 	f.publish(s.Version, 0)
 	return nil
 }
--- a/modules/control/orders.go
+++ b/modules/control/orders.go
@@ -85,7 +85,11 @@
 	case a.Fence != 0:
 		cmd = lease.Command{Renew: &lease.Renew{Name: a.Name, Fence: a.Fence}}
 	}
-	return s.fleetCall("Lease", a, r, fleetCommand{Lease: &cmd}, func(reply fleetReply) {
+	return peer.EncodeError(s.leaseCall(a, r, cmd))
+}
+
+func (s *service) leaseCall(a wire.LeaseArgs, r *wire.LeaseReply, cmd lease.Command) error {
+	return s.leaderApply("Lease", a, r, fleetCommand{Lease: &cmd}, func(reply fleetReply) {
 		l := reply.Lease.Lease
 		*r = wire.LeaseReply{Granted: reply.Lease.Granted, Holder: l.Holder, Fence: l.Fence, DurationMS: l.DurationMS}
 	})
@@ -105,7 +109,11 @@
 	if err := s.allowed(); err != nil {
 		return peer.EncodeError(err)
 	}
-	return s.fleetCall(method, a, r, fleetCommand{Order: &cmd}, func(reply fleetReply) {
+	return peer.EncodeError(s.stageCall(method, a, r, cmd))
+}
+
+func (s *service) stageCall(method string, a any, r *wire.OrderReply, cmd order.Command) error {
+	return s.leaderApply(method, a, r, fleetCommand{Order: &cmd}, func(reply fleetReply) {
 		*r = wire.OrderReply{Status: string(reply.Order.Status), Message: reply.Order.Message}
 	})
 }
--- a/modules/control/service.go
+++ b/modules/control/service.go
@@ -36,6 +36,7 @@
 	if role == roleControl || c.security.Off() {
 		out[leaderService] = &service{c: c, role: roleControl}
 		out[membersService] = &memberService{c}
+		out[wire.AdminProxyService] = &adminService{c: c, certificate: name, proxy: true}
 		if c.replica != nil {
 			out[replica.ServiceName] = c.replica.Service()
 		}
--- a/modules/entry/attempt.go
+++ b/modules/entry/attempt.go
@@ -12,6 +12,7 @@
 	"heatherway.dev/core/pick"
 	"heatherway.dev/core/retry"
 	"heatherway.dev/core/wire"
+	"heatherway.dev/heatherway/internal/failure"
 	"heatherway.dev/kernel/peer"
 	"heatherway.dev/kernel/result"
 )
@@ -235,7 +236,7 @@
 	}
 	e := result.New(result.OutcomeUnknown, "no outcome before the deadline; the call may have run")
 	if k.keyed {
-		return e.After(defaultRetry)
+		return e.After(failure.DefaultRetry)
 	}
 	return e
 }
--- a/modules/entry/fake_test.go
+++ b/modules/entry/fake_test.go
@@ -20,6 +20,7 @@
 
 	"heatherway.dev/core/config"
 	"heatherway.dev/core/wire"
+	"heatherway.dev/heatherway/internal/failure"
 	"heatherway.dev/kernel"
 	"heatherway.dev/kernel/peer"
 	"heatherway.dev/kernel/settings"
@@ -326,9 +327,9 @@
 }
 
 // problemOf decodes the error object of a reply.
-func problemOf(t testing.TB, body string) problem {
+func problemOf(t testing.TB, body string) failure.Problem {
 	t.Helper()
-	var f failure
+	var f failure.Failure
 	assert.NilError(t, json.Unmarshal([]byte(body), &f), body)
 	return f.Problem
 }
--- a/modules/entry/handler.go
+++ b/modules/entry/handler.go
@@ -22,6 +22,7 @@
 	"heatherway.dev/api/gen/services"
 	"heatherway.dev/core/config"
 	"heatherway.dev/core/wire"
+	"heatherway.dev/heatherway/internal/failure"
 	"heatherway.dev/kernel/result"
 )
 
@@ -137,14 +138,14 @@
 	s.r = r
 	if n := m.open.Add(1); n > int64(m.Limits.Streams) {
 		defer m.open.Add(-1)
-		writeFailure(s.w, result.New(result.NoUpstream, "this entry has %d requests open", n-1), s.requestID)
+		failure.Write(s.w, result.New(result.NoUpstream, "this entry has %d requests open", n-1), s.requestID)
 		return
 	}
 	defer m.open.Add(-1)
 	m.limitBodyTime(s)
 	h := table.find(r)
 	if h == nil {
-		writeFailure(s.w, result.New(result.RouteUnknown, "no route %s %s", r.Method, r.URL.Path), s.requestID)
+		failure.Write(s.w, result.New(result.RouteUnknown, "no route %s %s", r.Method, r.URL.Path), s.requestID)
 		return
 	}
 	h.ServeHTTP(s.w, r)
--- a/modules/entry/output.go
+++ b/modules/entry/output.go
@@ -11,6 +11,7 @@
 
 	"heatherway.dev/core/stream"
 	"heatherway.dev/core/wire"
+	"heatherway.dev/heatherway/internal/failure"
 	"heatherway.dev/kernel/result"
 )
 
@@ -281,7 +282,7 @@
 // failure ends the stream without [DONE], so that no client takes the text for
 // the whole answer.
 func (o *events) failure(id wire.EventID, e *result.Error) {
-	b, _ := json.Marshal(newFailure(e, o.d.r.id)) // plain fields always marshal
+	b, _ := json.Marshal(failure.New(e, o.d.r.id)) // plain fields always marshal
 	o.id(id)
 	o.buf = append(o.buf, "data: "...)
 	o.buf = append(o.buf, b...)
--- a/modules/standard/standard.go
+++ b/modules/standard/standard.go
@@ -4,6 +4,7 @@
 import (
 	_ "heatherway.dev/heatherway/modules/adapter/openai" // registers its modules
 	_ "heatherway.dev/heatherway/modules/adapter/plain"  // registers its modules
+	_ "heatherway.dev/heatherway/modules/admin"          // registers its modules
 	_ "heatherway.dev/heatherway/modules/agent"          // registers its modules
 	_ "heatherway.dev/heatherway/modules/control"        // registers its modules
 	_ "heatherway.dev/heatherway/modules/entry"          // registers its modules
