--- a/api/admin/design/design.go
+++ b/api/admin/design/design.go
@@ -221,8 +221,7 @@
 
 var _ = Service("administration", func() {
 	Description("Operators' calls. They need a client certificate with the role operator.")
-	failures.Declare()
-	HTTP(func() { Path("/admin/v1") })
+	failures.Declare(func() { Path("/admin/v1") })
 	Method("status", func() {
 		Result(Fleet)
 		HTTP(func() { GET("/status") })
--- a/api/admin/gen/http/administration/client/encode_decode.go
+++ b/api/admin/gen/http/administration/client/encode_decode.go
@@ -14,6 +14,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strconv"
 
 	goahttp "goa.design/goa/v3/http"
 	goa "goa.design/goa/v3/pkg"
@@ -38,6 +39,21 @@
 // DecodeStatusResponse returns a decoder for responses returned by the
 // administration status endpoint. restoreBody controls whether the response
 // body should be restored after having been read.
+// DecodeStatusResponse may return the following errors:
+//   - "bad_request" (type *administration.Failure): http.StatusBadRequest
+//   - "unauthorized" (type *administration.Failure): http.StatusUnauthorized
+//   - "forbidden" (type *administration.Failure): http.StatusForbidden
+//   - "not_found" (type *administration.Failure): http.StatusNotFound
+//   - "conflict" (type *administration.Failure): http.StatusConflict
+//   - "gone" (type *administration.Failure): http.StatusGone
+//   - "too_large" (type *administration.Failure): http.StatusRequestEntityTooLarge
+//   - "unprocessable" (type *administration.Failure): http.StatusUnprocessableEntity
+//   - "too_many" (type *administration.Failure): http.StatusTooManyRequests
+//   - "internal" (type *administration.Failure): http.StatusInternalServerError
+//   - "bad_gateway" (type *administration.Failure): http.StatusBadGateway
+//   - "unavailable" (type *administration.Failure): http.StatusServiceUnavailable
+//   - "timeout" (type *administration.Failure): http.StatusGatewayTimeout
+//   - error: internal error
 func DecodeStatusResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
 		if restoreBody {
@@ -68,6 +84,396 @@
 			}
 			res := NewStatusFleetOK(&body)
 			return res, nil
+		case http.StatusBadRequest:
+			var (
+				body StatusBadRequestResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "status", err)
+			}
+			err = ValidateStatusBadRequestResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "status", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "status", err)
+			}
+			return nil, NewStatusBadRequest(&body, retryAfter)
+		case http.StatusUnauthorized:
+			var (
+				body StatusUnauthorizedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "status", err)
+			}
+			err = ValidateStatusUnauthorizedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "status", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "status", err)
+			}
+			return nil, NewStatusUnauthorized(&body, retryAfter)
+		case http.StatusForbidden:
+			var (
+				body StatusForbiddenResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "status", err)
+			}
+			err = ValidateStatusForbiddenResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "status", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "status", err)
+			}
+			return nil, NewStatusForbidden(&body, retryAfter)
+		case http.StatusNotFound:
+			var (
+				body StatusNotFoundResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "status", err)
+			}
+			err = ValidateStatusNotFoundResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "status", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "status", err)
+			}
+			return nil, NewStatusNotFound(&body, retryAfter)
+		case http.StatusConflict:
+			var (
+				body StatusConflictResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "status", err)
+			}
+			err = ValidateStatusConflictResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "status", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "status", err)
+			}
+			return nil, NewStatusConflict(&body, retryAfter)
+		case http.StatusGone:
+			var (
+				body StatusGoneResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "status", err)
+			}
+			err = ValidateStatusGoneResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "status", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "status", err)
+			}
+			return nil, NewStatusGone(&body, retryAfter)
+		case http.StatusRequestEntityTooLarge:
+			var (
+				body StatusTooLargeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "status", err)
+			}
+			err = ValidateStatusTooLargeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "status", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "status", err)
+			}
+			return nil, NewStatusTooLarge(&body, retryAfter)
+		case http.StatusUnprocessableEntity:
+			var (
+				body StatusUnprocessableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "status", err)
+			}
+			err = ValidateStatusUnprocessableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "status", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "status", err)
+			}
+			return nil, NewStatusUnprocessable(&body, retryAfter)
+		case http.StatusTooManyRequests:
+			var (
+				body StatusTooManyResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "status", err)
+			}
+			err = ValidateStatusTooManyResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "status", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "status", err)
+			}
+			return nil, NewStatusTooMany(&body, retryAfter)
+		case http.StatusInternalServerError:
+			var (
+				body StatusInternalResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "status", err)
+			}
+			err = ValidateStatusInternalResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "status", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "status", err)
+			}
+			return nil, NewStatusInternal(&body, retryAfter)
+		case http.StatusBadGateway:
+			var (
+				body StatusBadGatewayResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "status", err)
+			}
+			err = ValidateStatusBadGatewayResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "status", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "status", err)
+			}
+			return nil, NewStatusBadGateway(&body, retryAfter)
+		case http.StatusServiceUnavailable:
+			var (
+				body StatusUnavailableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "status", err)
+			}
+			err = ValidateStatusUnavailableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "status", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "status", err)
+			}
+			return nil, NewStatusUnavailable(&body, retryAfter)
+		case http.StatusGatewayTimeout:
+			var (
+				body StatusTimeoutResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "status", err)
+			}
+			err = ValidateStatusTimeoutResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "status", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "status", err)
+			}
+			return nil, NewStatusTimeout(&body, retryAfter)
 		default:
 			body, _ := io.ReadAll(resp.Body)
 			return nil, goahttp.ErrInvalidResponse("administration", "status", resp.StatusCode, string(body))
@@ -93,6 +499,21 @@
 // DecodeConfigurationResponse returns a decoder for responses returned by the
 // administration configuration endpoint. restoreBody controls whether the
 // response body should be restored after having been read.
+// DecodeConfigurationResponse may return the following errors:
+//   - "bad_request" (type *administration.Failure): http.StatusBadRequest
+//   - "unauthorized" (type *administration.Failure): http.StatusUnauthorized
+//   - "forbidden" (type *administration.Failure): http.StatusForbidden
+//   - "not_found" (type *administration.Failure): http.StatusNotFound
+//   - "conflict" (type *administration.Failure): http.StatusConflict
+//   - "gone" (type *administration.Failure): http.StatusGone
+//   - "too_large" (type *administration.Failure): http.StatusRequestEntityTooLarge
+//   - "unprocessable" (type *administration.Failure): http.StatusUnprocessableEntity
+//   - "too_many" (type *administration.Failure): http.StatusTooManyRequests
+//   - "internal" (type *administration.Failure): http.StatusInternalServerError
+//   - "bad_gateway" (type *administration.Failure): http.StatusBadGateway
+//   - "unavailable" (type *administration.Failure): http.StatusServiceUnavailable
+//   - "timeout" (type *administration.Failure): http.StatusGatewayTimeout
+//   - error: internal error
 func DecodeConfigurationResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
 		if restoreBody {
@@ -123,380 +544,410 @@
 			}
 			res := NewConfigurationDocumentOK(&body)
 			return res, nil
-		default:
-			body, _ := io.ReadAll(resp.Body)
-			return nil, goahttp.ErrInvalidResponse("administration", "configuration", resp.StatusCode, string(body))
-		}
-	}
-}
-
-// BuildKeysRequest instantiates a HTTP request object with method and path set
-// to call the "administration" service "keys" endpoint
-func (c *Client) BuildKeysRequest(ctx context.Context, v any) (*http.Request, error) {
-	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: KeysAdministrationPath()}
-	req, err := http.NewRequest("GET", u.String(), nil)
-	if err != nil {
-		return nil, goahttp.ErrInvalidURL("administration", "keys", u.String(), err)
-	}
-	if ctx != nil {
-		req = req.WithContext(ctx)
-	}
-
-	return req, nil
-}
-
-// DecodeKeysResponse returns a decoder for responses returned by the
-// administration keys endpoint. restoreBody controls whether the response body
-// should be restored after having been read.
-func DecodeKeysResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
-	return func(resp *http.Response) (any, error) {
-		if restoreBody {
-			b, err := io.ReadAll(resp.Body)
-			if err != nil {
-				return nil, err
-			}
-			resp.Body = io.NopCloser(bytes.NewBuffer(b))
-			defer func() {
-				resp.Body = io.NopCloser(bytes.NewBuffer(b))
-			}()
-		} else {
-			defer resp.Body.Close()
-		}
-		switch resp.StatusCode {
-		case http.StatusOK:
+		case http.StatusBadRequest:
 			var (
-				body []*KeyInfoResponse
+				body ConfigurationBadRequestResponseBody
 				err  error
 			)
 			err = decoder(resp).Decode(&body)
 			if err != nil {
-				return nil, goahttp.ErrDecodingError("administration", "keys", err)
+				return nil, goahttp.ErrDecodingError("administration", "configuration", err)
 			}
-			for _, e := range body {
-				if e != nil {
-					if err2 := ValidateKeyInfoResponse(e); err2 != nil {
-						err = goa.MergeErrors(err, err2)
+			err = ValidateConfigurationBadRequestResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "configuration", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
 					}
+					retryAfter = &v
 				}
 			}
 			if err != nil {
-				return nil, goahttp.ErrValidationError("administration", "keys", err)
-			}
-			res := NewKeysKeyInfoOK(body)
-			return res, nil
-		default:
-			body, _ := io.ReadAll(resp.Body)
-			return nil, goahttp.ErrInvalidResponse("administration", "keys", resp.StatusCode, string(body))
-		}
-	}
-}
-
-// BuildHistoryRequest instantiates a HTTP request object with method and path
-// set to call the "administration" service "history" endpoint
-func (c *Client) BuildHistoryRequest(ctx context.Context, v any) (*http.Request, error) {
-	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: HistoryAdministrationPath()}
-	req, err := http.NewRequest("GET", u.String(), nil)
-	if err != nil {
-		return nil, goahttp.ErrInvalidURL("administration", "history", u.String(), err)
-	}
-	if ctx != nil {
-		req = req.WithContext(ctx)
-	}
-
-	return req, nil
-}
-
-// EncodeHistoryRequest returns an encoder for requests sent to the
-// administration history server.
-func EncodeHistoryRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
-	return func(req *http.Request, v any) error {
-		p, ok := v.(*administration.HistoryPayload)
-		if !ok {
-			return goahttp.ErrInvalidType("administration", "history", "*administration.HistoryPayload", v)
-		}
-		values := req.URL.Query()
-		values.Add("limit", fmt.Sprintf("%v", p.Limit))
-		req.URL.RawQuery = values.Encode()
-		return nil
-	}
-}
-
-// DecodeHistoryResponse returns a decoder for responses returned by the
-// administration history endpoint. restoreBody controls whether the response
-// body should be restored after having been read.
-func DecodeHistoryResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
-	return func(resp *http.Response) (any, error) {
-		if restoreBody {
-			b, err := io.ReadAll(resp.Body)
-			if err != nil {
-				return nil, err
+				return nil, goahttp.ErrValidationError("administration", "configuration", err)
 			}
-			resp.Body = io.NopCloser(bytes.NewBuffer(b))
-			defer func() {
-				resp.Body = io.NopCloser(bytes.NewBuffer(b))
-			}()
-		} else {
-			defer resp.Body.Close()
-		}
-		switch resp.StatusCode {
-		case http.StatusOK:
+			return nil, NewConfigurationBadRequest(&body, retryAfter)
+		case http.StatusUnauthorized:
 			var (
-				body []*PastChangeResponse
+				body ConfigurationUnauthorizedResponseBody
 				err  error
 			)
 			err = decoder(resp).Decode(&body)
 			if err != nil {
-				return nil, goahttp.ErrDecodingError("administration", "history", err)
+				return nil, goahttp.ErrDecodingError("administration", "configuration", err)
 			}
-			for _, e := range body {
-				if e != nil {
-					if err2 := ValidatePastChangeResponse(e); err2 != nil {
-						err = goa.MergeErrors(err, err2)
+			err = ValidateConfigurationUnauthorizedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "configuration", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
 					}
+					retryAfter = &v
 				}
 			}
 			if err != nil {
-				return nil, goahttp.ErrValidationError("administration", "history", err)
+				return nil, goahttp.ErrValidationError("administration", "configuration", err)
 			}
-			res := NewHistoryPastChangeOK(body)
-			return res, nil
-		default:
-			body, _ := io.ReadAll(resp.Body)
-			return nil, goahttp.ErrInvalidResponse("administration", "history", resp.StatusCode, string(body))
-		}
-	}
-}
-
-// BuildChangeRequest instantiates a HTTP request object with method and path
-// set to call the "administration" service "change" endpoint
-func (c *Client) BuildChangeRequest(ctx context.Context, v any) (*http.Request, error) {
-	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: ChangeAdministrationPath()}
-	req, err := http.NewRequest("POST", u.String(), nil)
-	if err != nil {
-		return nil, goahttp.ErrInvalidURL("administration", "change", u.String(), err)
-	}
-	if ctx != nil {
-		req = req.WithContext(ctx)
-	}
-
-	return req, nil
-}
-
-// EncodeChangeRequest returns an encoder for requests sent to the
-// administration change server.
-func EncodeChangeRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
-	return func(req *http.Request, v any) error {
-		p, ok := v.(*administration.ChangePayload)
-		if !ok {
-			return goahttp.ErrInvalidType("administration", "change", "*administration.ChangePayload", v)
-		}
-		body := NewChangeRequestBody(p)
-		if err := encoder(req).Encode(&body); err != nil {
-			return goahttp.ErrEncodingError("administration", "change", err)
-		}
-		return nil
-	}
-}
-
-// DecodeChangeResponse returns a decoder for responses returned by the
-// administration change endpoint. restoreBody controls whether the response
-// body should be restored after having been read.
-func DecodeChangeResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
-	return func(resp *http.Response) (any, error) {
-		if restoreBody {
-			b, err := io.ReadAll(resp.Body)
+			return nil, NewConfigurationUnauthorized(&body, retryAfter)
+		case http.StatusForbidden:
+			var (
+				body ConfigurationForbiddenResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
 			if err != nil {
-				return nil, err
+				return nil, goahttp.ErrDecodingError("administration", "configuration", err)
+			}
+			err = ValidateConfigurationForbiddenResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "configuration", err)
 			}
-			resp.Body = io.NopCloser(bytes.NewBuffer(b))
-			defer func() {
-				resp.Body = io.NopCloser(bytes.NewBuffer(b))
-			}()
-		} else {
-			defer resp.Body.Close()
-		}
-		switch resp.StatusCode {
-		case http.StatusOK:
 			var (
-				body ChangeResponseBody
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "configuration", err)
+			}
+			return nil, NewConfigurationForbidden(&body, retryAfter)
+		case http.StatusNotFound:
+			var (
+				body ConfigurationNotFoundResponseBody
 				err  error
 			)
 			err = decoder(resp).Decode(&body)
 			if err != nil {
-				return nil, goahttp.ErrDecodingError("administration", "change", err)
+				return nil, goahttp.ErrDecodingError("administration", "configuration", err)
 			}
-			err = ValidateChangeResponseBody(&body)
+			err = ValidateConfigurationNotFoundResponseBody(&body)
 			if err != nil {
-				return nil, goahttp.ErrValidationError("administration", "change", err)
+				return nil, goahttp.ErrValidationError("administration", "configuration", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
 			}
-			res := NewChangeAcceptedOK(&body)
-			return res, nil
-		default:
-			body, _ := io.ReadAll(resp.Body)
-			return nil, goahttp.ErrInvalidResponse("administration", "change", resp.StatusCode, string(body))
-		}
-	}
-}
-
-// BuildExceptionsRequest instantiates a HTTP request object with method and
-// path set to call the "administration" service "exceptions" endpoint
-func (c *Client) BuildExceptionsRequest(ctx context.Context, v any) (*http.Request, error) {
-	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: ExceptionsAdministrationPath()}
-	req, err := http.NewRequest("GET", u.String(), nil)
-	if err != nil {
-		return nil, goahttp.ErrInvalidURL("administration", "exceptions", u.String(), err)
-	}
-	if ctx != nil {
-		req = req.WithContext(ctx)
-	}
-
-	return req, nil
-}
-
-// DecodeExceptionsResponse returns a decoder for responses returned by the
-// administration exceptions endpoint. restoreBody controls whether the
-// response body should be restored after having been read.
-func DecodeExceptionsResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
-	return func(resp *http.Response) (any, error) {
-		if restoreBody {
-			b, err := io.ReadAll(resp.Body)
 			if err != nil {
-				return nil, err
+				return nil, goahttp.ErrValidationError("administration", "configuration", err)
 			}
-			resp.Body = io.NopCloser(bytes.NewBuffer(b))
-			defer func() {
-				resp.Body = io.NopCloser(bytes.NewBuffer(b))
-			}()
-		} else {
-			defer resp.Body.Close()
-		}
-		switch resp.StatusCode {
-		case http.StatusOK:
+			return nil, NewConfigurationNotFound(&body, retryAfter)
+		case http.StatusConflict:
 			var (
-				body []*ExceptionResponse
+				body ConfigurationConflictResponseBody
 				err  error
 			)
 			err = decoder(resp).Decode(&body)
 			if err != nil {
-				return nil, goahttp.ErrDecodingError("administration", "exceptions", err)
+				return nil, goahttp.ErrDecodingError("administration", "configuration", err)
 			}
-			for _, e := range body {
-				if e != nil {
-					if err2 := ValidateExceptionResponse(e); err2 != nil {
-						err = goa.MergeErrors(err, err2)
+			err = ValidateConfigurationConflictResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "configuration", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
 					}
+					retryAfter = &v
 				}
 			}
 			if err != nil {
-				return nil, goahttp.ErrValidationError("administration", "exceptions", err)
+				return nil, goahttp.ErrValidationError("administration", "configuration", err)
 			}
-			res := NewExceptionsExceptionOK(body)
-			return res, nil
-		default:
-			body, _ := io.ReadAll(resp.Body)
-			return nil, goahttp.ErrInvalidResponse("administration", "exceptions", resp.StatusCode, string(body))
-		}
-	}
-}
-
-// BuildPutExceptionRequest instantiates a HTTP request object with method and
-// path set to call the "administration" service "put_exception" endpoint
-func (c *Client) BuildPutExceptionRequest(ctx context.Context, v any) (*http.Request, error) {
-	var (
-		id string
-	)
-	{
-		p, ok := v.(*administration.PutExceptionPayload)
-		if !ok {
-			return nil, goahttp.ErrInvalidType("administration", "put_exception", "*administration.PutExceptionPayload", v)
-		}
-		id = p.ID
-	}
-	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: PutExceptionAdministrationPath(id)}
-	req, err := http.NewRequest("PUT", u.String(), nil)
-	if err != nil {
-		return nil, goahttp.ErrInvalidURL("administration", "put_exception", u.String(), err)
-	}
-	if ctx != nil {
-		req = req.WithContext(ctx)
-	}
-
-	return req, nil
-}
-
-// EncodePutExceptionRequest returns an encoder for requests sent to the
-// administration put_exception server.
-func EncodePutExceptionRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
-	return func(req *http.Request, v any) error {
-		p, ok := v.(*administration.PutExceptionPayload)
-		if !ok {
-			return goahttp.ErrInvalidType("administration", "put_exception", "*administration.PutExceptionPayload", v)
-		}
-		body := NewPutExceptionRequestBody(p)
-		if err := encoder(req).Encode(&body); err != nil {
-			return goahttp.ErrEncodingError("administration", "put_exception", err)
-		}
-		return nil
-	}
-}
-
-// DecodePutExceptionResponse returns a decoder for responses returned by the
-// administration put_exception endpoint. restoreBody controls whether the
-// response body should be restored after having been read.
-func DecodePutExceptionResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
-	return func(resp *http.Response) (any, error) {
-		if restoreBody {
-			b, err := io.ReadAll(resp.Body)
+			return nil, NewConfigurationConflict(&body, retryAfter)
+		case http.StatusGone:
+			var (
+				body ConfigurationGoneResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
 			if err != nil {
-				return nil, err
+				return nil, goahttp.ErrDecodingError("administration", "configuration", err)
+			}
+			err = ValidateConfigurationGoneResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "configuration", err)
 			}
-			resp.Body = io.NopCloser(bytes.NewBuffer(b))
-			defer func() {
-				resp.Body = io.NopCloser(bytes.NewBuffer(b))
-			}()
-		} else {
-			defer resp.Body.Close()
-		}
-		switch resp.StatusCode {
-		case http.StatusOK:
 			var (
-				body PutExceptionResponseBody
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "configuration", err)
+			}
+			return nil, NewConfigurationGone(&body, retryAfter)
+		case http.StatusRequestEntityTooLarge:
+			var (
+				body ConfigurationTooLargeResponseBody
 				err  error
 			)
 			err = decoder(resp).Decode(&body)
 			if err != nil {
-				return nil, goahttp.ErrDecodingError("administration", "put_exception", err)
+				return nil, goahttp.ErrDecodingError("administration", "configuration", err)
 			}
-			err = ValidatePutExceptionResponseBody(&body)
+			err = ValidateConfigurationTooLargeResponseBody(&body)
 			if err != nil {
-				return nil, goahttp.ErrValidationError("administration", "put_exception", err)
+				return nil, goahttp.ErrValidationError("administration", "configuration", err)
 			}
-			res := NewPutExceptionAcceptedOK(&body)
-			return res, nil
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "configuration", err)
+			}
+			return nil, NewConfigurationTooLarge(&body, retryAfter)
+		case http.StatusUnprocessableEntity:
+			var (
+				body ConfigurationUnprocessableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "configuration", err)
+			}
+			err = ValidateConfigurationUnprocessableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "configuration", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "configuration", err)
+			}
+			return nil, NewConfigurationUnprocessable(&body, retryAfter)
+		case http.StatusTooManyRequests:
+			var (
+				body ConfigurationTooManyResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "configuration", err)
+			}
+			err = ValidateConfigurationTooManyResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "configuration", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "configuration", err)
+			}
+			return nil, NewConfigurationTooMany(&body, retryAfter)
+		case http.StatusInternalServerError:
+			var (
+				body ConfigurationInternalResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "configuration", err)
+			}
+			err = ValidateConfigurationInternalResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "configuration", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "configuration", err)
+			}
+			return nil, NewConfigurationInternal(&body, retryAfter)
+		case http.StatusBadGateway:
+			var (
+				body ConfigurationBadGatewayResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "configuration", err)
+			}
+			err = ValidateConfigurationBadGatewayResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "configuration", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "configuration", err)
+			}
+			return nil, NewConfigurationBadGateway(&body, retryAfter)
+		case http.StatusServiceUnavailable:
+			var (
+				body ConfigurationUnavailableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "configuration", err)
+			}
+			err = ValidateConfigurationUnavailableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "configuration", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "configuration", err)
+			}
+			return nil, NewConfigurationUnavailable(&body, retryAfter)
+		case http.StatusGatewayTimeout:
+			var (
+				body ConfigurationTimeoutResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "configuration", err)
+			}
+			err = ValidateConfigurationTimeoutResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "configuration", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "configuration", err)
+			}
+			return nil, NewConfigurationTimeout(&body, retryAfter)
 		default:
 			body, _ := io.ReadAll(resp.Body)
-			return nil, goahttp.ErrInvalidResponse("administration", "put_exception", resp.StatusCode, string(body))
+			return nil, goahttp.ErrInvalidResponse("administration", "configuration", resp.StatusCode, string(body))
 		}
 	}
 }
 
-// BuildRemoveExceptionRequest instantiates a HTTP request object with method
-// and path set to call the "administration" service "remove_exception" endpoint
-func (c *Client) BuildRemoveExceptionRequest(ctx context.Context, v any) (*http.Request, error) {
-	var (
-		id string
-	)
-	{
-		p, ok := v.(*administration.RemoveExceptionPayload)
-		if !ok {
-			return nil, goahttp.ErrInvalidType("administration", "remove_exception", "*administration.RemoveExceptionPayload", v)
-		}
-		id = p.ID
-	}
-	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: RemoveExceptionAdministrationPath(id)}
-	req, err := http.NewRequest("DELETE", u.String(), nil)
+// BuildKeysRequest instantiates a HTTP request object with method and path set
+// to call the "administration" service "keys" endpoint
+func (c *Client) BuildKeysRequest(ctx context.Context, v any) (*http.Request, error) {
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: KeysAdministrationPath()}
+	req, err := http.NewRequest("GET", u.String(), nil)
 	if err != nil {
-		return nil, goahttp.ErrInvalidURL("administration", "remove_exception", u.String(), err)
+		return nil, goahttp.ErrInvalidURL("administration", "keys", u.String(), err)
 	}
 	if ctx != nil {
 		req = req.WithContext(ctx)
@@ -505,28 +956,25 @@
 	return req, nil
 }
 
-// EncodeRemoveExceptionRequest returns an encoder for requests sent to the
-// administration remove_exception server.
-func EncodeRemoveExceptionRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
-	return func(req *http.Request, v any) error {
-		p, ok := v.(*administration.RemoveExceptionPayload)
-		if !ok {
-			return goahttp.ErrInvalidType("administration", "remove_exception", "*administration.RemoveExceptionPayload", v)
-		}
-		values := req.URL.Query()
-		values.Add("author", p.Author)
-		values.Add("reason", p.Reason)
-		values.Add("change_id", p.ChangeID)
-		values.Add("base_revision", fmt.Sprintf("%v", p.BaseRevision))
-		req.URL.RawQuery = values.Encode()
-		return nil
-	}
-}
-
-// DecodeRemoveExceptionResponse returns a decoder for responses returned by
-// the administration remove_exception endpoint. restoreBody controls whether
-// the response body should be restored after having been read.
-func DecodeRemoveExceptionResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+// DecodeKeysResponse returns a decoder for responses returned by the
+// administration keys endpoint. restoreBody controls whether the response body
+// should be restored after having been read.
+// DecodeKeysResponse may return the following errors:
+//   - "bad_request" (type *administration.Failure): http.StatusBadRequest
+//   - "unauthorized" (type *administration.Failure): http.StatusUnauthorized
+//   - "forbidden" (type *administration.Failure): http.StatusForbidden
+//   - "not_found" (type *administration.Failure): http.StatusNotFound
+//   - "conflict" (type *administration.Failure): http.StatusConflict
+//   - "gone" (type *administration.Failure): http.StatusGone
+//   - "too_large" (type *administration.Failure): http.StatusRequestEntityTooLarge
+//   - "unprocessable" (type *administration.Failure): http.StatusUnprocessableEntity
+//   - "too_many" (type *administration.Failure): http.StatusTooManyRequests
+//   - "internal" (type *administration.Failure): http.StatusInternalServerError
+//   - "bad_gateway" (type *administration.Failure): http.StatusBadGateway
+//   - "unavailable" (type *administration.Failure): http.StatusServiceUnavailable
+//   - "timeout" (type *administration.Failure): http.StatusGatewayTimeout
+//   - error: internal error
+func DecodeKeysResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
 		if restoreBody {
 			b, err := io.ReadAll(resp.Body)
@@ -543,271 +991,429 @@
 		switch resp.StatusCode {
 		case http.StatusOK:
 			var (
-				body RemoveExceptionResponseBody
+				body []*KeyInfoResponse
 				err  error
 			)
 			err = decoder(resp).Decode(&body)
 			if err != nil {
-				return nil, goahttp.ErrDecodingError("administration", "remove_exception", err)
-			}
-			err = ValidateRemoveExceptionResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("administration", "remove_exception", err)
+				return nil, goahttp.ErrDecodingError("administration", "keys", err)
+			}
+			for _, e := range body {
+				if e != nil {
+					if err2 := ValidateKeyInfoResponse(e); err2 != nil {
+						err = goa.MergeErrors(err, err2)
+					}
+				}
 			}
-			res := NewRemoveExceptionAcceptedOK(&body)
-			return res, nil
-		default:
-			body, _ := io.ReadAll(resp.Body)
-			return nil, goahttp.ErrInvalidResponse("administration", "remove_exception", resp.StatusCode, string(body))
-		}
-	}
-}
-
-// BuildOrganisationsRequest instantiates a HTTP request object with method and
-// path set to call the "administration" service "organisations" endpoint
-func (c *Client) BuildOrganisationsRequest(ctx context.Context, v any) (*http.Request, error) {
-	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: OrganisationsAdministrationPath()}
-	req, err := http.NewRequest("GET", u.String(), nil)
-	if err != nil {
-		return nil, goahttp.ErrInvalidURL("administration", "organisations", u.String(), err)
-	}
-	if ctx != nil {
-		req = req.WithContext(ctx)
-	}
-
-	return req, nil
-}
-
-// DecodeOrganisationsResponse returns a decoder for responses returned by the
-// administration organisations endpoint. restoreBody controls whether the
-// response body should be restored after having been read.
-func DecodeOrganisationsResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
-	return func(resp *http.Response) (any, error) {
-		if restoreBody {
-			b, err := io.ReadAll(resp.Body)
 			if err != nil {
-				return nil, err
+				return nil, goahttp.ErrValidationError("administration", "keys", err)
 			}
-			resp.Body = io.NopCloser(bytes.NewBuffer(b))
-			defer func() {
-				resp.Body = io.NopCloser(bytes.NewBuffer(b))
-			}()
-		} else {
-			defer resp.Body.Close()
-		}
-		switch resp.StatusCode {
-		case http.StatusOK:
+			res := NewKeysKeyInfoOK(body)
+			return res, nil
+		case http.StatusBadRequest:
 			var (
-				body map[string]*OrganisationResponse
+				body KeysBadRequestResponseBody
 				err  error
 			)
 			err = decoder(resp).Decode(&body)
 			if err != nil {
-				return nil, goahttp.ErrDecodingError("administration", "organisations", err)
+				return nil, goahttp.ErrDecodingError("administration", "keys", err)
 			}
-			for _, v := range body {
-				if v != nil {
-					if err2 := ValidateOrganisationResponse(v); err2 != nil {
-						err = goa.MergeErrors(err, err2)
+			err = ValidateKeysBadRequestResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "keys", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
 					}
+					retryAfter = &v
 				}
 			}
 			if err != nil {
-				return nil, goahttp.ErrValidationError("administration", "organisations", err)
+				return nil, goahttp.ErrValidationError("administration", "keys", err)
 			}
-			res := NewOrganisationsMapStringOrganisationOK(body)
-			return res, nil
-		default:
-			body, _ := io.ReadAll(resp.Body)
-			return nil, goahttp.ErrInvalidResponse("administration", "organisations", resp.StatusCode, string(body))
-		}
-	}
-}
-
-// BuildPutOrganisationRequest instantiates a HTTP request object with method
-// and path set to call the "administration" service "put_organisation" endpoint
-func (c *Client) BuildPutOrganisationRequest(ctx context.Context, v any) (*http.Request, error) {
-	var (
-		name string
-	)
-	{
-		p, ok := v.(*administration.PutOrganisationPayload)
-		if !ok {
-			return nil, goahttp.ErrInvalidType("administration", "put_organisation", "*administration.PutOrganisationPayload", v)
-		}
-		name = p.Name
-	}
-	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: PutOrganisationAdministrationPath(name)}
-	req, err := http.NewRequest("PUT", u.String(), nil)
-	if err != nil {
-		return nil, goahttp.ErrInvalidURL("administration", "put_organisation", u.String(), err)
-	}
-	if ctx != nil {
-		req = req.WithContext(ctx)
-	}
-
-	return req, nil
-}
-
-// EncodePutOrganisationRequest returns an encoder for requests sent to the
-// administration put_organisation server.
-func EncodePutOrganisationRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
-	return func(req *http.Request, v any) error {
-		p, ok := v.(*administration.PutOrganisationPayload)
-		if !ok {
-			return goahttp.ErrInvalidType("administration", "put_organisation", "*administration.PutOrganisationPayload", v)
-		}
-		body := NewPutOrganisationRequestBody(p)
-		if err := encoder(req).Encode(&body); err != nil {
-			return goahttp.ErrEncodingError("administration", "put_organisation", err)
-		}
-		return nil
-	}
-}
-
-// DecodePutOrganisationResponse returns a decoder for responses returned by
-// the administration put_organisation endpoint. restoreBody controls whether
-// the response body should be restored after having been read.
-func DecodePutOrganisationResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
-	return func(resp *http.Response) (any, error) {
-		if restoreBody {
-			b, err := io.ReadAll(resp.Body)
+			return nil, NewKeysBadRequest(&body, retryAfter)
+		case http.StatusUnauthorized:
+			var (
+				body KeysUnauthorizedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
 			if err != nil {
-				return nil, err
+				return nil, goahttp.ErrDecodingError("administration", "keys", err)
+			}
+			err = ValidateKeysUnauthorizedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "keys", err)
 			}
-			resp.Body = io.NopCloser(bytes.NewBuffer(b))
-			defer func() {
-				resp.Body = io.NopCloser(bytes.NewBuffer(b))
-			}()
-		} else {
-			defer resp.Body.Close()
-		}
-		switch resp.StatusCode {
-		case http.StatusOK:
 			var (
-				body PutOrganisationResponseBody
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "keys", err)
+			}
+			return nil, NewKeysUnauthorized(&body, retryAfter)
+		case http.StatusForbidden:
+			var (
+				body KeysForbiddenResponseBody
 				err  error
 			)
 			err = decoder(resp).Decode(&body)
 			if err != nil {
-				return nil, goahttp.ErrDecodingError("administration", "put_organisation", err)
+				return nil, goahttp.ErrDecodingError("administration", "keys", err)
 			}
-			err = ValidatePutOrganisationResponseBody(&body)
+			err = ValidateKeysForbiddenResponseBody(&body)
 			if err != nil {
-				return nil, goahttp.ErrValidationError("administration", "put_organisation", err)
+				return nil, goahttp.ErrValidationError("administration", "keys", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
 			}
-			res := NewPutOrganisationAcceptedOK(&body)
-			return res, nil
-		default:
-			body, _ := io.ReadAll(resp.Body)
-			return nil, goahttp.ErrInvalidResponse("administration", "put_organisation", resp.StatusCode, string(body))
-		}
-	}
-}
-
-// BuildRemoveOrganisationRequest instantiates a HTTP request object with
-// method and path set to call the "administration" service
-// "remove_organisation" endpoint
-func (c *Client) BuildRemoveOrganisationRequest(ctx context.Context, v any) (*http.Request, error) {
-	var (
-		name string
-	)
-	{
-		p, ok := v.(*administration.RemoveOrganisationPayload)
-		if !ok {
-			return nil, goahttp.ErrInvalidType("administration", "remove_organisation", "*administration.RemoveOrganisationPayload", v)
-		}
-		name = p.Name
-	}
-	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: RemoveOrganisationAdministrationPath(name)}
-	req, err := http.NewRequest("DELETE", u.String(), nil)
-	if err != nil {
-		return nil, goahttp.ErrInvalidURL("administration", "remove_organisation", u.String(), err)
-	}
-	if ctx != nil {
-		req = req.WithContext(ctx)
-	}
-
-	return req, nil
-}
-
-// EncodeRemoveOrganisationRequest returns an encoder for requests sent to the
-// administration remove_organisation server.
-func EncodeRemoveOrganisationRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
-	return func(req *http.Request, v any) error {
-		p, ok := v.(*administration.RemoveOrganisationPayload)
-		if !ok {
-			return goahttp.ErrInvalidType("administration", "remove_organisation", "*administration.RemoveOrganisationPayload", v)
-		}
-		values := req.URL.Query()
-		values.Add("author", p.Author)
-		values.Add("reason", p.Reason)
-		values.Add("change_id", p.ChangeID)
-		values.Add("base_revision", fmt.Sprintf("%v", p.BaseRevision))
-		req.URL.RawQuery = values.Encode()
-		return nil
-	}
-}
-
-// DecodeRemoveOrganisationResponse returns a decoder for responses returned by
-// the administration remove_organisation endpoint. restoreBody controls
-// whether the response body should be restored after having been read.
-func DecodeRemoveOrganisationResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
-	return func(resp *http.Response) (any, error) {
-		if restoreBody {
-			b, err := io.ReadAll(resp.Body)
 			if err != nil {
-				return nil, err
+				return nil, goahttp.ErrValidationError("administration", "keys", err)
 			}
-			resp.Body = io.NopCloser(bytes.NewBuffer(b))
-			defer func() {
-				resp.Body = io.NopCloser(bytes.NewBuffer(b))
-			}()
-		} else {
-			defer resp.Body.Close()
-		}
-		switch resp.StatusCode {
-		case http.StatusOK:
+			return nil, NewKeysForbidden(&body, retryAfter)
+		case http.StatusNotFound:
 			var (
-				body RemoveOrganisationResponseBody
+				body KeysNotFoundResponseBody
 				err  error
 			)
 			err = decoder(resp).Decode(&body)
 			if err != nil {
-				return nil, goahttp.ErrDecodingError("administration", "remove_organisation", err)
+				return nil, goahttp.ErrDecodingError("administration", "keys", err)
 			}
-			err = ValidateRemoveOrganisationResponseBody(&body)
+			err = ValidateKeysNotFoundResponseBody(&body)
 			if err != nil {
-				return nil, goahttp.ErrValidationError("administration", "remove_organisation", err)
+				return nil, goahttp.ErrValidationError("administration", "keys", err)
 			}
-			res := NewRemoveOrganisationAcceptedOK(&body)
-			return res, nil
-		default:
-			body, _ := io.ReadAll(resp.Body)
-			return nil, goahttp.ErrInvalidResponse("administration", "remove_organisation", resp.StatusCode, string(body))
-		}
-	}
-}
-
-// BuildAddKeyRequest instantiates a HTTP request object with method and path
-// set to call the "administration" service "add_key" endpoint
-func (c *Client) BuildAddKeyRequest(ctx context.Context, v any) (*http.Request, error) {
-	var (
-		name    string
-		keyHash string
-	)
-	{
-		p, ok := v.(*administration.AddKeyPayload)
-		if !ok {
-			return nil, goahttp.ErrInvalidType("administration", "add_key", "*administration.AddKeyPayload", v)
-		}
-		name = p.Name
-		keyHash = p.KeyHash
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "keys", err)
+			}
+			return nil, NewKeysNotFound(&body, retryAfter)
+		case http.StatusConflict:
+			var (
+				body KeysConflictResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "keys", err)
+			}
+			err = ValidateKeysConflictResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "keys", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "keys", err)
+			}
+			return nil, NewKeysConflict(&body, retryAfter)
+		case http.StatusGone:
+			var (
+				body KeysGoneResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "keys", err)
+			}
+			err = ValidateKeysGoneResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "keys", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "keys", err)
+			}
+			return nil, NewKeysGone(&body, retryAfter)
+		case http.StatusRequestEntityTooLarge:
+			var (
+				body KeysTooLargeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "keys", err)
+			}
+			err = ValidateKeysTooLargeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "keys", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "keys", err)
+			}
+			return nil, NewKeysTooLarge(&body, retryAfter)
+		case http.StatusUnprocessableEntity:
+			var (
+				body KeysUnprocessableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "keys", err)
+			}
+			err = ValidateKeysUnprocessableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "keys", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "keys", err)
+			}
+			return nil, NewKeysUnprocessable(&body, retryAfter)
+		case http.StatusTooManyRequests:
+			var (
+				body KeysTooManyResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "keys", err)
+			}
+			err = ValidateKeysTooManyResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "keys", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "keys", err)
+			}
+			return nil, NewKeysTooMany(&body, retryAfter)
+		case http.StatusInternalServerError:
+			var (
+				body KeysInternalResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "keys", err)
+			}
+			err = ValidateKeysInternalResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "keys", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "keys", err)
+			}
+			return nil, NewKeysInternal(&body, retryAfter)
+		case http.StatusBadGateway:
+			var (
+				body KeysBadGatewayResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "keys", err)
+			}
+			err = ValidateKeysBadGatewayResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "keys", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "keys", err)
+			}
+			return nil, NewKeysBadGateway(&body, retryAfter)
+		case http.StatusServiceUnavailable:
+			var (
+				body KeysUnavailableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "keys", err)
+			}
+			err = ValidateKeysUnavailableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "keys", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "keys", err)
+			}
+			return nil, NewKeysUnavailable(&body, retryAfter)
+		case http.StatusGatewayTimeout:
+			var (
+				body KeysTimeoutResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "keys", err)
+			}
+			err = ValidateKeysTimeoutResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "keys", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "keys", err)
+			}
+			return nil, NewKeysTimeout(&body, retryAfter)
+		default:
+			body, _ := io.ReadAll(resp.Body)
+			return nil, goahttp.ErrInvalidResponse("administration", "keys", resp.StatusCode, string(body))
+		}
 	}
-	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: AddKeyAdministrationPath(name, keyHash)}
-	req, err := http.NewRequest("PUT", u.String(), nil)
+}
+
+// BuildHistoryRequest instantiates a HTTP request object with method and path
+// set to call the "administration" service "history" endpoint
+func (c *Client) BuildHistoryRequest(ctx context.Context, v any) (*http.Request, error) {
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: HistoryAdministrationPath()}
+	req, err := http.NewRequest("GET", u.String(), nil)
 	if err != nil {
-		return nil, goahttp.ErrInvalidURL("administration", "add_key", u.String(), err)
+		return nil, goahttp.ErrInvalidURL("administration", "history", u.String(), err)
 	}
 	if ctx != nil {
 		req = req.WithContext(ctx)
@@ -816,28 +1422,40 @@
 	return req, nil
 }
 
-// EncodeAddKeyRequest returns an encoder for requests sent to the
-// administration add_key server.
-func EncodeAddKeyRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
+// EncodeHistoryRequest returns an encoder for requests sent to the
+// administration history server.
+func EncodeHistoryRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
 	return func(req *http.Request, v any) error {
-		p, ok := v.(*administration.AddKeyPayload)
+		p, ok := v.(*administration.HistoryPayload)
 		if !ok {
-			return goahttp.ErrInvalidType("administration", "add_key", "*administration.AddKeyPayload", v)
+			return goahttp.ErrInvalidType("administration", "history", "*administration.HistoryPayload", v)
 		}
 		values := req.URL.Query()
-		values.Add("author", p.Author)
-		values.Add("reason", p.Reason)
-		values.Add("change_id", p.ChangeID)
-		values.Add("base_revision", fmt.Sprintf("%v", p.BaseRevision))
+		values.Add("limit", fmt.Sprintf("%v", p.Limit))
 		req.URL.RawQuery = values.Encode()
 		return nil
 	}
 }
 
-// DecodeAddKeyResponse returns a decoder for responses returned by the
-// administration add_key endpoint. restoreBody controls whether the response
+// DecodeHistoryResponse returns a decoder for responses returned by the
+// administration history endpoint. restoreBody controls whether the response
 // body should be restored after having been read.
-func DecodeAddKeyResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+// DecodeHistoryResponse may return the following errors:
+//   - "bad_request" (type *administration.Failure): http.StatusBadRequest
+//   - "unauthorized" (type *administration.Failure): http.StatusUnauthorized
+//   - "forbidden" (type *administration.Failure): http.StatusForbidden
+//   - "not_found" (type *administration.Failure): http.StatusNotFound
+//   - "conflict" (type *administration.Failure): http.StatusConflict
+//   - "gone" (type *administration.Failure): http.StatusGone
+//   - "too_large" (type *administration.Failure): http.StatusRequestEntityTooLarge
+//   - "unprocessable" (type *administration.Failure): http.StatusUnprocessableEntity
+//   - "too_many" (type *administration.Failure): http.StatusTooManyRequests
+//   - "internal" (type *administration.Failure): http.StatusInternalServerError
+//   - "bad_gateway" (type *administration.Failure): http.StatusBadGateway
+//   - "unavailable" (type *administration.Failure): http.StatusServiceUnavailable
+//   - "timeout" (type *administration.Failure): http.StatusGatewayTimeout
+//   - error: internal error
+func DecodeHistoryResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
 		if restoreBody {
 			b, err := io.ReadAll(resp.Body)
@@ -854,128 +1472,5252 @@
 		switch resp.StatusCode {
 		case http.StatusOK:
 			var (
-				body AddKeyResponseBody
+				body []*PastChangeResponse
 				err  error
 			)
 			err = decoder(resp).Decode(&body)
 			if err != nil {
-				return nil, goahttp.ErrDecodingError("administration", "add_key", err)
+				return nil, goahttp.ErrDecodingError("administration", "history", err)
+			}
+			for _, e := range body {
+				if e != nil {
+					if err2 := ValidatePastChangeResponse(e); err2 != nil {
+						err = goa.MergeErrors(err, err2)
+					}
+				}
 			}
-			err = ValidateAddKeyResponseBody(&body)
 			if err != nil {
-				return nil, goahttp.ErrValidationError("administration", "add_key", err)
+				return nil, goahttp.ErrValidationError("administration", "history", err)
 			}
-			res := NewAddKeyAcceptedOK(&body)
+			res := NewHistoryPastChangeOK(body)
 			return res, nil
-		default:
-			body, _ := io.ReadAll(resp.Body)
-			return nil, goahttp.ErrInvalidResponse("administration", "add_key", resp.StatusCode, string(body))
-		}
-	}
-}
-
-// BuildRemoveKeyRequest instantiates a HTTP request object with method and
-// path set to call the "administration" service "remove_key" endpoint
-func (c *Client) BuildRemoveKeyRequest(ctx context.Context, v any) (*http.Request, error) {
-	var (
-		name    string
-		keyHash string
-	)
-	{
-		p, ok := v.(*administration.RemoveKeyPayload)
-		if !ok {
-			return nil, goahttp.ErrInvalidType("administration", "remove_key", "*administration.RemoveKeyPayload", v)
-		}
-		name = p.Name
-		keyHash = p.KeyHash
-	}
-	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: RemoveKeyAdministrationPath(name, keyHash)}
-	req, err := http.NewRequest("DELETE", u.String(), nil)
-	if err != nil {
-		return nil, goahttp.ErrInvalidURL("administration", "remove_key", u.String(), err)
-	}
-	if ctx != nil {
-		req = req.WithContext(ctx)
-	}
-
-	return req, nil
-}
+		case http.StatusBadRequest:
+			var (
+				body HistoryBadRequestResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "history", err)
+			}
+			err = ValidateHistoryBadRequestResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "history", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "history", err)
+			}
+			return nil, NewHistoryBadRequest(&body, retryAfter)
+		case http.StatusUnauthorized:
+			var (
+				body HistoryUnauthorizedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "history", err)
+			}
+			err = ValidateHistoryUnauthorizedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "history", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "history", err)
+			}
+			return nil, NewHistoryUnauthorized(&body, retryAfter)
+		case http.StatusForbidden:
+			var (
+				body HistoryForbiddenResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "history", err)
+			}
+			err = ValidateHistoryForbiddenResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "history", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "history", err)
+			}
+			return nil, NewHistoryForbidden(&body, retryAfter)
+		case http.StatusNotFound:
+			var (
+				body HistoryNotFoundResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "history", err)
+			}
+			err = ValidateHistoryNotFoundResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "history", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "history", err)
+			}
+			return nil, NewHistoryNotFound(&body, retryAfter)
+		case http.StatusConflict:
+			var (
+				body HistoryConflictResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "history", err)
+			}
+			err = ValidateHistoryConflictResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "history", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "history", err)
+			}
+			return nil, NewHistoryConflict(&body, retryAfter)
+		case http.StatusGone:
+			var (
+				body HistoryGoneResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "history", err)
+			}
+			err = ValidateHistoryGoneResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "history", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "history", err)
+			}
+			return nil, NewHistoryGone(&body, retryAfter)
+		case http.StatusRequestEntityTooLarge:
+			var (
+				body HistoryTooLargeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "history", err)
+			}
+			err = ValidateHistoryTooLargeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "history", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "history", err)
+			}
+			return nil, NewHistoryTooLarge(&body, retryAfter)
+		case http.StatusUnprocessableEntity:
+			var (
+				body HistoryUnprocessableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "history", err)
+			}
+			err = ValidateHistoryUnprocessableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "history", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "history", err)
+			}
+			return nil, NewHistoryUnprocessable(&body, retryAfter)
+		case http.StatusTooManyRequests:
+			var (
+				body HistoryTooManyResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "history", err)
+			}
+			err = ValidateHistoryTooManyResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "history", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "history", err)
+			}
+			return nil, NewHistoryTooMany(&body, retryAfter)
+		case http.StatusInternalServerError:
+			var (
+				body HistoryInternalResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "history", err)
+			}
+			err = ValidateHistoryInternalResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "history", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "history", err)
+			}
+			return nil, NewHistoryInternal(&body, retryAfter)
+		case http.StatusBadGateway:
+			var (
+				body HistoryBadGatewayResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "history", err)
+			}
+			err = ValidateHistoryBadGatewayResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "history", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "history", err)
+			}
+			return nil, NewHistoryBadGateway(&body, retryAfter)
+		case http.StatusServiceUnavailable:
+			var (
+				body HistoryUnavailableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "history", err)
+			}
+			err = ValidateHistoryUnavailableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "history", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "history", err)
+			}
+			return nil, NewHistoryUnavailable(&body, retryAfter)
+		case http.StatusGatewayTimeout:
+			var (
+				body HistoryTimeoutResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "history", err)
+			}
+			err = ValidateHistoryTimeoutResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "history", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "history", err)
+			}
+			return nil, NewHistoryTimeout(&body, retryAfter)
+		default:
+			body, _ := io.ReadAll(resp.Body)
+			return nil, goahttp.ErrInvalidResponse("administration", "history", resp.StatusCode, string(body))
+		}
+	}
+}
+
+// BuildChangeRequest instantiates a HTTP request object with method and path
+// set to call the "administration" service "change" endpoint
+func (c *Client) BuildChangeRequest(ctx context.Context, v any) (*http.Request, error) {
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: ChangeAdministrationPath()}
+	req, err := http.NewRequest("POST", u.String(), nil)
+	if err != nil {
+		return nil, goahttp.ErrInvalidURL("administration", "change", u.String(), err)
+	}
+	if ctx != nil {
+		req = req.WithContext(ctx)
+	}
+
+	return req, nil
+}
+
+// EncodeChangeRequest returns an encoder for requests sent to the
+// administration change server.
+func EncodeChangeRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
+	return func(req *http.Request, v any) error {
+		p, ok := v.(*administration.ChangePayload)
+		if !ok {
+			return goahttp.ErrInvalidType("administration", "change", "*administration.ChangePayload", v)
+		}
+		body := NewChangeRequestBody(p)
+		if err := encoder(req).Encode(&body); err != nil {
+			return goahttp.ErrEncodingError("administration", "change", err)
+		}
+		return nil
+	}
+}
+
+// DecodeChangeResponse returns a decoder for responses returned by the
+// administration change endpoint. restoreBody controls whether the response
+// body should be restored after having been read.
+// DecodeChangeResponse may return the following errors:
+//   - "bad_request" (type *administration.Failure): http.StatusBadRequest
+//   - "unauthorized" (type *administration.Failure): http.StatusUnauthorized
+//   - "forbidden" (type *administration.Failure): http.StatusForbidden
+//   - "not_found" (type *administration.Failure): http.StatusNotFound
+//   - "conflict" (type *administration.Failure): http.StatusConflict
+//   - "gone" (type *administration.Failure): http.StatusGone
+//   - "too_large" (type *administration.Failure): http.StatusRequestEntityTooLarge
+//   - "unprocessable" (type *administration.Failure): http.StatusUnprocessableEntity
+//   - "too_many" (type *administration.Failure): http.StatusTooManyRequests
+//   - "internal" (type *administration.Failure): http.StatusInternalServerError
+//   - "bad_gateway" (type *administration.Failure): http.StatusBadGateway
+//   - "unavailable" (type *administration.Failure): http.StatusServiceUnavailable
+//   - "timeout" (type *administration.Failure): http.StatusGatewayTimeout
+//   - error: internal error
+func DecodeChangeResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+	return func(resp *http.Response) (any, error) {
+		if restoreBody {
+			b, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return nil, err
+			}
+			resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			defer func() {
+				resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			}()
+		} else {
+			defer resp.Body.Close()
+		}
+		switch resp.StatusCode {
+		case http.StatusOK:
+			var (
+				body ChangeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "change", err)
+			}
+			err = ValidateChangeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "change", err)
+			}
+			res := NewChangeAcceptedOK(&body)
+			return res, nil
+		case http.StatusBadRequest:
+			var (
+				body ChangeBadRequestResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "change", err)
+			}
+			err = ValidateChangeBadRequestResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "change", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "change", err)
+			}
+			return nil, NewChangeBadRequest(&body, retryAfter)
+		case http.StatusUnauthorized:
+			var (
+				body ChangeUnauthorizedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "change", err)
+			}
+			err = ValidateChangeUnauthorizedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "change", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "change", err)
+			}
+			return nil, NewChangeUnauthorized(&body, retryAfter)
+		case http.StatusForbidden:
+			var (
+				body ChangeForbiddenResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "change", err)
+			}
+			err = ValidateChangeForbiddenResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "change", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "change", err)
+			}
+			return nil, NewChangeForbidden(&body, retryAfter)
+		case http.StatusNotFound:
+			var (
+				body ChangeNotFoundResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "change", err)
+			}
+			err = ValidateChangeNotFoundResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "change", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "change", err)
+			}
+			return nil, NewChangeNotFound(&body, retryAfter)
+		case http.StatusConflict:
+			var (
+				body ChangeConflictResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "change", err)
+			}
+			err = ValidateChangeConflictResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "change", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "change", err)
+			}
+			return nil, NewChangeConflict(&body, retryAfter)
+		case http.StatusGone:
+			var (
+				body ChangeGoneResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "change", err)
+			}
+			err = ValidateChangeGoneResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "change", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "change", err)
+			}
+			return nil, NewChangeGone(&body, retryAfter)
+		case http.StatusRequestEntityTooLarge:
+			var (
+				body ChangeTooLargeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "change", err)
+			}
+			err = ValidateChangeTooLargeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "change", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "change", err)
+			}
+			return nil, NewChangeTooLarge(&body, retryAfter)
+		case http.StatusUnprocessableEntity:
+			var (
+				body ChangeUnprocessableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "change", err)
+			}
+			err = ValidateChangeUnprocessableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "change", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "change", err)
+			}
+			return nil, NewChangeUnprocessable(&body, retryAfter)
+		case http.StatusTooManyRequests:
+			var (
+				body ChangeTooManyResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "change", err)
+			}
+			err = ValidateChangeTooManyResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "change", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "change", err)
+			}
+			return nil, NewChangeTooMany(&body, retryAfter)
+		case http.StatusInternalServerError:
+			var (
+				body ChangeInternalResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "change", err)
+			}
+			err = ValidateChangeInternalResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "change", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "change", err)
+			}
+			return nil, NewChangeInternal(&body, retryAfter)
+		case http.StatusBadGateway:
+			var (
+				body ChangeBadGatewayResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "change", err)
+			}
+			err = ValidateChangeBadGatewayResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "change", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "change", err)
+			}
+			return nil, NewChangeBadGateway(&body, retryAfter)
+		case http.StatusServiceUnavailable:
+			var (
+				body ChangeUnavailableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "change", err)
+			}
+			err = ValidateChangeUnavailableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "change", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "change", err)
+			}
+			return nil, NewChangeUnavailable(&body, retryAfter)
+		case http.StatusGatewayTimeout:
+			var (
+				body ChangeTimeoutResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "change", err)
+			}
+			err = ValidateChangeTimeoutResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "change", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "change", err)
+			}
+			return nil, NewChangeTimeout(&body, retryAfter)
+		default:
+			body, _ := io.ReadAll(resp.Body)
+			return nil, goahttp.ErrInvalidResponse("administration", "change", resp.StatusCode, string(body))
+		}
+	}
+}
+
+// BuildExceptionsRequest instantiates a HTTP request object with method and
+// path set to call the "administration" service "exceptions" endpoint
+func (c *Client) BuildExceptionsRequest(ctx context.Context, v any) (*http.Request, error) {
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: ExceptionsAdministrationPath()}
+	req, err := http.NewRequest("GET", u.String(), nil)
+	if err != nil {
+		return nil, goahttp.ErrInvalidURL("administration", "exceptions", u.String(), err)
+	}
+	if ctx != nil {
+		req = req.WithContext(ctx)
+	}
+
+	return req, nil
+}
+
+// DecodeExceptionsResponse returns a decoder for responses returned by the
+// administration exceptions endpoint. restoreBody controls whether the
+// response body should be restored after having been read.
+// DecodeExceptionsResponse may return the following errors:
+//   - "bad_request" (type *administration.Failure): http.StatusBadRequest
+//   - "unauthorized" (type *administration.Failure): http.StatusUnauthorized
+//   - "forbidden" (type *administration.Failure): http.StatusForbidden
+//   - "not_found" (type *administration.Failure): http.StatusNotFound
+//   - "conflict" (type *administration.Failure): http.StatusConflict
+//   - "gone" (type *administration.Failure): http.StatusGone
+//   - "too_large" (type *administration.Failure): http.StatusRequestEntityTooLarge
+//   - "unprocessable" (type *administration.Failure): http.StatusUnprocessableEntity
+//   - "too_many" (type *administration.Failure): http.StatusTooManyRequests
+//   - "internal" (type *administration.Failure): http.StatusInternalServerError
+//   - "bad_gateway" (type *administration.Failure): http.StatusBadGateway
+//   - "unavailable" (type *administration.Failure): http.StatusServiceUnavailable
+//   - "timeout" (type *administration.Failure): http.StatusGatewayTimeout
+//   - error: internal error
+func DecodeExceptionsResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+	return func(resp *http.Response) (any, error) {
+		if restoreBody {
+			b, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return nil, err
+			}
+			resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			defer func() {
+				resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			}()
+		} else {
+			defer resp.Body.Close()
+		}
+		switch resp.StatusCode {
+		case http.StatusOK:
+			var (
+				body []*ExceptionResponse
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "exceptions", err)
+			}
+			for _, e := range body {
+				if e != nil {
+					if err2 := ValidateExceptionResponse(e); err2 != nil {
+						err = goa.MergeErrors(err, err2)
+					}
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "exceptions", err)
+			}
+			res := NewExceptionsExceptionOK(body)
+			return res, nil
+		case http.StatusBadRequest:
+			var (
+				body ExceptionsBadRequestResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "exceptions", err)
+			}
+			err = ValidateExceptionsBadRequestResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "exceptions", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "exceptions", err)
+			}
+			return nil, NewExceptionsBadRequest(&body, retryAfter)
+		case http.StatusUnauthorized:
+			var (
+				body ExceptionsUnauthorizedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "exceptions", err)
+			}
+			err = ValidateExceptionsUnauthorizedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "exceptions", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "exceptions", err)
+			}
+			return nil, NewExceptionsUnauthorized(&body, retryAfter)
+		case http.StatusForbidden:
+			var (
+				body ExceptionsForbiddenResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "exceptions", err)
+			}
+			err = ValidateExceptionsForbiddenResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "exceptions", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "exceptions", err)
+			}
+			return nil, NewExceptionsForbidden(&body, retryAfter)
+		case http.StatusNotFound:
+			var (
+				body ExceptionsNotFoundResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "exceptions", err)
+			}
+			err = ValidateExceptionsNotFoundResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "exceptions", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "exceptions", err)
+			}
+			return nil, NewExceptionsNotFound(&body, retryAfter)
+		case http.StatusConflict:
+			var (
+				body ExceptionsConflictResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "exceptions", err)
+			}
+			err = ValidateExceptionsConflictResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "exceptions", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "exceptions", err)
+			}
+			return nil, NewExceptionsConflict(&body, retryAfter)
+		case http.StatusGone:
+			var (
+				body ExceptionsGoneResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "exceptions", err)
+			}
+			err = ValidateExceptionsGoneResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "exceptions", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "exceptions", err)
+			}
+			return nil, NewExceptionsGone(&body, retryAfter)
+		case http.StatusRequestEntityTooLarge:
+			var (
+				body ExceptionsTooLargeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "exceptions", err)
+			}
+			err = ValidateExceptionsTooLargeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "exceptions", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "exceptions", err)
+			}
+			return nil, NewExceptionsTooLarge(&body, retryAfter)
+		case http.StatusUnprocessableEntity:
+			var (
+				body ExceptionsUnprocessableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "exceptions", err)
+			}
+			err = ValidateExceptionsUnprocessableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "exceptions", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "exceptions", err)
+			}
+			return nil, NewExceptionsUnprocessable(&body, retryAfter)
+		case http.StatusTooManyRequests:
+			var (
+				body ExceptionsTooManyResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "exceptions", err)
+			}
+			err = ValidateExceptionsTooManyResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "exceptions", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "exceptions", err)
+			}
+			return nil, NewExceptionsTooMany(&body, retryAfter)
+		case http.StatusInternalServerError:
+			var (
+				body ExceptionsInternalResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "exceptions", err)
+			}
+			err = ValidateExceptionsInternalResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "exceptions", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "exceptions", err)
+			}
+			return nil, NewExceptionsInternal(&body, retryAfter)
+		case http.StatusBadGateway:
+			var (
+				body ExceptionsBadGatewayResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "exceptions", err)
+			}
+			err = ValidateExceptionsBadGatewayResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "exceptions", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "exceptions", err)
+			}
+			return nil, NewExceptionsBadGateway(&body, retryAfter)
+		case http.StatusServiceUnavailable:
+			var (
+				body ExceptionsUnavailableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "exceptions", err)
+			}
+			err = ValidateExceptionsUnavailableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "exceptions", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "exceptions", err)
+			}
+			return nil, NewExceptionsUnavailable(&body, retryAfter)
+		case http.StatusGatewayTimeout:
+			var (
+				body ExceptionsTimeoutResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "exceptions", err)
+			}
+			err = ValidateExceptionsTimeoutResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "exceptions", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "exceptions", err)
+			}
+			return nil, NewExceptionsTimeout(&body, retryAfter)
+		default:
+			body, _ := io.ReadAll(resp.Body)
+			return nil, goahttp.ErrInvalidResponse("administration", "exceptions", resp.StatusCode, string(body))
+		}
+	}
+}
+
+// BuildPutExceptionRequest instantiates a HTTP request object with method and
+// path set to call the "administration" service "put_exception" endpoint
+func (c *Client) BuildPutExceptionRequest(ctx context.Context, v any) (*http.Request, error) {
+	var (
+		id string
+	)
+	{
+		p, ok := v.(*administration.PutExceptionPayload)
+		if !ok {
+			return nil, goahttp.ErrInvalidType("administration", "put_exception", "*administration.PutExceptionPayload", v)
+		}
+		id = p.ID
+	}
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: PutExceptionAdministrationPath(id)}
+	req, err := http.NewRequest("PUT", u.String(), nil)
+	if err != nil {
+		return nil, goahttp.ErrInvalidURL("administration", "put_exception", u.String(), err)
+	}
+	if ctx != nil {
+		req = req.WithContext(ctx)
+	}
+
+	return req, nil
+}
+
+// EncodePutExceptionRequest returns an encoder for requests sent to the
+// administration put_exception server.
+func EncodePutExceptionRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
+	return func(req *http.Request, v any) error {
+		p, ok := v.(*administration.PutExceptionPayload)
+		if !ok {
+			return goahttp.ErrInvalidType("administration", "put_exception", "*administration.PutExceptionPayload", v)
+		}
+		body := NewPutExceptionRequestBody(p)
+		if err := encoder(req).Encode(&body); err != nil {
+			return goahttp.ErrEncodingError("administration", "put_exception", err)
+		}
+		return nil
+	}
+}
+
+// DecodePutExceptionResponse returns a decoder for responses returned by the
+// administration put_exception endpoint. restoreBody controls whether the
+// response body should be restored after having been read.
+// DecodePutExceptionResponse may return the following errors:
+//   - "bad_request" (type *administration.Failure): http.StatusBadRequest
+//   - "unauthorized" (type *administration.Failure): http.StatusUnauthorized
+//   - "forbidden" (type *administration.Failure): http.StatusForbidden
+//   - "not_found" (type *administration.Failure): http.StatusNotFound
+//   - "conflict" (type *administration.Failure): http.StatusConflict
+//   - "gone" (type *administration.Failure): http.StatusGone
+//   - "too_large" (type *administration.Failure): http.StatusRequestEntityTooLarge
+//   - "unprocessable" (type *administration.Failure): http.StatusUnprocessableEntity
+//   - "too_many" (type *administration.Failure): http.StatusTooManyRequests
+//   - "internal" (type *administration.Failure): http.StatusInternalServerError
+//   - "bad_gateway" (type *administration.Failure): http.StatusBadGateway
+//   - "unavailable" (type *administration.Failure): http.StatusServiceUnavailable
+//   - "timeout" (type *administration.Failure): http.StatusGatewayTimeout
+//   - error: internal error
+func DecodePutExceptionResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+	return func(resp *http.Response) (any, error) {
+		if restoreBody {
+			b, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return nil, err
+			}
+			resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			defer func() {
+				resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			}()
+		} else {
+			defer resp.Body.Close()
+		}
+		switch resp.StatusCode {
+		case http.StatusOK:
+			var (
+				body PutExceptionResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "put_exception", err)
+			}
+			err = ValidatePutExceptionResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_exception", err)
+			}
+			res := NewPutExceptionAcceptedOK(&body)
+			return res, nil
+		case http.StatusBadRequest:
+			var (
+				body PutExceptionBadRequestResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "put_exception", err)
+			}
+			err = ValidatePutExceptionBadRequestResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_exception", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_exception", err)
+			}
+			return nil, NewPutExceptionBadRequest(&body, retryAfter)
+		case http.StatusUnauthorized:
+			var (
+				body PutExceptionUnauthorizedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "put_exception", err)
+			}
+			err = ValidatePutExceptionUnauthorizedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_exception", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_exception", err)
+			}
+			return nil, NewPutExceptionUnauthorized(&body, retryAfter)
+		case http.StatusForbidden:
+			var (
+				body PutExceptionForbiddenResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "put_exception", err)
+			}
+			err = ValidatePutExceptionForbiddenResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_exception", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_exception", err)
+			}
+			return nil, NewPutExceptionForbidden(&body, retryAfter)
+		case http.StatusNotFound:
+			var (
+				body PutExceptionNotFoundResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "put_exception", err)
+			}
+			err = ValidatePutExceptionNotFoundResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_exception", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_exception", err)
+			}
+			return nil, NewPutExceptionNotFound(&body, retryAfter)
+		case http.StatusConflict:
+			var (
+				body PutExceptionConflictResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "put_exception", err)
+			}
+			err = ValidatePutExceptionConflictResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_exception", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_exception", err)
+			}
+			return nil, NewPutExceptionConflict(&body, retryAfter)
+		case http.StatusGone:
+			var (
+				body PutExceptionGoneResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "put_exception", err)
+			}
+			err = ValidatePutExceptionGoneResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_exception", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_exception", err)
+			}
+			return nil, NewPutExceptionGone(&body, retryAfter)
+		case http.StatusRequestEntityTooLarge:
+			var (
+				body PutExceptionTooLargeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "put_exception", err)
+			}
+			err = ValidatePutExceptionTooLargeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_exception", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_exception", err)
+			}
+			return nil, NewPutExceptionTooLarge(&body, retryAfter)
+		case http.StatusUnprocessableEntity:
+			var (
+				body PutExceptionUnprocessableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "put_exception", err)
+			}
+			err = ValidatePutExceptionUnprocessableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_exception", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_exception", err)
+			}
+			return nil, NewPutExceptionUnprocessable(&body, retryAfter)
+		case http.StatusTooManyRequests:
+			var (
+				body PutExceptionTooManyResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "put_exception", err)
+			}
+			err = ValidatePutExceptionTooManyResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_exception", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_exception", err)
+			}
+			return nil, NewPutExceptionTooMany(&body, retryAfter)
+		case http.StatusInternalServerError:
+			var (
+				body PutExceptionInternalResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "put_exception", err)
+			}
+			err = ValidatePutExceptionInternalResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_exception", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_exception", err)
+			}
+			return nil, NewPutExceptionInternal(&body, retryAfter)
+		case http.StatusBadGateway:
+			var (
+				body PutExceptionBadGatewayResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "put_exception", err)
+			}
+			err = ValidatePutExceptionBadGatewayResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_exception", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_exception", err)
+			}
+			return nil, NewPutExceptionBadGateway(&body, retryAfter)
+		case http.StatusServiceUnavailable:
+			var (
+				body PutExceptionUnavailableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "put_exception", err)
+			}
+			err = ValidatePutExceptionUnavailableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_exception", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_exception", err)
+			}
+			return nil, NewPutExceptionUnavailable(&body, retryAfter)
+		case http.StatusGatewayTimeout:
+			var (
+				body PutExceptionTimeoutResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "put_exception", err)
+			}
+			err = ValidatePutExceptionTimeoutResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_exception", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_exception", err)
+			}
+			return nil, NewPutExceptionTimeout(&body, retryAfter)
+		default:
+			body, _ := io.ReadAll(resp.Body)
+			return nil, goahttp.ErrInvalidResponse("administration", "put_exception", resp.StatusCode, string(body))
+		}
+	}
+}
+
+// BuildRemoveExceptionRequest instantiates a HTTP request object with method
+// and path set to call the "administration" service "remove_exception" endpoint
+func (c *Client) BuildRemoveExceptionRequest(ctx context.Context, v any) (*http.Request, error) {
+	var (
+		id string
+	)
+	{
+		p, ok := v.(*administration.RemoveExceptionPayload)
+		if !ok {
+			return nil, goahttp.ErrInvalidType("administration", "remove_exception", "*administration.RemoveExceptionPayload", v)
+		}
+		id = p.ID
+	}
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: RemoveExceptionAdministrationPath(id)}
+	req, err := http.NewRequest("DELETE", u.String(), nil)
+	if err != nil {
+		return nil, goahttp.ErrInvalidURL("administration", "remove_exception", u.String(), err)
+	}
+	if ctx != nil {
+		req = req.WithContext(ctx)
+	}
+
+	return req, nil
+}
+
+// EncodeRemoveExceptionRequest returns an encoder for requests sent to the
+// administration remove_exception server.
+func EncodeRemoveExceptionRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
+	return func(req *http.Request, v any) error {
+		p, ok := v.(*administration.RemoveExceptionPayload)
+		if !ok {
+			return goahttp.ErrInvalidType("administration", "remove_exception", "*administration.RemoveExceptionPayload", v)
+		}
+		values := req.URL.Query()
+		values.Add("author", p.Author)
+		values.Add("reason", p.Reason)
+		values.Add("change_id", p.ChangeID)
+		values.Add("base_revision", fmt.Sprintf("%v", p.BaseRevision))
+		req.URL.RawQuery = values.Encode()
+		return nil
+	}
+}
+
+// DecodeRemoveExceptionResponse returns a decoder for responses returned by
+// the administration remove_exception endpoint. restoreBody controls whether
+// the response body should be restored after having been read.
+// DecodeRemoveExceptionResponse may return the following errors:
+//   - "bad_request" (type *administration.Failure): http.StatusBadRequest
+//   - "unauthorized" (type *administration.Failure): http.StatusUnauthorized
+//   - "forbidden" (type *administration.Failure): http.StatusForbidden
+//   - "not_found" (type *administration.Failure): http.StatusNotFound
+//   - "conflict" (type *administration.Failure): http.StatusConflict
+//   - "gone" (type *administration.Failure): http.StatusGone
+//   - "too_large" (type *administration.Failure): http.StatusRequestEntityTooLarge
+//   - "unprocessable" (type *administration.Failure): http.StatusUnprocessableEntity
+//   - "too_many" (type *administration.Failure): http.StatusTooManyRequests
+//   - "internal" (type *administration.Failure): http.StatusInternalServerError
+//   - "bad_gateway" (type *administration.Failure): http.StatusBadGateway
+//   - "unavailable" (type *administration.Failure): http.StatusServiceUnavailable
+//   - "timeout" (type *administration.Failure): http.StatusGatewayTimeout
+//   - error: internal error
+func DecodeRemoveExceptionResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+	return func(resp *http.Response) (any, error) {
+		if restoreBody {
+			b, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return nil, err
+			}
+			resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			defer func() {
+				resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			}()
+		} else {
+			defer resp.Body.Close()
+		}
+		switch resp.StatusCode {
+		case http.StatusOK:
+			var (
+				body RemoveExceptionResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "remove_exception", err)
+			}
+			err = ValidateRemoveExceptionResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_exception", err)
+			}
+			res := NewRemoveExceptionAcceptedOK(&body)
+			return res, nil
+		case http.StatusBadRequest:
+			var (
+				body RemoveExceptionBadRequestResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "remove_exception", err)
+			}
+			err = ValidateRemoveExceptionBadRequestResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_exception", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_exception", err)
+			}
+			return nil, NewRemoveExceptionBadRequest(&body, retryAfter)
+		case http.StatusUnauthorized:
+			var (
+				body RemoveExceptionUnauthorizedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "remove_exception", err)
+			}
+			err = ValidateRemoveExceptionUnauthorizedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_exception", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_exception", err)
+			}
+			return nil, NewRemoveExceptionUnauthorized(&body, retryAfter)
+		case http.StatusForbidden:
+			var (
+				body RemoveExceptionForbiddenResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "remove_exception", err)
+			}
+			err = ValidateRemoveExceptionForbiddenResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_exception", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_exception", err)
+			}
+			return nil, NewRemoveExceptionForbidden(&body, retryAfter)
+		case http.StatusNotFound:
+			var (
+				body RemoveExceptionNotFoundResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "remove_exception", err)
+			}
+			err = ValidateRemoveExceptionNotFoundResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_exception", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_exception", err)
+			}
+			return nil, NewRemoveExceptionNotFound(&body, retryAfter)
+		case http.StatusConflict:
+			var (
+				body RemoveExceptionConflictResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "remove_exception", err)
+			}
+			err = ValidateRemoveExceptionConflictResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_exception", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_exception", err)
+			}
+			return nil, NewRemoveExceptionConflict(&body, retryAfter)
+		case http.StatusGone:
+			var (
+				body RemoveExceptionGoneResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "remove_exception", err)
+			}
+			err = ValidateRemoveExceptionGoneResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_exception", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_exception", err)
+			}
+			return nil, NewRemoveExceptionGone(&body, retryAfter)
+		case http.StatusRequestEntityTooLarge:
+			var (
+				body RemoveExceptionTooLargeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "remove_exception", err)
+			}
+			err = ValidateRemoveExceptionTooLargeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_exception", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_exception", err)
+			}
+			return nil, NewRemoveExceptionTooLarge(&body, retryAfter)
+		case http.StatusUnprocessableEntity:
+			var (
+				body RemoveExceptionUnprocessableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "remove_exception", err)
+			}
+			err = ValidateRemoveExceptionUnprocessableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_exception", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_exception", err)
+			}
+			return nil, NewRemoveExceptionUnprocessable(&body, retryAfter)
+		case http.StatusTooManyRequests:
+			var (
+				body RemoveExceptionTooManyResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "remove_exception", err)
+			}
+			err = ValidateRemoveExceptionTooManyResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_exception", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_exception", err)
+			}
+			return nil, NewRemoveExceptionTooMany(&body, retryAfter)
+		case http.StatusInternalServerError:
+			var (
+				body RemoveExceptionInternalResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "remove_exception", err)
+			}
+			err = ValidateRemoveExceptionInternalResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_exception", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_exception", err)
+			}
+			return nil, NewRemoveExceptionInternal(&body, retryAfter)
+		case http.StatusBadGateway:
+			var (
+				body RemoveExceptionBadGatewayResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "remove_exception", err)
+			}
+			err = ValidateRemoveExceptionBadGatewayResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_exception", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_exception", err)
+			}
+			return nil, NewRemoveExceptionBadGateway(&body, retryAfter)
+		case http.StatusServiceUnavailable:
+			var (
+				body RemoveExceptionUnavailableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "remove_exception", err)
+			}
+			err = ValidateRemoveExceptionUnavailableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_exception", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_exception", err)
+			}
+			return nil, NewRemoveExceptionUnavailable(&body, retryAfter)
+		case http.StatusGatewayTimeout:
+			var (
+				body RemoveExceptionTimeoutResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "remove_exception", err)
+			}
+			err = ValidateRemoveExceptionTimeoutResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_exception", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_exception", err)
+			}
+			return nil, NewRemoveExceptionTimeout(&body, retryAfter)
+		default:
+			body, _ := io.ReadAll(resp.Body)
+			return nil, goahttp.ErrInvalidResponse("administration", "remove_exception", resp.StatusCode, string(body))
+		}
+	}
+}
+
+// BuildOrganisationsRequest instantiates a HTTP request object with method and
+// path set to call the "administration" service "organisations" endpoint
+func (c *Client) BuildOrganisationsRequest(ctx context.Context, v any) (*http.Request, error) {
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: OrganisationsAdministrationPath()}
+	req, err := http.NewRequest("GET", u.String(), nil)
+	if err != nil {
+		return nil, goahttp.ErrInvalidURL("administration", "organisations", u.String(), err)
+	}
+	if ctx != nil {
+		req = req.WithContext(ctx)
+	}
+
+	return req, nil
+}
+
+// DecodeOrganisationsResponse returns a decoder for responses returned by the
+// administration organisations endpoint. restoreBody controls whether the
+// response body should be restored after having been read.
+// DecodeOrganisationsResponse may return the following errors:
+//   - "bad_request" (type *administration.Failure): http.StatusBadRequest
+//   - "unauthorized" (type *administration.Failure): http.StatusUnauthorized
+//   - "forbidden" (type *administration.Failure): http.StatusForbidden
+//   - "not_found" (type *administration.Failure): http.StatusNotFound
+//   - "conflict" (type *administration.Failure): http.StatusConflict
+//   - "gone" (type *administration.Failure): http.StatusGone
+//   - "too_large" (type *administration.Failure): http.StatusRequestEntityTooLarge
+//   - "unprocessable" (type *administration.Failure): http.StatusUnprocessableEntity
+//   - "too_many" (type *administration.Failure): http.StatusTooManyRequests
+//   - "internal" (type *administration.Failure): http.StatusInternalServerError
+//   - "bad_gateway" (type *administration.Failure): http.StatusBadGateway
+//   - "unavailable" (type *administration.Failure): http.StatusServiceUnavailable
+//   - "timeout" (type *administration.Failure): http.StatusGatewayTimeout
+//   - error: internal error
+func DecodeOrganisationsResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+	return func(resp *http.Response) (any, error) {
+		if restoreBody {
+			b, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return nil, err
+			}
+			resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			defer func() {
+				resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			}()
+		} else {
+			defer resp.Body.Close()
+		}
+		switch resp.StatusCode {
+		case http.StatusOK:
+			var (
+				body map[string]*OrganisationResponse
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "organisations", err)
+			}
+			for _, v := range body {
+				if v != nil {
+					if err2 := ValidateOrganisationResponse(v); err2 != nil {
+						err = goa.MergeErrors(err, err2)
+					}
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "organisations", err)
+			}
+			res := NewOrganisationsMapStringOrganisationOK(body)
+			return res, nil
+		case http.StatusBadRequest:
+			var (
+				body OrganisationsBadRequestResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "organisations", err)
+			}
+			err = ValidateOrganisationsBadRequestResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "organisations", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "organisations", err)
+			}
+			return nil, NewOrganisationsBadRequest(&body, retryAfter)
+		case http.StatusUnauthorized:
+			var (
+				body OrganisationsUnauthorizedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "organisations", err)
+			}
+			err = ValidateOrganisationsUnauthorizedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "organisations", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "organisations", err)
+			}
+			return nil, NewOrganisationsUnauthorized(&body, retryAfter)
+		case http.StatusForbidden:
+			var (
+				body OrganisationsForbiddenResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "organisations", err)
+			}
+			err = ValidateOrganisationsForbiddenResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "organisations", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "organisations", err)
+			}
+			return nil, NewOrganisationsForbidden(&body, retryAfter)
+		case http.StatusNotFound:
+			var (
+				body OrganisationsNotFoundResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "organisations", err)
+			}
+			err = ValidateOrganisationsNotFoundResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "organisations", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "organisations", err)
+			}
+			return nil, NewOrganisationsNotFound(&body, retryAfter)
+		case http.StatusConflict:
+			var (
+				body OrganisationsConflictResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "organisations", err)
+			}
+			err = ValidateOrganisationsConflictResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "organisations", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "organisations", err)
+			}
+			return nil, NewOrganisationsConflict(&body, retryAfter)
+		case http.StatusGone:
+			var (
+				body OrganisationsGoneResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "organisations", err)
+			}
+			err = ValidateOrganisationsGoneResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "organisations", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "organisations", err)
+			}
+			return nil, NewOrganisationsGone(&body, retryAfter)
+		case http.StatusRequestEntityTooLarge:
+			var (
+				body OrganisationsTooLargeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "organisations", err)
+			}
+			err = ValidateOrganisationsTooLargeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "organisations", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "organisations", err)
+			}
+			return nil, NewOrganisationsTooLarge(&body, retryAfter)
+		case http.StatusUnprocessableEntity:
+			var (
+				body OrganisationsUnprocessableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "organisations", err)
+			}
+			err = ValidateOrganisationsUnprocessableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "organisations", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "organisations", err)
+			}
+			return nil, NewOrganisationsUnprocessable(&body, retryAfter)
+		case http.StatusTooManyRequests:
+			var (
+				body OrganisationsTooManyResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "organisations", err)
+			}
+			err = ValidateOrganisationsTooManyResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "organisations", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "organisations", err)
+			}
+			return nil, NewOrganisationsTooMany(&body, retryAfter)
+		case http.StatusInternalServerError:
+			var (
+				body OrganisationsInternalResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "organisations", err)
+			}
+			err = ValidateOrganisationsInternalResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "organisations", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "organisations", err)
+			}
+			return nil, NewOrganisationsInternal(&body, retryAfter)
+		case http.StatusBadGateway:
+			var (
+				body OrganisationsBadGatewayResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "organisations", err)
+			}
+			err = ValidateOrganisationsBadGatewayResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "organisations", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "organisations", err)
+			}
+			return nil, NewOrganisationsBadGateway(&body, retryAfter)
+		case http.StatusServiceUnavailable:
+			var (
+				body OrganisationsUnavailableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "organisations", err)
+			}
+			err = ValidateOrganisationsUnavailableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "organisations", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "organisations", err)
+			}
+			return nil, NewOrganisationsUnavailable(&body, retryAfter)
+		case http.StatusGatewayTimeout:
+			var (
+				body OrganisationsTimeoutResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "organisations", err)
+			}
+			err = ValidateOrganisationsTimeoutResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "organisations", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "organisations", err)
+			}
+			return nil, NewOrganisationsTimeout(&body, retryAfter)
+		default:
+			body, _ := io.ReadAll(resp.Body)
+			return nil, goahttp.ErrInvalidResponse("administration", "organisations", resp.StatusCode, string(body))
+		}
+	}
+}
+
+// BuildPutOrganisationRequest instantiates a HTTP request object with method
+// and path set to call the "administration" service "put_organisation" endpoint
+func (c *Client) BuildPutOrganisationRequest(ctx context.Context, v any) (*http.Request, error) {
+	var (
+		name string
+	)
+	{
+		p, ok := v.(*administration.PutOrganisationPayload)
+		if !ok {
+			return nil, goahttp.ErrInvalidType("administration", "put_organisation", "*administration.PutOrganisationPayload", v)
+		}
+		name = p.Name
+	}
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: PutOrganisationAdministrationPath(name)}
+	req, err := http.NewRequest("PUT", u.String(), nil)
+	if err != nil {
+		return nil, goahttp.ErrInvalidURL("administration", "put_organisation", u.String(), err)
+	}
+	if ctx != nil {
+		req = req.WithContext(ctx)
+	}
+
+	return req, nil
+}
+
+// EncodePutOrganisationRequest returns an encoder for requests sent to the
+// administration put_organisation server.
+func EncodePutOrganisationRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
+	return func(req *http.Request, v any) error {
+		p, ok := v.(*administration.PutOrganisationPayload)
+		if !ok {
+			return goahttp.ErrInvalidType("administration", "put_organisation", "*administration.PutOrganisationPayload", v)
+		}
+		body := NewPutOrganisationRequestBody(p)
+		if err := encoder(req).Encode(&body); err != nil {
+			return goahttp.ErrEncodingError("administration", "put_organisation", err)
+		}
+		return nil
+	}
+}
+
+// DecodePutOrganisationResponse returns a decoder for responses returned by
+// the administration put_organisation endpoint. restoreBody controls whether
+// the response body should be restored after having been read.
+// DecodePutOrganisationResponse may return the following errors:
+//   - "bad_request" (type *administration.Failure): http.StatusBadRequest
+//   - "unauthorized" (type *administration.Failure): http.StatusUnauthorized
+//   - "forbidden" (type *administration.Failure): http.StatusForbidden
+//   - "not_found" (type *administration.Failure): http.StatusNotFound
+//   - "conflict" (type *administration.Failure): http.StatusConflict
+//   - "gone" (type *administration.Failure): http.StatusGone
+//   - "too_large" (type *administration.Failure): http.StatusRequestEntityTooLarge
+//   - "unprocessable" (type *administration.Failure): http.StatusUnprocessableEntity
+//   - "too_many" (type *administration.Failure): http.StatusTooManyRequests
+//   - "internal" (type *administration.Failure): http.StatusInternalServerError
+//   - "bad_gateway" (type *administration.Failure): http.StatusBadGateway
+//   - "unavailable" (type *administration.Failure): http.StatusServiceUnavailable
+//   - "timeout" (type *administration.Failure): http.StatusGatewayTimeout
+//   - error: internal error
+func DecodePutOrganisationResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+	return func(resp *http.Response) (any, error) {
+		if restoreBody {
+			b, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return nil, err
+			}
+			resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			defer func() {
+				resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			}()
+		} else {
+			defer resp.Body.Close()
+		}
+		switch resp.StatusCode {
+		case http.StatusOK:
+			var (
+				body PutOrganisationResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "put_organisation", err)
+			}
+			err = ValidatePutOrganisationResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_organisation", err)
+			}
+			res := NewPutOrganisationAcceptedOK(&body)
+			return res, nil
+		case http.StatusBadRequest:
+			var (
+				body PutOrganisationBadRequestResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "put_organisation", err)
+			}
+			err = ValidatePutOrganisationBadRequestResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_organisation", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_organisation", err)
+			}
+			return nil, NewPutOrganisationBadRequest(&body, retryAfter)
+		case http.StatusUnauthorized:
+			var (
+				body PutOrganisationUnauthorizedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "put_organisation", err)
+			}
+			err = ValidatePutOrganisationUnauthorizedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_organisation", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_organisation", err)
+			}
+			return nil, NewPutOrganisationUnauthorized(&body, retryAfter)
+		case http.StatusForbidden:
+			var (
+				body PutOrganisationForbiddenResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "put_organisation", err)
+			}
+			err = ValidatePutOrganisationForbiddenResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_organisation", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_organisation", err)
+			}
+			return nil, NewPutOrganisationForbidden(&body, retryAfter)
+		case http.StatusNotFound:
+			var (
+				body PutOrganisationNotFoundResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "put_organisation", err)
+			}
+			err = ValidatePutOrganisationNotFoundResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_organisation", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_organisation", err)
+			}
+			return nil, NewPutOrganisationNotFound(&body, retryAfter)
+		case http.StatusConflict:
+			var (
+				body PutOrganisationConflictResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "put_organisation", err)
+			}
+			err = ValidatePutOrganisationConflictResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_organisation", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_organisation", err)
+			}
+			return nil, NewPutOrganisationConflict(&body, retryAfter)
+		case http.StatusGone:
+			var (
+				body PutOrganisationGoneResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "put_organisation", err)
+			}
+			err = ValidatePutOrganisationGoneResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_organisation", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_organisation", err)
+			}
+			return nil, NewPutOrganisationGone(&body, retryAfter)
+		case http.StatusRequestEntityTooLarge:
+			var (
+				body PutOrganisationTooLargeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "put_organisation", err)
+			}
+			err = ValidatePutOrganisationTooLargeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_organisation", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_organisation", err)
+			}
+			return nil, NewPutOrganisationTooLarge(&body, retryAfter)
+		case http.StatusUnprocessableEntity:
+			var (
+				body PutOrganisationUnprocessableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "put_organisation", err)
+			}
+			err = ValidatePutOrganisationUnprocessableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_organisation", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_organisation", err)
+			}
+			return nil, NewPutOrganisationUnprocessable(&body, retryAfter)
+		case http.StatusTooManyRequests:
+			var (
+				body PutOrganisationTooManyResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "put_organisation", err)
+			}
+			err = ValidatePutOrganisationTooManyResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_organisation", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_organisation", err)
+			}
+			return nil, NewPutOrganisationTooMany(&body, retryAfter)
+		case http.StatusInternalServerError:
+			var (
+				body PutOrganisationInternalResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "put_organisation", err)
+			}
+			err = ValidatePutOrganisationInternalResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_organisation", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_organisation", err)
+			}
+			return nil, NewPutOrganisationInternal(&body, retryAfter)
+		case http.StatusBadGateway:
+			var (
+				body PutOrganisationBadGatewayResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "put_organisation", err)
+			}
+			err = ValidatePutOrganisationBadGatewayResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_organisation", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_organisation", err)
+			}
+			return nil, NewPutOrganisationBadGateway(&body, retryAfter)
+		case http.StatusServiceUnavailable:
+			var (
+				body PutOrganisationUnavailableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "put_organisation", err)
+			}
+			err = ValidatePutOrganisationUnavailableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_organisation", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_organisation", err)
+			}
+			return nil, NewPutOrganisationUnavailable(&body, retryAfter)
+		case http.StatusGatewayTimeout:
+			var (
+				body PutOrganisationTimeoutResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "put_organisation", err)
+			}
+			err = ValidatePutOrganisationTimeoutResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_organisation", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "put_organisation", err)
+			}
+			return nil, NewPutOrganisationTimeout(&body, retryAfter)
+		default:
+			body, _ := io.ReadAll(resp.Body)
+			return nil, goahttp.ErrInvalidResponse("administration", "put_organisation", resp.StatusCode, string(body))
+		}
+	}
+}
+
+// BuildRemoveOrganisationRequest instantiates a HTTP request object with
+// method and path set to call the "administration" service
+// "remove_organisation" endpoint
+func (c *Client) BuildRemoveOrganisationRequest(ctx context.Context, v any) (*http.Request, error) {
+	var (
+		name string
+	)
+	{
+		p, ok := v.(*administration.RemoveOrganisationPayload)
+		if !ok {
+			return nil, goahttp.ErrInvalidType("administration", "remove_organisation", "*administration.RemoveOrganisationPayload", v)
+		}
+		name = p.Name
+	}
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: RemoveOrganisationAdministrationPath(name)}
+	req, err := http.NewRequest("DELETE", u.String(), nil)
+	if err != nil {
+		return nil, goahttp.ErrInvalidURL("administration", "remove_organisation", u.String(), err)
+	}
+	if ctx != nil {
+		req = req.WithContext(ctx)
+	}
+
+	return req, nil
+}
+
+// EncodeRemoveOrganisationRequest returns an encoder for requests sent to the
+// administration remove_organisation server.
+func EncodeRemoveOrganisationRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
+	return func(req *http.Request, v any) error {
+		p, ok := v.(*administration.RemoveOrganisationPayload)
+		if !ok {
+			return goahttp.ErrInvalidType("administration", "remove_organisation", "*administration.RemoveOrganisationPayload", v)
+		}
+		values := req.URL.Query()
+		values.Add("author", p.Author)
+		values.Add("reason", p.Reason)
+		values.Add("change_id", p.ChangeID)
+		values.Add("base_revision", fmt.Sprintf("%v", p.BaseRevision))
+		req.URL.RawQuery = values.Encode()
+		return nil
+	}
+}
+
+// DecodeRemoveOrganisationResponse returns a decoder for responses returned by
+// the administration remove_organisation endpoint. restoreBody controls
+// whether the response body should be restored after having been read.
+// DecodeRemoveOrganisationResponse may return the following errors:
+//   - "bad_request" (type *administration.Failure): http.StatusBadRequest
+//   - "unauthorized" (type *administration.Failure): http.StatusUnauthorized
+//   - "forbidden" (type *administration.Failure): http.StatusForbidden
+//   - "not_found" (type *administration.Failure): http.StatusNotFound
+//   - "conflict" (type *administration.Failure): http.StatusConflict
+//   - "gone" (type *administration.Failure): http.StatusGone
+//   - "too_large" (type *administration.Failure): http.StatusRequestEntityTooLarge
+//   - "unprocessable" (type *administration.Failure): http.StatusUnprocessableEntity
+//   - "too_many" (type *administration.Failure): http.StatusTooManyRequests
+//   - "internal" (type *administration.Failure): http.StatusInternalServerError
+//   - "bad_gateway" (type *administration.Failure): http.StatusBadGateway
+//   - "unavailable" (type *administration.Failure): http.StatusServiceUnavailable
+//   - "timeout" (type *administration.Failure): http.StatusGatewayTimeout
+//   - error: internal error
+func DecodeRemoveOrganisationResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+	return func(resp *http.Response) (any, error) {
+		if restoreBody {
+			b, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return nil, err
+			}
+			resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			defer func() {
+				resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			}()
+		} else {
+			defer resp.Body.Close()
+		}
+		switch resp.StatusCode {
+		case http.StatusOK:
+			var (
+				body RemoveOrganisationResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "remove_organisation", err)
+			}
+			err = ValidateRemoveOrganisationResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_organisation", err)
+			}
+			res := NewRemoveOrganisationAcceptedOK(&body)
+			return res, nil
+		case http.StatusBadRequest:
+			var (
+				body RemoveOrganisationBadRequestResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "remove_organisation", err)
+			}
+			err = ValidateRemoveOrganisationBadRequestResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_organisation", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_organisation", err)
+			}
+			return nil, NewRemoveOrganisationBadRequest(&body, retryAfter)
+		case http.StatusUnauthorized:
+			var (
+				body RemoveOrganisationUnauthorizedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "remove_organisation", err)
+			}
+			err = ValidateRemoveOrganisationUnauthorizedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_organisation", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_organisation", err)
+			}
+			return nil, NewRemoveOrganisationUnauthorized(&body, retryAfter)
+		case http.StatusForbidden:
+			var (
+				body RemoveOrganisationForbiddenResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "remove_organisation", err)
+			}
+			err = ValidateRemoveOrganisationForbiddenResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_organisation", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_organisation", err)
+			}
+			return nil, NewRemoveOrganisationForbidden(&body, retryAfter)
+		case http.StatusNotFound:
+			var (
+				body RemoveOrganisationNotFoundResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "remove_organisation", err)
+			}
+			err = ValidateRemoveOrganisationNotFoundResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_organisation", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_organisation", err)
+			}
+			return nil, NewRemoveOrganisationNotFound(&body, retryAfter)
+		case http.StatusConflict:
+			var (
+				body RemoveOrganisationConflictResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "remove_organisation", err)
+			}
+			err = ValidateRemoveOrganisationConflictResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_organisation", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_organisation", err)
+			}
+			return nil, NewRemoveOrganisationConflict(&body, retryAfter)
+		case http.StatusGone:
+			var (
+				body RemoveOrganisationGoneResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "remove_organisation", err)
+			}
+			err = ValidateRemoveOrganisationGoneResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_organisation", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_organisation", err)
+			}
+			return nil, NewRemoveOrganisationGone(&body, retryAfter)
+		case http.StatusRequestEntityTooLarge:
+			var (
+				body RemoveOrganisationTooLargeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "remove_organisation", err)
+			}
+			err = ValidateRemoveOrganisationTooLargeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_organisation", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_organisation", err)
+			}
+			return nil, NewRemoveOrganisationTooLarge(&body, retryAfter)
+		case http.StatusUnprocessableEntity:
+			var (
+				body RemoveOrganisationUnprocessableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "remove_organisation", err)
+			}
+			err = ValidateRemoveOrganisationUnprocessableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_organisation", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_organisation", err)
+			}
+			return nil, NewRemoveOrganisationUnprocessable(&body, retryAfter)
+		case http.StatusTooManyRequests:
+			var (
+				body RemoveOrganisationTooManyResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "remove_organisation", err)
+			}
+			err = ValidateRemoveOrganisationTooManyResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_organisation", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_organisation", err)
+			}
+			return nil, NewRemoveOrganisationTooMany(&body, retryAfter)
+		case http.StatusInternalServerError:
+			var (
+				body RemoveOrganisationInternalResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "remove_organisation", err)
+			}
+			err = ValidateRemoveOrganisationInternalResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_organisation", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_organisation", err)
+			}
+			return nil, NewRemoveOrganisationInternal(&body, retryAfter)
+		case http.StatusBadGateway:
+			var (
+				body RemoveOrganisationBadGatewayResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "remove_organisation", err)
+			}
+			err = ValidateRemoveOrganisationBadGatewayResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_organisation", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_organisation", err)
+			}
+			return nil, NewRemoveOrganisationBadGateway(&body, retryAfter)
+		case http.StatusServiceUnavailable:
+			var (
+				body RemoveOrganisationUnavailableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "remove_organisation", err)
+			}
+			err = ValidateRemoveOrganisationUnavailableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_organisation", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_organisation", err)
+			}
+			return nil, NewRemoveOrganisationUnavailable(&body, retryAfter)
+		case http.StatusGatewayTimeout:
+			var (
+				body RemoveOrganisationTimeoutResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "remove_organisation", err)
+			}
+			err = ValidateRemoveOrganisationTimeoutResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_organisation", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_organisation", err)
+			}
+			return nil, NewRemoveOrganisationTimeout(&body, retryAfter)
+		default:
+			body, _ := io.ReadAll(resp.Body)
+			return nil, goahttp.ErrInvalidResponse("administration", "remove_organisation", resp.StatusCode, string(body))
+		}
+	}
+}
+
+// BuildAddKeyRequest instantiates a HTTP request object with method and path
+// set to call the "administration" service "add_key" endpoint
+func (c *Client) BuildAddKeyRequest(ctx context.Context, v any) (*http.Request, error) {
+	var (
+		name    string
+		keyHash string
+	)
+	{
+		p, ok := v.(*administration.AddKeyPayload)
+		if !ok {
+			return nil, goahttp.ErrInvalidType("administration", "add_key", "*administration.AddKeyPayload", v)
+		}
+		name = p.Name
+		keyHash = p.KeyHash
+	}
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: AddKeyAdministrationPath(name, keyHash)}
+	req, err := http.NewRequest("PUT", u.String(), nil)
+	if err != nil {
+		return nil, goahttp.ErrInvalidURL("administration", "add_key", u.String(), err)
+	}
+	if ctx != nil {
+		req = req.WithContext(ctx)
+	}
+
+	return req, nil
+}
+
+// EncodeAddKeyRequest returns an encoder for requests sent to the
+// administration add_key server.
+func EncodeAddKeyRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
+	return func(req *http.Request, v any) error {
+		p, ok := v.(*administration.AddKeyPayload)
+		if !ok {
+			return goahttp.ErrInvalidType("administration", "add_key", "*administration.AddKeyPayload", v)
+		}
+		values := req.URL.Query()
+		values.Add("author", p.Author)
+		values.Add("reason", p.Reason)
+		values.Add("change_id", p.ChangeID)
+		values.Add("base_revision", fmt.Sprintf("%v", p.BaseRevision))
+		req.URL.RawQuery = values.Encode()
+		return nil
+	}
+}
+
+// DecodeAddKeyResponse returns a decoder for responses returned by the
+// administration add_key endpoint. restoreBody controls whether the response
+// body should be restored after having been read.
+// DecodeAddKeyResponse may return the following errors:
+//   - "bad_request" (type *administration.Failure): http.StatusBadRequest
+//   - "unauthorized" (type *administration.Failure): http.StatusUnauthorized
+//   - "forbidden" (type *administration.Failure): http.StatusForbidden
+//   - "not_found" (type *administration.Failure): http.StatusNotFound
+//   - "conflict" (type *administration.Failure): http.StatusConflict
+//   - "gone" (type *administration.Failure): http.StatusGone
+//   - "too_large" (type *administration.Failure): http.StatusRequestEntityTooLarge
+//   - "unprocessable" (type *administration.Failure): http.StatusUnprocessableEntity
+//   - "too_many" (type *administration.Failure): http.StatusTooManyRequests
+//   - "internal" (type *administration.Failure): http.StatusInternalServerError
+//   - "bad_gateway" (type *administration.Failure): http.StatusBadGateway
+//   - "unavailable" (type *administration.Failure): http.StatusServiceUnavailable
+//   - "timeout" (type *administration.Failure): http.StatusGatewayTimeout
+//   - error: internal error
+func DecodeAddKeyResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+	return func(resp *http.Response) (any, error) {
+		if restoreBody {
+			b, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return nil, err
+			}
+			resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			defer func() {
+				resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			}()
+		} else {
+			defer resp.Body.Close()
+		}
+		switch resp.StatusCode {
+		case http.StatusOK:
+			var (
+				body AddKeyResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "add_key", err)
+			}
+			err = ValidateAddKeyResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "add_key", err)
+			}
+			res := NewAddKeyAcceptedOK(&body)
+			return res, nil
+		case http.StatusBadRequest:
+			var (
+				body AddKeyBadRequestResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "add_key", err)
+			}
+			err = ValidateAddKeyBadRequestResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "add_key", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "add_key", err)
+			}
+			return nil, NewAddKeyBadRequest(&body, retryAfter)
+		case http.StatusUnauthorized:
+			var (
+				body AddKeyUnauthorizedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "add_key", err)
+			}
+			err = ValidateAddKeyUnauthorizedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "add_key", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "add_key", err)
+			}
+			return nil, NewAddKeyUnauthorized(&body, retryAfter)
+		case http.StatusForbidden:
+			var (
+				body AddKeyForbiddenResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "add_key", err)
+			}
