+			err = ValidateAddKeyForbiddenResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "add_key", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "add_key", err)
+			}
+			return nil, NewAddKeyForbidden(&body, retryAfter)
+		case http.StatusNotFound:
+			var (
+				body AddKeyNotFoundResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "add_key", err)
+			}
+			err = ValidateAddKeyNotFoundResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "add_key", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "add_key", err)
+			}
+			return nil, NewAddKeyNotFound(&body, retryAfter)
+		case http.StatusConflict:
+			var (
+				body AddKeyConflictResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "add_key", err)
+			}
+			err = ValidateAddKeyConflictResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "add_key", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "add_key", err)
+			}
+			return nil, NewAddKeyConflict(&body, retryAfter)
+		case http.StatusGone:
+			var (
+				body AddKeyGoneResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "add_key", err)
+			}
+			err = ValidateAddKeyGoneResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "add_key", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "add_key", err)
+			}
+			return nil, NewAddKeyGone(&body, retryAfter)
+		case http.StatusRequestEntityTooLarge:
+			var (
+				body AddKeyTooLargeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "add_key", err)
+			}
+			err = ValidateAddKeyTooLargeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "add_key", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "add_key", err)
+			}
+			return nil, NewAddKeyTooLarge(&body, retryAfter)
+		case http.StatusUnprocessableEntity:
+			var (
+				body AddKeyUnprocessableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "add_key", err)
+			}
+			err = ValidateAddKeyUnprocessableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "add_key", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "add_key", err)
+			}
+			return nil, NewAddKeyUnprocessable(&body, retryAfter)
+		case http.StatusTooManyRequests:
+			var (
+				body AddKeyTooManyResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "add_key", err)
+			}
+			err = ValidateAddKeyTooManyResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "add_key", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "add_key", err)
+			}
+			return nil, NewAddKeyTooMany(&body, retryAfter)
+		case http.StatusInternalServerError:
+			var (
+				body AddKeyInternalResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "add_key", err)
+			}
+			err = ValidateAddKeyInternalResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "add_key", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "add_key", err)
+			}
+			return nil, NewAddKeyInternal(&body, retryAfter)
+		case http.StatusBadGateway:
+			var (
+				body AddKeyBadGatewayResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "add_key", err)
+			}
+			err = ValidateAddKeyBadGatewayResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "add_key", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "add_key", err)
+			}
+			return nil, NewAddKeyBadGateway(&body, retryAfter)
+		case http.StatusServiceUnavailable:
+			var (
+				body AddKeyUnavailableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "add_key", err)
+			}
+			err = ValidateAddKeyUnavailableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "add_key", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "add_key", err)
+			}
+			return nil, NewAddKeyUnavailable(&body, retryAfter)
+		case http.StatusGatewayTimeout:
+			var (
+				body AddKeyTimeoutResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "add_key", err)
+			}
+			err = ValidateAddKeyTimeoutResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "add_key", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "add_key", err)
+			}
+			return nil, NewAddKeyTimeout(&body, retryAfter)
+		default:
+			body, _ := io.ReadAll(resp.Body)
+			return nil, goahttp.ErrInvalidResponse("administration", "add_key", resp.StatusCode, string(body))
+		}
+	}
+}
+
+// BuildRemoveKeyRequest instantiates a HTTP request object with method and
+// path set to call the "administration" service "remove_key" endpoint
+func (c *Client) BuildRemoveKeyRequest(ctx context.Context, v any) (*http.Request, error) {
+	var (
+		name    string
+		keyHash string
+	)
+	{
+		p, ok := v.(*administration.RemoveKeyPayload)
+		if !ok {
+			return nil, goahttp.ErrInvalidType("administration", "remove_key", "*administration.RemoveKeyPayload", v)
+		}
+		name = p.Name
+		keyHash = p.KeyHash
+	}
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: RemoveKeyAdministrationPath(name, keyHash)}
+	req, err := http.NewRequest("DELETE", u.String(), nil)
+	if err != nil {
+		return nil, goahttp.ErrInvalidURL("administration", "remove_key", u.String(), err)
+	}
+	if ctx != nil {
+		req = req.WithContext(ctx)
+	}
+
+	return req, nil
+}
+
+// EncodeRemoveKeyRequest returns an encoder for requests sent to the
+// administration remove_key server.
+func EncodeRemoveKeyRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
+	return func(req *http.Request, v any) error {
+		p, ok := v.(*administration.RemoveKeyPayload)
+		if !ok {
+			return goahttp.ErrInvalidType("administration", "remove_key", "*administration.RemoveKeyPayload", v)
+		}
+		values := req.URL.Query()
+		values.Add("author", p.Author)
+		values.Add("reason", p.Reason)
+		values.Add("change_id", p.ChangeID)
+		values.Add("base_revision", fmt.Sprintf("%v", p.BaseRevision))
+		req.URL.RawQuery = values.Encode()
+		return nil
+	}
+}
+
+// DecodeRemoveKeyResponse returns a decoder for responses returned by the
+// administration remove_key endpoint. restoreBody controls whether the
+// response body should be restored after having been read.
+// DecodeRemoveKeyResponse may return the following errors:
+//   - "bad_request" (type *administration.Failure): http.StatusBadRequest
+//   - "unauthorized" (type *administration.Failure): http.StatusUnauthorized
+//   - "forbidden" (type *administration.Failure): http.StatusForbidden
+//   - "not_found" (type *administration.Failure): http.StatusNotFound
+//   - "conflict" (type *administration.Failure): http.StatusConflict
+//   - "gone" (type *administration.Failure): http.StatusGone
+//   - "too_large" (type *administration.Failure): http.StatusRequestEntityTooLarge
+//   - "unprocessable" (type *administration.Failure): http.StatusUnprocessableEntity
+//   - "too_many" (type *administration.Failure): http.StatusTooManyRequests
+//   - "internal" (type *administration.Failure): http.StatusInternalServerError
+//   - "bad_gateway" (type *administration.Failure): http.StatusBadGateway
+//   - "unavailable" (type *administration.Failure): http.StatusServiceUnavailable
+//   - "timeout" (type *administration.Failure): http.StatusGatewayTimeout
+//   - error: internal error
+func DecodeRemoveKeyResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+	return func(resp *http.Response) (any, error) {
+		if restoreBody {
+			b, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return nil, err
+			}
+			resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			defer func() {
+				resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			}()
+		} else {
+			defer resp.Body.Close()
+		}
+		switch resp.StatusCode {
+		case http.StatusOK:
+			var (
+				body RemoveKeyResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "remove_key", err)
+			}
+			err = ValidateRemoveKeyResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_key", err)
+			}
+			res := NewRemoveKeyAcceptedOK(&body)
+			return res, nil
+		case http.StatusBadRequest:
+			var (
+				body RemoveKeyBadRequestResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "remove_key", err)
+			}
+			err = ValidateRemoveKeyBadRequestResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_key", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_key", err)
+			}
+			return nil, NewRemoveKeyBadRequest(&body, retryAfter)
+		case http.StatusUnauthorized:
+			var (
+				body RemoveKeyUnauthorizedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "remove_key", err)
+			}
+			err = ValidateRemoveKeyUnauthorizedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_key", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_key", err)
+			}
+			return nil, NewRemoveKeyUnauthorized(&body, retryAfter)
+		case http.StatusForbidden:
+			var (
+				body RemoveKeyForbiddenResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "remove_key", err)
+			}
+			err = ValidateRemoveKeyForbiddenResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_key", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_key", err)
+			}
+			return nil, NewRemoveKeyForbidden(&body, retryAfter)
+		case http.StatusNotFound:
+			var (
+				body RemoveKeyNotFoundResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "remove_key", err)
+			}
+			err = ValidateRemoveKeyNotFoundResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_key", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_key", err)
+			}
+			return nil, NewRemoveKeyNotFound(&body, retryAfter)
+		case http.StatusConflict:
+			var (
+				body RemoveKeyConflictResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "remove_key", err)
+			}
+			err = ValidateRemoveKeyConflictResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_key", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_key", err)
+			}
+			return nil, NewRemoveKeyConflict(&body, retryAfter)
+		case http.StatusGone:
+			var (
+				body RemoveKeyGoneResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "remove_key", err)
+			}
+			err = ValidateRemoveKeyGoneResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_key", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_key", err)
+			}
+			return nil, NewRemoveKeyGone(&body, retryAfter)
+		case http.StatusRequestEntityTooLarge:
+			var (
+				body RemoveKeyTooLargeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "remove_key", err)
+			}
+			err = ValidateRemoveKeyTooLargeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_key", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_key", err)
+			}
+			return nil, NewRemoveKeyTooLarge(&body, retryAfter)
+		case http.StatusUnprocessableEntity:
+			var (
+				body RemoveKeyUnprocessableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "remove_key", err)
+			}
+			err = ValidateRemoveKeyUnprocessableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_key", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_key", err)
+			}
+			return nil, NewRemoveKeyUnprocessable(&body, retryAfter)
+		case http.StatusTooManyRequests:
+			var (
+				body RemoveKeyTooManyResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "remove_key", err)
+			}
+			err = ValidateRemoveKeyTooManyResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_key", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_key", err)
+			}
+			return nil, NewRemoveKeyTooMany(&body, retryAfter)
+		case http.StatusInternalServerError:
+			var (
+				body RemoveKeyInternalResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "remove_key", err)
+			}
+			err = ValidateRemoveKeyInternalResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_key", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_key", err)
+			}
+			return nil, NewRemoveKeyInternal(&body, retryAfter)
+		case http.StatusBadGateway:
+			var (
+				body RemoveKeyBadGatewayResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "remove_key", err)
+			}
+			err = ValidateRemoveKeyBadGatewayResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_key", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_key", err)
+			}
+			return nil, NewRemoveKeyBadGateway(&body, retryAfter)
+		case http.StatusServiceUnavailable:
+			var (
+				body RemoveKeyUnavailableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "remove_key", err)
+			}
+			err = ValidateRemoveKeyUnavailableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_key", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_key", err)
+			}
+			return nil, NewRemoveKeyUnavailable(&body, retryAfter)
+		case http.StatusGatewayTimeout:
+			var (
+				body RemoveKeyTimeoutResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "remove_key", err)
+			}
+			err = ValidateRemoveKeyTimeoutResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_key", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "remove_key", err)
+			}
+			return nil, NewRemoveKeyTimeout(&body, retryAfter)
+		default:
+			body, _ := io.ReadAll(resp.Body)
+			return nil, goahttp.ErrInvalidResponse("administration", "remove_key", resp.StatusCode, string(body))
+		}
+	}
+}
 
-// EncodeRemoveKeyRequest returns an encoder for requests sent to the
-// administration remove_key server.
-func EncodeRemoveKeyRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
+// BuildDrainRequest instantiates a HTTP request object with method and path
+// set to call the "administration" service "drain" endpoint
+func (c *Client) BuildDrainRequest(ctx context.Context, v any) (*http.Request, error) {
+	var (
+		instance string
+	)
+	{
+		p, ok := v.(*administration.DrainPayload)
+		if !ok {
+			return nil, goahttp.ErrInvalidType("administration", "drain", "*administration.DrainPayload", v)
+		}
+		instance = p.Instance
+	}
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: DrainAdministrationPath(instance)}
+	req, err := http.NewRequest("POST", u.String(), nil)
+	if err != nil {
+		return nil, goahttp.ErrInvalidURL("administration", "drain", u.String(), err)
+	}
+	if ctx != nil {
+		req = req.WithContext(ctx)
+	}
+
+	return req, nil
+}
+
+// EncodeDrainRequest returns an encoder for requests sent to the
+// administration drain server.
+func EncodeDrainRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
 	return func(req *http.Request, v any) error {
-		p, ok := v.(*administration.RemoveKeyPayload)
+		p, ok := v.(*administration.DrainPayload)
 		if !ok {
-			return goahttp.ErrInvalidType("administration", "remove_key", "*administration.RemoveKeyPayload", v)
+			return goahttp.ErrInvalidType("administration", "drain", "*administration.DrainPayload", v)
+		}
+		body := NewDrainRequestBody(p)
+		if err := encoder(req).Encode(&body); err != nil {
+			return goahttp.ErrEncodingError("administration", "drain", err)
 		}
-		values := req.URL.Query()
-		values.Add("author", p.Author)
-		values.Add("reason", p.Reason)
-		values.Add("change_id", p.ChangeID)
-		values.Add("base_revision", fmt.Sprintf("%v", p.BaseRevision))
-		req.URL.RawQuery = values.Encode()
 		return nil
 	}
 }
 
-// DecodeRemoveKeyResponse returns a decoder for responses returned by the
-// administration remove_key endpoint. restoreBody controls whether the
-// response body should be restored after having been read.
-func DecodeRemoveKeyResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+// DecodeDrainResponse returns a decoder for responses returned by the
+// administration drain endpoint. restoreBody controls whether the response
+// body should be restored after having been read.
+// DecodeDrainResponse may return the following errors:
+//   - "bad_request" (type *administration.Failure): http.StatusBadRequest
+//   - "unauthorized" (type *administration.Failure): http.StatusUnauthorized
+//   - "forbidden" (type *administration.Failure): http.StatusForbidden
+//   - "not_found" (type *administration.Failure): http.StatusNotFound
+//   - "conflict" (type *administration.Failure): http.StatusConflict
+//   - "gone" (type *administration.Failure): http.StatusGone
+//   - "too_large" (type *administration.Failure): http.StatusRequestEntityTooLarge
+//   - "unprocessable" (type *administration.Failure): http.StatusUnprocessableEntity
+//   - "too_many" (type *administration.Failure): http.StatusTooManyRequests
+//   - "internal" (type *administration.Failure): http.StatusInternalServerError
+//   - "bad_gateway" (type *administration.Failure): http.StatusBadGateway
+//   - "unavailable" (type *administration.Failure): http.StatusServiceUnavailable
+//   - "timeout" (type *administration.Failure): http.StatusGatewayTimeout
+//   - error: internal error
+func DecodeDrainResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
 		if restoreBody {
 			b, err := io.ReadAll(resp.Body)
 			if err != nil {
-				return nil, err
+				return nil, err
+			}
+			resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			defer func() {
+				resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			}()
+		} else {
+			defer resp.Body.Close()
+		}
+		switch resp.StatusCode {
+		case http.StatusOK:
+			var (
+				body DrainResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "drain", err)
+			}
+			err = ValidateDrainResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "drain", err)
+			}
+			res := NewDrainResultOK(&body)
+			return res, nil
+		case http.StatusBadRequest:
+			var (
+				body DrainBadRequestResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "drain", err)
+			}
+			err = ValidateDrainBadRequestResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "drain", err)
 			}
-			resp.Body = io.NopCloser(bytes.NewBuffer(b))
-			defer func() {
-				resp.Body = io.NopCloser(bytes.NewBuffer(b))
-			}()
-		} else {
-			defer resp.Body.Close()
-		}
-		switch resp.StatusCode {
-		case http.StatusOK:
 			var (
-				body RemoveKeyResponseBody
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "drain", err)
+			}
+			return nil, NewDrainBadRequest(&body, retryAfter)
+		case http.StatusUnauthorized:
+			var (
+				body DrainUnauthorizedResponseBody
 				err  error
 			)
 			err = decoder(resp).Decode(&body)
 			if err != nil {
-				return nil, goahttp.ErrDecodingError("administration", "remove_key", err)
+				return nil, goahttp.ErrDecodingError("administration", "drain", err)
 			}
-			err = ValidateRemoveKeyResponseBody(&body)
+			err = ValidateDrainUnauthorizedResponseBody(&body)
 			if err != nil {
-				return nil, goahttp.ErrValidationError("administration", "remove_key", err)
+				return nil, goahttp.ErrValidationError("administration", "drain", err)
 			}
-			res := NewRemoveKeyAcceptedOK(&body)
-			return res, nil
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "drain", err)
+			}
+			return nil, NewDrainUnauthorized(&body, retryAfter)
+		case http.StatusForbidden:
+			var (
+				body DrainForbiddenResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "drain", err)
+			}
+			err = ValidateDrainForbiddenResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "drain", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "drain", err)
+			}
+			return nil, NewDrainForbidden(&body, retryAfter)
+		case http.StatusNotFound:
+			var (
+				body DrainNotFoundResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "drain", err)
+			}
+			err = ValidateDrainNotFoundResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "drain", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "drain", err)
+			}
+			return nil, NewDrainNotFound(&body, retryAfter)
+		case http.StatusConflict:
+			var (
+				body DrainConflictResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "drain", err)
+			}
+			err = ValidateDrainConflictResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "drain", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "drain", err)
+			}
+			return nil, NewDrainConflict(&body, retryAfter)
+		case http.StatusGone:
+			var (
+				body DrainGoneResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "drain", err)
+			}
+			err = ValidateDrainGoneResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "drain", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "drain", err)
+			}
+			return nil, NewDrainGone(&body, retryAfter)
+		case http.StatusRequestEntityTooLarge:
+			var (
+				body DrainTooLargeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "drain", err)
+			}
+			err = ValidateDrainTooLargeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "drain", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "drain", err)
+			}
+			return nil, NewDrainTooLarge(&body, retryAfter)
+		case http.StatusUnprocessableEntity:
+			var (
+				body DrainUnprocessableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "drain", err)
+			}
+			err = ValidateDrainUnprocessableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "drain", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "drain", err)
+			}
+			return nil, NewDrainUnprocessable(&body, retryAfter)
+		case http.StatusTooManyRequests:
+			var (
+				body DrainTooManyResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "drain", err)
+			}
+			err = ValidateDrainTooManyResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "drain", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "drain", err)
+			}
+			return nil, NewDrainTooMany(&body, retryAfter)
+		case http.StatusInternalServerError:
+			var (
+				body DrainInternalResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "drain", err)
+			}
+			err = ValidateDrainInternalResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "drain", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "drain", err)
+			}
+			return nil, NewDrainInternal(&body, retryAfter)
+		case http.StatusBadGateway:
+			var (
+				body DrainBadGatewayResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "drain", err)
+			}
+			err = ValidateDrainBadGatewayResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "drain", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "drain", err)
+			}
+			return nil, NewDrainBadGateway(&body, retryAfter)
+		case http.StatusServiceUnavailable:
+			var (
+				body DrainUnavailableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "drain", err)
+			}
+			err = ValidateDrainUnavailableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "drain", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "drain", err)
+			}
+			return nil, NewDrainUnavailable(&body, retryAfter)
+		case http.StatusGatewayTimeout:
+			var (
+				body DrainTimeoutResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "drain", err)
+			}
+			err = ValidateDrainTimeoutResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "drain", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "drain", err)
+			}
+			return nil, NewDrainTimeout(&body, retryAfter)
 		default:
 			body, _ := io.ReadAll(resp.Body)
-			return nil, goahttp.ErrInvalidResponse("administration", "remove_key", resp.StatusCode, string(body))
-		}
-	}
-}
-
-// BuildDrainRequest instantiates a HTTP request object with method and path
-// set to call the "administration" service "drain" endpoint
-func (c *Client) BuildDrainRequest(ctx context.Context, v any) (*http.Request, error) {
-	var (
-		instance string
-	)
-	{
-		p, ok := v.(*administration.DrainPayload)
-		if !ok {
-			return nil, goahttp.ErrInvalidType("administration", "drain", "*administration.DrainPayload", v)
+			return nil, goahttp.ErrInvalidResponse("administration", "drain", resp.StatusCode, string(body))
 		}
-		instance = p.Instance
 	}
-	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: DrainAdministrationPath(instance)}
-	req, err := http.NewRequest("POST", u.String(), nil)
+}
+
+// BuildQuarantineRequest instantiates a HTTP request object with method and
+// path set to call the "administration" service "quarantine" endpoint
+func (c *Client) BuildQuarantineRequest(ctx context.Context, v any) (*http.Request, error) {
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: QuarantineAdministrationPath()}
+	req, err := http.NewRequest("GET", u.String(), nil)
 	if err != nil {
-		return nil, goahttp.ErrInvalidURL("administration", "drain", u.String(), err)
+		return nil, goahttp.ErrInvalidURL("administration", "quarantine", u.String(), err)
 	}
 	if ctx != nil {
 		req = req.WithContext(ctx)
@@ -984,26 +6726,25 @@
 	return req, nil
 }
 
-// EncodeDrainRequest returns an encoder for requests sent to the
-// administration drain server.
-func EncodeDrainRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
-	return func(req *http.Request, v any) error {
-		p, ok := v.(*administration.DrainPayload)
-		if !ok {
-			return goahttp.ErrInvalidType("administration", "drain", "*administration.DrainPayload", v)
-		}
-		body := NewDrainRequestBody(p)
-		if err := encoder(req).Encode(&body); err != nil {
-			return goahttp.ErrEncodingError("administration", "drain", err)
-		}
-		return nil
-	}
-}
-
-// DecodeDrainResponse returns a decoder for responses returned by the
-// administration drain endpoint. restoreBody controls whether the response
-// body should be restored after having been read.
-func DecodeDrainResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+// DecodeQuarantineResponse returns a decoder for responses returned by the
+// administration quarantine endpoint. restoreBody controls whether the
+// response body should be restored after having been read.
+// DecodeQuarantineResponse may return the following errors:
+//   - "bad_request" (type *administration.Failure): http.StatusBadRequest
+//   - "unauthorized" (type *administration.Failure): http.StatusUnauthorized
+//   - "forbidden" (type *administration.Failure): http.StatusForbidden
+//   - "not_found" (type *administration.Failure): http.StatusNotFound
+//   - "conflict" (type *administration.Failure): http.StatusConflict
+//   - "gone" (type *administration.Failure): http.StatusGone
+//   - "too_large" (type *administration.Failure): http.StatusRequestEntityTooLarge
+//   - "unprocessable" (type *administration.Failure): http.StatusUnprocessableEntity
+//   - "too_many" (type *administration.Failure): http.StatusTooManyRequests
+//   - "internal" (type *administration.Failure): http.StatusInternalServerError
+//   - "bad_gateway" (type *administration.Failure): http.StatusBadGateway
+//   - "unavailable" (type *administration.Failure): http.StatusServiceUnavailable
+//   - "timeout" (type *administration.Failure): http.StatusGatewayTimeout
+//   - error: internal error
+func DecodeQuarantineResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
 		if restoreBody {
 			b, err := io.ReadAll(resp.Body)
@@ -1020,80 +6761,415 @@
 		switch resp.StatusCode {
 		case http.StatusOK:
 			var (
-				body DrainResponseBody
+				body []*SuspectResponse
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "quarantine", err)
+			}
+			for _, e := range body {
+				if e != nil {
+					if err2 := ValidateSuspectResponse(e); err2 != nil {
+						err = goa.MergeErrors(err, err2)
+					}
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "quarantine", err)
+			}
+			res := NewQuarantineSuspectOK(body)
+			return res, nil
+		case http.StatusBadRequest:
+			var (
+				body QuarantineBadRequestResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "quarantine", err)
+			}
+			err = ValidateQuarantineBadRequestResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "quarantine", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "quarantine", err)
+			}
+			return nil, NewQuarantineBadRequest(&body, retryAfter)
+		case http.StatusUnauthorized:
+			var (
+				body QuarantineUnauthorizedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "quarantine", err)
+			}
+			err = ValidateQuarantineUnauthorizedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "quarantine", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "quarantine", err)
+			}
+			return nil, NewQuarantineUnauthorized(&body, retryAfter)
+		case http.StatusForbidden:
+			var (
+				body QuarantineForbiddenResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "quarantine", err)
+			}
+			err = ValidateQuarantineForbiddenResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "quarantine", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "quarantine", err)
+			}
+			return nil, NewQuarantineForbidden(&body, retryAfter)
+		case http.StatusNotFound:
+			var (
+				body QuarantineNotFoundResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "quarantine", err)
+			}
+			err = ValidateQuarantineNotFoundResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "quarantine", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "quarantine", err)
+			}
+			return nil, NewQuarantineNotFound(&body, retryAfter)
+		case http.StatusConflict:
+			var (
+				body QuarantineConflictResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "quarantine", err)
+			}
+			err = ValidateQuarantineConflictResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "quarantine", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "quarantine", err)
+			}
+			return nil, NewQuarantineConflict(&body, retryAfter)
+		case http.StatusGone:
+			var (
+				body QuarantineGoneResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "quarantine", err)
+			}
+			err = ValidateQuarantineGoneResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "quarantine", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "quarantine", err)
+			}
+			return nil, NewQuarantineGone(&body, retryAfter)
+		case http.StatusRequestEntityTooLarge:
+			var (
+				body QuarantineTooLargeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "quarantine", err)
+			}
+			err = ValidateQuarantineTooLargeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "quarantine", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "quarantine", err)
+			}
+			return nil, NewQuarantineTooLarge(&body, retryAfter)
+		case http.StatusUnprocessableEntity:
+			var (
+				body QuarantineUnprocessableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "quarantine", err)
+			}
+			err = ValidateQuarantineUnprocessableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "quarantine", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "quarantine", err)
+			}
+			return nil, NewQuarantineUnprocessable(&body, retryAfter)
+		case http.StatusTooManyRequests:
+			var (
+				body QuarantineTooManyResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "quarantine", err)
+			}
+			err = ValidateQuarantineTooManyResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "quarantine", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "quarantine", err)
+			}
+			return nil, NewQuarantineTooMany(&body, retryAfter)
+		case http.StatusInternalServerError:
+			var (
+				body QuarantineInternalResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "quarantine", err)
+			}
+			err = ValidateQuarantineInternalResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "quarantine", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "quarantine", err)
+			}
+			return nil, NewQuarantineInternal(&body, retryAfter)
+		case http.StatusBadGateway:
+			var (
+				body QuarantineBadGatewayResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "quarantine", err)
+			}
+			err = ValidateQuarantineBadGatewayResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "quarantine", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "quarantine", err)
+			}
+			return nil, NewQuarantineBadGateway(&body, retryAfter)
+		case http.StatusServiceUnavailable:
+			var (
+				body QuarantineUnavailableResponseBody
 				err  error
 			)
 			err = decoder(resp).Decode(&body)
 			if err != nil {
-				return nil, goahttp.ErrDecodingError("administration", "drain", err)
+				return nil, goahttp.ErrDecodingError("administration", "quarantine", err)
 			}
-			err = ValidateDrainResponseBody(&body)
+			err = ValidateQuarantineUnavailableResponseBody(&body)
 			if err != nil {
-				return nil, goahttp.ErrValidationError("administration", "drain", err)
+				return nil, goahttp.ErrValidationError("administration", "quarantine", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
 			}
-			res := NewDrainResultOK(&body)
-			return res, nil
-		default:
-			body, _ := io.ReadAll(resp.Body)
-			return nil, goahttp.ErrInvalidResponse("administration", "drain", resp.StatusCode, string(body))
-		}
-	}
-}
-
-// BuildQuarantineRequest instantiates a HTTP request object with method and
-// path set to call the "administration" service "quarantine" endpoint
-func (c *Client) BuildQuarantineRequest(ctx context.Context, v any) (*http.Request, error) {
-	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: QuarantineAdministrationPath()}
-	req, err := http.NewRequest("GET", u.String(), nil)
-	if err != nil {
-		return nil, goahttp.ErrInvalidURL("administration", "quarantine", u.String(), err)
-	}
-	if ctx != nil {
-		req = req.WithContext(ctx)
-	}
-
-	return req, nil
-}
-
-// DecodeQuarantineResponse returns a decoder for responses returned by the
-// administration quarantine endpoint. restoreBody controls whether the
-// response body should be restored after having been read.
-func DecodeQuarantineResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
-	return func(resp *http.Response) (any, error) {
-		if restoreBody {
-			b, err := io.ReadAll(resp.Body)
 			if err != nil {
-				return nil, err
+				return nil, goahttp.ErrValidationError("administration", "quarantine", err)
 			}
-			resp.Body = io.NopCloser(bytes.NewBuffer(b))
-			defer func() {
-				resp.Body = io.NopCloser(bytes.NewBuffer(b))
-			}()
-		} else {
-			defer resp.Body.Close()
-		}
-		switch resp.StatusCode {
-		case http.StatusOK:
+			return nil, NewQuarantineUnavailable(&body, retryAfter)
+		case http.StatusGatewayTimeout:
 			var (
-				body []*SuspectResponse
+				body QuarantineTimeoutResponseBody
 				err  error
 			)
 			err = decoder(resp).Decode(&body)
 			if err != nil {
 				return nil, goahttp.ErrDecodingError("administration", "quarantine", err)
 			}
-			for _, e := range body {
-				if e != nil {
-					if err2 := ValidateSuspectResponse(e); err2 != nil {
-						err = goa.MergeErrors(err, err2)
+			err = ValidateQuarantineTimeoutResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "quarantine", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
 					}
+					retryAfter = &v
 				}
 			}
 			if err != nil {
 				return nil, goahttp.ErrValidationError("administration", "quarantine", err)
 			}
-			res := NewQuarantineSuspectOK(body)
-			return res, nil
+			return nil, NewQuarantineTimeout(&body, retryAfter)
 		default:
 			body, _ := io.ReadAll(resp.Body)
 			return nil, goahttp.ErrInvalidResponse("administration", "quarantine", resp.StatusCode, string(body))
@@ -1145,23 +7221,428 @@
 // DecodeLiftResponse returns a decoder for responses returned by the
 // administration lift endpoint. restoreBody controls whether the response body
 // should be restored after having been read.
+// DecodeLiftResponse may return the following errors:
+//   - "bad_request" (type *administration.Failure): http.StatusBadRequest
+//   - "unauthorized" (type *administration.Failure): http.StatusUnauthorized
+//   - "forbidden" (type *administration.Failure): http.StatusForbidden
+//   - "not_found" (type *administration.Failure): http.StatusNotFound
+//   - "conflict" (type *administration.Failure): http.StatusConflict
+//   - "gone" (type *administration.Failure): http.StatusGone
+//   - "too_large" (type *administration.Failure): http.StatusRequestEntityTooLarge
+//   - "unprocessable" (type *administration.Failure): http.StatusUnprocessableEntity
+//   - "too_many" (type *administration.Failure): http.StatusTooManyRequests
+//   - "internal" (type *administration.Failure): http.StatusInternalServerError
+//   - "bad_gateway" (type *administration.Failure): http.StatusBadGateway
+//   - "unavailable" (type *administration.Failure): http.StatusServiceUnavailable
+//   - "timeout" (type *administration.Failure): http.StatusGatewayTimeout
+//   - error: internal error
 func DecodeLiftResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
 		if restoreBody {
 			b, err := io.ReadAll(resp.Body)
 			if err != nil {
-				return nil, err
+				return nil, err
+			}
+			resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			defer func() {
+				resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			}()
+		} else {
+			defer resp.Body.Close()
+		}
+		switch resp.StatusCode {
+		case http.StatusNoContent:
+			return nil, nil
+		case http.StatusBadRequest:
+			var (
+				body LiftBadRequestResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "lift", err)
+			}
+			err = ValidateLiftBadRequestResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "lift", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "lift", err)
+			}
+			return nil, NewLiftBadRequest(&body, retryAfter)
+		case http.StatusUnauthorized:
+			var (
+				body LiftUnauthorizedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "lift", err)
+			}
+			err = ValidateLiftUnauthorizedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "lift", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "lift", err)
+			}
+			return nil, NewLiftUnauthorized(&body, retryAfter)
+		case http.StatusForbidden:
+			var (
+				body LiftForbiddenResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "lift", err)
+			}
+			err = ValidateLiftForbiddenResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "lift", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "lift", err)
+			}
+			return nil, NewLiftForbidden(&body, retryAfter)
+		case http.StatusNotFound:
+			var (
+				body LiftNotFoundResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "lift", err)
+			}
+			err = ValidateLiftNotFoundResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "lift", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "lift", err)
+			}
+			return nil, NewLiftNotFound(&body, retryAfter)
+		case http.StatusConflict:
+			var (
+				body LiftConflictResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "lift", err)
+			}
+			err = ValidateLiftConflictResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "lift", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "lift", err)
+			}
+			return nil, NewLiftConflict(&body, retryAfter)
+		case http.StatusGone:
+			var (
+				body LiftGoneResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "lift", err)
+			}
+			err = ValidateLiftGoneResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "lift", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "lift", err)
+			}
+			return nil, NewLiftGone(&body, retryAfter)
+		case http.StatusRequestEntityTooLarge:
+			var (
+				body LiftTooLargeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "lift", err)
+			}
+			err = ValidateLiftTooLargeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "lift", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "lift", err)
+			}
+			return nil, NewLiftTooLarge(&body, retryAfter)
+		case http.StatusUnprocessableEntity:
+			var (
+				body LiftUnprocessableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "lift", err)
+			}
+			err = ValidateLiftUnprocessableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "lift", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "lift", err)
+			}
+			return nil, NewLiftUnprocessable(&body, retryAfter)
+		case http.StatusTooManyRequests:
+			var (
+				body LiftTooManyResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "lift", err)
+			}
+			err = ValidateLiftTooManyResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "lift", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "lift", err)
+			}
+			return nil, NewLiftTooMany(&body, retryAfter)
+		case http.StatusInternalServerError:
+			var (
+				body LiftInternalResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "lift", err)
+			}
+			err = ValidateLiftInternalResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "lift", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "lift", err)
+			}
+			return nil, NewLiftInternal(&body, retryAfter)
+		case http.StatusBadGateway:
+			var (
+				body LiftBadGatewayResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "lift", err)
+			}
+			err = ValidateLiftBadGatewayResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "lift", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "lift", err)
+			}
+			return nil, NewLiftBadGateway(&body, retryAfter)
+		case http.StatusServiceUnavailable:
+			var (
+				body LiftUnavailableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "lift", err)
+			}
+			err = ValidateLiftUnavailableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "lift", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "lift", err)
+			}
+			return nil, NewLiftUnavailable(&body, retryAfter)
+		case http.StatusGatewayTimeout:
+			var (
+				body LiftTimeoutResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "lift", err)
 			}
-			resp.Body = io.NopCloser(bytes.NewBuffer(b))
-			defer func() {
-				resp.Body = io.NopCloser(bytes.NewBuffer(b))
-			}()
-		} else {
-			defer resp.Body.Close()
-		}
-		switch resp.StatusCode {
-		case http.StatusNoContent:
-			return nil, nil
+			err = ValidateLiftTimeoutResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "lift", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "lift", err)
+			}
+			return nil, NewLiftTimeout(&body, retryAfter)
 		default:
 			body, _ := io.ReadAll(resp.Body)
 			return nil, goahttp.ErrInvalidResponse("administration", "lift", resp.StatusCode, string(body))
@@ -1187,6 +7668,21 @@
 // DecodeOrdersResponse returns a decoder for responses returned by the
 // administration orders endpoint. restoreBody controls whether the response
 // body should be restored after having been read.
+// DecodeOrdersResponse may return the following errors:
+//   - "bad_request" (type *administration.Failure): http.StatusBadRequest
+//   - "unauthorized" (type *administration.Failure): http.StatusUnauthorized
+//   - "forbidden" (type *administration.Failure): http.StatusForbidden
+//   - "not_found" (type *administration.Failure): http.StatusNotFound
+//   - "conflict" (type *administration.Failure): http.StatusConflict
+//   - "gone" (type *administration.Failure): http.StatusGone
+//   - "too_large" (type *administration.Failure): http.StatusRequestEntityTooLarge
+//   - "unprocessable" (type *administration.Failure): http.StatusUnprocessableEntity
+//   - "too_many" (type *administration.Failure): http.StatusTooManyRequests
+//   - "internal" (type *administration.Failure): http.StatusInternalServerError
+//   - "bad_gateway" (type *administration.Failure): http.StatusBadGateway
+//   - "unavailable" (type *administration.Failure): http.StatusServiceUnavailable
+//   - "timeout" (type *administration.Failure): http.StatusGatewayTimeout
+//   - error: internal error
 func DecodeOrdersResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
 		if restoreBody {
@@ -1204,25 +7700,415 @@
 		switch resp.StatusCode {
 		case http.StatusOK:
 			var (
-				body []*OrderResponse
+				body []*OrderResponse
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "orders", err)
+			}
+			for _, e := range body {
+				if e != nil {
+					if err2 := ValidateOrderResponse(e); err2 != nil {
+						err = goa.MergeErrors(err, err2)
+					}
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "orders", err)
+			}
+			res := NewOrdersOrderOK(body)
+			return res, nil
+		case http.StatusBadRequest:
+			var (
+				body OrdersBadRequestResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "orders", err)
+			}
+			err = ValidateOrdersBadRequestResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "orders", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "orders", err)
+			}
+			return nil, NewOrdersBadRequest(&body, retryAfter)
+		case http.StatusUnauthorized:
+			var (
+				body OrdersUnauthorizedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "orders", err)
+			}
+			err = ValidateOrdersUnauthorizedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "orders", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "orders", err)
+			}
+			return nil, NewOrdersUnauthorized(&body, retryAfter)
+		case http.StatusForbidden:
+			var (
+				body OrdersForbiddenResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "orders", err)
+			}
+			err = ValidateOrdersForbiddenResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "orders", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "orders", err)
+			}
+			return nil, NewOrdersForbidden(&body, retryAfter)
+		case http.StatusNotFound:
+			var (
+				body OrdersNotFoundResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "orders", err)
+			}
+			err = ValidateOrdersNotFoundResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "orders", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "orders", err)
+			}
+			return nil, NewOrdersNotFound(&body, retryAfter)
+		case http.StatusConflict:
+			var (
+				body OrdersConflictResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "orders", err)
+			}
+			err = ValidateOrdersConflictResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "orders", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "orders", err)
+			}
+			return nil, NewOrdersConflict(&body, retryAfter)
+		case http.StatusGone:
+			var (
+				body OrdersGoneResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "orders", err)
+			}
+			err = ValidateOrdersGoneResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "orders", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "orders", err)
+			}
+			return nil, NewOrdersGone(&body, retryAfter)
+		case http.StatusRequestEntityTooLarge:
+			var (
+				body OrdersTooLargeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "orders", err)
+			}
+			err = ValidateOrdersTooLargeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "orders", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "orders", err)
+			}
+			return nil, NewOrdersTooLarge(&body, retryAfter)
+		case http.StatusUnprocessableEntity:
+			var (
+				body OrdersUnprocessableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "orders", err)
+			}
+			err = ValidateOrdersUnprocessableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "orders", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "orders", err)
+			}
+			return nil, NewOrdersUnprocessable(&body, retryAfter)
+		case http.StatusTooManyRequests:
+			var (
+				body OrdersTooManyResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "orders", err)
+			}
+			err = ValidateOrdersTooManyResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "orders", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "orders", err)
+			}
+			return nil, NewOrdersTooMany(&body, retryAfter)
+		case http.StatusInternalServerError:
+			var (
+				body OrdersInternalResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "orders", err)
+			}
+			err = ValidateOrdersInternalResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "orders", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "orders", err)
+			}
+			return nil, NewOrdersInternal(&body, retryAfter)
+		case http.StatusBadGateway:
+			var (
+				body OrdersBadGatewayResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "orders", err)
+			}
+			err = ValidateOrdersBadGatewayResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "orders", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "orders", err)
+			}
+			return nil, NewOrdersBadGateway(&body, retryAfter)
+		case http.StatusServiceUnavailable:
+			var (
+				body OrdersUnavailableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "orders", err)
+			}
+			err = ValidateOrdersUnavailableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "orders", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "orders", err)
+			}
+			return nil, NewOrdersUnavailable(&body, retryAfter)
+		case http.StatusGatewayTimeout:
+			var (
+				body OrdersTimeoutResponseBody
 				err  error
 			)
 			err = decoder(resp).Decode(&body)
 			if err != nil {
 				return nil, goahttp.ErrDecodingError("administration", "orders", err)
 			}
-			for _, e := range body {
-				if e != nil {
-					if err2 := ValidateOrderResponse(e); err2 != nil {
-						err = goa.MergeErrors(err, err2)
+			err = ValidateOrdersTimeoutResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "orders", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
 					}
+					retryAfter = &v
 				}
 			}
 			if err != nil {
 				return nil, goahttp.ErrValidationError("administration", "orders", err)
 			}
-			res := NewOrdersOrderOK(body)
-			return res, nil
+			return nil, NewOrdersTimeout(&body, retryAfter)
 		default:
 			body, _ := io.ReadAll(resp.Body)
 			return nil, goahttp.ErrInvalidResponse("administration", "orders", resp.StatusCode, string(body))
@@ -1264,6 +8150,21 @@
 // DecodeIssueOrderResponse returns a decoder for responses returned by the
 // administration issue_order endpoint. restoreBody controls whether the
 // response body should be restored after having been read.
+// DecodeIssueOrderResponse may return the following errors:
+//   - "bad_request" (type *administration.Failure): http.StatusBadRequest
+//   - "unauthorized" (type *administration.Failure): http.StatusUnauthorized
+//   - "forbidden" (type *administration.Failure): http.StatusForbidden
+//   - "not_found" (type *administration.Failure): http.StatusNotFound
+//   - "conflict" (type *administration.Failure): http.StatusConflict
+//   - "gone" (type *administration.Failure): http.StatusGone
+//   - "too_large" (type *administration.Failure): http.StatusRequestEntityTooLarge
+//   - "unprocessable" (type *administration.Failure): http.StatusUnprocessableEntity
+//   - "too_many" (type *administration.Failure): http.StatusTooManyRequests
+//   - "internal" (type *administration.Failure): http.StatusInternalServerError
+//   - "bad_gateway" (type *administration.Failure): http.StatusBadGateway
+//   - "unavailable" (type *administration.Failure): http.StatusServiceUnavailable
+//   - "timeout" (type *administration.Failure): http.StatusGatewayTimeout
+//   - error: internal error
 func DecodeIssueOrderResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
 		if restoreBody {
@@ -1294,6 +8195,396 @@
 			}
 			res := NewIssueOrderResultOK(&body)
 			return res, nil
+		case http.StatusBadRequest:
+			var (
+				body IssueOrderBadRequestResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "issue_order", err)
+			}
+			err = ValidateIssueOrderBadRequestResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "issue_order", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "issue_order", err)
+			}
+			return nil, NewIssueOrderBadRequest(&body, retryAfter)
+		case http.StatusUnauthorized:
+			var (
+				body IssueOrderUnauthorizedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "issue_order", err)
+			}
+			err = ValidateIssueOrderUnauthorizedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "issue_order", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "issue_order", err)
+			}
+			return nil, NewIssueOrderUnauthorized(&body, retryAfter)
+		case http.StatusForbidden:
+			var (
+				body IssueOrderForbiddenResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "issue_order", err)
+			}
+			err = ValidateIssueOrderForbiddenResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "issue_order", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "issue_order", err)
+			}
+			return nil, NewIssueOrderForbidden(&body, retryAfter)
+		case http.StatusNotFound:
+			var (
+				body IssueOrderNotFoundResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "issue_order", err)
+			}
+			err = ValidateIssueOrderNotFoundResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "issue_order", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "issue_order", err)
+			}
+			return nil, NewIssueOrderNotFound(&body, retryAfter)
+		case http.StatusConflict:
+			var (
+				body IssueOrderConflictResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "issue_order", err)
+			}
+			err = ValidateIssueOrderConflictResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "issue_order", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "issue_order", err)
+			}
+			return nil, NewIssueOrderConflict(&body, retryAfter)
+		case http.StatusGone:
+			var (
+				body IssueOrderGoneResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "issue_order", err)
+			}
+			err = ValidateIssueOrderGoneResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "issue_order", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "issue_order", err)
+			}
+			return nil, NewIssueOrderGone(&body, retryAfter)
+		case http.StatusRequestEntityTooLarge:
+			var (
+				body IssueOrderTooLargeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "issue_order", err)
+			}
+			err = ValidateIssueOrderTooLargeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "issue_order", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "issue_order", err)
+			}
+			return nil, NewIssueOrderTooLarge(&body, retryAfter)
+		case http.StatusUnprocessableEntity:
+			var (
+				body IssueOrderUnprocessableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "issue_order", err)
+			}
+			err = ValidateIssueOrderUnprocessableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "issue_order", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "issue_order", err)
+			}
+			return nil, NewIssueOrderUnprocessable(&body, retryAfter)
+		case http.StatusTooManyRequests:
+			var (
+				body IssueOrderTooManyResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "issue_order", err)
+			}
+			err = ValidateIssueOrderTooManyResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "issue_order", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "issue_order", err)
+			}
+			return nil, NewIssueOrderTooMany(&body, retryAfter)
+		case http.StatusInternalServerError:
+			var (
+				body IssueOrderInternalResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "issue_order", err)
+			}
+			err = ValidateIssueOrderInternalResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "issue_order", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "issue_order", err)
+			}
+			return nil, NewIssueOrderInternal(&body, retryAfter)
+		case http.StatusBadGateway:
+			var (
+				body IssueOrderBadGatewayResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "issue_order", err)
+			}
+			err = ValidateIssueOrderBadGatewayResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "issue_order", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "issue_order", err)
+			}
+			return nil, NewIssueOrderBadGateway(&body, retryAfter)
+		case http.StatusServiceUnavailable:
+			var (
+				body IssueOrderUnavailableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "issue_order", err)
+			}
+			err = ValidateIssueOrderUnavailableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "issue_order", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "issue_order", err)
+			}
+			return nil, NewIssueOrderUnavailable(&body, retryAfter)
+		case http.StatusGatewayTimeout:
+			var (
+				body IssueOrderTimeoutResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "issue_order", err)
+			}
+			err = ValidateIssueOrderTimeoutResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "issue_order", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "issue_order", err)
+			}
+			return nil, NewIssueOrderTimeout(&body, retryAfter)
 		default:
 			body, _ := io.ReadAll(resp.Body)
 			return nil, goahttp.ErrInvalidResponse("administration", "issue_order", resp.StatusCode, string(body))
@@ -1389,6 +8680,22 @@
 	return res
 }
 
+// unmarshalProblemResponseBodyToAdministrationProblem builds a value of type
+// *administration.Problem from a value of type *ProblemResponseBody.
+func unmarshalProblemResponseBodyToAdministrationProblem(v *ProblemResponseBody) *administration.Problem {
+	res := &administration.Problem{
+		Code:         *v.Code,
+		Name:         *v.Name,
+		Type:         *v.Type,
+		Message:      *v.Message,
+		Ran:          *v.Ran,
+		RetryAfterMs: *v.RetryAfterMs,
+		RequestID:    *v.RequestID,
+	}
+
+	return res
+}
+
 // unmarshalExceptionResponseBodyToAdministrationException builds a value of
 // type *administration.Exception from a value of type *ExceptionResponseBody.
 func unmarshalExceptionResponseBodyToAdministrationException(v *ExceptionResponseBody) *administration.Exception {
