--- a/api/admin/gen/http/administration/client/types.go
+++ b/api/admin/gen/http/administration/client/types.go
@@ -181,724 +181,9452 @@
 	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
 }
 
-// MemberResponseBody is used to define fields on response body types.
-type MemberResponseBody struct {
-	Instance *string `form:"instance,omitempty" json:"instance,omitempty" xml:"instance,omitempty"`
-	Address  *string `form:"address,omitempty" json:"address,omitempty" xml:"address,omitempty"`
-	// Why the instance did not answer; empty if it did
-	Error  *string              `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
-	Groups []*GroupResponseBody `form:"groups,omitempty" json:"groups,omitempty" xml:"groups,omitempty"`
+// StatusBadRequestResponseBody is the type of the "administration" service
+// "status" endpoint HTTP response body for the "bad_request" error.
+type StatusBadRequestResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
 }
 
-// GroupResponseBody is used to define fields on response body types.
-type GroupResponseBody struct {
-	Group   *uint32 `form:"group,omitempty" json:"group,omitempty" xml:"group,omitempty"`
-	Role    *string `form:"role,omitempty" json:"role,omitempty" xml:"role,omitempty"`
-	Term    *uint64 `form:"term,omitempty" json:"term,omitempty" xml:"term,omitempty"`
-	Leader  *string `form:"leader,omitempty" json:"leader,omitempty" xml:"leader,omitempty"`
-	Commit  *uint64 `form:"commit,omitempty" json:"commit,omitempty" xml:"commit,omitempty"`
-	Applied *uint64 `form:"applied,omitempty" json:"applied,omitempty" xml:"applied,omitempty"`
+// StatusUnauthorizedResponseBody is the type of the "administration" service
+// "status" endpoint HTTP response body for the "unauthorized" error.
+type StatusUnauthorizedResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
 }
 
-// InstanceResponseBody is used to define fields on response body types.
-type InstanceResponseBody struct {
-	Instance *string `form:"instance,omitempty" json:"instance,omitempty" xml:"instance,omitempty"`
-	Role     *string `form:"role,omitempty" json:"role,omitempty" xml:"role,omitempty"`
-	Zone     *string `form:"zone,omitempty" json:"zone,omitempty" xml:"zone,omitempty"`
-	// Revision that the process runs
-	Revision *uint64 `form:"revision,omitempty" json:"revision,omitempty" xml:"revision,omitempty"`
-	// Time since its last report
-	AgeMs *int64 `form:"age_ms,omitempty" json:"age_ms,omitempty" xml:"age_ms,omitempty"`
+// StatusForbiddenResponseBody is the type of the "administration" service
+// "status" endpoint HTTP response body for the "forbidden" error.
+type StatusForbiddenResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
 }
 
-// ZoneResponseBody is used to define fields on response body types.
-type ZoneResponseBody struct {
-	Zone      *string                 `form:"zone,omitempty" json:"zone,omitempty" xml:"zone,omitempty"`
-	Upstreams []*UpstreamResponseBody `form:"upstreams,omitempty" json:"upstreams,omitempty" xml:"upstreams,omitempty"`
+// StatusNotFoundResponseBody is the type of the "administration" service
+// "status" endpoint HTTP response body for the "not_found" error.
+type StatusNotFoundResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
 }
 
-// UpstreamResponseBody is used to define fields on response body types.
-type UpstreamResponseBody struct {
-	Instance *string  `form:"instance,omitempty" json:"instance,omitempty" xml:"instance,omitempty"`
-	Address  *string  `form:"address,omitempty" json:"address,omitempty" xml:"address,omitempty"`
-	State    *string  `form:"state,omitempty" json:"state,omitempty" xml:"state,omitempty"`
-	Models   []string `form:"models,omitempty" json:"models,omitempty" xml:"models,omitempty"`
-	Services []string `form:"services,omitempty" json:"services,omitempty" xml:"services,omitempty"`
-	Slots    *uint32  `form:"slots,omitempty" json:"slots,omitempty" xml:"slots,omitempty"`
+// StatusConflictResponseBody is the type of the "administration" service
+// "status" endpoint HTTP response body for the "conflict" error.
+type StatusConflictResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
 }
 
-// ExceptionResponseBody is used to define fields on response body types.
-type ExceptionResponseBody struct {
-	ID       *string               `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
-	Key      *string               `form:"key,omitempty" json:"key,omitempty" xml:"key,omitempty"`
-	Value    *string               `form:"value,omitempty" json:"value,omitempty" xml:"value,omitempty"`
-	Selector *SelectorResponseBody `form:"selector,omitempty" json:"selector,omitempty" xml:"selector,omitempty"`
-	Reason   *string               `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// End in Unix milliseconds; 0 or absent never ends
-	UntilMs *int64 `form:"until_ms,omitempty" json:"until_ms,omitempty" xml:"until_ms,omitempty"`
+// StatusGoneResponseBody is the type of the "administration" service "status"
+// endpoint HTTP response body for the "gone" error.
+type StatusGoneResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
 }
 
-// SelectorResponseBody is used to define fields on response body types.
-type SelectorResponseBody struct {
-	Organisation *string `form:"organisation,omitempty" json:"organisation,omitempty" xml:"organisation,omitempty"`
-	Model        *string `form:"model,omitempty" json:"model,omitempty" xml:"model,omitempty"`
-	Zone         *string `form:"zone,omitempty" json:"zone,omitempty" xml:"zone,omitempty"`
-	Upstream     *string `form:"upstream,omitempty" json:"upstream,omitempty" xml:"upstream,omitempty"`
-	Service      *string `form:"service,omitempty" json:"service,omitempty" xml:"service,omitempty"`
+// StatusTooLargeResponseBody is the type of the "administration" service
+// "status" endpoint HTTP response body for the "too_large" error.
+type StatusTooLargeResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
 }
 
-// OrganisationResponseBody is used to define fields on response body types.
-type OrganisationResponseBody struct {
-	// SHA-256 hashes in hexadecimal
-	KeyHashes []string `form:"key_hashes,omitempty" json:"key_hashes,omitempty" xml:"key_hashes,omitempty"`
+// StatusUnprocessableResponseBody is the type of the "administration" service
+// "status" endpoint HTTP response body for the "unprocessable" error.
+type StatusUnprocessableResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
 }
 
-// KeyInfoResponse is used to define fields on response body types.
-type KeyInfoResponse struct {
-	Name    *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	Kind    *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
-	Unit    *string `form:"unit,omitempty" json:"unit,omitempty" xml:"unit,omitempty"`
-	Default *string `form:"default,omitempty" json:"default,omitempty" xml:"default,omitempty"`
-	// Least value; durations in seconds
-	Min *float64 `form:"min,omitempty" json:"min,omitempty" xml:"min,omitempty"`
-	// Greatest value; durations in seconds
-	Max   *float64 `form:"max,omitempty" json:"max,omitempty" xml:"max,omitempty"`
-	OneOf []string `form:"one_of,omitempty" json:"one_of,omitempty" xml:"one_of,omitempty"`
-	// What an exception may select by
-	Scopes  []string `form:"scopes,omitempty" json:"scopes,omitempty" xml:"scopes,omitempty"`
-	Meaning *string  `form:"meaning,omitempty" json:"meaning,omitempty" xml:"meaning,omitempty"`
+// StatusTooManyResponseBody is the type of the "administration" service
+// "status" endpoint HTTP response body for the "too_many" error.
+type StatusTooManyResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
 }
 
-// PastChangeResponse is used to define fields on response body types.
-type PastChangeResponse struct {
-	ChangeID *string `form:"change_id,omitempty" json:"change_id,omitempty" xml:"change_id,omitempty"`
-	Verdict  *string `form:"verdict,omitempty" json:"verdict,omitempty" xml:"verdict,omitempty"`
-	// Revision in force after the change was handled
-	Revision     *uint64  `form:"revision,omitempty" json:"revision,omitempty" xml:"revision,omitempty"`
-	BaseRevision *uint64  `form:"base_revision,omitempty" json:"base_revision,omitempty" xml:"base_revision,omitempty"`
-	Author       *string  `form:"author,omitempty" json:"author,omitempty" xml:"author,omitempty"`
-	Reason       *string  `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	AtMs         *int64   `form:"at_ms,omitempty" json:"at_ms,omitempty" xml:"at_ms,omitempty"`
-	Problems     []string `form:"problems,omitempty" json:"problems,omitempty" xml:"problems,omitempty"`
+// StatusInternalResponseBody is the type of the "administration" service
+// "status" endpoint HTTP response body for the "internal" error.
+type StatusInternalResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
 }
 
-// EditRequestBody is used to define fields on request body types.
-type EditRequestBody struct {
-	Kind         string                   `form:"kind" json:"kind" xml:"kind"`
-	Name         *string                  `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	Value        *string                  `form:"value,omitempty" json:"value,omitempty" xml:"value,omitempty"`
-	Exception    *ExceptionRequestBody    `form:"exception,omitempty" json:"exception,omitempty" xml:"exception,omitempty"`
-	Organisation *OrganisationRequestBody `form:"organisation,omitempty" json:"organisation,omitempty" xml:"organisation,omitempty"`
+// StatusBadGatewayResponseBody is the type of the "administration" service
+// "status" endpoint HTTP response body for the "bad_gateway" error.
+type StatusBadGatewayResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
 }
 
-// ExceptionRequestBody is used to define fields on request body types.
-type ExceptionRequestBody struct {
-	ID       string               `form:"id" json:"id" xml:"id"`
-	Key      string               `form:"key" json:"key" xml:"key"`
-	Value    string               `form:"value" json:"value" xml:"value"`
-	Selector *SelectorRequestBody `form:"selector" json:"selector" xml:"selector"`
-	Reason   string               `form:"reason" json:"reason" xml:"reason"`
-	// End in Unix milliseconds; 0 or absent never ends
-	UntilMs *int64 `form:"until_ms,omitempty" json:"until_ms,omitempty" xml:"until_ms,omitempty"`
+// StatusUnavailableResponseBody is the type of the "administration" service
+// "status" endpoint HTTP response body for the "unavailable" error.
+type StatusUnavailableResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
 }
 
-// SelectorRequestBody is used to define fields on request body types.
-type SelectorRequestBody struct {
-	Organisation *string `form:"organisation,omitempty" json:"organisation,omitempty" xml:"organisation,omitempty"`
-	Model        *string `form:"model,omitempty" json:"model,omitempty" xml:"model,omitempty"`
-	Zone         *string `form:"zone,omitempty" json:"zone,omitempty" xml:"zone,omitempty"`
-	Upstream     *string `form:"upstream,omitempty" json:"upstream,omitempty" xml:"upstream,omitempty"`
-	Service      *string `form:"service,omitempty" json:"service,omitempty" xml:"service,omitempty"`
+// StatusTimeoutResponseBody is the type of the "administration" service
+// "status" endpoint HTTP response body for the "timeout" error.
+type StatusTimeoutResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
 }
 
-// OrganisationRequestBody is used to define fields on request body types.
-type OrganisationRequestBody struct {
-	// SHA-256 hashes in hexadecimal
-	KeyHashes []string `form:"key_hashes" json:"key_hashes" xml:"key_hashes"`
+// ConfigurationBadRequestResponseBody is the type of the "administration"
+// service "configuration" endpoint HTTP response body for the "bad_request"
+// error.
+type ConfigurationBadRequestResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
 }
 
-// ExceptionResponse is used to define fields on response body types.
-type ExceptionResponse struct {
-	ID       *string           `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
-	Key      *string           `form:"key,omitempty" json:"key,omitempty" xml:"key,omitempty"`
-	Value    *string           `form:"value,omitempty" json:"value,omitempty" xml:"value,omitempty"`
-	Selector *SelectorResponse `form:"selector,omitempty" json:"selector,omitempty" xml:"selector,omitempty"`
-	Reason   *string           `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// End in Unix milliseconds; 0 or absent never ends
-	UntilMs *int64 `form:"until_ms,omitempty" json:"until_ms,omitempty" xml:"until_ms,omitempty"`
+// ConfigurationUnauthorizedResponseBody is the type of the "administration"
+// service "configuration" endpoint HTTP response body for the "unauthorized"
+// error.
+type ConfigurationUnauthorizedResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
 }
 
-// SelectorResponse is used to define fields on response body types.
-type SelectorResponse struct {
-	Organisation *string `form:"organisation,omitempty" json:"organisation,omitempty" xml:"organisation,omitempty"`
-	Model        *string `form:"model,omitempty" json:"model,omitempty" xml:"model,omitempty"`
-	Zone         *string `form:"zone,omitempty" json:"zone,omitempty" xml:"zone,omitempty"`
-	Upstream     *string `form:"upstream,omitempty" json:"upstream,omitempty" xml:"upstream,omitempty"`
-	Service      *string `form:"service,omitempty" json:"service,omitempty" xml:"service,omitempty"`
+// ConfigurationForbiddenResponseBody is the type of the "administration"
+// service "configuration" endpoint HTTP response body for the "forbidden"
+// error.
+type ConfigurationForbiddenResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
 }
 
-// OrganisationResponse is used to define fields on response body types.
-type OrganisationResponse struct {
-	// SHA-256 hashes in hexadecimal
-	KeyHashes []string `form:"key_hashes,omitempty" json:"key_hashes,omitempty" xml:"key_hashes,omitempty"`
+// ConfigurationNotFoundResponseBody is the type of the "administration"
+// service "configuration" endpoint HTTP response body for the "not_found"
+// error.
+type ConfigurationNotFoundResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
 }
 
-// SuspectResponse is used to define fields on response body types.
-type SuspectResponse struct {
-	Fingerprint *string `form:"fingerprint,omitempty" json:"fingerprint,omitempty" xml:"fingerprint,omitempty"`
-	Crashes     *uint32 `form:"crashes,omitempty" json:"crashes,omitempty" xml:"crashes,omitempty"`
-	Quarantined *bool   `form:"quarantined,omitempty" json:"quarantined,omitempty" xml:"quarantined,omitempty"`
-	// Time left of the quarantine
-	LeftMs *int64 `form:"left_ms,omitempty" json:"left_ms,omitempty" xml:"left_ms,omitempty"`
+// ConfigurationConflictResponseBody is the type of the "administration"
+// service "configuration" endpoint HTTP response body for the "conflict" error.
+type ConfigurationConflictResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
 }
 
-// OrderResponse is used to define fields on response body types.
-type OrderResponse struct {
-	// Names the order; sent again, it is not staged twice
-	ID       *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
-	Upstream *string `form:"upstream,omitempty" json:"upstream,omitempty" xml:"upstream,omitempty"`
-	Kind     *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
-	Model    *string `form:"model,omitempty" json:"model,omitempty" xml:"model,omitempty"`
-	Adapter  *string `form:"adapter,omitempty" json:"adapter,omitempty" xml:"adapter,omitempty"`
-	Version  *string `form:"version,omitempty" json:"version,omitempty" xml:"version,omitempty"`
-	Role     *string `form:"role,omitempty" json:"role,omitempty" xml:"role,omitempty"`
-	Replaces *string `form:"replaces,omitempty" json:"replaces,omitempty" xml:"replaces,omitempty"`
-	Fence    *uint64 `form:"fence,omitempty" json:"fence,omitempty" xml:"fence,omitempty"`
-	Status   *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
-	Message  *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
-	AtMs     *int64  `form:"at_ms,omitempty" json:"at_ms,omitempty" xml:"at_ms,omitempty"`
+// ConfigurationGoneResponseBody is the type of the "administration" service
+// "configuration" endpoint HTTP response body for the "gone" error.
+type ConfigurationGoneResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
 }
 
-// NewChangeRequestBody builds the HTTP request body from the payload of the
-// "change" endpoint of the "administration" service.
-func NewChangeRequestBody(p *administration.ChangePayload) *ChangeRequestBody {
-	body := &ChangeRequestBody{
-		Author:       p.Author,
-		Reason:       p.Reason,
-		ChangeID:     p.ChangeID,
-		BaseRevision: p.BaseRevision,
-	}
-	if p.Edits != nil {
-		body.Edits = make([]*EditRequestBody, len(p.Edits))
-		for i, val := range p.Edits {
-			if val == nil {
-				body.Edits[i] = nil
-				continue
-			}
-			body.Edits[i] = marshalAdministrationEditToEditRequestBody(val)
-		}
-	} else {
-		body.Edits = []*EditRequestBody{}
-	}
-	return body
+// ConfigurationTooLargeResponseBody is the type of the "administration"
+// service "configuration" endpoint HTTP response body for the "too_large"
+// error.
+type ConfigurationTooLargeResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
 }
 
-// NewPutExceptionRequestBody builds the HTTP request body from the payload of
-// the "put_exception" endpoint of the "administration" service.
-func NewPutExceptionRequestBody(p *administration.PutExceptionPayload) *PutExceptionRequestBody {
-	body := &PutExceptionRequestBody{
-		Author:       p.Author,
-		Reason:       p.Reason,
-		ChangeID:     p.ChangeID,
-		BaseRevision: p.BaseRevision,
-		Key:          p.Key,
-		Value:        p.Value,
-		UntilMs:      p.UntilMs,
-	}
-	if p.Selector != nil {
-		body.Selector = marshalAdministrationSelectorToSelectorRequestBody(p.Selector)
-	}
-	return body
+// ConfigurationUnprocessableResponseBody is the type of the "administration"
+// service "configuration" endpoint HTTP response body for the "unprocessable"
+// error.
+type ConfigurationUnprocessableResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
 }
 
-// NewPutOrganisationRequestBody builds the HTTP request body from the payload
-// of the "put_organisation" endpoint of the "administration" service.
-func NewPutOrganisationRequestBody(p *administration.PutOrganisationPayload) *PutOrganisationRequestBody {
-	body := &PutOrganisationRequestBody{
-		Author:       p.Author,
-		Reason:       p.Reason,
-		ChangeID:     p.ChangeID,
-		BaseRevision: p.BaseRevision,
-	}
-	if p.KeyHashes != nil {
-		body.KeyHashes = make([]string, len(p.KeyHashes))
-		for i, val := range p.KeyHashes {
-			body.KeyHashes[i] = val
-		}
-	} else {
-		body.KeyHashes = []string{}
-	}
-	return body
+// ConfigurationTooManyResponseBody is the type of the "administration" service
+// "configuration" endpoint HTTP response body for the "too_many" error.
+type ConfigurationTooManyResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
 }
 
-// NewDrainRequestBody builds the HTTP request body from the payload of the
-// "drain" endpoint of the "administration" service.
-func NewDrainRequestBody(p *administration.DrainPayload) *DrainRequestBody {
-	body := &DrainRequestBody{
-		Author: p.Author,
-		Reason: p.Reason,
-		Undo:   p.Undo,
-	}
-	return body
+// ConfigurationInternalResponseBody is the type of the "administration"
+// service "configuration" endpoint HTTP response body for the "internal" error.
+type ConfigurationInternalResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
 }
 
-// NewLiftRequestBody builds the HTTP request body from the payload of the
-// "lift" endpoint of the "administration" service.
-func NewLiftRequestBody(p *administration.LiftPayload) *LiftRequestBody {
-	body := &LiftRequestBody{
-		Author: p.Author,
-		Reason: p.Reason,
-	}
-	return body
+// ConfigurationBadGatewayResponseBody is the type of the "administration"
+// service "configuration" endpoint HTTP response body for the "bad_gateway"
+// error.
+type ConfigurationBadGatewayResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
 }
 
-// NewIssueOrderRequestBody builds the HTTP request body from the payload of
-// the "issue_order" endpoint of the "administration" service.
-func NewIssueOrderRequestBody(p *administration.IssueOrderPayload) *IssueOrderRequestBody {
-	body := &IssueOrderRequestBody{
-		Author:   p.Author,
-		Reason:   p.Reason,
-		ID:       p.ID,
-		Upstream: p.Upstream,
-		Kind:     p.Kind,
-		Model:    p.Model,
-		Adapter:  p.Adapter,
-		Version:  p.Version,
-		Role:     p.Role,
-		Replaces: p.Replaces,
-	}
-	return body
+// ConfigurationUnavailableResponseBody is the type of the "administration"
+// service "configuration" endpoint HTTP response body for the "unavailable"
+// error.
+type ConfigurationUnavailableResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
 }
 
-// NewStatusFleetOK builds a "administration" service "status" endpoint result
-// from a HTTP "OK" response.
-func NewStatusFleetOK(body *StatusResponseBody) *administration.Fleet {
-	v := &administration.Fleet{
-		Revision: *body.Revision,
-	}
-	v.Members = make([]*administration.Member, len(body.Members))
-	for i, val := range body.Members {
-		if val == nil {
-			v.Members[i] = nil
-			continue
-		}
-		v.Members[i] = unmarshalMemberResponseBodyToAdministrationMember(val)
-	}
-	v.Instances = make([]*administration.Instance, len(body.Instances))
-	for i, val := range body.Instances {
-		if val == nil {
+// ConfigurationTimeoutResponseBody is the type of the "administration" service
+// "configuration" endpoint HTTP response body for the "timeout" error.
+type ConfigurationTimeoutResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// KeysBadRequestResponseBody is the type of the "administration" service
+// "keys" endpoint HTTP response body for the "bad_request" error.
+type KeysBadRequestResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// KeysUnauthorizedResponseBody is the type of the "administration" service
+// "keys" endpoint HTTP response body for the "unauthorized" error.
+type KeysUnauthorizedResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// KeysForbiddenResponseBody is the type of the "administration" service "keys"
+// endpoint HTTP response body for the "forbidden" error.
+type KeysForbiddenResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// KeysNotFoundResponseBody is the type of the "administration" service "keys"
+// endpoint HTTP response body for the "not_found" error.
+type KeysNotFoundResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// KeysConflictResponseBody is the type of the "administration" service "keys"
+// endpoint HTTP response body for the "conflict" error.
+type KeysConflictResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// KeysGoneResponseBody is the type of the "administration" service "keys"
+// endpoint HTTP response body for the "gone" error.
+type KeysGoneResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// KeysTooLargeResponseBody is the type of the "administration" service "keys"
+// endpoint HTTP response body for the "too_large" error.
+type KeysTooLargeResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// KeysUnprocessableResponseBody is the type of the "administration" service
+// "keys" endpoint HTTP response body for the "unprocessable" error.
+type KeysUnprocessableResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// KeysTooManyResponseBody is the type of the "administration" service "keys"
+// endpoint HTTP response body for the "too_many" error.
+type KeysTooManyResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// KeysInternalResponseBody is the type of the "administration" service "keys"
+// endpoint HTTP response body for the "internal" error.
+type KeysInternalResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// KeysBadGatewayResponseBody is the type of the "administration" service
+// "keys" endpoint HTTP response body for the "bad_gateway" error.
+type KeysBadGatewayResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// KeysUnavailableResponseBody is the type of the "administration" service
+// "keys" endpoint HTTP response body for the "unavailable" error.
+type KeysUnavailableResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// KeysTimeoutResponseBody is the type of the "administration" service "keys"
+// endpoint HTTP response body for the "timeout" error.
+type KeysTimeoutResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// HistoryBadRequestResponseBody is the type of the "administration" service
+// "history" endpoint HTTP response body for the "bad_request" error.
+type HistoryBadRequestResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// HistoryUnauthorizedResponseBody is the type of the "administration" service
+// "history" endpoint HTTP response body for the "unauthorized" error.
+type HistoryUnauthorizedResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// HistoryForbiddenResponseBody is the type of the "administration" service
+// "history" endpoint HTTP response body for the "forbidden" error.
+type HistoryForbiddenResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// HistoryNotFoundResponseBody is the type of the "administration" service
+// "history" endpoint HTTP response body for the "not_found" error.
+type HistoryNotFoundResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// HistoryConflictResponseBody is the type of the "administration" service
+// "history" endpoint HTTP response body for the "conflict" error.
+type HistoryConflictResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// HistoryGoneResponseBody is the type of the "administration" service
+// "history" endpoint HTTP response body for the "gone" error.
+type HistoryGoneResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// HistoryTooLargeResponseBody is the type of the "administration" service
+// "history" endpoint HTTP response body for the "too_large" error.
+type HistoryTooLargeResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// HistoryUnprocessableResponseBody is the type of the "administration" service
+// "history" endpoint HTTP response body for the "unprocessable" error.
+type HistoryUnprocessableResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// HistoryTooManyResponseBody is the type of the "administration" service
+// "history" endpoint HTTP response body for the "too_many" error.
+type HistoryTooManyResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// HistoryInternalResponseBody is the type of the "administration" service
+// "history" endpoint HTTP response body for the "internal" error.
+type HistoryInternalResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// HistoryBadGatewayResponseBody is the type of the "administration" service
+// "history" endpoint HTTP response body for the "bad_gateway" error.
+type HistoryBadGatewayResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// HistoryUnavailableResponseBody is the type of the "administration" service
+// "history" endpoint HTTP response body for the "unavailable" error.
+type HistoryUnavailableResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// HistoryTimeoutResponseBody is the type of the "administration" service
+// "history" endpoint HTTP response body for the "timeout" error.
+type HistoryTimeoutResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// ChangeBadRequestResponseBody is the type of the "administration" service
+// "change" endpoint HTTP response body for the "bad_request" error.
+type ChangeBadRequestResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// ChangeUnauthorizedResponseBody is the type of the "administration" service
+// "change" endpoint HTTP response body for the "unauthorized" error.
+type ChangeUnauthorizedResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// ChangeForbiddenResponseBody is the type of the "administration" service
+// "change" endpoint HTTP response body for the "forbidden" error.
+type ChangeForbiddenResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// ChangeNotFoundResponseBody is the type of the "administration" service
+// "change" endpoint HTTP response body for the "not_found" error.
+type ChangeNotFoundResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// ChangeConflictResponseBody is the type of the "administration" service
+// "change" endpoint HTTP response body for the "conflict" error.
+type ChangeConflictResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// ChangeGoneResponseBody is the type of the "administration" service "change"
+// endpoint HTTP response body for the "gone" error.
+type ChangeGoneResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// ChangeTooLargeResponseBody is the type of the "administration" service
+// "change" endpoint HTTP response body for the "too_large" error.
+type ChangeTooLargeResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// ChangeUnprocessableResponseBody is the type of the "administration" service
+// "change" endpoint HTTP response body for the "unprocessable" error.
+type ChangeUnprocessableResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// ChangeTooManyResponseBody is the type of the "administration" service
+// "change" endpoint HTTP response body for the "too_many" error.
+type ChangeTooManyResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// ChangeInternalResponseBody is the type of the "administration" service
+// "change" endpoint HTTP response body for the "internal" error.
+type ChangeInternalResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// ChangeBadGatewayResponseBody is the type of the "administration" service
+// "change" endpoint HTTP response body for the "bad_gateway" error.
+type ChangeBadGatewayResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// ChangeUnavailableResponseBody is the type of the "administration" service
+// "change" endpoint HTTP response body for the "unavailable" error.
+type ChangeUnavailableResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// ChangeTimeoutResponseBody is the type of the "administration" service
+// "change" endpoint HTTP response body for the "timeout" error.
+type ChangeTimeoutResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// ExceptionsBadRequestResponseBody is the type of the "administration" service
+// "exceptions" endpoint HTTP response body for the "bad_request" error.
+type ExceptionsBadRequestResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// ExceptionsUnauthorizedResponseBody is the type of the "administration"
+// service "exceptions" endpoint HTTP response body for the "unauthorized"
+// error.
+type ExceptionsUnauthorizedResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// ExceptionsForbiddenResponseBody is the type of the "administration" service
+// "exceptions" endpoint HTTP response body for the "forbidden" error.
+type ExceptionsForbiddenResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// ExceptionsNotFoundResponseBody is the type of the "administration" service
+// "exceptions" endpoint HTTP response body for the "not_found" error.
+type ExceptionsNotFoundResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// ExceptionsConflictResponseBody is the type of the "administration" service
+// "exceptions" endpoint HTTP response body for the "conflict" error.
+type ExceptionsConflictResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// ExceptionsGoneResponseBody is the type of the "administration" service
+// "exceptions" endpoint HTTP response body for the "gone" error.
+type ExceptionsGoneResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// ExceptionsTooLargeResponseBody is the type of the "administration" service
+// "exceptions" endpoint HTTP response body for the "too_large" error.
+type ExceptionsTooLargeResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// ExceptionsUnprocessableResponseBody is the type of the "administration"
+// service "exceptions" endpoint HTTP response body for the "unprocessable"
+// error.
+type ExceptionsUnprocessableResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// ExceptionsTooManyResponseBody is the type of the "administration" service
+// "exceptions" endpoint HTTP response body for the "too_many" error.
+type ExceptionsTooManyResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// ExceptionsInternalResponseBody is the type of the "administration" service
+// "exceptions" endpoint HTTP response body for the "internal" error.
+type ExceptionsInternalResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// ExceptionsBadGatewayResponseBody is the type of the "administration" service
+// "exceptions" endpoint HTTP response body for the "bad_gateway" error.
+type ExceptionsBadGatewayResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// ExceptionsUnavailableResponseBody is the type of the "administration"
+// service "exceptions" endpoint HTTP response body for the "unavailable" error.
+type ExceptionsUnavailableResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// ExceptionsTimeoutResponseBody is the type of the "administration" service
+// "exceptions" endpoint HTTP response body for the "timeout" error.
+type ExceptionsTimeoutResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// PutExceptionBadRequestResponseBody is the type of the "administration"
+// service "put_exception" endpoint HTTP response body for the "bad_request"
+// error.
+type PutExceptionBadRequestResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// PutExceptionUnauthorizedResponseBody is the type of the "administration"
+// service "put_exception" endpoint HTTP response body for the "unauthorized"
+// error.
+type PutExceptionUnauthorizedResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// PutExceptionForbiddenResponseBody is the type of the "administration"
+// service "put_exception" endpoint HTTP response body for the "forbidden"
+// error.
+type PutExceptionForbiddenResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// PutExceptionNotFoundResponseBody is the type of the "administration" service
+// "put_exception" endpoint HTTP response body for the "not_found" error.
+type PutExceptionNotFoundResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// PutExceptionConflictResponseBody is the type of the "administration" service
+// "put_exception" endpoint HTTP response body for the "conflict" error.
+type PutExceptionConflictResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// PutExceptionGoneResponseBody is the type of the "administration" service
+// "put_exception" endpoint HTTP response body for the "gone" error.
+type PutExceptionGoneResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// PutExceptionTooLargeResponseBody is the type of the "administration" service
+// "put_exception" endpoint HTTP response body for the "too_large" error.
+type PutExceptionTooLargeResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// PutExceptionUnprocessableResponseBody is the type of the "administration"
+// service "put_exception" endpoint HTTP response body for the "unprocessable"
+// error.
+type PutExceptionUnprocessableResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// PutExceptionTooManyResponseBody is the type of the "administration" service
+// "put_exception" endpoint HTTP response body for the "too_many" error.
+type PutExceptionTooManyResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// PutExceptionInternalResponseBody is the type of the "administration" service
+// "put_exception" endpoint HTTP response body for the "internal" error.
+type PutExceptionInternalResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// PutExceptionBadGatewayResponseBody is the type of the "administration"
+// service "put_exception" endpoint HTTP response body for the "bad_gateway"
+// error.
+type PutExceptionBadGatewayResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// PutExceptionUnavailableResponseBody is the type of the "administration"
+// service "put_exception" endpoint HTTP response body for the "unavailable"
+// error.
+type PutExceptionUnavailableResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// PutExceptionTimeoutResponseBody is the type of the "administration" service
+// "put_exception" endpoint HTTP response body for the "timeout" error.
+type PutExceptionTimeoutResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// RemoveExceptionBadRequestResponseBody is the type of the "administration"
+// service "remove_exception" endpoint HTTP response body for the "bad_request"
+// error.
+type RemoveExceptionBadRequestResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// RemoveExceptionUnauthorizedResponseBody is the type of the "administration"
+// service "remove_exception" endpoint HTTP response body for the
+// "unauthorized" error.
+type RemoveExceptionUnauthorizedResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// RemoveExceptionForbiddenResponseBody is the type of the "administration"
+// service "remove_exception" endpoint HTTP response body for the "forbidden"
+// error.
+type RemoveExceptionForbiddenResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// RemoveExceptionNotFoundResponseBody is the type of the "administration"
+// service "remove_exception" endpoint HTTP response body for the "not_found"
+// error.
+type RemoveExceptionNotFoundResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// RemoveExceptionConflictResponseBody is the type of the "administration"
+// service "remove_exception" endpoint HTTP response body for the "conflict"
+// error.
+type RemoveExceptionConflictResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// RemoveExceptionGoneResponseBody is the type of the "administration" service
+// "remove_exception" endpoint HTTP response body for the "gone" error.
+type RemoveExceptionGoneResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// RemoveExceptionTooLargeResponseBody is the type of the "administration"
+// service "remove_exception" endpoint HTTP response body for the "too_large"
+// error.
+type RemoveExceptionTooLargeResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// RemoveExceptionUnprocessableResponseBody is the type of the "administration"
+// service "remove_exception" endpoint HTTP response body for the
+// "unprocessable" error.
+type RemoveExceptionUnprocessableResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// RemoveExceptionTooManyResponseBody is the type of the "administration"
+// service "remove_exception" endpoint HTTP response body for the "too_many"
+// error.
+type RemoveExceptionTooManyResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// RemoveExceptionInternalResponseBody is the type of the "administration"
+// service "remove_exception" endpoint HTTP response body for the "internal"
+// error.
+type RemoveExceptionInternalResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// RemoveExceptionBadGatewayResponseBody is the type of the "administration"
+// service "remove_exception" endpoint HTTP response body for the "bad_gateway"
+// error.
+type RemoveExceptionBadGatewayResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// RemoveExceptionUnavailableResponseBody is the type of the "administration"
+// service "remove_exception" endpoint HTTP response body for the "unavailable"
+// error.
+type RemoveExceptionUnavailableResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// RemoveExceptionTimeoutResponseBody is the type of the "administration"
+// service "remove_exception" endpoint HTTP response body for the "timeout"
+// error.
+type RemoveExceptionTimeoutResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// OrganisationsBadRequestResponseBody is the type of the "administration"
+// service "organisations" endpoint HTTP response body for the "bad_request"
+// error.
+type OrganisationsBadRequestResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// OrganisationsUnauthorizedResponseBody is the type of the "administration"
+// service "organisations" endpoint HTTP response body for the "unauthorized"
+// error.
+type OrganisationsUnauthorizedResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// OrganisationsForbiddenResponseBody is the type of the "administration"
+// service "organisations" endpoint HTTP response body for the "forbidden"
+// error.
+type OrganisationsForbiddenResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// OrganisationsNotFoundResponseBody is the type of the "administration"
+// service "organisations" endpoint HTTP response body for the "not_found"
+// error.
+type OrganisationsNotFoundResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// OrganisationsConflictResponseBody is the type of the "administration"
+// service "organisations" endpoint HTTP response body for the "conflict" error.
+type OrganisationsConflictResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// OrganisationsGoneResponseBody is the type of the "administration" service
+// "organisations" endpoint HTTP response body for the "gone" error.
+type OrganisationsGoneResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// OrganisationsTooLargeResponseBody is the type of the "administration"
+// service "organisations" endpoint HTTP response body for the "too_large"
+// error.
+type OrganisationsTooLargeResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// OrganisationsUnprocessableResponseBody is the type of the "administration"
+// service "organisations" endpoint HTTP response body for the "unprocessable"
+// error.
+type OrganisationsUnprocessableResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// OrganisationsTooManyResponseBody is the type of the "administration" service
+// "organisations" endpoint HTTP response body for the "too_many" error.
+type OrganisationsTooManyResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// OrganisationsInternalResponseBody is the type of the "administration"
+// service "organisations" endpoint HTTP response body for the "internal" error.
+type OrganisationsInternalResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// OrganisationsBadGatewayResponseBody is the type of the "administration"
+// service "organisations" endpoint HTTP response body for the "bad_gateway"
+// error.
+type OrganisationsBadGatewayResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// OrganisationsUnavailableResponseBody is the type of the "administration"
+// service "organisations" endpoint HTTP response body for the "unavailable"
+// error.
+type OrganisationsUnavailableResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// OrganisationsTimeoutResponseBody is the type of the "administration" service
+// "organisations" endpoint HTTP response body for the "timeout" error.
+type OrganisationsTimeoutResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// PutOrganisationBadRequestResponseBody is the type of the "administration"
+// service "put_organisation" endpoint HTTP response body for the "bad_request"
+// error.
+type PutOrganisationBadRequestResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// PutOrganisationUnauthorizedResponseBody is the type of the "administration"
+// service "put_organisation" endpoint HTTP response body for the
+// "unauthorized" error.
+type PutOrganisationUnauthorizedResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// PutOrganisationForbiddenResponseBody is the type of the "administration"
+// service "put_organisation" endpoint HTTP response body for the "forbidden"
+// error.
+type PutOrganisationForbiddenResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// PutOrganisationNotFoundResponseBody is the type of the "administration"
+// service "put_organisation" endpoint HTTP response body for the "not_found"
+// error.
+type PutOrganisationNotFoundResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// PutOrganisationConflictResponseBody is the type of the "administration"
+// service "put_organisation" endpoint HTTP response body for the "conflict"
+// error.
+type PutOrganisationConflictResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// PutOrganisationGoneResponseBody is the type of the "administration" service
+// "put_organisation" endpoint HTTP response body for the "gone" error.
+type PutOrganisationGoneResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// PutOrganisationTooLargeResponseBody is the type of the "administration"
+// service "put_organisation" endpoint HTTP response body for the "too_large"
+// error.
+type PutOrganisationTooLargeResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// PutOrganisationUnprocessableResponseBody is the type of the "administration"
+// service "put_organisation" endpoint HTTP response body for the
+// "unprocessable" error.
+type PutOrganisationUnprocessableResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// PutOrganisationTooManyResponseBody is the type of the "administration"
+// service "put_organisation" endpoint HTTP response body for the "too_many"
+// error.
+type PutOrganisationTooManyResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// PutOrganisationInternalResponseBody is the type of the "administration"
+// service "put_organisation" endpoint HTTP response body for the "internal"
+// error.
+type PutOrganisationInternalResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// PutOrganisationBadGatewayResponseBody is the type of the "administration"
+// service "put_organisation" endpoint HTTP response body for the "bad_gateway"
+// error.
+type PutOrganisationBadGatewayResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// PutOrganisationUnavailableResponseBody is the type of the "administration"
+// service "put_organisation" endpoint HTTP response body for the "unavailable"
+// error.
+type PutOrganisationUnavailableResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// PutOrganisationTimeoutResponseBody is the type of the "administration"
+// service "put_organisation" endpoint HTTP response body for the "timeout"
+// error.
+type PutOrganisationTimeoutResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// RemoveOrganisationBadRequestResponseBody is the type of the "administration"
+// service "remove_organisation" endpoint HTTP response body for the
+// "bad_request" error.
+type RemoveOrganisationBadRequestResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// RemoveOrganisationUnauthorizedResponseBody is the type of the
+// "administration" service "remove_organisation" endpoint HTTP response body
+// for the "unauthorized" error.
+type RemoveOrganisationUnauthorizedResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// RemoveOrganisationForbiddenResponseBody is the type of the "administration"
+// service "remove_organisation" endpoint HTTP response body for the
+// "forbidden" error.
+type RemoveOrganisationForbiddenResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// RemoveOrganisationNotFoundResponseBody is the type of the "administration"
+// service "remove_organisation" endpoint HTTP response body for the
+// "not_found" error.
+type RemoveOrganisationNotFoundResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// RemoveOrganisationConflictResponseBody is the type of the "administration"
+// service "remove_organisation" endpoint HTTP response body for the "conflict"
+// error.
+type RemoveOrganisationConflictResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// RemoveOrganisationGoneResponseBody is the type of the "administration"
+// service "remove_organisation" endpoint HTTP response body for the "gone"
+// error.
+type RemoveOrganisationGoneResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// RemoveOrganisationTooLargeResponseBody is the type of the "administration"
+// service "remove_organisation" endpoint HTTP response body for the
+// "too_large" error.
+type RemoveOrganisationTooLargeResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// RemoveOrganisationUnprocessableResponseBody is the type of the
+// "administration" service "remove_organisation" endpoint HTTP response body
+// for the "unprocessable" error.
+type RemoveOrganisationUnprocessableResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// RemoveOrganisationTooManyResponseBody is the type of the "administration"
+// service "remove_organisation" endpoint HTTP response body for the "too_many"
+// error.
+type RemoveOrganisationTooManyResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// RemoveOrganisationInternalResponseBody is the type of the "administration"
+// service "remove_organisation" endpoint HTTP response body for the "internal"
+// error.
+type RemoveOrganisationInternalResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// RemoveOrganisationBadGatewayResponseBody is the type of the "administration"
+// service "remove_organisation" endpoint HTTP response body for the
+// "bad_gateway" error.
+type RemoveOrganisationBadGatewayResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// RemoveOrganisationUnavailableResponseBody is the type of the
+// "administration" service "remove_organisation" endpoint HTTP response body
+// for the "unavailable" error.
+type RemoveOrganisationUnavailableResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// RemoveOrganisationTimeoutResponseBody is the type of the "administration"
+// service "remove_organisation" endpoint HTTP response body for the "timeout"
+// error.
+type RemoveOrganisationTimeoutResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// AddKeyBadRequestResponseBody is the type of the "administration" service
+// "add_key" endpoint HTTP response body for the "bad_request" error.
+type AddKeyBadRequestResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// AddKeyUnauthorizedResponseBody is the type of the "administration" service
+// "add_key" endpoint HTTP response body for the "unauthorized" error.
+type AddKeyUnauthorizedResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// AddKeyForbiddenResponseBody is the type of the "administration" service
+// "add_key" endpoint HTTP response body for the "forbidden" error.
+type AddKeyForbiddenResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// AddKeyNotFoundResponseBody is the type of the "administration" service
+// "add_key" endpoint HTTP response body for the "not_found" error.
+type AddKeyNotFoundResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// AddKeyConflictResponseBody is the type of the "administration" service
+// "add_key" endpoint HTTP response body for the "conflict" error.
+type AddKeyConflictResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// AddKeyGoneResponseBody is the type of the "administration" service "add_key"
+// endpoint HTTP response body for the "gone" error.
+type AddKeyGoneResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// AddKeyTooLargeResponseBody is the type of the "administration" service
+// "add_key" endpoint HTTP response body for the "too_large" error.
+type AddKeyTooLargeResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// AddKeyUnprocessableResponseBody is the type of the "administration" service
+// "add_key" endpoint HTTP response body for the "unprocessable" error.
+type AddKeyUnprocessableResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// AddKeyTooManyResponseBody is the type of the "administration" service
+// "add_key" endpoint HTTP response body for the "too_many" error.
+type AddKeyTooManyResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// AddKeyInternalResponseBody is the type of the "administration" service
+// "add_key" endpoint HTTP response body for the "internal" error.
+type AddKeyInternalResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// AddKeyBadGatewayResponseBody is the type of the "administration" service
+// "add_key" endpoint HTTP response body for the "bad_gateway" error.
+type AddKeyBadGatewayResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// AddKeyUnavailableResponseBody is the type of the "administration" service
+// "add_key" endpoint HTTP response body for the "unavailable" error.
+type AddKeyUnavailableResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// AddKeyTimeoutResponseBody is the type of the "administration" service
+// "add_key" endpoint HTTP response body for the "timeout" error.
+type AddKeyTimeoutResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// RemoveKeyBadRequestResponseBody is the type of the "administration" service
+// "remove_key" endpoint HTTP response body for the "bad_request" error.
+type RemoveKeyBadRequestResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// RemoveKeyUnauthorizedResponseBody is the type of the "administration"
+// service "remove_key" endpoint HTTP response body for the "unauthorized"
+// error.
+type RemoveKeyUnauthorizedResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// RemoveKeyForbiddenResponseBody is the type of the "administration" service
+// "remove_key" endpoint HTTP response body for the "forbidden" error.
+type RemoveKeyForbiddenResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// RemoveKeyNotFoundResponseBody is the type of the "administration" service
+// "remove_key" endpoint HTTP response body for the "not_found" error.
+type RemoveKeyNotFoundResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// RemoveKeyConflictResponseBody is the type of the "administration" service
+// "remove_key" endpoint HTTP response body for the "conflict" error.
+type RemoveKeyConflictResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// RemoveKeyGoneResponseBody is the type of the "administration" service
+// "remove_key" endpoint HTTP response body for the "gone" error.
+type RemoveKeyGoneResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// RemoveKeyTooLargeResponseBody is the type of the "administration" service
+// "remove_key" endpoint HTTP response body for the "too_large" error.
+type RemoveKeyTooLargeResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// RemoveKeyUnprocessableResponseBody is the type of the "administration"
+// service "remove_key" endpoint HTTP response body for the "unprocessable"
+// error.
+type RemoveKeyUnprocessableResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// RemoveKeyTooManyResponseBody is the type of the "administration" service
+// "remove_key" endpoint HTTP response body for the "too_many" error.
+type RemoveKeyTooManyResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// RemoveKeyInternalResponseBody is the type of the "administration" service
+// "remove_key" endpoint HTTP response body for the "internal" error.
+type RemoveKeyInternalResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// RemoveKeyBadGatewayResponseBody is the type of the "administration" service
+// "remove_key" endpoint HTTP response body for the "bad_gateway" error.
+type RemoveKeyBadGatewayResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// RemoveKeyUnavailableResponseBody is the type of the "administration" service
+// "remove_key" endpoint HTTP response body for the "unavailable" error.
+type RemoveKeyUnavailableResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// RemoveKeyTimeoutResponseBody is the type of the "administration" service
+// "remove_key" endpoint HTTP response body for the "timeout" error.
+type RemoveKeyTimeoutResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// DrainBadRequestResponseBody is the type of the "administration" service
+// "drain" endpoint HTTP response body for the "bad_request" error.
+type DrainBadRequestResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// DrainUnauthorizedResponseBody is the type of the "administration" service
+// "drain" endpoint HTTP response body for the "unauthorized" error.
+type DrainUnauthorizedResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// DrainForbiddenResponseBody is the type of the "administration" service
+// "drain" endpoint HTTP response body for the "forbidden" error.
+type DrainForbiddenResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// DrainNotFoundResponseBody is the type of the "administration" service
+// "drain" endpoint HTTP response body for the "not_found" error.
+type DrainNotFoundResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// DrainConflictResponseBody is the type of the "administration" service
+// "drain" endpoint HTTP response body for the "conflict" error.
+type DrainConflictResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// DrainGoneResponseBody is the type of the "administration" service "drain"
+// endpoint HTTP response body for the "gone" error.
+type DrainGoneResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// DrainTooLargeResponseBody is the type of the "administration" service
+// "drain" endpoint HTTP response body for the "too_large" error.
+type DrainTooLargeResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// DrainUnprocessableResponseBody is the type of the "administration" service
+// "drain" endpoint HTTP response body for the "unprocessable" error.
+type DrainUnprocessableResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// DrainTooManyResponseBody is the type of the "administration" service "drain"
+// endpoint HTTP response body for the "too_many" error.
+type DrainTooManyResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// DrainInternalResponseBody is the type of the "administration" service
+// "drain" endpoint HTTP response body for the "internal" error.
+type DrainInternalResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// DrainBadGatewayResponseBody is the type of the "administration" service
+// "drain" endpoint HTTP response body for the "bad_gateway" error.
+type DrainBadGatewayResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// DrainUnavailableResponseBody is the type of the "administration" service
+// "drain" endpoint HTTP response body for the "unavailable" error.
+type DrainUnavailableResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// DrainTimeoutResponseBody is the type of the "administration" service "drain"
+// endpoint HTTP response body for the "timeout" error.
+type DrainTimeoutResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// QuarantineBadRequestResponseBody is the type of the "administration" service
+// "quarantine" endpoint HTTP response body for the "bad_request" error.
+type QuarantineBadRequestResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// QuarantineUnauthorizedResponseBody is the type of the "administration"
+// service "quarantine" endpoint HTTP response body for the "unauthorized"
+// error.
+type QuarantineUnauthorizedResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// QuarantineForbiddenResponseBody is the type of the "administration" service
+// "quarantine" endpoint HTTP response body for the "forbidden" error.
+type QuarantineForbiddenResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// QuarantineNotFoundResponseBody is the type of the "administration" service
+// "quarantine" endpoint HTTP response body for the "not_found" error.
+type QuarantineNotFoundResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// QuarantineConflictResponseBody is the type of the "administration" service
+// "quarantine" endpoint HTTP response body for the "conflict" error.
+type QuarantineConflictResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// QuarantineGoneResponseBody is the type of the "administration" service
+// "quarantine" endpoint HTTP response body for the "gone" error.
+type QuarantineGoneResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// QuarantineTooLargeResponseBody is the type of the "administration" service
+// "quarantine" endpoint HTTP response body for the "too_large" error.
+type QuarantineTooLargeResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// QuarantineUnprocessableResponseBody is the type of the "administration"
+// service "quarantine" endpoint HTTP response body for the "unprocessable"
+// error.
+type QuarantineUnprocessableResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// QuarantineTooManyResponseBody is the type of the "administration" service
+// "quarantine" endpoint HTTP response body for the "too_many" error.
+type QuarantineTooManyResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// QuarantineInternalResponseBody is the type of the "administration" service
+// "quarantine" endpoint HTTP response body for the "internal" error.
+type QuarantineInternalResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// QuarantineBadGatewayResponseBody is the type of the "administration" service
+// "quarantine" endpoint HTTP response body for the "bad_gateway" error.
+type QuarantineBadGatewayResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// QuarantineUnavailableResponseBody is the type of the "administration"
+// service "quarantine" endpoint HTTP response body for the "unavailable" error.
+type QuarantineUnavailableResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// QuarantineTimeoutResponseBody is the type of the "administration" service
+// "quarantine" endpoint HTTP response body for the "timeout" error.
+type QuarantineTimeoutResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// LiftBadRequestResponseBody is the type of the "administration" service
+// "lift" endpoint HTTP response body for the "bad_request" error.
+type LiftBadRequestResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// LiftUnauthorizedResponseBody is the type of the "administration" service
+// "lift" endpoint HTTP response body for the "unauthorized" error.
+type LiftUnauthorizedResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// LiftForbiddenResponseBody is the type of the "administration" service "lift"
+// endpoint HTTP response body for the "forbidden" error.
+type LiftForbiddenResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// LiftNotFoundResponseBody is the type of the "administration" service "lift"
+// endpoint HTTP response body for the "not_found" error.
+type LiftNotFoundResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// LiftConflictResponseBody is the type of the "administration" service "lift"
+// endpoint HTTP response body for the "conflict" error.
+type LiftConflictResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// LiftGoneResponseBody is the type of the "administration" service "lift"
+// endpoint HTTP response body for the "gone" error.
+type LiftGoneResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// LiftTooLargeResponseBody is the type of the "administration" service "lift"
+// endpoint HTTP response body for the "too_large" error.
+type LiftTooLargeResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// LiftUnprocessableResponseBody is the type of the "administration" service
+// "lift" endpoint HTTP response body for the "unprocessable" error.
+type LiftUnprocessableResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// LiftTooManyResponseBody is the type of the "administration" service "lift"
+// endpoint HTTP response body for the "too_many" error.
+type LiftTooManyResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// LiftInternalResponseBody is the type of the "administration" service "lift"
+// endpoint HTTP response body for the "internal" error.
+type LiftInternalResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// LiftBadGatewayResponseBody is the type of the "administration" service
+// "lift" endpoint HTTP response body for the "bad_gateway" error.
+type LiftBadGatewayResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// LiftUnavailableResponseBody is the type of the "administration" service
+// "lift" endpoint HTTP response body for the "unavailable" error.
+type LiftUnavailableResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// LiftTimeoutResponseBody is the type of the "administration" service "lift"
+// endpoint HTTP response body for the "timeout" error.
+type LiftTimeoutResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// OrdersBadRequestResponseBody is the type of the "administration" service
+// "orders" endpoint HTTP response body for the "bad_request" error.
+type OrdersBadRequestResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// OrdersUnauthorizedResponseBody is the type of the "administration" service
+// "orders" endpoint HTTP response body for the "unauthorized" error.
+type OrdersUnauthorizedResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// OrdersForbiddenResponseBody is the type of the "administration" service
+// "orders" endpoint HTTP response body for the "forbidden" error.
+type OrdersForbiddenResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// OrdersNotFoundResponseBody is the type of the "administration" service
+// "orders" endpoint HTTP response body for the "not_found" error.
+type OrdersNotFoundResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// OrdersConflictResponseBody is the type of the "administration" service
+// "orders" endpoint HTTP response body for the "conflict" error.
+type OrdersConflictResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// OrdersGoneResponseBody is the type of the "administration" service "orders"
+// endpoint HTTP response body for the "gone" error.
+type OrdersGoneResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// OrdersTooLargeResponseBody is the type of the "administration" service
+// "orders" endpoint HTTP response body for the "too_large" error.
+type OrdersTooLargeResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// OrdersUnprocessableResponseBody is the type of the "administration" service
+// "orders" endpoint HTTP response body for the "unprocessable" error.
+type OrdersUnprocessableResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// OrdersTooManyResponseBody is the type of the "administration" service
+// "orders" endpoint HTTP response body for the "too_many" error.
+type OrdersTooManyResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// OrdersInternalResponseBody is the type of the "administration" service
+// "orders" endpoint HTTP response body for the "internal" error.
+type OrdersInternalResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// OrdersBadGatewayResponseBody is the type of the "administration" service
+// "orders" endpoint HTTP response body for the "bad_gateway" error.
+type OrdersBadGatewayResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// OrdersUnavailableResponseBody is the type of the "administration" service
+// "orders" endpoint HTTP response body for the "unavailable" error.
+type OrdersUnavailableResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// OrdersTimeoutResponseBody is the type of the "administration" service
+// "orders" endpoint HTTP response body for the "timeout" error.
+type OrdersTimeoutResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// IssueOrderBadRequestResponseBody is the type of the "administration" service
+// "issue_order" endpoint HTTP response body for the "bad_request" error.
+type IssueOrderBadRequestResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// IssueOrderUnauthorizedResponseBody is the type of the "administration"
+// service "issue_order" endpoint HTTP response body for the "unauthorized"
+// error.
+type IssueOrderUnauthorizedResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// IssueOrderForbiddenResponseBody is the type of the "administration" service
+// "issue_order" endpoint HTTP response body for the "forbidden" error.
+type IssueOrderForbiddenResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// IssueOrderNotFoundResponseBody is the type of the "administration" service
+// "issue_order" endpoint HTTP response body for the "not_found" error.
+type IssueOrderNotFoundResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// IssueOrderConflictResponseBody is the type of the "administration" service
+// "issue_order" endpoint HTTP response body for the "conflict" error.
+type IssueOrderConflictResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// IssueOrderGoneResponseBody is the type of the "administration" service
+// "issue_order" endpoint HTTP response body for the "gone" error.
+type IssueOrderGoneResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// IssueOrderTooLargeResponseBody is the type of the "administration" service
+// "issue_order" endpoint HTTP response body for the "too_large" error.
+type IssueOrderTooLargeResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// IssueOrderUnprocessableResponseBody is the type of the "administration"
+// service "issue_order" endpoint HTTP response body for the "unprocessable"
+// error.
+type IssueOrderUnprocessableResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// IssueOrderTooManyResponseBody is the type of the "administration" service
+// "issue_order" endpoint HTTP response body for the "too_many" error.
+type IssueOrderTooManyResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// IssueOrderInternalResponseBody is the type of the "administration" service
+// "issue_order" endpoint HTTP response body for the "internal" error.
+type IssueOrderInternalResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// IssueOrderBadGatewayResponseBody is the type of the "administration" service
+// "issue_order" endpoint HTTP response body for the "bad_gateway" error.
+type IssueOrderBadGatewayResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// IssueOrderUnavailableResponseBody is the type of the "administration"
+// service "issue_order" endpoint HTTP response body for the "unavailable"
+// error.
+type IssueOrderUnavailableResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// IssueOrderTimeoutResponseBody is the type of the "administration" service
+// "issue_order" endpoint HTTP response body for the "timeout" error.
+type IssueOrderTimeoutResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// MemberResponseBody is used to define fields on response body types.
+type MemberResponseBody struct {
+	Instance *string `form:"instance,omitempty" json:"instance,omitempty" xml:"instance,omitempty"`
+	Address  *string `form:"address,omitempty" json:"address,omitempty" xml:"address,omitempty"`
+	// Why the instance did not answer; empty if it did
+	Error  *string              `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+	Groups []*GroupResponseBody `form:"groups,omitempty" json:"groups,omitempty" xml:"groups,omitempty"`
+}
+
+// GroupResponseBody is used to define fields on response body types.
+type GroupResponseBody struct {
+	Group   *uint32 `form:"group,omitempty" json:"group,omitempty" xml:"group,omitempty"`
+	Role    *string `form:"role,omitempty" json:"role,omitempty" xml:"role,omitempty"`
+	Term    *uint64 `form:"term,omitempty" json:"term,omitempty" xml:"term,omitempty"`
+	Leader  *string `form:"leader,omitempty" json:"leader,omitempty" xml:"leader,omitempty"`
+	Commit  *uint64 `form:"commit,omitempty" json:"commit,omitempty" xml:"commit,omitempty"`
+	Applied *uint64 `form:"applied,omitempty" json:"applied,omitempty" xml:"applied,omitempty"`
+}
+
+// InstanceResponseBody is used to define fields on response body types.
+type InstanceResponseBody struct {
+	Instance *string `form:"instance,omitempty" json:"instance,omitempty" xml:"instance,omitempty"`
+	Role     *string `form:"role,omitempty" json:"role,omitempty" xml:"role,omitempty"`
+	Zone     *string `form:"zone,omitempty" json:"zone,omitempty" xml:"zone,omitempty"`
+	// Revision that the process runs
+	Revision *uint64 `form:"revision,omitempty" json:"revision,omitempty" xml:"revision,omitempty"`
+	// Time since its last report
+	AgeMs *int64 `form:"age_ms,omitempty" json:"age_ms,omitempty" xml:"age_ms,omitempty"`
+}
+
+// ZoneResponseBody is used to define fields on response body types.
+type ZoneResponseBody struct {
+	Zone      *string                 `form:"zone,omitempty" json:"zone,omitempty" xml:"zone,omitempty"`
+	Upstreams []*UpstreamResponseBody `form:"upstreams,omitempty" json:"upstreams,omitempty" xml:"upstreams,omitempty"`
+}
+
+// UpstreamResponseBody is used to define fields on response body types.
+type UpstreamResponseBody struct {
+	Instance *string  `form:"instance,omitempty" json:"instance,omitempty" xml:"instance,omitempty"`
+	Address  *string  `form:"address,omitempty" json:"address,omitempty" xml:"address,omitempty"`
+	State    *string  `form:"state,omitempty" json:"state,omitempty" xml:"state,omitempty"`
+	Models   []string `form:"models,omitempty" json:"models,omitempty" xml:"models,omitempty"`
+	Services []string `form:"services,omitempty" json:"services,omitempty" xml:"services,omitempty"`
+	Slots    *uint32  `form:"slots,omitempty" json:"slots,omitempty" xml:"slots,omitempty"`
+}
+
+// ProblemResponseBody is used to define fields on response body types.
+type ProblemResponseBody struct {
+	// Numbered result code, see docs/result-codes.md
+	Code *int `form:"code,omitempty" json:"code,omitempty" xml:"code,omitempty"`
+	// Stable name of the result code
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// Same as name; OpenAI clients read this field
+	Type *string `form:"type,omitempty" json:"type,omitempty" xml:"type,omitempty"`
+	// What went wrong
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Earliest useful time to ask again, in milliseconds; 0 if asking again does
+	// not help
+	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	// Identifies the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// ExceptionResponseBody is used to define fields on response body types.
+type ExceptionResponseBody struct {
+	ID       *string               `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	Key      *string               `form:"key,omitempty" json:"key,omitempty" xml:"key,omitempty"`
+	Value    *string               `form:"value,omitempty" json:"value,omitempty" xml:"value,omitempty"`
+	Selector *SelectorResponseBody `form:"selector,omitempty" json:"selector,omitempty" xml:"selector,omitempty"`
+	Reason   *string               `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// End in Unix milliseconds; 0 or absent never ends
+	UntilMs *int64 `form:"until_ms,omitempty" json:"until_ms,omitempty" xml:"until_ms,omitempty"`
+}
+
+// SelectorResponseBody is used to define fields on response body types.
+type SelectorResponseBody struct {
+	Organisation *string `form:"organisation,omitempty" json:"organisation,omitempty" xml:"organisation,omitempty"`
+	Model        *string `form:"model,omitempty" json:"model,omitempty" xml:"model,omitempty"`
+	Zone         *string `form:"zone,omitempty" json:"zone,omitempty" xml:"zone,omitempty"`
+	Upstream     *string `form:"upstream,omitempty" json:"upstream,omitempty" xml:"upstream,omitempty"`
+	Service      *string `form:"service,omitempty" json:"service,omitempty" xml:"service,omitempty"`
+}
+
+// OrganisationResponseBody is used to define fields on response body types.
+type OrganisationResponseBody struct {
+	// SHA-256 hashes in hexadecimal
+	KeyHashes []string `form:"key_hashes,omitempty" json:"key_hashes,omitempty" xml:"key_hashes,omitempty"`
+}
+
+// KeyInfoResponse is used to define fields on response body types.
+type KeyInfoResponse struct {
+	Name    *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	Kind    *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	Unit    *string `form:"unit,omitempty" json:"unit,omitempty" xml:"unit,omitempty"`
+	Default *string `form:"default,omitempty" json:"default,omitempty" xml:"default,omitempty"`
+	// Least value; durations in seconds
+	Min *float64 `form:"min,omitempty" json:"min,omitempty" xml:"min,omitempty"`
+	// Greatest value; durations in seconds
+	Max   *float64 `form:"max,omitempty" json:"max,omitempty" xml:"max,omitempty"`
+	OneOf []string `form:"one_of,omitempty" json:"one_of,omitempty" xml:"one_of,omitempty"`
+	// What an exception may select by
+	Scopes  []string `form:"scopes,omitempty" json:"scopes,omitempty" xml:"scopes,omitempty"`
+	Meaning *string  `form:"meaning,omitempty" json:"meaning,omitempty" xml:"meaning,omitempty"`
+}
+
+// PastChangeResponse is used to define fields on response body types.
+type PastChangeResponse struct {
+	ChangeID *string `form:"change_id,omitempty" json:"change_id,omitempty" xml:"change_id,omitempty"`
+	Verdict  *string `form:"verdict,omitempty" json:"verdict,omitempty" xml:"verdict,omitempty"`
+	// Revision in force after the change was handled
+	Revision     *uint64  `form:"revision,omitempty" json:"revision,omitempty" xml:"revision,omitempty"`
+	BaseRevision *uint64  `form:"base_revision,omitempty" json:"base_revision,omitempty" xml:"base_revision,omitempty"`
+	Author       *string  `form:"author,omitempty" json:"author,omitempty" xml:"author,omitempty"`
+	Reason       *string  `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	AtMs         *int64   `form:"at_ms,omitempty" json:"at_ms,omitempty" xml:"at_ms,omitempty"`
+	Problems     []string `form:"problems,omitempty" json:"problems,omitempty" xml:"problems,omitempty"`
+}
+
+// EditRequestBody is used to define fields on request body types.
+type EditRequestBody struct {
+	Kind         string                   `form:"kind" json:"kind" xml:"kind"`
+	Name         *string                  `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	Value        *string                  `form:"value,omitempty" json:"value,omitempty" xml:"value,omitempty"`
+	Exception    *ExceptionRequestBody    `form:"exception,omitempty" json:"exception,omitempty" xml:"exception,omitempty"`
+	Organisation *OrganisationRequestBody `form:"organisation,omitempty" json:"organisation,omitempty" xml:"organisation,omitempty"`
+}
+
+// ExceptionRequestBody is used to define fields on request body types.
+type ExceptionRequestBody struct {
+	ID       string               `form:"id" json:"id" xml:"id"`
+	Key      string               `form:"key" json:"key" xml:"key"`
+	Value    string               `form:"value" json:"value" xml:"value"`
+	Selector *SelectorRequestBody `form:"selector" json:"selector" xml:"selector"`
+	Reason   string               `form:"reason" json:"reason" xml:"reason"`
+	// End in Unix milliseconds; 0 or absent never ends
+	UntilMs *int64 `form:"until_ms,omitempty" json:"until_ms,omitempty" xml:"until_ms,omitempty"`
+}
+
+// SelectorRequestBody is used to define fields on request body types.
+type SelectorRequestBody struct {
+	Organisation *string `form:"organisation,omitempty" json:"organisation,omitempty" xml:"organisation,omitempty"`
+	Model        *string `form:"model,omitempty" json:"model,omitempty" xml:"model,omitempty"`
+	Zone         *string `form:"zone,omitempty" json:"zone,omitempty" xml:"zone,omitempty"`
+	Upstream     *string `form:"upstream,omitempty" json:"upstream,omitempty" xml:"upstream,omitempty"`
+	Service      *string `form:"service,omitempty" json:"service,omitempty" xml:"service,omitempty"`
+}
+
+// OrganisationRequestBody is used to define fields on request body types.
+type OrganisationRequestBody struct {
+	// SHA-256 hashes in hexadecimal
+	KeyHashes []string `form:"key_hashes" json:"key_hashes" xml:"key_hashes"`
+}
+
+// ExceptionResponse is used to define fields on response body types.
+type ExceptionResponse struct {
+	ID       *string           `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	Key      *string           `form:"key,omitempty" json:"key,omitempty" xml:"key,omitempty"`
+	Value    *string           `form:"value,omitempty" json:"value,omitempty" xml:"value,omitempty"`
+	Selector *SelectorResponse `form:"selector,omitempty" json:"selector,omitempty" xml:"selector,omitempty"`
+	Reason   *string           `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// End in Unix milliseconds; 0 or absent never ends
+	UntilMs *int64 `form:"until_ms,omitempty" json:"until_ms,omitempty" xml:"until_ms,omitempty"`
+}
+
+// SelectorResponse is used to define fields on response body types.
+type SelectorResponse struct {
+	Organisation *string `form:"organisation,omitempty" json:"organisation,omitempty" xml:"organisation,omitempty"`
+	Model        *string `form:"model,omitempty" json:"model,omitempty" xml:"model,omitempty"`
+	Zone         *string `form:"zone,omitempty" json:"zone,omitempty" xml:"zone,omitempty"`
+	Upstream     *string `form:"upstream,omitempty" json:"upstream,omitempty" xml:"upstream,omitempty"`
+	Service      *string `form:"service,omitempty" json:"service,omitempty" xml:"service,omitempty"`
+}
+
+// OrganisationResponse is used to define fields on response body types.
+type OrganisationResponse struct {
+	// SHA-256 hashes in hexadecimal
+	KeyHashes []string `form:"key_hashes,omitempty" json:"key_hashes,omitempty" xml:"key_hashes,omitempty"`
+}
+
+// SuspectResponse is used to define fields on response body types.
+type SuspectResponse struct {
+	Fingerprint *string `form:"fingerprint,omitempty" json:"fingerprint,omitempty" xml:"fingerprint,omitempty"`
+	Crashes     *uint32 `form:"crashes,omitempty" json:"crashes,omitempty" xml:"crashes,omitempty"`
+	Quarantined *bool   `form:"quarantined,omitempty" json:"quarantined,omitempty" xml:"quarantined,omitempty"`
+	// Time left of the quarantine
+	LeftMs *int64 `form:"left_ms,omitempty" json:"left_ms,omitempty" xml:"left_ms,omitempty"`
+}
+
+// OrderResponse is used to define fields on response body types.
+type OrderResponse struct {
+	// Names the order; sent again, it is not staged twice
+	ID       *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	Upstream *string `form:"upstream,omitempty" json:"upstream,omitempty" xml:"upstream,omitempty"`
+	Kind     *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	Model    *string `form:"model,omitempty" json:"model,omitempty" xml:"model,omitempty"`
+	Adapter  *string `form:"adapter,omitempty" json:"adapter,omitempty" xml:"adapter,omitempty"`
+	Version  *string `form:"version,omitempty" json:"version,omitempty" xml:"version,omitempty"`
+	Role     *string `form:"role,omitempty" json:"role,omitempty" xml:"role,omitempty"`
+	Replaces *string `form:"replaces,omitempty" json:"replaces,omitempty" xml:"replaces,omitempty"`
+	Fence    *uint64 `form:"fence,omitempty" json:"fence,omitempty" xml:"fence,omitempty"`
+	Status   *string `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Message  *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	AtMs     *int64  `form:"at_ms,omitempty" json:"at_ms,omitempty" xml:"at_ms,omitempty"`
+}
+
+// NewChangeRequestBody builds the HTTP request body from the payload of the
+// "change" endpoint of the "administration" service.
+func NewChangeRequestBody(p *administration.ChangePayload) *ChangeRequestBody {
+	body := &ChangeRequestBody{
+		Author:       p.Author,
+		Reason:       p.Reason,
+		ChangeID:     p.ChangeID,
+		BaseRevision: p.BaseRevision,
+	}
+	if p.Edits != nil {
+		body.Edits = make([]*EditRequestBody, len(p.Edits))
+		for i, val := range p.Edits {
+			if val == nil {
+				body.Edits[i] = nil
+				continue
+			}
+			body.Edits[i] = marshalAdministrationEditToEditRequestBody(val)
+		}
+	} else {
+		body.Edits = []*EditRequestBody{}
+	}
+	return body
+}
+
+// NewPutExceptionRequestBody builds the HTTP request body from the payload of
+// the "put_exception" endpoint of the "administration" service.
+func NewPutExceptionRequestBody(p *administration.PutExceptionPayload) *PutExceptionRequestBody {
+	body := &PutExceptionRequestBody{
+		Author:       p.Author,
+		Reason:       p.Reason,
+		ChangeID:     p.ChangeID,
+		BaseRevision: p.BaseRevision,
+		Key:          p.Key,
+		Value:        p.Value,
+		UntilMs:      p.UntilMs,
+	}
+	if p.Selector != nil {
+		body.Selector = marshalAdministrationSelectorToSelectorRequestBody(p.Selector)
+	}
+	return body
+}
+
+// NewPutOrganisationRequestBody builds the HTTP request body from the payload
+// of the "put_organisation" endpoint of the "administration" service.
+func NewPutOrganisationRequestBody(p *administration.PutOrganisationPayload) *PutOrganisationRequestBody {
+	body := &PutOrganisationRequestBody{
+		Author:       p.Author,
+		Reason:       p.Reason,
+		ChangeID:     p.ChangeID,
+		BaseRevision: p.BaseRevision,
+	}
+	if p.KeyHashes != nil {
+		body.KeyHashes = make([]string, len(p.KeyHashes))
+		for i, val := range p.KeyHashes {
+			body.KeyHashes[i] = val
+		}
+	} else {
+		body.KeyHashes = []string{}
+	}
+	return body
+}
+
+// NewDrainRequestBody builds the HTTP request body from the payload of the
+// "drain" endpoint of the "administration" service.
+func NewDrainRequestBody(p *administration.DrainPayload) *DrainRequestBody {
+	body := &DrainRequestBody{
+		Author: p.Author,
+		Reason: p.Reason,
+		Undo:   p.Undo,
+	}
+	return body
+}
+
+// NewLiftRequestBody builds the HTTP request body from the payload of the
+// "lift" endpoint of the "administration" service.
+func NewLiftRequestBody(p *administration.LiftPayload) *LiftRequestBody {
+	body := &LiftRequestBody{
+		Author: p.Author,
+		Reason: p.Reason,
+	}
+	return body
+}
+
+// NewIssueOrderRequestBody builds the HTTP request body from the payload of
+// the "issue_order" endpoint of the "administration" service.
+func NewIssueOrderRequestBody(p *administration.IssueOrderPayload) *IssueOrderRequestBody {
+	body := &IssueOrderRequestBody{
+		Author:   p.Author,
+		Reason:   p.Reason,
+		ID:       p.ID,
+		Upstream: p.Upstream,
+		Kind:     p.Kind,
+		Model:    p.Model,
+		Adapter:  p.Adapter,
+		Version:  p.Version,
+		Role:     p.Role,
+		Replaces: p.Replaces,
+	}
+	return body
+}
+
+// NewStatusFleetOK builds a "administration" service "status" endpoint result
+// from a HTTP "OK" response.
+func NewStatusFleetOK(body *StatusResponseBody) *administration.Fleet {
+	v := &administration.Fleet{
+		Revision: *body.Revision,
+	}
+	v.Members = make([]*administration.Member, len(body.Members))
+	for i, val := range body.Members {
+		if val == nil {
+			v.Members[i] = nil
+			continue
+		}
+		v.Members[i] = unmarshalMemberResponseBodyToAdministrationMember(val)
+	}
+	v.Instances = make([]*administration.Instance, len(body.Instances))
+	for i, val := range body.Instances {
+		if val == nil {
 			v.Instances[i] = nil
 			continue
 		}
-		v.Instances[i] = unmarshalInstanceResponseBodyToAdministrationInstance(val)
+		v.Instances[i] = unmarshalInstanceResponseBodyToAdministrationInstance(val)
+	}
+	v.Zones = make([]*administration.Zone, len(body.Zones))
+	for i, val := range body.Zones {
+		if val == nil {
+			v.Zones[i] = nil
+			continue
+		}
+		v.Zones[i] = unmarshalZoneResponseBodyToAdministrationZone(val)
+	}
+
+	return v
+}
+
+// NewStatusBadRequest builds a administration service status endpoint
+// bad_request error.
+func NewStatusBadRequest(body *StatusBadRequestResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewStatusUnauthorized builds a administration service status endpoint
+// unauthorized error.
+func NewStatusUnauthorized(body *StatusUnauthorizedResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewStatusForbidden builds a administration service status endpoint forbidden
+// error.
+func NewStatusForbidden(body *StatusForbiddenResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewStatusNotFound builds a administration service status endpoint not_found
+// error.
+func NewStatusNotFound(body *StatusNotFoundResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewStatusConflict builds a administration service status endpoint conflict
+// error.
+func NewStatusConflict(body *StatusConflictResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewStatusGone builds a administration service status endpoint gone error.
+func NewStatusGone(body *StatusGoneResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewStatusTooLarge builds a administration service status endpoint too_large
+// error.
+func NewStatusTooLarge(body *StatusTooLargeResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewStatusUnprocessable builds a administration service status endpoint
+// unprocessable error.
+func NewStatusUnprocessable(body *StatusUnprocessableResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewStatusTooMany builds a administration service status endpoint too_many
+// error.
+func NewStatusTooMany(body *StatusTooManyResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewStatusInternal builds a administration service status endpoint internal
+// error.
+func NewStatusInternal(body *StatusInternalResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewStatusBadGateway builds a administration service status endpoint
+// bad_gateway error.
+func NewStatusBadGateway(body *StatusBadGatewayResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewStatusUnavailable builds a administration service status endpoint
+// unavailable error.
+func NewStatusUnavailable(body *StatusUnavailableResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewStatusTimeout builds a administration service status endpoint timeout
+// error.
+func NewStatusTimeout(body *StatusTimeoutResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewConfigurationDocumentOK builds a "administration" service "configuration"
+// endpoint result from a HTTP "OK" response.
+func NewConfigurationDocumentOK(body *ConfigurationResponseBody) *administration.Document {
+	v := &administration.Document{
+		Revision: *body.Revision,
+	}
+	v.Defaults = make(map[string]string, len(body.Defaults))
+	for key, val := range body.Defaults {
+		tk := key
+		tv := val
+		v.Defaults[tk] = tv
+	}
+	v.Exceptions = make([]*administration.Exception, len(body.Exceptions))
+	for i, val := range body.Exceptions {
+		if val == nil {
+			v.Exceptions[i] = nil
+			continue
+		}
+		v.Exceptions[i] = unmarshalExceptionResponseBodyToAdministrationException(val)
+	}
+	v.Organisations = make(map[string]*administration.Organisation, len(body.Organisations))
+	for key, val := range body.Organisations {
+		tk := key
+		if val == nil {
+			v.Organisations[tk] = nil
+			continue
+		}
+		v.Organisations[tk] = unmarshalOrganisationResponseBodyToAdministrationOrganisation(val)
+	}
+
+	return v
+}
+
+// NewConfigurationBadRequest builds a administration service configuration
+// endpoint bad_request error.
+func NewConfigurationBadRequest(body *ConfigurationBadRequestResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewConfigurationUnauthorized builds a administration service configuration
+// endpoint unauthorized error.
+func NewConfigurationUnauthorized(body *ConfigurationUnauthorizedResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewConfigurationForbidden builds a administration service configuration
+// endpoint forbidden error.
+func NewConfigurationForbidden(body *ConfigurationForbiddenResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewConfigurationNotFound builds a administration service configuration
+// endpoint not_found error.
+func NewConfigurationNotFound(body *ConfigurationNotFoundResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewConfigurationConflict builds a administration service configuration
+// endpoint conflict error.
+func NewConfigurationConflict(body *ConfigurationConflictResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewConfigurationGone builds a administration service configuration endpoint
+// gone error.
+func NewConfigurationGone(body *ConfigurationGoneResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewConfigurationTooLarge builds a administration service configuration
+// endpoint too_large error.
+func NewConfigurationTooLarge(body *ConfigurationTooLargeResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewConfigurationUnprocessable builds a administration service configuration
+// endpoint unprocessable error.
+func NewConfigurationUnprocessable(body *ConfigurationUnprocessableResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewConfigurationTooMany builds a administration service configuration
+// endpoint too_many error.
+func NewConfigurationTooMany(body *ConfigurationTooManyResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewConfigurationInternal builds a administration service configuration
+// endpoint internal error.
+func NewConfigurationInternal(body *ConfigurationInternalResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewConfigurationBadGateway builds a administration service configuration
+// endpoint bad_gateway error.
+func NewConfigurationBadGateway(body *ConfigurationBadGatewayResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewConfigurationUnavailable builds a administration service configuration
+// endpoint unavailable error.
+func NewConfigurationUnavailable(body *ConfigurationUnavailableResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewConfigurationTimeout builds a administration service configuration
+// endpoint timeout error.
+func NewConfigurationTimeout(body *ConfigurationTimeoutResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewKeysKeyInfoOK builds a "administration" service "keys" endpoint result
+// from a HTTP "OK" response.
+func NewKeysKeyInfoOK(body []*KeyInfoResponse) []*administration.KeyInfo {
+	v := make([]*administration.KeyInfo, len(body))
+	for i, val := range body {
+		if val == nil {
+			v[i] = nil
+			continue
+		}
+		v[i] = unmarshalKeyInfoResponseToAdministrationKeyInfo(val)
+	}
+
+	return v
+}
+
+// NewKeysBadRequest builds a administration service keys endpoint bad_request
+// error.
+func NewKeysBadRequest(body *KeysBadRequestResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewKeysUnauthorized builds a administration service keys endpoint
+// unauthorized error.
+func NewKeysUnauthorized(body *KeysUnauthorizedResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewKeysForbidden builds a administration service keys endpoint forbidden
+// error.
+func NewKeysForbidden(body *KeysForbiddenResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewKeysNotFound builds a administration service keys endpoint not_found
+// error.
+func NewKeysNotFound(body *KeysNotFoundResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewKeysConflict builds a administration service keys endpoint conflict error.
+func NewKeysConflict(body *KeysConflictResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewKeysGone builds a administration service keys endpoint gone error.
+func NewKeysGone(body *KeysGoneResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewKeysTooLarge builds a administration service keys endpoint too_large
+// error.
+func NewKeysTooLarge(body *KeysTooLargeResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewKeysUnprocessable builds a administration service keys endpoint
+// unprocessable error.
+func NewKeysUnprocessable(body *KeysUnprocessableResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewKeysTooMany builds a administration service keys endpoint too_many error.
+func NewKeysTooMany(body *KeysTooManyResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewKeysInternal builds a administration service keys endpoint internal error.
+func NewKeysInternal(body *KeysInternalResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewKeysBadGateway builds a administration service keys endpoint bad_gateway
+// error.
+func NewKeysBadGateway(body *KeysBadGatewayResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewKeysUnavailable builds a administration service keys endpoint unavailable
+// error.
+func NewKeysUnavailable(body *KeysUnavailableResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewKeysTimeout builds a administration service keys endpoint timeout error.
+func NewKeysTimeout(body *KeysTimeoutResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewHistoryPastChangeOK builds a "administration" service "history" endpoint
+// result from a HTTP "OK" response.
+func NewHistoryPastChangeOK(body []*PastChangeResponse) []*administration.PastChange {
+	v := make([]*administration.PastChange, len(body))
+	for i, val := range body {
+		if val == nil {
+			v[i] = nil
+			continue
+		}
+		v[i] = unmarshalPastChangeResponseToAdministrationPastChange(val)
+	}
+
+	return v
+}
+
+// NewHistoryBadRequest builds a administration service history endpoint
+// bad_request error.
+func NewHistoryBadRequest(body *HistoryBadRequestResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewHistoryUnauthorized builds a administration service history endpoint
+// unauthorized error.
+func NewHistoryUnauthorized(body *HistoryUnauthorizedResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewHistoryForbidden builds a administration service history endpoint
+// forbidden error.
+func NewHistoryForbidden(body *HistoryForbiddenResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewHistoryNotFound builds a administration service history endpoint
+// not_found error.
+func NewHistoryNotFound(body *HistoryNotFoundResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewHistoryConflict builds a administration service history endpoint conflict
+// error.
+func NewHistoryConflict(body *HistoryConflictResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewHistoryGone builds a administration service history endpoint gone error.
+func NewHistoryGone(body *HistoryGoneResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewHistoryTooLarge builds a administration service history endpoint
+// too_large error.
+func NewHistoryTooLarge(body *HistoryTooLargeResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewHistoryUnprocessable builds a administration service history endpoint
+// unprocessable error.
+func NewHistoryUnprocessable(body *HistoryUnprocessableResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewHistoryTooMany builds a administration service history endpoint too_many
+// error.
+func NewHistoryTooMany(body *HistoryTooManyResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewHistoryInternal builds a administration service history endpoint internal
+// error.
+func NewHistoryInternal(body *HistoryInternalResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewHistoryBadGateway builds a administration service history endpoint
+// bad_gateway error.
+func NewHistoryBadGateway(body *HistoryBadGatewayResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewHistoryUnavailable builds a administration service history endpoint
+// unavailable error.
+func NewHistoryUnavailable(body *HistoryUnavailableResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewHistoryTimeout builds a administration service history endpoint timeout
+// error.
+func NewHistoryTimeout(body *HistoryTimeoutResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewChangeAcceptedOK builds a "administration" service "change" endpoint
+// result from a HTTP "OK" response.
+func NewChangeAcceptedOK(body *ChangeResponseBody) *administration.Accepted {
+	v := &administration.Accepted{
+		ChangeID: *body.ChangeID,
+		Revision: *body.Revision,
+	}
+
+	return v
+}
+
+// NewChangeBadRequest builds a administration service change endpoint
+// bad_request error.
+func NewChangeBadRequest(body *ChangeBadRequestResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewChangeUnauthorized builds a administration service change endpoint
+// unauthorized error.
+func NewChangeUnauthorized(body *ChangeUnauthorizedResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewChangeForbidden builds a administration service change endpoint forbidden
+// error.
+func NewChangeForbidden(body *ChangeForbiddenResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewChangeNotFound builds a administration service change endpoint not_found
+// error.
+func NewChangeNotFound(body *ChangeNotFoundResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewChangeConflict builds a administration service change endpoint conflict
+// error.
+func NewChangeConflict(body *ChangeConflictResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewChangeGone builds a administration service change endpoint gone error.
+func NewChangeGone(body *ChangeGoneResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewChangeTooLarge builds a administration service change endpoint too_large
+// error.
+func NewChangeTooLarge(body *ChangeTooLargeResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewChangeUnprocessable builds a administration service change endpoint
+// unprocessable error.
+func NewChangeUnprocessable(body *ChangeUnprocessableResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewChangeTooMany builds a administration service change endpoint too_many
+// error.
+func NewChangeTooMany(body *ChangeTooManyResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewChangeInternal builds a administration service change endpoint internal
+// error.
+func NewChangeInternal(body *ChangeInternalResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewChangeBadGateway builds a administration service change endpoint
+// bad_gateway error.
+func NewChangeBadGateway(body *ChangeBadGatewayResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewChangeUnavailable builds a administration service change endpoint
+// unavailable error.
+func NewChangeUnavailable(body *ChangeUnavailableResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewChangeTimeout builds a administration service change endpoint timeout
+// error.
+func NewChangeTimeout(body *ChangeTimeoutResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewExceptionsExceptionOK builds a "administration" service "exceptions"
+// endpoint result from a HTTP "OK" response.
+func NewExceptionsExceptionOK(body []*ExceptionResponse) []*administration.Exception {
+	v := make([]*administration.Exception, len(body))
+	for i, val := range body {
+		if val == nil {
+			v[i] = nil
+			continue
+		}
+		v[i] = unmarshalExceptionResponseToAdministrationException(val)
+	}
+
+	return v
+}
+
+// NewExceptionsBadRequest builds a administration service exceptions endpoint
+// bad_request error.
+func NewExceptionsBadRequest(body *ExceptionsBadRequestResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewExceptionsUnauthorized builds a administration service exceptions
+// endpoint unauthorized error.
+func NewExceptionsUnauthorized(body *ExceptionsUnauthorizedResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewExceptionsForbidden builds a administration service exceptions endpoint
+// forbidden error.
+func NewExceptionsForbidden(body *ExceptionsForbiddenResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewExceptionsNotFound builds a administration service exceptions endpoint
+// not_found error.
+func NewExceptionsNotFound(body *ExceptionsNotFoundResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewExceptionsConflict builds a administration service exceptions endpoint
+// conflict error.
+func NewExceptionsConflict(body *ExceptionsConflictResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewExceptionsGone builds a administration service exceptions endpoint gone
+// error.
+func NewExceptionsGone(body *ExceptionsGoneResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewExceptionsTooLarge builds a administration service exceptions endpoint
+// too_large error.
+func NewExceptionsTooLarge(body *ExceptionsTooLargeResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewExceptionsUnprocessable builds a administration service exceptions
+// endpoint unprocessable error.
+func NewExceptionsUnprocessable(body *ExceptionsUnprocessableResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewExceptionsTooMany builds a administration service exceptions endpoint
+// too_many error.
+func NewExceptionsTooMany(body *ExceptionsTooManyResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewExceptionsInternal builds a administration service exceptions endpoint
+// internal error.
+func NewExceptionsInternal(body *ExceptionsInternalResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewExceptionsBadGateway builds a administration service exceptions endpoint
+// bad_gateway error.
+func NewExceptionsBadGateway(body *ExceptionsBadGatewayResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewExceptionsUnavailable builds a administration service exceptions endpoint
+// unavailable error.
+func NewExceptionsUnavailable(body *ExceptionsUnavailableResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewExceptionsTimeout builds a administration service exceptions endpoint
+// timeout error.
+func NewExceptionsTimeout(body *ExceptionsTimeoutResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewPutExceptionAcceptedOK builds a "administration" service "put_exception"
+// endpoint result from a HTTP "OK" response.
+func NewPutExceptionAcceptedOK(body *PutExceptionResponseBody) *administration.Accepted {
+	v := &administration.Accepted{
+		ChangeID: *body.ChangeID,
+		Revision: *body.Revision,
+	}
+
+	return v
+}
+
+// NewPutExceptionBadRequest builds a administration service put_exception
+// endpoint bad_request error.
+func NewPutExceptionBadRequest(body *PutExceptionBadRequestResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewPutExceptionUnauthorized builds a administration service put_exception
+// endpoint unauthorized error.
+func NewPutExceptionUnauthorized(body *PutExceptionUnauthorizedResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewPutExceptionForbidden builds a administration service put_exception
+// endpoint forbidden error.
+func NewPutExceptionForbidden(body *PutExceptionForbiddenResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewPutExceptionNotFound builds a administration service put_exception
+// endpoint not_found error.
+func NewPutExceptionNotFound(body *PutExceptionNotFoundResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewPutExceptionConflict builds a administration service put_exception
+// endpoint conflict error.
+func NewPutExceptionConflict(body *PutExceptionConflictResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewPutExceptionGone builds a administration service put_exception endpoint
+// gone error.
+func NewPutExceptionGone(body *PutExceptionGoneResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewPutExceptionTooLarge builds a administration service put_exception
+// endpoint too_large error.
+func NewPutExceptionTooLarge(body *PutExceptionTooLargeResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewPutExceptionUnprocessable builds a administration service put_exception
+// endpoint unprocessable error.
+func NewPutExceptionUnprocessable(body *PutExceptionUnprocessableResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewPutExceptionTooMany builds a administration service put_exception
+// endpoint too_many error.
+func NewPutExceptionTooMany(body *PutExceptionTooManyResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewPutExceptionInternal builds a administration service put_exception
+// endpoint internal error.
+func NewPutExceptionInternal(body *PutExceptionInternalResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewPutExceptionBadGateway builds a administration service put_exception
+// endpoint bad_gateway error.
+func NewPutExceptionBadGateway(body *PutExceptionBadGatewayResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewPutExceptionUnavailable builds a administration service put_exception
+// endpoint unavailable error.
+func NewPutExceptionUnavailable(body *PutExceptionUnavailableResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewPutExceptionTimeout builds a administration service put_exception
+// endpoint timeout error.
+func NewPutExceptionTimeout(body *PutExceptionTimeoutResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewRemoveExceptionAcceptedOK builds a "administration" service
+// "remove_exception" endpoint result from a HTTP "OK" response.
+func NewRemoveExceptionAcceptedOK(body *RemoveExceptionResponseBody) *administration.Accepted {
+	v := &administration.Accepted{
+		ChangeID: *body.ChangeID,
+		Revision: *body.Revision,
+	}
+
+	return v
+}
+
+// NewRemoveExceptionBadRequest builds a administration service
+// remove_exception endpoint bad_request error.
+func NewRemoveExceptionBadRequest(body *RemoveExceptionBadRequestResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewRemoveExceptionUnauthorized builds a administration service
+// remove_exception endpoint unauthorized error.
+func NewRemoveExceptionUnauthorized(body *RemoveExceptionUnauthorizedResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewRemoveExceptionForbidden builds a administration service remove_exception
+// endpoint forbidden error.
+func NewRemoveExceptionForbidden(body *RemoveExceptionForbiddenResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewRemoveExceptionNotFound builds a administration service remove_exception
+// endpoint not_found error.
+func NewRemoveExceptionNotFound(body *RemoveExceptionNotFoundResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewRemoveExceptionConflict builds a administration service remove_exception
+// endpoint conflict error.
+func NewRemoveExceptionConflict(body *RemoveExceptionConflictResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewRemoveExceptionGone builds a administration service remove_exception
+// endpoint gone error.
+func NewRemoveExceptionGone(body *RemoveExceptionGoneResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewRemoveExceptionTooLarge builds a administration service remove_exception
+// endpoint too_large error.
+func NewRemoveExceptionTooLarge(body *RemoveExceptionTooLargeResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewRemoveExceptionUnprocessable builds a administration service
+// remove_exception endpoint unprocessable error.
+func NewRemoveExceptionUnprocessable(body *RemoveExceptionUnprocessableResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewRemoveExceptionTooMany builds a administration service remove_exception
+// endpoint too_many error.
+func NewRemoveExceptionTooMany(body *RemoveExceptionTooManyResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewRemoveExceptionInternal builds a administration service remove_exception
+// endpoint internal error.
+func NewRemoveExceptionInternal(body *RemoveExceptionInternalResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewRemoveExceptionBadGateway builds a administration service
+// remove_exception endpoint bad_gateway error.
+func NewRemoveExceptionBadGateway(body *RemoveExceptionBadGatewayResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewRemoveExceptionUnavailable builds a administration service
+// remove_exception endpoint unavailable error.
+func NewRemoveExceptionUnavailable(body *RemoveExceptionUnavailableResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewRemoveExceptionTimeout builds a administration service remove_exception
+// endpoint timeout error.
+func NewRemoveExceptionTimeout(body *RemoveExceptionTimeoutResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewOrganisationsMapStringOrganisationOK builds a "administration" service
+// "organisations" endpoint result from a HTTP "OK" response.
+func NewOrganisationsMapStringOrganisationOK(body map[string]*OrganisationResponse) map[string]*administration.Organisation {
+	v := make(map[string]*administration.Organisation, len(body))
+	for key, val := range body {
+		tk := key
+		if val == nil {
+			v[tk] = nil
+			continue
+		}
+		v[tk] = unmarshalOrganisationResponseToAdministrationOrganisation(val)
+	}
+
+	return v
+}
+
+// NewOrganisationsBadRequest builds a administration service organisations
+// endpoint bad_request error.
+func NewOrganisationsBadRequest(body *OrganisationsBadRequestResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewOrganisationsUnauthorized builds a administration service organisations
+// endpoint unauthorized error.
+func NewOrganisationsUnauthorized(body *OrganisationsUnauthorizedResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewOrganisationsForbidden builds a administration service organisations
+// endpoint forbidden error.
+func NewOrganisationsForbidden(body *OrganisationsForbiddenResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewOrganisationsNotFound builds a administration service organisations
+// endpoint not_found error.
+func NewOrganisationsNotFound(body *OrganisationsNotFoundResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewOrganisationsConflict builds a administration service organisations
+// endpoint conflict error.
+func NewOrganisationsConflict(body *OrganisationsConflictResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewOrganisationsGone builds a administration service organisations endpoint
+// gone error.
+func NewOrganisationsGone(body *OrganisationsGoneResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewOrganisationsTooLarge builds a administration service organisations
+// endpoint too_large error.
+func NewOrganisationsTooLarge(body *OrganisationsTooLargeResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewOrganisationsUnprocessable builds a administration service organisations
+// endpoint unprocessable error.
+func NewOrganisationsUnprocessable(body *OrganisationsUnprocessableResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewOrganisationsTooMany builds a administration service organisations
+// endpoint too_many error.
+func NewOrganisationsTooMany(body *OrganisationsTooManyResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewOrganisationsInternal builds a administration service organisations
+// endpoint internal error.
+func NewOrganisationsInternal(body *OrganisationsInternalResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewOrganisationsBadGateway builds a administration service organisations
+// endpoint bad_gateway error.
+func NewOrganisationsBadGateway(body *OrganisationsBadGatewayResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewOrganisationsUnavailable builds a administration service organisations
+// endpoint unavailable error.
+func NewOrganisationsUnavailable(body *OrganisationsUnavailableResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewOrganisationsTimeout builds a administration service organisations
+// endpoint timeout error.
+func NewOrganisationsTimeout(body *OrganisationsTimeoutResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewPutOrganisationAcceptedOK builds a "administration" service
+// "put_organisation" endpoint result from a HTTP "OK" response.
+func NewPutOrganisationAcceptedOK(body *PutOrganisationResponseBody) *administration.Accepted {
+	v := &administration.Accepted{
+		ChangeID: *body.ChangeID,
+		Revision: *body.Revision,
+	}
+
+	return v
+}
+
+// NewPutOrganisationBadRequest builds a administration service
+// put_organisation endpoint bad_request error.
+func NewPutOrganisationBadRequest(body *PutOrganisationBadRequestResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewPutOrganisationUnauthorized builds a administration service
+// put_organisation endpoint unauthorized error.
+func NewPutOrganisationUnauthorized(body *PutOrganisationUnauthorizedResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewPutOrganisationForbidden builds a administration service put_organisation
+// endpoint forbidden error.
+func NewPutOrganisationForbidden(body *PutOrganisationForbiddenResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewPutOrganisationNotFound builds a administration service put_organisation
+// endpoint not_found error.
+func NewPutOrganisationNotFound(body *PutOrganisationNotFoundResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewPutOrganisationConflict builds a administration service put_organisation
+// endpoint conflict error.
+func NewPutOrganisationConflict(body *PutOrganisationConflictResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewPutOrganisationGone builds a administration service put_organisation
+// endpoint gone error.
+func NewPutOrganisationGone(body *PutOrganisationGoneResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewPutOrganisationTooLarge builds a administration service put_organisation
+// endpoint too_large error.
+func NewPutOrganisationTooLarge(body *PutOrganisationTooLargeResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewPutOrganisationUnprocessable builds a administration service
+// put_organisation endpoint unprocessable error.
+func NewPutOrganisationUnprocessable(body *PutOrganisationUnprocessableResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewPutOrganisationTooMany builds a administration service put_organisation
+// endpoint too_many error.
+func NewPutOrganisationTooMany(body *PutOrganisationTooManyResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewPutOrganisationInternal builds a administration service put_organisation
+// endpoint internal error.
+func NewPutOrganisationInternal(body *PutOrganisationInternalResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewPutOrganisationBadGateway builds a administration service
+// put_organisation endpoint bad_gateway error.
+func NewPutOrganisationBadGateway(body *PutOrganisationBadGatewayResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewPutOrganisationUnavailable builds a administration service
+// put_organisation endpoint unavailable error.
+func NewPutOrganisationUnavailable(body *PutOrganisationUnavailableResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewPutOrganisationTimeout builds a administration service put_organisation
+// endpoint timeout error.
+func NewPutOrganisationTimeout(body *PutOrganisationTimeoutResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewRemoveOrganisationAcceptedOK builds a "administration" service
+// "remove_organisation" endpoint result from a HTTP "OK" response.
+func NewRemoveOrganisationAcceptedOK(body *RemoveOrganisationResponseBody) *administration.Accepted {
+	v := &administration.Accepted{
+		ChangeID: *body.ChangeID,
+		Revision: *body.Revision,
+	}
+
+	return v
+}
+
+// NewRemoveOrganisationBadRequest builds a administration service
+// remove_organisation endpoint bad_request error.
+func NewRemoveOrganisationBadRequest(body *RemoveOrganisationBadRequestResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewRemoveOrganisationUnauthorized builds a administration service
+// remove_organisation endpoint unauthorized error.
+func NewRemoveOrganisationUnauthorized(body *RemoveOrganisationUnauthorizedResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewRemoveOrganisationForbidden builds a administration service
+// remove_organisation endpoint forbidden error.
+func NewRemoveOrganisationForbidden(body *RemoveOrganisationForbiddenResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewRemoveOrganisationNotFound builds a administration service
+// remove_organisation endpoint not_found error.
+func NewRemoveOrganisationNotFound(body *RemoveOrganisationNotFoundResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewRemoveOrganisationConflict builds a administration service
+// remove_organisation endpoint conflict error.
+func NewRemoveOrganisationConflict(body *RemoveOrganisationConflictResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewRemoveOrganisationGone builds a administration service
+// remove_organisation endpoint gone error.
+func NewRemoveOrganisationGone(body *RemoveOrganisationGoneResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewRemoveOrganisationTooLarge builds a administration service
+// remove_organisation endpoint too_large error.
+func NewRemoveOrganisationTooLarge(body *RemoveOrganisationTooLargeResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewRemoveOrganisationUnprocessable builds a administration service
+// remove_organisation endpoint unprocessable error.
+func NewRemoveOrganisationUnprocessable(body *RemoveOrganisationUnprocessableResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewRemoveOrganisationTooMany builds a administration service
+// remove_organisation endpoint too_many error.
+func NewRemoveOrganisationTooMany(body *RemoveOrganisationTooManyResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewRemoveOrganisationInternal builds a administration service
+// remove_organisation endpoint internal error.
+func NewRemoveOrganisationInternal(body *RemoveOrganisationInternalResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewRemoveOrganisationBadGateway builds a administration service
+// remove_organisation endpoint bad_gateway error.
+func NewRemoveOrganisationBadGateway(body *RemoveOrganisationBadGatewayResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewRemoveOrganisationUnavailable builds a administration service
+// remove_organisation endpoint unavailable error.
+func NewRemoveOrganisationUnavailable(body *RemoveOrganisationUnavailableResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewRemoveOrganisationTimeout builds a administration service
+// remove_organisation endpoint timeout error.
+func NewRemoveOrganisationTimeout(body *RemoveOrganisationTimeoutResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewAddKeyAcceptedOK builds a "administration" service "add_key" endpoint
+// result from a HTTP "OK" response.
+func NewAddKeyAcceptedOK(body *AddKeyResponseBody) *administration.Accepted {
+	v := &administration.Accepted{
+		ChangeID: *body.ChangeID,
+		Revision: *body.Revision,
+	}
+
+	return v
+}
+
+// NewAddKeyBadRequest builds a administration service add_key endpoint
+// bad_request error.
+func NewAddKeyBadRequest(body *AddKeyBadRequestResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewAddKeyUnauthorized builds a administration service add_key endpoint
+// unauthorized error.
+func NewAddKeyUnauthorized(body *AddKeyUnauthorizedResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewAddKeyForbidden builds a administration service add_key endpoint
+// forbidden error.
+func NewAddKeyForbidden(body *AddKeyForbiddenResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewAddKeyNotFound builds a administration service add_key endpoint not_found
+// error.
+func NewAddKeyNotFound(body *AddKeyNotFoundResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewAddKeyConflict builds a administration service add_key endpoint conflict
+// error.
+func NewAddKeyConflict(body *AddKeyConflictResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
