+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewAddKeyGone builds a administration service add_key endpoint gone error.
+func NewAddKeyGone(body *AddKeyGoneResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewAddKeyTooLarge builds a administration service add_key endpoint too_large
+// error.
+func NewAddKeyTooLarge(body *AddKeyTooLargeResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewAddKeyUnprocessable builds a administration service add_key endpoint
+// unprocessable error.
+func NewAddKeyUnprocessable(body *AddKeyUnprocessableResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewAddKeyTooMany builds a administration service add_key endpoint too_many
+// error.
+func NewAddKeyTooMany(body *AddKeyTooManyResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewAddKeyInternal builds a administration service add_key endpoint internal
+// error.
+func NewAddKeyInternal(body *AddKeyInternalResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewAddKeyBadGateway builds a administration service add_key endpoint
+// bad_gateway error.
+func NewAddKeyBadGateway(body *AddKeyBadGatewayResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewAddKeyUnavailable builds a administration service add_key endpoint
+// unavailable error.
+func NewAddKeyUnavailable(body *AddKeyUnavailableResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewAddKeyTimeout builds a administration service add_key endpoint timeout
+// error.
+func NewAddKeyTimeout(body *AddKeyTimeoutResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewRemoveKeyAcceptedOK builds a "administration" service "remove_key"
+// endpoint result from a HTTP "OK" response.
+func NewRemoveKeyAcceptedOK(body *RemoveKeyResponseBody) *administration.Accepted {
+	v := &administration.Accepted{
+		ChangeID: *body.ChangeID,
+		Revision: *body.Revision,
+	}
+
+	return v
+}
+
+// NewRemoveKeyBadRequest builds a administration service remove_key endpoint
+// bad_request error.
+func NewRemoveKeyBadRequest(body *RemoveKeyBadRequestResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewRemoveKeyUnauthorized builds a administration service remove_key endpoint
+// unauthorized error.
+func NewRemoveKeyUnauthorized(body *RemoveKeyUnauthorizedResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewRemoveKeyForbidden builds a administration service remove_key endpoint
+// forbidden error.
+func NewRemoveKeyForbidden(body *RemoveKeyForbiddenResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewRemoveKeyNotFound builds a administration service remove_key endpoint
+// not_found error.
+func NewRemoveKeyNotFound(body *RemoveKeyNotFoundResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewRemoveKeyConflict builds a administration service remove_key endpoint
+// conflict error.
+func NewRemoveKeyConflict(body *RemoveKeyConflictResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewRemoveKeyGone builds a administration service remove_key endpoint gone
+// error.
+func NewRemoveKeyGone(body *RemoveKeyGoneResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewRemoveKeyTooLarge builds a administration service remove_key endpoint
+// too_large error.
+func NewRemoveKeyTooLarge(body *RemoveKeyTooLargeResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewRemoveKeyUnprocessable builds a administration service remove_key
+// endpoint unprocessable error.
+func NewRemoveKeyUnprocessable(body *RemoveKeyUnprocessableResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewRemoveKeyTooMany builds a administration service remove_key endpoint
+// too_many error.
+func NewRemoveKeyTooMany(body *RemoveKeyTooManyResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewRemoveKeyInternal builds a administration service remove_key endpoint
+// internal error.
+func NewRemoveKeyInternal(body *RemoveKeyInternalResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewRemoveKeyBadGateway builds a administration service remove_key endpoint
+// bad_gateway error.
+func NewRemoveKeyBadGateway(body *RemoveKeyBadGatewayResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewRemoveKeyUnavailable builds a administration service remove_key endpoint
+// unavailable error.
+func NewRemoveKeyUnavailable(body *RemoveKeyUnavailableResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewRemoveKeyTimeout builds a administration service remove_key endpoint
+// timeout error.
+func NewRemoveKeyTimeout(body *RemoveKeyTimeoutResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewDrainResultOK builds a "administration" service "drain" endpoint result
+// from a HTTP "OK" response.
+func NewDrainResultOK(body *DrainResponseBody) *administration.DrainResult {
+	v := &administration.DrainResult{
+		Running: *body.Running,
+	}
+
+	return v
+}
+
+// NewDrainBadRequest builds a administration service drain endpoint
+// bad_request error.
+func NewDrainBadRequest(body *DrainBadRequestResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewDrainUnauthorized builds a administration service drain endpoint
+// unauthorized error.
+func NewDrainUnauthorized(body *DrainUnauthorizedResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewDrainForbidden builds a administration service drain endpoint forbidden
+// error.
+func NewDrainForbidden(body *DrainForbiddenResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewDrainNotFound builds a administration service drain endpoint not_found
+// error.
+func NewDrainNotFound(body *DrainNotFoundResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewDrainConflict builds a administration service drain endpoint conflict
+// error.
+func NewDrainConflict(body *DrainConflictResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewDrainGone builds a administration service drain endpoint gone error.
+func NewDrainGone(body *DrainGoneResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewDrainTooLarge builds a administration service drain endpoint too_large
+// error.
+func NewDrainTooLarge(body *DrainTooLargeResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewDrainUnprocessable builds a administration service drain endpoint
+// unprocessable error.
+func NewDrainUnprocessable(body *DrainUnprocessableResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewDrainTooMany builds a administration service drain endpoint too_many
+// error.
+func NewDrainTooMany(body *DrainTooManyResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewDrainInternal builds a administration service drain endpoint internal
+// error.
+func NewDrainInternal(body *DrainInternalResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewDrainBadGateway builds a administration service drain endpoint
+// bad_gateway error.
+func NewDrainBadGateway(body *DrainBadGatewayResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewDrainUnavailable builds a administration service drain endpoint
+// unavailable error.
+func NewDrainUnavailable(body *DrainUnavailableResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewDrainTimeout builds a administration service drain endpoint timeout error.
+func NewDrainTimeout(body *DrainTimeoutResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewQuarantineSuspectOK builds a "administration" service "quarantine"
+// endpoint result from a HTTP "OK" response.
+func NewQuarantineSuspectOK(body []*SuspectResponse) []*administration.Suspect {
+	v := make([]*administration.Suspect, len(body))
+	for i, val := range body {
+		if val == nil {
+			v[i] = nil
+			continue
+		}
+		v[i] = unmarshalSuspectResponseToAdministrationSuspect(val)
+	}
+
+	return v
+}
+
+// NewQuarantineBadRequest builds a administration service quarantine endpoint
+// bad_request error.
+func NewQuarantineBadRequest(body *QuarantineBadRequestResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewQuarantineUnauthorized builds a administration service quarantine
+// endpoint unauthorized error.
+func NewQuarantineUnauthorized(body *QuarantineUnauthorizedResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewQuarantineForbidden builds a administration service quarantine endpoint
+// forbidden error.
+func NewQuarantineForbidden(body *QuarantineForbiddenResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewQuarantineNotFound builds a administration service quarantine endpoint
+// not_found error.
+func NewQuarantineNotFound(body *QuarantineNotFoundResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewQuarantineConflict builds a administration service quarantine endpoint
+// conflict error.
+func NewQuarantineConflict(body *QuarantineConflictResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewQuarantineGone builds a administration service quarantine endpoint gone
+// error.
+func NewQuarantineGone(body *QuarantineGoneResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewQuarantineTooLarge builds a administration service quarantine endpoint
+// too_large error.
+func NewQuarantineTooLarge(body *QuarantineTooLargeResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewQuarantineUnprocessable builds a administration service quarantine
+// endpoint unprocessable error.
+func NewQuarantineUnprocessable(body *QuarantineUnprocessableResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewQuarantineTooMany builds a administration service quarantine endpoint
+// too_many error.
+func NewQuarantineTooMany(body *QuarantineTooManyResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewQuarantineInternal builds a administration service quarantine endpoint
+// internal error.
+func NewQuarantineInternal(body *QuarantineInternalResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewQuarantineBadGateway builds a administration service quarantine endpoint
+// bad_gateway error.
+func NewQuarantineBadGateway(body *QuarantineBadGatewayResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewQuarantineUnavailable builds a administration service quarantine endpoint
+// unavailable error.
+func NewQuarantineUnavailable(body *QuarantineUnavailableResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewQuarantineTimeout builds a administration service quarantine endpoint
+// timeout error.
+func NewQuarantineTimeout(body *QuarantineTimeoutResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewLiftBadRequest builds a administration service lift endpoint bad_request
+// error.
+func NewLiftBadRequest(body *LiftBadRequestResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewLiftUnauthorized builds a administration service lift endpoint
+// unauthorized error.
+func NewLiftUnauthorized(body *LiftUnauthorizedResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewLiftForbidden builds a administration service lift endpoint forbidden
+// error.
+func NewLiftForbidden(body *LiftForbiddenResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewLiftNotFound builds a administration service lift endpoint not_found
+// error.
+func NewLiftNotFound(body *LiftNotFoundResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewLiftConflict builds a administration service lift endpoint conflict error.
+func NewLiftConflict(body *LiftConflictResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewLiftGone builds a administration service lift endpoint gone error.
+func NewLiftGone(body *LiftGoneResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewLiftTooLarge builds a administration service lift endpoint too_large
+// error.
+func NewLiftTooLarge(body *LiftTooLargeResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewLiftUnprocessable builds a administration service lift endpoint
+// unprocessable error.
+func NewLiftUnprocessable(body *LiftUnprocessableResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewLiftTooMany builds a administration service lift endpoint too_many error.
+func NewLiftTooMany(body *LiftTooManyResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewLiftInternal builds a administration service lift endpoint internal error.
+func NewLiftInternal(body *LiftInternalResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewLiftBadGateway builds a administration service lift endpoint bad_gateway
+// error.
+func NewLiftBadGateway(body *LiftBadGatewayResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewLiftUnavailable builds a administration service lift endpoint unavailable
+// error.
+func NewLiftUnavailable(body *LiftUnavailableResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewLiftTimeout builds a administration service lift endpoint timeout error.
+func NewLiftTimeout(body *LiftTimeoutResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewOrdersOrderOK builds a "administration" service "orders" endpoint result
+// from a HTTP "OK" response.
+func NewOrdersOrderOK(body []*OrderResponse) []*administration.Order {
+	v := make([]*administration.Order, len(body))
+	for i, val := range body {
+		if val == nil {
+			v[i] = nil
+			continue
+		}
+		v[i] = unmarshalOrderResponseToAdministrationOrder(val)
+	}
+
+	return v
+}
+
+// NewOrdersBadRequest builds a administration service orders endpoint
+// bad_request error.
+func NewOrdersBadRequest(body *OrdersBadRequestResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewOrdersUnauthorized builds a administration service orders endpoint
+// unauthorized error.
+func NewOrdersUnauthorized(body *OrdersUnauthorizedResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewOrdersForbidden builds a administration service orders endpoint forbidden
+// error.
+func NewOrdersForbidden(body *OrdersForbiddenResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewOrdersNotFound builds a administration service orders endpoint not_found
+// error.
+func NewOrdersNotFound(body *OrdersNotFoundResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewOrdersConflict builds a administration service orders endpoint conflict
+// error.
+func NewOrdersConflict(body *OrdersConflictResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewOrdersGone builds a administration service orders endpoint gone error.
+func NewOrdersGone(body *OrdersGoneResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewOrdersTooLarge builds a administration service orders endpoint too_large
+// error.
+func NewOrdersTooLarge(body *OrdersTooLargeResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewOrdersUnprocessable builds a administration service orders endpoint
+// unprocessable error.
+func NewOrdersUnprocessable(body *OrdersUnprocessableResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewOrdersTooMany builds a administration service orders endpoint too_many
+// error.
+func NewOrdersTooMany(body *OrdersTooManyResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewOrdersInternal builds a administration service orders endpoint internal
+// error.
+func NewOrdersInternal(body *OrdersInternalResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewOrdersBadGateway builds a administration service orders endpoint
+// bad_gateway error.
+func NewOrdersBadGateway(body *OrdersBadGatewayResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewOrdersUnavailable builds a administration service orders endpoint
+// unavailable error.
+func NewOrdersUnavailable(body *OrdersUnavailableResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewOrdersTimeout builds a administration service orders endpoint timeout
+// error.
+func NewOrdersTimeout(body *OrdersTimeoutResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewIssueOrderResultOK builds a "administration" service "issue_order"
+// endpoint result from a HTTP "OK" response.
+func NewIssueOrderResultOK(body *IssueOrderResponseBody) *administration.IssueOrderResult {
+	v := &administration.IssueOrderResult{
+		ID:      *body.ID,
+		Status:  *body.Status,
+		Message: *body.Message,
+	}
+
+	return v
+}
+
+// NewIssueOrderBadRequest builds a administration service issue_order endpoint
+// bad_request error.
+func NewIssueOrderBadRequest(body *IssueOrderBadRequestResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewIssueOrderUnauthorized builds a administration service issue_order
+// endpoint unauthorized error.
+func NewIssueOrderUnauthorized(body *IssueOrderUnauthorizedResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewIssueOrderForbidden builds a administration service issue_order endpoint
+// forbidden error.
+func NewIssueOrderForbidden(body *IssueOrderForbiddenResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewIssueOrderNotFound builds a administration service issue_order endpoint
+// not_found error.
+func NewIssueOrderNotFound(body *IssueOrderNotFoundResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewIssueOrderConflict builds a administration service issue_order endpoint
+// conflict error.
+func NewIssueOrderConflict(body *IssueOrderConflictResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewIssueOrderGone builds a administration service issue_order endpoint gone
+// error.
+func NewIssueOrderGone(body *IssueOrderGoneResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewIssueOrderTooLarge builds a administration service issue_order endpoint
+// too_large error.
+func NewIssueOrderTooLarge(body *IssueOrderTooLargeResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewIssueOrderUnprocessable builds a administration service issue_order
+// endpoint unprocessable error.
+func NewIssueOrderUnprocessable(body *IssueOrderUnprocessableResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewIssueOrderTooMany builds a administration service issue_order endpoint
+// too_many error.
+func NewIssueOrderTooMany(body *IssueOrderTooManyResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewIssueOrderInternal builds a administration service issue_order endpoint
+// internal error.
+func NewIssueOrderInternal(body *IssueOrderInternalResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewIssueOrderBadGateway builds a administration service issue_order endpoint
+// bad_gateway error.
+func NewIssueOrderBadGateway(body *IssueOrderBadGatewayResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewIssueOrderUnavailable builds a administration service issue_order
+// endpoint unavailable error.
+func NewIssueOrderUnavailable(body *IssueOrderUnavailableResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewIssueOrderTimeout builds a administration service issue_order endpoint
+// timeout error.
+func NewIssueOrderTimeout(body *IssueOrderTimeoutResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// ValidateStatusResponseBody runs the validations defined on StatusResponseBody
+func ValidateStatusResponseBody(body *StatusResponseBody) (err error) {
+	if body.Revision == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("revision", "body"))
+	}
+	if body.Members == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("members", "body"))
+	}
+	if body.Instances == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("instances", "body"))
+	}
+	if body.Zones == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("zones", "body"))
+	}
+	for _, e := range body.Members {
+		if e != nil {
+			if err2 := ValidateMemberResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	for _, e := range body.Instances {
+		if e != nil {
+			if err2 := ValidateInstanceResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	for _, e := range body.Zones {
+		if e != nil {
+			if err2 := ValidateZoneResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
+// ValidateConfigurationResponseBody runs the validations defined on
+// ConfigurationResponseBody
+func ValidateConfigurationResponseBody(body *ConfigurationResponseBody) (err error) {
+	if body.Revision == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("revision", "body"))
+	}
+	if body.Defaults == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("defaults", "body"))
+	}
+	if body.Exceptions == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("exceptions", "body"))
+	}
+	if body.Organisations == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("organisations", "body"))
+	}
+	for _, e := range body.Exceptions {
+		if e != nil {
+			if err2 := ValidateExceptionResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	for _, v := range body.Organisations {
+		if v != nil {
+			if err2 := ValidateOrganisationResponseBody(v); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
+// ValidateChangeResponseBody runs the validations defined on ChangeResponseBody
+func ValidateChangeResponseBody(body *ChangeResponseBody) (err error) {
+	if body.ChangeID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("change_id", "body"))
+	}
+	if body.Revision == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("revision", "body"))
+	}
+	return
+}
+
+// ValidatePutExceptionResponseBody runs the validations defined on
+// put_exception_response_body
+func ValidatePutExceptionResponseBody(body *PutExceptionResponseBody) (err error) {
+	if body.ChangeID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("change_id", "body"))
+	}
+	if body.Revision == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("revision", "body"))
+	}
+	return
+}
+
+// ValidateRemoveExceptionResponseBody runs the validations defined on
+// remove_exception_response_body
+func ValidateRemoveExceptionResponseBody(body *RemoveExceptionResponseBody) (err error) {
+	if body.ChangeID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("change_id", "body"))
+	}
+	if body.Revision == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("revision", "body"))
+	}
+	return
+}
+
+// ValidatePutOrganisationResponseBody runs the validations defined on
+// put_organisation_response_body
+func ValidatePutOrganisationResponseBody(body *PutOrganisationResponseBody) (err error) {
+	if body.ChangeID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("change_id", "body"))
+	}
+	if body.Revision == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("revision", "body"))
+	}
+	return
+}
+
+// ValidateRemoveOrganisationResponseBody runs the validations defined on
+// remove_organisation_response_body
+func ValidateRemoveOrganisationResponseBody(body *RemoveOrganisationResponseBody) (err error) {
+	if body.ChangeID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("change_id", "body"))
+	}
+	if body.Revision == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("revision", "body"))
+	}
+	return
+}
+
+// ValidateAddKeyResponseBody runs the validations defined on
+// add_key_response_body
+func ValidateAddKeyResponseBody(body *AddKeyResponseBody) (err error) {
+	if body.ChangeID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("change_id", "body"))
+	}
+	if body.Revision == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("revision", "body"))
+	}
+	return
+}
+
+// ValidateRemoveKeyResponseBody runs the validations defined on
+// remove_key_response_body
+func ValidateRemoveKeyResponseBody(body *RemoveKeyResponseBody) (err error) {
+	if body.ChangeID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("change_id", "body"))
+	}
+	if body.Revision == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("revision", "body"))
+	}
+	return
+}
+
+// ValidateDrainResponseBody runs the validations defined on DrainResponseBody
+func ValidateDrainResponseBody(body *DrainResponseBody) (err error) {
+	if body.Running == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("running", "body"))
+	}
+	return
+}
+
+// ValidateIssueOrderResponseBody runs the validations defined on
+// issue_order_response_body
+func ValidateIssueOrderResponseBody(body *IssueOrderResponseBody) (err error) {
+	if body.ID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
+	}
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	return
+}
+
+// ValidateStatusBadRequestResponseBody runs the validations defined on
+// status_bad_request_response_body
+func ValidateStatusBadRequestResponseBody(body *StatusBadRequestResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateStatusUnauthorizedResponseBody runs the validations defined on
+// status_unauthorized_response_body
+func ValidateStatusUnauthorizedResponseBody(body *StatusUnauthorizedResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateStatusForbiddenResponseBody runs the validations defined on
+// status_forbidden_response_body
+func ValidateStatusForbiddenResponseBody(body *StatusForbiddenResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateStatusNotFoundResponseBody runs the validations defined on
+// status_not_found_response_body
+func ValidateStatusNotFoundResponseBody(body *StatusNotFoundResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateStatusConflictResponseBody runs the validations defined on
+// status_conflict_response_body
+func ValidateStatusConflictResponseBody(body *StatusConflictResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateStatusGoneResponseBody runs the validations defined on
+// status_gone_response_body
+func ValidateStatusGoneResponseBody(body *StatusGoneResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateStatusTooLargeResponseBody runs the validations defined on
+// status_too_large_response_body
+func ValidateStatusTooLargeResponseBody(body *StatusTooLargeResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateStatusUnprocessableResponseBody runs the validations defined on
+// status_unprocessable_response_body
+func ValidateStatusUnprocessableResponseBody(body *StatusUnprocessableResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateStatusTooManyResponseBody runs the validations defined on
+// status_too_many_response_body
+func ValidateStatusTooManyResponseBody(body *StatusTooManyResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateStatusInternalResponseBody runs the validations defined on
+// status_internal_response_body
+func ValidateStatusInternalResponseBody(body *StatusInternalResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateStatusBadGatewayResponseBody runs the validations defined on
+// status_bad_gateway_response_body
+func ValidateStatusBadGatewayResponseBody(body *StatusBadGatewayResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateStatusUnavailableResponseBody runs the validations defined on
+// status_unavailable_response_body
+func ValidateStatusUnavailableResponseBody(body *StatusUnavailableResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateStatusTimeoutResponseBody runs the validations defined on
+// status_timeout_response_body
+func ValidateStatusTimeoutResponseBody(body *StatusTimeoutResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateConfigurationBadRequestResponseBody runs the validations defined on
+// configuration_bad_request_response_body
+func ValidateConfigurationBadRequestResponseBody(body *ConfigurationBadRequestResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateConfigurationUnauthorizedResponseBody runs the validations defined
+// on configuration_unauthorized_response_body
+func ValidateConfigurationUnauthorizedResponseBody(body *ConfigurationUnauthorizedResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateConfigurationForbiddenResponseBody runs the validations defined on
+// configuration_forbidden_response_body
+func ValidateConfigurationForbiddenResponseBody(body *ConfigurationForbiddenResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateConfigurationNotFoundResponseBody runs the validations defined on
+// configuration_not_found_response_body
+func ValidateConfigurationNotFoundResponseBody(body *ConfigurationNotFoundResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateConfigurationConflictResponseBody runs the validations defined on
+// configuration_conflict_response_body
+func ValidateConfigurationConflictResponseBody(body *ConfigurationConflictResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateConfigurationGoneResponseBody runs the validations defined on
+// configuration_gone_response_body
+func ValidateConfigurationGoneResponseBody(body *ConfigurationGoneResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateConfigurationTooLargeResponseBody runs the validations defined on
+// configuration_too_large_response_body
+func ValidateConfigurationTooLargeResponseBody(body *ConfigurationTooLargeResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateConfigurationUnprocessableResponseBody runs the validations defined
+// on configuration_unprocessable_response_body
+func ValidateConfigurationUnprocessableResponseBody(body *ConfigurationUnprocessableResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateConfigurationTooManyResponseBody runs the validations defined on
+// configuration_too_many_response_body
+func ValidateConfigurationTooManyResponseBody(body *ConfigurationTooManyResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateConfigurationInternalResponseBody runs the validations defined on
+// configuration_internal_response_body
+func ValidateConfigurationInternalResponseBody(body *ConfigurationInternalResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateConfigurationBadGatewayResponseBody runs the validations defined on
+// configuration_bad_gateway_response_body
+func ValidateConfigurationBadGatewayResponseBody(body *ConfigurationBadGatewayResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateConfigurationUnavailableResponseBody runs the validations defined on
+// configuration_unavailable_response_body
+func ValidateConfigurationUnavailableResponseBody(body *ConfigurationUnavailableResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateConfigurationTimeoutResponseBody runs the validations defined on
+// configuration_timeout_response_body
+func ValidateConfigurationTimeoutResponseBody(body *ConfigurationTimeoutResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateKeysBadRequestResponseBody runs the validations defined on
+// keys_bad_request_response_body
+func ValidateKeysBadRequestResponseBody(body *KeysBadRequestResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateKeysUnauthorizedResponseBody runs the validations defined on
+// keys_unauthorized_response_body
+func ValidateKeysUnauthorizedResponseBody(body *KeysUnauthorizedResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateKeysForbiddenResponseBody runs the validations defined on
+// keys_forbidden_response_body
+func ValidateKeysForbiddenResponseBody(body *KeysForbiddenResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateKeysNotFoundResponseBody runs the validations defined on
+// keys_not_found_response_body
+func ValidateKeysNotFoundResponseBody(body *KeysNotFoundResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateKeysConflictResponseBody runs the validations defined on
+// keys_conflict_response_body
+func ValidateKeysConflictResponseBody(body *KeysConflictResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateKeysGoneResponseBody runs the validations defined on
+// keys_gone_response_body
+func ValidateKeysGoneResponseBody(body *KeysGoneResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateKeysTooLargeResponseBody runs the validations defined on
+// keys_too_large_response_body
+func ValidateKeysTooLargeResponseBody(body *KeysTooLargeResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateKeysUnprocessableResponseBody runs the validations defined on
+// keys_unprocessable_response_body
+func ValidateKeysUnprocessableResponseBody(body *KeysUnprocessableResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateKeysTooManyResponseBody runs the validations defined on
+// keys_too_many_response_body
+func ValidateKeysTooManyResponseBody(body *KeysTooManyResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateKeysInternalResponseBody runs the validations defined on
+// keys_internal_response_body
+func ValidateKeysInternalResponseBody(body *KeysInternalResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateKeysBadGatewayResponseBody runs the validations defined on
+// keys_bad_gateway_response_body
+func ValidateKeysBadGatewayResponseBody(body *KeysBadGatewayResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateKeysUnavailableResponseBody runs the validations defined on
+// keys_unavailable_response_body
+func ValidateKeysUnavailableResponseBody(body *KeysUnavailableResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateKeysTimeoutResponseBody runs the validations defined on
+// keys_timeout_response_body
+func ValidateKeysTimeoutResponseBody(body *KeysTimeoutResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateHistoryBadRequestResponseBody runs the validations defined on
+// history_bad_request_response_body
+func ValidateHistoryBadRequestResponseBody(body *HistoryBadRequestResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateHistoryUnauthorizedResponseBody runs the validations defined on
+// history_unauthorized_response_body
+func ValidateHistoryUnauthorizedResponseBody(body *HistoryUnauthorizedResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateHistoryForbiddenResponseBody runs the validations defined on
+// history_forbidden_response_body
+func ValidateHistoryForbiddenResponseBody(body *HistoryForbiddenResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateHistoryNotFoundResponseBody runs the validations defined on
+// history_not_found_response_body
+func ValidateHistoryNotFoundResponseBody(body *HistoryNotFoundResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateHistoryConflictResponseBody runs the validations defined on
+// history_conflict_response_body
+func ValidateHistoryConflictResponseBody(body *HistoryConflictResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateHistoryGoneResponseBody runs the validations defined on
+// history_gone_response_body
+func ValidateHistoryGoneResponseBody(body *HistoryGoneResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateHistoryTooLargeResponseBody runs the validations defined on
+// history_too_large_response_body
+func ValidateHistoryTooLargeResponseBody(body *HistoryTooLargeResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateHistoryUnprocessableResponseBody runs the validations defined on
+// history_unprocessable_response_body
+func ValidateHistoryUnprocessableResponseBody(body *HistoryUnprocessableResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateHistoryTooManyResponseBody runs the validations defined on
+// history_too_many_response_body
+func ValidateHistoryTooManyResponseBody(body *HistoryTooManyResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateHistoryInternalResponseBody runs the validations defined on
+// history_internal_response_body
+func ValidateHistoryInternalResponseBody(body *HistoryInternalResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateHistoryBadGatewayResponseBody runs the validations defined on
+// history_bad_gateway_response_body
+func ValidateHistoryBadGatewayResponseBody(body *HistoryBadGatewayResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateHistoryUnavailableResponseBody runs the validations defined on
+// history_unavailable_response_body
+func ValidateHistoryUnavailableResponseBody(body *HistoryUnavailableResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateHistoryTimeoutResponseBody runs the validations defined on
+// history_timeout_response_body
+func ValidateHistoryTimeoutResponseBody(body *HistoryTimeoutResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateChangeBadRequestResponseBody runs the validations defined on
+// change_bad_request_response_body
+func ValidateChangeBadRequestResponseBody(body *ChangeBadRequestResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateChangeUnauthorizedResponseBody runs the validations defined on
+// change_unauthorized_response_body
+func ValidateChangeUnauthorizedResponseBody(body *ChangeUnauthorizedResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateChangeForbiddenResponseBody runs the validations defined on
+// change_forbidden_response_body
+func ValidateChangeForbiddenResponseBody(body *ChangeForbiddenResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateChangeNotFoundResponseBody runs the validations defined on
+// change_not_found_response_body
+func ValidateChangeNotFoundResponseBody(body *ChangeNotFoundResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateChangeConflictResponseBody runs the validations defined on
+// change_conflict_response_body
+func ValidateChangeConflictResponseBody(body *ChangeConflictResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateChangeGoneResponseBody runs the validations defined on
+// change_gone_response_body
+func ValidateChangeGoneResponseBody(body *ChangeGoneResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateChangeTooLargeResponseBody runs the validations defined on
+// change_too_large_response_body
+func ValidateChangeTooLargeResponseBody(body *ChangeTooLargeResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateChangeUnprocessableResponseBody runs the validations defined on
+// change_unprocessable_response_body
+func ValidateChangeUnprocessableResponseBody(body *ChangeUnprocessableResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateChangeTooManyResponseBody runs the validations defined on
+// change_too_many_response_body
+func ValidateChangeTooManyResponseBody(body *ChangeTooManyResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateChangeInternalResponseBody runs the validations defined on
+// change_internal_response_body
+func ValidateChangeInternalResponseBody(body *ChangeInternalResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateChangeBadGatewayResponseBody runs the validations defined on
+// change_bad_gateway_response_body
+func ValidateChangeBadGatewayResponseBody(body *ChangeBadGatewayResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateChangeUnavailableResponseBody runs the validations defined on
+// change_unavailable_response_body
+func ValidateChangeUnavailableResponseBody(body *ChangeUnavailableResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateChangeTimeoutResponseBody runs the validations defined on
+// change_timeout_response_body
+func ValidateChangeTimeoutResponseBody(body *ChangeTimeoutResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateExceptionsBadRequestResponseBody runs the validations defined on
+// exceptions_bad_request_response_body
+func ValidateExceptionsBadRequestResponseBody(body *ExceptionsBadRequestResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateExceptionsUnauthorizedResponseBody runs the validations defined on
+// exceptions_unauthorized_response_body
+func ValidateExceptionsUnauthorizedResponseBody(body *ExceptionsUnauthorizedResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateExceptionsForbiddenResponseBody runs the validations defined on
+// exceptions_forbidden_response_body
+func ValidateExceptionsForbiddenResponseBody(body *ExceptionsForbiddenResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateExceptionsNotFoundResponseBody runs the validations defined on
+// exceptions_not_found_response_body
+func ValidateExceptionsNotFoundResponseBody(body *ExceptionsNotFoundResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateExceptionsConflictResponseBody runs the validations defined on
+// exceptions_conflict_response_body
+func ValidateExceptionsConflictResponseBody(body *ExceptionsConflictResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateExceptionsGoneResponseBody runs the validations defined on
+// exceptions_gone_response_body
+func ValidateExceptionsGoneResponseBody(body *ExceptionsGoneResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateExceptionsTooLargeResponseBody runs the validations defined on
+// exceptions_too_large_response_body
+func ValidateExceptionsTooLargeResponseBody(body *ExceptionsTooLargeResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateExceptionsUnprocessableResponseBody runs the validations defined on
+// exceptions_unprocessable_response_body
+func ValidateExceptionsUnprocessableResponseBody(body *ExceptionsUnprocessableResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateExceptionsTooManyResponseBody runs the validations defined on
+// exceptions_too_many_response_body
+func ValidateExceptionsTooManyResponseBody(body *ExceptionsTooManyResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateExceptionsInternalResponseBody runs the validations defined on
+// exceptions_internal_response_body
+func ValidateExceptionsInternalResponseBody(body *ExceptionsInternalResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateExceptionsBadGatewayResponseBody runs the validations defined on
+// exceptions_bad_gateway_response_body
+func ValidateExceptionsBadGatewayResponseBody(body *ExceptionsBadGatewayResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateExceptionsUnavailableResponseBody runs the validations defined on
+// exceptions_unavailable_response_body
+func ValidateExceptionsUnavailableResponseBody(body *ExceptionsUnavailableResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateExceptionsTimeoutResponseBody runs the validations defined on
+// exceptions_timeout_response_body
+func ValidateExceptionsTimeoutResponseBody(body *ExceptionsTimeoutResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidatePutExceptionBadRequestResponseBody runs the validations defined on
+// put_exception_bad_request_response_body
+func ValidatePutExceptionBadRequestResponseBody(body *PutExceptionBadRequestResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidatePutExceptionUnauthorizedResponseBody runs the validations defined on
+// put_exception_unauthorized_response_body
+func ValidatePutExceptionUnauthorizedResponseBody(body *PutExceptionUnauthorizedResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidatePutExceptionForbiddenResponseBody runs the validations defined on
+// put_exception_forbidden_response_body
+func ValidatePutExceptionForbiddenResponseBody(body *PutExceptionForbiddenResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidatePutExceptionNotFoundResponseBody runs the validations defined on
+// put_exception_not_found_response_body
+func ValidatePutExceptionNotFoundResponseBody(body *PutExceptionNotFoundResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidatePutExceptionConflictResponseBody runs the validations defined on
+// put_exception_conflict_response_body
+func ValidatePutExceptionConflictResponseBody(body *PutExceptionConflictResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidatePutExceptionGoneResponseBody runs the validations defined on
+// put_exception_gone_response_body
+func ValidatePutExceptionGoneResponseBody(body *PutExceptionGoneResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidatePutExceptionTooLargeResponseBody runs the validations defined on
+// put_exception_too_large_response_body
+func ValidatePutExceptionTooLargeResponseBody(body *PutExceptionTooLargeResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidatePutExceptionUnprocessableResponseBody runs the validations defined
+// on put_exception_unprocessable_response_body
+func ValidatePutExceptionUnprocessableResponseBody(body *PutExceptionUnprocessableResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidatePutExceptionTooManyResponseBody runs the validations defined on
+// put_exception_too_many_response_body
+func ValidatePutExceptionTooManyResponseBody(body *PutExceptionTooManyResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidatePutExceptionInternalResponseBody runs the validations defined on
+// put_exception_internal_response_body
+func ValidatePutExceptionInternalResponseBody(body *PutExceptionInternalResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidatePutExceptionBadGatewayResponseBody runs the validations defined on
+// put_exception_bad_gateway_response_body
+func ValidatePutExceptionBadGatewayResponseBody(body *PutExceptionBadGatewayResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidatePutExceptionUnavailableResponseBody runs the validations defined on
+// put_exception_unavailable_response_body
+func ValidatePutExceptionUnavailableResponseBody(body *PutExceptionUnavailableResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidatePutExceptionTimeoutResponseBody runs the validations defined on
+// put_exception_timeout_response_body
+func ValidatePutExceptionTimeoutResponseBody(body *PutExceptionTimeoutResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateRemoveExceptionBadRequestResponseBody runs the validations defined
+// on remove_exception_bad_request_response_body
+func ValidateRemoveExceptionBadRequestResponseBody(body *RemoveExceptionBadRequestResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateRemoveExceptionUnauthorizedResponseBody runs the validations defined
+// on remove_exception_unauthorized_response_body
+func ValidateRemoveExceptionUnauthorizedResponseBody(body *RemoveExceptionUnauthorizedResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateRemoveExceptionForbiddenResponseBody runs the validations defined on
+// remove_exception_forbidden_response_body
+func ValidateRemoveExceptionForbiddenResponseBody(body *RemoveExceptionForbiddenResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateRemoveExceptionNotFoundResponseBody runs the validations defined on
+// remove_exception_not_found_response_body
+func ValidateRemoveExceptionNotFoundResponseBody(body *RemoveExceptionNotFoundResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateRemoveExceptionConflictResponseBody runs the validations defined on
+// remove_exception_conflict_response_body
+func ValidateRemoveExceptionConflictResponseBody(body *RemoveExceptionConflictResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateRemoveExceptionGoneResponseBody runs the validations defined on
+// remove_exception_gone_response_body
+func ValidateRemoveExceptionGoneResponseBody(body *RemoveExceptionGoneResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateRemoveExceptionTooLargeResponseBody runs the validations defined on
+// remove_exception_too_large_response_body
+func ValidateRemoveExceptionTooLargeResponseBody(body *RemoveExceptionTooLargeResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateRemoveExceptionUnprocessableResponseBody runs the validations
+// defined on remove_exception_unprocessable_response_body
+func ValidateRemoveExceptionUnprocessableResponseBody(body *RemoveExceptionUnprocessableResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateRemoveExceptionTooManyResponseBody runs the validations defined on
+// remove_exception_too_many_response_body
+func ValidateRemoveExceptionTooManyResponseBody(body *RemoveExceptionTooManyResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateRemoveExceptionInternalResponseBody runs the validations defined on
+// remove_exception_internal_response_body
+func ValidateRemoveExceptionInternalResponseBody(body *RemoveExceptionInternalResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateRemoveExceptionBadGatewayResponseBody runs the validations defined
+// on remove_exception_bad_gateway_response_body
+func ValidateRemoveExceptionBadGatewayResponseBody(body *RemoveExceptionBadGatewayResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateRemoveExceptionUnavailableResponseBody runs the validations defined
+// on remove_exception_unavailable_response_body
+func ValidateRemoveExceptionUnavailableResponseBody(body *RemoveExceptionUnavailableResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateRemoveExceptionTimeoutResponseBody runs the validations defined on
+// remove_exception_timeout_response_body
+func ValidateRemoveExceptionTimeoutResponseBody(body *RemoveExceptionTimeoutResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateOrganisationsBadRequestResponseBody runs the validations defined on
+// organisations_bad_request_response_body
+func ValidateOrganisationsBadRequestResponseBody(body *OrganisationsBadRequestResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateOrganisationsUnauthorizedResponseBody runs the validations defined
+// on organisations_unauthorized_response_body
+func ValidateOrganisationsUnauthorizedResponseBody(body *OrganisationsUnauthorizedResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateOrganisationsForbiddenResponseBody runs the validations defined on
+// organisations_forbidden_response_body
+func ValidateOrganisationsForbiddenResponseBody(body *OrganisationsForbiddenResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateOrganisationsNotFoundResponseBody runs the validations defined on
+// organisations_not_found_response_body
+func ValidateOrganisationsNotFoundResponseBody(body *OrganisationsNotFoundResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateOrganisationsConflictResponseBody runs the validations defined on
+// organisations_conflict_response_body
+func ValidateOrganisationsConflictResponseBody(body *OrganisationsConflictResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateOrganisationsGoneResponseBody runs the validations defined on
+// organisations_gone_response_body
+func ValidateOrganisationsGoneResponseBody(body *OrganisationsGoneResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateOrganisationsTooLargeResponseBody runs the validations defined on
+// organisations_too_large_response_body
+func ValidateOrganisationsTooLargeResponseBody(body *OrganisationsTooLargeResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateOrganisationsUnprocessableResponseBody runs the validations defined
+// on organisations_unprocessable_response_body
+func ValidateOrganisationsUnprocessableResponseBody(body *OrganisationsUnprocessableResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateOrganisationsTooManyResponseBody runs the validations defined on
+// organisations_too_many_response_body
+func ValidateOrganisationsTooManyResponseBody(body *OrganisationsTooManyResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateOrganisationsInternalResponseBody runs the validations defined on
+// organisations_internal_response_body
+func ValidateOrganisationsInternalResponseBody(body *OrganisationsInternalResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateOrganisationsBadGatewayResponseBody runs the validations defined on
+// organisations_bad_gateway_response_body
+func ValidateOrganisationsBadGatewayResponseBody(body *OrganisationsBadGatewayResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateOrganisationsUnavailableResponseBody runs the validations defined on
+// organisations_unavailable_response_body
+func ValidateOrganisationsUnavailableResponseBody(body *OrganisationsUnavailableResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateOrganisationsTimeoutResponseBody runs the validations defined on
+// organisations_timeout_response_body
+func ValidateOrganisationsTimeoutResponseBody(body *OrganisationsTimeoutResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidatePutOrganisationBadRequestResponseBody runs the validations defined
+// on put_organisation_bad_request_response_body
+func ValidatePutOrganisationBadRequestResponseBody(body *PutOrganisationBadRequestResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidatePutOrganisationUnauthorizedResponseBody runs the validations defined
+// on put_organisation_unauthorized_response_body
+func ValidatePutOrganisationUnauthorizedResponseBody(body *PutOrganisationUnauthorizedResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidatePutOrganisationForbiddenResponseBody runs the validations defined on
+// put_organisation_forbidden_response_body
+func ValidatePutOrganisationForbiddenResponseBody(body *PutOrganisationForbiddenResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidatePutOrganisationNotFoundResponseBody runs the validations defined on
+// put_organisation_not_found_response_body
+func ValidatePutOrganisationNotFoundResponseBody(body *PutOrganisationNotFoundResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidatePutOrganisationConflictResponseBody runs the validations defined on
+// put_organisation_conflict_response_body
+func ValidatePutOrganisationConflictResponseBody(body *PutOrganisationConflictResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidatePutOrganisationGoneResponseBody runs the validations defined on
+// put_organisation_gone_response_body
+func ValidatePutOrganisationGoneResponseBody(body *PutOrganisationGoneResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidatePutOrganisationTooLargeResponseBody runs the validations defined on
+// put_organisation_too_large_response_body
+func ValidatePutOrganisationTooLargeResponseBody(body *PutOrganisationTooLargeResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidatePutOrganisationUnprocessableResponseBody runs the validations
+// defined on put_organisation_unprocessable_response_body
+func ValidatePutOrganisationUnprocessableResponseBody(body *PutOrganisationUnprocessableResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidatePutOrganisationTooManyResponseBody runs the validations defined on
+// put_organisation_too_many_response_body
+func ValidatePutOrganisationTooManyResponseBody(body *PutOrganisationTooManyResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidatePutOrganisationInternalResponseBody runs the validations defined on
+// put_organisation_internal_response_body
+func ValidatePutOrganisationInternalResponseBody(body *PutOrganisationInternalResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidatePutOrganisationBadGatewayResponseBody runs the validations defined
+// on put_organisation_bad_gateway_response_body
+func ValidatePutOrganisationBadGatewayResponseBody(body *PutOrganisationBadGatewayResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidatePutOrganisationUnavailableResponseBody runs the validations defined
+// on put_organisation_unavailable_response_body
+func ValidatePutOrganisationUnavailableResponseBody(body *PutOrganisationUnavailableResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidatePutOrganisationTimeoutResponseBody runs the validations defined on
+// put_organisation_timeout_response_body
+func ValidatePutOrganisationTimeoutResponseBody(body *PutOrganisationTimeoutResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateRemoveOrganisationBadRequestResponseBody runs the validations
+// defined on remove_organisation_bad_request_response_body
+func ValidateRemoveOrganisationBadRequestResponseBody(body *RemoveOrganisationBadRequestResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateRemoveOrganisationUnauthorizedResponseBody runs the validations
+// defined on remove_organisation_unauthorized_response_body
+func ValidateRemoveOrganisationUnauthorizedResponseBody(body *RemoveOrganisationUnauthorizedResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateRemoveOrganisationForbiddenResponseBody runs the validations defined
+// on remove_organisation_forbidden_response_body
+func ValidateRemoveOrganisationForbiddenResponseBody(body *RemoveOrganisationForbiddenResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateRemoveOrganisationNotFoundResponseBody runs the validations defined
+// on remove_organisation_not_found_response_body
+func ValidateRemoveOrganisationNotFoundResponseBody(body *RemoveOrganisationNotFoundResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateRemoveOrganisationConflictResponseBody runs the validations defined
+// on remove_organisation_conflict_response_body
+func ValidateRemoveOrganisationConflictResponseBody(body *RemoveOrganisationConflictResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateRemoveOrganisationGoneResponseBody runs the validations defined on
+// remove_organisation_gone_response_body
+func ValidateRemoveOrganisationGoneResponseBody(body *RemoveOrganisationGoneResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateRemoveOrganisationTooLargeResponseBody runs the validations defined
+// on remove_organisation_too_large_response_body
+func ValidateRemoveOrganisationTooLargeResponseBody(body *RemoveOrganisationTooLargeResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateRemoveOrganisationUnprocessableResponseBody runs the validations
+// defined on remove_organisation_unprocessable_response_body
+func ValidateRemoveOrganisationUnprocessableResponseBody(body *RemoveOrganisationUnprocessableResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateRemoveOrganisationTooManyResponseBody runs the validations defined
+// on remove_organisation_too_many_response_body
+func ValidateRemoveOrganisationTooManyResponseBody(body *RemoveOrganisationTooManyResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateRemoveOrganisationInternalResponseBody runs the validations defined
+// on remove_organisation_internal_response_body
+func ValidateRemoveOrganisationInternalResponseBody(body *RemoveOrganisationInternalResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateRemoveOrganisationBadGatewayResponseBody runs the validations
+// defined on remove_organisation_bad_gateway_response_body
+func ValidateRemoveOrganisationBadGatewayResponseBody(body *RemoveOrganisationBadGatewayResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateRemoveOrganisationUnavailableResponseBody runs the validations
+// defined on remove_organisation_unavailable_response_body
+func ValidateRemoveOrganisationUnavailableResponseBody(body *RemoveOrganisationUnavailableResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateRemoveOrganisationTimeoutResponseBody runs the validations defined
+// on remove_organisation_timeout_response_body
+func ValidateRemoveOrganisationTimeoutResponseBody(body *RemoveOrganisationTimeoutResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateAddKeyBadRequestResponseBody runs the validations defined on
+// add_key_bad_request_response_body
+func ValidateAddKeyBadRequestResponseBody(body *AddKeyBadRequestResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateAddKeyUnauthorizedResponseBody runs the validations defined on
+// add_key_unauthorized_response_body
+func ValidateAddKeyUnauthorizedResponseBody(body *AddKeyUnauthorizedResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateAddKeyForbiddenResponseBody runs the validations defined on
+// add_key_forbidden_response_body
+func ValidateAddKeyForbiddenResponseBody(body *AddKeyForbiddenResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateAddKeyNotFoundResponseBody runs the validations defined on
+// add_key_not_found_response_body
+func ValidateAddKeyNotFoundResponseBody(body *AddKeyNotFoundResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateAddKeyConflictResponseBody runs the validations defined on
+// add_key_conflict_response_body
+func ValidateAddKeyConflictResponseBody(body *AddKeyConflictResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateAddKeyGoneResponseBody runs the validations defined on
+// add_key_gone_response_body
+func ValidateAddKeyGoneResponseBody(body *AddKeyGoneResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateAddKeyTooLargeResponseBody runs the validations defined on
+// add_key_too_large_response_body
+func ValidateAddKeyTooLargeResponseBody(body *AddKeyTooLargeResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateAddKeyUnprocessableResponseBody runs the validations defined on
+// add_key_unprocessable_response_body
+func ValidateAddKeyUnprocessableResponseBody(body *AddKeyUnprocessableResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateAddKeyTooManyResponseBody runs the validations defined on
+// add_key_too_many_response_body
+func ValidateAddKeyTooManyResponseBody(body *AddKeyTooManyResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateAddKeyInternalResponseBody runs the validations defined on
+// add_key_internal_response_body
+func ValidateAddKeyInternalResponseBody(body *AddKeyInternalResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateAddKeyBadGatewayResponseBody runs the validations defined on
+// add_key_bad_gateway_response_body
+func ValidateAddKeyBadGatewayResponseBody(body *AddKeyBadGatewayResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateAddKeyUnavailableResponseBody runs the validations defined on
+// add_key_unavailable_response_body
+func ValidateAddKeyUnavailableResponseBody(body *AddKeyUnavailableResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateAddKeyTimeoutResponseBody runs the validations defined on
+// add_key_timeout_response_body
+func ValidateAddKeyTimeoutResponseBody(body *AddKeyTimeoutResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateRemoveKeyBadRequestResponseBody runs the validations defined on
+// remove_key_bad_request_response_body
+func ValidateRemoveKeyBadRequestResponseBody(body *RemoveKeyBadRequestResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateRemoveKeyUnauthorizedResponseBody runs the validations defined on
+// remove_key_unauthorized_response_body
+func ValidateRemoveKeyUnauthorizedResponseBody(body *RemoveKeyUnauthorizedResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateRemoveKeyForbiddenResponseBody runs the validations defined on
+// remove_key_forbidden_response_body
+func ValidateRemoveKeyForbiddenResponseBody(body *RemoveKeyForbiddenResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateRemoveKeyNotFoundResponseBody runs the validations defined on
+// remove_key_not_found_response_body
+func ValidateRemoveKeyNotFoundResponseBody(body *RemoveKeyNotFoundResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateRemoveKeyConflictResponseBody runs the validations defined on
+// remove_key_conflict_response_body
+func ValidateRemoveKeyConflictResponseBody(body *RemoveKeyConflictResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateRemoveKeyGoneResponseBody runs the validations defined on
+// remove_key_gone_response_body
+func ValidateRemoveKeyGoneResponseBody(body *RemoveKeyGoneResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateRemoveKeyTooLargeResponseBody runs the validations defined on
+// remove_key_too_large_response_body
+func ValidateRemoveKeyTooLargeResponseBody(body *RemoveKeyTooLargeResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateRemoveKeyUnprocessableResponseBody runs the validations defined on
+// remove_key_unprocessable_response_body
+func ValidateRemoveKeyUnprocessableResponseBody(body *RemoveKeyUnprocessableResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateRemoveKeyTooManyResponseBody runs the validations defined on
+// remove_key_too_many_response_body
+func ValidateRemoveKeyTooManyResponseBody(body *RemoveKeyTooManyResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateRemoveKeyInternalResponseBody runs the validations defined on
+// remove_key_internal_response_body
+func ValidateRemoveKeyInternalResponseBody(body *RemoveKeyInternalResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateRemoveKeyBadGatewayResponseBody runs the validations defined on
+// remove_key_bad_gateway_response_body
+func ValidateRemoveKeyBadGatewayResponseBody(body *RemoveKeyBadGatewayResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateRemoveKeyUnavailableResponseBody runs the validations defined on
+// remove_key_unavailable_response_body
+func ValidateRemoveKeyUnavailableResponseBody(body *RemoveKeyUnavailableResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateRemoveKeyTimeoutResponseBody runs the validations defined on
+// remove_key_timeout_response_body
+func ValidateRemoveKeyTimeoutResponseBody(body *RemoveKeyTimeoutResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateDrainBadRequestResponseBody runs the validations defined on
+// drain_bad_request_response_body
+func ValidateDrainBadRequestResponseBody(body *DrainBadRequestResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateDrainUnauthorizedResponseBody runs the validations defined on
+// drain_unauthorized_response_body
+func ValidateDrainUnauthorizedResponseBody(body *DrainUnauthorizedResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateDrainForbiddenResponseBody runs the validations defined on
+// drain_forbidden_response_body
+func ValidateDrainForbiddenResponseBody(body *DrainForbiddenResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateDrainNotFoundResponseBody runs the validations defined on
+// drain_not_found_response_body
+func ValidateDrainNotFoundResponseBody(body *DrainNotFoundResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateDrainConflictResponseBody runs the validations defined on
+// drain_conflict_response_body
+func ValidateDrainConflictResponseBody(body *DrainConflictResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateDrainGoneResponseBody runs the validations defined on
+// drain_gone_response_body
+func ValidateDrainGoneResponseBody(body *DrainGoneResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateDrainTooLargeResponseBody runs the validations defined on
+// drain_too_large_response_body
+func ValidateDrainTooLargeResponseBody(body *DrainTooLargeResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateDrainUnprocessableResponseBody runs the validations defined on
+// drain_unprocessable_response_body
+func ValidateDrainUnprocessableResponseBody(body *DrainUnprocessableResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateDrainTooManyResponseBody runs the validations defined on
+// drain_too_many_response_body
+func ValidateDrainTooManyResponseBody(body *DrainTooManyResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateDrainInternalResponseBody runs the validations defined on
+// drain_internal_response_body
+func ValidateDrainInternalResponseBody(body *DrainInternalResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateDrainBadGatewayResponseBody runs the validations defined on
+// drain_bad_gateway_response_body
+func ValidateDrainBadGatewayResponseBody(body *DrainBadGatewayResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
 	}
-	v.Zones = make([]*administration.Zone, len(body.Zones))
-	for i, val := range body.Zones {
-		if val == nil {
-			v.Zones[i] = nil
-			continue
+	return
+}
+
+// ValidateDrainUnavailableResponseBody runs the validations defined on
+// drain_unavailable_response_body
+func ValidateDrainUnavailableResponseBody(body *DrainUnavailableResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateDrainTimeoutResponseBody runs the validations defined on
+// drain_timeout_response_body
+func ValidateDrainTimeoutResponseBody(body *DrainTimeoutResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateQuarantineBadRequestResponseBody runs the validations defined on
+// quarantine_bad_request_response_body
+func ValidateQuarantineBadRequestResponseBody(body *QuarantineBadRequestResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateQuarantineUnauthorizedResponseBody runs the validations defined on
+// quarantine_unauthorized_response_body
+func ValidateQuarantineUnauthorizedResponseBody(body *QuarantineUnauthorizedResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateQuarantineForbiddenResponseBody runs the validations defined on
+// quarantine_forbidden_response_body
+func ValidateQuarantineForbiddenResponseBody(body *QuarantineForbiddenResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateQuarantineNotFoundResponseBody runs the validations defined on
+// quarantine_not_found_response_body
+func ValidateQuarantineNotFoundResponseBody(body *QuarantineNotFoundResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateQuarantineConflictResponseBody runs the validations defined on
+// quarantine_conflict_response_body
+func ValidateQuarantineConflictResponseBody(body *QuarantineConflictResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateQuarantineGoneResponseBody runs the validations defined on
+// quarantine_gone_response_body
+func ValidateQuarantineGoneResponseBody(body *QuarantineGoneResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateQuarantineTooLargeResponseBody runs the validations defined on
+// quarantine_too_large_response_body
+func ValidateQuarantineTooLargeResponseBody(body *QuarantineTooLargeResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateQuarantineUnprocessableResponseBody runs the validations defined on
+// quarantine_unprocessable_response_body
+func ValidateQuarantineUnprocessableResponseBody(body *QuarantineUnprocessableResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateQuarantineTooManyResponseBody runs the validations defined on
+// quarantine_too_many_response_body
+func ValidateQuarantineTooManyResponseBody(body *QuarantineTooManyResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateQuarantineInternalResponseBody runs the validations defined on
+// quarantine_internal_response_body
+func ValidateQuarantineInternalResponseBody(body *QuarantineInternalResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateQuarantineBadGatewayResponseBody runs the validations defined on
+// quarantine_bad_gateway_response_body
+func ValidateQuarantineBadGatewayResponseBody(body *QuarantineBadGatewayResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateQuarantineUnavailableResponseBody runs the validations defined on
+// quarantine_unavailable_response_body
+func ValidateQuarantineUnavailableResponseBody(body *QuarantineUnavailableResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateQuarantineTimeoutResponseBody runs the validations defined on
+// quarantine_timeout_response_body
+func ValidateQuarantineTimeoutResponseBody(body *QuarantineTimeoutResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateLiftBadRequestResponseBody runs the validations defined on
+// lift_bad_request_response_body
+func ValidateLiftBadRequestResponseBody(body *LiftBadRequestResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateLiftUnauthorizedResponseBody runs the validations defined on
+// lift_unauthorized_response_body
+func ValidateLiftUnauthorizedResponseBody(body *LiftUnauthorizedResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateLiftForbiddenResponseBody runs the validations defined on
+// lift_forbidden_response_body
+func ValidateLiftForbiddenResponseBody(body *LiftForbiddenResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateLiftNotFoundResponseBody runs the validations defined on
+// lift_not_found_response_body
+func ValidateLiftNotFoundResponseBody(body *LiftNotFoundResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateLiftConflictResponseBody runs the validations defined on
+// lift_conflict_response_body
+func ValidateLiftConflictResponseBody(body *LiftConflictResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateLiftGoneResponseBody runs the validations defined on
+// lift_gone_response_body
+func ValidateLiftGoneResponseBody(body *LiftGoneResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateLiftTooLargeResponseBody runs the validations defined on
+// lift_too_large_response_body
+func ValidateLiftTooLargeResponseBody(body *LiftTooLargeResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateLiftUnprocessableResponseBody runs the validations defined on
+// lift_unprocessable_response_body
+func ValidateLiftUnprocessableResponseBody(body *LiftUnprocessableResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
 		}
-		v.Zones[i] = unmarshalZoneResponseBodyToAdministrationZone(val)
 	}
-
-	return v
+	return
 }
 
-// NewConfigurationDocumentOK builds a "administration" service "configuration"
-// endpoint result from a HTTP "OK" response.
-func NewConfigurationDocumentOK(body *ConfigurationResponseBody) *administration.Document {
-	v := &administration.Document{
-		Revision: *body.Revision,
+// ValidateLiftTooManyResponseBody runs the validations defined on
+// lift_too_many_response_body
+func ValidateLiftTooManyResponseBody(body *LiftTooManyResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
 	}
-	v.Defaults = make(map[string]string, len(body.Defaults))
-	for key, val := range body.Defaults {
-		tk := key
-		tv := val
-		v.Defaults[tk] = tv
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
 	}
-	v.Exceptions = make([]*administration.Exception, len(body.Exceptions))
-	for i, val := range body.Exceptions {
-		if val == nil {
-			v.Exceptions[i] = nil
-			continue
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
 		}
-		v.Exceptions[i] = unmarshalExceptionResponseBodyToAdministrationException(val)
 	}
-	v.Organisations = make(map[string]*administration.Organisation, len(body.Organisations))
-	for key, val := range body.Organisations {
-		tk := key
-		if val == nil {
-			v.Organisations[tk] = nil
-			continue
+	return
+}
+
+// ValidateLiftInternalResponseBody runs the validations defined on
+// lift_internal_response_body
+func ValidateLiftInternalResponseBody(body *LiftInternalResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
 		}
-		v.Organisations[tk] = unmarshalOrganisationResponseBodyToAdministrationOrganisation(val)
 	}
-
-	return v
+	return
 }
 
-// NewKeysKeyInfoOK builds a "administration" service "keys" endpoint result
-// from a HTTP "OK" response.
-func NewKeysKeyInfoOK(body []*KeyInfoResponse) []*administration.KeyInfo {
-	v := make([]*administration.KeyInfo, len(body))
-	for i, val := range body {
-		if val == nil {
-			v[i] = nil
-			continue
+// ValidateLiftBadGatewayResponseBody runs the validations defined on
+// lift_bad_gateway_response_body
+func ValidateLiftBadGatewayResponseBody(body *LiftBadGatewayResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
 		}
-		v[i] = unmarshalKeyInfoResponseToAdministrationKeyInfo(val)
 	}
-
-	return v
+	return
 }
 
-// NewHistoryPastChangeOK builds a "administration" service "history" endpoint
-// result from a HTTP "OK" response.
-func NewHistoryPastChangeOK(body []*PastChangeResponse) []*administration.PastChange {
-	v := make([]*administration.PastChange, len(body))
-	for i, val := range body {
-		if val == nil {
-			v[i] = nil
-			continue
+// ValidateLiftUnavailableResponseBody runs the validations defined on
+// lift_unavailable_response_body
+func ValidateLiftUnavailableResponseBody(body *LiftUnavailableResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
 		}
-		v[i] = unmarshalPastChangeResponseToAdministrationPastChange(val)
 	}
-
-	return v
+	return
 }
 
-// NewChangeAcceptedOK builds a "administration" service "change" endpoint
-// result from a HTTP "OK" response.
-func NewChangeAcceptedOK(body *ChangeResponseBody) *administration.Accepted {
-	v := &administration.Accepted{
-		ChangeID: *body.ChangeID,
-		Revision: *body.Revision,
+// ValidateLiftTimeoutResponseBody runs the validations defined on
+// lift_timeout_response_body
+func ValidateLiftTimeoutResponseBody(body *LiftTimeoutResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
 	}
-
-	return v
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
 }
 
-// NewExceptionsExceptionOK builds a "administration" service "exceptions"
-// endpoint result from a HTTP "OK" response.
-func NewExceptionsExceptionOK(body []*ExceptionResponse) []*administration.Exception {
-	v := make([]*administration.Exception, len(body))
-	for i, val := range body {
-		if val == nil {
-			v[i] = nil
-			continue
+// ValidateOrdersBadRequestResponseBody runs the validations defined on
+// orders_bad_request_response_body
+func ValidateOrdersBadRequestResponseBody(body *OrdersBadRequestResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
 		}
-		v[i] = unmarshalExceptionResponseToAdministrationException(val)
 	}
-
-	return v
+	return
 }
 
-// NewPutExceptionAcceptedOK builds a "administration" service "put_exception"
-// endpoint result from a HTTP "OK" response.
-func NewPutExceptionAcceptedOK(body *PutExceptionResponseBody) *administration.Accepted {
-	v := &administration.Accepted{
-		ChangeID: *body.ChangeID,
-		Revision: *body.Revision,
+// ValidateOrdersUnauthorizedResponseBody runs the validations defined on
+// orders_unauthorized_response_body
+func ValidateOrdersUnauthorizedResponseBody(body *OrdersUnauthorizedResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
 	}
-
-	return v
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
 }
 
-// NewRemoveExceptionAcceptedOK builds a "administration" service
-// "remove_exception" endpoint result from a HTTP "OK" response.
-func NewRemoveExceptionAcceptedOK(body *RemoveExceptionResponseBody) *administration.Accepted {
-	v := &administration.Accepted{
-		ChangeID: *body.ChangeID,
-		Revision: *body.Revision,
+// ValidateOrdersForbiddenResponseBody runs the validations defined on
+// orders_forbidden_response_body
+func ValidateOrdersForbiddenResponseBody(body *OrdersForbiddenResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
 	}
-
-	return v
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
 }
 
-// NewOrganisationsMapStringOrganisationOK builds a "administration" service
-// "organisations" endpoint result from a HTTP "OK" response.
-func NewOrganisationsMapStringOrganisationOK(body map[string]*OrganisationResponse) map[string]*administration.Organisation {
-	v := make(map[string]*administration.Organisation, len(body))
-	for key, val := range body {
-		tk := key
-		if val == nil {
-			v[tk] = nil
-			continue
+// ValidateOrdersNotFoundResponseBody runs the validations defined on
+// orders_not_found_response_body
+func ValidateOrdersNotFoundResponseBody(body *OrdersNotFoundResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
 		}
-		v[tk] = unmarshalOrganisationResponseToAdministrationOrganisation(val)
 	}
-
-	return v
+	return
 }
 
-// NewPutOrganisationAcceptedOK builds a "administration" service
-// "put_organisation" endpoint result from a HTTP "OK" response.
-func NewPutOrganisationAcceptedOK(body *PutOrganisationResponseBody) *administration.Accepted {
-	v := &administration.Accepted{
-		ChangeID: *body.ChangeID,
-		Revision: *body.Revision,
+// ValidateOrdersConflictResponseBody runs the validations defined on
+// orders_conflict_response_body
+func ValidateOrdersConflictResponseBody(body *OrdersConflictResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
 	}
-
-	return v
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
 }
 
-// NewRemoveOrganisationAcceptedOK builds a "administration" service
-// "remove_organisation" endpoint result from a HTTP "OK" response.
-func NewRemoveOrganisationAcceptedOK(body *RemoveOrganisationResponseBody) *administration.Accepted {
-	v := &administration.Accepted{
-		ChangeID: *body.ChangeID,
-		Revision: *body.Revision,
+// ValidateOrdersGoneResponseBody runs the validations defined on
+// orders_gone_response_body
+func ValidateOrdersGoneResponseBody(body *OrdersGoneResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
 	}
-
-	return v
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
 }
 
-// NewAddKeyAcceptedOK builds a "administration" service "add_key" endpoint
-// result from a HTTP "OK" response.
-func NewAddKeyAcceptedOK(body *AddKeyResponseBody) *administration.Accepted {
-	v := &administration.Accepted{
-		ChangeID: *body.ChangeID,
-		Revision: *body.Revision,
+// ValidateOrdersTooLargeResponseBody runs the validations defined on
+// orders_too_large_response_body
+func ValidateOrdersTooLargeResponseBody(body *OrdersTooLargeResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
 	}
-
-	return v
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
 }
 
-// NewRemoveKeyAcceptedOK builds a "administration" service "remove_key"
-// endpoint result from a HTTP "OK" response.
-func NewRemoveKeyAcceptedOK(body *RemoveKeyResponseBody) *administration.Accepted {
-	v := &administration.Accepted{
-		ChangeID: *body.ChangeID,
-		Revision: *body.Revision,
+// ValidateOrdersUnprocessableResponseBody runs the validations defined on
+// orders_unprocessable_response_body
+func ValidateOrdersUnprocessableResponseBody(body *OrdersUnprocessableResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
 	}
-
-	return v
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
 }
 
-// NewDrainResultOK builds a "administration" service "drain" endpoint result
-// from a HTTP "OK" response.
-func NewDrainResultOK(body *DrainResponseBody) *administration.DrainResult {
-	v := &administration.DrainResult{
-		Running: *body.Running,
+// ValidateOrdersTooManyResponseBody runs the validations defined on
+// orders_too_many_response_body
+func ValidateOrdersTooManyResponseBody(body *OrdersTooManyResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
 	}
-
-	return v
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
 }
-
-// NewQuarantineSuspectOK builds a "administration" service "quarantine"
-// endpoint result from a HTTP "OK" response.
-func NewQuarantineSuspectOK(body []*SuspectResponse) []*administration.Suspect {
-	v := make([]*administration.Suspect, len(body))
-	for i, val := range body {
-		if val == nil {
-			v[i] = nil
-			continue
+
+// ValidateOrdersInternalResponseBody runs the validations defined on
+// orders_internal_response_body
+func ValidateOrdersInternalResponseBody(body *OrdersInternalResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
 		}
-		v[i] = unmarshalSuspectResponseToAdministrationSuspect(val)
 	}
-
-	return v
+	return
 }
 
-// NewOrdersOrderOK builds a "administration" service "orders" endpoint result
-// from a HTTP "OK" response.
-func NewOrdersOrderOK(body []*OrderResponse) []*administration.Order {
-	v := make([]*administration.Order, len(body))
-	for i, val := range body {
-		if val == nil {
-			v[i] = nil
-			continue
+// ValidateOrdersBadGatewayResponseBody runs the validations defined on
+// orders_bad_gateway_response_body
+func ValidateOrdersBadGatewayResponseBody(body *OrdersBadGatewayResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
 		}
-		v[i] = unmarshalOrderResponseToAdministrationOrder(val)
 	}
-
-	return v
+	return
 }
 
-// NewIssueOrderResultOK builds a "administration" service "issue_order"
-// endpoint result from a HTTP "OK" response.
-func NewIssueOrderResultOK(body *IssueOrderResponseBody) *administration.IssueOrderResult {
-	v := &administration.IssueOrderResult{
-		ID:      *body.ID,
-		Status:  *body.Status,
-		Message: *body.Message,
+// ValidateOrdersUnavailableResponseBody runs the validations defined on
+// orders_unavailable_response_body
+func ValidateOrdersUnavailableResponseBody(body *OrdersUnavailableResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
 	}
-
-	return v
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
 }
 
-// ValidateStatusResponseBody runs the validations defined on StatusResponseBody
-func ValidateStatusResponseBody(body *StatusResponseBody) (err error) {
-	if body.Revision == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("revision", "body"))
+// ValidateOrdersTimeoutResponseBody runs the validations defined on
+// orders_timeout_response_body
+func ValidateOrdersTimeoutResponseBody(body *OrdersTimeoutResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
 	}
-	if body.Members == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("members", "body"))
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
 	}
-	if body.Instances == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("instances", "body"))
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
 	}
-	if body.Zones == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("zones", "body"))
+	return
+}
+
+// ValidateIssueOrderBadRequestResponseBody runs the validations defined on
+// issue_order_bad_request_response_body
+func ValidateIssueOrderBadRequestResponseBody(body *IssueOrderBadRequestResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
 	}
-	for _, e := range body.Members {
-		if e != nil {
-			if err2 := ValidateMemberResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
-		}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
 	}
-	for _, e := range body.Instances {
-		if e != nil {
-			if err2 := ValidateInstanceResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
 		}
 	}
-	for _, e := range body.Zones {
-		if e != nil {
-			if err2 := ValidateZoneResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
+	return
+}
+
+// ValidateIssueOrderUnauthorizedResponseBody runs the validations defined on
+// issue_order_unauthorized_response_body
+func ValidateIssueOrderUnauthorizedResponseBody(body *IssueOrderUnauthorizedResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
 		}
 	}
 	return
 }
 
-// ValidateConfigurationResponseBody runs the validations defined on
-// ConfigurationResponseBody
-func ValidateConfigurationResponseBody(body *ConfigurationResponseBody) (err error) {
-	if body.Revision == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("revision", "body"))
+// ValidateIssueOrderForbiddenResponseBody runs the validations defined on
+// issue_order_forbidden_response_body
+func ValidateIssueOrderForbiddenResponseBody(body *IssueOrderForbiddenResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
 	}
-	if body.Defaults == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("defaults", "body"))
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
 	}
-	if body.Exceptions == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("exceptions", "body"))
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
 	}
-	if body.Organisations == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("organisations", "body"))
+	return
+}
+
+// ValidateIssueOrderNotFoundResponseBody runs the validations defined on
+// issue_order_not_found_response_body
+func ValidateIssueOrderNotFoundResponseBody(body *IssueOrderNotFoundResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
 	}
-	for _, e := range body.Exceptions {
-		if e != nil {
-			if err2 := ValidateExceptionResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
-		}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
 	}
-	for _, v := range body.Organisations {
-		if v != nil {
-			if err2 := ValidateOrganisationResponseBody(v); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
 		}
 	}
 	return
 }
 
-// ValidateChangeResponseBody runs the validations defined on ChangeResponseBody
-func ValidateChangeResponseBody(body *ChangeResponseBody) (err error) {
-	if body.ChangeID == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("change_id", "body"))
+// ValidateIssueOrderConflictResponseBody runs the validations defined on
+// issue_order_conflict_response_body
+func ValidateIssueOrderConflictResponseBody(body *IssueOrderConflictResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
 	}
-	if body.Revision == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("revision", "body"))
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
 	}
 	return
 }
 
-// ValidatePutExceptionResponseBody runs the validations defined on
-// put_exception_response_body
-func ValidatePutExceptionResponseBody(body *PutExceptionResponseBody) (err error) {
-	if body.ChangeID == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("change_id", "body"))
+// ValidateIssueOrderGoneResponseBody runs the validations defined on
+// issue_order_gone_response_body
+func ValidateIssueOrderGoneResponseBody(body *IssueOrderGoneResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
 	}
-	if body.Revision == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("revision", "body"))
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
 	}
 	return
 }
 
-// ValidateRemoveExceptionResponseBody runs the validations defined on
-// remove_exception_response_body
-func ValidateRemoveExceptionResponseBody(body *RemoveExceptionResponseBody) (err error) {
-	if body.ChangeID == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("change_id", "body"))
+// ValidateIssueOrderTooLargeResponseBody runs the validations defined on
+// issue_order_too_large_response_body
+func ValidateIssueOrderTooLargeResponseBody(body *IssueOrderTooLargeResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
 	}
-	if body.Revision == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("revision", "body"))
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
 	}
 	return
 }
 
-// ValidatePutOrganisationResponseBody runs the validations defined on
-// put_organisation_response_body
-func ValidatePutOrganisationResponseBody(body *PutOrganisationResponseBody) (err error) {
-	if body.ChangeID == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("change_id", "body"))
+// ValidateIssueOrderUnprocessableResponseBody runs the validations defined on
+// issue_order_unprocessable_response_body
+func ValidateIssueOrderUnprocessableResponseBody(body *IssueOrderUnprocessableResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
 	}
-	if body.Revision == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("revision", "body"))
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
 	}
 	return
 }
 
-// ValidateRemoveOrganisationResponseBody runs the validations defined on
-// remove_organisation_response_body
-func ValidateRemoveOrganisationResponseBody(body *RemoveOrganisationResponseBody) (err error) {
-	if body.ChangeID == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("change_id", "body"))
+// ValidateIssueOrderTooManyResponseBody runs the validations defined on
+// issue_order_too_many_response_body
+func ValidateIssueOrderTooManyResponseBody(body *IssueOrderTooManyResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
 	}
-	if body.Revision == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("revision", "body"))
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
 	}
 	return
 }
 
-// ValidateAddKeyResponseBody runs the validations defined on
-// add_key_response_body
-func ValidateAddKeyResponseBody(body *AddKeyResponseBody) (err error) {
-	if body.ChangeID == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("change_id", "body"))
+// ValidateIssueOrderInternalResponseBody runs the validations defined on
+// issue_order_internal_response_body
+func ValidateIssueOrderInternalResponseBody(body *IssueOrderInternalResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
 	}
-	if body.Revision == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("revision", "body"))
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
 	}
 	return
 }
 
-// ValidateRemoveKeyResponseBody runs the validations defined on
-// remove_key_response_body
-func ValidateRemoveKeyResponseBody(body *RemoveKeyResponseBody) (err error) {
-	if body.ChangeID == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("change_id", "body"))
+// ValidateIssueOrderBadGatewayResponseBody runs the validations defined on
+// issue_order_bad_gateway_response_body
+func ValidateIssueOrderBadGatewayResponseBody(body *IssueOrderBadGatewayResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
 	}
-	if body.Revision == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("revision", "body"))
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
 	}
 	return
 }
 
-// ValidateDrainResponseBody runs the validations defined on DrainResponseBody
-func ValidateDrainResponseBody(body *DrainResponseBody) (err error) {
-	if body.Running == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("running", "body"))
+// ValidateIssueOrderUnavailableResponseBody runs the validations defined on
+// issue_order_unavailable_response_body
+func ValidateIssueOrderUnavailableResponseBody(body *IssueOrderUnavailableResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
 	}
 	return
 }
 
-// ValidateIssueOrderResponseBody runs the validations defined on
-// issue_order_response_body
-func ValidateIssueOrderResponseBody(body *IssueOrderResponseBody) (err error) {
-	if body.ID == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
-	}
+// ValidateIssueOrderTimeoutResponseBody runs the validations defined on
+// issue_order_timeout_response_body
+func ValidateIssueOrderTimeoutResponseBody(body *IssueOrderTimeoutResponseBody) (err error) {
 	if body.Status == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
 	}
-	if body.Message == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
 	}
 	return
 }
@@ -1018,6 +9746,38 @@
 	return
 }
 
+// ValidateProblemResponseBody runs the validations defined on
+// ProblemResponseBody
+func ValidateProblemResponseBody(body *ProblemResponseBody) (err error) {
+	if body.Code == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("code", "body"))
+	}
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Type == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("type", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.RetryAfterMs == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("retry_after_ms", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "not_run" || *body.Ran == "ran" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"not_run", "ran", "unknown"}))
+		}
+	}
+	return
+}
+
 // ValidateExceptionResponseBody runs the validations defined on
 // ExceptionResponseBody
 func ValidateExceptionResponseBody(body *ExceptionResponseBody) (err error) {
