--- a/api/admin/gen/http/administration/server/types.go
+++ b/api/admin/gen/http/administration/server/types.go
@@ -205,6 +205,1946 @@
 	Message string `form:"message" json:"message" xml:"message"`
 }
 
+// StatusBadRequestResponseBody is the type of the "administration" service
+// "status" endpoint HTTP response body for the "bad_request" error.
+type StatusBadRequestResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// StatusUnauthorizedResponseBody is the type of the "administration" service
+// "status" endpoint HTTP response body for the "unauthorized" error.
+type StatusUnauthorizedResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// StatusForbiddenResponseBody is the type of the "administration" service
+// "status" endpoint HTTP response body for the "forbidden" error.
+type StatusForbiddenResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// StatusNotFoundResponseBody is the type of the "administration" service
+// "status" endpoint HTTP response body for the "not_found" error.
+type StatusNotFoundResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// StatusConflictResponseBody is the type of the "administration" service
+// "status" endpoint HTTP response body for the "conflict" error.
+type StatusConflictResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// StatusGoneResponseBody is the type of the "administration" service "status"
+// endpoint HTTP response body for the "gone" error.
+type StatusGoneResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// StatusTooLargeResponseBody is the type of the "administration" service
+// "status" endpoint HTTP response body for the "too_large" error.
+type StatusTooLargeResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// StatusUnprocessableResponseBody is the type of the "administration" service
+// "status" endpoint HTTP response body for the "unprocessable" error.
+type StatusUnprocessableResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// StatusTooManyResponseBody is the type of the "administration" service
+// "status" endpoint HTTP response body for the "too_many" error.
+type StatusTooManyResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// StatusInternalResponseBody is the type of the "administration" service
+// "status" endpoint HTTP response body for the "internal" error.
+type StatusInternalResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// StatusBadGatewayResponseBody is the type of the "administration" service
+// "status" endpoint HTTP response body for the "bad_gateway" error.
+type StatusBadGatewayResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// StatusUnavailableResponseBody is the type of the "administration" service
+// "status" endpoint HTTP response body for the "unavailable" error.
+type StatusUnavailableResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// StatusTimeoutResponseBody is the type of the "administration" service
+// "status" endpoint HTTP response body for the "timeout" error.
+type StatusTimeoutResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// ConfigurationBadRequestResponseBody is the type of the "administration"
+// service "configuration" endpoint HTTP response body for the "bad_request"
+// error.
+type ConfigurationBadRequestResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// ConfigurationUnauthorizedResponseBody is the type of the "administration"
+// service "configuration" endpoint HTTP response body for the "unauthorized"
+// error.
+type ConfigurationUnauthorizedResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// ConfigurationForbiddenResponseBody is the type of the "administration"
+// service "configuration" endpoint HTTP response body for the "forbidden"
+// error.
+type ConfigurationForbiddenResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// ConfigurationNotFoundResponseBody is the type of the "administration"
+// service "configuration" endpoint HTTP response body for the "not_found"
+// error.
+type ConfigurationNotFoundResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// ConfigurationConflictResponseBody is the type of the "administration"
+// service "configuration" endpoint HTTP response body for the "conflict" error.
+type ConfigurationConflictResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// ConfigurationGoneResponseBody is the type of the "administration" service
+// "configuration" endpoint HTTP response body for the "gone" error.
+type ConfigurationGoneResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// ConfigurationTooLargeResponseBody is the type of the "administration"
+// service "configuration" endpoint HTTP response body for the "too_large"
+// error.
+type ConfigurationTooLargeResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// ConfigurationUnprocessableResponseBody is the type of the "administration"
+// service "configuration" endpoint HTTP response body for the "unprocessable"
+// error.
+type ConfigurationUnprocessableResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// ConfigurationTooManyResponseBody is the type of the "administration" service
+// "configuration" endpoint HTTP response body for the "too_many" error.
+type ConfigurationTooManyResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// ConfigurationInternalResponseBody is the type of the "administration"
+// service "configuration" endpoint HTTP response body for the "internal" error.
+type ConfigurationInternalResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// ConfigurationBadGatewayResponseBody is the type of the "administration"
+// service "configuration" endpoint HTTP response body for the "bad_gateway"
+// error.
+type ConfigurationBadGatewayResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// ConfigurationUnavailableResponseBody is the type of the "administration"
+// service "configuration" endpoint HTTP response body for the "unavailable"
+// error.
+type ConfigurationUnavailableResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// ConfigurationTimeoutResponseBody is the type of the "administration" service
+// "configuration" endpoint HTTP response body for the "timeout" error.
+type ConfigurationTimeoutResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// KeysBadRequestResponseBody is the type of the "administration" service
+// "keys" endpoint HTTP response body for the "bad_request" error.
+type KeysBadRequestResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// KeysUnauthorizedResponseBody is the type of the "administration" service
+// "keys" endpoint HTTP response body for the "unauthorized" error.
+type KeysUnauthorizedResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// KeysForbiddenResponseBody is the type of the "administration" service "keys"
+// endpoint HTTP response body for the "forbidden" error.
+type KeysForbiddenResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// KeysNotFoundResponseBody is the type of the "administration" service "keys"
+// endpoint HTTP response body for the "not_found" error.
+type KeysNotFoundResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// KeysConflictResponseBody is the type of the "administration" service "keys"
+// endpoint HTTP response body for the "conflict" error.
+type KeysConflictResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// KeysGoneResponseBody is the type of the "administration" service "keys"
+// endpoint HTTP response body for the "gone" error.
+type KeysGoneResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// KeysTooLargeResponseBody is the type of the "administration" service "keys"
+// endpoint HTTP response body for the "too_large" error.
+type KeysTooLargeResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// KeysUnprocessableResponseBody is the type of the "administration" service
+// "keys" endpoint HTTP response body for the "unprocessable" error.
+type KeysUnprocessableResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// KeysTooManyResponseBody is the type of the "administration" service "keys"
+// endpoint HTTP response body for the "too_many" error.
+type KeysTooManyResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// KeysInternalResponseBody is the type of the "administration" service "keys"
+// endpoint HTTP response body for the "internal" error.
+type KeysInternalResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// KeysBadGatewayResponseBody is the type of the "administration" service
+// "keys" endpoint HTTP response body for the "bad_gateway" error.
+type KeysBadGatewayResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// KeysUnavailableResponseBody is the type of the "administration" service
+// "keys" endpoint HTTP response body for the "unavailable" error.
+type KeysUnavailableResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// KeysTimeoutResponseBody is the type of the "administration" service "keys"
+// endpoint HTTP response body for the "timeout" error.
+type KeysTimeoutResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// HistoryBadRequestResponseBody is the type of the "administration" service
+// "history" endpoint HTTP response body for the "bad_request" error.
+type HistoryBadRequestResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// HistoryUnauthorizedResponseBody is the type of the "administration" service
+// "history" endpoint HTTP response body for the "unauthorized" error.
+type HistoryUnauthorizedResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// HistoryForbiddenResponseBody is the type of the "administration" service
+// "history" endpoint HTTP response body for the "forbidden" error.
+type HistoryForbiddenResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// HistoryNotFoundResponseBody is the type of the "administration" service
+// "history" endpoint HTTP response body for the "not_found" error.
+type HistoryNotFoundResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// HistoryConflictResponseBody is the type of the "administration" service
+// "history" endpoint HTTP response body for the "conflict" error.
+type HistoryConflictResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// HistoryGoneResponseBody is the type of the "administration" service
+// "history" endpoint HTTP response body for the "gone" error.
+type HistoryGoneResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// HistoryTooLargeResponseBody is the type of the "administration" service
+// "history" endpoint HTTP response body for the "too_large" error.
+type HistoryTooLargeResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// HistoryUnprocessableResponseBody is the type of the "administration" service
+// "history" endpoint HTTP response body for the "unprocessable" error.
+type HistoryUnprocessableResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// HistoryTooManyResponseBody is the type of the "administration" service
+// "history" endpoint HTTP response body for the "too_many" error.
+type HistoryTooManyResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// HistoryInternalResponseBody is the type of the "administration" service
+// "history" endpoint HTTP response body for the "internal" error.
+type HistoryInternalResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// HistoryBadGatewayResponseBody is the type of the "administration" service
+// "history" endpoint HTTP response body for the "bad_gateway" error.
+type HistoryBadGatewayResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// HistoryUnavailableResponseBody is the type of the "administration" service
+// "history" endpoint HTTP response body for the "unavailable" error.
+type HistoryUnavailableResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// HistoryTimeoutResponseBody is the type of the "administration" service
+// "history" endpoint HTTP response body for the "timeout" error.
+type HistoryTimeoutResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// ChangeBadRequestResponseBody is the type of the "administration" service
+// "change" endpoint HTTP response body for the "bad_request" error.
+type ChangeBadRequestResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// ChangeUnauthorizedResponseBody is the type of the "administration" service
+// "change" endpoint HTTP response body for the "unauthorized" error.
+type ChangeUnauthorizedResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// ChangeForbiddenResponseBody is the type of the "administration" service
+// "change" endpoint HTTP response body for the "forbidden" error.
+type ChangeForbiddenResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// ChangeNotFoundResponseBody is the type of the "administration" service
+// "change" endpoint HTTP response body for the "not_found" error.
+type ChangeNotFoundResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// ChangeConflictResponseBody is the type of the "administration" service
+// "change" endpoint HTTP response body for the "conflict" error.
+type ChangeConflictResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// ChangeGoneResponseBody is the type of the "administration" service "change"
+// endpoint HTTP response body for the "gone" error.
+type ChangeGoneResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// ChangeTooLargeResponseBody is the type of the "administration" service
+// "change" endpoint HTTP response body for the "too_large" error.
+type ChangeTooLargeResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// ChangeUnprocessableResponseBody is the type of the "administration" service
+// "change" endpoint HTTP response body for the "unprocessable" error.
+type ChangeUnprocessableResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// ChangeTooManyResponseBody is the type of the "administration" service
+// "change" endpoint HTTP response body for the "too_many" error.
+type ChangeTooManyResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// ChangeInternalResponseBody is the type of the "administration" service
+// "change" endpoint HTTP response body for the "internal" error.
+type ChangeInternalResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// ChangeBadGatewayResponseBody is the type of the "administration" service
+// "change" endpoint HTTP response body for the "bad_gateway" error.
+type ChangeBadGatewayResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// ChangeUnavailableResponseBody is the type of the "administration" service
+// "change" endpoint HTTP response body for the "unavailable" error.
+type ChangeUnavailableResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// ChangeTimeoutResponseBody is the type of the "administration" service
+// "change" endpoint HTTP response body for the "timeout" error.
+type ChangeTimeoutResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// ExceptionsBadRequestResponseBody is the type of the "administration" service
+// "exceptions" endpoint HTTP response body for the "bad_request" error.
+type ExceptionsBadRequestResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// ExceptionsUnauthorizedResponseBody is the type of the "administration"
+// service "exceptions" endpoint HTTP response body for the "unauthorized"
+// error.
+type ExceptionsUnauthorizedResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// ExceptionsForbiddenResponseBody is the type of the "administration" service
+// "exceptions" endpoint HTTP response body for the "forbidden" error.
+type ExceptionsForbiddenResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// ExceptionsNotFoundResponseBody is the type of the "administration" service
+// "exceptions" endpoint HTTP response body for the "not_found" error.
+type ExceptionsNotFoundResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// ExceptionsConflictResponseBody is the type of the "administration" service
+// "exceptions" endpoint HTTP response body for the "conflict" error.
+type ExceptionsConflictResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// ExceptionsGoneResponseBody is the type of the "administration" service
+// "exceptions" endpoint HTTP response body for the "gone" error.
+type ExceptionsGoneResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// ExceptionsTooLargeResponseBody is the type of the "administration" service
+// "exceptions" endpoint HTTP response body for the "too_large" error.
+type ExceptionsTooLargeResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// ExceptionsUnprocessableResponseBody is the type of the "administration"
+// service "exceptions" endpoint HTTP response body for the "unprocessable"
+// error.
+type ExceptionsUnprocessableResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// ExceptionsTooManyResponseBody is the type of the "administration" service
+// "exceptions" endpoint HTTP response body for the "too_many" error.
+type ExceptionsTooManyResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// ExceptionsInternalResponseBody is the type of the "administration" service
+// "exceptions" endpoint HTTP response body for the "internal" error.
+type ExceptionsInternalResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// ExceptionsBadGatewayResponseBody is the type of the "administration" service
+// "exceptions" endpoint HTTP response body for the "bad_gateway" error.
+type ExceptionsBadGatewayResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// ExceptionsUnavailableResponseBody is the type of the "administration"
+// service "exceptions" endpoint HTTP response body for the "unavailable" error.
+type ExceptionsUnavailableResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// ExceptionsTimeoutResponseBody is the type of the "administration" service
+// "exceptions" endpoint HTTP response body for the "timeout" error.
+type ExceptionsTimeoutResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// PutExceptionBadRequestResponseBody is the type of the "administration"
+// service "put_exception" endpoint HTTP response body for the "bad_request"
+// error.
+type PutExceptionBadRequestResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// PutExceptionUnauthorizedResponseBody is the type of the "administration"
+// service "put_exception" endpoint HTTP response body for the "unauthorized"
+// error.
+type PutExceptionUnauthorizedResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// PutExceptionForbiddenResponseBody is the type of the "administration"
+// service "put_exception" endpoint HTTP response body for the "forbidden"
+// error.
+type PutExceptionForbiddenResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// PutExceptionNotFoundResponseBody is the type of the "administration" service
+// "put_exception" endpoint HTTP response body for the "not_found" error.
+type PutExceptionNotFoundResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// PutExceptionConflictResponseBody is the type of the "administration" service
+// "put_exception" endpoint HTTP response body for the "conflict" error.
+type PutExceptionConflictResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// PutExceptionGoneResponseBody is the type of the "administration" service
+// "put_exception" endpoint HTTP response body for the "gone" error.
+type PutExceptionGoneResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// PutExceptionTooLargeResponseBody is the type of the "administration" service
+// "put_exception" endpoint HTTP response body for the "too_large" error.
+type PutExceptionTooLargeResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// PutExceptionUnprocessableResponseBody is the type of the "administration"
+// service "put_exception" endpoint HTTP response body for the "unprocessable"
+// error.
+type PutExceptionUnprocessableResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// PutExceptionTooManyResponseBody is the type of the "administration" service
+// "put_exception" endpoint HTTP response body for the "too_many" error.
+type PutExceptionTooManyResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// PutExceptionInternalResponseBody is the type of the "administration" service
+// "put_exception" endpoint HTTP response body for the "internal" error.
+type PutExceptionInternalResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// PutExceptionBadGatewayResponseBody is the type of the "administration"
+// service "put_exception" endpoint HTTP response body for the "bad_gateway"
+// error.
+type PutExceptionBadGatewayResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// PutExceptionUnavailableResponseBody is the type of the "administration"
+// service "put_exception" endpoint HTTP response body for the "unavailable"
+// error.
+type PutExceptionUnavailableResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// PutExceptionTimeoutResponseBody is the type of the "administration" service
+// "put_exception" endpoint HTTP response body for the "timeout" error.
+type PutExceptionTimeoutResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// RemoveExceptionBadRequestResponseBody is the type of the "administration"
+// service "remove_exception" endpoint HTTP response body for the "bad_request"
+// error.
+type RemoveExceptionBadRequestResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// RemoveExceptionUnauthorizedResponseBody is the type of the "administration"
+// service "remove_exception" endpoint HTTP response body for the
+// "unauthorized" error.
+type RemoveExceptionUnauthorizedResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// RemoveExceptionForbiddenResponseBody is the type of the "administration"
+// service "remove_exception" endpoint HTTP response body for the "forbidden"
+// error.
+type RemoveExceptionForbiddenResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// RemoveExceptionNotFoundResponseBody is the type of the "administration"
+// service "remove_exception" endpoint HTTP response body for the "not_found"
+// error.
+type RemoveExceptionNotFoundResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// RemoveExceptionConflictResponseBody is the type of the "administration"
+// service "remove_exception" endpoint HTTP response body for the "conflict"
+// error.
+type RemoveExceptionConflictResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// RemoveExceptionGoneResponseBody is the type of the "administration" service
+// "remove_exception" endpoint HTTP response body for the "gone" error.
+type RemoveExceptionGoneResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// RemoveExceptionTooLargeResponseBody is the type of the "administration"
+// service "remove_exception" endpoint HTTP response body for the "too_large"
+// error.
+type RemoveExceptionTooLargeResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// RemoveExceptionUnprocessableResponseBody is the type of the "administration"
+// service "remove_exception" endpoint HTTP response body for the
+// "unprocessable" error.
+type RemoveExceptionUnprocessableResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// RemoveExceptionTooManyResponseBody is the type of the "administration"
+// service "remove_exception" endpoint HTTP response body for the "too_many"
+// error.
+type RemoveExceptionTooManyResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// RemoveExceptionInternalResponseBody is the type of the "administration"
+// service "remove_exception" endpoint HTTP response body for the "internal"
+// error.
+type RemoveExceptionInternalResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// RemoveExceptionBadGatewayResponseBody is the type of the "administration"
+// service "remove_exception" endpoint HTTP response body for the "bad_gateway"
+// error.
+type RemoveExceptionBadGatewayResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// RemoveExceptionUnavailableResponseBody is the type of the "administration"
+// service "remove_exception" endpoint HTTP response body for the "unavailable"
+// error.
+type RemoveExceptionUnavailableResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// RemoveExceptionTimeoutResponseBody is the type of the "administration"
+// service "remove_exception" endpoint HTTP response body for the "timeout"
+// error.
+type RemoveExceptionTimeoutResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// OrganisationsBadRequestResponseBody is the type of the "administration"
+// service "organisations" endpoint HTTP response body for the "bad_request"
+// error.
+type OrganisationsBadRequestResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// OrganisationsUnauthorizedResponseBody is the type of the "administration"
+// service "organisations" endpoint HTTP response body for the "unauthorized"
+// error.
+type OrganisationsUnauthorizedResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// OrganisationsForbiddenResponseBody is the type of the "administration"
+// service "organisations" endpoint HTTP response body for the "forbidden"
+// error.
+type OrganisationsForbiddenResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// OrganisationsNotFoundResponseBody is the type of the "administration"
+// service "organisations" endpoint HTTP response body for the "not_found"
+// error.
+type OrganisationsNotFoundResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// OrganisationsConflictResponseBody is the type of the "administration"
+// service "organisations" endpoint HTTP response body for the "conflict" error.
+type OrganisationsConflictResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// OrganisationsGoneResponseBody is the type of the "administration" service
+// "organisations" endpoint HTTP response body for the "gone" error.
+type OrganisationsGoneResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// OrganisationsTooLargeResponseBody is the type of the "administration"
+// service "organisations" endpoint HTTP response body for the "too_large"
+// error.
+type OrganisationsTooLargeResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// OrganisationsUnprocessableResponseBody is the type of the "administration"
+// service "organisations" endpoint HTTP response body for the "unprocessable"
+// error.
+type OrganisationsUnprocessableResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// OrganisationsTooManyResponseBody is the type of the "administration" service
+// "organisations" endpoint HTTP response body for the "too_many" error.
+type OrganisationsTooManyResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// OrganisationsInternalResponseBody is the type of the "administration"
+// service "organisations" endpoint HTTP response body for the "internal" error.
+type OrganisationsInternalResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// OrganisationsBadGatewayResponseBody is the type of the "administration"
+// service "organisations" endpoint HTTP response body for the "bad_gateway"
+// error.
+type OrganisationsBadGatewayResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// OrganisationsUnavailableResponseBody is the type of the "administration"
+// service "organisations" endpoint HTTP response body for the "unavailable"
+// error.
+type OrganisationsUnavailableResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// OrganisationsTimeoutResponseBody is the type of the "administration" service
+// "organisations" endpoint HTTP response body for the "timeout" error.
+type OrganisationsTimeoutResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// PutOrganisationBadRequestResponseBody is the type of the "administration"
+// service "put_organisation" endpoint HTTP response body for the "bad_request"
+// error.
+type PutOrganisationBadRequestResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// PutOrganisationUnauthorizedResponseBody is the type of the "administration"
+// service "put_organisation" endpoint HTTP response body for the
+// "unauthorized" error.
+type PutOrganisationUnauthorizedResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// PutOrganisationForbiddenResponseBody is the type of the "administration"
+// service "put_organisation" endpoint HTTP response body for the "forbidden"
+// error.
+type PutOrganisationForbiddenResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// PutOrganisationNotFoundResponseBody is the type of the "administration"
+// service "put_organisation" endpoint HTTP response body for the "not_found"
+// error.
+type PutOrganisationNotFoundResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// PutOrganisationConflictResponseBody is the type of the "administration"
+// service "put_organisation" endpoint HTTP response body for the "conflict"
+// error.
+type PutOrganisationConflictResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// PutOrganisationGoneResponseBody is the type of the "administration" service
+// "put_organisation" endpoint HTTP response body for the "gone" error.
+type PutOrganisationGoneResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// PutOrganisationTooLargeResponseBody is the type of the "administration"
+// service "put_organisation" endpoint HTTP response body for the "too_large"
+// error.
+type PutOrganisationTooLargeResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// PutOrganisationUnprocessableResponseBody is the type of the "administration"
+// service "put_organisation" endpoint HTTP response body for the
+// "unprocessable" error.
+type PutOrganisationUnprocessableResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// PutOrganisationTooManyResponseBody is the type of the "administration"
+// service "put_organisation" endpoint HTTP response body for the "too_many"
+// error.
+type PutOrganisationTooManyResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// PutOrganisationInternalResponseBody is the type of the "administration"
+// service "put_organisation" endpoint HTTP response body for the "internal"
+// error.
+type PutOrganisationInternalResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// PutOrganisationBadGatewayResponseBody is the type of the "administration"
+// service "put_organisation" endpoint HTTP response body for the "bad_gateway"
+// error.
+type PutOrganisationBadGatewayResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// PutOrganisationUnavailableResponseBody is the type of the "administration"
+// service "put_organisation" endpoint HTTP response body for the "unavailable"
+// error.
+type PutOrganisationUnavailableResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// PutOrganisationTimeoutResponseBody is the type of the "administration"
+// service "put_organisation" endpoint HTTP response body for the "timeout"
+// error.
+type PutOrganisationTimeoutResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// RemoveOrganisationBadRequestResponseBody is the type of the "administration"
+// service "remove_organisation" endpoint HTTP response body for the
+// "bad_request" error.
+type RemoveOrganisationBadRequestResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// RemoveOrganisationUnauthorizedResponseBody is the type of the
+// "administration" service "remove_organisation" endpoint HTTP response body
+// for the "unauthorized" error.
+type RemoveOrganisationUnauthorizedResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// RemoveOrganisationForbiddenResponseBody is the type of the "administration"
+// service "remove_organisation" endpoint HTTP response body for the
+// "forbidden" error.
+type RemoveOrganisationForbiddenResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// RemoveOrganisationNotFoundResponseBody is the type of the "administration"
+// service "remove_organisation" endpoint HTTP response body for the
+// "not_found" error.
+type RemoveOrganisationNotFoundResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// RemoveOrganisationConflictResponseBody is the type of the "administration"
+// service "remove_organisation" endpoint HTTP response body for the "conflict"
+// error.
+type RemoveOrganisationConflictResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// RemoveOrganisationGoneResponseBody is the type of the "administration"
+// service "remove_organisation" endpoint HTTP response body for the "gone"
+// error.
+type RemoveOrganisationGoneResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// RemoveOrganisationTooLargeResponseBody is the type of the "administration"
+// service "remove_organisation" endpoint HTTP response body for the
+// "too_large" error.
+type RemoveOrganisationTooLargeResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// RemoveOrganisationUnprocessableResponseBody is the type of the
+// "administration" service "remove_organisation" endpoint HTTP response body
+// for the "unprocessable" error.
+type RemoveOrganisationUnprocessableResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// RemoveOrganisationTooManyResponseBody is the type of the "administration"
+// service "remove_organisation" endpoint HTTP response body for the "too_many"
+// error.
+type RemoveOrganisationTooManyResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// RemoveOrganisationInternalResponseBody is the type of the "administration"
+// service "remove_organisation" endpoint HTTP response body for the "internal"
+// error.
+type RemoveOrganisationInternalResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// RemoveOrganisationBadGatewayResponseBody is the type of the "administration"
+// service "remove_organisation" endpoint HTTP response body for the
+// "bad_gateway" error.
+type RemoveOrganisationBadGatewayResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// RemoveOrganisationUnavailableResponseBody is the type of the
+// "administration" service "remove_organisation" endpoint HTTP response body
+// for the "unavailable" error.
+type RemoveOrganisationUnavailableResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// RemoveOrganisationTimeoutResponseBody is the type of the "administration"
+// service "remove_organisation" endpoint HTTP response body for the "timeout"
+// error.
+type RemoveOrganisationTimeoutResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// AddKeyBadRequestResponseBody is the type of the "administration" service
+// "add_key" endpoint HTTP response body for the "bad_request" error.
+type AddKeyBadRequestResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// AddKeyUnauthorizedResponseBody is the type of the "administration" service
+// "add_key" endpoint HTTP response body for the "unauthorized" error.
+type AddKeyUnauthorizedResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// AddKeyForbiddenResponseBody is the type of the "administration" service
+// "add_key" endpoint HTTP response body for the "forbidden" error.
+type AddKeyForbiddenResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// AddKeyNotFoundResponseBody is the type of the "administration" service
+// "add_key" endpoint HTTP response body for the "not_found" error.
+type AddKeyNotFoundResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// AddKeyConflictResponseBody is the type of the "administration" service
+// "add_key" endpoint HTTP response body for the "conflict" error.
+type AddKeyConflictResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// AddKeyGoneResponseBody is the type of the "administration" service "add_key"
+// endpoint HTTP response body for the "gone" error.
+type AddKeyGoneResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// AddKeyTooLargeResponseBody is the type of the "administration" service
+// "add_key" endpoint HTTP response body for the "too_large" error.
+type AddKeyTooLargeResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// AddKeyUnprocessableResponseBody is the type of the "administration" service
+// "add_key" endpoint HTTP response body for the "unprocessable" error.
+type AddKeyUnprocessableResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// AddKeyTooManyResponseBody is the type of the "administration" service
+// "add_key" endpoint HTTP response body for the "too_many" error.
+type AddKeyTooManyResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// AddKeyInternalResponseBody is the type of the "administration" service
+// "add_key" endpoint HTTP response body for the "internal" error.
+type AddKeyInternalResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// AddKeyBadGatewayResponseBody is the type of the "administration" service
+// "add_key" endpoint HTTP response body for the "bad_gateway" error.
+type AddKeyBadGatewayResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// AddKeyUnavailableResponseBody is the type of the "administration" service
+// "add_key" endpoint HTTP response body for the "unavailable" error.
+type AddKeyUnavailableResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// AddKeyTimeoutResponseBody is the type of the "administration" service
+// "add_key" endpoint HTTP response body for the "timeout" error.
+type AddKeyTimeoutResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// RemoveKeyBadRequestResponseBody is the type of the "administration" service
+// "remove_key" endpoint HTTP response body for the "bad_request" error.
+type RemoveKeyBadRequestResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// RemoveKeyUnauthorizedResponseBody is the type of the "administration"
+// service "remove_key" endpoint HTTP response body for the "unauthorized"
+// error.
+type RemoveKeyUnauthorizedResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// RemoveKeyForbiddenResponseBody is the type of the "administration" service
+// "remove_key" endpoint HTTP response body for the "forbidden" error.
+type RemoveKeyForbiddenResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// RemoveKeyNotFoundResponseBody is the type of the "administration" service
+// "remove_key" endpoint HTTP response body for the "not_found" error.
+type RemoveKeyNotFoundResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// RemoveKeyConflictResponseBody is the type of the "administration" service
+// "remove_key" endpoint HTTP response body for the "conflict" error.
+type RemoveKeyConflictResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// RemoveKeyGoneResponseBody is the type of the "administration" service
+// "remove_key" endpoint HTTP response body for the "gone" error.
+type RemoveKeyGoneResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// RemoveKeyTooLargeResponseBody is the type of the "administration" service
+// "remove_key" endpoint HTTP response body for the "too_large" error.
+type RemoveKeyTooLargeResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// RemoveKeyUnprocessableResponseBody is the type of the "administration"
+// service "remove_key" endpoint HTTP response body for the "unprocessable"
+// error.
+type RemoveKeyUnprocessableResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// RemoveKeyTooManyResponseBody is the type of the "administration" service
+// "remove_key" endpoint HTTP response body for the "too_many" error.
+type RemoveKeyTooManyResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// RemoveKeyInternalResponseBody is the type of the "administration" service
+// "remove_key" endpoint HTTP response body for the "internal" error.
+type RemoveKeyInternalResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// RemoveKeyBadGatewayResponseBody is the type of the "administration" service
+// "remove_key" endpoint HTTP response body for the "bad_gateway" error.
+type RemoveKeyBadGatewayResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// RemoveKeyUnavailableResponseBody is the type of the "administration" service
+// "remove_key" endpoint HTTP response body for the "unavailable" error.
+type RemoveKeyUnavailableResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// RemoveKeyTimeoutResponseBody is the type of the "administration" service
+// "remove_key" endpoint HTTP response body for the "timeout" error.
+type RemoveKeyTimeoutResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// DrainBadRequestResponseBody is the type of the "administration" service
+// "drain" endpoint HTTP response body for the "bad_request" error.
+type DrainBadRequestResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// DrainUnauthorizedResponseBody is the type of the "administration" service
+// "drain" endpoint HTTP response body for the "unauthorized" error.
+type DrainUnauthorizedResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// DrainForbiddenResponseBody is the type of the "administration" service
+// "drain" endpoint HTTP response body for the "forbidden" error.
+type DrainForbiddenResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// DrainNotFoundResponseBody is the type of the "administration" service
+// "drain" endpoint HTTP response body for the "not_found" error.
+type DrainNotFoundResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// DrainConflictResponseBody is the type of the "administration" service
+// "drain" endpoint HTTP response body for the "conflict" error.
+type DrainConflictResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// DrainGoneResponseBody is the type of the "administration" service "drain"
+// endpoint HTTP response body for the "gone" error.
+type DrainGoneResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// DrainTooLargeResponseBody is the type of the "administration" service
+// "drain" endpoint HTTP response body for the "too_large" error.
+type DrainTooLargeResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// DrainUnprocessableResponseBody is the type of the "administration" service
+// "drain" endpoint HTTP response body for the "unprocessable" error.
+type DrainUnprocessableResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// DrainTooManyResponseBody is the type of the "administration" service "drain"
+// endpoint HTTP response body for the "too_many" error.
+type DrainTooManyResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// DrainInternalResponseBody is the type of the "administration" service
+// "drain" endpoint HTTP response body for the "internal" error.
+type DrainInternalResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// DrainBadGatewayResponseBody is the type of the "administration" service
+// "drain" endpoint HTTP response body for the "bad_gateway" error.
+type DrainBadGatewayResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// DrainUnavailableResponseBody is the type of the "administration" service
+// "drain" endpoint HTTP response body for the "unavailable" error.
+type DrainUnavailableResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// DrainTimeoutResponseBody is the type of the "administration" service "drain"
+// endpoint HTTP response body for the "timeout" error.
+type DrainTimeoutResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// QuarantineBadRequestResponseBody is the type of the "administration" service
+// "quarantine" endpoint HTTP response body for the "bad_request" error.
+type QuarantineBadRequestResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// QuarantineUnauthorizedResponseBody is the type of the "administration"
+// service "quarantine" endpoint HTTP response body for the "unauthorized"
+// error.
+type QuarantineUnauthorizedResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// QuarantineForbiddenResponseBody is the type of the "administration" service
+// "quarantine" endpoint HTTP response body for the "forbidden" error.
+type QuarantineForbiddenResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// QuarantineNotFoundResponseBody is the type of the "administration" service
+// "quarantine" endpoint HTTP response body for the "not_found" error.
+type QuarantineNotFoundResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// QuarantineConflictResponseBody is the type of the "administration" service
+// "quarantine" endpoint HTTP response body for the "conflict" error.
+type QuarantineConflictResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// QuarantineGoneResponseBody is the type of the "administration" service
+// "quarantine" endpoint HTTP response body for the "gone" error.
+type QuarantineGoneResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// QuarantineTooLargeResponseBody is the type of the "administration" service
+// "quarantine" endpoint HTTP response body for the "too_large" error.
+type QuarantineTooLargeResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// QuarantineUnprocessableResponseBody is the type of the "administration"
+// service "quarantine" endpoint HTTP response body for the "unprocessable"
+// error.
+type QuarantineUnprocessableResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// QuarantineTooManyResponseBody is the type of the "administration" service
+// "quarantine" endpoint HTTP response body for the "too_many" error.
+type QuarantineTooManyResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// QuarantineInternalResponseBody is the type of the "administration" service
+// "quarantine" endpoint HTTP response body for the "internal" error.
+type QuarantineInternalResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// QuarantineBadGatewayResponseBody is the type of the "administration" service
+// "quarantine" endpoint HTTP response body for the "bad_gateway" error.
+type QuarantineBadGatewayResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// QuarantineUnavailableResponseBody is the type of the "administration"
+// service "quarantine" endpoint HTTP response body for the "unavailable" error.
+type QuarantineUnavailableResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// QuarantineTimeoutResponseBody is the type of the "administration" service
+// "quarantine" endpoint HTTP response body for the "timeout" error.
+type QuarantineTimeoutResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// LiftBadRequestResponseBody is the type of the "administration" service
+// "lift" endpoint HTTP response body for the "bad_request" error.
+type LiftBadRequestResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// LiftUnauthorizedResponseBody is the type of the "administration" service
+// "lift" endpoint HTTP response body for the "unauthorized" error.
+type LiftUnauthorizedResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// LiftForbiddenResponseBody is the type of the "administration" service "lift"
+// endpoint HTTP response body for the "forbidden" error.
+type LiftForbiddenResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// LiftNotFoundResponseBody is the type of the "administration" service "lift"
+// endpoint HTTP response body for the "not_found" error.
+type LiftNotFoundResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// LiftConflictResponseBody is the type of the "administration" service "lift"
+// endpoint HTTP response body for the "conflict" error.
+type LiftConflictResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// LiftGoneResponseBody is the type of the "administration" service "lift"
+// endpoint HTTP response body for the "gone" error.
+type LiftGoneResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// LiftTooLargeResponseBody is the type of the "administration" service "lift"
+// endpoint HTTP response body for the "too_large" error.
+type LiftTooLargeResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// LiftUnprocessableResponseBody is the type of the "administration" service
+// "lift" endpoint HTTP response body for the "unprocessable" error.
+type LiftUnprocessableResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// LiftTooManyResponseBody is the type of the "administration" service "lift"
+// endpoint HTTP response body for the "too_many" error.
+type LiftTooManyResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// LiftInternalResponseBody is the type of the "administration" service "lift"
+// endpoint HTTP response body for the "internal" error.
+type LiftInternalResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// LiftBadGatewayResponseBody is the type of the "administration" service
+// "lift" endpoint HTTP response body for the "bad_gateway" error.
+type LiftBadGatewayResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// LiftUnavailableResponseBody is the type of the "administration" service
+// "lift" endpoint HTTP response body for the "unavailable" error.
+type LiftUnavailableResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// LiftTimeoutResponseBody is the type of the "administration" service "lift"
+// endpoint HTTP response body for the "timeout" error.
+type LiftTimeoutResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// OrdersBadRequestResponseBody is the type of the "administration" service
+// "orders" endpoint HTTP response body for the "bad_request" error.
+type OrdersBadRequestResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// OrdersUnauthorizedResponseBody is the type of the "administration" service
+// "orders" endpoint HTTP response body for the "unauthorized" error.
+type OrdersUnauthorizedResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// OrdersForbiddenResponseBody is the type of the "administration" service
+// "orders" endpoint HTTP response body for the "forbidden" error.
+type OrdersForbiddenResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// OrdersNotFoundResponseBody is the type of the "administration" service
+// "orders" endpoint HTTP response body for the "not_found" error.
+type OrdersNotFoundResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// OrdersConflictResponseBody is the type of the "administration" service
+// "orders" endpoint HTTP response body for the "conflict" error.
+type OrdersConflictResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// OrdersGoneResponseBody is the type of the "administration" service "orders"
+// endpoint HTTP response body for the "gone" error.
+type OrdersGoneResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// OrdersTooLargeResponseBody is the type of the "administration" service
+// "orders" endpoint HTTP response body for the "too_large" error.
+type OrdersTooLargeResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// OrdersUnprocessableResponseBody is the type of the "administration" service
+// "orders" endpoint HTTP response body for the "unprocessable" error.
+type OrdersUnprocessableResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// OrdersTooManyResponseBody is the type of the "administration" service
+// "orders" endpoint HTTP response body for the "too_many" error.
+type OrdersTooManyResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// OrdersInternalResponseBody is the type of the "administration" service
+// "orders" endpoint HTTP response body for the "internal" error.
+type OrdersInternalResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// OrdersBadGatewayResponseBody is the type of the "administration" service
+// "orders" endpoint HTTP response body for the "bad_gateway" error.
+type OrdersBadGatewayResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// OrdersUnavailableResponseBody is the type of the "administration" service
+// "orders" endpoint HTTP response body for the "unavailable" error.
+type OrdersUnavailableResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// OrdersTimeoutResponseBody is the type of the "administration" service
+// "orders" endpoint HTTP response body for the "timeout" error.
+type OrdersTimeoutResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// IssueOrderBadRequestResponseBody is the type of the "administration" service
+// "issue_order" endpoint HTTP response body for the "bad_request" error.
+type IssueOrderBadRequestResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// IssueOrderUnauthorizedResponseBody is the type of the "administration"
+// service "issue_order" endpoint HTTP response body for the "unauthorized"
+// error.
+type IssueOrderUnauthorizedResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// IssueOrderForbiddenResponseBody is the type of the "administration" service
+// "issue_order" endpoint HTTP response body for the "forbidden" error.
+type IssueOrderForbiddenResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// IssueOrderNotFoundResponseBody is the type of the "administration" service
+// "issue_order" endpoint HTTP response body for the "not_found" error.
+type IssueOrderNotFoundResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// IssueOrderConflictResponseBody is the type of the "administration" service
+// "issue_order" endpoint HTTP response body for the "conflict" error.
+type IssueOrderConflictResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// IssueOrderGoneResponseBody is the type of the "administration" service
+// "issue_order" endpoint HTTP response body for the "gone" error.
+type IssueOrderGoneResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// IssueOrderTooLargeResponseBody is the type of the "administration" service
+// "issue_order" endpoint HTTP response body for the "too_large" error.
+type IssueOrderTooLargeResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// IssueOrderUnprocessableResponseBody is the type of the "administration"
+// service "issue_order" endpoint HTTP response body for the "unprocessable"
+// error.
+type IssueOrderUnprocessableResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// IssueOrderTooManyResponseBody is the type of the "administration" service
+// "issue_order" endpoint HTTP response body for the "too_many" error.
+type IssueOrderTooManyResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// IssueOrderInternalResponseBody is the type of the "administration" service
+// "issue_order" endpoint HTTP response body for the "internal" error.
+type IssueOrderInternalResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// IssueOrderBadGatewayResponseBody is the type of the "administration" service
+// "issue_order" endpoint HTTP response body for the "bad_gateway" error.
+type IssueOrderBadGatewayResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// IssueOrderUnavailableResponseBody is the type of the "administration"
+// service "issue_order" endpoint HTTP response body for the "unavailable"
+// error.
+type IssueOrderUnavailableResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// IssueOrderTimeoutResponseBody is the type of the "administration" service
+// "issue_order" endpoint HTTP response body for the "timeout" error.
+type IssueOrderTimeoutResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
 // MemberResponseBody is used to define fields on response body types.
 type MemberResponseBody struct {
 	Instance string `form:"instance" json:"instance" xml:"instance"`
@@ -214,441 +2154,3300 @@
 	Groups []*GroupResponseBody `form:"groups" json:"groups" xml:"groups"`
 }
 
-// GroupResponseBody is used to define fields on response body types.
-type GroupResponseBody struct {
-	Group   uint32 `form:"group" json:"group" xml:"group"`
-	Role    string `form:"role" json:"role" xml:"role"`
-	Term    uint64 `form:"term" json:"term" xml:"term"`
-	Leader  string `form:"leader" json:"leader" xml:"leader"`
-	Commit  uint64 `form:"commit" json:"commit" xml:"commit"`
-	Applied uint64 `form:"applied" json:"applied" xml:"applied"`
+// GroupResponseBody is used to define fields on response body types.
+type GroupResponseBody struct {
+	Group   uint32 `form:"group" json:"group" xml:"group"`
+	Role    string `form:"role" json:"role" xml:"role"`
+	Term    uint64 `form:"term" json:"term" xml:"term"`
+	Leader  string `form:"leader" json:"leader" xml:"leader"`
+	Commit  uint64 `form:"commit" json:"commit" xml:"commit"`
+	Applied uint64 `form:"applied" json:"applied" xml:"applied"`
+}
+
+// InstanceResponseBody is used to define fields on response body types.
+type InstanceResponseBody struct {
+	Instance string `form:"instance" json:"instance" xml:"instance"`
+	Role     string `form:"role" json:"role" xml:"role"`
+	Zone     string `form:"zone" json:"zone" xml:"zone"`
+	// Revision that the process runs
+	Revision uint64 `form:"revision" json:"revision" xml:"revision"`
+	// Time since its last report
+	AgeMs int64 `form:"age_ms" json:"age_ms" xml:"age_ms"`
+}
+
+// ZoneResponseBody is used to define fields on response body types.
+type ZoneResponseBody struct {
+	Zone      string                  `form:"zone" json:"zone" xml:"zone"`
+	Upstreams []*UpstreamResponseBody `form:"upstreams" json:"upstreams" xml:"upstreams"`
+}
+
+// UpstreamResponseBody is used to define fields on response body types.
+type UpstreamResponseBody struct {
+	Instance string   `form:"instance" json:"instance" xml:"instance"`
+	Address  string   `form:"address" json:"address" xml:"address"`
+	State    string   `form:"state" json:"state" xml:"state"`
+	Models   []string `form:"models" json:"models" xml:"models"`
+	Services []string `form:"services" json:"services" xml:"services"`
+	Slots    uint32   `form:"slots" json:"slots" xml:"slots"`
+}
+
+// ProblemResponseBody is used to define fields on response body types.
+type ProblemResponseBody struct {
+	// Numbered result code, see docs/result-codes.md
+	Code int `form:"code" json:"code" xml:"code"`
+	// Stable name of the result code
+	Name string `form:"name" json:"name" xml:"name"`
+	// Same as name; OpenAI clients read this field
+	Type string `form:"type" json:"type" xml:"type"`
+	// What went wrong
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Earliest useful time to ask again, in milliseconds; 0 if asking again does
+	// not help
+	RetryAfterMs int64 `form:"retry_after_ms" json:"retry_after_ms" xml:"retry_after_ms"`
+	// Identifies the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// ExceptionResponseBody is used to define fields on response body types.
+type ExceptionResponseBody struct {
+	ID       string                `form:"id" json:"id" xml:"id"`
+	Key      string                `form:"key" json:"key" xml:"key"`
+	Value    string                `form:"value" json:"value" xml:"value"`
+	Selector *SelectorResponseBody `form:"selector" json:"selector" xml:"selector"`
+	Reason   string                `form:"reason" json:"reason" xml:"reason"`
+	// End in Unix milliseconds; 0 or absent never ends
+	UntilMs *int64 `form:"until_ms,omitempty" json:"until_ms,omitempty" xml:"until_ms,omitempty"`
+}
+
+// SelectorResponseBody is used to define fields on response body types.
+type SelectorResponseBody struct {
+	Organisation *string `form:"organisation,omitempty" json:"organisation,omitempty" xml:"organisation,omitempty"`
+	Model        *string `form:"model,omitempty" json:"model,omitempty" xml:"model,omitempty"`
+	Zone         *string `form:"zone,omitempty" json:"zone,omitempty" xml:"zone,omitempty"`
+	Upstream     *string `form:"upstream,omitempty" json:"upstream,omitempty" xml:"upstream,omitempty"`
+	Service      *string `form:"service,omitempty" json:"service,omitempty" xml:"service,omitempty"`
+}
+
+// OrganisationResponseBody is used to define fields on response body types.
+type OrganisationResponseBody struct {
+	// SHA-256 hashes in hexadecimal
+	KeyHashes []string `form:"key_hashes" json:"key_hashes" xml:"key_hashes"`
+}
+
+// KeyInfoResponse is used to define fields on response body types.
+type KeyInfoResponse struct {
+	Name    string `form:"name" json:"name" xml:"name"`
+	Kind    string `form:"kind" json:"kind" xml:"kind"`
+	Unit    string `form:"unit" json:"unit" xml:"unit"`
+	Default string `form:"default" json:"default" xml:"default"`
+	// Least value; durations in seconds
+	Min float64 `form:"min" json:"min" xml:"min"`
+	// Greatest value; durations in seconds
+	Max   float64  `form:"max" json:"max" xml:"max"`
+	OneOf []string `form:"one_of" json:"one_of" xml:"one_of"`
+	// What an exception may select by
+	Scopes  []string `form:"scopes" json:"scopes" xml:"scopes"`
+	Meaning string   `form:"meaning" json:"meaning" xml:"meaning"`
+}
+
+// PastChangeResponse is used to define fields on response body types.
+type PastChangeResponse struct {
+	ChangeID string `form:"change_id" json:"change_id" xml:"change_id"`
+	Verdict  string `form:"verdict" json:"verdict" xml:"verdict"`
+	// Revision in force after the change was handled
+	Revision     uint64   `form:"revision" json:"revision" xml:"revision"`
+	BaseRevision uint64   `form:"base_revision" json:"base_revision" xml:"base_revision"`
+	Author       string   `form:"author" json:"author" xml:"author"`
+	Reason       string   `form:"reason" json:"reason" xml:"reason"`
+	AtMs         int64    `form:"at_ms" json:"at_ms" xml:"at_ms"`
+	Problems     []string `form:"problems" json:"problems" xml:"problems"`
+}
+
+// ExceptionResponse is used to define fields on response body types.
+type ExceptionResponse struct {
+	ID       string            `form:"id" json:"id" xml:"id"`
+	Key      string            `form:"key" json:"key" xml:"key"`
+	Value    string            `form:"value" json:"value" xml:"value"`
+	Selector *SelectorResponse `form:"selector" json:"selector" xml:"selector"`
+	Reason   string            `form:"reason" json:"reason" xml:"reason"`
+	// End in Unix milliseconds; 0 or absent never ends
+	UntilMs *int64 `form:"until_ms,omitempty" json:"until_ms,omitempty" xml:"until_ms,omitempty"`
+}
+
+// SelectorResponse is used to define fields on response body types.
+type SelectorResponse struct {
+	Organisation *string `form:"organisation,omitempty" json:"organisation,omitempty" xml:"organisation,omitempty"`
+	Model        *string `form:"model,omitempty" json:"model,omitempty" xml:"model,omitempty"`
+	Zone         *string `form:"zone,omitempty" json:"zone,omitempty" xml:"zone,omitempty"`
+	Upstream     *string `form:"upstream,omitempty" json:"upstream,omitempty" xml:"upstream,omitempty"`
+	Service      *string `form:"service,omitempty" json:"service,omitempty" xml:"service,omitempty"`
+}
+
+// OrganisationResponse is used to define fields on response body types.
+type OrganisationResponse struct {
+	// SHA-256 hashes in hexadecimal
+	KeyHashes []string `form:"key_hashes" json:"key_hashes" xml:"key_hashes"`
+}
+
+// SuspectResponse is used to define fields on response body types.
+type SuspectResponse struct {
+	Fingerprint string `form:"fingerprint" json:"fingerprint" xml:"fingerprint"`
+	Crashes     uint32 `form:"crashes" json:"crashes" xml:"crashes"`
+	Quarantined bool   `form:"quarantined" json:"quarantined" xml:"quarantined"`
+	// Time left of the quarantine
+	LeftMs int64 `form:"left_ms" json:"left_ms" xml:"left_ms"`
+}
+
+// OrderResponse is used to define fields on response body types.
+type OrderResponse struct {
+	// Names the order; sent again, it is not staged twice
+	ID       string  `form:"id" json:"id" xml:"id"`
+	Upstream string  `form:"upstream" json:"upstream" xml:"upstream"`
+	Kind     string  `form:"kind" json:"kind" xml:"kind"`
+	Model    *string `form:"model,omitempty" json:"model,omitempty" xml:"model,omitempty"`
+	Adapter  *string `form:"adapter,omitempty" json:"adapter,omitempty" xml:"adapter,omitempty"`
+	Version  *string `form:"version,omitempty" json:"version,omitempty" xml:"version,omitempty"`
+	Role     *string `form:"role,omitempty" json:"role,omitempty" xml:"role,omitempty"`
+	Replaces *string `form:"replaces,omitempty" json:"replaces,omitempty" xml:"replaces,omitempty"`
+	Fence    uint64  `form:"fence" json:"fence" xml:"fence"`
+	Status   string  `form:"status" json:"status" xml:"status"`
+	Message  string  `form:"message" json:"message" xml:"message"`
+	AtMs     int64   `form:"at_ms" json:"at_ms" xml:"at_ms"`
+}
+
+// EditRequestBody is used to define fields on request body types.
+type EditRequestBody struct {
+	Kind         *string                  `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	Name         *string                  `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	Value        *string                  `form:"value,omitempty" json:"value,omitempty" xml:"value,omitempty"`
+	Exception    *ExceptionRequestBody    `form:"exception,omitempty" json:"exception,omitempty" xml:"exception,omitempty"`
+	Organisation *OrganisationRequestBody `form:"organisation,omitempty" json:"organisation,omitempty" xml:"organisation,omitempty"`
+}
+
+// ExceptionRequestBody is used to define fields on request body types.
+type ExceptionRequestBody struct {
+	ID       *string              `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	Key      *string              `form:"key,omitempty" json:"key,omitempty" xml:"key,omitempty"`
+	Value    *string              `form:"value,omitempty" json:"value,omitempty" xml:"value,omitempty"`
+	Selector *SelectorRequestBody `form:"selector,omitempty" json:"selector,omitempty" xml:"selector,omitempty"`
+	Reason   *string              `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// End in Unix milliseconds; 0 or absent never ends
+	UntilMs *int64 `form:"until_ms,omitempty" json:"until_ms,omitempty" xml:"until_ms,omitempty"`
+}
+
+// SelectorRequestBody is used to define fields on request body types.
+type SelectorRequestBody struct {
+	Organisation *string `form:"organisation,omitempty" json:"organisation,omitempty" xml:"organisation,omitempty"`
+	Model        *string `form:"model,omitempty" json:"model,omitempty" xml:"model,omitempty"`
+	Zone         *string `form:"zone,omitempty" json:"zone,omitempty" xml:"zone,omitempty"`
+	Upstream     *string `form:"upstream,omitempty" json:"upstream,omitempty" xml:"upstream,omitempty"`
+	Service      *string `form:"service,omitempty" json:"service,omitempty" xml:"service,omitempty"`
+}
+
+// OrganisationRequestBody is used to define fields on request body types.
+type OrganisationRequestBody struct {
+	// SHA-256 hashes in hexadecimal
+	KeyHashes []string `form:"key_hashes,omitempty" json:"key_hashes,omitempty" xml:"key_hashes,omitempty"`
+}
+
+// NewStatusResponseBody builds the HTTP response body from the result of the
+// "status" endpoint of the "administration" service.
+func NewStatusResponseBody(res *administration.Fleet) *StatusResponseBody {
+	body := &StatusResponseBody{
+		Revision: res.Revision,
+	}
+	if res.Members != nil {
+		body.Members = make([]*MemberResponseBody, len(res.Members))
+		for i, val := range res.Members {
+			if val == nil {
+				body.Members[i] = nil
+				continue
+			}
+			body.Members[i] = marshalAdministrationMemberToMemberResponseBody(val)
+		}
+	} else {
+		body.Members = []*MemberResponseBody{}
+	}
+	if res.Instances != nil {
+		body.Instances = make([]*InstanceResponseBody, len(res.Instances))
+		for i, val := range res.Instances {
+			if val == nil {
+				body.Instances[i] = nil
+				continue
+			}
+			body.Instances[i] = marshalAdministrationInstanceToInstanceResponseBody(val)
+		}
+	} else {
+		body.Instances = []*InstanceResponseBody{}
+	}
+	if res.Zones != nil {
+		body.Zones = make([]*ZoneResponseBody, len(res.Zones))
+		for i, val := range res.Zones {
+			if val == nil {
+				body.Zones[i] = nil
+				continue
+			}
+			body.Zones[i] = marshalAdministrationZoneToZoneResponseBody(val)
+		}
+	} else {
+		body.Zones = []*ZoneResponseBody{}
+	}
+	return body
+}
+
+// NewConfigurationResponseBody builds the HTTP response body from the result
+// of the "configuration" endpoint of the "administration" service.
+func NewConfigurationResponseBody(res *administration.Document) *ConfigurationResponseBody {
+	body := &ConfigurationResponseBody{
+		Revision: res.Revision,
+	}
+	if res.Defaults != nil {
+		body.Defaults = make(map[string]string, len(res.Defaults))
+		for key, val := range res.Defaults {
+			tk := key
+			tv := val
+			body.Defaults[tk] = tv
+		}
+	}
+	if res.Exceptions != nil {
+		body.Exceptions = make([]*ExceptionResponseBody, len(res.Exceptions))
+		for i, val := range res.Exceptions {
+			if val == nil {
+				body.Exceptions[i] = nil
+				continue
+			}
+			body.Exceptions[i] = marshalAdministrationExceptionToExceptionResponseBody(val)
+		}
+	} else {
+		body.Exceptions = []*ExceptionResponseBody{}
+	}
+	if res.Organisations != nil {
+		body.Organisations = make(map[string]*OrganisationResponseBody, len(res.Organisations))
+		for key, val := range res.Organisations {
+			tk := key
+			if val == nil {
+				body.Organisations[tk] = nil
+				continue
+			}
+			body.Organisations[tk] = marshalAdministrationOrganisationToOrganisationResponseBody(val)
+		}
+	}
+	return body
+}
+
+// NewKeysResponseBody builds the HTTP response body from the result of the
+// "keys" endpoint of the "administration" service.
+func NewKeysResponseBody(res []*administration.KeyInfo) KeysResponseBody {
+	body := make([]*KeyInfoResponse, len(res))
+	for i, val := range res {
+		if val == nil {
+			body[i] = nil
+			continue
+		}
+		body[i] = marshalAdministrationKeyInfoToKeyInfoResponse(val)
+	}
+	return body
+}
+
+// NewHistoryResponseBody builds the HTTP response body from the result of the
+// "history" endpoint of the "administration" service.
+func NewHistoryResponseBody(res []*administration.PastChange) HistoryResponseBody {
+	body := make([]*PastChangeResponse, len(res))
+	for i, val := range res {
+		if val == nil {
+			body[i] = nil
+			continue
+		}
+		body[i] = marshalAdministrationPastChangeToPastChangeResponse(val)
+	}
+	return body
+}
+
+// NewChangeResponseBody builds the HTTP response body from the result of the
+// "change" endpoint of the "administration" service.
+func NewChangeResponseBody(res *administration.Accepted) *ChangeResponseBody {
+	body := &ChangeResponseBody{
+		ChangeID: res.ChangeID,
+		Revision: res.Revision,
+	}
+	return body
+}
+
+// NewExceptionsResponseBody builds the HTTP response body from the result of
+// the "exceptions" endpoint of the "administration" service.
+func NewExceptionsResponseBody(res []*administration.Exception) ExceptionsResponseBody {
+	body := make([]*ExceptionResponse, len(res))
+	for i, val := range res {
+		if val == nil {
+			body[i] = nil
+			continue
+		}
+		body[i] = marshalAdministrationExceptionToExceptionResponse(val)
+	}
+	return body
+}
+
+// NewPutExceptionResponseBody builds the HTTP response body from the result of
+// the "put_exception" endpoint of the "administration" service.
+func NewPutExceptionResponseBody(res *administration.Accepted) *PutExceptionResponseBody {
+	body := &PutExceptionResponseBody{
+		ChangeID: res.ChangeID,
+		Revision: res.Revision,
+	}
+	return body
+}
+
+// NewRemoveExceptionResponseBody builds the HTTP response body from the result
+// of the "remove_exception" endpoint of the "administration" service.
+func NewRemoveExceptionResponseBody(res *administration.Accepted) *RemoveExceptionResponseBody {
+	body := &RemoveExceptionResponseBody{
+		ChangeID: res.ChangeID,
+		Revision: res.Revision,
+	}
+	return body
+}
+
+// NewOrganisationsResponseBody builds the HTTP response body from the result
+// of the "organisations" endpoint of the "administration" service.
+func NewOrganisationsResponseBody(res map[string]*administration.Organisation) OrganisationsResponseBody {
+	body := make(map[string]*OrganisationResponse, len(res))
+	for key, val := range res {
+		tk := key
+		if val == nil {
+			body[tk] = nil
+			continue
+		}
+		body[tk] = marshalAdministrationOrganisationToOrganisationResponse(val)
+	}
+	return body
+}
+
+// NewPutOrganisationResponseBody builds the HTTP response body from the result
+// of the "put_organisation" endpoint of the "administration" service.
+func NewPutOrganisationResponseBody(res *administration.Accepted) *PutOrganisationResponseBody {
+	body := &PutOrganisationResponseBody{
+		ChangeID: res.ChangeID,
+		Revision: res.Revision,
+	}
+	return body
+}
+
+// NewRemoveOrganisationResponseBody builds the HTTP response body from the
+// result of the "remove_organisation" endpoint of the "administration" service.
+func NewRemoveOrganisationResponseBody(res *administration.Accepted) *RemoveOrganisationResponseBody {
+	body := &RemoveOrganisationResponseBody{
+		ChangeID: res.ChangeID,
+		Revision: res.Revision,
+	}
+	return body
+}
+
+// NewAddKeyResponseBody builds the HTTP response body from the result of the
+// "add_key" endpoint of the "administration" service.
+func NewAddKeyResponseBody(res *administration.Accepted) *AddKeyResponseBody {
+	body := &AddKeyResponseBody{
+		ChangeID: res.ChangeID,
+		Revision: res.Revision,
+	}
+	return body
+}
+
+// NewRemoveKeyResponseBody builds the HTTP response body from the result of
+// the "remove_key" endpoint of the "administration" service.
+func NewRemoveKeyResponseBody(res *administration.Accepted) *RemoveKeyResponseBody {
+	body := &RemoveKeyResponseBody{
+		ChangeID: res.ChangeID,
+		Revision: res.Revision,
+	}
+	return body
+}
+
+// NewDrainResponseBody builds the HTTP response body from the result of the
+// "drain" endpoint of the "administration" service.
+func NewDrainResponseBody(res *administration.DrainResult) *DrainResponseBody {
+	body := &DrainResponseBody{
+		Running: res.Running,
+	}
+	return body
+}
+
+// NewQuarantineResponseBody builds the HTTP response body from the result of
+// the "quarantine" endpoint of the "administration" service.
+func NewQuarantineResponseBody(res []*administration.Suspect) QuarantineResponseBody {
+	body := make([]*SuspectResponse, len(res))
+	for i, val := range res {
+		if val == nil {
+			body[i] = nil
+			continue
+		}
+		body[i] = marshalAdministrationSuspectToSuspectResponse(val)
+	}
+	return body
+}
+
+// NewOrdersResponseBody builds the HTTP response body from the result of the
+// "orders" endpoint of the "administration" service.
+func NewOrdersResponseBody(res []*administration.Order) OrdersResponseBody {
+	body := make([]*OrderResponse, len(res))
+	for i, val := range res {
+		if val == nil {
+			body[i] = nil
+			continue
+		}
+		body[i] = marshalAdministrationOrderToOrderResponse(val)
+	}
+	return body
+}
+
+// NewIssueOrderResponseBody builds the HTTP response body from the result of
+// the "issue_order" endpoint of the "administration" service.
+func NewIssueOrderResponseBody(res *administration.IssueOrderResult) *IssueOrderResponseBody {
+	body := &IssueOrderResponseBody{
+		ID:      res.ID,
+		Status:  res.Status,
+		Message: res.Message,
+	}
+	return body
+}
+
+// NewStatusBadRequestResponseBody builds the HTTP response body from the
+// result of the "status" endpoint of the "administration" service.
+func NewStatusBadRequestResponseBody(res *administration.Failure) *StatusBadRequestResponseBody {
+	body := &StatusBadRequestResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewStatusUnauthorizedResponseBody builds the HTTP response body from the
+// result of the "status" endpoint of the "administration" service.
+func NewStatusUnauthorizedResponseBody(res *administration.Failure) *StatusUnauthorizedResponseBody {
+	body := &StatusUnauthorizedResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewStatusForbiddenResponseBody builds the HTTP response body from the result
+// of the "status" endpoint of the "administration" service.
+func NewStatusForbiddenResponseBody(res *administration.Failure) *StatusForbiddenResponseBody {
+	body := &StatusForbiddenResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewStatusNotFoundResponseBody builds the HTTP response body from the result
+// of the "status" endpoint of the "administration" service.
+func NewStatusNotFoundResponseBody(res *administration.Failure) *StatusNotFoundResponseBody {
+	body := &StatusNotFoundResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewStatusConflictResponseBody builds the HTTP response body from the result
+// of the "status" endpoint of the "administration" service.
+func NewStatusConflictResponseBody(res *administration.Failure) *StatusConflictResponseBody {
+	body := &StatusConflictResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewStatusGoneResponseBody builds the HTTP response body from the result of
+// the "status" endpoint of the "administration" service.
+func NewStatusGoneResponseBody(res *administration.Failure) *StatusGoneResponseBody {
+	body := &StatusGoneResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewStatusTooLargeResponseBody builds the HTTP response body from the result
+// of the "status" endpoint of the "administration" service.
+func NewStatusTooLargeResponseBody(res *administration.Failure) *StatusTooLargeResponseBody {
+	body := &StatusTooLargeResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewStatusUnprocessableResponseBody builds the HTTP response body from the
+// result of the "status" endpoint of the "administration" service.
+func NewStatusUnprocessableResponseBody(res *administration.Failure) *StatusUnprocessableResponseBody {
+	body := &StatusUnprocessableResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewStatusTooManyResponseBody builds the HTTP response body from the result
+// of the "status" endpoint of the "administration" service.
+func NewStatusTooManyResponseBody(res *administration.Failure) *StatusTooManyResponseBody {
+	body := &StatusTooManyResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewStatusInternalResponseBody builds the HTTP response body from the result
+// of the "status" endpoint of the "administration" service.
+func NewStatusInternalResponseBody(res *administration.Failure) *StatusInternalResponseBody {
+	body := &StatusInternalResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewStatusBadGatewayResponseBody builds the HTTP response body from the
+// result of the "status" endpoint of the "administration" service.
+func NewStatusBadGatewayResponseBody(res *administration.Failure) *StatusBadGatewayResponseBody {
+	body := &StatusBadGatewayResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewStatusUnavailableResponseBody builds the HTTP response body from the
+// result of the "status" endpoint of the "administration" service.
+func NewStatusUnavailableResponseBody(res *administration.Failure) *StatusUnavailableResponseBody {
+	body := &StatusUnavailableResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewStatusTimeoutResponseBody builds the HTTP response body from the result
+// of the "status" endpoint of the "administration" service.
+func NewStatusTimeoutResponseBody(res *administration.Failure) *StatusTimeoutResponseBody {
+	body := &StatusTimeoutResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewConfigurationBadRequestResponseBody builds the HTTP response body from
+// the result of the "configuration" endpoint of the "administration" service.
+func NewConfigurationBadRequestResponseBody(res *administration.Failure) *ConfigurationBadRequestResponseBody {
+	body := &ConfigurationBadRequestResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewConfigurationUnauthorizedResponseBody builds the HTTP response body from
+// the result of the "configuration" endpoint of the "administration" service.
+func NewConfigurationUnauthorizedResponseBody(res *administration.Failure) *ConfigurationUnauthorizedResponseBody {
+	body := &ConfigurationUnauthorizedResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewConfigurationForbiddenResponseBody builds the HTTP response body from the
+// result of the "configuration" endpoint of the "administration" service.
+func NewConfigurationForbiddenResponseBody(res *administration.Failure) *ConfigurationForbiddenResponseBody {
+	body := &ConfigurationForbiddenResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewConfigurationNotFoundResponseBody builds the HTTP response body from the
+// result of the "configuration" endpoint of the "administration" service.
+func NewConfigurationNotFoundResponseBody(res *administration.Failure) *ConfigurationNotFoundResponseBody {
+	body := &ConfigurationNotFoundResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewConfigurationConflictResponseBody builds the HTTP response body from the
+// result of the "configuration" endpoint of the "administration" service.
+func NewConfigurationConflictResponseBody(res *administration.Failure) *ConfigurationConflictResponseBody {
+	body := &ConfigurationConflictResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewConfigurationGoneResponseBody builds the HTTP response body from the
+// result of the "configuration" endpoint of the "administration" service.
+func NewConfigurationGoneResponseBody(res *administration.Failure) *ConfigurationGoneResponseBody {
+	body := &ConfigurationGoneResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewConfigurationTooLargeResponseBody builds the HTTP response body from the
+// result of the "configuration" endpoint of the "administration" service.
+func NewConfigurationTooLargeResponseBody(res *administration.Failure) *ConfigurationTooLargeResponseBody {
+	body := &ConfigurationTooLargeResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewConfigurationUnprocessableResponseBody builds the HTTP response body from
+// the result of the "configuration" endpoint of the "administration" service.
+func NewConfigurationUnprocessableResponseBody(res *administration.Failure) *ConfigurationUnprocessableResponseBody {
+	body := &ConfigurationUnprocessableResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewConfigurationTooManyResponseBody builds the HTTP response body from the
+// result of the "configuration" endpoint of the "administration" service.
+func NewConfigurationTooManyResponseBody(res *administration.Failure) *ConfigurationTooManyResponseBody {
+	body := &ConfigurationTooManyResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewConfigurationInternalResponseBody builds the HTTP response body from the
+// result of the "configuration" endpoint of the "administration" service.
+func NewConfigurationInternalResponseBody(res *administration.Failure) *ConfigurationInternalResponseBody {
+	body := &ConfigurationInternalResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewConfigurationBadGatewayResponseBody builds the HTTP response body from
+// the result of the "configuration" endpoint of the "administration" service.
+func NewConfigurationBadGatewayResponseBody(res *administration.Failure) *ConfigurationBadGatewayResponseBody {
+	body := &ConfigurationBadGatewayResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewConfigurationUnavailableResponseBody builds the HTTP response body from
+// the result of the "configuration" endpoint of the "administration" service.
+func NewConfigurationUnavailableResponseBody(res *administration.Failure) *ConfigurationUnavailableResponseBody {
+	body := &ConfigurationUnavailableResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewConfigurationTimeoutResponseBody builds the HTTP response body from the
+// result of the "configuration" endpoint of the "administration" service.
+func NewConfigurationTimeoutResponseBody(res *administration.Failure) *ConfigurationTimeoutResponseBody {
+	body := &ConfigurationTimeoutResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewKeysBadRequestResponseBody builds the HTTP response body from the result
+// of the "keys" endpoint of the "administration" service.
+func NewKeysBadRequestResponseBody(res *administration.Failure) *KeysBadRequestResponseBody {
+	body := &KeysBadRequestResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewKeysUnauthorizedResponseBody builds the HTTP response body from the
+// result of the "keys" endpoint of the "administration" service.
+func NewKeysUnauthorizedResponseBody(res *administration.Failure) *KeysUnauthorizedResponseBody {
+	body := &KeysUnauthorizedResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewKeysForbiddenResponseBody builds the HTTP response body from the result
+// of the "keys" endpoint of the "administration" service.
+func NewKeysForbiddenResponseBody(res *administration.Failure) *KeysForbiddenResponseBody {
+	body := &KeysForbiddenResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewKeysNotFoundResponseBody builds the HTTP response body from the result of
+// the "keys" endpoint of the "administration" service.
+func NewKeysNotFoundResponseBody(res *administration.Failure) *KeysNotFoundResponseBody {
+	body := &KeysNotFoundResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewKeysConflictResponseBody builds the HTTP response body from the result of
+// the "keys" endpoint of the "administration" service.
+func NewKeysConflictResponseBody(res *administration.Failure) *KeysConflictResponseBody {
+	body := &KeysConflictResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewKeysGoneResponseBody builds the HTTP response body from the result of the
+// "keys" endpoint of the "administration" service.
+func NewKeysGoneResponseBody(res *administration.Failure) *KeysGoneResponseBody {
+	body := &KeysGoneResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewKeysTooLargeResponseBody builds the HTTP response body from the result of
+// the "keys" endpoint of the "administration" service.
+func NewKeysTooLargeResponseBody(res *administration.Failure) *KeysTooLargeResponseBody {
+	body := &KeysTooLargeResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewKeysUnprocessableResponseBody builds the HTTP response body from the
+// result of the "keys" endpoint of the "administration" service.
+func NewKeysUnprocessableResponseBody(res *administration.Failure) *KeysUnprocessableResponseBody {
+	body := &KeysUnprocessableResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewKeysTooManyResponseBody builds the HTTP response body from the result of
+// the "keys" endpoint of the "administration" service.
+func NewKeysTooManyResponseBody(res *administration.Failure) *KeysTooManyResponseBody {
+	body := &KeysTooManyResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewKeysInternalResponseBody builds the HTTP response body from the result of
+// the "keys" endpoint of the "administration" service.
+func NewKeysInternalResponseBody(res *administration.Failure) *KeysInternalResponseBody {
+	body := &KeysInternalResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewKeysBadGatewayResponseBody builds the HTTP response body from the result
+// of the "keys" endpoint of the "administration" service.
+func NewKeysBadGatewayResponseBody(res *administration.Failure) *KeysBadGatewayResponseBody {
+	body := &KeysBadGatewayResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewKeysUnavailableResponseBody builds the HTTP response body from the result
+// of the "keys" endpoint of the "administration" service.
+func NewKeysUnavailableResponseBody(res *administration.Failure) *KeysUnavailableResponseBody {
+	body := &KeysUnavailableResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewKeysTimeoutResponseBody builds the HTTP response body from the result of
+// the "keys" endpoint of the "administration" service.
+func NewKeysTimeoutResponseBody(res *administration.Failure) *KeysTimeoutResponseBody {
+	body := &KeysTimeoutResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewHistoryBadRequestResponseBody builds the HTTP response body from the
+// result of the "history" endpoint of the "administration" service.
+func NewHistoryBadRequestResponseBody(res *administration.Failure) *HistoryBadRequestResponseBody {
+	body := &HistoryBadRequestResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewHistoryUnauthorizedResponseBody builds the HTTP response body from the
+// result of the "history" endpoint of the "administration" service.
+func NewHistoryUnauthorizedResponseBody(res *administration.Failure) *HistoryUnauthorizedResponseBody {
+	body := &HistoryUnauthorizedResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewHistoryForbiddenResponseBody builds the HTTP response body from the
+// result of the "history" endpoint of the "administration" service.
+func NewHistoryForbiddenResponseBody(res *administration.Failure) *HistoryForbiddenResponseBody {
+	body := &HistoryForbiddenResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewHistoryNotFoundResponseBody builds the HTTP response body from the result
+// of the "history" endpoint of the "administration" service.
+func NewHistoryNotFoundResponseBody(res *administration.Failure) *HistoryNotFoundResponseBody {
+	body := &HistoryNotFoundResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewHistoryConflictResponseBody builds the HTTP response body from the result
+// of the "history" endpoint of the "administration" service.
+func NewHistoryConflictResponseBody(res *administration.Failure) *HistoryConflictResponseBody {
+	body := &HistoryConflictResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewHistoryGoneResponseBody builds the HTTP response body from the result of
+// the "history" endpoint of the "administration" service.
+func NewHistoryGoneResponseBody(res *administration.Failure) *HistoryGoneResponseBody {
+	body := &HistoryGoneResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewHistoryTooLargeResponseBody builds the HTTP response body from the result
+// of the "history" endpoint of the "administration" service.
+func NewHistoryTooLargeResponseBody(res *administration.Failure) *HistoryTooLargeResponseBody {
+	body := &HistoryTooLargeResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewHistoryUnprocessableResponseBody builds the HTTP response body from the
+// result of the "history" endpoint of the "administration" service.
+func NewHistoryUnprocessableResponseBody(res *administration.Failure) *HistoryUnprocessableResponseBody {
+	body := &HistoryUnprocessableResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewHistoryTooManyResponseBody builds the HTTP response body from the result
+// of the "history" endpoint of the "administration" service.
+func NewHistoryTooManyResponseBody(res *administration.Failure) *HistoryTooManyResponseBody {
+	body := &HistoryTooManyResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewHistoryInternalResponseBody builds the HTTP response body from the result
+// of the "history" endpoint of the "administration" service.
+func NewHistoryInternalResponseBody(res *administration.Failure) *HistoryInternalResponseBody {
+	body := &HistoryInternalResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewHistoryBadGatewayResponseBody builds the HTTP response body from the
+// result of the "history" endpoint of the "administration" service.
+func NewHistoryBadGatewayResponseBody(res *administration.Failure) *HistoryBadGatewayResponseBody {
+	body := &HistoryBadGatewayResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewHistoryUnavailableResponseBody builds the HTTP response body from the
+// result of the "history" endpoint of the "administration" service.
+func NewHistoryUnavailableResponseBody(res *administration.Failure) *HistoryUnavailableResponseBody {
+	body := &HistoryUnavailableResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewHistoryTimeoutResponseBody builds the HTTP response body from the result
+// of the "history" endpoint of the "administration" service.
+func NewHistoryTimeoutResponseBody(res *administration.Failure) *HistoryTimeoutResponseBody {
+	body := &HistoryTimeoutResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewChangeBadRequestResponseBody builds the HTTP response body from the
+// result of the "change" endpoint of the "administration" service.
+func NewChangeBadRequestResponseBody(res *administration.Failure) *ChangeBadRequestResponseBody {
+	body := &ChangeBadRequestResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewChangeUnauthorizedResponseBody builds the HTTP response body from the
+// result of the "change" endpoint of the "administration" service.
+func NewChangeUnauthorizedResponseBody(res *administration.Failure) *ChangeUnauthorizedResponseBody {
+	body := &ChangeUnauthorizedResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewChangeForbiddenResponseBody builds the HTTP response body from the result
+// of the "change" endpoint of the "administration" service.
+func NewChangeForbiddenResponseBody(res *administration.Failure) *ChangeForbiddenResponseBody {
+	body := &ChangeForbiddenResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewChangeNotFoundResponseBody builds the HTTP response body from the result
+// of the "change" endpoint of the "administration" service.
+func NewChangeNotFoundResponseBody(res *administration.Failure) *ChangeNotFoundResponseBody {
+	body := &ChangeNotFoundResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewChangeConflictResponseBody builds the HTTP response body from the result
+// of the "change" endpoint of the "administration" service.
+func NewChangeConflictResponseBody(res *administration.Failure) *ChangeConflictResponseBody {
+	body := &ChangeConflictResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewChangeGoneResponseBody builds the HTTP response body from the result of
+// the "change" endpoint of the "administration" service.
+func NewChangeGoneResponseBody(res *administration.Failure) *ChangeGoneResponseBody {
+	body := &ChangeGoneResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewChangeTooLargeResponseBody builds the HTTP response body from the result
+// of the "change" endpoint of the "administration" service.
+func NewChangeTooLargeResponseBody(res *administration.Failure) *ChangeTooLargeResponseBody {
+	body := &ChangeTooLargeResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewChangeUnprocessableResponseBody builds the HTTP response body from the
+// result of the "change" endpoint of the "administration" service.
+func NewChangeUnprocessableResponseBody(res *administration.Failure) *ChangeUnprocessableResponseBody {
+	body := &ChangeUnprocessableResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewChangeTooManyResponseBody builds the HTTP response body from the result
+// of the "change" endpoint of the "administration" service.
+func NewChangeTooManyResponseBody(res *administration.Failure) *ChangeTooManyResponseBody {
+	body := &ChangeTooManyResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewChangeInternalResponseBody builds the HTTP response body from the result
+// of the "change" endpoint of the "administration" service.
+func NewChangeInternalResponseBody(res *administration.Failure) *ChangeInternalResponseBody {
+	body := &ChangeInternalResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewChangeBadGatewayResponseBody builds the HTTP response body from the
+// result of the "change" endpoint of the "administration" service.
+func NewChangeBadGatewayResponseBody(res *administration.Failure) *ChangeBadGatewayResponseBody {
+	body := &ChangeBadGatewayResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewChangeUnavailableResponseBody builds the HTTP response body from the
+// result of the "change" endpoint of the "administration" service.
+func NewChangeUnavailableResponseBody(res *administration.Failure) *ChangeUnavailableResponseBody {
+	body := &ChangeUnavailableResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewChangeTimeoutResponseBody builds the HTTP response body from the result
+// of the "change" endpoint of the "administration" service.
+func NewChangeTimeoutResponseBody(res *administration.Failure) *ChangeTimeoutResponseBody {
+	body := &ChangeTimeoutResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewExceptionsBadRequestResponseBody builds the HTTP response body from the
+// result of the "exceptions" endpoint of the "administration" service.
+func NewExceptionsBadRequestResponseBody(res *administration.Failure) *ExceptionsBadRequestResponseBody {
+	body := &ExceptionsBadRequestResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewExceptionsUnauthorizedResponseBody builds the HTTP response body from the
+// result of the "exceptions" endpoint of the "administration" service.
+func NewExceptionsUnauthorizedResponseBody(res *administration.Failure) *ExceptionsUnauthorizedResponseBody {
+	body := &ExceptionsUnauthorizedResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewExceptionsForbiddenResponseBody builds the HTTP response body from the
+// result of the "exceptions" endpoint of the "administration" service.
+func NewExceptionsForbiddenResponseBody(res *administration.Failure) *ExceptionsForbiddenResponseBody {
+	body := &ExceptionsForbiddenResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewExceptionsNotFoundResponseBody builds the HTTP response body from the
+// result of the "exceptions" endpoint of the "administration" service.
+func NewExceptionsNotFoundResponseBody(res *administration.Failure) *ExceptionsNotFoundResponseBody {
+	body := &ExceptionsNotFoundResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewExceptionsConflictResponseBody builds the HTTP response body from the
+// result of the "exceptions" endpoint of the "administration" service.
+func NewExceptionsConflictResponseBody(res *administration.Failure) *ExceptionsConflictResponseBody {
+	body := &ExceptionsConflictResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewExceptionsGoneResponseBody builds the HTTP response body from the result
+// of the "exceptions" endpoint of the "administration" service.
+func NewExceptionsGoneResponseBody(res *administration.Failure) *ExceptionsGoneResponseBody {
+	body := &ExceptionsGoneResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewExceptionsTooLargeResponseBody builds the HTTP response body from the
+// result of the "exceptions" endpoint of the "administration" service.
+func NewExceptionsTooLargeResponseBody(res *administration.Failure) *ExceptionsTooLargeResponseBody {
+	body := &ExceptionsTooLargeResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewExceptionsUnprocessableResponseBody builds the HTTP response body from
+// the result of the "exceptions" endpoint of the "administration" service.
+func NewExceptionsUnprocessableResponseBody(res *administration.Failure) *ExceptionsUnprocessableResponseBody {
+	body := &ExceptionsUnprocessableResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewExceptionsTooManyResponseBody builds the HTTP response body from the
+// result of the "exceptions" endpoint of the "administration" service.
+func NewExceptionsTooManyResponseBody(res *administration.Failure) *ExceptionsTooManyResponseBody {
+	body := &ExceptionsTooManyResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewExceptionsInternalResponseBody builds the HTTP response body from the
+// result of the "exceptions" endpoint of the "administration" service.
+func NewExceptionsInternalResponseBody(res *administration.Failure) *ExceptionsInternalResponseBody {
+	body := &ExceptionsInternalResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewExceptionsBadGatewayResponseBody builds the HTTP response body from the
+// result of the "exceptions" endpoint of the "administration" service.
+func NewExceptionsBadGatewayResponseBody(res *administration.Failure) *ExceptionsBadGatewayResponseBody {
+	body := &ExceptionsBadGatewayResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewExceptionsUnavailableResponseBody builds the HTTP response body from the
+// result of the "exceptions" endpoint of the "administration" service.
+func NewExceptionsUnavailableResponseBody(res *administration.Failure) *ExceptionsUnavailableResponseBody {
+	body := &ExceptionsUnavailableResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewExceptionsTimeoutResponseBody builds the HTTP response body from the
+// result of the "exceptions" endpoint of the "administration" service.
+func NewExceptionsTimeoutResponseBody(res *administration.Failure) *ExceptionsTimeoutResponseBody {
+	body := &ExceptionsTimeoutResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewPutExceptionBadRequestResponseBody builds the HTTP response body from the
+// result of the "put_exception" endpoint of the "administration" service.
+func NewPutExceptionBadRequestResponseBody(res *administration.Failure) *PutExceptionBadRequestResponseBody {
+	body := &PutExceptionBadRequestResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewPutExceptionUnauthorizedResponseBody builds the HTTP response body from
+// the result of the "put_exception" endpoint of the "administration" service.
+func NewPutExceptionUnauthorizedResponseBody(res *administration.Failure) *PutExceptionUnauthorizedResponseBody {
+	body := &PutExceptionUnauthorizedResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewPutExceptionForbiddenResponseBody builds the HTTP response body from the
+// result of the "put_exception" endpoint of the "administration" service.
+func NewPutExceptionForbiddenResponseBody(res *administration.Failure) *PutExceptionForbiddenResponseBody {
+	body := &PutExceptionForbiddenResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewPutExceptionNotFoundResponseBody builds the HTTP response body from the
+// result of the "put_exception" endpoint of the "administration" service.
+func NewPutExceptionNotFoundResponseBody(res *administration.Failure) *PutExceptionNotFoundResponseBody {
+	body := &PutExceptionNotFoundResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewPutExceptionConflictResponseBody builds the HTTP response body from the
+// result of the "put_exception" endpoint of the "administration" service.
+func NewPutExceptionConflictResponseBody(res *administration.Failure) *PutExceptionConflictResponseBody {
+	body := &PutExceptionConflictResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewPutExceptionGoneResponseBody builds the HTTP response body from the
+// result of the "put_exception" endpoint of the "administration" service.
+func NewPutExceptionGoneResponseBody(res *administration.Failure) *PutExceptionGoneResponseBody {
+	body := &PutExceptionGoneResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewPutExceptionTooLargeResponseBody builds the HTTP response body from the
+// result of the "put_exception" endpoint of the "administration" service.
+func NewPutExceptionTooLargeResponseBody(res *administration.Failure) *PutExceptionTooLargeResponseBody {
+	body := &PutExceptionTooLargeResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewPutExceptionUnprocessableResponseBody builds the HTTP response body from
+// the result of the "put_exception" endpoint of the "administration" service.
+func NewPutExceptionUnprocessableResponseBody(res *administration.Failure) *PutExceptionUnprocessableResponseBody {
+	body := &PutExceptionUnprocessableResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewPutExceptionTooManyResponseBody builds the HTTP response body from the
+// result of the "put_exception" endpoint of the "administration" service.
+func NewPutExceptionTooManyResponseBody(res *administration.Failure) *PutExceptionTooManyResponseBody {
+	body := &PutExceptionTooManyResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewPutExceptionInternalResponseBody builds the HTTP response body from the
+// result of the "put_exception" endpoint of the "administration" service.
+func NewPutExceptionInternalResponseBody(res *administration.Failure) *PutExceptionInternalResponseBody {
+	body := &PutExceptionInternalResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewPutExceptionBadGatewayResponseBody builds the HTTP response body from the
+// result of the "put_exception" endpoint of the "administration" service.
+func NewPutExceptionBadGatewayResponseBody(res *administration.Failure) *PutExceptionBadGatewayResponseBody {
+	body := &PutExceptionBadGatewayResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewPutExceptionUnavailableResponseBody builds the HTTP response body from
+// the result of the "put_exception" endpoint of the "administration" service.
+func NewPutExceptionUnavailableResponseBody(res *administration.Failure) *PutExceptionUnavailableResponseBody {
+	body := &PutExceptionUnavailableResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewPutExceptionTimeoutResponseBody builds the HTTP response body from the
+// result of the "put_exception" endpoint of the "administration" service.
+func NewPutExceptionTimeoutResponseBody(res *administration.Failure) *PutExceptionTimeoutResponseBody {
+	body := &PutExceptionTimeoutResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewRemoveExceptionBadRequestResponseBody builds the HTTP response body from
+// the result of the "remove_exception" endpoint of the "administration"
+// service.
+func NewRemoveExceptionBadRequestResponseBody(res *administration.Failure) *RemoveExceptionBadRequestResponseBody {
+	body := &RemoveExceptionBadRequestResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewRemoveExceptionUnauthorizedResponseBody builds the HTTP response body
+// from the result of the "remove_exception" endpoint of the "administration"
+// service.
+func NewRemoveExceptionUnauthorizedResponseBody(res *administration.Failure) *RemoveExceptionUnauthorizedResponseBody {
+	body := &RemoveExceptionUnauthorizedResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewRemoveExceptionForbiddenResponseBody builds the HTTP response body from
+// the result of the "remove_exception" endpoint of the "administration"
+// service.
+func NewRemoveExceptionForbiddenResponseBody(res *administration.Failure) *RemoveExceptionForbiddenResponseBody {
+	body := &RemoveExceptionForbiddenResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewRemoveExceptionNotFoundResponseBody builds the HTTP response body from
+// the result of the "remove_exception" endpoint of the "administration"
+// service.
+func NewRemoveExceptionNotFoundResponseBody(res *administration.Failure) *RemoveExceptionNotFoundResponseBody {
+	body := &RemoveExceptionNotFoundResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewRemoveExceptionConflictResponseBody builds the HTTP response body from
+// the result of the "remove_exception" endpoint of the "administration"
+// service.
+func NewRemoveExceptionConflictResponseBody(res *administration.Failure) *RemoveExceptionConflictResponseBody {
+	body := &RemoveExceptionConflictResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewRemoveExceptionGoneResponseBody builds the HTTP response body from the
+// result of the "remove_exception" endpoint of the "administration" service.
+func NewRemoveExceptionGoneResponseBody(res *administration.Failure) *RemoveExceptionGoneResponseBody {
+	body := &RemoveExceptionGoneResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewRemoveExceptionTooLargeResponseBody builds the HTTP response body from
+// the result of the "remove_exception" endpoint of the "administration"
+// service.
+func NewRemoveExceptionTooLargeResponseBody(res *administration.Failure) *RemoveExceptionTooLargeResponseBody {
+	body := &RemoveExceptionTooLargeResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewRemoveExceptionUnprocessableResponseBody builds the HTTP response body
+// from the result of the "remove_exception" endpoint of the "administration"
+// service.
+func NewRemoveExceptionUnprocessableResponseBody(res *administration.Failure) *RemoveExceptionUnprocessableResponseBody {
+	body := &RemoveExceptionUnprocessableResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewRemoveExceptionTooManyResponseBody builds the HTTP response body from the
+// result of the "remove_exception" endpoint of the "administration" service.
+func NewRemoveExceptionTooManyResponseBody(res *administration.Failure) *RemoveExceptionTooManyResponseBody {
+	body := &RemoveExceptionTooManyResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewRemoveExceptionInternalResponseBody builds the HTTP response body from
+// the result of the "remove_exception" endpoint of the "administration"
+// service.
+func NewRemoveExceptionInternalResponseBody(res *administration.Failure) *RemoveExceptionInternalResponseBody {
+	body := &RemoveExceptionInternalResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewRemoveExceptionBadGatewayResponseBody builds the HTTP response body from
+// the result of the "remove_exception" endpoint of the "administration"
+// service.
+func NewRemoveExceptionBadGatewayResponseBody(res *administration.Failure) *RemoveExceptionBadGatewayResponseBody {
+	body := &RemoveExceptionBadGatewayResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewRemoveExceptionUnavailableResponseBody builds the HTTP response body from
+// the result of the "remove_exception" endpoint of the "administration"
+// service.
+func NewRemoveExceptionUnavailableResponseBody(res *administration.Failure) *RemoveExceptionUnavailableResponseBody {
+	body := &RemoveExceptionUnavailableResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewRemoveExceptionTimeoutResponseBody builds the HTTP response body from the
+// result of the "remove_exception" endpoint of the "administration" service.
+func NewRemoveExceptionTimeoutResponseBody(res *administration.Failure) *RemoveExceptionTimeoutResponseBody {
+	body := &RemoveExceptionTimeoutResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewOrganisationsBadRequestResponseBody builds the HTTP response body from
+// the result of the "organisations" endpoint of the "administration" service.
+func NewOrganisationsBadRequestResponseBody(res *administration.Failure) *OrganisationsBadRequestResponseBody {
+	body := &OrganisationsBadRequestResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewOrganisationsUnauthorizedResponseBody builds the HTTP response body from
+// the result of the "organisations" endpoint of the "administration" service.
+func NewOrganisationsUnauthorizedResponseBody(res *administration.Failure) *OrganisationsUnauthorizedResponseBody {
+	body := &OrganisationsUnauthorizedResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewOrganisationsForbiddenResponseBody builds the HTTP response body from the
+// result of the "organisations" endpoint of the "administration" service.
+func NewOrganisationsForbiddenResponseBody(res *administration.Failure) *OrganisationsForbiddenResponseBody {
+	body := &OrganisationsForbiddenResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewOrganisationsNotFoundResponseBody builds the HTTP response body from the
+// result of the "organisations" endpoint of the "administration" service.
+func NewOrganisationsNotFoundResponseBody(res *administration.Failure) *OrganisationsNotFoundResponseBody {
+	body := &OrganisationsNotFoundResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewOrganisationsConflictResponseBody builds the HTTP response body from the
+// result of the "organisations" endpoint of the "administration" service.
+func NewOrganisationsConflictResponseBody(res *administration.Failure) *OrganisationsConflictResponseBody {
+	body := &OrganisationsConflictResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewOrganisationsGoneResponseBody builds the HTTP response body from the
+// result of the "organisations" endpoint of the "administration" service.
+func NewOrganisationsGoneResponseBody(res *administration.Failure) *OrganisationsGoneResponseBody {
+	body := &OrganisationsGoneResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewOrganisationsTooLargeResponseBody builds the HTTP response body from the
+// result of the "organisations" endpoint of the "administration" service.
+func NewOrganisationsTooLargeResponseBody(res *administration.Failure) *OrganisationsTooLargeResponseBody {
+	body := &OrganisationsTooLargeResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewOrganisationsUnprocessableResponseBody builds the HTTP response body from
+// the result of the "organisations" endpoint of the "administration" service.
+func NewOrganisationsUnprocessableResponseBody(res *administration.Failure) *OrganisationsUnprocessableResponseBody {
+	body := &OrganisationsUnprocessableResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewOrganisationsTooManyResponseBody builds the HTTP response body from the
+// result of the "organisations" endpoint of the "administration" service.
+func NewOrganisationsTooManyResponseBody(res *administration.Failure) *OrganisationsTooManyResponseBody {
+	body := &OrganisationsTooManyResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewOrganisationsInternalResponseBody builds the HTTP response body from the
+// result of the "organisations" endpoint of the "administration" service.
+func NewOrganisationsInternalResponseBody(res *administration.Failure) *OrganisationsInternalResponseBody {
+	body := &OrganisationsInternalResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewOrganisationsBadGatewayResponseBody builds the HTTP response body from
+// the result of the "organisations" endpoint of the "administration" service.
+func NewOrganisationsBadGatewayResponseBody(res *administration.Failure) *OrganisationsBadGatewayResponseBody {
+	body := &OrganisationsBadGatewayResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewOrganisationsUnavailableResponseBody builds the HTTP response body from
+// the result of the "organisations" endpoint of the "administration" service.
+func NewOrganisationsUnavailableResponseBody(res *administration.Failure) *OrganisationsUnavailableResponseBody {
+	body := &OrganisationsUnavailableResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewOrganisationsTimeoutResponseBody builds the HTTP response body from the
+// result of the "organisations" endpoint of the "administration" service.
+func NewOrganisationsTimeoutResponseBody(res *administration.Failure) *OrganisationsTimeoutResponseBody {
+	body := &OrganisationsTimeoutResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewPutOrganisationBadRequestResponseBody builds the HTTP response body from
+// the result of the "put_organisation" endpoint of the "administration"
+// service.
+func NewPutOrganisationBadRequestResponseBody(res *administration.Failure) *PutOrganisationBadRequestResponseBody {
+	body := &PutOrganisationBadRequestResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewPutOrganisationUnauthorizedResponseBody builds the HTTP response body
+// from the result of the "put_organisation" endpoint of the "administration"
+// service.
+func NewPutOrganisationUnauthorizedResponseBody(res *administration.Failure) *PutOrganisationUnauthorizedResponseBody {
+	body := &PutOrganisationUnauthorizedResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewPutOrganisationForbiddenResponseBody builds the HTTP response body from
+// the result of the "put_organisation" endpoint of the "administration"
+// service.
+func NewPutOrganisationForbiddenResponseBody(res *administration.Failure) *PutOrganisationForbiddenResponseBody {
+	body := &PutOrganisationForbiddenResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewPutOrganisationNotFoundResponseBody builds the HTTP response body from
+// the result of the "put_organisation" endpoint of the "administration"
+// service.
+func NewPutOrganisationNotFoundResponseBody(res *administration.Failure) *PutOrganisationNotFoundResponseBody {
+	body := &PutOrganisationNotFoundResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewPutOrganisationConflictResponseBody builds the HTTP response body from
+// the result of the "put_organisation" endpoint of the "administration"
+// service.
+func NewPutOrganisationConflictResponseBody(res *administration.Failure) *PutOrganisationConflictResponseBody {
+	body := &PutOrganisationConflictResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewPutOrganisationGoneResponseBody builds the HTTP response body from the
+// result of the "put_organisation" endpoint of the "administration" service.
+func NewPutOrganisationGoneResponseBody(res *administration.Failure) *PutOrganisationGoneResponseBody {
+	body := &PutOrganisationGoneResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewPutOrganisationTooLargeResponseBody builds the HTTP response body from
+// the result of the "put_organisation" endpoint of the "administration"
+// service.
+func NewPutOrganisationTooLargeResponseBody(res *administration.Failure) *PutOrganisationTooLargeResponseBody {
+	body := &PutOrganisationTooLargeResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewPutOrganisationUnprocessableResponseBody builds the HTTP response body
+// from the result of the "put_organisation" endpoint of the "administration"
+// service.
+func NewPutOrganisationUnprocessableResponseBody(res *administration.Failure) *PutOrganisationUnprocessableResponseBody {
+	body := &PutOrganisationUnprocessableResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewPutOrganisationTooManyResponseBody builds the HTTP response body from the
+// result of the "put_organisation" endpoint of the "administration" service.
+func NewPutOrganisationTooManyResponseBody(res *administration.Failure) *PutOrganisationTooManyResponseBody {
+	body := &PutOrganisationTooManyResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewPutOrganisationInternalResponseBody builds the HTTP response body from
+// the result of the "put_organisation" endpoint of the "administration"
+// service.
+func NewPutOrganisationInternalResponseBody(res *administration.Failure) *PutOrganisationInternalResponseBody {
+	body := &PutOrganisationInternalResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewPutOrganisationBadGatewayResponseBody builds the HTTP response body from
+// the result of the "put_organisation" endpoint of the "administration"
+// service.
+func NewPutOrganisationBadGatewayResponseBody(res *administration.Failure) *PutOrganisationBadGatewayResponseBody {
+	body := &PutOrganisationBadGatewayResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewPutOrganisationUnavailableResponseBody builds the HTTP response body from
+// the result of the "put_organisation" endpoint of the "administration"
+// service.
+func NewPutOrganisationUnavailableResponseBody(res *administration.Failure) *PutOrganisationUnavailableResponseBody {
+	body := &PutOrganisationUnavailableResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewPutOrganisationTimeoutResponseBody builds the HTTP response body from the
+// result of the "put_organisation" endpoint of the "administration" service.
+func NewPutOrganisationTimeoutResponseBody(res *administration.Failure) *PutOrganisationTimeoutResponseBody {
+	body := &PutOrganisationTimeoutResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewRemoveOrganisationBadRequestResponseBody builds the HTTP response body
+// from the result of the "remove_organisation" endpoint of the
+// "administration" service.
+func NewRemoveOrganisationBadRequestResponseBody(res *administration.Failure) *RemoveOrganisationBadRequestResponseBody {
+	body := &RemoveOrganisationBadRequestResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewRemoveOrganisationUnauthorizedResponseBody builds the HTTP response body
+// from the result of the "remove_organisation" endpoint of the
+// "administration" service.
+func NewRemoveOrganisationUnauthorizedResponseBody(res *administration.Failure) *RemoveOrganisationUnauthorizedResponseBody {
+	body := &RemoveOrganisationUnauthorizedResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewRemoveOrganisationForbiddenResponseBody builds the HTTP response body
+// from the result of the "remove_organisation" endpoint of the
+// "administration" service.
+func NewRemoveOrganisationForbiddenResponseBody(res *administration.Failure) *RemoveOrganisationForbiddenResponseBody {
+	body := &RemoveOrganisationForbiddenResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewRemoveOrganisationNotFoundResponseBody builds the HTTP response body from
+// the result of the "remove_organisation" endpoint of the "administration"
+// service.
+func NewRemoveOrganisationNotFoundResponseBody(res *administration.Failure) *RemoveOrganisationNotFoundResponseBody {
+	body := &RemoveOrganisationNotFoundResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewRemoveOrganisationConflictResponseBody builds the HTTP response body from
+// the result of the "remove_organisation" endpoint of the "administration"
+// service.
+func NewRemoveOrganisationConflictResponseBody(res *administration.Failure) *RemoveOrganisationConflictResponseBody {
+	body := &RemoveOrganisationConflictResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewRemoveOrganisationGoneResponseBody builds the HTTP response body from the
+// result of the "remove_organisation" endpoint of the "administration" service.
+func NewRemoveOrganisationGoneResponseBody(res *administration.Failure) *RemoveOrganisationGoneResponseBody {
+	body := &RemoveOrganisationGoneResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewRemoveOrganisationTooLargeResponseBody builds the HTTP response body from
+// the result of the "remove_organisation" endpoint of the "administration"
+// service.
+func NewRemoveOrganisationTooLargeResponseBody(res *administration.Failure) *RemoveOrganisationTooLargeResponseBody {
+	body := &RemoveOrganisationTooLargeResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewRemoveOrganisationUnprocessableResponseBody builds the HTTP response body
+// from the result of the "remove_organisation" endpoint of the
+// "administration" service.
+func NewRemoveOrganisationUnprocessableResponseBody(res *administration.Failure) *RemoveOrganisationUnprocessableResponseBody {
+	body := &RemoveOrganisationUnprocessableResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewRemoveOrganisationTooManyResponseBody builds the HTTP response body from
+// the result of the "remove_organisation" endpoint of the "administration"
+// service.
+func NewRemoveOrganisationTooManyResponseBody(res *administration.Failure) *RemoveOrganisationTooManyResponseBody {
+	body := &RemoveOrganisationTooManyResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewRemoveOrganisationInternalResponseBody builds the HTTP response body from
+// the result of the "remove_organisation" endpoint of the "administration"
+// service.
+func NewRemoveOrganisationInternalResponseBody(res *administration.Failure) *RemoveOrganisationInternalResponseBody {
+	body := &RemoveOrganisationInternalResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewRemoveOrganisationBadGatewayResponseBody builds the HTTP response body
+// from the result of the "remove_organisation" endpoint of the
+// "administration" service.
+func NewRemoveOrganisationBadGatewayResponseBody(res *administration.Failure) *RemoveOrganisationBadGatewayResponseBody {
+	body := &RemoveOrganisationBadGatewayResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewRemoveOrganisationUnavailableResponseBody builds the HTTP response body
+// from the result of the "remove_organisation" endpoint of the
+// "administration" service.
+func NewRemoveOrganisationUnavailableResponseBody(res *administration.Failure) *RemoveOrganisationUnavailableResponseBody {
+	body := &RemoveOrganisationUnavailableResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewRemoveOrganisationTimeoutResponseBody builds the HTTP response body from
+// the result of the "remove_organisation" endpoint of the "administration"
+// service.
+func NewRemoveOrganisationTimeoutResponseBody(res *administration.Failure) *RemoveOrganisationTimeoutResponseBody {
+	body := &RemoveOrganisationTimeoutResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewAddKeyBadRequestResponseBody builds the HTTP response body from the
+// result of the "add_key" endpoint of the "administration" service.
+func NewAddKeyBadRequestResponseBody(res *administration.Failure) *AddKeyBadRequestResponseBody {
+	body := &AddKeyBadRequestResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewAddKeyUnauthorizedResponseBody builds the HTTP response body from the
+// result of the "add_key" endpoint of the "administration" service.
+func NewAddKeyUnauthorizedResponseBody(res *administration.Failure) *AddKeyUnauthorizedResponseBody {
+	body := &AddKeyUnauthorizedResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewAddKeyForbiddenResponseBody builds the HTTP response body from the result
+// of the "add_key" endpoint of the "administration" service.
+func NewAddKeyForbiddenResponseBody(res *administration.Failure) *AddKeyForbiddenResponseBody {
+	body := &AddKeyForbiddenResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewAddKeyNotFoundResponseBody builds the HTTP response body from the result
+// of the "add_key" endpoint of the "administration" service.
+func NewAddKeyNotFoundResponseBody(res *administration.Failure) *AddKeyNotFoundResponseBody {
+	body := &AddKeyNotFoundResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewAddKeyConflictResponseBody builds the HTTP response body from the result
+// of the "add_key" endpoint of the "administration" service.
+func NewAddKeyConflictResponseBody(res *administration.Failure) *AddKeyConflictResponseBody {
+	body := &AddKeyConflictResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewAddKeyGoneResponseBody builds the HTTP response body from the result of
+// the "add_key" endpoint of the "administration" service.
+func NewAddKeyGoneResponseBody(res *administration.Failure) *AddKeyGoneResponseBody {
+	body := &AddKeyGoneResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewAddKeyTooLargeResponseBody builds the HTTP response body from the result
+// of the "add_key" endpoint of the "administration" service.
+func NewAddKeyTooLargeResponseBody(res *administration.Failure) *AddKeyTooLargeResponseBody {
+	body := &AddKeyTooLargeResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewAddKeyUnprocessableResponseBody builds the HTTP response body from the
+// result of the "add_key" endpoint of the "administration" service.
+func NewAddKeyUnprocessableResponseBody(res *administration.Failure) *AddKeyUnprocessableResponseBody {
+	body := &AddKeyUnprocessableResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewAddKeyTooManyResponseBody builds the HTTP response body from the result
+// of the "add_key" endpoint of the "administration" service.
+func NewAddKeyTooManyResponseBody(res *administration.Failure) *AddKeyTooManyResponseBody {
+	body := &AddKeyTooManyResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewAddKeyInternalResponseBody builds the HTTP response body from the result
+// of the "add_key" endpoint of the "administration" service.
+func NewAddKeyInternalResponseBody(res *administration.Failure) *AddKeyInternalResponseBody {
+	body := &AddKeyInternalResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewAddKeyBadGatewayResponseBody builds the HTTP response body from the
+// result of the "add_key" endpoint of the "administration" service.
+func NewAddKeyBadGatewayResponseBody(res *administration.Failure) *AddKeyBadGatewayResponseBody {
+	body := &AddKeyBadGatewayResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewAddKeyUnavailableResponseBody builds the HTTP response body from the
+// result of the "add_key" endpoint of the "administration" service.
+func NewAddKeyUnavailableResponseBody(res *administration.Failure) *AddKeyUnavailableResponseBody {
+	body := &AddKeyUnavailableResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewAddKeyTimeoutResponseBody builds the HTTP response body from the result
+// of the "add_key" endpoint of the "administration" service.
+func NewAddKeyTimeoutResponseBody(res *administration.Failure) *AddKeyTimeoutResponseBody {
+	body := &AddKeyTimeoutResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewRemoveKeyBadRequestResponseBody builds the HTTP response body from the
+// result of the "remove_key" endpoint of the "administration" service.
+func NewRemoveKeyBadRequestResponseBody(res *administration.Failure) *RemoveKeyBadRequestResponseBody {
+	body := &RemoveKeyBadRequestResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewRemoveKeyUnauthorizedResponseBody builds the HTTP response body from the
+// result of the "remove_key" endpoint of the "administration" service.
+func NewRemoveKeyUnauthorizedResponseBody(res *administration.Failure) *RemoveKeyUnauthorizedResponseBody {
+	body := &RemoveKeyUnauthorizedResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewRemoveKeyForbiddenResponseBody builds the HTTP response body from the
+// result of the "remove_key" endpoint of the "administration" service.
+func NewRemoveKeyForbiddenResponseBody(res *administration.Failure) *RemoveKeyForbiddenResponseBody {
+	body := &RemoveKeyForbiddenResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewRemoveKeyNotFoundResponseBody builds the HTTP response body from the
+// result of the "remove_key" endpoint of the "administration" service.
+func NewRemoveKeyNotFoundResponseBody(res *administration.Failure) *RemoveKeyNotFoundResponseBody {
+	body := &RemoveKeyNotFoundResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewRemoveKeyConflictResponseBody builds the HTTP response body from the
+// result of the "remove_key" endpoint of the "administration" service.
+func NewRemoveKeyConflictResponseBody(res *administration.Failure) *RemoveKeyConflictResponseBody {
+	body := &RemoveKeyConflictResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewRemoveKeyGoneResponseBody builds the HTTP response body from the result
+// of the "remove_key" endpoint of the "administration" service.
+func NewRemoveKeyGoneResponseBody(res *administration.Failure) *RemoveKeyGoneResponseBody {
+	body := &RemoveKeyGoneResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewRemoveKeyTooLargeResponseBody builds the HTTP response body from the
+// result of the "remove_key" endpoint of the "administration" service.
+func NewRemoveKeyTooLargeResponseBody(res *administration.Failure) *RemoveKeyTooLargeResponseBody {
+	body := &RemoveKeyTooLargeResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewRemoveKeyUnprocessableResponseBody builds the HTTP response body from the
+// result of the "remove_key" endpoint of the "administration" service.
+func NewRemoveKeyUnprocessableResponseBody(res *administration.Failure) *RemoveKeyUnprocessableResponseBody {
+	body := &RemoveKeyUnprocessableResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewRemoveKeyTooManyResponseBody builds the HTTP response body from the
+// result of the "remove_key" endpoint of the "administration" service.
+func NewRemoveKeyTooManyResponseBody(res *administration.Failure) *RemoveKeyTooManyResponseBody {
+	body := &RemoveKeyTooManyResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewRemoveKeyInternalResponseBody builds the HTTP response body from the
+// result of the "remove_key" endpoint of the "administration" service.
+func NewRemoveKeyInternalResponseBody(res *administration.Failure) *RemoveKeyInternalResponseBody {
+	body := &RemoveKeyInternalResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewRemoveKeyBadGatewayResponseBody builds the HTTP response body from the
+// result of the "remove_key" endpoint of the "administration" service.
+func NewRemoveKeyBadGatewayResponseBody(res *administration.Failure) *RemoveKeyBadGatewayResponseBody {
+	body := &RemoveKeyBadGatewayResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewRemoveKeyUnavailableResponseBody builds the HTTP response body from the
+// result of the "remove_key" endpoint of the "administration" service.
+func NewRemoveKeyUnavailableResponseBody(res *administration.Failure) *RemoveKeyUnavailableResponseBody {
+	body := &RemoveKeyUnavailableResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewRemoveKeyTimeoutResponseBody builds the HTTP response body from the
+// result of the "remove_key" endpoint of the "administration" service.
+func NewRemoveKeyTimeoutResponseBody(res *administration.Failure) *RemoveKeyTimeoutResponseBody {
+	body := &RemoveKeyTimeoutResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewDrainBadRequestResponseBody builds the HTTP response body from the result
+// of the "drain" endpoint of the "administration" service.
+func NewDrainBadRequestResponseBody(res *administration.Failure) *DrainBadRequestResponseBody {
+	body := &DrainBadRequestResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewDrainUnauthorizedResponseBody builds the HTTP response body from the
+// result of the "drain" endpoint of the "administration" service.
+func NewDrainUnauthorizedResponseBody(res *administration.Failure) *DrainUnauthorizedResponseBody {
+	body := &DrainUnauthorizedResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewDrainForbiddenResponseBody builds the HTTP response body from the result
+// of the "drain" endpoint of the "administration" service.
+func NewDrainForbiddenResponseBody(res *administration.Failure) *DrainForbiddenResponseBody {
+	body := &DrainForbiddenResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewDrainNotFoundResponseBody builds the HTTP response body from the result
+// of the "drain" endpoint of the "administration" service.
+func NewDrainNotFoundResponseBody(res *administration.Failure) *DrainNotFoundResponseBody {
+	body := &DrainNotFoundResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewDrainConflictResponseBody builds the HTTP response body from the result
+// of the "drain" endpoint of the "administration" service.
+func NewDrainConflictResponseBody(res *administration.Failure) *DrainConflictResponseBody {
+	body := &DrainConflictResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewDrainGoneResponseBody builds the HTTP response body from the result of
+// the "drain" endpoint of the "administration" service.
+func NewDrainGoneResponseBody(res *administration.Failure) *DrainGoneResponseBody {
+	body := &DrainGoneResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewDrainTooLargeResponseBody builds the HTTP response body from the result
+// of the "drain" endpoint of the "administration" service.
+func NewDrainTooLargeResponseBody(res *administration.Failure) *DrainTooLargeResponseBody {
+	body := &DrainTooLargeResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewDrainUnprocessableResponseBody builds the HTTP response body from the
+// result of the "drain" endpoint of the "administration" service.
+func NewDrainUnprocessableResponseBody(res *administration.Failure) *DrainUnprocessableResponseBody {
+	body := &DrainUnprocessableResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
 }
 
-// InstanceResponseBody is used to define fields on response body types.
-type InstanceResponseBody struct {
-	Instance string `form:"instance" json:"instance" xml:"instance"`
-	Role     string `form:"role" json:"role" xml:"role"`
-	Zone     string `form:"zone" json:"zone" xml:"zone"`
-	// Revision that the process runs
-	Revision uint64 `form:"revision" json:"revision" xml:"revision"`
-	// Time since its last report
-	AgeMs int64 `form:"age_ms" json:"age_ms" xml:"age_ms"`
+// NewDrainTooManyResponseBody builds the HTTP response body from the result of
+// the "drain" endpoint of the "administration" service.
+func NewDrainTooManyResponseBody(res *administration.Failure) *DrainTooManyResponseBody {
+	body := &DrainTooManyResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
 }
 
-// ZoneResponseBody is used to define fields on response body types.
-type ZoneResponseBody struct {
-	Zone      string                  `form:"zone" json:"zone" xml:"zone"`
-	Upstreams []*UpstreamResponseBody `form:"upstreams" json:"upstreams" xml:"upstreams"`
+// NewDrainInternalResponseBody builds the HTTP response body from the result
+// of the "drain" endpoint of the "administration" service.
+func NewDrainInternalResponseBody(res *administration.Failure) *DrainInternalResponseBody {
+	body := &DrainInternalResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
 }
 
-// UpstreamResponseBody is used to define fields on response body types.
-type UpstreamResponseBody struct {
-	Instance string   `form:"instance" json:"instance" xml:"instance"`
-	Address  string   `form:"address" json:"address" xml:"address"`
-	State    string   `form:"state" json:"state" xml:"state"`
-	Models   []string `form:"models" json:"models" xml:"models"`
-	Services []string `form:"services" json:"services" xml:"services"`
-	Slots    uint32   `form:"slots" json:"slots" xml:"slots"`
+// NewDrainBadGatewayResponseBody builds the HTTP response body from the result
+// of the "drain" endpoint of the "administration" service.
+func NewDrainBadGatewayResponseBody(res *administration.Failure) *DrainBadGatewayResponseBody {
+	body := &DrainBadGatewayResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
 }
 
-// ExceptionResponseBody is used to define fields on response body types.
-type ExceptionResponseBody struct {
-	ID       string                `form:"id" json:"id" xml:"id"`
-	Key      string                `form:"key" json:"key" xml:"key"`
-	Value    string                `form:"value" json:"value" xml:"value"`
-	Selector *SelectorResponseBody `form:"selector" json:"selector" xml:"selector"`
-	Reason   string                `form:"reason" json:"reason" xml:"reason"`
-	// End in Unix milliseconds; 0 or absent never ends
-	UntilMs *int64 `form:"until_ms,omitempty" json:"until_ms,omitempty" xml:"until_ms,omitempty"`
+// NewDrainUnavailableResponseBody builds the HTTP response body from the
+// result of the "drain" endpoint of the "administration" service.
+func NewDrainUnavailableResponseBody(res *administration.Failure) *DrainUnavailableResponseBody {
+	body := &DrainUnavailableResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
 }
 
-// SelectorResponseBody is used to define fields on response body types.
-type SelectorResponseBody struct {
-	Organisation *string `form:"organisation,omitempty" json:"organisation,omitempty" xml:"organisation,omitempty"`
-	Model        *string `form:"model,omitempty" json:"model,omitempty" xml:"model,omitempty"`
-	Zone         *string `form:"zone,omitempty" json:"zone,omitempty" xml:"zone,omitempty"`
-	Upstream     *string `form:"upstream,omitempty" json:"upstream,omitempty" xml:"upstream,omitempty"`
-	Service      *string `form:"service,omitempty" json:"service,omitempty" xml:"service,omitempty"`
+// NewDrainTimeoutResponseBody builds the HTTP response body from the result of
+// the "drain" endpoint of the "administration" service.
+func NewDrainTimeoutResponseBody(res *administration.Failure) *DrainTimeoutResponseBody {
+	body := &DrainTimeoutResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
 }
 
-// OrganisationResponseBody is used to define fields on response body types.
-type OrganisationResponseBody struct {
-	// SHA-256 hashes in hexadecimal
-	KeyHashes []string `form:"key_hashes" json:"key_hashes" xml:"key_hashes"`
+// NewQuarantineBadRequestResponseBody builds the HTTP response body from the
+// result of the "quarantine" endpoint of the "administration" service.
+func NewQuarantineBadRequestResponseBody(res *administration.Failure) *QuarantineBadRequestResponseBody {
+	body := &QuarantineBadRequestResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
 }
 
-// KeyInfoResponse is used to define fields on response body types.
-type KeyInfoResponse struct {
-	Name    string `form:"name" json:"name" xml:"name"`
-	Kind    string `form:"kind" json:"kind" xml:"kind"`
-	Unit    string `form:"unit" json:"unit" xml:"unit"`
-	Default string `form:"default" json:"default" xml:"default"`
-	// Least value; durations in seconds
-	Min float64 `form:"min" json:"min" xml:"min"`
-	// Greatest value; durations in seconds
-	Max   float64  `form:"max" json:"max" xml:"max"`
-	OneOf []string `form:"one_of" json:"one_of" xml:"one_of"`
-	// What an exception may select by
-	Scopes  []string `form:"scopes" json:"scopes" xml:"scopes"`
-	Meaning string   `form:"meaning" json:"meaning" xml:"meaning"`
+// NewQuarantineUnauthorizedResponseBody builds the HTTP response body from the
+// result of the "quarantine" endpoint of the "administration" service.
+func NewQuarantineUnauthorizedResponseBody(res *administration.Failure) *QuarantineUnauthorizedResponseBody {
+	body := &QuarantineUnauthorizedResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
 }
 
-// PastChangeResponse is used to define fields on response body types.
-type PastChangeResponse struct {
-	ChangeID string `form:"change_id" json:"change_id" xml:"change_id"`
-	Verdict  string `form:"verdict" json:"verdict" xml:"verdict"`
-	// Revision in force after the change was handled
-	Revision     uint64   `form:"revision" json:"revision" xml:"revision"`
-	BaseRevision uint64   `form:"base_revision" json:"base_revision" xml:"base_revision"`
-	Author       string   `form:"author" json:"author" xml:"author"`
-	Reason       string   `form:"reason" json:"reason" xml:"reason"`
-	AtMs         int64    `form:"at_ms" json:"at_ms" xml:"at_ms"`
-	Problems     []string `form:"problems" json:"problems" xml:"problems"`
+// NewQuarantineForbiddenResponseBody builds the HTTP response body from the
+// result of the "quarantine" endpoint of the "administration" service.
+func NewQuarantineForbiddenResponseBody(res *administration.Failure) *QuarantineForbiddenResponseBody {
+	body := &QuarantineForbiddenResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
 }
 
-// ExceptionResponse is used to define fields on response body types.
-type ExceptionResponse struct {
-	ID       string            `form:"id" json:"id" xml:"id"`
-	Key      string            `form:"key" json:"key" xml:"key"`
-	Value    string            `form:"value" json:"value" xml:"value"`
-	Selector *SelectorResponse `form:"selector" json:"selector" xml:"selector"`
-	Reason   string            `form:"reason" json:"reason" xml:"reason"`
-	// End in Unix milliseconds; 0 or absent never ends
-	UntilMs *int64 `form:"until_ms,omitempty" json:"until_ms,omitempty" xml:"until_ms,omitempty"`
+// NewQuarantineNotFoundResponseBody builds the HTTP response body from the
+// result of the "quarantine" endpoint of the "administration" service.
+func NewQuarantineNotFoundResponseBody(res *administration.Failure) *QuarantineNotFoundResponseBody {
+	body := &QuarantineNotFoundResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
 }
 
-// SelectorResponse is used to define fields on response body types.
-type SelectorResponse struct {
-	Organisation *string `form:"organisation,omitempty" json:"organisation,omitempty" xml:"organisation,omitempty"`
-	Model        *string `form:"model,omitempty" json:"model,omitempty" xml:"model,omitempty"`
-	Zone         *string `form:"zone,omitempty" json:"zone,omitempty" xml:"zone,omitempty"`
-	Upstream     *string `form:"upstream,omitempty" json:"upstream,omitempty" xml:"upstream,omitempty"`
-	Service      *string `form:"service,omitempty" json:"service,omitempty" xml:"service,omitempty"`
+// NewQuarantineConflictResponseBody builds the HTTP response body from the
+// result of the "quarantine" endpoint of the "administration" service.
+func NewQuarantineConflictResponseBody(res *administration.Failure) *QuarantineConflictResponseBody {
+	body := &QuarantineConflictResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
 }
 
-// OrganisationResponse is used to define fields on response body types.
-type OrganisationResponse struct {
-	// SHA-256 hashes in hexadecimal
-	KeyHashes []string `form:"key_hashes" json:"key_hashes" xml:"key_hashes"`
+// NewQuarantineGoneResponseBody builds the HTTP response body from the result
+// of the "quarantine" endpoint of the "administration" service.
+func NewQuarantineGoneResponseBody(res *administration.Failure) *QuarantineGoneResponseBody {
+	body := &QuarantineGoneResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
