+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
 }
 
-// SuspectResponse is used to define fields on response body types.
-type SuspectResponse struct {
-	Fingerprint string `form:"fingerprint" json:"fingerprint" xml:"fingerprint"`
-	Crashes     uint32 `form:"crashes" json:"crashes" xml:"crashes"`
-	Quarantined bool   `form:"quarantined" json:"quarantined" xml:"quarantined"`
-	// Time left of the quarantine
-	LeftMs int64 `form:"left_ms" json:"left_ms" xml:"left_ms"`
+// NewQuarantineTooLargeResponseBody builds the HTTP response body from the
+// result of the "quarantine" endpoint of the "administration" service.
+func NewQuarantineTooLargeResponseBody(res *administration.Failure) *QuarantineTooLargeResponseBody {
+	body := &QuarantineTooLargeResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
 }
 
-// OrderResponse is used to define fields on response body types.
-type OrderResponse struct {
-	// Names the order; sent again, it is not staged twice
-	ID       string  `form:"id" json:"id" xml:"id"`
-	Upstream string  `form:"upstream" json:"upstream" xml:"upstream"`
-	Kind     string  `form:"kind" json:"kind" xml:"kind"`
-	Model    *string `form:"model,omitempty" json:"model,omitempty" xml:"model,omitempty"`
-	Adapter  *string `form:"adapter,omitempty" json:"adapter,omitempty" xml:"adapter,omitempty"`
-	Version  *string `form:"version,omitempty" json:"version,omitempty" xml:"version,omitempty"`
-	Role     *string `form:"role,omitempty" json:"role,omitempty" xml:"role,omitempty"`
-	Replaces *string `form:"replaces,omitempty" json:"replaces,omitempty" xml:"replaces,omitempty"`
-	Fence    uint64  `form:"fence" json:"fence" xml:"fence"`
-	Status   string  `form:"status" json:"status" xml:"status"`
-	Message  string  `form:"message" json:"message" xml:"message"`
-	AtMs     int64   `form:"at_ms" json:"at_ms" xml:"at_ms"`
+// NewQuarantineUnprocessableResponseBody builds the HTTP response body from
+// the result of the "quarantine" endpoint of the "administration" service.
+func NewQuarantineUnprocessableResponseBody(res *administration.Failure) *QuarantineUnprocessableResponseBody {
+	body := &QuarantineUnprocessableResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewQuarantineTooManyResponseBody builds the HTTP response body from the
+// result of the "quarantine" endpoint of the "administration" service.
+func NewQuarantineTooManyResponseBody(res *administration.Failure) *QuarantineTooManyResponseBody {
+	body := &QuarantineTooManyResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewQuarantineInternalResponseBody builds the HTTP response body from the
+// result of the "quarantine" endpoint of the "administration" service.
+func NewQuarantineInternalResponseBody(res *administration.Failure) *QuarantineInternalResponseBody {
+	body := &QuarantineInternalResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewQuarantineBadGatewayResponseBody builds the HTTP response body from the
+// result of the "quarantine" endpoint of the "administration" service.
+func NewQuarantineBadGatewayResponseBody(res *administration.Failure) *QuarantineBadGatewayResponseBody {
+	body := &QuarantineBadGatewayResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewQuarantineUnavailableResponseBody builds the HTTP response body from the
+// result of the "quarantine" endpoint of the "administration" service.
+func NewQuarantineUnavailableResponseBody(res *administration.Failure) *QuarantineUnavailableResponseBody {
+	body := &QuarantineUnavailableResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewQuarantineTimeoutResponseBody builds the HTTP response body from the
+// result of the "quarantine" endpoint of the "administration" service.
+func NewQuarantineTimeoutResponseBody(res *administration.Failure) *QuarantineTimeoutResponseBody {
+	body := &QuarantineTimeoutResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewLiftBadRequestResponseBody builds the HTTP response body from the result
+// of the "lift" endpoint of the "administration" service.
+func NewLiftBadRequestResponseBody(res *administration.Failure) *LiftBadRequestResponseBody {
+	body := &LiftBadRequestResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewLiftUnauthorizedResponseBody builds the HTTP response body from the
+// result of the "lift" endpoint of the "administration" service.
+func NewLiftUnauthorizedResponseBody(res *administration.Failure) *LiftUnauthorizedResponseBody {
+	body := &LiftUnauthorizedResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewLiftForbiddenResponseBody builds the HTTP response body from the result
+// of the "lift" endpoint of the "administration" service.
+func NewLiftForbiddenResponseBody(res *administration.Failure) *LiftForbiddenResponseBody {
+	body := &LiftForbiddenResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewLiftNotFoundResponseBody builds the HTTP response body from the result of
+// the "lift" endpoint of the "administration" service.
+func NewLiftNotFoundResponseBody(res *administration.Failure) *LiftNotFoundResponseBody {
+	body := &LiftNotFoundResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewLiftConflictResponseBody builds the HTTP response body from the result of
+// the "lift" endpoint of the "administration" service.
+func NewLiftConflictResponseBody(res *administration.Failure) *LiftConflictResponseBody {
+	body := &LiftConflictResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewLiftGoneResponseBody builds the HTTP response body from the result of the
+// "lift" endpoint of the "administration" service.
+func NewLiftGoneResponseBody(res *administration.Failure) *LiftGoneResponseBody {
+	body := &LiftGoneResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewLiftTooLargeResponseBody builds the HTTP response body from the result of
+// the "lift" endpoint of the "administration" service.
+func NewLiftTooLargeResponseBody(res *administration.Failure) *LiftTooLargeResponseBody {
+	body := &LiftTooLargeResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewLiftUnprocessableResponseBody builds the HTTP response body from the
+// result of the "lift" endpoint of the "administration" service.
+func NewLiftUnprocessableResponseBody(res *administration.Failure) *LiftUnprocessableResponseBody {
+	body := &LiftUnprocessableResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewLiftTooManyResponseBody builds the HTTP response body from the result of
+// the "lift" endpoint of the "administration" service.
+func NewLiftTooManyResponseBody(res *administration.Failure) *LiftTooManyResponseBody {
+	body := &LiftTooManyResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewLiftInternalResponseBody builds the HTTP response body from the result of
+// the "lift" endpoint of the "administration" service.
+func NewLiftInternalResponseBody(res *administration.Failure) *LiftInternalResponseBody {
+	body := &LiftInternalResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewLiftBadGatewayResponseBody builds the HTTP response body from the result
+// of the "lift" endpoint of the "administration" service.
+func NewLiftBadGatewayResponseBody(res *administration.Failure) *LiftBadGatewayResponseBody {
+	body := &LiftBadGatewayResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewLiftUnavailableResponseBody builds the HTTP response body from the result
+// of the "lift" endpoint of the "administration" service.
+func NewLiftUnavailableResponseBody(res *administration.Failure) *LiftUnavailableResponseBody {
+	body := &LiftUnavailableResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewLiftTimeoutResponseBody builds the HTTP response body from the result of
+// the "lift" endpoint of the "administration" service.
+func NewLiftTimeoutResponseBody(res *administration.Failure) *LiftTimeoutResponseBody {
+	body := &LiftTimeoutResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewOrdersBadRequestResponseBody builds the HTTP response body from the
+// result of the "orders" endpoint of the "administration" service.
+func NewOrdersBadRequestResponseBody(res *administration.Failure) *OrdersBadRequestResponseBody {
+	body := &OrdersBadRequestResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
 }
 
-// EditRequestBody is used to define fields on request body types.
-type EditRequestBody struct {
-	Kind         *string                  `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
-	Name         *string                  `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	Value        *string                  `form:"value,omitempty" json:"value,omitempty" xml:"value,omitempty"`
-	Exception    *ExceptionRequestBody    `form:"exception,omitempty" json:"exception,omitempty" xml:"exception,omitempty"`
-	Organisation *OrganisationRequestBody `form:"organisation,omitempty" json:"organisation,omitempty" xml:"organisation,omitempty"`
+// NewOrdersUnauthorizedResponseBody builds the HTTP response body from the
+// result of the "orders" endpoint of the "administration" service.
+func NewOrdersUnauthorizedResponseBody(res *administration.Failure) *OrdersUnauthorizedResponseBody {
+	body := &OrdersUnauthorizedResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
 }
 
-// ExceptionRequestBody is used to define fields on request body types.
-type ExceptionRequestBody struct {
-	ID       *string              `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
-	Key      *string              `form:"key,omitempty" json:"key,omitempty" xml:"key,omitempty"`
-	Value    *string              `form:"value,omitempty" json:"value,omitempty" xml:"value,omitempty"`
-	Selector *SelectorRequestBody `form:"selector,omitempty" json:"selector,omitempty" xml:"selector,omitempty"`
-	Reason   *string              `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
-	// End in Unix milliseconds; 0 or absent never ends
-	UntilMs *int64 `form:"until_ms,omitempty" json:"until_ms,omitempty" xml:"until_ms,omitempty"`
+// NewOrdersForbiddenResponseBody builds the HTTP response body from the result
+// of the "orders" endpoint of the "administration" service.
+func NewOrdersForbiddenResponseBody(res *administration.Failure) *OrdersForbiddenResponseBody {
+	body := &OrdersForbiddenResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
 }
 
-// SelectorRequestBody is used to define fields on request body types.
-type SelectorRequestBody struct {
-	Organisation *string `form:"organisation,omitempty" json:"organisation,omitempty" xml:"organisation,omitempty"`
-	Model        *string `form:"model,omitempty" json:"model,omitempty" xml:"model,omitempty"`
-	Zone         *string `form:"zone,omitempty" json:"zone,omitempty" xml:"zone,omitempty"`
-	Upstream     *string `form:"upstream,omitempty" json:"upstream,omitempty" xml:"upstream,omitempty"`
-	Service      *string `form:"service,omitempty" json:"service,omitempty" xml:"service,omitempty"`
+// NewOrdersNotFoundResponseBody builds the HTTP response body from the result
+// of the "orders" endpoint of the "administration" service.
+func NewOrdersNotFoundResponseBody(res *administration.Failure) *OrdersNotFoundResponseBody {
+	body := &OrdersNotFoundResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
 }
 
-// OrganisationRequestBody is used to define fields on request body types.
-type OrganisationRequestBody struct {
-	// SHA-256 hashes in hexadecimal
-	KeyHashes []string `form:"key_hashes,omitempty" json:"key_hashes,omitempty" xml:"key_hashes,omitempty"`
+// NewOrdersConflictResponseBody builds the HTTP response body from the result
+// of the "orders" endpoint of the "administration" service.
+func NewOrdersConflictResponseBody(res *administration.Failure) *OrdersConflictResponseBody {
+	body := &OrdersConflictResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
 }
 
-// NewStatusResponseBody builds the HTTP response body from the result of the
-// "status" endpoint of the "administration" service.
-func NewStatusResponseBody(res *administration.Fleet) *StatusResponseBody {
-	body := &StatusResponseBody{
-		Revision: res.Revision,
+// NewOrdersGoneResponseBody builds the HTTP response body from the result of
+// the "orders" endpoint of the "administration" service.
+func NewOrdersGoneResponseBody(res *administration.Failure) *OrdersGoneResponseBody {
+	body := &OrdersGoneResponseBody{
+		Status: res.Status,
 	}
-	if res.Members != nil {
-		body.Members = make([]*MemberResponseBody, len(res.Members))
-		for i, val := range res.Members {
-			if val == nil {
-				body.Members[i] = nil
-				continue
-			}
-			body.Members[i] = marshalAdministrationMemberToMemberResponseBody(val)
-		}
-	} else {
-		body.Members = []*MemberResponseBody{}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
 	}
-	if res.Instances != nil {
-		body.Instances = make([]*InstanceResponseBody, len(res.Instances))
-		for i, val := range res.Instances {
-			if val == nil {
-				body.Instances[i] = nil
-				continue
-			}
-			body.Instances[i] = marshalAdministrationInstanceToInstanceResponseBody(val)
-		}
-	} else {
-		body.Instances = []*InstanceResponseBody{}
+	return body
+}
+
+// NewOrdersTooLargeResponseBody builds the HTTP response body from the result
+// of the "orders" endpoint of the "administration" service.
+func NewOrdersTooLargeResponseBody(res *administration.Failure) *OrdersTooLargeResponseBody {
+	body := &OrdersTooLargeResponseBody{
+		Status: res.Status,
 	}
-	if res.Zones != nil {
-		body.Zones = make([]*ZoneResponseBody, len(res.Zones))
-		for i, val := range res.Zones {
-			if val == nil {
-				body.Zones[i] = nil
-				continue
-			}
-			body.Zones[i] = marshalAdministrationZoneToZoneResponseBody(val)
-		}
-	} else {
-		body.Zones = []*ZoneResponseBody{}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
 	}
 	return body
 }
 
-// NewConfigurationResponseBody builds the HTTP response body from the result
-// of the "configuration" endpoint of the "administration" service.
-func NewConfigurationResponseBody(res *administration.Document) *ConfigurationResponseBody {
-	body := &ConfigurationResponseBody{
-		Revision: res.Revision,
+// NewOrdersUnprocessableResponseBody builds the HTTP response body from the
+// result of the "orders" endpoint of the "administration" service.
+func NewOrdersUnprocessableResponseBody(res *administration.Failure) *OrdersUnprocessableResponseBody {
+	body := &OrdersUnprocessableResponseBody{
+		Status: res.Status,
 	}
-	if res.Defaults != nil {
-		body.Defaults = make(map[string]string, len(res.Defaults))
-		for key, val := range res.Defaults {
-			tk := key
-			tv := val
-			body.Defaults[tk] = tv
-		}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
 	}
-	if res.Exceptions != nil {
-		body.Exceptions = make([]*ExceptionResponseBody, len(res.Exceptions))
-		for i, val := range res.Exceptions {
-			if val == nil {
-				body.Exceptions[i] = nil
-				continue
-			}
-			body.Exceptions[i] = marshalAdministrationExceptionToExceptionResponseBody(val)
-		}
-	} else {
-		body.Exceptions = []*ExceptionResponseBody{}
+	return body
+}
+
+// NewOrdersTooManyResponseBody builds the HTTP response body from the result
+// of the "orders" endpoint of the "administration" service.
+func NewOrdersTooManyResponseBody(res *administration.Failure) *OrdersTooManyResponseBody {
+	body := &OrdersTooManyResponseBody{
+		Status: res.Status,
 	}
-	if res.Organisations != nil {
-		body.Organisations = make(map[string]*OrganisationResponseBody, len(res.Organisations))
-		for key, val := range res.Organisations {
-			tk := key
-			if val == nil {
-				body.Organisations[tk] = nil
-				continue
-			}
-			body.Organisations[tk] = marshalAdministrationOrganisationToOrganisationResponseBody(val)
-		}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
 	}
 	return body
 }
 
-// NewKeysResponseBody builds the HTTP response body from the result of the
-// "keys" endpoint of the "administration" service.
-func NewKeysResponseBody(res []*administration.KeyInfo) KeysResponseBody {
-	body := make([]*KeyInfoResponse, len(res))
-	for i, val := range res {
-		if val == nil {
-			body[i] = nil
-			continue
-		}
-		body[i] = marshalAdministrationKeyInfoToKeyInfoResponse(val)
+// NewOrdersInternalResponseBody builds the HTTP response body from the result
+// of the "orders" endpoint of the "administration" service.
+func NewOrdersInternalResponseBody(res *administration.Failure) *OrdersInternalResponseBody {
+	body := &OrdersInternalResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
 	}
 	return body
 }
 
-// NewHistoryResponseBody builds the HTTP response body from the result of the
-// "history" endpoint of the "administration" service.
-func NewHistoryResponseBody(res []*administration.PastChange) HistoryResponseBody {
-	body := make([]*PastChangeResponse, len(res))
-	for i, val := range res {
-		if val == nil {
-			body[i] = nil
-			continue
-		}
-		body[i] = marshalAdministrationPastChangeToPastChangeResponse(val)
+// NewOrdersBadGatewayResponseBody builds the HTTP response body from the
+// result of the "orders" endpoint of the "administration" service.
+func NewOrdersBadGatewayResponseBody(res *administration.Failure) *OrdersBadGatewayResponseBody {
+	body := &OrdersBadGatewayResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
 	}
 	return body
 }
 
-// NewChangeResponseBody builds the HTTP response body from the result of the
-// "change" endpoint of the "administration" service.
-func NewChangeResponseBody(res *administration.Accepted) *ChangeResponseBody {
-	body := &ChangeResponseBody{
-		ChangeID: res.ChangeID,
-		Revision: res.Revision,
+// NewOrdersUnavailableResponseBody builds the HTTP response body from the
+// result of the "orders" endpoint of the "administration" service.
+func NewOrdersUnavailableResponseBody(res *administration.Failure) *OrdersUnavailableResponseBody {
+	body := &OrdersUnavailableResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
 	}
 	return body
 }
 
-// NewExceptionsResponseBody builds the HTTP response body from the result of
-// the "exceptions" endpoint of the "administration" service.
-func NewExceptionsResponseBody(res []*administration.Exception) ExceptionsResponseBody {
-	body := make([]*ExceptionResponse, len(res))
-	for i, val := range res {
-		if val == nil {
-			body[i] = nil
-			continue
-		}
-		body[i] = marshalAdministrationExceptionToExceptionResponse(val)
+// NewOrdersTimeoutResponseBody builds the HTTP response body from the result
+// of the "orders" endpoint of the "administration" service.
+func NewOrdersTimeoutResponseBody(res *administration.Failure) *OrdersTimeoutResponseBody {
+	body := &OrdersTimeoutResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
 	}
 	return body
 }
 
-// NewPutExceptionResponseBody builds the HTTP response body from the result of
-// the "put_exception" endpoint of the "administration" service.
-func NewPutExceptionResponseBody(res *administration.Accepted) *PutExceptionResponseBody {
-	body := &PutExceptionResponseBody{
-		ChangeID: res.ChangeID,
-		Revision: res.Revision,
+// NewIssueOrderBadRequestResponseBody builds the HTTP response body from the
+// result of the "issue_order" endpoint of the "administration" service.
+func NewIssueOrderBadRequestResponseBody(res *administration.Failure) *IssueOrderBadRequestResponseBody {
+	body := &IssueOrderBadRequestResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
 	}
 	return body
 }
 
-// NewRemoveExceptionResponseBody builds the HTTP response body from the result
-// of the "remove_exception" endpoint of the "administration" service.
-func NewRemoveExceptionResponseBody(res *administration.Accepted) *RemoveExceptionResponseBody {
-	body := &RemoveExceptionResponseBody{
-		ChangeID: res.ChangeID,
-		Revision: res.Revision,
+// NewIssueOrderUnauthorizedResponseBody builds the HTTP response body from the
+// result of the "issue_order" endpoint of the "administration" service.
+func NewIssueOrderUnauthorizedResponseBody(res *administration.Failure) *IssueOrderUnauthorizedResponseBody {
+	body := &IssueOrderUnauthorizedResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
 	}
 	return body
 }
 
-// NewOrganisationsResponseBody builds the HTTP response body from the result
-// of the "organisations" endpoint of the "administration" service.
-func NewOrganisationsResponseBody(res map[string]*administration.Organisation) OrganisationsResponseBody {
-	body := make(map[string]*OrganisationResponse, len(res))
-	for key, val := range res {
-		tk := key
-		if val == nil {
-			body[tk] = nil
-			continue
-		}
-		body[tk] = marshalAdministrationOrganisationToOrganisationResponse(val)
+// NewIssueOrderForbiddenResponseBody builds the HTTP response body from the
+// result of the "issue_order" endpoint of the "administration" service.
+func NewIssueOrderForbiddenResponseBody(res *administration.Failure) *IssueOrderForbiddenResponseBody {
+	body := &IssueOrderForbiddenResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
 	}
 	return body
 }
 
-// NewPutOrganisationResponseBody builds the HTTP response body from the result
-// of the "put_organisation" endpoint of the "administration" service.
-func NewPutOrganisationResponseBody(res *administration.Accepted) *PutOrganisationResponseBody {
-	body := &PutOrganisationResponseBody{
-		ChangeID: res.ChangeID,
-		Revision: res.Revision,
+// NewIssueOrderNotFoundResponseBody builds the HTTP response body from the
+// result of the "issue_order" endpoint of the "administration" service.
+func NewIssueOrderNotFoundResponseBody(res *administration.Failure) *IssueOrderNotFoundResponseBody {
+	body := &IssueOrderNotFoundResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
 	}
 	return body
 }
 
-// NewRemoveOrganisationResponseBody builds the HTTP response body from the
-// result of the "remove_organisation" endpoint of the "administration" service.
-func NewRemoveOrganisationResponseBody(res *administration.Accepted) *RemoveOrganisationResponseBody {
-	body := &RemoveOrganisationResponseBody{
-		ChangeID: res.ChangeID,
-		Revision: res.Revision,
+// NewIssueOrderConflictResponseBody builds the HTTP response body from the
+// result of the "issue_order" endpoint of the "administration" service.
+func NewIssueOrderConflictResponseBody(res *administration.Failure) *IssueOrderConflictResponseBody {
+	body := &IssueOrderConflictResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
 	}
 	return body
 }
 
-// NewAddKeyResponseBody builds the HTTP response body from the result of the
-// "add_key" endpoint of the "administration" service.
-func NewAddKeyResponseBody(res *administration.Accepted) *AddKeyResponseBody {
-	body := &AddKeyResponseBody{
-		ChangeID: res.ChangeID,
-		Revision: res.Revision,
+// NewIssueOrderGoneResponseBody builds the HTTP response body from the result
+// of the "issue_order" endpoint of the "administration" service.
+func NewIssueOrderGoneResponseBody(res *administration.Failure) *IssueOrderGoneResponseBody {
+	body := &IssueOrderGoneResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
 	}
 	return body
 }
 
-// NewRemoveKeyResponseBody builds the HTTP response body from the result of
-// the "remove_key" endpoint of the "administration" service.
-func NewRemoveKeyResponseBody(res *administration.Accepted) *RemoveKeyResponseBody {
-	body := &RemoveKeyResponseBody{
-		ChangeID: res.ChangeID,
-		Revision: res.Revision,
+// NewIssueOrderTooLargeResponseBody builds the HTTP response body from the
+// result of the "issue_order" endpoint of the "administration" service.
+func NewIssueOrderTooLargeResponseBody(res *administration.Failure) *IssueOrderTooLargeResponseBody {
+	body := &IssueOrderTooLargeResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
 	}
 	return body
 }
 
-// NewDrainResponseBody builds the HTTP response body from the result of the
-// "drain" endpoint of the "administration" service.
-func NewDrainResponseBody(res *administration.DrainResult) *DrainResponseBody {
-	body := &DrainResponseBody{
-		Running: res.Running,
+// NewIssueOrderUnprocessableResponseBody builds the HTTP response body from
+// the result of the "issue_order" endpoint of the "administration" service.
+func NewIssueOrderUnprocessableResponseBody(res *administration.Failure) *IssueOrderUnprocessableResponseBody {
+	body := &IssueOrderUnprocessableResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
 	}
 	return body
 }
 
-// NewQuarantineResponseBody builds the HTTP response body from the result of
-// the "quarantine" endpoint of the "administration" service.
-func NewQuarantineResponseBody(res []*administration.Suspect) QuarantineResponseBody {
-	body := make([]*SuspectResponse, len(res))
-	for i, val := range res {
-		if val == nil {
-			body[i] = nil
-			continue
-		}
-		body[i] = marshalAdministrationSuspectToSuspectResponse(val)
+// NewIssueOrderTooManyResponseBody builds the HTTP response body from the
+// result of the "issue_order" endpoint of the "administration" service.
+func NewIssueOrderTooManyResponseBody(res *administration.Failure) *IssueOrderTooManyResponseBody {
+	body := &IssueOrderTooManyResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
 	}
 	return body
 }
 
-// NewOrdersResponseBody builds the HTTP response body from the result of the
-// "orders" endpoint of the "administration" service.
-func NewOrdersResponseBody(res []*administration.Order) OrdersResponseBody {
-	body := make([]*OrderResponse, len(res))
-	for i, val := range res {
-		if val == nil {
-			body[i] = nil
-			continue
-		}
-		body[i] = marshalAdministrationOrderToOrderResponse(val)
+// NewIssueOrderInternalResponseBody builds the HTTP response body from the
+// result of the "issue_order" endpoint of the "administration" service.
+func NewIssueOrderInternalResponseBody(res *administration.Failure) *IssueOrderInternalResponseBody {
+	body := &IssueOrderInternalResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
 	}
 	return body
 }
 
-// NewIssueOrderResponseBody builds the HTTP response body from the result of
-// the "issue_order" endpoint of the "administration" service.
-func NewIssueOrderResponseBody(res *administration.IssueOrderResult) *IssueOrderResponseBody {
-	body := &IssueOrderResponseBody{
-		ID:      res.ID,
-		Status:  res.Status,
-		Message: res.Message,
+// NewIssueOrderBadGatewayResponseBody builds the HTTP response body from the
+// result of the "issue_order" endpoint of the "administration" service.
+func NewIssueOrderBadGatewayResponseBody(res *administration.Failure) *IssueOrderBadGatewayResponseBody {
+	body := &IssueOrderBadGatewayResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewIssueOrderUnavailableResponseBody builds the HTTP response body from the
+// result of the "issue_order" endpoint of the "administration" service.
+func NewIssueOrderUnavailableResponseBody(res *administration.Failure) *IssueOrderUnavailableResponseBody {
+	body := &IssueOrderUnavailableResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewIssueOrderTimeoutResponseBody builds the HTTP response body from the
+// result of the "issue_order" endpoint of the "administration" service.
+func NewIssueOrderTimeoutResponseBody(res *administration.Failure) *IssueOrderTimeoutResponseBody {
+	body := &IssueOrderTimeoutResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
 	}
 	return body
 }
--- a/api/admin/gen/http/cli/heatherway_admin/cli.go
+++ b/api/admin/gen/http/cli/heatherway_admin/cli.go
@@ -395,7 +395,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "administration history --limit 1293")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "administration history --limit 537")
 }
 
 func administrationChangeUsage() {
@@ -413,7 +413,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "administration change --body '{\n      \"author\": \"2m\",\n      \"base_revision\": 18205159260451652478,\n      \"change_id\": \"jzq\",\n      \"edits\": [\n         {\n            \"exception\": {\n               \"id\": \"t\",\n               \"key\": \"db\",\n               \"reason\": \"jb\",\n               \"selector\": {\n                  \"model\": \"Ipsum illum recusandae possimus necessitatibus labore.\",\n                  \"organisation\": \"Et atque inventore dolor.\",\n                  \"service\": \"Neque dolorum quaerat aut sapiente.\",\n                  \"upstream\": \"Non et.\",\n                  \"zone\": \"Nostrum id.\"\n               },\n               \"until_ms\": 6927324433118452348,\n               \"value\": \"Labore tenetur ut et officiis velit.\"\n            },\n            \"kind\": \"remove_exception\",\n            \"name\": \"Facere at dicta.\",\n            \"organisation\": {\n               \"key_hashes\": [\n                  \"Itaque enim vitae sit.\",\n                  \"Aut minima quis vel provident.\"\n               ]\n            },\n            \"value\": \"Voluptas magnam rem quis deserunt.\"\n         },\n         {\n            \"exception\": {\n               \"id\": \"t\",\n               \"key\": \"db\",\n               \"reason\": \"jb\",\n               \"selector\": {\n                  \"model\": \"Ipsum illum recusandae possimus necessitatibus labore.\",\n                  \"organisation\": \"Et atque inventore dolor.\",\n                  \"service\": \"Neque dolorum quaerat aut sapiente.\",\n                  \"upstream\": \"Non et.\",\n                  \"zone\": \"Nostrum id.\"\n               },\n               \"until_ms\": 6927324433118452348,\n               \"value\": \"Labore tenetur ut et officiis velit.\"\n            },\n            \"kind\": \"remove_exception\",\n            \"name\": \"Facere at dicta.\",\n            \"organisation\": {\n               \"key_hashes\": [\n                  \"Itaque enim vitae sit.\",\n                  \"Aut minima quis vel provident.\"\n               ]\n            },\n            \"value\": \"Voluptas magnam rem quis deserunt.\"\n         },\n         {\n            \"exception\": {\n               \"id\": \"t\",\n               \"key\": \"db\",\n               \"reason\": \"jb\",\n               \"selector\": {\n                  \"model\": \"Ipsum illum recusandae possimus necessitatibus labore.\",\n                  \"organisation\": \"Et atque inventore dolor.\",\n                  \"service\": \"Neque dolorum quaerat aut sapiente.\",\n                  \"upstream\": \"Non et.\",\n                  \"zone\": \"Nostrum id.\"\n               },\n               \"until_ms\": 6927324433118452348,\n               \"value\": \"Labore tenetur ut et officiis velit.\"\n            },\n            \"kind\": \"remove_exception\",\n            \"name\": \"Facere at dicta.\",\n            \"organisation\": {\n               \"key_hashes\": [\n                  \"Itaque enim vitae sit.\",\n                  \"Aut minima quis vel provident.\"\n               ]\n            },\n            \"value\": \"Voluptas magnam rem quis deserunt.\"\n         }\n      ],\n      \"reason\": \"l5x\"\n   }'")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "administration change --body '{\n      \"author\": \"x\",\n      \"base_revision\": 3230210111922451145,\n      \"change_id\": \"t9c\",\n      \"edits\": [\n         {\n            \"exception\": {\n               \"id\": \"n7\",\n               \"key\": \"31p\",\n               \"reason\": \"1\",\n               \"selector\": {\n                  \"model\": \"Sunt occaecati.\",\n                  \"organisation\": \"Voluptatem deserunt dolorem aut.\",\n                  \"service\": \"Nam nemo quia dolore sit.\",\n                  \"upstream\": \"Placeat itaque qui temporibus.\",\n                  \"zone\": \"Ipsa enim sint quis.\"\n               },\n               \"until_ms\": 3038571174094425729,\n               \"value\": \"Qui nesciunt et.\"\n            },\n            \"kind\": \"remove_exception\",\n            \"name\": \"Autem omnis est consectetur.\",\n            \"organisation\": {\n               \"key_hashes\": [\n                  \"Recusandae et quo odio ratione dolor.\",\n                  \"Quidem nihil cupiditate sunt est quasi.\",\n                  \"Et sapiente ut.\"\n               ]\n            },\n            \"value\": \"Ipsum sunt.\"\n         },\n         {\n            \"exception\": {\n               \"id\": \"n7\",\n               \"key\": \"31p\",\n               \"reason\": \"1\",\n               \"selector\": {\n                  \"model\": \"Sunt occaecati.\",\n                  \"organisation\": \"Voluptatem deserunt dolorem aut.\",\n                  \"service\": \"Nam nemo quia dolore sit.\",\n                  \"upstream\": \"Placeat itaque qui temporibus.\",\n                  \"zone\": \"Ipsa enim sint quis.\"\n               },\n               \"until_ms\": 3038571174094425729,\n               \"value\": \"Qui nesciunt et.\"\n            },\n            \"kind\": \"remove_exception\",\n            \"name\": \"Autem omnis est consectetur.\",\n            \"organisation\": {\n               \"key_hashes\": [\n                  \"Recusandae et quo odio ratione dolor.\",\n                  \"Quidem nihil cupiditate sunt est quasi.\",\n                  \"Et sapiente ut.\"\n               ]\n            },\n            \"value\": \"Ipsum sunt.\"\n         }\n      ],\n      \"reason\": \"6v\"\n   }'")
 }
 
 func administrationExceptionsUsage() {
@@ -449,7 +449,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "administration put-exception --body '{\n      \"author\": \"it\",\n      \"base_revision\": 784883083257856010,\n      \"change_id\": \"df2\",\n      \"key\": \"ad4\",\n      \"reason\": \"5\",\n      \"selector\": {\n         \"model\": \"Ipsum illum recusandae possimus necessitatibus labore.\",\n         \"organisation\": \"Et atque inventore dolor.\",\n         \"service\": \"Neque dolorum quaerat aut sapiente.\",\n         \"upstream\": \"Non et.\",\n         \"zone\": \"Nostrum id.\"\n      },\n      \"until_ms\": 8085152777495085339,\n      \"value\": \"Laboriosam cupiditate itaque.\"\n   }' --id \"48\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "administration put-exception --body '{\n      \"author\": \"u6q\",\n      \"base_revision\": 17419208873491473362,\n      \"change_id\": \"a3\",\n      \"key\": \"6wj\",\n      \"reason\": \"v0\",\n      \"selector\": {\n         \"model\": \"Sunt occaecati.\",\n         \"organisation\": \"Voluptatem deserunt dolorem aut.\",\n         \"service\": \"Nam nemo quia dolore sit.\",\n         \"upstream\": \"Placeat itaque qui temporibus.\",\n         \"zone\": \"Ipsa enim sint quis.\"\n      },\n      \"until_ms\": 3412235503406647292,\n      \"value\": \"Doloribus id dolor voluptate.\"\n   }' --id \"5tv\"")
 }
 
 func administrationRemoveExceptionUsage() {
@@ -475,7 +475,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "administration remove-exception --id \"gw4\" --author \"s\" --reason \"5\" --change-id \"qh\" --base-revision 3446215914043344786")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "administration remove-exception --id \"h\" --author \"t\" --reason \"7\" --change-id \"6a\" --base-revision 1939247361405094832")
 }
 
 func administrationOrganisationsUsage() {
@@ -511,7 +511,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "administration put-organisation --body '{\n      \"author\": \"0\",\n      \"base_revision\": 5063111509416157408,\n      \"change_id\": \"9\",\n      \"key_hashes\": [\n         \"In et laudantium.\",\n         \"Atque doloremque culpa nostrum quia aliquid.\"\n      ],\n      \"reason\": \"f1y\"\n   }' --name \"8\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "administration put-organisation --body '{\n      \"author\": \"2\",\n      \"base_revision\": 9966375265120640661,\n      \"change_id\": \"l0\",\n      \"key_hashes\": [\n         \"Sed commodi ea odit est.\",\n         \"Sit adipisci porro quidem reprehenderit aliquid.\"\n      ],\n      \"reason\": \"m\"\n   }' --name \"qy6\"")
 }
 
 func administrationRemoveOrganisationUsage() {
@@ -537,7 +537,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "administration remove-organisation --name \"fqp\" --author \"7\" --reason \"5t\" --change-id \"w\" --base-revision 8355529443097273341")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "administration remove-organisation --name \"q7t\" --author \"6\" --reason \"pya\" --change-id \"s7y\" --base-revision 1986648054353177130")
 }
 
 func administrationAddKeyUsage() {
@@ -565,7 +565,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "administration add-key --name \"9ji\" --key-hash \"846da0b46305bcfa1c835fba1187ff11ae62c2d9228786f69e1af4c286139e9b\" --author \"87\" --reason \"v\" --change-id \"ybq\" --base-revision 7723547232912805842")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "administration add-key --name \"56\" --key-hash \"bdf5805008a66cfdb6fffcc2075c6cd81372e388f778f24609a2a0005b35e4ff\" --author \"28\" --reason \"v\" --change-id \"o\" --base-revision 2478665223414894711")
 }
 
 func administrationRemoveKeyUsage() {
@@ -593,7 +593,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "administration remove-key --name \"hqx\" --key-hash \"ae6d9d0f245e917053320b027f22fcd59213efd3664908bee7f7ccd6335ac447\" --author \"ppa\" --reason \"w\" --change-id \"khc\" --base-revision 16559526199819530238")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "administration remove-key --name \"b\" --key-hash \"2ce502494f01dfb9f633f5b7cfb192b1e9780e940f77fc3ad3446ab69809b8cf\" --author \"a3\" --reason \"dxy\" --change-id \"p\" --base-revision 2590671450664540843")
 }
 
 func administrationDrainUsage() {
@@ -613,7 +613,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "administration drain --body '{\n      \"author\": \"84\",\n      \"reason\": \"3t\",\n      \"undo\": true\n   }' --instance \"sn3\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "administration drain --body '{\n      \"author\": \"y5\",\n      \"reason\": \"ih\",\n      \"undo\": true\n   }' --instance \"hs7\"")
 }
 
 func administrationQuarantineUsage() {
@@ -649,7 +649,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "administration lift --body '{\n      \"author\": \"v4\",\n      \"reason\": \"p\"\n   }' --fingerprint \"2s\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "administration lift --body '{\n      \"author\": \"jvb\",\n      \"reason\": \"1\"\n   }' --fingerprint \"p\"")
 }
 
 func administrationOrdersUsage() {
@@ -683,5 +683,5 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "administration issue-order --body '{\n      \"adapter\": \"Odit ullam amet.\",\n      \"author\": \"r33\",\n      \"id\": \"e\",\n      \"kind\": \"unload_adapter\",\n      \"model\": \"Vel aspernatur consequatur quo quia.\",\n      \"reason\": \"2k9\",\n      \"replaces\": \"Atque illum blanditiis est amet.\",\n      \"role\": \"Eaque et consequuntur omnis.\",\n      \"upstream\": \"t\",\n      \"version\": \"Architecto ipsam nam modi.\"\n   }'")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "administration issue-order --body '{\n      \"adapter\": \"Nulla sunt amet at rerum cum.\",\n      \"author\": \"2q\",\n      \"id\": \"e\",\n      \"kind\": \"load_adapter\",\n      \"model\": \"Et saepe id doloremque.\",\n      \"reason\": \"g0w\",\n      \"replaces\": \"Qui maxime quia qui ducimus.\",\n      \"role\": \"Dolore quo.\",\n      \"upstream\": \"4eb\",\n      \"version\": \"Eligendi blanditiis eos qui veritatis.\"\n   }'")
 }
--- a/api/failures/failures.go
+++ b/api/failures/failures.go
@@ -28,12 +28,16 @@
 
 // Declare declares the errors of a service. Every error has the JSON shape of
 // Failure. The names group result codes by HTTP status; the numbered code is
-// in the body.
-func Declare() {
+// in the body. More is run in the service's HTTP expression, since goa keeps
+// only the last one of a service.
+func Declare(more ...func()) {
 	for _, f := range failureStatus {
 		Error(f.name, Failure)
 	}
 	HTTP(func() {
+		for _, fn := range more {
+			fn()
+		}
 		for _, f := range failureStatus {
 			Response(f.name, f.status, func() {
 				Header("retry_after:Retry-After")
