ctl: add the operators' subcommands

Cause: operators had no command line for the administration API.

Exit status 3 stands for a conflict. Flags are parsed before a subcommand runs, so a wrong flag ends with status 2.

--- /dev/null
+++ b/cmd/heatherwayctl/drain.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/go-faster/errors"
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+func init() {
+	add(func(s streams) *ffcli.Command {
+		return drainCommand(s, "drain", "Make an upstream leave: it takes no new work, and running work finishes.", false)
+	})
+	add(func(s streams) *ffcli.Command {
+		return drainCommand(s, "undrain", "Let an upstream take work again.", true)
+	})
+}
+
+func drainCommand(s streams, name, help string, undo bool) *ffcli.Command {
+	var p person
+	return leaf{
+		path: name, args: "INSTANCE", help: help, flags: p.register,
+		exec: func(ctx context.Context, a *api, args []string) error {
+			if err := p.check(); err != nil {
+				return err
+			}
+			raw, err := a.do(ctx, request{
+				method: http.MethodPost, path: []string{"upstreams", args[0], "drain"},
+				body: map[string]any{"author": p.author, "reason": p.reason, "undo": undo},
+			})
+			if err != nil {
+				return err
+			}
+			var r struct {
+				Running int `json:"running"`
+			}
+			if err := json.Unmarshal(raw, &r); err != nil {
+				return errors.Wrap(err, "decode the answer")
+			}
+			t := newTable("INSTANCE", "STILL RUNNING")
+			t.add(args[0], r.Running)
+			return a.print(raw, t)
+		},
+	}.command(s)
+}
--- a/cmd/heatherwayctl/main.go
+++ b/cmd/heatherwayctl/main.go
@@ -24,6 +24,8 @@
 	exitOK     = 0
 	exitFailed = 1
 	exitUsage  = 2
+	// exitConflict means that another change was accepted on the same base.
+	exitConflict = 3
 )
 
 const environmentPrefix = "HEATHERWAYCTL"
@@ -51,17 +53,35 @@
 	}
 	for _, make := range subcommands {
 		c := make(s)
-		c.Options = append(c.Options, ff.WithEnvVarPrefix(environmentPrefix))
+		readEnvironment(c)
 		root.Subcommands = append(root.Subcommands, c)
 	}
 	sort.Slice(root.Subcommands, func(i, j int) bool { return root.Subcommands[i].Name < root.Subcommands[j].Name })
 	return root
 }
 
+func readEnvironment(c *ffcli.Command) {
+	c.Options = append(c.Options, ff.WithEnvVarPrefix(environmentPrefix))
+	for _, sub := range c.Subcommands {
+		readEnvironment(sub)
+	}
+}
+
+// run parses the command line and runs the subcommand.
+func run(ctx context.Context, c *ffcli.Command, args []string) error {
+	if err := c.Parse(args); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return err
+		}
+		return result.New(result.Usage, "%v; see --help", err)
+	}
+	return c.Run(ctx)
+}
+
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	err := command(streams{os.Stdout, os.Stderr}).ParseAndRun(ctx, os.Args[1:])
+	err := run(ctx, command(streams{os.Stdout, os.Stderr}), os.Args[1:])
 	stop()
 	os.Exit(exitStatus(err, os.Stderr))
 }
@@ -71,8 +91,12 @@
 		return exitOK
 	}
 	fmt.Fprintln(stderr, "heatherwayctl:", err)
-	if result.Is(err, result.Usage) {
+	switch {
+	case result.Is(err, result.Usage):
 		return exitUsage
+	case result.Is(err, result.RevisionConflict):
+		return exitConflict
+	default:
+		return exitFailed
 	}
-	return exitFailed
 }
