--- a/cmd/heatherwayctl/slo.go
+++ b/cmd/heatherwayctl/slo.go
@@ -28,25 +28,33 @@
 
 func sloCommand(s streams) *ffcli.Command {
 	flags := flag.NewFlagSet("heatherwayctl slo", flag.ContinueOnError)
-	output := flags.String("output", string(sloreport.Text), "form of the report: text, json or html")
+	output := flags.String("output", outputTable, "form of the report: table (or text), json or html")
+	var entries entryFlags
+	entries.register(flags)
 	offenders := flags.Int("offenders", 10, "how many of the worst offenders to name")
 	return &ffcli.Command{
 		Name:       "slo",
-		ShortUsage: "heatherwayctl slo [flags] FILE|URL ...",
+		ShortUsage: "heatherwayctl slo [flags] [FILE|URL ...]",
 		ShortHelp:  "Merge the service-level snapshots of entries and report budgets and burn rates.",
 		FlagSet:    flags,
 		Exec: func(ctx context.Context, args []string) error {
 			format := sloreport.Format(*output)
+			if *output == outputTable {
+				format = sloreport.Text
+			}
 			if format != sloreport.Text && format != sloreport.JSON && format != sloreport.HTML {
-				return result.New(result.Usage, "--output %q is none of text, json and html", *output)
+				return result.New(result.Usage, "--output %q is none of table, text, json and html", *output)
 			}
-			if len(args) == 0 || *offenders < 0 {
-				return result.New(result.Usage, "name at least one snapshot, and a count of offenders from 0 up")
+			if len(args)+len(entries.addrs) == 0 || *offenders < 0 {
+				return result.New(result.Usage, "name at least one snapshot or --entry, and a count of offenders from 0 up")
 			}
 			all, err := mergeSnapshots(ctx, args)
 			if err != nil {
 				return err
 			}
+			if all, err = entries.merge(ctx, all); err != nil {
+				return err
+			}
 			return sloreport.Write(s.out, slo.Evaluate(all, *offenders), format)
 		},
 	}
