--- a/modules/agent/agent_test.go
+++ b/modules/agent/agent_test.go
@@ -55,6 +55,15 @@
 	return e
 }
 
+// setGate holds requests back until the channel is closed, and returns how many
+// have arrived so far.
+func (e *fakeEngine) setGate(gate chan struct{}) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.gate = gate
+	return len(e.bodies)
+}
+
 func (e *fakeEngine) complete(w http.ResponseWriter, r *http.Request) {
 	var body map[string]any
 	_ = json.NewDecoder(r.Body).Decode(&body)
--- a/modules/agent/control_test.go
+++ b/modules/agent/control_test.go
@@ -348,7 +348,8 @@
 }
 
 // Guards against a quarantined request that runs, a suspect that runs without
-// a permit, and two suspects at once on one upstream.
+// a permit, two suspects in probation at once on one upstream, and a suspect
+// that is refused because of another's probation or waits beyond its end.
 func TestSuspects(t *testing.T) {
 	c, e := newControl(t), newEngine(t)
 	e.pause = 5 * time.Millisecond
@@ -370,13 +371,18 @@
 	}
 	_, last := send("s1", "").text(t, 0, whole)
 	assert.Equal(t, last.Code, result.SuspectBusy)
-	running := send("s1", "permit")
-	running.text(t, 0, 1)
-	_, last = send("s2", "permit").text(t, 0, whole)
-	assert.Equal(t, last.Code, result.SuspectBusy)
-	_, last = send("innocent", "").text(t, 0, whole)
+	gate := make(chan struct{})
+	before := e.setGate(gate)
+	first := send("s1", "permit")
+	assert.Equal(t, kindOf(t, first), wire.FrameQueued)
+	second := send("s2", "permit")
+	assert.Equal(t, kindOf(t, second), wire.FrameQueued)
+	assert.Equal(t, kindOf(t, second), wire.FrameHeartbeat, "a second suspect ran during the probation of the first")
+	assert.Equal(t, e.setGate(nil), before+1)
+	close(gate)
+	_, last = second.text(t, 0, whole)
 	assert.Equal(t, last.Kind, wire.FrameEnd)
-	_, last = running.text(t, 1, whole)
+	_, last = first.text(t, 0, whole)
 	assert.Equal(t, last.Kind, wire.FrameEnd)
 }
 
@@ -406,3 +412,10 @@
 	configEvent{revision: 9}.apply(o, now)
 	assert.NilError(t, o.takesWork(now.Add(time.Hour), 9, "", ""))
 }
+
+func kindOf(t *testing.T, c *client) wire.FrameKind {
+	t.Helper()
+	f, err := c.Next()
+	assert.NilError(t, err)
+	return f.Kind
+}
--- a/modules/control/replica/bench_test.go
+++ b/modules/control/replica/bench_test.go
@@ -23,7 +23,7 @@
 		for _, proposers := range []int{1, 8, 64, 512} {
 			b.Run(fmt.Sprintf("syncEach=%t/proposers=%d", each, proposers), func(b *testing.B) {
 				c := newCluster(b, 3, 1, func(o *Options) {
-					o.KeepLeaders, o.syncEach = true, each
+					o.KeepLeaders, o.SyncEach = true, each
 					o.Machines[0] = counter{}
 				})
 				c.eventually("three voters", func() bool { return c.formed(3) })
--- a/modules/control/replica/replica.go
+++ b/modules/control/replica/replica.go
@@ -79,9 +79,9 @@
 	// KeepLeaders stops the spreading of leaders over the members.
 	KeepLeaders bool
 
-	// syncEach syncs once for each input instead of once for a batch. Benchmarks
+	// SyncEach syncs once for each input instead of once for a batch. Benchmarks
 	// set it to measure what group commit gains.
-	syncEach bool
+	SyncEach bool
 }
 
 func (o Options) withDefaults() Options {
@@ -317,7 +317,7 @@
 // enterQueued takes in what arrived during the last sync, which then shares
 // the next one.
 func (r *Replica) enterQueued() {
-	if r.options.syncEach {
+	if r.options.SyncEach {
 		return
 	}
 	for range maxBatch {
