measure: add heatherwayctl measure with the scenario path

Cause: no command measured the roles as separate processes against a baseline, and the gauge entry_open_requests was never set, so that open streams could not be counted from outside. Ruled out: in-process measurements; they mix the CPU time of entry, agents and callers. Change: internal/measure starts control, entry, agents and stand-in engines on loopback, runs internal/load and prints one table or JSON; the entry sets the gauge.

--- /dev/null
+++ b/internal/measure/fleet.go
@@ -0,0 +1,262 @@
+package measure
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"text/template"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// shape says how a fleet looks.
+type shape struct {
+	Engines int
+	// Zones is how many availability zones the engines are spread over.
+	Zones int
+	Slots int
+	// Step is the time of one decode step of an engine.
+	Step time.Duration
+	// PrefillPerToken is the time to prefill one prompt token.
+	PrefillPerToken time.Duration
+	// Defaults replace fleet-wide defaults.
+	Defaults map[string]string
+	// Organisations are made, each with its name as key.
+	Organisations []string
+}
+
+// engine is a stand-in engine with its agent.
+type engine struct {
+	name, zone    string
+	engine, agent *process
+	Addr          string
+}
+
+func (e *engine) url() string { return "http://" + e.Addr }
+
+// fleet is one control instance, one entry and several engines.
+type fleet struct {
+	shape   shape
+	binary  string
+	dir     string
+	control *process
+	entry   *process
+	Entry   string
+	engines []*engine
+	all     []*process
+}
+
+// settingsTemplate holds the settings of one process. Logs are limited to
+// warnings so that they cost nothing in a measurement.
+var settingsTemplate = template.Must(template.New("").Parse(`
+instance: {id: {{.Name}}, zone: {{.Zone}}, region: local, data: "{{.Dir}}/{{.Name}}"}
+tls: {off: true}
+log: {level: warn}
+metrics: {listen: "{{.Metrics}}"}
+roles:
+{{- if eq .Kind "control"}}
+- control:
+    listen: {{.Listen}}
+    members: {{"{"}}{{.Name}}: "{{.Listen}}"}
+    record_groups: 2
+    bootstrap:
+      defaults: {{"{"}}{{range $k, $v := .Shape.Defaults}}{{$k}}: "{{$v}}", {{end}}}
+      organisations:
+        demo: {keys: [demo]}{{range .Shape.Organisations}}
+        {{.}}: {keys: [{{.}}]}{{end}}
+{{- else if eq .Kind "entry"}}
+- entry:
+    listen: {{.Listen}}
+    internal: {{.Other}}
+    grace: 100ms
+    control: ["{{.Control}}"]
+{{- else if eq .Kind "engine"}}
+- standin-engine:
+    listen: {{.Listen}}
+    models: [letters]
+    slots: {{.Shape.Slots}}
+    step: {{.Shape.Step}}
+    prefill_per_token: {{.Shape.PrefillPerToken}}
+    exit_on_die: true
+{{- else}}
+- agent:
+    listen: {{.Listen}}
+    control: ["{{.Control}}"]
+    upstream:
+      openai: {url: "http://{{.Other}}", models: [letters], slots: {{.Shape.Slots}}}
+{{- end}}
+`))
+
+// instance fills settingsTemplate.
+type instance struct {
+	Kind, Name, Zone, Dir           string
+	Listen, Other, Control, Metrics string
+	Shape                           shape
+}
+
+// freeAddr returns a loopback address that was free just now.
+func freeAddr() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// newFleet starts every process and waits until the entry knows all engines.
+func newFleet(ctx context.Context, o Options, s shape) (*fleet, error) {
+	dir, err := os.MkdirTemp("", "heatherway-measure-")
+	if err != nil {
+		return nil, err
+	}
+	f := &fleet{shape: s, binary: o.Binary, dir: dir}
+	if err := f.startAll(ctx); err != nil {
+		f.stop()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *fleet) startAll(ctx context.Context) (err error) {
+	controlAddr, err := freeAddr()
+	if err != nil {
+		return err
+	}
+	if f.control, err = f.start(instance{Kind: "control", Name: "control-0", Zone: "zone-0", Listen: controlAddr}); err != nil {
+		return err
+	}
+	for i := range f.shape.Engines {
+		if err := f.startEngine(i, controlAddr); err != nil {
+			return err
+		}
+	}
+	if err := f.startEntry(controlAddr); err != nil {
+		return err
+	}
+	return f.await(ctx)
+}
+
+func (f *fleet) startEngine(i int, control string) error {
+	e := &engine{name: fmt.Sprintf("letters-%d", i), zone: fmt.Sprintf("zone-%d", i%f.shape.Zones)}
+	agent, err := freeAddr()
+	if err != nil {
+		return err
+	}
+	if e.Addr, err = freeAddr(); err != nil {
+		return err
+	}
+	if e.engine, err = f.start(instance{Kind: "engine", Name: e.name + "-engine", Zone: e.zone, Listen: e.Addr}); err != nil {
+		return err
+	}
+	e.agent, err = f.start(instance{Kind: "agent", Name: e.name, Zone: e.zone, Listen: agent, Other: e.Addr, Control: control})
+	f.engines = append(f.engines, e)
+	return err
+}
+
+func (f *fleet) startEntry(control string) (err error) {
+	if f.Entry, err = freeAddr(); err != nil {
+		return err
+	}
+	internal, err := freeAddr()
+	if err != nil {
+		return err
+	}
+	f.entry, err = f.start(instance{Kind: "entry", Name: "entry-0", Zone: "zone-0", Listen: f.Entry, Other: internal, Control: control})
+	return err
+}
+
+// start writes the settings of one process and runs it.
+func (f *fleet) start(i instance) (*process, error) {
+	metrics, err := freeAddr()
+	if err != nil {
+		return nil, err
+	}
+	i.Dir, i.Metrics, i.Shape = f.dir, metrics, f.shape
+	var b bytes.Buffer
+	if err := settingsTemplate.Execute(&b, i); err != nil {
+		return nil, err
+	}
+	p := &process{name: i.Name, metrics: metrics, settings: filepath.Join(f.dir, i.Name+".yaml")}
+	if err := os.WriteFile(p.settings, b.Bytes(), 0o600); err != nil {
+		return nil, err
+	}
+	if err := p.start(f.binary); err != nil {
+		return nil, err
+	}
+	f.all = append(f.all, p)
+	return p, nil
+}
+
+// stop ends every process and removes the settings.
+func (f *fleet) stop() {
+	for _, p := range f.all {
+		p.kill()
+	}
+	_ = os.RemoveAll(f.dir) // a rest in the temporary folder does no harm
+}
+
+const (
+	// startLimit bounds how long a fleet may take to serve.
+	startLimit = 20 * time.Second
+	// pollInterval is how often a condition is looked at again.
+	pollInterval = 20 * time.Millisecond
+	// settleTime lets the last announcements and watches pass.
+	settleTime = 2500 * time.Millisecond
+)
+
+// await waits until the entry is ready and every engine has been announced.
+func (f *fleet) await(ctx context.Context) error {
+	err := eventually(ctx, startLimit, func() bool {
+		res, err := http.Get("http://" + f.Entry + "/readyz")
+		if err != nil {
+			return false
+		}
+		defer res.Body.Close()
+		return res.StatusCode == http.StatusNoContent
+	})
+	if err != nil {
+		return errors.Wrapf(err, "the entry is not ready: %s", f.entry.log.String())
+	}
+	pause(ctx, settleTime)
+	return ctx.Err()
+}
+
+func eventually(ctx context.Context, limit time.Duration, check func() bool) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for !check() {
+		if !pause(ctx, pollInterval) {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+func (f *fleet) entryURL() []string { return []string{"http://" + f.Entry} }
+
+func (f *fleet) engineURLs() []string {
+	var out []string
+	for _, e := range f.engines {
+		out = append(out, e.url())
+	}
+	return out
+}
+
+// agentMetric sums a metric over the agents.
+func (f *fleet) agentMetric(ctx context.Context, name string) (float64, error) {
+	var sum float64
+	for _, e := range f.engines {
+		v, err := e.agent.metric(ctx, name)
+		if err != nil {
+			return 0, err
+		}
+		sum += v
+	}
+	return sum, nil
+}
--- a/modules/entry/handler.go
+++ b/modules/entry/handler.go
@@ -123,6 +123,13 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { m.serveCaller(table, w, r) })
 }
 
+// opened counts open requests and returns their new number.
+func (m *Module) opened(by int64) int64 {
+	n := m.open.Add(by)
+	m.metrics.open.Set(n)
+	return n
+}
+
 func (m *Module) serveCaller(table *routes, w http.ResponseWriter, r *http.Request) {
 	s := &state{requestID: r.Header.Get("X-Request-Id"), begun: time.Now(), snap: m.owner.current()}
 	if s.requestID == "" || len(s.requestID) > maxRequestID {
@@ -135,12 +142,11 @@
 	s.organisation, s.refused = authenticate(s.snap, r)
 	r = r.WithContext(context.WithValue(r.Context(), stateKey{}, s))
 	s.r = r
-	if n := m.open.Add(1); n > int64(m.Limits.Streams) {
-		defer m.open.Add(-1)
+	defer m.opened(-1)
+	if n := m.opened(1); n > int64(m.Limits.Streams) {
 		writeFailure(s.w, result.New(result.NoUpstream, "this entry has %d requests open", n-1), s.requestID)
 		return
 	}
-	defer m.open.Add(-1)
 	m.limitBodyTime(s)
 	h := table.find(r)
 	if h == nil {
