--- a/core/pick/registry.go
+++ b/core/pick/registry.go
@@ -57,15 +57,20 @@
 
 // Weighted names a scorer and the weight of its milliseconds.
 type Weighted struct {
-	Name   string  `yaml:"name"`
+	// Name is that of the scorer: wait, prefix, zone or suspects.
+	Name string `yaml:"name"`
+	// Weight multiplies the scorer's milliseconds.
 	Weight float64 `yaml:"weight"`
 }
 
 // Policy names the plug-ins of a Chooser.
 type Policy struct {
-	Filters []string   `yaml:"filters"`
+	// Filters are the names of the filters that an upstream must pass.
+	Filters []string `yaml:"filters"`
+	// Scorers are the scorers with their weights.
 	Scorers []Weighted `yaml:"scorers"`
-	Picker  string     `yaml:"picker"`
+	// Picker is the name of the picker.
+	Picker string `yaml:"picker"`
 }
 
 // AllFilters returns the names of the filters that every policy needs for
--- a/kernel/check.go
+++ b/kernel/check.go
@@ -55,13 +55,10 @@
 // decodeModule makes the module that a setting names, decodes its settings and
 // validates them.
 func decodeModule(namespace string, p settings.Plugin) (any, error) {
-	registry.Lock()
-	info, ok := registry.modules[namespace+"."+p.Name]
-	registry.Unlock()
+	m, ok := NewModule(namespace, p.Name)
 	if !ok {
 		return nil, p.Unknown(namespace, Names(namespace))
 	}
-	m := info.New()
 	if err := p.Decode(m); err != nil {
 		return nil, err
 	}
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -64,6 +64,18 @@
 	registry.modules[m.ID] = m
 }
 
+// NewModule returns a module of the namespace with its default settings, or false if
+// there is none of the name.
+func NewModule(namespace, name string) (any, bool) {
+	registry.Lock()
+	defer registry.Unlock()
+	info, ok := registry.modules[namespace+"."+name]
+	if !ok {
+		return nil, false
+	}
+	return info.New(), true
+}
+
 // Names returns the names registered in a namespace.
 func Names(namespace string) []string {
 	registry.Lock()
@@ -92,14 +104,18 @@
 
 // Settings is the layout of a settings file.
 type Settings struct {
-	Instance Instance          `yaml:"instance"`
-	Log      LogSettings       `yaml:"log"`
-	TLS      peer.TLSSettings  `yaml:"tls"`
-	Stop     StopSettings      `yaml:"stop"`
-	Metrics  MetricsSettings   `yaml:"metrics"`
-	Roles    []settings.Plugin `yaml:"roles"`
+	Instance Instance         `yaml:"instance"`
+	Log      LogSettings      `yaml:"log"`
+	TLS      peer.TLSSettings `yaml:"tls"`
+	Stop     StopSettings     `yaml:"stop"`
+	Metrics  MetricsSettings  `yaml:"metrics"`
+	// Roles names the roles of the process, each with its settings.
+	Roles []settings.Plugin `yaml:"roles"`
 }
 
+// DefaultSettings returns the settings that hold when a file names no others.
+func DefaultSettings() Settings { return Settings{Stop: StopSettings{Limit: 10 * time.Minute}} }
+
 // LogSettings configures the JSON log on standard error.
 type LogSettings struct {
 	// Level is debug, info, warn or error.
@@ -162,7 +178,7 @@
 // New decodes the settings, and provisions and validates every module. Nothing
 // serves yet. On an error everything taken so far is released.
 func New(doc *settings.Document) (*Kernel, error) {
-	k := &Kernel{settings: Settings{Stop: StopSettings{Limit: 10 * time.Minute}}}
+	k := &Kernel{settings: DefaultSettings()}
 	if err := doc.Decode(&k.settings); err != nil {
 		return nil, err
 	}
--- a/kernel/peer/security.go
+++ b/kernel/peer/security.go
@@ -22,9 +22,10 @@
 	Off bool `yaml:"off"`
 	// CA is the file of certificates that peers must be signed by.
 	CA string `yaml:"ca"`
-	// Cert and Key are the files of this process.
+	// Cert is the file of this process's certificate.
 	Cert string `yaml:"cert"`
-	Key  string `yaml:"key"`
+	// Key is the file of the key of Cert.
+	Key string `yaml:"key"`
 }
 
 // reloadInterval bounds how long a replaced certificate file goes unnoticed.
--- a/modules/control/control.go
+++ b/modules/control/control.go
@@ -73,18 +73,23 @@
 type BootstrapException struct {
 	// ID names the exception.
 	ID string `yaml:"id"`
-	// Key and Value say what holds instead of the default.
-	Key   string `yaml:"key"`
+	// Key is the configuration key that the exception sets.
+	Key string `yaml:"key"`
+	// Value holds instead of the default.
 	Value string `yaml:"value"`
 	// Reason is required.
 	Reason string `yaml:"reason"`
-	// Organisation, Model, Zone, Upstream and Service select what the exception
-	// holds for.
+	// Organisation that the exception holds for; empty matches every one.
 	Organisation string `yaml:"organisation"`
-	Model        string `yaml:"model"`
-	Zone         string `yaml:"zone"`
-	Upstream     string `yaml:"upstream"`
-	Service      string `yaml:"service"`
+	// Model that the exception holds for; empty matches every one.
+	Model string `yaml:"model"`
+	// Zone is the availability zone that the exception holds for; empty matches
+	// every one.
+	Zone string `yaml:"zone"`
+	// Upstream that the exception holds for; empty matches every one.
+	Upstream string `yaml:"upstream"`
+	// Service that the exception holds for; empty matches every one.
+	Service string `yaml:"service"`
 }
 
 // BootstrapOrganisation is an organisation of the initial configuration.
