--- a/modules/agent/agent_test.go
+++ b/modules/agent/agent_test.go
@@ -17,6 +17,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"heatherway.dev/core/config"
 	"heatherway.dev/core/wire"
 	"heatherway.dev/heatherway/modules/adapter"
 	"heatherway.dev/heatherway/modules/adapter/openai"
@@ -26,6 +27,8 @@
 	"heatherway.dev/kernel/stats"
 )
 
+var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
+
 // fakeEngine answers with numbered tokens "0 1 2 ..." and continues from
 // resume_tokens. Its fields may be changed while it serves.
 type fakeEngine struct {
@@ -38,7 +41,7 @@
 	bodies []map[string]any
 }
 
-func newEngine(t *testing.T) *fakeEngine {
+func newEngine(t testing.TB) *fakeEngine {
 	e := &fakeEngine{health: http.StatusOK, mute: -1}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) {
@@ -101,16 +104,15 @@
 	return append([]map[string]any(nil), e.bodies...)
 }
 
-func startAgent(t *testing.T, up adapter.Upstream, change func(*Agent)) *Agent {
+func startAgent(t testing.TB, up adapter.Upstream, change func(*Agent)) *Agent {
 	t.Helper()
-	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	sec, err := peer.NewSecurity(peer.TLSSettings{Off: true}, log)
+	sec, err := peer.NewSecurity(peer.TLSSettings{Off: true}, quiet)
 	assert.NilError(t, err)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	a := &Agent{
 		Retention: Retention{Time: defaultRetention, Bytes: defaultRetained},
-		instance:  kernel.Instance{ID: "agent-1", Zone: "zone-a"}, log: log, security: sec,
+		instance:  kernel.Instance{ID: "agent-1", Zone: "zone-a"}, log: quiet, security: sec,
 	}
 	if change != nil {
 		change(a)
@@ -125,7 +127,7 @@
 	return a
 }
 
-func engineAdapter(t *testing.T, url string, slots int) adapter.Upstream {
+func engineAdapter(t testing.TB, url string, slots int) adapter.Upstream {
 	t.Helper()
 	e := &openai.Engine{URL: url, Models: []string{"letters"}, Slots: slots, Resume: "fields"}
 	assert.NilError(t, e.Validate())
@@ -147,7 +149,7 @@
 	cancel func()
 }
 
-func open(t *testing.T, a *Agent, req *wire.GenerateRequest) *client {
+func open(t testing.TB, a *Agent, req *wire.GenerateRequest) *client {
 	t.Helper()
 	b, err := json.Marshal(req)
 	assert.NilError(t, err)
@@ -280,3 +282,139 @@
 	assert.Equal(t, last.Offset, uint64(200))
 	assert.NilError(t, <-stopped)
 }
+
+// Guards against a generation that ends when only its connection to the engine
+// has gone silent, and against lost or repeated tokens in its place.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	e := newEngine(t)
+	e.mute = 20
+	a := startAgent(t, engineAdapter(t, e.URL, 1), nil)
+	c := open(t, a, request(50))
+	text, _ := c.text(t, 0, 20)
+	start := time.Now()
+	rest, last := c.text(t, 20, whole)
+	assert.Equal(t, text+rest, numbers(0, 50))
+	assert.Equal(t, last.Kind, wire.FrameEnd)
+	assert.Equal(t, e.seen()[1]["resume_tokens"], float64(20))
+	t.Logf("output continued after %v", time.Since(start))
+}
+
+// Guards against a stalled engine that holds its streams, and against held text
+// that a later reader cannot get.
+func TestStalledEngine(t *testing.T) {
+	e := newEngine(t)
+	e.mute = 20
+	a := startAgent(t, engineAdapter(t, e.URL, 1), nil)
+	req := request(50)
+	c := open(t, a, req)
+	c.text(t, 0, 20)
+	e.set(func(e *fakeEngine) { e.health = http.StatusInternalServerError })
+	start := time.Now()
+	_, last := c.text(t, 20, whole)
+	t.Logf("failure reported after %v", time.Since(start))
+	assert.Equal(t, last.Code, result.UpstreamStalled)
+	assert.Equal(t, last.Ran, result.DidRun)
+	again := *req
+	again.Attach, again.Body = true, nil
+	text, last := open(t, a, &again).text(t, 0, whole)
+	assert.Equal(t, text, numbers(0, 20))
+	assert.Equal(t, last.Code, result.UpstreamStalled)
+	assert.Equal(t, last.Offset, uint64(20))
+}
+
+// Guards against urgent work that waits behind a long batch generation, and
+// against tokens lost or repeated by preemption.
+func TestPreemptionKeepsTheText(t *testing.T) {
+	e := newEngine(t)
+	e.pause = 2 * time.Millisecond
+	a := startAgent(t, engineAdapter(t, e.URL, 1), nil)
+	ev := configEvent{revision: 1, document: &config.Document{Defaults: map[string]string{"class.batch.floor": "0"}}}
+	a.post(ev)
+	req := request(400)
+	req.Class = wire.Batch
+	batch := open(t, a, req)
+	text, _ := batch.text(t, 0, 30)
+	urgent := request(20)
+	urgent.Class = wire.Urgent
+	_, last := open(t, a, urgent).text(t, 0, whole)
+	assert.Equal(t, last.Kind, wire.FrameEnd)
+	rest, last := batch.text(t, 30+uint64(strings.Count(text, " ")-30), whole)
+	assert.Equal(t, text+rest, numbers(0, 400))
+	assert.Equal(t, last.Kind, wire.FrameEnd)
+	assert.Equal(t, len(e.seen()), 3)
+}
+
+// Guards against an engine that runs far ahead of a lost reader, and against
+// text that is kept beyond the limits.
+func TestRetention(t *testing.T) {
+	a := startAgent(t, engineAdapter(t, newEngine(t).URL, 2), func(a *Agent) { a.Retention.Bytes = 1000 })
+	req := request(20_000)
+	c := open(t, a, req)
+	c.text(t, 0, 1)
+	c.cancel()
+	holds := func() bool {
+		ev := holdsEvent{req.Generation, make(chan bool, 1)}
+		held, _ := ask(a, ev, ev.reply)
+		return held
+	}
+	assert.Assert(t, holds())
+	for end := time.Now().Add(5 * time.Second); holds(); time.Sleep(20 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "kept beyond the limit")
+	}
+}
+
+// Guards against an engine that decodes without bound while nobody reads.
+func TestEngineWaitsForReader(t *testing.T) {
+	o := newOutput(1, "", 0)
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	n := 0
+	for ; o.append(ctx, adapter.Event{Text: "x", Tokens: 1}) == nil; n++ {
+	}
+	assert.Equal(t, n, maxAhead)
+}
+
+// Guards against a reader that cannot attach inside the prefix of a newer
+// attempt, although the agent itself has produced it.
+func TestNewerAttemptKeepsBoundaries(t *testing.T) {
+	older := newOutput(1, "", 0)
+	for range 5 {
+		assert.NilError(t, older.append(context.Background(), adapter.Event{Text: "xy", Tokens: 1}))
+	}
+	for prefix, offset := range map[string]uint64{"xyxyxy": 2, "xyxyzz": 3} {
+		o := newOutput(2, prefix, 3)
+		o.adopt(older)
+		r, err := o.attach(offset)
+		assert.NilError(t, err)
+		b := o.take(r)
+		assert.Assert(t, offset == 3 || b.tokens.Text == "xy")
+	}
+	o := newOutput(2, "xyxyzz", 3)
+	o.adopt(older)
+	_, err := o.attach(2)
+	assert.Assert(t, result.Is(err, result.BadResumePoint))
+}
+
+// BenchmarkToken measures one token on its way from the engine to the entry,
+// beside the same engine read without an agent.
+func BenchmarkToken(b *testing.B) {
+	e := newEngine(b)
+	b.Run("direct", func(b *testing.B) {
+		body := fmt.Sprintf(`{"max_tokens":%d}`, b.N)
+		res, err := http.Post(e.URL+"/v1/completions", "application/json", strings.NewReader(body))
+		assert.NilError(b, err)
+		defer func() { _ = res.Body.Close() }()
+		_, err = io.Copy(io.Discard, res.Body)
+		assert.NilError(b, err)
+	})
+	b.Run("agent", func(b *testing.B) {
+		c := open(b, startAgent(b, engineAdapter(b, e.URL, 1), nil), request(b.N))
+		for {
+			f, err := c.Next()
+			assert.NilError(b, err)
+			if f.Kind == wire.FrameEnd {
+				return
+			}
+		}
+	})
+}
--- a/modules/control/control.go
+++ b/modules/control/control.go
@@ -119,6 +119,10 @@
 	touch   touch
 	issued  versionSet
 	sent    sentSubsets
+	subsets subsetCache
+	counts  counts
+	alive   alive
+	limits  *limits
 	peers   *peers
 	replica *replica.Replica
 	// syncEach syncs the log once for each command, to measure what syncing a
@@ -181,7 +185,9 @@
 		c.records = append(c.records, r)
 		machines = append(machines, r)
 	}
+	c.counts = newCounts(c.stats)
 	c.members = newMembers(time.Now, c.stats)
+	c.limits = newLimits()
 	c.peers = newPeers(c.security)
 	return c.openLog(machines)
 }
@@ -241,9 +247,10 @@
 	go c.members.run(c.ctx)
 	for id, addr := range c.Members {
 		if id != c.instance.ID {
-			go c.sendDigests(c.ctx, c.security.NewClient(addr))
+			go c.sendDigests(c.ctx, id, c.security.NewClient(addr))
 		}
 	}
+	go c.limits.run(c.ctx)
 	go c.lead(c.ctx)
 	go c.bootstrap()
 }
--- a/modules/control/orders.go
+++ b/modules/control/orders.go
@@ -33,6 +33,9 @@
 			continue
 		}
 		v := c.fleet.view()
+		if v.RecordGroups == 0 {
+			c.propose(ctx, fleetCommand{RecordGroups: c.RecordGroups})
+		}
 		for _, e := range timer.Step(time.Since(begin).Milliseconds(), v.Leases) {
 			c.propose(ctx, fleetCommand{Lease: &lease.Command{Expire: &e}})
 		}
@@ -73,8 +76,9 @@
 	return result.New(result.RoleForbidden, "role %q may not issue orders", s.role)
 }
 
-// Lease grants, renews or takes back a lease.
-func (s *service) Lease(a wire.LeaseArgs, r *wire.LeaseReply) error {
+// OrderLease grants, renews or takes back the lease that an issuer of orders
+// holds, or another one.
+func (s *service) OrderLease(a wire.LeaseArgs, r *wire.LeaseReply) error {
 	if err := s.allowed(); err != nil {
 		return peer.EncodeError(err)
 	}
@@ -89,7 +93,7 @@
 }
 
 func (s *service) leaseCall(a wire.LeaseArgs, r *wire.LeaseReply, cmd lease.Command) error {
-	return s.leaderApply("Lease", a, r, fleetCommand{Lease: &cmd}, func(reply fleetReply) {
+	return s.leaderApply("OrderLease", a, r, fleetCommand{Lease: &cmd}, func(reply fleetReply) {
 		l := reply.Lease.Lease
 		*r = wire.LeaseReply{Granted: reply.Lease.Granted, Holder: l.Holder, Fence: l.Fence, DurationMS: l.DurationMS}
 	})
