entry: spread default Retry-After, hedge from answers only

Cause: refusals of the entry itself named the same time to all callers, and fast failures of lookups would have made hedges too early. Ruled out: a longer fixed time, which keeps callers together. Change: a random factor of 1 to 2; only answered lookups count for the p95.

--- a/modules/entry/attempt.go
+++ b/modules/entry/attempt.go
@@ -322,10 +322,12 @@
 	if err != nil {
 		return nil, err
 	}
-	if p == firstAttempt {
-		defer func() { m.owner.sample(took{k.service, time.Since(begun)}) }()
+	reply, err := m.race(ctx, k, first, permit)
+	// Failures may be far faster than answers and would make hedges too early.
+	if p == firstAttempt && err == nil {
+		m.owner.sample(took{k.service, time.Since(begun)})
 	}
-	return m.race(ctx, k, first, permit)
+	return reply, err
 }
 
 // race waits for the first useful answer of an attempt and its hedge.
--- a/modules/entry/failure.go
+++ b/modules/entry/failure.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -47,7 +48,7 @@
 }
 
 // defaultRetry is told to callers when asking again helps but nothing better
-// is known.
+// is known, with a random factor of 1 to 2 that spreads their return.
 const defaultRetry = time.Second
 
 // retryMS returns the time to tell the caller; zero when asking again does not
@@ -57,7 +58,7 @@
 		return max(e.RetryAfter.Milliseconds(), 1)
 	}
 	if e.Code.Info().Retry {
-		return defaultRetry.Milliseconds()
+		return int64(float64(defaultRetry.Milliseconds()) * (1 + rand.Float64()))
 	}
 	return 0
 }
