quarantine: add properties; keep cleared requests as long as reports may be late

Cause: a report that came after a cleared request was forgotten counted its crash again, found by the property. Ruled out: refusing old reports by the incarnation's start time, which says nothing of the crash's time. Conclusion: one killer costs two upstreams, and one more on each return.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -30,8 +30,9 @@
 	// SuspectTime is how long a suspect is remembered without another crash.
 	SuspectTime = 2 * time.Hour
 	// ClearedTime is how long a cleared request is remembered, so that a late
-	// report of its crash does not make it a suspect again.
-	ClearedTime = 10 * time.Minute
+	// report of its crash does not make it a suspect again. Reporters drop
+	// reports that they could not deliver in this time.
+	ClearedTime = 2 * time.Hour
 	// MaxTracked bounds the requests on record, at about 300 bytes each.
 	MaxTracked = 16384
 	// keepTracked is what is kept when the bound is exceeded, so that the rule
--- /dev/null
+++ b/core/quarantine/quarantine_test.go
@@ -0,0 +1,325 @@
+package quarantine
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"heatherway.dev/core/wire"
+	"heatherway.dev/kernel/result"
+)
+
+const startMS = 1_000_000_000_000
+
+// fleet runs requests on upstreams. Suspects run only with a permit and one at a
+// time on an upstream, and a run with a permit ends by the end of the permit.
+type fleet struct {
+	s       *State
+	now     int64
+	ran     map[int]map[string]*wire.ID // by upstream, with the permit if any
+	number  map[int]uint64              // crashes of an upstream
+	late    []report                    // copies that arrive late
+	permits int
+	kills   map[string]int
+}
+
+type report struct {
+	args wire.CrashArgs
+	at   int64
+}
+
+func newFleet() *fleet {
+	return &fleet{s: New(), now: startMS, ran: map[int]map[string]*wire.ID{}, number: map[int]uint64{}, kills: map[string]int{}}
+}
+
+func (f *fleet) apply(c Command) Answer {
+	c.AtMS = f.now
+	return f.s.Apply(c)
+}
+
+func (f *fleet) suspect(name string) bool {
+	listed, _ := NewWatchlist(at(f.now), f.s.List(at(f.now))).Check(at(f.now), name)
+	return listed
+}
+
+func at(ms int64) time.Time { return time.UnixMilli(ms) }
+
+// begin sends a request to an upstream, unless it runs there already.
+func (f *fleet) begin(name string, upstream int) {
+	if _, runs := f.ran[upstream][name]; runs {
+		return
+	}
+	var permit *wire.ID
+	if f.suspect(name) {
+		for other := range f.ran[upstream] {
+			if f.suspect(other) {
+				return // the agent runs one suspect at a time
+			}
+		}
+		f.permits++
+		id := wire.ID(fmt.Sprint(f.permits))
+		p := Permit{Fingerprint: name, ID: id, Holder: "entry", Upstream: fmt.Sprint(upstream)}
+		if f.apply(Command{Permit: &p}).PermitUntilMS == 0 {
+			return
+		}
+		permit = &id
+	}
+	if f.ran[upstream] == nil {
+		f.ran[upstream] = map[string]*wire.ID{}
+	}
+	f.ran[upstream][name] = permit
+}
+
+func (f *fleet) runs(name string) bool {
+	for _, on := range f.ran {
+		if _, ok := on[name]; ok {
+			return true
+		}
+	}
+	return false
+}
+
+// crash ends every run of an upstream. The agent reports all of them; an entry
+// reports a part, at once or late.
+func (f *fleet) crash(t *rapid.T, upstream int, killer string) {
+	f.number[upstream]++
+	f.kills[killer]++
+	agent := wire.CrashArgs{Upstream: fmt.Sprint(upstream), Incarnation: 1, CrashNumber: f.number[upstream]}
+	entry := agent
+	for _, name := range names {
+		if _, ok := f.ran[upstream][name]; ok {
+			agent.Fingerprints = append(agent.Fingerprints, name)
+			if rapid.Bool().Draw(t, "entry reports") {
+				entry.Fingerprints = append(entry.Fingerprints, name)
+			}
+		}
+	}
+	delete(f.ran, upstream)
+	f.apply(Command{Crash: &agent})
+	f.late = append(f.late, report{entry, f.now}, report{agent, f.now})
+}
+
+func (f *fleet) finish(name string, upstream int) {
+	permit, runs := f.ran[upstream][name]
+	if !runs {
+		return
+	}
+	delete(f.ran[upstream], name)
+	if permit != nil {
+		f.apply(Command{Return: &Return{Fingerprint: name, ID: *permit, Finished: true}})
+	}
+}
+
+// pass lets time pass. Runs with a permit end by its end.
+func (f *fleet) pass(ms int64) {
+	if ms >= PermitTime.Milliseconds() {
+		for upstream, on := range f.ran {
+			for name, permit := range on {
+				if permit != nil {
+					delete(f.ran[upstream], name)
+				}
+			}
+		}
+	}
+	f.now += ms
+}
+
+func (f *fleet) quarantined(name string) bool {
+	for _, s := range f.s.List(at(f.now)) {
+		if s.Fingerprint == name && s.Quarantined {
+			return true
+		}
+	}
+	return false
+}
+
+const killer = "killer"
+
+var names = []string{"a", "b", "c", "d", killer}
+
+// Guards against a request that goes on killing upstreams when it is sent again
+// through other entries, and against the quarantine of requests that only ran
+// beside it; over any order of runs, late and repeated reports, and time.
+func TestKillerStopsAndOthersDoNot(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet()
+		since := 0 // kills since the killer's last quarantine ended
+		for range rapid.IntRange(1, 150).Draw(t, "steps") {
+			name := rapid.SampledFrom(names).Draw(t, "request")
+			upstream := rapid.IntRange(0, 3).Draw(t, "upstream")
+			was := f.quarantined(killer)
+			switch rapid.IntRange(0, 6).Draw(t, "event") {
+			case 0, 1, 2:
+				// One attempt of the killer at a time before it is known.
+				if name != killer || f.suspect(killer) || !f.runs(killer) {
+					f.begin(name, upstream)
+				}
+			case 3:
+				for u, on := range f.ran {
+					if _, ok := on[killer]; ok && u == upstream {
+						f.crash(t, u, killer)
+						since++
+					}
+				}
+			case 4:
+				if name != killer {
+					f.finish(name, upstream)
+				}
+			case 5:
+				if len(f.late) > 0 {
+					again := f.late[rapid.IntRange(0, len(f.late)-1).Draw(t, "report")]
+					if f.now-again.at < ClearedTime.Milliseconds() {
+						f.apply(Command{Crash: &again.args})
+					}
+				}
+			case 6:
+				f.pass(rapid.SampledFrom([]int64{100, 20_000, PermitTime.Milliseconds(), MaxPeriod.Milliseconds()}).Draw(t, "ms"))
+			}
+			assert.Assert(t, since <= DefaultCrashes, "killed %d upstreams", since)
+			if was && !f.quarantined(killer) {
+				since = DefaultCrashes - 1 // back after one more
+			}
+			if !f.suspect(killer) {
+				since = 0 // forgotten after SuspectTime
+			}
+			for _, name := range names[:len(names)-1] {
+				assert.Assert(t, !f.quarantined(name), "%s is in quarantine", name)
+			}
+		}
+	})
+}
+
+// Guards against a quarantine that never ends, that does not grow on each
+// return, or whose time left depends on the clock of the reader.
+func TestQuarantineEndsAndGrows(t *testing.T) {
+	f, number := newFleet(), uint64(0)
+	crash := func() wire.Suspect {
+		number++
+		return f.apply(Command{Crash: &wire.CrashArgs{Upstream: "u", CrashNumber: number, Fingerprints: []string{"x"}}}).Suspects[0]
+	}
+	assert.Assert(t, !crash().Quarantined)
+	for _, want := range []time.Duration{10, 20, 40, 60, 60} {
+		s := crash()
+		assert.Equal(t, time.Duration(s.LeftMS)*time.Millisecond, want*time.Minute)
+		w := NewWatchlist(start, f.s.List(at(f.now)))
+		suspect, left := w.Check(start.Add(time.Minute), "x")
+		assert.Assert(t, suspect && left == (want-1)*time.Minute)
+		p := Permit{Fingerprint: "x", ID: wire.ID(fmt.Sprint(number)), Holder: "e"}
+		assert.Assert(t, result.Is(f.apply(Command{Permit: &p}).Err, result.Quarantined))
+		f.now += s.LeftMS
+		assert.Assert(t, !f.quarantined("x"))
+		assert.Assert(t, f.apply(Command{Permit: &p}).PermitUntilMS > f.now)
+	}
+	f.now += (MaxPeriod + SuspectTime).Milliseconds()
+	assert.Equal(t, len(f.s.List(at(f.now))), 0)
+}
+
+var start = time.Unix(5, 0)
+
+// Guards against two runs of one suspect, two suspects on one upstream, and a
+// permit that a repeated message gives twice or brings back.
+func TestPermits(t *testing.T) {
+	f := newFleet()
+	f.apply(Command{Crash: &wire.CrashArgs{Upstream: "u", Fingerprints: []string{"x", "y"}}})
+	ask := func(name, id, holder, upstream string) Answer {
+		return f.apply(Command{Permit: &Permit{Fingerprint: name, ID: wire.ID(id), Holder: holder, Upstream: upstream}})
+	}
+	busy := func(a Answer) {
+		t.Helper()
+		assert.Assert(t, result.Is(a.Err, result.SuspectBusy))
+	}
+	first := ask("x", "1", "e1", "v")
+	assert.NilError(t, first.Err)
+	assert.DeepEqual(t, ask("x", "1", "e1", "v"), first)
+	busy(ask("x", "2", "e2", "w"))
+	busy(ask("y", "3", "e2", "v"))
+	assert.NilError(t, ask("y", "4", "e2", "w").Err)
+	f.apply(Command{Return: &Return{Fingerprint: "x", ID: "1"}})
+	busy(ask("x", "5", "e2", "z")) // a crash report may be on its way
+	f.now += ReportGrace.Milliseconds()
+	busy(ask("x", "1", "e1", "v")) // a late copy of the first message
+	assert.NilError(t, ask("x", "6", "e2", "v").Err)
+	f.now += (PermitTime + ReportGrace).Milliseconds()
+	assert.NilError(t, ask("x", "7", "e2", "v").Err)
+	f.apply(Command{Return: &Return{Fingerprint: "x", ID: "7", Finished: true}})
+	assert.Assert(t, !f.suspect("x"))
+}
+
+// Guards against an operator's order that lifts nothing, or too much.
+func TestLift(t *testing.T) {
+	f := newFleet()
+	lift := Command{Lift: &Lift{Fingerprint: "x", Operator: "o"}}
+	assert.Assert(t, result.Is(f.apply(lift).Err, result.ObjectUnknown))
+	for n := range uint64(2) {
+		f.apply(Command{Crash: &wire.CrashArgs{Upstream: "u", CrashNumber: n, Fingerprints: []string{"x"}}})
+	}
+	assert.Assert(t, f.quarantined("x"))
+	assert.NilError(t, f.apply(lift).Err)
+	assert.Assert(t, !f.quarantined("x") && f.suspect("x"))
+}
+
+// Guards against replicas that differ: a state restored from a snapshot at any
+// point has to go on as the original, also when the leader's clock goes back.
+func TestReplicasAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := New(), New()
+		for range rapid.IntRange(1, 60).Draw(t, "commands") {
+			name, id := rapid.SampledFrom(names).Draw(t, "name"), wire.ID(rapid.SampledFrom(names).Draw(t, "id"))
+			c := Command{AtMS: startMS + rapid.Int64Range(0, 8*time.Hour.Milliseconds()).Draw(t, "at")}
+			switch rapid.IntRange(0, 4).Draw(t, "kind") {
+			case 0, 1:
+				c.Crash = &wire.CrashArgs{Upstream: "u", CrashNumber: rapid.Uint64Range(0, 9).Draw(t, "crash"), Fingerprints: []string{name}}
+			case 2:
+				c.Permit = &Permit{Fingerprint: name, ID: id, Holder: "e", Upstream: "u"}
+			case 3:
+				c.Return = &Return{Fingerprint: name, ID: id, Finished: rapid.Bool().Draw(t, "finished")}
+			case 4:
+				c.Lift = &Lift{Fingerprint: name}
+			}
+			encoded, err := json.Marshal(c)
+			assert.NilError(t, err)
+			var decoded Command
+			assert.NilError(t, json.Unmarshal(encoded, &decoded))
+			clock := a.clock
+			x, y := a.Apply(c), b.Apply(decoded)
+			assert.Assert(t, a.clock >= clock)
+			assert.DeepEqual(t, x.Suspects, y.Suspects)
+			assert.Equal(t, fmt.Sprint(x.PermitUntilMS, x.Err), fmt.Sprint(y.PermitUntilMS, y.Err))
+			one, err := a.Snapshot()
+			assert.NilError(t, err)
+			two, err := b.Snapshot()
+			assert.NilError(t, err)
+			assert.Equal(t, string(one), string(two))
+			if rapid.Bool().Draw(t, "restore") {
+				b, err = Restore(two)
+				assert.NilError(t, err)
+			}
+		}
+	})
+}
+
+// Guards against memory without bound, and against a flood of harmless suspects
+// that pushes the quarantined off the list.
+func TestBoundKeepsTheQuarantined(t *testing.T) {
+	f := newFleet()
+	for n := range uint64(2) {
+		f.apply(Command{Crash: &wire.CrashArgs{Upstream: "u", CrashNumber: n, Fingerprints: []string{"x"}}})
+	}
+	for n := range uint64(10) {
+		c := wire.CrashArgs{Upstream: "v", CrashNumber: n}
+		for i := range MaxReported {
+			c.Fingerprints = append(c.Fingerprints, fmt.Sprint(n, "/", i))
+		}
+		f.apply(Command{Crash: &c})
+		f.now++
+		assert.Assert(t, len(f.s.records) <= MaxTracked)
+	}
+	assert.Assert(t, f.quarantined("x"))
+	assert.Assert(t, f.suspect("9/0") && !f.suspect("0/0"), "the oldest suspects go first")
+	long := wire.CrashArgs{Fingerprints: make([]string, MaxReported+1)}
+	assert.Assert(t, result.Is(f.apply(Command{Crash: &long}).Err, result.InvalidField))
+}
--- a/core/quarantine/state.go
+++ b/core/quarantine/state.go
@@ -283,7 +283,10 @@
 	}
 	slices.SortFunc(snap.Records, func(a, b *record) int { return strings.Compare(a.Fingerprint, b.Fingerprint) })
 	b, err := json.Marshal(snap)
-	return b, errors.Wrap(err, "encode quarantine snapshot")
+	if err != nil {
+		return nil, errors.Wrap(err, "encode quarantine snapshot")
+	}
+	return b, nil
 }
 
 // Restore returns the state of a snapshot.
