limit: give messages a compact form and check its size

Cause: an Ask took 137 bytes as gob with the net/rpc header, so 8 a second were 1.1 KB/s. Ruled out: whole units in place of floats, which lose the shares of slow organisations.

--- /dev/null
+++ b/core/limit/encode.go
@@ -0,0 +1,135 @@
+package limit
+
+import (
+	"encoding/binary"
+	"math"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// Messages are sent up to MaxAsks times a second by every entry, so they have a
+// compact form: amounts are 4-byte floats, left out where zero. Senders round
+// amounts to that precision before they account for them, always to the side
+// that admits less.
+
+func (a Amount) roundDown() Amount { return Amount{round(a.Tokens, -1), round(a.Requests, -1)} }
+
+func (a Amount) roundUp() Amount { return Amount{round(a.Tokens, 1), round(a.Requests, 1)} }
+
+// round returns the nearest 4-byte float that is not on the other side of x.
+func round(x float64, side int) float64 {
+	f := float32(x)
+	if side < 0 && float64(f) > x || side > 0 && float64(f) < x {
+		f = math.Nextafter32(f, float32(math.Inf(side)))
+	}
+	return float64(f)
+}
+
+func appendText(b []byte, s string) []byte {
+	return append(binary.AppendUvarint(b, uint64(len(s))), s...)
+}
+
+// appendAmounts appends a bit for each part, and then the parts that are set.
+func appendAmounts(b []byte, amounts ...Amount) []byte {
+	at := len(b)
+	b = append(b, 0)
+	for i, a := range amounts {
+		for j, x := range [...]float64{a.Tokens, a.Requests} {
+			if x != 0 {
+				b[at] |= 1 << (2*i + j)
+				b = binary.BigEndian.AppendUint32(b, math.Float32bits(float32(x)))
+			}
+		}
+	}
+	return b
+}
+
+// MarshalBinary implements encoding.BinaryMarshaler, which gob uses.
+func (a Ask) MarshalBinary() ([]byte, error) {
+	b := appendText(nil, a.Organisation)
+	b = appendText(b, a.Entry)
+	b = binary.AppendUvarint(b, a.Number)
+	b = appendAmounts(b, a.Demand, a.Want, a.Need, a.Unused)
+	b = binary.AppendUvarint(b, a.Lease)
+	return binary.AppendUvarint(b, a.Unapplied), nil
+}
+
+// UnmarshalBinary implements encoding.BinaryUnmarshaler.
+func (a *Ask) UnmarshalBinary(b []byte) error {
+	d := decoder{b: b}
+	*a = Ask{Organisation: d.text(), Entry: d.text(), Number: d.uvarint()}
+	d.amounts(&a.Demand, &a.Want, &a.Need, &a.Unused)
+	a.Lease, a.Unapplied = d.uvarint(), d.uvarint()
+	return d.end("ask")
+}
+
+// MarshalBinary implements encoding.BinaryMarshaler. The wait is rounded up to
+// a millisecond.
+func (g Grant) MarshalBinary() ([]byte, error) {
+	b := appendText(nil, g.Organisation)
+	b = appendText(b, g.Entry)
+	b = binary.AppendUvarint(b, g.Number)
+	b = appendAmounts(b, g.Amount)
+	ms := (max(g.Wait, 0) + time.Millisecond - 1) / time.Millisecond
+	return binary.AppendUvarint(b, uint64(ms)), nil
+}
+
+// UnmarshalBinary implements encoding.BinaryUnmarshaler.
+func (g *Grant) UnmarshalBinary(b []byte) error {
+	d := decoder{b: b}
+	*g = Grant{Organisation: d.text(), Entry: d.text(), Number: d.uvarint()}
+	d.amounts(&g.Amount)
+	g.Wait = time.Duration(min(d.uvarint(), uint64(maxWait.Milliseconds()))) * time.Millisecond
+	return d.end("grant")
+}
+
+// decoder reads values and remembers that one was cut or out of range.
+type decoder struct {
+	b   []byte
+	bad bool
+}
+
+func (d *decoder) take(n uint64) []byte {
+	if d.bad || n > uint64(len(d.b)) {
+		d.bad = true
+		return nil
+	}
+	part := d.b[:n]
+	d.b = d.b[n:]
+	return part
+}
+
+func (d *decoder) uvarint() uint64 {
+	v, n := binary.Uvarint(d.b)
+	if n <= 0 {
+		d.bad = true
+		return 0
+	}
+	d.take(uint64(n))
+	return v
+}
+
+func (d *decoder) text() string { return string(d.take(d.uvarint())) }
+
+func (d *decoder) amounts(to ...*Amount) {
+	set := d.take(1)
+	for i, a := range to {
+		for j, x := range [...]*float64{&a.Tokens, &a.Requests} {
+			if d.bad || set[0]&(1<<(2*i+j)) == 0 {
+				continue
+			}
+			if part := d.take(4); !d.bad {
+				*x = float64(math.Float32frombits(binary.BigEndian.Uint32(part)))
+				d.bad = !(*x >= 0) || math.IsInf(*x, 0)
+			}
+		}
+	}
+}
+
+func (d *decoder) end(what string) error {
+	if d.bad || len(d.b) > 0 {
+		return errors.Errorf("malformed lease %s", what)
+	}
+	return nil
+}
--- a/core/limit/entry.go
+++ b/core/limit/entry.go
@@ -314,13 +314,13 @@
 	e.number++
 	t.ask = Ask{
 		Organisation: t.name, Entry: e.id, Number: e.number,
-		Demand: t.demand, Unapplied: t.unapplied,
+		Demand: t.demand.roundUp(), Unapplied: t.unapplied,
 	}
 	if c.order == 3 {
 		t.ask.Lease, t.ask.Unused = t.giveBack(now)
 	} else {
-		t.ask.Need = t.least(now)
-		t.ask.Want = t.demand.Scale(slack * horizon.Seconds()).Max(t.ask.Need)
+		t.ask.Need = t.least(now).roundUp()
+		t.ask.Want = t.demand.Scale(slack * horizon.Seconds()).roundUp().Max(t.ask.Need)
 	}
 	t.unapplied = 0
 	t.pending, t.asked = true, now
@@ -338,7 +338,7 @@
 
 // giveBack takes the surplus out of the lease that ends first.
 func (t *tally) giveBack(now time.Time) (number uint64, back Amount) {
-	back = t.surplus(now)
+	back = t.surplus(now).roundDown()
 	for i := range t.leases {
 		if l := &t.leases[i]; !l.amount.IsZero() {
 			l.amount = l.amount.Sub(back)
--- a/core/limit/owner.go
+++ b/core/limit/owner.go
@@ -167,7 +167,7 @@
 		g.Wait = a.wait(now, h, need)
 		return g
 	}
-	g.Amount = want.Min(most).Max(need)
+	g.Amount = want.Min(most).Max(need).roundDown()
 	a.level = a.level.Sub(g.Amount)
 	h.share = h.share.Sub(g.Amount)
 	h.leases = append(h.leases, lease{ask.Number, g.Amount, now.Add(LeaseTime)})
