--- a/modules/control/limits.go
+++ b/modules/control/limits.go
@@ -78,7 +78,7 @@
 		return peer.EncodeError(err)
 	}
 	doc, scope, now := s.c.fleet.view().Doc, config.Scope{Organisation: a.Organisation}, time.Now()
-	lim := limit.Of(doc.Float("organisation.rate", scope, now), doc.Float("organisation.requests", scope, now))
+	lim := limit.Of(doc.Float("organisation.rate", scope, now), doc.Float("organisation.requests", scope, now), doc.LimitedOrganisations())
 	g, err := s.c.limits.handle(ctx, lim, a)
 	*r = g
 	return peer.EncodeError(err)
--- a/modules/entry/limits.go
+++ b/modules/entry/limits.go
@@ -79,7 +79,7 @@
 func (r *request) limitOf() limit.Limit {
 	scope := config.Scope{Organisation: r.organisation}
 	doc := r.snap.doc
-	return limit.Of(doc.Float("organisation.rate", scope, r.begun), doc.Float("organisation.requests", scope, r.begun))
+	return limit.Of(doc.Float("organisation.rate", scope, r.begun), doc.Float("organisation.requests", scope, r.begun), doc.LimitedOrganisations())
 }
 
 // charsPerToken estimates the prompt tokens of a body before an engine has
