--- /dev/null
+++ b/core/member/subset.go
@@ -0,0 +1,208 @@
+package member
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+
+	"heatherway.dev/core/wire"
+)
+
+const (
+	// SubsetSize is the most upstreams that an entry knows of one model or
+	// service.
+	SubsetSize = 32
+	// RemoteShare is the number of places in a full subset kept for other
+	// availability zones, so that the loss of a zone leaves upstreams to use.
+	RemoteShare = 8
+)
+
+// Index holds the members by model and service. It is immutable and serves the
+// subsets of all entries.
+type Index struct {
+	members []wire.Upstream
+	hashes  []uint64
+	groups  [][]int
+	regions map[string]string
+}
+
+// NewIndex returns the index of members in order of id.
+func NewIndex(members []wire.Upstream) *Index {
+	x := &Index{members: members, hashes: make([]uint64, len(members)), regions: map[string]string{}}
+	byName := map[string][]int{}
+	var names []string
+	add := func(name string, i int) {
+		if byName[name] == nil {
+			names = append(names, name)
+		}
+		byName[name] = append(byName[name], i)
+	}
+	for i := range members {
+		u := &members[i]
+		x.hashes[i] = hashText(u.ID)
+		x.regions[u.Zone] = u.Region
+		for _, m := range u.Models {
+			add("model "+m, i)
+		}
+		for _, s := range u.Services {
+			add("service "+s, i)
+		}
+	}
+	for _, n := range names {
+		x.groups = append(x.groups, byName[n])
+	}
+	return x
+}
+
+// Members returns all members.
+func (x *Index) Members() []wire.Upstream { return x.members }
+
+// Subset returns the upstreams that an entry knows, in order of id: of each
+// model and each service at most SubsetSize. Those that are up go before
+// others, those of the entry's zone before others, but RemoteShare places are
+// left to other zones. Among equals the rendezvous hash decides.
+func (x *Index) Subset(entry, zone string) []wire.Upstream {
+	c := chooser{x: x, entry: hashText(entry), zone: zone, region: x.regions[zone]}
+	chosen := make([]bool, len(x.members))
+	for _, group := range x.groups {
+		for _, i := range c.choose(group) {
+			chosen[i] = true
+		}
+	}
+	var out []wire.Upstream
+	for i, in := range chosen {
+		if in {
+			out = append(out, x.members[i])
+		}
+	}
+	return out
+}
+
+// chooser chooses the upstreams of one entry.
+type chooser struct {
+	x            *Index
+	entry        uint64
+	zone, region string
+}
+
+type candidate struct {
+	at   int
+	far  bool
+	hash uint64
+}
+
+func (c *chooser) choose(group []int) []int {
+	if len(group) <= SubsetSize {
+		return group
+	}
+	var local, remote, unfit []candidate
+	for _, i := range group {
+		u := &c.x.members[i]
+		s := candidate{i, u.Region != c.region, mix(c.entry ^ c.x.hashes[i])}
+		switch {
+		case u.State != wire.UpstreamUp:
+			unfit = append(unfit, s)
+		case u.Zone == c.zone:
+			local = append(local, s)
+		default:
+			remote = append(remote, s)
+		}
+	}
+	far := min(len(remote), max(RemoteShare, SubsetSize-len(local)))
+	near := min(len(local), SubsetSize-far)
+	out := append(best(local, near), c.bestRemote(remote, far, near == 0)...)
+	return append(out, best(unfit, SubsetSize-len(out))...)
+}
+
+// bestRemote returns the best n of other zones. When the entry's own zone has
+// none, the last place goes to a second zone if one zone took all the others.
+func (c *chooser) bestRemote(remote []candidate, n int, alone bool) []int {
+	out := best(remote, n)
+	if !alone || n < 2 {
+		return out
+	}
+	zone := c.x.members[out[0]].Zone
+	differs := func(i int) bool { return c.x.members[i].Zone != zone }
+	if slices.ContainsFunc(out, differs) {
+		return out
+	}
+	other := slices.IndexFunc(remote, func(r candidate) bool { return differs(r.at) })
+	if other >= 0 {
+		out[n-1] = remote[other].at
+	}
+	return out
+}
+
+// best sorts the list, the nearest region and then the highest hash first, and
+// returns the first n.
+func best(list []candidate, n int) []int {
+	slices.SortFunc(list, func(a, b candidate) int {
+		if a.far != b.far {
+			if b.far {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(b.hash, a.hash)
+	})
+	out := make([]int, 0, n)
+	for _, s := range list[:min(n, len(list))] {
+		out = append(out, s.at)
+	}
+	return out
+}
+
+func hashText(s string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(s)) // a hash never fails
+	return mix(h.Sum64())
+}
+
+// mix is the finaliser of MurmurHash3: the upper bits of an FNV hash hardly
+// depend on the last bytes written.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+// Version identifies the content of a subset; it is zero only for an empty
+// one. It depends on nothing else, so that every control instance gives the
+// same version to the same content.
+func Version(subset []wire.Upstream) uint64 {
+	if len(subset) == 0 {
+		return 0
+	}
+	b := make([]byte, 0, 128*len(subset))
+	for i := range subset {
+		b = appendUpstream(b, &subset[i])
+	}
+	h := fnv.New64a()
+	_, _ = h.Write(b)
+	return max(1, mix(h.Sum64()))
+}
+
+func appendUpstream(b []byte, u *wire.Upstream) []byte {
+	for _, s := range []string{u.ID, u.Zone, u.Region, u.Addr, u.EventsURL} {
+		b = appendText(b, s)
+	}
+	for _, list := range [][]string{u.Models, u.Adapters, u.Services} {
+		for _, s := range list {
+			b = appendText(b, s)
+		}
+		b = append(b, 0)
+	}
+	b = appendUint(b, uint64(u.Incarnation))
+	return appendUint(b, uint64(u.Slots)<<8|uint64(u.State))
+}
+
+func appendText(b []byte, s string) []byte { return append(append(b, s...), 0) }
+
+func appendUint(b []byte, v uint64) []byte {
+	for i := range 8 {
+		b = append(b, byte(v>>(8*i)))
+	}
+	return b
+}
--- a/core/wire/rpc.go
+++ b/core/wire/rpc.go
@@ -128,6 +128,9 @@
 // AnnounceArgs is an agent's periodic message to a control instance.
 type AnnounceArgs struct {
 	Upstream Upstream
+	// Seq counts the announcements of this incarnation, so that control
+	// instances which hear the agent in turn keep the last state.
+	Seq uint64
 	// Revision is the newest configuration in force at the agent.
 	Revision uint64
 }
@@ -139,6 +142,13 @@
 	Refused bool
 }
 
+// LocateArgs asks for the address of an agent outside an entry's subset, such as
+// one named in a Last-Event-ID.
+type LocateArgs struct{ Instance string }
+
+// LocateReply is the agent's announcement.
+type LocateReply struct{ Upstream Upstream }
+
 // WatchArgs is a long poll for configuration, suspects and members.
 type WatchArgs struct {
 	// Instance, Role and Zone name the caller.
@@ -150,10 +160,15 @@
 	Members  uint64
 	// Suspects is the version of the quarantine list that the caller has.
 	Suspects uint64
+	// Orders is the version of the agent's orders that the caller has.
+	Orders uint64
 	// Fresh asks for a read through a quorum, for a process that starts.
 	Fresh bool
 	// WaitMS bounds how long the call may hang when nothing changes.
 	WaitMS int64
+	// Deltas tells that the caller understands Step and MembersDelta. A reply
+	// that cannot be applied is answered by a watch with the version zero.
+	Deltas bool
 }
 
 // WatchReply carries what has changed; parts that have not are left out.
@@ -161,15 +176,27 @@
 	Revision uint64
 	// Config is the JSON of config.Document, empty when unchanged.
 	Config []byte
+	// Step is the JSON of the config.Step from the caller's revision, instead of
+	// Config, for a caller that asked for Deltas.
+	Step []byte
 	// Members is the version of the member list; Upstreams is the whole subset
 	// for this caller when MembersChanged is set.
 	Members        uint64
 	MembersChanged bool
 	Upstreams      []Upstream
-	Suspects       uint64
+	// MembersDelta tells that Upstreams holds only new and changed upstreams of
+	// the subset, and Removed the ids that have left it (member.Advance).
+	MembersDelta bool
+	Removed      []string
+	Suspects     uint64
 	// SuspectsChanged tells that Suspect is the whole new list.
 	SuspectsChanged bool
 	Suspect         []Suspect
+	// Orders is the version of the orders for this agent; when OrdersChanged is
+	// set, Order lists all that it has not reported as done.
+	Orders        uint64
+	OrdersChanged bool
+	Order         []Order
 }
 
 // Suspect is a request fingerprint that was running when an upstream crashed.
@@ -190,21 +217,42 @@
 	Incarnation  Incarnation
 	CrashNumber  uint64
 	Fingerprints []string
+	// Probation is the one of them that was in probation; empty without one.
+	Probation string
 }
 
 // CrashReply gives the state of the reported fingerprints.
 type CrashReply struct{ Suspect []Suspect }
 
 // PermitArgs asks to run a suspect again, or gives the permit back when Done
-// is set; Finished then tells that the request ended without a crash.
+// is set. Passed then tells that the probation is over while the request goes
+// on, Finished that the request ended without a crash, and NotRun that it never
+// began. Finished may follow a Passed with the same Permit.
 type PermitArgs struct {
 	Fingerprint string
 	Holder      string
-	Permit      ID
-	Done        bool
-	Finished    bool
+	// Upstream is where the suspect is to run, if known: no two suspects run on
+	// one upstream.
+	Upstream string
+	// Permit may be set by the holder, so that a repeated call gets the same
+	// permit; the control instance chooses one otherwise.
+	Permit   ID
+	Done     bool
+	Passed   bool
+	Finished bool
+	NotRun   bool
 }
 
+// ProbationTokens is how many new tokens a suspect must produce to pass its
+// probation. A request that crashes its upstream at a given token does so again
+// at the first token behind the delivered prefix; the others allow for tokens
+// that were decoded and not delivered.
+const ProbationTokens = 4
+
+// PermitUnavailable stands for a permit while no control instance answers. The
+// agent still isolates the suspect.
+const PermitUnavailable ID = "unavailable"
+
 // PermitReply carries the permit; its absence comes as a result code.
 type PermitReply struct{ Permit ID }
 
@@ -245,6 +293,9 @@
 	Status      int
 	Headers     []Header
 	Body        []byte
+	// Dropped tells that the attempt finished with Status, but that its answer
+	// was too large to keep.
+	Dropped bool
 }
 
 // StartReply tells whether the attempt may run; if not, Record tells why.
--- a/kernel/peer/rpc.go
+++ b/kernel/peer/rpc.go
@@ -57,8 +57,9 @@
 func (c *Client) Addr() string { return c.addr }
 
 // Call makes one call and waits until it returns or ctx ends. A call that runs
-// into the end of ctx drops the connection, since net/rpc cannot tell a slow
-// peer from a silent connection; the next call makes a new one. A result code
+// into the deadline of ctx drops the connection, since net/rpc cannot tell a
+// slow peer from a silent connection; the next call makes a new one. Long polls
+// therefore use a client of their own. A result code
 // of the peer comes back as *result.Error. An error that wraps ErrUnreachable
 // means that the peer did not get the call.
 func (c *Client) Call(ctx context.Context, method string, args, reply any) error {
@@ -71,7 +72,9 @@
 	case <-call.Done:
 		return c.finish(cl, call.Error)
 	case <-ctx.Done():
-		c.drop(cl)
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			c.drop(cl)
+		}
 		return ctx.Err()
 	}
 }
@@ -144,15 +147,24 @@
 }
 
 // Handler serves the net/rpc services of one process to peers whose
-// certificate carries one of the roles. Without TLS every peer is served.
-// Receivers see each caller's role through the argument type Caller if they
-// are registered for each connection; most need only the allow list.
+// certificate carries one of the roles. Without TLS every peer is served, and
+// its role is empty.
 type Handler struct {
 	Security *Security
 	Roles    []string
 	// Services returns name and receiver pairs for a connection from a peer
 	// with the role.
 	Services func(role string) map[string]any
+	// Named replaces Services if set, and also gets the common name in the
+	// peer's certificate, for audit logs.
+	Named func(role, name string) map[string]any
+}
+
+func (h *Handler) services(role, name string) map[string]any {
+	if h.Named != nil {
+		return h.Named(role, name)
+	}
+	return h.Services(role)
 }
 
 // ServeHTTP takes over the connection of a CONNECT request.
@@ -172,7 +184,7 @@
 		return
 	}
 	srv := rpc.NewServer()
-	for name, recv := range h.Services(role) {
+	for name, recv := range h.services(role, Name(r.TLS)) {
 		if err := srv.RegisterName(name, recv); err != nil {
 			_ = conn.Close()
 			return
--- a/modules/agent/health.go
+++ b/modules/agent/health.go
@@ -87,7 +87,7 @@
 	o.a.metrics.crashes.Inc()
 	args := wire.CrashArgs{
 		Reporter: o.a.instance.ID, Upstream: o.a.instance.ID,
-		Incarnation: o.a.incarnation, CrashNumber: o.crashes,
+		Incarnation: o.a.incarnation, CrashNumber: o.crashes, Probation: o.inProbation(),
 	}
 	for _, t := range o.tasks {
 		if t.running && t.fingerprint != "" {
--- a/modules/agent/owner.go
+++ b/modules/agent/owner.go
@@ -46,6 +46,7 @@
 	seen        uint64    // the newest revision heard of
 	behindSince time.Time // since when seen is ahead of revision
 	suspects    map[string]wire.Suspect
+	probation   probation
 	nextSweep   time.Time
 	dirty       bool
 }
@@ -146,6 +147,9 @@
 	running bool
 }
 
+// suspect tells whether the task starts in probation.
+func (t *task) suspect() bool { return t.permit != "" }
+
 // verdict is nil when the task may run.
 type verdict = *result.Error
 
@@ -159,14 +163,14 @@
 }
 
 func (o *owner) decide(now time.Time, list []admission.Decision) {
-	var blocked []*task
+	var refused, blocked []*task
 	for _, d := range list {
 		t := o.tasks[d.ID]
 		switch d.Action {
 		case admission.Run:
 			t.running = true
 			// The request may have become a suspect while it waited.
-			if err := o.checkSuspect(t, t.fingerprint, t.permit); err != nil {
+			if err := o.checkSuspect(t.fingerprint, t.permit); err != nil {
 				t.verdict <- result.From(err)
 				blocked = append(blocked, t)
 				continue
@@ -174,6 +178,7 @@
 			t.verdict <- nil
 		case admission.Refuse:
 			delete(o.tasks, d.ID)
+			refused = append(refused, t)
 			o.a.metrics.refused.Inc()
 			t.verdict <- result.New(d.Code, "the upstream's queue does not take the request").After(d.RetryAfter)
 		case admission.Preempt:
@@ -183,6 +188,9 @@
 		o.dirty = true
 	}
 	// The list is only valid until the next call of the queue.
+	for _, t := range refused {
+		o.endProbation(now, t)
+	}
 	for _, t := range blocked {
 		taskDone{t, 0}.apply(o, now)
 	}
@@ -199,7 +207,7 @@
 	case !o.behindSince.IsZero() && now.Sub(o.behindSince) > behindLimit:
 		return result.New(result.ConfigurationBehind, "revision %d is known and cannot be fetched", o.seen)
 	}
-	return o.checkSuspect(nil, fingerprint, permit)
+	return o.checkSuspect(fingerprint, permit)
 }
 
 // heardOf notes the newest configuration revision that a peer knows.
@@ -214,9 +222,8 @@
 	}
 }
 
-// checkSuspect tells why a suspect may not run now. One suspect at a time runs
-// on an upstream, so that a crash points to one of them.
-func (o *owner) checkSuspect(self *task, fingerprint string, permit wire.ID) error {
+// checkSuspect tells why a suspect may not run.
+func (o *owner) checkSuspect(fingerprint string, permit wire.ID) error {
 	s, ok := o.suspects[fingerprint]
 	switch {
 	case !ok:
@@ -226,11 +233,6 @@
 	case permit == "":
 		return result.New(result.SuspectBusy, "the request is suspected of a crash and has no permit")
 	}
-	for _, t := range o.tasks {
-		if _, other := o.suspects[t.fingerprint]; other && t != self {
-			return result.New(result.SuspectBusy, "another suspect is on this upstream")
-		}
-	}
 	return nil
 }
 
@@ -243,6 +245,7 @@
 func (e taskDone) apply(o *owner, now time.Time) {
 	delete(o.tasks, e.t.id)
 	o.decide(now, o.queue.Finish(now, e.t.id, e.tokens))
+	o.endProbation(now, e.t)
 	o.dirty = true
 }
 
@@ -251,12 +254,14 @@
 
 func (e taskCancelled) apply(o *owner, now time.Time) {
 	if o.tasks[e.t.id] != e.t {
+		o.endProbation(now, e.t)
 		return
 	}
 	if !o.queue.Cancel(now, e.t.id) {
 		o.decide(now, o.queue.Finish(now, e.t.id, 0))
 	}
 	delete(o.tasks, e.t.id)
+	o.endProbation(now, e.t)
 	o.dirty = true
 }
 
--- a/modules/agent/rpc.go
+++ b/modules/agent/rpc.go
@@ -151,7 +151,7 @@
 		e.t.verdict <- result.From(err)
 		return
 	}
-	o.admit(now, e.t, admission.Request{
+	o.enqueue(now, e.t, admission.Request{
 		Class: e.args.Class, Organisation: e.args.Organisation, Weight: e.args.Weight,
 		Cost: callCost, StartBy: startBy(now, e.args.DeadlineMS),
 	})
--- a/modules/agent/run.go
+++ b/modules/agent/run.go
@@ -19,7 +19,9 @@
 	g   *generation
 	t   *task
 	ctx context.Context
-	ran bool // the engine has had the request
+	// passed is set once a suspect's probation is over.
+	passed bool
+	ran    bool // the engine has had the request
 	// claimed is the attempt under which the record of the key was started.
 	claimed wire.ID
 
@@ -150,6 +152,7 @@
 		defer dog.touch()
 		dog.decoding.Store(dog.decoding.Load() || ev.Tokens > 0)
 		*tokens += uint64(ev.Tokens)
+		r.passProbation(*tokens)
 		r.a.metrics.tokens.Add(int64(ev.Tokens))
 		if ev.Finish != "" {
 			finish = ev.Finish
@@ -163,6 +166,15 @@
 	return err
 }
 
+// passProbation lets the next suspect run once this one has proved harmless.
+func (r *run) passProbation(tokens uint64) {
+	if !r.t.suspect() || r.passed || tokens < wire.ProbationTokens {
+		return
+	}
+	r.passed = true
+	r.a.post(probationPassed{r.t})
+}
+
 // cause returns why a context has ended as an error for the entry.
 func (r *run) cause(ctx context.Context) error {
 	err := context.Cause(ctx)
@@ -190,7 +202,7 @@
 	case errors.Is(err, errReplaced):
 		e = result.New(result.Superseded, "a newer attempt runs")
 	case errors.Is(err, errCancelled):
-		e = result.New(result.CallerGone, "cancelled")
+		e = result.New(result.UpstreamFailed, "the attempt was cancelled")
 	case errors.Is(err, errDropped):
 		e = result.New(result.GenerationNotHeld, "dropped").WithRan(result.DidRun)
 	default:
--- /dev/null
+++ b/modules/control/control.go
@@ -0,0 +1,379 @@
+// Package control is the role of the control instances: it keeps the
+// configuration, the quarantine list, leases, orders and idempotency records
+// in replicated log groups, and the membership as soft state.
+package control
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"heatherway.dev/core/config"
+	"heatherway.dev/core/raft"
+	"heatherway.dev/core/wire"
+	"heatherway.dev/heatherway/modules/control/replica"
+	"heatherway.dev/kernel"
+	"heatherway.dev/kernel/peer"
+	"heatherway.dev/kernel/result"
+	"heatherway.dev/kernel/settings"
+	"heatherway.dev/kernel/stats"
+)
+
+func init() {
+	kernel.Register(kernel.ModuleInfo{ID: "role.control", New: func() any { return newControl() }})
+}
+
+// Bounds of the settings, and times.
+const (
+	maxRecordGroups     = 64
+	defaultRecordGroups = 4
+	readHeaderLimit     = 5 * time.Second
+	// commandTimeout bounds a command from its call to its answer. It covers an
+	// election.
+	commandTimeout = 3 * time.Second
+	// dataFolder is the folder of the log below the instance's data folder.
+	dataFolder = "control"
+	// bootstrapRetry is the pause between attempts to write the bootstrap
+	// configuration.
+	bootstrapRetry = 200 * time.Millisecond
+)
+
+// Settings are the settings of the role.
+type Settings struct {
+	// Listen is the address of the internal listener.
+	Listen string `yaml:"listen"`
+	// Advertise is the address that others use; the listener's by default.
+	Advertise string `yaml:"advertise"`
+	// Members maps the ids of the initial control instances to their addresses.
+	Members map[string]string `yaml:"members"`
+	// RecordGroups is the number of log groups for idempotency records. It must
+	// be the same on every control instance and cannot change later, since a
+	// key's group follows from it.
+	RecordGroups int `yaml:"record_groups"`
+	// Bootstrap is written as the first change if the log is empty.
+	Bootstrap Bootstrap `yaml:"bootstrap"`
+}
+
+// Bootstrap is the initial configuration.
+type Bootstrap struct {
+	// Defaults replaces built-in defaults.
+	Defaults map[string]string `yaml:"defaults"`
+	// Exceptions are the initial exceptions.
+	Exceptions []BootstrapException `yaml:"exceptions"`
+	// Organisations are the initial organisations, by name.
+	Organisations map[string]BootstrapOrganisation `yaml:"organisations"`
+}
+
+// BootstrapException is an exception of the initial configuration.
+type BootstrapException struct {
+	// ID names the exception.
+	ID string `yaml:"id"`
+	// Key is the configuration key that the exception sets.
+	Key string `yaml:"key"`
+	// Value holds instead of the default.
+	Value string `yaml:"value"`
+	// Reason is required.
+	Reason string `yaml:"reason"`
+	// Organisation that the exception holds for; empty matches every one.
+	Organisation string `yaml:"organisation"`
+	// Model that the exception holds for; empty matches every one.
+	Model string `yaml:"model"`
+	// Zone is the availability zone that the exception holds for; empty matches
+	// every one.
+	Zone string `yaml:"zone"`
+	// Upstream that the exception holds for; empty matches every one.
+	Upstream string `yaml:"upstream"`
+	// Service that the exception holds for; empty matches every one.
+	Service string `yaml:"service"`
+}
+
+// BootstrapOrganisation is an organisation of the initial configuration.
+type BootstrapOrganisation struct {
+	// Keys are plain caller keys, meant for local runs.
+	Keys []string `yaml:"keys"`
+	// KeyHashes are SHA-256 hashes of caller keys in hexadecimal.
+	KeyHashes []string `yaml:"key_hashes"`
+}
+
+// Control is the module of the role.
+type Control struct {
+	Settings `yaml:",inline"`
+
+	instance kernel.Instance
+	logger   *slog.Logger
+	audit    *slog.Logger
+	stats    *stats.Registry
+	security *peer.Security
+	listener *trackedListener
+	server   *http.Server
+
+	log     Log
+	fleet   *fleet
+	records []*records
+	members *members
+	touch   touch
+	issued  versionSet
+	sent    sentSubsets
+	subsets subsetCache
+	counts  counts
+	alive   alive
+	limits  *limits
+	peers   *peers
+	replica *replica.Replica
+	// syncEach syncs the log once for each command, to measure what syncing a
+	// batch gains.
+	syncEach bool
+	// logClosed is set once Stop has closed the log.
+	logClosed bool
+
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+func newControl() *Control {
+	return &Control{Settings: Settings{RecordGroups: defaultRecordGroups}}
+}
+
+// Validate implements kernel.Validator.
+func (c *Control) Validate() error {
+	if c.Listen == "" {
+		return settings.Field("listen", "must be set")
+	}
+	if err := settings.InRange("record_groups", c.RecordGroups, 1, maxRecordGroups); err != nil {
+		return err
+	}
+	trial := config.NewState()
+	change := c.Bootstrap.change(0)
+	if len(change.Edits) == 0 {
+		return nil
+	}
+	if a := trial.Apply(1, change); a.Verdict != config.Accepted {
+		return settings.Field("bootstrap", "%s", problemText(a.Problems))
+	}
+	return nil
+}
+
+// Provision implements kernel.Provisioner.
+func (c *Control) Provision(ctx *kernel.Context) error {
+	l, err := ctx.Listen(c.Listen)
+	if err != nil {
+		return err
+	}
+	c.listener = track(l)
+	if c.Advertise == "" {
+		c.Advertise = l.Addr().String()
+	}
+	c.instance, c.logger, c.stats, c.security = ctx.Instance, ctx.Log, ctx.Stats, ctx.TLS
+	c.audit = newAudit(os.Stderr, ctx.Instance.ID)
+	c.begin()
+	return c.build()
+}
+
+func (c *Control) begin() { c.ctx, c.cancel = context.WithCancel(context.Background()) }
+
+// build makes the state machines, the log over them and the membership.
+func (c *Control) build() error {
+	c.fleet = newFleet()
+	machines := []Machine{c.fleet}
+	for range c.RecordGroups {
+		r := newRecords()
+		c.records = append(c.records, r)
+		machines = append(machines, r)
+	}
+	c.counts = newCounts(c.stats)
+	c.members = newMembers(time.Now, c.stats)
+	c.limits = newLimits()
+	c.peers = newPeers(c.security)
+	return c.openLog(machines)
+}
+
+// openLog opens the replicated log in the data folder. Without a data folder a
+// single instance keeps its state in memory, for local runs.
+func (c *Control) openLog(machines []Machine) error {
+	if c.instance.Data == "" {
+		if len(c.Members) > 1 {
+			return result.New(result.SettingInvalid, "instance.data: must be set for a control instance with other members")
+		}
+		c.logger.Warn("control state is kept in memory only, since instance.data is not set")
+		c.log = newMemoryLog(machines)
+		return nil
+	}
+	o := replica.Options{
+		Self: raft.MemberID(c.instance.ID), Folder: filepath.Join(c.instance.Data, dataFolder),
+		Machines: map[replica.Group]replica.StateMachine{}, Security: c.security, Log: c.logger, Stats: c.stats,
+		SyncEach: c.syncEach,
+	}
+	for i, m := range machines {
+		o.Machines[replica.Group(i)] = m
+	}
+	for id, addr := range c.Members {
+		o.Peers = append(o.Peers, replica.Peer{ID: raft.MemberID(id), Addr: addr})
+	}
+	if len(c.Members) == 0 {
+		o.Peers = []replica.Peer{{ID: o.Self, Addr: c.Advertise}}
+	}
+	r, err := replica.Open(o)
+	if err != nil {
+		return err
+	}
+	c.replica, c.log = r, replicatedLog{r}
+	return nil
+}
+
+// Start implements kernel.Runner.
+func (c *Control) Start(ctx context.Context) error {
+	mux := http.NewServeMux()
+	mux.Handle(peer.RPCPath, &peer.Handler{Security: c.security, Roles: servedRoles, Named: c.services})
+	c.server = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderLimit}
+	go c.serve()
+	if c.replica != nil {
+		if err := c.replica.Start(ctx); err != nil {
+			return err
+		}
+		go c.watchLog()
+	}
+	c.run()
+	return nil
+}
+
+// run starts the goroutines that need no listener.
+func (c *Control) run() {
+	go c.touch.run(c.ctx, c.reachQuorum)
+	go c.members.run(c.ctx)
+	for id, addr := range c.Members {
+		if id != c.instance.ID {
+			go c.sendDigests(c.ctx, id, c.security.NewClient(addr))
+		}
+	}
+	go c.limits.run(c.ctx)
+	go c.lead(c.ctx)
+	go c.bootstrap()
+}
+
+func (c *Control) serve() {
+	err := c.server.Serve(c.security.Server(c.listener))
+	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+		c.logger.Error("internal listener closed", "error", err)
+	}
+}
+
+// watchLog reports a log that ended by a failure, such as a disk that cannot be
+// synced. This instance then answers 5034, since it reaches no quorum.
+func (c *Control) watchLog() {
+	select {
+	case <-c.replica.Ended():
+	case <-c.ctx.Done():
+		return
+	}
+	if err := c.replica.Err(); err != nil {
+		c.logger.Error("the log of this control instance has ended", "error", err)
+	}
+}
+
+// Stop implements kernel.Runner. It hands over leadership while the others can
+// still reach this instance.
+func (c *Control) Stop(ctx context.Context) error {
+	var err error
+	if c.replica != nil {
+		err = c.replica.Stop(ctx)
+		c.logClosed = true
+	}
+	c.cancel()
+	err = errors.Join(err, c.server.Close())
+	c.listener.closeAll()
+	return err
+}
+
+// Cleanup implements kernel.Cleaner.
+func (c *Control) Cleanup() error {
+	if c.cancel != nil {
+		c.cancel()
+	}
+	if c.peers != nil {
+		c.peers.close()
+	}
+	if c.replica == nil || c.logClosed {
+		return nil
+	}
+	return c.replica.Kill()
+}
+
+// bootstrap writes the initial configuration if there is none. Several
+// instances may try; only the first change on revision 0 is accepted.
+func (c *Control) bootstrap() {
+	change := c.Bootstrap.change(time.Now().UnixMilli())
+	if len(change.Edits) == 0 {
+		return
+	}
+	for c.ctx.Err() == nil {
+		done, err := c.tryBootstrap(change)
+		if done {
+			return
+		}
+		c.logger.Debug("bootstrap waits", "error", err)
+		select {
+		case <-time.After(bootstrapRetry):
+		case <-c.ctx.Done():
+		}
+	}
+}
+
+func (c *Control) tryBootstrap(change config.Change) (done bool, err error) {
+	if !c.log.Leader(fleetGroup).Local {
+		return c.fleet.view().Doc.Revision > 0, nil
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, commandTimeout)
+	defer cancel()
+	if err := c.log.ReadIndex(ctx, fleetGroup); err != nil {
+		return false, err
+	}
+	if c.fleet.view().Doc.Revision > 0 {
+		return true, nil
+	}
+	r, err := c.applyFleet(ctx, fleetCommand{Change: &change})
+	if err != nil {
+		return false, err
+	}
+	c.logger.Info("bootstrap configuration written", "verdict", r.Answer.Verdict, "revision", r.Answer.Revision)
+	return true, nil
+}
+
+func (b Bootstrap) change(nowMS int64) config.Change {
+	c := config.Change{ChangeID: "bootstrap", Author: "bootstrap", Reason: "initial configuration from the settings", AtMS: nowMS}
+	for k, v := range b.Defaults {
+		c.Edits = append(c.Edits, config.Edit{Kind: config.SetDefault, Name: k, Value: v})
+	}
+	for _, e := range b.Exceptions {
+		c.Edits = append(c.Edits, config.Edit{Kind: config.PutException, Exception: e.exception()})
+	}
+	for name, o := range b.Organisations {
+		org := &config.Organisation{KeyHashes: append([]string(nil), o.KeyHashes...)}
+		for _, k := range o.Keys {
+			org.KeyHashes = append(org.KeyHashes, config.KeyHash(k))
+		}
+		c.Edits = append(c.Edits, config.Edit{Kind: config.PutOrganisation, Name: name, Organisation: org})
+	}
+	return c
+}
+
+func (e BootstrapException) exception() *config.Exception {
+	return &config.Exception{
+		ID: e.ID, Key: e.Key, Value: e.Value, Reason: e.Reason,
+		Selector: config.Selector{
+			Organisation: e.Organisation, Model: e.Model, Zone: e.Zone, Upstream: e.Upstream, Service: e.Service,
+		},
+	}
+}
+
+// nowMS is the clock put into commands.
+func nowMS() int64 { return time.Now().UnixMilli() }
+
+// recordGroup returns the group of a record key.
+func (c *Control) recordGroup(key string) uint32 {
+	return wire.KeyGroup(key, c.RecordGroups)
+}
--- /dev/null
+++ b/modules/control/fleet.go
@@ -0,0 +1,282 @@
+package control
+
+import (
+	"encoding/json"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"heatherway.dev/core/config"
+	"heatherway.dev/core/lease"
+	"heatherway.dev/core/order"
+	"heatherway.dev/core/quarantine"
+	"heatherway.dev/core/wire"
+	"heatherway.dev/kernel/result"
+)
+
+// fleetCommand is one entry of group 0; exactly one pointer is set.
+type fleetCommand struct {
+	AtMS       int64               `json:"at"`
+	Change     *config.Change      `json:"change,omitempty"`
+	Quarantine *quarantine.Command `json:"quarantine,omitempty"`
+	Lease      *lease.Command      `json:"lease,omitempty"`
+	Order      *order.Command      `json:"order,omitempty"`
+	// RecordGroups fixes the number of record groups; the first one counts.
+	RecordGroups int `json:"record_groups,omitempty"`
+}
+
+// fleetReply is the answer of group 0.
+type fleetReply struct {
+	Answer  *config.Answer `json:"answer,omitempty"`
+	Suspect []wire.Suspect `json:"suspect,omitempty"`
+	Lease   *lease.Reply   `json:"lease,omitempty"`
+	Order   *order.Entry   `json:"order,omitempty"`
+	refusal
+}
+
+// refusal is a result code that a state machine answers with.
+type refusal struct {
+	Code    result.Code `json:"code,omitempty"`
+	Message string      `json:"message,omitempty"`
+	RetryMS int64       `json:"retry_ms,omitempty"`
+}
+
+func refusalOf(err error) refusal {
+	if err == nil {
+		return refusal{}
+	}
+	e := result.From(err)
+	return refusal{e.Code, e.Message, e.RetryAfter.Milliseconds()}
+}
+
+func (r refusal) err() error {
+	if r.Code == 0 {
+		return nil
+	}
+	return result.New(r.Code, "%s", r.Message).After(milliseconds(r.RetryMS))
+}
+
+// fleetView is an immutable snapshot of group 0 for readers.
+type fleetView struct {
+	// Version is the position of the last command that changed the view.
+	Version uint64
+	Doc     *config.Document
+	// RecordGroups is the number of record groups agreed on, zero before.
+	RecordGroups int
+	// JSON is the encoded document, Sum its check sum, and Steps the latest
+	// changes that led to it.
+	JSON  []byte
+	Sum   uint64
+	Steps []config.Step
+	// Suspects is the version of the list.
+	Suspects uint64
+	List     []wire.Suspect
+	Leases   []lease.Lease
+	// Orders are all orders that are kept, and Released those under way by
+	// upstream.
+	Orders   []order.Entry
+	Released map[string][]wire.Order
+}
+
+// fleet is the machine of group 0. The log owns it; others read its view.
+type fleet struct {
+	config     *config.State
+	quarantine *quarantine.State
+	leases     *lease.State
+	orders     *order.State
+	// touched is set when leases or orders may have changed since the last
+	// view.
+	touched bool
+	version uint64
+	groups  int
+	current atomic.Pointer[fleetView]
+	// past is apart from the view, since refused changes do not change the view.
+	past    atomic.Pointer[[]config.Past]
+	changed broadcast
+}
+
+func newFleet() *fleet {
+	f := &fleet{config: config.NewState(), quarantine: quarantine.New(), leases: lease.New(), orders: order.New()}
+	f.keepPast()
+	f.publish(0, 0)
+	return f
+}
+
+func (f *fleet) keepPast() {
+	past := f.config.History()
+	f.past.Store(&past)
+}
+
+// history returns the changes that were answered, the oldest first.
+func (f *fleet) history() []config.Past { return *f.past.Load() }
+
+func (f *fleet) view() *fleetView { return f.current.Load() }
+
+// Apply implements replica.StateMachine.
+func (f *fleet) Apply(index uint64, command []byte) []byte {
+	var c fleetCommand
+	var r fleetReply
+	if err := json.Unmarshal(command, &c); err != nil {
+		r.refusal = refusal{Code: result.MalformedBody, Message: err.Error()}
+	} else {
+		r = f.step(index, c)
+		f.publish(index, c.AtMS)
+	}
+	return mustEncode(r)
+}
+
+// mustEncode encodes a value whose type always encodes.
+func mustEncode(v any) []byte {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(errors.Wrapf(err, "encode %T", v))
+	}
+	return b
+}
+
+func (f *fleet) step(index uint64, c fleetCommand) (r fleetReply) {
+	switch {
+	case c.Change != nil:
+		change := *c.Change
+		change.AtMS = c.AtMS
+		a := f.config.Apply(index, change)
+		r.Answer = &a
+		f.keepPast()
+	case c.Quarantine != nil:
+		q := *c.Quarantine
+		q.AtMS, q.Rule = c.AtMS, f.rule(c.AtMS)
+		a := f.quarantine.Apply(q)
+		r.Suspect, r.refusal = a.Suspects, refusalOf(a.Err)
+	case c.Lease != nil:
+		a := f.leases.Apply(index, *c.Lease)
+		r.Lease, r.refusal, f.touched = &a, refusal{Code: a.Code, Message: a.Message}, true
+	case c.Order != nil:
+		a := f.orders.Apply(f.orderContext(c.AtMS), *c.Order)
+		r.Order, r.refusal, f.touched = &a.Entry, refusal{Code: a.Code, Message: a.Message}, true
+	case c.RecordGroups > 0:
+		if f.groups == 0 {
+			f.groups, f.touched = c.RecordGroups, true
+		}
+	default:
+		r.refusal = refusal{Code: result.InvalidField, Message: "empty command"}
+	}
+	return r
+}
+
+func (f *fleet) orderContext(atMS int64) order.Context {
+	x := order.Context{AtMS: atMS, Loads: f.loads(atMS)}
+	if l := f.leases.Get(order.Lease); l.Holder != "" {
+		x.Fence = l.Fence
+	}
+	return x
+}
+
+func (f *fleet) loads(atMS int64) int {
+	return int(f.config.Document().Int("weights.loads", config.Scope{}, time.UnixMilli(atMS)))
+}
+
+// rule returns the configuration of the quarantine. It is the same on every
+// replica, since the configuration is part of the same group.
+func (f *fleet) rule(atMS int64) quarantine.Rule {
+	doc, now := f.config.Document(), time.UnixMilli(atMS)
+	return quarantine.Rule{
+		Crashes:  uint32(doc.Int("quarantine.crashes", config.Scope{}, now)),
+		PeriodMS: doc.Duration("quarantine.period", config.Scope{}, now).Milliseconds(),
+	}
+}
+
+// publish replaces the view if something in it has changed.
+func (f *fleet) publish(index uint64, atMS int64) {
+	doc, old := f.config.Document(), f.current.Load()
+	if old != nil && old.Doc == doc && old.Suspects == f.quarantine.Version() && !f.touched {
+		return
+	}
+	f.version = index
+	v := &fleetView{Version: index, Doc: doc, RecordGroups: f.groups, Steps: f.config.Steps(), Suspects: f.quarantine.Version()}
+	v.List = f.quarantine.List(time.UnixMilli(atMS))
+	if old != nil && old.Doc == doc {
+		v.JSON, v.Sum = old.JSON, old.Sum
+	} else {
+		v.JSON = mustEncode(doc)
+		v.Sum = config.Sum(v.JSON)
+	}
+	f.publishOrders(v, old)
+	f.current.Store(v)
+	f.changed.notify()
+}
+
+func (f *fleet) publishOrders(v, old *fleetView) {
+	if old != nil && !f.touched {
+		v.Leases, v.Orders, v.Released = old.Leases, old.Orders, old.Released
+		return
+	}
+	f.touched = false
+	v.Leases, v.Orders, v.Released = f.leases.List(), f.orders.List(), map[string][]wire.Order{}
+	for _, e := range v.Orders {
+		if e.Status == order.Released {
+			v.Released[e.Order.Upstream] = append(v.Released[e.Order.Upstream], e.Order)
+		}
+	}
+}
+
+type fleetSnapshot struct {
+	Version    uint64          `json:"version"`
+	Groups     int             `json:"record_groups"`
+	Config     json.RawMessage `json:"config"`
+	Quarantine json.RawMessage `json:"quarantine"`
+	Leases     json.RawMessage `json:"leases"`
+	Orders     json.RawMessage `json:"orders"`
+}
+
+// Freeze implements replica.Freezer. The state is a few megabytes at most, so
+// it is encoded at once.
+func (f *fleet) Freeze() func() []byte {
+	b := f.Snapshot()
+	return func() []byte { return b }
+}
+
+// Snapshot implements replica.StateMachine.
+func (f *fleet) Snapshot() []byte {
+	return mustEncode(fleetSnapshot{
+		Version:    f.version,
+		Groups:     f.groups,
+		Config:     mustSnapshot(f.config.Snapshot()),
+		Quarantine: mustSnapshot(f.quarantine.Snapshot()),
+		Leases:     mustSnapshot(f.leases.Snapshot()),
+		Orders:     mustSnapshot(f.orders.Snapshot()),
+	})
+}
+
+func mustSnapshot(b []byte, err error) json.RawMessage {
+	if err != nil {
+		panic(err) // the types always encode
+	}
+	return b
+}
+
+// Restore implements replica.StateMachine.
+func (f *fleet) Restore(b []byte) error {
+	var s fleetSnapshot
+	if err := json.Unmarshal(b, &s); err != nil {
+		return errors.Wrap(err, "snapshot of group 0")
+	}
+	q, err := quarantine.Restore(s.Quarantine)
+	if err != nil {
+		return err
+	}
+	f.quarantine = q
+	if err := f.config.Restore(s.Config); err != nil {
+		return err
+	}
+	if err := f.leases.Restore(s.Leases); err != nil {
+		return err
+	}
+	if err := f.orders.Restore(s.Orders); err != nil {
+		return err
+	}
+	f.groups, f.touched = s.Groups, true
+	f.keepPast()
+	f.publish(s.Version, 0)
+	return nil
+}
--- /dev/null
+++ b/modules/control/service.go
@@ -0,0 +1,258 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"heatherway.dev/core/quarantine"
+	"heatherway.dev/core/record"
+	"heatherway.dev/core/wire"
+	"heatherway.dev/heatherway/modules/control/replica"
+	"heatherway.dev/kernel/peer"
+	"heatherway.dev/kernel/result"
+)
+
+// Roles in certificates.
+const (
+	roleEntry    = "entry"
+	roleAgent    = "agent"
+	roleControl  = "control"
+	roleOperator = "operator"
+)
+
+var servedRoles = []string{roleEntry, roleAgent, roleControl, roleOperator}
+
+// services returns the services for a connection from a peer with the role and
+// the name in its certificate.
+func (c *Control) services(role, name string) map[string]any {
+	out := map[string]any{wire.ControlService: &service{c: c, forward: true, role: role}}
+	if role == roleOperator || c.security.Off() {
+		out[wire.AdminService] = &adminService{c: c, certificate: name}
+	}
+	if role == roleControl || c.security.Off() {
+		out[leaderService] = &service{c: c, role: roleControl}
+		out[membersService] = &memberService{c}
+		out[wire.AdminProxyService] = &adminService{c: c, certificate: name, proxy: true}
+		if c.replica != nil {
+			out[replica.ServiceName] = c.replica.Service()
+		}
+	}
+	return out
+}
+
+// service is the net/rpc service of a control instance.
+type service struct {
+	c *Control
+	// forward lets a command be passed on to the leader.
+	forward bool
+	// role is that in the caller's certificate.
+	role string
+}
+
+func (s *service) context() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(s.c.ctx, commandTimeout)
+}
+
+// Announce takes an agent's periodic message.
+func (s *service) Announce(a wire.AnnounceArgs, r *wire.AnnounceReply) error {
+	if a.Upstream.ID == "" || a.Upstream.Addr == "" || a.Upstream.Incarnation == 0 {
+		return peer.EncodeError(result.New(result.InvalidField, "an announcement needs id, address and incarnation"))
+	}
+	refused, err := ask(s.c.ctx, s.c.members, func(ch chan<- bool) memberEvent { return announced{a, ch} })
+	if err != nil {
+		return peer.EncodeError(err)
+	}
+	r.Refused, r.Revision = refused, s.c.fleet.view().Doc.Revision
+	// The announcement counts here in any case, but an instance that is cut off
+	// cannot pass it on, so the agent has to try another one.
+	return peer.EncodeError(s.c.touch.check(time.Now()))
+}
+
+// Locate finds the agent of a generation that is not in an entry's subset.
+func (s *service) Locate(a wire.LocateArgs, r *wire.LocateReply) error {
+	u, ok := s.c.find(a.Instance)
+	if !ok {
+		return peer.EncodeError(result.New(result.ObjectUnknown, "no agent %q", a.Instance))
+	}
+	r.Upstream = u
+	return nil
+}
+
+// Crash takes a report of an upstream's crash.
+func (s *service) Crash(a wire.CrashArgs, r *wire.CrashReply) error {
+	cmd := fleetCommand{Quarantine: &quarantine.Command{Crash: &a}}
+	return s.fleetCall("Crash", a, r, cmd, func(reply fleetReply) {
+		r.Suspect = withTimeLeft(reply.Suspect, nowMS())
+	})
+}
+
+// Permit grants or takes back the permit to run a suspect.
+func (s *service) Permit(a wire.PermitArgs, r *wire.PermitReply) error {
+	if a.Done {
+		back := &quarantine.Return{Fingerprint: a.Fingerprint, ID: a.Permit, Finished: a.Finished, NotRun: a.NotRun, Passed: a.Passed}
+		cmd := fleetCommand{Quarantine: &quarantine.Command{Return: back}}
+		return s.fleetCall("Permit", a, r, cmd, func(fleetReply) {})
+	}
+	if a.Permit == "" {
+		a.Permit = wire.NewID()
+	}
+	ask := &quarantine.Permit{Fingerprint: a.Fingerprint, ID: a.Permit, Holder: a.Holder, Upstream: a.Upstream}
+	cmd := fleetCommand{Quarantine: &quarantine.Command{Permit: ask}}
+	return s.fleetCall("Permit", a, r, cmd, func(fleetReply) { r.Permit = a.Permit })
+}
+
+// fleetCall has the leader of group 0 apply a command and sets the reply.
+func (s *service) fleetCall(method string, args, reply any, cmd fleetCommand, set func(fleetReply)) error {
+	return peer.EncodeError(s.leaderApply(method, args, reply, cmd, set))
+}
+
+func (s *service) leaderApply(method string, args, reply any, cmd fleetCommand, set func(fleetReply)) error {
+	ctx, cancel := s.context()
+	defer cancel()
+	return s.atLeader(ctx, fleetGroup, method, args, reply, func(ctx context.Context) error {
+		r, err := s.c.applyFleet(ctx, cmd)
+		if err == nil {
+			set(r)
+		}
+		return err
+	})
+}
+
+// applyFleet applies a command to group 0 on this instance, the leader.
+func (c *Control) applyFleet(ctx context.Context, cmd fleetCommand) (fleetReply, error) {
+	var r fleetReply
+	cmd.AtMS = nowMS()
+	if err := c.apply(ctx, fleetGroup, cmd, &r); err != nil {
+		return r, err
+	}
+	return r, r.err()
+}
+
+func (c *Control) apply(ctx context.Context, group uint32, cmd, reply any) error {
+	data, err := json.Marshal(cmd)
+	if err != nil {
+		return errors.Wrap(err, "encode command")
+	}
+	b, _, err := c.log.Propose(ctx, group, data)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(b, reply); err != nil {
+		return errors.Wrap(err, "decode answer")
+	}
+	return nil
+}
+
+// Start claims a key for one attempt. A failure is 5033; its field Ran is "not
+// run" only if the claim is certainly not stored, since the agent then need not
+// ask again.
+func (s *service) Start(a wire.StartArgs, r *wire.StartReply) error {
+	err := s.recordCall("Start", a.Key, a, r, func() record.Command {
+		cmd := record.Command{Start: &a}
+		if a.Takeover {
+			cmd.Gone = s.goneIncarnation(a.Key)
+		}
+		return cmd
+	}, func(reply record.Reply) { r.Granted, r.Record = reply.Granted, reply.Record })
+	s.c.counts.claim(r.Granted, err)
+	if result.Is(err, result.ControlUnavailable) {
+		err = result.Wrap(result.RecordsUnavailable, err, "no claim").WithRan(result.From(err).Ran)
+	}
+	return peer.EncodeError(err)
+}
+
+// goneIncarnation returns the incarnation that holds the key if it is known to
+// have ended.
+func (s *service) goneIncarnation(key string) wire.Incarnation {
+	rec := s.c.records[s.c.recordGroup(key)-1].lookup(key)
+	if rec.State != wire.RecordStarted {
+		return 0
+	}
+	gone, err := ask(s.c.ctx, s.c.members, func(ch chan<- bool) memberEvent {
+		return goneAsked{rec.Agent, rec.Incarnation, ch}
+	})
+	if err != nil || !gone {
+		return 0
+	}
+	return rec.Incarnation
+}
+
+// Finish stores the answer of an attempt.
+func (s *service) Finish(a wire.FinishArgs, r *wire.FinishReply) error {
+	return peer.EncodeError(s.recordCall("Finish", a.Key, a, r, func() record.Command {
+		return record.Command{Finish: &a}
+	}, func(record.Reply) {}))
+}
+
+// Abort makes sure that an attempt never starts.
+func (s *service) Abort(a wire.AbortArgs, r *wire.AbortReply) error {
+	return peer.EncodeError(s.recordCall("Abort", a.Key, a, r, func() record.Command {
+		return record.Command{Abort: &a}
+	}, func(reply record.Reply) { r.Aborted, r.Record = reply.Aborted, reply.Record }))
+}
+
+// Lookup reads a record through a quorum.
+func (s *service) Lookup(a wire.LookupArgs, r *wire.LookupReply) error {
+	ctx, cancel := s.context()
+	defer cancel()
+	group := s.c.recordGroup(a.Key)
+	return peer.EncodeError(s.atLeader(ctx, group, "Lookup", a, r, func(ctx context.Context) error {
+		if err := s.c.checkGroups(); err != nil {
+			return err
+		}
+		if err := s.c.log.ReadIndex(ctx, group); err != nil {
+			return err
+		}
+		r.Record = s.c.records[group-1].lookup(a.Key)
+		return nil
+	}))
+}
+
+// recordCall has the leader of a key's group apply a command and sets the
+// reply.
+func (s *service) recordCall(method, key string, args, reply any, command func() record.Command, set func(record.Reply)) error {
+	ctx, cancel := s.context()
+	defer cancel()
+	group := s.c.recordGroup(key)
+	return s.atLeader(ctx, group, method, args, reply, func(ctx context.Context) error {
+		if err := s.c.checkGroups(); err != nil {
+			return err
+		}
+		var r record.Reply
+		cmd := command()
+		cmd.AtMS = nowMS()
+		if err := s.c.apply(ctx, group, cmd, &r); err != nil {
+			return err
+		}
+		set(r)
+		return refusal{Code: r.Code, Message: r.Message}.err()
+	})
+}
+
+// checkGroups refuses records when this instance's number of groups is not the
+// one that the control instances agreed on at first start: a key would be looked
+// for in another group, and run twice.
+func (c *Control) checkGroups() error {
+	switch n := c.fleet.view().RecordGroups; n {
+	case c.RecordGroups:
+		return nil
+	case 0:
+		return result.New(result.ControlUnavailable, "the record groups are being formed").WithRan(result.NotRun)
+	default:
+		return result.New(result.RecordsUnavailable, "record_groups is %d here and %d in the log", c.RecordGroups, n)
+	}
+}
+
+func withTimeLeft(list []wire.Suspect, now int64) []wire.Suspect {
+	out := append([]wire.Suspect(nil), list...)
+	for i := range out {
+		out[i].LeftMS = max(0, out[i].UntilMS-now)
+	}
+	return out
+}
+
+func problemText(problems []string) string { return strings.Join(problems, "; ") }
--- /dev/null
+++ b/modules/control/touch.go
@@ -0,0 +1,94 @@
+package control
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"heatherway.dev/kernel/peer"
+	"heatherway.dev/kernel/result"
+)
+
+const (
+	touchInterval = 500 * time.Millisecond
+	touchTimeout  = time.Second
+	// touchLimit is the age of the last read through a quorum from which this
+	// instance sends its callers elsewhere: it may be cut off and old.
+	touchLimit = 3 * time.Second
+)
+
+// ReachArgs asks the leader of group 0 for a read through a quorum.
+type ReachArgs struct{}
+
+// ReachReply names the last change that was committed then.
+type ReachReply struct{ Version uint64 }
+
+// Reach reads through a quorum.
+func (s *service) Reach(a ReachArgs, r *ReachReply) error {
+	ctx, cancel := s.context()
+	defer cancel()
+	return peer.EncodeError(s.atLeader(ctx, fleetGroup, "Reach", a, r, func(ctx context.Context) error {
+		if err := s.c.log.ReadIndex(ctx, fleetGroup); err != nil {
+			return err
+		}
+		r.Version = s.c.fleet.view().Version
+		return nil
+	}))
+}
+
+// reachQuorum returns once this instance has applied what was committed when it
+// was called.
+func (c *Control) reachQuorum(ctx context.Context) error {
+	var r ReachReply
+	s := service{c: c, forward: true}
+	err := s.atLeader(ctx, fleetGroup, "Reach", ReachArgs{}, &r, func(ctx context.Context) error {
+		r = ReachReply{}
+		return c.log.ReadIndex(ctx, fleetGroup)
+	})
+	for err == nil {
+		changed := c.fleet.changed.wait()
+		if c.fleet.view().Version >= r.Version {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			err = result.New(result.ControlUnavailable, "this control instance has not applied position %d yet", r.Version)
+		}
+	}
+	return err
+}
+
+// touch notes when this instance last reached a quorum of the control
+// instances.
+type touch struct{ last atomic.Int64 }
+
+func (t *touch) run(ctx context.Context, reach func(context.Context) error) {
+	tick := time.NewTicker(touchInterval)
+	defer tick.Stop()
+	for {
+		t.try(ctx, reach)
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+func (t *touch) try(ctx context.Context, reach func(context.Context) error) {
+	ctx, cancel := context.WithTimeout(ctx, touchTimeout)
+	defer cancel()
+	begin := time.Now()
+	if reach(ctx) == nil {
+		t.last.Store(begin.UnixNano())
+	}
+}
+
+// check returns an error if this instance may be cut off.
+func (t *touch) check(now time.Time) error {
+	if now.UnixNano()-t.last.Load() < int64(touchLimit) {
+		return nil
+	}
+	return result.New(result.ControlUnavailable, "this control instance has not reached a quorum for %v", touchLimit)
+}
--- /dev/null
+++ b/modules/entry/call.go
@@ -0,0 +1,164 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"sync"
+
+	"heatherway.dev/api/gen/services"
+	"heatherway.dev/core/config"
+	"heatherway.dev/core/wire"
+	"heatherway.dev/kernel/result"
+)
+
+// callService implements the generated service services.
+type callService struct{ m *Module }
+
+// call is one call of a plain service.
+type call struct {
+	*request
+	method     string
+	path       string
+	headers    []wire.Header
+	body       []byte
+	bodyHash   string
+	idempotent bool
+	// keyed is set when the caller sent an Idempotency-Key, so that asking
+	// again after an unknown outcome is safe.
+	keyed bool
+	hedge bool
+
+	// mu guards what the goroutines of a hedged call count.
+	mu       sync.Mutex
+	attempts int
+	upstream string
+	tried    []string
+}
+
+// Call implements services.Service.
+func (c *callService) Call(ctx context.Context, p *services.CallPayload, body io.ReadCloser) (*services.CallResult, io.ReadCloser, error) {
+	s := stateOf(ctx)
+	k, err := newCall(s, p, body)
+	if err == nil {
+		err = c.m.admit(ctx, k.request, len(k.body))
+	}
+	if err != nil {
+		c.m.refuse(s, k.request, err)
+		return nil, nil, servicesFailure(err, s.requestID)
+	}
+	reply, err := c.m.run(ctx, k)
+	c.m.finish(k.request, k.summary(err))
+	if err != nil {
+		return nil, nil, servicesFailure(err, s.requestID)
+	}
+	return respond(s, reply)
+}
+
+func newCall(s *state, p *services.CallPayload, body io.Reader) (*call, *result.Error) {
+	h := callerHeaders{key: p.IdempotencyKey, class: p.Class, deadlineMS: p.DeadlineMs}
+	r, err := newRequest(s, h, config.Scope{Service: p.Service}, "service.timeout")
+	if err != nil {
+		return &call{request: r}, err
+	}
+	r.service = p.Service
+	k := &call{request: r, method: s.r.Method, path: servicePath(s.r, p.Service), headers: forwarded(s.r.Header)}
+	if k.body, err = s.read(body); err != nil {
+		return k, err
+	}
+	k.bodyHash = hashCall(k)
+	k.fingerprint = fingerprint(r.organisation, p.Service, []byte(k.bodyHash))
+	k.idempotent = repeatable(s, p)
+	k.keyed = k.key != ""
+	if !k.keyed {
+		k.key = recordKey(r.organisation, "call-"+string(wire.NewID()))
+	}
+	k.hedge = s.snap.doc.Bool("service.hedge", config.Scope{Service: p.Service}, s.begun)
+	return k, nil
+}
+
+// hashCall tells two calls apart that use the same key.
+func hashCall(k *call) string {
+	h := sha256.New()
+	for _, part := range []string{k.service, k.method, k.path} {
+		io.WriteString(h, part)
+		h.Write([]byte{0})
+	}
+	h.Write(k.body)
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+// repeatable tells whether the call may run more than once.
+func repeatable(s *state, p *services.CallPayload) bool {
+	if p.Repeat != nil {
+		return *p.Repeat == "yes"
+	}
+	if s.r.Method == http.MethodGet || s.r.Method == http.MethodHead {
+		return true
+	}
+	return s.snap.doc.Bool("service.repeat", config.Scope{Service: p.Service}, s.begun)
+}
+
+// servicePath returns the path below the service, as sent, with its query.
+func servicePath(r *http.Request, service string) string {
+	path := strings.TrimPrefix(r.URL.EscapedPath(), servicesPrefix)
+	if _, rest, ok := strings.Cut(path, "/"); ok {
+		path = "/" + rest
+	}
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	return path
+}
+
+// forwarded returns the headers that a plain service gets: those that describe
+// the body, the caller's own extensions, and the Idempotency-Key, for services
+// that check it too. The caller's secret is not passed on.
+func forwarded(h http.Header) []wire.Header {
+	var out []wire.Header
+	for name, values := range h {
+		if !passesOn(name) {
+			continue
+		}
+		for _, v := range values {
+			out = append(out, wire.Header{Key: name, Value: v})
+		}
+	}
+	return out
+}
+
+func passesOn(name string) bool {
+	switch name {
+	case "Accept", "Accept-Language", "Content-Type", "Idempotency-Key", "If-Match", "If-None-Match":
+		return true
+	}
+	return strings.HasPrefix(name, "X-") && !strings.HasPrefix(name, "X-Heatherway-") && name != "X-Request-Id"
+}
+
+// respond passes the answer of the service on, with its own status.
+func respond(s *state, reply *wire.CallReply) (*services.CallResult, io.ReadCloser, error) {
+	res := &services.CallResult{Status: strconv.Itoa(reply.Status), ContentType: "application/octet-stream", RequestID: s.requestID}
+	for _, h := range reply.Headers {
+		switch name := textproto.CanonicalMIMEHeaderKey(h.Key); name {
+		case "Content-Type":
+			res.ContentType = h.Value
+		case "Connection", "Content-Length", "Transfer-Encoding", "Keep-Alive", "Upgrade", "Trailer", "X-Request-Id":
+		default:
+			s.w.Header().Add(name, h.Value)
+		}
+	}
+	if reply.Replayed {
+		yes := "true"
+		res.Replayed = &yes
+	}
+	if reply.Status >= http.StatusOK && reply.Status <= 599 {
+		s.w.status = reply.Status
+	}
+	return res, io.NopCloser(bytes.NewReader(reply.Body)), nil
+}
