adapter: do not count the prefix of a resumed generation again

Cause: an engine that includes the prefix in the usage of its last chunk, as the stand-in engine does, made a resumed generation end with as many tokens without text as its prefix had. Change: the engine's count is used only when its first chunk with text carries one, and the prefix is taken off when it is included. Ruled out: trusting the last count; without a running count the chunks have already been given offsets. Conclusion: offsets no longer depend on how an engine reports usage.

--- a/modules/adapter/openai/openai.go
+++ b/modules/adapter/openai/openai.go
@@ -111,7 +111,7 @@
 		return err
 	}
 	defer func() { _ = res.Body.Close() }()
-	return readStream(res.Body, emit)
+	return readStream(res.Body, job.PrefixTokens, emit)
 }
 
 func path(k wire.Kind) string {
--- a/modules/adapter/openai/openai_test.go
+++ b/modules/adapter/openai/openai_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"strings"
 	"testing"
 
@@ -71,7 +72,7 @@
 		token + "data: " + strings.Repeat("x", maxLine) + "\n": result.UpstreamMalformed,
 	} {
 		var text string
-		err := readStream(strings.NewReader(body), func(ev adapter.Event) error { text += ev.Text; return nil })
+		err := readStream(strings.NewReader(body), 0, func(ev adapter.Event) error { text += ev.Text; return nil })
 		assert.Assert(t, result.Is(err, code), "%v", err)
 		assert.Equal(t, text, "a")
 	}
@@ -82,7 +83,9 @@
 func TestTokensAreCounted(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		counts := rapid.SliceOfN(rapid.Uint32Range(1, 4), 0, 20).Draw(t, "counts")
-		running := rapid.Bool().Draw(t, "running")
+		running := len(counts) > 0 && rapid.Bool().Draw(t, "running")
+		prefix := rapid.SampledFrom([]uint32{0, 50}).Draw(t, "prefix")
+		included := rapid.SampledFrom([]uint32{0, prefix}).Draw(t, "included")
 		var b strings.Builder
 		want, sum := uint32(0), uint32(0)
 		for _, n := range counts {
@@ -91,15 +94,19 @@
 			want++
 			if running {
 				want = sum
-				c["usage"] = map[string]any{"completion_tokens": sum, "prompt_tokens": 7}
+				c["usage"] = map[string]any{"completion_tokens": included + sum, "prompt_tokens": 7}
 			}
 			line, _ := json.Marshal(c)
 			b.WriteString(": comment\n\ndata: " + string(line) + "\r\n\r\n")
 		}
-		b.WriteString("data: {\"choices\":[{\"text\":\"\",\"finish_reason\":\"stop\"}]}\n\n")
+		last := ""
+		if rapid.Bool().Draw(t, "usage at the end") && !running {
+			last = fmt.Sprintf(`,"usage":{"completion_tokens":%d}`, included+uint32(len(counts)))
+		}
+		b.WriteString("data: {\"choices\":[{\"text\":\"\",\"finish_reason\":\"stop\"}]" + last + "}\n\n")
 		b.WriteString("data: {\"choices\":[],\"usage\":{\"completion_tokens\":99,\"prompt_tokens\":7}}\n\ndata: [DONE]\n\n")
 		have, finish := uint32(0), ""
-		err := readStream(strings.NewReader(b.String()), func(ev adapter.Event) error {
+		err := readStream(strings.NewReader(b.String()), uint64(prefix), func(ev adapter.Event) error {
 			have += ev.Tokens
 			finish += ev.Finish
 			return nil
--- a/modules/adapter/openai/stream.go
+++ b/modules/adapter/openai/stream.go
@@ -38,12 +38,28 @@
 	Error json.RawMessage `json:"error"`
 }
 
-// counter finds how many tokens a chunk carries. Chunks without a running
-// count carry one token.
-type counter struct{ seen uint32 }
+// counter finds how many tokens a chunk carries: what the engine's running
+// count says if its first chunk with text has one, else one for each chunk with text. A
+// count in the last chunk only is not used, since some engines include the
+// prefix in it and chunks were counted already.
+type counter struct {
+	prefix  uint32
+	started bool
+	running bool
+	seen    uint32
+}
 
 func (c *counter) tokens(text string, u *usage) uint32 {
-	if u != nil && u.Completion > c.seen {
+	if !c.started && text == "" {
+		return 0
+	}
+	if !c.started {
+		c.start(u)
+	}
+	if c.running {
+		if u == nil || u.Completion <= c.seen {
+			return 0
+		}
 		n := u.Completion - c.seen
 		c.seen = u.Completion
 		return n
@@ -51,16 +67,23 @@
 	if text == "" {
 		return 0
 	}
-	c.seen++
 	return 1
 }
 
+func (c *counter) start(u *usage) {
+	c.started = true
+	c.running = u != nil
+	if c.running && u.Completion > c.prefix {
+		c.seen = c.prefix // the engine counts the prefix too
+	}
+}
+
 // readStream passes the events of an answer on. An answer that ends before its
 // finish reason counts as a failure of the engine.
-func readStream(r io.Reader, emit func(adapter.Event) error) error {
+func readStream(r io.Reader, prefix uint64, emit func(adapter.Event) error) error {
 	lines := bufio.NewScanner(r)
 	lines.Buffer(make([]byte, 0, readBuffer), maxLine)
-	var count counter
+	count := counter{prefix: uint32(prefix)}
 	finished := false
 	for lines.Scan() {
 		data, ok := bytes.CutPrefix(lines.Bytes(), []byte("data:"))
