agent: refuse work that cannot start before its deadline

Cause: without a limit for the first token a request was held until its deadline and ended with 5040; suspects that waited for the probation of another were not refused when the agent left. Change: work must start before the nearer of its limits; leaving refuses held suspects with 5031. Ruled out: the class target as a limit; it is an objective, not a deadline. Conclusion: 4291 now also reaches callers of entries that set only a deadline.

--- a/modules/agent/agent_test.go
+++ b/modules/agent/agent_test.go
@@ -427,3 +427,39 @@
 		}
 	})
 }
+
+// Guards against a request that is held until its deadline although it cannot
+// start before.
+func TestHopelessRequestIsRefusedAtOnce(t *testing.T) {
+	e := newEngine(t)
+	e.pause = 2 * time.Millisecond
+	a := startAgent(t, engineAdapter(t, e.URL, 1), nil)
+	open(t, a, request(10_000)).text(t, 0, 200) // runs for 400 ms or more
+	req := request(1)
+	req.DeadlineMS = 300
+	start := time.Now()
+	_, last := open(t, a, req).text(t, 0, whole)
+	assert.Equal(t, last.Code, result.DeadlineUnreachable)
+	assert.Equal(t, last.Ran, result.NotRun)
+	assert.Assert(t, last.RetryMS > 0)
+	t.Logf("refused after %v", time.Since(start))
+}
+
+// Guards against a suspect that waits for the probation of another while the
+// agent leaves.
+func TestLeavingRefusesHeldSuspects(t *testing.T) {
+	e := newEngine(t)
+	gate := make(chan struct{})
+	e.setGate(gate)
+	a := startAgent(t, engineAdapter(t, e.URL, 2), nil)
+	first, second := request(5), request(5)
+	first.Permit, second.Permit = "p", "q"
+	running := open(t, a, first)
+	held := open(t, a, second)
+	a.drain(true)
+	_, last := held.text(t, 0, whole)
+	assert.Equal(t, last.Code, result.Leaving)
+	close(gate)
+	_, last = running.text(t, 0, whole)
+	assert.Equal(t, last.Kind, wire.FrameEnd)
+}
--- a/modules/agent/generation.go
+++ b/modules/agent/generation.go
@@ -111,15 +111,21 @@
 	go run.loop()
 	o.enqueue(now, t, admission.Request{
 		Class: g.request.Class, Organisation: g.request.Organisation, Weight: g.request.Weight,
-		Cost: expectedTokens, StartBy: startBy(now, g.request.FirstTokenMS), Preemptible: true,
+		Cost: expectedTokens, StartBy: startBy(now, g.request.FirstTokenMS, g.request.DeadlineMS), Preemptible: true,
 	})
 }
 
-func startBy(now time.Time, ms int64) time.Time {
-	if ms <= 0 {
-		return time.Time{}
+// startBy is when work must start at the latest: before the nearer of its limits
+// for the first token and for the whole answer, as far as they are set.
+func startBy(now time.Time, limits ...int64) time.Time {
+	var at time.Time
+	for _, ms := range limits {
+		limit := now.Add(time.Duration(ms) * time.Millisecond)
+		if ms > 0 && (at.IsZero() || limit.Before(at)) {
+			at = limit
+		}
 	}
-	return now.Add(time.Duration(ms) * time.Millisecond)
+	return at
 }
 
 // drop forgets a generation and ends its run and its reader.
--- a/modules/agent/owner.go
+++ b/modules/agent/owner.go
@@ -273,6 +273,7 @@
 func (e drainEvent) apply(o *owner, now time.Time) {
 	o.leaving = e.leave
 	if e.leave {
+		o.refuseHeld()
 		o.decide(now, o.queue.Leave(now))
 	} else {
 		o.queue.Return()
--- a/modules/agent/probation.go
+++ b/modules/agent/probation.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"heatherway.dev/core/admission"
+	"heatherway.dev/kernel/result"
 )
 
 // probation isolates the suspects of crashes: one of them at a time is in
@@ -48,6 +49,15 @@
 	o.enqueue(now, next.t, next.r)
 }
 
+// refuseHeld ends the suspects that wait for the probation of another when the
+// agent leaves.
+func (o *owner) refuseHeld() {
+	for _, h := range o.probation.waiting {
+		h.t.verdict <- result.New(result.Leaving, "the agent is leaving")
+	}
+	o.probation.waiting = nil
+}
+
 // probationPassed tells that a suspect has produced enough tokens.
 type probationPassed struct{ t *task }
 
