quarantine, control: send changes of the quarantine list

Cause: the whole list went to every process at each change; after the loss of a rack thousands of suspects are cleared one by one. Ruled out: only waiting before an answer, since the list itself stays large. Change: callers with Deltas get the entries put and cleared since their version, from the last 512 changes; changes of the list alone are collected for 100 ms. A caller that has the version zero always gets everything.

--- /dev/null
+++ b/core/quarantine/delta.go
@@ -0,0 +1,101 @@
+package quarantine
+
+import (
+	"slices"
+	"strings"
+
+	"heatherway.dev/core/wire"
+)
+
+// Step leads from one version of the list to a later one.
+type Step struct {
+	From, To uint64
+	// Put are new and changed suspects, Cleared the fingerprints that left; one
+	// that left and came back is in both.
+	Put     []wire.Suspect
+	Cleared []string
+}
+
+// Difference returns what leads from one list to the next. Both are in order of
+// fingerprint. The time left does not count, since it differs at each sending.
+func Difference(from, to []wire.Suspect) (put []wire.Suspect, cleared []string) {
+	i := 0
+	for _, s := range to {
+		for ; i < len(from) && from[i].Fingerprint < s.Fingerprint; i++ {
+			cleared = append(cleared, from[i].Fingerprint)
+		}
+		if i < len(from) && from[i].Fingerprint == s.Fingerprint {
+			if !same(from[i], s) {
+				put = append(put, s)
+			}
+			i++
+			continue
+		}
+		put = append(put, s)
+	}
+	for ; i < len(from); i++ {
+		cleared = append(cleared, from[i].Fingerprint)
+	}
+	return put, cleared
+}
+
+func same(a, b wire.Suspect) bool {
+	a.LeftMS, b.LeftMS = 0, 0
+	return a == b
+}
+
+// Join returns the step from a version to the last of the steps. It is false if
+// the version is not among them.
+func Join(steps []Step, from uint64) (Step, bool) {
+	at := slices.IndexFunc(steps, func(s Step) bool { return s.From == from })
+	if at < 0 {
+		return Step{}, false
+	}
+	var list []wire.Suspect
+	gone := map[string]bool{}
+	for _, s := range steps[at:] {
+		list = apply(list, s.Put, s.Cleared)
+		for _, fp := range s.Cleared {
+			gone[fp] = true
+		}
+	}
+	out := Step{From: from, To: steps[len(steps)-1].To, Put: list}
+	for fp := range gone {
+		out.Cleared = append(out.Cleared, fp)
+	}
+	slices.Sort(out.Cleared)
+	return out, true
+}
+
+// apply puts and clears entries of a list, which stays in order.
+func apply(list, put []wire.Suspect, cleared []string) []wire.Suspect {
+	drop := make(map[string]bool, len(put)+len(cleared))
+	for _, fp := range cleared {
+		drop[fp] = true
+	}
+	for _, s := range put {
+		drop[s.Fingerprint] = true
+	}
+	next := make([]wire.Suspect, 0, len(list)+len(put))
+	for _, s := range list {
+		if !drop[s.Fingerprint] {
+			next = append(next, s)
+		}
+	}
+	next = append(next, put...)
+	slices.SortFunc(next, func(a, b wire.Suspect) int { return strings.Compare(a.Fingerprint, b.Fingerprint) })
+	return next
+}
+
+// Follow returns the list after the answer to a watch. The times left of
+// entries that are kept are those of the answer that brought them.
+func Follow(list []wire.Suspect, r *wire.WatchReply) []wire.Suspect {
+	switch {
+	case !r.SuspectsChanged:
+		return list
+	case r.SuspectsDelta:
+		return apply(list, r.Suspect, r.Cleared)
+	default:
+		return r.Suspect
+	}
+}
--- /dev/null
+++ b/core/quarantine/delta_test.go
@@ -0,0 +1,38 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"heatherway.dev/core/wire"
+)
+
+// Guards against a process that follows the steps of the list and ends up with
+// another list than one that gets it whole.
+func TestStepsLeadToTheList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		lists := [][]wire.Suspect{nil}
+		var steps []Step
+		for n := range uint64(rapid.IntRange(1, 8).Draw(t, "changes")) {
+			var next []wire.Suspect
+			for i := range 6 {
+				if rapid.Bool().Draw(t, "listed") {
+					next = append(next, wire.Suspect{Fingerprint: fmt.Sprint("f", i), Crashes: uint32(rapid.IntRange(1, 2).Draw(t, "crashes"))})
+				}
+			}
+			put, cleared := Difference(lists[n], next)
+			steps = append(steps, Step{From: n, To: n + 1, Put: put, Cleared: cleared})
+			lists = append(lists, next)
+		}
+		want := lists[len(lists)-1]
+		for from, list := range lists[:len(lists)-1] {
+			s, ok := Join(steps, uint64(from))
+			assert.Assert(t, ok && s.To == uint64(len(steps)))
+			got := Follow(list, &wire.WatchReply{SuspectsChanged: true, SuspectsDelta: true, Suspect: s.Put, Cleared: s.Cleared})
+			assert.Equal(t, fmt.Sprint(got), fmt.Sprint(want))
+		}
+	})
+}
--- a/core/wire/rpc.go
+++ b/core/wire/rpc.go
@@ -166,8 +166,8 @@
 	Fresh bool
 	// WaitMS bounds how long the call may hang when nothing changes.
 	WaitMS int64
-	// Deltas tells that the caller understands Step and MembersDelta. A reply
-	// that cannot be applied is answered by a watch with the version zero.
+	// Deltas tells that the caller understands Step, MembersDelta and
+	// SuspectsDelta. A reply that cannot be applied is answered by a watch with the version zero.
 	Deltas bool
 }
 
@@ -192,6 +192,10 @@
 	// SuspectsChanged tells that Suspect is the whole new list.
 	SuspectsChanged bool
 	Suspect         []Suspect
+	// SuspectsDelta tells that Suspect holds only new and changed entries of the
+	// list, and Cleared the fingerprints that have left it (quarantine.Follow).
+	SuspectsDelta bool
+	Cleared       []string
 	// Orders is the version of the orders for this agent; when OrdersChanged is
 	// set, Order lists all that it has not reported as done.
 	Orders        uint64
--- a/modules/control/fleet.go
+++ b/modules/control/fleet.go
@@ -72,7 +72,9 @@
 	// Suspects is the version of the list.
 	Suspects uint64
 	List     []wire.Suspect
-	Leases   []lease.Lease
+	// SuspectSteps are the latest changes of the list.
+	SuspectSteps []quarantine.Step
+	Leases       []lease.Lease
 	// Orders are all orders that are kept, and Released those under way by
 	// upstream.
 	Orders   []order.Entry
@@ -182,7 +184,7 @@
 	}
 	f.version = index
 	v := &fleetView{Version: index, Doc: doc, RecordGroups: f.groups, Steps: f.config.Steps(), Suspects: f.quarantine.Version()}
-	v.List = f.quarantine.List(time.UnixMilli(atMS))
+	f.publishSuspects(v, old, atMS)
 	if old != nil && old.Doc == doc {
 		v.JSON, v.Sum = old.JSON, old.Sum
 	} else {
@@ -194,6 +196,24 @@
 	f.changed.notify()
 }
 
+// suspectSteps bounds the changes of the list that are kept for processes that
+// are a little behind.
+const suspectSteps = 512
+
+func (f *fleet) publishSuspects(v, old *fleetView, atMS int64) {
+	if old != nil && old.Suspects == v.Suspects {
+		v.List, v.SuspectSteps = old.List, old.SuspectSteps
+		return
+	}
+	v.List = f.quarantine.List(time.UnixMilli(atMS))
+	if old == nil || atMS == 0 {
+		return // restored: what lies between is not known
+	}
+	put, cleared := quarantine.Difference(old.List, v.List)
+	steps := append(old.SuspectSteps, quarantine.Step{From: old.Suspects, To: v.Suspects, Put: put, Cleared: cleared})
+	v.SuspectSteps = steps[max(0, len(steps)-suspectSteps):]
+}
+
 func (f *fleet) publishOrders(v, old *fleetView) {
 	if old != nil && !f.touched {
 		v.Leases, v.Orders, v.Released = old.Leases, old.Orders, old.Released
--- a/modules/control/watch.go
+++ b/modules/control/watch.go
@@ -7,6 +7,7 @@
 
 	"heatherway.dev/core/config"
 	"heatherway.dev/core/member"
+	"heatherway.dev/core/quarantine"
 	"heatherway.dev/core/wire"
 	"heatherway.dev/kernel/peer"
 )
@@ -38,6 +39,9 @@
 		}
 		fleetChanged, membersChanged := s.c.fleet.changed.wait(), s.c.members.changed.wait()
 		if s.fill(a, r) || a.Fresh {
+			if onlySuspects(r) && !a.Fresh && s.c.pause(suspectDelay) {
+				s.fill(a, r)
+			}
 			return nil
 		}
 		select {
@@ -51,6 +55,25 @@
 	}
 }
 
+// suspectDelay collects changes of the quarantine list into one answer. After
+// the loss of a rack thousands of suspects are cleared one by one, and each
+// would wake every process of the fleet.
+const suspectDelay = 100 * time.Millisecond
+
+func onlySuspects(r *wire.WatchReply) bool {
+	return r.SuspectsChanged && r.Config == nil && r.Step == nil && !r.MembersChanged && !r.OrdersChanged
+}
+
+// pause waits, and tells whether this instance still runs.
+func (c *Control) pause(d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-c.ctx.Done():
+		return false
+	}
+}
+
 // fill sets what has changed for the caller and tells whether anything has. A
 // version in the answer is never lower than the caller's, even when this
 // instance is behind.
@@ -66,13 +89,25 @@
 		f.fillConfig(a, r)
 	}
 	if f.Suspects > a.Suspects {
-		r.SuspectsChanged, r.Suspect = true, withTimeLeft(f.List, nowMS())
+		f.fillSuspects(a, r)
 	}
 	f.fillOrders(a, r)
 	s.fillMembers(a, r)
 	return r.Config != nil || r.Step != nil || r.SuspectsChanged || r.MembersChanged || r.OrdersChanged
 }
 
+// fillSuspects sends the changes of the list since the caller's version if it
+// asks for them and they are still kept, or else the whole list.
+func (f *fleetView) fillSuspects(a wire.WatchArgs, r *wire.WatchReply) {
+	r.SuspectsChanged = true
+	step, ok := quarantine.Join(f.SuspectSteps, a.Suspects)
+	if !a.Deltas || a.Suspects == 0 || !ok {
+		r.Suspect = withTimeLeft(f.List, nowMS())
+		return
+	}
+	r.SuspectsDelta, r.Suspect, r.Cleared = true, withTimeLeft(step.Put, nowMS()), step.Cleared
+}
+
 // fillOrders sets the orders that an agent has to carry out.
 func (f *fleetView) fillOrders(a wire.WatchArgs, r *wire.WatchReply) {
 	if a.Role != roleAgent {
@@ -98,7 +133,7 @@
 func (f *fleetView) fillConfig(a wire.WatchArgs, r *wire.WatchReply) {
 	r.Config = f.JSON
 	step, ok := config.Join(f.Steps, a.Revision)
-	if !a.Deltas || !ok {
+	if !a.Deltas || a.Revision == 0 || !ok {
 		return
 	}
 	step.Sum = f.Sum
--- a/modules/control/watch_test.go
+++ b/modules/control/watch_test.go
@@ -7,6 +7,7 @@
 
 	"heatherway.dev/core/config"
 	"heatherway.dev/core/member"
+	"heatherway.dev/core/quarantine"
 	"heatherway.dev/core/wire"
 )
 
@@ -36,11 +37,14 @@
 	waitFor(t, func() bool { return len(c.members.view().Index.Members()) == 2 })
 	edit := config.Edit{Kind: config.SetDefault, Name: "queue.limit", Value: "9"}
 	org := config.Edit{Kind: config.PutOrganisation, Name: "o", Organisation: &config.Organisation{KeyHashes: []string{config.KeyHash("k")}}}
-	c.changeNow(t, config.Change{ChangeID: "1", Edits: []config.Edit{edit, org}})
+	second := org
+	second.Name, second.Organisation = "p", &config.Organisation{KeyHashes: []string{config.KeyHash("l")}}
+	c.changeNow(t, config.Change{ChangeID: "1", Edits: []config.Edit{edit, org, second}})
 	args := wire.WatchArgs{Instance: "e1", Role: "entry", Zone: "z1", Deltas: true}
 	var first wire.WatchReply
 	assert.NilError(t, s.Watch(args, &first))
-	assert.Assert(t, first.Config != nil && len(first.Upstreams) == 2 && !first.MembersDelta)
+	assert.Assert(t, first.Config != nil && first.Step == nil, "the revision zero asks for the whole document")
+	assert.Assert(t, len(first.Upstreams) == 2 && !first.MembersDelta)
 	doc, err := config.Follow(nil, first.Config, first.Step)
 	assert.NilError(t, err)
 
@@ -86,3 +90,27 @@
 	other := &Control{fleet: next, Settings: Settings{RecordGroups: 7}}
 	assert.ErrorContains(t, other.checkGroups(), "5033")
 }
+
+// Guards against the whole list being sent to every process for each suspect
+// that is cleared.
+func TestWatchSendsSuspectSteps(t *testing.T) {
+	c := running(t)
+	s := &service{c: c}
+	crash := func(n uint64, fingerprints ...string) {
+		args := wire.CrashArgs{Upstream: "u", Incarnation: 1, CrashNumber: n, Fingerprints: fingerprints}
+		assert.NilError(t, s.Crash(args, &wire.CrashReply{}))
+	}
+	crash(1, "f1", "f2", "f3")
+	watch := agentWatch()
+	watch.Suspects, watch.Deltas = 0, true
+	var first, next wire.WatchReply
+	assert.NilError(t, s.Watch(watch, &first))
+	assert.Assert(t, len(first.Suspect) == 3 && !first.SuspectsDelta, "the version zero asks for the whole list")
+	crash(2, "f3", "f4")
+	watch.Suspects = first.Suspects
+	assert.NilError(t, s.Watch(watch, &next))
+	assert.Assert(t, next.SuspectsDelta && len(next.Suspect) == 2)
+	list := quarantine.Follow(quarantine.Follow(nil, &first), &next)
+	assert.Equal(t, len(list), 4)
+	assert.Assert(t, list[2].Quarantined && list[2].LeftMS > 0)
+}
