control: send new suspects at once

Cause: collecting every change of the quarantine list for 100 ms let a request that crashes engines run again before all processes knew of it. Change: only answers that hold nothing but cleared suspects are collected. Conclusion: the delay is kept where it does no harm.

--- a/modules/control/watch.go
+++ b/modules/control/watch.go
@@ -39,7 +39,7 @@
 		}
 		fleetChanged, membersChanged := s.c.fleet.changed.wait(), s.c.members.changed.wait()
 		if s.fill(a, r) || a.Fresh {
-			if onlySuspects(r) && !a.Fresh && s.c.pause(suspectDelay) {
+			if !a.Fresh && s.c.fleet.view().onlyCleared(a, r) && s.c.pause(clearDelay) {
 				s.fill(a, r)
 			}
 			return nil
@@ -55,13 +55,20 @@
 	}
 }
 
-// suspectDelay collects changes of the quarantine list into one answer. After
-// the loss of a rack thousands of suspects are cleared one by one, and each
-// would wake every process of the fleet.
-const suspectDelay = 100 * time.Millisecond
+// clearDelay collects suspects that are cleared into one answer. After the loss
+// of a rack thousands are cleared one by one, and each would wake every process
+// of the fleet. New suspects are sent at once, since a process that does not
+// know of one runs it without a permit.
+const clearDelay = 100 * time.Millisecond
 
-func onlySuspects(r *wire.WatchReply) bool {
-	return r.SuspectsChanged && r.Config == nil && r.Step == nil && !r.MembersChanged && !r.OrdersChanged
+// onlyCleared tells whether nothing has changed for the caller but suspects that
+// were cleared.
+func (f *fleetView) onlyCleared(a wire.WatchArgs, r *wire.WatchReply) bool {
+	if !r.SuspectsChanged || r.Config != nil || r.Step != nil || r.MembersChanged || r.OrdersChanged {
+		return false
+	}
+	step, ok := quarantine.Join(f.SuspectSteps, a.Suspects)
+	return ok && len(step.Put) == 0
 }
 
 // pause waits, and tells whether this instance still runs.
--- a/modules/control/watch_test.go
+++ b/modules/control/watch_test.go
@@ -113,4 +113,16 @@
 	list := quarantine.Follow(quarantine.Follow(nil, &first), &next)
 	assert.Equal(t, len(list), 4)
 	assert.Assert(t, list[2].Quarantined && list[2].LeftMS > 0)
+
+	var permit wire.PermitReply
+	assert.NilError(t, s.Permit(wire.PermitArgs{Fingerprint: "f1", Holder: "h"}, &permit))
+	done := wire.PermitArgs{Fingerprint: "f1", Permit: permit.Permit, Done: true, Finished: true}
+	assert.NilError(t, s.Permit(done, &wire.PermitReply{}))
+	view := c.fleet.view()
+	assert.Assert(t, !view.onlyCleared(watch, &next), "a new suspect waits for nothing")
+	watch.Suspects = next.Suspects
+	next = wire.WatchReply{}
+	assert.NilError(t, s.Watch(watch, &next))
+	assert.DeepEqual(t, next.Cleared, []string{"f1"})
+	assert.Assert(t, view.onlyCleared(watch, &next))
 }
