--- a/modules/agent/agent_test.go
+++ b/modules/agent/agent_test.go
@@ -41,7 +41,7 @@
 	bodies []map[string]any
 }
 
-func newEngine(t *testing.T) *fakeEngine {
+func newEngine(t testing.TB) *fakeEngine {
 	e := &fakeEngine{health: http.StatusOK, mute: -1}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) {
@@ -55,6 +55,15 @@
 	return e
 }
 
+// setGate holds requests back until the channel is closed, and returns how many
+// have arrived so far.
+func (e *fakeEngine) setGate(gate chan struct{}) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.gate = gate
+	return len(e.bodies)
+}
+
 func (e *fakeEngine) complete(w http.ResponseWriter, r *http.Request) {
 	var body map[string]any
 	_ = json.NewDecoder(r.Body).Decode(&body)
@@ -104,7 +113,7 @@
 	return append([]map[string]any(nil), e.bodies...)
 }
 
-func startAgent(t *testing.T, up adapter.Upstream, change func(*Agent)) *Agent {
+func startAgent(t testing.TB, up adapter.Upstream, change func(*Agent)) *Agent {
 	t.Helper()
 	sec, err := peer.NewSecurity(peer.TLSSettings{Off: true}, quiet)
 	assert.NilError(t, err)
@@ -127,7 +136,7 @@
 	return a
 }
 
-func engineAdapter(t *testing.T, url string, slots int) adapter.Upstream {
+func engineAdapter(t testing.TB, url string, slots int) adapter.Upstream {
 	t.Helper()
 	e := &openai.Engine{URL: url, Models: []string{"letters"}, Slots: slots, Resume: "fields"}
 	assert.NilError(t, e.Validate())
@@ -149,7 +158,7 @@
 	cancel func()
 }
 
-func open(t *testing.T, a *Agent, req *wire.GenerateRequest) *client {
+func open(t testing.TB, a *Agent, req *wire.GenerateRequest) *client {
 	t.Helper()
 	b, err := json.Marshal(req)
 	assert.NilError(t, err)
@@ -373,3 +382,48 @@
 	}
 	assert.Equal(t, n, maxAhead)
 }
+
+// Guards against a reader that cannot attach inside the prefix of a newer
+// attempt, although the agent itself has produced it.
+func TestNewerAttemptKeepsBoundaries(t *testing.T) {
+	older := newOutput(1, "", 0)
+	for range 5 {
+		assert.NilError(t, older.append(context.Background(), adapter.Event{Text: "xy", Tokens: 1}))
+	}
+	for prefix, offset := range map[string]uint64{"xyxyxy": 2, "xyxyzz": 3} {
+		o := newOutput(2, prefix, 3)
+		o.adopt(older)
+		r, err := o.attach(offset)
+		assert.NilError(t, err)
+		b := o.take(r)
+		assert.Assert(t, offset == 3 || b.tokens.Text == "xy")
+	}
+	o := newOutput(2, "xyxyzz", 3)
+	o.adopt(older)
+	_, err := o.attach(2)
+	assert.Assert(t, result.Is(err, result.BadResumePoint))
+}
+
+// BenchmarkToken measures one token on its way from the engine to the entry,
+// beside the same engine read without an agent.
+func BenchmarkToken(b *testing.B) {
+	e := newEngine(b)
+	b.Run("direct", func(b *testing.B) {
+		body := fmt.Sprintf(`{"max_tokens":%d}`, b.N)
+		res, err := http.Post(e.URL+"/v1/completions", "application/json", strings.NewReader(body))
+		assert.NilError(b, err)
+		defer func() { _ = res.Body.Close() }()
+		_, err = io.Copy(io.Discard, res.Body)
+		assert.NilError(b, err)
+	})
+	b.Run("agent", func(b *testing.B) {
+		c := open(b, startAgent(b, engineAdapter(b, e.URL, 1), nil), request(b.N))
+		for {
+			f, err := c.Next()
+			assert.NilError(b, err)
+			if f.Kind == wire.FrameEnd {
+				return
+			}
+		}
+	})
+}
--- a/modules/entry/attempt.go
+++ b/modules/entry/attempt.go
@@ -12,6 +12,7 @@
 	"heatherway.dev/core/pick"
 	"heatherway.dev/core/retry"
 	"heatherway.dev/core/wire"
+	"heatherway.dev/heatherway/internal/failure"
 	"heatherway.dev/kernel/peer"
 	"heatherway.dev/kernel/result"
 )
@@ -40,7 +41,33 @@
 	if k.idempotent {
 		once = m.lookup
 	}
-	return m.attempts(ctx, k, permit, once)
+	reply, err := m.attempts(ctx, k, permit, once)
+	if err != nil && err.Ran == result.NotRun && k.keyed && !k.idempotent {
+		return m.earlier(ctx, k, err)
+	}
+	return reply, err
+}
+
+// earlierLimit bounds the look at the record of a refused call.
+const earlierLimit = 250 * time.Millisecond
+
+// earlier keeps a refusal from being taken for "the key was never run" when an
+// earlier request with the same key has run.
+func (m *Module) earlier(ctx context.Context, k *call, err *result.Error) (*wire.CallReply, *result.Error) {
+	ctx, cancel := context.WithTimeout(ctx, earlierLimit)
+	defer cancel()
+	var r wire.LookupReply
+	if e := m.control(ctx, "Lookup", &wire.LookupArgs{Key: k.key}, &r); e != nil {
+		return nil, err
+	}
+	s := settling{m: m, k: k, args: wire.AbortArgs{Key: k.key}}
+	if reply, found, done := s.judge(&r.Record); done && (reply != nil || found.Code == result.KeyReused) {
+		return reply, found
+	}
+	if s.claimed {
+		return nil, err.WithRan(result.Unknown)
+	}
+	return nil, err
 }
 
 type tryFunc func(context.Context, *call, purpose, wire.ID) (*wire.CallReply, *result.Error)
@@ -235,7 +262,7 @@
 	}
 	e := result.New(result.OutcomeUnknown, "no outcome before the deadline; the call may have run")
 	if k.keyed {
-		return e.After(defaultRetry)
+		return e.After(failure.DefaultRetry)
 	}
 	return e
 }
@@ -263,7 +290,9 @@
 	if err := s.m.control(ctx, "Abort", &s.args, &r); err != nil {
 		return nil, nil, false
 	}
-	if r.Aborted {
+	// The attempt may be fenced because another one, of an earlier request with
+	// the same key, holds the record; its outcome is then that of the key.
+	if r.Aborted && r.Record.State != wire.RecordStarted && r.Record.State != wire.RecordFinished {
 		return nil, result.New(result.UpstreamNotReachable, "the call did not reach the service").WithRan(result.NotRun), true
 	}
 	return s.judge(&r.Record)
@@ -294,10 +323,12 @@
 	if err != nil {
 		return nil, err
 	}
-	if p == firstAttempt {
-		defer func() { m.owner.sample(took{k.service, time.Since(begun)}) }()
+	reply, err := m.race(ctx, k, first, permit)
+	// Failures may be far faster than answers and would make hedges too early.
+	if p == firstAttempt && err == nil {
+		m.owner.sample(took{k.service, time.Since(begun)})
 	}
-	return m.race(ctx, k, first, permit)
+	return reply, err
 }
 
 // race waits for the first useful answer of an attempt and its hedge.
