entry: watch by differences

Ruled out: keeping versions in the watch's goroutine, which cannot tell whether a difference fitted. Change: the owner applies config.Step and member.Advance and answers with the versions that it has; zero asks for the whole. Keys are found by the document's own index.

--- a/modules/entry/entry_test.go
+++ b/modules/entry/entry_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -13,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"heatherway.dev/core/config"
+	"heatherway.dev/core/member"
 	"heatherway.dev/core/wire"
 	"heatherway.dev/kernel/result"
 )
@@ -84,10 +86,43 @@
 	s := &state{requestID: "r", organisation: "acme", snap: o.current(), begun: now}
 	_, err := newRequest(s, callerHeaders{}, config.Scope{}, "request.deadline")
 	assert.Equal(t, err.Code, result.ConfigurationBehind)
-	news{&wire.WatchReply{Revision: 9, Config: []byte(`{"revision":9}`)}}.apply(o, now)
+	taken := make(chan versions, 1)
+	news{&wire.WatchReply{Revision: 9, Config: []byte(`{"revision":9}`)}, taken}.apply(o, now)
 	assert.Assert(t, !o.current().behind)
 }
 
+// Guards the watch by differences: one that fits is taken, and one that does
+// not makes the watch ask for the whole.
+func TestWatchTakesDifferences(t *testing.T) {
+	a := newFakeAgent(t, "agent-1", answering(1))
+	f := newFleet(t, a)
+	f.stop() // the owner's state belongs to the test from here
+	o := f.m.owner
+	take := func(r wire.WatchReply) versions {
+		taken := make(chan versions, 1)
+		news{&r, taken}.apply(o, time.Now())
+		return <-taken
+	}
+	step := func(from, to uint64) []byte {
+		b, err := json.Marshal(config.Step{From: from, To: to, Edits: []config.Edit{{Kind: config.SetDefault, Name: "retry.attempts", Value: "7"}}})
+		assert.NilError(t, err)
+		return b
+	}
+	assert.Equal(t, take(wire.WatchReply{Revision: 9, Step: step(8, 9)}).revision, uint64(0))
+	assert.Equal(t, o.current().revision(), uint64(3))
+	assert.Equal(t, take(wire.WatchReply{Revision: 4, Step: step(3, 4)}).revision, uint64(4))
+	assert.Equal(t, o.current().doc.Int("retry.attempts", config.Scope{}, time.Now()), int64(7))
+
+	second := a.upstream()
+	second.ID = "agent-2"
+	both := member.Version([]wire.Upstream{a.upstream(), second})
+	delta := wire.WatchReply{MembersChanged: true, MembersDelta: true, Members: both, Upstreams: []wire.Upstream{second}}
+	assert.Equal(t, take(delta).members, both)
+	assert.Equal(t, len(o.current().upstreams), 2)
+	delta.Members = 1
+	assert.Equal(t, take(delta).members, uint64(0))
+}
+
 // Guards upstreams against requests that crash them: quarantined ones are
 // refused at once, suspects run with a permit only.
 func TestSuspects(t *testing.T) {
--- a/modules/entry/handler.go
+++ b/modules/entry/handler.go
@@ -178,7 +178,7 @@
 		return "", result.New(result.KeyMissing, "send the header Authorization: Bearer KEY")
 	}
 	sum := sha256.Sum256([]byte(key))
-	org, ok := s.keys[hex.EncodeToString(sum[:])]
+	org, ok := s.doc.OrganisationOf(hex.EncodeToString(sum[:]))
 	if !ok {
 		return "", result.New(result.KeyUnknown, "the key belongs to no organisation")
 	}
--- a/modules/entry/owner.go
+++ b/modules/entry/owner.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"math/rand"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"heatherway.dev/core/breaker"
 	"heatherway.dev/core/config"
 	"heatherway.dev/core/limit"
+	"heatherway.dev/core/member"
 	"heatherway.dev/core/pick"
 	"heatherway.dev/core/retry"
 	"heatherway.dev/core/slo"
@@ -58,7 +61,11 @@
 	inFlight   map[string]int
 	number     uint64
 	rng        *rand.Rand
+	// list is the subset as control sent it; membersAt and suspectsAt are the
+	// versions of what was taken last.
 	list       []wire.Upstream
+	membersAt  uint64
+	suspectsAt uint64
 	slo        *slo.Recorder
 }
 
@@ -140,33 +147,61 @@
 	}
 }
 
-// news is the answer of a watch.
-type news struct{ reply *wire.WatchReply }
+// news is the answer of a watch. The owner answers with the versions that it
+// has afterwards, from which the watch goes on.
+type news struct {
+	reply *wire.WatchReply
+	taken chan<- versions
+}
+
+// versions are those of the parts that a watch follows. A version of zero asks
+// for the whole part.
+type versions struct{ revision, members, suspects uint64 }
 
 // apply takes the news. A revision lower than the current one is ignored,
 // since an accepted configuration never reverts.
 func (n news) apply(o *owner, now time.Time) {
 	r := n.reply
-	if len(r.Config) > 0 && (o.next.doc == nil || r.Revision > o.next.revision()) {
-		o.learnConfig(r.Config, now)
-	}
-	if r.MembersChanged {
-		o.learnMembers(r.Upstreams)
-	}
+	v := versions{revision: o.learnRevision(r, now), members: o.learnSubset(r)}
 	if r.SuspectsChanged {
-		o.next.suspects = suspectIndex(r.Suspect, now)
+		o.next.suspects, o.suspectsAt = suspectIndex(r.Suspect, now), r.Suspects
 	}
+	v.suspects = o.suspectsAt
 	o.checkBehind(now)
 	o.publish()
+	n.taken <- v
 }
 
-func (o *owner) learnConfig(text []byte, now time.Time) {
-	doc := &config.Document{}
-	if err := json.Unmarshal(text, doc); err != nil {
-		o.m.log.Error("cannot decode the configuration", "error", err)
-		return
+// learnRevision takes a whole document or the step to it. It returns 0 when
+// the step does not fit.
+func (o *owner) learnRevision(r *wire.WatchReply, now time.Time) uint64 {
+	if r.Revision <= o.next.revision() && o.next.doc != nil {
+		return o.next.revision()
+	}
+	var doc *config.Document
+	var err error
+	switch {
+	case len(r.Config) > 0:
+		doc = &config.Document{}
+		err = json.Unmarshal(r.Config, doc)
+	case len(r.Step) > 0 && o.next.doc != nil:
+		var step config.Step
+		if err = json.Unmarshal(r.Step, &step); err == nil {
+			doc, err = o.next.doc.Advance(step)
+		}
+	default:
+		return o.next.revision()
+	}
+	if err != nil {
+		o.m.log.Error("cannot take the configuration", "revision", r.Revision, "error", err)
+		return 0
 	}
-	o.next.doc, o.next.keys = doc, keyIndex(doc)
+	o.inForce(doc, now)
+	return doc.Revision
+}
+
+func (o *owner) inForce(doc *config.Document, now time.Time) {
+	o.next.doc = doc
 	o.tune(doc, now)
 	o.m.metrics.revision.Set(int64(doc.Revision))
 	o.m.log.Info("configuration in force", "revision", doc.Revision)
@@ -188,7 +223,26 @@
 	}
 	o.budget = retry.NewBudget(retry.Settings{Share: share, ResumeShare: resumeShare})
 	o.table = pick.NewTable(pick.Settings{Breaker: breaker.Settings{Consecutive: int(t.failures), Pause: t.pause}})
-	o.table.SetUpstreams(o.list)
+	o.table.SetUpstreams(slices.Collect(maps.Values(o.next.upstreams)))
+}
+
+// learnSubset takes a whole subset or the difference to it, and returns its
+// version, or 0 when the difference does not fit.
+func (o *owner) learnSubset(r *wire.WatchReply) uint64 {
+	if !r.MembersChanged {
+		return o.membersAt
+	}
+	list, fits := r.Upstreams, true
+	if r.MembersDelta {
+		list, fits = member.Advance(o.list, r.Upstreams, r.Removed, r.Members)
+	}
+	if !fits {
+		o.membersAt = 0
+		return 0
+	}
+	o.membersAt = r.Members
+	o.learnMembers(list)
+	return o.membersAt
 }
 
 // learnMembers replaces the subset. An older incarnation never replaces a
@@ -203,7 +257,7 @@
 		byID[u.ID] = u
 		kept = append(kept, u)
 	}
-	o.next.upstreams, o.list = byID, kept
+	o.next.upstreams, o.list = byID, list
 	o.table.SetUpstreams(kept)
 	keep := make(map[string]bool, len(kept))
 	for _, u := range kept {
@@ -345,25 +399,16 @@
 	}
 	adapter := false
 	for _, u := range o.list {
-		if contains(u.Models, r.Model) {
+		if slices.Contains(u.Models, r.Model) {
 			return
 		}
-		adapter = adapter || contains(u.Adapters, r.Model)
+		adapter = adapter || slices.Contains(u.Adapters, r.Model)
 	}
 	if adapter {
 		r.Model, r.Adapter = "", r.Model
 	}
 }
 
-func contains(list []string, want string) bool {
-	for _, s := range list {
-		if s == want {
-			return true
-		}
-	}
-	return false
-}
-
 func (o *owner) dispatch(now time.Time, u wire.Upstream, permit breaker.Permit, r *pick.Request) ticket {
 	o.number++
 	o.table.Sent(now, u.ID, o.number, r)
--- a/modules/entry/snapshot.go
+++ b/modules/entry/snapshot.go
@@ -10,8 +10,7 @@
 
 // snapshot is what traffic goroutines know. It is immutable.
 type snapshot struct {
-	doc  *config.Document
-	keys map[string]string
+	doc *config.Document
 	// behind is set when a newer revision is known and cannot be fetched.
 	behind    bool
 	upstreams map[string]wire.Upstream
@@ -48,17 +47,6 @@
 	return out
 }
 
-// keyIndex maps key hashes to organisations.
-func keyIndex(d *config.Document) map[string]string {
-	keys := make(map[string]string)
-	for name, o := range d.Organisations {
-		for _, h := range o.KeyHashes {
-			keys[h] = name
-		}
-	}
-	return keys
-}
-
 func suspectIndex(list []wire.Suspect, now time.Time) map[string]suspect {
 	out := make(map[string]suspect, len(list))
 	for _, s := range list {
--- a/modules/entry/watch.go
+++ b/modules/entry/watch.go
@@ -22,7 +22,7 @@
 func (o *owner) watch(ctx context.Context) {
 	args := wire.WatchArgs{
 		Instance: o.m.instance.ID, Role: "entry", Zone: o.m.instance.Zone,
-		Fresh: true, WaitMS: watchWait.Milliseconds(),
+		Fresh: true, Deltas: true, WaitMS: watchWait.Milliseconds(),
 	}
 	for i := 0; ctx.Err() == nil; {
 		client := o.m.agents.client(o.m.Control[i%len(o.m.Control)])
@@ -49,20 +49,13 @@
 	return c.Call(ctx, wire.ControlService+".Watch", args, reply)
 }
 
+// deliver hands the news to the owner and goes on from what it has taken.
 func (o *owner) deliver(ctx context.Context, args *wire.WatchArgs, reply *wire.WatchReply) {
-	select {
-	case o.queue <- news{reply}:
-	case <-ctx.Done():
+	taken := make(chan versions, 1)
+	v, ok := ask(ctx, o, news{reply, taken}, taken)
+	if !ok {
 		return
 	}
 	args.Fresh = false
-	if len(reply.Config) > 0 && reply.Revision > args.Revision {
-		args.Revision = reply.Revision
-	}
-	if reply.MembersChanged {
-		args.Members = reply.Members
-	}
-	if reply.SuspectsChanged {
-		args.Suspects = reply.Suspects
-	}
+	args.Revision, args.Members, args.Suspects = v.revision, v.members, v.suspects
 }
