--- a/modules/control/control.go
+++ b/modules/control/control.go
@@ -73,18 +73,23 @@
 type BootstrapException struct {
 	// ID names the exception.
 	ID string `yaml:"id"`
-	// Key and Value say what holds instead of the default.
-	Key   string `yaml:"key"`
+	// Key is the configuration key that the exception sets.
+	Key string `yaml:"key"`
+	// Value holds instead of the default.
 	Value string `yaml:"value"`
 	// Reason is required.
 	Reason string `yaml:"reason"`
-	// Organisation, Model, Zone, Upstream and Service select what the exception
-	// holds for.
+	// Organisation that the exception holds for; empty matches every one.
 	Organisation string `yaml:"organisation"`
-	Model        string `yaml:"model"`
-	Zone         string `yaml:"zone"`
-	Upstream     string `yaml:"upstream"`
-	Service      string `yaml:"service"`
+	// Model that the exception holds for; empty matches every one.
+	Model string `yaml:"model"`
+	// Zone is the availability zone that the exception holds for; empty matches
+	// every one.
+	Zone string `yaml:"zone"`
+	// Upstream that the exception holds for; empty matches every one.
+	Upstream string `yaml:"upstream"`
+	// Service that the exception holds for; empty matches every one.
+	Service string `yaml:"service"`
 }
 
 // BootstrapOrganisation is an organisation of the initial configuration.
@@ -116,6 +121,8 @@
 	sent    sentSubsets
 	subsets subsetCache
 	counts  counts
+	alive   alive
+	limits  *limits
 	peers   *peers
 	replica *replica.Replica
 	// syncEach syncs the log once for each command, to measure what syncing a
@@ -180,6 +187,7 @@
 	}
 	c.counts = newCounts(c.stats)
 	c.members = newMembers(time.Now, c.stats)
+	c.limits = newLimits()
 	c.peers = newPeers(c.security)
 	return c.openLog(machines)
 }
@@ -239,9 +247,10 @@
 	go c.members.run(c.ctx)
 	for id, addr := range c.Members {
 		if id != c.instance.ID {
-			go c.sendDigests(c.ctx, c.security.NewClient(addr))
+			go c.sendDigests(c.ctx, id, c.security.NewClient(addr))
 		}
 	}
+	go c.limits.run(c.ctx)
 	go c.lead(c.ctx)
 	go c.bootstrap()
 }
--- a/modules/control/replica/replica.go
+++ b/modules/control/replica/replica.go
@@ -78,8 +78,9 @@
 	SegmentBytes   int64
 	// KeepLeaders stops the spreading of leaders over the members.
 	KeepLeaders bool
-	// SyncEach syncs once for each proposal instead of once for a batch. It
-	// exists to measure what group commit gains.
+
+	// SyncEach syncs once for each input instead of once for a batch. Benchmarks
+	// set it to measure what group commit gains.
 	SyncEach bool
 }
 
@@ -108,7 +109,11 @@
 	log     *slog.Logger
 	wal     *wal.WAL
 	disk    raft.DiskID
+	// inputs carries proposals and requests, mail the messages of other
+	// instances. They are apart, so that a flood of proposals does not crowd out
+	// the acknowledgements that would commit them.
 	inputs  chan input
+	mail    chan received
 	groups  map[Group]*group
 	order   []*group
 	links   map[raft.MemberID]*link
@@ -125,8 +130,12 @@
 	cause  atomic.Pointer[error]
 }
 
-// queuedInputs bounds proposals, reads and messages waiting for the owner.
-const queuedInputs = 4096
+const (
+	// queuedInputs bounds proposals and requests waiting for the owner.
+	queuedInputs = 4096
+	// queuedMail bounds batches of messages waiting for the owner.
+	queuedMail = 256
+)
 
 // Open opens the log and restores the state machines. Nothing is sent or
 // received before Start.
@@ -141,7 +150,7 @@
 	}
 	r := &Replica{
 		options: o, log: o.Log, wal: w, disk: w.Identity().Disk,
-		inputs: make(chan input, queuedInputs),
+		inputs: make(chan input, queuedInputs), mail: make(chan received, queuedMail),
 		groups: map[Group]*group{}, links: map[raft.MemberID]*link{},
 		known: map[raft.MemberID]identity{}, ended: make(chan struct{}),
 		metrics: newMetrics(o.Stats),
@@ -287,6 +296,9 @@
 			return
 		case <-ticker.C:
 			r.tick()
+		case in := <-r.mail:
+			in.enter(r)
+			r.enterQueued()
 		case in := <-r.inputs:
 			in.enter(r)
 			r.enterQueued()
@@ -309,6 +321,12 @@
 		return
 	}
 	for range maxBatch {
+		select {
+		case in := <-r.mail:
+			in.enter(r)
+			continue
+		default:
+		}
 		select {
 		case in := <-r.inputs:
 			in.enter(r)
--- a/modules/entry/handler.go
+++ b/modules/entry/handler.go
@@ -22,6 +22,7 @@
 	"heatherway.dev/api/gen/services"
 	"heatherway.dev/core/config"
 	"heatherway.dev/core/wire"
+	"heatherway.dev/heatherway/internal/failure"
 	"heatherway.dev/kernel/result"
 )
 
@@ -123,6 +124,13 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { m.serveCaller(table, w, r) })
 }
 
+// opened counts open requests and returns their new number.
+func (m *Module) opened(by int64) int64 {
+	n := m.open.Add(by)
+	m.metrics.open.Set(n)
+	return n
+}
+
 func (m *Module) serveCaller(table *routes, w http.ResponseWriter, r *http.Request) {
 	s := &state{requestID: r.Header.Get("X-Request-Id"), begun: time.Now(), snap: m.owner.current()}
 	if s.requestID == "" || len(s.requestID) > maxRequestID {
@@ -135,16 +143,15 @@
 	s.organisation, s.refused = authenticate(s.snap, r)
 	r = r.WithContext(context.WithValue(r.Context(), stateKey{}, s))
 	s.r = r
-	if n := m.open.Add(1); n > int64(m.Limits.Streams) {
-		defer m.open.Add(-1)
-		writeFailure(s.w, result.New(result.NoUpstream, "this entry has %d requests open", n-1), s.requestID)
+	defer m.opened(-1)
+	if n := m.opened(1); n > int64(m.Limits.Streams) {
+		failure.Write(s.w, result.New(result.NoUpstream, "this entry has %d requests open", n-1), s.requestID)
 		return
 	}
-	defer m.open.Add(-1)
 	m.limitBodyTime(s)
 	h := table.find(r)
 	if h == nil {
-		writeFailure(s.w, result.New(result.RouteUnknown, "no route %s %s", r.Method, r.URL.Path), s.requestID)
+		failure.Write(s.w, result.New(result.RouteUnknown, "no route %s %s", r.Method, r.URL.Path), s.requestID)
 		return
 	}
 	h.ServeHTTP(s.w, r)
