--- a/modules/control/service.go
+++ b/modules/control/service.go
@@ -36,6 +36,7 @@
 	if role == roleControl || c.security.Off() {
 		out[leaderService] = &service{c: c, role: roleControl}
 		out[membersService] = &memberService{c}
+		out[wire.AdminProxyService] = &adminService{c: c, certificate: name, proxy: true}
 		if c.replica != nil {
 			out[replica.ServiceName] = c.replica.Service()
 		}
@@ -146,8 +147,9 @@
 	return nil
 }
 
-// Start claims a key for one attempt. Without an answer the attempt is not run,
-// so its failure is 5033, "not run".
+// Start claims a key for one attempt. A failure is 5033; its field Ran is "not
+// run" only if the claim is certainly not stored, since the agent then need not
+// ask again.
 func (s *service) Start(a wire.StartArgs, r *wire.StartReply) error {
 	err := s.recordCall("Start", a.Key, a, r, func() record.Command {
 		cmd := record.Command{Start: &a}
@@ -156,8 +158,9 @@
 		}
 		return cmd
 	}, func(reply record.Reply) { r.Granted, r.Record = reply.Granted, reply.Record })
+	s.c.counts.claim(r.Granted, err)
 	if result.Is(err, result.ControlUnavailable) {
-		err = result.Wrap(result.RecordsUnavailable, err, "no claim")
+		err = result.Wrap(result.RecordsUnavailable, err, "no claim").WithRan(result.From(err).Ran)
 	}
 	return peer.EncodeError(err)
 }
@@ -198,6 +201,9 @@
 	defer cancel()
 	group := s.c.recordGroup(a.Key)
 	return peer.EncodeError(s.atLeader(ctx, group, "Lookup", a, r, func(ctx context.Context) error {
+		if err := s.c.checkGroups(); err != nil {
+			return err
+		}
 		if err := s.c.log.ReadIndex(ctx, group); err != nil {
 			return err
 		}
@@ -213,6 +219,9 @@
 	defer cancel()
 	group := s.c.recordGroup(key)
 	return s.atLeader(ctx, group, method, args, reply, func(ctx context.Context) error {
+		if err := s.c.checkGroups(); err != nil {
+			return err
+		}
 		var r record.Reply
 		cmd := command()
 		cmd.AtMS = nowMS()
@@ -224,6 +233,20 @@
 	})
 }
 
+// checkGroups refuses records when this instance's number of groups is not the
+// one that the control instances agreed on at first start: a key would be looked
+// for in another group, and run twice.
+func (c *Control) checkGroups() error {
+	switch n := c.fleet.view().RecordGroups; n {
+	case c.RecordGroups:
+		return nil
+	case 0:
+		return result.New(result.ControlUnavailable, "the record groups are being formed").WithRan(result.NotRun)
+	default:
+		return result.New(result.RecordsUnavailable, "record_groups is %d here and %d in the log", c.RecordGroups, n)
+	}
+}
+
 func withTimeLeft(list []wire.Suspect, now int64) []wire.Suspect {
 	out := append([]wire.Suspect(nil), list...)
 	for i := range out {
