measure: add the scenario resume; openai: count the prefix once

An engine that resumes by fields counts the prefix among its completion tokens, so the last usage of a resumed answer added the prefix to the offset again, and a caller that reconnected there would have asked for a position past the end. Ruled out: wrong text; all texts were right. e2e compares only texts. Change: the adapter starts its count at the prefix where the engine counts it; the stand-in engine counts prefill tokens; the load generator hands out the gaps of each stream.

--- a/internal/load/options.go
+++ b/internal/load/options.go
@@ -46,6 +46,9 @@
 	// ServiceShare of the requests are calls of the plain service Service.
 	ServiceShare float64
 	Service      string
+	// Gaps, if set, gets the times between the events of each generation at its
+	// end. Several calls may come at once.
+	Gaps func([]time.Duration)
 }
 
 // Organisation is a caller.
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -163,6 +163,9 @@
 	if o.refusal != "" {
 		r.refused.Add(1)
 	}
+	if r.Gaps != nil && o.kind == Generation {
+		r.Gaps(o.gaps)
+	}
 	r.recorder.add(o)
 }
 
--- /dev/null
+++ b/internal/measure/resume.go
@@ -0,0 +1,226 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	hdr "github.com/HdrHistogram/hdrhistogram-go"
+
+	"heatherway.dev/heatherway/internal/load"
+)
+
+func init() { scenarios["resume"] = resume }
+
+const (
+	resumeStreams = 50
+	resumeTokens  = 200
+	resumeStep    = 10 * time.Millisecond
+	resumePrefill = 10 * time.Microsecond
+	// resumeRounds is how often an engine is lost in each way.
+	resumeRounds = 4
+	// lossAfter is when the engine is lost; every stream has begun by then.
+	lossAfter = 700 * time.Millisecond
+
+	resetP99MS   = 250
+	silenceP99MS = 1500
+	// longestGapMS is the upper end of the histogram.
+	longestGapMS = 60_000
+)
+
+// loss takes one engine away and brings it back.
+type loss struct {
+	name      string
+	targetP99 float64
+	take      func(*process)
+	restore   func(*fleet, *process) error
+}
+
+var losses = []loss{
+	{"SIGKILL", resetP99MS, (*process).kill, func(f *fleet, p *process) error { return p.start(f.binary) }},
+	{"SIGSTOP", silenceP99MS,
+		func(p *process) { p.signal(syscall.SIGSTOP) },
+		func(_ *fleet, p *process) error { p.signal(syscall.SIGCONT); return nil }},
+}
+
+// resume loses engines under running streams.
+func resume(ctx context.Context, o Options, r *Result) error {
+	s := shape{Engines: engines, Zones: 2, Slots: resumeStreams, Step: resumeStep, PrefillPerToken: resumePrefill}
+	f, err := newFleet(ctx, o, s)
+	if err != nil {
+		return err
+	}
+	defer f.stop()
+	r.set("engines", fmt.Sprintf("%d with %d slots, step %v, prefill %v a token", engines, s.Slots, s.Step, s.PrefillPerToken))
+	r.set("streams", fmt.Sprintf("%d of %d tokens, prompt 400 characters (100 tokens)", resumeStreams, resumeTokens))
+	r.set("rounds", fmt.Sprintf("%d, one engine lost in each after %v", resumeRounds, lossAfter))
+	baseline, err := round(ctx, o, f, nil, 0)
+	if err != nil {
+		return err
+	}
+	for _, l := range losses {
+		if err := lose(ctx, o, f, r, l, baseline); err != nil {
+			return err
+		}
+		o.Seed += resumeRounds // prompts that no engine has cached
+	}
+	return nil
+}
+
+// lossTally sums up the rounds with one kind of loss.
+type lossTally struct {
+	affected *hdr.Histogram // longest gaps of resumed streams in ms
+	all      []time.Duration
+	resumes  float64
+	delivered, decoded, prefilled,
+	wrong, unfinished float64
+}
+
+func (t *lossTally) add(o *lossTally) {
+	t.affected.Merge(o.affected)
+	t.all = append(t.all, o.all...)
+	t.resumes += o.resumes
+	t.delivered += o.delivered
+	t.decoded += o.decoded
+	t.prefilled += o.prefilled
+	t.wrong += o.wrong
+	t.unfinished += o.unfinished
+}
+
+func newLossTally() *lossTally { return &lossTally{affected: hdr.New(1, longestGapMS, 3)} }
+
+func lose(ctx context.Context, o Options, f *fleet, r *Result, l loss, baseline *lossTally) error {
+	sum := newLossTally()
+	for i := range resumeRounds {
+		o.phase(fmt.Sprint(l.name, " ", i+1))
+		o.Seed++
+		one, err := round(ctx, o, f, &l, i%engines)
+		if err != nil {
+			return err
+		}
+		sum.add(one)
+	}
+	streams := float64(resumeStreams * resumeRounds)
+	r.add(l.name+": streams resumed of "+fmt.Sprint(streams), sum.resumes, "attempts")
+	slowest := float64(slices.Max(baseline.all).Milliseconds())
+	for _, q := range []float64{50, 90} {
+		r.against(fmt.Sprintf("%s: gap of resumed streams p%g", l.name, q), float64(sum.affected.ValueAtPercentile(q)), slowest, "ms")
+	}
+	r.against(l.name+": gap of resumed streams p99", float64(sum.affected.ValueAtPercentile(99)), slowest, "ms").atMost(l.targetP99)
+	r.add(l.name+": gap of resumed streams max", float64(sum.affected.Max()), "ms")
+	r.against(l.name+": tokens that agents received and callers did not", sum.decoded-sum.delivered, baseline.decoded-baseline.delivered, "tokens")
+	r.add(l.name+": prefill tokens of resumes, each", sum.prefilled/max(sum.resumes, 1), "tokens")
+	r.add(l.name+": wrong, missing or repeated tokens", sum.wrong, "tokens").atMost(0)
+	r.add(l.name+": streams not finished", sum.unfinished, "streams").atMost(0)
+	return nil
+}
+
+// round runs the streams once and loses an engine, unless l is nil.
+func round(ctx context.Context, o Options, f *fleet, l *loss, victim int) (*lossTally, error) {
+	t := newLossTally()
+	before, err := f.counts(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var mu sync.Mutex
+	g := o.generations(f.entryURL())
+	g.OutputTokens = load.Range{Min: resumeTokens, Max: resumeTokens}
+	g.Concurrency, g.Requests = resumeStreams, resumeStreams
+	g.Drain = 10 * time.Second
+	g.Gaps = func(gaps []time.Duration) {
+		if len(gaps) == 0 {
+			return
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		t.all = append(t.all, slices.Max(gaps))
+	}
+	done := make(chan error, 1)
+	var report *load.Report
+	go func() {
+		var err error
+		report, err = load.Run(ctx, g, io.Discard)
+		done <- err
+	}()
+	prefillBefore, err := t.lose(ctx, f, l, victim)
+	if err != nil {
+		return nil, err
+	}
+	if err := <-done; err != nil {
+		return nil, err
+	}
+	after, err := f.counts(ctx)
+	if err != nil {
+		return nil, err
+	}
+	t.finish(report, before, after)
+	if l == nil {
+		return t, nil
+	}
+	prefill, err := f.prefilled(ctx, victim)
+	if err != nil {
+		return nil, err
+	}
+	t.prefilled = prefill - prefillBefore
+	if err := l.restore(f, f.engines[victim].engine); err != nil {
+		return nil, err
+	}
+	pause(ctx, settleTime)
+	return t, ctx.Err()
+}
+
+// lose takes the engine away in the middle of the streams.
+func (t *lossTally) lose(ctx context.Context, f *fleet, l *loss, victim int) (prefill float64, err error) {
+	if l == nil {
+		return 0, nil
+	}
+	pause(ctx, lossAfter)
+	prefill, err = f.prefilled(ctx, victim)
+	l.take(f.engines[victim].engine)
+	return prefill, err
+}
+
+// finish works out the figures of the round. The streams with the longest gaps
+// are those that were resumed.
+func (t *lossTally) finish(r *load.Report, before, after counts) {
+	t.resumes = after.resumes - before.resumes
+	t.decoded = after.decoded - before.decoded
+	t.delivered = float64(r.Total.Tokens)
+	t.wrong = float64(r.Total.Sum())
+	t.unfinished = float64(r.Total.Requests - r.Total.Finished)
+	slices.Sort(t.all)
+	n := min(int(t.resumes), len(t.all))
+	for _, gap := range t.all[len(t.all)-n:] {
+		_ = t.affected.RecordValue(min(max(gap.Milliseconds(), 1), longestGapMS)) // it is within the range
+	}
+}
+
+// counts are cumulative metrics of the fleet.
+type counts struct{ resumes, decoded float64 }
+
+func (f *fleet) counts(ctx context.Context) (c counts, err error) {
+	if c.resumes, err = f.entry.metric(ctx, "entry_resumes_total"); err != nil {
+		return c, err
+	}
+	c.decoded, err = f.agentMetric(ctx, "agent_tokens")
+	return c, err
+}
+
+// prefilled sums the prefill tokens of all engines but one.
+func (f *fleet) prefilled(ctx context.Context, without int) (sum float64, err error) {
+	for i, e := range f.engines {
+		if i == without {
+			continue
+		}
+		v, err := e.engine.metric(ctx, "standin_engine_prefill_tokens")
+		if err != nil {
+			return 0, err
+		}
+		sum += v
+	}
+	return sum, nil
+}
--- a/modules/adapter/openai/openai.go
+++ b/modules/adapter/openai/openai.go
@@ -111,7 +111,16 @@
 		return err
 	}
 	defer func() { _ = res.Body.Close() }()
-	return readStream(res.Body, emit)
+	return readStream(res.Body, e.counted(job), emit)
+}
+
+// counted returns how many tokens of the prefix are part of the engine's count
+// of completion tokens: none when the prefix is sent as part of the prompt.
+func (e *Engine) counted(job *adapter.Job) uint32 {
+	if e.Resume == resumeConcat {
+		return 0
+	}
+	return uint32(job.PrefixTokens)
 }
 
 func path(k wire.Kind) string {
--- a/modules/adapter/openai/openai_test.go
+++ b/modules/adapter/openai/openai_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"strings"
 	"testing"
 
@@ -71,7 +72,7 @@
 		token + "data: " + strings.Repeat("x", maxLine) + "\n": result.UpstreamMalformed,
 	} {
 		var text string
-		err := readStream(strings.NewReader(body), func(ev adapter.Event) error { text += ev.Text; return nil })
+		err := readStream(strings.NewReader(body), 0, func(ev adapter.Event) error { text += ev.Text; return nil })
 		assert.Assert(t, result.Is(err, code), "%v", err)
 		assert.Equal(t, text, "a")
 	}
@@ -99,7 +100,7 @@
 		b.WriteString("data: {\"choices\":[{\"text\":\"\",\"finish_reason\":\"stop\"}]}\n\n")
 		b.WriteString("data: {\"choices\":[],\"usage\":{\"completion_tokens\":99,\"prompt_tokens\":7}}\n\ndata: [DONE]\n\n")
 		have, finish := uint32(0), ""
-		err := readStream(strings.NewReader(b.String()), func(ev adapter.Event) error {
+		err := readStream(strings.NewReader(b.String()), 0, func(ev adapter.Event) error {
 			have += ev.Tokens
 			finish += ev.Finish
 			return nil
@@ -110,6 +111,25 @@
 	})
 }
 
+// Guards against a resumed answer whose last usage, which counts the prefix too,
+// adds the prefix to the offset again.
+func TestPrefixIsCountedOnce(t *testing.T) {
+	const prefix = 30
+	body := "data: {\"choices\":[{\"text\":\"x\"}]}\n\n" +
+		"data: {\"choices\":[{\"text\":\"\",\"finish_reason\":\"length\"}],\"usage\":{\"completion_tokens\":%d}}\n\ndata: [DONE]\n\n"
+	for resume, count := range map[string]int{resumeFields: prefix + 1, resumeConcat: 1} {
+		e := Engine{Resume: resume}
+		have := uint32(0)
+		r := strings.NewReader(fmt.Sprintf(body, count))
+		err := readStream(r, e.counted(&adapter.Job{PrefixTokens: prefix}), func(ev adapter.Event) error {
+			have += ev.Tokens
+			return nil
+		})
+		assert.NilError(t, err)
+		assert.Equal(t, have, uint32(1), resume)
+	}
+}
+
 // Guards against wrong settings that are noticed only at the first request.
 func TestSettings(t *testing.T) {
 	const head = "instance: {id: a, zone: z}\ntls: {off: true}\nroles:\n  - test:\n      upstream: {openai: "
--- a/modules/adapter/openai/stream.go
+++ b/modules/adapter/openai/stream.go
@@ -56,11 +56,12 @@
 }
 
 // readStream passes the events of an answer on. An answer that ends before its
-// finish reason counts as a failure of the engine.
-func readStream(r io.Reader, emit func(adapter.Event) error) error {
+// finish reason counts as a failure of the engine. The engine's running count
+// begins at counted, the tokens of the prefix where it counts them too.
+func readStream(r io.Reader, counted uint32, emit func(adapter.Event) error) error {
 	lines := bufio.NewScanner(r)
 	lines.Buffer(make([]byte, 0, readBuffer), maxLine)
-	var count counter
+	count := counter{seen: counted}
 	finished := false
 	for lines.Scan() {
 		data, ok := bytes.CutPrefix(lines.Bytes(), []byte("data:"))
--- a/modules/standinengine/batch.go
+++ b/modules/standinengine/batch.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"heatherway.dev/heatherway/internal/tokentext"
+	"heatherway.dev/kernel/stats"
 )
 
 // job is one generation. The batch counts its tokens; the handler writes them
@@ -65,6 +66,8 @@
 type batch struct {
 	settings Settings
 	crash    func()
+	// prefilled counts prompt and prefix tokens that were not cached.
+	prefilled stats.Counter
 
 	mu      sync.Mutex
 	waiting []*job // in order of priority, then of arrival
@@ -74,7 +77,7 @@
 }
 
 func newBatch(s Settings) *batch {
-	return &batch{settings: s, cache: newCache(s.PrefixCacheBlocks, s.EventLoss, s.RandomSeed)}
+	return &batch{settings: s, prefilled: stats.New().Counter("prefill_tokens"), cache: newCache(s.PrefixCacheBlocks, s.EventLoss, s.RandomSeed)}
 }
 
 func (b *batch) add(j *job) {
@@ -139,6 +142,7 @@
 	known := b.cache.use(BlockHashes(j.prompt+j.prefixText), now) * blockChars / charsPerToken
 	j.cachedTokens = min(known, j.promptTokens)
 	fresh := max(j.promptTokens+j.prefixTokens-known, 0)
+	b.prefilled.Add(int64(fresh))
 	j.ready = now.Add(time.Duration(fresh) * b.settings.PrefillPerToken)
 	b.running = append(b.running, j)
 }
--- a/modules/standinengine/standinengine.go
+++ b/modules/standinengine/standinengine.go
@@ -96,6 +96,7 @@
 	e.tokens = st.Counter("standin_engine_tokens")
 	e.orders = newOrders(e.Models, e.ChecksFence)
 	e.batch = newBatch(e.Settings)
+	e.batch.prefilled = st.Counter("standin_engine_prefill_tokens")
 	e.server = fault.NewServer(e.Settings.Settings, l, e.routes(), log, e.batch.clear)
 	e.batch.crash = func() { go e.server.Apply(fault.Die) }
 }
