--- a/core/wire/admin.go
+++ b/core/wire/admin.go
@@ -45,8 +45,12 @@
 
 // GroupStatus is the state of one log group at a control instance.
 type GroupStatus struct {
-	Group   uint32
-	Role    string
+	Group uint32
+	// Role is leader, candidate, follower, or learner for a member without a
+	// vote.
+	Role string
+	// Voters are the members with a vote, as this instance knows them.
+	Voters  []string
 	Term    uint64
 	Leader  string
 	Commit  uint64
--- a/test/e2e/harness_test.go
+++ b/test/e2e/harness_test.go
@@ -308,6 +308,7 @@
 
 func (f *fleet) awaitServing(s shape) {
 	f.t.Helper()
+	eventually(f.t, startLimit, "control group formed", f.formed)
 	for _, e := range f.Entries {
 		eventually(f.t, startLimit, "entry ready", func() error { return status("http://"+e+"/readyz", http.StatusNoContent) })
 	}
