--- a/api/admin/design/design.go
+++ b/api/admin/design/design.go
@@ -55,7 +55,8 @@
 	Attribute("leader", String)
 	Attribute("commit", UInt64)
 	Attribute("applied", UInt64)
-	Required("group", "role", "term", "leader", "commit", "applied")
+	Attribute("voters", Int, "Members with a vote")
+	Required("group", "role", "term", "leader", "commit", "applied", "voters")
 })
 
 // Member is one control instance.
@@ -345,6 +346,19 @@
 		})
 		HTTP(func() { POST("/upstreams/{instance}/drain") })
 	})
+	Method("replace_member", func() {
+		Description("Takes a control instance out of the log groups. One that is still in the settings comes back as a learner and gets its vote when it has caught up.")
+		Payload(func() {
+			author()
+			Attribute("instance", String, text)
+			Required("author", "reason", "instance")
+		})
+		Result(func() {
+			Attribute("groups", Int, "Log groups that the instance was taken out of")
+			Required("groups")
+		})
+		HTTP(func() { POST("/members/{instance}/replace") })
+	})
 	Method("quarantine", func() {
 		Result(ArrayOf(Suspect))
 		HTTP(func() { GET("/quarantine") })
--- a/api/admin/gen/administration/client.go
+++ b/api/admin/gen/administration/client.go
@@ -29,6 +29,7 @@
 	AddKeyEndpoint             goa.Endpoint
 	RemoveKeyEndpoint          goa.Endpoint
 	DrainEndpoint              goa.Endpoint
+	ReplaceMemberEndpoint      goa.Endpoint
 	QuarantineEndpoint         goa.Endpoint
 	LiftEndpoint               goa.Endpoint
 	OrdersEndpoint             goa.Endpoint
@@ -36,7 +37,7 @@
 }
 
 // NewClient initializes a "administration" service client given the endpoints.
-func NewClient(status, configuration, keys, history, change, exceptions, putException, removeException, organisations, putOrganisation, removeOrganisation, addKey, removeKey, drain, quarantine, lift, orders, issueOrder goa.Endpoint) *Client {
+func NewClient(status, configuration, keys, history, change, exceptions, putException, removeException, organisations, putOrganisation, removeOrganisation, addKey, removeKey, drain, replaceMember, quarantine, lift, orders, issueOrder goa.Endpoint) *Client {
 	return &Client{
 		StatusEndpoint:             status,
 		ConfigurationEndpoint:      configuration,
@@ -52,6 +53,7 @@
 		AddKeyEndpoint:             addKey,
 		RemoveKeyEndpoint:          removeKey,
 		DrainEndpoint:              drain,
+		ReplaceMemberEndpoint:      replaceMember,
 		QuarantineEndpoint:         quarantine,
 		LiftEndpoint:               lift,
 		OrdersEndpoint:             orders,
@@ -415,6 +417,32 @@
 	return ires.(*DrainResult), nil
 }
 
+// ReplaceMember calls the "replace_member" endpoint of the "administration"
+// service.
+// ReplaceMember may return the following errors:
+//   - "bad_request" (type *Failure)
+//   - "unauthorized" (type *Failure)
+//   - "forbidden" (type *Failure)
+//   - "not_found" (type *Failure)
+//   - "conflict" (type *Failure)
+//   - "gone" (type *Failure)
+//   - "too_large" (type *Failure)
+//   - "unprocessable" (type *Failure)
+//   - "too_many" (type *Failure)
+//   - "internal" (type *Failure)
+//   - "bad_gateway" (type *Failure)
+//   - "unavailable" (type *Failure)
+//   - "timeout" (type *Failure)
+//   - error: internal error
+func (c *Client) ReplaceMember(ctx context.Context, p *ReplaceMemberPayload) (res *ReplaceMemberResult, err error) {
+	var ires any
+	ires, err = c.ReplaceMemberEndpoint(ctx, p)
+	if err != nil {
+		return
+	}
+	return ires.(*ReplaceMemberResult), nil
+}
+
 // Quarantine calls the "quarantine" endpoint of the "administration" service.
 // Quarantine may return the following errors:
 //   - "bad_request" (type *Failure)
--- a/api/admin/gen/administration/endpoints.go
+++ b/api/admin/gen/administration/endpoints.go
@@ -29,6 +29,7 @@
 	AddKey             goa.Endpoint
 	RemoveKey          goa.Endpoint
 	Drain              goa.Endpoint
+	ReplaceMember      goa.Endpoint
 	Quarantine         goa.Endpoint
 	Lift               goa.Endpoint
 	Orders             goa.Endpoint
@@ -53,6 +54,7 @@
 		AddKey:             NewAddKeyEndpoint(s),
 		RemoveKey:          NewRemoveKeyEndpoint(s),
 		Drain:              NewDrainEndpoint(s),
+		ReplaceMember:      NewReplaceMemberEndpoint(s),
 		Quarantine:         NewQuarantineEndpoint(s),
 		Lift:               NewLiftEndpoint(s),
 		Orders:             NewOrdersEndpoint(s),
@@ -77,6 +79,7 @@
 	e.AddKey = m(e.AddKey)
 	e.RemoveKey = m(e.RemoveKey)
 	e.Drain = m(e.Drain)
+	e.ReplaceMember = m(e.ReplaceMember)
 	e.Quarantine = m(e.Quarantine)
 	e.Lift = m(e.Lift)
 	e.Orders = m(e.Orders)
@@ -204,6 +207,15 @@
 	}
 }
 
+// NewReplaceMemberEndpoint returns an endpoint function that calls the method
+// "replace_member" of service "administration".
+func NewReplaceMemberEndpoint(s Service) goa.Endpoint {
+	return func(ctx context.Context, req any) (any, error) {
+		p := req.(*ReplaceMemberPayload)
+		return s.ReplaceMember(ctx, p)
+	}
+}
+
 // NewQuarantineEndpoint returns an endpoint function that calls the method
 // "quarantine" of service "administration".
 func NewQuarantineEndpoint(s Service) goa.Endpoint {
--- a/api/admin/gen/administration/service.go
+++ b/api/admin/gen/administration/service.go
@@ -41,6 +41,9 @@
 	RemoveKey(context.Context, *RemoveKeyPayload) (res *Accepted, err error)
 	// Drain implements drain.
 	Drain(context.Context, *DrainPayload) (res *DrainResult, err error)
+	// Takes a control instance out of the log groups. One that is still in the
+	// settings comes back as a learner and gets its vote when it has caught up.
+	ReplaceMember(context.Context, *ReplaceMemberPayload) (res *ReplaceMemberResult, err error)
 	// Quarantine implements quarantine.
 	Quarantine(context.Context) (res []*Suspect, err error)
 	// Lift implements lift.
@@ -65,7 +68,7 @@
 // MethodNames lists the service method names as defined in the design. These
 // are the same values that are set in the endpoint request contexts under the
 // MethodKey key.
-var MethodNames = [18]string{"status", "configuration", "keys", "history", "change", "exceptions", "put_exception", "remove_exception", "organisations", "put_organisation", "remove_organisation", "add_key", "remove_key", "drain", "quarantine", "lift", "orders", "issue_order"}
+var MethodNames = [19]string{"status", "configuration", "keys", "history", "change", "exceptions", "put_exception", "remove_exception", "organisations", "put_organisation", "remove_organisation", "add_key", "remove_key", "drain", "replace_member", "quarantine", "lift", "orders", "issue_order"}
 
 // Accepted is the result type of the administration service change method.
 type Accepted struct {
@@ -172,6 +175,8 @@
 	Leader  string
 	Commit  uint64
 	Applied uint64
+	// Members with a vote
+	Voters int
 }
 
 // HistoryPayload is the payload type of the administration service history
@@ -377,6 +382,23 @@
 	Name         string
 }
 
+// ReplaceMemberPayload is the payload type of the administration service
+// replace_member method.
+type ReplaceMemberPayload struct {
+	// Who makes the change; the audit log also has the name in the certificate
+	Author string
+	// Why; required
+	Reason   string
+	Instance string
+}
+
+// ReplaceMemberResult is the result type of the administration service
+// replace_member method.
+type ReplaceMemberResult struct {
+	// Log groups that the instance was taken out of
+	Groups int
+}
+
 type Selector struct {
 	Organisation *string
 	Model        *string
--- a/api/admin/gen/http/administration/client/cli.go
+++ b/api/admin/gen/http/administration/client/cli.go
@@ -619,6 +619,54 @@
 	return v, nil
 }
 
+// BuildReplaceMemberPayload builds the payload for the administration
+// replace_member endpoint from CLI flags.
+func BuildReplaceMemberPayload(administrationReplaceMemberBody string, administrationReplaceMemberInstance string) (*administration.ReplaceMemberPayload, error) {
+	var err error
+	var body ReplaceMemberRequestBody
+	{
+		err = json.Unmarshal([]byte(administrationReplaceMemberBody), &body)
+		if err != nil {
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"author\": \"d2c\",\n      \"reason\": \"o75\"\n   }'")
+		}
+		if utf8.RuneCountInString(body.Author) < 1 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.author", body.Author, utf8.RuneCountInString(body.Author), 1, true))
+		}
+		if utf8.RuneCountInString(body.Author) > 1024 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.author", body.Author, utf8.RuneCountInString(body.Author), 1024, false))
+		}
+		if utf8.RuneCountInString(body.Reason) < 1 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.reason", body.Reason, utf8.RuneCountInString(body.Reason), 1, true))
+		}
+		if utf8.RuneCountInString(body.Reason) > 1024 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.reason", body.Reason, utf8.RuneCountInString(body.Reason), 1024, false))
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	var instance string
+	{
+		instance = administrationReplaceMemberInstance
+		if utf8.RuneCountInString(instance) < 1 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("instance", instance, utf8.RuneCountInString(instance), 1, true))
+		}
+		if utf8.RuneCountInString(instance) > 1024 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("instance", instance, utf8.RuneCountInString(instance), 1024, false))
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	v := &administration.ReplaceMemberPayload{
+		Author: body.Author,
+		Reason: body.Reason,
+	}
+	v.Instance = instance
+
+	return v, nil
+}
+
 // BuildLiftPayload builds the payload for the administration lift endpoint
 // from CLI flags.
 func BuildLiftPayload(administrationLiftBody string, administrationLiftFingerprint string) (*administration.LiftPayload, error) {
@@ -627,7 +675,7 @@
 	{
 		err = json.Unmarshal([]byte(administrationLiftBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"author\": \"jvb\",\n      \"reason\": \"1\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"author\": \"q\",\n      \"reason\": \"9j\"\n   }'")
 		}
 		if utf8.RuneCountInString(body.Author) < 1 {
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.author", body.Author, utf8.RuneCountInString(body.Author), 1, true))
@@ -675,7 +723,7 @@
 	{
 		err = json.Unmarshal([]byte(administrationIssueOrderBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"adapter\": \"Nulla sunt amet at rerum cum.\",\n      \"author\": \"2q\",\n      \"id\": \"e\",\n      \"kind\": \"load_adapter\",\n      \"model\": \"Et saepe id doloremque.\",\n      \"reason\": \"g0w\",\n      \"replaces\": \"Qui maxime quia qui ducimus.\",\n      \"role\": \"Dolore quo.\",\n      \"upstream\": \"4eb\",\n      \"version\": \"Eligendi blanditiis eos qui veritatis.\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"adapter\": \"Dolores ut dolorem et repellendus ab velit.\",\n      \"author\": \"er\",\n      \"id\": \"9\",\n      \"kind\": \"load_model\",\n      \"model\": \"Aliquam ut commodi.\",\n      \"reason\": \"jcb\",\n      \"replaces\": \"Asperiores voluptatem consequuntur.\",\n      \"role\": \"Omnis maiores sunt dolorem dignissimos exercitationem dignissimos.\",\n      \"upstream\": \"x2\",\n      \"version\": \"Modi doloremque aut aperiam vel mollitia ipsa.\"\n   }'")
 		}
 		if utf8.RuneCountInString(body.Author) < 1 {
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.author", body.Author, utf8.RuneCountInString(body.Author), 1, true))
--- a/api/admin/gen/http/administration/client/client.go
+++ b/api/admin/gen/http/administration/client/client.go
@@ -68,6 +68,10 @@
 	// Drain Doer is the HTTP client used to make requests to the drain endpoint.
 	DrainDoer goahttp.Doer
 
+	// ReplaceMember Doer is the HTTP client used to make requests to the
+	// replace_member endpoint.
+	ReplaceMemberDoer goahttp.Doer
+
 	// Quarantine Doer is the HTTP client used to make requests to the quarantine
 	// endpoint.
 	QuarantineDoer goahttp.Doer
@@ -117,6 +121,7 @@
 		AddKeyDoer:             doer,
 		RemoveKeyDoer:          doer,
 		DrainDoer:              doer,
+		ReplaceMemberDoer:      doer,
 		QuarantineDoer:         doer,
 		LiftDoer:               doer,
 		OrdersDoer:             doer,
@@ -440,6 +445,30 @@
 	}
 }
 
+// ReplaceMember returns an endpoint that makes HTTP requests to the
+// administration service replace_member server.
+func (c *Client) ReplaceMember() goa.Endpoint {
+	var (
+		encodeRequest  = EncodeReplaceMemberRequest(c.encoder)
+		decodeResponse = DecodeReplaceMemberResponse(c.decoder, c.RestoreResponseBody)
+	)
+	return func(ctx context.Context, v any) (any, error) {
+		req, err := c.BuildReplaceMemberRequest(ctx, v)
+		if err != nil {
+			return nil, err
+		}
+		err = encodeRequest(req, v)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := c.ReplaceMemberDoer.Do(req)
+		if err != nil {
+			return nil, goahttp.ErrRequestError("administration", "replace_member", err)
+		}
+		return decodeResponse(resp)
+	}
+}
+
 // Quarantine returns an endpoint that makes HTTP requests to the
 // administration service quarantine server.
 func (c *Client) Quarantine() goa.Endpoint {
--- a/api/admin/gen/http/administration/client/encode_decode.go
+++ b/api/admin/gen/http/administration/client/encode_decode.go
@@ -6711,6 +6711,492 @@
 	}
 }
 
+// BuildReplaceMemberRequest instantiates a HTTP request object with method and
+// path set to call the "administration" service "replace_member" endpoint
+func (c *Client) BuildReplaceMemberRequest(ctx context.Context, v any) (*http.Request, error) {
+	var (
+		instance string
+	)
+	{
+		p, ok := v.(*administration.ReplaceMemberPayload)
+		if !ok {
+			return nil, goahttp.ErrInvalidType("administration", "replace_member", "*administration.ReplaceMemberPayload", v)
+		}
+		instance = p.Instance
+	}
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: ReplaceMemberAdministrationPath(instance)}
+	req, err := http.NewRequest("POST", u.String(), nil)
+	if err != nil {
+		return nil, goahttp.ErrInvalidURL("administration", "replace_member", u.String(), err)
+	}
+	if ctx != nil {
+		req = req.WithContext(ctx)
+	}
+
+	return req, nil
+}
+
+// EncodeReplaceMemberRequest returns an encoder for requests sent to the
+// administration replace_member server.
+func EncodeReplaceMemberRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
+	return func(req *http.Request, v any) error {
+		p, ok := v.(*administration.ReplaceMemberPayload)
+		if !ok {
+			return goahttp.ErrInvalidType("administration", "replace_member", "*administration.ReplaceMemberPayload", v)
+		}
+		body := NewReplaceMemberRequestBody(p)
+		if err := encoder(req).Encode(&body); err != nil {
+			return goahttp.ErrEncodingError("administration", "replace_member", err)
+		}
+		return nil
+	}
+}
+
+// DecodeReplaceMemberResponse returns a decoder for responses returned by the
+// administration replace_member endpoint. restoreBody controls whether the
+// response body should be restored after having been read.
+// DecodeReplaceMemberResponse may return the following errors:
+//   - "bad_request" (type *administration.Failure): http.StatusBadRequest
+//   - "unauthorized" (type *administration.Failure): http.StatusUnauthorized
+//   - "forbidden" (type *administration.Failure): http.StatusForbidden
+//   - "not_found" (type *administration.Failure): http.StatusNotFound
+//   - "conflict" (type *administration.Failure): http.StatusConflict
+//   - "gone" (type *administration.Failure): http.StatusGone
+//   - "too_large" (type *administration.Failure): http.StatusRequestEntityTooLarge
+//   - "unprocessable" (type *administration.Failure): http.StatusUnprocessableEntity
+//   - "too_many" (type *administration.Failure): http.StatusTooManyRequests
+//   - "internal" (type *administration.Failure): http.StatusInternalServerError
+//   - "bad_gateway" (type *administration.Failure): http.StatusBadGateway
+//   - "unavailable" (type *administration.Failure): http.StatusServiceUnavailable
+//   - "timeout" (type *administration.Failure): http.StatusGatewayTimeout
+//   - error: internal error
+func DecodeReplaceMemberResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+	return func(resp *http.Response) (any, error) {
+		if restoreBody {
+			b, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return nil, err
+			}
+			resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			defer func() {
+				resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			}()
+		} else {
+			defer resp.Body.Close()
+		}
+		switch resp.StatusCode {
+		case http.StatusOK:
+			var (
+				body ReplaceMemberResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "replace_member", err)
+			}
+			err = ValidateReplaceMemberResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "replace_member", err)
+			}
+			res := NewReplaceMemberResultOK(&body)
+			return res, nil
+		case http.StatusBadRequest:
+			var (
+				body ReplaceMemberBadRequestResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "replace_member", err)
+			}
+			err = ValidateReplaceMemberBadRequestResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "replace_member", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "replace_member", err)
+			}
+			return nil, NewReplaceMemberBadRequest(&body, retryAfter)
+		case http.StatusUnauthorized:
+			var (
+				body ReplaceMemberUnauthorizedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "replace_member", err)
+			}
+			err = ValidateReplaceMemberUnauthorizedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "replace_member", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "replace_member", err)
+			}
+			return nil, NewReplaceMemberUnauthorized(&body, retryAfter)
+		case http.StatusForbidden:
+			var (
+				body ReplaceMemberForbiddenResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "replace_member", err)
+			}
+			err = ValidateReplaceMemberForbiddenResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "replace_member", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "replace_member", err)
+			}
+			return nil, NewReplaceMemberForbidden(&body, retryAfter)
+		case http.StatusNotFound:
+			var (
+				body ReplaceMemberNotFoundResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "replace_member", err)
+			}
+			err = ValidateReplaceMemberNotFoundResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "replace_member", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "replace_member", err)
+			}
+			return nil, NewReplaceMemberNotFound(&body, retryAfter)
+		case http.StatusConflict:
+			var (
+				body ReplaceMemberConflictResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "replace_member", err)
+			}
+			err = ValidateReplaceMemberConflictResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "replace_member", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "replace_member", err)
+			}
+			return nil, NewReplaceMemberConflict(&body, retryAfter)
+		case http.StatusGone:
+			var (
+				body ReplaceMemberGoneResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "replace_member", err)
+			}
+			err = ValidateReplaceMemberGoneResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "replace_member", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "replace_member", err)
+			}
+			return nil, NewReplaceMemberGone(&body, retryAfter)
+		case http.StatusRequestEntityTooLarge:
+			var (
+				body ReplaceMemberTooLargeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "replace_member", err)
+			}
+			err = ValidateReplaceMemberTooLargeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "replace_member", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "replace_member", err)
+			}
+			return nil, NewReplaceMemberTooLarge(&body, retryAfter)
+		case http.StatusUnprocessableEntity:
+			var (
+				body ReplaceMemberUnprocessableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "replace_member", err)
+			}
+			err = ValidateReplaceMemberUnprocessableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "replace_member", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "replace_member", err)
+			}
+			return nil, NewReplaceMemberUnprocessable(&body, retryAfter)
+		case http.StatusTooManyRequests:
+			var (
+				body ReplaceMemberTooManyResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "replace_member", err)
+			}
+			err = ValidateReplaceMemberTooManyResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "replace_member", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "replace_member", err)
+			}
+			return nil, NewReplaceMemberTooMany(&body, retryAfter)
+		case http.StatusInternalServerError:
+			var (
+				body ReplaceMemberInternalResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "replace_member", err)
+			}
+			err = ValidateReplaceMemberInternalResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "replace_member", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "replace_member", err)
+			}
+			return nil, NewReplaceMemberInternal(&body, retryAfter)
+		case http.StatusBadGateway:
+			var (
+				body ReplaceMemberBadGatewayResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "replace_member", err)
+			}
+			err = ValidateReplaceMemberBadGatewayResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "replace_member", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "replace_member", err)
+			}
+			return nil, NewReplaceMemberBadGateway(&body, retryAfter)
+		case http.StatusServiceUnavailable:
+			var (
+				body ReplaceMemberUnavailableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "replace_member", err)
+			}
+			err = ValidateReplaceMemberUnavailableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "replace_member", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "replace_member", err)
+			}
+			return nil, NewReplaceMemberUnavailable(&body, retryAfter)
+		case http.StatusGatewayTimeout:
+			var (
+				body ReplaceMemberTimeoutResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("administration", "replace_member", err)
+			}
+			err = ValidateReplaceMemberTimeoutResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "replace_member", err)
+			}
+			var (
+				retryAfter *int64
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, 64)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					retryAfter = &v
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("administration", "replace_member", err)
+			}
+			return nil, NewReplaceMemberTimeout(&body, retryAfter)
+		default:
+			body, _ := io.ReadAll(resp.Body)
+			return nil, goahttp.ErrInvalidResponse("administration", "replace_member", resp.StatusCode, string(body))
+		}
+	}
+}
+
 // BuildQuarantineRequest instantiates a HTTP request object with method and
 // path set to call the "administration" service "quarantine" endpoint
 func (c *Client) BuildQuarantineRequest(ctx context.Context, v any) (*http.Request, error) {
@@ -8622,6 +9108,7 @@
 		Leader:  *v.Leader,
 		Commit:  *v.Commit,
 		Applied: *v.Applied,
+		Voters:  *v.Voters,
 	}
 
 	return res
--- a/api/admin/gen/http/administration/client/paths.go
+++ b/api/admin/gen/http/administration/client/paths.go
@@ -81,6 +81,11 @@
 	return fmt.Sprintf("/admin/v1/upstreams/%v/drain", instance)
 }
 
+// ReplaceMemberAdministrationPath returns the URL path to the administration service replace_member HTTP endpoint.
+func ReplaceMemberAdministrationPath(instance string) string {
+	return fmt.Sprintf("/admin/v1/members/%v/replace", instance)
+}
+
 // QuarantineAdministrationPath returns the URL path to the administration service quarantine HTTP endpoint.
 func QuarantineAdministrationPath() string {
 	return "/admin/v1/quarantine"
--- a/api/admin/gen/http/administration/client/types.go
+++ b/api/admin/gen/http/administration/client/types.go
@@ -70,6 +70,15 @@
 	Undo *bool `form:"undo,omitempty" json:"undo,omitempty" xml:"undo,omitempty"`
 }
 
+// ReplaceMemberRequestBody is the type of the "administration" service
+// "replace_member" endpoint HTTP request body.
+type ReplaceMemberRequestBody struct {
+	// Who makes the change; the audit log also has the name in the certificate
+	Author string `form:"author" json:"author" xml:"author"`
+	// Why; required
+	Reason string `form:"reason" json:"reason" xml:"reason"`
+}
+
 // LiftRequestBody is the type of the "administration" service "lift" endpoint
 // HTTP request body.
 type LiftRequestBody struct {
@@ -173,6 +182,13 @@
 	Running *int `form:"running,omitempty" json:"running,omitempty" xml:"running,omitempty"`
 }
 
+// ReplaceMemberResponseBody is the type of the "administration" service
+// "replace_member" endpoint HTTP response body.
+type ReplaceMemberResponseBody struct {
+	// Log groups that the instance was taken out of
+	Groups *int `form:"groups,omitempty" json:"groups,omitempty" xml:"groups,omitempty"`
+}
+
 // IssueOrderResponseBody is the type of the "administration" service
 // "issue_order" endpoint HTTP response body.
 type IssueOrderResponseBody struct {
@@ -1700,6 +1716,120 @@
 	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
 }
 
+// ReplaceMemberBadRequestResponseBody is the type of the "administration"
+// service "replace_member" endpoint HTTP response body for the "bad_request"
+// error.
+type ReplaceMemberBadRequestResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// ReplaceMemberUnauthorizedResponseBody is the type of the "administration"
+// service "replace_member" endpoint HTTP response body for the "unauthorized"
+// error.
+type ReplaceMemberUnauthorizedResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// ReplaceMemberForbiddenResponseBody is the type of the "administration"
+// service "replace_member" endpoint HTTP response body for the "forbidden"
+// error.
+type ReplaceMemberForbiddenResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// ReplaceMemberNotFoundResponseBody is the type of the "administration"
+// service "replace_member" endpoint HTTP response body for the "not_found"
+// error.
+type ReplaceMemberNotFoundResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// ReplaceMemberConflictResponseBody is the type of the "administration"
+// service "replace_member" endpoint HTTP response body for the "conflict"
+// error.
+type ReplaceMemberConflictResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// ReplaceMemberGoneResponseBody is the type of the "administration" service
+// "replace_member" endpoint HTTP response body for the "gone" error.
+type ReplaceMemberGoneResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// ReplaceMemberTooLargeResponseBody is the type of the "administration"
+// service "replace_member" endpoint HTTP response body for the "too_large"
+// error.
+type ReplaceMemberTooLargeResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// ReplaceMemberUnprocessableResponseBody is the type of the "administration"
+// service "replace_member" endpoint HTTP response body for the "unprocessable"
+// error.
+type ReplaceMemberUnprocessableResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// ReplaceMemberTooManyResponseBody is the type of the "administration" service
+// "replace_member" endpoint HTTP response body for the "too_many" error.
+type ReplaceMemberTooManyResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// ReplaceMemberInternalResponseBody is the type of the "administration"
+// service "replace_member" endpoint HTTP response body for the "internal"
+// error.
+type ReplaceMemberInternalResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// ReplaceMemberBadGatewayResponseBody is the type of the "administration"
+// service "replace_member" endpoint HTTP response body for the "bad_gateway"
+// error.
+type ReplaceMemberBadGatewayResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// ReplaceMemberUnavailableResponseBody is the type of the "administration"
+// service "replace_member" endpoint HTTP response body for the "unavailable"
+// error.
+type ReplaceMemberUnavailableResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
+// ReplaceMemberTimeoutResponseBody is the type of the "administration" service
+// "replace_member" endpoint HTTP response body for the "timeout" error.
+type ReplaceMemberTimeoutResponseBody struct {
+	// Group of the result code
+	Status  *string              `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	Problem *ProblemResponseBody `form:"error,omitempty" json:"error,omitempty" xml:"error,omitempty"`
+}
+
 // QuarantineBadRequestResponseBody is the type of the "administration" service
 // "quarantine" endpoint HTTP response body for the "bad_request" error.
 type QuarantineBadRequestResponseBody struct {
@@ -2138,6 +2268,8 @@
 	Leader  *string `form:"leader,omitempty" json:"leader,omitempty" xml:"leader,omitempty"`
 	Commit  *uint64 `form:"commit,omitempty" json:"commit,omitempty" xml:"commit,omitempty"`
 	Applied *uint64 `form:"applied,omitempty" json:"applied,omitempty" xml:"applied,omitempty"`
+	// Members with a vote
+	Voters *int `form:"voters,omitempty" json:"voters,omitempty" xml:"voters,omitempty"`
 }
 
 // InstanceResponseBody is used to define fields on response body types.
@@ -2401,6 +2533,16 @@
 	return body
 }
 
+// NewReplaceMemberRequestBody builds the HTTP request body from the payload of
+// the "replace_member" endpoint of the "administration" service.
+func NewReplaceMemberRequestBody(p *administration.ReplaceMemberPayload) *ReplaceMemberRequestBody {
+	body := &ReplaceMemberRequestBody{
+		Author: p.Author,
+		Reason: p.Reason,
+	}
+	return body
+}
+
 // NewLiftRequestBody builds the HTTP request body from the payload of the
 // "lift" endpoint of the "administration" service.
 func NewLiftRequestBody(p *administration.LiftPayload) *LiftRequestBody {
@@ -4817,6 +4959,172 @@
 	return v
 }
 
+// NewReplaceMemberResultOK builds a "administration" service "replace_member"
+// endpoint result from a HTTP "OK" response.
+func NewReplaceMemberResultOK(body *ReplaceMemberResponseBody) *administration.ReplaceMemberResult {
+	v := &administration.ReplaceMemberResult{
+		Groups: *body.Groups,
+	}
+
+	return v
+}
+
+// NewReplaceMemberBadRequest builds a administration service replace_member
+// endpoint bad_request error.
+func NewReplaceMemberBadRequest(body *ReplaceMemberBadRequestResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewReplaceMemberUnauthorized builds a administration service replace_member
+// endpoint unauthorized error.
+func NewReplaceMemberUnauthorized(body *ReplaceMemberUnauthorizedResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewReplaceMemberForbidden builds a administration service replace_member
+// endpoint forbidden error.
+func NewReplaceMemberForbidden(body *ReplaceMemberForbiddenResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewReplaceMemberNotFound builds a administration service replace_member
+// endpoint not_found error.
+func NewReplaceMemberNotFound(body *ReplaceMemberNotFoundResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewReplaceMemberConflict builds a administration service replace_member
+// endpoint conflict error.
+func NewReplaceMemberConflict(body *ReplaceMemberConflictResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewReplaceMemberGone builds a administration service replace_member endpoint
+// gone error.
+func NewReplaceMemberGone(body *ReplaceMemberGoneResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewReplaceMemberTooLarge builds a administration service replace_member
+// endpoint too_large error.
+func NewReplaceMemberTooLarge(body *ReplaceMemberTooLargeResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewReplaceMemberUnprocessable builds a administration service replace_member
+// endpoint unprocessable error.
+func NewReplaceMemberUnprocessable(body *ReplaceMemberUnprocessableResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewReplaceMemberTooMany builds a administration service replace_member
+// endpoint too_many error.
+func NewReplaceMemberTooMany(body *ReplaceMemberTooManyResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewReplaceMemberInternal builds a administration service replace_member
+// endpoint internal error.
+func NewReplaceMemberInternal(body *ReplaceMemberInternalResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewReplaceMemberBadGateway builds a administration service replace_member
+// endpoint bad_gateway error.
+func NewReplaceMemberBadGateway(body *ReplaceMemberBadGatewayResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewReplaceMemberUnavailable builds a administration service replace_member
+// endpoint unavailable error.
+func NewReplaceMemberUnavailable(body *ReplaceMemberUnavailableResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewReplaceMemberTimeout builds a administration service replace_member
+// endpoint timeout error.
+func NewReplaceMemberTimeout(body *ReplaceMemberTimeoutResponseBody, retryAfter *int64) *administration.Failure {
+	v := &administration.Failure{
+		Status: *body.Status,
+	}
+	v.Problem = unmarshalProblemResponseBodyToAdministrationProblem(body.Problem)
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
 // NewQuarantineSuspectOK builds a "administration" service "quarantine"
 // endpoint result from a HTTP "OK" response.
 func NewQuarantineSuspectOK(body []*SuspectResponse) []*administration.Suspect {
@@ -5638,6 +5946,15 @@
 	return
 }
 
+// ValidateReplaceMemberResponseBody runs the validations defined on
+// replace_member_response_body
+func ValidateReplaceMemberResponseBody(body *ReplaceMemberResponseBody) (err error) {
+	if body.Groups == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("groups", "body"))
+	}
+	return
+}
+
 // ValidateIssueOrderResponseBody runs the validations defined on
 // issue_order_response_body
 func ValidateIssueOrderResponseBody(body *IssueOrderResponseBody) (err error) {
@@ -8747,6 +9064,227 @@
 	return
 }
 
+// ValidateReplaceMemberBadRequestResponseBody runs the validations defined on
+// replace_member_bad_request_response_body
+func ValidateReplaceMemberBadRequestResponseBody(body *ReplaceMemberBadRequestResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateReplaceMemberUnauthorizedResponseBody runs the validations defined
+// on replace_member_unauthorized_response_body
+func ValidateReplaceMemberUnauthorizedResponseBody(body *ReplaceMemberUnauthorizedResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateReplaceMemberForbiddenResponseBody runs the validations defined on
+// replace_member_forbidden_response_body
+func ValidateReplaceMemberForbiddenResponseBody(body *ReplaceMemberForbiddenResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateReplaceMemberNotFoundResponseBody runs the validations defined on
+// replace_member_not_found_response_body
+func ValidateReplaceMemberNotFoundResponseBody(body *ReplaceMemberNotFoundResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateReplaceMemberConflictResponseBody runs the validations defined on
+// replace_member_conflict_response_body
+func ValidateReplaceMemberConflictResponseBody(body *ReplaceMemberConflictResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateReplaceMemberGoneResponseBody runs the validations defined on
+// replace_member_gone_response_body
+func ValidateReplaceMemberGoneResponseBody(body *ReplaceMemberGoneResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateReplaceMemberTooLargeResponseBody runs the validations defined on
+// replace_member_too_large_response_body
+func ValidateReplaceMemberTooLargeResponseBody(body *ReplaceMemberTooLargeResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateReplaceMemberUnprocessableResponseBody runs the validations defined
+// on replace_member_unprocessable_response_body
+func ValidateReplaceMemberUnprocessableResponseBody(body *ReplaceMemberUnprocessableResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateReplaceMemberTooManyResponseBody runs the validations defined on
+// replace_member_too_many_response_body
+func ValidateReplaceMemberTooManyResponseBody(body *ReplaceMemberTooManyResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateReplaceMemberInternalResponseBody runs the validations defined on
+// replace_member_internal_response_body
+func ValidateReplaceMemberInternalResponseBody(body *ReplaceMemberInternalResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateReplaceMemberBadGatewayResponseBody runs the validations defined on
+// replace_member_bad_gateway_response_body
+func ValidateReplaceMemberBadGatewayResponseBody(body *ReplaceMemberBadGatewayResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateReplaceMemberUnavailableResponseBody runs the validations defined on
+// replace_member_unavailable_response_body
+func ValidateReplaceMemberUnavailableResponseBody(body *ReplaceMemberUnavailableResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateReplaceMemberTimeoutResponseBody runs the validations defined on
+// replace_member_timeout_response_body
+func ValidateReplaceMemberTimeoutResponseBody(body *ReplaceMemberTimeoutResponseBody) (err error) {
+	if body.Status == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("status", "body"))
+	}
+	if body.Problem == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("error", "body"))
+	}
+	if body.Problem != nil {
+		if err2 := ValidateProblemResponseBody(body.Problem); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
 // ValidateQuarantineBadRequestResponseBody runs the validations defined on
 // quarantine_bad_request_response_body
 func ValidateQuarantineBadRequestResponseBody(body *QuarantineBadRequestResponseBody) (err error) {
@@ -9675,6 +10213,9 @@
 	if body.Applied == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("applied", "body"))
 	}
+	if body.Voters == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("voters", "body"))
+	}
 	return
 }
 
--- a/api/admin/gen/http/administration/server/encode_decode.go
+++ b/api/admin/gen/http/administration/server/encode_decode.go
@@ -4190,6 +4190,314 @@
 	}
 }
 
+// EncodeReplaceMemberResponse returns an encoder for responses returned by the
+// administration replace_member endpoint.
+func EncodeReplaceMemberResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
+	return func(ctx context.Context, w http.ResponseWriter, v any) error {
+		res, _ := v.(*administration.ReplaceMemberResult)
+		enc := encoder(ctx, w)
+		body := NewReplaceMemberResponseBody(res)
+		w.WriteHeader(http.StatusOK)
+		return enc.Encode(body)
+	}
+}
+
+// DecodeReplaceMemberRequest returns a decoder for requests sent to the
+// administration replace_member endpoint.
+func DecodeReplaceMemberRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*administration.ReplaceMemberPayload, error) {
+	return func(r *http.Request) (*administration.ReplaceMemberPayload, error) {
+		var payload *administration.ReplaceMemberPayload
+		var (
+			body ReplaceMemberRequestBody
+			err  error
+		)
+		err = decoder(r).Decode(&body)
+		if err != nil {
+			if errors.Is(err, io.EOF) {
+				return payload, goa.MissingPayloadError()
+			}
+			var gerr *goa.ServiceError
+			if errors.As(err, &gerr) {
+				return payload, gerr
+			}
+			return payload, goa.DecodePayloadError(err.Error())
+		}
+		err = ValidateReplaceMemberRequestBody(&body)
+		if err != nil {
+			return payload, err
+		}
+
+		var (
+			instance string
+
+			params = mux.Vars(r)
+		)
+		instance = params["instance"]
+		if utf8.RuneCountInString(instance) < 1 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("instance", instance, utf8.RuneCountInString(instance), 1, true))
+		}
+		if utf8.RuneCountInString(instance) > 1024 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("instance", instance, utf8.RuneCountInString(instance), 1024, false))
+		}
+		if err != nil {
+			return payload, err
+		}
+		payload = NewReplaceMemberPayload(&body, instance)
+
+		return payload, nil
+	}
+}
+
+// EncodeReplaceMemberError returns an encoder for errors returned by the
+// replace_member administration endpoint.
+func EncodeReplaceMemberError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
+	encodeError := goahttp.ErrorEncoder(encoder, formatter)
+	return func(ctx context.Context, w http.ResponseWriter, v error) error {
+		var en goa.GoaErrorNamer
+		if !errors.As(v, &en) {
+			return encodeError(ctx, w, v)
+		}
+		switch en.GoaErrorName() {
+		case "bad_request":
+			var res *administration.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewReplaceMemberBadRequestResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.FormatInt(*val, 10)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadRequest)
+			return enc.Encode(body)
+		case "unauthorized":
+			var res *administration.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewReplaceMemberUnauthorizedResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.FormatInt(*val, 10)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnauthorized)
+			return enc.Encode(body)
+		case "forbidden":
+			var res *administration.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewReplaceMemberForbiddenResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.FormatInt(*val, 10)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusForbidden)
+			return enc.Encode(body)
+		case "not_found":
+			var res *administration.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewReplaceMemberNotFoundResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.FormatInt(*val, 10)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusNotFound)
+			return enc.Encode(body)
+		case "conflict":
+			var res *administration.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewReplaceMemberConflictResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.FormatInt(*val, 10)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusConflict)
+			return enc.Encode(body)
+		case "gone":
+			var res *administration.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewReplaceMemberGoneResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.FormatInt(*val, 10)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusGone)
+			return enc.Encode(body)
+		case "too_large":
+			var res *administration.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewReplaceMemberTooLargeResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.FormatInt(*val, 10)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusRequestEntityTooLarge)
+			return enc.Encode(body)
+		case "unprocessable":
+			var res *administration.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewReplaceMemberUnprocessableResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.FormatInt(*val, 10)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnprocessableEntity)
+			return enc.Encode(body)
+		case "too_many":
+			var res *administration.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewReplaceMemberTooManyResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.FormatInt(*val, 10)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusTooManyRequests)
+			return enc.Encode(body)
+		case "internal":
+			var res *administration.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewReplaceMemberInternalResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.FormatInt(*val, 10)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusInternalServerError)
+			return enc.Encode(body)
+		case "bad_gateway":
+			var res *administration.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewReplaceMemberBadGatewayResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.FormatInt(*val, 10)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadGateway)
+			return enc.Encode(body)
+		case "unavailable":
+			var res *administration.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewReplaceMemberUnavailableResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.FormatInt(*val, 10)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		case "timeout":
+			var res *administration.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewReplaceMemberTimeoutResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.FormatInt(*val, 10)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusGatewayTimeout)
+			return enc.Encode(body)
+		default:
+			return encodeError(ctx, w, v)
+		}
+	}
+}
+
 // EncodeQuarantineResponse returns an encoder for responses returned by the
 // administration quarantine endpoint.
 func EncodeQuarantineResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
@@ -5345,6 +5653,7 @@
 		Leader:  v.Leader,
 		Commit:  v.Commit,
 		Applied: v.Applied,
+		Voters:  v.Voters,
 	}
 
 	return res
--- a/api/admin/gen/http/administration/server/server.go
+++ b/api/admin/gen/http/administration/server/server.go
@@ -33,6 +33,7 @@
 	AddKey             http.Handler
 	RemoveKey          http.Handler
 	Drain              http.Handler
+	ReplaceMember      http.Handler
 	Quarantine         http.Handler
 	Lift               http.Handler
 	Orders             http.Handler
@@ -80,6 +81,7 @@
 			{"AddKey", "PUT", "/admin/v1/organisations/{name}/keys/{key_hash}"},
 			{"RemoveKey", "DELETE", "/admin/v1/organisations/{name}/keys/{key_hash}"},
 			{"Drain", "POST", "/admin/v1/upstreams/{instance}/drain"},
+			{"ReplaceMember", "POST", "/admin/v1/members/{instance}/replace"},
 			{"Quarantine", "GET", "/admin/v1/quarantine"},
 			{"Lift", "POST", "/admin/v1/quarantine/{fingerprint}/lift"},
 			{"Orders", "GET", "/admin/v1/orders"},
@@ -99,6 +101,7 @@
 		AddKey:             NewAddKeyHandler(e.AddKey, mux, decoder, encoder, errhandler, formatter),
 		RemoveKey:          NewRemoveKeyHandler(e.RemoveKey, mux, decoder, encoder, errhandler, formatter),
 		Drain:              NewDrainHandler(e.Drain, mux, decoder, encoder, errhandler, formatter),
+		ReplaceMember:      NewReplaceMemberHandler(e.ReplaceMember, mux, decoder, encoder, errhandler, formatter),
 		Quarantine:         NewQuarantineHandler(e.Quarantine, mux, decoder, encoder, errhandler, formatter),
 		Lift:               NewLiftHandler(e.Lift, mux, decoder, encoder, errhandler, formatter),
 		Orders:             NewOrdersHandler(e.Orders, mux, decoder, encoder, errhandler, formatter),
@@ -125,6 +128,7 @@
 	s.AddKey = m(s.AddKey)
 	s.RemoveKey = m(s.RemoveKey)
 	s.Drain = m(s.Drain)
+	s.ReplaceMember = m(s.ReplaceMember)
 	s.Quarantine = m(s.Quarantine)
 	s.Lift = m(s.Lift)
 	s.Orders = m(s.Orders)
@@ -150,6 +154,7 @@
 	MountAddKeyHandler(mux, h.AddKey)
 	MountRemoveKeyHandler(mux, h.RemoveKey)
 	MountDrainHandler(mux, h.Drain)
+	MountReplaceMemberHandler(mux, h.ReplaceMember)
 	MountQuarantineHandler(mux, h.Quarantine)
 	MountLiftHandler(mux, h.Lift)
 	MountOrdersHandler(mux, h.Orders)
@@ -869,6 +874,59 @@
 	})
 }
 
+// MountReplaceMemberHandler configures the mux to serve the "administration"
+// service "replace_member" endpoint.
+func MountReplaceMemberHandler(mux goahttp.Muxer, h http.Handler) {
+	f, ok := h.(http.HandlerFunc)
+	if !ok {
+		f = func(w http.ResponseWriter, r *http.Request) {
+			h.ServeHTTP(w, r)
+		}
+	}
+	mux.Handle("POST", "/admin/v1/members/{instance}/replace", f)
+}
+
+// NewReplaceMemberHandler creates a HTTP handler which loads the HTTP request
+// and calls the "administration" service "replace_member" endpoint.
+func NewReplaceMemberHandler(
+	endpoint goa.Endpoint,
+	mux goahttp.Muxer,
+	decoder func(*http.Request) goahttp.Decoder,
+	encoder func(context.Context, http.ResponseWriter) goahttp.Encoder,
+	errhandler func(context.Context, http.ResponseWriter, error),
+	formatter func(ctx context.Context, err error) goahttp.Statuser,
+) http.Handler {
+	var (
+		decodeRequest  = DecodeReplaceMemberRequest(mux, decoder)
+		encodeResponse = EncodeReplaceMemberResponse(encoder)
+		encodeError    = EncodeReplaceMemberError(encoder, formatter)
+	)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
+		ctx = context.WithValue(ctx, goa.MethodKey, "replace_member")
+		ctx = context.WithValue(ctx, goa.ServiceKey, "administration")
+		payload, err := decodeRequest(r)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		res, err := endpoint(ctx, payload)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		if err := encodeResponse(ctx, w, res); err != nil {
+			if errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+		}
+	})
+}
+
 // MountQuarantineHandler configures the mux to serve the "administration"
 // service "quarantine" endpoint.
 func MountQuarantineHandler(mux goahttp.Muxer, h http.Handler) {
--- a/api/admin/gen/http/administration/server/types.go
+++ b/api/admin/gen/http/administration/server/types.go
@@ -70,6 +70,15 @@
 	Undo *bool `form:"undo,omitempty" json:"undo,omitempty" xml:"undo,omitempty"`
 }
 
+// ReplaceMemberRequestBody is the type of the "administration" service
+// "replace_member" endpoint HTTP request body.
+type ReplaceMemberRequestBody struct {
+	// Who makes the change; the audit log also has the name in the certificate
+	Author *string `form:"author,omitempty" json:"author,omitempty" xml:"author,omitempty"`
+	// Why; required
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+}
+
 // LiftRequestBody is the type of the "administration" service "lift" endpoint
 // HTTP request body.
 type LiftRequestBody struct {
@@ -189,6 +198,13 @@
 	Running int `form:"running" json:"running" xml:"running"`
 }
 
+// ReplaceMemberResponseBody is the type of the "administration" service
+// "replace_member" endpoint HTTP response body.
+type ReplaceMemberResponseBody struct {
+	// Log groups that the instance was taken out of
+	Groups int `form:"groups" json:"groups" xml:"groups"`
+}
+
 // QuarantineResponseBody is the type of the "administration" service
 // "quarantine" endpoint HTTP response body.
 type QuarantineResponseBody []*SuspectResponse
@@ -1724,6 +1740,120 @@
 	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
 }
 
+// ReplaceMemberBadRequestResponseBody is the type of the "administration"
+// service "replace_member" endpoint HTTP response body for the "bad_request"
+// error.
+type ReplaceMemberBadRequestResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// ReplaceMemberUnauthorizedResponseBody is the type of the "administration"
+// service "replace_member" endpoint HTTP response body for the "unauthorized"
+// error.
+type ReplaceMemberUnauthorizedResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// ReplaceMemberForbiddenResponseBody is the type of the "administration"
+// service "replace_member" endpoint HTTP response body for the "forbidden"
+// error.
+type ReplaceMemberForbiddenResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// ReplaceMemberNotFoundResponseBody is the type of the "administration"
+// service "replace_member" endpoint HTTP response body for the "not_found"
+// error.
+type ReplaceMemberNotFoundResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// ReplaceMemberConflictResponseBody is the type of the "administration"
+// service "replace_member" endpoint HTTP response body for the "conflict"
+// error.
+type ReplaceMemberConflictResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// ReplaceMemberGoneResponseBody is the type of the "administration" service
+// "replace_member" endpoint HTTP response body for the "gone" error.
+type ReplaceMemberGoneResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// ReplaceMemberTooLargeResponseBody is the type of the "administration"
+// service "replace_member" endpoint HTTP response body for the "too_large"
+// error.
+type ReplaceMemberTooLargeResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// ReplaceMemberUnprocessableResponseBody is the type of the "administration"
+// service "replace_member" endpoint HTTP response body for the "unprocessable"
+// error.
+type ReplaceMemberUnprocessableResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// ReplaceMemberTooManyResponseBody is the type of the "administration" service
+// "replace_member" endpoint HTTP response body for the "too_many" error.
+type ReplaceMemberTooManyResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// ReplaceMemberInternalResponseBody is the type of the "administration"
+// service "replace_member" endpoint HTTP response body for the "internal"
+// error.
+type ReplaceMemberInternalResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// ReplaceMemberBadGatewayResponseBody is the type of the "administration"
+// service "replace_member" endpoint HTTP response body for the "bad_gateway"
+// error.
+type ReplaceMemberBadGatewayResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// ReplaceMemberUnavailableResponseBody is the type of the "administration"
+// service "replace_member" endpoint HTTP response body for the "unavailable"
+// error.
+type ReplaceMemberUnavailableResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
+// ReplaceMemberTimeoutResponseBody is the type of the "administration" service
+// "replace_member" endpoint HTTP response body for the "timeout" error.
+type ReplaceMemberTimeoutResponseBody struct {
+	// Group of the result code
+	Status  string               `form:"status" json:"status" xml:"status"`
+	Problem *ProblemResponseBody `form:"error" json:"error" xml:"error"`
+}
+
 // QuarantineBadRequestResponseBody is the type of the "administration" service
 // "quarantine" endpoint HTTP response body for the "bad_request" error.
 type QuarantineBadRequestResponseBody struct {
@@ -2162,6 +2292,8 @@
 	Leader  string `form:"leader" json:"leader" xml:"leader"`
 	Commit  uint64 `form:"commit" json:"commit" xml:"commit"`
 	Applied uint64 `form:"applied" json:"applied" xml:"applied"`
+	// Members with a vote
+	Voters int `form:"voters" json:"voters" xml:"voters"`
 }
 
 // InstanceResponseBody is used to define fields on response body types.
@@ -2573,6 +2705,15 @@
 	return body
 }
 
+// NewReplaceMemberResponseBody builds the HTTP response body from the result
+// of the "replace_member" endpoint of the "administration" service.
+func NewReplaceMemberResponseBody(res *administration.ReplaceMemberResult) *ReplaceMemberResponseBody {
+	body := &ReplaceMemberResponseBody{
+		Groups: res.Groups,
+	}
+	return body
+}
+
 // NewQuarantineResponseBody builds the HTTP response body from the result of
 // the "quarantine" endpoint of the "administration" service.
 func NewQuarantineResponseBody(res []*administration.Suspect) QuarantineResponseBody {
@@ -4828,6 +4969,162 @@
 	return body
 }
 
+// NewReplaceMemberBadRequestResponseBody builds the HTTP response body from
+// the result of the "replace_member" endpoint of the "administration" service.
+func NewReplaceMemberBadRequestResponseBody(res *administration.Failure) *ReplaceMemberBadRequestResponseBody {
+	body := &ReplaceMemberBadRequestResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewReplaceMemberUnauthorizedResponseBody builds the HTTP response body from
+// the result of the "replace_member" endpoint of the "administration" service.
+func NewReplaceMemberUnauthorizedResponseBody(res *administration.Failure) *ReplaceMemberUnauthorizedResponseBody {
+	body := &ReplaceMemberUnauthorizedResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewReplaceMemberForbiddenResponseBody builds the HTTP response body from the
+// result of the "replace_member" endpoint of the "administration" service.
+func NewReplaceMemberForbiddenResponseBody(res *administration.Failure) *ReplaceMemberForbiddenResponseBody {
+	body := &ReplaceMemberForbiddenResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewReplaceMemberNotFoundResponseBody builds the HTTP response body from the
+// result of the "replace_member" endpoint of the "administration" service.
+func NewReplaceMemberNotFoundResponseBody(res *administration.Failure) *ReplaceMemberNotFoundResponseBody {
+	body := &ReplaceMemberNotFoundResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewReplaceMemberConflictResponseBody builds the HTTP response body from the
+// result of the "replace_member" endpoint of the "administration" service.
+func NewReplaceMemberConflictResponseBody(res *administration.Failure) *ReplaceMemberConflictResponseBody {
+	body := &ReplaceMemberConflictResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewReplaceMemberGoneResponseBody builds the HTTP response body from the
+// result of the "replace_member" endpoint of the "administration" service.
+func NewReplaceMemberGoneResponseBody(res *administration.Failure) *ReplaceMemberGoneResponseBody {
+	body := &ReplaceMemberGoneResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewReplaceMemberTooLargeResponseBody builds the HTTP response body from the
+// result of the "replace_member" endpoint of the "administration" service.
+func NewReplaceMemberTooLargeResponseBody(res *administration.Failure) *ReplaceMemberTooLargeResponseBody {
+	body := &ReplaceMemberTooLargeResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewReplaceMemberUnprocessableResponseBody builds the HTTP response body from
+// the result of the "replace_member" endpoint of the "administration" service.
+func NewReplaceMemberUnprocessableResponseBody(res *administration.Failure) *ReplaceMemberUnprocessableResponseBody {
+	body := &ReplaceMemberUnprocessableResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewReplaceMemberTooManyResponseBody builds the HTTP response body from the
+// result of the "replace_member" endpoint of the "administration" service.
+func NewReplaceMemberTooManyResponseBody(res *administration.Failure) *ReplaceMemberTooManyResponseBody {
+	body := &ReplaceMemberTooManyResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewReplaceMemberInternalResponseBody builds the HTTP response body from the
+// result of the "replace_member" endpoint of the "administration" service.
+func NewReplaceMemberInternalResponseBody(res *administration.Failure) *ReplaceMemberInternalResponseBody {
+	body := &ReplaceMemberInternalResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewReplaceMemberBadGatewayResponseBody builds the HTTP response body from
+// the result of the "replace_member" endpoint of the "administration" service.
+func NewReplaceMemberBadGatewayResponseBody(res *administration.Failure) *ReplaceMemberBadGatewayResponseBody {
+	body := &ReplaceMemberBadGatewayResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewReplaceMemberUnavailableResponseBody builds the HTTP response body from
+// the result of the "replace_member" endpoint of the "administration" service.
+func NewReplaceMemberUnavailableResponseBody(res *administration.Failure) *ReplaceMemberUnavailableResponseBody {
+	body := &ReplaceMemberUnavailableResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
+// NewReplaceMemberTimeoutResponseBody builds the HTTP response body from the
+// result of the "replace_member" endpoint of the "administration" service.
+func NewReplaceMemberTimeoutResponseBody(res *administration.Failure) *ReplaceMemberTimeoutResponseBody {
+	body := &ReplaceMemberTimeoutResponseBody{
+		Status: res.Status,
+	}
+	if res.Problem != nil {
+		body.Problem = marshalAdministrationProblemToProblemResponseBody(res.Problem)
+	}
+	return body
+}
+
 // NewQuarantineBadRequestResponseBody builds the HTTP response body from the
 // result of the "quarantine" endpoint of the "administration" service.
 func NewQuarantineBadRequestResponseBody(res *administration.Failure) *QuarantineBadRequestResponseBody {
@@ -5581,6 +5878,18 @@
 	return v
 }
 
+// NewReplaceMemberPayload builds a administration service replace_member
+// endpoint payload.
+func NewReplaceMemberPayload(body *ReplaceMemberRequestBody, instance string) *administration.ReplaceMemberPayload {
+	v := &administration.ReplaceMemberPayload{
+		Author: *body.Author,
+		Reason: *body.Reason,
+	}
+	v.Instance = instance
+
+	return v
+}
+
 // NewLiftPayload builds a administration service lift endpoint payload.
 func NewLiftPayload(body *LiftRequestBody, fingerprint string) *administration.LiftPayload {
 	v := &administration.LiftPayload{
@@ -5828,6 +6137,38 @@
 	return
 }
 
+// ValidateReplaceMemberRequestBody runs the validations defined on
+// replace_member_request_body
+func ValidateReplaceMemberRequestBody(body *ReplaceMemberRequestBody) (err error) {
+	if body.Author == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("author", "body"))
+	}
+	if body.Reason == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("reason", "body"))
+	}
+	if body.Author != nil {
+		if utf8.RuneCountInString(*body.Author) < 1 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.author", *body.Author, utf8.RuneCountInString(*body.Author), 1, true))
+		}
+	}
+	if body.Author != nil {
+		if utf8.RuneCountInString(*body.Author) > 1024 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.author", *body.Author, utf8.RuneCountInString(*body.Author), 1024, false))
+		}
+	}
+	if body.Reason != nil {
+		if utf8.RuneCountInString(*body.Reason) < 1 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.reason", *body.Reason, utf8.RuneCountInString(*body.Reason), 1, true))
+		}
+	}
+	if body.Reason != nil {
+		if utf8.RuneCountInString(*body.Reason) > 1024 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("body.reason", *body.Reason, utf8.RuneCountInString(*body.Reason), 1024, false))
+		}
+	}
+	return
+}
+
 // ValidateLiftRequestBody runs the validations defined on LiftRequestBody
 func ValidateLiftRequestBody(body *LiftRequestBody) (err error) {
 	if body.Author == nil {
--- a/api/admin/gen/http/cli/heatherway_admin/cli.go
+++ b/api/admin/gen/http/cli/heatherway_admin/cli.go
@@ -23,7 +23,7 @@
 //	command (subcommand1|subcommand2|...)
 func UsageCommands() []string {
 	return []string{
-		"administration (status|configuration|keys|history|change|exceptions|put-exception|remove-exception|organisations|put-organisation|remove-organisation|add-key|remove-key|drain|quarantine|lift|orders|issue-order)",
+		"administration (status|configuration|keys|history|change|exceptions|put-exception|remove-exception|organisations|put-organisation|remove-organisation|add-key|remove-key|drain|replace-member|quarantine|lift|orders|issue-order)",
 	}
 }
 
@@ -103,6 +103,10 @@
 		administrationDrainBodyFlag     = administrationDrainFlags.String("body", "REQUIRED", "")
 		administrationDrainInstanceFlag = administrationDrainFlags.String("instance", "REQUIRED", "")
 
+		administrationReplaceMemberFlags        = flag.NewFlagSet("replace-member", flag.ExitOnError)
+		administrationReplaceMemberBodyFlag     = administrationReplaceMemberFlags.String("body", "REQUIRED", "")
+		administrationReplaceMemberInstanceFlag = administrationReplaceMemberFlags.String("instance", "REQUIRED", "")
+
 		administrationQuarantineFlags = flag.NewFlagSet("quarantine", flag.ExitOnError)
 
 		administrationLiftFlags           = flag.NewFlagSet("lift", flag.ExitOnError)
@@ -129,6 +133,7 @@
 	administrationAddKeyFlags.Usage = administrationAddKeyUsage
 	administrationRemoveKeyFlags.Usage = administrationRemoveKeyUsage
 	administrationDrainFlags.Usage = administrationDrainUsage
+	administrationReplaceMemberFlags.Usage = administrationReplaceMemberUsage
 	administrationQuarantineFlags.Usage = administrationQuarantineUsage
 	administrationLiftFlags.Usage = administrationLiftUsage
 	administrationOrdersFlags.Usage = administrationOrdersUsage
@@ -210,6 +215,9 @@
 			case "drain":
 				epf = administrationDrainFlags
 
+			case "replace-member":
+				epf = administrationReplaceMemberFlags
+
 			case "quarantine":
 				epf = administrationQuarantineFlags
 
@@ -284,6 +292,9 @@
 			case "drain":
 				endpoint = c.Drain()
 				data, err = administrationc.BuildDrainPayload(*administrationDrainBodyFlag, *administrationDrainInstanceFlag)
+			case "replace-member":
+				endpoint = c.ReplaceMember()
+				data, err = administrationc.BuildReplaceMemberPayload(*administrationReplaceMemberBodyFlag, *administrationReplaceMemberInstanceFlag)
 			case "quarantine":
 				endpoint = c.Quarantine()
 			case "lift":
@@ -324,6 +335,7 @@
 	fmt.Fprintln(os.Stderr, `    add-key: AddKey implements add_key.`)
 	fmt.Fprintln(os.Stderr, `    remove-key: RemoveKey implements remove_key.`)
 	fmt.Fprintln(os.Stderr, `    drain: Drain implements drain.`)
+	fmt.Fprintln(os.Stderr, `    replace-member: Takes a control instance out of the log groups. One that is still in the settings comes back as a learner and gets its vote when it has caught up.`)
 	fmt.Fprintln(os.Stderr, `    quarantine: Quarantine implements quarantine.`)
 	fmt.Fprintln(os.Stderr, `    lift: Lift implements lift.`)
 	fmt.Fprintln(os.Stderr, `    orders: Orders implements orders.`)
@@ -616,6 +628,26 @@
 	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "administration drain --body '{\n      \"author\": \"y5\",\n      \"reason\": \"ih\",\n      \"undo\": true\n   }' --instance \"hs7\"")
 }
 
+func administrationReplaceMemberUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] administration replace-member", os.Args[0])
+	fmt.Fprint(os.Stderr, " -body JSON")
+	fmt.Fprint(os.Stderr, " -instance STRING")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Takes a control instance out of the log groups. One that is still in the settings comes back as a learner and gets its vote when it has caught up.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -body JSON: `)
+	fmt.Fprintln(os.Stderr, `    -instance STRING: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "administration replace-member --body '{\n      \"author\": \"d2c\",\n      \"reason\": \"o75\"\n   }' --instance \"5e4\"")
+}
+
 func administrationQuarantineUsage() {
 	// Header with flags
 	fmt.Fprintf(os.Stderr, "%s [flags] administration quarantine", os.Args[0])
@@ -649,7 +681,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "administration lift --body '{\n      \"author\": \"jvb\",\n      \"reason\": \"1\"\n   }' --fingerprint \"p\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "administration lift --body '{\n      \"author\": \"q\",\n      \"reason\": \"9j\"\n   }' --fingerprint \"13e\"")
 }
 
 func administrationOrdersUsage() {
@@ -683,5 +715,5 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "administration issue-order --body '{\n      \"adapter\": \"Nulla sunt amet at rerum cum.\",\n      \"author\": \"2q\",\n      \"id\": \"e\",\n      \"kind\": \"load_adapter\",\n      \"model\": \"Et saepe id doloremque.\",\n      \"reason\": \"g0w\",\n      \"replaces\": \"Qui maxime quia qui ducimus.\",\n      \"role\": \"Dolore quo.\",\n      \"upstream\": \"4eb\",\n      \"version\": \"Eligendi blanditiis eos qui veritatis.\"\n   }'")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "administration issue-order --body '{\n      \"adapter\": \"Dolores ut dolorem et repellendus ab velit.\",\n      \"author\": \"er\",\n      \"id\": \"9\",\n      \"kind\": \"load_model\",\n      \"model\": \"Aliquam ut commodi.\",\n      \"reason\": \"jcb\",\n      \"replaces\": \"Asperiores voluptatem consequuntur.\",\n      \"role\": \"Omnis maiores sunt dolorem dignissimos exercitationem dignissimos.\",\n      \"upstream\": \"x2\",\n      \"version\": \"Modi doloremque aut aperiam vel mollitia ipsa.\"\n   }'")
 }
--- a/cmd/heatherwayctl/status.go
+++ b/cmd/heatherwayctl/status.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"net/http"
 
+	"github.com/go-faster/errors"
 	"github.com/peterbourgon/ff/v3/ffcli"
 )
 
@@ -26,6 +29,7 @@
 			Leader  string `json:"leader"`
 			Commit  uint64 `json:"commit"`
 			Applied uint64 `json:"applied"`
+			Voters  int    `json:"voters"`
 		} `json:"groups"`
 	} `json:"members"`
 	Instances []struct {
@@ -92,8 +96,38 @@
 }
 
 func memberCommand(s streams) *ffcli.Command {
-	return group("member", "Show the control members.",
-		leaf{path: "member list", help: "List the control members with their log groups.", exec: listMembers}.command(s))
+	return group("member", "List and replace control members.",
+		leaf{path: "member list", help: "List the control members with their log groups.", exec: listMembers}.command(s),
+		replaceCommand(s))
+}
+
+func replaceCommand(s streams) *ffcli.Command {
+	var p person
+	return leaf{
+		path: "member replace", args: "MEMBER", help: "Take a control member out of the log groups.", flags: p.register,
+		long: "A member that is still in the settings of the others comes back as a learner and gets its vote when it has caught up.",
+		exec: func(ctx context.Context, a *api, args []string) error {
+			if err := p.check(); err != nil {
+				return err
+			}
+			raw, err := a.do(ctx, request{
+				method: http.MethodPost, path: []string{"members", args[0], "replace"},
+				body: map[string]any{"author": p.author, "reason": p.reason},
+			})
+			if err != nil {
+				return err
+			}
+			var r struct {
+				Groups int `json:"groups"`
+			}
+			if err := json.Unmarshal(raw, &r); err != nil {
+				return errors.Wrap(err, "decode the answer")
+			}
+			t := newTable("MEMBER", "GROUPS LEFT")
+			t.add(args[0], r.Groups)
+			return a.print(raw, t)
+		},
+	}.command(s)
 }
 
 func listMembers(ctx context.Context, a *api, _ []string) error {
@@ -101,13 +135,13 @@
 	if err != nil {
 		return err
 	}
-	t := newTable("MEMBER", "ADDRESS", "GROUP", "ROLE", "TERM", "LEADER", "COMMIT", "APPLIED", "ERROR")
+	t := newTable("MEMBER", "ADDRESS", "GROUP", "ROLE", "TERM", "LEADER", "COMMIT", "APPLIED", "VOTERS", "ERROR")
 	for _, m := range st.Members {
 		if len(m.Groups) == 0 {
-			t.add(m.Instance, m.Address, "-", "-", "-", "-", "-", "-", m.Error)
+			t.add(m.Instance, m.Address, "-", "-", "-", "-", "-", "-", "-", m.Error)
 		}
 		for _, g := range m.Groups {
-			t.add(m.Instance, m.Address, g.Group, g.Role, g.Term, g.Leader, g.Commit, g.Applied, m.Error)
+			t.add(m.Instance, m.Address, g.Group, g.Role, g.Term, g.Leader, g.Commit, g.Applied, g.Voters, m.Error)
 		}
 	}
 	return a.print(raw, t)
--- a/core/wire/admin.go
+++ b/core/wire/admin.go
@@ -51,6 +51,8 @@
 	Leader  string
 	Commit  uint64
 	Applied uint64
+	// Voters is the number of members with a vote.
+	Voters int
 }
 
 // ProcessStatus says which configuration a process reported last.
@@ -140,6 +142,16 @@
 	AtMS    int64
 }
 
+// ReplaceMemberArgs takes a control instance out of the log groups. An instance
+// that the settings of the others name comes back as a learner.
+type ReplaceMemberArgs struct {
+	Operator
+	Instance string
+}
+
+// ReplaceMemberReply counts the groups that the instance was taken out of.
+type ReplaceMemberReply struct{ Groups int }
+
 // IssueOrderArgs issues an order for an operator. The fencing token is set by
 // control.
 type IssueOrderArgs struct {
--- a/modules/admin/convert.go
+++ b/modules/admin/convert.go
@@ -53,7 +53,7 @@
 	out := &administration.Member{Instance: m.Instance, Address: m.Addr, Error: m.Error}
 	for _, g := range m.Groups {
 		out.Groups = append(out.Groups, &administration.Group{
-			Group: g.Group, Role: g.Role, Term: g.Term, Leader: g.Leader, Commit: g.Commit, Applied: g.Applied,
+			Group: g.Group, Role: g.Role, Term: g.Term, Leader: g.Leader, Commit: g.Commit, Applied: g.Applied, Voters: g.Voters,
 		})
 	}
 	return out
--- a/modules/admin/handler.go
+++ b/modules/admin/handler.go
@@ -136,7 +136,7 @@
 }
 
 // auditedByControl names the calls for which control writes an audit line.
-var auditedByControl = map[string]bool{"Change": true, "Drain": true, "Lift": true, "IssueOrder": true}
+var auditedByControl = map[string]bool{"Change": true, "Drain": true, "Lift": true, "IssueOrder": true, "ReplaceMember": true}
 
 func callOne[R any](ctx context.Context, c *peer.Client, method string, args any) (R, error) {
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
--- a/modules/admin/service.go
+++ b/modules/admin/service.go
@@ -42,6 +42,16 @@
 	return &administration.DrainResult{Running: r.Running}, nil
 }
 
+// ReplaceMember implements administration.Service.
+func (s *service) ReplaceMember(ctx context.Context, p *administration.ReplaceMemberPayload) (*administration.ReplaceMemberResult, error) {
+	args := wire.ReplaceMemberArgs{Operator: operator(ctx, p.Author, p.Reason), Instance: p.Instance}
+	r, err := call[wire.ReplaceMemberReply](ctx, s.m, "ReplaceMember", args)
+	if err != nil {
+		return nil, err
+	}
+	return &administration.ReplaceMemberResult{Groups: r.Groups}, nil
+}
+
 // Quarantine implements administration.Service.
 func (s *service) Quarantine(ctx context.Context) ([]*administration.Suspect, error) {
 	r, err := call[wire.SuspectsReply](ctx, s.m, "Suspects", wire.SuspectsArgs{})
--- a/modules/control/admin_test.go
+++ b/modules/control/admin_test.go
@@ -138,5 +138,6 @@
 	entry := &service{c: c, role: roleEntry}
 	assert.ErrorContains(t, entry.Change(wire.ChangeArgs{}, &wire.ChangeReply{}), "4030")
 	assert.ErrorContains(t, entry.Lift(wire.LiftArgs{}, &wire.LiftReply{}), "4030")
+	assert.ErrorContains(t, entry.RemoveMember(RemoveMemberArgs{}, &RemoveMemberReply{}), "4030")
 	assert.ErrorContains(t, entry.LocalStatus(wire.StatusArgs{}, &wire.LocalStatusReply{}), "4030")
 }
--- /dev/null
+++ b/modules/control/replace.go
@@ -0,0 +1,132 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"heatherway.dev/core/raft"
+	"heatherway.dev/core/wire"
+	"heatherway.dev/heatherway/modules/control/replica"
+	"heatherway.dev/kernel/peer"
+	"heatherway.dev/kernel/result"
+)
+
+// RemoveMemberArgs asks the leader of a group to take a member out.
+type RemoveMemberArgs struct {
+	Group    uint32
+	Instance string
+}
+
+// RemoveMemberReply tells whether there was something to take out.
+type RemoveMemberReply struct{ Removed bool }
+
+// ReplaceMember takes a control instance out of every log group, one after the
+// other. The call may be repeated.
+func (s *adminService) ReplaceMember(a wire.ReplaceMemberArgs, r *wire.ReplaceMemberReply) error {
+	err := checkOperator(a.Operator)
+	if err == nil && s.c.replica == nil {
+		err = result.New(result.ChangeRefused, "a control instance without a data folder has no other members")
+	}
+	for g := 0; err == nil && g <= s.c.RecordGroups; g++ {
+		var one RemoveMemberReply
+		err = s.control().removeCall(RemoveMemberArgs{uint32(g), a.Instance}, &one)
+		if one.Removed {
+			r.Groups++
+		}
+	}
+	if err == nil && r.Groups == 0 {
+		err = result.New(result.ObjectUnknown, "no control member %q", a.Instance)
+	}
+	s.log("replace member", a.Operator, s.c.fleet.view().Doc.Revision, codeOf(err), "member", a.Instance, "groups", r.Groups)
+	return peer.EncodeError(err)
+}
+
+// RemoveMember takes a removal that another control instance passes on.
+func (s *service) RemoveMember(a RemoveMemberArgs, r *RemoveMemberReply) error {
+	if err := s.allowed(); err != nil {
+		return peer.EncodeError(err)
+	}
+	return peer.EncodeError(s.removeCall(a, r))
+}
+
+func (s *service) removeCall(a RemoveMemberArgs, r *RemoveMemberReply) error {
+	ctx, cancel := s.context()
+	defer cancel()
+	return s.atLeader(ctx, a.Group, "RemoveMember", a, r, func(ctx context.Context) error {
+		var err error
+		r.Removed, err = s.c.removeMember(ctx, replica.Group(a.Group), raft.MemberID(a.Instance))
+		return err
+	})
+}
+
+// removeMember takes a member out of a group that this instance leads. A
+// member that leads hands the group over first, and the call is then tried at
+// the new leader.
+func (c *Control) removeMember(ctx context.Context, group replica.Group, id raft.MemberID) (bool, error) {
+	st, ok := c.groupStatus(group)
+	if !ok {
+		return false, result.New(result.ObjectUnknown, "no group %d", group)
+	}
+	m, member := st.Membership.Find(id)
+	if !member {
+		return false, nil
+	}
+	if err := c.remainingQuorum(ctx, st.Status, id); err != nil {
+		return false, err
+	}
+	if id == st.Self {
+		return false, c.handOver(ctx, st)
+	}
+	err := c.replica.ChangeMember(ctx, group, raft.Change{Kind: raft.Remove, Member: m})
+	return err == nil, err
+}
+
+// handOver offers the group to another voter.
+func (c *Control) handOver(ctx context.Context, st replica.GroupStatus) error {
+	for _, v := range st.Membership.Voters() {
+		if p := st.Peers[v.ID]; v.ID != st.Self && p.Active && p.Match >= st.Commit {
+			_ = c.replica.TransferLeader(ctx, st.Group, v.ID) // the call is tried again
+			break
+		}
+	}
+	return result.New(result.NotLeader, "")
+}
+
+func (c *Control) groupStatus(group replica.Group) (replica.GroupStatus, bool) {
+	for _, g := range c.replica.Status().Groups {
+		if g.Group == group {
+			return g, true
+		}
+	}
+	return replica.GroupStatus{}, false
+}
+
+// presenceTimeout bounds the wait for a voter that may be gone.
+const presenceTimeout = 300 * time.Millisecond
+
+// remainingQuorum refuses a removal after which the voters that answer would
+// not be a majority, since nothing could then be changed any more. Each is
+// called, because the leader notices the loss of a voter only after an election
+// timeout.
+func (c *Control) remainingQuorum(ctx context.Context, st raft.Status, without raft.MemberID) error {
+	voters, answering := 0, 0
+	for _, v := range st.Membership.Voters() {
+		if v.ID == without {
+			continue
+		}
+		voters++
+		if v.ID == st.Self || st.Peers[v.ID].Active && c.present(ctx, v.Addr) {
+			answering++
+		}
+	}
+	if answering <= voters/2 {
+		return result.New(result.ChangeRefused, "only %d of the %d other voters answer; without %q they would have no majority", answering, voters, without)
+	}
+	return nil
+}
+
+func (c *Control) present(ctx context.Context, addr string) bool {
+	ctx, cancel := context.WithTimeout(ctx, presenceTimeout)
+	defer cancel()
+	return c.peers.to(addr).Call(ctx, leaderService+".LocalStatus", wire.StatusArgs{}, &wire.LocalStatusReply{}) == nil
+}
--- /dev/null
+++ b/modules/control/replace_test.go
@@ -0,0 +1,61 @@
+package control
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"heatherway.dev/core/wire"
+	"heatherway.dev/kernel/result"
+)
+
+func (c *cluster) status(t *testing.T) wire.StatusReply {
+	t.Helper()
+	var st wire.StatusReply
+	assert.NilError(t, c.client[0].Call(t.Context(), "Admin.Status", wire.StatusArgs{}, &st))
+	return st
+}
+
+// Guards against a replaced member that does not come back, a leader that
+// cannot be replaced, and a removal that leaves no majority.
+func TestReplaceMember(t *testing.T) {
+	c := startCluster(t)
+	entry := wire.WatchArgs{Instance: "e1", Role: "entry", Zone: "z0", Fresh: true}
+	waitFor(t, func() bool { return until[wire.WatchReply](t, c.client[0], "Watch", entry).Revision > 0 })
+	waitFor(t, func() bool {
+		for _, m := range c.status(t).Members {
+			if m.Error != "" || len(m.Groups) != 3 {
+				return false
+			}
+			for _, g := range m.Groups {
+				if g.Leader == "" || g.Voters != 3 {
+					return false
+				}
+			}
+		}
+		return true
+	})
+	leader := c.status(t).Members[0].Groups[0].Leader
+	by := wire.Operator{Operator: "anna", Reason: "disk"}
+	var r wire.ReplaceMemberReply
+	assert.ErrorContains(t, c.client[0].Call(t.Context(), "Admin.ReplaceMember", wire.ReplaceMemberArgs{Instance: leader}, &r), "4001")
+	assert.NilError(t, c.client[0].Call(t.Context(), "Admin.ReplaceMember", wire.ReplaceMemberArgs{Operator: by, Instance: leader}, &r))
+	assert.Equal(t, r.Groups, 3)
+	waitFor(t, func() bool {
+		for _, m := range c.status(t).Members {
+			for _, g := range m.Groups {
+				if g.Voters != 3 {
+					return false
+				}
+			}
+		}
+		return true
+	})
+	assert.ErrorContains(t, c.client[0].Call(t.Context(), "Admin.ReplaceMember", wire.ReplaceMemberArgs{Operator: by, Instance: "c9"}, &r), "4043")
+	c.stop(2)
+	waitFor(t, func() bool {
+		err := c.client[0].Call(t.Context(), "Admin.ReplaceMember", wire.ReplaceMemberArgs{Operator: by, Instance: "c1"}, &r)
+		assert.Assert(t, err != nil)
+		return result.Is(err, result.ChangeRefused)
+	})
+}
--- a/modules/control/status.go
+++ b/modules/control/status.go
@@ -95,13 +95,13 @@
 
 func (c *Control) groups() []wire.GroupStatus {
 	if c.replica == nil {
-		return []wire.GroupStatus{{Group: fleetGroup, Role: "leader", Term: 1, Leader: c.instance.ID}}
+		return []wire.GroupStatus{{Group: fleetGroup, Role: "leader", Term: 1, Leader: c.instance.ID, Voters: 1}}
 	}
 	var out []wire.GroupStatus
 	for _, g := range c.replica.Status().Groups {
 		out = append(out, wire.GroupStatus{
 			Group: uint32(g.Group), Role: g.Role.String(), Term: g.Term, Leader: string(g.Leader),
-			Commit: g.Commit, Applied: g.Applied,
+			Commit: g.Commit, Applied: g.Applied, Voters: len(g.Membership.Voters()),
 		})
 	}
 	return out
