agent: replace a connection that is silent before the first token

Cause: TestSilentConnectionsToEngines left one generation without a token until its deadline: a request whose engine connection went silent during prefill was never sent again, since only a failed probe counted. Ruled out: TCP keep-alive alone; the peer of the connection still answers it. Change: without a token within 2 s and 0.5 ms a byte of the request, the agent sends it again on a new connection; the limit doubles each time. New proxies in test/e2e make connections go silent. Conclusion: a silent path neither hangs a stream nor fails an upstream.

--- a/internal/measure/path.go
+++ b/internal/measure/path.go
@@ -14,7 +14,7 @@
 
 const (
 	pathStreams = 200
-	pathSeconds = 5 * time.Second
+	pathDuration = 5 * time.Second
 	// pathStep keeps 200 streams at 10,000 tokens a second, well below
 	// saturation.
 	pathStep   = 20 * time.Millisecond
@@ -23,11 +23,11 @@
 
 	// pacedStep makes 20,000 tokens a second of 200 streams.
 	pacedStep    = 10 * time.Millisecond
-	pacedSeconds = 5 * time.Second
+	pacedDuration = 5 * time.Second
 
 	saturationStreams = 400
 	saturationStep    = time.Millisecond
-	saturationSeconds = 6 * time.Second
+	saturationDuration = 6 * time.Second
 
 	addedMedianMS = 1
 	addedP99MS    = 5
@@ -44,8 +44,8 @@
 // path measures what an entry adds to the way from caller to engine.
 func path(ctx context.Context, o Options, r *Result) error {
 	r.set("engines", engines)
-	r.set("latency", fmt.Sprintf("%d streams at once on average, Poisson arrivals, %d tokens, step %v, %v", pathStreams, pathTokens, pathStep, pathSeconds))
-	r.set("saturation", fmt.Sprintf("%d streams, step %v, %v", saturationStreams, saturationStep, saturationSeconds))
+	r.set("latency", fmt.Sprintf("%d streams at once on average, Poisson arrivals, %d tokens, step %v, %v", pathStreams, pathTokens, pathStep, pathDuration))
+	r.set("saturation", fmt.Sprintf("%d streams, step %v, %v", saturationStreams, saturationStep, saturationDuration))
 	for _, phase := range []scenario{firstToken, paced, throughput, memory} {
 		if err := phase(ctx, o, r); err != nil {
 			return err
@@ -102,7 +102,7 @@
 	l := o.generations(urls)
 	l.Direct = direct
 	l.Rate = pathStreams / (pathTokens * pathStep.Seconds())
-	l.Duration, l.Drain = pathSeconds, 5*time.Second
+	l.Duration, l.Drain = pathDuration, 5*time.Second
 	return load.Run(ctx, l, io.Discard)
 }
 
@@ -116,7 +116,7 @@
 	o.phase("saturation")
 	l := o.generations(f.entryURL())
 	l.OutputTokens = load.Range{Min: 2000, Max: 2000}
-	l.Concurrency, l.Duration = saturationStreams, saturationSeconds
+	l.Concurrency, l.Duration = saturationStreams, saturationDuration
 	report, used, err := entryCost(ctx, f, l)
 	if err != nil {
 		return err
@@ -153,7 +153,7 @@
 	o.phase("one token a frame")
 	l := o.generations(f.entryURL())
 	l.OutputTokens = load.Range{Min: 10_000, Max: 10_000}
-	l.Concurrency, l.Duration = pathStreams, pacedSeconds
+	l.Concurrency, l.Duration = pathStreams, pacedDuration
 	report, used, err := entryCost(ctx, f, l)
 	if err != nil {
 		return err
--- a/modules/agent/run.go
+++ b/modules/agent/run.go
@@ -103,8 +103,8 @@
 		return 0, err
 	}
 	r.g.out.start()
-	for {
-		err = r.attempt(ctx, engine, &tokens)
+	for repeated := 0; ; repeated++ {
+		err = r.attempt(ctx, engine, prefillLimit(len(r.g.request.Body)+len(r.g.request.PrefixText), repeated), &tokens)
 		if !errors.Is(err, errSilent) {
 			return tokens, err
 		}
@@ -114,13 +114,13 @@
 }
 
 // attempt is one connection to the engine.
-func (r *run) attempt(ctx context.Context, engine adapter.Generator, tokens *uint64) error {
+func (r *run) attempt(ctx context.Context, engine adapter.Generator, prefill time.Duration, tokens *uint64) error {
 	ctx, stop := context.WithCancelCause(ctx)
 	defer stop(nil)
 	if !r.begin(stop) {
 		return errPreempted
 	}
-	dog := newWatchdog(r.a.upstream.Probe)
+	dog := newWatchdog(r.a.upstream.Probe, prefill)
 	go dog.guard(ctx, stop)
 	err := r.generate(ctx, engine, dog, tokens)
 	if err != nil && ctx.Err() != nil {
--- a/modules/agent/watchdog_test.go
+++ b/modules/agent/watchdog_test.go
@@ -20,21 +20,23 @@
 		probe    func(context.Context) error
 		decoding bool
 		busy     bool
+		prefill  time.Duration
 		want     error
 		after    time.Duration
 	}{
-		{"refused", func(context.Context) error { return failed }, true, false, errStalled, 750 * time.Millisecond},
-		{"refused while it prefills", func(context.Context) error { return failed }, false, false, errStalled, 750 * time.Millisecond},
-		{"no answer", hang, true, false, errStalled, 1250 * time.Millisecond},
-		{"healthy and silent", func(context.Context) error { return nil }, true, false, errSilent, time.Second},
-		{"healthy and prefilling", func(context.Context) error { return nil }, false, false, nil, 0},
-		{"held back by the reader", func(context.Context) error { return failed }, true, true, nil, 0},
+		{"refused", func(context.Context) error { return failed }, true, false, time.Hour, errStalled, 750 * time.Millisecond},
+		{"refused while it prefills", func(context.Context) error { return failed }, false, false, time.Hour, errStalled, 750 * time.Millisecond},
+		{"no answer", hang, true, false, time.Hour, errStalled, 1250 * time.Millisecond},
+		{"healthy and silent", func(context.Context) error { return nil }, true, false, time.Hour, errSilent, time.Second},
+		{"healthy and prefilling", func(context.Context) error { return nil }, false, false, time.Hour, nil, 0},
+		{"healthy and silent before the first token", func(context.Context) error { return nil }, false, false, 2 * time.Second, errSilent, 2 * time.Second},
+		{"held back by the reader", func(context.Context) error { return failed }, true, true, time.Hour, nil, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 				defer cancel()
-				w := newWatchdog(c.probe)
+				w := newWatchdog(c.probe, c.prefill)
 				w.decoding.Store(c.decoding)
 				w.busy.Store(c.busy)
 				start := time.Now()
@@ -53,7 +55,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 		defer cancel()
-		w := newWatchdog(func(context.Context) error { return errors.New("refused") })
+		w := newWatchdog(func(context.Context) error { return errors.New("refused") }, time.Hour)
 		w.decoding.Store(true)
 		go func() {
 			for ctx.Err() == nil {
--- a/test/e2e/control_test.go
+++ b/test/e2e/control_test.go
@@ -158,12 +158,7 @@
 }
 
 func (f *fleet) entryRevision(i int) (uint64, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	c := f.security.NewClient(f.Internals[i])
-	defer c.Close()
-	var r wire.EntryStatusReply
-	err := c.Call(ctx, "Entry.Status", wire.EntryStatusArgs{}, &r)
+	r, err := f.entryStatus(i)
 	return r.Revision, err
 }
 
--- a/test/e2e/harness_test.go
+++ b/test/e2e/harness_test.go
@@ -87,6 +87,9 @@
 	// Step is the time of one decode step of the engines.
 	Step     string
 	security *peer.Security
+
+	agentProxies  []*proxy
+	engineProxies []*proxy
 }
 
 // engine is a stand-in upstream with its agent.
@@ -95,6 +98,10 @@
 	Zone  string
 	Addr  string
 	Agent string
+	// Advertise and URL are where others reach the agent, and the agent its
+	// engine: the same addresses, or those of proxies.
+	Advertise string
+	URL       string
 }
 
 // shape says how large a fleet is.
@@ -102,6 +109,8 @@
 	control, entries, engines int
 	service                   bool
 	step                      string
+	// proxies puts a proxy before each agent and each engine.
+	proxies bool
 }
 
 var templates = template.Must(template.New("").Parse(`
@@ -153,9 +162,10 @@
 roles:
 - agent:
     listen: {{.E.Agent}}
+    advertise: {{.E.Advertise}}
     control: [{{range .F.Control}}"{{.}}",{{end}}]
     upstream:
-      openai: {url: "http://{{.E.Addr}}", models: [letters], slots: 32}
+      openai: {url: "http://{{.E.URL}}", models: [letters], slots: 32}
 {{end}}
 {{define "service"}}
 instance: {id: {{.E.Name}}-service, zone: {{.E.Zone}}, region: local}
@@ -199,14 +209,30 @@
 		f.Internals = append(f.Internals, p.addr(t))
 	}
 	for i := range s.engines {
-		f.Engines = append(f.Engines, engine{fmt.Sprintf("letters-%d", i), fmt.Sprintf("zone-%d", i%zones), p.addr(t), p.addr(t)})
+		e := engine{Name: fmt.Sprintf("letters-%d", i), Zone: fmt.Sprintf("zone-%d", i%zones), Addr: p.addr(t), Agent: p.addr(t)}
+		e.Advertise, e.URL = e.Agent, e.Addr
+		if s.proxies {
+			e.Advertise, e.URL = p.addr(t), p.addr(t)
+		}
+		f.Engines = append(f.Engines, e)
 	}
-	f.Service = engine{"orders-0", "zone-0", p.addr(t), p.addr(t)}
+	f.Service = engine{Name: "orders-0", Zone: "zone-0", Addr: p.addr(t), Agent: p.addr(t)}
 	p.release()
+	f.startProxies(s)
 	f.startAll(s)
 	return f
 }
 
+func (f *fleet) startProxies(s shape) {
+	if !s.proxies {
+		return
+	}
+	for _, e := range f.Engines {
+		f.agentProxies = append(f.agentProxies, newProxy(f.t, e.Advertise, e.Agent))
+		f.engineProxies = append(f.engineProxies, newProxy(f.t, e.URL, e.Addr))
+	}
+}
+
 func (f *fleet) startAll(s shape) {
 	for i := range f.Control {
 		f.start("control", fmt.Sprintf("control-%d", i), map[string]any{"I": i, "Zone": i % zones})
--- a/test/e2e/path_test.go
+++ b/test/e2e/path_test.go
@@ -19,14 +19,19 @@
 // streamLimit bounds one generation in a test on a busy machine.
 const streamLimit = 60 * time.Second
 
-// known tells whether an entry has heard of every upstream.
-func (f *fleet) known(entry, upstreams int) error {
+func (f *fleet) entryStatus(entry int) (r wire.EntryStatusReply, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
 	c := f.security.NewClient(f.Internals[entry])
 	defer c.Close()
-	var r wire.EntryStatusReply
-	if err := c.Call(ctx, "Entry.Status", wire.EntryStatusArgs{}, &r); err != nil {
+	err = c.Call(ctx, "Entry.Status", wire.EntryStatusArgs{}, &r)
+	return r, err
+}
+
+// known tells whether an entry has heard of every upstream.
+func (f *fleet) known(entry, upstreams int) error {
+	r, err := f.entryStatus(entry)
+	if err != nil {
 		return err
 	}
 	up := 0
