control: show the voters of each group in the status

Cause: a test that killed an instance a second after the first start found no quorum for the rest of its run: the third instance was not a voter yet. Ruled out: a fault of the loss itself; the leader stepped down for want of a quorum of two voters. Change: GroupStatus.Voters, so that operators and tests can wait for it. Conclusion: the test has to wait until each group has three voters.

--- a/core/wire/admin.go
+++ b/core/wire/admin.go
@@ -51,6 +51,9 @@
 	Leader  string
 	Commit  uint64
 	Applied uint64
+	// Voters are the members whose votes count. A group tolerates the loss of
+	// an instance only once a majority of the others are voters.
+	Voters []string
 }
 
 // ProcessStatus says which configuration a process reported last.
--- a/modules/control/cluster_test.go
+++ b/modules/control/cluster_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -126,6 +127,7 @@
 		var st wire.StatusReply
 		assert.NilError(t, c.client[2].Call(t.Context(), "Admin.Status", wire.StatusArgs{}, &st))
 		return len(st.Members) == 3 && st.Members[0].Error == "" && len(st.Members[0].Groups) == 3 &&
+			!slices.ContainsFunc(st.Members[0].Groups, func(g wire.GroupStatus) bool { return len(g.Voters) < 3 }) &&
 			len(st.Processes) == 2 && st.Processes[0].Instance == "a1" && len(st.Upstreams) == 1
 	})
 	winner := map[string]wire.ID{}
--- a/modules/control/status.go
+++ b/modules/control/status.go
@@ -95,14 +95,18 @@
 
 func (c *Control) groups() []wire.GroupStatus {
 	if c.replica == nil {
-		return []wire.GroupStatus{{Group: fleetGroup, Role: "leader", Term: 1, Leader: c.instance.ID}}
+		return []wire.GroupStatus{{Group: fleetGroup, Role: "leader", Term: 1, Leader: c.instance.ID, Voters: []string{c.instance.ID}}}
 	}
 	var out []wire.GroupStatus
 	for _, g := range c.replica.Status().Groups {
-		out = append(out, wire.GroupStatus{
+		status := wire.GroupStatus{
 			Group: uint32(g.Group), Role: g.Role.String(), Term: g.Term, Leader: string(g.Leader),
 			Commit: g.Commit, Applied: g.Applied,
-		})
+		}
+		for _, m := range g.Membership.Voters() {
+			status.Voters = append(status.Voters, string(m.ID))
+		}
+		out = append(out, status)
 	}
 	return out
 }
