--- a/core/wire/admin.go
+++ b/core/wire/admin.go
@@ -49,7 +49,9 @@
 	// Role is leader, candidate, follower, or learner for a member without a
 	// vote.
 	Role string
-	// Voters is the number of members with a vote, as this instance knows them.
+	// Voters is the number of members with a vote, as this instance knows them. A
+	// group tolerates the loss of an instance only once a majority of the others
+	// vote.
 	Voters  int
 	Term    uint64
 	Leader  string
