entry: earn the resume budget by the peak of open requests

Cause: BenchmarkResume/reset still showed 10.5 s at p99 in one of two runs: as short answers end, open requests fall and the last of those resumed together waited for the budget's window to pass. Ruled out: a share of more than three, which the same fall uses up.

--- a/modules/entry/owner.go
+++ b/modules/entry/owner.go
@@ -59,6 +59,7 @@
 	limits     *limit.Entry
 	latency    map[string]*retry.Latency
 	inFlight   map[string]int
+	peak       peak
 	number     uint64
 	rng        *rand.Rand
 	// list is the subset as control sent it; membersAt and suspectsAt are the
@@ -352,6 +353,7 @@
 func (c choose) apply(o *owner, now time.Time) { c.reply <- o.decide(now, c) }
 
 func (o *owner) decide(now time.Time, c choose) selection {
+	open := o.peak.see(now, int(o.m.open.Load()))
 	o.resolveAdapter(&c.request)
 	switch c.purpose {
 	case firstAttempt:
@@ -366,13 +368,29 @@
 	case resumeAttempt:
 		// Open requests are counted, not running attempts: when all attempts are
 		// lost at once, their number is 0 just when it matters.
-		if wait, ok := o.budget.Resume(now, int(o.m.open.Load())); !ok {
+		if wait, ok := o.budget.Resume(now, open); !ok {
 			return selection{wait: wait}
 		}
 	}
 	return o.pick(now, &c.request)
 }
 
+// peak is the highest of the values seen within the last one to two windows.
+// The current number of open requests would take the budget away from the last
+// of many short answers that were resumed together.
+type peak struct {
+	since        time.Time
+	high, before int
+}
+
+func (p *peak) see(now time.Time, n int) int {
+	if now.Sub(p.since) >= retry.DefaultWindow {
+		p.before, p.high, p.since = p.high, 0, now
+	}
+	p.high = max(p.high, n)
+	return max(p.high, p.before)
+}
+
 // mayChoose keeps a retry that has nowhere to go from using up the budget.
 func (o *owner) mayChoose(now time.Time, r *pick.Request) bool {
 	_, err := o.chooser.Choose(o.rng, r, o.table.Candidates(now, r))
