raft: shorten the tail of elections

Cause: a new leader took up to 1207 ms (p50 663 ms) after a kill. Two waits added an election timeout: a pre-vote ignored by a member that had heard the dead leader a tick later, and a vote sent into a connection that was idle since its other end restarted, which fails at the first call. Ruled out: a shorter election timeout, which a slow sync would exceed. Change: an undecided pre-vote is asked again after 100 to 200 ms; a batch that fails is sent once more on a new connection.

--- a/core/raft/node.go
+++ b/core/raft/node.go
@@ -183,6 +183,16 @@
 	if n.elapsed >= n.timeout {
 		n.resetTimer()
 		n.campaign(PreCandidate, false)
+		n.retryPreVote()
+	}
+}
+
+// retryPreVote shortens the timer of an undecided pre-vote. Another member may
+// have heard the dead leader a little later and ignored the request; asking
+// again soon costs no term, and a whole election timeout more would be lost.
+func (n *Node) retryPreVote() {
+	if n.role == PreCandidate {
+		n.timeout = n.cfg.HeartbeatTicks + n.cfg.Rand.IntN(n.cfg.HeartbeatTicks+1)
 	}
 }
 
--- a/modules/control/replica/link.go
+++ b/modules/control/replica/link.go
@@ -134,13 +134,24 @@
 		case <-ctx.Done():
 			return
 		case e := <-l.queue:
-			if l.call(ctx, l.collect(e)) != nil && sleep(ctx, redialDelay) != nil {
+			if !l.deliver(ctx, l.collect(e)) && sleep(ctx, redialDelay) != nil {
 				return
 			}
 		}
 	}
 }
 
+// deliver sends a batch, and once more on a new connection if that fails. A
+// connection that was idle since its other end restarted fails at the first
+// call, and a lost vote would cost an election.
+func (l *link) deliver(ctx context.Context, batch []Envelope) bool {
+	if l.call(ctx, batch) == nil || l.call(ctx, batch) == nil {
+		return true
+	}
+	l.replica.metrics.dropped.Add(int64(len(batch)))
+	return false
+}
+
 // collect takes what is queued into one call.
 func (l *link) collect(first Envelope) []Envelope {
 	batch, size := []Envelope{first}, messageBytes(first.Message)
@@ -170,7 +181,6 @@
 	args := &StepArgs{From: l.replica.options.Self, Messages: batch}
 	err := l.client.Call(ctx, ServiceName+".Step", args, &StepReply{})
 	if err != nil {
-		l.replica.metrics.dropped.Add(int64(len(batch)))
 		l.client.Close()
 	}
 	return err
