control: resend a batch in a loop

Cause: staticcheck reads two equal calls joined by || as a mistake (SA4000). Ruled out: silencing the check. Change: a loop over callAttempts; behaviour is the same.

--- a/modules/control/replica/link.go
+++ b/modules/control/replica/link.go
@@ -100,6 +100,8 @@
 	// stepLimit is when a call counts as lost. It is below the shortest
 	// election timeout, so that one silent connection costs no election.
 	stepLimit = 300 * time.Millisecond
+	// callAttempts is how often a batch is sent before it is dropped.
+	callAttempts = 2
 	// redialDelay is the pause after a failed call.
 	redialDelay = 50 * time.Millisecond
 	// identityInterval is the time between questions for a peer's identity.
@@ -141,12 +143,14 @@
 	}
 }
 
-// deliver sends a batch, and once more on a new connection if that fails. A
+// deliver sends a batch, and again on a new connection if that fails. A
 // connection that was idle since its other end restarted fails at the first
 // call, and a lost vote would cost an election.
 func (l *link) deliver(ctx context.Context, batch []Envelope) bool {
-	if l.call(ctx, batch) == nil || l.call(ctx, batch) == nil {
-		return true
+	for range callAttempts {
+		if l.call(ctx, batch) == nil {
+			return true
+		}
 	}
 	l.replica.metrics.dropped.Add(int64(len(batch)))
 	return false
