--- a/internal/load/options.go
+++ b/internal/load/options.go
@@ -46,6 +46,9 @@
 	// ServiceShare of the requests are calls of the plain service Service.
 	ServiceShare float64
 	Service      string
+	// OnTime is the time to the first token within which a request counts as on
+	// time in the report; zero counts none.
+	OnTime time.Duration
 	// Gaps, if set, gets the times between the events of each generation at its
 	// end. Several calls may come at once.
 	Gaps func([]time.Duration)
--- a/internal/load/outcome.go
+++ b/internal/load/outcome.go
@@ -25,6 +25,8 @@
 	// first is the time from the planned arrival to the first token, or to the
 	// whole answer of a plain call.
 	first time.Duration
+	// onTime is set when first is within Options.OnTime.
+	onTime bool
 	// gaps are the times between events with tokens.
 	gaps []time.Duration
 }
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -33,7 +33,9 @@
 	Requests int64  `json:"requests"`
 	Finished int64  `json:"finished"`
 	// Cut requests still ran when the run ended.
-	Cut             int64   `json:"cut"`
+	Cut int64 `json:"cut"`
+	// OnTime requests had their first token within Options.OnTime.
+	OnTime          int64   `json:"on_time"`
 	Tokens          int64   `json:"tokens"`
 	TokensPerSecond float64 `json:"tokens_per_second"`
 	// Follows counts connections that went on with a broken stream.
@@ -84,6 +86,9 @@
 	if o.cut {
 		t.row.Cut++
 	}
+	if o.onTime {
+		t.row.OnTime++
+	}
 	if o.refusal != "" {
 		t.row.Refusals[o.refusal]++
 	}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -163,6 +163,7 @@
 	if o.refusal != "" {
 		r.refused.Add(1)
 	}
+	o.onTime = o.first > 0 && o.first <= r.OnTime
 	if r.Gaps != nil && o.kind == Generation {
 		r.Gaps(o.gaps)
 	}
--- /dev/null
+++ b/internal/measure/fairness.go
@@ -0,0 +1,120 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"heatherway.dev/heatherway/internal/load"
+)
+
+func init() { scenarios["fairness"] = fairness }
+
+const (
+	smallOrganisations = 8
+	// smallDemand is what each small organisation asks for, in shares.
+	smallDemand = 0.8
+	// largeDemand is what the large one asks for, in shares.
+	largeDemand     = 10
+	fairnessSeconds = 10 * time.Second
+
+	fairRatio = 1.1
+	fairJain  = 0.95
+)
+
+// fairness measures eight small organisations beside one that asks for ten
+// times its share. Without the policy all callers use one organisation's key,
+// so that the queue cannot tell them apart.
+func fairness(ctx context.Context, o Options, r *Result) error {
+	s := shape{Engines: floodEngines, Zones: 1, Slots: floodSlots, Step: floodStep, Organisations: []string{"large"}}
+	for i := range smallOrganisations {
+		s.Organisations = append(s.Organisations, small(i))
+	}
+	r.set("engines", fmt.Sprintf("%d with %d slots, step %v", s.Engines, s.Slots, s.Step))
+	r.set("requests", fmt.Sprintf("%d tokens, standard class; capacity %.0f requests/s, %v", floodTokens, s.capacity(floodTokens), fairnessSeconds))
+	r.set("demand", fmt.Sprintf("%d small organisations %g of a share each, the large one %d shares", smallOrganisations, smallDemand, largeDemand))
+	alone, err := shared(ctx, o, s, false, true)
+	if err != nil {
+		return err
+	}
+	for _, policy := range []bool{true, false} {
+		with, err := shared(ctx, o, s, true, policy)
+		if err != nil {
+			return err
+		}
+		addFairness(r, s, policy, with, alone)
+	}
+	return nil
+}
+
+func small(i int) string { return fmt.Sprintf("small-%d", i) }
+
+func addFairness(r *Result, s shape, policy bool, with, alone *load.Report) {
+	name := "policy on: "
+	if !policy {
+		name = "policy off: "
+	}
+	now, base := slowestSmall(with), slowestSmall(alone)
+	r.against(name+"first token p99 of the slowest small organisation", now, base, "ms")
+	// Without the policy the targets only show what it is good for.
+	r.against(name+"p99 over that without the large one", now/base, 1, "ratio").atMost(fairRatio)
+	r.add(name+"Jain's index of tokens per fair share", jain(s, with), "index").atLeast(fairJain)
+	r.add(name+"useful work over nominal capacity", with.Total.TokensPerSecond/(s.capacity(floodTokens)*floodTokens), "share")
+	r.add(name+"wrong, missing or repeated tokens", float64(with.Total.Sum()), "tokens").atMost(0)
+}
+
+func slowestSmall(r *load.Report) float64 {
+	worst := 0.0
+	for i := range smallOrganisations {
+		worst = max(worst, row(r.Organisations, small(i)).FirstToken.P99)
+	}
+	return worst
+}
+
+// jain returns Jain's index of the tokens of each organisation over its max-min
+// fair share: the demand of the small ones, and the rest for the large one.
+func jain(s shape, r *load.Report) float64 {
+	capacity := s.capacity(floodTokens) * floodTokens
+	one := capacity / (smallOrganisations + 1)
+	fair := map[string]float64{"large": capacity - smallOrganisations*smallDemand*one}
+	for i := range smallOrganisations {
+		fair[small(i)] = smallDemand * one
+	}
+	var sum, squares float64
+	for name, share := range fair {
+		x := row(r.Organisations, name).TokensPerSecond / share
+		sum += x
+		squares += x * x
+	}
+	return sum * sum / (float64(len(fair)) * squares)
+}
+
+// shared runs the organisations on a new fleet.
+func shared(ctx context.Context, o Options, s shape, large, policy bool) (*load.Report, error) {
+	f, err := newFleet(ctx, o, s)
+	if err != nil {
+		return nil, err
+	}
+	defer f.stop()
+	o.phase(fmt.Sprintf("large organisation %v, policy %v", large, policy))
+	l := o.generations(f.entryURL())
+	l.OutputTokens = load.Range{Min: floodTokens, Max: floodTokens}
+	l.Organisations = nil
+	for i := range smallOrganisations {
+		l.Organisations = append(l.Organisations, load.Share[load.Organisation]{Value: organisation(small(i)), Weight: smallDemand})
+	}
+	shares := smallOrganisations * smallDemand
+	if large {
+		l.Organisations = append(l.Organisations, load.Share[load.Organisation]{Value: organisation("large"), Weight: largeDemand})
+		shares += largeDemand
+	}
+	if !policy {
+		for i := range l.Organisations {
+			l.Organisations[i].Value.Key = "demo"
+		}
+	}
+	l.Rate = shares / (smallOrganisations + 1) * s.capacity(floodTokens)
+	l.Duration = fairnessSeconds
+	return load.Run(ctx, l, io.Discard)
+}
--- /dev/null
+++ b/internal/measure/retry.go
@@ -0,0 +1,84 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"heatherway.dev/heatherway/internal/load"
+)
+
+func init() { scenarios["retry"] = retry }
+
+const (
+	retryRate    = 100
+	retrySeconds = 8 * time.Second
+	retryTokens  = 10
+	// retryLossAfter is when the zone is lost.
+	retryLossAfter  = time.Second
+	attemptsOverOne = 1.1
+)
+
+// zoneLoss is a way in which all upstreams of a zone fail.
+type zoneLoss struct {
+	name string
+	take func(*engine)
+}
+
+var zoneLosses = []zoneLoss{
+	{"engines killed, agents refuse", func(e *engine) { e.engine.kill() }},
+	{"agents and engines killed", func(e *engine) { e.agent.kill(); e.engine.kill() }},
+}
+
+// retry loses the zone of the entry, which it prefers, with retries on and off.
+func retry(ctx context.Context, o Options, r *Result) error {
+	r.set("requests", fmt.Sprintf("%d/s of %d tokens for %v; zone-0, one of 3 with 2 engines each and the entry's own, is lost after %v", retryRate, retryTokens, retrySeconds, retryLossAfter))
+	for _, l := range zoneLosses {
+		off, _, err := loseZone(ctx, o, l, "0")
+		if err != nil {
+			return err
+		}
+		on, report, err := loseZone(ctx, o, l, "0.1")
+		if err != nil {
+			return err
+		}
+		r.against(l.name+": attempts over first attempts", on.ratio, off.ratio, "ratio").atMost(attemptsOverOne)
+		r.against(l.name+": requests finished", on.finished, off.finished, "share")
+		r.add(l.name+": wrong, missing or repeated tokens", float64(report.Total.Sum()), "tokens").atMost(0)
+	}
+	return nil
+}
+
+type zoneResult struct{ ratio, finished float64 }
+
+func loseZone(ctx context.Context, o Options, l zoneLoss, budget string) (zoneResult, *load.Report, error) {
+	s := shape{Engines: 6, Zones: 3, Slots: 32, Step: floodStep, Defaults: map[string]string{"retry.share": budget}}
+	if budget == "0" {
+		s.Defaults["retry.attempts"] = "1"
+	}
+	f, err := newFleet(ctx, o, s)
+	if err != nil {
+		return zoneResult{}, nil, err
+	}
+	defer f.stop()
+	o.phase(l.name + ", retry share " + budget)
+	g := o.generations(f.entryURL())
+	g.OutputTokens = load.Range{Min: retryTokens, Max: retryTokens}
+	g.Rate, g.Duration, g.Drain = retryRate, retrySeconds, 2*time.Second
+	timer := time.AfterFunc(retryLossAfter, func() {
+		for _, e := range f.engines {
+			if e.zone == "zone-0" {
+				l.take(e)
+			}
+		}
+	})
+	defer timer.Stop()
+	report, err := load.Run(ctx, g, io.Discard)
+	if err != nil {
+		return zoneResult{}, nil, err
+	}
+	attempts, err := f.entry.metric(ctx, "entry_attempts_total")
+	t := report.Total
+	return zoneResult{attempts / float64(t.Requests), share(t.Finished, t.Requests)}, report, err
+}
