entry: wait for the answer of another attempt with the same key

Cause: TestOrderRunsOnce was flaky: an order repeated at once got 4090, since the agent stores the answer after it has sent it. Ruled out: storing before answering, which adds a log write to every call. Change: on 4090 the entry looks the record up for at most 1 s. Conclusion: a repeat gets the first answer.

--- a/modules/entry/attempt.go
+++ b/modules/entry/attempt.go
@@ -24,6 +24,10 @@
 	checkShare = 0.6
 	// lookupPause separates two looks at a record.
 	lookupPause = 100 * time.Millisecond
+	// inProgressLimit bounds the wait for the answer of another attempt with the
+	// same key. An agent stores an answer after it has sent it, so a call that is
+	// repeated at once may find the record without it.
+	inProgressLimit = time.Second
 )
 
 // run executes a call within its deadline.
@@ -240,12 +244,21 @@
 	for {
 		select {
 		case a := <-answer:
-			if !a.lost {
+			if !a.lost && (a.err == nil || a.err.Code != result.CallInProgress) {
 				return a.reply, a.err
 			}
+			if !a.lost {
+				var cancel context.CancelFunc
+				ctx, cancel = context.WithTimeout(ctx, inProgressLimit)
+				defer cancel()
+				s.claimed, s.refused = true, a.err
+			}
 			answer = nil
 		case <-timer.C:
 		case <-ctx.Done():
+			if s.refused != nil {
+				return nil, s.refused
+			}
 			return nil, k.unknown(ctx)
 		}
 		if reply, err, done := s.look(ctx); done {
@@ -275,6 +288,9 @@
 	// claimed is set once the record shows that an agent has claimed the key,
 	// after which only the record tells the outcome.
 	claimed bool
+	// refused is set when another attempt holds the key; its answer is waited
+	// for, as it may be on its way to the record.
+	refused *result.Error
 }
 
 // look asks the record once. It is done when the outcome is certain.
--- a/test/e2e/order_test.go
+++ b/test/e2e/order_test.go
@@ -122,3 +122,19 @@
 func TestOrdersWhileControlDies(t *testing.T) {
 	ordersDuring(t, orderShape, 120, func(f *fleet) { f.procs["control-1"].kill() })
 }
+
+// Guards against a repeated call that is told "in progress" although the first
+// one has been answered: the record gets the answer after the caller does.
+func TestRepeatAtOnceGetsTheAnswer(t *testing.T) {
+	f := newFleet(t, shape{control: 1, entries: 2, service: true})
+	ctx, cancel := context.WithTimeout(context.Background(), streamLimit)
+	defer cancel()
+	for i := range 50 {
+		key := fmt.Sprintf("order-%d", i)
+		for n := range 2 {
+			code, body, err := order(ctx, f.Entries[n], key, `{"item":"filter"}`)
+			assert.NilError(t, err)
+			assert.Equal(t, code, http.StatusCreated, "send %d of %s: %s", n, key, body)
+		}
+	}
+}
