agent: take no work before the first configuration

Cause: a restarted agent served under built-in defaults until its first watch answered, so a value that had been in force reverted for that time. Ruled out: keeping the last revision on a disk; agents have none. Figures: none; TestTakesNoWorkBeforeFirstConfiguration fails without the rule. Conclusion: a process without a configuration refuses work; entries use others.

--- a/modules/agent/agent_test.go
+++ b/modules/agent/agent_test.go
@@ -133,6 +133,9 @@
 		defer cancel()
 		_ = a.Stop(ctx)
 	})
+	if len(a.Control) > 0 {
+		a.post(configEvent{revision: 1}) // no work is taken before the first configuration
+	}
 	return a
 }
 
--- a/modules/agent/control_test.go
+++ b/modules/agent/control_test.go
@@ -42,7 +42,7 @@
 func newControl(t *testing.T) *fakeControl {
 	sec, err := peer.NewSecurity(peer.TLSSettings{Off: true}, quiet)
 	assert.NilError(t, err)
-	c := &fakeControl{sec: sec, records: map[string]*wire.Record{}}
+	c := &fakeControl{sec: sec, revision: 1, records: map[string]*wire.Record{}}
 	c.Server = httptest.NewServer(&peer.Handler{Security: sec, Services: func(string) map[string]any {
 		return map[string]any{wire.ControlService: &controlCalls{c}}
 	}})
@@ -419,3 +419,13 @@
 	assert.NilError(t, err)
 	return f.Kind
 }
+
+// Guards against an agent that serves under built-in defaults after a restart,
+// which may be older than what was accepted.
+func TestTakesNoWorkBeforeFirstConfiguration(t *testing.T) {
+	a := startAgent(t, engineAdapter(t, newEngine(t).URL, 1), func(a *Agent) { a.Control = []string{"127.0.0.1:1"} })
+	o, now := newOwner(a, time.Now()), time.Now()
+	assert.Assert(t, result.Is(o.takesWork(now, 0, "", ""), result.ConfigurationBehind))
+	configEvent{revision: 1}.apply(o, now)
+	assert.NilError(t, o.takesWork(now, 0, "", ""))
+}
--- a/modules/agent/owner.go
+++ b/modules/agent/owner.go
@@ -204,6 +204,9 @@
 		return result.New(result.Leaving, "the agent is leaving")
 	case !o.up:
 		return result.New(result.UpstreamNotReachable, "the upstream is down")
+	case o.revision == 0 && len(o.a.Control) > 0:
+		// Built-in defaults could be older than what was accepted.
+		return result.New(result.ConfigurationBehind, "the agent has no configuration yet")
 	case !o.behindSince.IsZero() && now.Sub(o.behindSince) > behindLimit:
 		return result.New(result.ConfigurationBehind, "revision %d is known and cannot be fetched", o.seen)
 	}
