--- a/cmd/heatherwayctl/api.go
+++ b/cmd/heatherwayctl/api.go
@@ -171,7 +171,7 @@
 var hints = map[result.Code]string{
 	result.RoleForbidden:      "give --cert and --key of a certificate with the role operator",
 	result.RevisionConflict:   "look at heatherwayctl config history, then run the command again",
-	result.ChangeRefused:      "heatherwayctl config keys lists keys and ranges",
+	result.ChangeRefused:      "heatherwayctl config keys lists what a value may be, and member list who has a vote",
 	result.ObjectUnknown:      "check the name with heatherwayctl status, config show or quarantine list",
 	result.ControlUnavailable: "heatherwayctl status shows the control members; the command may be run again with the same --change-id",
 	result.FenceStale:         "heatherwayctl order list shows what was issued",
--- a/cmd/heatherwayctl/table.go
+++ b/cmd/heatherwayctl/table.go
@@ -23,7 +23,8 @@
 func (t *table) add(cells ...any) {
 	row := make([]string, len(cells))
 	for i, c := range cells {
-		row[i] = fmt.Sprint(c)
+		// An error of several lines must not break the row.
+		row[i] = strings.ReplaceAll(fmt.Sprint(c), "\n", "; ")
 	}
 	t.rows = append(t.rows, row)
 }
--- a/modules/admin/service.go
+++ b/modules/admin/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 
 	"github.com/go-faster/errors"
 
@@ -135,8 +136,11 @@
 
 func refused(r wire.ChangeReply) error {
 	if r.Code == result.RevisionConflict {
-		return result.New(r.Code, "change %q by %q was accepted on the same base; revision %d is in force, so look at it and propose the change on it under a new change id",
-			r.Winner, r.WinnerAuthor, r.Revision)
+		winner := "another change"
+		if r.Winner != "" {
+			winner = fmt.Sprintf("change %q by %q", r.Winner, r.WinnerAuthor)
+		}
+		return result.New(r.Code, "%s was accepted on the same base; propose the change on revision %d, now in force, under a new change id", winner, r.Revision)
 	}
 	return result.New(r.Code, "%s", joined(r.Problems))
 }
--- a/modules/control/replace.go
+++ b/modules/control/replace.go
@@ -107,7 +107,7 @@
 // remainingQuorum refuses a removal after which the voters that answer would
 // not be a majority, since nothing could then be changed any more. Each is
 // called, because the leader notices the loss of a voter only after an election
-// timeout.
+// timeout, and forgets at each check which ones have answered.
 func (c *Control) remainingQuorum(ctx context.Context, st raft.Status, without raft.MemberID) error {
 	voters, answering := 0, 0
 	for _, v := range st.Membership.Voters() {
@@ -115,7 +115,7 @@
 			continue
 		}
 		voters++
-		if v.ID == st.Self || st.Peers[v.ID].Active && c.present(ctx, v.Addr) {
+		if v.ID == st.Self || c.present(ctx, v.Addr) {
 			answering++
 		}
 	}
@@ -128,5 +128,12 @@
 func (c *Control) present(ctx context.Context, addr string) bool {
 	ctx, cancel := context.WithTimeout(ctx, presenceTimeout)
 	defer cancel()
-	return c.peers.to(addr).Call(ctx, leaderService+".LocalStatus", wire.StatusArgs{}, &wire.LocalStatusReply{}) == nil
+	// A connection that is kept may be left over from before a restart.
+	client := c.security.NewClient(addr)
+	defer client.Close()
+	err := client.Call(ctx, leaderService+".LocalStatus", wire.StatusArgs{}, &wire.LocalStatusReply{})
+	if err != nil {
+		c.logger.Warn("a voter does not answer", "address", addr, "error", err)
+	}
+	return err == nil
 }
--- a/modules/control/replace_test.go
+++ b/modules/control/replace_test.go
@@ -16,12 +16,10 @@
 	return st
 }
 
-// Guards against a replaced member that does not come back, a leader that
-// cannot be replaced, and a removal that leaves no majority.
-func TestReplaceMember(t *testing.T) {
-	c := startCluster(t)
-	entry := wire.WatchArgs{Instance: "e1", Role: "entry", Zone: "z0", Fresh: true}
-	waitFor(t, func() bool { return until[wire.WatchReply](t, c.client[0], "Watch", entry).Revision > 0 })
+// awaitVoters waits until all three instances answer and have a vote in each
+// group.
+func (c *cluster) awaitVoters(t *testing.T) {
+	t.Helper()
 	waitFor(t, func() bool {
 		for _, m := range c.status(t).Members {
 			if m.Error != "" || len(m.Groups) != 3 {
@@ -35,23 +33,30 @@
 		}
 		return true
 	})
+}
+
+// Guards against a replaced member that does not come back, a leader that
+// cannot be replaced, and a removal that leaves no majority.
+func TestReplaceMember(t *testing.T) {
+	c := startCluster(t)
+	entry := wire.WatchArgs{Instance: "e1", Role: "entry", Zone: "z0", Fresh: true}
+	waitFor(t, func() bool { return until[wire.WatchReply](t, c.client[0], "Watch", entry).Revision > 0 })
+	c.awaitVoters(t)
 	leader := c.status(t).Members[0].Groups[0].Leader
 	by := wire.Operator{Operator: "anna", Reason: "disk"}
 	var r wire.ReplaceMemberReply
 	assert.ErrorContains(t, c.client[0].Call(t.Context(), "Admin.ReplaceMember", wire.ReplaceMemberArgs{Instance: leader}, &r), "4001")
 	assert.NilError(t, c.client[0].Call(t.Context(), "Admin.ReplaceMember", wire.ReplaceMemberArgs{Operator: by, Instance: leader}, &r))
 	assert.Equal(t, r.Groups, 3)
+	c.awaitVoters(t)
+	assert.ErrorContains(t, c.client[0].Call(t.Context(), "Admin.ReplaceMember", wire.ReplaceMemberArgs{Operator: by, Instance: "c9"}, &r), "4043")
+	c.stop(2)
+	c.start(t, 2)
 	waitFor(t, func() bool {
-		for _, m := range c.status(t).Members {
-			for _, g := range m.Groups {
-				if g.Voters != 3 {
-					return false
-				}
-			}
-		}
-		return true
+		err := c.client[0].Call(t.Context(), "Admin.ReplaceMember", wire.ReplaceMemberArgs{Operator: by, Instance: "c1"}, &r)
+		return err == nil
 	})
-	assert.ErrorContains(t, c.client[0].Call(t.Context(), "Admin.ReplaceMember", wire.ReplaceMemberArgs{Operator: by, Instance: "c9"}, &r), "4043")
+	c.awaitVoters(t)
 	c.stop(2)
 	waitFor(t, func() bool {
 		err := c.client[0].Call(t.Context(), "Admin.ReplaceMember", wire.ReplaceMemberArgs{Operator: by, Instance: "c1"}, &r)
