--- /dev/null
+++ b/core/slo/fuzz_test.go
@@ -0,0 +1,25 @@
+package slo
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a snapshot of an entry that ends the report.
+func FuzzDecode(f *testing.F) {
+	now := time.Unix(1e9, 0)
+	r := NewRecorder(now, func(Key) Objective { return Objective{Target: time.Second, Share: 0.9} })
+	r.Record(now, Sample{Organisation: "a", FirstToken: time.Minute})
+	b, err := r.Snapshot(now).Encode()
+	assert.NilError(f, err)
+	f.Add(b)
+	f.Fuzz(func(_ *testing.T, b []byte) {
+		s, err := Decode(b)
+		if err != nil {
+			return
+		}
+		Evaluate(Merge(s, s), 3)
+	})
+}
--- /dev/null
+++ b/modules/adapter/openai/fuzz_test.go
@@ -0,0 +1,12 @@
+package openai
+
+import "testing"
+
+// Guards against an event of an engine that ends the agent.
+func FuzzParseChunk(f *testing.F) {
+	f.Add([]byte(`{"choices":[{"text":" a","finish_reason":"length"}],"usage":{"prompt_tokens":2,"completion_tokens":1}}`), false)
+	f.Add([]byte(`{"error":{"message":"x"}}`), true)
+	f.Fuzz(func(_ *testing.T, data []byte, finished bool) {
+		_, _ = parseChunk(data, &counter{}, finished) // any outcome but a panic is right
+	})
+}
