--- a/core/wire/admin.go
+++ b/core/wire/admin.go
@@ -45,14 +45,18 @@
 
 // GroupStatus is the state of one log group at a control instance.
 type GroupStatus struct {
-	Group   uint32
-	Role    string
+	Group uint32
+	// Role is leader, candidate, follower, or learner for a member without a
+	// vote.
+	Role string
+	// Voters is the number of members with a vote, as this instance knows them. A
+	// group tolerates the loss of an instance only once a majority of the others
+	// vote.
+	Voters  int
 	Term    uint64
 	Leader  string
 	Commit  uint64
 	Applied uint64
-	// Voters is the number of members with a vote.
-	Voters int
 }
 
 // ProcessStatus says which configuration a process reported last.
--- a/modules/control/status.go
+++ b/modules/control/status.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"heatherway.dev/core/raft"
 	"heatherway.dev/core/wire"
 	"heatherway.dev/kernel/peer"
 )
@@ -100,13 +101,22 @@
 	var out []wire.GroupStatus
 	for _, g := range c.replica.Status().Groups {
 		out = append(out, wire.GroupStatus{
-			Group: uint32(g.Group), Role: g.Role.String(), Term: g.Term, Leader: string(g.Leader),
-			Commit: g.Commit, Applied: g.Applied, Voters: len(g.Membership.Voters()),
+			Group: uint32(g.Group), Role: roleOf(g.Status), Voters: len(g.Membership.Voters()), Term: g.Term, Leader: string(g.Leader),
+			Commit: g.Commit, Applied: g.Applied,
 		})
 	}
 	return out
 }
 
+// roleOf names the role of a member. One that has lost its disk has no vote
+// until it has caught up, whatever its name.
+func roleOf(s raft.Status) string {
+	if m, ok := s.Membership.Find(s.Self); !ok || m.Learner || m.Disk != s.Disk {
+		return "learner"
+	}
+	return s.Role.String()
+}
+
 // find returns the upstream with the id of an agent.
 func (c *Control) find(id string) (wire.Upstream, bool) {
 	for _, u := range c.members.view().Index.Members() {
