--- a/internal/measure/fleet.go
+++ b/internal/measure/fleet.go
@@ -45,10 +45,12 @@
 	binary  string
 	dir     string
 	control *process
-	entry   *process
-	Entry   string
-	engines []*engine
-	all     []*process
+	// controlAddr is where the control instance serves.
+	controlAddr string
+	entry       *process
+	Entry       string
+	engines     []*engine
+	all         []*process
 }
 
 // settingsTemplate holds the settings of one process. Logs are limited to
@@ -124,19 +126,18 @@
 }
 
 func (f *fleet) startAll(ctx context.Context) (err error) {
-	controlAddr, err := freeAddr()
-	if err != nil {
+	if f.controlAddr, err = freeAddr(); err != nil {
 		return err
 	}
-	if f.control, err = f.start(instance{Kind: "control", Name: "control-0", Zone: "zone-0", Listen: controlAddr}); err != nil {
+	if f.control, err = f.start(instance{Kind: "control", Name: "control-0", Zone: "zone-0", Listen: f.controlAddr}); err != nil {
 		return err
 	}
 	for i := range f.shape.Engines {
-		if err := f.startEngine(i, controlAddr); err != nil {
+		if err := f.startEngine(i, f.controlAddr); err != nil {
 			return err
 		}
 	}
-	if err := f.startEntry(controlAddr); err != nil {
+	if err := f.startEntry(f.controlAddr); err != nil {
 		return err
 	}
 	return f.await(ctx)
