measure: count floors in full, and small organisations together

Cause: the floor targets of the flood had 5% of slack that the design does not give, and the p99 of one small organisation came from 57 requests. Ruled out: longer runs; a scenario has 60 s. Change: the floor itself is the target; the p99 is that of all small organisations together. Conclusion: both targets are stricter or steadier than before.

--- a/internal/load/options.go
+++ b/internal/load/options.go
@@ -49,9 +49,9 @@
 	// OnTime is the time to the first token within which a request counts as on
 	// time in the report; zero counts none.
 	OnTime time.Duration
-	// Gaps, if set, gets the times between the events of each generation at its
-	// end. Several calls may come at once.
-	Gaps func([]time.Duration)
+	// Done, if set, gets each generation at its end. Several calls may come at
+	// once.
+	Done func(Timing)
 }
 
 // Organisation is a caller.
@@ -60,6 +60,15 @@
 	Key  string
 }
 
+// Timing is when one generation had its tokens.
+type Timing struct {
+	Organisation string
+	// First is the time to the first token, zero without one.
+	First time.Duration
+	// Gaps are the times between events with tokens.
+	Gaps []time.Duration
+}
+
 // Share is a value with its weight in a mix.
 type Share[T any] struct {
 	Value  T
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -164,8 +164,8 @@
 		r.refused.Add(1)
 	}
 	o.onTime = o.first > 0 && o.first <= r.OnTime
-	if r.Gaps != nil && o.kind == Generation {
-		r.Gaps(o.gaps)
+	if r.Done != nil && o.kind == Generation {
+		r.Done(Timing{o.organisation, o.first, o.gaps})
 	}
 	r.recorder.add(o)
 }
--- a/internal/measure/fairness.go
+++ b/internal/measure/fairness.go
@@ -4,8 +4,11 @@
 	"context"
 	"fmt"
 	"io"
+	"sync"
 	"time"
 
+	hdr "github.com/HdrHistogram/hdrhistogram-go"
+
 	"heatherway.dev/heatherway/internal/load"
 )
 
@@ -50,28 +53,30 @@
 
 func small(i int) string { return fmt.Sprintf("small-%d", i) }
 
-func addFairness(r *Result, s shape, policy bool, with, alone *load.Report) {
+func addFairness(r *Result, s shape, policy bool, with, alone *sharedRun) {
 	name := "policy on: "
 	if !policy {
 		name = "policy off: "
 	}
-	now, base := slowestSmall(with), slowestSmall(alone)
-	r.against(name+"first token p99 of the slowest small organisation", now, base, "ms")
+	now, base := with.p99(), alone.p99()
+	r.against(name+"first token p99 of the small organisations", now, base, "ms")
 	// Without the policy the targets only show what it is good for.
 	r.against(name+"p99 over that without the large one", now/base, 1, "ratio").atMost(fairRatio)
-	r.add(name+"Jain's index of tokens per fair share", jain(s, with), "index").atLeast(fairJain)
+	r.add(name+"Jain's index of tokens per fair share", jain(s, with.Report), "index").atLeast(fairJain)
 	r.add(name+"useful work over nominal capacity", with.Total.TokensPerSecond/(s.capacity(floodTokens)*floodTokens), "share")
 	r.add(name+"wrong, missing or repeated tokens", float64(with.Total.Sum()), "tokens").atMost(0)
 }
 
-func slowestSmall(r *load.Report) float64 {
-	worst := 0.0
-	for i := range smallOrganisations {
-		worst = max(worst, row(r.Organisations, small(i)).FirstToken.P99)
-	}
-	return worst
+// sharedRun is a run of several organisations.
+type sharedRun struct {
+	*load.Report
+	// small holds the time to the first token of all small organisations
+	// together, since one of them has too few requests for a p99.
+	small *hdr.Histogram
 }
 
+func (s *sharedRun) p99() float64 { return float64(s.small.ValueAtPercentile(99)) / 1000 }
+
 // jain returns Jain's index of the tokens of each organisation over its max-min
 // fair share: the demand of the small ones, and the rest for the large one.
 func jain(s shape, r *load.Report) float64 {
@@ -91,7 +96,7 @@
 }
 
 // shared runs the organisations on a new fleet.
-func shared(ctx context.Context, o Options, s shape, large, policy bool) (*load.Report, error) {
+func shared(ctx context.Context, o Options, s shape, large, policy bool) (*sharedRun, error) {
 	f, err := newFleet(ctx, o, s)
 	if err != nil {
 		return nil, err
@@ -116,5 +121,16 @@
 	}
 	l.Rate = shares / (smallOrganisations + 1) * s.capacity(floodTokens)
 	l.Duration = fairnessSeconds
-	return load.Run(ctx, l, io.Discard)
+	run := &sharedRun{small: hdr.New(1, longestGapMS*1000, 3)}
+	var mu sync.Mutex
+	l.Done = func(one load.Timing) {
+		if one.First == 0 || one.Organisation == "large" {
+			return
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		_ = run.small.RecordValue(one.First.Microseconds()) // a run is shorter than the range
+	}
+	run.Report, err = load.Run(ctx, l, io.Discard)
+	return run, err
 }
--- a/internal/measure/flood.go
+++ b/internal/measure/flood.go
@@ -73,7 +73,7 @@
 		for _, c := range []wire.Class{wire.Standard, wire.Batch} {
 			if class == wire.Urgent {
 				share := row(usual.Classes, c.String()).TokensPerSecond / total
-				r.add(name+c.String()+" share of tokens", share, "share").atLeast(min(floors[c], offered(c)) * usefulShare)
+				r.add(name+c.String()+" share of tokens", share, "share").atLeast(min(floors[c], offered(c)))
 			}
 		}
 		r.add(name+"useful work over nominal capacity", total/(capacity*floodTokens), "share").atLeast(usefulShare)
--- a/internal/measure/path.go
+++ b/internal/measure/path.go
@@ -13,7 +13,7 @@
 func init() { scenarios["path"] = path }
 
 const (
-	pathStreams = 200
+	pathStreams  = 200
 	pathDuration = 5 * time.Second
 	// pathStep keeps 200 streams at 10,000 tokens a second, well below
 	// saturation.
@@ -22,11 +22,11 @@
 	engines    = 4
 
 	// pacedStep makes 20,000 tokens a second of 200 streams.
-	pacedStep    = 10 * time.Millisecond
+	pacedStep     = 10 * time.Millisecond
 	pacedDuration = 5 * time.Second
 
-	saturationStreams = 400
-	saturationStep    = time.Millisecond
+	saturationStreams  = 400
+	saturationStep     = time.Millisecond
 	saturationDuration = 6 * time.Second
 
 	addedMedianMS = 1
--- a/internal/measure/resume.go
+++ b/internal/measure/resume.go
@@ -131,13 +131,13 @@
 	g.OutputTokens = load.Range{Min: resumeTokens, Max: resumeTokens}
 	g.Concurrency, g.Requests = resumeStreams, resumeStreams
 	g.Drain = 10 * time.Second
-	g.Gaps = func(gaps []time.Duration) {
-		if len(gaps) == 0 {
+	g.Done = func(one load.Timing) {
+		if len(one.Gaps) == 0 {
 			return
 		}
 		mu.Lock()
 		defer mu.Unlock()
-		t.all = append(t.all, slices.Max(gaps))
+		t.all = append(t.all, slices.Max(one.Gaps))
 	}
 	done := make(chan error, 1)
 	var report *load.Report
