admission: let an organisation use a burst of its unused share

Cause: small organisations waited 838 to 900 ms (p99) beside one that asks ten times its share: between two requests of a burst each waited for a turn of the large one.

--- a/core/admission/fair.go
+++ b/core/admission/fair.go
@@ -140,13 +140,23 @@
 		c.fix(f)
 		return
 	}
-	f.start = max(c.virtual, f.finish)
+	f.start = max(c.earliest(), f.finish)
 	c.weight += f.weight
 	c.byStart.less, c.byLength.less, c.byLength.slot = earlierStart, longerLine, 1
 	heap.Push(&c.byStart, f)
 	heap.Push(&c.byLength, f)
 }
 
+// burstCredit is the unused share, in tokens for each unit of weight, that an
+// organisation may use up ahead of the others. Without it, an organisation far
+// below its share waits between two requests of a burst until the largest one
+// has been served once: p99 of the first token was 20 times that without the
+// large one. Over longer times the shares are the same.
+const burstCredit = 2048
+
+// earliest is the lowest start tag that a line may get.
+func (c *class) earliest() float64 { return c.virtual - burstCredit }
+
 func (c *class) fix(f *flow) {
 	heap.Fix(&c.byStart, f.index[0])
 	heap.Fix(&c.byLength, f.index[1])
@@ -200,7 +210,7 @@
 func (c *class) charge(f *flow, tokens float64) {
 	f.finish += tokens / f.weight
 	if len(f.line) > 0 {
-		f.start = max(f.start+tokens/f.weight, c.virtual)
+		f.start = max(f.start+tokens/f.weight, c.earliest())
 		c.fix(f)
 	}
 }
@@ -247,7 +257,7 @@
 // longer matter.
 func (c *class) forgetIdle() {
 	for name, f := range c.flows {
-		if len(f.line) == 0 && f.running == 0 && f.finish <= c.virtual {
+		if len(f.line) == 0 && f.running == 0 && f.finish <= c.earliest() {
 			delete(c.flows, name)
 		}
 	}
