agent, entry: announce to one instance and follow changes

Cause: an agent announced to every control instance and got the whole configuration and quarantine list at each change. An entry asked for changes, but took the changes of the quarantine list for the whole list, so it forgot all other suspects.

A document older than the one in force is refused. A step that does not fit makes the next watch ask for the whole document. The end of a quarantine is kept by the reader's own clock, since an entry of the list now stays for many watches.

Open: every process starts at the first instance of its list.

--- a/core/quarantine/delta.go
+++ b/core/quarantine/delta.go
@@ -87,6 +87,14 @@
 	return next
 }
 
+// OnClock sets UntilMS of suspects that have just arrived by the reader's own
+// clock, from the time that was left when they were sent.
+func OnClock(nowMS int64, list []wire.Suspect) {
+	for i := range list {
+		list[i].UntilMS = nowMS + list[i].LeftMS
+	}
+}
+
 // Follow returns the list after the answer to a watch. The times left of
 // entries that are kept are those of the answer that brought them.
 func Follow(list []wire.Suspect, r *wire.WatchReply) []wire.Suspect {
--- a/modules/agent/control.go
+++ b/modules/agent/control.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"heatherway.dev/core/config"
+	"heatherway.dev/core/quarantine"
 	"heatherway.dev/core/wire"
 	"heatherway.dev/kernel/peer"
 )
@@ -35,6 +37,7 @@
 	watch    chan struct{}
 
 	preferred atomic.Int32 // index of the instance that answered last
+	watched   atomic.Int32 // index of the instance that is watched and told about the upstream
 
 	mu     sync.Mutex
 	others map[string]*peer.Client
@@ -54,6 +57,14 @@
 func (c *controlClient) announceNow() { signal(c.announce) }
 func (c *controlClient) watchNow()    { signal(c.watch) }
 
+// current returns the index of the instance to watch and to announce to.
+func (c *controlClient) current() int32 { return c.watched.Load() }
+
+// leave moves from an instance to the next, unless that has happened already.
+func (c *controlClient) leave(n int32) {
+	c.watched.CompareAndSwap(n, (n+1)%int32(len(c.clients)))
+}
+
 func (c *controlClient) close() {
 	for _, cl := range c.clients {
 		cl.Close()
@@ -65,16 +76,18 @@
 	}
 }
 
-// announceLoop tells every control instance about the upstream. All of them
-// are told, since membership is soft state that they do not copy from each
-// other: an entry may watch any of them, and an isolated one loses only its own
-// view. At nine control instances this is under 1 KB/s.
+// announceLoop tells a control instance about the upstream. The instances pass
+// announcements on to each other (docs/notes/membership.md).
 func (a *Agent) announceLoop(ctx context.Context) {
 	tick := time.NewTicker(announceInterval)
 	defer tick.Stop()
+	var seq uint64
 	for {
-		for _, cl := range a.control.clients {
-			go a.announceTo(ctx, cl)
+		for range a.control.clients {
+			seq++
+			if a.announceTo(ctx, a.control.current(), seq) {
+				break
+			}
 		}
 		select {
 		case <-tick.C:
@@ -85,19 +98,24 @@
 	}
 }
 
-func (a *Agent) announceTo(ctx context.Context, cl *peer.Client) {
+// announceTo makes one announcement. After a failure, or from an instance that
+// has not reached a quorum, the agent moves to the next instance.
+func (a *Agent) announceTo(ctx context.Context, n int32, seq uint64) bool {
 	ctx, cancel := context.WithTimeout(ctx, announceLimit)
 	defer cancel()
-	args := wire.AnnounceArgs{Upstream: a.describe(), Revision: a.snapshot.Load().revision}
+	cl := a.control.clients[n]
+	args := wire.AnnounceArgs{Upstream: a.describe(), Seq: seq, Revision: a.snapshot.Load().revision}
 	var reply wire.AnnounceReply
 	if err := cl.Call(ctx, "Control.Announce", &args, &reply); err != nil {
 		a.log.Debug("announce failed", "control", cl.Addr(), "error", err)
-		return
+		a.control.leave(n)
+		return false
 	}
 	if reply.Refused {
 		a.log.Error("a newer process announces the same instance id", "control", cl.Addr())
 	}
 	a.post(heardEvent{reply.Revision})
+	return true
 }
 
 // heardEvent carries a revision number that a peer knows.
@@ -121,53 +139,79 @@
 	return u
 }
 
+// watch is what the agent has taken from its watches. Only watchLoop uses it.
+type watch struct {
+	args     wire.WatchArgs
+	doc      *config.Document
+	suspects []wire.Suspect
+}
+
 // watchLoop keeps a long poll at one control instance and moves to the next
 // one on failure.
 func (a *Agent) watchLoop(ctx context.Context) {
 	if len(a.control.clients) == 0 {
 		return
 	}
-	args := wire.WatchArgs{
+	w := &watch{args: wire.WatchArgs{
 		Instance: a.instance.ID, Role: "agent", Zone: a.instance.Zone,
-		Fresh: true, WaitMS: watchWait.Milliseconds(),
-	}
-	for i := 0; ctx.Err() == nil; {
-		cl := a.control.clients[i%len(a.control.clients)]
-		if err := a.watchOnce(ctx, cl, &args); err != nil {
-			a.log.Debug("watch failed", "control", cl.Addr(), "error", err)
-			i++
+		Fresh: true, Deltas: true, WaitMS: watchWait.Milliseconds(),
+	}}
+	for ctx.Err() == nil {
+		n := a.control.current()
+		if err := a.watchOnce(ctx, a.control.clients[n], w); err != nil {
+			a.log.Debug("watch failed", "control", a.control.clients[n].Addr(), "error", err)
+			a.control.leave(n)
 			sleep(ctx, watchPause)
 		}
 	}
 }
 
-func (a *Agent) watchOnce(ctx context.Context, cl *peer.Client, args *wire.WatchArgs) error {
+func (a *Agent) watchOnce(ctx context.Context, cl *peer.Client, w *watch) error {
 	ctx, cancel := context.WithTimeout(ctx, watchLimit)
 	defer cancel()
 	go a.cutWatch(ctx, cancel)
 	var reply wire.WatchReply
-	if err := cl.Call(ctx, "Control.Watch", args, &reply); err != nil {
+	if err := cl.Call(ctx, "Control.Watch", &w.args, &reply); err != nil {
 		return err
 	}
-	var doc *config.Document
-	if len(reply.Config) > 0 {
-		doc = new(config.Document)
-		if err := json.Unmarshal(reply.Config, doc); err != nil {
-			return err
-		}
+	if err := a.followConfig(w, &reply); err != nil {
+		return err
 	}
-	if reply.Revision >= args.Revision {
-		args.Revision = reply.Revision
-		a.post(configEvent{reply.Revision, doc})
+	a.followSuspects(w, &reply)
+	a.followOrders(ctx, &w.args, &reply)
+	return nil
+}
+
+// followConfig takes a newer configuration. A step that does not fit makes the
+// next watch ask for the whole document.
+func (a *Agent) followConfig(w *watch, reply *wire.WatchReply) error {
+	doc, err := config.Follow(w.doc, reply.Config, reply.Step)
+	if err != nil {
+		w.args.Revision = 0
+		return err
+	}
+	if doc == nil {
+		return nil
 	}
-	if reply.SuspectsChanged {
-		args.Suspects = reply.Suspects
-		a.post(suspectsEvent{reply.Suspect})
+	if w.doc != nil && doc.Revision < w.doc.Revision {
+		return errors.Errorf("revision %d is older than %d, which is in force", doc.Revision, w.doc.Revision)
 	}
-	a.followOrders(ctx, args, &reply)
+	if doc != w.doc {
+		a.post(configEvent{doc.Revision, doc})
+	}
+	w.doc, w.args.Revision = doc, doc.Revision
 	return nil
 }
 
+func (a *Agent) followSuspects(w *watch, reply *wire.WatchReply) {
+	if !reply.SuspectsChanged {
+		return
+	}
+	quarantine.OnClock(time.Now().UnixMilli(), reply.Suspect)
+	w.suspects, w.args.Suspects = quarantine.Follow(w.suspects, reply), reply.Suspects
+	a.post(suspectsEvent{w.suspects})
+}
+
 // cutWatch ends a long poll once a newer revision is heard of than this
 // instance has sent: it may be cut off from the others without knowing it.
 func (a *Agent) cutWatch(ctx context.Context, cancel context.CancelFunc) {
--- a/modules/agent/health.go
+++ b/modules/agent/health.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"heatherway.dev/core/quarantine"
 	"heatherway.dev/core/wire"
 	"heatherway.dev/heatherway/modules/adapter"
 	"heatherway.dev/kernel/result"
@@ -127,6 +128,7 @@
 	var reply wire.CrashReply
 	for ctx.Err() == nil {
 		if err := a.control.call(ctx, "Control.Crash", &args, &reply); err == nil {
+			quarantine.OnClock(time.Now().UnixMilli(), reply.Suspect)
 			a.post(suspectsMerged{reply.Suspect})
 			return
 		}
--- a/modules/agent/owner.go
+++ b/modules/agent/owner.go
@@ -229,7 +229,7 @@
 	case !ok:
 		return nil
 	case s.Quarantined:
-		return result.New(result.Quarantined, "the request is in quarantine").After(time.Duration(s.LeftMS) * time.Millisecond)
+		return result.New(result.Quarantined, "the request is in quarantine").After(time.Until(time.UnixMilli(s.UntilMS)))
 	case permit == "":
 		return result.New(result.SuspectBusy, "the request is suspected of a crash and has no permit")
 	}
--- a/modules/entry/entry_test.go
+++ b/modules/entry/entry_test.go
@@ -5,12 +5,15 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"gotest.tools/v3/assert"
 
 	"heatherway.dev/core/config"
@@ -154,6 +157,28 @@
 	assert.Equal(t, len(a.seen()), 2)
 }
 
+// Guards against suspects that an entry forgets when control sends only the
+// changes of the list, and against a configuration that goes back.
+func TestFollowsChanges(t *testing.T) {
+	f := newFleet(t)
+	take := func(r wire.WatchReply) {
+		taken := make(chan versions, 1)
+		f.m.owner.send(news{&r, taken})
+		<-taken
+	}
+	f.control.update(func() { f.control.watchErr = errors.New("the test sends the news") })
+	time.Sleep(100 * time.Millisecond) // for the watch under way
+	known := func() string { return strings.Join(slices.Sorted(maps.Keys(f.m.owner.current().suspects)), "") }
+	take(wire.WatchReply{SuspectsChanged: true, Suspects: 1000, Suspect: []wire.Suspect{{Fingerprint: "a"}, {Fingerprint: "b"}}})
+	take(wire.WatchReply{SuspectsChanged: true, SuspectsDelta: true, Suspects: 1001, Cleared: []string{"a"}, Suspect: []wire.Suspect{{Fingerprint: "c"}}})
+	assert.Equal(t, known(), "bc")
+	revision := f.m.owner.current().revision()
+	b, err := json.Marshal(config.Document{Revision: revision - 1})
+	assert.NilError(t, err)
+	take(wire.WatchReply{Revision: revision + 5, Config: b})
+	assert.Equal(t, f.m.owner.current().revision(), revision)
+}
+
 // Guards the fleet against a request that kills one agent after the other: the
 // end of the agent is reported, and the resume needs a permit.
 func TestCrashIsReportedBeforeTheResume(t *testing.T) {
--- a/modules/entry/owner.go
+++ b/modules/entry/owner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"maps"
 	"math/rand"
 	"slices"
@@ -14,6 +13,7 @@
 	"heatherway.dev/core/limit"
 	"heatherway.dev/core/member"
 	"heatherway.dev/core/pick"
+	"heatherway.dev/core/quarantine"
 	"heatherway.dev/core/retry"
 	"heatherway.dev/core/slo"
 	"heatherway.dev/core/wire"
@@ -67,7 +67,9 @@
 	list       []wire.Upstream
 	membersAt  uint64
 	suspectsAt uint64
-	slo        *slo.Recorder
+	// suspects is the quarantine list as control sent it.
+	suspects []wire.Suspect
+	slo      *slo.Recorder
 }
 
 // tuning is the part of the configuration that the decision packages are made
@@ -165,7 +167,9 @@
 	r := n.reply
 	v := versions{revision: o.learnRevision(r, now), members: o.learnSubset(r)}
 	if r.SuspectsChanged {
-		o.next.suspects, o.suspectsAt = suspectIndex(r.Suspect, now), r.Suspects
+		quarantine.OnClock(now.UnixMilli(), r.Suspect)
+		o.suspects, o.suspectsAt = quarantine.Follow(o.suspects, r), r.Suspects
+		o.next.suspects = suspectIndex(o.suspects)
 	}
 	v.suspects = o.suspectsAt
 	o.checkBehind(now)
@@ -179,18 +183,8 @@
 	if r.Revision <= o.next.revision() && o.next.doc != nil {
 		return o.next.revision()
 	}
-	var doc *config.Document
-	var err error
-	switch {
-	case len(r.Config) > 0:
-		doc = &config.Document{}
-		err = json.Unmarshal(r.Config, doc)
-	case len(r.Step) > 0 && o.next.doc != nil:
-		var step config.Step
-		if err = json.Unmarshal(r.Step, &step); err == nil {
-			doc, err = o.next.doc.Advance(step)
-		}
-	default:
+	doc, err := config.Follow(o.next.doc, r.Config, r.Step)
+	if doc == o.next.doc && err == nil || err == nil && doc.Revision < o.next.revision() {
 		return o.next.revision()
 	}
 	if err != nil {
@@ -233,10 +227,7 @@
 	if !r.MembersChanged {
 		return o.membersAt
 	}
-	list, fits := r.Upstreams, true
-	if r.MembersDelta {
-		list, fits = member.Advance(o.list, r.Upstreams, r.Removed, r.Members)
-	}
+	list, fits := member.Follow(o.list, r)
 	if !fits {
 		o.membersAt = 0
 		return 0
--- a/modules/entry/snapshot.go
+++ b/modules/entry/snapshot.go
@@ -47,10 +47,10 @@
 	return out
 }
 
-func suspectIndex(list []wire.Suspect, now time.Time) map[string]suspect {
+func suspectIndex(list []wire.Suspect) map[string]suspect {
 	out := make(map[string]suspect, len(list))
 	for _, s := range list {
-		out[s.Fingerprint] = suspect{s.Quarantined, now.Add(time.Duration(s.LeftMS) * time.Millisecond)}
+		out[s.Fingerprint] = suspect{s.Quarantined, time.UnixMilli(s.UntilMS)}
 	}
 	return out
 }
--- a/test/e2e/proxy_test.go
+++ b/test/e2e/proxy_test.go
@@ -19,6 +19,7 @@
 	epoch atomic.Int32
 	// cut refuses new connections too.
 	cut   atomic.Bool
+	bytes atomic.Int64 // both ways
 	mu    sync.Mutex
 	conns []net.Conn
 }
@@ -67,6 +68,7 @@
 	b := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(b)
+		p.bytes.Add(int64(n))
 		if p.epoch.Load() != epoch {
 			return
 		}
