peer: check the roles of each call

Cause: a process was held to the first organisational unit of its certificate, and entries and agents could make each other's calls.

Change: the roles of a peer are the list of its organisational units. Agent.Call, Agent.Cancel and generation streams are for entries; Control.Announce, Start and Finish for agents; Abort and Permit for entries; Watch, Crash and Locate for both. Others get 4030 before any work, logged once for each name in a certificate. pki.Issue and heatherwayctl certs take several roles, separated by commas. A call that a control instance forwards is checked where it came in.

Ruled out: services by role at the handshake, since net/rpc then answers an unknown method without a code.

--- a/cmd/heatherwayctl/certs.go
+++ b/cmd/heatherwayctl/certs.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
@@ -37,7 +38,7 @@
 	var c certificate
 	flags.StringVar(&c.folder, "folder", "certs", "folder of the certificate authority and the new files")
 	flags.StringVar(&c.name, "name", "", "name of the instance or operator; without it only the authority is made")
-	flags.StringVar(&c.role, "role", "", "entry, agent, control or operator")
+	flags.StringVar(&c.role, "role", "", "entry, agent, control or operator; several, separated by commas, for a process with several roles")
 	flags.StringVar(&c.addrs, "address", "", "IP addresses of the instance, separated by commas")
 	flags.DurationVar(&c.validity, "validity", leafValidity, "how long the certificate is valid")
 	flags.StringVar(&c.output, "output", outputTable, "form of the output: table or json")
@@ -101,11 +102,14 @@
 	return append(files, base+".pem", base+"-key.pem"), nil
 }
 
+// roles are those that a certificate may carry.
+var roles = []string{"entry", "agent", "control", "operator"}
+
 func (c *certificate) check() error {
-	switch c.role {
-	case "entry", "agent", "control", "operator":
-	default:
-		return result.New(result.Usage, "--role %q is none of entry, agent, control and operator", c.role)
+	for _, role := range strings.Split(c.role, ",") {
+		if !slices.Contains(roles, role) {
+			return result.New(result.Usage, "--role %q is none of entry, agent, control and operator", role)
+		}
 	}
 	if c.name == "ca" || strings.ContainsAny(c.name, "/\\") || c.validity <= 0 {
 		return result.New(result.Usage, "--name must be a file name other than ca, and --validity above zero")
--- a/kernel/peer/peer_test.go
+++ b/kernel/peer/peer_test.go
@@ -1,12 +1,14 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -38,7 +40,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	echo := Echo{hang: make(chan struct{})}
-	srv := &http.Server{Handler: &Handler{Security: sec, Roles: roles, Services: func(string) map[string]any {
+	srv := &http.Server{Handler: &Handler{Security: sec, Roles: roles, Services: func(Roles) map[string]any {
 		return map[string]any{"Echo": echo}
 	}}}
 	go func() { _ = srv.Serve(sec.Server(l)) }()
@@ -162,3 +164,20 @@
 	err = say(plain(t), l.Addr().String())
 	assert.Assert(t, errors.Is(err, ErrUnreachable), "%v", err)
 }
+
+// Guards against a process with several roles that is held to its first one, a
+// refusal without a code, and a log that a refused peer fills.
+func TestRoles(t *testing.T) {
+	a := newAuthority(t)
+	server := a.security(t, "server", "agent", time.Hour)
+	var log bytes.Buffer
+	server.log = slog.New(slog.NewTextHandler(&log, nil))
+	addr := serve(t, server, "entry")
+	assert.NilError(t, say(a.security(t, "both", "control,entry", time.Hour), addr))
+	agent := a.security(t, "other", "agent", time.Hour)
+	for range 3 {
+		assert.Assert(t, say(agent, addr) != nil)
+	}
+	assert.Equal(t, strings.Count(log.String(), "peer=other"), 1, log.String())
+	assert.ErrorContains(t, server.Allow(Roles{"agent", "control"}, "x", "Agent.Call", "entry"), "4030")
+}
--- a/kernel/peer/rpc.go
+++ b/kernel/peer/rpc.go
@@ -12,8 +12,6 @@
 	"time"
 
 	"github.com/go-faster/errors"
-
-	"heatherway.dev/kernel/result"
 )
 
 // RPCPath is where a process serves net/rpc on its internal listener.
@@ -148,23 +146,23 @@
 
 // Handler serves the net/rpc services of one process to peers whose
 // certificate carries one of the roles. Without TLS every peer is served, and
-// its role is empty.
+// it has no roles.
 type Handler struct {
 	Security *Security
 	Roles    []string
 	// Services returns name and receiver pairs for a connection from a peer
-	// with the role.
-	Services func(role string) map[string]any
+	// with the roles.
+	Services func(roles Roles) map[string]any
 	// Named replaces Services if set, and also gets the common name in the
 	// peer's certificate, for audit logs.
-	Named func(role, name string) map[string]any
+	Named func(roles Roles, name string) map[string]any
 }
 
-func (h *Handler) services(role, name string) map[string]any {
+func (h *Handler) services(roles Roles, name string) map[string]any {
 	if h.Named != nil {
-		return h.Named(role, name)
+		return h.Named(roles, name)
 	}
-	return h.Services(role)
+	return h.Services(roles)
 }
 
 // ServeHTTP takes over the connection of a CONNECT request.
@@ -173,9 +171,9 @@
 		http.Error(w, "want CONNECT", http.StatusMethodNotAllowed)
 		return
 	}
-	role := Role(r.TLS)
-	if !h.Security.Off() && !contains(h.Roles, role) {
-		http.Error(w, result.New(result.RoleForbidden, "role %q", role).Error(), http.StatusForbidden)
+	roles, name := RolesOf(r.TLS), Name(r.TLS)
+	if err := h.Security.Allow(roles, name, RPCPath, h.Roles...); err != nil {
+		http.Error(w, err.Error(), http.StatusForbidden)
 		return
 	}
 	conn, _, err := http.NewResponseController(w).Hijack()
@@ -184,8 +182,8 @@
 		return
 	}
 	srv := rpc.NewServer()
-	for name, recv := range h.services(role, Name(r.TLS)) {
-		if err := srv.RegisterName(name, recv); err != nil {
+	for service, recv := range h.services(roles, name) {
+		if err := srv.RegisterName(service, recv); err != nil {
 			_ = conn.Close()
 			return
 		}
@@ -198,12 +196,3 @@
 	}
 	srv.ServeConn(conn)
 }
-
-func contains(list []string, s string) bool {
-	for _, v := range list {
-		if v == s {
-			return true
-		}
-	}
-	return false
-}
--- a/kernel/peer/security.go
+++ b/kernel/peer/security.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -40,6 +41,8 @@
 	loaded *tls.Config
 	mtime  time.Time
 	next   time.Time
+	// refused are the names of peers whose refusal has been logged.
+	refused map[string]bool
 }
 
 // NewSecurity loads the files once, so that wrong ones stop the process.
@@ -145,16 +148,48 @@
 	return s.current()
 }
 
-// Role returns the role in a peer's certificate, which is its organisational
-// unit. It is empty without TLS.
-func Role(state *tls.ConnectionState) string {
+// Roles are the roles of a process, which its certificate carries as
+// organisational units.
+type Roles []string
+
+// Any tells whether one of the roles is among those allowed.
+func (r Roles) Any(allowed ...string) bool {
+	return slices.ContainsFunc(r, func(role string) bool { return slices.Contains(allowed, role) })
+}
+
+// RolesOf returns the roles in a peer's certificate. It is empty without TLS.
+func RolesOf(state *tls.ConnectionState) Roles {
 	if state == nil || len(state.PeerCertificates) == 0 {
-		return ""
+		return nil
+	}
+	return state.PeerCertificates[0].Subject.OrganizationalUnit
+}
+
+// Allow refuses with 4030 a peer that has none of the allowed roles. Without TLS
+// every peer is allowed. Each peer's first refusal is logged, by the name in its
+// certificate.
+func (s *Security) Allow(roles Roles, name, action string, allowed ...string) error {
+	if s.Off() || roles.Any(allowed...) {
+		return nil
 	}
-	if ou := state.PeerCertificates[0].Subject.OrganizationalUnit; len(ou) > 0 {
-		return ou[0]
+	if s.log != nil && s.firstRefusal(name) {
+		s.log.Warn("a peer's roles do not allow a call", "peer", name, "roles", roles, "action", action)
+	}
+	return result.New(result.RoleForbidden, "roles %q may not use %s", []string(roles), action)
+}
+
+// maxRefused bounds the names of refused peers that are remembered.
+const maxRefused = 4096
+
+func (s *Security) firstRefusal(name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.refused == nil || len(s.refused) >= maxRefused {
+		s.refused = map[string]bool{}
 	}
-	return ""
+	first := !s.refused[name]
+	s.refused[name] = true
+	return first
 }
 
 // Name returns the common name in a peer's certificate. It is empty without
--- a/kernel/pki/pki.go
+++ b/kernel/pki/pki.go
@@ -14,6 +14,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -68,10 +69,10 @@
 // Pair is a certificate and its key in PEM.
 type Pair struct{ Cert, Key []byte }
 
-// Issue signs a certificate for a process or operator. The role goes into the
-// organisational unit, where peers check it.
+// Issue signs a certificate for a process or operator. The roles,
+// separated by commas, become organisational units, where peers check them.
 func (a *Authority) Issue(name, role string, addrs []net.IP, now time.Time, validity time.Duration) (Pair, error) {
-	tmpl, err := template(now, validity, pkix.Name{CommonName: name, OrganizationalUnit: []string{role}})
+	tmpl, err := template(now, validity, pkix.Name{CommonName: name, OrganizationalUnit: strings.Split(role, ",")})
 	if err != nil {
 		return Pair{}, err
 	}
--- a/modules/admin/refusal.go
+++ b/modules/admin/refusal.go
@@ -14,10 +14,10 @@
 
 // authorize refuses callers whose certificate has another role than operator.
 func (m *Module) authorize(r *http.Request) *result.Error {
-	if m.security.Off() || peer.Role(r.TLS) == roleOperator {
+	if m.security.Off() || peer.RolesOf(r.TLS).Any(roleOperator) {
 		return nil
 	}
-	err := result.New(result.RoleForbidden, "role %q may not use the administration API; use a certificate with the role %q", peer.Role(r.TLS), roleOperator)
+	err := result.New(result.RoleForbidden, "roles %q may not use the administration API; use a certificate with the role %q", []string(peer.RolesOf(r.TLS)), roleOperator)
 	m.auditRefusal(err, r)
 	return err
 }
--- a/modules/agent/agent.go
+++ b/modules/agent/agent.go
@@ -27,6 +27,8 @@
 }
 
 const (
+	// roleEntry is the role in the certificates of entries.
+	roleEntry        = "entry"
 	defaultRetention = 60 * time.Second
 	defaultRetained  = 32 << 20
 	// eventQueue bounds the events that wait for the owner.
@@ -164,8 +166,10 @@
 	mux := http.NewServeMux()
 	mux.Handle(peer.RPCPath, &peer.Handler{
 		Security: a.security,
-		Roles:    []string{"entry", "control", "operator", "admin"},
-		Services: func(string) map[string]any { return map[string]any{wire.AgentService: &service{a}} },
+		Roles:    []string{roleEntry, "control", "operator", "admin"},
+		Named: func(roles peer.Roles, name string) map[string]any {
+			return map[string]any{wire.AgentService: &service{a: a, roles: roles, name: name}}
+		},
 	})
 	mux.HandleFunc("POST "+wire.GeneratePath, a.serveGenerate)
 	return mux
--- a/modules/agent/rpc.go
+++ b/modules/agent/rpc.go
@@ -22,10 +22,23 @@
 )
 
 // service is the receiver of the agent's net/rpc calls.
-type service struct{ a *Agent }
+type service struct {
+	a *Agent
+	// roles and name are those in the caller's certificate.
+	roles peer.Roles
+	name  string
+}
+
+// forEntry refuses callers that are not entries.
+func (s *service) forEntry(method string) error {
+	return peer.EncodeError(s.a.security.Allow(s.roles, s.name, wire.AgentService+"."+method, roleEntry))
+}
 
 // Call runs one call of a plain service.
 func (s *service) Call(args *wire.CallArgs, reply *wire.CallReply) error {
+	if err := s.forEntry("Call"); err != nil {
+		return err
+	}
 	s.a.work.Add(1)
 	defer s.a.work.Add(-1)
 	r, err := s.a.call(args)
@@ -40,6 +53,9 @@
 
 // Cancel ends attempts of a generation.
 func (s *service) Cancel(args *wire.CancelArgs, reply *wire.CancelReply) error {
+	if err := s.forEntry("Cancel"); err != nil {
+		return err
+	}
 	ev := cancelEvent{args.Generation, args.Attempt, make(chan bool, 1)}
 	reply.Held, _ = ask(s.a, ev, ev.reply)
 	return nil
--- a/modules/agent/stream.go
+++ b/modules/agent/stream.go
@@ -34,8 +34,8 @@
 }
 
 func (a *Agent) serveGenerate(w http.ResponseWriter, r *http.Request) {
-	if role := peer.Role(r.TLS); !a.security.Off() && role != "entry" {
-		http.Error(w, result.New(result.RoleForbidden, "role %q", role).Error(), http.StatusForbidden)
+	if err := a.security.Allow(peer.RolesOf(r.TLS), peer.Name(r.TLS), wire.GeneratePath, roleEntry); err != nil {
+		http.Error(w, err.Error(), http.StatusForbidden)
 		return
 	}
 	a.work.Add(1)
--- a/modules/control/admin.go
+++ b/modules/control/admin.go
@@ -31,7 +31,7 @@
 }
 
 func (s *adminService) control() *service {
-	return &service{c: s.c, forward: true, role: roleOperator}
+	return &service{c: s.c, forward: true, roles: peer.Roles{roleOperator}}
 }
 
 // log writes one line for a change and its outcome, the code zero if it was
--- a/modules/control/admin_test.go
+++ b/modules/control/admin_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -106,7 +107,7 @@
 	s, buf := audited(t)
 	agent := &fakeAgent{make(chan wire.DrainArgs, 1)}
 	mux := http.NewServeMux()
-	mux.Handle(peer.RPCPath, &peer.Handler{Security: s.c.security, Services: func(string) map[string]any {
+	mux.Handle(peer.RPCPath, &peer.Handler{Security: s.c.security, Services: func(peer.Roles) map[string]any {
 		return map[string]any{wire.AgentService: agent}
 	}})
 	srv := httptest.NewServer(mux)
@@ -130,14 +131,43 @@
 func TestServicesByRole(t *testing.T) {
 	c := &Control{security: &peer.Security{}}
 	for role, want := range map[string][2]bool{"entry": {}, "agent": {}, "operator": {true, false}, "control": {false, true}} {
-		have := c.services(role, "")
+		have := c.services(peer.Roles{role}, "")
 		assert.Equal(t, have[wire.AdminService] != nil, want[0], role)
 		assert.Equal(t, have[leaderService] != nil, want[1], role)
 		assert.Equal(t, have[membersService] != nil, want[1], role)
 	}
-	entry := &service{c: c, role: roleEntry}
+	entry := &service{c: c, roles: peer.Roles{roleEntry}}
 	assert.ErrorContains(t, entry.Change(wire.ChangeArgs{}, &wire.ChangeReply{}), "4030")
 	assert.ErrorContains(t, entry.Lift(wire.LiftArgs{}, &wire.LiftReply{}), "4030")
 	assert.ErrorContains(t, entry.RemoveMember(RemoveMemberArgs{}, &RemoveMemberReply{}), "4030")
 	assert.ErrorContains(t, entry.LocalStatus(wire.StatusArgs{}, &wire.LocalStatusReply{}), "4030")
 }
+
+// Guards against calls that need another role, before any work is done: the
+// control instance of this test has no state to work on.
+func TestCallsByRole(t *testing.T) {
+	calls := map[string]struct {
+		roles []string
+		call  func(*service) error
+	}{
+		"Announce": {[]string{roleAgent}, func(s *service) error { return s.Announce(wire.AnnounceArgs{}, &wire.AnnounceReply{}) }},
+		"Start":    {[]string{roleAgent}, func(s *service) error { return s.Start(wire.StartArgs{}, &wire.StartReply{}) }},
+		"Finish":   {[]string{roleAgent}, func(s *service) error { return s.Finish(wire.FinishArgs{}, &wire.FinishReply{}) }},
+		"Abort":    {[]string{roleEntry}, func(s *service) error { return s.Abort(wire.AbortArgs{}, &wire.AbortReply{}) }},
+		"Permit":   {[]string{roleEntry}, func(s *service) error { return s.Permit(wire.PermitArgs{}, &wire.PermitReply{}) }},
+		"Watch":    {[]string{roleEntry, roleAgent}, func(s *service) error { return s.Watch(wire.WatchArgs{}, &wire.WatchReply{}) }},
+		"Crash":    {[]string{roleEntry, roleAgent}, func(s *service) error { return s.Crash(wire.CrashArgs{}, &wire.CrashReply{}) }},
+		"Locate":   {[]string{roleEntry, roleAgent}, func(s *service) error { return s.Locate(wire.LocateArgs{}, &wire.LocateReply{}) }},
+	}
+	secured := &Control{security: &peer.Security{}}
+	for method, want := range calls {
+		for _, role := range servedRoles {
+			s := &service{c: secured, forward: true, roles: peer.Roles{role}}
+			allowed := slices.Contains(want.roles, role)
+			assert.Equal(t, s.admit(method, want.roles...) == nil, allowed, "%s by %s", method, role)
+			if !allowed {
+				assert.ErrorContains(t, want.call(s), "4030", "%s by %s", method, role)
+			}
+		}
+	}
+}
--- a/modules/control/bytes_test.go
+++ b/modules/control/bytes_test.go
@@ -38,7 +38,7 @@
 	t.Helper()
 	near, far := net.Pipe()
 	srv := rpc.NewServer()
-	for name, recv := range c.services("", "") {
+	for name, recv := range c.services(nil, "") {
 		assert.NilError(t, srv.RegisterName(name, recv))
 	}
 	go srv.ServeConn(far)
--- a/modules/control/orders.go
+++ b/modules/control/orders.go
@@ -70,10 +70,10 @@
 // allowed checks the caller's role for a call that only operators and control
 // instances may make.
 func (s *service) allowed() error {
-	if s.c.security.Off() || s.role == roleOperator || s.role == roleControl {
+	if s.c.security.Off() || s.roles.Any(roleOperator, roleControl) {
 		return nil
 	}
-	return result.New(result.RoleForbidden, "role %q may not issue orders", s.role)
+	return result.New(result.RoleForbidden, "roles %q may not issue orders", []string(s.roles))
 }
 
 // OrderLease grants, renews or takes back the lease that an issuer of orders
--- a/modules/control/orders_test.go
+++ b/modules/control/orders_test.go
@@ -67,7 +67,7 @@
 	err := s.Order(wire.OrderArgs{Order: wire.Order{ID: "1", Upstream: "a", Kind: wire.SetRole, Role: "x", Fence: l.Fence}}, &wire.OrderReply{})
 	assert.ErrorContains(t, err, "4093")
 	secured := &Control{security: &peer.Security{}}
-	err = (&service{c: secured, role: roleAgent}).Order(wire.OrderArgs{}, &wire.OrderReply{})
+	err = (&service{c: secured, roles: peer.Roles{roleAgent}}).Order(wire.OrderArgs{}, &wire.OrderReply{})
 	assert.ErrorContains(t, err, "4030")
-	assert.NilError(t, (&service{c: secured, role: roleOperator}).allowed())
+	assert.NilError(t, (&service{c: secured, roles: peer.Roles{roleOperator}}).allowed())
 }
--- a/modules/control/replica/cluster_test.go
+++ b/modules/control/replica/cluster_test.go
@@ -199,7 +199,7 @@
 	var err error
 	n.Replica, err = Open(o)
 	assert.NilError(c.t, err)
-	services := func(string) map[string]any { return map[string]any{ServiceName: n.Service()} }
+	services := func(peer.Roles) map[string]any { return map[string]any{ServiceName: n.Service()} }
 	n.server = &http.Server{Handler: &peer.Handler{Security: o.Security, Services: services}}
 	l, err := net.Listen("tcp", p.Addr)
 	assert.NilError(c.t, err)
--- a/modules/control/service.go
+++ b/modules/control/service.go
@@ -26,15 +26,15 @@
 
 var servedRoles = []string{roleEntry, roleAgent, roleControl, roleOperator}
 
-// services returns the services for a connection from a peer with the role and
+// services returns the services for a connection from a peer with the roles and
 // the name in its certificate.
-func (c *Control) services(role, name string) map[string]any {
-	out := map[string]any{wire.ControlService: &service{c: c, forward: true, role: role}}
-	if role == roleOperator || c.security.Off() {
+func (c *Control) services(roles peer.Roles, name string) map[string]any {
+	out := map[string]any{wire.ControlService: &service{c: c, forward: true, roles: roles, name: name}}
+	if roles.Any(roleOperator) || c.security.Off() {
 		out[wire.AdminService] = &adminService{c: c, certificate: name}
 	}
-	if role == roleControl || c.security.Off() {
-		out[leaderService] = &service{c: c, role: roleControl}
+	if roles.Any(roleControl) || c.security.Off() {
+		out[leaderService] = &service{c: c, roles: peer.Roles{roleControl}}
 		out[membersService] = &memberService{c}
 		out[wire.AdminProxyService] = &adminService{c: c, certificate: name, proxy: true}
 		if c.replica != nil {
@@ -49,8 +49,18 @@
 	c *Control
 	// forward lets a command be passed on to the leader.
 	forward bool
-	// role is that in the caller's certificate.
-	role string
+	// roles and name are those in the caller's certificate.
+	roles peer.Roles
+	name  string
+}
+
+// admit refuses callers without an allowed role. Calls that another control
+// instance forwards were checked there.
+func (s *service) admit(method string, allowed ...string) error {
+	if !s.forward {
+		return nil
+	}
+	return peer.EncodeError(s.c.security.Allow(s.roles, s.name, wire.ControlService+"."+method, allowed...))
 }
 
 func (s *service) context() (context.Context, context.CancelFunc) {
@@ -59,6 +69,9 @@
 
 // Announce takes an agent's periodic message.
 func (s *service) Announce(a wire.AnnounceArgs, r *wire.AnnounceReply) error {
+	if err := s.admit("Announce", roleAgent); err != nil {
+		return err
+	}
 	if a.Upstream.ID == "" || a.Upstream.Addr == "" || a.Upstream.Incarnation == 0 {
 		return peer.EncodeError(result.New(result.InvalidField, "an announcement needs id, address and incarnation"))
 	}
@@ -74,6 +87,9 @@
 
 // Locate finds the agent of a generation that is not in an entry's subset.
 func (s *service) Locate(a wire.LocateArgs, r *wire.LocateReply) error {
+	if err := s.admit("Locate", roleEntry, roleAgent); err != nil {
+		return err
+	}
 	u, ok := s.c.find(a.Instance)
 	if !ok {
 		return peer.EncodeError(result.New(result.ObjectUnknown, "no agent %q", a.Instance))
@@ -84,6 +100,9 @@
 
 // Crash takes a report of an upstream's crash.
 func (s *service) Crash(a wire.CrashArgs, r *wire.CrashReply) error {
+	if err := s.admit("Crash", roleEntry, roleAgent); err != nil {
+		return err
+	}
 	cmd := fleetCommand{Quarantine: &quarantine.Command{Crash: &a}}
 	return s.fleetCall("Crash", a, r, cmd, func(reply fleetReply) {
 		r.Suspect = withTimeLeft(reply.Suspect, nowMS())
@@ -92,6 +111,9 @@
 
 // Permit grants or takes back the permit to run a suspect.
 func (s *service) Permit(a wire.PermitArgs, r *wire.PermitReply) error {
+	if err := s.admit("Permit", roleEntry); err != nil {
+		return err
+	}
 	if a.Done {
 		back := &quarantine.Return{Fingerprint: a.Fingerprint, ID: a.Permit, Finished: a.Finished, NotRun: a.NotRun, Passed: a.Passed}
 		cmd := fleetCommand{Quarantine: &quarantine.Command{Return: back}}
@@ -151,6 +173,9 @@
 // run" only if the claim is certainly not stored, since the agent then need not
 // ask again.
 func (s *service) Start(a wire.StartArgs, r *wire.StartReply) error {
+	if err := s.admit("Start", roleAgent); err != nil {
+		return err
+	}
 	err := s.recordCall("Start", a.Key, a, r, func() record.Command {
 		cmd := record.Command{Start: &a}
 		if a.Takeover {
@@ -183,6 +208,9 @@
 
 // Finish stores the answer of an attempt.
 func (s *service) Finish(a wire.FinishArgs, r *wire.FinishReply) error {
+	if err := s.admit("Finish", roleAgent); err != nil {
+		return err
+	}
 	return peer.EncodeError(s.recordCall("Finish", a.Key, a, r, func() record.Command {
 		return record.Command{Finish: &a}
 	}, func(record.Reply) {}))
@@ -190,6 +218,9 @@
 
 // Abort makes sure that an attempt never starts.
 func (s *service) Abort(a wire.AbortArgs, r *wire.AbortReply) error {
+	if err := s.admit("Abort", roleEntry); err != nil {
+		return err
+	}
 	return peer.EncodeError(s.recordCall("Abort", a.Key, a, r, func() record.Command {
 		return record.Command{Abort: &a}
 	}, func(reply record.Reply) { r.Aborted, r.Record = reply.Aborted, reply.Record }))
--- a/modules/control/watch.go
+++ b/modules/control/watch.go
@@ -17,6 +17,9 @@
 
 // Watch waits for a change of configuration, members or suspects.
 func (s *service) Watch(a wire.WatchArgs, r *wire.WatchReply) error {
+	if err := s.admit("Watch", roleEntry, roleAgent); err != nil {
+		return err
+	}
 	if a.Fresh {
 		ctx, cancel := s.context()
 		defer cancel()
--- a/modules/entry/entry.go
+++ b/modules/entry/entry.go
@@ -243,6 +243,6 @@
 	return &peer.Handler{
 		Security: m.security,
 		Roles:    []string{"control", "operator"},
-		Services: func(string) map[string]any { return map[string]any{wire.EntryService: &service{m}} },
+		Services: func(peer.Roles) map[string]any { return map[string]any{wire.EntryService: &service{m}} },
 	}
 }
--- a/modules/entry/fake_test.go
+++ b/modules/entry/fake_test.go
@@ -223,7 +223,7 @@
 }
 
 func rpcHandler(t testing.TB, name string, receiver any) http.Handler {
-	return &peer.Handler{Security: plainSecurity(t), Services: func(string) map[string]any { return map[string]any{name: receiver} }}
+	return &peer.Handler{Security: plainSecurity(t), Services: func(peer.Roles) map[string]any { return map[string]any{name: receiver} }}
 }
 
 func (a *fakeAgent) upstream() wire.Upstream {
--- a/test/e2e/engineorder_test.go
+++ b/test/e2e/engineorder_test.go
@@ -114,7 +114,7 @@
 	const learnt = 5
 	f := emptyFleet(t, shape{engines: 1})
 	c := &orderControl{fence: learnt}
-	server := httptest.NewServer(&peer.Handler{Security: f.security, Services: func(string) map[string]any {
+	server := httptest.NewServer(&peer.Handler{Security: f.security, Services: func(peer.Roles) map[string]any {
 		return map[string]any{wire.ControlService: c}
 	}})
 	t.Cleanup(server.Close)
--- a/test/e2e/harness_test.go
+++ b/test/e2e/harness_test.go
@@ -87,6 +87,8 @@
 	// Step is the time of one decode step of the engines.
 	Step     string
 	security *peer.Security
+	// tls is the authority of a fleet with mutual TLS, nil without.
+	tls *testAuthority
 
 	// controlVia holds addresses of proxies before the control instances, by the
 	// name of the process that uses them.
@@ -119,7 +121,7 @@
 var templates = template.Must(template.New("").Parse(`
 {{define "control"}}
 instance: {id: control-{{.I}}, zone: zone-{{.Zone}}, region: local, data: "{{.Dir}}/control-{{.I}}"}
-tls: {off: true}
+tls: {{.TLS}}
 log: {level: info}
 roles:
 - control:
@@ -135,7 +137,7 @@
 {{end}}
 {{define "entry"}}
 instance: {id: entry-{{.I}}, zone: zone-{{.Zone}}, region: local}
-tls: {off: true}
+tls: {{.TLS}}
 log: {level: info}
 roles:
 - entry:
@@ -146,7 +148,7 @@
 {{end}}
 {{define "engine"}}
 instance: {id: {{.E.Name}}-engine, zone: {{.E.Zone}}, region: local}
-tls: {off: true}
+tls: {{.TLS}}
 log: {level: warn}
 roles:
 - standin-engine:
@@ -160,7 +162,7 @@
 {{end}}
 {{define "agent"}}
 instance: {id: {{.E.Name}}, zone: {{.E.Zone}}, region: local}
-tls: {off: true}
+tls: {{.TLS}}
 log: {level: info}
 roles:
 - agent:
@@ -172,7 +174,7 @@
 {{end}}
 {{define "service"}}
 instance: {id: {{.E.Name}}-service, zone: {{.E.Zone}}, region: local}
-tls: {off: true}
+tls: {{.TLS}}
 log: {level: warn}
 roles:
 - standin-service:
@@ -180,7 +182,7 @@
 {{end}}
 {{define "service-agent"}}
 instance: {id: {{.E.Name}}, zone: {{.E.Zone}}, region: local}
-tls: {off: true}
+tls: {{.TLS}}
 log: {level: info}
 roles:
 - agent:
@@ -265,7 +267,7 @@
 func (f *fleet) start(kind, name string, data map[string]any) {
 	f.t.Helper()
 	data["F"], data["Dir"] = f, f.dir
-	data["Control"] = f.controlOf(name)
+	data["Control"], data["TLS"] = f.controlOf(name), f.tlsOf(kind, name)
 	var b bytes.Buffer
 	assert.NilError(f.t, templates.ExecuteTemplate(&b, kind, data))
 	path := filepath.Join(f.dir, name+".yaml")
