--- /dev/null
+++ b/core/quarantine/probation_test.go
@@ -0,0 +1,105 @@
+package quarantine
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"heatherway.dev/core/wire"
+)
+
+// crashOf reports the nth crash of the fleet, of an upstream of its own.
+func (f *fleet) crashOf(n uint64, probation string, ran ...string) {
+	f.now += ReportGrace.Milliseconds()
+	f.apply(Command{Crash: &wire.CrashArgs{
+		Upstream: fmt.Sprint("u", n), Incarnation: 1, CrashNumber: n, Fingerprints: ran, Probation: probation,
+	}})
+}
+
+// batch draws distinct names, so many at least.
+func batch(t *rapid.T, least int) []string {
+	all := rapid.Permutation([]string{"a", "b", "c", "d", "e", "f", "g"}).Draw(t, "names")
+	return all[:rapid.IntRange(least, len(all)).Draw(t, "count")]
+}
+
+func (f *fleet) inQuarantine(list []string) []string {
+	return slices.DeleteFunc(slices.Clone(list), func(n string) bool { return !f.quarantined(n) })
+}
+
+// Guards against a killer that stays free because suspects ran beside it, and
+// against blame for those that had passed their probation.
+func TestSuspectInProbationIsAtFault(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet()
+		ran := batch(t, 1)
+		f.crashOf(1, "", ran...)
+		guilty := rapid.SampledFrom(ran).Draw(t, "in probation")
+		for n := range rapid.IntRange(0, 3).Draw(t, "shared crashes before") {
+			if len(ran) > 1 {
+				f.crashOf(uint64(10+n), "", ran...)
+			}
+		}
+		f.crashOf(2, guilty, ran...)
+		assert.DeepEqual(t, f.inQuarantine(ran), []string{guilty})
+	})
+}
+
+// Guards against a killer that crashes upstreams late, when its probation is
+// over, beside requests that are new or were cleared.
+func TestSingleEarlierSuspectIsAtFault(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet()
+		ran := batch(t, 1)
+		first := rapid.SampledFrom(ran).Draw(t, "suspect")
+		f.crashOf(1, "", first)
+		f.crashOf(2, "", ran...)
+		assert.DeepEqual(t, f.inQuarantine(ran), []string{first})
+	})
+}
+
+// Guards against the quarantine of a whole batch that was in two crashes, as
+// when a rack is lost, and against a killer that is never told apart from it.
+func TestSeveralEarlierSuspectsAreNot(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet()
+		ran := batch(t, 3)
+		f.crashOf(1, "", ran...)
+		both := ran[:rapid.IntRange(2, len(ran)-1).Draw(t, "again")]
+		f.crashOf(2, "", both...)
+		assert.Equal(t, len(f.inQuarantine(ran)), 0)
+		guilty := rapid.SampledFrom(both).Draw(t, "guilty")
+		beside := append([]string{guilty}, ran[len(both):]...)
+		f.crashOf(3, "", beside...)
+		assert.DeepEqual(t, f.inQuarantine(ran), []string{guilty})
+	})
+}
+
+// Guards against a probation that keeps other suspects from an upstream after it
+// is over, and against a suspect that is not cleared because its permit was
+// given back before it finished.
+func TestPassedLetsOthersIn(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet()
+		ran := batch(t, 2)
+		f.crashOf(1, "", ran...)
+		ask := func(name, id string) error {
+			return f.apply(Command{Permit: &Permit{Fingerprint: name, ID: wire.ID(id), Holder: "e", Upstream: "v"}}).Err
+		}
+		back := func(name string, passed, finished bool) {
+			f.apply(Command{Return: &Return{Fingerprint: name, ID: wire.ID(name), Passed: passed, Finished: finished}})
+		}
+		for i, name := range ran {
+			assert.NilError(t, ask(name, name))
+			assert.Assert(t, ask(ran[(i+1)%len(ran)], "early") != nil)
+			back(name, true, false)
+			assert.Assert(t, f.suspect(name), "a passed probation clears nothing")
+		}
+		for _, i := range rapid.Permutation(ran).Draw(t, "order of ends") {
+			back(i, false, true)
+			assert.Assert(t, !f.suspect(i))
+		}
+	})
+}
