entry: expect a passed probation in TestSuspects

Change: the test wants "passed" and then "finished" under the same permit, which is stricter than before.

Tests: go test -race -short ./modules/entry passes.

--- a/modules/entry/entry_test.go
+++ b/modules/entry/entry_test.go
@@ -147,7 +147,8 @@
 	f.eventually(func() bool {
 		f.control.mu.Lock()
 		defer f.control.mu.Unlock()
-		return len(f.control.permits) == 2 && f.control.permits[1].Done && f.control.permits[1].Finished
+		p := f.control.permits
+		return len(p) == 3 && p[1].Done && p[1].Passed && !p[1].Finished && p[2].Done && p[2].Finished && p[2].Permit == p[1].Permit
 	})
 	set(wire.Suspect{Fingerprint: print, Crashes: 2, Quarantined: true, LeftMS: 60000})
 	r = f.do(http.MethodPost, "/v1/completions", streamBody)
