--- a/test/e2e/harness_test.go
+++ b/test/e2e/harness_test.go
@@ -87,7 +87,12 @@
 	// Step is the time of one decode step of the engines.
 	Step     string
 	security *peer.Security
+	// tls is the authority of a fleet with mutual TLS, nil without.
+	tls *testAuthority
 
+	// controlVia holds addresses of proxies before the control instances, by the
+	// name of the process that uses them.
+	controlVia    map[string][]string
 	agentProxies  []*proxy
 	engineProxies []*proxy
 }
@@ -116,7 +121,7 @@
 var templates = template.Must(template.New("").Parse(`
 {{define "control"}}
 instance: {id: control-{{.I}}, zone: zone-{{.Zone}}, region: local, data: "{{.Dir}}/control-{{.I}}"}
-tls: {off: true}
+tls: {{.TLS}}
 log: {level: info}
 roles:
 - control:
@@ -132,18 +137,18 @@
 {{end}}
 {{define "entry"}}
 instance: {id: entry-{{.I}}, zone: zone-{{.Zone}}, region: local}
-tls: {off: true}
+tls: {{.TLS}}
 log: {level: info}
 roles:
 - entry:
     listen: {{index .F.Entries .I}}
     internal: {{index .F.Internals .I}}
     grace: 100ms
-    control: [{{range .F.Control}}"{{.}}",{{end}}]
+    control: [{{range .Control}}"{{.}}",{{end}}]
 {{end}}
 {{define "engine"}}
 instance: {id: {{.E.Name}}-engine, zone: {{.E.Zone}}, region: local}
-tls: {off: true}
+tls: {{.TLS}}
 log: {level: warn}
 roles:
 - standin-engine:
@@ -157,19 +162,19 @@
 {{end}}
 {{define "agent"}}
 instance: {id: {{.E.Name}}, zone: {{.E.Zone}}, region: local}
-tls: {off: true}
+tls: {{.TLS}}
 log: {level: info}
 roles:
 - agent:
     listen: {{.E.Agent}}
     advertise: {{.E.Advertise}}
-    control: [{{range .F.Control}}"{{.}}",{{end}}]
+    control: [{{range .Control}}"{{.}}",{{end}}]
     upstream:
       openai: {url: "http://{{.E.URL}}", models: [letters], slots: 32}
 {{end}}
 {{define "service"}}
 instance: {id: {{.E.Name}}-service, zone: {{.E.Zone}}, region: local}
-tls: {off: true}
+tls: {{.TLS}}
 log: {level: warn}
 roles:
 - standin-service:
@@ -177,12 +182,12 @@
 {{end}}
 {{define "service-agent"}}
 instance: {id: {{.E.Name}}, zone: {{.E.Zone}}, region: local}
-tls: {off: true}
+tls: {{.TLS}}
 log: {level: info}
 roles:
 - agent:
     listen: {{.E.Agent}}
-    control: [{{range .F.Control}}"{{.}}",{{end}}]
+    control: [{{range .Control}}"{{.}}",{{end}}]
     upstream:
       plain: {url: "http://{{.E.Addr}}", services: [orders], slots: 32}
 {{end}}
@@ -262,6 +267,7 @@
 func (f *fleet) start(kind, name string, data map[string]any) {
 	f.t.Helper()
 	data["F"], data["Dir"] = f, f.dir
+	data["Control"], data["TLS"] = f.controlOf(name), f.tlsOf(kind, name)
 	var b bytes.Buffer
 	assert.NilError(f.t, templates.ExecuteTemplate(&b, kind, data))
 	path := filepath.Join(f.dir, name+".yaml")
@@ -277,6 +283,13 @@
 	})
 }
 
+func (f *fleet) controlOf(name string) []string {
+	if via, ok := f.controlVia[name]; ok {
+		return via
+	}
+	return f.Control
+}
+
 // logLines bounds what a failed test prints of each process.
 const logLines = 25
 
