--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -147,7 +147,7 @@
 	if it.waits() && c.count > q.settings.QueueLimit {
 		q.refuse(now, c.newestOfLargest(it), result.QueueFull)
 	}
-	if it.waits() && q.hopeless(now, it, it.flow.length()) {
+	if it.waits() && q.unreachable(now, it, it.flow.length()) {
 		q.refuse(now, it, result.DeadlineUnreachable)
 	}
 	q.preempt()
@@ -226,7 +226,7 @@
 	q.begin(now)
 	q.fill(now)
 	for c := range q.classes {
-		q.refuseHopeless(now, &q.classes[c])
+		q.refuseUnreachable(now, &q.classes[c])
 	}
 	q.forgetIdle(now)
 	q.preempt()
@@ -246,12 +246,12 @@
 	}
 }
 
-func (q *Queue) refuseHopeless(now time.Time, c *class) {
+func (q *Queue) refuseUnreachable(now time.Time, c *class) {
 	var gone []*item
 	for _, f := range c.byStart.list {
 		position := 0
 		for _, it := range f.waiting() {
-			if q.hopeless(now, it, position+1) {
+			if q.unreachable(now, it, position+1) {
 				gone = append(gone, it)
 				continue
 			}
@@ -263,9 +263,9 @@
 	}
 }
 
-// hopeless tells whether an item at a position of its organisation's line is
+// unreachable tells whether an item at a position of its organisation's line is
 // expected to start too late.
-func (q *Queue) hopeless(now time.Time, it *item, position int) bool {
+func (q *Queue) unreachable(now time.Time, it *item, position int) bool {
 	if it.StartBy.IsZero() {
 		return false
 	}
--- a/core/quarantine/probation_test.go
+++ b/core/quarantine/probation_test.go
@@ -29,25 +29,25 @@
 	return slices.DeleteFunc(slices.Clone(list), func(n string) bool { return !f.quarantined(n) })
 }
 
-// Guards against a killer that stays free because suspects ran beside it, and
+// Guards against a crasher that stays free because suspects ran beside it, and
 // against blame for those that had passed their probation.
 func TestSuspectInProbationIsAtFault(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFleet()
 		ran := batch(t, 1)
 		f.crashOf(1, "", ran...)
-		guilty := rapid.SampledFrom(ran).Draw(t, "in probation")
+		blamed := rapid.SampledFrom(ran).Draw(t, "in probation")
 		for n := range rapid.IntRange(0, 3).Draw(t, "shared crashes before") {
 			if len(ran) > 1 {
 				f.crashOf(uint64(10+n), "", ran...)
 			}
 		}
-		f.crashOf(2, guilty, ran...)
-		assert.DeepEqual(t, f.inQuarantine(ran), []string{guilty})
+		f.crashOf(2, blamed, ran...)
+		assert.DeepEqual(t, f.inQuarantine(ran), []string{blamed})
 	})
 }
 
-// Guards against a killer that crashes upstreams late, when its probation is
+// Guards against a crasher that crashes upstreams late, when its probation is
 // over, beside requests that are new or were cleared.
 func TestSingleEarlierSuspectIsAtFault(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -61,7 +61,7 @@
 }
 
 // Guards against the quarantine of a whole batch that was in two crashes, as
-// when a rack is lost, and against a killer that is never told apart from it.
+// when a rack is lost, and against a crasher that is never told apart from it.
 func TestSeveralEarlierSuspectsAreNot(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFleet()
@@ -70,10 +70,10 @@
 		both := ran[:rapid.IntRange(2, len(ran)-1).Draw(t, "again")]
 		f.crashOf(2, "", both...)
 		assert.Equal(t, len(f.inQuarantine(ran)), 0)
-		guilty := rapid.SampledFrom(both).Draw(t, "guilty")
-		beside := append([]string{guilty}, ran[len(both):]...)
+		blamed := rapid.SampledFrom(both).Draw(t, "blamed")
+		beside := append([]string{blamed}, ran[len(both):]...)
 		f.crashOf(3, "", beside...)
-		assert.DeepEqual(t, f.inQuarantine(ran), []string{guilty})
+		assert.DeepEqual(t, f.inQuarantine(ran), []string{blamed})
 	})
 }
 
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -24,7 +24,7 @@
 	number  map[int]uint64              // crashes of an upstream
 	late    []report                    // copies that arrive late
 	permits int
-	kills   map[string]int
+	crashes   map[string]int
 }
 
 type report struct {
@@ -33,7 +33,7 @@
 }
 
 func newFleet() *fleet {
-	return &fleet{s: New(), now: startMS, ran: map[int]map[string]*wire.ID{}, number: map[int]uint64{}, kills: map[string]int{}}
+	return &fleet{s: New(), now: startMS, ran: map[int]map[string]*wire.ID{}, number: map[int]uint64{}, crashes: map[string]int{}}
 }
 
 func (f *fleet) apply(c Command) Answer {
@@ -85,9 +85,9 @@
 
 // crash ends every run of an upstream. The agent reports all of them; an entry
 // reports a part, at once or late.
-func (f *fleet) crash(t *rapid.T, upstream int, killer string) {
+func (f *fleet) crash(t *rapid.T, upstream int, crasher string) {
 	f.number[upstream]++
-	f.kills[killer]++
+	f.crashes[crasher]++
 	agent := wire.CrashArgs{Upstream: fmt.Sprint(upstream), Incarnation: 1, CrashNumber: f.number[upstream]}
 	entry := agent
 	for _, name := range names {
@@ -137,36 +137,36 @@
 	return false
 }
 
-const killer = "killer"
+const crasher = "crasher"
 
-var names = []string{"a", "b", "c", "d", killer}
+var names = []string{"a", "b", "c", "d", crasher}
 
 // Guards against a request that goes on killing upstreams when it is sent again
 // through other entries, and against the quarantine of requests that only ran
 // beside it; over any order of runs, late and repeated reports, and time.
-func TestKillerStopsAndOthersDoNot(t *testing.T) {
+func TestCrashingRequestStopsAndOthersDoNot(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFleet()
-		since := 0 // kills since the killer's last quarantine ended
+		since := 0 // crashes since the crasher's last quarantine ended
 		for range rapid.IntRange(1, 150).Draw(t, "steps") {
 			name := rapid.SampledFrom(names).Draw(t, "request")
 			upstream := rapid.IntRange(0, 3).Draw(t, "upstream")
-			was := f.quarantined(killer)
+			was := f.quarantined(crasher)
 			switch rapid.IntRange(0, 6).Draw(t, "event") {
 			case 0, 1, 2:
-				// One attempt of the killer at a time before it is known.
-				if name != killer || f.suspect(killer) || !f.runs(killer) {
+				// One attempt of the crasher at a time before it is known.
+				if name != crasher || f.suspect(crasher) || !f.runs(crasher) {
 					f.begin(name, upstream)
 				}
 			case 3:
 				for u, on := range f.ran {
-					if _, ok := on[killer]; ok && u == upstream {
-						f.crash(t, u, killer)
+					if _, ok := on[crasher]; ok && u == upstream {
+						f.crash(t, u, crasher)
 						since++
 					}
 				}
 			case 4:
-				if name != killer {
+				if name != crasher {
 					f.finish(name, upstream)
 				}
 			case 5:
@@ -180,10 +180,10 @@
 				f.pass(rapid.SampledFrom([]int64{100, 20_000, PermitTime.Milliseconds(), MaxPeriod.Milliseconds()}).Draw(t, "ms"))
 			}
 			assert.Assert(t, since <= DefaultCrashes, "killed %d upstreams", since)
-			if was && !f.quarantined(killer) {
+			if was && !f.quarantined(crasher) {
 				since = DefaultCrashes - 1 // back after one more
 			}
-			if !f.suspect(killer) {
+			if !f.suspect(crasher) {
 				since = 0 // forgotten after SuspectTime
 			}
 			for _, name := range names[:len(names)-1] {
--- a/modules/agent/agent_test.go
+++ b/modules/agent/agent_test.go
@@ -433,7 +433,7 @@
 
 // Guards against a request that is held until its deadline although it cannot
 // start before.
-func TestHopelessRequestIsRefusedAtOnce(t *testing.T) {
+func TestUnreachableDeadlineIsRefusedAtOnce(t *testing.T) {
 	e := newEngine(t)
 	e.pause = 2 * time.Millisecond
 	a := startAgent(t, engineAdapter(t, e.URL, 1), nil)
--- a/modules/agent/run.go
+++ b/modules/agent/run.go
@@ -120,9 +120,9 @@
 	if !r.begin(stop) {
 		return errPreempted
 	}
-	dog := newWatchdog(r.a.upstream.Probe, prefill)
-	go dog.guard(ctx, stop)
-	err := r.generate(ctx, engine, dog, tokens)
+	wd := newWatchdog(r.a.upstream.Probe, prefill)
+	go wd.guard(ctx, stop)
+	err := r.generate(ctx, engine, wd, tokens)
 	if err != nil && ctx.Err() != nil {
 		err = r.cause(ctx)
 	}
@@ -144,13 +144,13 @@
 	return !r.preempted
 }
 
-func (r *run) generate(ctx context.Context, engine adapter.Generator, dog *watchdog, tokens *uint64) error {
+func (r *run) generate(ctx context.Context, engine adapter.Generator, wd *watchdog, tokens *uint64) error {
 	finish := ""
 	err := engine.Generate(ctx, r.g.job(), func(ev adapter.Event) error {
-		dog.busy.Store(true)
-		defer dog.busy.Store(false)
-		defer dog.touch()
-		dog.decoding.Store(dog.decoding.Load() || ev.Tokens > 0)
+		wd.busy.Store(true)
+		defer wd.busy.Store(false)
+		defer wd.touch()
+		wd.decoding.Store(wd.decoding.Load() || ev.Tokens > 0)
 		*tokens += uint64(ev.Tokens)
 		r.passProbation(*tokens)
 		r.a.metrics.tokens.Add(int64(ev.Tokens))
