--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -24,7 +24,7 @@
 	number  map[int]uint64              // crashes of an upstream
 	late    []report                    // copies that arrive late
 	permits int
-	crashes   map[string]int
+	crashes map[string]int
 }
 
 type report struct {
