agent: announce the upstream as up once the first configuration is in force

Ruled out: a fault of the quarantine; all engines were alive, and a request sent by hand was served. Change: an agent without a configuration announces itself as down and as up right after; the test fails at once if no stream came far enough. Conclusion: entries send nothing to an agent that cannot take it.

--- a/modules/agent/control.go
+++ b/modules/agent/control.go
@@ -133,7 +133,8 @@
 	switch {
 	case now.load.Leaving:
 		u.State = wire.UpstreamLeaving
-	case !now.up:
+	case !now.up, now.revision == 0 && len(a.Control) > 0:
+		// Without a configuration the agent takes no work yet.
 		u.State = wire.UpstreamDown
 	}
 	return u
--- a/modules/agent/owner.go
+++ b/modules/agent/owner.go
@@ -295,6 +295,7 @@
 	if e.revision < o.revision {
 		return
 	}
+	first := o.revision == 0
 	o.revision = e.revision
 	o.seen = max(o.seen, e.revision)
 	if o.seen == o.revision {
@@ -306,6 +307,10 @@
 		o.decide(now, o.queue.Configure(now, o.settings(e.document, now)))
 	}
 	o.dirty = true
+	if first {
+		o.publish(now)
+		o.a.control.announceNow() // as up, see describe
+	}
 }
 
 // suspectsEvent replaces the list of suspects.
--- a/test/e2e/crash_test.go
+++ b/test/e2e/crash_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -32,17 +33,20 @@
 	ctx, cancel := context.WithTimeout(context.Background(), streamLimit)
 	defer cancel()
 	var wg sync.WaitGroup
+	var sent atomic.Bool
+	wg.Add(1)
 	crash := onceAt(10, func() {
 		defer wg.Done()
+		sent.Store(true)
 		f.sendCrashing(ctx, t)
 	})
-	wg.Add(1)
 	f.streams(40, 120, func(i int, c *call) error {
 		if err := c.stream(ctx, f.Entries[i%2], crash); err != nil {
 			return err
 		}
 		return c.check()
 	})
+	assert.Assert(t, sent.Load(), "no stream came far enough")
 	wg.Wait()
 	assert.Assert(t, f.enginesLeft() >= len(f.Engines)-2, "%d of %d engines are left", f.enginesLeft(), len(f.Engines))
 }
