measure, e2e: take ports that outgoing connections cannot take

The log of a run showed that one engine had ended with 1005: between reserving a port and starting the process, a connection had taken the port. The measurement went on with one of two engines. Ruled out: the circuit breaker (a lost probe is replaced), leaked slots of the agent and the choice of upstreams; the entry's log names one upstream only, as the other was never up. Change: ports below the range of outgoing connections, in e2e too; a measurement with an ended process fails with that process's log. Conclusion: a fault of the harness, not of the system.

--- a/internal/measure/fleet.go
+++ b/internal/measure/fleet.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -12,6 +11,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"heatherway.dev/heatherway/internal/freeport"
 )
 
 // shape says how a fleet looks.
@@ -103,7 +104,7 @@
 
 // freeAddr returns a loopback address that was free just now.
 func freeAddr() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := freeport.Listen()
 	if err != nil {
 		return "", err
 	}
@@ -225,7 +226,20 @@
 		return errors.Wrapf(err, "the entry is not ready: %s", f.entry.log.String())
 	}
 	pause(ctx, settleTime)
-	return ctx.Err()
+	return errors.Join(f.ended(), ctx.Err())
+}
+
+// ended returns an error if a process has ended by itself. A fleet without one
+// of its engines would be measured at a part of its capacity.
+func (f *fleet) ended() error {
+	for _, p := range f.all {
+		select {
+		case <-p.done:
+			return errors.Errorf("%s has ended: %s", p.name, p.log.String())
+		default:
+		}
+	}
+	return nil
 }
 
 func eventually(ctx context.Context, limit time.Duration, check func() bool) error {
--- a/test/e2e/harness_test.go
+++ b/test/e2e/harness_test.go
@@ -20,6 +20,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"heatherway.dev/heatherway/internal/freeport"
 	"heatherway.dev/kernel/peer"
 )
 
@@ -61,7 +62,7 @@
 
 func (p *ports) addr(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := freeport.Listen()
 	assert.NilError(t, err)
 	p.held = append(p.held, l)
 	return l.Addr().String()
