--- /dev/null
+++ b/core/dispatch/dispatch.go
@@ -0,0 +1,405 @@
+// Package dispatch places requests on upstreams and accounts for the work that
+// is under way there. It answers loads in which KV cache, not slots, is scarce:
+// a model server takes few long prompts at once, preempts beyond that, and
+// slows every stream beside a prompt that it reads. A Fleet holds no clock and
+// no lock; one goroutine owns it.
+package dispatch
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"heatherway.dev/core/breaker"
+	"heatherway.dev/core/registration"
+	"heatherway.dev/core/routing"
+)
+
+const (
+	// prefillTokensPerMS is the prefill rate of the model servers, from the
+	// data sheet of the deployments.
+	prefillTokensPerMS = 8
+	// unknownTokens is taken as the size of a request that does not say; it is
+	// the mean of the deployments' prompts.
+	unknownTokens = 8000
+	// memoryShare is the part of an upstream's KV cache that is given out, so
+	// that estimates which are too low do not cause preemption.
+	memoryShare = 0.92
+	// runningMS is the cost of one running request beside a new stream: its
+	// prompt may still be read.
+	runningMS = 40
+	// callMS is the cost of one call ahead of a plain call, from the mean work of
+	// the deployments' calls.
+	callMS = 15
+	// otherZoneMS is the cost of leaving the availability zone: a round trip and
+	// the price of bytes between zones.
+	otherZoneMS = 12
+	// jitterMS spreads choices among upstreams that look alike.
+	jitterMS = 6
+	// loadTrust is how long a report of an upstream's load counts.
+	loadTrust = 2 * time.Second
+	// copyShare is the part of a backup that is charged to the memory of its
+	// holder: a copy yields earlier than a run.
+	copyShare = 1.0
+)
+
+// pathBreaker opens at the first failed connection: the upstream is down more
+// often than the path, and others can take the work.
+var pathBreaker = breaker.Settings{Consecutive: 1, Pause: 400 * time.Millisecond, MaxPause: 4 * time.Second, ProbeLimit: 3 * time.Second}
+
+// Work is a request to be placed.
+type Work struct {
+	Service string
+	Stream  bool
+	// Prompt and Output are sizes in tokens; zero when unknown.
+	Prompt, Output int
+	// Backup asks for an upstream that is to hold a copy of the KV cache.
+	Backup bool
+	// Tried names the upstreams that have failed the request.
+	Tried []string
+	// Prefer names the upstream that holds a copy for the request, if any.
+	Prefer string
+}
+
+func (w *Work) tokens() int {
+	if !w.Stream {
+		return 0
+	}
+	if w.Prompt == 0 {
+		return unknownTokens
+	}
+	return w.Prompt + w.Output
+}
+
+// Choice is where a request is placed.
+type Choice struct {
+	// Ticket names the placement until End.
+	Ticket   uint64
+	Upstream registration.Upstream
+	// Backup is the upstream that is to hold a copy, if any.
+	Backup registration.Upstream
+	// Wait is the expected time until the first event.
+	Wait time.Duration
+	// Why says in numbers what decided, for logs.
+	Why Why
+}
+
+// Why explains a choice.
+type Why struct {
+	Known, Eligible int
+	CostMS          float64
+	Running, Tokens int
+	ReportAge       time.Duration
+}
+
+// Refusal tells why a request cannot be placed.
+type Refusal struct {
+	// Known is the number of upstreams of the service.
+	Known int
+	// Retry is when another try may succeed.
+	Retry time.Duration
+	// Full tells that upstreams are up but have no memory left.
+	Full bool
+}
+
+type upstream struct {
+	registration.Upstream
+	engine  *routing.Engine
+	work    map[uint64]*placement
+	tokens  int // of own work and copies
+	copies  int
+	breaker *breaker.Breaker
+	// reported is the load of others in the last report.
+	others   int
+	reported time.Time
+	// failing is the recent share of failed answers, as a moving average.
+	failing float64
+}
+
+type placement struct {
+	upstream *upstream
+	backup   *upstream
+	tokens   int
+	prompt   int
+	sent     time.Time
+	started  bool
+	stream   bool
+	permit   breaker.Permit
+}
+
+// Fleet is what one gateway knows about the upstreams.
+type Fleet struct {
+	zone    string
+	rng     *rand.Rand
+	byID    map[string]*upstream
+	service map[string][]*upstream
+	engines map[string]*routing.Engine
+	tickets map[uint64]*placement
+	last    uint64
+}
+
+// New returns an empty fleet for a gateway in an availability zone.
+func New(zone string, rng *rand.Rand) *Fleet {
+	return &Fleet{zone: zone, rng: rng, byID: map[string]*upstream{}, service: map[string][]*upstream{},
+		engines: map[string]*routing.Engine{}, tickets: map[uint64]*placement{}}
+}
+
+// SetEngines takes over what the configuration says of the services.
+func (f *Fleet) SetEngines(services []routing.Service) {
+	clear(f.engines)
+	for i := range services {
+		f.engines[services[i].Name] = services[i].Engine
+	}
+	for _, u := range f.byID {
+		u.engine = f.engines[u.Service]
+	}
+}
+
+// SetUpstream takes over a record of the directory. Upstreams that have left
+// get no work; what runs there goes on.
+func (f *Fleet) SetUpstream(r registration.Upstream) {
+	u := f.byID[r.ID]
+	if u != nil && u.StartedMS != r.StartedMS {
+		f.remove(u) // the same id after a restart knows nothing of before
+		u = nil
+	}
+	if r.State >= registration.Lost {
+		if u != nil {
+			f.remove(u)
+		}
+		return
+	}
+	if u == nil {
+		u = &upstream{work: map[uint64]*placement{}, breaker: breaker.New(pathBreaker)}
+		f.byID[r.ID] = u
+		f.service[r.Service] = append(f.service[r.Service], u)
+	} else if u.Service != r.Service {
+		f.unlist(u)
+		f.service[r.Service] = append(f.service[r.Service], u)
+	}
+	u.Upstream, u.engine = r, f.engines[r.Service]
+}
+
+func (f *Fleet) remove(u *upstream) {
+	delete(f.byID, u.ID)
+	f.unlist(u)
+}
+
+func (f *Fleet) unlist(u *upstream) {
+	f.service[u.Service] = slices.DeleteFunc(f.service[u.Service], func(o *upstream) bool { return o == u })
+}
+
+// Len returns the number of upstreams that may get work.
+func (f *Fleet) Len() int { return len(f.byID) }
+
+// Place chooses the upstream of a request. The caller reports what comes of it
+// with Started, Report, Fail and End.
+func (f *Fleet) Place(now time.Time, w *Work) (Choice, *Refusal) {
+	list := f.service[w.Service]
+	best, why := f.best(now, w, list, true)
+	if best == nil && !w.Stream {
+		best, why = f.best(now, w, list, false)
+	}
+	if best == nil {
+		return Choice{}, f.refuse(now, w, list)
+	}
+	permit, ok := best.breaker.Allow(now)
+	if !ok {
+		return Choice{}, f.refuse(now, w, list)
+	}
+	f.last++
+	p := &placement{upstream: best, tokens: w.tokens(), prompt: w.Prompt, sent: now, stream: w.Stream, permit: permit}
+	best.work[f.last] = p
+	best.tokens += p.tokens
+	f.tickets[f.last] = p
+	why.Known, why.Running, why.Tokens = len(list), len(best.work), best.tokens
+	if !best.reported.IsZero() {
+		why.ReportAge = now.Sub(best.reported)
+	}
+	c := Choice{Ticket: f.last, Upstream: best.Upstream, Why: why, Wait: best.prefill(now)}
+	if b := f.backup(now, w, best, list); b != nil {
+		p.backup = b
+		b.copies += p.tokens
+		c.Backup = b.Upstream
+	}
+	return c, nil
+}
+
+// best returns the upstream with the lowest cost, untried ones only if fresh is
+// set.
+func (f *Fleet) best(now time.Time, w *Work, list []*upstream, fresh bool) (*upstream, Why) {
+	var best *upstream
+	var why Why
+	for _, u := range list {
+		if !u.eligible(now, w) || fresh && slices.Contains(w.Tried, u.ID) {
+			continue
+		}
+		why.Eligible++
+		if cost := f.cost(now, w, u); best == nil || cost < why.CostMS {
+			best, why.CostMS = u, cost
+		}
+	}
+	return best, why
+}
+
+func (u *upstream) eligible(now time.Time, w *Work) bool {
+	return u.State == registration.Ready && u.breaker.Ready(now) && u.fits(w.tokens())
+}
+
+// fits tells whether a request has room beside the work and the copies placed.
+func (u *upstream) fits(tokens int) bool {
+	if u.engine == nil || u.engine.MemoryTokens == 0 {
+		return true
+	}
+	used := u.tokens + int(copyShare*float64(u.copies))
+	return used == 0 || float64(used+tokens) <= memoryShare*float64(u.engine.MemoryTokens)
+}
+
+func (f *Fleet) cost(now time.Time, w *Work, u *upstream) float64 {
+	cost := f.rng.Float64() * jitterMS
+	if u.Zone != f.zone {
+		cost += otherZoneMS
+	}
+	if w.Prefer == u.ID {
+		cost -= preferMS
+	}
+	each := float64(callMS)
+	if w.Stream {
+		each = runningMS
+		cost += float64(u.prefill(now)) / float64(time.Millisecond)
+		if u.engine != nil && u.engine.MemoryTokens > 0 {
+			cost += memoryMS * float64(u.tokens+u.copies) / float64(u.engine.MemoryTokens)
+		}
+	}
+	ahead := float64(len(u.work))
+	if age := now.Sub(u.reported); age < loadTrust {
+		ahead += float64(u.others) * (1 - float64(age)/float64(loadTrust))
+	}
+	return cost + each*ahead + failingMS*u.failing
+}
+
+const (
+	// preferMS outweighs every other cost.
+	preferMS = 1e6
+	// memoryMS is the cost of a full KV cache against an empty one.
+	memoryMS = 300
+	// failingMS is the cost of an upstream all of whose answers fail.
+	failingMS = 400
+)
+
+// prefill is the time until the prompts sent there are read.
+func (u *upstream) prefill(now time.Time) time.Duration {
+	tokens := 0.0
+	for _, p := range u.work {
+		if p.started || !p.stream {
+			continue
+		}
+		read := float64(now.Sub(p.sent).Milliseconds()) * prefillTokensPerMS
+		tokens += max(float64(p.prompt)-read, 0)
+	}
+	return time.Duration(tokens / prefillTokensPerMS * float64(time.Millisecond))
+}
+
+// backup chooses the holder of a copy: in another availability zone, since the
+// upstreams of a zone fail together, and where most memory is free.
+func (f *Fleet) backup(now time.Time, w *Work, primary *upstream, list []*upstream) *upstream {
+	if !w.Backup || primary.engine == nil || !primary.engine.Backups {
+		return nil
+	}
+	var best *upstream
+	lowest := 0.0
+	for _, u := range list {
+		if u == primary || u.Zone == primary.Zone || slices.Contains(w.Tried, u.ID) || !u.eligible(now, w) {
+			continue
+		}
+		cost := float64(u.tokens+u.copies) + f.rng.Float64()*unknownTokens/2
+		if u.Zone == f.zone {
+			cost -= unknownTokens / 4
+		}
+		if best == nil || cost < lowest {
+			best, lowest = u, cost
+		}
+	}
+	return best
+}
+
+// minRetry is the least time after which another try makes sense.
+const minRetry = 50 * time.Millisecond
+
+func (f *Fleet) refuse(now time.Time, w *Work, list []*upstream) *Refusal {
+	r := &Refusal{Known: len(list), Retry: time.Second}
+	for _, u := range list {
+		if u.State != registration.Ready {
+			continue
+		}
+		if at := u.breaker.RetryAt(now).Sub(now); at < r.Retry {
+			r.Retry = max(at, minRetry)
+		}
+		if u.breaker.Ready(now) && !u.fits(w.tokens()) {
+			r.Full = true
+		}
+	}
+	return r
+}
+
+// Started records the first sign of work on a request.
+func (f *Fleet) Started(now time.Time, ticket uint64) {
+	if p := f.tickets[ticket]; p != nil {
+		p.started = true
+		p.upstream.breaker.Record(now, p.permit, breaker.Succeeded)
+	}
+}
+
+// failingShare is the weight of the newest answer in the moving average.
+const failingShare = 0.15
+
+// Answered records whether the upstream answered a request with success.
+func (f *Fleet) Answered(ticket uint64, ok bool) {
+	p := f.tickets[ticket]
+	if p == nil {
+		return
+	}
+	sample := 1.0
+	if ok {
+		sample = 0
+	}
+	p.upstream.failing += failingShare * (sample - p.upstream.failing)
+}
+
+// Failed records that the path to the upstream broke or fell silent, so that it
+// gets no work for a while.
+func (f *Fleet) Failed(now time.Time, ticket uint64) {
+	if p := f.tickets[ticket]; p != nil {
+		p.upstream.breaker.Record(now, p.permit, breaker.ConnectFailed)
+	}
+}
+
+// Report takes the load that an upstream names in an answer.
+func (f *Fleet) Report(now time.Time, ticket uint64, running, waiting int) {
+	p := f.tickets[ticket]
+	if p == nil {
+		return
+	}
+	p.upstream.others = max(running+waiting-len(p.upstream.work), 0)
+	p.upstream.reported = now
+}
+
+// DropCopy frees what a copy was charged, for example once it has been used.
+func (f *Fleet) DropCopy(ticket uint64) {
+	if p := f.tickets[ticket]; p != nil && p.backup != nil {
+		p.backup.copies -= p.tokens
+		p.backup = nil
+	}
+}
+
+// End frees what a request was charged.
+func (f *Fleet) End(ticket uint64) {
+	p := f.tickets[ticket]
+	if p == nil {
+		return
+	}
+	f.DropCopy(ticket)
+	delete(f.tickets, ticket)
+	delete(p.upstream.work, ticket)
+	p.upstream.tokens -= p.tokens
+}
--- /dev/null
+++ b/core/registration/registration.go
@@ -0,0 +1,242 @@
+// Package registration keeps the directory of upstreams that announce
+// themselves. Announcements arrive late, out of order, twice and through
+// several control instances; a Directory merges them into one state that does
+// not depend on the order. It holds no clock and no lock.
+package registration
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// State is what an upstream says of itself.
+type State uint8
+
+// The states, in the order in which one incarnation passes through them.
+const (
+	Ready State = iota
+	// Draining upstreams finish their work and take no more.
+	Draining
+	// Lost upstreams have not been heard of for too long; a later announcement
+	// brings them back.
+	Lost
+	// Left upstreams have ended, or were replaced at their address.
+	Left
+)
+
+// String returns the name used in logs.
+func (s State) String() string {
+	return [...]string{"ready", "draining", "lost", "left"}[s]
+}
+
+// Upstream is one announcement.
+type Upstream struct {
+	ID      string
+	Service string
+	// Addr is IP:PORT.
+	Addr  string
+	Zone  string
+	Slots int
+	State State
+	// StartedMS is the start of the incarnation in Unix milliseconds, by the
+	// upstream's own clock; zero when it does not say.
+	StartedMS int64
+	// Seq counts the announcements of one incarnation.
+	Seq int64
+	// ColdMS is how much longer the upstream is slow after its start.
+	ColdMS int64
+}
+
+// newer tells whether an announcement came after another of the same id.
+func (u *Upstream) newer(old *Upstream) bool {
+	if u.StartedMS != old.StartedMS {
+		return u.StartedMS > old.StartedMS
+	}
+	if u.State == Left || old.State == Left {
+		return old.State != Left // an incarnation that has left does not return
+	}
+	if u.Seq == old.Seq {
+		return u.State > old.State
+	}
+	return u.Seq > old.Seq
+}
+
+type record struct {
+	Upstream
+	heard time.Time
+	// change numbers the last change of what readers see.
+	change uint64
+}
+
+// Directory is the merged state. The zero value is not usable; see New.
+type Directory struct {
+	byID    map[string]*record
+	byAddr  map[string]string
+	changes uint64
+}
+
+// New returns an empty directory.
+func New() *Directory {
+	return &Directory{byID: map[string]*record{}, byAddr: map[string]string{}}
+}
+
+// Outcome is what an announcement did.
+type Outcome uint8
+
+// The outcomes.
+const (
+	// Stale announcements are older than what is known.
+	Stale Outcome = iota
+	// Refreshed announcements say nothing new.
+	Refreshed
+	// Changed announcements changed what readers see.
+	Changed
+)
+
+// Observe takes an announcement in.
+func (d *Directory) Observe(now time.Time, u Upstream) Outcome {
+	old, known := d.byID[u.ID]
+	if known && u.State == Left && u.StartedMS == 0 {
+		u.StartedMS = old.StartedMS // a departure that does not say means the incarnation known
+	}
+	if known && !u.newer(&old.Upstream) {
+		if old.StartedMS == u.StartedMS && old.Seq == u.Seq && old.State != Left {
+			old.heard = now
+		}
+		return Stale
+	}
+	if u.State == Left && known && u.Addr == "" {
+		left := old.Upstream
+		left.State, left.Seq = Left, u.Seq
+		u = left
+	}
+	if u.Addr != "" && u.State != Left && d.replacedAt(u) {
+		u.State = Left
+	}
+	changed := !known || !sameView(&old.Upstream, &u)
+	if !known {
+		old = &record{}
+		d.byID[u.ID] = old
+	}
+	old.Upstream, old.heard = u, now
+	if !changed {
+		return Refreshed
+	}
+	d.touch(old)
+	d.settleAddress(u)
+	return Changed
+}
+
+func sameView(a, b *Upstream) bool {
+	return a.StartedMS == b.StartedMS && a.State == b.State && a.Addr == b.Addr &&
+		a.Service == b.Service && a.Zone == b.Zone && a.Slots == b.Slots
+}
+
+func (d *Directory) touch(r *record) {
+	d.changes++
+	r.change = d.changes
+}
+
+// replacedAt tells whether a later incarnation has the address: an announcement
+// may be delayed by a partition until after its sender has crashed.
+func (d *Directory) replacedAt(u Upstream) bool {
+	id, taken := d.byAddr[u.Addr]
+	if !taken || id == u.ID {
+		return false
+	}
+	other := d.byID[id]
+	return other != nil && other.State < Lost && other.StartedMS > u.StartedMS
+}
+
+// settleAddress marks the previous owner of an address as left.
+func (d *Directory) settleAddress(u Upstream) {
+	if u.State >= Lost || u.Addr == "" {
+		return
+	}
+	if id, taken := d.byAddr[u.Addr]; taken && id != u.ID {
+		if other := d.byID[id]; other != nil && other.State != Left {
+			other.State = Left
+			d.touch(other)
+		}
+	}
+	d.byAddr[u.Addr] = u.ID
+}
+
+// Silent returns the upstreams that have not been heard of for a time and are
+// neither lost nor have left.
+func (d *Directory) Silent(now time.Time, after time.Duration) []Upstream {
+	var out []Upstream
+	for _, r := range d.byID {
+		if r.State < Lost && now.Sub(r.heard) >= after {
+			out = append(out, r.Upstream)
+		}
+	}
+	sortByID(out)
+	return out
+}
+
+// Expire drops records that have not been heard of for a time. Those that left
+// are kept as long, so that late announcements stay without effect.
+func (d *Directory) Expire(now time.Time, after time.Duration) {
+	for id, r := range d.byID {
+		if now.Sub(r.heard) < after {
+			continue
+		}
+		delete(d.byID, id)
+		if d.byAddr[r.Addr] == id {
+			delete(d.byAddr, r.Addr)
+		}
+	}
+}
+
+// MarkLost marks the upstreams that have not been heard of for a time as lost
+// and returns them.
+func (d *Directory) MarkLost(now time.Time, after time.Duration) []Upstream {
+	silent := d.Silent(now, after)
+	for _, u := range silent {
+		r := d.byID[u.ID]
+		r.State = Lost
+		d.touch(r)
+	}
+	return silent
+}
+
+// Changes returns the number of the last change, for Since.
+func (d *Directory) Changes() uint64 { return d.changes }
+
+// Since returns the records that changed after a number, in order of id.
+func (d *Directory) Since(change uint64) []Upstream {
+	var out []Upstream
+	for _, r := range d.byID {
+		if r.change > change {
+			out = append(out, r.Upstream)
+		}
+	}
+	sortByID(out)
+	return out
+}
+
+// Get returns what is known of an upstream.
+func (d *Directory) Get(id string) (Upstream, bool) {
+	r, ok := d.byID[id]
+	if !ok {
+		return Upstream{}, false
+	}
+	return r.Upstream, true
+}
+
+// Heard returns when an upstream was last heard of.
+func (d *Directory) Heard(id string) time.Time {
+	if r := d.byID[id]; r != nil {
+		return r.heard
+	}
+	return time.Time{}
+}
+
+// All returns every record, those that left included, in order of id.
+func (d *Directory) All() []Upstream { return d.Since(0) }
+
+func sortByID(list []Upstream) {
+	slices.SortFunc(list, func(a, b Upstream) int { return strings.Compare(a.ID, b.ID) })
+}
--- /dev/null
+++ b/core/relay/relay.go
@@ -0,0 +1,132 @@
+// Package relay decides how one stream of events passes from upstreams to a
+// caller: which event is next, when silence is suspicious, and when the stream
+// goes on at another upstream. It answers loads in which all model servers of an
+// availability zone stop together, half of the time without closing their
+// connections. It holds no clock.
+package relay
+
+import "time"
+
+const (
+	// minSuspicion keeps the pauses that prompts of other requests cause from
+	// being taken for a failure: a chunk of a prompt takes 25 ms and an event
+	// has 6 tokens.
+	minSuspicion = 280 * time.Millisecond
+	// suspicionShare is the part of the longest pause that still counts as on
+	// time after which silence is suspicious; the rest is for the check and the
+	// resume.
+	suspicionShare = 0.42
+	// usualFactor is how many usual pauses silence must last.
+	usualFactor = 3.5
+	// pauseWeight is the weight of the newest pause in the moving average.
+	pauseWeight = 0.2
+	// checkedFactor multiplies the patience with an upstream that accepts
+	// connections and still sends nothing.
+	checkedFactor = 3
+	// defaultGap is used where a route declares no longest pause.
+	defaultGap = time.Second
+	// firstFactor is how many times the expected wait the first event may take.
+	firstFactor = 2
+	// minFirst is the least patience before the first event: a prompt of the
+	// usual size takes a second to read.
+	minFirst = 1200 * time.Millisecond
+)
+
+// Verdict is what happens with an event.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Pass gives the event to the caller.
+	Pass Verdict = iota
+	// Repeat drops an event that the caller has.
+	Repeat
+	// Gap means that an event is missing; the attempt is of no more use.
+	Gap
+)
+
+// Stream is the state of one stream.
+type Stream struct {
+	maxGap time.Duration
+	last   int64
+	any    bool
+	usual  time.Duration
+	seen   time.Time
+	// first is the expected time until the first event of the attempt.
+	first   time.Duration
+	started bool
+	checks  int
+}
+
+// New returns a stream behind the event last, or from the start if last is
+// negative. maxGap is the longest pause that counts as on time, zero for none
+// declared.
+func New(maxGap time.Duration, last int64) *Stream {
+	if maxGap <= 0 {
+		maxGap = defaultGap
+	}
+	return &Stream{maxGap: maxGap, last: last, any: last >= 0}
+}
+
+// Attempt begins an attempt that is expected to send its first event after a
+// time.
+func (s *Stream) Attempt(now time.Time, expected time.Duration) {
+	s.seen, s.first, s.started, s.checks = now, expected, false, 0
+}
+
+// Last returns the last event that the caller has; false when it has none.
+func (s *Stream) Last() (int64, bool) { return s.last, s.any }
+
+// Event takes an event of the current attempt in.
+func (s *Stream) Event(now time.Time, id int64) Verdict {
+	if s.started {
+		s.learn(now.Sub(s.seen))
+	}
+	s.seen, s.started, s.checks = now, true, 0
+	switch {
+	case s.any && id <= s.last:
+		return Repeat
+	case s.any && id > s.last+1:
+		return Gap
+	}
+	s.last, s.any = id, true
+	return Pass
+}
+
+func (s *Stream) learn(pause time.Duration) {
+	if s.usual == 0 {
+		s.usual = pause
+		return
+	}
+	s.usual += time.Duration(pauseWeight * float64(pause-s.usual))
+}
+
+// Patience returns how long the attempt may stay silent from now on before it
+// is checked by a new connection.
+func (s *Stream) Patience(now time.Time) time.Duration {
+	limit := s.suspicion()
+	if s.checks > 0 {
+		limit *= time.Duration(s.checks * checkedFactor)
+	}
+	return max(s.seen.Add(limit).Sub(now), 0)
+}
+
+func (s *Stream) suspicion() time.Duration {
+	if !s.started {
+		return max(minFirst, firstFactor*s.first)
+	}
+	share := time.Duration(suspicionShare * float64(s.maxGap))
+	return max(minSuspicion, share, min(time.Duration(usualFactor*float64(s.usual)), s.maxGap))
+}
+
+// maxChecks is the number of passed checks after which a silent attempt is
+// given up nevertheless: an open connection may be silent for good, and a
+// server may hang.
+const maxChecks = 1
+
+// Checked records that the upstream accepted a new connection while the stream
+// was silent. It returns false when the attempt is to be given up.
+func (s *Stream) Checked() bool {
+	s.checks++
+	return s.checks <= maxChecks
+}
--- /dev/null
+++ b/core/routing/table.go
@@ -0,0 +1,108 @@
+package routing
+
+import (
+	"net"
+	"sort"
+	"strings"
+)
+
+// Table answers lookups in one configuration. It is immutable.
+type Table struct {
+	Version  uint64
+	Limits   Limits
+	services map[string]*Service
+	byHost   map[string][]*Route // longest prefix first
+	byKey    map[string]*Organisation
+	tenancy  bool
+}
+
+// NewTable compiles a configuration that Validate has accepted.
+func NewTable(c *Configuration) *Table {
+	t := &Table{
+		Version: c.Version, Limits: c.Limits,
+		services: make(map[string]*Service, len(c.Services)),
+		byHost:   map[string][]*Route{},
+		byKey:    map[string]*Organisation{},
+		tenancy:  len(c.Organisations) > 0,
+	}
+	for i := range c.Services {
+		t.services[c.Services[i].Name] = &c.Services[i]
+	}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		host := hostOnly(r.Host)
+		t.byHost[host] = append(t.byHost[host], r)
+	}
+	for _, routes := range t.byHost {
+		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
+	}
+	for i := range c.Organisations {
+		for _, k := range c.Organisations[i].Keys {
+			t.byKey[k] = &c.Organisations[i]
+		}
+	}
+	return t
+}
+
+// Match returns the route of the host with the longest prefix of the path.
+func (t *Table) Match(host, path string) (*Route, bool) {
+	for _, r := range t.byHost[hostOnly(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// hostOnly drops a port and the case, which do not matter in a host name.
+func hostOnly(host string) string {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	return strings.ToLower(host)
+}
+
+// Service returns a service by name.
+func (t *Table) Service(name string) (*Service, bool) {
+	s, ok := t.services[name]
+	return s, ok
+}
+
+// NeedsKey tells whether requests of the route must carry a key.
+func (t *Table) NeedsKey(r *Route) bool { return t.tenancy && !r.Public }
+
+// Organisation returns the owner of a key.
+func (t *Table) Organisation(key string) (*Organisation, bool) {
+	o, ok := t.byKey[key]
+	return o, ok
+}
+
+// Priority returns the rank of a request: that of its organisation if it has
+// one, else that of its route.
+func Priority(r *Route, o *Organisation) int {
+	if o != nil && o.Priority != nil {
+		return *o.Priority
+	}
+	return r.Priority
+}
+
+// Pick returns the target of a request, by a uniformly distributed draw. The
+// same draw picks the same target, so that all attempts of a request stay
+// within one service.
+func (r *Route) Pick(draw uint64) string {
+	total := uint64(0)
+	for _, t := range r.Targets {
+		total += uint64(t.Weight)
+	}
+	if total == 0 {
+		return ""
+	}
+	at := draw % total
+	for _, t := range r.Targets {
+		if at < uint64(t.Weight) {
+			return t.Service
+		}
+		at -= uint64(t.Weight)
+	}
+	return ""
+}
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -127,13 +127,14 @@
 	return result.New(result.InvalidField, "%s", g.Message)
 }
 
-// Write answers outside of the generated servers.
+// Write answers outside of the generated servers. A Retry-After that is set
+// already stays, since some protocols take fractions of a second.
 func Write(w http.ResponseWriter, e *result.Error, requestID string) {
 	f := New(e, requestID)
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set("X-Request-Id", requestID)
-	if f.Problem.RetryAfterMS > 0 {
+	if f.Problem.RetryAfterMS > 0 && h.Get("Retry-After") == "" {
 		h.Set("Retry-After", strconv.FormatInt(retrySeconds(f.Problem.RetryAfterMS), 10))
 	}
 	w.WriteHeader(f.status)
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -16,6 +16,7 @@
 
 	"github.com/go-faster/errors"
 
+	"heatherway.dev/kernel/logs"
 	"heatherway.dev/kernel/peer"
 	"heatherway.dev/kernel/result"
 	"heatherway.dev/kernel/settings"
@@ -109,6 +110,9 @@
 	TLS      peer.TLSSettings `yaml:"tls"`
 	Stop     StopSettings     `yaml:"stop"`
 	Metrics  MetricsSettings  `yaml:"metrics"`
+	// MemoryMB is the memory of the process in MiB; the garbage collector keeps
+	// below a part of it. Zero sets no limit.
+	MemoryMB int `yaml:"memory_mb"`
 	// Roles names the roles of the process, each with its settings.
 	Roles []settings.Plugin `yaml:"roles"`
 }
@@ -116,7 +120,7 @@
 // DefaultSettings returns the settings that hold when a file names no others.
 func DefaultSettings() Settings { return Settings{Stop: StopSettings{Limit: 10 * time.Minute}} }
 
-// LogSettings configures the JSON log on standard error.
+// LogSettings configures the JSON log on standard output.
 type LogSettings struct {
 	// Level is debug, info, warn or error.
 	Level slog.Level `yaml:"level"`
@@ -185,7 +189,8 @@
 	if err := checkSettings(doc.Name, k.settings); err != nil {
 		return nil, err
 	}
-	log := slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: k.settings.Log.Level})).
+	limitMemory(k.settings.MemoryMB)
+	log := slog.New(slog.NewJSONHandler(logs.NewWriter(os.Stdout), &slog.HandlerOptions{Level: k.settings.Log.Level})).
 		With("instance", k.settings.Instance.ID, "zone", k.settings.Instance.Zone)
 	security, err := peer.NewSecurity(k.settings.TLS, log)
 	if err != nil {
--- /dev/null
+++ b/kernel/logs/logs.go
@@ -0,0 +1,61 @@
+// Package logs writes log lines without ever blocking the code that logs: lines
+// wait in a bounded queue, and those that find it full are dropped and counted.
+package logs
+
+import (
+	"fmt"
+	"io"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// queuedLines bounds the lines that wait for the output.
+	queuedLines = 512
+	// flushLimit bounds how long Flush waits for a slow output.
+	flushLimit = 200 * time.Millisecond
+)
+
+// Writer is an io.Writer for a slog handler; each call to Write is one line.
+type Writer struct {
+	lines   chan []byte
+	dropped atomic.Int64
+}
+
+// NewWriter returns a writer that passes lines on to out in the background.
+func NewWriter(out io.Writer) *Writer {
+	w := &Writer{lines: make(chan []byte, queuedLines)}
+	go w.run(out)
+	return w
+}
+
+// Write queues one line. It never fails: there is nowhere to report it.
+func (w *Writer) Write(line []byte) (int, error) {
+	select {
+	case w.lines <- append([]byte(nil), line...):
+	default:
+		w.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Dropped returns the number of lines that found the queue full.
+func (w *Writer) Dropped() int64 { return w.dropped.Load() }
+
+// Flush waits until the lines queued so far are written, for a short while.
+func (w *Writer) Flush() {
+	for end := time.Now().Add(flushLimit); len(w.lines) > 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (w *Writer) run(out io.Writer) {
+	reported := int64(0)
+	for line := range w.lines {
+		if n := w.dropped.Load(); n > reported {
+			line = append(line, fmt.Sprintf("{\"level\":\"WARN\",\"msg\":\"log lines dropped\",\"count\":%d}\n", n-reported)...)
+			reported = n
+		}
+		_, _ = out.Write(line) // there is nowhere to report a failure
+	}
+}
--- /dev/null
+++ b/kernel/peer/clients.go
@@ -0,0 +1,37 @@
+package peer
+
+import "sync"
+
+// Clients holds one client for each address. It is safe for use by several
+// goroutines.
+type Clients struct {
+	security *Security
+	mu       sync.Mutex
+	byAddr   map[string]*Client
+}
+
+// NewClients returns an empty set.
+func (s *Security) NewClients() *Clients {
+	return &Clients{security: s, byAddr: map[string]*Client{}}
+}
+
+// To returns the client for an address.
+func (c *Clients) To(addr string) *Client {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	cl, ok := c.byAddr[addr]
+	if !ok {
+		cl = c.security.NewClient(addr)
+		c.byAddr[addr] = cl
+	}
+	return cl
+}
+
+// Close ends all connections.
+func (c *Clients) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, cl := range c.byAddr {
+		cl.Close()
+	}
+}
--- a/modules/control/control.go
+++ b/modules/control/control.go
@@ -123,7 +123,7 @@
 	counts  counts
 	alive   alive
 	limits  *limits
-	peers   *peers
+	peers   *peer.Clients
 	replica *replica.Replica
 	// syncEach syncs the log once for each command, to measure what syncing a
 	// batch gains.
@@ -188,7 +188,7 @@
 	c.counts = newCounts(c.stats)
 	c.members = newMembers(time.Now, c.stats)
 	c.limits = newLimits()
-	c.peers = newPeers(c.security)
+	c.peers = c.security.NewClients()
 	return c.openLog(machines)
 }
 
@@ -295,7 +295,7 @@
 		c.cancel()
 	}
 	if c.peers != nil {
-		c.peers.close()
+		c.peers.Close()
 	}
 	if c.replica == nil || c.logClosed {
 		return nil
--- a/modules/control/forward.go
+++ b/modules/control/forward.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -70,33 +69,5 @@
 	if !s.forward || lead.Addr == "" || lead.Addr == s.c.Advertise {
 		return result.New(result.NotLeader, "%s", lead.Addr)
 	}
-	return s.c.peers.to(lead.Addr).Call(ctx, leaderService+"."+method, args, reply)
-}
-
-// peers holds the clients to other control instances.
-type peers struct {
-	security *peer.Security
-	mu       sync.Mutex
-	byAddr   map[string]*peer.Client
-}
-
-func newPeers(s *peer.Security) *peers { return &peers{security: s, byAddr: map[string]*peer.Client{}} }
-
-func (p *peers) to(addr string) *peer.Client {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	c, ok := p.byAddr[addr]
-	if !ok {
-		c = p.security.NewClient(addr)
-		p.byAddr[addr] = c
-	}
-	return c
-}
-
-func (p *peers) close() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, c := range p.byAddr {
-		c.Close()
-	}
+	return s.c.peers.To(lead.Addr).Call(ctx, leaderService+"."+method, args, reply)
 }
--- a/modules/control/limits.go
+++ b/modules/control/limits.go
@@ -74,7 +74,7 @@
 	defer cancel()
 	owner := limit.OwnerOf(a.Organisation, s.c.alive.list(s.c.instance.ID, time.Now()))
 	if owner != s.c.instance.ID && s.forward {
-		err := s.c.peers.to(s.c.Members[owner]).Call(ctx, leaderService+".Lease", a, r)
+		err := s.c.peers.To(s.c.Members[owner]).Call(ctx, leaderService+".Lease", a, r)
 		return peer.EncodeError(err)
 	}
 	doc, scope, now := s.c.fleet.view().Doc, config.Scope{Organisation: a.Organisation}, time.Now()
--- /dev/null
+++ b/modules/control/replica/discovery.go
@@ -0,0 +1,185 @@
+package replica
+
+import (
+	"slices"
+
+	"heatherway.dev/core/raft"
+)
+
+// Discovery finds the other instances at run time. An instance is named by its
+// address; it is found through the seeds, through the members that another
+// instance names, or because it calls by itself.
+type Discovery struct {
+	// Seeds are addresses of a few instances. They may be out of date.
+	Seeds []string
+	// Found is set at the first start of the whole system. The seed with the
+	// lowest address then starts the groups, once every other seed has said that
+	// it has no log.
+	Found bool
+	// MinVoters is the number of voters from which on a group takes proposals,
+	// so that an acknowledged entry survives the losses to be borne.
+	MinVoters int
+}
+
+const (
+	// replaceTicks is the silence after which a voter gives way to a learner
+	// that has caught up. It is above the longest election timeout, so that a
+	// change of leader replaces nobody.
+	replaceTicks = 30
+	// removeTicks is the silence after which a voter is removed without a
+	// replacement, so that members which never return do not add up to a
+	// majority.
+	removeTicks = 160
+	// forgetTicks is the silence after which an instance that is no member is
+	// no longer called.
+	forgetTicks = 1200
+)
+
+func (d *Discovery) founder(self raft.MemberID) bool {
+	return d.Found && slices.Contains(d.Seeds, string(self))
+}
+
+// founders are the instances that must agree before a group is started.
+func (r *Replica) founders() []Peer {
+	if r.options.Discovery == nil {
+		return r.options.Peers
+	}
+	var out []Peer
+	for _, s := range r.options.Discovery.Seeds {
+		out = append(out, Peer{ID: raft.MemberID(s), Addr: s})
+	}
+	return out
+}
+
+// candidates are the instances that should be members, in a fixed order.
+func (r *Replica) candidates() []Peer {
+	if r.options.Discovery == nil {
+		return r.options.Peers
+	}
+	var out []Peer
+	for id := range r.known {
+		if _, ok := r.fresh(id); ok {
+			out = append(out, Peer{ID: id, Addr: string(id)})
+		}
+	}
+	slices.SortFunc(out, func(a, b Peer) int {
+		switch {
+		case a.ID < b.ID:
+			return -1
+		case a.ID > b.ID:
+			return 1
+		default:
+			return 0
+		}
+	})
+	return out
+}
+
+func (r *Replica) linkSeeds() {
+	d := r.options.Discovery
+	if d == nil {
+		return
+	}
+	for _, s := range d.Seeds {
+		r.addLink(Peer{ID: raft.MemberID(s), Addr: s})
+	}
+}
+
+// linkKnown connects to an instance that has spoken, and to those it names.
+func (r *Replica) linkKnown(i identity) {
+	if r.options.Discovery == nil {
+		return
+	}
+	r.addLink(Peer{ID: i.member, Addr: string(i.member)})
+	for _, p := range i.known {
+		r.addLink(p)
+	}
+}
+
+// linkMembers connects to the members of the groups and drops links to
+// instances that are neither members nor seeds and have long been silent.
+func (r *Replica) linkMembers() {
+	d := r.options.Discovery
+	if d == nil || r.ticks%memberTicks != 0 {
+		return
+	}
+	keep := map[raft.MemberID]bool{}
+	members := r.memberPeers()
+	r.published.Store(&members)
+	for _, p := range members {
+		keep[p.ID] = true
+		r.addLink(p)
+	}
+	for id, l := range r.links {
+		if keep[id] || slices.Contains(d.Seeds, string(id)) {
+			continue
+		}
+		if i, known := r.known[id]; known && r.ticks-i.tick < forgetTicks || !known && r.ticks < forgetTicks {
+			continue
+		}
+		l.stop()
+		delete(r.links, id)
+		delete(r.known, id)
+	}
+}
+
+// Members returns the members of all groups as this instance knows them.
+func (r *Replica) Members() []Peer {
+	if p := r.published.Load(); p != nil {
+		return *p
+	}
+	return nil
+}
+
+// memberPeers are the members of all groups.
+func (r *Replica) memberPeers() []Peer {
+	if r.options.Discovery == nil {
+		return nil
+	}
+	var out []Peer
+	for _, g := range r.order {
+		for _, m := range g.node.Membership().Members {
+			p := Peer{ID: m.ID, Addr: m.Addr}
+			if !slices.Contains(out, p) {
+				out = append(out, p)
+			}
+		}
+	}
+	return out
+}
+
+// replaceSilent returns the removal of a voter that has long been silent: early
+// when a learner that has caught up can take its place, late otherwise. As many
+// voters are kept as the losses to be borne ask for. A voter that returns is
+// taken in again as a learner.
+func (g *group) replaceSilent(members raft.Membership) (raft.Change, bool) {
+	r := g.replica
+	d := r.options.Discovery
+	if d == nil {
+		return raft.Change{}, false
+	}
+	status := g.node.Status()
+	successor := false
+	for _, m := range members.Members {
+		if status.Peers[m.ID].Active || m.ID == r.options.Self {
+			r.answered[m.ID] = r.ticks
+		}
+		if m.Learner && g.node.CaughtUp(m.ID) {
+			successor = true
+		}
+	}
+	voters := members.Voters()
+	for _, m := range voters {
+		last, seen := r.answered[m.ID]
+		if !seen || last < g.leadingSince {
+			last = g.leadingSince
+		}
+		silent := r.ticks - last
+		replace := successor && silent >= replaceTicks
+		remove := silent >= removeTicks && len(voters) > d.MinVoters
+		if replace || remove {
+			return raft.Change{Kind: raft.Remove, Member: m}, true
+		}
+	}
+	return raft.Change{}, false
+}
--- a/modules/control/replica/group.go
+++ b/modules/control/replica/group.go
@@ -19,6 +19,8 @@
 	machine StateMachine
 	ready   raft.Ready
 	applied uint64
+	// used is set once the state machine has taken an entry.
+	used bool
 
 	// waiters are answered when the entry at their index is applied.
 	waiters map[uint64]waiter
@@ -73,6 +75,7 @@
 }
 
 func (g *group) restore(data []byte) error {
+	g.used = true
 	if err := g.machine.Restore(data); err != nil {
 		return result.Wrap(result.LogDamaged, err, "snapshot does not restore")
 	}
@@ -151,6 +154,7 @@
 func (g *group) applyEntry(e raft.Entry) {
 	var value []byte
 	if e.Kind == raft.Normal {
+		g.used = true
 		value = g.machine.Apply(e.Index, e.Data)
 	}
 	g.applied = e.Index
@@ -233,8 +237,13 @@
 
 // formed tells whether a majority of the configured instances are voters. A
 // new group takes no proposals before that, since its only disk could be lost.
+// A used group goes on with fewer voters while a lost one is replaced.
 func (g *group) formed() bool {
-	return len(g.node.Membership().Voters()) > len(g.replica.options.Peers)/2
+	voters := len(g.node.Membership().Voters())
+	if d := g.replica.options.Discovery; d != nil {
+		return g.used || voters >= d.MinVoters
+	}
+	return voters > len(g.replica.options.Peers)/2
 }
 
 // refusal turns a refusal of the core into a result code.
--- a/modules/control/replica/link.go
+++ b/modules/control/replica/link.go
@@ -27,8 +27,8 @@
 // StepReply is empty; answers are messages of their own.
 type StepReply struct{}
 
-// IdentityArgs asks an instance who it is.
-type IdentityArgs struct{ From raft.MemberID }
+// IdentityArgs asks an instance who it is, and tells who asks.
+type IdentityArgs struct{ From IdentityReply }
 
 // IdentityReply names the member and its disk. Empty lists the groups in which
 // it has no log.
@@ -36,6 +36,9 @@
 	Member raft.MemberID
 	Disk   raft.DiskID
 	Empty  []Group
+	// Known names the members of the groups, so that an instance finds those
+	// that its settings do not name.
+	Known []Peer
 }
 
 // Service receives the calls of other control instances. Register it under
@@ -65,10 +68,10 @@
 const identityLimit = time.Second
 
 // Identity tells who this instance is.
-func (s *Service) Identity(_ *IdentityArgs, reply *IdentityReply) error {
+func (s *Service) Identity(args *IdentityArgs, reply *IdentityReply) error {
 	ctx, cancel := context.WithTimeout(context.Background(), identityLimit)
 	defer cancel()
-	q := identityRequest{done: make(chan IdentityReply, 1)}
+	q := identityRequest{from: args.From, done: make(chan IdentityReply, 1)}
 	if err := s.replica.enter(ctx, q); err != nil {
 		return peer.EncodeError(err)
 	}
@@ -89,6 +92,7 @@
 	client  *peer.Client
 	queue   chan Envelope
 	replica *Replica
+	stop    context.CancelFunc
 }
 
 const (
@@ -108,8 +112,13 @@
 	identityInterval = 500 * time.Millisecond
 )
 
-func (r *Replica) addLink(ctx context.Context, p Peer) {
-	l := &link{to: p, client: r.options.Security.NewClient(p.Addr), queue: make(chan Envelope, queuedMessages), replica: r}
+// addLink connects to an instance unless there is a link to it.
+func (r *Replica) addLink(p Peer) {
+	if p.ID == r.options.Self || r.links[p.ID] != nil {
+		return
+	}
+	ctx, stop := context.WithCancel(r.linkContext)
+	l := &link{to: p, client: r.options.Security.NewClient(p.Addr), queue: make(chan Envelope, queuedMessages), replica: r, stop: stop}
 	r.links[p.ID] = l
 	r.wait.Add(2)
 	go func() {
@@ -206,8 +215,17 @@
 func (l *link) askOnce(ctx context.Context, client *peer.Client) {
 	call, cancel := context.WithTimeout(ctx, identityLimit)
 	defer cancel()
-	var reply IdentityReply
-	err := client.Call(call, ServiceName+".Identity", &IdentityArgs{From: l.replica.options.Self}, &reply)
+	q := identityRequest{done: make(chan IdentityReply, 1)}
+	if l.replica.enter(call, q) != nil {
+		return // the owner is busy or has ended; the next round asks again
+	}
+	var own, reply IdentityReply
+	select {
+	case own = <-q.done:
+	case <-call.Done():
+		return
+	}
+	err := client.Call(call, ServiceName+".Identity", &IdentityArgs{From: own}, &reply)
 	if err != nil || reply.Member != l.to.ID {
 		return
 	}
--- a/modules/control/replica/members.go
+++ b/modules/control/replica/members.go
@@ -16,12 +16,13 @@
 	member raft.MemberID
 	disk   raft.DiskID
 	empty  map[Group]bool
+	known  []Peer
 	// tick is when the owner learned it.
 	tick uint64
 }
 
 func newIdentity(r IdentityReply) identity {
-	i := identity{member: r.Member, disk: r.Disk, empty: map[Group]bool{}}
+	i := identity{member: r.Member, disk: r.Disk, empty: map[Group]bool{}, known: r.Known}
 	for _, g := range r.Empty {
 		i.empty[g] = true
 	}
@@ -29,19 +30,34 @@
 }
 
 func (in learned) enter(r *Replica) {
-	in.identity.tick = r.ticks
-	r.known[in.identity.member] = in.identity
+	r.learn(in.identity)
 }
 
-type identityRequest struct{ done chan IdentityReply }
+// learn records what an instance said about itself.
+func (r *Replica) learn(i identity) {
+	i.tick = r.ticks
+	r.known[i.member] = i
+	r.linkKnown(i)
+}
+
+// identityRequest asks the owner for this instance's identity. from is set when
+// another instance asks.
+type identityRequest struct {
+	from IdentityReply
+	done chan IdentityReply
+}
 
 func (q identityRequest) enter(r *Replica) {
+	if q.from.Member != "" {
+		r.learn(newIdentity(q.from))
+	}
 	reply := IdentityReply{Member: r.options.Self, Disk: r.disk}
 	for _, g := range r.order {
 		if g.empty() {
 			reply.Empty = append(reply.Empty, g.id)
 		}
 	}
+	reply.Known = r.memberPeers()
 	q.done <- reply
 }
 
@@ -75,6 +91,9 @@
 			return p.Addr
 		}
 	}
+	if r.options.Discovery != nil {
+		return string(id)
+	}
 	return ""
 }
 
@@ -97,7 +116,10 @@
 // finds the others' logs and waits to be replaced instead.
 func (g *group) bootstrap() {
 	r := g.replica
-	for _, p := range r.options.Peers {
+	if d := r.options.Discovery; d != nil && !d.founder(r.options.Self) {
+		return
+	}
+	for _, p := range r.founders() {
 		if p.ID < r.options.Self {
 			return
 		}
@@ -128,18 +150,31 @@
 // as a learner, and a learner that has caught up gets its vote.
 func (g *group) repair() {
 	members := g.node.Membership()
-	for _, p := range g.replica.options.Peers {
+	if c, ok := g.replaceSilent(members); ok {
+		g.proposeChange(c)
+		return
+	}
+	for _, p := range g.replica.candidates() {
 		c, ok := g.replica.wanted(p, members)
 		if !ok {
 			continue
 		}
-		if _, _, err := g.node.ProposeChange(c); err == nil {
-			g.replica.log.Info("membership change", "group", g.id, "kind", c.Kind, "member", c.Member.ID, "disk", c.Member.Disk)
+		if g.proposeChange(c) {
 			return
 		}
 	}
 }
 
+// proposeChange tells whether the change is in the log. One that is refused is
+// proposed again at a later tick.
+func (g *group) proposeChange(c raft.Change) bool {
+	if _, _, err := g.node.ProposeChange(c); err != nil {
+		return false
+	}
+	g.replica.log.Info("membership change", "group", g.id, "kind", c.Kind, "member", c.Member.ID, "disk", c.Member.Disk)
+	return true
+}
+
 func (r *Replica) wanted(p Peer, members raft.Membership) (raft.Change, bool) {
 	m, member := members.Find(p.ID)
 	i, known := r.fresh(p.ID)
--- a/modules/control/replica/replica.go
+++ b/modules/control/replica/replica.go
@@ -65,12 +65,14 @@
 	Self raft.MemberID
 	// Peers are the control instances of the settings, with this one. They
 	// become members by themselves; the one with the lowest id starts the groups.
-	Peers    []Peer
-	Folder   string
-	Machines map[Group]StateMachine
-	Security *peer.Security
-	Log      *slog.Logger
-	Stats    *stats.Registry
+	Peers []Peer
+	// Discovery replaces Peers where the instances are not known in advance.
+	Discovery *Discovery
+	Folder    string
+	Machines  map[Group]StateMachine
+	Security  *peer.Security
+	Log       *slog.Logger
+	Stats     *stats.Registry
 
 	Tick           time.Duration
 	CompactEntries uint64
@@ -123,11 +125,17 @@
 	// known is what other instances said about themselves; the owner goroutine
 	// alone uses it.
 	known map[raft.MemberID]identity
-
-	cancel context.CancelFunc
-	wait   sync.WaitGroup
-	ended  chan struct{}
-	cause  atomic.Pointer[error]
+	// answered is the tick at which each member last answered this leader.
+	answered map[raft.MemberID]uint64
+	// published are the members as other goroutines see them.
+	published atomic.Pointer[[]Peer]
+
+	// linkContext ends the links.
+	linkContext context.Context
+	cancel      context.CancelFunc
+	wait        sync.WaitGroup
+	ended       chan struct{}
+	cause       atomic.Pointer[error]
 }
 
 const (
@@ -152,7 +160,7 @@
 		options: o, log: o.Log, wal: w, disk: w.Identity().Disk,
 		inputs: make(chan input, queuedInputs), mail: make(chan received, queuedMail),
 		groups: map[Group]*group{}, links: map[raft.MemberID]*link{},
-		known: map[raft.MemberID]identity{}, ended: make(chan struct{}),
+		known: map[raft.MemberID]identity{}, answered: map[raft.MemberID]uint64{}, ended: make(chan struct{}),
 		metrics: newMetrics(o.Stats),
 	}
 	if err := r.openGroups(); err != nil {
@@ -166,6 +174,9 @@
 	if o.Self == "" || len(o.Machines) == 0 || o.Security == nil {
 		return result.New(result.SettingInvalid, "control: id, groups and TLS settings are needed")
 	}
+	if o.Discovery != nil {
+		return nil
+	}
 	for _, p := range o.Peers {
 		if p.ID == o.Self {
 			return nil
@@ -202,11 +213,11 @@
 // Start begins to serve. Service must be reachable for the other instances.
 func (r *Replica) Start(ctx context.Context) error {
 	ctx, r.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	r.linkContext = ctx
 	for _, p := range r.options.Peers {
-		if p.ID != r.options.Self {
-			r.addLink(ctx, p)
-		}
+		r.addLink(p)
 	}
+	r.linkSeeds()
 	r.wait.Add(1)
 	go func() {
 		defer r.wait.Done()
@@ -338,6 +349,7 @@
 
 func (r *Replica) tick() {
 	r.ticks++
+	r.linkMembers()
 	for _, g := range r.order {
 		g.tick()
 	}
--- /dev/null
+++ b/modules/dialect/dialect.go
@@ -0,0 +1,128 @@
+// Package dialect is the interface between heatherway and the protocol of the
+// platform that it runs on. A dialect translates names and formats and decides
+// nothing; it registers itself with the kernel under the namespace "dialect".
+package dialect
+
+import (
+	"net/http"
+	"time"
+
+	"heatherway.dev/core/registration"
+	"heatherway.dev/core/routing"
+	"heatherway.dev/kernel"
+	"heatherway.dev/kernel/result"
+	"heatherway.dev/kernel/settings"
+)
+
+// Namespace is the namespace of dialects in the kernel's registry.
+const Namespace = "dialect"
+
+// NoEvent is the value of an event id that is absent.
+const NoEvent int64 = -1
+
+// Calls holds the calls that arrive at heatherway, as patterns of
+// http.ServeMux. Announce and Deregister have the wildcard {id}.
+type Calls struct {
+	Ready                string
+	Announce, Deregister string
+	ReplaceConfiguration string
+	ReadConfiguration    string
+}
+
+// Request is what matters of a caller's request.
+type Request struct {
+	// ID names the caller's attempt; it is unique to it.
+	ID string
+	// Deadline is how long the caller waits; zero when it does not say.
+	Deadline time.Duration
+	// Key is the API key, empty without one.
+	Key string
+	// LastEvent is the event behind which a stream goes on, or NoEvent.
+	LastEvent int64
+	// PromptTokens and MaxTokens are the size of the prompt and the largest
+	// number of tokens to generate; zero when the caller does not say.
+	PromptTokens, MaxTokens int
+	// ExpectedTokens is the caller's estimate of the tokens generated; it is
+	// often far off.
+	ExpectedTokens int
+}
+
+// Copy names a copy of the KV cache of a run.
+type Copy struct {
+	// Holder is the address of the upstream that holds it.
+	Holder string
+	// Run is the id of the request that it belongs to.
+	Run string
+}
+
+// Forward is what heatherway says of a request to an upstream.
+type Forward struct {
+	// Deadline is the time left.
+	Deadline time.Duration
+	// Upstream is the id of the incarnation that is to run the request; another
+	// one at its address refuses it.
+	Upstream string
+	// Organisation is the owner of the caller's key, empty on public routes.
+	Organisation string
+	// Urgency ranks requests at a model server, 0 being the most urgent; nil
+	// leaves it out.
+	Urgency *int
+	// LastEvent is the event behind which the stream goes on, or NoEvent.
+	LastEvent int64
+	// BackupTo is the address of the upstream that is to hold a copy of the
+	// run's KV cache, empty for none.
+	BackupTo string
+	// ResumeFrom is the copy that the run goes on from, if any.
+	ResumeFrom *Copy
+}
+
+// Occupancy is what an upstream says of its load.
+type Occupancy struct{ Running, Waiting, Slots int }
+
+// Response is what matters of an upstream's answer.
+type Response struct {
+	// RequestID is the id of the request that the answer belongs to.
+	RequestID string
+	// Sealed tells that the answer carries the upstream's signature.
+	Sealed bool
+	// NotRun tells that the upstream has not run the request and will not.
+	NotRun bool
+	// Encoded tells that the body is not the upstream's plain body.
+	Encoded bool
+	// Load is nil when the upstream does not say.
+	Load *Occupancy
+}
+
+// Dialect translates between the platform and heatherway.
+type Dialect interface {
+	Calls() Calls
+	// Configuration decodes a configuration. It does not validate it.
+	Configuration(body []byte) (*routing.Configuration, error)
+	// Announcement decodes what the upstream with the id says of itself.
+	Announcement(id string, body []byte) (registration.Upstream, error)
+	// Departure decodes the last message of the upstream with the id.
+	Departure(id string, body []byte) (registration.Upstream, error)
+	// Request decodes the headers of a caller.
+	Request(h http.Header) Request
+	// Forward replaces the headers that heatherway sets, in place.
+	Forward(h http.Header, f Forward)
+	// Response decodes the headers of an upstream.
+	Response(h http.Header) Response
+	// SetRetryAfter tells a caller when to come back.
+	SetRetryAfter(h http.Header, after time.Duration)
+	// SetRequestID echoes the id of the request in an answer of heatherway.
+	SetRequestID(h http.Header, id string)
+}
+
+// Load returns the dialect that a setting names.
+func Load(ctx *kernel.Context, p settings.Plugin) (Dialect, error) {
+	m, err := ctx.Load(Namespace, p)
+	if err != nil {
+		return nil, err
+	}
+	d, ok := m.(Dialect)
+	if !ok {
+		return nil, result.New(result.UnknownModule, "%q is not a dialect", p.Name)
+	}
+	return d, nil
+}
--- /dev/null
+++ b/modules/gateway/connection.go
@@ -0,0 +1,324 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	// dialLimit bounds a new connection to an upstream; it is twenty round trips
+	// between availability zones and less than half of the aim of plain calls.
+	dialLimit = 40 * time.Millisecond
+	// checkLimit bounds the connection that checks a silent upstream. It is
+	// longer, since a stream is given up when it fails.
+	checkLimit = 90 * time.Millisecond
+	// keepIdle is how long an idle connection is reused at most; upstreams drop
+	// idle ones without notice.
+	keepIdle = 4 * time.Second
+	// idleReserve is kept from the time that an upstream says it keeps idle
+	// connections.
+	idleReserve = 500 * time.Millisecond
+	// keptConnections bounds idle connections to one upstream.
+	keptConnections = 8
+	// readBuffer is small, since thousands of connections may be open.
+	readBuffer = 2048
+	// asyncBody is the size from which on a body is written beside the reading,
+	// since an upstream may answer before it has read a long body.
+	asyncBody = 4096
+	// strayAnswers is how many answers to other requests are skipped before a
+	// connection is given up.
+	strayAnswers = 2
+)
+
+// errNotSent is wrapped by errors of requests of which no byte has left.
+var errNotSent = errors.New("the request was not sent")
+
+// connections holds the idle connections to upstreams, by address and
+// incarnation.
+type connections struct {
+	metrics metrics
+	mu      sync.Mutex
+	idle    map[string][]*connection
+	closed  bool
+}
+
+func newConnections(m metrics) *connections {
+	return &connections{metrics: m, idle: map[string][]*connection{}}
+}
+
+// connection is one connection to an upstream; one request at a time uses it.
+type connection struct {
+	net.Conn
+	of     *connections
+	key    string
+	reader *bufio.Reader
+	until  time.Time
+	reused bool
+}
+
+// get returns a connection to the address. Connections belong to an
+// incarnation, since another one may follow at the address.
+func (c *connections) get(ctx context.Context, addr, id string) (*connection, error) {
+	key := addr + "/" + id
+	for {
+		conn := c.pop(key)
+		if conn == nil {
+			break
+		}
+		if time.Now().Before(conn.until) && conn.quiet() {
+			conn.reused = true
+			return conn, nil
+		}
+		_ = conn.Close()
+	}
+	return c.dial(ctx, addr, key, dialLimit)
+}
+
+func (c *connections) dial(ctx context.Context, addr, key string, limit time.Duration) (*connection, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	c.metrics.dials.Inc()
+	conn, err := (&net.Dialer{KeepAlive: -1}).DialContext(ctx, "tcp", addr)
+	if err != nil {
+		c.metrics.dialFailures.Inc()
+		return nil, errors.Join(errNotSent, err)
+	}
+	return &connection{Conn: conn, of: c, key: key, reader: bufio.NewReaderSize(conn, readBuffer)}, nil
+}
+
+// check opens a connection to an upstream that is silent elsewhere and keeps it
+// for later use.
+func (c *connections) check(ctx context.Context, addr, id string) error {
+	c.metrics.checks.Inc()
+	conn, err := c.dial(ctx, addr, addr+"/"+id, checkLimit)
+	if err != nil {
+		return err
+	}
+	conn.until = time.Now().Add(keepIdle)
+	c.push(conn)
+	return nil
+}
+
+func (c *connections) pop(key string) *connection {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := c.idle[key]
+	if len(list) == 0 {
+		return nil
+	}
+	conn := list[len(list)-1]
+	if len(list) == 1 {
+		delete(c.idle, key)
+	} else {
+		c.idle[key] = list[:len(list)-1]
+	}
+	return conn
+}
+
+func (c *connections) push(conn *connection) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || len(c.idle[conn.key]) >= keptConnections {
+		_ = conn.Close()
+		return
+	}
+	c.idle[conn.key] = append(c.idle[conn.key], conn)
+}
+
+// drop closes the idle connections to an incarnation.
+func (c *connections) drop(addr, id string) {
+	key := addr + "/" + id
+	c.mu.Lock()
+	list := c.idle[key]
+	delete(c.idle, key)
+	c.mu.Unlock()
+	for _, conn := range list {
+		_ = conn.Close()
+	}
+}
+
+func (c *connections) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	for key, list := range c.idle {
+		for _, conn := range list {
+			_ = conn.Close()
+		}
+		delete(c.idle, key)
+	}
+}
+
+// quiet tells whether an idle connection is open and nothing has arrived on it:
+// what arrives between two requests belongs to none.
+func (c *connection) quiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	raw, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	rc, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	err = rc.Read(func(fd uintptr) bool {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		open = n <= 0 && errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && open
+}
+
+// outgoing is a request as it is sent.
+type outgoing struct {
+	method, target, host string
+	header               http.Header
+	body                 []byte
+}
+
+// hopHeaders concern one connection only.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+	"Content-Length", "Expect",
+}
+
+func (o *outgoing) encode() []byte {
+	var b bytes.Buffer
+	b.WriteString(o.method + " " + o.target + " HTTP/1.1\r\nHost: " + o.host + "\r\n")
+	// Writing to a buffer cannot fail.
+	_ = o.header.Write(&b)
+	if len(o.body) > 0 || o.method == http.MethodPost || o.method == http.MethodPut {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(o.body)) + "\r\n")
+	}
+	b.WriteString("\r\n")
+	b.Write(o.body)
+	return b.Bytes()
+}
+
+// exchange is a request that was sent and the answer to it.
+type exchange struct {
+	conn    *connection
+	res     *http.Response
+	written chan error
+	stop    func() bool
+}
+
+// send sends a request and reads the head of its answer. The connection is
+// closed when ctx ends. An error that wraps errNotSent means that nothing was
+// sent; after any other the request may have run. isOurs tells whether an answer
+// belongs to the request.
+func (c *connections) send(ctx context.Context, addr, id string, o *outgoing, isOurs func(http.Header) bool) (*exchange, error) {
+	conn, err := c.get(ctx, addr, id)
+	if err != nil {
+		return nil, err
+	}
+	x := &exchange{conn: conn, written: make(chan error, 1)}
+	x.stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
+	x.write(o.encode())
+	if err := x.readHead(o.method, isOurs); err != nil {
+		x.abandon()
+		return nil, err
+	}
+	return x, nil
+}
+
+func (x *exchange) write(b []byte) {
+	if len(b) <= asyncBody {
+		_, err := x.conn.Write(b)
+		x.written <- err
+		return
+	}
+	go func() {
+		_, err := x.conn.Write(b)
+		x.written <- err
+	}()
+}
+
+func (x *exchange) readHead(method string, isOurs func(http.Header) bool) error {
+	for range strayAnswers + 1 {
+		res, err := x.readFinal(method)
+		if err != nil {
+			return err
+		}
+		if isOurs(res.Header) {
+			x.res = res
+			return nil
+		}
+		if _, err := io.Copy(io.Discard, res.Body); err != nil {
+			return err
+		}
+	}
+	return errors.New("the answers belong to other requests")
+}
+
+// readFinal skips informational answers.
+func (x *exchange) readFinal(method string) (*http.Response, error) {
+	for {
+		res, err := http.ReadResponse(x.conn.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		if res.StatusCode >= http.StatusOK {
+			return res, nil
+		}
+	}
+}
+
+// finish returns the connection for reuse after the body was read to its end.
+func (x *exchange) finish() {
+	if !x.stop() || x.res.Close || x.conn.reader.Buffered() > 0 {
+		_ = x.conn.Close()
+		return
+	}
+	select {
+	case err := <-x.written:
+		if err != nil {
+			_ = x.conn.Close()
+			return
+		}
+	default:
+		_ = x.conn.Close() // the upstream has answered before it read the body
+		return
+	}
+	x.conn.until = time.Now().Add(idleTime(x.res.Header))
+	x.conn.of.push(x.conn)
+}
+
+// abandon closes the connection, on which most upstreams drop the request.
+func (x *exchange) abandon() {
+	x.stop()
+	_ = x.conn.Close()
+}
+
+// idleTime is how long the connection may be reused.
+func idleTime(h http.Header) time.Duration {
+	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		v, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
+		if !ok {
+			continue
+		}
+		if s, err := strconv.Atoi(v); err == nil {
+			return min(keepIdle, time.Duration(s)*time.Second-idleReserve)
+		}
+	}
+	return keepIdle
+}
+
+// silent tells whether a read ended because of its deadline.
+func silent(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
--- /dev/null
+++ b/modules/gateway/follow.go
@@ -0,0 +1,256 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"heatherway.dev/core/registration"
+	"heatherway.dev/core/routing"
+	"heatherway.dev/heatherway/modules/registry"
+	"heatherway.dev/kernel/peer"
+)
+
+const (
+	// watchers is the number of control instances that a gateway follows at a
+	// time; the second covers the loss or isolation of the first.
+	watchers = 2
+	// watchLimit bounds one call: the longest wait of the other end and a round
+	// trip.
+	watchLimit = registry.MaxWatch + 500*time.Millisecond
+	// firstWatchLimit bounds the first call to an instance, which does not wait
+	// for changes.
+	firstWatchLimit = 1200 * time.Millisecond
+	// followRetry is the pause before the next instance is tried.
+	followRetry = 100 * time.Millisecond
+	// unconfirmedAfter is how long a gateway that starts insists on a
+	// configuration that a majority confirms. Later it takes what an instance
+	// holds: during an outage of control, serving goes on.
+	unconfirmedAfter = 3 * time.Second
+)
+
+// follower keeps the configuration and the upstreams of a gateway up to date.
+type follower struct {
+	g       *Gateway
+	log     *slog.Logger
+	started time.Time
+	current atomic.Pointer[routing.Table]
+	count   atomic.Int64
+	// replaced tells streams that the incarnation they run on has ended.
+	replaced *broadcast
+
+	mu        sync.Mutex
+	directory *registration.Directory
+	members   []string
+	following map[string]bool
+}
+
+func newFollower(g *Gateway) *follower {
+	f := &follower{
+		g: g, log: g.log, started: time.Now(), replaced: newBroadcast(),
+		directory: registration.New(), following: map[string]bool{},
+	}
+	for _, a := range g.Seeds {
+		if host, _, err := net.SplitHostPort(a); err == nil {
+			f.members = append(f.members, net.JoinHostPort(host, strconv.Itoa(g.PeerPort)))
+		}
+	}
+	return f
+}
+
+// table returns the configuration in force, nil before the first one.
+func (f *follower) table() *routing.Table { return f.current.Load() }
+
+func (f *follower) knowsUpstreams() bool { return f.count.Load() > 0 }
+
+func (f *follower) start() {
+	for range watchers {
+		f.g.run(func() { f.follow(f.g.ctx) })
+	}
+}
+
+// follow watches one control instance after the other.
+func (f *follower) follow(ctx context.Context) {
+	for ctx.Err() == nil {
+		if addr, ok := f.claim(); ok {
+			f.watch(ctx, addr)
+			f.release(addr)
+		}
+		f.g.sleep(followRetry)
+	}
+}
+
+// claim picks an instance that is not followed yet, one of the own availability
+// zone's first would save little: the feed is small.
+func (f *follower) claim() (string, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	free := slices.DeleteFunc(slices.Clone(f.members), func(a string) bool { return f.following[a] })
+	if len(free) == 0 {
+		return "", false
+	}
+	addr := free[rand.IntN(len(free))]
+	f.following[addr] = true
+	return addr, true
+}
+
+func (f *follower) release(addr string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.following, addr)
+}
+
+// watch follows one instance until it fails or knows no leader.
+func (f *follower) watch(ctx context.Context, addr string) {
+	client := f.g.security.NewClient(addr)
+	defer client.Close()
+	args := &registry.WatchArgs{}
+	for first := true; ctx.Err() == nil; first = false {
+		args.Version = f.version()
+		args.Confirm = first && args.Version == 0 && time.Since(f.started) < unconfirmedAfter
+		reply, err := f.call(ctx, client, args, first)
+		if err != nil {
+			f.log.Warn("control instance lost", "address", addr, "error", err)
+			return
+		}
+		f.take(reply)
+		args.Epoch, args.Change = reply.Epoch, reply.Change
+		if first {
+			f.log.Info("control instance followed", "address", addr, "version", reply.Version, "upstreams", len(reply.Upstreams), "led", reply.Led)
+		}
+		if !reply.Led {
+			f.log.Warn("control instance knows no leader", "address", addr)
+			return
+		}
+	}
+}
+
+func (f *follower) call(ctx context.Context, client *peer.Client, args *registry.WatchArgs, first bool) (*registry.WatchReply, error) {
+	limit := watchLimit
+	if first {
+		limit = firstWatchLimit
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	reply := &registry.WatchReply{}
+	return reply, client.Call(ctx, registry.ServiceName+".Watch", args, reply)
+}
+
+func (f *follower) version() uint64 {
+	if t := f.table(); t != nil {
+		return t.Version
+	}
+	return 0
+}
+
+func (f *follower) take(reply *registry.WatchReply) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(reply.Members) > 0 {
+		f.members = reply.Members
+	}
+	if len(reply.Body) > 0 && reply.Version > f.version() {
+		f.configure(reply)
+	}
+	now := time.Now()
+	for _, u := range reply.Upstreams {
+		if u.State == registration.Lost && !reply.Led {
+			continue // an instance that is cut off hears of no upstream
+		}
+		f.announce(now, u)
+	}
+	f.count.Store(int64(len(f.directory.All())))
+}
+
+func (f *follower) configure(reply *registry.WatchReply) {
+	c, err := f.g.dialect.Configuration(reply.Body)
+	if err == nil {
+		err = c.Validate()
+	}
+	if err != nil {
+		f.log.Error("configuration not taken over", "version", reply.Version, "error", err)
+		return
+	}
+	previous := f.version()
+	table := routing.NewTable(c)
+	f.current.Store(table)
+	f.g.owner.tell(func(s *state) { s.fleet.SetEngines(c.Services) })
+	f.log.Info("configuration in force", "version", c.Version, "previous", previous, "routes", len(c.Routes),
+		"services", len(c.Services), "organisations", len(c.Organisations))
+}
+
+// announce takes a record of the directory over, unless the other instance has
+// named a newer one.
+func (f *follower) announce(now time.Time, u registration.Upstream) {
+	before := f.directory.Changes()
+	if f.directory.Observe(now, u) != registration.Changed {
+		return
+	}
+	for _, c := range f.directory.Since(before) {
+		f.g.owner.tell(func(s *state) { s.fleet.SetUpstream(c) })
+		f.log.Info("upstream changed", "upstream", c.ID, "service", c.Service, "address", c.Addr, "zone", c.Zone,
+			"state", c.State.String(), "started_ms", c.StartedMS, "seq", c.Seq)
+		if c.State < registration.Lost {
+			f.replaced.publish(incarnation{c.Addr, c.ID, c.StartedMS})
+		}
+	}
+}
+
+// incarnation is an upstream that has announced itself at an address.
+type incarnation struct {
+	addr      string
+	id        string
+	startedMS int64
+}
+
+// replaces tells whether another incarnation at the same address has ended.
+func (i incarnation) replaces(u registration.Upstream) bool {
+	return i.addr == u.Addr && i.startedMS > u.StartedMS
+}
+
+// broadcast passes incarnations on to the streams under way.
+type broadcast struct {
+	mu   sync.Mutex
+	subs map[*subscription]bool
+}
+
+type subscription struct {
+	of      *broadcast
+	watched registration.Upstream
+	ended   chan struct{}
+}
+
+func newBroadcast() *broadcast { return &broadcast{subs: map[*subscription]bool{}} }
+
+// watch returns a subscription whose channel is closed when the upstream's
+// incarnation is known to have ended.
+func (b *broadcast) watch(u registration.Upstream) *subscription {
+	s := &subscription{of: b, watched: u, ended: make(chan struct{})}
+	b.mu.Lock()
+	b.subs[s] = true
+	b.mu.Unlock()
+	return s
+}
+
+func (s *subscription) close() {
+	s.of.mu.Lock()
+	delete(s.of.subs, s)
+	s.of.mu.Unlock()
+}
+
+func (b *broadcast) publish(i incarnation) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for s := range b.subs {
+		if i.replaces(s.watched) {
+			close(s.ended)
+			delete(b.subs, s)
+		}
+	}
+}
--- /dev/null
+++ b/modules/gateway/gateway.go
@@ -0,0 +1,240 @@
+// Package gateway is the role that passes requests of callers on to upstreams
+// byte for byte: it finds the route, checks the key, places the request, and
+// lets a stream go on at another upstream when one fails.
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"heatherway.dev/heatherway/modules/dialect"
+	"heatherway.dev/kernel"
+	"heatherway.dev/kernel/peer"
+	"heatherway.dev/kernel/settings"
+	"heatherway.dev/kernel/stats"
+)
+
+func init() {
+	kernel.Register(kernel.ModuleInfo{ID: "role.gateway", New: func() any { return newGateway() }})
+}
+
+const (
+	// defaultGrace leaves time for streams of a few seconds.
+	defaultGrace = 8 * time.Second
+	// defaultDrainDelay is two missed readiness checks a second apart and the
+	// time of a check: the load balancer then sends no new connections.
+	defaultDrainDelay = 2500 * time.Millisecond
+	// graceReserve is left of the grace period for the end of the process.
+	graceReserve = 300 * time.Millisecond
+	// readHeaderLimit bounds how long a caller may take to send its headers.
+	readHeaderLimit = 3 * time.Second
+	// maxHeaderBytes bounds the headers of a caller.
+	maxHeaderBytes = 64 << 10
+)
+
+// Settings are the settings of the role.
+type Settings struct {
+	// Listen is the address that callers use.
+	Listen string `yaml:"listen"`
+	// ReadyListen is the address of the readiness check.
+	ReadyListen string `yaml:"ready_listen"`
+	// PeerPort is the port of the peer listener of the control instances.
+	PeerPort int `yaml:"peer_port"`
+	// Seeds are addresses of a few control instances; the port is replaced by
+	// peer_port.
+	Seeds []string `yaml:"seeds"`
+	// Grace is the time between the signal to stop and the end of the process.
+	Grace time.Duration `yaml:"grace"`
+	// DrainDelay is how long new connections are accepted after the signal to
+	// stop, while the load balancer learns of it.
+	DrainDelay time.Duration `yaml:"drain_delay"`
+	// Dialect is the protocol of callers and upstreams.
+	Dialect settings.Plugin `yaml:"dialect"`
+}
+
+// Gateway is the module of the role.
+type Gateway struct {
+	Settings `yaml:",inline"`
+
+	zone     string
+	log      *slog.Logger
+	security *peer.Security
+	dialect  dialect.Dialect
+	metrics  metrics
+
+	callers net.Listener
+	ready   net.Listener
+	server  *http.Server
+	checks  *http.Server
+	idle    *idleLimiter
+
+	follower  *follower
+	owner     *owner
+	upstreams *connections
+	leaving   atomic.Bool
+	open      atomic.Int64
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wait   sync.WaitGroup
+}
+
+func newGateway() *Gateway {
+	return &Gateway{Settings: Settings{Grace: defaultGrace, DrainDelay: defaultDrainDelay}}
+}
+
+// Validate implements kernel.Validator.
+func (g *Gateway) Validate() error {
+	switch {
+	case g.Listen == "":
+		return settings.Field("listen", "must be set")
+	case g.ReadyListen == "":
+		return settings.Field("ready_listen", "must be set")
+	case len(g.Seeds) == 0:
+		return settings.Field("seeds", "must name at least one control instance")
+	case g.Dialect.Empty():
+		return settings.Field("dialect", "must be set")
+	}
+	return settings.First(
+		settings.InRange("peer_port", g.PeerPort, 1, 65535),
+		settings.DurationInRange("grace", g.Grace, time.Second, 10*time.Minute),
+		settings.DurationInRange("drain_delay", g.DrainDelay, 0, g.Grace),
+	)
+}
+
+// Plugins implements kernel.Nested.
+func (g *Gateway) Plugins() map[string][]settings.Plugin {
+	return map[string][]settings.Plugin{dialect.Namespace: {g.Dialect}}
+}
+
+// Provision implements kernel.Provisioner.
+func (g *Gateway) Provision(ctx *kernel.Context) error {
+	g.log, g.security, g.zone = ctx.Log, ctx.TLS, ctx.Instance.Zone
+	g.metrics = newMetrics(ctx.Stats)
+	var err error
+	if g.dialect, err = dialect.Load(ctx, g.Dialect); err != nil {
+		return err
+	}
+	if g.callers, err = ctx.Listen(g.Listen); err != nil {
+		return err
+	}
+	if g.ready, err = ctx.Listen(g.ReadyListen); err != nil {
+		return err
+	}
+	g.ctx, g.cancel = context.WithCancel(context.Background())
+	g.upstreams = newConnections(g.metrics)
+	g.owner = newOwner(g.ctx, g.zone)
+	g.follower = newFollower(g)
+	g.idle = newIdleLimiter(func() time.Duration {
+		if t := g.follower.table(); t != nil {
+			return t.Limits.IdleTimeout
+		}
+		return 0
+	})
+	return nil
+}
+
+// Start implements kernel.Runner.
+func (g *Gateway) Start(context.Context) error {
+	g.run(g.owner.run)
+	g.follower.start()
+	mux := http.NewServeMux()
+	mux.HandleFunc(g.dialect.Calls().Ready, g.checkReady)
+	g.checks = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderLimit}
+	g.server = &http.Server{
+		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: readHeaderLimit, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: g.idle.changed, DisableGeneralOptionsHandler: true,
+	}
+	g.run(func() { g.listen(g.checks, g.ready) })
+	g.run(func() { g.listen(g.server, g.callers) })
+	return nil
+}
+
+func (g *Gateway) run(f func()) {
+	g.wait.Add(1)
+	go func() {
+		defer g.wait.Done()
+		f()
+	}()
+}
+
+func (g *Gateway) listen(s *http.Server, l net.Listener) {
+	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		g.log.Error("listener closed", "address", l.Addr().String(), "error", err)
+	}
+}
+
+// isReady tells whether this gateway can serve: it knows the configuration and
+// upstreams, and does not leave.
+func (g *Gateway) isReady() bool {
+	return !g.leaving.Load() && g.follower.table() != nil && g.follower.knowsUpstreams()
+}
+
+func (g *Gateway) checkReady(w http.ResponseWriter, _ *http.Request) {
+	if !g.isReady() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// Stop implements kernel.Runner. The readiness check fails at once; new
+// connections are taken until the load balancer has noticed, and requests under
+// way may end within the grace period.
+func (g *Gateway) Stop(context.Context) error {
+	begin := time.Now()
+	g.leaving.Store(true)
+	g.server.SetKeepAlivesEnabled(false)
+	g.log.Info("draining", "open_requests", g.open.Load(), "grace_ms", g.Grace.Milliseconds())
+	g.sleep(g.DrainDelay)
+	ctx, cancel := context.WithDeadline(context.Background(), begin.Add(g.Grace-graceReserve))
+	defer cancel()
+	err := g.server.Shutdown(ctx)
+	if err != nil {
+		g.log.Warn("requests cut off at the end of the grace period", "open_requests", g.open.Load())
+	}
+	g.cancel()
+	return errors.Join(g.server.Close(), g.checks.Close())
+}
+
+func (g *Gateway) sleep(d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-g.ctx.Done():
+	}
+}
+
+// Cleanup implements kernel.Cleaner.
+func (g *Gateway) Cleanup() error {
+	if g.cancel != nil {
+		g.cancel()
+		g.upstreams.close()
+	}
+	return nil
+}
+
+// metrics are the counters and histograms of a gateway.
+type metrics struct {
+	requests, refused, failed, aborted  stats.Counter
+	retries, hedges, resumes, repeats   stats.Counter
+	dials, dialFailures, checks, silent stats.Counter
+	answerMS, firstEventMS, resumeMS    stats.Histogram
+}
+
+func newMetrics(r *stats.Registry) metrics {
+	return metrics{
+		requests: r.Counter("gateway_requests_total"), refused: r.Counter("gateway_refused_total"),
+		failed: r.Counter("gateway_failed_total"), aborted: r.Counter("gateway_aborted_total"),
+		retries: r.Counter("gateway_retries_total"), hedges: r.Counter("gateway_hedges_total"),
+		resumes: r.Counter("gateway_resumes_total"), repeats: r.Counter("gateway_repeated_events_total"),
+		dials: r.Counter("gateway_upstream_dials_total"), dialFailures: r.Counter("gateway_upstream_dial_failures_total"),
+		checks: r.Counter("gateway_upstream_checks_total"), silent: r.Counter("gateway_silent_attempts_total"),
+		answerMS: r.Histogram("gateway_answer_ms"), firstEventMS: r.Histogram("gateway_first_event_ms"),
+		resumeMS: r.Histogram("gateway_resume_ms"),
+	}
+}
--- /dev/null
+++ b/modules/gateway/handler.go
@@ -0,0 +1,229 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-faster/errors"
+
+	"heatherway.dev/core/dispatch"
+	"heatherway.dev/core/registration"
+	"heatherway.dev/core/routing"
+	"heatherway.dev/heatherway/internal/failure"
+	"heatherway.dev/heatherway/modules/dialect"
+	"heatherway.dev/kernel/result"
+)
+
+// call is one request of a caller on its way.
+type call struct {
+	g        *Gateway
+	w        http.ResponseWriter
+	ctx      context.Context
+	begin    time.Time
+	end      time.Time // when the final answer is due
+	req      dialect.Request
+	table    *routing.Table
+	route    *routing.Route
+	service  *routing.Service
+	owner    *routing.Organisation
+	priority int
+	out      outgoing
+	// tried are the upstreams that have failed the request, sent the number of
+	// those that it was sent to.
+	tried []string
+	sent  int
+}
+
+// serve answers one request of a caller.
+func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
+	g.metrics.requests.Inc()
+	g.open.Add(1)
+	defer g.open.Add(-1)
+	c := &call{g: g, w: w, begin: time.Now(), req: g.dialect.Request(r.Header)}
+	if err := c.admit(r); err != nil {
+		c.fail(err)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), c.end)
+	defer cancel()
+	c.ctx = ctx
+	if c.route.Kind == routing.Stream {
+		c.stream()
+		return
+	}
+	c.plain()
+}
+
+// admit finds out what the request is and whether it may run.
+func (c *call) admit(r *http.Request) error {
+	if c.table = c.g.follower.table(); c.table == nil {
+		return result.New(result.ConfigurationBehind, "this gateway has no configuration yet")
+	}
+	route, ok := c.table.Match(r.Host, r.URL.EscapedPath())
+	if !ok {
+		return result.New(result.RouteUnknown, "no route for %s%s", r.Host, r.URL.Path)
+	}
+	c.route = route
+	if c.table.NeedsKey(route) {
+		if c.owner, ok = c.table.Organisation(c.req.Key); !ok {
+			return result.New(result.KeyUnknown, "the key belongs to no organisation")
+		}
+	}
+	c.priority = routing.Priority(route, c.owner)
+	if c.service, ok = c.table.Service(route.Pick(xxhash.Sum64String(c.req.ID))); !ok {
+		return result.New(result.NoUpstream, "the route has no service")
+	}
+	limit := route.Timeout
+	if c.req.Deadline > 0 {
+		limit = min(limit, c.req.Deadline)
+	}
+	c.end = c.begin.Add(limit)
+	return c.read(r)
+}
+
+// read takes the whole request in, so that it can be sent more than once.
+func (c *call) read(r *http.Request) error {
+	body := r.Body
+	if limit := c.table.Limits.BodyBytes; limit > 0 {
+		body = http.MaxBytesReader(c.w, body, limit)
+	}
+	b, err := io.ReadAll(body)
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return result.New(result.BodyTooLarge, "the body exceeds %d bytes", large.Limit)
+	case err != nil:
+		return result.Wrap(result.CallerGone, err, "body not read").WithRan(result.NotRun)
+	}
+	header := r.Header.Clone()
+	for _, name := range r.Header.Values("Connection") {
+		header.Del(name)
+	}
+	for _, name := range hopHeaders {
+		header.Del(name)
+	}
+	c.out = outgoing{method: r.Method, target: r.RequestURI, host: r.Host, header: header, body: b}
+	return nil
+}
+
+// work describes the request to the dispatcher.
+func (c *call) work() *dispatch.Work {
+	return &dispatch.Work{
+		Service: c.service.Name, Stream: c.route.Kind == routing.Stream,
+		Prompt: c.req.PromptTokens, Output: c.outputTokens(), Tried: c.tried,
+	}
+}
+
+// outputTokens estimates the tokens to generate.
+func (c *call) outputTokens() int {
+	if c.req.ExpectedTokens > 0 {
+		return min(c.req.ExpectedTokens, max(c.req.MaxTokens, c.req.ExpectedTokens))
+	}
+	return c.req.MaxTokens
+}
+
+// forward returns the request as it goes to an upstream.
+func (c *call) forward(u registration.Upstream, f dialect.Forward) *outgoing {
+	f.Deadline = time.Until(c.end)
+	f.Upstream = u.ID
+	if c.owner != nil {
+		f.Organisation = c.owner.Name
+	}
+	o := c.out
+	o.header = c.out.header.Clone()
+	c.g.dialect.Forward(o.header, f)
+	return &o
+}
+
+func (c *call) isOurs(h http.Header) bool {
+	id := c.g.dialect.Response(h).RequestID
+	return id == c.req.ID || id == ""
+}
+
+// mayTry tells whether the request may be sent to one more upstream.
+func (c *call) mayTry() bool {
+	return c.sent < c.route.MaxAttempts && c.ctx.Err() == nil && time.Now().Before(c.end)
+}
+
+// retryAllowed takes one retry from the budget.
+func (c *call) retryAllowed() (ok bool) {
+	c.g.owner.ask(func(s *state) { ok = s.budget.Retry(time.Now()) })
+	if ok {
+		c.g.metrics.retries.Inc()
+	}
+	return ok
+}
+
+func (c *call) countFirst() {
+	c.g.owner.tell(func(s *state) { s.budget.First(time.Now()) })
+}
+
+func (c *call) try(u registration.Upstream) {
+	if !slices.Contains(c.tried, u.ID) {
+		c.tried = append(c.tried, u.ID)
+	}
+}
+
+// unplaced is the refusal of a request that no upstream can take. It has not
+// run.
+func (c *call) unplaced(r *dispatch.Refusal) error {
+	return result.New(result.NoUpstream, "none of %d upstreams of %s can take the request now, full=%v", r.Known, c.service.Name, r.Full).
+		After(r.Retry)
+}
+
+// fail gives the caller the final answer of heatherway itself.
+func (c *call) fail(err error) {
+	e := result.From(err)
+	info := e.Code.Info()
+	if c.ctx != nil && c.ctx.Err() != nil && time.Now().Before(c.end) {
+		c.g.metrics.aborted.Inc()
+		c.logEnd("caller gone", "error", err.Error())
+		panic(http.ErrAbortHandler)
+	}
+	if info.HTTP >= http.StatusInternalServerError && info.HTTP != http.StatusServiceUnavailable {
+		c.g.metrics.failed.Inc()
+	} else {
+		c.g.metrics.refused.Inc()
+	}
+	c.logEnd("request failed", "code", int(e.Code), "status", info.HTTP, "ran", e.Ran.String(),
+		"retry_after_ms", e.RetryAfter.Milliseconds(), "error", err.Error())
+	c.g.dialect.SetRequestID(c.w.Header(), c.req.ID)
+	if e.RetryAfter > 0 {
+		c.g.dialect.SetRetryAfter(c.w.Header(), e.RetryAfter)
+	}
+	failure.Write(c.w, e, c.req.ID)
+}
+
+// logEnd writes the line of a request that did not end as planned, or took more
+// than one upstream.
+func (c *call) logEnd(message string, attrs ...any) {
+	route, service, version := "", "", uint64(0)
+	if c.route != nil {
+		route = c.route.Name
+	}
+	if c.service != nil {
+		service = c.service.Name
+	}
+	if c.table != nil {
+		version = c.table.Version
+	}
+	c.g.log.Info(message, append([]any{"request", c.req.ID, "route", route, "service", service, "version", version,
+		"sent", c.sent, "tried", c.tried, "took_ms", time.Since(c.begin).Milliseconds()}, attrs...)...)
+}
+
+// copyHeader passes the headers of an answer on.
+func (c *call) copyHeader(from http.Header) {
+	h := c.w.Header()
+	for name, values := range from {
+		if !slices.Contains(hopHeaders, name) {
+			h[name] = values
+		}
+	}
+	if from.Get("Content-Type") == "" {
+		h["Content-Type"] = nil // keeps the server from guessing one
+	}
+}
--- /dev/null
+++ b/modules/gateway/owner.go
@@ -0,0 +1,83 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"heatherway.dev/core/dispatch"
+	"heatherway.dev/core/retry"
+)
+
+// state is the control state of a gateway. The owner goroutine alone uses it.
+type state struct {
+	fleet   *dispatch.Fleet
+	budget  *retry.Budget
+	latency map[string]*retry.Latency // of lookups, by service
+	running int
+}
+
+// owner is the goroutine that owns the state. Traffic goroutines hand it short
+// functions; queuedTasks bounds those that wait, and senders block beyond it,
+// since none of them may be lost.
+type owner struct {
+	ctx   context.Context
+	tasks chan func(*state)
+	state *state
+}
+
+const (
+	queuedTasks = 1024
+	// retryShare and retryReserve keep the retries of all gateways together well
+	// below the 0.8 of requests and 150 that an upstream service bears in 10 s.
+	retryShare   = 0.5
+	retryReserve = 4
+)
+
+func newOwner(ctx context.Context, zone string) *owner {
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return &owner{ctx: ctx, tasks: make(chan func(*state), queuedTasks), state: &state{
+		fleet:   dispatch.New(zone, rng),
+		budget:  retry.NewBudget(retry.Settings{Share: retryShare, Reserve: retryReserve}),
+		latency: map[string]*retry.Latency{},
+	}}
+}
+
+func (o *owner) run() {
+	for {
+		select {
+		case <-o.ctx.Done():
+			return
+		case f := <-o.tasks:
+			f(o.state)
+		}
+	}
+}
+
+// tell hands a function over and does not wait for it.
+func (o *owner) tell(f func(*state)) {
+	select {
+	case o.tasks <- f:
+	case <-o.ctx.Done():
+	}
+}
+
+// ask hands a function over and waits until it has run. It returns false when
+// the gateway ends first.
+func (o *owner) ask(f func(*state)) bool {
+	done := make(chan struct{})
+	o.tell(func(s *state) { f(s); close(done) })
+	select {
+	case <-done:
+		return true
+	case <-o.ctx.Done():
+		return false
+	}
+}
+
+// place chooses an upstream; nil means that there is none now.
+func (o *owner) place(w *dispatch.Work) (choice dispatch.Choice, refusal *dispatch.Refusal) {
+	refusal = &dispatch.Refusal{}
+	o.ask(func(s *state) { choice, refusal = s.fleet.Place(time.Now(), w) })
+	return choice, refusal
+}
--- /dev/null
+++ b/modules/gateway/plain.go
@@ -0,0 +1,253 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"heatherway.dev/core/dispatch"
+	"heatherway.dev/core/retry"
+	"heatherway.dev/core/routing"
+	"heatherway.dev/heatherway/modules/dialect"
+	"heatherway.dev/kernel/result"
+)
+
+const (
+	// maxAnswerBytes bounds the answer of a plain call, which is held back until
+	// it is whole.
+	maxAnswerBytes = 16 << 20
+	// defaultHedge is the delay of a hedge before enough lookups are known; it is
+	// three times the mean work of a call.
+	defaultHedge = 45 * time.Millisecond
+)
+
+// answer is the whole answer of an upstream, or why there is none.
+type answer struct {
+	choice dispatch.Choice
+	status int
+	header http.Header
+	body   []byte
+	meta   dialect.Response
+	// sent tells that the request has reached or may have reached the upstream.
+	sent bool
+	err  error
+}
+
+// good tells whether the answer is a success.
+func (a *answer) good() bool {
+	return a.err == nil && a.status < http.StatusInternalServerError && !a.meta.NotRun
+}
+
+// whole tells whether the answer can be given to the caller.
+func (a *answer) whole() bool { return a.err == nil && !a.meta.NotRun && a.meta.Sealed }
+
+// plain serves a call that is answered at once.
+func (c *call) plain() {
+	c.countFirst()
+	if c.route.Kind == routing.Idempotent {
+		c.lookup()
+		return
+	}
+	for {
+		choice, refusal := c.g.owner.place(c.work())
+		if refusal != nil {
+			c.fail(c.unplaced(refusal))
+			return
+		}
+		a := c.ask(c.ctx, choice)
+		c.try(choice.Upstream)
+		if a.sent {
+			c.sent++
+		}
+		switch {
+		case a.whole():
+			c.deliver(a)
+			return
+		case a.sent && !a.meta.NotRun:
+			c.fail(c.outcome(a))
+			return
+		case !c.mayTry() || !c.retryAllowed():
+			c.fail(c.notRun(a))
+			return
+		}
+	}
+}
+
+// outcome is the failure of a call that may have run.
+func (c *call) outcome(a *answer) error {
+	if !time.Now().Before(c.end) {
+		return result.New(result.DeadlineExceeded, "no answer from %s in time", a.choice.Upstream.ID)
+	}
+	return result.Wrap(result.UpstreamFailed, a.err, "no whole answer from "+a.choice.Upstream.ID)
+}
+
+// notRun is the refusal of a call that has certainly not run.
+func (c *call) notRun(a *answer) error {
+	message := "refused with status " + strconv.Itoa(a.status)
+	if a.err != nil {
+		message = a.err.Error()
+	}
+	return result.New(result.NoUpstream, "%s: %s", a.choice.Upstream.ID, message).After(refusedRetry)
+}
+
+// refusedRetry is told to callers whose call was refused by a full upstream; its
+// queue clears within this time.
+const refusedRetry = 100 * time.Millisecond
+
+// lookup serves an idempotent call: it may be sent to several upstreams, one
+// after the other after a failure, and beside each other after a delay.
+func (c *call) lookup() {
+	ctx, cancel := context.WithCancel(c.ctx)
+	defer cancel()
+	answers := make(chan *answer, c.route.MaxAttempts+1)
+	running, best := 0, (*answer)(nil)
+	start := func() *dispatch.Refusal {
+		choice, refusal := c.g.owner.place(c.work())
+		if refusal != nil {
+			return refusal
+		}
+		c.try(choice.Upstream)
+		c.sent++
+		running++
+		go func() { answers <- c.ask(ctx, choice) }()
+		return nil
+	}
+	if refusal := start(); refusal != nil {
+		c.fail(c.unplaced(refusal))
+		return
+	}
+	hedge := time.NewTimer(c.hedgeDelay())
+	defer hedge.Stop()
+	for running > 0 {
+		select {
+		case <-hedge.C:
+			if c.mayTry() && c.retryAllowed() && start() == nil {
+				c.g.metrics.hedges.Inc()
+			}
+		case a := <-answers:
+			running--
+			if a.good() && a.whole() {
+				c.observe()
+				c.deliver(a)
+				return
+			}
+			if !a.sent {
+				c.sent--
+			}
+			if best == nil || a.whole() {
+				best = a
+			}
+			if c.mayTry() && c.retryAllowed() {
+				_ = start() // without an upstream, the answers so far decide
+			}
+		case <-c.ctx.Done():
+			c.fail(result.New(result.DeadlineExceeded, "no answer in time"))
+			return
+		}
+	}
+	switch {
+	case best.whole():
+		c.deliver(best)
+	case best.sent && !best.meta.NotRun:
+		c.fail(c.outcome(best))
+	default:
+		c.fail(c.notRun(best))
+	}
+}
+
+func (c *call) hedgeDelay() time.Duration {
+	delay := defaultHedge
+	c.g.owner.ask(func(s *state) {
+		if l := s.latency[c.service.Name]; l != nil {
+			if d, known := l.HedgeDelay(time.Now()); known {
+				delay = min(d, defaultHedge)
+			}
+		}
+	})
+	return delay
+}
+
+func (c *call) observe() {
+	took, name := time.Since(c.begin), c.service.Name
+	c.g.owner.tell(func(s *state) {
+		if s.latency[name] == nil {
+			s.latency[name] = &retry.Latency{}
+		}
+		s.latency[name].Observe(time.Now(), took)
+	})
+}
+
+// ask sends the call to one upstream and reads the whole answer.
+func (c *call) ask(ctx context.Context, choice dispatch.Choice) *answer {
+	a := &answer{choice: choice}
+	u := choice.Upstream
+	o := c.forward(u, dialect.Forward{LastEvent: dialect.NoEvent})
+	x, err := c.g.upstreams.send(ctx, u.Addr, u.ID, o, c.isOurs)
+	if err != nil {
+		a.err, a.sent = err, !errors.Is(err, errNotSent)
+		c.settle(ctx, a)
+		return a
+	}
+	a.sent, a.status, a.header = true, x.res.StatusCode, x.res.Header
+	a.meta = c.g.dialect.Response(a.header)
+	a.body, a.err = io.ReadAll(io.LimitReader(x.res.Body, maxAnswerBytes))
+	switch {
+	case a.err != nil:
+		x.abandon()
+	case a.meta.Encoded:
+		a.err = errors.New("the body is encoded")
+		x.abandon()
+	case !a.meta.Sealed && !a.meta.NotRun:
+		a.err = errors.New("the answer has no signature")
+		x.abandon()
+	default:
+		x.finish()
+	}
+	c.settle(ctx, a)
+	return a
+}
+
+// settle tells the owner what came of an attempt.
+func (c *call) settle(ctx context.Context, a *answer) {
+	now, ticket := time.Now(), a.choice.Ticket
+	cut := ctx.Err() != nil // abandoned, which says nothing about the upstream
+	good, notRun, failed, load := a.good(), a.meta.NotRun, a.err != nil, a.meta.Load
+	wrong := a.status == http.StatusMisdirectedRequest
+	c.g.owner.tell(func(s *state) {
+		switch {
+		case wrong:
+			s.fleet.Failed(now, ticket)
+		case failed && !cut:
+			s.fleet.Failed(now, ticket)
+		case !failed:
+			s.fleet.Started(now, ticket)
+		}
+		if !cut && !notRun {
+			s.fleet.Answered(ticket, good)
+		}
+		if load != nil {
+			s.fleet.Report(now, ticket, load.Running, load.Waiting)
+		}
+		s.fleet.End(ticket)
+	})
+	if failed && !cut {
+		c.g.log.Info("attempt failed", "request", c.req.ID, "upstream", a.choice.Upstream.ID, "address", a.choice.Upstream.Addr,
+			"sent", a.sent, "status", a.status, "error", a.err.Error())
+	}
+}
+
+// deliver gives the caller an upstream's answer.
+func (c *call) deliver(a *answer) {
+	c.g.metrics.answerMS.Observe(time.Since(c.begin).Milliseconds())
+	if c.sent > 1 {
+		c.logEnd("request answered", "upstream", a.choice.Upstream.ID, "status", a.status)
+	}
+	c.copyHeader(a.header)
+	c.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	c.w.WriteHeader(a.status)
+	_, _ = c.w.Write(a.body) // a caller that has gone away needs no answer
+}
--- /dev/null
+++ b/modules/gateway/stream.go
@@ -0,0 +1,452 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"heatherway.dev/core/dispatch"
+	"heatherway.dev/core/registration"
+	"heatherway.dev/core/relay"
+	"heatherway.dev/heatherway/modules/dialect"
+	"heatherway.dev/kernel/result"
+)
+
+const (
+	// placeRetry is the pause before a stream without an upstream asks again.
+	placeRetry = 60 * time.Millisecond
+	// holdShare is the part of the objective for which a stream is held back
+	// without an upstream. Beyond it a caller is better off knowing.
+	holdShare = 8
+	// queuedEvents is the number of events read ahead of the caller.
+	queuedEvents = 16
+	// resumeWait is the expected time until the first event of a stream that goes
+	// on from a copy of its KV cache.
+	resumeWait = 150 * time.Millisecond
+)
+
+// stream serves a request that is answered with events. It goes on at another
+// upstream until it is complete, or may go on no more.
+func (c *call) stream() {
+	c.countFirst()
+	last := dialect.NoEvent
+	if c.route.Resumable {
+		last = c.req.LastEvent
+	}
+	s := &streaming{call: c, relay: relay.New(c.route.MaxEventGap, last)}
+	for {
+		a := s.attempt()
+		if a == nil {
+			return // the caller has its final answer
+		}
+		s.end(a)
+		if a.complete {
+			s.finish(a)
+			return
+		}
+		if !s.goOn(a) {
+			return
+		}
+	}
+}
+
+// streaming is a stream on its way to the caller.
+type streaming struct {
+	*call
+	relay *relay.Stream
+	// begun is set once the caller has the head of the answer.
+	begun bool
+	// copy is where the KV cache of the last attempt was copied to.
+	copy   registration.Upstream
+	broken time.Time
+}
+
+// attempt is one try at one upstream.
+type attempt struct {
+	choice   dispatch.Choice
+	begin    time.Time
+	sent     bool
+	started  bool
+	complete bool
+	resumed  bool
+	meta     dialect.Response
+	status   int
+	header   http.Header
+	body     []byte
+	err      error
+}
+
+// attempt places the stream and runs it there. It returns nil when the caller
+// has got the final answer.
+func (s *streaming) attempt() *attempt {
+	w := s.work()
+	w.Backup = s.route.Resumable && s.route.MaxAttempts > 1
+	w.Prefer = s.copy.ID
+	choice, ok := s.place(w)
+	if !ok {
+		return nil
+	}
+	a := &attempt{choice: choice, begin: time.Now()}
+	a.resumed = s.copy.ID != "" && s.copy.ID == choice.Upstream.ID
+	s.run(a)
+	return a
+}
+
+// place waits for an upstream for a short while.
+func (s *streaming) place(w *dispatch.Work) (dispatch.Choice, bool) {
+	until := time.Now().Add(s.route.Objective / holdShare)
+	for {
+		choice, refusal := s.g.owner.place(w)
+		if refusal == nil {
+			return choice, true
+		}
+		if !s.begun && time.Now().After(until) || s.ctx.Err() != nil {
+			s.refuse(refusal)
+			return choice, false
+		}
+		select {
+		case <-time.After(placeRetry):
+		case <-s.ctx.Done():
+		}
+	}
+}
+
+// refuse ends a stream that cannot be placed.
+func (s *streaming) refuse(r *dispatch.Refusal) {
+	switch {
+	case s.begun:
+		s.abort("no upstream to go on at")
+	case s.sent > 0:
+		s.fail(result.New(result.UpstreamFailed, "no upstream to go on at"))
+	default:
+		s.fail(s.unplaced(r))
+	}
+}
+
+// abort breaks off an answer that has begun, so that it does not look complete.
+func (s *streaming) abort(why string) {
+	s.g.metrics.aborted.Inc()
+	last, _ := s.relay.Last()
+	s.logEnd("stream broken off", "last_event", last, "error", why)
+	panic(http.ErrAbortHandler)
+}
+
+// run sends the request to the chosen upstream and passes its events on until
+// the attempt ends.
+func (s *streaming) run(a *attempt) {
+	ctx, cancel := context.WithCancel(s.ctx)
+	defer cancel()
+	ended := s.g.follower.replaced.watch(a.choice.Upstream)
+	defer ended.close()
+	wait := a.choice.Wait + time.Duration(s.req.PromptTokens/prefillPerMS)*time.Millisecond
+	if a.resumed {
+		wait = resumeWait
+	}
+	s.relay.Attempt(a.begin, wait)
+	r := newEventReader(ctx, s.call, a, s.forwardTo(a))
+	timer := time.NewTimer(s.relay.Patience(a.begin))
+	defer timer.Stop()
+	for {
+		select {
+		case in, more := <-r.events:
+			if !more {
+				a.err = r.err
+				return
+			}
+			if done := s.take(a, in); done {
+				return
+			}
+			timer.Reset(s.relay.Patience(time.Now()))
+		case <-timer.C:
+			if !s.check(ctx, a) {
+				return
+			}
+			timer.Reset(s.relay.Patience(time.Now()))
+		case <-ended.ended:
+			a.err = errors.New("another incarnation has the upstream's address")
+			return
+		case <-s.ctx.Done():
+			a.err = s.ctx.Err()
+			return
+		}
+	}
+}
+
+// prefillPerMS is the number of prompt tokens that an upstream reads in a
+// millisecond, from the data sheet of the deployments.
+const prefillPerMS = 8
+
+// forwardTo returns the request for an attempt.
+func (s *streaming) forwardTo(a *attempt) *outgoing {
+	f := dialect.Forward{LastEvent: dialect.NoEvent, BackupTo: a.choice.Backup.Addr, Urgency: &s.priority}
+	if last, any := s.relay.Last(); any {
+		f.LastEvent = last
+	}
+	if a.resumed {
+		f.ResumeFrom = &dialect.Copy{Holder: a.choice.Upstream.Addr, Run: s.req.ID}
+	}
+	return s.forward(a.choice.Upstream, f)
+}
+
+// check finds out by a new connection whether a silent upstream is alive. It
+// returns false when the attempt is to be given up.
+func (s *streaming) check(ctx context.Context, a *attempt) bool {
+	u := a.choice.Upstream
+	err := s.g.upstreams.check(ctx, u.Addr, u.ID)
+	if err == nil && s.relay.Checked() {
+		return true
+	}
+	s.g.metrics.silent.Inc()
+	a.err = errors.New("the upstream is silent and accepts connections")
+	if err != nil {
+		a.err = errors.Wrap(err, "the upstream is silent")
+	}
+	return false
+}
+
+// arrival is what the reader of an attempt passes on: the head of the answer or
+// an event.
+type arrival struct {
+	head  *http.Response
+	event event
+}
+
+// take passes an arrival on to the caller. It returns true when the attempt has
+// ended.
+func (s *streaming) take(a *attempt, in arrival) bool {
+	if in.head != nil {
+		return s.takeHead(a, in.head)
+	}
+	if in.event.id < 0 {
+		return s.write(a, in.event.raw)
+	}
+	switch s.relay.Event(time.Now(), in.event.id) {
+	case relay.Repeat:
+		s.g.metrics.repeats.Inc()
+		return false
+	case relay.Gap:
+		a.err = errors.Errorf("event %d does not follow", in.event.id)
+		return true
+	}
+	s.noteStart(a)
+	return s.write(a, in.event.raw)
+}
+
+func (s *streaming) takeHead(a *attempt, head *http.Response) bool {
+	a.sent, a.status, a.header = true, head.StatusCode, head.Header
+	a.meta = s.g.dialect.Response(head.Header)
+	return false
+}
+
+// noteStart records the first event of an attempt.
+func (s *streaming) noteStart(a *attempt) {
+	if a.started {
+		return
+	}
+	a.started = true
+	now, ticket, load, resumed := time.Now(), a.choice.Ticket, a.meta.Load, a.resumed
+	s.g.owner.tell(func(st *state) {
+		st.fleet.Started(now, ticket)
+		if load != nil {
+			st.fleet.Report(now, ticket, load.Running, load.Waiting)
+		}
+	})
+	if !s.broken.IsZero() {
+		s.g.metrics.resumeMS.Observe(now.Sub(s.broken).Milliseconds())
+		s.logEnd("stream resumed", "upstream", a.choice.Upstream.ID, "from_copy", resumed, "resume_ms", now.Sub(s.broken).Milliseconds())
+		s.broken = time.Time{}
+	}
+	if !s.begun {
+		s.g.metrics.firstEventMS.Observe(now.Sub(s.begin).Milliseconds())
+	}
+}
+
+// write sends bytes to the caller, and the head of the answer before the first
+// ones.
+func (s *streaming) write(a *attempt, raw []byte) bool {
+	if !s.begun {
+		s.begun = true
+		s.copyHeader(a.header)
+		s.w.Header().Del("Content-Length")
+		s.w.WriteHeader(a.status)
+	}
+	if _, err := s.w.Write(raw); err != nil {
+		a.err = errors.Wrap(err, "caller")
+		return true
+	}
+	if err := http.NewResponseController(s.w).Flush(); err != nil {
+		a.err = errors.Wrap(err, "caller")
+		return true
+	}
+	return false
+}
+
+// end settles an attempt with the owner.
+func (s *streaming) end(a *attempt) {
+	now, ticket := time.Now(), a.choice.Ticket
+	gone := s.ctx.Err() != nil
+	failed := !a.complete && !a.meta.NotRun && !gone
+	misdirected := a.status == http.StatusMisdirectedRequest
+	ok := a.complete && a.status < http.StatusInternalServerError
+	s.g.owner.tell(func(st *state) {
+		if failed || misdirected {
+			st.fleet.Failed(now, ticket)
+		}
+		if !gone && !a.meta.NotRun {
+			st.fleet.Answered(ticket, ok)
+		}
+		st.fleet.End(ticket)
+	})
+	s.try(a.choice.Upstream)
+	if a.sent {
+		s.sent++
+	}
+	if failed {
+		s.g.upstreams.drop(a.choice.Upstream.Addr, a.choice.Upstream.ID)
+	}
+	if a.err != nil && !gone {
+		last, _ := s.relay.Last()
+		s.g.log.Info("attempt failed", "request", s.req.ID, "upstream", a.choice.Upstream.ID, "address", a.choice.Upstream.Addr,
+			"zone", a.choice.Upstream.Zone, "sent", a.sent, "status", a.status, "started", a.started, "last_event", last,
+			"backup", a.choice.Backup.ID, "resumed", a.resumed, "took_ms", now.Sub(a.begin).Milliseconds(), "error", a.err.Error())
+	}
+}
+
+// finish ends the answer of a complete attempt.
+func (s *streaming) finish(a *attempt) {
+	if !s.begun {
+		s.copyHeader(a.header)
+		s.w.WriteHeader(a.status)
+		_, _ = s.w.Write(a.body) // a caller that has gone away needs no answer
+	}
+	if s.sent > 1 {
+		s.logEnd("request answered", "upstream", a.choice.Upstream.ID, "status", a.status)
+	}
+}
+
+// goOn decides whether the stream goes on at another upstream; if not, it gives
+// the caller the final answer.
+func (s *streaming) goOn(a *attempt) bool {
+	_, any := s.relay.Last()
+	notRun := !a.sent || a.meta.NotRun
+	switch {
+	case s.ctx.Err() != nil:
+		return s.giveUp(a)
+	case !notRun && !s.route.Repeatable():
+		return s.giveUp(a)
+	case !s.mayTry(), a.sent && !s.retryAllowed():
+		return s.giveUp(a)
+	}
+	if s.broken.IsZero() && any {
+		s.broken = time.Now()
+	}
+	s.copy = registration.Upstream{}
+	if a.sent && !a.meta.NotRun && !a.resumed || a.started {
+		s.copy = a.choice.Backup
+	}
+	s.g.metrics.resumes.Inc()
+	return true
+}
+
+func (s *streaming) giveUp(a *attempt) bool {
+	switch {
+	case s.begun:
+		s.abort(a.err.Error())
+	case s.sent == 0 || a.meta.NotRun && s.sent == 1:
+		s.fail(result.New(result.NoUpstream, "%s refused the request: %v", a.choice.Upstream.ID, a.err).After(refusedRetry))
+	case s.ctx.Err() != nil:
+		s.fail(result.New(result.DeadlineExceeded, "no first event in time"))
+	default:
+		s.fail(result.Wrap(result.UpstreamFailed, a.err, "the stream did not begin"))
+	}
+	return false
+}
+
+// eventReader reads an attempt's answer in a goroutine of its own, so that the
+// silence of an upstream, the end of its incarnation and the caller can be
+// watched at the same time.
+type eventReader struct {
+	events chan arrival
+	err    error // set before events is closed
+}
+
+func newEventReader(ctx context.Context, c *call, a *attempt, o *outgoing) *eventReader {
+	r := &eventReader{events: make(chan arrival, queuedEvents)}
+	go func() {
+		defer close(r.events)
+		r.err = r.read(ctx, c, a, o)
+	}()
+	return r
+}
+
+var errRefused = errors.New("the upstream refused the request")
+
+func (r *eventReader) read(ctx context.Context, c *call, a *attempt, o *outgoing) error {
+	u := a.choice.Upstream
+	x, err := c.g.upstreams.send(ctx, u.Addr, u.ID, o, c.isOurs)
+	if err != nil {
+		a.sent = !errors.Is(err, errNotSent)
+		return err
+	}
+	if !r.pass(ctx, arrival{head: x.res}) {
+		x.abandon()
+		return ctx.Err()
+	}
+	meta := c.g.dialect.Response(x.res.Header)
+	switch {
+	case meta.NotRun:
+		x.abandon()
+		return errRefused
+	case meta.Encoded || !meta.Sealed:
+		x.abandon()
+		return errors.New("the answer has no signature or an encoded body")
+	case x.res.StatusCode >= http.StatusInternalServerError:
+		return r.readFailure(a, x)
+	}
+	return r.readEvents(ctx, a, x)
+}
+
+// readFailure takes in an upstream's own failure, which is not a stream.
+func (r *eventReader) readFailure(a *attempt, x *exchange) error {
+	body, err := io.ReadAll(io.LimitReader(x.res.Body, maxAnswerBytes))
+	if err != nil {
+		x.abandon()
+		return err
+	}
+	a.body = body
+	x.finish()
+	return errors.Errorf("the upstream answered with status %d", x.res.StatusCode)
+}
+
+func (r *eventReader) readEvents(ctx context.Context, a *attempt, x *exchange) error {
+	body := bufio.NewReaderSize(x.res.Body, readBuffer)
+	for {
+		e, err := readEvent(body)
+		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+			x.finish()
+			a.complete = true
+			return nil
+		}
+		if err != nil {
+			x.abandon()
+			return err
+		}
+		if !r.pass(ctx, arrival{event: e}) {
+			x.abandon()
+			return ctx.Err()
+		}
+	}
+}
+
+func (r *eventReader) pass(ctx context.Context, in arrival) bool {
+	select {
+	case r.events <- in:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/modules/registry/directory.go
@@ -0,0 +1,234 @@
+package registry
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"heatherway.dev/core/registration"
+	"heatherway.dev/kernel/peer"
+)
+
+const (
+	// lostIntervals is how many announcements in a row may fail to arrive before
+	// an upstream counts as lost; they may be seconds late.
+	lostIntervals = 5
+	// forgetAfter is how long an upstream is remembered after its last
+	// announcement, so that late ones stay without effect.
+	forgetAfter = time.Minute
+	// shareInterval collects announcements into one call to each other control
+	// instance.
+	shareInterval = 50 * time.Millisecond
+	// shareLimit bounds a call to another control instance; what it did not take
+	// is sent again.
+	shareLimit = 300 * time.Millisecond
+	// sweepInterval is the time between searches for silent upstreams.
+	sweepInterval = 500 * time.Millisecond
+	// queuedAnnouncements bounds announcements waiting for the owner; more are
+	// dropped, since the next one of an upstream replaces them.
+	queuedAnnouncements = 1024
+)
+
+// directory owns the directory of upstreams and shares what this instance hears
+// with the others. One goroutine uses the state; readers see it through view.
+type directory struct {
+	r     *Registry
+	log   *slog.Logger
+	state *registration.Directory
+	// epoch tells readers that change numbers start anew.
+	epoch  uint64
+	inputs chan observation
+	looks  chan look
+	// unsent holds for each other instance what it has not taken yet.
+	unsent  map[string]map[string]registration.Upstream
+	sending map[string]bool
+	sent    chan shared
+}
+
+type observation struct {
+	list   []registration.Upstream
+	direct bool
+	done   chan struct{}
+}
+
+// look asks for the records that changed after a number.
+type look struct {
+	since uint64
+	reply chan view
+}
+
+type view struct {
+	changes uint64
+	list    []registration.Upstream
+}
+
+type shared struct {
+	addr string
+	list []registration.Upstream
+	err  error
+}
+
+func newDirectory(r *Registry) *directory {
+	return &directory{
+		r: r, log: r.log, state: registration.New(), epoch: rand.Uint64(),
+		inputs: make(chan observation, queuedAnnouncements), looks: make(chan look),
+		unsent: map[string]map[string]registration.Upstream{}, sending: map[string]bool{},
+		sent: make(chan shared, 16),
+	}
+}
+
+// announced takes in what an upstream said to this instance. It returns once
+// the gateways that watch this instance can see it.
+func (d *directory) announced(u registration.Upstream) {
+	d.observe([]registration.Upstream{u}, true)
+}
+
+func (d *directory) observe(list []registration.Upstream, direct bool) {
+	o := observation{list: list, direct: direct, done: make(chan struct{})}
+	select {
+	case d.inputs <- o:
+	case <-d.r.ctx.Done():
+		return
+	}
+	select {
+	case <-o.done:
+	case <-d.r.ctx.Done():
+	}
+}
+
+// since returns what changed after a number.
+func (d *directory) since(ctx context.Context, change uint64) (view, bool) {
+	q := look{change, make(chan view, 1)}
+	select {
+	case d.looks <- q:
+		return <-q.reply, true
+	case <-ctx.Done():
+	case <-d.r.ctx.Done():
+	}
+	return view{}, false
+}
+
+func (d *directory) run(ctx context.Context) {
+	share, sweep := time.NewTicker(shareInterval), time.NewTicker(sweepInterval)
+	defer share.Stop()
+	defer sweep.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case o := <-d.inputs:
+			d.take(o)
+		case q := <-d.looks:
+			q.reply <- view{d.state.Changes(), d.state.Since(q.since)}
+		case s := <-d.sent:
+			d.settle(s)
+		case <-share.C:
+			d.share()
+		case now := <-sweep.C:
+			d.sweep(now)
+		}
+	}
+}
+
+func (d *directory) take(o observation) {
+	now, changed := time.Now(), false
+	for _, u := range o.list {
+		before, known := d.state.Get(u.ID)
+		outcome := d.state.Observe(now, u)
+		if outcome == registration.Changed {
+			changed = true
+			after, _ := d.state.Get(u.ID)
+			d.log.Info("upstream changed", "upstream", u.ID, "service", after.Service, "address", after.Addr,
+				"state", after.State.String(), "previous", previous(before, known), "started_ms", after.StartedMS, "seq", u.Seq, "direct", o.direct)
+		}
+		if o.direct && outcome != registration.Stale {
+			d.queue(u)
+		}
+	}
+	close(o.done)
+	if changed {
+		d.r.feed.wake()
+		d.share()
+	}
+}
+
+func previous(u registration.Upstream, known bool) string {
+	if !known {
+		return "unknown"
+	}
+	return u.State.String()
+}
+
+// queue marks an announcement for every other instance.
+func (d *directory) queue(u registration.Upstream) {
+	for _, addr := range d.r.members() {
+		m := d.unsent[addr]
+		if m == nil {
+			m = map[string]registration.Upstream{}
+			d.unsent[addr] = m
+		}
+		m[u.ID] = u
+	}
+}
+
+// share sends what is queued, one call to an instance at a time.
+func (d *directory) share() {
+	for addr, m := range d.unsent {
+		if len(m) == 0 || d.sending[addr] {
+			continue
+		}
+		list := make([]registration.Upstream, 0, len(m))
+		for _, u := range m {
+			list = append(list, u)
+		}
+		clear(m)
+		d.sending[addr] = true
+		client := d.r.clients.To(addr)
+		go d.send(client, list)
+	}
+}
+
+func (d *directory) send(client *peer.Client, list []registration.Upstream) {
+	ctx, cancel := context.WithTimeout(d.r.ctx, shareLimit)
+	defer cancel()
+	err := client.Call(ctx, ServiceName+".Share", &ShareArgs{Upstreams: list}, &ShareReply{})
+	select {
+	case d.sent <- shared{client.Addr(), list, err}:
+	case <-d.r.ctx.Done():
+	}
+}
+
+// settle queues again what another instance did not take, unless something
+// newer waits. An instance that is no member any more is forgotten.
+func (d *directory) settle(s shared) {
+	delete(d.sending, s.addr)
+	if s.err == nil {
+		return
+	}
+	m, member := d.unsent[s.addr], false
+	for _, addr := range d.r.members() {
+		member = member || addr == s.addr
+	}
+	if !member {
+		delete(d.unsent, s.addr)
+		return
+	}
+	for _, u := range s.list {
+		if _, newer := m[u.ID]; !newer {
+			m[u.ID] = u
+		}
+	}
+}
+
+func (d *directory) sweep(now time.Time) {
+	lost := d.state.MarkLost(now, lostIntervals*d.r.AnnounceInterval)
+	for _, u := range lost {
+		d.log.Warn("upstream lost", "upstream", u.ID, "service", u.Service, "address", u.Addr,
+			"silent_ms", now.Sub(d.state.Heard(u.ID)).Milliseconds())
+	}
+	d.state.Expire(now, forgetAfter)
+	if len(lost) > 0 {
+		d.r.feed.wake()
+	}
+}
--- /dev/null
+++ b/modules/registry/document.go
@@ -0,0 +1,83 @@
+package registry
+
+import (
+	"encoding/binary"
+	"log/slog"
+	"sync/atomic"
+
+	"github.com/go-faster/errors"
+)
+
+// revision is one version of the configuration, as the operator sent it.
+type revision struct {
+	version uint64
+	body    []byte
+}
+
+// document is the state machine of the configuration: the highest version
+// takes effect.
+type document struct {
+	log     *slog.Logger
+	changed func()
+	held    atomic.Pointer[revision]
+}
+
+func newDocument(log *slog.Logger, changed func()) *document {
+	d := &document{log: log, changed: changed}
+	d.held.Store(&revision{})
+	return d
+}
+
+// current returns the version in force; version 0 means that there is none.
+func (d *document) current() *revision { return d.held.Load() }
+
+const versionBytes = 8
+
+func encodeRevision(version uint64, body []byte) []byte {
+	return append(binary.BigEndian.AppendUint64(make([]byte, 0, versionBytes+len(body)), version), body...)
+}
+
+func decodeRevision(b []byte) (*revision, error) {
+	if len(b) < versionBytes {
+		return nil, errors.New("configuration entry is too short")
+	}
+	return &revision{version: binary.BigEndian.Uint64(b), body: b[versionBytes:]}, nil
+}
+
+// Apply implements replica.StateMachine. It answers with the version in force.
+func (d *document) Apply(index uint64, entry []byte) []byte {
+	next, err := decodeRevision(entry)
+	if err != nil {
+		d.log.Error("configuration entry skipped", "index", index, "error", err)
+		return nil
+	}
+	d.take(next, "log")
+	return binary.BigEndian.AppendUint64(nil, d.current().version)
+}
+
+func (d *document) take(next *revision, from string) {
+	old := d.current()
+	if next.version <= old.version {
+		return
+	}
+	d.held.Store(next)
+	d.log.Info("configuration in force", "version", next.version, "previous", old.version, "bytes", len(next.body), "from", from)
+	d.changed()
+}
+
+// Snapshot implements replica.StateMachine.
+func (d *document) Snapshot() []byte {
+	r := d.current()
+	return encodeRevision(r.version, r.body)
+}
+
+// Restore implements replica.StateMachine. A log that is opened again starts
+// behind the state in memory, which must not go back.
+func (d *document) Restore(b []byte) error {
+	next, err := decodeRevision(b)
+	if err != nil {
+		return err
+	}
+	d.take(next, "snapshot")
+	return nil
+}
--- /dev/null
+++ b/modules/registry/feed.go
@@ -0,0 +1,205 @@
+package registry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"heatherway.dev/core/registration"
+	"heatherway.dev/heatherway/modules/control/replica"
+	"heatherway.dev/kernel/peer"
+	"heatherway.dev/kernel/result"
+)
+
+// ServiceName is the net/rpc name of the calls of gateways and of other control
+// instances.
+const ServiceName = "Registry"
+
+const (
+	// MaxWatch is the longest time that Watch waits for a change.
+	MaxWatch = 2 * time.Second
+	// confirmLimit bounds the confirmation of the first answer to a watcher.
+	confirmLimit = time.Second
+)
+
+// WatchArgs asks for everything newer than what a gateway has.
+type WatchArgs struct {
+	// Version is the version of the configuration that the gateway has.
+	Version uint64
+	// Epoch and Change say which changes of the directory it has.
+	Epoch, Change uint64
+	// Confirm asks for a configuration that a majority has confirmed after the
+	// call; a gateway that starts has no other way to tell an old one.
+	Confirm bool
+}
+
+// WatchReply carries what is newer.
+type WatchReply struct {
+	Version uint64
+	// Body is the configuration, empty when the gateway has it.
+	Body []byte
+	// Epoch and Change go into the next call.
+	Epoch, Change uint64
+	// Upstreams are the records that changed.
+	Upstreams []registration.Upstream
+	// Members are the peer addresses of all control instances.
+	Members []string
+	// Led tells that this instance knows a leader, and so hears of changes.
+	Led bool
+}
+
+// ReplaceArgs carries a configuration to the leader.
+type ReplaceArgs struct {
+	Version uint64
+	Body    []byte
+}
+
+// ReplaceReply names the version in force afterwards.
+type ReplaceReply struct{ Version uint64 }
+
+// ConfirmArgs asks the leader for the version in force.
+type ConfirmArgs struct{}
+
+// ConfirmReply names it.
+type ConfirmReply struct{ Version uint64 }
+
+// ShareArgs carries announcements that another instance heard.
+type ShareArgs struct{ Upstreams []registration.Upstream }
+
+// ShareReply is empty.
+type ShareReply struct{}
+
+// Service receives the calls.
+type Service struct{ r *Registry }
+
+// Watch waits until something is newer than what the caller has, MaxWatch at
+// most.
+func (s *Service) Watch(args *WatchArgs, reply *WatchReply) error {
+	r := s.r
+	if args.Confirm {
+		ctx, cancel := context.WithTimeout(r.ctx, confirmLimit)
+		_, err := r.readCurrent(ctx)
+		cancel()
+		if err != nil {
+			return peer.EncodeError(err)
+		}
+	}
+	ctx, cancel := context.WithTimeout(r.ctx, MaxWatch)
+	defer cancel()
+	since := args.Change
+	if args.Epoch != r.directory.epoch {
+		since = 0
+	}
+	for {
+		woken := r.feed.next()
+		held := r.document.current()
+		v, ok := r.directory.since(ctx, since)
+		if !ok {
+			return peer.EncodeError(result.New(result.ControlUnavailable, "this instance stops"))
+		}
+		*reply = WatchReply{
+			Version: held.version, Epoch: r.directory.epoch, Change: v.changes, Upstreams: v.list,
+			Members: append(r.members(), r.PeerListen), Led: r.led(),
+		}
+		if held.version > args.Version {
+			reply.Body = held.body
+		}
+		if reply.Body != nil || len(v.list) > 0 || !reply.Led || args.Confirm {
+			return nil
+		}
+		select {
+		case <-woken:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// Replace puts a configuration into the log of this instance, the leader.
+func (s *Service) Replace(args *ReplaceArgs, reply *ReplaceReply) error {
+	ctx, cancel := context.WithTimeout(s.r.ctx, operatorLimit)
+	defer cancel()
+	var err error
+	reply.Version, err = s.r.propose(ctx, args.Version, args.Body)
+	return peer.EncodeError(err)
+}
+
+// Confirm returns the version in force, confirmed by a majority.
+func (s *Service) Confirm(_ *ConfirmArgs, reply *ConfirmReply) error {
+	ctx, cancel := context.WithTimeout(s.r.ctx, operatorLimit)
+	defer cancel()
+	var err error
+	reply.Version, err = s.r.confirmHere(ctx)
+	return peer.EncodeError(err)
+}
+
+// Share takes in announcements that another instance heard.
+func (s *Service) Share(args *ShareArgs, _ *ShareReply) error {
+	s.r.directory.observe(args.Upstreams, false)
+	return nil
+}
+
+// raftService passes the calls of the replicated log on to the log that is open
+// now.
+type raftService struct{ r *Registry }
+
+// Step passes messages on.
+func (s *raftService) Step(args *replica.StepArgs, reply *replica.StepReply) error {
+	rep := s.r.current()
+	if rep == nil {
+		return peer.EncodeError(result.New(result.ControlUnavailable, "the log of this instance is closed"))
+	}
+	return rep.Service().Step(args, reply)
+}
+
+// Identity passes a question on.
+func (s *raftService) Identity(args *replica.IdentityArgs, reply *replica.IdentityReply) error {
+	rep := s.r.current()
+	if rep == nil {
+		return peer.EncodeError(result.New(result.ControlUnavailable, "the log of this instance is closed"))
+	}
+	return rep.Service().Identity(args, reply)
+}
+
+// led tells whether this instance knows a leader.
+func (r *Registry) led() bool {
+	rep := r.current()
+	return rep != nil && rep.Leader(group).ID != ""
+}
+
+// members returns the peer addresses of the other control instances.
+func (r *Registry) members() []string {
+	rep := r.current()
+	if rep == nil {
+		return nil
+	}
+	var out []string
+	for _, p := range rep.Members() {
+		if p.Addr != r.PeerListen {
+			out = append(out, p.Addr)
+		}
+	}
+	return out
+}
+
+// feed wakes the watchers.
+type feed struct {
+	mu sync.Mutex
+	ch chan struct{}
+}
+
+func newFeed() *feed { return &feed{ch: make(chan struct{})} }
+
+// next returns a channel that is closed at the next change.
+func (f *feed) next() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ch
+}
+
+func (f *feed) wake() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	close(f.ch)
+	f.ch = make(chan struct{})
+}
--- /dev/null
+++ b/modules/registry/operator.go
@@ -0,0 +1,220 @@
+package registry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"heatherway.dev/core/registration"
+	"heatherway.dev/heatherway/internal/failure"
+	"heatherway.dev/kernel/result"
+)
+
+const (
+	// maxConfigurationBytes is the largest entry of the replicated log.
+	maxConfigurationBytes = 4 << 20
+	// maxAnnouncementBytes bounds what an upstream says of itself.
+	maxAnnouncementBytes = 64 << 10
+	// operatorLimit bounds a call of an operator, who moves on to another
+	// instance after a second.
+	operatorLimit = 900 * time.Millisecond
+)
+
+func (r *Registry) operatorMux() http.Handler {
+	calls := r.dialect.Calls()
+	mux := http.NewServeMux()
+	mux.HandleFunc(calls.ReplaceConfiguration, r.replaceConfiguration)
+	mux.HandleFunc(calls.ReadConfiguration, r.readConfiguration)
+	mux.HandleFunc(calls.Announce, r.announce)
+	mux.HandleFunc(calls.Deregister, r.deregister)
+	return mux
+}
+
+// fail answers with a result code and logs it.
+func (r *Registry) fail(w http.ResponseWriter, q *http.Request, err error) {
+	e := result.From(err)
+	r.log.Warn("call refused", "method", q.Method, "path", q.URL.Path, "from", q.RemoteAddr,
+		"code", int(e.Code), "status", e.Code.Info().HTTP, "error", err.Error())
+	failure.Write(w, e, "")
+}
+
+func (r *Registry) replaceConfiguration(w http.ResponseWriter, q *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, q.Body, maxConfigurationBytes))
+	if err != nil {
+		r.fail(w, q, result.Wrap(result.MalformedBody, err, "configuration not read"))
+		return
+	}
+	c, err := r.dialect.Configuration(body)
+	if err == nil {
+		err = c.Validate()
+	}
+	if err != nil {
+		r.fail(w, q, result.Wrap(result.InvalidField, err, "invalid configuration"))
+		return
+	}
+	ctx, cancel := context.WithTimeout(q.Context(), operatorLimit)
+	defer cancel()
+	held, err := r.replace(ctx, c.Version, body)
+	if err != nil {
+		r.fail(w, q, err)
+		return
+	}
+	r.log.Info("configuration acknowledged", "version", c.Version, "in_force", held, "from", q.RemoteAddr)
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = io.WriteString(w, "{}")
+}
+
+// replace puts a configuration into the log, here or at the leader, and returns
+// the version in force afterwards. A version that is not above the one in force
+// changes nothing.
+func (r *Registry) replace(ctx context.Context, version uint64, body []byte) (uint64, error) {
+	if held := r.document.current().version; version <= held {
+		return held, nil
+	}
+	return r.atLeader(ctx, func(ctx context.Context) (uint64, error) {
+		return r.propose(ctx, version, body)
+	}, func(ctx context.Context, addr string) (uint64, error) {
+		var reply ReplaceReply
+		err := r.clients.To(addr).Call(ctx, ServiceName+".Replace", &ReplaceArgs{Version: version, Body: body}, &reply)
+		return reply.Version, err
+	})
+}
+
+// leaderRetry is the pause before a call is tried again while a leader is being
+// elected.
+const leaderRetry = 50 * time.Millisecond
+
+// atLeader runs a call at the leader until it succeeds or ctx ends. The calls
+// may be repeated: a version is taken over once.
+func (r *Registry) atLeader(ctx context.Context, local func(context.Context) (uint64, error), remote func(context.Context, string) (uint64, error)) (uint64, error) {
+	for {
+		v, err := r.tryLeader(ctx, local, remote)
+		if err == nil {
+			return v, nil
+		}
+		select {
+		case <-time.After(leaderRetry):
+		case <-ctx.Done():
+			return 0, result.New(result.ControlUnavailable, "no answer from the leader in time: %v", err)
+		}
+	}
+}
+
+func (r *Registry) tryLeader(ctx context.Context, local func(context.Context) (uint64, error), remote func(context.Context, string) (uint64, error)) (uint64, error) {
+	rep := r.current()
+	if rep == nil {
+		return 0, result.New(result.ControlUnavailable, "the log of this instance is closed")
+	}
+	lead := rep.Leader(group)
+	switch {
+	case lead.Self:
+		return local(ctx)
+	case lead.Addr == "":
+		return 0, result.New(result.ControlUnavailable, "no leader is known")
+	default:
+		return remote(ctx, lead.Addr)
+	}
+}
+
+func (r *Registry) propose(ctx context.Context, version uint64, body []byte) (uint64, error) {
+	rep := r.current()
+	if rep == nil {
+		return 0, result.New(result.ControlUnavailable, "the log of this instance is closed")
+	}
+	if held := r.document.current().version; version <= held {
+		return held, nil
+	}
+	if _, _, err := rep.Propose(ctx, group, encodeRevision(version, body)); err != nil {
+		return 0, err
+	}
+	return r.document.current().version, nil
+}
+
+// confirm returns the version in force, confirmed by a majority after the call.
+func (r *Registry) confirm(ctx context.Context) (uint64, error) {
+	return r.atLeader(ctx, r.confirmHere, func(ctx context.Context, addr string) (uint64, error) {
+		var reply ConfirmReply
+		err := r.clients.To(addr).Call(ctx, ServiceName+".Confirm", &ConfirmArgs{}, &reply)
+		return reply.Version, err
+	})
+}
+
+func (r *Registry) confirmHere(ctx context.Context) (uint64, error) {
+	rep := r.current()
+	if rep == nil {
+		return 0, result.New(result.ControlUnavailable, "the log of this instance is closed")
+	}
+	if _, err := rep.ReadIndex(ctx, group); err != nil {
+		return 0, err
+	}
+	return r.document.current().version, nil
+}
+
+// catchUpPoll is the pause between checks whether this instance has applied a
+// version that the leader has confirmed.
+const catchUpPoll = 10 * time.Millisecond
+
+// readCurrent returns the configuration in force, no older than the call.
+func (r *Registry) readCurrent(ctx context.Context) (*revision, error) {
+	version, err := r.confirm(ctx)
+	if err != nil {
+		return nil, err
+	}
+	for {
+		if held := r.document.current(); held.version >= version {
+			return held, nil
+		}
+		select {
+		case <-time.After(catchUpPoll):
+		case <-ctx.Done():
+			return nil, result.New(result.ConfigurationBehind, "version %d is not here yet", version)
+		}
+	}
+}
+
+func (r *Registry) readConfiguration(w http.ResponseWriter, q *http.Request) {
+	ctx, cancel := context.WithTimeout(q.Context(), operatorLimit)
+	defer cancel()
+	held, err := r.readCurrent(ctx)
+	if err != nil {
+		r.fail(w, q, err)
+		return
+	}
+	if held.version == 0 {
+		r.fail(w, q, result.New(result.ControlUnavailable, "there is no configuration yet"))
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(held.body)
+}
+
+func (r *Registry) announce(w http.ResponseWriter, q *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, q.Body, maxAnnouncementBytes))
+	if err != nil {
+		r.fail(w, q, result.Wrap(result.MalformedBody, err, "announcement not read"))
+		return
+	}
+	u, err := r.dialect.Announcement(q.PathValue("id"), body)
+	r.take(w, q, u, err)
+}
+
+func (r *Registry) deregister(w http.ResponseWriter, q *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, q.Body, maxAnnouncementBytes))
+	if err != nil {
+		r.fail(w, q, result.Wrap(result.MalformedBody, err, "deregistration not read"))
+		return
+	}
+	u, err := r.dialect.Departure(q.PathValue("id"), body)
+	r.take(w, q, u, err)
+}
+
+func (r *Registry) take(w http.ResponseWriter, q *http.Request, u registration.Upstream, err error) {
+	if err != nil {
+		r.fail(w, q, result.Wrap(result.InvalidField, err, "the upstream is not taken in"))
+		return
+	}
+	r.directory.announced(u)
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = io.WriteString(w, "{}")
+}
--- /dev/null
+++ b/modules/registry/registry.go
@@ -0,0 +1,276 @@
+// Package registry is the role of the control instances of a gateway fleet. It
+// keeps the routing configuration in a replicated log and the directory of
+// upstreams as soft state, and feeds both to the gateways.
+package registry
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"heatherway.dev/core/raft"
+	"heatherway.dev/heatherway/modules/control/replica"
+	"heatherway.dev/heatherway/modules/dialect"
+	"heatherway.dev/kernel"
+	"heatherway.dev/kernel/peer"
+	"heatherway.dev/kernel/result"
+	"heatherway.dev/kernel/settings"
+	"heatherway.dev/kernel/stats"
+)
+
+func init() {
+	kernel.Register(kernel.ModuleInfo{ID: "role.registry", New: func() any { return &Registry{} }})
+}
+
+const (
+	// group is the replicated log of the configuration.
+	group replica.Group = 0
+	// dataFolder is the folder of the log below the instance's data folder.
+	dataFolder = "registry"
+	// compactEntries bounds the log between snapshots: a configuration with
+	// hundreds of routes has 100 KB and the disks of control instances 64 MB.
+	compactEntries = 64
+	// segmentBytes keeps the few segments before a compaction within such a disk.
+	segmentBytes = 4 << 20
+	// logTick gives heartbeats every 200 ms and election timeouts from 1 to 2 s,
+	// which fits the 3 s within which a change must be accepted again.
+	logTick = 100 * time.Millisecond
+	// reopenDelay is the pause before a log that failed is opened again; a full
+	// or hanging disk recovers within seconds.
+	reopenDelay = 500 * time.Millisecond
+	// readHeaderLimit bounds how long a caller may take to send its headers.
+	readHeaderLimit = 5 * time.Second
+)
+
+// Settings are the settings of the role.
+type Settings struct {
+	// Listen is the address that operators and upstreams call.
+	Listen string `yaml:"listen"`
+	// PeerListen is the address for gateways and other control instances. It
+	// names the instance among them.
+	PeerListen string `yaml:"peer_listen"`
+	// Seeds are addresses of a few control instances; the port is replaced by
+	// that of peer_listen.
+	Seeds []string `yaml:"seeds"`
+	// Found is true at the first start of the whole system, with empty disks.
+	Found bool `yaml:"found"`
+	// Losses is how many control instances may be lost at once.
+	Losses int `yaml:"losses"`
+	// AnnounceInterval is the time between two announcements of an upstream.
+	AnnounceInterval time.Duration `yaml:"announce_interval"`
+	// Dialect is the protocol of operators and upstreams.
+	Dialect settings.Plugin `yaml:"dialect"`
+}
+
+// Registry is the module of the role.
+type Registry struct {
+	Settings `yaml:",inline"`
+
+	log      *slog.Logger
+	stats    *stats.Registry
+	security *peer.Security
+	dialect  dialect.Dialect
+	folder   string
+
+	operators net.Listener
+	peers     net.Listener
+	servers   []*http.Server
+
+	document  *document
+	directory *directory
+	feed      *feed
+	clients   *peer.Clients
+
+	mu      sync.Mutex
+	replica *replica.Replica
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wait   sync.WaitGroup
+}
+
+// Validate implements kernel.Validator.
+func (r *Registry) Validate() error {
+	switch {
+	case r.Listen == "":
+		return settings.Field("listen", "must be set")
+	case r.PeerListen == "":
+		return settings.Field("peer_listen", "must be set")
+	case r.Dialect.Empty():
+		return settings.Field("dialect", "must be set")
+	}
+	return settings.First(
+		settings.InRange("losses", r.Losses, 0, 4),
+		settings.DurationInRange("announce_interval", r.AnnounceInterval, 100*time.Millisecond, time.Minute),
+	)
+}
+
+// Plugins implements kernel.Nested.
+func (r *Registry) Plugins() map[string][]settings.Plugin {
+	return map[string][]settings.Plugin{dialect.Namespace: {r.Dialect}}
+}
+
+// Provision implements kernel.Provisioner.
+func (r *Registry) Provision(ctx *kernel.Context) error {
+	r.log, r.stats, r.security = ctx.Log, ctx.Stats, ctx.TLS
+	var err error
+	if r.dialect, err = dialect.Load(ctx, r.Dialect); err != nil {
+		return err
+	}
+	if ctx.Instance.Data == "" {
+		return result.New(result.SettingInvalid, "instance.data: must be set for the role registry")
+	}
+	r.folder = filepath.Join(ctx.Instance.Data, dataFolder)
+	if r.peers, err = ctx.Listen(r.PeerListen); err != nil {
+		return err
+	}
+	if r.operators, err = ctx.Listen(r.Listen); err != nil {
+		return err
+	}
+	r.ctx, r.cancel = context.WithCancel(context.Background())
+	r.clients = r.security.NewClients()
+	r.feed = newFeed()
+	r.document = newDocument(r.log, r.feed.wake)
+	r.directory = newDirectory(r)
+	return nil
+}
+
+// Start implements kernel.Runner.
+func (r *Registry) Start(context.Context) error {
+	r.wait.Add(2)
+	go func() {
+		defer r.wait.Done()
+		r.keepLog()
+	}()
+	go func() {
+		defer r.wait.Done()
+		r.directory.run(r.ctx)
+	}()
+	mux := http.NewServeMux()
+	mux.Handle(peer.RPCPath, &peer.Handler{Security: r.security, Services: r.services})
+	r.serve(r.peers, mux)
+	r.serve(r.operators, r.operatorMux())
+	return nil
+}
+
+func (r *Registry) serve(l net.Listener, h http.Handler) {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderLimit}
+	r.servers = append(r.servers, s)
+	r.wait.Add(1)
+	go func() {
+		defer r.wait.Done()
+		if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			r.log.Error("listener closed", "address", l.Addr().String(), "error", err)
+		}
+	}()
+}
+
+// services are the net/rpc services on the peer listener.
+func (r *Registry) services(peer.Roles) map[string]any {
+	return map[string]any{ServiceName: &Service{r}, replica.ServiceName: &raftService{r}}
+}
+
+// keepLog runs the replicated log and opens it again after a failure, so that
+// an instance with a full disk returns by itself once the disk has room.
+func (r *Registry) keepLog() {
+	for r.ctx.Err() == nil {
+		rep, err := r.openLog()
+		if err != nil {
+			r.log.Error("replicated log not opened", "error", err, "retry_ms", reopenDelay.Milliseconds())
+		} else {
+			r.runLog(rep)
+		}
+		select {
+		case <-time.After(reopenDelay):
+		case <-r.ctx.Done():
+		}
+	}
+}
+
+func (r *Registry) openLog() (*replica.Replica, error) {
+	rep, err := replica.Open(replica.Options{
+		Self: raft.MemberID(r.PeerListen), Folder: r.folder, Security: r.security, Log: r.log, Stats: r.stats,
+		Machines: map[replica.Group]replica.StateMachine{group: r.document},
+		Discovery: &replica.Discovery{
+			Seeds: r.seeds(), Found: r.Found, MinVoters: 2*r.Losses + 1,
+		},
+		Tick: logTick, CompactEntries: compactEntries, SegmentBytes: segmentBytes, KeepLeaders: true,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return rep, rep.Start(r.ctx)
+}
+
+func (r *Registry) runLog(rep *replica.Replica) {
+	r.mu.Lock()
+	r.replica = rep
+	r.mu.Unlock()
+	select {
+	case <-rep.Ended():
+		r.log.Error("replicated log ended", "error", rep.Err())
+	case <-r.ctx.Done():
+		return // Stop hands over leadership and closes the log
+	}
+	r.mu.Lock()
+	r.replica = nil
+	r.mu.Unlock()
+	if err := rep.Kill(); err != nil {
+		r.log.Warn("replicated log not closed", "error", err)
+	}
+}
+
+// current returns the open log, nil while there is none.
+func (r *Registry) current() *replica.Replica {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.replica
+}
+
+// seeds returns the peer addresses of the seeds.
+func (r *Registry) seeds() []string { return PeerAddresses(r.Seeds, r.PeerListen) }
+
+// PeerAddresses replaces the ports of addresses by that of another address.
+func PeerAddresses(addrs []string, like string) []string {
+	_, port, err := net.SplitHostPort(like)
+	if err != nil {
+		return nil
+	}
+	out := make([]string, 0, len(addrs))
+	for _, a := range addrs {
+		host, _, err := net.SplitHostPort(a)
+		if err != nil {
+			continue
+		}
+		out = append(out, net.JoinHostPort(host, port))
+	}
+	return out
+}
+
+// Stop implements kernel.Runner.
+func (r *Registry) Stop(ctx context.Context) error {
+	var err error
+	if rep := r.current(); rep != nil {
+		err = rep.Stop(ctx)
+	}
+	r.cancel()
+	for _, s := range r.servers {
+		err = errors.Join(err, s.Close())
+	}
+	r.clients.Close()
+	return err
+}
+
+// Cleanup implements kernel.Cleaner.
+func (r *Registry) Cleanup() error {
+	if r.cancel != nil {
+		r.cancel()
+	}
+	return nil
+}
