kernel: reload settings at SIGHUP; gateway: check the other upstreams of a zone when one is silent

Change: kernel.Reloader, reload at SIGHUP and on a changed file; an alarm makes the streams on other upstreams of the zone check theirs at once; the handler waits for the reader of an attempt.

--- a/cmd/heatherway/command.go
+++ b/cmd/heatherway/command.go
@@ -49,6 +49,8 @@
 			}
 			if *path == "" {
 				fmt.Fprintln(stdout, localHint)
+			} else {
+				k.WatchSettings(ctx, *path)
 			}
 			return k.Run(ctx)
 		},
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -119,6 +119,12 @@
 	return max(minSuspicion, share, min(time.Duration(usualFactor*float64(s.usual)), s.maxGap))
 }
 
+// freshEvent is the age up to which an event shows that its upstream is alive.
+const freshEvent = 100 * time.Millisecond
+
+// Fresh tells whether the attempt has just sent an event.
+func (s *Stream) Fresh(now time.Time) bool { return s.started && now.Sub(s.seen) < freshEvent }
+
 // maxChecks is the number of passed checks after which a silent attempt is
 // given up nevertheless: an open connection may be silent for good, and a
 // server may hang.
@@ -126,7 +132,10 @@
 
 // Checked records that the upstream accepted a new connection while the stream
 // was silent. It returns false when the attempt is to be given up.
-func (s *Stream) Checked() bool {
+func (s *Stream) Checked(now time.Time) bool {
+	if s.Patience(now) > 0 {
+		return true // an early check because of an alarm says nothing about this silence
+	}
 	s.checks++
 	return s.checks <= maxChecks
 }
--- a/modules/control/replica/discovery.go
+++ b/modules/control/replica/discovery.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"context"
 	"slices"
 
 	"heatherway.dev/core/raft"
@@ -85,6 +86,20 @@
 	}
 }
 
+type newSeeds struct{ addrs []string }
+
+func (in newSeeds) enter(r *Replica) {
+	for _, a := range in.addrs {
+		r.addLink(Peer{ID: raft.MemberID(a), Addr: a})
+	}
+}
+
+// AddSeeds adds addresses at which other instances may be found.
+func (r *Replica) AddSeeds(addrs []string) {
+	// An instance that has ended needs none.
+	_ = r.enter(context.Background(), newSeeds{addrs})
+}
+
 // linkKnown connects to an instance that has spoken, and to those it names.
 func (r *Replica) linkKnown(i identity) {
 	if r.options.Discovery == nil {
--- a/modules/gateway/follow.go
+++ b/modules/gateway/follow.go
@@ -56,12 +56,24 @@
 		g: g, log: g.log, started: time.Now(), replaced: newBroadcast(),
 		directory: registration.New(), following: map[string]bool{},
 	}
-	for _, a := range g.Seeds {
-		if host, _, err := net.SplitHostPort(a); err == nil {
-			f.members = append(f.members, net.JoinHostPort(host, strconv.Itoa(g.PeerPort)))
+	f.members = peerAddresses(g.Seeds, g.PeerPort)
+	return f
+}
+
+// peerAddresses replaces the ports of addresses.
+func peerAddresses(addrs []string, port int) []string {
+	return registry.PeerAddresses(addrs, net.JoinHostPort("", strconv.Itoa(port)))
+}
+
+// addMembers adds addresses at which control instances may be found.
+func (f *follower) addMembers(addrs []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, a := range addrs {
+		if !slices.Contains(f.members, a) {
+			f.members = append(f.members, a)
 		}
 	}
-	return f
 }
 
 // table returns the configuration in force, nil before the first one.
@@ -152,7 +164,7 @@
 func (f *follower) take(reply *registry.WatchReply) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(reply.Members) > 0 {
+	if len(reply.Members) > 1 {
 		f.members = reply.Members
 	}
 	if len(reply.Body) > 0 && reply.Version > f.version() {
@@ -224,6 +236,8 @@
 	of      *broadcast
 	watched registration.Upstream
 	ended   chan struct{}
+	// suspect carries alarms.
+	suspect chan struct{}
 }
 
 func newBroadcast() *broadcast { return &broadcast{subs: map[*subscription]bool{}} }
@@ -231,7 +245,7 @@
 // watch returns a subscription whose channel is closed when the upstream's
 // incarnation is known to have ended.
 func (b *broadcast) watch(u registration.Upstream) *subscription {
-	s := &subscription{of: b, watched: u, ended: make(chan struct{})}
+	s := &subscription{of: b, watched: u, ended: make(chan struct{}), suspect: make(chan struct{}, 1)}
 	b.mu.Lock()
 	b.subs[s] = true
 	b.mu.Unlock()
@@ -244,6 +258,22 @@
 	s.of.mu.Unlock()
 }
 
+// alarm asks the streams on other upstreams of an availability zone to check
+// theirs: the upstreams of a zone stop together.
+func (b *broadcast) alarm(u registration.Upstream) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for s := range b.subs {
+		if s.watched.Zone != u.Zone || s.watched.Service != u.Service || s.watched.ID == u.ID {
+			continue
+		}
+		select {
+		case s.suspect <- struct{}{}:
+		default: // an alarm is waiting already
+		}
+	}
+}
+
 func (b *broadcast) publish(i incarnation) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/modules/gateway/gateway.go
+++ b/modules/gateway/gateway.go
@@ -209,6 +209,14 @@
 	}
 }
 
+// Reload implements kernel.Reloader. The seeds may change while the process
+// runs; a change of the other settings needs a restart.
+func (g *Gateway) Reload(next any) {
+	if n, ok := next.(*Gateway); ok {
+		g.follower.addMembers(peerAddresses(n.Seeds, n.PeerPort))
+	}
+}
+
 // Cleanup implements kernel.Cleaner.
 func (g *Gateway) Cleanup() error {
 	if g.cancel != nil {
--- a/modules/gateway/stream.go
+++ b/modules/gateway/stream.go
@@ -148,6 +148,7 @@
 	}
 	s.relay.Attempt(a.begin, wait)
 	r := newEventReader(ctx, s.call, a, s.forwardTo(a))
+	defer r.stop(cancel)
 	timer := time.NewTimer(s.relay.Patience(a.begin))
 	defer timer.Stop()
 	for {
@@ -166,6 +167,14 @@
 				return
 			}
 			timer.Reset(s.relay.Patience(time.Now()))
+		case <-ended.suspect:
+			if s.relay.Fresh(time.Now()) {
+				continue
+			}
+			if !s.check(ctx, a) {
+				return
+			}
+			timer.Reset(s.relay.Patience(time.Now()))
 		case <-ended.ended:
 			a.err = errors.New("another incarnation has the upstream's address")
 			return
@@ -197,13 +206,14 @@
 func (s *streaming) check(ctx context.Context, a *attempt) bool {
 	u := a.choice.Upstream
 	err := s.g.upstreams.check(ctx, u.Addr, u.ID)
-	if err == nil && s.relay.Checked() {
+	if err == nil && s.relay.Checked(time.Now()) {
 		return true
 	}
 	s.g.metrics.silent.Inc()
 	a.err = errors.New("the upstream is silent and accepts connections")
 	if err != nil {
 		a.err = errors.Wrap(err, "the upstream is silent")
+		s.g.follower.replaced.alarm(u)
 	}
 	return false
 }
@@ -383,6 +393,13 @@
 	return r
 }
 
+// stop ends the reading and waits for the goroutine, which writes to the attempt.
+func (r *eventReader) stop(cancel context.CancelFunc) {
+	cancel()
+	for range r.events {
+	}
+}
+
 var errRefused = errors.New("the upstream refused the request")
 
 func (r *eventReader) read(ctx context.Context, c *call, a *attempt, o *outgoing) error {
--- a/modules/registry/registry.go
+++ b/modules/registry/registry.go
@@ -234,7 +234,11 @@
 }
 
 // seeds returns the peer addresses of the seeds.
-func (r *Registry) seeds() []string { return PeerAddresses(r.Seeds, r.PeerListen) }
+func (r *Registry) seeds() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return PeerAddresses(r.Seeds, r.PeerListen)
+}
 
 // PeerAddresses replaces the ports of addresses by that of another address.
 func PeerAddresses(addrs []string, like string) []string {
@@ -267,6 +271,22 @@
 	return err
 }
 
+// Reload implements kernel.Reloader. The seeds may change while the process
+// runs; a change of the other settings needs a restart.
+func (r *Registry) Reload(next any) {
+	n, ok := next.(*Registry)
+	if !ok {
+		return
+	}
+	r.mu.Lock()
+	r.Seeds = n.Seeds
+	rep := r.replica
+	r.mu.Unlock()
+	if rep != nil {
+		rep.AddSeeds(PeerAddresses(n.Seeds, r.PeerListen))
+	}
+}
+
 // Cleanup implements kernel.Cleaner.
 func (r *Registry) Cleanup() error {
 	if r.cancel != nil {
