--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -10,6 +10,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"heatherway.dev/core/breaker"
 	"heatherway.dev/core/registration"
 	"heatherway.dev/core/routing"
@@ -57,6 +59,10 @@
 	Backup bool
 	// Tried names the upstreams that have failed the request.
 	Tried []string
+	// Affinity is the key of the prompt, empty for none. Requests with the same
+	// key go to the same upstream as long as it is not loaded: a caller that
+	// comes back through another gateway finds its prompt in the cache.
+	Affinity string
 	// Prefer names the upstream that holds a copy for the request, if any.
 	Prefer string
 }
@@ -230,18 +236,42 @@
 func (f *Fleet) best(now time.Time, w *Work, list []*upstream, fresh bool) (*upstream, Why) {
 	var best *upstream
 	var why Why
+	home := home(w, list)
 	for _, u := range list {
 		if !u.eligible(now, w) || fresh && slices.Contains(w.Tried, u.ID) {
 			continue
 		}
 		why.Eligible++
-		if cost := f.cost(now, w, u); best == nil || cost < why.CostMS {
+		cost := f.cost(now, w, u)
+		if u == home {
+			cost -= affinityMS
+		}
+		if best == nil || cost < why.CostMS {
 			best, why.CostMS = u, cost
 		}
 	}
 	return best, why
 }
 
+// home is the upstream that requests with the same key go to, by rendezvous
+// hash over the addresses, which outlast the incarnations.
+func home(w *Work, list []*upstream) *upstream {
+	if w.Affinity == "" {
+		return nil
+	}
+	var best *upstream
+	highest := uint64(0)
+	for _, u := range list {
+		if u.State != registration.Ready {
+			continue
+		}
+		if h := xxhash.Sum64String(w.Affinity + "@" + u.Addr); best == nil || h > highest {
+			best, highest = u, h
+		}
+	}
+	return best
+}
+
 func (u *upstream) eligible(now time.Time, w *Work) bool {
 	return u.State == registration.Ready && u.breaker.Ready(now) && u.fits(w.tokens())
 }
@@ -279,6 +309,9 @@
 }
 
 const (
+	// affinityMS is the gain of a prompt that may be in the cache; it is less than
+	// the wait behind the usual prompt.
+	affinityMS = 250
 	// preferMS outweighs every other cost.
 	preferMS = 1e6
 	// memoryMS is the cost of a full KV cache against an empty one.
--- a/modules/dialect/dialect.go
+++ b/modules/dialect/dialect.go
@@ -42,6 +42,9 @@
 	// PromptTokens and MaxTokens are the size of the prompt and the largest
 	// number of tokens to generate; zero when the caller does not say.
 	PromptTokens, MaxTokens int
+	// PromptKey names the part of the prompt that belongs to this request or its
+	// session; an upstream that has read it may still hold it.
+	PromptKey string
 	// ExpectedTokens is the caller's estimate of the tokens generated; it is
 	// often far off.
 	ExpectedTokens int
--- a/modules/gateway/follow.go
+++ b/modules/gateway/follow.go
@@ -28,11 +28,12 @@
 	// for changes.
 	firstWatchLimit = 1200 * time.Millisecond
 	// followRetry is the pause before the next instance is tried.
-	followRetry = 100 * time.Millisecond
+	followRetry = 50 * time.Millisecond
 	// unconfirmedAfter is how long a gateway that starts insists on a
 	// configuration that a majority confirms. Later it takes what an instance
-	// holds: during an outage of control, serving goes on.
-	unconfirmedAfter = 3 * time.Second
+	// holds: a leader is elected within a second, and during an outage of control
+	// serving goes on.
+	unconfirmedAfter = 1500 * time.Millisecond
 )
 
 // follower keeps the configuration and the upstreams of a gateway up to date.
@@ -41,7 +42,9 @@
 	log     *slog.Logger
 	started time.Time
 	current atomic.Pointer[routing.Table]
-	count   atomic.Int64
+	// configured is closed with the first configuration.
+	configured chan struct{}
+	count      atomic.Int64
 	// replaced tells streams that the incarnation they run on has ended.
 	replaced *broadcast
 
@@ -54,7 +57,8 @@
 func newFollower(g *Gateway) *follower {
 	f := &follower{
 		g: g, log: g.log, started: time.Now(), replaced: newBroadcast(),
-		directory: registration.New(), following: map[string]bool{},
+		configured: make(chan struct{}),
+		directory:  registration.New(), following: map[string]bool{},
 	}
 	f.members = peerAddresses(g.Seeds, g.PeerPort)
 	return f
@@ -125,7 +129,7 @@
 	args := &registry.WatchArgs{}
 	for first := true; ctx.Err() == nil; first = false {
 		args.Version = f.version()
-		args.Confirm = first && args.Version == 0 && time.Since(f.started) < unconfirmedAfter
+		args.Confirm = args.Version == 0
 		reply, err := f.call(ctx, client, args, first)
 		if err != nil {
 			f.log.Warn("control instance lost", "address", addr, "error", err)
@@ -136,7 +140,7 @@
 		if first {
 			f.log.Info("control instance followed", "address", addr, "version", reply.Version, "upstreams", len(reply.Upstreams), "led", reply.Led)
 		}
-		if !reply.Led {
+		if !reply.Led && f.version() > 0 {
 			f.log.Warn("control instance knows no leader", "address", addr)
 			return
 		}
@@ -168,7 +172,9 @@
 		f.members = reply.Members
 	}
 	if len(reply.Body) > 0 && reply.Version > f.version() {
-		f.configure(reply)
+		if f.version() > 0 || reply.Confirmed || time.Since(f.started) >= unconfirmedAfter {
+			f.configure(reply)
+		}
 	}
 	now := time.Now()
 	for _, u := range reply.Upstreams {
@@ -192,6 +198,9 @@
 	previous := f.version()
 	table := routing.NewTable(c)
 	f.current.Store(table)
+	if previous == 0 {
+		close(f.configured)
+	}
 	f.g.owner.tell(func(s *state) { s.fleet.SetEngines(c.Services) })
 	f.log.Info("configuration in force", "version", c.Version, "previous", previous, "routes", len(c.Routes),
 		"services", len(c.Services), "organisations", len(c.Organisations))
--- a/modules/gateway/gateway.go
+++ b/modules/gateway/gateway.go
@@ -79,7 +79,13 @@
 	owner     *owner
 	upstreams *connections
 	leaving   atomic.Bool
-	open      atomic.Int64
+	// stopAt is the time in Unix nanoseconds at which what is left is cut off,
+	// zero while the gateway does not stop.
+	stopAt atomic.Int64
+	// streamTime is the moving average of the duration of streams in
+	// nanoseconds.
+	streamTime atomic.Int64
+	open       atomic.Int64
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -188,6 +194,7 @@
 // way may end within the grace period.
 func (g *Gateway) Stop(context.Context) error {
 	begin := time.Now()
+	g.stopAt.Store(begin.Add(g.Grace - graceReserve).UnixNano())
 	g.leaving.Store(true)
 	g.server.SetKeepAlivesEnabled(false)
 	g.log.Info("draining", "open_requests", g.open.Load(), "grace_ms", g.Grace.Milliseconds())
@@ -202,6 +209,35 @@
 	return errors.Join(g.server.Close(), g.checks.Close())
 }
 
+// streamShare is the weight of the newest stream in the moving average of their
+// duration, and durationReserve the factor by which streams may be longer.
+const (
+	streamShare     = 0.2
+	durationReserve = 1.15
+)
+
+// noteStream takes the duration of a stream that ran to its end.
+func (g *Gateway) noteStream(took time.Duration) {
+	old := g.streamTime.Load()
+	if old == 0 {
+		g.streamTime.Store(int64(took))
+		return
+	}
+	// A lost update of two streams that end together does not matter.
+	g.streamTime.Store(old + int64(streamShare*float64(int64(took)-old)))
+}
+
+// lastsUntil tells whether a stream that begins now can be expected to end
+// before the gateway does.
+func (g *Gateway) lastsUntil(begin time.Time) bool {
+	stop := g.stopAt.Load()
+	if stop == 0 {
+		return true
+	}
+	expected := time.Duration(durationReserve * float64(g.streamTime.Load()))
+	return begin.Add(expected).UnixNano() < stop
+}
+
 func (g *Gateway) sleep(d time.Duration) {
 	select {
 	case <-time.After(d):
--- a/modules/gateway/handler.go
+++ b/modules/gateway/handler.go
@@ -60,8 +60,8 @@
 
 // admit finds out what the request is and whether it may run.
 func (c *call) admit(r *http.Request) error {
-	if c.table = c.g.follower.table(); c.table == nil {
-		return result.New(result.ConfigurationBehind, "this gateway has no configuration yet")
+	if c.table = c.waitTable(r.Context()); c.table == nil {
+		return result.New(result.ConfigurationBehind, "this gateway has no configuration yet").After(startRetry)
 	}
 	route, ok := c.table.Match(r.Host, r.URL.EscapedPath())
 	if !ok {
@@ -82,7 +82,40 @@
 		limit = min(limit, c.req.Deadline)
 	}
 	c.end = c.begin.Add(limit)
-	return c.read(r)
+	if err := c.read(r); err != nil {
+		return err
+	}
+	if c.route.Kind == routing.Stream && !c.g.lastsUntil(c.begin) {
+		return result.New(result.Leaving, "this gateway stops before the stream would end").After(leavingRetry)
+	}
+	return nil
+}
+
+// leavingRetry is told to callers whose stream would be cut off by the end of
+// this gateway; others take it at once.
+const leavingRetry = 50 * time.Millisecond
+
+const (
+	// startHold is how long a request is held back at a gateway that has just
+	// started: a configuration arrives within that time unless control is down,
+	// and a caller that was refused has one more try only.
+	startHold = 800 * time.Millisecond
+	// startRetry is told to callers beyond that.
+	startRetry = 500 * time.Millisecond
+)
+
+func (c *call) waitTable(ctx context.Context) *routing.Table {
+	if t := c.g.follower.table(); t != nil {
+		return t
+	}
+	timer := time.NewTimer(startHold)
+	defer timer.Stop()
+	select {
+	case <-c.g.follower.configured:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return c.g.follower.table()
 }
 
 // read takes the whole request in, so that it can be sent more than once.
@@ -115,6 +148,7 @@
 	return &dispatch.Work{
 		Service: c.service.Name, Stream: c.route.Kind == routing.Stream,
 		Prompt: c.req.PromptTokens, Output: c.outputTokens(), Tried: c.tried,
+		Affinity: c.req.PromptKey,
 	}
 }
 
--- a/modules/gateway/stream.go
+++ b/modules/gateway/stream.go
@@ -328,6 +328,7 @@
 
 // finish ends the answer of a complete attempt.
 func (s *streaming) finish(a *attempt) {
+	s.g.noteStream(time.Since(s.begin))
 	if !s.begun {
 		s.copyHeader(a.header)
 		s.w.WriteHeader(a.status)
--- a/modules/registry/feed.go
+++ b/modules/registry/feed.go
@@ -19,7 +19,7 @@
 	// MaxWatch is the longest time that Watch waits for a change.
 	MaxWatch = 2 * time.Second
 	// confirmLimit bounds the confirmation of the first answer to a watcher.
-	confirmLimit = time.Second
+	confirmLimit = 300 * time.Millisecond
 )
 
 // WatchArgs asks for everything newer than what a gateway has.
@@ -44,6 +44,8 @@
 	Upstreams []registration.Upstream
 	// Members are the peer addresses of all control instances.
 	Members []string
+	// Confirmed tells that a majority has confirmed the configuration.
+	Confirmed bool
 	// Led tells that this instance knows a leader, and so hears of changes.
 	Led bool
 }
@@ -76,13 +78,12 @@
 // most.
 func (s *Service) Watch(args *WatchArgs, reply *WatchReply) error {
 	r := s.r
+	confirmed := false
 	if args.Confirm {
 		ctx, cancel := context.WithTimeout(r.ctx, confirmLimit)
 		_, err := r.readCurrent(ctx)
 		cancel()
-		if err != nil {
-			return peer.EncodeError(err)
-		}
+		confirmed = err == nil
 	}
 	ctx, cancel := context.WithTimeout(r.ctx, MaxWatch)
 	defer cancel()
@@ -99,7 +100,7 @@
 		}
 		*reply = WatchReply{
 			Version: held.version, Epoch: r.directory.epoch, Change: v.changes, Upstreams: v.list,
-			Members: append(r.members(), r.PeerListen), Led: r.led(),
+			Members: append(r.members(), r.PeerListen), Led: r.led(), Confirmed: confirmed,
 		}
 		if held.version > args.Version {
 			reply.Body = held.body
--- a/modules/registry/registry.go
+++ b/modules/registry/registry.go
@@ -38,9 +38,6 @@
 	compactEntries = 64
 	// segmentBytes keeps the few segments before a compaction within such a disk.
 	segmentBytes = 4 << 20
-	// logTick gives heartbeats every 200 ms and election timeouts from 1 to 2 s,
-	// which fits the 3 s within which a change must be accepted again.
-	logTick = 100 * time.Millisecond
 	// reopenDelay is the pause before a log that failed is opened again; a full
 	// or hanging disk recovers within seconds.
 	reopenDelay = 500 * time.Millisecond
@@ -200,7 +197,7 @@
 		Discovery: &replica.Discovery{
 			Seeds: r.seeds(), Found: r.Found, MinVoters: 2*r.Losses + 1,
 		},
-		Tick: logTick, CompactEntries: compactEntries, SegmentBytes: segmentBytes, KeepLeaders: true,
+		CompactEntries: compactEntries, SegmentBytes: segmentBytes, KeepLeaders: true,
 	})
 	if err != nil {
 		return nil, err
@@ -216,11 +213,14 @@
 	case <-rep.Ended():
 		r.log.Error("replicated log ended", "error", rep.Err())
 	case <-r.ctx.Done():
-		return // Stop hands over leadership and closes the log
 	}
 	r.mu.Lock()
+	stopped := r.replica != rep // Stop closes the log that it has taken
 	r.replica = nil
 	r.mu.Unlock()
+	if stopped {
+		return
+	}
 	if err := rep.Kill(); err != nil {
 		r.log.Warn("replicated log not closed", "error", err)
 	}
@@ -260,7 +260,11 @@
 // Stop implements kernel.Runner.
 func (r *Registry) Stop(ctx context.Context) error {
 	var err error
-	if rep := r.current(); rep != nil {
+	r.mu.Lock()
+	rep := r.replica
+	r.replica = nil
+	r.mu.Unlock()
+	if rep != nil {
 		err = rep.Stop(ctx)
 	}
 	r.cancel()
