gateway: renew the copy of a KV cache when its holder is lost

Ruled out: copies refused for lack of room (0 parts found no room); copies before the first event never exist (15 of 15 refused). Change: the stream watches its holder; when it is lost another upstream gets a copy by a move without Last, brought up to date every half of the time that it is kept; no try at a copy before the first event; shorter watches (0.7 s) so that a silent control instance is noticed within a second.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -425,6 +425,23 @@
 	}
 }
 
+// Renew chooses another holder for the copy of a request, after the former one
+// has been lost. It returns false when there is none.
+func (f *Fleet) Renew(now time.Time, ticket uint64, w *Work) (registration.Upstream, bool) {
+	p := f.tickets[ticket]
+	if p == nil {
+		return registration.Upstream{}, false
+	}
+	f.DropCopy(ticket)
+	b := f.backup(now, w, p.upstream, f.service[w.Service])
+	if b == nil {
+		return registration.Upstream{}, false
+	}
+	p.backup = b
+	b.copies += p.tokens
+	return b.Upstream, true
+}
+
 // End frees what a request was charged.
 func (f *Fleet) End(ticket uint64) {
 	p := f.tickets[ticket]
--- a/modules/dialect/dialect.go
+++ b/modules/dialect/dialect.go
@@ -52,10 +52,16 @@
 
 // Copy names a copy of the KV cache of a run.
 type Copy struct {
-	// Holder is the address of the upstream that holds it.
-	Holder string
-	// Run is the id of the request that it belongs to.
-	Run string
+	// Addr and Key name it: the address of its holder and the id of the request
+	// for one that grows with the run, the address of the run's upstream and a
+	// handle for one that was asked for.
+	Addr, Key string
+}
+
+// Call is a call of heatherway to an upstream.
+type Call struct {
+	Method, Target string
+	Body           []byte
 }
 
 // Forward is what heatherway says of a request to an upstream.
@@ -111,6 +117,13 @@
 	Forward(h http.Header, f Forward)
 	// Response decodes the headers of an upstream.
 	Response(h http.Header) Response
+	// CopyCall asks the upstream of a run to copy its KV cache to the upstream at
+	// an address, or to bring an earlier copy there up to date.
+	CopyCall(run, addr string) Call
+	// CopyHandle decodes the answer: the handle of the copy.
+	CopyHandle(body []byte) (string, error)
+	// DropCopyCall asks the upstream of a run to free a copy.
+	DropCopyCall(handle string) Call
 	// SetRetryAfter tells a caller when to come back.
 	SetRetryAfter(h http.Header, after time.Duration)
 	// SetRequestID echoes the id of the request in an answer of heatherway.
--- a/modules/gateway/follow.go
+++ b/modules/gateway/follow.go
@@ -23,10 +23,10 @@
 	watchers = 2
 	// watchLimit bounds one call: the longest wait of the other end and a round
 	// trip.
-	watchLimit = registry.MaxWatch + 500*time.Millisecond
+	watchLimit = registry.MaxWatch + 300*time.Millisecond
 	// firstWatchLimit bounds the first call to an instance, which does not wait
 	// for changes.
-	firstWatchLimit = 1200 * time.Millisecond
+	firstWatchLimit = 800 * time.Millisecond
 	// followRetry is the pause before the next instance is tried.
 	followRetry = 50 * time.Millisecond
 	// unconfirmedAfter is how long a gateway that starts insists on a
@@ -132,7 +132,12 @@
 		args.Confirm = args.Version == 0
 		reply, err := f.call(ctx, client, args, first)
 		if err != nil {
-			f.log.Warn("control instance lost", "address", addr, "error", err)
+			// An instance that was not followed yet is tried again many times a second.
+			level := slog.LevelDebug
+			if !first {
+				level = slog.LevelWarn
+			}
+			f.log.Log(ctx, level, "control instance lost", "address", addr, "version", args.Version, "error", err)
 			return
 		}
 		f.take(reply)
--- a/modules/gateway/stream.go
+++ b/modules/gateway/stream.go
@@ -60,8 +60,9 @@
 	relay *relay.Stream
 	// begun is set once the caller has the head of the answer.
 	begun bool
-	// copy is where the KV cache of the last attempt was copied to.
-	copy   registration.Upstream
+	// holder and copy are where the KV cache of the last attempt was copied to.
+	holder registration.Upstream
+	copy   dialect.Copy
 	broken time.Time
 }
 
@@ -78,6 +79,9 @@
 	header   http.Header
 	body     []byte
 	err      error
+	// holder has a copy of the KV cache, named by copy.
+	holder registration.Upstream
+	copy   dialect.Copy
 }
 
 // attempt places the stream and runs it there. It returns nil when the caller
@@ -85,13 +89,13 @@
 func (s *streaming) attempt() *attempt {
 	w := s.work()
 	w.Backup = s.route.Resumable && s.route.MaxAttempts > 1
-	w.Prefer = s.copy.ID
+	w.Prefer = s.holder.ID
 	choice, ok := s.place(w)
 	if !ok {
 		return nil
 	}
 	a := &attempt{choice: choice, begin: time.Now()}
-	a.resumed = s.copy.ID != "" && s.copy.ID == choice.Upstream.ID
+	a.resumed = s.holder.ID != "" && s.holder.ID == choice.Upstream.ID
 	s.run(a)
 	return a
 }
@@ -151,6 +155,8 @@
 	defer r.stop(cancel)
 	timer := time.NewTimer(s.relay.Patience(a.begin))
 	defer timer.Stop()
+	c := newCopies(s, a)
+	defer func() { a.holder, a.copy = c.holder, c.from; c.close() }()
 	for {
 		select {
 		case in, more := <-r.events:
@@ -175,6 +181,12 @@
 				return
 			}
 			timer.Reset(s.relay.Patience(time.Now()))
+		case <-c.ended():
+			c.renew(ctx)
+		case <-c.refresh.C:
+			c.update(ctx)
+		case r := <-c.results:
+			c.take(r)
 		case <-ended.ended:
 			a.err = errors.New("another incarnation has the upstream's address")
 			return
@@ -196,7 +208,7 @@
 		f.LastEvent = last
 	}
 	if a.resumed {
-		f.ResumeFrom = &dialect.Copy{Holder: a.choice.Upstream.Addr, Run: s.req.ID}
+		f.ResumeFrom = &s.copy
 	}
 	return s.forward(a.choice.Upstream, f)
 }
@@ -355,9 +367,9 @@
 	if s.broken.IsZero() && any {
 		s.broken = time.Now()
 	}
-	s.copy = registration.Upstream{}
-	if a.sent && !a.meta.NotRun && !a.resumed || a.started {
-		s.copy = a.choice.Backup
+	s.holder, s.copy = registration.Upstream{}, dialect.Copy{}
+	if a.started && a.copy.Key != "" {
+		s.holder, s.copy = a.holder, a.copy // nothing is copied before the first event
 	}
 	s.g.metrics.resumes.Inc()
 	return true
--- a/modules/registry/feed.go
+++ b/modules/registry/feed.go
@@ -16,8 +16,10 @@
 const ServiceName = "Registry"
 
 const (
-	// MaxWatch is the longest time that Watch waits for a change.
-	MaxWatch = 2 * time.Second
+	// MaxWatch is the longest time that Watch waits for a change. Gateways notice
+	// a silent instance a little later, well within the 2 s in which a change must
+	// be in force.
+	MaxWatch = 700 * time.Millisecond
 	// confirmLimit bounds the confirmation of the first answer to a watcher.
 	confirmLimit = 300 * time.Millisecond
 )
