gateway: end a stream only when the caller has every event; tests of the new parts

Ruled out: a short answer of the upstream (its run ended with 200 four seconds earlier). Change: the reader's end counts only once all its events have passed to the caller, and events that have arrived are passed on before an upstream is given up. Before: TestEndOfTheUpstreamIsNotTheEndOfTheAnswer fails (events 0 and 1 framed as complete); after: passes.

--- /dev/null
+++ b/core/dispatch/dispatch_test.go
@@ -0,0 +1,213 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"heatherway.dev/core/registration"
+	"heatherway.dev/core/routing"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+const memory = 88_000
+
+func fleet(zones, each int) *Fleet {
+	f := New("z0", rand.New(rand.NewPCG(1, 2)))
+	f.SetEngines([]routing.Service{{Name: "model", Engine: &routing.Engine{Slots: 64, MemoryTokens: memory, Backups: true}}, {Name: "desk"}})
+	for z := range zones {
+		for i := range each {
+			f.SetUpstream(record("model", z, i))
+		}
+	}
+	return f
+}
+
+func record(service string, zone, i int) registration.Upstream {
+	return registration.Upstream{
+		ID: fmt.Sprintf("%s-z%d-%d", service, zone, i), Service: service, Zone: fmt.Sprint("z", zone),
+		Addr: fmt.Sprintf("10.%d.0.%d:80", zone, i), Slots: 64, StartedMS: 1,
+	}
+}
+
+func letter() *Work {
+	return &Work{Service: "model", Stream: true, Prompt: 8200, Output: 800, Backup: true}
+}
+
+// Guards against memory given out twice, which makes a server preempt a stream,
+// and against charges that outlive their request.
+func TestMemoryIsNeverOverbooked(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := fleet(3, 2)
+		var open []uint64
+		now := start
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			now = now.Add(10 * time.Millisecond)
+			if len(open) > 0 && rapid.IntRange(0, 3).Draw(t, "end") == 0 {
+				f.End(open[0])
+				open = open[1:]
+				continue
+			}
+			w := letter()
+			w.Prompt = rapid.IntRange(100, 14_400).Draw(t, "prompt")
+			if c, refusal := f.Place(now, w); refusal == nil {
+				open = append(open, c.Ticket)
+			}
+			for _, u := range f.byID {
+				assert.Assert(t, u.tokens+u.copies <= memory, "%s holds %d", u.ID, u.tokens+u.copies)
+			}
+		}
+		for _, ticket := range open {
+			f.End(ticket)
+		}
+		for _, u := range f.byID {
+			assert.Equal(t, u.tokens+u.copies, 0)
+		}
+	})
+}
+
+// Guards against a copy in the availability zone of the run, which is lost with
+// it.
+func TestCopyIsInAnotherZone(t *testing.T) {
+	f := fleet(3, 4)
+	for range 40 {
+		c, refusal := f.Place(start, letter())
+		if refusal != nil {
+			break
+		}
+		assert.Assert(t, c.Backup.ID != "")
+		assert.Assert(t, c.Backup.Zone != c.Upstream.Zone)
+	}
+}
+
+// Guards against a stream that goes on elsewhere than where its copy lies.
+func TestResumeGoesToTheCopy(t *testing.T) {
+	f := fleet(3, 4)
+	c, _ := f.Place(start, letter())
+	f.Failed(start, c.Ticket)
+	f.End(c.Ticket)
+	w := letter()
+	w.Tried, w.Prefer = []string{c.Upstream.ID}, c.Backup.ID
+	next, refusal := f.Place(start, w)
+	assert.Assert(t, refusal == nil)
+	assert.Equal(t, next.Upstream.ID, c.Backup.ID)
+}
+
+// Plays the load of a zone whose upstreams stop together while letters arrive:
+// every letter must find an upstream that is up within a few tries, and the
+// zone must get work again soon after it is back.
+func TestZoneLoss(t *testing.T) {
+	f := fleet(3, 6)
+	now := start
+	down := func(u registration.Upstream) bool { return u.Zone == "z0" && now.Sub(start) < 1200*time.Millisecond }
+	tries, back := 0, 0
+	for range 60 {
+		now = now.Add(50 * time.Millisecond)
+		w := letter()
+		for {
+			c, refusal := f.Place(now, w)
+			assert.Assert(t, refusal == nil, "no letter is refused with two zones up")
+			if !down(c.Upstream) {
+				f.Started(now, c.Ticket)
+				f.End(c.Ticket)
+				if c.Upstream.Zone == "z0" {
+					back++
+				}
+				break
+			}
+			tries++
+			f.Failed(now, c.Ticket)
+			f.End(c.Ticket)
+			w.Tried = append(w.Tried, c.Upstream.ID)
+		}
+	}
+	assert.Assert(t, tries <= 6*4, "each upstream is tried at most once a pause, %d tries", tries)
+	assert.Assert(t, back > 0, "the zone gets work again")
+}
+
+// Plays a burst of letters beyond the memory of the fleet: what is placed fits,
+// the rest is refused as full, and places become free with the letters that end.
+func TestBurstBeyondMemory(t *testing.T) {
+	f := fleet(2, 2)
+	w := letter()
+	w.Backup = false
+	var open []uint64
+	for {
+		c, refusal := f.Place(start, w)
+		if refusal != nil {
+			assert.Assert(t, refusal.Full)
+			break
+		}
+		open = append(open, c.Ticket)
+	}
+	assert.Equal(t, len(open), 4*8, "eight letters of 9,000 tokens fit into 92% of 88,000")
+	f.End(open[0])
+	_, refusal := f.Place(start, w)
+	assert.Assert(t, refusal == nil)
+}
+
+// Guards against prompts that are read one after the other at one upstream while
+// others are idle.
+func TestPromptsSpread(t *testing.T) {
+	f := fleet(1, 6)
+	seen := map[string]int{}
+	for i := range 6 {
+		c, _ := f.Place(start.Add(time.Duration(i)*10*time.Millisecond), letter())
+		seen[c.Upstream.ID]++
+	}
+	assert.Equal(t, len(seen), 6)
+}
+
+// Guards against a caller that comes back through another gateway and has its
+// prompt read anew.
+func TestAffinityIsTheSameAtEveryGateway(t *testing.T) {
+	for i := range 20 {
+		w := letter()
+		w.Affinity = fmt.Sprint("prompt-", i)
+		a, b := fleet(3, 4), fleet(3, 4)
+		b.zone = "z2"
+		x, _ := a.Place(start, w)
+		y, _ := b.Place(start, w)
+		assert.Equal(t, x.Upstream.ID, y.Upstream.ID)
+	}
+}
+
+// Guards against new work for an upstream that drains, is lost or has left.
+func TestNoWorkForLeavingUpstreams(t *testing.T) {
+	for _, s := range []registration.State{registration.Draining, registration.Lost, registration.Left} {
+		f := New("z0", rand.New(rand.NewPCG(1, 2)))
+		u := record("desk", 0, 0)
+		f.SetUpstream(u)
+		c, refusal := f.Place(start, &Work{Service: "desk"})
+		assert.Assert(t, refusal == nil)
+		u.State = s
+		f.SetUpstream(u)
+		_, refusal = f.Place(start, &Work{Service: "desk"})
+		assert.Assert(t, refusal != nil, s.String())
+		f.End(c.Ticket) // the end of work there must not fail
+	}
+}
+
+// Guards against plain calls that all leave their zone, and against an upstream
+// that goes on failing and gets as many of them as the others.
+func TestPlainCalls(t *testing.T) {
+	f := New("z0", rand.New(rand.NewPCG(1, 2)))
+	for z := range 3 {
+		f.SetUpstream(record("desk", z, 0))
+	}
+	count := map[string]int{}
+	for range 100 {
+		c, _ := f.Place(start, &Work{Service: "desk"})
+		count[c.Upstream.Zone]++
+		f.Started(start, c.Ticket)
+		f.Answered(c.Ticket, c.Upstream.Zone != "z0")
+		f.End(c.Ticket)
+	}
+	assert.Assert(t, count["z0"] > 0)
+	assert.Assert(t, count["z0"] < 30, "%v", count)
+}
--- /dev/null
+++ b/core/registration/registration_test.go
@@ -0,0 +1,118 @@
+package registration
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func ready(id, addr string, started, seq int64) Upstream {
+	return Upstream{ID: id, Service: "s", Addr: addr, Zone: "z", Slots: 4, StartedMS: started, Seq: seq}
+}
+
+func (u Upstream) in(s State) Upstream { u.State = s; return u }
+
+// Guards against a directory that depends on the order in which control
+// instances hear of announcements: the gateways would disagree on who drains.
+func TestOrderDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var list []Upstream
+		for seq := range int64(rapid.IntRange(1, 6).Draw(t, "announcements")) {
+			u := ready("a", "10.0.0.1:80", 1000, seq+1)
+			if seq >= 3 {
+				u.State = Draining
+			}
+			list = append(list, u)
+		}
+		if rapid.Bool().Draw(t, "left") {
+			list = append(list, Upstream{ID: "a", State: Left, StartedMS: 1000, Seq: 7})
+		}
+		if rapid.Bool().Draw(t, "restarted") {
+			list = append(list, ready("a", "10.0.0.1:80", 2000, 1))
+		}
+		want, got := New(), New()
+		for _, u := range list {
+			want.Observe(start, u)
+		}
+		for _, u := range rapid.Permutation(list).Draw(t, "order") {
+			got.Observe(start, u)
+		}
+		a, _ := want.Get("a")
+		b, _ := got.Get("a")
+		assert.Equal(t, a.State, b.State)
+		assert.Equal(t, a.StartedMS, b.StartedMS)
+	})
+}
+
+// Guards against an upstream that is taken back after it has left, by an
+// announcement that was held up.
+func TestLateAnnouncementAfterLeaving(t *testing.T) {
+	d := New()
+	d.Observe(start, ready("a", "10.0.0.1:80", 1000, 5))
+	assert.Equal(t, d.Observe(start, Upstream{ID: "a", State: Left}), Changed)
+	assert.Equal(t, d.Observe(start, ready("a", "10.0.0.1:80", 1000, 6)), Stale)
+	u, _ := d.Get("a")
+	assert.Equal(t, u.State, Left)
+	assert.Equal(t, d.Observe(start, ready("a", "10.0.0.1:80", 3000, 1)), Changed, "a new start under the same id")
+}
+
+// Guards against work for a crashed upstream whose announcement arrives after
+// another one has taken its address.
+func TestAddressUsedAgain(t *testing.T) {
+	d := New()
+	d.Observe(start, ready("old", "10.0.0.1:80", 1000, 5))
+	d.Observe(start, ready("new", "10.0.0.1:80", 2000, 1))
+	d.Observe(start, ready("old", "10.0.0.1:80", 1000, 6))
+	old, _ := d.Get("old")
+	now, _ := d.Get("new")
+	assert.Equal(t, old.State, Left)
+	assert.Equal(t, now.State, Ready)
+}
+
+// Guards against an upstream that stays lost after its announcements arrive
+// again, and against one that is lost while it is heard of.
+func TestLostUpstreamReturns(t *testing.T) {
+	d := New()
+	d.Observe(start, ready("a", "10.0.0.1:80", 1000, 1))
+	d.Observe(start.Add(4*time.Second), ready("a", "10.0.0.1:80", 1000, 2))
+	assert.Equal(t, len(d.MarkLost(start.Add(6*time.Second), 5*time.Second)), 0)
+	assert.Equal(t, len(d.MarkLost(start.Add(9*time.Second), 5*time.Second)), 1)
+	assert.Equal(t, d.Observe(start.Add(10*time.Second), ready("a", "10.0.0.1:80", 1000, 3)), Changed)
+	u, _ := d.Get("a")
+	assert.Equal(t, u.State, Ready)
+}
+
+// Guards against a second directory, fed with the changes of the first, that
+// misses a state which no announcement carries, such as lost or replaced.
+func TestChangesCarryDerivedStates(t *testing.T) {
+	first, second := New(), New()
+	feed := func(since uint64) uint64 {
+		for _, u := range first.Since(since) {
+			second.Observe(start, u)
+		}
+		return first.Changes()
+	}
+	first.Observe(start, ready("a", "10.0.0.1:80", 1000, 1))
+	first.Observe(start, ready("b", "10.0.0.2:80", 1000, 1))
+	seen := feed(0)
+	first.Observe(start.Add(time.Minute), ready("c", "10.0.0.1:80", 2000, 1))
+	first.MarkLost(start.Add(time.Minute), time.Second)
+	feed(seen)
+	a, _ := second.Get("a")
+	b, _ := second.Get("b")
+	assert.Equal(t, a.State, Left)
+	assert.Equal(t, b.State, Lost)
+}
+
+// Guards against a directory that grows with every upstream that ever was.
+func TestExpire(t *testing.T) {
+	d := New()
+	d.Observe(start, ready("a", "10.0.0.1:80", 1000, 1))
+	d.Observe(start, ready("a", "", 1000, 2).in(Left))
+	d.Expire(start.Add(time.Minute), time.Minute)
+	assert.Equal(t, len(d.All()), 0)
+}
--- /dev/null
+++ b/core/relay/relay_test.go
@@ -0,0 +1,91 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// Guards against an answer in which an event is missing or comes twice, whatever
+// the attempts send.
+func TestEventsPassOnceAndInOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := New(700*time.Millisecond, -1)
+		var passed []int64
+		for range rapid.IntRange(1, 5).Draw(t, "attempts") {
+			s.Attempt(start, 0)
+			next := rapid.Int64Range(0, 4).Draw(t, "from")
+			for range rapid.IntRange(0, 8).Draw(t, "events") {
+				v := s.Event(start, next)
+				if v == Gap {
+					break
+				}
+				if v == Pass {
+					passed = append(passed, next)
+				}
+				next += rapid.Int64Range(1, 2).Draw(t, "step")
+			}
+		}
+		for i := 1; i < len(passed); i++ {
+			assert.Equal(t, passed[i], passed[i-1]+1)
+		}
+	})
+}
+
+// Guards against a stream of a caller that comes back and gets events again
+// that it has.
+func TestCallerThatComesBack(t *testing.T) {
+	s := New(0, 12)
+	s.Attempt(start, 0)
+	assert.Equal(t, s.Event(start, 12), Repeat)
+	assert.Equal(t, s.Event(start, 13), Pass)
+	assert.Equal(t, s.Event(start, 15), Gap)
+}
+
+// Guards against silence that is noticed too late for a resume within the
+// longest pause on time, and against usual pauses that count as silence.
+func TestSilenceIsNoticedWithinTheGap(t *testing.T) {
+	const gap = 700 * time.Millisecond
+	s := New(gap, -1)
+	s.Attempt(start, time.Second)
+	assert.Assert(t, s.Patience(start) >= time.Second, "a prompt of a second is read")
+	now := start
+	for id := range int64(20) {
+		now = now.Add(60 * time.Millisecond)
+		s.Event(now, id)
+	}
+	const checkAndResume = 250 * time.Millisecond // a connection that hangs, and a resume from a copy
+	assert.Assert(t, s.Patience(now) <= gap-checkAndResume)
+	assert.Assert(t, s.Patience(now) >= 250*time.Millisecond, "four usual pauses")
+}
+
+// Guards against a slow upstream that is taken for a silent one again and again.
+func TestSlowUpstream(t *testing.T) {
+	s := New(700*time.Millisecond, -1)
+	s.Attempt(start, 0)
+	now := start
+	for id := range int64(20) {
+		now = now.Add(300 * time.Millisecond)
+		s.Event(now, id)
+	}
+	assert.Assert(t, s.Patience(now) > 600*time.Millisecond)
+}
+
+// Guards against a stream that waits for good on a connection that is silent
+// while the upstream takes new ones, and against early checks that use up the
+// patience.
+func TestSilentConnectionIsGivenUp(t *testing.T) {
+	s := New(700*time.Millisecond, -1)
+	s.Attempt(start, 0)
+	s.Event(start, 0)
+	assert.Assert(t, s.Checked(start.Add(50*time.Millisecond)), "an alarm")
+	now := start.Add(s.Patience(start))
+	assert.Assert(t, s.Checked(now))
+	now = now.Add(s.Patience(now))
+	assert.Assert(t, !s.Checked(now))
+	assert.Assert(t, now.Sub(start) < 2*time.Second, "before the caller gives up")
+}
--- /dev/null
+++ b/modules/control/replica/discovery_test.go
@@ -0,0 +1,155 @@
+package replica
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"heatherway.dev/core/raft"
+)
+
+// newDiscovered starts instances that know the first three addresses only.
+func newDiscovered(t *testing.T, size, losses int) *cluster {
+	c := &cluster{t: t, folder: t.TempDir(), groups: 1, nodes: map[raft.MemberID]*instance{}}
+	host := loopback()
+	for range size {
+		c.addAddress(host)
+	}
+	var seeds []string
+	for _, p := range c.peers[:min(3, size)] {
+		seeds = append(seeds, p.Addr)
+	}
+	found := true
+	c.adjust = func(o *Options) {
+		o.Peers, o.KeepLeaders, o.Tick = nil, true, 20*time.Millisecond
+		o.Discovery = &Discovery{Seeds: seeds, Found: found, MinVoters: 2*losses + 1}
+	}
+	for _, p := range c.peers {
+		c.start(p)
+	}
+	found = false // instances that start later do not found anything
+	t.Cleanup(func() {
+		for id := range c.nodes {
+			c.kill(id)
+		}
+	})
+	return c
+}
+
+func (c *cluster) addAddress(host string) Peer {
+	l, err := net.Listen("tcp", host+":0")
+	assert.NilError(c.t, err)
+	p := Peer{ID: raft.MemberID(l.Addr().String()), Addr: l.Addr().String()}
+	assert.NilError(c.t, l.Close())
+	c.peers = append(c.peers, p)
+	return p
+}
+
+// Guards against instances that the seeds do not name and that never get a
+// vote, and against proposals accepted on fewer disks than the losses ask for.
+func TestInstancesFindEachOther(t *testing.T) {
+	t.Parallel()
+	c := newDiscovered(t, 5, 2)
+	c.propose(0, "first")
+	assert.Assert(t, c.formed(5), "accepted with %d voters", len(c.leader(0).Status().Groups[0].Membership.Voters()))
+	for _, n := range c.nodes {
+		c.eventually("the entry everywhere", func() bool { return slices.Equal(n.machines[0].all(), []string{"first"}) })
+	}
+}
+
+// Guards against a group that a seed founds anew after it has lost its disk.
+func TestLostDiskOfTheFounder(t *testing.T) {
+	t.Parallel()
+	c := newDiscovered(t, 4, 1)
+	c.propose(0, "kept")
+	c.eventually("four voters", func() bool { return c.formed(4) })
+	founder := slices.MinFunc(c.peers[:3], func(a, b Peer) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	c.kill(founder.ID)
+	assert.NilError(t, os.RemoveAll(c.path(founder.ID)))
+	c.start(founder)
+	c.eventually("four voters again", func() bool { return c.formed(4) })
+	assert.DeepEqual(t, c.nodes[founder.ID].machines[0].all(), []string{"kept"})
+}
+
+// Guards against replaced instances that add up until the group has no
+// majority: each one is gone for good, and an empty one comes at another
+// address.
+func TestReplacedOneAfterAnother(t *testing.T) {
+	t.Parallel()
+	c := newDiscovered(t, 4, 1)
+	var want []string
+	for round := range 4 {
+		want = append(want, fmt.Sprint("round ", round))
+		c.propose(0, want[round])
+		gone := c.peers[round]
+		c.kill(gone.ID)
+		host, _, err := net.SplitHostPort(gone.Addr)
+		assert.NilError(t, err)
+		p := c.addAddress(host)
+		// The seeds of the new instance are out of date; it knows one that runs.
+		old := c.adjust
+		known := c.peers[round+1].Addr
+		c.adjust = func(o *Options) {
+			old(o)
+			o.Discovery = &Discovery{Seeds: []string{gone.Addr, known}, MinVoters: o.Discovery.MinVoters}
+		}
+		c.start(p)
+		c.adjust = old
+		c.eventually("four voters that run", func() bool {
+			l := c.leader(0)
+			return c.formed(4) && len(l.Status().Groups[0].Membership.Members) == 4
+		})
+	}
+	for _, n := range c.nodes {
+		c.eventually("every entry", func() bool { return slices.Equal(n.machines[0].all(), want) })
+	}
+}
+
+// Guards against a voter that is removed while it is away for a moment, or that
+// is not taken in again after it was removed.
+func TestRemovedVoterReturns(t *testing.T) {
+	t.Parallel()
+	c := newDiscovered(t, 4, 1)
+	c.propose(0, "one")
+	c.eventually("four voters", func() bool { return c.formed(4) })
+	away := c.peers[3]
+	c.kill(away.ID)
+	c.propose(0, "two")
+	c.start(away)
+	c.eventually("four voters again", func() bool { return c.formed(4) })
+	c.kill(away.ID)
+	c.eventually("removed after a long silence", func() bool {
+		l := c.leader(0)
+		return l != nil && len(l.Status().Groups[0].Membership.Members) == 3
+	})
+	c.start(away)
+	c.eventually("taken in again", func() bool { return c.formed(4) })
+}
+
+// Guards against all instances that end at once and do not come back together.
+func TestAllKilledAtOnce(t *testing.T) {
+	t.Parallel()
+	c := newDiscovered(t, 4, 1)
+	c.propose(0, "kept")
+	c.eventually("four voters", func() bool { return c.formed(4) })
+	for _, p := range c.peers {
+		c.kill(p.ID)
+	}
+	for _, p := range c.peers {
+		c.start(p)
+	}
+	c.propose(0, "later")
+	for _, n := range c.nodes {
+		c.eventually("both entries", func() bool { return slices.Equal(n.machines[0].all(), []string{"kept", "later"}) })
+	}
+}
--- a/modules/gateway/follow.go
+++ b/modules/gateway/follow.go
@@ -200,9 +200,13 @@
 		f.log.Error("configuration not taken over", "version", reply.Version, "error", err)
 		return
 	}
+	f.setConfiguration(c)
+}
+
+// setConfiguration puts a valid configuration in force.
+func (f *follower) setConfiguration(c *routing.Configuration) {
 	previous := f.version()
-	table := routing.NewTable(c)
-	f.current.Store(table)
+	f.current.Store(routing.NewTable(c))
 	if previous == 0 {
 		close(f.configured)
 	}
--- a/modules/gateway/gateway.go
+++ b/modules/gateway/gateway.go
@@ -135,6 +135,12 @@
 		return err
 	}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
+	g.prepare()
+	return nil
+}
+
+// prepare makes the parts that hold the state of the gateway.
+func (g *Gateway) prepare() {
 	g.upstreams = newConnections(g.metrics)
 	g.owner = newOwner(g.ctx, g.zone)
 	g.follower = newFollower(g)
@@ -144,7 +150,6 @@
 		}
 		return 0
 	})
-	return nil
 }
 
 // Start implements kernel.Runner.
--- /dev/null
+++ b/modules/gateway/gateway_test.go
@@ -0,0 +1,257 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a request or an answer that is changed on its way, a key that
+// reaches an upstream, and headers by which a caller could steer one.
+func TestBytesPassUnchanged(t *testing.T) {
+	u := serve(t, "u1", "desk", "z0", func(w http.ResponseWriter, _ *http.Request, _ int) {
+		w.Header().Set("X-Answer", "kept")
+		w.WriteHeader(http.StatusTeapot)
+		_, _ = io.WriteString(w, "short and stout")
+	})
+	f := newFixture(t, configuration(), u)
+	a := f.do(f.request("PUT", "/book/a%2Fb/..?q=1&q=%20", "body", "Tenant", "forged", "Hold", "x", "Pin-Ms", "9",
+		"Kv-From", "1.2.3.4:1/x", "Kv-Backup", "1.2.3.4:1", "Expect-Instance", "forged", "Request-Urgency", "0", "X-Own", "kept"))
+	assert.Equal(t, a.status, http.StatusTeapot)
+	assert.Equal(t, a.body, "short and stout")
+	assert.Equal(t, a.header.Get("Response-Seal"), "seal-u1")
+	assert.Equal(t, a.header.Get("X-Answer"), "kept")
+	got := u.requests()
+	assert.Equal(t, len(got), 1)
+	assert.Equal(t, got[0].method+" "+got[0].target+" "+got[0].body, "PUT /book/a%2Fb/..?q=1&q=%20 body")
+	h := got[0].header
+	assert.Equal(t, h.Get("X-Own"), "kept")
+	assert.Equal(t, h.Get("Tenant"), "mill")
+	assert.Equal(t, h.Get("Expect-Instance"), "u1")
+	for _, name := range []string{"Authorization", "Hold", "Pin-Ms", "Kv-From", "Kv-Backup", "Request-Urgency"} {
+		assert.Equal(t, h.Get(name), "", name)
+	}
+}
+
+// Guards against requests that are let through without a route, a key or room.
+func TestRefusedAtTheGateway(t *testing.T) {
+	u := serve(t, "u1", "desk", "z0", func(http.ResponseWriter, *http.Request, int) {})
+	f := newFixture(t, configuration(), u)
+	assert.Equal(t, f.do(f.request("GET", "/none/x", "")).status, http.StatusNotFound)
+	assert.Equal(t, f.do(f.request("GET", "/look/x", "", "Authorization", "Bearer other")).status, http.StatusUnauthorized)
+	assert.Equal(t, f.do(f.request("POST", "/book/x", strings.Repeat("x", 1<<17))).status, http.StatusRequestEntityTooLarge)
+	a := f.letter()
+	assert.Equal(t, a.status, http.StatusServiceUnavailable, "no upstream of the service")
+	assert.Assert(t, a.header.Get("Retry-After") != "")
+	assert.Equal(t, len(u.requests()), 0)
+}
+
+// Guards against a booking that is sent twice after an answer was lost, and
+// against a status that says it has not run.
+func TestAtMostOnce(t *testing.T) {
+	var ups []*upstream
+	for i := range 3 {
+		ups = append(ups, serve(t, fmt.Sprint("u", i), "desk", "z0", func(http.ResponseWriter, *http.Request, int) { abort() }))
+	}
+	f := newFixture(t, configuration(), ups...)
+	a := f.do(f.request("POST", "/book/x", "order"))
+	assert.Equal(t, a.status, http.StatusBadGateway)
+	total := 0
+	for _, u := range ups {
+		total += len(u.requests())
+	}
+	assert.Equal(t, total, 1)
+}
+
+// Guards against an answer that is cut short and looks complete.
+func TestTruncatedAnswer(t *testing.T) {
+	u := serve(t, "u1", "desk", "z0", func(w http.ResponseWriter, _ *http.Request, _ int) {
+		w.Header().Set("Content-Length", "100")
+		_, _ = io.WriteString(w, "half")
+		abort()
+	})
+	f := newFixture(t, configuration(), u)
+	a := f.do(f.request("POST", "/book/x", "order"))
+	assert.Equal(t, a.status, http.StatusBadGateway)
+	assert.Equal(t, a.header.Get("Response-Seal"), "")
+}
+
+// Guards against a refusal of an upstream that is passed on as its answer
+// without a time to come back, and against a lookup that gives up at the first
+// failure.
+func TestLookupGoesElsewhere(t *testing.T) {
+	bad := serve(t, "bad", "desk", "z0", func(w http.ResponseWriter, _ *http.Request, _ int) { w.WriteHeader(500) })
+	good := serve(t, "good", "desk", "z1", func(w http.ResponseWriter, _ *http.Request, _ int) { _, _ = io.WriteString(w, "due") })
+	f := newFixture(t, configuration(), bad, good)
+	for range 5 {
+		a := f.do(f.request("GET", "/look/x", ""))
+		assert.Equal(t, a.status, http.StatusOK)
+		assert.Equal(t, a.body, "due")
+	}
+	full := serve(t, "full", "desk", "z0", func(w http.ResponseWriter, _ *http.Request, _ int) {
+		w.Header().Set("Not-Run", "1")
+		w.WriteHeader(503)
+	})
+	f = newFixture(t, configuration(), full)
+	a := f.do(f.request("POST", "/book/x", "order"))
+	assert.Equal(t, a.status, http.StatusServiceUnavailable)
+	assert.Assert(t, a.header.Get("Retry-After") != "")
+}
+
+// Guards against an answer to another request, which a faulty upstream sends
+// beside its own.
+func TestStrayAnswers(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go answerTwice(c)
+		}
+	}()
+	u := &upstream{}
+	u.ID, u.Service, u.Zone, u.Addr, u.StartedMS, u.Seq = "u1", "desk", "z0", l.Addr().String(), 1000, 1
+	f := newFixture(t, configuration(), u)
+	for i := range 10 {
+		r := f.request("POST", "/book/x", "order")
+		a := f.do(r)
+		assert.Equal(t, a.status, 200, "request %d", i)
+		assert.Equal(t, a.body, r.Header.Get("Attempt-Id"))
+	}
+}
+
+// answerTwice answers each request, and after a pause once more.
+func answerTwice(c net.Conn) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		q, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, q.Body)
+		id := q.Header.Get("Attempt-Id")
+		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Seal: s\r\nContent-Length: %d\r\n\r\n%s", id, len(id), id)
+		_, _ = io.WriteString(c, answer)
+		time.AfterFunc(time.Millisecond, func() { _, _ = io.WriteString(c, answer) })
+	}
+}
+
+// Guards against work that goes on for a caller who has left.
+func TestCallerLeaves(t *testing.T) {
+	left := make(chan time.Time, 1)
+	u := serve(t, "u1", "model", "z0", func(w http.ResponseWriter, r *http.Request, _ int) {
+		send(w, 0)
+		<-r.Context().Done()
+		left <- time.Now()
+	})
+	f := newFixture(t, configuration(), u)
+	ctx, cancel := context.WithCancel(t.Context())
+	r := f.request("POST", "/letters/x", "prompt").WithContext(ctx)
+	res, err := http.DefaultClient.Do(r)
+	assert.NilError(t, err)
+	gone := time.Now()
+	cancel()
+	_ = res.Body.Close()
+	select {
+	case at := <-left:
+		assert.Assert(t, at.Sub(gone) < 300*time.Millisecond)
+	case <-time.After(2 * time.Second):
+		t.Fatal("the upstream still works")
+	}
+}
+
+// Guards against a request that is held beyond the time that its route allows.
+func TestRouteTimeout(t *testing.T) {
+	u := serve(t, "u1", "desk", "z0", func(_ http.ResponseWriter, r *http.Request, _ int) { <-r.Context().Done() })
+	f := newFixture(t, configuration(), u)
+	for _, path := range []string{"/book/x", "/look/x"} {
+		a := f.do(f.request("POST", path, "x"))
+		assert.Equal(t, a.status, http.StatusGatewayTimeout, path)
+		assert.Assert(t, a.took < 1250*time.Millisecond, "%v", a.took)
+	}
+}
+
+// Guards against a gateway that refuses requests in the moment between its
+// start and the first configuration: a refused caller has few tries.
+func TestRequestsWaitForTheConfiguration(t *testing.T) {
+	u := serve(t, "u1", "desk", "z0", func(w http.ResponseWriter, _ *http.Request, _ int) { _, _ = io.WriteString(w, "ok") })
+	f := newFixture(t, nil, u)
+	assert.Assert(t, !f.isReady())
+	time.AfterFunc(200*time.Millisecond, func() { f.follower.setConfiguration(configuration()) })
+	assert.Equal(t, f.do(f.request("POST", "/book/x", "order")).status, 200)
+	assert.Assert(t, f.isReady())
+
+	f = newFixture(t, nil, u)
+	a := f.do(f.request("POST", "/book/x", "order"))
+	assert.Equal(t, a.status, http.StatusServiceUnavailable, "not 401, 403 or 404: it may be allowed")
+	assert.Assert(t, a.took < startHold+300*time.Millisecond)
+}
+
+// Guards against idle connections that are closed by the limit of an older
+// configuration, or never.
+func TestIdleLimitFollowsTheConfiguration(t *testing.T) {
+	c := configuration()
+	c.Limits.IdleTimeout = 150 * time.Millisecond
+	u := serve(t, "u1", "desk", "z0", func(w http.ResponseWriter, _ *http.Request, _ int) { _, _ = io.WriteString(w, "ok") })
+	f := newFixture(t, c, u)
+	conn, err := net.Dial("tcp", f.addr)
+	assert.NilError(t, err)
+	defer conn.Close()
+	r := bufio.NewReader(conn)
+	ask := func() {
+		_, err := io.WriteString(conn, "GET /look/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: a\r\nAuthorization: Bearer secret\r\n\r\n")
+		assert.NilError(t, err)
+		res, err := http.ReadResponse(r, nil)
+		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, res.Body)
+		assert.NilError(t, err)
+	}
+	ask()
+	time.Sleep(80 * time.Millisecond)
+	ask()
+	begin := time.Now()
+	_, err = r.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+	assert.Assert(t, time.Since(begin) < time.Second)
+}
+
+// Guards against a shutdown that cuts off answers under way, takes streams that
+// it would cut off, or goes on saying that it is ready.
+func TestGracefulStop(t *testing.T) {
+	u := serve(t, "u1", "model", "z0", func(w http.ResponseWriter, _ *http.Request, _ int) {
+		for i := range 8 {
+			send(w, i)
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
+	f := newFixture(t, configuration(), u)
+	f.Grace, f.DrainDelay = 1500*time.Millisecond, 800*time.Millisecond
+	assert.Equal(t, f.letter().status, 200) // so that the usual duration is known
+	under := make(chan answered, 1)
+	go func() { under <- f.letter() }()
+	time.Sleep(100 * time.Millisecond)
+	stopped := make(chan error, 1)
+	go func() { stopped <- f.Stop(context.Background()) }()
+	time.Sleep(500 * time.Millisecond)
+	assert.Assert(t, !f.isReady())
+	late := f.letter()
+	assert.Equal(t, late.status, http.StatusServiceUnavailable)
+	assert.Assert(t, late.header.Get("Retry-After") != "")
+	a := <-under
+	assert.NilError(t, a.err)
+	assert.Equal(t, len(pieces(a.body)), 8)
+	assert.NilError(t, <-stopped)
+}
--- /dev/null
+++ b/modules/gateway/harness_test.go
@@ -0,0 +1,196 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"heatherway.dev/core/registration"
+	"heatherway.dev/core/routing"
+	"heatherway.dev/heatherway/platform"
+	"heatherway.dev/kernel/peer"
+	"heatherway.dev/kernel/stats"
+)
+
+// upstream is a scripted server. It notes the requests that it was sent.
+type upstream struct {
+	registration.Upstream
+	server *httptest.Server
+	mu     sync.Mutex
+	got    []received
+}
+
+type received struct {
+	method, target string
+	header         http.Header
+	body           string
+}
+
+func (u *upstream) requests() []received {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return append([]received(nil), u.got...)
+}
+
+// serve starts an upstream. The handler gets the number of the request.
+func serve(t *testing.T, id, service, zone string, handle func(w http.ResponseWriter, r *http.Request, n int)) *upstream {
+	t.Helper()
+	u := &upstream{}
+	u.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		u.mu.Lock()
+		u.got = append(u.got, received{r.Method, r.RequestURI, r.Header.Clone(), string(body)})
+		n := len(u.got)
+		u.mu.Unlock()
+		w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
+		w.Header().Set("Response-Seal", "seal-"+id)
+		handle(w, r, n)
+	}))
+	t.Cleanup(func() { u.server.CloseClientConnections(); u.server.Close() })
+	u.Upstream = registration.Upstream{
+		ID: id, Service: service, Zone: zone, Addr: u.server.Listener.Addr().String(), Slots: 8, StartedMS: 1000, Seq: 1,
+	}
+	return u
+}
+
+// send writes one event of a stream.
+func send(w http.ResponseWriter, id int) {
+	fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", id, id)
+	w.(http.Flusher).Flush()
+}
+
+// abort breaks the connection off.
+func abort() { panic(http.ErrAbortHandler) }
+
+// configuration has a stream, an idempotent and an at-most-once route.
+func configuration() *routing.Configuration {
+	return &routing.Configuration{
+		Version: 1,
+		Limits:  routing.Limits{BodyBytes: 1 << 16, IdleTimeout: time.Minute},
+		Services: []routing.Service{
+			{Name: "model", Engine: &routing.Engine{Slots: 64, MemoryTokens: 88_000, Backups: true, BackupTTL: 4 * time.Second}},
+			{Name: "desk"},
+		},
+		Routes: []routing.Route{
+			{Name: "letters", Host: "h", Prefix: "/letters/", Kind: routing.Stream, Timeout: 5 * time.Second, Objective: 4 * time.Second,
+				MaxEventGap: 700 * time.Millisecond, MaxAttempts: 5, Resumable: true, Targets: []routing.Target{{Service: "model", Weight: 1}}},
+			{Name: "book", Host: "h", Prefix: "/book/", Kind: routing.AtMostOnce, Timeout: time.Second, Objective: 100 * time.Millisecond,
+				MaxAttempts: 1, Targets: []routing.Target{{Service: "desk", Weight: 1}}},
+			{Name: "look", Host: "h", Prefix: "/look/", Kind: routing.Idempotent, Timeout: time.Second, Objective: 100 * time.Millisecond,
+				MaxAttempts: 2, Targets: []routing.Target{{Service: "desk", Weight: 1}}},
+		},
+		Organisations: []routing.Organisation{{Name: "mill", Keys: []string{"secret"}}},
+	}
+}
+
+// fixture is a gateway with its caller's address.
+type fixture struct {
+	*Gateway
+	t    *testing.T
+	addr string
+}
+
+func newFixture(t *testing.T, c *routing.Configuration, ups ...*upstream) *fixture {
+	t.Helper()
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	security, err := peer.NewSecurity(peer.TLSSettings{Off: true}, log)
+	assert.NilError(t, err)
+	g := newGateway()
+	g.log, g.security, g.zone, g.metrics = log, security, "z0", newMetrics(stats.New())
+	g.dialect = &platform.Platform{}
+	g.ctx, g.cancel = context.WithCancel(context.Background())
+	g.prepare()
+	g.callers, err = net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	g.ready, err = net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, g.Start(t.Context()))
+	if c != nil {
+		g.follower.setConfiguration(c)
+	}
+	f := &fixture{Gateway: g, t: t, addr: g.callers.Addr().String()}
+	for _, u := range ups {
+		f.announce(u.Upstream)
+	}
+	t.Cleanup(func() {
+		_ = g.Cleanup()
+		_ = g.server.Close()
+		_ = g.checks.Close()
+	})
+	return f
+}
+
+func (f *fixture) announce(u registration.Upstream) {
+	f.follower.mu.Lock()
+	defer f.follower.mu.Unlock()
+	f.follower.announce(time.Now(), u)
+	f.follower.count.Add(1)
+}
+
+var attempts int
+
+// request builds a request of a caller.
+func (f *fixture) request(method, target, body string, header ...string) *http.Request {
+	f.t.Helper()
+	r, err := http.NewRequestWithContext(f.t.Context(), method, "http://"+f.addr+target, strings.NewReader(body))
+	assert.NilError(f.t, err)
+	attempts++
+	r.Host = "h"
+	r.Header.Set("Attempt-Id", fmt.Sprint("attempt-", attempts))
+	r.Header.Set("Authorization", "Bearer secret")
+	r.Header.Set("Deadline-Ms", "20000")
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	return r
+}
+
+// answered is the answer that a caller got.
+type answered struct {
+	status int
+	header http.Header
+	body   string
+	err    error // of the body
+	took   time.Duration
+}
+
+func (f *fixture) do(r *http.Request) answered {
+	f.t.Helper()
+	begin := time.Now()
+	client := &http.Client{Transport: &http.Transport{DisableCompression: true}}
+	defer client.CloseIdleConnections()
+	res, err := client.Do(r)
+	if err != nil {
+		return answered{err: err, took: time.Since(begin)}
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	return answered{res.StatusCode, res.Header, string(b), err, time.Since(begin)}
+}
+
+// letter sends a stream request.
+func (f *fixture) letter(header ...string) answered {
+	return f.do(f.request("POST", "/letters/x", "prompt", append([]string{"Token-Count", "8000,800", "Prompt-Prefix", "aa:200,bb:7800"}, header...)...))
+}
+
+// pieces returns the ids of the events in a body.
+func pieces(body string) []string {
+	var ids []string
+	for s := bufio.NewScanner(strings.NewReader(body)); s.Scan(); {
+		if id, ok := strings.CutPrefix(s.Text(), "id: "); ok {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
--- a/modules/gateway/stream.go
+++ b/modules/gateway/stream.go
@@ -160,16 +160,13 @@
 	for {
 		select {
 		case in, more := <-r.events:
-			if !more {
-				a.err = r.err
-				return
-			}
-			if done := s.take(a, in); done {
+			if s.arrived(a, r, in, more) {
 				return
 			}
 			timer.Reset(s.relay.Patience(time.Now()))
 		case <-timer.C:
 			if !s.check(ctx, a) {
+				s.takeReady(a, r)
 				return
 			}
 			timer.Reset(s.relay.Patience(time.Now()))
@@ -178,6 +175,7 @@
 				continue
 			}
 			if !s.check(ctx, a) {
+				s.takeReady(a, r)
 				return
 			}
 			timer.Reset(s.relay.Patience(time.Now()))
@@ -189,6 +187,7 @@
 			c.take(r)
 		case <-ended.ended:
 			a.err = errors.New("another incarnation has the upstream's address")
+			s.takeReady(a, r)
 			return
 		case <-s.ctx.Done():
 			a.err = s.ctx.Err()
@@ -197,6 +196,37 @@
 	}
 }
 
+// arrived handles what the reader has passed on. It returns true when the
+// attempt has ended. The attempt is complete only when the caller has got every
+// event, not when the upstream has sent them.
+func (s *streaming) arrived(a *attempt, r *eventReader, in arrival, more bool) bool {
+	if !more {
+		a.err, a.complete = r.err, r.complete
+		return true
+	}
+	return s.take(a, in)
+}
+
+// readyPause lets a reader that is behind, for example after the process stood
+// still, pass on what has arrived.
+const readyPause = 10 * time.Millisecond
+
+// takeReady passes on what has arrived from an upstream that is given up.
+func (s *streaming) takeReady(a *attempt, r *eventReader) {
+	reason := a.err
+	for {
+		select {
+		case in, more := <-r.events:
+			if s.arrived(a, r, in, more) {
+				return
+			}
+		case <-time.After(readyPause):
+			a.err = reason
+			return
+		}
+	}
+}
+
 // prefillPerMS is the number of prompt tokens that an upstream reads in a
 // millisecond, from the data sheet of the deployments.
 const prefillPerMS = 8
@@ -394,7 +424,9 @@
 // watched at the same time.
 type eventReader struct {
 	events chan arrival
-	err    error // set before events is closed
+	// err and complete are set before events is closed.
+	err      error
+	complete bool
 }
 
 func newEventReader(ctx context.Context, c *call, a *attempt, o *outgoing) *eventReader {
@@ -437,7 +469,7 @@
 	case x.res.StatusCode >= http.StatusInternalServerError:
 		return r.readFailure(a, x)
 	}
-	return r.readEvents(ctx, a, x)
+	return r.readEvents(ctx, x)
 }
 
 // readFailure takes in an upstream's own failure, which is not a stream.
@@ -452,13 +484,13 @@
 	return errors.Errorf("the upstream answered with status %d", x.res.StatusCode)
 }
 
-func (r *eventReader) readEvents(ctx context.Context, a *attempt, x *exchange) error {
+func (r *eventReader) readEvents(ctx context.Context, x *exchange) error {
 	body := bufio.NewReaderSize(x.res.Body, readBuffer)
 	for {
 		e, err := readEvent(body)
 		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
 			x.finish()
-			a.complete = true
+			r.complete = true
 			return nil
 		}
 		if err != nil {
--- /dev/null
+++ b/modules/gateway/stream_test.go
@@ -0,0 +1,250 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"heatherway.dev/core/registration"
+)
+
+// letters returns a handler that sends the events from where the request goes on
+// up to last, and calls at for each.
+func letters(last int, at func(w http.ResponseWriter, r *http.Request, id int)) func(http.ResponseWriter, *http.Request, int) {
+	return func(w http.ResponseWriter, r *http.Request, _ int) {
+		if r.Method == http.MethodPost && strings.HasPrefix(r.URL.Path, "/v1/kv-move") {
+			fmt.Fprint(w, `{"Handle":"h1","made":3}`)
+			return
+		}
+		w.Header().Set("Content-Type", "text/event-stream")
+		first := 0
+		if s := r.Header.Get("Last-Event-Id"); s != "" {
+			_, _ = fmt.Sscan(s, &first)
+			first++
+		}
+		for id := first; id <= last; id++ {
+			if at != nil {
+				at(w, r, id)
+			}
+			send(w, id)
+		}
+	}
+}
+
+func want(last int) []string {
+	var ids []string
+	for i := range last + 1 {
+		ids = append(ids, fmt.Sprint(i))
+	}
+	return ids
+}
+
+// first returns the upstream that got the request first and those that got it
+// later.
+func split(ups []*upstream) (first *upstream, later []*upstream) {
+	for _, u := range ups {
+		for _, r := range u.requests() {
+			if r.header.Get("Last-Event-Id") == "" && strings.HasPrefix(r.target, "/letters") {
+				first = u
+			} else if strings.HasPrefix(r.target, "/letters") {
+				later = append(later, u)
+			}
+		}
+	}
+	return first, later
+}
+
+// Guards against a stream that ends with its upstream, has an event twice or
+// misses one, or reads its prompt anew although a copy of its KV cache exists.
+func TestStreamGoesOnAtTheCopy(t *testing.T) {
+	var ups []*upstream
+	for i := range 4 {
+		ups = append(ups, serve(t, fmt.Sprint("u", i), "model", fmt.Sprint("z", i%2), letters(9, func(_ http.ResponseWriter, r *http.Request, id int) {
+			if id == 4 && r.Header.Get("Last-Event-Id") == "" {
+				abort()
+			}
+		})))
+	}
+	f := newFixture(t, configuration(), ups...)
+	a := f.letter("Attempt-Id", "run-1")
+	assert.NilError(t, a.err)
+	assert.Equal(t, a.status, 200)
+	assert.DeepEqual(t, pieces(a.body), want(9))
+	first, later := split(ups)
+	assert.Equal(t, a.header.Get("Response-Seal"), "seal-"+first.ID, "the signature of the first upstream")
+	assert.Equal(t, len(later), 1)
+	head := first.requests()[0].header
+	next := later[0].requests()[0].header
+	assert.Equal(t, head.Get("Kv-Backup"), later[0].Addr)
+	assert.Equal(t, next.Get("Kv-From"), later[0].Addr+"/run-1")
+	assert.Equal(t, next.Get("Last-Event-Id"), "3")
+	assert.Assert(t, next.Get("Kv-Backup") != "", "a copy of the second attempt")
+	assert.Assert(t, later[0].Zone != first.Zone)
+}
+
+// Guards against a stream that waits for the deadline when its upstream falls
+// silent without closing the connection.
+func TestSilentUpstream(t *testing.T) {
+	var ups []*upstream
+	for i := range 2 {
+		u := new(*upstream)
+		*u = serve(t, fmt.Sprint("u", i), "model", fmt.Sprint("z", i), letters(9, func(_ http.ResponseWriter, r *http.Request, id int) {
+			if id == 3 && r.Header.Get("Last-Event-Id") == "" {
+				_ = (*u).server.Listener.Close() // new connections fail, the open one stays
+				<-r.Context().Done()
+			}
+		}))
+		ups = append(ups, *u)
+	}
+	f := newFixture(t, configuration(), ups...)
+	a := f.letter()
+	assert.NilError(t, a.err)
+	assert.DeepEqual(t, pieces(a.body), want(9))
+	assert.Assert(t, a.took < 700*time.Millisecond, "the longest pause on time, %v", a.took)
+}
+
+// Guards against a stream that hangs when its connection is silent for good and
+// its upstream takes new ones.
+func TestSilentConnection(t *testing.T) {
+	var ups []*upstream
+	for i := range 2 {
+		ups = append(ups, serve(t, fmt.Sprint("u", i), "model", fmt.Sprint("z", i), letters(9, func(_ http.ResponseWriter, r *http.Request, id int) {
+			if id == 3 && r.Header.Get("Last-Event-Id") == "" {
+				<-r.Context().Done()
+			}
+		})))
+	}
+	f := newFixture(t, configuration(), ups...)
+	a := f.letter()
+	assert.NilError(t, a.err)
+	assert.DeepEqual(t, pieces(a.body), want(9))
+	assert.Assert(t, a.took < 2*time.Second, "callers give up after two seconds, %v", a.took)
+}
+
+// Guards against a stream that waits at an upstream whose address has been taken
+// by a new incarnation.
+func TestReplacedIncarnation(t *testing.T) {
+	var ups []*upstream
+	for i := range 2 {
+		ups = append(ups, serve(t, fmt.Sprint("u", i), "model", fmt.Sprint("z", i), letters(3, func(_ http.ResponseWriter, r *http.Request, _ int) {
+			if r.Header.Get("Expect-Instance") == "u0" {
+				<-r.Context().Done()
+			}
+		})))
+	}
+	f := newFixture(t, configuration(), ups[0])
+	time.AfterFunc(200*time.Millisecond, func() {
+		f.announce(ups[1].Upstream)
+		f.announce(registration.Upstream{ID: "u0-next", Service: "model", Zone: "z0", Addr: ups[0].Addr, StartedMS: 2000, Seq: 1})
+	})
+	a := f.letter()
+	assert.NilError(t, a.err)
+	assert.DeepEqual(t, pieces(a.body), want(3))
+	assert.Assert(t, a.took < time.Second, "%v", a.took)
+}
+
+// Guards against a stream without a copy after the holder of its first one has
+// been lost.
+func TestCopyIsRenewed(t *testing.T) {
+	var ups []*upstream
+	for i := range 3 {
+		ups = append(ups, serve(t, fmt.Sprint("u", i), "model", fmt.Sprint("z", i), letters(9, func(_ http.ResponseWriter, r *http.Request, id int) {
+			if r.Header.Get("Last-Event-Id") != "" {
+				return
+			}
+			time.Sleep(50 * time.Millisecond)
+			if id == 8 {
+				abort()
+			}
+		})))
+	}
+	f := newFixture(t, configuration(), ups...)
+	time.AfterFunc(150*time.Millisecond, func() {
+		first, _ := split(ups)
+		holder := first.requests()[0].header.Get("Kv-Backup")
+		f.announce(registration.Upstream{ID: "next", Service: "model", Zone: "z9", Addr: holder, StartedMS: 2000, Seq: 1, State: registration.Draining})
+	})
+	a := f.letter()
+	assert.NilError(t, a.err)
+	assert.DeepEqual(t, pieces(a.body), want(9))
+	first, later := split(ups)
+	assert.Equal(t, len(later), 1)
+	assert.Assert(t, later[0].Addr != first.requests()[0].header.Get("Kv-Backup"))
+	assert.Equal(t, later[0].requests()[0].header.Get("Kv-From"), first.Addr+"/h1")
+}
+
+// Guards against a broken stream that looks complete when it cannot go on.
+func TestStreamThatCannotGoOn(t *testing.T) {
+	u := serve(t, "u0", "model", "z0", letters(9, func(_ http.ResponseWriter, _ *http.Request, id int) {
+		if id == 2 {
+			abort()
+		}
+	}))
+	c := configuration()
+	c.Routes[0].MaxAttempts = 1
+	f := newFixture(t, c, u)
+	a := f.letter()
+	assert.Assert(t, a.err != nil, "the answer must not end as complete")
+	assert.Equal(t, len(u.requests()), 1)
+}
+
+// Guards against a stream of a route that may not be resumed and runs twice.
+func TestStreamThatMayNotBeResumed(t *testing.T) {
+	var ups []*upstream
+	for i := range 2 {
+		ups = append(ups, serve(t, fmt.Sprint("u", i), "model", fmt.Sprint("z", i), func(http.ResponseWriter, *http.Request, int) { abort() }))
+	}
+	c := configuration()
+	c.Routes[0].Resumable = false
+	f := newFixture(t, c, ups...)
+	a := f.letter()
+	assert.Equal(t, a.status, http.StatusBadGateway)
+	assert.Equal(t, len(ups[0].requests())+len(ups[1].requests()), 1)
+}
+
+// Guards against an event that is passed on in part when its upstream breaks off
+// in the middle of it.
+func TestPartOfAnEvent(t *testing.T) {
+	var ups []*upstream
+	for i := range 2 {
+		ups = append(ups, serve(t, fmt.Sprint("u", i), "model", fmt.Sprint("z", i), letters(5, func(w http.ResponseWriter, r *http.Request, id int) {
+			if id == 2 && r.Header.Get("Last-Event-Id") == "" {
+				fmt.Fprint(w, "id: 2\ndata: pie")
+				w.(http.Flusher).Flush()
+				time.Sleep(20 * time.Millisecond)
+				abort()
+			}
+		})))
+	}
+	f := newFixture(t, configuration(), ups...)
+	a := f.letter()
+	assert.NilError(t, a.err)
+	assert.DeepEqual(t, pieces(a.body), want(5))
+	assert.Equal(t, strings.Count(a.body, "data: pie"), 6)
+}
+
+// Guards against an answer that looks complete because its upstream ended it
+// while events were still on their way to the caller, or missing (found on
+// wieniec-router, mix --seed 282702201884, after a freeze of the gateway).
+func TestEndOfTheUpstreamIsNotTheEndOfTheAnswer(t *testing.T) {
+	var ups []*upstream
+	for i := range 2 {
+		ups = append(ups, serve(t, fmt.Sprint("u", i), "model", fmt.Sprint("z", i), func(w http.ResponseWriter, r *http.Request, n int) {
+			if r.Header.Get("Last-Event-Id") != "" {
+				letters(5, nil)(w, r, n)
+				return
+			}
+			for _, id := range []int{0, 1, 3, 4, 5} {
+				send(w, id)
+			}
+		}))
+	}
+	f := newFixture(t, configuration(), ups...)
+	a := f.letter()
+	assert.NilError(t, a.err)
+	assert.DeepEqual(t, pieces(a.body), want(5))
+}
