entry: let a running answer go on beside another run of the same body

Ruled out: quarantine (answers 4220). Change: a started generation waits one second for the permit and then goes on without one; the agent still isolates it. Before: TestBusyPermitDoesNotEndARunningAnswer fails after 10 s with two of four tokens; after: passes in 1.1 s.

--- a/modules/entry/entry_test.go
+++ b/modules/entry/entry_test.go
@@ -19,6 +19,7 @@
 	"heatherway.dev/core/config"
 	"heatherway.dev/core/member"
 	"heatherway.dev/core/wire"
+	"heatherway.dev/kernel/peer"
 	"heatherway.dev/kernel/result"
 )
 
@@ -263,3 +264,25 @@
 	assert.NilError(t, c.Call(ctx, "Entry.Report", &wire.EntryReportArgs{}, &r))
 	assert.Assert(t, strings.Contains(string(r.Report), `"organisation":"acme"`), string(r.Report))
 }
+
+// Guards against a running answer that ends since another request with the same
+// body holds the permit: two honest callers may send equal bodies.
+func TestBusyPermitDoesNotEndARunningAnswer(t *testing.T) {
+	var f *fleet
+	a, b := twoAgents(t, func(w *frameWriter, _ *wire.GenerateRequest) {
+		w.tokens(0, 2)
+		for _, ag := range f.agents {
+			if len(ag.seen()) > 0 {
+				ag.server.Listener.Close()
+			}
+		}
+		w.reset()
+	}, answering(4))
+	f = newFleet(t, a, b)
+	f.control.update(func() {
+		f.control.permitErr = peer.EncodeError(result.New(result.SuspectBusy, "the request runs elsewhere").After(50 * time.Second))
+	})
+	r := f.do(http.MethodPost, "/v1/completions", streamBody)
+	assert.Equal(t, textOf(t, r.body), wantText(0, 4))
+	assert.Assert(t, strings.HasSuffix(r.body, "data: [DONE]\n\n"))
+}
--- a/modules/entry/suspect.go
+++ b/modules/entry/suspect.go
@@ -14,10 +14,12 @@
 // Patience with permits.
 const (
 	// permitLimit bounds the wait for a permit while another run of the same
-	// request is in probation, or its crash is being reported. A generation that
-	// has started waits longer, since its text would be lost.
-	permitLimit        = time.Second
-	startedPermitLimit = 10 * time.Second
+	// request is in probation, or its crash is being reported.
+	permitLimit = time.Second
+	// startedPermitLimit is the same for a generation that has started. It then
+	// goes on beside the other run, since its text would be lost; output is due
+	// again within 1.5 s of a silence.
+	startedPermitLimit = time.Second
 	// permitPause separates two requests for a permit.
 	permitPause = 50 * time.Millisecond
 	// unreachableLimit is how long control may give no answer before a suspect
@@ -149,7 +151,9 @@
 // clear gets the permit that an attempt needs, if it needs one. While control
 // cannot be reached, a request whose first crash this is may go on, so that a
 // control outage does not stop the resume of other requests; after a second
-// crash it is more likely the cause.
+// crash it is more likely the cause. A started request whose permit another
+// request with the same body holds goes on beside that one: callers may send
+// equal bodies, and the agent still isolates each of them.
 func (m *Module) clear(ctx context.Context, r *request, held wire.ID, cause *result.Error, s suspicion) (wire.ID, *result.Error) {
 	if held != "" && !crashed(cause) {
 		return held, nil
@@ -165,6 +169,9 @@
 	if err != nil && err.Code == result.ControlUnavailable && s.crashes <= 1 {
 		return wire.PermitUnavailable, nil
 	}
+	if err != nil && err.Code == result.SuspectBusy && s.started {
+		return wire.PermitUnavailable, nil
+	}
 	return id, err
 }
 
