wal: cut a torn batch, not only a torn record

Cause: a power loss may keep the end of the last write and lose a part before it; the start was then refused with 1010 and the member stayed away. Change: each batch starts with a record of its own; damage counts as such only if a later batch shows that the damaged one had been synced. The check stays as strict for every batch but the last, whose loss cannot be told from a torn write.

--- a/modules/control/wal/record.go
+++ b/modules/control/wal/record.go
@@ -52,9 +52,11 @@
 	typeEntry recordType = 1 + iota
 	typeHard
 	typeMark
+	// typeBatch starts the records of one sync; it has no payload.
+	typeBatch
 )
 
-func (t recordType) known() bool { return t >= typeEntry && t <= typeMark }
+func (t recordType) known() bool { return t >= typeEntry && t <= typeBatch }
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
@@ -102,11 +104,12 @@
 	return record{kind: kind, group: g, payload: payload, size: int64(headerBytes + n)}, true
 }
 
-// anyRecord tells whether a complete record starts anywhere in b. It tells
-// damage from a torn end: nothing complete follows a torn record.
-func anyRecord(b []byte, salt uint32) bool {
+// anyBatch tells whether a batch starts anywhere in b. It tells damage from a
+// torn end: a batch is written after the previous one is synced. Records of the
+// torn batch itself may have reached the disk whole behind a hole.
+func anyBatch(b []byte, salt uint32) bool {
 	for len(b) >= headerBytes {
-		if _, ok := parseRecord(b, salt); ok {
+		if rec, ok := parseRecord(b, salt); ok && rec.kind == typeBatch {
 			return true
 		}
 		b = b[1:]
--- a/modules/control/wal/replay.go
+++ b/modules/control/wal/replay.go
@@ -103,18 +103,21 @@
 		if !ok {
 			return cutTorn(s, b, offset, newest)
 		}
-		if err := takeRecord(rec, s, groups, offset); err != nil {
-			return damaged(s.path, offset, "%v", err)
+		if rec.kind != typeBatch {
+			if err := takeRecord(rec, s, groups, offset); err != nil {
+				return damaged(s.path, offset, "%v", err)
+			}
 		}
 		offset += rec.size
 	}
 	return nil
 }
 
-// cutTorn removes an incomplete last record. Anything complete after it shows
-// that the record had been written whole and was damaged later.
+// cutTorn removes an incomplete last batch from its first unreadable record on.
+// A batch that starts after it shows that the record had been synced whole and
+// was damaged later.
 func cutTorn(s *segment, b []byte, offset int64, newest bool) error {
-	if !newest || anyRecord(b[offset+1:], s.salt) {
+	if !newest || anyBatch(b[offset+1:], s.salt) {
 		return damaged(s.path, offset, "unreadable record before the end of the log")
 	}
 	f, err := os.OpenFile(s.path, os.O_WRONLY, filePermission)
--- a/modules/control/wal/wal.go
+++ b/modules/control/wal/wal.go
@@ -7,7 +7,7 @@
 // Write order: Append only buffers; Sync writes the buffer of all groups and
 // syncs once. Nothing may leave the process that depends on records which are
 // not synced. A new segment starts only between batches, after the previous
-// segment is synced, so a torn record can only be the last one of the last
+// segment is synced, so torn records can only be in the last batch of the last
 // segment.
 package wal
 
@@ -189,7 +189,8 @@
 }
 
 func (w *WAL) writeBuffer() error {
-	n, err := w.current.Write(w.buffer)
+	batch := appendRecord(make([]byte, 0, headerBytes+len(w.buffer)), w.salt(), typeBatch, 0, nil)
+	n, err := w.current.Write(append(batch, w.buffer...))
 	w.size += int64(n)
 	if err != nil {
 		return errors.Wrap(err, "write "+w.current.Name())
--- a/modules/control/wal/wal_test.go
+++ b/modules/control/wal/wal_test.go
@@ -66,6 +66,30 @@
 	}
 }
 
+// Guards against a member that refuses to start after a power loss that kept
+// the end of its last write and lost a part before it.
+func TestHoleInTheLastBatch(t *testing.T) {
+	folder := t.TempDir()
+	w := open(t, folder, Options{})
+	w.Append(1, &raft.HardState{Term: 1}, entries(1, 3, 1))
+	assert.NilError(t, w.Sync())
+	whole := w.size
+	w.Append(1, &raft.HardState{Term: 1, Commit: 3}, entries(4, 9, 1))
+	assert.NilError(t, w.Sync())
+	assert.NilError(t, w.Close())
+	path := segmentFiles(t, folder)[0]
+	b, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	for at := int(whole); at+10 < len(b); at += 7 {
+		torn := append([]byte(nil), b...)
+		clear(torn[at : at+10])
+		assert.NilError(t, os.WriteFile(path, torn, filePermission))
+		w := open(t, folder, Options{})
+		assert.Assert(t, len(w.Loaded()[1].Entries) >= 3, "hole at %d", at)
+		assert.NilError(t, w.Close())
+	}
+}
+
 // Guards against a start on a log from which synced records are missing.
 func TestDamageBeforeTheLastRecord(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
