--- a/core/raft/node.go
+++ b/core/raft/node.go
@@ -114,6 +114,9 @@
 		}
 	}
 	n.resetTimer()
+	// After a start the first pre-vote comes sooner: when all members have ended
+	// together nobody leads, and where one leads the others refuse it.
+	n.timeout = n.cfg.HeartbeatTicks + n.cfg.Rand.IntN(n.cfg.ElectionTicks)
 	if voters := n.Membership().Voters(); len(voters) == 1 && n.voter() {
 		n.timeout = 1 // a sole voter has nobody to wait for
 	}
