gateway, dispatch: wait for upstreams after a start, avoid upstreams that fail more than the others

Cause: after a restart of everything a gateway knows no upstream for about a second and refused plain calls at once, whose callers have one more try; an upstream that failed once was avoided for good by gateways that then got no new sample. Change: requests wait up to 700 ms for the first upstream of a service within 3 s of the start; an unconfirmed configuration is taken after 800 ms; failures are compared with the median of the service and forgotten with a time constant of 4 s.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -6,6 +6,7 @@
 package dispatch
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -118,8 +119,10 @@
 	// reported is the load of others in the last report.
 	others   int
 	reported time.Time
-	// failing is the recent share of failed answers, as a moving average.
-	failing float64
+	// failing is the recent share of failed answers, as a moving average at the
+	// time of the last answer.
+	failing  float64
+	answered time.Time
 }
 
 type placement struct {
@@ -236,13 +239,13 @@
 func (f *Fleet) best(now time.Time, w *Work, list []*upstream, fresh bool) (*upstream, Why) {
 	var best *upstream
 	var why Why
-	home := home(w, list)
+	home, usual := home(w, list), usualFailing(now, list)
 	for _, u := range list {
 		if !u.eligible(now, w) || fresh && slices.Contains(w.Tried, u.ID) {
 			continue
 		}
 		why.Eligible++
-		cost := f.cost(now, w, u)
+		cost := f.cost(now, w, u, usual)
 		if u == home {
 			cost -= affinityMS
 		}
@@ -285,7 +288,9 @@
 	return used == 0 || float64(used+tokens) <= memoryShare*float64(u.engine.MemoryTokens)
 }
 
-func (f *Fleet) cost(now time.Time, w *Work, u *upstream) float64 {
+// cost estimates in milliseconds what an upstream would cost the request; usual
+// is the share of answers that fail in the service.
+func (f *Fleet) cost(now time.Time, w *Work, u *upstream, usual float64) float64 {
 	cost := f.rng.Float64() * jitterMS
 	if u.Zone != f.zone {
 		cost += otherZoneMS
@@ -305,7 +310,7 @@
 	if age := now.Sub(u.reported); age < loadTrust {
 		ahead += float64(u.others) * (1 - float64(age)/float64(loadTrust))
 	}
-	return cost + each*ahead + failingMS*u.failing
+	return cost + each*ahead + failingMS*max(u.failingAt(now)-usual-failingSlack, 0)
 }
 
 const (
@@ -316,10 +321,39 @@
 	preferMS = 1e6
 	// memoryMS is the cost of a full KV cache against an empty one.
 	memoryMS = 300
-	// failingMS is the cost of an upstream all of whose answers fail.
-	failingMS = 400
+	// failingMS is the cost of an upstream all of whose answers fail while those
+	// of the others succeed.
+	failingMS = 600
+	// failingSlack is the share by which an upstream may fail more often than the
+	// others of its service before it is avoided; some kinds of call fail one
+	// time in seven everywhere.
+	failingSlack = 0.15
+	// failingTime is the time constant by which old failures are forgotten, so
+	// that an upstream which is avoided is tried again.
+	failingTime = 4 * time.Second
 )
 
+// failingAt is the recent share of failed answers at a time.
+func (u *upstream) failingAt(now time.Time) float64 {
+	if u.answered.IsZero() {
+		return 0
+	}
+	return u.failing * math.Exp(-now.Sub(u.answered).Seconds()/failingTime.Seconds())
+}
+
+// usualFailing is the median share of failed answers.
+func usualFailing(now time.Time, list []*upstream) float64 {
+	if len(list) == 0 {
+		return 0
+	}
+	shares := make([]float64, 0, len(list))
+	for _, u := range list {
+		shares = append(shares, u.failingAt(now))
+	}
+	slices.Sort(shares)
+	return shares[len(shares)/2]
+}
+
 // prefill is the time until the prompts sent there are read.
 func (u *upstream) prefill(now time.Time) time.Duration {
 	tokens := 0.0
@@ -387,7 +421,7 @@
 const failingShare = 0.15
 
 // Answered records whether the upstream answered a request with success.
-func (f *Fleet) Answered(ticket uint64, ok bool) {
+func (f *Fleet) Answered(now time.Time, ticket uint64, ok bool) {
 	p := f.tickets[ticket]
 	if p == nil {
 		return
@@ -396,7 +430,10 @@
 	if ok {
 		sample = 0
 	}
-	p.upstream.failing += failingShare * (sample - p.upstream.failing)
+	u := p.upstream
+	u.failing = u.failingAt(now)
+	u.failing += failingShare * (sample - u.failing)
+	u.answered = now
 }
 
 // Failed records that the path to the upstream broke or fell silent, so that it
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -205,9 +205,38 @@
 		c, _ := f.Place(start, &Work{Service: "desk"})
 		count[c.Upstream.Zone]++
 		f.Started(start, c.Ticket)
-		f.Answered(c.Ticket, c.Upstream.Zone != "z0")
+		f.Answered(start, c.Ticket, c.Upstream.Zone != "z0")
 		f.End(c.Ticket)
 	}
 	assert.Assert(t, count["z0"] > 0)
 	assert.Assert(t, count["z0"] < 30, "%v", count)
 }
+
+// Plays calls at a service of which one upstream fails half of its answers for a
+// while: callers must soon get few failures, and the upstream work again later.
+func TestFailingUpstreamIsAvoidedForAWhile(t *testing.T) {
+	f := New("z0", rand.New(rand.NewPCG(1, 2)))
+	for z := range 4 {
+		f.SetUpstream(record("desk", z, 0))
+	}
+	rng := rand.New(rand.NewPCG(3, 4))
+	failures, later, now := 0, 0, start
+	for i := range 600 {
+		now = now.Add(50 * time.Millisecond)
+		c, refusal := f.Place(now, &Work{Service: "desk"})
+		assert.Assert(t, refusal == nil)
+		grey := c.Upstream.Zone == "z0" && i < 200
+		ok := rng.Float64() >= 0.1 && !(grey && rng.Float64() < 0.5)
+		if grey && !ok {
+			failures++
+		}
+		if i >= 400 && c.Upstream.Zone == "z0" {
+			later++
+		}
+		f.Started(now, c.Ticket)
+		f.Answered(now, c.Ticket, ok)
+		f.End(c.Ticket)
+	}
+	assert.Assert(t, failures <= 20, "%d of 200 calls failed at the upstream", failures)
+	assert.Assert(t, later >= 50, "%d of 200 calls went to it after it had recovered", later)
+}
--- a/modules/gateway/connection.go
+++ b/modules/gateway/connection.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -319,6 +318,3 @@
 	}
 	return keepIdle
 }
-
-// silent tells whether a read ended because of its deadline.
-func silent(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
--- a/modules/gateway/follow.go
+++ b/modules/gateway/follow.go
@@ -31,9 +31,9 @@
 	followRetry = 50 * time.Millisecond
 	// unconfirmedAfter is how long a gateway that starts insists on a
 	// configuration that a majority confirms. Later it takes what an instance
-	// holds: a leader is elected within a second, and during an outage of control
-	// serving goes on.
-	unconfirmedAfter = 1500 * time.Millisecond
+	// holds: the leader of a running group confirms within a few milliseconds, and
+	// during an outage of control serving goes on.
+	unconfirmedAfter = 800 * time.Millisecond
 )
 
 // follower keeps the configuration and the upstreams of a gateway up to date.
@@ -85,6 +85,14 @@
 
 func (f *follower) knowsUpstreams() bool { return f.count.Load() > 0 }
 
+// settleTime is how long after its start a gateway may not yet know an upstream
+// that runs: upstreams announce themselves every second or so, and after the
+// loss of all control instances these start with an empty directory too.
+const settleTime = 3 * time.Second
+
+// settling tells whether the gateway has started a moment ago.
+func (f *follower) settling() bool { return time.Since(f.started) < settleTime }
+
 func (f *follower) start() {
 	for range watchers {
 		f.g.run(func() { f.follow(f.g.ctx) })
--- a/modules/gateway/handler.go
+++ b/modules/gateway/handler.go
@@ -202,6 +202,37 @@
 	}
 }
 
+const (
+	// placeRetry is the pause before a request without an upstream asks again.
+	placeRetry = 40 * time.Millisecond
+	// settleHold is how long a request waits for an upstream at a gateway that
+	// has just started and knows none of the service.
+	settleHold = 700 * time.Millisecond
+)
+
+// hold places the request, and waits for an upstream for a time at most. It
+// waits longer at a gateway that has just started and knows no upstream of the
+// service, since a caller that is refused has few tries.
+func (c *call) hold(w *dispatch.Work, limit time.Duration) (dispatch.Choice, *dispatch.Refusal) {
+	begin := time.Now()
+	for {
+		choice, refusal := c.g.owner.place(w)
+		if refusal == nil {
+			return choice, nil
+		}
+		if refusal.Known == 0 && c.g.follower.settling() {
+			limit = max(limit, settleHold)
+		}
+		if time.Since(begin) >= limit || c.ctx.Err() != nil {
+			return choice, refusal
+		}
+		select {
+		case <-time.After(placeRetry):
+		case <-c.ctx.Done():
+		}
+	}
+}
+
 // unplaced is the refusal of a request that no upstream can take. It has not
 // run.
 func (c *call) unplaced(r *dispatch.Refusal) error {
--- a/modules/gateway/owner.go
+++ b/modules/gateway/owner.go
@@ -14,7 +14,6 @@
 	fleet   *dispatch.Fleet
 	budget  *retry.Budget
 	latency map[string]*retry.Latency // of lookups, by service
-	running int
 }
 
 // owner is the goroutine that owns the state. Traffic goroutines hand it short
--- a/modules/gateway/plain.go
+++ b/modules/gateway/plain.go
@@ -53,7 +53,7 @@
 		return
 	}
 	for {
-		choice, refusal := c.g.owner.place(c.work())
+		choice, refusal := c.hold(c.work(), 0)
 		if refusal != nil {
 			c.fail(c.unplaced(refusal))
 			return
@@ -106,7 +106,7 @@
 	answers := make(chan *answer, c.route.MaxAttempts+1)
 	running, best := 0, (*answer)(nil)
 	start := func() *dispatch.Refusal {
-		choice, refusal := c.g.owner.place(c.work())
+		choice, refusal := c.hold(c.work(), 0)
 		if refusal != nil {
 			return refusal
 		}
@@ -227,7 +227,7 @@
 			s.fleet.Started(now, ticket)
 		}
 		if !cut && !notRun {
-			s.fleet.Answered(ticket, good)
+			s.fleet.Answered(now, ticket, good)
 		}
 		if load != nil {
 			s.fleet.Report(now, ticket, load.Running, load.Waiting)
--- a/modules/gateway/stream.go
+++ b/modules/gateway/stream.go
@@ -17,8 +17,6 @@
 )
 
 const (
-	// placeRetry is the pause before a stream without an upstream asks again.
-	placeRetry = 60 * time.Millisecond
 	// holdShare is the part of the objective for which a stream is held back
 	// without an upstream. Beyond it a caller is better off knowing.
 	holdShare = 8
@@ -102,21 +100,12 @@
 
 // place waits for an upstream for a short while.
 func (s *streaming) place(w *dispatch.Work) (dispatch.Choice, bool) {
-	until := time.Now().Add(s.route.Objective / holdShare)
-	for {
-		choice, refusal := s.g.owner.place(w)
-		if refusal == nil {
-			return choice, true
-		}
-		if !s.begun && time.Now().After(until) || s.ctx.Err() != nil {
-			s.refuse(refusal)
-			return choice, false
-		}
-		select {
-		case <-time.After(placeRetry):
-		case <-s.ctx.Done():
-		}
+	choice, refusal := s.hold(w, s.route.Objective/holdShare)
+	if refusal == nil {
+		return choice, true
 	}
+	s.refuse(refusal)
+	return choice, false
 }
 
 // refuse ends a stream that cannot be placed.
@@ -349,7 +338,7 @@
 			st.fleet.Failed(now, ticket)
 		}
 		if !gone && !a.meta.NotRun {
-			st.fleet.Answered(ticket, ok)
+			st.fleet.Answered(now, ticket, ok)
 		}
 		st.fleet.End(ticket)
 	})
--- a/modules/registry/registry.go
+++ b/modules/registry/registry.go
@@ -131,11 +131,16 @@
 		return err
 	}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
+	r.prepare()
+	return nil
+}
+
+// prepare makes the parts that hold the state of the registry.
+func (r *Registry) prepare() {
 	r.clients = r.security.NewClients()
 	r.feed = newFeed()
 	r.document = newDocument(r.log, r.feed.wake)
 	r.directory = newDirectory(r)
-	return nil
 }
 
 // Start implements kernel.Runner.
--- /dev/null
+++ b/modules/registry/registry_test.go
@@ -0,0 +1,243 @@
+package registry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"heatherway.dev/core/registration"
+	"heatherway.dev/heatherway/platform"
+	"heatherway.dev/kernel/peer"
+	"heatherway.dev/kernel/stats"
+)
+
+var fleets atomic.Uint32
+
+// fleet is a set of control instances on loopback addresses of their own.
+type fleet struct {
+	t     *testing.T
+	seeds []string
+	found bool
+	nodes []*node
+}
+
+type node struct {
+	*Registry
+	folder string
+	addr   string
+}
+
+func newFleet(t *testing.T, size int) *fleet {
+	f := &fleet{t: t, found: true}
+	n := fleets.Add(1)
+	port := freePort(t)
+	for i := range size {
+		host := fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%250, 100+n, 1+i)
+		f.nodes = append(f.nodes, &node{folder: t.TempDir(), addr: net.JoinHostPort(host, port)})
+		if i < 3 {
+			f.seeds = append(f.seeds, net.JoinHostPort(host, "1")) // the port of the peers is that of peer_listen
+		}
+	}
+	for _, n := range f.nodes {
+		f.start(n)
+	}
+	f.found = false
+	t.Cleanup(func() {
+		for _, n := range f.nodes {
+			f.stop(n)
+		}
+	})
+	return f
+}
+
+func freePort(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	_, port, err := net.SplitHostPort(l.Addr().String())
+	assert.NilError(t, err)
+	return port
+}
+
+func (f *fleet) start(n *node) {
+	f.t.Helper()
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	security, err := peer.NewSecurity(peer.TLSSettings{Off: true}, log)
+	assert.NilError(f.t, err)
+	r := &Registry{Settings: Settings{
+		PeerListen: n.addr, Seeds: f.seeds, Found: f.found, Losses: 1, AnnounceInterval: 200 * time.Millisecond,
+	}}
+	r.log, r.stats, r.security, r.folder = log, stats.New(), security, n.folder
+	r.dialect = &platform.Platform{}
+	r.ctx, r.cancel = context.WithCancel(context.Background())
+	r.prepare()
+	r.peers, err = net.Listen("tcp", n.addr)
+	assert.NilError(f.t, err)
+	host, _, _ := net.SplitHostPort(n.addr)
+	r.operators, err = net.Listen("tcp", host+":0")
+	assert.NilError(f.t, err)
+	assert.NilError(f.t, r.Start(f.t.Context()))
+	n.Registry = r
+}
+
+func (f *fleet) stop(n *node) {
+	if n.Registry != nil {
+		_ = n.Registry.Stop(context.Background())
+		n.Registry = nil
+	}
+}
+
+func (f *fleet) eventually(what string, ok func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(15 * time.Second); !ok(); {
+		if time.Now().After(end) {
+			f.t.Fatalf("not within 15 s: %s", what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func (n *node) call(t *testing.T, method, path, text string) (int, string) {
+	t.Helper()
+	q, err := http.NewRequestWithContext(t.Context(), method, "http://"+n.operators.Addr().String()+path, strings.NewReader(text))
+	assert.NilError(t, err)
+	res, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer res.Body.Close()
+	b, _ := io.ReadAll(res.Body)
+	return res.StatusCode, string(b)
+}
+
+func body(version int, note string) string {
+	return fmt.Sprintf(`{"Version":%d,"Note":%q,"Routes":[{"Name":"r","Host":"h","PathPrefix":"/a/","Kind":"safe","TimeoutMs":800,"Service":"s","MaxAttempts":2}],"Services":[{"Name":"s"}],"Limits":{},"Tenants":[]}`, version, note)
+}
+
+func (f *fleet) replace(n *node, version int, note string) {
+	f.t.Helper()
+	f.eventually(fmt.Sprint("version ", version, " acknowledged"), func() bool {
+		status, _ := n.call(f.t, "POST", "/v1/config/replace", body(version, note))
+		return status == http.StatusOK
+	})
+}
+
+// Guards against a read that is older than an acknowledgement, at any instance,
+// against a lower version in force, and against other content under a version.
+func TestHighestVersionEverywhere(t *testing.T) {
+	f := newFleet(t, 4)
+	f.replace(f.nodes[3], 7, "seven")
+	f.replace(f.nodes[1], 5, "five, overtaken")
+	f.replace(f.nodes[2], 7, "other content")
+	for i, n := range f.nodes {
+		status, got := n.call(t, "GET", "/v1/config/get", "")
+		assert.Equal(t, status, http.StatusOK)
+		assert.Equal(t, got, body(7, "seven"), "instance %d", i)
+	}
+	for _, invalid := range []string{`{"Version":9`, `{}`, strings.Replace(body(9, ""), `"s","MaxAttempts"`, `"gone","MaxAttempts"`, 1), strings.Replace(body(9, ""), "800", "0", 1)} {
+		status, _ := f.nodes[0].call(t, "POST", "/v1/config/replace", invalid)
+		assert.Equal(t, status, http.StatusBadRequest, invalid)
+	}
+}
+
+// Guards against a configuration that is lost or old after every control
+// instance has ended at once, and against an instance without a majority that
+// answers reads.
+func TestRestartOfAll(t *testing.T) {
+	f := newFleet(t, 3)
+	f.replace(f.nodes[0], 3, "kept")
+	for _, n := range f.nodes {
+		f.stop(n)
+	}
+	f.start(f.nodes[2])
+	status, _ := f.nodes[2].call(t, "GET", "/v1/config/get", "")
+	assert.Equal(t, status, http.StatusServiceUnavailable, "one of three cannot know the newest version")
+	f.start(f.nodes[0])
+	f.eventually("read by a majority", func() bool {
+		status, got := f.nodes[0].call(t, "GET", "/v1/config/get", "")
+		return status == http.StatusOK && got == body(3, "kept")
+	})
+}
+
+func heartbeat(state string, seq int) string {
+	return fmt.Sprintf(`{"Service":"s","Addr":"10.0.0.9:80","Zone":"z","Slots":4,"State":%q,"ColdLeftMs":0,"Seq":%d,"born":1000}`, state, seq)
+}
+
+func (n *node) state(id string) registration.State {
+	v, ok := n.directory.since(context.Background(), 0)
+	if ok {
+		for _, u := range v.list {
+			if u.ID == id {
+				return u.State
+			}
+		}
+	}
+	return registration.Left
+}
+
+// Guards against an upstream that drains at one control instance and gets work
+// by way of another, and against announcements that name no upstream.
+func TestAnnouncementsReachEveryInstance(t *testing.T) {
+	f := newFleet(t, 3)
+	f.replace(f.nodes[0], 1, "first")
+	for _, bad := range []string{`{`, `{"Service":"s"}`, heartbeat("lost", 1), strings.Replace(heartbeat("ready", 1), "4", `"4"`, 1), strings.Replace(heartbeat("ready", 1), "10.0.0.9:80", "nowhere", 1)} {
+		status, _ := f.nodes[0].call(t, "POST", "/v1/instances/i-1/heartbeat", bad)
+		assert.Equal(t, status, http.StatusBadRequest, bad)
+	}
+	for step, state := range []string{"ready", "draining"} {
+		status, _ := f.nodes[step].call(t, "POST", "/v1/instances/i-1/heartbeat", heartbeat(state, step+1))
+		assert.Equal(t, status, http.StatusOK)
+		begin := time.Now()
+		for _, n := range f.nodes {
+			f.eventually(state, func() bool { return n.state("i-1").String() == state })
+		}
+		assert.Assert(t, time.Since(begin) < time.Second, "%s took %v", state, time.Since(begin))
+	}
+	status, _ := f.nodes[2].call(t, "POST", "/v1/instances/i-1/deregister", "")
+	assert.Equal(t, status, http.StatusOK)
+	f.eventually("left", func() bool { return f.nodes[0].state("i-1") == registration.Left })
+}
+
+// Guards against a watcher that misses a change, or takes one twice.
+func TestWatch(t *testing.T) {
+	f := newFleet(t, 3)
+	f.replace(f.nodes[0], 4, "watched")
+	client := f.nodes[1].security.NewClient(f.nodes[1].addr)
+	defer client.Close()
+	args, reply := &WatchArgs{Confirm: true}, &WatchReply{}
+	f.eventually("a confirmed answer", func() bool {
+		*reply = WatchReply{}
+		return client.Call(t.Context(), ServiceName+".Watch", args, reply) == nil && reply.Confirmed
+	})
+	assert.Equal(t, reply.Version, uint64(4))
+	assert.Equal(t, string(reply.Body), body(4, "watched"))
+	args = &WatchArgs{Version: 4, Epoch: reply.Epoch, Change: reply.Change}
+	time.AfterFunc(100*time.Millisecond, func() {
+		f.nodes[2].directory.announced(registration.Upstream{ID: "i-2", Service: "s", Addr: "10.0.0.2:80", Zone: "z", Seq: 1})
+	})
+	*reply = WatchReply{}
+	begin := time.Now()
+	assert.NilError(t, client.Call(t.Context(), ServiceName+".Watch", args, reply))
+	assert.Equal(t, len(reply.Upstreams), 1)
+	assert.Equal(t, len(reply.Body), 0)
+	assert.Assert(t, time.Since(begin) < MaxWatch)
+}
+
+// Guards against upstreams that fall silent and go on getting work.
+func TestSilentUpstreamsAreLost(t *testing.T) {
+	f := newFleet(t, 3)
+	f.replace(f.nodes[0], 1, "first")
+	f.nodes[0].call(t, "POST", "/v1/instances/i-1/heartbeat", heartbeat("ready", 1))
+	f.eventually("known", func() bool { return f.nodes[1].state("i-1") == registration.Ready })
+	f.eventually("lost", func() bool { return f.nodes[1].state("i-1") == registration.Lost })
+}
