relay: check silence at a fixed share of the longest pause; log every answer with its inputs

Change: patience is 0.42 of the longest pause; each false alarm lengthens it by half. One log line for each answer: upstream, candidates, cost, own work there, age of the report, first event, longest pause. Tests: TestSlowUpstream plays 40 events at 450 ms, three checks at most.

--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -16,10 +16,10 @@
 	// time after which silence is suspicious; the rest is for the check and the
 	// resume.
 	suspicionShare = 0.42
-	// usualFactor is how many usual pauses silence must last.
-	usualFactor = 3.5
-	// pauseWeight is the weight of the newest pause in the moving average.
-	pauseWeight = 0.2
+	// falseAlarmFactor is by how much each check that was followed by an event
+	// lengthens the patience, so that a slow upstream is not checked at every
+	// event.
+	falseAlarmFactor = 0.5
 	// checkedFactor multiplies the patience with an upstream that accepts
 	// connections and still sends nothing.
 	checkedFactor = 3
@@ -50,12 +50,17 @@
 	maxGap time.Duration
 	last   int64
 	any    bool
-	usual  time.Duration
+	// alarms counts the checks of the attempt that an event followed.
+	alarms int
 	seen   time.Time
 	// first is the expected time until the first event of the attempt.
 	first   time.Duration
 	started bool
 	checks  int
+	// passed is when the caller got the last event, longest the longest pause
+	// between two of its events.
+	passed  time.Time
+	longest time.Duration
 }
 
 // New returns a stream behind the event last, or from the start if last is
@@ -71,16 +76,19 @@
 // Attempt begins an attempt that is expected to send its first event after a
 // time.
 func (s *Stream) Attempt(now time.Time, expected time.Duration) {
-	s.seen, s.first, s.started, s.checks = now, expected, false, 0
+	s.seen, s.first, s.started, s.checks, s.alarms = now, expected, false, 0, 0
 }
 
 // Last returns the last event that the caller has; false when it has none.
 func (s *Stream) Last() (int64, bool) { return s.last, s.any }
 
+// LongestPause returns the longest pause between two events of the caller.
+func (s *Stream) LongestPause() time.Duration { return s.longest }
+
 // Event takes an event of the current attempt in.
 func (s *Stream) Event(now time.Time, id int64) Verdict {
-	if s.started {
-		s.learn(now.Sub(s.seen))
+	if s.checks > 0 {
+		s.alarms++
 	}
 	s.seen, s.started, s.checks = now, true, 0
 	switch {
@@ -89,16 +97,11 @@
 	case s.any && id > s.last+1:
 		return Gap
 	}
-	s.last, s.any = id, true
-	return Pass
-}
-
-func (s *Stream) learn(pause time.Duration) {
-	if s.usual == 0 {
-		s.usual = pause
-		return
+	if !s.passed.IsZero() {
+		s.longest = max(s.longest, now.Sub(s.passed))
 	}
-	s.usual += time.Duration(pauseWeight * float64(pause-s.usual))
+	s.last, s.any, s.passed = id, true, now
+	return Pass
 }
 
 // Patience returns how long the attempt may stay silent from now on before it
@@ -115,8 +118,8 @@
 	if !s.started {
 		return max(minFirst, firstFactor*s.first)
 	}
-	share := time.Duration(suspicionShare * float64(s.maxGap))
-	return max(minSuspicion, share, min(time.Duration(usualFactor*float64(s.usual)), s.maxGap))
+	base := max(minSuspicion, time.Duration(suspicionShare*float64(s.maxGap)))
+	return min(time.Duration(float64(base)*(1+falseAlarmFactor*float64(s.alarms))), max(s.maxGap, minSuspicion))
 }
 
 // freshEvent is the age up to which an event shows that its upstream is alive.
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -63,16 +63,21 @@
 	assert.Assert(t, s.Patience(now) >= 250*time.Millisecond, "four usual pauses")
 }
 
-// Guards against a slow upstream that is taken for a silent one again and again.
+// Guards against a slow upstream that is checked at every event, or given up.
 func TestSlowUpstream(t *testing.T) {
 	s := New(700*time.Millisecond, -1)
 	s.Attempt(start, 0)
-	now := start
-	for id := range int64(20) {
-		now = now.Add(300 * time.Millisecond)
+	now, checks := start, 0
+	for id := range int64(40) {
+		next := now.Add(450 * time.Millisecond)
+		for at := now.Add(s.Patience(now)); id > 0 && at.Before(next); at = at.Add(s.Patience(at)) {
+			checks++
+			assert.Assert(t, s.Checked(at), "given up at event %d", id)
+		}
+		now = next
 		s.Event(now, id)
 	}
-	assert.Assert(t, s.Patience(now) > 600*time.Millisecond)
+	assert.Assert(t, checks <= 3, "%d checks", checks)
 }
 
 // Guards against a stream that waits for good on a connection that is silent
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -172,6 +172,7 @@
 	settings Settings
 	roles    []role
 	cleanups []func() error
+	output   *logs.Writer
 }
 
 type role struct {
@@ -190,7 +191,8 @@
 		return nil, err
 	}
 	limitMemory(k.settings.MemoryMB)
-	log := slog.New(slog.NewJSONHandler(logs.NewWriter(os.Stdout), &slog.HandlerOptions{Level: k.settings.Log.Level})).
+	k.output = logs.NewWriter(os.Stdout)
+	log := slog.New(slog.NewJSONHandler(k.output, &slog.HandlerOptions{Level: k.settings.Log.Level})).
 		With("instance", k.settings.Instance.ID, "zone", k.settings.Instance.Zone)
 	security, err := peer.NewSecurity(k.settings.TLS, log)
 	if err != nil {
@@ -285,4 +287,5 @@
 		}
 	}
 	k.cleanups = nil
+	k.output.Flush()
 }
--- a/kernel/logs/logs.go
+++ b/kernel/logs/logs.go
@@ -18,7 +18,9 @@
 
 // Writer is an io.Writer for a slog handler; each call to Write is one line.
 type Writer struct {
-	lines   chan []byte
+	lines chan []byte
+	// pending counts the lines that are not written yet.
+	pending atomic.Int64
 	dropped atomic.Int64
 }
 
@@ -31,9 +33,11 @@
 
 // Write queues one line. It never fails: there is nowhere to report it.
 func (w *Writer) Write(line []byte) (int, error) {
+	w.pending.Add(1)
 	select {
 	case w.lines <- append([]byte(nil), line...):
 	default:
+		w.pending.Add(-1)
 		w.dropped.Add(1)
 	}
 	return len(line), nil
@@ -44,7 +48,7 @@
 
 // Flush waits until the lines queued so far are written, for a short while.
 func (w *Writer) Flush() {
-	for end := time.Now().Add(flushLimit); len(w.lines) > 0 && time.Now().Before(end); {
+	for end := time.Now().Add(flushLimit); w.pending.Load() > 0 && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
 	}
 }
@@ -57,5 +61,6 @@
 			reported = n
 		}
 		_, _ = out.Write(line) // there is nowhere to report a failure
+		w.pending.Add(-1)
 	}
 }
--- a/kernel/logs/logs_test.go
+++ b/kernel/logs/logs_test.go
@@ -20,6 +20,14 @@
 	return g.buf.Write(b)
 }
 
+// settle waits until every line is written.
+func settle(t *testing.T, w *Writer) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); w.pending.Load() > 0; w.Flush() {
+		assert.Assert(t, time.Now().Before(end), "lines are left")
+	}
+}
+
 // Guards against code that waits for a log output which takes nothing, and
 // against lines that are lost without a trace.
 func TestSlowOutputBlocksNobody(t *testing.T) {
@@ -33,11 +41,7 @@
 	assert.Assert(t, time.Since(begin) < time.Second)
 	assert.Assert(t, w.Dropped() >= queuedLines)
 	close(out.open)
-	for end := time.Now().Add(5 * time.Second); len(w.lines) > 0 && time.Now().Before(end); {
-		time.Sleep(time.Millisecond)
-	}
-	w.Flush()
-	time.Sleep(20 * time.Millisecond) // the last line has left the queue and is being written
+	settle(t, w)
 	assert.Assert(t, strings.Contains(out.buf.String(), "log lines dropped"))
 }
 
@@ -50,7 +54,6 @@
 	_, _ = w.Write(b)
 	copy(b, "other\n")
 	close(out.open)
-	w.Flush()
-	time.Sleep(20 * time.Millisecond)
+	settle(t, w)
 	assert.Equal(t, out.buf.String(), "first\n")
 }
--- a/modules/gateway/owner.go
+++ b/modules/gateway/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -80,3 +81,14 @@
 	o.ask(func(s *state) { choice, refusal = s.fleet.Place(time.Now(), w) })
 	return choice, refusal
 }
+
+// choice is a placement that can be logged.
+type choice struct{ dispatch.Choice }
+
+// attrs are the inputs that decided the placement.
+func (c choice) attrs() []any {
+	return []any{
+		"upstream", c.Upstream.ID, "known", c.Why.Known, "eligible", c.Why.Eligible, "cost_ms", math.Round(c.Why.CostMS),
+		"running", c.Why.Running, "tokens", c.Why.Tokens, "report_age_ms", c.Why.ReportAge.Milliseconds(),
+	}
+}
--- a/modules/gateway/plain.go
+++ b/modules/gateway/plain.go
@@ -27,7 +27,7 @@
 
 // answer is the whole answer of an upstream, or why there is none.
 type answer struct {
-	choice dispatch.Choice
+	choice choice
 	status int
 	header http.Header
 	body   []byte
@@ -182,9 +182,9 @@
 }
 
 // ask sends the call to one upstream and reads the whole answer.
-func (c *call) ask(ctx context.Context, choice dispatch.Choice) *answer {
-	a := &answer{choice: choice}
-	u := choice.Upstream
+func (c *call) ask(ctx context.Context, at dispatch.Choice) *answer {
+	a := &answer{choice: choice{at}}
+	u := at.Upstream
 	o := c.forward(u, dialect.Forward{LastEvent: dialect.NoEvent})
 	x, err := c.g.upstreams.send(ctx, u.Addr, u.ID, o, c.isOurs)
 	if err != nil {
@@ -243,9 +243,7 @@
 // deliver gives the caller an upstream's answer.
 func (c *call) deliver(a *answer) {
 	c.g.metrics.answerMS.Observe(time.Since(c.begin).Milliseconds())
-	if c.sent > 1 {
-		c.logEnd("request answered", "upstream", a.choice.Upstream.ID, "status", a.status)
-	}
+	c.logEnd("request answered", append(a.choice.attrs(), "status", a.status, "priority", c.priority)...)
 	c.copyHeader(a.header)
 	c.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	c.w.WriteHeader(a.status)
--- a/modules/gateway/stream.go
+++ b/modules/gateway/stream.go
@@ -62,11 +62,13 @@
 	holder registration.Upstream
 	copy   dialect.Copy
 	broken time.Time
+	// firstEvent is the time until the caller's first event.
+	firstEvent time.Duration
 }
 
 // attempt is one try at one upstream.
 type attempt struct {
-	choice   dispatch.Choice
+	choice   choice
 	begin    time.Time
 	sent     bool
 	started  bool
@@ -88,12 +90,12 @@
 	w := s.work()
 	w.Backup = s.route.Resumable && s.route.MaxAttempts > 1
 	w.Prefer = s.holder.ID
-	choice, ok := s.place(w)
+	c, ok := s.place(w)
 	if !ok {
 		return nil
 	}
-	a := &attempt{choice: choice, begin: time.Now()}
-	a.resumed = s.holder.ID != "" && s.holder.ID == choice.Upstream.ID
+	a := &attempt{choice: choice{c}, begin: time.Now()}
+	a.resumed = s.holder.ID != "" && s.holder.ID == c.Upstream.ID
 	s.run(a)
 	return a
 }
@@ -302,7 +304,8 @@
 		s.broken = time.Time{}
 	}
 	if !s.begun {
-		s.g.metrics.firstEventMS.Observe(now.Sub(s.begin).Milliseconds())
+		s.firstEvent = now.Sub(s.begin)
+		s.g.metrics.firstEventMS.Observe(s.firstEvent.Milliseconds())
 	}
 }
 
@@ -365,9 +368,10 @@
 		s.w.WriteHeader(a.status)
 		_, _ = s.w.Write(a.body) // a caller that has gone away needs no answer
 	}
-	if s.sent > 1 {
-		s.logEnd("request answered", "upstream", a.choice.Upstream.ID, "status", a.status)
-	}
+	last, _ := s.relay.Last()
+	s.logEnd("request answered", append(a.choice.attrs(), "status", a.status, "first_event_ms", s.firstEvent.Milliseconds(),
+		"longest_pause_ms", s.relay.LongestPause().Milliseconds(), "last_event", last, "prompt_tokens", s.req.PromptTokens,
+		"backup", a.choice.Backup.ID, "priority", s.priority)...)
 }
 
 // goOn decides whether the stream goes on at another upstream; if not, it gives
