gateway: ask two candidates for their state before a stream is placed

Idle connections are kept as long as upstreams say; requests that may run once reuse only those idle for 3 s at most.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -41,9 +41,6 @@
 	jitterMS = 6
 	// loadTrust is how long a report of an upstream's load counts.
 	loadTrust = 2 * time.Second
-	// copyShare is the part of a backup that is charged to the memory of its
-	// holder: a copy yields earlier than a run.
-	copyShare = 1.0
 )
 
 // pathBreaker opens at the first failed connection: the upstream is down more
@@ -64,6 +61,8 @@
 	// key go to the same upstream as long as it is not loaded: a caller that
 	// comes back through another gateway finds its prompt in the cache.
 	Affinity string
+	// ID names the request in reports.
+	ID string
 	// Prefer names the upstream that holds a copy for the request, if any.
 	Prefer string
 }
@@ -116,8 +115,8 @@
 	tokens  int // of own work and copies
 	copies  int
 	breaker *breaker.Breaker
-	// reported is the load of others in the last report.
-	others   int
+	// others is the load of other gateways in the last report.
+	others   foreign
 	reported time.Time
 	// failing is the recent share of failed answers, as a moving average at the
 	// time of the last answer.
@@ -125,7 +124,16 @@
 	answered time.Time
 }
 
+// foreign is the work of other gateways at an upstream.
+type foreign struct {
+	requests int
+	// prompt is the part of their prompts that is not read yet, memory what they
+	// take of the KV cache, both in tokens.
+	prompt, memory int
+}
+
 type placement struct {
+	id       string
 	upstream *upstream
 	backup   *upstream
 	tokens   int
@@ -217,7 +225,7 @@
 		return Choice{}, f.refuse(now, w, list)
 	}
 	f.last++
-	p := &placement{upstream: best, tokens: w.tokens(), prompt: w.Prompt, sent: now, stream: w.Stream, permit: permit}
+	p := &placement{id: w.ID, upstream: best, tokens: w.tokens(), prompt: w.Prompt, sent: now, stream: w.Stream, permit: permit}
 	best.work[f.last] = p
 	best.tokens += p.tokens
 	f.tickets[f.last] = p
@@ -276,16 +284,21 @@
 }
 
 func (u *upstream) eligible(now time.Time, w *Work) bool {
-	return u.State == registration.Ready && u.breaker.Ready(now) && u.fits(w.tokens())
+	return u.State == registration.Ready && u.breaker.Ready(now) && u.fits(now, w.tokens())
 }
 
 // fits tells whether a request has room beside the work and the copies placed.
-func (u *upstream) fits(tokens int) bool {
+func (u *upstream) fits(now time.Time, tokens int) bool {
 	if u.engine == nil || u.engine.MemoryTokens == 0 {
 		return true
 	}
-	used := u.tokens + int(copyShare*float64(u.copies))
-	return used == 0 || float64(used+tokens) <= memoryShare*float64(u.engine.MemoryTokens)
+	used := u.used(now)
+	return used == 0 || used+float64(tokens) <= memoryShare*float64(u.engine.MemoryTokens)
+}
+
+// used is the part of the KV cache that is taken, in tokens.
+func (u *upstream) used(now time.Time) float64 {
+	return float64(u.tokens+u.copies) + float64(u.others.memory)*u.trust(now)
 }
 
 // cost estimates in milliseconds what an upstream would cost the request; usual
@@ -303,13 +316,10 @@
 		each = runningMS
 		cost += float64(u.prefill(now)) / float64(time.Millisecond)
 		if u.engine != nil && u.engine.MemoryTokens > 0 {
-			cost += memoryMS * float64(u.tokens+u.copies) / float64(u.engine.MemoryTokens)
+			cost += memoryMS * u.used(now) / float64(u.engine.MemoryTokens)
 		}
 	}
-	ahead := float64(len(u.work))
-	if age := now.Sub(u.reported); age < loadTrust {
-		ahead += float64(u.others) * (1 - float64(age)/float64(loadTrust))
-	}
+	ahead := float64(len(u.work)) + float64(u.others.requests)*u.trust(now)
 	return cost + each*ahead + failingMS*max(u.failingAt(now)-usual-failingSlack, 0)
 }
 
@@ -364,6 +374,8 @@
 		read := float64(now.Sub(p.sent).Milliseconds()) * prefillTokensPerMS
 		tokens += max(float64(p.prompt)-read, 0)
 	}
+	elapsed := float64(now.Sub(u.reported).Milliseconds()) * prefillTokensPerMS
+	tokens += max(float64(u.others.prompt)-elapsed, 0) * u.trust(now)
 	return time.Duration(tokens / prefillTokensPerMS * float64(time.Millisecond))
 }
 
@@ -402,7 +414,7 @@
 		if at := u.breaker.RetryAt(now).Sub(now); at < r.Retry {
 			r.Retry = max(at, minRetry)
 		}
-		if u.breaker.Ready(now) && !u.fits(w.tokens()) {
+		if u.breaker.Ready(now) && !u.fits(now, w.tokens()) {
 			r.Full = true
 		}
 	}
@@ -450,8 +462,81 @@
 	if p == nil {
 		return
 	}
-	p.upstream.others = max(running+waiting-len(p.upstream.work), 0)
-	p.upstream.reported = now
+	u := p.upstream
+	u.others = foreign{requests: max(running+waiting-len(u.work), 0), prompt: u.others.prompt, memory: u.others.memory}
+	u.reported = now
+}
+
+// Run is a request in a report.
+type Run struct {
+	ID string
+	// Tokens is its part of the KV cache, Started tells whether it has sent an
+	// event.
+	Tokens  int
+	Started bool
+}
+
+// Observe takes a report of an upstream, which is a few hundred milliseconds
+// old. What this gateway has sent there is known better and is left out.
+func (f *Fleet) Observe(now time.Time, id string, queued, used int, runs []Run) {
+	u := f.byID[id]
+	if u == nil {
+		return
+	}
+	own := make(map[string]*placement, len(u.work))
+	for _, p := range u.work {
+		own[p.id] = p
+	}
+	others := foreign{memory: used}
+	for _, r := range runs {
+		if p := own[r.ID]; p != nil {
+			others.memory -= r.Tokens
+			delete(own, r.ID)
+			continue
+		}
+		others.requests++
+		if !r.Started {
+			left := max(unknownTokens-r.Tokens, 0)
+			others.prompt += left
+			others.memory += left
+		}
+	}
+	waiting := 0
+	for _, p := range own {
+		if !p.started {
+			waiting++
+		}
+	}
+	queued = max(queued-waiting, 0)
+	others.requests += queued
+	others.prompt += queued * unknownTokens
+	others.memory = max(others.memory+queued*unknownTokens-u.copies, 0)
+	u.others, u.reported = others, now
+}
+
+// trust is the weight of the last report.
+func (u *upstream) trust(now time.Time) float64 {
+	if u.reported.IsZero() {
+		return 0
+	}
+	return max(1-float64(now.Sub(u.reported))/float64(loadTrust), 0)
+}
+
+// Candidates returns the upstreams among which Place would choose, best first,
+// so that the caller can ask them for reports.
+func (f *Fleet) Candidates(now time.Time, w *Work, most int) []registration.Upstream {
+	var out []registration.Upstream
+	tried := *w
+	tried.Tried = slices.Clone(w.Tried)
+	for len(out) < most {
+		u, _ := f.best(now, &tried, f.service[w.Service], true)
+		if u == nil {
+			break
+		}
+		out = append(out, u.Upstream)
+		tried.Tried = append(tried.Tried, u.ID)
+	}
+	return out
 }
 
 // DropCopy frees what a copy was charged, for example once it has been used.
--- /dev/null
+++ b/core/dispatch/load_test.go
@@ -0,0 +1,148 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"heatherway.dev/core/routing"
+)
+
+// engine is a model server that reads one prompt after the other, as callers of
+// a continuous batch see it.
+type engine struct {
+	queue []*letterRun
+}
+
+type letterRun struct {
+	id     string
+	sent   time.Duration
+	tokens int
+	start  time.Duration // of its first event
+}
+
+// send queues a prompt and returns the time of the first event.
+func (e *engine) send(now time.Duration, id string, tokens int) *letterRun {
+	begin := now
+	if n := len(e.queue); n > 0 {
+		begin = max(begin, e.queue[n-1].start)
+	}
+	r := &letterRun{id, now, tokens, begin + time.Duration(tokens/prefillTokensPerMS)*time.Millisecond}
+	e.queue = append(e.queue, r)
+	return r
+}
+
+// report is the state a little earlier.
+func (e *engine) report(now time.Duration) (used int, runs []Run) {
+	const lag = 200 * time.Millisecond
+	at := now - lag
+	for _, r := range e.queue {
+		if r.sent > at || r.start+5*time.Second < at {
+			continue
+		}
+		read := r.tokens - int((r.start-at).Milliseconds())*prefillTokensPerMS
+		runs = append(runs, Run{ID: r.id, Tokens: min(max(read, 0), r.tokens), Started: r.start <= at})
+		used += runs[len(runs)-1].Tokens
+	}
+	return used, runs
+}
+
+// play sends letters through several gateways that do not know of each other
+// and returns the sorted times to the first event.
+func play(gateways, upstreams int, perSecond float64, reports bool) []time.Duration {
+	rng := rand.New(rand.NewPCG(7, 7))
+	engines := map[string]*engine{}
+	var fleets []*Fleet
+	for g := range gateways {
+		f := New(fmt.Sprint("z", g%3), rand.New(rand.NewPCG(1, uint64(g))))
+		f.SetEngines([]routing.Service{{Name: "model", Engine: &routing.Engine{MemoryTokens: memory}}})
+		for i := range upstreams {
+			u := record("model", i%3, i)
+			f.SetUpstream(u)
+			engines[u.ID] = &engine{}
+		}
+		fleets = append(fleets, f)
+	}
+	var waits []time.Duration
+	type open struct {
+		fleet  *Fleet
+		ticket uint64
+		run    *letterRun
+	}
+	var running []open
+	now := time.Duration(0)
+	for i := range 400 {
+		now += time.Duration(rng.ExpFloat64() / perSecond * float64(time.Second))
+		for _, o := range running {
+			if o.run.start <= now {
+				o.fleet.Started(start.Add(now), o.ticket)
+			}
+		}
+		running = slices.DeleteFunc(running, func(o open) bool {
+			ended := o.run.start+5*time.Second <= now
+			if ended {
+				o.fleet.End(o.ticket)
+			}
+			return ended
+		})
+		f := fleets[rng.IntN(gateways)]
+		w := &Work{Service: "model", Stream: true, Prompt: 8200, Output: 800, ID: fmt.Sprint(i), Affinity: fmt.Sprint(i)}
+		if reports {
+			for _, u := range f.Candidates(start.Add(now), w, 2) {
+				used, runs := engines[u.ID].report(now)
+				f.Observe(start.Add(now), u.ID, 0, used, runs)
+			}
+		}
+		c, refusal := f.Place(start.Add(now), w)
+		if refusal != nil {
+			waits = append(waits, time.Minute)
+			continue
+		}
+		run := engines[c.Upstream.ID].send(now, w.ID, w.Prompt)
+		waits = append(waits, run.start-now)
+		running = append(running, open{f, c.Ticket, run})
+	}
+	slices.Sort(waits)
+	return waits
+}
+
+// Plays letters at two thirds of what the model servers can read, through nine
+// gateways that do not know of each other's work. With reports of two
+// candidates, the letters that wait behind other prompts for longer than the
+// most urgent objective of four seconds must become fewer than one in a hundred.
+func TestPromptsOfSeveralGatewaysMeetRarely(t *testing.T) {
+	const objective = 4 * time.Second
+	late := func(waits []time.Duration) (n int) {
+		for _, w := range waits {
+			if w > objective {
+				n++
+			}
+		}
+		return n
+	}
+	blind, told := play(9, 18, 11, false), play(9, 18, 11, true)
+	t.Logf("late of 400: %d without reports, %d with; p95 %v and %v", late(blind), late(told), blind[380], told[380])
+	assert.Assert(t, late(told) < 4)
+	assert.Assert(t, late(told) < late(blind))
+}
+
+// Guards against reports that count the gateway's own work twice, and against
+// old ones that count for good.
+func TestReportsLeaveOutOwnWork(t *testing.T) {
+	f := fleet(1, 1)
+	w := letter()
+	w.ID, w.Backup = "own", false
+	c, _ := f.Place(start, w)
+	u := f.byID[c.Upstream.ID]
+	f.Observe(start, u.ID, 0, 4000, []Run{{ID: "own", Tokens: 4000}})
+	assert.Equal(t, u.others, foreign{})
+	f.Observe(start, u.ID, 1, 13_000, []Run{{ID: "own", Tokens: 4000}, {ID: "other", Tokens: 1000}})
+	assert.Equal(t, u.others.requests, 2)
+	assert.Equal(t, u.others.prompt, 7000+8000)
+	assert.Assert(t, u.used(start) > u.used(start.Add(loadTrust)))
+	assert.Equal(t, int(u.used(start.Add(loadTrust))), u.tokens)
+}
--- a/modules/dialect/dialect.go
+++ b/modules/dialect/dialect.go
@@ -102,6 +102,22 @@
 	Load *Occupancy
 }
 
+// Run is a request that runs on a model server.
+type Run struct {
+	ID string
+	// Tokens is its part of the KV cache, Events the number of events made.
+	Tokens, Events int
+}
+
+// Report is the state of a model server as it was a few hundred milliseconds ago.
+type Report struct {
+	// Queued is the number of requests that wait.
+	Queued int
+	// UsedTokens is the part of the KV cache that cannot be given up.
+	UsedTokens int
+	Runs       []Run
+}
+
 // Dialect translates between the platform and heatherway.
 type Dialect interface {
 	Calls() Calls
@@ -124,6 +140,10 @@
 	CopyHandle(body []byte) (string, error)
 	// DropCopyCall asks the upstream of a run to free a copy.
 	DropCopyCall(handle string) Call
+	// ReportCall asks a model server for its state.
+	ReportCall() Call
+	// Report decodes the answer.
+	Report(body []byte) (Report, error)
 	// SetRetryAfter tells a caller when to come back.
 	SetRetryAfter(h http.Header, after time.Duration)
 	// SetRequestID echoes the id of the request in an answer of heatherway.
--- a/modules/gateway/connection.go
+++ b/modules/gateway/connection.go
@@ -23,9 +23,15 @@
 	// checkLimit bounds the connection that checks a silent upstream. It is
 	// longer, since a stream is given up when it fails.
 	checkLimit = 90 * time.Millisecond
-	// keepIdle is how long an idle connection is reused at most; upstreams drop
-	// idle ones without notice.
+	// keepIdle is how long an idle connection is kept when the upstream does not
+	// say.
 	keepIdle = 4 * time.Second
+	// mostIdle bounds how long an idle connection is kept.
+	mostIdle = 30 * time.Second
+	// freshIdle is how long an idle connection is reused for a request that may
+	// run once only: upstreams drop idle connections without notice, and what is
+	// sent on such a one may have run.
+	freshIdle = 3 * time.Second
 	// idleReserve is kept from the time that an upstream says it keeps idle
 	// connections.
 	idleReserve = 500 * time.Millisecond
@@ -63,21 +69,26 @@
 	of     *connections
 	key    string
 	reader *bufio.Reader
+	idle   time.Time // when it was last used
 	until  time.Time
-	reused bool
 }
 
-// get returns a connection to the address. Connections belong to an
-// incarnation, since another one may follow at the address.
-func (c *connections) get(ctx context.Context, addr, id string) (*connection, error) {
+// get returns a connection to the address that has been idle for a time at most.
+// Connections belong to an incarnation, since another one may follow at the
+// address.
+func (c *connections) get(ctx context.Context, addr, id string, idle time.Duration) (*connection, error) {
 	key := addr + "/" + id
 	for {
 		conn := c.pop(key)
 		if conn == nil {
 			break
 		}
-		if time.Now().Before(conn.until) && conn.quiet() {
-			conn.reused = true
+		now := time.Now()
+		if now.Sub(conn.idle) > idle && now.Before(conn.until) {
+			c.push(conn) // the last one used is the first to be taken, so the others are older
+			break
+		}
+		if now.Before(conn.until) && conn.quiet() {
 			return conn, nil
 		}
 		_ = conn.Close()
@@ -105,7 +116,8 @@
 	if err != nil {
 		return err
 	}
-	conn.until = time.Now().Add(keepIdle)
+	conn.idle = time.Now()
+	conn.until = conn.idle.Add(keepIdle)
 	c.push(conn)
 	return nil
 }
@@ -186,6 +198,8 @@
 
 // outgoing is a request as it is sent.
 type outgoing struct {
+	// once tells that the request may run once at most.
+	once                 bool
 	method, target, host string
 	header               http.Header
 	body                 []byte
@@ -223,7 +237,11 @@
 // sent; after any other the request may have run. isOurs tells whether an answer
 // belongs to the request.
 func (c *connections) send(ctx context.Context, addr, id string, o *outgoing, isOurs func(http.Header) bool) (*exchange, error) {
-	conn, err := c.get(ctx, addr, id)
+	idle := mostIdle
+	if o.once {
+		idle = freshIdle
+	}
+	conn, err := c.get(ctx, addr, id, idle)
 	if err != nil {
 		return nil, err
 	}
@@ -295,7 +313,8 @@
 		_ = x.conn.Close() // the upstream has answered before it read the body
 		return
 	}
-	x.conn.until = time.Now().Add(idleTime(x.res.Header))
+	x.conn.idle = time.Now()
+	x.conn.until = x.conn.idle.Add(idleTime(x.res.Header))
 	x.conn.of.push(x.conn)
 }
 
@@ -313,7 +332,7 @@
 			continue
 		}
 		if s, err := strconv.Atoi(v); err == nil {
-			return min(keepIdle, time.Duration(s)*time.Second-idleReserve)
+			return min(mostIdle, time.Duration(s)*time.Second-idleReserve)
 		}
 	}
 	return keepIdle
--- a/modules/gateway/gateway.go
+++ b/modules/gateway/gateway.go
@@ -272,7 +272,7 @@
 	requests, refused, failed, aborted  stats.Counter
 	retries, hedges, resumes, repeats   stats.Counter
 	dials, dialFailures, checks, silent stats.Counter
-	copies                              stats.Counter
+	copies, reports                     stats.Counter
 	answerMS, firstEventMS, resumeMS    stats.Histogram
 }
 
@@ -285,7 +285,7 @@
 		dials: r.Counter("gateway_upstream_dials_total"), dialFailures: r.Counter("gateway_upstream_dial_failures_total"),
 		checks: r.Counter("gateway_upstream_checks_total"), silent: r.Counter("gateway_silent_attempts_total"),
 		answerMS: r.Histogram("gateway_answer_ms"), firstEventMS: r.Histogram("gateway_first_event_ms"),
-		copies:   r.Counter("gateway_copies_total"),
+		copies: r.Counter("gateway_copies_total"), reports: r.Counter("gateway_reports_total"),
 		resumeMS: r.Histogram("gateway_resume_ms"),
 	}
 }
--- a/modules/gateway/handler.go
+++ b/modules/gateway/handler.go
@@ -139,7 +139,7 @@
 	for _, name := range hopHeaders {
 		header.Del(name)
 	}
-	c.out = outgoing{method: r.Method, target: r.RequestURI, host: r.Host, header: header, body: b}
+	c.out = outgoing{once: !c.route.Repeatable(), method: r.Method, target: r.RequestURI, host: r.Host, header: header, body: b}
 	return nil
 }
 
@@ -148,7 +148,7 @@
 	return &dispatch.Work{
 		Service: c.service.Name, Stream: c.route.Kind == routing.Stream,
 		Prompt: c.req.PromptTokens, Output: c.outputTokens(), Tried: c.tried,
-		Affinity: c.req.PromptKey,
+		Affinity: c.req.PromptKey, ID: c.req.ID,
 	}
 }
 
--- a/modules/gateway/harness_test.go
+++ b/modules/gateway/harness_test.go
@@ -48,6 +48,10 @@
 	t.Helper()
 	u := &upstream{}
 	u.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/v1/report" {
+			_, _ = io.WriteString(w, `{"Queued":0,"KvUsed":0,"Runs":[]}`)
+			return
+		}
 		body, _ := io.ReadAll(r.Body)
 		u.mu.Lock()
 		u.got = append(u.got, received{r.Method, r.RequestURI, r.Header.Clone(), string(body)})
--- /dev/null
+++ b/modules/gateway/report.go
@@ -0,0 +1,60 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"heatherway.dev/core/dispatch"
+	"heatherway.dev/core/registration"
+)
+
+const (
+	// askedUpstreams is how many upstreams are asked for a report before a stream
+	// is placed: two choices avoid most of the queues that one choice meets.
+	askedUpstreams = 2
+	// reportLimit bounds the wait for reports; it is small against the second that
+	// the usual prompt takes.
+	reportLimit = 30 * time.Millisecond
+)
+
+// askReports asks the best candidates of a stream for their state. Other
+// gateways send work to the same upstreams, and prompts that meet at one are
+// read one after the other.
+func (s *streaming) askReports(w *dispatch.Work) {
+	var candidates []registration.Upstream
+	s.g.owner.ask(func(st *state) { candidates = st.fleet.Candidates(time.Now(), w, askedUpstreams) })
+	if len(candidates) < askedUpstreams {
+		return // there is no choice
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, reportLimit)
+	defer cancel()
+	var wait sync.WaitGroup
+	for _, u := range candidates {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			s.askReport(ctx, u)
+		}()
+	}
+	wait.Wait()
+}
+
+func (s *streaming) askReport(ctx context.Context, u registration.Upstream) {
+	body, err := s.g.upstreams.call(ctx, u, s.g.dialect.ReportCall())
+	if err != nil {
+		s.g.log.Debug("no report", "request", s.req.ID, "upstream", u.ID, "error", err)
+		return // the placement goes by what is known
+	}
+	r, err := s.g.dialect.Report(body)
+	if err != nil {
+		s.g.log.Warn("report not understood", "upstream", u.ID, "error", err)
+		return
+	}
+	s.g.metrics.reports.Inc()
+	runs := make([]dispatch.Run, 0, len(r.Runs))
+	for _, run := range r.Runs {
+		runs = append(runs, dispatch.Run{ID: run.ID, Tokens: run.Tokens, Started: run.Events > 0})
+	}
+	s.g.owner.tell(func(st *state) { st.fleet.Observe(time.Now(), u.ID, r.Queued, r.UsedTokens, runs) })
+}
--- a/modules/gateway/stream.go
+++ b/modules/gateway/stream.go
@@ -90,6 +90,9 @@
 	w := s.work()
 	w.Backup = s.route.Resumable && s.route.MaxAttempts > 1
 	w.Prefer = s.holder.ID
+	if w.Prefer == "" {
+		s.askReports(w)
+	}
 	c, ok := s.place(w)
 	if !ok {
 		return nil
