registry: keep the directory of upstreams on the disk

Ruled out: waiting in the gateways (holds callers although most upstreams run). TestDirectoryOutlivesARestart.

--- a/modules/registry/directory.go
+++ b/modules/registry/directory.go
@@ -44,6 +44,9 @@
 	unsent  map[string]map[string]registration.Upstream
 	sending map[string]bool
 	sent    chan shared
+	saver   *saver
+	// saved is the last change that has been handed to the saver.
+	saved uint64
 }
 
 type observation struct {
@@ -70,14 +73,20 @@
 }
 
 func newDirectory(r *Registry) *directory {
-	return &directory{
+	d := &directory{
 		r: r, log: r.log, state: registration.New(), epoch: rand.Uint64(),
 		inputs: make(chan observation, queuedAnnouncements), looks: make(chan look),
 		unsent: map[string]map[string]registration.Upstream{}, sending: map[string]bool{},
 		sent: make(chan shared, 16),
 	}
+	d.saver = newSaver(d, r.folder)
+	d.restore(time.Now())
+	return d
 }
 
+// lostAfter is the silence after which an upstream counts as lost.
+func (d *directory) lostAfter() time.Duration { return lostIntervals * d.r.AnnounceInterval }
+
 // announced takes in what an upstream said to this instance. It returns once
 // the gateways that watch this instance can see it.
 func (d *directory) announced(u registration.Upstream) {
@@ -110,9 +119,10 @@
 }
 
 func (d *directory) run(ctx context.Context) {
-	share, sweep := time.NewTicker(shareInterval), time.NewTicker(sweepInterval)
+	share, sweep, save := time.NewTicker(shareInterval), time.NewTicker(sweepInterval), time.NewTicker(saveInterval)
 	defer share.Stop()
 	defer sweep.Stop()
+	defer save.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -127,6 +137,8 @@
 			d.share()
 		case now := <-sweep.C:
 			d.sweep(now)
+		case <-save.C:
+			d.save()
 		}
 	}
 }
@@ -221,8 +233,16 @@
 	}
 }
 
+// save hands the directory to the saver if it has changed.
+func (d *directory) save() {
+	if changes := d.state.Changes(); changes != d.saved {
+		d.saved = changes
+		d.saver.offer(d.state.All())
+	}
+}
+
 func (d *directory) sweep(now time.Time) {
-	lost := d.state.MarkLost(now, lostIntervals*d.r.AnnounceInterval)
+	lost := d.state.MarkLost(now, d.lostAfter())
 	for _, u := range lost {
 		d.log.Warn("upstream lost", "upstream", u.ID, "service", u.Service, "address", u.Addr,
 			"silent_ms", now.Sub(d.state.Heard(u.ID)).Milliseconds())
--- a/modules/registry/registry.go
+++ b/modules/registry/registry.go
@@ -145,11 +145,15 @@
 
 // Start implements kernel.Runner.
 func (r *Registry) Start(context.Context) error {
-	r.wait.Add(2)
+	r.wait.Add(3)
 	go func() {
 		defer r.wait.Done()
 		r.keepLog()
 	}()
+	go func() {
+		defer r.wait.Done()
+		r.directory.saver.run(r.ctx)
+	}()
 	go func() {
 		defer r.wait.Done()
 		r.directory.run(r.ctx)
--- a/modules/registry/registry_test.go
+++ b/modules/registry/registry_test.go
@@ -241,3 +241,31 @@
 	f.eventually("known", func() bool { return f.nodes[1].state("i-1") == registration.Ready })
 	f.eventually("lost", func() bool { return f.nodes[1].state("i-1") == registration.Lost })
 }
+
+// Guards against gateways that know only a few upstreams after all control
+// instances have ended at once, and against a restored record that counts for
+// good.
+func TestDirectoryOutlivesARestart(t *testing.T) {
+	f := newFleet(t, 3)
+	f.replace(f.nodes[0], 1, "first")
+	f.nodes[0].call(t, "POST", "/v1/instances/i-1/heartbeat", heartbeat("ready", 1))
+	f.eventually("saved everywhere", func() bool {
+		for _, n := range f.nodes {
+			if list, err := n.directory.saver.read(); err != nil || len(list) != 1 {
+				return false
+			}
+		}
+		return true
+	})
+	for _, n := range f.nodes {
+		f.stop(n)
+	}
+	for _, n := range f.nodes {
+		f.start(n)
+		assert.Equal(t, n.state("i-1"), registration.Ready)
+	}
+	f.eventually("lost without an announcement", func() bool { return f.nodes[0].state("i-1") == registration.Lost })
+	assert.NilError(t, os.WriteFile(f.nodes[1].directory.saver.path, []byte(`[{"ID":`), 0o600))
+	f.stop(f.nodes[1])
+	f.start(f.nodes[1]) // a torn file must not keep the instance from starting
+}
