soak: run gateways and control instances as processes under overlapping faults

Clocks: the processes use the steady clock only, which a test cannot step; not covered. The proxy moves from the e2e tests to internal/fault.

--- /dev/null
+++ b/internal/fault/proxy.go
@@ -0,0 +1,130 @@
+package fault
+
+import (
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// Proxy passes TCP connections on to a target and harms them on command: its
+// connections can go silent for good while new ones work, as behind a device
+// that has lost track of them, be reset, be delayed, or pass one way only.
+type Proxy struct {
+	target string
+	l      net.Listener
+	// epoch counts the silences; a connection forwards while its own is current.
+	epoch atomic.Int32
+	cut   atomic.Bool
+	// delay holds back each read in nanoseconds.
+	delay atomic.Int64
+	// oneWay drops what the target sends.
+	oneWay atomic.Bool
+	bytes  atomic.Int64
+	mu     sync.Mutex
+	conns  []net.Conn
+}
+
+// NewProxy listens on an address and passes connections on to the target.
+func NewProxy(listen, target string) (*Proxy, error) {
+	l, err := net.Listen("tcp", listen)
+	if err != nil {
+		return nil, err
+	}
+	p := &Proxy{target: target, l: l}
+	go p.serve()
+	return p, nil
+}
+
+// Addr is the address to connect to.
+func (p *Proxy) Addr() string { return p.l.Addr().String() }
+
+// Bytes returns the bytes passed on, both ways.
+func (p *Proxy) Bytes() int64 { return p.bytes.Load() }
+
+// Close ends the listener and every connection.
+func (p *Proxy) Close() {
+	_ = p.l.Close()
+	p.Reset()
+}
+
+// Silence stops every open connection for good.
+func (p *Proxy) Silence() { p.epoch.Add(1) }
+
+// Cut refuses new connections while it is set.
+func (p *Proxy) Cut(on bool) { p.cut.Store(on) }
+
+// Delay holds back what passes, each way.
+func (p *Proxy) Delay(d time.Duration) { p.delay.Store(int64(d)) }
+
+// OneWay drops what the target sends while it is set.
+func (p *Proxy) OneWay(on bool) { p.oneWay.Store(on) }
+
+// Reset closes every connection with a reset.
+func (p *Proxy) Reset() {
+	p.mu.Lock()
+	conns := p.conns
+	p.conns = nil
+	p.mu.Unlock()
+	for _, c := range conns {
+		if t, ok := c.(*net.TCPConn); ok {
+			_ = t.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+}
+
+func (p *Proxy) serve() {
+	for {
+		c, err := p.l.Accept()
+		if err != nil {
+			return
+		}
+		up, err := net.Dial("tcp", p.target)
+		if err != nil || p.cut.Load() {
+			_ = c.Close()
+			if err == nil {
+				_ = up.Close()
+			}
+			continue
+		}
+		p.mu.Lock()
+		p.conns = append(p.conns, c, up)
+		p.mu.Unlock()
+		epoch := p.epoch.Load()
+		go p.pump(c, up, epoch, false)
+		go p.pump(up, c, epoch, true)
+	}
+}
+
+// pump copies one direction. A silenced connection is neither read nor closed.
+func (p *Proxy) pump(from, to net.Conn, epoch int32, answers bool) {
+	b := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(b)
+		p.bytes.Add(int64(n))
+		if p.epoch.Load() != epoch {
+			return
+		}
+		time.Sleep(time.Duration(p.delay.Load()))
+		if n > 0 && !(answers && p.oneWay.Load()) {
+			if _, werr := to.Write(b[:n]); werr != nil {
+				_ = from.Close() // the other end learns that nobody reads any more
+				return
+			}
+		}
+		if err != nil {
+			if errors.Is(err, io.EOF) {
+				if t, ok := to.(*net.TCPConn); ok {
+					_ = t.CloseWrite()
+				}
+			} else {
+				_ = to.Close()
+			}
+			return
+		}
+	}
+}
--- a/test/e2e/bytes_test.go
+++ b/test/e2e/bytes_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"heatherway.dev/heatherway/internal/fault"
 )
 
 const (
@@ -21,7 +23,7 @@
 // countControl puts proxies before the control instances for one process, and
 // returns a function that sums their bytes.
 func (f *fleet) countControl(p *ports, name string) func() int64 {
-	var all []*proxy
+	var all []*fault.Proxy
 	for _, target := range f.Control {
 		addr := p.addr(f.t)
 		p.release()
@@ -30,7 +32,7 @@
 	}
 	return func() (sum int64) {
 		for _, one := range all {
-			sum += one.bytes.Load()
+			sum += one.Bytes()
 		}
 		return sum
 	}
--- a/test/e2e/harness_test.go
+++ b/test/e2e/harness_test.go
@@ -20,6 +20,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"heatherway.dev/heatherway/internal/fault"
 	"heatherway.dev/heatherway/internal/freeport"
 	"heatherway.dev/kernel/peer"
 )
@@ -94,8 +95,8 @@
 	// controlVia holds addresses of proxies before the control instances, by the
 	// name of the process that uses them.
 	controlVia    map[string][]string
-	agentProxies  []*proxy
-	engineProxies []*proxy
+	agentProxies  []*fault.Proxy
+	engineProxies []*fault.Proxy
 }
 
 // engine is a stand-in upstream with its agent.
@@ -405,3 +406,12 @@
 		time.Sleep(pollInterval)
 	}
 }
+
+// newProxy puts a proxy on an address for the duration of the test.
+func newProxy(t *testing.T, listen, target string) *fault.Proxy {
+	t.Helper()
+	p, err := fault.NewProxy(listen, target)
+	assert.NilError(t, err)
+	t.Cleanup(p.Close)
+	return p
+}
--- a/test/e2e/silence_test.go
+++ b/test/e2e/silence_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"heatherway.dev/core/wire"
+	"heatherway.dev/heatherway/internal/fault"
 )
 
 // silentShape puts proxies between entries and agents, and between agents and
@@ -13,13 +14,13 @@
 
 // silenceDuringStreams runs streams, makes open connections go silent for good,
 // and checks every token and that no upstream counts as failed.
-func silenceDuringStreams(t *testing.T, pick func(f *fleet) []*proxy) {
+func silenceDuringStreams(t *testing.T, pick func(f *fleet) []*fault.Proxy) {
 	f := newFleet(t, silentShape)
 	ctx, cancel := context.WithTimeout(context.Background(), streamLimit)
 	defer cancel()
 	watch := onceAt(20, func() {
 		for _, p := range pick(f) {
-			p.silence()
+			p.Silence()
 		}
 	})
 	f.streams(30, 150, func(i int, c *call) error {
@@ -51,16 +52,16 @@
 // Guards against streams that hang or fail when the connections between entries
 // and agents go silent while new ones work.
 func TestSilentConnectionsToAgents(t *testing.T) {
-	silenceDuringStreams(t, func(f *fleet) []*proxy { return f.agentProxies })
+	silenceDuringStreams(t, func(f *fleet) []*fault.Proxy { return f.agentProxies })
 }
 
 // Guards against streams that hang or fail when the connections between agents
 // and engines go silent while new ones work.
 func TestSilentConnectionsToEngines(t *testing.T) {
-	silenceDuringStreams(t, func(f *fleet) []*proxy { return f.engineProxies })
+	silenceDuringStreams(t, func(f *fleet) []*fault.Proxy { return f.engineProxies })
 }
 
 // Guards against both kinds going silent at the same time.
 func TestSilentConnectionsEverywhere(t *testing.T) {
-	silenceDuringStreams(t, func(f *fleet) []*proxy { return append(f.agentProxies, f.engineProxies...) })
+	silenceDuringStreams(t, func(f *fleet) []*fault.Proxy { return append(f.agentProxies, f.engineProxies...) })
 }
--- /dev/null
+++ b/test/soak/process_test.go
@@ -0,0 +1,107 @@
+package soak
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var binary string
+
+func TestMain(m *testing.M) { os.Exit(run(m)) }
+
+func run(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "heatherway-soak-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	binary = filepath.Join(dir, "heatherway")
+	if out, err := exec.Command("go", "build", "-o", binary, "../../cmd/heatherway").CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
+// process is one heatherway process. Its address is its own, so that a restart
+// finds its ports free.
+type process struct {
+	t        *testing.T
+	role     string
+	host     string
+	folder   string
+	settings string
+	cmd      *exec.Cmd
+	done     chan struct{}
+	starts   int
+}
+
+// The ports of every process; the hosts differ.
+const (
+	callerPort   = "7001"
+	readyPort    = "7002"
+	operatorPort = "7003"
+	peerPort     = "7004"
+)
+
+func (p *process) addr(port string) string { return p.host + ":" + port }
+
+// write writes the settings file; found is true at the first start of all.
+func (p *process) write(zone string, seeds []string, found bool) {
+	p.t.Helper()
+	for i := range seeds {
+		seeds[i] = fmt.Sprintf("%q", seeds[i])
+	}
+	head := fmt.Sprintf("instance: {id: %q, zone: %s, region: r, data: %s}\ntls: {\"off\": true}\nroles:\n", p.host, zone, filepath.Join(p.folder, "data"))
+	list := strings.Join(seeds, ", ")
+	body := fmt.Sprintf("  - gateway: {listen: %s, ready_listen: %s, peer_port: %s, seeds: [%s], grace: 3s, drain_delay: 500ms, dialect: {kartuschenwacht: {}}}\n",
+		p.addr(callerPort), p.addr(readyPort), peerPort, list)
+	if p.role == "registry" {
+		body = fmt.Sprintf("  - registry: {listen: %s, peer_listen: %s, seeds: [%s], found: %v, losses: 1, announce_interval: %v, dialect: {kartuschenwacht: {}}}\n",
+			p.addr(operatorPort), p.addr(peerPort), list, found, heartbeatInterval)
+	}
+	p.settings = filepath.Join(p.folder, "settings.yaml")
+	assert.NilError(p.t, os.WriteFile(p.settings, []byte(head+body), 0o600))
+}
+
+func (p *process) start() {
+	p.t.Helper()
+	p.starts++
+	log, err := os.OpenFile(filepath.Join(p.folder, "log.jsonl"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	assert.NilError(p.t, err)
+	defer log.Close()
+	p.cmd = exec.Command(binary, "-config", p.settings)
+	p.cmd.Stdout, p.cmd.Stderr = log, log
+	assert.NilError(p.t, p.cmd.Start())
+	p.done = make(chan struct{})
+	go func(cmd *exec.Cmd, done chan struct{}) {
+		_ = cmd.Wait() // the status of a killed process says nothing
+		close(done)
+	}(p.cmd, p.done)
+}
+
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// terminate asks the process to stop and kills it after the grace period.
+func (p *process) terminate() {
+	p.signal(syscall.SIGTERM)
+	select {
+	case <-p.done:
+	case <-time.After(4 * time.Second):
+		p.kill()
+	}
+}
