--- a/modules/gateway/follow.go
+++ b/modules/gateway/follow.go
@@ -27,8 +27,11 @@
 	// firstWatchLimit bounds the first call to an instance, which does not wait
 	// for changes.
 	firstWatchLimit = 800 * time.Millisecond
-	// followRetry is the pause before the next instance is tried.
-	followRetry = 50 * time.Millisecond
+	// followRetry is the pause before the next instance is tried. It doubles up to
+	// mostFollowRetry while none answers, so that a fleet that has restarted does
+	// not flood the control instances.
+	followRetry     = 50 * time.Millisecond
+	mostFollowRetry = 400 * time.Millisecond
 	// unconfirmedAfter is how long a gateway that starts insists on a
 	// configuration that a majority confirms. Later it takes what an instance
 	// holds: the leader of a running group confirms within a few milliseconds, and
@@ -101,12 +104,16 @@
 
 // follow watches one control instance after the other.
 func (f *follower) follow(ctx context.Context) {
+	pause := followRetry
 	for ctx.Err() == nil {
 		if addr, ok := f.claim(); ok {
-			f.watch(ctx, addr)
+			if f.watch(ctx, addr) {
+				pause = followRetry
+			}
 			f.release(addr)
 		}
-		f.g.sleep(followRetry)
+		f.g.sleep(pause/2 + rand.N(pause))
+		pause = min(2*pause, mostFollowRetry)
 	}
 }
 
@@ -130,8 +137,9 @@
 	delete(f.following, addr)
 }
 
-// watch follows one instance until it fails or knows no leader.
-func (f *follower) watch(ctx context.Context, addr string) {
+// watch follows one instance until it fails or knows no leader. It tells whether
+// the instance has answered.
+func (f *follower) watch(ctx context.Context, addr string) (answered bool) {
 	client := f.g.security.NewClient(addr)
 	defer client.Close()
 	args := &registry.WatchArgs{}
@@ -146,11 +154,12 @@
 				level = slog.LevelWarn
 			}
 			f.log.Log(ctx, level, "control instance lost", "address", addr, "version", args.Version, "error", err)
-			return
+			return answered
 		}
+		answered = true
 		if reply.Relay {
 			f.addMembers(reply.Members)
-			return
+			return true
 		}
 		f.take(reply)
 		args.Epoch, args.Change = reply.Epoch, reply.Change
@@ -159,9 +168,10 @@
 		}
 		if !reply.Led && f.version() > 0 {
 			f.log.Warn("control instance knows no leader", "address", addr)
-			return
+			return true
 		}
 	}
+	return answered
 }
 
 func (f *follower) call(ctx context.Context, client *peer.Client, args *registry.WatchArgs, first bool) (*registry.WatchReply, error) {
