registry: say nothing of silence after a standstill; dispatch: room for urgent work, lost upstreams as a last resort

Ruled out: the upstreams (they announced themselves to the others all the while). Change: nothing counts as lost within 6 s of a start, a standstill or the loss of the leader; gateways use lost upstreams when a service has no other; lower ranks fill an upstream's memory less, so that a flood leaves room for urgent letters; a full fleet tells callers when the next stream should end. Restored records count for the usual 6 s, since the same rule now covers the time after a start.

--- a/cmd/heatherway/main.go
+++ b/cmd/heatherway/main.go
@@ -16,7 +16,7 @@
 	_ "heatherway.dev/heatherway/modules/standard" // the set of modules in this program
 )
 
-// Exit statuses, documented in docs/operations.md.
+// Exit statuses, documented in docs/OPERATIONS.md.
 const (
 	exitOK       = 0
 	exitFailed   = 1
--- a/cmd/heatherwayctl/main.go
+++ b/cmd/heatherwayctl/main.go
@@ -19,7 +19,7 @@
 	"heatherway.dev/kernel/result"
 )
 
-// Exit statuses, documented in docs/operations.md.
+// Exit statuses, documented in docs/OPERATIONS.md.
 const (
 	exitOK     = 0
 	exitFailed = 1
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -27,9 +27,12 @@
 	// unknownTokens is taken as the size of a request that does not say; it is
 	// the mean of the deployments' prompts.
 	unknownTokens = 8000
-	// memoryShare is the part of an upstream's KV cache that is given out, so
-	// that estimates which are too low do not cause preemption.
-	memoryShare = 0.92
+	// memoryStep is how much less of an upstream's KV cache each lower rank may
+	// fill: what a flood of the least urgent class leaves free is there for the
+	// most urgent one, which would have to preempt streams otherwise.
+	memoryStep = 0.06
+	// leastMemoryShare bounds the steps.
+	leastMemoryShare = 0.82
 	// runningMS is the cost of one running request beside a new stream: its
 	// prompt may still be read.
 	runningMS = 40
@@ -59,12 +62,17 @@
 	Backup bool
 	// Tried names the upstreams that have failed the request.
 	Tried []string
+	// Priority is the rank, 0 being the most urgent.
+	Priority int
 	// Affinity is the key of the prompt, empty for none. Requests with the same
 	// key go to the same upstream as long as it is not loaded: a caller that
 	// comes back through another gateway finds its prompt in the cache.
 	Affinity string
 	// ID names the request in reports.
 	ID string
+	// lost accepts upstreams that count as lost: when all of a service do, the
+	// silence is more likely that of the control instances.
+	lost bool
 	// Prefer names the upstream that holds a copy for the request, if any.
 	Prefer string
 }
@@ -156,6 +164,8 @@
 	engines map[string]*routing.Engine
 	tickets map[uint64]*placement
 	last    uint64
+	// duration is the moving average of the duration of streams.
+	duration time.Duration
 }
 
 // New returns an empty fleet for a gateway in an availability zone.
@@ -183,7 +193,7 @@
 		f.remove(u) // the same id after a restart knows nothing of before
 		u = nil
 	}
-	if r.State >= registration.Lost {
+	if r.State == registration.Left {
 		if u != nil {
 			f.remove(u)
 		}
@@ -228,6 +238,11 @@
 	if best == nil && !w.Stream {
 		best, why = f.best(now, w, list, false)
 	}
+	if best == nil && !slices.ContainsFunc(list, func(u *upstream) bool { return u.State == registration.Ready }) {
+		desperate := *w
+		desperate.lost = true
+		best, why = f.best(now, &desperate, list, true)
+	}
 	if best == nil {
 		return Choice{}, f.refuse(now, w, list)
 	}
@@ -320,16 +335,17 @@
 }
 
 func (u *upstream) eligible(now time.Time, w *Work) bool {
-	return u.State == registration.Ready && u.breaker.Ready(now) && u.fits(now, w.tokens())
+	return (u.State == registration.Ready || w.lost && u.State == registration.Lost) && u.breaker.Ready(now) && u.fits(now, w)
 }
 
 // fits tells whether a request has room beside the work and the copies placed.
-func (u *upstream) fits(now time.Time, tokens int) bool {
+func (u *upstream) fits(now time.Time, w *Work) bool {
 	if u.engine == nil || u.engine.MemoryTokens == 0 {
 		return true
 	}
 	used := u.used(now)
-	return used == 0 || used+float64(tokens) <= memoryShare*float64(u.engine.MemoryTokens)
+	share := max(1-memoryStep*float64(w.Priority), leastMemoryShare)
+	return used == 0 || used+float64(w.tokens()) <= share*float64(u.engine.MemoryTokens)
 }
 
 // used is the part of the KV cache that is taken, in tokens.
@@ -438,25 +454,44 @@
 	return best
 }
 
-// minRetry is the least time after which another try makes sense.
-const minRetry = 50 * time.Millisecond
+const (
+	// minRetry is the least time after which another try makes sense.
+	minRetry = 50 * time.Millisecond
+	// unknownRetry is told when nothing says when an upstream will be free.
+	unknownRetry = time.Second
+	// durationShare is the weight of the newest stream in the moving average of
+	// their duration.
+	durationShare = 0.1
+)
 
 func (f *Fleet) refuse(now time.Time, w *Work, list []*upstream) *Refusal {
-	r := &Refusal{Known: len(list), Retry: time.Second}
+	r := &Refusal{Known: len(list), Retry: unknownRetry}
 	for _, u := range list {
 		if u.State != registration.Ready {
 			continue
 		}
-		if at := u.breaker.RetryAt(now).Sub(now); at < r.Retry {
-			r.Retry = max(at, minRetry)
-		}
-		if u.breaker.Ready(now) && !u.fits(now, w.tokens()) {
+		if u.breaker.Ready(now) && !u.fits(now, w) {
 			r.Full = true
+			r.Retry = min(r.Retry, u.nextEnd(now, f.duration))
+			continue
 		}
+		r.Retry = min(r.Retry, u.breaker.RetryAt(now).Sub(now))
 	}
+	r.Retry = max(r.Retry, minRetry)
 	return r
 }
 
+// nextEnd estimates the time until a stream at the upstream ends.
+func (u *upstream) nextEnd(now time.Time, duration time.Duration) time.Duration {
+	next := unknownRetry
+	for _, p := range u.work {
+		if p.stream && duration > 0 {
+			next = min(next, max(duration-now.Sub(p.sent), 0))
+		}
+	}
+	return next
+}
+
 // Started records the first sign of work on a request.
 func (f *Fleet) Started(now time.Time, ticket uint64) {
 	if p := f.tickets[ticket]; p != nil {
@@ -602,11 +637,18 @@
 }
 
 // End frees what a request was charged.
-func (f *Fleet) End(ticket uint64) {
+func (f *Fleet) End(now time.Time, ticket uint64) {
 	p := f.tickets[ticket]
 	if p == nil {
 		return
 	}
+	if p.stream && p.started {
+		took := now.Sub(p.sent)
+		if f.duration == 0 {
+			f.duration = took
+		}
+		f.duration += time.Duration(durationShare * float64(took-f.duration))
+	}
 	f.DropCopy(ticket)
 	delete(f.tickets, ticket)
 	delete(p.upstream.work, ticket)
--- a/modules/gateway/handler.go
+++ b/modules/gateway/handler.go
@@ -148,7 +148,7 @@
 	return &dispatch.Work{
 		Service: c.service.Name, Stream: c.route.Kind == routing.Stream,
 		Prompt: c.req.PromptTokens, Output: c.outputTokens(), Tried: c.tried,
-		Affinity: c.req.PromptKey, ID: c.req.ID,
+		Affinity: c.req.PromptKey, ID: c.req.ID, Priority: c.priority,
 	}
 }
 
--- a/modules/gateway/plain.go
+++ b/modules/gateway/plain.go
@@ -233,7 +233,7 @@
 		if load != nil {
 			s.fleet.Report(now, ticket, load.Running, load.Waiting)
 		}
-		s.fleet.End(ticket)
+		s.fleet.End(now, ticket)
 	})
 	if failed && !cut {
 		c.g.log.Info("attempt failed", "request", c.req.ID, "upstream", a.choice.Upstream.ID, "address", a.choice.Upstream.Addr,
--- a/modules/gateway/stream.go
+++ b/modules/gateway/stream.go
@@ -348,7 +348,7 @@
 		if !gone && !a.meta.NotRun {
 			st.fleet.Answered(now, ticket, ok)
 		}
-		st.fleet.End(ticket)
+		st.fleet.End(now, ticket)
 	})
 	s.try(a.choice.Upstream)
 	if a.sent {
--- a/modules/registry/directory.go
+++ b/modules/registry/directory.go
@@ -43,12 +43,13 @@
 	looks  chan look
 	// unsent holds for each other instance what it has not taken yet, and alive
 	// what has been heard of without a change since the last call to it.
-	unsent  map[string]map[string]registration.Upstream
-	alive   map[string]map[string]Alive
-	aliveAt time.Time
-	sending map[string]bool
-	sent    chan shared
-	saver   *saver
+	unsent    map[string]map[string]registration.Upstream
+	alive     map[string]map[string]Alive
+	aliveAt   time.Time
+	sending   map[string]bool
+	sent      chan shared
+	saver     *saver
+	attention attention
 	// saved is the last change that has been handed to the saver.
 	saved uint64
 }
@@ -298,9 +299,33 @@
 	}
 }
 
+// stalledSweeps is the number of sweep intervals after which the process must
+// have stood still.
+const stalledSweeps = 3
+
+// attention tells whether an instance would have heard of every upstream that
+// announces itself. One that has just started, stood still or was cut off from
+// the leader knows nothing of the silence of others.
+type attention struct {
+	swept time.Time
+	// deaf is when the instance last missed announcements.
+	deaf time.Time
+}
+
+// full is called at each sweep. It returns true once nothing has been missed
+// for a time.
+func (a *attention) full(now time.Time, hears bool, after time.Duration) bool {
+	if !hears || now.Sub(a.swept) > stalledSweeps*sweepInterval {
+		a.deaf = now
+	}
+	a.swept = now
+	return now.Sub(a.deaf) >= after
+}
+
 func (d *directory) sweep(now time.Time) {
 	var lost []registration.Upstream
-	if d.r.meeting == nil { // a relay hears only of what is announced to itself
+	hears := d.r.meeting == nil && d.r.led() // a relay hears only of what is announced to itself
+	if d.attention.full(now, hears, d.lostAfter()) {
 		lost = d.state.MarkLost(now, d.lostAfter())
 	}
 	for _, u := range lost {
--- a/modules/registry/registry_test.go
+++ b/modules/registry/registry_test.go
@@ -292,3 +292,29 @@
 	status, _ = relay.call(t, "GET", "/v1/config/get", "")
 	assert.Equal(t, status, http.StatusServiceUnavailable, "no majority can confirm it")
 }
+
+// Guards against an instance that stood still and then tells its watchers that
+// every upstream is lost (found by incident inc-4513 of kw-heatherway: ten
+// upstreams lost at the moment at which a frozen machine went on).
+func TestNothingIsLostAfterAStandstill(t *testing.T) {
+	const after = 6 * time.Second
+	var a attention
+	now := time.Now()
+	sweep := func(hears bool) bool {
+		now = now.Add(sweepInterval)
+		return a.full(now, hears, after)
+	}
+	assert.Assert(t, !sweep(true), "it has just started")
+	for range after / sweepInterval {
+		sweep(true)
+	}
+	assert.Assert(t, sweep(true))
+	now = now.Add(5 * time.Second)
+	assert.Assert(t, !sweep(true), "it stood still")
+	for range after / sweepInterval {
+		sweep(true)
+	}
+	assert.Assert(t, sweep(true))
+	assert.Assert(t, !sweep(false), "it knows no leader")
+	assert.Assert(t, !sweep(true))
+}
--- a/modules/registry/saved.go
+++ b/modules/registry/saved.go
@@ -16,10 +16,7 @@
 	// savedFile holds the directory below the data folder of the role.
 	savedFile = "directory.json"
 	// saveInterval collects changes into one write.
-	saveInterval = 400 * time.Millisecond
-	// restoredTrust is how long a restored record counts without an announcement:
-	// two intervals of the usual 1.2 s and a little for delays.
-	restoredTrust  = 2500 * time.Millisecond
+	saveInterval   = 400 * time.Millisecond
 	filePermission = 0o600
 	dirPermission  = 0o700
 )
@@ -93,17 +90,16 @@
 	return list, json.Unmarshal(b, &list)
 }
 
-// restore takes the saved records in. They count as lost unless the upstreams
-// announce themselves soon.
+// restore takes the saved records in. They count until the upstreams have been
+// silent for the usual time.
 func (d *directory) restore(now time.Time) {
 	list, err := d.saver.read()
 	if err != nil {
 		d.log.Warn("saved directory not read", "file", d.saver.path, "error", err)
 		return
 	}
-	heard := now.Add(restoredTrust - d.lostAfter())
 	for _, u := range list {
-		d.state.Observe(heard, u)
+		d.state.Observe(now, u)
 	}
 	if len(list) > 0 {
 		d.log.Info("directory restored", "upstreams", len(list))
