--- /dev/null
+++ b/core/dispatch/place.go
@@ -0,0 +1,240 @@
+package dispatch
+
+import (
+	"math"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"heatherway.dev/core/registration"
+)
+
+// Place chooses the upstream of a request. The caller reports what comes of it
+// with Started, Report, Fail and End.
+func (f *Fleet) Place(now time.Time, w *Work) (Choice, *Refusal) {
+	list := f.service[w.Service]
+	best, why := f.best(now, w, f.sample(w, list), true)
+	if best == nil {
+		best, why = f.best(now, w, list, true)
+	}
+	if best == nil && !w.Stream {
+		best, why = f.best(now, w, list, false)
+	}
+	if best == nil && !slices.ContainsFunc(list, func(u *upstream) bool { return u.State == registration.Ready }) {
+		anyway := *w
+		anyway.lost = true
+		best, why = f.best(now, &anyway, list, true)
+	}
+	if best == nil {
+		return Choice{}, f.refuse(now, w, list)
+	}
+	permit, ok := best.breaker.Allow(now)
+	if !ok {
+		return Choice{}, f.refuse(now, w, list)
+	}
+	wait := best.prefill(now) + time.Duration(w.Prompt/prefillTokensPerMS)*time.Millisecond
+	f.last++
+	p := &placement{id: w.ID, upstream: best, tokens: w.tokens(), prompt: w.Prompt, sent: now, stream: w.Stream, permit: permit}
+	best.work[f.last] = p
+	best.tokens += p.tokens
+	f.tickets[f.last] = p
+	why.Known, why.Running, why.Tokens = len(list), len(best.work), best.tokens
+	if !best.reported.IsZero() {
+		why.ReportAge = now.Sub(best.reported)
+	}
+	c := Choice{Ticket: f.last, Upstream: best.Upstream, Why: why, Wait: wait}
+	if b := f.backup(now, w, best, list); b != nil {
+		p.backup = b
+		b.copies += p.tokens
+		c.Backup = b.Upstream
+	}
+	return c, nil
+}
+
+// best returns the upstream with the lowest cost, untried ones only if fresh is
+// set.
+func (f *Fleet) best(now time.Time, w *Work, list []*upstream, fresh bool) (*upstream, Why) {
+	var best *upstream
+	var why Why
+	home, usual := home(w, f.service[w.Service]), usualFailing(now, list)
+	for _, u := range list {
+		if !u.eligible(now, w) || fresh && slices.Contains(w.Tried, u.ID) {
+			continue
+		}
+		why.Eligible++
+		cost := f.cost(now, w, u, usual)
+		if u == home {
+			cost -= affinityMS
+		}
+		if best == nil || cost < why.CostMS {
+			best, why.CostMS = u, cost
+		}
+	}
+	return best, why
+}
+
+// sampledUpstreams bounds the upstreams that one placement looks at, so that
+// its cost does not grow with the fleet; the better of a few random choices is
+// nearly as good as the best.
+const sampledUpstreams = 24
+
+// sample returns the upstreams that a placement looks at: all of a small
+// service, else random ones, the home of the request and the holder of its copy.
+func (f *Fleet) sample(w *Work, list []*upstream) []*upstream {
+	if len(list) <= sampledUpstreams {
+		return list
+	}
+	out := make([]*upstream, 0, sampledUpstreams+2)
+	for range sampledUpstreams {
+		if u := list[f.rng.IntN(len(list))]; !slices.Contains(out, u) {
+			out = append(out, u)
+		}
+	}
+	for _, u := range []*upstream{home(w, list), f.byID[w.Prefer]} {
+		if u != nil && u.Service == w.Service && !slices.Contains(out, u) {
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
+// homeTries is how many places of the list are tried for a home that is up.
+const homeTries = 4
+
+// home is the upstream that requests with the same key go to, by a hash over
+// the list in order of address, which outlasts the incarnations and is the same
+// at every gateway.
+func home(w *Work, list []*upstream) *upstream {
+	if w.Affinity == "" || len(list) == 0 {
+		return nil
+	}
+	for try := range homeTries {
+		at := xxhash.Sum64String(w.Affinity+"#"+strconv.Itoa(try)) % uint64(len(list))
+		if u := list[at]; u.State == registration.Ready {
+			return u
+		}
+	}
+	return nil
+}
+
+func (u *upstream) eligible(now time.Time, w *Work) bool {
+	return (u.State == registration.Ready || w.lost && u.State == registration.Lost) && u.breaker.Ready(now) && u.fits(now, w)
+}
+
+// fits tells whether a request has room beside the work and the copies placed.
+func (u *upstream) fits(now time.Time, w *Work) bool {
+	if u.engine == nil || u.engine.MemoryTokens == 0 {
+		return true
+	}
+	used := u.used(now)
+	share := max(1-memoryStep*float64(w.Priority), leastMemoryShare)
+	return used == 0 || used+float64(w.tokens()) <= share*float64(u.engine.MemoryTokens)
+}
+
+// used is the part of the KV cache that is taken, in tokens.
+func (u *upstream) used(now time.Time) float64 {
+	return float64(u.tokens+u.copies) + float64(u.others.memory)*u.trust(now)
+}
+
+// cost estimates in milliseconds what an upstream would cost the request; usual
+// is the share of answers that fail in the service.
+func (f *Fleet) cost(now time.Time, w *Work, u *upstream, usual float64) float64 {
+	cost := f.rng.Float64() * jitterMS
+	if u.Zone != f.zone {
+		cost += otherZoneMS
+	}
+	if w.Prefer == u.ID {
+		cost -= preferMS
+	}
+	each := float64(callMS)
+	if w.Stream {
+		each = runningMS
+		cost += float64(u.prefill(now)) / float64(time.Millisecond)
+		if u.engine != nil && u.engine.MemoryTokens > 0 {
+			cost += memoryMS * u.used(now) / float64(u.engine.MemoryTokens)
+		}
+	}
+	ahead := float64(len(u.work)) + float64(u.others.requests)*u.trust(now)
+	return cost + each*ahead + failingMS*max(u.failingAt(now)-usual-failingSlack, 0)
+}
+
+const (
+	// affinityMS is the gain of a prompt that may be in the cache; it is less than
+	// the wait behind the usual prompt.
+	affinityMS = 250
+	// preferMS outweighs every other cost.
+	preferMS = 1e6
+	// memoryMS is the cost of a full KV cache against an empty one.
+	memoryMS = 300
+	// failingMS is the cost of an upstream all of whose answers fail while those
+	// of the others succeed.
+	failingMS = 600
+	// failingSlack is the share by which an upstream may fail more often than the
+	// others of its service before it is avoided; some kinds of call fail one
+	// time in seven everywhere.
+	failingSlack = 0.15
+	// failingTime is the time constant by which old failures are forgotten, so
+	// that an upstream which is avoided is tried again.
+	failingTime = 4 * time.Second
+)
+
+// failingAt is the recent share of failed answers at a time.
+func (u *upstream) failingAt(now time.Time) float64 {
+	if u.answered.IsZero() {
+		return 0
+	}
+	return u.failing * math.Exp(-now.Sub(u.answered).Seconds()/failingTime.Seconds())
+}
+
+// usualFailing is the median share of failed answers.
+func usualFailing(now time.Time, list []*upstream) float64 {
+	if len(list) == 0 {
+		return 0
+	}
+	shares := make([]float64, 0, len(list))
+	for _, u := range list {
+		shares = append(shares, u.failingAt(now))
+	}
+	slices.Sort(shares)
+	return shares[len(shares)/2]
+}
+
+// prefill is the time until the prompts sent there are read.
+func (u *upstream) prefill(now time.Time) time.Duration {
+	tokens := 0.0
+	for _, p := range u.work {
+		if p.started || !p.stream {
+			continue
+		}
+		read := float64(now.Sub(p.sent).Milliseconds()) * prefillTokensPerMS
+		tokens += max(float64(p.prompt)-read, 0)
+	}
+	elapsed := float64(now.Sub(u.reported).Milliseconds()) * prefillTokensPerMS
+	tokens += max(float64(u.others.prompt)-elapsed, 0) * u.trust(now)
+	return time.Duration(tokens / prefillTokensPerMS * float64(time.Millisecond))
+}
+
+// backup chooses the holder of a copy: in another availability zone, since the
+// upstreams of a zone fail together, and where most memory is free.
+func (f *Fleet) backup(now time.Time, w *Work, primary *upstream, list []*upstream) *upstream {
+	if !w.Backup || primary.engine == nil || !primary.engine.Backups {
+		return nil
+	}
+	var best *upstream
+	lowest := 0.0
+	for _, u := range f.sample(w, list) {
+		if u == primary || u.Zone == primary.Zone || slices.Contains(w.Tried, u.ID) || !u.eligible(now, w) {
+			continue
+		}
+		cost := float64(u.tokens+u.copies) + f.rng.Float64()*unknownTokens/2
+		if u.Zone == f.zone {
+			cost -= unknownTokens / 4
+		}
+		if best == nil || cost < lowest {
+			best, lowest = u, cost
+		}
+	}
+	return best
+}
--- a/modules/control/replica/discovery.go
+++ b/modules/control/replica/discovery.go
@@ -14,10 +14,10 @@
 type Discovery struct {
 	// Seeds are addresses of a few instances. They may be out of date.
 	Seeds []string
-	// Found is set at the first start of the whole system. The seed with the
+	// Bootstrap is set at the first start of the whole system. The seed with the
 	// lowest address then names the instance that starts the groups, once every
 	// other seed has said that it has no log.
-	Found bool
+	Bootstrap bool
 	// MinVoters is the number of voters from which on a group takes proposals,
 	// so that an acknowledged entry survives the losses to be borne.
 	MinVoters int
@@ -43,7 +43,7 @@
 // no log, and it does not change its mind. heard returns what an instance has
 // said of itself a moment ago.
 func (d *Discovery) nomination(self raft.MemberID, id Group, known []raft.MemberID, heard func(raft.MemberID) (identity, bool)) raft.MemberID {
-	if !d.Found || len(d.Seeds) == 0 || string(self) != slices.Min(d.Seeds) {
+	if !d.Bootstrap || len(d.Seeds) == 0 || string(self) != slices.Min(d.Seeds) {
 		return ""
 	}
 	var seeds, others []raft.MemberID
@@ -91,7 +91,7 @@
 func (g *group) nominated() bool {
 	r := g.replica
 	d := r.options.Discovery
-	if !d.Found || len(d.Seeds) == 0 {
+	if !d.Bootstrap || len(d.Seeds) == 0 {
 		return false
 	}
 	lowest := raft.MemberID(slices.Min(d.Seeds))
--- a/modules/control/replica/discovery_test.go
+++ b/modules/control/replica/discovery_test.go
@@ -26,15 +26,15 @@
 	for _, p := range c.peers[:min(3, size)] {
 		seeds = append(seeds, p.Addr)
 	}
-	found := true
+	bootstrap := true
 	c.adjust = func(o *Options) {
 		o.Peers, o.KeepLeaders, o.Tick = nil, true, 20*time.Millisecond
-		o.Discovery = &Discovery{Seeds: seeds, Found: found, MinVoters: 2*losses + 1}
+		o.Discovery = &Discovery{Seeds: seeds, Bootstrap: bootstrap, MinVoters: 2*losses + 1}
 	}
 	for _, p := range c.peers {
 		c.start(p)
 	}
-	found = false // instances that start later do not found anything
+	bootstrap = false // instances that start later do not found anything
 	t.Cleanup(func() {
 		for id := range c.nodes {
 			c.kill(id)
@@ -168,14 +168,14 @@
 			seeds = append(seeds, p.Addr)
 		}
 	}
-	d := Discovery{Seeds: seeds, Found: true, MinVoters: 3}
+	d := Discovery{Seeds: seeds, Bootstrap: true, MinVoters: 3}
 	c.adjust = func(o *Options) {
 		o.Peers, o.KeepLeaders, o.Tick, o.Discovery = nil, true, 20*time.Millisecond, &d
 	}
 	o := c.options(c.peers[0])
-	var meetings []*Meeting
+	var introducers []*Introducer
 	for _, s := range seeds {
-		m := NewMeeting(s, []Group{0}, d, o.Security.NewClients())
+		m := NewIntroducer(s, []Group{0}, d, o.Security.NewClients())
 		l, err := net.Listen("tcp", s)
 		assert.NilError(t, err)
 		services := func(peer.Roles) map[string]any { return map[string]any{ServiceName: m} }
@@ -183,7 +183,7 @@
 		go func() { _ = server.Serve(l) }()
 		go m.Run(t.Context())
 		t.Cleanup(func() { _ = server.Close() })
-		meetings = append(meetings, m)
+		introducers = append(introducers, m)
 	}
 	for _, p := range c.peers[3:] {
 		c.start(p)
@@ -198,7 +198,7 @@
 		c.eventually("the entry everywhere", func() bool { return slices.Equal(n.machines[0].all(), []string{"first"}) })
 	}
 	assert.Equal(t, len(c.leader(0).Status().Groups[0].Membership.Members), 3)
-	for _, m := range meetings {
+	for _, m := range introducers {
 		c.eventually("the members are known", func() bool { return len(m.Members()) == 3 })
 	}
 }
--- a/modules/control/replica/meeting.go
+++ b/modules/control/replica/introducer.go
@@ -11,10 +11,10 @@
 	"heatherway.dev/kernel/peer"
 )
 
-// Meeting is the part of an instance without a disk in the discovery: it holds
+// Introducer is the part of an instance without a disk in the discovery: it holds
 // no log, but seeds may name it, so that instances with a disk find each other
 // through it and learn from it which of them starts the groups.
-type Meeting struct {
+type Introducer struct {
 	self      raft.MemberID
 	groups    []Group
 	discovery Discovery
@@ -29,9 +29,9 @@
 // identityAge is how long what an instance says of itself counts as current.
 const identityAge = freshTicks * DefaultTick
 
-// NewMeeting returns the meeting of the instance with an address.
-func NewMeeting(self string, groups []Group, d Discovery, clients *peer.Clients) *Meeting {
-	return &Meeting{
+// NewIntroducer returns the introducer of the instance with an address.
+func NewIntroducer(self string, groups []Group, d Discovery, clients *peer.Clients) *Introducer {
+	return &Introducer{
 		self: raft.MemberID(self), groups: groups, discovery: d, clients: clients, known: map[raft.MemberID]identity{},
 		heard: map[raft.MemberID]time.Time{}, nominees: map[Group]raft.MemberID{},
 	}
@@ -39,7 +39,7 @@
 
 // Run calls the other seeds and the members until ctx ends, so that they know of
 // this instance and it knows of them.
-func (m *Meeting) Run(ctx context.Context) {
+func (m *Introducer) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		for _, addr := range m.targets() {
 			m.ask(ctx, addr)
@@ -51,7 +51,7 @@
 }
 
 // targets are the seeds and the members.
-func (m *Meeting) targets() []string {
+func (m *Introducer) targets() []string {
 	var out []string
 	for _, s := range m.discovery.Seeds {
 		if s != string(m.self) {
@@ -66,7 +66,7 @@
 	return out
 }
 
-func (m *Meeting) ask(ctx context.Context, addr string) {
+func (m *Introducer) ask(ctx context.Context, addr string) {
 	ctx, cancel := context.WithTimeout(ctx, stepLimit)
 	defer cancel()
 	var reply IdentityReply
@@ -77,13 +77,13 @@
 }
 
 // Identity answers a question and learns who asks.
-func (m *Meeting) Identity(args *IdentityArgs, reply *IdentityReply) error {
+func (m *Introducer) Identity(args *IdentityArgs, reply *IdentityReply) error {
 	m.learn(args.From)
 	*reply = m.reply()
 	return nil
 }
 
-func (m *Meeting) learn(r IdentityReply) {
+func (m *Introducer) learn(r IdentityReply) {
 	if r.Member == "" {
 		return
 	}
@@ -94,7 +94,7 @@
 
 // Members returns the members of the groups, as the instances that hold the log
 // have named them.
-func (m *Meeting) Members() []Peer {
+func (m *Introducer) Members() []Peer {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var out []Peer
@@ -111,7 +111,7 @@
 	return out
 }
 
-func (m *Meeting) reply() IdentityReply {
+func (m *Introducer) reply() IdentityReply {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	r := IdentityReply{Member: m.self, Relay: true, Empty: m.groups, Nominees: map[Group]raft.MemberID{}}
@@ -132,7 +132,7 @@
 }
 
 // fresh returns what an instance has said a moment ago.
-func (m *Meeting) fresh(id raft.MemberID) (identity, bool) {
+func (m *Introducer) fresh(id raft.MemberID) (identity, bool) {
 	if id == m.self {
 		own := identity{member: id, relay: true, empty: map[Group]bool{}}
 		for _, g := range m.groups {
--- a/modules/entry/agents.go
+++ b/modules/entry/agents.go
@@ -27,14 +27,14 @@
 	fresh  *http.Transport
 
 	mu      sync.Mutex
-	clients map[string]*peer.Client
+	clients *peer.Clients
 	// idle holds clients for calls of plain services. Each call has one to
 	// itself, since a call that runs into its limit drops the connection.
 	idle map[string][]*peer.Client
 }
 
 func newAgents(s *peer.Security) *agents {
-	a := &agents{security: s, clients: map[string]*peer.Client{}, idle: map[string][]*peer.Client{}}
+	a := &agents{security: s, clients: s.NewClients(), idle: map[string][]*peer.Client{}}
 	a.pooled, a.fresh = a.transport(), a.transport()
 	a.fresh.DisableKeepAlives = true
 	return a
@@ -56,16 +56,7 @@
 }
 
 // client returns the net/rpc client of an address.
-func (a *agents) client(addr string) *peer.Client {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	c, ok := a.clients[addr]
-	if !ok {
-		c = a.security.NewClient(addr)
-		a.clients[addr] = c
-	}
-	return c
-}
+func (a *agents) client(addr string) *peer.Client { return a.clients.To(addr) }
 
 // take returns a client that nobody else uses.
 func (a *agents) take(addr string) *peer.Client {
@@ -116,7 +107,5 @@
 	for _, list := range a.idle {
 		closeAll(list)
 	}
-	for _, c := range a.clients {
-		c.Close()
-	}
+	a.clients.Close()
 }
--- a/modules/gateway/stream.go
+++ b/modules/gateway/stream.go
@@ -1,9 +1,7 @@
 package gateway
 
 import (
-	"bufio"
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -142,7 +140,7 @@
 	defer cancel()
 	ended := s.g.follower.replaced.watch(a.choice.Upstream)
 	defer ended.close()
-	wait := a.choice.Wait + time.Duration(s.req.PromptTokens/prefillPerMS)*time.Millisecond
+	wait := a.choice.Wait
 	if a.resumed {
 		wait = resumeWait
 	}
@@ -223,10 +221,6 @@
 	}
 }
 
-// prefillPerMS is the number of prompt tokens that an upstream reads in a
-// millisecond, from the data sheet of the deployments.
-const prefillPerMS = 8
-
 // forwardTo returns the request for an attempt.
 func (s *streaming) forwardTo(a *attempt) *outgoing {
 	f := dialect.Forward{LastEvent: dialect.NoEvent, BackupTo: a.choice.Backup.Addr, Urgency: &s.priority}
@@ -417,97 +411,3 @@
 	}
 	return false
 }
-
-// eventReader reads an attempt's answer in a goroutine of its own, so that the
-// silence of an upstream, the end of its incarnation and the caller can be
-// watched at the same time.
-type eventReader struct {
-	events chan arrival
-	// err and complete are set before events is closed.
-	err      error
-	complete bool
-}
-
-func newEventReader(ctx context.Context, c *call, a *attempt, o *outgoing) *eventReader {
-	r := &eventReader{events: make(chan arrival, queuedEvents)}
-	go func() {
-		defer close(r.events)
-		r.err = r.read(ctx, c, a, o)
-	}()
-	return r
-}
-
-// stop ends the reading and waits for the goroutine, which writes to the attempt.
-func (r *eventReader) stop(cancel context.CancelFunc) {
-	cancel()
-	for range r.events {
-	}
-}
-
-var errRefused = errors.New("the upstream refused the request")
-
-func (r *eventReader) read(ctx context.Context, c *call, a *attempt, o *outgoing) error {
-	u := a.choice.Upstream
-	x, err := c.g.upstreams.send(ctx, u.Addr, u.ID, o, c.isOurs)
-	if err != nil {
-		a.sent = !errors.Is(err, errNotSent)
-		return err
-	}
-	if !r.pass(ctx, arrival{head: x.res}) {
-		x.abandon()
-		return ctx.Err()
-	}
-	meta := c.g.dialect.Response(x.res.Header)
-	switch {
-	case meta.NotRun:
-		x.abandon()
-		return errRefused
-	case meta.Encoded || !meta.Sealed:
-		x.abandon()
-		return errors.New("the answer has no signature or an encoded body")
-	case x.res.StatusCode >= http.StatusInternalServerError:
-		return r.readFailure(a, x)
-	}
-	return r.readEvents(ctx, x)
-}
-
-// readFailure takes in an upstream's own failure, which is not a stream.
-func (r *eventReader) readFailure(a *attempt, x *exchange) error {
-	body, err := io.ReadAll(io.LimitReader(x.res.Body, maxAnswerBytes))
-	if err != nil {
-		x.abandon()
-		return err
-	}
-	a.body = body
-	x.finish()
-	return errors.Errorf("the upstream answered with status %d", x.res.StatusCode)
-}
-
-func (r *eventReader) readEvents(ctx context.Context, x *exchange) error {
-	body := bufio.NewReaderSize(x.res.Body, readBuffer)
-	for {
-		e, err := readEvent(body)
-		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
-			x.finish()
-			r.complete = true
-			return nil
-		}
-		if err != nil {
-			x.abandon()
-			return err
-		}
-		if !r.pass(ctx, arrival{event: e}) {
-			x.abandon()
-			return ctx.Err()
-		}
-	}
-}
-
-func (r *eventReader) pass(ctx context.Context, in arrival) bool {
-	select {
-	case r.events <- in:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/modules/registry/directory.go
+++ b/modules/registry/directory.go
@@ -308,24 +308,24 @@
 // the leader knows nothing of the silence of others.
 type attention struct {
 	swept time.Time
-	// deaf is when the instance last missed announcements.
-	deaf time.Time
+	// missed is when the instance last missed announcements.
+	missed time.Time
 }
 
 // full is called at each sweep. It returns true once nothing has been missed
 // for a time.
-func (a *attention) full(now time.Time, hears bool, after time.Duration) bool {
-	if !hears || now.Sub(a.swept) > stalledSweeps*sweepInterval {
-		a.deaf = now
+func (a *attention) full(now time.Time, following bool, after time.Duration) bool {
+	if !following || now.Sub(a.swept) > stalledSweeps*sweepInterval {
+		a.missed = now
 	}
 	a.swept = now
-	return now.Sub(a.deaf) >= after
+	return now.Sub(a.missed) >= after
 }
 
 func (d *directory) sweep(now time.Time) {
 	var lost []registration.Upstream
-	hears := d.r.meeting == nil && d.r.led() // a relay hears only of what is announced to itself
-	if d.attention.full(now, hears, d.lostAfter()) {
+	following := d.r.introducer == nil && d.r.led() // a relay hears only of what is announced to itself
+	if d.attention.full(now, following, d.lostAfter()) {
 		lost = d.state.MarkLost(now, d.lostAfter())
 	}
 	for _, u := range lost {
--- a/modules/registry/feed.go
+++ b/modules/registry/feed.go
@@ -103,7 +103,7 @@
 // most.
 func (s *Service) Watch(args *WatchArgs, reply *WatchReply) error {
 	r := s.r
-	if r.meeting != nil {
+	if r.introducer != nil {
 		reply.Relay, reply.Members = true, r.members()
 		return nil
 	}
@@ -199,8 +199,8 @@
 
 // Identity passes a question on.
 func (s *raftService) Identity(args *replica.IdentityArgs, reply *replica.IdentityReply) error {
-	if s.r.meeting != nil {
-		return s.r.meeting.Identity(args, reply)
+	if s.r.introducer != nil {
+		return s.r.introducer.Identity(args, reply)
 	}
 	rep := s.r.current()
 	if rep == nil {
@@ -218,8 +218,8 @@
 // members returns the peer addresses of the other control instances.
 func (r *Registry) members() []string {
 	var list []replica.Peer
-	if r.meeting != nil {
-		list = r.meeting.Members()
+	if r.introducer != nil {
+		list = r.introducer.Members()
 	} else if rep := r.current(); rep != nil {
 		list = rep.Members()
 	}
--- a/modules/registry/operator.go
+++ b/modules/registry/operator.go
@@ -73,7 +73,7 @@
 	if held := r.document.current().version; version <= held {
 		return held, nil
 	}
-	if r.meeting != nil {
+	if r.introducer != nil {
 		return r.replaceAtMember(ctx, version, body)
 	}
 	return r.atLeader(ctx, func(ctx context.Context) (uint64, error) {
@@ -189,7 +189,7 @@
 
 // readCurrent returns the configuration in force, no older than the call.
 func (r *Registry) readCurrent(ctx context.Context) (*revision, error) {
-	if r.meeting != nil {
+	if r.introducer != nil {
 		var reply ReadReply
 		if err := r.atMember(ctx, "Read", &ReadArgs{}, &reply); err != nil {
 			return nil, err
--- a/modules/registry/registry.go
+++ b/modules/registry/registry.go
@@ -54,8 +54,8 @@
 	// Seeds are addresses of a few control instances; the port is replaced by
 	// that of peer_listen.
 	Seeds []string `yaml:"seeds"`
-	// Found is true at the first start of the whole system, with empty disks.
-	Found bool `yaml:"found"`
+	// Bootstrap is true at the first start of the whole system, with empty disks.
+	Bootstrap bool `yaml:"bootstrap"`
 	// Losses is how many control instances may be lost at once.
 	Losses int `yaml:"losses"`
 	// AnnounceInterval is the time between two announcements of an upstream.
@@ -73,9 +73,9 @@
 	security *peer.Security
 	dialect  dialect.Dialect
 	folder   string
-	// meeting is set on an instance without a disk, which holds no log and passes
+	// introducer is set on an instance without a disk, which holds no log and passes
 	// calls on to those that do.
-	meeting *replica.Meeting
+	introducer *replica.Introducer
 
 	operators net.Listener
 	peers     net.Listener
@@ -143,15 +143,15 @@
 	r.document = newDocument(r.log, r.feed.wake)
 	r.directory = newDirectory(r)
 	if r.folder == "" {
-		r.meeting = replica.NewMeeting(r.PeerListen, []replica.Group{group}, replica.Discovery{Seeds: r.seeds(), Found: r.Found}, r.clients)
+		r.introducer = replica.NewIntroducer(r.PeerListen, []replica.Group{group}, replica.Discovery{Seeds: r.seeds(), Bootstrap: r.Bootstrap}, r.clients)
 	}
 }
 
 // Start implements kernel.Runner.
 func (r *Registry) Start(context.Context) error {
-	r.log.Info("registry starts", "peer_address", r.PeerListen, "seeds", r.Seeds, "found", r.Found, "losses", r.Losses, "relay", r.folder == "")
-	if r.meeting != nil {
-		r.run(func() { r.meeting.Run(r.ctx) })
+	r.log.Info("registry starts", "peer_address", r.PeerListen, "seeds", r.Seeds, "bootstrap", r.Bootstrap, "losses", r.Losses, "relay", r.folder == "")
+	if r.introducer != nil {
+		r.run(func() { r.introducer.Run(r.ctx) })
 	} else {
 		r.run(r.keepLog)
 		r.run(func() { r.directory.saver.run(r.ctx) })
@@ -209,7 +209,7 @@
 		Self: raft.MemberID(r.PeerListen), Folder: r.folder, Security: r.security, Log: r.log, Stats: r.stats,
 		Machines: map[replica.Group]replica.StateMachine{group: r.document},
 		Discovery: &replica.Discovery{
-			Seeds: r.seeds(), Found: r.Found, MinVoters: 2*r.Losses + 1,
+			Seeds: r.seeds(), Bootstrap: r.Bootstrap, MinVoters: 2*r.Losses + 1,
 		},
 		CompactEntries: compactEntries, SegmentBytes: segmentBytes, KeepLeaders: true,
 	})
--- a/modules/registry/registry_test.go
+++ b/modules/registry/registry_test.go
@@ -25,10 +25,10 @@
 
 // fleet is a set of control instances on loopback addresses of their own.
 type fleet struct {
-	t     *testing.T
-	seeds []string
-	found bool
-	nodes []*node
+	t         *testing.T
+	seeds     []string
+	bootstrap bool
+	nodes     []*node
 }
 
 type node struct {
@@ -38,7 +38,7 @@
 }
 
 func newFleet(t *testing.T, size int) *fleet {
-	f := &fleet{t: t, found: true}
+	f := &fleet{t: t, bootstrap: true}
 	n := fleets.Add(1)
 	port := freePort(t)
 	for i := range size {
@@ -51,7 +51,7 @@
 	for _, n := range f.nodes {
 		f.start(n)
 	}
-	f.found = false
+	f.bootstrap = false
 	t.Cleanup(func() {
 		for _, n := range f.nodes {
 			f.stop(n)
@@ -75,7 +75,7 @@
 	security, err := peer.NewSecurity(peer.TLSSettings{Off: true}, log)
 	assert.NilError(f.t, err)
 	r := &Registry{Settings: Settings{
-		PeerListen: n.addr, Seeds: f.seeds, Found: f.found, Losses: 1, AnnounceInterval: 200 * time.Millisecond,
+		PeerListen: n.addr, Seeds: f.seeds, Bootstrap: f.bootstrap, Losses: 1, AnnounceInterval: 200 * time.Millisecond,
 	}}
 	r.log, r.stats, r.security, r.folder = log, stats.New(), security, n.folder
 	r.dialect = &platform.Platform{}
@@ -300,9 +300,9 @@
 	const after = 6 * time.Second
 	var a attention
 	now := time.Now()
-	sweep := func(hears bool) bool {
+	sweep := func(following bool) bool {
 		now = now.Add(sweepInterval)
-		return a.full(now, hears, after)
+		return a.full(now, following, after)
 	}
 	assert.Assert(t, !sweep(true), "it has just started")
 	for range after / sweepInterval {
--- a/test/soak/process_test.go
+++ b/test/soak/process_test.go
@@ -55,8 +55,8 @@
 
 func (p *process) addr(port string) string { return p.host + ":" + port }
 
-// write writes the settings file; found is true at the first start of all.
-func (p *process) write(zone string, seeds []string, found bool) {
+// write writes the settings file; bootstrap is true at the first start of all.
+func (p *process) write(zone string, seeds []string, bootstrap bool) {
 	p.t.Helper()
 	for i := range seeds {
 		seeds[i] = fmt.Sprintf("%q", seeds[i])
@@ -66,8 +66,8 @@
 	body := fmt.Sprintf("  - gateway: {listen: %s, ready_listen: %s, peer_port: %s, seeds: [%s], grace: 3s, drain_delay: 500ms, dialect: {kartuschenwacht: {}}}\n",
 		p.addr(callerPort), p.addr(readyPort), peerPort, list)
 	if p.role == "registry" {
-		body = fmt.Sprintf("  - registry: {listen: %s, peer_listen: %s, seeds: [%s], found: %v, losses: 1, announce_interval: %v, dialect: {kartuschenwacht: {}}}\n",
-			p.addr(operatorPort), p.addr(peerPort), list, found, heartbeatInterval)
+		body = fmt.Sprintf("  - registry: {listen: %s, peer_listen: %s, seeds: [%s], bootstrap: %v, losses: 1, announce_interval: %v, dialect: {kartuschenwacht: {}}}\n",
+			p.addr(operatorPort), p.addr(peerPort), list, bootstrap, heartbeatInterval)
 	}
 	p.settings = filepath.Join(p.folder, "settings.yaml")
 	assert.NilError(p.t, os.WriteFile(p.settings, []byte(head+body), 0o600))
