gateway, registry: recognise requests that crash upstreams; longer reserve at a stop; members outlive a standstill

Change: a stream that was beginning when its upstream's connection broke becomes a crash record once a later incarnation has taken the address; registries share the records; from three incarnations on the request is answered 502 at once for ten minutes; a whole answer clears it. Plain calls are left out, since many callers make the same one. Names of members are kept for a minute, and a gateway that stops takes streams only with a reserve of 40%. Tests: TestRequestThatCrashesUpstreams, TestCrashesReachEveryInstance, core/crash, TestSeedsWithoutADisk.

--- a/modules/control/replica/discovery_test.go
+++ b/modules/control/replica/discovery_test.go
@@ -201,4 +201,11 @@
 	for _, m := range introducers {
 		c.eventually("the members are known", func() bool { return len(m.Members()) == 3 })
 	}
+	m := introducers[0]
+	m.mu.Lock()
+	for id := range m.heard {
+		m.heard[id] = m.heard[id].Add(-2 * identityAge) // the process has stood still
+	}
+	m.mu.Unlock()
+	assert.Equal(t, len(m.Members()), 3)
 }
--- a/modules/control/replica/introducer.go
+++ b/modules/control/replica/introducer.go
@@ -26,8 +26,13 @@
 	nominees map[Group]raft.MemberID
 }
 
-// identityAge is how long what an instance says of itself counts as current.
-const identityAge = freshTicks * DefaultTick
+const (
+	// identityAge is how long what an instance says of itself counts as current.
+	identityAge = freshTicks * DefaultTick
+	// memberAge is how long the members that an instance has named are kept. After
+	// a standstill old names are better than none.
+	memberAge = time.Minute
+)
 
 // NewIntroducer returns the introducer of the instance with an address.
 func NewIntroducer(self string, groups []Group, d Discovery, clients *peer.Clients) *Introducer {
@@ -99,7 +104,7 @@
 	defer m.mu.Unlock()
 	var out []Peer
 	for id, i := range m.known {
-		if time.Since(m.heard[id]) > identityAge || i.relay {
+		if time.Since(m.heard[id]) > memberAge || i.relay {
 			continue
 		}
 		for _, p := range i.known {
--- a/modules/gateway/follow.go
+++ b/modules/gateway/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -131,6 +132,13 @@
 	return addr, true
 }
 
+// followed returns the control instances that are followed now.
+func (f *follower) followed() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Collect(maps.Keys(f.following))
+}
+
 func (f *follower) release(addr string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -162,7 +170,7 @@
 			return true
 		}
 		f.take(reply)
-		args.Epoch, args.Change = reply.Epoch, reply.Change
+		args.Epoch, args.Change, args.Crash = reply.Epoch, reply.Change, reply.Crash
 		if first {
 			f.log.Info("control instance followed", "address", addr, "version", reply.Version, "upstreams", len(reply.Upstreams), "led", reply.Led)
 		}
@@ -203,6 +211,9 @@
 			f.configure(reply)
 		}
 	}
+	if len(reply.Crashes) > 0 {
+		f.g.takeCrashes(reply.Crashes)
+	}
 	now := time.Now()
 	for _, u := range reply.Upstreams {
 		if u.State == registration.Lost && !reply.Led {
@@ -250,6 +261,7 @@
 			"state", c.State.String(), "started_ms", c.StartedMS, "seq", c.Seq)
 		if c.State < registration.Lost {
 			f.replaced.publish(incarnation{c.Addr, c.ID, c.StartedMS})
+			f.g.incarnationEnded(c.Addr, c.StartedMS)
 		}
 	}
 }
--- a/modules/gateway/gateway.go
+++ b/modules/gateway/gateway.go
@@ -91,6 +91,9 @@
 	// nanoseconds.
 	streamTime atomic.Int64
 	open       atomic.Int64
+	// crashes is the number of crash records, so that requests are compared with
+	// them only when there are any.
+	crashes atomic.Int64
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -223,10 +226,11 @@
 }
 
 // streamShare is the weight of the newest stream in the moving average of their
-// duration, and durationReserve the factor by which streams may be longer.
+// duration, and durationReserve the factor by which streams may be longer: one
+// that loses its upstream twice takes about that much.
 const (
 	streamShare     = 0.2
-	durationReserve = 1.15
+	durationReserve = 1.4
 )
 
 // noteStream takes the duration of a stream that ran to its end.
--- a/modules/gateway/handler.go
+++ b/modules/gateway/handler.go
@@ -85,6 +85,9 @@
 	if err := c.read(r); err != nil {
 		return err
 	}
+	if err := c.blocked(); err != nil {
+		return err
+	}
 	if c.route.Kind == routing.Stream && !c.g.lastsUntil(c.begin) {
 		return result.New(result.Leaving, "this gateway stops before the stream would end").After(leavingRetry)
 	}
--- a/modules/gateway/owner.go
+++ b/modules/gateway/owner.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"heatherway.dev/core/crash"
 	"heatherway.dev/core/dispatch"
 	"heatherway.dev/core/retry"
 	"heatherway.dev/core/slo"
@@ -17,6 +18,7 @@
 	budget  *retry.Budget
 	latency map[string]*retry.Latency // of lookups, by service
 	slo     *slo.Recorder
+	crashes crash.Ledger
 }
 
 // owner is the goroutine that owns the state. Traffic goroutines hand it short
--- a/modules/gateway/stream.go
+++ b/modules/gateway/stream.go
@@ -71,6 +71,7 @@
 	begin    time.Time
 	sent     bool
 	started  bool
+	events   int
 	complete bool
 	resumed  bool
 	meta     dialect.Response
@@ -274,6 +275,7 @@
 		a.err = errors.Errorf("event %d does not follow", in.event.id)
 		return true
 	}
+	a.events++
 	s.noteStart(a)
 	return s.write(a, in.event.raw)
 }
@@ -348,6 +350,9 @@
 	if a.sent {
 		s.sent++
 	}
+	if failed && a.sent && a.events <= beginningEvents {
+		s.noteBroken(a.choice.Upstream)
+	}
 	if failed {
 		s.g.upstreams.drop(a.choice.Upstream.Addr, a.choice.Upstream.ID)
 	}
@@ -362,6 +367,7 @@
 // finish ends the answer of a complete attempt.
 func (s *streaming) finish(a *attempt) {
 	s.g.noteStream(time.Since(s.begin))
+	s.noteWhole()
 	s.record(s.firstEvent, s.relay.LongestPause(), slo.OK)
 	if !s.begun {
 		s.copyHeader(a.header)
--- a/modules/gateway/stream_test.go
+++ b/modules/gateway/stream_test.go
@@ -248,3 +248,36 @@
 	assert.NilError(t, a.err)
 	assert.DeepEqual(t, pieces(a.body), want(5))
 }
+
+// Guards against a request that crashes one upstream after the other: once three
+// incarnations have ended with it, it is answered at once, and never as not run.
+func TestRequestThatCrashesUpstreams(t *testing.T) {
+	var ups []*upstream
+	for i := range 4 {
+		ups = append(ups, serve(t, fmt.Sprint("u", i), "model", fmt.Sprint("z", i%2), func(_ http.ResponseWriter, r *http.Request, _ int) {
+			abort()
+		}))
+	}
+	f := newFixture(t, configuration(), ups...)
+	assert.Equal(t, f.letter().status, http.StatusBadGateway)
+	before := 0
+	for _, u := range ups {
+		before += len(u.requests())
+		next := u.Upstream
+		next.ID, next.StartedMS = next.ID+"-next", 2000
+		f.announce(next)
+	}
+	assert.Assert(t, before >= 3)
+	a := f.letter()
+	assert.Equal(t, a.status, http.StatusBadGateway)
+	after := 0
+	for _, u := range ups {
+		after += len(u.requests())
+	}
+	assert.Equal(t, after, before, "the request ran again")
+	assert.Equal(t, f.do(f.request("POST", "/letters/x", "another prompt")).status, http.StatusBadGateway)
+	for _, u := range ups {
+		after -= len(u.requests())
+	}
+	assert.Assert(t, after < 0, "another request still runs")
+}
--- a/modules/registry/directory.go
+++ b/modules/registry/directory.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"heatherway.dev/core/crash"
 	"heatherway.dev/core/registration"
 	"heatherway.dev/kernel/peer"
 )
@@ -43,39 +44,47 @@
 	looks  chan look
 	// unsent holds for each other instance what it has not taken yet, and alive
 	// what has been heard of without a change since the last call to it.
-	unsent    map[string]map[string]registration.Upstream
-	alive     map[string]map[string]Alive
-	aliveAt   time.Time
-	sending   map[string]bool
-	sent      chan shared
-	saver     *saver
-	attention attention
+	unsent  map[string]map[string]registration.Upstream
+	alive   map[string]map[string]Alive
+	aliveAt time.Time
+	sending map[string]bool
+	sent    chan shared
+	// crashes are the newest crash records; the last one has the number crash.
+	crashes []crash.Record
+	crash   uint64
+	// unsentCrashes holds for each other instance those it has not taken yet.
+	unsentCrashes map[string][]crash.Record
+	saver         *saver
+	attention     attention
 	// saved is the last change that has been handed to the saver.
 	saved uint64
 }
 
 type observation struct {
-	list   []registration.Upstream
-	alive  []Alive
-	direct bool
+	list    []registration.Upstream
+	alive   []Alive
+	crashes []crash.Record
+	direct  bool
 	// unknown receives the upstreams of alive that are not known.
 	unknown chan []string
 }
 
 // look asks for the records that changed after a number.
 type look struct {
-	since uint64
-	reply chan view
+	since, crash uint64
+	reply        chan view
 }
 
 type view struct {
 	changes uint64
 	list    []registration.Upstream
+	crash   uint64
+	crashes []crash.Record
 }
 
 type shared struct {
 	addr    string
-	list    []registration.Upstream
+	args    *ShareArgs
 	unknown []string
 	err     error
 }
@@ -84,7 +93,8 @@
 	d := &directory{
 		r: r, log: r.log, state: registration.New(), epoch: rand.Uint64(),
 		inputs: make(chan observation, queuedAnnouncements), looks: make(chan look),
-		unsent: map[string]map[string]registration.Upstream{}, alive: map[string]map[string]Alive{}, sending: map[string]bool{},
+		unsent: map[string]map[string]registration.Upstream{}, alive: map[string]map[string]Alive{},
+		unsentCrashes: map[string][]crash.Record{}, sending: map[string]bool{},
 		sent: make(chan shared, 16),
 	}
 	if r.folder != "" {
@@ -120,9 +130,9 @@
 	}
 }
 
-// since returns what changed after a number.
-func (d *directory) since(ctx context.Context, change uint64) (view, bool) {
-	q := look{change, make(chan view, 1)}
+// since returns the upstreams and the crash records behind two numbers.
+func (d *directory) since(ctx context.Context, change, crash uint64) (view, bool) {
+	q := look{change, crash, make(chan view, 1)}
 	select {
 	case d.looks <- q:
 		return <-q.reply, true
@@ -144,7 +154,7 @@
 		case o := <-d.inputs:
 			d.take(o)
 		case q := <-d.looks:
-			q.reply <- view{d.state.Changes(), d.state.Since(q.since)}
+			q.reply <- d.view(q)
 		case s := <-d.sent:
 			d.settle(s)
 		case <-share.C:
@@ -183,12 +193,48 @@
 		}
 	}
 	o.unknown <- unknown
+	changed = d.takeCrashes(o) || changed
 	if changed {
 		d.r.feed.wake()
 		d.share()
 	}
 }
 
+// keptCrashes bounds the crash records that are kept for gateways.
+const keptCrashes = 256
+
+// takeCrashes takes crash records in and tells whether any was new.
+func (d *directory) takeCrashes(o observation) bool {
+	added := false
+	for _, c := range o.crashes {
+		if slices.Contains(d.crashes, c) {
+			continue
+		}
+		added = true
+		d.crash++
+		d.crashes = append(d.crashes, c)
+		if len(d.crashes) > keptCrashes {
+			d.crashes = d.crashes[1:]
+		}
+		d.log.Warn("request was beginning at an upstream that crashed", "fingerprint", c.Fingerprint, "address", c.Addr, "started_ms", c.StartedMS, "direct", o.direct)
+		if o.direct {
+			for _, addr := range d.r.members() {
+				d.unsentCrashes[addr] = append(d.unsentCrashes[addr], c)
+			}
+		}
+	}
+	return added
+}
+
+// view returns what a reader does not have.
+func (d *directory) view(q look) view {
+	v := view{changes: d.state.Changes(), list: d.state.Since(q.since), crash: d.crash}
+	if behind := min(d.crash-min(q.crash, d.crash), uint64(len(d.crashes))); behind > 0 {
+		v.crashes = slices.Clone(d.crashes[uint64(len(d.crashes))-behind:])
+	}
+	return v
+}
+
 func previous(u registration.Upstream, known bool) string {
 	if !known {
 		return "unknown"
@@ -232,10 +278,11 @@
 		d.aliveAt = now
 	}
 	for _, addr := range d.r.members() {
-		if d.sending[addr] || len(d.unsent[addr]) == 0 && !(aliveDue && len(d.alive[addr]) > 0) {
+		if d.sending[addr] || len(d.unsent[addr]) == 0 && len(d.unsentCrashes[addr]) == 0 && !(aliveDue && len(d.alive[addr]) > 0) {
 			continue
 		}
-		args := &ShareArgs{}
+		args := &ShareArgs{Crashes: d.unsentCrashes[addr]}
+		delete(d.unsentCrashes, addr)
 		for _, u := range d.unsent[addr] {
 			args.Upstreams = append(args.Upstreams, u)
 		}
@@ -257,7 +304,7 @@
 	reply := &ShareReply{}
 	err := client.Call(ctx, ServiceName+".Share", args, reply)
 	select {
-	case d.sent <- shared{client.Addr(), args.Upstreams, reply.Unknown, err}:
+	case d.sent <- shared{client.Addr(), args, reply.Unknown, err}:
 	case <-d.r.ctx.Done():
 	}
 }
@@ -269,6 +316,7 @@
 	if !slices.Contains(d.r.members(), s.addr) {
 		delete(d.unsent, s.addr)
 		delete(d.alive, s.addr)
+		delete(d.unsentCrashes, s.addr)
 		return
 	}
 	m := d.unsent[s.addr]
@@ -284,7 +332,8 @@
 	if s.err == nil {
 		return
 	}
-	for _, u := range s.list {
+	d.unsentCrashes[s.addr] = append(d.unsentCrashes[s.addr], s.args.Crashes...)
+	for _, u := range s.args.Upstreams {
 		if _, newer := m[u.ID]; !newer {
 			m[u.ID] = u
 		}
--- a/modules/registry/feed.go
+++ b/modules/registry/feed.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"heatherway.dev/core/crash"
 	"heatherway.dev/core/registration"
 	"heatherway.dev/heatherway/modules/control/replica"
 	"heatherway.dev/kernel/peer"
@@ -30,6 +31,8 @@
 	Version uint64
 	// Epoch and Change say which changes of the directory it has.
 	Epoch, Change uint64
+	// Crash is the number of the last crash record that it has, within Epoch.
+	Crash uint64
 	// Confirm asks for a configuration that a majority has confirmed after the
 	// call; a gateway that starts has no other way to tell an old one.
 	Confirm bool
@@ -44,6 +47,10 @@
 	Epoch, Change uint64
 	// Upstreams are the records that changed.
 	Upstreams []registration.Upstream
+	// Crashes are the crash records behind the one named in the call; Crash goes
+	// into the next call.
+	Crashes []crash.Record
+	Crash   uint64
 	// Members are the peer addresses of all control instances.
 	Members []string
 	// Confirmed tells that a majority has confirmed the configuration.
@@ -85,6 +92,7 @@
 type ShareArgs struct {
 	Upstreams []registration.Upstream
 	Alive     []Alive
+	Crashes   []crash.Record
 }
 
 // Alive names an incarnation that has been heard of.
@@ -116,25 +124,25 @@
 	}
 	ctx, cancel := context.WithTimeout(r.ctx, MaxWatch)
 	defer cancel()
-	since := args.Change
+	since, crashes := args.Change, args.Crash
 	if args.Epoch != r.directory.epoch {
-		since = 0
+		since, crashes = 0, 0
 	}
 	for {
 		woken := r.feed.next()
 		held := r.document.current()
-		v, ok := r.directory.since(ctx, since)
+		v, ok := r.directory.since(ctx, since, crashes)
 		if !ok {
 			return peer.EncodeError(result.New(result.ControlUnavailable, "this instance stops"))
 		}
 		*reply = WatchReply{
-			Version: held.version, Epoch: r.directory.epoch, Change: v.changes, Upstreams: v.list,
+			Version: held.version, Epoch: r.directory.epoch, Change: v.changes, Upstreams: v.list, Crashes: v.crashes, Crash: v.crash,
 			Members: append(r.members(), r.PeerListen), Led: r.led(), Confirmed: confirmed,
 		}
 		if held.version > args.Version {
 			reply.Body = held.body
 		}
-		if reply.Body != nil || len(v.list) > 0 || !reply.Led || args.Confirm {
+		if reply.Body != nil || len(v.list) > 0 || len(v.crashes) > 0 || !reply.Led || args.Confirm {
 			return nil
 		}
 		select {
@@ -180,7 +188,19 @@
 
 // Share takes in announcements that another instance heard.
 func (s *Service) Share(args *ShareArgs, reply *ShareReply) error {
-	reply.Unknown = s.r.directory.observe(observation{list: args.Upstreams, alive: args.Alive})
+	reply.Unknown = s.r.directory.observe(observation{list: args.Upstreams, alive: args.Alive, crashes: args.Crashes})
+	return nil
+}
+
+// CrashArgs carries crash records of a gateway.
+type CrashArgs struct{ Crashes []crash.Record }
+
+// CrashReply is empty.
+type CrashReply struct{}
+
+// Crash takes in crash records and passes them on to all gateways.
+func (s *Service) Crash(args *CrashArgs, _ *CrashReply) error {
+	s.r.directory.observe(observation{crashes: args.Crashes, direct: true})
 	return nil
 }
 
--- a/modules/registry/registry_test.go
+++ b/modules/registry/registry_test.go
@@ -15,6 +15,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"heatherway.dev/core/crash"
 	"heatherway.dev/core/registration"
 	"heatherway.dev/heatherway/platform"
 	"heatherway.dev/kernel/peer"
@@ -174,7 +175,7 @@
 }
 
 func (n *node) state(id string) registration.State {
-	v, ok := n.directory.since(context.Background(), 0)
+	v, ok := n.directory.since(context.Background(), 0, 0)
 	if ok {
 		for _, u := range v.list {
 			if u.ID == id {
@@ -318,3 +319,24 @@
 	assert.Assert(t, !sweep(false), "it knows no leader")
 	assert.Assert(t, !sweep(true))
 }
+
+// Guards against a crash that only the control instance knows to which a gateway
+// reported it.
+func TestCrashesReachEveryInstance(t *testing.T) {
+	f := newFleet(t, 3)
+	f.replace(f.nodes[0], 1, "first")
+	client := f.nodes[0].security.NewClient(f.nodes[0].addr)
+	defer client.Close()
+	c := crash.Record{Fingerprint: "poison", Addr: "10.0.0.1:80", StartedMS: 1000}
+	for range 2 {
+		assert.NilError(t, client.Call(t.Context(), ServiceName+".Crash", &CrashArgs{[]crash.Record{c}}, &CrashReply{}))
+	}
+	for _, n := range f.nodes {
+		f.eventually("the crash", func() bool {
+			v, ok := n.directory.since(t.Context(), 0, 0)
+			return ok && len(v.crashes) == 1 && v.crashes[0] == c
+		})
+		v, _ := n.directory.since(t.Context(), 0, 1)
+		assert.Equal(t, len(v.crashes), 0, "a reader gets it once")
+	}
+}
