gateway: pass an upstream's own answer to a stream on

Cause (read-through): an answer that is no stream, such as a 400, was read as events, failed, was sent to other upstreams and became a 502; so did the last attempt's own 500. Change: such an answer is taken whole and delivered with its status, body and signature; a 5xx only once no attempt is left. Before: TestUpstreamsOwnAnswerToAStream gets 502 for 400; after: passes.

--- a/modules/gateway/reader.go
+++ b/modules/gateway/reader.go
@@ -56,14 +56,15 @@
 	case meta.Encoded || !meta.Sealed:
 		x.abandon()
 		return errors.New("the answer has no signature or an encoded body")
-	case x.res.StatusCode >= http.StatusInternalServerError:
-		return r.readFailure(a, x)
+	case x.res.StatusCode >= http.StatusMultipleChoices:
+		return r.readWhole(a, x)
 	}
 	return r.readEvents(ctx, x)
 }
 
-// readFailure takes in an upstream's own failure, which is not a stream.
-func (r *eventReader) readFailure(a *attempt, x *exchange) error {
+// readWhole takes in an answer that is not a stream. A failure of the upstream
+// itself may be followed by another attempt.
+func (r *eventReader) readWhole(a *attempt, x *exchange) error {
 	body, err := io.ReadAll(io.LimitReader(x.res.Body, maxAnswerBytes))
 	if err != nil {
 		x.abandon()
@@ -71,7 +72,11 @@
 	}
 	a.body = body
 	x.finish()
-	return errors.Errorf("the upstream answered with status %d", x.res.StatusCode)
+	if x.res.StatusCode >= http.StatusInternalServerError {
+		return errors.Errorf("the upstream answered with status %d", x.res.StatusCode)
+	}
+	r.complete = true
+	return nil
 }
 
 func (r *eventReader) readEvents(ctx context.Context, x *exchange) error {
--- a/modules/gateway/stream.go
+++ b/modules/gateway/stream.go
@@ -197,6 +197,9 @@
 func (s *streaming) arrived(a *attempt, r *eventReader, in arrival, more bool) bool {
 	if !more {
 		a.err, a.complete = r.err, r.complete
+		if a.complete && s.begun && a.status >= http.StatusMultipleChoices {
+			a.complete, a.err = false, errors.Errorf("the upstream answered a resume with status %d", a.status)
+		}
 		return true
 	}
 	return s.take(a, in)
@@ -366,9 +369,13 @@
 
 // finish ends the answer of a complete attempt.
 func (s *streaming) finish(a *attempt) {
-	s.g.noteStream(time.Since(s.begin))
-	s.noteWhole()
-	s.record(s.firstEvent, s.relay.LongestPause(), slo.OK)
+	code := result.UpstreamFailed
+	if a.status < http.StatusInternalServerError {
+		code = slo.OK
+		s.g.noteStream(time.Since(s.begin))
+		s.noteWhole()
+	}
+	s.record(s.firstEvent, s.relay.LongestPause(), code)
 	if !s.begun {
 		s.copyHeader(a.header)
 		s.w.WriteHeader(a.status)
@@ -412,6 +419,8 @@
 		s.fail(result.New(result.NoUpstream, "%s refused the request: %v", a.choice.Upstream.ID, a.err).After(refusedRetry))
 	case s.ctx.Err() != nil:
 		s.fail(result.New(result.DeadlineExceeded, "no first event in time"))
+	case a.body != nil && a.status >= http.StatusInternalServerError:
+		s.finish(a) // the upstream's own failure is the answer
 	default:
 		s.fail(result.Wrap(result.UpstreamFailed, a.err, "the stream did not begin"))
 	}
--- a/modules/gateway/stream_test.go
+++ b/modules/gateway/stream_test.go
@@ -281,3 +281,26 @@
 	}
 	assert.Assert(t, after < 0, "another request still runs")
 }
+
+// Guards against an upstream's own answer that is replaced by another one: a
+// refusal of the request itself, and a failure after the last attempt.
+func TestUpstreamsOwnAnswerToAStream(t *testing.T) {
+	for _, status := range []int{http.StatusBadRequest, http.StatusInternalServerError} {
+		var ups []*upstream
+		for i := range 2 {
+			ups = append(ups, serve(t, fmt.Sprint("u", i), "model", fmt.Sprint("z", i), func(w http.ResponseWriter, _ *http.Request, _ int) {
+				w.WriteHeader(status)
+				fmt.Fprint(w, "no stream")
+			}))
+		}
+		c := configuration()
+		c.Routes[0].MaxAttempts = 2
+		f := newFixture(t, c, ups...)
+		a := f.letter()
+		assert.Equal(t, a.status, status)
+		assert.Equal(t, a.body, "no stream")
+		assert.Assert(t, strings.HasPrefix(a.header.Get("Response-Seal"), "seal-"))
+		runs := len(ups[0].requests()) + len(ups[1].requests())
+		assert.Equal(t, runs, map[int]int{http.StatusBadRequest: 1, http.StatusInternalServerError: 2}[status])
+	}
+}
