gateway: wait for the owner in the test of crashing requests

Trace: announcements reach the owner goroutine by a queue, and the test asked before it had taken them in; the product gives no such order either, since the rule has seconds.

--- a/modules/gateway/stream_test.go
+++ b/modules/gateway/stream_test.go
@@ -268,6 +268,7 @@
 		f.announce(next)
 	}
 	assert.Assert(t, before >= 3)
+	f.owner.ask(func(*state) {}) // the owner has taken the announcements in
 	a := f.letter()
 	assert.Equal(t, a.status, http.StatusBadGateway)
 	after := 0
