freeport: hand out no port twice

Change: a process hands out no port twice, and test processes draw from parts of the range by their id.

--- a/internal/freeport/freeport.go
+++ b/internal/freeport/freeport.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"os"
+	"sync"
 
 	"github.com/go-faster/errors"
 )
@@ -17,16 +19,47 @@
 	lowest  = 10240
 	highest = 32767
 	tries   = 200
+	// shares is the number of parts into which the range is divided, by process
+	// id: the port of a closed listener is free until the process that it is meant
+	// for binds it, and another test process must not take it meanwhile.
+	shares = 16
 )
 
+// given holds the ports handed out by this process; none is handed out twice.
+var given = struct {
+	sync.Mutex
+	ports map[int]bool
+}{ports: map[int]bool{}}
+
 // Listen binds a free port of 127.0.0.1. The caller closes the listener before
 // the process starts.
 func Listen() (net.Listener, error) {
 	for range tries {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", lowest+rand.IntN(highest-lowest+1)))
+		port := candidate()
+		if !take(port) {
+			continue
+		}
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err == nil {
 			return l, nil
 		}
 	}
 	return nil, errors.Errorf("no free port between %d and %d in %d tries", lowest, highest, tries)
 }
+
+// candidate draws a port of this process's share.
+func candidate() int {
+	const each = (highest - lowest + 1) / shares
+	return lowest + os.Getpid()%shares + shares*rand.IntN(each)
+}
+
+// take tells whether the port has not been handed out before.
+func take(port int) bool {
+	given.Lock()
+	defer given.Unlock()
+	if given.ports[port] {
+		return false
+	}
+	given.ports[port] = true
+	return true
+}
--- /dev/null
+++ b/internal/freeport/freeport_test.go
@@ -0,0 +1,20 @@
+package freeport
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a port that is handed out again while the process that it was
+// meant for has not bound it yet.
+func TestNoPortTwice(t *testing.T) {
+	seen := map[string]bool{}
+	for range 400 {
+		l, err := Listen()
+		assert.NilError(t, err)
+		assert.Assert(t, !seen[l.Addr().String()])
+		seen[l.Addr().String()] = true
+		assert.NilError(t, l.Close())
+	}
+}
