gateway: a copy is asked for once the run has begun

Cause: when the holder of a copy was lost while the prompt was read, the gateway asked the upstream at once for another copy, got 404 (a run that has not begun cannot be copied), and tried again half a second later, up to six times for one stream. Ruled out: no room at the holders (8 of 158 failures were 503). Change: the call waits for the first event of the run. Test failed first: TestCopyIsRenewedOnceTheRunHasBegun resumed without a copy.

--- a/modules/gateway/copy.go
+++ b/modules/gateway/copy.go
@@ -38,6 +38,9 @@
 	results chan copied
 	busy    bool
 	asked   bool
+	// wanted is set while a copy waits for the run to begin: there is nothing to
+	// copy before the first event.
+	wanted bool
 }
 
 type copied struct {
@@ -77,6 +80,10 @@
 func (c *copies) renew(ctx context.Context) {
 	c.watch(registration.Upstream{})
 	c.from = dialect.Copy{}
+	if !c.a.started {
+		c.wanted = true
+		return
+	}
 	var holder registration.Upstream
 	var ok bool
 	w := c.s.work()
@@ -90,6 +97,14 @@
 	c.update(ctx)
 }
 
+// began asks for the copy that has waited for the first event.
+func (c *copies) began() {
+	if c.wanted {
+		c.wanted = false
+		c.refresh.Reset(0)
+	}
+}
+
 // update brings the copy at the holder up to date.
 func (c *copies) update(ctx context.Context) {
 	if c.busy {
--- a/modules/gateway/stream.go
+++ b/modules/gateway/stream.go
@@ -161,6 +161,9 @@
 			if s.arrived(a, r, in, more) {
 				return
 			}
+			if a.started {
+				c.began()
+			}
 			timer.Reset(s.relay.Patience(time.Now()))
 		case <-timer.C:
 			if !s.check(ctx, a) {
--- a/modules/gateway/stream_test.go
+++ b/modules/gateway/stream_test.go
@@ -209,6 +209,50 @@
 	assert.Equal(t, later[0].requests()[0].header.Get("Kv-From"), first.Addr+"/h1")
 }
 
+// Guards against a stream without a copy after its holder has been lost while the
+// prompt was read: a run that has not begun cannot be copied, and the next try
+// came half a second later (131 calls on one kw-heatherway-grown day).
+func TestCopyIsRenewedOnceTheRunHasBegun(t *testing.T) {
+	const prompt = 300 * time.Millisecond
+	var begun, early atomic.Int32
+	var ups []*upstream
+	for i := range 3 {
+		events := letters(9, func(_ http.ResponseWriter, r *http.Request, id int) {
+			switch {
+			case r.Header.Get("Last-Event-Id") != "":
+			case id == 0:
+				time.Sleep(prompt)
+				begun.Add(1)
+			case id == 8:
+				abort()
+			default:
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+		ups = append(ups, serve(t, fmt.Sprint("u", i), "model", fmt.Sprint("z", i), func(w http.ResponseWriter, r *http.Request, n int) {
+			if strings.HasPrefix(r.URL.Path, "/v1/kv-move") && begun.Load() == 0 {
+				early.Add(1)
+				w.WriteHeader(http.StatusNotFound)
+				return
+			}
+			events(w, r, n)
+		}))
+	}
+	f := newFixture(t, configuration(), ups...)
+	time.AfterFunc(prompt/2, func() {
+		first, _ := split(ups)
+		holder := first.requests()[0].header.Get("Kv-Backup")
+		f.announce(registration.Upstream{ID: "next", Service: "model", Zone: "z9", Addr: holder, StartedMS: 2000, Seq: 1, State: registration.Draining})
+	})
+	a := f.letter()
+	assert.NilError(t, a.err)
+	assert.DeepEqual(t, pieces(a.body), want(9))
+	first, later := split(ups)
+	assert.Equal(t, len(later), 1)
+	assert.Equal(t, later[0].requests()[0].header.Get("Kv-From"), first.Addr+"/h1")
+	assert.Equal(t, early.Load(), int32(0), "calls for a copy before the run had begun")
+}
+
 // Guards against a broken stream that looks complete when it cannot go on.
 func TestStreamThatCannotGoOn(t *testing.T) {
 	u := serve(t, "u0", "model", "z0", letters(9, func(_ http.ResponseWriter, _ *http.Request, id int) {
