gateway: a stream goes back to an upstream whose connection broke

Cause: when the connection of an attempt without a copy broke, the stream went on elsewhere and its prompt was read anew there, although the upstream was alive and had it in its cache (answers lost, connections reset). Change: once for each upstream, the next attempt goes to the same one; the breaker opens and the upstream counts as tried only if that fails too. Test failed first: TestStreamGoesBackToAnUpstreamThatIsAlive read the prompt elsewhere.

--- a/modules/gateway/stream.go
+++ b/modules/gateway/stream.go
@@ -1,8 +1,12 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
+	"io"
 	"net/http"
+	"slices"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -61,6 +65,10 @@
 	holder registration.Upstream
 	copy   dialect.Copy
 	broken time.Time
+	// back is the upstream that the stream goes back to, since it may have read
+	// the prompt; wentBack names those that have had this chance.
+	back     string
+	wentBack []string
 	// firstEvent is the time until the caller's first event.
 	firstEvent time.Duration
 }
@@ -84,12 +92,16 @@
 	copy   dialect.Copy
 }
 
+// copied tells whether there is a copy of the KV cache; nothing is copied before
+// the first event.
+func (a *attempt) copied() bool { return a.started && a.copy.Key != "" }
+
 // attempt places the stream and runs it there. It returns nil when the caller
 // has got the final answer.
 func (s *streaming) attempt() *attempt {
 	w := s.work()
 	w.Backup = s.route.Resumable && s.route.MaxAttempts > 1
-	w.Prefer = s.holder.ID
+	w.Prefer = cmp.Or(s.holder.ID, s.back)
 	if w.Prefer == "" {
 		if s.sent == 0 && s.req.LastEvent != dialect.NoEvent {
 			s.findPrompt(w)
@@ -346,8 +358,9 @@
 	failed := !a.complete && !a.meta.NotRun && !gone
 	misdirected := a.status == http.StatusMisdirectedRequest
 	ok := a.complete && a.status < http.StatusInternalServerError
+	back := failed && s.goesBack(a)
 	s.g.owner.tell(func(st *state) {
-		if failed || misdirected {
+		if failed && !back || misdirected {
 			st.fleet.Failed(now, ticket)
 		}
 		if !gone && !a.meta.NotRun {
@@ -355,7 +368,9 @@
 		}
 		st.fleet.End(now, ticket)
 	})
-	s.try(a.choice.Upstream)
+	if !back {
+		s.try(a.choice.Upstream)
+	}
 	if a.sent {
 		s.sent++
 	}
@@ -369,10 +384,31 @@
 		last, _ := s.relay.Last()
 		s.g.log.Info("attempt failed", "request", s.req.ID, "upstream", a.choice.Upstream.ID, "address", a.choice.Upstream.Addr,
 			"zone", a.choice.Upstream.Zone, "sent", a.sent, "status", a.status, "started", a.started, "last_event", last,
-			"backup", a.choice.Backup.ID, "resumed", a.resumed, "took_ms", now.Sub(a.begin).Milliseconds(), "error", a.err.Error())
+			"backup", a.choice.Backup.ID, "resumed", a.resumed, "goes_back", back, "took_ms", now.Sub(a.begin).Milliseconds(), "error", a.err.Error())
 	}
 }
 
+// goesBack tells whether the stream is to go back to the upstream whose
+// connection broke. An upstream that is alive has the prompt in its cache, and
+// one that has crashed refuses the connection at once. A copy is as good and
+// does not depend on it.
+func (s *streaming) goesBack(a *attempt) bool {
+	s.back = ""
+	id := a.choice.Upstream.ID
+	if !a.sent || !severed(a.err) || a.copied() || slices.Contains(s.wentBack, id) {
+		return false
+	}
+	s.back = id
+	s.wentBack = append(s.wentBack, id)
+	return true
+}
+
+// severed tells whether an error means that the upstream or the way to it broke
+// the connection.
+func severed(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
+}
+
 // finish ends the answer of a complete attempt.
 func (s *streaming) finish(a *attempt) {
 	code := result.UpstreamFailed
@@ -410,8 +446,8 @@
 		s.broken = time.Now()
 	}
 	s.holder, s.copy = registration.Upstream{}, dialect.Copy{}
-	if a.started && a.copy.Key != "" {
-		s.holder, s.copy = a.holder, a.copy // nothing is copied before the first event
+	if a.copied() {
+		s.holder, s.copy = a.holder, a.copy
 	}
 	s.g.metrics.resumes.Inc()
 	return true
--- a/modules/gateway/stream_test.go
+++ b/modules/gateway/stream_test.go
@@ -87,6 +87,30 @@
 	assert.Assert(t, later[0].Zone != first.Zone)
 }
 
+// Guards against a prompt that is read anew elsewhere although the upstream that
+// has read it is alive: only the connection broke (kw-heatherway-grown, trouble-1,
+// answers lost from 17 s on; a pause of 2 s instead of 30 ms).
+func TestStreamGoesBackToAnUpstreamThatIsAlive(t *testing.T) {
+	var broken atomic.Int32
+	var ups []*upstream
+	for i := range 4 {
+		ups = append(ups, serve(t, fmt.Sprint("u", i), "model", fmt.Sprint("z", i%2), letters(9, func(_ http.ResponseWriter, r *http.Request, id int) {
+			if id == 4 && r.Header.Get("Last-Event-Id") == "" || r.Header.Get("Kv-From") != "" {
+				broken.Add(1)
+				abort()
+			}
+		})))
+	}
+	f := newFixture(t, configuration(), ups...)
+	a := f.letter()
+	assert.NilError(t, a.err)
+	assert.DeepEqual(t, pieces(a.body), want(9))
+	_, later := split(ups)
+	assert.Equal(t, len(later), 2)
+	assert.Equal(t, later[0], later[1], "the holder of the copy has the prompt")
+	assert.Equal(t, broken.Load(), int32(2))
+}
+
 // Guards against a caller who comes back through another gateway and has its
 // prompt read anew: one of the homes says that it holds it.
 func TestReturningCallerGoesWhereItsPromptIs(t *testing.T) {
