registry: confirmed reads of callers that ask together are merged

Cause: a gateway that starts asks two control instances for a confirmed configuration, and each such call was one round of the leader. Change: an instance has one confirmation under way; calls that come meanwhile share the next one, so that no answer is older than the call. Each confirmation is bounded by 300 ms, within the caller's own limit.

--- a/modules/registry/feed.go
+++ b/modules/registry/feed.go
@@ -21,7 +21,8 @@
 	// a silent instance a little later, well within the 2 s in which a change must
 	// be in force.
 	MaxWatch = 700 * time.Millisecond
-	// confirmLimit bounds the confirmation of the first answer to a watcher.
+	// confirmLimit bounds one confirmation by the leader, which takes a few
+	// milliseconds; beyond it another leader may have been elected.
 	confirmLimit = 300 * time.Millisecond
 )
 
--- a/modules/registry/operator.go
+++ b/modules/registry/operator.go
@@ -187,6 +187,27 @@
 	return reply.Version, err
 }
 
+// confirmed returns the version in force, confirmed after the call together with
+// other calls. It tries until ctx ends.
+func (r *Registry) confirmed(ctx context.Context) (uint64, error) {
+	for {
+		version, err := r.merger.do(ctx)
+		switch {
+		case err == nil:
+			return version, nil
+		case ctx.Err() != nil || r.ctx.Err() != nil:
+			return 0, result.New(result.ControlUnavailable, "no confirmation in time: %v", err)
+		}
+	}
+}
+
+// confirmOnce confirms for the calls that have been merged.
+func (r *Registry) confirmOnce() (uint64, error) {
+	ctx, cancel := context.WithTimeout(r.ctx, confirmLimit)
+	defer cancel()
+	return r.confirm(ctx)
+}
+
 // readCurrent returns the configuration in force, no older than the call.
 func (r *Registry) readCurrent(ctx context.Context) (*revision, error) {
 	if r.introducer != nil {
@@ -196,7 +217,7 @@
 		}
 		return &revision{reply.Version, reply.Body}, nil
 	}
-	version, err := r.confirm(ctx)
+	version, err := r.confirmed(ctx)
 	if err != nil {
 		return nil, err
 	}
--- a/modules/registry/registry.go
+++ b/modules/registry/registry.go
@@ -84,6 +84,7 @@
 	document  *document
 	directory *directory
 	feed      *feed
+	merger    *merger
 	clients   *peer.Clients
 
 	mu      sync.Mutex
@@ -140,6 +141,7 @@
 func (r *Registry) prepare() {
 	r.clients = r.security.NewClients()
 	r.feed = newFeed()
+	r.merger = &merger{confirm: r.confirmOnce}
 	r.document = newDocument(r.log, r.feed.wake)
 	r.directory = newDirectory(r)
 	if r.folder == "" {
