gateway: nobody is refused by an unconfirmed configuration

Cause, found by reading: a caller in mid-stream whose key was added in a version that the first instance did not hold yet got 401 at a gateway that had just started, and 401 is not tried again. Change: such a caller waits for the confirmed configuration like all others. Test failed first: 401 instead of 503 in TestReturningCallersGoOnBeforeTheConfirmation.

--- a/modules/gateway/gateway_test.go
+++ b/modules/gateway/gateway_test.go
@@ -217,6 +217,8 @@
 	assert.Assert(t, a.took < startHold/2, "%v", a.took)
 	assert.Equal(t, f.letter().status, http.StatusServiceUnavailable, "others wait for what is in force")
 	assert.Equal(t, f.do(f.request("POST", "/book/x", "order", "Last-Event-Id", "3")).status, http.StatusServiceUnavailable)
+	assert.Equal(t, f.letter("Last-Event-Id", "3", "Authorization", "Bearer new").status, http.StatusServiceUnavailable,
+		"not 401: the key may have been added since")
 	f.setConfiguration(configuration())
 	assert.Equal(t, f.letter().status, 200)
 }
--- a/modules/gateway/handler.go
+++ b/modules/gateway/handler.go
@@ -136,10 +136,14 @@
 
 // mayGoOn tells whether a caller may go on with a stream by a configuration that
 // is not confirmed. It was let in before; waiting for the confirmation would
-// lengthen the pause beyond what is on time.
+// lengthen the pause beyond what is on time. Nobody is refused by it.
 func (c *call) mayGoOn(r *http.Request, t *routing.Table) bool {
 	route, ok := t.Match(r.Host, r.URL.EscapedPath())
-	return ok && route.Kind == routing.Stream && route.Resumable
+	if !ok || route.Kind != routing.Stream || !route.Resumable {
+		return false
+	}
+	_, known := t.Organisation(c.req.Key)
+	return known || !t.NeedsKey(route)
 }
 
 // read takes the whole request in, so that it can be sent more than once.
