core: the decisions to go back and to go on stand in core

Going back to an upstream is decided in core/relay, going on by a configuration that is not confirmed in core/routing, each with a test of its own; the homes of a prompt are worked out once for each placement instead of up to eight times. No change of what happens, but that the holder of a copy is no longer looked for among the homes.

--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -15,18 +15,18 @@
 // Place chooses the upstream of a request. The caller reports what comes of it
 // with Started, Report, Fail and End.
 func (f *Fleet) Place(now time.Time, w *Work) (Choice, *Refusal) {
-	list := f.service[w.Service]
-	best, why := f.best(now, w, f.sample(now, w, list), true)
+	list, homes := f.service[w.Service], f.homes(now, w)
+	best, why := f.best(now, w, f.sample(w, list, homes), homes, true)
 	if best == nil {
-		best, why = f.best(now, w, list, true)
+		best, why = f.best(now, w, list, homes, true)
 	}
 	if best == nil && !w.Stream {
-		best, why = f.best(now, w, list, false)
+		best, why = f.best(now, w, list, homes, false)
 	}
 	if best == nil && !slices.ContainsFunc(list, func(u *upstream) bool { return u.State == registration.Ready }) {
 		anyway := *w
 		anyway.lost = true
-		best, why = f.best(now, &anyway, list, true)
+		best, why = f.best(now, &anyway, list, nil, true)
 	}
 	if best == nil {
 		return Choice{}, f.refuse(now, w, list)
@@ -56,10 +56,10 @@
 
 // best returns the upstream with the lowest cost, untried ones only if fresh is
 // set.
-func (f *Fleet) best(now time.Time, w *Work, list []*upstream, fresh bool) (*upstream, Why) {
+func (f *Fleet) best(now time.Time, w *Work, list, homes []*upstream, fresh bool) (*upstream, Why) {
 	var best *upstream
 	var why Why
-	homes, usual := f.homes(now, w), usualFailing(now, list)
+	usual := usualFailing(now, list)
 	for _, u := range list {
 		if !u.eligible(now, w) || fresh && slices.Contains(w.Tried, u.ID) {
 			continue
@@ -83,7 +83,7 @@
 
 // sample returns the upstreams that a placement looks at: all of a small
 // service, else random ones, the homes of the request and the holders of its copy or prompt.
-func (f *Fleet) sample(now time.Time, w *Work, list []*upstream) []*upstream {
+func (f *Fleet) sample(w *Work, list, homes []*upstream) []*upstream {
 	if len(list) <= sampledUpstreams {
 		return list
 	}
@@ -93,7 +93,7 @@
 			out = append(out, u)
 		}
 	}
-	for _, u := range append(f.homes(now, w), f.byID[w.Prefer], f.byID[w.Cached]) {
+	for _, u := range append(slices.Clone(homes), f.byID[w.Prefer], f.byID[w.Cached]) {
 		if u != nil && u.Service == w.Service && !slices.Contains(out, u) {
 			out = append(out, u)
 		}
@@ -262,7 +262,7 @@
 	}
 	var best *upstream
 	lowest := 0.0
-	for _, u := range f.sample(now, w, list) {
+	for _, u := range f.sample(w, list, nil) {
 		if u == primary || u.Zone == primary.Zone || slices.Contains(w.Tried, u.ID) || !u.eligible(now, w) {
 			continue
 		}
--- a/core/dispatch/report.go
+++ b/core/dispatch/report.go
@@ -79,9 +79,10 @@
 	var out []registration.Upstream
 	tried := *w
 	tried.Tried = slices.Clone(w.Tried)
-	list := f.sample(now, w, f.service[w.Service])
+	homes := f.homes(now, w)
+	list := f.sample(w, f.service[w.Service], homes)
 	for len(out) < most {
-		u, _ := f.best(now, &tried, list, true)
+		u, _ := f.best(now, &tried, list, homes, true)
 		if u == nil {
 			break
 		}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -5,7 +5,10 @@
 // connections. It holds no clock.
 package relay
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// minSuspicion keeps the pauses that prompts of other requests cause from
@@ -57,6 +60,8 @@
 	first   time.Duration
 	started bool
 	checks  int
+	// wentBack names the upstreams that the stream has gone back to.
+	wentBack []string
 	// passed is when the caller got the last event, longest the longest pause
 	// between two of its events.
 	passed  time.Time
@@ -142,3 +147,15 @@
 	s.checks++
 	return s.checks <= maxChecks
 }
+
+// GoesBack tells whether a stream goes on at the upstream whose connection has
+// broken. One that is alive has the prompt in its cache, and one that has crashed
+// refuses the next connection at once. Each has this chance once; a copy of the
+// KV cache elsewhere is as good and does not depend on it.
+func (s *Stream) GoesBack(id string, copied bool) bool {
+	if copied || slices.Contains(s.wentBack, id) {
+		return false
+	}
+	s.wentBack = append(s.wentBack, id)
+	return true
+}
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -94,3 +94,13 @@
 	assert.Assert(t, !s.Checked(now))
 	assert.Assert(t, now.Sub(start) < 2*time.Second, "before the caller gives up")
 }
+
+// Guards against a prompt that is read anew although its upstream is alive, and
+// against a stream that goes back to a failing upstream for good.
+func TestGoesBackOnceToEachUpstream(t *testing.T) {
+	s := New(0, -1)
+	assert.Assert(t, !s.GoesBack("a", true), "a copy elsewhere is used")
+	assert.Assert(t, s.GoesBack("a", false))
+	assert.Assert(t, !s.GoesBack("a", false))
+	assert.Assert(t, s.GoesBack("b", false))
+}
--- a/core/routing/routing_test.go
+++ b/core/routing/routing_test.go
@@ -104,3 +104,18 @@
 	assert.DeepEqual(t, count, map[string]int{"model": 900, "desk": 100})
 	assert.Equal(t, (&Route{}).Pick(3), "")
 }
+
+// Guards against requests that run by a configuration which is not confirmed:
+// only a caller in mid-stream goes on by it, and nobody is refused by it.
+func TestLetsGoOn(t *testing.T) {
+	c := valid()
+	c.Routes[0].Kind, c.Routes[0].Resumable = Stream, true
+	c.Routes[1].Kind = Stream
+	table := NewTable(c)
+	assert.Assert(t, table.LetsGoOn("letters.example", "/a/x", "k1"))
+	assert.Assert(t, !table.LetsGoOn("letters.example", "/a/x", "k3"), "the key may have been added since")
+	assert.Assert(t, !table.LetsGoOn("letters.example", "/a/b/x", "k1"), "the stream may run once only")
+	assert.Assert(t, !table.LetsGoOn("letters.example", "/c/x", "k1"), "the route may have been added since")
+	c.Routes[0].Kind = AtMostOnce
+	assert.Assert(t, !NewTable(c).LetsGoOn("letters.example", "/a/x", "k1"))
+}
--- a/modules/gateway/handler.go
+++ b/modules/gateway/handler.go
@@ -121,7 +121,7 @@
 	for {
 		select {
 		case <-seen:
-			if t := f.unconfirmed.Load(); c.mayGoOn(r, t) {
+			if t := f.unconfirmed.Load(); t.LetsGoOn(r.Host, r.URL.EscapedPath(), c.req.Key) {
 				return t
 			}
 			seen = nil
@@ -134,18 +134,6 @@
 	}
 }
 
-// mayGoOn tells whether a caller may go on with a stream by a configuration that
-// is not confirmed. It was let in before; waiting for the confirmation would
-// lengthen the pause beyond what is on time. Nobody is refused by it.
-func (c *call) mayGoOn(r *http.Request, t *routing.Table) bool {
-	route, ok := t.Match(r.Host, r.URL.EscapedPath())
-	if !ok || route.Kind != routing.Stream || !route.Resumable {
-		return false
-	}
-	_, known := t.Organisation(c.req.Key)
-	return known || !t.NeedsKey(route)
-}
-
 // read takes the whole request in, so that it can be sent more than once.
 func (c *call) read(r *http.Request) error {
 	body := r.Body
--- a/modules/gateway/stream.go
+++ b/modules/gateway/stream.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"net/http"
-	"slices"
 	"syscall"
 	"time"
 
@@ -66,9 +65,8 @@
 	copy   dialect.Copy
 	broken time.Time
 	// back is the upstream that the stream goes back to, since it may have read
-	// the prompt; wentBack names those that have had this chance.
-	back     string
-	wentBack []string
+	// the prompt.
+	back string
 	// firstEvent is the time until the caller's first event.
 	firstEvent time.Duration
 }
@@ -358,7 +356,11 @@
 	failed := !a.complete && !a.meta.NotRun && !gone
 	misdirected := a.status == http.StatusMisdirectedRequest
 	ok := a.complete && a.status < http.StatusInternalServerError
-	back := failed && s.goesBack(a)
+	back := failed && a.sent && severed(a.err) && s.relay.GoesBack(a.choice.Upstream.ID, a.copied())
+	s.back = ""
+	if back {
+		s.back = a.choice.Upstream.ID
+	}
 	s.g.owner.tell(func(st *state) {
 		if failed && !back || misdirected {
 			st.fleet.Failed(now, ticket)
@@ -388,21 +390,6 @@
 	}
 }
 
-// goesBack tells whether the stream is to go back to the upstream whose
-// connection broke. An upstream that is alive has the prompt in its cache, and
-// one that has crashed refuses the connection at once. A copy is as good and
-// does not depend on it.
-func (s *streaming) goesBack(a *attempt) bool {
-	s.back = ""
-	id := a.choice.Upstream.ID
-	if !a.sent || !severed(a.err) || a.copied() || slices.Contains(s.wentBack, id) {
-		return false
-	}
-	s.back = id
-	s.wentBack = append(s.wentBack, id)
-	return true
-}
-
 // severed tells whether an error means that the upstream or the way to it broke
 // the connection.
 func severed(err error) bool {
