dispatch: keep streams in their availability zone, spill by load

The homes of a prompt were spread over all zones, so three of four streams crossed a link between zones, and each event that is sent again there arrives late.

Change: the homes of a prompt are looked for in the gateway's own zone, and leaving it costs a stream a third of the time to read its prompt. Homes elsewhere are asked only if no home in the own zone has the prompt. So that a zone with too much work is left in time, a second and third round of reports is asked for when the first upstreams turn out to be loaded, and upstreams without a report are taken to be as loaded as those of their zone that have one. A load told with an answer no longer renews the age of the prompts in the last report.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -35,9 +35,14 @@
 	// callMS is the cost of one call ahead of a plain call, from the mean work of
 	// the deployments' calls.
 	callMS = 15
-	// otherZoneMS is the cost of leaving the availability zone: a round trip and
-	// the price of bytes between zones.
+	// otherZoneMS is the cost of leaving the availability zone with a plain call: a
+	// round trip and the price of bytes between zones.
 	otherZoneMS = 12
+	// streamZoneMS is the cost of leaving the availability zone with a stream. Links
+	// between zones lose packets at times, and each of the hundred events of a
+	// stream that is sent again arrives late; a third of the time to read the
+	// prompt still lets a zone with more work use the others.
+	streamZoneMS = 350
 	// jitterMS spreads choices among upstreams that look alike.
 	jitterMS = 6
 	// loadTrust is how long a report of an upstream's load counts.
@@ -126,6 +131,8 @@
 	// others is the load of other gateways in the last report.
 	others   foreign
 	reported time.Time
+	// observed is the time of the last whole report.
+	observed time.Time
 	// failing is the recent share of failed answers, as a moving average at the
 	// time of the last answer.
 	failing  float64
@@ -157,10 +164,11 @@
 	zone string
 	rng  *rand.Rand
 	byID map[string]*upstream
-	// service holds the upstreams of each service in order of address, rings the
-	// places of their addresses for prompts.
+	// service holds the upstreams of each service in order of address, zones the
+	// names of their availability zones in order, and groups those of one zone.
 	service map[string][]*upstream
-	rings   map[string]*ring
+	zones   map[string][]string
+	groups  map[groupKey]*group
 	engines map[string]*routing.Engine
 	tickets map[uint64]*placement
 	last    uint64
@@ -170,8 +178,8 @@
 
 // New returns an empty fleet for a gateway in an availability zone.
 func New(zone string, rng *rand.Rand) *Fleet {
-	return &Fleet{zone: zone, rng: rng, byID: map[string]*upstream{}, service: map[string][]*upstream{}, rings: map[string]*ring{},
-		engines: map[string]*routing.Engine{}, tickets: map[uint64]*placement{}}
+	return &Fleet{zone: zone, rng: rng, byID: map[string]*upstream{}, service: map[string][]*upstream{}, zones: map[string][]string{},
+		groups: map[groupKey]*group{}, engines: map[string]*routing.Engine{}, tickets: map[uint64]*placement{}}
 }
 
 // SetEngines takes over what the configuration says of the services.
@@ -210,13 +218,24 @@
 }
 
 func (f *Fleet) list(u *upstream) {
-	list := f.service[u.Service]
-	at, _ := slices.BinarySearchFunc(list, u, func(a, b *upstream) int { return strings.Compare(a.Addr, b.Addr) })
-	f.service[u.Service] = slices.Insert(list, at, u)
-	if f.rings[u.Service] == nil {
-		f.rings[u.Service] = &ring{}
+	f.service[u.Service] = insert(f.service[u.Service], u)
+	key := groupKey{u.Service, u.Zone}
+	g := f.groups[key]
+	if g == nil {
+		g = &group{}
+		f.groups[key] = g
+		zones := f.zones[u.Service]
+		at, _ := slices.BinarySearch(zones, u.Zone)
+		f.zones[u.Service] = slices.Insert(zones, at, u.Zone)
 	}
-	f.rings[u.Service].add(u)
+	g.list = insert(g.list, u)
+	g.ring.add(u)
+}
+
+// insert puts an upstream in its place in a list in order of address.
+func insert(list []*upstream, u *upstream) []*upstream {
+	at, _ := slices.BinarySearchFunc(list, u, func(a, b *upstream) int { return strings.Compare(a.Addr, b.Addr) })
+	return slices.Insert(list, at, u)
 }
 
 func (f *Fleet) remove(u *upstream) {
@@ -225,9 +244,11 @@
 }
 
 func (f *Fleet) unlist(u *upstream) {
-	f.service[u.Service] = slices.DeleteFunc(f.service[u.Service], func(o *upstream) bool { return o == u })
-	if r := f.rings[u.Service]; r != nil {
-		r.remove(u)
+	other := func(o *upstream) bool { return o == u }
+	f.service[u.Service] = slices.DeleteFunc(f.service[u.Service], other)
+	if g := f.groups[groupKey{u.Service, u.Zone}]; g != nil {
+		g.list = slices.DeleteFunc(g.list, other)
+		g.ring.remove(u)
 	}
 }
 
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -164,10 +165,18 @@
 	assert.Equal(t, len(seen), 6)
 }
 
+// allHomes returns the homes in all availability zones in order of id.
+func allHomes(f *Fleet, w *Work) []registration.Upstream {
+	own, others := f.Homes(start, w)
+	all := append(own, others...)
+	slices.SortFunc(all, func(a, b registration.Upstream) int { return strings.Compare(a.ID, b.ID) })
+	return all
+}
+
 // Guards against a caller that comes back through another gateway and has its
 // prompt read anew: the prompt is at one of the homes, which are the same at every
 // gateway, and the caller goes where it is, also when that upstream is not the
-// least loaded.
+// least loaded. A gateway of the same availability zone asks two upstreams only.
 func TestHomesAreTheSameAtEveryGateway(t *testing.T) {
 	for i := range 20 {
 		w := letter()
@@ -175,9 +184,12 @@
 		a, b := fleet(3, 4), fleet(3, 4)
 		b.zone = "z2"
 		x, _ := a.Place(start, w)
-		homes := b.Homes(start, w)
-		assert.DeepEqual(t, a.Homes(start, w), homes)
+		homes := allHomes(b, w)
+		assert.DeepEqual(t, allHomes(a, w), homes)
 		assert.Assert(t, slices.Contains(homes, x.Upstream))
+		own, _ := fleet(3, 4).Homes(start, w)
+		assert.Equal(t, len(own), homeCount)
+		assert.Assert(t, slices.Contains(own, x.Upstream))
 		for range 8 {
 			other := letter()
 			other.Prefer = x.Upstream.ID
@@ -192,11 +204,12 @@
 
 // Guards against homes that move for most prompts when one upstream is replaced.
 func TestHomesOutlastChangesOfTheFleet(t *testing.T) {
-	const keys = 300
-	f := fleet(4, 10)
+	const keys, zones = 300, 4
+	f := fleet(zones, 10)
 	homes := func() (out []string) {
 		for i := range keys {
-			for _, u := range f.Homes(start, &Work{Service: "model", Affinity: fmt.Sprint("prompt-", i)}) {
+			own, others := f.Homes(start, &Work{Service: "model", Affinity: fmt.Sprint("prompt-", i)})
+			for _, u := range append(own, others...) {
 				out = append(out, u.ID)
 			}
 		}
@@ -209,13 +222,14 @@
 	f.SetUpstream(joined)
 	moved := 0
 	after := homes()
-	for i := range keys {
+	firsts := keys * zones
+	for i := range firsts {
 		if before[homeCount*i] != after[homeCount*i] {
 			moved++
 		}
 	}
-	assert.Equal(t, len(before), homeCount*keys)
-	assert.Assert(t, moved < keys/10, "%d of %d prompts have another first home; one of 40 upstreams changed", moved, keys)
+	assert.Equal(t, len(before), homeCount*firsts)
+	assert.Assert(t, moved < firsts/10, "%d of %d first homes are others; one of 40 upstreams changed", moved, firsts)
 }
 
 // Guards against new work for an upstream that drains, is lost or has left.
--- a/core/dispatch/load_test.go
+++ b/core/dispatch/load_test.go
@@ -54,23 +54,50 @@
 	return used, runs
 }
 
-// play sends letters through several gateways that do not know of each other
-// and returns the sorted times to the first event.
-func play(seed uint64, gateways, upstreams int, perSecond float64, reports bool) []time.Duration {
-	rng := rand.New(rand.NewPCG(seed, 7))
+// askReports asks for reports as a gateway does before it places a letter.
+func askReports(f *Fleet, now time.Duration, w *Work, engines map[string]*engine) {
+	at := start.Add(now)
+	for range AskRounds {
+		for _, u := range f.Unasked(at, w, 2) {
+			used, runs := engines[u.ID].report(now)
+			f.Observe(at, u.ID, 0, used, runs)
+		}
+	}
+}
+
+// letters is a load of letters that go through several gateways in three
+// availability zones which do not know of each other.
+type letters struct {
+	seed                uint64
+	gateways, upstreams int
+	perSecond           float64
+	// reports tells whether two candidates are asked for their load.
+	reports bool
+	// oneZone sends all of them through the gateways of the first zone.
+	oneZone bool
+}
+
+// play returns the sorted times to the first event, and how many letters were
+// placed in another availability zone.
+func (l letters) play() (waits []time.Duration, crossed int) {
+	const zones = 3
+	rng := rand.New(rand.NewPCG(l.seed, 7))
 	engines := map[string]*engine{}
 	var fleets []*Fleet
-	for g := range gateways {
-		f := New(fmt.Sprint("z", g%3), rand.New(rand.NewPCG(1, uint64(g))))
+	for g := range l.gateways {
+		zone := g % zones
+		if l.oneZone {
+			zone = 0
+		}
+		f := New(fmt.Sprint("z", zone), rand.New(rand.NewPCG(1, uint64(g))))
 		f.SetEngines([]routing.Service{{Name: "model", Engine: &routing.Engine{MemoryTokens: memory}}})
-		for i := range upstreams {
-			u := record("model", i%3, i)
+		for i := range l.upstreams {
+			u := record("model", i%zones, i)
 			f.SetUpstream(u)
 			engines[u.ID] = &engine{}
 		}
 		fleets = append(fleets, f)
 	}
-	var waits []time.Duration
 	type open struct {
 		fleet  *Fleet
 		ticket uint64
@@ -79,7 +106,7 @@
 	var running []open
 	now := time.Duration(0)
 	for i := range 400 {
-		now += time.Duration(rng.ExpFloat64() / perSecond * float64(time.Second))
+		now += time.Duration(rng.ExpFloat64() / l.perSecond * float64(time.Second))
 		for _, o := range running {
 			if o.run.start <= now {
 				o.fleet.Started(start.Add(now), o.ticket)
@@ -92,25 +119,51 @@
 			}
 			return ended
 		})
-		f := fleets[rng.IntN(gateways)]
+		f := fleets[rng.IntN(l.gateways)]
 		w := &Work{Service: "model", Stream: true, Prompt: 8200, Output: 800, ID: fmt.Sprint(i), Affinity: fmt.Sprint(i)}
-		if reports {
-			for _, u := range f.Candidates(start.Add(now), w, 2) {
-				used, runs := engines[u.ID].report(now)
-				f.Observe(start.Add(now), u.ID, 0, used, runs)
-			}
+		if l.reports {
+			askReports(f, now, w, engines)
 		}
 		c, refusal := f.Place(start.Add(now), w)
 		if refusal != nil {
 			waits = append(waits, time.Minute)
 			continue
 		}
+		if c.Upstream.Zone != f.zone {
+			crossed++
+		}
 		run := engines[c.Upstream.ID].send(now, w.ID, w.Prompt)
 		waits = append(waits, run.start-now)
 		running = append(running, open{f, c.Ticket, run})
 	}
 	slices.Sort(waits)
-	return waits
+	return waits, crossed
+}
+
+// Plays letters at six tenths of what the model servers can read. Links between
+// availability zones lose packets for seconds, and a stream that crosses one is
+// late; one in ten may leave its zone. When all callers move to one zone, the
+// others must take what it cannot: fewer than one in a hundred letters may wait for
+// longer than the most urgent objective.
+func TestStreamsStayInTheirZone(t *testing.T) {
+	const objective = 4 * time.Second
+	for _, upstreams := range []int{18, 76} {
+		usual := letters{seed: 3, gateways: 9, upstreams: upstreams, perSecond: 0.6 * float64(upstreams), reports: true}
+		waits, crossed := usual.play()
+		t.Logf("%d upstreams: %d of %d letters leave their zone", upstreams, crossed, len(waits))
+		assert.Assert(t, crossed*10 < len(waits))
+		moved := usual
+		moved.oneZone, moved.perSecond = true, 0.4*float64(upstreams)
+		waits, crossed = moved.play()
+		late := 0
+		for _, w := range waits {
+			if w > objective {
+				late++
+			}
+		}
+		t.Logf("%d upstreams, all callers in one zone: %d of %d letters leave it, %d late", upstreams, crossed, len(waits), late)
+		assert.Assert(t, late*100 < len(waits))
+	}
 }
 
 // Plays letters at two thirds of what the model servers can read, through nine
@@ -124,13 +177,16 @@
 	for _, upstreams := range []int{18, 76} {
 		blind, told, all := 0, 0, 0
 		for seed := range uint64(10) {
-			perSecond := 0.61 * float64(upstreams)
-			for _, w := range play(seed, 9, upstreams, perSecond, false) {
+			load := letters{seed: seed, gateways: 9, upstreams: upstreams, perSecond: 0.61 * float64(upstreams)}
+			waits, _ := load.play()
+			for _, w := range waits {
 				if all++; w > objective {
 					blind++
 				}
 			}
-			for _, w := range play(seed, 9, upstreams, perSecond, true) {
+			load.reports = true
+			waits, _ = load.play()
+			for _, w := range waits {
 				if w > objective {
 					told++
 				}
@@ -252,15 +308,13 @@
 		}
 		at := start.Add(q.at)
 		f := fleets[rng.IntN(gateways)]
-		for _, u := range f.Homes(at, q.work) {
+		own, others := f.Homes(at, q.work)
+		for _, u := range append(own, others...) {
 			if q.back && u.ID == q.upstream {
 				q.work.Cached = u.ID // as the upstream tells when it is asked
 			}
 		}
-		for _, u := range f.Candidates(at, q.work, 2) {
-			used, runs := engines[u.ID].report(q.at)
-			f.Observe(at, u.ID, 0, used, runs)
-		}
+		askReports(f, q.at, q.work, engines)
 		c, refusal := f.Place(at, q.work)
 		assert.Assert(t, refusal == nil)
 		if q.back {
@@ -297,7 +351,7 @@
 			for b.Loop() {
 				i++
 				w.Affinity = strconv.Itoa(i)
-				f.Candidates(start, w, 2)
+				f.Unasked(start, w, 2)
 				c, _ := f.Place(start, w)
 				f.End(start, c.Ticket)
 			}
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -55,7 +55,10 @@
 func (f *Fleet) best(now time.Time, w *Work, list, homes []*upstream, fresh bool) (*upstream, Why) {
 	var best *upstream
 	var why Why
-	usual := usualFailing(now, list)
+	usual := usual{failing: usualFailing(now, list)}
+	if w.Stream {
+		usual.waits = usualWaits(now, list)
+	}
 	for _, u := range list {
 		if !u.eligible(now, w) || fresh && slices.Contains(w.Tried, u.ID) {
 			continue
@@ -74,7 +77,7 @@
 
 // sampledUpstreams bounds the upstreams that one placement looks at, so that
 // its cost does not grow with the fleet; the better of a few random choices is
-// nearly as good as the best.
+// nearly as good as the best. Half of them are of the gateway's availability zone.
 const sampledUpstreams = 24
 
 // sample returns the upstreams that a placement looks at: all of a small
@@ -84,11 +87,17 @@
 		return list
 	}
 	out := make([]*upstream, 0, sampledUpstreams+homeCount+2)
-	for range sampledUpstreams {
-		if u := list[f.rng.IntN(len(list))]; !slices.Contains(out, u) {
-			out = append(out, u)
+	draw := func(from []*upstream, count int) {
+		for range count {
+			if u := from[f.rng.IntN(len(from))]; !slices.Contains(out, u) {
+				out = append(out, u)
+			}
 		}
 	}
+	if g := f.groups[groupKey{w.Service, f.zone}]; g != nil && len(g.list) > 0 {
+		draw(g.list, sampledUpstreams/2)
+	}
+	draw(list, sampledUpstreams/2)
 	for _, u := range append(slices.Clone(homes), f.byID[w.Prefer], f.byID[w.Cached]) {
 		if u != nil && u.Service == w.Service && !slices.Contains(out, u) {
 			out = append(out, u)
@@ -97,27 +106,63 @@
 	return out
 }
 
-// homeCount is the number of homes of a key. The less loaded of two is rarely
-// behind, and both are asked for reports before a stream is placed.
-const homeCount = 2
+const (
+	// homeCount is the number of homes of a key in an availability zone. The less
+	// loaded of two is rarely behind, and both are asked for reports before a
+	// stream is placed.
+	homeCount = 2
+	// otherZones is how many other availability zones may be asked for the prompt of
+	// a caller who comes back; callers reach another zone only when all gateways of
+	// their own are away.
+	otherZones = 3
+)
 
 // homes returns the upstreams that requests with the same key go to: the eligible
-// ones that follow the key on the ring. They are the same at every gateway.
+// ones that follow the key on the ring of the gateway's availability zone, or of
+// the next one that has any. They are the same at every gateway of the zone.
 func (f *Fleet) homes(now time.Time, w *Work) []*upstream {
-	r := f.rings[w.Service]
-	if w.Affinity == "" || r == nil {
+	if w.Affinity == "" {
 		return nil
 	}
-	return r.after(w.Affinity, homeCount, func(u *upstream) bool { return u.eligible(now, w) })
+	for _, zone := range f.zonesFrom(w.Service) {
+		if homes := f.zoneHomes(now, w, zone); len(homes) > 0 {
+			return homes
+		}
+	}
+	return nil
 }
 
-// Homes returns the upstreams that may hold the prompt of a caller who comes back.
-func (f *Fleet) Homes(now time.Time, w *Work) []registration.Upstream {
-	var out []registration.Upstream
-	for _, u := range f.homes(now, w) {
-		out = append(out, u.Upstream)
+func (f *Fleet) zoneHomes(now time.Time, w *Work, zone string) []*upstream {
+	return f.groups[groupKey{w.Service, zone}].ring.after(w.Affinity, homeCount, func(u *upstream) bool { return u.eligible(now, w) })
+}
+
+// zonesFrom returns the availability zones of a service, the gateway's own first.
+func (f *Fleet) zonesFrom(service string) []string {
+	zones := f.zones[service]
+	own, _ := slices.BinarySearch(zones, f.zone)
+	return slices.Concat(zones[own:], zones[:own])
+}
+
+// Homes returns the upstreams that may hold the prompt of a caller who comes back:
+// first those of the gateway's own availability zone, then those of others, which
+// are to be asked if none of the first has it.
+func (f *Fleet) Homes(now time.Time, w *Work) (own, others []registration.Upstream) {
+	if w.Affinity == "" {
+		return nil, nil
 	}
-	return out
+	for i, zone := range f.zonesFrom(w.Service) {
+		if i > otherZones {
+			break
+		}
+		for _, u := range f.zoneHomes(now, w, zone) {
+			if zone == f.zone {
+				own = append(own, u.Upstream)
+			} else {
+				others = append(others, u.Upstream)
+			}
+		}
+	}
+	return own, others
 }
 
 func (u *upstream) eligible(now time.Time, w *Work) bool {
@@ -139,12 +184,45 @@
 	return float64(u.tokens+u.copies) + float64(u.others.memory)*u.trust(now)
 }
 
-// cost estimates in milliseconds what an upstream would cost the request; usual
-// is the share of answers that fail in the service.
-func (f *Fleet) cost(now time.Time, w *Work, u *upstream, usual float64) float64 {
+// usual describes the upstreams among which a placement chooses.
+type usual struct {
+	// failing is the share of answers that fail.
+	failing float64
+	// waits is the mean cost in milliseconds of the work of other gateways in each
+	// availability zone, from upstreams with a recent report.
+	waits map[string]float64
+}
+
+// usualWaits returns the mean cost of the work of other gateways by zone.
+func usualWaits(now time.Time, list []*upstream) map[string]float64 {
+	waits, weights := map[string]float64{}, map[string]float64{}
+	for _, u := range list {
+		if trust := u.trust(now); trust > 0 {
+			waits[u.Zone] += trust * u.othersMS(now)
+			weights[u.Zone] += trust
+		}
+	}
+	for zone, weight := range weights {
+		waits[zone] /= weight
+	}
+	return waits
+}
+
+// othersMS is the cost of the work of other gateways for a new stream, as the last
+// report has it.
+func (u *upstream) othersMS(now time.Time) float64 {
+	return float64(u.unread(now))/prefillTokensPerMS + runningMS*float64(u.others.requests)
+}
+
+// cost estimates in milliseconds what an upstream would cost the request.
+func (f *Fleet) cost(now time.Time, w *Work, u *upstream, usual usual) float64 {
 	cost := f.rng.Float64() * jitterMS
-	if u.Zone != f.zone {
+	switch {
+	case u.Zone == f.zone:
+	case !w.Stream, w.Cached == u.ID:
 		cost += otherZoneMS
+	default:
+		cost += streamZoneMS
 	}
 	if w.Prefer == u.ID {
 		cost -= preferMS
@@ -152,16 +230,17 @@
 	if w.Cached == u.ID {
 		cost -= cachedFactor * float64(w.Prompt) / prefillTokensPerMS
 	}
-	each := float64(callMS)
-	if w.Stream {
-		each = runningMS
-		cost += float64(u.prefill(now)) / float64(time.Millisecond)
-		if u.engine != nil && u.engine.MemoryTokens > 0 {
-			cost += memoryMS * u.used(now) / float64(u.engine.MemoryTokens)
-		}
+	cost += failingMS * max(u.failingAt(now)-usual.failing-failingSlack, 0)
+	trust := u.trust(now)
+	if !w.Stream {
+		return cost + callMS*(float64(len(u.work))+float64(u.others.requests)*trust)
 	}
-	ahead := float64(len(u.work)) + float64(u.others.requests)*u.trust(now)
-	return cost + each*ahead + failingMS*max(u.failingAt(now)-usual-failingSlack, 0)
+	if u.engine != nil && u.engine.MemoryTokens > 0 {
+		cost += memoryMS * u.used(now) / float64(u.engine.MemoryTokens)
+	}
+	// One that has not reported is likely to be as loaded as those that have.
+	cost += trust*u.othersMS(now) + (1-trust)*usual.waits[u.Zone]
+	return cost + runningMS*float64(len(u.work)) + u.ownPrefillMS(now)
 }
 
 const (
@@ -210,6 +289,13 @@
 
 // prefill is the time until the prompts sent there are read.
 func (u *upstream) prefill(now time.Time) time.Duration {
+	ms := u.ownPrefillMS(now) + u.trust(now)*float64(u.unread(now))/prefillTokensPerMS
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
+// ownPrefillMS is the time to read what is left of this gateway's own prompts, in
+// milliseconds.
+func (u *upstream) ownPrefillMS(now time.Time) float64 {
 	tokens := 0.0
 	for _, p := range u.work {
 		if p.started || !p.stream {
@@ -218,9 +304,7 @@
 		read := float64(now.Sub(p.sent).Milliseconds()) * prefillTokensPerMS
 		tokens += max(float64(p.prompt)-read, 0)
 	}
-	elapsed := float64(now.Sub(u.reported).Milliseconds()) * prefillTokensPerMS
-	tokens += max(float64(u.others.prompt)-elapsed, 0) * u.trust(now)
-	return time.Duration(tokens / prefillTokensPerMS * float64(time.Millisecond))
+	return tokens / prefillTokensPerMS
 }
 
 // backup chooses the holder of a copy: in another availability zone, since the
--- a/modules/gateway/harness_test.go
+++ b/modules/gateway/harness_test.go
@@ -151,7 +151,8 @@
 // homes returns the ids of the upstreams that may hold a prompt.
 func (f *fixture) homes(promptKey string) (ids []string) {
 	f.owner.ask(func(s *state) {
-		for _, u := range s.fleet.Homes(time.Now(), &dispatch.Work{Service: "model", Affinity: promptKey}) {
+		own, others := s.fleet.Homes(time.Now(), &dispatch.Work{Service: "model", Affinity: promptKey})
+		for _, u := range append(own, others...) {
 			ids = append(ids, u.ID)
 		}
 	})
--- a/modules/gateway/report.go
+++ b/modules/gateway/report.go
@@ -19,10 +19,23 @@
 )
 
 // findPrompt asks the homes of a stream whose caller has come back which of them
-// holds its prompt. The gateway that knew has lost the caller, or has ended.
+// holds its prompt. The gateway that knew has lost the caller, or has ended. The
+// homes in other availability zones are asked only if no other has it.
 func (s *streaming) findPrompt(w *dispatch.Work) {
-	var homes []registration.Upstream
-	s.g.owner.ask(func(st *state) { homes = st.fleet.Homes(time.Now(), w) })
+	var own, others []registration.Upstream
+	s.g.owner.ask(func(st *state) { own, others = st.fleet.Homes(time.Now(), w) })
+	cached, most := s.askCaches(own)
+	if most == 0 {
+		cached, most = s.askCaches(others)
+	}
+	w.Cached = cached
+	s.logEnd("caller has come back", "last_event", s.req.LastEvent,
+		"prompt_at", w.Cached, "cached_tokens", most)
+}
+
+// askCaches returns which of the upstreams keeps most of the prompt, and how many
+// tokens of it.
+func (s *streaming) askCaches(homes []registration.Upstream) (id string, most int) {
 	ctx, cancel := context.WithTimeout(s.ctx, reportLimit)
 	defer cancel()
 	kept := make([]int, len(homes))
@@ -35,13 +48,12 @@
 		}()
 	}
 	wait.Wait()
-	most := 0
 	for i, u := range homes {
 		if kept[i] > most {
-			most, w.Cached = kept[i], u.ID
+			id, most = u.ID, kept[i]
 		}
 	}
-	s.logEnd("caller has come back", "last_event", s.req.LastEvent, "prompt_at", w.Cached, "cached_tokens", most)
+	return id, most
 }
 
 // askCache returns how many tokens of the prompt an upstream keeps.
@@ -60,13 +72,19 @@
 
 // askReports asks the best candidates of a stream for their state. Other
 // gateways send work to the same upstreams, and prompts that meet at one are
-// read one after the other.
+// read one after the other. When the first ones are loaded, others are asked.
 func (s *streaming) askReports(w *dispatch.Work) {
-	var candidates []registration.Upstream
-	s.g.owner.ask(func(st *state) { candidates = st.fleet.Candidates(time.Now(), w, askedUpstreams) })
-	if len(candidates) < askedUpstreams {
-		return // there is no choice
+	for range dispatch.AskRounds {
+		var candidates []registration.Upstream
+		s.g.owner.ask(func(st *state) { candidates = st.fleet.Unasked(time.Now(), w, askedUpstreams) })
+		if len(candidates) == 0 {
+			return
+		}
+		s.askAll(candidates)
 	}
+}
+
+func (s *streaming) askAll(candidates []registration.Upstream) {
 	ctx, cancel := context.WithTimeout(s.ctx, reportLimit)
 	defer cancel()
 	var wait sync.WaitGroup
