dispatch: spread streams by what runs at an upstream, three homes a prompt

A running stream counted for 40 ms only.

Ruled out: the cost of leaving the zone alone.

Change: a running stream counts for 150 ms. A stream whose prompt is cached at an upstream holds nobody up there, so running streams do not count for it.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -27,9 +27,10 @@
 	memoryStep = 0.06
 	// leastMemoryShare bounds the steps.
 	leastMemoryShare = 0.82
-	// runningMS is the cost of one running request beside a new stream: its
-	// prompt may still be read.
-	runningMS = 40
+	// runningMS is the cost of one running stream beside a new one, whose prompt takes
+	// a second to read and slows it to a quarter; a stream that lasts longer is more
+	// likely to meet the loss of its upstream or the end of its gateway.
+	runningMS = 150
 	// callMS is the cost of one call ahead of a plain call, from the mean work of
 	// the deployments' calls.
 	callMS = 15
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -200,7 +200,7 @@
 // Guards against a caller that comes back through another gateway and has its
 // prompt read anew: the prompt is at one of the homes, which are the same at every
 // gateway, and the caller goes where it is, also when that upstream is not the
-// least loaded. A gateway of the same availability zone asks two upstreams only.
+// least loaded. A gateway of the same availability zone asks its homes only.
 func TestHomesAreTheSameAtEveryGateway(t *testing.T) {
 	for i := range 20 {
 		w := letter()
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -107,10 +107,10 @@
 }
 
 const (
-	// homeCount is the number of homes of a key in an availability zone. The less
-	// loaded of two is rarely behind, and both are asked for reports before a
-	// stream is placed.
-	homeCount = 2
+	// homeCount is the number of homes of a key in an availability zone. The least
+	// loaded of three is rarely behind, so that few prompts are read elsewhere, and
+	// they are few enough to be asked when a caller comes back.
+	homeCount = 3
 	// otherZones is how many other availability zones may be asked for the prompt of
 	// a caller who comes back; callers reach another zone only when all gateways of
 	// their own are away.
@@ -239,6 +239,9 @@
 	if now.Sub(u.unreachable) < failureMemory {
 		cost += unreachableMS
 	}
+	if w.Cached == u.ID {
+		return cost + float64(u.prefill(now))/float64(time.Millisecond) // no prompt holds the others up
+	}
 	// One that has not reported is likely to be as loaded as those that have.
 	cost += trust*u.othersMS(now) + (1-trust)*usual.waits[u.Zone]
 	return cost + runningMS*float64(len(u.work)) + u.ownPrefillMS(now)
