relay: ask a silent upstream how the stream stands; dispatch: read reports as they are

Looking at whole reports showed a second fault: a run is listed from its first event on only, and prompts that are being read are in Running alone. The placement did not see the prompts of other gateways that were being read, and took copies for running prompts.

Ruled out: lost connections.

Change: a silent upstream that accepts connections is asked for its report. While it works, the stream waits; if it has made events that did not arrive, no longer knows the stream, or has done nothing since the last question, the stream goes on elsewhere at once (core/relay, Judge). Observe counts requests that are running and not listed as prompts that are being read, and leaves copies out.

--- a/core/dispatch/report.go
+++ b/core/dispatch/report.go
@@ -28,18 +28,27 @@
 	return max(u.others.prompt-int(now.Sub(u.reported).Milliseconds())*prefillTokensPerMS, 0)
 }
 
-// Run is a request in a report.
+// Run is a request in a report that has made an event.
 type Run struct {
 	ID string
-	// Tokens is its part of the KV cache, Started tells whether it has sent an
-	// event.
-	Tokens  int
-	Started bool
+	// Tokens is its part of the KV cache.
+	Tokens int
 }
 
-// Observe takes a report of an upstream, which is a few hundred milliseconds
-// old. What this gateway has sent there is known better and is left out.
-func (f *Fleet) Observe(now time.Time, id string, queued, used int, runs []Run) {
+// Report is the state of an upstream as of a few hundred milliseconds ago.
+type Report struct {
+	// Queued is the number of requests that wait, Running that of the others.
+	Queued, Running int
+	// Used is the part of the KV cache that is taken, Copied the part of it that holds
+	// copies, in tokens.
+	Used, Copied int
+	// Runs are the running requests whose prompts have been read.
+	Runs []Run
+}
+
+// Observe takes a report of an upstream. What this gateway has sent there is known
+// better and is left out.
+func (f *Fleet) Observe(now time.Time, id string, r Report) {
 	u := f.byID[id]
 	if u == nil {
 		return
@@ -48,30 +57,26 @@
 	for _, p := range u.work {
 		own[p.id] = p
 	}
-	others := foreign{memory: used}
-	for _, r := range runs {
-		if p := own[r.ID]; p != nil {
-			others.memory -= r.Tokens
-			delete(own, r.ID)
+	others := foreign{memory: r.Used}
+	reading := r.Used - r.Copied // what prompts that are being read have taken so far
+	for _, run := range r.Runs {
+		reading -= run.Tokens
+		if own[run.ID] != nil {
+			others.memory -= run.Tokens
+			delete(own, run.ID)
 			continue
 		}
 		others.requests++
-		if !r.Started {
-			left := max(unknownTokens-r.Tokens, 0)
-			others.prompt += left
-			others.memory += left
-		}
 	}
-	waiting := 0
-	for _, p := range own {
-		if !p.started {
-			waiting++
-		}
+	unlisted := r.Queued + max(r.Running-len(r.Runs), 0)
+	foreignUnlisted := max(unlisted-len(own), 0)
+	if unlisted > 0 {
+		foreignReading := max(reading, 0) * foreignUnlisted / unlisted
+		others.prompt = max(foreignUnlisted*unknownTokens-foreignReading, 0)
+		others.memory += others.prompt - max(reading, 0) + foreignReading
 	}
-	queued = max(queued-waiting, 0)
-	others.requests += queued
-	others.prompt += queued * unknownTokens
-	others.memory = max(others.memory+queued*unknownTokens-u.copies, 0)
+	others.requests += foreignUnlisted
+	others.memory = max(others.memory-u.copies, 0)
 	u.others, u.reported, u.observed = others, now, now
 }
 
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -60,6 +60,14 @@
 	first   time.Duration
 	started bool
 	checks  int
+	// confirmed is when the upstream last said that it works on the attempt, pulse
+	// what it had done for all its work by then.
+	confirmed time.Time
+	pulse     int
+	// resumes is set when the attempt begins behind an event, received counts its
+	// events.
+	resumes  bool
+	received int
 	// wentBack names the upstreams that the stream has gone back to.
 	wentBack []string
 	// passed is when the caller got the last event, longest the longest pause
@@ -82,6 +90,7 @@
 // time.
 func (s *Stream) Attempt(now time.Time, expected time.Duration) {
 	s.seen, s.first, s.started, s.checks, s.alarms = now, expected, false, 0, 0
+	s.confirmed, s.pulse, s.resumes, s.received = now, -1, s.any, 0
 }
 
 // Last returns the last event that the caller has; false when it has none.
@@ -96,6 +105,7 @@
 		s.alarms++
 	}
 	s.seen, s.started, s.checks = now, true, 0
+	s.received++
 	switch {
 	case s.any && id <= s.last:
 		return Repeat
@@ -116,7 +126,11 @@
 	if s.checks > 0 {
 		limit *= time.Duration(s.checks * checkedFactor)
 	}
-	return max(s.seen.Add(limit).Sub(now), 0)
+	last := s.seen
+	if s.confirmed.After(last) {
+		last = s.confirmed
+	}
+	return max(last.Add(limit).Sub(now), 0)
 }
 
 func (s *Stream) suspicion() time.Duration {
@@ -134,16 +148,27 @@
 func (s *Stream) Fresh(now time.Time) bool { return s.started && now.Sub(s.seen) < freshEvent }
 
 // maxChecks is the number of passed checks after which a silent attempt is
-// given up nevertheless: an open connection may be silent for good, and a
-// server may hang.
+// given up nevertheless, if the upstream does not say that it works on it: an open
+// connection may be silent for good, and a server may hang.
 const maxChecks = 1
 
 // Checked records that the upstream accepted a new connection while the stream
-// was silent. It returns false when the attempt is to be given up.
-func (s *Stream) Checked(now time.Time) bool {
+// was silent, and what it said of its work. It returns false when the attempt is to
+// be given up.
+func (s *Stream) Checked(now time.Time, p Progress) bool {
 	if s.Patience(now) > 0 {
 		return true // an early check because of an alarm says nothing about this silence
 	}
+	switch p {
+	case Working:
+		s.confirmed = now
+		if s.started {
+			s.checks = 1
+		}
+		return true
+	case Lost:
+		return false
+	}
 	s.checks++
 	return s.checks <= maxChecks
 }
--- a/modules/dialect/dialect.go
+++ b/modules/dialect/dialect.go
@@ -111,11 +111,14 @@
 
 // Report is the state of a model server as it was a few hundred milliseconds ago.
 type Report struct {
-	// Queued is the number of requests that wait.
-	Queued int
-	// UsedTokens is the part of the KV cache that cannot be given up.
-	UsedTokens int
-	Runs       []Run
+	// Queued is the number of requests that wait, Running that of the others.
+	Queued, Running int
+	// UsedTokens is the part of the KV cache that cannot be given up, CopiedTokens the
+	// part of it that holds copies for other upstreams.
+	UsedTokens, CopiedTokens int
+	// Runs are the running requests that have made an event; those whose prompt is
+	// being read are not among them.
+	Runs []Run
 }
 
 // Dialect translates between the platform and heatherway.
--- a/modules/gateway/harness_test.go
+++ b/modules/gateway/harness_test.go
@@ -26,6 +26,7 @@
 
 // upstream is a scripted server. It notes the requests that it was sent.
 type upstream struct {
+	report func() string // nil for an idle one
 	registration.Upstream
 	server *httptest.Server
 	mu     sync.Mutex
@@ -50,6 +51,10 @@
 	u := &upstream{}
 	u.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/v1/report" {
+			if u.report != nil {
+				_, _ = io.WriteString(w, u.report())
+				return
+			}
 			_, _ = io.WriteString(w, `{"Queued":0,"KvUsed":0,"Runs":[]}`)
 			return
 		}
--- a/modules/gateway/report.go
+++ b/modules/gateway/report.go
@@ -9,6 +9,8 @@
 
 	"heatherway.dev/core/dispatch"
 	"heatherway.dev/core/registration"
+	"heatherway.dev/core/relay"
+	"heatherway.dev/heatherway/modules/dialect"
 )
 
 const (
@@ -100,24 +102,53 @@
 	wait.Wait()
 }
 
-func (s *streaming) askReport(ctx context.Context, u registration.Upstream) {
+// askProgress asks a silent upstream how the attempt there stands.
+func (s *streaming) askProgress(ctx context.Context, u registration.Upstream) relay.Progress {
+	ctx, cancel := context.WithTimeout(ctx, reportLimit)
+	defer cancel()
+	r, err := s.fetchReport(ctx, u)
+	if err != nil {
+		s.g.log.Debug("no report", "request", s.req.ID, "upstream", u.ID, "error", err)
+		return relay.Unknown
+	}
+	about := relay.Report{Unlisted: r.Queued + max(r.Running-len(r.Runs), 0), Pulse: r.UsedTokens}
+	for _, run := range r.Runs {
+		about.Pulse += run.Events
+		if run.ID == s.req.ID {
+			about.Listed, about.Made = true, run.Events
+		}
+	}
+	progress := s.relay.Judge(about)
+	last, _ := s.relay.Last()
+	s.g.log.Info("silent upstream asked", "request", s.req.ID, "upstream", u.ID, "listed", about.Listed, "events_made", about.Made,
+		"unlisted", about.Unlisted, "last_event", last, "progress", progress.String())
+	return progress
+}
+
+// fetchReport asks an upstream for the state of its work.
+func (s *streaming) fetchReport(ctx context.Context, u registration.Upstream) (dialect.Report, error) {
 	body, err := s.g.upstreams.call(ctx, u, s.g.dialect.ReportCall())
 	if err != nil {
+		return dialect.Report{}, err
+	}
+	return s.g.dialect.Report(body)
+}
+
+func (s *streaming) askReport(ctx context.Context, u registration.Upstream) {
+	r, err := s.fetchReport(ctx, u)
+	if err != nil {
+		// The placement goes by what is known.
 		s.g.log.Debug("no report", "request", s.req.ID, "upstream", u.ID, "error", err)
 		if errors.Is(err, errNotSent) {
 			s.g.owner.tell(func(st *state) { st.fleet.Unreachable(time.Now(), u.ID) })
 		}
-		return // the placement goes by what is known
-	}
-	r, err := s.g.dialect.Report(body)
-	if err != nil {
-		s.g.log.Warn("report not understood", "upstream", u.ID, "error", err)
 		return
 	}
 	s.g.metrics.reports.Inc()
-	runs := make([]dispatch.Run, 0, len(r.Runs))
+	seen := dispatch.Report{Queued: r.Queued, Running: r.Running, Used: r.UsedTokens, Copied: r.CopiedTokens,
+		Runs: make([]dispatch.Run, 0, len(r.Runs))}
 	for _, run := range r.Runs {
-		runs = append(runs, dispatch.Run{ID: run.ID, Tokens: run.Tokens, Started: run.Events > 0})
+		seen.Runs = append(seen.Runs, dispatch.Run{ID: run.ID, Tokens: run.Tokens})
 	}
-	s.g.owner.tell(func(st *state) { st.fleet.Observe(time.Now(), u.ID, r.Queued, r.UsedTokens, runs) })
+	s.g.owner.tell(func(st *state) { st.fleet.Observe(time.Now(), u.ID, seen) })
 }
--- a/modules/gateway/stream.go
+++ b/modules/gateway/stream.go
@@ -178,7 +178,7 @@
 			}
 			timer.Reset(s.relay.Patience(time.Now()))
 		case <-timer.C:
-			if !s.check(ctx, a) {
+			if !s.check(ctx, a, r) {
 				s.takeReady(a, r)
 				return
 			}
@@ -187,7 +187,7 @@
 			if s.relay.Fresh(time.Now()) {
 				continue
 			}
-			if !s.check(ctx, a) {
+			if !s.check(ctx, a, r) {
 				s.takeReady(a, r)
 				return
 			}
@@ -255,16 +255,24 @@
 	return s.forward(a.choice.Upstream, f)
 }
 
-// check finds out by a new connection whether a silent upstream is alive. It
-// returns false when the attempt is to be given up.
-func (s *streaming) check(ctx context.Context, a *attempt) bool {
+// check finds out by a new connection whether a silent upstream is alive, and from
+// its report whether it works on the attempt. It returns false when the attempt is
+// to be given up. What has arrived in the meantime is taken first.
+func (s *streaming) check(ctx context.Context, a *attempt, r *eventReader) bool {
 	u := a.choice.Upstream
 	err := s.g.upstreams.check(ctx, u.Addr, u.ID)
-	if err == nil && s.relay.Checked(time.Now()) {
+	progress := relay.Unknown
+	if err == nil && s.relay.Patience(time.Now()) == 0 {
+		progress = s.askProgress(ctx, u)
+	}
+	if len(r.events) > 0 || err == nil && s.relay.Checked(time.Now(), progress) {
 		return true
 	}
 	s.g.metrics.silent.Inc()
 	a.err = errors.New("the upstream is silent and accepts connections")
+	if progress == relay.Lost {
+		a.err = errors.New("the upstream is silent and its work on the request is lost")
+	}
 	if err != nil {
 		a.err = errors.Wrap(err, "the upstream is silent")
 		s.g.follower.replaced.alarm(u)
--- a/modules/gateway/stream_test.go
+++ b/modules/gateway/stream_test.go
@@ -163,6 +163,33 @@
 	assert.Assert(t, a.took < 700*time.Millisecond, "the longest pause on time, %v", a.took)
 }
 
+// Guards against a prompt that is read anew elsewhere because it waits behind others
+// at an upstream that is alive: on a day of floods 74 of 1,300 were.
+func TestWaitingStreamIsNotGivenUp(t *testing.T) {
+	var ups []*upstream
+	for i := range 2 {
+		waited := false
+		u := serve(t, fmt.Sprint("u", i), "model", fmt.Sprint("z", i), letters(9, func(_ http.ResponseWriter, _ *http.Request, id int) {
+			if id == 0 && !waited {
+				waited = true
+				time.Sleep(4200 * time.Millisecond)
+			}
+		}))
+		begin := time.Now()
+		u.report = func() string {
+			if time.Since(begin) < time.Second {
+				return `{"Runs":[]}` // the others come after it
+			}
+			return fmt.Sprintf(`{"Queued":1,"Running":3,"KvUsed":%d,"Runs":[]}`, time.Since(begin).Milliseconds())
+		}
+		ups = append(ups, u)
+	}
+	f := newFixture(t, configuration(), ups...)
+	a := f.letter("Token-Count", "800,80")
+	assert.DeepEqual(t, pieces(a.body), want(9))
+	assert.Equal(t, len(ups[0].requests())+len(ups[1].requests()), 1, "the prompt was read once")
+}
+
 // Guards against a stream that hangs when its connection is silent for good and
 // its upstream takes new ones.
 func TestSilentConnection(t *testing.T) {
