--- a/core/dispatch/group.go
+++ b/core/dispatch/group.go
@@ -14,12 +14,14 @@
 	// failureMS is the cost that each broken path adds for a stream to the others of the
 	// zone. The first outweighs the cost of leaving the zone.
 	failureMS = 500
-	// mostFailures bounds the failures that count.
+	// mostFailures bounds the failures that count; with six a zone is left even if the
+	// others read two prompts of the usual size first.
 	mostFailures = 6
 	// suspectFailures is the number of broken paths from which on a zone is taken to
 	// have failed as a whole. Single upstreams crash too.
 	suspectFailures = 2
-	// unreachableMS is the cost of an upstream that could not be asked for a report.
+	// unreachableMS is the cost of an upstream that could not be asked for a report: the
+	// time to read two prompts of the usual size.
 	unreachableMS = 2000
 )
 
@@ -55,6 +57,8 @@
 	return slices.Insert(list, at, u)
 }
 
+// unlist takes an upstream out of the lists. Its group stays, since work that is
+// under way there may still fail.
 func (f *Fleet) unlist(u *upstream) {
 	other := func(o *upstream) bool { return o == u }
 	f.service[u.Service] = slices.DeleteFunc(f.service[u.Service], other)
@@ -64,6 +68,7 @@
 	}
 }
 
+// group names the group that an upstream belongs to.
 func (u *upstream) group() groupKey { return groupKey{u.Service, u.Zone} }
 
 // fail records a broken path to an upstream of the group.
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -119,7 +119,8 @@
 
 // homes returns the upstreams that requests with the same key go to: the eligible
 // ones that follow the key on the ring of the gateway's availability zone, or of
-// the next one that has any and does not seem to have failed. They are the same at every gateway of the zone.
+// the next one that has any and does not seem to have failed. They are the same at
+// every gateway of the zone.
 func (f *Fleet) homes(now time.Time, w *Work) []*upstream {
 	if w.Affinity == "" {
 		return nil
@@ -348,13 +349,13 @@
 }
 
 // homesExcept returns the homes of a prompt in the availability zones that are
-// asked for it, but for one.
-func (f *Fleet) homesExcept(now time.Time, w *Work, but string) (out []*upstream) {
+// asked for it, without those of one zone.
+func (f *Fleet) homesExcept(now time.Time, w *Work, except string) (out []*upstream) {
 	if w.Affinity == "" {
 		return nil
 	}
 	for i, zone := range f.zonesFrom(w.Service) {
-		if i <= otherZones && zone != but {
+		if i <= otherZones && zone != except {
 			out = append(out, f.zoneHomes(now, w, zone)...)
 		}
 	}
--- a/modules/gateway/gateway_test.go
+++ b/modules/gateway/gateway_test.go
@@ -132,21 +132,7 @@
 // Guards against an answer to another request, which a faulty upstream sends
 // beside its own.
 func TestStrayAnswers(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go answerTwice(c)
-		}
-	}()
-	u := &upstream{}
-	u.ID, u.Service, u.Zone, u.Addr, u.StartedMS, u.Seq = "u1", "desk", "z0", l.Addr().String(), 1000, 1
-	f := newFixture(t, configuration(), u)
+	f := newFixture(t, configuration(), serveConnections(t, answerTwice))
 	for i := range 10 {
 		r := f.request("POST", "/book/x", "order")
 		a := f.do(r)
@@ -161,6 +147,17 @@
 // machine).
 func TestLateStrayAnswersArriveTogether(t *testing.T) {
 	const requests = 6
+	f := newFixture(t, configuration(), serveConnections(t, func(c net.Conn) { answerAgainAt(c, requests) }))
+	for i := range requests {
+		r := f.request("POST", "/book/x", "order")
+		a := f.do(r)
+		assert.Equal(t, a.status, 200, "request %d", i)
+		assert.Equal(t, a.body, r.Header.Get("Attempt-Id"))
+	}
+}
+
+// serveConnections starts an upstream of the desk that answers by itself.
+func serveConnections(t *testing.T, handle func(net.Conn)) *upstream {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
@@ -170,18 +167,12 @@
 			if err != nil {
 				return
 			}
-			go answerAgainAt(c, requests)
+			go handle(c)
 		}
 	}()
 	u := &upstream{}
 	u.ID, u.Service, u.Zone, u.Addr, u.StartedMS, u.Seq = "u1", "desk", "z0", l.Addr().String(), 1000, 1
-	f := newFixture(t, configuration(), u)
-	for i := range requests {
-		r := f.request("POST", "/book/x", "order")
-		a := f.do(r)
-		assert.Equal(t, a.status, 200, "request %d", i)
-		assert.Equal(t, a.body, r.Header.Get("Attempt-Id"))
-	}
+	return u
 }
 
 // answerAgainAt answers each request, and sends all earlier answers once more
