--- a/modules/gateway/report.go
+++ b/modules/gateway/report.go
@@ -131,7 +131,11 @@
 	if err != nil {
 		return dialect.Report{}, err
 	}
-	return s.g.dialect.Report(body)
+	r, err := s.g.dialect.Report(body)
+	if err != nil {
+		s.g.log.Warn("report not understood", "upstream", u.ID, "error", err)
+	}
+	return r, err
 }
 
 func (s *streaming) askReport(ctx context.Context, u registration.Upstream) {
