--- a/test/soak/upstream_test.go
+++ b/test/soak/upstream_test.go
@@ -98,6 +98,28 @@
 	s.proxy.Cut(false)
 }
 
+// comeBack starts the server again: at another address, or at its own, where another
+// service may have come instead.
+func (s *server) comeBack(moved, taken bool) {
+	if moved {
+		p, err := fault.NewProxy("127.0.0.1:0", s.backend.Listener.Addr().String())
+		if err != nil {
+			s.w.t.Error(err)
+			return
+		}
+		s.w.t.Cleanup(p.Close)
+		s.mu.Lock()
+		s.proxy = p
+		s.mu.Unlock()
+	}
+	if taken {
+		s.mu.Lock()
+		s.service = map[string]string{"model": "desk", "desk": "model"}[s.service]
+		s.mu.Unlock()
+	}
+	s.restart()
+}
+
 // announce sends heartbeats to any registry until the world ends.
 func (s *server) announce() {
 	client := &http.Client{Timeout: time.Second}
@@ -172,12 +194,14 @@
 	h := w.Header()
 	attempt := r.Header.Get("Attempt-Id")
 	h.Set("Attempt-Id", attempt)
-	switch {
+	switch f := s.w.fatal.Load(); {
 	case down:
 		panic(http.ErrAbortHandler)
 	case r.Header.Get("Expect-Instance") != id:
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
+	case f != nil && string(body) == fatalBody:
+		f.arrived(s, w)
 	case r.Header.Get("Authorization") != "" || r.Header.Get("Tenant") != "mill" || string(body) != "body of "+attempt:
 		s.w.violate("UNASKED: %s got headers %v and body %q", id, r.Header, body)
 	case s.w.calm.Load() && !drained.IsZero() && time.Since(drained) > 2*time.Second:
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -32,10 +32,12 @@
 	entries    []*fault.Proxy
 	servers    []*server
 	ledger     *ledger
-	refusals   sync.Map
-	attempts   atomic.Int64
-	faults     int
-	counts     [3]atomic.Int64
+	// fatal is a request that ends the servers that run it, if any.
+	fatal    atomic.Pointer[fatal]
+	refusals sync.Map
+	attempts atomic.Int64
+	faults   int
+	counts   [3]atomic.Int64
 	// calm is set while no fault is under way or was a moment ago.
 	calm atomic.Bool
 
