--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -93,6 +93,10 @@
 	l.records = slices.DeleteFunc(l.records, of)
 }
 
+// Pending returns the number of broken runs whose upstreams are not known to have
+// ended.
+func (l *Ledger) Pending() int { return len(l.pending) }
+
 // Len returns the number of records.
 func (l *Ledger) Len() int { return len(l.records) }
 
--- a/modules/gateway/crash.go
+++ b/modules/gateway/crash.go
@@ -51,9 +51,17 @@
 // each crash of a plain upstream meets some of them.
 func (c *call) noteBroken(u registration.Upstream) {
 	r := crash.Record{Fingerprint: c.fingerprint(), Addr: u.Addr, StartedMS: u.StartedMS}
+	c.logBroken(r, true)
 	c.g.owner.tell(func(s *state) { s.crashes.Broken(time.Now(), r) })
 }
 
+// logBroken writes that a run ended without an answer, and whether it is held against
+// the request if the upstream's incarnation has ended.
+func (c *call) logBroken(r crash.Record, noted bool) {
+	c.g.metrics.brokenRuns.Inc()
+	c.g.log.Info("run broke off", "request", c.req.ID, "fingerprint", r.Fingerprint, "address", r.Addr, "started_ms", r.StartedMS, "noted", noted)
+}
+
 // noteWhole notes that the stream was answered whole.
 func (c *call) noteWhole() {
 	if c.g.crashes.Load() == 0 {
@@ -61,7 +69,11 @@
 	}
 	fingerprint := c.fingerprint()
 	c.g.owner.tell(func(s *state) {
+		before := s.crashes.Len()
 		s.crashes.Clear(fingerprint)
+		if before > s.crashes.Len() {
+			c.g.log.Info("crashes cleared by a whole answer", "request", c.req.ID, "fingerprint", fingerprint, "count", before-s.crashes.Len())
+		}
 		c.g.crashes.Store(int64(s.crashes.Len()))
 	})
 }
@@ -70,8 +82,15 @@
 // has announced itself there.
 func (g *Gateway) incarnationEnded(addr string, startedMS int64) {
 	g.owner.tell(func(s *state) {
+		before := s.crashes.Pending()
 		confirmed := s.crashes.Ended(time.Now(), addr, startedMS)
 		g.crashes.Store(int64(s.crashes.Len()))
+		for _, r := range confirmed {
+			g.log.Info("crash confirmed", "fingerprint", r.Fingerprint, "address", addr, "started_ms", r.StartedMS, "next_started_ms", startedMS)
+		}
+		if dropped := before - s.crashes.Pending() - len(confirmed); dropped > 0 {
+			g.log.Info("broken runs dropped without the news that their upstreams have ended", "count", dropped)
+		}
 		if len(confirmed) > 0 {
 			g.run(func() { g.reportCrashes(confirmed) })
 		}
@@ -88,7 +107,9 @@
 func (g *Gateway) takeCrashes(list []crash.Record) {
 	g.owner.tell(func(s *state) {
 		for _, r := range list {
-			s.crashes.Add(time.Now(), r)
+			if s.crashes.Add(time.Now(), r) {
+				g.log.Info("crash learned", "fingerprint", r.Fingerprint, "address", r.Addr, "started_ms", r.StartedMS)
+			}
 		}
 		g.crashes.Store(int64(s.crashes.Len()))
 	})
--- a/modules/gateway/gateway.go
+++ b/modules/gateway/gateway.go
@@ -297,7 +297,7 @@
 	requests, refused, failed, aborted  stats.Counter
 	retries, hedges, resumes, repeats   stats.Counter
 	dials, dialFailures, checks, silent stats.Counter
-	copies, reports, stalls             stats.Counter
+	copies, reports, stalls, brokenRuns stats.Counter
 	answerMS, firstEventMS, resumeMS    stats.Histogram
 }
 
@@ -311,7 +311,8 @@
 		checks: r.Counter("gateway_upstream_checks_total"), silent: r.Counter("gateway_silent_attempts_total"),
 		answerMS: r.Histogram("gateway_answer_ms"), firstEventMS: r.Histogram("gateway_first_event_ms"),
 		copies: r.Counter("gateway_copies_total"), reports: r.Counter("gateway_reports_total"),
-		stalls:   r.Counter("gateway_stalled_dials_total"),
-		resumeMS: r.Histogram("gateway_resume_ms"),
+		stalls:     r.Counter("gateway_stalled_dials_total"),
+		brokenRuns: r.Counter("gateway_broken_runs_total"),
+		resumeMS:   r.Histogram("gateway_resume_ms"),
 	}
 }
