crash, gateway, registry: recognise the end of an upstream by any news of it

Cause: a broken run became a crash only when a later incarnation announced itself at the same address within 10 s, and only the gateway that had seen it could tell; until then no other gateway knew. Change: core/crash is a ledger that gateways and control instances hold alike. Runs that broke off are told to control at once, and count while the news is due: such a request is answered 503 with Retry-After, as that try has not run. The end is a successor at the address or of the id, or silence; two announcements since, or a planned stop, take the run back. A whole answer clears the request everywhere. Crashes beside which other upstreams of the zone failed without the request count two thirds, so that the loss of zones in turn blocks nobody. Control passes on what broke off twice.

--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -1,113 +1,504 @@
-// Package crash recognises requests that crash the upstreams which begin to run
-// them. Gateways note which requests were beginning at an upstream when its
-// connections broke; once the upstream's incarnation has ended, each becomes a
-// Record that all gateways share. The package holds no clock and no lock.
+// Package crash recognises requests that crash the upstreams which run them. A
+// Ledger collects the runs of requests that broke off, learns what became of the
+// upstreams, and decides whether a request may run again. Gateways and control
+// instances hold one each and pass entries on; merging does not depend on the
+// order. The package holds no clock and no lock.
 package crash
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
 
 const (
-	// Threshold is the number of crashed incarnations from which on a request is
-	// blocked. The loss of an availability zone meets a request once, and hardly
-	// one twice.
+	// Threshold is the number of upstreams that must have crashed under a request
+	// before it is blocked. Chance hardly meets one request three times.
 	Threshold = 3
-	// blockTime is how long a request is blocked after its last crash.
+	// FullWeight is what one crash counts, and SharedWeight what it counts if
+	// something that did not run the request failed with the upstream: the request is
+	// then less likely the cause. Four such crashes do not block a request yet.
+	FullWeight   = 3
+	SharedWeight = 2
+	// sharedTime is the time within which upstreams of one availability zone are taken
+	// to have failed together. Silent ones are noticed up to a second after those whose
+	// connections close.
+	sharedTime = 1500 * time.Millisecond
+	// blockTime is how long a crash counts.
 	blockTime = 10 * time.Minute
-	// confirmTime is the longest time between a broken connection and the news
-	// that the incarnation has ended.
-	confirmTime = 10 * time.Second
-	// maxPending and maxRecords bound the memory; the oldest ones yield.
-	maxPending = 1024
-	maxRecords = 1024
+	// newsTime is how long after a run broke off the news that its upstream has ended
+	// still counts. A control instance that has just started takes ten intervals of
+	// announcements to call an upstream lost; they may be several seconds long.
+	newsTime = time.Minute
+	// abandonedTime is the same for runs whose callers left, which say less: long enough
+	// for an upstream to be called lost.
+	abandonedTime = 10 * time.Second
+	// maxRuns bounds the runs and the requests on record, at about 300 bytes each, and
+	// keptRuns is what is kept when the bound is exceeded.
+	maxRuns  = 4096
+	keptRuns = maxRuns * 15 / 16
+	// maxRecent bounds the runs with which a new one is compared; a few show that a zone
+	// has failed.
+	maxRecent = 256
+	// expireEvery is how often runs that no longer count are looked for.
+	expireEvery = time.Second
+	// aliveAnnouncements is the number of announcements after a run broke off that show
+	// that its upstream lives. One may have been on its way.
+	aliveAnnouncements = 2
 )
 
-// Record says that a request was beginning at an incarnation that crashed.
-type Record struct {
+// Weight is what a crash counts against a request that was running. Shared tells that
+// something that did not run the request failed at the same time: other upstreams of
+// the availability zone, or the machine of the upstream.
+func Weight(shared bool) int {
+	if shared {
+		return SharedWeight
+	}
+	return FullWeight
+}
+
+// Outcome is what is known of a run that broke off. A later one in this order replaces
+// an earlier one, whoever learns of it.
+type Outcome uint8
+
+// The outcomes.
+const (
+	// Abandoned runs had no answer when their callers left.
+	Abandoned Outcome = iota
+	// Broken runs lost their connection, or their upstream fell silent.
+	Broken
+	// Ended runs broke off, and their upstream's incarnation has ended since.
+	Ended
+	// Innocent runs broke off, and their upstream runs on or stopped as planned.
+	Innocent
+	// Cleared names no run: the request has been answered whole.
+	Cleared
+)
+
+// Run is one run of a request at an incarnation of an upstream.
+type Run struct {
 	// Fingerprint names the request, whoever sends it again.
 	Fingerprint string
-	// Addr and StartedMS name the incarnation.
-	Addr      string
-	StartedMS int64
+	// Upstream is the id, Addr the address and StartedMS the start of the incarnation.
+	Upstream, Addr string
+	StartedMS      int64
+	Zone           string
+}
+
+// Entry is what one ledger tells another.
+type Entry struct {
+	Run
+	Outcome Outcome
+	// Shared tells that other upstreams of the zone failed at the same time.
+	Shared bool
+	// AgeMS is the time since the run broke off, or since the whole answer.
+	AgeMS int64
+}
+
+// run is a Run on record.
+type run struct {
+	Run
+	outcome Outcome
+	at      time.Time
+	// shared is what this ledger has found out, told what another one has.
+	shared, told bool
+	// announced is the number of announcements since, lastSeq the last one.
+	announced int
+	lastSeq   int64
+	change    uint64
+}
+
+func (r *run) expired(now time.Time) bool {
+	switch r.outcome {
+	case Abandoned:
+		return now.Sub(r.at) > abandonedTime
+	case Broken:
+		return now.Sub(r.at) > newsTime
+	}
+	return now.Sub(r.at) > blockTime
+}
+
+// counts tells whether the run speaks against its request, or may do so.
+func (r *run) counts(now time.Time) bool {
+	return (r.outcome == Broken || r.outcome == Ended) && !r.expired(now)
 }
 
-type timed struct {
-	Record
-	at time.Time
+func (r *run) weight() int { return Weight(r.shared || r.told) }
+
+// request holds the runs of one request.
+type request struct {
+	fingerprint string
+	runs        []*run
+	// cleared is when it was last answered whole.
+	cleared time.Time
+	change  uint64
+	// trial is when it was last let through although it is blocked.
+	trial time.Time
 }
 
-// Ledger is what one gateway knows of crashes.
+// Ledger is what one process knows.
 type Ledger struct {
-	pending []timed
-	records []timed
+	requests map[string]*request
+	// recent are the runs that broke off a moment ago.
+	recent []*run
+	// places counts the runs by upstream and by address, so that news of upstreams
+	// which no run concerns costs nothing.
+	places  map[string]int
+	runs    int
+	changes uint64
+	swept   time.Time
+}
+
+// New returns an empty ledger.
+func New() *Ledger { return &Ledger{requests: map[string]*request{}, places: map[string]int{}} }
+
+// Changes returns the number of the last change, for Since.
+func (l *Ledger) Changes() uint64 { return l.changes }
+
+// Tracked returns the number of requests on record.
+func (l *Ledger) Tracked() int { return len(l.requests) }
+
+// Suspects returns the number of requests with so many runs on record that they may be
+// blocked.
+func (l *Ledger) Suspects() (n int) {
+	for _, q := range l.requests {
+		if len(q.runs) >= Threshold {
+			n++
+		}
+	}
+	return n
+}
+
+// Broke notes that a run broke off, or that its caller left. It returns true if that
+// is news.
+func (l *Ledger) Broke(now time.Time, r Run, outcome Outcome) bool {
+	return l.add(now, now, Entry{Run: r, Outcome: outcome})
+}
+
+// Merge takes the entries of another ledger in and returns the requests of which
+// anything was news.
+func (l *Ledger) Merge(now time.Time, list []Entry) (news []string) {
+	for _, e := range list {
+		if e.Fingerprint == "" || e.Outcome > Cleared {
+			continue // another version, or a malformed message
+		}
+		at := now.Add(-time.Duration(max(e.AgeMS, 0)) * time.Millisecond)
+		changed := false
+		if e.Outcome == Cleared {
+			changed = l.clear(at, l.request(e.Fingerprint))
+			l.bound(now)
+		} else {
+			changed = l.add(now, at, e)
+		}
+		if changed && !slices.Contains(news, e.Fingerprint) {
+			news = append(news, e.Fingerprint)
+		}
+	}
+	return news
+}
+
+func (l *Ledger) add(now, at time.Time, e Entry) bool {
+	if now.Sub(l.swept) > expireEvery {
+		l.swept = now
+		l.Expire(now)
+	}
+	q := l.requests[e.Fingerprint]
+	if q != nil && !at.After(q.cleared) {
+		return false
+	}
+	if q != nil {
+		for _, r := range q.runs {
+			if r.Run == e.Run {
+				return l.update(r, e)
+			}
+		}
+	}
+	r := &run{Run: e.Run, outcome: e.Outcome, at: at, told: e.Shared}
+	if r.expired(now) {
+		return false
+	}
+	q = l.request(e.Fingerprint)
+	q.runs = append(q.runs, r)
+	l.runs++
+	l.places[r.Upstream]++
+	l.places[r.Addr]++
+	l.touch(r)
+	if len(q.runs) == suspectRuns {
+		for _, r := range q.runs {
+			l.touch(r) // readers get the runs of suspects only
+		}
+	}
+	l.compare(q, r)
+	l.bound(now)
+	return true
+}
+
+// request returns the record of a request, a new one if there is none.
+func (l *Ledger) request(fingerprint string) *request {
+	q := l.requests[fingerprint]
+	if q == nil {
+		q = &request{fingerprint: fingerprint}
+		l.requests[fingerprint] = q
+	}
+	return q
+}
+
+// update takes over what another ledger has learned of a run.
+func (l *Ledger) update(r *run, e Entry) bool {
+	if e.Outcome <= r.outcome && e.Shared == r.told {
+		return false
+	}
+	r.outcome, r.told = max(r.outcome, e.Outcome), r.told || e.Shared
+	l.touch(r)
+	return true
+}
+
+func (l *Ledger) touch(r *run) {
+	l.changes++
+	r.change = l.changes
+}
+
+// compare finds out with which others an upstream has failed.
+func (l *Ledger) compare(q *request, r *run) {
+	l.recent = slices.DeleteFunc(l.recent, func(o *run) bool { return r.at.Sub(o.at) > 2*sharedTime })
+	for _, o := range l.recent {
+		if o.Fingerprint == r.Fingerprint || !together(r, o) {
+			continue
+		}
+		if !q.brokeAt(o) {
+			r.shared = true
+		}
+		if other := l.requests[o.Fingerprint]; !o.shared && other != nil && !other.brokeAt(r) {
+			o.shared = true
+			l.touch(o)
+		}
+	}
+	if len(l.recent) >= maxRecent {
+		l.recent = l.recent[1:]
+	}
+	l.recent = append(l.recent, r)
+	for _, own := range q.runs {
+		if own != r && own.shared && r.at.Sub(own.at).Abs() <= sharedTime {
+			l.recompare(q, own)
+		}
+	}
+}
+
+// recompare looks again whether any upstream that failed with the one of a run did so
+// without the request.
+func (l *Ledger) recompare(q *request, r *run) {
+	shared := slices.ContainsFunc(l.recent, func(o *run) bool {
+		return together(r, o) && o.Fingerprint != r.Fingerprint && !q.brokeAt(o)
+	})
+	if shared != r.shared {
+		r.shared = shared
+		l.touch(r)
+	}
+}
+
+// together tells whether two runs broke off at different upstreams of one availability
+// zone at the same time.
+func together(a, b *run) bool {
+	return a.Zone == b.Zone && a.Upstream != b.Upstream && a.at.Sub(b.at).Abs() <= sharedTime &&
+		a.outcome != Abandoned && b.outcome != Abandoned
+}
+
+// brokeAt tells whether the request itself broke off at the upstream of another run at
+// the same time.
+func (q *request) brokeAt(o *run) bool {
+	return slices.ContainsFunc(q.runs, func(r *run) bool { return r.Upstream == o.Upstream && r.at.Sub(o.at).Abs() <= sharedTime })
+}
+
+// Succeeded takes the news that an incarnation has started at an address: those with
+// the same address or id that started before it have ended. It returns the requests of
+// abandoned runs there.
+func (l *Ledger) Succeeded(now time.Time, id, addr string, startedMS int64) []string {
+	if l.places[addr] == 0 && l.places[id] == 0 {
+		return nil
+	}
+	return l.learn(now, Ended, func(r *run) bool { return (r.Addr == addr || r.Upstream == id) && r.StartedMS < startedMS })
 }
 
-// Broken notes that the connection to an upstream broke while a request was
-// beginning there.
-func (l *Ledger) Broken(now time.Time, r Record) {
-	if len(l.pending) >= maxPending {
-		l.pending = l.pending[1:]
+// Lost takes the news that an incarnation has fallen silent. It returns the requests of
+// abandoned runs there.
+func (l *Ledger) Lost(now time.Time, id string, startedMS int64) []string {
+	if l.places[id] == 0 {
+		return nil
 	}
-	l.pending = append(l.pending, timed{r, now})
+	return l.learn(now, Ended, func(r *run) bool { return r.Upstream == id && r.StartedMS == startedMS })
 }
 
-// Ended takes the news that incarnations at an address that started before a
-// time have ended. It returns the records that this confirms.
-func (l *Ledger) Ended(now time.Time, addr string, beforeMS int64) []Record {
-	var out []Record
-	l.pending = slices.DeleteFunc(l.pending, func(p timed) bool {
-		if now.Sub(p.at) > confirmTime {
-			return true
+// Departed takes the news that an incarnation stops as planned.
+func (l *Ledger) Departed(now time.Time, id string, startedMS int64) {
+	if l.places[id] == 0 {
+		return
+	}
+	l.learn(now, Innocent, func(r *run) bool { return r.Upstream == id && r.StartedMS == startedMS && r.outcome < Ended })
+}
+
+// Announced takes an announcement of an incarnation.
+func (l *Ledger) Announced(now time.Time, id string, startedMS, seq int64) {
+	if l.places[id] == 0 {
+		return
+	}
+	l.learn(now, Innocent, func(r *run) bool {
+		if r.Upstream != id || r.StartedMS != startedMS || seq <= r.lastSeq {
+			return false
 		}
-		if p.Addr != addr || p.StartedMS >= beforeMS {
+		r.lastSeq = seq
+		r.announced++
+		return r.announced >= aliveAnnouncements
+	})
+}
+
+// learn moves the runs that match to an outcome. It returns the requests of abandoned
+// runs, which no other process knows of.
+func (l *Ledger) learn(now time.Time, outcome Outcome, match func(*run) bool) (news []string) {
+	for _, q := range l.requests {
+		changed := false
+		for _, r := range q.runs {
+			if r.outcome < outcome && !r.expired(now) && match(r) {
+				changed = changed || r.outcome == Abandoned
+				r.outcome = outcome
+				l.touch(r)
+			}
+		}
+		if changed {
+			news = append(news, q.fingerprint)
+		}
+	}
+	return news
+}
+
+// Whole notes that a request has been answered whole, so it does not crash what runs
+// it. It returns true if anything was on record.
+func (l *Ledger) Whole(now time.Time, fingerprint string) bool {
+	q := l.requests[fingerprint]
+	return q != nil && len(q.runs) > 0 && l.clear(now, q)
+}
+
+func (l *Ledger) clear(at time.Time, q *request) bool {
+	if !at.After(q.cleared) {
+		return false
+	}
+	l.drop(q, func(r *run) bool { return !r.at.After(at) })
+	q.cleared = at
+	l.changes++
+	q.change = l.changes
+	return true
+}
+
+// drop takes runs of a request off the record and returns their number.
+func (l *Ledger) drop(q *request, match func(*run) bool) int {
+	before := len(q.runs)
+	q.runs = slices.DeleteFunc(q.runs, func(r *run) bool {
+		if !match(r) {
 			return false
 		}
-		if l.Add(now, p.Record) {
-			out = append(out, p.Record)
+		for _, place := range []string{r.Upstream, r.Addr} {
+			if l.places[place]--; l.places[place] == 0 {
+				delete(l.places, place)
+			}
 		}
 		return true
 	})
-	return out
+	dropped := before - len(q.runs)
+	l.runs -= dropped
+	return dropped
 }
 
-// Add takes a confirmed record in and tells whether it is new.
-func (l *Ledger) Add(now time.Time, r Record) bool {
-	l.records = slices.DeleteFunc(l.records, func(t timed) bool { return now.Sub(t.at) > blockTime })
-	if slices.ContainsFunc(l.records, func(t timed) bool { return t.Record == r }) {
-		return false
+// suspectRuns is the number of runs from which on readers get those of a request. Most
+// requests that break off do so once.
+const suspectRuns = 2
+
+// Since returns what changed after a number, of requests that broke off twice or more.
+func (l *Ledger) Since(now time.Time, change uint64) (list []Entry) {
+	if change >= l.changes {
+		return nil
 	}
-	if len(l.records) >= maxRecords {
-		l.records = l.records[1:]
+	for _, q := range l.requests {
+		if len(q.runs) < suspectRuns && q.change == 0 {
+			continue
+		}
+		list = append(list, q.entries(now, change)...)
 	}
-	l.records = append(l.records, timed{r, now})
-	return true
+	return list
+}
+
+// Of returns all that is known of some requests.
+func (l *Ledger) Of(now time.Time, fingerprints []string) (list []Entry) {
+	for _, f := range fingerprints {
+		if q := l.requests[f]; q != nil {
+			list = append(list, q.entries(now, 0)...)
+		}
+	}
+	return list
+}
+
+// All returns everything that is on record.
+func (l *Ledger) All(now time.Time) (list []Entry) {
+	for _, q := range l.requests {
+		list = append(list, q.entries(now, 0)...)
+	}
+	return list
 }
 
-// Clear forgets the records of a request that has been answered whole: it does not
-// crash what runs it.
-func (l *Ledger) Clear(fingerprint string) {
-	of := func(t timed) bool { return t.Fingerprint == fingerprint }
-	l.pending = slices.DeleteFunc(l.pending, of)
-	l.records = slices.DeleteFunc(l.records, of)
+func (q *request) entries(now time.Time, change uint64) (list []Entry) {
+	if q.change > change {
+		list = append(list, Entry{Run: Run{Fingerprint: q.fingerprint}, Outcome: Cleared, AgeMS: now.Sub(q.cleared).Milliseconds()})
+	}
+	for _, r := range q.runs {
+		if r.change > change && r.outcome != Abandoned {
+			list = append(list, Entry{Run: r.Run, Outcome: r.outcome, Shared: r.shared || r.told, AgeMS: now.Sub(r.at).Milliseconds()})
+		}
+	}
+	return list
 }
 
-// Pending returns the number of broken runs whose upstreams are not known to have
-// ended.
-func (l *Ledger) Pending() int { return len(l.pending) }
+// Expire drops what no longer counts.
+func (l *Ledger) Expire(now time.Time) {
+	for f, q := range l.requests {
+		l.drop(q, func(r *run) bool { return r.expired(now) })
+		if len(q.runs) == 0 && now.Sub(q.cleared) > blockTime {
+			delete(l.requests, f)
+		}
+	}
+}
 
-// Len returns the number of records.
-func (l *Ledger) Len() int { return len(l.records) }
+// bound drops requests beyond the bound: those that matter least first, the oldest
+// among equals.
+func (l *Ledger) bound(now time.Time) {
+	if l.runs <= maxRuns && len(l.requests) <= maxRuns {
+		return
+	}
+	l.Expire(now)
+	all := make([]*request, 0, len(l.requests))
+	for _, q := range l.requests {
+		all = append(all, q)
+	}
+	rank := func(q *request) int {
+		ended, open := q.weights(now)
+		return ended + open
+	}
+	slices.SortFunc(all, func(a, b *request) int {
+		return cmp.Or(cmp.Compare(rank(a), rank(b)), a.last().Compare(b.last()), cmp.Compare(a.fingerprint, b.fingerprint))
+	})
+	for _, q := range all {
+		if l.runs <= keptRuns && len(l.requests) <= keptRuns {
+			return
+		}
+		l.drop(q, func(*run) bool { return true })
+		delete(l.requests, q.fingerprint)
+	}
+}
 
-// Blocked tells whether a request has crashed so many upstreams that it must not
-// run again.
-func (l *Ledger) Blocked(now time.Time, fingerprint string) bool {
-	n := 0
-	for _, t := range l.records {
-		if t.Fingerprint == fingerprint && now.Sub(t.at) <= blockTime {
-			n++
+// last is when the request last broke off or was answered.
+func (q *request) last() time.Time {
+	at := q.cleared
+	for _, r := range q.runs {
+		if r.at.After(at) {
+			at = r.at
 		}
 	}
-	return n >= Threshold
+	return at
 }
--- a/modules/gateway/crash.go
+++ b/modules/gateway/crash.go
@@ -3,114 +3,207 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"maps"
+	"slices"
+	"sync"
 	"time"
 
 	"heatherway.dev/core/crash"
 	"heatherway.dev/core/registration"
 	"heatherway.dev/heatherway/modules/registry"
+	"heatherway.dev/kernel/recovery"
 	"heatherway.dev/kernel/result"
 )
 
-// beginningEvents is the number of events up to which a stream counts as
-// beginning: a request that crashes upstreams does so when it begins to run.
-const beginningEvents = 1
+const (
+	// beginningEvents is the number of events up to which a stream counts as
+	// beginning: a request that crashes upstreams does so when it begins to run.
+	beginningEvents = 8
+	// undecidedRetry is told to callers whose request may not run until the news of its
+	// upstreams is in; upstreams announce themselves every second or so.
+	undecidedRetry = time.Second
+	// reportPause is the pause after control instances could not be told of broken runs.
+	reportPause = 200 * time.Millisecond
+	// maxUnreported bounds the requests whose runs wait to be reported; the news of one
+	// more is left out, with a line in the log.
+	maxUnreported = 1024
+)
 
 // fingerprint names the request whoever sends it again: organisation, method,
 // target and body.
 func (c *call) fingerprint() string {
-	h := sha256.New()
-	name := ""
-	if c.owner != nil {
-		name = c.owner.Name
-	}
-	for _, part := range []string{name, c.out.method, c.out.target} {
-		h.Write([]byte(part))
-		h.Write([]byte{0})
-	}
-	h.Write(c.out.body)
-	return hex.EncodeToString(h.Sum(nil)[:16])
+	c.fingerprinted.Do(func() {
+		h := sha256.New()
+		name := ""
+		if c.owner != nil {
+			name = c.owner.Name
+		}
+		for _, part := range []string{name, c.out.method, c.out.target} {
+			h.Write([]byte(part))
+			h.Write([]byte{0})
+		}
+		h.Write(c.out.body)
+		c.print = hex.EncodeToString(h.Sum(nil)[:16])
+	})
+	return c.print
 }
 
-// blocked returns the refusal of a request that has crashed too many upstreams.
-// It ran there, so the answer must not say that it has not.
-func (c *call) blocked() error {
-	if c.g.crashes.Load() < crash.Threshold {
-		return nil
+// verdict tells whether the request may run, again or at all.
+func (c *call) verdict() (v crash.Verdict) {
+	if c.g.suspects.Load() == 0 {
+		return crash.Free
 	}
-	var blocked bool
 	fingerprint := c.fingerprint()
-	c.g.owner.ask(func(s *state) { blocked = s.crashes.Blocked(time.Now(), fingerprint) })
-	if !blocked {
+	c.g.owner.ask(func(s *state) { v = s.crashes.Verdict(time.Now(), fingerprint) })
+	return v
+}
+
+// mayBegin returns the refusal of a request that has crashed too many upstreams, or may
+// have done so. The former ran there, so the answer does not say that it has not.
+func (c *call) mayBegin() error {
+	v := c.verdict()
+	if v == crash.Free {
 		return nil
 	}
+	c.g.metrics.suspectsHeld.Inc()
+	c.g.log.Info("request not run, it may crash upstreams", "request", c.req.ID, "fingerprint", c.fingerprint(), "verdict", v.String())
+	if v == crash.Undecided {
+		return result.New(result.SuspectBusy, "upstreams that ran the request broke off; whether they have crashed is not known yet").After(undecidedRetry)
+	}
 	return result.New(result.UpstreamFailed, "the request has crashed %d upstreams", crash.Threshold)
 }
 
-// noteBroken notes that the connection to an upstream broke while the stream was
-// beginning there. Plain calls are left out: many callers make the same one, and
-// each crash of a plain upstream meets some of them.
-func (c *call) noteBroken(u registration.Upstream) {
-	r := crash.Record{Fingerprint: c.fingerprint(), Addr: u.Addr, StartedMS: u.StartedMS}
-	c.logBroken(r, true)
-	c.g.owner.tell(func(s *state) { s.crashes.Broken(time.Now(), r) })
-}
-
-// logBroken writes that a run ended without an answer, and whether it is held against
-// the request if the upstream's incarnation has ended.
-func (c *call) logBroken(r crash.Record, noted bool) {
+// noteBroken notes that a run of the request broke off, or was abandoned by its caller.
+// What breaks off at an upstream that is about to stop says nothing.
+func (c *call) noteBroken(u registration.Upstream, outcome crash.Outcome) {
+	leaving := c.g.follower.leaving(u)
 	c.g.metrics.brokenRuns.Inc()
-	c.g.log.Info("run broke off", "request", c.req.ID, "fingerprint", r.Fingerprint, "address", r.Addr, "started_ms", r.StartedMS, "noted", noted)
+	r := crash.Run{Fingerprint: c.fingerprint(), Upstream: u.ID, Addr: u.Addr, StartedMS: u.StartedMS, Zone: u.Zone}
+	c.g.log.Info("run broke off", "request", c.req.ID, "fingerprint", r.Fingerprint, "upstream", u.ID, "address", r.Addr, "zone", u.Zone,
+		"started_ms", r.StartedMS, "abandoned", outcome == crash.Abandoned, "leaving", leaving)
+	if leaving {
+		return
+	}
+	// The next decision about the request must see it.
+	c.g.owner.ask(func(s *state) {
+		news := s.crashes.Broke(time.Now(), r, outcome)
+		c.g.crashesChanged(s)
+		if news && outcome != crash.Abandoned {
+			c.g.reporter.add(r.Fingerprint)
+		}
+	})
 }
 
-// noteWhole notes that the stream was answered whole.
+// noteWhole notes that the request was answered whole.
 func (c *call) noteWhole() {
-	if c.g.crashes.Load() == 0 {
+	if c.g.tracked.Load() == 0 {
 		return
 	}
 	fingerprint := c.fingerprint()
 	c.g.owner.tell(func(s *state) {
-		before := s.crashes.Len()
-		s.crashes.Clear(fingerprint)
-		if before > s.crashes.Len() {
-			c.g.log.Info("crashes cleared by a whole answer", "request", c.req.ID, "fingerprint", fingerprint, "count", before-s.crashes.Len())
+		if !s.crashes.Whole(time.Now(), fingerprint) {
+			return
 		}
-		c.g.crashes.Store(int64(s.crashes.Len()))
+		c.g.crashesChanged(s)
+		c.g.reporter.add(fingerprint)
+		c.g.log.Info("broken runs cleared by a whole answer", "request", c.req.ID, "fingerprint", fingerprint)
 	})
 }
 
-// incarnationEnded confirms the crashes at an address once a later incarnation
-// has announced itself there.
-func (g *Gateway) incarnationEnded(addr string, startedMS int64) {
+// crashesChanged publishes whether requests need to be compared with the ledger.
+func (g *Gateway) crashesChanged(s *state) {
+	g.tracked.Store(int64(s.crashes.Tracked()))
+	g.suspects.Store(int64(s.crashes.Suspects()))
+}
+
+// upstreamChanged takes the news of upstreams into the ledger.
+func (g *Gateway) upstreamChanged(u registration.Upstream) {
+	if g.tracked.Load() == 0 {
+		return
+	}
 	g.owner.tell(func(s *state) {
-		before := s.crashes.Pending()
-		confirmed := s.crashes.Ended(time.Now(), addr, startedMS)
-		g.crashes.Store(int64(s.crashes.Len()))
-		for _, r := range confirmed {
-			g.log.Info("crash confirmed", "fingerprint", r.Fingerprint, "address", addr, "started_ms", r.StartedMS, "next_started_ms", startedMS)
+		var news []string
+		switch {
+		case u.State < registration.Lost:
+			news = s.crashes.Succeeded(time.Now(), u.ID, u.Addr, u.StartedMS)
+		case u.State == registration.Lost:
+			news = s.crashes.Lost(time.Now(), u.ID, u.StartedMS)
 		}
-		if dropped := before - s.crashes.Pending() - len(confirmed); dropped > 0 {
-			g.log.Info("broken runs dropped without the news that their upstreams have ended", "count", dropped)
+		g.crashesChanged(s)
+		for _, fingerprint := range news {
+			g.log.Info("abandoned run counts, its upstream has ended", "fingerprint", fingerprint, "address", u.Addr, "state", u.State.String())
+			g.reporter.add(fingerprint)
 		}
-		if len(confirmed) > 0 {
-			g.run(func() { g.reportCrashes(confirmed) })
+	})
+}
+
+// takeCrashes takes over what other gateways have reported.
+func (g *Gateway) takeCrashes(list []crash.Entry) {
+	g.owner.tell(func(s *state) {
+		for _, fingerprint := range s.crashes.Merge(time.Now(), list) {
+			g.log.Info("broken runs learned", "fingerprint", fingerprint, "verdict", s.crashes.Verdict(time.Now(), fingerprint).String())
 		}
+		g.crashesChanged(s)
 	})
 }
 
-func (g *Gateway) reportCrashes(list []crash.Record) {
-	if err := g.notify("Crash", &registry.CrashArgs{Crashes: list}, &registry.CrashReply{}); err != nil {
-		g.log.Warn("crash not reported", "records", len(list), "error", err)
+// crashReporter tells the control instances of broken runs, again until one has taken
+// them.
+type crashReporter struct {
+	g    *Gateway
+	mu   sync.Mutex
+	due  map[string]bool // by fingerprint
+	wake chan struct{}
+}
+
+func newCrashReporter(g *Gateway) *crashReporter {
+	return &crashReporter{g: g, due: map[string]bool{}, wake: make(chan struct{}, 1)}
+}
+
+// add has the runs of a request reported.
+func (r *crashReporter) add(fingerprint string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.due) >= maxUnreported {
+		r.g.log.Warn("broken runs not reported, too many wait", "fingerprint", fingerprint, "waiting", len(r.due))
+		return
+	}
+	r.due[fingerprint] = true
+	select {
+	case r.wake <- struct{}{}:
+	default: // it will look again already
 	}
 }
 
-// takeCrashes takes over what other gateways have reported.
-func (g *Gateway) takeCrashes(list []crash.Record) {
-	g.owner.tell(func(s *state) {
-		for _, r := range list {
-			if s.crashes.Add(time.Now(), r) {
-				g.log.Info("crash learned", "fingerprint", r.Fingerprint, "address", r.Addr, "started_ms", r.StartedMS)
-			}
+func (r *crashReporter) run() {
+	for {
+		select {
+		case <-r.g.ctx.Done():
+			return
+		case <-r.wake:
 		}
-		g.crashes.Store(int64(s.crashes.Len()))
-	})
+		// What a report holds must not end the process.
+		_ = recovery.Run(r.g.log, "report of broken runs", r.report)
+	}
+}
+
+func (r *crashReporter) report() {
+	r.mu.Lock()
+	due := slices.Collect(maps.Keys(r.due))
+	clear(r.due)
+	r.mu.Unlock()
+	var list []crash.Entry
+	r.g.owner.ask(func(s *state) { list = s.crashes.Of(time.Now(), due) })
+	if len(list) == 0 {
+		return
+	}
+	err := r.g.notify("Crash", &registry.CrashArgs{Crashes: list}, &registry.CrashReply{})
+	if err == nil || r.g.ctx.Err() != nil {
+		return
+	}
+	r.g.log.Warn("broken runs not reported", "requests", len(due), "runs", len(list), "error", err)
+	r.g.sleep(reportPause)
+	for _, fingerprint := range due {
+		r.add(fingerprint)
+	}
 }
--- a/modules/gateway/follow.go
+++ b/modules/gateway/follow.go
@@ -295,6 +295,14 @@
 		"services", services, "organisations", organisations)
 }
 
+// leaving tells whether an upstream has said that it is about to stop.
+func (f *follower) leaving(u registration.Upstream) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now, ok := f.directory.Get(u.ID)
+	return ok && now.StartedMS == u.StartedMS && (now.State == registration.Draining || now.Leaving)
+}
+
 // announce takes a record of the directory over, unless the other instance has
 // named a newer one.
 func (f *follower) announce(now time.Time, u registration.Upstream) {
@@ -313,8 +321,8 @@
 			"state", c.State.String(), "started_ms", c.StartedMS, "seq", c.Seq)
 		if c.State < registration.Lost {
 			f.replaced.publish(incarnation{c.Addr, c.ID, c.StartedMS})
-			f.g.incarnationEnded(c.Addr, c.StartedMS)
 		}
+		f.g.upstreamChanged(c)
 	}
 }
 
--- a/modules/gateway/gateway.go
+++ b/modules/gateway/gateway.go
@@ -94,9 +94,10 @@
 	// nanoseconds.
 	streamTime atomic.Int64
 	open       atomic.Int64
-	// crashes is the number of crash records, so that requests are compared with
-	// them only when there are any.
-	crashes atomic.Int64
+	reporter   *crashReporter
+	// tracked is the number of requests of which runs broke off, suspects that of those
+	// which may be blocked. Only when there are any, requests are compared with them.
+	tracked, suspects atomic.Int64
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -159,6 +160,7 @@
 	g.buffers = &buffers{limit: g.BufferBytes}
 	g.upstreams = newConnections(g.metrics, g.noteSignals)
 	g.owner = newOwner(g.ctx, g.log, g.zone, g.ObjectiveShare)
+	g.reporter = newCrashReporter(g)
 	g.follower = newFollower(g)
 	g.idle = newIdleLimiter(func() time.Duration {
 		if t := g.follower.table(); t != nil {
@@ -172,6 +174,7 @@
 func (g *Gateway) Start(context.Context) error {
 	g.log.Info("gateway starts", "address", g.Listen, "seeds", g.Seeds, "grace_ms", g.Grace.Milliseconds())
 	g.run(g.owner.run)
+	g.run(g.reporter.run)
 	g.follower.start()
 	mux := http.NewServeMux()
 	mux.HandleFunc(g.dialect.Calls().Ready, g.checkReady)
@@ -297,7 +300,8 @@
 	requests, refused, failed, aborted  stats.Counter
 	retries, hedges, resumes, repeats   stats.Counter
 	dials, dialFailures, checks, silent stats.Counter
-	copies, reports, stalls, brokenRuns stats.Counter
+	copies, reports, stalls             stats.Counter
+	brokenRuns, suspectsHeld            stats.Counter
 	answerMS, firstEventMS, resumeMS    stats.Histogram
 }
 
@@ -312,7 +316,7 @@
 		answerMS: r.Histogram("gateway_answer_ms"), firstEventMS: r.Histogram("gateway_first_event_ms"),
 		copies: r.Counter("gateway_copies_total"), reports: r.Counter("gateway_reports_total"),
 		stalls:     r.Counter("gateway_stalled_dials_total"),
-		brokenRuns: r.Counter("gateway_broken_runs_total"),
-		resumeMS:   r.Histogram("gateway_resume_ms"),
+		brokenRuns: r.Counter("gateway_broken_runs_total"), suspectsHeld: r.Counter("gateway_suspects_held_total"),
+		resumeMS: r.Histogram("gateway_resume_ms"),
 	}
 }
--- a/modules/gateway/handler.go
+++ b/modules/gateway/handler.go
@@ -7,6 +7,7 @@
 	"os"
 	"runtime/debug"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -44,6 +45,9 @@
 	mayHaveRun bool
 	// begun is set once the caller has the head of the answer.
 	begun bool
+	// print is the fingerprint, once it has been asked for.
+	print         string
+	fingerprinted sync.Once
 }
 
 // serve answers one request of a caller.
@@ -112,7 +116,7 @@
 	if err := c.read(r); err != nil {
 		return err
 	}
-	if err := c.blocked(); err != nil {
+	if err := c.mayBegin(); err != nil {
 		return err
 	}
 	if c.route.Kind == routing.Stream && !c.g.lastsUntil(c.begin) {
--- a/modules/gateway/owner.go
+++ b/modules/gateway/owner.go
@@ -20,7 +20,7 @@
 	budget  *retry.Budget
 	latency map[string]*retry.Latency // of lookups, by service
 	slo     *slo.Recorder
-	crashes crash.Ledger
+	crashes *crash.Ledger
 }
 
 // owner is the goroutine that owns the state. Traffic goroutines hand it short
@@ -47,6 +47,7 @@
 		fleet:   dispatch.New(zone, rng),
 		budget:  retry.NewBudget(retry.Settings{Share: retryShare, Reserve: retryReserve}),
 		latency: map[string]*retry.Latency{},
+		crashes: crash.New(),
 		slo:     slo.NewRecorder(time.Now(), func(slo.Key) slo.Objective { return slo.Objective{Share: share} }),
 	}}
 }
--- a/modules/gateway/plain.go
+++ b/modules/gateway/plain.go
@@ -8,7 +8,6 @@
 
 	"github.com/go-faster/errors"
 
-	"heatherway.dev/core/crash"
 	"heatherway.dev/core/dispatch"
 	"heatherway.dev/core/retry"
 	"heatherway.dev/core/routing"
@@ -257,9 +256,6 @@
 		c.g.log.Info("attempt failed", "request", c.req.ID, "upstream", a.choice.Upstream.ID, "address", a.choice.Upstream.Addr,
 			"sent", a.sent, "status", a.status, "error", a.err.Error())
 	}
-	if u := a.choice.Upstream; a.err != nil && a.sent {
-		c.logBroken(crash.Record{Fingerprint: c.fingerprint(), Addr: u.Addr, StartedMS: u.StartedMS}, false)
-	}
 }
 
 // deliver gives the caller an upstream's answer.
--- a/modules/gateway/stream.go
+++ b/modules/gateway/stream.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-faster/errors"
 
+	"heatherway.dev/core/crash"
 	"heatherway.dev/core/dispatch"
 	"heatherway.dev/core/registration"
 	"heatherway.dev/core/relay"
@@ -78,11 +79,13 @@
 	events   int
 	complete bool
 	resumed  bool
-	meta     dialect.Response
-	status   int
-	header   http.Header
-	body     []byte
-	err      error
+	// silent is set once the upstream was given up without the end of its connection.
+	silent bool
+	meta   dialect.Response
+	status int
+	header http.Header
+	body   []byte
+	err    error
 	// holder has a copy of the KV cache, named by copy.
 	holder registration.Upstream
 	copy   dialect.Copy
@@ -197,7 +200,7 @@
 		case r := <-c.results:
 			c.take(r)
 		case <-ended.ended:
-			a.err = errors.New("another incarnation has the upstream's address")
+			a.err, a.silent = errors.New("another incarnation has the upstream's address"), true
 			s.takeReady(a, r)
 			return
 		case <-s.ctx.Done():
@@ -271,6 +274,7 @@
 		return true
 	}
 	s.g.metrics.silent.Inc()
+	a.silent = true
 	a.err = errors.New("the upstream is silent and accepts connections")
 	if progress == relay.Lost {
 		a.err = errors.New("the upstream is silent and its work on the request is lost")
@@ -400,8 +404,10 @@
 		s.sent++
 		s.mayHaveRun = s.mayHaveRun || !a.meta.NotRun
 	}
-	if failed && a.sent && a.events <= beginningEvents {
-		s.noteBroken(a.choice.Upstream)
+	if a.sent && !a.complete && a.events <= beginningEvents {
+		if failed && (a.silent || severed(a.err)) {
+			s.noteBroken(a.choice.Upstream, crash.Broken)
+		}
 	}
 	if failed {
 		s.g.upstreams.drop(a.choice.Upstream.Addr, a.choice.Upstream.ID)
@@ -426,6 +432,8 @@
 	if a.status < http.StatusInternalServerError {
 		code = slo.OK
 		s.g.noteStream(time.Since(s.begin))
+	}
+	if a.status < http.StatusBadRequest {
 		s.noteWhole()
 	}
 	s.record(s.firstEvent, s.relay.LongestPause(), code)
--- a/modules/registry/directory.go
+++ b/modules/registry/directory.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -50,11 +51,10 @@
 	aliveAt time.Time
 	sending map[string]bool
 	sent    chan shared
-	// crashes are the newest crash records; the last one has the number crash.
-	crashes []crash.Record
-	crash   uint64
-	// unsentCrashes holds for each other instance those it has not taken yet.
-	unsentCrashes map[string][]crash.Record
+	crashes *crash.Ledger
+	// unsentCrashes holds for each other instance the requests of which it has not taken
+	// all broken runs yet.
+	unsentCrashes map[string]map[string]bool
 	saver         *saver
 	attention     attention
 	// saved is the last change that has been handed to the saver.
@@ -64,7 +64,7 @@
 type observation struct {
 	list    []registration.Upstream
 	alive   []Alive
-	crashes []crash.Record
+	crashes []crash.Entry
 	leaving []LeavingArgs
 	direct  bool
 	// unknown receives the upstreams of alive that are not known.
@@ -81,14 +81,14 @@
 	changes uint64
 	list    []registration.Upstream
 	crash   uint64
-	crashes []crash.Record
+	crashes []crash.Entry
 }
 
 type shared struct {
-	addr    string
-	args    *ShareArgs
-	unknown []string
-	err     error
+	addr  string
+	args  *ShareArgs
+	reply *ShareReply
+	err   error
 }
 
 func newDirectory(r *Registry) *directory {
@@ -96,7 +96,7 @@
 		r: r, log: r.log, state: registration.New(), epoch: rand.Uint64(),
 		inputs: make(chan observation, queuedAnnouncements), looks: make(chan look),
 		unsent: map[string]map[string]registration.Upstream{}, alive: map[string]map[string]Alive{},
-		unsentCrashes: map[string][]crash.Record{}, sending: map[string]bool{},
+		crashes: crash.New(), unsentCrashes: map[string]map[string]bool{}, sending: map[string]bool{},
 		sent: make(chan shared, 16),
 	}
 	if r.folder != "" {
@@ -132,7 +132,7 @@
 	}
 }
 
-// since returns the upstreams and the crash records behind two numbers.
+// since returns the upstreams and the broken runs that changed behind two numbers.
 func (d *directory) since(ctx context.Context, change, crash uint64) (view, bool) {
 	q := look{change, crash, make(chan view, 1)}
 	select {
@@ -173,7 +173,7 @@
 }
 
 func (d *directory) take(o observation) {
-	now, changed := time.Now(), false
+	now, changed, crashes := time.Now(), false, d.crashes.Changes()
 	for _, u := range o.list {
 		before, known := d.state.Get(u.ID)
 		outcome := d.state.Observe(now, u)
@@ -183,6 +183,9 @@
 			d.log.Info("upstream changed", "upstream", u.ID, "service", after.Service, "address", after.Addr,
 				"state", after.State.String(), "previous", previous(before, known), "started_ms", after.StartedMS, "seq", u.Seq, "direct", o.direct)
 		}
+		if outcome == registration.Changed || outcome == registration.Refreshed {
+			d.heard(now, u)
+		}
 		switch {
 		case outcome == registration.Malformed:
 			d.log.Warn("record not taken over", "upstream", u.ID, "state", int(u.State), "direct", o.direct)
@@ -197,12 +200,14 @@
 	for _, a := range o.alive {
 		if !d.state.Alive(now, a.ID, a.StartedMS, a.Seq) {
 			unknown = append(unknown, a.ID)
+			continue
 		}
+		d.crashes.Announced(now, a.ID, a.StartedMS, a.Seq)
 	}
 	o.unknown <- unknown
 	changed = d.takeLeaving(now, o.leaving) || changed
-	changed = d.takeCrashes(o) || changed
-	if changed {
+	d.takeCrashes(now, o)
+	if changed || len(d.crashes.Since(now, crashes)) > 0 {
 		d.r.feed.wake()
 		d.share()
 	}
@@ -223,39 +228,42 @@
 	return news
 }
 
-// keptCrashes bounds the crash records that are kept for gateways.
-const keptCrashes = 256
+// heard tells the ledger what became of the upstream that an announcement names.
+func (d *directory) heard(now time.Time, u registration.Upstream) {
+	if u.State == registration.Left {
+		d.crashes.Departed(now, u.ID, u.StartedMS)
+		return
+	}
+	d.crashes.Succeeded(now, u.ID, u.Addr, u.StartedMS)
+	d.crashes.Announced(now, u.ID, u.StartedMS, u.Seq)
+}
 
-// takeCrashes takes crash records in and tells whether any was new.
-func (d *directory) takeCrashes(o observation) bool {
-	added := false
-	for _, c := range o.crashes {
-		if slices.Contains(d.crashes, c) {
-			continue
-		}
-		added = true
-		d.crash++
-		d.crashes = append(d.crashes, c)
-		if len(d.crashes) > keptCrashes {
-			d.crashes = d.crashes[1:]
-		}
-		d.log.Warn("request was beginning at an upstream that crashed", "fingerprint", c.Fingerprint, "address", c.Addr, "started_ms", c.StartedMS, "direct", o.direct)
+// takeCrashes takes broken runs in.
+func (d *directory) takeCrashes(now time.Time, o observation) {
+	for _, fingerprint := range d.crashes.Merge(now, o.crashes) {
+		d.log.Info("broken runs learned", "fingerprint", fingerprint, "verdict", d.crashes.Verdict(now, fingerprint).String(), "direct", o.direct)
 		if o.direct {
 			for _, addr := range d.r.members() {
-				d.unsentCrashes[addr] = append(d.unsentCrashes[addr], c)
+				d.queueCrash(addr, fingerprint)
 			}
 		}
 	}
-	return added
+}
+
+// queueCrash marks the broken runs of a request for another instance.
+func (d *directory) queueCrash(addr, fingerprint string) {
+	if d.unsentCrashes[addr] == nil {
+		d.unsentCrashes[addr] = map[string]bool{}
+	}
+	d.unsentCrashes[addr][fingerprint] = true
 }
 
 // view returns what a reader does not have.
 func (d *directory) view(q look) view {
-	v := view{changes: d.state.Changes(), list: d.state.Since(q.since), crash: d.crash}
-	if behind := min(d.crash-min(q.crash, d.crash), uint64(len(d.crashes))); behind > 0 {
-		v.crashes = slices.Clone(d.crashes[uint64(len(d.crashes))-behind:])
+	return view{
+		changes: d.state.Changes(), list: d.state.Since(q.since),
+		crash: d.crashes.Changes(), crashes: d.crashes.Since(time.Now(), q.crash),
 	}
-	return v
 }
 
 func previous(u registration.Upstream, known bool) string {
@@ -304,7 +312,7 @@
 		if d.sending[addr] || len(d.unsent[addr]) == 0 && len(d.unsentCrashes[addr]) == 0 && !(aliveDue && len(d.alive[addr]) > 0) {
 			continue
 		}
-		args := &ShareArgs{Crashes: d.unsentCrashes[addr]}
+		args := &ShareArgs{Crashes: d.crashes.Of(now, slices.Collect(maps.Keys(d.unsentCrashes[addr])))}
 		delete(d.unsentCrashes, addr)
 		for _, u := range d.unsent[addr] {
 			args.Upstreams = append(args.Upstreams, u)
@@ -327,7 +335,7 @@
 	reply := &ShareReply{}
 	err := client.Call(ctx, ServiceName+".Share", args, reply)
 	select {
-	case d.sent <- shared{client.Addr(), args, reply.Unknown, err}:
+	case d.sent <- shared{client.Addr(), args, reply, err}:
 	case <-d.r.ctx.Done():
 	}
 }
@@ -347,7 +355,7 @@
 		m = map[string]registration.Upstream{}
 		d.unsent[s.addr] = m
 	}
-	for _, id := range s.unknown {
+	for _, id := range s.reply.Unknown {
 		if u, ok := d.state.Get(id); ok && u.State < registration.Lost {
 			m[id] = u
 		}
@@ -355,7 +363,9 @@
 	if s.err == nil {
 		return
 	}
-	d.unsentCrashes[s.addr] = append(d.unsentCrashes[s.addr], s.args.Crashes...)
+	for _, c := range s.args.Crashes {
+		d.queueCrash(s.addr, c.Fingerprint)
+	}
 	for _, u := range s.args.Upstreams {
 		if _, newer := m[u.ID]; !newer {
 			m[u.ID] = u
@@ -400,12 +410,15 @@
 	if d.attention.full(now, following, d.lostAfter()) {
 		lost = d.state.MarkLost(now, d.lostAfter())
 	}
+	crashes := d.crashes.Changes()
+	d.crashes.Expire(now)
 	for _, u := range lost {
+		d.crashes.Lost(now, u.ID, u.StartedMS)
 		d.log.Warn("upstream lost", "upstream", u.ID, "service", u.Service, "address", u.Addr,
 			"silent_ms", now.Sub(d.state.Heard(u.ID)).Milliseconds())
 	}
 	d.state.Expire(now, forgetAfter)
-	if len(lost) > 0 {
+	if len(lost) > 0 || len(d.crashes.Since(now, crashes)) > 0 {
 		d.r.feed.wake()
 	}
 }
--- a/modules/registry/feed.go
+++ b/modules/registry/feed.go
@@ -33,7 +33,7 @@
 	Version uint64
 	// Epoch and Change say which changes of the directory it has.
 	Epoch, Change uint64
-	// Crash is the number of the last crash record that it has, within Epoch.
+	// Crash says which changes of the broken runs it has, within Epoch.
 	Crash uint64
 	// Confirm asks for a configuration that a majority has confirmed after the
 	// call; a gateway that starts has no other way to tell an old one.
@@ -49,9 +49,9 @@
 	Epoch, Change uint64
 	// Upstreams are the records that changed.
 	Upstreams []registration.Upstream
-	// Crashes are the crash records behind the one named in the call; Crash goes
-	// into the next call.
-	Crashes []crash.Record
+	// Crashes are the broken runs of suspects that changed; Crash goes into the next
+	// call.
+	Crashes []crash.Entry
 	Crash   uint64
 	// Members are the peer addresses of all control instances.
 	Members []string
@@ -94,7 +94,7 @@
 type ShareArgs struct {
 	Upstreams []registration.Upstream
 	Alive     []Alive
-	Crashes   []crash.Record
+	Crashes   []crash.Entry
 }
 
 // Alive names an incarnation that has been heard of.
@@ -197,13 +197,13 @@
 	return nil
 }
 
-// CrashArgs carries crash records of a gateway.
-type CrashArgs struct{ Crashes []crash.Record }
+// CrashArgs carries broken runs that a gateway has seen or learned of.
+type CrashArgs struct{ Crashes []crash.Entry }
 
 // CrashReply is empty.
 type CrashReply struct{}
 
-// Crash takes in crash records and passes them on to all gateways.
+// Crash takes in broken runs and passes those of suspects on to all gateways.
 func (s *Service) Crash(args *CrashArgs, _ *CrashReply) (err error) {
 	defer recovery.Into(s.r.log, "call Crash", &err)
 	s.r.directory.observe(observation{crashes: args.Crashes, direct: true})
--- a/modules/registry/registry_test.go
+++ b/modules/registry/registry_test.go
@@ -327,17 +327,23 @@
 	f.replace(f.nodes[0], 1, "first")
 	client := f.nodes[0].security.NewClient(f.nodes[0].addr)
 	defer client.Close()
-	c := crash.Record{Fingerprint: "poison", Addr: "10.0.0.1:80", StartedMS: 1000}
-	for range 2 {
-		assert.NilError(t, client.Call(t.Context(), ServiceName+".Crash", &CrashArgs{[]crash.Record{c}}, &CrashReply{}))
+	for i := range 2 {
+		c := crash.Entry{Run: crash.Run{Fingerprint: "poison", Upstream: fmt.Sprint("u", i), Addr: fmt.Sprint("10.0.0.1:", i), StartedMS: 1000}, Outcome: crash.Ended}
+		for range 2 {
+			assert.NilError(t, client.Call(t.Context(), ServiceName+".Crash", &CrashArgs{[]crash.Entry{c}}, &CrashReply{}))
+		}
 	}
-	for _, n := range f.nodes {
-		f.eventually("the crash", func() bool {
+	known := func(n *node) func() bool {
+		return func() bool {
 			v, ok := n.directory.since(t.Context(), 0, 0)
-			return ok && len(v.crashes) == 1 && v.crashes[0] == c
-		})
-		v, _ := n.directory.since(t.Context(), 0, 1)
-		assert.Equal(t, len(v.crashes), 0, "a reader gets it once")
+			return ok && len(v.crashes) == 2 && v.crashes[0].Fingerprint == "poison" && v.crashes[0].Outcome == crash.Ended
+		}
+	}
+	for _, n := range f.nodes {
+		f.eventually("the crashes", known(n))
+		v, _ := n.directory.since(t.Context(), 0, 0)
+		v, _ = n.directory.since(t.Context(), 0, v.crash)
+		assert.Equal(t, len(v.crashes), 0, "a reader gets them once")
 	}
 }
 
