gateway: plain calls and runs whose callers left count as crashes

A lookup or booking that ends the server that runs it ended three servers every two seconds, for as long as its caller sent it; so did a stream whose callers left before the silent server was given up. Cause: only streams were noted, since many callers make the same lookup and each crash meets some of them, and only what the gateway itself gave up. The first reason is met by the ledger: one crash counts once, a whole answer clears all. Tests: TestPlainCallsThatCrashUpstreams, TestCallersWhoLeaveFatalRequests, TestHonestRequestsAreNotHeld.

--- /dev/null
+++ b/modules/gateway/crash_test.go
@@ -0,0 +1,134 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"heatherway.dev/core/registration"
+)
+
+// upstreamsThat starts upstreams of a service, one in each zone.
+func upstreamsThat(t *testing.T, n int, service string, handle func(http.ResponseWriter, *http.Request, int)) (list []*upstream) {
+	t.Helper()
+	for i := range n {
+		list = append(list, serve(t, fmt.Sprint(service, i), service, fmt.Sprint("z", i), handle))
+	}
+	return list
+}
+
+// arrivals is the number of requests that upstreams were sent.
+func arrivals(list []*upstream) (n int) {
+	for _, u := range list {
+		n += len(u.requests())
+	}
+	return n
+}
+
+// lost announces that an upstream has fallen silent.
+func (f *fixture) lost(list ...*upstream) {
+	f.t.Helper()
+	for _, u := range list {
+		u.State, u.Seq = registration.Lost, u.Seq+1
+		f.announce(u.Upstream)
+	}
+	f.owner.ask(func(*state) {}) // the owner has taken the news in
+}
+
+// Guards against plain calls that crash one upstream after the other: they are noted
+// like streams, their callers are told to come back while the news is due, and get the
+// final answer once it is in.
+func TestPlainCallsThatCrashUpstreams(t *testing.T) {
+	for _, path := range []string{"/book/x"} {
+		ups := upstreamsThat(t, 6, "desk", func(http.ResponseWriter, *http.Request, int) { abort() })
+		f := newFixture(t, configuration(), ups...)
+		for range 3 {
+			f.do(f.request("POST", path, "poison"))
+		}
+		assert.Equal(t, arrivals(ups), 3, path)
+		a := f.do(f.request("POST", path, "poison"))
+		assert.Equal(t, a.status, http.StatusServiceUnavailable, "this try has not run")
+		assert.Equal(t, a.header.Get("Retry-After"), "1.000")
+		f.lost(ups...)
+		assert.Equal(t, f.do(f.request("POST", path, "poison")).status, http.StatusBadGateway)
+		assert.Equal(t, arrivals(ups), 3, path)
+		f.do(f.request("POST", path, "honest"))
+		assert.Assert(t, arrivals(ups) > 3, "another request still runs")
+	}
+}
+
+// Guards against silent upstreams that a request ends one after the other since its
+// callers leave before the gateway gives them up.
+func TestCallersWhoLeaveFatalRequests(t *testing.T) {
+	ups := upstreamsThat(t, 6, "desk", func(_ http.ResponseWriter, r *http.Request, _ int) { <-r.Context().Done() })
+	f := newFixture(t, configuration(), ups...)
+	for i := range 3 {
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		assert.Assert(t, f.do(f.request("POST", "/book/x", "poison").WithContext(ctx)).err != nil)
+		cancel()
+		eventually(t, "the request to be abandoned", func() (noted bool) {
+			f.owner.ask(func(s *state) { noted = s.crashes.Tracked() == 1 && f.open.Load() == 0 })
+			return noted && arrivals(ups) == i+1
+		})
+		for _, u := range ups {
+			if u.State == registration.Ready && len(u.requests()) > 0 {
+				f.lost(u)
+			}
+		}
+	}
+	assert.Equal(t, f.do(f.request("POST", "/book/x", "poison")).status, http.StatusBadGateway)
+	assert.Equal(t, arrivals(ups), 3)
+}
+
+// Guards against honest requests that are held since they met failures of upstreams
+// between which they were answered, or upstreams that stopped as planned.
+func TestHonestRequestsAreNotHeld(t *testing.T) {
+	var served atomic.Int64
+	ups := upstreamsThat(t, 5, "desk", func(w http.ResponseWriter, r *http.Request, _ int) {
+		if served.Add(1)%3 == 0 {
+			abort()
+		}
+		_, _ = io.WriteString(w, "ok")
+	})
+	f := newFixture(t, configuration(), ups...)
+	for i := range 20 {
+		f.do(f.request("POST", "/look/x", "popular")) // some end with the failure of an upstream, by the retry budget
+		assert.Equal(t, f.suspects.Load(), int64(0), "request %d", i)
+	}
+
+	var stopping []*upstream
+	f = newFixture(t, configuration())
+	stopping = upstreamsThat(t, 5, "desk", func(_ http.ResponseWriter, r *http.Request, _ int) {
+		for _, u := range stopping {
+			if u.server.Listener.Addr().String() == r.Context().Value(http.LocalAddrContextKey).(net.Addr).String() {
+				u.State, u.Seq = registration.Draining, 2
+				f.announce(u.Upstream)
+			}
+		}
+		abort()
+	})
+	for _, u := range stopping {
+		f.announce(u.Upstream)
+	}
+	for range stopping {
+		f.do(f.request("POST", "/book/x", "planned"))
+	}
+	assert.Equal(t, arrivals(stopping), len(stopping))
+	assert.Equal(t, f.tracked.Load(), int64(0))
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not within 5 s: %s", what)
+		}
+	}
+}
--- a/modules/gateway/plain.go
+++ b/modules/gateway/plain.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 
+	"heatherway.dev/core/crash"
 	"heatherway.dev/core/dispatch"
 	"heatherway.dev/core/retry"
 	"heatherway.dev/core/routing"
@@ -256,6 +257,13 @@
 		c.g.log.Info("attempt failed", "request", c.req.ID, "upstream", a.choice.Upstream.ID, "address", a.choice.Upstream.Addr,
 			"sent", a.sent, "status", a.status, "error", a.err.Error())
 	}
+	switch {
+	case !a.sent || a.err == nil:
+	case c.ctx.Err() != nil:
+		c.noteBroken(a.choice.Upstream, crash.Abandoned)
+	case !cut && severed(a.err):
+		c.noteBroken(a.choice.Upstream, crash.Broken)
+	}
 }
 
 // deliver gives the caller an upstream's answer.
@@ -264,6 +272,9 @@
 	if a.status >= http.StatusInternalServerError {
 		code = result.UpstreamFailed
 	}
+	if a.status < http.StatusBadRequest {
+		c.noteWhole()
+	}
 	c.g.metrics.answerMS.Observe(took.Milliseconds())
 	c.record(took, 0, code)
 	c.logEnd("request answered", append(a.choice.attrs(), "status", a.status, "priority", c.priority)...)
--- a/modules/gateway/stream.go
+++ b/modules/gateway/stream.go
@@ -405,7 +405,10 @@
 		s.mayHaveRun = s.mayHaveRun || !a.meta.NotRun
 	}
 	if a.sent && !a.complete && a.events <= beginningEvents {
-		if failed && (a.silent || severed(a.err)) {
+		switch {
+		case s.ctx.Err() != nil:
+			s.noteBroken(a.choice.Upstream, crash.Abandoned)
+		case failed && (a.silent || severed(a.err)):
 			s.noteBroken(a.choice.Upstream, crash.Broken)
 		}
 	}
