gateway: requests under way are asked again before their next upstream

Cause: only a request that comes in was compared with the crashes. A silent server is given up after 1.2 s, so three tries of the caller are under way at a time, and each went on to its next server, up to MaxAttempts. Change: a stream does not go on, a lookup is neither retried nor hedged, while the request is blocked or undecided. Tests: TestSuspectsUnderWayEnd (5 upstreams reached in place of 3 before), TestPlainCallsThatCrashUpstreams with lookups.

--- a/modules/gateway/crash_test.go
+++ b/modules/gateway/crash_test.go
@@ -46,7 +46,7 @@
 // like streams, their callers are told to come back while the news is due, and get the
 // final answer once it is in.
 func TestPlainCallsThatCrashUpstreams(t *testing.T) {
-	for _, path := range []string{"/book/x"} {
+	for _, path := range []string{"/look/x", "/book/x"} {
 		ups := upstreamsThat(t, 6, "desk", func(http.ResponseWriter, *http.Request, int) { abort() })
 		f := newFixture(t, configuration(), ups...)
 		for range 3 {
@@ -64,6 +64,21 @@
 	}
 }
 
+// Guards against a request under way that goes on to further upstreams after three have
+// ended under it.
+func TestSuspectsUnderWayEnd(t *testing.T) {
+	ups := upstreamsThat(t, 6, "model", func(http.ResponseWriter, *http.Request, int) { abort() })
+	c := configuration()
+	c.Routes[0].MaxAttempts = 12
+	f := newFixture(t, c, ups...)
+	assert.Equal(t, f.letter().status, http.StatusBadGateway)
+	reached := 0
+	for _, u := range ups {
+		reached += min(len(u.requests()), 1) // a stream goes back once to an upstream that breaks off
+	}
+	assert.Equal(t, reached, 3)
+}
+
 // Guards against silent upstreams that a request ends one after the other since its
 // callers leave before the gateway gives them up.
 func TestCallersWhoLeaveFatalRequests(t *testing.T) {
--- a/modules/gateway/plain.go
+++ b/modules/gateway/plain.go
@@ -138,7 +138,7 @@
 	for running > 0 {
 		select {
 		case <-hedge.C:
-			if c.mayTry() && c.retryAllowed() && start() == nil {
+			if c.mayTry() && c.verdict() == crash.Free && c.retryAllowed() && start() == nil {
 				c.g.metrics.hedges.Inc()
 			}
 		case a := <-answers:
@@ -154,7 +154,7 @@
 			if best == nil || a.whole() {
 				best = a
 			}
-			if c.mayRetry(a) {
+			if c.verdict() == crash.Free && c.mayRetry(a) {
 				_ = start() // without an upstream, the answers so far decide
 			}
 		case <-c.ctx.Done():
--- a/modules/gateway/stream.go
+++ b/modules/gateway/stream.go
@@ -459,7 +459,7 @@
 	switch {
 	case s.ctx.Err() != nil:
 		return s.giveUp(a)
-	case !notRun && !s.route.Repeatable():
+	case !notRun && (!s.route.Repeatable() || s.verdict() != crash.Free):
 		return s.giveUp(a)
 	case !s.mayTry(), a.sent && !s.retryAllowed():
 		return s.giveUp(a)
