registry, gateway: crashes outlive restarts and lost files of control instances

After all processes were killed once, a request that had ended nine servers ended nine more; the same after the files of control instances were lost one after the other. Cause: what was confirmed was held in memory only, and an instance that started got none of it from the others. Change: control instances keep the ledger in crashes.json beside the directory (one saver for both); an answer to Share names the epoch of its instance, and one that has started anew gets all suspects from the others; a gateway that follows such an instance tells it its own. Ages are counted on by the clock of the instance; one that goes back makes nothing younger. Tests: TestCrashesReachEveryInstance (restart of all, one of them with an empty disk).

--- a/modules/gateway/crash.go
+++ b/modules/gateway/crash.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"maps"
@@ -11,6 +12,7 @@
 	"heatherway.dev/core/crash"
 	"heatherway.dev/core/registration"
 	"heatherway.dev/heatherway/modules/registry"
+	"heatherway.dev/kernel/peer"
 	"heatherway.dev/kernel/recovery"
 	"heatherway.dev/kernel/result"
 )
@@ -147,6 +149,21 @@
 	})
 }
 
+// tellCrashes tells a control instance that has started anew which requests are
+// suspects; it may have lost what the others hold.
+func (g *Gateway) tellCrashes(ctx context.Context, client *peer.Client) {
+	var list []crash.Entry
+	g.owner.ask(func(s *state) { list = s.crashes.Since(time.Now(), 0) })
+	if len(list) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, noticeLimit)
+	defer cancel()
+	if err := client.Call(ctx, registry.ServiceName+".Crash", &registry.CrashArgs{Crashes: list}, &registry.CrashReply{}); err != nil {
+		g.log.Warn("control instance not told of suspects", "address", client.Addr(), "runs", len(list), "error", err)
+	}
+}
+
 // crashReporter tells the control instances of broken runs, again until one has taken
 // them.
 type crashReporter struct {
--- a/modules/gateway/follow.go
+++ b/modules/gateway/follow.go
@@ -185,6 +185,9 @@
 			return true
 		}
 		f.take(addr, reply)
+		if first && reply.Epoch != at.epoch {
+			f.g.tellCrashes(ctx, client)
+		}
 		args.Epoch, args.Change, args.Crash = reply.Epoch, reply.Change, reply.Crash
 		if first {
 			f.log.Info("control instance followed", "address", addr, "version", reply.Version, "upstreams", len(reply.Upstreams), "led", reply.Led)
--- a/modules/registry/directory.go
+++ b/modules/registry/directory.go
@@ -55,10 +55,13 @@
 	// unsentCrashes holds for each other instance the requests of which it has not taken
 	// all broken runs yet.
 	unsentCrashes map[string]map[string]bool
-	saver         *saver
-	attention     attention
-	// saved is the last change that has been handed to the saver.
-	saved uint64
+	// epochs are the last known epochs of the other instances.
+	epochs       map[string]uint64
+	saver        *saver[[]registration.Upstream]
+	crashesSaver *saver[savedCrashes]
+	attention    attention
+	// saved and savedCrashes are the last changes that have been handed to the savers.
+	saved, savedCrashes uint64
 }
 
 type observation struct {
@@ -96,11 +99,12 @@
 		r: r, log: r.log, state: registration.New(), epoch: rand.Uint64(),
 		inputs: make(chan observation, queuedAnnouncements), looks: make(chan look),
 		unsent: map[string]map[string]registration.Upstream{}, alive: map[string]map[string]Alive{},
-		crashes: crash.New(), unsentCrashes: map[string]map[string]bool{}, sending: map[string]bool{},
+		crashes: crash.New(), unsentCrashes: map[string]map[string]bool{}, epochs: map[string]uint64{}, sending: map[string]bool{},
 		sent: make(chan shared, 16),
 	}
 	if r.folder != "" {
-		d.saver = newSaver(d, r.folder)
+		d.saver = newSaver[[]registration.Upstream](r, savedDirectory)
+		d.crashesSaver = newSaver[savedCrashes](r, savedCrashesFile)
 		d.restore(time.Now())
 	}
 	return d
@@ -348,6 +352,7 @@
 		delete(d.unsent, s.addr)
 		delete(d.alive, s.addr)
 		delete(d.unsentCrashes, s.addr)
+		delete(d.epochs, s.addr)
 		return
 	}
 	m := d.unsent[s.addr]
@@ -361,6 +366,7 @@
 		}
 	}
 	if s.err == nil {
+		d.introduce(s.addr, s.reply.Epoch)
 		return
 	}
 	for _, c := range s.args.Crashes {
@@ -373,12 +379,32 @@
 	}
 }
 
-// save hands the directory to the saver if it has changed.
+// introduce has all suspects sent to an instance that has started anew: it may have lost
+// what the others hold.
+func (d *directory) introduce(addr string, epoch uint64) {
+	if d.epochs[addr] == epoch {
+		return
+	}
+	d.epochs[addr] = epoch
+	for _, c := range d.crashes.Since(time.Now(), 0) {
+		d.queueCrash(addr, c.Fingerprint)
+	}
+}
+
+// save hands what has changed to the savers.
 func (d *directory) save() {
-	if changes := d.state.Changes(); changes != d.saved && d.saver != nil {
+	if d.saver == nil {
+		return
+	}
+	if changes := d.state.Changes(); changes != d.saved {
 		d.saved = changes
 		d.saver.offer(d.state.All())
 	}
+	if changes := d.crashes.Changes(); changes != d.savedCrashes {
+		d.savedCrashes = changes
+		now := time.Now()
+		d.crashesSaver.offer(savedCrashes{now.UnixMilli(), d.crashes.All(now)})
+	}
 }
 
 // stalledSweeps is the number of sweep intervals after which the process must
--- a/modules/registry/feed.go
+++ b/modules/registry/feed.go
@@ -104,7 +104,11 @@
 }
 
 // ShareReply names the upstreams of Alive that the receiver does not know.
-type ShareReply struct{ Unknown []string }
+type ShareReply struct {
+	Unknown []string
+	// Epoch changes when the receiver starts anew.
+	Epoch uint64
+}
 
 // Service receives the calls.
 type Service struct{ r *Registry }
@@ -193,6 +197,7 @@
 // Share takes in announcements that another instance heard.
 func (s *Service) Share(args *ShareArgs, reply *ShareReply) (err error) {
 	defer recovery.Into(s.r.log, "call Share", &err)
+	reply.Epoch = s.r.directory.epoch
 	reply.Unknown = s.r.directory.observe(observation{list: args.Upstreams, alive: args.Alive, crashes: args.Crashes})
 	return nil
 }
--- a/modules/registry/registry.go
+++ b/modules/registry/registry.go
@@ -165,6 +165,7 @@
 	} else {
 		r.run(r.keepLog)
 		r.run(func() { r.directory.saver.run(r.ctx) })
+		r.run(func() { r.directory.crashesSaver.run(r.ctx) })
 	}
 	r.run(func() { r.directory.run(r.ctx) })
 	mux := http.NewServeMux()
--- a/modules/registry/registry_test.go
+++ b/modules/registry/registry_test.go
@@ -345,6 +345,31 @@
 		v, _ = n.directory.since(t.Context(), 0, v.crash)
 		assert.Equal(t, len(v.crashes), 0, "a reader gets them once")
 	}
+	f.eventually("saved everywhere", func() bool {
+		for _, n := range f.nodes {
+			if saved, err := n.directory.crashesSaver.read(); err != nil || len(saved.Entries) != 2 {
+				return false
+			}
+		}
+		return true
+	})
+	for _, n := range f.nodes {
+		f.stop(n)
+	}
+	for i, n := range f.nodes {
+		if i == 2 {
+			assert.NilError(t, os.RemoveAll(n.folder)) // it gets them from the others
+		}
+		f.start(n)
+	}
+	for i, n := range f.nodes {
+		seq := 0
+		f.eventually(fmt.Sprint("the crashes after a restart at ", i), func() bool {
+			seq++ // instances talk to each other when upstreams announce themselves
+			f.nodes[0].call(t, "POST", "/v1/instances/i-1/heartbeat", heartbeat("ready", seq))
+			return known(n)()
+		})
+	}
 }
 
 // Guards against gateways that go on sending work to an upstream which has said to
--- a/modules/registry/saved.go
+++ b/modules/registry/saved.go
@@ -3,62 +3,73 @@
 import (
 	"context"
 	"encoding/json"
+	"log/slog"
 	"os"
 	"path/filepath"
 	"time"
 
 	"github.com/go-faster/errors"
 
-	"heatherway.dev/core/registration"
+	"heatherway.dev/core/crash"
 )
 
 const (
-	// savedFile holds the directory below the data folder of the role.
-	savedFile = "directory.json"
+	// savedDirectory holds the directory below the data folder of the role, and
+	// savedCrashesFile the broken runs of requests.
+	savedDirectory   = "directory.json"
+	savedCrashesFile = "crashes.json"
 	// saveInterval collects changes into one write.
 	saveInterval   = 400 * time.Millisecond
 	filePermission = 0o600
 	dirPermission  = 0o700
 )
 
-// saver writes the directory to the disk in the background. After the loss of
-// all control instances at once the gateways would otherwise know only the few
-// upstreams that have announced themselves since, and send all work there.
-type saver struct {
-	d     *directory
-	path  string
-	lists chan []registration.Upstream
+// savedCrashes are the broken runs of requests, and when they were saved by the clock of
+// the instance.
+type savedCrashes struct {
+	AtMS    int64
+	Entries []crash.Entry
 }
 
-func newSaver(d *directory, folder string) *saver {
-	return &saver{d: d, path: filepath.Join(folder, savedFile), lists: make(chan []registration.Upstream, 1)}
+// saver writes soft state to the disk in the background. After the loss of all control
+// instances at once the gateways would otherwise know only the few upstreams that have
+// announced themselves since, and send all work there; and requests that crash upstreams
+// would be new to all.
+type saver[T any] struct {
+	log    *slog.Logger
+	path   string
+	values chan T
 }
 
-// offer hands the newest list over; one that waits is replaced.
-func (s *saver) offer(list []registration.Upstream) {
+func newSaver[T any](r *Registry, file string) *saver[T] {
+	return &saver[T]{log: r.log, path: filepath.Join(r.folder, file), values: make(chan T, 1)}
+}
+
+// offer hands the newest value over; one that waits is replaced.
+func (s *saver[T]) offer(value T) {
 	select {
-	case <-s.lists:
+	case <-s.values:
 	default:
 	}
-	s.lists <- list
+	s.values <- value
 }
 
-func (s *saver) run(ctx context.Context) {
+func (s *saver[T]) run(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case list := <-s.lists:
-			if err := s.write(list); err != nil {
-				s.d.log.Warn("directory not saved", "file", s.path, "error", err)
+		case value := <-s.values:
+			if err := s.write(value); err != nil {
+				s.log.Warn("state not saved", "file", s.path, "error", err)
 			}
 		}
 	}
 }
 
 // write replaces the file. Either version may remain after a power loss.
-func (s *saver) write(list []registration.Upstream) error {
-	b, err := json.Marshal(list)
+func (s *saver[T]) write(value T) error {
+	b, err := json.Marshal(value)
 	if err != nil {
 		return err
 	}
@@ -78,25 +89,24 @@
 }
 
 // read returns what was saved last; there is none at the first start.
-func (s *saver) read() ([]registration.Upstream, error) {
+func (s *saver[T]) read() (value T, err error) {
 	b, err := os.ReadFile(s.path)
 	if errors.Is(err, os.ErrNotExist) {
-		return nil, nil
+		return value, nil
 	}
 	if err != nil {
-		return nil, err
+		return value, err
 	}
-	var list []registration.Upstream
-	return list, json.Unmarshal(b, &list)
+	return value, json.Unmarshal(b, &value)
 }
 
-// restore takes the saved records in. They count until the upstreams have been
-// silent for the usual time.
+// restore takes what was saved in. Upstreams count until they have been silent for the
+// usual time.
 func (d *directory) restore(now time.Time) {
 	list, err := d.saver.read()
 	if err != nil {
 		d.log.Warn("saved directory not read", "file", d.saver.path, "error", err)
-		return
+		list = nil
 	}
 	for _, u := range list {
 		d.state.Observe(now, u)
@@ -104,4 +114,21 @@
 	if len(list) > 0 {
 		d.log.Info("directory restored", "upstreams", len(list))
 	}
+	d.restoreCrashes(now)
+}
+
+// restoreCrashes takes the saved runs in. They are older by the time that the instance
+// was down; a clock that has gone back makes them no younger.
+func (d *directory) restoreCrashes(now time.Time) {
+	saved, err := d.crashesSaver.read()
+	if err != nil {
+		d.log.Warn("saved broken runs not read", "file", d.crashesSaver.path, "error", err)
+		return
+	}
+	for i := range saved.Entries {
+		saved.Entries[i].AgeMS += max(now.UnixMilli()-saved.AtMS, 0)
+	}
+	if news := d.crashes.Merge(now, saved.Entries); len(news) > 0 {
+		d.log.Info("broken runs restored", "requests", len(news), "runs", len(saved.Entries))
+	}
 }
--- a/test/soak/crashing_test.go
+++ b/test/soak/crashing_test.go
@@ -174,7 +174,7 @@
 
 func playCrashing(t *testing.T, c crashingCase) {
 	f := &fatal{crashingCase: c}
-	w := newWorld(t, 1, 4, 4, 9)
+	w := newWorld(t, *first, 4, 4, 9)
 	w.fatal.Store(f)
 	client := &http.Client{Timeout: time.Second}
 	w.eventually("first configuration", 20*time.Second, func() bool { return w.replace(client, w.registries[0].addr(operatorPort)) })
