quarantine, crash: the loss of a machine counts less than the crash of an engine

Cause: an agent that has ended was a crash of the request like any other, and two quarantine. The request runs in the engine; an agent that ends beside it shows that the machine was lost. It is the question that gateways have with a zone. Six quarantine at entries: two engines, or three machines. States of older versions are converted; while versions are mixed, replicas may differ in who is quarantined until all run the new one. Evidence: TestLossOfMachinesCountsLess fails before ('an engine and a machine') and passes.

--- a/core/quarantine/probation_test.go
+++ b/core/quarantine/probation_test.go
@@ -103,3 +103,27 @@
 		}
 	})
 }
+
+// Guards against a request that is quarantined since a machine was lost under its
+// probation: the agent beside the engine did not run it, and ended too.
+func TestLossOfMachinesCountsLess(t *testing.T) {
+	f := newFleet()
+	lost := func(upstream string) {
+		f.now += ReportGrace.Milliseconds()
+		f.apply(Command{Crash: &wire.CrashArgs{
+			Upstream: upstream, Incarnation: 1, CrashNumber: wire.CrashOfAgent, Fingerprints: []string{"honest"}, Probation: "honest",
+		}})
+	}
+	f.crashOf(1, "", "honest")
+	lost("v1")
+	assert.Assert(t, !f.quarantined("honest"), "an engine and a machine")
+	f.crashOf(2, "honest", "honest")
+	assert.Assert(t, f.quarantined("honest"), "a second engine in probation")
+
+	f = newFleet()
+	for i := range 3 {
+		assert.Assert(t, !f.quarantined("honest"), "%d machines", i)
+		lost(fmt.Sprint("v", i))
+	}
+	assert.Assert(t, f.quarantined("honest"), "a request can take a machine down too")
+}
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -13,6 +13,7 @@
 import (
 	"time"
 
+	"heatherway.dev/core/crash"
 	"heatherway.dev/core/wire"
 )
 
@@ -61,6 +62,9 @@
 	return r.Crashes
 }
 
+// limit is the weight of crashes that quarantines a request.
+func (r Rule) limit() uint32 { return r.crashes() * crash.FullWeight }
+
 func (r Rule) period(returns uint32) int64 {
 	p := r.PeriodMS
 	if p <= 0 {
@@ -136,10 +140,12 @@
 // record is what is known of one request.
 type record struct {
 	Fingerprint string `json:"fingerprint"`
-	// Crashes is the number of crashes, and Strikes the part of it that counts
+	// Crashes is the number of crashes, and Weight what those count that speak
 	// towards the next quarantine.
 	Crashes uint32 `json:"crashes"`
-	Strikes uint32 `json:"strikes"`
+	Weight  uint32 `json:"weight"`
+	// Strikes is the number of crashes that counted, in states of older versions.
+	Strikes uint32 `json:"strikes,omitempty"`
 	// Shared is the number of crashes that more than one suspect may have
 	// caused.
 	Shared uint32 `json:"shared,omitempty"`
--- a/core/quarantine/state.go
+++ b/core/quarantine/state.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-faster/errors"
 
+	"heatherway.dev/core/crash"
 	"heatherway.dev/core/wire"
 	"heatherway.dev/kernel/result"
 )
@@ -56,7 +57,7 @@
 	if len(a.Fingerprints) > MaxReported {
 		return Answer{Err: result.New(result.InvalidField, "%d fingerprints in one report, at most %d", len(a.Fingerprints), MaxReported)}
 	}
-	c := crash{key: crashKey{a.Upstream, a.Incarnation, a.CrashNumber}, blamed: s.blamed(a), probation: a.Probation}
+	c := crashReport{key: crashKey{a.Upstream, a.Incarnation, a.CrashNumber}, blamed: s.blamed(a), probation: a.Probation}
 	for _, f := range a.Fingerprints {
 		s.count(rule, c, f)
 	}
@@ -70,8 +71,8 @@
 	return Answer{Suspects: out}
 }
 
-// crash is one report while it is being counted.
-type crash struct {
+// crashReport is one report of a crash while it is being counted.
+type crashReport struct {
 	key crashKey
 	// blamed is the request found to be at fault, and probation the one that
 	// was in probation; empty without one.
@@ -93,7 +94,7 @@
 	best, most, alone := "", uint32(0), false
 	for _, f := range a.Fingerprints {
 		r := s.records[f]
-		if r == nil || r.Cleared || r.Strikes == 0 {
+		if r == nil || r.Cleared || r.Weight == 0 {
 			continue
 		}
 		rank := r.Shared + 1
@@ -111,7 +112,7 @@
 }
 
 // count counts a crash once for each request that was running.
-func (s *State) count(rule Rule, c crash, fingerprint string) {
+func (s *State) count(rule Rule, c crashReport, fingerprint string) {
 	r := s.records[fingerprint]
 	if r == nil {
 		r = &record{Fingerprint: fingerprint}
@@ -129,26 +130,26 @@
 		r.Counted = slices.Delete(r.Counted, 0, extra)
 	}
 	switch {
-	case r.Cleared || r.Strikes == 0 || fingerprint == c.blamed:
-		s.strike(rule, r)
+	case r.Cleared || r.Weight == 0 || fingerprint == c.blamed:
+		s.strike(rule, r, crash.Weight(c.key.Number == wire.CrashOfAgent))
 	case c.blamed == "":
 		r.Shared++
 	}
 }
 
 // strike counts a crash towards quarantine.
-func (s *State) strike(rule Rule, r *record) {
+func (s *State) strike(rule Rule, r *record, weight int) {
 	r.Cleared = false
 	r.Crashes++
-	r.Strikes++
+	r.Weight += uint32(weight)
 	r.ChangedMS = s.clock
-	if r.Strikes >= rule.crashes() && !r.quarantined(s.clock) {
+	if r.Weight >= rule.limit() && !r.quarantined(s.clock) {
 		r.UntilMS = s.clock + rule.period(r.Returns)
 		r.Returns++
 	}
 	if r.UntilMS != 0 {
 		// One more crash after the quarantine brings it back.
-		r.Strikes = rule.crashes() - 1
+		r.Weight = rule.limit() - crash.FullWeight
 	}
 }
 
@@ -244,7 +245,7 @@
 	s.version++
 	r.UntilMS = s.clock
 	r.ChangedMS = s.clock
-	r.Strikes = rule.crashes() - 1
+	r.Weight = rule.limit() - crash.FullWeight
 	return Answer{}
 }
 
@@ -358,6 +359,9 @@
 		if r == nil || r.Fingerprint == "" {
 			return nil, errors.New("quarantine snapshot has a record without fingerprint")
 		}
+		if r.Strikes > 0 {
+			r.Weight, r.Strikes = r.Strikes*crash.FullWeight, 0
+		}
 		s.records[r.Fingerprint] = r
 	}
 	maps.Copy(s.placed, snap.Placed)
