crash, registry, gateway: one trial for a blocked request

Callers of a popular lookup would have been turned away for ten minutes after all upstreams of its service had failed at once: each crash under copies of the lookup counts, and what is blocked gets no whole answer that clears it. Cause: the ledger alone can't tell copies of one harmless request at failing upstreams from a fatal request sent by many. Change: 10 s after its last run a blocked request may run once more, at one upstream; each further failure multiplies the wait by four. The leader of the control instances grants it for the whole fleet, a gateway asks once for each time that is due.

--- a/core/crash/verdict.go
+++ b/core/crash/verdict.go
@@ -76,12 +76,8 @@
 	return true
 }
 
-// TrialDue tells whether it may be time for a trial.
-func (l *Ledger) TrialDue(now time.Time, fingerprint string) bool {
-	q := l.requests[fingerprint]
-	return q != nil && !now.Before(q.trialDue(now))
-}
-
+// trialDue is when the next trial may run: the longer after the last run, the more
+// failures the request has met.
 func (q *request) trialDue(now time.Time) time.Time {
 	var times []time.Time
 	for _, r := range q.runs {
--- a/modules/gateway/crash.go
+++ b/modules/gateway/crash.go
@@ -67,6 +67,10 @@
 	if v == crash.Free {
 		return nil
 	}
+	if v == crash.Blocked && c.mayTrial() {
+		c.trial = true
+		return nil
+	}
 	c.g.metrics.suspectsHeld.Inc()
 	c.g.log.Info("request not run, it may crash upstreams", "request", c.req.ID, "fingerprint", c.fingerprint(), "verdict", v.String())
 	if v == crash.Undecided {
@@ -75,6 +79,20 @@
 	return result.New(result.UpstreamFailed, "the request has crashed %d upstreams", crash.Threshold)
 }
 
+// mayTrial tells whether a blocked request may run once more, at one upstream. This
+// gateway asks once for each time at which a trial may be due.
+func (c *call) mayTrial() bool {
+	fingerprint, due := c.fingerprint(), false
+	c.g.owner.ask(func(s *state) { due = s.crashes.Trial(time.Now(), fingerprint) })
+	if !due {
+		return false
+	}
+	var reply registry.TrialReply
+	err := c.g.notify("Trial", &registry.TrialArgs{Fingerprint: fingerprint, Forward: true}, &reply)
+	c.g.log.Info("trial of a blocked request", "request", c.req.ID, "fingerprint", fingerprint, "granted", reply.Granted, "error", err)
+	return err == nil && reply.Granted
+}
+
 // noteBroken notes that a run of the request broke off, or was abandoned by its caller.
 // What breaks off at an upstream that is about to stop says nothing.
 func (c *call) noteBroken(u registration.Upstream, outcome crash.Outcome) {
--- a/modules/gateway/crash_test.go
+++ b/modules/gateway/crash_test.go
@@ -6,13 +6,18 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"heatherway.dev/core/crash"
 	"heatherway.dev/core/registration"
+	"heatherway.dev/core/routing"
+	"heatherway.dev/heatherway/modules/registry"
+	"heatherway.dev/kernel/peer"
 )
 
 // upstreamsThat starts upstreams of a service, one in each zone.
@@ -147,3 +152,49 @@
 		}
 	}
 }
+
+// granting is a control instance that grants the first trial.
+type granting struct{ asked atomic.Int64 }
+
+func (g *granting) Trial(_ *registry.TrialArgs, reply *registry.TrialReply) error {
+	reply.Granted = g.asked.Add(1) == 1
+	return nil
+}
+
+func (g *granting) Crash(*registry.CrashArgs, *registry.CrashReply) error { return nil }
+
+// Guards against a popular request that is kept out for long since all upstreams failed
+// under it at once, and against trials of fatal ones at more than one upstream.
+func TestTrialOfABlockedRequest(t *testing.T) {
+	for _, fatal := range []bool{false, true} {
+		ups := upstreamsThat(t, 4, "desk", func(w http.ResponseWriter, _ *http.Request, _ int) {
+			if fatal {
+				abort()
+			}
+			_, _ = io.WriteString(w, "ok")
+		})
+		f := newFixture(t, configuration(), ups...)
+		control := &granting{}
+		server := httptest.NewServer(&peer.Handler{Security: f.security, Services: func(peer.Roles) map[string]any {
+			return map[string]any{registry.ServiceName: control}
+		}})
+		t.Cleanup(server.Close)
+		f.follower.mu.Lock()
+		f.follower.following[server.Listener.Addr().String()] = true
+		f.follower.mu.Unlock()
+		c := &call{g: f.Gateway, owner: &routing.Organisation{Name: "mill"}, out: outgoing{method: "POST", target: "/look/x", body: []byte("popular")}}
+		var ended []crash.Entry
+		for i := range 4 {
+			r := crash.Run{Fingerprint: c.fingerprint(), Upstream: fmt.Sprint("v", i), Addr: fmt.Sprint("a", i), StartedMS: 1}
+			ended = append(ended, crash.Entry{Run: r, Outcome: crash.Ended, AgeMS: 15_000})
+		}
+		f.takeCrashes(ended)
+		f.owner.ask(func(*state) {})
+		want := map[bool]int{false: http.StatusOK, true: http.StatusBadGateway}[fatal]
+		for i := range 3 {
+			assert.Equal(t, f.do(f.request("POST", "/look/x", "popular")).status, want, "try %d", i)
+		}
+		assert.Equal(t, control.asked.Load(), int64(1))
+		assert.Equal(t, arrivals(ups), map[bool]int{false: 3, true: 1}[fatal])
+	}
+}
--- a/modules/gateway/handler.go
+++ b/modules/gateway/handler.go
@@ -45,6 +45,8 @@
 	mayHaveRun bool
 	// begun is set once the caller has the head of the answer.
 	begun bool
+	// trial is set for a blocked request that runs once more.
+	trial bool
 	// print is the fingerprint, once it has been asked for.
 	print         string
 	fingerprinted sync.Once
@@ -250,7 +252,15 @@
 
 // mayTry tells whether the request may be sent to one more upstream.
 func (c *call) mayTry() bool {
-	return c.sent < c.route.MaxAttempts && c.ctx.Err() == nil && time.Now().Before(c.end)
+	return c.sent < c.mostAttempts() && c.ctx.Err() == nil && time.Now().Before(c.end)
+}
+
+// mostAttempts is the number of upstreams that the request may be sent to.
+func (c *call) mostAttempts() int {
+	if c.trial {
+		return 1
+	}
+	return c.route.MaxAttempts
 }
 
 // retryAllowed takes one retry from the budget.
--- a/modules/registry/directory.go
+++ b/modules/registry/directory.go
@@ -44,6 +44,7 @@
 	epoch  uint64
 	inputs chan observation
 	looks  chan look
+	trials chan trial
 	// unsent holds for each other instance what it has not taken yet, and alive
 	// what has been heard of without a change since the last call to it.
 	unsent  map[string]map[string]registration.Upstream
@@ -80,6 +81,12 @@
 	reply        chan view
 }
 
+// trial asks whether a blocked request may run once more.
+type trial struct {
+	fingerprint string
+	reply       chan bool
+}
+
 type view struct {
 	changes uint64
 	list    []registration.Upstream
@@ -97,7 +104,7 @@
 func newDirectory(r *Registry) *directory {
 	d := &directory{
 		r: r, log: r.log, state: registration.New(), epoch: rand.Uint64(),
-		inputs: make(chan observation, queuedAnnouncements), looks: make(chan look),
+		inputs: make(chan observation, queuedAnnouncements), looks: make(chan look), trials: make(chan trial),
 		unsent: map[string]map[string]registration.Upstream{}, alive: map[string]map[string]Alive{},
 		crashes: crash.New(), unsentCrashes: map[string]map[string]bool{}, epochs: map[string]uint64{}, sending: map[string]bool{},
 		sent: make(chan shared, 16),
@@ -148,6 +155,17 @@
 	return view{}, false
 }
 
+// trial tells whether a blocked request may run once more, and notes that it does.
+func (d *directory) trial(fingerprint string) bool {
+	q := trial{fingerprint, make(chan bool, 1)}
+	select {
+	case d.trials <- q:
+		return <-q.reply
+	case <-d.r.ctx.Done():
+		return false
+	}
+}
+
 func (d *directory) run(ctx context.Context) {
 	share, sweep, save := time.NewTicker(shareInterval), time.NewTicker(sweepInterval), time.NewTicker(saveInterval)
 	defer share.Stop()
@@ -164,6 +182,10 @@
 			}
 		case q := <-d.looks:
 			q.reply <- d.view(q)
+		case q := <-d.trials:
+			granted := d.crashes.Trial(time.Now(), q.fingerprint)
+			d.log.Info("trial of a blocked request asked for", "fingerprint", q.fingerprint, "granted", granted)
+			q.reply <- granted
 		case s := <-d.sent:
 			d.settle(s)
 		case <-share.C:
--- a/modules/registry/feed.go
+++ b/modules/registry/feed.go
@@ -215,6 +215,34 @@
 	return nil
 }
 
+// TrialArgs asks whether a blocked request may run once more.
+type TrialArgs struct {
+	Fingerprint string
+	// Forward asks an instance that does not lead to pass the question on.
+	Forward bool
+}
+
+// TrialReply answers it. A granted trial is the only one in the fleet for a time.
+type TrialReply struct{ Granted bool }
+
+// Trial decides whether a blocked request may run once more. The leader decides for the
+// whole fleet; one that has just been elected knows when the request ran last.
+func (s *Service) Trial(args *TrialArgs, reply *TrialReply) (err error) {
+	defer recovery.Into(s.r.log, "call Trial", &err)
+	ctx, cancel := context.WithTimeout(s.r.ctx, confirmLimit)
+	defer cancel()
+	_, err = s.r.tryLeader(ctx, func(context.Context) (uint64, error) {
+		reply.Granted = s.r.directory.trial(args.Fingerprint)
+		return 0, nil
+	}, func(ctx context.Context, addr string) (uint64, error) {
+		if !args.Forward {
+			return 0, result.New(result.ControlUnavailable, "this instance does not lead")
+		}
+		return 0, s.r.clients.To(addr).Call(ctx, ServiceName+".Trial", &TrialArgs{Fingerprint: args.Fingerprint}, reply)
+	})
+	return peer.EncodeError(err)
+}
+
 // LeavingArgs names an incarnation that has said in an answer that it leaves.
 type LeavingArgs struct {
 	ID        string
--- a/modules/registry/registry_test.go
+++ b/modules/registry/registry_test.go
@@ -336,7 +336,13 @@
 	known := func(n *node) func() bool {
 		return func() bool {
 			v, ok := n.directory.since(t.Context(), 0, 0)
-			return ok && len(v.crashes) == 2 && v.crashes[0].Fingerprint == "poison" && v.crashes[0].Outcome == crash.Ended
+			ended := 0
+			for _, c := range v.crashes {
+				if c.Fingerprint == "poison" && c.Outcome == crash.Ended {
+					ended++
+				}
+			}
+			return ok && ended == 2
 		}
 	}
 	for _, n := range f.nodes {
@@ -345,9 +351,27 @@
 		v, _ = n.directory.since(t.Context(), 0, v.crash)
 		assert.Equal(t, len(v.crashes), 0, "a reader gets them once")
 	}
+	old := crash.Entry{Run: crash.Run{Fingerprint: "popular", StartedMS: 1000}, Outcome: crash.Ended, AgeMS: 15_000}
+	for i := range 4 {
+		old.Upstream, old.Addr = fmt.Sprint("v", i), fmt.Sprint("10.0.1.1:", i)
+		assert.NilError(t, client.Call(t.Context(), ServiceName+".Crash", &CrashArgs{[]crash.Entry{old}}, &CrashReply{}))
+	}
+	granted := 0
+	f.eventually("a trial", func() bool {
+		for _, n := range f.nodes {
+			client := n.security.NewClient(n.addr)
+			var reply TrialReply
+			if err := client.Call(t.Context(), ServiceName+".Trial", &TrialArgs{Fingerprint: "popular", Forward: true}, &reply); err == nil && reply.Granted {
+				granted++
+			}
+			client.Close()
+		}
+		return granted > 0
+	})
+	assert.Equal(t, granted, 1, "one for the whole fleet")
 	f.eventually("saved everywhere", func() bool {
 		for _, n := range f.nodes {
-			if saved, err := n.directory.crashesSaver.read(); err != nil || len(saved.Entries) != 2 {
+			if saved, err := n.directory.crashesSaver.read(); err != nil || len(saved.Entries) != 6 {
 				return false
 			}
 		}
