crash: a shared crash is told once; one line for a batch of broken runs

Cause: an entry that says less about a shared crash than the ledger holds was taken as news, passed on to all gateways and logged for each request. Change: only what adds something is news (TestReadersGetSuspects, red before); one line for a batch, and one for each request whose verdict is not free.

--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -245,7 +245,7 @@
 
 // update takes over what another ledger has learned of a run.
 func (l *Ledger) update(r *run, e Entry) bool {
-	if e.Outcome <= r.outcome && e.Shared == r.told {
+	if e.Outcome <= r.outcome && (r.told || !e.Shared) {
 		return false
 	}
 	r.outcome, r.told = max(r.outcome, e.Outcome), r.told || e.Shared
--- a/core/crash/crash_test.go
+++ b/core/crash/crash_test.go
@@ -224,6 +224,12 @@
 	assert.Equal(t, len(l.Since(after(1), at)), 2)
 	at = l.Changes()
 	assert.Equal(t, len(l.Since(after(1), at)), 0)
+	l.Merge(after(1), []Entry{{Run: runAt("poison", "u2", "x"), Outcome: Broken, Shared: true}})
+	at = l.Changes()
+	for range 3 { // one ledger knows that the crash was shared, the other does not
+		assert.Equal(t, len(l.Merge(after(1), []Entry{{Run: runAt("poison", "u2", "x"), Outcome: Broken}})), 0)
+	}
+	assert.Equal(t, l.Changes(), at)
 	l.Lost(after(2), "u1", 1000)
 	list := l.Since(after(2), at)
 	assert.Equal(t, len(list), 1)
--- a/modules/gateway/crash.go
+++ b/modules/gateway/crash.go
@@ -160,8 +160,14 @@
 // takeCrashes takes over what other gateways have reported.
 func (g *Gateway) takeCrashes(list []crash.Entry) {
 	g.owner.tell(func(s *state) {
-		for _, fingerprint := range s.crashes.Merge(time.Now(), list) {
-			g.log.Info("broken runs learned", "fingerprint", fingerprint, "verdict", s.crashes.Verdict(time.Now(), fingerprint).String())
+		news := s.crashes.Merge(time.Now(), list)
+		for _, fingerprint := range news {
+			if v := s.crashes.Verdict(time.Now(), fingerprint); v != crash.Free {
+				g.log.Info("request may crash upstreams", "fingerprint", fingerprint, "verdict", v.String())
+			}
+		}
+		if len(news) > 0 {
+			g.log.Info("broken runs learned", "runs", len(list), "requests", len(news))
 		}
 		g.crashesChanged(s)
 	})
--- a/modules/registry/directory.go
+++ b/modules/registry/directory.go
@@ -266,8 +266,14 @@
 
 // takeCrashes takes broken runs in.
 func (d *directory) takeCrashes(now time.Time, o observation) {
-	for _, fingerprint := range d.crashes.Merge(now, o.crashes) {
-		d.log.Info("broken runs learned", "fingerprint", fingerprint, "verdict", d.crashes.Verdict(now, fingerprint).String(), "direct", o.direct)
+	news := d.crashes.Merge(now, o.crashes)
+	if len(news) > 0 {
+		d.log.Info("broken runs learned", "runs", len(o.crashes), "requests", len(news), "direct", o.direct)
+	}
+	for _, fingerprint := range news {
+		if v := d.crashes.Verdict(now, fingerprint); v != crash.Free {
+			d.log.Info("request may crash upstreams", "fingerprint", fingerprint, "verdict", v.String(), "direct", o.direct)
+		}
 		if o.direct {
 			for _, addr := range d.r.members() {
 				d.queueCrash(addr, fingerprint)
