gateway, registry: that an upstream leaves is told until it is taken, and to instances that start anew

Callers of other gateways were sent to an upstream that had said in an answer that it leaves, when control could not be reached for 3 s (four tries), or when the instance that they follow had started with an empty disk since. Change: a gateway tells it again for 30 s; control instances send the leaving upstreams, like the suspects, to an instance whose epoch is new. Red before: TestNewsOutlivesAnOutageOfControl (no news within 5 s of the end of the outage), TestLeavingReachesAnInstanceThatStartsAnew (not within 15 s). After: 4 runs of the latter and of its neighbours green. Ruled out: drains and departures, which upstreams repeat to any instance with each announcement; backoff, which concerns one gateway only.

--- a/modules/gateway/crash_test.go
+++ b/modules/gateway/crash_test.go
@@ -154,14 +154,46 @@
 }
 
 // granting is a control instance that grants the first trial.
-type granting struct{ asked atomic.Int64 }
+type granting struct{ asked, leaving, crashes atomic.Int64 }
 
 func (g *granting) Trial(_ *registry.TrialArgs, reply *registry.TrialReply) error {
 	reply.Granted = g.asked.Add(1) == 1
 	return nil
 }
 
-func (g *granting) Crash(*registry.CrashArgs, *registry.CrashReply) error { return nil }
+func (g *granting) Leaving(*registry.LeavingArgs, *registry.LeavingReply) error {
+	g.leaving.Add(1)
+	return nil
+}
+
+func (g *granting) Crash(*registry.CrashArgs, *registry.CrashReply) error {
+	g.crashes.Add(1)
+	return nil
+}
+
+// followInstance makes a stand-in the control instance that the gateway follows.
+func (f *fixture) followInstance(service any) {
+	server := httptest.NewServer(&peer.Handler{Security: f.security, Services: func(peer.Roles) map[string]any {
+		return map[string]any{registry.ServiceName: service}
+	}})
+	f.t.Cleanup(server.Close)
+	f.follower.mu.Lock()
+	defer f.follower.mu.Unlock()
+	f.follower.following[server.Listener.Addr().String()] = true
+}
+
+// Guards against news that is given up while no control instance can be reached: other
+// gateways would not learn of it.
+func TestNewsOutlivesAnOutageOfControl(t *testing.T) {
+	u := serve(t, "u", "desk", "z0", func(w http.ResponseWriter, _ *http.Request, _ int) { abort() })
+	f := newFixture(t, configuration(), u)
+	f.do(f.request("POST", "/book/x", "poison"))
+	f.noteLeaving(u.Upstream)
+	f.sleep(2 * time.Second) // longer than the tries of an earlier version
+	control := &granting{}
+	f.followInstance(control)
+	eventually(t, "the news", func() bool { return control.leaving.Load() == 1 && control.crashes.Load() >= 1 })
+}
 
 // Guards against a popular request that is kept out for long since all upstreams failed
 // under it at once, and against trials of fatal ones at more than one upstream.
@@ -175,13 +207,7 @@
 		})
 		f := newFixture(t, configuration(), ups...)
 		control := &granting{}
-		server := httptest.NewServer(&peer.Handler{Security: f.security, Services: func(peer.Roles) map[string]any {
-			return map[string]any{registry.ServiceName: control}
-		}})
-		t.Cleanup(server.Close)
-		f.follower.mu.Lock()
-		f.follower.following[server.Listener.Addr().String()] = true
-		f.follower.mu.Unlock()
+		f.followInstance(control)
 		c := &call{g: f.Gateway, owner: &routing.Organisation{Name: "mill"}, out: outgoing{method: "POST", target: "/look/x", body: []byte("popular")}}
 		var ended []crash.Entry
 		for i := range 4 {
--- a/modules/gateway/signal.go
+++ b/modules/gateway/signal.go
@@ -83,10 +83,10 @@
 const (
 	// noticeLimit bounds one notice to a control instance.
 	noticeLimit = 500 * time.Millisecond
-	// leavingTries and leavingPause are how often and after which pause the control
+	// leavingTime and leavingPause are for how long and after which pause the control
 	// instances are told that an upstream leaves; the upstream itself tells them only
 	// when it deregisters, and other gateways learn of it from them alone.
-	leavingTries = 4
+	leavingTime  = 30 * time.Second
 	leavingPause = 300 * time.Millisecond
 )
 
@@ -109,7 +109,7 @@
 func (g *Gateway) reportLeaving(u registration.Upstream) {
 	args := &registry.LeavingArgs{ID: u.ID, StartedMS: u.StartedMS}
 	var err error
-	for range leavingTries {
+	for end := time.Now().Add(leavingTime); time.Now().Before(end); {
 		if err = g.notify("Leaving", args, &registry.LeavingReply{}); err == nil || g.ctx.Err() != nil {
 			return
 		}
--- a/modules/registry/directory.go
+++ b/modules/registry/directory.go
@@ -407,8 +407,8 @@
 	}
 }
 
-// introduce has all suspects sent to an instance that has started anew: it may have lost
-// what the others hold.
+// introduce has all suspects, and the upstreams that leave, sent to an instance that has
+// started anew: it may have lost what the others hold, and hears of neither otherwise.
 func (d *directory) introduce(addr string, epoch uint64) {
 	if d.epochs[addr] == epoch {
 		return
@@ -417,6 +417,12 @@
 	for _, c := range d.crashes.Since(time.Now(), 0) {
 		d.queueCrash(addr, c.Fingerprint)
 	}
+	for _, u := range d.state.All() {
+		if u.Leaving && u.State != registration.Left {
+			u.State = registration.Draining // silence is for each instance to find out
+			d.unsent[addr][u.ID] = u
+		}
+	}
 }
 
 // save hands what has changed to the savers.
--- a/modules/registry/registry_test.go
+++ b/modules/registry/registry_test.go
@@ -441,3 +441,33 @@
 	f.eventually("still served", func() bool { return f.nodes[1].state("i-9") == registration.Ready })
 	assert.Equal(t, f.nodes[1].state("i-1"), registration.Left, "no such record")
 }
+
+// Guards against control instances that start with an empty disk and send gateways to an
+// upstream which has said to others that it leaves.
+func TestLeavingReachesAnInstanceThatStartsAnew(t *testing.T) {
+	f := newFleet(t, 3)
+	f.replace(f.nodes[0], 1, "first")
+	f.nodes[0].call(t, "POST", "/v1/instances/i-1/heartbeat", heartbeat("ready", 1))
+	client := f.nodes[0].security.NewClient(f.nodes[0].addr)
+	defer client.Close()
+	assert.NilError(t, client.Call(t.Context(), ServiceName+".Leaving", &LeavingArgs{ID: "i-1", StartedMS: 1000}, &LeavingReply{}))
+	f.eventually("saved", func() bool {
+		list, err := f.nodes[0].directory.saver.read()
+		return err == nil && len(list) == 1 && list[0].Leaving
+	})
+	for _, n := range f.nodes {
+		f.stop(n)
+	}
+	anew := f.nodes[2]
+	assert.NilError(t, os.RemoveAll(anew.folder))
+	for _, n := range f.nodes {
+		f.start(n)
+	}
+	seq := 1
+	f.eventually("known there that it leaves", func() bool {
+		seq++
+		anew.call(t, "POST", "/v1/instances/i-1/heartbeat", heartbeat("ready", seq))
+		f.nodes[0].call(t, "POST", "/v1/instances/i-2/heartbeat", strings.Replace(heartbeat("ready", seq), "10.0.0.9", "10.0.0.8", 1))
+		return anew.state("i-1") == registration.Draining
+	})
+}
