registry: the feed is read by the release before; soak: more crashing requests, harmless ones under lost zones

Upgraded one process at a time, a gateway of the release before could not have decoded the feed: the crash records had the same field name and another form. The field has a new name (TestFeedIsReadByTheReleaseBefore).

--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -105,7 +105,8 @@
 	// announced is the number of announcements since, lastSeq the last one.
 	announced int
 	lastSeq   int64
-	change    uint64
+	// change numbers the last change of what readers see.
+	change uint64
 }
 
 func (r *run) expired(now time.Time) bool {
@@ -129,7 +130,7 @@
 type request struct {
 	fingerprint string
 	runs        []*run
-	// cleared is when it was last answered whole.
+	// cleared is when it was last answered whole, and change numbers that.
 	cleared time.Time
 	change  uint64
 	// trial is when it was last let through although it is blocked.
@@ -143,7 +144,9 @@
 	recent []*run
 	// places counts the runs by upstream and by address, so that news of upstreams
 	// which no run concerns costs nothing.
-	places  map[string]int
+	places map[string]int
+	// runs is the number of runs of all requests, swept when those that no longer count
+	// were last looked for.
 	runs    int
 	changes uint64
 	swept   time.Time
--- a/modules/gateway/crash.go
+++ b/modules/gateway/crash.go
@@ -183,7 +183,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, noticeLimit)
 	defer cancel()
-	if err := client.Call(ctx, registry.ServiceName+".Crash", &registry.CrashArgs{Crashes: list}, &registry.CrashReply{}); err != nil {
+	if err := client.Call(ctx, registry.ServiceName+".Crash", &registry.CrashArgs{Runs: list}, &registry.CrashReply{}); err != nil {
 		g.log.Warn("control instance not told of suspects", "address", client.Addr(), "runs", len(list), "error", err)
 	}
 }
@@ -238,7 +238,7 @@
 	if len(list) == 0 {
 		return
 	}
-	err := r.g.notify("Crash", &registry.CrashArgs{Crashes: list}, &registry.CrashReply{})
+	err := r.g.notify("Crash", &registry.CrashArgs{Runs: list}, &registry.CrashReply{})
 	if err == nil || r.g.ctx.Err() != nil {
 		return
 	}
--- a/modules/gateway/follow.go
+++ b/modules/gateway/follow.go
@@ -240,8 +240,8 @@
 	if len(reply.Members) > 1 {
 		f.members = reply.Members
 	}
-	if len(reply.Crashes) > 0 {
-		f.g.takeCrashes(reply.Crashes)
+	if len(reply.Runs) > 0 {
+		f.g.takeCrashes(reply.Runs)
 	}
 	now, whole := time.Now(), true
 	for _, u := range reply.Upstreams {
--- a/modules/registry/directory.go
+++ b/modules/registry/directory.go
@@ -344,7 +344,7 @@
 		if d.sending[addr] || len(d.unsent[addr]) == 0 && len(d.unsentCrashes[addr]) == 0 && !(aliveDue && len(d.alive[addr]) > 0) {
 			continue
 		}
-		args := &ShareArgs{Crashes: d.crashes.Of(now, slices.Collect(maps.Keys(d.unsentCrashes[addr])))}
+		args := &ShareArgs{Runs: d.crashes.Of(now, slices.Collect(maps.Keys(d.unsentCrashes[addr])))}
 		delete(d.unsentCrashes, addr)
 		for _, u := range d.unsent[addr] {
 			args.Upstreams = append(args.Upstreams, u)
@@ -397,7 +397,7 @@
 		d.introduce(s.addr, s.reply.Epoch)
 		return
 	}
-	for _, c := range s.args.Crashes {
+	for _, c := range s.args.Runs {
 		d.queueCrash(s.addr, c.Fingerprint)
 	}
 	for _, u := range s.args.Upstreams {
--- a/modules/registry/feed.go
+++ b/modules/registry/feed.go
@@ -49,10 +49,10 @@
 	Epoch, Change uint64
 	// Upstreams are the records that changed.
 	Upstreams []registration.Upstream
-	// Crashes are the broken runs of suspects that changed; Crash goes into the next
+	// Runs are the broken runs of suspects that changed; Crash goes into the next
 	// call.
-	Crashes []crash.Entry
-	Crash   uint64
+	Runs  []crash.Entry
+	Crash uint64
 	// Members are the peer addresses of all control instances.
 	Members []string
 	// Confirmed tells that a majority has confirmed the configuration.
@@ -94,7 +94,7 @@
 type ShareArgs struct {
 	Upstreams []registration.Upstream
 	Alive     []Alive
-	Crashes   []crash.Entry
+	Runs      []crash.Entry
 }
 
 // Alive names an incarnation that has been heard of.
@@ -143,7 +143,7 @@
 			return peer.EncodeError(result.New(result.ControlUnavailable, "this instance stops"))
 		}
 		*reply = WatchReply{
-			Version: held.version, Epoch: r.directory.epoch, Change: v.changes, Upstreams: v.list, Crashes: v.crashes, Crash: v.crash,
+			Version: held.version, Epoch: r.directory.epoch, Change: v.changes, Upstreams: v.list, Runs: v.crashes, Crash: v.crash,
 			Members: append(r.members(), r.PeerListen), Led: r.led(), Confirmed: confirmed,
 		}
 		if held.version > args.Version {
@@ -198,12 +198,12 @@
 func (s *Service) Share(args *ShareArgs, reply *ShareReply) (err error) {
 	defer recovery.Into(s.r.log, "call Share", &err)
 	reply.Epoch = s.r.directory.epoch
-	reply.Unknown = s.r.directory.observe(observation{list: args.Upstreams, alive: args.Alive, crashes: args.Crashes})
+	reply.Unknown = s.r.directory.observe(observation{list: args.Upstreams, alive: args.Alive, crashes: args.Runs})
 	return nil
 }
 
 // CrashArgs carries broken runs that a gateway has seen or learned of.
-type CrashArgs struct{ Crashes []crash.Entry }
+type CrashArgs struct{ Runs []crash.Entry }
 
 // CrashReply is empty.
 type CrashReply struct{}
@@ -211,7 +211,7 @@
 // Crash takes in broken runs and passes those of suspects on to all gateways.
 func (s *Service) Crash(args *CrashArgs, _ *CrashReply) (err error) {
 	defer recovery.Into(s.r.log, "call Crash", &err)
-	s.r.directory.observe(observation{crashes: args.Crashes, direct: true})
+	s.r.directory.observe(observation{crashes: args.Runs, direct: true})
 	return nil
 }
 
--- a/modules/registry/registry_test.go
+++ b/modules/registry/registry_test.go
@@ -1,7 +1,9 @@
 package registry
 
 import (
+	"bytes"
 	"context"
+	"encoding/gob"
 	"fmt"
 	"io"
 	"log/slog"
@@ -471,3 +473,27 @@
 		return anew.state("i-1") == registration.Draining
 	})
 }
+
+// Guards against gateways that cannot read the feed while one process after the other is
+// upgraded: the release before had crash records of another form in it.
+func TestFeedIsReadByTheReleaseBefore(t *testing.T) {
+	type record struct {
+		Fingerprint, Addr string
+		StartedMS         int64
+	}
+	type replyBefore struct {
+		Version uint64
+		Crashes []record
+		Crash   uint64
+	}
+	var b bytes.Buffer
+	assert.NilError(t, gob.NewEncoder(&b).Encode(WatchReply{Version: 3, Crash: 2, Runs: []crash.Entry{{Run: crash.Run{Fingerprint: "f"}}}}))
+	var before replyBefore
+	assert.NilError(t, gob.NewDecoder(&b).Decode(&before))
+	assert.DeepEqual(t, before, replyBefore{Version: 3, Crash: 2})
+	b.Reset()
+	assert.NilError(t, gob.NewEncoder(&b).Encode(replyBefore{Version: 3, Crashes: []record{{Fingerprint: "f"}}}))
+	var now WatchReply
+	assert.NilError(t, gob.NewDecoder(&b).Decode(&now))
+	assert.Equal(t, now.Version, uint64(3))
+}
--- a/test/soak/crashing_test.go
+++ b/test/soak/crashing_test.go
@@ -3,12 +3,15 @@
 import (
 	"flag"
 	"fmt"
+	"io"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -67,31 +70,67 @@
 	{name: "lookup eight senders", path: "look", senders: 8, back: 2 * time.Second},
 	{name: "booking", path: "book", back: 2 * time.Second},
 	{name: "booking dark", path: "book", dark: true, back: 2 * time.Second},
-	{name: "stream gateways restart", path: "letters", back: 2 * time.Second, meanwhile: func(w *world, stop <-chan time.Time) { w.restartInTurn(w.gateways, stop) }},
-	{name: "stream control restarts", path: "letters", back: 2 * time.Second, meanwhile: func(w *world, stop <-chan time.Time) { w.restartInTurn(w.registries, stop) }},
-	{name: "stream all killed", path: "letters", back: 2 * time.Second, quick: true, meanwhile: func(w *world, _ <-chan time.Time) {
-		time.Sleep(5 * time.Second)
-		w.restart(0, w.all()...)
-	}},
-	{name: "lookup all killed", path: "look", back: 2 * time.Second, meanwhile: func(w *world, _ <-chan time.Time) {
-		time.Sleep(5 * time.Second)
-		w.restart(0, w.all()...)
-	}},
-	{name: "stream control loses disks", path: "letters", back: 2 * time.Second, meanwhile: func(w *world, _ <-chan time.Time) {
-		time.Sleep(5 * time.Second)
-		for _, r := range w.registries {
-			r.kill()
-			_ = os.RemoveAll(filepath.Join(r.folder, "data", "registry", "directory.json"))
-			r.start()
-			time.Sleep(time.Second)
+	{name: "stream gateways restart", path: "letters", back: 2 * time.Second, meanwhile: gatewaysRestart},
+	{name: "stream gateways freeze", path: "letters", back: 2 * time.Second, meanwhile: gatewaysFreeze},
+	{name: "stream control restarts", path: "letters", back: 2 * time.Second, meanwhile: controlRestarts},
+	{name: "stream control frozen", path: "letters", back: 2 * time.Second, meanwhile: controlFreezes},
+	{name: "stream control loses disks", path: "letters", back: 2 * time.Second, meanwhile: controlLosesDisks},
+	{name: "stream all killed", path: "letters", back: 2 * time.Second, meanwhile: allKilled, quick: true},
+	{name: "stream dark all killed", path: "letters", dark: true, back: 2 * time.Second, meanwhile: allKilled},
+	{name: "stream dark control restarts", path: "letters", dark: true, back: 2 * time.Second, meanwhile: controlRestarts},
+	{name: "stream eight senders all killed", path: "letters", senders: 8, back: 2 * time.Second, meanwhile: allKilled},
+	{name: "stream moved gateways restart", path: "letters", back: 2 * time.Second, moved: true, meanwhile: gatewaysRestart},
+	{name: "stream taken control loses disks", path: "letters", back: 2 * time.Second, taken: true, meanwhile: controlLosesDisks},
+	{name: "lookup all killed", path: "look", back: 2 * time.Second, meanwhile: allKilled},
+	{name: "lookup moved gateways freeze", path: "look", back: 2 * time.Second, moved: true, meanwhile: gatewaysFreeze},
+	{name: "booking moved all killed", path: "book", back: 2 * time.Second, moved: true, meanwhile: allKilled},
+	{name: "booking dark control frozen", path: "book", dark: true, back: 2 * time.Second, meanwhile: controlFreezes},
+}
+
+func gatewaysRestart(w *world, stop <-chan time.Time) { w.restartInTurn(w.gateways, stop) }
+
+func controlRestarts(w *world, stop <-chan time.Time) { w.restartInTurn(w.registries, stop) }
+
+func gatewaysFreeze(w *world, stop <-chan time.Time) {
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(1500 * time.Millisecond):
+			w.freeze(2500*time.Millisecond, w.gateways[i%len(w.gateways)])
 		}
-		w.restart(0, w.gateways...)
-	}},
-	{name: "stream control frozen", path: "letters", back: 2 * time.Second, meanwhile: func(w *world, _ <-chan time.Time) {
-		for _, r := range w.registries {
-			w.freeze(6*time.Second, r)
+	}
+}
+
+func controlFreezes(w *world, _ <-chan time.Time) {
+	for _, r := range w.registries {
+		w.freeze(6*time.Second, r)
+	}
+}
+
+// othersFailAfter is when what happens once happens.
+const othersFailAfter = 5 * time.Second
+
+func allKilled(w *world, _ <-chan time.Time) {
+	time.Sleep(othersFailAfter)
+	w.restart(0, w.all()...)
+}
+
+// controlLosesDisks takes the files of one control instance after the other, and then
+// restarts the gateways.
+func controlLosesDisks(w *world, _ <-chan time.Time) {
+	time.Sleep(othersFailAfter)
+	for _, r := range w.registries {
+		r.kill()
+		for _, file := range []string{"directory.json", "crashes.json"} {
+			if err := os.RemoveAll(filepath.Join(r.folder, "data", "registry", file)); err != nil {
+				w.t.Error(err)
+			}
 		}
-	}},
+		r.start()
+		time.Sleep(2 * time.Second)
+	}
+	w.restart(0, w.gateways...)
 }
 
 // restartInTurn kills and starts one process after the other.
@@ -114,7 +153,11 @@
 	ended    []time.Time
 }
 
-const fatalBody = "body that ends a server"
+// The bodies of the request that ends servers and of one that meets such ends by chance.
+const (
+	fatalBody    = "body that ends a server"
+	harmlessBody = "body that harms nobody"
+)
 
 // arrived ends a server at which the request has begun.
 func (f *fatal) arrived(s *server, rw http.ResponseWriter) {
@@ -189,7 +232,7 @@
 	for end := time.Now().Add(*crashingTime); time.Now().Before(end); time.Sleep(resend) {
 		for range max(1, c.senders) {
 			gateway := w.gateways[w.rng.IntN(len(w.gateways))]
-			wait.Go(func() { w.sendFatal(c, gateway.addr(callerPort)) })
+			wait.Go(func() { _, _ = w.sendAgain(c.path, fatalBody, gateway.addr(callerPort), c.impatient) })
 		}
 	}
 	wait.Wait()
@@ -202,25 +245,70 @@
 	assert.Equal(t, len(w.violations), 0, "%v", w.violations[:min(len(w.violations), 10)])
 }
 
-// sendFatal sends the request once; its answer does not matter.
-func (w *world) sendFatal(c crashingCase, addr string) {
+// sendAgain sends a request that has been sent before, and returns status and body of its answer.
+func (w *world) sendAgain(path, body, addr string, patience time.Duration) (status int, answer string) {
 	client := &http.Client{Timeout: 8 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	if c.impatient > 0 {
-		client.Timeout = c.impatient
+	if patience > 0 {
+		client.Timeout = patience
 	}
-	r, err := http.NewRequest(http.MethodPost, "http://"+addr+"/"+c.path+"/x", strings.NewReader(fatalBody))
+	r, err := http.NewRequest(http.MethodPost, "http://"+addr+"/"+path+"/x", strings.NewReader(body))
 	if err != nil {
 		w.t.Error(err)
-		return
+		return 0, ""
 	}
 	r.Host, r.GetBody = "h", nil
 	for name, value := range map[string]string{
-		"Attempt-Id": fmt.Sprint("fatal-", w.attempts.Add(1)), "Authorization": "Bearer secret", "Deadline-Ms": "8000", "Token-Count": "800,200",
+		"Attempt-Id": fmt.Sprint("again-", w.attempts.Add(1)), "Authorization": "Bearer secret", "Deadline-Ms": "8000", "Token-Count": "800,200",
 	} {
 		r.Header.Set(name, value)
 	}
 	res, err := client.Do(r)
-	if err == nil {
-		_ = res.Body.Close()
+	if err != nil {
+		return 0, ""
 	}
+	defer res.Body.Close()
+	b, _ := io.ReadAll(res.Body) // a stream that is broken off counts by its status
+	return res.StatusCode, string(b)
+}
+
+// Guards against a harmless request that is held or blocked since zone after zone was lost
+// while it ran.
+func TestZonesLostUnderAHarmlessRequest(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, *first, 4, 4, 9)
+	client := &http.Client{Timeout: time.Second}
+	w.eventually("first configuration", 20*time.Second, func() bool { return w.replace(client, w.registries[0].addr(operatorPort)) })
+	w.eventually("gateways ready", 20*time.Second, w.ready)
+	w.settle()
+	w.callers(8)
+	var held, served, all atomic.Int64
+	send := func(path string) {
+		status, answer := w.sendAgain(path, harmlessBody, w.gateways[rand.IntN(len(w.gateways))].addr(callerPort), 0)
+		all.Add(1)
+		if status == http.StatusOK {
+			served.Add(1)
+		}
+		if strings.Contains(answer, "crash") {
+			held.Add(1)
+		}
+	}
+	var wait sync.WaitGroup
+	begin := time.Now()
+	for i := 0; time.Since(begin) < 16*time.Second; i++ {
+		if i%10 == 0 && i < 50 { // every two seconds, five times
+			for _, s := range w.servers {
+				if s.zone == fmt.Sprint("z", i/10%3) {
+					w.crash(s, i%20 == 0, 1200*time.Millisecond)
+				}
+			}
+		}
+		for _, path := range []string{"letters", "look"} {
+			wait.Go(func() { send(path) })
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	wait.Wait()
+	t.Logf("%d of %d served, %d held while zones were lost", served.Load(), all.Load(), held.Load())
+	assert.Equal(t, held.Load(), int64(0))
+	assert.Equal(t, len(w.violations), 0, "%v", w.violations[:min(len(w.violations), 10)])
 }
--- a/test/soak/upstream_test.go
+++ b/test/soak/upstream_test.go
@@ -202,7 +202,7 @@
 		return
 	case f != nil && string(body) == fatalBody:
 		f.arrived(s, w)
-	case r.Header.Get("Authorization") != "" || r.Header.Get("Tenant") != "mill" || string(body) != "body of "+attempt:
+	case r.Header.Get("Authorization") != "" || r.Header.Get("Tenant") != "mill" || string(body) != "body of "+attempt && string(body) != harmlessBody:
 		s.w.violate("UNASKED: %s got headers %v and body %q", id, r.Header, body)
 	case s.w.calm.Load() && !drained.IsZero() && time.Since(drained) > 2*time.Second:
 		s.w.violate("DRAIN: %s got %s %v after it drained", id, attempt, time.Since(drained))
