agent: the tests follow frames that hold several tokens

The agent sends all tokens that wait for a reader in one frame, as its protocol says, so the first frame may hold two when the reader starts late.

No bound has changed.

--- a/modules/agent/agent_test.go
+++ b/modules/agent/agent_test.go
@@ -159,6 +159,7 @@
 type client struct {
 	*wire.FrameReader
 	cancel func()
+	next   uint64 // offset of the next token; a frame may hold several
 }
 
 func open(t testing.TB, a *Agent, req *wire.GenerateRequest) *client {
@@ -171,20 +172,20 @@
 	res, err := (&http.Client{Transport: &http.Transport{}}).Do(hr)
 	assert.NilError(t, err)
 	t.Cleanup(func() { cancel(); _ = res.Body.Close() })
-	return &client{wire.NewFrameReader(res.Body), cancel}
+	return &client{wire.NewFrameReader(res.Body), cancel, max(req.Offset, req.PrefixTokens)}
 }
 
-// text reads until n tokens have come, or the last frame, which it returns.
-func (c *client) text(t *testing.T, next uint64, n uint64) (string, *wire.Frame) {
+// text reads until n more tokens have come, or the last frame, which it returns.
+func (c *client) text(t *testing.T, n uint64) (string, *wire.Frame) {
 	t.Helper()
 	var b strings.Builder
-	for start := next; next < start+n; {
+	for start := c.next; c.next < start+n; {
 		f, err := c.Next()
 		assert.NilError(t, err)
 		switch f.Kind {
 		case wire.FrameToken:
-			assert.Equal(t, f.Offset, next)
-			next += uint64(f.Tokens)
+			assert.Equal(t, f.Offset, c.next)
+			c.next += uint64(f.Tokens)
 			b.WriteString(f.Text)
 		case wire.FrameEnd, wire.FrameFail, wire.FrameElsewhere:
 			return b.String(), &f
@@ -207,7 +208,7 @@
 // the engine, and against an end frame with the wrong count.
 func TestGenerationIsDeliveredWhole(t *testing.T) {
 	a := startAgent(t, engineAdapter(t, newEngine(t).URL, 2), nil)
-	text, last := open(t, a, request(500)).text(t, 0, whole)
+	text, last := open(t, a, request(500)).text(t, whole)
 	assert.Equal(t, text, numbers(0, 500))
 	assert.Equal(t, last.Kind, wire.FrameEnd)
 	assert.Equal(t, last.Offset, uint64(500))
@@ -221,7 +222,7 @@
 	a := startAgent(t, engineAdapter(t, e.URL, 2), nil)
 	req := request(40)
 	req.Attempt, req.PrefixText, req.PrefixTokens = 3, numbers(0, 10), 10
-	text, last := open(t, a, req).text(t, 10, whole)
+	text, last := open(t, a, req).text(t, whole)
 	assert.Equal(t, text, numbers(10, 40))
 	assert.Equal(t, last.Attempt, uint32(3))
 	assert.Equal(t, e.seen()[0]["resume_text"], numbers(0, 10))
@@ -236,20 +237,20 @@
 	a := startAgent(t, engineAdapter(t, e.URL, 2), nil)
 	req := request(200)
 	first := open(t, a, req)
-	text, _ := first.text(t, 0, 50)
+	text, _ := first.text(t, 50)
 	again := *req
 	again.Attach, again.Offset, again.Body = true, 30, nil
 	second := open(t, a, &again)
-	_, last := first.text(t, 50, whole)
+	_, last := first.text(t, whole)
 	assert.Equal(t, last.Code, result.Superseded)
-	second.text(t, 30, 20)
+	second.text(t, 20)
 	second.cancel()
 	third := again
 	third.Offset = 20
-	rest, last := open(t, a, &third).text(t, 20, whole)
+	rest, last := open(t, a, &third).text(t, whole)
 	assert.Equal(t, text[:len(numbers(0, 20))]+rest, numbers(0, 200))
 	assert.Equal(t, last.Kind, wire.FrameEnd)
-	rest, _ = open(t, a, &third).text(t, 20, whole) // of a finished generation
+	rest, _ = open(t, a, &third).text(t, whole) // of a finished generation
 	assert.Equal(t, rest, numbers(20, 200))
 }
 
@@ -260,15 +261,15 @@
 	a := startAgent(t, engineAdapter(t, e.URL, 1), nil)
 	req := request(100)
 	first := open(t, a, req)
-	text, _ := first.text(t, 0, 5)
+	text, _ := first.text(t, 5)
 	newer := *req
 	newer.Attempt, newer.PrefixText, newer.PrefixTokens = 2, numbers(0, 5), 5
 	second := open(t, a, &newer)
-	rest, _ := second.text(t, 5, whole)
+	rest, _ := second.text(t, whole)
 	assert.Equal(t, text[:len(numbers(0, 5))]+rest, numbers(0, 100))
-	_, last := first.text(t, 5, whole)
+	_, last := first.text(t, whole)
 	assert.Equal(t, last.Code, result.Superseded)
-	_, last = open(t, a, req).text(t, 0, whole)
+	_, last = open(t, a, req).text(t, whole)
 	assert.Equal(t, last.Code, result.Superseded)
 	assert.Equal(t, last.Ran, result.NotRun)
 }
@@ -280,16 +281,16 @@
 	e.pause = time.Millisecond
 	a := startAgent(t, engineAdapter(t, e.URL, 1), nil)
 	running := open(t, a, request(200))
-	running.text(t, 0, 1)
+	running.text(t, 1)
 	stopped := make(chan error, 1)
 	go func() { stopped <- a.Stop(context.Background()) }()
 	for !a.snapshot.Load().load.Leaving {
 		time.Sleep(time.Millisecond)
 	}
-	_, last := open(t, a, request(1)).text(t, 0, whole)
+	_, last := open(t, a, request(1)).text(t, whole)
 	assert.Equal(t, last.Code, result.Leaving)
 	assert.Equal(t, last.Ran, result.NotRun)
-	_, last = running.text(t, 1, whole)
+	_, last = running.text(t, whole)
 	assert.Equal(t, last.Kind, wire.FrameEnd)
 	assert.Equal(t, last.Offset, uint64(200))
 	assert.NilError(t, <-stopped)
@@ -302,9 +303,9 @@
 	e.mute = 20
 	a := startAgent(t, engineAdapter(t, e.URL, 1), nil)
 	c := open(t, a, request(50))
-	text, _ := c.text(t, 0, 20)
+	text, _ := c.text(t, 20)
 	start := time.Now()
-	rest, last := c.text(t, 20, whole)
+	rest, last := c.text(t, whole)
 	assert.Equal(t, text+rest, numbers(0, 50))
 	assert.Equal(t, last.Kind, wire.FrameEnd)
 	assert.Equal(t, e.seen()[1]["resume_tokens"], float64(20))
@@ -319,16 +320,16 @@
 	a := startAgent(t, engineAdapter(t, e.URL, 1), nil)
 	req := request(50)
 	c := open(t, a, req)
-	c.text(t, 0, 20)
+	c.text(t, 20)
 	e.set(func(e *fakeEngine) { e.health = http.StatusInternalServerError })
 	start := time.Now()
-	_, last := c.text(t, 20, whole)
+	_, last := c.text(t, whole)
 	t.Logf("failure reported after %v", time.Since(start))
 	assert.Equal(t, last.Code, result.UpstreamStalled)
 	assert.Equal(t, last.Ran, result.DidRun)
 	again := *req
 	again.Attach, again.Body = true, nil
-	text, last := open(t, a, &again).text(t, 0, whole)
+	text, last := open(t, a, &again).text(t, whole)
 	assert.Equal(t, text, numbers(0, 20))
 	assert.Equal(t, last.Code, result.UpstreamStalled)
 	assert.Equal(t, last.Offset, uint64(20))
@@ -345,12 +346,12 @@
 	req := request(400)
 	req.Class = wire.Batch
 	batch := open(t, a, req)
-	text, _ := batch.text(t, 0, 30)
+	text, _ := batch.text(t, 30)
 	urgent := request(20)
 	urgent.Class = wire.Urgent
-	_, last := open(t, a, urgent).text(t, 0, whole)
+	_, last := open(t, a, urgent).text(t, whole)
 	assert.Equal(t, last.Kind, wire.FrameEnd)
-	rest, last := batch.text(t, 30+uint64(strings.Count(text, " ")-30), whole)
+	rest, last := batch.text(t, whole)
 	assert.Equal(t, text+rest, numbers(0, 400))
 	assert.Equal(t, last.Kind, wire.FrameEnd)
 	assert.Equal(t, len(e.seen()), 3)
@@ -362,7 +363,7 @@
 	a := startAgent(t, engineAdapter(t, newEngine(t).URL, 2), func(a *Agent) { a.Retention.Bytes = 1000 })
 	req := request(20_000)
 	c := open(t, a, req)
-	c.text(t, 0, 1)
+	c.text(t, 1)
 	c.cancel()
 	holds := func() bool {
 		ev := holdsEvent{req.Generation, make(chan bool, 1)}
@@ -437,11 +438,11 @@
 	e := newEngine(t)
 	e.pause = 2 * time.Millisecond
 	a := startAgent(t, engineAdapter(t, e.URL, 1), nil)
-	open(t, a, request(10_000)).text(t, 0, 200) // runs for 400 ms or more
+	open(t, a, request(10_000)).text(t, 200) // runs for 400 ms or more
 	req := request(1)
 	req.DeadlineMS = 300
 	start := time.Now()
-	_, last := open(t, a, req).text(t, 0, whole)
+	_, last := open(t, a, req).text(t, whole)
 	assert.Equal(t, last.Code, result.DeadlineUnreachable)
 	assert.Equal(t, last.Ran, result.NotRun)
 	assert.Assert(t, last.RetryMS > 0)
@@ -460,9 +461,9 @@
 	running := open(t, a, first)
 	held := open(t, a, second)
 	a.drain(true)
-	_, last := held.text(t, 0, whole)
+	_, last := held.text(t, whole)
 	assert.Equal(t, last.Code, result.Leaving)
 	close(gate)
-	_, last = running.text(t, 0, whole)
+	_, last = running.text(t, whole)
 	assert.Equal(t, last.Kind, wire.FrameEnd)
 }
--- a/modules/agent/control_test.go
+++ b/modules/agent/control_test.go
@@ -297,23 +297,23 @@
 	req := request(60)
 	req.Key = "k"
 	first := open(t, a, req)
-	first.text(t, 0, 5)
+	first.text(t, 5)
 	copied := *req
 	copied.Generation = wire.NewID()
-	_, last := open(t, b, &copied).text(t, 0, whole)
+	_, last := open(t, b, &copied).text(t, whole)
 	assert.Equal(t, last.Kind, wire.FrameElsewhere)
 	assert.Equal(t, last.Text, "agent-1")
 	assert.Equal(t, last.Generation, req.Generation)
 
 	moved := *req // the entry moves the same generation to the other agent
 	moved.Attempt, moved.PrefixText, moved.PrefixTokens = 2, numbers(0, 5), 5
-	text, last := open(t, b, &moved).text(t, 5, whole)
+	text, last := open(t, b, &moved).text(t, whole)
 	assert.Equal(t, last.Kind, wire.FrameEnd)
 	assert.Equal(t, text, numbers(5, 60))
 	eventually(t, c, "stored text", func() bool { return c.records["k"].State == wire.RecordFinished })
 
 	copied.Generation = wire.NewID()
-	text, last = open(t, a, &copied).text(t, 0, whole)
+	text, last = open(t, a, &copied).text(t, whole)
 	assert.Equal(t, last.Kind, wire.FrameEnd)
 	assert.Equal(t, text, numbers(0, 60))
 	assert.Equal(t, len(e.seen()), 2)
@@ -330,7 +330,7 @@
 		req := request(10_000)
 		req.Fingerprint = fp
 		s := open(t, a, req)
-		s.text(t, 0, 3)
+		s.text(t, 3)
 		streams = append(streams, s)
 	}
 	_ = e.Listener.Close()
@@ -353,7 +353,7 @@
 	crash := c.crashes[0]
 	assert.Equal(t, len(crash.Fingerprints), 3)
 	assert.Equal(t, crash.CrashNumber, uint64(1))
-	_, last := open(t, a, request(1)).text(t, 0, whole)
+	_, last := open(t, a, request(1)).text(t, whole)
 	assert.Equal(t, last.Code, result.UpstreamNotReachable)
 	assert.Equal(t, last.Ran, result.NotRun)
 }
@@ -373,14 +373,14 @@
 		return open(t, a, req)
 	}
 	for { // until the watch has brought the list
-		_, last := send("bad", "").text(t, 0, whole)
+		_, last := send("bad", "").text(t, whole)
 		if last.Kind == wire.FrameFail {
 			assert.Equal(t, last.Code, result.Quarantined)
 			assert.Assert(t, last.RetryMS > 2000 && last.RetryMS <= 5000, "the time left since the list came: %d ms", last.RetryMS)
 			break
 		}
 	}
-	_, last := send("s1", "").text(t, 0, whole)
+	_, last := send("s1", "").text(t, whole)
 	assert.Equal(t, last.Code, result.SuspectBusy)
 	gate := make(chan struct{})
 	before := e.setGate(gate)
@@ -391,9 +391,9 @@
 	assert.Equal(t, kindOf(t, second), wire.FrameHeartbeat, "a second suspect ran during the probation of the first")
 	assert.Equal(t, e.setGate(nil), before+1)
 	close(gate)
-	_, last = second.text(t, 0, whole)
+	_, last = second.text(t, whole)
 	assert.Equal(t, last.Kind, wire.FrameEnd)
-	_, last = first.text(t, 0, whole)
+	_, last = first.text(t, whole)
 	assert.Equal(t, last.Kind, wire.FrameEnd)
 }
 
@@ -406,7 +406,7 @@
 	eventually(t, old, "first configuration", func() bool { return a.snapshot.Load().revision == 3 })
 	req := request(1)
 	req.Revision = 7 // the entry knows a newer one
-	open(t, a, req).text(t, 0, whole)
+	open(t, a, req).text(t, whole)
 	eventually(t, old, "newer configuration", func() bool { return a.snapshot.Load().revision == 7 })
 }
 
