soak: servers that end under a request while announcements are late

The cells that it left out are cases now: late announcements, a server back under its id or at once, ended while it reads a body, whole answers before, five such requests together.

--- a/test/soak/crashing_test.go
+++ b/test/soak/crashing_test.go
@@ -45,6 +45,15 @@
 	// with another service at its address.
 	back         time.Duration
 	moved, taken bool
+	// sameID servers return under the id that they had. Announcements of all servers arrive
+	// late by this time, also those of servers that have ended meanwhile.
+	sameID bool
+	late   time.Duration
+	// reading servers end while they read a long body. The first ones of all answer whole.
+	reading bool
+	whole   int64
+	// requests is the number of different requests that end servers.
+	requests int
 	// impatient callers leave after this time.
 	impatient time.Duration
 	// meanwhile is called beside the callers.
@@ -70,6 +79,20 @@
 	{name: "lookup eight senders", path: "look", senders: 8, back: 2 * time.Second},
 	{name: "booking", path: "book", back: 2 * time.Second},
 	{name: "booking dark", path: "book", dark: true, back: 2 * time.Second},
+	{name: "stream late announcements", path: "letters", back: 2 * time.Second, late: 2500 * time.Millisecond, quick: true},
+	{name: "stream late announcements never back", path: "letters", late: 2500 * time.Millisecond},
+	{name: "stream dark late announcements", path: "letters", dark: true, back: 2 * time.Second, late: 2500 * time.Millisecond},
+	{name: "lookup late announcements", path: "look", back: 2 * time.Second, late: 2500 * time.Millisecond},
+	{name: "stream same id", path: "letters", back: 2 * time.Second, sameID: true},
+	{name: "stream back at once", path: "letters", back: 100 * time.Millisecond},
+	{name: "stream dark back at once", path: "letters", dark: true, back: 100 * time.Millisecond},
+	{name: "stream while it is read", path: "letters", back: 2 * time.Second, reading: true},
+	{name: "booking while it is read", path: "book", dark: true, back: 2 * time.Second, reading: true},
+	{name: "stream whole before", path: "letters", back: 2 * time.Second, whole: 3},
+	{name: "lookup whole before", path: "look", back: 2 * time.Second, whole: 3},
+	{name: "stream five requests", path: "letters", back: 2 * time.Second, requests: 5},
+	{name: "stream dark five requests", path: "letters", dark: true, back: 2 * time.Second, requests: 5},
+	{name: "lookup five requests all killed", path: "look", back: 2 * time.Second, requests: 5, meanwhile: allKilled},
 	{name: "stream gateways restart", path: "letters", back: 2 * time.Second, meanwhile: gatewaysRestart},
 	{name: "stream gateways freeze", path: "letters", back: 2 * time.Second, meanwhile: gatewaysFreeze},
 	{name: "stream control restarts", path: "letters", back: 2 * time.Second, meanwhile: controlRestarts},
@@ -145,24 +168,40 @@
 	}
 }
 
-// fatal is a request that ends each server that begins to run it.
+// fatal are requests that end each server that begins to run them, and what servers
+// have seen of each, by its body.
 type fatal struct {
 	crashingCase
+	answered atomic.Int64
 	mu       sync.Mutex
-	arrivals []time.Time
-	ended    []time.Time
+	arrivals map[string][]time.Time
+	ended    map[string][]time.Time
 }
 
-// The bodies of the request that ends servers and of one that meets such ends by chance.
+// Requests whose bodies begin with fatalBody end servers; harmlessBody is that of one that
+// meets such ends by chance.
 const (
 	fatalBody    = "body that ends a server"
 	harmlessBody = "body that harms nobody"
 )
 
-// arrived ends a server at which the request has begun.
-func (f *fatal) arrived(s *server, rw http.ResponseWriter) {
+// body returns the body of one of the requests.
+func (c *crashingCase) body(i int) string {
+	b := fmt.Sprintf("%s, request %d", fatalBody, i%max(1, c.requests))
+	if c.reading {
+		b += strings.Repeat(" ", 90_000)
+	}
+	return b
+}
+
+// arrived ends a server at which a request has begun. It returns false if the request is
+// to be answered.
+func (f *fatal) arrived(s *server, body string, rw http.ResponseWriter) bool {
+	if f.answered.Add(1) <= f.whole {
+		return false
+	}
 	f.mu.Lock()
-	f.arrivals = append(f.arrivals, time.Now())
+	f.arrivals[body] = append(f.arrivals[body], time.Now())
 	f.mu.Unlock()
 	rw.Header().Set("Response-Seal", "seal")
 	rw.Header().Set("Content-Type", "text/event-stream")
@@ -176,30 +215,36 @@
 	s.mu.Unlock()
 	if !down {
 		f.mu.Lock()
-		f.ended = append(f.ended, time.Now())
+		f.ended[body] = append(f.ended[body], time.Now())
 		f.mu.Unlock()
 		s.crash(f.dark)
 		if f.back > 0 {
-			time.AfterFunc(f.back, func() { s.comeBack(f.moved, f.taken) })
+			time.AfterFunc(f.back, func() { s.comeBack(f.crashingCase) })
 		}
 	}
-	panic(http.ErrAbortHandler)
+	return true
 }
 
-// later counts the arrivals that the users count.
-func (f *fatal) later() (n int) {
+// count returns the servers that ended, and for the request with the most of them the
+// arrivals that the users count.
+func (f *fatal) count() (ended, later int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.ended) < 3 {
-		return 0
-	}
-	slices.SortFunc(f.ended, time.Time.Compare)
-	for _, at := range f.arrivals {
-		if at.After(f.ended[2].Add(contactTime)) {
-			n++
+	for body, list := range f.ended {
+		ended += len(list)
+		if len(list) < 3 {
+			continue
+		}
+		slices.SortFunc(list, time.Time.Compare)
+		n := 0
+		for _, at := range f.arrivals[body] {
+			if at.After(list[2].Add(contactTime)) {
+				n++
+			}
 		}
+		later = max(later, n)
 	}
-	return n
+	return ended, later
 }
 
 // Guards against a request that ends one server after the other.
@@ -216,9 +261,10 @@
 }
 
 func playCrashing(t *testing.T, c crashingCase) {
-	f := &fatal{crashingCase: c}
+	f := &fatal{crashingCase: c, arrivals: map[string][]time.Time{}, ended: map[string][]time.Time{}}
 	w := newWorld(t, *first, 4, 4, 9)
 	w.fatal.Store(f)
+	w.lateAnnouncements.Store(int64(c.late))
 	client := &http.Client{Timeout: time.Second}
 	w.eventually("first configuration", 20*time.Second, func() bool { return w.replace(client, w.registries[0].addr(operatorPort)) })
 	w.eventually("gateways ready", 20*time.Second, w.ready)
@@ -230,18 +276,16 @@
 		wait.Go(func() { c.meanwhile(w, time.After(*crashingTime)) })
 	}
 	for end := time.Now().Add(*crashingTime); time.Now().Before(end); time.Sleep(resend) {
-		for range max(1, c.senders) {
+		for i := range max(1, c.senders, c.requests) {
 			gateway := w.gateways[w.rng.IntN(len(w.gateways))]
-			wait.Go(func() { _, _ = w.sendAgain(c.path, fatalBody, gateway.addr(callerPort), c.impatient) })
+			wait.Go(func() { _, _ = w.sendAgain(c.path, c.body(i), gateway.addr(callerPort), c.impatient) })
 		}
 	}
 	wait.Wait()
-	f.mu.Lock()
-	ended := len(f.ended)
-	f.mu.Unlock()
-	t.Logf("%s: %d servers ended, %d arrivals, %d later than %v after the third end", c.name, ended, len(f.arrivals), f.later(), contactTime)
+	ended, later := f.count()
+	t.Logf("%s: %d servers ended, %d arrivals later than %v after the third end", c.name, ended, later, contactTime)
 	assert.Assert(t, ended >= 3, "too few servers ended to say anything")
-	assert.Assert(t, f.later() <= laterArrivals, "%d arrivals later than %v after the third end", f.later(), contactTime)
+	assert.Assert(t, later <= laterArrivals, "%d arrivals later than %v after the third end", later, contactTime)
 	assert.Equal(t, len(w.violations), 0, "%v", w.violations[:min(len(w.violations), 10)])
 }
 
--- a/test/soak/upstream_test.go
+++ b/test/soak/upstream_test.go
@@ -32,6 +32,7 @@
 	seq         int64
 	state       string
 	down        bool
+	keepID      bool
 	incarnation int
 	// drainedAt is when a registry acknowledged that it drains.
 	drainedAt time.Time
@@ -74,7 +75,9 @@
 func (s *server) reborn() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.id = fmt.Sprintf("i-%d", incarnations.Add(1))
+	if !s.keepID {
+		s.id = fmt.Sprintf("i-%d", incarnations.Add(1))
+	}
 	s.started, s.seq, s.state, s.down, s.drainedAt = time.Now().UnixMilli(), 0, "ready", false, time.Time{}
 	s.incarnation++
 }
@@ -100,8 +103,8 @@
 
 // comeBack starts the server again: at another address, or at its own, where another
 // service may have come instead.
-func (s *server) comeBack(moved, taken bool) {
-	if moved {
+func (s *server) comeBack(c crashingCase) {
+	if c.moved {
 		p, err := fault.NewProxy("127.0.0.1:0", s.backend.Listener.Addr().String())
 		if err != nil {
 			s.w.t.Error(err)
@@ -112,11 +115,16 @@
 		s.proxy = p
 		s.mu.Unlock()
 	}
-	if taken {
+	if c.taken {
 		s.mu.Lock()
 		s.service = map[string]string{"model": "desk", "desk": "model"}[s.service]
 		s.mu.Unlock()
 	}
+	if c.sameID {
+		s.mu.Lock()
+		s.keepID = true
+		s.mu.Unlock()
+	}
 	s.restart()
 }
 
@@ -130,24 +138,31 @@
 			s.service, s.proxy.Addr(), s.zone, s.state, s.seq, s.started)
 		id, down, draining := s.id, s.down, s.state == "draining"
 		s.mu.Unlock()
-		if !down {
-			for _, i := range rand.Perm(len(s.w.registries)) {
-				url := "http://" + s.w.registries[i].addr(operatorPort) + "/v1/instances/" + id + "/heartbeat"
-				res, err := client.Post(url, "application/json", strings.NewReader(body))
-				if err != nil {
-					continue
-				}
-				_ = res.Body.Close()
-				if res.StatusCode == http.StatusOK {
-					s.acknowledged(id, draining)
-					break
-				}
-			}
+		if late := time.Duration(s.w.lateAnnouncements.Load()); !down && late > 0 {
+			time.AfterFunc(late, func() { s.post(client, id, body, draining) })
+		} else if !down {
+			s.post(client, id, body, draining)
 		}
 		time.Sleep(heartbeatInterval)
 	}
 }
 
+// post sends one heartbeat to registries until one of them takes it.
+func (s *server) post(client *http.Client, id, body string, draining bool) {
+	for _, i := range rand.Perm(len(s.w.registries)) {
+		url := "http://" + s.w.registries[i].addr(operatorPort) + "/v1/instances/" + id + "/heartbeat"
+		res, err := client.Post(url, "application/json", strings.NewReader(body))
+		if err != nil {
+			continue
+		}
+		_ = res.Body.Close()
+		if res.StatusCode == http.StatusOK {
+			s.acknowledged(id, draining)
+			break
+		}
+	}
+}
+
 func (s *server) acknowledged(id string, draining bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -177,7 +192,7 @@
 const eventPause = 15 * time.Millisecond
 
 func (s *server) serve(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(r.Body)
+	body, err := s.read(r)
 	if err != nil {
 		return
 	}
@@ -200,8 +215,10 @@
 	case r.Header.Get("Expect-Instance") != id:
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
-	case f != nil && string(body) == fatalBody:
-		f.arrived(s, w)
+	case f != nil && strings.HasPrefix(string(body), fatalBody):
+		if f.arrived(s, string(body), w) {
+			panic(http.ErrAbortHandler)
+		}
 	case r.Header.Get("Authorization") != "" || r.Header.Get("Tenant") != "mill" || string(body) != "body of "+attempt && string(body) != harmlessBody:
 		s.w.violate("UNASKED: %s got headers %v and body %q", id, r.Header, body)
 	case s.w.calm.Load() && !drained.IsZero() && time.Since(drained) > 2*time.Second:
@@ -228,6 +245,20 @@
 	s.stream(w, r, attempt, incarnation)
 }
 
+// read reads a body, or the beginning of one that ends the server while it is read.
+func (s *server) read(r *http.Request) ([]byte, error) {
+	f := s.w.fatal.Load()
+	if f == nil || !f.reading {
+		return io.ReadAll(r.Body)
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, int64(len(f.body(0)))/2))
+	if err != nil || !strings.HasPrefix(string(body), fatalBody) {
+		rest, err := io.ReadAll(r.Body)
+		return append(body, rest...), err
+	}
+	return body, nil
+}
+
 func (s *server) stream(w http.ResponseWriter, r *http.Request, attempt string, incarnation int) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	next := 0
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -33,11 +33,13 @@
 	servers    []*server
 	ledger     *ledger
 	// fatal is a request that ends the servers that run it, if any.
-	fatal    atomic.Pointer[fatal]
-	refusals sync.Map
-	attempts atomic.Int64
-	faults   int
-	counts   [3]atomic.Int64
+	fatal atomic.Pointer[fatal]
+	// lateAnnouncements is by how many nanoseconds announcements of upstreams are late.
+	lateAnnouncements atomic.Int64
+	refusals          sync.Map
+	attempts          atomic.Int64
+	faults            int
+	counts            [3]atomic.Int64
 	// calm is set while no fault is under way or was a moment ago.
 	calm atomic.Bool
 
