--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -74,6 +74,11 @@
 	Cleared
 )
 
+// String returns the name used in logs.
+func (o Outcome) String() string {
+	return [...]string{"abandoned", "broken", "ended", "innocent", "cleared"}[min(o, Cleared)]
+}
+
 // Run is one run of a request at an incarnation of an upstream.
 type Run struct {
 	// Fingerprint names the request, whoever sends it again.
--- a/core/crash/news.go
+++ b/core/crash/news.go
@@ -29,10 +29,11 @@
 	l.learn(now, Innocent, func(r *run) bool { return r.Upstream == id && r.StartedMS == startedMS && r.outcome < Ended })
 }
 
-// Announced takes an announcement of an incarnation.
-func (l *Ledger) Announced(now time.Time, id string, startedMS, seq int64) {
+// Announced takes an announcement of an incarnation. It returns the requests whose runs
+// there no longer count, and what was known of these runs before.
+func (l *Ledger) Announced(now time.Time, id string, startedMS, seq int64) (acquitted map[string]Outcome) {
 	if l.places[id] == 0 {
-		return
+		return nil
 	}
 	l.learn(now, Innocent, func(r *run) bool {
 		if r.Upstream != id || r.StartedMS != startedMS || seq <= r.lastSeq {
@@ -40,8 +41,16 @@
 		}
 		r.lastSeq = seq
 		r.announced++
-		return r.announced >= aliveAnnouncements
+		if r.announced < aliveAnnouncements {
+			return false
+		}
+		if acquitted == nil {
+			acquitted = map[string]Outcome{}
+		}
+		acquitted[r.Fingerprint] = r.outcome
+		return true
 	})
+	return acquitted
 }
 
 // learn moves the runs that match to an outcome. It returns the requests of abandoned
--- a/modules/registry/directory.go
+++ b/modules/registry/directory.go
@@ -228,7 +228,7 @@
 			unknown = append(unknown, a.ID)
 			continue
 		}
-		d.crashes.Announced(now, a.ID, a.StartedMS, a.Seq)
+		d.signOfLife(now, a.ID, a.StartedMS, a.Seq)
 	}
 	o.unknown <- unknown
 	changed = d.takeLeaving(now, o.leaving) || changed
@@ -261,7 +261,16 @@
 		return
 	}
 	d.crashes.Succeeded(now, u.ID, u.Addr, u.StartedMS)
-	d.crashes.Announced(now, u.ID, u.StartedMS, u.Seq)
+	d.signOfLife(now, u.ID, u.StartedMS, u.Seq)
+}
+
+// signOfLife tells the ledger that an incarnation has announced itself.
+func (d *directory) signOfLife(now time.Time, id string, startedMS, seq int64) {
+	for fingerprint, before := range d.crashes.Announced(now, id, startedMS, seq) {
+		u, _ := d.state.Get(id)
+		d.log.Info("broken run no longer counts, its upstream has announced itself", "fingerprint", fingerprint, "previous", before.String(),
+			"upstream", id, "started_ms", startedMS, "seq", seq, "latest_started_ms", u.StartedMS, "latest_state", u.State.String())
+	}
 }
 
 // takeCrashes takes broken runs in.
