crash: late announcements do not acquit broken runs

Cause: an announcement counted from when it arrived. Two that were sent before the server ended acquitted the run, and an acquittal overruled the news of the end, whichever came first.

An announcement acquits only later than 5 s after the run broke off, when one that was sent before it is in, and no longer once a successor has been seen.

TestLateAnnouncementsAcquitNothing failed before (free, not undecided). The test of honest requests expects the acquittal 5 s later and still needs two announcements; TestReturnOfSilentUpstreamsAcquits keeps that servers which were out of reach are acquitted.

--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -41,8 +41,11 @@
 	maxRecent = 256
 	// expireEvery is how often runs that no longer count are looked for.
 	expireEvery = time.Second
-	// aliveAnnouncements is the number of announcements after a run broke off that show
-	// that its upstream lives. One may have been on its way.
+	// announcementDelay is how late an announcement may arrive: on a link that was cut for
+	// some seconds, or through other control instances.
+	announcementDelay = 5 * time.Second
+	// aliveAnnouncements is the number of announcements later than that after a run broke
+	// off that show that its upstream lives. One may have been later still.
 	aliveAnnouncements = 2
 )
 
@@ -106,9 +109,11 @@
 	at      time.Time
 	// shared is what this ledger has found out, told what another one has.
 	shared, told bool
-	// announced is the number of announcements since, lastSeq the last one.
+	// announced is the number of announcements that show that the upstream lives, lastSeq
+	// the last one. Replaced tells that a later incarnation has taken its place.
 	announced int
 	lastSeq   int64
+	replaced  bool
 	// change numbers the last change of what readers see.
 	change uint64
 }
--- a/core/crash/crash_test.go
+++ b/core/crash/crash_test.go
@@ -74,14 +74,14 @@
 	l := New()
 	for i := range 5 {
 		l.Broke(start, runAt("lost answers", fmt.Sprint("u", i), "z"), Broken)
-		l.Announced(after(1), fmt.Sprint("u", i), 1000, 7)
-		l.Announced(after(1.1), fmt.Sprint("u", i), 1000, 7) // the same through another control instance
+		l.Announced(after(5.1), fmt.Sprint("u", i), 1000, 7)
+		l.Announced(after(5.2), fmt.Sprint("u", i), 1000, 7) // the same through another control instance
 	}
-	assert.Equal(t, l.Verdict(after(2), "lost answers"), Undecided, "one announcement may have been on its way")
+	assert.Equal(t, l.Verdict(after(6), "lost answers"), Undecided, "one announcement may have been on its way")
 	for i := range 5 {
-		l.Announced(after(2), fmt.Sprint("u", i), 1000, 8)
+		l.Announced(after(6.3), fmt.Sprint("u", i), 1000, 8)
 	}
-	assert.Equal(t, l.Verdict(after(2), "lost answers"), Free)
+	assert.Equal(t, l.Verdict(after(6.3), "lost answers"), Free)
 	for i := range 5 {
 		l.Broke(start, runAt("planned", fmt.Sprint("v", i), "z"), Broken)
 		l.Departed(after(1), fmt.Sprint("v", i), 1000)
@@ -100,6 +100,44 @@
 	assert.Equal(t, l.Verdict(after(6), "answered"), Free)
 }
 
+// Guards against crashes that are forgotten since announcements of the upstreams that
+// have ended arrive late.
+func TestLateAnnouncementsAcquitNothing(t *testing.T) {
+	announced := func(l *Ledger, s float64) {
+		for i := range 3 {
+			for seq := range 3 {
+				l.Announced(after(s+float64(seq)), fmt.Sprint("u", i), 1000, int64(s)*10+int64(seq))
+			}
+		}
+	}
+	l := New()
+	for i := range 3 {
+		l.Broke(start, runAt("poison", fmt.Sprint("u", i), "z"), Broken)
+	}
+	announced(l, 1)
+	assert.Equal(t, l.Verdict(after(3), "poison"), Undecided)
+	for i := range 3 {
+		l.Succeeded(after(3.5), "next", fmt.Sprint("addr of u", i), 2000)
+	}
+	announced(l, 4)
+	announced(l, 8)
+	assert.Equal(t, l.Verdict(after(10), "poison"), Blocked)
+}
+
+// Guards against a request that is held for good since its upstreams were out of reach
+// for a time.
+func TestReturnOfSilentUpstreamsAcquits(t *testing.T) {
+	l := New()
+	for i := range 3 {
+		u := fmt.Sprint("u", i)
+		l.Broke(start, runAt("cut off", u, "z"), Broken)
+		l.Lost(after(6), u, 1000)
+		l.Announced(after(7), u, 1000, 7)
+		l.Announced(after(8), u, 1000, 8)
+	}
+	assert.Equal(t, l.Verdict(after(8), "cut off"), Free)
+}
+
 // Guards against honest requests that are blocked since zone after zone was lost under
 // them, and against a request that hides its crashes behind such losses for good.
 func TestLossOfZonesCountsLess(t *testing.T) {
--- a/core/crash/news.go
+++ b/core/crash/news.go
@@ -9,7 +9,13 @@
 	if l.places[addr] == 0 && l.places[id] == 0 {
 		return nil
 	}
-	return l.learn(now, Ended, func(r *run) bool { return (r.Addr == addr || r.Upstream == id) && r.StartedMS < startedMS })
+	older := func(r *run) bool { return (r.Addr == addr || r.Upstream == id) && r.StartedMS < startedMS }
+	for _, q := range l.requests {
+		for _, r := range q.runs {
+			r.replaced = r.replaced || older(r)
+		}
+	}
+	return l.learn(now, Ended, older)
 }
 
 // Lost takes the news that an incarnation has fallen silent. It returns the requests of
@@ -29,14 +35,16 @@
 	l.learn(now, Innocent, func(r *run) bool { return r.Upstream == id && r.StartedMS == startedMS && r.outcome < Ended })
 }
 
-// Announced takes an announcement of an incarnation. It returns the requests whose runs
-// there no longer count, and what was known of these runs before.
+// Announced takes an announcement of an incarnation. One that may have been sent before
+// a run broke off says nothing of it, nor does one of an incarnation that has been
+// replaced. It returns the requests whose runs there no longer count, and what was known
+// of these runs before.
 func (l *Ledger) Announced(now time.Time, id string, startedMS, seq int64) (acquitted map[string]Outcome) {
 	if l.places[id] == 0 {
 		return nil
 	}
 	l.learn(now, Innocent, func(r *run) bool {
-		if r.Upstream != id || r.StartedMS != startedMS || seq <= r.lastSeq {
+		if r.Upstream != id || r.StartedMS != startedMS || seq <= r.lastSeq || r.replaced || now.Sub(r.at) <= announcementDelay {
 			return false
 		}
 		r.lastSeq = seq
