gateway: the zone of an upstream does not replace that of the instance in the log

What the on-call saw: three kinds of lines of a gateway name the field zone twice, the instance's and then the upstream's. Readers of JSON keep the last, so such lines seemed to come from other availability zones.

Cause: the attribute has the name that every line of a process has. It is upstream_zone now in 'upstream changed', 'run broke off' and 'attempt failed'.

The soak reads the logs of all its processes: a line that names a field twice, or is torn though the process was never killed, is a violation.

--- a/modules/gateway/crash.go
+++ b/modules/gateway/crash.go
@@ -99,7 +99,7 @@
 	leaving := c.g.follower.leaving(u)
 	c.g.metrics.brokenRuns.Inc()
 	r := crash.Run{Fingerprint: c.fingerprint(), Upstream: u.ID, Addr: u.Addr, StartedMS: u.StartedMS, Zone: u.Zone}
-	c.g.log.Info("run broke off", "request", c.req.ID, "fingerprint", r.Fingerprint, "upstream", u.ID, "address", r.Addr, "zone", u.Zone,
+	c.g.log.Info("run broke off", "request", c.req.ID, "fingerprint", r.Fingerprint, "upstream", u.ID, "address", r.Addr, "upstream_zone", u.Zone,
 		"started_ms", r.StartedMS, "abandoned", outcome == crash.Abandoned, "leaving", leaving)
 	if leaving {
 		return
--- a/modules/gateway/follow.go
+++ b/modules/gateway/follow.go
@@ -320,7 +320,7 @@
 	}
 	for _, c := range f.directory.Since(before) {
 		f.g.owner.tell(func(s *state) { s.fleet.SetUpstream(c) })
-		f.log.Info("upstream changed", "upstream", c.ID, "service", c.Service, "address", c.Addr, "zone", c.Zone,
+		f.log.Info("upstream changed", "upstream", c.ID, "service", c.Service, "address", c.Addr, "upstream_zone", c.Zone,
 			"state", c.State.String(), "started_ms", c.StartedMS, "seq", c.Seq)
 		if c.State < registration.Lost {
 			f.replaced.publish(incarnation{c.Addr, c.ID, c.StartedMS})
--- a/modules/gateway/stream.go
+++ b/modules/gateway/stream.go
@@ -418,7 +418,7 @@
 	if a.err != nil && !gone {
 		last, _ := s.relay.Last()
 		s.g.log.Info("attempt failed", "request", s.req.ID, "upstream", a.choice.Upstream.ID, "address", a.choice.Upstream.Addr,
-			"zone", a.choice.Upstream.Zone, "sent", a.sent, "status", a.status, "started", a.started, "last_event", last,
+			"upstream_zone", a.choice.Upstream.Zone, "sent", a.sent, "status", a.status, "started", a.started, "last_event", last,
 			"backup", a.choice.Backup.ID, "resumed", a.resumed, "goes_back", back, "took_ms", now.Sub(a.begin).Milliseconds(), "error", a.err.Error())
 	}
 }
--- a/test/soak/process_test.go
+++ b/test/soak/process_test.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
 	"os"
 	"os/exec"
@@ -89,6 +91,35 @@
 	}(p.cmd, p.done)
 }
 
+// checkLog returns an error for the first line of the log that a reader does not get
+// whole: one that is torn, though the process was never killed, or names a field twice.
+func (p *process) checkLog() error {
+	b, err := os.ReadFile(filepath.Join(p.folder, "log.jsonl"))
+	if err != nil {
+		return err
+	}
+	for line := range bytes.Lines(b) {
+		if !json.Valid(line) {
+			if p.starts == 1 {
+				return fmt.Errorf("torn line: %.200s", line)
+			}
+			continue
+		}
+		fields, decoder := map[json.Token]bool{}, json.NewDecoder(bytes.NewReader(line))
+		_, _ = decoder.Token() // the opening brace; the line is valid
+		for decoder.More() {
+			name, _ := decoder.Token()
+			var value json.RawMessage
+			_ = decoder.Decode(&value)
+			if fields[name] {
+				return fmt.Errorf("field %v twice: %.300s", name, line)
+			}
+			fields[name] = true
+		}
+	}
+	return nil
+}
+
 func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
 
 func (p *process) kill() {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -68,6 +68,11 @@
 	}
 	w.recover()
 	w.checkRefusals()
+	for _, p := range w.all() {
+		if err := p.checkLog(); err != nil {
+			w.violate("LOG: %s: %v", p.host, err)
+		}
+	}
 	t.Logf("seed %d: %d faults, %d attempts: %d served, %d refused, %d failed; version %d of %d acknowledged",
 		seed, w.faults, w.attempts.Load(), w.counts[served].Load(), w.counts[refused].Load(), w.counts[failed].Load(), w.acked, w.sent)
 	assert.Equal(t, len(w.violations), 0, "seed %d: %v", seed, w.violations[:min(len(w.violations), 10)])
