agent, quarantine: engines that hang or are back at once have crashed too

Besides, the entry heard of the failed run before the crash was reported, so it could send the request on unchecked.

Silence with failing probes counts now, and so does an engine that answers although every run there broke off together (crash.Outlived, pure). Neither proves an end, so each counts two thirds, by the decision shared with the gateways.

--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -14,11 +14,10 @@
 	// Threshold is the number of upstreams that must have crashed under a request
 	// before it is blocked. Chance hardly meets one request three times.
 	Threshold = 3
-	// FullWeight is what one crash counts, and SharedWeight what it counts if
-	// something that did not run the request failed with the upstream: the request is
-	// then less likely the cause. Four such crashes do not block a request yet.
-	FullWeight   = 3
-	SharedWeight = 2
+	// FullWeight is what one crash counts, and DoubtWeight what it counts if the request
+	// is less likely the cause. Four such crashes do not block a request yet.
+	FullWeight  = 3
+	DoubtWeight = 2
 	// sharedTime is the time within which upstreams of one availability zone are taken
 	// to have failed together. Silent ones are noticed up to a second after those whose
 	// connections close.
@@ -49,12 +48,12 @@
 	aliveAnnouncements = 2
 )
 
-// Weight is what a crash counts against a request that was running. Shared tells that
-// something that did not run the request failed at the same time: other upstreams of
-// the availability zone, or the machine of the upstream.
-func Weight(shared bool) int {
-	if shared {
-		return SharedWeight
+// Weight is what a crash counts against a request that was running. Doubt tells that
+// something that did not run the request failed at the same time, other upstreams of the
+// availability zone or the machine of the upstream, or that the upstream may not have ended.
+func Weight(doubt bool) int {
+	if doubt {
+		return DoubtWeight
 	}
 	return FullWeight
 }
--- a/core/quarantine/probation_test.go
+++ b/core/quarantine/probation_test.go
@@ -127,3 +127,17 @@
 	}
 	assert.Assert(t, f.quarantined("honest"), "a request can take a machine down too")
 }
+
+// Guards against a request that is quarantined at the second pause of an engine, and
+// against one that hangs engine after engine.
+func TestUnconfirmedCrashesCountLess(t *testing.T) {
+	f := newFleet()
+	for i := range 3 {
+		assert.Assert(t, !f.quarantined("hangs"), "%d engines", i)
+		f.now += ReportGrace.Milliseconds()
+		f.apply(Command{Crash: &wire.CrashArgs{
+			Upstream: fmt.Sprint("v", i), Incarnation: 1, CrashNumber: 1, Fingerprints: []string{"hangs"}, Probation: "hangs", Unconfirmed: true,
+		}})
+	}
+	assert.Assert(t, f.quarantined("hangs"))
+}
--- a/core/quarantine/state.go
+++ b/core/quarantine/state.go
@@ -57,7 +57,10 @@
 	if len(a.Fingerprints) > MaxReported {
 		return Answer{Err: result.New(result.InvalidField, "%d fingerprints in one report, at most %d", len(a.Fingerprints), MaxReported)}
 	}
-	c := crashReport{key: crashKey{a.Upstream, a.Incarnation, a.CrashNumber}, blamed: s.blamed(a), probation: a.Probation}
+	c := crashReport{
+		key: crashKey{a.Upstream, a.Incarnation, a.CrashNumber}, blamed: s.blamed(a), probation: a.Probation,
+		weight: crash.Weight(a.CrashNumber == wire.CrashOfAgent || a.Unconfirmed),
+	}
 	for _, f := range a.Fingerprints {
 		s.count(rule, c, f)
 	}
@@ -78,6 +81,8 @@
 	// was in probation; empty without one.
 	blamed    string
 	probation string
+	// weight is what the crash counts.
+	weight int
 }
 
 // blamed finds the request that caused a crash among the suspects that were
@@ -131,7 +136,7 @@
 	}
 	switch {
 	case r.Cleared || r.Weight == 0 || fingerprint == c.blamed:
-		s.strike(rule, r, crash.Weight(c.key.Number == wire.CrashOfAgent))
+		s.strike(rule, r, c.weight)
 	case c.blamed == "":
 		r.Shared++
 	}
--- a/core/wire/rpc.go
+++ b/core/wire/rpc.go
@@ -223,6 +223,9 @@
 	Fingerprints []string
 	// Probation is the one of them that was in probation; empty without one.
 	Probation string
+	// Unconfirmed tells that the upstream may not have ended: it fell silent, or its
+	// connections broke and it answered at once.
+	Unconfirmed bool
 }
 
 // CrashReply gives the state of the reported fingerprints.
--- a/modules/adapter/http.go
+++ b/modules/adapter/http.go
@@ -84,6 +84,17 @@
 	}
 }
 
+// Broke tells whether an error shows that a connection ended in the middle of an
+// exchange.
+func Broke(err error) bool {
+	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, end) {
+			return true
+		}
+	}
+	return false
+}
+
 // Refused tells whether an error shows that nothing listens at the upstream's
 // address.
 func Refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
--- a/modules/agent/agent_test.go
+++ b/modules/agent/agent_test.go
@@ -36,13 +36,14 @@
 	mu     sync.Mutex
 	pause  time.Duration // between tokens
 	mute   int           // stops sending at this token in the first run
+	cut    int           // closes the connection at this token in the first run
 	gate   chan struct{} // holds the first token back
 	health int
 	bodies []map[string]any
 }
 
 func newEngine(t testing.TB) *fakeEngine {
-	e := &fakeEngine{health: http.StatusOK, mute: -1}
+	e := &fakeEngine{health: http.StatusOK, mute: -1, cut: -1}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) {
 		e.mu.Lock()
@@ -69,7 +70,7 @@
 	_ = json.NewDecoder(r.Body).Decode(&body)
 	e.mu.Lock()
 	e.bodies = append(e.bodies, body)
-	run, pause, mute, gate := len(e.bodies), e.pause, e.mute, e.gate
+	run, pause, mute, cut, gate := len(e.bodies), e.pause, e.mute, e.cut, e.gate
 	e.mu.Unlock()
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
@@ -88,6 +89,9 @@
 			<-r.Context().Done()
 			return
 		}
+		if i == cut && run == 1 {
+			panic(http.ErrAbortHandler)
+		}
 		if _, err := fmt.Fprintf(w, "data: {\"choices\":[{\"text\":\"%d \"}]}\n\n", i); err != nil {
 			return
 		}
--- a/modules/agent/control_test.go
+++ b/modules/agent/control_test.go
@@ -358,6 +358,51 @@
 	assert.Equal(t, last.Ran, result.NotRun)
 }
 
+// Guards against crashes that nobody learns of: of an engine that is back before its agent
+// looks, and of one that falls silent.
+func TestUnconfirmedCrashIsReported(t *testing.T) {
+	ends := map[string]func(e *fakeEngine){
+		"back at once": func(e *fakeEngine) { e.CloseClientConnections() },
+		"silent":       func(e *fakeEngine) { e.set(func(e *fakeEngine) { e.health = http.StatusInternalServerError }) },
+	}
+	for name, end := range ends {
+		t.Run(name, func(t *testing.T) {
+			c, e := newControl(t), newEngine(t)
+			e.pause, e.mute = 5*time.Millisecond, 20
+			a := startAgent(t, engineAdapter(t, e.URL, 4), func(a *Agent) { a.Control = []string{c.addr()} })
+			req := request(10_000)
+			req.Fingerprint = "one"
+			first := open(t, a, req)
+			first.text(t, 20)
+			other := request(10_000)
+			other.Fingerprint = "two"
+			open(t, a, other).text(t, 3)
+			end(e)
+			_, last := first.text(t, whole)
+			assert.Equal(t, last.Ran, result.DidRun)
+			eventually(t, c, "crash report", func() bool { return len(c.crashes) == 1 })
+			assert.Equal(t, len(c.crashes[0].Fingerprints), 2)
+			assert.Assert(t, c.crashes[0].Unconfirmed)
+		})
+	}
+}
+
+// Guards against a request that is suspected since its connection was lost while the
+// engine went on.
+func TestLostConnectionIsNoCrash(t *testing.T) {
+	c, e := newControl(t), newEngine(t)
+	e.pause, e.cut = 5*time.Millisecond, 20
+	a := startAgent(t, engineAdapter(t, e.URL, 4), func(a *Agent) { a.Control = []string{c.addr()} })
+	first := open(t, a, request(10_000))
+	first.text(t, 1)
+	other := open(t, a, request(10_000))
+	other.text(t, 1)
+	_, last := first.text(t, whole)
+	assert.Equal(t, last.Code, result.UpstreamFailed)
+	other.text(t, 3)
+	assert.Equal(t, a.snapshot.Load().crashes, uint64(0))
+}
+
 // Guards against a quarantined request that runs, a suspect that runs without
 // a permit, two suspects in probation at once on one upstream, and a suspect
 // that is refused because of another's probation or waits beyond its end.
--- a/modules/agent/health.go
+++ b/modules/agent/health.go
@@ -4,10 +4,7 @@
 	"context"
 	"time"
 
-	"heatherway.dev/core/quarantine"
-	"heatherway.dev/core/wire"
 	"heatherway.dev/heatherway/modules/adapter"
-	"heatherway.dev/kernel/result"
 )
 
 const (
@@ -76,71 +73,3 @@
 	o.publish(now)
 	o.a.control.announceNow()
 }
-
-// diagnose looks at a failed run: when nothing listens at the upstream's
-// address any more, its process has crashed. The task must still hold its
-// slot, so that the crash is reported with its fingerprint.
-func (a *Agent) diagnose(epoch uint64, err error) {
-	if !result.Is(err, result.UpstreamFailed) && !result.Is(err, result.UpstreamNotReachable) {
-		return
-	}
-	probe := probeOnce(a.base, a.upstream.Probe)
-	if probe == nil || !adapter.Refused(probe) {
-		return
-	}
-	a.setUp(false)
-	if result.Is(err, result.UpstreamFailed) { // the request had reached the upstream
-		ev := crashEvent{epoch, make(chan struct{}, 1)}
-		ask(a, ev, ev.done)
-	}
-}
-
-// crashEvent reports a crash of the upstream. Epoch is the count of crashes
-// when the failed request started; a crash that was counted since is the same.
-type crashEvent struct {
-	epoch uint64
-	done  chan struct{}
-}
-
-func (e crashEvent) apply(o *owner, now time.Time) {
-	defer func() { e.done <- struct{}{} }()
-	if e.epoch != o.crashes {
-		return
-	}
-	o.crashes++
-	o.a.metrics.crashes.Inc()
-	args := wire.CrashArgs{
-		Reporter: o.a.instance.ID, Upstream: o.a.instance.ID,
-		Incarnation: o.a.incarnation, CrashNumber: o.crashes, Probation: o.inProbation(),
-	}
-	for _, t := range o.tasks {
-		if t.running && t.fingerprint != "" {
-			args.Fingerprints = append(args.Fingerprints, t.fingerprint)
-		}
-	}
-	o.a.log.Warn("the upstream has crashed", "crash", o.crashes, "running", len(args.Fingerprints))
-	o.publish(now)
-	o.a.background(func(ctx context.Context) { o.a.reportCrash(ctx, args) })
-}
-
-// reportCrash sends a report until a control instance has taken it.
-func (a *Agent) reportCrash(ctx context.Context, args wire.CrashArgs) {
-	var reply wire.CrashReply
-	for ctx.Err() == nil {
-		if err := a.control.call(ctx, "Control.Crash", &args, &reply); err == nil {
-			quarantine.OnClock(time.Now().UnixMilli(), reply.Suspect)
-			a.post(suspectsMerged{reply.Suspect})
-			return
-		}
-		sleep(ctx, controlPause)
-	}
-}
-
-// suspectsMerged adds suspects until the watch brings the whole list.
-type suspectsMerged struct{ list []wire.Suspect }
-
-func (e suspectsMerged) apply(o *owner, _ time.Time) {
-	for _, s := range e.list {
-		o.suspects[s.Fingerprint] = s
-	}
-}
--- a/modules/agent/owner.go
+++ b/modules/agent/owner.go
@@ -41,7 +41,8 @@
 	generations map[wire.ID]*generation
 	leaving     bool
 	up          bool
-	crashes     uint64 // of the upstream in this incarnation
+	crashes     uint64          // of the upstream in this incarnation
+	reported    <-chan struct{} // closed once the last crash has been reported
 	revision    uint64
 	seen        uint64    // the newest revision heard of
 	behindSince time.Time // since when seen is ahead of revision
@@ -145,6 +146,9 @@
 	// preempt stops the run of a preemptible task.
 	preempt func()
 	running bool
+	// began is when it got its slot; broke is set once its connection has broken.
+	began time.Time
+	broke bool
 }
 
 // suspect tells whether the task starts in probation.
@@ -168,7 +172,7 @@
 		t := o.tasks[d.ID]
 		switch d.Action {
 		case admission.Run:
-			t.running = true
+			t.running, t.began = true, now
 			// The request may have become a suspect while it waited.
 			if err := o.checkSuspect(t.fingerprint, t.permit); err != nil {
 				t.verdict <- result.From(err)
--- a/modules/agent/rpc.go
+++ b/modules/agent/rpc.go
@@ -131,10 +131,10 @@
 	} else {
 		r.reply, r.err = a.claimedCall(ctx, caller, args)
 	}
-	done <- r
 	if r.err != nil {
-		a.diagnose(epoch, r.err)
+		a.diagnose(t, epoch, r.err)
 	}
+	done <- r
 	a.post(taskDone{t, callCost})
 }
 
--- a/modules/agent/run.go
+++ b/modules/agent/run.go
@@ -61,8 +61,8 @@
 			continue
 		}
 		if err != nil {
+			r.a.diagnose(r.t, epoch, err)
 			r.fail(err)
-			r.a.diagnose(epoch, err)
 		}
 		r.a.post(taskDone{r.t, float64(tokens)})
 		return
--- a/modules/entry/suspect.go
+++ b/modules/entry/suspect.go
@@ -136,9 +136,10 @@
 	}
 }
 
-// crashed tells whether a failure looks like a crash of the upstream.
+// crashed tells whether a failure looks like a crash of the upstream, or like one that
+// stopped answering.
 func crashed(e *result.Error) bool {
-	return e != nil && e.Code == result.UpstreamFailed && e.Ran == result.DidRun
+	return e != nil && (e.Code == result.UpstreamFailed || e.Code == result.UpstreamStalled) && e.Ran == result.DidRun
 }
 
 // suspicion is what an entry knows of a request itself: how many of its
--- a/modules/standinengine/batch.go
+++ b/modules/standinengine/batch.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"heatherway.dev/heatherway/internal/fault"
 	"heatherway.dev/heatherway/internal/tokentext"
 	"heatherway.dev/kernel/stats"
 )
@@ -65,7 +66,7 @@
 // batch decodes one token of every running job in each step.
 type batch struct {
 	settings Settings
-	crash    func()
+	fault    func(fault.Kind)
 	// prefilled counts prompt and prefix tokens that were not cached.
 	prefilled stats.Counter
 
@@ -136,8 +137,10 @@
 }
 
 func (b *batch) start(j *job, now time.Time) {
-	if t := b.settings.CrashOn; t != "" && strings.Contains(j.prompt, t) {
-		b.crash()
+	for kind, text := range map[fault.Kind]string{fault.Die: b.settings.CrashOn, fault.Pause: b.settings.HangOn} {
+		if text != "" && strings.Contains(j.prompt, text) {
+			b.fault(kind)
+		}
 	}
 	known := b.cache.use(BlockHashes(j.prompt+j.prefixText), now) * blockChars / charsPerToken
 	j.cachedTokens = min(known, j.promptTokens)
--- a/modules/standinengine/standinengine.go
+++ b/modules/standinengine/standinengine.go
@@ -43,6 +43,8 @@
 	// CrashOn is a text that makes the engine die when it starts a prompt that
 	// contains it; empty never does.
 	CrashOn string `yaml:"crash_on"`
+	// HangOn is the same for a text that makes the engine pause.
+	HangOn string `yaml:"hang_on"`
 	// RandomSeed fixes which cache events are lost.
 	RandomSeed uint64 `yaml:"random_seed"`
 }
@@ -98,7 +100,7 @@
 	e.batch = newBatch(e.Settings)
 	e.batch.prefilled = st.Counter("standin_engine_prefill_tokens")
 	e.server = fault.NewServer(e.Settings.Settings, l, e.routes(), log, e.batch.clear)
-	e.batch.crash = func() { go e.server.Apply(fault.Die) }
+	e.batch.fault = func(k fault.Kind) { go e.server.Apply(k) }
 }
 
 // Start implements kernel.Runner.
--- a/test/e2e/crash_test.go
+++ b/test/e2e/crash_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -67,3 +69,44 @@
 		}
 	}
 }
+
+// hangMark in a prompt makes the stand-in engine stop all work and all answers.
+const hangMark = "HANG-THE-ENGINE"
+
+// faults counts how often engines have died or been stopped so far. It ends them.
+func (f *fleet) faults() (n int) {
+	for _, e := range f.Engines {
+		p := f.procs[e.Name+"-engine"]
+		p.kill() // its log is complete from then on
+		n += strings.Count(p.log.String(), `"kind":"die"`) + strings.Count(p.log.String(), `"kind":"pause"`)
+	}
+	return n
+}
+
+// Guards against a request that ends engine after engine since each is back at its address
+// before its agent looks: such an end is not certain, so it takes three.
+func TestCrashingRequestAtEnginesThatReturnAtOnce(t *testing.T) {
+	f := newFleet(t, shape{control: 1, entries: 2, engines: 3, enginesBack: time.Nanosecond})
+	ctx, cancel := context.WithTimeout(context.Background(), streamLimit)
+	defer cancel()
+	for i := range 8 {
+		c := &call{prompt: "reminder " + crashMark, tokens: 20}
+		t.Logf("send %d: %v", i, c.stream(ctx, f.Entries[i%len(f.Entries)], nil))
+	}
+	n := f.faults()
+	assert.Assert(t, n <= 3, "engines died %d times", n)
+}
+
+// Guards against a request that hangs engine after engine: silence says less than a crash,
+// so it takes three.
+func TestHangingRequestStopsThreeAtMost(t *testing.T) {
+	f := newFleet(t, shape{control: 1, entries: 2, engines: 6})
+	ctx, cancel := context.WithTimeout(context.Background(), streamLimit)
+	defer cancel()
+	for i := range 6 {
+		c := &call{prompt: "reminder " + hangMark, tokens: 20}
+		t.Logf("send %d: %v", i, c.stream(ctx, f.Entries[i%len(f.Entries)], nil))
+	}
+	n := f.faults()
+	assert.Assert(t, n <= 3, "%d engines were stopped", n)
+}
--- a/test/e2e/harness_test.go
+++ b/test/e2e/harness_test.go
@@ -87,8 +87,10 @@
 	Engines   []engine
 	Service   engine
 	// Step is the time of one decode step of the engines.
-	Step     string
-	security *peer.Security
+	Step string
+	// EnginesBack is that of the shape.
+	EnginesBack time.Duration
+	security    *peer.Security
 	// tls is the authority of a fleet with mutual TLS, nil without.
 	tls *testAuthority
 
@@ -118,6 +120,9 @@
 	step                      string
 	// proxies puts a proxy before each agent and each engine.
 	proxies bool
+	// enginesBack is the time after which an engine that has died is back at its address;
+	// without it the process ends.
+	enginesBack time.Duration
 }
 
 var templates = template.Must(template.New("").Parse(`
@@ -151,7 +156,7 @@
 {{define "engine"}}
 instance: {id: {{.E.Name}}-engine, zone: {{.E.Zone}}, region: local}
 tls: {{.TLS}}
-log: {level: warn}
+log: {level: info}
 roles:
 - standin-engine:
     listen: {{.E.Addr}}
@@ -159,8 +164,10 @@
     slots: 32
     step: {{.F.Step}}
     prefill_per_token: 10us
-    exit_on_die: true
+    exit_on_die: {{not .F.EnginesBack}}
+    restart_after: {{.F.EnginesBack}}
     crash_on: CRASH-THE-ENGINE
+    hang_on: HANG-THE-ENGINE
 {{end}}
 {{define "agent"}}
 instance: {id: {{.E.Name}}, zone: {{.E.Zone}}, region: local}
@@ -212,7 +219,7 @@
 	t.Helper()
 	security, err := peer.NewSecurity(peer.TLSSettings{Off: true}, slog.New(slog.DiscardHandler))
 	assert.NilError(t, err)
-	f := &fleet{t: t, dir: t.TempDir(), procs: map[string]*process{}, Step: s.step, security: security}
+	f := &fleet{t: t, dir: t.TempDir(), procs: map[string]*process{}, Step: s.step, EnginesBack: s.enginesBack, security: security}
 	if f.Step == "" {
 		f.Step = "5ms"
 	}
