logs: broken runs that others report are told in one line a second

Cause: one line for each message, though one broken run is told to every gateway by two control instances. logs.Summary counts them and lets one line a second through; the lines about a request whose verdict changes stay as they are.

--- a/modules/gateway/crash.go
+++ b/modules/gateway/crash.go
@@ -166,10 +166,13 @@
 				g.log.Info("request may crash upstreams", "fingerprint", fingerprint, "verdict", v.String())
 			}
 		}
-		if len(news) > 0 {
-			g.log.Info("broken runs learned", "runs", len(list), "requests", len(news))
-		}
 		g.crashesChanged(s)
+		if len(news) == 0 {
+			return
+		}
+		if runs, requests, due := s.learned.Add(time.Now(), len(list), len(news)); due {
+			g.log.Info("broken runs learned", "runs", runs, "requests", requests)
+		}
 	})
 }
 
--- a/modules/gateway/owner.go
+++ b/modules/gateway/owner.go
@@ -11,6 +11,7 @@
 	"heatherway.dev/core/dispatch"
 	"heatherway.dev/core/retry"
 	"heatherway.dev/core/slo"
+	"heatherway.dev/kernel/logs"
 	"heatherway.dev/kernel/recovery"
 )
 
@@ -21,6 +22,8 @@
 	latency map[string]*retry.Latency // of lookups, by service
 	slo     *slo.Recorder
 	crashes *crash.Ledger
+	// learned counts the broken runs that others have reported.
+	learned logs.Summary
 }
 
 // owner is the goroutine that owns the state. Traffic goroutines hand it short
--- a/modules/registry/directory.go
+++ b/modules/registry/directory.go
@@ -10,6 +10,7 @@
 
 	"heatherway.dev/core/crash"
 	"heatherway.dev/core/registration"
+	"heatherway.dev/kernel/logs"
 	"heatherway.dev/kernel/peer"
 	"heatherway.dev/kernel/recovery"
 )
@@ -53,6 +54,7 @@
 	sending map[string]bool
 	sent    chan shared
 	crashes *crash.Ledger
+	learned logs.Summary
 	// unsentCrashes holds for each other instance the requests of which it has not taken
 	// all broken runs yet.
 	unsentCrashes map[string]map[string]bool
@@ -277,7 +279,7 @@
 func (d *directory) takeCrashes(now time.Time, o observation) {
 	news := d.crashes.Merge(now, o.crashes)
 	if len(news) > 0 {
-		d.log.Info("broken runs learned", "runs", len(o.crashes), "requests", len(news), "direct", o.direct)
+		d.logLearned(now, len(o.crashes), len(news))
 	}
 	for _, fingerprint := range news {
 		if v := d.crashes.Verdict(now, fingerprint); v != crash.Free {
@@ -291,6 +293,13 @@
 	}
 }
 
+// logLearned counts broken runs that are news, and tells of them now and then.
+func (d *directory) logLearned(now time.Time, runs, requests int) {
+	if runs, requests, due := d.learned.Add(now, runs, requests); due {
+		d.log.Info("broken runs learned", "runs", runs, "requests", requests)
+	}
+}
+
 // queueCrash marks the broken runs of a request for another instance.
 func (d *directory) queueCrash(addr, fingerprint string) {
 	if d.unsentCrashes[addr] == nil {
@@ -479,6 +488,7 @@
 	if d.attention.full(now, following, d.lostAfter()) {
 		lost = d.state.MarkLost(now, d.lostAfter())
 	}
+	d.logLearned(now, 0, 0)
 	crashes := d.crashes.Changes()
 	d.crashes.Expire(now)
 	for _, u := range lost {
