heatherwayctl explain: what happened to a request, from the logs of all processes

The command reads logs twice as a stream: first the lines that name the request, then those about its upstreams, its earlier broken runs and its own processes, of which only the last one before the request and those during it are shown. It ends with one line that says how the request ended and why. Torn and endless lines are counted.

--- /dev/null
+++ b/internal/explain/belief.go
@@ -0,0 +1,144 @@
+package explain
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// beliefs collects what the processes of a request believed: of each subject the last
+// line before the request, and all lines while it was under way.
+type beliefs struct {
+	*search
+	latest map[string]*Line
+	during []Shown
+}
+
+func (b *beliefs) take(l *Line) {
+	if slices.ContainsFunc(idFields, func(f string) bool { return l.text(f) == b.id }) || l.Time.After(b.end) {
+		return
+	}
+	if f := l.text("fingerprint"); f != "" {
+		if b.fingerprints[f] && b.end.Sub(l.Time) <= crashTime {
+			b.add(Shown{Line: l, Kind: Crash})
+		}
+		return
+	}
+	subject := ""
+	switch u := l.text("upstream"); {
+	case hasRequest(l):
+		return // of another request
+	case b.upstreams[u] && (b.instances[l.Instance] || l.Message == "upstream lost"):
+		subject = u
+	case b.instances[l.Instance] && slices.Contains(processMessages, l.Message):
+		subject = l.Message
+	default:
+		return
+	}
+	if !l.Time.Before(b.start) {
+		b.add(Shown{Line: l, Kind: Belief})
+		return
+	}
+	key := l.Instance + " " + subject
+	if old := b.latest[key]; old == nil || !l.Time.Before(old.Time) {
+		b.latest[key] = l
+	}
+}
+
+func hasRequest(l *Line) bool {
+	return slices.ContainsFunc(idFields, func(f string) bool { return l.text(f) != "" })
+}
+
+func (b *beliefs) add(s Shown) {
+	if len(b.during) >= maxLines {
+		b.left++
+		return
+	}
+	b.during = append(b.during, s)
+}
+
+// report returns all lines in order of time.
+func (b *beliefs) report() []Shown {
+	out := slices.Clone(b.during)
+	for _, l := range b.own {
+		out = append(out, Shown{Line: l, Kind: Own})
+	}
+	for _, l := range b.latest {
+		out = append(out, Shown{Line: l, Kind: Belief})
+	}
+	for i := range out {
+		out[i].Age = b.end.Sub(out[i].Time)
+	}
+	slices.SortStableFunc(out, func(x, y Shown) int {
+		if c := x.Time.Compare(y.Time); c != 0 {
+			return c
+		}
+		return strings.Compare(x.Instance+x.Message, y.Instance+y.Message)
+	})
+	return out
+}
+
+// endMessages tell of the end of a request: the first one of entries, the others of
+// gateways.
+var endMessages = []string{"request", "request failed", "request answered", "stream broken off", "caller gone", "unexpected failure"}
+
+// why says in one line how the request ended.
+func why(lines []Shown) string {
+	var end *Line
+	var failed []string
+	resumed, stopped := 0, false
+	for _, s := range lines {
+		switch {
+		case s.Kind == Own && slices.Contains(endMessages, s.Message):
+			end = s.Line
+		case s.Kind == Own && s.Message == "attempt failed":
+			failed = append(failed, fmt.Sprintf("%s (%s)", s.text("upstream"), s.text("error")))
+		case s.Kind == Own && s.Message == "stream resumed":
+			resumed++
+		case s.Message == "requests cut off at the end of the grace period":
+			stopped = true
+		}
+	}
+	if end == nil && stopped {
+		return "no line tells its end: its gateway was stopped, and cut it off at the end of the grace period"
+	}
+	if end == nil {
+		return "no line tells its end: it is under way, its process was killed, or its line was dropped" + after(failed, resumed)
+	}
+	took := time.Duration(end.number("took_ms")) * time.Millisecond
+	switch end.Message {
+	case "request answered":
+		return fmt.Sprintf("answered after %v by %s%s", took, end.text("upstream"), after(failed, resumed))
+	case "caller gone":
+		return fmt.Sprintf("the caller left after %v%s", took, after(failed, resumed))
+	case "stream broken off":
+		return fmt.Sprintf("broken off behind event %.0f after %v: %s%s", end.number("last_event"), took, end.text("error"), after(failed, resumed))
+	case "request":
+		ended := "answered"
+		if code := end.number("code"); code != 0 {
+			ended = fmt.Sprintf("failed with code %.0f", code)
+		}
+		return fmt.Sprintf("%s after %.0f ms in %.0f attempts, %.0f tokens, last upstream %q%s", ended,
+			end.number("duration_ms"), end.number("attempts"), end.number("tokens"), end.text("upstream"), after(failed, resumed))
+	case "unexpected failure":
+		return "a fault of heatherway ended it, see the stack: report it"
+	}
+	ran := map[string]string{"not_run": "it has not run", "ran": "it has run", "unknown": "it may have run"}[end.text("ran")]
+	again := ""
+	if ms := end.number("retry_after_ms"); ms > 0 {
+		again = fmt.Sprintf(", to come back after %v", time.Duration(ms)*time.Millisecond)
+	}
+	return fmt.Sprintf("answered %.0f after %v, %s%s: %s%s", end.number("status"), took, ran, again, end.text("error"), after(failed, resumed))
+}
+
+func after(failed []string, resumed int) string {
+	out := ""
+	if resumed > 0 {
+		out = fmt.Sprintf("; it went on elsewhere %d times", resumed)
+	}
+	if len(failed) > 0 {
+		out += fmt.Sprintf("; %d attempts failed: %s", len(failed), strings.Join(failed, ", "))
+	}
+	return out
+}
--- /dev/null
+++ b/internal/explain/explain.go
@@ -0,0 +1,162 @@
+package explain
+
+import (
+	"cmp"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	// maxLines bounds the lines that are held for one request.
+	maxLines = 5000
+	// crashTime is how long before a request broken runs of the same one count.
+	crashTime = 10 * time.Minute
+)
+
+// Source is one log. It is read twice.
+type Source struct {
+	Name string
+	Open func() (io.ReadCloser, error)
+}
+
+// Kind tells why a line is shown.
+type Kind uint8
+
+// The kinds of line.
+const (
+	// Own lines name the request.
+	Own Kind = iota
+	// Belief lines tell what a process that decided about the request believed.
+	Belief
+	// Crash lines are about earlier runs of the same request.
+	Crash
+)
+
+// String returns the name shown.
+func (k Kind) String() string { return [...]string{"request", "belief", "crash"}[min(k, Crash)] }
+
+// Shown is a line of a report.
+type Shown struct {
+	*Line
+	Kind Kind
+	// Age is the time from a belief to the request's end.
+	Age time.Duration
+}
+
+// Report is what the logs tell of one request.
+type Report struct {
+	ID     string
+	Lines  []Shown
+	Counts Counts
+	// Why says in one line how the request ended and why.
+	Why string
+	// Left is the number of lines beyond the bound.
+	Left int
+}
+
+// search is what is known of a request after its own lines have been read.
+type search struct {
+	id           string
+	own          []*Line
+	left         int
+	start, end   time.Time
+	instances    map[string]bool
+	upstreams    map[string]bool
+	fingerprints map[string]bool
+}
+
+// idFields name a request in the lines of gateways, entries and agents.
+var idFields = []string{"request", "request_id", "generation"}
+
+// Request explains a request from logs.
+func Request(id string, sources []Source) (*Report, error) {
+	s := &search{id: id, instances: map[string]bool{}, upstreams: map[string]bool{}, fingerprints: map[string]bool{}}
+	counts, err := each(sources, []string{id}, s.takeOwn)
+	if err != nil {
+		return nil, err
+	}
+	r := &Report{ID: id, Counts: counts}
+	if len(s.own) == 0 {
+		r.Why = "no line names the request: it is under way, it was answered by its first upstream, or the log of its gateway is not among these"
+		return r, nil
+	}
+	slices.SortStableFunc(s.own, func(a, b *Line) int { return a.Time.Compare(b.Time) })
+	s.bounds()
+	b := beliefs{search: s, latest: map[string]*Line{}}
+	if _, err := each(sources, s.subjects(), b.take); err != nil {
+		return nil, err
+	}
+	r.Lines, r.Left = b.report(), s.left
+	r.Why = why(r.Lines)
+	return r, nil
+}
+
+// each reads all sources.
+func each(sources []Source, texts []string, visit func(*Line)) (all Counts, err error) {
+	for _, s := range sources {
+		in, err := s.Open()
+		if err != nil {
+			return all, errors.Wrap(err, s.Name)
+		}
+		c, err := read(in, texts, visit)
+		all.Lines, all.Damaged = all.Lines+c.Lines, all.Damaged+c.Damaged
+		if err := cmp.Or(err, in.Close()); err != nil {
+			return all, errors.Wrap(err, s.Name)
+		}
+	}
+	return all, nil
+}
+
+func (s *search) takeOwn(l *Line) {
+	if !slices.ContainsFunc(idFields, func(f string) bool { return l.text(f) == s.id }) {
+		return
+	}
+	if len(s.own) >= maxLines {
+		s.left++
+		return
+	}
+	s.own = append(s.own, l)
+	s.instances[l.Instance] = true
+	for _, field := range []string{"upstream", "backup", "holder", "prompt_at"} {
+		if u := l.text(field); u != "" {
+			s.upstreams[u] = true
+		}
+	}
+	for _, u := range l.texts("tried") {
+		s.upstreams[u] = true
+	}
+	if f := l.text("fingerprint"); f != "" {
+		s.fingerprints[f] = true
+	}
+}
+
+// bounds finds out when the request began and ended.
+func (s *search) bounds() {
+	s.start, s.end = s.own[0].Time, s.own[len(s.own)-1].Time
+	for _, l := range s.own {
+		took := time.Duration(max(l.number("took_ms"), l.number("duration_ms"))) * time.Millisecond
+		if at := l.Time.Add(-took); at.Before(s.start) {
+			s.start = at
+		}
+	}
+}
+
+// processMessages are lines about a process that touch each of its requests.
+var processMessages = []string{
+	"configuration in force", "control instance followed", "control instance lost", "gateway starts", "draining",
+	"requests cut off at the end of the grace period", "log lines dropped",
+}
+
+// subjects are the texts of which a line about a belief contains one.
+func (s *search) subjects() []string {
+	out := slices.Clone(processMessages)
+	for _, set := range []map[string]bool{s.upstreams, s.fingerprints} {
+		for name := range set {
+			out = append(out, name)
+		}
+	}
+	return out
+}
