--- a/test/e2e/crash_test.go
+++ b/test/e2e/crash_test.go
@@ -83,16 +83,21 @@
 	return n
 }
 
+// sendAgain sends a request with a mark through every entry in turn, whatever the answer.
+func (f *fleet) sendAgain(mark string, times int) {
+	ctx, cancel := context.WithTimeout(context.Background(), streamLimit)
+	defer cancel()
+	for i := range times {
+		c := &call{prompt: "reminder " + mark, tokens: 20}
+		f.t.Logf("send %d: %v", i, c.stream(ctx, f.Entries[i%len(f.Entries)], nil))
+	}
+}
+
 // Guards against a request that ends engine after engine since each is back at its address
 // before its agent looks: such an end is not certain, so it takes three.
 func TestCrashingRequestAtEnginesThatReturnAtOnce(t *testing.T) {
 	f := newFleet(t, shape{control: 1, entries: 2, engines: 3, enginesBack: time.Nanosecond})
-	ctx, cancel := context.WithTimeout(context.Background(), streamLimit)
-	defer cancel()
-	for i := range 8 {
-		c := &call{prompt: "reminder " + crashMark, tokens: 20}
-		t.Logf("send %d: %v", i, c.stream(ctx, f.Entries[i%len(f.Entries)], nil))
-	}
+	f.sendAgain(crashMark, 8)
 	n := f.faults()
 	assert.Assert(t, n <= 3, "engines died %d times", n)
 }
@@ -101,12 +106,7 @@
 // so it takes three.
 func TestHangingRequestStopsThreeAtMost(t *testing.T) {
 	f := newFleet(t, shape{control: 1, entries: 2, engines: 6})
-	ctx, cancel := context.WithTimeout(context.Background(), streamLimit)
-	defer cancel()
-	for i := range 6 {
-		c := &call{prompt: "reminder " + hangMark, tokens: 20}
-		t.Logf("send %d: %v", i, c.stream(ctx, f.Entries[i%len(f.Entries)], nil))
-	}
+	f.sendAgain(hangMark, 6)
 	n := f.faults()
 	assert.Assert(t, n <= 3, "%d engines were stopped", n)
 }
