fault: the end of a stand-in is complete before its next start

Cause, in the stand-in: die resets the connections first and clears the batch after that; a restart that comes between starts a request whose job the end of the engine then clears. The test is unchanged.

--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -78,6 +78,8 @@
 
 // Server serves a handler until a fault is ordered.
 type Server struct {
+	applying sync.Mutex // held while a fault is applied
+
 	settings Settings
 	log      *slog.Logger
 	http     *http.Server
@@ -204,6 +206,9 @@
 // Apply makes a fault happen now.
 func (s *Server) Apply(k Kind) {
 	s.log.Info("fault", "kind", k)
+	// An end is complete before a new start: what it clears is not the next one's.
+	s.applying.Lock()
+	defer s.applying.Unlock()
 	switch k {
 	case Die:
 		s.die()
