gateway: filler does not put off or repeat the check of a silent upstream

Cause: two faults of one kind, bytes that are no event were taken for progress. Each arrival set the timer of the check anew, so that it was starved while filler came faster than it was passed on; and a check during which filler had arrived was dropped uncounted, so that the next one followed at once, each with a new connection, a report and a log line.

Change: only an event sets the timer anew; what waits is taken before and after a probe, and filler among it does not undo the verdict; a stream that is given up waits for events, not for a pause in the filler.

Ruled out: the meter of stray answers and the buffers (memory was never exceeded).

--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -112,6 +112,10 @@
 // Last returns the last event that the caller has; false when it has none.
 func (s *Stream) Last() (int64, bool) { return s.last, s.any }
 
+// Received returns the number of events of the current attempt, those that the
+// caller has among them. Only an event ends the silence of an upstream.
+func (s *Stream) Received() int { return s.received }
+
 // LongestPause returns the longest pause between two events of the caller.
 func (s *Stream) LongestPause() time.Duration { return s.longest }
 
--- a/modules/gateway/endless_test.go
+++ b/modules/gateway/endless_test.go
@@ -165,6 +165,29 @@
 	assert.Assert(t, a.took < 2*time.Second, "%v", a.took)
 }
 
+// Guards against a stalled stream whose filler keeps arriving while its upstream is
+// checked: each check that finds some has said nothing, and the next follows at once.
+func TestFillerDoesNotRepeatChecks(t *testing.T) {
+	stalled := serve(t, "u1", "model", "z0", func(w http.ResponseWriter, r *http.Request, _ int) {
+		send(w, 0)
+		for r.Context().Err() == nil {
+			_, _ = io.WriteString(w, ":\n\n")
+			w.(http.Flusher).Flush()
+			time.Sleep(100 * time.Microsecond)
+		}
+	})
+	var reports atomic.Int64
+	stalled.report = func() string {
+		reports.Add(1)
+		return `{"Queued":0,"Running":0,"KvUsed":0,"Runs":[]}`
+	}
+	f := newFixture(t, configuration(), stalled)
+	a := f.letter()
+	assert.Assert(t, a.err != nil, "an answer without its end must not look complete")
+	assert.Assert(t, reports.Load() <= 3, "%d reports were asked for", reports.Load())
+	assert.Assert(t, a.took < 2*time.Second, "%v", a.took)
+}
+
 // Guards against a slow but sound stream that is cut: its pauses are just below the
 // longest that count as on time.
 func TestSlowStreamIsNotCut(t *testing.T) {
--- a/modules/gateway/stream.go
+++ b/modules/gateway/stream.go
@@ -169,18 +169,17 @@
 	c := newCopies(s, a)
 	defer func() { a.holder, a.copy = c.holder, c.from; c.close() }()
 	for {
+		received := s.relay.Received()
 		select {
 		case in, more := <-r.events:
 			if s.arrived(a, r, in, more) {
 				return
 			}
-			if a.started {
-				c.began()
+			if s.relay.Received() > received { // filler does not put the check off
+				timer.Reset(s.relay.Patience(time.Now()))
 			}
-			timer.Reset(s.relay.Patience(time.Now()))
 		case <-timer.C:
-			if !s.check(ctx, a, r) {
-				s.takeReady(a, r)
+			if s.check(ctx, a, r) {
 				return
 			}
 			timer.Reset(s.relay.Patience(time.Now()))
@@ -188,8 +187,7 @@
 			if s.relay.Fresh(time.Now()) {
 				continue
 			}
-			if !s.check(ctx, a, r) {
-				s.takeReady(a, r)
+			if s.check(ctx, a, r) {
 				return
 			}
 			timer.Reset(s.relay.Patience(time.Now()))
@@ -207,6 +205,9 @@
 			a.err = s.ctx.Err()
 			return
 		}
+		if a.started {
+			c.began()
+		}
 	}
 }
 
@@ -228,16 +229,23 @@
 // still, pass on what has arrived.
 const readyPause = 10 * time.Millisecond
 
-// takeReady passes on what has arrived from an upstream that is given up.
+// takeReady passes on what has arrived from an upstream that is given up, until no
+// event has come for readyPause.
 func (s *streaming) takeReady(a *attempt, r *eventReader) {
 	reason := a.err
+	pause := time.NewTimer(readyPause)
+	defer pause.Stop()
 	for {
+		received := s.relay.Received()
 		select {
 		case in, more := <-r.events:
 			if s.arrived(a, r, in, more) {
 				return
 			}
-		case <-time.After(readyPause):
+			if s.relay.Received() > received {
+				pause.Reset(readyPause)
+			}
+		case <-pause.C:
 			a.err = reason
 			return
 		}
@@ -256,23 +264,24 @@
 	return s.forward(a.choice.Upstream, f)
 }
 
-// check finds out by a new connection whether a silent upstream is alive, and from
-// its report whether it works on the attempt. It returns false when the attempt is
-// to be given up. What has arrived in the meantime is taken first.
+// check finds out whether a silent upstream is alive and works on the attempt. It
+// returns true when the attempt has ended. What arrives in the meantime is taken
+// first: an event ends the silence, filler does not.
 func (s *streaming) check(ctx context.Context, a *attempt, r *eventReader) bool {
-	u := a.choice.Upstream
-	left := s.g.backoff(u)
-	var err error
-	if left == 0 {
-		err = s.g.upstreams.check(ctx, u.Addr, u.ID)
+	received := s.relay.Received()
+	if s.takeArrived(a, r) {
+		return true
 	}
-	progress := relay.Unknown
-	if left == 0 && err == nil && s.relay.Patience(time.Now()) == 0 {
-		progress = s.askProgress(ctx, u)
+	if s.relay.Received() > received {
+		return false
 	}
-	if len(r.events) > 0 || err == nil && s.relay.Checked(time.Now(), progress) {
+	progress, err := s.probe(ctx, a.choice.Upstream)
+	if s.takeArrived(a, r) {
 		return true
 	}
+	if s.relay.Received() > received || err == nil && s.relay.Checked(time.Now(), progress) {
+		return false
+	}
 	s.g.metrics.silent.Inc()
 	a.silent = true
 	a.err = errors.New("the upstream is silent and accepts connections")
@@ -281,7 +290,35 @@
 	}
 	if err != nil {
 		a.err = errors.Wrap(err, "the upstream is silent")
-		s.g.follower.replaced.alarm(u)
+		s.g.follower.replaced.alarm(a.choice.Upstream)
+	}
+	s.takeReady(a, r)
+	return true
+}
+
+// probe opens a connection to a silent upstream and, when the patience with the
+// attempt has run out, asks for its report. An error means that there is no connection.
+func (s *streaming) probe(ctx context.Context, u registration.Upstream) (relay.Progress, error) {
+	if s.g.backoff(u) > 0 {
+		return relay.Unknown, nil
+	}
+	if err := s.g.upstreams.check(ctx, u.Addr, u.ID); err != nil {
+		return relay.Unknown, err
+	}
+	if s.relay.Patience(time.Now()) > 0 {
+		return relay.Unknown, nil
+	}
+	return s.askProgress(ctx, u), nil
+}
+
+// takeArrived takes what waits at the moment; filler may arrive as fast as it is
+// taken. It returns true when the attempt has ended.
+func (s *streaming) takeArrived(a *attempt, r *eventReader) bool {
+	for range len(r.events) {
+		in, more := <-r.events
+		if s.arrived(a, r, in, more) {
+			return true
+		}
 	}
 	return false
 }
