agent: chunks without output are no progress of an engine

What callers would see: a stalled stream that stays open until its deadline, since its engine goes on stating its usage.

Evidence: TestChunksWithoutOutputAreNoProgress, an engine that makes 20 tokens and then states its usage every 50 ms: red before, 20 s without an end (the limit of the test's client). After: the stream is opened again at the engine and whole.

Now only text, tokens or a finish reason count (adapter.Event.Output). modules/agent and modules/adapter pass.

--- a/modules/adapter/openai/stream.go
+++ b/modules/adapter/openai/stream.go
@@ -111,7 +111,9 @@
 		if ev == (adapter.Event{}) {
 			continue
 		}
-		filler = 0
+		if ev.Output() {
+			filler = 0
+		}
 		if err := emit(ev); err != nil {
 			return err
 		}
--- a/modules/agent/agent_test.go
+++ b/modules/agent/agent_test.go
@@ -37,6 +37,7 @@
 	pause  time.Duration // between tokens
 	mute   int           // stops sending at this token in the first run
 	cut    int           // closes the connection at this token in the first run
+	usage  time.Duration // between chunks without output while it is mute, 0 for none
 	gate   chan struct{} // holds the first token back
 	health int
 	bodies []map[string]any
@@ -70,7 +71,7 @@
 	_ = json.NewDecoder(r.Body).Decode(&body)
 	e.mu.Lock()
 	e.bodies = append(e.bodies, body)
-	run, pause, mute, cut, gate := len(e.bodies), e.pause, e.mute, e.cut, e.gate
+	run, pause, mute, cut, gate, usage := len(e.bodies), e.pause, e.mute, e.cut, e.gate, e.usage
 	e.mu.Unlock()
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
@@ -86,7 +87,7 @@
 	limit, _ := body["max_tokens"].(float64)
 	for i := int(from); i < int(limit); i++ {
 		if i == mute && run == 1 {
-			<-r.Context().Done()
+			stay(w, r, usage)
 			return
 		}
 		if i == cut && run == 1 {
@@ -105,6 +106,16 @@
 	_, _ = io.WriteString(w, "data: {\"choices\":[{\"text\":\"\",\"finish_reason\":\"length\"}],\"usage\":{\"prompt_tokens\":5}}\n\ndata: [DONE]\n\n")
 }
 
+// stay makes no output until the caller has gone, but states its usage again and again.
+func stay(w http.ResponseWriter, r *http.Request, usage time.Duration) {
+	for usage > 0 && r.Context().Err() == nil {
+		_, _ = io.WriteString(w, "data: {\"choices\":[{\"text\":\"\"}],\"usage\":{\"prompt_tokens\":5}}\n\n")
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(usage)
+	}
+	<-r.Context().Done()
+}
+
 func (e *fakeEngine) set(change func(e *fakeEngine)) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -316,6 +327,20 @@
 	t.Logf("output continued after %v", time.Since(start))
 }
 
+// Guards against a stalled stream that chunks without output keep open until its
+// deadline.
+func TestChunksWithoutOutputAreNoProgress(t *testing.T) {
+	e := newEngine(t)
+	e.mute, e.usage = 20, 50*time.Millisecond
+	a := startAgent(t, engineAdapter(t, e.URL, 1), nil)
+	c := open(t, a, request(50))
+	start := time.Now()
+	text, last := c.text(t, whole)
+	assert.Equal(t, text, numbers(0, 50))
+	assert.Equal(t, last.Kind, wire.FrameEnd)
+	assert.Assert(t, time.Since(start) < 5*time.Second, "%v", time.Since(start))
+}
+
 // Guards against a stalled engine that holds its streams, and against held text
 // that a later reader cannot get.
 func TestStalledEngine(t *testing.T) {
--- a/modules/agent/run.go
+++ b/modules/agent/run.go
@@ -149,7 +149,9 @@
 	err := engine.Generate(ctx, r.g.job(), func(ev adapter.Event) error {
 		wd.busy.Store(true)
 		defer wd.busy.Store(false)
-		defer wd.touch()
+		if ev.Output() {
+			defer wd.touch()
+		}
 		wd.decoding.Store(wd.decoding.Load() || ev.Tokens > 0)
 		*tokens += uint64(ev.Tokens)
 		r.passProbation(*tokens)
