agent: engines and services say when to stay away

Cause: agents read the status of an answer only, a 503 was taken for a refusal of the fleet, and health checks that were turned away marked a sound engine as down.

Change: core/signal holds what an upstream has said, for gateways and agents alike. Adapters read the head of every answer (Upstream-Leaving, Retry-After of a 503). The agent's queue closes while its upstream leaves or wants nothing: what waits is refused with not run, entries take it elsewhere, what runs goes on, no health check is sent, and control is told. The stand-ins learn both as faults (leave, busy).

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 	"heatherway.dev/core/breaker"
 	"heatherway.dev/core/registration"
 	"heatherway.dev/core/routing"
+	"heatherway.dev/core/signal"
 )
 
 const (
@@ -140,8 +141,8 @@
 	// time of the last answer.
 	failing  float64
 	answered time.Time
-	// backoffUntil is the time until which the upstream has asked this gateway to stay away.
-	backoffUntil time.Time
+	// backoff is the time for which the upstream has asked this gateway to stay away.
+	backoff signal.Backoff
 }
 
 // foreign is the work of other gateways at an upstream.
@@ -248,9 +249,9 @@
 		if u.State != registration.Ready || u.Leaving {
 			continue
 		}
-		if u.backoffUntil.After(now) {
+		if left := u.backoff.Left(now); left > 0 {
 			backingOff = true
-			r.Retry = min(r.Retry, u.backoffUntil.Sub(now))
+			r.Retry = min(r.Retry, left)
 			continue
 		}
 		others = true
--- a/core/dispatch/signal.go
+++ b/core/dispatch/signal.go
@@ -2,17 +2,9 @@
 
 import "time"
 
-// This file holds what upstreams say of themselves in their answers: that they leave,
-// and that this gateway is to back off. It answers planned stops and overload, in which
-// an upstream knows better than any report what it can take.
-
-// maxBackoff bounds the backoff that an upstream may ask for. One that asks for more has
-// most likely sent a value in another unit.
-const maxBackoff = 10 * time.Minute
-
 // takesWork tells whether an upstream accepts new work from this gateway, as far as
 // its answers say.
-func (u *upstream) takesWork(now time.Time) bool { return !u.Leaving && !u.backoffUntil.After(now) }
+func (u *upstream) takesWork(now time.Time) bool { return !u.Leaving && u.backoff.Left(now) == 0 }
 
 // incarnation returns the upstream with an id if it is still the same incarnation.
 func (f *Fleet) incarnation(id string, startedMS int64) *upstream {
@@ -40,10 +32,7 @@
 	if u == nil {
 		return time.Time{}
 	}
-	if until := now.Add(min(wait, maxBackoff)); until.After(u.backoffUntil) {
-		u.backoffUntil = until
-	}
-	return u.backoffUntil
+	return u.backoff.Ask(now, wait)
 }
 
 // Backoff returns what is left of the backoff that an incarnation has asked for.
@@ -52,7 +41,7 @@
 	if u == nil {
 		return 0
 	}
-	return max(u.backoffUntil.Sub(now), 0)
+	return u.backoff.Left(now)
 }
 
 // RetryIn returns when a request may be placed here: zero if it could be now.
--- a/core/dispatch/signal_test.go
+++ b/core/dispatch/signal_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"heatherway.dev/core/signal"
 )
 
 // Guards against new work, copies and questions for upstreams that leave or have
@@ -45,7 +47,7 @@
 	_, refusal = f.Place(start.Add(3*time.Second), letter())
 	assert.Assert(t, refusal == nil)
 	f.SetBackoff(start, u.ID, u.StartedMS, 1000*time.Hour)
-	assert.Equal(t, f.Backoff(start, u.ID, u.StartedMS), maxBackoff)
+	assert.Equal(t, f.Backoff(start, u.ID, u.StartedMS), signal.MaxBackoff)
 	f.SetBackoff(start, u.ID, u.StartedMS+1, time.Hour)
 	u.StartedMS++
 	f.SetUpstream(u)
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -9,11 +9,15 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
 
+	"heatherway.dev/heatherway/modules/adapter"
 	"heatherway.dev/kernel/settings"
 )
 
@@ -28,10 +32,17 @@
 	Pause Kind = "pause"
 	// Silence holds back every byte on the connections that are open now.
 	Silence Kind = "silence"
+	// Leave says in every answer that the stand-in is about to stop.
+	Leave Kind = "leave"
+	// Busy turns everything away for busyTime and asks for that backoff.
+	Busy Kind = "busy"
 	// Resume ends every fault.
 	Resume Kind = "resume"
 )
 
+// busyTime is how long a busy stand-in takes nothing.
+const busyTime = 2 * time.Second
+
 // Path is where faults are ordered.
 const Path = "/fault"
 
@@ -87,7 +98,10 @@
 	onDie    func()
 	addr     string
 	paused   gate
-	faults   *http.Server // on FaultListen; nil without one
+	leaving  atomic.Bool
+	// busyUntil is until when everything is turned away, in Unix nanoseconds.
+	busyUntil atomic.Int64
+	faults    *http.Server // on FaultListen; nil without one
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -172,6 +186,15 @@
 		s.TakeOrder(w, r)
 		return
 	}
+	if s.leaving.Load() {
+		w.Header().Set(adapter.LeavingHeader, "1")
+	}
+	if left := time.Until(time.Unix(0, s.busyUntil.Load())); left > 0 {
+		s.log.Info("turned away while busy", "path", r.URL.Path, "left_ms", left.Milliseconds())
+		w.Header().Set("Retry-After", strconv.FormatFloat(left.Seconds(), 'f', 3, 64))
+		http.Error(w, "busy", http.StatusServiceUnavailable)
+		return
+	}
 	select {
 	case <-s.Paused():
 		s.handler.ServeHTTP(w, r)
@@ -201,7 +224,9 @@
 	w.WriteHeader(http.StatusAccepted)
 }
 
-func (k Kind) known() bool { return k == Die || k == Pause || k == Silence || k == Resume }
+func (k Kind) known() bool {
+	return slices.Contains([]Kind{Die, Pause, Silence, Leave, Busy, Resume}, k)
+}
 
 // Apply makes a fault happen now.
 func (s *Server) Apply(k Kind) {
@@ -216,7 +241,13 @@
 		s.paused.shut()
 	case Silence:
 		s.eachConn(func(c *conn) { c.silent.shut() })
+	case Leave:
+		s.leaving.Store(true)
+	case Busy:
+		s.busyUntil.Store(time.Now().Add(busyTime).UnixNano())
 	case Resume:
+		s.leaving.Store(false)
+		s.busyUntil.Store(0)
 		s.openGates()
 		s.revive()
 	}
@@ -274,5 +305,7 @@
 		return
 	}
 	s.dead, s.listener = false, l
+	s.leaving.Store(false) // a new incarnation has said nothing yet
+	s.busyUntil.Store(0)
 	s.serve(l)
 }
--- a/modules/adapter/http.go
+++ b/modules/adapter/http.go
@@ -50,7 +50,8 @@
 	return t
 }
 
-// ProbeURL asks for a health page and wants status 200.
+// ProbeURL asks for a health page and wants status 200. The code queue_full means that the
+// upstream asks for backoff, which says nothing of its health.
 func ProbeURL(ctx context.Context, c *http.Client, url string) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
@@ -62,6 +63,9 @@
 	}
 	defer func() { _ = res.Body.Close() }()
 	_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, maxProbeBody))
+	if wait := signalOf(res).Backoff; wait > 0 {
+		return result.New(result.QueueFull, "health answered %d", res.StatusCode).After(wait)
+	}
 	if res.StatusCode != http.StatusOK {
 		return result.New(result.UpstreamFailed, "health answered %d", res.StatusCode)
 	}
--- a/modules/adapter/openai/openai.go
+++ b/modules/adapter/openai/openai.go
@@ -54,6 +54,8 @@
 	// Events is the address where the engine publishes cache events.
 	Events string `yaml:"events"`
 
+	adapter.Signals `yaml:"-"`
+
 	client *http.Client
 	probes *http.Client
 	// orders makes a connection for each order, so that a kept connection which
@@ -80,9 +82,9 @@
 // Provision implements kernel.Provisioner.
 func (e *Engine) Provision(*kernel.Context) error {
 	e.URL = strings.TrimRight(e.URL, "/")
-	e.client = &http.Client{Transport: adapter.Transport(e.Slots)}
-	e.probes = &http.Client{Transport: adapter.SingleTransport()}
-	e.orders = &http.Client{Transport: adapter.SingleTransport()}
+	e.client = &http.Client{Transport: e.Watch(adapter.Transport(e.Slots))}
+	e.probes = &http.Client{Transport: e.Watch(adapter.SingleTransport())}
+	e.orders = &http.Client{Transport: e.Watch(adapter.SingleTransport())}
 	return nil
 }
 
@@ -144,17 +146,17 @@
 	}
 	defer func() { _ = res.Body.Close() }()
 	text, _ := io.ReadAll(io.LimitReader(res.Body, maxErrorBody))
-	return nil, statusError(res.StatusCode, string(text))
+	return nil, statusError(res, string(text))
 }
 
 // statusError maps an engine's refusal; the engine has run nothing unless it
 // failed with 5xx other than 503.
-func statusError(status int, text string) error {
-	switch {
+func statusError(res *http.Response, text string) error {
+	switch status := res.StatusCode; {
 	case status == http.StatusNotFound:
 		return result.New(result.ModelUnknown, "the engine does not know the model")
 	case status == http.StatusTooManyRequests, status == http.StatusServiceUnavailable:
-		return result.New(result.NoUpstream, "the engine answered %d", status)
+		return result.New(result.QueueFull, "the engine answered %d", status).After(adapter.RetryAfter(res.Header))
 	case status >= 400 && status < 500:
 		return result.New(result.InvalidField, "the engine refused the request with %d: %s", status, text)
 	default:
--- a/modules/adapter/plain/plain.go
+++ b/modules/adapter/plain/plain.go
@@ -45,6 +45,8 @@
 	// Health is the path of the health check.
 	Health string `yaml:"health"`
 
+	adapter.Signals `yaml:"-"`
+
 	client *http.Client
 	// single makes a connection for each call. A kept connection that the
 	// service has closed would make a call fail with an unknown outcome.
@@ -70,15 +72,15 @@
 // Provision implements kernel.Provisioner.
 func (s *Service) Provision(*kernel.Context) error {
 	s.URL = strings.TrimRight(s.URL, "/")
-	s.client = client(adapter.Transport(s.Slots))
-	s.single = client(adapter.SingleTransport())
-	s.probes = &http.Client{Transport: adapter.SingleTransport()}
+	s.client = client(s.Watch(adapter.Transport(s.Slots)))
+	s.single = client(s.Watch(adapter.SingleTransport()))
+	s.probes = &http.Client{Transport: s.Watch(adapter.SingleTransport())}
 	return nil
 }
 
 // client does not follow redirects: they are answers for the caller, and
 // following one would repeat a call.
-func client(t *http.Transport) *http.Client {
+func client(t http.RoundTripper) *http.Client {
 	return &http.Client{
 		Transport:     t,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
--- a/modules/agent/agent.go
+++ b/modules/agent/agent.go
@@ -137,6 +137,9 @@
 	a.control = newControlClient(a.security, a.Control)
 	a.events = make(chan event, eventQueue)
 	a.orders = make(chan orderList, 1)
+	if s, ok := up.(adapter.Signaller); ok {
+		s.Follow(a.heard)
+	}
 }
 
 // Start implements kernel.Runner.
--- a/modules/agent/agent_test.go
+++ b/modules/agent/agent_test.go
@@ -40,7 +40,11 @@
 	usage  time.Duration // between chunks without output while it is mute, 0 for none
 	gate   chan struct{} // holds the first token back
 	health int
-	bodies []map[string]any
+	// leaving is said in every answer; backoff is asked for in place of any answer.
+	leaving bool
+	backoff string
+	asked   []time.Time // when requests of any kind were turned away
+	bodies  []map[string]any
 }
 
 func newEngine(t testing.TB) *fakeEngine {
@@ -52,7 +56,23 @@
 		w.WriteHeader(e.health)
 	})
 	mux.HandleFunc("POST /v1/completions", e.complete)
-	e.Server = httptest.NewServer(mux)
+	e.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.mu.Lock()
+		leaving, backoff := e.leaving, e.backoff
+		if backoff != "" {
+			e.asked = append(e.asked, time.Now())
+		}
+		e.mu.Unlock()
+		if leaving {
+			w.Header().Set(adapter.LeavingHeader, "1")
+		}
+		if backoff != "" {
+			w.Header().Set("Retry-After", backoff)
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	}))
 	t.Cleanup(func() { e.CloseClientConnections(); e.Close() })
 	return e
 }
--- a/modules/agent/control.go
+++ b/modules/agent/control.go
@@ -54,8 +54,8 @@
 	return c
 }
 
-func (c *controlClient) announceNow() { signal(c.announce) }
-func (c *controlClient) watchNow()    { signal(c.watch) }
+func (c *controlClient) announceNow() { wake(c.announce) }
+func (c *controlClient) watchNow()    { wake(c.watch) }
 
 // current returns the index of the instance to watch and to announce to.
 func (c *controlClient) current() int32 { return c.watched.Load() }
@@ -133,7 +133,7 @@
 	switch {
 	case now.load.Leaving:
 		u.State = wire.UpstreamLeaving
-	case !now.up, now.revision == 0 && len(a.Control) > 0:
+	case !now.up, time.Now().Before(now.backoffUntil), now.revision == 0 && len(a.Control) > 0:
 		// Without a configuration the agent takes no work yet.
 		u.State = wire.UpstreamDown
 	}
--- a/modules/agent/crash.go
+++ b/modules/agent/crash.go
@@ -6,6 +6,7 @@
 
 	"heatherway.dev/core/crash"
 	"heatherway.dev/core/quarantine"
+	"heatherway.dev/core/signal"
 	"heatherway.dev/core/wire"
 	"heatherway.dev/heatherway/modules/adapter"
 	"heatherway.dev/kernel/result"
@@ -102,6 +103,8 @@
 		return
 	}
 	o.crashes++
+	o.said = signal.Upstream{}
+	o.settleIntake(now)
 	o.a.metrics.crashes.Inc()
 	args := wire.CrashArgs{
 		Reporter: o.a.instance.ID, Upstream: o.a.instance.ID, Unconfirmed: e.unconfirmed,
--- a/modules/agent/health.go
+++ b/modules/agent/health.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"heatherway.dev/heatherway/modules/adapter"
+	"heatherway.dev/kernel/result"
 )
 
 const (
@@ -21,14 +22,22 @@
 func (a *Agent) healthLoop(ctx context.Context) {
 	failed := 0
 	for ctx.Err() == nil {
+		if a.backingOff() {
+			sleep(ctx, probePause)
+			continue
+		}
 		pause := healthInterval
-		if err := probeOnce(ctx, a.upstream.Probe); err == nil {
+		switch err := probeOnce(ctx, a.upstream.Probe); {
+		case err == nil:
 			failed = 0
 			a.refresh(ctx)
 			a.setUp(true)
-		} else if failed++; failed >= downAfter {
+		case result.Is(err, result.QueueFull):
+			// It asks for backoff.
+		case failed+1 >= downAfter:
 			a.setUp(false)
-		} else {
+		default:
+			failed++
 			pause = probePause
 		}
 		sleep(ctx, pause)
--- a/modules/agent/output.go
+++ b/modules/agent/output.go
@@ -79,7 +79,7 @@
 	o.marks = append([]mark(nil), older.marks[:i+1]...)
 }
 
-func signal(ch chan struct{}) {
+func wake(ch chan struct{}) {
 	select {
 	case ch <- struct{}{}:
 	default:
@@ -88,7 +88,7 @@
 
 func (o *output) wake() {
 	if o.reader != nil {
-		signal(o.reader.wake)
+		wake(o.reader.wake)
 	}
 }
 
@@ -175,7 +175,7 @@
 	o.wake()
 	o.reader = &reader{wake: make(chan struct{}, 1), next: i + 1}
 	o.read = offset
-	signal(o.room)
+	wake(o.room)
 	return o.reader, nil
 }
 
@@ -227,7 +227,7 @@
 	to := o.marks[end-1]
 	r.next = end
 	o.read = uint64(to.tokens)
-	signal(o.room)
+	wake(o.room)
 	return &wire.Frame{
 		Kind: wire.FrameToken, Attempt: o.attempt, Offset: uint64(from.tokens),
 		Tokens: to.tokens - from.tokens, Text: string(o.text[from.bytes:to.bytes]),
--- a/modules/agent/owner.go
+++ b/modules/agent/owner.go
@@ -7,6 +7,7 @@
 
 	"heatherway.dev/core/admission"
 	"heatherway.dev/core/config"
+	"heatherway.dev/core/signal"
 	"heatherway.dev/core/wire"
 	"heatherway.dev/kernel/result"
 )
@@ -30,6 +31,9 @@
 	revision uint64
 	up       bool
 	crashes  uint64
+	// upstreamLeaving and backoffUntil are what the upstream has said of itself.
+	upstreamLeaving bool
+	backoffUntil    time.Time
 }
 
 // owner holds the control state of the agent.
@@ -40,6 +44,8 @@
 	lastTask    uint64
 	generations map[wire.ID]*generation
 	leaving     bool
+	said        signal.Upstream // by this incarnation of the upstream
+	closed      bool            // the queue takes nothing
 	up          bool
 	crashes     uint64          // of the upstream in this incarnation
 	reported    <-chan struct{} // closed once the last crash has been reported
@@ -85,6 +91,7 @@
 		case ev := <-o.a.events:
 			ev.apply(o, time.Now())
 		case now := <-tick.C:
+			o.settleIntake(now) // a backoff may have ended
 			o.decide(now, o.queue.Tick(now))
 			o.sweep(now)
 			o.dirty = true
@@ -101,7 +108,8 @@
 func (o *owner) publish(now time.Time) {
 	o.dirty = false
 	s := &snapshot{load: o.queue.Load(now), revision: o.revision, up: o.up, crashes: o.crashes}
-	s.load.Leaving = o.leaving
+	s.load.Leaving = o.leaving || o.said.Leaving
+	s.upstreamLeaving, s.backoffUntil = o.said.Leaving, now.Add(o.said.Left(now))
 	o.a.snapshot.Store(s)
 	var queued uint32
 	for _, n := range s.load.Queued {
@@ -203,9 +211,14 @@
 // takesWork returns why no new work is taken, or nil.
 func (o *owner) takesWork(now time.Time, revision uint64, fingerprint string, permit wire.ID) error {
 	o.heardOf(now, revision)
+	o.settleIntake(now)
 	switch {
 	case o.leaving:
 		return result.New(result.Leaving, "the agent is leaving")
+	case o.said.Leaving:
+		return result.New(result.Leaving, "the upstream is leaving")
+	case o.said.Left(now) > 0:
+		return result.New(result.QueueFull, "the upstream wants no requests now").After(o.said.Left(now))
 	case !o.up:
 		return result.New(result.UpstreamNotReachable, "the upstream is down")
 	case o.revision == 0 && len(o.a.Control) > 0:
@@ -279,12 +292,7 @@
 
 func (e drainEvent) apply(o *owner, now time.Time) {
 	o.leaving = e.leave
-	if e.leave {
-		o.refuseHeld()
-		o.decide(now, o.queue.Leave(now))
-	} else {
-		o.queue.Return()
-	}
+	o.settleIntake(now)
 	o.publish(now)
 	e.done <- struct{}{}
 }
--- a/modules/agent/run.go
+++ b/modules/agent/run.go
@@ -108,6 +108,9 @@
 		if !errors.Is(err, errSilent) {
 			return tokens, err
 		}
+		if r.a.backingOff() {
+			return tokens, errBackoff()
+		}
 		r.a.metrics.resumed.Inc()
 		r.a.log.Warn("the engine's connection was silent", "generation", r.g.id)
 	}
@@ -120,7 +123,7 @@
 	if !r.begin(stop) {
 		return errPreempted
 	}
-	wd := newWatchdog(r.a.upstream.Probe, prefill)
+	wd := newWatchdog(r.a.probe, prefill)
 	go wd.guard(ctx, stop)
 	err := r.generate(ctx, engine, wd, tokens)
 	if err != nil && ctx.Err() != nil {
--- /dev/null
+++ b/modules/agent/signal_test.go
@@ -0,0 +1,65 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"heatherway.dev/core/wire"
+	"heatherway.dev/kernel/result"
+)
+
+// Guards against new work for an engine that has said that it leaves, and against cutting
+// what runs there.
+func TestNoWorkForAnEngineThatLeaves(t *testing.T) {
+	e := newEngine(t)
+	e.pause = 20 * time.Millisecond
+	a := startAgent(t, engineAdapter(t, e.URL, 1), nil)
+	runs := open(t, a, request(100))
+	text, _ := runs.text(t, 1)
+	waiting := open(t, a, request(5))
+	e.set(func(e *fakeEngine) { e.leaving = true })
+	_, last := waiting.text(t, whole)
+	assert.Equal(t, last.Code, result.Leaving)
+	assert.Equal(t, last.Ran, result.NotRun)
+	assert.Assert(t, last.Load.Leaving, "entries are told")
+	rest, last := runs.text(t, whole)
+	assert.Equal(t, text+rest, numbers(0, 100))
+	assert.Equal(t, last.Kind, wire.FrameEnd)
+	assert.Equal(t, a.describe().State, wire.UpstreamLeaving)
+	e.set(func(e *fakeEngine) { e.leaving = false })
+	eventually(t, &fakeControl{}, "work for the next incarnation", func() bool { return !a.snapshot.Load().load.Leaving })
+	_, last = open(t, a, request(5)).text(t, whole)
+	assert.Equal(t, last.Kind, wire.FrameEnd)
+}
+
+// Guards against requests and health checks that reach an engine which has asked for
+// backoff, and against callers who are held or failed for it: others may take the work.
+func TestBackoffOfAnEngine(t *testing.T) {
+	e := newEngine(t)
+	e.backoff = "1.5"
+	a := startAgent(t, engineAdapter(t, e.URL, 1), nil)
+	eventually(t, &fakeControl{}, "backoff", a.backingOff)
+	longest := uint32(0)
+	for a.backingOff() {
+		_, last := open(t, a, request(5)).text(t, whole)
+		assert.Equal(t, last.Code, result.QueueFull)
+		assert.Equal(t, last.Ran, result.NotRun)
+		assert.Assert(t, last.RetryMS <= 1500, "%d", last.RetryMS)
+		longest = max(longest, last.RetryMS)
+		assert.Equal(t, a.describe().State, wire.UpstreamDown)
+		time.Sleep(20 * time.Millisecond)
+	}
+	assert.Assert(t, longest > 1000, "entries are told when to come back: %d ms", longest)
+	e.set(func(e *fakeEngine) {
+		first := e.asked[0]
+		assert.Assert(t, time.Since(first) >= 1500*time.Millisecond, "%v", time.Since(first))
+		for _, at := range e.asked[1:] {
+			// What was under way with the first request may follow it.
+			assert.Assert(t, at.Sub(first) < 50*time.Millisecond || at.Sub(first) >= 1500*time.Millisecond, "a request after %v", at.Sub(first))
+		}
+		e.backoff = ""
+	})
+	eventually(t, &fakeControl{}, "work after the backoff", func() bool { return a.describe().State != wire.UpstreamDown })
+}
