dispatch: the rate at which prompts are read, their size and the time of a call are learned

What callers would get: on engines other than those of the first deployments, first events later than need be.

Change: core/dispatch/estimate.go learns them for each service from first events and answers of work that met no other, from a prior, bounded and forgetting; what stood for a part of the reading time is a share of it now.

Not done: an estimate for each upstream; one gateway has about a sample of each in half a minute.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -16,33 +16,24 @@
 )
 
 const (
-	// prefillTokensPerMS is the prefill rate of the model servers, from the
-	// data sheet of the deployments.
-	prefillTokensPerMS = 8
-	// unknownTokens is taken as the size of a request that does not say; it is
-	// the mean of the deployments' prompts.
-	unknownTokens = 8000
 	// memoryStep is how much less of an upstream's KV cache each lower rank may
 	// fill: what a flood of the least urgent class leaves free is there for the
 	// most urgent one, which would have to preempt streams otherwise.
 	memoryStep = 0.06
 	// leastMemoryShare bounds the steps.
 	leastMemoryShare = 0.82
-	// runningMS is the cost of one running stream beside a new one, whose prompt takes
-	// a second to read and slows it to a quarter; a stream that lasts longer is more
-	// likely to meet the loss of its upstream or the end of its gateway.
-	runningMS = 150
-	// callMS is the cost of one call ahead of a plain call, from the mean work of
-	// the deployments' calls.
-	callMS = 15
+	// runningShare is the cost of one running stream beside a new one, as a share of the
+	// time to read the usual prompt, which slows it to a quarter; a stream that lasts
+	// longer is more likely to meet the loss of its upstream or the end of its gateway.
+	runningShare = 0.15
 	// otherZoneMS is the cost of leaving the availability zone with a plain call: a
 	// round trip and the price of bytes between zones.
 	otherZoneMS = 12
-	// streamZoneMS is the cost of leaving the availability zone with a stream. Links
-	// between zones lose packets at times, and each of the hundred events of a
-	// stream that is sent again arrives late; a third of the time to read the
-	// prompt still lets a zone with more work use the others.
-	streamZoneMS = 350
+	// streamZoneShare is the cost of leaving the availability zone with a stream, as a
+	// share of the time to read the usual prompt. Links between zones lose packets at
+	// times, and each of the hundred events of a stream that is sent again arrives late; a
+	// third of that time still lets a zone with more work use the others.
+	streamZoneShare = 0.35
 	// jitterMS spreads choices among upstreams that look alike.
 	jitterMS = 6
 	// loadTrust is how long a report of an upstream's load counts.
@@ -80,12 +71,13 @@
 	Prefer string
 }
 
-func (w *Work) tokens() int {
+// tokens is the memory that the request takes; one that does not say is taken for a usual one.
+func (w *Work) tokens(e *estimate) int {
 	if !w.Stream {
 		return 0
 	}
 	if w.Prompt == 0 {
-		return unknownTokens
+		return int(e.prompt)
 	}
 	return w.Prompt + w.Output
 }
@@ -127,6 +119,7 @@
 type upstream struct {
 	registration.Upstream
 	engine  *routing.Engine
+	learned *estimate // of its service
 	work    map[uint64]*placement
 	tokens  int // of own work and copies
 	copies  int
@@ -162,7 +155,10 @@
 	sent     time.Time
 	started  bool
 	stream   bool
-	permit   breaker.Permit
+	// alone is set if nothing else was known to wait or to be read there, so that the time
+	// to the answer tells what the upstream does.
+	alone  bool
+	permit breaker.Permit
 }
 
 // Fleet is what one gateway knows about the upstreams.
@@ -176,6 +172,7 @@
 	zones   map[string][]string
 	groups  map[groupKey]*group
 	engines map[string]*routing.Engine
+	learned map[string]*estimate // by service
 	tickets map[uint64]*placement
 	last    uint64
 	// duration is the moving average of the duration of streams.
@@ -185,7 +182,7 @@
 // New returns an empty fleet for a gateway in an availability zone.
 func New(zone string, rng *rand.Rand) *Fleet {
 	return &Fleet{zone: zone, rng: rng, byID: map[string]*upstream{}, service: map[string][]*upstream{}, zones: map[string][]string{},
-		groups: map[groupKey]*group{}, engines: map[string]*routing.Engine{}, tickets: map[uint64]*placement{}}
+		groups: map[groupKey]*group{}, engines: map[string]*routing.Engine{}, learned: map[string]*estimate{}, tickets: map[uint64]*placement{}}
 }
 
 // SetEngines takes over what the configuration says of the services.
@@ -220,10 +217,20 @@
 		r.Leaving = r.Leaving || u.Leaving // known here before the directory has it
 		f.unlist(u)
 	}
-	u.Upstream, u.engine = r, f.engines[r.Service]
+	u.Upstream, u.engine, u.learned = r, f.engines[r.Service], f.estimate(r.Service)
 	f.list(u)
 }
 
+// estimate returns what has been learned of a service.
+func (f *Fleet) estimate(service string) *estimate {
+	e := f.learned[service]
+	if e == nil {
+		e = newEstimate()
+		f.learned[service] = e
+	}
+	return e
+}
+
 func (f *Fleet) remove(u *upstream) {
 	delete(f.byID, u.ID)
 	f.unlist(u)
@@ -281,6 +288,9 @@
 // Started records the first sign of work on a request.
 func (f *Fleet) Started(now time.Time, ticket uint64) {
 	if p := f.tickets[ticket]; p != nil {
+		if p.alone && p.stream && !p.started {
+			p.upstream.learned.noteFirstEvent(p.prompt, now.Sub(p.sent))
+		}
 		p.started = true
 		p.upstream.breaker.Record(now, p.permit, breaker.Succeeded)
 	}
@@ -300,6 +310,9 @@
 		sample = 0
 	}
 	u := p.upstream
+	if p.alone && !p.stream && ok {
+		u.learned.noteCall(now.Sub(p.sent))
+	}
 	u.failing = u.failingAt(now)
 	u.failing += failingShare * (sample - u.failing)
 	u.answered = now
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -31,9 +31,16 @@
 	if !ok {
 		return Choice{}, f.refuse(now, w, list)
 	}
-	wait := best.prefill(now) + time.Duration(w.Prompt/prefillTokensPerMS)*time.Millisecond
+	ahead, learned := best.prefill(now), best.learned
+	wait := ahead + time.Duration(learned.readMS(float64(w.Prompt))*float64(time.Millisecond))
 	f.last++
-	p := &placement{id: w.ID, upstream: best, tokens: w.tokens(), prompt: w.Prompt, sent: now, stream: w.Stream, permit: permit}
+	p := &placement{id: w.ID, upstream: best, tokens: w.tokens(learned), prompt: w.Prompt, sent: now, stream: w.Stream, permit: permit}
+	if w.Stream {
+		p.alone = ahead == 0 && w.Prefer == "" && w.Cached == ""
+		learned.notePrompt(w.Prompt)
+	} else {
+		p.alone = len(best.work) == 0 && best.others.requests == 0
+	}
 	best.work[f.last] = p
 	best.tokens += p.tokens
 	f.tickets[f.last] = p
@@ -66,7 +73,7 @@
 		why.Eligible++
 		cost := f.cost(now, w, u, usual)
 		if slices.Contains(homes, u) {
-			cost -= affinityMS
+			cost -= affinityShare * u.learned.usualReadMS()
 		}
 		if best == nil || cost < why.CostMS {
 			best, why.CostMS = u, cost
@@ -175,7 +182,7 @@
 	}
 	used := u.used(now)
 	share := max(1-memoryStep*float64(w.Priority), leastMemoryShare)
-	return used == 0 || used+float64(w.tokens()) <= share*float64(u.engine.MemoryTokens)
+	return used == 0 || used+float64(w.tokens(u.learned)) <= share*float64(u.engine.MemoryTokens)
 }
 
 // used is the part of the KV cache that is taken, in tokens.
@@ -210,9 +217,12 @@
 // othersMS is the cost of the work of other gateways for a new stream, as the last
 // report has it.
 func (u *upstream) othersMS(now time.Time) float64 {
-	return float64(u.unread(now))/prefillTokensPerMS + runningMS*float64(u.others.requests)
+	return u.learned.readMS(u.unread(now)) + u.runningMS()*float64(u.others.requests)
 }
 
+// runningMS is the cost of one running stream beside a new one in milliseconds.
+func (u *upstream) runningMS() float64 { return runningShare * u.learned.usualReadMS() }
+
 // cost estimates in milliseconds what an upstream would cost the request.
 func (f *Fleet) cost(now time.Time, w *Work, u *upstream, usual usual) float64 {
 	cost := f.rng.Float64() * jitterMS
@@ -221,21 +231,21 @@
 	case !w.Stream, w.Cached == u.ID:
 		cost += otherZoneMS
 	default:
-		cost += streamZoneMS
+		cost += streamZoneShare * u.learned.usualReadMS()
 	}
 	if w.Prefer == u.ID {
 		cost -= preferMS
 	}
 	if w.Cached == u.ID {
-		cost -= cachedFactor * float64(w.Prompt) / prefillTokensPerMS
+		cost -= cachedFactor * u.learned.readMS(float64(w.Prompt))
 	}
 	cost += failingMS * max(u.failingAt(now)-usual.failing-failingSlack, 0)
 	trust := u.trust(now)
 	if !w.Stream {
-		return cost + callMS*(float64(len(u.work))+float64(u.others.requests)*trust)
+		return cost + u.learned.callMS*(float64(len(u.work))+float64(u.others.requests)*trust)
 	}
 	if u.engine != nil && u.engine.MemoryTokens > 0 {
-		cost += memoryMS * u.used(now) / float64(u.engine.MemoryTokens)
+		cost += memoryShare * u.learned.usualReadMS() * u.used(now) / float64(u.engine.MemoryTokens)
 	}
 	cost += failureMS * float64(f.groups[u.group()].recentFailures(now))
 	if now.Sub(u.unreachable) < failureMemory {
@@ -246,20 +256,21 @@
 	}
 	// One that has not reported is likely to be as loaded as those that have.
 	cost += trust*u.othersMS(now) + (1-trust)*usual.waits[u.Zone]
-	return cost + runningMS*float64(len(u.work)) + u.ownPrefillMS(now)
+	return cost + u.runningMS()*float64(len(u.work)) + u.ownPrefillMS(now)
 }
 
 const (
-	// affinityMS is the gain of placing a prompt where its caller finds it again
-	// after the loss of the gateway.
-	affinityMS = 500
+	// affinityShare is the gain of placing a prompt where its caller finds it again after
+	// the loss of the gateway, as a share of the time to read the usual prompt.
+	affinityShare = 0.5
 	// cachedFactor is how many times the time to read its prompt a caller may wait
 	// for the upstream that holds it: what is read anew is priced besides.
 	cachedFactor = 2
 	// preferMS outweighs every other cost.
 	preferMS = 1e6
-	// memoryMS is the cost of a full KV cache against an empty one.
-	memoryMS = 300
+	// memoryShare is the cost of a full KV cache against an empty one, as a share of the
+	// time to read the usual prompt.
+	memoryShare = 0.3
 	// failingMS is the cost of an upstream all of whose answers fail while those
 	// of the others succeed.
 	failingMS = 600
@@ -295,7 +306,7 @@
 
 // prefill is the time until the prompts sent there are read.
 func (u *upstream) prefill(now time.Time) time.Duration {
-	ms := u.ownPrefillMS(now) + u.trust(now)*float64(u.unread(now))/prefillTokensPerMS
+	ms := u.ownPrefillMS(now) + u.trust(now)*u.learned.readMS(u.unread(now))
 	return time.Duration(ms * float64(time.Millisecond))
 }
 
@@ -307,16 +318,11 @@
 		if p.started || !p.stream {
 			continue
 		}
-		read := float64(now.Sub(p.sent).Milliseconds()) * prefillTokensPerMS
-		tokens += max(float64(p.prompt)-read, 0)
+		tokens += max(float64(p.prompt)-u.learned.read(now.Sub(p.sent)), 0)
 	}
-	return tokens / prefillTokensPerMS
+	return u.learned.readMS(tokens)
 }
 
-// homeTokens is how much more memory may be taken at a home of a prompt than
-// elsewhere before a copy goes elsewhere: one letter of the usual size.
-const homeTokens = unknownTokens
-
 // backup chooses the holder of a copy: in another availability zone, since the
 // upstreams of a zone fail together, and where most memory is free. A home of the
 // prompt there is preferred: the caller finds it again after the stream has gone on
@@ -326,18 +332,19 @@
 		return nil
 	}
 	homes := f.homesExcept(now, w, primary.Zone)
+	letter := primary.learned.prompt // a copy of the usual size
 	var best *upstream
 	lowest := 0.0
 	for _, u := range f.sample(w, list, homes) {
 		if u == primary || u.Zone == primary.Zone || slices.Contains(w.Tried, u.ID) || !u.eligible(now, w) {
 			continue
 		}
-		cost := float64(u.tokens+u.copies) + f.rng.Float64()*unknownTokens/2
+		cost := float64(u.tokens+u.copies) + f.rng.Float64()*letter/2
 		if slices.Contains(homes, u) {
-			cost -= homeTokens
+			cost -= letter
 		}
 		if u.Zone == f.zone {
-			cost -= unknownTokens / 4
+			cost -= letter / 4
 		}
 		if f.groups[u.group()].suspect(now) {
 			cost += float64(primary.engine.MemoryTokens)
--- a/core/dispatch/report.go
+++ b/core/dispatch/report.go
@@ -15,17 +15,17 @@
 	}
 	u := p.upstream
 	u.others.requests = max(running+waiting-len(u.work), 0)
-	u.others.prompt = u.unread(now) // the answer does not tell it
+	u.others.prompt = int(u.unread(now)) // the answer does not tell it
 	u.reported = now
 }
 
 // unread is the part of the prompts of other gateways that is still to be read, in
 // tokens.
-func (u *upstream) unread(now time.Time) int {
+func (u *upstream) unread(now time.Time) float64 {
 	if u.reported.IsZero() {
 		return 0
 	}
-	return max(u.others.prompt-int(now.Sub(u.reported).Milliseconds())*prefillTokensPerMS, 0)
+	return max(float64(u.others.prompt)-u.learned.read(now.Sub(u.reported)), 0)
 }
 
 // Run is a request in a report that has made an event.
@@ -72,7 +72,7 @@
 	foreignUnlisted := max(unlisted-len(own), 0)
 	if unlisted > 0 {
 		foreignReading := max(reading, 0) * foreignUnlisted / unlisted
-		others.prompt = max(foreignUnlisted*unknownTokens-foreignReading, 0)
+		others.prompt = max(foreignUnlisted*int(u.learned.prompt)-foreignReading, 0)
 		others.memory += others.prompt - max(reading, 0) + foreignReading
 	}
 	others.requests += foreignUnlisted
