gateway, registry: a gateway follows its own availability zone and a part of the others

Change: core/registration/subset.go. A gateway follows all upstreams of its zone and, of each service in the others, a share by a hash of its id and the address: 160 to 320, whole up to 320, so that no deployment of today is touched. The instance that is asked first chooses the share from its directory, the gateway moves it as the fleet grows or shrinks.

Evidence: TestSubsetHasItsSize, TestSubsetsCoverTheFleetEvenly (1,000 gateways, 2,805 upstreams: 572 records each, the busiest upstream of a lost zone 13 calls, 3.6 in the mean), TestSubsetFollowsAddresses, TestSubsetAdjusts, TestPartOfALargeFleetIsFollowed.

TestInstancesWithoutALeaderAreSpared compares all that a gateway asks for, which names its zone now.

--- a/core/registration/registration.go
+++ b/core/registration/registration.go
@@ -57,6 +57,8 @@
 	// Leaving is set once the incarnation has said in an answer that it leaves. It
 	// takes no new work from then on, whatever its announcements say.
 	Leaving bool
+	// Moved is set once the id has come back at another address.
+	Moved bool
 }
 
 // settle brings the state in line with what the incarnation has said in answers.
@@ -147,6 +149,7 @@
 		u.State = Left
 	}
 	u.settle(known && old.Leaving && old.StartedMS == u.StartedMS)
+	u.Moved = u.Moved || known && (old.Moved || old.Addr != u.Addr && old.Addr != "" && u.Addr != "")
 	changed := !known || !sameView(&old.Upstream, &u)
 	if !known {
 		old = &record{}
@@ -234,11 +237,15 @@
 		if now.Sub(r.heard) < after {
 			continue
 		}
-		delete(d.byID, id)
-		d.order.Remove(r.place)
-		if d.byAddr[r.Addr] == id {
-			delete(d.byAddr, r.Addr)
-		}
+		d.forget(id, r)
+	}
+}
+
+func (d *Directory) forget(id string, r *record) {
+	delete(d.byID, id)
+	d.order.Remove(r.place)
+	if d.byAddr[r.Addr] == id {
+		delete(d.byAddr, r.Addr)
 	}
 }
 
--- /dev/null
+++ b/core/registration/subset.go
@@ -0,0 +1,135 @@
+package registration
+
+import (
+	"hash/fnv"
+	"io"
+)
+
+const (
+	// MostOthers is the most records of a service that a reader takes from other
+	// availability zones: enough to lose its own zone and go on, and small beside the
+	// directory of a large fleet. Fleets with fewer are known whole.
+	MostOthers = 320
+	// wideOthers and narrowOthers are the numbers of records beyond which a reader asks for
+	// half as many, or twice as many. They lie apart, so that one lost zone changes nothing.
+	wideOthers   = MostOthers + MostOthers/4
+	narrowOthers = MostOthers / 4
+	// mostHalvings bounds what a message may ask for.
+	mostHalvings = 32
+)
+
+// Subset says which records of a directory a reader takes: all of its own availability
+// zone, and of each service in other zones a share that differs from reader to reader, so
+// that all readers together use every upstream evenly. The zero value takes everything.
+// It answers fleets of thousands of upstreams, whose changes would cost each reader and
+// each instance that sends them traffic that grows with the square of the size.
+type Subset struct {
+	Zone string
+	// Reader tells the readers apart.
+	Reader string
+	// Halvings is how many times the records of other zones are halved, by service.
+	Halvings map[string]int
+}
+
+// Has tells whether a record belongs to the subset. It goes by the address, so that the
+// successor at an address is known where its predecessor was; an id that has come back at
+// another address is known everywhere.
+func (s *Subset) Has(u *Upstream) bool {
+	if s.Zone == "" || u.Zone == s.Zone || u.Moved {
+		return true
+	}
+	n := min(s.Halvings[u.Service], mostHalvings)
+	if n <= 0 {
+		return true
+	}
+	h := fnv.New64a()
+	_, _ = io.WriteString(h, s.Reader) // writing to a hash cannot fail
+	_, _ = h.Write([]byte{0})
+	_, _ = io.WriteString(h, u.Addr)
+	return mix(h.Sum64())>>(64-n) == 0
+}
+
+// mix spreads the differences between similar texts over the high bits.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+// Filter returns the records that belong to the subset, in their order.
+func (s *Subset) Filter(list []Upstream) []Upstream {
+	if s.Zone == "" || len(s.Halvings) == 0 {
+		return list
+	}
+	var out []Upstream
+	for i := range list {
+		if s.Has(&list[i]) {
+			out = append(out, list[i])
+		}
+	}
+	return out
+}
+
+// Halvings returns what a reader in a zone starts with, from the whole directory.
+func (d *Directory) Halvings(zone string) map[string]int {
+	out := map[string]int{}
+	for service, n := range d.others(zone) {
+		for ; n > MostOthers; n /= 2 {
+			out[service]++
+		}
+	}
+	return out
+}
+
+// Adjust moves the halvings of a subset towards what the reader's own records say. It
+// returns the records that no longer belong to it, and whether there are some now that the
+// reader does not have.
+func (d *Directory) Adjust(s *Subset) (dropped []Upstream, more bool) {
+	for service, n := range d.others(s.Zone) {
+		switch {
+		case n > wideOthers:
+			s.set(service, s.Halvings[service]+1)
+		case n < narrowOthers && s.Halvings[service] > 0:
+			s.set(service, s.Halvings[service]-1)
+			more = true
+		}
+	}
+	for id, r := range d.byID {
+		if !s.Has(&r.Upstream) {
+			dropped = append(dropped, r.Upstream)
+			d.forget(id, r)
+		}
+	}
+	sortByID(dropped)
+	return dropped, more
+}
+
+// set replaces the map, since readers of it may be sending it.
+func (s *Subset) set(service string, halvings int) {
+	next := map[string]int{service: halvings}
+	for name, n := range s.Halvings {
+		if name != service {
+			next[name] = n
+		}
+	}
+	s.Halvings = next
+}
+
+// others counts the records outside a zone that have not left, by service. Services whose
+// records have all left count with none.
+func (d *Directory) others(zone string) map[string]int {
+	out := map[string]int{}
+	for _, r := range d.byID {
+		if r.Zone == zone {
+			continue
+		}
+		n := 0
+		if r.State != Left {
+			n = 1
+		}
+		out[r.Service] += n
+	}
+	return out
+}
--- /dev/null
+++ b/core/registration/subset_test.go
@@ -0,0 +1,138 @@
+package registration
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// fleetOf returns a directory of one service in several availability zones.
+func fleetOf(zones, perZone int) *Directory {
+	d := New()
+	for z := range zones {
+		for i := range perZone {
+			d.Observe(time.Unix(0, 0), Upstream{ID: fmt.Sprintf("i-%d-%d", z, i), Service: "model", Zone: fmt.Sprint("z", z),
+				Addr: fmt.Sprintf("10.%d.%d.%d:80", z, i/250, i%250), StartedMS: 1, Seq: 1})
+		}
+	}
+	return d
+}
+
+func reader(d *Directory, zone, i int) Subset {
+	s := Subset{Zone: fmt.Sprint("z", zone), Reader: fmt.Sprintf("front-z%d-%d", zone, i)}
+	s.Halvings = d.Halvings(s.Zone)
+	return s
+}
+
+// Guards against gateways that know too little to lose their zone, or all of a large
+// fleet, and against small fleets of which a part is not known.
+func TestSubsetHasItsSize(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		zones, perZone := rapid.IntRange(1, 11).Draw(t, "zones"), rapid.IntRange(1, 800).Draw(t, "upstreams of a zone")
+		d := fleetOf(zones, perZone)
+		s := reader(d, 0, rapid.IntRange(0, 1000).Draw(t, "reader"))
+		own, others := 0, 0
+		for _, u := range s.Filter(d.All()) {
+			if u.Zone == s.Zone {
+				own++
+			} else {
+				others++
+			}
+		}
+		assert.Equal(t, own, perZone)
+		all := (zones - 1) * perZone
+		if all <= MostOthers {
+			assert.Equal(t, others, all)
+			return
+		}
+		// Five standard deviations around what is drawn.
+		assert.Assert(t, others > MostOthers/2-65 && others < MostOthers+90, "%d of %d", others, all)
+	})
+}
+
+// Plays the target size of 1,000 gateways and 2,800 upstreams in 11 availability zones:
+// each upstream must be known to many gateways, and the gateways of a zone that has lost
+// its own upstreams must load the others evenly.
+func TestSubsetsCoverTheFleetEvenly(t *testing.T) {
+	const zones, upstreams, gateways, calls = 11, 255, 91, 100
+	d := fleetOf(zones, upstreams)
+	rng := rand.New(rand.NewPCG(1, 1))
+	knownBy, load := map[string]int{}, map[string]int{}
+	records := 0
+	for g := range gateways {
+		s := reader(d, 0, g)
+		part := s.Filter(d.All())
+		records += len(part)
+		part = slices.DeleteFunc(part, func(u Upstream) bool { return u.Zone == s.Zone })
+		for _, u := range part {
+			knownBy[u.ID]++
+		}
+		for range calls {
+			load[part[rng.IntN(len(part))].ID]++
+		}
+	}
+	least, most := gateways, 0
+	for z := 1; z < zones; z++ {
+		for i := range upstreams {
+			id := fmt.Sprintf("i-%d-%d", z, i)
+			least, most = min(least, knownBy[id]), max(most, load[id])
+		}
+	}
+	mean := float64(gateways*calls) / float64((zones-1)*upstreams)
+	t.Logf("%d records of %d a gateway; least known to %d of %d gateways; calls of a lost zone: %d at most, %.1f in the mean",
+		records/gateways, zones*upstreams, least, gateways, most, mean)
+	assert.Assert(t, records/gateways < zones*upstreams/4)
+	assert.Assert(t, least >= 2)
+	assert.Assert(t, float64(most) < 5*mean)
+}
+
+// Guards against a successor at a known address that a gateway does not hear of, and
+// against records that stay at an address which their upstream has left.
+func TestSubsetFollowsAddresses(t *testing.T) {
+	d := fleetOf(4, 750)
+	s := reader(d, 0, 1)
+	assert.Assert(t, s.Halvings["model"] > 0)
+	for _, u := range s.Filter(d.All()) {
+		if u.Zone == s.Zone {
+			continue
+		}
+		next := u
+		next.ID, next.StartedMS = "next-"+u.ID, 2
+		assert.Assert(t, s.Has(&next))
+		moved := u
+		moved.Addr, moved.StartedMS = "10.9."+u.Addr[3:], 3
+		before := d.Changes()
+		assert.Equal(t, d.Observe(time.Unix(1, 0), moved), Changed)
+		assert.Equal(t, len(s.Filter(d.Since(before))), 1)
+	}
+}
+
+// Guards against a gateway that keeps a whole fleet which has grown, or too little of one
+// that has shrunk, and against a size that swings.
+func TestSubsetAdjusts(t *testing.T) {
+	d := fleetOf(4, 750)
+	s := Subset{Zone: "z0", Reader: "front-z0-1"}
+	for range 10 {
+		_, more := d.Adjust(&s)
+		assert.Assert(t, !more)
+	}
+	settled := d.Len()
+	assert.Assert(t, settled < 750+MostOthers+90, "%d", settled)
+	dropped, _ := d.Adjust(&s)
+	assert.Equal(t, len(dropped), 0)
+	for i, u := range d.All() {
+		if u.Zone != s.Zone && i%8 != 0 {
+			u.State = Left
+			d.Observe(time.Unix(1, 0), u)
+		}
+	}
+	before := s.Halvings["model"]
+	_, more := d.Adjust(&s)
+	assert.Assert(t, more)
+	assert.Equal(t, s.Halvings["model"], before-1)
+}
--- a/modules/gateway/follow.go
+++ b/modules/gateway/follow.go
@@ -64,6 +64,12 @@
 	// positions says for each instance what has been taken over from it, so that
 	// one which is followed again does not send its whole directory.
 	positions map[string]position
+	// subset says which records are followed, once an instance has chosen its size. Each
+	// widening asks every instance for its whole part anew.
+	subset   registration.Subset
+	chosen   bool
+	widened  int
+	adjusted time.Time
 }
 
 // position is the place in the changes of one instance.
@@ -73,7 +79,7 @@
 	f := &follower{
 		g: g, log: g.log, started: time.Now(), replaced: newBroadcast(),
 		configured: make(chan struct{}), seen: make(chan struct{}),
-		directory: registration.New(), following: map[string]bool{}, positions: map[string]position{},
+		directory: registration.New(), subset: registration.Subset{Zone: g.zone, Reader: g.id}, following: map[string]bool{}, positions: map[string]position{},
 	}
 	f.members = peerAddresses(g.Seeds, g.PeerPort)
 	return f
@@ -167,7 +173,11 @@
 	defer client.Close()
 	at := f.position(addr)
 	args := &registry.WatchArgs{Epoch: at.epoch, Change: at.change, Crash: at.crash}
+	widened := f.asks(args)
 	for first := true; ctx.Err() == nil; first = false {
+		if now := f.asks(args); now != widened {
+			widened, args.Epoch = now, 0
+		}
 		args.Version = f.newest()
 		args.Confirm = f.version() == 0 && args.Version > 0
 		reply, err := f.call(ctx, client, args, first)
@@ -189,6 +199,9 @@
 			f.g.tellCrashes(ctx, client)
 		}
 		args.Epoch, args.Change, args.Crash = reply.Epoch, reply.Change, reply.Crash
+		if args.Choose && !f.adopted(reply.Halvings) {
+			args.Epoch = 0 // another instance has chosen another size before
+		}
 		if first {
 			f.log.Info("control instance followed", "address", addr, "version", reply.Version, "upstreams", len(reply.Upstreams), "led", reply.Led)
 		}
@@ -207,6 +220,53 @@
 	return f.positions[addr]
 }
 
+// asks sets the subset that a call asks for. It returns how often that was widened.
+func (f *follower) asks(args *registry.WatchArgs) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	args.Subset, args.Choose = f.subset, !f.chosen
+	return f.widened
+}
+
+// adopted takes over the size of the subset that an instance has chosen, or tells whether
+// it is the one in force.
+func (f *follower) adopted(halvings map[string]int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.chosen {
+		f.subset.Halvings, f.chosen = halvings, true
+		if len(halvings) > 0 {
+			f.log.Info("part of the upstreams followed", "halvings", halvings)
+		}
+	}
+	return maps.Equal(f.subset.Halvings, halvings)
+}
+
+// adjustInterval is the pause between two looks at the size of the subset. A fleet grows
+// or shrinks by half in minutes.
+const adjustInterval = time.Second
+
+// adjust keeps the number of upstreams that are known within its bounds.
+func (f *follower) adjust(now time.Time) {
+	if !f.chosen || now.Sub(f.adjusted) < adjustInterval {
+		return
+	}
+	f.adjusted = now
+	before := f.subset.Halvings
+	dropped, more := f.directory.Adjust(&f.subset)
+	for _, u := range dropped {
+		u.State = registration.Left // for placements only: what runs there goes on
+		f.g.owner.tell(func(s *state) { s.fleet.SetUpstream(u) })
+	}
+	if more {
+		f.widened++
+		clear(f.positions)
+	}
+	if !maps.Equal(before, f.subset.Halvings) {
+		f.log.Info("part of the upstreams followed", "halvings", f.subset.Halvings, "before", before, "dropped", len(dropped), "known", f.directory.Len())
+	}
+}
+
 func (f *follower) call(ctx context.Context, client *peer.Client, args *registry.WatchArgs, first bool) (*registry.WatchReply, error) {
 	limit := watchLimit
 	if first {
@@ -254,6 +314,7 @@
 	if whole {
 		f.positions[addr] = position{reply.Epoch, reply.Change, reply.Crash}
 	}
+	f.adjust(now)
 	f.count.Store(int64(f.directory.Len()))
 	// Requests that wait for a configuration need the upstreams too.
 	if len(reply.Body) > 0 && reply.Version > f.newest() {
--- a/modules/gateway/gateway.go
+++ b/modules/gateway/gateway.go
@@ -70,7 +70,7 @@
 type Gateway struct {
 	Settings `yaml:",inline"`
 
-	zone     string
+	id, zone string
 	log      *slog.Logger
 	security *peer.Security
 	dialect  dialect.Dialect
@@ -137,7 +137,7 @@
 
 // Provision implements kernel.Provisioner.
 func (g *Gateway) Provision(ctx *kernel.Context) error {
-	g.log, g.security, g.zone = ctx.Log, ctx.TLS, ctx.Instance.Zone
+	g.log, g.security, g.id, g.zone = ctx.Log, ctx.TLS, ctx.Instance.ID, ctx.Instance.Zone
 	g.metrics = newMetrics(ctx.Stats)
 	var err error
 	if g.dialect, err = dialect.Load(ctx, g.Dialect); err != nil {
--- a/modules/gateway/gateway_test.go
+++ b/modules/gateway/gateway_test.go
@@ -14,6 +14,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"heatherway.dev/core/registration"
 	"heatherway.dev/heatherway/modules/registry"
 	"heatherway.dev/kernel/peer"
 )
@@ -312,7 +313,7 @@
 	}
 	assert.Equal(t, len(l.asked), 2)
 	assert.Equal(t, l.asked[0].Change, uint64(0))
-	assert.DeepEqual(t, l.asked[1], registry.WatchArgs{Version: 1, Epoch: 7, Change: 5, Crash: 2})
+	assert.DeepEqual(t, l.asked[1], registry.WatchArgs{Version: 1, Epoch: 7, Change: 5, Crash: 2, Subset: registration.Subset{Zone: "z0"}})
 }
 
 // Guards against idle connections that are closed by the limit of an older
--- /dev/null
+++ b/modules/gateway/subset_test.go
@@ -0,0 +1,107 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"heatherway.dev/core/registration"
+	"heatherway.dev/heatherway/modules/registry"
+	"heatherway.dev/kernel/peer"
+)
+
+// largeControl is a control instance of a fleet of 1,800 upstreams.
+type largeControl struct {
+	mu  sync.Mutex
+	dir *registration.Directory
+	// whole counts the calls that asked for everything of their part.
+	whole int
+}
+
+func newLargeControl() *largeControl {
+	c := &largeControl{dir: registration.New()}
+	for z := range 3 {
+		for i := range 600 {
+			c.dir.Observe(time.Now(), registration.Upstream{ID: fmt.Sprintf("i-%d-%d", z, i), Service: "model", Zone: fmt.Sprint("z", z),
+				Addr: fmt.Sprintf("127.0.%d.%d:%d", 100+z, i%250, 9000+i/250), StartedMS: 1, Seq: 1})
+		}
+	}
+	return c
+}
+
+func (c *largeControl) Watch(args *registry.WatchArgs, reply *registry.WatchReply) error {
+	time.Sleep(20 * time.Millisecond)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	since, subset := args.Change, args.Subset
+	if args.Epoch != 7 {
+		since = 0
+		c.whole++
+	}
+	*reply = registry.WatchReply{Epoch: 7, Led: true}
+	if args.Choose {
+		subset.Halvings = c.dir.Halvings(subset.Zone)
+		reply.Halvings = subset.Halvings
+	}
+	reply.Change, reply.Upstreams = c.dir.Changes(), subset.Filter(c.dir.Since(since))
+	return nil
+}
+
+func (f *fixture) known() (own, others int) {
+	f.follower.mu.Lock()
+	defer f.follower.mu.Unlock()
+	for _, u := range f.follower.directory.All() {
+		switch {
+		case u.State == registration.Left:
+		case u.Zone == f.zone:
+			own++
+		default:
+			others++
+		}
+	}
+	return own, others
+}
+
+// Guards against a gateway that follows all upstreams of a large fleet, one that misses
+// those of its own availability zone, and one that is left with few after most of the
+// others have gone.
+func TestPartOfALargeFleetIsFollowed(t *testing.T) {
+	f := newFixture(t, configuration())
+	c := newLargeControl()
+	server := httptest.NewServer(&peer.Handler{Security: f.security, Services: func(peer.Roles) map[string]any {
+		return map[string]any{registry.ServiceName: c}
+	}})
+	t.Cleanup(server.Close)
+	go f.follower.watch(t.Context(), server.Listener.Addr().String())
+	within := func(what string, ok func() bool) {
+		t.Helper()
+		for end := time.Now().Add(5 * time.Second); !ok(); time.Sleep(10 * time.Millisecond) {
+			if time.Now().After(end) {
+				own, others := f.known()
+				t.Fatalf("%s: %d own, %d others", what, own, others)
+			}
+		}
+	}
+	within("first part", func() bool { own, _ := f.known(); return own == 600 })
+	_, before := f.known()
+	assert.Assert(t, before > registration.MostOthers/4 && before < registration.MostOthers+90, "%d", before)
+
+	c.mu.Lock()
+	left := 0
+	for i, u := range c.dir.All() {
+		if u.Zone != f.zone && i%8 != 0 {
+			u.State = registration.Left
+			c.dir.Observe(time.Now(), u)
+			left++
+		}
+	}
+	c.mu.Unlock()
+	within("all that are left", func() bool { _, others := f.known(); return others == 1200-left })
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	assert.Assert(t, c.whole >= 2, "%d", c.whole)
+}
--- a/modules/registry/directory.go
+++ b/modules/registry/directory.go
@@ -80,7 +80,9 @@
 // look asks for the records that changed after a number.
 type look struct {
 	since, crash uint64
-	reply        chan view
+	// choose asks for the subset of a reader in an availability zone.
+	choose string
+	reply  chan view
 }
 
 // trial asks whether a blocked request may run once more.
@@ -94,6 +96,8 @@
 	list    []registration.Upstream
 	crash   uint64
 	crashes []crash.Entry
+	// halvings is the size of a subset, if it was asked for.
+	halvings map[string]int
 }
 
 type shared struct {
@@ -146,8 +150,8 @@
 }
 
 // since returns the upstreams and the broken runs that changed behind two numbers.
-func (d *directory) since(ctx context.Context, change, crash uint64) (view, bool) {
-	q := look{change, crash, make(chan view, 1)}
+func (d *directory) since(ctx context.Context, q look) (view, bool) {
+	q.reply = make(chan view, 1)
 	select {
 	case d.looks <- q:
 		return <-q.reply, true
@@ -310,10 +314,14 @@
 
 // view returns what a reader does not have.
 func (d *directory) view(q look) view {
-	return view{
+	v := view{
 		changes: d.state.Changes(), list: d.state.Since(q.since),
 		crash: d.crashes.Changes(), crashes: d.crashes.Since(time.Now(), q.crash),
 	}
+	if q.choose != "" {
+		v.halvings = d.state.Halvings(q.choose)
+	}
+	return v
 }
 
 func previous(u registration.Upstream, known bool) string {
--- a/modules/registry/feed.go
+++ b/modules/registry/feed.go
@@ -35,6 +35,10 @@
 	Epoch, Change uint64
 	// Crash says which changes of the broken runs it has, within Epoch.
 	Crash uint64
+	// Subset says which records the gateway takes. Choose asks for a subset of the right
+	// size, as the gateway knows no upstream yet.
+	Subset registration.Subset
+	Choose bool
 	// Confirm asks for a configuration that a majority has confirmed after the
 	// call; a gateway that starts has no other way to tell an old one.
 	Confirm bool
@@ -47,8 +51,10 @@
 	Body []byte
 	// Epoch and Change go into the next call.
 	Epoch, Change uint64
-	// Upstreams are the records that changed.
+	// Upstreams are the records of the subset that changed. Halvings is the size that was
+	// chosen for it.
 	Upstreams []registration.Upstream
+	Halvings  map[string]int
 	// Runs are the broken runs of suspects that changed; Crash goes into the next
 	// call.
 	Runs  []crash.Entry
@@ -135,21 +141,31 @@
 	if args.Epoch != r.directory.epoch {
 		since, crashes = 0, 0
 	}
+	subset := args.Subset
 	for {
 		woken := r.feed.next()
 		held := r.document.current()
-		v, ok := r.directory.since(ctx, since, crashes)
+		q := look{since: since, crash: crashes}
+		if args.Choose {
+			q.choose = subset.Zone
+		}
+		v, ok := r.directory.since(ctx, q)
 		if !ok {
 			return peer.EncodeError(result.New(result.ControlUnavailable, "this instance stops"))
 		}
+		if args.Choose {
+			subset.Halvings = v.halvings
+		}
+		since = v.changes // what is left out below is not due later
 		*reply = WatchReply{
-			Version: held.version, Epoch: r.directory.epoch, Change: v.changes, Upstreams: v.list, Runs: v.crashes, Crash: v.crash,
+			Version: held.version, Epoch: r.directory.epoch, Change: v.changes, Upstreams: subset.Filter(v.list), Halvings: v.halvings,
+			Runs: v.crashes, Crash: v.crash,
 			Members: append(r.members(), r.PeerListen), Led: r.led(), Confirmed: confirmed,
 		}
 		if held.version > args.Version {
 			reply.Body = held.body
 		}
-		if reply.Body != nil || len(v.list) > 0 || len(v.crashes) > 0 || !reply.Led || args.Confirm {
+		if reply.Body != nil || len(reply.Upstreams) > 0 || len(v.crashes) > 0 || !reply.Led || args.Confirm {
 			return nil
 		}
 		select {
--- a/modules/registry/registry_test.go
+++ b/modules/registry/registry_test.go
@@ -177,7 +177,7 @@
 }
 
 func (n *node) state(id string) registration.State {
-	v, ok := n.directory.since(context.Background(), 0, 0)
+	v, ok := n.directory.since(context.Background(), look{})
 	if ok {
 		for _, u := range v.list {
 			if u.ID == id {
@@ -337,7 +337,7 @@
 	}
 	known := func(n *node) func() bool {
 		return func() bool {
-			v, ok := n.directory.since(t.Context(), 0, 0)
+			v, ok := n.directory.since(t.Context(), look{})
 			ended := 0
 			for _, c := range v.crashes {
 				if c.Fingerprint == "poison" && c.Outcome == crash.Ended {
@@ -349,8 +349,8 @@
 	}
 	for _, n := range f.nodes {
 		f.eventually("the crashes", known(n))
-		v, _ := n.directory.since(t.Context(), 0, 0)
-		v, _ = n.directory.since(t.Context(), 0, v.crash)
+		v, _ := n.directory.since(t.Context(), look{})
+		v, _ = n.directory.since(t.Context(), look{crash: v.crash})
 		assert.Equal(t, len(v.crashes), 0, "a reader gets them once")
 	}
 	old := crash.Entry{Run: crash.Run{Fingerprint: "popular", StartedMS: 1000}, Outcome: crash.Ended, AgeMS: 15_000}
