gateway: upstreams that have ended are forgotten after ten minutes

What operators would see: memory of a gateway that grows with each incarnation of an upstream that has ever ended, and a search for upstreams that slows with it.

Cause: control instances forget what has ended after a minute without saying so, and the gateway's copy of the directory had no end of its own; upstreams that were lost stayed among the placements for good. Found while the subset was written.

Change: once a second a gateway drops what has been lost or has left for ten minutes; later than at control instances, so that no late record of it comes back. TestEndedUpstreamsAreForgotten: 501 records, 500 of which were replaced or lost, become one; there was nothing to call before.

--- a/core/registration/registration.go
+++ b/core/registration/registration.go
@@ -241,6 +241,20 @@
 	}
 }
 
+// DropEnded forgets the records that have been lost or have left for a time and returns
+// them. A reader hears of upstreams only when they change, so it cannot tell by silence.
+func (d *Directory) DropEnded(now time.Time, after time.Duration) []Upstream {
+	var out []Upstream
+	for id, r := range d.byID {
+		if r.State >= Lost && now.Sub(r.heard) >= after {
+			out = append(out, r.Upstream)
+			d.forget(id, r)
+		}
+	}
+	sortByID(out)
+	return out
+}
+
 func (d *Directory) forget(id string, r *record) {
 	delete(d.byID, id)
 	d.order.Remove(r.place)
--- a/modules/gateway/follow.go
+++ b/modules/gateway/follow.go
@@ -246,18 +246,31 @@
 // or shrinks by half in minutes.
 const adjustInterval = time.Second
 
+// endedMemory is how long an upstream that has ended is remembered. Control instances
+// forget it after a minute; a late record of it must not come back here before.
+const endedMemory = 10 * time.Minute
+
+// forget takes upstreams from the placements; what runs there goes on.
+func (f *follower) forget(list []registration.Upstream) {
+	for _, u := range list {
+		u.State = registration.Left
+		f.g.owner.tell(func(s *state) { s.fleet.SetUpstream(u) })
+	}
+}
+
 // adjust keeps the number of upstreams that are known within its bounds.
 func (f *follower) adjust(now time.Time) {
-	if !f.chosen || now.Sub(f.adjusted) < adjustInterval {
+	if now.Sub(f.adjusted) < adjustInterval {
 		return
 	}
 	f.adjusted = now
+	f.forget(f.directory.DropEnded(now, endedMemory))
+	if !f.chosen {
+		return
+	}
 	before := f.subset.Halvings
 	dropped, more := f.directory.Adjust(&f.subset)
-	for _, u := range dropped {
-		u.State = registration.Left // for placements only: what runs there goes on
-		f.g.owner.tell(func(s *state) { s.fleet.SetUpstream(u) })
-	}
+	f.forget(dropped)
 	if more {
 		f.widened++
 		clear(f.positions)
--- a/modules/gateway/subset_test.go
+++ b/modules/gateway/subset_test.go
@@ -105,3 +105,26 @@
 	defer c.mu.Unlock()
 	assert.Assert(t, c.whole >= 2, "%d", c.whole)
 }
+
+// Guards against a gateway whose memory grows with each upstream that has ever ended, and
+// against one that forgets upstreams which run without a change.
+func TestEndedUpstreamsAreForgotten(t *testing.T) {
+	f := newFixture(t, configuration())
+	f.follower.mu.Lock()
+	defer f.follower.mu.Unlock()
+	now := time.Now()
+	for i := range 500 {
+		u := registration.Upstream{ID: fmt.Sprint("i-", i), Service: "model", Zone: "z0", Addr: "127.0.0.1:9", StartedMS: int64(i + 1), Seq: 1}
+		f.follower.announce(now, u)
+	}
+	lost := registration.Upstream{ID: "lost", Service: "model", Zone: "z0", Addr: "127.0.0.1:10", StartedMS: 1, Seq: 2, State: registration.Lost}
+	f.follower.announce(now, lost)
+	assert.Equal(t, f.follower.directory.Len(), 501)
+	f.follower.adjust(now.Add(endedMemory - time.Second))
+	assert.Equal(t, f.follower.directory.Len(), 501, "late records of them are still recognised")
+	f.follower.adjust(now.Add(endedMemory + time.Second))
+	assert.Equal(t, f.follower.directory.Len(), 1)
+	known := 0
+	f.owner.ask(func(s *state) { known = s.fleet.Len() })
+	assert.Equal(t, known, 1)
+}
