gateway: followers spread over all control instances

At 300 machines the busiest sent and received four times as much as the middle one.

Cause: a gateway starts at its seeds, follows what answers first and stays there until that fails. Ruled out: announcements, which are spread (23 to 93 changes heard first at each of the twelve).

A gateway takes the two best that have not just failed, and leaves one that works for a better one after 5 to 15 s, one at a time, never for one that has failed in the last 30 s.

--- a/core/registration/subset.go
+++ b/core/registration/subset.go
@@ -1,10 +1,5 @@
 package registration
 
-import (
-	"hash/fnv"
-	"io"
-)
-
 const (
 	// MostOthers is the most records of a service that a reader takes from other
 	// availability zones: enough to lose its own zone and go on, and small beside the
@@ -42,20 +37,7 @@
 	if n <= 0 {
 		return true
 	}
-	h := fnv.New64a()
-	_, _ = io.WriteString(h, s.Reader) // writing to a hash cannot fail
-	_, _ = h.Write([]byte{0})
-	_, _ = io.WriteString(h, u.Addr)
-	return mix(h.Sum64())>>(64-n) == 0
-}
-
-// mix spreads the differences between similar texts over the high bits.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
+	return weight(s.Reader, u.Addr)>>(64-n) == 0
 }
 
 // Filter returns the records that belong to the subset, in their order.
--- a/modules/gateway/follow.go
+++ b/modules/gateway/follow.go
@@ -70,6 +70,10 @@
 	chosen   bool
 	widened  int
 	adjusted time.Time
+	// failed is when each instance failed last, nextMove when this gateway may next leave one
+	// that works.
+	failed   map[string]time.Time
+	nextMove time.Time
 }
 
 // position is the place in the changes of one instance.
@@ -79,7 +83,8 @@
 	f := &follower{
 		g: g, log: g.log, started: time.Now(), replaced: newBroadcast(),
 		configured: make(chan struct{}), seen: make(chan struct{}),
-		directory: registration.New(), subset: registration.Subset{Zone: g.zone, Reader: g.id}, following: map[string]bool{}, positions: map[string]position{},
+		directory: registration.New(), subset: registration.Subset{Zone: g.zone, Reader: g.id}, nextMove: time.Now().Add(movePause()),
+		following: map[string]bool{}, failed: map[string]time.Time{}, positions: map[string]position{},
 	}
 	f.members = peerAddresses(g.Seeds, g.PeerPort)
 	return f
@@ -138,20 +143,60 @@
 	}
 }
 
-// claim picks an instance that is not followed yet, one of the own availability
-// zone's first would save little: the feed is small.
+const (
+	// failedMemory is how long an instance that has failed comes after the others. One that
+	// has been killed is back after a second or two.
+	failedMemory = 2 * time.Second
+	// moveMemory is how long it must not have failed before a gateway leaves another one for
+	// it. One that stays away is no member any more by then.
+	moveMemory = 30 * time.Second
+	// moveInterval is the mean pause before a gateway leaves an instance that works for one
+	// that ranks higher. The new one sends all that is followed, so gateways do not move
+	// together.
+	moveInterval = 10 * time.Second
+)
+
+// claim picks the instance that ranks highest for this gateway and is not followed yet;
+// those that have just failed come last, the one that failed first before the others.
 func (f *follower) claim() (string, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	free := slices.DeleteFunc(slices.Clone(f.members), func(a string) bool { return f.following[a] })
+	now := time.Now()
+	free := slices.DeleteFunc(registration.Rank(f.g.id, f.members), func(a string) bool { return f.following[a] })
+	slices.SortStableFunc(free, func(a, b string) int { return f.failure(now, a).Compare(f.failure(now, b)) })
 	if len(free) == 0 {
 		return "", false
 	}
-	addr := free[rand.IntN(len(free))]
-	f.following[addr] = true
-	return addr, true
+	f.following[free[0]] = true
+	return free[0], true
+}
+
+// failure is when an instance has failed, zero if it has not lately.
+func (f *follower) failure(now time.Time, addr string) time.Time {
+	if at := f.failed[addr]; now.Sub(at) < failedMemory {
+		return at
+	}
+	return time.Time{}
 }
 
+// moves tells whether a gateway that follows an instance is to leave it for one that ranks
+// higher: most start at the few seeds, and after the loss of an instance at the others.
+func (f *follower) moves(now time.Time, addr string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if now.Before(f.nextMove) {
+		return false
+	}
+	sound := slices.DeleteFunc(registration.Rank(f.g.id, f.members), func(a string) bool { return now.Sub(f.failed[a]) < moveMemory })
+	if len(sound) <= watchers || slices.Contains(sound[:watchers], addr) {
+		return false
+	}
+	f.nextMove = now.Add(movePause())
+	return true
+}
+
+func movePause() time.Duration { return moveInterval/2 + rand.N(moveInterval) }
+
 // followed returns the control instances that are followed now.
 func (f *follower) followed() []string {
 	f.mu.Lock()
@@ -165,6 +210,14 @@
 	delete(f.following, addr)
 }
 
+// fail notes that an instance is of no use now.
+func (f *follower) fail(addr string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	maps.DeleteFunc(f.failed, func(a string, _ time.Time) bool { return !slices.Contains(f.members, a) })
+	f.failed[addr] = time.Now()
+}
+
 // watch follows one instance until it fails or knows no leader. It tells whether
 // the next instance may be tried at once. While none knows a leader, hundreds of
 // gateways that go round at once would keep the instances from electing one.
@@ -187,11 +240,13 @@
 			if !first {
 				level = slog.LevelWarn
 			}
+			f.fail(addr)
 			f.log.Log(ctx, level, "control instance lost", "address", addr, "version", args.Version, "error", err)
 			return useful
 		}
 		if reply.Relay {
 			f.addMembers(reply.Members)
+			f.fail(addr)
 			return true
 		}
 		f.take(addr, reply)
@@ -207,9 +262,14 @@
 		}
 		if !reply.Led && f.version() > 0 {
 			f.log.Warn("control instance knows no leader", "address", addr)
+			f.fail(addr)
 			return false
 		}
 		useful = reply.Led
+		if f.moves(time.Now(), addr) {
+			f.log.Info("control instance left for one that ranks higher", "address", addr)
+			return true
+		}
 	}
 	return useful
 }
