dispatch: callers of calls that were turned away come back one after the other

Cause: Retry-After was a constant for a full upstream, with no regard to how many were told the same.

Change: core/dispatch/comeback.go. The first caller of a moment still comes back after 100 ms; those behind it are spread at twice the rate at which this gateway's calls are answered at the moment, and over 0.4 to 0.8 s beyond that. Streams are not touched.

--- /dev/null
+++ b/core/dispatch/comeback.go
@@ -0,0 +1,65 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+)
+
+// This file tells callers of plain calls that were turned away when to come back. It answers
+// the moment after a restart of everything, in which the calls of seconds reach the
+// upstreams at once: callers who are all told the same time meet again, and most have one
+// more try.
+
+const (
+	// leastComeback is the least time after which a full upstream takes another call.
+	leastComeback = 100 * time.Millisecond
+	// mostComeback bounds it: callers give the time back that is left of their deadline
+	// beyond a third of it.
+	mostComeback = 800 * time.Millisecond
+	// comebackFactor is by how much callers may return faster than calls are answered at the
+	// moment; upstreams that turn calls away have just been idle or are being caught up with.
+	comebackFactor = 2
+	// leastCallRate is assumed where hardly any call has been answered yet, in calls a second;
+	// hundreds of gateways may be in that state together.
+	leastCallRate = 2
+	// rateTime is the time constant of the rate at which calls are answered.
+	rateTime = time.Second
+)
+
+// comeback spreads the callers of one service that were turned away.
+type comeback struct {
+	// next is when the next one is to come back.
+	next time.Time
+	// rate is the number of calls that were answered a second, as of last.
+	rate float64
+	last time.Time
+}
+
+// Comeback returns when the caller of a plain call that was turned away is to come back, if
+// that makes sense after a time at the earliest.
+func (f *Fleet) Comeback(now time.Time, service string, earliest time.Duration) time.Duration {
+	return earliest + f.estimate(service).comeback.after(now, f.rng.Float64()) - leastComeback
+}
+
+func (c *comeback) rateAt(now time.Time) float64 {
+	return c.rate * math.Exp(-now.Sub(c.last).Seconds()/rateTime.Seconds())
+}
+
+func (c *comeback) answered(now time.Time) {
+	c.rate, c.last = c.rateAt(now)+1/rateTime.Seconds(), now
+}
+
+// after returns when the next caller is to come back. Jitter is between 0 and 1.
+func (c *comeback) after(now time.Time, jitter float64) time.Duration {
+	step := time.Duration(float64(time.Second) / (comebackFactor * max(c.rateAt(now), leastCallRate)))
+	if earliest := now.Add(leastComeback); c.next.Before(earliest) {
+		c.next = earliest.Add(step)
+		return leastComeback // nobody else has been turned away lately
+	}
+	at := c.next.Add(time.Duration(jitter * float64(step)))
+	c.next = c.next.Add(step)
+	if wait := at.Sub(now); wait <= mostComeback {
+		return wait
+	}
+	return mostComeback/2 + time.Duration(jitter*float64(mostComeback/2))
+}
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -310,8 +310,11 @@
 		sample = 0
 	}
 	u := p.upstream
-	if p.alone && !p.stream && ok {
-		u.learned.noteCall(now.Sub(p.sent))
+	if !p.stream && ok {
+		u.learned.comeback.answered(now)
+		if p.alone {
+			u.learned.noteCall(now.Sub(p.sent))
+		}
 	}
 	u.failing = u.failingAt(now)
 	u.failing += failingShare * (sample - u.failing)
--- a/core/dispatch/estimate.go
+++ b/core/dispatch/estimate.go
@@ -31,6 +31,8 @@
 	callMS float64
 	// firstEvents, prompts and calls are the numbers of samples.
 	firstEvents, prompts, calls float64
+	// comeback spreads the callers of plain calls that were turned away.
+	comeback comeback
 }
 
 func newEstimate() *estimate {
--- a/modules/gateway/handler.go
+++ b/modules/gateway/handler.go
@@ -318,7 +318,7 @@
 // run.
 func (c *call) unplaced(r *dispatch.Refusal) error {
 	return result.New(result.NoUpstream, "none of %d upstreams of %s can take the request now, full=%v", r.Known, c.service.Name, r.Full).
-		After(r.Retry)
+		After(c.comeback(r.Retry))
 }
 
 // fail gives the caller the final answer of heatherway itself.
--- a/modules/gateway/plain.go
+++ b/modules/gateway/plain.go
@@ -99,7 +99,7 @@
 	return result.New(result.NoUpstream, "%s: %s", a.choice.Upstream.ID, message).After(c.retryIn())
 }
 
-// refusedRetry is told to callers whose call was refused by a full upstream; its
+// refusedRetry is told to callers whose stream was refused by a full upstream; its
 // queue clears within this time.
 const refusedRetry = 100 * time.Millisecond
 
@@ -108,7 +108,16 @@
 func (c *call) retryIn() time.Duration {
 	retry := refusedRetry
 	c.g.owner.ask(func(s *state) { retry = max(retry, s.fleet.RetryIn(time.Now(), c.work())) })
-	return retry
+	return c.comeback(retry)
+}
+
+// comeback spreads the callers of plain calls, since many are turned away together.
+func (c *call) comeback(earliest time.Duration) time.Duration {
+	at := earliest
+	if c.route.Kind != routing.Stream {
+		c.g.owner.ask(func(s *state) { at = s.fleet.Comeback(time.Now(), c.service.Name, earliest) })
+	}
+	return at
 }
 
 // lookup serves an idempotent call: it may be sent to several upstreams, one
