registry: a gateway is answered twenty times a second at most

What operators would see: processor time and wake-ups of every gateway, and traffic of the control instances, that grow with the number of upstreams which change, though few bytes are new. When the upstreams of a zone come back within a second, each is an answer and a new call of about 600 bytes for each of two followers.

Cause: a watch was answered at the first change.

Change: an answer with nothing but changed upstreams goes out 50 ms after the call came in at the earliest. What follows a quiet time still goes out at once; configurations, broken runs and first calls do not wait.

--- a/modules/registry/feed.go
+++ b/modules/registry/feed.go
@@ -22,6 +22,9 @@
 	// a silent instance a little later, well within the 2 s in which a change must
 	// be in force.
 	MaxWatch = 700 * time.Millisecond
+	// answerInterval is the least time between two answers to one gateway, if only upstreams
+	// have changed: those of a zone change together, and each answer costs a call.
+	answerInterval = 50 * time.Millisecond
 	// confirmLimit bounds one confirmation by the leader, which takes a few
 	// milliseconds; beyond it another leader may have been elected.
 	confirmLimit = 300 * time.Millisecond
@@ -141,7 +144,7 @@
 	if args.Epoch != r.directory.epoch {
 		since, crashes = 0, 0
 	}
-	subset := args.Subset
+	subset, begin := args.Subset, time.Now()
 	for {
 		woken := r.feed.next()
 		held := r.document.current()
@@ -165,9 +168,21 @@
 		if held.version > args.Version {
 			reply.Body = held.body
 		}
-		if reply.Body != nil || len(reply.Upstreams) > 0 || len(v.crashes) > 0 || !reply.Led || args.Confirm {
+		if reply.Body != nil || len(v.crashes) > 0 || !reply.Led || args.Confirm {
 			return nil
 		}
+		if len(reply.Upstreams) > 0 {
+			early := answerInterval - time.Since(begin)
+			if early <= 0 || args.Epoch != r.directory.epoch {
+				return nil
+			}
+			since = args.Change
+			select {
+			case <-time.After(early):
+			case <-ctx.Done():
+			}
+			continue
+		}
 		select {
 		case <-woken:
 		case <-ctx.Done():
--- a/modules/registry/registry_test.go
+++ b/modules/registry/registry_test.go
@@ -497,3 +497,37 @@
 	assert.NilError(t, gob.NewDecoder(&b).Decode(&now))
 	assert.Equal(t, now.Version, uint64(3))
 }
+
+// Guards against a call for each upstream of a zone that comes back: a burst of changes
+// costs a gateway few answers, and none of the changes is left out.
+func TestBurstOfChangesIsAnsweredTogether(t *testing.T) {
+	const changes = 40
+	f := newFleet(t, 3)
+	f.replace(f.nodes[0], 1, "burst")
+	client := f.nodes[1].security.NewClient(f.nodes[1].addr)
+	defer client.Close()
+	args, seen, answers := &WatchArgs{}, map[string]bool{}, 0
+	watch := func() {
+		reply := &WatchReply{}
+		assert.NilError(t, client.Call(t.Context(), ServiceName+".Watch", args, reply))
+		args.Version, args.Epoch, args.Change = reply.Version, reply.Epoch, reply.Change
+		for _, u := range reply.Upstreams {
+			seen[u.ID] = true
+		}
+		answers++
+	}
+	f.eventually("the configuration", func() bool { watch(); return args.Version == 1 })
+	go func() {
+		for i := range changes {
+			f.nodes[1].directory.announced(registration.Upstream{ID: fmt.Sprint("i-", i), Service: "s", Addr: fmt.Sprintf("10.0.0.%d:80", i+1), Zone: "z", Seq: 1})
+			time.Sleep(5 * time.Millisecond)
+		}
+	}()
+	begin := time.Now()
+	answers = 0
+	for len(seen) < changes {
+		watch()
+	}
+	took := time.Since(begin)
+	assert.Assert(t, answers <= 2+int(took/answerInterval), "%d answers in %v", answers, took)
+}
