registration: which control instances a reader follows is decided in core; follow.go in files by what they do

It is a type of its own now (registration.Sources), with time and jitter as arguments; its test moves along, with more of the order in which failed ones are tried.

The order of instances for a gateway changes with the hash, nothing else. core/registration, core/member, modules/gateway and modules/registry pass.

--- a/core/member/subset.go
+++ b/core/member/subset.go
@@ -5,6 +5,7 @@
 	"hash/fnv"
 	"slices"
 
+	"heatherway.dev/core/internal/rendezvous"
 	"heatherway.dev/core/wire"
 )
 
@@ -39,7 +40,7 @@
 	}
 	for i := range members {
 		u := &members[i]
-		x.hashes[i] = hashText(u.ID)
+		x.hashes[i] = rendezvous.Hash(u.ID)
 		x.regions[u.Zone] = u.Region
 		for _, m := range u.Models {
 			add("model "+m, i)
@@ -62,7 +63,7 @@
 // others, those of the entry's zone before others, but RemoteShare places are
 // left to other zones. Among equals the rendezvous hash decides.
 func (x *Index) Subset(entry, zone string) []wire.Upstream {
-	c := chooser{x: x, entry: hashText(entry), zone: zone, region: x.regions[zone]}
+	c := chooser{x: x, entry: rendezvous.Hash(entry), zone: zone, region: x.regions[zone]}
 	chosen := make([]bool, len(x.members))
 	for _, group := range x.groups {
 		for _, i := range c.choose(group) {
@@ -98,7 +99,7 @@
 	var local, remote, unfit []candidate
 	for _, i := range group {
 		u := &c.x.members[i]
-		s := candidate{i, u.Region != c.region, mix(c.entry ^ c.x.hashes[i])}
+		s := candidate{i, u.Region != c.region, rendezvous.Mix(c.entry ^ c.x.hashes[i])}
 		switch {
 		case u.State != wire.UpstreamUp:
 			unfit = append(unfit, s)
@@ -152,22 +153,6 @@
 	return out
 }
 
-func hashText(s string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(s)) // a hash never fails
-	return mix(h.Sum64())
-}
-
-// mix is the finaliser of MurmurHash3: the upper bits of an FNV hash hardly
-// depend on the last bytes written.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
-
 // Version identifies the content of a subset; it is zero only for an empty
 // one. It depends on nothing else, so that every control instance gives the
 // same version to the same content.
@@ -181,7 +166,7 @@
 	}
 	h := fnv.New64a()
 	_, _ = h.Write(b)
-	return max(1, mix(h.Sum64()))
+	return max(1, rendezvous.Mix(h.Sum64()))
 }
 
 func appendUpstream(b []byte, u *wire.Upstream) []byte {
--- a/core/registration/rank.go
+++ b/core/registration/rank.go
@@ -2,9 +2,10 @@
 
 import (
 	"cmp"
-	"hash/fnv"
-	"io"
 	"slices"
+	"time"
+
+	"heatherway.dev/core/internal/rendezvous"
 )
 
 // Rank orders names by how well they suit a reader, the best first. Each reader has an
@@ -17,7 +18,7 @@
 	}
 	list := make([]ranked, 0, len(names))
 	for _, n := range names {
-		list = append(list, ranked{n, weight(reader, n)})
+		list = append(list, ranked{n, rendezvous.Weight(reader, n)})
 	}
 	slices.SortFunc(list, func(a, b ranked) int {
 		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.name, b.name))
@@ -29,20 +30,79 @@
 	return out
 }
 
-// weight is a number that is as good as drawn for each pair of texts.
-func weight(reader, name string) uint64 {
-	h := fnv.New64a()
-	_, _ = io.WriteString(h, reader) // writing to a hash cannot fail
-	_, _ = h.Write([]byte{0})
-	_, _ = io.WriteString(h, name)
-	return mix(h.Sum64())
+const (
+	// failedMemory is how long a source that has failed comes after the others. One that has
+	// been killed is back after a second or two.
+	failedMemory = 2 * time.Second
+	// moveMemory is how long a source must not have failed before a reader leaves another one
+	// for it. One that stays away is no member any more by then.
+	moveMemory = 30 * time.Second
+	// moveInterval is the mean pause before a reader leaves a source that works for one that
+	// ranks higher. The new one sends all that is followed, so readers do not move together.
+	moveInterval = 10 * time.Second
+	// FollowedSources is the number of sources that a reader follows at a time, so that the
+	// loss of one does not hold changes up.
+	FollowedSources = 2
+)
+
+// Sources decides which control instances a reader follows. Most readers know a few seeds
+// when they start; without it they would stay there, and after the loss of an instance with
+// the others.
+type Sources struct {
+	reader string
+	// failed is when each source failed last.
+	failed map[string]time.Time
+	// nextMove is when the reader may next leave a source that works.
+	nextMove time.Time
+}
+
+// NewSources returns the sources of a reader that starts now. Jitter is between 0 and 1.
+func NewSources(reader string, now time.Time, jitter float64) *Sources {
+	return &Sources{reader: reader, failed: map[string]time.Time{}, nextMove: now.Add(movePause(jitter))}
+}
+
+func movePause(jitter float64) time.Duration {
+	return moveInterval/2 + time.Duration(jitter*float64(moveInterval))
+}
+
+// Next returns the one of the free sources that ranks highest; those that have just failed
+// come last, the one that failed first before the others. It is empty if none is free.
+func (s *Sources) Next(now time.Time, free []string) string {
+	list := Rank(s.reader, free)
+	slices.SortStableFunc(list, func(a, b string) int { return s.failure(now, a).Compare(s.failure(now, b)) })
+	if len(list) == 0 {
+		return ""
+	}
+	return list[0]
 }
 
-// mix spreads the differences between similar texts over the high bits.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
+// failure is when a source has failed, zero if it has not lately.
+func (s *Sources) failure(now time.Time, name string) time.Time {
+	if at := s.failed[name]; now.Sub(at) < failedMemory {
+		return at
+	}
+	return time.Time{}
+}
+
+// Failed notes that a source is of no use now. Members are all that are left.
+func (s *Sources) Failed(now time.Time, name string, members []string) {
+	for other := range s.failed {
+		if !slices.Contains(members, other) {
+			delete(s.failed, other)
+		}
+	}
+	s.failed[name] = now
+}
+
+// Move tells whether the reader is to leave a source that works for one that ranks higher.
+func (s *Sources) Move(now time.Time, name string, members []string, jitter float64) bool {
+	if now.Before(s.nextMove) {
+		return false
+	}
+	sound := slices.DeleteFunc(Rank(s.reader, members), func(n string) bool { return now.Sub(s.failed[n]) < moveMemory })
+	if len(sound) <= FollowedSources || slices.Contains(sound[:FollowedSources], name) {
+		return false
+	}
+	s.nextMove = now.Add(movePause(jitter))
+	return true
 }
--- a/core/registration/rank_test.go
+++ b/core/registration/rank_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -45,3 +46,42 @@
 		assert.Equal(t, len(Rank(reader, names)), len(names))
 	})
 }
+
+// Guards against all gateways staying at the few control instances that they are started
+// with, and at the others after a loss (kw-heatherway-large: 250 of 273 calls to follow an
+// instance went to three of twelve), and against gateways that leave an instance for one
+// that has just failed.
+func TestReadersSpreadOverSources(t *testing.T) {
+	var members []string
+	for i := range 8 {
+		members = append(members, fmt.Sprintf("10.%d.0.14:7140", i))
+	}
+	now := time.Unix(1000, 0)
+	s := NewSources("front-1", now, 1)
+	best := Rank("front-1", members)
+	seeds, free := best[5:], members
+	first := s.Next(now, seeds)
+	second := s.Next(now, slices.DeleteFunc(slices.Clone(seeds), func(n string) bool { return n == first }))
+	assert.DeepEqual(t, []string{first, second}, best[5:7])
+	assert.Assert(t, !s.Move(now, first, members, 0), "not while everything starts")
+	now = now.Add(2 * moveInterval)
+	assert.Assert(t, !s.Move(now, first, best[5:7], 0), "no others are known")
+
+	assert.Assert(t, s.Move(now, first, members, 1))
+	assert.Assert(t, !s.Move(now, second, members, 1), "one after the other")
+	assert.Equal(t, s.Next(now, free), best[0])
+	now = now.Add(2 * moveInterval)
+	assert.Assert(t, s.Move(now, second, members, 1))
+	now = now.Add(2 * moveInterval)
+	assert.Assert(t, !s.Move(now, best[0], members, 1))
+	assert.Assert(t, !s.Move(now, best[1], members, 1))
+
+	s.Failed(now, best[0], members)
+	assert.Equal(t, s.Next(now, free), best[1], "one that has failed comes last")
+	assert.Equal(t, s.Next(now, best[:1]), best[0], "and is tried when there is no other")
+	s.Failed(now.Add(time.Second), best[1], members)
+	assert.Equal(t, s.Next(now.Add(time.Second), best[:2]), best[0], "the one that failed first")
+	assert.Equal(t, s.Next(now, nil), "")
+	assert.Assert(t, !s.Move(now.Add(moveMemory-time.Second), best[2], members, 1))
+	assert.Assert(t, s.Move(now.Add(moveMemory+time.Second), best[2], members, 1))
+}
--- a/core/registration/subset.go
+++ b/core/registration/subset.go
@@ -1,5 +1,7 @@
 package registration
 
+import "heatherway.dev/core/internal/rendezvous"
+
 const (
 	// MostOthers is the most records of a service that a reader takes from other
 	// availability zones: enough to lose its own zone and go on, and small beside the
@@ -37,7 +39,7 @@
 	if n <= 0 {
 		return true
 	}
-	return weight(s.Reader, u.Addr)>>(64-n) == 0
+	return rendezvous.Weight(s.Reader, u.Addr)>>(64-n) == 0
 }
 
 // Filter returns the records that belong to the subset, in their order.
--- a/modules/gateway/follow.go
+++ b/modules/gateway/follow.go
@@ -20,9 +20,6 @@
 )
 
 const (
-	// watchers is the number of control instances that a gateway follows at a
-	// time; the second covers the loss or isolation of the first.
-	watchers = 2
 	// watchLimit bounds one call: the longest wait of the other end and a round
 	// trip.
 	watchLimit = registry.MaxWatch + 300*time.Millisecond
@@ -70,10 +67,7 @@
 	chosen   bool
 	widened  int
 	adjusted time.Time
-	// failed is when each instance failed last, nextMove when this gateway may next leave one
-	// that works.
-	failed   map[string]time.Time
-	nextMove time.Time
+	sources  *registration.Sources
 }
 
 // position is the place in the changes of one instance.
@@ -83,8 +77,9 @@
 	f := &follower{
 		g: g, log: g.log, started: time.Now(), replaced: newBroadcast(),
 		configured: make(chan struct{}), seen: make(chan struct{}),
-		directory: registration.New(), subset: registration.Subset{Zone: g.zone, Reader: g.id}, nextMove: time.Now().Add(movePause()),
-		following: map[string]bool{}, failed: map[string]time.Time{}, positions: map[string]position{},
+		directory: registration.New(), subset: registration.Subset{Zone: g.zone, Reader: g.id},
+		sources:   registration.NewSources(g.id, time.Now(), rand.Float64()),
+		following: map[string]bool{}, positions: map[string]position{},
 	}
 	f.members = peerAddresses(g.Seeds, g.PeerPort)
 	return f
@@ -120,7 +115,7 @@
 func (f *follower) settling() bool { return time.Since(f.started) < settleTime }
 
 func (f *follower) start() {
-	for range watchers {
+	for range registration.FollowedSources {
 		f.g.run(func() { f.follow(f.g.ctx) })
 	}
 }
@@ -143,60 +138,32 @@
 	}
 }
 
-const (
-	// failedMemory is how long an instance that has failed comes after the others. One that
-	// has been killed is back after a second or two.
-	failedMemory = 2 * time.Second
-	// moveMemory is how long it must not have failed before a gateway leaves another one for
-	// it. One that stays away is no member any more by then.
-	moveMemory = 30 * time.Second
-	// moveInterval is the mean pause before a gateway leaves an instance that works for one
-	// that ranks higher. The new one sends all that is followed, so gateways do not move
-	// together.
-	moveInterval = 10 * time.Second
-)
-
-// claim picks the instance that ranks highest for this gateway and is not followed yet;
-// those that have just failed come last, the one that failed first before the others.
+// claim picks an instance that is not followed yet.
 func (f *follower) claim() (string, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := time.Now()
-	free := slices.DeleteFunc(registration.Rank(f.g.id, f.members), func(a string) bool { return f.following[a] })
-	slices.SortStableFunc(free, func(a, b string) int { return f.failure(now, a).Compare(f.failure(now, b)) })
-	if len(free) == 0 {
-		return "", false
+	free := slices.DeleteFunc(slices.Clone(f.members), func(a string) bool { return f.following[a] })
+	addr := f.sources.Next(time.Now(), free)
+	if addr != "" {
+		f.following[addr] = true
 	}
-	f.following[free[0]] = true
-	return free[0], true
+	return addr, addr != ""
 }
 
-// failure is when an instance has failed, zero if it has not lately.
-func (f *follower) failure(now time.Time, addr string) time.Time {
-	if at := f.failed[addr]; now.Sub(at) < failedMemory {
-		return at
-	}
-	return time.Time{}
+// moves tells whether an instance is to be left for one that ranks higher.
+func (f *follower) moves(addr string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.sources.Move(time.Now(), addr, f.members, rand.Float64())
 }
 
-// moves tells whether a gateway that follows an instance is to leave it for one that ranks
-// higher: most start at the few seeds, and after the loss of an instance at the others.
-func (f *follower) moves(now time.Time, addr string) bool {
+// failed notes that an instance is of no use now.
+func (f *follower) failed(addr string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if now.Before(f.nextMove) {
-		return false
-	}
-	sound := slices.DeleteFunc(registration.Rank(f.g.id, f.members), func(a string) bool { return now.Sub(f.failed[a]) < moveMemory })
-	if len(sound) <= watchers || slices.Contains(sound[:watchers], addr) {
-		return false
-	}
-	f.nextMove = now.Add(movePause())
-	return true
+	f.sources.Failed(time.Now(), addr, f.members)
 }
 
-func movePause() time.Duration { return moveInterval/2 + rand.N(moveInterval) }
-
 // followed returns the control instances that are followed now.
 func (f *follower) followed() []string {
 	f.mu.Lock()
@@ -210,14 +177,6 @@
 	delete(f.following, addr)
 }
 
-// fail notes that an instance is of no use now.
-func (f *follower) fail(addr string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	maps.DeleteFunc(f.failed, func(a string, _ time.Time) bool { return !slices.Contains(f.members, a) })
-	f.failed[addr] = time.Now()
-}
-
 // watch follows one instance until it fails or knows no leader. It tells whether
 // the next instance may be tried at once. While none knows a leader, hundreds of
 // gateways that go round at once would keep the instances from electing one.
@@ -240,13 +199,13 @@
 			if !first {
 				level = slog.LevelWarn
 			}
-			f.fail(addr)
+			f.failed(addr)
 			f.log.Log(ctx, level, "control instance lost", "address", addr, "version", args.Version, "error", err)
 			return useful
 		}
 		if reply.Relay {
 			f.addMembers(reply.Members)
-			f.fail(addr)
+			f.failed(addr)
 			return true
 		}
 		f.take(addr, reply)
@@ -262,11 +221,11 @@
 		}
 		if !reply.Led && f.version() > 0 {
 			f.log.Warn("control instance knows no leader", "address", addr)
-			f.fail(addr)
+			f.failed(addr)
 			return false
 		}
 		useful = reply.Led
-		if f.moves(time.Now(), addr) {
+		if f.moves(addr) {
 			f.log.Info("control instance left for one that ranks higher", "address", addr)
 			return true
 		}
@@ -280,66 +239,6 @@
 	return f.positions[addr]
 }
 
-// asks sets the subset that a call asks for. It returns how often that was widened.
-func (f *follower) asks(args *registry.WatchArgs) int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	args.Subset, args.Choose = f.subset, !f.chosen
-	return f.widened
-}
-
-// adopted takes over the size of the subset that an instance has chosen, or tells whether
-// it is the one in force.
-func (f *follower) adopted(halvings map[string]int) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if !f.chosen {
-		f.subset.Halvings, f.chosen = halvings, true
-		if len(halvings) > 0 {
-			f.log.Info("part of the upstreams followed", "halvings", halvings)
-		}
-	}
-	return maps.Equal(f.subset.Halvings, halvings)
-}
-
-// adjustInterval is the pause between two looks at the size of the subset. A fleet grows
-// or shrinks by half in minutes.
-const adjustInterval = time.Second
-
-// endedMemory is how long an upstream that has ended is remembered. Control instances
-// forget it after a minute; a late record of it must not come back here before.
-const endedMemory = 10 * time.Minute
-
-// forget takes upstreams from the placements; what runs there goes on.
-func (f *follower) forget(list []registration.Upstream) {
-	for _, u := range list {
-		u.State = registration.Left
-		f.g.owner.tell(func(s *state) { s.fleet.SetUpstream(u) })
-	}
-}
-
-// adjust keeps the number of upstreams that are known within its bounds.
-func (f *follower) adjust(now time.Time) {
-	if now.Sub(f.adjusted) < adjustInterval {
-		return
-	}
-	f.adjusted = now
-	f.forget(f.directory.DropEnded(now, endedMemory))
-	if !f.chosen {
-		return
-	}
-	before := f.subset.Halvings
-	dropped, more := f.directory.Adjust(&f.subset)
-	f.forget(dropped)
-	if more {
-		f.widened++
-		clear(f.positions)
-	}
-	if !maps.Equal(before, f.subset.Halvings) {
-		f.log.Info("part of the upstreams followed", "halvings", f.subset.Halvings, "before", before, "dropped", len(dropped), "known", f.directory.Len())
-	}
-}
-
 func (f *follower) call(ctx context.Context, client *peer.Client, args *registry.WatchArgs, first bool) (*registry.WatchReply, error) {
 	limit := watchLimit
 	if first {
@@ -462,74 +361,3 @@
 		f.g.upstreamChanged(c)
 	}
 }
-
-// incarnation is an upstream that has announced itself at an address.
-type incarnation struct {
-	addr      string
-	id        string
-	startedMS int64
-}
-
-// replaces tells whether another incarnation at the same address has ended.
-func (i incarnation) replaces(u registration.Upstream) bool {
-	return i.addr == u.Addr && i.startedMS > u.StartedMS
-}
-
-// broadcast passes incarnations on to the streams under way.
-type broadcast struct {
-	mu   sync.Mutex
-	subs map[*subscription]bool
-}
-
-type subscription struct {
-	of      *broadcast
-	watched registration.Upstream
-	ended   chan struct{}
-	// suspect carries alarms.
-	suspect chan struct{}
-}
-
-func newBroadcast() *broadcast { return &broadcast{subs: map[*subscription]bool{}} }
-
-// watch returns a subscription whose channel is closed when the upstream's
-// incarnation is known to have ended.
-func (b *broadcast) watch(u registration.Upstream) *subscription {
-	s := &subscription{of: b, watched: u, ended: make(chan struct{}), suspect: make(chan struct{}, 1)}
-	b.mu.Lock()
-	b.subs[s] = true
-	b.mu.Unlock()
-	return s
-}
-
-func (s *subscription) close() {
-	s.of.mu.Lock()
-	delete(s.of.subs, s)
-	s.of.mu.Unlock()
-}
-
-// alarm asks the streams on other upstreams of an availability zone to check
-// theirs: the upstreams of a zone stop together.
-func (b *broadcast) alarm(u registration.Upstream) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for s := range b.subs {
-		if s.watched.Zone != u.Zone || s.watched.Service != u.Service || s.watched.ID == u.ID {
-			continue
-		}
-		select {
-		case s.suspect <- struct{}{}:
-		default: // an alarm is waiting already
-		}
-	}
-}
-
-func (b *broadcast) publish(i incarnation) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for s := range b.subs {
-		if i.replaces(s.watched) {
-			close(s.ended)
-			delete(b.subs, s)
-		}
-	}
-}
