dispatch: callers who come back are spread within the time that they have

Change: the bound is a third of what is left of the caller's deadline, or of the route's time where it names none.

--- a/core/dispatch/comeback.go
+++ b/core/dispatch/comeback.go
@@ -13,9 +13,9 @@
 const (
 	// leastComeback is the least time after which a full upstream takes another call.
 	leastComeback = 100 * time.Millisecond
-	// mostComeback bounds it: callers give the time back that is left of their deadline
-	// beyond a third of it.
-	mostComeback = 800 * time.Millisecond
+	// comebackShare is the part of the time that a caller has left within which it comes back.
+	// Beyond a third it does not wait as told, and too little is left for the answer.
+	comebackShare = 3
 	// comebackFactor is by how much callers may return faster than calls are answered at the
 	// moment; upstreams that turn calls away have just been idle or are being caught up with.
 	comebackFactor = 2
@@ -36,9 +36,10 @@
 }
 
 // Comeback returns when the caller of a plain call that was turned away is to come back, if
-// that makes sense after a time at the earliest.
-func (f *Fleet) Comeback(now time.Time, service string, earliest time.Duration) time.Duration {
-	return earliest + f.estimate(service).comeback.after(now, f.rng.Float64()) - leastComeback
+// that makes sense after a time at the earliest. Left is the time until its deadline.
+func (f *Fleet) Comeback(now time.Time, service string, earliest, left time.Duration) time.Duration {
+	spread := f.estimate(service).comeback.after(now, f.rng.Float64(), left/comebackShare) - leastComeback
+	return earliest + max(spread, 0)
 }
 
 func (c *comeback) rateAt(now time.Time) float64 {
@@ -49,8 +50,8 @@
 	c.rate, c.last = c.rateAt(now)+1/rateTime.Seconds(), now
 }
 
-// after returns when the next caller is to come back. Jitter is between 0 and 1.
-func (c *comeback) after(now time.Time, jitter float64) time.Duration {
+// after returns when the next caller is to come back, within a time. Jitter is between 0 and 1.
+func (c *comeback) after(now time.Time, jitter float64, most time.Duration) time.Duration {
 	step := time.Duration(float64(time.Second) / (comebackFactor * max(c.rateAt(now), leastCallRate)))
 	if earliest := now.Add(leastComeback); c.next.Before(earliest) {
 		c.next = earliest.Add(step)
@@ -58,8 +59,8 @@
 	}
 	at := c.next.Add(time.Duration(jitter * float64(step)))
 	c.next = c.next.Add(step)
-	if wait := at.Sub(now); wait <= mostComeback {
+	if wait := at.Sub(now); wait <= most {
 		return wait
 	}
-	return mostComeback/2 + time.Duration(jitter*float64(mostComeback/2))
+	return most/2 + time.Duration(jitter*float64(most/2))
 }
--- a/core/dispatch/comeback_test.go
+++ b/core/dispatch/comeback_test.go
@@ -19,6 +19,8 @@
 	deskSlots = 6
 	deskQueue = 24
 	deskWork  = 30 * time.Millisecond
+	// deskDeadline is the callers'.
+	deskDeadline = 2500 * time.Millisecond
 )
 
 // event is something that happens in a play of calls.
@@ -50,7 +52,7 @@
 // playRestart plays calls that reach six desks through many gateways: a third of what they
 // can take, and the calls of a time without service at once. Callers who are turned away
 // come back once. It returns how many get no answer, and the mean time of the others.
-func playRestart(seed uint64, gateways, burst int, back func(gateway int, now time.Time, rng *rand.Rand) time.Duration, answered func(gateway int, now time.Time)) (lost int, mean time.Duration) {
+func playRestart(seed uint64, gateways, burst int, back func(gateway int, now time.Time, left time.Duration, rng *rand.Rand) time.Duration, answered func(gateway int, now time.Time)) (lost int, mean time.Duration) {
 	rng := rand.New(rand.NewPCG(seed, 3))
 	desks := make([]desk, 6)
 	var queue events
@@ -89,7 +91,7 @@
 				lost++
 			default:
 				c.again = true
-				heap.Push(&queue, event{e.at + back(c.gateway, start.Add(e.at), rng), arrives, e.caller, 0})
+				heap.Push(&queue, event{e.at + back(c.gateway, start.Add(e.at), (c.first+deskDeadline-e.at)/comebackShare, rng), arrives, e.caller, 0})
 			}
 		case ends:
 			d := &desks[e.desk]
@@ -116,11 +118,13 @@
 			var lostSame, lostSpread int
 			var meanSame, meanSpread time.Duration
 			for seed := range uint64(10) {
-				lost, mean := playRestart(seed, gateways, burst, func(int, time.Time, *rand.Rand) time.Duration { return leastComeback }, func(int, time.Time) {})
+				lost, mean := playRestart(seed, gateways, burst, func(int, time.Time, time.Duration, *rand.Rand) time.Duration { return leastComeback }, func(int, time.Time) {})
 				lostSame, meanSame = lostSame+lost, meanSame+mean/10
 				spread := make([]comeback, gateways)
 				lost, mean = playRestart(seed, gateways, burst,
-					func(g int, now time.Time, rng *rand.Rand) time.Duration { return spread[g].after(now, rng.Float64()) },
+					func(g int, now time.Time, left time.Duration, rng *rand.Rand) time.Duration {
+						return spread[g].after(now, rng.Float64(), left)
+					},
 					func(g int, now time.Time) { spread[g].answered(now) })
 				lostSpread, meanSpread = lostSpread+lost, meanSpread+mean/10
 			}
--- a/modules/gateway/plain.go
+++ b/modules/gateway/plain.go
@@ -113,10 +113,15 @@
 
 // comeback spreads the callers of plain calls, since many are turned away together.
 func (c *call) comeback(earliest time.Duration) time.Duration {
-	at := earliest
-	if c.route.Kind != routing.Stream {
-		c.g.owner.ask(func(s *state) { at = s.fleet.Comeback(time.Now(), c.service.Name, earliest) })
+	if c.route.Kind == routing.Stream {
+		return earliest
+	}
+	left := time.Until(c.end) // the caller may wait for longer than its route allows
+	if c.req.Deadline > 0 {
+		left = time.Until(c.begin.Add(c.req.Deadline))
 	}
+	at := earliest
+	c.g.owner.ask(func(s *state) { at = s.fleet.Comeback(time.Now(), c.service.Name, earliest, left) })
 	return at
 }
 
