--- a/core/dispatch/comeback_test.go
+++ b/core/dispatch/comeback_test.go
@@ -11,8 +11,8 @@
 
 // desk is a service that queues some calls and turns others away.
 type desk struct {
-	running, waiting int
-	queue            []int // callers
+	running int
+	queue   []int // callers that wait
 }
 
 const (
@@ -26,11 +26,18 @@
 // event is something that happens in a play of calls.
 type event struct {
 	at     time.Duration
-	kind   int
+	kind   eventKind
 	caller int
 	desk   int
 }
 
+type eventKind uint8
+
+const (
+	arrives eventKind = iota
+	ends
+)
+
 type events []event
 
 func (e events) Len() int           { return len(e) }
@@ -44,11 +51,6 @@
 	return last
 }
 
-const (
-	arrives = iota
-	ends
-)
-
 // playRestart plays calls that reach six desks through many gateways: a third of what they
 // can take, and the calls of a time without service at once. Callers who are turned away
 // come back once. It returns how many get no answer, and the mean time of the others.
