heatherwayctl: timeline, what happened to requests and dependencies over time

Built: heatherwayctl timeline LOG... counts refusals, failures, broken and resumed streams, lost and regained dependencies, starts and latencies in at most 300 steps, by zone and class, as a table, JSON or one page without outside parts. It reads logs twice, a line at a time, holds counts only, and counts torn lines.

Tests: TestTimeline (lines of gateways, control instances and entries, a torn one), TestTimelineHasFewSteps. No code of the deployment's programs changes.

--- a/cmd/heatherwayctl/explain.go
+++ b/cmd/heatherwayctl/explain.go
@@ -31,11 +31,7 @@
 			if len(args) < 2 || *output != outputTable && *output != outputJSON {
 				return result.New(result.Usage, "name a request and one log or more, and table or json for --output")
 			}
-			var sources []explain.Source
-			for _, name := range args[1:] {
-				sources = append(sources, explain.Source{Name: name, Open: func() (io.ReadCloser, error) { return os.Open(name) }})
-			}
-			r, err := explain.Request(args[0], sources)
+			r, err := explain.Request(args[0], logSources(args[1:]))
 			if err != nil {
 				return result.Wrap(result.InvalidField, err, "logs")
 			}
@@ -47,6 +43,14 @@
 	}
 }
 
+// logSources are the logs in files.
+func logSources(names []string) (list []explain.Source) {
+	for _, name := range names {
+		list = append(list, explain.Source{Name: name, Open: func() (io.ReadCloser, error) { return os.Open(name) }})
+	}
+	return list
+}
+
 // commonFields have a column of their own or say nothing of the request.
 var commonFields = []string{"time", "level", "msg", "instance", "zone", "role", "request", "request_id", "stack"}
 
--- /dev/null
+++ b/internal/explain/timeline.go
@@ -0,0 +1,242 @@
+package explain
+
+import (
+	"cmp"
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"heatherway.dev/kernel/result"
+)
+
+// Outcome is what a line of a timeline counts as.
+type Outcome uint8
+
+// The outcomes.
+const (
+	// Answered requests got the answer of an upstream.
+	Answered Outcome = iota
+	// Refused requests have not run: 4xx and 503 of heatherway itself.
+	Refused
+	// Failed requests ended with another failure of heatherway itself.
+	Failed
+	// Broken streams ended in the middle.
+	Broken
+	// Resumed streams went on at another upstream.
+	Resumed
+	// Lost and Regained are dependencies: upstreams, control instances, leaders.
+	Lost
+	Regained
+	// Started processes.
+	Started
+	outcomes
+)
+
+// String returns the name shown.
+func (o Outcome) String() string {
+	return [...]string{"answered", "refused", "failed", "broken off", "resumed", "dependencies lost", "dependencies regained", "starts"}[min(o, Started)]
+}
+
+// Outcomes returns all of them in the order in which they are shown.
+func Outcomes() (list []Outcome) {
+	for o := range outcomes {
+		list = append(list, o)
+	}
+	return list
+}
+
+// messages are the lines that count, but for those of requests.
+var messages = map[string]Outcome{
+	"stream broken off": Broken, "stream resumed": Resumed,
+	"upstream lost": Lost, "control instance lost": Lost, "control instance knows no leader": Lost, "the upstream has crashed": Lost,
+	"control instance followed": Regained, "leader changed": Regained,
+	"gateway starts": Started, "registry starts": Started, "started": Started,
+}
+
+// outcome tells what a line counts as, false for nothing.
+func (l *Line) outcome() (Outcome, bool) {
+	switch l.Message {
+	case "request answered":
+		return Answered, true
+	case "request failed":
+		return failure(int(l.number("status"))), true
+	case "request": // of an entry
+		code := result.Code(l.number("code"))
+		if code == 0 {
+			return Answered, true
+		}
+		return failure(code.Info().HTTP), true
+	}
+	o, ok := messages[l.Message]
+	return o, ok
+}
+
+// failure is the outcome of a request that heatherway itself has ended with a status.
+func failure(status int) Outcome {
+	if status < http.StatusInternalServerError || status == http.StatusServiceUnavailable {
+		return Refused
+	}
+	return Failed
+}
+
+// latencyFields hold the time of an answer, that to its first event first.
+var latencyFields = []string{"first_event_ms", "first_token_ms", "took_ms", "duration_ms"}
+
+const (
+	// mostSteps bounds the steps of a timeline; about as many points fit on a page.
+	mostSteps = 300
+	// latencySteps and latencyBase are those of the histogram of a step: each bound is a
+	// quarter above the one before, from a millisecond to an hour and more.
+	latencySteps = 70
+	latencyBase  = 1.25
+)
+
+// Step is a part of the time.
+type Step struct {
+	Counts [outcomes]int `json:"counts"`
+	// P50MS and P99MS are latencies of answers, to the first event where there is one.
+	P50MS, P99MS float64
+	latencies    [latencySteps]int
+}
+
+func (s *Step) noteLatency(ms float64) {
+	i, bound := 0, 1.0
+	for ; ms > bound && i < latencySteps-1; i++ {
+		bound *= latencyBase
+	}
+	s.latencies[i]++
+}
+
+// quantile returns the upper bound of the part of the histogram that holds a share.
+func (s *Step) quantile(share float64) float64 {
+	all := 0
+	for _, n := range s.latencies {
+		all += n
+	}
+	if all == 0 {
+		return 0
+	}
+	seen, bound := 0, 1.0
+	for _, n := range s.latencies {
+		if seen += n; float64(seen) >= share*float64(all) {
+			break
+		}
+		bound *= latencyBase
+	}
+	return bound
+}
+
+// Group is the requests of one class in one availability zone.
+type Group struct {
+	Zone, Class string
+	Counts      [outcomes]int
+}
+
+// Timeline is what logs tell about a span of time.
+type Timeline struct {
+	Start  time.Time
+	Step   time.Duration
+	Steps  []Step
+	Groups []Group
+	Read   Counts
+}
+
+// Draw reads logs twice, for their span and for what happened in it. It holds counts
+// only, however long the logs are.
+func Draw(sources []Source) (*Timeline, error) {
+	var first, last time.Time
+	_, err := each(sources, nil, func(l *Line) {
+		if _, ok := l.outcome(); !ok {
+			return
+		}
+		if first.IsZero() || l.Time.Before(first) {
+			first = l.Time
+		}
+		if l.Time.After(last) {
+			last = l.Time
+		}
+	})
+	if err != nil {
+		return nil, err
+	}
+	if first.IsZero() {
+		return nil, errors.New("no line on a request, a dependency or a start")
+	}
+	t := &Timeline{Start: first, Step: stepFor(last.Sub(first))}
+	t.Steps = make([]Step, int(last.Sub(first)/t.Step)+1)
+	groups := map[[2]string]*Group{}
+	if t.Read, err = each(sources, nil, func(l *Line) { t.take(l, groups) }); err != nil {
+		return nil, err
+	}
+	for i := range t.Steps {
+		t.Steps[i].P50MS, t.Steps[i].P99MS = t.Steps[i].quantile(0.5), t.Steps[i].quantile(0.99)
+	}
+	for _, key := range slices.SortedFunc(maps.Keys(groups), func(a, b [2]string) int {
+		return cmp.Or(strings.Compare(a[0], b[0]), strings.Compare(a[1], b[1]))
+	}) {
+		t.Groups = append(t.Groups, *groups[key])
+	}
+	return t, nil
+}
+
+// steps are the lengths of a step, so that their bounds are round times.
+var steps = []time.Duration{
+	100 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second, 5 * time.Second, 10 * time.Second, 30 * time.Second,
+	time.Minute, 5 * time.Minute, 10 * time.Minute, 30 * time.Minute, time.Hour,
+}
+
+func stepFor(span time.Duration) time.Duration {
+	for _, s := range steps {
+		if span/s < mostSteps {
+			return s
+		}
+	}
+	return span/mostSteps + 1
+}
+
+func (t *Timeline) take(l *Line, groups map[[2]string]*Group) {
+	o, ok := l.outcome()
+	if !ok {
+		return
+	}
+	i := int(l.Time.Sub(t.Start) / t.Step)
+	if i < 0 || i >= len(t.Steps) {
+		return // written between the two readings
+	}
+	t.Steps[i].Counts[o]++
+	if o == Answered {
+		for _, name := range latencyFields {
+			if ms := l.number(name); ms > 0 {
+				t.Steps[i].noteLatency(ms)
+				break
+			}
+		}
+	}
+	if o > Resumed {
+		return
+	}
+	key := [2]string{l.text("zone"), l.class()}
+	if groups[key] == nil {
+		groups[key] = &Group{Zone: key[0], Class: key[1]}
+	}
+	groups[key].Counts[o]++
+}
+
+// class names the kind of a request: its class, or the route where lines have none.
+func (l *Line) class() string {
+	if c := l.text("class"); c != "" {
+		return c
+	}
+	if r := l.text("route"); r != "" {
+		return r
+	}
+	if _, ok := l.Fields["priority"]; ok {
+		return "priority " + strconv.Itoa(int(l.number("priority")))
+	}
+	return "unknown"
+}
--- /dev/null
+++ b/internal/explain/timeline_test.go
@@ -0,0 +1,61 @@
+package explain
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a timeline that takes answers for failures, counts a line at the wrong
+// time, or ends at a torn line.
+func TestTimeline(t *testing.T) {
+	gateway := source(
+		line(0, "g1", "gateway starts", `,"zone":"a"`),
+		line(100, "g1", "control instance followed", `,"zone":"a"`),
+		line(150, "g1", "request answered", `,"zone":"a","route":"letters","status":500,"first_event_ms":900,"took_ms":4000`),
+		`{"time":"torn`+"\n",
+		line(250, "g1", "request failed", `,"zone":"a","route":"book","status":503,"took_ms":3`),
+		line(260, "g1", "request failed", `,"zone":"a","route":"book","status":502,"took_ms":3`),
+		line(270, "g1", "request failed", `,"zone":"a","route":"book","status":404,"took_ms":1`),
+		line(20_040, "g1", "stream broken off", `,"zone":"a","route":"letters"`),
+	)
+	others := source(
+		line(20_010, "c1", "upstream lost", `,"zone":"b"`),
+		line(20_050, "e1", "request", `,"zone":"b","class":"urgent","code":0,"first_token_ms":30,"duration_ms":500`),
+		line(20_060, "e1", "request", `,"zone":"b","class":"urgent","code":4290,"duration_ms":2`),
+		line(20_070, "e1", "configuration in force", `,"zone":"b"`),
+	)
+	got, err := Draw([]Source{others, gateway})
+	assert.NilError(t, err)
+	assert.Equal(t, got.Step, 100*time.Millisecond)
+	assert.Equal(t, got.Read, Counts{Lines: 12, Damaged: 1})
+	assert.Equal(t, len(got.Steps), 201)
+	assert.DeepEqual(t, got.Steps[0].Counts, [outcomes]int{Started: 1})
+	assert.DeepEqual(t, got.Steps[1].Counts, [outcomes]int{Regained: 1, Answered: 1})
+	assert.Assert(t, got.Steps[1].P50MS >= 900 && got.Steps[1].P50MS < 900*latencyBase)
+	assert.DeepEqual(t, got.Steps[2].Counts, [outcomes]int{Refused: 2, Failed: 1})
+	assert.DeepEqual(t, got.Steps[200].Counts, [outcomes]int{Broken: 1, Lost: 1, Answered: 1, Refused: 1})
+	assert.DeepEqual(t, got.Groups, []Group{
+		{"a", "book", [outcomes]int{Refused: 2, Failed: 1}},
+		{"a", "letters", [outcomes]int{Answered: 1, Broken: 1}},
+		{"b", "urgent", [outcomes]int{Answered: 1, Refused: 1}},
+	})
+
+	var page strings.Builder
+	assert.NilError(t, got.WritePage(&page))
+	for _, outside := range []string{"http:", "https:", "src=", "<script", "<link"} {
+		assert.Assert(t, !strings.Contains(page.String(), outside), outside)
+	}
+	assert.Assert(t, strings.Contains(page.String(), "2027-01-15 08:00:00.200: 2"), "refusals of the third step")
+}
+
+// Guards against a timeline of a long log that needs memory for each moment.
+func TestTimelineHasFewSteps(t *testing.T) {
+	for _, span := range []time.Duration{0, time.Second, time.Minute, time.Hour, 24 * time.Hour, 1000 * time.Hour, 100_000 * time.Hour} {
+		assert.Assert(t, int(span/stepFor(span)) <= mostSteps, "%v", span)
+	}
+	_, err := Draw([]Source{source(line(0, "g1", "ready", ""))})
+	assert.ErrorContains(t, err, "no line")
+}
