dispatch: a burst of refusals does not put off callers who come later

Found by reading the code again; no run had shown it.

TestBurstIsForgotten: red before (400 to 800 ms two bounds after 1,000 refusals). Now the time stays within the bound.

--- a/core/dispatch/comeback.go
+++ b/core/dispatch/comeback.go
@@ -28,7 +28,7 @@
 
 // comeback spreads the callers of one service that were turned away.
 type comeback struct {
-	// next is when the next one is to come back.
+	// next is when the next one is to come back. It is not put off beyond what callers wait.
 	next time.Time
 	// rate is the number of calls that were answered a second, as of last.
 	rate float64
@@ -58,8 +58,8 @@
 		return leastComeback // nobody else has been turned away lately
 	}
 	at := c.next.Add(time.Duration(jitter * float64(step)))
-	c.next = c.next.Add(step)
 	if wait := at.Sub(now); wait <= most {
+		c.next = c.next.Add(step)
 		return wait
 	}
 	return most/2 + time.Duration(jitter*float64(most/2))
--- a/core/dispatch/comeback_test.go
+++ b/core/dispatch/comeback_test.go
@@ -136,3 +136,15 @@
 		}
 	}
 }
+
+// Guards against callers who wait for long because many were turned away before them, whose
+// time has passed.
+func TestBurstIsForgotten(t *testing.T) {
+	const most = 800 * time.Millisecond
+	c := &comeback{}
+	for range 1000 {
+		wait := c.after(start, 0.5, most)
+		assert.Assert(t, wait >= leastComeback && wait <= most, "%v", wait)
+	}
+	assert.Equal(t, c.after(start.Add(2*most), 0.5, most), leastComeback)
+}
