registry: an instance that stops waits for what it still writes

Cause: Stop ended the listeners and the log, and did not wait for the goroutines that save the directory and the broken runs. One that was writing went on, in a folder that was being removed or that a successor had opened. As a process of its own the instance exits then, and a write is cut at most; in one process with others, or in a test that starts it again, two write one file.

Evidence: TestStopEndsTheWriting, an instance that is stopped while it writes 200,000 records: red three times of three before (the folder is made again), passes 5 of 5. Change: Stop waits for them within its time, and says so if they have not ended.

--- a/modules/registry/registry.go
+++ b/modules/registry/registry.go
@@ -297,7 +297,22 @@
 		err = errors.Join(err, s.Close())
 	}
 	r.clients.Close()
-	return err
+	return errors.Join(err, r.ended(ctx))
+}
+
+// ended waits for what runs in the background: it must not write the files of a successor.
+func (r *Registry) ended(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		r.wait.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "background work has not ended")
+	}
 }
 
 // Reload implements kernel.Reloader. The seeds may change while the process
--- a/modules/registry/registry_test.go
+++ b/modules/registry/registry_test.go
@@ -531,3 +531,21 @@
 	took := time.Since(begin)
 	assert.Assert(t, answers <= 2+int(took/answerInterval), "%d answers in %v", answers, took)
 }
+
+// Guards against an instance that still writes its files after it has stopped, over those
+// of its successor in the same folder.
+func TestStopEndsTheWriting(t *testing.T) {
+	f := newFleet(t, 1)
+	n := f.nodes[0]
+	var large []registration.Upstream
+	for i := range 200_000 {
+		large = append(large, registration.Upstream{ID: fmt.Sprint("i-", i), Service: "s", Addr: "10.0.0.1:80", Zone: "z", Seq: 1})
+	}
+	n.directory.saver.offer(large)
+	time.Sleep(20 * time.Millisecond) // it is being written
+	f.stop(n)
+	assert.NilError(t, os.RemoveAll(n.folder))
+	time.Sleep(500 * time.Millisecond)
+	_, err := os.Stat(n.folder)
+	assert.ErrorIs(t, err, os.ErrNotExist)
+}
