agent: a request that its engine has turned away has not run

What callers could get: after an engine's 429 or 503 the agent told the entry that the request had run. The entry sends a generation elsewhere in either case, but a caller for whom no other engine was left was not told that it may safely come back.

Cause: every attempt that reached the engine counted as run; the adapter knows better (QueueFull: refused before anything ran).

--- a/modules/agent/run.go
+++ b/modules/agent/run.go
@@ -21,7 +21,7 @@
 	ctx context.Context
 	// passed is set once a suspect's probation is over.
 	passed bool
-	ran    bool // the engine has had the request
+	ran    bool // the engine has taken the request
 	// claimed is the attempt under which the record of the key was started.
 	claimed wire.ID
 
@@ -129,7 +129,7 @@
 	if err != nil && ctx.Err() != nil {
 		err = r.cause(ctx)
 	}
-	r.ran = r.ran || !result.Is(err, result.UpstreamNotReachable)
+	r.ran = r.ran || !result.Is(err, result.UpstreamNotReachable) && !result.Is(err, result.QueueFull)
 	if errors.Is(err, errStalled) {
 		r.a.metrics.stalled.Inc()
 		r.a.setUp(false)
--- a/modules/agent/signal_test.go
+++ b/modules/agent/signal_test.go
@@ -63,3 +63,14 @@
 	})
 	eventually(t, &fakeControl{}, "work after the backoff", func() bool { return a.describe().State != wire.UpstreamDown })
 }
+
+// Guards against a caller who is told that a request has run which the engine turned away.
+func TestRequestThatTheEngineTurnsAwayHasNotRun(t *testing.T) {
+	e := newEngine(t)
+	a := startAgent(t, engineAdapter(t, e.URL, 1), nil)
+	e.set(func(e *fakeEngine) { e.backoff = "0.5" })
+	_, last := open(t, a, request(5)).text(t, whole)
+	assert.Equal(t, last.Code, result.QueueFull)
+	assert.Equal(t, last.Ran, result.NotRun)
+	assert.Assert(t, last.RetryMS > 0 && last.RetryMS <= 500, "%d", last.RetryMS)
+}
