heatherwayctl: an election that has no winner yet is a lost dependency

Tried on the logs of the three-zones example: the 'leader changed' lines of instances that stop, with no leader named, counted as regained. And logs without a line that counts now say at which level requests are logged: those of README's first command are at warn.

TestTimeline has both kinds of line.

--- a/internal/explain/timeline.go
+++ b/internal/explain/timeline.go
@@ -54,8 +54,8 @@
 var messages = map[string]Outcome{
 	"stream broken off": Broken, "stream resumed": Resumed,
 	"upstream lost": Lost, "control instance lost": Lost, "control instance knows no leader": Lost, "the upstream has crashed": Lost,
-	"control instance followed": Regained, "leader changed": Regained,
-	"gateway starts": Started, "registry starts": Started, "started": Started,
+	"control instance followed": Regained,
+	"gateway starts":            Started, "registry starts": Started, "started": Started,
 }
 
 // outcome tells what a line counts as, false for nothing.
@@ -65,6 +65,11 @@
 		return Answered, true
 	case "request failed":
 		return failure(int(l.number("status"))), true
+	case "leader changed":
+		if l.text("leader") == "" {
+			return Lost, true
+		}
+		return Regained, true
 	case "request": // of an entry
 		code := result.Code(l.number("code"))
 		if code == 0 {
@@ -165,7 +170,7 @@
 		return nil, err
 	}
 	if first.IsZero() {
-		return nil, errors.New("no line on a request, a dependency or a start")
+		return nil, errors.New("no line on a request, a dependency or a start; requests are logged at level info")
 	}
 	t := &Timeline{Start: first, Step: stepFor(last.Sub(first))}
 	t.Steps = make([]Step, int(last.Sub(first)/t.Step)+1)
--- a/internal/explain/timeline_test.go
+++ b/internal/explain/timeline_test.go
@@ -23,6 +23,8 @@
 	)
 	others := source(
 		line(20_010, "c1", "upstream lost", `,"zone":"b"`),
+		line(20_020, "c1", "leader changed", `,"zone":"b","leader":"","term":6`),
+		line(20_090, "c1", "leader changed", `,"zone":"b","leader":"c2","term":7`),
 		line(20_050, "e1", "request", `,"zone":"b","class":"urgent","code":0,"first_token_ms":30,"duration_ms":500`),
 		line(20_060, "e1", "request", `,"zone":"b","class":"urgent","code":4290,"duration_ms":2`),
 		line(20_070, "e1", "configuration in force", `,"zone":"b"`),
@@ -30,13 +32,13 @@
 	got, err := Draw([]Source{others, gateway})
 	assert.NilError(t, err)
 	assert.Equal(t, got.Step, 100*time.Millisecond)
-	assert.Equal(t, got.Read, Counts{Lines: 12, Damaged: 1})
+	assert.Equal(t, got.Read, Counts{Lines: 14, Damaged: 1})
 	assert.Equal(t, len(got.Steps), 201)
 	assert.DeepEqual(t, got.Steps[0].Counts, [outcomes]int{Started: 1})
 	assert.DeepEqual(t, got.Steps[1].Counts, [outcomes]int{Regained: 1, Answered: 1})
 	assert.Assert(t, got.Steps[1].P50MS >= 900 && got.Steps[1].P50MS < 900*latencyBase)
 	assert.DeepEqual(t, got.Steps[2].Counts, [outcomes]int{Refused: 2, Failed: 1})
-	assert.DeepEqual(t, got.Steps[200].Counts, [outcomes]int{Broken: 1, Lost: 1, Answered: 1, Refused: 1})
+	assert.DeepEqual(t, got.Steps[200].Counts, [outcomes]int{Broken: 1, Lost: 2, Regained: 1, Answered: 1, Refused: 1})
 	assert.DeepEqual(t, got.Groups, []Group{
 		{"a", "book", [outcomes]int{Refused: 2, Failed: 1}},
 		{"a", "letters", [outcomes]int{Answered: 1, Broken: 1}},
