gateway: tell connections that the gateway closed from callers who left

A request whose connection ended left the line "caller gone", whoever had closed it, and an answer that could not be written left "request answered".

Each connection now records that this process closed it. "caller gone" and the new line "response not delivered" name the side that did (closed_by), and two counters count both. A plain answer is flushed by its handler, so that a failed write is seen there.

--- a/modules/gateway/gateway.go
+++ b/modules/gateway/gateway.go
@@ -16,6 +16,7 @@
 
 	"heatherway.dev/heatherway/modules/dialect"
 	"heatherway.dev/kernel"
+	"heatherway.dev/kernel/httpserver"
 	"heatherway.dev/kernel/peer"
 	"heatherway.dev/kernel/settings"
 	"heatherway.dev/kernel/stats"
@@ -185,7 +186,7 @@
 		ConnState: g.idleLimiter.connStateChanged, DisableGeneralOptionsHandler: true,
 	}
 	g.spawn(func() { g.serveListener(g.readyServer, g.readyListener) })
-	g.spawn(func() { g.serveListener(g.server, g.callerListener) })
+	g.spawn(func() { g.serveListener(g.server, httpserver.Prepare(g.server, g.callerListener)) })
 	return nil
 }
 
@@ -304,6 +305,7 @@
 	dials, dialFailures, upstreamChecks, silentAttempts stats.Counter
 	copies, reports, stalledDials                       stats.Counter
 	brokenRuns, suspectsHeld                            stats.Counter
+	undelivered, closedUnderRequest                     stats.Counter
 	answerMS, firstEventMS, resumeMS                    stats.Histogram
 }
 
@@ -318,7 +320,8 @@
 		answerMS: r.Histogram("gateway_answer_ms"), firstEventMS: r.Histogram("gateway_first_event_ms"),
 		copies: r.Counter("gateway_copies_total"), reports: r.Counter("gateway_reports_total"),
 		stalledDials: r.Counter("gateway_stalled_dials_total"),
-		brokenRuns:   r.Counter("gateway_broken_runs_total"), suspectsHeld: r.Counter("gateway_suspects_held_total"),
+		undelivered:  r.Counter("gateway_undelivered_total"), closedUnderRequest: r.Counter("gateway_closed_under_request_total"),
+		brokenRuns: r.Counter("gateway_broken_runs_total"), suspectsHeld: r.Counter("gateway_suspects_held_total"),
 		resumeMS: r.Histogram("gateway_resume_ms"),
 	}
 }
--- a/modules/gateway/handler.go
+++ b/modules/gateway/handler.go
@@ -18,14 +18,17 @@
 	"heatherway.dev/core/routing"
 	"heatherway.dev/heatherway/internal/failure"
 	"heatherway.dev/heatherway/modules/dialect"
+	"heatherway.dev/kernel/httpserver"
 	"heatherway.dev/kernel/result"
 )
 
 // callerRequest is the state of one request of a caller.
 type callerRequest struct {
-	g            *Gateway
-	w            http.ResponseWriter
-	ctx          context.Context
+	g *Gateway
+	w http.ResponseWriter
+	// caller is the context of the caller's connection, and ctx adds the deadline of the
+	// request; it is nil until the request is admitted.
+	caller, ctx  context.Context
 	started      time.Time
 	deadline     time.Time // when the final response is due
 	req          dialect.Request
@@ -58,7 +61,7 @@
 	g.metrics.requests.Inc()
 	g.openRequests.Add(1)
 	defer g.openRequests.Add(-1)
-	c := &callerRequest{g: g, w: w, started: time.Now(), req: g.dialect.Request(r.Header), reservation: g.buffers.newReservation()}
+	c := &callerRequest{g: g, w: w, caller: r.Context(), started: time.Now(), req: g.dialect.Request(r.Header), reservation: g.buffers.newReservation()}
 	defer c.reservation.close()
 	defer c.recoverRequest()
 	if err := c.admit(r); err != nil {
@@ -340,7 +343,7 @@
 	info := e.Code.Info()
 	if c.ctx != nil && c.ctx.Err() != nil && time.Now().Before(c.deadline) {
 		c.g.metrics.aborted.Inc()
-		c.logEvent("caller gone", "error", err.Error())
+		c.logEvent("caller gone", "closed_by", c.closedBy(), "error", err.Error())
 		panic(http.ErrAbortHandler)
 	}
 	if info.HTTP >= http.StatusInternalServerError && info.HTTP != http.StatusServiceUnavailable {
@@ -359,6 +362,22 @@
 	failure.Write(c.w, e, c.req.ID)
 }
 
+// closedBy names who closed the connection of a request that has got no response, and counts
+// those that this process closed itself.
+func (c *callerRequest) closedBy() string {
+	if !httpserver.ClosedByServer(c.caller) {
+		return "caller"
+	}
+	c.g.metrics.closedUnderRequest.Inc()
+	return "gateway"
+}
+
+// logUndelivered logs that a response could not be written to the caller's connection.
+func (c *callerRequest) logUndelivered(err error) {
+	c.g.metrics.undelivered.Inc()
+	c.logEvent("response not delivered", "closed_by", c.closedBy(), "error", err.Error())
+}
+
 // logEvent logs an event or the outcome of a request with the fields that all such lines
 // share.
 func (c *callerRequest) logEvent(message string, attrs ...any) {
--- a/modules/gateway/plain.go
+++ b/modules/gateway/plain.go
@@ -302,5 +302,11 @@
 	c.w.Header().Set("Content-Length", strconv.Itoa(len(response.body)))
 	c.responseStarted = true
 	c.w.WriteHeader(response.status)
-	_, _ = c.w.Write(response.body) // a write error means that the caller has disconnected
+	_, err := c.w.Write(response.body)
+	if err == nil {
+		err = http.NewResponseController(c.w).Flush()
+	}
+	if err != nil {
+		c.logUndelivered(err)
+	}
 }
