httpserver, gateway: close idle connections only from their readers

What callers saw: a request on a kept connection got no response although an upstream ran it; its connection had just been closed as idle. The same at a planned stop.

Cause: net/http reports a connection as idle until it has read the whole header of the next request. A timer of the gateway at the idle limit, and http.Server.Shutdown at a stop, closed what was reported as idle, from another goroutine than the one that was reading the request. A busy process makes the window long, since timers fire before bytes that have arrived are read. Class: a decision on the state of a connection that only its reader knows.

Change: package httpserver wraps the listener. The idle limit is a read deadline, which the first byte takes back; at a deadline that has passed, the reader takes what has arrived in the socket before it gives up. A stop ends the wait of idle connections by the same deadline in place of Shutdown, and waits for all connections. The limit gets a grace of 500 ms for the way of the last response and of the next request. A shorter limit applies to a connection from its next request on, a longer one at once.

--- a/kernel/httpserver/httpserver.go
+++ b/kernel/httpserver/httpserver.go
@@ -1,20 +1,65 @@
-// Package httpserver tells a request whose connection this process has closed from one
-// that its caller has given up.
+// Package httpserver runs an http.Server for callers that keep their connections open.
+// http.Server reports a connection as idle until it has read the header of the next
+// request, so whoever closes idle connections from outside, as its Shutdown does, can close
+// one on which a request is arriving or has arrived. A Server of this package closes an idle
+// connection only from the goroutine that reads it, once that has found no byte of a
+// further request.
 package httpserver
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
+	"time"
 )
 
-// Prepare sets the ConnContext of a server, and returns the listener to serve.
-func Prepare(server *http.Server, l net.Listener) net.Listener {
+// idleGrace is added to the idle limit, which callers count from the arrival of the last
+// response to the departure of their next request. It covers the way of both.
+const idleGrace = 500 * time.Millisecond
+
+// Server is an http.Server that loses no request when it closes idle connections.
+type Server struct {
+	http      *http.Server
+	idleLimit func() time.Duration
+	idleGrace time.Duration
+	stopping  atomic.Bool
+
+	mu          sync.Mutex
+	listeners   []net.Listener
+	connections map[*connection]struct{}
+	// drained is closed once the server is stopping and has no connection left.
+	drained     chan struct{}
+	drainedOnce sync.Once
+}
+
+// New returns a server that runs server, whose fields ConnState, ConnContext and Handler
+// it takes over. idleLimit returns how long a caller may leave a connection idle, zero for
+// no limit. A shorter limit applies to a connection from its next request on, since its caller
+// counts on the limit that was in force when it got its last response; a longer one applies at once.
+func New(server *http.Server, idleLimit func() time.Duration) *Server {
+	s := &Server{http: server, idleLimit: idleLimit, idleGrace: idleGrace, connections: map[*connection]struct{}{}, drained: make(chan struct{})}
+	handler := server.Handler
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connectionKey{}).(*connection); ok {
+			c.noteIdleLimit()
+		}
+		if s.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
+	server.ConnState = func(c net.Conn, state http.ConnState) {
+		if state == http.StateIdle {
+			unwrap(c).becomeIdle()
+		}
+	}
 	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
-		return context.WithValue(ctx, connectionKey{}, c)
+		return context.WithValue(ctx, connectionKey{}, unwrap(c))
 	}
-	return &listener{l}
+	return s
 }
 
 // connectionKey is the key of a request's *connection in its context.
@@ -27,35 +72,95 @@
 	return ok && c.closed.Load()
 }
 
-type listener struct{ net.Listener }
+// unwrap returns the connection below TLS.
+func unwrap(c net.Conn) *connection {
+	if t, ok := c.(*tls.Conn); ok {
+		c = t.NetConn()
+	}
+	return c.(*connection)
+}
 
-// Accept implements net.Listener.
-func (l *listener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+// Serve serves the connections of a listener and returns http.ErrServerClosed after
+// Shutdown or Close.
+func (s *Server) Serve(l net.Listener) error {
+	return s.ServeWrapped(l, func(l net.Listener) net.Listener { return l })
+}
+
+// ServeWrapped is Serve for a listener that is wrapped by another, such as one of TLS.
+func (s *Server) ServeWrapped(l net.Listener, wrap func(net.Listener) net.Listener) error {
+	s.mu.Lock()
+	s.listeners = append(s.listeners, l)
+	s.mu.Unlock()
+	if s.stopping.Load() {
+		_ = l.Close() // Shutdown may have run before the listener was added
+	}
+	err := s.http.Serve(wrap(&listener{Listener: l, server: s}))
+	if s.stopping.Load() {
+		return http.ErrServerClosed
+	}
+	return err
+}
+
+// Shutdown closes the listeners and the idle connections, makes each further response the
+// last one on its connection, and waits until all connections are closed. It returns the
+// error of ctx if that ends first; connections are then still open.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.stopping.Store(true)
+	s.mu.Lock()
+	for _, l := range s.listeners {
+		_ = l.Close() // its error would be that it is closed already
+	}
+	for c := range s.connections {
+		c.stopWaiting()
+	}
+	s.checkDrained()
+	s.mu.Unlock()
+	select {
+	case <-s.drained:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
 	}
-	return &connection{Conn: conn}, nil
 }
 
-// connection is a caller's connection.
-type connection struct {
-	net.Conn
-	// closed is set once this process has closed the connection.
-	closed atomic.Bool
+// Close closes all listeners and connections at once.
+func (s *Server) Close() error {
+	s.stopping.Store(true)
+	return s.http.Close()
 }
 
-// Close implements net.Conn.
-func (c *connection) Close() error {
-	c.closed.Store(true)
-	return c.Conn.Close()
+func (s *Server) add(c *connection) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.connections[c] = struct{}{}
 }
 
-// CloseWrite closes the sending side, so that a caller which still sends a body reads the
-// response before the connection is reset.
-func (c *connection) CloseWrite() error {
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return half.CloseWrite()
+func (s *Server) remove(c *connection) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.connections, c)
+	s.checkDrained()
+}
+
+// checkDrained closes drained if no connection is left. The caller holds mu.
+func (s *Server) checkDrained() {
+	if s.stopping.Load() && len(s.connections) == 0 {
+		s.drainedOnce.Do(func() { close(s.drained) })
+	}
+}
+
+// listener wraps the connections that it accepts.
+type listener struct {
+	net.Listener
+	server *Server
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
 	}
-	return nil
+	c := &connection{Conn: conn, server: l.server}
+	l.server.add(c)
+	return c, nil
 }
--- a/modules/gateway/gateway.go
+++ b/modules/gateway/gateway.go
@@ -79,9 +79,8 @@
 
 	callerListener net.Listener
 	readyListener  net.Listener
-	server         *http.Server
+	server         *httpserver.Server
 	readyServer    *http.Server
-	idleLimiter    *idleLimiter
 
 	follower    *follower
 	owner       *stateOwner
@@ -164,12 +163,15 @@
 	g.owner = newStateOwner(g.ctx, g.log, g.zone, g.ObjectiveShare)
 	g.crashReporter = newCrashReporter(g)
 	g.follower = newFollower(g)
-	g.idleLimiter = newIdleLimiter(func() time.Duration {
-		if t := g.follower.table(); t != nil {
-			return t.Limits.IdleTimeout
-		}
-		return 0
-	})
+}
+
+// idleLimit returns how long callers may leave a connection idle, as the configuration in
+// force says, or zero while there is none.
+func (g *Gateway) idleLimit() time.Duration {
+	if t := g.follower.table(); t != nil {
+		return t.Limits.IdleTimeout
+	}
+	return 0
 }
 
 // Start implements kernel.Runner.
@@ -181,12 +183,12 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc(g.dialect.Endpoints().Ready, g.serveReady)
 	g.readyServer = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
-	g.server = &http.Server{
+	g.server = httpserver.New(&http.Server{
 		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: g.idleLimiter.connStateChanged, DisableGeneralOptionsHandler: true,
-	}
+		DisableGeneralOptionsHandler: true,
+	}, g.idleLimit)
 	g.spawn(func() { g.serveListener(g.readyServer, g.readyListener) })
-	g.spawn(func() { g.serveListener(g.server, httpserver.Prepare(g.server, g.callerListener)) })
+	g.spawn(func() { g.serveListener(g.server, g.callerListener) })
 	return nil
 }
 
@@ -198,7 +200,7 @@
 	}()
 }
 
-func (g *Gateway) serveListener(s *http.Server, l net.Listener) {
+func (g *Gateway) serveListener(s interface{ Serve(net.Listener) error }, l net.Listener) {
 	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		g.log.Error("HTTP server stopped unexpectedly", "address", l.Addr().String(), "error", err)
 	}
