gateway: serve the connections that are open at a stop until the grace period ends

What callers saw: after SIGTERM, behind the drain delay, a whole request on a kept connection ended with the connection, without an answer or a refusal.

Cause: http.Server.Shutdown. It closes a connection in state idle, which lasts until the whole header of the next request has been read, so a request that is arriving is lost; while it waits for other requests it drops each request that it reads (server.go: "if c.server.shuttingDown() { return }" behind readRequest); and a response whose header was sent before the stop, such as that of a stream, ends the connection without having said so.

Class: a server that ends a connection by its own idea of idle.

Change: internal/httpconn.Listener follows its connections. Stop closes the listener behind the drain delay as before, then goes on serving: each response carries Connection: close, and Stop ends when the last connection has ended or the grace period is over. A connection that stays open and idle now holds the process until the end of the grace period.

Ruled out by tests that pass before and after: requests pipelined behind a response with Connection: close (Linux delivers a response that arrived before the reset), Expect: 100-continue, HTTP/1.0, chunks with trailers, read deadlines of bodies that were whole, too large, late or malformed on a kept connection, and 17 forms of upstream responses (without length, short, silent, 204, 304, HEAD, 1xx, 101).

go test ./modules/gateway -run 'TestStopServes|TestStopEnds' -count=1 before: cut_test.go:112: error is not nil: unexpected EOF --- FAIL: TestStopServesKeptConnections (1.52s) cut_test.go:130: error is not nil: unexpected EOF --- FAIL: TestStopEndsWithTheLastConnection (0.21s) after: ok

--- /dev/null
+++ b/internal/httpconn/httpconn.go
@@ -0,0 +1,166 @@
+// Package httpconn stops an HTTP server without losing a request. http.Server.Shutdown loses
+// some: it closes connections that it takes for idle although a request is arriving, and
+// drops requests that it has read since.
+package httpconn
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// drainPollInterval is the interval at which a draining listener looks at its connections.
+const drainPollInterval = 10 * time.Millisecond
+
+// Listener is a TCP listener that follows the connections it has accepted.
+type Listener struct {
+	net.Listener
+	closeOnce sync.Once
+	mu        sync.Mutex
+	open      map[*Conn]struct{}
+}
+
+// NewListener returns a listener that accepts the connections of l.
+func NewListener(l net.Listener) *Listener {
+	return &Listener{Listener: l, open: map[*Conn]struct{}{}}
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	inner, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	tcp, ok := inner.(*net.TCPConn)
+	if !ok {
+		return inner, nil
+	}
+	c := &Conn{TCPConn: tcp, listener: l, idleSince: time.Now()}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open[c] = struct{}{}
+	return c, nil
+}
+
+// Close implements net.Listener. It may be called more than once.
+func (l *Listener) Close() (err error) {
+	l.closeOnce.Do(func() { err = l.Listener.Close() })
+	return err
+}
+
+// ConnState is the hook of http.Server that tells which connections are idle.
+func (l *Listener) ConnState(inner net.Conn, s http.ConnState) {
+	c := unwrap(inner)
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idleSince = (time.Time{}); s == http.StateNew || s == http.StateIdle {
+		c.idleSince = time.Now()
+	}
+}
+
+// Drain closes the listener and waits until no connection is open or ctx ends. The server
+// goes on serving its connections, and its responses have to ask callers to close them.
+// Connections that have been idle for maxIdle are closed unless bytes are waiting on them.
+func (l *Listener) Drain(ctx context.Context, maxIdle time.Duration) error {
+	_ = l.Close()
+	ticker := time.NewTicker(drainPollInterval)
+	defer ticker.Stop()
+	for l.closeIdle(time.Now().Add(-maxIdle)) > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// closeIdle closes the connections that have been idle since before the given time, and
+// returns the number of those that were open.
+func (l *Listener) closeIdle(before time.Time) int {
+	l.mu.Lock()
+	open := make([]*Conn, 0, len(l.open))
+	for c := range l.open {
+		open = append(open, c)
+	}
+	l.mu.Unlock()
+	for _, c := range open {
+		if c.isIdleSince(before) && !c.hasUnreadBytes() {
+			_ = c.Close()
+		}
+	}
+	return len(open)
+}
+
+// remove forgets a connection.
+func (l *Listener) remove(c *Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.open, c)
+}
+
+// Conn is a connection that a Listener has accepted.
+type Conn struct {
+	*net.TCPConn
+	listener *Listener
+	mu       sync.Mutex
+	closed   bool
+	// idleSince is zero while a request is read or served.
+	idleSince time.Time
+}
+
+// Read implements net.Conn.
+func (c *Conn) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n > 0 {
+		c.idleSince = time.Time{}
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	c.listener.remove(c)
+	return c.TCPConn.Close()
+}
+
+func (c *Conn) isIdleSince(before time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.closed && !c.idleSince.IsZero() && c.idleSince.Before(before)
+}
+
+// hasUnreadBytes reports whether bytes of the caller have arrived that were not read.
+func (c *Conn) hasUnreadBytes() bool {
+	raw, err := c.TCPConn.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	// Control does not wait for the server's pending read, as Read would.
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, _ = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err == nil && n > 0
+}
+
+// unwrap returns the Conn below a TLS connection, or nil if there is none.
+func unwrap(inner net.Conn) *Conn {
+	if t, ok := inner.(interface{ NetConn() net.Conn }); ok {
+		inner = t.NetConn()
+	}
+	c, _ := inner.(*Conn)
+	return c
+}
--- a/modules/gateway/gateway.go
+++ b/modules/gateway/gateway.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-faster/errors"
 
+	"heatherway.dev/heatherway/internal/httpconn"
 	"heatherway.dev/heatherway/modules/dialect"
 	"heatherway.dev/kernel"
 	"heatherway.dev/kernel/peer"
@@ -76,7 +77,7 @@
 	dialect  dialect.Dialect
 	metrics  metrics
 
-	callerListener net.Listener
+	callerListener *httpconn.Listener
 	readyListener  net.Listener
 	server         *http.Server
 	readyServer    *http.Server
@@ -144,9 +145,11 @@
 	if g.dialect, err = dialect.Load(ctx, g.Dialect); err != nil {
 		return err
 	}
-	if g.callerListener, err = ctx.Listen(g.Listen); err != nil {
+	callerListener, err := ctx.Listen(g.Listen)
+	if err != nil {
 		return err
 	}
+	g.callerListener = httpconn.NewListener(callerListener)
 	if g.readyListener, err = ctx.Listen(g.ReadyListen); err != nil {
 		return err
 	}
@@ -182,13 +185,19 @@
 	g.readyServer = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
 	g.server = &http.Server{
 		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: g.idleLimiter.connStateChanged, DisableGeneralOptionsHandler: true,
+		ConnState: g.connStateChanged, DisableGeneralOptionsHandler: true,
 	}
 	g.spawn(func() { g.serveListener(g.readyServer, g.readyListener) })
 	g.spawn(func() { g.serveListener(g.server, g.callerListener) })
 	return nil
 }
 
+// connStateChanged is the ConnState hook of the server for callers.
+func (g *Gateway) connStateChanged(c net.Conn, s http.ConnState) {
+	g.callerListener.ConnState(c, s)
+	g.idleLimiter.connStateChanged(c, s)
+}
+
 func (g *Gateway) spawn(f func()) {
 	g.wg.Add(1)
 	go func() {
@@ -198,7 +207,7 @@
 }
 
 func (g *Gateway) serveListener(s *http.Server, l net.Listener) {
-	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) && !g.stopping.Load() {
 		g.log.Error("HTTP server stopped unexpectedly", "address", l.Addr().String(), "error", err)
 	}
 }
@@ -216,9 +225,9 @@
 }
 
 // Stop implements kernel.Runner. The readiness check fails immediately. New connections
-// are accepted until the load balancer has noticed, and requests in flight may finish
-// within the grace period. A connection is closed with its next response; closing idle
-// connections would drop requests that are already on their way.
+// are accepted until the load balancer has noticed. The connections that are open then are
+// served until their callers have closed them or the grace period ends: each is closed with
+// its next response, since closing an idle one could drop a request that is on its way.
 func (g *Gateway) Stop(context.Context) error {
 	start := time.Now()
 	g.stopAt.Store(start.Add(g.Grace - graceReserve).UnixNano())
@@ -227,8 +236,7 @@
 	g.sleep(g.DrainDelay)
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(g.Grace-graceReserve))
 	defer cancel()
-	err := g.server.Shutdown(ctx)
-	if err != nil {
+	if g.callerListener.Drain(ctx, g.Grace) != nil && g.openRequests.Load() > 0 {
 		g.log.Warn("requests cut off at the end of the grace period", "open_requests", g.openRequests.Load())
 	}
 	g.cancel()
--- a/modules/gateway/harness_test.go
+++ b/modules/gateway/harness_test.go
@@ -19,6 +19,7 @@
 	"heatherway.dev/core/dispatch"
 	"heatherway.dev/core/registration"
 	"heatherway.dev/core/routing"
+	"heatherway.dev/heatherway/internal/httpconn"
 	"heatherway.dev/heatherway/platform"
 	"heatherway.dev/kernel/peer"
 	"heatherway.dev/kernel/stats"
@@ -127,8 +128,9 @@
 	g.dialect = &platform.Platform{}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.initState()
-	g.callerListener, err = net.Listen("tcp", "127.0.0.1:0")
+	callerListener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
+	g.callerListener = httpconn.NewListener(callerListener)
 	g.readyListener, err = net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	assert.NilError(t, g.Start(t.Context()))
