gateway: an early answer reaches a caller that is still sending its body

What callers saw: a refusal (404, 401, 413), with or without a stop in progress, that comes before a long body is complete; the caller got a reset or a broken pipe while it sent the rest, in place of the answer.

Cause: net/http closes the connection 500 ms after such an answer, or at once behind a header Connection: close; bytes that are unread then or arrive later make the kernel reset the connection.

Class: closing a connection that the caller still sends on.

Change: httpconn.Conn.Close ends the sending side and reads on in the background until the caller has closed the connection, at most 10 s, 2 s without a byte, and 256 connections of a listener.

go test ./modules/gateway -run TestEarlyAnswer -count=1 before: 8 of 10 cases fail, such as no_route_chunked=false, cut_test.go:192: write tcp 127.0.0.1:48620->127.0.0.1:44389: write: broken pipe (a body too large only for the buffers is read up to 8 MB first and passes) after: ok

--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -1,19 +1,33 @@
-// Package httpconn stops an HTTP server without losing a request. http.Server.Shutdown loses
-// some: it closes connections that it takes for idle although a request is arriving, and
-// drops requests that it has read since.
+// Package httpconn closes the connections of an HTTP server without losing a request or a
+// response. http.Server.Shutdown does both: it closes connections that it takes for idle
+// although a request is arriving, drops requests that it has read since, and closes
+// connections with unread bytes, which resets them and can destroy the response before them.
 package httpconn
 
 import (
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/go-faster/errors"
 )
 
-// drainPollInterval is the interval at which a draining listener looks at its connections.
-const drainPollInterval = 10 * time.Millisecond
+const (
+	// lingerTime and lingerQuiet bound how long a closed connection is still read, in all
+	// and without a byte, while its caller may be sending the rest of a request that has its
+	// response already. A caller that pauses longer is taken for gone.
+	lingerTime  = 10 * time.Second
+	lingerQuiet = 2 * time.Second
+	// maxLingering limits the closed connections of a listener that are still read; beyond
+	// it they are closed at once.
+	maxLingering = 256
+	// drainPollInterval is the interval at which a draining listener looks at its connections.
+	drainPollInterval = 10 * time.Millisecond
+)
 
 // Listener is a TCP listener that follows the connections it has accepted.
 type Listener struct {
@@ -21,6 +35,7 @@
 	closeOnce sync.Once
 	mu        sync.Mutex
 	open      map[*Conn]struct{}
+	lingering int
 }
 
 // NewListener returns a listener that accepts the connections of l.
@@ -98,11 +113,25 @@
 	return len(open)
 }
 
+// startLinger reports whether one more closed connection may still be read.
+func (l *Listener) startLinger() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.lingering >= maxLingering {
+		return false
+	}
+	l.lingering++
+	return true
+}
+
 // remove forgets a connection.
-func (l *Listener) remove(c *Conn) {
+func (l *Listener) remove(c *Conn, lingered bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.open, c)
+	if lingered {
+		l.lingering--
+	}
 }
 
 // Conn is a connection that a Listener has accepted.
@@ -111,6 +140,8 @@
 	listener *Listener
 	mu       sync.Mutex
 	closed   bool
+	// ended is set once the caller or the network has ended the connection.
+	ended bool
 	// idleSince is zero while a request is read or served.
 	idleSince time.Time
 }
@@ -120,19 +151,67 @@
 	n, err := c.TCPConn.Read(b)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.closed {
+		return 0, net.ErrClosed
+	}
 	if n > 0 {
 		c.idleSince = time.Time{}
 	}
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.ended = true
+	}
 	return n, err
 }
 
-// Close implements net.Conn.
+// SetReadDeadline implements net.Conn.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed { // the deadline is that of linger
+		return net.ErrClosed
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
+
+// SetDeadline implements net.Conn.
+func (c *Conn) SetDeadline(t time.Time) error {
+	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
+}
+
+// Close implements net.Conn. It ends the sending side and reads, in the background, what the
+// caller still sends, since closing a connection with unread bytes resets it.
 func (c *Conn) Close() error {
 	c.mu.Lock()
+	if c.closed {
+		c.mu.Unlock()
+		return net.ErrClosed
+	}
 	c.closed = true
+	ended := c.ended
 	c.mu.Unlock()
-	c.listener.remove(c)
-	return c.TCPConn.Close()
+	if ended || c.TCPConn.CloseWrite() != nil || !c.listener.startLinger() {
+		c.listener.remove(c, false)
+		return c.TCPConn.Close()
+	}
+	_ = c.TCPConn.SetReadDeadline(time.Now()) // ends a read of the server
+	go c.linger()
+	return nil
+}
+
+// linger reads and drops bytes until the caller closes the connection or a limit is reached.
+func (c *Conn) linger() {
+	defer c.listener.remove(c, true)
+	defer c.TCPConn.Close()
+	buf := make([]byte, 4096)
+	_, _ = c.TCPConn.Read(buf) // the deadline has passed: waits only for a read of the server to end
+	for end := time.Now().Add(lingerTime); time.Now().Before(end); {
+		if c.TCPConn.SetReadDeadline(time.Now().Add(lingerQuiet)) != nil {
+			return
+		}
+		if _, err := c.TCPConn.Read(buf); err != nil {
+			return
+		}
+	}
 }
 
 func (c *Conn) isIdleSince(before time.Time) bool {
--- a/modules/gateway/cut_test.go
+++ b/modules/gateway/cut_test.go
@@ -133,6 +133,52 @@
 	assert.Assert(t, time.Since(begin) < 2*time.Second)
 }
 
+// Guards against an early answer that the caller cannot read because the connection is reset
+// while the caller still sends its body.
+func TestEarlyAnswerReachesCallerThatStillSends(t *testing.T) {
+	const size = 12 << 20
+	for name, test := range map[string]struct {
+		head   string
+		status int
+		limit  int64
+		stop   bool
+	}{
+		"no route":            {callerHead("POST", "/none", "HTTP/1.1", "s1"), 404, 0, false},
+		"unknown key":         {strings.Replace(callerHead("POST", "/book/x", "HTTP/1.1", "s2"), "secret", "wrong", 1), 401, 0, false},
+		"too large":           {callerHead("POST", "/book/x", "HTTP/1.1", "s3"), 413, 1 << 16, false},
+		"too large to buffer": {callerHead("POST", "/book/x", "HTTP/1.1", "s4"), 413, 0, false},
+		"while stopping":      {callerHead("POST", "/none", "HTTP/1.1", "s5"), 404, 0, true},
+	} {
+		for _, chunked := range []bool{false, true} {
+			t.Run(fmt.Sprint(name, " chunked=", chunked), func(t *testing.T) {
+				conf := configuration()
+				conf.Limits.BodyBytes = test.limit
+				f := newFixture(t, conf, startDesk(t))
+				f.Grace, f.DrainDelay = 4*time.Second, time.Second
+				if test.stop {
+					f.stopInBackground()
+					time.Sleep(20 * time.Millisecond)
+				}
+				c := f.dial()
+				if chunked {
+					c.send(test.head + fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n", size))
+				} else {
+					c.send(test.head + fmt.Sprintf("Content-Length: %d\r\n\r\n", size))
+				}
+				piece := strings.Repeat("x", size/12)
+				for range 12 { // slower than the 500 ms after which net/http closes
+					time.Sleep(80 * time.Millisecond)
+					c.send(piece)
+				}
+				if chunked {
+					c.send("\r\n0\r\n\r\n")
+				}
+				c.expect(test.status)
+			})
+		}
+	}
+}
+
 // Guards against a response that is lost in a reset because the caller has sent its next
 // request already when a stopping gateway closes the connection.
 func TestStopWithPipelinedRequests(t *testing.T) {
