gateway: answer a caller that has closed its sending side, and log who closed

What callers saw: a whole request whose caller had shut down only its sending side ended with the connection, without an answer or a refusal.

Cause: net/http cancels the request's context at the end of the caller's bytes; respondError took that for a caller who has left and aborted the connection. Both look the same until something is sent.

Class: an end of the context taken for proof that nobody can read the answer.

A stream that has begun still breaks off.

Logs could not tell a cut by this process from a caller who left. The line "caller gone" now has closed_by (caller or reset), a request whose connection this process closed has the line "request cut off" with stopping, a stream broken off has closed_by, and gateway_cut_requests_total counts the last two.

go test ./modules/gateway -run 'TestHalfClosed|TestCutRequests' -count=1 before: cut_test.go:152: error is not nil: unexpected EOF --- FAIL: TestHalfClosedCallerGetsAnAnswer (0.10s) after: ok; also ok with -race, with TestStop and TestEarly

--- a/internal/explain/belief.go
+++ b/internal/explain/belief.go
@@ -82,7 +82,7 @@
 
 // requestEndMessages are logged when a request ends: the first one by entries, the others
 // by gateways.
-var requestEndMessages = []string{"request", "request failed", "request answered", "stream broken off", "caller gone", "unexpected failure"}
+var requestEndMessages = []string{"request", "request failed", "request answered", "stream broken off", "caller gone", "request cut off", "unexpected failure"}
 
 // describeEnd says in one line how the request ended.
 func describeEnd(lines []ReportLine) string {
@@ -111,6 +111,8 @@
 	switch end.Message {
 	case "request answered":
 		return fmt.Sprintf("answered after %v by %s%s", took, end.textField("upstream"), describeAttempts(failed, resumed))
+	case "request cut off":
+		return fmt.Sprintf("the gateway closed its connection after %v%s", took, describeAttempts(failed, resumed))
 	case "caller gone":
 		return fmt.Sprintf("the caller left after %v%s", took, describeAttempts(failed, resumed))
 	case "stream broken off":
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -29,6 +30,21 @@
 	drainPollInterval = 10 * time.Millisecond
 )
 
+// Closer says who ended a connection.
+type Closer string
+
+const (
+	// CloserNone stands for a connection that is open.
+	CloserNone Closer = ""
+	// CloserCaller stands for a caller that has closed the connection, or only its sending
+	// side; the two look the same until something is sent.
+	CloserCaller Closer = "caller"
+	// CloserReset stands for a connection that was reset by the caller or the network.
+	CloserReset Closer = "reset"
+	// CloserSelf stands for a connection that this process has closed.
+	CloserSelf Closer = "self"
+)
+
 // Listener is a TCP listener that follows the connections it has accepted.
 type Listener struct {
 	net.Listener
@@ -140,8 +156,7 @@
 	listener *Listener
 	mu       sync.Mutex
 	closed   bool
-	// ended is set once the caller or the network has ended the connection.
-	ended bool
+	closer   Closer
 	// idleSince is zero while a request is read or served.
 	idleSince time.Time
 }
@@ -157,8 +172,12 @@
 	if n > 0 {
 		c.idleSince = time.Time{}
 	}
-	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-		c.ended = true
+	switch {
+	case err == nil || c.closer != CloserNone || errors.Is(err, os.ErrDeadlineExceeded):
+	case errors.Is(err, io.EOF):
+		c.closer = CloserCaller
+	default:
+		c.closer = CloserReset
 	}
 	return n, err
 }
@@ -187,9 +206,12 @@
 		return net.ErrClosed
 	}
 	c.closed = true
-	ended := c.ended
+	callerClosed := c.closer != CloserNone
+	if !callerClosed {
+		c.closer = CloserSelf
+	}
 	c.mu.Unlock()
-	if ended || c.TCPConn.CloseWrite() != nil || !c.listener.startLinger() {
+	if callerClosed || c.TCPConn.CloseWrite() != nil || !c.listener.startLinger() {
 		c.listener.remove(c, false)
 		return c.TCPConn.Close()
 	}
@@ -214,6 +236,13 @@
 	}
 }
 
+// Closer says who ended the connection, or CloserNone while it is open.
+func (c *Conn) Closer() Closer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closer
+}
+
 func (c *Conn) isIdleSince(before time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -243,3 +272,18 @@
 	c, _ := inner.(*Conn)
 	return c
 }
+
+type contextKey struct{}
+
+// ConnContext is the hook of http.Server that makes CloserOf work.
+func ConnContext(ctx context.Context, inner net.Conn) context.Context {
+	return context.WithValue(ctx, contextKey{}, unwrap(inner))
+}
+
+// CloserOf says who ended the connection of the request with the given context.
+func CloserOf(ctx context.Context) Closer {
+	if c, ok := ctx.Value(contextKey{}).(*Conn); ok && c != nil {
+		return c.Closer()
+	}
+	return CloserNone
+}
--- a/modules/gateway/cut_test.go
+++ b/modules/gateway/cut_test.go
@@ -133,6 +133,27 @@
 	assert.Assert(t, time.Since(begin) < 2*time.Second)
 }
 
+// Guards against a whole request that ends without an answer because its caller has closed
+// only its sending side.
+func TestHalfClosedCallerGetsAnAnswer(t *testing.T) {
+	release := make(chan struct{})
+	hold := func(_ http.ResponseWriter, r *http.Request, _ int) {
+		select {
+		case <-r.Context().Done():
+		case <-release:
+		}
+	}
+	f := newFixture(t, configuration(), startUpstream(t, "desk-1", "desk", "z0", hold), startUpstream(t, "model-1", "model", "z0", hold))
+	for i, target := range []string{"/book/x", "/look/x", "/letters/x"} {
+		c := f.dial()
+		c.send(callerHead("POST", target, "HTTP/1.1", fmt.Sprint("h", i)) + "Content-Length: 4\r\n\r\nbody")
+		time.Sleep(100 * time.Millisecond)
+		assert.NilError(t, c.conn.CloseWrite())
+		c.expect(499)
+	}
+	close(release)
+}
+
 // Guards against an early answer that the caller cannot read because the connection is reset
 // while the caller still sends its body.
 func TestEarlyAnswerReachesCallerThatStillSends(t *testing.T) {
@@ -338,3 +359,27 @@
 		})
 	}
 }
+
+// Guards against counts that cannot tell a request cut by the gateway from a caller who left.
+func TestCutRequestsAreCountedApart(t *testing.T) {
+	hold := func(_ http.ResponseWriter, r *http.Request, _ int) { <-r.Context().Done() }
+	f := newFixture(t, configuration(), startUpstream(t, "desk-1", "desk", "z0", hold))
+	f.Grace, f.DrainDelay = 500*time.Millisecond, 0
+	conf := configuration()
+	conf.Version, conf.Routes[1].Timeout = 2, 10*time.Second
+	f.setConfiguration(conf)
+	left, cut := f.dial(), f.dial()
+	left.send(callerHead("GET", "/book/x", "HTTP/1.1", "l1") + "\r\n")
+	cut.send(callerHead("GET", "/book/x", "HTTP/1.1", "l2") + "\r\n")
+	time.Sleep(100 * time.Millisecond)
+	_ = left.conn.Close()
+	time.Sleep(100 * time.Millisecond)
+	assert.Equal(t, f.metrics.aborted.Value(), int64(1))
+	assert.Equal(t, f.metrics.cutRequests.Value(), int64(0))
+	assert.NilError(t, f.Stop(context.Background()))
+	for end := time.Now().Add(time.Second); f.openRequests.Load() > 0 && time.Now().Before(end); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	assert.Equal(t, f.metrics.aborted.Value(), int64(1))
+	assert.Equal(t, f.metrics.cutRequests.Value(), int64(1))
+}
--- a/modules/gateway/gateway.go
+++ b/modules/gateway/gateway.go
@@ -185,7 +185,7 @@
 	g.readyServer = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
 	g.server = &http.Server{
 		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: g.connStateChanged, DisableGeneralOptionsHandler: true,
+		ConnState: g.connStateChanged, ConnContext: httpconn.ConnContext, DisableGeneralOptionsHandler: true,
 	}
 	g.spawn(func() { g.serveListener(g.readyServer, g.readyListener) })
 	g.spawn(func() { g.serveListener(g.server, g.callerListener) })
@@ -311,6 +311,7 @@
 	retries, hedges, resumes, repeatedEvents            stats.Counter
 	dials, dialFailures, upstreamChecks, silentAttempts stats.Counter
 	copies, reports, stalledDials                       stats.Counter
+	cutRequests                                         stats.Counter
 	brokenRuns, suspectsHeld                            stats.Counter
 	answerMS, firstEventMS, resumeMS                    stats.Histogram
 }
@@ -325,8 +326,8 @@
 		upstreamChecks: r.Counter("gateway_upstream_checks_total"), silentAttempts: r.Counter("gateway_silent_attempts_total"),
 		answerMS: r.Histogram("gateway_answer_ms"), firstEventMS: r.Histogram("gateway_first_event_ms"),
 		copies: r.Counter("gateway_copies_total"), reports: r.Counter("gateway_reports_total"),
-		stalledDials: r.Counter("gateway_stalled_dials_total"),
-		brokenRuns:   r.Counter("gateway_broken_runs_total"), suspectsHeld: r.Counter("gateway_suspects_held_total"),
+		stalledDials: r.Counter("gateway_stalled_dials_total"), cutRequests: r.Counter("gateway_cut_requests_total"),
+		brokenRuns: r.Counter("gateway_broken_runs_total"), suspectsHeld: r.Counter("gateway_suspects_held_total"),
 		resumeMS: r.Histogram("gateway_resume_ms"),
 	}
 }
--- a/modules/gateway/handler.go
+++ b/modules/gateway/handler.go
@@ -17,6 +17,7 @@
 	"heatherway.dev/core/registration"
 	"heatherway.dev/core/routing"
 	"heatherway.dev/heatherway/internal/failure"
+	"heatherway.dev/heatherway/internal/httpconn"
 	"heatherway.dev/heatherway/modules/dialect"
 	"heatherway.dev/kernel/result"
 )
@@ -332,17 +333,15 @@
 		After(c.spreadRetryAfter(r.RetryAfter))
 }
 
-// respondError writes the gateway's own error response to the caller. If the request's
-// context ended before the deadline, the caller has disconnected and gets none. A 503
-// counts as refused, since the request has not run; other server errors count as failed.
+// respondError writes the gateway's own error response to the caller. A 503 counts as
+// refused, since the request has not run; other server errors count as failed.
 func (c *callerRequest) respondError(err error) {
-	e := result.From(err)
-	info := e.Code.Info()
 	if c.ctx != nil && c.ctx.Err() != nil && time.Now().Before(c.deadline) {
-		c.g.metrics.aborted.Inc()
-		c.logEvent("caller gone", "error", err.Error())
-		panic(http.ErrAbortHandler)
+		c.respondToClosedConnection(err)
+		return
 	}
+	e := result.From(err)
+	info := e.Code.Info()
 	if info.HTTP >= http.StatusInternalServerError && info.HTTP != http.StatusServiceUnavailable {
 		c.g.metrics.failed.Inc()
 	} else {
@@ -351,6 +350,10 @@
 	c.recordSample(0, 0, e.Code)
 	c.logEvent("request failed", "code", int(e.Code), "status", info.HTTP, "ran", e.Ran.String(),
 		"retry_after_ms", e.RetryAfter.Milliseconds(), "error", err.Error())
+	c.writeError(e)
+}
+
+func (c *callerRequest) writeError(e *result.Error) {
 	c.g.dialect.SetRequestID(c.w.Header(), c.req.ID)
 	if e.RetryAfter > 0 {
 		c.g.dialect.SetRetryAfter(c.w.Header(), e.RetryAfter)
@@ -359,6 +362,30 @@
 	failure.Write(c.w, e, c.req.ID)
 }
 
+// respondToClosedConnection ends a request whose context ended before its deadline, because
+// the caller or this process has closed the connection. A caller that has closed only its
+// sending side looks the same as one that has left, so it gets an error response.
+func (c *callerRequest) respondToClosedConnection(err error) {
+	c.logClosedConnection(err)
+	e := result.New(result.CallerGone, "the caller closed its sending side before the response")
+	if c.sentCount == 0 && !c.mayHaveRun {
+		e = e.WithRan(result.NotRun)
+	}
+	c.writeError(e)
+}
+
+// logClosedConnection logs who closed the connection of a request that has no whole response.
+func (c *callerRequest) logClosedConnection(err error) {
+	closer := httpconn.CloserOf(c.ctx)
+	if closer == httpconn.CloserSelf {
+		c.g.metrics.cutRequests.Inc()
+		c.logEvent("request cut off", "error", err.Error(), "stopping", c.g.stopping.Load())
+		return
+	}
+	c.g.metrics.aborted.Inc()
+	c.logEvent("caller gone", "closed_by", string(closer), "error", err.Error())
+}
+
 // logEvent logs an event or the outcome of a request with the fields that all such lines
 // share.
 func (c *callerRequest) logEvent(message string, attrs ...any) {
--- a/modules/gateway/stream.go
+++ b/modules/gateway/stream.go
@@ -15,6 +15,7 @@
 	"heatherway.dev/core/registration"
 	"heatherway.dev/core/relay"
 	"heatherway.dev/core/slo"
+	"heatherway.dev/heatherway/internal/httpconn"
 	"heatherway.dev/heatherway/modules/dialect"
 	"heatherway.dev/kernel/result"
 )
@@ -154,7 +155,11 @@
 	s.g.metrics.aborted.Inc()
 	s.recordSample(s.timeToFirstEvent, s.relay.LongestPause(), result.UpstreamFailed)
 	last, _ := s.relay.LastEvent()
-	s.logEvent("stream broken off", "last_event", last, "error", reason)
+	closer := httpconn.CloserOf(s.ctx)
+	if closer == httpconn.CloserSelf {
+		s.g.metrics.cutRequests.Inc()
+	}
+	s.logEvent("stream broken off", "last_event", last, "closed_by", string(closer), "error", reason)
 	panic(http.ErrAbortHandler)
 }
 
