kernel: SIGHUP no longer ends a process that starts or stops

What callers saw: a process that got SIGHUP behind SIGTERM ended at once, with all requests that it was draining.

Cause: WatchSettings gave the signal back (signal.Stop) when its context ended, which is at the stop signal, and the default action of SIGHUP ends a process. The same held from the start of the process until its modules were provisioned.

Class: a signal that is handled only for a part of the life of the process.

Change: main catches SIGHUP first and until the end; one that comes during the start leads to a reload once the process runs, one during the stop does nothing. A second SIGTERM was ignored before and still is (signal.NotifyContext). Without -config a hangup ends the process as before.

--- a/cmd/heatherway/command.go
+++ b/cmd/heatherway/command.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"os"
 
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -37,6 +38,10 @@
 			if len(args) > 0 {
 				return result.New(result.Usage, "unexpected argument %q", args[0])
 			}
+			var hup <-chan os.Signal
+			if *path != "" {
+				hup = kernel.NotifyHangup()
+			}
 			doc, err := loadSettings(*path)
 			if err != nil {
 				return err
@@ -51,7 +56,7 @@
 			if *path == "" {
 				fmt.Fprintln(stdout, localUsage)
 			} else {
-				k.WatchSettings(ctx, *path)
+				k.WatchSettings(ctx, *path, hup)
 			}
 			return k.Run(ctx)
 		},
--- a/kernel/reload.go
+++ b/kernel/reload.go
@@ -46,15 +46,18 @@
 	return nil
 }
 
-// WatchSettings reloads the settings file on SIGHUP and when the file changes,
-// until ctx is done.
-func (k *Kernel) WatchSettings(ctx context.Context, path string) {
+// NotifyHangup returns a channel that receives SIGHUP until the process ends. Without it, or
+// after signal.Stop, a SIGHUP would end the process at once, also while it starts or drains.
+func NotifyHangup() <-chan os.Signal {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
-	go func() {
-		defer signal.Stop(hup)
-		k.watchSettings(ctx, path, hup)
-	}()
+	return hup
+}
+
+// WatchSettings reloads the settings file on SIGHUP and when the file changes,
+// until ctx is done.
+func (k *Kernel) WatchSettings(ctx context.Context, path string, hup <-chan os.Signal) {
+	go k.watchSettings(ctx, path, hup)
 }
 
 func (k *Kernel) watchSettings(ctx context.Context, path string, hup <-chan os.Signal) {
--- a/kernel/reload_test.go
+++ b/kernel/reload_test.go
@@ -58,7 +58,7 @@
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	k.WatchSettings(ctx, path)
+	k.WatchSettings(ctx, path, NotifyHangup())
 	write("two")
 	assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
 	expectReload(t, "two")
