Merge the paths that end a request unanswered

One package for the connections of callers: the listener of cut-paths with its reading of closed connections and its closer, and the idle time that ends only in the reader. A drain closes a kept connection that has been idle for one second, so that a stop does not last the whole grace period because of one idle caller.

go test -race ./modules/gateway ./internal/httpconn: pass.

--- a/kernel/httpserver/httpserver_test.go
+++ b/internal/httpconn/httpconn_test.go
@@ -1,9 +1,8 @@
-package httpserver
+package httpconn
 
 import (
 	"bufio"
 	"context"
-	"errors"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -18,32 +17,29 @@
 	"gotest.tools/v3/assert"
 )
 
-// testServer is a running server that answers the number of the request.
+// testServer is a running server that notes the requests it runs.
 type testServer struct {
-	*Server
-	addr  string
-	limit atomic.Int64 // idle limit in nanoseconds
-	mu    sync.Mutex
-	ran   map[string]bool
-	slow  chan struct{} // requests to /slow wait for it
+	listener *Listener
+	http     *http.Server
+	addr     string
+	limit    atomic.Int64 // idle limit in nanoseconds
+	mu       sync.Mutex
+	ran      map[string]bool
+	slow     chan struct{} // requests to /slow wait for it
 }
 
 func startServer(t *testing.T, limit, grace time.Duration) *testServer {
 	t.Helper()
 	s := &testServer{ran: map[string]bool{}, slow: make(chan struct{})}
 	s.limit.Store(int64(limit))
-	s.Server = New(&http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(s.handle)},
-		func() time.Duration { return time.Duration(s.limit.Load()) })
-	s.idleGrace = grace
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	s.addr = l.Addr().String()
-	served := make(chan error, 1)
-	go func() { served <- s.Serve(l) }()
-	t.Cleanup(func() {
-		_ = s.Close()
-		assert.ErrorIs(t, <-served, http.ErrServerClosed)
-	})
+	s.listener = NewListener(l, Limits{Idle: func() time.Duration { return time.Duration(s.limit.Load()) }, Header: time.Second})
+	s.listener.idleGrace = grace
+	s.http = &http.Server{Handler: http.HandlerFunc(s.handle), ReadHeaderTimeout: time.Second, ConnState: s.listener.ConnState}
+	go func() { _ = s.http.Serve(s.listener) }()
+	t.Cleanup(func() { _ = s.http.Close() })
 	return s
 }
 
@@ -53,6 +49,7 @@
 	s.mu.Unlock()
 	if r.URL.Path == "/slow" {
 		<-s.slow
+		w.Header().Set("Connection", "close")
 	}
 	_, _ = io.WriteString(w, "ok")
 }
@@ -152,12 +149,12 @@
 // Guards against a busy process that closes a connection whose next request arrived in
 // time but was not read before the deadline, and against a wait without end if none came.
 func TestRequestThatArrivedBeforeTheDeadlineIsRead(t *testing.T) {
-	for name, stopping := range map[string]bool{"idle limit": false, "stop": true} {
+	for name, draining := range map[string]time.Duration{"idle limit": -1, "stop": 0} {
 		t.Run(name, func(t *testing.T) {
-			s := New(&http.Server{ReadHeaderTimeout: time.Second, Handler: http.NotFoundHandler()}, func() time.Duration { return time.Millisecond })
-			s.stopping.Store(stopping)
+			l := NewListener(nil, Limits{Idle: func() time.Duration { return time.Millisecond }, Header: time.Second})
+			l.drainIdle.Store(int64(draining))
 			server, client := pair(t)
-			c := &connection{Conn: server, server: s, phase: idle, idleSince: time.Now().Add(-time.Minute)}
+			c := &Conn{TCPConn: server.(*net.TCPConn), listener: l, phase: idle, idleSince: time.Now().Add(-time.Minute)}
 			_, err := c.Read(make([]byte, 8))
 			assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
 			_, err = io.WriteString(client, "GET")
@@ -192,9 +189,9 @@
 	}
 }
 
-// Guards against a stop that waits for idle connections, cuts off a running request, or
-// lets a connection carry requests for ever.
-func TestShutdown(t *testing.T) {
+// Guards against a drain that waits for idle connections, cuts off a running request, or
+// does not end with the last connection.
+func TestDrain(t *testing.T) {
 	s := startServer(t, 0, 0)
 	idleCaller, busyCaller := s.dial(t), s.dial(t)
 	for _, c := range []*caller{idleCaller, busyCaller} {
@@ -206,16 +203,17 @@
 	time.Sleep(50 * time.Millisecond)
 	short, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 	defer cancel()
-	assert.ErrorIs(t, s.Shutdown(short), context.DeadlineExceeded)
+	assert.ErrorIs(t, s.listener.Drain(short, 0), context.DeadlineExceeded)
 	_, err = idleCaller.r.ReadByte()
 	assert.ErrorIs(t, err, io.EOF)
 	done := make(chan error, 1)
-	go func() { done <- s.Shutdown(t.Context()) }()
+	go func() { done <- s.listener.Drain(t.Context(), 0) }()
 	close(s.slow)
 	_, err = busyCaller.response()
 	assert.NilError(t, err)
 	_, err = busyCaller.r.ReadByte()
-	assert.Assert(t, errors.Is(err, io.EOF), "%v", err)
+	assert.ErrorIs(t, err, io.EOF)
+	_, _ = idleCaller.Close(), busyCaller.Close() // a closed connection is read until its caller has closed it
 	assert.NilError(t, <-done)
 	_, err = net.Dial("tcp", s.addr)
 	assert.Assert(t, err != nil)
--- a/modules/gateway/gateway.go
+++ b/modules/gateway/gateway.go
@@ -14,9 +14,9 @@
 
 	"github.com/go-faster/errors"
 
+	"heatherway.dev/heatherway/internal/httpconn"
 	"heatherway.dev/heatherway/modules/dialect"
 	"heatherway.dev/kernel"
-	"heatherway.dev/kernel/httpserver"
 	"heatherway.dev/kernel/peer"
 	"heatherway.dev/kernel/settings"
 	"heatherway.dev/kernel/stats"
@@ -37,6 +37,10 @@
 	// graceReserve is the part of the grace period that is kept for the shutdown of the
 	// process.
 	graceReserve = 300 * time.Millisecond
+	// stopIdleTime is how long a connection may stay idle once the drain delay is over. It
+	// covers the way of a response, whose header may not have announced the stop, to the
+	// caller and that of the caller's next request.
+	stopIdleTime = time.Second
 	// readHeaderTimeout limits the time in which a caller has to send its header.
 	readHeaderTimeout = 3 * time.Second
 	// maxHeaderBytes limits the size of a caller's header.
@@ -77,9 +81,9 @@
 	dialect  dialect.Dialect
 	metrics  metrics
 
-	callerListener net.Listener
+	callerListener *httpconn.Listener
 	readyListener  net.Listener
-	server         *httpserver.Server
+	server         *http.Server
 	readyServer    *http.Server
 
 	follower    *follower
@@ -144,9 +148,11 @@
 	if g.dialect, err = dialect.Load(ctx, g.Dialect); err != nil {
 		return err
 	}
-	if g.callerListener, err = ctx.Listen(g.Listen); err != nil {
+	callerListener, err := ctx.Listen(g.Listen)
+	if err != nil {
 		return err
 	}
+	g.callerListener = httpconn.NewListener(callerListener, httpconn.Limits{Idle: g.idleLimit, Header: readHeaderTimeout})
 	if g.readyListener, err = ctx.Listen(g.ReadyListen); err != nil {
 		return err
 	}
@@ -183,10 +189,10 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc(g.dialect.Endpoints().Ready, g.serveReady)
 	g.readyServer = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
-	g.server = httpserver.New(&http.Server{
+	g.server = &http.Server{
 		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
-		DisableGeneralOptionsHandler: true,
-	}, g.idleLimit)
+		ConnState: g.callerListener.ConnState, ConnContext: httpconn.ConnContext, DisableGeneralOptionsHandler: true,
+	}
 	g.spawn(func() { g.serveListener(g.readyServer, g.readyListener) })
 	g.spawn(func() { g.serveListener(g.server, g.callerListener) })
 	return nil
@@ -200,8 +206,8 @@
 	}()
 }
 
-func (g *Gateway) serveListener(s interface{ Serve(net.Listener) error }, l net.Listener) {
-	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+func (g *Gateway) serveListener(s *http.Server, l net.Listener) {
+	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) && !g.stopping.Load() {
 		g.log.Error("HTTP server stopped unexpectedly", "address", l.Addr().String(), "error", err)
 	}
 }
@@ -219,9 +225,9 @@
 }
 
 // Stop implements kernel.Runner. The readiness check fails immediately. New connections
-// are accepted until the load balancer has noticed, and requests in flight may finish
-// within the grace period. A connection is closed with its next response; closing idle
-// connections would drop requests that are already on their way.
+// are accepted until the load balancer has noticed. The connections that are open then are
+// served until the grace period ends: each is closed with its next response, or when it has
+// been idle for stopIdleTime.
 func (g *Gateway) Stop(context.Context) error {
 	start := time.Now()
 	g.stopAt.Store(start.Add(g.Grace - graceReserve).UnixNano())
@@ -230,8 +236,7 @@
 	g.sleep(g.DrainDelay)
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(g.Grace-graceReserve))
 	defer cancel()
-	err := g.server.Shutdown(ctx)
-	if err != nil {
+	if g.callerListener.Drain(ctx, stopIdleTime) != nil && g.openRequests.Load() > 0 {
 		g.log.Warn("requests cut off at the end of the grace period", "open_requests", g.openRequests.Load())
 	}
 	g.cancel()
@@ -306,8 +311,8 @@
 	retries, hedges, resumes, repeatedEvents            stats.Counter
 	dials, dialFailures, upstreamChecks, silentAttempts stats.Counter
 	copies, reports, stalledDials                       stats.Counter
+	cutRequests, undelivered                            stats.Counter
 	brokenRuns, suspectsHeld                            stats.Counter
-	undelivered, closedUnderRequest                     stats.Counter
 	answerMS, firstEventMS, resumeMS                    stats.Histogram
 }
 
@@ -321,8 +326,7 @@
 		upstreamChecks: r.Counter("gateway_upstream_checks_total"), silentAttempts: r.Counter("gateway_silent_attempts_total"),
 		answerMS: r.Histogram("gateway_answer_ms"), firstEventMS: r.Histogram("gateway_first_event_ms"),
 		copies: r.Counter("gateway_copies_total"), reports: r.Counter("gateway_reports_total"),
-		stalledDials: r.Counter("gateway_stalled_dials_total"),
-		undelivered:  r.Counter("gateway_undelivered_total"), closedUnderRequest: r.Counter("gateway_closed_under_request_total"),
+		stalledDials: r.Counter("gateway_stalled_dials_total"), cutRequests: r.Counter("gateway_cut_requests_total"), undelivered: r.Counter("gateway_undelivered_total"),
 		brokenRuns: r.Counter("gateway_broken_runs_total"), suspectsHeld: r.Counter("gateway_suspects_held_total"),
 		resumeMS: r.Histogram("gateway_resume_ms"),
 	}
--- a/modules/gateway/idle_test.go
+++ b/modules/gateway/idle_test.go
@@ -93,7 +93,7 @@
 	wg.Wait()
 	lost := k.lost(u)
 	t.Logf("%d requests answered, %d without a response, %d of those had reached the upstream", k.answered, len(k.unanswered), len(lost))
-	t.Logf("gateway: %d responses not delivered, %d connections closed under a request", f.metrics.undelivered.Value(), f.metrics.closedUnderRequest.Value())
+	t.Logf("gateway: %d responses not delivered, %d connections closed under a request", f.metrics.undelivered.Value(), f.metrics.cutRequests.Value())
 	assert.Assert(t, k.answered > callers)
 	assert.Equal(t, len(lost), 0, "%v", lost)
 }
