gateway: send a request to the same upstream again only on a new connection

Callers were told "not run, try again" for a request that its upstream was running. An at-most-once or idempotent request that was refused everywhere is placed at a tried upstream again, with the same Attempt-Id, usually on the connection that carried the refusal. If the upstream wrote that refusal once more, the id matched and the copy was taken for the response to the second send, while the upstream ran the request.

Class: a response is matched to a request by an id that is not unique to one send. callerRequest now records the upstreams that it was sent to, and a second send to one of them opens a new connection, so that no earlier response can precede the answer. This holds for retries, hedges and reconnects of streams. Cost: one dial for each second send to one upstream; first sends use kept connections as before.

Ruled out: disbelieving each refusal of a second send; a request that is refused twice by the only upstream would then end as possibly run. Closing connections that carried a refusal; in a flood that is a dial for each refusal, and the copy may come on another kept connection.

go test ./modules/gateway -run TestRepeatedRefusalOfTheSameRequest

--- a/modules/gateway/connection.go
+++ b/modules/gateway/connection.go
@@ -104,7 +104,7 @@
 	if o.atMostOnce {
 		maxIdle = atMostOnceIdleTimeout
 	}
-	for {
+	for !o.newConnection {
 		conn := c.pop(key)
 		if conn == nil {
 			break
@@ -252,6 +252,9 @@
 	// atMostOnce marks a request that may run only once, copyCall a call whose response
 	// names a KV cache copy.
 	atMostOnce, copyCall bool
+	// newConnection marks a request that is not sent on a kept connection, since an
+	// earlier response of the upstream could be taken for the response to it.
+	newConnection        bool
 	method, target, host string
 	header               http.Header
 	body                 []byte
--- a/modules/gateway/handler.go
+++ b/modules/gateway/handler.go
@@ -42,6 +42,10 @@
 	// may have; a reconnect to the same upstream counts again.
 	tried     []string
 	sentCount int
+	// sentTo lists the upstreams that the request was sent to. Attempts that run at the
+	// same time share it.
+	sentTo   []string
+	sentToMu sync.Mutex
 	// mayHaveRun is set once an upstream may have started to process the request.
 	mayHaveRun bool
 	// responseStarted is set once the response header has been written to the caller.
@@ -245,11 +249,26 @@
 		f.Organisation = c.organisation.Name
 	}
 	o := c.outgoing
+	// The response to the earlier attempt there has the same id, and a faulty upstream may
+	// send it once more on any connection that it keeps.
+	o.newConnection = c.recordSend(u.ID)
 	o.header = c.outgoing.header.Clone()
 	c.g.dialect.Forward(o.header, f)
 	return &o
 }
 
+// recordSend records that the request is sent to an upstream, and reports whether it was
+// sent there before.
+func (c *callerRequest) recordSend(upstreamID string) (again bool) {
+	c.sentToMu.Lock()
+	defer c.sentToMu.Unlock()
+	if slices.Contains(c.sentTo, upstreamID) {
+		return true
+	}
+	c.sentTo = append(c.sentTo, upstreamID)
+	return false
+}
+
 // matchesResponse reports whether a response belongs to the request. A response without
 // a request ID is accepted only as the first one on a connection: on a reused one it
 // may be a late response to one of the gateway's own calls.
--- /dev/null
+++ b/modules/gateway/refusal_test.go
@@ -0,0 +1,163 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// refusal returns a refusal with the given id, or without one if the id is empty. The
+// id comes last, so that a part of the refusal may lack it.
+func refusal(id string) string {
+	head := "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nDate: Sat, 05 Dec 2026 04:00:00 GMT\r\nContent-Length: 4\r\n"
+	if id != "" {
+		head += "Attempt-Id: " + id + "\r\n"
+	}
+	return head + "\r\nfull"
+}
+
+func sealedAnswer(id string) string {
+	return "HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nResponse-Seal: s\r\nContent-Length: 2\r\n\r\nok"
+}
+
+func sealedStream(id string) string {
+	body := "id: 0\ndata: x\n\nid: 1\ndata: x\n\n"
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Seal: s\r\nContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+// refusingUpstream is a faulty upstream that repeats refusals. It counts the runs of
+// each request.
+type refusingUpstream struct {
+	*upstream
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+// connRequest is a request together with what its connection has carried before.
+type connRequest struct {
+	*http.Request
+	id string
+	// earlier lists the ids that the connection carried before.
+	earlier []string
+	// write writes to the connection.
+	write func(string)
+}
+
+// startRefusingUpstream starts an upstream that calls handle for each request of a
+// caller. It answers reports itself.
+func startRefusingUpstream(t *testing.T, service string, handle func(u *refusingUpstream, r connRequest)) *refusingUpstream {
+	u := &refusingUpstream{runs: map[string]int{}}
+	u.upstream = startRawUpstream(t, func(c net.Conn) {
+		defer c.Close()
+		reader, earlier := bufio.NewReader(c), []string(nil)
+		var mu sync.Mutex
+		write := func(text string) {
+			mu.Lock()
+			defer mu.Unlock()
+			_, _ = io.WriteString(c, text)
+		}
+		for {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, request.Body)
+			if strings.HasPrefix(request.URL.Path, "/v1/") {
+				write(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(emptyReport), emptyReport))
+				continue
+			}
+			id := request.Header.Get("Attempt-Id")
+			handle(u, connRequest{Request: request, id: id, earlier: earlier, write: write})
+			earlier = append(earlier, id)
+		}
+	})
+	u.Service = service
+	return u
+}
+
+// run runs a request and sends its answer.
+func (u *refusingUpstream) run(r connRequest) {
+	u.mu.Lock()
+	u.runs[r.id]++
+	u.mu.Unlock()
+	time.Sleep(10 * time.Millisecond)
+	if strings.HasPrefix(r.URL.Path, "/letters/") {
+		r.write(sealedStream(r.id))
+		return
+	}
+	r.write(sealedAnswer(r.id))
+}
+
+func (u *refusingUpstream) runCount(id string) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.runs[id]
+}
+
+// Guards against a repeated refusal of the same request: it was refused at this upstream
+// before and was then sent there again, on the connection that carried the refusal or on
+// another kept one.
+func TestRepeatedRefusalOfTheSameRequest(t *testing.T) {
+	for _, path := range []string{"/book/x", "/look/x"} {
+		for _, sameConnection := range []bool{true, false} {
+			t.Run(fmt.Sprint(path, " same connection=", sameConnection), func(t *testing.T) {
+				var mu sync.Mutex
+				refused := map[string]bool{}
+				u := startRefusingUpstream(t, "desk", func(u *refusingUpstream, r connRequest) {
+					if strings.HasPrefix(r.id, "open") {
+						u.run(r)
+						return
+					}
+					mu.Lock()
+					again := refused[r.id]
+					refused[r.id] = true
+					mu.Unlock()
+					if !again {
+						text := refusal(r.id)
+						if !sameConnection {
+							text = strings.Replace(text, "Not-Run", "Connection: close\r\nNot-Run", 1)
+						}
+						r.write(text)
+						return
+					}
+					carried := false
+					for _, id := range r.earlier {
+						carried = carried || id == r.id
+					}
+					if carried && sameConnection || !carried && len(r.earlier) > 0 {
+						r.write(refusal(r.id))
+					}
+					u.run(r)
+				})
+				conf := configuration()
+				conf.Routes[1].MaxAttempts, conf.Routes[2].MaxAttempts = 2, 2
+				f := newFixture(t, conf, u.upstream)
+				if !sameConnection { // the connection of the first refusal is not kept, but others are
+					var wg sync.WaitGroup
+					for i := range 8 {
+						r := f.request("POST", "/book/x", "x", "Attempt-Id", fmt.Sprint("open-", i))
+						wg.Add(1)
+						go func() { defer wg.Done(); f.do(r) }()
+					}
+					wg.Wait()
+				}
+				for i := range 5 {
+					id := fmt.Sprint("request-", i)
+					res := f.do(f.request("POST", path, "x", "Attempt-Id", id))
+					assert.Assert(t, res.status != http.StatusServiceUnavailable || u.runCount(id) == 0, "reported as not run, ran %d times", u.runCount(id))
+					if path == "/book/x" {
+						assert.Assert(t, u.runCount(id) <= 1, "ran %d times", u.runCount(id))
+					}
+				}
+			})
+		}
+	}
+}
