--- a/modules/gateway/refusal_test.go
+++ b/modules/gateway/refusal_test.go
@@ -102,6 +102,85 @@
 	return u.runs[id]
 }
 
+// Guards against a request that is reported as not run, or sent to another upstream,
+// because its upstream repeats an earlier refusal on a kept connection while it runs the
+// request.
+func TestRepeatedRefusalOfAnotherRequest(t *testing.T) {
+	const first = "first"
+	for name, stray := range map[string]string{
+		"with its id":                       refusal(first),
+		"twice":                             refusal(first) + refusal(first),
+		"without an id":                     refusal(""),
+		"with its id, then without":         refusal(first) + refusal(""),
+		"without the id, up to a field":     refusal("")[:strings.Index(refusal(""), "Sat,")],
+		"without the id, within a field":    refusal("")[:strings.Index(refusal(""), "Dec")],
+		"up to the reason of the status":    "HTTP/1.1 503 ",
+		"within the reason of the status":   "HTTP/1.1 503 Service",
+		"up to a line":                      refusal("")[:strings.Index(refusal(""), "Date")],
+		"up to half of a line end":          refusal("")[:strings.Index(refusal(""), "Date")-1],
+		"up to the id":                      refusal(first)[:strings.Index(refusal(first), first)],
+		"within the id":                     refusal(first)[:strings.Index(refusal(first), first)+2],
+		"without its body":                  refusal(first)[:len(refusal(first))-4],
+		"without a part of its body":        refusal(first)[:len(refusal(first))-2],
+		"status 200 with Not-Run and an id": strings.Replace(refusal(first), "503 Service Unavailable", "200 OK", 1),
+		"informational response":            "HTTP/1.1 103 Early Hints\r\nNot-Run: 1\r\n\r\n" + refusal(first),
+	} {
+		for _, delay := range []time.Duration{-1, 0, 5 * time.Millisecond} {
+			for _, path := range []string{"/book/x", "/look/x", "/letters/x"} {
+				t.Run(fmt.Sprint(name, delay, path), func(t *testing.T) {
+					service := "desk"
+					if path == "/letters/x" {
+						service = "model"
+					}
+					u := startRefusingUpstream(t, service, func(u *refusingUpstream, r connRequest) {
+						switch {
+						case r.id == first && delay < 0:
+							r.write(refusal(first) + stray) // in one piece
+						case r.id == first && delay > 0:
+							r.write(refusal(first))
+							time.AfterFunc(delay, func() { r.write(stray) })
+						case r.id == first:
+							r.write(refusal(first))
+						default:
+							if len(r.earlier) > 0 && delay == 0 {
+								r.write(stray) // between the request and its answer
+							}
+							u.run(r)
+						}
+					})
+					other := startRefusingUpstream(t, service, func(u *refusingUpstream, r connRequest) { u.run(r) })
+					other.ID = "u2"
+					conf := configuration()
+					for i := range conf.Routes {
+						conf.Routes[i].Timeout, conf.Routes[i].MaxAttempts = 300*time.Millisecond, 1
+					}
+					f := newFixture(t, conf, u.upstream)
+					assert.Equal(t, f.do(f.request("POST", path, "x", "Attempt-Id", first)).status, http.StatusServiceUnavailable)
+					conf.Version++
+					for i := range conf.Routes {
+						conf.Routes[i].MaxAttempts = 3
+					}
+					f.setConfiguration(conf)
+					f.announce(other.Upstream)
+					for i := range 3 {
+						id := fmt.Sprint("next-", i)
+						res := f.do(f.request("POST", path, "x", "Attempt-Id", id))
+						runs := u.runCount(id) + other.runCount(id)
+						assert.Assert(t, res.status != http.StatusServiceUnavailable || runs == 0, "reported as not run, ran %d times", runs)
+						if path == "/book/x" {
+							assert.Assert(t, runs <= 1, "ran %d times", runs)
+						}
+						if res.status == http.StatusOK && res.err == nil {
+							assert.Equal(t, res.header.Get("Not-Run"), "")
+							assert.Equal(t, res.header.Get("Attempt-Id"), id)
+						}
+					}
+				})
+			}
+		}
+	}
+}
+
 // Guards against a repeated refusal of the same request: it was refused at this upstream
 // before and was then sent there again, on the connection that carried the refusal or on
 // another kept one.
