gateway: believe a response without an id only first on a new connection

A request was reported as not run while its upstream ran it, when a refusal without an id preceded the answer: after a response to another request on the connection, on a connection that a health check had opened and the pool had kept, or, for a request without an Attempt-Id, on any kept connection.

Cause: matchesResponse took "first" from the number of responses that were read completely on the connection. Responses that were skipped did not count, and a kept connection that had carried none counted as new. A request without an id matched each response without one.

Class: a response is believed that need not answer this request. "First" now means the first response on a connection that was opened for this request, and a request without an id always opens one. Cost: one dial for each request without an id, which the platform refuses with 400 anyway.

Sound before: a refusal without an id on a connection that had carried a response (TestRepeatedRefusalOfAnotherRequest "without an id"), and between the gateway's own calls (TestLateResponsesAmongReports).

go test ./modules/gateway -run 'TestRefusalWithoutID|TestRequestWithoutID'

--- a/modules/gateway/connection.go
+++ b/modules/gateway/connection.go
@@ -94,6 +94,8 @@
 	expires  time.Time
 	// responses is the number of responses that were read completely on the connection.
 	responses int
+	// kept is set once the connection was taken out of the pool.
+	kept bool
 	// sentCopyCall is set once a call was sent on the connection whose response names a
 	// KV cache copy.
 	sentCopyCall bool
@@ -122,6 +124,7 @@
 			break
 		}
 		if now.Before(conn.expires) && conn.isReusable() {
+			conn.kept = true
 			return conn, nil
 		}
 		_ = conn.Close()
@@ -326,7 +329,7 @@
 
 func (x *exchange) readHeader(method string, matches func(http.Header, bool) bool) error {
 	skipped := int64(0)
-	for range maxStrayResponses + x.conn.responses + 1 {
+	for i := range maxStrayResponses + x.conn.responses + 1 {
 		x.conn.limited.setLimit(maxResponseHeaderBytes)
 		res, err := x.readFinalResponse(method)
 		if err != nil {
@@ -334,7 +337,7 @@
 		}
 		x.conn.limited.clearLimit()
 		x.conn.pool.onResponse(x.upstream, res.StatusCode, res.Header)
-		if matches(res.Header, x.conn.responses == 0) {
+		if matches(res.Header, i == 0 && !x.conn.kept) {
 			x.res = res
 			return nil
 		}
--- a/modules/gateway/handler.go
+++ b/modules/gateway/handler.go
@@ -249,9 +249,10 @@
 		f.Organisation = c.organisation.Name
 	}
 	o := c.outgoing
-	// The response to the earlier attempt there has the same id, and a faulty upstream may
-	// send it once more on any connection that it keeps.
-	o.newConnection = c.recordSend(u.ID)
+	// The response to an earlier attempt there has the same id, and a faulty upstream may
+	// send it once more on any connection that it keeps. Responses to a request without an
+	// id cannot be told apart at all.
+	o.newConnection = c.recordSend(u.ID) || c.req.ID == ""
 	o.header = c.outgoing.header.Clone()
 	c.g.dialect.Forward(o.header, f)
 	return &o
@@ -270,11 +271,15 @@
 }
 
 // matchesResponse reports whether a response belongs to the request. A response without
-// a request ID is accepted only as the first one on a connection: on a reused one it
-// may be a late response to one of the gateway's own calls.
+// a request ID is accepted only as the first one on a connection that was opened for the
+// request: on a kept one, or after another response, it may be a late response to an
+// earlier request or to one of the gateway's own calls.
 func (c *callerRequest) matchesResponse(h http.Header, first bool) bool {
 	id := c.g.dialect.Response(h).RequestID
-	return id == c.req.ID || id == "" && first
+	if id == "" {
+		return first
+	}
+	return id == c.req.ID
 }
 
 // canTryAnother reports whether the request may have one more attempt.
--- a/modules/gateway/refusal_test.go
+++ b/modules/gateway/refusal_test.go
@@ -84,10 +84,14 @@
 }
 
 // run runs a request and sends its answer.
-func (u *refusingUpstream) run(r connRequest) {
+func (u *refusingUpstream) run(r connRequest) { u.runAfter(r, "") }
+
+// runAfter starts to run a request, sends a stray response, and then sends its answer.
+func (u *refusingUpstream) runAfter(r connRequest, stray string) {
 	u.mu.Lock()
 	u.runs[r.id]++
 	u.mu.Unlock()
+	r.write(stray)
 	time.Sleep(10 * time.Millisecond)
 	if strings.HasPrefix(r.URL.Path, "/letters/") {
 		r.write(sealedStream(r.id))
@@ -143,7 +147,8 @@
 							r.write(refusal(first))
 						default:
 							if len(r.earlier) > 0 && delay == 0 {
-								r.write(stray) // between the request and its answer
+								u.runAfter(r, stray)
+								return
 							}
 							u.run(r)
 						}
@@ -212,7 +217,8 @@
 						carried = carried || id == r.id
 					}
 					if carried && sameConnection || !carried && len(r.earlier) > 0 {
-						r.write(refusal(r.id))
+						u.runAfter(r, refusal(r.id))
+						return
 					}
 					u.run(r)
 				})
@@ -240,3 +246,73 @@
 		}
 	}
 }
+
+// Guards against believing a refusal without an id that need not be the response to the
+// request: it follows another response, or arrives on a connection that was kept.
+func TestRefusalWithoutID(t *testing.T) {
+	for name, c := range map[string]struct {
+		stray string
+		// checked requests a connection that was kept after a health check; other
+		// connections are opened for the request.
+		checked  bool
+		believed bool
+	}{
+		"first response on a new connection":             {refusal(""), false, true},
+		"after a response to another request":            {refusal("other") + refusal(""), false, false},
+		"after an answer to another request":             {sealedAnswer("other") + refusal(""), false, false},
+		"first response on a connection of a check":      {refusal(""), true, false},
+		"after another response on a checked connection": {refusal("other") + refusal(""), true, false},
+	} {
+		for _, path := range []string{"/book/x", "/look/x"} {
+			t.Run(name+path, func(t *testing.T) {
+				u := startRefusingUpstream(t, "desk", func(u *refusingUpstream, r connRequest) {
+					if c.believed {
+						r.write(c.stray)
+						return
+					}
+					u.runAfter(r, c.stray)
+				})
+				conf := configuration()
+				conf.Routes[1].MaxAttempts, conf.Routes[2].MaxAttempts = 1, 1
+				f := newFixture(t, conf, u.upstream)
+				if c.checked {
+					assert.NilError(t, f.connections.check(t.Context(), u.Addr, u.ID))
+				}
+				res := f.do(f.request("POST", path, "x", "Attempt-Id", "request"))
+				if c.believed {
+					assert.Equal(t, res.status, http.StatusServiceUnavailable)
+					return
+				}
+				assert.Equal(t, u.runCount("request"), 1)
+				assert.Assert(t, res.status != http.StatusServiceUnavailable, "reported as not run, ran once")
+			})
+		}
+	}
+}
+
+// Guards against a refusal of another request that is believed for a request without an
+// id, which no response can be matched to.
+func TestRequestWithoutID(t *testing.T) {
+	for name, stray := range map[string]string{"with an id": refusal("first"), "without an id": refusal("")} {
+		t.Run(name, func(t *testing.T) {
+			u := startRefusingUpstream(t, "desk", func(u *refusingUpstream, r connRequest) {
+				if r.id == "first" {
+					r.write(refusal("first"))
+					return
+				}
+				if len(r.earlier) > 0 {
+					u.runAfter(r, stray)
+					return
+				}
+				u.run(r)
+			})
+			f := newFixture(t, configuration(), u.upstream)
+			assert.Equal(t, f.do(f.request("POST", "/book/x", "x", "Attempt-Id", "first")).status, http.StatusServiceUnavailable)
+			r := f.request("POST", "/book/x", "x")
+			r.Header.Del("Attempt-Id")
+			res := f.do(r)
+			assert.Equal(t, u.runCount(""), 1)
+			assert.Assert(t, res.status != http.StatusServiceUnavailable, "reported as not run, ran once")
+		})
+	}
+}
