gateway: a refused attempt does not hide one that may have run

Callers of idempotent requests got 503 "not run, try again" although one of the attempts may have run. If no attempt could be delivered, the final error came from the first response; when that was a refusal and the retry or the hedge was lost, or its answer had no seal, the error said that the request was refused.

Class: one outcome of several attempts is reported for all of them. The final error is now that of a deliverable response, else of the first attempt after which the request may have run, else of the first.

go test ./modules/gateway -run TestRefusalBesideAnAttemptThatMayHaveRun

--- a/modules/gateway/plain.go
+++ b/modules/gateway/plain.go
@@ -39,6 +39,9 @@
 // deliverable reports whether the response may be passed on to the caller.
 func (r *upstreamResponse) deliverable() bool { return r.err == nil && !r.meta.NotRun && r.meta.Signed }
 
+// mayHaveRun reports whether the upstream may have run the request.
+func (r *upstreamResponse) mayHaveRun() bool { return r.sent && !r.meta.NotRun }
+
 // servePlain serves a request whose response is not a stream.
 func (c *callerRequest) servePlain() {
 	c.countFirstAttempt()
@@ -61,7 +64,7 @@
 		case response.deliverable():
 			c.writeResponse(response)
 			return
-		case response.sent && !response.meta.NotRun:
+		case response.mayHaveRun():
 			c.respondError(c.unknownOutcomeError(response))
 			return
 		case !c.canRetryAfter(response):
@@ -135,7 +138,7 @@
 	defer cancel()
 	responses := make(chan *upstreamResponse, c.route.MaxAttempts+1)
 	// best decides the final response if no attempt succeeds: the last one that may be
-	// passed on, or else the first.
+	// passed on, or else the first after which the request may have run, or else the first.
 	running, best := 0, (*upstreamResponse)(nil)
 	start := func() *dispatch.Refusal {
 		choice, refusal := c.placeWithin(c.dispatchRequest(), 0)
@@ -170,7 +173,7 @@
 			if !response.sent {
 				c.sentCount--
 			}
-			if best == nil || response.deliverable() {
+			if best == nil || response.deliverable() || response.mayHaveRun() && !best.mayHaveRun() {
 				best = response
 			}
 			if c.crashVerdict() == crash.Allowed && c.canRetryAfter(response) {
@@ -184,7 +187,7 @@
 	switch {
 	case best.deliverable():
 		c.writeResponse(best)
-	case best.sent && !best.meta.NotRun:
+	case best.mayHaveRun():
 		c.respondError(c.unknownOutcomeError(best))
 	default:
 		c.respondError(c.notRunError(best))
--- a/modules/gateway/refusal_test.go
+++ b/modules/gateway/refusal_test.go
@@ -316,3 +316,64 @@
 		})
 	}
 }
+
+// Guards against an idempotent request that is reported as not run because one attempt
+// was refused, while another attempt may have run it.
+func TestRefusalBesideAnAttemptThatMayHaveRun(t *testing.T) {
+	for name, order := range map[string][2]string{
+		"refused, then lost":           {"refuse", "lose"},
+		"lost, then refused":           {"lose", "refuse"},
+		"refused, then without a seal": {"refuse", "unsealed"},
+		"without a seal, then refused": {"unsealed", "refuse"},
+		"hedge lost, then refused":     {"refuse late", "lose"},
+		"hedge refused, then lost":     {"lose late", "refuse"},
+		"refused, then an error":       {"refuse", "error"},
+		"an error, then refused":       {"error", "refuse"},
+		"refused twice":                {"refuse", "refuse"},
+		"lost twice":                   {"lose", "lose"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var mu sync.Mutex
+			attempts, runs := 0, 0
+			handle := func(c net.Conn) {
+				defer c.Close()
+				request, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					return
+				}
+				id := request.Header.Get("Attempt-Id")
+				mu.Lock()
+				action, late := strings.CutSuffix(order[min(attempts, 1)], " late")
+				attempts++
+				if action != "refuse" {
+					runs++
+				}
+				mu.Unlock()
+				if late {
+					time.Sleep(150 * time.Millisecond)
+				}
+				switch action {
+				case "refuse":
+					_, _ = io.WriteString(c, refusal(id))
+				case "unsealed":
+					_, _ = io.WriteString(c, strings.Replace(sealedAnswer(id), "Response-Seal: s\r\n", "", 1))
+				case "error":
+					_, _ = io.WriteString(c, strings.Replace(sealedAnswer(id), "200 OK", "500 Error", 1))
+				}
+			}
+			first, second := startRawUpstream(t, handle), startRawUpstream(t, handle)
+			second.ID = "u2"
+			f := newFixture(t, configuration(), first, second)
+			res := f.do(f.request("GET", "/look/x", ""))
+			assert.NilError(t, res.err)
+			mu.Lock()
+			defer mu.Unlock()
+			assert.Equal(t, attempts, 2)
+			if runs == 0 {
+				assert.Equal(t, res.status, http.StatusServiceUnavailable)
+				return
+			}
+			assert.Assert(t, res.status == http.StatusBadGateway || res.status == http.StatusInternalServerError, "status %d", res.status)
+		})
+	}
+}
