gateway: Not-Run counts only with the status of a refusal

A booking whose upstream answered 200, 204, 302, 404, 500, 502 or 504 with a Not-Run header was sent to a second upstream, and the caller was told that it had not run. The platform states Not-Run with 503, 429, 421 and 400 only; with another status the head contradicts itself, as in a response of a faulty server or a head that is mixed from two, and the request may have run.

Class: a statement is believed without the rest of the head. responseMeta now decodes the header of each response to a caller's request; Not-Run with another status is an error of the attempt, which counts as possibly run. Refusals with the four statuses are believed as before.

go test ./modules/gateway -run 'TestNotRunWithoutRefusal|TestRefusalBeside'

--- a/modules/gateway/handler.go
+++ b/modules/gateway/handler.go
@@ -282,6 +282,24 @@
 	return id == c.req.ID
 }
 
+var errNotRefusal = errors.New("the response says that the request has not run, but its status is no refusal")
+
+// responseMeta decodes the header of a response. It returns an error, and a header that
+// is no refusal, if the response states that the request has not run with a status other
+// than those of a refusal; the request may then have run.
+func (c *callerRequest) responseMeta(res *http.Response) (dialect.Response, error) {
+	meta := c.g.dialect.Response(res.Header)
+	if !meta.NotRun {
+		return meta, nil
+	}
+	switch res.StatusCode {
+	case http.StatusBadRequest, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return meta, nil
+	}
+	meta.NotRun = false
+	return meta, errNotRefusal
+}
+
 // canTryAnother reports whether the request may have one more attempt.
 func (c *callerRequest) canTryAnother() bool {
 	return c.sentCount < c.maxAttempts() && c.ctx.Err() == nil && time.Now().Before(c.deadline)
--- a/modules/gateway/plain.go
+++ b/modules/gateway/plain.go
@@ -232,8 +232,10 @@
 		return
 	}
 	response.sent, response.status, response.header = true, x.res.StatusCode, x.res.Header
-	response.meta = c.g.dialect.Response(response.header)
-	response.body, response.err = c.reservation.readResponse(x.res)
+	response.meta, response.err = c.responseMeta(x.res)
+	if response.err == nil {
+		response.body, response.err = c.reservation.readResponse(x.res)
+	}
 	switch {
 	case response.err != nil:
 		x.abandon()
--- a/modules/gateway/reader.go
+++ b/modules/gateway/reader.go
@@ -54,8 +54,11 @@
 		x.abandon()
 		return ctx.Err()
 	}
-	meta := c.g.dialect.Response(x.res.Header)
+	meta, err := c.responseMeta(x.res)
 	switch {
+	case err != nil:
+		x.abandon()
+		return err
 	case meta.NotRun:
 		x.abandon()
 		return errRefused
--- a/modules/gateway/refusal_test.go
+++ b/modules/gateway/refusal_test.go
@@ -321,16 +321,18 @@
 // was refused, while another attempt may have run it.
 func TestRefusalBesideAnAttemptThatMayHaveRun(t *testing.T) {
 	for name, order := range map[string][2]string{
-		"refused, then lost":           {"refuse", "lose"},
-		"lost, then refused":           {"lose", "refuse"},
-		"refused, then without a seal": {"refuse", "unsealed"},
-		"without a seal, then refused": {"unsealed", "refuse"},
-		"hedge lost, then refused":     {"refuse late", "lose"},
-		"hedge refused, then lost":     {"lose late", "refuse"},
-		"refused, then an error":       {"refuse", "error"},
-		"an error, then refused":       {"error", "refuse"},
-		"refused twice":                {"refuse", "refuse"},
-		"lost twice":                   {"lose", "lose"},
+		"refused, then lost":             {"refuse", "lose"},
+		"lost, then refused":             {"lose", "refuse"},
+		"refused, then without a seal":   {"refuse", "unsealed"},
+		"without a seal, then refused":   {"unsealed", "refuse"},
+		"hedge lost, then refused":       {"refuse late", "lose"},
+		"hedge refused, then lost":       {"lose late", "refuse"},
+		"refused, then an error":         {"refuse", "error"},
+		"an error, then refused":         {"error", "refuse"},
+		"refused twice":                  {"refuse", "refuse"},
+		"lost twice":                     {"lose", "lose"},
+		"refused, then Not-Run with 200": {"refuse", "contradict"},
+		"Not-Run with 200":               {"contradict", "contradict"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var mu sync.Mutex
@@ -359,6 +361,8 @@
 					_, _ = io.WriteString(c, strings.Replace(sealedAnswer(id), "Response-Seal: s\r\n", "", 1))
 				case "error":
 					_, _ = io.WriteString(c, strings.Replace(sealedAnswer(id), "200 OK", "500 Error", 1))
+				case "contradict":
+					_, _ = io.WriteString(c, strings.Replace(sealedAnswer(id), "Response-Seal", "Not-Run: 1\r\nResponse-Seal", 1))
 				}
 			}
 			first, second := startRawUpstream(t, handle), startRawUpstream(t, handle)
@@ -377,3 +381,45 @@
 		})
 	}
 }
+
+// Guards against a second run of an at-most-once request, or a wrong report that it has
+// not run, because of a Not-Run header in a response that is no refusal.
+func TestNotRunWithoutRefusal(t *testing.T) {
+	for _, status := range []string{"200 OK", "204 No Content", "302 Found", "404 Not Found", "500 Error", "502 Bad Gateway", "504 Gateway Timeout"} {
+		for _, path := range []string{"/book/x", "/letters/x"} {
+			t.Run(status+path, func(t *testing.T) {
+				service := "desk"
+				if path == "/letters/x" {
+					service = "model"
+				}
+				var ups []*upstream
+				var servers []*refusingUpstream
+				for i := range 2 {
+					u := startRefusingUpstream(t, service, func(u *refusingUpstream, r connRequest) {
+						u.mu.Lock()
+						u.runs[r.id]++
+						u.mu.Unlock()
+						r.write("HTTP/1.1 " + status + "\r\nNot-Run: 1\r\nAttempt-Id: " + r.id + "\r\nResponse-Seal: s\r\nContent-Length: 0\r\n\r\n")
+					})
+					u.ID = fmt.Sprint("u", i)
+					servers, ups = append(servers, u), append(ups, u.upstream)
+				}
+				conf := configuration()
+				conf.Routes[0].Resumable, conf.Routes[1].MaxAttempts = false, 2
+				f := newFixture(t, conf, ups...)
+				res := f.do(f.request("POST", path, "x", "Attempt-Id", "request"))
+				assert.NilError(t, res.err)
+				assert.Equal(t, res.status, http.StatusBadGateway)
+				assert.Equal(t, res.header.Get("Not-Run"), "")
+				assert.Equal(t, servers[0].runCount("request")+servers[1].runCount("request"), 1)
+			})
+		}
+	}
+	for _, status := range []string{"400 Bad Request", "421 Misdirected Request", "429 Too Many Requests", "503 Service Unavailable"} {
+		u := startRefusingUpstream(t, "desk", func(_ *refusingUpstream, r connRequest) {
+			r.write(strings.Replace(refusal(r.id), "503 Service Unavailable", status, 1))
+		})
+		f := newFixture(t, configuration(), u.upstream)
+		assert.Equal(t, f.do(f.request("POST", "/book/x", "x")).status, http.StatusServiceUnavailable, status)
+	}
+}
--- a/modules/gateway/stream.go
+++ b/modules/gateway/stream.go
@@ -289,7 +289,7 @@
 // recordHeader records the status and header of the response. The attempt goes on.
 func (s *streamRequest) recordHeader(a *attempt, response *http.Response) bool {
 	a.sent, a.status, a.header = true, response.StatusCode, response.Header
-	a.meta = s.g.dialect.Response(response.Header)
+	a.meta, _ = s.responseMeta(response) // the reader returns the error
 	return false
 }
 
