gateway: test refusals among stray bytes in a seeded mix

Two upstreams of each service refuse a third of the requests, repeat earlier refusals of their connection or of the same request, whole or in part, at once or up to 20 ms later, and run the rest. Bookings, lookups and streams arrive twelve at a time. No request that ran may be answered with 503, and no booking may run twice.

go test ./modules/gateway -run TestRefusalsAmongStrayBytes

--- a/modules/gateway/refusal_test.go
+++ b/modules/gateway/refusal_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -423,3 +424,82 @@
 		assert.Equal(t, f.do(f.request("POST", "/book/x", "x")).status, http.StatusServiceUnavailable, status)
 	}
 }
+
+// Guards against refusals that are believed although a stray response cannot be ruled
+// out, in a random mix of refusals and stray bytes under concurrent requests.
+func TestRefusalsAmongStrayBytes(t *testing.T) {
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			var mu sync.Mutex
+			rng := rand.New(rand.NewPCG(seed, 1))
+			random := func(n int) int { mu.Lock(); defer mu.Unlock(); return rng.IntN(n) }
+			// stray returns an earlier refusal: of the connection, of the same request at
+			// this upstream, or without an id, in part or as a whole.
+			var refusedIDs sync.Map
+			stray := func(u *refusingUpstream, r connRequest) string {
+				ids := append([]string{""}, r.earlier...)
+				if _, ok := refusedIDs.Load(u.ID + r.id); ok && len(r.earlier) > 0 {
+					ids = append(ids, r.id)
+				}
+				text := refusal(ids[random(len(ids))])
+				if random(3) == 0 {
+					return text[:random(len(text))]
+				}
+				return text
+			}
+			handle := func(u *refusingUpstream, r connRequest) {
+				if random(3) == 0 {
+					r.write(refusal(r.id))
+					refusedIDs.Store(u.ID+r.id, true)
+					switch random(4) {
+					case 0:
+						r.write(stray(u, r))
+					case 1:
+						time.AfterFunc(time.Duration(random(20))*time.Millisecond, func() { r.write(stray(u, r)) })
+					}
+					return
+				}
+				if len(r.earlier) > 0 && random(2) == 0 {
+					r.write(stray(u, r))
+				}
+				u.run(r)
+			}
+			var ups []*upstream
+			var refusing []*refusingUpstream
+			for i := range 4 {
+				u := startRefusingUpstream(t, []string{"desk", "model"}[i%2], handle)
+				u.ID = fmt.Sprint("u", i)
+				refusing, ups = append(refusing, u), append(ups, u.upstream)
+			}
+			conf := configuration()
+			for i := range conf.Routes {
+				conf.Routes[i].MaxAttempts, conf.Routes[i].Timeout = 4, 300*time.Millisecond
+			}
+			f := newFixture(t, conf, ups...)
+			var wg sync.WaitGroup
+			for i := range 120 {
+				path := []string{"/book/x", "/look/x", "/letters/x"}[i%3]
+				id := fmt.Sprint("request-", i)
+				r := f.request("POST", path, "x", "Attempt-Id", id)
+				wg.Add(1)
+				go func() {
+					defer wg.Done()
+					res, runs := f.do(r), 0
+					for _, u := range refusing {
+						runs += u.runCount(id)
+					}
+					if res.status == http.StatusServiceUnavailable && runs > 0 {
+						t.Errorf("%s %s: reported as not run, ran %d times", path, id, runs)
+					}
+					if path == "/book/x" && runs > 1 {
+						t.Errorf("%s %s: ran %d times", path, id, runs)
+					}
+				}()
+				if i%12 == 11 {
+					wg.Wait()
+				}
+			}
+			wg.Wait()
+		})
+	}
+}
