--- a/modules/gateway/connection.go
+++ b/modules/gateway/connection.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -92,6 +94,8 @@
 	expires  time.Time
 	// responses is the number of responses that were read completely on the connection.
 	responses int
+	// kept is set once the connection was taken out of the pool.
+	kept bool
 	// sentCopyCall is set once a call was sent on the connection whose response names a
 	// KV cache copy.
 	sentCopyCall bool
@@ -104,7 +108,7 @@
 	if o.atMostOnce {
 		maxIdle = atMostOnceIdleTimeout
 	}
-	for {
+	for !o.newConnection {
 		conn := c.pop(key)
 		if conn == nil {
 			break
@@ -120,6 +124,7 @@
 			break
 		}
 		if now.Before(conn.expires) && conn.isReusable() {
+			conn.kept = true
 			return conn, nil
 		}
 		_ = conn.Close()
@@ -252,6 +257,9 @@
 	// atMostOnce marks a request that may run only once, copyCall a call whose response
 	// names a KV cache copy.
 	atMostOnce, copyCall bool
+	// newConnection marks a request that is not sent on a kept connection, since an
+	// earlier response of the upstream could be taken for the response to it.
+	newConnection        bool
 	method, target, host string
 	header               http.Header
 	body                 []byte
@@ -321,7 +329,7 @@
 
 func (x *exchange) readHeader(method string, matches func(http.Header, bool) bool) error {
 	skipped := int64(0)
-	for range maxStrayResponses + x.conn.responses + 1 {
+	for i := range maxStrayResponses + x.conn.responses + 1 {
 		x.conn.limited.setLimit(maxResponseHeaderBytes)
 		res, err := x.readFinalResponse(method)
 		if err != nil {
@@ -329,7 +337,7 @@
 		}
 		x.conn.limited.clearLimit()
 		x.conn.pool.onResponse(x.upstream, res.StatusCode, res.Header)
-		if matches(res.Header, x.conn.responses == 0) {
+		if matches(res.Header, i == 0 && !x.conn.kept) {
 			x.res = res
 			return nil
 		}
@@ -352,12 +360,39 @@
 		if err != nil {
 			return nil, err
 		}
+		if containsStatusLine(res) {
+			return nil, errJoinedHeads
+		}
 		if res.StatusCode >= http.StatusOK {
 			return res, nil
 		}
 	}
 }
 
+var (
+	// errJoinedHeads is the error for the first part of an earlier response that the next
+	// response follows without a line end: the head parses with the status of one and
+	// fields of both.
+	errJoinedHeads = errors.New("the head of a response contains another status line")
+	statusLine     = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]`)
+)
+
+// containsStatusLine reports whether the reason phrase or a field of a response contains
+// the status line of another one.
+func containsStatusLine(res *http.Response) bool {
+	// Most values are short and have no version, so the expression rarely runs.
+	contains := func(v string) bool { return strings.Contains(v, "HTTP/1.") && statusLine.MatchString(v) }
+	if contains(res.Status) {
+		return true
+	}
+	for _, values := range res.Header {
+		if slices.ContainsFunc(values, contains) {
+			return true
+		}
+	}
+	return false
+}
+
 // finish returns the connection to the pool after the body was read to its end.
 func (x *exchange) finish() {
 	if !x.stopContextWatch() || x.res.Close || x.conn.reader.Buffered() > 0 {
