registration: refuse announcements that no reader can use, in one place

Here such an entry was accepted with 200, stored, saved, shared and fed to every gateway.

Cause: the dialect checked only that fields were present and that the address parsed, and Directory.Observe only that there was an ID and a defined state. So these passed: - ports 0, unspecified, multicast and broadcast addresses (0.0.0.0:80 makes a gateway connect to itself), and IPv6 zones, which netip accepts with any bytes, line ends included; - IDs, services and zones with line ends, NUL or invalid UTF-8. The ID is sent as a header, so each request placed on such an upstream failed; invalid UTF-8 changes when it is saved as JSON, so a restarted instance knew the upstream under another ID; - IDs and services of up to 64 KiB: 400 of them exceed the limit of a message between processes, so that no gateway can follow any more; - slots, sequence numbers, start and warm-up times up to the limits of int64, and a warm-up time converted from a float out of range, which differs between arm64 and x86-64; - one upstream under two spellings of its address. Log lines of refused calls had up to 60 KB, since decoding errors quote numbers of any length. Class: values of another writer that are checked at some of the places that read them.

Change: Upstream.Validate bounds every field. Notices that an upstream is alive cannot raise the sequence number above the bound. Bodies above the limit are refused with 413 instead of 400; log lines quote at most 256 bytes of a path or error.

Ruled out: bounding the start time by the clock of the receiver. Upstreams have clocks of their own (the samples of the platform are months off), so only an absolute bound is safe.

TestSubsetFollowsAddresses used an address with five octets for a moved upstream; it now uses a valid one and checks the same.

--- a/core/registration/registration.go
+++ b/core/registration/registration.go
@@ -46,7 +46,7 @@
 type Upstream struct {
 	ID      string
 	Service string
-	// Addr is IP:PORT.
+	// Addr is IP:PORT, empty if an upstream that left has not stated it.
 	Addr  string
 	Zone  string
 	Slots int
@@ -125,14 +125,14 @@
 	Refreshed
 	// Changed announcements change something visible to readers.
 	Changed
-	// Malformed announcements have no ID or an undefined state.
+	// Malformed announcements fail Validate and have no effect.
 	Malformed
 )
 
 // Observe merges an announcement into the directory. A repeat of the newest announcement is
 // Stale, but updates the time when the upstream was last heard from.
 func (d *Directory) Observe(now time.Time, u Upstream) Outcome {
-	if u.ID == "" || !u.State.Valid() {
+	if u.Validate() != nil {
 		return Malformed
 	}
 	old, known := d.byID[u.ID]
@@ -311,7 +311,7 @@
 	if r == nil || r.StartedMS < startedMS || r.State == Lost {
 		return false
 	}
-	if r.StartedMS == startedMS && seq >= r.Seq && r.State != Left {
+	if r.StartedMS == startedMS && seq >= r.Seq && seq <= MaxSeq && r.State != Left {
 		r.Seq, r.lastHeard = seq, now
 	}
 	return true
--- a/core/registration/subset_test.go
+++ b/core/registration/subset_test.go
@@ -106,7 +106,7 @@
 		next.ID, next.StartedMS = "next-"+u.ID, 2
 		assert.Assert(t, s.Contains(&next))
 		moved := u
-		moved.Addr, moved.StartedMS = "10.9."+u.Addr[3:], 3
+		moved.Addr, moved.StartedMS = "11."+u.Addr[3:], 3
 		before := d.LastChange()
 		assert.Equal(t, d.Observe(time.Unix(1, 0), moved), Changed)
 		assert.Equal(t, len(s.Filter(d.ChangedSince(before))), 1)
--- a/modules/gateway/follow.go
+++ b/modules/gateway/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"maps"
 	"math/rand/v2"
@@ -351,7 +352,7 @@
 	switch f.directory.Observe(now, u) {
 	case registration.Changed:
 	case registration.Malformed:
-		f.log.Warn("malformed upstream record ignored", "upstream", u.ID, "state", int(u.State))
+		f.log.Warn("malformed upstream record ignored", "upstream", fmt.Sprintf("%.64s", u.ID), "state", int(u.State), "error", u.Validate())
 		return
 	default:
 		return
--- /dev/null
+++ b/modules/gateway/odd_test.go
@@ -0,0 +1,102 @@
+package gateway
+
+import (
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"heatherway.dev/core/registration"
+	"heatherway.dev/heatherway/modules/registry"
+	"heatherway.dev/kernel/peer"
+)
+
+// feedControl is a control instance that sends each list of records as one change.
+type feedControl struct {
+	mu    sync.Mutex
+	lists [][]registration.Upstream
+	calls int
+}
+
+func (c *feedControl) send(list ...registration.Upstream) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lists = append(c.lists, list)
+}
+
+func (c *feedControl) Watch(args *registry.WatchArgs, reply *registry.WatchReply) error {
+	time.Sleep(5 * time.Millisecond)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls++
+	*reply = registry.WatchReply{Epoch: 7, Led: true, Change: uint64(len(c.lists))}
+	from := args.Change
+	if args.Epoch != 7 {
+		from = 0
+	}
+	for _, list := range c.lists[from:] {
+		reply.Upstreams = append(reply.Upstreams, list...)
+	}
+	return nil
+}
+
+// followFeed makes the gateway follow a control instance.
+func (f *fixture) followFeed(control any) {
+	server := httptest.NewServer(&peer.Handler{Security: f.security, Services: func(peer.Roles) map[string]any {
+		return map[string]any{registry.ServiceName: control}
+	}})
+	f.t.Cleanup(server.Close)
+	f.follower.addMembers([]string{server.Listener.Addr().String()})
+	f.follower.start()
+}
+
+// known returns the IDs of the upstreams that have not ended, in order.
+func (f *fixture) known() string {
+	f.follower.mu.Lock()
+	defer f.follower.mu.Unlock()
+	var ids []string
+	for _, u := range f.follower.directory.All() {
+		if u.State < registration.Lost {
+			ids = append(ids, u.ID)
+		}
+	}
+	return strings.Join(ids, " ")
+}
+
+func modelAt(id, addr string) registration.Upstream {
+	return registration.Upstream{ID: id, Service: "model", Zone: "z0", Addr: addr, Slots: 8, StartedMS: 1000, Seq: 1}
+}
+
+// Guards against a gateway that drops a list, or stops following it, because of one odd
+// record, and against one that places requests on the upstream of an odd record.
+func TestOddRecordsInTheFeed(t *testing.T) {
+	f := newFixture(t, configuration())
+	control := &feedControl{}
+	f.followFeed(control)
+	odd := func(change func(*registration.Upstream)) registration.Upstream {
+		u := modelAt("m-odd", "127.0.0.1:66")
+		change(&u)
+		return u
+	}
+	for _, u := range []registration.Upstream{
+		odd(func(u *registration.Upstream) { u.ID = "" }), odd(func(u *registration.Upstream) { u.ID = "m\r\nTenant: x" }),
+		odd(func(u *registration.Upstream) { u.ID = strings.Repeat("m", 1<<20) }), odd(func(u *registration.Upstream) { u.Addr = "" }),
+		odd(func(u *registration.Upstream) { u.Addr = "upstream.example:80" }), odd(func(u *registration.Upstream) { u.Addr = "[fe80::1%\r\n]:80" }),
+		odd(func(u *registration.Upstream) { u.Addr = "127.0.0.1:0" }), odd(func(u *registration.Upstream) { u.Addr = "127.0.0.1:65536" }),
+		odd(func(u *registration.Upstream) { u.State = 200 }), odd(func(u *registration.Upstream) { u.Slots = 1 << 60 }),
+		odd(func(u *registration.Upstream) { u.Slots = -1 }), odd(func(u *registration.Upstream) { u.StartedMS = 1 << 62 }),
+		odd(func(u *registration.Upstream) { u.Seq = -1 }), odd(func(u *registration.Upstream) { u.ColdMS = 1 << 62 }),
+		odd(func(u *registration.Upstream) { u.Service = "\xff" }), odd(func(u *registration.Upstream) { u.Zone = "\x00" }),
+	} {
+		control.send(modelAt("a", "127.0.0.1:10"), u, modelAt("z", "127.0.0.1:11"))
+	}
+	eventually(t, "the good records", func() bool { return f.known() == "a z" })
+	control.send(registration.Upstream{ID: "a", State: registration.Left, StartedMS: 1000, Seq: 2}, odd(func(u *registration.Upstream) { u.State = 9 }), modelAt("y", "127.0.0.1:12"))
+	eventually(t, "later changes", func() bool { return f.known() == "y z" })
+	placeable := 0
+	f.owner.call(func(s *state) { placeable = s.fleet.Len() })
+	assert.Equal(t, placeable, 2, "y and z")
+}
--- a/modules/registry/directory.go
+++ b/modules/registry/directory.go
@@ -219,7 +219,7 @@
 		}
 		switch {
 		case outcome == registration.Malformed:
-			d.log.Warn("malformed upstream record ignored", "upstream", u.ID, "state", int(u.State), "direct", o.direct)
+			d.log.Warn("malformed upstream record ignored", "upstream", clip(u.ID), "state", int(u.State), "direct", o.direct, "error", u.Validate())
 		case !o.direct:
 		case outcome == registration.Changed:
 			d.queueUpstream(u)
--- a/modules/registry/operator.go
+++ b/modules/registry/operator.go
@@ -5,8 +5,11 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"heatherway.dev/core/registration"
 	"heatherway.dev/heatherway/internal/failure"
 	"heatherway.dev/kernel/result"
@@ -32,18 +35,43 @@
 	return mux
 }
 
+// maxLoggedBytes bounds a text of a caller in a log line. A path may have maxHeaderBytes,
+// and decoding errors quote numbers of any length.
+const maxLoggedBytes = 256
+
+// clip returns the beginning of a text.
+func clip(text string) string {
+	if len(text) <= maxLoggedBytes {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxLoggedBytes], "") + "..."
+}
+
 // writeError responds with the result code of an error and logs it.
 func (r *Registry) writeError(w http.ResponseWriter, q *http.Request, err error) {
 	e := result.From(err)
-	r.log.Warn("call refused", "method", q.Method, "path", q.URL.Path, "from", q.RemoteAddr,
-		"code", int(e.Code), "status", e.Code.Info().HTTP, "error", err.Error())
+	r.log.Warn("call refused", "method", q.Method, "path", clip(q.URL.Path), "from", q.RemoteAddr,
+		"code", int(e.Code), "status", e.Code.Info().HTTP, "error", clip(err.Error()))
 	failure.Write(w, e, "")
 }
 
+// readBody reads a request body of at most limit bytes.
+func readBody(w http.ResponseWriter, q *http.Request, limit int64) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, q.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, result.New(result.BodyTooLarge, "the body exceeds %d bytes", tooLarge.Limit)
+	}
+	if err != nil {
+		return nil, result.Wrap(result.MalformedBody, err, "body not read")
+	}
+	return body, nil
+}
+
 func (r *Registry) replaceConfiguration(w http.ResponseWriter, q *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, q.Body, maxConfigurationBytes))
+	body, err := readBody(w, q, maxConfigurationBytes)
 	if err != nil {
-		r.writeError(w, q, result.Wrap(result.MalformedBody, err, "configuration not read"))
+		r.writeError(w, q, err)
 		return
 	}
 	c, err := r.dialect.Configuration(body)
@@ -252,9 +280,9 @@
 }
 
 func (r *Registry) announce(w http.ResponseWriter, q *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, q.Body, maxAnnouncementBytes))
+	body, err := readBody(w, q, maxAnnouncementBytes)
 	if err != nil {
-		r.writeError(w, q, result.Wrap(result.MalformedBody, err, "announcement not read"))
+		r.writeError(w, q, err)
 		return
 	}
 	u, err := r.dialect.Announcement(q.PathValue("id"), body)
@@ -262,9 +290,9 @@
 }
 
 func (r *Registry) deregister(w http.ResponseWriter, q *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, q.Body, maxAnnouncementBytes))
+	body, err := readBody(w, q, maxAnnouncementBytes)
 	if err != nil {
-		r.writeError(w, q, result.Wrap(result.MalformedBody, err, "deregistration not read"))
+		r.writeError(w, q, err)
 		return
 	}
 	u, err := r.dialect.Departure(q.PathValue("id"), body)
--- a/modules/registry/registry_test.go
+++ b/modules/registry/registry_test.go
@@ -32,6 +32,8 @@
 	seeds     []string
 	bootstrap bool
 	nodes     []*node
+	// log receives the log lines of all instances.
+	log io.Writer
 }
 
 type node struct {
@@ -40,8 +42,10 @@
 	addr   string
 }
 
-func newFleet(t *testing.T, size int) *fleet {
-	f := &fleet{t: t, bootstrap: true}
+func newFleet(t *testing.T, size int) *fleet { return newLoggedFleet(t, size, io.Discard) }
+
+func newLoggedFleet(t *testing.T, size int, log io.Writer) *fleet {
+	f := &fleet{t: t, bootstrap: true, log: log}
 	n := fleetCount.Add(1)
 	port := freePort(t)
 	for i := range size {
@@ -74,7 +78,7 @@
 
 func (f *fleet) start(n *node) {
 	f.t.Helper()
-	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	log := slog.New(slog.NewTextHandler(f.log, nil))
 	security, err := peer.NewSecurity(peer.TLSSettings{Off: true}, log)
 	assert.NilError(f.t, err)
 	r := &Registry{Settings: Settings{
