registry: one odd record in a saved file no longer discards the others

What operators saw: not seen here; the question was whether an odd record that was saved ends a process at each start. It does not, but an instance started without any upstream, and without any known broken run, if one element of its file could not be decoded.

Cause: directory.json and crashes.json were decoded as one value, and any error discarded the list. A number above int64 in one record is enough. After the loss of all instances at once, gateways then know only the upstreams that have announced themselves since, and requests that crash upstreams run again. Class: a list that is refused as a whole because of one element.

Change: the elements of saved lists are decoded one by one; those that cannot be decoded or fail Upstream.Validate are left out, with one bounded log line for the file.

Ruled out: a panic at start. A file that is not JSON as a whole, such as a truncated one, still means a start without it.

--- a/modules/registry/directory.go
+++ b/modules/registry/directory.go
@@ -59,7 +59,7 @@
 	unsentRuns map[string]map[string]bool
 	// memberEpochs are the last known epochs of the other instances.
 	memberEpochs map[string]uint64
-	saver        *saver[[]registration.Upstream]
+	saver        *saver[savedList[registration.Upstream]]
 	crashesSaver *saver[savedCrashes]
 	reception    receptionMonitor
 	// savedChange and savedCrashChange are the numbers of the last changes that have
@@ -112,7 +112,7 @@
 		shareResults: make(chan shareResult, 16),
 	}
 	if r.folder != "" {
-		d.saver = newSaver[[]registration.Upstream](r, directoryFile)
+		d.saver = newSaver[savedList[registration.Upstream]](r, directoryFile)
 		d.crashesSaver = newSaver[savedCrashes](r, crashesFile)
 		d.restore(time.Now())
 	}
--- a/modules/registry/saved.go
+++ b/modules/registry/saved.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 
 	"heatherway.dev/core/crash"
+	"heatherway.dev/core/registration"
 )
 
 const (
@@ -28,7 +29,34 @@
 // the clock of the instance.
 type savedCrashes struct {
 	AtMS    int64
-	Entries []crash.Entry
+	Entries savedList[crash.Entry]
+}
+
+// savedList is a list whose elements are decoded one by one. An element that cannot be
+// decoded is left out and does not affect the others.
+type savedList[T any] []T
+
+// UnmarshalJSON implements json.Unmarshaler. It returns an error about the elements that it
+// left out after decoding the others.
+func (l *savedList[T]) UnmarshalJSON(b []byte) error {
+	var elements []json.RawMessage
+	if err := json.Unmarshal(b, &elements); err != nil {
+		return err
+	}
+	*l = make(savedList[T], 0, len(elements))
+	var first error
+	for _, e := range elements {
+		var value T
+		if err := json.Unmarshal(e, &value); err == nil {
+			*l = append(*l, value)
+		} else if first == nil {
+			first = err
+		}
+	}
+	if first != nil {
+		return errors.Wrapf(first, "%d of %d elements cannot be decoded", len(elements)-len(*l), len(elements))
+	}
+	return nil
 }
 
 // saver writes soft state to disk in the background. Without it, after all control
@@ -88,7 +116,8 @@
 	return os.Rename(temporary, s.path)
 }
 
-// read returns the last saved value, or the zero value if there is no file.
+// read returns the last saved value, or the zero value if there is no file. With an error
+// about elements of a list it returns the others.
 func (s *saver[T]) read() (value T, err error) {
 	b, err := os.ReadFile(s.path)
 	if errors.Is(err, os.ErrNotExist) {
@@ -104,15 +133,21 @@
 // unless they announce themselves.
 func (d *directory) restore(now time.Time) {
 	list, err := d.saver.read()
-	if err != nil {
-		d.log.Warn("cannot read the saved upstream directory; starting without it", "file", d.saver.path, "error", err)
-		list = nil
-	}
+	malformed := 0
 	for _, u := range list {
-		d.state.Observe(now, u)
+		if d.state.Observe(now, u) != registration.Malformed {
+			continue
+		}
+		if malformed++; err == nil {
+			err = u.Validate()
+		}
+	}
+	if err != nil {
+		d.log.Warn("cannot read all of the saved upstream directory; continuing without the rest", "file", d.saver.path,
+			"records", len(list)-malformed, "error", clip(err.Error()))
 	}
-	if len(list) > 0 {
-		d.log.Info("upstream directory restored from disk", "upstreams", len(list))
+	if len(list) > malformed {
+		d.log.Info("upstream directory restored from disk", "upstreams", len(list)-malformed)
 	}
 	d.restoreCrashes(now)
 }
@@ -122,8 +157,8 @@
 func (d *directory) restoreCrashes(now time.Time) {
 	saved, err := d.crashesSaver.read()
 	if err != nil {
-		d.log.Warn("cannot read the saved broken runs; starting without them", "file", d.crashesSaver.path, "error", err)
-		return
+		d.log.Warn("cannot read all of the saved broken runs; continuing without the rest", "file", d.crashesSaver.path,
+			"runs", len(saved.Entries), "error", clip(err.Error()))
 	}
 	for i := range saved.Entries {
 		saved.Entries[i].AgeMS += max(now.UnixMilli()-saved.AtMS, 0)
