gateway: ask again for an upstream that an ended record has hidden

What operators saw: not seen here; found with the question whether a huge start time makes a real upstream's later news look old for ever. At gateways it did.

Cause: a record with a later start time (another writer, or a machine whose clock was set back) supersedes the real upstream's. Once that incarnation is lost or has left, control instances forget it after a minute and take the real upstream in again. They send it to each gateway once. The gateway remembers ended incarnations for ten minutes, so it refuses that record as older, and after the ten minutes nobody sends it again: instances send only changes. The upstream got no request from this gateway until its next change, or a restart. Class: a change that is refused by the receiver and counted as delivered by the sender.

Change: an ended record notes that it has refused the record of a live upstream. When the gateway forgets it, it asks its instances for the whole subset again, at most once a minute.

Ruled out: comparing start times with the gateway's clock, since upstreams have their own; and forgetting ended records sooner, since a late record must not bring an upstream back. So an upstream can still be hidden from gateways for up to ten minutes, and from control instances for one.

--- a/core/registration/registration.go
+++ b/core/registration/registration.go
@@ -92,6 +92,9 @@
 type record struct {
 	Upstream
 	lastHeard time.Time
+	// hidesLive is set if the record has ended and a record of a live upstream with the same
+	// ID was refused as older since.
+	hidesLive bool
 	// change is the number of the record's last change that is visible to readers, and
 	// element is its element in Directory.byChange.
 	change  uint64
@@ -146,6 +149,7 @@
 		if old.StartedMS == u.StartedMS && old.Seq == u.Seq && old.State != Left {
 			old.lastHeard = now
 		}
+		old.hidesLive = old.hidesLive || old.State >= Lost && u.State < Lost
 		return Stale
 	}
 	if u.State == Left && known && u.Addr == "" {
@@ -163,7 +167,7 @@
 		old = &record{}
 		d.byID[u.ID] = old
 	}
-	old.Upstream, old.lastHeard = u, now
+	old.Upstream, old.lastHeard, old.hidesLive = u, now, false
 	if !changed {
 		return Refreshed
 	}
@@ -251,17 +255,18 @@
 
 // RemoveEnded removes and returns the records that have been lost or left for a duration.
 // Readers use it instead of Expire: they receive only changes, so an upstream without
-// updates is not necessarily gone.
-func (d *Directory) RemoveEnded(now time.Time, after time.Duration) []Upstream {
-	var out []Upstream
+// updates is not necessarily gone. It reports whether one of these records has hidden a live
+// upstream, whose record the reader must then request again.
+func (d *Directory) RemoveEnded(now time.Time, after time.Duration) (removed []Upstream, hidLive bool) {
 	for id, r := range d.byID {
 		if r.State >= Lost && now.Sub(r.lastHeard) >= after {
-			out = append(out, r.Upstream)
+			removed = append(removed, r.Upstream)
+			hidLive = hidLive || r.hidesLive
 			d.remove(id, r)
 		}
 	}
-	sortByID(out)
-	return out
+	sortByID(removed)
+	return removed, hidLive
 }
 
 func (d *Directory) remove(id string, r *record) {
--- a/modules/gateway/follow.go
+++ b/modules/gateway/follow.go
@@ -64,12 +64,15 @@
 	// that an instance that is followed again does not send its whole directory.
 	positions map[string]position
 	// subset selects the upstream records that are followed; an instance chooses its
-	// initial size. After each widening every instance is asked for the whole subset
-	// again.
+	// initial size. After each reset every instance is asked for the whole subset again.
 	subset         registration.Subset
 	subsetChosen   bool
-	widenings      int
+	resets         int
 	lastAdjustment time.Time
+	// hidden is set until the records that were hidden by ended ones have been requested
+	// again, at the earliest recoverInterval after lastRecovery.
+	hidden         bool
+	lastRecovery   time.Time
 	sourceSelector *registration.SourceSelector
 }
 
@@ -190,10 +193,10 @@
 	defer client.Close()
 	last := f.position(addr)
 	args := &registry.WatchArgs{Epoch: last.epoch, Change: last.change, Crash: last.crash}
-	widenings := f.setSubset(args)
+	resets := f.setSubset(args)
 	for first := true; ctx.Err() == nil; first = false {
-		if current := f.setSubset(args); current != widenings {
-			widenings, args.Epoch = current, 0
+		if current := f.setSubset(args); current != resets {
+			resets, args.Epoch = current, 0
 		}
 		args.Version = f.newestVersion()
 		// A starting gateway cannot tell a stale configuration from the newest one.
--- a/modules/gateway/odd_test.go
+++ b/modules/gateway/odd_test.go
@@ -100,3 +100,37 @@
 	f.owner.call(func(s *state) { placeable = s.fleet.Len() })
 	assert.Equal(t, placeable, 2, "y and z")
 }
+
+// Guards against a gateway that never uses an upstream again. Another writer announced its
+// ID with a start time in the future, or the clock of its machine was set back; the control
+// instances have forgotten that incarnation, but send the record of the real one only once,
+// when the gateway still considers it older.
+func TestUpstreamHiddenByAnEndedRecordReturns(t *testing.T) {
+	f := newFixture(t, configuration())
+	control := &largeFleetControl{dir: registration.New()}
+	f.followFeed(control)
+	observe := func(u registration.Upstream) {
+		control.mu.Lock()
+		defer control.mu.Unlock()
+		control.dir.Observe(time.Now(), u)
+	}
+	future := modelAt("a", "127.0.0.1:10")
+	future.StartedMS = registration.MaxStartedMS
+	observe(future)
+	observe(modelAt("b", "127.0.0.1:11"))
+	eventually(t, "the future start", func() bool { return f.known() == "a b" })
+	future.State, future.Seq = registration.Left, 2
+	observe(future)
+	eventually(t, "its end", func() bool { return f.known() == "b" })
+	control.mu.Lock()
+	control.dir.Expire(time.Now().Add(time.Hour), time.Minute)
+	control.mu.Unlock()
+	observe(modelAt("a", "127.0.0.1:10"))
+	observe(modelAt("b", "127.0.0.1:11"))
+	observe(modelAt("c", "127.0.0.1:12"))
+	eventually(t, "later changes", func() bool { return f.known() == "b c" })
+	f.follower.mu.Lock()
+	f.follower.adjustSubset(time.Now().Add(endedRetention + time.Second))
+	f.follower.mu.Unlock()
+	eventually(t, "the upstream that was hidden", func() bool { return f.known() == "a b c" })
+}
--- a/modules/gateway/subset.go
+++ b/modules/gateway/subset.go
@@ -8,13 +8,13 @@
 	"heatherway.dev/heatherway/modules/registry"
 )
 
-// setSubset sets the subset that a watch call asks for. It returns the number of
-// widenings so far.
+// setSubset sets the subset that a watch call asks for. It returns the number of resets
+// so far.
 func (f *follower) setSubset(args *registry.WatchArgs) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	args.Subset, args.Choose = f.subset, !f.subsetChosen
-	return f.widenings
+	return f.resets
 }
 
 // adoptSubset adopts the subset size that an instance has chosen if none was adopted
@@ -39,6 +39,29 @@
 // it after a minute; a late record must not bring it back here in the meantime.
 const endedRetention = 10 * time.Minute
 
+// recoverInterval is the shortest time between two requests for records that were hidden
+// by ended ones. Each request transfers the whole subset.
+const recoverInterval = time.Minute
+
+// recoverHidden requests the whole subset after a forgotten record has hidden a live
+// upstream of the same id. Instances have sent that upstream's record already and send it
+// again only when it changes.
+func (f *follower) recoverHidden(now time.Time, hidLive bool) {
+	f.hidden = f.hidden || hidLive
+	if !f.hidden || now.Sub(f.lastRecovery) < recoverInterval {
+		return
+	}
+	f.hidden, f.lastRecovery = false, now
+	f.requestAll()
+	f.log.Info("requesting all upstreams again: the record of an ended one has hidden its successor")
+}
+
+// requestAll makes the next call to every instance ask for the whole subset.
+func (f *follower) requestAll() {
+	f.resets++
+	clear(f.positions)
+}
+
 // removeFromFleet excludes upstreams from placement; requests that run there continue.
 func (f *follower) removeFromFleet(list []registration.Upstream) {
 	for _, u := range list {
@@ -53,7 +76,9 @@
 		return
 	}
 	f.lastAdjustment = now
-	f.removeFromFleet(f.directory.RemoveEnded(now, endedRetention))
+	ended, hidLive := f.directory.RemoveEnded(now, endedRetention)
+	f.removeFromFleet(ended)
+	f.recoverHidden(now, hidLive)
 	if !f.subsetChosen {
 		return
 	}
@@ -61,8 +86,7 @@
 	dropped, widened := f.directory.Adjust(&f.subset)
 	f.removeFromFleet(dropped)
 	if widened {
-		f.widenings++
-		clear(f.positions)
+		f.requestAll()
 	}
 	if !maps.Equal(previous, f.subset.Halvings) {
 		f.log.Info("size of the followed subset of upstreams changed", "halvings", f.subset.Halvings, "before", previous, "dropped", len(dropped), "known", f.directory.Len())
