gateway: a configuration that cannot be used is not requested again without a pause

What operators saw: not seen here; found by asking whether a follower whose one message fails goes on. A gateway that cannot use the configuration of its control instances, for example one that a newer release has accepted, called them thousands of times a second, got the whole document each time and logged an error for each.

Cause: an instance answers at once while it has a newer version than the gateway names, and the gateway named only versions that it could use. Every gateway would do so at once, over both instances that it follows. A panic over the document, or over one record in the same reply, ended the watch, so that the rest of the reply was requested again. Class: a failed message whose retry has no delay.

Change: the gateway names a version that it has rejected for 10 s, then tries it again. The configuration, the broken runs and each record of a reply are confined, so that a panic over one of them does not hold back the others.

Ruled out: that the follower stops. It took the next valid configuration before as well.

--- a/modules/gateway/follow.go
+++ b/modules/gateway/follow.go
@@ -37,6 +37,10 @@
 	// within a few milliseconds. After the timeout the control plane is likely to be
 	// down, and the gateway serves with the newest configuration that it has received.
 	confirmationTimeout = 800 * time.Millisecond
+	// rejectedRetryDelay is how long a configuration that this gateway cannot use is not
+	// requested again. Instances answer at once while they have a newer configuration than
+	// the gateway, so without the delay it would call them thousands of times a second.
+	rejectedRetryDelay = 10 * time.Second
 )
 
 // follower keeps the gateway's configuration and upstream directory up to date.
@@ -53,6 +57,8 @@
 	unconfirmed         atomic.Pointer[routing.Table]
 	unconfirmedReceived chan struct{}
 	upstreamCount       atomic.Int64
+	// rejected is the newest configuration that could not be used.
+	rejected atomic.Pointer[rejectedConfiguration]
 	// notifier tells streams that the incarnation they run on has been replaced.
 	notifier *notifier
 
@@ -76,6 +82,13 @@
 	sourceSelector *registration.SourceSelector
 }
 
+// rejectedConfiguration is the version of a configuration that could not be used, and when
+// it was received.
+type rejectedConfiguration struct {
+	version uint64
+	at      time.Time
+}
+
 // position is a position in the change logs of one instance.
 type position struct{ epoch, change, crash uint64 }
 
@@ -198,9 +211,9 @@
 		if current := f.setSubset(args); current != resets {
 			resets, args.Epoch = current, 0
 		}
-		args.Version = f.newestVersion()
+		args.Version = f.receivedVersion()
 		// A starting gateway cannot tell a stale configuration from the newest one.
-		args.Confirm = f.version() == 0 && args.Version > 0
+		args.Confirm = f.version() == 0 && f.newestVersion() > 0
 		reply, err := f.call(ctx, client, args, first)
 		if err != nil {
 			// Failed first calls repeat many times a second, so they are logged at debug level.
@@ -266,7 +279,17 @@
 	return 0
 }
 
-// newestVersion returns the newest version received, confirmed or not.
+// receivedVersion returns the version after which control instances are asked for a newer
+// one: the newest version received, or the one that was rejected a short time ago.
+func (f *follower) receivedVersion() uint64 {
+	newest := f.newestVersion()
+	if r := f.rejected.Load(); r != nil && time.Since(r.at) < rejectedRetryDelay {
+		return max(newest, r.version)
+	}
+	return newest
+}
+
+// newestVersion returns the newest usable version received, confirmed or not.
 func (f *follower) newestVersion() uint64 {
 	if t := f.unconfirmed.Load(); t != nil {
 		return t.Version
@@ -282,7 +305,7 @@
 		f.members = reply.Members
 	}
 	if len(reply.Runs) > 0 {
-		f.g.mergeCrashes(reply.Runs)
+		_ = recovery.Run(f.log, "broken runs", func() { f.g.mergeCrashes(reply.Runs) })
 	}
 	now, complete := time.Now(), true
 	for _, u := range reply.Upstreams {
@@ -290,7 +313,8 @@
 			complete = false
 			continue // a partitioned instance hears from no upstream
 		}
-		f.observe(now, u)
+		// A panic over one record must not hold back the others or the configuration.
+		_ = recovery.Run(f.log, "record of an upstream", func() { f.observe(now, u) })
 	}
 	if complete {
 		f.positions[addr] = position{reply.Epoch, reply.Change, reply.Crash}
@@ -308,12 +332,18 @@
 
 // receiveConfiguration stores a configuration that may not be the newest one.
 func (f *follower) receiveConfiguration(reply *registry.WatchReply) {
-	configuration, err := f.g.dialect.Configuration(reply.Body)
-	if err == nil {
-		err = configuration.Validate()
+	var configuration *routing.Configuration
+	var err error
+	if panicked := recovery.Run(f.log, "configuration", func() {
+		if configuration, err = f.g.dialect.Configuration(reply.Body); err == nil {
+			err = configuration.Validate()
+		}
+	}); panicked != nil {
+		err = panicked
 	}
 	if err != nil {
-		f.log.Error("received configuration is invalid and was ignored", "version", reply.Version, "error", err)
+		f.rejected.Store(&rejectedConfiguration{reply.Version, time.Now()})
+		f.log.Error("received configuration is invalid and was ignored", "version", reply.Version, "error", fmt.Sprintf("%.256s", err))
 		return
 	}
 	f.setUnconfirmed(configuration)
--- a/modules/gateway/odd_test.go
+++ b/modules/gateway/odd_test.go
@@ -10,7 +10,9 @@
 	"gotest.tools/v3/assert"
 
 	"heatherway.dev/core/registration"
+	"heatherway.dev/core/routing"
 	"heatherway.dev/heatherway/modules/registry"
+	"heatherway.dev/heatherway/platform"
 	"heatherway.dev/kernel/peer"
 )
 
@@ -134,3 +136,105 @@
 	f.follower.mu.Unlock()
 	eventually(t, "the upstream that was hidden", func() bool { return f.known() == "a b c" })
 }
+
+// configurationControl is a control instance that serves one configuration at a time. Like
+// the registry, it answers at once if the caller has an older version.
+type configurationControl struct {
+	mu      sync.Mutex
+	version uint64
+	body    string
+	calls   int
+	// bodies counts the replies with a configuration.
+	bodies int
+	// upstreams are sent with the configuration.
+	upstreams []registration.Upstream
+}
+
+func (c *configurationControl) set(version uint64, body string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.version, c.body = version, body
+}
+
+func (c *configurationControl) Watch(args *registry.WatchArgs, reply *registry.WatchReply) error {
+	for range 100 {
+		c.mu.Lock()
+		version, body := c.version, c.body
+		c.mu.Unlock()
+		if version > args.Version {
+			*reply = registry.WatchReply{Epoch: 7, Led: true, Version: version, Body: []byte(body), Confirmed: true, Upstreams: c.upstreams, Change: 1}
+			break
+		}
+		*reply = registry.WatchReply{Epoch: 7, Led: true, Version: version, Confirmed: args.Confirm}
+		if args.Confirm {
+			break
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls++
+	if len(reply.Body) > 0 {
+		c.bodies++
+	}
+	return nil
+}
+
+// oddConfigurationDialect panics over a configuration that contains "panic".
+type oddConfigurationDialect struct{ platform.Platform }
+
+func (p *oddConfigurationDialect) Configuration(body []byte) (*routing.Configuration, error) {
+	if strings.Contains(string(body), "panic") {
+		panic("odd configuration")
+	}
+	return p.Platform.Configuration(body)
+}
+
+// Guards against a gateway that asks for a configuration that it cannot use again and again
+// without a pause, and against one that does not take the next one.
+func TestUnusableConfigurationIsNotRequestedAgain(t *testing.T) {
+	for name, body := range map[string]string{"invalid": `{"Version":7,"Routes":[{"Name":"r","Kind":"later"}]}`, "nested": strings.Repeat("[", 1_000_000), "panic": `{"Version":7,"x":"panic"}`} {
+		for start, previous := range map[string]uint64{"at the start": 0, "later": 5} {
+			t.Run(name+" "+start, func(t *testing.T) {
+				var c *routing.Configuration
+				if previous > 0 {
+					c = &routing.Configuration{Version: previous}
+				}
+				f := newFixture(t, c)
+				f.dialect = &oddConfigurationDialect{}
+				control := &configurationControl{version: 7, body: body}
+				f.followFeed(control)
+				eventually(t, "the first calls", func() bool { control.mu.Lock(); defer control.mu.Unlock(); return control.calls >= 3 })
+				control.mu.Lock()
+				before := control.calls
+				control.mu.Unlock()
+				time.Sleep(500 * time.Millisecond)
+				control.mu.Lock()
+				calls := control.calls - before
+				control.mu.Unlock()
+				assert.Assert(t, calls <= 10, "%d calls in 500 ms", calls)
+				control.set(8, `{"Version":8,"Routes":[]}`)
+				eventually(t, "the next configuration", func() bool { return f.follower.version() == 8 })
+			})
+		}
+	}
+}
+
+// Guards against a panic over one record that keeps the rest of the reply, such as the
+// configuration, from being applied, so that the gateway has to request it again.
+func TestPanicOverOneRecordAffectsNoOther(t *testing.T) {
+	f := newFixture(t, nil)
+	f.follower.notifier = nil // any live record makes observe panic
+	control := &configurationControl{version: 8, body: `{"Version":8,"Routes":[]}`, upstreams: []registration.Upstream{
+		modelAt("a", "127.0.0.1:10"), {ID: "b", State: registration.Left}, modelAt("c", "127.0.0.1:11"),
+	}}
+	f.followFeed(control)
+	eventually(t, "the configuration", func() bool { return f.follower.version() == 8 })
+	f.follower.mu.Lock()
+	defer f.follower.mu.Unlock()
+	assert.Equal(t, f.follower.directory.Len(), 3)
+	assert.Equal(t, len(f.follower.positions), 1, "the reply counts as applied")
+	control.mu.Lock()
+	defer control.mu.Unlock()
+	assert.Equal(t, control.bodies, 1)
+}
