registration: bound the number of records in a directory

What operators saw: not seen here; found by asking whether memory stays bounded while another writer announces.

Cause: a record was kept for each new ID, for a minute at control instances and ten minutes at gateways, whatever their number. The directory is sent to a new reader in one message of at most 24 MiB, so about 29,000 records with the longest names stop every gateway from following, before memory runs out. Class: state for each name that a sender may choose, without a bound.

Change: a directory holds at most 16,384 records, six times the target size. When it is full, the record that ended first makes room; if none has ended, a new upstream gets 503 and tries another instance, while known ones change as before.

Ruled out: broken runs, which are bounded in core/crash; queues of messages to other instances, which hold one entry for each record.

--- a/core/registration/registration.go
+++ b/core/registration/registration.go
@@ -130,6 +130,9 @@
 	Changed
 	// Malformed announcements fail Validate and have no effect.
 	Malformed
+	// Full is returned for new upstreams while the directory holds MaxRecords that have not
+	// ended.
+	Full
 )
 
 // Observe merges an announcement into the directory. A repeat of the newest announcement is
@@ -164,6 +167,9 @@
 	u.Moved = u.Moved || known && (old.Moved || old.Addr != u.Addr && old.Addr != "" && u.Addr != "")
 	changed := !known || !sameForReaders(&old.Upstream, &u)
 	if !known {
+		if len(d.byID) >= MaxRecords && !d.removeOldestEnded() {
+			return Full
+		}
 		old = &record{}
 		d.byID[u.ID] = old
 	}
@@ -269,6 +275,17 @@
 	return removed, hidLive
 }
 
+// removeOldestEnded removes the record that ended first. It returns false if none has ended.
+func (d *Directory) removeOldestEnded() bool {
+	for e := d.byChange.Front(); e != nil; e = e.Next() {
+		if r := e.Value.(*record); r.State >= Lost {
+			d.remove(r.ID, r)
+			return true
+		}
+	}
+	return false
+}
+
 func (d *Directory) remove(id string, r *record) {
 	delete(d.byID, id)
 	d.byChange.Remove(r.element)
--- a/core/registration/validate.go
+++ b/core/registration/validate.go
@@ -16,6 +16,9 @@
 	// MaxNameBytes is the maximum length of an ID, a service name and a zone name. Records
 	// are sent together in one message, whose size is limited.
 	MaxNameBytes = 256
+	// MaxRecords is the maximum number of records in a directory. All of them with names of
+	// the maximum length, and a configuration, fit into one message between processes.
+	MaxRecords = 16384
 	// MaxSlots is the maximum number of slots.
 	MaxSlots = 1 << 20
 	// MaxStartedMS is the latest start time, in the year 2286. A start time in microseconds
--- a/core/registration/validate_test.go
+++ b/core/registration/validate_test.go
@@ -1,6 +1,9 @@
 package registration
 
 import (
+	"bytes"
+	"encoding/gob"
+	"fmt"
 	"math"
 	"strings"
 	"testing"
@@ -60,3 +63,39 @@
 		}
 	})
 }
+
+// Guards against a directory that grows without bound while another writer announces new
+// IDs, and against upstreams that are refused although only ended ones take up the space.
+func TestDirectoryIsBounded(t *testing.T) {
+	d := New()
+	for i := range MaxRecords + 100 {
+		outcome := d.Observe(start, Upstream{ID: fmt.Sprint("left-", i), State: Left, StartedMS: 1})
+		assert.Assert(t, outcome == Changed, "the oldest ended record makes room")
+	}
+	assert.Equal(t, d.Len(), MaxRecords)
+	for i := range MaxRecords {
+		assert.Assert(t, d.Observe(start, readyUpstream(fmt.Sprint("u-", i), fmt.Sprintf("10.%d.%d.1:80", i/250, i%250), 1000, 1)) == Changed)
+	}
+	assert.Equal(t, d.Len(), MaxRecords)
+	assert.Equal(t, d.Observe(start, readyUpstream("one-more", "10.255.0.1:80", 1000, 1)), Full)
+	assert.Equal(t, d.Observe(start, readyUpstream("u-0", "10.0.0.1:80", 1000, 2).withState(Draining)), Changed, "known upstreams change as before")
+	_, known := d.Get("one-more")
+	assert.Assert(t, !known)
+	assert.Equal(t, len(d.MarkLost(start.Add(time.Minute), time.Second)), MaxRecords)
+	assert.Equal(t, d.Observe(start, readyUpstream("one-more", "10.255.0.1:80", 1000, 1)), Changed)
+}
+
+// Guards against a directory that no longer fits into one message between processes, so
+// that no gateway can follow it.
+func TestLargestDirectoryFitsIntoAMessage(t *testing.T) {
+	name := strings.Repeat("n", MaxNameBytes)
+	var b bytes.Buffer
+	list := make([]Upstream, MaxRecords)
+	for i := range list {
+		list[i] = Upstream{ID: name, Service: name, Zone: name, Addr: "[2001:db8:2001:db8:2001:db8:2001:db8]:65535", Slots: MaxSlots, State: Left, StartedMS: MaxStartedMS, Seq: MaxSeq, ColdMS: MaxColdMS}
+		assert.NilError(t, list[i].Validate())
+	}
+	assert.NilError(t, gob.NewEncoder(&b).Encode(list))
+	const maxMessageBytes, maxConfigurationBytes = 24 << 20, 4 << 20 // in kernel/peer and modules/registry
+	assert.Assert(t, b.Len() < maxMessageBytes-maxConfigurationBytes, "%d bytes", b.Len())
+}
--- a/modules/registry/directory.go
+++ b/modules/registry/directory.go
@@ -75,7 +75,8 @@
 	runs      []crash.Entry
 	leaving   []LeavingArgs
 	direct    bool
-	// unknown receives the IDs in alive for which there is no record.
+	// unknown receives the IDs in alive for which there is no record and, of a direct
+	// observation, those in upstreams for which there was no room.
 	unknown chan []string
 }
 
@@ -123,13 +124,14 @@
 func (d *directory) lostAfter() time.Duration { return lostIntervals * d.registry.AnnounceInterval }
 
 // observeAnnouncement records what an upstream announced to this instance. It
-// returns once gateways that watch this instance can receive it.
-func (d *directory) observeAnnouncement(u registration.Upstream) {
-	d.observe(observation{upstreams: []registration.Upstream{u}, direct: true})
+// returns once gateways that watch this instance can receive it, or false if the directory
+// has no room for a new upstream.
+func (d *directory) observeAnnouncement(u registration.Upstream) bool {
+	return len(d.observe(observation{upstreams: []registration.Upstream{u}, direct: true})) == 0
 }
 
 // observe passes an observation to the owner goroutine and returns the IDs of
-// announced upstreams that it has no record of.
+// upstreams that it has no record of.
 func (d *directory) observe(o observation) []string {
 	o.unknown = make(chan []string, 1)
 	select {
@@ -218,6 +220,7 @@
 // anything, and queues what was reported directly for the other instances.
 func (d *directory) applyObservation(o observation) {
 	now, changed, crashesBefore := time.Now(), false, d.crashes.LastChange()
+	var unknown []string
 	for _, u := range o.upstreams {
 		before, known := d.state.Get(u.ID)
 		outcome := d.state.Observe(now, u)
@@ -234,13 +237,14 @@
 		case outcome == registration.Malformed:
 			d.log.Warn("malformed upstream record ignored", "upstream", clip(u.ID), "state", int(u.State), "direct", o.direct, "error", u.Validate())
 		case !o.direct:
+		case outcome == registration.Full:
+			unknown = append(unknown, u.ID)
 		case outcome == registration.Changed:
 			d.queueUpstream(u)
 		case outcome == registration.Refreshed:
 			d.queueAlive(u)
 		}
 	}
-	var unknown []string
 	for _, a := range o.alive {
 		if !d.state.Refresh(now, a.ID, a.StartedMS, a.Seq) {
 			unknown = append(unknown, a.ID)
--- a/modules/registry/odd_test.go
+++ b/modules/registry/odd_test.go
@@ -145,3 +145,23 @@
 	})
 	assert.Equal(t, len(log.take("unexpected failure")), 1)
 }
+
+// Guards against an instance whose memory grows while another writer announces new IDs, and
+// against a sender that believes that its upstream is known.
+func TestNewUpstreamIsRefusedWhileDirectoryIsFull(t *testing.T) {
+	f := newFleet(t, 1)
+	n := f.nodes[0]
+	var flood []registration.Upstream
+	for i := range registration.MaxRecords {
+		flood = append(flood, registration.Upstream{ID: fmt.Sprint("i-", i), Service: "s", Addr: fmt.Sprintf("10.%d.%d.1:80", i/250, i%250), Zone: "z", Seq: 1})
+	}
+	n.directory.observe(observation{upstreams: flood})
+	status, _ := n.call(t, "POST", "/v1/instances/new/heartbeat", oddHeartbeat("Addr", `"10.255.0.1:80"`))
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	status, _ = n.call(t, "POST", "/v1/instances/i-7/heartbeat", oddHeartbeat("Addr", `"10.0.7.1:80"`))
+	assert.Equal(t, status, http.StatusOK)
+	status, _ = n.call(t, "POST", "/v1/instances/i-7/deregister", "")
+	assert.Equal(t, status, http.StatusOK)
+	status, _ = n.call(t, "POST", "/v1/instances/new/heartbeat", oddHeartbeat("Addr", `"10.255.0.1:80"`))
+	assert.Equal(t, status, http.StatusOK)
+}
--- a/modules/registry/operator.go
+++ b/modules/registry/operator.go
@@ -304,7 +304,10 @@
 		r.writeError(w, q, result.Wrap(result.InvalidField, err, "the upstream is not taken in"))
 		return
 	}
-	r.directory.observeAnnouncement(u)
+	if !r.directory.observeAnnouncement(u) {
+		r.writeError(w, q, result.New(result.ControlUnavailable, "the directory has no room for another upstream"))
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = io.WriteString(w, "{}")
 }
