gateway: no memory for each attempt that the configuration allows

What operators saw: not seen here; found by asking which numbers of the operator's document can end a process. "MaxAttempts": on a route of kind "safe" ended every gateway at its first request of that route, and again after each restart.

Cause: the channel for the responses of an idempotent request was made with room for all attempts that the route allows: 8 bytes for each. Running out of memory ends a Go process and cannot be recovered. From 2^45 attempts on the request panics instead (makechan: size out of range, run with 2^45 and above). Class: a size taken from a document of another writer.

Change: the channel has no buffer; an attempt whose response nobody waits for any more ends with the request's context.

Ruled out: other sizes from the document; MaxConns and Slots are not used by the gateway.

Red before: go test -p 2 ./modules/gateway -run 'TestLargeNumber|TestCopyIsNot' fatal error: runtime: out of memory (the test process ended) Green after: ok, ./modules/gateway complete ok.

--- a/modules/gateway/copy.go
+++ b/modules/gateway/copy.go
@@ -150,10 +150,11 @@
 	c.refresh.Reset(c.interval())
 }
 
-// interval is the time between updates: half of the time for which a copy is kept.
+// interval is the time between updates: half of the time for which a copy is kept, but no
+// less than after a failure.
 func (c *cacheBackup) interval() time.Duration {
 	if e := c.stream.service.Engine; e != nil && e.BackupTTL > 0 {
-		return e.BackupTTL / 2
+		return max(e.BackupTTL/2, copyRetryDelay)
 	}
 	return defaultCopyTTL / 2
 }
--- a/modules/gateway/odd_test.go
+++ b/modules/gateway/odd_test.go
@@ -1,7 +1,11 @@
 package gateway
 
 import (
+	"io"
+	"math"
+	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -238,3 +242,34 @@
 	defer control.mu.Unlock()
 	assert.Equal(t, control.bodies, 1)
 }
+
+// Guards against a number of attempts in the configuration that takes memory for each
+// request, or makes each request panic.
+func TestLargeNumberOfAttempts(t *testing.T) {
+	for _, attempts := range []int{1 << 16, 1 << 40, math.MaxInt} {
+		u := startUpstream(t, "u", "desk", "z0", func(w http.ResponseWriter, _ *http.Request, _ int) { _, _ = io.WriteString(w, "found") })
+		c := configuration()
+		for i := range c.Routes {
+			c.Routes[i].MaxAttempts = attempts
+		}
+		f := newFixture(t, c, u)
+		f.do(f.request("GET", "/look/x", "")) // connects
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		res := f.do(f.request("GET", "/look/x", ""))
+		runtime.ReadMemStats(&after)
+		assert.Check(t, res.status == http.StatusOK, "%d attempts: status %d", attempts, res.status)
+		allocated := after.TotalAlloc - before.TotalAlloc
+		assert.Check(t, allocated < 400<<10, "%d attempts: %d bytes for one request", attempts, allocated)
+	}
+}
+
+// Guards against copies that are refreshed without a pause because the configuration keeps
+// them for a very short time.
+func TestCopyIsNotRefreshedWithoutPause(t *testing.T) {
+	for _, ttl := range []time.Duration{1, time.Millisecond, time.Second, math.MaxInt64} {
+		service := &routing.Service{Engine: &routing.Engine{BackupTTL: ttl}}
+		c := &cacheBackup{stream: &streamRequest{callerRequest: &callerRequest{service: service}}}
+		assert.Check(t, c.interval() >= copyRetryDelay, "%v: refreshed after %v", ttl, c.interval())
+	}
+}
--- a/modules/gateway/plain.go
+++ b/modules/gateway/plain.go
@@ -133,7 +133,8 @@
 func (c *callerRequest) serveIdempotent() {
 	ctx, cancel := context.WithCancel(c.ctx)
 	defer cancel()
-	responses := make(chan *upstreamResponse, c.route.MaxAttempts+1)
+	// The channel has no buffer, since the configuration may allow any number of attempts.
+	responses := make(chan *upstreamResponse)
 	// best decides the final response if no attempt succeeds: the last one that may be
 	// passed on, or else the first.
 	running, best := 0, (*upstreamResponse)(nil)
@@ -145,7 +146,12 @@
 		c.markTried(choice.Upstream)
 		c.sentCount++
 		running++
-		go func() { responses <- c.attemptPlain(ctx, choice) }()
+		go func() {
+			select {
+			case responses <- c.attemptPlain(ctx, choice):
+			case <-ctx.Done():
+			}
+		}()
 		return nil
 	}
 	if refusal := start(); refusal != nil {
