--- a/modules/gateway/report.go
+++ b/modules/gateway/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -72,7 +73,7 @@
 	}
 	tokens, err := s.g.dialect.CachedTokens(body, s.req.PromptKey)
 	if err != nil {
-		s.g.log.Warn("malformed list of cached prompts", "upstream", u.ID, "error", err)
+		s.g.log.Warn("malformed list of cached prompts", "upstream", u.ID, "error", fmt.Sprintf("%.256s", err))
 	}
 	return tokens
 }
@@ -138,7 +139,7 @@
 	}
 	r, err := s.g.dialect.Report(body)
 	if err != nil {
-		s.g.log.Warn("malformed load report", "upstream", u.ID, "error", err)
+		s.g.log.Warn("malformed load report", "upstream", u.ID, "error", fmt.Sprintf("%.256s", err))
 	}
 	return r, err
 }
