dispatch: an absurd prompt size does not distort the mean

What operators saw: not seen here. A caller states the size of its prompt in a header. One request with 10,000,000 tokens raised the mean prompt size of the service from 8,000 to 5,004,000, by which the costs of all placements and the expected waits are scaled; the mean forgets 5% of that with each later prompt.

Cause: the stated size went into the mean as it was. Class: a figure of one caller that changes decisions for all.

Change: a prompt counts with at most the KV cache of the upstream; no larger one can run.

Red before: core: go test -p 2 ./dispatch -run TestAbsurd tokens: the mean is 5004000 Green after: ok, ./dispatch complete (7.8 s).

--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -39,7 +39,7 @@
 	p := &placement{id: req.ID, upstream: best, tokens: req.tokens(est), promptTokens: req.PromptTokens, sentAt: now, stream: req.Stream, permit: permit}
 	if req.Stream {
 		p.uncontended = prefillWait == 0 && req.Preferred == "" && req.CachedAt == ""
-		est.addPrompt(req.PromptTokens)
+		est.addPrompt(best.limitPrompt(req.PromptTokens))
 	} else {
 		p.uncontended = len(best.inFlight) == 0 && best.others.requests == 0
 	}
@@ -191,6 +191,15 @@
 	return used == 0 || used+float64(req.tokens(u.estimate)) <= share*float64(u.engineSettings.MemoryTokens)
 }
 
+// limitPrompt limits the stated size of a prompt to the KV cache. No larger prompt can run,
+// and one absurd size would distort the mean for hundreds of requests.
+func (u *upstream) limitPrompt(tokens int) int {
+	if u.engineSettings == nil || u.engineSettings.MemoryTokens <= 0 {
+		return tokens
+	}
+	return min(tokens, u.engineSettings.MemoryTokens)
+}
+
 // used returns the occupied KV cache in tokens.
 func (u *upstream) used(now time.Time) float64 {
 	return float64(u.tokens+u.backupTokens) + float64(u.others.kvTokens)*u.reportWeight(now)
