entry: a configuration that cannot be applied is not requested without a pause

An entry that could not apply the document of its control instance asked for the whole document again without a pause, thousands of times a second, and logged an error each time.

Cause: after a failure the entry names revision 0, which a control instance answers at once with the whole document. The pause before the next instance depended only on revisions that agents had reported. Class: a failed message whose retry has no delay.

Red before: go test -p 2 ./modules/entry -run Unusable 5,085, 814 and 6,339 calls in 500 ms (a number too large, nesting, a truncated document) Green after: ok.

--- /dev/null
+++ b/modules/entry/odd_test.go
@@ -0,0 +1,84 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"heatherway.dev/core/config"
+	"heatherway.dev/core/wire"
+	"heatherway.dev/kernel/peer"
+)
+
+// oddControl is a control instance that answers each watch at once if the caller's revision
+// differs, as a real one does.
+type oddControl struct {
+	mu       sync.Mutex
+	revision uint64
+	config   []byte
+	calls    int
+}
+
+func (c *oddControl) Watch(a wire.WatchArgs, r *wire.WatchReply) error {
+	c.mu.Lock()
+	c.calls++
+	r.Revision, r.Members, r.Suspects = max(a.Revision, c.revision), a.Members, a.Suspects
+	changed := a.Revision < c.revision
+	if changed {
+		r.Config = c.config
+	}
+	c.mu.Unlock()
+	if !changed && !a.Fresh {
+		time.Sleep(50 * time.Millisecond)
+	}
+	return nil
+}
+
+func (c *oddControl) callsWithin(d time.Duration) int {
+	c.mu.Lock()
+	before := c.calls
+	c.mu.Unlock()
+	time.Sleep(d)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.calls - before
+}
+
+// Guards against an entry that requests a configuration that it cannot apply again and again
+// without a pause, and against one that does not apply the next one.
+func TestUnusableConfigurationIsNotRequestedWithoutPause(t *testing.T) {
+	for name, odd := range map[string]string{"truncated": `{"revision":`, "number": `{"revision":18446744073709551616}`, "nested": `{"defaults":` + nested(20_000) + `}`} {
+		t.Run(name, func(t *testing.T) {
+			control := &oddControl{revision: 9, config: []byte(odd)}
+			mux := http.NewServeMux()
+			mux.Handle(peer.RPCPath, rpcHandler(t, wire.ControlService, control))
+			server := httptest.NewServer(mux)
+			t.Cleanup(server.Close)
+			m := startEntryModule(t, server.Listener.Addr().String())
+			t.Cleanup(func() { _ = m.Stop(t.Context()) })
+			time.Sleep(100 * time.Millisecond)
+			calls := control.callsWithin(500 * time.Millisecond)
+			assert.Check(t, calls <= 10, "%d calls in 500 ms", calls)
+			control.mu.Lock()
+			control.revision = 10
+			control.config, _ = json.Marshal(config.Document{Revision: 10})
+			control.mu.Unlock()
+			for end := time.Now().Add(5 * time.Second); m.owner.current().revision() != 10; time.Sleep(5 * time.Millisecond) {
+				assert.Assert(t, time.Now().Before(end), "the next configuration is not applied")
+			}
+		})
+	}
+}
+
+func nested(levels int) string {
+	b := make([]byte, 2*levels)
+	for i := range levels {
+		b[i], b[levels+i] = '[', ']'
+	}
+	return string(b)
+}
--- a/modules/entry/watch.go
+++ b/modules/entry/watch.go
@@ -38,9 +38,9 @@
 			continue
 		}
 		o.applyUpdate(ctx, &args, &reply)
-		// Changes to the next instance if this one is behind a revision that a
-		// peer has reported.
-		if args.Revision < o.newestRevision.Load() {
+		// Changes to the next instance if this one is behind a revision that a peer has
+		// reported, or if its configuration could not be applied.
+		if newest := o.newestRevision.Load(); args.Revision < max(reply.Revision, newest) {
 			i++
 			sleep(ctx, watchRetryDelay)
 		}
