entry: drop a reported revision that the control instances do not know

What operators saw: not seen here; found by asking which number of another process stays for ever. One answer of one agent with a revision too large made an entry refuse every request with 5032 from 5 s later until it was restarted.

Cause: the entry keeps the highest revision that any peer has reported and refuses requests once it could not fetch it for 5 s. Nothing ever lowered it. Class: a maximum of numbers that others report.

Change: when a watch does not bring a reported revision, the next one asks an instance that reaches a quorum. A revision that was reported before that call and that the quorum does not know does not exist; it is dropped and logged. Without a quorum it is kept, since the entry may then really be behind.

Ruled out: that such a number spreads. Entries and agents pass on only the revision that is in force at them.

Red before: go test -p 2 ./modules/entry -run TestRevision condition not reached within 5 s (TestRevisionThatDoesNotExist) Green after: ok three times (7.7 s); ./modules/entry complete ok (11.3 s).

--- a/modules/entry/fake_test.go
+++ b/modules/entry/fake_test.go
@@ -55,6 +55,8 @@
 	crashes        []wire.CrashArgs
 	permitErr      error
 	watchErr       error
+	// freshErr is the error of watches that need a quorum.
+	freshErr error
 }
 
 // Watch implements Control.Watch. It answers with the complete state.
@@ -65,6 +67,9 @@
 	if c.watchErr != nil {
 		return c.watchErr
 	}
+	if a.Fresh && c.freshErr != nil {
+		return c.freshErr
+	}
 	c.freshRequested = c.freshRequested || a.Fresh
 	r.Revision = c.doc.Revision
 	if a.Revision != c.doc.Revision {
--- a/modules/entry/odd_test.go
+++ b/modules/entry/odd_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -13,6 +14,7 @@
 	"heatherway.dev/core/config"
 	"heatherway.dev/core/wire"
 	"heatherway.dev/kernel/peer"
+	"heatherway.dev/kernel/result"
 )
 
 // oddControl is a control instance that answers each watch at once if the caller's revision
@@ -82,3 +84,26 @@
 	}
 	return string(b)
 }
+
+// Guards against an entry that refuses all requests for ever because one agent has reported
+// a revision that does not exist.
+func TestRevisionThatDoesNotExist(t *testing.T) {
+	f := newFixture(t, newFakeAgent(t, "agent-1", generateTokens(1)))
+	f.module.owner.noteRevision(math.MaxUint64)
+	f.waitUntil(func() bool { return f.module.owner.newestRevision.Load() == 3 })
+	r := f.request(http.MethodPost, "/v1/completions", streamingBody)
+	assert.Equal(t, r.status, http.StatusOK)
+}
+
+// Guards against an entry that drops a revision which only a quorum does not know yet
+// because this control instance is cut off.
+func TestRevisionIsNotDroppedWithoutQuorum(t *testing.T) {
+	f := newFixture(t, newFakeAgent(t, "agent-1", generateTokens(1)))
+	f.control.update(func() { f.control.freshErr = peer.EncodeError(result.New(result.ControlUnavailable, "no quorum")) })
+	f.module.owner.noteRevision(5)
+	time.Sleep(500 * time.Millisecond)
+	assert.Equal(t, f.module.owner.newestRevision.Load(), uint64(5))
+	f.control.update(func() { f.control.freshErr = nil; f.control.doc.Revision = 5 })
+	f.waitUntil(func() bool { return f.module.owner.current().revision() == 5 })
+	assert.Equal(t, f.module.owner.newestRevision.Load(), uint64(5))
+}
--- a/modules/entry/watch.go
+++ b/modules/entry/watch.go
@@ -28,6 +28,7 @@
 		Fresh: true, Deltas: true, WaitMS: watchHoldTime.Milliseconds(),
 	}
 	for i := 0; ctx.Err() == nil; {
+		reported, fresh := o.newestRevision.Load(), args.Fresh
 		client := o.module.pool.client(o.module.Control[i%len(o.module.Control)])
 		var reply wire.WatchReply
 		if err := pollWatch(ctx, client, &args, &reply); err != nil {
@@ -38,15 +39,28 @@
 			continue
 		}
 		o.applyUpdate(ctx, &args, &reply)
+		if fresh {
+			o.dropUnknownRevision(reported, reply.Revision)
+		}
 		// Changes to the next instance if this one is behind a revision that a peer has
 		// reported, or if its configuration could not be applied.
 		if newest := o.newestRevision.Load(); args.Revision < max(reply.Revision, newest) {
 			i++
+			args.Fresh = reply.Revision < newest
 			sleep(ctx, watchRetryDelay)
 		}
 	}
 }
 
+// dropUnknownRevision drops a revision that a peer had reported before a watch that reached
+// a quorum, if the quorum knows only older ones. Otherwise one false report would make the
+// entry refuse requests for ever.
+func (o *owner) dropUnknownRevision(reported, known uint64) {
+	if reported > known && o.newestRevision.CompareAndSwap(reported, known) {
+		o.module.log.Warn("a peer has reported a revision of the configuration that does not exist", "reported", reported, "newest", known)
+	}
+}
+
 func pollWatch(ctx context.Context, c *peer.Client, args *wire.WatchArgs, reply *wire.WatchReply) error {
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
