--- a/core/registration/registration.go
+++ b/core/registration/registration.go
@@ -46,7 +46,7 @@
 type Upstream struct {
 	ID      string
 	Service string
-	// Addr is IP:PORT.
+	// Addr is IP:PORT, empty if an upstream that left has not stated it.
 	Addr  string
 	Zone  string
 	Slots int
@@ -92,6 +92,9 @@
 type record struct {
 	Upstream
 	lastHeard time.Time
+	// hidesLive is set if the record has ended and a record of a live upstream with the same
+	// ID was refused as older since.
+	hidesLive bool
 	// change is the number of the record's last change that is visible to readers, and
 	// element is its element in Directory.byChange.
 	change  uint64
@@ -125,14 +128,17 @@
 	Refreshed
 	// Changed announcements change something visible to readers.
 	Changed
-	// Malformed announcements have no ID or an undefined state.
+	// Malformed announcements fail Validate and have no effect.
 	Malformed
+	// Full is returned for new upstreams while the directory holds MaxRecords that have not
+	// ended.
+	Full
 )
 
 // Observe merges an announcement into the directory. A repeat of the newest announcement is
 // Stale, but updates the time when the upstream was last heard from.
 func (d *Directory) Observe(now time.Time, u Upstream) Outcome {
-	if u.ID == "" || !u.State.Valid() {
+	if u.Validate() != nil {
 		return Malformed
 	}
 	old, known := d.byID[u.ID]
@@ -146,6 +152,7 @@
 		if old.StartedMS == u.StartedMS && old.Seq == u.Seq && old.State != Left {
 			old.lastHeard = now
 		}
+		old.hidesLive = old.hidesLive || old.State >= Lost && u.State < Lost
 		return Stale
 	}
 	if u.State == Left && known && u.Addr == "" {
@@ -160,10 +167,13 @@
 	u.Moved = u.Moved || known && (old.Moved || old.Addr != u.Addr && old.Addr != "" && u.Addr != "")
 	changed := !known || !sameForReaders(&old.Upstream, &u)
 	if !known {
+		if len(d.byID) >= MaxRecords && !d.removeOldestEnded() {
+			return Full
+		}
 		old = &record{}
 		d.byID[u.ID] = old
 	}
-	old.Upstream, old.lastHeard = u, now
+	old.Upstream, old.lastHeard, old.hidesLive = u, now, false
 	if !changed {
 		return Refreshed
 	}
@@ -251,17 +261,29 @@
 
 // RemoveEnded removes and returns the records that have been lost or left for a duration.
 // Readers use it instead of Expire: they receive only changes, so an upstream without
-// updates is not necessarily gone.
-func (d *Directory) RemoveEnded(now time.Time, after time.Duration) []Upstream {
-	var out []Upstream
+// updates is not necessarily gone. It reports whether one of these records has hidden a live
+// upstream, whose record the reader must then request again.
+func (d *Directory) RemoveEnded(now time.Time, after time.Duration) (removed []Upstream, hidLive bool) {
 	for id, r := range d.byID {
 		if r.State >= Lost && now.Sub(r.lastHeard) >= after {
-			out = append(out, r.Upstream)
+			removed = append(removed, r.Upstream)
+			hidLive = hidLive || r.hidesLive
 			d.remove(id, r)
 		}
 	}
-	sortByID(out)
-	return out
+	sortByID(removed)
+	return removed, hidLive
+}
+
+// removeOldestEnded removes the record that ended first. It returns false if none has ended.
+func (d *Directory) removeOldestEnded() bool {
+	for e := d.byChange.Front(); e != nil; e = e.Next() {
+		if r := e.Value.(*record); r.State >= Lost {
+			d.remove(r.ID, r)
+			return true
+		}
+	}
+	return false
 }
 
 func (d *Directory) remove(id string, r *record) {
@@ -311,7 +333,7 @@
 	if r == nil || r.StartedMS < startedMS || r.State == Lost {
 		return false
 	}
-	if r.StartedMS == startedMS && seq >= r.Seq && r.State != Left {
+	if r.StartedMS == startedMS && seq >= r.Seq && seq <= MaxSeq && r.State != Left {
 		r.Seq, r.lastHeard = seq, now
 	}
 	return true
--- a/modules/registry/directory.go
+++ b/modules/registry/directory.go
@@ -59,7 +59,7 @@
 	unsentRuns map[string]map[string]bool
 	// memberEpochs are the last known epochs of the other instances.
 	memberEpochs map[string]uint64
-	saver        *saver[[]registration.Upstream]
+	saver        *saver[savedList[registration.Upstream]]
 	crashesSaver *saver[savedCrashes]
 	reception    receptionMonitor
 	// savedChange and savedCrashChange are the numbers of the last changes that have
@@ -75,7 +75,8 @@
 	runs      []crash.Entry
 	leaving   []LeavingArgs
 	direct    bool
-	// unknown receives the IDs in alive for which there is no record.
+	// unknown receives the IDs in alive for which there is no record and, of a direct
+	// observation, those in upstreams for which there was no room.
 	unknown chan []string
 }
 
@@ -112,7 +113,7 @@
 		shareResults: make(chan shareResult, 16),
 	}
 	if r.folder != "" {
-		d.saver = newSaver[[]registration.Upstream](r, directoryFile)
+		d.saver = newSaver[savedList[registration.Upstream]](r, directoryFile)
 		d.crashesSaver = newSaver[savedCrashes](r, crashesFile)
 		d.restore(time.Now())
 	}
@@ -123,13 +124,14 @@
 func (d *directory) lostAfter() time.Duration { return lostIntervals * d.registry.AnnounceInterval }
 
 // observeAnnouncement records what an upstream announced to this instance. It
-// returns once gateways that watch this instance can receive it.
-func (d *directory) observeAnnouncement(u registration.Upstream) {
-	d.observe(observation{upstreams: []registration.Upstream{u}, direct: true})
+// returns once gateways that watch this instance can receive it, or false if the directory
+// has no room for a new upstream.
+func (d *directory) observeAnnouncement(u registration.Upstream) bool {
+	return len(d.observe(observation{upstreams: []registration.Upstream{u}, direct: true})) == 0
 }
 
 // observe passes an observation to the owner goroutine and returns the IDs of
-// announced upstreams that it has no record of.
+// upstreams that it has no record of.
 func (d *directory) observe(o observation) []string {
 	o.unknown = make(chan []string, 1)
 	select {
@@ -151,7 +153,8 @@
 	q.reply = make(chan directoryChanges, 1)
 	select {
 	case d.queries <- q:
-		return <-q.reply, true
+		changes, ok := <-q.reply
+		return changes, ok
 	case <-ctx.Done():
 	case <-d.registry.ctx.Done():
 	}
@@ -179,32 +182,45 @@
 		case <-ctx.Done():
 			return
 		case o := <-d.inputs:
-			// A panic over one malformed message must not stop the directory.
-			if err := recovery.Run(d.log, "message about upstreams", func() { d.applyObservation(o) }); err != nil {
+			if d.confine("message about upstreams", func() { d.applyObservation(o) }) != nil {
 				close(o.unknown)
 			}
 		case q := <-d.queries:
-			q.reply <- d.collectChanges(q)
+			if d.confine("query of changes", func() { q.reply <- d.collectChanges(q) }) != nil {
+				close(q.reply)
+			}
 		case q := <-d.trialRequests:
-			granted := d.crashes.AllowTrial(time.Now(), q.fingerprint)
-			d.log.Info("trial of a blocked request decided", "fingerprint", q.fingerprint, "granted", granted)
-			q.reply <- granted
+			if d.confine("trial of a request", func() { q.reply <- d.decideTrial(q.fingerprint) }) != nil {
+				close(q.reply)
+			}
 		case s := <-d.shareResults:
-			d.handleShareResult(s)
+			_ = d.confine("reply of another instance", func() { d.handleShareResult(s) })
 		case <-share.C:
-			d.share()
+			_ = d.confine("messages to other instances", d.share)
 		case now := <-sweep.C:
-			d.sweep(now)
+			_ = d.confine("search for silent upstreams", func() { d.sweep(now) })
 		case <-save.C:
-			d.save()
+			_ = d.confine("saving of the directory", d.save)
 		}
 	}
 }
 
+// confine runs one step of the owner goroutine. A panic, for example over what another
+// process has sent, must not end the process.
+func (d *directory) confine(step string, f func()) error { return recovery.Run(d.log, step, f) }
+
+// decideTrial decides whether a blocked request may run once more.
+func (d *directory) decideTrial(fingerprint string) bool {
+	granted := d.crashes.AllowTrial(time.Now(), fingerprint)
+	d.log.Info("trial of a blocked request decided", "fingerprint", clip(fingerprint), "granted", granted)
+	return granted
+}
+
 // applyObservation merges an observation into the state, wakes the watchers if it changed
 // anything, and queues what was reported directly for the other instances.
 func (d *directory) applyObservation(o observation) {
 	now, changed, crashesBefore := time.Now(), false, d.crashes.LastChange()
+	var unknown []string
 	for _, u := range o.upstreams {
 		before, known := d.state.Get(u.ID)
 		outcome := d.state.Observe(now, u)
@@ -219,15 +235,16 @@
 		}
 		switch {
 		case outcome == registration.Malformed:
-			d.log.Warn("malformed upstream record ignored", "upstream", u.ID, "state", int(u.State), "direct", o.direct)
+			d.log.Warn("malformed upstream record ignored", "upstream", clip(u.ID), "state", int(u.State), "direct", o.direct, "error", u.Validate())
 		case !o.direct:
+		case outcome == registration.Full:
+			unknown = append(unknown, u.ID)
 		case outcome == registration.Changed:
 			d.queueUpstream(u)
 		case outcome == registration.Refreshed:
 			d.queueAlive(u)
 		}
 	}
-	var unknown []string
 	for _, a := range o.alive {
 		if !d.state.Refresh(now, a.ID, a.StartedMS, a.Seq) {
 			unknown = append(unknown, a.ID)
