registry: a stopping instance answers the calls of operators and upstreams

What callers saw: an operator's change or read, or an upstream's announcement, that had been read or arrived on a kept connection got neither an answer nor a refusal when the instance stopped.

Cause: Stop closed the log and then the servers with http.Server.Close, which ends each connection at once, in the middle of calls that take up to 0.9 s.

Class: a stop that cuts calls which depend on what it stops.

Change: Stop first drains the operators' listener (internal/httpconn), with the log still open: each answer carries Connection: close, connections without a call for one and a half announcement intervals (1.5 s at most) are closed; 2.4 s at most in all and half of the stop limit. The peers' listener is closed as before; a call that another instance has forwarded is repeated there until its own limit. A stop takes up to 2.4 s longer than before while connections are open.

--- a/modules/registry/registry.go
+++ b/modules/registry/registry.go
@@ -10,11 +10,13 @@
 	"net/http"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"heatherway.dev/core/raft"
+	"heatherway.dev/heatherway/internal/httpconn"
 	"heatherway.dev/heatherway/modules/control/replica"
 	"heatherway.dev/heatherway/modules/dialect"
 	"heatherway.dev/kernel"
@@ -87,8 +89,11 @@
 	introducer *replica.Introducer
 
 	operators net.Listener
-	peers     net.Listener
-	servers   []*http.Server
+	// operatorConns holds the connections of operators and upstreams.
+	operatorConns *httpconn.Listener
+	peers         net.Listener
+	servers       []*http.Server
+	stopping      atomic.Bool
 
 	configuration *configuration
 	directory     *directory
@@ -171,8 +176,9 @@
 	r.runInBackground(func() { r.directory.run(r.ctx) })
 	mux := http.NewServeMux()
 	mux.Handle(peer.RPCPath, &peer.Handler{Security: r.security, Services: r.services})
-	r.serve(r.peers, mux)
-	r.serve(r.operators, r.operatorMux())
+	r.serve(r.peers, mux, nil)
+	r.operatorConns = httpconn.NewListener(r.operators)
+	r.serve(r.operatorConns, r.closeIfStopping(r.operatorMux()), r.operatorConns.ConnState)
 	return nil
 }
 
@@ -184,11 +190,21 @@
 	}()
 }
 
-func (r *Registry) serve(l net.Listener, h http.Handler) {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+// closeIfStopping makes a response the last one on its connection if the instance is stopping.
+func (r *Registry) closeIfStopping(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if r.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, q)
+	})
+}
+
+func (r *Registry) serve(l net.Listener, h http.Handler, connState func(net.Conn, http.ConnState)) {
+	s := &http.Server{Handler: h, ConnState: connState, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	r.servers = append(r.servers, s)
 	r.runInBackground(func() {
-		if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) && !r.stopping.Load() {
 			r.log.Error("HTTP server stopped unexpectedly", "address", l.Addr().String(), "error", err)
 		}
 	})
@@ -284,8 +300,25 @@
 	return out
 }
 
-// Stop implements kernel.Runner.
+// maxDrainIdle limits how long a stopping instance keeps an idle connection of an operator or
+// an upstream open. Upstreams announce themselves on a kept connection, so the time is one and
+// a half of their intervals; with five, the instance would save them as lost.
+const maxDrainIdle = 1500 * time.Millisecond
+
+// Stop implements kernel.Runner. It first answers the calls of operators and upstreams that
+// are under way or arrive on open connections, since they need the log.
 func (r *Registry) Stop(ctx context.Context) error {
+	r.stopping.Store(true)
+	drainIdle := min(r.AnnounceInterval*3/2, maxDrainIdle)
+	limit := drainIdle + operatorTimeout
+	if deadline, ok := ctx.Deadline(); ok {
+		limit = min(limit, time.Until(deadline)/2) // the rest is for the transfer of leadership
+	}
+	drainCtx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	if r.operatorConns.Drain(drainCtx, drainIdle) != nil {
+		r.log.Warn("connections of operators or upstreams cut off at the stop")
+	}
 	var err error
 	r.mu.Lock()
 	rep := r.replica
