entry: serve open connections at a stop, and let early answers reach their callers

What callers saw: at a stop, a whole request on a kept connection, such as the one behind a stream that had begun before the stop, ended without an answer or a refusal; and a refusal before a long body was complete (404, 401, 413) ended in a reset.

Change: the entry's listener is an httpconn.Listener; Stop drains it until the stop limit, and closes a connection after a second grace period without a request.

Ruled out by a test that passes before and after: Expect: 100-continue, chunks with trailers, HTTP/1.0, a call that runs longer than body_time, a request behind a body that was not read, a body that never completes (400).

--- a/modules/entry/entry.go
+++ b/modules/entry/entry.go
@@ -17,6 +17,7 @@
 
 	"heatherway.dev/core/pick"
 	"heatherway.dev/core/wire"
+	"heatherway.dev/heatherway/internal/httpconn"
 	"heatherway.dev/kernel"
 	"heatherway.dev/kernel/peer"
 	"heatherway.dev/kernel/settings"
@@ -68,6 +69,7 @@
 	log              *slog.Logger
 	security         *peer.Security
 	publicListener   net.Listener
+	callerConns      *httpconn.Listener
 	internalListener net.Listener
 	publicServer     *http.Server
 	internalServer   *http.Server
@@ -158,11 +160,13 @@
 // configuration; the readiness check fails until it has arrived.
 func (m *Module) Start(ctx context.Context) error {
 	ctx, m.cancel = context.WithCancel(ctx)
+	m.callerConns = httpconn.NewListener(m.publicListener)
 	m.publicServer = m.newServer()
+	m.publicServer.ConnState = m.callerConns.ConnState
 	m.internalServer = &http.Server{Handler: m.internalHandler(), ReadHeaderTimeout: peer.DialTimeout * 4}
 	m.spawn(func() { m.owner.run(ctx) })
 	m.spawn(func() { m.owner.watch(ctx) })
-	m.spawn(func() { m.serve(m.publicServer, m.publicListener) })
+	m.spawn(func() { m.serve(m.publicServer, m.callerConns) })
 	m.spawn(func() { m.serve(m.internalServer, m.security.NewListener(m.internalListener)) })
 	return nil
 }
@@ -177,7 +181,7 @@
 }
 
 func (m *Module) serve(srv *http.Server, l net.Listener) {
-	if err := srv.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	if err := srv.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) && !m.draining.Load() {
 		m.log.Error("listener failed", "address", l.Addr().String(), "error", err)
 	}
 }
@@ -196,15 +200,16 @@
 const idleTimeout = 2 * time.Minute
 
 // Stop implements kernel.Runner. The readiness check fails for the grace
-// period; then the listener closes, and open requests may finish until ctx
-// ends.
+// period; then the listener closes, and open connections are served until ctx
+// ends. Each ends with its next answer, or after a second grace period without
+// a request.
 func (m *Module) Stop(ctx context.Context) error {
 	m.draining.Store(true)
 	m.log.Info("stopping; readiness check fails, open requests may finish", "open", m.openRequests.Load())
 	sleep(ctx, m.Grace)
-	err := m.publicServer.Shutdown(ctx)
+	err := m.callerConns.Drain(ctx, m.Grace)
+	_ = m.publicServer.Close()
 	if err != nil {
-		_ = m.publicServer.Close()
 		m.awaitHandlers()
 	}
 	_ = m.internalServer.Close()
