entry: end a stream with its error event when the caller has closed its sending side

What callers saw: a caller that had shut down only its sending side got a stream that ended as an HTTP response without [DONE] and without an error event.

Cause: driver.write dropped everything once the request's context had ended, also the event that says why the answer ends.

Class: as at the gateway, an end of the context taken for proof that nobody can read the answer.

Change: the end of the answer is written unless a write has failed before, so a slow reader is not waited for a second time. The attempt is cancelled as before.

Ruled out by the same test before and after: calls, whole generations and streams without a token get a complete response with code 4990.

go test ./modules/entry -run TestHalfClosed -count=1 before: cut_test.go:136: strings.Contains(body, `"code":4990`) is false --- FAIL: TestHalfClosedCallerGetsAnAnswer/stream_that_has_begun (0.15s) after: ok, with TestSlowReader, TestCallerDisconnect and TestStop

--- a/modules/entry/cut_test.go
+++ b/modules/entry/cut_test.go
@@ -108,6 +108,35 @@
 	assert.Assert(t, res.Close)
 }
 
+// Guards against a whole request that ends without an answer because its caller has closed
+// only its sending side.
+func TestHalfClosedCallerGetsAnAnswer(t *testing.T) {
+	f := newCutFixture(t)
+	for name, request := range map[string]string{
+		"call":                callerHead("GET", slowCall, "HTTP/1.1") + "\r\n",
+		"call at most once":   withBody(callerHead("POST", slowCall, "HTTP/1.1"), "body"),
+		"whole generation":    withBody(callerHead("POST", "/v1/completions", "HTTP/1.1"), `{"model":"letters","prompt":"p"}`),
+		"streamed generation": withBody(callerHead("POST", "/v1/completions", "HTTP/1.1"), streamingBody),
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := f.dial(t)
+			c.send(request)
+			time.Sleep(50 * time.Millisecond)
+			assert.NilError(t, c.conn.CloseWrite())
+			_, body := c.expect(500) // the generated servers have no status 499
+			assert.Equal(t, decodeProblem(t, body).Code, 4990)
+		})
+	}
+	t.Run("stream that has begun", func(t *testing.T) {
+		c := f.dial(t)
+		c.send(withBody(callerHead("POST", "/v1/completions", "HTTP/1.1"), streamingBody))
+		time.Sleep(150 * time.Millisecond)
+		assert.NilError(t, c.conn.CloseWrite())
+		_, body := c.expect(200)
+		assert.Assert(t, strings.Contains(body, `"code":4990`), "%s", body)
+	})
+}
+
 // Guards against an early answer that the caller cannot read because the connection is reset
 // while the caller still sends its body.
 func TestEarlyAnswerReachesCallerThatStillSends(t *testing.T) {
--- a/modules/entry/driver.go
+++ b/modules/entry/driver.go
@@ -59,6 +59,8 @@
 	// arrive.
 	attemptLostAt time.Time
 	bytesWritten  int64
+	// writeFailed is set once the caller can no longer be written to.
+	writeFailed   bool
 	deadlineSetAt time.Time
 	closed        bool
 }
--- a/modules/entry/output.go
+++ b/modules/entry/output.go
@@ -296,8 +296,11 @@
 
 // write writes b to the caller. The write deadline is extended as the answer
 // proceeds, so that only a write without progress times out.
+//
+// A caller that has closed only its sending side ends the context too, but can still read how
+// the answer ends, so the end is written unless a write has failed.
 func (d *driver) write(w io.Writer, rc *http.ResponseController, b []byte) {
-	if d.ctx.Err() != nil {
+	if d.writeFailed || d.ctx.Err() != nil && d.outcome == nil {
 		return
 	}
 	if rc != nil {
@@ -329,6 +332,7 @@
 	if isTimeout(err) {
 		d.module.metrics.slowReaders.Inc()
 	}
+	d.writeFailed = true
 	d.cancel()
 }
 
