admin: answer the calls of operators that arrive on open connections at a stop

What callers saw: an operator's change that was arriving on a kept connection when the process stopped got neither an answer nor a refusal.

Change: the listener below TLS is an httpconn.Listener; Stop drains it, closes connections that are idle for 1 s, and each answer carries Connection: close.

--- a/modules/admin/admin.go
+++ b/modules/admin/admin.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-faster/errors"
 
+	"heatherway.dev/heatherway/internal/httpconn"
 	"heatherway.dev/kernel"
 	"heatherway.dev/kernel/peer"
 	"heatherway.dev/kernel/settings"
@@ -40,7 +41,9 @@
 	audit    *slog.Logger
 	security *peer.Security
 	listener net.Listener
+	conns    *httpconn.Listener
 	server   *http.Server
+	stopping atomic.Bool
 	clients  []*peer.Client
 	// lastAnswered is the index in clients of the control instance that answered last.
 	lastAnswered atomic.Int32
@@ -96,7 +99,9 @@
 
 // Start implements kernel.Runner.
 func (m *Module) Start(context.Context) error {
+	m.conns = httpconn.NewListener(m.listener)
 	m.server = &http.Server{
+		ConnState:         m.conns.ConnState,
 		Handler:           m.handler(),
 		ReadHeaderTimeout: readTimeout,
 		ReadTimeout:       readTimeout,
@@ -109,15 +114,22 @@
 }
 
 func (m *Module) serve() {
-	err := m.server.Serve(m.security.NewListener(m.listener))
-	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+	err := m.server.Serve(m.security.NewListener(m.conns))
+	if err != nil && !errors.Is(err, http.ErrServerClosed) && !m.stopping.Load() {
 		m.log.Error("listener of the administration API failed", "address", m.Listen, "error", err)
 	}
 }
 
-// Stop implements kernel.Runner.
+// drainIdle is how long a stopping process keeps an idle connection of an operator open. A tool
+// that sends its calls on one connection sends the next one within that time.
+const drainIdle = time.Second
+
+// Stop implements kernel.Runner. Open connections are served until they have been idle for
+// drainIdle or ctx ends, each until its next response.
 func (m *Module) Stop(ctx context.Context) error {
-	err := m.server.Shutdown(ctx)
+	m.stopping.Store(true)
+	err := m.conns.Drain(ctx, drainIdle)
+	_ = m.server.Close()
 	for _, c := range m.clients {
 		c.Close()
 	}
--- a/modules/admin/admin_test.go
+++ b/modules/admin/admin_test.go
@@ -29,6 +29,8 @@
 type server struct {
 	t        *testing.T
 	base     string
+	addr     string
+	stop     func() // begins the stop of the process
 	folder   string
 	auditLog string
 	roots    *x509.CertPool
@@ -95,6 +97,7 @@
 	k, err := kernel.New(doc)
 	assert.NilError(s.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
+	s.addr, s.stop = listen, cancel
 	done := make(chan error, 1)
 	go func() { done <- k.Run(ctx) }()
 	s.t.Cleanup(func() {
--- a/modules/admin/handler.go
+++ b/modules/admin/handler.go
@@ -61,6 +61,9 @@
 // serveOperator authorizes a request and passes it to the handler of its route.
 func (m *Module) serveOperator(routes *http.ServeMux, w http.ResponseWriter, r *http.Request) {
 	s := &state{requestID: string(wire.NewID()), certificate: peer.CommonName(r.TLS), m: m, r: r, w: w}
+	if m.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	if err := m.authorize(r); err != nil {
 		failure.Write(w, err, s.requestID)
 		return
