--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -53,8 +53,13 @@
 	Header time.Duration
 }
 
+// FixedIdle returns an idle limit that does not change.
+func FixedIdle(limit time.Duration) func() time.Duration {
+	return func() time.Duration { return limit }
+}
+
 // Listener is a TCP listener that follows the connections it has accepted. Its server needs
-// the hooks ConnState and ConnContext.
+// the hooks ConnState and ConnContext. Limits takes the place of its IdleTimeout.
 type Listener struct {
 	net.Listener
 	limits    Limits
--- a/modules/admin/admin.go
+++ b/modules/admin/admin.go
@@ -99,14 +99,13 @@
 
 // Start implements kernel.Runner.
 func (m *Module) Start(context.Context) error {
-	m.conns = httpconn.NewListener(m.listener)
+	m.conns = httpconn.NewListener(m.listener, httpconn.Limits{Idle: httpconn.FixedIdle(idleTimeout), Header: readTimeout})
 	m.server = &http.Server{
 		ConnState:         m.conns.ConnState,
 		Handler:           m.handler(),
 		ReadHeaderTimeout: readTimeout,
 		ReadTimeout:       readTimeout,
 		WriteTimeout:      writeTimeout,
-		IdleTimeout:       idleTimeout,
 		ErrorLog:          newHTTPErrorLog(m),
 	}
 	go m.serve()
