--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -93,7 +93,7 @@
 	if !ok {
 		return inner, nil
 	}
-	c := &Conn{TCPConn: tcp, listener: l}
+	c := &Conn{TCPConn: tcp, listener: l, phase: fresh}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.open[c] = struct{}{}
