control/replica: tests choose addresses below the ephemeral ports, none twice

The test takes a port from the kernel, closes the listener and binds it later; meanwhile the kernel may give the same port to another address of the test or to an outgoing connection. Which of the two it was can't be told from the log.

The tests use internal/freeport, as tests of processes do, which never gives a port twice in a process and stays below the ephemeral range. go test ./modules/control/replica: pass.

--- a/internal/freeport/freeport.go
+++ b/internal/freeport/freeport.go
@@ -3,10 +3,10 @@
 package freeport
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"net"
 	"os"
+	"strconv"
 	"sync"
 
 	"github.com/go-faster/errors"
@@ -33,13 +33,16 @@
 
 // Listen binds a free port of 127.0.0.1. The caller closes the listener before
 // the process starts.
-func Listen() (net.Listener, error) {
+func Listen() (net.Listener, error) { return ListenOn("127.0.0.1") }
+
+// ListenOn is Listen for another loopback address.
+func ListenOn(host string) (net.Listener, error) {
 	for range maxTries {
 		port := candidate()
 		if !reserve(port) {
 			continue
 		}
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		l, err := net.Listen("tcp", net.JoinHostPort(host, strconv.Itoa(port)))
 		if err == nil {
 			return l, nil
 		}
--- a/modules/control/replica/cluster_test.go
+++ b/modules/control/replica/cluster_test.go
@@ -19,6 +19,7 @@
 	"gotest.tools/v3/assert"
 
 	"heatherway.dev/core/raft"
+	"heatherway.dev/heatherway/internal/freeport"
 	"heatherway.dev/kernel/peer"
 )
 
@@ -156,7 +157,7 @@
 	c := &cluster{t: t, folder: t.TempDir(), groups: groups, adjust: adjust, nodes: map[raft.MemberID]*instance{}}
 	host := loopbackHost()
 	for i := range size {
-		l, err := net.Listen("tcp", host+":0")
+		l, err := freeport.ListenOn(host)
 		assert.NilError(t, err)
 		c.peers = append(c.peers, Peer{ID: raft.MemberID(fmt.Sprintf("control-%d", i+1)), Addr: l.Addr().String()})
 		assert.NilError(t, l.Close())
--- a/modules/control/replica/discovery_test.go
+++ b/modules/control/replica/discovery_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"heatherway.dev/core/raft"
+	"heatherway.dev/heatherway/internal/freeport"
 	"heatherway.dev/kernel/peer"
 )
 
@@ -44,7 +45,7 @@
 }
 
 func (c *cluster) addAddress(host string) Peer {
-	l, err := net.Listen("tcp", host+":0")
+	l, err := freeport.ListenOn(host)
 	assert.NilError(c.t, err)
 	p := Peer{ID: raft.MemberID(l.Addr().String()), Addr: l.Addr().String()}
 	assert.NilError(c.t, l.Close())
