--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -1,28 +1,25 @@
-// Package httpconn closes the connections of an HTTP server without losing a request or a
-// response. http.Server.Shutdown does both: it closes connections that it takes for idle
-// although a request is arriving, drops requests that it has read since, and closes
-// connections with unread bytes, which resets them and can destroy the response before them.
+// Package httpconn ends the connections of an HTTP server without losing a request or a
+// response. net/http reports a connection as idle until it has read the whole header of the
+// next request, so whoever closes idle connections from outside, as http.Server.Shutdown
+// does, can close one on which a request is arriving or has arrived. Here an idle connection
+// is closed only by the goroutine that reads it, once that has found no byte of a further
+// request. Shutdown also drops requests that it has read, and a connection that is closed
+// with unread bytes is reset, which can destroy the response before them: see Conn.Close.
 package httpconn
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
-	"os"
 	"sync"
-	"syscall"
+	"sync/atomic"
 	"time"
-
-	"github.com/go-faster/errors"
 )
 
 const (
-	// lingerTime and lingerQuiet bound how long a closed connection is still read, in all
-	// and without a byte, while its caller may be sending the rest of a request that has its
-	// response already. A caller that pauses longer is taken for gone.
-	lingerTime  = 10 * time.Second
-	lingerQuiet = 2 * time.Second
+	// idleGrace is added to the idle limit, which callers count from the arrival of the
+	// last response to the departure of their next request. It covers the way of both.
+	idleGrace = 500 * time.Millisecond
 	// maxLingering limits the closed connections of a listener that are still read; beyond
 	// it they are closed at once.
 	maxLingering = 256
@@ -45,18 +42,40 @@
 	CloserSelf Closer = "self"
 )
 
-// Listener is a TCP listener that follows the connections it has accepted.
+// Limits bounds how long a connection may wait for the bytes of a request.
+type Limits struct {
+	// Idle returns how long a caller may leave a connection idle, zero for no limit. A
+	// shorter limit applies to a connection from its next request on, since its caller counts on
+	// the limit that was in force when it got its last response; a longer one applies at once.
+	Idle func() time.Duration
+	// Header is how long the header of a request may take from its first byte on, zero for
+	// no limit.
+	Header time.Duration
+}
+
+// Listener is a TCP listener that follows the connections it has accepted. Its server needs
+// the hooks ConnState and ConnContext.
 type Listener struct {
 	net.Listener
+	limits    Limits
+	idleGrace time.Duration
 	closeOnce sync.Once
+	// drainIdle is how long a connection may be idle while the listener drains, in
+	// nanoseconds; it is negative before.
+	drainIdle atomic.Int64
 	mu        sync.Mutex
 	open      map[*Conn]struct{}
 	lingering int
 }
 
 // NewListener returns a listener that accepts the connections of l.
-func NewListener(l net.Listener) *Listener {
-	return &Listener{Listener: l, open: map[*Conn]struct{}{}}
+func NewListener(l net.Listener, limits Limits) *Listener {
+	if limits.Idle == nil {
+		limits.Idle = func() time.Duration { return 0 }
+	}
+	wrapped := &Listener{Listener: l, limits: limits, idleGrace: idleGrace, open: map[*Conn]struct{}{}}
+	wrapped.drainIdle.Store(-1)
+	return wrapped
 }
 
 // Accept implements net.Listener.
@@ -69,7 +88,7 @@
 	if !ok {
 		return inner, nil
 	}
-	c := &Conn{TCPConn: tcp, listener: l, idleSince: time.Now()}
+	c := &Conn{TCPConn: tcp, listener: l}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.open[c] = struct{}{}
@@ -82,27 +101,32 @@
 	return err
 }
 
-// ConnState is the hook of http.Server that tells which connections are idle.
+// ConnState is the hook of http.Server that tells in which phase a connection is.
 func (l *Listener) ConnState(inner net.Conn, s http.ConnState) {
 	c := unwrap(inner)
-	if c == nil {
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.idleSince = (time.Time{}); s == http.StateNew || s == http.StateIdle {
-		c.idleSince = time.Now()
+	switch {
+	case c == nil:
+	case s == http.StateActive:
+		c.noteIdleLimit()
+	case s == http.StateIdle:
+		c.becomeIdle()
 	}
 }
 
 // Drain closes the listener and waits until no connection is open or ctx ends. The server
 // goes on serving its connections, and its responses have to ask callers to close them.
-// Connections that have been idle for maxIdle are closed unless bytes are waiting on them.
+// Connections that have been idle for maxIdle are closed.
 func (l *Listener) Drain(ctx context.Context, maxIdle time.Duration) error {
 	_ = l.Close()
+	l.drainIdle.Store(int64(maxIdle))
+	l.mu.Lock()
+	for c := range l.open {
+		c.updateIdleDeadline()
+	}
+	l.mu.Unlock()
 	ticker := time.NewTicker(drainPollInterval)
 	defer ticker.Stop()
-	for l.closeIdle(time.Now().Add(-maxIdle)) > 0 {
+	for l.openCount() > 0 {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -112,21 +136,10 @@
 	return nil
 }
 
-// closeIdle closes the connections that have been idle since before the given time, and
-// returns the number of those that were open.
-func (l *Listener) closeIdle(before time.Time) int {
+func (l *Listener) openCount() int {
 	l.mu.Lock()
-	open := make([]*Conn, 0, len(l.open))
-	for c := range l.open {
-		open = append(open, c)
-	}
-	l.mu.Unlock()
-	for _, c := range open {
-		if c.isIdleSince(before) && !c.hasUnreadBytes() {
-			_ = c.Close()
-		}
-	}
-	return len(open)
+	defer l.mu.Unlock()
+	return len(l.open)
 }
 
 // startLinger reports whether one more closed connection may still be read.
@@ -150,120 +163,6 @@
 	}
 }
 
-// Conn is a connection that a Listener has accepted.
-type Conn struct {
-	*net.TCPConn
-	listener *Listener
-	mu       sync.Mutex
-	closed   bool
-	closer   Closer
-	// idleSince is zero while a request is read or served.
-	idleSince time.Time
-}
-
-// Read implements net.Conn.
-func (c *Conn) Read(b []byte) (int, error) {
-	n, err := c.TCPConn.Read(b)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closed {
-		return 0, net.ErrClosed
-	}
-	if n > 0 {
-		c.idleSince = time.Time{}
-	}
-	switch {
-	case err == nil || c.closer != CloserNone || errors.Is(err, os.ErrDeadlineExceeded):
-	case errors.Is(err, io.EOF):
-		c.closer = CloserCaller
-	default:
-		c.closer = CloserReset
-	}
-	return n, err
-}
-
-// SetReadDeadline implements net.Conn.
-func (c *Conn) SetReadDeadline(t time.Time) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closed { // the deadline is that of linger
-		return net.ErrClosed
-	}
-	return c.TCPConn.SetReadDeadline(t)
-}
-
-// SetDeadline implements net.Conn.
-func (c *Conn) SetDeadline(t time.Time) error {
-	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
-}
-
-// Close implements net.Conn. It ends the sending side and reads, in the background, what the
-// caller still sends, since closing a connection with unread bytes resets it.
-func (c *Conn) Close() error {
-	c.mu.Lock()
-	if c.closed {
-		c.mu.Unlock()
-		return net.ErrClosed
-	}
-	c.closed = true
-	callerClosed := c.closer != CloserNone
-	if !callerClosed {
-		c.closer = CloserSelf
-	}
-	c.mu.Unlock()
-	if callerClosed || c.TCPConn.CloseWrite() != nil || !c.listener.startLinger() {
-		c.listener.remove(c, false)
-		return c.TCPConn.Close()
-	}
-	_ = c.TCPConn.SetReadDeadline(time.Now()) // ends a read of the server
-	go c.linger()
-	return nil
-}
-
-// linger reads and drops bytes until the caller closes the connection or a limit is reached.
-func (c *Conn) linger() {
-	defer c.listener.remove(c, true)
-	defer c.TCPConn.Close()
-	buf := make([]byte, 4096)
-	_, _ = c.TCPConn.Read(buf) // the deadline has passed: waits only for a read of the server to end
-	for end := time.Now().Add(lingerTime); time.Now().Before(end); {
-		if c.TCPConn.SetReadDeadline(time.Now().Add(lingerQuiet)) != nil {
-			return
-		}
-		if _, err := c.TCPConn.Read(buf); err != nil {
-			return
-		}
-	}
-}
-
-// Closer says who ended the connection, or CloserNone while it is open.
-func (c *Conn) Closer() Closer {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.closer
-}
-
-func (c *Conn) isIdleSince(before time.Time) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return !c.closed && !c.idleSince.IsZero() && c.idleSince.Before(before)
-}
-
-// hasUnreadBytes reports whether bytes of the caller have arrived that were not read.
-func (c *Conn) hasUnreadBytes() bool {
-	raw, err := c.TCPConn.SyscallConn()
-	if err != nil {
-		return false
-	}
-	n := 0
-	// Control does not wait for the server's pending read, as Read would.
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, _ = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
-	return err == nil && n > 0
-}
-
 // unwrap returns the Conn below a TLS connection, or nil if there is none.
 func unwrap(inner net.Conn) *Conn {
 	if t, ok := inner.(interface{ NetConn() net.Conn }); ok {
--- a/modules/gateway/gateway.go
+++ b/modules/gateway/gateway.go
@@ -37,6 +37,10 @@
 	// graceReserve is the part of the grace period that is kept for the shutdown of the
 	// process.
 	graceReserve = 300 * time.Millisecond
+	// stopIdleTime is how long a connection may stay idle once the drain delay is over. It
+	// covers the way of a response, whose header may not have announced the stop, to the
+	// caller and that of the caller's next request.
+	stopIdleTime = time.Second
 	// readHeaderTimeout limits the time in which a caller has to send its header.
 	readHeaderTimeout = 3 * time.Second
 	// maxHeaderBytes limits the size of a caller's header.
@@ -81,7 +85,6 @@
 	readyListener  net.Listener
 	server         *http.Server
 	readyServer    *http.Server
-	idleLimiter    *idleLimiter
 
 	follower    *follower
 	owner       *stateOwner
@@ -149,7 +152,7 @@
 	if err != nil {
 		return err
 	}
-	g.callerListener = httpconn.NewListener(callerListener)
+	g.callerListener = httpconn.NewListener(callerListener, httpconn.Limits{Idle: g.idleLimit, Header: readHeaderTimeout})
 	if g.readyListener, err = ctx.Listen(g.ReadyListen); err != nil {
 		return err
 	}
@@ -166,12 +169,15 @@
 	g.owner = newStateOwner(g.ctx, g.log, g.zone, g.ObjectiveShare)
 	g.crashReporter = newCrashReporter(g)
 	g.follower = newFollower(g)
-	g.idleLimiter = newIdleLimiter(func() time.Duration {
-		if t := g.follower.table(); t != nil {
-			return t.Limits.IdleTimeout
-		}
-		return 0
-	})
+}
+
+// idleLimit returns how long callers may leave a connection idle, as the configuration in
+// force says, or zero while there is none.
+func (g *Gateway) idleLimit() time.Duration {
+	if t := g.follower.table(); t != nil {
+		return t.Limits.IdleTimeout
+	}
+	return 0
 }
 
 // Start implements kernel.Runner.
@@ -185,19 +191,13 @@
 	g.readyServer = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
 	g.server = &http.Server{
 		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: g.connStateChanged, ConnContext: httpconn.ConnContext, DisableGeneralOptionsHandler: true,
+		ConnState: g.callerListener.ConnState, ConnContext: httpconn.ConnContext, DisableGeneralOptionsHandler: true,
 	}
 	g.spawn(func() { g.serveListener(g.readyServer, g.readyListener) })
 	g.spawn(func() { g.serveListener(g.server, g.callerListener) })
 	return nil
 }
 
-// connStateChanged is the ConnState hook of the server for callers.
-func (g *Gateway) connStateChanged(c net.Conn, s http.ConnState) {
-	g.callerListener.ConnState(c, s)
-	g.idleLimiter.connStateChanged(c, s)
-}
-
 func (g *Gateway) spawn(f func()) {
 	g.wg.Add(1)
 	go func() {
@@ -226,8 +226,8 @@
 
 // Stop implements kernel.Runner. The readiness check fails immediately. New connections
 // are accepted until the load balancer has noticed. The connections that are open then are
-// served until their callers have closed them or the grace period ends: each is closed with
-// its next response, since closing an idle one could drop a request that is on its way.
+// served until the grace period ends: each is closed with its next response, or when it has
+// been idle for stopIdleTime.
 func (g *Gateway) Stop(context.Context) error {
 	start := time.Now()
 	g.stopAt.Store(start.Add(g.Grace - graceReserve).UnixNano())
@@ -236,7 +236,7 @@
 	g.sleep(g.DrainDelay)
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(g.Grace-graceReserve))
 	defer cancel()
-	if g.callerListener.Drain(ctx, g.Grace) != nil && g.openRequests.Load() > 0 {
+	if g.callerListener.Drain(ctx, stopIdleTime) != nil && g.openRequests.Load() > 0 {
 		g.log.Warn("requests cut off at the end of the grace period", "open_requests", g.openRequests.Load())
 	}
 	g.cancel()
@@ -311,7 +311,7 @@
 	retries, hedges, resumes, repeatedEvents            stats.Counter
 	dials, dialFailures, upstreamChecks, silentAttempts stats.Counter
 	copies, reports, stalledDials                       stats.Counter
-	cutRequests                                         stats.Counter
+	cutRequests, undelivered                            stats.Counter
 	brokenRuns, suspectsHeld                            stats.Counter
 	answerMS, firstEventMS, resumeMS                    stats.Histogram
 }
@@ -326,7 +326,7 @@
 		upstreamChecks: r.Counter("gateway_upstream_checks_total"), silentAttempts: r.Counter("gateway_silent_attempts_total"),
 		answerMS: r.Histogram("gateway_answer_ms"), firstEventMS: r.Histogram("gateway_first_event_ms"),
 		copies: r.Counter("gateway_copies_total"), reports: r.Counter("gateway_reports_total"),
-		stalledDials: r.Counter("gateway_stalled_dials_total"), cutRequests: r.Counter("gateway_cut_requests_total"),
+		stalledDials: r.Counter("gateway_stalled_dials_total"), cutRequests: r.Counter("gateway_cut_requests_total"), undelivered: r.Counter("gateway_undelivered_total"),
 		brokenRuns: r.Counter("gateway_broken_runs_total"), suspectsHeld: r.Counter("gateway_suspects_held_total"),
 		resumeMS: r.Histogram("gateway_resume_ms"),
 	}
--- a/modules/gateway/handler.go
+++ b/modules/gateway/handler.go
@@ -24,9 +24,11 @@
 
 // callerRequest is the state of one request of a caller.
 type callerRequest struct {
-	g            *Gateway
-	w            http.ResponseWriter
-	ctx          context.Context
+	g *Gateway
+	w http.ResponseWriter
+	// caller is the context of the caller's connection, and ctx adds the deadline of the
+	// request; it is nil until the request is admitted.
+	caller, ctx  context.Context
 	started      time.Time
 	deadline     time.Time // when the final response is due
 	req          dialect.Request
@@ -43,6 +45,10 @@
 	// may have; a reconnect to the same upstream counts again.
 	tried     []string
 	sentCount int
+	// sentTo lists the upstreams that the request was sent to. Attempts that run at the
+	// same time share it.
+	sentTo   []string
+	sentToMu sync.Mutex
 	// mayHaveRun is set once an upstream may have started to process the request.
 	mayHaveRun bool
 	// responseStarted is set once the response header has been written to the caller.
@@ -59,7 +65,7 @@
 	g.metrics.requests.Inc()
 	g.openRequests.Add(1)
 	defer g.openRequests.Add(-1)
-	c := &callerRequest{g: g, w: w, started: time.Now(), req: g.dialect.Request(r.Header), reservation: g.buffers.newReservation()}
+	c := &callerRequest{g: g, w: w, caller: r.Context(), started: time.Now(), req: g.dialect.Request(r.Header), reservation: g.buffers.newReservation()}
 	defer c.reservation.close()
 	defer c.recoverRequest()
 	if err := c.admit(r); err != nil {
@@ -246,17 +252,55 @@
 		f.Organisation = c.organisation.Name
 	}
 	o := c.outgoing
+	// The response to an earlier attempt there has the same id, and a faulty upstream may
+	// send it once more on any connection that it keeps. Responses to a request without an
+	// id cannot be told apart at all.
+	o.newConnection = c.recordSend(u.ID) || c.req.ID == ""
 	o.header = c.outgoing.header.Clone()
 	c.g.dialect.Forward(o.header, f)
 	return &o
 }
 
+// recordSend records that the request is sent to an upstream, and reports whether it was
+// sent there before.
+func (c *callerRequest) recordSend(upstreamID string) (again bool) {
+	c.sentToMu.Lock()
+	defer c.sentToMu.Unlock()
+	if slices.Contains(c.sentTo, upstreamID) {
+		return true
+	}
+	c.sentTo = append(c.sentTo, upstreamID)
+	return false
+}
+
 // matchesResponse reports whether a response belongs to the request. A response without
-// a request ID is accepted only as the first one on a connection: on a reused one it
-// may be a late response to one of the gateway's own calls.
+// a request ID is accepted only as the first one on a connection that was opened for the
+// request: on a kept one, or after another response, it may be a late response to an
+// earlier request or to one of the gateway's own calls.
 func (c *callerRequest) matchesResponse(h http.Header, first bool) bool {
 	id := c.g.dialect.Response(h).RequestID
-	return id == c.req.ID || id == "" && first
+	if id == "" {
+		return first
+	}
+	return id == c.req.ID
+}
+
+var errNotRefusal = errors.New("the response says that the request has not run, but its status is no refusal")
+
+// responseMeta decodes the header of a response. It returns an error, and a header that
+// is no refusal, if the response states that the request has not run with a status other
+// than those of a refusal; the request may then have run.
+func (c *callerRequest) responseMeta(res *http.Response) (dialect.Response, error) {
+	meta := c.g.dialect.Response(res.Header)
+	if !meta.NotRun {
+		return meta, nil
+	}
+	switch res.StatusCode {
+	case http.StatusBadRequest, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return meta, nil
+	}
+	meta.NotRun = false
+	return meta, errNotRefusal
 }
 
 // canTryAnother reports whether the request may have one more attempt.
@@ -376,7 +420,7 @@
 
 // logClosedConnection logs who closed the connection of a request that has no whole response.
 func (c *callerRequest) logClosedConnection(err error) {
-	closer := httpconn.CloserOf(c.ctx)
+	closer := httpconn.CloserOf(c.caller)
 	if closer == httpconn.CloserSelf {
 		c.g.metrics.cutRequests.Inc()
 		c.logEvent("request cut off", "error", err.Error(), "stopping", c.g.stopping.Load())
@@ -386,6 +430,12 @@
 	c.logEvent("caller gone", "closed_by", string(closer), "error", err.Error())
 }
 
+// logUndelivered logs that a response could not be written to the caller's connection.
+func (c *callerRequest) logUndelivered(err error) {
+	c.g.metrics.undelivered.Inc()
+	c.logEvent("response not delivered", "closed_by", string(httpconn.CloserOf(c.caller)), "error", err.Error())
+}
+
 // logEvent logs an event or the outcome of a request with the fields that all such lines
 // share.
 func (c *callerRequest) logEvent(message string, attrs ...any) {
--- a/modules/gateway/plain.go
+++ b/modules/gateway/plain.go
@@ -39,6 +39,9 @@
 // deliverable reports whether the response may be passed on to the caller.
 func (r *upstreamResponse) deliverable() bool { return r.err == nil && !r.meta.NotRun && r.meta.Signed }
 
+// mayHaveRun reports whether the upstream may have run the request.
+func (r *upstreamResponse) mayHaveRun() bool { return r.sent && !r.meta.NotRun }
+
 // servePlain serves a request whose response is not a stream.
 func (c *callerRequest) servePlain() {
 	c.countFirstAttempt()
@@ -61,7 +64,7 @@
 		case response.deliverable():
 			c.writeResponse(response)
 			return
-		case response.sent && !response.meta.NotRun:
+		case response.mayHaveRun():
 			c.respondError(c.unknownOutcomeError(response))
 			return
 		case !c.canRetryAfter(response):
@@ -133,9 +136,10 @@
 func (c *callerRequest) serveIdempotent() {
 	ctx, cancel := context.WithCancel(c.ctx)
 	defer cancel()
-	responses := make(chan *upstreamResponse, c.route.MaxAttempts+1)
+	// The channel has no buffer, since the configuration may allow any number of attempts.
+	responses := make(chan *upstreamResponse)
 	// best decides the final response if no attempt succeeds: the last one that may be
-	// passed on, or else the first.
+	// passed on, or else the first after which the request may have run, or else the first.
 	running, best := 0, (*upstreamResponse)(nil)
 	start := func() *dispatch.Refusal {
 		choice, refusal := c.placeWithin(c.dispatchRequest(), 0)
@@ -145,7 +149,12 @@
 		c.markTried(choice.Upstream)
 		c.sentCount++
 		running++
-		go func() { responses <- c.attemptPlain(ctx, choice) }()
+		go func() {
+			select {
+			case responses <- c.attemptPlain(ctx, choice):
+			case <-ctx.Done():
+			}
+		}()
 		return nil
 	}
 	if refusal := start(); refusal != nil {
@@ -170,7 +179,7 @@
 			if !response.sent {
 				c.sentCount--
 			}
-			if best == nil || response.deliverable() {
+			if best == nil || response.deliverable() || response.mayHaveRun() && !best.mayHaveRun() {
 				best = response
 			}
 			if c.crashVerdict() == crash.Allowed && c.canRetryAfter(response) {
@@ -184,7 +193,7 @@
 	switch {
 	case best.deliverable():
 		c.writeResponse(best)
-	case best.sent && !best.meta.NotRun:
+	case best.mayHaveRun():
 		c.respondError(c.unknownOutcomeError(best))
 	default:
 		c.respondError(c.notRunError(best))
@@ -229,8 +238,10 @@
 		return
 	}
 	response.sent, response.status, response.header = true, x.res.StatusCode, x.res.Header
-	response.meta = c.g.dialect.Response(response.header)
-	response.body, response.err = c.reservation.readResponse(x.res)
+	response.meta, response.err = c.responseMeta(x.res)
+	if response.err == nil {
+		response.body, response.err = c.reservation.readResponse(x.res)
+	}
 	switch {
 	case response.err != nil:
 		x.abandon()
@@ -302,5 +313,11 @@
 	c.w.Header().Set("Content-Length", strconv.Itoa(len(response.body)))
 	c.responseStarted = true
 	c.w.WriteHeader(response.status)
-	_, _ = c.w.Write(response.body) // a write error means that the caller has disconnected
+	_, err := c.w.Write(response.body)
+	if err == nil {
+		err = http.NewResponseController(c.w).Flush()
+	}
+	if err != nil {
+		c.logUndelivered(err)
+	}
 }
--- a/modules/gateway/stream.go
+++ b/modules/gateway/stream.go
@@ -155,7 +155,7 @@
 	s.g.metrics.aborted.Inc()
 	s.recordSample(s.timeToFirstEvent, s.relay.LongestPause(), result.UpstreamFailed)
 	last, _ := s.relay.LastEvent()
-	closer := httpconn.CloserOf(s.ctx)
+	closer := httpconn.CloserOf(s.caller)
 	if closer == httpconn.CloserSelf {
 		s.g.metrics.cutRequests.Inc()
 	}
@@ -294,7 +294,7 @@
 // recordHeader records the status and header of the response. The attempt goes on.
 func (s *streamRequest) recordHeader(a *attempt, response *http.Response) bool {
 	a.sent, a.status, a.header = true, response.StatusCode, response.Header
-	a.meta = s.g.dialect.Response(response.Header)
+	a.meta, _ = s.responseMeta(response) // the reader returns the error
 	return false
 }
 
