--- a/modules/admin/admin.go
+++ b/modules/admin/admin.go
@@ -99,7 +99,7 @@
 
 // Start implements kernel.Runner.
 func (m *Module) Start(context.Context) error {
-	m.conns = httpconn.NewListener(m.listener)
+	m.conns = httpconn.NewListener(m.listener, httpconn.Limits{Idle: func() time.Duration { return idleTimeout }, Header: readTimeout})
 	m.server = &http.Server{
 		ConnState:         m.conns.ConnState,
 		Handler:           m.handler(),
--- a/modules/entry/entry.go
+++ b/modules/entry/entry.go
@@ -160,7 +160,7 @@
 // configuration; the readiness check fails until it has arrived.
 func (m *Module) Start(ctx context.Context) error {
 	ctx, m.cancel = context.WithCancel(ctx)
-	m.callerConns = httpconn.NewListener(m.publicListener)
+	m.callerConns = httpconn.NewListener(m.publicListener, httpconn.Limits{Idle: func() time.Duration { return idleTimeout }, Header: m.Limits.BodyTime})
 	m.publicServer = m.newServer()
 	m.publicServer.ConnState = m.callerConns.ConnState
 	m.internalServer = &http.Server{Handler: m.internalHandler(), ReadHeaderTimeout: peer.DialTimeout * 4}
--- a/modules/registry/registry.go
+++ b/modules/registry/registry.go
@@ -177,7 +177,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(peer.RPCPath, &peer.Handler{Security: r.security, Services: r.services})
 	r.serve(r.peers, mux, nil)
-	r.operatorConns = httpconn.NewListener(r.operators)
+	r.operatorConns = httpconn.NewListener(r.operators, httpconn.Limits{Idle: func() time.Duration { return idleTimeout }, Header: readHeaderTimeout})
 	r.serve(r.operatorConns, r.closeIfStopping(r.operatorMux()), r.operatorConns.ConnState)
 	return nil
 }
