httpconn: the idle time does not run on while a pipelined request is served

Cause: a connection left the phase idle only with a read of its first byte. A request that the server takes from its buffer needs no read; the server's next read is the one that watches for a caller who leaves, and it failed at the idle deadline, which net/http takes for the caller's end.

Class: the state of a connection derived from reads alone.

Change: the server's state active makes a connection busy.

go test ./modules/gateway -run TestPipelinedRequestOut -count=1 before: cut_test.go:401: 499 (res.StatusCode int) != 200 (status int): caller_gone, request q2 --- FAIL: TestPipelinedRequestOutlastsTheIdleTimeout (1.81s) after: ok, with all tests of internal/httpconn and TestIdle, TestFirstByte, TestStop

--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -134,13 +134,14 @@
 	c.phase = busy
 }
 
-// noteIdleLimit records the limit for the idle time after the current request. The limit
-// may change before the response has arrived.
-func (c *Conn) noteIdleLimit() {
+// becomeBusy ends the idle time, also for a request that was read from the server's buffer,
+// with the one before it. It records the limit for the idle time after the request, which may
+// change before the response has arrived.
+func (c *Conn) becomeBusy() {
 	limit := c.listener.limits.Idle()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idleLimit = limit
+	c.phase, c.idleLimit = busy, limit
 }
 
 // becomeIdle starts the idle time after a response.
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -107,7 +107,7 @@
 	switch {
 	case c == nil:
 	case s == http.StateActive:
-		c.noteIdleLimit()
+		c.becomeBusy()
 	case s == http.StateIdle:
 		c.becomeIdle()
 	}
--- a/modules/gateway/cut_test.go
+++ b/modules/gateway/cut_test.go
@@ -383,3 +383,20 @@
 	assert.Equal(t, f.metrics.aborted.Value(), int64(1))
 	assert.Equal(t, f.metrics.cutRequests.Value(), int64(1))
 }
+
+// Guards against a request that ends because the idle time of its connection passes while it
+// runs: one that arrives together with the request before it is read from the server's buffer.
+func TestPipelinedRequestOutlastsTheIdleTimeout(t *testing.T) {
+	u := startUpstream(t, "desk-1", "desk", "z0", func(w http.ResponseWriter, _ *http.Request, _ int) {
+		time.Sleep(900 * time.Millisecond)
+		_, _ = io.WriteString(w, "ok")
+	})
+	conf := configuration()
+	conf.Limits.IdleTimeout = 100 * time.Millisecond
+	conf.Routes[1].Timeout = 5 * time.Second
+	f := newFixture(t, conf, u)
+	c := f.dial()
+	c.send(callerHead("GET", "/book/x", "HTTP/1.1", "q1") + "\r\n" + callerHead("GET", "/book/x", "HTTP/1.1", "q2") + "\r\n")
+	c.expect(200)
+	c.expect(200)
+}
