httpconn: a drain accepts the connections that are pending in the kernel

What callers saw: connections that were made while a process was paused, or short of processor time, were reset with whole requests on them when the drain delay ended.

Cause: Drain closed the listener at once. The kernel resets the connections that it has accepted and the process has not; behind a pause the timer of the drain delay runs before the server's accept loop.

Class: closing a queue without emptying it.

Change: Drain first waits until no connection is pending, and then until the server has seen the end of the listener, 500 ms at most for both.

--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -13,7 +13,10 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"github.com/go-faster/errors"
 )
 
 const (
@@ -25,6 +28,11 @@
 	maxLingering = 256
 	// drainPollInterval is the interval at which a draining listener looks at its connections.
 	drainPollInterval = 10 * time.Millisecond
+	// acceptTime limits how long a draining listener waits for its server to accept the
+	// connections that the kernel has accepted, and acceptPollInterval is the interval at
+	// which it looks. A server that has processor time takes well under a millisecond.
+	acceptTime         = 500 * time.Millisecond
+	acceptPollInterval = time.Millisecond
 )
 
 // Closer says who ended a connection.
@@ -65,6 +73,10 @@
 	limits    Limits
 	idleGrace time.Duration
 	closeOnce sync.Once
+	// acceptEnded is closed once the server has been told that the listener is closed, and
+	// so has got every connection before.
+	acceptEnded     chan struct{}
+	acceptEndedOnce sync.Once
 	// drainIdle is how long a connection may be idle while the listener drains, in
 	// nanoseconds; it is negative before.
 	drainIdle atomic.Int64
@@ -78,7 +90,7 @@
 	if limits.Idle == nil {
 		limits.Idle = func() time.Duration { return 0 }
 	}
-	wrapped := &Listener{Listener: l, limits: limits, idleGrace: idleGrace, open: map[*Conn]struct{}{}}
+	wrapped := &Listener{Listener: l, limits: limits, idleGrace: idleGrace, open: map[*Conn]struct{}{}, acceptEnded: make(chan struct{})}
 	wrapped.drainIdle.Store(-1)
 	return wrapped
 }
@@ -86,6 +98,9 @@
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
 	inner, err := l.Listener.Accept()
+	if errors.Is(err, net.ErrClosed) {
+		l.acceptEndedOnce.Do(func() { close(l.acceptEnded) })
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -122,7 +137,7 @@
 // goes on serving its connections, and its responses have to ask callers to close them.
 // Connections that have been idle for maxIdle are closed.
 func (l *Listener) Drain(ctx context.Context, maxIdle time.Duration) error {
-	_ = l.Close()
+	l.stopAccepting(ctx)
 	l.drainIdle.Store(int64(maxIdle))
 	l.mu.Lock()
 	for c := range l.open {
@@ -141,6 +156,45 @@
 	return nil
 }
 
+// stopAccepting closes the listener once the server has accepted the connections that are
+// pending in the kernel. Closing the listener resets them, with the requests that have arrived
+// on them; there can be many when the process was paused.
+func (l *Listener) stopAccepting(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, acceptTime)
+	defer cancel()
+	for l.hasPending() && ctx.Err() == nil {
+		time.Sleep(acceptPollInterval)
+	}
+	_ = l.Close()
+	select {
+	case <-l.acceptEnded:
+	case <-ctx.Done():
+	}
+}
+
+// hasPending reports whether the kernel holds connections that the server has not accepted.
+func (l *Listener) hasPending() bool {
+	tcp, ok := l.Listener.(*net.TCPListener)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) {
+		var set syscall.FdSet
+		word, bits := int(fd)/64, len(set.Bits)
+		if word >= bits {
+			return // beyond what select can ask for; listeners have low numbers
+		}
+		set.Bits[word] |= 1 << (fd % 64)
+		n, _ = syscall.Select(int(fd)+1, &set, nil, nil, &syscall.Timeval{}) // an error counts as none
+	})
+	return err == nil && n > 0
+}
+
 func (l *Listener) openCount() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
