--- a/modules/admin/admin_test.go
+++ b/modules/admin/admin_test.go
@@ -18,6 +18,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"heatherway.dev/heatherway/internal/freeport"
 	_ "heatherway.dev/heatherway/modules/admin"   // registers its modules
 	_ "heatherway.dev/heatherway/modules/control" // registers its modules
 	"heatherway.dev/kernel"
@@ -41,7 +42,7 @@
 
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := freeport.Listen()
 	assert.NilError(t, err)
 	defer l.Close()
 	return l.Addr().String()
--- a/modules/control/cluster_test.go
+++ b/modules/control/cluster_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"slices"
 	"strings"
 	"testing"
@@ -15,6 +14,7 @@
 	"heatherway.dev/core/config"
 	"heatherway.dev/core/limit"
 	"heatherway.dev/core/wire"
+	"heatherway.dev/heatherway/internal/freeport"
 	"heatherway.dev/kernel"
 	"heatherway.dev/kernel/peer"
 	"heatherway.dev/kernel/result"
@@ -35,7 +35,7 @@
 	t.Helper()
 	c := &cluster{stopFuncs: make([]func(), 3), started: time.Now()}
 	for range 3 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := freeport.Listen()
 		assert.NilError(t, err)
 		c.addrs = append(c.addrs, l.Addr().String())
 		assert.NilError(t, l.Close())
--- a/modules/registry/registry_test.go
+++ b/modules/registry/registry_test.go
@@ -19,6 +19,7 @@
 
 	"heatherway.dev/core/crash"
 	"heatherway.dev/core/registration"
+	"heatherway.dev/heatherway/internal/freeport"
 	"heatherway.dev/heatherway/platform"
 	"heatherway.dev/kernel/peer"
 	"heatherway.dev/kernel/stats"
@@ -68,7 +69,7 @@
 }
 
 func freePort(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := freeport.Listen()
 	assert.NilError(t, err)
 	defer l.Close()
 	_, port, err := net.SplitHostPort(l.Addr().String())
