gateway: a late or malformed body is not answered as if its caller had gone

Cause: net/http reports a read deadline that passes within the trailer of a chunked body as "unexpected EOF reading trailer", so the error is not the deadline's; and every other error was taken for the caller's end.

Class: a caller's end concluded from any failed read.

--- a/modules/gateway/cut_test.go
+++ b/modules/gateway/cut_test.go
@@ -253,7 +253,8 @@
 		{"Deadline-Ms: 150\r\nContent-Length: 200\r\n\r\n", strings.Repeat("x", 200), 413},
 		{"Deadline-Ms: 150\r\nContent-Length: 9\r\n\r\n", "part", 504},
 		{"Deadline-Ms: 150\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\n", 504},
-		{"Deadline-Ms: 150\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\nzz\r\n", 499},
+		{"Deadline-Ms: 150\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\nzz\r\n", 400},
+		{"Deadline-Ms: 150\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\n0\r\n", 504},
 	} {
 		c := f.dial()
 		head := strings.Replace(callerHead("POST", "/look/x", "HTTP/1.1", fmt.Sprint("d", i)), "Deadline-Ms: 20000\r\n", "", 1)
--- a/modules/gateway/handler.go
+++ b/modules/gateway/handler.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"os"
 	"runtime/debug"
 	"slices"
 	"sync"
@@ -196,8 +195,10 @@
 		return err
 	case errors.Is(err, errBuffersFull):
 		return result.New(result.NoRoomForBody, "the buffers of this gateway are full").After(refusedRetryAfter)
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case err != nil && !time.Now().Before(c.deadline): // net/http hides the deadline's error within a trailer
 		return result.New(result.DeadlineExceeded, "the body did not arrive in time").WithRan(result.NotRun)
+	case err != nil && httpconn.CloserOf(r.Context()) == httpconn.CloserNone:
+		return result.Wrap(result.MalformedBody, err, "body not read")
 	case err != nil:
 		return result.Wrap(result.CallerGone, err, "body not read").WithRan(result.NotRun)
 	}
