test/soak: callers on kept connections while configurations, settings and processes change

Guards against whole requests without an answer or a refusal. Callers send requests in pieces, with a length and in chunks, at random times on connections that they keep until an answer closes them; two operators send changes of every kind (timeouts, services, routes, keys, limits, 1,400 routes) at once; gateways get series of SIGTERM with SIGHUP, unreadable settings and pauses, registries stop and start. Only the end of the grace period may cut a request. A request that reaches its gateway within 5 ms of a close and has not run is counted apart (crossed a close).

--- a/test/soak/kept_test.go
+++ b/test/soak/kept_test.go
@@ -37,6 +37,9 @@
 	// crossingTime bounds the way of a request to its gateway. A connection that the gateway
 	// closes within this time from a request's first byte may have been closed before.
 	crossingTime = 5 * time.Millisecond
+	// statusCallerGone is the status of code 4990; no caller here closes a connection before
+	// it has its answer.
+	statusCallerGone = 499
 )
 
 // incarnation is one process of a gateway.
@@ -207,6 +210,9 @@
 	}
 	count, _ := w.statuses.LoadOrStore(r.res.StatusCode, new(atomic.Int64))
 	count.(*atomic.Int64).Add(1)
+	if r.res.StatusCode == statusCallerGone {
+		w.reportViolation("LOST: %s (%s) was answered as if its caller had gone: %s", id, path, r.body)
+	}
 	if r.res.StatusCode == http.StatusOK {
 		complete := r.body == eventData(id, 0)
 		if path == "letters" {
