gateway, entry, registry, admin: a panic leaves no request without an answer

What callers would see: a panic in a handler of the entry, the administration API or the operators' API of a registry, or on a header at the gateway, ended the connection without an answer. A panic in one of the entry's goroutines (an attempt, a call, a step of the owner, a watch) ended the process with all its requests. No such panic is known; the paths were found by injecting one.

Cause: net/http closes the connection of a handler that panics; only the gateway's handler recovered, and only behind the parsing of the header. The entry had no recovery, unlike the gateway's and the registry's goroutines.

Class: a unit of work that isn't confined.

The entry's goroutines confine their work as the gateway's do; an attempt or call counts as lost then.

--- a/modules/admin/handler.go
+++ b/modules/admin/handler.go
@@ -55,7 +55,7 @@
 	for _, p := range srv.Mounts {
 		routes.Handle(p.Verb+" "+p.Pattern, mux)
 	}
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { m.serveOperator(routes, w, r) })
+	return failure.WithRecovery(m.log, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { m.serveOperator(routes, w, r) }))
 }
 
 // serveOperator authorizes a request and passes it to the handler of its route.
--- a/modules/entry/attempt.go
+++ b/modules/entry/attempt.go
@@ -14,6 +14,7 @@
 	"heatherway.dev/core/wire"
 	"heatherway.dev/heatherway/internal/failure"
 	"heatherway.dev/kernel/peer"
+	"heatherway.dev/kernel/recovery"
 	"heatherway.dev/kernel/result"
 )
 
@@ -176,7 +177,9 @@
 	args := c.callArgs(attempt, issued)
 	args.Permit = permit
 	outcomes := make(chan callOutcome, 1)
-	go func() { outcomes <- m.exchange(ctx, choice.assignment, args) }()
+	go func() {
+		outcomes <- m.confineCall(func() callOutcome { return m.exchange(ctx, choice.assignment, args) })
+	}()
 	return outcomes, nil
 }
 
@@ -189,6 +192,14 @@
 	}
 }
 
+// confineCall makes a call. A panic in it must not end the process; the call may then have run.
+func (m *Module) confineCall(call func() callOutcome) (outcome callOutcome) {
+	if err := recovery.Run(m.log, "call of a service", func() { outcome = call() }); err != nil {
+		return callOutcome{answerLost: true, err: result.Wrap(result.OutcomeUnknown, err, "the answer was lost")}
+	}
+	return outcome
+}
+
 // exchange sends the call on a connection that it uses alone and waits for the
 // answer.
 func (m *Module) exchange(ctx context.Context, a assignment, args *wire.CallArgs) callOutcome {
--- a/modules/entry/connection.go
+++ b/modules/entry/connection.go
@@ -17,6 +17,7 @@
 	"heatherway.dev/core/pick"
 	"heatherway.dev/core/stream"
 	"heatherway.dev/core/wire"
+	"heatherway.dev/kernel/recovery"
 	"heatherway.dev/kernel/result"
 )
 
@@ -163,7 +164,18 @@
 	// A new goroutine has a small stack. The stack of this one keeps the size
 	// that the request needed, which is 8 KiB more for as long as the stream is
 	// open.
-	go c.readStream(ctx, body)
+	go c.confine(ctx, func() { c.readStream(ctx, body) })
+}
+
+// confine runs a step of the connection. A panic in it must not end the process; the connection
+// then counts as lost, and its attempt may have run.
+func (c *conn) confine(ctx context.Context, step func()) {
+	err := recovery.Run(c.driver.module.log, "attempt of a generation", step)
+	if err == nil {
+		return
+	}
+	c.driver.notify(ctx, connEvent{conn: c.id, lost: true, agentReached: true, err: result.From(err)})
+	c.cancel()
 }
 
 // reportOutcome reports the outcome of the attempt to the owner.
--- a/modules/entry/driver.go
+++ b/modules/entry/driver.go
@@ -381,7 +381,8 @@
 		p = d.prepareNextAttempt(a.Cause)
 	}
 	d.module.metrics.attempts.Inc()
-	go c.openAttempt(ctx, a, p, d.pickRequest(), d.permit, d.crashes)
+	target, permit, crashes := d.pickRequest(), d.permit, d.crashes
+	go c.confine(ctx, func() { c.openAttempt(ctx, a, p, target, permit, crashes) })
 }
 
 // prepareNextAttempt records the failure that leads to another attempt and
@@ -419,7 +420,8 @@
 	_, known := d.assembler.Text()
 	c.request.Attach, c.request.Offset, c.request.Prefix = true, a.Offset, !known
 	d.module.metrics.attaches.Inc()
-	go c.attachToAttempt(ctx, a.Agent, d.pickRequest())
+	target := d.pickRequest()
+	go c.confine(ctx, func() { c.attachToAttempt(ctx, a.Agent, target) })
 }
 
 func (d *driver) generateRequest(a stream.Action) *wire.GenerateRequest {
--- a/modules/entry/entry.go
+++ b/modules/entry/entry.go
@@ -165,7 +165,7 @@
 	m.publicServer.ConnState = m.callerConns.ConnState
 	m.internalServer = &http.Server{Handler: m.internalHandler(), ReadHeaderTimeout: peer.DialTimeout * 4}
 	m.spawn(func() { m.owner.run(ctx) })
-	m.spawn(func() { m.owner.watch(ctx) })
+	m.spawn(func() { m.owner.watchAlways(ctx) })
 	m.spawn(func() { m.serve(m.publicServer, m.callerConns) })
 	m.spawn(func() { m.serve(m.internalServer, m.security.NewListener(m.internalListener)) })
 	return nil
--- a/modules/entry/handler.go
+++ b/modules/entry/handler.go
@@ -63,6 +63,7 @@
 	http.ResponseWriter
 	statusOverride int
 	writeTimeout   time.Duration
+	started        bool
 }
 
 // WriteHeader implements http.ResponseWriter.
@@ -70,6 +71,7 @@
 	if code == http.StatusOK && w.statusOverride != 0 {
 		code = w.statusOverride
 	}
+	w.started = w.started || code >= http.StatusOK
 	// A connection keeps its write deadline across requests, so the one of the
 	// previous answer has to be replaced.
 	_ = http.NewResponseController(w.ResponseWriter).SetWriteDeadline(time.Now().Add(w.writeTimeout))
@@ -145,6 +147,7 @@
 		s.requestID = string(wire.NewID())
 	}
 	s.w = &statusWriter{ResponseWriter: w, writeTimeout: m.Limits.WriteTime}
+	defer failure.Recover(m.log, s.w, s.requestID, func() bool { return s.w.started })
 	if m.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/modules/entry/owner.go
+++ b/modules/entry/owner.go
@@ -17,6 +17,7 @@
 	"heatherway.dev/core/retry"
 	"heatherway.dev/core/slo"
 	"heatherway.dev/core/wire"
+	"heatherway.dev/kernel/recovery"
 	"heatherway.dev/kernel/result"
 )
 
@@ -140,14 +141,18 @@
 		case <-ctx.Done():
 			return
 		case e := <-o.queue:
-			e.apply(o, time.Now())
+			o.confine(func() { e.apply(o, time.Now()) })
 		case now := <-tick.C:
-			o.checkBehind(now)
-			o.requestLeases(now)
+			o.confine(func() { o.checkBehind(now); o.requestLeases(now) })
 		}
 	}
 }
 
+// confine runs one step of the owner. A panic in it must not end the process.
+func (o *owner) confine(step func()) {
+	_ = recovery.Run(o.module.log, "step of the entry's state", step)
+}
+
 // publish makes a copy of the state the current snapshot. The entry is ready
 // once that contains a configuration.
 func (o *owner) publish() {
--- a/modules/entry/watch.go
+++ b/modules/entry/watch.go
@@ -6,6 +6,7 @@
 
 	"heatherway.dev/core/wire"
 	"heatherway.dev/kernel/peer"
+	"heatherway.dev/kernel/recovery"
 )
 
 // Timing of the watch.
@@ -19,6 +20,15 @@
 	watchRetryDelay = 100 * time.Millisecond
 )
 
+// watchAlways runs watch and starts it again after a panic on the content of a reply, which
+// must not end the process.
+func (o *owner) watchAlways(ctx context.Context) {
+	for ctx.Err() == nil {
+		_ = recovery.Run(o.module.log, "watch of the control instances", func() { o.watch(ctx) })
+		sleep(ctx, watchRetryDelay)
+	}
+}
+
 // watch follows the configuration, the subset of upstreams and the suspects by
 // long polls of one control instance. It changes to the next instance after a
 // failure.
--- a/modules/gateway/cut_test.go
+++ b/modules/gateway/cut_test.go
@@ -14,6 +14,8 @@
 	"gotest.tools/v3/assert"
 
 	"heatherway.dev/core/registration"
+	"heatherway.dev/heatherway/modules/dialect"
+	"heatherway.dev/heatherway/platform"
 )
 
 // rawCaller is a caller with one connection, which it uses until the gateway says that it
@@ -401,3 +403,27 @@
 	c.expect(200)
 	c.expect(200)
 }
+
+// fragileDialect panics on requests with a certain header.
+type fragileDialect struct{ *platform.Platform }
+
+// Request implements dialect.Dialect.
+func (d fragileDialect) Request(h http.Header) dialect.Request {
+	if h.Get("X-Fragile") != "" {
+		panic("fragile")
+	}
+	return d.Platform.Request(h)
+}
+
+// Guards against a request without an answer because the gateway fails unexpectedly on its header.
+func TestUnexpectedFailureOnHeaderIsAnswered(t *testing.T) {
+	f := newFixture(t, configuration(), startDesk(t))
+	f.dialect = fragileDialect{&platform.Platform{}}
+	c := f.dial()
+	for range 2 {
+		c.send(callerHead("POST", "/look/x", "HTTP/1.1", "x1") + "X-Fragile: 1\r\nContent-Length: 4\r\n\r\nbody")
+		c.expect(500)
+	}
+	c.send(callerHead("POST", "/look/x", "HTTP/1.1", "x2") + "Content-Length: 4\r\n\r\nbody")
+	c.expect(200)
+}
--- a/modules/gateway/handler.go
+++ b/modules/gateway/handler.go
@@ -64,9 +64,10 @@
 	g.metrics.requests.Inc()
 	g.openRequests.Add(1)
 	defer g.openRequests.Add(-1)
-	c := &callerRequest{g: g, w: w, caller: r.Context(), started: time.Now(), req: g.dialect.Request(r.Header), reservation: g.buffers.newReservation()}
+	c := &callerRequest{g: g, w: w, caller: r.Context(), started: time.Now(), reservation: g.buffers.newReservation()}
 	defer c.reservation.close()
 	defer c.recoverRequest()
+	c.req = g.dialect.Request(r.Header)
 	if err := c.admit(r); err != nil {
 		c.respondError(err)
 		return
--- a/modules/registry/operator.go
+++ b/modules/registry/operator.go
@@ -32,7 +32,7 @@
 	mux.HandleFunc(calls.ReadConfiguration, r.readConfiguration)
 	mux.HandleFunc(calls.Announce, r.announce)
 	mux.HandleFunc(calls.Deregister, r.deregister)
-	return mux
+	return failure.WithRecovery(r.log, mux)
 }
 
 // maxLoggedBytes bounds a text of a caller in a log line. A path may have maxHeaderBytes,
