--- a/modules/gateway/cut_test.go
+++ b/modules/gateway/cut_test.go
@@ -14,6 +14,8 @@
 	"gotest.tools/v3/assert"
 
 	"heatherway.dev/core/registration"
+	"heatherway.dev/heatherway/modules/dialect"
+	"heatherway.dev/heatherway/platform"
 )
 
 // rawCaller is a caller with one connection, which it uses until the gateway says that it
@@ -253,7 +255,8 @@
 		{"Deadline-Ms: 150\r\nContent-Length: 200\r\n\r\n", strings.Repeat("x", 200), 413},
 		{"Deadline-Ms: 150\r\nContent-Length: 9\r\n\r\n", "part", 504},
 		{"Deadline-Ms: 150\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\n", 504},
-		{"Deadline-Ms: 150\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\nzz\r\n", 499},
+		{"Deadline-Ms: 150\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\nzz\r\n", 400},
+		{"Deadline-Ms: 150\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\n0\r\n", 504},
 	} {
 		c := f.dial()
 		head := strings.Replace(callerHead("POST", "/look/x", "HTTP/1.1", fmt.Sprint("d", i)), "Deadline-Ms: 20000\r\n", "", 1)
@@ -400,3 +403,27 @@
 	c.expect(200)
 	c.expect(200)
 }
+
+// fragileDialect panics on requests with a certain header.
+type fragileDialect struct{ *platform.Platform }
+
+// Request implements dialect.Dialect.
+func (d fragileDialect) Request(h http.Header) dialect.Request {
+	if h.Get("X-Fragile") != "" {
+		panic("fragile")
+	}
+	return d.Platform.Request(h)
+}
+
+// Guards against a request without an answer because the gateway fails unexpectedly on its header.
+func TestUnexpectedFailureOnHeaderIsAnswered(t *testing.T) {
+	f := newFixture(t, configuration(), startDesk(t))
+	f.dialect = fragileDialect{&platform.Platform{}}
+	c := f.dial()
+	for range 2 {
+		c.send(callerHead("POST", "/look/x", "HTTP/1.1", "x1") + "X-Fragile: 1\r\nContent-Length: 4\r\n\r\nbody")
+		c.expect(500)
+	}
+	c.send(callerHead("POST", "/look/x", "HTTP/1.1", "x2") + "Content-Length: 4\r\n\r\nbody")
+	c.expect(200)
+}
--- a/modules/gateway/handler.go
+++ b/modules/gateway/handler.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"os"
 	"runtime/debug"
 	"slices"
 	"sync"
@@ -65,9 +64,10 @@
 	g.metrics.requests.Inc()
 	g.openRequests.Add(1)
 	defer g.openRequests.Add(-1)
-	c := &callerRequest{g: g, w: w, caller: r.Context(), started: time.Now(), req: g.dialect.Request(r.Header), reservation: g.buffers.newReservation()}
+	c := &callerRequest{g: g, w: w, caller: r.Context(), started: time.Now(), reservation: g.buffers.newReservation()}
 	defer c.reservation.close()
 	defer c.recoverRequest()
+	c.req = g.dialect.Request(r.Header)
 	if err := c.admit(r); err != nil {
 		c.respondError(err)
 		return
@@ -196,8 +196,10 @@
 		return err
 	case errors.Is(err, errBuffersFull):
 		return result.New(result.NoRoomForBody, "the buffers of this gateway are full").After(refusedRetryAfter)
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case err != nil && !time.Now().Before(c.deadline): // net/http hides the deadline's error within a trailer
 		return result.New(result.DeadlineExceeded, "the body did not arrive in time").WithRan(result.NotRun)
+	case err != nil && httpconn.CloserOf(r.Context()) == httpconn.CloserNone:
+		return result.Wrap(result.MalformedBody, err, "body not read")
 	case err != nil:
 		return result.Wrap(result.CallerGone, err, "body not read").WithRan(result.NotRun)
 	}
