gateway: only a 200 with text/event-stream continues a stream

Callers found the text of an error in the middle of their stream, or the stream ended as if it were complete, when a stream had broken off and its resume was answered with 200 and another content type, 201, 202, 204, 205 or 206: the body was read as events whatever it was, and text without an id was passed on. With an empty body the stream was complete. Before the first event, the same responses were cut at their last line or failed with 502 unless they ended with an empty line, instead of being delivered unchanged.

Class: a body is interpreted by its status class only. A response is now a stream of events if it has status 200 and the content type text/event-stream. Anything else is read whole: before the first event it is delivered unchanged with its seal, and as the answer to a resume it fails the attempt, so that the stream continues elsewhere or is cut without its final chunk.

Test upstreams that sent events without a content type now declare it (writeEvent, modelResponse), as the platform states; no check changed.

Sound before: statuses from 300 on, with each framing and body, and responses that are cut in their body.

go test ./modules/gateway -run \ 'TestResumeAnsweredWithoutEventStream|TestResponseWithoutEventStreamBeforeTheFirstEvent'

before: 167 cases of the first test, such as res.err is nil: the stream looks complete with the body "id: 0 ... id: 3 data: piece 3 server error: secret t..." and 88 of the second (status 200, 201, 206: unexpected EOF, or 502). after: ok. The test upstreams now ignore other ids; then 30 of 30 runs of a third of the cases pass.

--- a/modules/gateway/harness_test.go
+++ b/modules/gateway/harness_test.go
@@ -81,6 +81,7 @@
 
 // writeEvent writes one event of a stream with the given ID.
 func writeEvent(w http.ResponseWriter, id int) {
+	w.Header().Set("Content-Type", "text/event-stream") // no effect after the first event
 	fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", id, id)
 	w.(http.Flusher).Flush()
 }
--- a/modules/gateway/reader.go
+++ b/modules/gateway/reader.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"mime"
 	"net/http"
 
 	"github.com/go-faster/errors"
@@ -65,14 +66,22 @@
 	case meta.Encoded || !meta.Signed:
 		x.abandon()
 		return errors.New("the response has no signature or an encoded body")
-	case x.res.StatusCode >= http.StatusMultipleChoices:
+	case !isEventStream(x.res):
 		return r.readNonStream(a, x)
 	}
 	return r.readEvents(ctx, x)
 }
 
-// readNonStream reads a response that is not a stream. A server error of the upstream
-// may be followed by another attempt.
+// isEventStream reports whether the body of a response is a stream of events. Any other
+// body is the upstream's own message, which must not become part of a stream that has
+// begun.
+func isEventStream(res *http.Response) bool {
+	mediaType, _, err := mime.ParseMediaType(res.Header.Get("Content-Type"))
+	return err == nil && res.StatusCode == http.StatusOK && mediaType == "text/event-stream"
+}
+
+// readNonStream reads a response that is not a stream, which is delivered as a whole. A
+// server error of the upstream may be followed by another attempt.
 func (r *eventReader) readNonStream(a *attempt, x *exchange) error {
 	body, err := r.reservation.readResponse(x.res)
 	if err != nil {
--- /dev/null
+++ b/modules/gateway/resume_test.go
@@ -0,0 +1,191 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const eventStreamHead = "HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nResponse-Seal: s\r\nContent-Type: text/event-stream\r\n"
+
+// textEvents returns the bytes of the events from first to last.
+func textEvents(first, last int) string {
+	var b strings.Builder
+	for id := first; id <= last; id++ {
+		fmt.Fprintf(&b, "id: %d\ndata: piece %d\n\n", id, id)
+	}
+	return b.String()
+}
+
+// framings are the ways in which a body may be delimited. The last one leaves the
+// response incomplete.
+var framings = map[string]func(head, body string) string{
+	"length": func(head, body string) string {
+		return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+	},
+	"chunks": func(head, body string) string {
+		return head + "Transfer-Encoding: chunked\r\n\r\n" + chunk(body) + "0\r\n\r\n"
+	},
+	"neither": func(head, body string) string { return head + "\r\n" + body },
+}
+
+func chunk(body string) string {
+	if body == "" {
+		return ""
+	}
+	return fmt.Sprintf("%x\r\n%s\r\n", len(body), body)
+}
+
+// resumeTestID is the id of the caller's request in these tests. Upstreams ignore other
+// requests: a port may have belonged to another test a moment ago.
+var resumeTestID = fmt.Sprint("resume-", os.Getpid())
+
+// startResumeServers starts upstreams that share a script: the first request of a caller
+// is answered with first, each later one with next. Each response ends with its
+// connection; ID in it is replaced. It returns the header of each request.
+func startResumeServers(t *testing.T, count int, first, next string) (ups []*upstream, received func() []http.Header) {
+	var mu sync.Mutex
+	var headers []http.Header
+	for i := range count {
+		u := startRawUpstream(t, func(c net.Conn) {
+			defer c.Close()
+			r := bufio.NewReader(c)
+			for {
+				request, err := http.ReadRequest(r)
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, request.Body)
+				if strings.HasPrefix(request.URL.Path, "/v1/") {
+					_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(emptyReport), emptyReport)
+					continue
+				}
+				if request.Header.Get("Attempt-Id") != resumeTestID {
+					return
+				}
+				mu.Lock()
+				text := next
+				if len(headers) == 0 {
+					text = first
+				}
+				headers = append(headers, request.Header)
+				mu.Unlock()
+				_, _ = io.WriteString(c, strings.ReplaceAll(text, "ID", request.Header.Get("Attempt-Id")))
+				return
+			}
+		})
+		u.ID, u.Service, u.Zone = fmt.Sprint("u", i), "model", fmt.Sprint("z", i%2)
+		ups = append(ups, u)
+	}
+	return ups, func() []http.Header {
+		mu.Lock()
+		defer mu.Unlock()
+		return append([]http.Header(nil), headers...)
+	}
+}
+
+// brokenStream is a stream that breaks off after event 3.
+var brokenStream = eventStreamHead + "Transfer-Encoding: chunked\r\n\r\n" + chunk(textEvents(0, 3))
+
+// testResumeIsCut plays a stream that breaks off and whose resume is answered with next.
+// The caller must get the events before the break and a response that is incomplete.
+func testResumeIsCut(t *testing.T, next string) {
+	ups, _ := startResumeServers(t, 2, brokenStream, next)
+	conf := configuration()
+	conf.Routes[0].MaxAttempts = 2
+	f := newFixture(t, conf, ups...)
+	res := f.doStream("Attempt-Id", resumeTestID)
+	assert.Equal(t, res.status, http.StatusOK)
+	assert.Assert(t, res.err != nil, "the stream looks complete with the body %q", res.body)
+	assert.Equal(t, strings.TrimSuffix(res.body, ": keep alive\n\n"), textEvents(0, 3))
+}
+
+// Guards against the text of an error, or an event in it, in the middle of a stream that
+// broke off, and against a stream that looks complete because its resume was answered
+// with a response that is no stream.
+func TestResumeAnsweredWithoutEventStream(t *testing.T) {
+	const errorText = "server error: secret text\n\n"
+	heads := map[string]string{}
+	for _, status := range []string{"201 Created", "202 Accepted", "206 Partial Content", "300 Multiple Choices", "301 Moved", "302 Found", "303 See Other", "307 Temporary Redirect",
+		"308 Permanent Redirect", "400 Bad Request", "401 Unauthorized", "404 Not Found", "409 Conflict", "410 Gone", "418 Teapot", "422 Unprocessable", "429 Busy",
+		"500 Error", "501 Not Implemented", "502 Bad Gateway", "503 Busy", "504 Timeout", "599 Other"} {
+		heads[status] = "HTTP/1.1 " + status + "\r\nAttempt-Id: ID\r\nResponse-Seal: s\r\nLocation: /letters/y\r\nContent-Type: text/plain\r\n"
+		heads[status+" as events"] = "HTTP/1.1 " + status + "\r\nAttempt-Id: ID\r\nResponse-Seal: s\r\nLocation: /letters/y\r\nContent-Type: text/event-stream\r\n"
+	}
+	for _, contentType := range []string{"", "Content-Type: text/plain\r\n", "Content-Type: application/json\r\n", "Content-Type: text/html; charset=utf-8\r\n"} {
+		heads["200 with "+strings.TrimSpace(contentType)] = "HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nResponse-Seal: s\r\n" + contentType
+	}
+	heads["200 after 100"] = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nAttempt-Id: ID\r\nResponse-Seal: s\r\nContent-Type: text/event-stream\r\n\r\n" + heads["200 with Content-Type: text/plain"]
+	bodies := map[string]string{"text": errorText, "event without id": "event: error\ndata: secret text\n\n",
+		"next event": "id: 4\ndata: secret text\n\n", "all events": textEvents(0, 9), "empty": ""}
+	cases := map[string]string{}
+	for status, head := range heads {
+		for framing, frame := range framings {
+			for body, text := range bodies {
+				cases[status+", "+framing+", "+body] = frame(head, text)
+			}
+		}
+	}
+	for _, status := range []string{"204 No Content", "205 Reset Content", "304 Not Modified"} {
+		cases[status] = "HTTP/1.1 " + status + "\r\nAttempt-Id: ID\r\nResponse-Seal: s\r\n\r\n"
+	}
+	for name, next := range cases {
+		t.Run(name, func(t *testing.T) { testResumeIsCut(t, next) })
+	}
+}
+
+// Guards against an upstream's own response before the first event that is not delivered
+// as it was sent, with its seal, or that is delivered although it is incomplete.
+func TestResponseWithoutEventStreamBeforeTheFirstEvent(t *testing.T) {
+	for _, status := range []int{200, 201, 206, 302, 307, 400, 404, 418, 429, 500, 502, 503} {
+		for _, contentType := range []string{"", "text/plain", "application/json", "text/event-stream"} {
+			if status == http.StatusOK && contentType == "text/event-stream" {
+				continue
+			}
+			for framing, frame := range framings {
+				for _, body := range []string{"no stream", "a line\n\nid: 4\ndata: x\n\nrest", textEvents(0, 2), ""} {
+					t.Run(fmt.Sprintf("%d %s, %s, %.5q", status, contentType, framing, body), func(t *testing.T) {
+						head := fmt.Sprintf("HTTP/1.1 %d Status\r\nAttempt-Id: ID\r\nResponse-Seal: s\r\nX-Own: x\r\n", status)
+						if contentType != "" {
+							head += "Content-Type: " + contentType + "\r\n"
+						}
+						text := "HTTP/1.1 103 Early Hints\r\nX-Own: y\r\n\r\n" + frame(head, body)
+						ups, received := startResumeServers(t, 2, text, text)
+						conf := configuration()
+						conf.Routes[0].MaxAttempts = 2
+						f := newFixture(t, conf, ups...)
+						res := f.doStream("Attempt-Id", resumeTestID)
+						assert.NilError(t, res.err)
+						assert.Equal(t, res.status, status)
+						assert.Equal(t, res.body, body)
+						assert.Equal(t, res.header.Get("Response-Seal"), "s")
+						assert.Equal(t, res.header.Get("Content-Type"), contentType)
+						assert.DeepEqual(t, res.header.Values("X-Own"), []string{"x"})
+						if status < 500 {
+							assert.Equal(t, len(received()), 1)
+						}
+						if body == "" || framing == "neither" {
+							return
+						}
+						// The same response, cut in its body.
+						cut := text[:len(text)-len("0\r\n\r\n")-1]
+						ups, _ = startResumeServers(t, 2, cut, cut)
+						f = newFixture(t, conf, ups...)
+						res = f.doStream("Attempt-Id", resumeTestID)
+						assert.NilError(t, res.err)
+						assert.Equal(t, res.status, http.StatusBadGateway)
+						assert.Equal(t, res.header.Get("Response-Seal"), "")
+					})
+				}
+			}
+		}
+	}
+}
--- a/modules/gateway/stray_test.go
+++ b/modules/gateway/stray_test.go
@@ -25,7 +25,7 @@
 		return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(emptyReport), emptyReport)
 	}
 	body := "id: 0\ndata: x\n\nid: 1\ndata: x\n\nid: 2\ndata: x\n\n"
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Seal: s\r\nContent-Length: %d\r\n\r\n%s", request.Header.Get("Attempt-Id"), len(body), body)
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Seal: s\r\nContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%s", request.Header.Get("Attempt-Id"), len(body), body)
 }
 
 // repeatPreviousResponse responds to each request; before each further response on the
--- a/modules/gateway/stream.go
+++ b/modules/gateway/stream.go
@@ -92,8 +92,10 @@
 	meta   dialect.Response
 	status int
 	header http.Header
-	body   []byte
-	err    error
+	// nonStream is set if the response is no stream of events; body is then its body.
+	nonStream bool
+	body      []byte
+	err       error
 	// backupHolder has the copy of the KV cache that backupCopy identifies.
 	backupHolder registration.Upstream
 	backupCopy   dialect.CacheCopy
@@ -225,8 +227,8 @@
 func (s *streamRequest) handleReceive(a *attempt, r *eventReader, item readerItem, more bool) bool {
 	if !more {
 		a.err, a.complete = r.err, r.complete
-		if a.complete && s.responseStarted && a.status >= http.StatusMultipleChoices {
-			a.complete, a.err = false, errors.Errorf("the upstream responded to a resume with status %d", a.status)
+		if a.complete && s.responseStarted && a.nonStream {
+			a.complete, a.err = false, errors.Errorf("the upstream responded to a resume with status %d and no stream of events", a.status)
 		}
 		return true
 	}
@@ -288,7 +290,7 @@
 
 // recordHeader records the status and header of the response. The attempt goes on.
 func (s *streamRequest) recordHeader(a *attempt, response *http.Response) bool {
-	a.sent, a.status, a.header = true, response.StatusCode, response.Header
+	a.sent, a.status, a.header, a.nonStream = true, response.StatusCode, response.Header, !isEventStream(response)
 	a.meta, _ = s.responseMeta(response) // the reader returns the error
 	return false
 }
