agent: drop a reported revision that the control instances do not know

Cause: the agent keeps the highest revision that any peer has reported, and nothing lowered it. Class: a maximum of numbers that others report.

A revision that was reported before that call and that the quorum does not know is dropped and logged.

--- a/modules/agent/control.go
+++ b/modules/agent/control.go
@@ -174,6 +174,7 @@
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
 	go a.endStaleWatch(ctx, cancel)
+	reported, fresh := a.snapshot.Load().latestRevision, w.args.Fresh
 	var reply wire.WatchReply
 	if err := cl.Call(ctx, "Control.Watch", &w.args, &reply); err != nil {
 		return err
@@ -183,6 +184,13 @@
 	}
 	a.applySuspects(w, &reply)
 	a.queueOrders(ctx, &w.args, &reply)
+	if reported > reply.Revision {
+		// Only an instance that reaches a quorum can tell that the revision does not exist.
+		if fresh {
+			a.post(unknownRevisionEvent{reported, reply.Revision})
+		}
+		w.args.Fresh = w.args.Fresh || !fresh
+	}
 	return nil
 }
 
--- a/modules/agent/control_test.go
+++ b/modules/agent/control_test.go
@@ -39,6 +39,7 @@
 	states          []wire.UpstreamState
 	sequences       []uint64
 	noQuorum        bool // refuses announcements with code 5034
+	noFreshWatch    bool // refuses watches that need a quorum
 }
 
 type fakeControlService struct{ c *fakeControl }
@@ -71,6 +72,9 @@
 	time.Sleep(20 * time.Millisecond)
 	s.c.mu.Lock()
 	defer s.c.mu.Unlock()
+	if args.Fresh && s.c.noFreshWatch {
+		return peer.EncodeError(result.New(result.ControlUnavailable, "no quorum"))
+	}
 	reply.Suspects, reply.SuspectsChanged = s.c.suspectsVersion, s.c.suspectsVersion != args.Suspects
 	reply.Suspect = s.c.suspects
 	reply.Revision = max(args.Revision, s.c.revision)
--- a/modules/agent/owner.go
+++ b/modules/agent/owner.go
@@ -30,8 +30,10 @@
 type snapshot struct {
 	load     wire.Load
 	revision uint64
-	up       bool
-	crashes  uint64
+	// latestRevision is the newest revision that a peer has reported.
+	latestRevision uint64
+	up             bool
+	crashes        uint64
 	// upstreamLeaving and backoffUntil are the upstream's latest signals.
 	upstreamLeaving bool
 	backoffUntil    time.Time
@@ -109,7 +111,7 @@
 // publish replaces the snapshot and updates the gauges.
 func (o *owner) publish(now time.Time) {
 	o.dirty = false
-	s := &snapshot{load: o.queue.Load(now), revision: o.revision, up: o.up, crashes: o.crashes}
+	s := &snapshot{load: o.queue.Load(now), revision: o.revision, latestRevision: o.latestRevision, up: o.up, crashes: o.crashes}
 	s.load.Leaving = o.leaving || o.upstreamSignal.Leaving
 	s.upstreamLeaving, s.backoffUntil = o.upstreamSignal.Leaving, now.Add(o.upstreamSignal.Remaining(now))
 	o.a.snapshot.Store(s)
@@ -241,13 +243,29 @@
 	if revision <= o.latestRevision {
 		return
 	}
-	o.latestRevision = revision
+	o.latestRevision, o.dirty = revision, true
 	if o.latestRevision > o.revision && o.behindSince.IsZero() {
 		o.behindSince = now
 		o.a.control.watchNow()
 	}
 }
 
+// unknownRevisionEvent drops a revision that a peer had reported, since a quorum of the
+// control instances knows only older ones. Otherwise one false report would make the agent
+// refuse work for ever.
+type unknownRevisionEvent struct{ reported, known uint64 }
+
+func (e unknownRevisionEvent) apply(o *owner, _ time.Time) {
+	if o.latestRevision != e.reported || e.reported <= e.known {
+		return
+	}
+	o.a.log.Warn("a peer has reported a revision of the configuration that does not exist", "reported", e.reported, "newest", e.known)
+	o.latestRevision, o.dirty = max(o.revision, e.known), true
+	if o.latestRevision == o.revision {
+		o.behindSince = time.Time{}
+	}
+}
+
 // checkSuspect returns an error if the request is quarantined, or suspected of a
 // crash and without a permit.
 func (o *owner) checkSuspect(fingerprint string, permit wire.ID) error {
