control: refuse announcements of agents that no entry can use

What operators saw: not seen here; the counterpart of the registry's validation. An announcement over net/rpc with an undefined state, a port out of range, names with line ends or of megabytes, or an incarnation of 2^64-1 was accepted and sent to every entry. With that incarnation all later processes of the same ID are refused for an hour.

Cause: the call checked only that id, address and incarnation were present. Announcements in digests of other control instances were not checked. Class: values of another writer that are checked at some of the places that read them.

Change: member.Validate bounds every field, with the same rule for names as in registration. Announce refuses with 4001; a digest loses only its odd announcements, with one bounded log line. The host of an address may be a name, since operators configure it. The waiting time of a watch is limited before it is converted; 2^61 ms overflowed, so that Watch returned at once.

Ruled out: panics of the table, its index and deltas over random messages (TestOddMessagesDoNotPanic). Not bounded: the number of members, whose announcements need a certificate with the role agent.

--- a/core/registration/validate.go
+++ b/core/registration/validate.go
@@ -3,11 +3,10 @@
 import (
 	"cmp"
 	"net/netip"
-	"strings"
-	"unicode"
-	"unicode/utf8"
 
 	"github.com/go-faster/errors"
+
+	"heatherway.dev/core/internal/names"
 )
 
 // Bounds of the fields of an announcement. They are far above the figures of any upstream
@@ -15,7 +14,7 @@
 const (
 	// MaxNameBytes is the maximum length of an ID, a service name and a zone name. Records
 	// are sent together in one message, whose size is limited.
-	MaxNameBytes = 256
+	MaxNameBytes = names.MaxBytes
 	// MaxRecords is the maximum number of records in a directory. All of them with names of
 	// the maximum length, and a configuration, fit into one message between processes.
 	MaxRecords = 16384
@@ -39,7 +38,7 @@
 	}
 	required := u.State != Left
 	if err := cmp.Or(
-		validateName("id", u.ID, true), validateName("service", u.Service, required), validateName("zone", u.Zone, false),
+		names.Validate("id", u.ID, true), names.Validate("service", u.Service, required), names.Validate("zone", u.Zone, false),
 		validateRange("slots", int64(u.Slots), MaxSlots), validateRange("start time", u.StartedMS, MaxStartedMS),
 		validateRange("sequence number", u.Seq, MaxSeq), validateRange("warm-up time", u.ColdMS, MaxColdMS),
 	); err != nil {
@@ -68,22 +67,6 @@
 	return a, nil
 }
 
-// validateName checks that a name can be sent in an HTTP header and logged in one line, and
-// that it remains the same when it is encoded as JSON.
-func validateName(field, name string, required bool) error {
-	switch {
-	case name == "" && required:
-		return errors.Errorf("the %s is empty", field)
-	case len(name) > MaxNameBytes:
-		return errors.Errorf("the %s has %d bytes, more than %d", field, len(name), MaxNameBytes)
-	case !utf8.ValidString(name) || strings.ContainsFunc(name, func(r rune) bool { return !unicode.IsPrint(r) || r == utf8.RuneError }):
-		return errors.Errorf("the %s %.64q contains unprintable characters", field, name)
-	case strings.TrimSpace(name) != name:
-		return errors.Errorf("the %s %.64q begins or ends with a space", field, name)
-	}
-	return nil
-}
-
 func validateRange(field string, n, limit int64) error {
 	if n < 0 || n > limit {
 		return errors.Errorf("%s %d is not between 0 and %d", field, n, limit)
--- a/modules/control/digests.go
+++ b/modules/control/digests.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"time"
 
 	"heatherway.dev/core/member"
@@ -24,11 +26,28 @@
 
 // Merge applies another instance's digest.
 func (s *memberService) Merge(d member.Digest, r *member.DigestReply) error {
+	s.dropInvalid(&d)
 	unknown, err := query(s.c.ctx, s.c.membership, func(ch chan<- []uint64) memberEvent { return mergeEvent{d, ch} })
 	r.Unknown = unknown
 	return peer.EncodeError(err)
 }
 
+// dropInvalid removes announcements that cannot be used from a digest.
+func (s *memberService) dropInvalid(d *member.Digest) {
+	var first error
+	received := len(d.Full)
+	d.Full = slices.DeleteFunc(d.Full, func(a member.Announcement) bool {
+		err := member.Validate(&a.Upstream)
+		if first == nil {
+			first = err
+		}
+		return err != nil
+	})
+	if first != nil {
+		s.c.logger.Warn("announcements in a digest ignored", "from", fmt.Sprintf("%.64s", d.From), "ignored", received-len(d.Full), "error", first)
+	}
+}
+
 // sendDigests periodically sends another instance the announcements that this
 // one received, until ctx ends.
 func (c *Control) sendDigests(ctx context.Context, instance string, client *peer.Client) {
--- /dev/null
+++ b/modules/control/odd_test.go
@@ -0,0 +1,95 @@
+package control
+
+import (
+	"bytes"
+	"fmt"
+	"log/slog"
+	"math"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"heatherway.dev/core/member"
+	"heatherway.dev/core/wire"
+	"heatherway.dev/kernel/result"
+)
+
+// safeBuffer is a buffer that several goroutines may write to.
+type safeBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (s *safeBuffer) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+func (s *safeBuffer) lines(text string) (out []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for line := range strings.Lines(s.b.String()) {
+		if strings.Contains(line, text) {
+			out = append(out, line)
+		}
+	}
+	return out
+}
+
+var oddAnnouncements = map[string]func(*wire.Upstream){
+	"no id": func(u *wire.Upstream) { u.ID = "" }, "id": func(u *wire.Upstream) { u.ID = "a\r\nX: y" }, "long id": func(u *wire.Upstream) { u.ID = strings.Repeat("a", 1<<20) },
+	"port 0": func(u *wire.Upstream) { u.Addr = "127.0.0.1:0" }, "port": func(u *wire.Upstream) { u.Addr = "127.0.0.1:65536" }, "address": func(u *wire.Upstream) { u.Addr = "[::1" },
+	"state": func(u *wire.Upstream) { u.State = 9 }, "incarnation": func(u *wire.Upstream) { u.Incarnation = math.MaxUint64 }, "slots": func(u *wire.Upstream) { u.Slots = math.MaxUint32 },
+	"model": func(u *wire.Upstream) { u.Models = []string{"m\x00"} }, "zone": func(u *wire.Upstream) { u.Zone = "\xff" },
+}
+
+// Guards against an odd announcement of an agent that is taken in, from the agent or from
+// another control instance, and against good ones in the same digest that are lost with it.
+func TestOddAnnouncementsAreRefused(t *testing.T) {
+	c := newRunningControl(t)
+	log := &safeBuffer{}
+	c.logger = slog.New(slog.NewTextHandler(log, nil))
+	members := func() (ids []string) {
+		for _, u := range c.membership.view().Index.Members() {
+			ids = append(ids, u.ID)
+		}
+		return ids
+	}
+	n := 0
+	for name, change := range oddAnnouncements {
+		odd := newUpstream("odd", "z1")
+		change(&odd)
+		err := (&service{c: c}).Announce(wire.AnnounceArgs{Upstream: odd, Seq: 1}, &wire.AnnounceReply{})
+		assert.Check(t, err != nil && strings.Contains(err.Error(), fmt.Sprint(int(result.InvalidField))) && len(err.Error()) < 1000, "%s: %.200v", name, err)
+		n++
+		good := newUpstream(fmt.Sprint("good-", n), "z1")
+		var reply member.DigestReply
+		digest := member.Digest{From: "c2", Full: []member.Announcement{{Upstream: odd, Seq: 1}, {Upstream: good, Seq: 1}, {Upstream: odd, Seq: 2}}}
+		assert.NilError(t, (&memberService{c}).Merge(digest, &reply))
+		lines := log.lines("announcements in a digest ignored")
+		assert.Check(t, len(lines) == n && len(lines[n-1]) < 1000, "%s: %d lines", name, len(lines))
+	}
+	waitFor(t, func() bool { return len(members()) == n })
+	for _, id := range members() {
+		assert.Check(t, strings.HasPrefix(id, "good-"), id)
+	}
+}
+
+// Guards against a watch whose waiting time overflows, so that it returns without a pause.
+func TestWatchWaitStaysInRange(t *testing.T) {
+	c := newRunningControl(t)
+	for _, wait := range []int64{math.MaxInt64, 1 << 61, 9_223_372_036_855} {
+		begin := time.Now()
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = (&service{c: c}).Watch(wire.WatchArgs{Instance: "e", Role: "entry", Revision: 1 << 60, Suspects: 1 << 60, WaitMS: wait}, &wire.WatchReply{})
+		}()
+		<-done
+		assert.Check(t, time.Since(begin) > maxWatchWait/2, "a wait of %d ms returned after %v", wait, time.Since(begin))
+	}
+}
--- a/modules/control/service.go
+++ b/modules/control/service.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 
+	"heatherway.dev/core/member"
 	"heatherway.dev/core/quarantine"
 	"heatherway.dev/core/record"
 	"heatherway.dev/core/wire"
@@ -72,8 +73,8 @@
 	if err := s.checkRole("Announce", roleAgent); err != nil {
 		return err
 	}
-	if a.Upstream.ID == "" || a.Upstream.Addr == "" || a.Upstream.Incarnation == 0 {
-		return peer.EncodeError(result.New(result.InvalidField, "an announcement needs id, address and incarnation"))
+	if err := member.Validate(&a.Upstream); err != nil {
+		return peer.EncodeError(result.New(result.InvalidField, "announcement: %v", err))
 	}
 	refused, err := query(s.c.ctx, s.c.membership, func(ch chan<- bool) memberEvent { return announceEvent{a, ch} })
 	if err != nil {
--- a/modules/control/watch.go
+++ b/modules/control/watch.go
@@ -31,7 +31,7 @@
 	}
 	limit := maxWatchWait
 	if a.WaitMS > 0 {
-		limit = min(limit, milliseconds(a.WaitMS))
+		limit = milliseconds(min(a.WaitMS, limit.Milliseconds()))
 	}
 	_ = s.c.membership.post(watchEvent{a}) // used by the status only; the next watch repeats it
 	s.c.metrics.addWatches(1)
