member: an age below zero in a digest does not keep an upstream alive

If the clock of one control instance is set back, its digests state ages below zero. The others then consider the upstream as heard from in their future, and entries get an agent that has crashed until their clocks have caught up.

Cause: the age was subtracted from the local time as it was. Class: a number of another process that is trusted to have the right sign.

Change: ages are limited to the range from zero to the retention time.

Not changed: an instance whose own clock is set back keeps its members longer by that step.

Red before: core: go test -p 2 ./member -run TestOddAges age -1: 2 members after the silence, none wanted; the same with -1,000,000 Green after: ok, ./member complete (1.0 s).

--- a/core/member/digest.go
+++ b/core/member/digest.go
@@ -55,16 +55,21 @@
 			unknown = append(unknown, h.Content)
 			continue
 		}
-		_, c := t.merge(nowMS-h.AgeMS, e.upstream, h.Seq)
+		_, c := t.merge(nowMS-limitAge(h.AgeMS), e.upstream, h.Seq)
 		changed = changed || c
 	}
 	for _, a := range d.Full {
-		_, c := t.merge(nowMS-a.AgeMS, a.Upstream, a.Seq)
+		_, c := t.merge(nowMS-limitAge(a.AgeMS), a.Upstream, a.Seq)
 		changed = changed || c
 	}
 	return unknown, changed
 }
 
+// limitAge limits the age of an announcement that another instance states. It is negative if
+// that instance's clock was set back, and the upstream would not be lost until this one's
+// clock has reached the resulting time.
+func limitAge(ageMS int64) int64 { return min(max(ageMS, 0), RetentionMS) }
+
 // Incarnations returns the newest known incarnation of every upstream in the table.
 func (t *Table) Incarnations() map[string]wire.Incarnation {
 	out := make(map[string]wire.Incarnation, len(t.byID))
