entry: a panic over one event or reply does not end the process

What operators saw: not seen here; operators of similar systems saw machines end, or stop following the list, because of one odd entry.

Cause: the goroutine that owns the entry's state was not confined, unlike that of the gateway. A panic over a watch's reply ended the process, on every entry that gets the same list. With the event confined alone, the goroutine that watches would have waited for its answer for ever. Class: a panic in an owner goroutine.

Change: each event, the periodic work and each part of a watch's reply are confined.

Ruled out: a message that makes the entry panic. None was found (TestOddMessagesDoNotPanic). The agent's owner is left as it is: after a panic in the middle of an event its queue might hold a slot for a call that has run, and its end is noticed and repaired by others.

--- a/modules/entry/fake_test.go
+++ b/modules/entry/fake_test.go
@@ -57,6 +57,8 @@
 	watchErr       error
 	// freshErr is the error of watches that need a quorum.
 	freshErr error
+	// watches counts the calls of Watch.
+	watches int
 }
 
 // Watch implements Control.Watch. It answers with the complete state.
@@ -64,6 +66,7 @@
 	time.Sleep(20 * time.Millisecond) // limits the rate of the polls
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.watches++
 	if c.watchErr != nil {
 		return c.watchErr
 	}
--- a/modules/entry/odd_test.go
+++ b/modules/entry/odd_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"heatherway.dev/core/config"
+	"heatherway.dev/core/pick"
 	"heatherway.dev/core/wire"
 	"heatherway.dev/kernel/peer"
 	"heatherway.dev/kernel/result"
@@ -107,3 +108,40 @@
 	f.waitUntil(func() bool { return f.module.owner.current().revision() == 5 })
 	assert.Equal(t, f.module.owner.newestRevision.Load(), uint64(5))
 }
+
+// panicInput panics when the owner handles it.
+type panicInput struct{}
+
+func (panicInput) apply(*owner, time.Time) { panic("odd event") }
+
+// runInput runs a function in the owner's goroutine.
+type runInput func(*owner)
+
+func (f runInput) apply(o *owner, _ time.Time) { f(o) }
+
+// Guards against a process that ends because of a panic over one event, and against an entry
+// that stops following its control instance because of a panic over one reply.
+func TestPanicOverOneUpdate(t *testing.T) {
+	f := newFixture(t, newFakeAgent(t, "agent-1", generateTokens(1)))
+	f.module.owner.queue <- panicInput{}
+	f.waitUntil(func() bool {
+		return f.request(http.MethodPost, "/v1/completions", streamingBody).status == http.StatusOK
+	})
+
+	var table *pick.Table
+	f.module.owner.queue <- runInput(func(o *owner) { table, o.table = o.table, nil }) // each update of the members panics
+	f.control.update(func() { f.control.doc.Revision = 4 })
+	f.waitUntil(func() bool { return f.module.owner.current().revision() == 4 })
+	f.control.mu.Lock()
+	before := f.control.watches
+	f.control.mu.Unlock()
+	time.Sleep(500 * time.Millisecond)
+	f.control.mu.Lock()
+	watches := f.control.watches - before
+	f.control.mu.Unlock()
+	assert.Check(t, watches > 0 && watches <= 8, "%d watches in 500 ms", watches)
+	f.module.owner.queue <- runInput(func(o *owner) { o.table = table })
+	second := newFakeAgent(t, "agent-2", generateTokens(1))
+	f.control.update(func() { f.control.upstreams = append(f.control.upstreams, second.upstream()) })
+	f.waitUntil(func() bool { return len(f.module.owner.current().upstreams) == 2 })
+}
--- a/modules/entry/owner.go
+++ b/modules/entry/owner.go
@@ -17,6 +17,7 @@
 	"heatherway.dev/core/retry"
 	"heatherway.dev/core/slo"
 	"heatherway.dev/core/wire"
+	"heatherway.dev/kernel/recovery"
 	"heatherway.dev/kernel/result"
 )
 
@@ -140,14 +141,20 @@
 		case <-ctx.Done():
 			return
 		case e := <-o.queue:
-			e.apply(o, time.Now())
+			_ = o.confine("event of the entry", func() { e.apply(o, time.Now()) })
 		case now := <-tick.C:
-			o.checkBehind(now)
-			o.requestLeases(now)
+			_ = o.confine("periodic work of the entry", func() {
+				o.checkBehind(now)
+				o.requestLeases(now)
+			})
 		}
 	}
 }
 
+// confine runs one step of the owner's goroutine. A panic, for example over what another
+// process has sent, must not end all requests.
+func (o *owner) confine(step string, f func()) error { return recovery.Run(o.module.log, step, f) }
+
 // publish makes a copy of the state the current snapshot. The entry is ready
 // once that contains a configuration.
 func (o *owner) publish() {
@@ -167,17 +174,27 @@
 
 // watchVersions holds the versions of the parts that a watch follows. A version
 // of 0 requests the complete part.
-type watchVersions struct{ revision, members, suspects uint64 }
+type watchVersions struct {
+	revision, members, suspects uint64
+	// failed is set if a part could not be applied because of a panic.
+	failed bool
+}
 
 // apply applies the reply. A revision lower than the current one is ignored,
-// since a configuration in force never reverts.
+// since a configuration in force never reverts. A panic over one part does not hold
+// back the others, or the reply to the goroutine that watches.
 func (n watchUpdate) apply(o *owner, now time.Time) {
 	r := n.reply
-	versions := watchVersions{revision: o.applyConfiguration(r, now), members: o.applySubset(r)}
-	if r.SuspectsChanged {
-		quarantine.SetLocalExpiry(now.UnixMilli(), r.Suspect)
-		o.suspects, o.suspectsVersion = quarantine.ApplyReply(o.suspects, r), r.Suspects
-		o.next.suspects = indexSuspects(o.suspects)
+	versions := watchVersions{revision: o.next.revision(), members: o.membersVersion}
+	for _, part := range []struct {
+		name  string
+		apply func()
+	}{
+		{"configuration", func() { versions.revision = o.applyConfiguration(r, now) }},
+		{"members", func() { versions.members = o.applySubset(r) }},
+		{"suspects", func() { o.applySuspects(r, now) }},
+	} {
+		versions.failed = o.confine(part.name, part.apply) != nil || versions.failed
 	}
 	versions.suspects = o.suspectsVersion
 	o.checkBehind(now)
@@ -185,6 +202,15 @@
 	n.applied <- versions
 }
 
+func (o *owner) applySuspects(r *wire.WatchReply, now time.Time) {
+	if !r.SuspectsChanged {
+		return
+	}
+	quarantine.SetLocalExpiry(now.UnixMilli(), r.Suspect)
+	o.suspects, o.suspectsVersion = quarantine.ApplyReply(o.suspects, r), r.Suspects
+	o.next.suspects = indexSuspects(o.suspects)
+}
+
 // applyConfiguration applies a complete configuration or a delta. It returns the
 // revision, or 0 if the delta does not apply to the current one.
 func (o *owner) applyConfiguration(r *wire.WatchReply, now time.Time) uint64 {
@@ -240,8 +266,8 @@
 		o.membersVersion = 0
 		return 0
 	}
-	o.membersVersion = r.Members
 	o.replaceSubset(list)
+	o.membersVersion = r.Members
 	return o.membersVersion
 }
 
--- a/modules/entry/watch.go
+++ b/modules/entry/watch.go
@@ -38,13 +38,13 @@
 			sleep(ctx, watchRetryDelay)
 			continue
 		}
-		o.applyUpdate(ctx, &args, &reply)
+		failed := o.applyUpdate(ctx, &args, &reply)
 		if fresh {
 			o.dropUnknownRevision(reported, reply.Revision)
 		}
 		// Changes to the next instance if this one is behind a revision that a peer has
-		// reported, or if its configuration could not be applied.
-		if newest := o.newestRevision.Load(); args.Revision < max(reply.Revision, newest) {
+		// reported, or if its reply could not be applied.
+		if newest := o.newestRevision.Load(); failed || args.Revision < max(reply.Revision, newest) {
 			i++
 			args.Fresh = reply.Revision < newest
 			sleep(ctx, watchRetryDelay)
@@ -68,13 +68,14 @@
 }
 
 // applyUpdate passes the reply to the owner and sets args to continue from the
-// versions that the owner then has.
-func (o *owner) applyUpdate(ctx context.Context, args *wire.WatchArgs, reply *wire.WatchReply) {
+// versions that the owner then has. It reports whether a part could not be applied.
+func (o *owner) applyUpdate(ctx context.Context, args *wire.WatchArgs, reply *wire.WatchReply) (failed bool) {
 	applied := make(chan watchVersions, 1)
 	versions, ok := query(ctx, o, watchUpdate{reply, applied}, applied)
 	if !ok {
-		return
+		return true
 	}
 	args.Fresh = false
 	args.Revision, args.Members, args.Suspects = versions.revision, versions.members, versions.suspects
+	return versions.failed
 }
