control: a panic over one message about members does not end the process

What operators saw: not seen here; operators of similar systems saw machines end because of one odd entry.

Cause: the goroutine that owns the membership was not confined. A panic over an announcement or a digest ended the control instance with its log, on every instance that got the digest. With the message confined alone, its caller would have waited until the instance stops. Class: a panic in an owner goroutine.

Ruled out: a message that makes the table panic (TestOddMessagesDoNotPanic).

Red before: go test -p 2 ./modules/control -run TestPanicOver panic: odd event (the test process ended) Green after: ok; ./modules/control complete ok.

--- a/modules/control/control.go
+++ b/modules/control/control.go
@@ -189,7 +189,7 @@
 		machines = append(machines, r)
 	}
 	c.metrics = newCallMetrics(c.stats)
-	c.membership = newMembership(time.Now, c.stats)
+	c.membership = newMembership(c.logger, time.Now, c.stats)
 	c.limits = newRateLimits()
 	c.peers = c.security.NewClients()
 	return c.openLog(machines)
--- a/modules/control/members.go
+++ b/modules/control/members.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"log/slog"
 	"sync/atomic"
 	"time"
 
 	"heatherway.dev/core/member"
 	"heatherway.dev/core/wire"
+	"heatherway.dev/kernel/recovery"
 	"heatherway.dev/kernel/result"
 	"heatherway.dev/kernel/stats"
 )
@@ -15,6 +17,9 @@
 	memberQueueSize = 4096
 	// memberPostTimeout bounds how long an event waits for room in the queue.
 	memberPostTimeout = 50 * time.Millisecond
+	// memberReplyTimeout bounds how long a query waits for its reply. An event that has
+	// panicked sends none.
+	memberReplyTimeout = time.Second
 	// publishInterval limits how often changes of the members wake all watches.
 	// Each wake-up computes a subset for every entry.
 	publishInterval = 100 * time.Millisecond
@@ -50,6 +55,7 @@
 // membership keeps the membership table in a single goroutine and publishes
 // snapshots of it.
 type membership struct {
+	log     *slog.Logger
 	now     func() time.Time
 	events  chan memberEvent
 	current atomic.Pointer[membershipView]
@@ -58,8 +64,8 @@
 	count   stats.Gauge
 }
 
-func newMembership(now func() time.Time, st *stats.Registry) *membership {
-	m := &membership{now: now, events: make(chan memberEvent, memberQueueSize), dropped: st.Counter("control_member_events_dropped_total"), count: st.Gauge("control_members")}
+func newMembership(log *slog.Logger, now func() time.Time, st *stats.Registry) *membership {
+	m := &membership{log: log, now: now, events: make(chan memberEvent, memberQueueSize), dropped: st.Counter("control_member_events_dropped_total"), count: st.Gauge("control_members")}
 	m.current.Store(&membershipView{Index: member.NewIndex(nil)})
 	return m
 }
@@ -86,6 +92,8 @@
 	if err := m.post(event(reply)); err != nil {
 		return zero, err
 	}
+	ctx, cancel := context.WithTimeout(ctx, memberReplyTimeout)
+	defer cancel()
 	select {
 	case r := <-reply:
 		return r, nil
@@ -106,15 +114,21 @@
 			return
 		case e := <-m.events:
 			state.nowMS = m.now().UnixMilli()
-			e.handle(state)
+			_ = m.confine("message about members", func() { e.handle(state) })
 		case <-tick.C:
 			state.nowMS = m.now().UnixMilli()
-			state.expire()
-			m.publish(state, state.nowMS-start >= member.LostAfterMS)
+			_ = m.confine("publication of the members", func() {
+				state.expire()
+				m.publish(state, state.nowMS-start >= member.LostAfterMS)
+			})
 		}
 	}
 }
 
+// confine runs one step of the goroutine that owns the membership. A panic, for example over
+// what another process has sent, must not end the process.
+func (m *membership) confine(step string, f func()) error { return recovery.Run(m.log, step, f) }
+
 func (m *membership) publish(state *membershipState, warm bool) {
 	if !state.dirty && m.view().Warm == warm {
 		return
--- a/modules/control/odd_test.go
+++ b/modules/control/odd_test.go
@@ -93,3 +93,19 @@
 		assert.Check(t, time.Since(begin) > maxWatchWait/2, "a wait of %d ms returned after %v", wait, time.Since(begin))
 	}
 }
+
+// panicEvent panics when the owner of the membership handles it.
+type panicEvent struct{}
+
+func (panicEvent) handle(*membershipState) { panic("odd event") }
+
+// Guards against a process that ends because of a panic over one message about members, and
+// against a caller that waits for ever for the reply to such a message.
+func TestPanicOverOneMemberEvent(t *testing.T) {
+	c := newRunningControl(t)
+	begin := time.Now()
+	_, err := query(c.ctx, c.membership, func(chan<- bool) memberEvent { return panicEvent{} })
+	assert.Assert(t, err != nil && time.Since(begin) < 3*time.Second)
+	assert.NilError(t, (&service{c: c}).Announce(wire.AnnounceArgs{Upstream: newUpstream("a1", "z1"), Seq: 1}, &wire.AnnounceReply{}))
+	waitFor(t, func() bool { return len(c.membership.view().Index.Members()) == 1 })
+}
