quarantine: a crash report without a fingerprint no longer makes the log unreadable

One crash report with an empty fingerprint, from an entry or agent, was accepted, replicated and counted.

Cause: the report was not checked before it was proposed, and the state machine accepted what its own Restore refuses. Class: a decoder that is stricter than the code that produces its input; a whole document that is refused because of one entry.

Apply is unchanged, since all releases in a rolling upgrade must reach the same state.

Ruled out: agents and entries of this release do not send an empty fingerprint (agent/crash.go leaves it out); it takes another writer with their certificate. That a member ends was read in replica/group.go (open, restore), not run with processes.

Red before: go test -p 2 ./modules/control -run TestCrashReportW expected an error, got nil Green after: ok, with FuzzCommands; core: ./quarantine, ./member and ./registration ok.

The package names is renamed to namecheck, because quarantine's tests have that identifier.

--- a/core/internal/names/names.go
+++ b/core/internal/namecheck/namecheck.go
@@ -1,5 +1,5 @@
-// Package names checks the names in messages of other processes.
-package names
+// Package namecheck checks the names in messages of other processes.
+package namecheck
 
 import (
 	"strings"
--- a/core/member/validate.go
+++ b/core/member/validate.go
@@ -7,7 +7,7 @@
 
 	"github.com/go-faster/errors"
 
-	"heatherway.dev/core/internal/names"
+	"heatherway.dev/core/internal/namecheck"
 	"heatherway.dev/core/wire"
 )
 
@@ -30,7 +30,7 @@
 // error has a bounded length.
 func Validate(u *wire.Upstream) error {
 	if err := cmp.Or(
-		names.Validate("id", u.ID, true), names.Validate("zone", u.Zone, false), names.Validate("region", u.Region, false), validateAddr(u.Addr),
+		namecheck.Validate("id", u.ID, true), namecheck.Validate("zone", u.Zone, false), namecheck.Validate("region", u.Region, false), validateAddr(u.Addr),
 	); err != nil {
 		return err
 	}
@@ -48,7 +48,7 @@
 	}
 	for _, list := range [][]string{u.Models, u.Adapters, u.Services} {
 		for _, name := range list {
-			if err := names.Validate("name of a model, adapter or service", name, true); err != nil {
+			if err := namecheck.Validate("name of a model, adapter or service", name, true); err != nil {
 				return err
 			}
 		}
--- a/core/quarantine/state.go
+++ b/core/quarantine/state.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 
 	"heatherway.dev/core/crash"
+	"heatherway.dev/core/internal/namecheck"
 	"heatherway.dev/core/wire"
 	"heatherway.dev/kernel/result"
 )
@@ -54,6 +55,29 @@
 	return Result{}
 }
 
+// CheckReport removes fingerprints that identify no request from a crash report. It returns
+// an error if the rest of the report cannot be used. It is called before a report is proposed
+// to the log.
+func CheckReport(a *wire.CrashArgs) error {
+	if len(a.Fingerprints) > MaxReported {
+		return errors.Errorf("%d fingerprints in one report, at most %d", len(a.Fingerprints), MaxReported)
+	}
+	var invalid error
+	valid := make([]string, 0, len(a.Fingerprints))
+	for _, f := range a.Fingerprints {
+		if err := namecheck.Validate("fingerprint", f, true); err != nil {
+			invalid = cmp.Or(invalid, err)
+			continue
+		}
+		valid = append(valid, f)
+	}
+	if len(valid) == 0 && invalid != nil {
+		return invalid
+	}
+	a.Fingerprints = valid
+	return cmp.Or(namecheck.Validate("probation", a.Probation, false), namecheck.Validate("upstream", a.Upstream, false))
+}
+
 func (s *State) reportCrash(policy Policy, a wire.CrashArgs) Result {
 	if len(a.Fingerprints) > MaxReported {
 		return Result{Err: result.New(result.InvalidField, "%d fingerprints in one report, at most %d", len(a.Fingerprints), MaxReported)}
@@ -366,7 +390,9 @@
 	s.clock, s.nextExpiryMS, s.version = snap.ClockMS, snap.NextExpiryMS, snap.Version
 	for _, r := range snap.Records {
 		if r == nil || r.Fingerprint == "" {
-			return nil, errors.New("quarantine snapshot contains a record without a fingerprint")
+			// Earlier releases accepted reports with an empty fingerprint, which identifies no
+			// request. An error here would end the process at each start.
+			continue
 		}
 		if r.Strikes > 0 {
 			r.Weight, r.Strikes = r.Strikes*crash.FullWeight, 0
--- a/core/registration/validate.go
+++ b/core/registration/validate.go
@@ -6,7 +6,7 @@
 
 	"github.com/go-faster/errors"
 
-	"heatherway.dev/core/internal/names"
+	"heatherway.dev/core/internal/namecheck"
 )
 
 // Bounds of the fields of an announcement. They are far above the figures of any upstream
@@ -14,7 +14,7 @@
 const (
 	// MaxNameBytes is the maximum length of an ID, a service name and a zone name. Records
 	// are sent together in one message, whose size is limited.
-	MaxNameBytes = names.MaxBytes
+	MaxNameBytes = namecheck.MaxBytes
 	// MaxRecords is the maximum number of records in a directory. All of them with names of
 	// the maximum length, and a configuration, fit into one message between processes.
 	MaxRecords = 16384
@@ -38,7 +38,7 @@
 	}
 	required := u.State != Left
 	if err := cmp.Or(
-		names.Validate("id", u.ID, true), names.Validate("service", u.Service, required), names.Validate("zone", u.Zone, false),
+		namecheck.Validate("id", u.ID, true), namecheck.Validate("service", u.Service, required), namecheck.Validate("zone", u.Zone, false),
 		validateRange("slots", int64(u.Slots), MaxSlots), validateRange("start time", u.StartedMS, MaxStartedMS),
 		validateRange("sequence number", u.Seq, MaxSeq), validateRange("warm-up time", u.ColdMS, MaxColdMS),
 	); err != nil {
--- a/modules/control/odd_test.go
+++ b/modules/control/odd_test.go
@@ -109,3 +109,60 @@
 	assert.NilError(t, (&service{c: c}).Announce(wire.AnnounceArgs{Upstream: newUpstream("a1", "z1"), Seq: 1}, &wire.AnnounceReply{}))
 	waitFor(t, func() bool { return len(c.membership.view().Index.Members()) == 1 })
 }
+
+// Guards against a command in a replicated log, or a snapshot, that panics: it would end
+// every member at each start.
+func FuzzCommands(f *testing.F) {
+	for _, seed := range []string{
+		`{"at":1,"change":{"change_id":"a","author":"anna","reason":"r","edits":[{"kind":"set_default","name":"quarantine.period","value":"9s"}]}}`,
+		`{"at":1,"quarantine":{"crash":{"Upstream":"u","Incarnation":1,"CrashNumber":1,"Fingerprints":["f"],"Probation":"f"}}}`,
+		`{"at":1,"quarantine":{"permit":{"fingerprint":"f","id":"x","holder":"e","upstream":"u"}}}`, `{"at":2,"quarantine":{"return":{"fingerprint":"f","id":"x","passed":true}}}`,
+		`{"at":1,"quarantine":{"lift":{"fingerprint":"f","operator":"anna"}}}`,
+		`{"at":1,"lease":{"acquire":{"name":"orders","holder":"c1","request":"r","duration_ms":10}}}`, `{"at":1,"lease":{"expire":{"name":"orders","fence":1,"renewed":1}}}`,
+		`{"at":1,"order":{"stage":{"ID":"o","Kind":"load","Upstream":"u","Fence":1}}}`, `{"at":1,"order":{"release":["o"]}}`, `{"at":1,"order":{"done":{"ID":"o","Fence":1}}}`, `{"at":1,"order":{"cancel":"o"}}`,
+		`{"at":-9223372036854775808,"record_groups":9223372036854775807}`,
+		`{"start":{"Key":"k","Attempt":"a","BodyHash":"h","Agent":"a1","Incarnation":1}}`, `{"finish":{"Key":"k","Attempt":"a","Status":200}}`,
+	} {
+		f.Add([]byte(seed), []byte(strings.ReplaceAll(seed, "1", "9223372036854775807")))
+	}
+	f.Fuzz(func(t *testing.T, first, second []byte) {
+		fleet, records := newFleetMachine(), newRecordMachine()
+		for i, command := range [][]byte{first, second, first} {
+			fleet.Apply(uint64(i+1), command)
+			records.Apply(uint64(i+1), command)
+		}
+		restored := newFleetMachine()
+		if err := restored.Restore(fleet.Snapshot()); err != nil {
+			t.Fatalf("a snapshot that was taken cannot be restored: %v", err)
+		}
+		_ = newFleetMachine().Restore(first)
+		_ = newRecordMachine().Restore(second)
+	})
+}
+
+// Guards against a crash report without a fingerprint that is stored. The snapshot of a log
+// with such a record could not be restored, so that every member ended at each start.
+func TestCrashReportWithoutFingerprint(t *testing.T) {
+	c := newRunningControl(t)
+	report := func(fingerprints ...string) error {
+		args := wire.CrashArgs{Upstream: "u", Incarnation: 1, CrashNumber: uint64(len(fingerprints)), Fingerprints: fingerprints}
+		return (&service{c: c}).Crash(args, &wire.CrashReply{})
+	}
+	assert.ErrorContains(t, report(""), fmt.Sprint(int(result.InvalidField)))
+	assert.ErrorContains(t, report("", "\xff", strings.Repeat("f", 1<<20)), fmt.Sprint(int(result.InvalidField)))
+	assert.NilError(t, report("", "poison", "a\nb", "other"))
+	var suspects []string
+	for _, s := range c.fleet.view().SuspectList {
+		suspects = append(suspects, s.Fingerprint)
+	}
+	assert.DeepEqual(t, suspects, []string{"other", "poison"})
+	assert.NilError(t, newFleetMachine().Restore(c.fleet.Snapshot()))
+
+	// A log of an earlier release may contain such a report.
+	old := newFleetMachine()
+	old.Apply(1, []byte(`{"at":1,"quarantine":{"crash":{"Upstream":"u","Incarnation":1,"CrashNumber":1,"Fingerprints":["","poison"]}}}`))
+	restored := newFleetMachine()
+	assert.NilError(t, restored.Restore(old.Snapshot()))
+	assert.Equal(t, len(restored.view().SuspectList), 1)
+	assert.Equal(t, restored.view().SuspectList[0].Fingerprint, "poison")
+}
--- a/modules/control/service.go
+++ b/modules/control/service.go
@@ -106,6 +106,9 @@
 	if err := s.checkRole("Crash", roleEntry, roleAgent); err != nil {
 		return err
 	}
+	if err := quarantine.CheckReport(&a); err != nil {
+		return peer.EncodeError(result.New(result.InvalidField, "crash report: %v", err))
+	}
 	cmd := fleetCommand{Quarantine: &quarantine.Command{Crash: &a}}
 	return s.fleetCall("Crash", a, r, cmd, func(reply fleetReply) {
 		r.Suspect = withTimeLeft(reply.Suspects, nowMS())
