admission: bound the weights that entries send

Cause: only weights of zero or less were replaced. With NaN, or a weight so small that cost divided by it is infinite, the virtual time of the class became NaN or infinite until the class was idle, and organisations were no longer served by their shares. Class: a float of another process that passes a comparison written the wrong way round.

Change: a weight that is not above zero counts as 1, others are limited to 0.001 to 1000, the bounds of the configuration key.

Ruled out: other numbers of these calls: the class is checked before, the lease messages refuse NaN, infinities and negative amounts (TestMalformedMessages in core/limit).

Red before: core: go test -p 2 ./admission -run TestOddW 32 steps with a virtual time or a sum of weights that is no finite number; with NaN a got 4 and b 10 of 16 slots Green after: ok, ./admission complete (7.6 s).

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -128,6 +128,18 @@
 	return q.decisions
 }
 
+// minWeight and maxWeight bound a weight; the configuration has the same bounds.
+const minWeight, maxWeight = 0.001, 1000
+
+// limitWeight returns a weight that keeps all tags of fair queueing finite. Weights come from
+// other processes; one that is not a number would make the virtual time of its class so.
+func limitWeight(w float64) float64 {
+	if !(w > 0) {
+		return 1
+	}
+	return min(max(w, minWeight), maxWeight)
+}
+
 // Submit adds a request and returns the decisions that follow from it. A full queue is
 // checked before the deadline, since the newest request of another organisation may be
 // refused instead.
@@ -137,9 +149,7 @@
 		q.decisions = append(q.decisions, Decision{ID: r.ID, Action: Refuse, Code: result.Leaving})
 		return q.decisions
 	}
-	if r.Weight <= 0 {
-		r.Weight = 1
-	}
+	r.Weight = limitWeight(r.Weight)
 	q.seq++
 	it := &item{Request: r, seq: q.seq}
 	q.items[r.ID] = it
