gateway: a stream broken off does not look complete to a caller of HTTP/1.0

What callers saw: a part of a stream as a complete response, when the stream could not go on and the caller spoke HTTP/1.0.

Cause: the abort of a response closes its connection; without chunks that is the regular end of a response.

Class: an end of the connection that means two things.

Change: such a response ends in a reset (httpconn.ResetAtClose). Other callers keep the regular end, which delivers every event before it.

--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -39,8 +39,10 @@
 
 	mu     sync.Mutex
 	closed bool
-	closer Closer
-	phase  phase
+	// resetAtClose is set if Close resets the connection.
+	resetAtClose bool
+	closer       Closer
+	phase        phase
 	// idleSince is the start of the idle time, and idleLimit the limit in force when the
 	// last request was read.
 	idleSince time.Time
@@ -224,7 +226,13 @@
 	if !callerClosed {
 		c.closer = CloserSelf
 	}
+	reset := c.resetAtClose
 	c.mu.Unlock()
+	if reset {
+		_ = c.TCPConn.SetLinger(0) // an error means that the connection has ended already
+		c.listener.remove(c, false)
+		return c.TCPConn.Close()
+	}
 	if callerClosed || c.TCPConn.CloseWrite() != nil || !c.listener.startLinger() {
 		c.listener.remove(c, false)
 		return c.TCPConn.Close()
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -238,6 +238,16 @@
 	return context.WithValue(ctx, contextKey{}, unwrap(inner))
 }
 
+// ResetAtClose makes the end of the connection of the request with the given context a reset
+// instead of a regular end, which a caller of HTTP/1.0 takes for the end of the response.
+func ResetAtClose(ctx context.Context) {
+	if c, ok := ctx.Value(contextKey{}).(*Conn); ok && c != nil {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.resetAtClose = true
+	}
+}
+
 // CloserOf says who ended the connection of the request with the given context.
 func CloserOf(ctx context.Context) Closer {
 	if c, ok := ctx.Value(contextKey{}).(*Conn); ok && c != nil {
--- a/modules/gateway/cut_test.go
+++ b/modules/gateway/cut_test.go
@@ -171,6 +171,7 @@
 		"too large":           {callerHead("POST", "/book/x", "HTTP/1.1", "s3"), 413, 1 << 16, false},
 		"too large to buffer": {callerHead("POST", "/book/x", "HTTP/1.1", "s4"), 413, 0, false},
 		"while stopping":      {callerHead("POST", "/none", "HTTP/1.1", "s5"), 404, 0, true},
+		"buffers full":        {callerHead("POST", "/book/x", "HTTP/1.1", "full"), 503, 0, false},
 	} {
 		for _, chunked := range []bool{false, true} {
 			t.Run(fmt.Sprint(name, " chunked=", chunked), func(t *testing.T) {
@@ -178,6 +179,9 @@
 				conf.Limits.BodyBytes = test.limit
 				f := newFixture(t, conf, startDesk(t))
 				f.Grace, f.DrainDelay = 4*time.Second, time.Second
+				if test.status == http.StatusServiceUnavailable {
+					f.buffers.used.Store(f.buffers.limit)
+				}
 				if test.stop {
 					f.stopInBackground()
 					time.Sleep(20 * time.Millisecond)
@@ -427,3 +431,21 @@
 	c.send(callerHead("POST", "/look/x", "HTTP/1.1", "x2") + "Content-Length: 4\r\n\r\nbody")
 	c.expect(200)
 }
+
+// Guards against a part of a stream that looks complete to a caller of HTTP/1.0, for whom the end
+// of the connection is the end of the response.
+func TestBrokenStreamIsIncompleteForOldProtocol(t *testing.T) {
+	u := startUpstream(t, "model-1", "model", "z0", func(w http.ResponseWriter, _ *http.Request, _ int) {
+		writeEvent(w, 0)
+		time.Sleep(20 * time.Millisecond)
+		abort()
+	})
+	conf := configuration()
+	conf.Routes[0].MaxAttempts = 1
+	f := newFixture(t, conf, u)
+	c := f.dial()
+	c.send(callerHead("POST", "/letters/x", "HTTP/1.0", "b1") + "Content-Length: 6\r\n\r\nprompt")
+	res, body, err := c.receive()
+	assert.Equal(t, res.StatusCode, 200)
+	assert.Assert(t, err != nil, "%q looks complete", body)
+}
--- a/modules/gateway/handler.go
+++ b/modules/gateway/handler.go
@@ -52,6 +52,9 @@
 	mayHaveRun bool
 	// responseStarted is set once the response header has been written to the caller.
 	responseStarted bool
+	// endsWithConnection is set if a response without a length ends with its connection, as
+	// HTTP/1.0 has it.
+	endsWithConnection bool
 	// trial is set for a blocked request that runs once more as a trial.
 	trial bool
 	// fingerprintText caches the fingerprint.
@@ -64,7 +67,8 @@
 	g.metrics.requests.Inc()
 	g.openRequests.Add(1)
 	defer g.openRequests.Add(-1)
-	c := &callerRequest{g: g, w: w, caller: r.Context(), started: time.Now(), reservation: g.buffers.newReservation()}
+	c := &callerRequest{g: g, w: w, caller: r.Context(), started: time.Now(), reservation: g.buffers.newReservation(),
+		endsWithConnection: !r.ProtoAtLeast(1, 1)}
 	defer c.reservation.close()
 	defer c.recoverRequest()
 	c.req = g.dialect.Request(r.Header)
@@ -95,11 +99,19 @@
 	}
 	c.g.log.Error("unexpected failure", "unit", "request", "request", c.req.ID, "panic", r, "stack", string(debug.Stack()))
 	if c.responseStarted {
-		panic(http.ErrAbortHandler)
+		c.abortResponse()
 	}
 	c.respondError(result.New(result.Internal, "unexpected failure"))
 }
 
+// abortResponse ends a response that has started, so that it does not look complete.
+func (c *callerRequest) abortResponse() {
+	if c.endsWithConnection {
+		httpconn.ResetAtClose(c.caller)
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // admit resolves route, organisation and service of the request, reads its body, and
 // checks whether it may run.
 func (c *callerRequest) admit(r *http.Request) error {
--- a/modules/gateway/stream.go
+++ b/modules/gateway/stream.go
@@ -160,7 +160,7 @@
 		s.g.metrics.cutRequests.Inc()
 	}
 	s.logEvent("stream broken off", "last_event", last, "closed_by", string(closer), "error", reason)
-	panic(http.ErrAbortHandler)
+	s.abortResponse()
 }
 
 // relayEvents sends the request to the selected upstream and forwards its events until
