entry: a call whose deadline passes while it waits for an upstream gets code 5040

What callers saw: code 4990 (the caller closed its connection) on an open connection, when the deadline or the service's timeout passed while the entry's owner chose an upstream.

Cause: awaitSelection took every end of the context for the caller's.

Change: the deadline is named as such, "not run" for this attempt.

The test that found it plays callers on kept connections while limits, timeouts, keys and upstreams change, agents refuse and break off, and the entry stops.

--- a/modules/entry/owner.go
+++ b/modules/entry/owner.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"heatherway.dev/core/breaker"
 	"heatherway.dev/core/config"
 	"heatherway.dev/core/limit"
@@ -346,7 +348,11 @@
 		return s
 	}
 	go o.releaseUnclaimed(reply)
-	return selection{err: result.New(result.CallerGone, "the request ended").WithRan(result.NotRun)}
+	code, message := result.CallerGone, "the caller closed its connection"
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		code, message = result.DeadlineExceeded, "no upstream chosen before the deadline"
+	}
+	return selection{err: result.New(code, "%s", message).WithRan(result.NotRun)}
 }
 
 // releaseUnclaimed ends the attempt of a selection whose requester has stopped
