gateway: the test upstream of broken streams declares them as such

Since a body is a stream of events only with the content type text/event-stream; without it TestFormsOfUpstreamResponses got whole error responses where it expects a stream that breaks off. No check changed.

go test ./modules/gateway -run TestFormsOf -count=2 before: error is nil, not "unexpected EOF" (4 of 17 cases); after: ok

--- a/modules/gateway/cut_test.go
+++ b/modules/gateway/cut_test.go
@@ -311,7 +311,7 @@
 // or no body, ends early or falls silent. Only the response of a stream that has begun may
 // break off, and the connection must then end.
 func TestFormsOfUpstreamResponses(t *testing.T) {
-	const signed = "Attempt-Id: %s\r\nResponse-Seal: s\r\n"
+	const signed = "Attempt-Id: %s\r\nResponse-Seal: s\r\nContent-Type: text/event-stream\r\n"
 	for name, test := range map[string]struct {
 		response string
 		method   string
