gateway: only events, and only the rest of a stream, reach its caller

Callers found the head and text of an error in the middle of their stream when an upstream wrote them into a body with a length, with chunks or with neither: each block of lines up to an empty line was an event, and one without an id was passed on. A stream that broke off looked complete when its resume was answered with an event stream that had no events and ended with its connection, with data without an id only, or with ids that started anew and ended before the last event the caller had.

Class: bytes of an upstream are passed on without a check that they continue the stream. Now - a line that is neither a comment nor a field of the format (event, data, id, retry) fails the attempt before its event is forwarded; - data without an id is not forwarded in a response that an earlier attempt has started until this one has sent a new event, since it may be an error or be known to the caller; an attempt that brings nothing else is not complete; - an attempt that ends before the last event that the caller has is not complete (relay.Stream.EndedEarly); - a stream with neither length nor chunks that ends without any data is not complete. After the first event of an attempt its data without an id passes as before, so an end marker reaches the caller; if only the marker is missing, the stream is cut and the caller's next request gets it as its own response.

Also fixed: readEvent treated each 2 KiB of a long line as a line, so that "id:" at such a boundary changed the id, and a line end there ended the event.

Ruled out: a gap in the ids, an event that is not finished, a missing last chunk or a short body; the relay and the reader refused these before.

go test ./modules/gateway -run \ 'TestResumeAnsweredWithAnotherStream|TestErrorTextWithinAStream|TestResumeAnsweredWithTheRest'

--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -126,6 +126,11 @@
 // that the caller already had. Only an event ends the silence of an upstream.
 func (s *Stream) Received() int { return s.received }
 
+// EndedEarly reports whether the current attempt has sent events, but none as
+// late as the last one that the caller has. Its end is not the end of the
+// stream then.
+func (s *Stream) EndedEarly() bool { return s.received > 0 && s.highestEvent < s.lastEvent }
+
 // LongestPause returns the longest pause between two events delivered to the
 // caller.
 func (s *Stream) LongestPause() time.Duration { return s.longestPause }
--- a/modules/gateway/events.go
+++ b/modules/gateway/events.go
@@ -23,18 +23,25 @@
 	raw []byte
 	// id is -1 if the event has none.
 	id int64
+	// hasData is set if the event has a data field. Clients ignore events without one,
+	// such as comments that keep the connection open.
+	hasData bool
 	// reserved is the number of bytes that the event has reserved.
 	reserved int64
 }
 
-var errEventTooLarge = errors.New("an event of the stream exceeds its size limit")
+var (
+	errEventTooLarge = errors.New("an event of the stream exceeds its size limit")
+	errNoEvent       = errors.New("the stream contains a line that is no part of an event")
+)
 
 // readEvent reads one event up to and including its empty line. It returns
-// io.ErrUnexpectedEOF if the stream ends within an event. The bytes that a large event
-// has reserved are released by its receiver.
+// io.ErrUnexpectedEOF if the stream ends within an event, and errNoEvent if it contains
+// something else, such as the response head or the text of an error. The bytes that a
+// large event has reserved are released by its receiver.
 func readEvent(r *bufio.Reader, reservation *reservation) (event, error) {
 	e := event{id: -1}
-	for {
+	for lineStart := true; ; {
 		line, err := r.ReadSlice('\n')
 		e.raw = append(e.raw, line...)
 		if len(e.raw) > maxEventBytes {
@@ -46,6 +53,12 @@
 			}
 			e.reserved += more
 		}
+		field := bytes.TrimRight(line, "\r\n")
+		endsEvent := lineStart && len(field) == 0
+		if lineStart && !endsEvent && !e.addField(field) && (err == nil || errors.Is(err, bufio.ErrBufferFull)) {
+			return e, errNoEvent
+		}
+		lineStart = err == nil
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
@@ -55,14 +68,26 @@
 			}
 			return e, err
 		}
-		field := bytes.TrimRight(line, "\r\n")
-		if len(field) == 0 {
+		if endsEvent {
 			return e, nil
 		}
-		if v, ok := bytes.CutPrefix(field, []byte("id:")); ok {
-			if id, err := strconv.ParseInt(string(bytes.TrimSpace(v)), 10, 64); err == nil {
-				e.id = id
-			}
+	}
+}
+
+// addField adds a line to an event. It returns false if the line is neither a comment nor
+// one of the fields that the format of event streams defines.
+func (e *event) addField(line []byte) bool {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	switch string(name) {
+	case "", "event", "retry":
+	case "data":
+		e.hasData = true
+	case "id":
+		if id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64); err == nil {
+			e.id = id
 		}
+	default:
+		return false
 	}
+	return true
 }
--- a/modules/gateway/reader.go
+++ b/modules/gateway/reader.go
@@ -99,8 +99,14 @@
 
 func (r *eventReader) readEvents(ctx context.Context, x *exchange) error {
 	body := bufio.NewReaderSize(x.res.Body, readBufferBytes)
-	for {
+	// Without a length or chunks, an upstream that stops after the head cannot be told
+	// from one that has no events.
+	delimited := x.res.ContentLength >= 0 || len(x.res.TransferEncoding) > 0
+	for hasEvents := false; ; {
 		e, err := readEvent(body, r.reservation)
+		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && !hasEvents && !delimited {
+			err = io.ErrUnexpectedEOF
+		}
 		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
 			x.finish()
 			r.complete = true
@@ -110,6 +116,7 @@
 			x.abandon()
 			return err
 		}
+		hasEvents = hasEvents || e.hasData
 		if !r.enqueue(ctx, readerItem{event: e}) {
 			x.abandon()
 			return ctx.Err()
--- a/modules/gateway/resume_test.go
+++ b/modules/gateway/resume_test.go
@@ -189,3 +189,113 @@
 		}
 	}
 }
+
+// Guards against text that is no event, or an event that cannot be the next one, in the
+// middle of a stream that broke off, and against a stream that looks complete because the
+// response to its resume ended without being the rest of it.
+func TestResumeAnsweredWithAnotherStream(t *testing.T) {
+	const errorText = "server error: secret text\n\n"
+	cases := map[string]string{}
+	for framing, frame := range framings {
+		cases["events: text, "+framing] = frame(eventStreamHead, errorText)
+		cases["events: JSON, "+framing] = frame(eventStreamHead, "{\"error\": \"secret text\"}\n\n")
+		cases["events: HTML, "+framing] = frame(eventStreamHead, "<html>secret text</html>\r\n\r\n")
+		cases["events: another head, "+framing] = frame(eventStreamHead, "HTTP/1.1 500 Error\r\nContent-Type: text/plain\r\nContent-Length: 11\r\n\r\nsecret text")
+		cases["events: an error event without id, "+framing] = frame(eventStreamHead, "event: error\ndata: secret text\n\n")
+		cases["events: data without id, "+framing] = frame(eventStreamHead, "data: secret text\n\n")
+		cases["events: a partial event, "+framing] = frame(eventStreamHead, "id: 4\ndata: secret text\n")
+		cases["events: ids anew, "+framing] = frame(eventStreamHead, textEvents(0, 2))
+		cases["events: a gap, "+framing] = frame(eventStreamHead, "id: 5\ndata: secret text\n\n")
+		cases["events: an error event with id 0, "+framing] = frame(eventStreamHead, "id: 0\nevent: error\ndata: secret text\n\n")
+	}
+	cases["events: head only, connection ends"] = eventStreamHead + "\r\n"
+	cases["events: comments only, connection ends"] = eventStreamHead + "\r\n: keep alive\n\n"
+	cases["events: head only, chunks do not end"] = eventStreamHead + "Transfer-Encoding: chunked\r\n\r\n"
+	cases["events: head only, shorter than its length"] = eventStreamHead + "Content-Length: 100\r\n\r\n"
+	cases["events: a part of the head"] = eventStreamHead
+	cases["nothing"] = ""
+	for name, next := range cases {
+		t.Run(name, func(t *testing.T) { testResumeIsCut(t, next) })
+	}
+}
+
+// Guards against a resume that is refused although it is the rest of the stream, and
+// against data without an id that is repeated in the middle of the stream.
+func TestResumeAnsweredWithTheRest(t *testing.T) {
+	for framing, frame := range framings {
+		for name, c := range map[string]struct{ rest, want string }{
+			"next events":                {textEvents(4, 6), textEvents(0, 6)},
+			"all events":                 {textEvents(0, 6), textEvents(0, 6)},
+			"the same last event":        {textEvents(0, 3), textEvents(0, 3)},
+			"keep-alive, next events":    {": keep alive\n\nretry: 10\n\n" + textEvents(4, 6), textEvents(0, 3) + ": keep alive\n\nretry: 10\n\n" + textEvents(4, 6)},
+			"preamble, next events":      {"event: role\ndata: x\n\n" + textEvents(4, 6), textEvents(0, 6)},
+			"next events, end marker":    {textEvents(4, 6) + "data: [DONE]\n\n", textEvents(0, 6) + "data: [DONE]\n\n"},
+			"carriage returns, no space": {"id:4\r\ndata:x\r\n\r\n", textEvents(0, 3) + "id:4\r\ndata:x\r\n\r\n"},
+			"long lines": {"id: 4\ndata: " + strings.Repeat("x", readBufferBytes-6) + "\ndata: " + strings.Repeat("y", readBufferBytes-6) + "id: 9\n\n" + textEvents(5, 6),
+				textEvents(0, 3) + "id: 4\ndata: " + strings.Repeat("x", readBufferBytes-6) + "\ndata: " + strings.Repeat("y", readBufferBytes-6) + "id: 9\n\n" + textEvents(5, 6)},
+			"nothing": {"", textEvents(0, 3)},
+		} {
+			if framing == "neither" && name == "nothing" {
+				continue // cannot be told from an upstream that stopped after the head
+			}
+			t.Run(name+", "+framing, func(t *testing.T) {
+				ups, received := startResumeServers(t, 2, brokenStream, frame(eventStreamHead, c.rest))
+				f := newFixture(t, configuration(), ups...)
+				res := f.doStream("Attempt-Id", resumeTestID)
+				assert.NilError(t, res.err)
+				assert.Equal(t, res.body, c.want)
+				assert.Equal(t, res.header.Get("Response-Seal"), "s")
+				assert.Equal(t, len(received()), 2)
+				assert.Equal(t, received()[1].Get("Last-Event-Id"), "3")
+			})
+		}
+	}
+}
+
+// Guards against the text of an error that an upstream writes into its stream, at first or
+// after a resume, and against such a stream that looks complete.
+func TestErrorTextWithinAStream(t *testing.T) {
+	const errorHead = "HTTP/1.1 500 Error\r\nContent-Type: text/plain\r\nContent-Length: 11\r\n\r\nsecret text"
+	for name, text := range map[string]string{
+		"head":                    errorHead,
+		"head, empty line":        errorHead + "\n\n",
+		"head within an event":    "id: 6\ndata: pie" + errorHead + "\n\n",
+		"head after an event":     "id: 6\ndata: piece 6\n" + errorHead + "\n\n",
+		"text":                    "server error: secret text\n\n",
+		"text within an event":    "id: 6\nsecret text\n\n",
+		"JSON":                    "{\"error\": \"secret text\"}\n\n",
+		"long text":               strings.Repeat("secret text ", 1000) + "\n\n",
+		"a part of an event":      "id: 6\ndata: secret text\n",
+		"a part of a line":        "id: 6\ndata: secr",
+		"a part of the first one": "id: ",
+	} {
+		for framing, frame := range framings {
+			t.Run(name+", "+framing, func(t *testing.T) {
+				first := frame(eventStreamHead, textEvents(0, 5)+text)
+				ups, received := startResumeServers(t, 2, first, frame(eventStreamHead, textEvents(6, 9)))
+				f := newFixture(t, configuration(), ups...)
+				res := f.doStream("Attempt-Id", resumeTestID)
+				assert.NilError(t, res.err)
+				assert.Equal(t, res.body, textEvents(0, 9))
+				assert.Equal(t, received()[1].Get("Last-Event-Id"), "5")
+
+				ups, _ = startResumeServers(t, 2, brokenStream, frame(eventStreamHead, textEvents(4, 5)+text))
+				conf := configuration()
+				conf.Routes[0].MaxAttempts = 2
+				f = newFixture(t, conf, ups...)
+				res = f.doStream("Attempt-Id", resumeTestID)
+				assert.Assert(t, res.err != nil, "the stream looks complete with the body %q", res.body)
+				assert.Equal(t, res.body, textEvents(0, 5))
+			})
+		}
+	}
+	t.Run("head in place of a chunk", func(t *testing.T) {
+		ups, _ := startResumeServers(t, 2, brokenStream+errorHead, eventStreamHead+"Transfer-Encoding: chunked\r\n\r\n"+chunk(textEvents(4, 5))+errorHead)
+		conf := configuration()
+		conf.Routes[0].MaxAttempts = 2
+		f := newFixture(t, conf, ups...)
+		res := f.doStream("Attempt-Id", resumeTestID)
+		assert.Assert(t, res.err != nil, "the stream looks complete with the body %q", res.body)
+		assert.Equal(t, res.body, textEvents(0, 5))
+	})
+}
--- a/modules/gateway/stream.go
+++ b/modules/gateway/stream.go
@@ -85,6 +85,11 @@
 	events  int
 	// complete is set once the whole response has been forwarded or read.
 	complete bool
+	// continues is set if the response to the caller was started by an earlier attempt.
+	continues bool
+	// onlyUnidentified is set if the attempt has sent data without an id that was not
+	// forwarded, and no new event.
+	onlyUnidentified bool
 	// fromBackup is set if the attempt resumes from a copy of the KV cache.
 	fromBackup bool
 	// silent is set if the upstream was given up although its connection did not end.
@@ -123,7 +128,7 @@
 	if !ok {
 		return nil
 	}
-	a := &attempt{choice: loggedChoice{choice}, startedAt: time.Now()}
+	a := &attempt{choice: loggedChoice{choice}, startedAt: time.Now(), continues: s.responseStarted}
 	a.fromBackup = s.backupHolder.ID != "" && s.backupHolder.ID == choice.Upstream.ID
 	s.relayEvents(a)
 	return a
@@ -227,14 +232,29 @@
 func (s *streamRequest) handleReceive(a *attempt, r *eventReader, item readerItem, more bool) bool {
 	if !more {
 		a.err, a.complete = r.err, r.complete
-		if a.complete && s.responseStarted && a.nonStream {
-			a.complete, a.err = false, errors.Errorf("the upstream responded to a resume with status %d and no stream of events", a.status)
+		if a.complete {
+			a.err = s.checkEnd(a)
+			a.complete = a.err == nil
 		}
 		return true
 	}
 	return s.forwardItem(a, item)
 }
 
+// checkEnd returns an error if the complete response of an attempt cannot be the rest of
+// the stream that the caller has begun to receive.
+func (s *streamRequest) checkEnd(a *attempt) error {
+	switch {
+	case a.continues && a.nonStream:
+		return errors.Errorf("the upstream responded to a resume with status %d and no stream of events", a.status)
+	case a.continues && a.onlyUnidentified:
+		return errors.New("the upstream responded to a resume with events without an id")
+	case s.relay.EndedEarly():
+		return errors.New("the upstream ended the stream before the last event that the caller has")
+	}
+	return nil
+}
+
 // attemptRequest returns the request for an attempt.
 func (s *streamRequest) attemptRequest(a *attempt) *outgoingRequest {
 	f := dialect.Forward{LastEventID: dialect.NoEvent, BackupTo: a.choice.Backup.Addr, Urgency: &s.priority}
@@ -262,6 +282,11 @@
 	}
 	defer s.reservation.release(item.event.reserved)
 	if item.event.id < 0 {
+		if a.continues && !a.started && item.event.hasData {
+			// It may be an error, or the caller may have it from an earlier attempt.
+			a.onlyUnidentified = true
+			return s.countFiller(a, item.event)
+		}
 		return s.countFiller(a, item.event) || s.write(a, item.event.raw)
 	}
 	switch s.relay.ReceiveEvent(time.Now(), item.event.id) {
@@ -300,7 +325,7 @@
 	if a.started {
 		return
 	}
-	a.started = true
+	a.started, a.onlyUnidentified = true, false
 	now, ticket, load, resumed := time.Now(), a.choice.Ticket, a.meta.Load, a.fromBackup
 	s.g.owner.post(func(st *state) {
 		st.fleet.RecordStarted(now, ticket)
