adapter: one connection for each request to an engine or service

An engine that repeated an earlier 503, 429 or 404 on a kept connection while it ran the next request made the agent report queue_full or model_unknown "not run", and the entry sent the generation to a second engine. A repeated text, or the repeated answer of a service to an idempotent call, went to another caller.

Cause: the HTTP transport drops a connection on which bytes arrive while it is idle, but takes bytes that arrive between the next request and its answer for that answer, and neither protocol has an id by which to tell.

Class: a response is matched to a request by its position on a connection that carried others. All requests to the upstream beside the agent (generations, calls, lists of models, orders, health checks) now use a connection of their own; orders, probes and calls that are not idempotent did before. The three clients of the engine become one. Retries of the transport on kept connections disappear with them.

Ruled out: reporting refusals on kept connections as unknown; a repeated text would still go to another caller. Sound before: calls that are not idempotent, and incomplete responses of services (TestIncompleteResponses), which are never reported as not run.

go test ./modules/adapter/... -run 'TestRepeatedResponses|TestIncompleteResponses'

--- a/modules/adapter/http.go
+++ b/modules/adapter/http.go
@@ -15,8 +15,6 @@
 )
 
 const (
-	// idleConnTimeout bounds how long an idle connection to the upstream is kept open.
-	idleConnTimeout = 30 * time.Second
 	// maxHeaderBytes bounds the size of an upstream's response headers.
 	maxHeaderBytes = 64 << 10
 	// bufferSize is the size of a connection's read and write buffers. It is small to
@@ -30,13 +28,15 @@
 // also during a prefill, when the engine sends nothing.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3}
 
-// Transport returns an HTTP transport for requests to the upstream beside the agent,
-// which keeps as many idle connections as the upstream has slots.
-func Transport(slots int) *http.Transport {
+// Transport returns an HTTP transport for requests to the upstream beside the agent. It
+// opens a connection for each request: the responses of engines and services do not name
+// their request, so on a kept connection a late or repeated response to an earlier request
+// would be taken for the response to the next one. A request on a kept connection that the
+// upstream has closed would also fail with an unknown outcome.
+func Transport() *http.Transport {
 	return &http.Transport{
 		DialContext:            (&net.Dialer{Timeout: peer.DialTimeout, KeepAliveConfig: keepAlive}).DialContext,
-		MaxIdleConnsPerHost:    slots,
-		IdleConnTimeout:        idleConnTimeout,
+		DisableKeepAlives:      true,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		ReadBufferSize:         bufferSize,
 		WriteBufferSize:        bufferSize,
@@ -44,14 +44,6 @@
 	}
 }
 
-// UnpooledTransport returns an HTTP transport that makes a new connection for each
-// request.
-func UnpooledTransport() *http.Transport {
-	t := Transport(1)
-	t.DisableKeepAlives = true
-	return t
-}
-
 // ProbeURL requests a health check URL and returns an error unless the status is 200. The
 // code queue_full means that the upstream asks for backoff, which says nothing about its
 // health.
--- a/modules/adapter/openai/openai.go
+++ b/modules/adapter/openai/openai.go
@@ -56,11 +56,7 @@
 
 	adapter.SignalReader `yaml:"-"`
 
-	client      *http.Client
-	probeClient *http.Client
-	// orderClient makes a new connection for each order. On a reused connection that the
-	// engine has closed, it would be unknown whether the engine received the order.
-	orderClient  *http.Client
+	client       *http.Client
 	listedModels atomic.Pointer[[]string]
 }
 
@@ -82,17 +78,7 @@
 // Provision implements kernel.Provisioner.
 func (e *Engine) Provision(*kernel.Context) error {
 	e.URL = strings.TrimRight(e.URL, "/")
-	e.client = &http.Client{Transport: e.WrapTransport(adapter.Transport(e.Slots))}
-	e.probeClient = &http.Client{Transport: e.WrapTransport(adapter.UnpooledTransport())}
-	e.orderClient = &http.Client{Transport: e.WrapTransport(adapter.UnpooledTransport())}
-	return nil
-}
-
-// Cleanup implements kernel.Cleaner.
-func (e *Engine) Cleanup() error {
-	if e.client != nil {
-		e.client.CloseIdleConnections()
-	}
+	e.client = &http.Client{Transport: e.WrapTransport(adapter.Transport())}
 	return nil
 }
 
@@ -103,7 +89,7 @@
 
 // Probe implements adapter.Upstream.
 func (e *Engine) Probe(ctx context.Context) error {
-	return adapter.ProbeURL(ctx, e.probeClient, e.URL+"/health")
+	return adapter.ProbeURL(ctx, e.client, e.URL+"/health")
 }
 
 // Generate implements adapter.Generator.
--- a/modules/adapter/openai/orders.go
+++ b/modules/adapter/openai/orders.go
@@ -52,7 +52,7 @@
 	}
 	req.GetBody = nil // prevents the transport from resending the order
 	req.Header.Set("Content-Type", "application/json")
-	res, err := e.orderClient.Do(req)
+	res, err := e.client.Do(req)
 	if err != nil {
 		return adapter.TransportError(err)
 	}
--- /dev/null
+++ b/modules/adapter/openai/stray_test.go
@@ -0,0 +1,96 @@
+package openai
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"heatherway.dev/core/wire"
+	"heatherway.dev/heatherway/modules/adapter"
+)
+
+// startEngine starts a raw TCP engine. handle writes the response to request number n of
+// the engine; first is set for the first request on its connection.
+func startEngine(t *testing.T, handle func(c net.Conn, r *http.Request, n int64, first bool)) *Engine {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	var requests atomic.Int64
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				r := bufio.NewReader(c)
+				for first := true; ; first = false {
+					request, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, request.Body)
+					handle(c, request, requests.Add(1), first)
+				}
+			}()
+		}
+	}()
+	e := &Engine{URL: "http://" + l.Addr().String(), Models: []string{"m"}, Slots: 4, Resume: resumeFields}
+	assert.NilError(t, e.Validate())
+	assert.NilError(t, e.Provision(nil))
+	return e
+}
+
+const finishedText = "data: {\"choices\":[{\"text\":\"%d\"}]}\n\ndata: {\"choices\":[{\"text\":\"\",\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n"
+
+func engineResponse(status, contentType, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %s\r\nContent-Type: %s\r\nLocation: /other\r\nContent-Length: %d\r\n\r\n%s", status, contentType, len(body), body)
+}
+
+func generate(t *testing.T, e *Engine) (text string, err error) {
+	err = e.Generate(t.Context(), &adapter.Job{Kind: wire.Completion, Body: json.RawMessage(`{"prompt":"p"}`)},
+		func(ev adapter.Event) error { text += ev.Text; return nil })
+	return text, err
+}
+
+// Guards against the response to an earlier request that is taken for the response to the
+// next one: a refusal is then reported as not run while the engine runs the request, and
+// a text goes to another caller. The responses of engines do not name their request.
+func TestRepeatedResponses(t *testing.T) {
+	for name, earlier := range map[string]string{
+		"refusal 503": engineResponse("503 Busy", "text/plain", "busy"),
+		"refusal 429": engineResponse("429 Busy", "text/plain", "busy"),
+		"refusal 404": engineResponse("404 Not Found", "text/plain", "no model"),
+		"text":        engineResponse("200 OK", "text/event-stream", fmt.Sprintf(finishedText, 1)),
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := startEngine(t, func(c net.Conn, _ *http.Request, n int64, first bool) {
+				if n == 1 {
+					_, _ = io.WriteString(c, earlier)
+					return
+				}
+				if !first {
+					_, _ = io.WriteString(c, earlier)
+				}
+				time.Sleep(2 * time.Millisecond)
+				_, _ = io.WriteString(c, engineResponse("200 OK", "text/event-stream", fmt.Sprintf(finishedText, n)))
+			})
+			_, _ = generate(t, e)
+			for n := 2; n < 6; n++ {
+				text, err := generate(t, e)
+				assert.NilError(t, err)
+				assert.Equal(t, text, fmt.Sprint(n))
+			}
+		})
+	}
+}
--- a/modules/adapter/plain/plain.go
+++ b/modules/adapter/plain/plain.go
@@ -47,11 +47,8 @@
 
 	adapter.SignalReader `yaml:"-"`
 
-	client *http.Client
-	// unpooledClient makes a new connection for each call. On a reused connection that
-	// the service has closed, a call would fail with an unknown outcome.
-	unpooledClient *http.Client
-	probeClient    *http.Client
+	client      *http.Client
+	probeClient *http.Client
 }
 
 // Validate implements kernel.Validator.
@@ -72,9 +69,8 @@
 // Provision implements kernel.Provisioner.
 func (s *Service) Provision(*kernel.Context) error {
 	s.URL = strings.TrimRight(s.URL, "/")
-	s.client = newClient(s.WrapTransport(adapter.Transport(s.Slots)))
-	s.unpooledClient = newClient(s.WrapTransport(adapter.UnpooledTransport()))
-	s.probeClient = &http.Client{Transport: s.WrapTransport(adapter.UnpooledTransport())}
+	s.client = newClient(s.WrapTransport(adapter.Transport()))
+	s.probeClient = &http.Client{Transport: s.WrapTransport(adapter.Transport())}
 	return nil
 }
 
@@ -87,14 +83,6 @@
 	}
 }
 
-// Cleanup implements kernel.Cleaner.
-func (s *Service) Cleanup() error {
-	if s.client != nil {
-		s.client.CloseIdleConnections()
-	}
-	return nil
-}
-
 // Info implements adapter.Upstream.
 func (s *Service) Info() adapter.Info { return adapter.Info{Services: s.Services, Slots: s.Slots} }
 
@@ -109,12 +97,8 @@
 	if err != nil {
 		return nil, err
 	}
-	c := s.client
-	if !args.Idempotent {
-		c = s.unpooledClient
-		req.GetBody = nil // prevents the transport from resending the call
-	}
-	res, err := c.Do(req)
+	req.GetBody = nil // prevents the transport from resending the call
+	res, err := s.client.Do(req)
 	if err != nil {
 		return nil, adapter.TransportError(err)
 	}
