adapter: redirects of an engine are not followed

An engine that answered a generation with 307 or 308 had it sent again to the address it named, and with 301, 302 or 303 the response from there was read as the engine's: a text from elsewhere became the answer, an order counted as executed, and a list of models was taken over. Redirects of plain services were not followed before.

Class: the response of another address is taken for that of the upstream. Health checks follow redirects as before, since they run nothing.

go test ./modules/adapter/openai -run TestRedirectsAreNotFollowed

--- a/modules/adapter/http.go
+++ b/modules/adapter/http.go
@@ -44,6 +44,16 @@
 	}
 }
 
+// NewClient returns an HTTP client that does not follow redirects: they are responses of
+// the upstream, and following one would send the request again, or take the response of
+// another address for that of the upstream.
+func NewClient(t http.RoundTripper) *http.Client {
+	return &http.Client{
+		Transport:     t,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
 // ProbeURL requests a health check URL and returns an error unless the status is 200. The
 // code queue_full means that the upstream asks for backoff, which says nothing about its
 // health.
--- a/modules/adapter/openai/openai.go
+++ b/modules/adapter/openai/openai.go
@@ -57,6 +57,7 @@
 	adapter.SignalReader `yaml:"-"`
 
 	client       *http.Client
+	probeClient  *http.Client
 	listedModels atomic.Pointer[[]string]
 }
 
@@ -78,7 +79,8 @@
 // Provision implements kernel.Provisioner.
 func (e *Engine) Provision(*kernel.Context) error {
 	e.URL = strings.TrimRight(e.URL, "/")
-	e.client = &http.Client{Transport: e.WrapTransport(adapter.Transport())}
+	e.client = adapter.NewClient(e.WrapTransport(adapter.Transport()))
+	e.probeClient = &http.Client{Transport: e.WrapTransport(adapter.Transport())}
 	return nil
 }
 
@@ -89,7 +91,7 @@
 
 // Probe implements adapter.Upstream.
 func (e *Engine) Probe(ctx context.Context) error {
-	return adapter.ProbeURL(ctx, e.client, e.URL+"/health")
+	return adapter.ProbeURL(ctx, e.probeClient, e.URL+"/health")
 }
 
 // Generate implements adapter.Generator.
--- a/modules/adapter/openai/stray_test.go
+++ b/modules/adapter/openai/stray_test.go
@@ -15,6 +15,7 @@
 
 	"heatherway.dev/core/wire"
 	"heatherway.dev/heatherway/modules/adapter"
+	"heatherway.dev/kernel/result"
 )
 
 // startEngine starts a raw TCP engine. handle writes the response to request number n of
@@ -94,3 +95,28 @@
 		})
 	}
 }
+
+// Guards against a request that runs at another address, or a text or a list of models
+// from there, because the engine answers with a redirect.
+func TestRedirectsAreNotFollowed(t *testing.T) {
+	for _, status := range []int{301, 302, 303, 307, 308} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			var followed atomic.Int64
+			e := startEngine(t, func(c net.Conn, r *http.Request, n int64, _ bool) {
+				if r.URL.Path == "/other" {
+					followed.Add(1)
+					_, _ = io.WriteString(c, engineResponse("200 OK", "text/event-stream", fmt.Sprintf(finishedText, n)))
+					return
+				}
+				_, _ = io.WriteString(c, engineResponse(fmt.Sprint(status, " Moved"), "text/plain", "moved"))
+			})
+			text, err := generate(t, e)
+			assert.Assert(t, result.Is(err, result.UpstreamFailed), "%v", err)
+			assert.Equal(t, text, "")
+			assert.Assert(t, e.Order(t.Context(), wire.Order{Kind: wire.LoadModel}) != nil)
+			_, err = e.Refresh(t.Context())
+			assert.Assert(t, err != nil)
+			assert.Equal(t, followed.Load(), int64(0))
+		})
+	}
+}
--- a/modules/adapter/plain/plain.go
+++ b/modules/adapter/plain/plain.go
@@ -69,20 +69,11 @@
 // Provision implements kernel.Provisioner.
 func (s *Service) Provision(*kernel.Context) error {
 	s.URL = strings.TrimRight(s.URL, "/")
-	s.client = newClient(s.WrapTransport(adapter.Transport()))
+	s.client = adapter.NewClient(s.WrapTransport(adapter.Transport()))
 	s.probeClient = &http.Client{Transport: s.WrapTransport(adapter.Transport())}
 	return nil
 }
 
-// newClient returns a client that does not follow redirects: they are responses for the
-// caller, and following one would repeat the call.
-func newClient(t http.RoundTripper) *http.Client {
-	return &http.Client{
-		Transport:     t,
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
-}
-
 // Info implements adapter.Upstream.
 func (s *Service) Info() adapter.Info { return adapter.Info{Services: s.Services, Slots: s.Slots} }
 
