openai: only a response of type text/event-stream is an answer

A response with status 200 and another content type, such as an error page from a proxy before the engine, was searched for lines that begin with "data:" and its text became part of the answer, also after a resume.

Class: a body is interpreted by its status only (as in the gateway, "only a 200 with text/event-stream continues a stream").

Sound before, kept as a table: 2xx other than 200, redirects, 4xx and 5xx with texts and events as bodies, 1xx first, a stream without a finish reason, with a partial event, with a head or text in it, an empty one; none is an answer, and only 503 and 4xx are reported as not run.

go test ./modules/adapter/openai -run TestResponsesThatAreNoAnswer

--- a/modules/adapter/openai/openai.go
+++ b/modules/adapter/openai/openai.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"io"
+	"mime"
 	"net/http"
 	"net/url"
 	"strings"
@@ -129,14 +130,24 @@
 	if err != nil {
 		return nil, adapter.TransportError(err)
 	}
-	if res.StatusCode == http.StatusOK {
+	if res.StatusCode == http.StatusOK && isEventStream(res.Header) {
 		return res, nil
 	}
 	defer func() { _ = res.Body.Close() }()
+	if res.StatusCode == http.StatusOK {
+		return nil, result.New(result.UpstreamMalformed, "the engine answered with the content type %q", res.Header.Get("Content-Type"))
+	}
 	text, _ := io.ReadAll(io.LimitReader(res.Body, maxErrorBody))
 	return nil, statusError(res, string(text))
 }
 
+// isEventStream reports whether a response is a stream of events. Other content, such as
+// an error page, may contain lines that look like an event.
+func isEventStream(h http.Header) bool {
+	mediaType, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	return err == nil && mediaType == "text/event-stream"
+}
+
 // statusError maps the status of an engine's error response to a result code. The engine
 // has not run the request, except possibly with a 5xx status other than 503.
 func statusError(res *http.Response, text string) error {
--- a/modules/adapter/openai/stray_test.go
+++ b/modules/adapter/openai/stray_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -120,3 +121,45 @@
 		})
 	}
 }
+
+// Guards against the text of an error that becomes part of an answer, and against a
+// response that is no stream, or is incomplete, and counts as a complete answer. Only
+// refusals are reported as not run.
+func TestResponsesThatAreNoAnswer(t *testing.T) {
+	const event = "data: {\"choices\":[{\"text\":\"1\"}]}\n\n"
+	const finish = "data: {\"choices\":[{\"text\":\"\",\"finish_reason\":\"stop\"}]}\n\n"
+	cases := map[string]string{"nothing": "", "a part of the head": "HTTP/1.1 200 OK\r\nContent", "no response": "busy\r\n\r\n"}
+	for name, body := range map[string]string{"text": "secret text\n\n", "JSON": "{\"error\":{\"message\":\"secret text\"}}\n\n", "event": event + finish, "empty": ""} {
+		for _, status := range []string{"201 Created", "202 Accepted", "206 Partial", "300 Choices", "400 Bad", "401 No", "404 No", "409 Conflict", "429 Busy", "500 Error", "502 Bad", "503 Busy", "504 Late"} {
+			cases[status+", "+name] = engineResponse(status, "text/event-stream", body)
+			cases[status+", "+name+", 1xx first"] = "HTTP/1.1 103 Early Hints\r\n\r\n" + engineResponse(status, "text/plain", body)
+		}
+		cases["200 of another type, "+name] = engineResponse("200 OK", "text/html", body)
+		if name != "event" {
+			cases["200, "+name] = engineResponse("200 OK", "text/event-stream", body)
+			cases["200 to the end of the connection, "+name] = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n" + body
+		}
+	}
+	cases["204"] = "HTTP/1.1 204 No Content\r\n\r\n"
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+	for name, rest := range map[string]string{
+		"no finish reason": "", "marker without finish reason": "data: [DONE]\n\n", "a partial event": "data: {\"choices\":[{\"text\":\"secret",
+		"an error event": "event: error\ndata: {\"error\":\"secret text\"}\n\n", "a head": "HTTP/1.1 500 Error\r\nContent-Type: text/plain\r\n\r\nsecret text",
+		"a head within an event": "data: {\"choices\":[{\"text\":\"HTTP/1.1 500 Error\r\nContent-Type: text/plain\r\n\r\nsecret text", "text": "secret text\n\n",
+	} {
+		cases["one event, "+name] = head + event + rest
+	}
+	for name, text := range cases {
+		t.Run(name, func(t *testing.T) {
+			e := startEngine(t, func(c net.Conn, _ *http.Request, _ int64, _ bool) {
+				_, _ = io.WriteString(c, text)
+				_ = c.Close()
+			})
+			answer, err := generate(t, e)
+			assert.Assert(t, err != nil, "the answer %q looks complete", answer)
+			assert.Assert(t, answer == "" || answer == "1", "answer %q", answer)
+			refused := strings.HasPrefix(name, "4") || strings.HasPrefix(name, "503")
+			assert.Equal(t, result.From(err).Ran == result.NotRun, refused, "%v", err)
+		})
+	}
+}
