entry: a refused attempt does not hide a hedge that ran

Callers of idempotent calls were told "not run" when a call and its hedge both failed and the one that was refused answered last; the other one had run or may have. awaitWithHedge returned the last outcome only.

The error now says that the call was not run only if that holds for both. Retries after that were sound: runAttempts keeps what earlier attempts did. Calls that are not idempotent are not hedged, and streams keep it in core/stream.

go test ./modules/entry -run TestRefusalBesideAHedgeThatRan

--- a/modules/entry/attempt.go
+++ b/modules/entry/attempt.go
@@ -364,11 +364,12 @@
 }
 
 // awaitWithHedge returns the first answer of an attempt and its hedge, or the
-// last error if both fail.
+// last error if both fail. The error says that the call was not run only if that
+// holds for both.
 func (m *Module) awaitWithHedge(ctx context.Context, c *call, first <-chan callOutcome, permit wire.ID) (*wire.CallReply, *result.Error) {
 	var second <-chan callOutcome
 	hedge := m.hedgeTimer(c, permit)
-	pending := 1
+	pending, ran := 1, result.NotRun
 	for {
 		var outcome callOutcome
 		select {
@@ -386,9 +387,14 @@
 		case <-ctx.Done():
 			return nil, idempotentDeadlineError(ctx)
 		}
-		if pending--; outcome.err == nil || pending == 0 {
-			return outcome.finalAnswer(ctx)
+		reply, err := outcome.finalAnswer(ctx)
+		if err != nil && err.Ran == result.NotRun {
+			err.Ran = ran
 		}
+		if pending--; err == nil || pending == 0 {
+			return reply, err
+		}
+		ran = err.Ran
 	}
 }
 
--- a/modules/entry/call_test.go
+++ b/modules/entry/call_test.go
@@ -260,3 +260,46 @@
 	}
 	t.Fatalf("no slow call was hedged: %s", r.body)
 }
+
+// Guards against an idempotent call that is reported as not run because its hedge or its
+// first attempt was refused last, although the other one ran.
+func TestRefusalBesideAHedgeThatRan(t *testing.T) {
+	for _, firstRuns := range []bool{true, false} {
+		t.Run(fmt.Sprint("the first attempt runs: ", firstRuns), func(t *testing.T) {
+			var mu sync.Mutex
+			attempts := map[string]int{}
+			f, _ := newCallFixture(t, func(_ int32, a *wire.CallArgs, r *wire.CallReply) error {
+				if !strings.Contains(a.Path, "slow") {
+					return replyBooked(r)
+				}
+				mu.Lock()
+				attempts[a.Path]++
+				n := attempts[a.Path]
+				mu.Unlock()
+				time.Sleep(200 * time.Millisecond) // the hedge starts meanwhile
+				if n == 1 && firstRuns || n == 2 && !firstRuns {
+					return result.New(result.UpstreamFailed, "ran and crashed")
+				}
+				time.Sleep(300 * time.Millisecond) // refused last
+				return result.New(result.QueueFull, "full")
+			})
+			for round := range 5 {
+				for range 40 {
+					f.request(http.MethodGet, "/v1/services/orders/stock", "")
+				}
+				path := fmt.Sprint("/stock?slow=", round)
+				r := f.request(http.MethodGet, "/v1/services/orders"+path, "")
+				mu.Lock()
+				hedged := attempts[path] >= 2
+				mu.Unlock()
+				if !hedged {
+					continue // the fast calls have used up the retry budget
+				}
+				assert.Assert(t, r.status >= 400, r.body)
+				assert.Assert(t, decodeProblem(t, r.body).Ran != "not_run", r.body)
+				return
+			}
+			t.Fatal("no slow call was hedged")
+		})
+	}
+}
