stream, agent: a refusal counts only for the generation that it names

A fail frame did not name its generation. If the answer to a refused request came once more on a kept connection between an entry and an agent, where the next answer was expected, its attempt number 1 matched and the entry believed "not run" while the agent worked on the request; the generation then ran at a second agent, or its caller was told to try again. The first frame of any other answer (queued, redirect) names its generation and was checked.

Agents now name the generation in each fail frame. The assembler ends an attempt whose fail frame names another generation, and takes "not run" in one that names none, on a connection that has carried no frame of this generation, as unknown until the generation has started; after that nothing is reported as not run anyway. An agent of an earlier version beside a new entry is therefore reported as unknown when it refuses at once; it is asked again as before.

Class: a response is matched to a request by a number that is not unique. Sound before: net/rpc calls, whose sequence numbers are unique on a connection (read, not run).

go test ./core/stream -run TestRefusalOfAnotherRequest go test ./modules/agent -run TestRefusalNamesItsGeneration

The fake agent of the entry's tests names the generation as agents now do.

--- a/core/stream/resume_test.go
+++ b/core/stream/resume_test.go
@@ -148,3 +148,32 @@
 	assert.Equal(t, acts[len(acts)-1].Outcome.Err.Code, result.QueueFull)
 	assert.Equal(t, acts[len(acts)-1].Outcome.Err.Ran, result.DidRun)
 }
+
+// Guards against believing that a generation was not run because of a refusal that may
+// belong to another request on the same connection to the agent.
+func TestRefusalOfAnotherRequest(t *testing.T) {
+	queued := &wire.Frame{Kind: wire.FrameQueued, Attempt: 1, Generation: generation}
+	for name, c := range map[string]struct {
+		before *wire.Frame
+		id     wire.ID
+		ran    result.Ran
+	}{
+		"its own":               {nil, generation, result.NotRun},
+		"without an id":         {nil, "", result.Unknown},
+		"of another generation": {nil, "00000000000000000000000000000002", result.Unknown},
+		"after its own frame":   {queued, "", result.NotRun},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := New(Settings{Attempts: 1, Resumes: 1, Generation: generation})
+			a.Start(start)
+			a.Connected(start, 1)
+			if c.before != nil {
+				a.HandleFrame(start, 1, c.before)
+			}
+			_, acts := a.HandleFrame(start, 1, &wire.Frame{Kind: wire.FrameFail, Attempt: 1, Code: result.QueueFull, Ran: result.NotRun, Generation: c.id})
+			last := acts[len(acts)-1]
+			assert.Equal(t, last.Kind, Finish)
+			assert.Equal(t, last.Outcome.Err.Ran, c.ran)
+		})
+	}
+}
--- a/core/stream/stream.go
+++ b/core/stream/stream.go
@@ -114,7 +114,9 @@
 	// adoptAttempt is set when the attempt number must be taken from the
 	// connection's first frame.
 	adoptAttempt bool
-	lastFrameAt  time.Time
+	// identified is set once a frame on the connection has named this generation.
+	identified  bool
+	lastFrameAt time.Time
 
 	text       strings.Builder
 	hasText    bool
@@ -265,6 +267,7 @@
 	if f.Generation != "" && f.Generation != a.set.Generation && f.Kind != wire.FrameRedirect {
 		return false, a.replaceAttempt(now, result.New(result.UpstreamMalformed, "the frame belongs to another generation"), true)
 	}
+	a.identified = a.identified || f.Generation == a.set.Generation
 	if f.Kind == wire.FrameRedirect {
 		return false, a.followRedirect(now, f)
 	}
@@ -340,14 +343,19 @@
 	if message == "" {
 		message = f.Code.Info().Meaning
 	}
-	err := result.New(f.Code, "%s", message).WithRan(f.Ran).After(time.Duration(f.RetryMS) * time.Millisecond)
-	if f.Ran == result.DidRun {
+	ran := f.Ran
+	if ran == result.NotRun && !a.identified && !a.started {
+		ran = result.Unknown // it may be the refusal of an earlier request on the connection
+	}
+	err := result.New(f.Code, "%s", message).WithRan(ran).After(time.Duration(f.RetryMS) * time.Millisecond)
+	if ran == result.DidRun {
 		a.started = true
 	}
+	a.mayHaveRun = a.mayHaveRun || ran == result.Unknown
 	if isFinal(f.Code) {
 		return a.giveUpWith(err, false)
 	}
-	return a.replaceAttempt(now, err, f.Ran != result.NotRun)
+	return a.replaceAttempt(now, err, ran != result.NotRun)
 }
 
 // isFinal reports whether another agent would fail with the same code, so that
@@ -444,7 +452,7 @@
 
 func (a *Assembler) newConn(now time.Time, agent string) {
 	a.conn++
-	a.agent, a.live, a.connected, a.lastFrameAt = agent, true, false, now
+	a.agent, a.live, a.connected, a.identified, a.lastFrameAt = agent, true, false, false, now
 }
 
 func (a *Assembler) closeAction() Action {
--- a/core/wire/frame.go
+++ b/core/wire/frame.go
@@ -47,9 +47,11 @@
 	// Code, Ran and RetryMS describe the failure in FrameFail: the result code,
 	// whether the request may have run, and the delay before a retry, zero for
 	// none.
-	Code       result.Code
-	Ran        result.Ran
-	RetryMS    uint32
+	Code    result.Code
+	Ran     result.Ran
+	RetryMS uint32
+	// Generation names the generation in FrameQueued, FrameRedirect and FrameFail, one
+	// of which is the first frame of a response.
 	Generation ID
 	// PromptTokens and CachedTokens are the counts reported by the engine, in
 	// FrameStarted and FrameEnd.
--- a/modules/agent/agent_test.go
+++ b/modules/agent/agent_test.go
@@ -519,3 +519,18 @@
 	_, last = running.read(t, untilEnd)
 	assert.Equal(t, last.Kind, wire.FrameEnd)
 }
+
+// Guards against a refusal that does not name its generation: an entry cannot tell it from
+// the refusal of an earlier request on the connection, and counts the request as possibly
+// run.
+func TestRefusalNamesItsGeneration(t *testing.T) {
+	a := startAgent(t, engineAdapter(t, newFakeEngine(t).URL, 2), nil)
+	a.drain(true)
+	req := request(3)
+	f, err := openStream(t, a, req).Next()
+	assert.NilError(t, err)
+	assert.Equal(t, f.Kind, wire.FrameFail)
+	assert.Equal(t, f.Ran, result.NotRun)
+	assert.Equal(t, f.Generation, req.Generation)
+	assert.Equal(t, f.Attempt, req.Attempt)
+}
--- a/modules/agent/stream.go
+++ b/modules/agent/stream.go
@@ -44,17 +44,17 @@
 	w.Header().Set("Content-Type", "application/octet-stream")
 	req, err := s.decode(r)
 	if err != nil {
-		s.fail(0, err)
+		s.fail("", 0, err)
 		return
 	}
 	ev := openEvent{req: req, reply: make(chan openResult, 1)}
 	o, ok := ask(a, ev, ev.reply)
 	if !ok {
-		s.fail(req.Attempt, result.New(result.Leaving, "the agent has stopped"))
+		s.fail(req.Generation, req.Attempt, result.New(result.Leaving, "the agent has stopped"))
 		return
 	}
 	if o.err != nil {
-		s.fail(req.Attempt, o.err)
+		s.fail(req.Generation, req.Attempt, o.err)
 		return
 	}
 	s.follow(r, o.gen, o.reader, req.Attach && req.Prefix)
@@ -116,7 +116,7 @@
 // sendBatch sends a batch and reports whether the stream has ended.
 func (s *stream) sendBatch(g *generation, b batch) bool {
 	if b.superseded {
-		s.fail(g.out.attempt, result.New(result.Superseded, "another reader or a newer attempt has taken over"))
+		s.fail(g.id, g.out.attempt, result.New(result.Superseded, "another reader or a newer attempt has taken over"))
 		return true
 	}
 	if b.started {
@@ -135,9 +135,9 @@
 	return true
 }
 
-func (s *stream) fail(attempt uint32, err error) {
+func (s *stream) fail(generation wire.ID, attempt uint32, err error) {
 	f := failFrame(err)
-	f.Attempt = attempt
+	f.Generation, f.Attempt = generation, attempt
 	s.send(f)
 	s.flush()
 }
--- a/modules/entry/fake_test.go
+++ b/modules/entry/fake_test.go
@@ -142,6 +142,9 @@
 
 func (w *frameWriter) sendFrame(f wire.Frame) {
 	f.Attempt = w.req.Attempt
+	if f.Kind == wire.FrameFail {
+		f.Generation = w.req.Generation
+	}
 	w.sendRaw(f)
 }
 
