gateway: owner.call does not return while its function runs

At the end of a gateway, owner.call returned false while the owner ran its function, or before the owner took it from the queue, and the caller read the variables that the function wrote: a data race at crashReporter.report, listed in KNOWN-RED.txt under TestFillerDoesNotRepeatChecks. The other callers that read such variables without looking at the result (place, crashVerdict, retryAfter, hedgeDelay, takeRetryBudget, remainingBackoff, requestTrial, locatePrompt, refreshLoadReports, sendCrashes and others) had the same fault.

Class: a result that is shared with a task that may still run. Instead of checking the result of call at each caller, a function is now claimed either by the owner, and call waits for it, or by the caller, and it never runs; its variables keep their values then. Functions of the owner do not block, so the wait is short.

--- a/modules/gateway/owner.go
+++ b/modules/gateway/owner.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"math"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"heatherway.dev/core/crash"
@@ -82,17 +83,29 @@
 	}
 }
 
-// call queues a function and waits until it has run. It returns false when the gateway
-// stops before that.
+// call queues a function and waits until it has run. It returns false if the gateway
+// stops before the function has started; the function then never runs, so that the caller
+// may use the variables that it would have written.
 func (o *stateOwner) call(f func(*state)) bool {
+	var claimed atomic.Bool // by the owner to run the function, or by the caller to give up
 	done := make(chan struct{})
-	o.post(func(s *state) { defer close(done); f(s) })
+	o.post(func(s *state) {
+		if claimed.Swap(true) {
+			return
+		}
+		defer close(done)
+		f(s)
+	})
 	select {
 	case <-done:
 		return true
 	case <-o.ctx.Done():
+	}
+	if !claimed.Swap(true) {
 		return false
 	}
+	<-done // the owner completes a function that it has started
+	return true
 }
 
 // place selects an upstream. The refusal is nil when the request was placed.
