gateway: reset the connection of an HTTP/1.0 caller whose stream broke off

A response to HTTP/1.0 has no chunks and ends with its connection. The server closes the connection after an aborted response, so a stream that had broken off looked complete to such a caller. It is now reset, which no caller takes for the end of a response. Callers of HTTP/1.1 get chunks, and no final one; also with Connection: close while the gateway stops (read in net/http).

go test ./modules/gateway -run TestBrokenStreamToHTTP10Caller

--- a/modules/gateway/handler.go
+++ b/modules/gateway/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"runtime/debug"
@@ -50,6 +51,9 @@
 	mayHaveRun bool
 	// responseStarted is set once the response header has been written to the caller.
 	responseStarted bool
+	// http10 is set if the caller uses HTTP/1.0, which has no chunks: a response without a
+	// length ends with its connection.
+	http10 bool
 	// trial is set for a blocked request that runs once more as a trial.
 	trial bool
 	// fingerprintText caches the fingerprint.
@@ -62,7 +66,7 @@
 	g.metrics.requests.Inc()
 	g.openRequests.Add(1)
 	defer g.openRequests.Add(-1)
-	c := &callerRequest{g: g, w: w, started: time.Now(), req: g.dialect.Request(r.Header), reservation: g.buffers.newReservation()}
+	c := &callerRequest{g: g, w: w, started: time.Now(), http10: !r.ProtoAtLeast(1, 1), req: g.dialect.Request(r.Header), reservation: g.buffers.newReservation()}
 	defer c.reservation.close()
 	defer c.recoverRequest()
 	if err := c.admit(r); err != nil {
@@ -88,15 +92,34 @@
 		return
 	}
 	if r == http.ErrAbortHandler {
+		c.resetHTTP10()
 		panic(r)
 	}
 	c.g.log.Error("unexpected failure", "unit", "request", "request", c.req.ID, "panic", r, "stack", string(debug.Stack()))
 	if c.responseStarted {
+		c.resetHTTP10()
 		panic(http.ErrAbortHandler)
 	}
 	c.respondError(result.New(result.Internal, "unexpected failure"))
 }
 
+// resetHTTP10 resets the connection of a caller that uses HTTP/1.0. The server closes it
+// after an aborted response, which would complete the response.
+func (c *callerRequest) resetHTTP10() {
+	if !c.http10 || !c.responseStarted {
+		return
+	}
+	conn, _, err := http.NewResponseController(c.w).Hijack()
+	if err != nil {
+		c.g.log.Warn("connection of a caller not reset", "request", c.req.ID, "error", err)
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // the connection is closed in any case
+	}
+	_ = conn.Close()
+}
+
 // admit resolves route, organisation and service of the request, reads its body, and
 // checks whether it may run.
 func (c *callerRequest) admit(r *http.Request) error {
--- a/modules/gateway/resume_test.go
+++ b/modules/gateway/resume_test.go
@@ -299,3 +299,34 @@
 		assert.Equal(t, res.body, textEvents(0, 5))
 	})
 }
+
+// Guards against a stream that broke off and looks complete to a caller of HTTP/1.0, whose
+// response has neither length nor chunks and ends with its connection.
+func TestBrokenStreamToHTTP10Caller(t *testing.T) {
+	for name, next := range map[string]string{"broken": "HTTP/1.1 500 Error\r\nAttempt-Id: ID\r\nResponse-Seal: s\r\nContent-Length: 11\r\n\r\nsecret text",
+		"complete": eventStreamHead + "Transfer-Encoding: chunked\r\n\r\n" + chunk(textEvents(4, 5)) + "0\r\n\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			ups, _ := startResumeServers(t, 2, brokenStream, next)
+			conf := configuration()
+			conf.Routes[0].MaxAttempts = 2
+			f := newFixture(t, conf, ups...)
+			c, err := net.Dial("tcp", f.addr)
+			assert.NilError(t, err)
+			defer c.Close()
+			_, err = fmt.Fprintf(c, "POST /letters/x HTTP/1.0\r\nHost: h\r\nAttempt-Id: %s\r\nAuthorization: Bearer secret\r\nToken-Count: 8000,800\r\nContent-Length: 1\r\n\r\nx", resumeTestID)
+			assert.NilError(t, err)
+			res, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if name == "complete" {
+				assert.NilError(t, err)
+				body, err := io.ReadAll(res.Body)
+				assert.NilError(t, err)
+				assert.Equal(t, string(body), textEvents(0, 5))
+				return
+			}
+			if err == nil { // a reset may overtake the response
+				_, err = io.ReadAll(res.Body)
+			}
+			assert.Assert(t, err != nil, "the stream looks complete")
+		})
+	}
+}
