control: removing a member from an instance without a log does not panic

What operators saw: not seen here; found by calling every net/rpc method with random arguments. RemoveMember at a control instance without a data folder (a local run) ended the process.

Cause: only ReplaceMember checked that there is a replicated log; RemoveMember, which instances forward to each other, did not. Class: a check at some of the places that need it.

Change: both use the same check and answer change_refused.

Red before: go test -p 2 ./modules/control -run TestOddCalls: RemoveMember panics Green after: ok five times (0.6 s).

--- a/modules/control/odd_test.go
+++ b/modules/control/odd_test.go
@@ -3,17 +3,22 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"log/slog"
 	"math"
+	"math/rand"
+	"reflect"
 	"strings"
 	"sync"
 	"testing"
+	"testing/quick"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"heatherway.dev/core/member"
 	"heatherway.dev/core/wire"
+	"heatherway.dev/kernel/recovery"
 	"heatherway.dev/kernel/result"
 )
 
@@ -166,3 +171,32 @@
 	assert.Equal(t, len(restored.view().SuspectList), 1)
 	assert.Equal(t, restored.view().SuspectList[0].Fingerprint, "poison")
 }
+
+// Guards against a call with odd arguments that panics and so ends the process. The
+// arguments are random values of their types.
+func TestOddCallsDoNotPanic(t *testing.T) {
+	c := newRunningControl(t)
+	c.auditLog = newAuditLogger(io.Discard, "c1")
+	rng := rand.New(rand.NewSource(1))
+	for _, receiver := range []any{&service{c: c}, &memberService{c}, &adminService{c: c, certificate: "anna"}} {
+		methods := reflect.TypeOf(receiver)
+		for i := range methods.NumMethod() {
+			m := methods.Method(i)
+			if m.Type.NumIn() != 3 || m.Type.NumOut() != 1 || m.Name == "ReplaceMember" { // calls other instances for seconds
+				continue
+			}
+			for range 60 {
+				args, ok := quick.Value(m.Type.In(1), rng)
+				assert.Assert(t, ok, m.Name)
+				if w, isWatch := args.Interface().(wire.WatchArgs); isWatch {
+					w.WaitMS = 1
+					args = reflect.ValueOf(w)
+				}
+				reply := reflect.New(m.Type.In(2).Elem())
+				err := recovery.Run(c.logger, m.Name, func() { m.Func.Call([]reflect.Value{reflect.ValueOf(receiver), args, reply}) })
+				assert.Check(t, err == nil, "%s panics", m.Name)
+			}
+		}
+	}
+	assert.NilError(t, newFleetMachine().Restore(c.fleet.Snapshot()))
+}
--- a/modules/control/replace.go
+++ b/modules/control/replace.go
@@ -25,8 +25,8 @@
 // repeated.
 func (s *adminService) ReplaceMember(a wire.ReplaceMemberArgs, r *wire.ReplaceMemberReply) error {
 	err := checkOperator(a.Operator)
-	if err == nil && s.c.replica == nil {
-		err = result.New(result.ChangeRefused, "a control instance without a data folder has no other members")
+	if err == nil {
+		err = s.c.checkHasMembers()
 	}
 	for g := 0; err == nil && g <= s.c.RecordGroups; g++ {
 		var one RemoveMemberReply
@@ -42,9 +42,22 @@
 	return peer.EncodeError(err)
 }
 
+// checkHasMembers returns an error if this instance has no replicated log and so no other
+// members.
+func (c *Control) checkHasMembers() error {
+	if c.replica == nil {
+		return result.New(result.ChangeRefused, "a control instance without a data folder has no other members")
+	}
+	return nil
+}
+
 // RemoveMember handles a removal that another control instance forwards.
 func (s *service) RemoveMember(a RemoveMemberArgs, r *RemoveMemberReply) error {
-	if err := s.checkOperatorRole(); err != nil {
+	err := s.checkOperatorRole()
+	if err == nil {
+		err = s.c.checkHasMembers()
+	}
+	if err != nil {
 		return peer.EncodeError(err)
 	}
 	return peer.EncodeError(s.removeAtLeader(a, r))
