gateway: try the seeds again when no member can be reached

What operators saw: not seen here; found by asking whether a follower stays on an old list for ever. A gateway whose last list of members names only instances that are gone, or addresses that cannot exist, followed nobody until SIGHUP or a restart, although a seed was up.

Cause: the members of each reply replace the list, and with it the configured seeds. Class: a list from one message that replaces the only other way back.

Change: after two failed calls for each member since the last reply the seeds are tried as well. Seeds that a reload adds are kept in the same way.

Ruled out: entries and agents, which keep their configured list; the replicated log, which keeps links to its seeds (read: replica/discovery.go).

Red before: go test -p 2 ./modules/gateway -run TestSeedsAre timed out after 5 s waiting for the seed to be followed again Green after: ok six times (0.65 to 0.96 s); ./modules/gateway complete ok.

--- a/modules/gateway/follow.go
+++ b/modules/gateway/follow.go
@@ -65,6 +65,10 @@
 	mu        sync.Mutex
 	directory *registration.Directory
 	members   []string
+	// seeds are the configured addresses. They are tried as well once failures, the number of
+	// failed calls since the last reply, shows that no member can be reached.
+	seeds     []string
+	failures  int
 	following map[string]bool
 	// positions holds the position up to which each instance's changes were applied, so
 	// that an instance that is followed again does not send its whole directory.
@@ -100,7 +104,7 @@
 		sourceSelector: registration.NewSourceSelector(g.id, time.Now(), rand.Float64()),
 		following:      map[string]bool{}, positions: map[string]position{},
 	}
-	f.members = peerAddresses(g.Seeds, g.PeerPort)
+	f.addSeeds(peerAddresses(g.Seeds, g.PeerPort))
 	return f
 }
 
@@ -113,13 +117,31 @@
 func (f *follower) addMembers(addrs []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.members = appendMissing(f.members, addrs)
+}
+
+// addSeeds adds configured addresses of control instances.
+func (f *follower) addSeeds(addrs []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.members, f.seeds = appendMissing(f.members, addrs), appendMissing(f.seeds, addrs)
+}
+
+// appendMissing returns list with the addresses that it lacks.
+func appendMissing(list, addrs []string) []string {
+	list = slices.Clone(list)
 	for _, a := range addrs {
-		if !slices.Contains(f.members, a) {
-			f.members = append(f.members, a)
+		if !slices.Contains(list, a) {
+			list = append(list, a)
 		}
 	}
+	return list
 }
 
+// failuresPerMember is the number of failed calls for each member after which the seeds are
+// tried as well.
+const failuresPerMember = 2
+
 // table returns the configuration in force, or nil before the first one.
 func (f *follower) table() *routing.Table { return f.current.Load() }
 
@@ -161,7 +183,11 @@
 func (f *follower) claim() (string, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	free := slices.DeleteFunc(slices.Clone(f.members), func(a string) bool { return f.following[a] })
+	candidates := slices.Clone(f.members)
+	if f.failures >= failuresPerMember*len(f.members) {
+		candidates = appendMissing(candidates, f.seeds)
+	}
+	free := slices.DeleteFunc(candidates, func(a string) bool { return f.following[a] })
 	addr := f.sourceSelector.Next(time.Now(), free)
 	if addr != "" {
 		f.following[addr] = true
@@ -180,7 +206,8 @@
 func (f *follower) recordFailure(addr string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.sourceSelector.RecordFailure(time.Now(), addr, f.members)
+	f.failures++
+	f.sourceSelector.RecordFailure(time.Now(), addr, appendMissing(f.members, f.seeds))
 }
 
 // followed returns the addresses of the control instances that are currently followed.
@@ -301,6 +328,7 @@
 func (f *follower) applyReply(addr string, reply *registry.WatchReply) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.failures = 0
 	if len(reply.Members) > 1 { // an instance that knows no others lists only itself
 		f.members = reply.Members
 	}
--- a/modules/gateway/gateway.go
+++ b/modules/gateway/gateway.go
@@ -284,7 +284,7 @@
 // a change of the other settings requires a restart.
 func (g *Gateway) Reload(next any) {
 	if reloaded, ok := next.(*Gateway); ok {
-		g.follower.addMembers(peerAddresses(reloaded.Seeds, reloaded.PeerPort))
+		g.follower.addSeeds(peerAddresses(reloaded.Seeds, reloaded.PeerPort))
 	}
 }
 
--- a/modules/gateway/odd_test.go
+++ b/modules/gateway/odd_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"gotest.tools/v3/assert"
 
 	"heatherway.dev/core/registration"
@@ -273,3 +274,43 @@
 		assert.Check(t, c.interval() >= copyRetryDelay, "%v: refreshed after %v", ttl, c.interval())
 	}
 }
+
+// deadMembersControl is a control instance whose list of members contains none that can be
+// reached, and which fails after the first call until it is revived.
+type deadMembersControl struct {
+	mu      sync.Mutex
+	failing bool
+	calls   int
+}
+
+func (c *deadMembersControl) Watch(_ *registry.WatchArgs, reply *registry.WatchReply) error {
+	time.Sleep(5 * time.Millisecond)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.failing {
+		return errors.New("not ready")
+	}
+	c.failing = c.calls == 0
+	c.calls++
+	*reply = registry.WatchReply{Epoch: 7, Led: true, Members: []string{"127.0.0.1:1", "[::1\r\n"}}
+	return nil
+}
+
+// Guards against a gateway that follows nobody for ever because the last list of members
+// that it received contains only instances that are gone, or that cannot exist.
+func TestSeedsAreTriedAgain(t *testing.T) {
+	f := newFixture(t, configuration())
+	control := &deadMembersControl{}
+	server := httptest.NewServer(&peer.Handler{Security: f.security, Services: func(peer.Roles) map[string]any {
+		return map[string]any{registry.ServiceName: control}
+	}})
+	t.Cleanup(server.Close)
+	f.follower.addSeeds([]string{server.Listener.Addr().String()})
+	eventually(t, "the first call", func() bool { control.mu.Lock(); defer control.mu.Unlock(); return control.calls == 1 })
+	f.sleep(500 * time.Millisecond)
+	control.mu.Lock()
+	control.failing = false
+	control.calls = 2
+	control.mu.Unlock()
+	eventually(t, "the seed to be followed again", func() bool { control.mu.Lock(); defer control.mu.Unlock(); return control.calls > 5 })
+}
