--- a/modules/gateway/connection.go
+++ b/modules/gateway/connection.go
@@ -430,6 +430,7 @@
 			continue
 		}
 		if s, err := strconv.Atoi(v); err == nil {
+			s = min(s, int(maxIdleTimeout/time.Second)+1) // a larger one would overflow below
 			return min(maxIdleTimeout, time.Duration(s)*time.Second-idleTimeoutMargin)
 		}
 	}
--- a/modules/gateway/odd_test.go
+++ b/modules/gateway/odd_test.go
@@ -314,3 +314,17 @@
 	control.mu.Unlock()
 	eventually(t, "the seed to be followed again", func() bool { control.mu.Lock(); defer control.mu.Unlock(); return control.calls > 5 })
 }
+
+// Guards against a timeout of an upstream that overflows, so that its connections are never
+// reused or are kept beyond the upper limit.
+func TestReuseTimeoutIsBounded(t *testing.T) {
+	for value, want := range map[string]time.Duration{
+		"":                            defaultIdleTimeout,
+		"timeout=x":                   defaultIdleTimeout,
+		"timeout=5, max=100":          5*time.Second - idleTimeoutMargin,
+		"timeout=9223372036854775807": maxIdleTimeout,
+		"timeout=13835058056":         maxIdleTimeout,
+	} {
+		assert.Equal(t, reuseTimeout(http.Header{"Keep-Alive": {value}}), want, "%q", value)
+	}
+}
