gateway: test streams among broken responses in a seeded mix

Six upstreams answer requests and resumes with the rest of the stream, a response cut at a random byte (closed or reset), the head and text of an error within the stream, error statuses, refusals, ids that start anew, or another content type, with a length, chunks or neither. A caller's stream must be a part of the whole one that ends with an event, and whole if it looks complete.

go test ./modules/gateway -run TestStreamsAmongBrokenResponses

Three kinds of case were taken out of the first draft, since they cannot be told from a complete stream: no events in a response with a length or a last chunk, ids anew up to the very event that the caller has, and a close between two events of a response that has neither.

--- a/modules/gateway/resume_test.go
+++ b/modules/gateway/resume_test.go
@@ -4,12 +4,15 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -330,3 +333,106 @@
 		})
 	}
 }
+
+// Guards against streams that are mixed with other text, have a gap or look complete
+// although they are not, in a random mix of responses that break off, errors, refusals and
+// wrong streams.
+func TestStreamsAmongBrokenResponses(t *testing.T) {
+	const last = 11
+	whole := textEvents(0, last)
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			var mu sync.Mutex
+			rng := rand.New(rand.NewPCG(seed, 2))
+			random := func(n int) int { mu.Lock(); defer mu.Unlock(); return rng.IntN(n) }
+			respond := func(c net.Conn, r *http.Request) {
+				next := 0
+				if _, err := fmt.Sscan(r.Header.Get("Last-Event-Id"), &next); err == nil {
+					next++
+				}
+				rest := textEvents(next, last)
+				framing := []string{"length", "chunks", "neither"}[random(3)]
+				frame, head, reset := framings[framing], eventStreamHead, false
+				var text string
+				switch random(10) {
+				case 0, 1, 2:
+					text = frame(head, rest)
+				case 3, 4: // breaks off
+					text = frame(head, rest)
+					text = text[:random(len(text))]
+					reset = framing == "neither" || random(2) == 0
+				case 5: // an error within the stream
+					text = frame(head, textEvents(next, min(next+random(3), last))+"HTTP/1.1 500 Error\r\nContent-Type: text/plain\r\n\r\nsecret text\n\n")
+				case 6:
+					status := []string{"206 Partial", "302 Found", "404 No", "429 Busy", "500 Error", "503 Busy", "504 Late"}[random(7)]
+					text = frame("HTTP/1.1 "+status+"\r\nAttempt-Id: ID\r\nResponse-Seal: s\r\nContent-Type: text/plain\r\n", "secret text\n\n")
+				case 7:
+					text = refusal("ID")
+				case 8: // ids anew, which end before the last event of the caller
+					if text = frame(head, rest); next > 1 {
+						text = frame(head, textEvents(0, random(next-1)))
+					}
+				case 9:
+					text = frame(strings.Replace(head, "event-stream", "plain", 1), rest)
+				}
+				_, _ = io.WriteString(c, strings.ReplaceAll(text, "ID", r.Header.Get("Attempt-Id")))
+				if reset {
+					time.Sleep(time.Duration(random(3)) * time.Millisecond)
+					_ = c.(*net.TCPConn).SetLinger(0)
+				}
+			}
+			var ups []*upstream
+			for i := range 6 {
+				u := startRawUpstream(t, func(c net.Conn) {
+					defer c.Close()
+					r := bufio.NewReader(c)
+					for {
+						request, err := http.ReadRequest(r)
+						if err != nil {
+							return
+						}
+						_, _ = io.Copy(io.Discard, request.Body)
+						if strings.HasPrefix(request.URL.Path, "/v1/") {
+							_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(emptyReport), emptyReport)
+							continue
+						}
+						respond(c, request)
+						return
+					}
+				})
+				u.ID, u.Service, u.Zone = fmt.Sprint("u", i), "model", fmt.Sprint("z", i%2)
+				ups = append(ups, u)
+			}
+			conf := configuration()
+			conf.Routes[0].Objective, conf.Routes[0].Timeout = 400*time.Millisecond, 2*time.Second
+			f := newFixture(t, conf, ups...)
+			var wg sync.WaitGroup
+			var complete atomic.Int64
+			for i := range 160 {
+				r := f.request("POST", "/letters/x", fmt.Sprint("prompt ", i), "Attempt-Id", fmt.Sprint("mix-", i), "Token-Count", "80,8")
+				wg.Add(1)
+				go func() {
+					defer wg.Done()
+					res := f.do(r)
+					if res.status != http.StatusOK || res.header.Get("Content-Type") != "text/event-stream" {
+						return
+					}
+					if !strings.HasPrefix(whole, res.body) || res.body != "" && !strings.HasSuffix(res.body, "\n\n") {
+						t.Errorf("request %d: the stream is not a part of the whole one: %q", i, res.body)
+					}
+					if res.err == nil && res.body != whole {
+						t.Errorf("request %d: the stream looks complete: %q", i, res.body)
+					}
+					if res.err == nil {
+						complete.Add(1)
+					}
+				}()
+				if i%8 == 7 {
+					wg.Wait()
+				}
+			}
+			wg.Wait()
+			assert.Assert(t, complete.Load() > 0, "no stream was complete")
+		})
+	}
+}
