openai: test generations among stray responses in a seeded mix

An engine refuses a third of the requests and repeats earlier responses, whole before its answer on a connection that has carried one, or in part after it. No generation may get another one's text or be reported as not run after it ran.

go test ./modules/adapter/openai -run TestGenerationsAmongStrayResponses

--- a/modules/adapter/openai/stray_test.go
+++ b/modules/adapter/openai/stray_test.go
@@ -5,9 +5,11 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -163,3 +165,76 @@
 		})
 	}
 }
+
+// Guards against a generation that is reported as not run although the engine ran it, and
+// against the text of another one, in a random mix of refusals and repeated responses under
+// concurrent requests.
+func TestGenerationsAmongStrayResponses(t *testing.T) {
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			var mu sync.Mutex
+			rng := rand.New(rand.NewPCG(seed, 3))
+			random := func(n int) int { mu.Lock(); defer mu.Unlock(); return rng.IntN(n) }
+			var responses []string // sent before, on any connection
+			runs := map[string]bool{}
+			e := startEngine(t, func(c net.Conn, r *http.Request, _ int64, first bool) {
+				prompt := r.Header.Get("Prompt")
+				response := engineResponse("503 Busy", "text/plain", "busy")
+				if random(3) > 0 {
+					response = engineResponse("200 OK", "text/event-stream", strings.ReplaceAll(finishedText, "%d", prompt))
+				}
+				mu.Lock()
+				runs[prompt] = strings.Contains(response, "200 OK")
+				earlier := append([]string(nil), responses...)
+				responses = append(responses, response)
+				mu.Unlock()
+				if !first && len(earlier) > 0 && random(2) == 0 {
+					_, _ = io.WriteString(c, earlier[random(len(earlier))])
+					time.Sleep(time.Duration(random(3)) * time.Millisecond)
+				}
+				_, _ = io.WriteString(c, response)
+				if stray := earlier; len(stray) > 0 && random(3) == 0 {
+					text := stray[random(len(stray))]
+					_, _ = io.WriteString(c, text[:random(len(text)+1)])
+				}
+			})
+			var wg sync.WaitGroup
+			for i := range 200 {
+				wg.Add(1)
+				go func() {
+					defer wg.Done()
+					prompt, text := fmt.Sprint("prompt-", i), ""
+					transport := promptHeader{e.client.Transport, prompt}
+					own := &Engine{URL: e.URL, Resume: e.Resume, client: &http.Client{Transport: transport}}
+					err := own.Generate(t.Context(), &adapter.Job{Kind: wire.Completion, Body: json.RawMessage(`{"prompt":"p"}`)},
+						func(ev adapter.Event) error { text += ev.Text; return nil })
+					mu.Lock()
+					ran := runs[prompt]
+					mu.Unlock()
+					if err == nil && text != prompt {
+						t.Errorf("%s: the text is %q", prompt, text)
+					}
+					if err != nil && result.From(err).Ran == result.NotRun && ran {
+						t.Errorf("%s: reported as not run, but it ran: %v", prompt, err)
+					}
+				}()
+				if i%8 == 7 {
+					wg.Wait()
+				}
+			}
+			wg.Wait()
+		})
+	}
+}
+
+// promptHeader tells the test's engine which request it receives.
+type promptHeader struct {
+	http.RoundTripper
+	prompt string
+}
+
+// RoundTrip implements http.RoundTripper.
+func (h promptHeader) RoundTrip(r *http.Request) (*http.Response, error) {
+	r.Header.Set("Prompt", h.prompt)
+	return h.RoundTripper.RoundTrip(r)
+}
