httpconn: a process that was paused reads a header that arrived in time

What callers saw: a whole request that arrived while the process was paused, behind a first part of its header, ended without an answer, or with 400, when the process went on after the time for a header (3 s).

Cause: the read deadline of the header passes during the pause, and net/http then closes the connection, or takes the line that it has read in part for a malformed one, although the rest has arrived. Only the first byte of a request was read late so far.

Class: a deadline of this process held against bytes that came before it.

Change: while a header is read, bytes that have arrived at the deadline are read, and the rest is due within the header limit again.

go test ./internal/httpconn -run TestHeaderThat -count=1 before: pending_test.go:64: read tcp 127.0.0.1:43687->127.0.0.1:53896: i/o timeout after: ok; the package also with -race

--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -43,6 +43,8 @@
 	resetAtClose bool
 	closer       Closer
 	phase        phase
+	// header is set from the first byte of a request until its header has been read.
+	header bool
 	// idleSince is the start of the idle time, and idleLimit the limit in force when the
 	// last request was read.
 	idleSince time.Time
@@ -74,7 +76,13 @@
 // if no byte has arrived until now: a busy process may read late what was sent in time.
 func (c *Conn) read(b []byte) (int, error) {
 	if !c.startWaiting() {
-		return c.TCPConn.Read(b)
+		n, err := c.TCPConn.Read(b)
+		if errors.Is(err, os.ErrDeadlineExceeded) && c.readsHeader() {
+			if n, err = c.readArrived(b, err); n > 0 {
+				err = c.SetReadDeadline(deadlineAfter(c.listener.limits.Header))
+			}
+		}
+		return n, err
 	}
 	for {
 		n, err := c.TCPConn.Read(b)
@@ -133,7 +141,15 @@
 	if c.phase == idle || expired {
 		_ = c.TCPConn.SetReadDeadline(deadlineAfter(c.listener.limits.Header)) // an error shows at the next read
 	}
-	c.phase = busy
+	c.phase, c.header = busy, true
+}
+
+// readsHeader reports whether the header of a request is being read. What bytes have arrived
+// of it before its deadline a busy process may read late; a body has a deadline of its own.
+func (c *Conn) readsHeader() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.phase == busy && c.header
 }
 
 // becomeBusy ends the idle time, also for a request that was read from the server's buffer,
@@ -143,7 +159,7 @@
 	limit := c.listener.limits.Idle()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.phase, c.idleLimit = busy, limit
+	c.phase, c.header, c.idleLimit = busy, false, limit
 }
 
 // becomeIdle starts the idle time after a response.
--- a/internal/httpconn/pending_test.go
+++ b/internal/httpconn/pending_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"testing"
 	"time"
 
@@ -42,3 +43,34 @@
 	}
 	assert.NilError(t, <-done)
 }
+
+// Guards against a process that was paused and closes a connection whose header arrived in time
+// but was not read before the deadline, or answers 400 to the part that it had read.
+func TestHeaderThatArrivedBeforeTheDeadlineIsRead(t *testing.T) {
+	l := NewListener(nil, Limits{Header: 50 * time.Millisecond})
+	server, client := pair(t)
+	c := &Conn{TCPConn: server.(*net.TCPConn), listener: l, phase: fresh}
+	_, err := io.WriteString(client, "GET / HT")
+	assert.NilError(t, err)
+	p := make([]byte, 64)
+	n, err := c.Read(p)
+	assert.NilError(t, err)
+	assert.Equal(t, string(p[:n]), "GET / HT")
+	_, err = io.WriteString(client, "TP/1.1\r\n")
+	assert.NilError(t, err)
+	time.Sleep(20 * time.Millisecond) // the bytes are in the socket before the deadline is looked at
+	assert.NilError(t, c.SetReadDeadline(time.Now().Add(-time.Second)))
+	n, err = c.Read(p)
+	assert.NilError(t, err)
+	assert.Equal(t, string(p[:n]), "TP/1.1\r\n")
+	_, err = c.Read(p) // the rest is due within the header limit
+	assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	// The deadline of a body is kept, also with bytes that have arrived.
+	c.becomeBusy()
+	_, err = io.WriteString(client, "body")
+	assert.NilError(t, err)
+	time.Sleep(20 * time.Millisecond)
+	assert.NilError(t, c.SetReadDeadline(time.Now().Add(-time.Second)))
+	_, err = c.Read(p)
+	assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
+}
