registry: test that the refusal of a change that is too large reaches its operator

go test ./modules/registry -run TestOversized -count=1 before: stop_test.go:164: write tcp 127.0.0.1:53634->127.80.101.1:44439: write: broken pipe after: ok

--- a/modules/registry/stop_test.go
+++ b/modules/registry/stop_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -146,3 +147,27 @@
 		return int(f.nodes[0].configuration.current().version) >= acknowledged
 	})
 }
+
+// Guards against a refusal of a change that is too large which its operator cannot read, because
+// the connection is reset while the operator still sends.
+func TestOversizedChangeIsAnswered(t *testing.T) {
+	f := newFleet(t, 1)
+	const size = 3 * maxConfigurationBytes
+	for _, head := range []string{fmt.Sprintf("Content-Length: %d\r\n\r\n", size), fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n", size)} {
+		o := f.nodes[0].dial(t)
+		_, err := io.WriteString(o, "POST /v1/config/replace HTTP/1.1\r\nHost: h\r\n"+head)
+		assert.NilError(t, err)
+		piece := strings.Repeat("x", size/12)
+		for range 12 { // slower than the 500 ms after which net/http closes
+			time.Sleep(120 * time.Millisecond)
+			_, err = io.WriteString(o, piece)
+			assert.NilError(t, err)
+		}
+		_ = o.SetReadDeadline(time.Now().Add(5 * time.Second))
+		res, err := http.ReadResponse(o.reader, nil)
+		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, res.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, res.StatusCode, http.StatusRequestEntityTooLarge)
+	}
+}
