--- a/modules/entry/cut_test.go
+++ b/modules/entry/cut_test.go
@@ -153,6 +153,7 @@
 	} {
 		for _, chunked := range []bool{false, true} {
 			t.Run(fmt.Sprint(name, " chunked=", chunked), func(t *testing.T) {
+				t.Parallel()
 				c := f.dial(t)
 				if chunked {
 					c.send(test.head + fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n", size))
--- a/modules/gateway/cut_test.go
+++ b/modules/gateway/cut_test.go
@@ -175,6 +175,7 @@
 	} {
 		for _, chunked := range []bool{false, true} {
 			t.Run(fmt.Sprint(name, " chunked=", chunked), func(t *testing.T) {
+				t.Parallel()
 				conf := configuration()
 				conf.Limits.BodyBytes = test.limit
 				f := newFixture(t, conf, startDesk(t))
