kernel: a process whose log has no reader goes on

What callers saw: a process ended at once, with all its requests, at its first log line after the reader of its standard output had ended.

Cause: the Go runtime ends a process by SIGPIPE when a write to standard output or standard error fails with EPIPE.

Class: a signal with its default action, as SIGHUP before.

Change: the kernel ignores SIGPIPE; the log's lines are lost, as at any other failure of its output.

go test heatherway.dev/kernel -run TestLogWithoutReader -count=1 before: signal_test.go:93: assertion failed: error is not nil: signal: broken pipe after: ok With the binary, standard output piped to "head -n 1", two requests by curl: before: 000 000 (no answer), exit 141; after: 503 503 (no configuration there)

--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -10,9 +10,11 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"sort"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -205,6 +207,8 @@
 		return nil, err
 	}
 	setMemoryLimit(k.settings.MemoryMB)
+	// Without this, the first line after the end of the log's reader would end the process.
+	signal.Ignore(syscall.SIGPIPE)
 	k.output = logs.NewWriter(os.Stdout)
 	log := slog.New(slog.NewJSONHandler(k.output, &slog.HandlerOptions{Level: k.settings.Log.Level})).
 		With("instance", k.settings.Instance.ID, "zone", k.settings.Instance.Zone)
--- a/kernel/signal_test.go
+++ b/kernel/signal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -14,16 +15,27 @@
 	"heatherway.dev/kernel/settings"
 )
 
-// slowStop is a role that takes some time to stop.
-type slowStop struct{}
+// slowStop is a role that logs a line and takes some time to stop.
+type slowStop struct{ log *slog.Logger }
 
 func init() {
 	Register(ModuleInfo{ID: "role.slow_stop", New: func() any { return &slowStop{} }})
 }
 
-func (slowStop) Start(context.Context) error { return nil }
+// Provision implements Provisioner.
+func (s *slowStop) Provision(c *Context) error {
+	s.log = c.Log
+	return nil
+}
+
+// Start implements Runner.
+func (s *slowStop) Start(context.Context) error {
+	s.log.Error("started")
+	return nil
+}
 
-func (slowStop) Stop(context.Context) error {
+// Stop implements Runner.
+func (s *slowStop) Stop(context.Context) error {
 	time.Sleep(500 * time.Millisecond)
 	return nil
 }
@@ -66,3 +78,18 @@
 	assert.NilError(t, cmd.Process.Signal(syscall.SIGHUP))
 	assert.NilError(t, cmd.Wait())
 }
+
+// Guards against a process that ends, with all its requests, because the reader of its log has
+// ended.
+func TestLogWithoutReader(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "f.yaml")
+	assert.NilError(t, os.WriteFile(path, []byte(settingsHeader+"  - slow_stop: {}\n"), 0o600))
+	r, w, err := os.Pipe()
+	assert.NilError(t, err)
+	assert.NilError(t, r.Close())
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), "HEATHERWAY_TEST_SETTINGS="+path)
+	cmd.Stdout = w
+	assert.NilError(t, cmd.Run())
+	assert.NilError(t, w.Close())
+}
