--- a/test/soak/caller_test.go
+++ b/test/soak/caller_test.go
@@ -19,24 +19,32 @@
 	failed
 )
 
-// callOnce makes one request to a random route and checks everything that the
-// caller can observe.
-func (sys *testSystem) callOnce(client *http.Client, rng *rand.Rand) callOutcome {
-	id := fmt.Sprintf("%d-%d", sys.seed, sys.attempts.Add(1))
-	path := []string{"letters", "book", "look"}[rng.IntN(3)]
-	addr := sys.gatewayProxies[rng.IntN(len(sys.gatewayProxies))].Addr()
-	r, err := http.NewRequest(http.MethodPost, "http://"+addr+"/"+path+"/x", strings.NewReader("body of "+id))
+// allPaths are the routes of the test configuration.
+var allPaths = []string{"letters", "book", "look"}
+
+// newCallerRequest returns a request of a caller as a gateway receives it.
+func newCallerRequest(addr, path, id, body string) *http.Request {
+	r, err := http.NewRequest(http.MethodPost, "http://"+addr+"/"+path+"/x", strings.NewReader(body))
 	if err != nil {
-		sys.t.Error(err)
-		return failed
+		panic(err) // the address is one of this test
 	}
 	r.Host = "h"
 	r.GetBody = nil // net/http must not retry the request on its own
 	for name, value := range map[string]string{
-		"Attempt-Id": id, "Authorization": "Bearer secret", "Deadline-Ms": "8000", "Token-Count": "800,200", "Prompt-Prefix": "aa:100," + id + ":700",
+		"Attempt-Id": id, "Authorization": "Bearer secret", "Deadline-Ms": "8000", "Token-Count": "800,200",
 	} {
 		r.Header.Set(name, value)
 	}
+	return r
+}
+
+// callOnce makes one request to one of the paths and checks everything that the
+// caller can observe.
+func (sys *testSystem) callOnce(client *http.Client, rng *rand.Rand, paths []string) callOutcome {
+	id := fmt.Sprintf("%d-%d", sys.seed, sys.attempts.Add(1))
+	path := paths[rng.IntN(len(paths))]
+	r := newCallerRequest(sys.gatewayProxies[rng.IntN(len(sys.gatewayProxies))].Addr(), path, id, "body of "+id)
+	r.Header.Set("Prompt-Prefix", "aa:100,"+id+":700")
 	start := time.Now()
 	res, err := client.Do(r)
 	if err != nil {
--- a/test/soak/crashing_test.go
+++ b/test/soak/crashing_test.go
@@ -141,6 +141,25 @@
 	}
 }
 
+// loseZones returns a fault that loses all servers of one zone after the other for
+// 1.2 s, one zone every two seconds, alternately by silence and by closed connections.
+func loseZones(count int) func(*testSystem, <-chan time.Time) {
+	return func(sys *testSystem, stop <-chan time.Time) {
+		for i := range count {
+			for _, s := range sys.servers {
+				if s.zone == fmt.Sprint("z", i%3) {
+					sys.crashServer(s, i%2 == 0, 1200*time.Millisecond)
+				}
+			}
+			select {
+			case <-stop:
+				return
+			case <-time.After(2 * time.Second):
+			}
+		}
+	}
+}
+
 // otherFaultDelay is the delay before a fault that is injected once.
 const otherFaultDelay = 5 * time.Second
 
@@ -179,13 +198,19 @@
 }
 
 // crashRequests are requests that crash each server that starts to run them. The
-// times of arrivals and crashes are recorded by request body.
+// times of arrivals and crashes are recorded by cause: a request body or a part of
+// prompts.
 type crashRequests struct {
 	crashingCase
-	requestCount atomic.Int64
-	mu           sync.Mutex
-	arrivalTimes map[string][]time.Time
-	crashTimes   map[string][]time.Time
+	// causeOf returns what makes a request crash servers, "" for a harmless request.
+	causeOf func(body string, h http.Header) string
+	// allowedCrashes is the number of crashes after which arrivals with the same cause
+	// are late.
+	allowedCrashes int
+	requestCount   atomic.Int64
+	mu             sync.Mutex
+	arrivalTimes   map[string][]time.Time
+	crashTimes     map[string][]time.Time
 }
 
 // Requests whose body starts with crashingBody crash servers. harmlessBody is the
@@ -195,6 +220,18 @@
 	harmlessBody = "body that harms nobody"
 )
 
+// bodyCause is the causeOf of requests that crash servers whatever their headers.
+func bodyCause(body string, _ http.Header) string {
+	if strings.HasPrefix(body, crashingBody) {
+		return body
+	}
+	return ""
+}
+
+func newCrashRequests(c crashingCase, allowedCrashes int, causeOf func(string, http.Header) string) *crashRequests {
+	return &crashRequests{crashingCase: c, causeOf: causeOf, allowedCrashes: allowedCrashes, arrivalTimes: map[string][]time.Time{}, crashTimes: map[string][]time.Time{}}
+}
+
 // requestBody returns the body of the i-th request.
 func (c *crashingCase) requestBody(i int) string {
 	b := fmt.Sprintf("%s, request %d", crashingBody, i%max(1, c.requests))
@@ -206,12 +243,12 @@
 
 // crashServer crashes a server that has started to run one of the requests. It
 // returns false if the server is to answer the request instead.
-func (reqs *crashRequests) crashServer(s *server, body string, rw http.ResponseWriter) bool {
+func (reqs *crashRequests) crashServer(s *server, cause string, rw http.ResponseWriter) bool {
 	if reqs.requestCount.Add(1) <= reqs.answeredFirst {
 		return false
 	}
 	reqs.mu.Lock()
-	reqs.arrivalTimes[body] = append(reqs.arrivalTimes[body], time.Now())
+	reqs.arrivalTimes[cause] = append(reqs.arrivalTimes[cause], time.Now())
 	reqs.mu.Unlock()
 	rw.Header().Set("Response-Seal", "seal")
 	rw.Header().Set("Content-Type", "text/event-stream")
@@ -225,7 +262,7 @@
 	s.mu.Unlock()
 	if !crashed {
 		reqs.mu.Lock()
-		reqs.crashTimes[body] = append(reqs.crashTimes[body], time.Now())
+		reqs.crashTimes[cause] = append(reqs.crashTimes[cause], time.Now())
 		reqs.mu.Unlock()
 		s.crash(reqs.silent)
 		if reqs.restartAfter > 0 {
@@ -235,30 +272,37 @@
 	return true
 }
 
-// countCrashes returns the number of crashes, and for the request with the most
-// late arrivals their times in seconds after the third crash.
+// countCrashes returns the number of crashes, and for the cause with the most late
+// arrivals their times in seconds after the last allowed crash.
 func (reqs *crashRequests) countCrashes() (crashed int, lateArrivals []string) {
 	reqs.mu.Lock()
 	defer reqs.mu.Unlock()
-	for body, list := range reqs.crashTimes {
+	for cause, list := range reqs.crashTimes {
 		crashed += len(list)
-		if len(list) < 3 {
-			continue
-		}
-		slices.SortFunc(list, time.Time.Compare)
-		var late []string
-		for _, at := range reqs.arrivalTimes[body] {
-			if at.After(list[2].Add(lossDetectionTime)) {
-				late = append(late, fmt.Sprintf("%.1f", at.Sub(list[2]).Seconds()))
-			}
-		}
-		if len(late) > len(lateArrivals) {
+		if late := reqs.lateArrivals(cause); len(late) > len(lateArrivals) {
 			lateArrivals = late
 		}
 	}
 	return crashed, lateArrivals
 }
 
+// lateArrivals returns the times of the late arrivals with a cause, in seconds after
+// the last allowed crash. The caller holds mu.
+func (reqs *crashRequests) lateArrivals(cause string) (late []string) {
+	list := reqs.crashTimes[cause]
+	if len(list) < reqs.allowedCrashes {
+		return nil
+	}
+	slices.SortFunc(list, time.Time.Compare)
+	last := list[reqs.allowedCrashes-1]
+	for _, at := range reqs.arrivalTimes[cause] {
+		if at.After(last.Add(lossDetectionTime)) {
+			late = append(late, fmt.Sprintf("%.1f", at.Sub(last).Seconds()))
+		}
+	}
+	return late
+}
+
 // Guards against a request that crashes one server after the other.
 func TestCrashingRequests(t *testing.T) {
 	for _, c := range crashingCases {
@@ -273,15 +317,12 @@
 }
 
 func runCrashingCase(t *testing.T, c crashingCase) {
-	requests := &crashRequests{crashingCase: c, arrivalTimes: map[string][]time.Time{}, crashTimes: map[string][]time.Time{}}
+	requests := newCrashRequests(c, 3, bodyCause)
 	sys := newTestSystem(t, *firstSeed, 4, 4, 9)
 	sys.crashRequests.Store(requests)
 	sys.announcementDelay.Store(int64(c.announcementDelay))
-	client := &http.Client{Timeout: time.Second}
-	sys.eventually("first configuration", 20*time.Second, func() bool { return sys.replaceConfiguration(client, sys.registries[0].addr(operatorPort)) })
-	sys.eventually("gateways ready", 20*time.Second, sys.gatewaysReady)
-	sys.disableBootstrap()
-	sys.startCallers(4)
+	sys.waitUntilReady()
+	sys.startCallers(4, allPaths...)
 	time.Sleep(time.Second)
 	var wait sync.WaitGroup
 	if c.otherFault != nil {
@@ -308,18 +349,7 @@
 	if timeout > 0 {
 		client.Timeout = timeout
 	}
-	r, err := http.NewRequest(http.MethodPost, "http://"+addr+"/"+path+"/x", strings.NewReader(body))
-	if err != nil {
-		sys.t.Error(err)
-		return 0, ""
-	}
-	r.Host, r.GetBody = "h", nil
-	for name, value := range map[string]string{
-		"Attempt-Id": fmt.Sprint("again-", sys.attempts.Add(1)), "Authorization": "Bearer secret", "Deadline-Ms": "8000", "Token-Count": "800,200",
-	} {
-		r.Header.Set(name, value)
-	}
-	res, err := client.Do(r)
+	res, err := client.Do(newCallerRequest(addr, path, fmt.Sprint("again-", sys.attempts.Add(1)), body))
 	if err != nil {
 		return 0, ""
 	}
@@ -333,11 +363,8 @@
 func TestZonesLostUnderAHarmlessRequest(t *testing.T) {
 	t.Parallel()
 	sys := newTestSystem(t, *firstSeed, 4, 4, 9)
-	client := &http.Client{Timeout: time.Second}
-	sys.eventually("first configuration", 20*time.Second, func() bool { return sys.replaceConfiguration(client, sys.registries[0].addr(operatorPort)) })
-	sys.eventually("gateways ready", 20*time.Second, sys.gatewaysReady)
-	sys.disableBootstrap()
-	sys.startCallers(8)
+	sys.waitUntilReady()
+	sys.startCallers(8, allPaths...)
 	var rejectedAsCrash, served, total atomic.Int64
 	send := func(path string) {
 		status, answer := sys.resendRequest(path, harmlessBody, sys.gateways[rand.IntN(len(sys.gateways))].addr(callerPort), 0)
@@ -351,14 +378,8 @@
 	}
 	var wait sync.WaitGroup
 	begin := time.Now()
-	for i := 0; time.Since(begin) < 16*time.Second; i++ {
-		if i%10 == 0 && i < 50 { // every two seconds, five times
-			for _, s := range sys.servers {
-				if s.zone == fmt.Sprint("z", i/10%3) {
-					sys.crashServer(s, i%20 == 0, 1200*time.Millisecond)
-				}
-			}
-		}
+	wait.Go(func() { loseZones(5)(sys, time.After(16*time.Second)) })
+	for time.Since(begin) < 16*time.Second {
 		for _, path := range []string{"letters", "look"} {
 			wait.Go(func() { send(path) })
 		}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -57,11 +57,8 @@
 
 func runSeed(t *testing.T, seed uint64) {
 	sys := newTestSystem(t, seed, *registryCount, *gatewayCount, *serverCount)
-	client := &http.Client{Timeout: time.Second}
-	sys.eventually("first configuration", 20*time.Second, func() bool { return sys.replaceConfiguration(client, sys.registries[0].addr(operatorPort)) })
-	sys.eventually("gateways ready", 20*time.Second, sys.gatewaysReady)
-	sys.disableBootstrap()
-	sys.startCallers(*callerCount)
+	sys.waitUntilReady()
+	sys.startCallers(*callerCount, allPaths...)
 	go sys.runOperator(sys.rng)
 	for end := time.Now().Add(*faultDuration); time.Now().Before(end); {
 		sys.injectFault()
--- a/test/soak/upstream_test.go
+++ b/test/soak/upstream_test.go
@@ -211,17 +211,23 @@
 	h := w.Header()
 	attempt := r.Header.Get("Attempt-Id")
 	h.Set("Attempt-Id", attempt)
-	switch reqs := s.system.crashRequests.Load(); {
+	cause := ""
+	reqs := s.system.crashRequests.Load()
+	if reqs != nil {
+		cause = reqs.causeOf(string(body), r.Header)
+	}
+	switch {
 	case crashed:
 		panic(http.ErrAbortHandler)
 	case r.Header.Get("Expect-Instance") != id:
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
-	case reqs != nil && strings.HasPrefix(string(body), crashingBody):
-		if reqs.crashServer(s, string(body), w) {
+	case cause != "":
+		if reqs.crashServer(s, cause, w) {
+			s.system.runCounts.add(attempt)
 			panic(http.ErrAbortHandler)
 		}
-	case r.Header.Get("Authorization") != "" || r.Header.Get("Tenant") != "mill" || string(body) != "body of "+attempt && string(body) != harmlessBody:
+	case r.Header.Get("Authorization") != "" || r.Header.Get("Tenant") != organisationOf(attempt) || string(body) != bodyOf(attempt) && string(body) != harmlessBody:
 		s.system.reportViolation("UNASKED: %s got headers %v and body %q", id, r.Header, body)
 	case s.system.faultsEnded.Load() && !drained.IsZero() && time.Since(drained) > 2*time.Second:
 		s.system.reportViolation("DRAIN: %s got %s %v after its drain was acknowledged", id, attempt, time.Since(drained))
@@ -247,6 +253,26 @@
 	s.serveStream(w, r, attempt, incarnation)
 }
 
+// Attempts whose id begins with otherOrganisation are made with its key; all others
+// with that of the organisation mill. An id with retrySuffix is that of a retry, with
+// the body of the first attempt.
+const (
+	otherOrganisation = "barn"
+	retrySuffix       = ".retry"
+)
+
+func organisationOf(attempt string) string {
+	if strings.HasPrefix(attempt, otherOrganisation) {
+		return otherOrganisation
+	}
+	return "mill"
+}
+
+func bodyOf(attempt string) string {
+	first, _, _ := strings.Cut(attempt, retrySuffix)
+	return "body of " + first
+}
+
 // readBody reads a request body, or half of one that crashes the server while it
 // is read.
 func (s *server) readBody(r *http.Request) ([]byte, error) {
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -135,7 +135,7 @@
 
 func configurationJSON(version uint64) string {
 	route := `{"Name":%q,"Host":"h","PathPrefix":"/%s/","Kind":%q,"TimeoutMs":%d,"SloMs":1000,"Priority":0,"Service":%q,"MaxAttempts":%d,"Resumable":%v,"GapTargetMs":700}`
-	return fmt.Sprintf(`{"Version":%d,"Routes":[`+route+`,`+route+`,`+route+`],"Services":[{"Name":"model","MaxConns":400,"Engine":{"Slots":64,"KvCapacity":88000,"Backups":true,"HandleS":4}},{"Name":"desk","MaxConns":400}],"Limits":{"MaxBodyBytes":100000,"IdleTimeoutMs":15000},"Tenants":[{"Name":"mill","ApiKeys":["secret"]}]}`,
+	return fmt.Sprintf(`{"Version":%d,"Routes":[`+route+`,`+route+`,`+route+`],"Services":[{"Name":"model","MaxConns":400,"Engine":{"Slots":64,"KvCapacity":88000,"Backups":true,"HandleS":4}},{"Name":"desk","MaxConns":400}],"Limits":{"MaxBodyBytes":100000,"IdleTimeoutMs":15000},"Tenants":[{"Name":"mill","ApiKeys":["secret"]},{"Name":"barn","ApiKeys":["other secret"]}]}`,
 		version, "letters", "letters", "stream", 8000, "model", 5, true, "book", "book", "unsafe", 1000, "desk", 1, false, "look", "look", "safe", 1000, "desk", 2, false)
 }
 
@@ -200,14 +200,22 @@
 	return true
 }
 
-// startCallers starts n callers that make requests until the test ends.
-func (sys *testSystem) startCallers(n int) {
+// waitUntilReady waits until the system serves its first configuration.
+func (sys *testSystem) waitUntilReady() {
+	client := &http.Client{Timeout: time.Second}
+	sys.eventually("first configuration", 20*time.Second, func() bool { return sys.replaceConfiguration(client, sys.registries[0].addr(operatorPort)) })
+	sys.eventually("gateways ready", 20*time.Second, sys.gatewaysReady)
+	sys.disableBootstrap()
+}
+
+// startCallers starts n callers that make requests to the paths until the test ends.
+func (sys *testSystem) startCallers(n int, paths ...string) {
 	for i := range n {
 		rng := rand.New(rand.NewPCG(sys.seed, uint64(i)+1000))
 		go func() {
 			client := &http.Client{Timeout: 9 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 2, ResponseHeaderTimeout: 2500 * time.Millisecond}}
 			for sys.running() {
-				sys.outcomeCounts[sys.callOnce(client, rng)].Add(1)
+				sys.outcomeCounts[sys.callOnce(client, rng, paths)].Add(1)
 				time.Sleep(time.Duration(rng.IntN(60)) * time.Millisecond)
 			}
 		}()
