--- a/test/soak/parts_test.go
+++ b/test/soak/parts_test.go
@@ -76,6 +76,9 @@
 	// crash servers yet. With repairAfter the parts cease to crash servers after that time.
 	harmlessBefore bool
 	repairAfter    time.Duration
+	// newShared makes all requests use other shared parts from the first crash on, so that
+	// no request has shown them to be harmless.
+	newShared bool
 	// uniqueParts is the number of further parts of each request that no other one has.
 	uniqueParts int
 	// duration replaces the duration of the flag.
@@ -150,6 +153,11 @@
 	{name: "repaired", servers: closing, share: 0.5, repairAfter: 15 * time.Second},
 	{name: "repaired dark", servers: dark, share: 0.15, repairAfter: 15 * time.Second},
 	{name: "long", servers: closing, share: 0.15, duration: 250 * time.Second},
+	{name: "zones lost beside few", servers: closing.with(loseZones(5)), share: 0.05},
+	{name: "servers lost beside", servers: closing.with(loseServers), share: 0.15},
+	{name: "new shared parts", servers: closing, share: 0.5, newShared: true},
+	{name: "new shared parts most", servers: closing, share: 0.9, newShared: true},
+	{name: "new shared parts dark", servers: dark, share: 0.15, newShared: true, place: lastButOnePart},
 }
 
 // crashFreeCases have no crashing part; servers fail for other reasons, while nearly all
@@ -222,8 +230,13 @@
 
 func partID(rng *rand.Rand) string { return fmt.Sprintf("%08x", rng.Uint32()) }
 
-// sharedParts are parts that harmless requests share with those that crash servers.
-var sharedParts = []string{"5c1e07a2", "91bd3f06", "2f60c4d9"}
+// shared returns a part that harmless requests share with those that crash servers.
+func (p *partPlay) shared(i int) string {
+	if p.newShared && time.Now().After(p.crashFrom) {
+		i += 3
+	}
+	return [...]string{"5c1e07a2", "91bd3f06", "2f60c4d9", "b07e11c5", "08d2a9f4", "e4402b7d"}[i]
+}
 
 // promptParts returns the header of a prompt: the given parts, unique parts before the
 // last of them, and a last part of its own.
@@ -238,17 +251,17 @@
 // crashingPrompt returns a prompt with a crashing part, half of the time with a first
 // part that no other prompt has.
 func (p *partPlay) crashingPrompt(rng *rand.Rand) string {
-	part, head := p.parts[rng.IntN(len(p.parts))], sharedParts[0]
+	part, head := p.parts[rng.IntN(len(p.parts))], p.shared(0)
 	if rng.IntN(2) == 0 {
 		head = partID(rng)
 	}
 	switch p.place {
 	case firstPart:
-		return p.promptParts(rng, part, sharedParts[1])
+		return p.promptParts(rng, part, p.shared(1))
 	case lastButOnePart:
-		return p.promptParts(rng, head, sharedParts[1], part)
+		return p.promptParts(rng, head, p.shared(1), part)
 	}
-	return p.promptParts(rng, head, part, sharedParts[1])
+	return p.promptParts(rng, head, part, p.shared(1))
 }
 
 // harmlessPrompt returns a prompt that shares its key, its first part, or both with
@@ -256,15 +269,15 @@
 func (p *partPlay) harmlessPrompt(rng *rand.Rand) (organisation, prompt string) {
 	switch rng.IntN(6) {
 	case 0:
-		return "mill", p.promptParts(rng, partID(rng), sharedParts[1])
+		return "mill", p.promptParts(rng, partID(rng), p.shared(1))
 	case 1:
 		if p.place != firstPart { // nothing is in common otherwise
-			return otherOrganisation, p.promptParts(rng, sharedParts[0], sharedParts[2])
+			return otherOrganisation, p.promptParts(rng, p.shared(0), p.shared(2))
 		}
 	case 2:
-		return "mill", p.promptParts(rng, sharedParts[0], sharedParts[2])
+		return "mill", p.promptParts(rng, p.shared(0), p.shared(2))
 	}
-	return "mill", p.promptParts(rng, sharedParts[0], sharedParts[1])
+	return "mill", p.promptParts(rng, p.shared(0), p.shared(1))
 }
 
 // causeOf returns the crashing part of a prompt.
