--- a/test/soak/parts_test.go
+++ b/test/soak/parts_test.go
@@ -48,6 +48,8 @@
 	calmTime = 5 * time.Second
 	// harmlessRate is the number of harmless streams in a second.
 	harmlessRate = 6
+	// callerDeadline is the time that callers allow for an answer.
+	callerDeadline = 8 * time.Second
 	// maxCallerAttempts is how often a caller sends a request.
 	maxCallerAttempts = 3
 )
@@ -311,7 +313,7 @@
 		if status == http.StatusOK || !p.sys.running() {
 			break
 		}
-		time.Sleep(pause)
+		time.Sleep(min(pause, (callerDeadline-time.Since(out.sentAt))/3)) // callers wait no longer than a third of the time left
 	}
 	return out
 }
