--- a/test/soak/crashing_test.go
+++ b/test/soak/crashing_test.go
@@ -211,6 +211,8 @@
 	mu             sync.Mutex
 	arrivalTimes   map[string][]time.Time
 	crashTimes     map[string][]time.Time
+	// arrivalLog has a line for each arrival: time, server, cause and attempt.
+	arrivalLog []string
 }
 
 // Requests whose body starts with crashingBody crash servers. harmlessBody is the
@@ -249,6 +251,7 @@
 	}
 	reqs.mu.Lock()
 	reqs.arrivalTimes[cause] = append(reqs.arrivalTimes[cause], time.Now())
+	reqs.arrivalLog = append(reqs.arrivalLog, fmt.Sprintf("%s %s %q %s\n", time.Now().Format(time.RFC3339Nano), s.proxy.Addr(), cause, rw.Header().Get("Attempt-Id")))
 	reqs.mu.Unlock()
 	rw.Header().Set("Response-Seal", "seal")
 	rw.Header().Set("Content-Type", "text/event-stream")
--- a/test/soak/parts_test.go
+++ b/test/soak/parts_test.go
@@ -301,6 +301,9 @@
 	id := fmt.Sprintf("%s-%d-%d", organisation, p.sys.seed, p.sys.attempts.Add(1))
 	body, out := bodyOf(id), firstAttempt{sentAt: time.Now(), serversDown: p.sys.modelServersDown()}
 	for i := range maxCallerAttempts {
+		if time.Since(out.sentAt) > callerDeadline {
+			break
+		}
 		attempt := id
 		if i > 0 {
 			attempt = fmt.Sprint(id, retrySuffix, i)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -24,6 +25,7 @@
 	gatewayCount    = flag.Int("soak.gateways", 3, "gateways")
 	serverCount     = flag.Int("soak.servers", 9, "model servers")
 	callerCount     = flag.Int("soak.callers", 12, "callers")
+	keepAllLogs     = flag.Bool("soak.logs", false, "also keep the logs of runs that pass")
 	playRegressions = flag.Bool("soak.regressions", false, "also run the seeds that have failed before")
 )
 
@@ -218,5 +220,12 @@
 			sys.t.Log(err)
 		}
 	}
+	if reqs := sys.crashRequests.Load(); reqs != nil {
+		reqs.mu.Lock()
+		defer reqs.mu.Unlock()
+		if err := os.WriteFile(filepath.Join(folder, "arrivals.txt"), []byte(strings.Join(reqs.arrivalLog, "")), 0o600); err != nil {
+			sys.t.Log(err)
+		}
+	}
 	sys.t.Logf("logs are in %s", folder)
 }
