--- a/test/soak/parts_test.go
+++ b/test/soak/parts_test.go
@@ -170,9 +170,11 @@
 	{name: "zones lost late announcements", servers: crashingCase{otherFault: loseZones(5), announcementDelay: lateBy}},
 	{name: "servers lost", servers: crashingCase{otherFault: loseServers}},
 	{name: "servers lost late announcements", servers: crashingCase{otherFault: loseServers, announcementDelay: lateBy}},
+	{name: "all servers lost", servers: crashingCase{otherFault: loseAllServers}},
 }
 
-// loseServers loses one random model server after the other for 2 s.
+// loseServers loses one random model server after the other for 2 s, so that about four
+// of nine are down, as many as under a crashing part.
 func loseServers(sys *testSystem, stop <-chan time.Time) {
 	rng := rand.New(rand.NewPCG(sys.seed, 3))
 	for {
@@ -180,7 +182,21 @@
 		select {
 		case <-stop:
 			return
-		case <-time.After(time.Second):
+		case <-time.After(500 * time.Millisecond):
+		}
+	}
+}
+
+// loseAllServers loses all model servers at once for 1.5 s, three times.
+func loseAllServers(sys *testSystem, stop <-chan time.Time) {
+	for i := range 3 {
+		for _, s := range sys.servers[:9] {
+			sys.crashServer(s, i == 1, 1500*time.Millisecond)
+		}
+		select {
+		case <-stop:
+			return
+		case <-time.After(5 * time.Second):
 		}
 	}
 }
