--- a/test/soak/parts_test.go
+++ b/test/soak/parts_test.go
@@ -160,6 +160,8 @@
 	{name: "new shared parts", servers: closing, share: 0.5, newShared: true},
 	{name: "new shared parts most", servers: closing, share: 0.9, newShared: true},
 	{name: "new shared parts dark", servers: dark, share: 0.15, newShared: true, place: lastButOnePart},
+	{name: "impatient callers", servers: crashingCase{restartAfter: 2 * time.Second, silent: true, callerTimeout: 250 * time.Millisecond}, share: 0.5},
+	{name: "impatient callers some", servers: crashingCase{restartAfter: 2 * time.Second, silent: true, callerTimeout: 250 * time.Millisecond}, share: 0.15},
 }
 
 // crashFreeCases have no crashing part; servers fail for other reasons, while nearly all
@@ -346,6 +348,9 @@
 		r.Header.Set("Authorization", "Bearer other secret")
 	}
 	client := &http.Client{Timeout: 9 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	if p.servers.callerTimeout > 0 && p.causeOf("", r.Header) != "" {
+		client.Timeout = p.servers.callerTimeout
+	}
 	res, err := client.Do(r)
 	if err != nil {
 		return 0, "", resendInterval
