--- a/test/soak/parts_test.go
+++ b/test/soak/parts_test.go
@@ -162,6 +162,12 @@
 	{name: "new shared parts dark", servers: dark, share: 0.15, newShared: true, place: lastButOnePart},
 	{name: "impatient callers", servers: crashingCase{restartAfter: 2 * time.Second, silent: true, callerTimeout: 250 * time.Millisecond}, share: 0.5},
 	{name: "impatient callers some", servers: crashingCase{restartAfter: 2 * time.Second, silent: true, callerTimeout: 250 * time.Millisecond}, share: 0.15},
+	{name: "three parts most", servers: closing, share: 0.9, count: 3},
+	{name: "dark two parts most", servers: dark, share: 0.9, count: 2},
+	{name: "new shared two parts", servers: closing, share: 0.5, count: 2, newShared: true},
+	{name: "two parts gateways restart", servers: closing.with(restartGateways), share: 0.5, count: 2},
+	{name: "two parts control loses disks", servers: closing.with(loseControlDisks), share: 0.15, count: 2},
+	{name: "many parts two", servers: closing, share: 0.5, count: 2, uniqueParts: 100},
 }
 
 // crashFreeCases have no crashing part; servers fail for other reasons, while nearly all
