test/soak: reserve the loopback network of a test run

Cause: the addresses of a run came from its pid modulo 250, and nothing kept another run from the same ones. Change: each run listens at an address of its network for as long as it lasts, and takes the next network if that fails.

--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -61,6 +62,22 @@
 // its own.
 var lastHost atomic.Int64
 
+// networkListener reserves the network of these addresses while this test process runs.
+// Otherwise two test runs at the same addresses answer each other's requests.
+var networkListener net.Listener
+
+// network returns the second byte of these addresses.
+var network = sync.OnceValue(func() int {
+	for i := range 250 {
+		n := 1 + (os.Getpid()+i)%250
+		if l, err := net.Listen("tcp", fmt.Sprintf("127.%d.49.1:7000", n)); err == nil {
+			networkListener = l
+			return n
+		}
+	}
+	panic("no loopback network is free")
+})
+
 func newTestSystem(t *testing.T, seed uint64, registries, gateways, servers int) *testSystem {
 	sys := &testSystem{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, seed)), runCounts: &runCounter{runs: map[string]int{}}}
 	var cancel context.CancelFunc
@@ -69,7 +86,7 @@
 	folder := t.TempDir()
 	for i := range registries + gateways {
 		n := lastHost.Add(1)
-		p := &process{t: t, role: "gateway", host: fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%250, 50+n/250, 1+n%250), folder: filepath.Join(folder, fmt.Sprint(i))}
+		p := &process{t: t, role: "gateway", host: fmt.Sprintf("127.%d.%d.%d", network(), 50+n/250, 1+n%250), folder: filepath.Join(folder, fmt.Sprint(i))}
 		assert.NilError(t, os.MkdirAll(p.folder, 0o700))
 		if i < registries {
 			p.role = "registry"
