--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -61,6 +62,22 @@
 // its own.
 var lastHost atomic.Int64
 
+// networkListener reserves the network of these addresses while this test process runs.
+// Otherwise two test runs at the same addresses answer each other's requests.
+var networkListener net.Listener
+
+// network returns the second byte of these addresses.
+var network = sync.OnceValue(func() int {
+	for i := range 250 {
+		n := 1 + (os.Getpid()+i)%250
+		if l, err := net.Listen("tcp", fmt.Sprintf("127.%d.49.1:7000", n)); err == nil {
+			networkListener = l
+			return n
+		}
+	}
+	panic("no loopback network is free")
+})
+
 func newTestSystem(t *testing.T, seed uint64, registries, gateways, servers int) *testSystem {
 	sys := &testSystem{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, seed)), runCounts: &runCounter{runs: map[string]int{}}}
 	var cancel context.CancelFunc
@@ -69,7 +86,7 @@
 	folder := t.TempDir()
 	for i := range registries + gateways {
 		n := lastHost.Add(1)
-		p := &process{t: t, role: "gateway", host: fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%250, 50+n/250, 1+n%250), folder: filepath.Join(folder, fmt.Sprint(i))}
+		p := &process{t: t, role: "gateway", host: fmt.Sprintf("127.%d.%d.%d", network(), 50+n/250, 1+n%250), folder: filepath.Join(folder, fmt.Sprint(i))}
 		assert.NilError(t, os.MkdirAll(p.folder, 0o700))
 		if i < registries {
 			p.role = "registry"
@@ -87,7 +104,7 @@
 			p.signal(syscall.SIGCONT)
 			p.kill()
 		}
-		if t.Failed() {
+		if t.Failed() || *keepAllLogs {
 			sys.keepLogs()
 		}
 	})
@@ -135,7 +152,7 @@
 
 func configurationJSON(version uint64) string {
 	route := `{"Name":%q,"Host":"h","PathPrefix":"/%s/","Kind":%q,"TimeoutMs":%d,"SloMs":1000,"Priority":0,"Service":%q,"MaxAttempts":%d,"Resumable":%v,"GapTargetMs":700}`
-	return fmt.Sprintf(`{"Version":%d,"Routes":[`+route+`,`+route+`,`+route+`],"Services":[{"Name":"model","MaxConns":400,"Engine":{"Slots":64,"KvCapacity":88000,"Backups":true,"HandleS":4}},{"Name":"desk","MaxConns":400}],"Limits":{"MaxBodyBytes":100000,"IdleTimeoutMs":15000},"Tenants":[{"Name":"mill","ApiKeys":["secret"]}]}`,
+	return fmt.Sprintf(`{"Version":%d,"Routes":[`+route+`,`+route+`,`+route+`],"Services":[{"Name":"model","MaxConns":400,"Engine":{"Slots":64,"KvCapacity":88000,"Backups":true,"HandleS":4}},{"Name":"desk","MaxConns":400}],"Limits":{"MaxBodyBytes":100000,"IdleTimeoutMs":15000},"Tenants":[{"Name":"mill","ApiKeys":["secret"]},{"Name":"barn","ApiKeys":["other secret"]}]}`,
 		version, "letters", "letters", "stream", 8000, "model", 5, true, "book", "book", "unsafe", 1000, "desk", 1, false, "look", "look", "safe", 1000, "desk", 2, false)
 }
 
@@ -200,14 +217,22 @@
 	return true
 }
 
-// startCallers starts n callers that make requests until the test ends.
-func (sys *testSystem) startCallers(n int) {
+// waitUntilReady waits until the system serves its first configuration.
+func (sys *testSystem) waitUntilReady() {
+	client := &http.Client{Timeout: time.Second}
+	sys.eventually("first configuration", 20*time.Second, func() bool { return sys.replaceConfiguration(client, sys.registries[0].addr(operatorPort)) })
+	sys.eventually("gateways ready", 20*time.Second, sys.gatewaysReady)
+	sys.disableBootstrap()
+}
+
+// startCallers starts n callers that make requests to the paths until the test ends.
+func (sys *testSystem) startCallers(n int, paths ...string) {
 	for i := range n {
 		rng := rand.New(rand.NewPCG(sys.seed, uint64(i)+1000))
 		go func() {
 			client := &http.Client{Timeout: 9 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 2, ResponseHeaderTimeout: 2500 * time.Millisecond}}
 			for sys.running() {
-				sys.outcomeCounts[sys.callOnce(client, rng)].Add(1)
+				sys.outcomeCounts[sys.callOnce(client, rng, paths)].Add(1)
 				time.Sleep(time.Duration(rng.IntN(60)) * time.Millisecond)
 			}
 		}()
