--- a/core/crash/part.go
+++ b/core/crash/part.go
@@ -23,6 +23,9 @@
 	// at once, and a gateway that was cut off breaks runs of upstreams that live on.
 	minPartFailures  = 2
 	minPartConfirmed = 2
+	// minExplainedShare divides the crashes of a part; another one that may have caused
+	// them instead must share at least the quotient.
+	minExplainedShare = 6
 	// settlingDelay is the time between a crash and a verdict that rests on it. Sound
 	// runs with the part that began after the crash, and reports of other gateways, arrive
 	// within it.
@@ -37,6 +40,12 @@
 	// firstProbeDelay is the time after a probe of an undecided part until the next one,
 	// doubled with each. Prefill, crash and its report take about as long.
 	firstProbeDelay = 2500 * time.Millisecond
+	// contestedProbeDelay is how long after the last crash a request with two contested
+	// parts may run as a probe; each further one adds as much.
+	contestedProbeDelay = 1500 * time.Millisecond
+	// contestedTrialDelay replaces firstTrialDelay for requests with two contested parts. It
+	// lets them run before requests with more of them, which have the deadly one more often.
+	contestedTrialDelay = 5 * time.Second
 	// partTrialFactor multiplies the wait for a trial of a blocked part with each run
 	// since it was blocked: after 10 s, 80 s, 11 min, and then every 85 min. Requests with
 	// the part may arrive for as long as the platform runs, and each trial costs an upstream.
@@ -78,6 +87,9 @@
 	Crashes, Failures, Confirmed int
 	// ProvedAt is when the part was last proved sound, zero if never.
 	ProvedAt time.Time
+	// Contested is set if other parts explain the crashes about as well. All of them are
+	// undecided until runs with few of them tell which it is.
+	Contested bool
 }
 
 // PartInterrupted records that a run of a request with a part was interrupted. depth is
@@ -240,18 +252,54 @@
 	return slices.DeleteFunc(slices.Clone(p.crashes), func(r *trackedRun) bool { return explained[r.incarnation()] })
 }
 
-// likelierThan reports whether the proofs of the parts, or else their positions, make p
-// the likelier cause of crashes that both may have caused. A run that proves a part proves
-// the parts beside it as well, so that the part which causes crashes has the older proof.
-// The deeper of two parts is found in fewer requests, and to block it costs less.
-func (p *suspectPart) likelierThan(other *suspectPart) bool {
+// compareProofs compares the times of the last proofs of two parts. A run that proves a
+// part proves the parts beside it as well, so that the part which causes crashes has the
+// older proof.
+func (p *suspectPart) compareProofs(other *suspectPart) int {
 	switch difference := p.provedAt.Sub(other.provedAt); {
 	case difference < -proofTolerance:
-		return true
+		return -1
 	case difference > proofTolerance:
-		return false
+		return 1
+	}
+	return 0
+}
+
+// rivals returns the suspects that may have caused the crashes of the part instead.
+func (p *suspectPart) rivals(suspects []*suspectPart) (list []*suspectPart) {
+	for _, other := range suspects {
+		if explained := len(p.crashes) - len(p.without(incarnations([]*suspectPart{other}))); other != p && other.compareProofs(p) <= 0 && explained*minExplainedShare >= len(p.crashes) {
+			list = append(list, other)
+		}
+	}
+	return list
+}
+
+// coveredBy reports whether another part alone is the likelier cause of all crashes but
+// one. Of two parts with equal proofs that is the deeper one: it is found in fewer
+// requests, and to block it costs less.
+func (p *suspectPart) coveredBy(other *suspectPart) bool {
+	order := cmp.Or(other.compareProofs(p), cmp.Compare(p.req.depth, other.req.depth))
+	return order < 0 && len(p.without(incarnations([]*suspectPart{other}))) <= 1
+}
+
+// sortByCrashes puts the part with the most crashes first.
+func sortByCrashes(suspects []*suspectPart) {
+	slices.SortFunc(suspects, func(a, b *suspectPart) int {
+		return cmp.Or(cmp.Compare(len(b.crashes), len(a.crashes)), a.provedAt.Compare(b.provedAt),
+			cmp.Compare(b.req.depth, a.req.depth), cmp.Compare(a.req.fingerprint, b.req.fingerprint))
+	})
+}
+
+// incarnations returns the incarnations at which one of the parts crashed.
+func incarnations(parts []*suspectPart) map[incarnation]bool {
+	m := map[incarnation]bool{}
+	for _, p := range parts {
+		for _, r := range p.crashes {
+			m[r.incarnation()] = true
+		}
 	}
-	return p.req.depth > other.req.depth
+	return m
 }
 
 // decideParts finds the parts that explain the crashes: first the one with the most
@@ -269,18 +317,29 @@
 			suspects = append(suspects, p)
 		}
 	}
-	decisions, explained := map[string]PartDecision{}, map[incarnation]bool{}
+	decisions := map[string]PartDecision{}
 	for len(suspects) > 0 {
-		p := likeliest(suspects)
-		d := p.decide(now)
-		decisions[d.Key] = d
-		for _, r := range p.crashes {
-			explained[r.incarnation()] = true
+		sortByCrashes(suspects)
+		widest := suspects[0]
+		chosen, contested := []*suspectPart{widest}, false
+		if rivals := widest.rivals(suspects); slices.ContainsFunc(rivals, widest.coveredBy) {
+			suspects = suspects[1:]
+			continue
+		} else if len(rivals) > 0 && len(separateFailureTimes(widest.without(incarnations(rivals)))) < minPartFailures {
+			chosen, contested = append(chosen, rivals...), true
+		}
+		for _, p := range chosen {
+			d := p.decide(now)
+			if contested {
+				d.Verdict, d.Contested = Undecided, true
+			}
+			decisions[d.Key] = d
 		}
-		for _, other := range suspects {
-			other.crashes = other.without(explained)
+		explained := incarnations(chosen)
+		for _, p := range suspects {
+			p.crashes = p.without(explained)
 		}
-		suspects = slices.DeleteFunc(suspects, func(other *suspectPart) bool { return !other.settled(now) })
+		suspects = slices.DeleteFunc(suspects, func(p *suspectPart) bool { return !p.settled(now) })
 	}
 	t.noteDecisionChanges(decisions)
 	t.decisions, t.decidedChange, t.decidedAt = decisions, t.lastChange, now
@@ -311,34 +370,6 @@
 	return list
 }
 
-// likeliest returns the part with the most crashes, or a likelier one if that leaves the
-// crashes of at most one failure unexplained: a failure of another kind, such as the loss
-// of a zone, hits the part that is in most requests.
-func likeliest(suspects []*suspectPart) *suspectPart {
-	slices.SortFunc(suspects, func(a, b *suspectPart) int {
-		return cmp.Or(cmp.Compare(len(b.crashes), len(a.crashes)), a.provedAt.Compare(b.provedAt),
-			cmp.Compare(b.req.depth, a.req.depth), cmp.Compare(a.req.fingerprint, b.req.fingerprint))
-	})
-	best := suspects[0]
-	for range suspects { // likelierThan is not transitive within proofTolerance
-		next := slices.IndexFunc(suspects, func(p *suspectPart) bool {
-			if p == best || !p.likelierThan(best) {
-				return false
-			}
-			explained := map[incarnation]bool{}
-			for _, r := range p.crashes {
-				explained[r.incarnation()] = true
-			}
-			return len(separateFailureTimes(best.without(explained))) < minPartFailures
-		})
-		if next < 0 {
-			break
-		}
-		best = suspects[next]
-	}
-	return best
-}
-
 // noteDecisionChanges collects the differences to the previous decisions.
 func (t *Tracker) noteDecisionChanges(decisions map[string]PartDecision) {
 	for key, d := range decisions {
@@ -374,7 +405,7 @@
 // AllowTrials reports whether a request may run once although its keys, a fingerprint or
 // parts, are held, and records the trial. A single process answers for the whole fleet.
 func (t *Tracker) AllowTrials(now time.Time, keys []string) bool {
-	if len(keys) == 0 || slices.ContainsFunc(keys, func(key string) bool { return !t.trialDue(now, key) }) {
+	if !t.allTrialsDue(now, keys) {
 		return false
 	}
 	for _, key := range keys {
@@ -392,7 +423,7 @@
 // TrialDue reports whether to ask for a trial of a request that is held for its keys, and
 // limits how often that is done.
 func (t *Tracker) TrialDue(now time.Time, keys []string) bool {
-	if len(keys) == 0 || slices.ContainsFunc(keys, func(key string) bool { return !t.trialDue(now, key) }) {
+	if !t.allTrialsDue(now, keys) {
 		return false
 	}
 	for _, key := range keys {
@@ -412,23 +443,47 @@
 	return true
 }
 
+// allTrialsDue reports whether a trial is due for each key. A run with a single contested
+// part tells whether it is the cause. With several, it has to wait as with a blocked part,
+// or less if the upstreams may not have ended.
+func (t *Tracker) allTrialsDue(now time.Time, keys []string) bool {
+	decisions, contested := t.decideParts(now), 0
+	for _, key := range keys {
+		if decisions[key].Contested {
+			contested++
+		}
+	}
+	for _, key := range keys {
+		if IsPart(key) && !t.partTrialDue(now, key, decisions[key], contested) || !IsPart(key) && !t.trialDue(now, key) {
+			return false
+		}
+	}
+	return len(keys) > 0
+}
+
 // partTrialDue reports whether a held part may run once. A part that this tracker does not
 // hold may be held by the process that asks.
-func (t *Tracker) partTrialDue(now time.Time, key string) bool {
+func (t *Tracker) partTrialDue(now time.Time, key string, d PartDecision, contested int) bool {
 	req := t.requests[key]
 	if req == nil {
 		return true
 	}
-	if t.decideParts(now)[key].Verdict != Blocked {
+	crashes, laterRuns := req.crashes(now), 0
+	if d.Verdict != Blocked && (contested < 2 || d.Confirmed < minPartConfirmed) {
+		if len(crashes) > 0 && now.Sub(crashes[len(crashes)-1].interruptedAt) < time.Duration(contested-1)*contestedProbeDelay {
+			return false
+		}
 		return req.lastTrial.IsZero() || now.Sub(req.lastTrial) >= firstProbeDelay<<min(max(req.probeCount-1, 0), maxPartTrialLog)
 	}
-	crashes, laterRuns := req.crashes(now), 0
 	for _, r := range crashes {
 		if r.interruptedAt.Sub(crashes[partThreshold-1].interruptedAt) > inFlightTime {
 			laterRuns++
 		}
 	}
 	wait := firstTrialDelay
+	if contested == 2 {
+		wait = contestedTrialDelay
+	}
 	for range min(max(laterRuns, req.trialCount), maxPartTrialLog) {
 		wait *= partTrialFactor
 	}
--- a/core/crash/verdict.go
+++ b/core/crash/verdict.go
@@ -81,13 +81,10 @@
 	return t.AllowTrials(now, []string{fingerprint})
 }
 
-// trialDue reports whether a held request or part may run once more.
-func (t *Tracker) trialDue(now time.Time, key string) bool {
-	if IsPart(key) {
-		return t.partTrialDue(now, key)
-	}
-	req := t.requests[key]
-	if req == nil || t.Verdict(now, key) != Blocked {
+// trialDue reports whether a blocked request may run once more.
+func (t *Tracker) trialDue(now time.Time, fingerprint string) bool {
+	req := t.requests[fingerprint]
+	if req == nil || t.Verdict(now, fingerprint) != Blocked {
 		return false
 	}
 	failures, laterRuns, lastInterrupted := req.separateFailures(now)
--- a/modules/registry/directory.go
+++ b/modules/registry/directory.go
@@ -308,7 +308,7 @@
 			proofAgeMS = now.Sub(d.ProvedAt).Milliseconds()
 		}
 		log.Info("verdict on a part of prompts changed", "part", d.Key, "verdict", d.Verdict.String(), "crashes", d.Crashes,
-			"failures", d.Failures, "confirmed", d.Confirmed, "proof_age_ms", proofAgeMS)
+			"failures", d.Failures, "confirmed", d.Confirmed, "contested", d.Contested, "proof_age_ms", proofAgeMS)
 	}
 }
 
