--- a/core/crash/part.go
+++ b/core/crash/part.go
@@ -45,7 +45,7 @@
 	contestedProbeDelay = 1500 * time.Millisecond
 	// contestedTrialDelay replaces firstTrialDelay for requests with two contested parts. It
 	// lets them run before requests with more of them, which have the deadly one more often.
-	contestedTrialDelay = 5 * time.Second
+	contestedTrialDelay = 2500 * time.Millisecond
 	// partTrialFactor multiplies the wait for a trial of a blocked part with each run
 	// since it was blocked: after 10 s, 80 s, 11 min, and then every 85 min. Requests with
 	// the part may arrive for as long as the platform runs, and each trial costs an upstream.
@@ -336,10 +336,20 @@
 			decisions[d.Key] = d
 		}
 		explained := incarnations(chosen)
-		for _, p := range suspects {
+		suspects = slices.DeleteFunc(suspects, func(p *suspectPart) bool {
+			before := *p
 			p.crashes = p.without(explained)
-		}
-		suspects = slices.DeleteFunc(suspects, func(p *suspectPart) bool { return !p.settled(now) })
+			if _, decided := decisions[p.req.fingerprint]; decided || p.settled(now) {
+				return decided
+			}
+			if d := before.decide(now); p.compareProofs(widest) <= 0 {
+				if len(separateFailureTimes(p.crashes)) < minPartFailures {
+					d.Verdict, d.Contested = Undecided, true
+				}
+				decisions[d.Key] = d
+			}
+			return true
+		})
 	}
 	t.noteDecisionChanges(decisions)
 	t.decisions, t.decidedChange, t.decidedAt = decisions, t.lastChange, now
