--- a/core/crash/part.go
+++ b/core/crash/part.go
@@ -26,6 +26,10 @@
 	// minExplainedShare divides the crashes of a part; another one that may have caused
 	// them instead must share at least the quotient.
 	minExplainedShare = 6
+	// partFailureWindow is the time within which crashes are treated as one failure. The
+	// part that is in most requests is hit by all runs that a failure breaks, and the last
+	// of them may be found silent seconds after the first.
+	partFailureWindow = 2500 * time.Millisecond
 	// settlingDelay is the time between a crash and a verdict that rests on it. Sound
 	// runs with the part that began after the crash, and reports of other gateways, arrive
 	// within it.
@@ -219,7 +223,7 @@
 // belong to.
 func separateFailureTimes(crashes []*trackedRun) (times []time.Time) {
 	for _, r := range crashes {
-		if len(times) == 0 || r.interruptedAt.Sub(times[len(times)-1]) > sharedFailureWindow {
+		if len(times) == 0 || r.interruptedAt.Sub(times[len(times)-1]) > partFailureWindow {
 			times = append(times, r.interruptedAt)
 		}
 	}
