--- a/core/crash/part.go
+++ b/core/crash/part.go
@@ -37,6 +37,10 @@
 	// proofTolerance is the difference up to which two proofs are treated as simultaneous.
 	// Entries carry ages, so the time of a proof shifts by the delay of each message.
 	proofTolerance = 250 * time.Millisecond
+	// proofMargin is the difference of the times of two proofs that tells the parts apart.
+	// Parts that are in few requests are proved seldom, and their last proof is older by
+	// chance.
+	proofMargin = 2 * time.Second
 	// partRetention is how long crashes count against a part once there are partThreshold
 	// of them. It exceeds the longest wait for a trial, since a part is not to be
 	// forgotten before its next trial.
@@ -261,9 +265,9 @@
 // older proof.
 func (p *suspectPart) compareProofs(other *suspectPart) int {
 	switch difference := p.provedAt.Sub(other.provedAt); {
-	case difference < -proofTolerance:
+	case difference < -proofMargin:
 		return -1
-	case difference > proofTolerance:
+	case difference > proofMargin:
 		return 1
 	}
 	return 0
@@ -280,11 +284,9 @@
 }
 
 // coveredBy reports whether another part alone is the likelier cause of all crashes but
-// one. Of two parts with equal proofs that is the deeper one: it is found in fewer
-// requests, and to block it costs less.
+// one.
 func (p *suspectPart) coveredBy(other *suspectPart) bool {
-	order := cmp.Or(other.compareProofs(p), cmp.Compare(p.req.depth, other.req.depth))
-	return order < 0 && len(p.without(incarnations([]*suspectPart{other}))) <= 1
+	return other.compareProofs(p) < 0 && len(p.without(incarnations([]*suspectPart{other}))) <= 1
 }
 
 // sortByCrashes puts the part with the most crashes first.
