--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -199,6 +199,8 @@
 	decidedAt       time.Time
 	decidedChange   uint64
 	decisionChanges []PartDecision
+	// contestedAsks holds when a trial was last requested, by the number of contested parts.
+	contestedAsks [8]time.Time
 }
 
 // New returns an empty tracker.
--- a/core/crash/fleet_test.go
+++ b/core/crash/fleet_test.go
@@ -143,7 +143,7 @@
 	for _, d := range f.trackers[0].TakeDecisionChanges(f.time()) {
 		f.log = append(f.log, fmt.Sprintf("%.1f %s %s crashes %d failures %d confirmed %d contested %v proved %.2f", f.now, d.Key, d.Verdict, d.Crashes, d.Failures, d.Confirmed, d.Contested, d.ProvedAt.Sub(start).Seconds()))
 	}
-	for _, t := range append(f.trackers, f.control) {
+	for _, t := range append(slices.Clone(f.trackers), f.control) {
 		f.trackedMost = max(f.trackedMost, t.runCount, len(t.requests))
 		for key, d := range t.decideParts(f.time()) {
 			if d.Verdict == Blocked && !strings.HasPrefix(key, "part:deadly") && !strings.HasPrefix(key, "part:below") {
--- a/core/crash/part.go
+++ b/core/crash/part.go
@@ -51,8 +51,10 @@
 	// contestedProbeDelay is how long after the last crash a request with two contested
 	// parts may run as a probe; each further one adds as much.
 	contestedProbeDelay = 1500 * time.Millisecond
-	// contestedTrialDelay replaces firstTrialDelay for requests with two contested parts. It
-	// lets them run before requests with more of them, which have the deadly one more often.
+	// contestedAskPeriod is how long a request for a trial takes precedence over those for
+	// requests with more contested parts, which have the deadly one more often.
+	contestedAskPeriod = 3 * time.Second
+	// contestedTrialDelay replaces firstTrialDelay for requests with two contested parts.
 	contestedTrialDelay = 2500 * time.Millisecond
 	// partTrialFactor multiplies the wait for a trial of a blocked part with each run
 	// since it was blocked: after 10 s, 80 s, 11 min, and then every 85 min. Requests with
@@ -421,6 +423,14 @@
 // AllowTrials reports whether a request may run once although its keys, a fingerprint or
 // parts, are held, and records the trial. A single process answers for the whole fleet.
 func (t *Tracker) AllowTrials(now time.Time, keys []string) bool {
+	if contested := t.countContested(now, keys); contested > 0 {
+		t.contestedAsks[min(contested, len(t.contestedAsks)-1)] = now
+		for _, at := range t.contestedAsks[:min(contested, len(t.contestedAsks)-1)] {
+			if now.Sub(at) < contestedAskPeriod {
+				return false
+			}
+		}
+	}
 	if !t.allTrialsDue(now, keys) {
 		return false
 	}
@@ -463,12 +473,7 @@
 // part tells whether it is the cause. With several, it has to wait as with a blocked part,
 // or less if the upstreams may not have ended.
 func (t *Tracker) allTrialsDue(now time.Time, keys []string) bool {
-	decisions, contested := t.decideParts(now), 0
-	for _, key := range keys {
-		if decisions[key].Contested {
-			contested++
-		}
-	}
+	decisions, contested := t.decideParts(now), t.countContested(now, keys)
 	for _, key := range keys {
 		if IsPart(key) && !t.partTrialDue(now, key, decisions[key], contested) || !IsPart(key) && !t.trialDue(now, key) {
 			return false
@@ -477,6 +482,17 @@
 	return len(keys) > 0
 }
 
+// countContested returns the number of contested parts among the keys.
+func (t *Tracker) countContested(now time.Time, keys []string) (n int) {
+	decisions := t.decideParts(now)
+	for _, key := range keys {
+		if decisions[key].Contested {
+			n++
+		}
+	}
+	return n
+}
+
 // partTrialDue reports whether a held part may run once. A part that this tracker does not
 // hold may be held by the process that asks.
 func (t *Tracker) partTrialDue(now time.Time, key string, d PartDecision, contested int) bool {
