--- a/core/crash/part.go
+++ b/core/crash/part.go
@@ -330,10 +330,7 @@
 		sortByCrashes(suspects)
 		widest := suspects[0]
 		chosen, contested := []*suspectPart{widest}, false
-		if rivals := widest.rivals(suspects); slices.ContainsFunc(rivals, widest.coveredBy) {
-			suspects = suspects[1:]
-			continue
-		} else if len(rivals) > 0 && len(separateFailureTimes(widest.without(incarnations(rivals)))) < minPartFailures {
+		if rivals := widest.rivals(suspects); len(rivals) > 0 && len(separateFailureTimes(widest.without(incarnations(rivals)))) < minPartFailures {
 			chosen, contested = append(chosen, rivals...), true
 		}
 		for _, p := range chosen {
@@ -423,15 +420,7 @@
 // AllowTrials reports whether a request may run once although its keys, a fingerprint or
 // parts, are held, and records the trial. A single process answers for the whole fleet.
 func (t *Tracker) AllowTrials(now time.Time, keys []string) bool {
-	if contested := t.countContested(now, keys); contested > 0 {
-		t.contestedAsks[min(contested, len(t.contestedAsks)-1)] = now
-		for _, at := range t.contestedAsks[:min(contested, len(t.contestedAsks)-1)] {
-			if now.Sub(at) < contestedAskPeriod {
-				return false
-			}
-		}
-	}
-	if !t.allTrialsDue(now, keys) {
+	if !t.takesPrecedence(now, keys) || !t.allTrialsDue(now, keys) {
 		return false
 	}
 	for _, key := range keys {
@@ -449,7 +438,7 @@
 // TrialDue reports whether to ask for a trial of a request that is held for its keys, and
 // limits how often that is done.
 func (t *Tracker) TrialDue(now time.Time, keys []string) bool {
-	if !t.allTrialsDue(now, keys) {
+	if !t.takesPrecedence(now, keys) || !t.allTrialsDue(now, keys) {
 		return false
 	}
 	for _, key := range keys {
@@ -469,6 +458,17 @@
 	return true
 }
 
+// takesPrecedence notes that a request held for the keys asks for a trial, and reports
+// whether none with fewer contested parts has asked for contestedAskPeriod.
+func (t *Tracker) takesPrecedence(now time.Time, keys []string) bool {
+	contested := min(t.countContested(now, keys), len(t.contestedAsks)-1)
+	if contested == 0 {
+		return true
+	}
+	t.contestedAsks[contested] = now
+	return !slices.ContainsFunc(t.contestedAsks[:contested], func(at time.Time) bool { return now.Sub(at) < contestedAskPeriod })
+}
+
 // allTrialsDue reports whether a trial is due for each key. A run with a single contested
 // part tells whether it is the cause. With several, it has to wait as with a blocked part,
 // or less if the upstreams may not have ended.
