--- a/core/crash/fleet_test.go
+++ b/core/crash/fleet_test.go
@@ -140,9 +140,6 @@
 func (f *fleet) sweep() {
 	f.after(0.1, f.sweep)
 	f.control.Expire(f.time())
-	if f.now > 14 && f.now < 14.5 && f.trackers[0].requests["part:deadly0"] != nil {
-		f.dump("part:deadly0")
-	}
 	for _, d := range f.trackers[0].TakeDecisionChanges(f.time()) {
 		f.log = append(f.log, fmt.Sprintf("%.1f %s %s crashes %d failures %d confirmed %d contested %v proved %.2f", f.now, d.Key, d.Verdict, d.Crashes, d.Failures, d.Confirmed, d.Contested, d.ProvedAt.Sub(start).Seconds()))
 	}
--- a/core/crash/part.go
+++ b/core/crash/part.go
@@ -40,7 +40,7 @@
 	// proofMargin is the difference of the times of two proofs that tells the parts apart.
 	// Parts that are in few requests are proved seldom, and their last proof is older by
 	// chance.
-	proofMargin = 2 * time.Second
+	proofMargin = 20 * time.Second
 	// partRetention is how long crashes count against a part once there are partThreshold
 	// of them. It exceeds the longest wait for a trial, since a part is not to be
 	// forgotten before its next trial.
