--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -201,6 +201,9 @@
 	decisionChanges []PartDecision
 	// contestedAsks holds when a trial was last requested, by the number of contested parts.
 	contestedAsks [8]time.Time
+	// lastProbe are the keys of the last trial with contested parts.
+	lastProbe   []string
+	lastProbeAt time.Time
 }
 
 // New returns an empty tracker.
--- a/core/crash/fleet_test.go
+++ b/core/crash/fleet_test.go
@@ -220,6 +220,7 @@
 	case r.attempts == 0 && t.TrialDue(f.time(), held):
 		f.after(f.latency(), func() {
 			if f.control.AllowTrials(f.time(), held) {
+				f.log = append(f.log, fmt.Sprintf("%.2f granted %v", f.now, held))
 				r.trial = true
 				f.start(r, gateway)
 			} else {
--- a/core/crash/part.go
+++ b/core/crash/part.go
@@ -420,9 +420,12 @@
 // AllowTrials reports whether a request may run once although its keys, a fingerprint or
 // parts, are held, and records the trial. A single process answers for the whole fleet.
 func (t *Tracker) AllowTrials(now time.Time, keys []string) bool {
-	if !t.takesPrecedence(now, keys) || !t.allTrialsDue(now, keys) {
+	if !t.takesPrecedence(now, keys) || !t.allTrialsDue(now, keys) || t.probeRuns(now) {
 		return false
 	}
+	if t.countContested(now, keys) > 0 {
+		t.lastProbe, t.lastProbeAt = keys, now
+	}
 	for _, key := range keys {
 		req := t.ensureRequest(key)
 		req.lastTrial = now
@@ -469,6 +472,11 @@
 	return !slices.ContainsFunc(t.contestedAsks[:contested], func(at time.Time) bool { return now.Sub(at) < contestedAskPeriod })
 }
 
+// probeRuns reports whether the last probe of contested parts may still run.
+func (t *Tracker) probeRuns(now time.Time) bool {
+	return now.Sub(t.lastProbeAt) < firstProbeDelay && t.countContested(now, t.lastProbe) > 0
+}
+
 // allTrialsDue reports whether a trial is due for each key. A run with a single contested
 // part tells whether it is the cause. With several, it has to wait as with a blocked part,
 // or less if the upstreams may not have ended.
