--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -198,6 +198,7 @@
 	decisions       map[string]PartDecision
 	decidedAt       time.Time
 	decidedChange   uint64
+	decidedSuspects int
 	decisionChanges []PartDecision
 	// contestedAsks holds when a trial was last requested, by the number of contested parts.
 	contestedAsks [8]time.Time
--- a/core/crash/part.go
+++ b/core/crash/part.go
@@ -46,7 +46,8 @@
 	// forgotten before its next trial.
 	partRetention = 3 * time.Hour
 	// firstProbeDelay is the time after a probe of an undecided part until the next one,
-	// doubled with each. Prefill, crash and its report take about as long.
+	// doubled with each. Prefill, the first events or a crash, and its report take about as
+	// long.
 	firstProbeDelay = 2500 * time.Millisecond
 	// contestedProbeDelay is how long after the last crash a request with two contested
 	// parts may run as a probe; each further one adds as much.
@@ -54,13 +55,15 @@
 	// contestedAskPeriod is how long a request for a trial takes precedence over those for
 	// requests with more contested parts, which have the deadly one more often.
 	contestedAskPeriod = 3 * time.Second
-	// contestedTrialDelay replaces firstTrialDelay for requests with two contested parts.
+	// contestedTrialDelay replaces firstTrialDelay for the first maxContestedTrials runs of
+	// requests with two contested parts.
 	contestedTrialDelay = 2500 * time.Millisecond
+	maxContestedTrials  = 2
 	// partTrialFactor multiplies the wait for a trial of a blocked part with each run
 	// since it was blocked: after 10 s, 80 s, 11 min, and then every 85 min. Requests with
 	// the part may arrive for as long as the platform runs, and each trial costs an upstream.
 	partTrialFactor = 8
-	maxPartTrialLog = 3
+	maxWaitGrowth   = 3
 	// inFlightTime is how long after the crash that blocked a part runs may still break
 	// off that had started before it was blocked.
 	inFlightTime = 6 * time.Second
@@ -73,6 +76,10 @@
 	// decisionLifetime limits the age of a decision that is reused while the tracker has
 	// not changed. A delay may have passed since.
 	decisionLifetime = 50 * time.Millisecond
+	// crowdedLifetime is the age up to which a decision on more than manySuspects is reused
+	// even if the tracker has changed: with a full tracker it takes up to 7 ms.
+	crowdedLifetime = 20 * time.Millisecond
+	manySuspects    = 16
 	// maxDecisionChanges limits the changes of decisions that wait to be logged.
 	maxDecisionChanges = 64
 )
@@ -277,18 +284,35 @@
 
 // rivals returns the suspects that may have caused the crashes of the part instead.
 func (p *suspectPart) rivals(suspects []*suspectPart) (list []*suspectPart) {
+	own := incarnations([]*suspectPart{p})
 	for _, other := range suspects {
-		if explained := len(p.crashes) - len(p.without(incarnations([]*suspectPart{other}))); other != p && other.compareProofs(p) <= 0 && explained*minExplainedShare >= len(p.crashes) {
+		if other == p || other.compareProofs(p) > 0 {
+			continue
+		}
+		shared := 0
+		for _, r := range other.crashes {
+			if own[r.incarnation()] {
+				shared++
+			}
+		}
+		if shared*minExplainedShare >= len(p.crashes) {
 			list = append(list, other)
 		}
 	}
 	return list
 }
 
-// coveredBy reports whether another part alone is the likelier cause of all crashes but
-// one.
-func (p *suspectPart) coveredBy(other *suspectPart) bool {
-	return other.compareProofs(p) < 0 && len(p.without(incarnations([]*suspectPart{other}))) <= 1
+// explainedBy reports whether rivals explain the crashes of the part but for those of one
+// failure. After a third failure only a single rival does: several parts that fail in turn,
+// while no run proves the part that they share, are unlikely.
+func (p *suspectPart) explainedBy(rivals []*suspectPart) bool {
+	explained := func(rivals []*suspectPart) bool {
+		return len(separateFailureTimes(p.without(incarnations(rivals)))) < minPartFailures
+	}
+	if len(separateFailureTimes(p.crashes)) <= minPartFailures {
+		return len(rivals) > 0 && explained(rivals)
+	}
+	return slices.ContainsFunc(rivals, func(r *suspectPart) bool { return explained([]*suspectPart{r}) })
 }
 
 // sortByCrashes puts the part with the most crashes first.
@@ -315,7 +339,8 @@
 // decisions are derived from the runs each time, so that a wrong choice is corrected by
 // further evidence.
 func (t *Tracker) decideParts(now time.Time) map[string]PartDecision {
-	if t.decisions != nil && t.decidedChange == t.lastChange && now.Sub(t.decidedAt).Abs() < decisionLifetime {
+	age := now.Sub(t.decidedAt).Abs()
+	if t.decisions != nil && (t.decidedChange == t.lastChange && age < decisionLifetime || t.decidedSuspects > manySuspects && age < crowdedLifetime) {
 		return t.decisions
 	}
 	t.retainParts(now)
@@ -325,12 +350,13 @@
 			suspects = append(suspects, p)
 		}
 	}
+	t.decidedSuspects = len(suspects)
 	decisions := map[string]PartDecision{}
 	for len(suspects) > 0 {
 		sortByCrashes(suspects)
 		widest := suspects[0]
 		chosen, contested := []*suspectPart{widest}, false
-		if rivals := widest.rivals(suspects); len(rivals) > 0 && len(separateFailureTimes(widest.without(incarnations(rivals)))) < minPartFailures {
+		if rivals := widest.rivals(suspects); widest.explainedBy(rivals) {
 			chosen, contested = append(chosen, rivals...), true
 		}
 		for _, p := range chosen {
@@ -420,10 +446,13 @@
 // AllowTrials reports whether a request may run once although its keys, a fingerprint or
 // parts, are held, and records the trial. A single process answers for the whole fleet.
 func (t *Tracker) AllowTrials(now time.Time, keys []string) bool {
-	if !t.takesPrecedence(now, keys) || !t.allTrialsDue(now, keys) || t.probeRuns(now) {
+	if !t.takesPrecedence(now, keys) || !t.allTrialsDue(now, keys) {
 		return false
 	}
 	if t.countContested(now, keys) > 0 {
+		if t.probeRuns(now) {
+			return false
+		}
 		t.lastProbe, t.lastProbeAt = keys, now
 	}
 	for _, key := range keys {
@@ -435,6 +464,7 @@
 		}
 		req.trialCount++
 	}
+	t.trim(now)
 	return true
 }
 
@@ -472,7 +502,8 @@
 	return !slices.ContainsFunc(t.contestedAsks[:contested], func(at time.Time) bool { return now.Sub(at) < contestedAskPeriod })
 }
 
-// probeRuns reports whether the last probe of contested parts may still run.
+// probeRuns reports whether the last probe of contested parts may still run. A second one
+// might be broken by the crash of the first.
 func (t *Tracker) probeRuns(now time.Time) bool {
 	return now.Sub(t.lastProbeAt) < firstProbeDelay && t.countContested(now, t.lastProbe) > 0
 }
@@ -513,18 +544,22 @@
 		if len(crashes) > 0 && now.Sub(crashes[len(crashes)-1].interruptedAt) < time.Duration(contested-1)*contestedProbeDelay {
 			return false
 		}
-		return req.lastTrial.IsZero() || now.Sub(req.lastTrial) >= firstProbeDelay<<min(max(req.probeCount-1, 0), maxPartTrialLog)
+		return req.lastTrial.IsZero() || now.Sub(req.lastTrial) >= firstProbeDelay<<min(max(req.probeCount-1, 0), maxWaitGrowth)
+	}
+	if len(crashes) < partThreshold {
+		return true // proved sound or acquitted since the decision
 	}
 	for _, r := range crashes {
 		if r.interruptedAt.Sub(crashes[partThreshold-1].interruptedAt) > inFlightTime {
 			laterRuns++
 		}
 	}
+	laterRuns = min(max(laterRuns, req.trialCount), maxWaitGrowth)
 	wait := firstTrialDelay
-	if contested == 2 {
+	if contested == 2 && laterRuns < maxContestedTrials {
 		wait = contestedTrialDelay
 	}
-	for range min(max(laterRuns, req.trialCount), maxPartTrialLog) {
+	for range laterRuns {
 		wait *= partTrialFactor
 	}
 	return now.Sub(crashes[len(crashes)-1].interruptedAt) >= wait && now.Sub(req.lastTrial) >= wait
--- a/core/crash/random_test.go
+++ b/core/crash/random_test.go
@@ -22,7 +22,7 @@
 func randomPlan(seed uint64) fleetPlan {
 	r := rand.New(rand.NewPCG(seed, 7))
 	p := fleetPlan{seed: seed, gateways: pick(r, 1, 4, 8), upstreams: pick(r, 8, 20, 40), zones: pick(r, 1, 3, 4), rate: pick(r, 5., 20, 40), share: pick(r, .05, .1, .3, .6, .9),
-		deadly: int(num("deadly", 1)), depth: r.IntN(3), appearAt: pick(r, 0., 8), turnsAt: 8, repairedAt: 1000, length: 40, back: pick(r, 2., 3, 6, 11), delay: pick(r, .05, .1, .3), silent: pick(r, true, false), zoneLoss: pick(r, 0, 6.5)}
+		deadly: int(num("deadly", 1)), depth: r.IntN(3), appearAt: pick(r, 0., 8), turnsAt: 8, repairedAt: num("repaired", 100000), length: num("length", 40), back: pick(r, 2., 3, 6, 11), delay: pick(r, .05, .1, .3), silent: pick(r, true, false), zoneLoss: pick(r, 0, 6.5)}
 	if p.zones == 1 {
 		p.zoneLoss = 0
 	}
@@ -32,7 +32,7 @@
 func TestRandom(t *testing.T) {
 	var wg sync.WaitGroup
 	lock := make(chan bool, 2)
-	var n, badA, badB, blocked atomic.Int64
+	var n, badA, badB, blocked, notBack atomic.Int64
 	for seed := range uint64(num("n", 200)) {
 		wg.Add(1)
 		lock <- true
@@ -42,6 +42,9 @@
 			p := randomPlan(seed)
 			f := playFleet(p)
 			n.Add(1)
+			if f.answeredAfterRepair == 0 {
+				notBack.Add(1)
+			}
 			a, b := f.lateArrivals() > 3, f.lateSound > 10 && float64(f.lateRan)/float64(f.lateSound) < .5*float64(f.calmRan)/float64(f.calmSound)
 			if a {
 				badA.Add(1)
@@ -58,5 +61,6 @@
 		}()
 	}
 	wg.Wait()
+	t.Logf("not back after repair: %d", notBack.Load())
 	t.Logf("%d plays: rule A broken in %d, B in %d, honest parts blocked in %d", n.Load(), badA.Load(), badB.Load(), blocked.Load())
 }
--- a/modules/gateway/crash.go
+++ b/modules/gateway/crash.go
@@ -165,9 +165,9 @@
 }
 
 // requestTrial reports whether a held request may run once, at one upstream. This gateway
-// asks the control instances only when a trial is due. Without an answer, an undecided
-// part gets the trial that this gateway would have asked for: only this gateway's own
-// broken runs count then, and the part is probably sound.
+// asks the control instances only when a trial is due. Without the answer of a leader that
+// knows parts, this gateway decides about an undecided part: it would stay undecided
+// otherwise, since nothing could prove it sound.
 func (c *callerRequest) requestTrial(d crashDecision) bool {
 	due := false
 	c.g.owner.call(func(s *state) { due = s.crashes.TrialDue(time.Now(), d.keys) })
@@ -176,7 +176,7 @@
 	}
 	var reply registry.TrialReply
 	err := c.g.callControlInstance("Trial", &registry.TrialArgs{Fingerprint: d.keys[0], Keys: d.keys, Forward: true}, &reply)
-	if err != nil && d.request == crash.Allowed && d.part == crash.Undecided {
+	if (err != nil || !reply.KnowsParts) && d.request == crash.Allowed && d.part == crash.Undecided {
 		c.g.owner.call(func(s *state) { reply.Granted = s.crashes.AllowTrials(time.Now(), d.keys) })
 	}
 	c.g.log.Info("trial requested for a blocked request", "request", c.req.ID, "fingerprint", c.fingerprint(), "keys", d.keys, "granted", reply.Granted, "error", err)
@@ -224,11 +224,16 @@
 		return
 	}
 	c.g.owner.post(func(s *state) {
+		changed := false
 		for _, key := range parts {
 			if s.crashes.PartProved(at, key) {
+				changed = true
 				c.g.crashReporter.add(key)
 			}
 		}
+		if changed {
+			c.g.updateCrashCounts(s)
+		}
 	})
 }
 
--- a/modules/registry/feed.go
+++ b/modules/registry/feed.go
@@ -268,7 +268,12 @@
 
 // TrialReply is the decision. No second trial of the request is granted in the fleet for
 // some time after a granted one.
-type TrialReply struct{ Granted bool }
+type TrialReply struct {
+	Granted bool
+	// KnowsParts is not set by leaders of the previous release, which grant no trial of a
+	// part that is undecided.
+	KnowsParts bool
+}
 
 // Trial decides whether a request may run once although it is held. The leader decides for the
 // whole fleet. A newly elected leader knows from the shared runs when the request ran last.
@@ -277,7 +282,7 @@
 	ctx, cancel := context.WithTimeout(s.registry.ctx, confirmTimeout)
 	defer cancel()
 	_, err = s.registry.tryLeader(ctx, func(context.Context) (uint64, error) {
-		reply.Granted = s.registry.directory.trial(args.keys())
+		reply.Granted, reply.KnowsParts = s.registry.directory.trial(args.keys()), true
 		return 0, nil
 	}, func(ctx context.Context, addr string) (uint64, error) {
 		if !args.Forward {
