--- a/core/crash/fleet_test.go
+++ b/core/crash/fleet_test.go
@@ -217,7 +217,7 @@
 	case verdict == Allowed:
 		f.start(r, gateway)
 		return
-	case r.attempts == 0 && t.TrialDue(f.time(), held):
+	case r.attempts == 0 && t.TrialDue(f.time(), held, f.canPlace(gateway)):
 		f.after(f.latency(), func() {
 			if f.control.AllowTrials(f.time(), held) {
 				f.log = append(f.log, fmt.Sprintf("%.2f granted %v", f.now, held))
@@ -268,6 +268,10 @@
 	return gateway < f.cut && f.now >= f.cutFrom && f.now < f.cutTo
 }
 
+func (f *fleet) canPlace(gateway int) bool {
+	return !f.isCut(gateway) && slices.ContainsFunc(f.upstreams, func(u *fleetUpstream) bool { return f.now >= u.downUntil })
+}
+
 func (f *fleet) start(r *fleetRequest, gateway int) {
 	var up []*fleetUpstream
 	for _, u := range f.upstreams {
--- a/core/crash/part.go
+++ b/core/crash/part.go
@@ -54,7 +54,7 @@
 	contestedProbeDelay = 1500 * time.Millisecond
 	// contestedAskPeriod is how long a request for a trial takes precedence over those for
 	// requests with more contested parts, which have the deadly one more often.
-	contestedAskPeriod = 3 * time.Second
+	contestedAskPeriod = 6 * time.Second
 	// contestedTrialDelay replaces firstTrialDelay for the first maxContestedTrials runs of
 	// requests with two contested parts.
 	contestedTrialDelay = 2500 * time.Millisecond
@@ -446,7 +446,7 @@
 // AllowTrials reports whether a request may run once although its keys, a fingerprint or
 // parts, are held, and records the trial. A single process answers for the whole fleet.
 func (t *Tracker) AllowTrials(now time.Time, keys []string) bool {
-	if !t.takesPrecedence(now, keys) || !t.allTrialsDue(now, keys) {
+	if !t.allTrialsDue(now, keys) || !t.takesPrecedence(now, keys) {
 		return false
 	}
 	if t.countContested(now, keys) > 0 {
@@ -469,9 +469,9 @@
 }
 
 // TrialDue reports whether to ask for a trial of a request that is held for its keys, and
-// limits how often that is done.
-func (t *Tracker) TrialDue(now time.Time, keys []string) bool {
-	if !t.takesPrecedence(now, keys) || !t.allTrialsDue(now, keys) {
+// limits how often that is done. A trial is lost if no upstream can take the request now.
+func (t *Tracker) TrialDue(now time.Time, keys []string, placeable bool) bool {
+	if !t.allTrialsDue(now, keys) || !t.takesPrecedence(now, keys) || !placeable {
 		return false
 	}
 	for _, key := range keys {
--- a/modules/gateway/crash.go
+++ b/modules/gateway/crash.go
@@ -170,7 +170,10 @@
 // otherwise, since nothing could prove it sound.
 func (c *callerRequest) requestTrial(d crashDecision) bool {
 	due := false
-	c.g.owner.call(func(s *state) { due = s.crashes.TrialDue(time.Now(), d.keys) })
+	c.g.owner.call(func(s *state) {
+		now := time.Now()
+		due = s.crashes.TrialDue(now, d.keys, s.fleet.RetryIn(now, c.dispatchRequest()) == 0)
+	})
 	if !due {
 		return false
 	}
