--- a/core/crash/fleet_test.go
+++ b/core/crash/fleet_test.go
@@ -95,7 +95,8 @@
 	calmSound, calmRan, lateSound, lateRan int
 	trackedMost                            int
 	answeredAfterRepair                    int
-	log                                    []string
+	// log holds the decisions of the first gateway.
+	log []string
 }
 
 func playFleet(p fleetPlan) *fleet {
@@ -141,7 +142,7 @@
 	f.after(0.1, f.sweep)
 	f.control.Expire(f.time())
 	for _, d := range f.trackers[0].TakeDecisionChanges(f.time()) {
-		f.log = append(f.log, fmt.Sprintf("%.1f %s %s crashes %d failures %d confirmed %d contested %v proved %.2f", f.now, d.Key, d.Verdict, d.Crashes, d.Failures, d.Confirmed, d.Contested, d.ProvedAt.Sub(start).Seconds()))
+		f.log = append(f.log, fmt.Sprintf("%.1f s: %+v\n", f.now, d))
 	}
 	for _, t := range append(slices.Clone(f.trackers), f.control) {
 		f.trackedMost = max(f.trackedMost, t.runCount, len(t.requests))
@@ -220,7 +221,6 @@
 	case r.attempts == 0 && t.TrialDue(f.time(), held, f.canPlace(gateway)):
 		f.after(f.latency(), func() {
 			if f.control.AllowTrials(f.time(), held) {
-				f.log = append(f.log, fmt.Sprintf("%.2f granted %v", f.now, held))
 				r.trial = true
 				f.start(r, gateway)
 			} else {
