--- a/modules/gateway/crash.go
+++ b/modules/gateway/crash.go
@@ -37,7 +37,7 @@
 	// and partDecisionInterval the time between two looks. A probe takes about two seconds,
 	// and a caller that is refused has only one more try.
 	partDecisionWait     = 2500 * time.Millisecond
-	partDecisionInterval = 50 * time.Millisecond
+	partDecisionInterval = 100 * time.Millisecond
 	// maxPendingCrashReports limits the requests whose broken runs wait to be reported;
 	// beyond it a report is dropped and logged.
 	maxPendingCrashReports = 1024
