--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -171,8 +171,8 @@
 	// trialCount how often that happened since it last completed.
 	lastTrial  time.Time
 	trialCount int
-	// probeCount is the number of runs allowed while the part was undecided, and lastAsked
-	// when this process last asked the leader for a run.
+	// probeCount is the number of all runs allowed of a held part, of which trialCount are
+	// late. lastAsked is when this process last asked the leader for a run.
 	probeCount int
 	lastAsked  time.Time
 }
--- a/core/crash/part.go
+++ b/core/crash/part.go
@@ -43,8 +43,8 @@
 	proofMargin = 20 * time.Second
 	// partRetention is how long crashes count against a part once there are partThreshold
 	// of them. It exceeds the longest wait for a trial, since a part is not to be
-	// forgotten before its next trial.
-	partRetention = 3 * time.Hour
+	// forgotten before its next trial. A deadly part that is forgotten costs servers again.
+	partRetention = 6 * time.Hour
 	// firstProbeDelay is the time after a probe of an undecided part until the next one,
 	// doubled with each. Prefill, the first events or a crash, and its report take about as
 	// long.
@@ -59,14 +59,18 @@
 	// requests with two contested parts.
 	contestedTrialDelay = 2500 * time.Millisecond
 	maxContestedTrials  = 2
-	// partTrialFactor multiplies the wait for a trial of a blocked part with each run
-	// since it was blocked: after 10 s, 80 s, 11 min, and then every 85 min. Requests with
-	// the part may arrive for as long as the platform runs, and each trial costs an upstream.
+	// partTrialFactor multiplies the wait for a trial of a part with each run since the
+	// fifth crash: after 10 s, 80 s and 11 min. A blocked part gets maxLatePartRuns in all,
+	// however long requests with it arrive, since each costs an upstream.
 	partTrialFactor = 8
-	maxWaitGrowth   = 3
-	// inFlightTime is how long after the crash that blocked a part runs may still break
-	// off that had started before it was blocked.
-	inFlightTime = 6 * time.Second
+	maxLatePartRuns = 3
+	// toleratedCrashes is the number of crashes after which the platform counts runs as
+	// late. Runs that break off within inFlightTime after it may have started before.
+	toleratedCrashes = 5
+	inFlightTime     = 6 * time.Second
+	// lateGrantTime is how long after the last tolerated crash a granted run counts as late.
+	// The crash of a silent upstream is found a second or two after it.
+	lateGrantTime = time.Second
 	// trialAskInterval is the least time between two requests of one gateway to the leader
 	// for a trial of one part.
 	trialAskInterval = 300 * time.Millisecond
@@ -458,11 +462,11 @@
 	for _, key := range keys {
 		req := t.ensureRequest(key)
 		req.lastTrial = now
-		if IsPart(key) && t.decideParts(now)[key].Verdict != Blocked {
-			req.probeCount++
-			continue
+		crashes := req.crashes(now)
+		if late := len(crashes) >= toleratedCrashes && now.Sub(crashes[toleratedCrashes-1].interruptedAt) > lateGrantTime; !req.part || late {
+			req.trialCount++
 		}
-		req.trialCount++
+		req.probeCount++
 	}
 	t.trim(now)
 	return true
@@ -532,6 +536,18 @@
 	return n
 }
 
+// lateRuns returns the number of runs of a part since the last tolerated crash: those that
+// this process has granted, or those that have broken off, if another one granted them.
+func (req *trackedRequest) lateRuns(crashes []*trackedRun) int {
+	n := 0
+	for _, r := range crashes[min(toleratedCrashes, len(crashes)):] {
+		if r.interruptedAt.Sub(crashes[toleratedCrashes-1].interruptedAt) > inFlightTime {
+			n++
+		}
+	}
+	return max(n, req.trialCount)
+}
+
 // partTrialDue reports whether a held part may run once. A part that this tracker does not
 // hold may be held by the process that asks.
 func (t *Tracker) partTrialDue(now time.Time, key string, d PartDecision, contested int) bool {
@@ -539,28 +555,24 @@
 	if req == nil {
 		return true
 	}
-	crashes, laterRuns := req.crashes(now), 0
-	if d.Verdict != Blocked && (contested < 2 || d.Confirmed < minPartConfirmed) {
-		if len(crashes) > 0 && now.Sub(crashes[len(crashes)-1].interruptedAt) < time.Duration(contested-1)*contestedProbeDelay {
-			return false
-		}
-		return req.lastTrial.IsZero() || now.Sub(req.lastTrial) >= firstProbeDelay<<min(max(req.probeCount-1, 0), maxWaitGrowth)
-	}
-	if len(crashes) < partThreshold {
-		return true // proved sound or acquitted since the decision
+	crashes := req.crashes(now)
+	late := req.lateRuns(crashes)
+	if d.Verdict == Blocked && late >= maxLatePartRuns {
+		return false
 	}
-	for _, r := range crashes {
-		if r.interruptedAt.Sub(crashes[partThreshold-1].interruptedAt) > inFlightTime {
-			laterRuns++
-		}
+	var last time.Time
+	if len(crashes) > 0 {
+		last = crashes[len(crashes)-1].interruptedAt
 	}
-	laterRuns = min(max(laterRuns, req.trialCount), maxWaitGrowth)
 	wait := firstTrialDelay
-	if contested == 2 && laterRuns < maxContestedTrials {
+	if d.Verdict != Blocked && late < maxLatePartRuns && (contested < 2 || d.Confirmed < minPartConfirmed) {
+		return now.Sub(last) >= time.Duration(contested-1)*contestedProbeDelay &&
+			(req.lastTrial.IsZero() || now.Sub(req.lastTrial) >= firstProbeDelay<<min(max(req.probeCount-1, 0), maxLatePartRuns))
+	} else if contested == 2 && late < maxContestedTrials {
 		wait = contestedTrialDelay
 	}
-	for range laterRuns {
+	for range min(late, maxLatePartRuns) {
 		wait *= partTrialFactor
 	}
-	return now.Sub(crashes[len(crashes)-1].interruptedAt) >= wait && now.Sub(req.lastTrial) >= wait
+	return now.Sub(last) >= wait && now.Sub(req.lastTrial) >= wait
 }
