--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -83,11 +83,14 @@
 	UpstreamAlive
 	// Cleared refers to no run: the request was answered completely.
 	Cleared
+	// Trial refers to no run either: a late trial of a part was granted. Processes of the
+	// previous release ignore it.
+	Trial
 )
 
 // String returns the name used in logs.
 func (o Outcome) String() string {
-	return [...]string{"abandoned", "broken", "ended", "innocent", "cleared"}[min(o, Cleared)]
+	return [...]string{"abandoned", "broken", "ended", "innocent", "cleared", "trial"}[min(o, Trial)]
 }
 
 // Run is one run of a request on one incarnation of an upstream.
@@ -108,7 +111,7 @@
 	// Shared reports whether other upstreams of the zone failed at the same time.
 	Shared bool
 	// AgeMS is the time since the interruption or, for Cleared, since the request
-	// completed.
+	// completed, or since the trial was granted.
 	AgeMS int64
 	// Depth is the position of a part in the prompt.
 	Depth int `json:",omitempty"`
@@ -171,10 +174,13 @@
 	// trialCount how often that happened since it last completed.
 	lastTrial  time.Time
 	trialCount int
-	// probeCount is the number of all runs allowed of a held part, of which trialCount are
-	// late. lastAsked is when this process last asked the leader for a run.
-	probeCount int
-	lastAsked  time.Time
+	// trials are the times of the late trials of a part, trialsChange the number of their
+	// last change. probeCount is the number of all runs that this process has allowed of the
+	// part, lastAsked when it last asked the leader for one.
+	trials       []time.Time
+	trialsChange uint64
+	probeCount   int
+	lastAsked    time.Time
 }
 
 // Tracker holds the crash data of one process. It is not safe for concurrent use.
@@ -239,12 +245,15 @@
 // that changed.
 func (t *Tracker) Merge(now time.Time, list []Entry) (updated []string) {
 	for _, e := range list {
-		if e.Fingerprint == "" || e.Outcome > Cleared {
+		if e.Fingerprint == "" || e.Outcome > Trial {
 			continue // from another version, or malformed
 		}
 		at := now.Add(-time.Duration(max(e.AgeMS, 0)) * time.Millisecond)
 		changed := false
-		if e.Outcome == Cleared {
+		if e.Outcome == Trial {
+			changed = IsPart(e.Fingerprint) && t.addTrial(at, t.ensureRequest(e.Fingerprint))
+			t.trim(now)
+		} else if e.Outcome == Cleared {
 			if req := t.ensureRequest(e.Fingerprint); req.part {
 				changed = t.mergeProof(at, req)
 			} else {
@@ -347,6 +356,7 @@
 	}
 	t.removeRuns(req, func(r *trackedRun) bool { return !r.interruptedAt.After(at) })
 	req.clearedAt = at
+	req.trials = slices.DeleteFunc(req.trials, func(trial time.Time) bool { return !trial.After(at) })
 	if !req.part || len(req.runs) == 0 {
 		req.trialCount, req.probeCount = 0, 0
 	}
--- a/core/crash/export.go
+++ b/core/crash/export.go
@@ -44,6 +44,11 @@
 	if req.clearedChange > change {
 		list = append(list, Entry{Run: Run{Fingerprint: req.fingerprint}, Outcome: Cleared, AgeMS: now.Sub(req.clearedAt).Milliseconds(), Depth: req.depth})
 	}
+	for _, at := range req.trials {
+		if req.trialsChange > change {
+			list = append(list, Entry{Run: Run{Fingerprint: req.fingerprint}, Outcome: Trial, AgeMS: now.Sub(at).Milliseconds()})
+		}
+	}
 	for _, r := range req.runs {
 		if r.lastChange > change && r.outcome != Abandoned {
 			list = append(list, Entry{Run: r.Run, Outcome: r.outcome, Shared: r.sharedFailureSeen || r.sharedFailureReported, AgeMS: now.Sub(r.interruptedAt).Milliseconds(), Depth: req.depth})
--- a/core/crash/part.go
+++ b/core/crash/part.go
@@ -64,6 +64,9 @@
 	// however long requests with it arrive, since each costs an upstream.
 	partTrialFactor = 8
 	maxLatePartRuns = 3
+	// maxKeptTrials limits the late trials that are kept of a contested part, whose number
+	// is limited by their waits only.
+	maxKeptTrials = 8
 	// toleratedCrashes is the number of crashes after which the platform counts runs as
 	// late. Runs that break off within inFlightTime after it may have started before.
 	toleratedCrashes = 5
@@ -463,8 +466,11 @@
 		req := t.ensureRequest(key)
 		req.lastTrial = now
 		crashes := req.crashes(now)
-		if late := len(crashes) >= toleratedCrashes && now.Sub(crashes[toleratedCrashes-1].interruptedAt) > lateGrantTime; !req.part || late {
+		switch {
+		case !req.part:
 			req.trialCount++
+		case len(crashes) >= toleratedCrashes && now.Sub(crashes[toleratedCrashes-1].interruptedAt) > lateGrantTime:
+			t.addTrial(now, req)
 		}
 		req.probeCount++
 	}
@@ -472,6 +478,21 @@
 	return true
 }
 
+// addTrial records a late trial of a part. It reports whether it was not known.
+func (t *Tracker) addTrial(at time.Time, req *trackedRequest) bool {
+	known := func(other time.Time) bool { return other.Sub(at).Abs() <= proofTolerance }
+	if !at.After(req.clearedAt) || len(req.trials) >= maxKeptTrials || slices.ContainsFunc(req.trials, known) {
+		return false
+	}
+	req.trials = append(req.trials, at)
+	if at.After(req.lastTrial) {
+		req.lastTrial = at
+	}
+	t.lastChange++
+	req.trialsChange = t.lastChange
+	return true
+}
+
 // TrialDue reports whether to ask for a trial of a request that is held for its keys, and
 // limits how often that is done. A trial is lost if no upstream can take the request now.
 func (t *Tracker) TrialDue(now time.Time, keys []string, placeable bool) bool {
@@ -536,8 +557,8 @@
 	return n
 }
 
-// lateRuns returns the number of runs of a part since the last tolerated crash: those that
-// this process has granted, or those that have broken off, if another one granted them.
+// lateRuns returns the number of runs of a part since the last tolerated crash: trials that
+// were granted, or runs that have broken off, which gateways may have granted themselves.
 func (req *trackedRequest) lateRuns(crashes []*trackedRun) int {
 	n := 0
 	for _, r := range crashes[min(toleratedCrashes, len(crashes)):] {
@@ -545,7 +566,7 @@
 			n++
 		}
 	}
-	return max(n, req.trialCount)
+	return max(n, len(req.trials))
 }
 
 // partTrialDue reports whether a held part may run once. A part that this tracker does not
--- a/core/crash/part_test.go
+++ b/core/crash/part_test.go
@@ -153,7 +153,7 @@
 }
 
 // Guards against trials of a deadly part whose number grows with the time, also when a
-// trial leaves no trace because its gateway stops.
+// trial leaves no trace because its gateway stops, and when another process leads after it.
 func TestTrialsOfPartsAreBounded(t *testing.T) {
 	for _, traced := range []bool{true, false} {
 		tracker, trials, key := New(), []float64(nil), PartKey("deadly")
@@ -165,6 +165,9 @@
 				continue
 			}
 			trials = append(trials, s)
+			next := New()
+			next.Merge(after(s), tracker.Entries(after(s)))
+			tracker = next
 			if traced {
 				crashPart(tracker, s+1, fmt.Sprint("t", s), "deadly")
 			}
--- a/modules/registry/directory.go
+++ b/modules/registry/directory.go
@@ -188,6 +188,9 @@
 			q.reply <- d.collectChanges(q)
 		case q := <-d.trialRequests:
 			granted := d.crashes.AllowTrials(time.Now(), q.keys)
+			if granted {
+				d.shareTrial(q.keys)
+			}
 			d.log.Info("trial of a blocked request decided", "fingerprint", q.keys[0], "keys", q.keys, "granted", granted)
 			q.reply <- granted
 		case s := <-d.shareResults:
@@ -312,6 +315,16 @@
 	}
 }
 
+// shareTrial sends the trial to the other instances, one of which may lead next.
+func (d *directory) shareTrial(keys []string) {
+	for _, addr := range d.registry.otherMembers() {
+		for _, key := range keys {
+			d.queueRuns(addr, key)
+		}
+	}
+	d.share()
+}
+
 // logMergedRuns counts new broken runs and logs their totals at intervals.
 func (d *directory) logMergedRuns(now time.Time, runs, requests int) {
 	if runs, requests, due := d.mergeSummary.Add(now, runs, requests); due {
