--- a/core/crash/trial.go
+++ b/core/crash/trial.go
@@ -18,8 +18,9 @@
 	// contestedAskPeriod is how long a request for a trial takes precedence over those for
 	// requests with more contested parts, which have the deadly one more often.
 	contestedAskPeriod = 6 * time.Second
-	// contestedTrialDelay replaces firstTrialDelay for the first maxContestedTrials runs of
-	// requests with two contested parts.
+	// contestedTrialDelay is the wait for the first trial of requests with two contested
+	// parts, twice as long for the next, up to maxContestedTrials. Sound requests may have
+	// both parts.
 	contestedTrialDelay = 2500 * time.Millisecond
 	maxContestedTrials  = 2
 	// partTrialFactor multiplies the wait for a trial of a part with each run since the
@@ -181,15 +182,16 @@
 	if len(crashes) > 0 {
 		last = crashes[len(crashes)-1].interruptedAt
 	}
-	wait := firstTrialDelay
 	if d.Verdict != Blocked && late < maxLatePartRuns && (contested < 2 || d.Confirmed < minPartConfirmed) {
 		return now.Sub(last) >= time.Duration(contested-1)*contestedProbeDelay &&
 			(req.lastTrial.IsZero() || now.Sub(req.lastTrial) >= firstProbeDelay<<min(max(req.probeCount-1, 0), maxLatePartRuns))
-	} else if contested == 2 && late < maxContestedTrials {
-		wait = contestedTrialDelay
 	}
+	wait := firstTrialDelay
 	for range min(late, maxLatePartRuns) {
 		wait *= partTrialFactor
 	}
+	if contested == 2 && late < maxContestedTrials {
+		wait = contestedTrialDelay << late
+	}
 	return now.Sub(last) >= wait && now.Sub(req.lastTrial) >= wait
 }
