--- a/modules/gateway/handler.go
+++ b/modules/gateway/handler.go
@@ -55,11 +55,14 @@
 	// endsWithConnection is set if a response without a length ends with its connection, as
 	// HTTP/1.0 has it.
 	endsWithConnection bool
-	// trial is set for a blocked request that runs once more as a trial.
+	// trial is set for a held request that runs once as a trial.
 	trial bool
 	// fingerprintText caches the fingerprint.
 	fingerprintText string
 	fingerprintOnce sync.Once
+	// parts caches the keys of the shared parts of the prompt.
+	parts     []string
+	partsOnce sync.Once
 }
 
 // serve handles one request of a caller.
@@ -140,7 +143,7 @@
 	if err := c.readRequest(r); err != nil {
 		return err
 	}
-	if err := c.checkCrashes(); err != nil {
+	if err := c.checkCrashes(r.Context()); err != nil {
 		return err
 	}
 	if c.route.Kind == routing.Stream && !c.g.canFinishStream(c.started) {
--- a/modules/registry/directory.go
+++ b/modules/registry/directory.go
@@ -88,10 +88,10 @@
 	reply      chan directoryChanges
 }
 
-// trialRequest asks whether a blocked request may run once more.
+// trialRequest asks whether a request that is held for its keys may run once.
 type trialRequest struct {
-	fingerprint string
-	reply       chan bool
+	keys  []string
+	reply chan bool
 }
 
 // directoryChanges answers a query.
@@ -161,9 +161,10 @@
 	return directoryChanges{}, false
 }
 
-// trial reports whether a blocked request may run once more, and records a granted trial.
-func (d *directory) trial(fingerprint string) bool {
-	q := trialRequest{fingerprint, make(chan bool, 1)}
+// trial reports whether a request that is held for its keys may run once, and records a
+// granted trial.
+func (d *directory) trial(keys []string) bool {
+	q := trialRequest{keys, make(chan bool, 1)}
 	select {
 	case d.trialRequests <- q:
 		return <-q.reply
@@ -190,7 +191,7 @@
 				close(q.reply)
 			}
 		case q := <-d.trialRequests:
-			if d.confine("trial of a request", func() { q.reply <- d.decideTrial(q.fingerprint) }) != nil {
+			if d.confine("trial of a request", func() { q.reply <- d.decideTrial(q.keys) }) != nil {
 				close(q.reply)
 			}
 		case s := <-d.shareResults:
@@ -209,10 +210,21 @@
 // process has sent, must not end the process.
 func (d *directory) confine(step string, f func()) error { return recovery.Run(d.log, step, f) }
 
-// decideTrial decides whether a blocked request may run once more.
-func (d *directory) decideTrial(fingerprint string) bool {
-	granted := d.crashes.AllowTrial(time.Now(), fingerprint)
-	d.log.Info("trial of a blocked request decided", "fingerprint", clip(fingerprint), "granted", granted)
+// decideTrial decides whether a held request may run once, as a trial of each of the keys
+// that it is held for, and tells the other instances of one that is granted.
+func (d *directory) decideTrial(keys []string) bool {
+	if len(keys) == 0 {
+		return false
+	}
+	granted := d.crashes.AllowTrials(time.Now(), keys)
+	if granted {
+		d.shareTrial(keys)
+	}
+	clipped := make([]string, len(keys))
+	for i, key := range keys {
+		clipped[i] = clip(key)
+	}
+	d.log.Info("trial of a blocked request decided", "fingerprint", clipped[0], "keys", clipped, "granted", granted)
 	return granted
 }
 
@@ -305,7 +317,7 @@
 		d.logMergedRuns(now, len(o.runs), len(updated))
 	}
 	for _, fingerprint := range updated {
-		if v := d.crashes.Verdict(now, fingerprint); v != crash.Allowed {
+		if v := d.crashes.Verdict(now, fingerprint); v != crash.Allowed && !crash.IsPart(fingerprint) {
 			d.log.Info("request may crash upstreams", "fingerprint", fingerprint, "verdict", v.String(), "direct", o.direct)
 		}
 		if o.direct {
@@ -316,6 +328,28 @@
 	}
 }
 
+// LogPartDecisions logs changed decisions on parts of prompts.
+func LogPartDecisions(log *slog.Logger, now time.Time, changes []crash.PartDecision) {
+	for _, d := range changes {
+		proofAgeMS := int64(-1) // never proved sound
+		if !d.ProvedAt.IsZero() {
+			proofAgeMS = now.Sub(d.ProvedAt).Milliseconds()
+		}
+		log.Info("verdict on a part of prompts changed", "part", d.Key, "verdict", d.Verdict.String(), "crashes", d.Crashes,
+			"failures", d.Failures, "confirmed", d.Confirmed, "contested", d.Contested, "proof_age_ms", proofAgeMS)
+	}
+}
+
+// shareTrial sends the trial to the other instances, one of which may lead next.
+func (d *directory) shareTrial(keys []string) {
+	for _, addr := range d.registry.otherMembers() {
+		for _, key := range keys {
+			d.queueRuns(addr, key)
+		}
+	}
+	d.share()
+}
+
 // logMergedRuns counts new broken runs and logs their totals at intervals.
 func (d *directory) logMergedRuns(now time.Time, runs, requests int) {
 	if runs, requests, due := d.mergeSummary.Add(now, runs, requests); due {
