--- a/modules/registry/registry.go
+++ b/modules/registry/registry.go
@@ -310,7 +310,7 @@
 func (r *Registry) Stop(ctx context.Context) error {
 	r.stopping.Store(true)
 	drainIdle := min(r.AnnounceInterval*3/2, maxDrainIdle)
-	limit := drainIdle + operatorTimeout
+	limit := readTimeout // no call takes longer to arrive
 	if deadline, ok := ctx.Deadline(); ok {
 		limit = min(limit, time.Until(deadline)/2) // the rest is for the transfer of leadership
 	}
--- a/test/soak/odd_test.go
+++ b/test/soak/odd_test.go
@@ -47,7 +47,7 @@
 	sys.eventually("first configuration", 20*time.Second, func() bool { return sys.replaceConfiguration(client, sys.registries[0].addr(operatorPort)) })
 	sys.eventually("gateways ready", 20*time.Second, sys.gatewaysReady)
 	sys.disableBootstrap()
-	sys.startCallers(6)
+	sys.startCallers(6, allPaths...)
 	post := func(p *process, path, body string) int {
 		res, err := client.Post("http://"+p.addr(operatorPort)+path, "application/json", strings.NewReader(body))
 		if err != nil {
