--- a/test/e2e/client_test.go
+++ b/test/e2e/client_test.go
@@ -19,7 +19,9 @@
 	key    string
 	class  string
 	prompt string
-	tokens int
+	// messages are sent as a chat; without any, the prompt is sent as a completion.
+	messages []tokentext.Message
+	tokens   int
 	// headers are added to each request.
 	headers map[string]string
 
@@ -51,7 +53,10 @@
 
 type chunk struct {
 	Choices []struct {
-		Text string `json:"text"`
+		Text  string `json:"text"`
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
 	} `json:"choices"`
 	Error *apiError `json:"error"`
 }
@@ -60,10 +65,15 @@
 // part of it has been received, and reads the stream to its end. onToken stops
 // reading early by returning false.
 func (g *generation) stream(ctx context.Context, addr string, onToken func(n int) bool) error {
-	body, _ := json.Marshal(map[string]any{
-		"model": "letters", "prompt": g.prompt, "max_tokens": g.tokens, "seed": samplingSeed, "temperature": 0.7, "stream": true,
-	})
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/v1/completions", bytes.NewReader(body))
+	fields := map[string]any{"model": "letters", "max_tokens": g.tokens, "seed": samplingSeed, "temperature": 0.7, "stream": true}
+	path := "/v1/completions"
+	if len(g.messages) > 0 {
+		path, fields["messages"] = "/v1/chat/completions", g.messages
+	} else {
+		fields["prompt"] = g.prompt
+	}
+	body, _ := json.Marshal(fields)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+path, bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
@@ -134,7 +144,11 @@
 			g.rejection = event.Error
 			return event.Error
 		}
-		if len(event.Choices) == 0 || event.Choices[0].Text == "" {
+		if len(event.Choices) == 0 {
+			continue
+		}
+		text := event.Choices[0].Text + event.Choices[0].Delta.Content // one of them is empty
+		if text == "" {
 			continue
 		}
 		now := time.Now()
@@ -143,8 +157,8 @@
 		}
 		g.tokenGaps = append(g.tokenGaps, now.Sub(previous))
 		previous = now
-		g.text.WriteString(event.Choices[0].Text)
-		g.received += strings.Count(event.Choices[0].Text, " ")
+		g.text.WriteString(text)
+		g.received += strings.Count(text, " ")
 		g.lastEventID = id
 		if onToken != nil && !onToken(g.received) {
 			return nil
