crash: ages of entries do not overflow

Cause: Merge multiplied AgeMS by a millisecond without a limit. From about 9.2e12 ms on the product wraps, and the entry lies up to centuries in the future. A proof or a completion of that kind hides all later crashes of its part or request. Change: the age is limited to 24 h, more than any retention, before it is multiplied. Evidence: TestAgeOfAnEntryDoesNotOverflow, red before (verdict free at 1e13 ms), green after.

--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -117,6 +117,15 @@
 	Depth int `json:",omitempty"`
 }
 
+// maxEntryAge limits the age of a received entry. It exceeds all retention times; a larger
+// age may overflow time.Duration, which would put the entry into the future.
+const maxEntryAge = 24 * time.Hour
+
+// age returns AgeMS within the valid range.
+func (e Entry) age() time.Duration {
+	return time.Duration(min(max(e.AgeMS, 0), maxEntryAge.Milliseconds())) * time.Millisecond
+}
+
 // trackedRun is a Run with what this tracker knows about it.
 type trackedRun struct {
 	Run
@@ -248,7 +257,7 @@
 		if e.Fingerprint == "" || e.Outcome > Trial {
 			continue // from another version, or malformed
 		}
-		at := now.Add(-time.Duration(max(e.AgeMS, 0)) * time.Millisecond)
+		at := now.Add(-e.age())
 		changed := false
 		if e.Outcome == Trial {
 			changed = IsPart(e.Fingerprint) && t.addTrial(at, t.ensureRequest(e.Fingerprint))
