crash: a crash counts after an interruption that the upstream survived

Cause: a part has one run per incarnation. After a cut of all gateways the next crash of each incarnation did not count. Change: an interruption of a part that is more than maxAnnouncementDelay later replaces the earlier one, unless that one ended the upstream; news that the upstream survived an earlier interruption does not clear a later one. Evidence: TestCrashAfterASurvivedInterruptionCounts, red before (free after 8 crashes), green after. Fingerprints of requests keep the old behaviour.

--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -294,9 +294,14 @@
 	}
 	if req != nil {
 		for _, r := range req.runs {
-			if r.Run == e.Run {
-				return t.update(r, e)
+			if r.Run != e.Run {
+				continue
 			}
+			if part && r.survivedEarlier(at, e.Outcome) {
+				t.recordAgain(r, at, e)
+				return true
+			}
+			return t.update(r, at, e)
 		}
 	}
 	r := &trackedRun{Run: e.Run, outcome: e.Outcome, interruptedAt: at, sharedFailureReported: e.Shared, keptLong: part}
@@ -337,8 +342,25 @@
 	return req
 }
 
+// survivedEarlier reports whether an entry is about another interruption at an incarnation
+// that has survived, or may have survived, the known one. A part has one run per incarnation.
+func (r *trackedRun) survivedEarlier(at time.Time, outcome Outcome) bool {
+	return (r.outcome == UpstreamAlive || r.outcome == Interrupted) && (outcome == Interrupted || outcome == UpstreamEnded) &&
+		at.Sub(r.interruptedAt) > maxAnnouncementDelay
+}
+
+// recordAgain replaces the known interruption of a run by a later one.
+func (t *Tracker) recordAgain(r *trackedRun, at time.Time, e Entry) {
+	r.outcome, r.interruptedAt, r.announcements = e.Outcome, at, 0
+	r.sharedFailureSeen, r.sharedFailureReported = false, e.Shared
+	t.markChanged(r)
+}
+
 // update merges another tracker's entry into a known run.
-func (t *Tracker) update(r *trackedRun, e Entry) bool {
+func (t *Tracker) update(r *trackedRun, at time.Time, e Entry) bool {
+	if e.Outcome == UpstreamAlive && IsPart(r.Fingerprint) && r.interruptedAt.Sub(at) > maxAnnouncementDelay {
+		return false // it survived an earlier interruption
+	}
 	if e.Outcome <= r.outcome && (r.sharedFailureReported || !e.Shared) {
 		return false
 	}
--- a/core/crash/review_test.go
+++ b/core/crash/review_test.go
@@ -24,3 +24,19 @@
 	tracker.Merge(start, []Entry{{Run: runAt("old", "u", "z"), Outcome: UpstreamEnded, AgeMS: 1e13}})
 	assert.Equal(t, tracker.RequestCount(), 0)
 }
+
+// Guards against a deadly part whose crashes do not count because its runs on the same incarnations were cut off earlier.
+func TestCrashAfterASurvivedInterruptionCounts(t *testing.T) {
+	tracker := New()
+	for i := range 8 {
+		u := fmt.Sprint("u", i)
+		tracker.PartInterrupted(start, runAt(PartKey("deadly"), u, "z"), 0, Interrupted) // all gateways were cut off
+		tracker.UpstreamAnnounced(after(6), u, 1000, 6)
+		tracker.UpstreamAnnounced(after(7), u, 1000, 7)
+	}
+	assert.Equal(t, partVerdict(tracker, 8, "deadly"), Allowed)
+	for i := range 8 {
+		crashPart(tracker, 10+3*float64(i), fmt.Sprint("u", i), "deadly")
+	}
+	assert.Equal(t, partVerdict(tracker, 40, "deadly"), Blocked)
+}
