crash: proofs of parts are kept as long as crashes

Cause: crashes of a part are kept for 6 h, but its proof only for 10 min. A control instance that returns with an old file brought crashes back that the proof had answered, and gateways that started since blocked the part. Change: the record of a proven part that was exported stays for partRetention. trim still bounds the records. Evidence: TestOldFileDoesNotBlockAProvenPart, red before (blocked), green after.

--- a/core/crash/bound.go
+++ b/core/crash/bound.go
@@ -12,12 +12,21 @@
 	t.retainParts(now)
 	for f, req := range t.requests {
 		t.removeRuns(req, func(r *trackedRun) bool { return r.expired(now) })
-		if len(req.runs) == 0 && now.Sub(req.clearedAt) > crashRetention && now.Sub(req.lastTrial) > crashRetention {
+		if len(req.runs) == 0 && now.Sub(req.clearedAt) > req.proofRetention() && now.Sub(req.lastTrial) > crashRetention {
 			delete(t.requests, f)
 		}
 	}
 }
 
+// proofRetention is how long a request without runs is kept after it was cleared: as long
+// as another process, or a saved file, may hold crashes that happened before.
+func (req *trackedRequest) proofRetention() time.Duration {
+	if req.part && req.exported {
+		return partRetention
+	}
+	return crashRetention
+}
+
 // trim removes requests and parts once a limit is exceeded: those with the lowest weight
 // first, and among equals those with the oldest activity. Parts that are held go last.
 func (t *Tracker) trim(now time.Time) {
--- a/core/crash/review_test.go
+++ b/core/crash/review_test.go
@@ -40,3 +40,21 @@
 	}
 	assert.Equal(t, partVerdict(tracker, 40, "deadly"), Blocked)
 }
+
+// Guards against a proven part that is blocked again by a control instance which returns with an old file.
+func TestOldFileDoesNotBlockAProvenPart(t *testing.T) {
+	stopped, running := New(), New()
+	for i := range 5 {
+		crashPart(running, 3*float64(i), fmt.Sprint("u", i), "repaired")
+	}
+	stopped.Merge(after(20), running.Entries(after(20)))
+	running.Merge(after(30), []Entry{{Run: Run{Fingerprint: PartKey("repaired")}, Outcome: Cleared}})
+	for s := 31.0; s < 3600; s += 10 {
+		running.Expire(after(s))
+	}
+	old := stopped.Entries(after(3600))
+	running.Merge(after(3600), old)
+	gateway := New() // has started since
+	gateway.Merge(after(3601), running.EntriesSince(after(3601), 0))
+	assert.Equal(t, partVerdict(gateway, 3602, "repaired"), Allowed)
+}
