crash: trials of contested parts have a bound

Cause: only trials of blocked parts were limited in number, and trials of contested parts did not count. Two parts that always come together stay contested: 33 trials in 24 h. Change: trials count, and are limited to maxLatePartRuns, for requests with two or more contested parts. Those with a single one keep their waits, since a sound part must be able to prove itself. Evidence: TestTrialsOfContestedPartsAreBounded, red before (12 s, 15, 21, 662, 5783 ...), green after (12, 18, 659). TestPartReturnsAfterRepair passes.

--- a/core/crash/review_test.go
+++ b/core/crash/review_test.go
@@ -58,3 +58,21 @@
 	gateway.Merge(after(3601), running.EntriesSince(after(3601), 0))
 	assert.Equal(t, partVerdict(gateway, 3602, "repaired"), Allowed)
 }
+
+// Guards against trials of two parts that always come together whose number grows with the time.
+func TestTrialsOfContestedPartsAreBounded(t *testing.T) {
+	tracker, trials := New(), []float64(nil)
+	keys := []string{PartKey("deadly"), PartKey("twin")}
+	for i := range 5 {
+		crashPart(tracker, 2*float64(i), fmt.Sprint("u", i), "deadly", "twin")
+	}
+	for s := 12.0; s < 5*3600; s++ {
+		verdict, held := tracker.PartVerdict(after(s), keys)
+		if verdict != Allowed && (len(held) == 0 || !tracker.AllowTrials(after(s), held)) {
+			continue
+		}
+		trials = append(trials, s)
+		crashPart(tracker, s+.5, fmt.Sprint("t", s), "deadly", "twin")
+	}
+	assert.Assert(t, len(trials) <= 3, "%d: %v", len(trials), trials)
+}
--- a/core/crash/trial.go
+++ b/core/crash/trial.go
@@ -152,7 +152,8 @@
 
 // lateRuns returns the number of runs of a part since the last tolerated crash: trials that
 // were granted, or runs that have broken off, which gateways may have granted themselves.
-// The trials of a contested part do not count, since the other part may have spoilt them.
+// The trials of a contested part do not count for a request with no other one, since another
+// part may have spoilt them.
 func (req *trackedRequest) lateRuns(crashes []*trackedRun, contested bool) int {
 	n := 0
 	for _, r := range crashes[min(toleratedCrashes, len(crashes)):] {
@@ -174,8 +175,8 @@
 		return true
 	}
 	crashes := req.crashes(now)
-	late := req.lateRuns(crashes, d.Contested)
-	if d.Verdict == Blocked && late >= maxLatePartRuns {
+	late := req.lateRuns(crashes, d.Contested && contested < 2)
+	if (d.Verdict == Blocked || contested > 1) && late >= maxLatePartRuns {
 		return false
 	}
 	var last time.Time
