crash: late trials and crashes without a trial add up

Cause: the late runs of a part were the larger one of the number of trials and the number of late crashes. A trial without a trace and a crash whose trial is not known, as after two leaders in turn, counted as one run. Change: a late crash belongs to a trial within the minute before it, or counts as a run of its own. Evidence: TestTrialsWithAndWithoutTraceAddUp, red before (4 trials), green after. TestFleetsWithSoundParts, TestPartReturnsAfterRepair and TestTrialsOfPartsAreBounded pass.

--- a/core/crash/review_test.go
+++ b/core/crash/review_test.go
@@ -76,3 +76,21 @@
 	}
 	assert.Assert(t, len(trials) <= 3, "%d: %v", len(trials), trials)
 }
+
+// Guards against a trial that is forgotten by the next leader because the trace of another one stands for it.
+func TestTrialsWithAndWithoutTraceAddUp(t *testing.T) {
+	tracker := New()
+	for i := range 5 {
+		crashPart(tracker, 2*float64(i), fmt.Sprint("u", i), "deadly")
+	}
+	key := PartKey("deadly")
+	assert.Assert(t, tracker.AllowTrial(after(20), key)) // its gateway stops, so that nobody reports the crash
+	crashPart(tracker, 110, "t1", "deadly")              // granted by a leader that stopped before it shared the trial
+	trials := 2
+	for s := 112.0; s < 5*3600; s++ {
+		if tracker.AllowTrial(after(s), key) {
+			trials++
+		}
+	}
+	assert.Assert(t, trials <= 3, "%d", trials)
+}
--- a/core/crash/trial.go
+++ b/core/crash/trial.go
@@ -35,6 +35,9 @@
 	// late. Runs that break off within inFlightTime after it may have started before.
 	toleratedCrashes = 5
 	inFlightTime     = 6 * time.Second
+	// maxTrialTime is the longest time from a trial to its crash. A crash without a trial
+	// before it is a run of its own, whose trial this process does not know.
+	maxTrialTime = time.Minute
 	// lateGrantTime is how long after the last tolerated crash a granted run counts as late.
 	// The crash of a silent upstream is found a second or two after it.
 	lateGrantTime = time.Second
@@ -155,16 +158,22 @@
 // The trials of a contested part do not count for a request with no other one, since another
 // part may have spoilt them.
 func (req *trackedRequest) lateRuns(crashes []*trackedRun, contested bool) int {
-	n := 0
+	n, trials := 0, slices.SortedFunc(slices.Values(req.trials), time.Time.Compare)
 	for _, r := range crashes[min(toleratedCrashes, len(crashes)):] {
-		if r.interruptedAt.Sub(crashes[toleratedCrashes-1].interruptedAt) > inFlightTime {
+		granted := slices.IndexFunc(trials, func(at time.Time) bool {
+			return r.interruptedAt.Sub(at) >= -proofTolerance && r.interruptedAt.Sub(at) <= maxTrialTime
+		})
+		switch {
+		case granted >= 0 && !contested:
+			trials = slices.Delete(trials, granted, granted+1) // this run was that trial
+		case r.interruptedAt.Sub(crashes[toleratedCrashes-1].interruptedAt) > inFlightTime:
 			n++
 		}
 	}
 	if contested {
 		return n
 	}
-	return max(n, len(req.trials))
+	return n + len(req.trials)
 }
 
 // partTrialDue reports whether a held part may run once. A part that this tracker does not
