gateway: a request held for a part is answered by its deadline

Cause: a request with an undecided part waited 2.5 s whatever its deadline, since the context of its admission has none. Change: the wait ends one look before the deadline. Evidence: TestHeldRequestIsAnsweredByItsDeadline, red before (2.5 s for a deadline of 400 ms), green after.

--- a/modules/gateway/crash.go
+++ b/modules/gateway/crash.go
@@ -113,7 +113,9 @@
 	if c.trial {
 		return crashDecision{} // it has at most one attempt that reaches an upstream
 	}
-	for end := time.Now().Add(partDecisionWait); ; {
+	// The caller needs the answer before its deadline.
+	wait := min(partDecisionWait, time.Until(c.deadline)-partDecisionInterval)
+	for end := time.Now().Add(wait); ; {
 		d := c.crashDecision()
 		if d.allowed() {
 			return d
