crash: the bound of contested trials spares a sound part

Cause: counted the trials of each contested part of a request. A sound part that came with three deadly ones used up the trials of all of them, and was blocked in their place. Change: the number for a request is the least of its contested parts. TestTrialsOfContestedPartsAreBounded and TestPartReturnsAfterRepair stay green.

--- a/core/crash/trial.go
+++ b/core/crash/trial.go
@@ -1,6 +1,7 @@
 package crash
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -134,8 +135,12 @@
 // or less if the upstreams may not have ended.
 func (t *Tracker) allTrialsDue(now time.Time, keys []string) bool {
 	decisions, contested := t.decideParts(now), t.countContested(now, keys)
+	together := t.lateRunsTogether(now, keys)
+	if contested > 1 && together >= maxLatePartRuns {
+		return false
+	}
 	for _, key := range keys {
-		if IsPart(key) && !t.partTrialDue(now, key, decisions[key], contested) || !IsPart(key) && !t.trialDue(now, key) {
+		if IsPart(key) && !t.partTrialDue(now, key, decisions[key], contested, together) || !IsPart(key) && !t.trialDue(now, key) {
 			return false
 		}
 	}
@@ -155,8 +160,7 @@
 
 // lateRuns returns the number of runs of a part since the last tolerated crash: trials that
 // were granted, or runs that have broken off, which gateways may have granted themselves.
-// The trials of a contested part do not count for a request with no other one, since another
-// part may have spoilt them.
+// The trials of a contested part do not count, since the other part may have spoilt them.
 func (req *trackedRequest) lateRuns(crashes []*trackedRun, contested bool) int {
 	n, trials := 0, slices.SortedFunc(slices.Values(req.trials), time.Time.Compare)
 	for _, r := range crashes[min(toleratedCrashes, len(crashes)):] {
@@ -176,16 +180,29 @@
 	return n + len(req.trials)
 }
 
+// lateRunsTogether returns the least number of late runs, trials included, of a contested part
+// among the keys. Parts that always come together have the same number, while a sound part
+// beside several deadly ones has more.
+func (t *Tracker) lateRunsTogether(now time.Time, keys []string) int {
+	decisions, least := t.decideParts(now), math.MaxInt
+	for _, key := range keys {
+		if req := t.requests[key]; req != nil && decisions[key].Contested {
+			least = min(least, req.lateRuns(req.crashes(now), false))
+		}
+	}
+	return least
+}
+
 // partTrialDue reports whether a held part may run once. A part that this tracker does not
 // hold may be held by the process that asks.
-func (t *Tracker) partTrialDue(now time.Time, key string, d PartDecision, contested int) bool {
+func (t *Tracker) partTrialDue(now time.Time, key string, d PartDecision, contested, together int) bool {
 	req := t.requests[key]
 	if req == nil {
 		return true
 	}
 	crashes := req.crashes(now)
-	late := req.lateRuns(crashes, d.Contested && contested < 2)
-	if (d.Verdict == Blocked || contested > 1) && late >= maxLatePartRuns {
+	late := req.lateRuns(crashes, d.Contested)
+	if d.Verdict == Blocked && late >= maxLatePartRuns {
 		return false
 	}
 	var last time.Time
@@ -200,7 +217,7 @@
 	for range min(late, maxLatePartRuns) {
 		wait *= partTrialFactor
 	}
-	if contested == 2 && late < maxContestedTrials {
+	if contested == 2 && max(late, together) < maxContestedTrials {
 		wait = contestedTrialDelay << late
 	}
 	return now.Sub(last) >= wait && now.Sub(req.lastTrial) >= wait
