--- a/core/crash/fleet_test.go
+++ b/core/crash/fleet_test.go
@@ -29,6 +29,10 @@
 	// cutFrom and cutTo are when gateways are cut off from all upstreams, cut how many are.
 	cutFrom, cutTo float64
 	cut            int
+	// controlFrom and controlTo are when no gateway reaches the control instance.
+	controlFrom, controlTo float64
+	// setUp schedules further events.
+	setUp func(f *fleet)
 }
 
 type fleetEvent struct {
@@ -118,6 +122,9 @@
 		f.at(p.cutFrom, f.cutOff)
 	}
 	f.after(0, f.sweep)
+	if p.setUp != nil {
+		p.setUp(f)
+	}
 	for len(f.queue) > 0 {
 		e := heap.Pop(&f.queue).(fleetEvent)
 		if e.at > p.length {
@@ -168,8 +175,15 @@
 
 // push sends the changes of the control instance to the gateways.
 func (f *fleet) push() {
+	if f.controlIsCut() {
+		f.at(f.controlTo, f.push)
+		return
+	}
 	for i, t := range f.trackers {
 		f.after(f.latency(), func() {
+			if f.trackers[i] != t {
+				return // the gateway has restarted since
+			}
 			list := f.control.EntriesSince(f.time(), f.positions[i])
 			f.positions[i] = f.control.LastChange()
 			f.after(f.latency()/2, func() {
@@ -184,6 +198,10 @@
 	if len(keys) == 0 {
 		return
 	}
+	if f.controlIsCut() {
+		f.after(0.2, func() { f.report(gateway, keys) })
+		return
+	}
 	slices.Sort(keys)
 	list := f.trackers[gateway].EntriesOf(f.time(), keys)
 	f.after(f.latency(), func() {
@@ -220,7 +238,13 @@
 		return
 	case r.attempts == 0 && t.TrialDue(f.time(), held, f.canPlace(gateway)):
 		f.after(f.latency(), func() {
-			if f.control.AllowTrials(f.time(), held) {
+			granted := false
+			if !f.controlIsCut() {
+				granted = f.control.AllowTrials(f.time(), held)
+			} else if verdict == Undecided {
+				granted = t.AllowTrials(f.time(), held)
+			}
+			if granted {
 				r.trial = true
 				f.start(r, gateway)
 			} else {
@@ -264,6 +288,8 @@
 	}
 }
 
+func (f *fleet) controlIsCut() bool { return f.now >= f.controlFrom && f.now < f.controlTo }
+
 func (f *fleet) isCut(gateway int) bool {
 	return gateway < f.cut && f.now >= f.cutFrom && f.now < f.cutTo
 }
--- a/core/crash/review_test.go
+++ b/core/crash/review_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -94,3 +96,39 @@
 	}
 	assert.Assert(t, trials <= 3, "%d", trials)
 }
+
+// Guards against a deadly part that is evicted by the one-off parts of the runs that crash with it.
+func TestDeadlyPartAmongManyOneOffParts(t *testing.T) {
+	for _, others := range []int{100, 1000, 2000, 4000} {
+		tracker := New()
+		for i := range 5 {
+			crashPart(tracker, 3*float64(i), fmt.Sprint("u", i), "deadly")
+			for k := range others {
+				tracker.PartInterrupted(after(3*float64(i)+.1), runAt(PartKey(fmt.Sprint(i, "-", k)), fmt.Sprint("u", i), "z"), 1, Interrupted)
+			}
+		}
+		assert.Check(t, partVerdict(tracker, 16, "deadly") != Allowed, "%d other parts in each crash", others)
+	}
+}
+
+// Measures a decision on many parts that have no crash in common.
+func BenchmarkPartVerdictOfUnrelatedParts(b *testing.B) {
+	for _, upstreams := range []int{150, 600, 3800} {
+		b.Run(fmt.Sprint(upstreams, " incarnations"), func(b *testing.B) {
+			tracker, r := New(), rand.New(rand.NewPCG(1, 1))
+			for part := range 900 {
+				for k := range 4 {
+					u := (part*4 + k) % upstreams
+					if upstreams < 3800 {
+						u = r.IntN(upstreams)
+					}
+					tracker.PartInterrupted(after(float64(k)*3), runAt(PartKey(fmt.Sprint(part)), fmt.Sprint("u", u), "z"), 1, Interrupted)
+				}
+			}
+			for i := range b.N {
+				tracker.decisions = nil
+				tracker.decideParts(after(20).Add(time.Duration(i)))
+			}
+		})
+	}
+}
