--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -117,6 +117,15 @@
 	Depth int `json:",omitempty"`
 }
 
+// maxEntryAge limits the age of a received entry. It exceeds all retention times; a larger
+// age may overflow time.Duration, which would put the entry into the future.
+const maxEntryAge = 24 * time.Hour
+
+// age returns AgeMS within the valid range.
+func (e Entry) age() time.Duration {
+	return time.Duration(min(max(e.AgeMS, 0), maxEntryAge.Milliseconds())) * time.Millisecond
+}
+
 // trackedRun is a Run with what this tracker knows about it.
 type trackedRun struct {
 	Run
@@ -248,7 +257,7 @@
 		if e.Fingerprint == "" || e.Outcome > Trial {
 			continue // from another version, or malformed
 		}
-		at := now.Add(-time.Duration(max(e.AgeMS, 0)) * time.Millisecond)
+		at := now.Add(-e.age())
 		changed := false
 		if e.Outcome == Trial {
 			changed = IsPart(e.Fingerprint) && t.addTrial(at, t.ensureRequest(e.Fingerprint))
@@ -285,9 +294,14 @@
 	}
 	if req != nil {
 		for _, r := range req.runs {
-			if r.Run == e.Run {
-				return t.update(r, e)
+			if r.Run != e.Run {
+				continue
 			}
+			if part && r.survivedEarlier(at, e.Outcome) {
+				t.recordAgain(r, at, e)
+				return true
+			}
+			return t.update(r, at, e)
 		}
 	}
 	r := &trackedRun{Run: e.Run, outcome: e.Outcome, interruptedAt: at, sharedFailureReported: e.Shared, keptLong: part}
@@ -328,8 +342,25 @@
 	return req
 }
 
+// survivedEarlier reports whether an entry is about another interruption at an incarnation
+// that has survived, or may have survived, the known one. A part has one run per incarnation.
+func (r *trackedRun) survivedEarlier(at time.Time, outcome Outcome) bool {
+	return (r.outcome == UpstreamAlive || r.outcome == Interrupted) && (outcome == Interrupted || outcome == UpstreamEnded) &&
+		at.Sub(r.interruptedAt) > maxAnnouncementDelay
+}
+
+// recordAgain replaces the known interruption of a run by a later one.
+func (t *Tracker) recordAgain(r *trackedRun, at time.Time, e Entry) {
+	r.outcome, r.interruptedAt, r.announcements = e.Outcome, at, 0
+	r.sharedFailureSeen, r.sharedFailureReported = false, e.Shared
+	t.markChanged(r)
+}
+
 // update merges another tracker's entry into a known run.
-func (t *Tracker) update(r *trackedRun, e Entry) bool {
+func (t *Tracker) update(r *trackedRun, at time.Time, e Entry) bool {
+	if e.Outcome == UpstreamAlive && IsPart(r.Fingerprint) && r.interruptedAt.Sub(at) > maxAnnouncementDelay {
+		return false // it survived an earlier interruption
+	}
 	if e.Outcome <= r.outcome && (r.sharedFailureReported || !e.Shared) {
 		return false
 	}
--- a/core/crash/trial.go
+++ b/core/crash/trial.go
@@ -1,6 +1,7 @@
 package crash
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -35,6 +36,9 @@
 	// late. Runs that break off within inFlightTime after it may have started before.
 	toleratedCrashes = 5
 	inFlightTime     = 6 * time.Second
+	// maxTrialTime is the longest time from a trial to its crash. A crash without a trial
+	// before it is a run of its own, whose trial this process does not know.
+	maxTrialTime = time.Minute
 	// lateGrantTime is how long after the last tolerated crash a granted run counts as late.
 	// The crash of a silent upstream is found a second or two after it.
 	lateGrantTime = time.Second
@@ -131,8 +135,12 @@
 // or less if the upstreams may not have ended.
 func (t *Tracker) allTrialsDue(now time.Time, keys []string) bool {
 	decisions, contested := t.decideParts(now), t.countContested(now, keys)
+	together := t.lateRunsTogether(now, keys)
+	if contested > 1 && together >= maxLatePartRuns {
+		return false
+	}
 	for _, key := range keys {
-		if IsPart(key) && !t.partTrialDue(now, key, decisions[key], contested) || !IsPart(key) && !t.trialDue(now, key) {
+		if IsPart(key) && !t.partTrialDue(now, key, decisions[key], contested, together) || !IsPart(key) && !t.trialDue(now, key) {
 			return false
 		}
 	}
@@ -154,21 +162,40 @@
 // were granted, or runs that have broken off, which gateways may have granted themselves.
 // The trials of a contested part do not count, since the other part may have spoilt them.
 func (req *trackedRequest) lateRuns(crashes []*trackedRun, contested bool) int {
-	n := 0
+	n, trials := 0, slices.SortedFunc(slices.Values(req.trials), time.Time.Compare)
 	for _, r := range crashes[min(toleratedCrashes, len(crashes)):] {
-		if r.interruptedAt.Sub(crashes[toleratedCrashes-1].interruptedAt) > inFlightTime {
+		granted := slices.IndexFunc(trials, func(at time.Time) bool {
+			return r.interruptedAt.Sub(at) >= -proofTolerance && r.interruptedAt.Sub(at) <= maxTrialTime
+		})
+		switch {
+		case granted >= 0 && !contested:
+			trials = slices.Delete(trials, granted, granted+1) // this run was that trial
+		case r.interruptedAt.Sub(crashes[toleratedCrashes-1].interruptedAt) > inFlightTime:
 			n++
 		}
 	}
 	if contested {
 		return n
 	}
-	return max(n, len(req.trials))
+	return n + len(req.trials)
+}
+
+// lateRunsTogether returns the least number of late runs, trials included, of a contested part
+// among the keys. Parts that always come together have the same number, while a sound part
+// beside several deadly ones has more.
+func (t *Tracker) lateRunsTogether(now time.Time, keys []string) int {
+	decisions, least := t.decideParts(now), math.MaxInt
+	for _, key := range keys {
+		if req := t.requests[key]; req != nil && decisions[key].Contested {
+			least = min(least, req.lateRuns(req.crashes(now), false))
+		}
+	}
+	return least
 }
 
 // partTrialDue reports whether a held part may run once. A part that this tracker does not
 // hold may be held by the process that asks.
-func (t *Tracker) partTrialDue(now time.Time, key string, d PartDecision, contested int) bool {
+func (t *Tracker) partTrialDue(now time.Time, key string, d PartDecision, contested, together int) bool {
 	req := t.requests[key]
 	if req == nil {
 		return true
@@ -190,7 +217,7 @@
 	for range min(late, maxLatePartRuns) {
 		wait *= partTrialFactor
 	}
-	if contested == 2 && late < maxContestedTrials {
+	if contested == 2 && max(late, together) < maxContestedTrials {
 		wait = contestedTrialDelay << late
 	}
 	return now.Sub(last) >= wait && now.Sub(req.lastTrial) >= wait
