httpconn: a huge idle limit does not overflow

What callers saw: not seen here. With a limit within 500 ms of the largest duration the sum with the grace became negative, and idle connections were closed at once. The limits that the roles pass are bounded below that (platform: milliseconds), so no configuration reaches it today.

Cause: the grace was added without a bound. Class: a sum of a number of another writer. Change: such a limit counts as none.

go test -p 2 ./internal/httpconn -run TestHugeIdleLimit before: unexpected EOF at the second request; after: ok

--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math"
 	"net"
 	"os"
 	"sync"
@@ -168,7 +169,7 @@
 		return c.idleSince.Add(time.Duration(draining))
 	}
 	limit := max(c.idleLimit, c.listener.limits.Idle())
-	if limit <= 0 {
+	if limit <= 0 || limit > math.MaxInt64-c.listener.idleGrace {
 		return time.Time{}
 	}
 	return c.idleSince.Add(limit + c.listener.idleGrace)
