httpconn: removing the idle limit applies at once

What callers saw: after a configuration that removes the idle limit (0), connections whose last request was read under the old limit were still closed at that limit. A longer limit applied at once.

Cause: the larger of the old and the new limit was taken, and zero, which means none, is the smallest. Class: a special value compared as a number. Change: no limit in force means no idle deadline.

go test -p 2 ./internal/httpconn -run TestRemovedIdleLimit before: unexpected EOF; after: ok, with the other tests of the idle limit

--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -168,8 +168,9 @@
 	if draining := c.listener.drainIdle.Load(); draining >= 0 {
 		return c.idleSince.Add(time.Duration(draining))
 	}
-	limit := max(c.idleLimit, c.listener.limits.Idle())
-	if limit <= 0 || limit > math.MaxInt64-c.listener.idleGrace {
+	current := c.listener.limits.Idle()
+	limit := max(c.idleLimit, current)
+	if current <= 0 || limit > math.MaxInt64-c.listener.idleGrace {
 		return time.Time{}
 	}
 	return c.idleSince.Add(limit + c.listener.idleGrace)
--- a/internal/httpconn/limits_test.go
+++ b/internal/httpconn/limits_test.go
@@ -18,3 +18,15 @@
 		time.Sleep(50 * time.Millisecond)
 	}
 }
+
+// Guards against an idle limit that stays in force on open connections after it was removed.
+func TestRemovedIdleLimit(t *testing.T) {
+	s := startServer(t, 50*time.Millisecond, 0)
+	c := s.dial(t)
+	_, err := c.do("/")
+	assert.NilError(t, err)
+	s.limit.Store(0)
+	time.Sleep(200 * time.Millisecond)
+	_, err = c.do("/")
+	assert.NilError(t, err)
+}
