httpconn: a request that has begun behind another one is not idle

What callers saw: a connection was closed without an answer at the idle limit, or 1 s into a stop, although the first bytes of the request had arrived: those in the same segment as the request before. The other way round, such a caller held its connection for the idle limit (2 minutes at entries) instead of the header limit.

Cause: the phase left idle only with a byte that Read returns. Bytes of the next request that the server had buffered with the request before are returned to it by its own buffer, and the next Read waited for "the first byte" under the idle deadline.

Change: net/http sets one read deadline when it begins to wait, and the next one once it has the first 4 bytes. The second one ends the idle phase. Not covered: one to three buffered bytes count as idle until the next byte arrives.

go test -p 2 ./internal/httpconn -run TestPartOf before: idle limit and stop: unexpected EOF; header limit: i/o timeout after 5 s, want EOF after 1 s after: ok twice, with all tests of the package

--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -50,6 +50,8 @@
 	idleLimit time.Duration
 	// waiting is set while Read waits for the first byte of a request.
 	waiting bool
+	// idleDeadlineSet is set once the server has set its read deadline for the idle time.
+	idleDeadlineSet bool
 }
 
 // Read implements net.Conn.
@@ -151,7 +153,7 @@
 func (c *Conn) becomeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.phase, c.idleSince = idle, time.Now()
+	c.phase, c.idleSince, c.idleDeadlineSet = idle, time.Now(), false
 }
 
 // updateIdleDeadline sets the deadline of a connection that waits for its next request.
@@ -179,7 +181,7 @@
 // readArrived reads the bytes that have arrived and does not wait for any. It returns
 // deadlineErr if there are none.
 func (c *Conn) readArrived(b []byte, deadlineErr error) (int, error) {
-	if err := c.SetReadDeadline(time.Time{}); err != nil {
+	if err := c.setReadDeadline(time.Time{}); err != nil {
 		return 0, err
 	}
 	raw, err := c.TCPConn.SyscallConn()
@@ -200,8 +202,21 @@
 	return 0, err
 }
 
-// SetReadDeadline implements net.Conn.
+// SetReadDeadline implements net.Conn. net/http sets one deadline when it begins to wait for
+// the next request, and the next one once it has the first bytes of that, which may have
+// arrived with the request before.
 func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	if c.phase == idle && c.idleDeadlineSet {
+		c.phase = busy
+	}
+	c.idleDeadlineSet = true
+	c.mu.Unlock()
+	return c.setReadDeadline(t)
+}
+
+// setReadDeadline sets the read deadline of an open connection.
+func (c *Conn) setReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed { // the deadline is that of linger
--- /dev/null
+++ b/internal/httpconn/header_test.go
@@ -0,0 +1,49 @@
+package httpconn
+
+import (
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against the idle limit and a stop that cut off a request whose first bytes arrived with
+// the request before it.
+func TestPartOfPipelinedRequestIsNotIdle(t *testing.T) {
+	const rest = 200 * time.Millisecond
+	for name, limit := range map[string]time.Duration{"idle limit": 50 * time.Millisecond, "stop": time.Minute} {
+		t.Run(name, func(t *testing.T) {
+			s := startServer(t, limit, 0)
+			c := s.dial(t)
+			_, err := io.WriteString(c, "GET /?id=a HTTP/1.1\r\nHost: h\r\n\r\nGET /?id=b HTTP/1.1\r\n")
+			assert.NilError(t, err)
+			_, err = c.response()
+			assert.NilError(t, err)
+			if name == "stop" {
+				go func() { _ = s.listener.Drain(t.Context(), rest/2) }()
+			}
+			time.Sleep(rest)
+			_, err = io.WriteString(c, "Host: h\r\n\r\n")
+			assert.NilError(t, err)
+			res, err := c.response()
+			assert.NilError(t, err)
+			assert.Equal(t, res.StatusCode, http.StatusOK)
+		})
+	}
+}
+
+// Guards against a caller that holds a connection beyond the header limit with a part of a
+// pipelined request.
+func TestPartOfPipelinedRequestIsDueWithinTheHeaderLimit(t *testing.T) {
+	s := startServer(t, time.Minute, 0)
+	c := s.dial(t)
+	_, err := io.WriteString(c, "GET /?id=a HTTP/1.1\r\nHost: h\r\n\r\nGET /?id=b HTTP/1.1\r\n")
+	assert.NilError(t, err)
+	_, err = c.response()
+	assert.NilError(t, err)
+	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second)) // the header limit is 1 s
+	_, err = c.r.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+}
