httpconn: a header that arrived before its deadline is read after a pause

What callers saw: a connection ended without an answer when the process was paused, or short of processor time, between the first bytes of a request and the rest, beyond the header limit (3 s at gateways), although the rest had arrived long before the close.

Cause: only the wait for the first byte looked at the socket after its deadline. A read whose deadline has passed fails in Go without a look at the socket. Class: a timer that fires before bytes that have arrived are read, as in the incident.

Change: the phase between the first byte and the whole header has a name, and a deadline that has passed in it ends the connection only if nothing has arrived. The deadline stays passed, so a caller gains no time.

go test -p 2 ./internal/httpconn -run TestHeaderThat before: first request and next request: i/o timeout with 8 bytes in the socket after: ok three times, with all tests of the package

--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -20,13 +20,18 @@
 	lingerQuiet = 2 * time.Second
 )
 
+// longPast is a deadline that has passed.
+var longPast = time.Unix(1, 0)
+
 // phase is what a connection waits for.
 type phase uint8
 
 const (
 	// fresh connections have not received the first byte of their first request.
 	fresh phase = iota
-	// busy connections have received at least one byte of a request that is not answered yet.
+	// inHeader connections have received at least one byte of a request, but not its header.
+	inHeader
+	// busy connections have received the header of a request that is not answered yet.
 	busy
 	// idle connections have sent a response and not received the first byte of the next
 	// request.
@@ -73,11 +78,17 @@
 }
 
 // read reads from the connection. While the connection waits for a request, the idle limit
-// takes the place of the read deadline. A deadline that has passed ends the connection only
-// if no byte has arrived until now: a busy process may read late what was sent in time.
+// takes the place of the read deadline. A deadline that has passed before the header is
+// complete ends the connection only if no byte has arrived until now: a busy process may read
+// late what was sent in time.
 func (c *Conn) read(b []byte) (int, error) {
 	if !c.startWaiting() {
-		return c.TCPConn.Read(b)
+		n, err := c.TCPConn.Read(b)
+		if errors.Is(err, os.ErrDeadlineExceeded) && c.readsHeader() {
+			n, err = c.readArrived(b, err)
+			_ = c.setReadDeadline(longPast) // an error shows at the next read
+		}
+		return n, err
 	}
 	for {
 		n, err := c.TCPConn.Read(b)
@@ -98,7 +109,7 @@
 func (c *Conn) startWaiting() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase == busy || c.closed {
+	if c.phase == inHeader || c.phase == busy || c.closed {
 		return false
 	}
 	c.waiting = true
@@ -124,6 +135,13 @@
 	return true
 }
 
+// readsHeader reports whether the header of a request is being read.
+func (c *Conn) readsHeader() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.phase == inHeader && !c.closed
+}
+
 // endWaiting records whether the first byte of a request has arrived. The rest of its
 // header is due within the header limit.
 func (c *Conn) endWaiting(arrived, expired bool) {
@@ -136,7 +154,7 @@
 	if c.phase == idle || expired {
 		_ = c.TCPConn.SetReadDeadline(deadlineAfter(c.listener.limits.Header)) // an error shows at the next read
 	}
-	c.phase = busy
+	c.phase = inHeader
 }
 
 // becomeBusy ends the idle time, also for a request that was read from the server's buffer,
@@ -208,7 +226,7 @@
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	if c.phase == idle && c.idleDeadlineSet {
-		c.phase = busy
+		c.phase = inHeader
 	}
 	c.idleDeadlineSet = true
 	c.mu.Unlock()
--- a/internal/httpconn/header_test.go
+++ b/internal/httpconn/header_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
+	"os"
 	"testing"
 	"time"
 
@@ -47,3 +49,31 @@
 	_, err = c.r.ReadByte()
 	assert.ErrorIs(t, err, io.EOF)
 }
+
+// Guards against a process that was paused beyond the header limit and drops a request whose
+// rest arrived meanwhile, and against a caller that extends that limit byte by byte.
+func TestHeaderThatArrivedBeforeTheDeadlineIsRead(t *testing.T) {
+	for name, before := range map[string]phase{"first request": fresh, "next request": idle} {
+		t.Run(name, func(t *testing.T) {
+			l := NewListener(nil, Limits{Idle: FixedIdle(time.Minute), Header: 20 * time.Millisecond})
+			server, client := pair(t)
+			c := &Conn{TCPConn: server.(*net.TCPConn), listener: l, phase: before, idleSince: time.Now()}
+			p := make([]byte, 4)
+			_, err := io.WriteString(client, "GET ")
+			assert.NilError(t, err)
+			_, err = io.ReadFull(c, p)
+			assert.NilError(t, err)
+			assert.NilError(t, c.SetReadDeadline(time.Now().Add(20*time.Millisecond)))
+			_, err = io.WriteString(client, "/ HTTP/1")
+			assert.NilError(t, err)
+			time.Sleep(60 * time.Millisecond) // the rest is in the socket and the deadline has passed
+			for _, want := range []string{"/ HT", "TP/1"} {
+				_, err = io.ReadFull(c, p)
+				assert.NilError(t, err)
+				assert.Equal(t, string(p), want)
+			}
+			_, err = c.Read(p)
+			assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
+		})
+	}
+}
