gateway: requests that still run when the grace period ends are refused

What callers saw: a request that waited for its upstream when the grace period ended (its timeout is longer than the rest of the period) got neither an answer nor a refusal; its connection ended.

Cause: Stop closed the server, and with it the connections, 300 ms before the end of the process.

Change: Stop first ends the contexts of the requests and waits up to 150 ms for their responses: 5031 if the request was not sent to an upstream, 5020 otherwise. The contexts share a parent, which costs nothing for each request. Broken runs are not recorded then, as before. Streams that have begun are broken off as before, and so are requests that have not arrived completely. The counts of TestCutRequestsAreCountedApart hold; the log line and the counter now mean a request ended by the gateway, with an error response unless one had begun. Not changed: entries, which close their server at the stop limit itself (read, not run).

go test -p 2 ./modules/gateway -run TestGraceEnd before: /look/x, /book/x and /letters/x: EOF after: ok; with -race ok together with the tests named Cut and Stop; without -race also Crash, Broken, Gone.

--- a/modules/gateway/gateway.go
+++ b/modules/gateway/gateway.go
@@ -37,6 +37,8 @@
 	// graceReserve is the part of the grace period that is kept for the shutdown of the
 	// process.
 	graceReserve = 300 * time.Millisecond
+	// refusalTime is the part of graceReserve in which requests that still run are refused.
+	refusalTime = 150 * time.Millisecond
 	// stopIdleTime is how long a connection may stay idle once the drain delay is over. It
 	// covers the way of a response, whose header may not have announced the stop, to the
 	// caller and that of the caller's next request.
@@ -104,6 +106,10 @@
 	// requests are not checked against the crash tracker.
 	trackedRequests, suspectRequests atomic.Int64
 
+	// requests is the parent of the contexts of all requests.
+	requests       context.Context
+	cancelRequests context.CancelCauseFunc
+
 	ctx    context.Context
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
@@ -188,10 +194,12 @@
 	g.follower.start()
 	mux := http.NewServeMux()
 	mux.HandleFunc(g.dialect.Endpoints().Ready, g.serveReady)
+	g.requests, g.cancelRequests = context.WithCancelCause(context.Background())
 	g.readyServer = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
 	g.server = &http.Server{
 		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnState: g.callerListener.ConnState, ConnContext: httpconn.ConnContext, DisableGeneralOptionsHandler: true,
+		BaseContext: func(net.Listener) context.Context { return g.requests },
 	}
 	g.spawn(func() { g.serveListener(g.readyServer, g.readyListener) })
 	g.spawn(func() { g.serveListener(g.server, g.callerListener) })
@@ -227,7 +235,7 @@
 // Stop implements kernel.Runner. The readiness check fails immediately. New connections
 // are accepted until the load balancer has noticed. The connections that are open then are
 // served until the grace period ends: each is closed with its next response, or when it has
-// been idle for stopIdleTime.
+// been idle for stopIdleTime. Requests that still run then are refused.
 func (g *Gateway) Stop(context.Context) error {
 	start := time.Now()
 	g.stopAt.Store(start.Add(g.Grace - graceReserve).UnixNano())
@@ -238,11 +246,25 @@
 	defer cancel()
 	if g.callerListener.Drain(ctx, stopIdleTime) != nil && g.openRequests.Load() > 0 {
 		g.log.Warn("requests cut off at the end of the grace period", "open_requests", g.openRequests.Load())
+		g.refuseRunning()
 	}
+	g.cancelRequests(errGraceOver)
 	g.cancel()
 	return errors.Join(g.server.Close(), g.readyServer.Close())
 }
 
+// errGraceOver is the cause with which the contexts of requests end after the grace period.
+var errGraceOver = errors.New("the grace period of this gateway is over")
+
+// refuseRunning ends the requests that still run, and waits until their callers have the
+// error responses.
+func (g *Gateway) refuseRunning() {
+	g.cancelRequests(errGraceOver)
+	ctx, cancel := context.WithTimeout(context.Background(), refusalTime)
+	defer cancel()
+	_ = g.callerListener.Drain(ctx, 0) // connections without a whole request are cut off
+}
+
 // closeIfStopping makes a response the last one on its connection if the gateway is
 // stopping.
 func (g *Gateway) closeIfStopping(h http.Header) {
--- a/modules/gateway/handler.go
+++ b/modules/gateway/handler.go
@@ -395,7 +395,7 @@
 // refused, since the request has not run; other server errors count as failed.
 func (c *callerRequest) respondError(err error) {
 	if c.ctx != nil && c.ctx.Err() != nil && time.Now().Before(c.deadline) {
-		c.respondToClosedConnection(err)
+		c.respondToEndedRequest(err)
 		return
 	}
 	e := result.From(err)
@@ -420,11 +420,27 @@
 	failure.Write(c.w, e, c.req.ID)
 }
 
-// respondToClosedConnection ends a request whose context ended before its deadline, because
-// the caller or this process has closed the connection. A caller that has closed only its
-// sending side looks the same as one that has left, so it gets an error response.
-func (c *callerRequest) respondToClosedConnection(err error) {
-	c.logClosedConnection(err)
+// graceIsOver reports whether the request was ended with the grace period of the gateway.
+func (c *callerRequest) graceIsOver() bool { return errors.Is(context.Cause(c.caller), errGraceOver) }
+
+// graceOverError is the error for a request that still runs when the grace period ends.
+func (c *callerRequest) graceOverError() *result.Error {
+	if c.sentCount == 0 && !c.mayHaveRun {
+		return result.Wrap(result.Leaving, errGraceOver, "not sent to an upstream").After(stoppingRetryAfter)
+	}
+	return result.Wrap(result.UpstreamFailed, errGraceOver, "no whole answer in time")
+}
+
+// respondToEndedRequest ends a request whose context ended before its deadline, because the
+// grace period is over, or the caller or this process has closed the connection. A caller that
+// has closed only its sending side looks the same as one that has left, so it gets an error
+// response.
+func (c *callerRequest) respondToEndedRequest(err error) {
+	c.logEndedRequest(err)
+	if c.graceIsOver() {
+		c.writeError(c.graceOverError())
+		return
+	}
 	e := result.New(result.CallerGone, "the caller closed its sending side before the response")
 	if c.sentCount == 0 && !c.mayHaveRun {
 		e = e.WithRan(result.NotRun)
@@ -432,9 +448,18 @@
 	c.writeError(e)
 }
 
-// logClosedConnection logs who closed the connection of a request that has no whole response.
-func (c *callerRequest) logClosedConnection(err error) {
-	closer := httpconn.CloserOf(c.caller)
+// endedBy says who ended the connection of a request, or the request itself with the grace
+// period.
+func (c *callerRequest) endedBy() httpconn.Closer {
+	if c.graceIsOver() {
+		return httpconn.CloserSelf
+	}
+	return httpconn.CloserOf(c.caller)
+}
+
+// logEndedRequest logs who ended a request that has no whole response.
+func (c *callerRequest) logEndedRequest(err error) {
+	closer := c.endedBy()
 	if closer == httpconn.CloserSelf {
 		c.g.metrics.cutRequests.Inc()
 		c.logEvent("request cut off", "error", err.Error(), "stopping", c.g.stopping.Load())
--- a/modules/gateway/plain.go
+++ b/modules/gateway/plain.go
@@ -290,6 +290,7 @@
 	}
 	switch {
 	case !response.sent || response.err == nil:
+	case c.graceIsOver():
 	case c.ctx.Err() != nil:
 		c.recordBrokenRun(response.choice.Upstream, crash.Abandoned)
 	case !inconclusive && isDisconnect(response.err):
--- a/modules/gateway/stream.go
+++ b/modules/gateway/stream.go
@@ -162,7 +162,7 @@
 	s.g.metrics.aborted.Inc()
 	s.recordSample(s.timeToFirstEvent, s.relay.LongestPause(), result.UpstreamFailed)
 	last, _ := s.relay.LastEvent()
-	closer := httpconn.CloserOf(s.caller)
+	closer := s.endedBy()
 	if closer == httpconn.CloserSelf {
 		s.g.metrics.cutRequests.Inc()
 	}
@@ -400,6 +400,7 @@
 	}
 	if a.sent && !a.complete && !a.meta.NotRun && a.events <= maxEarlyEvents {
 		switch {
+		case s.graceIsOver():
 		case s.ctx.Err() != nil:
 			s.recordBrokenRun(a.choice.Upstream, crash.Abandoned)
 		case failed && (a.silent || isDisconnect(a.err)):
