--- a/internal/httpconn/header_test.go
+++ b/internal/httpconn/header_test.go
@@ -1,9 +1,12 @@
 package httpconn
 
 import (
+	"bufio"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"testing"
 	"time"
@@ -77,3 +80,36 @@
 		})
 	}
 }
+
+// Guards against a pipelined request over TLS that is taken for idle because the TLS connection
+// holds its first bytes.
+func TestPartOfPipelinedRequestOverTLS(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	l := NewListener(inner, Limits{Idle: FixedIdle(50 * time.Millisecond), Header: time.Second})
+	l.idleGrace = 0
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(50 * time.Millisecond) // the next bytes arrive while the server watches the connection
+		_, _ = io.WriteString(w, "ok")
+	}))
+	_ = s.Listener.Close()
+	s.Listener, s.Config.ConnState, s.Config.ReadHeaderTimeout = l, l.ConnState, time.Second
+	s.StartTLS()
+	defer s.Close()
+	conn, err := tls.Dial("tcp", inner.Addr().String(), &tls.Config{InsecureSkipVerify: true})
+	assert.NilError(t, err)
+	defer conn.Close()
+	c := &caller{conn, bufio.NewReader(conn)}
+	for _, piece := range []string{"GET / HTTP/1.1\r\nHost: h\r\n\r\n", "GET / HTTP/1.1\r\n"} {
+		_, err = io.WriteString(c, piece)
+		assert.NilError(t, err)
+		time.Sleep(10 * time.Millisecond)
+	}
+	_, err = c.response()
+	assert.NilError(t, err)
+	time.Sleep(200 * time.Millisecond)
+	_, err = io.WriteString(c, "Host: h\r\n\r\n")
+	assert.NilError(t, err)
+	_, err = c.response()
+	assert.NilError(t, err)
+}
