httpconn: a drain does not wait for connections on which nothing has arrived

What operators saw: not seen here. A stopping entry waited up to 30 s (body_time) for a connection that was open without a byte, as probes of load balancers and spare connections of clients are; a registry logged at each stop that connections were cut off. http.Server.Shutdown, used before, closes such connections after 5 s.

Cause: the drain set a deadline only for connections that had had a response. Class: a state (not used yet) that the list of states to end leaves out.

Change: the idle time of such a connection counts from its start, and the drain ends it like any other idle one, by its reader and only if nothing has arrived. The first byte brings the header limit.

go test ./internal/httpconn -run WithoutAByte before: i/o timeout, no EOF within 500 ms of a drain with 100 ms after: ok three times; the package ok with -race

--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -49,7 +49,7 @@
 	resetAtClose bool
 	closer       Closer
 	phase        phase
-	// idleSince is the start of the idle time, and idleLimit the limit in force when the
+	// idleSince is the start of the idle time, at first that of the connection, and idleLimit the limit in force when the
 	// last request was read.
 	idleSince time.Time
 	idleLimit time.Duration
@@ -113,7 +113,7 @@
 		return false
 	}
 	c.waiting = true
-	if c.phase == idle {
+	if c.phase == idle || c.listener.isDraining() {
 		_ = c.TCPConn.SetReadDeadline(c.idleDeadline()) // an error shows at the next read
 	}
 	return true
@@ -151,7 +151,7 @@
 	if !arrived || c.closed {
 		return
 	}
-	if c.phase == idle || expired {
+	if c.phase == idle || expired || c.listener.isDraining() {
 		_ = c.TCPConn.SetReadDeadline(deadlineAfter(c.listener.limits.Header)) // an error shows at the next read
 	}
 	c.phase = inHeader
@@ -174,11 +174,11 @@
 	c.phase, c.idleSince, c.idleDeadlineSet = idle, time.Now(), false
 }
 
-// updateIdleDeadline sets the deadline of a connection that waits for its next request.
+// updateIdleDeadline sets the deadline of a connection that waits for a request at a drain.
 func (c *Conn) updateIdleDeadline() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase == idle && c.waiting && !c.closed {
+	if c.waiting && !c.closed {
 		_ = c.TCPConn.SetReadDeadline(c.idleDeadline()) // an error shows at the next read
 	}
 }
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -108,7 +108,7 @@
 	if !ok {
 		return inner, nil
 	}
-	c := &Conn{TCPConn: tcp, listener: l, phase: fresh}
+	c := &Conn{TCPConn: tcp, listener: l, phase: fresh, idleSince: time.Now()}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.open[c] = struct{}{}
@@ -135,7 +135,7 @@
 
 // Drain closes the listener and waits until no connection is open or ctx ends. The server
 // goes on serving its connections, and its responses have to ask callers to close them.
-// Connections that have been idle for maxIdle are closed.
+// Connections that have been idle for maxIdle are closed, also those that have not received a byte.
 func (l *Listener) Drain(ctx context.Context, maxIdle time.Duration) error {
 	l.stopAccepting(ctx)
 	l.drainIdle.Store(int64(maxIdle))
@@ -195,6 +195,9 @@
 	return err == nil && n > 0
 }
 
+// isDraining reports whether Drain was called.
+func (l *Listener) isDraining() bool { return l.drainIdle.Load() >= 0 }
+
 func (l *Listener) openCount() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/httpconn/httpconn_test.go
+++ b/internal/httpconn/httpconn_test.go
@@ -218,3 +218,25 @@
 	_, err = net.Dial("tcp", s.addr)
 	assert.Assert(t, err != nil)
 }
+
+// Guards against a drain that waits for the header limit of a connection on which nothing has
+// arrived, and against one that cuts off a first request.
+func TestDrainEndsConnectionsWithoutAByte(t *testing.T) {
+	s := startServer(t, 0, 0) // the header limit is 1 s
+	silent, begun := s.dial(t), s.dial(t)
+	_, err := io.WriteString(begun, "GET /slow ")
+	assert.NilError(t, err)
+	time.Sleep(50 * time.Millisecond)
+	done := make(chan error, 1)
+	go func() { done <- s.listener.Drain(t.Context(), 100*time.Millisecond) }()
+	_ = silent.SetReadDeadline(time.Now().Add(500 * time.Millisecond))
+	_, err = silent.r.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+	close(s.slow)
+	_, err = io.WriteString(begun, "HTTP/1.1\r\nHost: h\r\n\r\n")
+	assert.NilError(t, err)
+	_, err = begun.response()
+	assert.NilError(t, err)
+	_, _ = silent.Close(), begun.Close()
+	assert.NilError(t, <-done)
+}
