agent: a stop waits until the answers to calls are written

What callers saw: a call of a plain service that had run was answered as one whose outcome is unknown, when its agent stopped at that moment. Not seen in a run of processes: shown with a connection whose writes take 100 ms, as in a process short of processor time.

Cause: the agent counted a call as done when its method returned. net/rpc writes the response after that, on a connection that http.Server does not know any more, and the end of the process cut it. Class: a close that loses what is under way; a state (answered) that only net/rpc knows.

Change: the server side of net/rpc uses a codec of the same format that counts the calls without a written response. A stopping agent waits for them, at most 1 s. Other roles keep the codec of net/rpc.

--- a/kernel/peer/rpc.go
+++ b/kernel/peer/rpc.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -162,6 +163,9 @@
 	// ServicesForPeer, if set, is called instead of Services. It also gets the common
 	// name in the peer's certificate, for audit logs.
 	ServicesForPeer func(roles Roles, name string) map[string]any
+	// Unanswered, if set, is the number of calls that were read and whose responses have not
+	// been written.
+	Unanswered *atomic.Int64
 }
 
 func (h *Handler) services(roles Roles, name string) map[string]any {
@@ -200,5 +204,9 @@
 		_ = conn.Close()
 		return
 	}
-	srv.ServeConn(&frameLimiter{Conn: conn})
+	if h.Unanswered == nil {
+		srv.ServeConn(&frameLimiter{Conn: conn})
+		return
+	}
+	srv.ServeCodec(newCountingCodec(&frameLimiter{Conn: conn}, h.Unanswered))
 }
--- a/modules/agent/agent.go
+++ b/modules/agent/agent.go
@@ -86,6 +86,7 @@
 	cancel         context.CancelFunc
 	goroutines     sync.WaitGroup // background goroutines
 	activeWork     atomic.Int64   // unfinished streams, runs and calls
+	unanswered     atomic.Int64   // net/rpc calls whose responses have not been written
 }
 
 // Plugins implements kernel.Nested.
@@ -175,6 +176,7 @@
 		ServicesForPeer: func(roles peer.Roles, name string) map[string]any {
 			return map[string]any{wire.AgentService: &service{a: a, roles: roles, name: name}}
 		},
+		Unanswered: &a.unanswered,
 	})
 	mux.HandleFunc("POST "+wire.GeneratePath, a.serveGenerate)
 	return mux
@@ -188,6 +190,7 @@
 	if !a.waitIdle(ctx) {
 		a.handOver()
 	}
+	a.waitAnswered()
 	a.cancel()
 	err := a.server.Close()
 	a.goroutines.Wait()
@@ -205,6 +208,17 @@
 	a.waitIdle(ctx)
 }
 
+// answerTimeout bounds how long a stopping agent waits for entries to take the responses to
+// their calls.
+const answerTimeout = time.Second
+
+// waitAnswered waits until the responses to all calls have been written.
+func (a *Agent) waitAnswered() {
+	for end := time.Now().Add(answerTimeout); a.unanswered.Load() > 0 && time.Now().Before(end); {
+		sleep(a.baseCtx, idlePollInterval)
+	}
+}
+
 // idlePollInterval is how often a stopping agent checks whether its work is done.
 const idlePollInterval = 20 * time.Millisecond
 
--- /dev/null
+++ b/modules/agent/stop_test.go
@@ -0,0 +1,76 @@
+package agent
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"heatherway.dev/core/wire"
+	"heatherway.dev/kernel"
+	"heatherway.dev/kernel/peer"
+	"heatherway.dev/kernel/stats"
+)
+
+// lateListener delays each write on its connections, as a process short of processor time does.
+type lateListener struct {
+	net.Listener
+	writing atomic.Int64
+}
+
+type lateConn struct {
+	net.Conn
+	l *lateListener
+}
+
+func (l *lateListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return &lateConn{c, l}, err
+}
+
+func (c *lateConn) Write(b []byte) (int, error) {
+	c.l.writing.Add(1)
+	defer c.l.writing.Add(-1)
+	time.Sleep(100 * time.Millisecond)
+	return c.Conn.Write(b)
+}
+
+// Guards against a stop that ends, and with it the process, before the answer to a call that has
+// run is on its way to the entry.
+func TestStopWaitsForAnswersOfCalls(t *testing.T) {
+	began := make(chan struct{}, 1)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/x" {
+			return // a health check
+		}
+		began <- struct{}{}
+		time.Sleep(200 * time.Millisecond)
+		_, _ = w.Write([]byte("ok"))
+	}))
+	defer srv.Close()
+	sec, err := peer.NewSecurity(peer.TLSSettings{Off: true}, discardLog)
+	assert.NilError(t, err)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	late := &lateListener{Listener: l}
+	a := &Agent{Retention: Retention{Time: defaultRetentionTime, Bytes: defaultRetainedBytes},
+		instance: kernel.Instance{ID: "agent-1", Zone: "zone-a"}, log: discardLog, security: sec}
+	a.prepare(serviceAdapter(t, srv.URL, 4), late, stats.New())
+	assert.NilError(t, a.Start(context.Background()))
+	client := sec.NewClient(l.Addr().String())
+	defer client.Close()
+	answered := make(chan error, 1)
+	go func() {
+		var reply wire.CallReply
+		answered <- client.Call(t.Context(), wire.AgentService+".Call", &wire.CallArgs{Method: http.MethodGet, Path: "/x", Idempotent: true}, &reply)
+	}()
+	<-began
+	assert.NilError(t, a.Stop(t.Context()))
+	assert.Equal(t, late.writing.Load(), int64(0), "answers not written when the process ends")
+	assert.NilError(t, <-answered)
+}
