agent: a stop refuses the requests that arrive on open connections

What entries saw: a request that arrived on a kept connection while its agent stopped got neither an answer nor a refusal, so the entry could not know whether it ran.

Cause: once no work was left, Stop closed the server with its connections; answers before that did not say that the connection closes.

Change: the listener is an httpconn.Listener. While the agent leaves, each answer to a generation request closes its connection; Stop then drains connections, idle ones after 300 ms, at most 1 s. Connections that net/rpc has hijacked do not count; a call that arrives on one in the last moment is still cut (read, not run).

--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -130,6 +130,8 @@
 		c.becomeBusy()
 	case s == http.StateIdle:
 		c.becomeIdle()
+	case s == http.StateHijacked: // no longer a connection of the server
+		l.remove(c, false)
 	}
 }
 
--- a/modules/agent/agent.go
+++ b/modules/agent/agent.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"heatherway.dev/core/wire"
+	"heatherway.dev/heatherway/internal/httpconn"
 	"heatherway.dev/heatherway/modules/adapter"
 	"heatherway.dev/kernel"
 	"heatherway.dev/kernel/peer"
@@ -73,6 +74,7 @@
 	security    *peer.Security
 	upstream    adapter.Upstream
 	listener    net.Listener
+	conns       *httpconn.Listener
 	server      *http.Server
 	control     *controlClient
 	orders      chan orderList
@@ -155,8 +157,9 @@
 	a.background(a.watchLoop)
 	a.background(a.healthLoop)
 	a.background(a.orderLoop)
-	a.server = &http.Server{Handler: a.handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
-	a.background(func(context.Context) { _ = a.server.Serve(a.security.NewListener(a.listener)) })
+	a.conns = httpconn.NewListener(a.listener, httpconn.Limits{Idle: httpconn.FixedIdle(idleTimeout), Header: readHeaderTimeout})
+	a.server = &http.Server{Handler: a.handler(), ReadHeaderTimeout: readHeaderTimeout, ConnState: a.conns.ConnState}
+	a.background(func(context.Context) { _ = a.server.Serve(a.security.NewListener(a.conns)) })
 	return nil
 }
 
@@ -184,12 +187,14 @@
 
 // Stop implements kernel.Runner. It refuses new work at once and waits until the
 // running work is done or ctx ends. It then ends the remaining streams with a
-// code that makes the entries resume them at other agents.
+// code that makes the entries resume them at other agents. Requests that arrive
+// on open connections meanwhile are refused.
 func (a *Agent) Stop(ctx context.Context) error {
 	a.drain(true)
 	if !a.waitIdle(ctx) {
 		a.handOver()
 	}
+	a.drainConnections(ctx)
 	a.waitAnswered()
 	a.cancel()
 	err := a.server.Close()
@@ -208,6 +213,21 @@
 	a.waitIdle(ctx)
 }
 
+// drainIdle is how long a connection may stay idle at a stop, and drainTimeout bounds the wait
+// for connections to end. An entry that does not know of the stop yet may send a request.
+const (
+	drainIdle    = 300 * time.Millisecond
+	drainTimeout = time.Second
+)
+
+func (a *Agent) drainConnections(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, drainTimeout)
+	defer cancel()
+	if a.conns.Drain(ctx, drainIdle) != nil {
+		a.log.Warn("connections of entries cut off at the stop")
+	}
+}
+
 // answerTimeout bounds how long a stopping agent waits for entries to take the responses to
 // their calls.
 const answerTimeout = time.Second
--- a/modules/agent/stop_test.go
+++ b/modules/agent/stop_test.go
@@ -1,10 +1,13 @@
 package agent
 
 import (
+	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -74,3 +77,42 @@
 	assert.Equal(t, late.writing.Load(), int64(0), "answers not written when the process ends")
 	assert.NilError(t, <-answered)
 }
+
+// Guards against requests of entries that arrive on kept connections at a stop and get neither an
+// answer nor a refusal, so that the entry cannot know whether they run.
+func TestStopRefusesArrivingRequests(t *testing.T) {
+	a := startAgent(t, engineAdapter(t, newFakeEngine(t).URL, 1), nil)
+	var answered, cut atomic.Int64
+	var callers sync.WaitGroup
+	for range 8 {
+		callers.Go(func() {
+			c, err := net.Dial("tcp", a.listener.Addr().String())
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			for r, open := bufio.NewReader(c), true; open; {
+				_, err := io.WriteString(c, "POST "+wire.GeneratePath+" HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n{}")
+				var res *http.Response
+				if err == nil {
+					res, err = http.ReadResponse(r, nil)
+				}
+				if err == nil {
+					_, err = io.Copy(io.Discard, res.Body)
+				}
+				if err != nil {
+					cut.Add(1)
+					return
+				}
+				answered.Add(1)
+				open = !res.Close
+				time.Sleep(time.Millisecond)
+			}
+		})
+	}
+	time.Sleep(200 * time.Millisecond)
+	assert.NilError(t, a.Stop(t.Context()))
+	callers.Wait()
+	assert.Assert(t, answered.Load() > 8)
+	assert.Equal(t, cut.Load(), int64(0), "of %d", answered.Load())
+}
--- a/modules/agent/stream.go
+++ b/modules/agent/stream.go
@@ -42,6 +42,9 @@
 	defer a.activeWork.Add(-1)
 	s := &stream{a: a, w: w, rc: http.NewResponseController(w)}
 	w.Header().Set("Content-Type", "application/octet-stream")
+	if a.snapshot.Load().load.Leaving {
+		w.Header().Set("Connection", "close")
+	}
 	req, err := s.decode(r)
 	if err != nil {
 		s.fail("", 0, err)
