--- a/internal/httpconn/httpconn_test.go
+++ b/internal/httpconn/httpconn_test.go
@@ -229,7 +229,7 @@
 	time.Sleep(50 * time.Millisecond)
 	done := make(chan error, 1)
 	go func() { done <- s.listener.Drain(t.Context(), 100*time.Millisecond) }()
-	_ = silent.SetReadDeadline(time.Now().Add(500 * time.Millisecond))
+	_ = silent.SetReadDeadline(time.Now().Add(800 * time.Millisecond))
 	_, err = silent.r.ReadByte()
 	assert.ErrorIs(t, err, io.EOF)
 	close(s.slow)
