kernel: a panic over changed settings does not end the process

What callers saw: not seen here; found by reading. A panic while changed settings are decoded or applied ended the process, and with it all its requests. Only a test role panics; no settings file that makes a role of this repository panic is known.

Cause: the goroutine that watches the settings file was not confined, unlike those of the roles.

Change: a reload is confined; the panic is logged and the reload counts as failed. Roles before the one that panicked keep the new settings.

kernel: go test . -run TestPanicOverChangedSettings before: panic: odd settings (the test process ended); after: ok, the package twice with -race

--- a/kernel/reload.go
+++ b/kernel/reload.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"heatherway.dev/kernel/recovery"
 	"heatherway.dev/kernel/settings"
 )
 
@@ -77,11 +78,7 @@
 			reason = "file changed"
 		}
 		lastModTime = modTime(path)
-		doc, err := settings.Load(path)
-		if err == nil {
-			err = k.Reload(doc)
-		}
-		if err != nil {
+		if err := k.reloadFile(path); err != nil {
 			k.ctx.Log.Error("settings not reloaded", "reason", reason, "file", path, "error", err)
 			continue
 		}
@@ -89,6 +86,16 @@
 	}
 }
 
+// reloadFile applies a settings file. A panic over its content must not end the process.
+func (k *Kernel) reloadFile(path string) (err error) {
+	defer recovery.Into(k.ctx.Log, "reload of the settings", &err)
+	doc, err := settings.Load(path)
+	if err != nil {
+		return err
+	}
+	return k.Reload(doc)
+}
+
 // modTime returns the modification time of a file. It returns zero if the file
 // cannot be read, an error that Load then reports.
 func modTime(path string) time.Time {
--- a/kernel/reload_test.go
+++ b/kernel/reload_test.go
@@ -74,3 +74,37 @@
 		}
 	}
 }
+
+// reloadPanics is a role whose Reload panics.
+type reloadPanics struct {
+	Value string `yaml:"value"`
+}
+
+func init() {
+	Register(ModuleInfo{ID: "role.reload_panics", New: func() any { return &reloadPanics{} }})
+}
+
+func (*reloadPanics) Reload(any) { panic("odd settings") }
+
+// Guards against a panic over changed settings that ends the process with its requests, or the
+// watch for further changes.
+func TestPanicOverChangedSettings(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "f.yaml")
+	write := func(roles string) {
+		assert.NilError(t, os.WriteFile(path, []byte(settingsHeader+roles), 0o600))
+	}
+	write("  - reload_panics: {}\n  - reloadable: {value: one}\n")
+	doc, err := settings.Load(path)
+	assert.NilError(t, err)
+	k, err := New(doc)
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	hup := make(chan os.Signal, 1)
+	k.WatchSettings(ctx, path, hup)
+	hup <- syscall.SIGHUP // the role panics
+	time.Sleep(50 * time.Millisecond)
+	write("  - reloadable: {value: two}\n")
+	hup <- syscall.SIGHUP
+	expectReload(t, "two")
+}
