--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math"
 	"net"
 	"os"
 	"sync"
@@ -19,13 +20,18 @@
 	lingerQuiet = 2 * time.Second
 )
 
+// longPast is a deadline that has passed.
+var longPast = time.Unix(1, 0)
+
 // phase is what a connection waits for.
 type phase uint8
 
 const (
 	// fresh connections have not received the first byte of their first request.
 	fresh phase = iota
-	// busy connections have received at least one byte of a request that is not answered yet.
+	// inHeader connections have received at least one byte of a request, but not its header.
+	inHeader
+	// busy connections have received the header of a request that is not answered yet.
 	busy
 	// idle connections have sent a response and not received the first byte of the next
 	// request.
@@ -43,14 +49,14 @@
 	resetAtClose bool
 	closer       Closer
 	phase        phase
-	// header is set from the first byte of a request until its header has been read.
-	header bool
-	// idleSince is the start of the idle time, and idleLimit the limit in force when the
+	// idleSince is the start of the idle time, at first that of the connection, and idleLimit the limit in force when the
 	// last request was read.
 	idleSince time.Time
 	idleLimit time.Duration
 	// waiting is set while Read waits for the first byte of a request.
 	waiting bool
+	// idleDeadlineSet is set once the server has set its read deadline for the idle time.
+	idleDeadlineSet bool
 }
 
 // Read implements net.Conn.
@@ -72,15 +78,15 @@
 }
 
 // read reads from the connection. While the connection waits for a request, the idle limit
-// takes the place of the read deadline. A deadline that has passed ends the connection only
-// if no byte has arrived until now: a busy process may read late what was sent in time.
+// takes the place of the read deadline. A deadline that has passed before the header is
+// complete ends the connection only if no byte has arrived until now: a busy process may read
+// late what was sent in time.
 func (c *Conn) read(b []byte) (int, error) {
 	if !c.startWaiting() {
 		n, err := c.TCPConn.Read(b)
 		if errors.Is(err, os.ErrDeadlineExceeded) && c.readsHeader() {
-			if n, err = c.readArrived(b, err); n > 0 {
-				err = c.SetReadDeadline(deadlineAfter(c.listener.limits.Header))
-			}
+			n, err = c.readArrived(b, err)
+			_ = c.setReadDeadline(longPast) // an error shows at the next read
 		}
 		return n, err
 	}
@@ -103,11 +109,11 @@
 func (c *Conn) startWaiting() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase == busy || c.closed {
+	if c.phase == inHeader || c.phase == busy || c.closed {
 		return false
 	}
 	c.waiting = true
-	if c.phase == idle {
+	if c.phase == idle || c.listener.isDraining() {
 		_ = c.TCPConn.SetReadDeadline(c.idleDeadline()) // an error shows at the next read
 	}
 	return true
@@ -129,6 +135,13 @@
 	return true
 }
 
+// readsHeader reports whether the header of a request is being read.
+func (c *Conn) readsHeader() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.phase == inHeader && !c.closed
+}
+
 // endWaiting records whether the first byte of a request has arrived. The rest of its
 // header is due within the header limit.
 func (c *Conn) endWaiting(arrived, expired bool) {
@@ -138,18 +151,10 @@
 	if !arrived || c.closed {
 		return
 	}
-	if c.phase == idle || expired {
+	if c.phase == idle || expired || c.listener.isDraining() {
 		_ = c.TCPConn.SetReadDeadline(deadlineAfter(c.listener.limits.Header)) // an error shows at the next read
 	}
-	c.phase, c.header = busy, true
-}
-
-// readsHeader reports whether the header of a request is being read. What bytes have arrived
-// of it before its deadline a busy process may read late; a body has a deadline of its own.
-func (c *Conn) readsHeader() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.phase == busy && c.header
+	c.phase = inHeader
 }
 
 // becomeBusy ends the idle time, also for a request that was read from the server's buffer,
@@ -159,21 +164,21 @@
 	limit := c.listener.limits.Idle()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.phase, c.header, c.idleLimit = busy, false, limit
+	c.phase, c.idleLimit = busy, limit
 }
 
 // becomeIdle starts the idle time after a response.
 func (c *Conn) becomeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.phase, c.idleSince = idle, time.Now()
+	c.phase, c.idleSince, c.idleDeadlineSet = idle, time.Now(), false
 }
 
-// updateIdleDeadline sets the deadline of a connection that waits for its next request.
+// updateIdleDeadline sets the deadline of a connection that waits for a request at a drain.
 func (c *Conn) updateIdleDeadline() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase == idle && c.waiting && !c.closed {
+	if c.waiting && !c.closed {
 		_ = c.TCPConn.SetReadDeadline(c.idleDeadline()) // an error shows at the next read
 	}
 }
@@ -183,8 +188,9 @@
 	if draining := c.listener.drainIdle.Load(); draining >= 0 {
 		return c.idleSince.Add(time.Duration(draining))
 	}
-	limit := max(c.idleLimit, c.listener.limits.Idle())
-	if limit <= 0 {
+	current := c.listener.limits.Idle()
+	limit := max(c.idleLimit, current)
+	if current <= 0 || limit > math.MaxInt64-c.listener.idleGrace {
 		return time.Time{}
 	}
 	return c.idleSince.Add(limit + c.listener.idleGrace)
@@ -193,7 +199,7 @@
 // readArrived reads the bytes that have arrived and does not wait for any. It returns
 // deadlineErr if there are none.
 func (c *Conn) readArrived(b []byte, deadlineErr error) (int, error) {
-	if err := c.SetReadDeadline(time.Time{}); err != nil {
+	if err := c.setReadDeadline(time.Time{}); err != nil {
 		return 0, err
 	}
 	raw, err := c.TCPConn.SyscallConn()
@@ -214,8 +220,21 @@
 	return 0, err
 }
 
-// SetReadDeadline implements net.Conn.
+// SetReadDeadline implements net.Conn. net/http sets one deadline when it begins to wait for
+// the next request, and the next one once it has the first bytes of that, which may have
+// arrived with the request before.
 func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	if c.phase == idle && c.idleDeadlineSet {
+		c.phase = inHeader
+	}
+	c.idleDeadlineSet = true
+	c.mu.Unlock()
+	return c.setReadDeadline(t)
+}
+
+// setReadDeadline sets the read deadline of an open connection.
+func (c *Conn) setReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed { // the deadline is that of linger
--- a/internal/httpconn/pending_test.go
+++ b/internal/httpconn/pending_test.go
@@ -46,7 +46,7 @@
 
 // Guards against a process that was paused and closes a connection whose header arrived in time
 // but was not read before the deadline, or answers 400 to the part that it had read.
-func TestHeaderThatArrivedBeforeTheDeadlineIsRead(t *testing.T) {
+func TestHeaderThatArrivedBeforeItsDeadlineIsRead(t *testing.T) {
 	l := NewListener(nil, Limits{Header: 50 * time.Millisecond})
 	server, client := pair(t)
 	c := &Conn{TCPConn: server.(*net.TCPConn), listener: l, phase: fresh}
