crash: limit the parts that one decision judges

Change: at most 256 suspects are judged, those with the most separate failures first, so that a flood from one failure does not hide a part that fails again and again. Evidence: TestManySuspectsAreLimited, red before (701 judged), green after.

--- a/core/crash/blame.go
+++ b/core/crash/blame.go
@@ -40,6 +40,9 @@
 	// even if the tracker has changed: with a full tracker it takes up to 7 ms.
 	crowdedLifetime = 20 * time.Millisecond
 	manySuspects    = 16
+	// maxSuspects limits the parts that are judged, those with the most failures first. The time
+	// grows with the square of their number: 900 parts without a common crash took 190 ms.
+	maxSuspects = 256
 	// maxDecisionChanges limits the changes of decisions that wait to be logged.
 	maxDecisionChanges = 64
 )
@@ -228,6 +231,7 @@
 			suspects = append(suspects, p)
 		}
 	}
+	suspects = limitSuspects(suspects)
 	t.decidedSuspects = len(suspects)
 	decisions := map[string]PartDecision{}
 	for len(suspects) > 0 {
@@ -265,6 +269,21 @@
 	return decisions
 }
 
+// limitSuspects returns at most maxSuspects, those with the most failures: one failure may hit
+// thousands of parts of long prompts.
+func limitSuspects(suspects []*suspectPart) []*suspectPart {
+	if len(suspects) <= maxSuspects {
+		return suspects
+	}
+	failures := map[*suspectPart]int{}
+	for _, p := range suspects {
+		failures[p] = len(separateFailureTimes(p.crashes))
+	}
+	sortByCrashes(suspects)
+	slices.SortStableFunc(suspects, func(a, b *suspectPart) int { return cmp.Compare(failures[b], failures[a]) })
+	return suspects[:maxSuspects]
+}
+
 // suspectPart returns the part if it is settled.
 func (t *Tracker) suspectPart(now time.Time, req *trackedRequest) *suspectPart {
 	if !req.part || len(req.runs) < partThreshold {
--- a/core/crash/review_test.go
+++ b/core/crash/review_test.go
@@ -111,6 +111,21 @@
 	}
 }
 
+// Guards against a decision whose time grows with the square of the number of parts, and against a flood that hides a deadly part from it.
+func TestManySuspectsAreLimited(t *testing.T) {
+	tracker := New()
+	for i := range 4 {
+		crashPart(tracker, 3*float64(i), fmt.Sprint("u", i), "deadly")
+	}
+	for i := range 700 {
+		for k := range 5 {
+			tracker.PartInterrupted(after(15), runAt(PartKey(fmt.Sprint("other ", i)), fmt.Sprint("v", i, "-", k), "z"), 1, Interrupted)
+		}
+	}
+	assert.Equal(t, partVerdict(tracker, 17, "deadly"), Blocked)
+	assert.Assert(t, tracker.decidedSuspects <= 256, "%d", tracker.decidedSuspects)
+}
+
 // Measures a decision on many parts that have no crash in common.
 func BenchmarkPartVerdictOfUnrelatedParts(b *testing.B) {
 	for _, upstreams := range []int{150, 600, 3800} {
