--- a/modules/gateway/handler.go
+++ b/modules/gateway/handler.go
@@ -143,13 +143,11 @@
 	if err := c.readRequest(r); err != nil {
 		return err
 	}
-	if err := c.checkCrashes(r.Context()); err != nil {
-		return err
-	}
+	// Before checkCrashes, which may use up one of few trials.
 	if c.route.Kind == routing.Stream && !c.g.canFinishStream(c.started) {
 		return result.New(result.Leaving, "this gateway stops before the stream would end").After(stoppingRetryAfter)
 	}
-	return nil
+	return c.checkCrashes(r.Context())
 }
 
 // stoppingRetryAfter is the Retry-After for streams that would not end before this
