--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -49,8 +49,8 @@
 	resetAtClose bool
 	closer       Closer
 	phase        phase
-	// idleSince is the start of the idle time, at first that of the connection, and idleLimit the limit in force when the
-	// last request was read.
+	// idleSince is the start of the idle time, at first that of the connection, and
+	// idleLimit the limit in force when the last request was read.
 	idleSince time.Time
 	idleLimit time.Duration
 	// waiting is set while Read waits for the first byte of a request.
