gateway: log the limits that upstreams name

Cause: logs cannot tell a gateway that reads no limit from one that keeps it for itself (docs/incidents/2026-12-05-limit.md). Nothing is decided by it yet.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -144,6 +144,9 @@
 	answeredAt  time.Time
 	// backoff is the time for which the upstream has asked this gateway to send nothing.
 	backoff signal.Backoff
+	// limit is the number of requests per second that the upstream has named last, nil if it
+	// names none.
+	limit *float64
 }
 
 // otherLoad is the load that other gateways cause at an upstream.
--- a/modules/dialect/dialect.go
+++ b/modules/dialect/dialect.go
@@ -111,6 +111,11 @@
 	// RetryAfter is the backoff that the upstream asks of this gateway in the refusal of a
 	// request. It is zero if absent or invalid.
 	RetryAfter time.Duration
+	// Limit is the number of requests per second that the upstream accepts from all callers
+	// together. It is nil if the upstream names no limit.
+	Limit *float64
+	// LimitInvalid is set if the upstream names a limit that cannot be read.
+	LimitInvalid bool
 }
 
 // Run is a request that runs on a model server.
--- a/modules/gateway/signal.go
+++ b/modules/gateway/signal.go
@@ -22,6 +22,19 @@
 	if status == http.StatusServiceUnavailable && r.RetryAfter > 0 {
 		g.recordBackoff(u, r.RetryAfter)
 	}
+	g.recordLimit(u, r)
+}
+
+// recordLimit records and logs a changed limit of an upstream.
+func (g *Gateway) recordLimit(u registration.Upstream, r dialect.Response) {
+	if r.LimitInvalid {
+		return
+	}
+	g.owner.post(func(s *state) {
+		if previous, changed := s.fleet.SetLimit(u.ID, u.StartedMS, r.Limit); changed {
+			g.log.Info("limit of an upstream changed", "upstream", u.ID, "service", u.Service, "address", u.Addr, "limit", r.Limit, "previous", previous)
+		}
+	})
 }
 
 func (g *Gateway) markLeaving(u registration.Upstream) {
