soak: test of limits that upstreams name (red)

What callers' upstreams saw: several times the requests that they had asked for (LIMIT). Plays real control instances and gateways; servers name Server-Limit in every answer and count what they get in 4 s from gateways that they have told.

--- a/test/soak/upstream_test.go
+++ b/test/soak/upstream_test.go
@@ -36,6 +36,8 @@
 	incarnation int
 	// drainAckedAt is when a registry acknowledged that the server is draining.
 	drainAckedAt time.Time
+	// limit records the limit that the server names, and the requests that it gets.
+	limit serverLimit
 }
 
 // runCounter counts how often requests ran, by the id of the caller's attempt.
@@ -204,6 +206,7 @@
 	if leaving {
 		w.Header().Set("Server-Leaving", "1")
 	}
+	s.limit.record(w.Header(), r.Header.Get("Attempt-Id"))
 	if strings.HasPrefix(r.URL.Path, "/v1/") {
 		s.serveControl(w, r)
 		return
