agent: keep to the limit that an engine or service names

Cause: as at gateways, nothing read a limit. Change: all requests for an upstream pass its agent, so core/throttle.Local keeps the limit there. A request that would have to wait is refused at once, not run, with a Retry-After; waiting ones are refused when a limit is named; health checks and queries use only what requests leave. Entries see a limited upstream as full. The header is Upstream-Limit; its values are decoded by one function for both planes.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -9,6 +9,7 @@
 	"math/rand"
 	"time"
 
+	"heatherway.dev/core/throttle"
 	"heatherway.dev/core/wire"
 	"heatherway.dev/kernel/result"
 )
@@ -77,6 +78,7 @@
 	preempting  int
 	seq         uint64
 	draining    bool
+	limit       throttle.Local // that the upstream has named
 	nextCleanup time.Time
 	decisions   []Decision
 }
@@ -152,6 +154,11 @@
 	r.Weight = limitWeight(r.Weight)
 	q.seq++
 	it := &item{Request: r, seq: q.seq}
+	if wait := q.limit.Wait(now, int(r.Class), q.waiting()); wait > 0 {
+		// Others may have room: a limited upstream makes no request wait.
+		q.decisions = append(q.decisions, Decision{ID: r.ID, Action: Refuse, Code: result.QueueFull, RetryAfter: q.jitter(wait)})
+		return q.decisions
+	}
 	q.items[r.ID] = it
 	c := &q.classes[r.Class]
 	c.push(it)
@@ -295,10 +302,62 @@
 // two, so that refused callers do not retry at the same time.
 func (q *Queue) retryAfter(now time.Time, c wire.Class) time.Duration {
 	wait := q.timeToSlotWithoutPreemption(now, c, float64(q.classes[c].queuedCount))
+	return q.jitter(wait)
+}
+
+// jitter multiplies a Retry-After by a random factor of one to two.
+func (q *Queue) jitter(wait time.Duration) time.Duration {
 	d := time.Duration(float64(wait) * (1 + q.rng.Float64()))
 	return min(max(d, minRetryAfter), maxRetryAfter)
 }
 
+// waiting returns the number of waiting requests.
+func (q *Queue) waiting() (n int) {
+	for c := range q.classes {
+		n += q.classes[c].queuedCount
+	}
+	return n
+}
+
+// ObserveLimit takes in the limit that an answer of the upstream names, nil for none. The request
+// of the answer was sent at a time. Requests that have to wait for a new limit are refused, so
+// that entries send them elsewhere. It reports whether the limit has changed.
+func (q *Queue) ObserveLimit(sentAt, now time.Time, named *float64) ([]Decision, bool) {
+	q.advance(now)
+	changed := q.limit.Observe(sentAt, now, named)
+	if !changed {
+		return nil, false
+	}
+	for c := range q.classes {
+		for _, f := range append([]*flow(nil), q.classes[c].byStart.list...) {
+			for _, it := range append([]*item(nil), f.waiting()...) {
+				if wait := q.limit.Wait(now, c, q.waiting()-1); wait > 0 && !it.wasPreempted {
+					q.remove(it)
+					q.decisions = append(q.decisions, Decision{ID: it.ID, Action: Refuse, Code: result.QueueFull, RetryAfter: q.jitter(wait)})
+				}
+			}
+		}
+	}
+	return q.schedule(now), true
+}
+
+// Limit returns the limit that the upstream has named last in requests per second, and whether it
+// still names one.
+func (q *Queue) Limit() (rate float64, named bool) { return q.limit.Rate() }
+
+// ForgetLimit forgets the limit: another incarnation of the upstream has not named it.
+func (q *Queue) ForgetLimit() { q.limit = throttle.Local{} }
+
+// TakeCall reports whether the agent may make a call of its own, such as a health check, and
+// counts it. Calls yield to all requests.
+func (q *Queue) TakeCall(now time.Time) bool {
+	if q.limit.Wait(now, int(wire.Batch), q.waiting()) > 0 {
+		return false
+	}
+	q.limit.Take(now)
+	return true
+}
+
 // Drain refuses all waiting and all later requests.
 func (q *Queue) Drain(now time.Time) []Decision {
 	q.advance(now)
@@ -325,6 +384,9 @@
 		if q.running >= q.settings.Slots {
 			l.WaitMS[c] = uint32(q.newFlowWait(now, wire.Class(c)).Milliseconds())
 		}
+		if wait := q.limit.Wait(now, c, q.waiting()); wait > 0 {
+			l.Running, l.WaitMS[c] = l.Slots, max(l.WaitMS[c], uint32(wait.Milliseconds()))
+		}
 	}
 	return l
 }
--- a/core/admission/slots.go
+++ b/core/admission/slots.go
@@ -9,12 +9,13 @@
 
 // fillSlots starts waiting requests in the free slots.
 func (q *Queue) fillSlots(now time.Time) {
-	for q.running < q.settings.Slots {
+	for q.running < q.settings.Slots && q.limit.Wait(now, int(wire.Urgent), 0) == 0 {
 		c, ok := q.nextClass()
 		if !ok {
 			return
 		}
 		it := q.classes[c].pop()
+		q.limit.Take(now)
 		it.started = now
 		q.running++
 		q.classes[c].enterSlot(it)
--- a/core/throttle/gateway.go
+++ b/core/throttle/gateway.go
@@ -78,29 +78,9 @@
 
 // Observe takes in an answer of the upstream: the limit that it names, nil for none. It reports
 // whether the limit has changed.
-func (l *Limit) Observe(sentAt, now time.Time, named *float64) bool {
+func (l *Limit) Observe(sentAt, now time.Time, named *float64) (changed bool) {
 	l.expire(now)
-	switch {
-	case named != nil:
-		return l.adopt(Statement{Rate: *named, SentAt: sentAt, ReceivedAt: now})
-	case l.statement == nil || l.statement.Ended:
-		return false
-	}
-	return l.adopt(Statement{Rate: l.statement.Rate, Ended: true, SentAt: sentAt, ReceivedAt: now})
-}
-
-// adopt replaces the statement if the new one supersedes it. It reports whether its meaning
-// has changed.
-func (l *Limit) adopt(s Statement) bool {
-	if l.statement == nil {
-		l.statement = &s
-		return true
-	}
-	if !s.supersedes(*l.statement) {
-		return false
-	}
-	changed := !s.same(*l.statement)
-	l.statement = &s
+	l.statement, changed = observe(l.statement, sentAt, now, named)
 	return changed
 }
 
@@ -194,7 +174,8 @@
 	if l.statement == nil {
 		return false // has ended in the meantime
 	}
-	changed := l.adopt(a.Statement.decode(now))
+	var changed bool
+	l.statement, changed = adopt(l.statement, a.Statement.decode(now))
 	if a.Granted > 0 {
 		l.grants = append(l.grants, heldGrant{min(a.Granted, maxWant), askedAt.Add(GrantTTL)})
 	} else {
--- a/core/throttle/owner.go
+++ b/core/throttle/owner.go
@@ -140,7 +140,7 @@
 			return g
 		}
 		a := Answer{Key: want.Key, Statement: l.statement.Encode(now)}
-		a.Granted, a.Wait = l.grant(now, want.Count, min(max(ask.Priority, 0), maxPriority), ask.Organisation)
+		a.Granted, a.Wait = l.grant(now, want.Count, ask.Priority, ask.Organisation)
 		g.Answers = append(g.Answers, a)
 		if a.Granted > 0 {
 			return g
@@ -184,7 +184,7 @@
 	}
 	usage := l.organisation(now, organisation)
 	usage.askedAt = now
-	needed := 1 + priorityStep*float64(priority)
+	needed := neededTokens(priority)
 	if l.beyondShare(now, usage) {
 		needed += shareStep
 	}
--- a/core/throttle/throttle.go
+++ b/core/throttle/throttle.go
@@ -82,6 +82,34 @@
 	return max(rate, 1) * math.Exp2(max(since, 0).Seconds()/rampDoubling.Seconds()), since < rampTime
 }
 
+// neededTokens is the number of tokens that a bucket must hold for a request of a priority.
+func neededTokens(priority int) float64 {
+	return 1 + priorityStep*float64(min(max(priority, 0), maxPriority))
+}
+
+// observe returns what is known about a limit after an answer that names a limit, or nil for none,
+// and whether the limit has changed. old is nil if no limit was known.
+func observe(old *Statement, sentAt, now time.Time, named *float64) (*Statement, bool) {
+	switch {
+	case named != nil:
+		return adopt(old, Statement{Rate: *named, SentAt: sentAt, ReceivedAt: now})
+	case old == nil || old.Ended:
+		return old, false
+	}
+	return adopt(old, Statement{Rate: old.Rate, Ended: true, SentAt: sentAt, ReceivedAt: now})
+}
+
+// adopt returns the statement that holds, and whether the limit has changed.
+func adopt(old *Statement, s Statement) (*Statement, bool) {
+	switch {
+	case old == nil:
+		return &s, true
+	case !s.supersedes(*old):
+		return old, false
+	}
+	return &s, !s.same(*old)
+}
+
 // bucket is a token bucket; its tokens are requests.
 type bucket struct {
 	level  float64
--- a/modules/adapter/signals.go
+++ b/modules/adapter/signals.go
@@ -6,18 +6,30 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"heatherway.dev/core/throttle"
 )
 
 // LeavingHeader is set to 1 in every response of an upstream that is about to stop and
 // accepts no new work.
 const LeavingHeader = "Upstream-Leaving"
 
+// LimitHeader names, in every response of an upstream in need, the number of requests per second
+// that it accepts.
+const LimitHeader = "Upstream-Limit"
+
 // Signal is what an upstream says about itself in the status and headers of a response.
 type Signal struct {
 	Leaving bool
 	// Backoff is the time for which the upstream asks for no requests, zero if it does
 	// not ask.
 	Backoff time.Duration
+	// Limit is the number of requests per second that the upstream accepts, nil if it names
+	// none. LimitInvalid is set if it names one that cannot be read.
+	Limit        *float64
+	LimitInvalid bool
+	// SentAt is when the request was sent.
+	SentAt time.Time
 }
 
 // SignalSource is an upstream whose signals can be observed.
@@ -45,9 +57,12 @@
 
 // RoundTrip implements http.RoundTripper.
 func (w signalTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	sentAt := time.Now()
 	res, err := w.Transport.RoundTrip(r)
 	if follow := w.source.callback.Load(); err == nil && follow != nil {
-		(*follow)(readSignal(res))
+		s := readSignal(res)
+		s.SentAt = sentAt
+		(*follow)(s)
 	}
 	return res, err
 }
@@ -57,6 +72,7 @@
 	if res.StatusCode == http.StatusServiceUnavailable {
 		s.Backoff = RetryAfter(res.Header)
 	}
+	s.Limit, s.LimitInvalid = throttle.ParseRate(res.Header.Values(LimitHeader))
 	return s
 }
 
--- a/modules/agent/agent_test.go
+++ b/modules/agent/agent_test.go
@@ -45,7 +45,11 @@
 	leaving    bool
 	backoff    string
 	rejectedAt []time.Time // when requests of any kind were refused
-	bodies     []map[string]any
+	// limit is named in every response; limitedAt holds the times of the requests of any kind
+	// since then.
+	limit     string
+	limitedAt []time.Time
+	bodies    []map[string]any
 }
 
 func newFakeEngine(t testing.TB) *fakeEngine {
@@ -59,6 +63,10 @@
 	mux.HandleFunc("POST /v1/completions", e.complete)
 	e.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		e.mu.Lock()
+		if e.limit != "" {
+			w.Header().Set("Upstream-Limit", e.limit)
+			e.limitedAt = append(e.limitedAt, time.Now())
+		}
 		leaving, backoff := e.leaving, e.backoff
 		if backoff != "" {
 			e.rejectedAt = append(e.rejectedAt, time.Now())
--- a/modules/agent/crash.go
+++ b/modules/agent/crash.go
@@ -108,6 +108,7 @@
 	}
 	o.crashes++
 	o.upstreamSignal = signal.Upstream{}
+	o.queue.ForgetLimit()
 	o.updateQueueState(now)
 	o.a.metrics.crashes.Inc()
 	args := wire.CrashArgs{
--- a/modules/agent/health.go
+++ b/modules/agent/health.go
@@ -23,7 +23,7 @@
 func (a *Agent) healthLoop(ctx context.Context) {
 	failed := 0
 	for ctx.Err() == nil {
-		if a.backingOff() {
+		if !a.mayCall() {
 			sleep(ctx, probeRetryDelay)
 			continue
 		}
@@ -52,6 +52,9 @@
 	if !ok {
 		return
 	}
+	if !a.mayCall() {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
 	defer cancel()
 	changed, err := r.Refresh(ctx)
--- a/modules/agent/owner.go
+++ b/modules/agent/owner.go
@@ -37,6 +37,8 @@
 	// upstreamLeaving and backoffUntil are the upstream's latest signals.
 	upstreamLeaving bool
 	backoffUntil    time.Time
+	// limited is set if the upstream has named a limit.
+	limited bool
 }
 
 // owner holds the agent's mutable state. Its loop applies all changes, in one
@@ -114,6 +116,7 @@
 	s := &snapshot{load: o.queue.Load(now), revision: o.revision, latestRevision: o.latestRevision, up: o.up, crashes: o.crashes}
 	s.load.Leaving = o.leaving || o.upstreamSignal.Leaving
 	s.upstreamLeaving, s.backoffUntil = o.upstreamSignal.Leaving, now.Add(o.upstreamSignal.Remaining(now))
+	_, s.limited = o.queue.Limit()
 	o.a.snapshot.Store(s)
 	var queued uint32
 	for _, n := range s.load.Queued {
