registry: share announcements several times before an upstream counts as lost

What callers saw: with short announcement intervals, upstreams that announce themselves count as lost at the instances that hear of them from others, and gateways refuse work although they have room (found by TestServerLimits, one 503 of 456; both unlimited servers were lost for 0.14 s). Cause: unchanged upstreams are passed on every 1.5 s whatever the interval; at 300 ms an upstream counts as lost after 1.5 s. Change: the interval is a quarter of that time, at most 1.5 s. At the users' 1.2 s it stays 1.5 s. Measured: TestUpstreamIsNotLostAtOtherInstances red before (lost after 10 announcements), green now.

--- a/modules/registry/registry_test.go
+++ b/modules/registry/registry_test.go
@@ -250,6 +250,22 @@
 	f.eventually("lost", func() bool { return f.nodes[1].state("i-1") == registration.Lost })
 }
 
+// Guards against an upstream that announces itself as often as required, to one instance, and counts
+// as lost at the others.
+func TestUpstreamIsNotLostAtOtherInstances(t *testing.T) {
+	f := newFleet(t, 3)
+	f.replace(f.nodes[0], 1, "first")
+	for seq := range 30 {
+		f.nodes[0].call(t, "POST", "/v1/instances/i-1/heartbeat", heartbeat("ready", seq+1))
+		time.Sleep(f.nodes[0].AnnounceInterval)
+		if seq > 2 {
+			for i, n := range f.nodes {
+				assert.Equal(t, n.state("i-1"), registration.Ready, "instance %d after %d announcements", i, seq+1)
+			}
+		}
+	}
+}
+
 // Guards against gateways that know only a few upstreams after all control
 // instances have stopped at once, and against restored records that never expire.
 func TestDirectorySurvivesRestart(t *testing.T) {
--- a/modules/registry/share.go
+++ b/modules/registry/share.go
@@ -52,14 +52,25 @@
 	}
 }
 
-// aliveInterval is the time between two messages about upstreams that are alive
-// and unchanged. An upstream counts as lost after five announcement intervals.
-const aliveInterval = 1500 * time.Millisecond
+const (
+	// maxAliveInterval is the longest time between two messages about upstreams that are
+	// alive and unchanged.
+	maxAliveInterval = 1500 * time.Millisecond
+	// aliveMessages is the number of these messages in the time after which a silent
+	// upstream counts as lost, so that one may be late and another one lost.
+	aliveMessages = 4
+)
+
+// aliveInterval is the time between two messages about upstreams that are alive and
+// unchanged.
+func (d *directory) aliveInterval() time.Duration {
+	return min(maxAliveInterval, d.lostAfter()/aliveMessages)
+}
 
 // share sends what is queued, with at most one call to an instance at a time.
 func (d *directory) share() {
 	now := time.Now()
-	aliveDue := now.Sub(d.aliveSentAt) >= aliveInterval
+	aliveDue := now.Sub(d.aliveSentAt) >= d.aliveInterval()
 	if aliveDue {
 		d.aliveSentAt = now
 	}
