gateway: log the software version of upstreams

Cause: logs cannot tell which software version wrote the events of a stream, and registries drop the version of an announcement (docs/incidents/2026-12-05-order.md, with timeline and hypotheses). Change: announcements and records carry the version, requests the attempt that a take-up names; lines of placements and resumes name both. Nothing is decided by it yet.

--- a/core/registration/registration.go
+++ b/core/registration/registration.go
@@ -58,6 +58,8 @@
 	Seq int64
 	// ColdMS is the remaining warm-up time, during which the upstream is slow.
 	ColdMS int64
+	// Version is the version of the upstream's software, empty if it is not stated.
+	Version string
 	// Leaving is set once the incarnation has signalled in a response that it is leaving.
 	// It gets no new requests from then on, regardless of its announcements.
 	Leaving bool
@@ -184,7 +186,7 @@
 
 func sameForReaders(a, b *Upstream) bool {
 	return a.StartedMS == b.StartedMS && a.State == b.State && a.Addr == b.Addr &&
-		a.Service == b.Service && a.Zone == b.Zone && a.Slots == b.Slots && a.Leaving == b.Leaving
+		a.Service == b.Service && a.Zone == b.Zone && a.Slots == b.Slots && a.Leaving == b.Leaving && a.Version == b.Version
 }
 
 // MarkLeaving records that an incarnation has signalled in a response that it is leaving.
--- a/core/registration/validate.go
+++ b/core/registration/validate.go
@@ -39,6 +39,7 @@
 	required := u.State != Left
 	if err := cmp.Or(
 		namecheck.Validate("id", u.ID, true), namecheck.Validate("service", u.Service, required), namecheck.Validate("zone", u.Zone, false),
+		namecheck.Validate("version", u.Version, false),
 		validateRange("slots", int64(u.Slots), MaxSlots), validateRange("start time", u.StartedMS, MaxStartedMS),
 		validateRange("sequence number", u.Seq, MaxSeq), validateRange("warm-up time", u.ColdMS, MaxColdMS),
 	); err != nil {
--- a/modules/dialect/dialect.go
+++ b/modules/dialect/dialect.go
@@ -39,6 +39,9 @@
 	APIKey string
 	// LastEventID is the id of the event after which a stream resumes, or NoEvent.
 	LastEventID int64
+	// Resumes is the ID of the caller's attempt that received the first event of the stream
+	// that is resumed, empty if not stated.
+	Resumes string
 	// PromptTokens is the size of the prompt and MaxTokens the largest number of tokens to
 	// generate, both zero if not stated.
 	PromptTokens, MaxTokens int
--- a/modules/gateway/follow.go
+++ b/modules/gateway/follow.go
@@ -420,7 +420,7 @@
 	}
 	for _, c := range f.directory.ChangedSince(lastChange) {
 		f.g.owner.post(func(s *state) { s.fleet.SetUpstream(c) })
-		f.log.Info("upstream changed", "upstream", c.ID, "service", c.Service, "address", c.Addr, "upstream_zone", c.Zone,
+		f.log.Info("upstream changed", "upstream", c.ID, "service", c.Service, "address", c.Addr, "upstream_zone", c.Zone, "upstream_version", c.Version,
 			"state", c.State.String(), "started_ms", c.StartedMS, "seq", c.Seq)
 		if c.State < registration.Lost {
 			f.notifier.publishIncarnation(incarnation{c.Addr, c.ID, c.StartedMS})
--- a/modules/gateway/owner.go
+++ b/modules/gateway/owner.go
@@ -121,7 +121,7 @@
 // logAttrs returns the inputs of the placement as log fields.
 func (c loggedChoice) logAttrs() []any {
 	return []any{
-		"upstream", c.Upstream.ID, "known", c.Explanation.Known, "eligible", c.Explanation.Eligible, "cost_ms", math.Round(c.Explanation.CostMS),
+		"upstream", c.Upstream.ID, "upstream_version", c.Upstream.Version, "known", c.Explanation.Known, "eligible", c.Explanation.Eligible, "cost_ms", math.Round(c.Explanation.CostMS),
 		"running", c.Explanation.Running, "tokens", c.Explanation.Tokens, "report_age_ms", c.Explanation.ReportAge.Milliseconds(),
 	}
 }
--- a/modules/gateway/report.go
+++ b/modules/gateway/report.go
@@ -37,7 +37,7 @@
 		cached, tokens = s.queryCaches(otherZones)
 	}
 	request.CachedAt = cached
-	s.logEvent("stream resumed by its caller", "last_event", s.req.LastEventID,
+	s.logEvent("stream resumed by its caller", "resumes", s.req.Resumes, "last_event", s.req.LastEventID,
 		"prompt_at", request.CachedAt, "cached_tokens", tokens)
 }
 
--- a/modules/gateway/stream.go
+++ b/modules/gateway/stream.go
@@ -345,7 +345,7 @@
 	})
 	if !s.brokenAt.IsZero() {
 		s.g.metrics.resumeMS.Observe(now.Sub(s.brokenAt).Milliseconds())
-		s.logEvent("stream resumed", "upstream", a.choice.Upstream.ID, "from_copy", resumed, "resume_ms", now.Sub(s.brokenAt).Milliseconds())
+		s.logEvent("stream resumed", "upstream", a.choice.Upstream.ID, "upstream_version", a.choice.Upstream.Version, "from_copy", resumed, "resume_ms", now.Sub(s.brokenAt).Milliseconds())
 		s.brokenAt = time.Time{}
 	}
 	if !s.responseStarted {
--- a/modules/registry/directory.go
+++ b/modules/registry/directory.go
@@ -240,7 +240,7 @@
 			changed = true
 			after, _ := d.state.Get(u.ID)
 			d.log.Info("upstream changed", "upstream", u.ID, "service", after.Service, "address", after.Addr,
-				"state", after.State.String(), "previous", previousState(before, known), "started_ms", after.StartedMS, "seq", u.Seq, "direct", o.direct)
+				"state", after.State.String(), "previous", previousState(before, known), "started_ms", after.StartedMS, "seq", u.Seq, "version", after.Version, "direct", o.direct)
 		}
 		if outcome == registration.Changed || outcome == registration.Refreshed {
 			d.trackUpstream(now, u)
