soak: test of streams that two software versions write (red)

What callers got: one text written by two software versions (ORDER). Plays real control instances and gateways; model servers of two versions by turns name their version in each event and crash; callers take broken streams up with Resumes.

--- a/test/soak/upstream_test.go
+++ b/test/soak/upstream_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"hash/fnv"
 	"io"
@@ -26,13 +27,16 @@
 	proxy   *fault.Proxy
 	backend *httptest.Server
 
-	mu          sync.Mutex
-	id          string
-	startedMS   int64
-	seq         int64
-	state       string
-	crashed     bool
-	keepsID     bool
+	mu        sync.Mutex
+	id        string
+	startedMS int64
+	seq       int64
+	state     string
+	crashed   bool
+	keepsID   bool
+	// version is that of the software, which an update replaces at the next start. Each event
+	// names the version that wrote it.
+	version     string
 	incarnation int
 	// drainAckedAt is when a registry acknowledged that the server is draining.
 	drainAckedAt time.Time
@@ -61,7 +65,7 @@
 var lastIncarnation atomic.Int64
 
 func (sys *testSystem) newServer(service, zone string) *server {
-	s := &server{system: sys, service: service, zone: zone}
+	s := &server{system: sys, service: service, zone: zone, version: "v1"}
 	s.backend = httptest.NewServer(http.HandlerFunc(s.serve))
 	p, err := fault.NewProxy("127.0.0.1:0", s.backend.Listener.Addr().String())
 	if err != nil {
@@ -136,8 +140,8 @@
 	for s.system.running() {
 		s.mu.Lock()
 		s.seq++
-		body := fmt.Sprintf(`{"Service":%q,"Addr":%q,"Zone":%q,"Version":"v1","Slots":64,"State":%q,"ColdLeftMs":0,"Seq":%d,"born":%d}`,
-			s.service, s.proxy.Addr(), s.zone, s.state, s.seq, s.startedMS)
+		body := fmt.Sprintf(`{"Service":%q,"Addr":%q,"Zone":%q,"Version":%q,"Slots":64,"State":%q,"ColdLeftMs":0,"Seq":%d,"born":%d}`,
+			s.service, s.proxy.Addr(), s.zone, s.version, s.state, s.seq, s.startedMS)
 		id, crashed, draining := s.id, s.crashed, s.state == "draining"
 		s.mu.Unlock()
 		if late := time.Duration(s.system.announcementDelay.Load()); !crashed && late > 0 {
@@ -293,19 +297,23 @@
 
 func (s *server) serveStream(w http.ResponseWriter, r *http.Request, attempt string, incarnation int) {
 	w.Header().Set("Content-Type", "text/event-stream")
+	s.mu.Lock()
+	version := s.version
+	s.mu.Unlock()
+	stream := cmp.Or(r.Header.Get("Resumes"), attempt)
 	next := 0
 	if _, err := fmt.Sscan(r.Header.Get("Last-Event-Id"), &next); err == nil {
 		next++
 	}
-	for ; next < eventCount(attempt); next++ {
-		time.Sleep(eventInterval)
+	for ; next < eventCount(stream); next++ {
+		time.Sleep(cmp.Or(time.Duration(s.system.eventInterval.Load()), eventInterval))
 		s.mu.Lock()
 		ended := s.crashed || s.incarnation != incarnation
 		s.mu.Unlock()
 		if ended || r.Context().Err() != nil {
 			panic(http.ErrAbortHandler)
 		}
-		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", next, eventData(attempt, next))
+		fmt.Fprintf(w, "id: %d\nevent: %s\ndata: %s\n\n", next, version, eventData(stream, next))
 		w.(http.Flusher).Flush()
 	}
 }
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -37,10 +37,12 @@
 	crashRequests atomic.Pointer[crashRequests]
 	// announcementDelay delays the announcements of upstreams, in nanoseconds.
 	announcementDelay atomic.Int64
-	refusedAttempts   sync.Map
-	attempts          atomic.Int64
-	faultCount        int
-	outcomeCounts     [3]atomic.Int64
+	// eventInterval is the time between two events of a stream, in nanoseconds; 0 for the default.
+	eventInterval   atomic.Int64
+	refusedAttempts sync.Map
+	attempts        atomic.Int64
+	faultCount      int
+	outcomeCounts   [3]atomic.Int64
 	// faultsEnded is set once no fault is active and the recovery time has passed.
 	faultsEnded atomic.Bool
 
