dispatch: a stream goes on at the software version that began it

What callers got: an answer whose first part was written by one software version and the rest by another (ORDER). Cause: placement did not know versions; an attempt after a lost upstream, and the backup of its KV cache, went to any. Class: state that binds a request to a part of the fleet is not among the inputs of placement. Change: once a response has begun, its attempts are placed at upstreams of the same version only, and backups are held there. An upstream that states no version has one of its own for each incarnation. If no upstream of the version is left, the answer is broken off at once.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -7,6 +7,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"heatherway.dev/core/breaker"
@@ -72,6 +73,9 @@
 	// Preferred is the id of the upstream that holds a backup of the request's KV cache,
 	// if any.
 	Preferred string
+	// Version is the software version of the upstreams that may run the request, or empty for
+	// any: what two versions write doesn't fit together in one stream.
+	Version string
 	// Organisation is the owner of the request, empty on public routes.
 	Organisation string
 	// Continues is set if the caller has already received a part of the answer. Limits of
@@ -144,6 +148,9 @@
 	// that are up have no request left of the limits that they have named, or have asked for
 	// backoff.
 	AllLimited bool
+	// VersionGone is set if no upstream of the software version that the request needs is ready
+	// or may come back.
+	VersionGone bool
 	// Ask is what to ask the owner of the limits for before the request is placed again. It
 	// is empty if the refusal is final.
 	Ask []throttle.Want
@@ -293,8 +300,11 @@
 	r := &Refusal{Known: len(list), RetryAfter: defaultRetryAfter}
 	backingOff, limited, others := false, false, false
 	limitWait := maxLimitRetryAfter
+	r.VersionGone = req.Version != "" && !slices.ContainsFunc(list, func(u *upstream) bool {
+		return u.hasVersion(req.Version) && u.State != registration.Draining && !u.Leaving
+	})
 	for _, u := range list {
-		if u.State != registration.Ready || u.Leaving {
+		if u.State != registration.Ready || u.Leaving || !u.hasVersion(req.Version) {
 			continue
 		}
 		if left := u.backoff.Remaining(now); left > 0 {
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -21,7 +21,7 @@
 	if best == nil && !req.Stream {
 		best, explanation = f.best(now, req, list, affinity, false)
 	}
-	if best == nil && !slices.ContainsFunc(list, func(u *upstream) bool { return u.State == registration.Ready }) {
+	if best == nil && !slices.ContainsFunc(list, func(u *upstream) bool { return u.State == registration.Ready && u.hasVersion(req.Version) }) {
 		relaxed := *req
 		relaxed.allowLost = true
 		best, explanation = f.best(now, &relaxed, list, nil, true)
@@ -180,7 +180,12 @@
 
 func (f *Fleet) eligible(now time.Time, req *Request, u *upstream) bool {
 	up := u.State == registration.Ready || req.allowLost && u.State == registration.Lost
-	return up && u.acceptsWork(now) && u.breaker.Ready(now) && u.fits(now, req) && f.withinLimit(now, u, req)
+	return up && u.hasVersion(req.Version) && u.acceptsWork(now) && u.breaker.Ready(now) && u.fits(now, req) && f.withinLimit(now, u, req)
+}
+
+// hasVersion reports whether the upstream runs a software version; an empty one stands for any.
+func (u *upstream) hasVersion(version string) bool {
+	return version == "" || u.SoftwareVersion() == version
 }
 
 // fits reports whether the KV cache has room for a request beside the requests and backups
@@ -345,8 +350,9 @@
 	return u.estimate.prefillMS(tokens)
 }
 
-// chooseBackup chooses the upstream for a backup: one in another availability zone, since
-// the upstreams of a zone fail together, and where least KV cache is taken. Affinity
+// chooseBackup chooses the upstream for a backup: one of the same software version in another
+// availability zone, since the upstreams of a zone fail together, and where least KV cache is
+// taken. Affinity
 // upstreams of the prompt are preferred, so that the caller finds the prompt there once the
 // stream has resumed from the backup.
 func (f *Fleet) chooseBackup(now time.Time, req *Request, primary *upstream, list []*upstream) *upstream {
@@ -358,7 +364,7 @@
 	var best *upstream
 	lowest := 0.0
 	for _, u := range f.sample(req, list, affinity) {
-		if u == primary || u.Zone == primary.Zone || slices.Contains(req.Tried, u.ID) || !f.eligible(now, req, u) {
+		if u == primary || u.Zone == primary.Zone || !u.hasVersion(primary.SoftwareVersion()) || slices.Contains(req.Tried, u.ID) || !f.eligible(now, req, u) {
 			continue
 		}
 		cost := float64(u.tokens+u.backupTokens) + f.rng.Float64()*typicalPrompt/2
--- a/core/registration/registration.go
+++ b/core/registration/registration.go
@@ -11,6 +11,7 @@
 import (
 	"container/list"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -67,6 +68,16 @@
 	Moved bool
 }
 
+// SoftwareVersion identifies the software that writes the upstream's answers. Upstreams that state
+// no version may run different ones, so each incarnation of them counts as a version of its own.
+// It begins with a space, which no stated version does.
+func (u *Upstream) SoftwareVersion() string {
+	if u.Version != "" {
+		return u.Version
+	}
+	return " " + u.ID + "/" + strconv.FormatInt(u.StartedMS, 10)
+}
+
 // applyLeaving sets Leaving if the incarnation has signalled that it is leaving. A ready
 // upstream that is leaving becomes draining.
 func (u *Upstream) applyLeaving(leaving bool) {
--- a/modules/gateway/handler.go
+++ b/modules/gateway/handler.go
@@ -393,7 +393,7 @@
 			limit = max(limit, startupPlacementWait)
 		}
 		waited := time.Since(start)
-		if waited >= limit || c.ctx.Err() != nil || (refusal.AllBackingOff || refusal.AllLimited) && waited+refusal.RetryAfter > limit {
+		if waited >= limit || c.ctx.Err() != nil || refusal.VersionGone || (refusal.AllBackingOff || refusal.AllLimited) && waited+refusal.RetryAfter > limit {
 			return choice, refusal
 		}
 		select {
--- a/modules/gateway/stream.go
+++ b/modules/gateway/stream.go
@@ -65,6 +65,8 @@
 	// attempt.
 	backupHolder registration.Upstream
 	backupCopy   dialect.CacheCopy
+	// version is the software version of the upstream that began the response, empty before.
+	version string
 	// brokenAt is when the stream was interrupted after an event; it is zero unless the
 	// stream waits for the first event of a resume.
 	brokenAt time.Time
@@ -117,6 +119,7 @@
 func (s *streamRequest) runAttempt() *attempt {
 	request := s.dispatchRequest()
 	request.Backup = s.route.Resumable && s.route.MaxAttempts > 1
+	request.Version = s.version
 	request.Preferred = cmp.Or(s.backupHolder.ID, s.reconnectTo)
 	if request.Preferred == "" {
 		if s.sentCount == 0 && s.req.LastEventID != dialect.NoEvent {
@@ -358,7 +361,7 @@
 // yet.
 func (s *streamRequest) write(a *attempt, raw []byte) bool {
 	if !s.responseStarted {
-		s.responseStarted = true
+		s.responseStarted, s.version = true, a.choice.Upstream.SoftwareVersion()
 		s.copyResponseHeader(a.header)
 		s.w.Header().Del("Content-Length")
 		s.w.WriteHeader(a.status)
