gateway: a take-up goes to the service that began the stream

What callers got: on a route split over several services, the rest of a stream from another service than its beginning (ORDER). Cause: the service was drawn by the ID of each attempt, and a take-up has an ID of its own. Change: it is drawn by the ID that Resumes names. Measured: TestTakeUpGoesToTheServiceThatBeganTheStream red before, green now.

--- a/modules/gateway/handler.go
+++ b/modules/gateway/handler.go
@@ -132,7 +132,7 @@
 		}
 	}
 	c.priority = routing.Priority(route, c.organisation)
-	if c.service, ok = c.table.Service(route.Pick(xxhash.Sum64String(c.req.ID))); !ok {
+	if c.service, ok = c.table.Service(route.Pick(xxhash.Sum64String(c.firstID()))); !ok {
 		return result.New(result.NoUpstream, "the route has no service")
 	}
 	limit := route.Timeout
@@ -150,6 +150,15 @@
 	return c.checkCrashes(r.Context())
 }
 
+// firstID returns the ID of the caller's attempt that received the first event of the stream, or of
+// this one. A stream goes on at the service that began it, also on a route with several.
+func (c *callerRequest) firstID() string {
+	if c.req.LastEventID != dialect.NoEvent && c.req.Resumes != "" {
+		return c.req.Resumes
+	}
+	return c.req.ID
+}
+
 // stoppingRetryAfter is the Retry-After for streams that would not end before this
 // gateway stops; other gateways can serve them at once.
 const stoppingRetryAfter = 50 * time.Millisecond
--- /dev/null
+++ b/modules/gateway/version_test.go
@@ -0,0 +1,81 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"heatherway.dev/core/routing"
+)
+
+// streamingUpstream starts an upstream that answers each stream with one event after the last one
+// that the caller has.
+func streamingUpstream(t *testing.T, id, service, version string) *upstream {
+	u := startUpstream(t, id, service, "z0", func(w http.ResponseWriter, r *http.Request, _ int) {
+		last := -1
+		_, _ = fmt.Sscan(r.Header.Get("Last-Event-Id"), &last)
+		writeEvent(w, last+1)
+	})
+	u.Version = version
+	return u
+}
+
+// Guards against a take-up that goes to another service of its route than the stream that it names.
+func TestTakeUpGoesToTheServiceThatBeganTheStream(t *testing.T) {
+	c := configuration()
+	c.Services = append(c.Services, routing.Service{Name: "other"})
+	c.Routes[0].Targets = append(c.Routes[0].Targets, routing.Target{Service: "other", Weight: 1})
+	ups := []*upstream{streamingUpstream(t, "u1", "model", ""), streamingUpstream(t, "u2", "other", "")}
+	f := newFixture(t, c, ups...)
+	for i := range 20 {
+		first := fmt.Sprint("first-", i)
+		assert.Equal(t, f.doStream("Attempt-Id", first).status, 200)
+		before := [2]int{len(ups[0].requests()), len(ups[1].requests())}
+		assert.Equal(t, f.doStream("Attempt-Id", fmt.Sprint("again-", i), "Resumes", first, "Last-Event-Id", "0").status, 200)
+		for j, u := range ups {
+			for _, r := range u.requests()[before[j]:] {
+				began := false
+				for _, old := range u.requests()[:before[j]] {
+					began = began || old.header.Get("Attempt-Id") == first
+				}
+				assert.Assert(t, began, "%s goes on at %s", r.header.Get("Resumes"), u.ID)
+			}
+		}
+	}
+}
+
+// Guards against a take-up that goes on at any version while no control instance can tell which one
+// began the stream, and against one at the same gateway that is refused.
+func TestTakeUpOfAnUnknownVersionIsRefused(t *testing.T) {
+	ups := []*upstream{streamingUpstream(t, "u1", "model", "v1"), streamingUpstream(t, "u2", "model", "v2")}
+	f := newFixture(t, configuration(), ups...)
+	for _, header := range [][]string{{"Last-Event-Id", "4"}, {"Last-Event-Id", "4", "Resumes", "begun elsewhere"}} {
+		res := f.doStream(header...)
+		assert.Equal(t, res.status, http.StatusServiceUnavailable)
+		assert.Assert(t, res.header.Get("Retry-After") != "")
+	}
+	assert.Equal(t, len(ups[0].requests())+len(ups[1].requests()), 0)
+	for i := range 10 {
+		first := fmt.Sprint("first-", i)
+		assert.Equal(t, f.doStream("Attempt-Id", first).status, 200)
+		assert.Equal(t, f.doStream("Attempt-Id", fmt.Sprint("again-", i), "Resumes", first, "Last-Event-Id", "0").status, 200)
+	}
+	for _, u := range ups {
+		began := map[string]bool{}
+		for _, r := range u.requests() {
+			began[r.header.Get("Attempt-Id")] = true
+			if resumes := r.header.Get("Resumes"); resumes != "" {
+				assert.Assert(t, began[resumes], "%s goes on at %s", resumes, u.Version)
+			}
+		}
+	}
+}
+
+// Guards against a request that begins a stream from nothing and is taken for a take-up.
+func TestResumesWithoutAnEventBeginsAnew(t *testing.T) {
+	u := streamingUpstream(t, "u1", "model", "v1")
+	f := newFixture(t, configuration(), u)
+	assert.Equal(t, f.doStream("Resumes", "begun elsewhere").status, 200)
+}
