gateway, adapters: tests of upstreams that stop within the head of a response

Another operator's callers got a 200 with an empty or short body after a server had stopped in the middle of its answer's head. Played for each place of the head, five framings, plain calls and streams, a stream that goes on, and both adapters of agents.

--- a/modules/adapter/openai/stray_test.go
+++ b/modules/adapter/openai/stray_test.go
@@ -238,3 +238,19 @@
 	r.Header.Set("Prompt", h.prompt)
 	return h.RoundTripper.RoundTrip(r)
 }
+
+// Guards against a generation that ends as complete after an engine has stopped in the middle of its
+// response's head, for each place at which it may stop.
+func TestEngineStopsWithinItsHead(t *testing.T) {
+	for _, framing := range []string{"Content-Length: 16\r\n", "Content-Length: 0\r\n", "Transfer-Encoding: chunked\r\n", ""} {
+		head := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + framing + "X-Last: 1\r\n\r\n"
+		for cut := range len(head) {
+			e := startEngine(t, func(c net.Conn, _ *http.Request, _ int64, _ bool) {
+				_, _ = io.WriteString(c, head[:cut])
+				_ = c.Close()
+			})
+			text, err := generate(t, e)
+			assert.Check(t, err != nil, "%q after %q", text, head[:cut])
+		}
+	}
+}
--- a/modules/adapter/plain/plain_test.go
+++ b/modules/adapter/plain/plain_test.go
@@ -118,3 +118,19 @@
 		}
 	}
 }
+
+// Guards against a success with an empty or short body after a service has stopped in the middle of
+// its response's head, for each place at which it may stop.
+func TestServiceStopsWithinItsHead(t *testing.T) {
+	for _, framing := range []string{"Content-Length: 16\r\n", "Content-Length: 0\r\n", "Transfer-Encoding: chunked\r\n", ""} {
+		head := "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n" + framing + "X-Last: 1\r\n\r\n"
+		for cut := range len(head) {
+			s := startService(t, func(c net.Conn, _ string, _ []string) {
+				_, _ = io.WriteString(c, head[:cut])
+				_ = c.Close()
+			})
+			reply, err := s.Call(t.Context(), &wire.CallArgs{Method: "POST", Path: "/x", Body: []byte("x")})
+			assert.Check(t, err != nil, "%+v after %q", reply, head[:cut])
+		}
+	}
+}
--- a/modules/gateway/cut_test.go
+++ b/modules/gateway/cut_test.go
@@ -450,3 +450,46 @@
 	assert.Equal(t, res.StatusCode, 200)
 	assert.Assert(t, err != nil, "%q looks complete", body)
 }
+
+// Guards against a success with an empty or short body after an upstream has stopped in the middle
+// of its response's head, for each place at which it may stop.
+func TestUpstreamStopsWithinItsHead(t *testing.T) {
+	for _, framing := range []string{"Content-Length: 16\r\n", "Transfer-Encoding: chunked\r\n", "Connection: close\r\n", "Content-Length: 0\r\n", ""} {
+		t.Run(fmt.Sprintf("%q", framing), func(t *testing.T) {
+			t.Parallel()
+			head := "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Seal: s\r\nContent-Type: text/event-stream\r\n" + framing + "X-Last: 1\r\n\r\n"
+			conf := configuration()
+			conf.Routes[0].MaxAttempts = 1
+			for cut := range len(head) {
+				ups := []*upstream{startByteUpstream(t, "d", "desk", head[:cut], false), startByteUpstream(t, "m", "model", head[:cut], false)}
+				for _, target := range []string{"/book/x", "/look/x", "/letters/x"} {
+					f := newFixture(t, conf, ups...) // the upstreams get no work for a while after a failure
+					res := f.do(f.request("POST", target, "body"))
+					assert.Check(t, res.err != nil || res.status >= http.StatusInternalServerError, "%s: %d %q after %q", target, res.status, res.body, head[:cut])
+					_ = f.Cleanup()
+				}
+			}
+		})
+	}
+}
+
+// Guards against a stream that ends as complete after it went on at an upstream that stopped in the
+// middle of its response's head.
+func TestResumeStopsWithinItsHead(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Seal: s\r\nContent-Type: text/event-stream\r\nContent-Length: 0\r\n\r\n"
+	conf := configuration()
+	conf.Routes[0].MaxAttempts = 2
+	for cut := range len(head) {
+		began := "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Seal: s\r\nContent-Type: text/event-stream\r\nContent-Length: 900\r\n\r\nid: 0\ndata: x\n\n"
+		first := startByteUpstream(t, "m1", "model", began, false)
+		f := newFixture(t, conf, first)
+		second := startByteUpstream(t, "m2", "model", head[:cut], false)
+		second.State = registration.Lost // until the stream has begun at the other one
+		f.announce(second.Upstream)
+		second.State, second.Seq = registration.Ready, 2
+		f.announce(second.Upstream)
+		res := f.doStream()
+		assert.Check(t, res.err != nil || res.status >= http.StatusInternalServerError, "%d %q after %q", res.status, res.body, head[:cut])
+		_ = f.Cleanup()
+	}
+}
