gateway: refuse late in the grace period what may not finish

Cause: only streams were checked against the end of the grace period. Change: after the drain delay, when the load balancer uses other gateways, plain requests and streams that may not go on elsewhere are taken only if their deadline lies within the grace period; others get 503, not run, at once.

--- a/modules/gateway/gateway.go
+++ b/modules/gateway/gateway.go
@@ -96,6 +96,8 @@
 	// stopAt is the time, in Unix nanoseconds, at which the remaining requests are cut
 	// off; it is zero until the gateway is told to stop.
 	stopAt atomic.Int64
+	// drainedAt is the end of the drain delay in the same form.
+	drainedAt atomic.Int64
 	// streamDuration is the moving average of the duration of streams in nanoseconds.
 	streamDuration atomic.Int64
 	openRequests   atomic.Int64
@@ -246,6 +248,7 @@
 // been idle for stopIdleTime. Requests that still run then are refused.
 func (g *Gateway) Stop(context.Context) error {
 	start := time.Now()
+	g.drainedAt.Store(start.Add(g.DrainDelay).UnixNano())
 	g.stopAt.Store(start.Add(g.Grace - graceReserve).UnixNano())
 	g.stopping.Store(true)
 	g.log.Info("draining", "open_requests", g.openRequests.Load(), "grace_ms", g.Grace.Milliseconds())
--- a/modules/gateway/grace_test.go
+++ b/modules/gateway/grace_test.go
@@ -33,3 +33,37 @@
 		})
 	}
 }
+
+// Guards against a request that comes late in the grace period on a kept connection, is passed on, and
+// is cut off at the end: it may have run, and may not be repeated.
+func TestLateRequestThatMayNotFinishIsRefused(t *testing.T) {
+	c := configuration()
+	for i := range c.Routes {
+		c.Routes[i].Timeout = 5 * time.Second
+	}
+	c.Routes[0].Resumable = false
+	slow := func(_ http.ResponseWriter, r *http.Request, n int) {
+		if n > 1 {
+			<-r.Context().Done()
+		}
+	}
+	for _, target := range []string{"/book/x", "/look/x", "/letters/x"} {
+		desk, model := startUpstream(t, "u1", "desk", "z0", slow), startUpstream(t, "m1", "model", "z0", slow)
+		f := newFixture(t, c, desk, model)
+		f.Grace, f.DrainDelay = 2500*time.Millisecond, 100*time.Millisecond
+		kept := f.dial()
+		kept.send(callerHead("POST", target, "HTTP/1.1", "first") + "Content-Length: 4\r\n\r\nbody")
+		kept.expect(200)
+		done := f.stopInBackground()
+		time.Sleep(f.DrainDelay + 400*time.Millisecond)
+		kept.send(callerHead("POST", target, "HTTP/1.1", "late") + "Content-Length: 4\r\n\r\nbody")
+		res := kept.expect(http.StatusServiceUnavailable)
+		assert.Assert(t, res.Close && res.Header.Get("Retry-After") != "", "%s", target)
+		<-done
+		for _, u := range []*upstream{desk, model} {
+			for _, r := range u.requests() {
+				assert.Assert(t, r.header.Get("Attempt-Id") != "late", "%s was passed on", target)
+			}
+		}
+	}
+}
--- a/modules/gateway/handler.go
+++ b/modules/gateway/handler.go
@@ -144,8 +144,8 @@
 		return err
 	}
 	// Before checkCrashes, which may use up one of few trials.
-	if c.route.Kind == routing.Stream && !c.g.canFinishStream(c.started) {
-		return result.New(result.Leaving, "this gateway stops before the stream would end").After(stoppingRetryAfter)
+	if !c.canFinishBeforeStop() {
+		return result.New(result.Leaving, "this gateway stops before the request would end").After(stoppingRetryAfter)
 	}
 	return c.checkCrashes(r.Context())
 }
@@ -159,7 +159,21 @@
 	return c.req.ID
 }
 
-// stoppingRetryAfter is the Retry-After for streams that would not end before this
+// canFinishBeforeStop reports whether the request is expected to end before this gateway stops.
+// A request that comes after the drain delay, when the load balancer uses other gateways, is taken
+// only if it ends by its deadline, unless it is a stream that may go on elsewhere.
+func (c *callerRequest) canFinishBeforeStop() bool {
+	if c.route.Kind == routing.Stream && !c.g.canFinishStream(c.started) {
+		return false
+	}
+	if c.started.UnixNano() < c.g.drainedAt.Load() || c.route.Kind == routing.Stream && c.route.Resumable {
+		return true
+	}
+	stopAt := c.g.stopAt.Load()
+	return stopAt == 0 || c.deadline.UnixNano() < stopAt
+}
+
+// stoppingRetryAfter is the Retry-After for requests that would not end before this
 // gateway stops; other gateways can serve them at once.
 const stoppingRetryAfter = 50 * time.Millisecond
 
