--- a/modules/entry/attempt.go
+++ b/modules/entry/attempt.go
@@ -291,7 +291,7 @@
 // when ctx ends.
 func (c *call) outcomeUnknownError(ctx context.Context) *result.Error {
 	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return result.New(result.CallerGone, "the caller closed its connection")
+		return endedError(ctx)
 	}
 	e := result.New(result.OutcomeUnknown, "no outcome before the deadline; the call may have run")
 	if c.hasCallerKey {
@@ -436,5 +436,5 @@
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return result.New(result.DeadlineExceeded, "no answer before the deadline").WithRan(result.Unknown)
 	}
-	return result.New(result.CallerGone, "the caller closed its connection")
+	return endedError(ctx)
 }
--- a/modules/entry/cut_test.go
+++ b/modules/entry/cut_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -13,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"heatherway.dev/core/wire"
+	"heatherway.dev/kernel/result"
 )
 
 // rawCaller is a caller with one connection, which it uses until the entry says that it
@@ -208,3 +210,42 @@
 	res, _ := c.expect(400)
 	assert.Assert(t, res.Close)
 }
+
+// Guards against requests that are cut off without an answer at the end of a planned stop, among them
+// calls that may not be repeated and came late on a kept connection.
+func TestStopLimitAnswersRunningRequests(t *testing.T) {
+	for name, request := range map[string]string{
+		"call":              callerHead("GET", slowCall, "HTTP/1.1") + "\r\n",
+		"call at most once": withBody(callerHead("POST", slowCall, "HTTP/1.1"), "body"),
+		"whole generation":  withBody(callerHead("POST", "/v1/completions", "HTTP/1.1"), `{"model":"letters","prompt":"p"}`),
+	} {
+		t.Run(name, func(t *testing.T) {
+			release := make(chan struct{})
+			defer close(release)
+			a := newFakeAgent(t, "agent-1", func(w *frameWriter, _ *wire.GenerateRequest) { <-release })
+			a.call = func(args *wire.CallArgs, r *wire.CallReply) error {
+				if args.Path == "/slow" {
+					<-release
+				}
+				r.Status, r.Body = http.StatusOK, []byte("answer")
+				return nil
+			}
+			f := newFixture(t, a)
+			f.module.Grace = 400 * time.Millisecond
+			c := f.dial(t)
+			c.send(callerHead("GET", fastCall, "HTTP/1.1") + "\r\n")
+			c.expect(200)
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			done := make(chan struct{})
+			go func() { defer close(done); _ = f.module.Stop(ctx) }()
+			time.Sleep(150 * time.Millisecond)
+			c.send(request)
+			res, body := c.expect(500)
+			assert.Equal(t, decodeProblem(t, body).Code, int(result.OutcomeUnknown))
+			assert.Assert(t, res.Close)
+			<-done
+			assert.Assert(t, ctx.Err() == nil, "the stop took longer than its limit")
+		})
+	}
+}
--- a/modules/entry/driver.go
+++ b/modules/entry/driver.go
@@ -170,7 +170,7 @@
 	case <-d.timer.C:
 		d.tick()
 	case <-d.ctx.Done():
-		d.execute(d.assembler.Abandon(result.New(result.CallerGone, "the caller closed its connection")))
+		d.execute(d.assembler.Abandon(endedError(d.ctx)))
 	}
 }
 
@@ -316,7 +316,7 @@
 	}
 	d.closed = true
 	if d.outcome == nil {
-		d.execute(d.assembler.Abandon(result.New(result.CallerGone, "the caller closed its connection")))
+		d.execute(d.assembler.Abandon(endedError(d.ctx)))
 	}
 	for n := range d.conns {
 		d.closeConn(n)
--- a/modules/entry/entry.go
+++ b/modules/entry/entry.go
@@ -72,7 +72,9 @@
 	callerConns      *httpconn.Listener
 	internalListener net.Listener
 	publicServer     *http.Server
-	internalServer   *http.Server
+	// cancelRequests ends the contexts of all callers' requests.
+	cancelRequests context.CancelCauseFunc
+	internalServer *http.Server
 
 	owner   *owner
 	pool    *connPool
@@ -161,7 +163,10 @@
 func (m *Module) Start(ctx context.Context) error {
 	ctx, m.cancel = context.WithCancel(ctx)
 	m.callerConns = httpconn.NewListener(m.publicListener, httpconn.Limits{Idle: httpconn.FixedIdle(idleTimeout), Header: m.Limits.BodyTime})
+	requests, cancelRequests := context.WithCancelCause(context.Background())
+	m.cancelRequests = cancelRequests
 	m.publicServer = m.newServer()
+	m.publicServer.BaseContext = func(net.Listener) context.Context { return requests }
 	m.publicServer.ConnState = m.callerConns.ConnState
 	m.internalServer = &http.Server{Handler: m.internalHandler(), ReadHeaderTimeout: peer.DialTimeout * 4}
 	m.spawn(func() { m.owner.run(ctx) })
@@ -206,8 +211,9 @@
 	m.draining.Store(true)
 	m.log.Info("stopping; readiness check fails, open requests may finish", "open", m.openRequests.Load())
 	sleep(ctx, m.Grace)
-	err := m.callerConns.Drain(ctx, m.Grace)
+	err := m.drainCallers(ctx)
 	_ = m.publicServer.Close()
+	m.cancelRequests(errStopLimit)
 	if err != nil {
 		m.awaitHandlers()
 	}
@@ -221,6 +227,30 @@
 	return nil
 }
 
+// answerReserve is the part of the stop limit that is kept for answers to the requests that still run
+// at its end.
+const answerReserve = 300 * time.Millisecond
+
+// drainCallers serves the open connections until the stop limit is near, and then ends the requests
+// that still run with an answer.
+func (m *Module) drainCallers(ctx context.Context) error {
+	limit := ctx
+	if deadline, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		limit, cancel = context.WithDeadline(ctx, deadline.Add(-answerReserve))
+		defer cancel()
+	}
+	err := m.callerConns.Drain(limit, m.Grace)
+	if err == nil {
+		return nil
+	}
+	m.cancelRequests(errStopLimit)
+	answered, cancel := context.WithTimeout(context.Background(), answerReserve/2)
+	defer cancel()
+	_ = m.callerConns.Drain(answered, 0) // connections without a whole request are cut off
+	return err
+}
+
 // handlerTimeout bounds the wait for handlers to return after their connections
 // were closed.
 const handlerTimeout = time.Second
--- a/modules/entry/failure.go
+++ b/modules/entry/failure.go
@@ -13,6 +13,18 @@
 	"heatherway.dev/kernel/result"
 )
 
+// errStopLimit is the cause with which the contexts of requests end at the limit of a stop.
+var errStopLimit = errors.New("the stop limit of this entry is reached")
+
+// endedError returns the error of a request whose context ended before its deadline: its caller has
+// left, or the entry has reached the limit of its stop.
+func endedError(ctx context.Context) *result.Error {
+	if errors.Is(context.Cause(ctx), errStopLimit) {
+		return result.New(result.OutcomeUnknown, "this entry has stopped before the answer; the request may have run")
+	}
+	return result.New(result.CallerGone, "the caller closed its connection")
+}
+
 func generationFailure(e *result.Error, requestID string) error {
 	p := failure.New(e, requestID).Problem
 	return &generation.Failure{Status: failure.ErrorName(e), RetryAfter: failure.RetryAfterHeader(p.RetryAfterMS), Problem: &generation.Problem{
--- a/modules/entry/owner.go
+++ b/modules/entry/owner.go
@@ -369,11 +369,11 @@
 		return s
 	}
 	go o.releaseUnclaimed(reply)
-	code, message := result.CallerGone, "the caller closed its connection"
+	err := endedError(ctx)
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		code, message = result.DeadlineExceeded, "no upstream chosen before the deadline"
+		err = result.New(result.DeadlineExceeded, "no upstream chosen before the deadline")
 	}
-	return selection{err: result.New(code, "%s", message).WithRan(result.NotRun)}
+	return selection{err: err.WithRan(result.NotRun)}
 }
 
 // releaseUnclaimed ends the attempt of a selection whose requester has stopped
