gateway: deliver the first event of a stream whose version could not be recorded

What callers would have got: a stream without its first events, while control instances were away, a version other than the default had begun to answer, and the stream began anew at the default. Cause: the event counted as delivered before the record was awaited; the upstream was also taken for a failed one. Found by reading. Change: the record is awaited before the event is taken in, and its failure says nothing about the upstream. Measured: TestStreamBeginsAtTheDefaultVersionIfNoOtherCanBeRecorded red before (event 1 in place of 0), green now.

--- a/modules/gateway/stream.go
+++ b/modules/gateway/stream.go
@@ -306,6 +306,11 @@
 		return s.recordHeader(a, item.response)
 	}
 	defer s.reservation.release(item.event.reserved)
+	if !s.responseStarted { // before the event counts as delivered
+		if a.err = s.awaitRecord(a); a.err != nil {
+			return true
+		}
+	}
 	if item.event.id < 0 {
 		if a.continues && !a.started && item.event.hasData {
 			// It may be an error, or the caller may have it from an earlier attempt.
@@ -377,9 +382,6 @@
 // yet.
 func (s *streamRequest) write(a *attempt, raw []byte) bool {
 	if !s.responseStarted {
-		if a.err = s.awaitRecord(a); a.err != nil {
-			return true
-		}
 		s.responseStarted, s.version = true, a.choice.Version
 		key, version := s.streamKey(), s.version
 		s.g.owner.post(func(st *state) { st.origins.Relayed(key, version) })
@@ -402,7 +404,8 @@
 // stream reconnects to the same upstream, and records a run that broke off.
 func (s *streamRequest) settleAttempt(a *attempt) {
 	now, ticket := time.Now(), a.choice.Ticket
-	inconclusive := s.ctx.Err() != nil || errors.Is(a.err, errBuffersFull) // neither is a fault of the upstream
+	// None of these is a fault of the upstream.
+	inconclusive := s.ctx.Err() != nil || errors.Is(a.err, errBuffersFull) || errors.Is(a.err, errVersionNotRecorded)
 	failed := !a.complete && !a.meta.NotRun && !inconclusive
 	misdirected := a.status == http.StatusMisdirectedRequest // another incarnation has taken over the address
 	succeeded := a.complete && a.status < http.StatusInternalServerError
--- a/modules/gateway/version_test.go
+++ b/modules/gateway/version_test.go
@@ -4,9 +4,11 @@
 	"fmt"
 	"net/http"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"heatherway.dev/core/dispatch"
 	"heatherway.dev/core/routing"
 )
 
@@ -79,3 +81,25 @@
 	f := newFixture(t, configuration(), u)
 	assert.Equal(t, f.doStream("Resumes", "begun elsewhere").status, 200)
 }
+
+// Guards against events that are lost, and a sound upstream that is taken for a failed one, when a
+// stream begins at another version since its version cannot be recorded.
+func TestStreamBeginsAtTheDefaultVersionIfNoOtherCanBeRecorded(t *testing.T) {
+	ups := []*upstream{streamingUpstream(t, "u1", "model", "v1"), streamingUpstream(t, "u2", "model", "v2")}
+	f := newFixture(t, configuration(), ups...)
+	f.owner.call(func(s *state) { s.origins.Told(time.Now(), "model", "v1") })
+	for range 20 {
+		res := f.doStream()
+		assert.Equal(t, res.status, 200)
+		assert.DeepEqual(t, receivedIDs(res.body), []string{"0"})
+		if n := len(ups[1].requests()); n > 0 {
+			break
+		}
+	}
+	assert.Equal(t, len(ups[1].requests()), 1, "a stream was tried at the other version")
+	begun := ups[0].requests()
+	assert.Equal(t, begun[len(begun)-1].header.Get("Last-Event-Id"), "")
+	f.owner.call(func(s *state) {
+		assert.Check(t, s.fleet.RetryIn(time.Now(), &dispatch.Request{Service: "model", Stream: true, Version: "v2"}) == 0, "the upstream counts as failed")
+	})
+}
