replica: start a group that an upgrade adds to running instances

What callers would have got: with data of the release before, no control instance ever starts the new group of the log, so every stream waits 1.5 s for a record that fails, and take-ups are refused while two versions serve. Cause: groups are started only at the first start of the whole system.

--- a/modules/control/replica/discovery.go
+++ b/modules/control/replica/discovery.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"strings"
 
 	"heatherway.dev/core/raft"
 )
@@ -102,6 +103,48 @@
 	return ok && i.nominees[g.id] == r.options.Self
 }
 
+// addedGroupTicks is the time for which no member must have a group before it is started as one that
+// an upgrade has added. It is longer than any identity stays current, so that none that is older than
+// the start of the group elsewhere counts.
+const addedGroupTicks = 2 * identityTTLTicks
+
+// isAddedByUpgrade reports whether this instance starts a group that a new release has added to
+// running instances, for which no seed nominates anybody: it is the first group's voter with the
+// lowest ID, and all voters of that group have had no log of the new one for addedGroupTicks. An
+// instance of an earlier release does not say so.
+func (g *group) isAddedByUpgrade() bool {
+	r := g.replica
+	if g == r.orderedGroups[0] || !r.lacksGroup(g.id, r.orderedGroups[0].node.Membership().Voters()) {
+		g.absentChecks = 0
+		return false
+	}
+	g.absentChecks++
+	return g.absentChecks*memberCheckTicks >= addedGroupTicks
+}
+
+// lacksGroup reports whether this instance is the one of the voters with the lowest ID, the voters are
+// enough to form a group, and neither they nor any other known instance has a log of it.
+func (r *Replica) lacksGroup(id Group, voters []raft.Member) bool {
+	if len(voters) < r.options.Discovery.MinVoters {
+		return false
+	}
+	lowest := slices.MinFunc(voters, func(a, b raft.Member) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	if lowest.ID != r.options.Self {
+		return false
+	}
+	for _, v := range voters {
+		if i, ok := r.currentIdentity(v.ID); !ok || !i.empty[id] {
+			return false
+		}
+	}
+	for other := range r.known {
+		if i, ok := r.currentIdentity(other); ok && !i.relay && !i.empty[id] {
+			return false
+		}
+	}
+	return true
+}
+
 // candidates returns the instances that should be members, ordered by ID.
 func (r *Replica) candidates() []Peer {
 	if r.options.Discovery == nil {
--- a/modules/control/replica/discovery_test.go
+++ b/modules/control/replica/discovery_test.go
@@ -209,3 +209,26 @@
 	m.mu.Unlock()
 	assert.Equal(t, len(m.Members()), 3)
 }
+
+// Guards against a group that an upgrade adds and that is never started, or is started twice, when
+// the instances are upgraded one after another.
+func TestGroupAddedByAnUpgrade(t *testing.T) {
+	t.Parallel()
+	c := newDiscoveredCluster(t, 4, 1)
+	c.propose(0, "kept")
+	c.eventually("four voters", func() bool { return c.hasVoters(4) })
+	for _, p := range c.peers {
+		c.kill(p.ID)
+		c.groups = 2
+		c.start(p)
+		c.groups = 1
+		c.eventually("four voters of the first group again", func() bool { return c.hasVoters(4) })
+	}
+	c.groups = 2
+	c.propose(1, "added")
+	for _, n := range c.nodes {
+		c.eventually("entries of both groups everywhere", func() bool {
+			return slices.Equal(n.machines[0].all(), []string{"kept"}) && slices.Equal(n.machines[1].all(), []string{"added"})
+		})
+	}
+}
--- a/modules/control/replica/group.go
+++ b/modules/control/replica/group.go
@@ -25,6 +25,8 @@
 
 	// nominee is the instance that this one has nominated to bootstrap the group.
 	nominee raft.MemberID
+	// absentChecks is the number of consecutive checks at which no member had the group.
+	absentChecks uint64
 
 	// waiters are completed when the entry at their index is applied.
 	waiters map[uint64]waiter
--- a/modules/control/replica/members.go
+++ b/modules/control/replica/members.go
@@ -142,7 +142,7 @@
 func (g *group) bootstrap() {
 	r := g.replica
 	if r.options.Discovery != nil {
-		if !g.isNominee() {
+		if !g.isNominee() && !g.isAddedByUpgrade() {
 			return
 		}
 	} else if !g.hasLowestID() {
