--- a/modules/registry/registry_test.go
+++ b/modules/registry/registry_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -18,7 +19,9 @@
 	"gotest.tools/v3/assert"
 
 	"heatherway.dev/core/crash"
+	"heatherway.dev/core/origin"
 	"heatherway.dev/core/registration"
+	"heatherway.dev/core/throttle"
 	"heatherway.dev/heatherway/internal/freeport"
 	"heatherway.dev/heatherway/platform"
 	"heatherway.dev/kernel/peer"
@@ -29,7 +32,7 @@
 
 // fleet is a set of control instances, each on its own loopback address.
 type fleet struct {
-	t         *testing.T
+	t         testing.TB
 	seeds     []string
 	bootstrap bool
 	nodes     []*node
@@ -43,9 +46,9 @@
 	addr   string
 }
 
-func newFleet(t *testing.T, size int) *fleet { return newLoggedFleet(t, size, io.Discard) }
+func newFleet(t testing.TB, size int) *fleet { return newLoggedFleet(t, size, io.Discard) }
 
-func newLoggedFleet(t *testing.T, size int, log io.Writer) *fleet {
+func newLoggedFleet(t testing.TB, size int, log io.Writer) *fleet {
 	f := &fleet{t: t, bootstrap: true, log: log}
 	n := fleetCount.Add(1)
 	port := freePort(t)
@@ -68,7 +71,7 @@
 	return f
 }
 
-func freePort(t *testing.T) string {
+func freePort(t testing.TB) string {
 	l, err := freeport.Listen()
 	assert.NilError(t, err)
 	defer l.Close()
@@ -115,7 +118,7 @@
 	}
 }
 
-func (n *node) call(t *testing.T, method, path, text string) (int, string) {
+func (n *node) call(t testing.TB, method, path, text string) (int, string) {
 	t.Helper()
 	q, err := http.NewRequestWithContext(t.Context(), method, "http://"+n.operators.Addr().String()+path, strings.NewReader(text))
 	assert.NilError(t, err)
@@ -569,3 +572,42 @@
 	_, err := os.Stat(n.folder)
 	assert.ErrorIs(t, err, os.ErrNotExist)
 }
+
+// BenchmarkRecordStream measures durable records of streams through a follower of three instances,
+// by 64 gateways at once.
+func BenchmarkRecordStream(b *testing.B) {
+	benchmarkLeaderCall(b, func(client *peer.Client, i int64) error {
+		args := &RecordStreamArgs{Forward: true, Record: origin.Record{Service: "s", Version: "v2", Key: origin.KeyOf("s", fmt.Sprint(i))}}
+		return client.Call(b.Context(), ServiceName+".RecordStream", args, &RecordStreamReply{})
+	})
+}
+
+// BenchmarkGrant measures questions for a grant in the same way.
+func BenchmarkGrant(b *testing.B) {
+	benchmarkLeaderCall(b, func(client *peer.Client, i int64) error {
+		want := throttle.Want{Key: throttle.Key{ID: fmt.Sprint("i-", i%100)}, Statement: throttle.WireStatement{Rate: 100}, Count: 1}
+		args := &GrantArgs{Forward: true, Ask: throttle.Ask{Gateway: fmt.Sprint(i % 64), Wants: []throttle.Want{want}}}
+		return client.Call(b.Context(), ServiceName+".Grant", args, &GrantReply{})
+	})
+}
+
+func benchmarkLeaderCall(b *testing.B, call func(client *peer.Client, i int64) error) {
+	f := newFleet(b, 3)
+	f.replace(f.nodes[0], 1, "first")
+	var clients []*peer.Client
+	for i := range 64 {
+		clients = append(clients, f.nodes[i%3].security.NewClient(f.nodes[i%3].addr))
+	}
+	f.eventually("an answer", func() bool { return call(clients[0], -1) == nil })
+	var next atomic.Int64
+	b.SetParallelism(64 / runtime.GOMAXPROCS(0))
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		client := clients[int(next.Add(1))%len(clients)]
+		for pb.Next() {
+			if err := call(client, next.Add(1)); err != nil {
+				b.Error(err)
+			}
+		}
+	})
+}
