gateway: an answer to an own call does not end a limit

What upstreams would have seen: a rush after an answer to a report that names no limit while those to callers do. Change: only answers that name a caller's request end a limit. The owner of the limits checks that its log is open. Measured: TestLimitLastsUntilAnAnswerToACallerNamesNone red before, green now.

--- a/modules/gateway/limit.go
+++ b/modules/gateway/limit.go
@@ -24,9 +24,10 @@
 var errLimited = errors.New("the upstream has named a limit, which is kept for the requests of callers")
 
 // recordLimit records what the answer to a request that was sent at a time says about the
-// limit of an upstream. A limit that cannot be read leaves the last one in force.
+// limit of an upstream. A limit that cannot be read leaves the last one in force, and so does an
+// answer without one to a call of the gateway's own, which names no request.
 func (g *Gateway) recordLimit(u registration.Upstream, sentAt time.Time, r dialect.Response) {
-	if r.LimitInvalid {
+	if r.LimitInvalid || r.Limit == nil && r.RequestID == "" {
 		return
 	}
 	now := time.Now()
--- a/modules/gateway/limit_test.go
+++ b/modules/gateway/limit_test.go
@@ -110,6 +110,25 @@
 	}
 }
 
+// Guards against a limit that counts as ended because answers to heatherway's own calls, or an answer
+// with a value that cannot be read, do not name it.
+func TestLimitLastsUntilAnAnswerToACallerNamesNone(t *testing.T) {
+	u := startUpstream(t, "u1", "desk", "z0", func(w http.ResponseWriter, _ *http.Request, n int) {
+		w.Header().Set("Server-Limit", "0.5")
+	})
+	f := newFixture(t, configuration(), u)
+	requestUntilReceived(t, f, u)
+	for _, h := range []http.Header{{}, {"Attempt-Id": {"a"}, "Server-Limit": {"many"}}} {
+		f.handleResponseSignals(u.Upstream, receivedResponse{200, h, time.Now(), true})
+		f.owner.call(func(s *state) {
+			ended := s.fleet.LimitEnded(u.ID, u.StartedMS)
+			assert.Check(t, !ended, "%v", h)
+		})
+	}
+	f.handleResponseSignals(u.Upstream, receivedResponse{200, http.Header{"Attempt-Id": {"a"}}, time.Now(), true})
+	f.owner.call(func(s *state) { assert.Check(t, s.fleet.LimitEnded(u.ID, u.StartedMS)) })
+}
+
 // Guards against a restarted upstream that is still kept to the limit of its earlier incarnation.
 func TestLimitEndsWithTheIncarnation(t *testing.T) {
 	ups := startPlainUpstreams(t, 1, func(w http.ResponseWriter, _ *http.Request, n int) {
--- a/modules/registry/limit.go
+++ b/modules/registry/limit.go
@@ -91,7 +91,11 @@
 	ctx, cancel := context.WithTimeout(r.ctx, grantCallTimeout)
 	defer cancel()
 	_, err = r.tryLeader(ctx, func(ctx context.Context) (uint64, error) {
-		grant, err := r.limits.answer(ctx, r.currentReplica().Leader(group).Term, args.Ask)
+		rep := r.currentReplica()
+		if rep == nil {
+			return 0, result.New(result.ControlUnavailable, "the log of this instance is closed")
+		}
+		grant, err := r.limits.answer(ctx, rep.Leader(group).Term, args.Ask)
 		reply.Grant, reply.Owner = grant, r.PeerListen
 		return 0, err
 	}, func(ctx context.Context, addr string) (uint64, error) {
