--- a/core/dispatch/limit.go
+++ b/core/dispatch/limit.go
@@ -88,12 +88,6 @@
 	return u != nil && u.limit.Limited(now)
 }
 
-// LimitEnded reports whether an incarnation has named a limit and names none any more.
-func (f *Fleet) LimitEnded(id string, startedMS int64) bool {
-	u := f.incarnation(id, startedMS)
-	return u != nil && u.limit.Statement() != nil && u.limit.Statement().Ended
-}
-
 // ApplyGrant applies the answer of the owner of the limits to a question that was sent at a
 // time, and returns the limits that have changed.
 func (f *Fleet) ApplyGrant(askedAt, now time.Time, req *Request, g throttle.Grant) (changes []LimitChange) {
--- a/modules/gateway/limit_test.go
+++ b/modules/gateway/limit_test.go
@@ -116,17 +116,21 @@
 	u := startUpstream(t, "u1", "desk", "z0", func(w http.ResponseWriter, _ *http.Request, n int) {
 		w.Header().Set("Server-Limit", "0.5")
 	})
-	f := newFixture(t, configuration(), u)
-	requestUntilReceived(t, f, u)
-	for _, h := range []http.Header{{}, {"Attempt-Id": {"a"}, "Server-Limit": {"many"}}} {
-		f.handleResponseSignals(u.Upstream, receivedResponse{200, h, time.Now(), true})
+	for _, c := range []struct {
+		header http.Header
+		ends   bool
+	}{{http.Header{}, false}, {http.Header{"Attempt-Id": {"a"}, "Server-Limit": {"many"}}, false}, {http.Header{"Attempt-Id": {"a"}}, true}} {
+		f := newFixture(t, configuration(), u)
+		for !f.limitKnown(u) {
+			f.do(f.request("GET", "/look/x", ""))
+		}
+		f.handleResponseSignals(u.Upstream, receivedResponse{200, c.header, time.Now(), true})
 		f.owner.call(func(s *state) {
-			ended := s.fleet.LimitEnded(u.ID, u.StartedMS)
-			assert.Check(t, !ended, "%v", h)
+			now := time.Now()
+			_, endsNow := s.fleet.ObserveLimit(now, now, u.ID, u.StartedMS, nil)
+			assert.Check(t, endsNow != c.ends, "%v", c.header)
 		})
 	}
-	f.handleResponseSignals(u.Upstream, receivedResponse{200, http.Header{"Attempt-Id": {"a"}}, time.Now(), true})
-	f.owner.call(func(s *state) { assert.Check(t, s.fleet.LimitEnded(u.ID, u.StartedMS)) })
 }
 
 // Guards against a restarted upstream that is still kept to the limit of its earlier incarnation.
