--- a/test/soak/limit_test.go
+++ b/test/soak/limit_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -132,6 +133,8 @@
 	// time since the start, as a share of the whole time; by default it is drawn by lot.
 	rate    float64
 	gateway func(share float64) int
+	// answerDelay delays the answers of plain servers, so that gateways learn the limit late.
+	answerDelay time.Duration
 	// fault is injected beside the load.
 	fault func(p *limitPlay)
 	// gateways is the number of gateways, 0 for the usual one.
@@ -170,6 +173,9 @@
 	{name: "lookups gateways restart", path: "look", limited: 3, limit: "2.3", rate: 40, fault: (*limitPlay).restartGateways},
 	{name: "lookups control killed", path: "look", limited: 3, limit: "2.3", rate: 40, fault: (*limitPlay).killControl},
 	{name: "lookups leader lost", path: "look", limited: 3, limit: "2.3", rate: 40, fault: (*limitPlay).restartControl},
+	{name: "lookups gateways frozen", path: "look", limited: 3, limit: "2.3", rate: 40, fault: (*limitPlay).freezeGateways},
+	{name: "bookings slow answers", path: "book", limited: 3, limit: "2.1", rate: 40, answerDelay: 600 * time.Millisecond},
+	{name: "lookups limit of a billion", path: "look", limited: 3, limit: "1000000000", rate: 60},
 	{name: "streams control killed", path: "letters", limited: 6, limit: "0.7", rate: 30, fault: (*limitPlay).killControl},
 }
 
@@ -202,6 +208,18 @@
 	}
 }
 
+func (p *limitPlay) freezeGateways() {
+	for i, g := range p.sys.gateways[:4] {
+		p.sleep(0.1)
+		g.signal(syscall.SIGSTOP)
+		p.sleep(0.12)
+		p.mu.Lock()
+		p.restarts[fmt.Sprint(i)] = append(p.restarts[fmt.Sprint(i)], time.Now())
+		p.mu.Unlock()
+		g.signal(syscall.SIGCONT)
+	}
+}
+
 func (p *limitPlay) killControl() {
 	p.sleep(0.4)
 	for _, r := range p.sys.registries {
@@ -248,6 +266,7 @@
 		servers = sys.servers[:modelServers]
 	}
 	limited := servers[:c.limited]
+	sys.answerDelay.Store(int64(c.answerDelay))
 	p.from = time.Now()
 	p.until = p.from.Add(cmp.Or(c.duration, *limitTime))
 	for _, s := range limited {
@@ -326,7 +345,9 @@
 		used = p.checkWindows(limited, later, middle.Add(limitNoticeTime), p.until)
 	}
 	t.Logf("%s | seed %d | answers %v | used %.2f of the limits | slowest refusal %v", p.name, p.sys.seed, p.answers, used, p.slowest)
-	if p.fault == nil && limit > 0 {
+	if p.fault == nil && limit*float64(p.limited) > p.rate {
+		assert.Check(t, p.answers[http.StatusServiceUnavailable] == 0, "%v although the limits leave room", p.answers)
+	} else if p.fault == nil && limit > 0 {
 		assert.Check(t, used >= minLimitUse, "only %.2f of the limits used", used)
 	}
 	if p.fault == nil && p.limited < plainServers {
--- a/test/soak/upstream_test.go
+++ b/test/soak/upstream_test.go
@@ -253,7 +253,7 @@
 	h.Set("Response-Seal", "seal of "+attempt)
 	s.system.runCounts.add(attempt)
 	if s.service == "desk" {
-		time.Sleep(5 * time.Millisecond)
+		time.Sleep(5*time.Millisecond + time.Duration(s.system.answerDelay.Load()))
 		_, _ = io.WriteString(w, eventData(attempt, 0))
 		return
 	}
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -37,6 +37,8 @@
 	crashRequests atomic.Pointer[crashRequests]
 	// announcementDelay delays the announcements of upstreams, in nanoseconds.
 	announcementDelay atomic.Int64
+	// answerDelay delays the answers of plain servers, in nanoseconds.
+	answerDelay atomic.Int64
 	// eventInterval is the time between two events of a stream, in nanoseconds; 0 for the default.
 	eventInterval   atomic.Int64
 	refusedAttempts sync.Map
