crash: a blocked part is not forgotten while requests with it come

What callers' upstreams saw: 27 of them ended in 18 h by a part that was blocked long before (three allowed). Cause: each crash expired by itself six hours after it happened, so the part fell below the threshold and was tried again and again, while requests with it still came. Change: the crashes that block a part expire together, six hours after the last crash or held request; a blocked part gets one more trial in 24 h, since it may have been repaired.

--- a/core/crash/blame.go
+++ b/core/crash/blame.go
@@ -73,6 +73,9 @@
 		if d, decided := decisions[key]; decided {
 			verdict = max(verdict, d.Verdict)
 			held = append(held, key)
+			if d.Verdict == Blocked {
+				t.requests[key].lastHeld = now
+			}
 		}
 	}
 	return verdict, held
@@ -322,20 +325,25 @@
 	}
 }
 
-// retainParts decides for each part whether its crashes are kept for partRetention.
+// retainParts decides for each part whether its crashes are kept for partRetention. Those that
+// block it are forgotten together, once neither a crash nor a request has come for that long: one
+// by one, each would cost a further upstream.
 func (t *Tracker) retainParts(now time.Time) {
 	for _, req := range t.requests {
 		if !req.part {
 			continue
 		}
-		ended := 0
+		ended, keptFrom := 0, req.lastHeld
 		for _, r := range req.runs {
 			if r.outcome == UpstreamEnded && !r.expired(now) {
 				ended++
+				keptFrom = latest(keptFrom, r.interruptedAt)
 			}
 		}
 		for _, r := range req.runs {
-			r.keptLong = ended >= partThreshold
+			if r.keptLong = ended >= partThreshold; r.keptLong && r.outcome == UpstreamEnded {
+				r.keptFrom = keptFrom
+			}
 		}
 	}
 }
--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -140,8 +140,10 @@
 	announcements int
 	lastSeq       int64
 	replaced      bool
-	// keptLong is set while the run counts for partRetention.
+	// keptLong is set while the run counts for partRetention, from keptFrom if that is later
+	// than the interruption.
 	keptLong bool
+	keptFrom time.Time
 	// lastChange is the number of the last change that EntriesSince returns.
 	lastChange uint64
 }
@@ -154,7 +156,7 @@
 		return now.Sub(r.interruptedAt) > interruptedRetention
 	}
 	if r.keptLong {
-		return now.Sub(r.interruptedAt) > partRetention
+		return now.Sub(latest(r.interruptedAt, r.keptFrom)) > partRetention
 	}
 	return now.Sub(r.interruptedAt) > crashRetention
 }
@@ -190,6 +192,16 @@
 	trialsChange uint64
 	probeCount   int
 	lastAsked    time.Time
+	// lastHeld is when a request was last held for the part as a blocked one.
+	lastHeld time.Time
+}
+
+// latest returns the later of two times.
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
 }
 
 // Tracker holds the crash data of one process. It is not safe for concurrent use.
--- a/core/crash/trial.go
+++ b/core/crash/trial.go
@@ -25,10 +25,12 @@
 	contestedTrialDelay = 2500 * time.Millisecond
 	maxContestedTrials  = 2
 	// partTrialFactor multiplies the wait for a trial of a part with each run since the
-	// fifth crash: after 10 s, 80 s and 11 min. A blocked part gets maxLatePartRuns in all,
-	// however long requests with it arrive, since each costs an upstream.
-	partTrialFactor = 8
-	maxLatePartRuns = 3
+	// fifth crash: after 10 s, 80 s and 11 min. A blocked part gets maxLatePartRuns, since each
+	// costs an upstream. While requests with it arrive, it gets a further one after each
+	// repairedPartDelay: it may have been repaired.
+	partTrialFactor   = 8
+	maxLatePartRuns   = 3
+	repairedPartDelay = 24 * time.Hour
 	// maxKeptTrials limits the late trials that are kept of a contested part, whose number
 	// is limited by their waits only.
 	maxKeptTrials = 8
@@ -202,13 +204,13 @@
 	}
 	crashes := req.crashes(now)
 	late := req.lateRuns(crashes, d.Contested)
-	if d.Verdict == Blocked && late >= maxLatePartRuns {
-		return false
-	}
 	var last time.Time
 	if len(crashes) > 0 {
 		last = crashes[len(crashes)-1].interruptedAt
 	}
+	if d.Verdict == Blocked && late >= maxLatePartRuns {
+		return now.Sub(last) >= repairedPartDelay && now.Sub(req.lastTrial) >= repairedPartDelay
+	}
 	if d.Verdict != Blocked && late < maxLatePartRuns && (contested < 2 || d.Confirmed < minPartConfirmed) {
 		return now.Sub(last) >= time.Duration(contested-1)*contestedProbeDelay &&
 			(req.lastTrial.IsZero() || now.Sub(req.lastTrial) >= firstProbeDelay<<min(max(req.probeCount-1, 0), maxLatePartRuns))
