gateway: a starting gateway waits for the upstreams of a stream's version

What callers would have got: 503, the version no longer serves, from a gateway that had just started and had not heard of its upstreams yet. Found by reading. Change: within the startup period such a take-up waits as long as a request for an unknown service does. placeWithGrants takes the questions to the owner of the limits out of the wait for an upstream. Measured: TestTakeUpWaitsForTheDirectoryOfAStartingGateway red before, green now; tests of limits and take-ups green.

--- a/modules/gateway/handler.go
+++ b/modules/gateway/handler.go
@@ -396,27 +396,18 @@
 // limit. It waits longer at a gateway that has just started and knows no upstream of
 // the service, since a refused caller has few retries.
 func (c *callerRequest) placeWithin(request *dispatch.Request, limit time.Duration) (dispatch.Choice, *dispatch.Refusal) {
-	start, asks := time.Now(), 0
+	start := time.Now()
 	for {
-		choice, refusal := c.g.owner.place(request)
+		choice, refusal := c.placeWithGrants(request)
 		if refusal == nil {
 			return choice, nil
 		}
-		if c.ctx.Err() == nil && (len(refusal.Ask) > 0 || request.WithoutAsking && asks < maxAsks) {
-			if len(refusal.Ask) > 0 {
-				asks++
-				c.askForGrant(request, refusal)
-			}
-			// What has been granted is used before another upstream is asked for.
-			request.WithoutAsking = len(refusal.Ask) > 0
-			continue
-		}
-		request.WithoutAsking, asks = false, 0
-		if refusal.Known == 0 && c.g.follower.startingUp() {
+		mayAppear := c.g.follower.startingUp() && (refusal.Known == 0 || refusal.VersionGone)
+		if mayAppear {
 			limit = max(limit, startupPlacementWait)
 		}
 		waited := time.Since(start)
-		if waited >= limit || c.ctx.Err() != nil || refusal.VersionGone || (refusal.AllBackingOff || refusal.AllLimited) && waited+refusal.RetryAfter > limit {
+		if waited >= limit || c.ctx.Err() != nil || refusal.VersionGone && !mayAppear || (refusal.AllBackingOff || refusal.AllLimited) && waited+refusal.RetryAfter > limit {
 			return choice, refusal
 		}
 		select {
--- a/modules/gateway/version_test.go
+++ b/modules/gateway/version_test.go
@@ -9,6 +9,8 @@
 	"gotest.tools/v3/assert"
 
 	"heatherway.dev/core/dispatch"
+	"heatherway.dev/core/origin"
+	"heatherway.dev/core/registration"
 	"heatherway.dev/core/routing"
 )
 
@@ -103,3 +105,21 @@
 		assert.Check(t, s.fleet.RetryIn(time.Now(), &dispatch.Request{Service: "model", Stream: true, Version: "v2"}) == 0, "the upstream counts as failed")
 	})
 }
+
+// Guards against a take-up that is told that its version is gone by a gateway that has just started and
+// does not know the upstreams of that version yet.
+func TestTakeUpWaitsForTheDirectoryOfAStartingGateway(t *testing.T) {
+	u, other := streamingUpstream(t, "u1", "model", "v1"), streamingUpstream(t, "u2", "model", "v2")
+	f := newFixture(t, configuration(), other)
+	f.owner.call(func(s *state) { s.origins.Relayed(origin.KeyOf("model", "begun elsewhere"), "v1") })
+	time.AfterFunc(200*time.Millisecond, func() { f.announce(u.Upstream) })
+	assert.Equal(t, f.doStream("Last-Event-Id", "4", "Resumes", "begun elsewhere").status, 200)
+	assert.Equal(t, len(u.requests()), 1)
+	f.follower.started = time.Now().Add(-time.Minute)
+	gone := u.Upstream
+	gone.State, gone.Seq = registration.Left, 2
+	f.announce(gone)
+	res := f.doStream("Last-Event-Id", "4", "Resumes", "begun elsewhere")
+	assert.Equal(t, res.status, http.StatusServiceUnavailable)
+	assert.Assert(t, res.took < 400*time.Millisecond, "%v", res.took)
+}
--- a/modules/registry/origin.go
+++ b/modules/registry/origin.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"heatherway.dev/core/origin"
@@ -33,11 +34,12 @@
 	mu     sync.Mutex
 	ledger *origin.Ledger
 
-	// chooser, proposing and present are used by the goroutine of the directory only, except that
-	// the proposal clears proposing.
+	// chooser is used by the goroutine of the directory only. proposing is set while it waits for
+	// a default version to become durable.
 	chooser   *origin.DefaultChooser
-	proposing sync.Mutex
-	// present tells which default versions have an upstream that has not left, by service.
+	proposing atomic.Bool
+	// present holds the default version of each service that has an upstream of it that has not
+	// left.
 	present sync.Map
 }
 
@@ -212,11 +214,11 @@
 // proposeDefault writes a default version. One is written at a time; the next search finds the
 // services that are left.
 func (l *originLedger) proposeDefault(service, current, next string) {
-	if !l.proposing.TryLock() {
+	if !l.proposing.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
-		defer l.proposing.Unlock()
+		defer l.proposing.Store(false)
 		err := l.write(l.registry.ctx, origin.Command{DefaultOf: service, Default: next})
 		l.registry.log.Info("default software version of a service chosen", "service", service, "version", next, "previous", current, "error", err)
 	}()
