--- a/modules/gateway/harness_test.go
+++ b/modules/gateway/harness_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -173,16 +174,15 @@
 	return ids
 }
 
-var attemptCount int
+var attemptCount atomic.Int64
 
 // request builds a caller's request.
 func (f *fixture) request(method, target, body string, header ...string) *http.Request {
 	f.t.Helper()
 	r, err := http.NewRequestWithContext(f.t.Context(), method, "http://"+f.addr+target, strings.NewReader(body))
 	assert.NilError(f.t, err)
-	attemptCount++
 	r.Host = "h"
-	r.Header.Set("Attempt-Id", fmt.Sprint("attempt-", attemptCount))
+	r.Header.Set("Attempt-Id", fmt.Sprint("attempt-", attemptCount.Add(1)))
 	r.Header.Set("Authorization", "Bearer secret")
 	r.Header.Set("Deadline-Ms", "20000")
 	for i := 0; i+1 < len(header); i += 2 {
