gateway: placement of requests in a file of its own

Cause: handler.go had grown to 540 lines with the questions to the owner of the limits and the waits of starting gateways. Measured: tests of limits, take-ups, retries and refusals green.

--- a/modules/gateway/handler.go
+++ b/modules/gateway/handler.go
@@ -12,7 +12,6 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 
-	"heatherway.dev/core/dispatch"
 	"heatherway.dev/core/registration"
 	"heatherway.dev/core/routing"
 	"heatherway.dev/heatherway/internal/failure"
@@ -265,33 +264,6 @@
 	return content, control.SetReadDeadline(time.Time{})
 }
 
-// dispatchRequest returns the request as the dispatcher sees it.
-func (c *callerRequest) dispatchRequest() *dispatch.Request {
-	return &dispatch.Request{
-		Service: c.service.Name, Stream: c.route.Kind == routing.Stream,
-		PromptTokens: c.req.PromptTokens, OutputTokens: c.outputTokens(), Tried: c.tried,
-		Affinity: c.req.PromptKey, ID: c.req.ID, Priority: c.priority, Organisation: c.organisationName(),
-		Continues: c.responseStarted || c.req.LastEventID != dialect.NoEvent,
-	}
-}
-
-// organisationName returns the name of the owner of the caller's API key, empty on public
-// routes.
-func (c *callerRequest) organisationName() string {
-	if c.organisation == nil {
-		return ""
-	}
-	return c.organisation.Name
-}
-
-// outputTokens estimates the number of tokens to be generated.
-func (c *callerRequest) outputTokens() int {
-	if c.req.ExpectedTokens > 0 {
-		return min(c.req.ExpectedTokens, max(c.req.MaxTokens, c.req.ExpectedTokens))
-	}
-	return c.req.MaxTokens
-}
-
 // upstreamRequest returns the request as it is sent to an upstream.
 func (c *callerRequest) upstreamRequest(u registration.Upstream, f dialect.Forward) *outgoingRequest {
 	f.Deadline = time.Until(c.deadline)
@@ -383,47 +355,6 @@
 	}
 }
 
-const (
-	// placementRetryDelay is the delay before the placement is retried when no upstream
-	// was available.
-	placementRetryDelay = 40 * time.Millisecond
-	// startupPlacementWait is how long a request waits for an upstream at a gateway
-	// that has just started and knows none of the service.
-	startupPlacementWait = 700 * time.Millisecond
-)
-
-// placeWithin places the request, and waits for an available upstream for at most
-// limit. It waits longer at a gateway that has just started and knows no upstream of
-// the service, since a refused caller has few retries.
-func (c *callerRequest) placeWithin(request *dispatch.Request, limit time.Duration) (dispatch.Choice, *dispatch.Refusal) {
-	start := time.Now()
-	for {
-		choice, refusal := c.placeWithGrants(request)
-		if refusal == nil {
-			return choice, nil
-		}
-		mayAppear := c.g.follower.startingUp() && (refusal.Known == 0 || refusal.VersionGone)
-		if mayAppear {
-			limit = max(limit, startupPlacementWait)
-		}
-		waited := time.Since(start)
-		if waited >= limit || c.ctx.Err() != nil || refusal.VersionGone && !mayAppear || (refusal.AllBackingOff || refusal.AllLimited) && waited+refusal.RetryAfter > limit {
-			return choice, refusal
-		}
-		select {
-		case <-time.After(placementRetryDelay):
-		case <-c.ctx.Done():
-		}
-	}
-}
-
-// noUpstreamError is the error for a request that no upstream can take; the request has
-// not run.
-func (c *callerRequest) noUpstreamError(r *dispatch.Refusal) error {
-	return result.New(result.NoUpstream, "none of %d upstreams of %s can take the request now, full=%v limited=%v", r.Known, c.service.Name, r.MemoryFull, r.AllLimited).
-		After(c.spreadRetryAfter(r.RetryAfter))
-}
-
 // respondError writes the gateway's own error response to the caller. A 503 counts as
 // refused, since the request has not run; other server errors count as failed.
 func (c *callerRequest) respondError(err error) {
--- a/modules/gateway/limit.go
+++ b/modules/gateway/limit.go
@@ -49,25 +49,6 @@
 	return limited
 }
 
-// placeWithGrants places the request once, and asks the owner of the limits for what the placement
-// needs.
-func (c *callerRequest) placeWithGrants(request *dispatch.Request) (choice dispatch.Choice, refusal *dispatch.Refusal) {
-	for range maxAsks {
-		request.WithoutAsking = false
-		choice, refusal = c.g.owner.place(request)
-		if refusal == nil || len(refusal.Ask) == 0 || c.ctx.Err() != nil {
-			return choice, refusal
-		}
-		c.askForGrant(request, refusal)
-		// What has been granted is used before another upstream is asked for.
-		request.WithoutAsking = true
-		if choice, refusal = c.g.owner.place(request); refusal == nil {
-			return choice, nil
-		}
-	}
-	return choice, refusal
-}
-
 // askForGrant asks the owner of the limits whether the request may be sent to one of the
 // upstreams that a refusal names, and applies the answer.
 func (c *callerRequest) askForGrant(request *dispatch.Request, refusal *dispatch.Refusal) {
