agent: a quarantine that has ended names a short Retry-After

What callers saw: retry_after_ms, seven weeks, for a request whose quarantine had ended while no control instance ran. Cause: the time left was below zero and wrapped in the frame. Change: the agent names at least 500 ms; the control instances say with the next watch that the quarantine has ended.

--- a/modules/agent/odd_test.go
+++ b/modules/agent/odd_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"heatherway.dev/core/wire"
+	"heatherway.dev/kernel/result"
 )
 
 // Guards against an agent that refuses all work for ever because one entry has named a
@@ -60,3 +61,14 @@
 }
 
 func (e acceptingQuery) apply(o *owner, _ time.Time) { e.answer <- o.checkAccepting(e.at, 0, "", "") }
+
+// Guards against a caller who is told to return in seven weeks since a quarantine has ended while no
+// control instance could say so.
+func TestQuarantineThatHasEndedNamesAShortTime(t *testing.T) {
+	e := newFakeEngine(t)
+	a := startAgent(t, engineAdapter(t, e.URL, 1), nil)
+	assert.Assert(t, a.post(suspectsEvent{[]wire.Suspect{{Fingerprint: "fp", Quarantined: true, UntilMS: time.Now().Add(-20 * time.Minute).UnixMilli()}}}))
+	_, last := openStream(t, a, request(5)).read(t, untilEnd)
+	assert.Equal(t, last.Code, result.Quarantined)
+	assert.Assert(t, last.RetryMS > 0 && last.RetryMS <= 1000, "%d ms", last.RetryMS)
+}
--- a/modules/agent/owner.go
+++ b/modules/agent/owner.go
@@ -269,6 +269,10 @@
 	}
 }
 
+// endedQuarantineRetry is the Retry-After once the time of a quarantine is over. The control instances
+// say with the next watch that it has ended.
+const endedQuarantineRetry = 500 * time.Millisecond
+
 // checkSuspect returns an error if the request is quarantined, or suspected of a
 // crash and without a permit.
 func (o *owner) checkSuspect(fingerprint string, permit wire.ID) error {
@@ -277,7 +281,8 @@
 	case !ok:
 		return nil
 	case s.Quarantined:
-		return result.New(result.Quarantined, "the request is in quarantine").After(time.Until(time.UnixMilli(s.UntilMS)))
+		left := time.Until(time.UnixMilli(s.UntilMS))
+		return result.New(result.Quarantined, "the request is in quarantine").After(max(left, endedQuarantineRetry))
 	case permit == "":
 		return result.New(result.SuspectBusy, "the request is suspected of a crash and has no permit")
 	}
