review: cases 2 and 5 in their new places, without the cases on answers without a length

The former cases 2 and 3 killed server processes in answers that have neither a length nor chunks. They are taken back. Heartbeats of another writer are case 2 now; preempted streams stay case 5.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -5,4 +5,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 export TROUBLE="${TROUBLE:-1}"
 [ -x target/heatherway ] && [ -x review/bin/standin ] || { echo "build target/ and review/bin/ first" >&2; exit 2; }
-exec review/bin/standin unframed-stream review/2/record.txt
+exec review/bin/standin foreign-entry review/2/record.txt
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -52,7 +52,13 @@
 
 // send makes one request and reads the whole answer.
 func (c *connection) send(method, path string, header map[string]string, deadline time.Duration) answer {
-	a := answer{id: newAttemptID()}
+	return c.sendAs(newAttemptID(), method, path, header, deadline, func(string) {})
+}
+
+// sendAs makes one request with an id and reads the whole answer. It calls sending before it
+// writes the request.
+func (c *connection) sendAs(id, method, path string, header map[string]string, deadline time.Duration, sending func(id string)) answer {
+	a := answer{id: id}
 	if c.conn == nil {
 		conn, err := net.DialTimeout("tcp", c.addr, time.Second)
 		if err != nil {
@@ -75,6 +81,7 @@
 	}
 	b.WriteString("\r\n" + body)
 	_ = c.conn.SetDeadline(time.Now().Add(deadline + 2*time.Second))
+	sending(a.id)
 	if _, err := io.WriteString(c.conn, b.String()); err != nil {
 		a.err = err
 		c.close()
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -3,7 +3,6 @@
 package main
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"flag"
@@ -31,12 +30,9 @@
 	born                    int64
 	events                  int
 	eventGap, prefill, work time.Duration
-	// unframedEach is the number of answers of which one has neither a length nor chunks.
-	unframedEach int64
-	answers      atomic.Int64
-	weights      atomic.Int64
-	running      atomic.Int64
-	slots        int64
+	weights                 atomic.Int64
+	running                 atomic.Int64
+	slots                   int64
 
 	mu sync.Mutex
 	// runs are the streams in memory, and order their requests, oldest first.
@@ -44,6 +40,8 @@
 	order []*run
 	// preemptions is the number of preempted streams, which wait in the queue.
 	preemptions int
+	// leaving is closed when the server is told to leave.
+	leaving chan struct{}
 }
 
 // run is one run of a stream.
@@ -71,7 +69,7 @@
 }
 
 func runServer(args []string) {
-	s := &server{born: time.Now().UnixMilli(), runs: map[string]*run{}}
+	s := &server{born: time.Now().UnixMilli(), runs: map[string]*run{}, leaving: make(chan struct{})}
 	f := flag.NewFlagSet("server", flag.ExitOnError)
 	registries := f.String("registries", "", "control addresses")
 	f.StringVar(&s.id, "id", "", "")
@@ -82,7 +80,6 @@
 	f.DurationVar(&s.eventGap, "gap", 30*time.Millisecond, "time between events")
 	f.DurationVar(&s.prefill, "prefill", 150*time.Millisecond, "time before the first event")
 	f.DurationVar(&s.work, "work", 60*time.Millisecond, "time of a plain answer")
-	f.Int64Var(&s.unframedEach, "unframed", 0, "one in N answers has no length")
 	f.Int64Var(&s.slots, "slots", 64, "")
 	_ = f.Parse(args)
 	s.registries = strings.Split(*registries, ",")
@@ -106,6 +103,12 @@
 			s.preempt()
 		}
 	}()
+	leave := make(chan os.Signal, 1)
+	signal.Notify(leave, syscall.SIGTERM)
+	go func() {
+		<-leave
+		s.leave()
+	}()
 	go s.beat()
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/report", s.load)
@@ -122,6 +125,11 @@
 func (s *server) beat() {
 	client := &http.Client{Timeout: time.Second}
 	for seq, at := 1, 0; ; seq++ {
+		select {
+		case <-s.leaving:
+			return
+		default:
+		}
 		body := fmt.Sprintf(`{"Service":%q,"Addr":%q,"Zone":%q,"Version":"v1","Slots":%d,"State":"ready","ColdLeftMs":0,"Stage":"mixed","Models":[{"Name":"m","Version":%d,"Adapters":[]}],"Seq":%d,"born":%d}`,
 			s.service, s.addr, s.zone, s.slots, s.weights.Load(), seq, s.born)
 		for range s.registries {
@@ -139,6 +147,31 @@
 	}
 }
 
+// servesAfterLeaving is how long a server goes on after its deregistration: DrainMs and "at times
+// many seconds".
+const servesAfterLeaving = 12 * time.Second
+
+// leave deregisters the server, as one that never reports draining does, and ends it later.
+func (s *server) leave() {
+	close(s.leaving)
+	time.Sleep(50 * time.Millisecond) // a heartbeat may be under way
+	client := &http.Client{Timeout: time.Second}
+	for at := 0; ; at++ {
+		url := "http://" + s.registries[at%len(s.registries)] + "/v1/instances/" + s.id + "/deregister"
+		res, err := client.Post(url, "application/json", strings.NewReader(fmt.Sprintf(`{"born":%d}`, s.born)))
+		if err == nil {
+			_ = res.Body.Close()
+			if res.StatusCode == http.StatusOK {
+				break
+			}
+		}
+	}
+	report("deregistered", s.id, 0)
+	time.Sleep(servesAfterLeaving)
+	report("exits", s.id, 0)
+	os.Exit(0)
+}
+
 func (s *server) load(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	runs := make([][]any, 0, len(s.runs))
@@ -190,51 +223,29 @@
 	_, _ = io.Copy(io.Discard, r.Body)
 	h.Set("Response-Seal", "seal."+id+"."+s.id)
 	h.Set("Weight-Versions", strconv.FormatInt(s.weights.Load(), 10))
-	unframed := s.unframedEach > 0 && s.answers.Add(1)%s.unframedEach == s.unframedEach/2
 	if s.service == "model" {
 		h.Set("Content-Type", "text/event-stream")
-		s.stream(w, r, id, unframed)
+		s.stream(w, r, id)
 		return
 	}
 	h.Set("Content-Type", "text/plain")
-	s.plain(w, r, id, unframed)
+	s.plain(w, r, id)
 }
 
-// begin writes the head and returns where the body goes. An answer without a length ends with
-// its connection.
-func begin(w http.ResponseWriter, r *http.Request, unframed bool) (write func(string) error, end func(), ctx context.Context) {
-	if !unframed {
-		w.WriteHeader(http.StatusOK)
-		c := http.NewResponseController(w)
-		_ = c.Flush()
-		return func(b string) error {
-			if _, err := io.WriteString(w, b); err != nil {
-				return err
-			}
-			return c.Flush()
-		}, func() {}, r.Context()
-	}
-	header := w.Header().Clone()
-	conn, rw, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		panic(err)
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	go func() { // the caller closes the connection when it leaves
-		_, _ = bufio.NewReader(conn).ReadByte()
-		cancel()
-	}()
-	_, _ = rw.WriteString("HTTP/1.1 200 OK\r\nConnection: close\r\n")
-	_ = header.Write(rw)
-	_, _ = rw.WriteString("\r\n")
-	_ = rw.Flush()
+// begin writes the head and returns how a part of the body is written.
+func begin(w http.ResponseWriter) (write func(string) error) {
+	w.WriteHeader(http.StatusOK)
+	c := http.NewResponseController(w)
+	_ = c.Flush()
 	return func(b string) error {
-		_, err := io.WriteString(conn, b)
-		return err
-	}, func() { _ = conn.Close() }, ctx
+		if _, err := io.WriteString(w, b); err != nil {
+			return err
+		}
+		return c.Flush()
+	}
 }
 
-func (s *server) stream(w http.ResponseWriter, r *http.Request, id string, unframed bool) {
+func (s *server) stream(w http.ResponseWriter, r *http.Request, id string) {
 	from := 0
 	if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
 		from = last
@@ -251,12 +262,8 @@
 		s.mu.Unlock()
 	}()
 	report("runs", id, int64(from))
-	if unframed {
-		report("unframed", id, 0)
-	}
 	weights := s.weights.Load()
-	write, end, ctx := begin(w, r, unframed)
-	defer end()
+	write, ctx := begin(w), r.Context()
 	wait := s.prefill
 	for n := from + 1; n <= s.events; n++ {
 		select {
@@ -326,20 +333,15 @@
 }
 
 // plain sends the body in ten parts while it works.
-func (s *server) plain(w http.ResponseWriter, r *http.Request, id string, unframed bool) {
+func (s *server) plain(w http.ResponseWriter, r *http.Request, id string) {
 	report("runs", id, 0)
 	body := plainBody(id)
-	if !unframed {
-		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	} else {
-		report("unframed", id, 0)
-	}
-	write, end, ctx := begin(w, r, unframed)
-	defer end()
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	write := begin(w)
 	for part := range 10 {
 		select {
 		case <-time.After(s.work / 10):
-		case <-ctx.Done():
+		case <-r.Context().Done():
 			report("caller left", id, int64(part))
 			return
 		}
--- a/review/standin/system.go
+++ b/review/standin/system.go
@@ -26,6 +26,7 @@
 	trouble    bool
 	start      time.Time
 	network    string
+	seeds      []string
 	registries []*process
 	gateways   []*process
 	servers    []*process
@@ -42,11 +43,12 @@
 
 // process is one process of the deployment, with a loopback address of its own.
 type process struct {
-	name, host string
-	command    []string
-	cmd        *exec.Cmd
-	done       chan struct{}
-	mu         sync.Mutex
+	name, host  string
+	metricsPort string
+	command     []string
+	cmd         *exec.Cmd
+	done        chan struct{}
+	mu          sync.Mutex
 }
 
 const (
@@ -116,40 +118,69 @@
 
 func (s *system) host(n int) string { return fmt.Sprintf("%s%d", s.network, n) }
 
-// startSystem starts the control instances and gateways with settings as the templates of the
-// deploy file give them, and the command of the deploy file.
+// startSystem starts the control instances and gateways, each on a machine of its own.
 func (s *system) startSystem(registries, gateways int) {
-	var seeds []string
+	s.setSeeds(registries)
+	for i := range registries {
+		s.startRegistry(i)
+	}
+	for i := range gateways {
+		s.startGateway(i, registries+i)
+	}
+}
+
+// startCore starts machines that each run a control instance and a gateway, as the machines
+// with a disk do, and machines with a gateway alone.
+func (s *system) startCore(core, fronts int) {
+	s.setSeeds(core)
+	for i := range core {
+		s.startRegistry(i)
+	}
+	for i := range core + fronts {
+		s.startGateway(i, i)
+	}
+}
+
+func (s *system) setSeeds(registries int) {
 	for i := range min(3, registries) {
-		seeds = append(seeds, fmt.Sprintf("%q", s.host(1+i)+":"+controlPort))
+		s.seeds = append(s.seeds, fmt.Sprintf("%q", s.host(1+i)+":"+controlPort))
 	}
-	for i := range registries + gateways {
-		p := &process{name: fmt.Sprintf("gateway-%d", i-registries), host: s.host(1 + i)}
-		role := fmt.Sprintf("  - gateway:\n      listen: %s:%s\n      ready_listen: %s:%s\n      peer_port: %s\n      seeds: [%s]\n      grace: 8s\n      dialect: {kartuschenwacht: {}}\n",
-			p.host, frontPort, p.host, readyPort, peerPort, strings.Join(seeds, ","))
-		if i < registries {
-			p.name = fmt.Sprintf("registry-%d", i)
-			role = fmt.Sprintf("  - registry:\n      listen: %s:%s\n      peer_listen: %s:%s\n      seeds: [%s]\n      bootstrap: true\n      losses: 1\n      announce_interval: 1200ms\n      dialect: {kartuschenwacht: {}}\n",
-				p.host, controlPort, p.host, peerPort, strings.Join(seeds, ","))
-		}
-		data := filepath.Join(s.folder, p.name)
-		if err := os.MkdirAll(data, 0o700); err != nil {
-			s.cannotRun("%v", err)
-		}
-		settings := fmt.Sprintf("instance:\n  id: %s\n  zone: z%d\n  region: r\n  data: %s\ntls:\n  \"off\": true\nstop:\n  limit: 8s\nmemory_mb: 134\nmetrics:\n  listen: %s:9102\nroles:\n%s",
-			p.name, i%3, filepath.Join(data, "disk"), p.host, role)
-		file := filepath.Join(data, "node.yaml")
-		if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
-			s.cannotRun("%v", err)
-		}
-		p.command = []string{"target/heatherway", "-config", file}
-		if i < registries {
-			s.registries = append(s.registries, p)
-		} else {
-			s.gateways = append(s.gateways, p)
-		}
-		s.run(p)
+}
+
+func (s *system) startRegistry(machine int) {
+	p := &process{name: fmt.Sprintf("registry-%d", machine), host: s.host(1 + machine), metricsPort: "9103"}
+	s.registries = append(s.registries, p)
+	s.configureProcess(p, machine, s.registryRole(p, true))
+	s.run(p)
+}
+
+func (s *system) startGateway(number, machine int) {
+	p := &process{name: fmt.Sprintf("gateway-%d", number), host: s.host(1 + machine), metricsPort: "9102"}
+	s.gateways = append(s.gateways, p)
+	s.configureProcess(p, machine, fmt.Sprintf("  - gateway:\n      listen: %s:%s\n      ready_listen: %s:%s\n      peer_port: %s\n      seeds: [%s]\n      grace: 8s\n      dialect: {kartuschenwacht: {}}\n",
+		p.host, frontPort, p.host, readyPort, peerPort, strings.Join(s.seeds, ",")))
+	s.run(p)
+}
+
+func (s *system) registryRole(p *process, bootstrap bool) string {
+	return fmt.Sprintf("  - registry:\n      listen: %s:%s\n      peer_listen: %s:%s\n      seeds: [%s]\n      bootstrap: %v\n      losses: 1\n      announce_interval: 1200ms\n      dialect: {kartuschenwacht: {}}\n",
+		p.host, controlPort, p.host, peerPort, strings.Join(s.seeds, ","), bootstrap)
+}
+
+// configureProcess writes the settings of a process as the templates of the deploy file give
+// them. Its command is that of the deploy file.
+func (s *system) configureProcess(p *process, machine int, role string) {
+	data := filepath.Join(s.folder, p.name)
+	if err := os.MkdirAll(data, 0o700); err != nil {
+		s.cannotRun("%v", err)
+	}
+	settings := fmt.Sprintf("instance:\n  id: %s\n  zone: z%d\n  region: r\n  data: %s\ntls:\n  \"off\": true\nstop:\n  limit: 8s\nmemory_mb: 134\nmetrics:\n  listen: %s:%s\nroles:\n%s",
+		p.name, machine%3, filepath.Join(data, "disk"), p.host, p.metricsPort, role)
+	file := filepath.Join(data, "node.yaml")
+	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
+		s.cannotRun("%v", err)
 	}
+	p.command = []string{"target/heatherway", "-config", file}
 }
 
 // addServer starts a server with options of its own.
