registry: acknowledge a departure once enough disks hold it

Cause, traced in the logs of the case: the 200 was sent once the departure was in one instance's memory. It was saved up to 400 ms later, and the other instances were told without waiting for them. All three restored the server as ready. The same cause stood on related paths: the state draining, a gateway's report of Server-Leaving, the loss of the acknowledging instance's disk, and an instance that returns with an old disk, to which draining and departed upstreams were not sent again.

Change: withdrawals are saved in a file of their own at once; core/registration.CopyTracker decides when losses + 1 disks hold them; instances ask each other for copies (SaveDepartures). Without enough copies within 0.9 s the answer is 503. Starting instances make themselves known and get all withdrawals. An observation that could not be merged is an error now, and was answered 200 before.

--- a/internal/disk/disktest/disktest.go
+++ b/internal/disk/disktest/disktest.go
@@ -38,6 +38,8 @@
 	refused int
 	// failed is the operation at which the fault struck.
 	failed string
+	// stalled, if set, is closed when operations go on.
+	stalled chan struct{}
 }
 
 var _ disk.Files = (*Disk)(nil)
@@ -64,6 +66,29 @@
 	d.full, d.half, d.fullFor, d.countdown = true, false, part, 0
 }
 
+// SetStalled lets operations wait until the disk is no longer stalled.
+func (d *Disk) SetStalled(stalled bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch {
+	case stalled && d.stalled == nil:
+		d.stalled = make(chan struct{})
+	case !stalled && d.stalled != nil:
+		close(d.stalled)
+		d.stalled = nil
+	}
+}
+
+// awaitStall waits while the disk is stalled.
+func (d *Disk) awaitStall() {
+	d.mu.Lock()
+	stalled := d.stalled
+	d.mu.Unlock()
+	if stalled != nil {
+		<-stalled
+	}
+}
+
 // Count returns the number of operations so far.
 func (d *Disk) Count() int {
 	d.mu.Lock()
@@ -88,6 +113,7 @@
 // check counts an operation and returns its error. needsRoom is set if it fails on a full
 // disk.
 func (d *Disk) check(operation, path string, needsRoom bool) error {
+	d.awaitStall()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.count++
--- a/modules/registry/directory.go
+++ b/modules/registry/directory.go
@@ -10,6 +10,7 @@
 	"heatherway.dev/core/registration"
 	"heatherway.dev/kernel/logs"
 	"heatherway.dev/kernel/recovery"
+	"heatherway.dev/kernel/result"
 )
 
 const (
@@ -59,9 +60,26 @@
 	unsentRuns map[string]map[string]bool
 	// memberEpochs are the last known epochs of the other instances.
 	memberEpochs map[string]uint64
+	// helloAt holds, by address of the other instance, when this instance last made itself known
+	// to one whose epoch it does not know.
+	helloAt      map[string]time.Time
 	saver        *saver[savedList[registration.Upstream]]
 	crashesSaver *saver[savedCrashes]
 	reception    receptionMonitor
+	// departuresSaver writes the withdrawals, the last of which it was offered up to the change
+	// offeredDepartures; it is nil on an instance without a disk. ownCopies receives the change up
+	// to which they are written.
+	departuresSaver   *saver[savedDepartures]
+	offeredDepartures uint64
+	ownCopies         chan uint64
+	// copies tracks on which disks the withdrawals are, and waits holds the calls that wait for
+	// them. copying and copyFailed hold the instances that are being asked for a copy, and those
+	// whose last answer was a failure.
+	copies              *registration.CopyTracker
+	copyWaits           chan copyWait
+	copyResults         chan copyResult
+	waits               []copyWait
+	copying, copyFailed map[string]bool
 	// savedChange and savedCrashChange are the numbers of the last changes that have
 	// been passed to the savers.
 	savedChange, savedCrashChange uint64
@@ -75,9 +93,23 @@
 	runs      []crash.Entry
 	leaving   []LeavingArgs
 	direct    bool
-	// unknown receives the IDs in alive for which there is no record and, of a direct
-	// observation, those in upstreams for which there was no room.
-	unknown chan []string
+	// from is the address of the instance that has sent the observation, and epoch its epoch; both
+	// are empty if they are not known.
+	from  string
+	epoch uint64
+	// merged receives the result.
+	merged chan merged
+}
+
+// merged is the result of an observation.
+type merged struct {
+	// unknown are the IDs in alive for which there is no record and, of a direct observation,
+	// those in upstreams for which there was no room.
+	unknown []string
+	// withdrawn are the records, as merged, of the upstreams in the observation that are withdrawn,
+	// and withdrawal is the last change of these records.
+	withdrawn  []registration.Upstream
+	withdrawal uint64
 }
 
 // query asks for the records that changed after the given change numbers.
@@ -110,11 +142,20 @@
 		inputs: make(chan observation, maxQueuedObservations), queries: make(chan query), trialRequests: make(chan trialRequest),
 		unsentUpstreams: map[string]map[string]registration.Upstream{}, unsentAlive: map[string]map[string]Alive{},
 		crashes: crash.New(), unsentRuns: map[string]map[string]bool{}, memberEpochs: map[string]uint64{}, inFlight: map[string]bool{},
-		shareResults: make(chan shareResult, 16),
+		shareResults: make(chan shareResult, 16), helloAt: map[string]time.Time{},
+		copies: registration.NewCopyTracker(r.Losses), copyWaits: make(chan copyWait), copyResults: make(chan copyResult, 16),
+		ownCopies: make(chan uint64), copying: map[string]bool{}, copyFailed: map[string]bool{},
 	}
 	if r.folder != "" {
 		d.saver = newSaver[savedList[registration.Upstream]](r, directoryFile)
 		d.crashesSaver = newSaver[savedCrashes](r, crashesFile)
+		d.departuresSaver = newSaver[savedDepartures](r, departuresFile)
+		d.departuresSaver.saved = func(s savedDepartures) {
+			select {
+			case d.ownCopies <- s.Change:
+			case <-r.ctx.Done():
+			}
+		}
 		d.restore(time.Now())
 	}
 	return d
@@ -124,29 +165,42 @@
 func (d *directory) lostAfter() time.Duration { return lostIntervals * d.registry.AnnounceInterval }
 
 // observeAnnouncement records what an upstream announced to this instance. It
-// returns once gateways that watch this instance can receive it, or false if the directory
-// has no room for a new upstream.
-func (d *directory) observeAnnouncement(u registration.Upstream) bool {
-	return len(d.observe(observation{upstreams: []registration.Upstream{u}, direct: true})) == 0
+// returns once gateways that watch this instance can receive it and, if the upstream withdraws,
+// once enough disks hold that.
+func (d *directory) observeAnnouncement(ctx context.Context, u registration.Upstream) error {
+	m, err := d.observe(observation{upstreams: []registration.Upstream{u}, direct: true})
+	if err != nil {
+		return err
+	}
+	if len(m.unknown) > 0 {
+		return result.New(result.ControlUnavailable, "the directory has no room for another upstream")
+	}
+	return d.awaitCopies(ctx, copyWait{change: m.withdrawal})
 }
 
-// observe passes an observation to the owner goroutine and returns the IDs of
-// upstreams that it has no record of.
-func (d *directory) observe(o observation) []string {
-	o.unknown = make(chan []string, 1)
+// observe passes an observation to the owner goroutine and returns the result. After an error it
+// is not known whether the observation was merged.
+func (d *directory) observe(o observation) (merged, error) {
+	o.merged = make(chan merged, 1)
 	select {
 	case d.inputs <- o:
 	case <-d.registry.ctx.Done():
-		return nil
+		return merged{}, errStopping
 	}
 	select {
-	case unknown := <-o.unknown:
-		return unknown
+	case m, ok := <-o.merged:
+		if !ok {
+			return m, result.New(result.Internal, "the message was not merged")
+		}
+		return m, nil
 	case <-d.registry.ctx.Done():
-		return nil
+		return merged{}, errStopping
 	}
 }
 
+// errStopping is the error of a call that this instance does not answer any more.
+var errStopping = result.New(result.ControlUnavailable, "this instance stops")
+
 // changesSince returns the upstreams and the broken runs that changed after the change
 // numbers in the query.
 func (d *directory) changesSince(ctx context.Context, q query) (directoryChanges, bool) {
@@ -183,8 +237,8 @@
 		case <-ctx.Done():
 			return
 		case o := <-d.inputs:
-			if d.confine("message about upstreams", func() { d.applyObservation(o) }) != nil {
-				close(o.unknown)
+			if d.confine("message about upstreams", func() { o.merged <- d.applyObservation(o) }) != nil {
+				close(o.merged)
 			}
 		case q := <-d.queries:
 			if d.confine("query of changes", func() { q.reply <- d.collectChanges(q) }) != nil {
@@ -196,8 +250,14 @@
 			}
 		case s := <-d.shareResults:
 			_ = d.confine("reply of another instance", func() { d.handleShareResult(s) })
+		case w := <-d.copyWaits:
+			_ = d.confine("wait for copies of a departure", func() { d.addCopyWait(w) })
+		case change := <-d.ownCopies:
+			_ = d.confine("copy of departures on disk", func() { d.recordOwnCopy(change) })
+		case c := <-d.copyResults:
+			_ = d.confine("copy of departures at another instance", func() { d.handleCopyResult(c) })
 		case <-share.C:
-			_ = d.confine("messages to other instances", d.share)
+			_ = d.confine("messages to other instances", func() { d.share(); d.copyDepartures() })
 		case now := <-sweep.C:
 			_ = d.confine("search for silent upstreams", func() { d.sweep(now) })
 		case <-save.C:
@@ -230,9 +290,11 @@
 
 // applyObservation merges an observation into the state, wakes the watchers if it changed
 // anything, and queues what was reported directly for the other instances.
-func (d *directory) applyObservation(o observation) {
+func (d *directory) applyObservation(o observation) (m merged) {
 	now, changed, crashesBefore := time.Now(), false, d.crashes.LastChange()
-	var unknown []string
+	if o.from != "" {
+		d.resendToRestarted(o.from, o.epoch)
+	}
 	for _, u := range o.upstreams {
 		before, known := d.state.Get(u.ID)
 		outcome := d.state.Observe(now, u)
@@ -250,7 +312,7 @@
 			d.log.Warn("malformed upstream record ignored", "upstream", clip(u.ID), "state", int(u.State), "direct", o.direct, "error", u.Validate())
 		case !o.direct:
 		case outcome == registration.Full:
-			unknown = append(unknown, u.ID)
+			m.unknown = append(m.unknown, u.ID)
 		case outcome == registration.Changed:
 			d.queueUpstream(u)
 		case outcome == registration.Refreshed:
@@ -259,18 +321,35 @@
 	}
 	for _, a := range o.alive {
 		if !d.state.Refresh(now, a.ID, a.StartedMS, a.Seq) {
-			unknown = append(unknown, a.ID)
+			m.unknown = append(m.unknown, a.ID)
 			continue
 		}
 		d.trackAnnouncement(now, a.ID, a.StartedMS, a.Seq)
 	}
-	o.unknown <- unknown
 	changed = d.applyLeaving(now, o.leaving) || changed
 	d.applyRuns(now, o)
 	if changed || len(d.crashes.EntriesSince(now, crashesBefore)) > 0 {
 		d.registry.changes.notify()
 		d.share()
 	}
+	if changed {
+		d.saveDepartures()
+	}
+	for _, u := range o.upstreams {
+		d.addWithdrawal(&m, u.ID)
+	}
+	for _, l := range o.leaving {
+		d.addWithdrawal(&m, l.ID)
+	}
+	return m
+}
+
+// addWithdrawal adds an upstream to a result if it is withdrawn.
+func (d *directory) addWithdrawal(m *merged, id string) {
+	if change := d.state.WithdrawalChange(id); change > 0 {
+		u, _ := d.state.Get(id)
+		m.withdrawn, m.withdrawal = append(m.withdrawn, u), max(m.withdrawal, change)
+	}
 }
 
 // applyLeaving marks incarnations as leaving and reports whether any of them was not
--- a/modules/registry/feed.go
+++ b/modules/registry/feed.go
@@ -105,6 +105,9 @@
 	Upstreams []registration.Upstream
 	Alive     []Alive
 	Runs      []crash.Entry
+	// From is the peer address of the sender and Epoch its epoch, which changes when it restarts.
+	From  string
+	Epoch uint64
 }
 
 // Alive identifies an incarnation that has announced itself without a change.
@@ -241,8 +244,9 @@
 func (s *Service) Share(args *ShareArgs, reply *ShareReply) (err error) {
 	defer recovery.Into(s.registry.log, "call Share", &err)
 	reply.Epoch = s.registry.directory.epoch
-	reply.Unknown = s.registry.directory.observe(observation{upstreams: args.Upstreams, alive: args.Alive, runs: args.Runs})
-	return nil
+	m, err := s.registry.directory.observe(observation{upstreams: args.Upstreams, alive: args.Alive, runs: args.Runs, from: args.From, epoch: args.Epoch})
+	reply.Unknown = m.unknown
+	return peer.EncodeError(err)
 }
 
 // CrashArgs carries broken runs that a gateway has observed or received.
@@ -254,8 +258,8 @@
 // Crash records broken runs and forwards those of suspect requests to all gateways.
 func (s *Service) Crash(args *CrashArgs, _ *CrashReply) (err error) {
 	defer recovery.Into(s.registry.log, "call Crash", &err)
-	s.registry.directory.observe(observation{runs: args.Runs, direct: true})
-	return nil
+	_, err = s.registry.directory.observe(observation{runs: args.Runs, direct: true})
+	return peer.EncodeError(err)
 }
 
 // TrialArgs asks whether a request may run once although it is held.
@@ -312,11 +316,17 @@
 // LeavingReply is empty.
 type LeavingReply struct{}
 
-// Leaving records that an upstream is leaving and tells all gateways.
+// Leaving records that an upstream is leaving, tells all gateways and returns once enough disks
+// hold that. The gateway repeats a call that fails.
 func (s *Service) Leaving(args *LeavingArgs, _ *LeavingReply) (err error) {
 	defer recovery.Into(s.registry.log, "call Leaving", &err)
-	s.registry.directory.observe(observation{leaving: []LeavingArgs{*args}})
-	return nil
+	ctx, cancel := context.WithTimeout(s.registry.ctx, departureCallTimeout)
+	defer cancel()
+	m, err := s.registry.directory.observe(observation{leaving: []LeavingArgs{*args}})
+	if err == nil {
+		err = s.registry.directory.awaitCopies(ctx, copyWait{change: m.withdrawal})
+	}
+	return peer.EncodeError(err)
 }
 
 // raftService forwards the calls of the replicated log to the log that is currently
--- a/modules/registry/operator.go
+++ b/modules/registry/operator.go
@@ -22,7 +22,7 @@
 	maxConfigurationBytes = 4 << 20
 	// maxAnnouncementBytes bounds the announcement of an upstream.
 	maxAnnouncementBytes = 64 << 10
-	// operatorTimeout bounds a call of an operator, whose client tries another
+	// operatorTimeout bounds a call of an operator or an upstream, which tries another
 	// instance after a second.
 	operatorTimeout = 900 * time.Millisecond
 )
@@ -337,8 +337,10 @@
 		r.writeError(w, q, result.Wrap(result.InvalidField, err, "the upstream is not taken in"))
 		return
 	}
-	if !r.directory.observeAnnouncement(u) {
-		r.writeError(w, q, result.New(result.ControlUnavailable, "the directory has no room for another upstream"))
+	ctx, cancel := context.WithTimeout(q.Context(), operatorTimeout)
+	defer cancel()
+	if err := r.directory.observeAnnouncement(ctx, u); err != nil {
+		r.writeError(w, q, err)
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
--- a/modules/registry/registry.go
+++ b/modules/registry/registry.go
@@ -189,6 +189,7 @@
 		r.runInBackground(r.superviseLog)
 		r.runInBackground(func() { r.directory.saver.run(r.ctx) })
 		r.runInBackground(func() { r.directory.crashesSaver.run(r.ctx) })
+		r.runInBackground(func() { r.directory.departuresSaver.run(r.ctx) })
 	}
 	r.runInBackground(func() { r.directory.run(r.ctx) })
 	r.runInBackground(func() { r.limits.run(r.ctx, r.log) })
--- a/modules/registry/saved.go
+++ b/modules/registry/saved.go
@@ -71,6 +71,8 @@
 	files  disk.Files
 	path   string
 	values chan T
+	// saved, if set, is called with each value that has been written and synced.
+	saved func(T)
 }
 
 func newSaver[T any](r *Registry, file string) *saver[T] {
@@ -102,6 +104,9 @@
 	for {
 		err := s.write(value)
 		if err == nil {
+			if s.saved != nil {
+				s.saved(value)
+			}
 			return
 		}
 		s.log.Warn("cannot save registry state; retrying", "file", s.path, "error", err, "retry_ms", saveRetryDelay.Milliseconds())
@@ -159,6 +164,7 @@
 	if len(list) > malformed {
 		d.log.Info("upstream directory restored from disk", "upstreams", len(list)-malformed)
 	}
+	d.restoreDepartures(now)
 	d.restoreCrashes(now)
 }
 
--- a/modules/registry/share.go
+++ b/modules/registry/share.go
@@ -31,12 +31,7 @@
 // queueUpstream queues a record for every other instance.
 func (d *directory) queueUpstream(u registration.Upstream) {
 	for _, addr := range d.registry.otherMembers() {
-		m := d.unsentUpstreams[addr]
-		if m == nil {
-			m = map[string]registration.Upstream{}
-			d.unsentUpstreams[addr] = m
-		}
-		m[u.ID] = u
+		d.unsentOf(addr)[u.ID] = u
 	}
 }
 
@@ -75,10 +70,12 @@
 		d.aliveSentAt = now
 	}
 	for _, addr := range d.registry.otherMembers() {
-		if d.inFlight[addr] || len(d.unsentUpstreams[addr]) == 0 && len(d.unsentRuns[addr]) == 0 && !(aliveDue && len(d.unsentAlive[addr]) > 0) {
+		queued := len(d.unsentUpstreams[addr]) > 0 || len(d.unsentRuns[addr]) > 0 || aliveDue && len(d.unsentAlive[addr]) > 0
+		if d.inFlight[addr] || !queued && !d.helloDue(now, addr) {
 			continue
 		}
-		args := &ShareArgs{Runs: d.crashes.EntriesOf(now, slices.Sorted(maps.Keys(d.unsentRuns[addr])))}
+		d.helloAt[addr] = now
+		args := &ShareArgs{Runs: d.crashes.EntriesOf(now, slices.Sorted(maps.Keys(d.unsentRuns[addr]))), From: d.registry.PeerListen, Epoch: d.epoch}
 		delete(d.unsentRuns, addr)
 		for _, u := range d.unsentUpstreams[addr] {
 			args.Upstreams = append(args.Upstreams, u)
@@ -95,6 +92,16 @@
 	}
 }
 
+// helloInterval is the time between two messages to an instance that has not answered yet.
+const helloInterval = 500 * time.Millisecond
+
+// helloDue reports whether an instance must be told that this one has started. Both then send
+// each other what the other one may have lost.
+func (d *directory) helloDue(now time.Time, addr string) bool {
+	_, known := d.memberEpochs[addr]
+	return !known && now.Sub(d.helloAt[addr]) >= helloInterval
+}
+
 func (d *directory) send(client *peer.Client, args *ShareArgs) {
 	ctx, cancel := context.WithTimeout(d.registry.ctx, shareTimeout)
 	defer cancel()
@@ -115,13 +122,11 @@
 		delete(d.unsentAlive, s.addr)
 		delete(d.unsentRuns, s.addr)
 		delete(d.memberEpochs, s.addr)
+		delete(d.helloAt, s.addr)
+		d.copies.Forget(s.addr)
 		return
 	}
-	m := d.unsentUpstreams[s.addr]
-	if m == nil {
-		m = map[string]registration.Upstream{}
-		d.unsentUpstreams[s.addr] = m
-	}
+	m := d.unsentOf(s.addr)
 	for _, id := range s.reply.Unknown {
 		if u, ok := d.state.Get(id); ok && u.State < registration.Lost {
 			m[id] = u
@@ -141,21 +146,32 @@
 	}
 }
 
-// resendToRestarted queues all suspect requests and leaving upstreams for an instance whose
-// epoch has changed. It may have lost them in its restart, and nothing else would send
-// them again.
+// resendToRestarted queues all suspect requests and withdrawn upstreams for an instance whose
+// epoch has changed. It may have lost them in its restart, or come back with an old disk, and
+// nothing else would send them again.
 func (d *directory) resendToRestarted(addr string, epoch uint64) {
-	if d.memberEpochs[addr] == epoch {
+	if previous, known := d.memberEpochs[addr]; known && previous == epoch || !slices.Contains(d.registry.otherMembers(), addr) {
 		return
 	}
 	d.memberEpochs[addr] = epoch
+	d.copies.Forget(addr)
 	for _, c := range d.crashes.EntriesSince(time.Now(), 0) {
 		d.queueRuns(addr, c.Fingerprint)
 	}
-	for _, u := range d.state.All() {
-		if u.Leaving && u.State != registration.Left {
+	for _, u := range d.state.WithdrawnSince(0) {
+		if u.State == registration.Lost {
 			u.State = registration.Draining // each instance detects lost upstreams by itself
-			d.unsentUpstreams[addr][u.ID] = u
 		}
+		d.unsentOf(addr)[u.ID] = u
+	}
+}
+
+// unsentOf returns the records that are queued for an instance, by ID.
+func (d *directory) unsentOf(addr string) map[string]registration.Upstream {
+	m := d.unsentUpstreams[addr]
+	if m == nil {
+		m = map[string]registration.Upstream{}
+		d.unsentUpstreams[addr] = m
 	}
+	return m
 }
