registration: a claim of an address ends no upstream that runs

Cause, traced in the case's logs: any later start at an address marked the upstream there as left, for good, in the directories of control instances and gateways, in the streams of gateways and in the crash trackers; a later start under a used ID replaced the record whatever service it named.

Change: a service that the configuration in force does not name claims no address and no ID from a running upstream. A claim of a named one takes effect at once but is not final: the upstream is back after two further announcements. Gateways adopt the decisions of control instances, ask at the address before they end streams for a claim, and never give up a stream for it that can't go on elsewhere.

The gateway's test harness passes announcements through the directory of a control instance now, as in production; registration.New takes the services that are named (all of them in earlier tests).

--- a/core/registration/copies.go
+++ b/core/registration/copies.go
@@ -4,7 +4,7 @@
 
 // Withdrawn reports whether an upstream has said, or is known, to accept no new requests for the
 // rest of its incarnation.
-func (u *Upstream) Withdrawn() bool { return u.Leaving || u.State == Draining || u.State == Left }
+func (u *Upstream) Withdrawn() bool { return u.Leaving || u.State == Draining || u.hasEnded() }
 
 // WithdrawnSince returns the records of withdrawn upstreams that changed after a change number,
 // sorted by ID.
--- a/core/registration/copies_test.go
+++ b/core/registration/copies_test.go
@@ -43,7 +43,7 @@
 
 // Guards against a withdrawal that is left out of what instances save and send to each other.
 func TestWithdrawnSince(t *testing.T) {
-	d := New()
+	d := New(allNamed)
 	d.Observe(start, readyUpstream("ready", "10.0.0.1:80", 1000, 1))
 	d.Observe(start, readyUpstream("draining", "10.0.0.2:80", 1000, 1).withState(Draining))
 	d.Observe(start, Upstream{ID: "unknown", State: Left})
--- a/core/registration/registration.go
+++ b/core/registration/registration.go
@@ -27,7 +27,8 @@
 	// Lost upstreams have not been heard from for too long. A later announcement makes
 	// them available again.
 	Lost
-	// Left upstreams have terminated, or another upstream has taken over their address.
+	// Left upstreams have terminated, or another upstream has taken over their address (see
+	// Upstream.Replaced).
 	Left
 )
 
@@ -66,8 +67,15 @@
 	Leaving bool
 	// Moved is set once the ID has reappeared at another address.
 	Moved bool
+	// Replaced is set, with the state Left, while another upstream has claimed the address. The
+	// claim may be false, so an upstream that goes on announcing itself becomes available again.
+	// Returned is set from then on.
+	Replaced, Returned bool
 }
 
+// hasEnded reports whether the incarnation has said that it has terminated, which is final.
+func (u *Upstream) hasEnded() bool { return u.State == Left && !u.Replaced }
+
 // SoftwareVersion identifies the software that writes the upstream's answers. Upstreams that state
 // no version may run different ones, so each incarnation of them counts as a version of its own.
 // It begins with a space, which no stated version does.
@@ -92,8 +100,8 @@
 	if u.StartedMS != old.StartedMS {
 		return u.StartedMS > old.StartedMS
 	}
-	if u.State == Left || old.State == Left {
-		return old.State != Left // leaving is final for an incarnation
+	if u.hasEnded() || old.hasEnded() {
+		return !old.hasEnded()
 	}
 	if u.Seq == old.Seq {
 		return u.State > old.State
@@ -108,6 +116,9 @@
 	// hidesLive is set if the record has ended and a record of a live upstream with the same
 	// ID was refused as older since.
 	hidesLive bool
+	// announcements counts the announcements with rising sequence numbers since the upstream was
+	// replaced.
+	announcements int
 	// change is the number of the record's last change that is visible to readers, and
 	// element is its element in Directory.byChange.
 	change  uint64
@@ -116,18 +127,33 @@
 
 // Directory is the merged state of all announcements. Use New to create one.
 type Directory struct {
-	byID       map[string]*record
+	byID map[string]*record
+	// byAddr holds the ID of the upstream that has claimed an address.
 	byAddr     map[string]string
 	lastChange uint64
+	// isNamed reports whether the configuration names a service.
+	isNamed func(service string) bool
+	// reader is set in the directory of a reader, which adopts the states that it is sent and
+	// decides nothing about addresses.
+	reader bool
 	// byChange holds the records ordered by their last change, the newest at the back, so
 	// that the cost of an update depends on the number of changes and not on the
 	// directory's size.
 	byChange *list.List
 }
 
-// New returns an empty directory.
-func New() *Directory {
-	return &Directory{byID: map[string]*record{}, byAddr: map[string]string{}, byChange: list.New()}
+// New returns an empty directory for a control instance. isNamed reports whether the configuration
+// names a service: an announcement of another one may come from another writer, and must not end
+// an upstream that runs. It is called only when announcements contradict each other.
+func New(isNamed func(service string) bool) *Directory {
+	return &Directory{byID: map[string]*record{}, byAddr: map[string]string{}, byChange: list.New(), isNamed: isNamed}
+}
+
+// NewReader returns an empty directory for a reader.
+func NewReader(isNamed func(service string) bool) *Directory {
+	d := New(isNamed)
+	d.reader = true
+	return d
 }
 
 // Outcome is the effect of an announcement.
@@ -155,6 +181,15 @@
 		return Malformed
 	}
 	old, known := d.byID[u.ID]
+	if known && u.State != Left && u.Service != old.Service {
+		switch {
+		case !d.isNamed(u.Service) && old.State < Lost:
+			return Stale // another writer uses the ID of a running upstream
+		case d.isNamed(u.Service) && !d.isNamed(old.Service) && u.StartedMS < old.StartedMS:
+			d.remove(u.ID, old) // another writer has used the ID before the upstream was known here
+			known = false
+		}
+	}
 	if known && u.State == Left && u.StartedMS == 0 {
 		u.StartedMS = old.StartedMS // a departure without a start time refers to the known incarnation
 	}
@@ -168,17 +203,26 @@
 		old.hidesLive = old.hidesLive || old.State >= Lost && u.State < Lost
 		return Stale
 	}
+	if known && old.Replaced && old.StartedMS == u.StartedMS && u.State != Left {
+		if !d.mayReturn(old, u) {
+			old.Seq, old.lastHeard = u.Seq, now
+			return Refreshed
+		}
+		u.Returned = true
+	}
 	if u.State == Left && known && u.Addr == "" {
 		left := old.Upstream
-		left.State, left.Seq = Left, u.Seq
+		left.State, left.Replaced, left.Seq = Left, false, u.Seq
 		u = left
 	}
-	if u.Addr != "" && u.State != Left && d.addressTakenOver(u) {
-		u.State = Left
+	u.Returned = u.Returned || known && old.Returned && old.StartedMS == u.StartedMS
+	if u.Addr != "" && u.State != Left && !u.Returned && d.addressTakenOver(u) {
+		u.State, u.Replaced = Left, true
 	}
 	u.applyLeaving(known && old.Leaving && old.StartedMS == u.StartedMS)
 	u.Moved = u.Moved || known && (old.Moved || old.Addr != u.Addr && old.Addr != "" && u.Addr != "")
 	changed := !known || !sameForReaders(&old.Upstream, &u)
+	appears := !known || old.StartedMS != u.StartedMS || old.Addr != u.Addr || old.State == Lost
 	if !known {
 		if len(d.byID) >= MaxRecords && !d.removeOldestEnded() {
 			return Full
@@ -186,25 +230,39 @@
 		old = &record{}
 		d.byID[u.ID] = old
 	}
-	old.Upstream, old.lastHeard, old.hidesLive = u, now, false
+	old.Upstream, old.lastHeard, old.hidesLive, old.announcements = u, now, false, 0
 	if !changed {
 		return Refreshed
 	}
 	d.markChanged(old)
-	d.claimAddress(u)
+	if appears {
+		d.claimAddress(u)
+	}
 	return Changed
 }
 
+// announcementsToReturn is the number of announcements with rising sequence numbers after which a
+// replaced upstream is available again. One may have been sent before the upstream ended; one
+// that runs sends another after an interval.
+const announcementsToReturn = 2
+
+// mayReturn reports whether a replaced upstream is available again with an announcement.
+func (d *Directory) mayReturn(old *record, u Upstream) bool {
+	old.announcements++
+	return d.reader || u.Returned || old.announcements >= announcementsToReturn
+}
+
 func sameForReaders(a, b *Upstream) bool {
 	return a.StartedMS == b.StartedMS && a.State == b.State && a.Addr == b.Addr &&
-		a.Service == b.Service && a.Zone == b.Zone && a.Slots == b.Slots && a.Leaving == b.Leaving && a.Version == b.Version
+		a.Service == b.Service && a.Zone == b.Zone && a.Slots == b.Slots && a.Leaving == b.Leaving && a.Version == b.Version &&
+		a.Replaced == b.Replaced && a.Returned == b.Returned
 }
 
 // MarkLeaving records that an incarnation has signalled in a response that it is leaving.
 // It returns true if that was not known yet.
 func (d *Directory) MarkLeaving(now time.Time, id string, startedMS int64) bool {
 	r := d.byID[id]
-	if r == nil || r.StartedMS != startedMS || r.Leaving || r.State == Left {
+	if r == nil || r.StartedMS != startedMS || r.Leaving || r.hasEnded() {
 		return false
 	}
 	r.applyLeaving(true)
@@ -227,27 +285,58 @@
 // network partition can delay an announcement until after its sender has crashed.
 func (d *Directory) addressTakenOver(u Upstream) bool {
 	id, taken := d.byAddr[u.Addr]
-	if !taken || id == u.ID {
+	if !taken || id == u.ID || d.reader {
 		return false
 	}
 	other := d.byID[id]
-	return other != nil && other.State < Lost && other.StartedMS > u.StartedMS
+	return other != nil && other.State < Lost && other.StartedMS > u.StartedMS && d.mayReplace(other.Service, u.Service)
 }
 
-// claimAddress records the owner of an address and marks its previous owner as left.
+// mayReplace reports whether an upstream of a service proves, by its start at an address, that an
+// upstream of another service has ended there. An announcement of a service that the configuration
+// does not name may come from another writer.
+func (d *Directory) mayReplace(service, other string) bool {
+	return service == other || d.isNamed(service)
+}
+
+// claimAddress records the owner of an address and marks the upstreams that were there before as
+// replaced.
 func (d *Directory) claimAddress(u Upstream) {
-	if u.State >= Lost || u.Addr == "" {
+	if u.State >= Lost || u.Addr == "" || d.reader {
 		return
 	}
-	if id, taken := d.byAddr[u.Addr]; taken && id != u.ID {
-		if other := d.byID[id]; other != nil && other.State != Left {
-			other.State = Left
-			d.markChanged(other)
-		}
+	id, taken := d.byAddr[u.Addr]
+	if !taken || id == u.ID {
+		d.byAddr[u.Addr] = u.ID
+		return
+	}
+	if owner := d.byID[id]; owner != nil && !d.mayReplace(u.Service, owner.Service) {
+		return
 	}
 	d.byAddr[u.Addr] = u.ID
+	for _, other := range d.byID { // one that has returned is there beside the owner
+		if other.ID == u.ID || other.Addr != u.Addr || other.State == Left {
+			continue
+		}
+		other.State, other.Replaced, other.Returned, other.announcements = Left, true, false, 0
+		d.markChanged(other)
+	}
 }
 
+// IsAloneAt reports whether no other upstream that is neither lost nor left has the address of an
+// upstream.
+func (d *Directory) IsAloneAt(u Upstream) bool {
+	for _, other := range d.byID {
+		if other.ID != u.ID && other.Addr == u.Addr && other.State < Lost {
+			return false
+		}
+	}
+	return true
+}
+
+// OwnsAddress reports whether an upstream has claimed its address.
+func (d *Directory) OwnsAddress(u Upstream) bool { return u.Addr != "" && d.byAddr[u.Addr] == u.ID }
+
 // Silent returns the upstreams that have not been heard from for a duration and are neither
 // lost nor left.
 func (d *Directory) Silent(now time.Time, after time.Duration) []Upstream {
@@ -346,6 +435,9 @@
 	if r == nil || r.StartedMS < startedMS || r.State == Lost {
 		return false
 	}
+	if r.StartedMS == startedMS && r.Replaced {
+		return seq <= r.Seq // the record shows whether the upstream has returned
+	}
 	if r.StartedMS == startedMS && seq >= r.Seq && seq <= MaxSeq && r.State != Left {
 		r.Seq, r.lastHeard = seq, now
 	}
--- a/core/registration/registration_test.go
+++ b/core/registration/registration_test.go
@@ -10,6 +10,8 @@
 
 var start = time.Unix(1_000_000, 0)
 
+func allNamed(string) bool { return true }
+
 func readyUpstream(id, addr string, started, seq int64) Upstream {
 	return Upstream{ID: id, Service: "s", Addr: addr, Zone: "z", Slots: 4, StartedMS: started, Seq: seq}
 }
@@ -34,7 +36,7 @@
 		if rapid.Bool().Draw(t, "restarted") {
 			list = append(list, readyUpstream("a", "10.0.0.1:80", 2000, 1))
 		}
-		want, got := New(), New()
+		want, got := New(allNamed), New(allNamed)
 		for _, u := range list {
 			want.Observe(start, u)
 		}
@@ -51,7 +53,7 @@
 // Guards against a delayed announcement that makes an upstream available again after it
 // has left.
 func TestLateAnnouncementAfterDeparture(t *testing.T) {
-	d := New()
+	d := New(allNamed)
 	d.Observe(start, readyUpstream("a", "10.0.0.1:80", 1000, 5))
 	assert.Equal(t, d.Observe(start, Upstream{ID: "a", State: Left}), Changed)
 	assert.Equal(t, d.Observe(start, readyUpstream("a", "10.0.0.1:80", 1000, 6)), Stale)
@@ -63,7 +65,7 @@
 // Guards against requests to a crashed upstream whose announcement arrives after another
 // upstream has taken over its address.
 func TestAddressReuse(t *testing.T) {
-	d := New()
+	d := New(allNamed)
 	d.Observe(start, readyUpstream("old", "10.0.0.1:80", 1000, 5))
 	d.Observe(start, readyUpstream("new", "10.0.0.1:80", 2000, 1))
 	d.Observe(start, readyUpstream("old", "10.0.0.1:80", 1000, 6))
@@ -76,7 +78,7 @@
 // Guards against an upstream that stays lost although its announcements arrive again, and
 // against one that is marked as lost while its announcements arrive.
 func TestLostUpstreamReturns(t *testing.T) {
-	d := New()
+	d := New(allNamed)
 	d.Observe(start, readyUpstream("a", "10.0.0.1:80", 1000, 1))
 	d.Observe(start.Add(4*time.Second), readyUpstream("a", "10.0.0.1:80", 1000, 2))
 	assert.Equal(t, len(d.MarkLost(start.Add(6*time.Second), 5*time.Second)), 0)
@@ -89,7 +91,7 @@
 // Guards against a directory, fed with the changes of another one, that misses states that
 // no announcement carries, such as a lost upstream or one whose address was taken over.
 func TestChangesCarryDerivedStates(t *testing.T) {
-	first, second := New(), New()
+	first, second := New(allNamed), New(allNamed)
 	feed := func(since uint64) uint64 {
 		for _, u := range first.ChangedSince(since) {
 			second.Observe(start, u)
@@ -110,7 +112,7 @@
 
 // Guards against a directory that keeps the records of ended upstreams forever.
 func TestExpire(t *testing.T) {
-	d := New()
+	d := New(allNamed)
 	d.Observe(start, readyUpstream("a", "10.0.0.1:80", 1000, 1))
 	d.Observe(start, readyUpstream("a", "", 1000, 2).withState(Left))
 	d.Expire(start.Add(time.Minute), time.Minute)
@@ -131,7 +133,7 @@
 		leaving := readyUpstream("a", "10.0.0.1:80", 1000, 1)
 		leaving.Leaving = true
 		list = append(list, leaving)
-		d := New()
+		d := New(allNamed)
 		for _, u := range rapid.Permutation(list).Draw(t, "order") {
 			d.Observe(start, u)
 		}
--- a/core/registration/subset_test.go
+++ b/core/registration/subset_test.go
@@ -13,7 +13,7 @@
 
 // newFleet returns a directory of one service in several availability zones.
 func newFleet(zones, perZone int) *Directory {
-	d := New()
+	d := New(allNamed)
 	for z := range zones {
 		for i := range perZone {
 			d.Observe(time.Unix(0, 0), Upstream{ID: fmt.Sprintf("i-%d-%d", z, i), Service: "model", Zone: fmt.Sprint("z", z),
--- a/core/registration/validate_test.go
+++ b/core/registration/validate_test.go
@@ -40,7 +40,7 @@
 	number := rapid.OneOf(rapid.Int64(), rapid.SampledFrom([]int64{0, 1, -1, MaxSeq, MaxSeq + 1, MaxStartedMS, MaxStartedMS + 1, math.MaxInt64, math.MinInt64}))
 	name := rapid.OneOf(rapid.SampledFrom([]string{"a", "b", "", "a\n", "\xff", strings.Repeat("x", MaxNameBytes+1)}), rapid.String())
 	rapid.Check(t, func(t *rapid.T) {
-		d := New()
+		d := New(allNamed)
 		for range rapid.IntRange(1, 20).Draw(t, "records") {
 			u := Upstream{
 				ID: name.Draw(t, "id"), Service: name.Draw(t, "service"), Zone: name.Draw(t, "zone"), State: State(rapid.IntRange(0, 5).Draw(t, "state")),
@@ -67,7 +67,7 @@
 // Guards against a directory that grows without bound while another writer announces new
 // IDs, and against upstreams that are refused although only ended ones take up the space.
 func TestDirectoryIsBounded(t *testing.T) {
-	d := New()
+	d := New(allNamed)
 	for i := range MaxRecords + 100 {
 		outcome := d.Observe(start, Upstream{ID: fmt.Sprint("left-", i), State: Left, StartedMS: 1})
 		assert.Assert(t, outcome == Changed, "the oldest ended record makes room")
--- a/modules/gateway/broadcast.go
+++ b/modules/gateway/broadcast.go
@@ -6,20 +6,6 @@
 	"heatherway.dev/core/registration"
 )
 
-// incarnation is one process lifetime of an upstream at an address, as announced by the
-// upstream itself.
-type incarnation struct {
-	addr      string
-	id        string
-	startedMS int64
-}
-
-// supersedes reports whether i was started after u at the same address, which means
-// that u has ended.
-func (i incarnation) supersedes(u registration.Upstream) bool {
-	return i.addr == u.Addr && i.startedMS > u.StartedMS
-}
-
 // notifier tells the running streams about new incarnations and failures of upstreams.
 type notifier struct {
 	mu            sync.Mutex
@@ -36,8 +22,8 @@
 
 func newNotifier() *notifier { return &notifier{subscriptions: map[*subscription]bool{}} }
 
-// subscribe returns a subscription whose replaced channel is closed when a newer
-// incarnation announces itself at the address of the upstream.
+// subscribe returns a subscription whose replaced channel is closed when the incarnation has ended:
+// the upstream has announced a later one, or another upstream serves at its address.
 func (n *notifier) subscribe(u registration.Upstream) *subscription {
 	s := &subscription{notifier: n, upstream: u, replaced: make(chan struct{}), checkRequested: make(chan struct{}, 1)}
 	n.mu.Lock()
@@ -69,11 +55,39 @@
 	}
 }
 
-func (n *notifier) publishIncarnation(i incarnation) {
+// publishIncarnation tells the subscribers that an upstream has announced an incarnation. One that
+// another upstream announces at the same address is no proof, since anyone may write an
+// announcement.
+func (n *notifier) publishIncarnation(u registration.Upstream) {
+	n.closeReplaced(func(s *subscription) bool { return s.upstream.ID == u.ID && s.upstream.StartedMS < u.StartedMS })
+}
+
+// publishReplaced tells the subscribers that an incarnation has ended.
+func (n *notifier) publishReplaced(u registration.Upstream) {
+	n.closeReplaced(func(s *subscription) bool { return s.isAt(u) })
+}
+
+func (s *subscription) isAt(u registration.Upstream) bool {
+	return s.upstream.ID == u.ID && s.upstream.StartedMS == u.StartedMS
+}
+
+// isWatched reports whether there is a subscriber to an incarnation.
+func (n *notifier) isWatched(u registration.Upstream) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for s := range n.subscriptions {
+		if s.isAt(u) {
+			return true
+		}
+	}
+	return false
+}
+
+func (n *notifier) closeReplaced(ended func(*subscription) bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for s := range n.subscriptions {
-		if i.supersedes(s.upstream) {
+		if ended(s) {
 			close(s.replaced)
 			delete(n.subscriptions, s)
 		}
--- a/modules/gateway/crash.go
+++ b/modules/gateway/crash.go
@@ -262,17 +262,15 @@
 	g.suspectParts.Store(int64(s.crashes.SuspectPartCount()))
 }
 
-// trackUpstreamChange passes a changed upstream to the crash tracker.
-func (g *Gateway) trackUpstreamChange(u registration.Upstream) {
-	if g.trackedRequests.Load() == 0 {
-		return
-	}
+// trackUpstreamChange passes a changed upstream to the crash tracker. addr is its address if no
+// other upstream runs there.
+func (g *Gateway) trackUpstreamChange(u registration.Upstream, addr string) {
 	g.owner.post(func(s *state) {
 		var changed []string
 		switch {
 		case u.State < registration.Lost:
-			changed = s.crashes.UpstreamStarted(time.Now(), u.ID, u.Addr, u.StartedMS)
-		case u.State == registration.Lost:
+			changed = s.crashes.UpstreamStarted(time.Now(), u.ID, addr, u.StartedMS)
+		case u.State == registration.Lost, u.Replaced:
 			changed = s.crashes.UpstreamLost(time.Now(), u.ID, u.StartedMS)
 		}
 		g.updateCrashCounts(s)
--- a/modules/gateway/follow.go
+++ b/modules/gateway/follow.go
@@ -100,14 +100,25 @@
 	f := &follower{
 		g: g, log: g.log, started: time.Now(), notifier: newNotifier(),
 		configured: make(chan struct{}), unconfirmedReceived: make(chan struct{}),
-		directory: registration.New(), subset: registration.Subset{Zone: g.zone, Reader: g.id},
+		subset:         registration.Subset{Zone: g.zone, Reader: g.id},
 		sourceSelector: registration.NewSourceSelector(g.id, time.Now(), rand.Float64()),
 		following:      map[string]bool{}, positions: map[string]position{},
 	}
+	f.directory = registration.NewReader(f.isNamed)
 	f.addSeeds(peerAddresses(g.Seeds, g.PeerPort))
 	return f
 }
 
+// isNamed reports whether the newest configuration received names a service.
+func (f *follower) isNamed(service string) bool {
+	t := f.unconfirmed.Load()
+	if t == nil {
+		return false
+	}
+	_, named := t.Service(service)
+	return named
+}
+
 // peerAddresses replaces the ports of the addresses by the peer port.
 func peerAddresses(addrs []string, port int) []string {
 	return registry.PeerAddresses(addrs, net.JoinHostPort("", strconv.Itoa(port)))
@@ -421,10 +432,20 @@
 	for _, c := range f.directory.ChangedSince(lastChange) {
 		f.g.owner.post(func(s *state) { s.fleet.SetUpstream(c) })
 		f.log.Info("upstream changed", "upstream", c.ID, "service", c.Service, "address", c.Addr, "upstream_zone", c.Zone, "upstream_version", c.Version,
-			"state", c.State.String(), "started_ms", c.StartedMS, "seq", c.Seq)
-		if c.State < registration.Lost {
-			f.notifier.publishIncarnation(incarnation{c.Addr, c.ID, c.StartedMS})
+			"state", c.State.String(), "started_ms", c.StartedMS, "seq", c.Seq, "replaced", c.Replaced, "returned", c.Returned)
+		switch {
+		case c.State < registration.Lost:
+			f.notifier.publishIncarnation(c)
+		case c.Replaced && f.notifier.isWatched(c):
+			f.g.spawn(func() { f.g.checkReplaced(f.g.ctx, c) })
+		}
+		if f.g.trackedRequests.Load() == 0 {
+			continue
+		}
+		addr := ""
+		if f.directory.IsAloneAt(c) {
+			addr = c.Addr
 		}
-		f.g.trackUpstreamChange(c)
+		f.g.trackUpstreamChange(c, addr)
 	}
 }
--- a/modules/gateway/harness_test.go
+++ b/modules/gateway/harness_test.go
@@ -118,6 +118,8 @@
 	*Gateway
 	t    *testing.T
 	addr string
+	// control is the directory of the control instance that the gateway follows.
+	control *registration.Directory
 }
 
 func newFixture(t *testing.T, c *routing.Configuration, ups ...*upstream) *fixture {
@@ -136,7 +138,7 @@
 	g.readyListener, err = net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	assert.NilError(t, g.Start(t.Context()))
-	f := &fixture{Gateway: g, t: t, addr: g.callerListener.Addr().String()}
+	f := &fixture{Gateway: g, t: t, addr: g.callerListener.Addr().String(), control: registration.New(func(string) bool { return true })}
 	if c != nil {
 		f.setConfiguration(c)
 	}
@@ -159,7 +161,11 @@
 func (f *fixture) announce(u registration.Upstream) {
 	f.follower.mu.Lock()
 	defer f.follower.mu.Unlock()
-	f.follower.observe(time.Now(), u)
+	before := f.control.LastChange()
+	f.control.Observe(time.Now(), u)
+	for _, c := range f.control.ChangedSince(before) {
+		f.follower.observe(time.Now(), c)
+	}
 	f.follower.upstreamCount.Add(1)
 }
 
--- a/modules/gateway/incarnation.go
+++ b/modules/gateway/incarnation.go
@@ -7,11 +7,13 @@
 	"github.com/go-faster/errors"
 
 	"heatherway.dev/core/origin"
+	"heatherway.dev/core/registration"
 	"heatherway.dev/kernel/recovery"
 )
 
-// This file checks that a stream whose software version matters runs at the incarnation whose
-// announcement named the version. The upstream is asked while it reads the prompt.
+// This file checks which incarnation of an upstream serves: for a stream whose software version
+// matters, since the announcement named the version, and for streams whose upstream another one
+// claims to have replaced.
 
 const (
 	// incarnationCallTimeout limits one question, and incarnationRetryDelay is the time between
@@ -46,53 +48,81 @@
 	}()
 }
 
-// checkIncarnation asks until the verdict is clear.
+// checkIncarnation returns an error unless the incarnation that has announced the version serves
+// the attempt.
 func (c *callerRequest) checkIncarnation(ctx context.Context, a *attempt) error {
 	u := a.choice.Upstream
+	answer := c.g.askIncarnation(ctx, u)
+	switch answer.verdict {
+	case origin.OtherIncarnation:
+		c.g.log.Info("another incarnation serves under the ID of an upstream", "request", c.req.ID, "upstream", u.ID, "address", u.Addr,
+			"upstream_version", u.Version, "announced_ms", u.StartedMS, "started_ms", answer.startedMS)
+		return errOtherIncarnation
+	case origin.NoAnswer:
+		return errors.Wrap(errNoIncarnation, answer.err.Error())
+	case origin.AskAgain:
+		return ctx.Err()
+	}
+	return nil
+}
+
+// checkReplaced asks at the address of an upstream that another one claims to have replaced. The
+// streams that run there learn of their end unless the upstream itself answers.
+func (g *Gateway) checkReplaced(ctx context.Context, u registration.Upstream) {
+	answer := g.askIncarnation(ctx, u)
+	serves := answer.verdict == origin.SameIncarnation
+	g.log.Info("address of an upstream claimed by another one", "upstream", u.ID, "address", u.Addr, "started_ms", u.StartedMS,
+		"answered_ms", answer.startedMS, "serves", serves, "error", answer.err)
+	if !serves && ctx.Err() == nil {
+		g.follower.notifier.publishReplaced(u)
+	}
+}
+
+// incarnationAnswer says which incarnation serves at the address of an upstream.
+type incarnationAnswer struct {
+	verdict   origin.Verdict
+	startedMS int64
+	err       error // of the last question
+}
+
+// askIncarnation asks until the verdict is clear or ctx is done.
+func (g *Gateway) askIncarnation(ctx context.Context, u registration.Upstream) (answer incarnationAnswer) {
 	check := origin.NewIncarnationCheck(time.Now(), u.StartedMS)
 	for {
-		startedMS, err := c.askStartTime(ctx, a)
-		verdict := check.Answered(startedMS)
-		if err != nil {
-			verdict = check.Failed(time.Now())
+		answer.startedMS, answer.err = g.askStartTime(ctx, u)
+		answer.verdict = check.Answered(answer.startedMS)
+		if answer.err != nil {
+			answer.verdict = check.Failed(time.Now())
 		}
-		switch verdict {
-		case origin.AskAgain:
-		case origin.OtherIncarnation:
-			c.g.log.Info("another incarnation serves under the ID of an upstream", "request", c.req.ID, "upstream", u.ID, "address", u.Addr,
-				"upstream_version", u.Version, "announced_ms", u.StartedMS, "started_ms", startedMS)
-			return errOtherIncarnation
-		case origin.NoAnswer:
-			return errors.Wrap(errNoIncarnation, err.Error())
-		default:
-			return nil
+		if answer.verdict != origin.AskAgain {
+			return answer
 		}
 		select {
 		case <-time.After(incarnationRetryDelay):
 		case <-ctx.Done():
-			return ctx.Err()
+			return answer
 		}
 	}
 }
 
-// askStartTime returns the start time that the upstream of an attempt states in its load report,
-// zero if it states none or may not be asked.
-func (c *callerRequest) askStartTime(ctx context.Context, a *attempt) (startedMS int64, err error) {
+// askStartTime returns the start time that an upstream states in its load report, zero if it
+// states none or may not be asked.
+func (g *Gateway) askStartTime(ctx context.Context, u registration.Upstream) (startedMS int64, err error) {
 	ctx, cancel := context.WithTimeout(ctx, incarnationCallTimeout)
 	defer cancel()
-	u, malformed := a.choice.Upstream, error(nil)
-	err = c.g.callUpstream(ctx, u, c.g.dialect.ReportCall(), func(body []byte) error {
-		r, err := c.g.dialect.Report(body)
+	malformed := error(nil)
+	err = g.callUpstream(ctx, u, g.dialect.ReportCall(), func(body []byte) error {
+		r, err := g.dialect.Report(body)
 		startedMS, malformed = r.StartedMS, err
 		return nil
 	})
 	if malformed != nil {
-		c.g.log.Warn("malformed load report", "upstream", u.ID, "error", malformed)
+		g.log.Warn("malformed load report", "upstream", u.ID, "error", malformed)
 		return 0, nil
 	}
 	var status callStatusError
 	if errors.Is(err, errBackoff) || errors.Is(err, errLimited) || errors.As(err, &status) {
-		c.g.log.Debug("incarnation of an upstream not checked", "request", c.req.ID, "upstream", u.ID, "error", err)
+		g.log.Debug("incarnation of an upstream not checked", "upstream", u.ID, "error", err)
 		return 0, nil
 	}
 	return startedMS, err
--- a/modules/gateway/odd_test.go
+++ b/modules/gateway/odd_test.go
@@ -114,7 +114,7 @@
 // when the gateway still considers it older.
 func TestUpstreamHiddenByAnEndedRecordReturns(t *testing.T) {
 	f := newFixture(t, configuration())
-	control := &largeFleetControl{dir: registration.New()}
+	control := &largeFleetControl{dir: registration.New(func(string) bool { return true })}
 	f.followFeed(control)
 	observe := func(u registration.Upstream) {
 		control.mu.Lock()
--- a/modules/gateway/stream.go
+++ b/modules/gateway/stream.go
@@ -204,6 +204,10 @@
 	defer cancel()
 	upstreamEvents := s.g.follower.notifier.subscribe(a.choice.Upstream)
 	defer upstreamEvents.close()
+	replaced := upstreamEvents.replaced
+	if !s.route.Repeatable() {
+		replaced = nil // such a stream can only be lost by it; its connection ends if the upstream has
+	}
 	wait := a.choice.ExpectedWait
 	if a.fromBackup {
 		wait = resumeFirstEventWait
@@ -244,7 +248,7 @@
 			backup.update(ctx)
 		case copied := <-backup.results:
 			backup.recordResult(copied)
-		case <-upstreamEvents.replaced:
+		case <-replaced:
 			a.err, a.silent = errors.New("a newer incarnation has taken over the upstream's address"), true
 			s.forwardRemaining(a, r)
 			return
--- a/modules/gateway/subset_test.go
+++ b/modules/gateway/subset_test.go
@@ -23,7 +23,7 @@
 }
 
 func newLargeFleetControl() *largeFleetControl {
-	c := &largeFleetControl{dir: registration.New()}
+	c := &largeFleetControl{dir: registration.New(func(string) bool { return true })}
 	for zone := range 3 {
 		for i := range 600 {
 			c.dir.Observe(time.Now(), registration.Upstream{ID: fmt.Sprintf("i-%d-%d", zone, i), Service: "model", Zone: fmt.Sprint("z", zone),
--- a/modules/registry/directory.go
+++ b/modules/registry/directory.go
@@ -80,6 +80,9 @@
 	copyResults         chan copyResult
 	waits               []copyWait
 	copying, copyFailed map[string]bool
+	// services are the names of the services in a version of the configuration.
+	services        map[string]bool
+	servicesVersion uint64
 	// savedChange and savedCrashChange are the numbers of the last changes that have
 	// been passed to the savers.
 	savedChange, savedCrashChange uint64
@@ -138,7 +141,7 @@
 
 func newDirectory(r *Registry) *directory {
 	d := &directory{
-		registry: r, log: r.log, state: registration.New(), epoch: rand.Uint64(),
+		registry: r, log: r.log, epoch: rand.Uint64(),
 		inputs: make(chan observation, maxQueuedObservations), queries: make(chan query), trialRequests: make(chan trialRequest),
 		unsentUpstreams: map[string]map[string]registration.Upstream{}, unsentAlive: map[string]map[string]Alive{},
 		crashes: crash.New(), unsentRuns: map[string]map[string]bool{}, memberEpochs: map[string]uint64{}, inFlight: map[string]bool{},
@@ -146,6 +149,7 @@
 		copies: registration.NewCopyTracker(r.Losses), copyWaits: make(chan copyWait), copyResults: make(chan copyResult, 16),
 		ownCopies: make(chan uint64), copying: map[string]bool{}, copyFailed: map[string]bool{},
 	}
+	d.state = registration.New(d.isNamed)
 	if r.folder != "" {
 		d.saver = newSaver[savedList[registration.Upstream]](r, directoryFile)
 		d.crashesSaver = newSaver[savedCrashes](r, crashesFile)
@@ -227,6 +231,24 @@
 	}
 }
 
+// isNamed reports whether the configuration in force names a service. It is asked only when an
+// announcement contradicts another one.
+func (d *directory) isNamed(service string) bool {
+	current := d.registry.configuration.current()
+	if current.version != d.servicesVersion {
+		c, err := d.registry.dialect.Configuration(current.body)
+		if err != nil {
+			d.log.Error("cannot read the services of the configuration", "version", current.version, "error", clip(err.Error()))
+			return false
+		}
+		d.servicesVersion, d.services = current.version, map[string]bool{}
+		for _, s := range c.Services {
+			d.services[s.Name] = true
+		}
+	}
+	return d.services[service]
+}
+
 func (d *directory) run(ctx context.Context) {
 	share, sweep, save := time.NewTicker(shareInterval), time.NewTicker(sweepInterval), time.NewTicker(saveInterval)
 	defer share.Stop()
@@ -302,7 +324,9 @@
 			changed = true
 			after, _ := d.state.Get(u.ID)
 			d.log.Info("upstream changed", "upstream", u.ID, "service", after.Service, "address", after.Addr,
-				"state", after.State.String(), "previous", previousState(before, known), "started_ms", after.StartedMS, "seq", u.Seq, "version", after.Version, "direct", o.direct)
+				"state", after.State.String(), "previous", previousState(before, known), "started_ms", after.StartedMS, "seq", u.Seq, "version", after.Version, "direct", o.direct,
+				"replaced", after.Replaced, "returned", after.Returned)
+			u.Returned = after.Returned
 		}
 		if outcome == registration.Changed || outcome == registration.Refreshed {
 			d.trackUpstream(now, u)
@@ -374,7 +398,11 @@
 		d.crashes.UpstreamLeaving(now, u.ID, u.StartedMS)
 		return
 	}
-	d.crashes.UpstreamStarted(now, u.ID, u.Addr, u.StartedMS)
+	addr := ""
+	if d.state.OwnsAddress(u) {
+		addr = u.Addr // else those that run at the address have not ended
+	}
+	d.crashes.UpstreamStarted(now, u.ID, addr, u.StartedMS)
 	d.trackAnnouncement(now, u.ID, u.StartedMS, u.Seq)
 }
 
