gateway: accept the platform's field in events

Cause, from the gateways' log ('a line that is no part of an event' for each cut stream): an event at which the weights change begins with the line 'weight-versions: N'. The gateway took any line but the fields of the format for text that is no event, dropped the event and closed the connection.

It must hold a whole number, so that heads and error pages are still told apart. The agent's adapter and the load client pass over unknown fields, which a test holds now. The soak's servers write the line in every seventh event.

--- a/modules/adapter/openai/openai_test.go
+++ b/modules/adapter/openai/openai_test.go
@@ -180,3 +180,17 @@
 		}
 	}
 }
+
+// Guards against output that is lost or counted twice because an event begins with a line that is
+// no field of event streams, such as a new version of the weights.
+func TestOtherFieldsOfEvents(t *testing.T) {
+	const end = "data: {\"choices\":[{\"text\":\"c\",\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n"
+	const body = "weight-versions: 1\ndata: {\"choices\":[{\"text\":\"a\"}]}\n\n" +
+		"weight-versions: 2\nweight-versions: 3\r\nid: 7\ndata: {\"choices\":[{\"text\":\"b\"}]}\n\nweight-versions: 4\n\nweight-versions: 5\n"
+	var text string
+	tokens := uint32(0)
+	err := readStream(strings.NewReader(body+end), 0, func(ev adapter.Event) error { text += ev.Text; tokens += ev.Tokens; return nil })
+	assert.NilError(t, err)
+	assert.Equal(t, text, "abc")
+	assert.Equal(t, tokens, uint32(3))
+}
--- a/modules/dialect/dialect.go
+++ b/modules/dialect/dialect.go
@@ -159,6 +159,9 @@
 	Forward(h http.Header, f Forward)
 	// Response decodes the headers of an upstream's response.
 	Response(h http.Header) Response
+	// IsEventField reports whether a line of an event, split at its first colon, is a field that the
+	// platform adds to those of event streams. Any other line is no part of an event.
+	IsEventField(name, value string) bool
 	// CopyCall returns the call that asks the upstream of a run to copy the run's KV cache
 	// to the upstream at an address, or to update an earlier copy there.
 	CopyCall(run, addr string) Call
--- a/modules/gateway/events.go
+++ b/modules/gateway/events.go
@@ -40,8 +40,9 @@
 // readEvent reads one event up to and including its empty line. It returns
 // io.ErrUnexpectedEOF if the stream ends within an event, and errNoEvent if it contains
 // something else, such as the response head or the text of an error. The bytes that a
-// large event has reserved are released by its receiver.
-func readEvent(r *bufio.Reader, reservation *buffers.Reservation) (event, error) {
+// large event has reserved are released by its receiver. isPlatformField reports whether a
+// line is a field that the platform adds to the format.
+func readEvent(r *bufio.Reader, reservation *buffers.Reservation, isPlatformField func(name, value string) bool) (event, error) {
 	e := event{id: -1}
 	for lineStart := true; ; {
 		line, err := r.ReadSlice('\n')
@@ -57,7 +58,7 @@
 		}
 		field := bytes.TrimRight(line, "\r\n")
 		endsEvent := lineStart && len(field) == 0
-		if lineStart && !endsEvent && !e.addField(field) && (err == nil || errors.Is(err, bufio.ErrBufferFull)) {
+		if lineStart && !endsEvent && !e.addField(field, isPlatformField) && (err == nil || errors.Is(err, bufio.ErrBufferFull)) {
 			return e, errNoEvent
 		}
 		lineStart = err == nil
@@ -77,8 +78,8 @@
 }
 
 // addField adds a line to an event. It returns false if the line is neither a comment nor
-// one of the fields that the format of event streams defines.
-func (e *event) addField(line []byte) bool {
+// one of the fields that the format of event streams or the platform defines.
+func (e *event) addField(line []byte, isPlatformField func(name, value string) bool) bool {
 	name, value, _ := bytes.Cut(line, []byte(":"))
 	switch string(name) {
 	case "", "event", "retry":
@@ -89,7 +90,7 @@
 			e.id = id
 		}
 	default:
-		return false
+		return isPlatformField(string(name), string(value))
 	}
 	return true
 }
--- a/modules/gateway/reader.go
+++ b/modules/gateway/reader.go
@@ -104,7 +104,7 @@
 	// from one that has no events.
 	delimited := x.res.ContentLength >= 0 || len(x.res.TransferEncoding) > 0
 	for hasEvents := false; ; {
-		e, err := readEvent(body, r.caller.reservation)
+		e, err := readEvent(body, r.caller.reservation, r.caller.g.dialect.IsEventField)
 		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && !hasEvents && !delimited {
 			err = io.ErrUnexpectedEOF
 		}
--- a/modules/gateway/resume_test.go
+++ b/modules/gateway/resume_test.go
@@ -236,7 +236,10 @@
 			"carriage returns, no space": {"id:4\r\ndata:x\r\n\r\n", textEvents(0, 3) + "id:4\r\ndata:x\r\n\r\n"},
 			"long lines": {"id: 4\ndata: " + strings.Repeat("x", readBufferBytes-6) + "\ndata: " + strings.Repeat("y", readBufferBytes-6) + "id: 9\n\n" + textEvents(5, 6),
 				textEvents(0, 3) + "id: 4\ndata: " + strings.Repeat("x", readBufferBytes-6) + "\ndata: " + strings.Repeat("y", readBufferBytes-6) + "id: 9\n\n" + textEvents(5, 6)},
-			"nothing": {"", textEvents(0, 3)},
+			"new weights at the first event": {"weight-versions: 2\n" + textEvents(4, 6), textEvents(0, 3) + "weight-versions: 2\n" + textEvents(4, 6)},
+			"new weights, all events":        {textEvents(0, 3) + "weight-versions: 2\n" + textEvents(4, 6), textEvents(0, 3) + "weight-versions: 2\n" + textEvents(4, 6)},
+			"new weights at known events":    {"weight-versions: 2\n" + textEvents(0, 6), textEvents(0, 6)},
+			"nothing":                        {"", textEvents(0, 3)},
 		} {
 			if framing == "neither" && name == "nothing" {
 				continue // cannot be told from an upstream that stopped after the head
@@ -267,6 +270,10 @@
 		"text":                    "server error: secret text\n\n",
 		"text within an event":    "id: 6\nsecret text\n\n",
 		"JSON":                    "{\"error\": \"secret text\"}\n\n",
+		"head that names weights": "Weight-Versions: 2\r\nContent-Type: text/plain\r\n\r\nsecret text",
+		"weights without number":  "weight-versions: secret text\n\n",
+		"a part of the weights":   "weight-versions: 2\nid: 6",
+		"head after the weights":  "weight-versions: 2\n" + errorHead + "\n\n",
 		"long text":               strings.Repeat("secret text ", 1000) + "\n\n",
 		"a part of an event":      "id: 6\ndata: secret text\n",
 		"a part of a line":        "id: 6\ndata: secr",
--- a/test/soak/upstream_test.go
+++ b/test/soak/upstream_test.go
@@ -199,6 +199,9 @@
 
 const eventInterval = 15 * time.Millisecond
 
+// weightsInterval is the number of events between two changes of the weights' version.
+const weightsInterval = 7
+
 func (s *server) serve(w http.ResponseWriter, r *http.Request) {
 	body, err := s.readBody(r)
 	if err != nil {
@@ -313,7 +316,11 @@
 		if ended || r.Context().Err() != nil {
 			panic(http.ErrAbortHandler)
 		}
-		fmt.Fprintf(w, "id: %d\nevent: %s\ndata: %s\n\n", next, version, eventData(stream, next))
+		weights := "" // an event at which the weights change says so first
+		if next%weightsInterval == weightsInterval-1 {
+			weights = fmt.Sprintf("weight-versions: %d\n", next)
+		}
+		fmt.Fprintf(w, "%sid: %d\nevent: %s\ndata: %s\n\n", weights, next, version, eventData(stream, next))
 		w.(http.Flusher).Flush()
 	}
 }
