gateway: give up a silent stream only where it goes on

Cause, from the gateways' logs ('listed=false ... progress=lost', then 'stream broken off'): a started stream that is not in its server's report was given up, also if it must not be sent twice, had no attempt, no other upstream or no retry left. Streams that fell silent together found the others ready and were given up until none was.

Change: a stream that must not be sent twice is not checked for silence. Another one takes the place and the retry of its next attempt first (core/relay.MayGiveUp), and is checked again if there are none. A server that has answered the check is not blamed as crashed.

TestEndedUpstreamsAreForgotten passes its announcements through the directory of a control instance, which decides about addresses since; its checks are the same.

--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -149,3 +149,22 @@
 		assert.Assert(t, now.Sub(start) < 400*time.Millisecond)
 	}
 }
+
+// Guards against a stream that is cut for the silence of its upstream although it can't go on
+// elsewhere, against checks without pause then, and against an upstream that is never given up.
+func TestSilentAttemptIsGivenUpOnlyToGoOn(t *testing.T) {
+	s := New(700*time.Millisecond, -1)
+	s.StartAttempt(start, 0)
+	s.ReceiveEvent(start, 0)
+	now, checks := start, 0
+	for now.Sub(start) < 10*time.Second {
+		now = now.Add(s.TimeUntilCheck(now))
+		if checks++; s.RecordCheck(now, Lost) || s.MayGiveUp(Continuation{AttemptsLeft: checks%2 == 0, OtherReady: checks%2 == 1}) {
+			t.Fatalf("given up at check %d", checks)
+		}
+		s.Postpone(now)
+	}
+	assert.Assert(t, checks <= 15, "%d checks in 10 s", checks)
+	assert.Assert(t, s.MayGiveUp(Continuation{AttemptsLeft: true, OtherReady: true}))
+	assert.Assert(t, s.MayGiveUp(Continuation{Trial: true}), "others wait for the outcome of a trial")
+}
--- a/modules/gateway/report.go
+++ b/modules/gateway/report.go
@@ -108,8 +108,10 @@
 	wg.Wait()
 }
 
-// queryProgress asks a silent upstream about the progress of the attempt.
-func (s *streamRequest) queryProgress(ctx context.Context, u registration.Upstream) relay.Progress {
+// queryProgress asks a silent upstream about the progress of the attempt. An answer of the same
+// incarnation shows that the attempt has not ended it.
+func (s *streamRequest) queryProgress(ctx context.Context, a *attempt) relay.Progress {
+	u := a.choice.Upstream
 	ctx, cancel := context.WithTimeout(ctx, loadReportTimeout)
 	defer cancel()
 	r, err := s.fetchLoadReport(ctx, u)
@@ -117,6 +119,7 @@
 		s.g.log.Debug("load report not received", "request", s.req.ID, "upstream", u.ID, "error", err)
 		return relay.Unknown
 	}
+	a.alive = r.StartedMS != 0 && r.StartedMS == u.StartedMS
 	report := relay.Report{RequestsWithoutEvents: r.Queued + max(r.Running-len(r.Runs), 0), WorkCounter: r.UsedTokens}
 	for _, run := range r.Runs {
 		report.WorkCounter += run.Events
--- a/modules/gateway/silence.go
+++ b/modules/gateway/silence.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
 
-	"heatherway.dev/core/registration"
 	"heatherway.dev/core/relay"
 )
 
@@ -24,15 +24,24 @@
 	if s.relay.Received() > received {
 		return false
 	}
-	progress, err := s.probeUpstream(ctx, a.choice.Upstream)
+	progress, err := s.probeUpstream(ctx, a)
 	if s.processQueued(a, r) {
 		return true
 	}
 	if s.relay.Received() > received || err == nil && s.relay.RecordCheck(time.Now(), progress) {
 		return false
 	}
+	if !s.mayGiveUp(a) {
+		if !a.kept {
+			s.g.log.Info("silent upstream kept: the stream can't go on elsewhere", "request", s.req.ID, "upstream", a.choice.Upstream.ID,
+				"progress", progress.String(), "reachable", err == nil, "attempts", s.sentCount+1)
+		}
+		a.kept = true
+		s.relay.Postpone(time.Now())
+		return false
+	}
 	s.g.metrics.silentAttempts.Inc()
-	a.silent = true
+	a.silent = !a.alive
 	a.err = errors.New("the upstream accepts connections but sends no events")
 	if progress == relay.Lost {
 		a.err = errors.New("the upstream is silent and no longer works on the request")
@@ -45,10 +54,59 @@
 	return true
 }
 
+// mayGiveUp reports whether a silent attempt is given up. The next one then has a place and a
+// retry: many streams fall silent together, and each would find the others ready until all of them
+// are given up.
+func (s *streamRequest) mayGiveUp(a *attempt) bool {
+	left := s.sentCount+1 < s.maxAttempts() && s.canTryAnother() && s.crashDecision().allowed()
+	next := relay.Continuation{AttemptsLeft: left, Trial: s.trial}
+	if next.AttemptsLeft {
+		next.OtherReady = s.reserveNext(a)
+	}
+	if !s.relay.MayGiveUp(next) {
+		return false
+	}
+	if next.Trial || s.takeRetryBudget() {
+		a.retryTaken = true
+		return true
+	}
+	s.releaseReserved()
+	return false
+}
+
+// reserveNext places the attempt that would follow a silent one, and reports whether there is room.
+func (s *streamRequest) reserveNext(a *attempt) bool {
+	request := s.placementRequest()
+	request.Tried = append(slices.Clone(request.Tried), a.choice.Upstream.ID)
+	if a.started {
+		request.Preferred = a.backup.holder.ID
+	}
+	if request.Preferred == "" {
+		s.refreshLoadReports(request)
+	}
+	choice, refusal := s.placeWithGrants(request)
+	if refusal == nil {
+		s.reserved = &choice
+	}
+	return refusal == nil
+}
+
+// releaseReserved releases the place of an attempt that is not made.
+func (s *streamRequest) releaseReserved() {
+	if s.reserved == nil {
+		return
+	}
+	ticket := s.reserved.Ticket
+	s.reserved = nil
+	s.g.owner.post(func(st *state) { st.fleet.End(time.Now(), ticket) })
+}
+
 // probeUpstream opens a connection to a silent upstream and, when the silence has
 // lasted too long, fetches its load report. An error means that no connection could be
 // opened. An upstream that has asked for backoff is not contacted.
-func (s *streamRequest) probeUpstream(ctx context.Context, u registration.Upstream) (relay.Progress, error) {
+func (s *streamRequest) probeUpstream(ctx context.Context, a *attempt) (relay.Progress, error) {
+	u := a.choice.Upstream
+	a.alive = false
 	if s.g.remainingBackoff(u) > 0 {
 		return relay.Unknown, nil
 	}
@@ -58,7 +116,7 @@
 	if s.relay.TimeUntilCheck(time.Now()) > 0 {
 		return relay.Unknown, nil
 	}
-	return s.queryProgress(ctx, u), nil
+	return s.queryProgress(ctx, a), nil
 }
 
 // processQueued processes the items that are queued at the moment, no more, since
--- a/modules/gateway/stream.go
+++ b/modules/gateway/stream.go
@@ -41,6 +41,7 @@
 		last = c.req.LastEventID
 	}
 	s := &streamRequest{callerRequest: c, relay: relay.New(c.route.MaxEventGap, last)}
+	defer s.releaseReserved()
 	if s.isTakeUp() {
 		if err := s.findVersion(); err != nil {
 			s.respondError(err)
@@ -77,6 +78,8 @@
 	// records are all records that were begun, oldest first.
 	record  *versionRecord
 	records []*versionRecord
+	// reserved is the place of the next attempt, taken before a silent one is given up.
+	reserved *dispatch.Choice
 	// brokenAt is when the stream was interrupted after an event; it is zero unless the
 	// stream waits for the first event of a resume.
 	brokenAt time.Time
@@ -108,8 +111,14 @@
 	fromBackup bool
 	// promptCached is set if the upstream had the prompt in its cache.
 	promptCached bool
-	// silent is set if the upstream was given up although its connection did not end.
-	silent bool
+	// silent is set if the upstream was given up although its connection did not end, and nothing
+	// shows that the upstream has not. retryTaken is set if the retry that the next attempt needs
+	// has been taken then.
+	silent, retryTaken bool
+	// alive is set if the incarnation has answered in the last check.
+	alive bool
+	// kept is set once a silent upstream was not given up.
+	kept   bool
 	meta   dialect.Response
 	status int
 	header http.Header
@@ -119,7 +128,9 @@
 	err       error
 	// incarnation is the check of the incarnation that serves the attempt, nil if none is needed.
 	incarnation *incarnationCheck
-	// backupHolder has the copy of the KV cache that backupCopy identifies.
+	// backup maintains the copy of the KV cache while events are relayed. Afterwards backupHolder
+	// has the copy that backupCopy identifies.
+	backup       *cacheBackup
 	backupHolder registration.Upstream
 	backupCopy   dialect.CacheCopy
 }
@@ -131,23 +142,22 @@
 // runAttempt places the stream and relays it from the selected upstream. It returns nil
 // when the caller has got the final response.
 func (s *streamRequest) runAttempt() *attempt {
-	request := s.dispatchRequest()
-	request.Backup = s.route.Resumable && s.route.MaxAttempts > 1
-	request.Version = s.version
-	s.restrictVersion(request)
-	request.Preferred = cmp.Or(s.backupHolder.ID, s.reconnectTo)
-	if request.Preferred == "" {
-		if s.sentCount == 0 && s.req.LastEventID != dialect.NoEvent {
-			s.locatePrompt(request)
+	request := s.placementRequest()
+	choice, ok := s.takeReserved()
+	if !ok {
+		request.Preferred = cmp.Or(s.backupHolder.ID, s.reconnectTo)
+		if request.Preferred == "" {
+			if s.sentCount == 0 && s.req.LastEventID != dialect.NoEvent {
+				s.locatePrompt(request)
+			}
+			if request.CachedAt == "" {
+				s.refreshLoadReports(request) // reports cannot change where the prompt is cached
+			}
 		}
-		if request.CachedAt == "" {
-			s.refreshLoadReports(request) // reports cannot change where the prompt is cached
+		if choice, ok = s.placeStream(request); !ok {
+			return nil
 		}
 	}
-	choice, ok := s.placeStream(request)
-	if !ok {
-		return nil
-	}
 	a := &attempt{choice: loggedChoice{choice}, startedAt: time.Now(), continues: s.responseStarted}
 	a.promptCached = request.CachedAt == choice.Upstream.ID
 	a.fromBackup = s.backupHolder.ID != "" && s.backupHolder.ID == choice.Upstream.ID
@@ -156,6 +166,24 @@
 	return a
 }
 
+// placementRequest returns the request for the placement of an attempt.
+func (s *streamRequest) placementRequest() *dispatch.Request {
+	request := s.dispatchRequest()
+	request.Backup = s.route.Resumable && s.route.MaxAttempts > 1
+	request.Version = s.version
+	s.restrictVersion(request)
+	return request
+}
+
+// takeReserved returns the place that was reserved for the attempt, if any.
+func (s *streamRequest) takeReserved() (choice dispatch.Choice, ok bool) {
+	if s.reserved == nil {
+		return choice, false
+	}
+	choice, s.reserved = *s.reserved, nil
+	return choice, true
+}
+
 // placeStream places the stream, and waits a short time for an available upstream.
 func (s *streamRequest) placeStream(request *dispatch.Request) (dispatch.Choice, bool) {
 	choice, refusal := s.placeWithin(request, s.route.Objective/placementWaitDivisor)
@@ -204,10 +232,7 @@
 	defer cancel()
 	upstreamEvents := s.g.follower.notifier.subscribe(a.choice.Upstream)
 	defer upstreamEvents.close()
-	replaced := upstreamEvents.replaced
-	if !s.route.Repeatable() {
-		replaced = nil // such a stream can only be lost by it; its connection ends if the upstream has
-	}
+	replaced, checkRequested := upstreamEvents.replaced, upstreamEvents.checkRequested
 	wait := a.choice.ExpectedWait
 	if a.fromBackup {
 		wait = resumeFirstEventWait
@@ -217,7 +242,14 @@
 	defer r.stop(cancel)
 	timer := time.NewTimer(s.relay.TimeUntilCheck(a.startedAt))
 	defer timer.Stop()
+	checkDue := timer.C
+	if !s.route.Repeatable() {
+		// A stream that must not be sent twice can only be lost by a check. Its connection ends if
+		// its upstream has, and its caller leaves if it waits in vain.
+		replaced, checkRequested, checkDue = nil, nil, nil
+	}
 	backup := newCacheBackup(s, a)
+	a.backup = backup
 	defer func() { a.backupHolder, a.backupCopy = backup.holder, backup.backupCopy; backup.close() }()
 	for {
 		received := s.relay.Received()
@@ -229,12 +261,12 @@
 			if s.relay.Received() > received { // filler does not postpone the check
 				timer.Reset(s.relay.TimeUntilCheck(time.Now()))
 			}
-		case <-timer.C:
+		case <-checkDue:
 			if s.checkSilence(ctx, a, r) {
 				return
 			}
 			timer.Reset(s.relay.TimeUntilCheck(time.Now()))
-		case <-upstreamEvents.checkRequested:
+		case <-checkRequested:
 			if s.relay.HasRecentEvent(time.Now()) {
 				continue
 			}
@@ -524,7 +556,7 @@
 	case d.part != crash.Allowed:
 		s.respondError(s.partError(d))
 		return false
-	case a.sent && !s.takeRetryBudget():
+	case a.sent && !a.retryTaken && !s.takeRetryBudget():
 		return s.endAfterFailure(a)
 	}
 	if s.brokenAt.IsZero() && hasEvents {
--- a/modules/gateway/subset_test.go
+++ b/modules/gateway/subset_test.go
@@ -114,8 +114,11 @@
 	defer f.follower.mu.Unlock()
 	now := time.Now()
 	for i := range 500 {
-		u := registration.Upstream{ID: fmt.Sprint("i-", i), Service: "model", Zone: "z0", Addr: "127.0.0.1:9", StartedMS: int64(i + 1), Seq: 1}
-		f.follower.observe(now, u)
+		before := f.control.LastChange()
+		f.control.Observe(now, registration.Upstream{ID: fmt.Sprint("i-", i), Service: "model", Zone: "z0", Addr: "127.0.0.1:9", StartedMS: int64(i + 1), Seq: 1})
+		for _, u := range f.control.ChangedSince(before) {
+			f.follower.observe(now, u)
+		}
 	}
 	lost := registration.Upstream{ID: "lost", Service: "model", Zone: "z0", Addr: "127.0.0.1:10", StartedMS: 1, Seq: 2, State: registration.Lost}
 	f.follower.observe(now, lost)
