wal: open a log whose removed segments have come back

Cause: a compaction removes several segments without a sync of their folder, a loss of power brings some back, and the replay took the gap between them for damage.

The folder is synced after the removals. A log that ends before its commit index is damage now, since a gap no longer is by itself. Names of new folders are synced too.

--- a/internal/disk/disk.go
+++ b/internal/disk/disk.go
@@ -57,6 +57,22 @@
 	return errors.Join(d.Sync(), d.Close())
 }
 
+// CreateFolder creates a folder with its parents. The name of each new one is synced, since the
+// files in a folder are lost with its name.
+func CreateFolder(files Files, path string, permission os.FileMode) error {
+	if _, err := os.Stat(path); err == nil || !errors.Is(err, os.ErrNotExist) {
+		return err
+	}
+	parent := filepath.Dir(path)
+	if err := CreateFolder(files, parent, permission); err != nil {
+		return err
+	}
+	if err := os.Mkdir(path, permission); err != nil && !errors.Is(err, os.ErrExist) {
+		return err
+	}
+	return files.SyncFolder(parent)
+}
+
 // Replace replaces a file atomically and syncs its folder: after a crash the file has its
 // old or its new contents. After a failure no temporary file takes up space.
 func Replace(files Files, path string, b []byte) error {
--- a/modules/control/wal/replay.go
+++ b/modules/control/wal/replay.go
@@ -58,7 +58,9 @@
 	r.entries = r.entries[keep:]
 }
 
-// replaySegments reads all segments in order.
+// replaySegments reads all segments in order. A segment that is missing between others was removed,
+// while an older one that was removed with it has come back after a loss of power: a segment is
+// removed only after all older ones, once snapshots cover it.
 func (w *WAL) replaySegments() (map[Group]*replayedGroup, error) {
 	paths, err := filepath.Glob(filepath.Join(w.folder, segmentFolder, "*"+segmentSuffix))
 	if err != nil {
@@ -72,7 +74,7 @@
 			return nil, damageError(path, 0, "invalid segment file name")
 		}
 		if i > 0 && number != w.segments[i-1].number+1 {
-			return nil, damageError(path, 0, "segment %d is missing", w.segments[i-1].number+1)
+			w.returned = i
 		}
 		s := &segment{number: number, path: path, last: map[Group]uint64{}}
 		w.segments = append(w.segments, s)
@@ -160,12 +162,32 @@
 	return nil
 }
 
+// checkReturned checks that snapshots cover the segments before the last missing one, which have
+// been removed before it. Otherwise the missing one was lost with entries that are needed.
+func (w *WAL) checkReturned(groups map[Group]*replayedGroup) error {
+	for _, s := range w.segments[:w.returned] {
+		for g, last := range s.last {
+			if snapshot := groups[g].snapshot.index; last > snapshot {
+				return damageError(w.segments[w.returned].path, 0, "segment %d is missing, and group %d needs entry %d of segment %d before it",
+					w.segments[w.returned].number-1, g, snapshot+1, s.number)
+			}
+		}
+	}
+	return nil
+}
+
 // restoreGroups checks that each group's entries follow its snapshot without a
 // gap, and removes snapshot files that no record refers to.
 func (w *WAL) restoreGroups(groups map[Group]*replayedGroup) (map[Group]raft.PersistentState, error) {
+	if err := w.checkReturned(groups); err != nil {
+		return nil, err
+	}
 	out := make(map[Group]raft.PersistentState, len(groups))
 	for g, r := range groups {
 		stored := raft.PersistentState{Hard: r.hard, Entries: r.entries}
+		if last := r.lastIndex(); r.hard.Commit > last {
+			return nil, damageError(w.folder, 0, "entries of group %d from %d to %d are missing at the end", g, last+1, r.hard.Commit)
+		}
 		if len(r.entries) > 0 && r.entries[0].Index != r.snapshot.index+1 {
 			return nil, damageError(r.gapPath, r.gapOffset, "entries of group %d from %d to %d are missing",
 				g, r.snapshot.index+1, r.entries[0].Index-1)
--- a/modules/control/wal/snapshot.go
+++ b/modules/control/wal/snapshot.go
@@ -63,13 +63,20 @@
 }
 
 // RemoveObsolete removes the oldest segments as long as snapshots cover all their
-// entries, and snapshot files that were replaced. It must be called after a Sync.
+// entries, and snapshot files that were replaced. It must be called after a Sync. Until the
+// folder is synced, a loss of power may bring back any of the removed segments.
 func (w *WAL) RemoveObsolete() error {
+	removed := false
 	for len(w.segments) > 1 && w.coveredBySnapshots(w.segments[0]) {
-		if err := w.files.Remove(w.segments[0].path); err != nil {
+		if err := w.files.Remove(w.segments[0].path); err != nil && !os.IsNotExist(err) {
 			return errors.Wrap(err, "remove segment")
 		}
-		w.segments = w.segments[1:]
+		w.segments, removed = w.segments[1:], true
+	}
+	if removed {
+		if err := w.files.SyncFolder(filepath.Join(w.folder, segmentFolder)); err != nil {
+			return errors.Wrap(err, "sync the folder of removed segments")
+		}
 	}
 	return w.removeReplacedSnapshots()
 }
--- a/modules/control/wal/wal.go
+++ b/modules/control/wal/wal.go
@@ -56,6 +56,8 @@
 	lock         *os.File
 
 	segments []*segment
+	// returned is the number of segments before the last one that was missing at the opening.
+	returned int
 	current  disk.File
 	size     int64
 	buffer   []byte
@@ -111,7 +113,7 @@
 	w := &WAL{folder: folder, files: o.Files, segmentBytes: o.SegmentBytes, groups: map[Group]*groupState{},
 		snapshots: map[Group]raft.SnapshotMeta{}}
 	for _, f := range []string{folder, filepath.Join(folder, segmentFolder), filepath.Join(folder, snapshotFolder)} {
-		if err := os.MkdirAll(f, dirPermission); err != nil {
+		if err := disk.CreateFolder(o.Files, f, dirPermission); err != nil {
 			return nil, result.Wrap(result.DataFolder, err, "cannot create "+f)
 		}
 	}
--- a/modules/registry/saved.go
+++ b/modules/registry/saved.go
@@ -125,7 +125,7 @@
 	if err != nil {
 		return err
 	}
-	if err := os.MkdirAll(filepath.Dir(s.path), dirPermission); err != nil {
+	if err := disk.CreateFolder(s.files, filepath.Dir(s.path), dirPermission); err != nil {
 		return err
 	}
 	return disk.Replace(s.files, s.path, b)
