relay: end a stream that its upstream has dropped

Cause: 'not listed' and 'has nothing that the attempt could be' were one verdict. A preempted stream waits in the queue, which the report counts.

Change: the second is a verdict of its own, dropped. Two in a row give the attempt up wherever it could go on; where it can, one does, as before.

--- a/core/relay/giveup.go
+++ b/core/relay/giveup.go
@@ -14,13 +14,18 @@
 
 // MayGiveUp reports whether an attempt that has failed a check may be given up. A stream that can go
 // on elsewhere loses what its upstream has read; one that can't would lose its answer, although the
-// upstream may only have preempted it, hang, or not list it. Such a stream waits for an event or
-// for the end of its connection, and is checked again.
+// upstream may only have preempted it, hang, or report late. Such a stream waits for an event, for
+// the end of its connection, or until the upstream reports maxDrops times that it has dropped the
+// attempt, and is checked again.
 //
 // It does not apply to streams that must not be sent twice, which are never checked.
 func (s *Stream) MayGiveUp(c Continuation) bool {
-	return c.Trial || c.AttemptsLeft && c.OtherReady
+	return c.Trial || c.AttemptsLeft && c.OtherReady || s.drops >= maxDrops
 }
 
+// maxDrops is the number of consecutive reports that show an attempt as dropped after which no
+// event is awaited. The first may be older than the attempt's last change.
+const maxDrops = 2
+
 // Postpone schedules the next check of an attempt that has failed one and is not given up.
 func (s *Stream) Postpone(now time.Time) { s.confirmedAt, s.checks = now, 1 }
--- a/core/relay/progress.go
+++ b/core/relay/progress.go
@@ -11,12 +11,15 @@
 	// would waste the prefill done so far and add to the load that makes the
 	// upstream slow.
 	Working
-	// Lost means that no more events will arrive: the upstream has produced events
-	// that did not arrive, does not know the attempt, or has stopped working.
+	// Lost means that no more events are expected: the upstream has produced events
+	// that did not arrive, does not list the attempt, or has stopped working.
 	Lost
+	// Dropped means that the upstream has no request that the attempt could be: it lists others
+	// only, and none waits or is in prefill.
+	Dropped
 )
 
-func (p Progress) String() string { return [...]string{"unknown", "working", "lost"}[p] }
+func (p Progress) String() string { return [...]string{"unknown", "working", "lost", "dropped"}[p] }
 
 // Report describes an attempt and the other work of an upstream as of a few
 // hundred milliseconds ago. The silence limits are longer than this delay.
@@ -39,8 +42,10 @@
 	before := s.workCounter
 	s.workCounter = r.WorkCounter
 	switch {
-	case !r.HasEvents && (s.started || r.RequestsWithoutEvents == 0):
-		return Lost // the upstream does not know the attempt: it is neither decoding, queued nor in prefill
+	case !r.HasEvents && r.RequestsWithoutEvents == 0:
+		return Dropped
+	case !r.HasEvents && s.started:
+		return Lost // one of those that wait, if it was preempted
 	case r.WorkCounter == before:
 		return Lost // no work since the last report
 	case s.resumed && r.Events > 0:
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -70,6 +70,8 @@
 	// which the upstream reported progress.
 	started bool
 	checks  int
+	// drops counts the consecutive checks that found the attempt dropped.
+	drops int
 	// confirmedAt is when the upstream last reported progress on the attempt,
 	// initially the start of the attempt; workCounter is the Report.WorkCounter
 	// of the last report, initially -1.
@@ -105,7 +107,7 @@
 // StartAttempt starts an attempt whose first event is expected after the given
 // time.
 func (s *Stream) StartAttempt(now time.Time, expected time.Duration) {
-	s.lastEventAt, s.expectedFirst, s.started, s.checks, s.falseAlarms = now, expected, false, 0, 0
+	s.lastEventAt, s.expectedFirst, s.started, s.checks, s.drops, s.falseAlarms = now, expected, false, 0, 0, 0
 	s.confirmedAt, s.workCounter, s.resumed, s.received = now, -1, s.hasLast, 0
 	s.highestEvent, s.nonProgress = -1, 0
 }
@@ -149,7 +151,7 @@
 	if s.checks > 0 {
 		s.falseAlarms++
 	}
-	s.lastEventAt, s.started, s.checks = now, true, 0
+	s.lastEventAt, s.started, s.checks, s.drops = now, true, 0, 0
 	s.received++
 	switch {
 	case s.hasLast && id <= s.lastEvent:
@@ -207,6 +209,9 @@
 	if s.TimeUntilCheck(now) > 0 {
 		return true // a check that ran early says nothing about this silence
 	}
+	if p != Dropped {
+		s.drops = 0
+	}
 	switch p {
 	case Working:
 		s.confirmedAt = now
@@ -218,6 +223,9 @@
 		return true
 	case Lost:
 		return false
+	case Dropped:
+		s.drops++
+		return false
 	}
 	s.checks++
 	return s.checks <= maxChecks
--- a/modules/gateway/silence.go
+++ b/modules/gateway/silence.go
@@ -43,7 +43,7 @@
 	s.g.metrics.silentAttempts.Inc()
 	a.silent = !a.alive
 	a.err = errors.New("the upstream accepts connections but sends no events")
-	if progress == relay.Lost {
+	if progress == relay.Lost || progress == relay.Dropped {
 		a.err = errors.New("the upstream is silent and no longer works on the request")
 	}
 	if err != nil {
@@ -66,12 +66,14 @@
 	if !s.relay.MayGiveUp(next) {
 		return false
 	}
-	if next.Trial || s.takeRetryBudget() {
-		a.retryTaken = true
-		return true
+	if s.reserved == nil {
+		return true // nothing is lost by it
 	}
-	s.releaseReserved()
-	return false
+	if a.retryTaken = s.takeRetryBudget(); !a.retryTaken {
+		s.releaseReserved()
+		return s.relay.MayGiveUp(relay.Continuation{AttemptsLeft: left})
+	}
+	return true
 }
 
 // reserveNext places the attempt that would follow a silent one, and reports whether there is room.
