registration: a service that is named later makes no earlier claim true

An incarnation of another writer that was silent long enough to count as lost claimed the address of a running upstream when it came back after a configuration had named its service. The upstream was out of use for two announcements; no stream was cut.

Cause: a claim is made when an incarnation appears, also after it was lost. Change: an incarnation whose claim was refused, since its service was not named, makes none later.

Test: TestForeignAnnouncementEndsNoUpstream marks upstreams as lost and lets the other writer go on after its service is named; red without the change, green with it (also with 3,000 checks).

--- a/core/registration/registration.go
+++ b/core/registration/registration.go
@@ -116,6 +116,9 @@
 	// hidesLive is set if the record has ended and a record of a live upstream with the same
 	// ID was refused as older since.
 	hidesLive bool
+	// unnamed is set if the configuration did not name the service when the incarnation was first
+	// heard of. A service that is named later does not make its claim true.
+	unnamed bool
 	// announcements counts the announcements with rising sequence numbers since the upstream was
 	// replaced.
 	announcements int
@@ -223,6 +226,7 @@
 	u.Moved = u.Moved || known && (old.Moved || old.Addr != u.Addr && old.Addr != "" && u.Addr != "")
 	changed := !known || !sameForReaders(&old.Upstream, &u)
 	appears := !known || old.StartedMS != u.StartedMS || old.Addr != u.Addr || old.State == Lost
+	unnamed := known && old.unnamed && old.StartedMS == u.StartedMS
 	if !known {
 		if len(d.byID) >= MaxRecords && !d.removeOldestEnded() {
 			return Full
@@ -230,13 +234,13 @@
 		old = &record{}
 		d.byID[u.ID] = old
 	}
-	old.Upstream, old.lastHeard, old.hidesLive, old.announcements = u, now, false, 0
+	old.Upstream, old.lastHeard, old.hidesLive, old.announcements, old.unnamed = u, now, false, 0, unnamed
 	if !changed {
 		return Refreshed
 	}
 	d.markChanged(old)
 	if appears {
-		d.claimAddress(u)
+		d.claimAddress(old)
 	}
 	return Changed
 }
@@ -301,7 +305,7 @@
 
 // claimAddress records the owner of an address and marks the upstreams that were there before as
 // replaced.
-func (d *Directory) claimAddress(u Upstream) {
+func (d *Directory) claimAddress(u *record) {
 	if u.State >= Lost || u.Addr == "" || d.reader {
 		return
 	}
@@ -310,7 +314,8 @@
 		d.byAddr[u.Addr] = u.ID
 		return
 	}
-	if owner := d.byID[id]; owner != nil && !d.mayReplace(u.Service, owner.Service) {
+	if owner := d.byID[id]; owner != nil && owner.Service != u.Service && (u.unnamed || !d.isNamed(u.Service)) {
+		u.unnamed = true
 		return
 	}
 	d.byAddr[u.Addr] = u.ID
