registry: forget waits for copies whose calls have ended

Calls that ended before enough disks held their departure stayed in the list of waits, which grew while too few control instances answered, and were copied for again every 50 ms.

Cause: only written copies released a wait. Change: a wait ends with its call, unanswered. The list is checked at each interval.

TestOldDiskLearnsOfDeparture was red once in four runs: it killed the instance that came back before its file was written, which nothing promises. It waits for the file now. Three runs of all tests of departures and claims: green.

--- a/modules/registry/departure.go
+++ b/modules/registry/departure.go
@@ -66,6 +66,7 @@
 // copyWait waits until the withdrawals up to a change are on the disk of this instance, or on
 // enough disks to be acknowledged.
 type copyWait struct {
+	ctx     context.Context
 	change  uint64
 	ownDisk bool
 	done    chan struct{}
@@ -76,29 +77,27 @@
 	if w.change == 0 {
 		return nil
 	}
-	w.done = make(chan struct{})
+	w.ctx, w.done = ctx, make(chan struct{})
 	select {
 	case d.copyWaits <- w:
 	case <-ctx.Done():
-		return d.notSavedError()
+		return errNotSaved
 	}
 	select {
 	case <-w.done:
 		return nil
 	case <-ctx.Done():
-		return d.notSavedError()
+		return errNotSaved
 	}
 }
 
-func (d *directory) notSavedError() error {
-	return result.New(result.ControlUnavailable, "the departure is not on enough disks yet")
-}
+// errNotSaved is the error of a call whose withdrawal is in memory, but not on enough disks.
+var errNotSaved = result.New(result.ControlUnavailable, "the departure is not on enough disks yet")
 
 // addCopyWait registers a wait and starts to write what it waits for.
 func (d *directory) addCopyWait(w copyWait) {
 	d.waits = append(d.waits, w)
 	d.saveDepartures()
-	d.releaseWaits()
 	d.copyDepartures()
 }
 
@@ -118,12 +117,13 @@
 	d.releaseWaits()
 }
 
-// releaseWaits ends the waits for which enough copies are written.
+// releaseWaits ends the waits for which enough copies are written, and forgets those of calls that
+// have ended.
 func (d *directory) releaseWaits() {
 	own, acknowledged := d.copies.SavedBy(d.registry.PeerListen), d.copies.Acknowledged()
 	d.waits = slices.DeleteFunc(d.waits, func(w copyWait) bool {
 		if w.ownDisk && own < w.change || !w.ownDisk && acknowledged < w.change {
-			return false
+			return w.ctx.Err() != nil
 		}
 		close(w.done)
 		return true
@@ -133,6 +133,7 @@
 // copyDepartures asks the other instances for copies that calls wait for, with at most one call
 // to an instance at a time.
 func (d *directory) copyDepartures() {
+	d.releaseWaits()
 	var wanted uint64
 	for _, w := range d.waits {
 		if !w.ownDisk {
@@ -187,7 +188,6 @@
 	if c.since == 0 || c.epoch == c.reply.Epoch { // else it may have lost what it had saved before
 		d.copies.RecordSaved(c.addr, c.upTo)
 	}
-	d.releaseWaits()
 	d.copyDepartures()
 }
 
--- a/modules/registry/departure_test.go
+++ b/modules/registry/departure_test.go
@@ -158,6 +158,10 @@
 			f.eventually("acknowledged", func() bool { return withdraw(f, f.nodes[0]) })
 			f.start(late)
 			f.eventually("the departure is known", func() bool { u, _ := late.record("i-1"); return u.Withdrawn() })
+			f.eventually("the departure is saved", func() bool {
+				saved, err := late.directory.departuresSaver.read()
+				return err == nil && len(saved.Upstreams) == 1
+			})
 			f.kill(late)
 			f.start(late)
 			u, _ := late.record("i-1")
--- a/modules/registry/directory.go
+++ b/modules/registry/directory.go
@@ -249,6 +249,7 @@
 	return d.services[service]
 }
 
+// run is the owner goroutine.
 func (d *directory) run(ctx context.Context) {
 	share, sweep, save := time.NewTicker(shareInterval), time.NewTicker(sweepInterval), time.NewTicker(saveInterval)
 	defer share.Stop()
@@ -326,7 +327,7 @@
 			d.log.Info("upstream changed", "upstream", u.ID, "service", after.Service, "address", after.Addr,
 				"state", after.State.String(), "previous", previousState(before, known), "started_ms", after.StartedMS, "seq", u.Seq, "version", after.Version, "direct", o.direct,
 				"replaced", after.Replaced, "returned", after.Returned)
-			u.Returned = after.Returned
+			u.Returned = after.Returned // the others need not hear the same announcements to know it
 		}
 		if outcome == registration.Changed || outcome == registration.Refreshed {
 			d.trackUpstream(now, u)
