agent: publish why the queue is closed before refusing

It was known by reading only; TestRefusalsCarryWhyTheQueueIsClosed holds the owner between two refusals and shows it, 3 of 3 cases red before.

--- a/modules/agent/signal.go
+++ b/modules/agent/signal.go
@@ -77,6 +77,7 @@
 	}
 	o.queueClosed = closed
 	if closed {
+		o.publish(now) // the refusals carry the load, which says why
 		o.refuseWaitingSuspects()
 		o.decide(now, o.queue.Drain(now))
 	} else {
--- a/modules/agent/signal_test.go
+++ b/modules/agent/signal_test.go
@@ -6,7 +6,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"heatherway.dev/core/admission"
 	"heatherway.dev/core/wire"
+	"heatherway.dev/heatherway/modules/adapter"
 	"heatherway.dev/kernel/result"
 )
 
@@ -34,6 +36,38 @@
 	assert.Equal(t, last.Kind, wire.FrameEnd)
 }
 
+// ownerFunc is an event of a test.
+type ownerFunc func(o *owner, now time.Time)
+
+func (f ownerFunc) apply(o *owner, now time.Time) { f(o, now) }
+
+// Guards against a refusal that carries an older load: entries would send the next request to the
+// same upstream, since the load does not say that it is leaving.
+func TestRefusalsCarryWhyTheQueueIsClosed(t *testing.T) {
+	for name, close := range map[string]event{
+		"upstream leaves":       signalEvent{adapter.Signal{Leaving: true, LimitInvalid: true}},
+		"upstream asks backoff": signalEvent{adapter.Signal{Backoff: time.Minute, LimitInvalid: true}},
+		"agent leaves":          drainEvent{leave: true, done: make(chan struct{}, 1)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := startAgent(t, engineAdapter(t, newFakeEngine(t).URL, 1), nil)
+			running := &task{admissionResult: make(chan admissionResult, 1)}
+			refusals := make(chan admissionResult) // the owner waits until each is taken
+			a.post(ownerFunc(func(o *owner, now time.Time) {
+				for _, waiting := range []*task{running, {admissionResult: refusals}, {admissionResult: refusals}} {
+					o.admit(now, waiting, admission.Request{Class: wire.Standard, Organisation: "o", Cost: 1})
+				}
+			}))
+			assert.Assert(t, <-running.admissionResult == nil)
+			a.post(close)
+			assert.Assert(t, <-refusals != nil)
+			load := a.snapshot.Load()
+			<-refusals
+			assert.Assert(t, load.load.Leaving || time.Now().Before(load.backoffUntil), "the load does not say why")
+		})
+	}
+}
+
 // Guards against requests and health checks to an engine during the backoff that it has
 // asked for, and against requests that are delayed or fail with a code that keeps entries
 // from sending them elsewhere.
