agent: count the backoff of a test from its first refusal

Cause, traced earlier: its loop ended 1.5 s after the start of the test, and the check counted from the first refused request, some milliseconds later. Change: the loop counts from that request too, so it observes the backoff some milliseconds longer; bounds and checks are the same.

--- a/modules/agent/signal_test.go
+++ b/modules/agent/signal_test.go
@@ -74,9 +74,10 @@
 func TestBackoffOfAnEngine(t *testing.T) {
 	e := newFakeEngine(t)
 	e.backoff = "1.5"
-	begin := time.Now()
 	a := startAgent(t, engineAdapter(t, e.URL, 1), nil)
 	eventually(t, &fakeControl{}, "backoff", a.backingOff)
+	var begin time.Time
+	e.update(func(e *fakeEngine) { begin = e.rejectedAt[0] })
 	longest := uint32(0)
 	for {
 		_, last := openStream(t, a, request(5)).read(t, untilEnd)
