registry: a departure that is not stored is no copy

An instance whose directory is full answered SaveDepartures as if it held the record, so a departure could be acknowledged with a disk too few.

Cause: the outcome Full of a merged record was reported for announcements only. Change: it is part of the result of every observation, and SaveDepartures fails on it. A gateway prefers the holder of a copy for a reserved attempt only if there is a copy.

TestFullDirectoryHoldsNoCopy, tests of departures and of silent streams: green.

--- a/modules/gateway/silence.go
+++ b/modules/gateway/silence.go
@@ -80,7 +80,7 @@
 func (s *streamRequest) reserveNext(a *attempt) bool {
 	request := s.placementRequest()
 	request.Tried = append(slices.Clone(request.Tried), a.choice.Upstream.ID)
-	if a.started {
+	if a.started && a.backup.backupCopy.Key != "" {
 		request.Preferred = a.backup.holder.ID
 	}
 	if request.Preferred == "" {
--- a/modules/registry/departure.go
+++ b/modules/registry/departure.go
@@ -56,7 +56,11 @@
 	ctx, cancel := context.WithTimeout(s.registry.ctx, departureSaveTimeout)
 	defer cancel()
 	m, err := d.observe(observation{upstreams: args.Upstreams})
-	if err == nil {
+	switch {
+	case err != nil:
+	case m.full:
+		err = errFull // a record that is not stored is no copy
+	default:
 		err = d.awaitCopies(ctx, copyWait{change: m.withdrawal, ownDisk: true})
 	}
 	reply.Upstreams, reply.Epoch = m.withdrawn, d.epoch
--- a/modules/registry/departure_test.go
+++ b/modules/registry/departure_test.go
@@ -170,6 +170,23 @@
 	}
 }
 
+// Guards against a departure that counts as copied to an instance that had no room for it.
+func TestFullDirectoryHoldsNoCopy(t *testing.T) {
+	f := newFleetWithUpstream(t, 3, false)
+	var flood []registration.Upstream
+	for i := range registration.MaxRecords {
+		flood = append(flood, registration.Upstream{ID: fmt.Sprint("f-", i), Service: "s", Addr: fmt.Sprintf("10.%d.%d.1:80", i/250, i%250), Zone: "z", Seq: 1})
+	}
+	_, err := f.nodes[1].directory.observe(observation{upstreams: flood})
+	assert.NilError(t, err)
+	client := f.nodes[1].security.NewClient(f.nodes[1].addr)
+	defer client.Close()
+	left := registration.Upstream{ID: "unknown", State: registration.Left, StartedMS: 1000}
+	assert.Assert(t, client.Call(t.Context(), ServiceName+".SaveDepartures", &SaveDeparturesArgs{Upstreams: []registration.Upstream{left}}, &SaveDeparturesReply{}) != nil)
+	_, known := f.nodes[1].record("unknown")
+	assert.Assert(t, !known)
+}
+
 // Guards against departures that are not acknowledged within the time that an upstream waits,
 // since many leave at once or since a disk hangs, and against a write for each of them.
 func TestManyDeparturesAtOnce(t *testing.T) {
--- a/modules/registry/directory.go
+++ b/modules/registry/directory.go
@@ -106,13 +106,14 @@
 
 // merged is the result of an observation.
 type merged struct {
-	// unknown are the IDs in alive for which there is no record and, of a direct observation,
-	// those in upstreams for which there was no room.
+	// unknown are the IDs in alive for which there is no record.
 	unknown []string
 	// withdrawn are the records, as merged, of the upstreams in the observation that are withdrawn,
 	// and withdrawal is the last change of these records.
 	withdrawn  []registration.Upstream
 	withdrawal uint64
+	// full is set if there was no room for a record.
+	full bool
 }
 
 // query asks for the records that changed after the given change numbers.
@@ -176,8 +177,8 @@
 	if err != nil {
 		return err
 	}
-	if len(m.unknown) > 0 {
-		return result.New(result.ControlUnavailable, "the directory has no room for another upstream")
+	if m.full {
+		return errFull
 	}
 	return d.awaitCopies(ctx, copyWait{change: m.withdrawal})
 }
@@ -202,8 +203,12 @@
 	}
 }
 
-// errStopping is the error of a call that this instance does not answer any more.
-var errStopping = result.New(result.ControlUnavailable, "this instance stops")
+var (
+	// errStopping is the error of a call that this instance does not answer any more.
+	errStopping = result.New(result.ControlUnavailable, "this instance stops")
+	// errFull is the error of an announcement that is not stored.
+	errFull = result.New(result.ControlUnavailable, "the directory has no room for another upstream")
+)
 
 // changesSince returns the upstreams and the broken runs that changed after the change
 // numbers in the query.
@@ -321,6 +326,7 @@
 	for _, u := range o.upstreams {
 		before, known := d.state.Get(u.ID)
 		outcome := d.state.Observe(now, u)
+		m.full = m.full || outcome == registration.Full
 		if outcome == registration.Changed {
 			changed = true
 			after, _ := d.state.Get(u.ID)
@@ -336,8 +342,6 @@
 		case outcome == registration.Malformed:
 			d.log.Warn("malformed upstream record ignored", "upstream", clip(u.ID), "state", int(u.State), "direct", o.direct, "error", u.Validate())
 		case !o.direct:
-		case outcome == registration.Full:
-			m.unknown = append(m.unknown, u.ID)
 		case outcome == registration.Changed:
 			d.queueUpstream(u)
 		case outcome == registration.Refreshed:
