gateway: move the placement of streams to a file of its own

The functions that place or reserve an attempt stand together in stream_place.go; nothing else has changed. Tests of silent and resumed streams: green.

--- a/modules/gateway/silence.go
+++ b/modules/gateway/silence.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -76,33 +75,6 @@
 	return true
 }
 
-// reserveNext places the attempt that would follow a silent one, and reports whether there is room.
-func (s *streamRequest) reserveNext(a *attempt) bool {
-	request := s.placementRequest()
-	request.Tried = append(slices.Clone(request.Tried), a.choice.Upstream.ID)
-	if a.started && a.backup.backupCopy.Key != "" {
-		request.Preferred = a.backup.holder.ID
-	}
-	if request.Preferred == "" {
-		s.refreshLoadReports(request)
-	}
-	choice, refusal := s.placeWithGrants(request)
-	if refusal == nil {
-		s.reserved = &choice
-	}
-	return refusal == nil
-}
-
-// releaseReserved releases the place of an attempt that is not made.
-func (s *streamRequest) releaseReserved() {
-	if s.reserved == nil {
-		return
-	}
-	ticket := s.reserved.Ticket
-	s.reserved = nil
-	s.g.owner.post(func(st *state) { st.fleet.End(time.Now(), ticket) })
-}
-
 // probeUpstream opens a connection to a silent upstream and, when the silence has
 // lasted too long, fetches its load report. An error means that no connection could be
 // opened. An upstream that has asked for backoff is not contacted.
--- a/modules/gateway/stream.go
+++ b/modules/gateway/stream.go
@@ -166,48 +166,6 @@
 	return a
 }
 
-// placementRequest returns the request for the placement of an attempt.
-func (s *streamRequest) placementRequest() *dispatch.Request {
-	request := s.dispatchRequest()
-	request.Backup = s.route.Resumable && s.route.MaxAttempts > 1
-	request.Version = s.version
-	s.restrictVersion(request)
-	return request
-}
-
-// takeReserved returns the place that was reserved for the attempt, if any.
-func (s *streamRequest) takeReserved() (choice dispatch.Choice, ok bool) {
-	if s.reserved == nil {
-		return choice, false
-	}
-	choice, s.reserved = *s.reserved, nil
-	return choice, true
-}
-
-// placeStream places the stream, and waits a short time for an available upstream.
-func (s *streamRequest) placeStream(request *dispatch.Request) (dispatch.Choice, bool) {
-	choice, refusal := s.placeWithin(request, s.route.Objective/placementWaitDivisor)
-	if refusal == nil {
-		return choice, true
-	}
-	s.failUnplaced(refusal)
-	return choice, false
-}
-
-// failUnplaced ends a stream that cannot be placed.
-func (s *streamRequest) failUnplaced(r *dispatch.Refusal) {
-	switch {
-	case s.responseStarted:
-		s.breakOff("no upstream available to continue the stream")
-	case s.mayHaveRun:
-		s.respondError(result.New(result.UpstreamFailed, "no upstream to go on at"))
-	case r.VersionGone:
-		s.respondError(s.goneVersionError())
-	default:
-		s.respondError(s.noUpstreamError(r))
-	}
-}
-
 // breakOff aborts a response that has started, so that it does not look complete.
 func (s *streamRequest) breakOff(reason string) {
 	s.g.metrics.aborted.Inc()
--- /dev/null
+++ b/modules/gateway/stream_place.go
@@ -0,0 +1,80 @@
+package gateway
+
+import (
+	"slices"
+	"time"
+
+	"heatherway.dev/core/dispatch"
+	"heatherway.dev/kernel/result"
+)
+
+// This file places the attempts of a stream.
+
+// placementRequest returns the request for the placement of an attempt.
+func (s *streamRequest) placementRequest() *dispatch.Request {
+	request := s.dispatchRequest()
+	request.Backup = s.route.Resumable && s.route.MaxAttempts > 1
+	request.Version = s.version
+	s.restrictVersion(request)
+	return request
+}
+
+// placeStream places the stream, and waits a short time for an available upstream.
+func (s *streamRequest) placeStream(request *dispatch.Request) (dispatch.Choice, bool) {
+	choice, refusal := s.placeWithin(request, s.route.Objective/placementWaitDivisor)
+	if refusal == nil {
+		return choice, true
+	}
+	s.failUnplaced(refusal)
+	return choice, false
+}
+
+// failUnplaced ends a stream that cannot be placed.
+func (s *streamRequest) failUnplaced(r *dispatch.Refusal) {
+	switch {
+	case s.responseStarted:
+		s.breakOff("no upstream available to continue the stream")
+	case s.mayHaveRun:
+		s.respondError(result.New(result.UpstreamFailed, "no upstream to go on at"))
+	case r.VersionGone:
+		s.respondError(s.goneVersionError())
+	default:
+		s.respondError(s.noUpstreamError(r))
+	}
+}
+
+// reserveNext places the attempt that would follow a silent one, and reports whether there is room.
+func (s *streamRequest) reserveNext(a *attempt) bool {
+	request := s.placementRequest()
+	request.Tried = append(slices.Clone(request.Tried), a.choice.Upstream.ID)
+	if a.started && a.backup.backupCopy.Key != "" {
+		request.Preferred = a.backup.holder.ID
+	}
+	if request.Preferred == "" {
+		s.refreshLoadReports(request)
+	}
+	choice, refusal := s.placeWithGrants(request)
+	if refusal == nil {
+		s.reserved = &choice
+	}
+	return refusal == nil
+}
+
+// takeReserved returns the place that was reserved for the attempt, if any.
+func (s *streamRequest) takeReserved() (choice dispatch.Choice, ok bool) {
+	if s.reserved == nil {
+		return choice, false
+	}
+	choice, s.reserved = *s.reserved, nil
+	return choice, true
+}
+
+// releaseReserved releases the place of an attempt that is not made.
+func (s *streamRequest) releaseReserved() {
+	if s.reserved == nil {
+		return
+	}
+	ticket := s.reserved.Ticket
+	s.reserved = nil
+	s.g.owner.post(func(st *state) { st.fleet.End(time.Now(), ticket) })
+}
