entry: a test waits for the stream to begin, not for 150 ms

Cause, traced: the test closed its sending side 150 ms after the request and took the stream for begun. With 1 ms in place of 150 it fails in the same way, 500 with code 4990, which is the right answer to a caller that leaves before the response begins. Change: it waits for the first byte of the response.

--- a/modules/entry/cut_test.go
+++ b/modules/entry/cut_test.go
@@ -133,7 +133,9 @@
 	t.Run("stream that has begun", func(t *testing.T) {
 		c := f.dial(t)
 		c.send(withBody(callerHead("POST", "/v1/completions", "HTTP/1.1"), streamingBody))
-		time.Sleep(150 * time.Millisecond)
+		_ = c.conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+		_, err := c.reader.Peek(1)
+		assert.NilError(t, err)
 		assert.NilError(t, c.conn.CloseWrite())
 		_, body := c.expect(200)
 		assert.Assert(t, strings.Contains(body, `"code":4990`), "%s", body)
