replica: log the voters, their silence and a group without a leader

Each instance now records when it last heard from each disk, followers too, and logs changed members, and the voters of a group that has had no leader for 2 s. No decision uses the new records yet.

--- a/modules/control/replica/discovery.go
+++ b/modules/control/replica/discovery.go
@@ -232,6 +232,7 @@
 		delete(r.links, id)
 		delete(r.known, id)
 	}
+	r.forgetContacts()
 }
 
 // Members returns the members of all groups that this instance knows.
--- a/modules/control/replica/group.go
+++ b/modules/control/replica/group.go
@@ -36,6 +36,7 @@
 	readID  uint64
 
 	snapshot snapshotProgress
+	watch    groupWatch
 	// leadingSince is the tick at which this member became leader.
 	leadingSince uint64
 	lead         atomic.Pointer[Lead]
--- a/modules/control/replica/input.go
+++ b/modules/control/replica/input.go
@@ -202,6 +202,7 @@
 
 func (in receivedBatch) handle(r *Replica) {
 	for _, e := range in.messages {
+		r.hear(e.Message.Disk)
 		if g := r.groups[e.Group]; g != nil {
 			if err := g.node.Step(e.Message); err != nil {
 				r.log.Error("raft message rejected", "group", e.Group, "from", e.Message.From, "error", err)
--- a/modules/control/replica/members.go
+++ b/modules/control/replica/members.go
@@ -1,12 +1,9 @@
 package replica
 
 import (
-	"strconv"
-
 	"github.com/go-faster/errors"
 
 	"heatherway.dev/core/raft"
-	"heatherway.dev/kernel/stats"
 )
 
 var errStopped = errors.New("this instance has stopped")
@@ -42,6 +39,7 @@
 func (r *Replica) recordIdentity(i identity) {
 	i.tick = r.ticks
 	r.known[i.member] = i
+	r.hear(i.disk)
 	r.linkKnown(i)
 }
 
@@ -126,6 +124,7 @@
 	if (g.replica.ticks+uint64(g.id))%memberCheckTicks != 0 {
 		return
 	}
+	g.watchMembers()
 	switch {
 	case g.node.Role() == raft.Leader:
 		g.reconcileMembers()
@@ -207,7 +206,8 @@
 	if _, _, err := g.node.ProposeChange(c); err != nil {
 		return false
 	}
-	g.replica.log.Info("membership change proposed", "group", g.id, "kind", c.Kind, "member", c.Member.ID, "disk", c.Member.Disk)
+	g.replica.log.Info("membership change proposed", "group", g.id, "kind", c.Kind, "member", c.Member.ID, "disk", c.Member.Disk,
+		"silent_ms", g.replica.ticksMS(g.replica.contacts.silentTicks(c.Member, g.replica.ticks)))
 	return true
 }
 
@@ -256,5 +256,5 @@
 	if leads {
 		v = 1
 	}
-	m.registry.Gauge("control_leader", stats.Label{Key: "group", Value: strconv.Itoa(int(g))}).Set(v)
+	m.registry.Gauge("control_leader", groupLabel(g)).Set(v)
 }
--- a/modules/control/replica/replica.go
+++ b/modules/control/replica/replica.go
@@ -137,6 +137,8 @@
 	// known holds the reported identities of other instances. Only the owner
 	// goroutine uses it.
 	known map[raft.MemberID]identity
+	// contacts tells when the disks of other instances were last heard.
+	contacts contacts
 	// lastAnswer is the tick at which each member last responded to this leader.
 	lastAnswer map[raft.MemberID]uint64
 	// publishedMembers are the members as visible to other goroutines.
@@ -172,7 +174,7 @@
 		options: o, log: o.Log, wal: w, disk: w.Identity().Disk,
 		inputs: make(chan input, maxQueuedInputs), messages: make(chan receivedBatch, maxQueuedBatches),
 		groups: map[Group]*group{}, links: map[raft.MemberID]*link{},
-		known: map[raft.MemberID]identity{}, lastAnswer: map[raft.MemberID]uint64{}, ended: make(chan struct{}),
+		known: map[raft.MemberID]identity{}, contacts: contacts{}, lastAnswer: map[raft.MemberID]uint64{}, ended: make(chan struct{}),
 		metrics: newMetrics(o.Stats),
 	}
 	err = r.checkPrevious()
