replica: a replaced voter is removed within the catch-up time

Cause: the successor was promoted before the lost voter counted as silent, so that no learner was left to take its place.

Change: core/reconfig decides about members without clock or network. Invariants: a removal leaves 2*losses+1 voters; no change leaves fewer losses to bear. A learner is promoted at an odd number of voters only while each of them answers or is due to be removed; a voter that leaves too few losses to bear is removed after a third of the new setting catchup, 1.5 s at least. Silence is recorded by every instance, so that a new leader knows it, and counts only once the leader has been in contact with a majority for 1 s.

--- a/modules/control/replica/contact.go
+++ b/modules/control/replica/contact.go
@@ -1,17 +1,48 @@
 package replica
 
 import (
+	"time"
+
 	"heatherway.dev/core/raft"
+	"heatherway.dev/core/reconfig"
+)
+
+const (
+	// answerTicks is the silence up to which a voter counts as answering. A leader hears
+	// from each voter every raft.DefaultHeartbeatTicks.
+	answerTicks = raft.DefaultElectionTicks
+	// settleTicks is the time for which an instance must be in contact with a majority
+	// before it takes others for silent. Each identity is exchanged twice in it.
+	settleTicks = 2 * uint64(identityInterval/DefaultTick)
+	// minReplaceTicks is the shortest silence after which a voter is removed. It is longer
+	// than the longest election timeout, so that a change of leader removes no voter.
+	minReplaceTicks = 3 * raft.DefaultElectionTicks
+	// replaceShare is the part of Discovery.Catchup after which a silent voter is removed.
+	// The rest is for an election, the changes and one more election in between.
+	replaceShare = 3
+	// removeTicks is the silence after which a member is removed whose loss leaves enough
+	// losses to bear. Nothing that must be done in time waits for it.
+	removeTicks = 160
 )
 
+// ReplacementTime is the time that a replacement can take: the shortest silence, in which a
+// leader is elected if the lost instance led the group, one more election, and three changes.
+const ReplacementTime = time.Duration(minReplaceTicks+2*raft.DefaultElectionTicks+3*memberCheckTicks) * DefaultTick
+
+// memberLimits returns the limits of the decisions about members.
+func (o Options) memberLimits() reconfig.Limits {
+	l := reconfig.Limits{Losses: (len(o.Peers) - 1) / 2, AnswerWithin: answerTicks, ReplaceAfter: minReplaceTicks, RemoveAfter: removeTicks, KeepSilent: true}
+	if d := o.Discovery; d != nil {
+		l.Losses, l.KeepSilent = (d.MinVoters-1)/2, false
+		l.ReplaceAfter = max(minReplaceTicks, uint64(d.Catchup/o.Tick)/replaceShare)
+	}
+	return l
+}
+
 // contacts records when this instance last heard from each disk of another instance. It is
 // kept by followers too, so that a new leader knows for how long a member has been silent.
 type contacts map[raft.DiskID]uint64
 
-// silentTicks returns the time since a member was last heard. A member that was never heard
-// has been silent since this instance started, at tick 0.
-func (c contacts) silentTicks(m raft.Member, now uint64) uint64 { return now - c[m.Disk] }
-
 // hear records a raft message or an identity from a disk.
 func (r *Replica) hear(disk raft.DiskID) {
 	if disk != "" { // instances without a disk are no members
@@ -19,6 +50,15 @@
 	}
 }
 
+// silentTicks returns the time since a member was last heard. One that was never heard has
+// been silent since this instance started, at tick 0.
+func (r *Replica) silentTicks(m raft.Member) uint64 {
+	if m.ID == r.options.Self && m.Disk == r.disk {
+		return 0
+	}
+	return r.ticks - r.contacts[m.Disk]
+}
+
 // forgetContacts removes disks that no group has as a member and that have been silent for
 // linkIdleTicks.
 func (r *Replica) forgetContacts() {
@@ -34,3 +74,20 @@
 		}
 	}
 }
+
+// trackMajority records since when this instance has heard from a majority of the voters.
+func (g *group) trackMajority() {
+	voters, answering := 0, 0
+	for _, m := range g.node.Membership().Voters() {
+		voters++
+		if g.replica.silentTicks(m) <= settleTicks {
+			answering++
+		}
+	}
+	if answering <= voters/2 {
+		g.majoritySince = g.replica.ticks
+	}
+}
+
+// settled reports whether every member that runs must have been heard by now.
+func (g *group) settled() bool { return g.replica.ticks-g.majoritySince >= settleTicks }
--- a/modules/control/replica/discovery.go
+++ b/modules/control/replica/discovery.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"heatherway.dev/core/raft"
 )
@@ -22,17 +23,12 @@
 	// MinVoters is the number of voters below which a new group rejects proposals,
 	// so that an acknowledged entry survives the number of losses to be tolerated.
 	MinVoters int
+	// Catchup is the time after the start of a successor within which a replaced instance
+	// must no longer count as a voter.
+	Catchup time.Duration
 }
 
 const (
-	// replaceSilentTicks is the time without a response after which a voter is
-	// replaced by a learner that has caught up. It is longer than the longest
-	// election timeout, so that a change of leader replaces no voter.
-	replaceSilentTicks = 30
-	// removeSilentTicks is the time without a response after which a voter is
-	// removed without a replacement, so that members that never return do not
-	// accumulate until they are a majority.
-	removeSilentTicks = 160
 	// linkIdleTicks is the time without a response after which the link to an
 	// instance that is not a member is closed.
 	linkIdleTicks = 1200
@@ -259,39 +255,3 @@
 	}
 	return out
 }
-
-// silentMemberChange returns the removal of a member that does not respond. A voter is
-// removed after replaceSilentTicks if a learner that has caught up can take its place.
-// Otherwise a member is removed after removeSilentTicks, but no voter if only
-// MinVoters remain. A removed member that returns is added again as a learner.
-func (g *group) silentMemberChange(members raft.Membership) (raft.Change, bool) {
-	r := g.replica
-	d := r.options.Discovery
-	if d == nil {
-		return raft.Change{}, false
-	}
-	status := g.node.Status()
-	successor := false
-	for _, m := range members.Members {
-		if status.Peers[m.ID].Active || m.ID == r.options.Self {
-			r.lastAnswer[m.ID] = r.ticks
-		}
-		if m.Learner && g.node.CaughtUp(m.ID) {
-			successor = true
-		}
-	}
-	voters := len(members.Voters())
-	for _, m := range members.Members {
-		last, seen := r.lastAnswer[m.ID]
-		if !seen || last < g.leadingSince {
-			last = g.leadingSince
-		}
-		silent := r.ticks - last
-		replace := successor && !m.Learner && silent >= replaceSilentTicks
-		remove := silent >= removeSilentTicks && (m.Learner || voters > d.MinVoters)
-		if replace || remove {
-			return raft.Change{Kind: raft.Remove, Member: m}, true
-		}
-	}
-	return raft.Change{}, false
-}
--- a/modules/control/replica/group.go
+++ b/modules/control/replica/group.go
@@ -37,6 +37,8 @@
 
 	snapshot snapshotProgress
 	watch    groupWatch
+	// majoritySince is the tick since which this instance hears from a majority of the voters.
+	majoritySince uint64
 	// leadingSince is the tick at which this member became leader.
 	leadingSince uint64
 	lead         atomic.Pointer[Lead]
--- a/modules/control/replica/members.go
+++ b/modules/control/replica/members.go
@@ -4,6 +4,7 @@
 	"github.com/go-faster/errors"
 
 	"heatherway.dev/core/raft"
+	"heatherway.dev/core/reconfig"
 )
 
 var errStopped = errors.New("this instance has stopped")
@@ -124,6 +125,7 @@
 	if (g.replica.ticks+uint64(g.id))%memberCheckTicks != 0 {
 		return
 	}
+	g.trackMajority()
 	g.watchMembers()
 	switch {
 	case g.node.Role() == raft.Leader:
@@ -180,52 +182,38 @@
 	return true
 }
 
-// reconcileMembers proposes the next membership change towards the instances that
-// should be members. An instance with a new disk identity is added as a learner, and
-// a learner that has caught up is promoted to a voter.
+// reconcileMembers proposes the next membership change.
 func (g *group) reconcileMembers() {
-	members := g.node.Membership()
-	if c, ok := g.silentMemberChange(members); ok {
-		g.proposeChange(c)
-		return
-	}
-	for _, p := range g.replica.candidates() {
-		c, ok := g.replica.memberChange(p, members)
-		if !ok {
-			continue
-		}
-		if g.proposeChange(c) {
-			return
-		}
+	if step, ok := reconfig.Next(g.replica.limits, g.view()); ok {
+		g.proposeStep(step)
 	}
 }
 
-// proposeChange appends a membership change to the log and reports whether it was
-// accepted. A rejected change is proposed again at a later tick.
-func (g *group) proposeChange(c raft.Change) bool {
-	if _, _, err := g.node.ProposeChange(c); err != nil {
-		return false
+// view returns what this leader knows about the members.
+func (g *group) view() reconfig.View {
+	r := g.replica
+	v := reconfig.View{Leader: r.options.Self, Settled: g.settled()}
+	for _, m := range g.node.Membership().Members {
+		v.Members = append(v.Members, reconfig.Member{Member: m, Silent: r.silentTicks(m), CaughtUp: g.node.CaughtUp(m.ID)})
+	}
+	for _, p := range r.candidates() {
+		if i, ok := r.currentIdentity(p.ID); ok {
+			m := raft.Member{ID: p.ID, Disk: i.disk, Addr: p.Addr}
+			v.Candidates = append(v.Candidates, reconfig.Candidate{ID: m.ID, Disk: m.Disk, Addr: m.Addr, Silent: r.silentTicks(m)})
+		}
 	}
-	g.replica.log.Info("membership change proposed", "group", g.id, "kind", c.Kind, "member", c.Member.ID, "disk", c.Member.Disk,
-		"silent_ms", g.replica.ticksMS(g.replica.contacts.silentTicks(c.Member, g.replica.ticks)))
-	return true
+	return v
 }
 
-// memberChange returns the membership change that an instance needs to become a voter,
-// and false if none is needed or its identity is unknown.
-func (r *Replica) memberChange(p Peer, members raft.Membership) (raft.Change, bool) {
-	m, member := members.Find(p.ID)
-	i, known := r.currentIdentity(p.ID)
-	switch {
-	case !known:
-		return raft.Change{}, false
-	case !member || m.Disk != i.disk || m.Addr != p.Addr:
-		return raft.Change{Kind: raft.AddLearner, Member: raft.Member{ID: p.ID, Disk: i.disk, Addr: p.Addr}}, true
-	case m.Learner:
-		return raft.Change{Kind: raft.Promote, Member: m}, true
-	default:
-		return raft.Change{}, false
+// proposeStep appends a membership change to the log. A rejected change is proposed again at
+// a later tick, unless another one is due by then.
+func (g *group) proposeStep(s reconfig.Step) {
+	r, c := g.replica, s.Change
+	if _, _, err := g.node.ProposeChange(c); err != nil {
+		return
 	}
+	r.log.Info("membership change proposed", "group", g.id, "kind", c.Kind, "member", c.Member.ID, "disk", c.Member.Disk,
+		"reason", s.Reason, "silent_ms", r.ticksMS(r.silentTicks(c.Member)))
 }
 
 // balanceLeadership transfers the leadership to the preferred voter of the group: for
--- a/modules/control/replica/replica.go
+++ b/modules/control/replica/replica.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"heatherway.dev/core/raft"
+	"heatherway.dev/core/reconfig"
 	"heatherway.dev/heatherway/internal/disk"
 	"heatherway.dev/heatherway/modules/control/wal"
 	"heatherway.dev/kernel/peer"
@@ -133,14 +134,13 @@
 	links         map[raft.MemberID]*link
 	metrics       metrics
 	ticks         uint64
+	limits        reconfig.Limits
 
 	// known holds the reported identities of other instances. Only the owner
 	// goroutine uses it.
 	known map[raft.MemberID]identity
 	// contacts tells when the disks of other instances were last heard.
 	contacts contacts
-	// lastAnswer is the tick at which each member last responded to this leader.
-	lastAnswer map[raft.MemberID]uint64
 	// publishedMembers are the members as visible to other goroutines.
 	publishedMembers atomic.Pointer[[]Peer]
 
@@ -174,8 +174,8 @@
 		options: o, log: o.Log, wal: w, disk: w.Identity().Disk,
 		inputs: make(chan input, maxQueuedInputs), messages: make(chan receivedBatch, maxQueuedBatches),
 		groups: map[Group]*group{}, links: map[raft.MemberID]*link{},
-		known: map[raft.MemberID]identity{}, contacts: contacts{}, lastAnswer: map[raft.MemberID]uint64{}, ended: make(chan struct{}),
-		metrics: newMetrics(o.Stats),
+		known: map[raft.MemberID]identity{}, contacts: contacts{}, ended: make(chan struct{}),
+		metrics: newMetrics(o.Stats), limits: o.memberLimits(),
 	}
 	err = r.checkPrevious()
 	if err == nil {
--- a/modules/control/replica/watch.go
+++ b/modules/control/replica/watch.go
@@ -18,9 +18,6 @@
 	leaderlessWarnTicks = 40
 	// leaderlessRepeatTicks is the time after which they are logged again if others answer.
 	leaderlessRepeatTicks = 100
-	// answersTicks is the silence up to which a voter counts as answering in logs and
-	// metrics. Identities are exchanged twice in it.
-	answersTicks = 20
 )
 
 // voterContact is a voter as shown in a log line.
@@ -51,12 +48,9 @@
 func (g *group) voterContacts() (all []voterContact, answering []raft.MemberID) {
 	r := g.replica
 	for _, m := range g.node.Membership().Voters() {
-		silent := r.contacts.silentTicks(m, r.ticks)
-		if m.ID == r.options.Self && m.Disk == r.disk {
-			silent = 0
-		}
+		silent := r.silentTicks(m)
 		all = append(all, voterContact{m.ID, r.ticksMS(silent)})
-		if silent <= answersTicks {
+		if silent <= settleTicks {
 			answering = append(answering, m.ID)
 		}
 	}
--- a/modules/registry/registry.go
+++ b/modules/registry/registry.go
@@ -27,7 +27,7 @@
 )
 
 func init() {
-	kernel.Register(kernel.ModuleInfo{ID: "role.registry", New: func() any { return &Registry{} }})
+	kernel.Register(kernel.ModuleInfo{ID: "role.registry", New: func() any { return &Registry{Settings: Settings{Catchup: defaultCatchup}} }})
 }
 
 const (
@@ -53,6 +53,11 @@
 	// idleTimeout is how long an idle connection is kept open. Upstreams announce
 	// themselves about every second.
 	idleTimeout = 2 * time.Minute
+	// defaultCatchup is long enough for a small fleet to add an instance.
+	defaultCatchup = 4 * time.Second
+	// minCatchup is the shortest accepted setting. One below replica.ReplacementTime is kept
+	// only if no further leader is lost while an instance is replaced.
+	minCatchup = time.Second
 	// maxHeaderBytes bounds the headers of a caller.
 	maxHeaderBytes = 64 << 10
 )
@@ -71,6 +76,9 @@
 	Bootstrap bool `yaml:"bootstrap"`
 	// Losses is the number of control instances whose simultaneous loss is tolerated.
 	Losses int `yaml:"losses"`
+	// Catchup is the time after which an instance that has started no longer counts as lost. An
+	// instance that it replaces must have no vote any more by then.
+	Catchup time.Duration `yaml:"catchup"`
 	// AnnounceInterval is the interval at which an upstream announces itself.
 	AnnounceInterval time.Duration `yaml:"announce_interval"`
 	// Dialect selects the protocol of operators and upstreams.
@@ -133,6 +141,7 @@
 	}
 	return settings.First(
 		settings.InRange("losses", r.Losses, 0, 4),
+		settings.DurationInRange("catchup", r.Catchup, minCatchup, time.Minute),
 		settings.DurationInRange("announce_interval", r.AnnounceInterval, 100*time.Millisecond, time.Minute),
 	)
 }
@@ -183,6 +192,9 @@
 // Start implements kernel.Runner.
 func (r *Registry) Start(context.Context) error {
 	r.log.Info("registry starts", "peer_address", r.PeerListen, "seeds", r.Seeds, "bootstrap", r.Bootstrap, "losses", r.Losses, "relay", r.folder == "")
+	if r.Catchup < replica.ReplacementTime {
+		r.log.Warn("a replacement can take longer than catchup if another leader is lost meanwhile", "catchup_ms", r.Catchup.Milliseconds(), "replacement_ms", replica.ReplacementTime.Milliseconds())
+	}
 	if r.introducer != nil {
 		r.runInBackground(func() { r.introducer.Run(r.ctx) })
 	} else {
@@ -251,7 +263,7 @@
 		Self: raft.MemberID(r.PeerListen), Folder: r.folder, Security: r.security, Log: r.log, Stats: r.stats,
 		Machines: map[replica.Group]replica.StateMachine{group: r.configuration, originGroup: r.origins},
 		Discovery: &replica.Discovery{
-			Seeds: r.seedAddresses(), Bootstrap: r.Bootstrap, MinVoters: 2*r.Losses + 1,
+			Seeds: r.seedAddresses(), Bootstrap: r.Bootstrap, MinVoters: 2*r.Losses + 1, Catchup: r.Catchup,
 		},
 		CompactEntries: compactEntries, SegmentBytes: segmentBytes, Files: r.files, KeepLeaders: true,
 	})
