--- a/core/reconfig/reconfig.go
+++ b/core/reconfig/reconfig.go
@@ -9,9 +9,10 @@
 //     that is only frozen or cut off; it is added again when it answers.
 //   - A change never leaves fewer losses to bear than before (Bearable), except that a
 //     voter that reports an empty disk counts as lost from then on.
-//   - While fewer than Losses can be borne and there are voters to spare, a voter that has
-//     been silent for ReplaceAfter is removed. The time until a replaced voter no longer
-//     counts is therefore bounded by ReplaceAfter, an election and three changes.
+//   - While fewer than Losses can be borne and there are voters to spare, a lost voter is
+//     removed: one that has been silent for ReplaceAfter or has announced its end. The time
+//     until a replaced voter no longer counts is therefore bounded by ReplaceAfter, an
+//     election and three changes.
 package reconfig
 
 import (
@@ -25,8 +26,7 @@
 	// AnswerWithin is the silence up to which a voter counts as answering when a learner
 	// is promoted.
 	AnswerWithin uint64
-	// ReplaceAfter is the silence after which a voter is removed if its loss leaves fewer
-	// than Losses to bear.
+	// ReplaceAfter is the silence after which a voter counts as lost.
 	ReplaceAfter uint64
 	// RemoveAfter is the silence after which any member is removed, so that those that
 	// never return do not accumulate.
@@ -38,11 +38,16 @@
 // minVoters is the number of voters of which Losses can be lost.
 func (l Limits) minVoters() int { return 2*l.Losses + 1 }
 
+// HasSpare reports whether one of a number of voters may leave.
+func (l Limits) HasSpare(voters int) bool { return voters > l.minVoters() }
+
 // Member is a member as the leader sees it.
 type Member struct {
 	raft.Member
 	// Silent is the time in ticks since its disk was last heard from, 0 for the leader.
 	Silent uint64
+	// Leaving is set if its process has announced that it ends.
+	Leaving bool
 	// CaughtUp is set if it has every committed entry on its disk.
 	CaughtUp bool
 }
@@ -98,13 +103,8 @@
 	return Step{}, false
 }
 
-// Bearable returns how many further voters can be lost while those that answer are still a
+// bearable returns how many further voters can be lost while those that answer are still a
 // majority. It is negative while they are none.
-func (v View) Bearable(answerWithin uint64) int {
-	voters, answering := v.count(answerWithin)
-	return bearable(voters, answering)
-}
-
 func bearable(voters, answering int) int { return answering - (voters/2 + 1) }
 
 // count returns the number of voters and of those that were heard from within a time.
@@ -114,13 +114,16 @@
 			continue
 		}
 		voters++
-		if m.Silent <= within {
+		if m.answers(within) {
 			answering++
 		}
 	}
 	return voters, answering
 }
 
+// answers reports whether a voter was heard from within a time and goes on running.
+func (m Member) answers(within uint64) bool { return m.Silent <= within && !m.Leaving }
+
 func (v View) find(id raft.MemberID) (Member, bool) {
 	for _, m := range v.Members {
 		if m.ID == id {
@@ -161,25 +164,31 @@
 	return Step{raft.Change{Kind: raft.AddLearner, Member: raft.Member{ID: c.ID, Disk: c.Disk, Addr: c.Addr}}, reason}
 }
 
-// removeHarmful removes the voter that has been silent for longest while fewer than Losses
-// can be borne.
+// removeHarmful removes the lost voter that has been silent for longest while fewer than
+// Losses can be borne.
 func removeHarmful(l Limits, v View) (Step, bool) {
 	voters, answering := v.count(l.ReplaceAfter)
-	if l.KeepSilent || !v.Settled || voters <= l.minVoters() || bearable(voters, answering) >= l.Losses {
+	if l.KeepSilent || !l.HasSpare(voters) || bearable(voters, answering) >= l.Losses {
 		return Step{}, false
 	}
-	longest := Member{Silent: l.ReplaceAfter}
-	for _, m := range v.Members {
-		if !m.Learner && m.ID != v.Leader && m.Silent > longest.Silent {
-			longest = m
+	var longest *Member
+	for i, m := range v.Members {
+		if !m.Learner && m.ID != v.Leader && l.isLost(v, m) && (longest == nil || m.Silent > longest.Silent) {
+			longest = &v.Members[i]
 		}
 	}
-	if longest.ID == "" {
+	if longest == nil {
 		return Step{}, false
 	}
 	return Step{raft.Change{Kind: raft.Remove, Member: longest.Member}, TooFewLosses}, true
 }
 
+// isLost reports whether a voter no longer counts. A leader that has not settled takes only
+// an announced end for a loss.
+func (l Limits) isLost(v View, m Member) bool {
+	return m.Leaving || v.Settled && m.Silent > l.ReplaceAfter
+}
+
 // promote turns a learner that has caught up into a voter.
 func promote(l Limits, v View) (Step, bool) {
 	if !mayPromote(l, v) {
@@ -206,14 +215,14 @@
 // mayPromote reports whether one more voter leaves no fewer losses to bear. With an odd
 // number of voters it raises the majority; if one of the others is lost by then, the new
 // voter's own loss would be one too many until the lost one is removed. So the promotion
-// waits until each voter answers, or has been silent for long enough to be removed next.
+// waits until each voter answers or counts as lost, and is then removed next.
 func mayPromote(l Limits, v View) bool {
 	voters, answering := v.count(l.AnswerWithin)
 	if voters%2 == 0 || bearable(voters+1, answering+1) >= l.Losses {
 		return true
 	}
 	for _, m := range v.Members {
-		if !m.Learner && m.Silent > l.AnswerWithin && (!v.Settled || m.Silent <= l.ReplaceAfter) {
+		if !m.Learner && !m.answers(l.AnswerWithin) && !l.isLost(v, m) {
 			return false
 		}
 	}
@@ -227,7 +236,7 @@
 		return Step{}, false
 	}
 	for _, m := range v.Members {
-		if m.Silent > l.RemoveAfter && m.ID != v.Leader && (m.Learner || voters > l.minVoters()) {
+		if m.Silent > l.RemoveAfter && m.ID != v.Leader && (m.Learner || l.HasSpare(voters)) {
 			return Step{raft.Change{Kind: raft.Remove, Member: m.Member}, LongSilence}, true
 		}
 	}
--- a/modules/control/replica/contact.go
+++ b/modules/control/replica/contact.go
@@ -35,6 +35,7 @@
 	if d := o.Discovery; d != nil {
 		l.Losses, l.KeepSilent = (d.MinVoters-1)/2, false
 		l.ReplaceAfter = max(minReplaceTicks, uint64(d.Catchup/o.Tick)/replaceShare)
+		l.RemoveAfter = max(removeTicks, l.ReplaceAfter)
 	}
 	return l
 }
--- a/modules/control/replica/discovery_test.go
+++ b/modules/control/replica/discovery_test.go
@@ -18,6 +18,10 @@
 
 // newDiscoveredCluster starts instances that know only the first three addresses.
 func newDiscoveredCluster(t *testing.T, size, losses int) *cluster {
+	return newDiscoveredClusterWith(t, size, Discovery{MinVoters: 2*losses + 1})
+}
+
+func newDiscoveredClusterWith(t *testing.T, size int, d Discovery) *cluster {
 	c := &cluster{t: t, folder: t.TempDir(), groups: 1, nodes: map[raft.MemberID]*instance{}}
 	host := loopbackHost()
 	for range size {
@@ -30,7 +34,9 @@
 	bootstrap := true
 	c.adjust = func(o *Options) {
 		o.Peers, o.KeepLeaders, o.Tick = nil, true, 20*time.Millisecond
-		o.Discovery = &Discovery{Seeds: seeds, Bootstrap: bootstrap, MinVoters: 2*losses + 1}
+		own := d
+		own.Seeds, own.Bootstrap = seeds, bootstrap
+		o.Discovery = &own
 	}
 	for _, p := range c.peers {
 		c.start(p)
@@ -138,6 +144,31 @@
 	c.eventually("added again", func() bool { return c.hasVoters(4) })
 }
 
+// Guards against an instance that stops and keeps a vote until it has been silent for some time, while
+// the other voters are enough, and against one that gives up its vote where they are not.
+func TestStoppingInstanceGivesUpSpareVote(t *testing.T) {
+	t.Parallel()
+	for _, size := range []int{4, 3} {
+		// With an hour no voter is removed for its silence.
+		c := newDiscoveredClusterWith(t, size, Discovery{MinVoters: 3, Catchup: time.Hour})
+		c.propose(0, "kept")
+		c.eventually("all are voters", func() bool { return c.hasVoters(size) })
+		leader := c.leader(0)
+		stopped := leader.options.Self
+		assert.NilError(t, leader.Stop(t.Context()))
+		c.kill(stopped)
+		c.eventually("three voters", func() bool {
+			l := c.leader(0)
+			return l != nil && len(l.Status().Groups[0].Membership.Members) == 3
+		})
+		c.propose(0, "later")
+		if size == 4 {
+			c.start(c.peer(stopped))
+			c.eventually("a voter again after its restart", func() bool { return c.hasVoters(4) })
+		}
+	}
+}
+
 // Guards against a group that does not recover after all instances were killed at once.
 func TestAllKilledAtOnce(t *testing.T) {
 	t.Parallel()
--- a/modules/control/replica/link.go
+++ b/modules/control/replica/link.go
@@ -43,6 +43,8 @@
 	Relay bool
 	// Nominees are the instances that this one has nominated to bootstrap groups.
 	Nominees map[Group]raft.MemberID
+	// Leaving is set by an instance whose process is about to end.
+	Leaving bool
 }
 
 // Service is the net/rpc service for other control instances. Register it under
@@ -78,20 +80,27 @@
 
 // Identity returns the identity of this instance.
 func (s *Service) Identity(args *IdentityArgs, reply *IdentityReply) error {
-	r := s.current()
 	ctx, cancel := context.WithTimeout(context.Background(), identityTimeout)
 	defer cancel()
-	q := identityRequest{from: args.From, done: make(chan IdentityReply, 1)}
+	var err error
+	*reply, err = s.current().exchangeIdentity(ctx, args.From)
+	return peer.EncodeError(err)
+}
+
+// exchangeIdentity passes the identity of another instance, if any, to the owner goroutine and
+// returns that of this one.
+func (r *Replica) exchangeIdentity(ctx context.Context, from IdentityReply) (IdentityReply, error) {
+	q := identityRequest{from: from, done: make(chan IdentityReply, 1)}
 	if err := r.enqueue(ctx, q); err != nil {
-		return peer.EncodeError(err)
+		return IdentityReply{}, err
 	}
 	select {
-	case *reply = <-q.done:
-		return nil
+	case own := <-q.done:
+		return own, nil
 	case <-ctx.Done():
-		return peer.EncodeError(ctx.Err())
+		return IdentityReply{}, ctx.Err()
 	case <-r.ended:
-		return peer.EncodeError(errStopped)
+		return IdentityReply{}, errStopped
 	}
 }
 
@@ -227,17 +236,12 @@
 func (l *link) pollIdentityOnce(ctx context.Context, client *peer.Client) {
 	callCtx, cancel := context.WithTimeout(ctx, identityTimeout)
 	defer cancel()
-	q := identityRequest{done: make(chan IdentityReply, 1)}
-	if l.replica.enqueue(callCtx, q) != nil {
+	own, err := l.replica.exchangeIdentity(callCtx, IdentityReply{})
+	if err != nil {
 		return // the owner is busy or has stopped; the next poll tries again
 	}
-	var own, reply IdentityReply
-	select {
-	case own = <-q.done:
-	case <-callCtx.Done():
-		return
-	}
-	err := client.Call(callCtx, ServiceName+".Identity", &IdentityArgs{From: own}, &reply)
+	var reply IdentityReply
+	err = client.Call(callCtx, ServiceName+".Identity", &IdentityArgs{From: own}, &reply)
 	if err != nil || reply.Member != l.to.ID {
 		return
 	}
--- a/modules/control/replica/members.go
+++ b/modules/control/replica/members.go
@@ -19,12 +19,14 @@
 	relay bool
 	// nominees are the instances that it has nominated to bootstrap the groups.
 	nominees map[Group]raft.MemberID
+	// leaving is set if its process was about to end.
+	leaving bool
 	// tick is the tick at which the owner recorded it.
 	tick uint64
 }
 
 func newIdentity(r IdentityReply) identity {
-	i := identity{member: r.Member, disk: r.Disk, empty: map[Group]bool{}, known: r.Known, relay: r.Relay, nominees: r.Nominees}
+	i := identity{member: r.Member, disk: r.Disk, empty: map[Group]bool{}, known: r.Known, relay: r.Relay, nominees: r.Nominees, leaving: r.Leaving}
 	for _, g := range r.Empty {
 		i.empty[g] = true
 	}
@@ -55,7 +57,7 @@
 	if q.from.Member != "" {
 		r.recordIdentity(newIdentity(q.from))
 	}
-	reply := IdentityReply{Member: r.options.Self, Disk: r.disk}
+	reply := IdentityReply{Member: r.options.Self, Disk: r.disk, Leaving: r.leaving}
 	for _, g := range r.orderedGroups {
 		if g.empty() {
 			reply.Empty = append(reply.Empty, g.id)
@@ -194,10 +196,13 @@
 	r := g.replica
 	v := reconfig.View{Leader: r.options.Self, Settled: g.settled()}
 	for _, m := range g.node.Membership().Members {
-		v.Members = append(v.Members, reconfig.Member{Member: m, Silent: r.silentTicks(m), CaughtUp: g.node.CaughtUp(m.ID)})
+		i := r.known[m.ID]
+		v.Members = append(v.Members, reconfig.Member{
+			Member: m, Silent: r.silentTicks(m), Leaving: i.leaving && i.disk == m.Disk, CaughtUp: g.node.CaughtUp(m.ID),
+		})
 	}
 	for _, p := range r.candidates() {
-		if i, ok := r.currentIdentity(p.ID); ok {
+		if i, ok := r.currentIdentity(p.ID); ok && !i.leaving {
 			m := raft.Member{ID: p.ID, Disk: i.disk, Addr: p.Addr}
 			v.Candidates = append(v.Candidates, reconfig.Candidate{ID: m.ID, Disk: m.Disk, Addr: m.Addr, Silent: r.silentTicks(m)})
 		}
--- a/modules/control/replica/replica.go
+++ b/modules/control/replica/replica.go
@@ -135,6 +135,8 @@
 	metrics       metrics
 	ticks         uint64
 	limits        reconfig.Limits
+	// leaving is set once the other instances are told that this one ends.
+	leaving bool
 
 	// known holds the reported identities of other instances. Only the owner
 	// goroutine uses it.
@@ -257,9 +259,11 @@
 // stopTransferTimeout bounds how long Stop waits for leadership transfers.
 const stopTransferTimeout = time.Second
 
-// Stop transfers leadership, stops the groups and closes the log.
+// Stop transfers leadership, gives up this instance's vote where the others are enough, stops
+// the groups and closes the log.
 func (r *Replica) Stop(ctx context.Context) error {
 	r.transferLeadership(ctx)
+	r.announceLeaving(ctx)
 	return r.Kill()
 }
 
