registry: tell an instance that is added again everything anew

Cause: what an instance learns is shared with the members of the control group. One that was removed while it stood still and is added again without a restart kept its epoch at the others, so that nothing was sent again: it listed an upstream as ready for good that had announced its end meanwhile.

Change: the state of an instance that is no longer a member is dropped, its epoch with it, and the exchange at its return sends all.

--- a/modules/registry/registry_test.go
+++ b/modules/registry/registry_test.go
@@ -37,6 +37,8 @@
 	seeds     []string
 	bootstrap bool
 	nodes     []*node
+	// announceInterval is that of the instances that are started from now on.
+	announceInterval time.Duration
 	// log receives the log lines of all instances.
 	log io.Writer
 }
@@ -51,8 +53,11 @@
 
 func newFleet(t testing.TB, size int) *fleet { return newLoggedFleet(t, size, io.Discard) }
 
+// testAnnounceInterval is short, so that silent upstreams are lost soon.
+const testAnnounceInterval = 200 * time.Millisecond
+
 func newLoggedFleet(t testing.TB, size int, log io.Writer) *fleet {
-	f := &fleet{t: t, bootstrap: true, log: log}
+	f := &fleet{t: t, bootstrap: true, log: log, announceInterval: testAnnounceInterval}
 	n := fleetCount.Add(1)
 	port := freePort(t)
 	for i := range size {
@@ -89,7 +94,7 @@
 	security, err := peer.NewSecurity(peer.TLSSettings{Off: true}, log)
 	assert.NilError(f.t, err)
 	r := &Registry{Settings: Settings{
-		PeerListen: n.addr, Seeds: f.seeds, Bootstrap: f.bootstrap, Losses: min(1, (len(f.nodes)-1)/2), AnnounceInterval: 200 * time.Millisecond,
+		PeerListen: n.addr, Seeds: f.seeds, Bootstrap: f.bootstrap, Losses: min(1, (len(f.nodes)-1)/2), AnnounceInterval: f.announceInterval,
 	}}
 	r.log, r.stats, r.security, r.folder, r.files = log, stats.New(), security, n.folder, n.disk
 	r.dialect = &platform.Platform{}
--- a/modules/registry/share.go
+++ b/modules/registry/share.go
@@ -69,7 +69,9 @@
 	if aliveDue {
 		d.aliveSentAt = now
 	}
-	for _, addr := range d.registry.otherMembers() {
+	members := d.registry.otherMembers()
+	d.forgetRemovedMembers(members)
+	for _, addr := range members {
 		queued := len(d.unsentUpstreams[addr]) > 0 || len(d.unsentRuns[addr]) > 0 || aliveDue && len(d.unsentAlive[addr]) > 0
 		if d.inFlight[addr] || !queued && !d.helloDue(now, addr) {
 			continue
@@ -92,6 +94,25 @@
 	}
 }
 
+// forgetRemovedMembers drops the state of instances that are no longer members. Nothing is sent to
+// them, so one that is added again, without a restart in between, must be told everything anew.
+func (d *directory) forgetRemovedMembers(members []string) {
+	for addr := range d.memberEpochs {
+		if !slices.Contains(members, addr) {
+			d.forgetMember(addr)
+		}
+	}
+}
+
+func (d *directory) forgetMember(addr string) {
+	delete(d.unsentUpstreams, addr)
+	delete(d.unsentAlive, addr)
+	delete(d.unsentRuns, addr)
+	delete(d.memberEpochs, addr)
+	delete(d.helloAt, addr)
+	d.copies.Forget(addr)
+}
+
 // helloInterval is the time between two messages to an instance that has not answered yet.
 const helloInterval = 500 * time.Millisecond
 
@@ -118,12 +139,7 @@
 func (d *directory) handleShareResult(s shareResult) {
 	delete(d.inFlight, s.addr)
 	if !slices.Contains(d.registry.otherMembers(), s.addr) {
-		delete(d.unsentUpstreams, s.addr)
-		delete(d.unsentAlive, s.addr)
-		delete(d.unsentRuns, s.addr)
-		delete(d.memberEpochs, s.addr)
-		delete(d.helloAt, s.addr)
-		d.copies.Forget(s.addr)
+		d.forgetMember(s.addr)
 		return
 	}
 	m := d.unsentOf(s.addr)
