replica: a stopping instance waits until its vote is given up

If the leader that had to remove the instance was lost meanwhile, the stopping one could not vote for another and ended as a fourth voter, two of four left.

Change: the log answers until it has stopped; the instance asks the others until most of them have its removal in their logs, for at most the time of a replacement and what is left of the stop. It does not wait if too few of the others stay. The log is not opened again during a stop.

--- a/modules/control/replica/replica.go
+++ b/modules/control/replica/replica.go
@@ -263,7 +263,7 @@
 // the groups and closes the log.
 func (r *Replica) Stop(ctx context.Context) error {
 	r.transferLeadership(ctx)
-	r.announceLeaving(ctx)
+	r.leave(ctx)
 	return r.Kill()
 }
 
--- a/modules/registry/registry.go
+++ b/modules/registry/registry.go
@@ -119,6 +119,8 @@
 
 	mu      sync.Mutex
 	replica *replica.Replica
+	// logStopping is set once Stop closes the log.
+	logStopping bool
 	// logFailed is set from a failure of the log until it knows a leader again.
 	logFailed atomic.Bool
 	// lastMembers are the members of the log when it was last open.
@@ -248,8 +250,8 @@
 		rep, err := r.openLog()
 		if err != nil {
 			r.log.Error("cannot open the replicated log; retrying", "error", err, "retry_ms", replica.ReopenDelay.Milliseconds())
-		} else {
-			r.runLog(rep)
+		} else if stopped := r.runLog(rep); stopped {
+			return
 		}
 		select {
 		case <-time.After(replica.ReopenDelay):
@@ -273,7 +275,8 @@
 	return rep, rep.Start(r.ctx)
 }
 
-func (r *Registry) runLog(rep *replica.Replica) {
+// runLog waits until the log ends, and reports whether Stop closes it.
+func (r *Registry) runLog(rep *replica.Replica) (stopped bool) {
 	r.mu.Lock()
 	r.replica = rep
 	r.mu.Unlock()
@@ -286,15 +289,18 @@
 	case <-r.ctx.Done():
 	}
 	r.mu.Lock()
-	stopped := r.replica != rep // Stop clears r.replica and closes the log itself
-	r.replica = nil
+	stopped = r.logStopping
+	if !stopped {
+		r.replica = nil
+	}
 	r.mu.Unlock()
 	if stopped {
-		return
+		return true
 	}
 	if err := rep.Kill(); err != nil {
 		r.log.Warn("cannot close the replicated log", "error", err)
 	}
+	return false
 }
 
 // currentReplica returns the open log, or nil if there is none.
@@ -347,10 +353,14 @@
 	var err error
 	r.mu.Lock()
 	rep := r.replica
-	r.replica = nil
+	r.logStopping = rep != nil
 	r.mu.Unlock()
 	if rep != nil {
+		// The log answers the other instances until it has given up its leadership and its vote.
 		err = rep.Stop(ctx)
+		r.mu.Lock()
+		r.replica = nil
+		r.mu.Unlock()
 	}
 	r.cancel()
 	for _, s := range r.servers {
