reconfig: promote only a learner that answers, and take nobody for silent too soon

An instance that has just started took voters that it had never heard for answering, and so for settled. The next change waited for the next check, up to 0.2 s.

Change: a learner must have answered within two heartbeats; a voter that was never heard does not answer; contact with a majority for 0.5 s is enough, since a leader hears each member several times in it; the leader looks for the next change as soon as one is committed. An identity without a disk is no candidate.

--- a/core/reconfig/reconfig.go
+++ b/core/reconfig/reconfig.go
@@ -26,6 +26,8 @@
 	// AnswerWithin is the silence up to which a voter counts as answering when a learner
 	// is promoted.
 	AnswerWithin uint64
+	// PromoteWithin is the silence up to which a learner may be promoted.
+	PromoteWithin uint64
 	// ReplaceAfter is the silence after which a voter counts as lost.
 	ReplaceAfter uint64
 	// RemoveAfter is the silence after which any member is removed, so that those that
@@ -139,7 +141,7 @@
 	for _, c := range v.Candidates {
 		m, member := v.find(c.ID)
 		switch {
-		case !member || c.Silent >= l.ReplaceAfter:
+		case !member || c.Disk == "" || c.Silent >= l.ReplaceAfter:
 		case m.Disk != c.Disk:
 			return c.asLearner(EmptyDisk), true
 		case m.Addr != c.Addr:
@@ -153,7 +155,7 @@
 // out, so that a voter that was just removed is not added before it answers again.
 func add(l Limits, v View) (Step, bool) {
 	for _, c := range v.Candidates {
-		if _, member := v.find(c.ID); !member && c.Silent < l.ReplaceAfter {
+		if _, member := v.find(c.ID); !member && c.Disk != "" && c.Silent < l.ReplaceAfter {
 			return c.asLearner(NewInstance), true
 		}
 	}
@@ -195,7 +197,7 @@
 		return Step{}, false
 	}
 	for _, m := range v.Members {
-		if m.Learner && m.CaughtUp && v.isCandidate(m) {
+		if m.Learner && m.CaughtUp && m.answers(l.PromoteWithin) && v.isCandidate(m) {
 			return Step{raft.Change{Kind: raft.Promote, Member: m.Member}, LearnerCaughtUp}, true
 		}
 	}
--- a/modules/control/replica/contact.go
+++ b/modules/control/replica/contact.go
@@ -11,9 +11,15 @@
 	// answerTicks is the silence up to which a voter counts as answering. A leader hears
 	// from each voter every raft.DefaultHeartbeatTicks.
 	answerTicks = raft.DefaultElectionTicks
+	// promoteTicks is the silence up to which a learner is promoted. It answers each
+	// heartbeat; one may be lost.
+	promoteTicks = 2 * raft.DefaultHeartbeatTicks
+	// contactTicks is the silence up to which an instance that is not the leader counts
+	// others as answering. Identities are exchanged twice in it.
+	contactTicks = 2 * uint64(identityInterval/DefaultTick)
 	// settleTicks is the time for which an instance must be in contact with a majority
-	// before it takes others for silent. Each identity is exchanged twice in it.
-	settleTicks = 2 * uint64(identityInterval/DefaultTick)
+	// before it takes others for silent. A leader hears from each member several times in it.
+	settleTicks = raft.DefaultElectionTicks
 	// minReplaceTicks is the shortest silence after which a voter is removed. It is longer
 	// than the longest election timeout, so that a change of leader removes no voter.
 	minReplaceTicks = 3 * raft.DefaultElectionTicks
@@ -31,7 +37,7 @@
 
 // memberLimits returns the limits of the decisions about members.
 func (o Options) memberLimits() reconfig.Limits {
-	l := reconfig.Limits{Losses: (len(o.Peers) - 1) / 2, AnswerWithin: answerTicks, ReplaceAfter: minReplaceTicks, RemoveAfter: removeTicks, KeepSilent: true}
+	l := reconfig.Limits{Losses: (len(o.Peers) - 1) / 2, AnswerWithin: answerTicks, PromoteWithin: promoteTicks, ReplaceAfter: minReplaceTicks, RemoveAfter: removeTicks, KeepSilent: true}
 	if d := o.Discovery; d != nil {
 		l.Losses, l.KeepSilent = (d.MinVoters-1)/2, false
 		l.ReplaceAfter = max(minReplaceTicks, uint64(d.Catchup/o.Tick)/replaceShare)
@@ -60,6 +66,13 @@
 	return r.ticks - r.contacts[m.Disk]
 }
 
+// inContact reports whether a member was heard within contactTicks.
+func (r *Replica) inContact(m raft.Member) bool {
+	_, heard := r.contacts[m.Disk]
+	silent := r.silentTicks(m)
+	return silent <= contactTicks && (heard || silent == 0)
+}
+
 // forgetContacts removes disks that no group has as a member and that have been silent for
 // linkIdleTicks.
 func (r *Replica) forgetContacts() {
@@ -81,7 +94,7 @@
 	voters, answering := 0, 0
 	for _, m := range g.node.Membership().Voters() {
 		voters++
-		if g.replica.silentTicks(m) <= settleTicks {
+		if g.replica.inContact(m) {
 			answering++
 		}
 	}
--- a/modules/control/replica/group.go
+++ b/modules/control/replica/group.go
@@ -160,13 +160,18 @@
 		g.applied = s.Meta.Index
 		g.failCoveredWaiters(s.Meta.Index)
 	}
+	changed := false
 	for _, e := range g.ready.Apply {
 		if e.Index > g.applied { // a state machine of a log that was opened again may be ahead
 			g.applyEntry(e)
 		}
+		changed = changed || e.Kind == raft.ChangeEntry
 	}
 	g.completeReads()
 	g.publishLead()
+	if changed && g.node.Role() == raft.Leader {
+		g.reconcileMembers() // the next change is often due, and a loss between the two may be final
+	}
 	return nil
 }
 
--- a/modules/control/replica/watch.go
+++ b/modules/control/replica/watch.go
@@ -48,9 +48,8 @@
 func (g *group) voterContacts() (all []voterContact, answering []raft.MemberID) {
 	r := g.replica
 	for _, m := range g.node.Membership().Voters() {
-		silent := r.silentTicks(m)
-		all = append(all, voterContact{m.ID, r.ticksMS(silent)})
-		if _, heard := r.contacts[m.Disk]; silent <= settleTicks && (heard || silent == 0) {
+		all = append(all, voterContact{m.ID, r.ticksMS(r.silentTicks(m))})
+		if r.inContact(m) {
 			answering = append(answering, m.ID)
 		}
 	}
