--- a/core/reconfig/properties_test.go
+++ b/core/reconfig/properties_test.go
@@ -13,7 +13,7 @@
 var propertyIDs = []raft.MemberID{"a", "b", "c", "d", "e", "f", "g", "h"}
 
 func drawLimits(t *rapid.T) Limits {
-	return Limits{Losses: rapid.IntRange(0, 3).Draw(t, "losses"), AnswerWithin: 10, PromoteWithin: 4, ReplaceAfter: 30, RemoveAfter: 160, KeepSilent: rapid.Bool().Draw(t, "keep silent")}
+	return Limits{Losses: rapid.IntRange(0, 3).Draw(t, "losses"), AnswerWithin: 10, PromoteWithin: 4, LostAfter: 30, AbsentAfter: 160, KeepSilent: rapid.Bool().Draw(t, "keep silent")}
 }
 
 // drawSilence returns silences around each limit.
@@ -116,7 +116,7 @@
 		}
 		m, member := v.find(s.Change.Member.ID)
 		assert.Assert(t, member && m.ID != v.Leader && m.Disk == s.Change.Member.Disk)
-		assert.Assert(t, v.Settled && !l.KeepSilent && m.Silent > l.ReplaceAfter)
+		assert.Assert(t, v.Settled && !l.KeepSilent && m.Silent > l.LostAfter)
 		assert.Assert(t, m.Learner || v.after(s).voters() >= 2*l.Losses+1)
 	})
 }
@@ -194,7 +194,7 @@
 
 func (l Limits) calmSilence(silent uint64) uint64 {
 	if silent > l.AnswerWithin {
-		return l.RemoveAfter + 1
+		return l.AbsentAfter + 1
 	}
 	return min(silent, l.PromoteWithin)
 }
--- a/core/reconfig/reconfig.go
+++ b/core/reconfig/reconfig.go
@@ -10,8 +10,8 @@
 //   - A change never leaves fewer losses to bear than before (Bearable), except that a
 //     voter that reports an empty disk counts as lost from then on.
 //   - While fewer than Losses can be borne and there are voters to spare, a lost voter is
-//     removed: one that has been silent for ReplaceAfter or has announced its end. The time
-//     until a replaced voter no longer counts is therefore bounded by ReplaceAfter, an
+//     removed: one that has been silent for LostAfter or has announced its end. The time
+//     until a replaced voter no longer counts is therefore bounded by LostAfter, an
 //     election and three changes.
 package reconfig
 
@@ -28,11 +28,11 @@
 	AnswerWithin uint64
 	// PromoteWithin is the silence up to which a learner may be promoted.
 	PromoteWithin uint64
-	// ReplaceAfter is the silence after which a voter counts as lost.
-	ReplaceAfter uint64
-	// RemoveAfter is the silence after which any member is removed, so that those that
+	// LostAfter is the silence after which a voter counts as lost.
+	LostAfter uint64
+	// AbsentAfter is the silence after which any member is removed, so that those that
 	// never return do not accumulate.
-	RemoveAfter uint64
+	AbsentAfter uint64
 	// KeepSilent is set if only an operator removes members.
 	KeepSilent bool
 }
@@ -96,7 +96,7 @@
 // Next returns the next change, and false if none is due.
 func Next(l Limits, v View) (Step, bool) {
 	for _, decide := range []func(Limits, View) (Step, bool){
-		readmit, removeHarmful, promote, add, removeAbsent,
+		readmit, removeLostVoter, promote, add, removeAbsent,
 	} {
 		if s, ok := decide(l, v); ok {
 			return s, true
@@ -141,7 +141,7 @@
 	for _, c := range v.Candidates {
 		m, member := v.find(c.ID)
 		switch {
-		case !member || c.Disk == "" || c.Silent >= l.ReplaceAfter:
+		case !member || c.Disk == "" || c.Silent >= l.LostAfter:
 		case m.Disk != c.Disk:
 			return c.asLearner(EmptyDisk), true
 		case m.Addr != c.Addr:
@@ -155,7 +155,7 @@
 // out, so that a voter that was just removed is not added before it answers again.
 func add(l Limits, v View) (Step, bool) {
 	for _, c := range v.Candidates {
-		if _, member := v.find(c.ID); !member && c.Disk != "" && c.Silent < l.ReplaceAfter {
+		if _, member := v.find(c.ID); !member && c.Disk != "" && c.Silent < l.LostAfter {
 			return c.asLearner(NewInstance), true
 		}
 	}
@@ -166,10 +166,10 @@
 	return Step{raft.Change{Kind: raft.AddLearner, Member: raft.Member{ID: c.ID, Disk: c.Disk, Addr: c.Addr}}, reason}
 }
 
-// removeHarmful removes the lost voter that has been silent for longest while fewer than
+// removeLostVoter removes the lost voter that has been silent for longest while fewer than
 // Losses can be borne.
-func removeHarmful(l Limits, v View) (Step, bool) {
-	voters, answering := v.count(l.ReplaceAfter)
+func removeLostVoter(l Limits, v View) (Step, bool) {
+	voters, answering := v.count(l.LostAfter)
 	if l.KeepSilent || !l.HasSpare(voters) || bearable(voters, answering) >= l.Losses {
 		return Step{}, false
 	}
@@ -188,7 +188,7 @@
 // isLost reports whether a voter no longer counts. A leader that has not settled takes only
 // an announced end for a loss.
 func (l Limits) isLost(v View, m Member) bool {
-	return m.Leaving || v.Settled && m.Silent > l.ReplaceAfter
+	return m.Leaving || v.Settled && m.Silent > l.LostAfter
 }
 
 // promote turns a learner that has caught up into a voter.
@@ -231,14 +231,14 @@
 	return true
 }
 
-// removeAbsent removes a member that has been silent for RemoveAfter.
+// removeAbsent removes a member that has been silent for AbsentAfter.
 func removeAbsent(l Limits, v View) (Step, bool) {
 	voters, _ := v.count(0)
 	if l.KeepSilent || !v.Settled {
 		return Step{}, false
 	}
 	for _, m := range v.Members {
-		if m.Silent > l.RemoveAfter && m.ID != v.Leader && (m.Learner || l.HasSpare(voters)) {
+		if m.Silent > l.AbsentAfter && m.ID != v.Leader && (m.Learner || l.HasSpare(voters)) {
 			return Step{raft.Change{Kind: raft.Remove, Member: m.Member}, LongSilence}, true
 		}
 	}
--- a/core/reconfig/reconfig_test.go
+++ b/core/reconfig/reconfig_test.go
@@ -9,7 +9,7 @@
 )
 
 // tableLimits are the limits of the table: one loss, and times that are easy to tell apart.
-var tableLimits = Limits{Losses: 1, AnswerWithin: 10, PromoteWithin: 4, ReplaceAfter: 30, RemoveAfter: 160}
+var tableLimits = Limits{Losses: 1, AnswerWithin: 10, PromoteWithin: 4, LostAfter: 30, AbsentAfter: 160}
 
 // voter returns a member with its first disk.
 func voter(id string, silent uint64) Member {
--- a/core/reconfig/variants_test.go
+++ b/core/reconfig/variants_test.go
@@ -57,11 +57,11 @@
 // Guards against worlds that don't detect a promotion after which the group needs the new
 // voter for as long as a lost one counts.
 func TestWorldsDetectEarlyPromotion(t *testing.T) {
-	expectViolation(t, setting{3, 1}, rules{next: decideBy(readmit, removeHarmful, promoteAtOnce, add, removeAbsent)}, newVoterNeeded)
+	expectViolation(t, setting{3, 1}, rules{next: decideBy(readmit, removeLostVoter, promoteAtOnce, add, removeAbsent)}, newVoterNeeded)
 }
 
 // Guards against worlds that don't detect a replaced voter that counts until it has been
-// silent for RemoveAfter, as in issue 43.
+// silent for AbsentAfter, as in issue 43.
 func TestWorldsDetectLateRemoval(t *testing.T) {
 	expectViolation(t, setting{3, 1}, rules{next: decideBy(readmit, promoteAtOnce, add, removeAbsent), onlyPromise: true}, noMajority)
 }
@@ -69,7 +69,7 @@
 // removeAnySilent removes a silent voter however few are left.
 func removeAnySilent(l Limits, v View) (Step, bool) {
 	for _, m := range v.Members {
-		if v.Settled && !m.Learner && m.ID != v.Leader && m.Silent > l.ReplaceAfter {
+		if v.Settled && !m.Learner && m.ID != v.Leader && m.Silent > l.LostAfter {
 			return Step{raft.Change{Kind: raft.Remove, Member: m.Member}, TooFewLosses}, true
 		}
 	}
--- a/core/reconfig/world_test.go
+++ b/core/reconfig/world_test.go
@@ -42,7 +42,7 @@
 
 // worldLimits are the limits that modules/control/replica uses for a CatchupS of 4 s.
 func worldLimits(losses int) Limits {
-	return Limits{Losses: losses, AnswerWithin: 10, PromoteWithin: 4, ReplaceAfter: 30, RemoveAfter: 160}
+	return Limits{Losses: losses, AnswerWithin: 10, PromoteWithin: 4, LostAfter: 30, AbsentAfter: 160}
 }
 
 // rules are the decision under test and the way in which a new leader learns of silence.
--- a/modules/control/replica/contact.go
+++ b/modules/control/replica/contact.go
@@ -20,28 +20,32 @@
 	// settleTicks is the time for which an instance must be in contact with a majority
 	// before it takes others for silent. A leader hears from each member several times in it.
 	settleTicks = raft.DefaultElectionTicks
-	// minReplaceTicks is the shortest silence after which a voter is removed. It is longer
+	// minLostTicks is the shortest silence after which a voter is removed. It is longer
 	// than the longest election timeout, so that a change of leader removes no voter.
-	minReplaceTicks = 3 * raft.DefaultElectionTicks
-	// replaceShare is the part of Discovery.Catchup after which a silent voter is removed.
+	minLostTicks = 3 * raft.DefaultElectionTicks
+	// lostDivisor is the part of Discovery.Catchup after which a silent voter is removed.
 	// The rest is for an election, the changes and one more election in between.
-	replaceShare = 3
-	// removeTicks is the silence after which a member is removed whose loss leaves enough
+	lostDivisor = 3
+	// absentTicks is the silence after which a member is removed whose loss leaves enough
 	// losses to bear. Nothing that must be done in time waits for it.
-	removeTicks = 160
+	absentTicks = 160
 )
 
-// ReplacementTime is the time that a replacement can take: the shortest silence, in which a
-// leader is elected if the lost instance led the group, one more election, and three changes.
-const ReplacementTime = time.Duration(minReplaceTicks+2*raft.DefaultElectionTicks+3*memberCheckTicks) * DefaultTick
+// ReplacementTime is the time that a replacement can take if as many leaders are lost one after
+// the other: the shortest silence, in which a leader is elected if the lost instance led the
+// group, an election for each further leader, and three changes.
+func ReplacementTime(losses int) time.Duration {
+	ticks := minLostTicks + losses*2*raft.DefaultElectionTicks + 3*memberCheckTicks
+	return time.Duration(ticks) * DefaultTick
+}
 
 // memberLimits returns the limits of the decisions about members.
 func (o Options) memberLimits() reconfig.Limits {
-	l := reconfig.Limits{Losses: (len(o.Peers) - 1) / 2, AnswerWithin: answerTicks, PromoteWithin: promoteTicks, ReplaceAfter: minReplaceTicks, RemoveAfter: removeTicks, KeepSilent: true}
+	l := reconfig.Limits{Losses: (len(o.Peers) - 1) / 2, AnswerWithin: answerTicks, PromoteWithin: promoteTicks, LostAfter: minLostTicks, AbsentAfter: absentTicks, KeepSilent: true}
 	if d := o.Discovery; d != nil {
 		l.Losses, l.KeepSilent = (d.MinVoters-1)/2, false
-		l.ReplaceAfter = max(minReplaceTicks, uint64(d.Catchup/o.Tick)/replaceShare)
-		l.RemoveAfter = max(removeTicks, l.ReplaceAfter)
+		l.LostAfter = max(minLostTicks, uint64(d.Catchup/o.Tick)/lostDivisor)
+		l.AbsentAfter = max(absentTicks, l.LostAfter)
 	}
 	return l
 }
--- a/modules/control/replica/leave.go
+++ b/modules/control/replica/leave.go
@@ -34,7 +34,7 @@
 	if len(others) == 0 {
 		return
 	}
-	limit := ReplacementTime
+	limit := ReplacementTime(r.limits.Losses)
 	if deadline, ok := ctx.Deadline(); ok {
 		limit = min(limit, time.Until(deadline)-leaveReserve)
 	}
--- a/modules/registry/registry.go
+++ b/modules/registry/registry.go
@@ -194,8 +194,8 @@
 // Start implements kernel.Runner.
 func (r *Registry) Start(context.Context) error {
 	r.log.Info("registry starts", "peer_address", r.PeerListen, "seeds", r.Seeds, "bootstrap", r.Bootstrap, "losses", r.Losses, "relay", r.folder == "")
-	if r.Catchup < replica.ReplacementTime {
-		r.log.Warn("a replacement can take longer than catchup if another leader is lost meanwhile", "catchup_ms", r.Catchup.Milliseconds(), "replacement_ms", replica.ReplacementTime.Milliseconds())
+	if t := replica.ReplacementTime(r.Losses); r.Catchup < t {
+		r.log.Warn("a replacement can take longer than catchup if other leaders are lost meanwhile", "catchup_ms", r.Catchup.Milliseconds(), "replacement_ms", t.Milliseconds())
 	}
 	if r.introducer != nil {
 		r.runInBackground(func() { r.introducer.Run(r.ctx) })
