entry: retries of requests on their way to a refusing upstream need no budget

Cause: an upstream that asks for backoff or leaves refuses all requests that are on their way to it at once. Each of their retries drew on the retry budget of the entry, which is 3 plus 10% of the first attempts. In the failed runs of TestEnginesThatLeaveOrAskForBackoff one entry had sent 12 first attempts, so the budget allowed four retries; its log shows four requests of the second batch served with a second attempt and the fifth one refused with queue_full after 5 ms, though the third engine had room. The second batch prefers the engine that holds the prefixes of the first one, so that five of its six requests can go to the busy engine.

Later attempts use the budget as before, so an upstream that keeps refusing does not multiply the load. Calls follow the same rule.

--- a/modules/entry/attempt.go
+++ b/modules/entry/attempt.go
@@ -92,6 +92,7 @@
 			err.Ran = last.Ran // an earlier attempt of an idempotent call may have run
 		}
 		last = err
+		c.recordFailure(err)
 		if retry.Decide(c.failure(err, maxAttempts)) == retry.Stop || ctx.Err() != nil {
 			return nil, err
 		}
@@ -134,19 +135,32 @@
 	return requestSummary{upstream: c.upstream, attempts: c.attempts, err: err}
 }
 
-func (c *call) pickRequest(zone, region string, suspect bool) pick.Request {
+func (c *call) chooseRequest(zone, region string, suspect bool, p purpose) chooseRequest {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return pick.Request{Service: c.service, Class: c.class, Suspect: suspect, Tried: slices.Clone(c.triedUpstreams), Zone: zone, Region: region}
+	r := pick.Request{Service: c.service, Class: c.class, Suspect: suspect, Tried: slices.Clone(c.triedUpstreams), Zone: zone, Region: region}
+	return chooseRequest{request: r, purpose: p, refused: c.refused}
 }
 
-// recordAttempt counts an attempt on the given upstream.
-func (c *call) recordAttempt(upstream string) {
+// recordAttempt counts an attempt on the upstream of the given assignment.
+func (c *call) recordAttempt(a assignment) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.attempts++
-	c.upstream = upstream
-	c.triedUpstreams = append(c.triedUpstreams, upstream)
+	c.upstream = a.upstream.ID
+	c.triedUpstreams = append(c.triedUpstreams, a.upstream.ID)
+	c.latest, c.refused = a, nil
+}
+
+// recordFailure notes whether the latest attempt has been refused.
+func (c *call) recordFailure(err *result.Error) {
+	if !isRefusal(err) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	refused := c.latest
+	c.refused = &refused
 }
 
 // callOutcome is the outcome of sending a call to an agent.
@@ -161,11 +175,11 @@
 // startAttempt chooses an agent and sends it the call. The outcome arrives on
 // the returned channel; an error means that nothing was sent.
 func (m *Module) startAttempt(ctx context.Context, c *call, p purpose, permit wire.ID, attempt wire.ID, issued time.Time) (<-chan callOutcome, *result.Error) {
-	choice := m.owner.choose(ctx, chooseRequest{request: c.pickRequest(m.instance.Zone, m.instance.Region, permit != ""), purpose: p})
+	choice := m.owner.choose(ctx, c.chooseRequest(m.instance.Zone, m.instance.Region, permit != "", p))
 	if choice.err != nil {
 		return nil, choice.err
 	}
-	c.recordAttempt(choice.upstream.ID)
+	c.recordAttempt(choice.assignment)
 	m.metrics.attempts.Inc()
 	args := c.callArgs(attempt, issued)
 	args.Permit = permit
--- a/modules/entry/call.go
+++ b/modules/entry/call.go
@@ -40,6 +40,9 @@
 	attempts       int
 	upstream       string
 	triedUpstreams []string
+	latest         assignment
+	// refused is the attempt that the next one replaces, if its upstream has refused it.
+	refused *assignment
 }
 
 // Call implements services.Service.
--- a/modules/entry/connection.go
+++ b/modules/entry/connection.go
@@ -49,6 +49,8 @@
 	driver     *driver
 	assignment assignment
 	request    *wire.GenerateRequest
+	// refused is the attempt that this one replaces, if its upstream has refused it.
+	refused *assignment
 	// attach is set when the connection reads an attempt that already runs.
 	attach        bool
 	startedAt     time.Time
@@ -137,7 +139,7 @@
 	now := time.Now()
 	avoidTriedUntil, giveUpAt := now.Add(avoidTriedTimeout), now.Add(resumeTimeout)
 	for {
-		choice := c.driver.module.owner.choose(ctx, chooseRequest{request: target, purpose: p})
+		choice := c.driver.module.owner.choose(ctx, chooseRequest{request: target, purpose: p, refused: c.refused})
 		if choice.err == nil && choice.wait == 0 {
 			c.assignment = choice.assignment
 			return nil
--- a/modules/entry/driver.go
+++ b/modules/entry/driver.go
@@ -40,6 +40,7 @@
 
 	events       chan connEvent
 	conns        map[int]*conn
+	latestConn   *conn
 	triedAgents  []string
 	prefixBlocks []uint64
 	timer        *time.Timer
@@ -371,7 +372,11 @@
 	// than the request.
 	ctx, cancel := context.WithCancel(context.WithoutCancel(d.ctx))
 	c := &conn{id: a.Conn, cancel: cancel, driver: d, request: d.generateRequest(a)}
-	d.conns[a.Conn] = c
+	if a.Cause != nil && isRefusal(a.Cause) && d.latestConn != nil {
+		refused := d.latestConn.assignment // a pointer into the connection would keep it in memory
+		c.refused = &refused
+	}
+	d.conns[a.Conn], d.latestConn = c, c
 	return c, ctx
 }
 
--- a/modules/entry/owner.go
+++ b/modules/entry/owner.go
@@ -63,6 +63,7 @@
 	table        *pick.Table
 	chooser      *pick.Chooser
 	budget       *retry.Budget
+	refusals     retry.Refusals
 	limits       *limit.Limiter
 	latency      map[string]*retry.LatencyTracker
 	inFlight     map[string]int
@@ -339,6 +340,7 @@
 	upstream wire.Upstream
 	dispatch uint64
 	permit   breaker.Permit
+	sentAt   time.Time
 }
 
 // selection is the owner's answer to a chooseRequest or an attachRequest.
@@ -350,10 +352,12 @@
 	err  *result.Error
 }
 
-// chooseRequest asks the owner for an upstream.
+// chooseRequest asks the owner for an upstream. refused is the attempt whose refusal
+// led to the request; nil if none was refused.
 type chooseRequest struct {
 	request pick.Request
 	purpose purpose
+	refused *assignment
 	reply   chan selection
 }
 
@@ -402,7 +406,7 @@
 		if !o.hasCandidate(now, &c.request) {
 			return selection{err: result.New(result.NoUpstream, "no other upstream can take the request now")}
 		}
-		if !o.budget.AllowRetry(now) {
+		if !o.allowRetry(now, c.refused) {
 			return selection{err: result.New(result.RetryBudgetSpent, "the retry budget is spent")}
 		}
 	case resumeAttempt:
@@ -416,6 +420,21 @@
 	return o.pick(now, &c.request)
 }
 
+// allowRetry takes a retry from the budget, unless it replaces an attempt that was
+// sent before the entry knew that its upstream refuses work.
+func (o *owner) allowRetry(now time.Time, refused *assignment) bool {
+	if refused != nil && o.refusals.Unavoidable(now, refused.upstream.ID, refused.sentAt) {
+		return true
+	}
+	return o.budget.AllowRetry(now)
+}
+
+// isRefusal reports whether err is the answer of an upstream that takes no work now, so
+// that the request has not run.
+func isRefusal(err *result.Error) bool {
+	return err.Ran == result.NotRun && (err.Code == result.QueueFull || err.Code == result.Leaving)
+}
+
 // slidingMax is the maximum of the values observed within the last one to two
 // windows. It is used instead of the current number of open requests, with which
 // the budget would shrink as short answers end, before the last of those that
@@ -476,7 +495,7 @@
 	o.lastDispatch++
 	o.table.RequestSent(now, u.ID, o.lastDispatch, r)
 	o.inFlight[u.ID]++
-	return assignment{upstream: u, dispatch: o.lastDispatch, permit: permit}
+	return assignment{upstream: u, dispatch: o.lastDispatch, permit: permit, sentAt: now}
 }
 
 // attachRequest asks the owner for a given upstream, to attach to an attempt
