gateway: a stream notices an end between placement and subscription

Cause: the gateway tells only the streams that have subscribed to an incarnation that it has ended, and asks at a claimed address only if one has. A stream subscribes after the placement, so an end in between was told to nobody. The subscription to the upstream itself had the same gap.

Change: after subscribing, the stream reads the incarnation's record once more, and a record of its end is handled as if it had just arrived.

Two tests announced the loss a fixed time after their start, by a timer. The upstream that serves the stream now announces the loss at the same place of the stream. The time from the loss to the broken connection (300 ms and 290 ms) and all checks are unchanged.

Measured: TestEndBetweenPlacementAndSubscriptionIsNoticed (go test ./modules/gateway) is red in both cases without the change, green with it.

go test -short and go test -race -short of modules/gateway pass.

--- a/modules/gateway/copy.go
+++ b/modules/gateway/copy.go
@@ -63,7 +63,7 @@
 	}
 	c.holder = holder
 	if holder.ID != "" {
-		c.holderEvents = c.stream.g.follower.notifier.subscribe(holder)
+		c.holderEvents = c.stream.g.follower.subscribe(holder)
 	}
 }
 
--- a/modules/gateway/follow.go
+++ b/modules/gateway/follow.go
@@ -409,6 +409,22 @@
 		"services", services, "organisations", organisations)
 }
 
+// subscribe subscribes to an incarnation that a stream has been placed on. The incarnation may
+// have ended since the placement, when nobody subscribed to it, so the directory is read once more.
+func (f *follower) subscribe(u registration.Upstream) *subscription {
+	s := f.notifier.subscribe(u)
+	f.mu.Lock()
+	now, known := f.directory.Get(u.ID)
+	f.mu.Unlock()
+	switch {
+	case known && now.StartedMS > u.StartedMS:
+		f.notifier.publishReplaced(u)
+	case known && now.StartedMS == u.StartedMS && now.Replaced:
+		f.g.spawn(func() { f.g.checkReplaced(f.g.ctx, now) })
+	}
+	return s
+}
+
 // isLeaving reports whether an upstream has announced that it is about to stop.
 func (f *follower) isLeaving(u registration.Upstream) bool {
 	f.mu.Lock()
--- a/modules/gateway/stream.go
+++ b/modules/gateway/stream.go
@@ -188,7 +188,7 @@
 func (s *streamRequest) relayEvents(a *attempt) {
 	ctx, cancel := context.WithCancel(s.ctx)
 	defer cancel()
-	upstreamEvents := s.g.follower.notifier.subscribe(a.choice.Upstream)
+	upstreamEvents := s.g.follower.subscribe(a.choice.Upstream)
 	defer upstreamEvents.close()
 	replaced, checkRequested := upstreamEvents.replaced, upstreamEvents.checkRequested
 	wait := a.choice.ExpectedWait
--- a/modules/gateway/stream_test.go
+++ b/modules/gateway/stream_test.go
@@ -232,9 +232,15 @@
 	assert.Assert(t, res.took < time.Second, "took %v", res.took)
 }
 
+// announceSuccessor announces another upstream at the given address, so that the one there has ended.
+func (f *fixture) announceSuccessor(addr string) {
+	f.announce(registration.Upstream{ID: "next", Service: "model", Zone: "z9", Addr: addr, StartedMS: 2000, Seq: 1, State: registration.Draining})
+}
+
 // Guards against a stream that has no copy of its KV cache after the holder of the
 // first one was lost.
 func TestLostBackupIsReplaced(t *testing.T) {
+	var f *fixture
 	var ups []*upstream
 	for i := range 3 {
 		ups = append(ups, startUpstream(t, fmt.Sprint("u", i), "model", fmt.Sprint("z", i), resumableEvents(9, func(_ http.ResponseWriter, r *http.Request, id int) {
@@ -242,17 +248,15 @@
 				return
 			}
 			time.Sleep(50 * time.Millisecond)
-			if id == 8 {
+			switch id {
+			case 2:
+				f.announceSuccessor(r.Header.Get("Kv-Backup"))
+			case 8:
 				abort()
 			}
 		})))
 	}
-	f := newFixture(t, configuration(), ups...)
-	time.AfterFunc(150*time.Millisecond, func() {
-		first, _ := splitByResume(ups)
-		holder := first.requests()[0].header.Get("Kv-Backup")
-		f.announce(registration.Upstream{ID: "next", Service: "model", Zone: "z9", Addr: holder, StartedMS: 2000, Seq: 1, State: registration.Draining})
-	})
+	f = newFixture(t, configuration(), ups...)
 	res := f.doStream()
 	assert.NilError(t, res.err)
 	assert.DeepEqual(t, receivedIDs(res.body), eventIDs(9))
@@ -262,19 +266,65 @@
 	assert.Equal(t, resumes[0].requests()[0].header.Get("Kv-From"), first.Addr+"/h1")
 }
 
+// Guards against a stream that never learns that the holder of its copy, or its upstream, has
+// ended: the gateway told only the streams that had subscribed by then, and one that had just been
+// placed there had not.
+func TestEndBetweenPlacementAndSubscriptionIsNoticed(t *testing.T) {
+	const noticeLimit = 3 * time.Second // a question to the address takes 100 ms and is repeated for a while
+	for name, next := range map[string]func(placed registration.Upstream) registration.Upstream{
+		"later incarnation": func(placed registration.Upstream) registration.Upstream {
+			placed.StartedMS, placed.Seq = placed.StartedMS+1000, placed.Seq+1
+			return placed
+		},
+		"another upstream at its address": func(placed registration.Upstream) registration.Upstream {
+			return registration.Upstream{ID: "next", Service: placed.Service, Zone: "z9", Addr: placed.Addr, StartedMS: 2000, Seq: 1}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			u := startUpstream(t, "u0", "model", "z0", resumableEvents(1, nil))
+			f := newFixture(t, configuration(), u)
+			placed := u.Upstream
+			f.announce(next(placed))
+			s := f.follower.subscribe(placed)
+			defer s.close()
+			select {
+			case <-s.replaced:
+			case <-time.After(noticeLimit):
+				t.Fatal("the stream waits for an upstream that has ended")
+			}
+		})
+	}
+}
+
+// Guards against a stream that is told that its upstream has ended while it still serves.
+func TestSubscriptionToARunningUpstreamStaysOpen(t *testing.T) {
+	u := startUpstream(t, "u0", "model", "z0", resumableEvents(1, nil))
+	f := newFixture(t, configuration(), u)
+	s := f.follower.subscribe(u.Upstream)
+	defer s.close()
+	select {
+	case <-s.replaced:
+		t.Fatal("the upstream has not ended")
+	case <-time.After(50 * time.Millisecond):
+	}
+}
+
 // Guards against a stream without a copy after the holder was lost while the prompt was
 // being processed: a run that has not started cannot be copied, and the next attempt
 // came only half a second later (131 calls on one day of site kw-heatherway-grown).
 func TestLostBackupIsReplacedAfterFirstEvent(t *testing.T) {
 	const prompt = 300 * time.Millisecond
 	var started, early atomic.Int32
+	var f *fixture
 	var ups []*upstream
 	for i := range 3 {
 		events := resumableEvents(9, func(_ http.ResponseWriter, r *http.Request, id int) {
 			switch {
 			case r.Header.Get("Last-Event-Id") != "":
 			case id == 0:
-				time.Sleep(prompt)
+				time.Sleep(prompt / 2)
+				f.announceSuccessor(r.Header.Get("Kv-Backup"))
+				time.Sleep(prompt / 2)
 				started.Add(1)
 			case id == 8:
 				abort()
@@ -291,12 +341,7 @@
 			events(w, r, n)
 		}))
 	}
-	f := newFixture(t, configuration(), ups...)
-	time.AfterFunc(prompt/2, func() {
-		first, _ := splitByResume(ups)
-		holder := first.requests()[0].header.Get("Kv-Backup")
-		f.announce(registration.Upstream{ID: "next", Service: "model", Zone: "z9", Addr: holder, StartedMS: 2000, Seq: 1, State: registration.Draining})
-	})
+	f = newFixture(t, configuration(), ups...)
 	res := f.doStream()
 	assert.NilError(t, res.err)
 	assert.DeepEqual(t, receivedIDs(res.body), eventIDs(9))
