registry: a withdrawal reaches every instance without the one that was told

An upstream that leaves could go on getting requests for as long as it counts as present, 6 s and more, though DrainMs (2 to 3 s) after the acknowledgement none may reach it.

Cause: only the control instance that the upstream or a gateway tells sends the withdrawal to the others. It acknowledges once losses + 1 disks hold it, so with five instances two may not know it yet. If it is lost for good then, those that hold a copy keep it to themselves: they send withdrawals only to instances that have started anew. An upstream that deregisters announces nothing any more; one that drains is passed on as "alive", which says nothing of its state. The others list it as ready until it is silent for five announcement intervals, counted anew if the leader changes.

Change: an instance that learns of a withdrawal from another one passes it on, once, to all but the sender.

Measured: go test ./modules/registry -run TestDepartureSpreadsWithoutTheInstanceThatWasTold: red in both cases before (not known after 15 s), green after, known at the third instance after 1.6 and 1.8 ms. go test ./modules/registry green.

--- a/modules/registry/departure_test.go
+++ b/modules/registry/departure_test.go
@@ -219,3 +219,29 @@
 		})
 	}
 }
+
+// Guards against a departure that one instance never hears of, since the instance that was told of
+// it ended for good before it had told all others. The upstream announces nothing any more, and
+// gateways that follow the instance go on sending to it.
+func TestDepartureSpreadsWithoutTheInstanceThatWasTold(t *testing.T) {
+	for name, state := range map[string]registration.State{"deregistered": registration.Left, "draining": registration.Draining} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleetWithUpstream(t, 3, false)
+			copied, unaware := f.nodes[1], f.nodes[2]
+			withdrawn, _ := copied.record("i-1")
+			withdrawn.State, withdrawn.Seq = state, withdrawn.Seq+1
+			// The instance that was told has asked one other for a copy, acknowledges, and is lost.
+			f.kill(f.nodes[0])
+			client := copied.security.NewClient(copied.addr)
+			defer client.Close()
+			begin := time.Now()
+			assert.NilError(t, client.Call(t.Context(), ServiceName+".SaveDepartures", &SaveDeparturesArgs{Upstreams: []registration.Upstream{withdrawn}}, &SaveDeparturesReply{}))
+			f.eventually("the third instance knows of the departure", func() bool {
+				u, _ := unaware.record("i-1")
+				return u.Withdrawn()
+			})
+			t.Logf("known at the third instance after %v", time.Since(begin))
+		})
+	}
+}
--- a/modules/registry/directory.go
+++ b/modules/registry/directory.go
@@ -341,6 +341,8 @@
 		switch {
 		case outcome == registration.Malformed:
 			d.log.Warn("malformed upstream record ignored", "upstream", clip(u.ID), "state", int(u.State), "direct", o.direct, "error", u.Validate())
+		case !o.direct && outcome == registration.Changed:
+			d.passOnWithdrawal(u.ID, o.from)
 		case !o.direct:
 		case outcome == registration.Changed:
 			d.queueUpstream(u)
--- a/modules/registry/share.go
+++ b/modules/registry/share.go
@@ -159,13 +159,35 @@
 		d.queueRuns(addr, c.Fingerprint)
 	}
 	for _, u := range d.state.WithdrawnSince(0) {
-		if u.State == registration.Lost {
-			u.State = registration.Draining // each instance detects lost upstreams by itself
+		d.unsentOf(addr)[u.ID] = withoutLoss(u)
+	}
+}
+
+// passOnWithdrawal queues the record of an upstream, if it is withdrawn, for the instances other
+// than the one that has sent it. The instance that the upstream or a gateway has told may be lost
+// before it has told all others, and nothing else would tell them: the upstream announces nothing
+// any more, or only that it is alive.
+func (d *directory) passOnWithdrawal(id, sender string) {
+	u, _ := d.state.Get(id)
+	if !u.Withdrawn() {
+		return
+	}
+	for _, addr := range d.registry.otherMembers() {
+		if addr != sender {
+			d.unsentOf(addr)[id] = withoutLoss(u)
 		}
-		d.unsentOf(addr)[u.ID] = u
 	}
 }
 
+// withoutLoss returns the record of a withdrawn upstream as it is sent to other instances: each
+// detects lost upstreams by itself.
+func withoutLoss(u registration.Upstream) registration.Upstream {
+	if u.State == registration.Lost {
+		u.State = registration.Draining
+	}
+	return u
+}
+
 // unsentOf returns the records that are queued for an instance, by ID.
 func (d *directory) unsentOf(addr string) map[string]registration.Upstream {
 	m := d.unsentUpstreams[addr]
