replica: an instance held up by its disk knows no leader

Cause: the owner of the log waits for the disk and takes in no change, but the leader that it published last stayed visible, without any limit of time. So the instance went on to tell gateways that it has a leader. A gateway follows two instances and leaves one only if that has none; if the disks of both hang, which losses = 2 has to bear, it hears of no change. An instance that led before its disk hung also went on to answer for limits and trials as the leader.

Change: Replica.Leader returns no leader once the owner has not ticked for an election timeout (10 ticks, 0.5 s), after which others may have elected another one. A gateway hears of it at its next watch, 0.7 s later at most.

--- a/modules/control/replica/input.go
+++ b/modules/control/replica/input.go
@@ -59,15 +59,27 @@
 	Self bool
 }
 
-// Leader returns the leader of a group as known to this instance.
+// maxTickDelay is the number of ticks for which the owner may be held up. The other voters may
+// elect another leader after it.
+const maxTickDelay = raft.DefaultElectionTicks
+
+// Leader returns the leader of a group as known to this instance. While the owner is held up for
+// longer than maxTickDelay, as by a disk that hangs, no leader is known: this instance takes in
+// no change, and may lead no more.
 func (r *Replica) Leader(id Group) Lead {
 	g := r.groups[id]
-	if g == nil {
+	if g == nil || r.isHeldUp() {
 		return Lead{}
 	}
 	return *g.lead.Load()
 }
 
+// isHeldUp reports whether the owner has not ticked for longer than maxTickDelay.
+func (r *Replica) isHeldUp() bool {
+	sinceTick := time.Since(r.openedAt) - time.Duration(r.tickedAt.Load())
+	return sinceTick > maxTickDelay*r.options.Tick
+}
+
 // proposalTimeout bounds a proposal, read or membership change whose context has no
 // earlier deadline.
 const proposalTimeout = 5 * time.Second
--- a/modules/control/replica/replica.go
+++ b/modules/control/replica/replica.go
@@ -134,7 +134,10 @@
 	links         map[raft.MemberID]*link
 	metrics       metrics
 	ticks         uint64
-	limits        reconfig.Limits
+	// tickedAt is the time of the last tick, as the duration since openedAt.
+	tickedAt atomic.Int64
+	openedAt time.Time
+	limits   reconfig.Limits
 
 	// known holds the reported identities of other instances. Only the owner
 	// goroutine uses it.
@@ -175,7 +178,7 @@
 		inputs: make(chan input, maxQueuedInputs), messages: make(chan receivedBatch, maxQueuedBatches),
 		groups: map[Group]*group{}, links: map[raft.MemberID]*link{},
 		known: map[raft.MemberID]identity{}, contacts: contacts{}, ended: make(chan struct{}),
-		metrics: newMetrics(o.Stats), limits: o.memberLimits(),
+		metrics: newMetrics(o.Stats), limits: o.memberLimits(), openedAt: time.Now(),
 	}
 	err = r.checkPrevious()
 	if err == nil {
@@ -388,6 +391,7 @@
 
 func (r *Replica) tick() {
 	r.ticks++
+	r.tickedAt.Store(int64(time.Since(r.openedAt)))
 	r.linkMembers()
 	for _, g := range r.orderedGroups {
 		g.tick()
--- a/modules/registry/disk_test.go
+++ b/modules/registry/disk_test.go
@@ -205,3 +205,46 @@
 		time.Sleep(100 * time.Millisecond)
 	}
 }
+
+// leaveWithin is the time in which a gateway must learn that it has to leave an instance that takes
+// no changes in. With the call that it then makes to another one, it is within the shortest known
+// time to put a configuration into force (2 s).
+const leaveWithin = 1700 * time.Millisecond
+
+// Guards against gateways that keep an old configuration since all the instances that they follow
+// have a hung disk: such an instance takes no change in, but went on to say that it has a leader.
+func TestInstanceWithHungDiskSaysThatItHasNoLeader(t *testing.T) {
+	f := newFleet(t, 3)
+	f.replace(f.nodes[0], 1, "first")
+	var hung *node
+	for _, n := range f.nodes {
+		f.eventually("leader known", n.knowsLeader)
+		if !n.currentReplica().Leader(group).Self {
+			hung = n
+		}
+	}
+	client := hung.security.NewClient(hung.addr)
+	defer client.Close()
+	watch := func() *WatchReply {
+		reply := &WatchReply{}
+		assert.NilError(t, client.Call(t.Context(), ServiceName+".Watch", &WatchArgs{Version: 9, Epoch: hung.directory.epoch, Change: 1000}, reply))
+		return reply
+	}
+	assert.Assert(t, watch().Led)
+	hung.disk.SetStalled(true)
+	for _, n := range f.nodes {
+		if n != hung {
+			f.replace(n, 2, "second")
+		}
+	}
+	begin := time.Now()
+	for watch().Led {
+		assert.Assert(t, time.Since(begin) < 4*time.Second, "an instance whose disk hangs has version %d after %v and keeps its gateways", watch().Version, time.Since(begin))
+	}
+	took := time.Since(begin)
+	assert.Assert(t, took < leaveWithin, "told after %v", took)
+	t.Logf("told after %v", took)
+	hung.disk.SetStalled(false)
+	f.eventually("the instance has a leader again", func() bool { return watch().Led })
+	f.eventually("the instance has the change", func() bool { return watch().Version == 2 })
+}
