--- a/modules/registry/registry.go
+++ b/modules/registry/registry.go
@@ -114,6 +114,7 @@
 	changes       *changeNotifier
 	confirmations *confirmationMerger
 	limits        *limitOwner
+	readers       readerCounter
 	origins       *originLedger
 	clients       *peer.Clients
 
--- a/modules/registry/share.go
+++ b/modules/registry/share.go
@@ -64,18 +64,19 @@
 
 // share sends what is queued, with at most one call to an instance at a time.
 func (d *directory) share() {
-	now := time.Now()
+	now, followers := time.Now(), d.registry.readers.current()
 	aliveDue := now.Sub(d.aliveSentAt) >= d.aliveInterval()
 	if aliveDue {
 		d.aliveSentAt = now
 	}
 	for _, addr := range d.registry.otherMembers() {
-		queued := len(d.unsentUpstreams[addr]) > 0 || len(d.unsentRuns[addr]) > 0 || aliveDue && len(d.unsentAlive[addr]) > 0
+		queued := len(d.unsentUpstreams[addr]) > 0 || len(d.unsentRuns[addr]) > 0 ||
+			aliveDue && (len(d.unsentAlive[addr]) > 0 || d.mustTellFollowers(addr, followers))
 		if d.inFlight[addr] || !queued && !d.helloDue(now, addr) {
 			continue
 		}
-		d.helloAt[addr] = now
-		args := &ShareArgs{Runs: d.crashes.EntriesOf(now, slices.Sorted(maps.Keys(d.unsentRuns[addr]))), From: d.registry.PeerListen, Epoch: d.epoch}
+		d.helloAt[addr], d.toldFollowers[addr] = now, followers
+		args := &ShareArgs{Runs: d.crashes.EntriesOf(now, slices.Sorted(maps.Keys(d.unsentRuns[addr]))), From: d.registry.PeerListen, Epoch: d.epoch, Followers: followers}
 		delete(d.unsentRuns, addr)
 		for _, u := range d.unsentUpstreams[addr] {
 			args.Upstreams = append(args.Upstreams, u)
@@ -92,6 +93,12 @@
 	}
 }
 
+// mustTellFollowers reports whether an instance must be told the number of followers of this one.
+func (d *directory) mustTellFollowers(addr string, followers int) bool {
+	told, known := d.toldFollowers[addr]
+	return !known || told != followers
+}
+
 // helloInterval is the time between two messages to an instance that has not answered yet.
 const helloInterval = 500 * time.Millisecond
 
@@ -123,6 +130,7 @@
 		delete(d.unsentRuns, s.addr)
 		delete(d.memberEpochs, s.addr)
 		delete(d.helloAt, s.addr)
+		delete(d.toldFollowers, s.addr)
 		d.copies.Forget(s.addr)
 		return
 	}
@@ -136,6 +144,7 @@
 		d.resendToRestarted(s.addr, s.reply.Epoch)
 		return
 	}
+	delete(d.toldFollowers, s.addr)
 	for _, c := range s.args.Runs {
 		d.queueRuns(s.addr, c.Fingerprint)
 	}
