--- a/modules/registry/share.go
+++ b/modules/registry/share.go
@@ -64,7 +64,7 @@
 
 // share sends what is queued, with at most one call to an instance at a time.
 func (d *directory) share() {
-	now := time.Now()
+	now, followers := time.Now(), d.registry.readers.current()
 	aliveDue := now.Sub(d.aliveSentAt) >= d.aliveInterval()
 	if aliveDue {
 		d.aliveSentAt = now
@@ -72,12 +72,13 @@
 	members := d.registry.otherMembers()
 	d.forgetRemovedMembers(members)
 	for _, addr := range members {
-		queued := len(d.unsentUpstreams[addr]) > 0 || len(d.unsentRuns[addr]) > 0 || aliveDue && len(d.unsentAlive[addr]) > 0
+		queued := len(d.unsentUpstreams[addr]) > 0 || len(d.unsentRuns[addr]) > 0 ||
+			aliveDue && (len(d.unsentAlive[addr]) > 0 || d.mustTellFollowers(addr, followers))
 		if d.inFlight[addr] || !queued && !d.helloDue(now, addr) {
 			continue
 		}
-		d.helloAt[addr] = now
-		args := &ShareArgs{Runs: d.crashes.EntriesOf(now, slices.Sorted(maps.Keys(d.unsentRuns[addr]))), From: d.registry.PeerListen, Epoch: d.epoch}
+		d.helloAt[addr], d.toldFollowers[addr] = now, followers
+		args := &ShareArgs{Runs: d.crashes.EntriesOf(now, slices.Sorted(maps.Keys(d.unsentRuns[addr]))), From: d.registry.PeerListen, Epoch: d.epoch, Followers: followers}
 		delete(d.unsentRuns, addr)
 		for _, u := range d.unsentUpstreams[addr] {
 			args.Upstreams = append(args.Upstreams, u)
@@ -110,9 +111,16 @@
 	delete(d.unsentRuns, addr)
 	delete(d.memberEpochs, addr)
 	delete(d.helloAt, addr)
+	delete(d.toldFollowers, addr)
 	d.copies.Forget(addr)
 }
 
+// mustTellFollowers reports whether an instance must be told the number of followers of this one.
+func (d *directory) mustTellFollowers(addr string, followers int) bool {
+	told, known := d.toldFollowers[addr]
+	return !known || told != followers
+}
+
 // helloInterval is the time between two messages to an instance that has not answered yet.
 const helloInterval = 500 * time.Millisecond
 
@@ -152,6 +160,7 @@
 		d.resendToRestarted(s.addr, s.reply.Epoch)
 		return
 	}
+	delete(d.toldFollowers, s.addr)
 	for _, c := range s.args.Runs {
 		d.queueRuns(s.addr, c.Fingerprint)
 	}
@@ -175,13 +184,35 @@
 		d.queueRuns(addr, c.Fingerprint)
 	}
 	for _, u := range d.state.WithdrawnSince(0) {
-		if u.State == registration.Lost {
-			u.State = registration.Draining // each instance detects lost upstreams by itself
+		d.unsentOf(addr)[u.ID] = withoutLoss(u)
+	}
+}
+
+// passOnWithdrawal queues the record of an upstream, if it is withdrawn, for the instances other
+// than the one that has sent it. The instance that the upstream or a gateway has told may be lost
+// before it has told all others, and nothing else would tell them: the upstream announces nothing
+// any more, or only that it is alive.
+func (d *directory) passOnWithdrawal(id, sender string) {
+	u, _ := d.state.Get(id)
+	if !u.Withdrawn() {
+		return
+	}
+	for _, addr := range d.registry.otherMembers() {
+		if addr != sender {
+			d.unsentOf(addr)[id] = withoutLoss(u)
 		}
-		d.unsentOf(addr)[u.ID] = u
 	}
 }
 
+// withoutLoss returns the record of a withdrawn upstream as it is sent to other instances: each
+// detects lost upstreams by itself.
+func withoutLoss(u registration.Upstream) registration.Upstream {
+	if u.State == registration.Lost {
+		u.State = registration.Draining
+	}
+	return u
+}
+
 // unsentOf returns the records that are queued for an instance, by ID.
 func (d *directory) unsentOf(addr string) map[string]registration.Upstream {
 	m := d.unsentUpstreams[addr]
