--- a/modules/registry/share.go
+++ b/modules/registry/share.go
@@ -161,6 +161,7 @@
 		return
 	}
 	delete(d.toldFollowers, s.addr)
+	delete(d.toldFollowers, s.addr)
 	for _, c := range s.args.Runs {
 		d.queueRuns(s.addr, c.Fingerprint)
 	}
