--- a/test/soak/process_test.go
+++ b/test/soak/process_test.go
@@ -47,6 +47,32 @@
 	startCount int
 	// memoryMB is the memory of the instance, 0 for no limit.
 	memoryMB int
+	control  controlSettings
+}
+
+// controlSettings are the settings of a control instance that tests vary.
+type controlSettings struct {
+	// losses is the number of instances that may be lost at once, 0 for one.
+	losses int
+	// catchup is written only if it differs from the default, 0.
+	catchup time.Duration
+}
+
+func (c controlSettings) tolerated() int { return max(1, c.losses) }
+
+// catchupTime is the time after which an instance that has started no longer counts as lost.
+func (c controlSettings) catchupTime() time.Duration {
+	if c.catchup == 0 {
+		return defaultCatchup
+	}
+	return c.catchup
+}
+
+func (c controlSettings) yaml() string {
+	if c.catchup == 0 {
+		return fmt.Sprintf("losses: %d", c.tolerated())
+	}
+	return fmt.Sprintf("losses: %d, catchup: %v", c.tolerated(), c.catchup)
 }
 
 // Ports of every process; the hosts differ.
@@ -72,8 +98,8 @@
 	body := fmt.Sprintf("  - gateway: {listen: %s, ready_listen: %s, peer_port: %s, seeds: [%s], grace: 3s, drain_delay: 500ms, dialect: {kartuschenwacht: {}}}\n",
 		p.addr(callerPort), p.addr(readyPort), peerPort, list)
 	if p.role == "registry" {
-		body = fmt.Sprintf("  - registry: {listen: %s, peer_listen: %s, seeds: [%s], bootstrap: %v, losses: 1, announce_interval: %v, dialect: {kartuschenwacht: {}}}\n",
-			p.addr(operatorPort), p.addr(peerPort), list, bootstrap, heartbeatInterval)
+		body = fmt.Sprintf("  - registry: {listen: %s, peer_listen: %s, seeds: [%s], bootstrap: %v, %s, announce_interval: %v, dialect: {kartuschenwacht: {}}}\n",
+			p.addr(operatorPort), p.addr(peerPort), list, bootstrap, p.control.yaml(), heartbeatInterval)
 	}
 	p.settings = filepath.Join(p.folder, "settings.yaml")
 	assert.NilError(p.t, os.WriteFile(p.settings, []byte(head+body), 0o600))
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -210,13 +210,13 @@
 		sys.t.Log(err)
 		return
 	}
-	for i, p := range sys.processes() {
+	for i, p := range append(sys.processes(), sys.retired...) {
 		b, err := os.ReadFile(filepath.Join(p.folder, "log.jsonl"))
 		if err != nil {
 			sys.t.Log(err)
 			continue
 		}
-		if err := os.WriteFile(filepath.Join(folder, fmt.Sprintf("%d-%s.jsonl", i, p.role)), b, 0o600); err != nil {
+		if err := os.WriteFile(filepath.Join(folder, fmt.Sprintf("%d-%s-%s.jsonl", i, p.role, p.host)), b, 0o600); err != nil {
 			sys.t.Log(err)
 		}
 	}
--- a/test/soak/upstream_test.go
+++ b/test/soak/upstream_test.go
@@ -156,8 +156,9 @@
 // postHeartbeat sends one heartbeat to the registries in random order until one
 // of them accepts it.
 func (s *server) postHeartbeat(client *http.Client, id, body string, draining bool) {
-	for _, i := range rand.Perm(len(s.system.registries)) {
-		url := "http://" + s.system.registries[i].addr(operatorPort) + "/v1/instances/" + id + "/heartbeat"
+	registries := s.system.instances()
+	for _, i := range rand.Perm(len(registries)) {
+		url := "http://" + registries[i].addr(operatorPort) + "/v1/instances/" + id + "/heartbeat"
 		res, err := client.Post(url, "application/json", strings.NewReader(body))
 		if err != nil {
 			continue
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -24,12 +25,17 @@
 
 // testSystem is a complete system with callers, an operator and upstreams.
 type testSystem struct {
-	t              *testing.T
-	seed           uint64
-	rng            *rand.Rand
-	ctx            context.Context
-	registries     []*process
-	gateways       []*process
+	t    *testing.T
+	seed uint64
+	rng  *rand.Rand
+	ctx  context.Context
+	stop context.CancelFunc
+	// listMu guards registries and retired while a test changes them.
+	listMu     sync.Mutex
+	registries []*process
+	gateways   []*process
+	// retired are control instances that were removed for good; only their logs are of use.
+	retired        []*process
 	gatewayProxies []*fault.Proxy
 	servers        []*server
 	runCounts      *runCounter
@@ -83,14 +89,17 @@
 })
 
 func newTestSystem(t *testing.T, seed uint64, registries, gateways, servers int) *testSystem {
+	return newTestSystemWith(t, seed, controlSettings{}, registries, gateways, servers)
+}
+
+func newTestSystemWith(t *testing.T, seed uint64, control controlSettings, registries, gateways, servers int) *testSystem {
 	sys := &testSystem{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, seed)), runCounts: &runCounter{runs: map[string]int{}}}
-	var cancel context.CancelFunc
-	sys.ctx, cancel = context.WithCancel(context.Background())
-	t.Cleanup(cancel)
+	sys.ctx, sys.stop = context.WithCancel(context.Background())
+	t.Cleanup(sys.stop)
 	folder := t.TempDir()
 	for i := range registries + gateways {
 		n := lastHost.Add(1)
-		p := &process{t: t, role: "gateway", host: fmt.Sprintf("127.%d.%d.%d", network(), 50+n/250, 1+n%250), folder: filepath.Join(folder, fmt.Sprint(i))}
+		p := &process{t: t, role: "gateway", host: fmt.Sprintf("127.%d.%d.%d", network(), 50+n/250, 1+n%250), folder: filepath.Join(folder, fmt.Sprint(i)), control: control}
 		assert.NilError(t, os.MkdirAll(p.folder, 0o700))
 		if i < registries {
 			p.role = "registry"
@@ -134,7 +143,14 @@
 }
 
 func (sys *testSystem) processes() []*process {
-	return append(append([]*process{}, sys.registries...), sys.gateways...)
+	return append(sys.instances(), sys.gateways...)
+}
+
+// instances returns the control instances that have not been removed, the oldest first.
+func (sys *testSystem) instances() []*process {
+	sys.listMu.Lock()
+	defer sys.listMu.Unlock()
+	return slices.Clone(sys.registries)
 }
 
 // disableBootstrap rewrites the settings files without bootstrap once every
@@ -148,7 +164,8 @@
 
 func (sys *testSystem) seeds() []string {
 	var out []string
-	for _, p := range sys.registries[:min(3, len(sys.registries))] {
+	instances := sys.instances()
+	for _, p := range instances[:min(3, len(instances))] {
 		out = append(out, p.addr(operatorPort))
 	}
 	return out
