peer: a late answer no longer writes to the reply of a call that has returned

Cause: net/rpc decodes an answer into the caller's reply whenever it arrives, also after the call has given up. Control instances read the reply then, and use it again for the next try at another leader, whose answer gob merges with what the earlier one left.

Change: each call decodes into a value of its own, which is copied when the call succeeds.

Measured: go test ./peer -run Late in kernel: red without the change (the late answer is in the reply), green with it, three runs; go test -race ./peer green.

--- a/kernel/peer/peer_test.go
+++ b/kernel/peer/peer_test.go
@@ -36,6 +36,30 @@
 // Hang blocks until the test ends.
 func (e Echo) Hang(string, *string) error { <-e.hang; return nil }
 
+// SayLate replies with its argument after lateAnswer.
+func (Echo) SayLate(in string, out *string) error {
+	time.Sleep(lateAnswer)
+	*out = in
+	return nil
+}
+
+const lateAnswer = 50 * time.Millisecond
+
+// Guards against an answer that is written to the caller's reply after its call has returned.
+func TestLateAnswerLeavesReplyUntouched(t *testing.T) {
+	sec := newPlaintextSecurity(t)
+	c := sec.NewClient(serve(t, sec))
+	defer c.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(lateAnswer/5, cancel)
+	var late, next string
+	assert.ErrorIs(t, c.Call(ctx, "Echo.SayLate", "late", &late), context.Canceled)
+	// Answers on a connection are decoded in turn.
+	assert.NilError(t, c.Call(t.Context(), "Echo.SayLate", "next", &next))
+	assert.Equal(t, late, "")
+	assert.Equal(t, next, "next")
+}
+
 func serve(t *testing.T, sec *Security, roles ...string) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/kernel/peer/rpc.go
+++ b/kernel/peer/rpc.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/rpc"
+	"reflect"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -76,9 +77,14 @@
 	if err != nil {
 		return err
 	}
-	call := cl.Go(method, args, reply, make(chan *rpc.Call, 1))
+	// An answer that arrives after ctx has ended is still decoded, when the caller may read reply.
+	own := reflect.New(reflect.TypeOf(reply).Elem())
+	call := cl.Go(method, args, own.Interface(), make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
+		if call.Error == nil {
+			reflect.ValueOf(reply).Elem().Set(own.Elem())
+		}
 		return c.handleError(cl, call.Error)
 	case <-ctx.Done():
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
