gateway: a test of stops waits until its requests have arrived, not for 200 ms

Cause: after 200 ms one of 48 callers had not connected yet when the stop closed the listener; the test is about requests that the gateway has. It now waits until the gateway has all of them, the orders are at their upstream and bytes without end arrive. The checks are the same.

--- a/modules/gateway/endless_stop_test.go
+++ b/modules/gateway/endless_stop_test.go
@@ -43,7 +43,9 @@
 				order := f.request("POST", "/book/x", "x")
 				go func() { plain <- f.do(order) }()
 			}
-			time.Sleep(200 * time.Millisecond)
+			eventually(t, "every request has reached the gateway, and the orders their upstream", func() bool {
+				return int(f.openRequests.Load())+len(streams)+len(plain) == 2*endless && len(sound.requests()) == endless && sent.Load() > 0
+			})
 			begin := time.Now()
 			assert.NilError(t, f.Stop(t.Context()))
 			assert.Assert(t, time.Since(begin) < f.Grace, "%v", time.Since(begin))
