--- a/core/reconfig/reconfig.go
+++ b/core/reconfig/reconfig.go
@@ -7,8 +7,8 @@
 //   - A removal leaves at least 2*Losses+1 voters. Any Losses of them can lose their disks
 //     and the others, once all are back, are a majority. So it is safe to remove a voter
 //     that is only frozen or cut off; it is added again when it answers.
-//   - A change never leaves fewer losses to bear than before (Bearable), except that a
-//     voter that reports an empty disk counts as lost from then on.
+//   - A change never leaves fewer losses to bear than before, except that a voter
+//     that reports an empty disk counts as lost from then on.
 //   - While fewer than Losses can be borne and there are voters to spare, a lost voter is
 //     removed: one that has been silent for LostAfter or has announced its end. The time
 //     until a replaced voter no longer counts is therefore bounded by LostAfter, an
@@ -40,8 +40,8 @@
 // minVoters is the number of voters of which Losses can be lost.
 func (l Limits) minVoters() int { return 2*l.Losses + 1 }
 
-// HasSpare reports whether one of a number of voters may leave.
-func (l Limits) HasSpare(voters int) bool { return voters > l.minVoters() }
+// hasSpare reports whether one of a number of voters may leave.
+func (l Limits) hasSpare(voters int) bool { return voters > l.minVoters() }
 
 // Member is a member as the leader sees it.
 type Member struct {
@@ -170,7 +170,7 @@
 // Losses can be borne.
 func removeLostVoter(l Limits, v View) (Step, bool) {
 	voters, answering := v.count(l.LostAfter)
-	if l.KeepSilent || !l.HasSpare(voters) || bearable(voters, answering) >= l.Losses {
+	if l.KeepSilent || !l.hasSpare(voters) || bearable(voters, answering) >= l.Losses {
 		return Step{}, false
 	}
 	var longest *Member
@@ -238,7 +238,7 @@
 		return Step{}, false
 	}
 	for _, m := range v.Members {
-		if m.Silent > l.AbsentAfter && m.ID != v.Leader && (m.Learner || l.HasSpare(voters)) {
+		if m.Silent > l.AbsentAfter && m.ID != v.Leader && (m.Learner || l.hasSpare(voters)) {
 			return Step{raft.Change{Kind: raft.Remove, Member: m.Member}, LongSilence}, true
 		}
 	}
--- a/modules/control/replica/contact.go
+++ b/modules/control/replica/contact.go
@@ -23,8 +23,8 @@
 	// minLostTicks is the shortest silence after which a voter is removed. It is longer
 	// than the longest election timeout, so that a change of leader removes no voter.
 	minLostTicks = 3 * raft.DefaultElectionTicks
-	// lostDivisor is the part of Discovery.Catchup after which a silent voter is removed.
-	// The rest is for an election, the changes and one more election in between.
+	// A silent voter counts as lost after Discovery.Catchup / lostDivisor. The rest of that
+	// time is for the changes and for elections in between.
 	lostDivisor = 3
 	// absentTicks is the silence after which a member is removed whose loss leaves enough
 	// losses to bear. Nothing that must be done in time waits for it.
