core/crash: the position of a part does not depend on the order of reports

Of two parts with as many crashes and as old a proof, the one deeper in the prompt is judged first, and that may decide whether the other is blocked or contested. The position was taken only from an entry that added a run: not from a further report of a known run, nor from a run older than the last proof. Trackers with the same reports in another order held other positions, so part:b was "blocked" at one and "undecided" at the other. A tracker that knew the position from a removed run sent it with its proof, where receivers ignored it.

Ruled out: reports, proofs and outcomes of the runs, which are equal in the shrunk cases (crashes of one upstream at one time with the part at two positions); the order of a map.

Every entry about a part that has not expired now raises its position, and a larger one is news to other trackers.

--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -303,7 +303,8 @@
 			t.trim(now)
 		} else if e.Outcome == Cleared {
 			if req := t.ensureRequest(e.Fingerprint); req.part {
-				changed = t.mergeProof(at, req)
+				proved := t.mergeProof(at, req)
+				changed = t.noteDepth(req, e.Depth) || proved
 			} else {
 				changed = t.clear(at, req)
 			}
@@ -327,36 +328,33 @@
 	if part {
 		t.recallProof(e.Fingerprint)
 	}
-	req := t.requests[e.Fingerprint]
+	r := newRun(at, e)
+	req, expired := t.requests[e.Fingerprint], r.expired(now)
+	deeper := req != nil && !expired && t.noteDepth(req, e.Depth)
 	if req != nil && !at.After(req.clearedAt) {
-		return false
+		return deeper
 	}
 	if req != nil {
-		for _, r := range req.runs {
-			if r.Run != e.Run {
+		for _, known := range req.runs {
+			if known.Run != e.Run {
 				continue
 			}
 			if !part {
-				return t.update(r, e)
+				return t.update(known, e)
 			}
-			if !r.mergeReport(at, e) {
-				return false
+			if !known.mergeReport(at, e) {
+				return deeper
 			}
-			t.markChanged(r)
+			t.markChanged(known)
 			return true
 		}
 	}
-	r := &trackedRun{Run: e.Run, outcome: e.Outcome, interruptedAt: at, sharedFailureReported: e.Shared, keptLong: part}
-	if part {
-		r.reports = []time.Time{at}
-		r.noteOutcome(at, e.Outcome)
-	}
-	if r.expired(now) {
+	if expired {
 		return false
 	}
 	req = t.ensureRequest(e.Fingerprint)
+	t.noteDepth(req, e.Depth)
 	req.runs = append(req.runs, r)
-	req.depth = max(req.depth, e.Depth)
 	t.runCount++
 	t.runsByUpstream[r.Upstream]++
 	t.runsByUpstream[r.Addr]++
@@ -378,6 +376,17 @@
 	return true
 }
 
+// newRun returns the run of an entry.
+func newRun(at time.Time, e Entry) *trackedRun {
+	part := IsPart(e.Fingerprint)
+	r := &trackedRun{Run: e.Run, outcome: e.Outcome, interruptedAt: at, sharedFailureReported: e.Shared, keptLong: part}
+	if part {
+		r.reports = []time.Time{at}
+		r.noteOutcome(at, e.Outcome)
+	}
+	return r
+}
+
 // ensureRequest returns the record of a request and creates it if there is none.
 func (t *Tracker) ensureRequest(fingerprint string) *trackedRequest {
 	req := t.requests[fingerprint]
--- a/core/crash/part.go
+++ b/core/crash/part.go
@@ -89,6 +89,24 @@
 	return at.Sub(req.clearedAt) > proofTolerance && t.clear(at, req)
 }
 
+// noteDepth enters a position of a part and reports whether it is the largest so far. Those of
+// known runs, and of runs before the last proof, count as well: otherwise the position would
+// depend on the order of entries.
+func (t *Tracker) noteDepth(req *trackedRequest, depth int) bool {
+	if !req.part || depth <= req.depth {
+		return false
+	}
+	req.depth = depth
+	for _, r := range req.runs {
+		t.markChanged(r)
+	}
+	if req.clearedChange > 0 {
+		t.lastChange++
+		req.clearedChange = t.lastChange
+	}
+	return true
+}
+
 // proofTimes holds the time of the last proof of the parts that were proved recently. It
 // keeps two generations: parts that are proved often are always in the current one.
 type proofTimes struct{ current, previous map[string]time.Time }
--- a/core/crash/report_test.go
+++ b/core/crash/report_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
 	"pgregory.net/rapid"
 )
 
@@ -81,3 +82,53 @@
 		assert.Equal(t, now.Sub(timeOf(Entry{AgeMS: c.ageMS, AtMS: c.atMS}, now)).Milliseconds(), c.wantMS, "%+v", c)
 	}
 }
+
+// Guards against trackers that differ about the position of a part, which decides between parts
+// with as many crashes: when two requests had it at different positions on one incarnation, or
+// the run with the larger position came before a proof.
+func TestPositionOfAPartDoesNotDependOnTheOrderOfReports(t *testing.T) {
+	now := after(30)
+	report := func(s float64, part, upstream string, depth int, outcome Outcome) Entry {
+		e := Entry{Run: Run{Fingerprint: PartKey(part)}, Outcome: outcome, AgeMS: now.Sub(after(s)).Milliseconds(), AtMS: after(s).UnixMilli(), Depth: depth}
+		if outcome != Cleared {
+			e.Run = runAt(e.Fingerprint, upstream, "z")
+		}
+		return e
+	}
+	// Parts a and b have five crashes each, three in common. Judged first, a is contested with b,
+	// and b is blocked.
+	var crashes []Entry
+	for _, part := range []struct {
+		name string
+		own  []float64
+	}{{"a", []float64{1, 1.5}}, {"b", []float64{5, 9}}} {
+		for i, s := range part.own {
+			crashes = append(crashes, report(s, part.name, fmt.Sprint(part.name, i), 0, UpstreamEnded))
+		}
+		for i := range 3 {
+			crashes = append(crashes, report(13, part.name, fmt.Sprint("common", i), 0, UpstreamEnded))
+		}
+	}
+	rest := append(crashes, report(0, "a", "", 0, Cleared), report(0, "b", "", 0, Cleared))
+	for _, c := range []struct {
+		name   string
+		deeper Entry
+	}{
+		{"another request on the same incarnation", report(13, "b", "common0", 1, UpstreamEnded)},
+		{"a run before the proof", report(-1, "b", "early", 1, UpstreamEnded)},
+		{"a proof, without the runs before it", report(0, "b", "", 1, Cleared)},
+	} {
+		first, last, exchanged := New(), New(), New()
+		first.Merge(now, append([]Entry{c.deeper}, rest...))
+		last.Merge(now, rest)
+		exchanged.Merge(now, rest)
+		change := last.LastChange()
+		news := last.Merge(now, []Entry{c.deeper})
+		exchanged.Merge(now, last.EntriesSince(now, change))
+		want := first.decideParts(now)
+		assert.Check(t, want[PartKey("b")].Verdict == Blocked, c.name)
+		assert.Check(t, cmp.DeepEqual(want, last.decideParts(now)), c.name)
+		assert.Check(t, cmp.DeepEqual(want, exchanged.decideParts(now)), "%s: learned from another tracker", c.name)
+		assert.Check(t, len(news) == 1 && len(last.Merge(now, []Entry{c.deeper})) == 0, "%s: news once", c.name)
+	}
+}
