core/crash: the crash of a trial soon after the fifth crash is a late run

A contested part may have three late runs. Its trials counted only by runs that broke off over 6 s after the fifth crash, since sooner ones may have started before it. A trial that was granted 3.3 s after the fifth crash and broke off a second later did not count, so a fourth one was granted: the platform counts runs from 3 s after the fifth crash on.

Ruled out: requests in flight, and grants of a gateway without a leader; each of the four was granted by the leader.

A crash that belongs to a granted trial now counts as late whenever it came. Trials of a contested part without a crash still do not count.

--- a/core/crash/part_test.go
+++ b/core/crash/part_test.go
@@ -71,6 +71,30 @@
 	}
 }
 
+// Guards against a fourth late run of a contested part: the crash of a trial soon after the fifth
+// crash was taken for that of a run which had started before.
+func TestCrashOfATrialSoonAfterTheFifthIsLate(t *testing.T) {
+	for _, granted := range []bool{false, true} {
+		tracker, key := New(), PartKey("contested")
+		for i := range toleratedCrashes {
+			crashPart(tracker, float64(i), fmt.Sprint("u", i), "contested") // the fifth at 4 s
+		}
+		if granted {
+			tracker.addTrial(after(7.3), tracker.requests[key])
+		}
+		crashPart(tracker, 8.2, "trial", "contested")
+		crashPart(tracker, 15, "later", "contested")
+		req := tracker.requests[key]
+		assert.Equal(t, req.lateRuns(req.crashes(after(16)), true), map[bool]int{false: 1, true: 2}[granted])
+	}
+	for _, seed := range []uint64{6124, 9044} {
+		p := randomPlan(seed)
+		p.deadly, p.length = 2, 40
+		f := playFleet(p)
+		assert.Check(t, f.lateArrivals() <= 3, "seed %d: %d late arrivals", seed, f.lateArrivals())
+	}
+}
+
 // Guards against sound parts that are held because many runs with them break: zones that
 // are lost in turn, a gateway that is cut off, and all gateways cut off for some seconds.
 func TestFleetsWithSoundParts(t *testing.T) {
--- a/core/crash/trial.go
+++ b/core/crash/trial.go
@@ -221,7 +221,8 @@
 
 // lateRuns returns the number of runs of a part since the last tolerated crash: trials that
 // were granted, or runs that have broken off, which gateways may have granted themselves.
-// The trials of a contested part do not count, since the other part may have spoilt them.
+// The trials of a contested part count only if they broke off, also within inFlightTime: the
+// other part may have spoilt them.
 func (req *trackedRequest) lateRuns(crashes []*trackedRun, contested bool) int {
 	n, trials := 0, slices.SortedFunc(slices.Values(req.trials), time.Time.Compare)
 	for _, r := range crashes[min(toleratedCrashes, len(crashes)):] {
@@ -229,8 +230,11 @@
 			return r.interruptedAt.Sub(at) >= -proofTolerance && r.interruptedAt.Sub(at) <= maxTrialTime
 		})
 		switch {
-		case granted >= 0 && !contested:
+		case granted >= 0:
 			trials = slices.Delete(trials, granted, granted+1) // this run was that trial
+			if contested {
+				n++
+			}
 		case r.interruptedAt.Sub(crashes[toleratedCrashes-1].interruptedAt) > inFlightTime:
 			n++
 		}
