--- a/modules/control/replica/members.go
+++ b/modules/control/replica/members.go
@@ -215,6 +215,7 @@
 func (g *group) proposeStep(s reconfig.Step) {
 	r, c := g.replica, s.Change
 	if _, _, err := g.node.ProposeChange(c); err != nil {
+		r.log.Debug("membership change not proposed yet", "group", g.id, "kind", c.Kind.String(), "member", c.Member.ID, "error", err)
 		return
 	}
 	r.log.Info("membership change proposed", "group", g.id, "kind", c.Kind.String(), "member", c.Member.ID, "disk", c.Member.Disk,
