registry: a stopping instance marks no upstream as lost

Cause: since the log of a stopping instance stays open until its vote is given up, so that it went on to know a leader and to take upstreams for lost that no longer announced themselves to it, and saved that.

--- a/modules/registry/loss.go
+++ b/modules/registry/loss.go
@@ -35,7 +35,8 @@
 // sweep marks upstreams as lost and removes expired records.
 func (d *directory) sweep(now time.Time) {
 	var lost []registration.Upstream
-	following := d.registry.introducer == nil && d.registry.knowsLeader() // a relay receives only what is announced to itself
+	// A relay receives only what is announced to itself, and a stopping instance less and less.
+	following := d.registry.introducer == nil && d.registry.knowsLeader() && !d.registry.stopping.Load()
 	if d.reception.complete(now, following, d.lostAfter()) {
 		lost = d.state.MarkLost(now, d.lostAfter())
 	}
