registry: TestRemovedInstanceLearnsOfDeparture waits for voters, not for members

Traced from the log: the fleet was restarted while one group had two voters and two learners, which count as members; the stalled instance was one of the two voters, so that the group had no majority.

--- a/modules/registry/removed_test.go
+++ b/modules/registry/removed_test.go
@@ -1,10 +1,12 @@
 package registry
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"heatherway.dev/core/registration"
+	"heatherway.dev/heatherway/modules/control/replica"
 )
 
 // restart starts all instances again with another announcement interval.
@@ -18,11 +20,16 @@
 	}
 }
 
-func (n *node) memberCount() int {
-	if r := n.currentReplica(); r != nil {
-		return len(r.Members())
+// hasVoters reports whether every group has the given number of voters, as this instance knows them.
+func (n *node) hasVoters(count int) bool {
+	r := n.currentReplica()
+	if r == nil {
+		return false
 	}
-	return 0
+	groups := r.Status().Groups
+	return len(groups) > 0 && !slices.ContainsFunc(groups, func(g replica.GroupStatus) bool {
+		return len(g.Membership.Voters()) != count
+	})
 }
 
 // follower returns an instance other than the first that leads no group.
@@ -41,26 +48,14 @@
 func TestRemovedInstanceLearnsOfDeparture(t *testing.T) {
 	f := newFleet(t, 4)
 	f.replace(f.nodes[0], 1, "one")
-	everywhere := func(members int) func() bool {
-		return func() bool {
-			for _, n := range f.nodes {
-				if n.memberCount() != members {
-					return false
-				}
-			}
-			return true
-		}
+	allVoters := func() bool {
+		return !slices.ContainsFunc(f.nodes, func(n *node) bool { return !n.hasVoters(4) })
 	}
-	f.eventually("four members", everywhere(4))
+	f.eventually("four voters", allVoters)
 	// With the short interval of other tests the upstream is lost, and sent again for that reason.
 	f.restart(1200 * time.Millisecond)
-	f.eventually("four members that know a leader", func() bool {
-		for _, n := range f.nodes {
-			if n.memberCount() != 4 || !n.knowsLeader() {
-				return false
-			}
-		}
-		return true
+	f.eventually("four voters that know a leader", func() bool {
+		return allVoters() && !slices.ContainsFunc(f.nodes, func(n *node) bool { return !n.knowsLeader() })
 	})
 	seq := 0
 	announce := func(state string) {
@@ -76,10 +71,10 @@
 	f.replace(f.nodes[0], 2, "makes it write")
 	f.eventually("the stalled instance is removed", func() bool {
 		announce("ready")
-		return f.nodes[0].memberCount() == 3
+		return f.nodes[0].hasVoters(3)
 	})
 	announce("draining")
 	removed.disk.SetStalled(false)
-	f.eventually("a member again", everywhere(4))
+	f.eventually("a voter again", allVoters)
 	f.eventually("it knows of the departure", func() bool { return removed.state("i-1") == registration.Draining })
 }
