Revert "gateway: retry budgets by service, from the settings"

It keeps the bound of retries at a failing service, but serves fewer requests where gateways begin few streams: when a zone crashes, a gateway's budget of one service is used up.

--- a/modules/gateway/follow.go
+++ b/modules/gateway/follow.go
@@ -14,7 +14,6 @@
 	"time"
 
 	"heatherway.dev/core/registration"
-	"heatherway.dev/core/retry"
 	"heatherway.dev/core/routing"
 	"heatherway.dev/heatherway/modules/registry"
 	"heatherway.dev/kernel/peer"
@@ -82,14 +81,8 @@
 	lastAdjustment time.Time
 	// hidden is set until the records that were hidden by ended ones have been requested
 	// again, at the earliest recoverInterval after lastRecovery.
-	hidden       bool
-	lastRecovery time.Time
-	// gatewayCounts holds the number of gateways as each followed instance has told it last.
-	// gatewayCount is the number in use, which limits retries, and gatewayCountAt when an
-	// instance last told it or a higher one.
-	gatewayCounts  map[string]int
-	gatewayCount   int
-	gatewayCountAt time.Time
+	hidden         bool
+	lastRecovery   time.Time
 	sourceSelector *registration.SourceSelector
 }
 
@@ -109,7 +102,7 @@
 		configured: make(chan struct{}), unconfirmedReceived: make(chan struct{}),
 		subset:         registration.Subset{Zone: g.zone, Reader: g.id},
 		sourceSelector: registration.NewSourceSelector(g.id, time.Now(), rand.Float64()),
-		following:      map[string]bool{}, positions: map[string]position{}, gatewayCounts: map[string]int{}, gatewayCount: retry.AssumedGateways, gatewayCountAt: time.Now(),
+		following:      map[string]bool{}, positions: map[string]position{},
 	}
 	f.directory = registration.NewReader(f.isNamed)
 	f.addSeeds(peerAddresses(g.Seeds, g.PeerPort))
@@ -366,7 +359,6 @@
 		f.positions[addr] = position{reply.Epoch, reply.Change, reply.Crash}
 	}
 	f.adjustSubset(now)
-	f.adoptGatewayCount(now, addr, reply.Gateways)
 	f.upstreamCount.Store(int64(f.directory.Len()))
 	// Upstreams first, since requests that wait for a configuration need them too.
 	if len(reply.Body) > 0 && reply.Version > f.newestVersion() {
@@ -377,31 +369,6 @@
 	}
 }
 
-// adoptGatewayCount takes in the number of gateways that an instance has told. Instances of the
-// previous release tell none. One that has just started or is cut off knows few of them, so a
-// lower number than the one in use is adopted only when all have told lower ones for a window.
-func (f *follower) adoptGatewayCount(now time.Time, addr string, count int) {
-	f.gatewayCounts[addr] = count
-	highest := 0
-	for addr, count := range f.gatewayCounts {
-		if !f.following[addr] {
-			delete(f.gatewayCounts, addr)
-			continue
-		}
-		highest = max(highest, count)
-	}
-	if highest == 0 || highest < f.gatewayCount && now.Sub(f.gatewayCountAt) < f.g.Retry.Window {
-		return
-	}
-	f.gatewayCountAt = now
-	if highest == f.gatewayCount {
-		return
-	}
-	f.log.Debug("number of gateways changed", "gateways", highest, "before", f.gatewayCount)
-	f.gatewayCount = highest
-	f.g.owner.post(func(s *state) { s.retries.SetGateways(highest) })
-}
-
 // receiveConfiguration stores a configuration that may not be the newest one.
 func (f *follower) receiveConfiguration(reply *registry.WatchReply) {
 	var configuration *routing.Configuration
@@ -424,12 +391,7 @@
 func (f *follower) setUnconfirmed(configuration *routing.Configuration) {
 	first := f.newestVersion() == 0
 	f.unconfirmed.Store(routing.NewTable(configuration))
-	f.g.owner.post(func(s *state) {
-		s.fleet.SetEngines(configuration.Services)
-		s.retries.Keep(func(name string) bool {
-			return slices.ContainsFunc(configuration.Services, func(c routing.Service) bool { return c.Name == name })
-		})
-	})
+	f.g.owner.post(func(s *state) { s.fleet.SetEngines(configuration.Services) })
 	if first {
 		close(f.unconfirmedReceived)
 	}
--- a/modules/gateway/gateway.go
+++ b/modules/gateway/gateway.go
@@ -15,7 +15,6 @@
 	"github.com/go-faster/errors"
 
 	"heatherway.dev/core/drain"
-	"heatherway.dev/core/retry"
 	"heatherway.dev/heatherway/internal/httpconn"
 	"heatherway.dev/heatherway/modules/dialect"
 	"heatherway.dev/kernel"
@@ -74,25 +73,12 @@
 	// ObjectiveShare is the share of requests that should meet the objective of their
 	// route; the report on error budget burn is computed from it.
 	ObjectiveShare float64 `yaml:"objective_share"`
-	// Retry says how many retries an upstream service tolerates.
-	Retry RetrySettings `yaml:"retry"`
 	// BufferBytes limits the bytes of request and response bodies and of long response heads held in memory.
 	BufferBytes int64 `yaml:"buffer_bytes"`
 	// Dialect is the protocol spoken with callers and upstreams.
 	Dialect settings.Plugin `yaml:"dialect"`
 }
 
-// RetrySettings say how many retries and hedges a service tolerates from all gateways together:
-// Slack and, for its requests in Window, Ratio of them.
-type RetrySettings struct {
-	// Ratio is the number of retries for each request to the service.
-	Ratio float64 `yaml:"ratio"`
-	// Slack is the number of retries beyond that in each window.
-	Slack float64 `yaml:"slack"`
-	// Window is the time in which requests and retries are counted.
-	Window time.Duration `yaml:"window"`
-}
-
 // Gateway is the module of the gateway role.
 type Gateway struct {
 	Settings `yaml:",inline"`
@@ -142,7 +128,6 @@
 
 func newGateway() *Gateway {
 	return &Gateway{Settings: Settings{Grace: defaultGrace, DrainDelay: defaultDrainDelay, ObjectiveShare: defaultObjectiveShare,
-		Retry:       RetrySettings{Ratio: retry.DefaultRatio, Slack: retry.DefaultSlack, Window: retry.DefaultWindow},
 		BufferBytes: defaultBufferBytes}}
 }
 
@@ -163,9 +148,6 @@
 		settings.DurationInRange("grace", g.Grace, time.Second, 10*time.Minute),
 		settings.DurationInRange("drain_delay", g.DrainDelay, 0, 10*time.Minute),
 		settings.InRange("buffer_bytes", g.BufferBytes, 1<<20, 1<<40),
-		settings.InRange("retry.ratio", g.Retry.Ratio, 0, 10),
-		settings.InRange("retry.slack", g.Retry.Slack, 0, 1e6),
-		settings.DurationInRange("retry.window", g.Retry.Window, time.Second, time.Hour),
 		settings.InRange("objective_share", g.ObjectiveShare, 0.01, 0.99999),
 	)
 }
@@ -201,7 +183,7 @@
 func (g *Gateway) initState() {
 	g.buffers = buffers.New(g.BufferBytes)
 	g.connections = newConnectionPool(g.metrics, g.handleResponseSignals)
-	g.owner = newStateOwner(g.ctx, g.log, g.zone, g.ObjectiveShare, g.Retry)
+	g.owner = newStateOwner(g.ctx, g.log, g.zone, g.ObjectiveShare)
 	g.crashReporter = newCrashReporter(g)
 	g.controlClients = g.security.NewClients()
 	g.follower = newFollower(g)
--- a/modules/gateway/handler.go
+++ b/modules/gateway/handler.go
@@ -334,20 +334,19 @@
 	return c.route.MaxAttempts
 }
 
-// takeRetryBudget takes one retry from the budget of the service, and reports whether there was one.
+// takeRetryBudget takes one retry from the budget, and reports whether there was one.
 func (c *callerRequest) takeRetryBudget() (ok bool) {
-	c.g.owner.call(func(s *state) { ok = s.retries.AllowRetry(time.Now(), c.service.Name) })
+	c.g.owner.call(func(s *state) { ok = s.budget.AllowRetry(time.Now()) })
 	if ok {
 		c.g.metrics.retries.Inc()
 	}
 	return ok
 }
 
-// countFirstAttempt adds the request's first attempt to the retry budget of its service, which
-// grows with the number of first attempts.
+// countFirstAttempt adds the request's first attempt to the retry budget, which grows
+// with the number of first attempts.
 func (c *callerRequest) countFirstAttempt() {
-	name := c.service.Name
-	c.g.owner.post(func(s *state) { s.retries.AddAttempt(time.Now(), name) })
+	c.g.owner.post(func(s *state) { s.budget.AddAttempt(time.Now()) })
 }
 
 func (c *callerRequest) markTried(u registration.Upstream) {
--- a/modules/gateway/owner.go
+++ b/modules/gateway/owner.go
@@ -21,7 +21,7 @@
 // goroutine uses it.
 type state struct {
 	fleet   *dispatch.Fleet
-	retries *retry.ServiceBudgets
+	budget  *retry.Budget
 	latency map[string]*retry.LatencyTracker // of idempotent requests, by service
 	slo     *slo.Recorder
 	crashes *crash.Tracker
@@ -40,13 +40,20 @@
 	state *state
 }
 
-const taskQueueSize = 1024
+const (
+	taskQueueSize = 1024
+	// retryBudgetShare and retryBudgetReserve keep the retries of all gateways together
+	// well below what an upstream service tolerates in 10 s: retries for 0.8 of its
+	// requests, plus 150.
+	retryBudgetShare   = 0.5
+	retryBudgetReserve = 4
+)
 
-func newStateOwner(ctx context.Context, log *slog.Logger, zone string, objectiveShare float64, retries RetrySettings) *stateOwner {
+func newStateOwner(ctx context.Context, log *slog.Logger, zone string, objectiveShare float64) *stateOwner {
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return &stateOwner{ctx: ctx, log: log, tasks: make(chan func(*state), taskQueueSize), state: &state{
 		fleet:   dispatch.New(zone, rng),
-		retries: retry.NewServiceBudgets(retry.ServiceSettings{Ratio: retries.Ratio, Slack: retries.Slack, Window: retries.Window}),
+		budget:  retry.NewBudget(retry.Settings{Share: retryBudgetShare, Reserve: retryBudgetReserve}),
 		latency: map[string]*retry.LatencyTracker{},
 		crashes: crash.New(),
 		origins: origin.NewCache(),
--- a/modules/registry/directory.go
+++ b/modules/registry/directory.go
@@ -62,13 +62,10 @@
 	memberEpochs map[string]uint64
 	// helloAt holds, by address of the other instance, when this instance last made itself known
 	// to one whose epoch it does not know.
-	helloAt map[string]time.Time
-	// toldFollowers holds, by address of the other instance, the number of followers that it was
-	// told last.
-	toldFollowers map[string]int
-	saver         *saver[savedList[registration.Upstream]]
-	crashesSaver  *saver[savedCrashes]
-	reception     receptionMonitor
+	helloAt      map[string]time.Time
+	saver        *saver[savedList[registration.Upstream]]
+	crashesSaver *saver[savedCrashes]
+	reception    receptionMonitor
 	// departuresSaver writes the withdrawals, the last of which it was offered up to the change
 	// offeredDepartures; it is nil on an instance without a disk. ownCopies receives the change up
 	// to which they are written.
@@ -149,7 +146,7 @@
 		inputs: make(chan observation, maxQueuedObservations), queries: make(chan query), trialRequests: make(chan trialRequest),
 		unsentUpstreams: map[string]map[string]registration.Upstream{}, unsentAlive: map[string]map[string]Alive{},
 		crashes: crash.New(), unsentRuns: map[string]map[string]bool{}, memberEpochs: map[string]uint64{}, inFlight: map[string]bool{},
-		shareResults: make(chan shareResult, 16), helloAt: map[string]time.Time{}, toldFollowers: map[string]int{},
+		shareResults: make(chan shareResult, 16), helloAt: map[string]time.Time{},
 		copies: registration.NewCopyTracker(r.Losses), copyWaits: make(chan copyWait), copyResults: make(chan copyResult, 16),
 		ownCopies: make(chan uint64), copying: map[string]bool{}, copyFailed: map[string]bool{},
 	}
--- a/modules/registry/feed.go
+++ b/modules/registry/feed.go
@@ -71,8 +71,6 @@
 	Relay bool
 	// Led is set if this instance knows a leader, and so receives changes.
 	Led bool
-	// Gateways is the number of gateways in the fleet, as this instance knows it.
-	Gateways int
 }
 
 // ReplaceArgs proposes a configuration.
@@ -110,8 +108,6 @@
 	// From is the peer address of the sender and Epoch its epoch, which changes when it restarts.
 	From  string
 	Epoch uint64
-	// Followers is the number of gateways that follow the sender.
-	Followers int
 }
 
 // Alive identifies an incarnation that has announced itself without a change.
@@ -149,7 +145,6 @@
 		reply.Relay, reply.Members = true, r.otherMembers()
 		return nil
 	}
-	r.readers.record(time.Now(), args.Subset.Reader)
 	confirmed := false
 	if args.Confirm {
 		ctx, cancel := context.WithTimeout(r.ctx, confirmTimeout)
@@ -184,7 +179,6 @@
 			Runs: v.runs, Crash: v.lastCrash,
 			Members: append(r.otherMembers(), r.PeerListen), Led: r.knowsLeader(), Confirmed: confirmed,
 		}
-		reply.Gateways = r.readers.gateways(r.otherMembers())
 		if current.version > args.Version {
 			reply.Body = current.body
 		}
@@ -250,7 +244,6 @@
 func (s *Service) Share(args *ShareArgs, reply *ShareReply) (err error) {
 	defer recovery.Into(s.registry.log, "call Share", &err)
 	reply.Epoch = s.registry.directory.epoch
-	s.registry.readers.recordOther(args.From, args.Followers)
 	m, err := s.registry.directory.observe(observation{upstreams: args.Upstreams, alive: args.Alive, runs: args.Runs, from: args.From, epoch: args.Epoch})
 	reply.Unknown = m.unknown
 	return peer.EncodeError(err)
--- a/modules/registry/registry.go
+++ b/modules/registry/registry.go
@@ -114,7 +114,6 @@
 	changes       *changeNotifier
 	confirmations *confirmationMerger
 	limits        *limitOwner
-	readers       readerCounter
 	origins       *originLedger
 	clients       *peer.Clients
 
--- a/modules/registry/share.go
+++ b/modules/registry/share.go
@@ -64,7 +64,7 @@
 
 // share sends what is queued, with at most one call to an instance at a time.
 func (d *directory) share() {
-	now, followers := time.Now(), d.registry.readers.current()
+	now := time.Now()
 	aliveDue := now.Sub(d.aliveSentAt) >= d.aliveInterval()
 	if aliveDue {
 		d.aliveSentAt = now
@@ -72,13 +72,12 @@
 	members := d.registry.otherMembers()
 	d.forgetRemovedMembers(members)
 	for _, addr := range members {
-		queued := len(d.unsentUpstreams[addr]) > 0 || len(d.unsentRuns[addr]) > 0 ||
-			aliveDue && (len(d.unsentAlive[addr]) > 0 || d.mustTellFollowers(addr, followers))
+		queued := len(d.unsentUpstreams[addr]) > 0 || len(d.unsentRuns[addr]) > 0 || aliveDue && len(d.unsentAlive[addr]) > 0
 		if d.inFlight[addr] || !queued && !d.helloDue(now, addr) {
 			continue
 		}
-		d.helloAt[addr], d.toldFollowers[addr] = now, followers
-		args := &ShareArgs{Runs: d.crashes.EntriesOf(now, slices.Sorted(maps.Keys(d.unsentRuns[addr]))), From: d.registry.PeerListen, Epoch: d.epoch, Followers: followers}
+		d.helloAt[addr] = now
+		args := &ShareArgs{Runs: d.crashes.EntriesOf(now, slices.Sorted(maps.Keys(d.unsentRuns[addr]))), From: d.registry.PeerListen, Epoch: d.epoch}
 		delete(d.unsentRuns, addr)
 		for _, u := range d.unsentUpstreams[addr] {
 			args.Upstreams = append(args.Upstreams, u)
@@ -111,16 +110,9 @@
 	delete(d.unsentRuns, addr)
 	delete(d.memberEpochs, addr)
 	delete(d.helloAt, addr)
-	delete(d.toldFollowers, addr)
 	d.copies.Forget(addr)
 }
 
-// mustTellFollowers reports whether an instance must be told the number of followers of this one.
-func (d *directory) mustTellFollowers(addr string, followers int) bool {
-	told, known := d.toldFollowers[addr]
-	return !known || told != followers
-}
-
 // helloInterval is the time between two messages to an instance that has not answered yet.
 const helloInterval = 500 * time.Millisecond
 
@@ -160,8 +152,6 @@
 		d.resendToRestarted(s.addr, s.reply.Epoch)
 		return
 	}
-	delete(d.toldFollowers, s.addr)
-	delete(d.toldFollowers, s.addr)
 	for _, c := range s.args.Runs {
 		d.queueRuns(s.addr, c.Fingerprint)
 	}
