--- /dev/null
+++ b/core/dispatch/assign.go
@@ -0,0 +1,80 @@
+package dispatch
+
+import (
+	"time"
+
+	"heatherway.dev/core/registration"
+	"heatherway.dev/core/throttle"
+)
+
+// This file carries out placements that the owner of a queue across gateways has decided. The
+// owner knows the load of all gateways; what only this gateway knows is checked here: breakers,
+// backoffs, limits and departures that the directory does not have yet.
+
+// Assign places a request at the given upstream, with its backup at the given holder if any. It
+// returns a refusal if this gateway cannot use the upstream; a holder that it cannot use is left out.
+func (f *Fleet) Assign(now time.Time, req *Request, upstreamID, holderID string) (Choice, *Refusal) {
+	known := len(f.byService[req.Service])
+	u := f.byID[upstreamID]
+	if u == nil || u.Service != req.Service || !f.reachable(now, req, u) {
+		return Choice{}, &Refusal{Known: known, RetryAfter: minRetryAfter}
+	}
+	if !u.limit.Available(now, f.contact) {
+		return Choice{}, &Refusal{Known: known, RetryAfter: minRetryAfter, Ask: []throttle.Want{u.limit.Want(now, u.key())}}
+	}
+	c, ok := f.take(now, req, u, Explanation{Eligible: 1})
+	if !ok {
+		return Choice{}, &Refusal{Known: known, RetryAfter: minRetryAfter}
+	}
+	if holder := f.holder(now, req, u, holderID); holder != nil {
+		f.reserveBackup(&c, holder)
+	}
+	return c, nil
+}
+
+// reachable reports whether this gateway can send a request to an upstream now, whatever its load.
+func (f *Fleet) reachable(now time.Time, req *Request, u *upstream) bool {
+	up := u.State == registration.Ready || u.State == registration.Lost
+	return up && f.hasVersion(u, req.Version) && u.acceptsWork(now) && u.breaker.Ready(now) && f.withinLimit(now, u, req)
+}
+
+// holder returns the upstream that is to hold a copy for a request at another one, or nil if this
+// gateway cannot use it.
+func (f *Fleet) holder(now time.Time, req *Request, primary *upstream, id string) *upstream {
+	h := f.byID[id]
+	if h == nil || h == primary || h.Service != primary.Service || !f.hasVersion(h, f.version(primary)) || !f.reachable(now, req, h) {
+		return nil
+	}
+	return h
+}
+
+// AssignBackup reserves the KV cache for the backup of a placed request at the given holder, in
+// place of an earlier one. It returns false if this gateway cannot use the holder.
+func (f *Fleet) AssignBackup(now time.Time, ticket uint64, req *Request, holderID string) (registration.Upstream, bool) {
+	p := f.tickets[ticket]
+	if p == nil {
+		return registration.Upstream{}, false
+	}
+	holder := f.holder(now, req, p.upstream, holderID)
+	if holder == nil {
+		return registration.Upstream{}, false
+	}
+	f.ReleaseBackup(ticket)
+	p.backup = holder
+	holder.backupTokens += p.tokens
+	return holder.Upstream, true
+}
+
+// Unusable returns the IDs of the upstreams of a service that are up but that this gateway cannot
+// send the request to now, and the number of those that it can.
+func (f *Fleet) Unusable(now time.Time, req *Request) (ids []string, usable int) {
+	for _, u := range f.byService[req.Service] {
+		switch {
+		case f.reachable(now, req, u):
+			usable++
+		case u.State == registration.Ready || u.State == registration.Lost:
+			ids = append(ids, u.ID)
+		}
+	}
+	return ids, usable
+}
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -32,35 +32,50 @@
 	if !best.limit.Available(now, f.contact) {
 		return Choice{}, &Refusal{Known: len(list), Ask: f.wants(now, req, best, list)}
 	}
-	permit, ok := best.breaker.Allow(now)
+	c, ok := f.take(now, req, best, explanation)
 	if !ok {
 		return Choice{}, f.refusal(now, req, list)
 	}
-	best.limit.Take(now)
-	prefillWait, est := best.prefillTime(now), best.estimate
+	if b := f.chooseBackup(now, req, best, list); b != nil {
+		f.reserveBackup(&c, b)
+	}
+	return c, nil
+}
+
+// take accounts for a request at an upstream, and returns false if the breaker of the upstream
+// does not let the request through.
+func (f *Fleet) take(now time.Time, req *Request, u *upstream, explanation Explanation) (Choice, bool) {
+	permit, ok := u.breaker.Allow(now)
+	if !ok {
+		return Choice{}, false
+	}
+	u.limit.Take(now)
+	prefillWait, est := u.prefillTime(now), u.estimate
 	wait := prefillWait + time.Duration(est.prefillMS(float64(req.PromptTokens))*float64(time.Millisecond))
 	f.lastTicket++
-	p := &placement{id: req.ID, upstream: best, tokens: req.tokens(est), promptTokens: req.PromptTokens, sentAt: now, stream: req.Stream, permit: permit}
+	p := &placement{id: req.ID, upstream: u, tokens: req.tokens(est), promptTokens: req.PromptTokens, sentAt: now, stream: req.Stream, permit: permit}
 	if req.Stream {
 		p.uncontended = prefillWait == 0 && req.Preferred == "" && req.CachedAt == ""
-		est.addPrompt(best.limitPrompt(req.PromptTokens))
+		est.addPrompt(u.limitPrompt(req.PromptTokens))
 	} else {
-		p.uncontended = len(best.inFlight) == 0 && best.others.requests == 0
+		p.uncontended = len(u.inFlight) == 0 && u.others.requests == 0
 	}
-	best.inFlight[f.lastTicket] = p
-	best.tokens += p.tokens
+	u.inFlight[f.lastTicket] = p
+	u.tokens += p.tokens
 	f.tickets[f.lastTicket] = p
-	explanation.Known, explanation.Running, explanation.Tokens = len(list), len(best.inFlight), best.tokens
-	if !best.reportedAt.IsZero() {
-		explanation.ReportAge = now.Sub(best.reportedAt)
-	}
-	c := Choice{Ticket: f.lastTicket, Upstream: best.Upstream, Version: f.version(best), Explanation: explanation, ExpectedWait: wait}
-	if b := f.chooseBackup(now, req, best, list); b != nil {
-		p.backup = b
-		b.backupTokens += p.tokens
-		c.Backup = b.Upstream
+	explanation.Known, explanation.Running, explanation.Tokens = len(f.byService[req.Service]), len(u.inFlight), u.tokens
+	if !u.reportedAt.IsZero() {
+		explanation.ReportAge = now.Sub(u.reportedAt)
 	}
-	return c, nil
+	return Choice{Ticket: f.lastTicket, Upstream: u.Upstream, Version: f.version(u), Explanation: explanation, ExpectedWait: wait}, true
+}
+
+// reserveBackup reserves the KV cache for the backup of a placed request.
+func (f *Fleet) reserveBackup(c *Choice, holder *upstream) {
+	p := f.tickets[c.Ticket]
+	p.backup = holder
+	holder.backupTokens += p.tokens
+	c.Backup = holder.Upstream
 }
 
 // best returns the upstream with the lowest cost. With untriedOnly, it skips upstreams
--- a/modules/dialect/dialect.go
+++ b/modules/dialect/dialect.go
@@ -144,9 +144,18 @@
 	Runs []Run
 }
 
+// Features are the parts of heatherway that a deployment calls for. Those that the settings of a
+// role switch on are on in any case.
+type Features struct {
+	// SharedQueue lets the streams of all gateways wait in one queue for each service.
+	SharedQueue bool
+}
+
 // Dialect translates between the platform's protocol and heatherway.
 type Dialect interface {
 	Endpoints() Endpoints
+	// Features returns what the deployment calls for, as the settings of the dialect name it.
+	Features() Features
 	// Configuration decodes a configuration. It does not validate it.
 	Configuration(body []byte) (*routing.Configuration, error)
 	// Announcement decodes an announcement of the upstream with the given id.
--- a/modules/registry/registry.go
+++ b/modules/registry/registry.go
@@ -81,6 +81,8 @@
 	Catchup time.Duration `yaml:"catchup"`
 	// AnnounceInterval is the interval at which an upstream announces itself.
 	AnnounceInterval time.Duration `yaml:"announce_interval"`
+	// Queue are the settings of the queues of streams.
+	Queue QueueSettings `yaml:"queue"`
 	// Dialect selects the protocol of operators and upstreams.
 	Dialect settings.Plugin `yaml:"dialect"`
 }
@@ -115,7 +117,9 @@
 	confirmations *confirmationMerger
 	limits        *limitOwner
 	origins       *originLedger
-	clients       *peer.Clients
+	// queues is nil if the queues of streams are off.
+	queues  *queueOwner
+	clients *peer.Clients
 
 	mu      sync.Mutex
 	replica *replica.Replica
@@ -186,6 +190,9 @@
 	r.directory = newDirectory(r)
 	r.limits = newLimitOwner()
 	r.origins = newOriginLedger(r)
+	if r.Queue.Enabled || r.dialect.Features().SharedQueue {
+		r.queues = newQueueOwner(r)
+	}
 	if r.folder == "" {
 		r.introducer = replica.NewIntroducer(r.PeerListen, []replica.Group{group, originGroup}, replica.Discovery{Seeds: r.seedAddresses(), Bootstrap: r.Bootstrap}, r.clients)
 	}
@@ -208,6 +215,9 @@
 	r.runInBackground(func() { r.directory.run(r.ctx) })
 	r.runInBackground(func() { r.limits.run(r.ctx, r.log) })
 	r.runInBackground(func() { r.origins.run(r.ctx) })
+	if r.queues != nil {
+		r.runInBackground(func() { r.queues.run(r.ctx) })
+	}
 	mux := http.NewServeMux()
 	mux.Handle(peer.RPCPath, &peer.Handler{Security: r.security, Services: r.services})
 	r.serve(r.peers, &http.Server{Handler: mux, BaseContext: func(net.Listener) context.Context { return r.ctx }})
