core/queue: place waiting requests by priority, within bounds

The owner of a queue places what waits by class, within a class by start-time fair queueing of organisations, late requests last. An upstream gets the next prompt shortly before the current one is read, within its slots and its KV cache; copies take only free room.

--- /dev/null
+++ b/core/queue/events.go
@@ -0,0 +1,170 @@
+package queue
+
+import "time"
+
+// Apply applies the events of a gateway in their order. Unknown IDs and repeated events have no
+// effect.
+func (q *Queue) Apply(now time.Time, gateway string, events []Event) {
+	for i := range events {
+		e := &events[i]
+		key := Key{gateway, e.ID}
+		r := q.requests[key]
+		switch e.Kind {
+		case Submitted:
+			q.submitted(now, key, r, e)
+		case Withdrawn:
+			if r != nil && r.state == waiting {
+				q.forget(now, r)
+			}
+		case Rejected:
+			q.rejected(now, r, e)
+		case Placed:
+			q.placedElsewhere(now, key, r, e)
+		case Begun:
+			q.begun(now, r, e)
+		case Ended:
+			q.ended(now, r, e)
+		case CopyChanged:
+			q.copyChanged(r, e)
+		}
+	}
+}
+
+func (q *Queue) submitted(now time.Time, key Key, r *request, e *Event) {
+	if e.Request == nil {
+		return
+	}
+	if r != nil {
+		if r.state != waiting {
+			q.requeue(now, r, e)
+		}
+		return
+	}
+	q.addPrompt(e.Request.PromptTokens)
+	r = q.newRequest(now, key, e.Request)
+	q.requests[key] = r
+	q.enqueue(now, r)
+}
+
+// rejected returns a placed request to those that wait, with its earlier arrival.
+func (q *Queue) rejected(now time.Time, r *request, e *Event) {
+	if r != nil && r.state != waiting && e.Request != nil {
+		q.requeue(now, r, e)
+	}
+}
+
+func (q *Queue) requeue(now time.Time, r *request, e *Event) {
+	at := r.at
+	detach(now, r)
+	q.dropUnlisted(at)
+	detachCopy(r)
+	q.describe(now, r, e.Request)
+	r.moving = false
+	q.enqueue(now, r)
+}
+
+// addPrompt counts a prompt in the mean size.
+func (q *Queue) addPrompt(tokens int) {
+	if tokens <= 0 {
+		return
+	}
+	q.prompts = min(q.prompts+1, 1/minPromptWeight)
+	q.meanPrompt += (float64(min(limitTokens(tokens), q.largestMemory())) - q.meanPrompt) / (1 + q.prompts)
+}
+
+// largestMemory returns the largest prompt that any upstream can hold.
+func (q *Queue) largestMemory() int {
+	largest := 0
+	for _, u := range q.list {
+		if u.MemoryTokens == 0 {
+			return maxTokens
+		}
+		largest = max(largest, u.MemoryTokens)
+	}
+	if largest == 0 {
+		return maxTokens
+	}
+	return largest
+}
+
+// placedElsewhere takes in a request that runs without a decision of this owner.
+func (q *Queue) placedElsewhere(now time.Time, key Key, r *request, e *Event) {
+	if e.Request == nil || e.Upstream == "" {
+		return
+	}
+	if r == nil {
+		r = q.newRequest(now, key, e.Request)
+		q.requests[key] = r
+	} else {
+		q.unqueue(r)
+		at := r.at
+		detach(now, r)
+		q.dropUnlisted(at)
+	}
+	r.state = placed
+	if e.HasBegun {
+		r.state, r.begunAt = running, now
+	}
+	q.upstream(e.Upstream).attach(now, r)
+	q.setCopy(r, e.CopyHolder)
+}
+
+func (q *Queue) copyChanged(r *request, e *Event) {
+	if r != nil && r.state != waiting {
+		q.setCopy(r, e.CopyHolder)
+	}
+}
+
+// setCopy counts the copy of a request at an upstream, or nowhere.
+func (q *Queue) setCopy(r *request, id string) {
+	if r.copyAt != nil && r.copyAt.ID == id {
+		return
+	}
+	copyAt := r.copyAt
+	detachCopy(r)
+	q.dropUnlisted(copyAt)
+	if id != "" {
+		q.upstream(id).attachCopy(r)
+	}
+}
+
+func (q *Queue) begun(now time.Time, r *request, e *Event) {
+	if r == nil || r.state != placed {
+		return
+	}
+	r.state, r.begunAt = running, now
+	u := r.at
+	if u == nil {
+		return
+	}
+	q.learnSpeed(now, r, e.Took)
+	u.failures = 0
+	u.removeUnread(now, r)
+}
+
+// learnSpeed takes in the time in which a prompt was read. The time for which the prompt waited
+// for another one at the upstream does not count.
+func (q *Queue) learnSpeed(now time.Time, r *request, took time.Duration) {
+	u := r.at
+	if took <= 0 || took > maxDuration || len(u.unread) == 0 || u.unread[0] != r {
+		return
+	}
+	took -= max(u.readFrom.Sub(r.placedAt), 0)
+	q.speeds.FirstEvent(now, u.ID, r.prompt, took, u.requests-len(u.unread))
+	q.refreshSpeed(now, u)
+}
+
+func (q *Queue) ended(now time.Time, r *request, e *Event) {
+	if r == nil || r.state == waiting {
+		return
+	}
+	if u := r.at; u != nil {
+		switch e.Outcome {
+		case Broken:
+			u.fail(now, q.settings.BrokenPause)
+		case Full:
+			u.pausedUntil = now.Add(fullPause)
+		}
+	}
+	q.forget(now, r)
+}
--- /dev/null
+++ b/core/queue/owner.go
@@ -0,0 +1,206 @@
+package queue
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Queue holds the waiting and placed requests of one service.
+type Queue struct {
+	settings  Settings
+	rng       *rand.Rand
+	speeds    Speeds
+	seq       uint64
+	requests  map[Key]*request
+	classes   [priorities]*class
+	resumes   []*request // waiting ones, in order of arrival
+	upstreams map[string]*upstream
+	// list holds the listed upstreams by ID.
+	list       []*upstream
+	zones      map[string]*zone
+	meanPrompt float64
+	prompts    float64 // number of samples of meanPrompt, bounded
+	nextSweep  time.Time
+	decisions  []Decision
+	free       []*upstream // scratch of one pass
+	aside      []*request  // scratch of one pass
+}
+
+const (
+	// priorPromptTokens is the assumed size of a prompt until there are samples.
+	priorPromptTokens = 8000
+	// minPromptWeight is the lowest weight of the newest sample in the mean prompt size.
+	minPromptWeight = 0.02
+	// sweepInterval is the interval at which estimates of all upstreams are refreshed and idle
+	// organisations are removed.
+	sweepInterval = 100 * time.Millisecond
+)
+
+// New returns an empty queue. The random source spreads equal upstreams and RetryAfter.
+func New(now time.Time, s Settings, rng *rand.Rand) *Queue {
+	q := &Queue{settings: s.withDefaults(), rng: rng, speeds: s.Speeds, requests: map[Key]*request{}, upstreams: map[string]*upstream{},
+		zones: map[string]*zone{}, meanPrompt: priorPromptTokens, nextSweep: now}
+	if q.speeds == nil {
+		q.speeds = newMedianSpeeds()
+	}
+	for c := range q.classes {
+		q.classes[c] = newClass()
+	}
+	return q
+}
+
+// SetUpstreams replaces the list of upstreams. One that has vanished or restarted loses its
+// accounts; the requests there end by the events of their gateways.
+func (q *Queue) SetUpstreams(now time.Time, list []Upstream) {
+	named := make(map[string]bool, len(list))
+	for _, in := range list {
+		named[in.ID] = true
+		q.setUpstream(now, in)
+	}
+	q.list = q.list[:0]
+	for id, u := range q.upstreams {
+		switch {
+		case named[id]:
+			q.list = append(q.list, u)
+		case u.listed:
+			q.releaseUpstream(u)
+			delete(q.upstreams, id)
+			q.speeds.Forget(id)
+		}
+	}
+	slices.SortFunc(q.list, func(a, b *upstream) int { return strings.Compare(a.ID, b.ID) })
+	q.nextSweep = now
+}
+
+func (q *Queue) setUpstream(now time.Time, in Upstream) {
+	in.Slots, in.MemoryTokens = max(in.Slots, 0), max(in.MemoryTokens, 0)
+	u := q.upstream(in.ID)
+	if u.listed && u.StartedMS != in.StartedMS {
+		q.releaseUpstream(u)
+		u.failures, u.pausedUntil = 0, time.Time{}
+	}
+	u.Upstream, u.listed, u.zone = in, true, q.zone(in.Zone)
+	q.refreshSpeed(now, u)
+}
+
+// upstream returns the account of an upstream, which may not be listed yet: a new owner hears
+// of placements before it has the list.
+func (q *Queue) upstream(id string) *upstream {
+	u := q.upstreams[id]
+	if u == nil {
+		u = &upstream{Upstream: Upstream{ID: id}, zone: &zone{}, msPerToken: 1.0 / priorTokensPerMS}
+		q.upstreams[id] = u
+	}
+	return u
+}
+
+func (q *Queue) zone(name string) *zone {
+	z := q.zones[name]
+	if z == nil {
+		z = &zone{}
+		q.zones[name] = z
+	}
+	return z
+}
+
+func (q *Queue) releaseUpstream(u *upstream) {
+	for _, r := range q.requests {
+		if r.at == u {
+			r.at = nil
+		}
+	}
+	u.release()
+}
+
+// refreshSpeed caches the reading speed of an upstream; comparing all upstreams must not ask
+// the estimator for each.
+func (q *Queue) refreshSpeed(now time.Time, u *upstream) {
+	tokens := max(int(q.meanPrompt), 1)
+	ms := q.speeds.PrefillMS(now, u.ID, tokens)
+	if ms > 0 && ms < milliseconds(maxDuration) {
+		u.msPerToken = ms / float64(tokens)
+	}
+}
+
+// sweep refreshes what changes slowly.
+func (q *Queue) sweep(now time.Time) {
+	if now.Before(q.nextSweep) {
+		return
+	}
+	q.nextSweep = now.Add(sweepInterval)
+	for _, u := range q.list {
+		q.refreshSpeed(now, u)
+	}
+	for _, c := range q.classes {
+		c.removeIdleFlows()
+	}
+}
+
+// RemoveGateway ends all requests of a gateway: its connections are gone.
+func (q *Queue) RemoveGateway(now time.Time, gateway string) {
+	var gone []*request
+	for key, r := range q.requests {
+		if key.Gateway == gateway {
+			gone = append(gone, r)
+		}
+	}
+	slices.SortFunc(gone, func(a, b *request) int { return cmp.Compare(a.seq, b.seq) })
+	for _, r := range gone {
+		q.forget(now, r)
+	}
+}
+
+// forget removes a request in any state.
+func (q *Queue) forget(now time.Time, r *request) {
+	q.unqueue(r)
+	at, copyAt := r.at, r.copyAt
+	detach(now, r)
+	detachCopy(r)
+	q.dropUnlisted(at)
+	q.dropUnlisted(copyAt)
+	delete(q.requests, r.key)
+}
+
+// dropUnlisted forgets an upstream that is not listed and has no account.
+func (q *Queue) dropUnlisted(u *upstream) {
+	if u != nil && !u.listed && u.requests == 0 && len(u.copies) == 0 && q.upstreams[u.ID] == u {
+		delete(q.upstreams, u.ID)
+	}
+}
+
+// enqueue adds a request to those that wait.
+func (q *Queue) enqueue(now time.Time, r *request) {
+	r.state = waiting
+	if r.resumes() {
+		at, _ := slices.BinarySearchFunc(q.resumes, r, earlier)
+		q.resumes = slices.Insert(q.resumes, at, r)
+		return
+	}
+	q.classes[r.priority()].push(r, q.levelOf(now, r))
+}
+
+// unqueue removes a request from those that wait.
+func (q *Queue) unqueue(r *request) {
+	if r.state != waiting {
+		return
+	}
+	if r.flow != nil {
+		q.classes[r.priority()].remove(r)
+		return
+	}
+	q.resumes = slices.DeleteFunc(q.resumes, func(o *request) bool { return o == r })
+}
+
+// levelOf returns the level that a request belongs to now.
+func (q *Queue) levelOf(now time.Time, r *request) levelIndex {
+	switch {
+	case r.returned:
+		return returned
+	case !r.due.IsZero() && !r.due.After(now):
+		return late
+	}
+	return onTime
+}
--- /dev/null
+++ b/core/queue/place.go
@@ -0,0 +1,134 @@
+package queue
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// crossZoneShare is the cost of sending a stream to another availability zone, as a share of
+	// the typical prefill time. Links between zones lose packets at times, and each event of a
+	// stream that is retransmitted arrives late.
+	crossZoneShare = 0.35
+	// runningShare is the cost of one running stream for a new stream, as a share of the
+	// typical prefill time. During a prefill the running stream slows to a quarter of its
+	// speed.
+	runningShare = 0.15
+	// memoryShare is the cost of a full KV cache compared with an empty one, as a share of the
+	// typical prefill time.
+	memoryShare = 0.3
+	// zoneFailureMS is the cost of each recent failure in a zone that is suspected down.
+	zoneFailureMS = 500
+	// jitterMS spreads requests over upstreams of equal cost.
+	jitterMS = 6
+)
+
+// findFree lists the upstreams that may be given a prompt now.
+func (q *Queue) findFree(now time.Time) {
+	q.free = q.free[:0]
+	for _, u := range q.list {
+		u.held = false
+		if u.accepts(now) && q.mayRead(now, u) {
+			q.free = append(q.free, u)
+		}
+	}
+}
+
+// findFreeAfter removes an upstream from those that are free if its last placement has filled
+// it.
+func (q *Queue) findFreeAfter(now time.Time, u *upstream) {
+	if u.accepts(now) && q.mayRead(now, u) {
+		return
+	}
+	if i := slices.Index(q.free, u); i >= 0 {
+		q.free[i] = q.free[len(q.free)-1]
+		q.free = q.free[:len(q.free)-1]
+	}
+}
+
+func (u *upstream) accepts(now time.Time) bool { return u.Accepts && !u.pausedUntil.After(now) }
+
+// suits reports whether an upstream may run a request at all.
+func (u *upstream) suits(r *request) bool {
+	return (r.Version == "" || r.Version == u.Version) && !slices.Contains(r.Excluded, u.ID)
+}
+
+// choose returns the free upstream with the lowest cost that has room for a request, or nil.
+func (q *Queue) choose(now time.Time, r *request, list []*upstream) *upstream {
+	var best *upstream
+	lowest := 0.0
+	for _, u := range list {
+		if u.held || !u.suits(r) || !q.fitsUnread(u, r) || !q.fits(u, r.tokens) {
+			continue
+		}
+		if cost := q.cost(now, r, u); best == nil || cost < lowest {
+			best, lowest = u, cost
+		}
+	}
+	return best
+}
+
+// cost estimates the cost in milliseconds of placing a request at an upstream: the time to its
+// first event, and what the placement costs besides.
+func (q *Queue) cost(now time.Time, r *request, u *upstream) float64 {
+	typical := u.msPerToken * q.meanPrompt
+	cost := milliseconds(u.readingLeft(now)) + u.msPerToken*float64(r.prompt) + q.rng.Float64()*jitterMS
+	cost += runningShare * typical * float64(u.requests)
+	if u.MemoryTokens > 0 {
+		cost += memoryShare * typical * float64(u.usedTokens+u.copyTokens) / float64(u.MemoryTokens)
+	}
+	if u.Zone != r.Zone {
+		cost += crossZoneShare * typical
+	}
+	if u.zone.suspectedDown(now) {
+		cost += zoneFailureMS * float64(len(u.zone.failures))
+	}
+	return cost
+}
+
+// chooseResume returns the upstream for an interrupted stream: the one that holds its copy if
+// it accepts work, whatever waits there, otherwise the best one with room.
+func (q *Queue) chooseResume(now time.Time, r *request) *upstream {
+	if u := q.upstreams[r.Preferred]; u != nil && u.listed && u.accepts(now) && u.suits(r) {
+		return u
+	}
+	return q.choose(now, r, q.accepting(now))
+}
+
+// accepting lists the upstreams that accept work, whatever they have to read.
+func (q *Queue) accepting(now time.Time) []*upstream {
+	q.free = q.free[:0]
+	for _, u := range q.list {
+		u.held = false
+		if u.accepts(now) {
+			q.free = append(q.free, u)
+		}
+	}
+	return q.free
+}
+
+// place decides that a request goes to an upstream.
+func (q *Queue) place(now time.Time, r *request, u *upstream) {
+	explanation := q.explain(now, r, u)
+	f := r.flow
+	q.unqueue(r)
+	if f != nil {
+		q.classes[r.priority()].charge(f, r.tokens)
+	}
+	r.state = placed
+	u.attach(now, r)
+	d := Decision{Key: r.key, Action: Place, Upstream: u.ID, ExpectedFirstEvent: r.readyAt.Sub(now), Explanation: explanation}
+	if holder := q.chooseCopy(now, r); holder != nil {
+		holder.attachCopy(r)
+		d.CopyHolder = holder.ID
+	}
+	q.decisions = append(q.decisions, d)
+}
+
+func (q *Queue) explain(now time.Time, r *request, u *upstream) Explanation {
+	e := Explanation{Waiting: q.waiting() + len(q.resumes), Waited: now.Sub(r.submittedAt), Expected: r.expected}
+	if u != nil {
+		e.Unread, e.Used = u.unreadTokens, u.usedShare()
+	}
+	return e
+}
--- /dev/null
+++ b/core/queue/request.go
@@ -0,0 +1,93 @@
+package queue
+
+import "time"
+
+type state uint8
+
+const (
+	waiting state = iota + 1
+	placed        // sent to an upstream, first event not seen
+	running
+)
+
+const (
+	// priorities is the number of priorities that are told apart.
+	priorities = 8
+	// maxTokens bounds a stated size; larger ones are nonsense and would distort means.
+	maxTokens = 1 << 24
+	// maxDuration bounds stated times for the same reason.
+	maxDuration = 24 * time.Hour
+)
+
+// request is a request that waits or has been placed.
+type request struct {
+	Request
+	key Key
+	seq uint64
+	// prompt is the prompt in tokens, tokens the KV cache that the request takes.
+	prompt, tokens int
+	state          state
+	submittedAt    time.Time
+	// arrivedAt is when the caller's first attempt arrived, due when its first event is due and
+	// deadline until when the caller waits; zero means none.
+	arrivedAt, due, deadline time.Time
+	// expected is the time to the first event that was expected when the request was submitted.
+	expected time.Duration
+	// returned is set for a caller that was refused and has come back in time.
+	returned bool
+	moves    int
+	moving   bool
+
+	level       levelIndex
+	flow        *flow
+	targetIndex int // in the heap of the level
+
+	at, copyAt *upstream
+	placedAt   time.Time
+	// readyAt is when the first event is expected.
+	readyAt, begunAt time.Time
+}
+
+// priority returns the index of the class of the request.
+func (r *request) priority() int { return min(max(r.Priority, 0), priorities-1) }
+
+// resumes reports whether the request goes before all that have not begun.
+func (r *request) resumes() bool { return r.Continues || r.Preferred != "" }
+
+// target returns the time that decides how urgent the request is within its level.
+func (r *request) target() time.Time {
+	if r.level == onTime {
+		return r.due
+	}
+	return r.deadline
+}
+
+func limitTokens(n int) int { return min(max(n, 0), maxTokens) }
+
+func limitDuration(d time.Duration) time.Duration { return min(max(d, 0), maxDuration) }
+
+// newRequest returns a request as it was submitted.
+func (q *Queue) newRequest(now time.Time, key Key, in *Request) *request {
+	q.seq++
+	r := &request{key: key, seq: q.seq, submittedAt: now}
+	r.arrivedAt = now.Add(-limitDuration(in.Waited))
+	q.describe(now, r, in)
+	return r
+}
+
+// describe applies a description to a request; its arrival stays.
+func (q *Queue) describe(now time.Time, r *request, in *Request) {
+	r.Request = *in
+	r.prompt = limitTokens(in.PromptTokens)
+	if r.prompt == 0 {
+		r.prompt = int(q.meanPrompt)
+	}
+	r.tokens = r.prompt + limitTokens(in.OutputTokens)
+	r.due, r.deadline = time.Time{}, time.Time{}
+	if aim := limitDuration(in.Aim); aim > 0 {
+		r.due = r.arrivedAt.Add(aim)
+	}
+	if deadline := limitDuration(in.Deadline); deadline > 0 {
+		r.deadline = now.Add(deadline)
+	}
+}
--- /dev/null
+++ b/core/queue/status.go
@@ -0,0 +1,95 @@
+package queue
+
+import "time"
+
+// Status describes a queue for operators.
+type Status struct {
+	Classes   []ClassStatus
+	Upstreams []UpstreamStatus
+	// Resuming is the number of waiting streams that have already sent events.
+	Resuming int
+	// Requests are the first waiting requests, in their order.
+	Requests []RequestStatus
+}
+
+// ClassStatus describes the waiting requests of one priority.
+type ClassStatus struct {
+	Priority, Waiting, Late, Returned, Tokens int
+	// OldestWait is the longest time that a request of the class waits, ExpectedWait the expected
+	// time to the first event of a new one.
+	OldestWait, ExpectedWait time.Duration
+}
+
+// UpstreamStatus describes the account of one upstream.
+type UpstreamStatus struct {
+	ID, Zone                       string
+	UnreadTokens, Unread, Running  int
+	UsedTokens, CopyTokens, Copies int
+	MemoryTokens, Slots            int
+	TokensPerMS                    float64
+	Accepts                        bool
+}
+
+// RequestStatus describes a waiting request.
+type RequestStatus struct {
+	Key
+	RequestID, Organisation string
+	Priority, Position      int
+	Late, Returned          bool
+	Waited, Expected        time.Duration
+}
+
+// Status returns the state of the queue.
+func (q *Queue) Status(now time.Time) Status {
+	s := Status{Resuming: len(q.resumes)}
+	for p, c := range q.classes {
+		if c.count > 0 {
+			s.Classes = append(s.Classes, q.classStatus(now, p, c))
+		}
+	}
+	for _, u := range q.list {
+		s.Upstreams = append(s.Upstreams, UpstreamStatus{ID: u.ID, Zone: u.Zone, UnreadTokens: u.unreadTokens, Unread: len(u.unread),
+			Running: u.requests - len(u.unread), UsedTokens: u.usedTokens, CopyTokens: u.copyTokens, Copies: len(u.copies),
+			MemoryTokens: u.MemoryTokens, Slots: u.Slots, TokensPerMS: 1 / u.msPerToken, Accepts: u.accepts(now)})
+	}
+	s.Requests = q.firstWaiting(now)
+	return s
+}
+
+func (q *Queue) classStatus(now time.Time, p int, c *class) ClassStatus {
+	s := ClassStatus{Priority: p, Waiting: c.count, Late: c.levels[late].count, Returned: c.levels[returned].count}
+	for _, f := range c.flows {
+		for l := range f.lists {
+			s.Tokens += f.tokens[l]
+			for _, r := range f.lists[l] {
+				s.OldestWait = max(s.OldestWait, now.Sub(r.submittedAt))
+			}
+		}
+	}
+	return s
+}
+
+// firstWaiting lists waiting requests by class and level, within these by arrival.
+func (q *Queue) firstWaiting(now time.Time) (out []RequestStatus) {
+	for _, r := range q.resumes {
+		out = q.appendStatus(now, out, r)
+	}
+	for _, c := range q.classes {
+		for l := range levels {
+			for _, f := range c.levels[l].flows.list {
+				for _, r := range f.lists[l] {
+					out = q.appendStatus(now, out, r)
+				}
+			}
+		}
+	}
+	return out
+}
+
+func (q *Queue) appendStatus(now time.Time, out []RequestStatus, r *request) []RequestStatus {
+	if len(out) >= q.settings.StatusRequests {
+		return out
+	}
+	return append(out, RequestStatus{Key: r.key, RequestID: r.RequestID, Organisation: r.Organisation, Priority: r.Priority, Position: len(out),
+		Late: r.level == late, Returned: r.returned, Waited: now.Sub(r.submittedAt), Expected: r.expected})
+}
--- /dev/null
+++ b/core/queue/upstream.go
@@ -0,0 +1,156 @@
+package queue
+
+import (
+	"slices"
+	"time"
+)
+
+// upstream is the account of one upstream.
+type upstream struct {
+	Upstream
+	zone *zone
+	// listed is unset for an upstream that gateways have named before the list did.
+	listed bool
+	// unread are the requests placed and not begun, in the order in which they are read;
+	// unreadTokens is the sum of their prompts.
+	unread       []*request
+	unreadTokens int
+	// readFrom is when the upstream has begun to read the first of unread, readyAt when it is
+	// expected to have read all.
+	readFrom, readyAt time.Time
+	// requests counts what runs or is to run here, copies the copies that it holds.
+	requests int
+	copies   []*request
+	// usedTokens and copyTokens are the KV cache taken by requests and by copies.
+	usedTokens, copyTokens int
+	msPerToken             float64
+	// failures counts failures since the last first event; the upstream gets nothing before
+	// pausedUntil.
+	failures    int
+	pausedUntil time.Time
+	// passing and held are scratch of one pass of decisions.
+	held bool
+}
+
+// zone is an availability zone with the times of its recent failures.
+type zone struct {
+	failures []time.Time
+}
+
+const (
+	// failureWindow is how long a failure counts against the others of its zone. A zone that
+	// fails as a whole is back after a little more than a second.
+	failureWindow = time.Second
+	// zoneFailureThreshold is the number of recent failures from which a zone counts as down.
+	// One is not enough, since single upstreams crash too.
+	zoneFailureThreshold = 2
+	// maxZoneFailures bounds the failures that are kept.
+	maxZoneFailures = 6
+	// maxPauseDoublings bounds the pause of an upstream that fails again and again.
+	maxPauseDoublings = 3
+	// fullPause is how long an upstream that refused a request for lack of room gets nothing.
+	fullPause = 100 * time.Millisecond
+)
+
+func (z *zone) fail(now time.Time) {
+	if len(z.failures) == maxZoneFailures {
+		z.failures = slices.Delete(z.failures, 0, 1)
+	}
+	z.failures = append(z.failures, now)
+}
+
+// suspectedDown reports whether the zone seems to have failed as a whole.
+func (z *zone) suspectedDown(now time.Time) bool {
+	n := len(z.failures)
+	return n >= zoneFailureThreshold && now.Sub(z.failures[n-zoneFailureThreshold]) < failureWindow
+}
+
+// fail records that the upstream or the path to it failed.
+func (u *upstream) fail(now time.Time, pause time.Duration) {
+	u.zone.fail(now)
+	u.pausedUntil = now.Add(pause << min(u.failures, maxPauseDoublings))
+	u.failures++
+}
+
+func (u *upstream) prefill(tokens int) time.Duration { return fromMS(u.msPerToken * float64(tokens)) }
+
+// addUnread adds a request to those that the upstream has to read.
+func (u *upstream) addUnread(now time.Time, r *request) {
+	if len(u.unread) == 0 {
+		u.readFrom, u.readyAt = now, now
+	}
+	if u.readyAt.Before(now) {
+		u.readyAt = now
+	}
+	u.unread = append(u.unread, r)
+	u.unreadTokens += r.prompt
+	u.readyAt = u.readyAt.Add(u.prefill(r.prompt))
+}
+
+// removeUnread removes a request that has been read or has ended.
+func (u *upstream) removeUnread(now time.Time, r *request) {
+	i := slices.Index(u.unread, r)
+	if i < 0 {
+		return
+	}
+	u.unread = slices.Delete(u.unread, i, i+1)
+	u.unreadTokens -= r.prompt
+	if i == 0 {
+		u.readFrom = now
+	}
+	u.readyAt = u.readFrom.Add(u.prefill(u.unreadTokens))
+}
+
+// readingLeft returns the expected time until all prompts at the upstream are read.
+func (u *upstream) readingLeft(now time.Time) time.Duration { return max(u.readyAt.Sub(now), 0) }
+
+// attach counts a request at the upstream.
+func (u *upstream) attach(now time.Time, r *request) {
+	r.at, r.placedAt = u, now
+	u.requests++
+	u.usedTokens += r.tokens
+	if r.state == placed {
+		u.addUnread(now, r)
+		r.readyAt = u.readyAt
+	}
+}
+
+// detach ends the account of a request at its upstream.
+func detach(now time.Time, r *request) {
+	u := r.at
+	if u == nil {
+		return
+	}
+	r.at = nil
+	u.requests--
+	u.usedTokens -= r.tokens
+	u.removeUnread(now, r)
+}
+
+// attachCopy counts the copy of a request at the upstream.
+func (u *upstream) attachCopy(r *request) {
+	r.copyAt = u
+	u.copies = append(u.copies, r)
+	u.copyTokens += r.tokens
+}
+
+// detachCopy ends the account of a request's copy.
+func detachCopy(r *request) {
+	u := r.copyAt
+	if u == nil {
+		return
+	}
+	r.copyAt = nil
+	u.copies = slices.DeleteFunc(u.copies, func(o *request) bool { return o == r })
+	u.copyTokens -= r.tokens
+}
+
+// release drops all accounts of an upstream that is gone; its requests end by the events of
+// their gateways.
+func (u *upstream) release() {
+	for _, r := range u.copies {
+		r.copyAt = nil
+	}
+	u.unread, u.copies = nil, nil
+	u.requests, u.unreadTokens, u.usedTokens, u.copyTokens = 0, 0, 0, 0
+}
