--- a/modules/gateway/copy.go
+++ b/modules/gateway/copy.go
@@ -40,6 +40,10 @@
 	// awaitingStart is set while a new copy waits for the run to start: before the
 	// first event there is nothing to copy.
 	awaitingStart bool
+	// suspended is set while the owner of the queue wants no copy. reported is the holder that it
+	// was told.
+	suspended bool
+	reported  string
 }
 
 type copyResult struct {
@@ -53,6 +57,7 @@
 	c.refresh.Stop()
 	c.setHolder(a.choice.Backup)
 	c.backupCopy = dialect.CacheCopy{Addr: c.holder.Addr, Key: s.req.ID}
+	c.reported = c.holder.ID
 	return c
 }
 
@@ -78,6 +83,9 @@
 
 // replaceHolder requests a copy at another upstream.
 func (c *cacheBackup) replaceHolder(ctx context.Context) {
+	if c.suspended {
+		return
+	}
 	c.setHolder(registration.Upstream{})
 	c.backupCopy = dialect.CacheCopy{}
 	if !c.attempt.started {
@@ -134,6 +142,12 @@
 // recordResult records the outcome of an update.
 func (c *cacheBackup) recordResult(result copyResult) {
 	c.updating = false
+	if c.suspended {
+		if result.err == nil {
+			c.stream.g.spawn(func() { c.stream.dropCopy(c.attempt.choice.Upstream, result.handle) })
+		}
+		return
+	}
 	if result.holder.ID != c.holder.ID { // the holder was replaced during the call
 		c.refresh.Reset(0)
 		return
--- a/modules/gateway/gateway.go
+++ b/modules/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"heatherway.dev/core/drain"
 	"heatherway.dev/heatherway/internal/httpconn"
 	"heatherway.dev/heatherway/modules/dialect"
+	"heatherway.dev/heatherway/modules/registry"
 	"heatherway.dev/kernel"
 	"heatherway.dev/kernel/buffers"
 	"heatherway.dev/kernel/peer"
@@ -75,6 +76,8 @@
 	ObjectiveShare float64 `yaml:"objective_share"`
 	// BufferBytes limits the bytes of request and response bodies and of long response heads held in memory.
 	BufferBytes int64 `yaml:"buffer_bytes"`
+	// Queue are the settings of the queues of streams.
+	Queue registry.QueueSettings `yaml:"queue"`
 	// Dialect is the protocol spoken with callers and upstreams.
 	Dialect settings.Plugin `yaml:"dialect"`
 }
@@ -110,6 +113,11 @@
 	limitOwner     atomic.Pointer[string]
 	// originOwner is the same for the ledger of the software versions that began streams.
 	originOwner atomic.Pointer[string]
+	// queue is nil if the queues of streams are off. pollClients keeps the connections of its calls
+	// that wait; queuedStreams is the number of streams that wait in a queue.
+	queue         *queueClient
+	pollClients   *peer.Clients
+	queuedStreams atomic.Int64
 	// trackedRequests is the number of requests with broken runs. While it is zero, the
 	// crash tracker is not told about completed requests and changed upstreams.
 	// suspectRequests and suspectParts are the numbers of requests and of parts of prompts
@@ -185,8 +193,11 @@
 	g.connections = newConnectionPool(g.metrics, g.handleResponseSignals)
 	g.owner = newStateOwner(g.ctx, g.log, g.zone, g.ObjectiveShare)
 	g.crashReporter = newCrashReporter(g)
-	g.controlClients = g.security.NewClients()
+	g.controlClients, g.pollClients = g.security.NewClients(), g.security.NewClients()
 	g.follower = newFollower(g)
+	if g.Queue.Enabled || g.dialect.Features().SharedQueue {
+		g.queue = newQueueClient(g)
+	}
 }
 
 // idleLimit returns how long callers may leave a connection idle, as the configuration in
@@ -204,6 +215,9 @@
 	g.spawn(g.owner.run)
 	g.spawn(g.crashReporter.run)
 	g.follower.start()
+	if g.queue != nil {
+		g.spawn(g.queue.run)
+	}
 	mux := http.NewServeMux()
 	mux.HandleFunc(g.dialect.Endpoints().Ready, g.serveReady)
 	g.requests, g.cancelRequests = context.WithCancelCause(context.Background())
@@ -351,6 +365,7 @@
 		g.cancel()
 		g.connections.close()
 		g.controlClients.Close()
+		g.pollClients.Close()
 	}
 	return nil
 }
@@ -365,6 +380,7 @@
 	brokenRuns, suspectsHeld, partsHeld                 stats.Counter
 	grantFailures                                       stats.Counter
 	answerMS, firstEventMS, resumeMS, grantMS           stats.Histogram
+	queueMetrics
 }
 
 func newMetrics(r *stats.Registry) metrics {
@@ -382,5 +398,6 @@
 		partsHeld: r.Counter("gateway_parts_held_total"),
 		resumeMS:  r.Histogram("gateway_resume_ms"),
 		grantMS:   r.Histogram("gateway_grant_ms"), grantFailures: r.Counter("gateway_grant_failures_total"),
+		queueMetrics: newQueueMetrics(r),
 	}
 }
--- a/modules/gateway/stream.go
+++ b/modules/gateway/stream.go
@@ -42,6 +42,7 @@
 	}
 	s := &streamRequest{callerRequest: c, relay: relay.New(c.route.MaxEventGap, last)}
 	defer s.releaseReserved()
+	defer s.releaseTicket()
 	if s.isTakeUp() {
 		if err := s.findVersion(); err != nil {
 			s.respondError(err)
@@ -80,6 +81,8 @@
 	records []*versionRecord
 	// reserved is the place of the next attempt, taken before a silent one is given up.
 	reserved *dispatch.Choice
+	// ticket is the current attempt as the owner of the queue knows it, nil without a queue.
+	ticket *queueTicket
 	// brokenAt is when the stream was interrupted after an event; it is zero unless the
 	// stream waits for the first event of a resume.
 	brokenAt time.Time
@@ -146,18 +149,11 @@
 	choice, ok := s.takeReserved()
 	if !ok {
 		request.Preferred = cmp.Or(s.backupHolder.ID, s.reconnectTo)
-		if request.Preferred == "" {
-			if s.sentCount == 0 && s.req.LastEventID != dialect.NoEvent {
-				s.locatePrompt(request)
-			}
-			if request.CachedAt == "" {
-				s.refreshLoadReports(request) // reports cannot change where the prompt is cached
-			}
-		}
-		if choice, ok = s.placeStream(request); !ok {
+		if choice, ok = s.placeAttempt(request); !ok {
 			return nil
 		}
 	}
+	s.trackPlacement(request, choice)
 	a := &attempt{choice: loggedChoice{choice}, startedAt: time.Now(), continues: s.responseStarted}
 	a.promptCached = request.CachedAt == choice.Upstream.ID
 	a.fromBackup = s.backupHolder.ID != "" && s.backupHolder.ID == choice.Upstream.ID
@@ -236,6 +232,10 @@
 			backup.replaceHolder(ctx)
 		case <-backup.refresh.C:
 			backup.update(ctx)
+		case signal := <-s.ticket.received():
+			if s.applyQueueSignal(signal, a, backup) {
+				return
+			}
 		case copied := <-backup.results:
 			backup.recordResult(copied)
 		case <-replaced:
@@ -249,6 +249,7 @@
 		if a.started {
 			backup.runStarted()
 		}
+		backup.report()
 	}
 }
 
@@ -372,6 +373,7 @@
 			st.fleet.RecordLoad(now, ticket, load.Running, load.Waiting)
 		}
 	})
+	s.ticket.recordBegun(now.Sub(a.startedAt))
 	if !s.brokenAt.IsZero() {
 		s.g.metrics.resumeMS.Observe(now.Sub(s.brokenAt).Milliseconds())
 		s.logEvent("stream resumed", "upstream", a.choice.Upstream.ID, "upstream_version", a.choice.Upstream.Version, "from_copy", resumed, "resume_ms", now.Sub(s.brokenAt).Milliseconds())
@@ -410,7 +412,8 @@
 func (s *streamRequest) settleAttempt(a *attempt) {
 	now, ticket := time.Now(), a.choice.Ticket
 	// None of these is a fault of the upstream.
-	inconclusive := s.ctx.Err() != nil || errors.Is(a.err, errBuffersFull) || errors.Is(a.err, errVersionNotRecorded)
+	inconclusive := s.ctx.Err() != nil || errors.Is(a.err, errBuffersFull) || errors.Is(a.err, errVersionNotRecorded) ||
+		errors.Is(a.err, errMoved)
 	failed := !a.complete && !a.meta.NotRun && !inconclusive
 	misdirected := a.status == http.StatusMisdirectedRequest // another incarnation has taken over the address
 	succeeded := a.complete && a.status < http.StatusInternalServerError
@@ -428,6 +431,7 @@
 		}
 		st.fleet.End(now, ticket)
 	})
+	s.settleTicket(a, now, failed, reconnect)
 	if !reconnect {
 		s.markTried(a.choice.Upstream)
 	}
--- a/modules/gateway/stream_place.go
+++ b/modules/gateway/stream_place.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"heatherway.dev/core/dispatch"
+	"heatherway.dev/heatherway/modules/dialect"
 	"heatherway.dev/kernel/result"
 )
 
@@ -19,6 +20,30 @@
 	return request
 }
 
+// placeAttempt places an attempt. It asks the upstreams that may have the prompt of a stream that
+// its caller takes up. The owner of the queue decides, if there is one; a stream that goes back to an
+// upstream that holds its KV cache or its prompt is placed there at once.
+func (s *streamRequest) placeAttempt(request *dispatch.Request) (dispatch.Choice, bool) {
+	if request.Preferred != "" {
+		return s.placeStream(request)
+	}
+	if s.sentCount == 0 && s.req.LastEventID != dialect.NoEvent {
+		s.locatePrompt(request)
+	}
+	choice, refusal, decided := s.placeInQueue(request)
+	switch {
+	case decided && refusal == nil:
+		return choice, true
+	case decided:
+		s.failUnplaced(refusal)
+		return choice, false
+	}
+	if request.CachedAt == "" {
+		s.refreshLoadReports(request) // reports cannot change where the prompt is cached
+	}
+	return s.placeStream(request)
+}
+
 // placeStream places the stream, and waits a short time for an available upstream.
 func (s *streamRequest) placeStream(request *dispatch.Request) (dispatch.Choice, bool) {
 	choice, refusal := s.placeWithin(request, s.route.Objective/placementWaitDivisor)
