core/queue: order by aims, copies by worth, refusals and moves

One figure, the delay of first events, decides on copies; requests that cannot begin before their deadline are refused with a time to return; overdue ones move.

--- a/core/queue/copies.go
+++ b/core/queue/copies.go
@@ -1,17 +1,106 @@
 package queue
 
-import "time"
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
 
-// chooseCopy returns the upstream that is to hold a copy of the KV cache of a placed request: the
-// one with the least memory taken in another availability zone, since the upstreams of a zone
-// fail together. It returns nil if there is no room.
+// Copies are weighed in one unit: milliseconds by which first events are delayed, those of each
+// class counting half of the next more urgent one's.
+
+const (
+	// lateWeight is the weight of a waiting request that has missed its aim: a further delay
+	// costs its caller less.
+	lateWeight = 0.25
+	// memoryHeadroom is the share of all KV caches up to which nobody is expected to wait for
+	// room; streams do not spread evenly enough to fill the rest.
+	memoryHeadroom = 0.9
+	// makeCopyFactor is by how much a copy must be worth its room to be made for a running
+	// stream, so that copies are not dropped and made by turns.
+	makeCopyFactor = 2
+	// makeCopyCalm is how long nothing may have waited before copies are made for running
+	// streams, maxMakeCopies how many are made in one sweep: each takes bandwidth.
+	makeCopyCalm, maxMakeCopies = time.Second, 2
+	// minCopyRest is the share of a stream that must be left for a copy to be made.
+	minCopyRest = 0.3
+)
+
+func classWeight(priority int) float64 { return math.Ldexp(1, -priority) }
+
+// restMS returns the expected time for which a placed request still takes its room.
+func (q *Queue) restMS(now time.Time, r *request) float64 {
+	return max(q.holdTime(now)-milliseconds(now.Sub(r.placedAt)), 0)
+}
+
+// copyWorth returns what a copy is worth for the rest of a stream: the probability that the
+// upstream is lost by then, times what a restart from the prompt costs. The prompt counts
+// twice, once for the caller and once for those that wait while it is read again.
+func (q *Queue) copyWorth(now time.Time, r *request, restMS float64) float64 {
+	restart := milliseconds(q.settings.LossCost) + 2*float64(r.prompt)*q.typicalMSPerToken()
+	return classWeight(r.priority()) * q.lossProbability(now, restMS) * restart
+}
+
+// typicalMSPerToken returns the mean time to read a token.
+func (q *Queue) typicalMSPerToken() float64 {
+	if q.rates.readers == 0 {
+		return 1.0 / priorTokensPerMS
+	}
+	return float64(q.rates.readers) / q.rates.capacity
+}
+
+// roomCost returns the delay that taking room for a time causes to those that wait, or are about
+// to wait, for KV cache. Each of them begins later by the share of all room that is taken, times
+// the time.
+func (q *Queue) roomCost(now time.Time, tokens int, ms, affected float64) float64 {
+	if q.rates.memory <= 0 {
+		return 0
+	}
+	return affected * ms * float64(tokens) / q.rates.memory
+}
+
+// affected returns the weighted number of requests that wait for room or are about to: those
+// that the expected demand exceeds the room by.
+func (q *Queue) affected(now time.Time, tokens int) float64 {
+	streams := max(float64(q.usedTokens), perMS(&q.rates.kvArrived, now, arrivalWindow)*q.holdTime(now))
+	excess := streams + float64(q.copyTokens+tokens) - memoryHeadroom*q.rates.memory
+	return q.waitingWeight() + max(excess, 0)/max(float64(tokens), 1)
+}
+
+// waitingWeight returns the weighted number of waiting requests.
+func (q *Queue) waitingWeight() (sum float64) {
+	for _, r := range q.resumes {
+		sum += classWeight(r.priority())
+	}
+	for p, c := range q.classes {
+		if c.count > 0 {
+			n := c.levels[late].count
+			sum += classWeight(p) * (float64(c.count-n) + lateWeight*float64(n))
+		}
+	}
+	return sum
+}
+
+// chooseCopy returns the upstream that is to hold a copy of a placed request, or nil if the copy
+// is not worth its room.
 func (q *Queue) chooseCopy(now time.Time, r *request) *upstream {
 	if !r.Copy || r.at == nil {
 		return nil
 	}
+	rest := q.restMS(now, r)
+	if q.copyWorth(now, r, rest) <= q.roomCost(now, r.tokens, rest, q.affected(now, r.tokens)) {
+		return nil
+	}
+	return q.copyHolder(now, r)
+}
+
+// copyHolder returns the upstream with the least memory taken in another availability zone, since
+// the upstreams of a zone fail together. It returns nil if there is no room.
+func (q *Queue) copyHolder(now time.Time, r *request) *upstream {
 	var best *upstream
 	for _, u := range q.list {
-		if !u.HoldsCopies || u.Zone == r.at.Zone || u.Version != r.at.Version || !u.accepts(now) || !u.suits(r) || u.zone.suspectedDown(now) || !q.fits(u, r.tokens) {
+		if !u.HoldsCopies || u.Zone == r.at.Zone || u.Version != r.at.Version || u.heldUntil.After(now) || !u.accepts(now) || !u.suits(r) || u.zone.suspectedDown(now) || !q.fits(u, r.tokens) {
 			continue
 		}
 		if best == nil || u.usedTokens+u.copyTokens < best.usedTokens+best.copyTokens {
@@ -20,3 +109,118 @@
 	}
 	return best
 }
+
+// makeRoom drops the copies least worth keeping at one of the free upstreams, if a request cannot
+// be placed for lack of KV cache and the wait of all costs more than these copies are worth. It
+// returns the upstream, or nil.
+func (q *Queue) makeRoom(now time.Time, r *request) *upstream {
+	if q.copyTokens == 0 {
+		return nil
+	}
+	limit := q.roomCost(now, r.tokens, q.holdTime(now), q.affected(now, r.tokens))
+	var best *upstream
+	lowest := limit
+	for _, u := range q.free {
+		if u.held || !u.suits(r) || !q.fitsUnread(u, r) {
+			continue
+		}
+		if worth, ok := q.worthOfRoom(now, u, r.tokens); ok && (worth < lowest || worth == lowest && best != nil && u.usedShare() > best.usedShare()) {
+			best, lowest = u, worth
+		}
+	}
+	if best != nil {
+		q.dropCopies(now, best, r.tokens)
+	}
+	return best
+}
+
+// worthOfRoom returns what the copies are worth that have to go for a number of tokens to fit; ok
+// is false if they do not fit even then.
+func (q *Queue) worthOfRoom(now time.Time, u *upstream, tokens int) (worth float64, ok bool) {
+	q.sortCopies(now, u)
+	need, slots := q.excess(u, tokens)
+	for _, r := range u.copies {
+		if need <= 0 && slots <= 0 {
+			break
+		}
+		worth += r.copyWorth
+		need -= r.tokens
+		slots--
+	}
+	return worth, need <= 0 && slots <= 0 || u.requests == 0
+}
+
+// excess returns by how many tokens and slots a request exceeds the room of an upstream.
+func (q *Queue) excess(u *upstream, tokens int) (need, slots int) {
+	if u.MemoryTokens > 0 {
+		need = u.usedTokens + u.copyTokens + tokens - q.memoryBound(u)
+	}
+	if u.Slots > 0 {
+		slots = u.requests + len(u.copies) + 1 - u.Slots
+	}
+	return need, slots
+}
+
+// sortCopies sorts the copies at an upstream, the one least worth keeping first.
+func (q *Queue) sortCopies(now time.Time, u *upstream) {
+	for _, r := range u.copies {
+		r.copyWorth = q.copyWorth(now, r, q.restMS(now, r))
+	}
+	slices.SortFunc(u.copies, func(a, b *request) int {
+		return cmp.Or(cmp.Compare(a.copyWorth, b.copyWorth), cmp.Compare(a.seq, b.seq))
+	})
+}
+
+// dropCopies drops copies at an upstream, whose copies are sorted, until a request fits.
+func (q *Queue) dropCopies(now time.Time, u *upstream, tokens int) {
+	for len(u.copies) > 0 && !q.fits(u, tokens) {
+		r := u.copies[0]
+		q.detachCopy(r)
+		q.decisions = append(q.decisions, Decision{Key: r.key, Action: DropCopy, CopyHolder: u.ID, Explanation: q.explain(now, r, u)})
+	}
+}
+
+// makeCopies requests copies for running streams that have none, once nothing has waited for a
+// while.
+func (q *Queue) makeCopies(now time.Time) {
+	if q.waiting() > 0 || len(q.resumes) > 0 {
+		q.calmFrom = now.Add(makeCopyCalm)
+		return
+	}
+	if now.Before(q.calmFrom) {
+		return
+	}
+	for range maxMakeCopies {
+		r := q.bestWithoutCopy(now)
+		if r == nil {
+			return
+		}
+		holder := q.copyHolder(now, r)
+		if holder == nil {
+			return
+		}
+		q.attachCopy(holder, r)
+		q.decisions = append(q.decisions, Decision{Key: r.key, Action: MakeCopy, CopyHolder: holder.ID, Explanation: q.explain(now, r, holder)})
+	}
+}
+
+// bestWithoutCopy returns the running stream for which a copy is worth most beyond its room.
+func (q *Queue) bestWithoutCopy(now time.Time) *request {
+	var best *request
+	highest := 0.0
+	hold := q.holdTime(now)
+	for _, r := range q.requests {
+		if !r.Copy || r.state != running || r.at == nil || r.copyAt != nil {
+			continue
+		}
+		rest := q.restMS(now, r)
+		if rest < minCopyRest*hold {
+			continue
+		}
+		gain := q.copyWorth(now, r, rest) - makeCopyFactor*q.roomCost(now, r.tokens, rest, q.affected(now, r.tokens))
+		if gain > highest || gain == highest && best != nil && r.seq < best.seq {
+			best, highest = r, gain
+		}
+	}
+	return best
+}
--- a/core/queue/decide.go
+++ b/core/queue/decide.go
@@ -9,10 +9,16 @@
 // Decide returns all decisions that follow now. They are valid until the next call.
 func (q *Queue) Decide(now time.Time) []Decision {
 	q.decisions = q.decisions[:0]
-	q.sweep(now)
-	q.expire(now)
+	swept := q.sweep(now)
 	q.placeResumes(now)
+	q.expire(now)
 	q.placeWaiting(now)
+	q.reviewFresh(now, swept)
+	if swept {
+		q.refuseExpired(now)
+		q.moveOverdue(now)
+		q.makeCopies(now)
+	}
 	return q.decisions
 }
 
@@ -29,6 +35,9 @@
 			break
 		}
 		u := q.choose(now, r, q.free)
+		if u == nil {
+			u = q.makeRoom(now, r)
+		}
 		if u != nil {
 			q.place(now, r, u)
 			q.findFreeAfter(now, u)
@@ -36,6 +45,7 @@
 		}
 		q.unqueue(r)
 		q.aside = append(q.aside, r)
+		q.rates.shortUntil = now.Add(shortPeriod)
 		q.hold(now, r)
 	}
 	for _, r := range q.aside {
--- a/core/queue/events.go
+++ b/core/queue/events.go
@@ -43,6 +43,12 @@
 	q.addPrompt(e.Request.PromptTokens)
 	r = q.newRequest(now, key, e.Request)
 	q.requests[key] = r
+	if !r.resumes() {
+		q.recognise(now, r)
+		q.rates.arrived[r.priority()].add(now, arrivalWindow, float64(r.prompt))
+		q.rates.kvArrived.add(now, arrivalWindow, float64(r.tokens))
+		q.fresh, q.newFresh = append(q.fresh, r), true
+	}
 	q.enqueue(now, r)
 }
 
@@ -55,9 +61,9 @@
 
 func (q *Queue) requeue(now time.Time, r *request, e *Event) {
 	at := r.at
-	detach(now, r)
+	q.detach(now, r)
 	q.dropUnlisted(at)
-	detachCopy(r)
+	q.detachCopy(r)
 	q.describe(now, r, e.Request)
 	r.moving = false
 	q.enqueue(now, r)
@@ -98,14 +104,14 @@
 	} else {
 		q.unqueue(r)
 		at := r.at
-		detach(now, r)
+		q.detach(now, r)
 		q.dropUnlisted(at)
 	}
 	r.state = placed
 	if e.HasBegun {
 		r.state, r.begunAt = running, now
 	}
-	q.upstream(e.Upstream).attach(now, r)
+	q.attach(now, q.upstream(e.Upstream), r)
 	q.setCopy(r, e.CopyHolder)
 }
 
@@ -121,10 +127,10 @@
 		return
 	}
 	copyAt := r.copyAt
-	detachCopy(r)
+	q.detachCopy(r)
 	q.dropUnlisted(copyAt)
 	if id != "" {
-		q.upstream(id).attachCopy(r)
+		q.attachCopy(q.upstream(id), r)
 	}
 }
 
@@ -150,7 +156,7 @@
 		return
 	}
 	took -= max(u.readFrom.Sub(r.placedAt), 0)
-	q.speeds.FirstEvent(now, u.ID, r.prompt, took, u.requests-len(u.unread))
+	q.speeds.FirstEvent(now, u.ID, r.prompt, took, 0)
 	q.refreshSpeed(now, u)
 }
 
@@ -160,8 +166,11 @@
 	}
 	if u := r.at; u != nil {
 		switch e.Outcome {
+		case Completed:
+			q.recordHold(now, r)
 		case Broken:
 			u.fail(now, q.settings.BrokenPause)
+			q.rates.lost.add(now, lossWindow, 1)
 		case Full:
 			u.pausedUntil = now.Add(fullPause)
 		}
--- /dev/null
+++ b/core/queue/move.go
@@ -0,0 +1,51 @@
+package queue
+
+import "time"
+
+const (
+	// overdueFactor is how much longer than expected a first event may take before its request
+	// is moved. What has taken twice as long as expected is expected to take as long again.
+	overdueFactor = 2
+	// rereadShare is the price of reading a prompt a second time, as a share of the time to read
+	// it: others wait for it.
+	rereadShare = 0.5
+)
+
+// moveOverdue moves requests that have not begun long after they were expected to, if another
+// upstream could begin them clearly sooner.
+func (q *Queue) moveOverdue(now time.Time) {
+	for _, u := range q.list {
+		for _, r := range u.unread {
+			if q.overdue(now, r) {
+				q.move(now, r)
+			}
+		}
+	}
+}
+
+func (q *Queue) overdue(now time.Time, r *request) bool {
+	if r.moving || r.moves >= q.settings.MaxMoves || len(r.Excluded) > q.settings.MaxMoves {
+		return false
+	}
+	return now.Sub(r.placedAt) >= overdueFactor*r.readyAt.Sub(r.placedAt)+q.settings.Lead
+}
+
+func (q *Queue) move(now time.Time, r *request) {
+	q.findFree(now)
+	var best *upstream
+	for _, u := range q.free {
+		if u != r.at && u.suits(r) && q.fitsUnread(u, r) && q.fits(u, r.tokens) && (best == nil || u.msPerToken < best.msPerToken) {
+			best = u
+		}
+	}
+	if best == nil {
+		return
+	}
+	elsewhere := best.readingLeft(now) + best.prefill(r.prompt)
+	if price := time.Duration(rereadShare * float64(elsewhere)); now.Sub(r.placedAt) <= elsewhere+price {
+		return
+	}
+	r.moving = true
+	r.moves++
+	q.decisions = append(q.decisions, Decision{Key: r.key, Action: Move, Upstream: r.at.ID, Explanation: q.explain(now, r, r.at)})
+}
--- a/core/queue/order.go
+++ b/core/queue/order.go
@@ -2,25 +2,110 @@
 
 import "time"
 
-// expire moves requests that have missed their aim behind those that can still make theirs.
+const (
+	// slackShare is the share of its aim that a request keeps in reserve. One that has less left
+	// is pressed; one that has more, beyond what is expected to go before it, can let a pressed
+	// one of a less urgent class pass.
+	slackShare = 0.25
+	// drainFactor is how much longer than expected the more urgent requests may take to start
+	// without missing their aims because others passed.
+	drainFactor = 2
+	// floorWait is how long the first request of a class has waited before the floor counts.
+	floorWait = time.Second
+	// startWeight is the weight of the newest start in the shares of the classes.
+	startWeight = 0.02
+)
+
+// expire moves requests that cannot make their aim any more behind those that can.
 func (q *Queue) expire(now time.Time) {
+	prefill := fromMS(q.typicalMSPerToken() * q.meanPrompt)
 	for _, c := range q.classes {
-		for lv := &c.levels[onTime]; len(lv.targets) > 0 && !lv.targets[0].due.After(now); {
+		for lv := &c.levels[onTime]; len(lv.targets) > 0; {
 			r := lv.targets[0]
+			if r.due.Sub(now) > min(prefill, r.due.Sub(r.arrivedAt)/2) {
+				break
+			}
 			c.remove(r)
 			c.push(r, late)
+			q.review(now, r)
 		}
 	}
 }
 
-// next returns the request that goes next.
+// next returns the request that goes next: one of a class below its floor, else one of a less
+// urgent level that is pressed and can pass, else the most urgent one.
 func (q *Queue) next(now time.Time) *request {
+	if c := q.belowFloor(now); c != nil {
+		return c.first()
+	}
+	var first *request
+	ahead, spare := 0, maxDuration // of the levels before
+	throughput := q.throughput(now)
+	prefill := fromMS(q.typicalMSPerToken() * q.meanPrompt)
 	for _, c := range q.classes {
+		if c.count == 0 {
+			continue
+		}
 		for l := range levels {
-			if r := c.head(l); r != nil {
-				return r
+			lv := &c.levels[l]
+			if lv.count == 0 {
+				continue
+			}
+			drain := fromMS(float64(ahead) / throughput)
+			slack := lv.slack(now) - prefill
+			reserve := lv.reserve()
+			if first == nil {
+				first = c.head(l)
+			} else if slack >= 0 && slack < reserve+drain && spare > prefill && (l != onTime || c.levels[returned].count == 0) {
+				return c.head(l)
 			}
+			ahead += lv.tokens
+			spare = min(spare, slack-reserve-drainFactor*fromMS(float64(ahead)/throughput))
+		}
+	}
+	return first
+}
+
+// reserve returns the time that the first request of a level to miss its target keeps in reserve.
+func (lv *level) reserve() time.Duration {
+	if len(lv.targets) == 0 {
+		return 0
+	}
+	r := lv.targets[0]
+	return time.Duration(slackShare * float64(min(limitDuration(r.Aim), r.target().Sub(r.arrivedAt))))
+}
+
+// first returns the first request of a class.
+func (c *class) first() *request {
+	for l := range levels {
+		if r := c.head(l); r != nil {
+			return r
 		}
 	}
 	return nil
 }
+
+// belowFloor returns the class furthest below its floor among those that have waited for long.
+func (q *Queue) belowFloor(now time.Time) *class {
+	var lowest *class
+	for _, c := range q.classes {
+		if c.count == 0 || c.share >= q.settings.Floor || now.Sub(c.first().submittedAt) < floorWait {
+			continue
+		}
+		if lowest == nil || c.share < lowest.share {
+			lowest = c
+		}
+	}
+	return lowest
+}
+
+// countStart counts a start in the shares of the classes.
+func (q *Queue) countStart(now time.Time, r *request) {
+	for p, c := range q.classes {
+		c.share -= startWeight * c.share
+		if p == r.priority() {
+			c.share += startWeight
+		}
+	}
+	q.rates.started.add(now, startWindow, float64(r.prompt))
+}
--- a/core/queue/owner.go
+++ b/core/queue/owner.go
@@ -24,9 +24,19 @@
 	meanPrompt float64
 	prompts    float64 // number of samples of meanPrompt, bounded
 	nextSweep  time.Time
-	decisions  []Decision
-	free       []*upstream // scratch of one pass
-	aside      []*request  // scratch of one pass
+	rates      rates
+	// usedTokens and copyTokens are the KV cache taken by requests and by copies.
+	usedTokens, copyTokens int
+	// fresh are the new requests that may still be refused for their aim; newFresh is set if one
+	// of them has not been reviewed.
+	fresh    []*request
+	newFresh bool
+	pledges  map[returnKey]pledge
+	// calmFrom is when copies may be made for running streams.
+	calmFrom  time.Time
+	decisions []Decision
+	free      []*upstream // scratch of one pass
+	aside     []*request  // scratch of one pass
 }
 
 const (
@@ -42,7 +52,7 @@
 // New returns an empty queue. The random source spreads equal upstreams and RetryAfter.
 func New(now time.Time, s Settings, rng *rand.Rand) *Queue {
 	q := &Queue{settings: s.withDefaults(), rng: rng, speeds: s.Speeds, requests: map[Key]*request{}, upstreams: map[string]*upstream{},
-		zones: map[string]*zone{}, meanPrompt: priorPromptTokens, nextSweep: now}
+		zones: map[string]*zone{}, meanPrompt: priorPromptTokens, nextSweep: now, pledges: map[returnKey]pledge{}, rates: rates{holdMS: priorHoldMS}}
 	if q.speeds == nil {
 		q.speeds = newMedianSpeeds()
 	}
@@ -106,29 +116,37 @@
 	return z
 }
 
+// releaseUpstream drops the account of an upstream that is gone; its requests end by the events
+// of their gateways.
 func (q *Queue) releaseUpstream(u *upstream) {
+	q.usedTokens -= u.usedTokens
+	q.copyTokens -= u.copyTokens
 	for _, r := range q.requests {
 		if r.at == u {
 			r.at = nil
 		}
 	}
-	u.release()
+	for _, r := range u.copies {
+		r.copyAt = nil
+	}
+	u.unread, u.copies = nil, nil
+	u.requests, u.unreadTokens, u.usedTokens, u.copyTokens = 0, 0, 0, 0
 }
 
 // refreshSpeed caches the reading speed of an upstream; comparing all upstreams must not ask
 // the estimator for each.
 func (q *Queue) refreshSpeed(now time.Time, u *upstream) {
-	tokens := max(int(q.meanPrompt), 1)
+	tokens := max(q.meanPrompt, 1)
 	ms := q.speeds.PrefillMS(now, u.ID, tokens)
 	if ms > 0 && ms < milliseconds(maxDuration) {
-		u.msPerToken = ms / float64(tokens)
+		u.msPerToken = ms / tokens
 	}
 }
 
-// sweep refreshes what changes slowly.
-func (q *Queue) sweep(now time.Time) {
+// sweep refreshes what changes slowly, and reports whether it was due.
+func (q *Queue) sweep(now time.Time) bool {
 	if now.Before(q.nextSweep) {
-		return
+		return false
 	}
 	q.nextSweep = now.Add(sweepInterval)
 	for _, u := range q.list {
@@ -137,6 +155,9 @@
 	for _, c := range q.classes {
 		c.removeIdleFlows()
 	}
+	q.sweepRates(now)
+	q.forgetPledges(now)
+	return true
 }
 
 // RemoveGateway ends all requests of a gateway: its connections are gone.
@@ -157,8 +178,8 @@
 func (q *Queue) forget(now time.Time, r *request) {
 	q.unqueue(r)
 	at, copyAt := r.at, r.copyAt
-	detach(now, r)
-	detachCopy(r)
+	q.detach(now, r)
+	q.detachCopy(r)
 	q.dropUnlisted(at)
 	q.dropUnlisted(copyAt)
 	delete(q.requests, r.key)
--- a/core/queue/place.go
+++ b/core/queue/place.go
@@ -116,10 +116,11 @@
 		q.classes[r.priority()].charge(f, r.tokens)
 	}
 	r.state = placed
-	u.attach(now, r)
+	q.attach(now, u, r)
+	q.countStart(now, r)
 	d := Decision{Key: r.key, Action: Place, Upstream: u.ID, ExpectedFirstEvent: r.readyAt.Sub(now), Explanation: explanation}
 	if holder := q.chooseCopy(now, r); holder != nil {
-		holder.attachCopy(r)
+		q.attachCopy(holder, r)
 		d.CopyHolder = holder.ID
 	}
 	q.decisions = append(q.decisions, d)
--- /dev/null
+++ b/core/queue/refuse.go
@@ -0,0 +1,267 @@
+package queue
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// reviewShare is the share of its aim within which a request is refused if it is not
+	// expected to make it.
+	reviewShare = 1.0 / 8
+	// maxBusyShare bounds the share of the throughput that is assumed to go to later arrivals
+	// that pass a request. A flood ends, so a request is not refused because it would wait for
+	// ever if it did not.
+	maxBusyShare = 0.8
+	// overShare is how far beyond an equal share an organisation's waiting requests may be
+	// before those that would be late are refused.
+	overShare = 2
+	// retryShare is the share of the time left to the deadline for which a caller follows
+	// Retry-After.
+	retryShare = 1.0 / 3
+	// retrySpread spreads the returns of callers that are refused together.
+	retrySpread = 0.25
+	// minRetryAfter is the shortest time after which another attempt makes sense, maxRetryAfter
+	// the longest that is stated to callers without a deadline.
+	minRetryAfter, maxRetryAfter = 50 * time.Millisecond, 5 * time.Second
+	// returnTolerance is how much earlier than told a caller may come back: timers and clocks
+	// differ.
+	returnTolerance = 50 * time.Millisecond
+	// returnPeriod is how long after the time that it was told a caller is remembered.
+	returnPeriod = 10 * time.Second
+	// maxReturns bounds the refused callers that are remembered, and with it the memory.
+	maxReturns = 20_000
+)
+
+// returnKey identifies a caller that was refused.
+type returnKey struct{ organisation, promptKey string }
+
+// pledge is what a refused caller was told.
+type pledge struct {
+	arrivedAt, from time.Time
+}
+
+// recognise gives a caller that was refused its original arrival if it comes back when it was
+// told to. One that comes back earlier counts as new.
+func (q *Queue) recognise(now time.Time, r *request) {
+	if r.PromptKey == "" {
+		return
+	}
+	key := returnKey{r.Organisation, r.PromptKey}
+	p, ok := q.pledges[key]
+	if !ok || now.Sub(p.from) > returnPeriod {
+		return
+	}
+	if now.Before(p.from.Add(-returnTolerance)) {
+		r.earlyBy = p.from
+		return
+	}
+	delete(q.pledges, key)
+	r.returned = true
+	if p.arrivedAt.Before(r.arrivedAt) {
+		r.arrivedAt = p.arrivedAt
+		if !r.due.IsZero() {
+			r.due = r.arrivedAt.Add(limitDuration(r.Aim))
+		}
+	}
+}
+
+// forgetPledges drops the refused callers that have not come back.
+func (q *Queue) forgetPledges(now time.Time) {
+	for key, p := range q.pledges {
+		if now.Sub(p.from) > returnPeriod {
+			delete(q.pledges, key)
+		}
+	}
+}
+
+// reviewFresh refuses new requests that cannot be served in time, the least urgent first. Each
+// is reviewed when it is submitted, and with each sweep until an eighth of its aim has passed.
+func (q *Queue) reviewFresh(now time.Time, all bool) {
+	if len(q.fresh) == 0 || !all && !q.newFresh {
+		return
+	}
+	q.newFresh = false
+	slices.SortStableFunc(q.fresh, func(a, b *request) int { return b.priority() - a.priority() })
+	kept := q.fresh[:0]
+	for _, r := range q.fresh {
+		if r.state != waiting || r.flow == nil || q.requests[r.key] != r {
+			continue
+		}
+		if all || r.reviewedAt.IsZero() {
+			q.review(now, r)
+		}
+		if r.state == waiting && q.requests[r.key] == r && now.Sub(r.submittedAt) < time.Duration(reviewShare*float64(limitDuration(r.Aim))) {
+			kept = append(kept, r)
+		}
+	}
+	clear(q.fresh[len(kept):])
+	q.fresh = kept
+}
+
+// review refuses a waiting request if it cannot be served in time and would be in the way of
+// others, or not even before its deadline.
+func (q *Queue) review(now time.Time, r *request) {
+	wait, ahead := q.expectedWait(now, r, r.level)
+	if r.reviewedAt.IsZero() {
+		r.expected = wait
+	}
+	r.reviewedAt = now
+	inTime := r.level == onTime && (r.due.IsZero() || !now.Add(wait).After(r.due))
+	switch {
+	case q.couldStart(now, r):
+	case r.earlyBy.After(now):
+		q.refuse(now, r, r.earlyBy.Sub(now), ahead)
+	case inTime:
+	case q.missesDeadline(now, r):
+		q.refuse(now, r, wait, ahead)
+	case !r.returned && r.level == onTime && q.floods(r):
+		q.refuse(now, r, wait, ahead)
+	}
+}
+
+// missesDeadline reports whether a request that is late is not expected to begin before its
+// deadline.
+func (q *Queue) missesDeadline(now time.Time, r *request) bool {
+	if r.deadline.IsZero() {
+		return false
+	}
+	wait, _ := q.expectedWait(now, r, max(r.level, lateUnless(r)))
+	return now.Add(wait).After(r.deadline)
+}
+
+// lateUnless returns the level that a request has once it has missed its aim.
+func lateUnless(r *request) levelIndex {
+	if r.returned {
+		return returned
+	}
+	return late
+}
+
+// couldStart reports whether an upstream could take a request now.
+func (q *Queue) couldStart(now time.Time, r *request) bool {
+	for _, u := range q.list {
+		if u.accepts(now) && u.suits(r) && q.mayRead(now, u) && q.fitsUnread(u, r) && q.fits(u, r.tokens) {
+			return true
+		}
+	}
+	return false
+}
+
+// floods reports whether the organisation of a request has far more waiting than the others of
+// its class.
+func (q *Queue) floods(r *request) bool {
+	c := q.classes[r.priority()]
+	flows, tokens := 0, 0
+	for _, f := range c.levels[onTime].flows.list {
+		flows++
+		tokens += f.tokens[onTime]
+	}
+	return flows > 1 && r.flow.tokens[onTime]*flows > overShare*tokens
+}
+
+// expectedWait returns the expected time to the first event of a waiting request in a level, and
+// the prompt tokens that go before it.
+func (q *Queue) expectedWait(now time.Time, r *request, l levelIndex) (time.Duration, int) {
+	p := r.priority()
+	ahead, passing := 0, p // classes whose later arrivals pass
+	for i, c := range q.classes {
+		switch {
+		case c.count == 0:
+		case i < p:
+			ahead += c.levels[returned].tokens + c.levels[onTime].tokens
+			if l == late {
+				ahead += c.levels[late].tokens
+			}
+		case i == p && l != returned:
+			ahead += c.levels[returned].tokens
+			if l == late {
+				ahead += c.levels[onTime].tokens
+			}
+		case l == late:
+			ahead += c.levels[onTime].tokens
+		}
+	}
+	if l == late {
+		passing = p + 1
+	}
+	ahead += q.aheadInLevel(r, l)
+	throughput := q.throughput(now)
+	busy := min(q.arrivalRate(now, passing)/throughput, maxBusyShare)
+	ms := float64(ahead)/(throughput*(1-busy)) + q.typicalMSPerToken()*float64(r.prompt)
+	return fromMS(min(ms, milliseconds(maxDuration))), ahead
+}
+
+// aheadInLevel returns the prompt tokens that go before a request in its level. In fair queueing
+// the other organisations are served in proportion before it, but at most all of the level is.
+func (q *Queue) aheadInLevel(r *request, l levelIndex) int {
+	lv := &q.classes[r.priority()].levels[l]
+	if r.flow == nil || r.level != l {
+		return lv.tokens
+	}
+	list := r.flow.lists[l]
+	at, _ := slices.BinarySearchFunc(list, r, earlier)
+	share := float64(at) / float64(max(len(list), 1)) * float64(r.flow.tokens[l])
+	return int(min(share*float64(len(lv.flows.list)), float64(max(lv.tokens-r.prompt, 0))))
+}
+
+// refuse refuses a request, names a time at which there is expected to be room, and remembers its
+// caller.
+func (q *Queue) refuse(now time.Time, r *request, wait time.Duration, ahead int) {
+	longest := maxRetryAfter
+	if !r.deadline.IsZero() {
+		longest = time.Duration(retryShare * float64(r.deadline.Sub(now)))
+	}
+	after := time.Duration(float64(wait) * (1 + retrySpread*q.rng.Float64()))
+	if after > longest {
+		after = time.Duration(float64(longest) * (1 - retrySpread*q.rng.Float64()))
+	}
+	after = max(after, minRetryAfter)
+	explanation := q.explain(now, r, nil)
+	explanation.AheadTokens = ahead
+	q.remember(now, r, after)
+	q.forget(now, r)
+	q.decisions = append(q.decisions, Decision{Key: r.key, Action: Refuse, RetryAfter: after, Explanation: explanation})
+}
+
+func (q *Queue) remember(now time.Time, r *request, after time.Duration) {
+	key := returnKey{r.Organisation, r.PromptKey}
+	if r.PromptKey == "" {
+		return
+	}
+	if _, known := q.pledges[key]; known && r.earlyBy.After(now) {
+		return // what it was told before still holds
+	}
+	if len(q.pledges) < maxReturns {
+		q.pledges[key] = pledge{arrivedAt: r.arrivedAt, from: now.Add(after)}
+	}
+}
+
+// refuseExpired refuses waiting requests whose deadline cannot be met any more.
+func (q *Queue) refuseExpired(now time.Time) {
+	for _, c := range q.classes {
+		for _, l := range []levelIndex{returned, late} {
+			for lv := &c.levels[l]; len(lv.targets) > 0; {
+				r := lv.targets[0]
+				if now.Add(q.fastest(r)).Before(r.deadline) {
+					break
+				}
+				q.refuse(now, r, 0, 0)
+			}
+		}
+	}
+	for i := 0; i < len(q.resumes); {
+		r := q.resumes[i]
+		if r.deadline.IsZero() || now.Before(r.deadline) {
+			i++
+			continue
+		}
+		q.refuse(now, r, 0, 0)
+	}
+}
+
+// fastest returns the time in which a request could begin if it were placed now; half of the
+// usual time, since some upstreams are faster.
+func (q *Queue) fastest(r *request) time.Duration {
+	return fromMS(q.typicalMSPerToken() * float64(r.prompt) / 2)
+}
--- a/core/queue/request.go
+++ b/core/queue/request.go
@@ -35,8 +35,13 @@
 	expected time.Duration
 	// returned is set for a caller that was refused and has come back in time.
 	returned bool
-	moves    int
-	moving   bool
+	// earlyBy is until when a caller was told to stay away that has come back before.
+	earlyBy    time.Time
+	reviewedAt time.Time
+	moves      int
+	moving     bool
+	// copyWorth is scratch of the choice of copies to drop.
+	copyWorth float64
 
 	level       levelIndex
 	flow        *flow
--- a/core/queue/room.go
+++ b/core/queue/room.go
@@ -42,6 +42,9 @@
 	return float64(u.usedTokens+u.copyTokens) / float64(u.MemoryTokens)
 }
 
+// holdPeriod is how long an upstream gets no copies after it was held for a request.
+const holdPeriod = 200 * time.Millisecond
+
 // hold keeps the upstream with the most room from requests that pass one that nothing free
 // suits, so that smaller requests do not keep a large one waiting for ever.
 func (q *Queue) hold(now time.Time, r *request) {
@@ -55,7 +58,7 @@
 		}
 	}
 	if most != nil {
-		most.held = true
+		most.held, most.heldUntil = true, now.Add(holdPeriod)
 	}
 }
 
--- a/core/queue/speed.go
+++ b/core/queue/speed.go
@@ -4,10 +4,11 @@
 
 // Speeds estimates how fast each upstream reads prompts.
 type Speeds interface {
-	// FirstEvent records that a prompt was read in a time, beside a number of running streams.
+	// FirstEvent records that a prompt was read in a time; beside is the number of prompts that
+	// may have been read before it in that time.
 	FirstEvent(now time.Time, id string, promptTokens int, took time.Duration, beside int)
 	// PrefillMS returns the expected time in milliseconds to read a number of tokens.
-	PrefillMS(now time.Time, id string, tokens int) float64
+	PrefillMS(now time.Time, id string, tokens float64) float64
 	// Forget drops what is known about an upstream.
 	Forget(id string)
 }
@@ -65,8 +66,8 @@
 	return value / (1 + by)
 }
 
-func (m *medianSpeeds) PrefillMS(_ time.Time, id string, tokens int) float64 {
-	return float64(tokens) / (m.tokensPerMS * m.ratio(id))
+func (m *medianSpeeds) PrefillMS(_ time.Time, id string, tokens float64) float64 {
+	return tokens / (m.tokensPerMS * m.ratio(id))
 }
 
 func (m *medianSpeeds) Forget(id string) { delete(m.ratios, id) }
--- a/core/queue/upstream.go
+++ b/core/queue/upstream.go
@@ -28,8 +28,10 @@
 	// pausedUntil.
 	failures    int
 	pausedUntil time.Time
-	// passing and held are scratch of one pass of decisions.
-	held bool
+	// held keeps requests that are behind another one away during one pass of decisions,
+	// heldUntil copies for longer.
+	held      bool
+	heldUntil time.Time
 }
 
 // zone is an availability zone with the times of its recent failures.
@@ -104,8 +106,9 @@
 // readingLeft returns the expected time until all prompts at the upstream are read.
 func (u *upstream) readingLeft(now time.Time) time.Duration { return max(u.readyAt.Sub(now), 0) }
 
-// attach counts a request at the upstream.
-func (u *upstream) attach(now time.Time, r *request) {
+// attach counts a request at an upstream.
+func (q *Queue) attach(now time.Time, u *upstream, r *request) {
+	q.usedTokens += r.tokens
 	r.at, r.placedAt = u, now
 	u.requests++
 	u.usedTokens += r.tokens
@@ -116,26 +119,28 @@
 }
 
 // detach ends the account of a request at its upstream.
-func detach(now time.Time, r *request) {
+func (q *Queue) detach(now time.Time, r *request) {
 	u := r.at
 	if u == nil {
 		return
 	}
 	r.at = nil
+	q.usedTokens -= r.tokens
 	u.requests--
 	u.usedTokens -= r.tokens
 	u.removeUnread(now, r)
 }
 
-// attachCopy counts the copy of a request at the upstream.
-func (u *upstream) attachCopy(r *request) {
+// attachCopy counts the copy of a request at an upstream.
+func (q *Queue) attachCopy(u *upstream, r *request) {
+	q.copyTokens += r.tokens
 	r.copyAt = u
 	u.copies = append(u.copies, r)
 	u.copyTokens += r.tokens
 }
 
 // detachCopy ends the account of a request's copy.
-func detachCopy(r *request) {
+func (q *Queue) detachCopy(r *request) {
 	u := r.copyAt
 	if u == nil {
 		return
@@ -143,14 +148,5 @@
 	r.copyAt = nil
 	u.copies = slices.DeleteFunc(u.copies, func(o *request) bool { return o == r })
 	u.copyTokens -= r.tokens
-}
-
-// release drops all accounts of an upstream that is gone; its requests end by the events of
-// their gateways.
-func (u *upstream) release() {
-	for _, r := range u.copies {
-		r.copyAt = nil
-	}
-	u.unread, u.copies = nil, nil
-	u.requests, u.unreadTokens, u.usedTokens, u.copyTokens = 0, 0, 0, 0
+	q.copyTokens -= r.tokens
 }
