--- a/core/queue/copies.go
+++ b/core/queue/copies.go
@@ -62,9 +62,14 @@
 
 // affected returns the weighted number of requests that wait for room or are about to: those
 // that the expected demand exceeds the room by.
-func (q *Queue) affected(now time.Time, tokens int) float64 {
+// Copies of less urgent classes do not count, since they go first.
+func (q *Queue) affected(now time.Time, tokens, priority int) float64 {
+	copies := 0
+	for p := range priority + 1 {
+		copies += q.copyTokens[p]
+	}
 	streams := max(float64(q.usedTokens), perMS(&q.rates.kvArrived, now, arrivalWindow)*q.holdTime(now))
-	excess := streams + float64(q.copyTokens+tokens) - memoryHeadroom*q.rates.memory
+	excess := streams + float64(copies+tokens) - memoryHeadroom*q.rates.memory
 	return q.waitingWeight() + max(excess, 0)/max(float64(tokens), 1)
 }
 
@@ -89,7 +94,7 @@
 		return nil
 	}
 	rest := q.restMS(now, r)
-	if q.copyWorth(now, r, rest) <= q.roomCost(now, r.tokens, rest, q.affected(now, r.tokens)) {
+	if q.copyWorth(now, r, rest) <= q.roomCost(now, r.tokens, rest, q.affected(now, r.tokens, r.priority())) {
 		return nil
 	}
 	return q.copyHolder(now, r)
@@ -114,10 +119,7 @@
 // be placed for lack of KV cache and the wait of all costs more than these copies are worth. It
 // returns the upstream, or nil.
 func (q *Queue) makeRoom(now time.Time, r *request) *upstream {
-	if q.copyTokens == 0 {
-		return nil
-	}
-	limit := q.roomCost(now, r.tokens, q.holdTime(now), q.affected(now, r.tokens))
+	limit := q.roomCost(now, r.tokens, q.holdTime(now), q.affected(now, r.tokens, r.priority()))
 	var best *upstream
 	lowest := limit
 	for _, u := range q.free {
@@ -217,7 +219,7 @@
 		if rest < minCopyRest*hold {
 			continue
 		}
-		gain := q.copyWorth(now, r, rest) - makeCopyFactor*q.roomCost(now, r.tokens, rest, q.affected(now, r.tokens))
+		gain := q.copyWorth(now, r, rest) - makeCopyFactor*q.roomCost(now, r.tokens, rest, q.affected(now, r.tokens, r.priority()))
 		if gain > highest || gain == highest && best != nil && r.seq < best.seq {
 			best, highest = r, gain
 		}
--- a/core/queue/decide.go
+++ b/core/queue/decide.go
@@ -38,6 +38,9 @@
 		if u == nil {
 			u = q.makeRoom(now, r)
 		}
+		if u != nil && q.betterToWait(now, r, u) {
+			break
+		}
 		if u != nil {
 			q.place(now, r, u)
 			q.findFreeAfter(now, u)
--- a/core/queue/move.go
+++ b/core/queue/move.go
@@ -46,6 +46,7 @@
 		return
 	}
 	r.moving = true
+	r.at.pause(now, q.settings.BrokenPause)
 	r.moves++
 	q.decisions = append(q.decisions, Decision{Key: r.key, Action: Move, Upstream: r.at.ID, Explanation: q.explain(now, r, r.at)})
 }
--- a/core/queue/owner.go
+++ b/core/queue/owner.go
@@ -25,8 +25,9 @@
 	prompts    float64 // number of samples of meanPrompt, bounded
 	nextSweep  time.Time
 	rates      rates
-	// usedTokens and copyTokens are the KV cache taken by requests and by copies.
-	usedTokens, copyTokens int
+	// usedTokens is the KV cache taken by requests, copyTokens that by the copies of each class.
+	usedTokens int
+	copyTokens [priorities]int
 	// fresh are the new requests that may still be refused for their aim; newFresh is set if one
 	// of them has not been reviewed.
 	fresh    []*request
@@ -120,16 +121,15 @@
 // of their gateways.
 func (q *Queue) releaseUpstream(u *upstream) {
 	q.usedTokens -= u.usedTokens
-	q.copyTokens -= u.copyTokens
 	for _, r := range q.requests {
 		if r.at == u {
 			r.at = nil
 		}
 	}
-	for _, r := range u.copies {
-		r.copyAt = nil
+	for len(u.copies) > 0 {
+		q.detachCopy(u.copies[0])
 	}
-	u.unread, u.copies = nil, nil
+	u.unread = nil
 	u.requests, u.unreadTokens, u.usedTokens, u.copyTokens = 0, 0, 0, 0
 }
 
--- a/core/queue/place.go
+++ b/core/queue/place.go
@@ -23,6 +23,38 @@
 	jitterMS = 6
 )
 
+const (
+	// slowFactor is how much slower than usual an upstream is that may be left idle while others
+	// are expected to start all that wait sooner.
+	slowFactor = 1.2
+	// waitGain is the least gain, as a share of the typical prefill time, for which a request
+	// waits for a faster upstream.
+	waitGain = 0.1
+)
+
+// betterToWait reports whether all that wait, and all that arrive meanwhile, are expected to begin
+// at upstreams that still read before this request would begin at a slow one that is free.
+func (q *Queue) betterToWait(now time.Time, r *request, u *upstream) bool {
+	typical := q.typicalMSPerToken()
+	if u.msPerToken < slowFactor*typical {
+		return false
+	}
+	begins := u.readingLeft(now) + u.prefill(r.prompt) - fromMS(waitGain*typical*float64(r.prompt))
+	arrivals := q.arrivalRate(now, priorities) * milliseconds(begins) / q.meanPrompt
+	starts, need := 0, q.waiting()+int(arrivals)
+	for _, v := range q.list {
+		left := v.readyAt.Sub(now)
+		if len(v.unread) == 0 || left < 0 || v.msPerToken >= u.msPerToken || !v.accepts(now) || !v.suits(r) || !q.fits(v, r.tokens) {
+			continue
+		}
+		starts += int((begins - left) / max(v.prefill(r.prompt), 1))
+		if starts >= need {
+			return true
+		}
+	}
+	return false
+}
+
 // findFree lists the upstreams that may be given a prompt now.
 func (q *Queue) findFree(now time.Time) {
 	q.free = q.free[:0]
--- a/core/queue/played_test.go
+++ b/core/queue/played_test.go
@@ -39,6 +39,7 @@
 	tokensPerTick = 40.0 // 8 in a millisecond
 	eventTicks    = 8.0  // 5 tokens of 8 ms
 	events        = 120
+	copyLag       = 400  // tokens that a copy lacks
 	whileReading  = 0.25 // of running streams while a prompt is read
 )
 
@@ -56,6 +57,9 @@
 	paused            bool // the answer was interrupted for longer than a reader bears
 	attempts          int
 	excluded          []string
+	placedAt          time.Time
+	at                string
+	resumesAt         string // the holder of the copy from which the stream resumes
 }
 
 // run is a stream at a server.
@@ -63,6 +67,7 @@
 	c           *caller
 	id          uint64
 	left        float64 // prompt tokens to read
+	sentAt      time.Time
 	events      float64
 	begun, over bool
 	copyAt      string
@@ -200,25 +205,20 @@
 	c := p.waiting[d.Key]
 	delete(p.waiting, d.Key)
 	s := p.servers[d.Upstream]
-	r := &run{c: c, id: d.ID, left: 8200, copyAt: d.CopyHolder}
+	c.placedAt, c.at = p.now, d.Upstream
+	r := &run{c: c, id: d.ID, left: 8200, copyAt: d.CopyHolder, sentAt: p.now}
 	p.runs[d.Key] = r
 	if !s.up {
 		p.broken(r)
 		return
 	}
-	if c.begunOnce() && c.excludedBy(s.ID) == "copy" {
-		r.left = 400
+	if c.resumesAt == s.ID {
+		r.left = copyLag
 	}
 	s.queue = append(s.queue, r)
 }
 
 func (c *caller) begunOnce() bool { return !c.begun.IsZero() }
-func (c *caller) excludedBy(id string) string {
-	if c.key == "copy:"+id {
-		return "copy"
-	}
-	return ""
-}
 
 // broken ends a stream whose server was lost; its gateway resumes it.
 func (p *play) broken(r *run) {
@@ -228,18 +228,16 @@
 	r.over = true
 	p.tell(c.gateway, Event{Kind: Ended, ID: r.id, Outcome: Broken})
 	preferred := ""
+	c.resumesAt = ""
 	if r.begun && r.copyAt != "" && p.servers[r.copyAt].up {
 		preferred = r.copyAt
-		c.key = "copy:" + preferred
+		c.resumesAt = preferred
 	} else if r.begun {
 		c.paused = true
 	}
 	p.submit(c, c.begunOnce(), preferred)
 }
 
-// memory returns the KV cache taken at a server, copies excluded.
-func (s *server) memory() int { return 8800 * (len(s.runs) + len(s.queue)) }
-
 func (p *play) step(s *server) {
 	if !s.up || p.freeze == s.ID && p.now.Sub(start).Seconds() >= p.freezeAt {
 		return
@@ -275,16 +273,7 @@
 	if r.c.begun.IsZero() {
 		r.c.begun = p.now
 	}
-	p.tell(r.c.gateway, Event{Kind: Begun, ID: r.id, Took: fromMS((8200 - 0) / 8.0 / p.serverOf(r).speed)})
-}
-
-func (p *play) serverOf(r *run) *server {
-	for _, s := range p.order {
-		if slices.Contains(s.runs, r) {
-			return s
-		}
-	}
-	return nil
+	p.tell(r.c.gateway, Event{Kind: Begun, ID: r.id, Took: p.now.Sub(r.sentAt)})
 }
 
 func (p *play) down(s *server) {
@@ -417,3 +406,18 @@
 	any := p.share(k, from, to, p.served)
 	return full + (any-full)/2
 }
+
+// firstEvent returns a quantile of the time to the first event in seconds.
+func (p *play) firstEvent(quantile, from, to float64) float64 {
+	var list []float64
+	for _, c := range p.callers {
+		if s := c.arrived.Sub(start).Seconds(); s >= from && s < to {
+			list = append(list, 100)
+			if c.begunOnce() {
+				list[len(list)-1] = c.begun.Sub(c.arrived).Seconds()
+			}
+		}
+	}
+	slices.Sort(list)
+	return list[int(quantile*float64(len(list)-1))]
+}
--- a/core/queue/speed.go
+++ b/core/queue/speed.go
@@ -17,60 +17,64 @@
 	// priorTokensPerMS applies until there are samples: a model of 70 billion parameters on
 	// current accelerators.
 	priorTokensPerMS = 8
-	// serviceStep and upstreamStep are the relative changes by one sample. The service gets the
-	// samples of all its upstreams, so each of them counts less.
-	serviceStep, upstreamStep = 0.02, 0.08
-	// minTokensPerMS and maxTokensPerMS bound the speed of a service, minRatio and maxRatio that
-	// of an upstream relative to its service.
+	// serviceStep and upstreamStep bound the relative change by one sample. The service gets the
+	// samples of all its upstreams, so each of them counts less. The first sample of an upstream
+	// may change it by firstStep, the n-th by an n-th of that.
+	serviceStep, upstreamStep, firstStep = 0.02, 0.08, 0.4
+	// minTokensPerMS and maxTokensPerMS bound a speed.
 	minTokensPerMS, maxTokensPerMS = 0.1, 1000
-	minRatio, maxRatio             = 0.1, 10
 	// minSampleTokens is the smallest prompt whose time says something about the speed; that of
 	// a smaller one is mostly the time that messages travel.
 	minSampleTokens = 64
 )
 
-// medianSpeeds follows the median speed of the service, and of each upstream relative to it.
-// Each sample moves an estimate by a bounded factor, so single odd samples do little.
+// estimate is a speed in tokens per millisecond.
+type estimate struct{ tokensPerMS, samples float64 }
+
+// add moves the estimate towards a sample, by at most a factor, so that single odd samples do
+// little.
+func (e *estimate) add(sample, by, first float64) {
+	e.samples++
+	by = 1 + max(by, first/e.samples)
+	sample = min(max(sample, e.tokensPerMS/by), e.tokensPerMS*by)
+	e.tokensPerMS = min(max(sample, minTokensPerMS), maxTokensPerMS)
+}
+
+// medianSpeeds follows the speed of each upstream, which starts at the median of the service.
 type medianSpeeds struct {
-	tokensPerMS float64
-	samples     float64
-	ratios      map[string]float64
+	service   estimate
+	upstreams map[string]estimate
 }
 
 func newMedianSpeeds() *medianSpeeds {
-	return &medianSpeeds{tokensPerMS: priorTokensPerMS, ratios: map[string]float64{}}
+	return &medianSpeeds{service: estimate{tokensPerMS: priorTokensPerMS}, upstreams: map[string]estimate{}}
 }
 
-func (m *medianSpeeds) ratio(id string) float64 {
-	if r, ok := m.ratios[id]; ok {
-		return r
+func (m *medianSpeeds) upstream(id string) estimate {
+	if e, ok := m.upstreams[id]; ok {
+		return e
 	}
-	return 1
+	return estimate{tokensPerMS: m.service.tokensPerMS}
 }
 
+// FirstEvent implements Speeds.
 func (m *medianSpeeds) FirstEvent(_ time.Time, id string, tokens int, took time.Duration, _ int) {
 	if tokens < minSampleTokens || took <= 0 {
 		return
 	}
-	m.samples++
-	sample, ratio := float64(tokens)/milliseconds(took), m.ratio(id)
-	expected := m.tokensPerMS * ratio
-	m.tokensPerMS = min(max(step(m.tokensPerMS, sample > m.tokensPerMS, max(serviceStep, 1/m.samples)), minTokensPerMS), maxTokensPerMS)
-	m.ratios[id] = min(max(step(ratio, sample > expected, upstreamStep), minRatio), maxRatio)
-}
-
-func step(value float64, up bool, by float64) float64 {
-	if up {
-		return value * (1 + by)
-	}
-	return value / (1 + by)
+	e, sample := m.upstream(id), float64(tokens)/milliseconds(took)
+	e.add(sample, upstreamStep, firstStep)
+	m.upstreams[id] = e
+	m.service.add(sample, serviceStep, 1)
 }
 
+// PrefillMS implements Speeds.
 func (m *medianSpeeds) PrefillMS(_ time.Time, id string, tokens float64) float64 {
-	return tokens / (m.tokensPerMS * m.ratio(id))
+	return tokens / m.upstream(id).tokensPerMS
 }
 
-func (m *medianSpeeds) Forget(id string) { delete(m.ratios, id) }
+// Forget implements Speeds.
+func (m *medianSpeeds) Forget(id string) { delete(m.upstreams, id) }
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
--- a/core/queue/upstream.go
+++ b/core/queue/upstream.go
@@ -70,6 +70,11 @@
 // fail records that the upstream or the path to it failed.
 func (u *upstream) fail(now time.Time, pause time.Duration) {
 	u.zone.fail(now)
+	u.pause(now, pause)
+}
+
+// pause keeps new requests away, for longer after each further time without a first event.
+func (u *upstream) pause(now time.Time, pause time.Duration) {
 	u.pausedUntil = now.Add(pause << min(u.failures, maxPauseDoublings))
 	u.failures++
 }
@@ -133,7 +138,7 @@
 
 // attachCopy counts the copy of a request at an upstream.
 func (q *Queue) attachCopy(u *upstream, r *request) {
-	q.copyTokens += r.tokens
+	q.copyTokens[r.priority()] += r.tokens
 	r.copyAt = u
 	u.copies = append(u.copies, r)
 	u.copyTokens += r.tokens
@@ -148,5 +153,5 @@
 	r.copyAt = nil
 	u.copies = slices.DeleteFunc(u.copies, func(o *request) bool { return o == r })
 	u.copyTokens -= r.tokens
-	q.copyTokens -= r.tokens
+	q.copyTokens[r.priority()] -= r.tokens
 }
