--- a/core/queue/copies.go
+++ b/core/queue/copies.go
@@ -70,7 +70,11 @@
 	}
 	streams := max(float64(q.usedTokens), perMS(&q.rates.kvArrived, now, arrivalWindow)*q.holdTime(now))
 	excess := streams + float64(copies+tokens) - memoryHeadroom*q.rates.memory
-	return q.waitingWeight() + max(excess, 0)/max(float64(tokens), 1)
+	affected := max(excess, 0) / max(float64(tokens), 1)
+	if now.Before(q.rates.shortUntil) {
+		affected += q.waitingWeight()
+	}
+	return affected
 }
 
 // waitingWeight returns the weighted number of waiting requests.
@@ -119,6 +123,10 @@
 // be placed for lack of KV cache and the wait of all costs more than these copies are worth. It
 // returns the upstream, or nil.
 func (q *Queue) makeRoom(now time.Time, r *request) *upstream {
+	if !q.lacksRoom(r) {
+		return nil
+	}
+	q.rates.shortUntil = now.Add(shortPeriod)
 	limit := q.roomCost(now, r.tokens, q.holdTime(now), q.affected(now, r.tokens, r.priority()))
 	var best *upstream
 	lowest := limit
@@ -136,6 +144,16 @@
 	return best
 }
 
+// lacksRoom reports whether nothing but KV cache or slots keeps a request from a free upstream.
+func (q *Queue) lacksRoom(r *request) bool {
+	for _, u := range q.free {
+		if !u.held && u.suits(r) && q.fitsUnread(u, r) && !q.fits(u, r.tokens) {
+			return true
+		}
+	}
+	return false
+}
+
 // worthOfRoom returns what the copies are worth that have to go for a number of tokens to fit; ok
 // is false if they do not fit even then.
 func (q *Queue) worthOfRoom(now time.Time, u *upstream, tokens int) (worth float64, ok bool) {
--- a/core/queue/decide.go
+++ b/core/queue/decide.go
@@ -48,7 +48,6 @@
 		}
 		q.unqueue(r)
 		q.aside = append(q.aside, r)
-		q.rates.shortUntil = now.Add(shortPeriod)
 		q.hold(now, r)
 	}
 	for _, r := range q.aside {
--- a/core/queue/rates.go
+++ b/core/queue/rates.go
@@ -39,6 +39,9 @@
 	// readSlowdown is the share of its speed that a running stream loses while its upstream
 	// reads a prompt.
 	readSlowdown = 0.75
+	// maxReadShare bounds the expected share of time in which upstreams read. KV cache runs out
+	// before they read all the time.
+	maxReadShare = 0.85
 	// shortPeriod is how long the lack of KV cache counts after it was seen.
 	shortPeriod = 500 * time.Millisecond
 	// minThroughputShare bounds the estimate of starts from below, as a share of the reading
@@ -90,7 +93,7 @@
 // speedWhileReading returns the mean speed of running streams, as a share of their speed beside no
 // reading.
 func (q *Queue) speedWhileReading(now time.Time) float64 {
-	busy := min(q.arrivalRate(now, priorities)/max(q.rates.capacity, 1e-3), 1)
+	busy := min(q.arrivalRate(now, priorities)/max(q.rates.capacity, 1e-3), maxReadShare)
 	return 1 - readSlowdown*busy
 }
 
@@ -104,7 +107,7 @@
 	held := 0
 	for _, u := range q.list {
 		held += u.requests
-		if u.accepts(now) {
+		if u.Accepts { // one that pauses after a failure is back soon
 			s.readers++
 			s.capacity += 1 / u.msPerToken
 			s.memory += float64(q.memoryBound(u))
