--- a/modules/gateway/queue_copy.go
+++ b/modules/gateway/queue_copy.go
@@ -68,3 +68,12 @@
 	c.reported = c.holder.ID
 	c.stream.ticket.recordCopy(c.holder.ID)
 }
+
+// backupTo returns the address of the upstream to which the upstream of an attempt copies its KV
+// cache by itself.
+func (s *streamRequest) backupTo(a *attempt) string {
+	if s.queued() {
+		return ""
+	}
+	return a.choice.Backup.Addr
+}
--- a/modules/gateway/stream.go
+++ b/modules/gateway/stream.go
@@ -285,7 +285,7 @@
 
 // attemptRequest returns the request for an attempt.
 func (s *streamRequest) attemptRequest(a *attempt) *outgoingRequest {
-	f := dialect.Forward{LastEventID: dialect.NoEvent, BackupTo: a.choice.Backup.Addr, Urgency: &s.priority}
+	f := dialect.Forward{LastEventID: dialect.NoEvent, BackupTo: s.backupTo(a), Urgency: &s.priority}
 	if last, hasEvents := s.relay.LastEvent(); hasEvents {
 		f.LastEventID = last
 	}
