dispatch: place by the speed of each upstream

The estimates of a service hold for an upstream of median speed; core/speed gives the factor for each other one. An upstream that is not expected to keep a stream's longest pause costs as much as one that does not answer. Gateways do not call health paths, so the header of these is not read.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -81,6 +81,9 @@
 	// Continues is set if the caller has already received a part of the answer. Limits of
 	// upstreams treat the request as most urgent.
 	Continues bool
+	// MaxEventGap is the longest pause between two events of the stream that counts as on
+	// time, zero if there is none.
+	MaxEventGap time.Duration
 	// WithoutAsking excludes the upstreams for which a grant would have to be asked.
 	WithoutAsking bool
 }
@@ -180,6 +183,9 @@
 	backoff signal.Backoff
 	// limit is the limit that the upstream has named.
 	limit throttle.Limit
+	// slow is the result of slowness, as of slownessAt; zero before the first.
+	slow       float64
+	slownessAt time.Time
 }
 
 // otherLoad is the load that other gateways cause at an upstream.
@@ -202,7 +208,11 @@
 	// uncontended is set if no other request was known to wait or to be prefilled at the
 	// upstream, so that the time to the answer measures the upstream's own speed.
 	uncontended bool
-	permit      breaker.Permit
+	// beside is the number of prompts that were known to be prefilled before it. cached is set
+	// if its own prompt may have been in the cache.
+	beside int
+	cached bool
+	permit breaker.Permit
 }
 
 // Fleet is one gateway's view of the upstreams of all services.
@@ -283,6 +293,7 @@
 func (f *Fleet) remove(u *upstream) {
 	delete(f.byID, u.ID)
 	f.removeFromLists(u)
+	u.estimate.speeds.Forget(u.ID)
 }
 
 // Len returns the number of upstreams that may get work.
@@ -357,8 +368,8 @@
 // prefilled, or the complete answer of a plain call. The breaker counts it as a success.
 func (f *Fleet) RecordStarted(now time.Time, ticket uint64) {
 	if p := f.tickets[ticket]; p != nil {
-		if p.uncontended && p.stream && !p.prefilled {
-			p.upstream.estimate.addFirstEvent(p.promptTokens, now.Sub(p.sentAt))
+		if p.stream && !p.prefilled {
+			p.recordFirstEvent(now)
 		}
 		p.prefilled = true
 		p.upstream.breaker.Record(now, p.permit, breaker.Succeeded)
@@ -382,9 +393,7 @@
 	u := p.upstream
 	if !p.stream && ok {
 		u.estimate.retryDelays.recordAnswer(now)
-		if p.uncontended {
-			u.estimate.addCall(now.Sub(p.sentAt))
-		}
+		p.recordCall(now)
 	}
 	u.failureRate = u.failureRateAt(now)
 	u.failureRate += failureSampleWeight * (sample - u.failureRate)
--- a/core/dispatch/estimate.go
+++ b/core/dispatch/estimate.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"heatherway.dev/core/speed"
+)
 
 // This file estimates the performance of the upstreams of a service from their answers,
 // since models, accelerators and prompt sizes of a deployment are not known in advance.
@@ -35,10 +39,12 @@
 	firstEventSamples, promptSamples, callSamples float64
 	// retryDelays spreads the retries of refused plain calls.
 	retryDelays retrySpreader
+	// speeds tells how far each upstream differs from the others.
+	speeds *speed.Estimator
 }
 
 func newEstimate() *estimate {
-	return &estimate{tokensPerMS: priorTokensPerMS, meanPrompt: priorPromptTokens, meanCallMS: priorCallMS}
+	return &estimate{tokensPerMS: priorTokensPerMS, meanPrompt: priorPromptTokens, meanCallMS: priorCallMS, speeds: speed.New(speed.Settings{})}
 }
 
 // prefillMS returns the time in milliseconds to prefill a number of tokens.
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -38,11 +38,12 @@
 	}
 	best.limit.Take(now)
 	prefillWait, est := best.prefillTime(now), best.estimate
-	wait := prefillWait + time.Duration(est.prefillMS(float64(req.PromptTokens))*float64(time.Millisecond))
+	wait := prefillWait + time.Duration(best.prefillMS(now, float64(req.PromptTokens))*float64(time.Millisecond))
 	f.lastTicket++
 	p := &placement{id: req.ID, upstream: best, tokens: req.tokens(est), promptTokens: req.PromptTokens, sentAt: now, stream: req.Stream, permit: permit}
 	if req.Stream {
-		p.uncontended = prefillWait == 0 && req.Preferred == "" && req.CachedAt == ""
+		p.beside, p.cached = best.beside(now), req.Preferred != "" || req.CachedAt != ""
+		p.uncontended = prefillWait == 0 && !p.cached
 		est.addPrompt(best.limitPrompt(req.PromptTokens))
 	} else {
 		p.uncontended = len(best.inFlight) == 0 && best.others.requests == 0
@@ -237,11 +238,13 @@
 // otherLoadMS returns the cost of the load of other gateways for a new stream, according
 // to the last report.
 func (u *upstream) otherLoadMS(now time.Time) float64 {
-	return u.estimate.prefillMS(u.otherPrefillTokens(now)) + u.runningCostMS()*float64(u.others.requests)
+	return u.prefillMS(now, u.otherPrefillTokens(now)) + u.runningCostMS(now)*float64(u.others.requests)
 }
 
 // runningCostMS returns the cost in milliseconds of one running stream for a new one.
-func (u *upstream) runningCostMS() float64 { return runningCostShare * u.estimate.typicalPrefillMS() }
+func (u *upstream) runningCostMS(now time.Time) float64 {
+	return runningCostShare * u.estimate.typicalPrefillMS() * u.slowness(now)
+}
 
 // cost estimates the cost in milliseconds of placing a request at an upstream.
 func (f *Fleet) cost(now time.Time, req *Request, u *upstream, baseline baseline) float64 {
@@ -260,9 +263,10 @@
 		cost -= cachedGainFactor * u.estimate.prefillMS(float64(req.PromptTokens))
 	}
 	cost += failureRateCostMS * max(u.failureRateAt(now)-baseline.failureRate-failureRateTolerance, 0)
+	cost += u.slownessCostMS(now, req)
 	weight := u.reportWeight(now)
 	if !req.Stream {
-		return cost + u.estimate.meanCallMS*(float64(len(u.inFlight))+float64(u.others.requests)*weight)
+		return cost + u.callMS(now)*(float64(len(u.inFlight))+float64(u.others.requests)*weight)
 	}
 	if u.engineSettings != nil && u.engineSettings.MemoryTokens > 0 {
 		cost += kvCacheCostShare * u.estimate.typicalPrefillMS() * u.used(now) / float64(u.engineSettings.MemoryTokens)
@@ -277,7 +281,7 @@
 	// An upstream without a report is likely to be as loaded as those of its zone that
 	// have reported.
 	cost += weight*u.otherLoadMS(now) + (1-weight)*baseline.otherLoadMS[u.Zone]
-	return cost + u.runningCostMS()*float64(len(u.inFlight)) + u.ownPrefillMS(now)
+	return cost + u.runningCostMS(now)*float64(len(u.inFlight)) + u.ownPrefillMS(now)
 }
 
 const (
@@ -328,7 +332,7 @@
 
 // prefillTime returns the time until all prompts sent to the upstream are prefilled.
 func (u *upstream) prefillTime(now time.Time) time.Duration {
-	ms := u.ownPrefillMS(now) + u.reportWeight(now)*u.estimate.prefillMS(u.otherPrefillTokens(now))
+	ms := u.ownPrefillMS(now) + u.reportWeight(now)*u.prefillMS(now, u.otherPrefillTokens(now))
 	return time.Duration(ms * float64(time.Millisecond))
 }
 
@@ -340,9 +344,9 @@
 		if p.prefilled || !p.stream {
 			continue
 		}
-		tokens += max(float64(p.promptTokens)-u.estimate.prefillTokens(now.Sub(p.sentAt)), 0)
+		tokens += max(float64(p.promptTokens)-u.prefillTokens(now, now.Sub(p.sentAt)), 0)
 	}
-	return u.estimate.prefillMS(tokens)
+	return u.prefillMS(now, tokens)
 }
 
 // chooseBackup chooses the upstream for a backup: one of the same software version in another
--- a/core/dispatch/report.go
+++ b/core/dispatch/report.go
@@ -25,7 +25,7 @@
 	if u.reportedAt.IsZero() {
 		return 0
 	}
-	return max(float64(u.others.prefillTokens)-u.estimate.prefillTokens(now.Sub(u.reportedAt)), 0)
+	return max(float64(u.others.prefillTokens)-u.prefillTokens(now, now.Sub(u.reportedAt)), 0)
 }
 
 // DecodingRequest is a running request that has produced its first event.
--- a/modules/dialect/dialect.go
+++ b/modules/dialect/dialect.go
@@ -95,7 +95,12 @@
 }
 
 // Occupancy is the load that an upstream reports.
-type Occupancy struct{ Running, Waiting, Slots int }
+type Occupancy struct {
+	Running, Waiting, Slots int
+	// Slowness is how long work takes there at the moment, in per cent of the usual. It changes
+	// many times a second, and is zero if the upstream does not state it.
+	Slowness float64
+}
 
 // Response is the information that heatherway takes from an upstream's response headers.
 type Response struct {
--- a/modules/gateway/place.go
+++ b/modules/gateway/place.go
@@ -18,7 +18,8 @@
 		Service: c.service.Name, Stream: c.route.Kind == routing.Stream,
 		PromptTokens: c.req.PromptTokens, OutputTokens: c.outputTokens(), Tried: c.tried,
 		Affinity: c.req.PromptKey, ID: c.req.ID, Priority: c.priority, Organisation: c.organisationName(),
-		Continues: c.responseStarted || c.req.LastEventID != dialect.NoEvent,
+		MaxEventGap: c.route.MaxEventGap,
+		Continues:   c.responseStarted || c.req.LastEventID != dialect.NoEvent,
 	}
 }
 
--- a/modules/gateway/plain.go
+++ b/modules/gateway/plain.go
@@ -280,6 +280,9 @@
 		case !failed:
 			s.fleet.RecordStarted(now, ticket)
 		}
+		if load != nil { // before the answer, which confirms or contradicts the figure
+			s.fleet.RecordStatedSlowness(now, ticket, load.Slowness)
+		}
 		if !inconclusive && !notRun {
 			s.fleet.RecordAnswer(now, ticket, succeeded)
 		}
--- a/modules/gateway/reader.go
+++ b/modules/gateway/reader.go
@@ -6,6 +6,7 @@
 	"io"
 	"mime"
 	"net/http"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -52,7 +53,7 @@
 		return err
 	}
 	c.startIncarnationCheck(ctx, a)
-	if !r.enqueue(ctx, readerItem{response: x.res}) {
+	if !r.enqueue(ctx, readerItem{response: x.res, at: time.Now()}) {
 		x.abandon()
 		return ctx.Err()
 	}
@@ -118,7 +119,7 @@
 			return err
 		}
 		hasEvents = hasEvents || e.hasData
-		if !r.enqueue(ctx, readerItem{event: e}) {
+		if !r.enqueue(ctx, readerItem{event: e, at: time.Now()}) {
 			x.abandon()
 			return ctx.Err()
 		}
--- a/modules/gateway/stream.go
+++ b/modules/gateway/stream.go
@@ -100,6 +100,10 @@
 	started      bool
 	events       int
 	firstEventAt time.Time
+	// spacing measures the time between the new events, and headerAt is when the head of the
+	// response was received.
+	spacing  spacingMeter
+	headerAt time.Time
 	// complete is set once the whole response has been forwarded or read.
 	complete bool
 	// continues is set if the response to the caller was started by an earlier attempt.
@@ -299,12 +303,14 @@
 type readerItem struct {
 	response *http.Response
 	event    event
+	at       time.Time // when it was read
 }
 
 // forwardItem forwards an item to the caller. It returns true when the attempt has
 // ended.
 func (s *streamRequest) forwardItem(a *attempt, item readerItem) bool {
 	if item.response != nil {
+		a.headerAt = item.at
 		return s.recordHeader(a, item.response)
 	}
 	defer s.reservation.Release(item.event.reserved)
@@ -334,6 +340,7 @@
 	}
 	a.events++
 	s.recordFirstEvent(a)
+	s.recordSpacing(a, item.at)
 	if a.events == maxEarlyEvents+1 {
 		s.recordProof(a.firstEventAt)
 	}
@@ -364,12 +371,13 @@
 		return
 	}
 	a.started, a.onlyUnidentified = true, false
-	now, ticket, load, resumed := time.Now(), a.choice.Ticket, a.meta.Load, a.fromBackup
+	now, ticket, load, resumed, headerAt := time.Now(), a.choice.Ticket, a.meta.Load, a.fromBackup, a.headerAt
 	a.firstEventAt = now
 	s.g.owner.post(func(st *state) {
 		st.fleet.RecordStarted(now, ticket)
 		if load != nil {
 			st.fleet.RecordLoad(now, ticket, load.Running, load.Waiting)
+			st.fleet.RecordStatedSlowness(headerAt, ticket, load.Slowness)
 		}
 	})
 	if !s.brokenAt.IsZero() {
