dispatch: load by speed: backlog read in order, a small share of an upstream's own slowness

Once a fleet is known to be uneven, the backlog is read in order, the estimates of all its upstreams count, and 0.18 of the own slowness counts against an upstream; running streams cost the same everywhere, since a slow upstream holds more of them for the same load. An even fleet is placed as before.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -183,9 +183,12 @@
 	backoff signal.Backoff
 	// limit is the limit that the upstream has named.
 	limit throttle.Limit
-	// slow is the result of slowness, as of slownessAt; zero before the first.
-	slow       float64
-	slownessAt time.Time
+	// slow and unevenShare are the results of slowness and uneven, as of slownessAt; slow is
+	// zero before the first.
+	slow, unevenShare float64
+	// prefilledAt is the time of the last first event of a stream of this gateway.
+	prefilledAt time.Time
+	slownessAt  time.Time
 }
 
 // otherLoad is the load that other gateways cause at an upstream.
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -238,13 +238,11 @@
 // otherLoadMS returns the cost of the load of other gateways for a new stream, according
 // to the last report.
 func (u *upstream) otherLoadMS(now time.Time) float64 {
-	return u.prefillMS(now, u.otherPrefillTokens(now)) + u.runningCostMS(now)*float64(u.others.requests)
+	return u.prefillMS(now, u.otherPrefillTokens(now)) + u.runningCostMS()*float64(u.others.requests)
 }
 
 // runningCostMS returns the cost in milliseconds of one running stream for a new one.
-func (u *upstream) runningCostMS(now time.Time) float64 {
-	return runningCostShare * u.estimate.typicalPrefillMS() * u.slowness(now)
-}
+func (u *upstream) runningCostMS() float64 { return runningCostShare * u.estimate.typicalPrefillMS() }
 
 // cost estimates the cost in milliseconds of placing a request at an upstream.
 func (f *Fleet) cost(now time.Time, req *Request, u *upstream, baseline baseline) float64 {
@@ -281,7 +279,7 @@
 	// An upstream without a report is likely to be as loaded as those of its zone that
 	// have reported.
 	cost += weight*u.otherLoadMS(now) + (1-weight)*baseline.otherLoadMS[u.Zone]
-	return cost + u.runningCostMS(now)*float64(len(u.inFlight)) + u.ownPrefillMS(now)
+	return cost + u.runningCostMS()*float64(len(u.inFlight)) + u.ownPrefillMS(now)
 }
 
 const (
@@ -346,7 +344,11 @@
 		}
 		tokens += max(float64(p.promptTokens)-u.prefillTokens(now, now.Sub(p.sentAt)), 0)
 	}
-	return u.prefillMS(now, tokens)
+	ms := u.prefillMS(now, tokens)
+	if uneven := u.uneven(now); uneven > 0 {
+		ms += uneven * (u.backlogMS(now) - ms)
+	}
+	return ms
 }
 
 // chooseBackup chooses the upstream for a backup: one of the same software version in another
--- a/core/dispatch/slowness.go
+++ b/core/dispatch/slowness.go
@@ -11,15 +11,21 @@
 // hold for an upstream of median speed; slowness is the factor for each other one.
 
 const (
-	// slownessTolerance is the difference from the median, as a logarithm, up to which an
-	// upstream counts as equal. Machines of one kind differ by less, and the estimates of
-	// equal ones by chance; twice that difference counts in full.
+	// slownessTolerance is the difference from the median, as a logarithm, up to which the
+	// upstreams of a service count as equal. Machines of one kind differ by less, and the
+	// estimates of equal ones by chance. Once one upstream differs by twice as much, the
+	// estimates of all count in full: a fleet at eight tenths of its capacity has no room for
+	// differences of 15 per cent that are ignored.
 	slownessTolerance = 0.14 // 15 per cent
 	// slownessInterval is the age at which the slowness of an upstream is looked up again.
 	slownessInterval = 100 * time.Millisecond
 	// prefillSlowdown is how much longer the events of running streams take while a prompt
 	// is prefilled beside them.
 	prefillSlowdown = 4
+	// ownSlownessShare is the share of the longer prefill of a prompt at a slow upstream that
+	// counts against it. In full, it would fill fast upstreams to their capacity while slow ones
+	// are idle, and the next peak would find no room where prompts are read fast.
+	ownSlownessShare = 0.18
 	// pauseCostMS is the cost of an upstream that is not expected to keep the longest pause
 	// of a stream, the same as of one that does not answer.
 	pauseCostMS = unreachableCostMS
@@ -28,24 +34,37 @@
 // slowness returns how much longer than at the median upstream of the service work takes, by
 // measurements; it is 1 for differences within the tolerance.
 func (u *upstream) slowness(now time.Time) float64 {
+	u.refreshSlowness(now)
+	return u.slow
+}
+
+// uneven returns the share in which differences between the upstreams of the service count: 0
+// if all are equal.
+func (u *upstream) uneven(now time.Time) float64 {
+	u.refreshSlowness(now)
+	return u.unevenShare
+}
+
+func (u *upstream) refreshSlowness(now time.Time) {
 	if age := now.Sub(u.slownessAt); age < 0 || age >= slownessInterval || u.slow == 0 {
-		u.slow, u.slownessAt = beyondTolerance(1/u.estimate.speeds.Relative(now, u.ID)), now
+		speeds := u.estimate.speeds
+		u.unevenShare = countedShare(speeds.Spread(now))
+		u.slow, u.slownessAt = math.Pow(speeds.Relative(now, u.ID), -u.unevenShare), now
 	}
-	return u.slow
 }
 
 // statedSlowness returns how much longer than usual work takes at the moment, by the
 // upstream's own statement.
 func (u *upstream) statedSlowness(now time.Time) float64 {
-	return beyondTolerance(u.estimate.speeds.StatedSlowness(now, u.ID))
+	slowness := u.estimate.speeds.StatedSlowness(now, u.ID)
+	return math.Pow(slowness, countedShare(slowness))
 }
 
-// beyondTolerance returns a ratio if it is far from 1, and 1 if it is within the tolerance.
-// Between these it changes gradually, so that no estimate jumps back and forth.
-func beyondTolerance(ratio float64) float64 {
-	log := math.Log(ratio)
-	share := (math.Abs(log) - slownessTolerance) / slownessTolerance
-	return math.Exp(log * min(max(share, 0), 1))
+// countedShare returns the share of a difference that counts. It grows gradually, so that no
+// estimate jumps back and forth at the tolerance.
+func countedShare(ratio float64) float64 {
+	share := (math.Abs(math.Log(ratio)) - slownessTolerance) / slownessTolerance
+	return min(max(share, 0), 1)
 }
 
 // prefillMS returns the time in milliseconds that the upstream takes to prefill tokens.
@@ -71,7 +90,7 @@
 	}
 	cost := 0.0
 	if req.CachedAt != u.ID && req.Preferred != u.ID {
-		cost = u.estimate.prefillMS(float64(req.PromptTokens)) * (u.slowness(now) - 1)
+		cost = ownSlownessShare * u.estimate.prefillMS(float64(req.PromptTokens)) * (u.slowness(now) - 1)
 	}
 	if !u.keepsPauses(now, req.MaxEventGap) {
 		cost += pauseCostMS
@@ -108,6 +127,7 @@
 // recordFirstEvent adds the time to the first event of a stream to the estimates.
 func (p *placement) recordFirstEvent(now time.Time) {
 	u, took := p.upstream, now.Sub(p.sentAt)
+	u.prefilledAt = now
 	if p.uncontended {
 		u.estimate.addFirstEvent(p.promptTokens, time.Duration(float64(took)/u.slowness(now)))
 	}
--- a/core/speed/level.go
+++ b/core/speed/level.go
@@ -1,6 +1,7 @@
 package speed
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -56,6 +57,7 @@
 		}
 	}
 	if len(speeds) == 0 {
+		e.spread = 0
 		return
 	}
 	slices.Sort(speeds)
@@ -65,8 +67,11 @@
 			e.levels[k].log -= middle
 		}
 	}
+	e.spread = 0
 	for _, u := range e.upstreams {
 		u.refreshedAt = time.Time{}
+		e.refresh(now, u)
+		e.spread = max(e.spread, math.Abs(u.logSpeed))
 	}
 }
 
--- a/core/speed/speed.go
+++ b/core/speed/speed.go
@@ -57,6 +57,8 @@
 	levels    [kinds]level
 	upstreams map[string]*upstream
 	centredAt time.Time
+	// spread is the largest difference of an upstream from the median, as a logarithm.
+	spread float64
 }
 
 type upstream struct {
@@ -245,6 +247,13 @@
 // evidence of a difference, more if it is faster.
 func (e *Estimator) Relative(now time.Time, id string) float64 { return math.Exp(e.logSpeed(now, id)) }
 
+// Spread returns the largest ratio between the speed of an upstream and the median, whichever
+// of them is faster: 1 if there is no evidence of any difference.
+func (e *Estimator) Spread(now time.Time) float64 {
+	e.centre(now)
+	return math.Exp(e.spread)
+}
+
 // StatedSlowness returns how much longer than usual work takes at an upstream for the next
 // moments, by its own statement as far as that is believed. It is 1 without one.
 func (e *Estimator) StatedSlowness(now time.Time, id string) float64 {
