--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -51,11 +51,12 @@
 	}
 	u.limit.Take(now)
 	prefillWait, est := u.prefillTime(now), u.estimate
-	wait := prefillWait + time.Duration(est.prefillMS(float64(req.PromptTokens))*float64(time.Millisecond))
+	wait := prefillWait + time.Duration(u.prefillMS(now, float64(req.PromptTokens))*float64(time.Millisecond))
 	f.lastTicket++
 	p := &placement{id: req.ID, upstream: u, tokens: req.tokens(est), promptTokens: req.PromptTokens, sentAt: now, stream: req.Stream, permit: permit}
 	if req.Stream {
-		p.uncontended = prefillWait == 0 && req.Preferred == "" && req.CachedAt == ""
+		p.beside, p.cached = u.beside(now), req.Preferred != "" || req.CachedAt != ""
+		p.uncontended = prefillWait == 0 && !p.cached
 		est.addPrompt(u.limitPrompt(req.PromptTokens))
 	} else {
 		p.uncontended = len(u.inFlight) == 0 && u.others.requests == 0
@@ -252,7 +253,7 @@
 // otherLoadMS returns the cost of the load of other gateways for a new stream, according
 // to the last report.
 func (u *upstream) otherLoadMS(now time.Time) float64 {
-	return u.estimate.prefillMS(u.otherPrefillTokens(now)) + u.runningCostMS()*float64(u.others.requests)
+	return u.prefillMS(now, u.otherPrefillTokens(now)) + u.runningCostMS()*float64(u.others.requests)
 }
 
 // runningCostMS returns the cost in milliseconds of one running stream for a new one.
@@ -275,9 +276,10 @@
 		cost -= cachedGainFactor * u.estimate.prefillMS(float64(req.PromptTokens))
 	}
 	cost += failureRateCostMS * max(u.failureRateAt(now)-baseline.failureRate-failureRateTolerance, 0)
+	cost += u.slownessCostMS(now, req)
 	weight := u.reportWeight(now)
 	if !req.Stream {
-		return cost + u.estimate.meanCallMS*(float64(len(u.inFlight))+float64(u.others.requests)*weight)
+		return cost + u.callMS(now)*(float64(len(u.inFlight))+float64(u.others.requests)*weight)
 	}
 	if u.engineSettings != nil && u.engineSettings.MemoryTokens > 0 {
 		cost += kvCacheCostShare * u.estimate.typicalPrefillMS() * u.used(now) / float64(u.engineSettings.MemoryTokens)
@@ -343,7 +345,7 @@
 
 // prefillTime returns the time until all prompts sent to the upstream are prefilled.
 func (u *upstream) prefillTime(now time.Time) time.Duration {
-	ms := u.ownPrefillMS(now) + u.reportWeight(now)*u.estimate.prefillMS(u.otherPrefillTokens(now))
+	ms := u.ownPrefillMS(now) + u.reportWeight(now)*u.prefillMS(now, u.otherPrefillTokens(now))
 	return time.Duration(ms * float64(time.Millisecond))
 }
 
@@ -355,9 +357,13 @@
 		if p.prefilled || !p.stream {
 			continue
 		}
-		tokens += max(float64(p.promptTokens)-u.estimate.prefillTokens(now.Sub(p.sentAt)), 0)
+		tokens += max(float64(p.promptTokens)-u.prefillTokens(now, now.Sub(p.sentAt)), 0)
 	}
-	return u.estimate.prefillMS(tokens)
+	ms := u.prefillMS(now, tokens)
+	if uneven := u.uneven(now); uneven > 0 {
+		ms += uneven * (u.backlogMS(now) - ms)
+	}
+	return ms
 }
 
 // chooseBackup chooses the upstream for a backup: one of the same software version in another
