--- a/core/queue/flow.go
+++ b/core/queue/flow.go
@@ -40,6 +40,14 @@
 	return true
 }
 
+// total returns the tokens that wait.
+func (f *flow) total() (sum int) {
+	for _, tokens := range f.tokens {
+		sum += tokens
+	}
+	return sum
+}
+
 // flowHeap holds the flows that have requests in one level.
 type flowHeap struct {
 	list  []*flow
--- a/core/queue/played_test.go
+++ b/core/queue/played_test.go
@@ -52,9 +52,8 @@
 	arrived           time.Time
 	begun, finished   time.Time
 	refusals          int
-	refusedAfter      time.Duration
-	toldAt            time.Time
-	paused            bool // the answer was interrupted for longer than a reader bears
+	firstRefused      time.Duration // after its arrival
+	paused            bool          // the answer was interrupted for longer than a reader bears
 	attempts          int
 	excluded          []string
 	placedAt          time.Time
@@ -161,7 +160,9 @@
 		c := p.waiting[d.Key]
 		delete(p.waiting, d.Key)
 		c.refusals++
-		c.refusedAfter, c.toldAt = p.now.Sub(c.arrived), p.now.Add(d.RetryAfter)
+		if c.refusals == 1 {
+			c.firstRefused = p.now.Sub(c.arrived)
+		}
 		if c.refusals == 1 && d.RetryAfter <= c.arrived.Add(25*time.Second).Sub(p.now)/3 {
 			p.after(d.RetryAfter+hop, func() { p.submit(c, false, "") })
 		}
--- a/core/queue/rates.go
+++ b/core/queue/rates.go
@@ -81,13 +81,25 @@
 	return sum
 }
 
-// throughput returns the prompt tokens per millisecond that can be started.
+// throughput returns the prompt tokens per millisecond that can be started. Where KV cache is
+// short, these are what was started lately or, if more, what the streams that end on average
+// make room for: streams that began together also end together.
 func (q *Queue) throughput(now time.Time) float64 {
 	capacity := max(q.rates.capacity, 1e-3)
 	if !now.Before(q.rates.shortUntil) {
 		return capacity
 	}
-	return min(max(perMS(&q.rates.started, now, startWindow), minThroughputShare*capacity), capacity)
+	steady := q.rates.memory / max(q.holdTime(now), 1) * q.promptShare(now)
+	return min(max(perMS(&q.rates.started, now, startWindow), steady, minThroughputShare*capacity), capacity)
+}
+
+// promptShare returns the share of prompts in the tokens that arrive.
+func (q *Queue) promptShare(now time.Time) float64 {
+	all := perMS(&q.rates.kvArrived, now, arrivalWindow)
+	if all <= 0 {
+		return 1
+	}
+	return min(q.arrivalRate(now, priorities)/all, 1)
 }
 
 // speedWhileReading returns the mean speed of running streams, as a share of their speed beside no
--- a/core/queue/refuse.go
+++ b/core/queue/refuse.go
@@ -39,6 +39,9 @@
 // pledge is what a refused caller was told.
 type pledge struct {
 	arrivedAt, from time.Time
+	// flooded is set if the organisation had far more waiting than others. Its callers go
+	// before its own later ones only, so that others do not pay for its flood.
+	flooded bool
 }
 
 // recognise gives a caller that was refused its original arrival if it comes back when it was
@@ -57,7 +60,7 @@
 		return
 	}
 	delete(q.pledges, key)
-	r.returned = true
+	r.pledged, r.returned = true, !p.flooded
 	if p.arrivedAt.Before(r.arrivedAt) {
 		r.arrivedAt = p.arrivedAt
 		if !r.due.IsZero() {
@@ -115,7 +118,7 @@
 	case inTime:
 	case q.missesDeadline(now, r):
 		q.refuse(now, r, wait, ahead)
-	case !r.returned && r.level == onTime && q.floods(r):
+	case !r.pledged && r.level == onTime && q.floods(r):
 		q.refuse(now, r, wait, ahead)
 	}
 }
@@ -152,12 +155,18 @@
 // its class.
 func (q *Queue) floods(r *request) bool {
 	c := q.classes[r.priority()]
-	flows, tokens := 0, 0
-	for _, f := range c.levels[onTime].flows.list {
+	flows, tokens, own := 0, 0, 0
+	for _, f := range c.flows {
+		if f.idle() {
+			continue
+		}
 		flows++
-		tokens += f.tokens[onTime]
+		tokens += f.total()
+		if f == r.flow {
+			own = f.total()
+		}
 	}
-	return flows > 1 && r.flow.tokens[onTime]*flows > overShare*tokens
+	return flows > 1 && own*flows > overShare*tokens
 }
 
 // expectedWait returns the expected time to the first event of a waiting request in a level, and
@@ -196,13 +205,19 @@
 // the other organisations are served in proportion before it, but at most all of the level is.
 func (q *Queue) aheadInLevel(r *request, l levelIndex) int {
 	lv := &q.classes[r.priority()].levels[l]
-	if r.flow == nil || r.level != l {
+	if r.flow == nil {
 		return lv.tokens
 	}
-	list := r.flow.lists[l]
-	at, _ := slices.BinarySearchFunc(list, r, earlier)
-	share := float64(at) / float64(max(len(list), 1)) * float64(r.flow.tokens[l])
-	return int(min(share*float64(len(lv.flows.list)), float64(max(lv.tokens-r.prompt, 0))))
+	list, flows, total := r.flow.lists[l], len(lv.flows.list), lv.tokens
+	at := len(list)
+	if r.level == l {
+		at, _ = slices.BinarySearchFunc(list, r, earlier)
+		total -= r.prompt
+	} else if at == 0 {
+		flows++
+	}
+	own := float64(at) / float64(max(len(list), 1)) * float64(r.flow.tokens[l])
+	return int(min(own*float64(flows), float64(total)))
 }
 
 // refuse refuses a request, names a time at which there is expected to be room, and remembers its
@@ -233,7 +248,7 @@
 		return // what it was told before still holds
 	}
 	if len(q.pledges) < maxReturns {
-		q.pledges[key] = pledge{arrivedAt: r.arrivedAt, from: now.Add(after)}
+		q.pledges[key] = pledge{arrivedAt: r.arrivedAt, from: now.Add(after), flooded: r.flow != nil && q.floods(r)}
 	}
 }
 
--- a/core/queue/request.go
+++ b/core/queue/request.go
@@ -33,8 +33,9 @@
 	arrivedAt, due, deadline time.Time
 	// expected is the time to the first event that was expected when the request was submitted.
 	expected time.Duration
-	// returned is set for a caller that was refused and has come back in time.
-	returned bool
+	// pledged is set for a caller that was refused and has come back in time, returned if it
+	// also goes before new ones of its class.
+	pledged, returned bool
 	// earlyBy is until when a caller was told to stay away that has come back before.
 	earlyBy    time.Time
 	reviewedAt time.Time
