--- a/core/queue/copies.go
+++ b/core/queue/copies.go
@@ -119,18 +119,18 @@
 	return best
 }
 
-// makeRoom drops the copies least worth keeping at one of the free upstreams, if a request cannot
-// be placed for lack of KV cache and the wait of all costs more than these copies are worth. It
+// makeRoom drops the copies least worth keeping at an upstream, if a request cannot
+// be placed at one of a list for lack of KV cache and the wait of all costs more than these copies are worth. It
 // returns the upstream, or nil.
-func (q *Queue) makeRoom(now time.Time, r *request) *upstream {
-	if !q.lacksRoom(r) {
+func (q *Queue) makeRoom(now time.Time, r *request, list []*upstream) *upstream {
+	if !q.lacksRoom(r, list) {
 		return nil
 	}
 	q.rates.shortUntil = now.Add(shortPeriod)
 	limit := q.roomCost(now, r.tokens, q.holdTime(now), q.affected(now, r.tokens, r.priority()))
 	var best *upstream
 	lowest := limit
-	for _, u := range q.free {
+	for _, u := range list {
 		if u.held || !u.suits(r) || !q.fitsUnread(u, r) {
 			continue
 		}
@@ -145,8 +145,8 @@
 }
 
 // lacksRoom reports whether nothing but KV cache or slots keeps a request from a free upstream.
-func (q *Queue) lacksRoom(r *request) bool {
-	for _, u := range q.free {
+func (q *Queue) lacksRoom(r *request, list []*upstream) bool {
+	for _, u := range list {
 		if !u.held && u.suits(r) && q.fitsUnread(u, r) && !q.fits(u, r.tokens) {
 			return true
 		}
--- a/core/queue/decide.go
+++ b/core/queue/decide.go
@@ -10,6 +10,7 @@
 func (q *Queue) Decide(now time.Time) []Decision {
 	q.decisions = q.decisions[:0]
 	swept := q.sweep(now)
+	q.findFree(now)
 	q.placeResumes(now)
 	q.expire(now)
 	q.placeWaiting(now)
@@ -27,7 +28,6 @@
 	if q.waiting() == 0 {
 		return
 	}
-	q.findFree(now)
 	q.aside = q.aside[:0]
 	for len(q.free) > 0 && len(q.aside) < maxAside {
 		r := q.next(now)
@@ -36,19 +36,20 @@
 		}
 		u := q.choose(now, r, q.free)
 		if u == nil {
-			u = q.makeRoom(now, r)
+			u = q.makeRoom(now, r, q.free)
 		}
 		if u != nil && q.betterToWait(now, r, u) {
 			break
 		}
 		if u != nil {
 			q.place(now, r, u)
-			q.findFreeAfter(now, u)
 			continue
 		}
 		q.unqueue(r)
 		q.aside = append(q.aside, r)
-		q.hold(now, r)
+		if len(q.aside) == 1 {
+			q.hold(now, r)
+		}
 	}
 	for _, r := range q.aside {
 		q.classes[r.priority()].push(r, r.level)
@@ -82,18 +83,10 @@
 	if q.waiting() == 0 && len(q.resumes) == 0 {
 		return 0
 	}
-	next := idleInterval
-	for _, u := range q.list {
-		if len(u.unread) > 0 {
-			if left := u.readyAt.Sub(now) - q.settings.Lead; left > 0 {
-				next = min(next, left)
-			}
-		}
-		if left := u.pausedUntil.Sub(now); left > 0 {
-			next = min(next, left)
-		}
+	if q.freeStale {
+		return minInterval
 	}
-	return max(next, minInterval)
+	return min(max(q.freeUntil.Sub(now), minInterval), idleInterval)
 }
 
 const (
--- a/core/queue/events.go
+++ b/core/queue/events.go
@@ -43,7 +43,7 @@
 	q.addPrompt(e.Request.PromptTokens)
 	r = q.newRequest(now, key, e.Request)
 	q.requests[key] = r
-	if !r.resumes() {
+	if !r.Continues {
 		q.recognise(now, r)
 		q.rates.arrived[r.priority()].add(now, arrivalWindow, float64(r.prompt))
 		q.rates.kvArrived.add(now, arrivalWindow, float64(r.tokens))
@@ -60,6 +60,7 @@
 }
 
 func (q *Queue) requeue(now time.Time, r *request, e *Event) {
+	q.freeStale = true
 	at := r.at
 	q.detach(now, r)
 	q.dropUnlisted(at)
@@ -107,6 +108,7 @@
 		q.detach(now, r)
 		q.dropUnlisted(at)
 	}
+	q.freeStale = true
 	r.state = placed
 	if e.HasBegun {
 		r.state, r.begunAt = running, now
@@ -126,6 +128,7 @@
 	if r.copyAt != nil && r.copyAt.ID == id {
 		return
 	}
+	q.freeStale = true
 	copyAt := r.copyAt
 	q.detachCopy(r)
 	q.dropUnlisted(copyAt)
@@ -143,16 +146,17 @@
 	if u == nil {
 		return
 	}
+	q.freeStale = true
 	q.learnSpeed(now, r, e.Took)
 	u.failures = 0
-	u.removeUnread(now, r)
+	u.removeUnread(now, r, q.settings.Lead)
 }
 
 // learnSpeed takes in the time in which a prompt was read. The time for which the prompt waited
 // for another one at the upstream does not count.
 func (q *Queue) learnSpeed(now time.Time, r *request, took time.Duration) {
 	u := r.at
-	if took <= 0 || took > maxDuration || len(u.unread) == 0 || u.unread[0] != r {
+	if took <= 0 || took > maxDuration || len(u.unread) == 0 || u.unread[0] != r || r.toRead != r.prompt {
 		return
 	}
 	took -= max(u.readFrom.Sub(r.placedAt), 0)
--- a/core/queue/flow.go
+++ b/core/queue/flow.go
@@ -121,8 +121,9 @@
 	levels      [levels]level
 	virtualTime float64
 	count       int
-	// share is the class's recent share of starts.
-	share float64
+	// share is the class's recent share of starts; waitingFrom is since when it waits.
+	share       float64
+	waitingFrom time.Time
 }
 
 func newClass() *class {
--- a/core/queue/order.go
+++ b/core/queue/order.go
@@ -10,7 +10,7 @@
 	// drainFactor is how much longer than expected the more urgent requests may take to start
 	// without missing their aims because others passed.
 	drainFactor = 2
-	// floorWait is how long the first request of a class has waited before the floor counts.
+	// floorWait is how long a class has waited before its floor counts.
 	floorWait = time.Second
 	// startWeight is the weight of the newest start in the shares of the classes.
 	startWeight = 0.02
@@ -27,11 +27,16 @@
 			}
 			c.remove(r)
 			c.push(r, late)
-			q.review(now, r)
 		}
 	}
 }
 
+// place is a level of a class in the order.
+type place struct {
+	class *class
+	level levelIndex
+}
+
 // next returns the request that goes next: one of a class below its floor, else one of a less
 // urgent level that is pressed and can pass, else the most urgent one.
 func (q *Queue) next(now time.Time) *request {
@@ -42,7 +47,30 @@
 	ahead, spare := 0, maxDuration // of the levels before
 	throughput := q.throughput(now)
 	prefill := fromMS(q.typicalMSPerToken() * q.meanPrompt)
-	for _, c := range q.classes {
+	for _, p := range q.places(now, throughput) {
+		lv := &p.class.levels[p.level]
+		drain := fromMS(float64(ahead) / throughput)
+		slack := lv.slack(now) - prefill
+		reserve := lv.reserve()
+		if first == nil {
+			first = p.class.head(p.level)
+		} else if slack >= 0 && slack < reserve+drain && spare > prefill && (p.level != onTime || p.class.levels[returned].count == 0) {
+			return p.class.head(p.level)
+		}
+		ahead += lv.tokens
+		spare = min(spare, slack-reserve-drainFactor*fromMS(float64(ahead)/throughput))
+	}
+	return first
+}
+
+// places returns the levels with requests in their order. Late requests lose nothing by waiting
+// until their deadline presses, so until then they go behind those of all classes that can still
+// begin within their aim.
+func (q *Queue) places(now time.Time, throughput float64) []place {
+	q.order = q.order[:0]
+	ahead := 0
+	var patient [priorities]bool
+	for i, c := range q.classes {
 		if c.count == 0 {
 			continue
 		}
@@ -51,19 +79,20 @@
 			if lv.count == 0 {
 				continue
 			}
-			drain := fromMS(float64(ahead) / throughput)
-			slack := lv.slack(now) - prefill
-			reserve := lv.reserve()
-			if first == nil {
-				first = c.head(l)
-			} else if slack >= 0 && slack < reserve+drain && spare > prefill && (l != onTime || c.levels[returned].count == 0) {
-				return c.head(l)
-			}
 			ahead += lv.tokens
-			spare = min(spare, slack-reserve-drainFactor*fromMS(float64(ahead)/throughput))
+			if l == late && lv.slack(now) > lv.reserve()+drainFactor*fromMS(float64(ahead)/throughput) {
+				patient[i] = true
+				continue
+			}
+			q.order = append(q.order, place{c, l})
 		}
 	}
-	return first
+	for i, c := range q.classes {
+		if patient[i] {
+			q.order = append(q.order, place{c, late})
+		}
+	}
+	return q.order
 }
 
 // reserve returns the time that the first request of a level to miss its target keeps in reserve.
@@ -89,7 +118,7 @@
 func (q *Queue) belowFloor(now time.Time) *class {
 	var lowest *class
 	for _, c := range q.classes {
-		if c.count == 0 || c.share >= q.settings.Floor || now.Sub(c.first().submittedAt) < floorWait {
+		if c.count == 0 || c.share >= q.settings.Floor || now.Sub(c.waitingFrom) < floorWait {
 			continue
 		}
 		if lowest == nil || c.share < lowest.share {
--- a/core/queue/owner.go
+++ b/core/queue/owner.go
@@ -34,10 +34,19 @@
 	newFresh bool
 	pledges  map[returnKey]pledge
 	// calmFrom is when copies may be made for running streams.
-	calmFrom  time.Time
-	decisions []Decision
-	free      []*upstream // scratch of one pass
-	aside     []*request  // scratch of one pass
+	calmFrom time.Time
+	// overloadFrom is since when more arrives than can be started, or zero.
+	overloadFrom time.Time
+	decisions    []Decision
+	// free are the upstreams that may be given a prompt. The list holds until freeUntil, unless
+	// freeStale is set.
+	free      []*upstream
+	freeUntil time.Time
+	freeStale bool
+	held      []*upstream // of the last pass
+	resumable []*upstream // scratch
+	aside     []*request  // scratch
+	order     []place     // scratch
 }
 
 const (
@@ -83,7 +92,7 @@
 		}
 	}
 	slices.SortFunc(q.list, func(a, b *upstream) int { return strings.Compare(a.ID, b.ID) })
-	q.nextSweep = now
+	q.nextSweep, q.freeStale = now, true
 }
 
 func (q *Queue) setUpstream(now time.Time, in Upstream) {
@@ -156,6 +165,7 @@
 		c.removeIdleFlows()
 	}
 	q.sweepRates(now)
+	q.noticeOverload(now)
 	q.forgetPledges(now)
 	return true
 }
@@ -176,6 +186,7 @@
 
 // forget removes a request in any state.
 func (q *Queue) forget(now time.Time, r *request) {
+	q.freeStale = q.freeStale || r.at != nil || r.copyAt != nil
 	q.unqueue(r)
 	at, copyAt := r.at, r.copyAt
 	q.detach(now, r)
@@ -195,12 +206,27 @@
 // enqueue adds a request to those that wait.
 func (q *Queue) enqueue(now time.Time, r *request) {
 	r.state = waiting
-	if r.resumes() {
+	if r.Continues || q.preferred(now, r) != nil {
 		at, _ := slices.BinarySearchFunc(q.resumes, r, earlier)
 		q.resumes = slices.Insert(q.resumes, at, r)
 		return
 	}
-	q.classes[r.priority()].push(r, q.levelOf(now, r))
+	c := q.classes[r.priority()]
+	if c.count == 0 {
+		c.waitingFrom = now
+	}
+	c.push(r, q.levelOf(now, r))
+}
+
+// preferred returns the preferred upstream of a request if it accepts work.
+func (q *Queue) preferred(now time.Time, r *request) *upstream {
+	if r.Preferred == "" {
+		return nil
+	}
+	if u := q.upstreams[r.Preferred]; u != nil && u.listed && u.accepts(now) && u.suits(r) {
+		return u
+	}
+	return nil
 }
 
 // unqueue removes a request from those that wait.
--- a/core/queue/place.go
+++ b/core/queue/place.go
@@ -57,19 +57,47 @@
 
 // findFree lists the upstreams that may be given a prompt now.
 func (q *Queue) findFree(now time.Time) {
-	q.free = q.free[:0]
-	for _, u := range q.list {
+	for _, u := range q.held {
 		u.held = false
-		if u.accepts(now) && q.mayRead(now, u) {
+	}
+	q.held = q.held[:0]
+	if !q.freeStale && now.Before(q.freeUntil) {
+		return
+	}
+	q.freeStale = false
+	q.free, q.freeUntil = q.free[:0], now.Add(sweepInterval)
+	for _, u := range q.list {
+		if !u.Accepts {
+			continue
+		}
+		if u.accepts(now) && u.mayRead(now) {
 			q.free = append(q.free, u)
 		}
+		q.checkFreeAt(now, u)
+	}
+}
+
+// checkFreeAt has the list of free upstreams renewed when one of them changes with time.
+func (q *Queue) checkFreeAt(now time.Time, u *upstream) {
+	if u.pausedUntil.After(now) && u.pausedUntil.Before(q.freeUntil) {
+		q.freeUntil = u.pausedUntil
+	}
+	if len(u.unread) == 0 {
+		return
+	}
+	if u.grantFrom.After(now) {
+		if u.grantFrom.Before(q.freeUntil) {
+			q.freeUntil = u.grantFrom
+		}
+	} else if u.grantUntil.After(now) && u.grantUntil.Before(q.freeUntil) {
+		q.freeUntil = u.grantUntil
 	}
 }
 
-// findFreeAfter removes an upstream from those that are free if its last placement has filled
-// it.
-func (q *Queue) findFreeAfter(now time.Time, u *upstream) {
-	if u.accepts(now) && q.mayRead(now, u) {
+// usedUp updates the list of free upstreams after a placement.
+func (q *Queue) usedUp(now time.Time, u *upstream) {
+	q.checkFreeAt(now, u)
+	if u.accepts(now) && u.mayRead(now) {
 		return
 	}
 	if i := slices.Index(q.free, u); i >= 0 {
@@ -121,22 +149,25 @@
 // chooseResume returns the upstream for an interrupted stream: the one that holds its copy if
 // it accepts work, whatever waits there, otherwise the best one with room.
 func (q *Queue) chooseResume(now time.Time, r *request) *upstream {
-	if u := q.upstreams[r.Preferred]; u != nil && u.listed && u.accepts(now) && u.suits(r) {
+	if u := q.preferred(now, r); u != nil {
 		return u
 	}
-	return q.choose(now, r, q.accepting(now))
+	list := q.accepting(now)
+	if u := q.choose(now, r, list); u != nil {
+		return u
+	}
+	return q.makeRoom(now, r, list)
 }
 
 // accepting lists the upstreams that accept work, whatever they have to read.
 func (q *Queue) accepting(now time.Time) []*upstream {
-	q.free = q.free[:0]
+	q.resumable = q.resumable[:0]
 	for _, u := range q.list {
-		u.held = false
 		if u.accepts(now) {
-			q.free = append(q.free, u)
+			q.resumable = append(q.resumable, u)
 		}
 	}
-	return q.free
+	return q.resumable
 }
 
 // place decides that a request goes to an upstream.
@@ -150,6 +181,7 @@
 	r.state = placed
 	q.attach(now, u, r)
 	q.countStart(now, r)
+	q.usedUp(now, u)
 	d := Decision{Key: r.key, Action: Place, Upstream: u.ID, ExpectedFirstEvent: r.readyAt.Sub(now), Explanation: explanation}
 	if holder := q.chooseCopy(now, r); holder != nil {
 		q.attachCopy(holder, r)
--- a/core/queue/played_test.go
+++ b/core/queue/played_test.go
@@ -52,6 +52,7 @@
 	arrived           time.Time
 	begun, finished   time.Time
 	refusals          int
+	returned          bool
 	firstRefused      time.Duration // after its arrival
 	paused            bool          // the answer was interrupted for longer than a reader bears
 	attempts          int
@@ -164,6 +165,7 @@
 			c.firstRefused = p.now.Sub(c.arrived)
 		}
 		if c.refusals == 1 && d.RetryAfter <= c.arrived.Add(25*time.Second).Sub(p.now)/3 {
+			c.returned = true
 			p.after(d.RetryAfter+hop, func() { p.submit(c, false, "") })
 		}
 	case DropCopy:
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -27,24 +28,58 @@
 
 func stream(id uint64, priority int) Event {
 	return Event{Kind: Submitted, ID: id, Request: &Request{RequestID: fmt.Sprint(id), Zone: "z0", Organisation: "o", Priority: priority,
-		PromptTokens: 8200, OutputTokens: 600, Aim: 5 * time.Second, Deadline: 25 * time.Second, Copy: true}}
+		PromptTokens: 8200, OutputTokens: 600, PromptKey: fmt.Sprint(id), Aim: 5 * time.Second, Deadline: 25 * time.Second, Copy: true}}
 }
 
-func TestUrgentRequestGoesFirst(t *testing.T) {
+func begun(id uint64) Event { return Event{Kind: Begun, ID: id, Took: time.Second} }
+
+func completed(id uint64) Event { return Event{Kind: Ended, ID: id, Outcome: Completed} }
+
+// only returns the decisions of one kind.
+func only(list []Decision, action Action) (out []Decision) {
+	for _, d := range list {
+		if d.Action == action {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+// Guards against requests that wait in an upstream, where their order cannot change.
+func TestOnePromptAtATimeMostUrgentFirst(t *testing.T) {
 	q := newQueue(fleet(1)...)
 	q.Apply(start, "g", []Event{stream(1, 2), stream(2, 1), stream(3, 0)})
-	d := q.Decide(start)
-	assert.Equal(t, len(d), 1)
-	assert.Equal(t, d[0].ID, uint64(3))
-	assert.Equal(t, d[0].CopyHolder, "")
-	now := start.Add(time.Second)
-	q.Apply(now, "g", []Event{{Kind: Begun, ID: 3, Took: time.Second}})
-	d = q.Decide(now)
-	assert.Equal(t, len(d), 1)
-	assert.Equal(t, d[0].ID, uint64(2))
+	var order []uint64
+	now := start
+	for range 3 {
+		d := only(q.Decide(now), Place)
+		assert.Equal(t, len(d), 1)
+		order = append(order, d[0].ID)
+		assert.Equal(t, len(q.Decide(now.Add(500*time.Millisecond))), 0)
+		now = now.Add(time.Second)
+		q.Apply(now, "g", []Event{begun(d[0].ID)})
+	}
+	assert.DeepEqual(t, order, []uint64{3, 2, 1})
+}
+
+// Guards against an upstream that idles while the message with the next request travels.
+func TestNextPromptIsGrantedShortlyBefore(t *testing.T) {
+	q := newQueue(fleet(1)...)
+	q.Apply(start, "g", []Event{stream(1, 0), stream(2, 0)})
+	assert.Equal(t, len(q.Decide(start)), 1)
+	now := start.Add(q.NextDecision(start))
+	for range 20 {
+		if len(q.Decide(now)) == 1 {
+			break
+		}
+		now = now.Add(q.NextDecision(now))
+	}
+	early := start.Add(fromMS(8200.0 / priorTokensPerMS)).Sub(now)
+	assert.Assert(t, early > 50*time.Millisecond && early <= q.settings.Lead, "%v", early)
 }
 
-func TestCopyIsPlacedInAnotherZone(t *testing.T) {
+// Guards against a copy in the zone that is lost together with the stream.
+func TestCopyIsInAnotherZone(t *testing.T) {
 	q := newQueue(fleet(8)...)
 	q.Apply(start, "g", []Event{stream(1, 0)})
 	d := q.Decide(start)
@@ -52,3 +87,184 @@
 	assert.Assert(t, d[0].CopyHolder != "")
 	assert.Assert(t, q.upstreams[d[0].Upstream].Zone != q.upstreams[d[0].CopyHolder].Zone)
 }
+
+// Guards against interrupted streams that wait behind new ones.
+func TestResumeGoesToItsCopyAtOnce(t *testing.T) {
+	q := newQueue(fleet(2)...)
+	q.Apply(start, "g", []Event{stream(1, 0), stream(2, 0), stream(3, 0)})
+	assert.Equal(t, len(only(q.Decide(start), Place)), 2)
+	resume := stream(4, 2)
+	resume.Request.Continues, resume.Request.Preferred = true, "u001"
+	q.Apply(start, "g", []Event{resume})
+	d := q.Decide(start)
+	assert.Equal(t, len(d), 1)
+	assert.Equal(t, d[0].ID, uint64(4))
+	assert.Equal(t, d[0].Upstream, "u001")
+}
+
+// Guards against a zone that crashes as a whole and gets the streams that it has just lost.
+func TestCrashedZoneIsAvoided(t *testing.T) {
+	q := newQueue(fleet(16)...)
+	for i := range uint64(4) {
+		e := Event{Kind: Placed, ID: 100 + i, Request: stream(0, 0).Request, Upstream: fmt.Sprintf("u%03d", 4*(i%2)), HasBegun: true}
+		q.Apply(start, "g", []Event{e, {Kind: Ended, ID: 100 + i, Outcome: Broken}})
+	}
+	q.Apply(start, "g", []Event{stream(1, 0), stream(2, 0), stream(3, 0), stream(4, 0)})
+	for _, d := range only(q.Decide(start.Add(50*time.Millisecond)), Place) {
+		assert.Assert(t, q.upstreams[d.Upstream].Zone != "z0")
+		assert.Assert(t, q.upstreams[d.CopyHolder].Zone != "z0")
+	}
+}
+
+// Guards against small requests that keep a large one waiting for ever.
+func TestLargePromptIsNotStarved(t *testing.T) {
+	q := newQueue(fleet(2)...)
+	large := stream(1, 2)
+	large.Request.PromptTokens, large.Request.Deadline = 86_000, 0
+	now, id := start, uint64(10)
+	var ends []func(time.Time) bool
+	for step := range 4000 {
+		now = now.Add(10 * time.Millisecond)
+		if step == 500 {
+			q.Apply(now, "g", []Event{large})
+		}
+		if step%40 == 0 {
+			id++
+			small := stream(id, 0)
+			small.Request.Copy = false
+			q.Apply(now, "g", []Event{small})
+		}
+		kept := ends[:0]
+		for _, end := range ends {
+			if !end(now) {
+				kept = append(kept, end)
+			}
+		}
+		ends = kept
+		for _, d := range q.Decide(now) {
+			if d.ID == 1 {
+				assert.Equal(t, d.Action, Place)
+				return
+			}
+			ends = append(ends, lifeOf(q, d.ID, now))
+		}
+	}
+	t.Fatal("not placed within 35 s")
+}
+
+// lifeOf returns a function that reports the first event after a second and the end after six.
+func lifeOf(q *Queue, id uint64, from time.Time) func(time.Time) bool {
+	hasBegun := false
+	return func(now time.Time) bool {
+		if !hasBegun && now.Sub(from) >= time.Second {
+			hasBegun = true
+			q.Apply(now, "g", []Event{begun(id)})
+		}
+		if now.Sub(from) >= 6*time.Second {
+			q.Apply(now, "g", []Event{completed(id)})
+			return true
+		}
+		return false
+	}
+}
+
+// overload returns a queue with one upstream and far more than it can begin within any deadline.
+func overload(t *testing.T) (*Queue, []Decision) {
+	q := newQueue(fleet(1)...)
+	for i := range uint64(60) {
+		q.Apply(start, "g", []Event{stream(i+1, 1)})
+	}
+	refused := only(q.Decide(start), Refuse)
+	assert.Assert(t, len(refused) > 0 && len(refused) < 55, "%d", len(refused))
+	return q, refused
+}
+
+// Guards against callers that are told to come back later than they would.
+func TestRetryAfterIsHonoured(t *testing.T) {
+	_, refused := overload(t)
+	distinct := map[time.Duration]bool{}
+	for _, d := range refused {
+		assert.Assert(t, d.RetryAfter > 0 && d.RetryAfter <= 25*time.Second/3)
+		distinct[d.RetryAfter] = true
+	}
+	assert.Assert(t, len(distinct) > len(refused)/2)
+}
+
+// Guards against callers that gain by repeating at once, and lose by doing as they were told.
+func TestReturnInTimeGoesFirstEarlyReturnGainsNothing(t *testing.T) {
+	q, refused := overload(t)
+	in, early := refused[0], refused[1]
+	again := func(d Decision, id uint64, at time.Time) {
+		e := stream(id, 1)
+		e.Request.PromptKey = fmt.Sprint(d.ID)
+		e.Request.Deadline = 25*time.Second - at.Sub(start)
+		q.Apply(at, "g", []Event{e})
+	}
+	now := start.Add(100 * time.Millisecond)
+	again(early, 1001, now)
+	d := only(q.Decide(now), Refuse)
+	d = slices.DeleteFunc(d, func(d Decision) bool { return d.ID != 1001 })
+	assert.Equal(t, len(d), 1)
+	assert.Equal(t, d[0].RetryAfter, early.RetryAfter-100*time.Millisecond)
+	now = start.Add(in.RetryAfter)
+	again(in, 1002, now)
+	q.Apply(now, "g", []Event{stream(1003, 1)})
+	q.Decide(now)
+	r := q.requests[Key{"g", 1002}]
+	assert.Assert(t, r != nil && r.returned && r.arrivedAt.Equal(start))
+	assert.Equal(t, q.classes[1].first(), r)
+}
+
+// Guards against room that a lost gateway holds for ever.
+func TestLostGatewayFreesItsRoom(t *testing.T) {
+	q := newQueue(fleet(4)...)
+	for i := range uint64(20) {
+		q.Apply(start, fmt.Sprint("g", i%2), []Event{stream(i, 0)})
+	}
+	q.Decide(start)
+	q.RemoveGateway(start, "g0")
+	q.RemoveGateway(start, "g1")
+	checkAccounts(t, q)
+	assert.Equal(t, len(q.requests), 0)
+	assert.Equal(t, q.usedTokens, 0)
+	assert.Equal(t, q.waiting(), 0)
+}
+
+// Guards against a new owner that gives away room which is taken.
+func TestNewOwnerTakesInWhatRuns(t *testing.T) {
+	q := New(start, DefaultSettings(), rand.New(rand.NewPCG(1, 2)))
+	for i := range uint64(10) {
+		q.Apply(start, "g", []Event{{Kind: Placed, ID: i, Request: stream(i, 0).Request, Upstream: "u000", HasBegun: true}})
+	}
+	q.SetUpstreams(start, fleet(1))
+	q.Apply(start, "g", []Event{stream(99, 0)})
+	assert.Equal(t, len(only(q.Decide(start), Place)), 0)
+	q.Apply(start, "g", []Event{completed(3)})
+	assert.Equal(t, len(only(q.Decide(start), Place)), 1)
+	checkAccounts(t, q)
+}
+
+// Guards against a request that stays at a frozen upstream while others are free.
+func TestOverdueRequestIsMovedAtMostTwice(t *testing.T) {
+	q := newQueue(fleet(4)...)
+	q.Apply(start, "g", []Event{stream(1, 0)})
+	d := q.Decide(start)
+	now, moves := start, 0
+	for range 1000 {
+		now = now.Add(20 * time.Millisecond)
+		for _, m := range only(q.Decide(now), Move) {
+			moves++
+			assert.Assert(t, now.Sub(start) > 1500*time.Millisecond)
+			assert.Equal(t, m.Upstream, d[0].Upstream)
+			e := stream(1, 0)
+			e.Kind = Rejected
+			e.Request.Excluded = []string{m.Upstream}
+			q.Apply(now, "g", []Event{e})
+			next := only(q.Decide(now), Place)
+			assert.Equal(t, len(next), 1)
+			assert.Assert(t, next[0].Upstream != m.Upstream)
+			d = next
+		}
+	}
+	assert.Equal(t, moves, 2)
+}
--- a/core/queue/refuse.go
+++ b/core/queue/refuse.go
@@ -9,10 +9,17 @@
 	// reviewShare is the share of its aim within which a request is refused if it is not
 	// expected to make it.
 	reviewShare = 1.0 / 8
+	// maxReview bounds that time where aims are long.
+	maxReview = 2 * time.Second
 	// maxBusyShare bounds the share of the throughput that is assumed to go to later arrivals
-	// that pass a request. A flood ends, so a request is not refused because it would wait for
-	// ever if it did not.
-	maxBusyShare = 0.8
+	// that pass a request, except in an overload that is expected to last.
+	maxBusyShare = 0.5
+	// overloadShare is how much longer an overload is expected to last, as a share of the time
+	// that it has lasted.
+	overloadShare = 0.25
+	// overloadEnd is the share of the throughput below which arrivals end an overload. It is less
+	// than 1, so that noise does not end it.
+	overloadEnd = 0.8
 	// overShare is how far beyond an equal share an organisation's waiting requests may be
 	// before those that would be late are refused.
 	overShare = 2
@@ -94,7 +101,7 @@
 		if all || r.reviewedAt.IsZero() {
 			q.review(now, r)
 		}
-		if r.state == waiting && q.requests[r.key] == r && now.Sub(r.submittedAt) < time.Duration(reviewShare*float64(limitDuration(r.Aim))) {
+		if r.state == waiting && q.requests[r.key] == r && now.Sub(r.submittedAt) < min(time.Duration(reviewShare*float64(limitDuration(r.Aim))), maxReview) {
 			kept = append(kept, r)
 		}
 	}
@@ -112,14 +119,14 @@
 	r.reviewedAt = now
 	inTime := r.level == onTime && (r.due.IsZero() || !now.Add(wait).After(r.due))
 	switch {
-	case q.couldStart(now, r):
+	case q.couldStart(r):
 	case r.earlyBy.After(now):
-		q.refuse(now, r, r.earlyBy.Sub(now), ahead)
+		q.refuse(now, r, max(r.earlyBy.Sub(now), minRetryAfter), ahead)
 	case inTime:
 	case q.missesDeadline(now, r):
-		q.refuse(now, r, wait, ahead)
+		q.refuse(now, r, q.retryAfter(now, r, wait), ahead)
 	case !r.pledged && r.level == onTime && q.floods(r):
-		q.refuse(now, r, wait, ahead)
+		q.refuse(now, r, q.retryAfter(now, r, wait), ahead)
 	}
 }
 
@@ -141,10 +148,10 @@
 	return late
 }
 
-// couldStart reports whether an upstream could take a request now.
-func (q *Queue) couldStart(now time.Time, r *request) bool {
-	for _, u := range q.list {
-		if u.accepts(now) && u.suits(r) && q.mayRead(now, u) && q.fitsUnread(u, r) && q.fits(u, r.tokens) {
+// couldStart reports whether one of the free upstreams could take a request.
+func (q *Queue) couldStart(r *request) bool {
+	for _, u := range q.free {
+		if u.suits(r) && q.fitsUnread(u, r) && q.fits(u, r.tokens) {
 			return true
 		}
 	}
@@ -194,13 +201,44 @@
 	if l == late {
 		passing = p + 1
 	}
-	ahead += q.aheadInLevel(r, l)
 	throughput := q.throughput(now)
-	busy := min(q.arrivalRate(now, passing)/throughput, maxBusyShare)
-	ms := float64(ahead)/(throughput*(1-busy)) + q.typicalMSPerToken()*float64(r.prompt)
+	inLevel := q.aheadInLevel(r, l)
+	ms := q.drainMS(now, float64(ahead+inLevel), throughput, q.arrivalRate(now, passing)/throughput)
+	if l != late { // the floor of a class serves those first that are on time
+		ms = min(ms, float64(inLevel)/(throughput*q.settings.Floor)+milliseconds(floorWait))
+	}
+	ahead += inLevel
+	ms += q.typicalMSPerToken() * float64(r.prompt)
 	return fromMS(min(ms, milliseconds(maxDuration))), ahead
 }
 
+// drainMS returns the expected time until a number of prompt tokens has been started, while later
+// arrivals that pass them take a share of the throughput. An overload is expected to last for a
+// share of the time that it has lasted; a request is not refused because it would wait for ever if it never ended.
+func (q *Queue) drainMS(now time.Time, tokens, throughput, busy float64) float64 {
+	calm := 1 - min(busy, maxBusyShare)
+	if q.overloadFrom.IsZero() || busy <= maxBusyShare {
+		return tokens / (throughput * calm)
+	}
+	lasts := overloadShare * milliseconds(now.Sub(q.overloadFrom))
+	left := max(1-busy, 0)
+	if drained := throughput * left * lasts; tokens > drained {
+		return lasts + (tokens-drained)/(throughput*calm)
+	}
+	return tokens / (throughput * left)
+}
+
+// noticeOverload follows whether more arrives than can be started.
+func (q *Queue) noticeOverload(now time.Time) {
+	share := q.arrivalRate(now, priorities) / q.throughput(now)
+	switch {
+	case q.overloadFrom.IsZero() && share > 1 && q.waiting() > 0:
+		q.overloadFrom = now
+	case share < overloadEnd:
+		q.overloadFrom = time.Time{}
+	}
+}
+
 // aheadInLevel returns the prompt tokens that go before a request in its level. In fair queueing
 // the other organisations are served in proportion before it, but at most all of the level is.
 func (q *Queue) aheadInLevel(r *request, l levelIndex) int {
@@ -220,9 +258,9 @@
 	return int(min(own*float64(flows), float64(total)))
 }
 
-// refuse refuses a request, names a time at which there is expected to be room, and remembers its
-// caller.
-func (q *Queue) refuse(now time.Time, r *request, wait time.Duration, ahead int) {
+// retryAfter returns a time at which there is expected to be room, spread so that callers that are
+// refused together do not come back together, and within what callers follow.
+func (q *Queue) retryAfter(now time.Time, r *request, wait time.Duration) time.Duration {
 	longest := maxRetryAfter
 	if !r.deadline.IsZero() {
 		longest = time.Duration(retryShare * float64(r.deadline.Sub(now)))
@@ -231,9 +269,13 @@
 	if after > longest {
 		after = time.Duration(float64(longest) * (1 - retrySpread*q.rng.Float64()))
 	}
-	after = max(after, minRetryAfter)
+	return max(after, minRetryAfter)
+}
+
+// refuse refuses a request and remembers its caller.
+func (q *Queue) refuse(now time.Time, r *request, after time.Duration, ahead int) {
 	explanation := q.explain(now, r, nil)
-	explanation.AheadTokens = ahead
+	explanation.Ahead, explanation.AheadTokens = int(float64(ahead)/q.meanPrompt), ahead
 	q.remember(now, r, after)
 	q.forget(now, r)
 	q.decisions = append(q.decisions, Decision{Key: r.key, Action: Refuse, RetryAfter: after, Explanation: explanation})
@@ -252,7 +294,8 @@
 	}
 }
 
-// refuseExpired refuses waiting requests whose deadline cannot be met any more.
+// refuseExpired refuses waiting requests whose deadline cannot be met any more. There is nothing to
+// come back for before the deadline, so they are told a time after it.
 func (q *Queue) refuseExpired(now time.Time) {
 	for _, c := range q.classes {
 		for _, l := range []levelIndex{returned, late} {
@@ -261,7 +304,7 @@
 				if now.Add(q.fastest(r)).Before(r.deadline) {
 					break
 				}
-				q.refuse(now, r, 0, 0)
+				q.refuse(now, r, maxRetryAfter, 0)
 			}
 		}
 	}
@@ -271,7 +314,7 @@
 			i++
 			continue
 		}
-		q.refuse(now, r, 0, 0)
+		q.refuse(now, r, maxRetryAfter, 0)
 	}
 }
 
--- a/core/queue/request.go
+++ b/core/queue/request.go
@@ -13,6 +13,9 @@
 const (
 	// priorities is the number of priorities that are told apart.
 	priorities = 8
+	// preferredShare is the assumed part of a prompt that its preferred upstream still has to
+	// read: what a copy lacks.
+	preferredShare = 0.05
 	// maxTokens bounds a stated size; larger ones are nonsense and would distort means.
 	maxTokens = 1 << 24
 	// maxDuration bounds stated times for the same reason.
@@ -26,8 +29,10 @@
 	seq uint64
 	// prompt is the prompt in tokens, tokens the KV cache that the request takes.
 	prompt, tokens int
-	state          state
-	submittedAt    time.Time
+	// toRead is the part of the prompt that the upstream has to read.
+	toRead      int
+	state       state
+	submittedAt time.Time
 	// arrivedAt is when the caller's first attempt arrived, due when its first event is due and
 	// deadline until when the caller waits; zero means none.
 	arrivedAt, due, deadline time.Time
@@ -57,9 +62,6 @@
 // priority returns the index of the class of the request.
 func (r *request) priority() int { return min(max(r.Priority, 0), priorities-1) }
 
-// resumes reports whether the request goes before all that have not begun.
-func (r *request) resumes() bool { return r.Continues || r.Preferred != "" }
-
 // target returns the time that decides how urgent the request is within its level.
 func (r *request) target() time.Time {
 	if r.level == onTime {
--- a/core/queue/room.go
+++ b/core/queue/room.go
@@ -4,12 +4,8 @@
 
 // mayRead reports whether an upstream may be given another prompt: it has nothing to read, or is
 // about to have read all. One whose first event is overdue gets nothing more.
-func (q *Queue) mayRead(now time.Time, u *upstream) bool {
-	if len(u.unread) == 0 {
-		return true
-	}
-	left := u.readyAt.Sub(now)
-	return left <= q.settings.Lead && left >= -q.settings.Lead
+func (u *upstream) mayRead(now time.Time) bool {
+	return len(u.unread) == 0 || !now.Before(u.grantFrom) && !now.After(u.grantUntil)
 }
 
 // fitsUnread reports whether a prompt keeps within the bound on unread tokens.
@@ -59,6 +55,7 @@
 	}
 	if most != nil {
 		most.held, most.heldUntil = true, now.Add(holdPeriod)
+		q.held = append(q.held, most)
 	}
 }
 
--- a/core/queue/status.go
+++ b/core/queue/status.go
@@ -58,6 +58,8 @@
 
 func (q *Queue) classStatus(now time.Time, p int, c *class) ClassStatus {
 	s := ClassStatus{Priority: p, Waiting: c.count, Late: c.levels[late].count, Returned: c.levels[returned].count}
+	typical := &request{Request: Request{Priority: p}, prompt: int(q.meanPrompt)}
+	s.ExpectedWait, _ = q.expectedWait(now, typical, onTime)
 	for _, f := range c.flows {
 		for l := range f.lists {
 			s.Tokens += f.tokens[l]
--- a/core/queue/upstream.go
+++ b/core/queue/upstream.go
@@ -18,6 +18,8 @@
 	// readFrom is when the upstream has begun to read the first of unread, readyAt when it is
 	// expected to have read all.
 	readFrom, readyAt time.Time
+	// grantFrom and grantUntil are the times between which the next prompt may be placed.
+	grantFrom, grantUntil time.Time
 	// requests counts what runs or is to run here, copies the copies that it holds.
 	requests int
 	copies   []*request
@@ -82,7 +84,7 @@
 func (u *upstream) prefill(tokens int) time.Duration { return fromMS(u.msPerToken * float64(tokens)) }
 
 // addUnread adds a request to those that the upstream has to read.
-func (u *upstream) addUnread(now time.Time, r *request) {
+func (u *upstream) addUnread(now time.Time, r *request, lead time.Duration) {
 	if len(u.unread) == 0 {
 		u.readFrom, u.readyAt = now, now
 	}
@@ -90,22 +92,28 @@
 		u.readyAt = now
 	}
 	u.unread = append(u.unread, r)
-	u.unreadTokens += r.prompt
-	u.readyAt = u.readyAt.Add(u.prefill(r.prompt))
+	u.unreadTokens += r.toRead
+	u.setReady(u.readyAt.Add(u.prefill(r.toRead)), lead)
+}
+
+// setReady sets the time at which the upstream is expected to have read all. It is given the next
+// prompt a lead before. One that is overdue by more gets nothing: it may be frozen.
+func (u *upstream) setReady(at time.Time, lead time.Duration) {
+	u.readyAt, u.grantFrom, u.grantUntil = at, at.Add(-lead), at.Add(lead)
 }
 
 // removeUnread removes a request that has been read or has ended.
-func (u *upstream) removeUnread(now time.Time, r *request) {
+func (u *upstream) removeUnread(now time.Time, r *request, lead time.Duration) {
 	i := slices.Index(u.unread, r)
 	if i < 0 {
 		return
 	}
 	u.unread = slices.Delete(u.unread, i, i+1)
-	u.unreadTokens -= r.prompt
+	u.unreadTokens -= r.toRead
 	if i == 0 {
 		u.readFrom = now
 	}
-	u.readyAt = u.readFrom.Add(u.prefill(u.unreadTokens))
+	u.setReady(u.readFrom.Add(u.prefill(u.unreadTokens)), lead)
 }
 
 // readingLeft returns the expected time until all prompts at the upstream are read.
@@ -117,8 +125,11 @@
 	r.at, r.placedAt = u, now
 	u.requests++
 	u.usedTokens += r.tokens
+	if r.toRead = r.prompt; r.Preferred == u.ID {
+		r.toRead = int(preferredShare * float64(r.prompt))
+	}
 	if r.state == placed {
-		u.addUnread(now, r)
+		u.addUnread(now, r, q.settings.Lead)
 		r.readyAt = u.readyAt
 	}
 }
@@ -133,7 +144,7 @@
 	q.usedTokens -= r.tokens
 	u.requests--
 	u.usedTokens -= r.tokens
-	u.removeUnread(now, r)
+	u.removeUnread(now, r, q.settings.Lead)
 }
 
 // attachCopy counts the copy of a request at an upstream.
