--- a/core/queue/decide.go
+++ b/core/queue/decide.go
@@ -86,7 +86,7 @@
 	if q.freeStale {
 		return minInterval
 	}
-	return min(max(q.freeUntil.Sub(now), minInterval), idleInterval)
+	return min(max(q.freeUntil-now.Sub(q.epoch), minInterval), idleInterval)
 }
 
 const (
--- a/core/queue/events.go
+++ b/core/queue/events.go
@@ -149,7 +149,7 @@
 	q.freeStale = true
 	q.learnSpeed(now, r, e.Took)
 	u.failures = 0
-	u.removeUnread(now, r, q.settings.Lead)
+	q.removeUnread(now, u, r)
 }
 
 // learnSpeed takes in the time in which a prompt was read. The time for which the prompt waited
--- a/core/queue/owner.go
+++ b/core/queue/owner.go
@@ -14,6 +14,7 @@
 	rng       *rand.Rand
 	speeds    Speeds
 	seq       uint64
+	epoch     time.Time // when the queue was started
 	requests  map[Key]*request
 	classes   [priorities]*class
 	resumes   []*request // waiting ones, in order of arrival
@@ -40,7 +41,7 @@
 	// free are the upstreams that may be given a prompt. The list holds until freeUntil, unless
 	// freeStale is set.
 	free      []*upstream
-	freeUntil time.Time
+	freeUntil time.Duration // from the start of the queue
 	freeStale bool
 	held      []*upstream // of the last pass
 	resumable []*upstream // scratch
@@ -60,7 +61,7 @@
 
 // New returns an empty queue. The random source spreads equal upstreams and RetryAfter.
 func New(now time.Time, s Settings, rng *rand.Rand) *Queue {
-	q := &Queue{settings: s.withDefaults(), rng: rng, speeds: s.Speeds, requests: map[Key]*request{}, upstreams: map[string]*upstream{},
+	q := &Queue{epoch: now, settings: s.withDefaults(), rng: rng, speeds: s.Speeds, requests: map[Key]*request{}, upstreams: map[string]*upstream{},
 		zones: map[string]*zone{}, meanPrompt: priorPromptTokens, nextSweep: now, pledges: map[returnKey]pledge{}, rates: rates{holdMS: priorHoldMS}}
 	if q.speeds == nil {
 		q.speeds = newMedianSpeeds()
--- a/core/queue/place.go
+++ b/core/queue/place.go
@@ -60,47 +60,47 @@
 
 // findFree lists the upstreams that may be given a prompt now.
 func (q *Queue) findFree(now time.Time) {
+	since := now.Sub(q.epoch)
 	for _, u := range q.held {
 		u.held = false
 	}
 	q.held = q.held[:0]
-	if !q.freeStale && now.Before(q.freeUntil) {
+	if !q.freeStale && since < q.freeUntil {
 		return
 	}
 	q.freeStale = false
-	q.free, q.freeUntil = q.free[:0], now.Add(sweepInterval)
+	q.free, q.freeUntil = q.free[:0], since+sweepInterval
 	for _, u := range q.list {
 		if !u.Accepts {
 			continue
 		}
-		if u.accepts(now) && u.mayRead(now) {
+		if u.mayRead(since) && u.accepts(now) {
 			q.free = append(q.free, u)
 		}
-		q.checkFreeAt(now, u)
+		q.checkFreeAt(now, since, u)
 	}
 }
 
 // checkFreeAt has the list of free upstreams renewed when one of them changes with time.
-func (q *Queue) checkFreeAt(now time.Time, u *upstream) {
-	if u.pausedUntil.After(now) && u.pausedUntil.Before(q.freeUntil) {
-		q.freeUntil = u.pausedUntil
+func (q *Queue) checkFreeAt(now time.Time, since time.Duration, u *upstream) {
+	if !u.pausedUntil.IsZero() && u.pausedUntil.After(now) {
+		q.freeUntil = min(q.freeUntil, u.pausedUntil.Sub(q.epoch))
 	}
 	if len(u.unread) == 0 {
 		return
 	}
-	if u.grantFrom.After(now) {
-		if u.grantFrom.Before(q.freeUntil) {
-			q.freeUntil = u.grantFrom
-		}
-	} else if u.grantUntil.After(now) && u.grantUntil.Before(q.freeUntil) {
-		q.freeUntil = u.grantUntil
+	if u.grantFrom > since {
+		q.freeUntil = min(q.freeUntil, u.grantFrom)
+	} else if u.grantUntil > since {
+		q.freeUntil = min(q.freeUntil, u.grantUntil)
 	}
 }
 
 // usedUp updates the list of free upstreams after a placement.
 func (q *Queue) usedUp(now time.Time, u *upstream) {
-	q.checkFreeAt(now, u)
-	if u.accepts(now) && u.mayRead(now) {
+	since := now.Sub(q.epoch)
+	q.checkFreeAt(now, since, u)
+	if u.mayRead(since) && u.accepts(now) {
 		return
 	}
 	if i := slices.Index(q.free, u); i >= 0 {
@@ -109,7 +109,9 @@
 	}
 }
 
-func (u *upstream) accepts(now time.Time) bool { return u.Accepts && !u.pausedUntil.After(now) }
+func (u *upstream) accepts(now time.Time) bool {
+	return u.Accepts && (u.pausedUntil.IsZero() || !u.pausedUntil.After(now))
+}
 
 // suits reports whether an upstream may run a request at all.
 func (u *upstream) suits(r *request) bool {
--- a/core/queue/room.go
+++ b/core/queue/room.go
@@ -4,8 +4,8 @@
 
 // mayRead reports whether an upstream may be given another prompt: it has nothing to read, or is
 // about to have read all. One whose first event is overdue gets nothing more.
-func (u *upstream) mayRead(now time.Time) bool {
-	return len(u.unread) == 0 || !now.Before(u.grantFrom) && !now.After(u.grantUntil)
+func (u *upstream) mayRead(since time.Duration) bool {
+	return len(u.unread) == 0 || u.grantFrom <= since && since <= u.grantUntil
 }
 
 // fitsUnread reports whether a prompt keeps within the bound on unread tokens.
--- a/core/queue/upstream.go
+++ b/core/queue/upstream.go
@@ -18,8 +18,9 @@
 	// readFrom is when the upstream has begun to read the first of unread, readyAt when it is
 	// expected to have read all.
 	readFrom, readyAt time.Time
-	// grantFrom and grantUntil are the times between which the next prompt may be placed.
-	grantFrom, grantUntil time.Time
+	// grantFrom and grantUntil are the times, from the start of the queue, between which the next
+	// prompt may be placed. Durations are compared faster than times.
+	grantFrom, grantUntil time.Duration
 	// requests counts what runs or is to run here, copies the copies that it holds.
 	requests int
 	copies   []*request
@@ -84,7 +85,7 @@
 func (u *upstream) prefill(tokens int) time.Duration { return fromMS(u.msPerToken * float64(tokens)) }
 
 // addUnread adds a request to those that the upstream has to read.
-func (u *upstream) addUnread(now time.Time, r *request, lead time.Duration) {
+func (q *Queue) addUnread(now time.Time, u *upstream, r *request) {
 	if len(u.unread) == 0 {
 		u.readFrom, u.readyAt = now, now
 	}
@@ -93,17 +94,18 @@
 	}
 	u.unread = append(u.unread, r)
 	u.unreadTokens += r.toRead
-	u.setReady(u.readyAt.Add(u.prefill(r.toRead)), lead)
+	q.setReady(u, u.readyAt.Add(u.prefill(r.toRead)))
 }
 
-// setReady sets the time at which the upstream is expected to have read all. It is given the next
+// setReady sets the time at which an upstream is expected to have read all. It is given the next
 // prompt a lead before. One that is overdue by more gets nothing: it may be frozen.
-func (u *upstream) setReady(at time.Time, lead time.Duration) {
-	u.readyAt, u.grantFrom, u.grantUntil = at, at.Add(-lead), at.Add(lead)
+func (q *Queue) setReady(u *upstream, at time.Time) {
+	since, lead := at.Sub(q.epoch), q.settings.Lead
+	u.readyAt, u.grantFrom, u.grantUntil = at, since-lead, since+lead
 }
 
 // removeUnread removes a request that has been read or has ended.
-func (u *upstream) removeUnread(now time.Time, r *request, lead time.Duration) {
+func (q *Queue) removeUnread(now time.Time, u *upstream, r *request) {
 	i := slices.Index(u.unread, r)
 	if i < 0 {
 		return
@@ -113,7 +115,7 @@
 	if i == 0 {
 		u.readFrom = now
 	}
-	u.setReady(u.readFrom.Add(u.prefill(u.unreadTokens)), lead)
+	q.setReady(u, u.readFrom.Add(u.prefill(u.unreadTokens)))
 }
 
 // readingLeft returns the expected time until all prompts at the upstream are read.
@@ -129,7 +131,7 @@
 		r.toRead = int(preferredShare * float64(r.prompt))
 	}
 	if r.state == placed {
-		u.addUnread(now, r, q.settings.Lead)
+		q.addUnread(now, u, r)
 		r.readyAt = u.readyAt
 	}
 }
@@ -144,7 +146,7 @@
 	q.usedTokens -= r.tokens
 	u.requests--
 	u.usedTokens -= r.tokens
-	u.removeUnread(now, r, q.settings.Lead)
+	q.removeUnread(now, u, r)
 }
 
 // attachCopy counts the copy of a request at an upstream.
