--- a/core/queue/decide.go
+++ b/core/queue/decide.go
@@ -80,9 +80,12 @@
 // NextDecision returns the time after which Decide must be called again if no event arrives
 // before; zero means only on events.
 func (q *Queue) NextDecision(now time.Time) time.Duration {
-	if q.waiting() == 0 && len(q.resumes) == 0 {
+	if len(q.requests) == 0 {
 		return 0
 	}
+	if q.waiting() == 0 && len(q.resumes) == 0 {
+		return idleInterval
+	}
 	if q.freeStale {
 		return minInterval
 	}
@@ -90,8 +93,8 @@
 }
 
 const (
-	// idleInterval is the longest time between two calls of Decide while requests wait, so that
-	// aims that pass are noticed.
+	// idleInterval is the longest time between two calls of Decide while there are requests, so
+	// that aims that pass and first events that are overdue are noticed.
 	idleInterval = 100 * time.Millisecond
 	// minInterval bounds the processor time that decisions without an event take.
 	minInterval = time.Millisecond
--- a/core/queue/status.go
+++ b/core/queue/status.go
@@ -1,6 +1,10 @@
 package queue
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // Status describes a queue for operators.
 type Status struct {
@@ -71,20 +75,39 @@
 	return s
 }
 
-// firstWaiting lists waiting requests by class and level, within these by arrival.
+// firstWaiting lists waiting requests in their order, as it would be without later arrivals and
+// without passing.
 func (q *Queue) firstWaiting(now time.Time) (out []RequestStatus) {
 	for _, r := range q.resumes {
 		out = q.appendStatus(now, out, r)
 	}
-	for _, c := range q.classes {
-		for l := range levels {
-			for _, f := range c.levels[l].flows.list {
-				for _, r := range f.lists[l] {
-					out = q.appendStatus(now, out, r)
-				}
-			}
+	for _, p := range q.places(now, q.throughput(now)) {
+		for _, r := range p.class.inOrder(p.level) {
+			out = q.appendStatus(now, out, r)
+		}
+	}
+	return out
+}
+
+// inOrder returns the requests of a level in the order of their start tags.
+func (c *class) inOrder(l levelIndex) []*request {
+	type tagged struct {
+		tag float64
+		r   *request
+	}
+	var list []tagged
+	for _, f := range c.levels[l].flows.list {
+		tag := f.startTag
+		for _, r := range f.lists[l] {
+			list = append(list, tagged{tag, r})
+			tag += float64(r.tokens)
 		}
 	}
+	slices.SortFunc(list, func(a, b tagged) int { return cmp.Or(cmp.Compare(a.tag, b.tag), earlier(a.r, b.r)) })
+	out := make([]*request, len(list))
+	for i := range list {
+		out[i] = list[i].r
+	}
 	return out
 }
 
