--- a/core/queue/copies.go
+++ b/core/queue/copies.go
@@ -20,8 +20,8 @@
 	// makeCopyFactor is by how much a copy must be worth its room to be made for a running
 	// stream, so that copies are not dropped and made by turns.
 	makeCopyFactor = 2
-	// makeCopyCalm is how long nothing may have waited before copies are made for running
-	// streams, maxMakeCopies how many are made in one sweep: each takes bandwidth.
+	// makeCopyCalm is how long nothing may have waited before copies are made for the running
+	// streams of all classes, maxMakeCopies how many are made in one sweep: each takes bandwidth.
 	makeCopyCalm, maxMakeCopies = time.Second, 2
 	// minCopyRest is the share of a stream that must be left for a copy to be made.
 	minCopyRest = 0.3
@@ -200,18 +200,16 @@
 	}
 }
 
-// makeCopies requests copies for running streams that have none, once nothing has waited for a
-// while.
+// makeCopies requests copies for running streams that have none, if only less urgent requests wait.
 func (q *Queue) makeCopies(now time.Time) {
-	if q.waiting() > 0 || len(q.resumes) > 0 {
+	before := q.mostUrgentWaiting()
+	if before < priorities {
 		q.calmFrom = now.Add(makeCopyCalm)
-		return
-	}
-	if now.Before(q.calmFrom) {
+	} else if now.Before(q.calmFrom) {
 		return
 	}
 	for range maxMakeCopies {
-		r := q.bestWithoutCopy(now)
+		r := q.bestWithoutCopy(now, before)
 		if r == nil {
 			return
 		}
@@ -224,13 +222,28 @@
 	}
 }
 
-// bestWithoutCopy returns the running stream for which a copy is worth most beyond its room.
-func (q *Queue) bestWithoutCopy(now time.Time) *request {
+// mostUrgentWaiting returns the most urgent priority of the waiting requests, or priorities if
+// there are none. Interrupted streams count as most urgent.
+func (q *Queue) mostUrgentWaiting() int {
+	if len(q.resumes) > 0 {
+		return 0
+	}
+	for p, c := range q.classes {
+		if c.count > 0 {
+			return p
+		}
+	}
+	return priorities
+}
+
+// bestWithoutCopy returns the running stream of the classes before one for which a copy is worth
+// most beyond its room.
+func (q *Queue) bestWithoutCopy(now time.Time, before int) *request {
 	var best *request
 	highest := 0.0
 	hold := q.holdTime(now)
 	for _, r := range q.requests {
-		if !r.Copy || r.state != running || r.at == nil || r.copyAt != nil {
+		if !r.Copy || r.priority() >= before || r.state != running || r.at == nil || r.copyAt != nil {
 			continue
 		}
 		rest := q.restMS(now, r)
--- a/core/queue/settings.go
+++ b/core/queue/settings.go
@@ -40,7 +40,7 @@
 		Floor:           0.05,
 		BrokenPause:     400 * time.Millisecond,
 		LossRate:        0.002,
-		LossCost:        2 * time.Second,
+		LossCost:        5 * time.Second,
 		MaxMoves:        2,
 		StatusRequests:  50,
 	}
