core/queue: requests that no upstream suits block nobody; failures count once

Four requests for a version that no upstream has kept all behind them waiting, and eight streams that broke together kept an upstream out for 3.2 s instead of 0.4 s.

--- a/core/queue/decide.go
+++ b/core/queue/decide.go
@@ -1,22 +1,34 @@
 package queue
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
-// maxAside is the number of waiting requests that others may pass in one call because nothing
-// free suits them.
-const maxAside = 4
+const (
+	// maxAside is the number of waiting requests that others may pass in one call because there
+	// is no room for them.
+	maxAside = 4
+	// maxUnsuited is the number that others may pass because no free upstream suits them.
+	maxUnsuited = 64
+)
 
 // Decide returns all decisions that follow now. They are valid until the next call.
 func (q *Queue) Decide(now time.Time) []Decision {
 	q.decisions = q.decisions[:0]
 	swept := q.sweep(now)
+	if swept {
+		q.requeueStranded(now)
+	}
+	q.expire(now)
+	if swept {
+		q.refuseExpired(now)
+	}
 	q.findFree(now)
 	q.placeResumes(now)
-	q.expire(now)
 	q.placeWaiting(now)
 	q.reviewNew(now, swept)
 	if swept {
-		q.refuseExpired(now)
 		q.moveOverdue(now)
 		q.makeCopies(now)
 	}
@@ -29,7 +41,8 @@
 		return
 	}
 	q.aside = q.aside[:0]
-	for len(q.free) > 0 && len(q.aside) < maxAside {
+	blocked := 0
+	for len(q.free) > 0 && blocked < maxAside && len(q.aside) < maxUnsuited {
 		r := q.next(now)
 		if r == nil {
 			break
@@ -46,8 +59,15 @@
 			continue
 		}
 		q.unqueue(r)
+		if !anySuits(q.list, r) {
+			q.stranded = append(q.stranded, r)
+			continue
+		}
 		q.aside = append(q.aside, r)
-		if len(q.aside) == 1 {
+		if !anySuits(q.free, r) {
+			continue
+		}
+		if blocked++; blocked == 1 {
 			q.hold(now, r)
 		}
 	}
@@ -61,15 +81,34 @@
 	for _, c := range q.classes {
 		n += c.count
 	}
-	return n
+	return n + len(q.stranded)
+}
+
+// anySuits reports whether any upstream of a list may run a request at all.
+func anySuits(list []*upstream, r *request) bool {
+	return slices.ContainsFunc(list, func(u *upstream) bool { return u.Accepts && u.suits(r) })
+}
+
+// requeueStranded returns the requests that no upstream suited to the order, which may have changed.
+func (q *Queue) requeueStranded(now time.Time) {
+	list := q.stranded
+	q.stranded = nil
+	for _, r := range list {
+		q.enqueue(now, r)
+	}
 }
 
 // placeResumes places interrupted streams, which go before all others.
 func (q *Queue) placeResumes(now time.Time) {
+	blocked := 0
 	for i := 0; i < len(q.resumes); {
 		r := q.resumes[i]
-		u := q.chooseResume(now, r)
+		u := q.preferred(now, r)
+		if u == nil && blocked < maxAside {
+			u = q.chooseResume(now, r)
+		}
 		if u == nil {
+			blocked++
 			i++
 			continue
 		}
--- a/core/queue/owner.go
+++ b/core/queue/owner.go
@@ -10,14 +10,16 @@
 
 // Queue holds the waiting and placed requests of one service.
 type Queue struct {
-	settings  Settings
-	rng       *rand.Rand
-	speeds    Speeds
-	seq       uint64
-	epoch     time.Time // when the queue was started
-	requests  map[Key]*request
-	classes   [priorities]*class
-	resumes   []*request // waiting ones, in order of arrival
+	settings Settings
+	rng      *rand.Rand
+	speeds   Speeds
+	seq      uint64
+	epoch    time.Time // when the queue was started
+	requests map[Key]*request
+	classes  [priorities]*class
+	resumes  []*request // waiting ones, in order of arrival
+	// stranded are waiting requests that no upstream suits.
+	stranded  []*request
 	upstreams map[string]*upstream
 	// list holds the listed upstreams by ID.
 	list       []*upstream
@@ -239,7 +241,9 @@
 		q.classes[r.priority()].remove(r)
 		return
 	}
-	q.resumes = slices.DeleteFunc(q.resumes, func(o *request) bool { return o == r })
+	same := func(o *request) bool { return o == r }
+	q.resumes = slices.DeleteFunc(q.resumes, same)
+	q.stranded = slices.DeleteFunc(q.stranded, same)
 }
 
 // levelOf returns the level that a request belongs to now.
--- a/core/queue/place.go
+++ b/core/queue/place.go
@@ -151,12 +151,9 @@
 	return cost
 }
 
-// chooseResume returns the upstream for an interrupted stream: the one that holds its copy if
-// it accepts work, whatever waits there, otherwise the best one with room.
+// chooseResume returns the upstream for an interrupted stream whose preferred upstream does not
+// accept work: the best one with room, whatever it has to read.
 func (q *Queue) chooseResume(now time.Time, r *request) *upstream {
-	if u := q.preferred(now, r); u != nil {
-		return u
-	}
 	list := q.accepting(now)
 	if u := q.choose(now, r, list); u != nil {
 		return u
--- a/core/queue/property_test.go
+++ b/core/queue/property_test.go
@@ -64,11 +64,13 @@
 	if odd {
 		tokens, duration = rapid.IntRange(math.MinInt, math.MaxInt), rapid.Int64()
 	}
+	versions := rapid.SampledFrom([]string{"", "", "", "1"})
 	upstreams := rapid.SampledFrom([]string{"", "", "", "u000", "u001", "u002", "gone"})
 	return &Request{Zone: "z0", Organisation: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "organisation"), Priority: rapid.IntRange(-1, 9).Draw(t, "priority"),
 		PromptTokens: tokens.Draw(t, "prompt"), OutputTokens: tokens.Draw(t, "output"), PromptKey: rapid.SampledFrom([]string{"", "p", "q"}).Draw(t, "key"),
 		Waited: time.Duration(duration.Draw(t, "waited")), Aim: time.Duration(duration.Draw(t, "aim")), Deadline: time.Duration(duration.Draw(t, "deadline")),
 		Continues: rapid.IntRange(0, 9).Draw(t, "continues") == 0, Copy: rapid.Bool().Draw(t, "copy"), Preferred: upstreams.Draw(t, "preferred"),
+		Version:  versions.Draw(t, "version"),
 		Excluded: []string{upstreams.Draw(t, "excluded")}}
 }
 
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -168,6 +168,40 @@
 	}
 }
 
+// Guards against requests that no upstream can run and that keep all others waiting.
+func TestStrandedRequestsBlockNobody(t *testing.T) {
+	q := newQueue(fleet(2)...)
+	for i := range uint64(200) {
+		e := stream(i+1, 0)
+		e.Request.Version, e.Request.Deadline = "2", 10*time.Second
+		q.Apply(start, "g", []Event{e})
+	}
+	q.Apply(start, "g", []Event{stream(1000, 2)})
+	d := only(q.Decide(start), Place)
+	assert.Equal(t, len(d), 1)
+	assert.Equal(t, d[0].ID, uint64(1000))
+	list := fleet(2)
+	list[0].Version, list[0].StartedMS = "2", 1
+	q.SetUpstreams(start, list)
+	assert.Equal(t, len(only(q.Decide(start.Add(sweepInterval)), Place)), 1)
+	refused := only(q.Decide(start.Add(10*time.Second)), Refuse)
+	assert.Equal(t, len(refused), 199)
+}
+
+// Guards against an upstream that is kept out for seconds because several streams failed with it.
+func TestFailureOfManyStreamsCountsOnce(t *testing.T) {
+	q := newQueue(fleet(1)...)
+	for i := range uint64(8) {
+		q.Apply(start, "g", []Event{{Kind: Placed, ID: i, Request: stream(i, 0).Request, Upstream: "u000", HasBegun: true}})
+	}
+	for i := range uint64(8) {
+		q.Apply(start, "g", []Event{{Kind: Ended, ID: i, Outcome: Broken}})
+	}
+	q.Apply(start, "g", []Event{stream(9, 0)})
+	assert.Equal(t, len(only(q.Decide(start), Place)), 0)
+	assert.Equal(t, len(only(q.Decide(start.Add(q.settings.BrokenPause)), Place)), 1)
+}
+
 // overload returns a queue with one upstream and far more than it can begin within any deadline.
 func overload(t *testing.T) (*Queue, []Decision) {
 	q := newQueue(fleet(1)...)
--- a/core/queue/upstream.go
+++ b/core/queue/upstream.go
@@ -76,8 +76,12 @@
 	u.pause(now, pause)
 }
 
-// pause keeps new requests away, for longer after each further time without a first event.
+// pause keeps new requests away, for longer after each further time without a first event. The
+// streams of an upstream that fail together count once.
 func (u *upstream) pause(now time.Time, pause time.Duration) {
+	if u.pausedUntil.After(now) {
+		return
+	}
 	u.pausedUntil = now.Add(pause << min(u.failures, maxPauseDoublings))
 	u.failures++
 }
