--- a/core/queue/copies.go
+++ b/core/queue/copies.go
@@ -31,15 +31,15 @@
 
 // restMS returns the expected time for which a placed request still takes its room.
 func (q *Queue) restMS(now time.Time, r *request) float64 {
-	return max(q.holdTime(now)-milliseconds(now.Sub(r.placedAt)), 0)
+	return max(q.rates.expectedHoldMS-milliseconds(now.Sub(r.placedAt)), 0)
 }
 
 // copyWorth returns what a copy is worth for the rest of a stream: the probability that the
 // upstream is lost by then, times what a restart from the prompt costs. The prompt counts
 // twice, once for the caller and once for those that wait while it is read again.
-func (q *Queue) copyWorth(now time.Time, r *request, restMS float64) float64 {
+func (q *Queue) copyWorth(r *request, restMS float64) float64 {
 	restart := milliseconds(q.settings.LossCost) + 2*float64(r.prompt)*q.typicalMSPerToken()
-	return classWeight(r.priority()) * q.lossProbability(now, restMS) * restart
+	return classWeight(r.priority()) * q.lossProbability(restMS) * restart
 }
 
 // typicalMSPerToken returns the mean time to read a token.
@@ -53,7 +53,7 @@
 // roomCost returns the delay that taking room for a time causes to those that wait, or are about
 // to wait, for KV cache. Each of them begins later by the share of all room that is taken, times
 // the time.
-func (q *Queue) roomCost(now time.Time, tokens int, ms, affected float64) float64 {
+func (q *Queue) roomCost(tokens int, ms, affected float64) float64 {
 	if q.rates.memory <= 0 {
 		return 0
 	}
@@ -68,7 +68,7 @@
 	for p := range priority + 1 {
 		copies += q.copyTokens[p]
 	}
-	streams := max(float64(q.usedTokens), perMS(&q.rates.kvArrived, now, arrivalWindow)*q.holdTime(now))
+	streams := max(float64(q.usedTokens), perMS(&q.rates.kvArrived, now, arrivalWindow)*q.rates.expectedHoldMS)
 	excess := streams + float64(copies+tokens) - memoryHeadroom*q.rates.memory
 	affected := max(excess, 0) / max(float64(tokens), 1)
 	if now.Before(q.rates.shortUntil) {
@@ -98,7 +98,7 @@
 		return nil
 	}
 	rest := q.restMS(now, r)
-	if q.copyWorth(now, r, rest) <= q.roomCost(now, r.tokens, rest, q.affected(now, r.tokens, r.priority())) {
+	if q.copyWorth(r, rest) <= q.roomCost(r.tokens, rest, q.affected(now, r.tokens, r.priority())) {
 		return nil
 	}
 	return q.copyHolder(now, r)
@@ -127,7 +127,7 @@
 		return nil
 	}
 	q.rates.shortUntil = now.Add(shortPeriod)
-	limit := q.roomCost(now, r.tokens, q.holdTime(now), q.affected(now, r.tokens, r.priority()))
+	limit := q.roomCost(r.tokens, q.rates.expectedHoldMS, q.affected(now, r.tokens, r.priority()))
 	var best *upstream
 	lowest := limit
 	for _, u := range list {
@@ -184,7 +184,7 @@
 // sortCopies sorts the copies at an upstream, the one least worth keeping first.
 func (q *Queue) sortCopies(now time.Time, u *upstream) {
 	for _, r := range u.copies {
-		r.copyWorth = q.copyWorth(now, r, q.restMS(now, r))
+		r.copyWorth = q.copyWorth(r, q.restMS(now, r))
 	}
 	slices.SortFunc(u.copies, func(a, b *request) int {
 		return cmp.Or(cmp.Compare(a.copyWorth, b.copyWorth), cmp.Compare(a.seq, b.seq))
@@ -241,7 +241,7 @@
 func (q *Queue) bestWithoutCopy(now time.Time, before int) *request {
 	var best *request
 	highest := 0.0
-	hold := q.holdTime(now)
+	hold := q.rates.expectedHoldMS
 	for _, r := range q.requests {
 		if !r.Copy || r.priority() >= before || r.state != running || r.at == nil || r.copyAt != nil {
 			continue
@@ -250,7 +250,7 @@
 		if rest < minCopyRest*hold {
 			continue
 		}
-		gain := q.copyWorth(now, r, rest) - makeCopyFactor*q.roomCost(now, r.tokens, rest, q.affected(now, r.tokens, r.priority()))
+		gain := q.copyWorth(r, rest) - makeCopyFactor*q.roomCost(r.tokens, rest, q.affected(now, r.tokens, r.priority()))
 		if gain > highest || gain == highest && best != nil && r.seq < best.seq {
 			best, highest = r, gain
 		}
--- a/core/queue/decide.go
+++ b/core/queue/decide.go
@@ -48,7 +48,7 @@
 			break
 		}
 		u := q.choose(now, r, q.free)
-		if u == nil {
+		if u == nil && blocked == 0 {
 			u = q.makeRoom(now, r, q.free)
 		}
 		if u != nil && q.betterToWait(now, r, u) {
--- a/core/queue/events.go
+++ b/core/queue/events.go
@@ -175,6 +175,7 @@
 		case Broken:
 			u.fail(now, q.settings.BrokenPause)
 			q.rates.lost.add(now, lossWindow, 1)
+			q.refreshLossRate(now)
 		case Full:
 			u.pausedUntil = now.Add(fullPause)
 		}
--- a/core/queue/owner.go
+++ b/core/queue/owner.go
@@ -64,7 +64,7 @@
 // New returns an empty queue. The random source spreads equal upstreams and RetryAfter.
 func New(now time.Time, s Settings, rng *rand.Rand) *Queue {
 	q := &Queue{epoch: now, settings: s.withDefaults(), rng: rng, speeds: s.Speeds, requests: map[Key]*request{}, upstreams: map[string]*upstream{},
-		zones: map[string]*zone{}, meanPrompt: priorPromptTokens, nextSweep: now, pledges: map[returnKey]pledge{}, rates: rates{holdMS: priorHoldMS}}
+		zones: map[string]*zone{}, meanPrompt: priorPromptTokens, nextSweep: now, pledges: map[returnKey]pledge{}, rates: rates{holdMS: priorHoldMS, expectedHoldMS: priorHoldMS}}
 	if q.speeds == nil {
 		q.speeds = newMedianSpeeds()
 	}
--- a/core/queue/place.go
+++ b/core/queue/place.go
@@ -182,6 +182,9 @@
 	}
 	r.state = placed
 	q.attach(now, u, r)
+	if r.expected == 0 {
+		explanation.Expected = r.readyAt.Sub(now)
+	}
 	q.countStart(now, r)
 	q.usedUp(now, u)
 	d := Decision{Key: r.key, Action: Place, Upstream: u.ID, ExpectedFirstEvent: r.readyAt.Sub(now), Explanation: explanation}
@@ -193,7 +196,8 @@
 }
 
 func (q *Queue) explain(now time.Time, r *request, u *upstream) Explanation {
-	e := Explanation{Waiting: q.waiting() + len(q.resumes), Waited: now.Sub(r.submittedAt), Expected: r.expected}
+	e := Explanation{Waiting: q.waiting() + len(q.resumes), Ahead: int(float64(r.ahead) / q.meanPrompt), AheadTokens: r.ahead,
+		Waited: now.Sub(r.submittedAt), Expected: r.expected}
 	if u != nil {
 		e.Unread, e.Used = u.unreadTokens, u.usedShare()
 	}
--- a/core/queue/rates.go
+++ b/core/queue/rates.go
@@ -66,6 +66,9 @@
 	// shortUntil is until when KV cache rather than reading limits the starts.
 	shortUntil time.Time
 	sweptAt    time.Time
+	// expectedHoldMS is the expected time that a new stream takes its room beside the current
+	// reading, lossRate the rate per second at which a stream loses its upstream.
+	expectedHoldMS, lossRate float64
 }
 
 // perMS returns the rate of a decayed sum per millisecond.
@@ -89,7 +92,7 @@
 	if !now.Before(q.rates.shortUntil) {
 		return capacity
 	}
-	steady := q.rates.memory / max(q.holdTime(now), 1) * q.promptShare(now)
+	steady := q.rates.memory / max(q.rates.expectedHoldMS, 1) * q.promptShare(now)
 	return min(max(perMS(&q.rates.started, now, startWindow), steady, minThroughputShare*capacity), capacity)
 }
 
@@ -109,9 +112,6 @@
 	return 1 - readSlowdown*busy
 }
 
-// holdTime returns the expected time in milliseconds that a new stream takes its room.
-func (q *Queue) holdTime(now time.Time) float64 { return q.rates.holdMS / q.speedWhileReading(now) }
-
 // sweepRates refreshes the sums over upstreams and counts the time that streams ran.
 func (q *Queue) sweepRates(now time.Time) {
 	s := &q.rates
@@ -129,13 +129,20 @@
 		s.streamSeconds.add(now, lossWindow, float64(held)*since.Seconds())
 	}
 	s.sweptAt = now
+	s.expectedHoldMS = s.holdMS / q.speedWhileReading(now)
+	q.refreshLossRate(now)
 }
 
 // lossProbability returns the probability that a stream loses its upstream within a time.
-func (q *Queue) lossProbability(now time.Time, ms float64) float64 {
+func (q *Queue) lossProbability(ms float64) float64 {
+	return -math.Expm1(-q.rates.lossRate * ms / 1000)
+}
+
+// refreshLossRate computes the rate of losses per second.
+func (q *Queue) refreshLossRate(now time.Time) {
 	lost := q.rates.lost.value(now, lossWindow) + q.settings.LossRate*lossPriorSeconds
 	seconds := q.rates.streamSeconds.value(now, lossWindow) + lossPriorSeconds
-	return 1 - math.Exp(-lost/seconds*ms/1000)
+	q.rates.lossRate = lost / seconds
 }
 
 // recordHold takes in the time for which a completed stream took its room.
--- a/core/queue/refuse.go
+++ b/core/queue/refuse.go
@@ -120,7 +120,7 @@
 func (q *Queue) review(now time.Time, r *request) {
 	wait, ahead := q.expectedWait(now, r, r.level)
 	if r.expected == 0 {
-		r.expected = wait
+		r.expected, r.ahead = wait, ahead
 	}
 	inTime := r.level == onTime && (r.due.IsZero() || !now.Add(wait).After(r.due))
 	switch {
@@ -279,8 +279,8 @@
 
 // refuse refuses a request and remembers its caller.
 func (q *Queue) refuse(now time.Time, r *request, after time.Duration, ahead int) {
+	r.ahead = ahead
 	explanation := q.explain(now, r, nil)
-	explanation.Ahead, explanation.AheadTokens = int(float64(ahead)/q.meanPrompt), ahead
 	q.remember(now, r, after)
 	q.forget(now, r)
 	q.decisions = append(q.decisions, Decision{Key: r.key, Action: Refuse, RetryAfter: after, Explanation: explanation})
--- a/core/queue/request.go
+++ b/core/queue/request.go
@@ -37,8 +37,10 @@
 	// arrivedAt is when the caller's first attempt arrived, due when its first event is due and
 	// deadline until when the caller waits; zero means none.
 	arrivedAt, due, deadline time.Time
-	// expected is the time to the first event that was expected when the request was submitted.
+	// expected is the time to the first event that was expected when the request was submitted,
+	// ahead the prompt tokens that were to go before it.
 	expected time.Duration
+	ahead    int
 	// pledged is set for a caller that was refused and has come back in time, returned if it
 	// also goes before new ones of its class.
 	pledged, returned bool
