--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -249,6 +249,34 @@
 	assert.Equal(t, q.classes[1].first(), r)
 }
 
+// Guards against callers that pay for the flood of another organisation.
+func TestFloodingOrganisationPays(t *testing.T) {
+	q := newQueue(fleet(1)...)
+	for i := range uint64(44) {
+		e := stream(i+1, 1)
+		e.Request.Organisation, e.Request.Deadline = "large", 0
+		if i%11 == 10 {
+			e.Request.Organisation = "small"
+		}
+		q.Apply(start, "g", []Event{e})
+	}
+	refused := only(q.Decide(start), Refuse)
+	assert.Assert(t, len(refused) > 20)
+	for _, d := range refused {
+		assert.Assert(t, d.ID%11 != 0, "%d", d.ID)
+	}
+}
+
+// Guards against a new owner that refuses everything because it does not know the upstreams yet.
+func TestNoRefusalWithoutUpstreams(t *testing.T) {
+	q := newQueue()
+	q.Apply(start, "g", []Event{stream(1, 1)})
+	assert.Equal(t, len(q.Decide(start)), 0)
+	now := start.Add(time.Second)
+	q.SetUpstreams(now, fleet(1))
+	assert.Equal(t, len(only(q.Decide(now), Place)), 1)
+}
+
 // Guards against room that a lost gateway holds for ever.
 func TestLostGatewayFreesItsRoom(t *testing.T) {
 	q := newQueue(fleet(4)...)
--- a/core/queue/refuse.go
+++ b/core/queue/refuse.go
@@ -20,8 +20,8 @@
 	// overloadEnd is the share of the throughput below which arrivals end an overload. It is less
 	// than 1, so that noise does not end it.
 	overloadEnd = 0.8
-	// overShare is how far beyond an equal share an organisation's waiting requests may be
-	// before those that would be late are refused.
+	// overShare is how much more than the others on average an organisation may have waiting
+	// before those of its requests that would be late are refused.
 	overShare = 2
 	// retryShare is the share of the time left to the deadline for which a caller follows
 	// Retry-After.
@@ -118,6 +118,9 @@
 // review refuses a waiting request if it cannot be served in time and would be in the way of
 // others, or not even before its deadline.
 func (q *Queue) review(now time.Time, r *request) {
+	if q.rates.readers == 0 {
+		return // a new owner may not have the list yet
+	}
 	wait, ahead := q.expectedWait(now, r, r.level)
 	if r.expected == 0 {
 		r.expected, r.ahead = wait, ahead
@@ -178,7 +181,7 @@
 			own = f.total()
 		}
 	}
-	return flows > 1 && own*flows > overShare*tokens
+	return flows > 1 && own*(flows-1) > overShare*(tokens-own)
 }
 
 // expectedWait returns the expected time to the first event of a waiting request in a level, and
@@ -219,7 +222,8 @@
 
 // drainMS returns the expected time until a number of prompt tokens has been started, while later
 // arrivals that pass them take a share of the throughput. An overload is expected to last for a
-// share of the time that it has lasted; a request is not refused because it would wait for ever if it never ended.
+// share of the time that it has lasted; a request is not refused because it would wait for ever if
+// it never ended.
 func (q *Queue) drainMS(now time.Time, tokens, throughput, busy float64) float64 {
 	calm := 1 - min(busy, maxBusyShare)
 	if q.overloadFrom.IsZero() || busy <= maxBusyShare {
