--- a/core/queue/copies.go
+++ b/core/queue/copies.go
@@ -47,7 +47,7 @@
 	if q.rates.readers == 0 {
 		return 1.0 / priorTokensPerMS
 	}
-	return float64(q.rates.readers) / q.rates.capacity
+	return q.rates.readers / q.rates.capacity
 }
 
 // roomCost returns the delay that taking room for a time causes to those that wait, or are about
--- a/core/queue/events.go
+++ b/core/queue/events.go
@@ -156,10 +156,16 @@
 // for another one at the upstream does not count.
 func (q *Queue) learnSpeed(now time.Time, r *request, took time.Duration) {
 	u := r.at
-	if took <= 0 || took > maxDuration || len(u.unread) == 0 || u.unread[0] != r || r.toRead != r.prompt {
+	if took <= 0 || took > maxDuration || len(u.unread) == 0 || r.toRead != r.prompt {
 		return
 	}
-	took -= max(u.readFrom.Sub(r.placedAt), 0)
+	if !u.parallel() {
+		if u.unread[0] != r {
+			return
+		}
+		took -= max(u.readFrom.Sub(r.placedAt), 0)
+	}
+	q.measured = true
 	q.speeds.FirstEvent(now, u.ID, r.prompt, took, 0)
 	q.refreshSpeed(now, u)
 }
--- a/core/queue/flow.go
+++ b/core/queue/flow.go
@@ -24,11 +24,10 @@
 // start-time fair queueing: the flow with the lowest start tag is served next, and the virtual
 // time is the start tag of the last one served.
 type flow struct {
-	organisation string
-	startTag     float64
-	lists        [levels][]*request // by arrival
-	tokens       [levels]int
-	index        [levels]int // in the heaps of the class
+	startTag float64
+	lists    [levels][]*request // by arrival
+	tokens   [levels]int
+	index    [levels]int // in the heaps of the class
 }
 
 func (f *flow) idle() bool {
@@ -138,7 +137,7 @@
 func (c *class) push(r *request, l levelIndex) {
 	f := c.flows[r.Organisation]
 	if f == nil {
-		f = &flow{organisation: r.Organisation}
+		f = &flow{}
 		c.flows[r.Organisation] = f
 	}
 	if f.idle() {
--- a/core/queue/owner.go
+++ b/core/queue/owner.go
@@ -27,7 +27,9 @@
 	meanPrompt float64
 	prompts    float64 // number of samples of meanPrompt, bounded
 	nextSweep  time.Time
-	rates      rates
+	// measured is set once the time to a first event is known.
+	measured bool
+	rates    rates
 	// usedTokens is the KV cache taken by requests, copyTokens that by the copies of each class.
 	usedTokens int
 	copyTokens [priorities]int
@@ -54,6 +56,8 @@
 const (
 	// priorPromptTokens is the assumed size of a prompt until there are samples.
 	priorPromptTokens = 8000
+	// priorCallMS is the assumed time of a call of a plain service.
+	priorCallMS = 15
 	// minPromptWeight is the lowest weight of the newest sample in the mean prompt size.
 	minPromptWeight = 0.02
 	// sweepInterval is the interval at which estimates of all upstreams are refreshed and idle
@@ -149,6 +153,9 @@
 func (q *Queue) refreshSpeed(now time.Time, u *upstream) {
 	tokens := max(q.meanPrompt, 1)
 	ms := q.speeds.PrefillMS(now, u.ID, tokens)
+	if u.parallel() && !q.measured {
+		ms = priorCallMS
+	}
 	if ms > 0 && ms < milliseconds(maxDuration) {
 		u.msPerToken = ms / tokens
 	}
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -277,6 +277,20 @@
 	assert.Equal(t, len(only(q.Decide(now), Place)), 1)
 }
 
+// Guards against plain services that get one call at a time.
+func TestPlainServiceFillsItsSlots(t *testing.T) {
+	q := newQueue(Upstream{ID: "s", Zone: "z0", Slots: 6, Accepts: true})
+	for i := range uint64(10) {
+		q.Apply(start, "g", []Event{{Kind: Submitted, ID: i, Request: &Request{Zone: "z0", Organisation: "o", Priority: 1, Aim: 120 * time.Millisecond, Deadline: time.Second}}})
+	}
+	d := q.Decide(start)
+	assert.Equal(t, len(only(d, Place)), 6)
+	assert.Equal(t, len(only(d, Refuse)), 0)
+	now := start.Add(15 * time.Millisecond)
+	q.Apply(now, "g", []Event{{Kind: Begun, ID: d[0].ID, Took: 15 * time.Millisecond}, completed(d[0].ID)})
+	assert.Equal(t, len(only(q.Decide(now), Place)), 1)
+}
+
 // Guards against room that a lost gateway holds for ever.
 func TestLostGatewayFreesItsRoom(t *testing.T) {
 	q := newQueue(fleet(4)...)
--- a/core/queue/rates.go
+++ b/core/queue/rates.go
@@ -61,8 +61,8 @@
 	// capacity is the sum of the reading speeds in tokens per millisecond, memory the sum of the
 	// KV caches, as of the last sweep.
 	capacity, memory float64
-	// readers is the number of upstreams that accept work.
-	readers int
+	// readers is the number of requests that are read at once by all upstreams that accept work.
+	readers float64
 	// shortUntil is until when KV cache rather than reading limits the starts.
 	shortUntil time.Time
 	sweptAt    time.Time
@@ -112,6 +112,14 @@
 	return 1 - readSlowdown*busy
 }
 
+// readers returns the number of requests that an upstream works on at once until they begin.
+func (u *upstream) readers() float64 {
+	if u.parallel() {
+		return float64(max(u.Slots, 1))
+	}
+	return 1
+}
+
 // sweepRates refreshes the sums over upstreams and counts the time that streams ran.
 func (q *Queue) sweepRates(now time.Time) {
 	s := &q.rates
@@ -120,8 +128,8 @@
 	for _, u := range q.list {
 		held += u.requests
 		if u.Accepts { // one that pauses after a failure is back soon
-			s.readers++
-			s.capacity += 1 / u.msPerToken
+			s.readers += u.readers()
+			s.capacity += u.readers() / u.msPerToken
 			s.memory += float64(q.memoryBound(u))
 		}
 	}
--- a/core/queue/room.go
+++ b/core/queue/room.go
@@ -2,15 +2,19 @@
 
 import "time"
 
+// parallel reports whether an upstream works on all its requests at once, as plain services do.
+// One with a KV cache reads prompts one after another.
+func (u *upstream) parallel() bool { return u.MemoryTokens == 0 }
+
 // mayRead reports whether an upstream may be given another prompt: it has nothing to read, or is
 // about to have read all. One whose first event is overdue gets nothing more.
 func (u *upstream) mayRead(since time.Duration) bool {
-	return len(u.unread) == 0 || u.grantFrom <= since && since <= u.grantUntil
+	return len(u.unread) == 0 || u.parallel() || u.grantFrom <= since && since <= u.grantUntil
 }
 
 // fitsUnread reports whether a prompt keeps within the bound on unread tokens.
 func (q *Queue) fitsUnread(u *upstream, r *request) bool {
-	return len(u.unread) == 0 || u.unreadTokens+r.prompt <= q.settings.MaxUnreadTokens
+	return len(u.unread) == 0 || u.parallel() || u.unreadTokens+r.prompt <= q.settings.MaxUnreadTokens
 }
 
 // fits reports whether an upstream has a slot and memory for a number of tokens beside what it
--- a/core/queue/speed.go
+++ b/core/queue/speed.go
@@ -62,10 +62,14 @@
 	if tokens < minSampleTokens || took <= 0 {
 		return
 	}
-	e, sample := m.upstream(id), float64(tokens)/milliseconds(took)
+	sample := float64(tokens) / milliseconds(took)
+	if m.service.samples == 0 {
+		m.service.tokensPerMS = sample // the prior may be off by orders of magnitude
+	}
+	m.service.add(sample, serviceStep, 1)
+	e := m.upstream(id)
 	e.add(sample, upstreamStep, firstStep)
 	m.upstreams[id] = e
-	m.service.add(sample, serviceStep, 1)
 }
 
 // PrefillMS implements Speeds.
--- a/core/queue/upstream.go
+++ b/core/queue/upstream.go
@@ -93,7 +93,7 @@
 	if len(u.unread) == 0 {
 		u.readFrom, u.readyAt = now, now
 	}
-	if u.readyAt.Before(now) {
+	if u.readyAt.Before(now) || u.parallel() {
 		u.readyAt = now
 	}
 	u.unread = append(u.unread, r)
@@ -116,6 +116,9 @@
 	}
 	u.unread = slices.Delete(u.unread, i, i+1)
 	u.unreadTokens -= r.toRead
+	if u.parallel() {
+		return
+	}
 	if i == 0 {
 		u.readFrom = now
 	}
@@ -123,7 +126,12 @@
 }
 
 // readingLeft returns the expected time until all prompts at the upstream are read.
-func (u *upstream) readingLeft(now time.Time) time.Duration { return max(u.readyAt.Sub(now), 0) }
+func (u *upstream) readingLeft(now time.Time) time.Duration {
+	if u.parallel() {
+		return 0
+	}
+	return max(u.readyAt.Sub(now), 0)
+}
 
 // attach counts a request at an upstream.
 func (q *Queue) attach(now time.Time, u *upstream, r *request) {
