--- a/core/queue/copies.go
+++ b/core/queue/copies.go
@@ -20,8 +20,8 @@
 	// makeCopyFactor is by how much a copy must be worth its room to be made for a running
 	// stream, so that copies are not dropped and made by turns.
 	makeCopyFactor = 2
-	// makeCopyCalm is how long nothing may have waited before copies are made for running
-	// streams, maxMakeCopies how many are made in one sweep: each takes bandwidth.
+	// makeCopyCalm is how long nothing may have waited before copies are made for the running
+	// streams of all classes, maxMakeCopies how many are made in one sweep: each takes bandwidth.
 	makeCopyCalm, maxMakeCopies = time.Second, 2
 	// minCopyRest is the share of a stream that must be left for a copy to be made.
 	minCopyRest = 0.3
@@ -31,15 +31,15 @@
 
 // restMS returns the expected time for which a placed request still takes its room.
 func (q *Queue) restMS(now time.Time, r *request) float64 {
-	return max(q.holdTime(now)-milliseconds(now.Sub(r.placedAt)), 0)
+	return max(q.rates.expectedHoldMS-milliseconds(now.Sub(r.placedAt)), 0)
 }
 
 // copyWorth returns what a copy is worth for the rest of a stream: the probability that the
 // upstream is lost by then, times what a restart from the prompt costs. The prompt counts
 // twice, once for the caller and once for those that wait while it is read again.
-func (q *Queue) copyWorth(now time.Time, r *request, restMS float64) float64 {
+func (q *Queue) copyWorth(r *request, restMS float64) float64 {
 	restart := milliseconds(q.settings.LossCost) + 2*float64(r.prompt)*q.typicalMSPerToken()
-	return classWeight(r.priority()) * q.lossProbability(now, restMS) * restart
+	return classWeight(r.priority()) * q.lossProbability(restMS) * restart
 }
 
 // typicalMSPerToken returns the mean time to read a token.
@@ -47,13 +47,13 @@
 	if q.rates.readers == 0 {
 		return 1.0 / priorTokensPerMS
 	}
-	return float64(q.rates.readers) / q.rates.capacity
+	return q.rates.readers / q.rates.capacity
 }
 
 // roomCost returns the delay that taking room for a time causes to those that wait, or are about
 // to wait, for KV cache. Each of them begins later by the share of all room that is taken, times
 // the time.
-func (q *Queue) roomCost(now time.Time, tokens int, ms, affected float64) float64 {
+func (q *Queue) roomCost(tokens int, ms, affected float64) float64 {
 	if q.rates.memory <= 0 {
 		return 0
 	}
@@ -68,7 +68,7 @@
 	for p := range priority + 1 {
 		copies += q.copyTokens[p]
 	}
-	streams := max(float64(q.usedTokens), perMS(&q.rates.kvArrived, now, arrivalWindow)*q.holdTime(now))
+	streams := max(float64(q.usedTokens), perMS(&q.rates.kvArrived, now, arrivalWindow)*q.rates.expectedHoldMS)
 	excess := streams + float64(copies+tokens) - memoryHeadroom*q.rates.memory
 	affected := max(excess, 0) / max(float64(tokens), 1)
 	if now.Before(q.rates.shortUntil) {
@@ -98,7 +98,7 @@
 		return nil
 	}
 	rest := q.restMS(now, r)
-	if q.copyWorth(now, r, rest) <= q.roomCost(now, r.tokens, rest, q.affected(now, r.tokens, r.priority())) {
+	if q.copyWorth(r, rest) <= q.roomCost(r.tokens, rest, q.affected(now, r.tokens, r.priority())) {
 		return nil
 	}
 	return q.copyHolder(now, r)
@@ -119,18 +119,18 @@
 	return best
 }
 
-// makeRoom drops the copies least worth keeping at one of the free upstreams, if a request cannot
-// be placed for lack of KV cache and the wait of all costs more than these copies are worth. It
+// makeRoom drops the copies least worth keeping at an upstream, if a request cannot
+// be placed at one of a list for lack of KV cache and the wait of all costs more than these copies are worth. It
 // returns the upstream, or nil.
-func (q *Queue) makeRoom(now time.Time, r *request) *upstream {
-	if !q.lacksRoom(r) {
+func (q *Queue) makeRoom(now time.Time, r *request, list []*upstream) *upstream {
+	if !q.lacksRoom(r, list) {
 		return nil
 	}
 	q.rates.shortUntil = now.Add(shortPeriod)
-	limit := q.roomCost(now, r.tokens, q.holdTime(now), q.affected(now, r.tokens, r.priority()))
+	limit := q.roomCost(r.tokens, q.rates.expectedHoldMS, q.affected(now, r.tokens, r.priority()))
 	var best *upstream
 	lowest := limit
-	for _, u := range q.free {
+	for _, u := range list {
 		if u.held || !u.suits(r) || !q.fitsUnread(u, r) {
 			continue
 		}
@@ -145,8 +145,8 @@
 }
 
 // lacksRoom reports whether nothing but KV cache or slots keeps a request from a free upstream.
-func (q *Queue) lacksRoom(r *request) bool {
-	for _, u := range q.free {
+func (q *Queue) lacksRoom(r *request, list []*upstream) bool {
+	for _, u := range list {
 		if !u.held && u.suits(r) && q.fitsUnread(u, r) && !q.fits(u, r.tokens) {
 			return true
 		}
@@ -184,7 +184,7 @@
 // sortCopies sorts the copies at an upstream, the one least worth keeping first.
 func (q *Queue) sortCopies(now time.Time, u *upstream) {
 	for _, r := range u.copies {
-		r.copyWorth = q.copyWorth(now, r, q.restMS(now, r))
+		r.copyWorth = q.copyWorth(r, q.restMS(now, r))
 	}
 	slices.SortFunc(u.copies, func(a, b *request) int {
 		return cmp.Or(cmp.Compare(a.copyWorth, b.copyWorth), cmp.Compare(a.seq, b.seq))
@@ -200,18 +200,16 @@
 	}
 }
 
-// makeCopies requests copies for running streams that have none, once nothing has waited for a
-// while.
+// makeCopies requests copies for running streams that have none, if only less urgent requests wait.
 func (q *Queue) makeCopies(now time.Time) {
-	if q.waiting() > 0 || len(q.resumes) > 0 {
+	before := q.mostUrgentWaiting()
+	if before < priorities {
 		q.calmFrom = now.Add(makeCopyCalm)
-		return
-	}
-	if now.Before(q.calmFrom) {
+	} else if now.Before(q.calmFrom) {
 		return
 	}
 	for range maxMakeCopies {
-		r := q.bestWithoutCopy(now)
+		r := q.bestWithoutCopy(now, before)
 		if r == nil {
 			return
 		}
@@ -224,20 +222,35 @@
 	}
 }
 
-// bestWithoutCopy returns the running stream for which a copy is worth most beyond its room.
-func (q *Queue) bestWithoutCopy(now time.Time) *request {
+// mostUrgentWaiting returns the most urgent priority of the waiting requests, or priorities if
+// there are none. Interrupted streams count as most urgent.
+func (q *Queue) mostUrgentWaiting() int {
+	if len(q.resumes) > 0 {
+		return 0
+	}
+	for p, c := range q.classes {
+		if c.count > 0 {
+			return p
+		}
+	}
+	return priorities
+}
+
+// bestWithoutCopy returns the running stream of the classes before one for which a copy is worth
+// most beyond its room.
+func (q *Queue) bestWithoutCopy(now time.Time, before int) *request {
 	var best *request
 	highest := 0.0
-	hold := q.holdTime(now)
+	hold := q.rates.expectedHoldMS
 	for _, r := range q.requests {
-		if !r.Copy || r.state != running || r.at == nil || r.copyAt != nil {
+		if !r.Copy || r.priority() >= before || r.state != running || r.at == nil || r.copyAt != nil {
 			continue
 		}
 		rest := q.restMS(now, r)
 		if rest < minCopyRest*hold {
 			continue
 		}
-		gain := q.copyWorth(now, r, rest) - makeCopyFactor*q.roomCost(now, r.tokens, rest, q.affected(now, r.tokens, r.priority()))
+		gain := q.copyWorth(r, rest) - makeCopyFactor*q.roomCost(r.tokens, rest, q.affected(now, r.tokens, r.priority()))
 		if gain > highest || gain == highest && best != nil && r.seq < best.seq {
 			best, highest = r, gain
 		}
--- a/core/queue/flow.go
+++ b/core/queue/flow.go
@@ -24,11 +24,10 @@
 // start-time fair queueing: the flow with the lowest start tag is served next, and the virtual
 // time is the start tag of the last one served.
 type flow struct {
-	organisation string
-	startTag     float64
-	lists        [levels][]*request // by arrival
-	tokens       [levels]int
-	index        [levels]int // in the heaps of the class
+	startTag float64
+	lists    [levels][]*request // by arrival
+	tokens   [levels]int
+	index    [levels]int // in the heaps of the class
 }
 
 func (f *flow) idle() bool {
@@ -40,6 +39,14 @@
 	return true
 }
 
+// total returns the tokens that wait.
+func (f *flow) total() (sum int) {
+	for _, tokens := range f.tokens {
+		sum += tokens
+	}
+	return sum
+}
+
 // flowHeap holds the flows that have requests in one level.
 type flowHeap struct {
 	list  []*flow
@@ -113,8 +120,9 @@
 	levels      [levels]level
 	virtualTime float64
 	count       int
-	// share is the class's recent share of starts.
-	share float64
+	// share is the class's recent share of starts; waitingFrom is since when it waits.
+	share       float64
+	waitingFrom time.Time
 }
 
 func newClass() *class {
@@ -129,7 +137,7 @@
 func (c *class) push(r *request, l levelIndex) {
 	f := c.flows[r.Organisation]
 	if f == nil {
-		f = &flow{organisation: r.Organisation}
+		f = &flow{}
 		c.flows[r.Organisation] = f
 	}
 	if f.idle() {
--- a/core/queue/rates.go
+++ b/core/queue/rates.go
@@ -61,11 +61,14 @@
 	// capacity is the sum of the reading speeds in tokens per millisecond, memory the sum of the
 	// KV caches, as of the last sweep.
 	capacity, memory float64
-	// readers is the number of upstreams that accept work.
-	readers int
+	// readers is the number of requests that are read at once by all upstreams that accept work.
+	readers float64
 	// shortUntil is until when KV cache rather than reading limits the starts.
 	shortUntil time.Time
 	sweptAt    time.Time
+	// expectedHoldMS is the expected time that a new stream takes its room beside the current
+	// reading, lossRate the rate per second at which a stream loses its upstream.
+	expectedHoldMS, lossRate float64
 }
 
 // perMS returns the rate of a decayed sum per millisecond.
@@ -81,13 +84,25 @@
 	return sum
 }
 
-// throughput returns the prompt tokens per millisecond that can be started.
+// throughput returns the prompt tokens per millisecond that can be started. Where KV cache is
+// short, these are what was started lately or, if more, what the streams that end on average
+// make room for: streams that began together also end together.
 func (q *Queue) throughput(now time.Time) float64 {
 	capacity := max(q.rates.capacity, 1e-3)
 	if !now.Before(q.rates.shortUntil) {
 		return capacity
 	}
-	return min(max(perMS(&q.rates.started, now, startWindow), minThroughputShare*capacity), capacity)
+	steady := q.rates.memory / max(q.rates.expectedHoldMS, 1) * q.promptShare(now)
+	return min(max(perMS(&q.rates.started, now, startWindow), steady, minThroughputShare*capacity), capacity)
+}
+
+// promptShare returns the share of prompts in the tokens that arrive.
+func (q *Queue) promptShare(now time.Time) float64 {
+	all := perMS(&q.rates.kvArrived, now, arrivalWindow)
+	if all <= 0 {
+		return 1
+	}
+	return min(q.arrivalRate(now, priorities)/all, 1)
 }
 
 // speedWhileReading returns the mean speed of running streams, as a share of their speed beside no
@@ -97,8 +112,13 @@
 	return 1 - readSlowdown*busy
 }
 
-// holdTime returns the expected time in milliseconds that a new stream takes its room.
-func (q *Queue) holdTime(now time.Time) float64 { return q.rates.holdMS / q.speedWhileReading(now) }
+// readers returns the number of requests that an upstream works on at once until they begin.
+func (u *upstream) readers() float64 {
+	if u.parallel() {
+		return float64(max(u.Slots, 1))
+	}
+	return 1
+}
 
 // sweepRates refreshes the sums over upstreams and counts the time that streams ran.
 func (q *Queue) sweepRates(now time.Time) {
@@ -108,8 +128,8 @@
 	for _, u := range q.list {
 		held += u.requests
 		if u.Accepts { // one that pauses after a failure is back soon
-			s.readers++
-			s.capacity += 1 / u.msPerToken
+			s.readers += u.readers()
+			s.capacity += u.readers() / u.msPerToken
 			s.memory += float64(q.memoryBound(u))
 		}
 	}
@@ -117,13 +137,20 @@
 		s.streamSeconds.add(now, lossWindow, float64(held)*since.Seconds())
 	}
 	s.sweptAt = now
+	s.expectedHoldMS = s.holdMS / q.speedWhileReading(now)
+	q.refreshLossRate(now)
 }
 
 // lossProbability returns the probability that a stream loses its upstream within a time.
-func (q *Queue) lossProbability(now time.Time, ms float64) float64 {
+func (q *Queue) lossProbability(ms float64) float64 {
+	return -math.Expm1(-q.rates.lossRate * ms / 1000)
+}
+
+// refreshLossRate computes the rate of losses per second.
+func (q *Queue) refreshLossRate(now time.Time) {
 	lost := q.rates.lost.value(now, lossWindow) + q.settings.LossRate*lossPriorSeconds
 	seconds := q.rates.streamSeconds.value(now, lossWindow) + lossPriorSeconds
-	return 1 - math.Exp(-lost/seconds*ms/1000)
+	q.rates.lossRate = lost / seconds
 }
 
 // recordHold takes in the time for which a completed stream took its room.
--- a/core/queue/room.go
+++ b/core/queue/room.go
@@ -2,19 +2,19 @@
 
 import "time"
 
+// parallel reports whether an upstream works on all its requests at once, as plain services do.
+// One with a KV cache reads prompts one after another.
+func (u *upstream) parallel() bool { return u.MemoryTokens == 0 }
+
 // mayRead reports whether an upstream may be given another prompt: it has nothing to read, or is
 // about to have read all. One whose first event is overdue gets nothing more.
-func (q *Queue) mayRead(now time.Time, u *upstream) bool {
-	if len(u.unread) == 0 {
-		return true
-	}
-	left := u.readyAt.Sub(now)
-	return left <= q.settings.Lead && left >= -q.settings.Lead
+func (u *upstream) mayRead(since time.Duration) bool {
+	return len(u.unread) == 0 || u.parallel() || u.grantFrom <= since && since <= u.grantUntil
 }
 
 // fitsUnread reports whether a prompt keeps within the bound on unread tokens.
 func (q *Queue) fitsUnread(u *upstream, r *request) bool {
-	return len(u.unread) == 0 || u.unreadTokens+r.prompt <= q.settings.MaxUnreadTokens
+	return len(u.unread) == 0 || u.parallel() || u.unreadTokens+r.prompt <= q.settings.MaxUnreadTokens
 }
 
 // fits reports whether an upstream has a slot and memory for a number of tokens beside what it
@@ -59,6 +59,7 @@
 	}
 	if most != nil {
 		most.held, most.heldUntil = true, now.Add(holdPeriod)
+		q.held = append(q.held, most)
 	}
 }
 
--- a/core/queue/upstream.go
+++ b/core/queue/upstream.go
@@ -18,6 +18,9 @@
 	// readFrom is when the upstream has begun to read the first of unread, readyAt when it is
 	// expected to have read all.
 	readFrom, readyAt time.Time
+	// grantFrom and grantUntil are the times, from the start of the queue, between which the next
+	// prompt may be placed. Durations are compared faster than times.
+	grantFrom, grantUntil time.Duration
 	// requests counts what runs or is to run here, copies the copies that it holds.
 	requests int
 	copies   []*request
@@ -73,8 +76,12 @@
 	u.pause(now, pause)
 }
 
-// pause keeps new requests away, for longer after each further time without a first event.
+// pause keeps new requests away, for longer after each further time without a first event. The
+// streams of an upstream that fail together count once.
 func (u *upstream) pause(now time.Time, pause time.Duration) {
+	if u.pausedUntil.After(now) {
+		return
+	}
 	u.pausedUntil = now.Add(pause << min(u.failures, maxPauseDoublings))
 	u.failures++
 }
@@ -82,34 +89,49 @@
 func (u *upstream) prefill(tokens int) time.Duration { return fromMS(u.msPerToken * float64(tokens)) }
 
 // addUnread adds a request to those that the upstream has to read.
-func (u *upstream) addUnread(now time.Time, r *request) {
+func (q *Queue) addUnread(now time.Time, u *upstream, r *request) {
 	if len(u.unread) == 0 {
 		u.readFrom, u.readyAt = now, now
 	}
-	if u.readyAt.Before(now) {
+	if u.readyAt.Before(now) || u.parallel() {
 		u.readyAt = now
 	}
 	u.unread = append(u.unread, r)
-	u.unreadTokens += r.prompt
-	u.readyAt = u.readyAt.Add(u.prefill(r.prompt))
+	u.unreadTokens += r.toRead
+	q.setReady(u, u.readyAt.Add(u.prefill(r.toRead)))
+}
+
+// setReady sets the time at which an upstream is expected to have read all. It is given the next
+// prompt a lead before. One that is overdue by more gets nothing: it may be frozen.
+func (q *Queue) setReady(u *upstream, at time.Time) {
+	since, lead := at.Sub(q.epoch), q.settings.Lead
+	u.readyAt, u.grantFrom, u.grantUntil = at, since-lead, since+lead
 }
 
 // removeUnread removes a request that has been read or has ended.
-func (u *upstream) removeUnread(now time.Time, r *request) {
+func (q *Queue) removeUnread(now time.Time, u *upstream, r *request) {
 	i := slices.Index(u.unread, r)
 	if i < 0 {
 		return
 	}
 	u.unread = slices.Delete(u.unread, i, i+1)
-	u.unreadTokens -= r.prompt
+	u.unreadTokens -= r.toRead
+	if u.parallel() {
+		return
+	}
 	if i == 0 {
 		u.readFrom = now
 	}
-	u.readyAt = u.readFrom.Add(u.prefill(u.unreadTokens))
+	q.setReady(u, u.readFrom.Add(u.prefill(u.unreadTokens)))
 }
 
 // readingLeft returns the expected time until all prompts at the upstream are read.
-func (u *upstream) readingLeft(now time.Time) time.Duration { return max(u.readyAt.Sub(now), 0) }
+func (u *upstream) readingLeft(now time.Time) time.Duration {
+	if u.parallel() {
+		return 0
+	}
+	return max(u.readyAt.Sub(now), 0)
+}
 
 // attach counts a request at an upstream.
 func (q *Queue) attach(now time.Time, u *upstream, r *request) {
@@ -117,8 +139,11 @@
 	r.at, r.placedAt = u, now
 	u.requests++
 	u.usedTokens += r.tokens
+	if r.toRead = r.prompt; r.Preferred == u.ID {
+		r.toRead = int(preferredShare * float64(r.prompt))
+	}
 	if r.state == placed {
-		u.addUnread(now, r)
+		q.addUnread(now, u, r)
 		r.readyAt = u.readyAt
 	}
 }
@@ -133,7 +158,7 @@
 	q.usedTokens -= r.tokens
 	u.requests--
 	u.usedTokens -= r.tokens
-	u.removeUnread(now, r)
+	q.removeUnread(now, u, r)
 }
 
 // attachCopy counts the copy of a request at an upstream.
