--- a/modules/gateway/copy.go
+++ b/modules/gateway/copy.go
@@ -176,14 +176,14 @@
 	return defaultCopyTTL / 2
 }
 
-// close stops the updates. When the stream is complete, a copy that was requested
-// explicitly is released; the upstream itself releases the one that grows with the run.
+// close stops the updates. When the stream is complete or its caller has left, a copy that was
+// requested explicitly is released; the upstream itself releases the one that grows with the run.
 func (c *cacheBackup) close() {
 	c.refresh.Stop()
 	if c.holderEvents != nil {
 		c.holderEvents.close()
 	}
-	if c.attempt.complete && c.requested && c.backupCopy.Key != "" {
+	if (c.attempt.complete || c.stream.ctx.Err() != nil) && c.requested && c.backupCopy.Key != "" {
 		handle := c.backupCopy.Key
 		c.stream.g.spawn(func() { c.stream.dropCopy(c.attempt.choice.Upstream, handle) })
 	}
--- a/modules/gateway/queue_client.go
+++ b/modules/gateway/queue_client.go
@@ -219,6 +219,9 @@
 		return
 	}
 	c.owner.lost = true
+	if c.session == 0 {
+		return // no owner was known
+	}
 	waiting := 0
 	for _, t := range c.tickets {
 		if t.phase == ticketWaiting {
--- a/modules/registry/queue_owner.go
+++ b/modules/registry/queue_owner.go
@@ -31,7 +31,7 @@
 	registry *Registry
 	log      *slog.Logger
 	calls    chan queueCall
-	statuses chan chan map[string]queue.Status
+	reports  chan chan QueueReport
 	metrics  queueMetrics
 	// The goroutine owns what follows.
 	term, epoch uint64
@@ -50,7 +50,7 @@
 }
 
 func newQueueOwner(r *Registry) *queueOwner {
-	return &queueOwner{registry: r, log: r.log, calls: make(chan queueCall, queueCallsSize), statuses: make(chan chan map[string]queue.Status),
+	return &queueOwner{registry: r, log: r.log, calls: make(chan queueCall, queueCallsSize), reports: make(chan chan QueueReport),
 		metrics: newQueueMetrics(r.stats), sessions: map[string]*queueSession{}, services: map[string]*queue.Queue{}}
 }
 
@@ -91,8 +91,10 @@
 			if recovery.Run(o.log, "call of a gateway", func() { o.handle(time.Now(), call) }) != nil {
 				close(call.reply)
 			}
-		case status := <-o.statuses:
-			status <- o.status(time.Now())
+		case reply := <-o.reports:
+			if recovery.Run(o.log, "report of the queues", func() { reply <- o.report(time.Now()) }) != nil {
+				reply <- QueueReport{Instance: o.registry.PeerListen}
+			}
 		case <-changed:
 			continue // read before the next decision
 		case <-timer.C:
@@ -246,14 +248,3 @@
 	}
 	s.add(QueueDecision{service, d})
 }
-
-// status returns what an operator sees of the queues, by service.
-func (o *queueOwner) status(now time.Time) map[string]queue.Status {
-	out := map[string]queue.Status{}
-	if o.leads() {
-		for service, q := range o.services {
-			out[service] = q.Status(now)
-		}
-	}
-	return out
-}
--- a/modules/registry/registry.go
+++ b/modules/registry/registry.go
@@ -175,6 +175,7 @@
 	}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	r.initState()
+	ctx.Report(QueuesPath, http.HandlerFunc(r.serveQueues))
 	return nil
 }
 
