--- a/core/queue/decide.go
+++ b/core/queue/decide.go
@@ -10,10 +10,11 @@
 func (q *Queue) Decide(now time.Time) []Decision {
 	q.decisions = q.decisions[:0]
 	swept := q.sweep(now)
+	q.findFree(now)
 	q.placeResumes(now)
 	q.expire(now)
 	q.placeWaiting(now)
-	q.reviewFresh(now, swept)
+	q.reviewNew(now, swept)
 	if swept {
 		q.refuseExpired(now)
 		q.moveOverdue(now)
@@ -27,7 +28,6 @@
 	if q.waiting() == 0 {
 		return
 	}
-	q.findFree(now)
 	q.aside = q.aside[:0]
 	for len(q.free) > 0 && len(q.aside) < maxAside {
 		r := q.next(now)
@@ -36,19 +36,20 @@
 		}
 		u := q.choose(now, r, q.free)
 		if u == nil {
-			u = q.makeRoom(now, r)
+			u = q.makeRoom(now, r, q.free)
 		}
 		if u != nil && q.betterToWait(now, r, u) {
 			break
 		}
 		if u != nil {
 			q.place(now, r, u)
-			q.findFreeAfter(now, u)
 			continue
 		}
 		q.unqueue(r)
 		q.aside = append(q.aside, r)
-		q.hold(now, r)
+		if len(q.aside) == 1 {
+			q.hold(now, r)
+		}
 	}
 	for _, r := range q.aside {
 		q.classes[r.priority()].push(r, r.level)
@@ -79,26 +80,21 @@
 // NextDecision returns the time after which Decide must be called again if no event arrives
 // before; zero means only on events.
 func (q *Queue) NextDecision(now time.Time) time.Duration {
-	if q.waiting() == 0 && len(q.resumes) == 0 {
+	if len(q.requests) == 0 {
 		return 0
 	}
-	next := idleInterval
-	for _, u := range q.list {
-		if len(u.unread) > 0 {
-			if left := u.readyAt.Sub(now) - q.settings.Lead; left > 0 {
-				next = min(next, left)
-			}
-		}
-		if left := u.pausedUntil.Sub(now); left > 0 {
-			next = min(next, left)
-		}
+	if q.waiting() == 0 && len(q.resumes) == 0 {
+		return idleInterval
+	}
+	if q.freeStale {
+		return minInterval
 	}
-	return max(next, minInterval)
+	return min(max(q.freeUntil-now.Sub(q.epoch), minInterval), idleInterval)
 }
 
 const (
-	// idleInterval is the longest time between two calls of Decide while requests wait, so that
-	// aims that pass are noticed.
+	// idleInterval is the longest time between two calls of Decide while there are requests, so
+	// that aims that pass and first events that are overdue are noticed.
 	idleInterval = 100 * time.Millisecond
 	// minInterval bounds the processor time that decisions without an event take.
 	minInterval = time.Millisecond
--- a/core/queue/flow.go
+++ b/core/queue/flow.go
@@ -40,6 +40,14 @@
 	return true
 }
 
+// total returns the tokens that wait.
+func (f *flow) total() (sum int) {
+	for _, tokens := range f.tokens {
+		sum += tokens
+	}
+	return sum
+}
+
 // flowHeap holds the flows that have requests in one level.
 type flowHeap struct {
 	list  []*flow
@@ -113,8 +121,9 @@
 	levels      [levels]level
 	virtualTime float64
 	count       int
-	// share is the class's recent share of starts.
-	share float64
+	// share is the class's recent share of starts; waitingFrom is since when it waits.
+	share       float64
+	waitingFrom time.Time
 }
 
 func newClass() *class {
--- a/core/queue/place.go
+++ b/core/queue/place.go
@@ -6,6 +6,9 @@
 )
 
 const (
+	// prefillWeight is how much the time to read the prompt counts. It counts twice, since a slow
+	// upstream also runs the stream slowly and holds its room for longer.
+	prefillWeight = 2
 	// crossZoneShare is the cost of sending a stream to another availability zone, as a share of
 	// the typical prefill time. Links between zones lose packets at times, and each event of a
 	// stream that is retransmitted arrives late.
@@ -57,19 +60,47 @@
 
 // findFree lists the upstreams that may be given a prompt now.
 func (q *Queue) findFree(now time.Time) {
-	q.free = q.free[:0]
-	for _, u := range q.list {
+	since := now.Sub(q.epoch)
+	for _, u := range q.held {
 		u.held = false
-		if u.accepts(now) && q.mayRead(now, u) {
+	}
+	q.held = q.held[:0]
+	if !q.freeStale && since < q.freeUntil {
+		return
+	}
+	q.freeStale = false
+	q.free, q.freeUntil = q.free[:0], since+sweepInterval
+	for _, u := range q.list {
+		if !u.Accepts {
+			continue
+		}
+		if u.mayRead(since) && u.accepts(now) {
 			q.free = append(q.free, u)
 		}
+		q.checkFreeAt(now, since, u)
+	}
+}
+
+// checkFreeAt has the list of free upstreams renewed when one of them changes with time.
+func (q *Queue) checkFreeAt(now time.Time, since time.Duration, u *upstream) {
+	if !u.pausedUntil.IsZero() && u.pausedUntil.After(now) {
+		q.freeUntil = min(q.freeUntil, u.pausedUntil.Sub(q.epoch))
+	}
+	if len(u.unread) == 0 {
+		return
+	}
+	if u.grantFrom > since {
+		q.freeUntil = min(q.freeUntil, u.grantFrom)
+	} else if u.grantUntil > since {
+		q.freeUntil = min(q.freeUntil, u.grantUntil)
 	}
 }
 
-// findFreeAfter removes an upstream from those that are free if its last placement has filled
-// it.
-func (q *Queue) findFreeAfter(now time.Time, u *upstream) {
-	if u.accepts(now) && q.mayRead(now, u) {
+// usedUp updates the list of free upstreams after a placement.
+func (q *Queue) usedUp(now time.Time, u *upstream) {
+	since := now.Sub(q.epoch)
+	q.checkFreeAt(now, since, u)
+	if u.mayRead(since) && u.accepts(now) {
 		return
 	}
 	if i := slices.Index(q.free, u); i >= 0 {
@@ -78,7 +109,9 @@
 	}
 }
 
-func (u *upstream) accepts(now time.Time) bool { return u.Accepts && !u.pausedUntil.After(now) }
+func (u *upstream) accepts(now time.Time) bool {
+	return u.Accepts && (u.pausedUntil.IsZero() || !u.pausedUntil.After(now))
+}
 
 // suits reports whether an upstream may run a request at all.
 func (u *upstream) suits(r *request) bool {
@@ -104,7 +137,7 @@
 // first event, and what the placement costs besides.
 func (q *Queue) cost(now time.Time, r *request, u *upstream) float64 {
 	typical := u.msPerToken * q.meanPrompt
-	cost := milliseconds(u.readingLeft(now)) + u.msPerToken*float64(r.prompt) + q.rng.Float64()*jitterMS
+	cost := milliseconds(u.readingLeft(now)) + prefillWeight*u.msPerToken*float64(r.prompt) + q.rng.Float64()*jitterMS
 	cost += runningShare * typical * float64(u.requests)
 	if u.MemoryTokens > 0 {
 		cost += memoryShare * typical * float64(u.usedTokens+u.copyTokens) / float64(u.MemoryTokens)
@@ -121,22 +154,25 @@
 // chooseResume returns the upstream for an interrupted stream: the one that holds its copy if
 // it accepts work, whatever waits there, otherwise the best one with room.
 func (q *Queue) chooseResume(now time.Time, r *request) *upstream {
-	if u := q.upstreams[r.Preferred]; u != nil && u.listed && u.accepts(now) && u.suits(r) {
+	if u := q.preferred(now, r); u != nil {
 		return u
 	}
-	return q.choose(now, r, q.accepting(now))
+	list := q.accepting(now)
+	if u := q.choose(now, r, list); u != nil {
+		return u
+	}
+	return q.makeRoom(now, r, list)
 }
 
 // accepting lists the upstreams that accept work, whatever they have to read.
 func (q *Queue) accepting(now time.Time) []*upstream {
-	q.free = q.free[:0]
+	q.resumable = q.resumable[:0]
 	for _, u := range q.list {
-		u.held = false
 		if u.accepts(now) {
-			q.free = append(q.free, u)
+			q.resumable = append(q.resumable, u)
 		}
 	}
-	return q.free
+	return q.resumable
 }
 
 // place decides that a request goes to an upstream.
@@ -150,6 +186,7 @@
 	r.state = placed
 	q.attach(now, u, r)
 	q.countStart(now, r)
+	q.usedUp(now, u)
 	d := Decision{Key: r.key, Action: Place, Upstream: u.ID, ExpectedFirstEvent: r.readyAt.Sub(now), Explanation: explanation}
 	if holder := q.chooseCopy(now, r); holder != nil {
 		q.attachCopy(holder, r)
--- a/core/queue/refuse.go
+++ b/core/queue/refuse.go
@@ -9,10 +9,17 @@
 	// reviewShare is the share of its aim within which a request is refused if it is not
 	// expected to make it.
 	reviewShare = 1.0 / 8
+	// maxReview bounds that time where aims are long.
+	maxReview = 2 * time.Second
 	// maxBusyShare bounds the share of the throughput that is assumed to go to later arrivals
-	// that pass a request. A flood ends, so a request is not refused because it would wait for
-	// ever if it did not.
-	maxBusyShare = 0.8
+	// that pass a request, except in an overload that is expected to last.
+	maxBusyShare = 0.5
+	// overloadShare is how much longer an overload is expected to last, as a share of the time
+	// that it has lasted.
+	overloadShare = 0.25
+	// overloadEnd is the share of the throughput below which arrivals end an overload. It is less
+	// than 1, so that noise does not end it.
+	overloadEnd = 0.8
 	// overShare is how far beyond an equal share an organisation's waiting requests may be
 	// before those that would be late are refused.
 	overShare = 2
@@ -39,6 +46,9 @@
 // pledge is what a refused caller was told.
 type pledge struct {
 	arrivedAt, from time.Time
+	// flooded is set if the organisation had far more waiting than others. Its callers go
+	// before its own later ones only, so that others do not pay for its flood.
+	flooded bool
 }
 
 // recognise gives a caller that was refused its original arrival if it comes back when it was
@@ -57,7 +67,7 @@
 		return
 	}
 	delete(q.pledges, key)
-	r.returned = true
+	r.pledged, r.returned = true, !p.flooded
 	if p.arrivedAt.Before(r.arrivedAt) {
 		r.arrivedAt = p.arrivedAt
 		if !r.due.IsZero() {
@@ -75,48 +85,53 @@
 	}
 }
 
-// reviewFresh refuses new requests that cannot be served in time, the least urgent first. Each
-// is reviewed when it is submitted, and with each sweep until an eighth of its aim has passed.
-func (q *Queue) reviewFresh(now time.Time, all bool) {
-	if len(q.fresh) == 0 || !all && !q.newFresh {
-		return
+// reviewNew refuses new requests that cannot be served in time, the least urgent first. Each is
+// reviewed when it is submitted, and with each sweep until an eighth of its aim has passed.
+func (q *Queue) reviewNew(now time.Time, swept bool) {
+	if swept {
+		q.fresh = q.reviewList(now, q.fresh)
 	}
-	q.newFresh = false
-	slices.SortStableFunc(q.fresh, func(a, b *request) int { return b.priority() - a.priority() })
-	kept := q.fresh[:0]
-	for _, r := range q.fresh {
-		if r.state != waiting || r.flow == nil || q.requests[r.key] != r {
-			continue
-		}
-		if all || r.reviewedAt.IsZero() {
+	if len(q.unseen) > 0 {
+		q.fresh = append(q.fresh, q.reviewList(now, q.unseen)...)
+		clear(q.unseen)
+		q.unseen = q.unseen[:0]
+	}
+}
+
+// reviewList reviews requests and returns those that are to be reviewed again.
+func (q *Queue) reviewList(now time.Time, list []*request) []*request {
+	slices.SortStableFunc(list, func(a, b *request) int { return b.priority() - a.priority() })
+	kept := list[:0]
+	for _, r := range list {
+		if r.state == waiting && r.flow != nil {
 			q.review(now, r)
 		}
-		if r.state == waiting && q.requests[r.key] == r && now.Sub(r.submittedAt) < time.Duration(reviewShare*float64(limitDuration(r.Aim))) {
+		window := min(time.Duration(reviewShare*float64(limitDuration(r.Aim))), maxReview)
+		if r.state == waiting && r.flow != nil && now.Sub(r.submittedAt) < window {
 			kept = append(kept, r)
 		}
 	}
-	clear(q.fresh[len(kept):])
-	q.fresh = kept
+	clear(list[len(kept):])
+	return kept
 }
 
 // review refuses a waiting request if it cannot be served in time and would be in the way of
 // others, or not even before its deadline.
 func (q *Queue) review(now time.Time, r *request) {
 	wait, ahead := q.expectedWait(now, r, r.level)
-	if r.reviewedAt.IsZero() {
+	if r.expected == 0 {
 		r.expected = wait
 	}
-	r.reviewedAt = now
 	inTime := r.level == onTime && (r.due.IsZero() || !now.Add(wait).After(r.due))
 	switch {
-	case q.couldStart(now, r):
+	case q.couldStart(r):
 	case r.earlyBy.After(now):
-		q.refuse(now, r, r.earlyBy.Sub(now), ahead)
+		q.refuse(now, r, max(r.earlyBy.Sub(now), minRetryAfter), ahead)
 	case inTime:
 	case q.missesDeadline(now, r):
-		q.refuse(now, r, wait, ahead)
-	case !r.returned && r.level == onTime && q.floods(r):
-		q.refuse(now, r, wait, ahead)
+		q.refuse(now, r, q.retryAfter(now, r, wait), ahead)
+	case !r.pledged && r.level == onTime && q.floods(r):
+		q.refuse(now, r, q.retryAfter(now, r, wait), ahead)
 	}
 }
 
@@ -138,10 +153,10 @@
 	return late
 }
 
-// couldStart reports whether an upstream could take a request now.
-func (q *Queue) couldStart(now time.Time, r *request) bool {
-	for _, u := range q.list {
-		if u.accepts(now) && u.suits(r) && q.mayRead(now, u) && q.fitsUnread(u, r) && q.fits(u, r.tokens) {
+// couldStart reports whether one of the free upstreams could take a request.
+func (q *Queue) couldStart(r *request) bool {
+	for _, u := range q.free {
+		if u.suits(r) && q.fitsUnread(u, r) && q.fits(u, r.tokens) {
 			return true
 		}
 	}
@@ -152,12 +167,18 @@
 // its class.
 func (q *Queue) floods(r *request) bool {
 	c := q.classes[r.priority()]
-	flows, tokens := 0, 0
-	for _, f := range c.levels[onTime].flows.list {
+	flows, tokens, own := 0, 0, 0
+	for _, f := range c.flows {
+		if f.idle() {
+			continue
+		}
 		flows++
-		tokens += f.tokens[onTime]
+		tokens += f.total()
+		if f == r.flow {
+			own = f.total()
+		}
 	}
-	return flows > 1 && r.flow.tokens[onTime]*flows > overShare*tokens
+	return flows > 1 && own*flows > overShare*tokens
 }
 
 // expectedWait returns the expected time to the first event of a waiting request in a level, and
@@ -185,29 +206,66 @@
 	if l == late {
 		passing = p + 1
 	}
-	ahead += q.aheadInLevel(r, l)
 	throughput := q.throughput(now)
-	busy := min(q.arrivalRate(now, passing)/throughput, maxBusyShare)
-	ms := float64(ahead)/(throughput*(1-busy)) + q.typicalMSPerToken()*float64(r.prompt)
+	inLevel := q.aheadInLevel(r, l)
+	ms := q.drainMS(now, float64(ahead+inLevel), throughput, q.arrivalRate(now, passing)/throughput)
+	if l != late { // the floor of a class serves those first that are on time
+		ms = min(ms, float64(inLevel)/(throughput*q.settings.Floor)+milliseconds(floorWait))
+	}
+	ahead += inLevel
+	ms += q.typicalMSPerToken() * float64(r.prompt)
 	return fromMS(min(ms, milliseconds(maxDuration))), ahead
 }
 
+// drainMS returns the expected time until a number of prompt tokens has been started, while later
+// arrivals that pass them take a share of the throughput. An overload is expected to last for a
+// share of the time that it has lasted; a request is not refused because it would wait for ever if it never ended.
+func (q *Queue) drainMS(now time.Time, tokens, throughput, busy float64) float64 {
+	calm := 1 - min(busy, maxBusyShare)
+	if q.overloadFrom.IsZero() || busy <= maxBusyShare {
+		return tokens / (throughput * calm)
+	}
+	lasts := overloadShare * milliseconds(now.Sub(q.overloadFrom))
+	left := max(1-busy, 0)
+	if drained := throughput * left * lasts; tokens > drained {
+		return lasts + (tokens-drained)/(throughput*calm)
+	}
+	return tokens / (throughput * left)
+}
+
+// noticeOverload follows whether more arrives than can be started.
+func (q *Queue) noticeOverload(now time.Time) {
+	share := q.arrivalRate(now, priorities) / q.throughput(now)
+	switch {
+	case q.overloadFrom.IsZero() && share > 1 && q.waiting() > 0:
+		q.overloadFrom = now
+	case share < overloadEnd:
+		q.overloadFrom = time.Time{}
+	}
+}
+
 // aheadInLevel returns the prompt tokens that go before a request in its level. In fair queueing
 // the other organisations are served in proportion before it, but at most all of the level is.
 func (q *Queue) aheadInLevel(r *request, l levelIndex) int {
 	lv := &q.classes[r.priority()].levels[l]
-	if r.flow == nil || r.level != l {
+	if r.flow == nil {
 		return lv.tokens
 	}
-	list := r.flow.lists[l]
-	at, _ := slices.BinarySearchFunc(list, r, earlier)
-	share := float64(at) / float64(max(len(list), 1)) * float64(r.flow.tokens[l])
-	return int(min(share*float64(len(lv.flows.list)), float64(max(lv.tokens-r.prompt, 0))))
+	list, flows, total := r.flow.lists[l], len(lv.flows.list), lv.tokens
+	at := len(list)
+	if r.level == l {
+		at, _ = slices.BinarySearchFunc(list, r, earlier)
+		total -= r.prompt
+	} else if at == 0 {
+		flows++
+	}
+	own := float64(at) / float64(max(len(list), 1)) * float64(r.flow.tokens[l])
+	return int(min(own*float64(flows), float64(total)))
 }
 
-// refuse refuses a request, names a time at which there is expected to be room, and remembers its
-// caller.
-func (q *Queue) refuse(now time.Time, r *request, wait time.Duration, ahead int) {
+// retryAfter returns a time at which there is expected to be room, spread so that callers that are
+// refused together do not come back together, and within what callers follow.
+func (q *Queue) retryAfter(now time.Time, r *request, wait time.Duration) time.Duration {
 	longest := maxRetryAfter
 	if !r.deadline.IsZero() {
 		longest = time.Duration(retryShare * float64(r.deadline.Sub(now)))
@@ -216,9 +274,13 @@
 	if after > longest {
 		after = time.Duration(float64(longest) * (1 - retrySpread*q.rng.Float64()))
 	}
-	after = max(after, minRetryAfter)
+	return max(after, minRetryAfter)
+}
+
+// refuse refuses a request and remembers its caller.
+func (q *Queue) refuse(now time.Time, r *request, after time.Duration, ahead int) {
 	explanation := q.explain(now, r, nil)
-	explanation.AheadTokens = ahead
+	explanation.Ahead, explanation.AheadTokens = int(float64(ahead)/q.meanPrompt), ahead
 	q.remember(now, r, after)
 	q.forget(now, r)
 	q.decisions = append(q.decisions, Decision{Key: r.key, Action: Refuse, RetryAfter: after, Explanation: explanation})
@@ -233,11 +295,12 @@
 		return // what it was told before still holds
 	}
 	if len(q.pledges) < maxReturns {
-		q.pledges[key] = pledge{arrivedAt: r.arrivedAt, from: now.Add(after)}
+		q.pledges[key] = pledge{arrivedAt: r.arrivedAt, from: now.Add(after), flooded: r.flow != nil && q.floods(r)}
 	}
 }
 
-// refuseExpired refuses waiting requests whose deadline cannot be met any more.
+// refuseExpired refuses waiting requests whose deadline cannot be met any more. There is nothing to
+// come back for before the deadline, so they are told a time after it.
 func (q *Queue) refuseExpired(now time.Time) {
 	for _, c := range q.classes {
 		for _, l := range []levelIndex{returned, late} {
@@ -246,7 +309,7 @@
 				if now.Add(q.fastest(r)).Before(r.deadline) {
 					break
 				}
-				q.refuse(now, r, 0, 0)
+				q.refuse(now, r, maxRetryAfter, 0)
 			}
 		}
 	}
@@ -256,7 +319,7 @@
 			i++
 			continue
 		}
-		q.refuse(now, r, 0, 0)
+		q.refuse(now, r, maxRetryAfter, 0)
 	}
 }
 
