--- a/modules/gateway/harness_test.go
+++ b/modules/gateway/harness_test.go
@@ -123,6 +123,12 @@
 }
 
 func newFixture(t *testing.T, c *routing.Configuration, ups ...*upstream) *fixture {
+	t.Helper()
+	return newFixtureWith(t, func(*Gateway) {}, c, ups...)
+}
+
+// newFixtureWith changes settings before the gateway starts.
+func newFixtureWith(t *testing.T, change func(*Gateway), c *routing.Configuration, ups ...*upstream) *fixture {
 	t.Helper()
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	security, err := peer.NewSecurity(peer.TLSSettings{Off: true}, log)
@@ -131,6 +137,7 @@
 	g.log, g.security, g.zone, g.metrics = log, security, "z0", newMetrics(stats.New())
 	g.dialect = &platform.Platform{}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
+	change(g)
 	g.initState()
 	callerListener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
