--- a/modules/registry/registry_test.go
+++ b/modules/registry/registry_test.go
@@ -41,6 +41,8 @@
 	announceInterval time.Duration
 	// log receives the log lines of all instances.
 	log io.Writer
+	// change changes the settings of an instance before it starts.
+	change func(*Registry)
 }
 
 type node struct {
@@ -57,7 +59,16 @@
 const testAnnounceInterval = 200 * time.Millisecond
 
 func newLoggedFleet(t testing.TB, size int, log io.Writer) *fleet {
-	f := &fleet{t: t, bootstrap: true, log: log, announceInterval: testAnnounceInterval}
+	return startFleet(t, size, log, func(*Registry) {})
+}
+
+// newFleetWith changes settings of the instances before they start.
+func newFleetWith(t testing.TB, size int, change func(*Registry)) *fleet {
+	return startFleet(t, size, io.Discard, change)
+}
+
+func startFleet(t testing.TB, size int, log io.Writer, change func(*Registry)) *fleet {
+	f := &fleet{t: t, bootstrap: true, log: log, announceInterval: testAnnounceInterval, change: change}
 	n := fleetCount.Add(1)
 	port := freePort(t)
 	for i := range size {
@@ -99,6 +110,7 @@
 	r.log, r.stats, r.security, r.folder, r.files = log, stats.New(), security, n.folder, n.disk
 	r.dialect = &platform.Platform{}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
+	f.change(r)
 	r.initState()
 	r.peers, err = net.Listen("tcp", n.addr)
 	assert.NilError(f.t, err)
