--- a/core/queue/place.go
+++ b/core/queue/place.go
@@ -151,12 +151,9 @@
 	return cost
 }
 
-// chooseResume returns the upstream for an interrupted stream: the one that holds its copy if
-// it accepts work, whatever waits there, otherwise the best one with room.
+// chooseResume returns the upstream for an interrupted stream whose preferred upstream does not
+// accept work: the best one with room, whatever it has to read.
 func (q *Queue) chooseResume(now time.Time, r *request) *upstream {
-	if u := q.preferred(now, r); u != nil {
-		return u
-	}
 	list := q.accepting(now)
 	if u := q.choose(now, r, list); u != nil {
 		return u
@@ -185,6 +182,9 @@
 	}
 	r.state = placed
 	q.attach(now, u, r)
+	if r.expected == 0 {
+		explanation.Expected = r.readyAt.Sub(now)
+	}
 	q.countStart(now, r)
 	q.usedUp(now, u)
 	d := Decision{Key: r.key, Action: Place, Upstream: u.ID, ExpectedFirstEvent: r.readyAt.Sub(now), Explanation: explanation}
@@ -196,7 +196,8 @@
 }
 
 func (q *Queue) explain(now time.Time, r *request, u *upstream) Explanation {
-	e := Explanation{Waiting: q.waiting() + len(q.resumes), Waited: now.Sub(r.submittedAt), Expected: r.expected}
+	e := Explanation{Waiting: q.waiting() + len(q.resumes), Ahead: int(float64(r.ahead) / q.meanPrompt), AheadTokens: r.ahead,
+		Waited: now.Sub(r.submittedAt), Expected: r.expected}
 	if u != nil {
 		e.Unread, e.Used = u.unreadTokens, u.usedShare()
 	}
