--- a/core/dispatch/assign.go
+++ b/core/dispatch/assign.go
@@ -14,17 +14,22 @@
 // Assign places a request at the given upstream, with its backup at the given holder if any. It
 // returns a refusal if this gateway cannot use the upstream; a holder that it cannot use is left out.
 func (f *Fleet) Assign(now time.Time, req *Request, upstreamID, holderID string) (Choice, *Refusal) {
-	known := len(f.byService[req.Service])
 	u := f.byID[upstreamID]
-	if u == nil || u.Service != req.Service || !f.reachable(now, req, u) {
-		return Choice{}, &Refusal{Known: known, RetryAfter: minRetryAfter}
+	refusal := &Refusal{Known: len(f.byService[req.Service]), RetryAfter: minRetryAfter, Reason: "unknown"}
+	if u == nil || u.Service != req.Service {
+		return Choice{}, refusal
+	}
+	if refusal.Reason = f.obstacle(now, req, u); refusal.Reason != "" {
+		return Choice{}, refusal
 	}
 	if !u.limit.Available(now, f.contact) {
-		return Choice{}, &Refusal{Known: known, RetryAfter: minRetryAfter, Ask: []throttle.Want{u.limit.Want(now, u.key())}}
+		refusal.Reason, refusal.Ask = "limit not granted", []throttle.Want{u.limit.Want(now, u.key())}
+		return Choice{}, refusal
 	}
 	c, ok := f.take(now, req, u, Explanation{Eligible: 1})
 	if !ok {
-		return Choice{}, &Refusal{Known: known, RetryAfter: minRetryAfter}
+		refusal.Reason = "circuit breaker open"
+		return Choice{}, refusal
 	}
 	if holder := f.holder(now, req, u, holderID); holder != nil {
 		f.reserveBackup(&c, holder)
@@ -32,10 +37,28 @@
 	return c, nil
 }
 
-// reachable reports whether this gateway can send a request to an upstream now, whatever its load.
+// obstacle says why this gateway cannot send a request to an upstream now, whatever its load. It is
+// empty if it can.
+func (f *Fleet) obstacle(now time.Time, req *Request, u *upstream) string {
+	switch {
+	case u.State != registration.Ready && u.State != registration.Lost:
+		return u.State.String()
+	case !f.hasVersion(u, req.Version):
+		return "other software version"
+	case u.Leaving:
+		return "leaving"
+	case !u.acceptsWork(now):
+		return "backoff"
+	case !u.breaker.Ready(now):
+		return "circuit breaker open"
+	case !f.withinLimit(now, u, req):
+		return "limit"
+	}
+	return ""
+}
+
 func (f *Fleet) reachable(now time.Time, req *Request, u *upstream) bool {
-	up := u.State == registration.Ready || u.State == registration.Lost
-	return up && f.hasVersion(u, req.Version) && u.acceptsWork(now) && u.breaker.Ready(now) && f.withinLimit(now, u, req)
+	return f.obstacle(now, req, u) == ""
 }
 
 // holder returns the upstream that is to hold a copy for a request at another one, or nil if this
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -154,6 +154,8 @@
 	// VersionGone is set if no upstream of the software version that the request needs is ready
 	// or may come back.
 	VersionGone bool
+	// Reason says why Assign cannot use an upstream, for logs.
+	Reason string
 	// Ask is what to ask the owner of the limits for before the request is placed again. It
 	// is empty if the refusal is final.
 	Ask []throttle.Want
--- a/modules/gateway/queue_stream.go
+++ b/modules/gateway/queue_stream.go
@@ -141,7 +141,7 @@
 	next.Waited, next.Deadline = time.Since(w.s.started), time.Until(w.s.deadline)
 	w.submitted = &next
 	w.ticket.reject(w.submitted)
-	w.s.logEvent("placement of the queue rejected", "upstream", d.Upstream, "rejections", w.rejections+1)
+	w.s.logEvent("placement of the queue rejected", "upstream", d.Upstream, "reason", refusal.Reason, "rejections", w.rejections+1)
 	return choice, false
 }
 
--- a/modules/registry/queue_owner.go
+++ b/modules/registry/queue_owner.go
@@ -211,9 +211,9 @@
 // decide passes on what the queues decide now, ends calls that have waited long enough and removes
 // silent gateways. It returns the time until it has to be called again.
 func (o *queueOwner) decide(now time.Time) time.Duration {
-	next := MaxExchangeWait
+	next := o.feed.nextChange(now, MaxExchangeWait)
 	if wait := o.settledAt.Sub(now); wait > 0 {
-		next = wait
+		next = min(next, wait)
 	} else {
 		for service, q := range o.services {
 			for _, d := range q.Decide(now) {
