core/queue: classes by the priority of the organisation, then of the route; no speeds from cached prompts

Change: a class for each pair of priorities; a stream that goes on teaches no speed, and its report names the holder of its copy.

--- a/cmd/heatherwayctl/queues.go
+++ b/cmd/heatherwayctl/queues.go
@@ -106,9 +106,9 @@
 }
 
 func writeQueue(w io.Writer, s queue.Status) error {
-	classes := newTable("PRIORITY", "WAITING", "LATE", "RETURNED", "TOKENS", "OLDEST", "EXPECTED")
+	classes := newTable("PRIORITY", "ROUTE", "WAITING", "LATE", "RETURNED", "TOKENS", "OLDEST", "EXPECTED")
 	for _, c := range s.Classes {
-		classes.add(c.Priority, c.Waiting, c.Late, c.Returned, c.Tokens, roundMS(c.OldestWait), roundMS(c.ExpectedWait))
+		classes.add(c.Priority, c.RoutePriority, c.Waiting, c.Late, c.Returned, c.Tokens, roundMS(c.OldestWait), roundMS(c.ExpectedWait))
 	}
 	upstreams := newTable("UPSTREAM", "ZONE", "ACCEPTS", "UNREAD", "UNREAD TOKENS", "RUNNING", "SLOTS", "USED", "COPIES", "MEMORY", "TOKENS/MS")
 	for _, u := range s.Upstreams {
--- a/core/queue/copies.go
+++ b/core/queue/copies.go
@@ -27,7 +27,9 @@
 	minCopyRest = 0.3
 )
 
-func classWeight(priority int) float64 { return math.Ldexp(1, -priority) }
+func classWeight(priority int) float64 {
+	return math.Ldexp(1, -(priority/priorityLevels + priority%priorityLevels))
+}
 
 // restMS returns the expected time for which a placed request still takes its room.
 func (q *Queue) restMS(now time.Time, r *request) float64 {
--- a/core/queue/events.go
+++ b/core/queue/events.go
@@ -153,10 +153,11 @@
 }
 
 // learnSpeed takes in the time in which a prompt was read. The time for which the prompt waited
-// for another one at the upstream does not count.
+// for another one at the upstream does not count, nor does a stream that goes on: its prompt may be
+// cached.
 func (q *Queue) learnSpeed(now time.Time, r *request, took time.Duration) {
 	u := r.at
-	if took <= 0 || took > maxDuration || len(u.unread) == 0 || r.toRead != r.prompt {
+	if took <= 0 || took > maxDuration || len(u.unread) == 0 || r.toRead != r.prompt || r.Continues || r.Preferred != "" {
 		return
 	}
 	if !u.parallel() {
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -27,8 +27,9 @@
 	// Zone is the availability zone of the gateway.
 	Zone         string
 	Organisation string
-	// Priority is the priority of the route or organisation; 0 is the most urgent.
-	Priority int
+	// Priority is the priority of the organisation if it has one, else that of the route; 0 is the
+	// most urgent. RoutePriority is that of the route, and decides among requests of one Priority.
+	Priority, RoutePriority int
 	// PromptTokens and OutputTokens are sizes in tokens, or zero if unknown.
 	PromptTokens, OutputTokens int
 	// PromptKey identifies the part of the prompt that belongs to the caller or its session. A
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -246,7 +246,7 @@
 	q.Decide(now)
 	r := q.requests[Key{"g", 1002}]
 	assert.Assert(t, r != nil && r.returned && r.arrivedAt.Equal(start))
-	assert.Equal(t, q.classes[1].first(), r)
+	assert.Equal(t, q.classes[r.priority()].first(), r)
 }
 
 // Guards against callers that pay for the flood of another organisation.
--- a/core/queue/request.go
+++ b/core/queue/request.go
@@ -12,8 +12,11 @@
 )
 
 const (
-	// priorities is the number of priorities that are told apart.
-	priorities = 8
+	// priorityLevels is the number of priorities of organisations, and of routes, that are told
+	// apart.
+	priorityLevels = 4
+	// priorities is the number of classes: one for each pair of these priorities.
+	priorities = priorityLevels * priorityLevels
 	// preferredShare is the assumed part of a prompt that its preferred upstream still has to
 	// read: what a copy lacks.
 	preferredShare = 0.05
@@ -62,7 +65,13 @@
 }
 
 // priority returns the index of the class of the request.
-func (r *request) priority() int { return min(max(r.Priority, 0), priorities-1) }
+// priority returns the class of the request. Organisations go before routes: an operator gives an
+// organisation a priority of its own to override that of the routes.
+func (r *request) priority() int {
+	return priorityLevels*limitPriority(r.Priority) + limitPriority(r.RoutePriority)
+}
+
+func limitPriority(p int) int { return min(max(p, 0), priorityLevels-1) }
 
 // target returns the time that decides how urgent the request is within its level.
 func (r *request) target() time.Time {
--- a/core/queue/status.go
+++ b/core/queue/status.go
@@ -16,9 +16,10 @@
 	Requests []RequestStatus
 }
 
-// ClassStatus describes the waiting requests of one priority.
+// ClassStatus describes the waiting requests of one class.
 type ClassStatus struct {
-	Priority, Waiting, Late, Returned, Tokens int
+	Priority, RoutePriority         int
+	Waiting, Late, Returned, Tokens int
 	// OldestWait is the longest time that a request of the class waits, ExpectedWait the expected
 	// time to the first event of a new one.
 	OldestWait, ExpectedWait time.Duration
@@ -61,8 +62,8 @@
 }
 
 func (q *Queue) classStatus(now time.Time, p int, c *class) ClassStatus {
-	s := ClassStatus{Priority: p, Waiting: c.count, Late: c.levels[late].count, Returned: c.levels[returned].count}
-	typical := &request{Request: Request{Priority: p}, prompt: int(q.meanPrompt)}
+	s := ClassStatus{Priority: p / priorityLevels, RoutePriority: p % priorityLevels, Waiting: c.count, Late: c.levels[late].count, Returned: c.levels[returned].count}
+	typical := &request{Request: Request{Priority: s.Priority, RoutePriority: s.RoutePriority}, prompt: int(q.meanPrompt)}
 	s.ExpectedWait, _ = q.expectedWait(now, typical, onTime)
 	for _, f := range c.flows {
 		for l := range f.lists {
--- a/modules/gateway/queue_stream.go
+++ b/modules/gateway/queue_stream.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"net/http"
 	"slices"
 	"time"
@@ -33,10 +34,10 @@
 // queueRequest describes the attempt to the owner of the queue.
 func (s *streamRequest) queueRequest(request *dispatch.Request) *queue.Request {
 	return &queue.Request{
-		RequestID: s.req.ID, Service: request.Service, Zone: s.g.zone, Organisation: request.Organisation, Priority: request.Priority,
+		RequestID: s.req.ID, Service: request.Service, Zone: s.g.zone, Organisation: request.Organisation, Priority: request.Priority, RoutePriority: s.route.Priority,
 		PromptTokens: request.PromptTokens, OutputTokens: request.OutputTokens, PromptKey: s.req.PromptKey,
 		Waited: time.Since(s.started), Aim: s.route.Objective, Deadline: time.Until(s.deadline), Continues: request.Continues, Copy: request.Backup,
-		Version: request.Version, Preferred: request.CachedAt, Excluded: slices.Clone(request.Tried),
+		Version: request.Version, Preferred: cmp.Or(request.Preferred, request.CachedAt), Excluded: slices.Clone(request.Tried),
 	}
 }
 
