--- a/modules/gateway/subset.go
+++ b/modules/gateway/subset.go
@@ -9,10 +9,15 @@
 )
 
 // setSubset sets the subset that a watch call asks for. It returns the number of resets
-// so far.
+// so far. A gateway whose streams wait in the queues follows all upstreams: the owner of the
+// queues may place a stream at any of them.
 func (f *follower) setSubset(args *registry.WatchArgs) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.g.queue != nil {
+		args.Subset, args.Choose = registration.Subset{}, false
+		return f.resets
+	}
 	args.Subset, args.Choose = f.subset, !f.subsetChosen
 	return f.resets
 }
