queue: copies grow with their run while there is room

Change: while at most half of all KV caches is taken and nothing lacks room, the upstream sends the cache by itself, as without the queue; such copies are not dropped.

--- a/core/queue/copies.go
+++ b/core/queue/copies.go
@@ -23,6 +23,9 @@
 	// makeCopyCalm is how long nothing may have waited before copies are made for the running
 	// streams of all classes, maxMakeCopies how many are made in one sweep: each takes bandwidth.
 	makeCopyCalm, maxMakeCopies = time.Second, 2
+	// growingCopyShare is the share of all KV caches that may be taken for copies to be made that
+	// can't be dropped. The other half is enough for the streams that begin until these have ended.
+	growingCopyShare = 0.5
 	// minCopyRest is the share of a stream that must be left for a copy to be made.
 	minCopyRest = 0.3
 )
@@ -106,6 +109,15 @@
 	return q.copyHolder(now, r)
 }
 
+// plentyOfRoom reports whether copies may be made that can't be dropped.
+func (q *Queue) plentyOfRoom(now time.Time) bool {
+	taken := q.usedTokens
+	for _, tokens := range q.copyTokens {
+		taken += tokens
+	}
+	return now.After(q.rates.shortUntil) && float64(taken) <= growingCopyShare*q.rates.memory
+}
+
 // copyHolder returns the upstream with the least memory taken in another availability zone, since
 // the upstreams of a zone fail together. It returns nil if there is no room.
 func (q *Queue) copyHolder(now time.Time, r *request) *upstream {
@@ -187,6 +199,9 @@
 func (q *Queue) sortCopies(now time.Time, u *upstream) {
 	for _, r := range u.copies {
 		r.copyWorth = q.copyWorth(r, q.restMS(now, r))
+		if r.growingCopy {
+			r.copyWorth = math.Inf(1)
+		}
 	}
 	slices.SortFunc(u.copies, func(a, b *request) int {
 		return cmp.Or(cmp.Compare(a.copyWorth, b.copyWorth), cmp.Compare(a.seq, b.seq))
--- a/core/queue/place.go
+++ b/core/queue/place.go
@@ -189,8 +189,9 @@
 	q.usedUp(now, u)
 	d := Decision{Key: r.key, Action: Place, Upstream: u.ID, ExpectedFirstEvent: r.readyAt.Sub(now), Explanation: explanation}
 	if holder := q.chooseCopy(now, r); holder != nil {
+		r.growingCopy = q.plentyOfRoom(now)
 		q.attachCopy(holder, r)
-		d.CopyHolder = holder.ID
+		d.CopyHolder, d.GrowingCopy = holder.ID, r.growingCopy
 	}
 	q.decisions = append(q.decisions, d)
 }
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -101,8 +101,9 @@
 	Request *Request
 	// Upstream and CopyHolder are IDs of upstreams, set in Placed and CopyChanged.
 	Upstream, CopyHolder string
-	// HasBegun is set in Placed for a request whose first event has arrived.
-	HasBegun bool
+	// HasBegun is set in Placed for a request whose first event has arrived, GrowingCopy for one
+	// whose upstream sends its KV cache to the holder by itself.
+	HasBegun, GrowingCopy bool
 	// Outcome is set in Ended.
 	Outcome Outcome
 	// Took is, in Begun, the time from sending the request to its first event, and in Ended
@@ -136,6 +137,9 @@
 	// Upstream is set in Place and Move; CopyHolder in Place (empty without a copy), DropCopy
 	// and MakeCopy.
 	Upstream, CopyHolder string
+	// GrowingCopy is set in Place if the upstream is to send the KV cache to the holder by itself
+	// as it grows. Such a copy lacks least, but can't be dropped before the stream ends.
+	GrowingCopy bool
 	// ExpectedFirstEvent is, in Place, the expected time from now to the first event.
 	ExpectedFirstEvent time.Duration
 	// RetryAfter is set in Refuse: when there is expected to be room.
--- a/core/queue/request.go
+++ b/core/queue/request.go
@@ -49,7 +49,9 @@
 	pledged, returned bool
 	// earlyBy is until when a caller was told to stay away that has come back before.
 	earlyBy time.Time
-	moves   int
+	// growingCopy is set if the copy can't be dropped before the stream ends.
+	growingCopy bool
+	moves       int
 	moving  bool
 	// copyWorth is scratch of the choice of copies to drop.
 	copyWorth float64
--- a/modules/gateway/copy.go
+++ b/modules/gateway/copy.go
@@ -58,7 +58,7 @@
 	c.setHolder(a.choice.Backup)
 	c.backupCopy = dialect.CacheCopy{Addr: c.holder.Addr, Key: s.req.ID}
 	c.reported = c.holder.ID
-	if s.queued() {
+	if s.explicitCopy {
 		c.backupCopy, c.awaitingStart = dialect.CacheCopy{}, c.holder.ID != ""
 	}
 	return c
--- a/modules/gateway/queue_copy.go
+++ b/modules/gateway/queue_copy.go
@@ -72,7 +72,7 @@
 // backupTo returns the address of the upstream to which the upstream of an attempt copies its KV
 // cache by itself.
 func (s *streamRequest) backupTo(a *attempt) string {
-	if s.queued() {
+	if s.explicitCopy {
 		return ""
 	}
 	return a.choice.Backup.Addr
--- a/modules/gateway/queue_stream.go
+++ b/modules/gateway/queue_stream.go
@@ -96,7 +96,7 @@
 			}
 			if choice, ok := w.assign(signal.decision); ok {
 				w.recordPlaced(startedAt, signal.decision)
-				s.ticket = w.ticket
+				s.ticket, s.explicitCopy = w.ticket, !signal.decision.GrowingCopy
 				return choice, nil, true
 			}
 			if w.rejections++; w.rejections >= maxRejections {
--- a/modules/gateway/stream.go
+++ b/modules/gateway/stream.go
@@ -83,6 +83,9 @@
 	reserved *dispatch.Choice
 	// ticket is the current attempt as the owner of the queue knows it, nil without a queue.
 	ticket *queueTicket
+	// explicitCopy is set if the copy of the current attempt is requested by calls, so that it can
+	// be released when the owner of the queue decides so.
+	explicitCopy bool
 	// brokenAt is when the stream was interrupted after an event; it is zero unless the
 	// stream waits for the first event of a resume.
 	brokenAt time.Time
@@ -150,6 +153,7 @@
 // when the caller has got the final response.
 func (s *streamRequest) runAttempt() *attempt {
 	request := s.placementRequest()
+	s.explicitCopy = false
 	choice, ok := s.takeReserved()
 	if !ok {
 		request.Preferred = cmp.Or(s.backupHolder.ID, s.reconnectTo)
