dispatch: plain calls stay in their zone while slots are free there

The cost counts each running call as a call time of wait, so the second call of a zone costs more than the way to another one, although a slot is free.

Calls at the least loaded server at home do not count between zones up to half of its slots, and count in full when all are taken. If a call there is overdue, the former rule holds, so that few are lost with a silent server.

--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -72,6 +72,8 @@
 	baseline := baseline{failureRate: medianFailureRate(now, list)}
 	if req.Stream {
 		baseline.otherLoadMS = meanOtherLoadMS(now, list)
+	} else {
+		baseline.homeRoomMS = f.homeRoomMS(now, req, list, untriedOnly)
 	}
 	for _, u := range list {
 		if !f.eligible(now, req, u) || untriedOnly && slices.Contains(req.Tried, u.ID) {
@@ -217,6 +219,9 @@
 	// otherLoadMS is, for each availability zone, the mean cost in milliseconds of the
 	// load of other gateways, from upstreams with a recent report.
 	otherLoadMS map[string]float64
+	// homeRoomMS is the part of the cost of a plain call in the gateway's own zone that stands
+	// for no wait.
+	homeRoomMS float64
 }
 
 // meanOtherLoadMS returns the mean cost of the load of other gateways by availability
@@ -250,7 +255,7 @@
 	switch {
 	case u.Zone == f.zone:
 	case !req.Stream, req.CachedAt == u.ID:
-		cost += crossZoneCallMS
+		cost += crossZoneCallMS + baseline.homeRoomMS
 	default:
 		cost += crossZoneStreamShare * u.estimate.typicalPrefillMS()
 	}
@@ -264,7 +269,7 @@
 	cost += u.slownessCostMS(now, req)
 	weight := u.reportWeight(now)
 	if !req.Stream {
-		return cost + u.callMS(now)*(float64(len(u.inFlight))+float64(u.others.requests)*weight)
+		return cost + u.callMS(now)*u.calls(now)
 	}
 	if u.engineSettings != nil && u.engineSettings.MemoryTokens > 0 {
 		cost += kvCacheCostShare * u.estimate.typicalPrefillMS() * u.used(now) / float64(u.engineSettings.MemoryTokens)
