core/speed: the usual figure of an upstream counts until it is measured

The usual figure of an upstream, the lower quartile of up to seven windows, is compared with the median of the others. It counts by at most 1.5: a low one at once, since noise only slows, a high one after three windows. Four windows of measurements overrule it unless they agree.

--- a/core/speed/level.go
+++ b/core/speed/level.go
@@ -50,18 +50,14 @@
 	}
 	e.centredAt = now
 	e.dropStale(now)
+	e.centreClaims(now)
 	speeds := make([]float64, 0, len(e.upstreams))
 	for _, u := range e.upstreams {
 		if u.samples.weight(now, e.forget) >= minCentreWeight {
 			speeds = append(speeds, u.samples.median(now, e.forget, &e.levels))
 		}
 	}
-	if len(speeds) == 0 {
-		e.spread = 0
-		return
-	}
-	slices.Sort(speeds)
-	middle := (speeds[(len(speeds)-1)/2] + speeds[len(speeds)/2]) / 2
+	middle := middleOf(speeds)
 	for k := range e.levels {
 		if e.levels[k].samples > 0 {
 			e.levels[k].log -= middle
@@ -75,5 +71,28 @@
 	}
 }
 
+// centreClaims finds the median of what the upstreams usually state.
+func (e *Estimator) centreClaims(now time.Time) {
+	figures := make([]float64, 0, len(e.upstreams))
+	for _, u := range e.upstreams {
+		if usual, windows := u.stated.usual(now, e.forget); windows > 0 {
+			figures = append(figures, usual)
+		}
+	}
+	e.usualStated, e.claims = middleOf(figures), len(figures)
+}
+
+// minClaims is the number of upstreams that must state a usual figure before these are compared.
+const minClaims = 3
+
+// middleOf returns the median, the mean of the middle two of an even number, or zero for none.
+func middleOf(values []float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return (values[(len(values)-1)/2] + values[len(values)/2]) / 2
+}
+
 // minCentreWeight is the weight of samples from which an upstream counts in the median.
 const minCentreWeight = 0.9
--- a/core/speed/samples.go
+++ b/core/speed/samples.go
@@ -19,6 +19,8 @@
 	// that agree are the fewest that show a difference, and of 24 windows at least 17 must
 	// agree; contended or noisy windows are far fewer.
 	confidence = 2
+	// minWeightLoss is the weight that four fresh windows may have lost by their age.
+	minWeightLoss = 0.4
 	// maxLogSample bounds a sample as a logarithm of its ratio to the level.
 	maxLogSample = 3
 )
@@ -83,20 +85,22 @@
 	return out, total
 }
 
-// estimate returns the logarithm of the relative speed: the value nearest to zero, which is the
-// median, within the confidence interval of the median of the windows. It is zero until enough
-// windows agree, and falls back to zero as they lose their weight.
-func (s *samples) estimate(now time.Time, forget time.Duration, levels *[kinds]level) float64 {
+// estimate returns the logarithm of the relative speed. Until enough windows show a difference,
+// and again when they have lost their weight, it is what the upstream claims by its own figures.
+// After that it is the claim only if this lies within the confidence interval of the median of
+// the windows, and otherwise the value in that interval that is nearest to zero, the median.
+func (s *samples) estimate(now time.Time, forget time.Duration, levels *[kinds]level, claim float64) float64 {
 	var buffer [maxSamples]weighted
 	list, total := s.sorted(now, forget, levels, buffer[:0])
-	if total <= 0 {
-		return 0
+	if total < confidence*confidence-minWeightLoss {
+		return claim
 	}
-	margin := confidence / (2 * math.Sqrt(total))
-	if margin > 0.5 {
-		return 0
+	margin := min(confidence/(2*math.Sqrt(total)), 0.5)
+	low, high := quantile(list, total, 0.5-margin), quantile(list, total, 0.5+margin)
+	if claim >= low && claim <= high {
+		return claim
 	}
-	return min(max(0, quantile(list, total, 0.5-margin)), quantile(list, total, 0.5+margin))
+	return min(max(0, low), high)
 }
 
 func (s *samples) median(now time.Time, forget time.Duration, levels *[kinds]level) float64 {
--- a/core/speed/speed.go
+++ b/core/speed/speed.go
@@ -59,6 +59,10 @@
 	centredAt time.Time
 	// spread is the largest difference of an upstream from the median, as a logarithm.
 	spread float64
+	// usualStated is the median of what the upstreams usually state, as a logarithm, and claims
+	// the number of those that do.
+	usualStated float64
+	claims      int
 }
 
 type upstream struct {
@@ -136,7 +140,9 @@
 		return
 	}
 	if u := e.ensure(now, id); u != nil {
-		u.stated.record(now, percent)
+		if u.stated.record(now, percent) {
+			u.refreshedAt = time.Time{}
+		}
 	}
 }
 
@@ -148,7 +154,7 @@
 	l, corrected := &e.levels[k], raw+e.logSpeed(now, id)
 	l.add(corrected)
 	if k < spacing { // the spacing of events is measured long after the statement
-		u.stated.check(now, corrected-l.log)
+		u.stated.check(now, e.forget, corrected-l.log)
 	}
 	if u.samples.add(now, k, raw, &e.levels) {
 		u.refreshedAt = time.Time{}
@@ -238,7 +244,7 @@
 func (e *Estimator) expectedMS(now time.Time, id string, medianMS float64) float64 {
 	ms := medianMS * math.Exp(-e.logSpeed(now, id))
 	if u := e.upstreams[id]; u != nil {
-		ms += min(ms, milliseconds(statedLife)) * (u.stated.slowness(now) - 1)
+		ms += min(ms, milliseconds(statedLife)) * (u.stated.slowness(now, e.forget) - 1)
 	}
 	return ms
 }
@@ -258,7 +264,7 @@
 // moments, by its own statement as far as that is believed. It is 1 without one.
 func (e *Estimator) StatedSlowness(now time.Time, id string) float64 {
 	if u := e.upstreams[id]; u != nil {
-		return u.stated.slowness(now)
+		return u.stated.slowness(now, e.forget)
 	}
 	return 1
 }
@@ -276,11 +282,21 @@
 
 func (e *Estimator) refresh(now time.Time, u *upstream) {
 	if age := now.Sub(u.refreshedAt); age < 0 || age >= refreshInterval {
-		u.logSpeed = min(max(u.samples.estimate(now, e.forget, &e.levels), math.Log(MinRelative)), math.Log(MaxRelative))
+		u.logSpeed = min(max(u.samples.estimate(now, e.forget, &e.levels, e.claim(now, u)), math.Log(MinRelative)), math.Log(MaxRelative))
 		u.refreshedAt = now
 	}
 }
 
+// claim returns what the usual figure of an upstream claims about its speed relative to the
+// median, as a logarithm, within bounds. It is zero unless several upstreams can be compared.
+func (e *Estimator) claim(now time.Time, u *upstream) float64 {
+	usual, windows := u.stated.usual(now, e.forget)
+	if windows == 0 || e.claims < minClaims || usual > e.usualStated && windows < minStatedWindows {
+		return 0
+	}
+	return min(max(e.usualStated-usual, -maxClaim), maxClaim)
+}
+
 func plausible(d time.Duration) bool { return d > 0 && d <= maxSample }
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/core/speed/speed_test.go
+++ b/core/speed/speed_test.go
@@ -326,6 +326,97 @@
 	assert.Assert(t, e.StatedSlowness(at(60), "a") > 0.95, "%v", e.StatedSlowness(at(60), "a"))
 }
 
+// Load: a quarter of the upstreams state 55 as their usual figure and the others 120, before any
+// measurement. Guards against a figure that is not used while nothing else is known, and against
+// one that is believed in full.
+func TestUsualStatementCountsUntilMeasured(t *testing.T) {
+	e := New(Settings{})
+	now := start
+	for n := range 6 {
+		now = at(1.2 * float64(n))
+		for i := range 8 {
+			figure := 120.0
+			if i%4 == 0 {
+				figure = 55
+			}
+			if (n+i)%6 == 0 {
+				figure *= 2.5 // a neighbour's noise
+			}
+			e.Stated(now, name(i), figure)
+		}
+		if n == 0 {
+			for i := range 8 {
+				e.Relative(now.Add(refreshInterval), name(i))
+				assert.Check(t, i%4 == 0 || e.Relative(now.Add(refreshInterval), name(i)) == 1, "one high figure may be noise")
+			}
+		}
+	}
+	now = now.Add(refreshInterval)
+	for i := range 8 {
+		got := e.Relative(now, name(i))
+		assert.Check(t, i%4 == 0 && got > 1.3 && got < 1.51 || i%4 != 0 && math.Abs(math.Log(got)) < tolerance, "%s: %.2f", name(i), got)
+	}
+	for range 8 {
+		now = now.Add(1200 * time.Millisecond)
+		for i := range 8 {
+			took := 1.2
+			if i%4 == 0 {
+				took = 0.55
+			}
+			e.FirstEvent(now, name(i), 8000, ms(1000*took), 0)
+		}
+	}
+	assert.Assert(t, math.Abs(e.Relative(now, name(0))/(1.2/0.55)-1) < 0.05, "%v", e.Relative(now, name(0)))
+}
+
+// Failure: a server states that it is always fast, and is as slow as the others, or slower. Guards
+// against a claim that outlives the measurements which contradict it.
+func TestContradictedClaimIsIgnored(t *testing.T) {
+	for _, speed := range []float64{1, 0.5} {
+		f := newFleet(6, 1, 1, 1, 1, 1, speed)
+		for n := range 20 {
+			now := at(1.5 * float64(n))
+			for i := range f.speeds {
+				figure := 100.0
+				if i == 5 {
+					figure = 20
+				}
+				f.e.Stated(now, name(i), figure)
+				f.stream(now, i)
+			}
+			if n > 6 {
+				assert.Check(t, f.e.Relative(now, name(5)) < 1.1*max(speed, 0.65), "speed %v, stream %d: %.2f", speed, n, f.e.Relative(now, name(5)))
+			}
+		}
+	}
+}
+
+// Load: equal upstreams on shared machines that state the noise of their neighbours, for five
+// minutes. Guards against differences that exist only in the noise.
+func TestEqualUpstreamsWithStatementsStayEqual(t *testing.T) {
+	const upstreams = 12
+	wrong, all := 0, 0
+	for seed := range uint64(10) {
+		f := newFleet(seed, make([]float64, upstreams)...)
+		for i := range f.speeds {
+			f.speeds[i] = 1
+		}
+		for second := range 300 {
+			for i := range upstreams {
+				now := at(float64(second) + float64(i)/upstreams)
+				f.e.Stated(now, name(i), 100*f.neighbours[i].factor(now))
+				f.stream(now, i)
+			}
+			all++
+			if math.Log(f.e.Spread(at(float64(second+1)))) > tolerance {
+				wrong++
+			}
+		}
+	}
+	t.Logf("uneven in %d of %d seconds", wrong, all)
+	assert.Assert(t, wrong*100 <= all, "%d of %d", wrong, all)
+}
+
 // Guards against input that no clock or upstream should produce and that would make costs NaN,
 // infinite or negative, or memory grow without bound.
 func TestOddInput(t *testing.T) {
