--- a/core/queue/request.go
+++ b/core/queue/request.go
@@ -52,7 +52,7 @@
 	// growingCopy is set if the copy can't be dropped before the stream ends.
 	growingCopy bool
 	moves       int
-	moving  bool
+	moving      bool
 	// copyWorth is scratch of the choice of copies to drop.
 	copyWorth float64
 
