--- a/core/queue/copies.go
+++ b/core/queue/copies.go
@@ -24,8 +24,8 @@
 	// streams of all classes, maxMakeCopies how many are made in one sweep: each takes bandwidth.
 	makeCopyCalm, maxMakeCopies = time.Second, 2
 	// growingCopyShare is the share of all KV caches that may be taken for copies to be made that
-	// can't be dropped. Most of the room is left for the streams that begin until these have ended.
-	growingCopyShare = 0.4
+	// can't be dropped. A flood that begins then finds most of the room free.
+	growingCopyShare = 0.25
 	// minCopyRest is the share of a stream that must be left for a copy to be made.
 	minCopyRest = 0.3
 )
