core/queue: less urgent requests pass on what is started for sure

Cause: where KV cache is short, expected starts are from a mean; fewer start while streams that began together run.

--- a/core/queue/order.go
+++ b/core/queue/order.go
@@ -45,7 +45,7 @@
 	}
 	var first *request
 	ahead, spare := 0, maxDuration // of the levels before
-	throughput := q.throughput(now)
+	throughput := q.sureThroughput(now)
 	prefill := fromMS(q.typicalMSPerToken() * q.meanPrompt)
 	for _, p := range q.places(now, throughput) {
 		lv := &p.class.levels[p.level]
--- a/core/queue/rates.go
+++ b/core/queue/rates.go
@@ -96,6 +96,18 @@
 	return min(max(perMS(&q.rates.started, now, startWindow), steady, minThroughputShare*capacity), capacity)
 }
 
+// sureThroughput returns the prompt tokens per millisecond that are started for sure. Where KV cache
+// is short, what was started lately counts even if less than the streams that end on average make
+// room for: a more urgent request that is passed on a hopeful estimate misses its aim.
+func (q *Queue) sureThroughput(now time.Time) float64 {
+	expected := q.throughput(now)
+	if !now.Before(q.rates.shortUntil) {
+		return expected
+	}
+	started := perMS(&q.rates.started, now, startWindow)
+	return max(min(expected, started), minThroughputShare*max(q.rates.capacity, 1e-3))
+}
+
 // promptShare returns the share of prompts in the tokens that arrive.
 func (q *Queue) promptShare(now time.Time) float64 {
 	all := perMS(&q.rates.kvArrived, now, arrivalWindow)
