--- a/core/dispatch/assign.go
+++ b/core/dispatch/assign.go
@@ -101,3 +101,12 @@
 	}
 	return ids, usable
 }
+
+// AffinityIDs returns the IDs of the upstreams where gateways look for the prompt of a request when
+// its caller comes back.
+func (f *Fleet) AffinityIDs(now time.Time, req *Request) (ids []string) {
+	for _, u := range f.affinityTargetsOutside(now, req, "") {
+		ids = append(ids, u.ID)
+	}
+	return ids
+}
--- a/core/queue/copies.go
+++ b/core/queue/copies.go
@@ -108,12 +108,17 @@
 // the upstreams of a zone fail together. It returns nil if there is no room.
 func (q *Queue) copyHolder(now time.Time, r *request) *upstream {
 	var best *upstream
+	lowest := 0.0
 	for _, u := range q.list {
 		if !u.HoldsCopies || u.Zone == r.at.Zone || u.Version != r.at.Version || u.heldUntil.After(now) || !u.accepts(now) || !u.suits(r) || u.zone.suspectedDown(now) || !q.fits(u, r.tokens) {
 			continue
 		}
-		if best == nil || u.usedTokens+u.copyTokens < best.usedTokens+best.copyTokens {
-			best = u
+		cost := float64(u.usedTokens + u.copyTokens)
+		if slices.Contains(r.Affinity, u.ID) {
+			cost -= q.meanPrompt // the caller finds the prompt there once the stream has resumed
+		}
+		if best == nil || cost < lowest {
+			best, lowest = u, cost
 		}
 	}
 	return best
--- a/core/queue/place.go
+++ b/core/queue/place.go
@@ -20,6 +20,9 @@
 	// memoryShare is the cost of a full KV cache compared with an empty one, as a share of the
 	// typical prefill time.
 	memoryShare = 0.3
+	// affinityShare is the gain from placing a prompt where its caller finds it again after the
+	// loss of the gateway, as a share of the typical prefill time.
+	affinityShare = 0.5
 	// zoneFailureMS is the cost of each recent failure in a zone that is suspected down.
 	zoneFailureMS = 500
 	// jitterMS spreads requests over upstreams of equal cost.
@@ -144,6 +147,8 @@
 	}
 	if u.Zone != r.Zone {
 		cost += crossZoneShare * typical
+	} else if slices.Contains(r.Affinity, u.ID) {
+		cost -= affinityShare * typical
 	}
 	if u.zone.suspectedDown(now) {
 		cost += zoneFailureMS * float64(len(u.zone.failures))
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -49,6 +49,9 @@
 	// Preferred is the ID of the upstream that holds a copy of the KV cache or the prompt, if
 	// any. It goes there if that upstream accepts work, whatever waits.
 	Preferred string
+	// Affinity are the IDs of the upstreams where gateways look for the prompt when the caller
+	// comes back through another one. One in Zone is preferred, and so is one that holds the copy.
+	Affinity []string
 	// Excluded are the IDs of upstreams that must not get the request: those that failed it,
 	// and those that this gateway cannot use now.
 	Excluded []string
--- a/modules/gateway/copy.go
+++ b/modules/gateway/copy.go
@@ -131,6 +131,7 @@
 	}
 	c.updating, c.requested = true, true
 	holder := c.holder
+	ctx = context.WithoutCancel(ctx) // the upstream may have made the copy although nobody waits
 	go func() {
 		out := copyResult{holder: holder}
 		if err := recovery.Run(c.stream.g.log, "copy of a KV cache", func() {
@@ -152,6 +153,9 @@
 		return
 	}
 	if result.holder.ID != c.holder.ID { // the holder was replaced during the call
+		if result.err == nil {
+			c.stream.g.spawn(func() { c.stream.dropCopy(c.attempt.choice.Upstream, result.handle) })
+		}
 		c.refresh.Reset(0)
 		return
 	}
@@ -183,10 +187,23 @@
 	if c.holderEvents != nil {
 		c.holderEvents.close()
 	}
-	if (c.attempt.complete || c.stream.ctx.Err() != nil) && c.requested && c.backupCopy.Key != "" {
-		handle := c.backupCopy.Key
-		c.stream.g.spawn(func() { c.stream.dropCopy(c.attempt.choice.Upstream, handle) })
+	if !c.attempt.complete && c.stream.ctx.Err() == nil || !c.requested {
+		return
 	}
+	handle, updating := c.backupCopy.Key, c.updating
+	if handle == "" && !updating {
+		return
+	}
+	c.stream.g.spawn(func() {
+		if updating { // it may end with a copy
+			if last := <-c.results; last.err == nil {
+				handle = last.handle
+			}
+		}
+		if handle != "" {
+			c.stream.dropCopy(c.attempt.choice.Upstream, handle)
+		}
+	})
 }
 
 // copyTo copies the KV cache of the run from u to the upstream at addr and returns the
--- a/modules/gateway/queue_stream.go
+++ b/modules/gateway/queue_stream.go
@@ -47,12 +47,17 @@
 		return choice, nil, false
 	}
 	unusable, usable := []string(nil), 0
-	s.g.owner.call(func(st *state) { unusable, usable = st.fleet.Unusable(time.Now(), request) })
+	var affinity []string
+	s.g.owner.call(func(st *state) {
+		now := time.Now()
+		unusable, usable = st.fleet.Unusable(now, request)
+		affinity = st.fleet.AffinityIDs(now, request)
+	})
 	if usable == 0 {
 		return choice, nil, false // the local refusal says why
 	}
 	q := s.queueRequest(request)
-	q.Excluded = append(q.Excluded, unusable...)
+	q.Excluded, q.Affinity = append(q.Excluded, unusable...), affinity
 	w := &queueWait{s: s, request: request, submitted: q, ticket: s.g.queue.submit(s.service.Name, q)}
 	s.g.metrics.queueWaiting.Set(s.g.queuedStreams.Add(1))
 	defer func() { s.g.metrics.queueWaiting.Set(s.g.queuedStreams.Add(-1)) }()
