--- a/modules/gateway/queue_client.go
+++ b/modules/gateway/queue_client.go
@@ -20,6 +20,14 @@
 	// lost. It covers a pause of the owner and several round trips, and is a quarter of the time
 	// in which another leader is elected.
 	ownerLostAfter = 250 * time.Millisecond
+	// ownerReturnWait is the time without an answer after which streams are placed without the
+	// owner where they waited for room: all gateways would send what waits to the same upstreams
+	// at once. Another leader is usually elected within it.
+	ownerReturnWait = 1200 * time.Millisecond
+	// shortWait is the wait from which a stream has waited for room, and shortPeriod how long
+	// that counts.
+	shortWait   = 100 * time.Millisecond
+	shortPeriod = 2 * time.Second
 	// ownerRetryDelay is the delay before the owner is called again after a failure.
 	ownerRetryDelay = 30 * time.Millisecond
 	// maxPendingEvents bounds the events that the owner has not acknowledged. Beyond it the
@@ -41,7 +49,11 @@
 	tasks chan func()
 	// available is set while the owner answers and has the state of this gateway.
 	available atomic.Bool
-	lastID    atomic.Uint64
+	// ownerLost is set once the owner counts as lost, until another one answers.
+	ownerLost atomic.Bool
+	// shortAt is when a stream last had waited for room, in Unix nanoseconds.
+	shortAt atomic.Int64
+	lastID  atomic.Uint64
 
 	// The goroutine owns what follows.
 	owner    ownerContact
@@ -179,6 +191,7 @@
 		c.log.Info("owner of the queues reached", "address", c.owner.addr, "epoch", c.owner.epoch, "session", c.session, "streams", len(c.tickets))
 	}
 	c.available.Store(true)
+	c.ownerLost.Store(false)
 	first := c.seq - uint64(len(c.pending)) + 1
 	for len(c.pending) > 0 && first <= reply.Applied {
 		if t := c.tickets[c.pending[0].ID]; t != nil && c.pending[0].Kind == queue.Submitted {
@@ -213,12 +226,28 @@
 	c.checkOwner(now)
 }
 
+// roomIsShort reports whether streams have waited for room lately.
+func (c *queueClient) roomIsShort(now time.Time) bool {
+	return now.Sub(time.Unix(0, c.shortAt.Load())) < shortPeriod
+}
+
+// takesStreams reports whether streams may wait in the queue: the owner answers, or room is short and
+// another owner may soon.
+func (c *queueClient) takesStreams(now time.Time) bool {
+	return c.available.Load() || !c.ownerLost.Load() && c.roomIsShort(now)
+}
+
 // checkOwner sends the streams that wait away once the owner counts as lost.
 func (c *queueClient) checkOwner(now time.Time) {
-	if c.owner.failedSince.IsZero() || now.Sub(c.owner.failedSince) < ownerLostAfter || c.owner.lost {
+	limit := ownerLostAfter
+	if c.roomIsShort(now) {
+		limit = ownerReturnWait
+	}
+	if c.owner.failedSince.IsZero() || now.Sub(c.owner.failedSince) < limit || c.owner.lost {
 		return
 	}
 	c.owner.lost = true
+	c.ownerLost.Store(true)
 	if c.session == 0 {
 		return // no owner was known
 	}
@@ -263,6 +292,9 @@
 // applyDecision passes a decision on to its stream.
 func (c *queueClient) applyDecision(now time.Time, d registry.QueueDecision) {
 	t := c.tickets[d.ID]
+	if d.Action == queue.Refuse || d.Action == queue.Place && d.Explanation.Waited >= shortWait {
+		c.shortAt.Store(now.UnixNano())
+	}
 	switch {
 	case d.Action == queue.Place && t == nil:
 		// The stream has gone, or has been placed by this gateway, before the owner heard of it.
--- a/modules/gateway/queue_stream.go
+++ b/modules/gateway/queue_stream.go
@@ -44,7 +44,7 @@
 // placeInQueue lets the owner of the queue place the attempt. Without decided, this gateway has to
 // place it by itself; without a refusal, choice is the placement.
 func (s *streamRequest) placeInQueue(request *dispatch.Request) (choice dispatch.Choice, refusal *dispatch.Refusal, decided bool) {
-	if !s.queued() || !s.g.queue.available.Load() {
+	if !s.queued() || !s.g.queue.takesStreams(time.Now()) {
 		return choice, nil, false
 	}
 	unusable, usable := []string(nil), 0
@@ -110,6 +110,9 @@
 		case <-acknowledge.C:
 			if !w.ticket.acknowledged.Load() {
 				s.g.queue.available.Store(false) // until the owner answers
+				if s.g.queue.takesStreams(time.Now()) {
+					continue // until the owner counts as lost
+				}
 				return w.fallBack("submission not acknowledged")
 			}
 		case <-limit:
