--- a/modules/gateway/queue_client.go
+++ b/modules/gateway/queue_client.go
@@ -161,8 +161,8 @@
 		}
 		c.fail(now, startedAt, addr, err.Error())
 	case reply.Epoch == 0:
-		c.owner.follow(now, reply.Owner)
 		c.fail(now, now, addr, "the instance does not lead")
+		c.owner.follow(now, reply.Owner)
 	case reply.Resync:
 		c.owner.answered(addr)
 		c.beginSession(reply.Epoch)
--- a/modules/gateway/queue_contact.go
+++ b/modules/gateway/queue_contact.go
@@ -15,6 +15,8 @@
 	reason      string
 	lost        bool
 	retryAt     time.Time
+	// redirects counts the instances that have named another one since the last answer.
+	redirects int
 	// asked is the last instance that was asked whether it leads.
 	asked string
 }
@@ -38,15 +40,23 @@
 	return next
 }
 
-// follow records the leader that an instance has named.
+// maxRedirects is how often in a row an instance may name another one that is called at once. While
+// a leader is elected, two instances may name each other.
+const maxRedirects = 2
+
+// follow records the leader that an instance has named, if any. It is called at once, so that the
+// streams that have been submitted meanwhile need not be placed without it.
 func (o *ownerContact) follow(now time.Time, leader string) {
-	if leader != "" && leader != o.addr {
-		o.addr = leader
+	if leader == "" {
+		return
+	}
+	o.addr = leader
+	if o.redirects++; o.redirects <= maxRedirects {
+		o.retryAt = now
 	}
-	o.retryAt = now
 }
 
 // answered records an answer of the owner.
 func (o *ownerContact) answered(addr string) {
-	o.addr, o.failedSince, o.lost, o.retryAt = addr, time.Time{}, false, time.Time{}
+	o.addr, o.failedSince, o.lost, o.retryAt, o.redirects = addr, time.Time{}, false, time.Time{}, 0
 }
--- a/modules/gateway/queue_test.go
+++ b/modules/gateway/queue_test.go
@@ -291,3 +291,27 @@
 	}
 	return events[len(events)-1].CopyHolder
 }
+
+// Guards against a gateway that stays with an instance which no longer leads, and against calls in a
+// loop while instances name each other.
+func TestOwnerNamesTheNewLeader(t *testing.T) {
+	u := startUpstream(t, "u1", "model", "z0", answerThree)
+	former, next := startOwner(t, placeAt("u1")), startOwner(t, placeAt("u1"))
+	next.epoch = 7
+	f := newQueueFixture(t, former, u)
+	former.set(func() { former.leader = next.addr })
+	changedAt := time.Now()
+	eventually(t, "the new leader decides", func() bool {
+		assert.Equal(t, f.doStream().status, http.StatusOK)
+		return len(next.ofKind(queue.Submitted)) > 0
+	})
+	assert.Assert(t, time.Since(changedAt) < time.Second, "found after %v", time.Since(changedAt))
+	next.set(func() { next.leader = former.addr })
+	assert.Equal(t, f.doStream().status, http.StatusOK)
+	time.Sleep(10 * ownerRetryDelay)
+	calls := 0
+	for _, o := range []*scriptedOwner{former, next} {
+		o.set(func() { calls += o.calls })
+	}
+	assert.Assert(t, calls < 80, "%d calls", calls)
+}
