--- a/modules/gateway/copy.go
+++ b/modules/gateway/copy.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"heatherway.dev/core/registration"
 	"heatherway.dev/heatherway/modules/dialect"
 	"heatherway.dev/kernel/recovery"
@@ -160,7 +162,12 @@
 		return
 	}
 	if result.err != nil {
-		c.stream.g.log.Info("copy not made", "request", c.stream.req.ID, "upstream", c.attempt.choice.Upstream.ID, "holder", result.holder.ID, "error", result.err.Error())
+		kept := c.keepsEarlierCopy(result.err)
+		c.stream.g.log.Info("copy not made", "request", c.stream.req.ID, "upstream", c.attempt.choice.Upstream.ID, "holder", result.holder.ID, "error", result.err.Error(), "earlier_copy", kept)
+		if kept {
+			c.refresh.Reset(copyRetryDelay)
+			return
+		}
 		c.setHolder(registration.Upstream{})
 		c.backupCopy = dialect.CacheCopy{}
 		c.refresh.Reset(copyRetryDelay)
@@ -171,6 +178,13 @@
 	c.refresh.Reset(c.interval())
 }
 
+// keepsEarlierCopy reports whether the holder still has the earlier copy after a failed update: the
+// upstream of the run has not answered, so it is more likely to be down than the holder.
+func (c *cacheBackup) keepsEarlierCopy(err error) bool {
+	var status callStatusError
+	return c.backupCopy.Key != "" && !errors.As(err, &status)
+}
+
 // interval is the time between updates: half of the time for which a copy is kept, but no
 // less than after a failure.
 func (c *cacheBackup) interval() time.Duration {
