queue: copies grow with their run while nothing waits and memory is free

A copy that grows is there from the first event on, and one that is requested by calls can be released.

--- a/core/queue/copies.go
+++ b/core/queue/copies.go
@@ -104,6 +104,16 @@
 	return q.copyHolder(now, r)
 }
 
+// growingShare is the share of the KV caches of both upstreams up to which a copy grows with its run.
+// It is there from the first event on, but takes its room until the run ends, also in a flood that
+// begins meanwhile.
+const growingShare = 0.25
+
+// mayGrow reports whether the copy of a request that is being placed may grow with its run.
+func (q *Queue) mayGrow(now time.Time, r *request, holder *upstream) bool {
+	return q.waiting() == 0 && !now.Before(q.rates.shortUntil) && r.at.usedShare() < growingShare && holder.usedShare() < growingShare
+}
+
 // copyHolder returns the upstream with the least memory taken in another availability zone, since
 // the upstreams of a zone fail together. It returns nil if there is no room.
 func (q *Queue) copyHolder(now time.Time, r *request) *upstream {
@@ -165,7 +175,7 @@
 	q.sortCopies(now, u)
 	need, slots := q.excess(u, tokens)
 	for _, r := range u.copies {
-		if need <= 0 && slots <= 0 {
+		if need <= 0 && slots <= 0 || r.copyGrows {
 			break
 		}
 		worth += r.copyWorth
@@ -190,6 +200,9 @@
 func (q *Queue) sortCopies(now time.Time, u *upstream) {
 	for _, r := range u.copies {
 		r.copyWorth = q.copyWorth(r, q.restMS(now, r))
+		if r.copyGrows {
+			r.copyWorth = math.Inf(1)
+		}
 	}
 	slices.SortFunc(u.copies, func(a, b *request) int {
 		return cmp.Or(cmp.Compare(a.copyWorth, b.copyWorth), cmp.Compare(a.seq, b.seq))
@@ -198,7 +211,7 @@
 
 // dropCopies drops copies at an upstream, whose copies are sorted, until a request fits.
 func (q *Queue) dropCopies(now time.Time, u *upstream, tokens int) {
-	for len(u.copies) > 0 && !q.fits(u, tokens) {
+	for len(u.copies) > 0 && !u.copies[0].copyGrows && !q.fits(u, tokens) {
 		r := u.copies[0]
 		q.detachCopy(r)
 		q.decisions = append(q.decisions, Decision{Key: r.key, Action: DropCopy, CopyHolder: u.ID, Explanation: q.explain(now, r, u)})
--- a/core/queue/events.go
+++ b/core/queue/events.go
@@ -115,6 +115,7 @@
 	}
 	q.attach(now, q.upstream(e.Upstream), r)
 	q.setCopy(r, e.CopyHolder)
+	r.copyGrows = e.CopyGrows && r.copyAt != nil
 }
 
 func (q *Queue) copyChanged(r *request, e *Event) {
--- a/core/queue/place.go
+++ b/core/queue/place.go
@@ -195,7 +195,8 @@
 	d := Decision{Key: r.key, Action: Place, Upstream: u.ID, ExpectedFirstEvent: r.readyAt.Sub(now), Explanation: explanation}
 	if holder := q.chooseCopy(now, r); holder != nil {
 		q.attachCopy(holder, r)
-		d.CopyHolder = holder.ID
+		r.copyGrows = q.mayGrow(now, r, holder)
+		d.CopyHolder, d.CopyGrows = holder.ID, r.copyGrows
 	}
 	q.decisions = append(q.decisions, d)
 }
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -103,6 +103,8 @@
 	Request *Request
 	// Upstream and CopyHolder are IDs of upstreams, set in Placed and CopyChanged.
 	Upstream, CopyHolder string
+	// CopyGrows is set in Placed for a copy as in Decision.
+	CopyGrows bool
 	// HasBegun is set in Placed for a request whose first event has arrived.
 	HasBegun bool
 	// Outcome is set in Ended.
@@ -138,6 +140,9 @@
 	// Upstream is set in Place and Move; CopyHolder in Place (empty without a copy), DropCopy
 	// and MakeCopy.
 	Upstream, CopyHolder string
+	// CopyGrows is set in Place if the upstream copies the KV cache by itself as it grows, from
+	// the start of the run. Such a copy cannot be released: it would be sent anew.
+	CopyGrows bool
 	// ExpectedFirstEvent is, in Place, the expected time from now to the first event.
 	ExpectedFirstEvent time.Duration
 	// RetryAfter is set in Refuse: when there is expected to be room.
--- a/core/queue/request.go
+++ b/core/queue/request.go
@@ -50,6 +50,8 @@
 	moving  bool
 	// copyWorth is scratch of the choice of copies to drop.
 	copyWorth float64
+	// copyGrows is set for a copy that cannot be released.
+	copyGrows bool
 
 	level       levelIndex
 	flow        *flow
--- a/core/queue/upstream.go
+++ b/core/queue/upstream.go
@@ -175,7 +175,7 @@
 	if u == nil {
 		return
 	}
-	r.copyAt = nil
+	r.copyAt, r.copyGrows = nil, false
 	u.copies = slices.DeleteFunc(u.copies, func(o *request) bool { return o == r })
 	u.copyTokens -= r.tokens
 	q.copyTokens[r.priority()] -= r.tokens
--- a/modules/gateway/copy.go
+++ b/modules/gateway/copy.go
@@ -43,7 +43,9 @@
 	// suspended is set while the owner of the queue wants no copy. reported is the holder that it
 	// was told.
 	suspended bool
-	reported  string
+	// grows is set while the copy is the one that the upstream makes by itself.
+	grows    bool
+	reported string
 }
 
 type copyResult struct {
@@ -58,7 +60,8 @@
 	c.setHolder(a.choice.Backup)
 	c.backupCopy = dialect.CacheCopy{Addr: c.holder.Addr, Key: s.req.ID}
 	c.reported = c.holder.ID
-	if s.queued() {
+	c.grows = !s.queued() || s.copyGrows
+	if !c.grows {
 		c.backupCopy, c.awaitingStart = dialect.CacheCopy{}, c.holder.ID != ""
 	}
 	return c
@@ -90,7 +93,7 @@
 		return
 	}
 	c.setHolder(registration.Upstream{})
-	c.backupCopy = dialect.CacheCopy{}
+	c.backupCopy, c.grows = dialect.CacheCopy{}, false
 	if !c.attempt.started {
 		c.awaitingStart = true
 		return
--- a/modules/gateway/queue_client.go
+++ b/modules/gateway/queue_client.go
@@ -273,7 +273,7 @@
 	case d.Action == queue.Place && t.phase != ticketWaiting:
 		return
 	case d.Action == queue.Place:
-		t.phase, t.upstream, t.copyHolder = ticketPlaced, d.Upstream, d.CopyHolder
+		t.phase, t.upstream, t.copyHolder, t.copyGrows = ticketPlaced, d.Upstream, d.CopyHolder, d.CopyGrows
 	case d.Action == queue.Refuse:
 		if t.phase != ticketWaiting {
 			return
--- a/modules/gateway/queue_copy.go
+++ b/modules/gateway/queue_copy.go
@@ -11,7 +11,7 @@
 
 // drop releases the copy at a holder. No other one is made until the owner decides so.
 func (c *cacheBackup) drop(holderID string) {
-	if c.holder.ID == "" || holderID != "" && holderID != c.holder.ID {
+	if c.grows || c.holder.ID == "" || holderID != "" && holderID != c.holder.ID {
 		return
 	}
 	handle, holder := c.backupCopy.Key, c.holder.ID
@@ -72,7 +72,7 @@
 // backupTo returns the address of the upstream to which the upstream of an attempt copies its KV
 // cache by itself.
 func (s *streamRequest) backupTo(a *attempt) string {
-	if s.queued() {
+	if s.queued() && !s.copyGrows {
 		return ""
 	}
 	return a.choice.Backup.Addr
--- a/modules/gateway/queue_stream.go
+++ b/modules/gateway/queue_stream.go
@@ -100,7 +100,7 @@
 			}
 			if choice, ok := w.assign(signal.decision); ok {
 				w.recordPlaced(startedAt, signal.decision)
-				s.ticket = w.ticket
+				s.ticket, s.copyGrows = w.ticket, signal.decision.CopyGrows
 				return choice, nil, true
 			}
 			if w.rejections++; w.rejections >= maxRejections {
@@ -188,18 +188,20 @@
 	}
 }
 
-// trackPlacement reports an attempt that this gateway has placed by itself.
+// trackPlacement reports an attempt that this gateway has placed by itself. Its copy grows with the
+// run, as on sites without a queue.
 func (s *streamRequest) trackPlacement(request *dispatch.Request, choice dispatch.Choice) {
 	if s.ticket != nil || !s.queued() {
 		return
 	}
+	s.copyGrows = choice.Backup.ID != ""
 	s.ticket = s.g.queue.reportPlaced(s.service.Name, s.queueRequest(request), choice.Upstream.ID, choice.Backup.ID)
 }
 
 // releaseTicket ends a ticket whose attempt was not settled.
 func (s *streamRequest) releaseTicket() {
 	s.ticket.recordEnded(queue.Cancelled, 0, 0)
-	s.ticket = nil
+	s.ticket, s.copyGrows = nil, false
 }
 
 // settleTicket reports the end of an attempt to the owner of the queue.
@@ -217,7 +219,7 @@
 		outcome = queue.Broken
 	}
 	s.ticket.recordEnded(outcome, took, a.events)
-	s.ticket = nil
+	s.ticket, s.copyGrows = nil, false
 }
 
 // applyQueueSignal carries out a decision about a placed attempt. It returns true when the attempt
--- a/modules/gateway/queue_ticket.go
+++ b/modules/gateway/queue_ticket.go
@@ -24,6 +24,7 @@
 	submittedAt time.Time
 	upstream    string
 	copyHolder  string
+	copyGrows   bool
 	begun       bool
 }
 
@@ -64,6 +65,7 @@
 	at := time.Now()
 	c.post(func() {
 		t.phase, t.request, t.submittedAt, t.upstream, t.copyHolder = ticketPlaced, request, at, upstream, copyHolder
+		t.copyGrows = copyHolder != ""
 		c.tickets[t.id] = t
 		c.add(service, t.state(at, t.id))
 	})
@@ -73,7 +75,7 @@
 // state returns the event that describes the ticket to an owner that does not know it.
 func (t *queueTicket) state(now time.Time, id uint64) queue.Event {
 	if t.phase == ticketPlaced {
-		return queue.Event{Kind: queue.Placed, ID: id, Request: t.request, Upstream: t.upstream, CopyHolder: t.copyHolder, HasBegun: t.begun}
+		return queue.Event{Kind: queue.Placed, ID: id, Request: t.request, Upstream: t.upstream, CopyHolder: t.copyHolder, CopyGrows: t.copyGrows, HasBegun: t.begun}
 	}
 	r := *t.request
 	since := now.Sub(t.submittedAt)
@@ -123,6 +125,7 @@
 	c, at := t.client, time.Now()
 	c.post(func() {
 		t.phase, t.request, t.submittedAt, t.upstream, t.copyHolder = ticketWaiting, request, at, "", ""
+		t.copyGrows = false
 		c.add(t.service, queue.Event{Kind: queue.Rejected, ID: t.id, Request: request})
 	})
 }
@@ -146,7 +149,7 @@
 	}
 	c := t.client
 	c.post(func() {
-		t.copyHolder = holder
+		t.copyHolder, t.copyGrows = holder, false
 		c.add(t.service, queue.Event{Kind: queue.CopyChanged, ID: t.id, CopyHolder: holder})
 	})
 }
--- a/modules/gateway/stream.go
+++ b/modules/gateway/stream.go
@@ -83,6 +83,8 @@
 	reserved *dispatch.Choice
 	// ticket is the current attempt as the owner of the queue knows it, nil without a queue.
 	ticket *queueTicket
+	// copyGrows is set if the copy of the current attempt grows with the run.
+	copyGrows bool
 	// brokenAt is when the stream was interrupted after an event; it is zero unless the
 	// stream waits for the first event of a resume.
 	brokenAt time.Time
