--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -344,3 +344,46 @@
 	}
 	assert.Equal(t, moves, 2)
 }
+
+// Guards against prompts that their callers do not find after the loss of all gateways.
+func TestAffinityBreaksTies(t *testing.T) {
+	list := fleet(12)
+	for _, u := range list {
+		q := newQueue(list...)
+		e := stream(1, 0)
+		e.Request.Zone, e.Request.Affinity = u.Zone, []string{u.ID}
+		q.Apply(start, "g", []Event{e})
+		d := q.Decide(start)
+		assert.Equal(t, len(d), 1)
+		assert.Equal(t, d[0].Upstream, u.ID)
+	}
+}
+
+// Guards against the release of a copy that its upstream would send anew, and against such copies
+// while requests wait.
+func TestGrowingCopyIsNotDropped(t *testing.T) {
+	for _, grows := range []bool{true, false} {
+		list := fleet(2)
+		list[0].Zone, list[1].Zone = "z0", "z1"
+		list[0].MemoryTokens, list[1].MemoryTokens = 20_000, 20_000
+		q := newQueue(list...)
+		events := []Event{}
+		for i := range uint64(2) { // each upstream holds one stream and the copy of the other's
+			r := stream(i, 1).Request
+			r.PromptTokens, r.OutputTokens, r.Copy = 8000, 800, true
+			events = append(events, Event{Kind: Placed, ID: 100 + i, Request: r, Upstream: list[i].ID, CopyHolder: list[1-i].ID, CopyGrows: grows, HasBegun: true})
+		}
+		q.Apply(start, "g", events)
+		waiting := stream(1, 0)
+		waiting.Request.PromptTokens, waiting.Request.OutputTokens = 8000, 800
+		q.Apply(start, "g", []Event{waiting})
+		d := q.Decide(start)
+		if grows {
+			assert.Equal(t, len(d), 0)
+			continue
+		}
+		assert.Equal(t, len(only(d, DropCopy)), 1)
+		assert.Equal(t, len(only(d, Place)), 1)
+		assert.Assert(t, !only(d, Place)[0].CopyGrows)
+	}
+}
--- a/modules/gateway/queue_test.go
+++ b/modules/gateway/queue_test.go
@@ -315,3 +315,47 @@
 	}
 	assert.Assert(t, calls < 80, "%d calls", calls)
 }
+
+// Guards against a copy that the upstream makes by itself although the owner may want its room
+// back, and against the release of one that grows: it would be sent anew.
+func TestCopyGrowsOnlyIfTheQueueSaysSo(t *testing.T) {
+	for _, grows := range []bool{false, true} {
+		proceed := make(chan struct{})
+		run := startUpstream(t, "u1", "model", "z0", func(w http.ResponseWriter, r *http.Request, _ int) {
+			if r.URL.Path == "/v1/kv-move" {
+				_, _ = w.Write([]byte(`{"Handle":"copy-1"}`))
+				return
+			}
+			writeEvent(w, 0)
+			<-proceed
+			writeEvent(w, 1)
+		})
+		holder := startUpstream(t, "u2", "model", "z1", answerThree)
+		owner := startOwner(t, func(e registry.QueueEvent) []queue.Decision {
+			switch e.Kind {
+			case queue.Submitted:
+				return []queue.Decision{{Action: queue.Place, Upstream: "u1", CopyHolder: "u2", CopyGrows: grows}}
+			case queue.Begun:
+				if grows {
+					return []queue.Decision{{Action: queue.DropCopy, CopyHolder: "u2"}}
+				}
+			}
+			return nil
+		})
+		f := newQueueFixture(t, owner, run, holder)
+		response := make(chan callerResponse, 1)
+		go func() { response <- f.doStream() }()
+		owner.awaitEvent(queue.Begun)
+		if !grows {
+			eventually(t, "the copy is requested", func() bool { return len(run.requests()) == 2 })
+		}
+		time.Sleep(50 * time.Millisecond) // in which a release would arrive
+		close(proceed)
+		assert.Equal(t, (<-response).status, http.StatusOK)
+		requests := run.requests()
+		assert.Equal(t, requests[0].header.Get("Kv-Backup") != "", grows)
+		for _, r := range requests {
+			assert.Assert(t, !grows || r.target == "/letters/x", "%s at a copy that grows", r.target)
+		}
+	}
+}
