--- a/core/queue/flow.go
+++ b/core/queue/flow.go
@@ -25,7 +25,7 @@
 // time is the start tag of the last one served.
 type flow struct {
 	startTag float64
-	lists    [levels][]*request // by arrival
+	lists    [levels][]*request // in the order of earlier
 	tokens   [levels]int
 	index    [levels]int // in the heaps of the class
 }
@@ -77,7 +77,19 @@
 	return f
 }
 
+// earlier orders the requests of one organisation and level. Those that can still make their aims go
+// by the times at which they are due, so that one with a long aim waits for one with a short aim;
+// all others go by arrival.
 func earlier(a, b *request) int {
+	if a.level == onTime && b.level == onTime && !a.due.Equal(b.due) {
+		switch {
+		case a.due.IsZero():
+			return 1
+		case b.due.IsZero():
+			return -1
+		}
+		return a.due.Compare(b.due)
+	}
 	if c := a.arrivedAt.Compare(b.arrivedAt); c != 0 {
 		return c
 	}
@@ -133,7 +145,7 @@
 	return c
 }
 
-// push adds a request to a level. A request goes before later arrivals of its organisation.
+// push adds a request to a level.
 func (c *class) push(r *request, l levelIndex) {
 	f := c.flows[r.Organisation]
 	if f == nil {
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -387,3 +387,29 @@
 		assert.Assert(t, !only(d, Place)[0].CopyGrows)
 	}
 }
+
+// Guards against a request with a short aim that misses it behind an earlier one of its organisation
+// that has time to spare, and against removal from the wrong place in that order.
+func TestShortAimGoesBeforeALongOne(t *testing.T) {
+	q := newQueue(fleet(1)...)
+	q.Apply(start, "g", []Event{stream(1, 0)})
+	q.Decide(start)
+	for id, aim := range []time.Duration{30 * time.Second, 9 * time.Second, 0, 12 * time.Second, 9 * time.Second} {
+		e := stream(uint64(10+id), 0)
+		e.Request.Aim, e.Request.Deadline = aim, time.Minute
+		q.Apply(start.Add(time.Duration(id)*time.Millisecond), "g", []Event{e})
+	}
+	q.Apply(start, "g", []Event{{Kind: Withdrawn, ID: 13}})
+	var order []uint64
+	running := uint64(1)
+	now := start
+	for range 4 {
+		now = now.Add(100 * time.Millisecond)
+		q.Apply(now, "g", []Event{begun(running), completed(running)})
+		d := only(q.Decide(now), Place)
+		assert.Equal(t, len(d), 1)
+		running = d[0].ID
+		order = append(order, running)
+	}
+	assert.DeepEqual(t, order, []uint64{11, 14, 10, 12})
+}
