gateway: streams that waited for a lost owner are placed without a copy

About 100 streams with copies that grow were placed at once when the owner of the queue froze, and held a third of the memory that was left.

--- a/modules/gateway/queue_stream.go
+++ b/modules/gateway/queue_stream.go
@@ -92,6 +92,9 @@
 		case signal := <-w.ticket.signals:
 			switch {
 			case signal.ownerLost:
+				// Many that have waited are placed together, and a copy that grows can't give its
+				// room back. The next owner has copies made once there is room.
+				w.request.Backup = false
 				return w.fallBack("owner lost")
 			case signal.decision.Action == queue.Refuse:
 				return choice, w.refuse(startedAt, signal.decision), true
@@ -195,7 +198,9 @@
 		return
 	}
 	s.copyGrows = choice.Backup.ID != ""
-	s.ticket = s.g.queue.reportPlaced(s.service.Name, s.queueRequest(request), choice.Upstream.ID, choice.Backup.ID)
+	q := s.queueRequest(request)
+	q.Copy = s.wantsCopy()
+	s.ticket = s.g.queue.reportPlaced(s.service.Name, q, choice.Upstream.ID, choice.Backup.ID)
 }
 
 // releaseTicket ends a ticket whose attempt was not settled.
--- a/modules/gateway/stream_place.go
+++ b/modules/gateway/stream_place.go
@@ -14,12 +14,15 @@
 // placementRequest returns the request for the placement of an attempt.
 func (s *streamRequest) placementRequest() *dispatch.Request {
 	request := s.dispatchRequest()
-	request.Backup = s.route.Resumable && s.route.MaxAttempts > 1
+	request.Backup = s.wantsCopy()
 	request.Version = s.version
 	s.restrictVersion(request)
 	return request
 }
 
+// wantsCopy reports whether the stream could go on from a copy of its KV cache.
+func (s *streamRequest) wantsCopy() bool { return s.route.Resumable && s.route.MaxAttempts > 1 }
+
 // placeAttempt places an attempt. It asks the upstreams that may have the prompt of a stream that
 // its caller takes up. The owner of the queue decides, if there is one; a stream that goes back to an
 // upstream that holds its KV cache or its prompt is placed there at once.
