--- a/core/queue/copies.go
+++ b/core/queue/copies.go
@@ -23,11 +23,16 @@
 	// makeCopyCalm is how long nothing may have waited before copies are made for the running
 	// streams of all classes, maxMakeCopies how many are made in one sweep: each takes bandwidth.
 	makeCopyCalm, maxMakeCopies = time.Second, 2
+	// growingCopyShare is the share of all KV caches that may be taken for copies to be made that
+	// can't be dropped. A flood that begins then finds most of the room free.
+	growingCopyShare = 0.25
 	// minCopyRest is the share of a stream that must be left for a copy to be made.
 	minCopyRest = 0.3
 )
 
-func classWeight(priority int) float64 { return math.Ldexp(1, -priority) }
+func classWeight(priority int) float64 {
+	return math.Ldexp(1, -(priority/priorityLevels + priority%priorityLevels))
+}
 
 // restMS returns the expected time for which a placed request still takes its room.
 func (q *Queue) restMS(now time.Time, r *request) float64 {
@@ -104,14 +109,13 @@
 	return q.copyHolder(now, r)
 }
 
-// growingShare is the share of the KV caches of both upstreams up to which a copy grows with its run.
-// It is there from the first event on, but takes its room until the run ends, also in a flood that
-// begins meanwhile.
-const growingShare = 0.25
-
-// mayGrow reports whether the copy of a request that is being placed may grow with its run.
-func (q *Queue) mayGrow(now time.Time, r *request, holder *upstream) bool {
-	return q.waiting() == 0 && !now.Before(q.rates.shortUntil) && r.at.usedShare() < growingShare && holder.usedShare() < growingShare
+// plentyOfRoom reports whether copies may be made that can't be dropped.
+func (q *Queue) plentyOfRoom(now time.Time) bool {
+	taken := q.usedTokens
+	for _, tokens := range q.copyTokens {
+		taken += tokens
+	}
+	return now.After(q.rates.shortUntil) && float64(taken) <= growingCopyShare*q.rates.memory
 }
 
 // copyHolder returns the upstream with the least memory taken in another availability zone, since
@@ -175,7 +179,7 @@
 	q.sortCopies(now, u)
 	need, slots := q.excess(u, tokens)
 	for _, r := range u.copies {
-		if need <= 0 && slots <= 0 || r.copyGrows {
+		if need <= 0 && slots <= 0 {
 			break
 		}
 		worth += r.copyWorth
@@ -200,7 +204,7 @@
 func (q *Queue) sortCopies(now time.Time, u *upstream) {
 	for _, r := range u.copies {
 		r.copyWorth = q.copyWorth(r, q.restMS(now, r))
-		if r.copyGrows {
+		if r.growingCopy {
 			r.copyWorth = math.Inf(1)
 		}
 	}
@@ -211,7 +215,7 @@
 
 // dropCopies drops copies at an upstream, whose copies are sorted, until a request fits.
 func (q *Queue) dropCopies(now time.Time, u *upstream, tokens int) {
-	for len(u.copies) > 0 && !u.copies[0].copyGrows && !q.fits(u, tokens) {
+	for len(u.copies) > 0 && !q.fits(u, tokens) {
 		r := u.copies[0]
 		q.detachCopy(r)
 		q.decisions = append(q.decisions, Decision{Key: r.key, Action: DropCopy, CopyHolder: u.ID, Explanation: q.explain(now, r, u)})
--- a/core/queue/events.go
+++ b/core/queue/events.go
@@ -115,7 +115,7 @@
 	}
 	q.attach(now, q.upstream(e.Upstream), r)
 	q.setCopy(r, e.CopyHolder)
-	r.copyGrows = e.CopyGrows && r.copyAt != nil
+	r.growingCopy = e.GrowingCopy && r.copyAt != nil
 }
 
 func (q *Queue) copyChanged(r *request, e *Event) {
@@ -154,10 +154,11 @@
 }
 
 // learnSpeed takes in the time in which a prompt was read. The time for which the prompt waited
-// for another one at the upstream does not count.
+// for another one at the upstream does not count, nor does a stream that goes on: its prompt may be
+// cached.
 func (q *Queue) learnSpeed(now time.Time, r *request, took time.Duration) {
 	u := r.at
-	if took <= 0 || took > maxDuration || len(u.unread) == 0 || r.toRead != r.prompt {
+	if took <= 0 || took > maxDuration || len(u.unread) == 0 || r.toRead != r.prompt || r.Continues || r.Preferred != "" {
 		return
 	}
 	if !u.parallel() {
--- a/core/queue/place.go
+++ b/core/queue/place.go
@@ -194,9 +194,9 @@
 	q.usedUp(now, u)
 	d := Decision{Key: r.key, Action: Place, Upstream: u.ID, ExpectedFirstEvent: r.readyAt.Sub(now), Explanation: explanation}
 	if holder := q.chooseCopy(now, r); holder != nil {
+		r.growingCopy = q.plentyOfRoom(now)
 		q.attachCopy(holder, r)
-		r.copyGrows = q.mayGrow(now, r, holder)
-		d.CopyHolder, d.CopyGrows = holder.ID, r.copyGrows
+		d.CopyHolder, d.GrowingCopy = holder.ID, r.growingCopy
 	}
 	q.decisions = append(q.decisions, d)
 }
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -27,8 +27,9 @@
 	// Zone is the availability zone of the gateway.
 	Zone         string
 	Organisation string
-	// Priority is the priority of the route or organisation; 0 is the most urgent.
-	Priority int
+	// Priority is the priority of the organisation if it has one, else that of the route; 0 is the
+	// most urgent. RoutePriority is that of the route, and decides among requests of one Priority.
+	Priority, RoutePriority int
 	// PromptTokens and OutputTokens are sizes in tokens, or zero if unknown.
 	PromptTokens, OutputTokens int
 	// PromptKey identifies the part of the prompt that belongs to the caller or its session. A
@@ -103,10 +104,9 @@
 	Request *Request
 	// Upstream and CopyHolder are IDs of upstreams, set in Placed and CopyChanged.
 	Upstream, CopyHolder string
-	// CopyGrows is set in Placed for a copy as in Decision.
-	CopyGrows bool
-	// HasBegun is set in Placed for a request whose first event has arrived.
-	HasBegun bool
+	// HasBegun is set in Placed for a request whose first event has arrived, GrowingCopy for one
+	// whose upstream sends its KV cache to the holder by itself.
+	HasBegun, GrowingCopy bool
 	// Outcome is set in Ended.
 	Outcome Outcome
 	// Took is, in Begun, the time from sending the request to its first event, and in Ended
@@ -140,9 +140,9 @@
 	// Upstream is set in Place and Move; CopyHolder in Place (empty without a copy), DropCopy
 	// and MakeCopy.
 	Upstream, CopyHolder string
-	// CopyGrows is set in Place if the upstream copies the KV cache by itself as it grows, from
-	// the start of the run. Such a copy cannot be released: it would be sent anew.
-	CopyGrows bool
+	// GrowingCopy is set in Place if the upstream is to send the KV cache to the holder by itself
+	// as it grows. Such a copy lacks least, but can't be dropped before the stream ends.
+	GrowingCopy bool
 	// ExpectedFirstEvent is, in Place, the expected time from now to the first event.
 	ExpectedFirstEvent time.Duration
 	// RetryAfter is set in Refuse: when there is expected to be room.
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -246,7 +246,7 @@
 	q.Decide(now)
 	r := q.requests[Key{"g", 1002}]
 	assert.Assert(t, r != nil && r.returned && r.arrivedAt.Equal(start))
-	assert.Equal(t, q.classes[1].first(), r)
+	assert.Equal(t, q.classes[r.priority()].first(), r)
 }
 
 // Guards against callers that pay for the flood of another organisation.
@@ -371,7 +371,7 @@
 		for i := range uint64(2) { // each upstream holds one stream and the copy of the other's
 			r := stream(i, 1).Request
 			r.PromptTokens, r.OutputTokens, r.Copy = 8000, 800, true
-			events = append(events, Event{Kind: Placed, ID: 100 + i, Request: r, Upstream: list[i].ID, CopyHolder: list[1-i].ID, CopyGrows: grows, HasBegun: true})
+			events = append(events, Event{Kind: Placed, ID: 100 + i, Request: r, Upstream: list[i].ID, CopyHolder: list[1-i].ID, GrowingCopy: grows, HasBegun: true})
 		}
 		q.Apply(start, "g", events)
 		waiting := stream(1, 0)
@@ -384,7 +384,7 @@
 		}
 		assert.Equal(t, len(only(d, DropCopy)), 1)
 		assert.Equal(t, len(only(d, Place)), 1)
-		assert.Assert(t, !only(d, Place)[0].CopyGrows)
+		assert.Assert(t, !only(d, Place)[0].GrowingCopy)
 	}
 }
 
--- a/modules/gateway/copy.go
+++ b/modules/gateway/copy.go
@@ -43,9 +43,7 @@
 	// suspended is set while the owner of the queue wants no copy. reported is the holder that it
 	// was told.
 	suspended bool
-	// grows is set while the copy is the one that the upstream makes by itself.
-	grows    bool
-	reported string
+	reported  string
 }
 
 type copyResult struct {
@@ -60,8 +58,7 @@
 	c.setHolder(a.choice.Backup)
 	c.backupCopy = dialect.CacheCopy{Addr: c.holder.Addr, Key: s.req.ID}
 	c.reported = c.holder.ID
-	c.grows = !s.queued() || s.copyGrows
-	if !c.grows {
+	if s.explicitCopy {
 		c.backupCopy, c.awaitingStart = dialect.CacheCopy{}, c.holder.ID != ""
 	}
 	return c
@@ -93,7 +90,7 @@
 		return
 	}
 	c.setHolder(registration.Upstream{})
-	c.backupCopy, c.grows = dialect.CacheCopy{}, false
+	c.backupCopy = dialect.CacheCopy{}
 	if !c.attempt.started {
 		c.awaitingStart = true
 		return
--- a/modules/gateway/queue_copy.go
+++ b/modules/gateway/queue_copy.go
@@ -9,9 +9,15 @@
 
 // This file carries out the decisions of the owner of the queue about copies of KV caches.
 
+// grows reports whether the upstream makes the copy by itself. It would send such a copy anew after
+// a release.
+func (c *cacheBackup) grows() bool {
+	return c.holder.ID != "" && !c.stream.explicitCopy && !c.requested
+}
+
 // drop releases the copy at a holder. No other one is made until the owner decides so.
 func (c *cacheBackup) drop(holderID string) {
-	if c.grows || c.holder.ID == "" || holderID != "" && holderID != c.holder.ID {
+	if c.grows() || c.holder.ID == "" || holderID != "" && holderID != c.holder.ID {
 		return
 	}
 	handle, holder := c.backupCopy.Key, c.holder.ID
@@ -40,6 +46,10 @@
 	if holderID == c.holder.ID {
 		return
 	}
+	if c.grows() {
+		c.reported = holderID // the owner believes so; the report corrects it
+		return
+	}
 	if c.holder.ID != "" {
 		c.drop(c.holder.ID)
 	}
@@ -72,7 +82,7 @@
 // backupTo returns the address of the upstream to which the upstream of an attempt copies its KV
 // cache by itself.
 func (s *streamRequest) backupTo(a *attempt) string {
-	if s.queued() && !s.copyGrows {
+	if s.explicitCopy {
 		return ""
 	}
 	return a.choice.Backup.Addr
--- a/modules/gateway/queue_stream.go
+++ b/modules/gateway/queue_stream.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"net/http"
 	"slices"
 	"time"
@@ -33,17 +34,17 @@
 // queueRequest describes the attempt to the owner of the queue.
 func (s *streamRequest) queueRequest(request *dispatch.Request) *queue.Request {
 	return &queue.Request{
-		RequestID: s.req.ID, Service: request.Service, Zone: s.g.zone, Organisation: request.Organisation, Priority: request.Priority,
+		RequestID: s.req.ID, Service: request.Service, Zone: s.g.zone, Organisation: request.Organisation, Priority: request.Priority, RoutePriority: s.route.Priority,
 		PromptTokens: request.PromptTokens, OutputTokens: request.OutputTokens, PromptKey: s.req.PromptKey,
 		Waited: time.Since(s.started), Aim: s.route.Objective, Deadline: time.Until(s.deadline), Continues: request.Continues, Copy: request.Backup,
-		Version: request.Version, Preferred: request.CachedAt, Excluded: slices.Clone(request.Tried),
+		Version: request.Version, Preferred: cmp.Or(request.Preferred, request.CachedAt), Excluded: slices.Clone(request.Tried),
 	}
 }
 
 // placeInQueue lets the owner of the queue place the attempt. Without decided, this gateway has to
 // place it by itself; without a refusal, choice is the placement.
 func (s *streamRequest) placeInQueue(request *dispatch.Request) (choice dispatch.Choice, refusal *dispatch.Refusal, decided bool) {
-	if !s.queued() || !s.g.queue.available.Load() {
+	if !s.queued() || !s.g.queue.takesStreams(time.Now()) {
 		return choice, nil, false
 	}
 	unusable, usable := []string(nil), 0
@@ -103,7 +104,7 @@
 			}
 			if choice, ok := w.assign(signal.decision); ok {
 				w.recordPlaced(startedAt, signal.decision)
-				s.ticket, s.copyGrows = w.ticket, signal.decision.CopyGrows
+				s.ticket, s.explicitCopy = w.ticket, !signal.decision.GrowingCopy
 				return choice, nil, true
 			}
 			if w.rejections++; w.rejections >= maxRejections {
@@ -112,6 +113,9 @@
 		case <-acknowledge.C:
 			if !w.ticket.acknowledged.Load() {
 				s.g.queue.available.Store(false) // until the owner answers
+				if s.g.queue.takesStreams(time.Now()) {
+					continue // until the owner counts as lost
+				}
 				return w.fallBack("submission not acknowledged")
 			}
 		case <-limit:
@@ -191,13 +195,11 @@
 	}
 }
 
-// trackPlacement reports an attempt that this gateway has placed by itself. Its copy grows with the
-// run, as on sites without a queue.
+// trackPlacement reports an attempt that this gateway has placed by itself.
 func (s *streamRequest) trackPlacement(request *dispatch.Request, choice dispatch.Choice) {
 	if s.ticket != nil || !s.queued() {
 		return
 	}
-	s.copyGrows = choice.Backup.ID != ""
 	q := s.queueRequest(request)
 	q.Copy = s.wantsCopy()
 	s.ticket = s.g.queue.reportPlaced(s.service.Name, q, choice.Upstream.ID, choice.Backup.ID)
@@ -206,7 +208,7 @@
 // releaseTicket ends a ticket whose attempt was not settled.
 func (s *streamRequest) releaseTicket() {
 	s.ticket.recordEnded(queue.Cancelled, 0, 0)
-	s.ticket, s.copyGrows = nil, false
+	s.ticket = nil
 }
 
 // settleTicket reports the end of an attempt to the owner of the queue.
@@ -224,7 +226,7 @@
 		outcome = queue.Broken
 	}
 	s.ticket.recordEnded(outcome, took, a.events)
-	s.ticket, s.copyGrows = nil, false
+	s.ticket = nil
 }
 
 // applyQueueSignal carries out a decision about a placed attempt. It returns true when the attempt
--- a/modules/gateway/queue_test.go
+++ b/modules/gateway/queue_test.go
@@ -334,7 +334,7 @@
 		owner := startOwner(t, func(e registry.QueueEvent) []queue.Decision {
 			switch e.Kind {
 			case queue.Submitted:
-				return []queue.Decision{{Action: queue.Place, Upstream: "u1", CopyHolder: "u2", CopyGrows: grows}}
+				return []queue.Decision{{Action: queue.Place, Upstream: "u1", CopyHolder: "u2", GrowingCopy: grows}}
 			case queue.Begun:
 				if grows {
 					return []queue.Decision{{Action: queue.DropCopy, CopyHolder: "u2"}}
--- a/modules/gateway/stream.go
+++ b/modules/gateway/stream.go
@@ -83,8 +83,9 @@
 	reserved *dispatch.Choice
 	// ticket is the current attempt as the owner of the queue knows it, nil without a queue.
 	ticket *queueTicket
-	// copyGrows is set if the copy of the current attempt grows with the run.
-	copyGrows bool
+	// explicitCopy is set if the copy of the current attempt is requested by calls, so that it can
+	// be released when the owner of the queue decides so.
+	explicitCopy bool
 	// brokenAt is when the stream was interrupted after an event; it is zero unless the
 	// stream waits for the first event of a resume.
 	brokenAt time.Time
@@ -105,6 +106,10 @@
 	started      bool
 	events       int
 	firstEventAt time.Time
+	// spacing measures the time between the new events, and headerAt is when the head of the
+	// response was received.
+	spacing  spacingMeter
+	headerAt time.Time
 	// complete is set once the whole response has been forwarded or read.
 	complete bool
 	// continues is set if the response to the caller was started by an earlier attempt.
@@ -148,6 +153,7 @@
 // when the caller has got the final response.
 func (s *streamRequest) runAttempt() *attempt {
 	request := s.placementRequest()
+	s.explicitCopy = false
 	choice, ok := s.takeReserved()
 	if !ok {
 		request.Preferred = cmp.Or(s.backupHolder.ID, s.reconnectTo)
@@ -302,12 +308,14 @@
 type readerItem struct {
 	response *http.Response
 	event    event
+	at       time.Time // when it was read
 }
 
 // forwardItem forwards an item to the caller. It returns true when the attempt has
 // ended.
 func (s *streamRequest) forwardItem(a *attempt, item readerItem) bool {
 	if item.response != nil {
+		a.headerAt = item.at
 		return s.recordHeader(a, item.response)
 	}
 	defer s.reservation.Release(item.event.reserved)
@@ -337,6 +345,7 @@
 	}
 	a.events++
 	s.recordFirstEvent(a)
+	s.recordSpacing(a, item.at)
 	if a.events == maxEarlyEvents+1 {
 		s.recordProof(a.firstEventAt)
 	}
@@ -367,12 +376,13 @@
 		return
 	}
 	a.started, a.onlyUnidentified = true, false
-	now, ticket, load, resumed := time.Now(), a.choice.Ticket, a.meta.Load, a.fromBackup
+	now, ticket, load, resumed, headerAt := time.Now(), a.choice.Ticket, a.meta.Load, a.fromBackup, a.headerAt
 	a.firstEventAt = now
 	s.g.owner.post(func(st *state) {
 		st.fleet.RecordStarted(now, ticket)
 		if load != nil {
 			st.fleet.RecordLoad(now, ticket, load.Running, load.Waiting)
+			st.fleet.RecordStatedSlowness(headerAt, ticket, load.Slowness)
 		}
 	})
 	s.ticket.recordBegun(now.Sub(a.startedAt))
