--- a/core/speed/speed.go
+++ b/core/speed/speed.go
@@ -49,11 +49,18 @@
 	TokensPerMS, CallMS float64
 	// Forget is the time constant with which samples lose weight.
 	Forget time.Duration
+	// MaxClaim is the factor by which the usual figure of an upstream may make it faster or
+	// slower than the median until it is measured, at most 1.5. It is for an estimator that
+	// places all requests of a service: many gateways that follow the same claims, without
+	// knowing of each other, crowd the few upstreams that claim to be fast.
+	MaxClaim float64
 }
 
 // Estimator estimates the speed of the upstreams of one service.
 type Estimator struct {
-	forget    time.Duration
+	forget time.Duration
+	// maxClaim is the logarithm of Settings.MaxClaim.
+	maxClaim  float64
 	levels    [kinds]level
 	upstreams map[string]*upstream
 	centredAt time.Time
@@ -80,6 +87,9 @@
 	if e.forget <= 0 {
 		e.forget = defaultForget
 	}
+	if s.MaxClaim > 1 {
+		e.maxClaim = math.Log(min(s.MaxClaim, largestMaxClaim))
+	}
 	e.levels[prefill].log = -math.Log(positiveOr(s.TokensPerMS, priorTokensPerMS))
 	e.levels[call].log = math.Log(positiveOr(s.CallMS, priorCallMS))
 	return e
@@ -294,7 +304,7 @@
 	if windows == 0 || e.claims < minClaims || usual > e.usualStated && windows < minStatedWindows {
 		return 0
 	}
-	return min(max(e.usualStated-usual, -maxClaim), maxClaim)
+	return min(max(e.usualStated-usual, -e.maxClaim), e.maxClaim)
 }
 
 func plausible(d time.Duration) bool { return d > 0 && d <= maxSample }
--- a/core/speed/speed_test.go
+++ b/core/speed/speed_test.go
@@ -59,11 +59,10 @@
 	rng        *rand.Rand
 	speeds     []float64
 	neighbours []*neighbours
-	states     bool
 }
 
 func newFleet(seed uint64, speeds ...float64) *fleet {
-	f := &fleet{e: New(Settings{}), rng: rand.New(rand.NewPCG(seed, 1)), speeds: speeds}
+	f := &fleet{e: New(Settings{MaxClaim: 1.5}), rng: rand.New(rand.NewPCG(seed, 1)), speeds: speeds}
 	for i := range speeds {
 		f.neighbours = append(f.neighbours, newNeighbours(seed*1000+uint64(i)))
 	}
@@ -330,7 +329,7 @@
 // measurement. Guards against a figure that is not used while nothing else is known, and against
 // one that is believed in full.
 func TestUsualStatementCountsUntilMeasured(t *testing.T) {
-	e := New(Settings{})
+	e := New(Settings{MaxClaim: 1.5})
 	now := start
 	for n := range 6 {
 		now = at(1.2 * float64(n))
--- a/core/speed/stated.go
+++ b/core/speed/stated.go
@@ -18,9 +18,8 @@
 	// slower, and reaches three quarters of the windows of a sound machine less than once in a
 	// thousand cases. A figure below those of the others is no noise, so one window shows it.
 	statedWindows, minStatedWindows = 7, 3
-	// maxClaim bounds, as a logarithm, the claim that an upstream's usual figure makes about its
-	// speed, by a factor of 1.5.
-	maxClaim = 0.405
+	// largestMaxClaim bounds Settings.MaxClaim.
+	largestMaxClaim = 1.5
 	// initialTrust is the share of a statement that is believed before measurements have
 	// confirmed or contradicted any.
 	initialTrust = 0.5
