--- /dev/null
+++ b/core/queue/decide.go
@@ -0,0 +1,140 @@
+package queue
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// maxAside is the number of waiting requests that others may pass in one call because there
+	// is no room for them.
+	maxAside = 4
+	// maxUnsuited is the number that others may pass because no free upstream suits them.
+	maxUnsuited = 64
+)
+
+// Decide returns all decisions that follow now. They are valid until the next call.
+func (q *Queue) Decide(now time.Time) []Decision {
+	q.decisions = q.decisions[:0]
+	swept := q.sweep(now)
+	if swept {
+		q.requeueStranded(now)
+	}
+	q.expire(now)
+	if swept {
+		q.refuseExpired(now)
+	}
+	q.findFree(now)
+	q.placeResumes(now)
+	q.placeWaiting(now)
+	q.reviewNew(now, swept)
+	if swept {
+		q.moveOverdue(now)
+		q.makeCopies(now)
+	}
+	return q.decisions
+}
+
+// placeWaiting gives what is free to the waiting requests in their order.
+func (q *Queue) placeWaiting(now time.Time) {
+	if q.waiting() == 0 {
+		return
+	}
+	q.aside = q.aside[:0]
+	blocked := 0
+	for len(q.free) > 0 && blocked < maxAside && len(q.aside) < maxUnsuited {
+		r := q.next(now)
+		if r == nil {
+			break
+		}
+		u := q.choose(now, r, q.free)
+		if u == nil && blocked == 0 {
+			u = q.makeRoom(now, r, q.free)
+		}
+		if u != nil && q.betterToWait(now, r, u) {
+			break
+		}
+		if u != nil {
+			q.place(now, r, u)
+			continue
+		}
+		q.unqueue(r)
+		if !anySuits(q.list, r) {
+			q.stranded = append(q.stranded, r)
+			continue
+		}
+		q.aside = append(q.aside, r)
+		if !anySuits(q.free, r) {
+			continue
+		}
+		if blocked++; blocked == 1 {
+			q.hold(now, r)
+		}
+	}
+	for _, r := range q.aside {
+		q.classes[r.priority()].push(r, r.level)
+	}
+}
+
+// waiting returns the number of waiting requests that have not sent events.
+func (q *Queue) waiting() (n int) {
+	for _, c := range q.classes {
+		n += c.count
+	}
+	return n + len(q.stranded)
+}
+
+// anySuits reports whether any upstream of a list may run a request at all.
+func anySuits(list []*upstream, r *request) bool {
+	return slices.ContainsFunc(list, func(u *upstream) bool { return u.Accepts && u.suits(r) })
+}
+
+// requeueStranded returns the requests that no upstream suited to the order, which may have changed.
+func (q *Queue) requeueStranded(now time.Time) {
+	list := q.stranded
+	q.stranded = nil
+	for _, r := range list {
+		q.enqueue(now, r)
+	}
+}
+
+// placeResumes places interrupted streams, which go before all others.
+func (q *Queue) placeResumes(now time.Time) {
+	blocked := 0
+	for i := 0; i < len(q.resumes); {
+		r := q.resumes[i]
+		u := q.preferred(now, r)
+		if u == nil && blocked < maxAside {
+			u = q.chooseResume(now, r)
+		}
+		if u == nil {
+			blocked++
+			i++
+			continue
+		}
+		q.place(now, r, u) // removes it from the list
+	}
+}
+
+// NextDecision returns the time after which Decide must be called again if no event arrives
+// before; zero means only on events.
+func (q *Queue) NextDecision(now time.Time) time.Duration {
+	if len(q.requests) == 0 {
+		return 0
+	}
+	if q.waiting() == 0 && len(q.resumes) == 0 {
+		return idleInterval
+	}
+	if q.freeStale {
+		return minInterval
+	}
+	return min(max(q.freeUntil-now.Sub(q.epoch), minInterval), idleInterval)
+}
+
+const (
+	// idleInterval is the longest time between two calls of Decide while there are requests, so
+	// that aims that pass and first events that are overdue are noticed.
+	idleInterval = 100 * time.Millisecond
+	// minInterval bounds the processor time that decisions without an event take.
+	minInterval = time.Millisecond
+)
