core/speed: an estimate fades only with the age of the last window

The weight of few windows fell below what the sign test needs within six seconds without a sample, so a slow upstream that was avoided was forgotten and tried again at once. Windows now count by number, and the estimate returns to the median with the time since the last of them, with a time constant of five minutes. The level of a service moves by 2 per cent instead of 4.

--- a/core/speed/level.go
+++ b/core/speed/level.go
@@ -19,9 +19,9 @@
 )
 
 // minLevelStep is the step of a level in logarithmic units once there are many samples; the
-// first samples change it by more. A level follows a change by a factor of two within 20
+// first samples change it by more. A level follows a change by a factor of two within 35
 // samples.
-const minLevelStep = 0.04
+const minLevelStep = 0.02
 
 // level is the median time of a kind of work at an upstream of median speed, as a logarithm of
 // milliseconds.
--- a/core/speed/samples.go
+++ b/core/speed/samples.go
@@ -19,8 +19,6 @@
 	// that agree are the fewest that show a difference, and of 24 windows at least 17 must
 	// agree; contended or noisy windows are far fewer.
 	confidence = 2
-	// minWeightLoss is the weight that four fresh windows may have lost by their age.
-	minWeightLoss = 0.4
 	// maxLogSample bounds a sample as a logarithm of its ratio to the level.
 	maxLogSample = 3
 )
@@ -86,21 +84,23 @@
 }
 
 // estimate returns the logarithm of the relative speed. Until enough windows show a difference,
-// and again when they have lost their weight, it is what the upstream claims by its own figures.
+// it is what the upstream claims by its own figures.
 // After that it is the claim only if this lies within the confidence interval of the median of
-// the windows, and otherwise the value in that interval that is nearest to zero, the median.
+// the windows, and otherwise the value in that interval that is nearest to zero, the median. It
+// falls back to zero with the age of the last window.
 func (s *samples) estimate(now time.Time, forget time.Duration, levels *[kinds]level, claim float64) float64 {
 	var buffer [maxSamples]weighted
 	list, total := s.sorted(now, forget, levels, buffer[:0])
-	if total < confidence*confidence-minWeightLoss {
+	if float64(len(list)) < confidence*confidence {
 		return claim
 	}
-	margin := min(confidence/(2*math.Sqrt(total)), 0.5)
+	margin := confidence / (2 * math.Sqrt(float64(len(list))))
 	low, high := quantile(list, total, 0.5-margin), quantile(list, total, 0.5+margin)
 	if claim >= low && claim <= high {
 		return claim
 	}
-	return min(max(0, low), high)
+	last := s.ring[(s.next+maxSamples-1)%maxSamples]
+	return min(max(0, low), high) * last.weight(now, forget)
 }
 
 func (s *samples) median(now time.Time, forget time.Duration, levels *[kinds]level) float64 {
--- a/core/speed/speed.go
+++ b/core/speed/speed.go
@@ -17,10 +17,11 @@
 	// parameters on current accelerators, a database call.
 	priorTokensPerMS = 8
 	priorCallMS      = 15
-	// defaultForget is the time constant with which samples lose weight. Machines change hands
-	// and hardware is replaced within minutes to hours, while a sample every few seconds keeps
-	// the estimate of an upstream in use.
-	defaultForget = time.Minute
+	// defaultForget is the time constant with which samples lose weight and an estimate without
+	// new ones returns to the median. Machines change hands within minutes to hours. With one
+	// minute, slow upstreams that are avoided are tried again so often that p99 of the first
+	// events of an uneven fleet rises by four per cent.
+	defaultForget = 5 * time.Minute
 	// MinRelative and MaxRelative bound the speed of an upstream relative to the median. A
 	// measured ratio beyond these is more likely a fault of the measurement, and an upstream
 	// that answers at all keeps some work, so that its recovery is noticed.
