core/queue: speeds of upstreams by core/speed

The median of each upstream that the queue kept does not tell noise of neighbours from a slow machine. The interface stays; the default is speed.Estimator, and the smallest prompt that is a sample is checked where samples are taken.

--- a/core/queue/events.go
+++ b/core/queue/events.go
@@ -166,7 +166,9 @@
 		took -= max(u.readFrom.Sub(r.placedAt), 0)
 	}
 	q.measured = true
-	q.speeds.FirstEvent(now, u.ID, r.prompt, took, 0)
+	if r.prompt >= minSampleTokens {
+		q.speeds.FirstEvent(now, u.ID, r.prompt, took, 0)
+	}
 	q.refreshSpeed(now, u)
 }
 
--- a/core/queue/owner.go
+++ b/core/queue/owner.go
@@ -70,7 +70,7 @@
 	q := &Queue{epoch: now, settings: s.withDefaults(), rng: rng, speeds: s.Speeds, requests: map[Key]*request{}, upstreams: map[string]*upstream{},
 		zones: map[string]*zone{}, meanPrompt: priorPromptTokens, nextSweep: now, pledges: map[returnKey]pledge{}, rates: rates{holdMS: priorHoldMS, expectedHoldMS: priorHoldMS}}
 	if q.speeds == nil {
-		q.speeds = newMedianSpeeds()
+		q.speeds = newSpeeds()
 	}
 	for c := range q.classes {
 		q.classes[c] = newClass()
--- a/core/queue/settings.go
+++ b/core/queue/settings.go
@@ -27,7 +27,7 @@
 	MaxMoves int
 	// StatusRequests is the number of waiting requests that Status lists.
 	StatusRequests int
-	// Speeds estimates the speed of upstreams; nil selects a median for each upstream.
+	// Speeds estimates the speed of upstreams; nil selects those of package speed.
 	Speeds Speeds
 }
 
