--- a/core/dispatch/zones_test.go
+++ b/core/dispatch/zones_test.go
@@ -35,9 +35,6 @@
 type callResult struct {
 	mean, p99 float64 // milliseconds to the answer
 	crossed   float64 // share of the calls that left their zone
-	// busiest is the share of its capacity that the busiest zone's servers used.
-	early float64 // share of the calls that left it although a slot was free there
-	late  float64 // share of the calls that waited although a slot was free elsewhere
 }
 
 const (
