gateway: early answers of broken connections and malformed statuses are no answers

After a reset the kernel reports the error once. While an upload is being written, the write may get it, and the read then returns a regular end, which completed an answer without a length. An upstream that ended its answer and took no more of the upload had the same effect. Responses with a status under 100, and 101, were skipped as informational, those over 599 were passed on, and lines of HTTP/0.9, 2.0 and 3.7 were accepted. A status line within another head was not found if its status began with 0 or 6 to 9.

Change. internal/response has the only check of a final status (200 to 599, HTTP/1) and a connection that returns an error instead of its end unless the upload has succeeded. The end waits up to 100 ms for the upload, since an upstream may close its sending side and read on. Answers with a length or chunks that arrived whole stay complete.

--- a/modules/gateway/connection.go
+++ b/modules/gateway/connection.go
@@ -18,6 +18,7 @@
 	"github.com/go-faster/errors"
 
 	"heatherway.dev/core/registration"
+	"heatherway.dev/heatherway/internal/response"
 	"heatherway.dev/kernel/buffers"
 )
 
@@ -97,8 +98,10 @@
 // connection is a connection to an upstream; it is used by one request at a time.
 type connection struct {
 	net.Conn
-	pool     *connectionPool
-	key      string
+	pool *connectionPool
+	key  string
+	// received reads from Conn.
+	received *response.Conn
 	limited  *limitedReader
 	reader   *bufio.Reader
 	lastUsed time.Time
@@ -153,8 +156,9 @@
 		c.metrics.dialFailures.Inc()
 		return nil, errors.Join(errNotSent, err)
 	}
-	limited := &limitedReader{source: conn}
-	return &connection{Conn: conn, pool: c, key: key, limited: limited, reader: bufio.NewReaderSize(limited, readBufferBytes)}, nil
+	received := &response.Conn{Conn: conn}
+	limited := &limitedReader{source: received}
+	return &connection{Conn: conn, pool: c, key: key, received: received, limited: limited, reader: bufio.NewReaderSize(limited, readBufferBytes)}, nil
 }
 
 // errProcessStalled is wrapped by errors of dials that timed out while the process
@@ -297,11 +301,11 @@
 
 // exchange is a request that was sent, together with its response.
 type exchange struct {
-	conn        *connection
-	upstream    registration.Upstream
-	sentAt      time.Time
-	res         *http.Response
-	writeResult chan error
+	conn     *connection
+	upstream registration.Upstream
+	sentAt   time.Time
+	res      *http.Response
+	upload   *response.Upload
 	// stopContextWatch keeps the connection open when the context ends. It returns false
 	// if the context has already closed it.
 	stopContextWatch func() bool
@@ -318,7 +322,8 @@
 		return nil, err
 	}
 	conn.sentCopyCall = conn.sentCopyCall || o.copyCall
-	x := &exchange{conn: conn, upstream: u, sentAt: time.Now(), writeResult: make(chan error, 1)}
+	x := &exchange{conn: conn, upstream: u, sentAt: time.Now(), upload: response.NewUpload()}
+	conn.received.Begin(x.upload)
 	x.stopContextWatch = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	x.write(o.encode())
 	if err := x.readHeader(o.method, r, matches); err != nil {
@@ -331,12 +336,12 @@
 func (x *exchange) write(b []byte) {
 	if len(b) <= asyncWriteBytes {
 		_, err := x.conn.Write(b)
-		x.writeResult <- err
+		x.upload.End(err)
 		return
 	}
 	go func() {
 		_, err := x.conn.Write(b)
-		x.writeResult <- err
+		x.upload.End(err)
 	}()
 }
 
@@ -377,9 +382,13 @@
 		if containsStatusLine(res) {
 			return nil, errJoinedHeads
 		}
-		if res.StatusCode >= http.StatusOK {
-			return res, nil
+		if response.IsInformational(res.StatusCode) {
+			continue
+		}
+		if err := response.CheckFinal(res); err != nil {
+			return nil, err
 		}
+		return res, nil
 	}
 }
 
@@ -388,7 +397,7 @@
 	// response follows without a line end: the head parses with the status of one and
 	// fields of both.
 	errJoinedHeads = errors.New("the head of a response contains another status line")
-	statusLine     = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]`)
+	statusLine     = regexp.MustCompile(`HTTP/1\.[01] [0-9]{3}`)
 )
 
 // containsStatusLine reports whether the reason phrase or a field of a response contains
@@ -413,13 +422,7 @@
 		_ = x.conn.Close()
 		return
 	}
-	select {
-	case err := <-x.writeResult:
-		if err != nil {
-			_ = x.conn.Close()
-			return
-		}
-	default:
+	if !x.upload.Succeeded() {
 		_ = x.conn.Close() // the upstream responded before it had read the body
 		return
 	}
