adapter: responses with a malformed status and cut early answers are no answers

Cause. net/http returns any status of three digits, any protocol version, 101 and heads that contain another status line. The entry writes a status outside of 200 to 599 as 200, so a service's 000, 099, 600 and 999 reached callers as 200 with the body. An early answer without a length whose connection was reset counted as complete if the write of the upload got the error.

Change. response.Transport checks the head of each response and the end of each connection; all clients of the adapters use it. Such an attempt fails with upstream_failed, unknown whether it ran. The check for a status line within a head moved there from the gateway. The gateway and both adapters play one table of forms (response/responsetest).

--- a/internal/response/transport.go
+++ b/internal/response/transport.go
@@ -47,7 +47,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := CheckFinal(res); err != nil {
+	if err := Check(res); err != nil {
 		_ = res.Body.Close()
 		return nil, err
 	}
--- a/modules/adapter/http.go
+++ b/modules/adapter/http.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-faster/errors"
 
+	"heatherway.dev/heatherway/internal/response"
 	"heatherway.dev/kernel/peer"
 	"heatherway.dev/kernel/result"
 )
@@ -33,15 +34,15 @@
 // their request, so on a kept connection a late or repeated response to an earlier request
 // would be taken for the response to the next one. A request on a kept connection that the
 // upstream has closed would also fail with an unknown outcome.
-func Transport() *http.Transport {
-	return &http.Transport{
+func Transport() response.Transport {
+	return response.NewTransport(&http.Transport{
 		DialContext:            (&net.Dialer{Timeout: peer.DialTimeout, KeepAliveConfig: keepAlive}).DialContext,
 		DisableKeepAlives:      true,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		ReadBufferSize:         bufferSize,
 		WriteBufferSize:        bufferSize,
 		DisableCompression:     true,
-	}
+	})
 }
 
 // NewClient returns an HTTP client that does not follow redirects: they are responses of
@@ -88,6 +89,8 @@
 		return result.Wrap(result.UpstreamNotReachable, err, "cannot connect to the upstream")
 	case errors.Is(err, context.DeadlineExceeded):
 		return result.Wrap(result.DeadlineExceeded, err, "the upstream did not answer in time")
+	case errors.Is(err, response.ErrMalformed):
+		return result.Wrap(result.UpstreamFailed, err, "the upstream did not answer with a valid response").WithRan(result.Unknown)
 	default:
 		return result.Wrap(result.UpstreamFailed, err, "the connection to the upstream failed")
 	}
--- a/modules/adapter/signals.go
+++ b/modules/adapter/signals.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"heatherway.dev/core/throttle"
+	"heatherway.dev/heatherway/internal/response"
 )
 
 // LeavingHeader is set to 1 in every response of an upstream that is about to stop and
@@ -46,12 +47,12 @@
 func (s *SignalReader) OnSignal(f func(Signal)) { s.callback.Store(&f) }
 
 // WrapTransport returns a round tripper that reads the signal in every response.
-func (s *SignalReader) WrapTransport(t *http.Transport) http.RoundTripper {
+func (s *SignalReader) WrapTransport(t response.Transport) http.RoundTripper {
 	return signalTransport{t, s}
 }
 
 type signalTransport struct {
-	*http.Transport
+	response.Transport
 	source *SignalReader
 }
 
--- a/modules/gateway/connection.go
+++ b/modules/gateway/connection.go
@@ -7,8 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"regexp"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -379,41 +377,13 @@
 		if err != nil {
 			return nil, err
 		}
-		if containsStatusLine(res) {
-			return nil, errJoinedHeads
-		}
-		if response.IsInformational(res.StatusCode) {
-			continue
-		}
-		if err := response.CheckFinal(res); err != nil {
+		if err := response.Check(res); err != nil {
 			return nil, err
 		}
-		return res, nil
-	}
-}
-
-var (
-	// errJoinedHeads is the error for the first part of an earlier response that the next
-	// response follows without a line end: the head parses with the status of one and
-	// fields of both.
-	errJoinedHeads = errors.New("the head of a response contains another status line")
-	statusLine     = regexp.MustCompile(`HTTP/1\.[01] [0-9]{3}`)
-)
-
-// containsStatusLine reports whether the reason phrase or a field of a response contains
-// the status line of another one.
-func containsStatusLine(res *http.Response) bool {
-	// Most values are short and have no version, so the expression rarely runs.
-	contains := func(v string) bool { return strings.Contains(v, "HTTP/1.") && statusLine.MatchString(v) }
-	if contains(res.Status) {
-		return true
-	}
-	for _, values := range res.Header {
-		if slices.ContainsFunc(values, contains) {
-			return true
+		if response.IsFinal(res.StatusCode) {
+			return res, nil
 		}
 	}
-	return false
 }
 
 // finish returns the connection to the pool after the body was read to its end.
--- a/modules/gateway/status_test.go
+++ b/modules/gateway/status_test.go
@@ -13,54 +13,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
-)
-
-// statusLines are the first lines of responses, and whether a response with that line is an
-// answer.
-var statusLines = map[string]bool{
-	"HTTP/1.1 000 OK":                        false,
-	"HTTP/1.1 099 OK":                        false,
-	"HTTP/1.1 600 OK":                        false,
-	"HTTP/1.1 999 OK":                        false,
-	"HTTP/1.1 101 Switching Protocols":       false,
-	"HTTP/1.1 199 OK":                        false,
-	"HTTP/1.1 20 OK":                         false,
-	"HTTP/1.1 2000 OK":                       false,
-	"HTTP/1.1 +20 OK":                        false,
-	"HTTP/1.1 +200 OK":                       false,
-	"HTTP/1.1 -20 OK":                        false,
-	"HTTP/1.1 -00 OK":                        false,
-	"HTTP/1.1 2e2 OK":                        false,
-	"HTTP/1.1 0x2 OK":                        false,
-	"HTTP/1.1 ２００ OK":                        false,
-	"HTTP/1.1 OK":                            false,
-	"HTTP/1.1":                               false,
-	"HTTP/0.9 200 OK":                        false,
-	"HTTP/2.0 200 OK":                        false,
-	"HTTP/3.7 200 OK":                        false,
-	"HTTP/11 200 OK":                         false,
-	"http/1.1 200 OK":                        false,
-	"ICY 200 OK":                             false,
-	"200 OK":                                 false,
-	"HTTP/1.1 200 OK\r\nHTTP/1.1 200 OK":     false,
-	"HTTP/1.1 200 OK\r\nHTTP/1.1 503 a: b":   false,
-	"HTTP/1.1 200 HTTP/1.1 000 OK":           false,
-	"HTTP/1.1 000 OK\r\n\r\nHTTP/1.1 200 OK": false,
-	"HTTP/1.1 099 OK\r\n\r\nHTTP/1.1 200 OK": false,
-	"HTTP/1.1 +20 OK\r\n\r\nHTTP/1.1 200 OK": false,
-	"HTTP/1.1 101 OK\r\n\r\nHTTP/1.1 200 OK": false,
-	"HTTP/1.1 102 OK\r\n\r\nHTTP/1.1 000 OK": false,
 
-	"HTTP/1.1 200 OK":                        true,
-	"HTTP/1.0 200 OK":                        true,
-	"HTTP/1.1 200 ":                          true,
-	"HTTP/1.1 200":                           true,
-	"HTTP/1.1 299 Odd":                       true,
-	"HTTP/1.1 404 Not Found":                 true,
-	"HTTP/1.1 599 Odd":                       true,
-	"HTTP/1.1 102 OK\r\n\r\nHTTP/1.1 200 OK": true,
-	"HTTP/1.1 199 OK\r\n\r\nHTTP/1.1 200 OK": true,
-}
+	"heatherway.dev/heatherway/internal/response/responsetest"
+)
 
 // startStatusUpstream starts an upstream whose responses begin with the given line. Its reports
 // are as usual. It counts the requests of callers.
@@ -92,7 +47,7 @@
 // Guards against a response whose status is not a final one, or that is no response of HTTP/1,
 // which reaches the caller as an answer, or after which a call that may run once is repeated.
 func TestMalformedStatusIsNoAnswer(t *testing.T) {
-	for line, valid := range statusLines {
+	for line, valid := range responsetest.StatusLines {
 		for _, framing := range []string{"Content-Length: 15\r\n", ""} {
 			for path, service := range map[string]string{"/book/": "desk", "/look/": "desk", "/letters/": "model"} {
 				for _, kept := range []bool{false, true} {
@@ -129,7 +84,7 @@
 // Guards against a report with a status that is not a final one, from which a load would be
 // recorded.
 func TestMalformedStatusOfReport(t *testing.T) {
-	for line, valid := range statusLines {
+	for line, valid := range responsetest.StatusLines {
 		t.Run(fmt.Sprintf("%q", line), func(t *testing.T) {
 			t.Parallel()
 			u := startRawUpstream(t, func(c net.Conn) {
