entry, heatherwayctl, load: a status outside of 200 to 599 is no answer

The entry wrote a reply whose status is no final one as 200 with its body, also one from a record that an agent has stored. heatherwayctl and the load generator took every status under 400 for a success.

The entry checks the status of an agent's reply and of a stored answer with the check of internal/response: upstream_failed, unknown whether it ran, so a call that may run once is not sent again. The clients of heatherwayctl and load use response.Transport.

--- a/cmd/heatherwayctl/api.go
+++ b/cmd/heatherwayctl/api.go
@@ -17,6 +17,7 @@
 	"github.com/go-faster/errors"
 
 	"heatherway.dev/heatherway/internal/failure"
+	"heatherway.dev/heatherway/internal/response"
 	"heatherway.dev/kernel/result"
 )
 
@@ -64,7 +65,7 @@
 	if err != nil {
 		return result.Wrap(result.TLSFiles, err, "cannot load --ca, --cert or --key; make them with heatherwayctl certs")
 	}
-	a.client = &http.Client{Transport: &http.Transport{TLSClientConfig: cfg}, Timeout: apiTimeout}
+	a.client = &http.Client{Transport: response.NewTransport(&http.Transport{TLSClientConfig: cfg}), Timeout: apiTimeout}
 	return nil
 }
 
--- a/cmd/heatherwayctl/slo.go
+++ b/cmd/heatherwayctl/slo.go
@@ -13,6 +13,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"heatherway.dev/core/slo"
+	"heatherway.dev/heatherway/internal/response"
 	"heatherway.dev/heatherway/internal/sloreport"
 	"heatherway.dev/kernel/result"
 )
@@ -87,7 +88,9 @@
 	if err != nil {
 		return nil, err
 	}
-	resp, err := http.DefaultClient.Do(req)
+	client := &http.Client{Transport: response.NewTransport(http.DefaultTransport.(*http.Transport).Clone())}
+	defer client.CloseIdleConnections()
+	resp, err := client.Do(req)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"heatherway.dev/core/wire"
+	"heatherway.dev/heatherway/internal/response"
 )
 
 const (
@@ -74,7 +75,7 @@
 	t.DisableCompression = true
 	t.MaxIdleConns, t.MaxIdleConnsPerHost = maxOpenRequests, maxOpenRequests
 	t.DialContext = dialer(dialTimeout)
-	return &http.Client{Transport: t}
+	return &http.Client{Transport: response.NewTransport(t)}
 }
 
 func (r *run) url(i int) string { return r.URLs[i%len(r.URLs)] }
--- a/internal/measure/process.go
+++ b/internal/measure/process.go
@@ -103,6 +103,9 @@
 		return 0, err
 	}
 	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return 0, errors.Errorf("the metrics answered %q", res.Status)
+	}
 	var sum float64
 	for lines := bufio.NewScanner(res.Body); lines.Scan(); {
 		key, value, _ := strings.Cut(lines.Text(), " ")
--- a/modules/entry/attempt.go
+++ b/modules/entry/attempt.go
@@ -13,6 +13,7 @@
 	"heatherway.dev/core/retry"
 	"heatherway.dev/core/wire"
 	"heatherway.dev/heatherway/internal/failure"
+	"heatherway.dev/heatherway/internal/response"
 	"heatherway.dev/kernel/peer"
 	"heatherway.dev/kernel/recovery"
 	"heatherway.dev/kernel/result"
@@ -231,6 +232,9 @@
 	var known *result.Error
 	switch {
 	case err == nil:
+		if malformed := checkStatus(reply.Status); malformed != nil {
+			return callOutcome{err: malformed}
+		}
 		return callOutcome{reply: reply}
 	case errors.Is(err, peer.ErrUnreachable):
 		return callOutcome{err: result.Wrap(result.UpstreamNotReachable, err, "no connection to the agent")}
@@ -241,6 +245,15 @@
 	}
 }
 
+// checkStatus returns an error unless the status of a service's answer is a final one. An agent
+// of an earlier release, or a record that it has stored, may have another.
+func checkStatus(status int) *result.Error {
+	if response.IsFinal(status) {
+		return nil
+	}
+	return result.New(result.UpstreamFailed, "the service answered with the status %d", status).WithRan(result.Unknown)
+}
+
 func (a callOutcome) breakerOutcome(ctx context.Context) breaker.Outcome {
 	switch {
 	case a.err == nil:
@@ -354,6 +367,9 @@
 	case r.BodyHash != "" && r.BodyHash != s.call.bodyHash:
 		return nil, result.New(result.KeyReused, "the Idempotency-Key was used with another request"), true
 	case r.State == wire.RecordFinished:
+		if malformed := checkStatus(r.Status); malformed != nil {
+			return nil, malformed, true
+		}
 		return &wire.CallReply{Status: r.Status, Headers: r.Headers, Body: r.Body, Replayed: true}, nil, true
 	case r.State == wire.RecordAborted && r.Attempt == s.args.Attempt:
 		return nil, result.New(result.UpstreamNotReachable, "the call did not reach the service").WithRan(result.NotRun), true
--- a/modules/entry/call.go
+++ b/modules/entry/call.go
@@ -162,8 +162,6 @@
 		yes := "true"
 		res.Replayed = &yes
 	}
-	if reply.Status >= http.StatusOK && reply.Status <= 599 {
-		s.w.statusOverride = reply.Status
-	}
+	s.w.statusOverride = reply.Status
 	return res, io.NopCloser(bytes.NewReader(reply.Body)), nil
 }
--- a/modules/entry/earlier.go
+++ b/modules/entry/earlier.go
@@ -40,14 +40,14 @@
 }
 
 // checkEarlierRun returns the outcome of a refused call with a caller's key: the stored answer if an earlier call
-// with the key has one, and otherwise the refusal, which says "not run" only if no earlier call has begun.
+// with the key has one, an error if that is malformed, and otherwise the refusal, which says "not run" only if no earlier call has begun.
 func (m *Module) checkEarlierRun(ctx context.Context, c *call, err *result.Error) (*wire.CallReply, *result.Error) {
 	record, known := m.lookupEarlierRun(ctx, c.request)
 	if !known {
 		return nil, err.WithRan(result.Unknown)
 	}
 	resolver := outcomeResolver{module: m, call: c, args: wire.AbortArgs{Key: c.key}}
-	if reply, found, done := resolver.interpretRecord(&record); done && (reply != nil || found.Code == result.KeyReused) {
+	if reply, found, done := resolver.interpretRecord(&record); done && (reply != nil || found.Code == result.KeyReused || found.Ran == result.Unknown) {
 		return reply, found
 	}
 	if resolver.claimed {
