--- a/modules/gateway/connection.go
+++ b/modules/gateway/connection.go
@@ -7,8 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"regexp"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -18,6 +16,7 @@
 	"github.com/go-faster/errors"
 
 	"heatherway.dev/core/registration"
+	"heatherway.dev/heatherway/internal/response"
 	"heatherway.dev/kernel/buffers"
 )
 
@@ -97,8 +96,10 @@
 // connection is a connection to an upstream; it is used by one request at a time.
 type connection struct {
 	net.Conn
-	pool     *connectionPool
-	key      string
+	pool *connectionPool
+	key  string
+	// received reads from Conn.
+	received *response.Conn
 	limited  *limitedReader
 	reader   *bufio.Reader
 	lastUsed time.Time
@@ -153,8 +154,9 @@
 		c.metrics.dialFailures.Inc()
 		return nil, errors.Join(errNotSent, err)
 	}
-	limited := &limitedReader{source: conn}
-	return &connection{Conn: conn, pool: c, key: key, limited: limited, reader: bufio.NewReaderSize(limited, readBufferBytes)}, nil
+	received := &response.Conn{Conn: conn}
+	limited := &limitedReader{source: received}
+	return &connection{Conn: conn, pool: c, key: key, received: received, limited: limited, reader: bufio.NewReaderSize(limited, readBufferBytes)}, nil
 }
 
 // errProcessStalled is wrapped by errors of dials that timed out while the process
@@ -297,11 +299,11 @@
 
 // exchange is a request that was sent, together with its response.
 type exchange struct {
-	conn        *connection
-	upstream    registration.Upstream
-	sentAt      time.Time
-	res         *http.Response
-	writeResult chan error
+	conn     *connection
+	upstream registration.Upstream
+	sentAt   time.Time
+	res      *http.Response
+	upload   *response.Upload
 	// stopContextWatch keeps the connection open when the context ends. It returns false
 	// if the context has already closed it.
 	stopContextWatch func() bool
@@ -318,7 +320,8 @@
 		return nil, err
 	}
 	conn.sentCopyCall = conn.sentCopyCall || o.copyCall
-	x := &exchange{conn: conn, upstream: u, sentAt: time.Now(), writeResult: make(chan error, 1)}
+	x := &exchange{conn: conn, upstream: u, sentAt: time.Now(), upload: response.NewUpload()}
+	conn.received.Begin(x.upload)
 	x.stopContextWatch = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	x.write(o.encode())
 	if err := x.readHeader(o.method, r, matches); err != nil {
@@ -331,12 +334,12 @@
 func (x *exchange) write(b []byte) {
 	if len(b) <= asyncWriteBytes {
 		_, err := x.conn.Write(b)
-		x.writeResult <- err
+		x.upload.End(err)
 		return
 	}
 	go func() {
 		_, err := x.conn.Write(b)
-		x.writeResult <- err
+		x.upload.End(err)
 	}()
 }
 
@@ -374,52 +377,22 @@
 		if err != nil {
 			return nil, err
 		}
-		if containsStatusLine(res) {
-			return nil, errJoinedHeads
+		if err := response.Check(res); err != nil {
+			return nil, err
 		}
-		if res.StatusCode >= http.StatusOK {
+		if response.IsFinal(res.StatusCode) {
 			return res, nil
 		}
 	}
 }
 
-var (
-	// errJoinedHeads is the error for the first part of an earlier response that the next
-	// response follows without a line end: the head parses with the status of one and
-	// fields of both.
-	errJoinedHeads = errors.New("the head of a response contains another status line")
-	statusLine     = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]`)
-)
-
-// containsStatusLine reports whether the reason phrase or a field of a response contains
-// the status line of another one.
-func containsStatusLine(res *http.Response) bool {
-	// Most values are short and have no version, so the expression rarely runs.
-	contains := func(v string) bool { return strings.Contains(v, "HTTP/1.") && statusLine.MatchString(v) }
-	if contains(res.Status) {
-		return true
-	}
-	for _, values := range res.Header {
-		if slices.ContainsFunc(values, contains) {
-			return true
-		}
-	}
-	return false
-}
-
 // finish returns the connection to the pool after the body was read to its end.
 func (x *exchange) finish() {
 	if !x.stopContextWatch() || x.res.Close || x.conn.reader.Buffered() > 0 {
 		_ = x.conn.Close()
 		return
 	}
-	select {
-	case err := <-x.writeResult:
-		if err != nil {
-			_ = x.conn.Close()
-			return
-		}
-	default:
+	if !x.upload.Succeeded() {
 		_ = x.conn.Close() // the upstream responded before it had read the body
 		return
 	}
