--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 
 	"heatherway.dev/core/breaker"
 	"heatherway.dev/core/registration"
+	"heatherway.dev/core/rollout"
 	"heatherway.dev/core/routing"
 	"heatherway.dev/core/signal"
 	"heatherway.dev/core/throttle"
@@ -50,7 +51,9 @@
 // Request describes a request to be placed.
 type Request struct {
 	Service string
-	Stream  bool
+	// Route is the name of the route.
+	Route  string
+	Stream bool
 	// PromptTokens and OutputTokens are sizes in tokens, or zero if unknown.
 	PromptTokens, OutputTokens int
 	// Backup requests a second upstream to hold a copy of the KV cache.
@@ -70,6 +73,8 @@
 	// allowLost also admits upstreams in state lost: when all upstreams of a service are
 	// lost, the control instances are more likely to have failed than the upstreams.
 	allowLost bool
+	// allowReplaced also admits the versions that a roll-out is about to replace.
+	allowReplaced bool
 	// Preferred is the id of the upstream that holds a backup of the request's KV cache,
 	// if any.
 	Preferred string
@@ -203,6 +208,9 @@
 	// upstream, so that the time to the answer measures the upstream's own speed.
 	uncontended bool
 	permit      breaker.Permit
+	route       string
+	// warmingUp is set if the upstream announced that it was still warming up.
+	warmingUp bool
 }
 
 // Fleet is one gateway's view of the upstreams of all services.
@@ -226,6 +234,8 @@
 	streamDuration time.Duration
 	// contact is what is known about the owner of the limits that upstreams name.
 	contact *throttle.Contact
+	// rollouts is nil if roll-outs are not enabled.
+	rollouts *rollout.Gateway
 }
 
 // New returns an empty fleet for a gateway in the given availability zone.
@@ -306,7 +316,7 @@
 	backingOff, limited, others := false, false, false
 	limitWait := maxLimitRetryAfter
 	r.VersionGone = req.Version != "" && !slices.ContainsFunc(list, func(u *upstream) bool {
-		return f.hasVersion(u, req.Version) && u.State != registration.Draining && !u.Leaving
+		return f.hasVersion(u, req.Version) && !f.denies(u) && u.State != registration.Draining && !u.Leaving
 	})
 	for _, u := range list {
 		if u.State != registration.Ready || u.Leaving || !f.hasVersion(u, req.Version) {
@@ -360,6 +370,9 @@
 		if p.uncontended && p.stream && !p.prefilled {
 			p.upstream.estimate.addFirstEvent(p.promptTokens, now.Sub(p.sentAt))
 		}
+		if p.stream && !p.prefilled {
+			f.countAnswer(now, p, false)
+		}
 		p.prefilled = true
 		p.upstream.breaker.Record(now, p.permit, breaker.Succeeded)
 	}
@@ -380,6 +393,9 @@
 		sample = 0
 	}
 	u := p.upstream
+	if !p.stream && p.prefilled {
+		f.countAnswer(now, p, !ok)
+	}
 	if !p.stream && ok {
 		u.estimate.retryDelays.recordAnswer(now)
 		if p.uncontended {
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -14,10 +14,16 @@
 // the outcome with RecordStarted, RecordLoad, RecordAnswer, RecordFailure and End.
 func (f *Fleet) Place(now time.Time, req *Request) (Choice, *Refusal) {
 	list, affinity := f.byService[req.Service], f.affinityTargets(now, req)
-	best, explanation := f.best(now, req, f.sample(req, list, affinity), affinity, true)
+	best, explanation := f.drawn(now, req, list)
+	if best == nil {
+		best, explanation = f.best(now, req, f.sample(req, list, affinity), affinity, true)
+	}
 	if best == nil {
 		best, explanation = f.best(now, req, list, affinity, true)
 	}
+	if best == nil {
+		best, explanation = f.bestReplaced(now, req, list)
+	}
 	if best == nil && !req.Stream {
 		best, explanation = f.best(now, req, list, affinity, false)
 	}
@@ -37,10 +43,11 @@
 		return Choice{}, f.refusal(now, req, list)
 	}
 	best.limit.Take(now)
+	f.countSent(req, best)
 	prefillWait, est := best.prefillTime(now), best.estimate
 	wait := prefillWait + time.Duration(est.prefillMS(float64(req.PromptTokens))*float64(time.Millisecond))
 	f.lastTicket++
-	p := &placement{id: req.ID, upstream: best, tokens: req.tokens(est), promptTokens: req.PromptTokens, sentAt: now, stream: req.Stream, permit: permit}
+	p := &placement{id: req.ID, upstream: best, tokens: req.tokens(est), promptTokens: req.PromptTokens, sentAt: now, stream: req.Stream, permit: permit, route: req.Route, warmingUp: best.ColdMS > 0}
 	if req.Stream {
 		p.uncontended = prefillWait == 0 && req.Preferred == "" && req.CachedAt == ""
 		est.addPrompt(best.limitPrompt(req.PromptTokens))
@@ -180,7 +187,7 @@
 
 func (f *Fleet) eligible(now time.Time, req *Request, u *upstream) bool {
 	up := u.State == registration.Ready || req.allowLost && u.State == registration.Lost
-	return up && f.hasVersion(u, req.Version) && u.acceptsWork(now) && u.breaker.Ready(now) && u.fits(now, req) && f.withinLimit(now, u, req)
+	return up && f.hasVersion(u, req.Version) && f.admits(now, u, req) && u.acceptsWork(now) && u.breaker.Ready(now) && u.fits(now, req) && f.withinLimit(now, u, req)
 }
 
 // fits reports whether the KV cache has room for a request beside the requests and backups
--- a/kernel/result/table.go
+++ b/kernel/result/table.go
@@ -33,6 +33,7 @@
 	FenceStale          Code = 4093
 	Superseded          Code = 4094
 	ChangeRefused       Code = 4095
+	RolloutRuns         Code = 4096
 	GenerationLost      Code = 4102
 	BodyTooLarge        Code = 4130
 	Quarantined         Code = 4220
@@ -96,6 +97,7 @@
 	{FenceStale, "fence_stale", 409, NotRun, false, "The order carries an old fencing token."},
 	{Superseded, "superseded", 409, Unknown, false, "Another reader has taken over this generation."},
 	{ChangeRefused, "change_refused", 409, NotRun, false, "The change was checked and refused."},
+	{RolloutRuns, "rollout_runs", 409, NotRun, false, "Another roll-out of the service runs. Wait until it has ended, or revert it."},
 	{GenerationLost, "generation_lost", 410, DidRun, false, "The text delivered so far is held nowhere any more; start again without Last-Event-ID."},
 	{BodyTooLarge, "body_too_large", 413, NotRun, false, "The body exceeds the limit."},
 	{Quarantined, "quarantined", 422, DidRun, true, "The request has crashed upstreams and is in quarantine."},
--- a/modules/dialect/dialect.go
+++ b/modules/dialect/dialect.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"heatherway.dev/core/registration"
+	"heatherway.dev/core/rollout"
 	"heatherway.dev/core/routing"
 	"heatherway.dev/kernel"
 	"heatherway.dev/kernel/result"
@@ -27,6 +28,8 @@
 	Announce, Deregister string
 	ReplaceConfiguration string
 	ReadConfiguration    string
+	// ReadRollout has the wildcard {service}.
+	StartRollout, ReadRollout string
 }
 
 // Request is the information that heatherway takes from a caller's request headers.
@@ -153,6 +156,10 @@
 	Announcement(id string, body []byte) (registration.Upstream, error)
 	// Departure decodes the deregistration of the upstream with the given id.
 	Departure(id string, body []byte) (registration.Upstream, error)
+	// RolloutOrder decodes an operator's order to move a service to another version. It does not validate it.
+	RolloutOrder(body []byte) (rollout.Order, error)
+	// RolloutState encodes the state of a roll-out for operators.
+	RolloutState(r rollout.Rollout) ([]byte, error)
 	// Request decodes the headers of a caller's request.
 	Request(h http.Header) Request
 	// Forward replaces, in place, the headers that heatherway sets in a forwarded request.
--- a/modules/gateway/follow.go
+++ b/modules/gateway/follow.go
@@ -57,6 +57,8 @@
 	unconfirmed         atomic.Pointer[routing.Table]
 	unconfirmedReceived chan struct{}
 	upstreamCount       atomic.Int64
+	// rolloutRevision is the revision of the newest state of the roll-outs that was received.
+	rolloutRevision atomic.Uint64
 	// rejected is the newest configuration that could not be used.
 	rejected atomic.Pointer[rejectedConfiguration]
 	// notifier tells streams that the incarnation they run on has been replaced.
@@ -250,6 +252,7 @@
 			resets, args.Epoch = current, 0
 		}
 		args.Version = f.receivedVersion()
+		args.FollowRollouts, args.Rollouts = f.g.Rollouts != nil, f.rolloutRevision.Load()
 		// A starting gateway cannot tell a stale configuration from the newest one.
 		args.Confirm = f.version() == 0 && f.newestVersion() > 0
 		reply, err := f.call(ctx, client, args, first)
@@ -346,6 +349,9 @@
 	if len(reply.Runs) > 0 {
 		_ = recovery.Run(f.log, "broken runs", func() { f.g.mergeCrashes(reply.Runs) })
 	}
+	if reply.Rollouts != nil { // before the upstreams whose versions it decides about
+		f.adoptRollouts(*reply.Rollouts)
+	}
 	now, complete := time.Now(), true
 	for _, u := range reply.Upstreams {
 		if u.State == registration.Lost && !reply.Led {
--- a/modules/gateway/gateway.go
+++ b/modules/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"heatherway.dev/core/drain"
 	"heatherway.dev/heatherway/internal/httpconn"
 	"heatherway.dev/heatherway/modules/dialect"
+	"heatherway.dev/heatherway/modules/registry"
 	"heatherway.dev/kernel"
 	"heatherway.dev/kernel/buffers"
 	"heatherway.dev/kernel/peer"
@@ -75,6 +76,8 @@
 	ObjectiveShare float64 `yaml:"objective_share"`
 	// BufferBytes limits the bytes of request and response bodies and of long response heads held in memory.
 	BufferBytes int64 `yaml:"buffer_bytes"`
+	// Rollouts enables roll-outs that an operator orders. It is the same at all instances.
+	Rollouts *registry.RolloutSettings `yaml:"rollouts"`
 	// Dialect is the protocol spoken with callers and upstreams.
 	Dialect settings.Plugin `yaml:"dialect"`
 }
@@ -110,6 +113,8 @@
 	limitOwner     atomic.Pointer[string]
 	// originOwner is the same for the ledger of the software versions that began streams.
 	originOwner atomic.Pointer[string]
+	// rolloutOwner is the same for the permits of roll-outs.
+	rolloutOwner atomic.Pointer[string]
 	// trackedRequests is the number of requests with broken runs. While it is zero, the
 	// crash tracker is not told about completed requests and changed upstreams.
 	// suspectRequests and suspectParts are the numbers of requests and of parts of prompts
@@ -149,6 +154,7 @@
 		settings.DurationInRange("drain_delay", g.DrainDelay, 0, 10*time.Minute),
 		settings.InRange("buffer_bytes", g.BufferBytes, 1<<20, 1<<40),
 		settings.InRange("objective_share", g.ObjectiveShare, 0.01, 0.99999),
+		g.Rollouts.Validate(),
 	)
 }
 
@@ -184,6 +190,9 @@
 	g.buffers = buffers.New(g.BufferBytes)
 	g.connections = newConnectionPool(g.metrics, g.handleResponseSignals)
 	g.owner = newStateOwner(g.ctx, g.log, g.zone, g.ObjectiveShare)
+	if g.Rollouts != nil {
+		g.owner.state.enableRollouts(g.id)
+	}
 	g.crashReporter = newCrashReporter(g)
 	g.controlClients = g.security.NewClients()
 	g.follower = newFollower(g)
@@ -203,6 +212,9 @@
 	g.log.Info("gateway starts", "address", g.Listen, "seeds", g.Seeds, "grace_ms", g.Grace.Milliseconds())
 	g.spawn(g.owner.run)
 	g.spawn(g.crashReporter.run)
+	if g.Rollouts != nil {
+		g.spawn(g.reportRollouts)
+	}
 	g.follower.start()
 	mux := http.NewServeMux()
 	mux.HandleFunc(g.dialect.Endpoints().Ready, g.serveReady)
@@ -363,7 +375,7 @@
 	copies, reports, stalledDials                       stats.Counter
 	cutRequests, undelivered                            stats.Counter
 	brokenRuns, suspectsHeld, partsHeld                 stats.Counter
-	grantFailures                                       stats.Counter
+	grantFailures, rolloutReportFailures                stats.Counter
 	answerMS, firstEventMS, resumeMS, grantMS           stats.Histogram
 }
 
@@ -379,8 +391,9 @@
 		copies: r.Counter("gateway_copies_total"), reports: r.Counter("gateway_reports_total"),
 		stalledDials: r.Counter("gateway_stalled_dials_total"), cutRequests: r.Counter("gateway_cut_requests_total"), undelivered: r.Counter("gateway_undelivered_total"),
 		brokenRuns: r.Counter("gateway_broken_runs_total"), suspectsHeld: r.Counter("gateway_suspects_held_total"),
-		partsHeld: r.Counter("gateway_parts_held_total"),
-		resumeMS:  r.Histogram("gateway_resume_ms"),
-		grantMS:   r.Histogram("gateway_grant_ms"), grantFailures: r.Counter("gateway_grant_failures_total"),
+		partsHeld:             r.Counter("gateway_parts_held_total"),
+		resumeMS:              r.Histogram("gateway_resume_ms"),
+		rolloutReportFailures: r.Counter("gateway_rollout_report_failures_total"),
+		grantMS:               r.Histogram("gateway_grant_ms"), grantFailures: r.Counter("gateway_grant_failures_total"),
 	}
 }
--- a/modules/gateway/owner.go
+++ b/modules/gateway/owner.go
@@ -12,6 +12,7 @@
 	"heatherway.dev/core/dispatch"
 	"heatherway.dev/core/origin"
 	"heatherway.dev/core/retry"
+	"heatherway.dev/core/rollout"
 	"heatherway.dev/core/slo"
 	"heatherway.dev/kernel/logs"
 	"heatherway.dev/kernel/recovery"
@@ -26,6 +27,8 @@
 	slo     *slo.Recorder
 	crashes *crash.Tracker
 	origins *origin.Cache
+	// rollouts is nil if they are not enabled.
+	rollouts *rollout.Gateway
 	// receivedRunsSummary summarises the broken runs reported by other gateways, for the log.
 	receivedRunsSummary logs.Summary
 }
--- a/modules/gateway/place.go
+++ b/modules/gateway/place.go
@@ -15,7 +15,7 @@
 // dispatchRequest returns the request as the dispatcher sees it.
 func (c *callerRequest) dispatchRequest() *dispatch.Request {
 	return &dispatch.Request{
-		Service: c.service.Name, Stream: c.route.Kind == routing.Stream,
+		Service: c.service.Name, Route: c.route.Name, Stream: c.route.Kind == routing.Stream,
 		PromptTokens: c.req.PromptTokens, OutputTokens: c.outputTokens(), Tried: c.tried,
 		Affinity: c.req.PromptKey, ID: c.req.ID, Priority: c.priority, Organisation: c.organisationName(),
 		Continues: c.responseStarted || c.req.LastEventID != dialect.NoEvent,
--- a/modules/gateway/stream.go
+++ b/modules/gateway/stream.go
@@ -420,6 +420,9 @@
 		s.reconnectTo = a.choice.Upstream.ID
 	}
 	s.g.owner.post(func(st *state) {
+		if a.sent && a.nonStream && a.status >= http.StatusInternalServerError && !a.meta.NotRun {
+			st.fleet.RecordFailedResponse(now, ticket)
+		}
 		if failed && !reconnect || misdirected {
 			st.fleet.RecordFailure(now, ticket)
 		}
--- a/modules/registry/feed.go
+++ b/modules/registry/feed.go
@@ -7,6 +7,7 @@
 
 	"heatherway.dev/core/crash"
 	"heatherway.dev/core/registration"
+	"heatherway.dev/core/rollout"
 	"heatherway.dev/heatherway/modules/control/replica"
 	"heatherway.dev/kernel/peer"
 	"heatherway.dev/kernel/recovery"
@@ -43,6 +44,9 @@
 	// choose the size of the subset, since the gateway knows no upstream yet.
 	Subset registration.Subset
 	Choose bool
+	// FollowRollouts asks for the roll-outs. Rollouts is the revision of those that the gateway has.
+	FollowRollouts bool
+	Rollouts       uint64
 	// Confirm asks for a configuration that a majority has confirmed after the
 	// call started. A starting gateway cannot detect a stale one otherwise.
 	Confirm bool
@@ -63,6 +67,8 @@
 	// next call.
 	Runs  []crash.Entry
 	Crash uint64
+	// Rollouts are the roll-outs, nil if the gateway has this revision.
+	Rollouts *rollout.View
 	// Members are the peer addresses of all control instances.
 	Members []string
 	// Confirmed is set if a majority has confirmed the configuration.
@@ -182,7 +188,10 @@
 		if current.version > args.Version {
 			reply.Body = current.body
 		}
-		if reply.Body != nil || len(v.runs) > 0 || !reply.Led || args.Confirm {
+		if args.FollowRollouts && r.rollouts != nil {
+			reply.Rollouts = r.rollouts.viewSince(args.Rollouts)
+		}
+		if reply.Body != nil || reply.Rollouts != nil || len(v.runs) > 0 || !reply.Led || args.Confirm {
 			return nil
 		}
 		if len(reply.Upstreams) > 0 {
--- a/modules/registry/loss.go
+++ b/modules/registry/loss.go
@@ -51,6 +51,9 @@
 	}
 	d.state.Expire(now, upstreamRetention)
 	d.registry.origins.chooseDefaults(now, d.state.All())
+	if d.registry.rollouts != nil {
+		d.registry.rollouts.observeUpstreams(d.state.All())
+	}
 	if len(lost) > 0 || len(d.crashes.EntriesSince(now, crashesBefore)) > 0 {
 		d.registry.changes.notify()
 	}
--- a/modules/registry/operator.go
+++ b/modules/registry/operator.go
@@ -34,6 +34,7 @@
 	mux.HandleFunc(calls.ReadConfiguration, r.readConfiguration)
 	mux.HandleFunc(calls.Announce, r.announce)
 	mux.HandleFunc(calls.Deregister, r.deregister)
+	r.handleRollouts(mux)
 	return failure.WithRecovery(r.log, mux)
 }
 
@@ -132,8 +133,13 @@
 // callLeader runs a call on the leader and retries it until it succeeds or ctx ends.
 // The calls are idempotent: a version is applied only once.
 func (r *Registry) callLeader(ctx context.Context, local func(context.Context) (uint64, error), remote func(context.Context, string) (uint64, error)) (uint64, error) {
+	return r.callLeaderOf(ctx, group, local, remote)
+}
+
+// callLeaderOf is callLeader for any group.
+func (r *Registry) callLeaderOf(ctx context.Context, id replica.Group, local func(context.Context) (uint64, error), remote func(context.Context, string) (uint64, error)) (uint64, error) {
 	for {
-		v, err := r.tryLeader(ctx, local, remote)
+		v, err := r.tryLeaderOf(ctx, id, local, remote)
 		if err == nil {
 			return v, nil
 		}
--- a/modules/registry/registry.go
+++ b/modules/registry/registry.go
@@ -6,9 +6,11 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -37,6 +39,8 @@
 	// group of its own, so that its snapshots do not contain the configuration and a release
 	// that does not know it ignores it.
 	originGroup replica.Group = 1
+	// rolloutGroup is the group of the log that holds the roll-outs. It exists only where they are enabled.
+	rolloutGroup replica.Group = 2
 	// dataFolder is the folder of the log within the instance's data folder.
 	dataFolder = "registry"
 	// compactEntries bounds the log between snapshots: a configuration with
@@ -81,6 +85,8 @@
 	Catchup time.Duration `yaml:"catchup"`
 	// AnnounceInterval is the interval at which an upstream announces itself.
 	AnnounceInterval time.Duration `yaml:"announce_interval"`
+	// Rollouts enables roll-outs that an operator orders. It is the same at all instances.
+	Rollouts *RolloutSettings `yaml:"rollouts"`
 	// Dialect selects the protocol of operators and upstreams.
 	Dialect settings.Plugin `yaml:"dialect"`
 }
@@ -115,6 +121,8 @@
 	confirmations *confirmationMerger
 	limits        *limitOwner
 	origins       *originLedger
+	// rollouts is nil if they are not enabled.
+	rollouts *rollouts
 	clients       *peer.Clients
 
 	mu      sync.Mutex
@@ -145,6 +153,7 @@
 		settings.InRange("losses", r.Losses, 0, 4),
 		settings.DurationInRange("catchup", r.Catchup, minCatchup, time.Minute),
 		settings.DurationInRange("announce_interval", r.AnnounceInterval, 100*time.Millisecond, time.Minute),
+		r.Rollouts.Validate(),
 	)
 }
 
@@ -186,8 +195,11 @@
 	r.directory = newDirectory(r)
 	r.limits = newLimitOwner()
 	r.origins = newOriginLedger(r)
+	if r.Rollouts != nil {
+		r.rollouts = newRollouts(r, r.Rollouts)
+	}
 	if r.folder == "" {
-		r.introducer = replica.NewIntroducer(r.PeerListen, []replica.Group{group, originGroup}, replica.Discovery{Seeds: r.seedAddresses(), Bootstrap: r.Bootstrap}, r.clients)
+		r.introducer = replica.NewIntroducer(r.PeerListen, slices.Sorted(maps.Keys(r.machines())), replica.Discovery{Seeds: r.seedAddresses(), Bootstrap: r.Bootstrap}, r.clients)
 	}
 }
 
@@ -208,6 +220,9 @@
 	r.runInBackground(func() { r.directory.run(r.ctx) })
 	r.runInBackground(func() { r.limits.run(r.ctx, r.log) })
 	r.runInBackground(func() { r.origins.run(r.ctx) })
+	if r.rollouts != nil && r.introducer == nil {
+		r.runInBackground(func() { r.rollouts.run(r.ctx) })
+	}
 	mux := http.NewServeMux()
 	mux.Handle(peer.RPCPath, &peer.Handler{Security: r.security, Services: r.services})
 	r.serve(r.peers, &http.Server{Handler: mux, BaseContext: func(net.Listener) context.Context { return r.ctx }})
@@ -260,10 +275,19 @@
 	}
 }
 
+// machines returns the state machine of each group of the log.
+func (r *Registry) machines() map[replica.Group]replica.StateMachine {
+	m := map[replica.Group]replica.StateMachine{group: r.configuration, originGroup: r.origins}
+	if r.rollouts != nil {
+		m[rolloutGroup] = r.rollouts
+	}
+	return m
+}
+
 func (r *Registry) openLog() (*replica.Replica, error) {
 	rep, err := replica.Open(replica.Options{
 		Self: raft.MemberID(r.PeerListen), Folder: r.folder, Security: r.security, Log: r.log, Stats: r.stats,
-		Machines: map[replica.Group]replica.StateMachine{group: r.configuration, originGroup: r.origins},
+		Machines: r.machines(),
 		Discovery: &replica.Discovery{
 			Seeds: r.seedAddresses(), Bootstrap: r.Bootstrap, MinVoters: 2*r.Losses + 1, Catchup: r.Catchup,
 		},
