--- a/core/rollout/judge.go
+++ b/core/rollout/judge.go
@@ -16,11 +16,13 @@
 	maxShare = 0.85
 	// alarm is the log likelihood ratio at which a version is reverted, for one route; the logarithm of the
 	// number of tests is added. TestJudgement measures the errors at it.
-	alarm = 7.0
+	alarm = 8.0
 	// leaning is the part of the alarm that reverts a version when the decision is due, and leaningSum the log
 	// likelihood ratio of all answers together that does.
-	leaning    = 0.5
-	leaningSum = 2.5
+	leaning    = 0.65
+	leaningSum = 4.0
+	// accepted is the log likelihood ratio below which a route needs few further answers.
+	accepted = -5.0
 	// longWindow is the time constant of the window for the old version.
 	longWindow = 10 * time.Second
 	// span is the time over which answers are gathered. Those of the target are compared with the old version's of
@@ -28,6 +30,9 @@
 	span = ReportInterval
 	// shrinkage is the number of answers by which those three spans are drawn to the long window.
 	shrinkage = 20
+	// acceptedWeight, suspicionFactor and maxWeight shift requests from routes on which the target has shown itself sound
+	// to those on which something speaks against it, by the log likelihood ratio.
+	acceptedWeight, suspicionFactor, maxWeight = 0.25, 2, 16
 	// minTimes is the number of recent times of the old version below which times are not compared.
 	minTimes = 20
 	// slowFactor is how many times the old version's median a slow answer takes.
@@ -190,12 +195,16 @@
 	return min(p+math.Sqrt(p*(1-p)/(longN+shrinkage)), maxShare)
 }
 
-// suspicion returns how much speaks against the target on a route.
-func (j *Judge) suspicion(route string) float64 {
-	if c := j.routes[route]; c != nil {
-		return max(c.failures.ratio, c.slow.ratio)
+// weight returns how many requests of a route are to be sent to the target, relative to a route of which nothing is known.
+func (j *Judge) weight(route string) float64 {
+	c := j.routes[route]
+	switch {
+	case c == nil:
+		return 1
+	case c.failures.sum < accepted && c.failures.ratio+c.slow.ratio == 0:
+		return acceptedWeight
 	}
-	return 0
+	return 1 + min(suspicionFactor*max(c.failures.ratio, c.slow.ratio), maxWeight)
 }
 
 // Finding is what the tests say, with the figures behind it.
--- a/core/rollout/judge_test.go
+++ b/core/rollout/judge_test.go
@@ -12,7 +12,9 @@
 		bad  bool
 		f    func(w *world, route int, target bool) (bool, time.Duration)
 	}
-	after := func(w *world, share float64) bool { return w.now.Sub(w.ordered) > time.Duration(share*float64(w.order.Duration)) }
+	after := func(w *world, share float64) bool {
+		return w.now.Sub(w.ordered) > time.Duration(share*float64(w.order.Duration))
+	}
 	kinds := []kind{
 		{"good", false, usual},
 		{"burst", false, func(w *world, route int, target bool) (bool, time.Duration) {
@@ -41,26 +43,29 @@
 	for _, rate := range []float64{30, 130, 500} {
 		for _, d := range []time.Duration{12 * time.Second, 40 * time.Second} {
 			for _, k := range kinds {
-				wrong, n, late, over, used, bads := 0, 200, 0, 0, 0, 0
-				ex := ""
-				for seed := range n {
-					w := newWorld(uint64(seed), 8, rate, d)
-					w.answer = k.f
-					w.run()
-					if w.reverted.IsZero() == k.bad {
-						wrong++
-						ex = w.reason
-					}
-					if w.rollout().Phase.Running() {
-						late++
-					}
-					if w.canary > int(0.1*float64(w.requests))+50 {
-						over++
+				t.Run("x", func(t *testing.T) {
+					t.Parallel()
+					wrong, n, late, over, used, bads := 0, 200, 0, 0, 0, 0
+					ex := ""
+					for seed := range n {
+						w := newWorld(uint64(seed), 8, rate, d)
+						w.answer = k.f
+						w.run()
+						if w.reverted.IsZero() == k.bad {
+							wrong++
+							ex = w.reason
+						}
+						if w.rollout().Phase.Running() {
+							late++
+						}
+						if w.canary > int(0.1*float64(w.requests))+50 {
+							over++
+						}
+						used += w.canary
+						bads += int(w.owner.settings.Slack)
 					}
-					used += w.canary
-					bads += int(w.owner.settings.Slack)
-				}
-				fmt.Println(rate, d, k.name, "wrong", wrong, "of", n, "running", late, "over", over, "canary", used/n, ex)
+					fmt.Println(rate, d, k.name, "wrong", wrong, "of", n, "running", late, "over", over, "canary", used/n, ex)
+				})
 			}
 		}
 	}
--- a/core/rollout/owner.go
+++ b/core/rollout/owner.go
@@ -25,8 +25,6 @@
 	// maxRouteShare bounds the share of a route's requests that the target gets, so that the old version's
 	// answers remain for comparison.
 	maxRouteShare = 0.5
-	// maxWeight is how many times the requests of a sound route one gets on which much speaks against the target.
-	maxWeight = 8
 	// spendTime is the time in which permits that are left over are planned to be used.
 	spendTime = 3 * time.Second
 	// rateConstant is the time constant of the measured rates of requests.
@@ -206,7 +204,7 @@
 func (s *owned) shares(planned float64) (map[string]float64, float64) {
 	weights, all := map[string]float64{}, 0.0
 	for route := range s.rates {
-		weights[route] = 1 + min(s.judge.suspicion(route), maxWeight)
+		weights[route] = s.judge.weight(route)
 		all += weights[route]
 	}
 	routes := slices.SortedFunc(maps.Keys(s.rates), func(a, b string) int {
--- a/modules/registry/registry_test.go
+++ b/modules/registry/registry_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"runtime"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -39,6 +40,9 @@
 	nodes     []*node
 	// announceInterval is that of the instances that are started from now on.
 	announceInterval time.Duration
+	// rollouts are the settings of roll-outs, and bare the numbers of the instances without a disk.
+	rollouts *RolloutSettings
+	bare     []int
 	// log receives the log lines of all instances.
 	log io.Writer
 }
@@ -57,12 +61,27 @@
 const testAnnounceInterval = 200 * time.Millisecond
 
 func newLoggedFleet(t testing.TB, size int, log io.Writer) *fleet {
-	f := &fleet{t: t, bootstrap: true, log: log, announceInterval: testAnnounceInterval}
+	f := &fleet{t: t, log: log}
+	f.init(size)
+	return f
+}
+
+// init starts the instances.
+func (f *fleet) init(size int) {
+	t := f.t
+	f.bootstrap, f.announceInterval = true, testAnnounceInterval
+	if f.log == nil {
+		f.log = io.Discard
+	}
 	n := fleetCount.Add(1)
 	port := freePort(t)
 	for i := range size {
 		host := fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%250, 100+n, 1+i)
-		f.nodes = append(f.nodes, &node{folder: t.TempDir(), disk: &disktest.Disk{}, addr: net.JoinHostPort(host, port)})
+		folder := t.TempDir()
+		if slices.Contains(f.bare, i) {
+			folder = ""
+		}
+		f.nodes = append(f.nodes, &node{folder: folder, disk: &disktest.Disk{}, addr: net.JoinHostPort(host, port)})
 		if i < 3 {
 			f.seeds = append(f.seeds, net.JoinHostPort(host, "1")) // the registry replaces the port by that of peer_listen
 		}
@@ -76,7 +95,6 @@
 			f.stop(n)
 		}
 	})
-	return f
 }
 
 func freePort(t testing.TB) string {
@@ -94,7 +112,7 @@
 	security, err := peer.NewSecurity(peer.TLSSettings{Off: true}, log)
 	assert.NilError(f.t, err)
 	r := &Registry{Settings: Settings{
-		PeerListen: n.addr, Seeds: f.seeds, Bootstrap: f.bootstrap, Losses: min(1, (len(f.nodes)-1)/2), AnnounceInterval: f.announceInterval,
+		PeerListen: n.addr, Seeds: f.seeds, Bootstrap: f.bootstrap, Losses: min(1, (len(f.nodes)-1)/2), AnnounceInterval: f.announceInterval, Rollouts: f.rollouts,
 	}}
 	r.log, r.stats, r.security, r.folder, r.files = log, stats.New(), security, n.folder, n.disk
 	r.dialect = &platform.Platform{}
