--- a/core/rollout/book.go
+++ b/core/rollout/book.go
@@ -12,12 +12,19 @@
 type Command struct {
 	// AtMS is the time of the leader in Unix milliseconds.
 	AtMS    int64
-	Start   *Order   `json:",omitempty"`
+	Start   *Start   `json:",omitempty"`
 	Trust   *Trust   `json:",omitempty"`
 	Move    *Move    `json:",omitempty"`
 	Ceiling *Ceiling `json:",omitempty"`
 }
 
+// Start accepts the order of an operator.
+type Start struct {
+	Order
+	// Present are the versions that the leader knows. They are trusted if none is yet.
+	Present []string
+}
+
 // Trust makes a version that announced itself without an order a trusted one.
 type Trust struct{ Service, Version string }
 
@@ -96,8 +103,8 @@
 	return outcome, nil
 }
 
-func (b *Book) start(index uint64, o Order) Outcome {
-	s := b.services[o.Service]
+func (b *Book) start(index uint64, c Start) Outcome {
+	s, o := b.services[c.Service], c.Order
 	if last := s.Rollout; last != nil {
 		same := last.Order == o
 		repeatable := b.nowMS <= last.AcceptedMS+(o.Duration+repeatWindow).Milliseconds()
@@ -109,6 +116,9 @@
 		}
 	}
 	r := &Rollout{ID: index, PhaseAt: index, Order: o, AcceptedMS: b.nowMS}
+	if len(s.Trusted) == 0 {
+		s.Trusted = without(c.Present, o.Target)
+	}
 	trusted := without(s.Trusted, o.Target)
 	if len(trusted) == 0 && len(s.Trusted) > 0 {
 		r.Phase, r.Reason = Complete, "the target was the only trusted version"
--- a/core/rollout/owner.go
+++ b/core/rollout/owner.go
@@ -26,7 +26,7 @@
 	// answers remain for comparison.
 	maxRouteShare = 0.5
 	// spendTime is the time in which permits that are left over are planned to be used.
-	spendTime = 3 * time.Second
+	spendTime = time.Second
 	// rateConstant is the time constant of the measured rates of requests.
 	rateConstant = 2 * time.Second
 )
--- a/modules/registry/rollout.go
+++ b/modules/registry/rollout.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -96,7 +98,7 @@
 // update takes in a changed state of the book.
 func (o *rollouts) update() {
 	old, v := o.view.Load(), o.book.View()
-	o.clock.Update(time.Now(), v)
+	defer o.clock.Update(time.Now(), v) // the log lines below state how long an ended roll-out took
 	if o.owner != nil {
 		o.owner.Update(v)
 	}
@@ -222,6 +224,13 @@
 
 func (o *rollouts) elapsed(r *rollout.Rollout) time.Duration { return o.clock.Elapsed(time.Now(), r) }
 
+// present returns the known versions of a service.
+func (o *rollouts) present(service string) []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.Sorted(maps.Keys(o.versions[service]))
+}
+
 // propose writes a command to the log and returns its outcome once it is durable.
 func (o *rollouts) propose(ctx context.Context, c rollout.Command) (rollout.Outcome, error) {
 	rep := o.registry.currentReplica()
--- a/modules/registry/rollout_operator.go
+++ b/modules/registry/rollout_operator.go
@@ -154,7 +154,7 @@
 			reply.ServiceUnknown = !known
 			return reply, err
 		}
-		if reply.Outcome, err = o.propose(ctx, rollout.Command{Start: &args.Order}); err != nil {
+		if reply.Outcome, err = o.propose(ctx, rollout.Command{Start: &rollout.Start{Order: args.Order, Present: o.present(args.Service)}}); err != nil {
 			return reply, err
 		}
 	} else if err := o.confirmLeading(ctx); err != nil {
