--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -124,9 +124,14 @@
 	Services map[string]Service
 }
 
-// without returns a list without an element.
-func without(list []string, v string) []string {
-	return slices.DeleteFunc(slices.Clone(list), func(x string) bool { return x == v })
+// without returns a list without an element, nil if none remains.
+func without(list []string, v string) (out []string) {
+	for _, x := range list {
+		if x != v {
+			out = append(out, x)
+		}
+	}
+	return out
 }
 
 // with returns a list that contains an element.
--- a/core/rollout/world_test.go
+++ b/core/rollout/world_test.go
@@ -26,6 +26,8 @@
 	answer func(w *world, route int, target bool) (failed bool, took time.Duration)
 	// lost reports whether a gateway's report, or its answer, is lost.
 	lost func(w *world, gateway int) (report, answer bool)
+	// onReport is called with each report that a gateway sends.
+	onReport func(gateway int, r Report)
 	// each is called at each step.
 	each func(w *world)
 
@@ -117,6 +119,9 @@
 	if w.lost != nil {
 		reportLost, answerLost = w.lost(w, i)
 	}
+	if ok && w.onReport != nil {
+		w.onReport(i, r)
+	}
 	if !ok || reportLost {
 		return
 	}
--- a/test/soak/rollout_test.go
+++ b/test/soak/rollout_test.go
@@ -291,7 +291,7 @@
 }
 
 func killRolloutLeader(p *rolloutPlay) {
-	time.Sleep(3 * time.Second)
+	time.Sleep(time.Second) // bad versions are reverted after two to three seconds
 	leader := p.sys.leaderOf(2)
 	p.sys.registries[leader].kill()
 	time.Sleep(3 * time.Second)
@@ -299,7 +299,7 @@
 }
 
 func killAllControl(p *rolloutPlay) {
-	time.Sleep(2 * time.Second)
+	time.Sleep(time.Second)
 	for _, r := range p.sys.registries {
 		r.kill()
 	}
