--- a/cmd/heatherwayctl/main.go
+++ b/cmd/heatherwayctl/main.go
@@ -24,7 +24,7 @@
 	exitOK     = 0
 	exitFailed = 1
 	exitUsage  = 2
-	// exitConflict means that another change was accepted on the same base.
+	// exitConflict means that another change was accepted on the same base, or another roll-out runs.
 	exitConflict = 3
 )
 
@@ -94,7 +94,7 @@
 	switch {
 	case result.Is(err, result.Usage):
 		return exitUsage
-	case result.Is(err, result.RevisionConflict):
+	case result.Is(err, result.RevisionConflict), result.Is(err, result.RolloutRuns):
 		return exitConflict
 	default:
 		return exitFailed
--- a/core/rollout/counts.go
+++ b/core/rollout/counts.go
@@ -77,8 +77,8 @@
 	return c
 }
 
-// merge adds other counts.
-func (c *Counts) merge(o Counts) {
+// Merge adds other counts.
+func (c *Counts) Merge(o Counts) {
 	c.Answers, c.Failed = c.Answers+o.Answers, c.Failed+o.Failed
 	if c.Times == nil && len(o.Times) > 0 {
 		c.Times = map[uint8]int64{}
@@ -98,3 +98,17 @@
 	}
 	return n, above
 }
+
+// Median returns the middle of the times, to the width of a bucket; zero if there are none.
+func (c Counts) Median() time.Duration {
+	all, sum := int64(0), int64(0)
+	for _, n := range c.Times {
+		all += n
+	}
+	for b := range uint8(bucketCount) {
+		if sum += c.Times[b]; 2*sum > all {
+			return time.Duration(math.Exp2((float64(b)+0.5)/bucketsPerOctave) * float64(time.Millisecond))
+		}
+	}
+	return 0
+}
--- a/core/rollout/judge.go
+++ b/core/rollout/judge.go
@@ -143,8 +143,8 @@
 		c.spans = append(c.spans, spanCounts{number: number})
 	}
 	last := &c.spans[len(c.spans)-1]
-	last.target.merge(target)
-	last.other.merge(other)
+	last.target.Merge(target)
+	last.other.Merge(other)
 	for len(c.spans) > 2 {
 		j.compare(c)
 	}
@@ -162,9 +162,9 @@
 // compare compares the oldest span of a route.
 func (j *Judge) compare(c *comparison) {
 	s, near := c.spans[0], c.before.clone()
-	near.merge(s.other)
+	near.Merge(s.other)
 	if len(c.spans) > 1 {
-		near.merge(c.spans[1].other)
+		near.Merge(c.spans[1].other)
 	}
 	c.long.add(time.Duration(s.number)*span, s.other)
 	j.judge(c, s.target, near)
--- a/modules/gateway/follow.go
+++ b/modules/gateway/follow.go
@@ -252,7 +252,7 @@
 			resets, args.Epoch = current, 0
 		}
 		args.Version = f.receivedVersion()
-		args.FollowRollouts, args.Rollouts = f.g.Rollouts != nil, f.rolloutRevision.Load()
+		args.FollowRollouts, args.Rollouts = f.g.Rollouts.Enabled(), f.rolloutRevision.Load()
 		// A starting gateway cannot tell a stale configuration from the newest one.
 		args.Confirm = f.version() == 0 && f.newestVersion() > 0
 		reply, err := f.call(ctx, client, args, first)
--- a/modules/gateway/gateway.go
+++ b/modules/gateway/gateway.go
@@ -77,7 +77,7 @@
 	// BufferBytes limits the bytes of request and response bodies and of long response heads held in memory.
 	BufferBytes int64 `yaml:"buffer_bytes"`
 	// Rollouts enables roll-outs that an operator orders. It is the same at all instances.
-	Rollouts *registry.RolloutSettings `yaml:"rollouts"`
+	Rollouts registry.RolloutSettings `yaml:"rollouts"`
 	// Dialect is the protocol spoken with callers and upstreams.
 	Dialect settings.Plugin `yaml:"dialect"`
 }
@@ -190,7 +190,7 @@
 	g.buffers = buffers.New(g.BufferBytes)
 	g.connections = newConnectionPool(g.metrics, g.handleResponseSignals)
 	g.owner = newStateOwner(g.ctx, g.log, g.zone, g.ObjectiveShare)
-	if g.Rollouts != nil {
+	if g.Rollouts.Enabled() {
 		g.owner.state.enableRollouts(g.id)
 	}
 	g.crashReporter = newCrashReporter(g)
@@ -212,7 +212,7 @@
 	g.log.Info("gateway starts", "address", g.Listen, "seeds", g.Seeds, "grace_ms", g.Grace.Milliseconds())
 	g.spawn(g.owner.run)
 	g.spawn(g.crashReporter.run)
-	if g.Rollouts != nil {
+	if g.Rollouts.Enabled() {
 		g.spawn(g.reportRollouts)
 	}
 	g.follower.start()
@@ -377,10 +377,13 @@
 	brokenRuns, suspectsHeld, partsHeld                 stats.Counter
 	grantFailures, rolloutReportFailures                stats.Counter
 	answerMS, firstEventMS, resumeMS, grantMS           stats.Histogram
+	// registry registers the metrics whose labels are known at run time only.
+	registry *stats.Registry
 }
 
 func newMetrics(r *stats.Registry) metrics {
 	return metrics{
+		registry: r,
 		requests: r.Counter("gateway_requests_total"), refused: r.Counter("gateway_refused_total"),
 		failed: r.Counter("gateway_failed_total"), aborted: r.Counter("gateway_aborted_total"),
 		retries: r.Counter("gateway_retries_total"), hedges: r.Counter("gateway_hedges_total"),
--- a/modules/gateway/rollout.go
+++ b/modules/gateway/rollout.go
@@ -8,6 +8,7 @@
 	"heatherway.dev/core/rollout"
 	"heatherway.dev/heatherway/modules/registry"
 	"heatherway.dev/kernel/recovery"
+	"heatherway.dev/kernel/stats"
 )
 
 // This file follows the roll-outs, reports to the leader what was counted, and gets permits for the canary share.
@@ -63,6 +64,7 @@
 	if !due {
 		return
 	}
+	g.publishRollouts(args.Report)
 	askedAt := time.Now()
 	ctx, cancel := context.WithTimeout(g.ctx, rolloutReportTimeout)
 	defer cancel()
@@ -74,3 +76,26 @@
 	}
 	g.owner.post(func(s *state) { s.rollouts.Granted(askedAt, args.Seq, reply.Answer) })
 }
+
+// publishRollouts publishes what this gateway has counted since it heard of the roll-outs that run.
+func (g *Gateway) publishRollouts(r rollout.Report) {
+	for _, part := range r.Rollouts {
+		var target, other rollout.Counts
+		requests := int64(0)
+		for _, c := range part.Routes {
+			requests += c.Requests
+			target.Merge(c.Target)
+			other.Merge(c.Other)
+		}
+		set := func(name, version string, n int64) {
+			g.metrics.registry.Gauge(name, stats.Label{Key: "service", Value: part.Service}, stats.Label{Key: "version", Value: version}).Set(n)
+		}
+		set("gateway_rollout_requests", "all", requests)
+		set("gateway_rollout_permits_used", "target", part.Used)
+		for version, c := range map[string]rollout.Counts{"target": target, "other": other} {
+			set("gateway_rollout_answers", version, c.Answers)
+			set("gateway_rollout_failed_answers", version, c.Failed)
+			set("gateway_rollout_median_ms", version, c.Median().Milliseconds())
+		}
+	}
+}
--- a/modules/registry/registry.go
+++ b/modules/registry/registry.go
@@ -86,7 +86,7 @@
 	// AnnounceInterval is the interval at which an upstream announces itself.
 	AnnounceInterval time.Duration `yaml:"announce_interval"`
 	// Rollouts enables roll-outs that an operator orders. It is the same at all instances.
-	Rollouts *RolloutSettings `yaml:"rollouts"`
+	Rollouts RolloutSettings `yaml:"rollouts"`
 	// Dialect selects the protocol of operators and upstreams.
 	Dialect settings.Plugin `yaml:"dialect"`
 }
@@ -123,7 +123,7 @@
 	origins       *originLedger
 	// rollouts is nil if they are not enabled.
 	rollouts *rollouts
-	clients       *peer.Clients
+	clients  *peer.Clients
 
 	mu      sync.Mutex
 	replica *replica.Replica
@@ -195,7 +195,7 @@
 	r.directory = newDirectory(r)
 	r.limits = newLimitOwner()
 	r.origins = newOriginLedger(r)
-	if r.Rollouts != nil {
+	if r.Rollouts.Enabled() {
 		r.rollouts = newRollouts(r, r.Rollouts)
 	}
 	if r.folder == "" {
--- a/modules/registry/registry_test.go
+++ b/modules/registry/registry_test.go
@@ -41,7 +41,7 @@
 	// announceInterval is that of the instances that are started from now on.
 	announceInterval time.Duration
 	// rollouts are the settings of roll-outs, and bare the numbers of the instances without a disk.
-	rollouts *RolloutSettings
+	rollouts RolloutSettings
 	bare     []int
 	// log receives the log lines of all instances.
 	log io.Writer
--- a/modules/registry/rollout.go
+++ b/modules/registry/rollout.go
@@ -25,31 +25,37 @@
 	confirmedFor = 700 * time.Millisecond
 	// rolloutCallTimeout bounds a report of a gateway, including its forwarding.
 	rolloutCallTimeout = 200 * time.Millisecond
+	// minRollback is the longest time to a reversal: that to a decision, to its write, and the lease of permits.
+	minRollback = 2 * time.Second
 	// defaultSettle covers the time in which operators resend an order.
 	defaultSettle = 5 * time.Second
 )
 
 // RolloutSettings enable roll-outs that an operator orders. They are the same at all gateways and control instances.
 type RolloutSettings struct {
-	// CanaryShare is the largest part of a service's requests that may reach a version before it is trusted,
-	// and CanarySlack the number of requests beyond it.
+	// CanaryShare is the largest part of a service's requests that may reach a version before it is trusted. Zero
+	// disables roll-outs.
 	CanaryShare float64 `yaml:"canary_share"`
-	CanarySlack int     `yaml:"canary_slack"`
+	// CanarySlack is the number of requests that may reach it beyond the share.
+	CanarySlack int `yaml:"canary_slack"`
 	// Rollback is the time within which no request may reach a version that has been reverted.
 	Rollback time.Duration `yaml:"rollback"`
 	// Settle is how long a version must have announced itself before it is trusted without an order.
 	Settle time.Duration `yaml:"settle"`
 }
 
-// Validate returns an error if a setting is out of range. No settings are valid.
-func (s *RolloutSettings) Validate() error {
-	if s == nil {
+// Enabled reports whether roll-outs are enabled.
+func (s RolloutSettings) Enabled() bool { return s.CanaryShare > 0 }
+
+// Validate returns an error if a setting is out of range.
+func (s RolloutSettings) Validate() error {
+	if s == (RolloutSettings{}) {
 		return nil
 	}
 	return settings.First(
 		settings.InRange("rollouts.canary_share", s.CanaryShare, 0, 1),
 		settings.InRange("rollouts.canary_slack", s.CanarySlack, 0, 1_000_000),
-		settings.DurationInRange("rollouts.rollback", s.Rollback, rollout.Lease+rolloutInterval+rolloutTimeout, time.Hour),
+		settings.DurationInRange("rollouts.rollback", s.Rollback, minRollback, time.Hour),
 		settings.DurationInRange("rollouts.settle", s.Settle, 0, time.Hour),
 	)
 }
@@ -72,7 +78,7 @@
 	versions, ready map[string]map[string]int
 }
 
-func newRollouts(r *Registry, s *RolloutSettings) *rollouts {
+func newRollouts(r *Registry, s RolloutSettings) *rollouts {
 	settle := s.Settle
 	if settle == 0 {
 		settle = defaultSettle
--- a/modules/registry/rollout_operator.go
+++ b/modules/registry/rollout_operator.go
@@ -18,7 +18,7 @@
 
 // handleRollouts adds the operators' calls, if roll-outs are enabled.
 func (r *Registry) handleRollouts(mux *http.ServeMux) {
-	if r.Rollouts == nil {
+	if !r.Rollouts.Enabled() {
 		return
 	}
 	calls := r.dialect.Endpoints()
@@ -44,7 +44,7 @@
 	defer cancel()
 	reply, err := r.callRollout(ctx, &RolloutArgs{Order: order})
 	if err == nil {
-		err = reply.refusal(order)
+		err = reply.Refusal(order)
 	}
 	if err != nil {
 		r.writeError(w, q, err)
@@ -80,7 +80,7 @@
 // RolloutArgs orders a roll-out, or asks for the last one of a service.
 type RolloutArgs struct {
 	rollout.Order
-	// Read asks for the last roll-out of the service, and Revert ends it if it runs.
+	// Read asks for the last roll-out of the service, or of all services if none is named. Revert ends it if it runs.
 	Read, Revert bool
 	// Forward asks an instance that is not the leader to forward the call to it.
 	Forward bool
@@ -94,10 +94,12 @@
 	// Rollout is the last roll-out of the service, nil if there was none. Status describes it while it runs.
 	Rollout *rollout.Rollout
 	Status  string
+	// Services are the states of all services, if none was named.
+	Services map[string]rollout.Service
 }
 
-// refusal returns the error for an order that was refused.
-func (p *RolloutReply) refusal(o rollout.Order) error {
+// Refusal returns the error for an order that was refused.
+func (p *RolloutReply) Refusal(o rollout.Order) error {
 	switch {
 	case p.ServiceUnknown:
 		return result.New(result.ServiceUnknown, "the configuration names no service %.64q", o.Service)
@@ -160,6 +162,10 @@
 	} else if err := o.confirmLeading(ctx); err != nil {
 		return reply, err
 	}
+	if args.Service == "" {
+		reply.Services = o.view.Load().Services
+		return reply, nil
+	}
 	last := o.last(args.Service)
 	if running := last != nil && last.Phase.Running(); args.Revert && running {
 		c := rollout.Command{Move: &rollout.Move{Service: last.Service, ID: last.ID, From: last.Phase, To: rollout.Reverted, Reason: "reverted by an operator"}}
--- a/modules/registry/rollout_test.go
+++ b/modules/registry/rollout_test.go
@@ -15,7 +15,7 @@
 
 func newRolloutFleet(t *testing.T, size int, bare ...int) *fleet {
 	f := &fleet{t: t}
-	f.rollouts = &RolloutSettings{CanaryShare: 0.1, CanarySlack: 50, Rollback: 5 * time.Second, Settle: time.Second}
+	f.rollouts = RolloutSettings{CanaryShare: 0.1, CanarySlack: 50, Rollback: 5 * time.Second, Settle: time.Second}
 	f.bare = bare
 	f.init(size)
 	f.replace(f.nodes[0], 1, "names service s")
