rollout: judgement with little traffic

Cause: the share of failures to expect was drawn to 0.01 by 20 answers, too low on a route with few answers a second where one in seven fails: 67 of 200 good worlds at 30 requests a second and 40 s were reverted, now 12.

--- a/core/rollout/judge.go
+++ b/core/rollout/judge.go
@@ -23,8 +23,11 @@
 	leaningSum = 4.0
 	// accepted is the log likelihood ratio below which a route needs few further answers.
 	accepted = -5.0
-	// longWindow is the time constant of the window for the old version.
-	longWindow = 10 * time.Second
+	// longWindow is the time constant of the window for the old version. A route with a request or two a second needs
+	// half a minute to show its usual share of failures.
+	longWindow = 30 * time.Second
+	// doubt is the number of good answers that count before the first one.
+	doubt = 5
 	// span is the time over which answers are gathered. Those of the target are compared with the old version's of
 	// the same span and its two neighbours, so that the beginning of a burst or of a loss of packets speaks against neither.
 	span = ReportInterval
@@ -189,10 +192,10 @@
 
 // share returns the share of bad answers to expect by the old version's recent answers and those nearest in time.
 func (c *comparison) share(longBad, longN, nearBad, nearN float64) float64 {
-	long := max((longBad+minShare*shrinkage)/(longN+shrinkage), minShare)
+	long := max((longBad+minShare*doubt)/(longN+doubt), minShare)
 	near := (nearBad + long*shrinkage) / (nearN + shrinkage)
 	p := max(long, near)
-	return min(p+math.Sqrt(p*(1-p)/(longN+shrinkage)), maxShare)
+	return min(p+math.Sqrt(p*(1-p)/(longN+doubt)), maxShare)
 }
 
 // weight returns how many requests of a route are to be sent to the target, relative to a route of which nothing is known.
--- a/core/rollout/judge_test.go
+++ b/core/rollout/judge_test.go
@@ -106,7 +106,7 @@
 					}
 					canary += w.canary
 				}
-				t.Logf("%d of %d worlds wrong, %d canary requests, reverted after %v on average; %s", wrong, *worldCount, canary / *worldCount,
+				t.Logf("%v a second, %v, %s: %d of %d worlds wrong, %d canary requests, reverted after %v on average; %s", c.rate, c.duration, k.name, wrong, *worldCount, canary / *worldCount,
 					(took / time.Duration(*worldCount)).Round(10*time.Millisecond), example)
 				if c.enough {
 					assert.Assert(t, wrong*200 <= *worldCount, "%d of %d worlds wrong", wrong, *worldCount)
