--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -236,6 +236,8 @@
 	contact *throttle.Contact
 	// rollouts is nil if roll-outs are not enabled.
 	rollouts *rollout.Gateway
+	// commonVersions holds the most common version of a service until its upstreams change.
+	commonVersions map[string]string
 }
 
 // New returns an empty fleet for a gateway in the given availability zone.
--- a/core/dispatch/group.go
+++ b/core/dispatch/group.go
@@ -39,6 +39,7 @@
 // addToLists adds an upstream to the lists of its service and availability zone.
 func (f *Fleet) addToLists(u *upstream) {
 	f.byService[u.Service] = insert(f.byService[u.Service], u)
+	delete(f.commonVersions, u.Service)
 	if u.Version != "" {
 		f.statedVersions[u.Service]++
 	}
@@ -65,6 +66,7 @@
 func (f *Fleet) removeFromLists(u *upstream) {
 	same := func(o *upstream) bool { return o == u }
 	f.byService[u.Service] = slices.DeleteFunc(f.byService[u.Service], same)
+	delete(f.commonVersions, u.Service)
 	if u.Version != "" {
 		f.statedVersions[u.Service]--
 	}
--- a/core/dispatch/rollout.go
+++ b/core/dispatch/rollout.go
@@ -10,7 +10,9 @@
 // This file keeps requests within what roll-outs allow: versions that are not trusted get none, or a limited share.
 
 // SetRollouts makes placements keep to the versions that roll-outs allow.
-func (f *Fleet) SetRollouts(g *rollout.Gateway) { f.rollouts = g }
+func (f *Fleet) SetRollouts(g *rollout.Gateway) {
+	f.rollouts, f.commonVersions = g, map[string]string{}
+}
 
 // admits reports whether the version of an upstream may get a request.
 func (f *Fleet) admits(now time.Time, u *upstream, req *Request) bool {
@@ -41,6 +43,9 @@
 	if f.statedVersions[service] == 0 {
 		return ""
 	}
+	if known, ok := f.commonVersions[service]; ok {
+		return known
+	}
 	counts := map[string]int{}
 	for _, u := range f.byService[service] {
 		counts[u.Version]++
@@ -51,6 +56,7 @@
 			version, best = v, n
 		}
 	}
+	f.commonVersions[service] = version
 	return version
 }
 
--- a/core/rollout/book.go
+++ b/core/rollout/book.go
@@ -61,6 +61,10 @@
 // Encode returns the command as it is stored.
 func (c Command) Encode() ([]byte, error) { return json.Marshal(c) }
 
+// maxVersions bounds the trusted versions of a service that are remembered. One that is forgotten and still
+// announces itself is trusted anew.
+const maxVersions = 1024
+
 // Book is the state machine. Use NewBook.
 type Book struct {
 	services map[string]Service
@@ -135,6 +139,7 @@
 		return Ineffective
 	}
 	s.Trusted = with(s.Trusted, t.Version)
+	s.Trusted = s.Trusted[max(len(s.Trusted)-maxVersions, 0):]
 	b.services[t.Service] = s
 	return Accepted
 }
--- a/core/rollout/decide.go
+++ b/core/rollout/decide.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// reserve is kept before the deadline for the election of a leader and the entry in the log. It is at
+	// reserve is kept before the deadline for elections of leaders, which take about a second each, and for a slow disk. It is at
 	// most reserveShare of the duration.
-	reserve      = 1500 * time.Millisecond
+	reserve      = 3 * time.Second
 	reserveShare = 0.125
 	// shiftShare is the part of the duration in which the target gets all new requests before old upstreams may
 	// stop, between minShift and maxShift: streams under way end in it, and gateways hear of it. A version that
@@ -49,10 +49,12 @@
 		return Reverted, f.String()
 	}
 	due := at >= s.decisionDue()
+	// A leader that has just been elected has heard no gateway yet.
+	mayHear := s.judge.answers == 0 && at < s.Duration-s.reserve()/2
 	switch {
 	case s.Phase == Canary && due && ready == 0:
 		return Reverted, "no upstream of the target version takes requests"
-	case s.Phase == Canary && due:
+	case s.Phase == Canary && due && !mayHear:
 		f := s.judge.Due()
 		if f.Bad {
 			return Reverted, f.String()
@@ -74,7 +76,7 @@
 		if at-g.heardAt > heardFor {
 			continue
 		}
-		if heard = true; g.revision < s.PhaseAt || g.otherRunning > 0 {
+		if heard = true; g.revision < s.PhaseAt || !g.open || g.otherRunning > 0 {
 			return false
 		}
 	}
--- a/core/rollout/gateway.go
+++ b/core/rollout/gateway.go
@@ -25,6 +25,9 @@
 	used   int64
 	grant  Grant
 	until  time.Time
+	// openUntil is until when the target gets all new requests, in the phase Shifting. A gateway that has lost the
+	// leader goes back to the old version, as the target may have been reverted.
+	openUntil time.Time
 }
 
 // NewGateway returns the state of a gateway that has heard nothing.
@@ -93,10 +96,12 @@
 		return p == GoOn && c.grant.Permits > 0 && now.Before(c.until)
 	case r.Phase == Canary:
 		return slices.Contains(s.Trusted, version)
-	case target:
-		return true
 	}
-	return p != Begin && slices.Contains(s.Trusted, version)
+	open := now.Before(g.canaries[service].openUntil)
+	if target {
+		return open
+	}
+	return (!open || p != Begin) && slices.Contains(s.Trusted, version)
 }
 
 // Denies reports whether a version of a service gets no requests until it is ordered or trusted.
@@ -162,7 +167,7 @@
 
 // Report returns the next report, and gives all permits back. There is none while no roll-out runs.
 // otherRunning returns the number of requests that run at other versions of a service than one.
-func (g *Gateway) Report(otherRunning func(service, version string) int) (Report, bool) {
+func (g *Gateway) Report(now time.Time, otherRunning func(service, version string) int) (Report, bool) {
 	if len(g.canaries) == 0 {
 		return Report{}, false
 	}
@@ -172,7 +177,7 @@
 		c.grant = Grant{}
 		target := g.view.Services[service].Running().Target
 		out.Rollouts = append(out.Rollouts, RolloutReport{Service: service, ID: c.id, Used: c.used,
-			OtherRunning: otherRunning(service, target), Routes: cloneRoutes(c.routes)})
+			OtherRunning: otherRunning(service, target), Open: now.Before(c.openUntil), Routes: cloneRoutes(c.routes)})
 	}
 	return out, true
 }
@@ -193,7 +198,12 @@
 		return
 	}
 	for _, grant := range a.Grants {
-		if c := g.canaries[grant.Service]; c != nil && c.id == grant.ID {
+		c := g.canaries[grant.Service]
+		switch {
+		case c == nil || c.id != grant.ID:
+		case grant.Open:
+			c.openUntil = askedAt.Add(Lease)
+		default:
 			c.grant, c.until = grant, askedAt.Add(Lease)
 		}
 	}
--- a/core/rollout/message.go
+++ b/core/rollout/message.go
@@ -32,7 +32,9 @@
 	Used int64
 	// OtherRunning is the number of requests that run at other versions than the target.
 	OtherRunning int
-	Routes       map[string]RouteCounts
+	// Open is set if the gateway sends new requests to the target without a limit.
+	Open   bool
+	Routes map[string]RouteCounts
 }
 
 // Answer is the answer of the leader to a report.
@@ -42,6 +44,8 @@
 type Grant struct {
 	Service string
 	ID      uint64
+	// Open lets it send all new requests, in the phase Shifting.
+	Open bool
 	// Permits is the number of requests.
 	Permits int64
 	// Shares are the shares of the requests of each route that are to be sent to the target. The empty
--- a/core/rollout/owner.go
+++ b/core/rollout/owner.go
@@ -67,6 +67,7 @@
 	heardAt               time.Duration
 	revision              uint64
 	otherRunning          int
+	open                  bool
 }
 
 // NewOwner returns the owner for a view of the log's state.
@@ -105,7 +106,11 @@
 		if !s.takeIn(at, r, part) {
 			continue
 		}
-		if g := s.grant(at, runKey{r.Gateway, r.Run}, o.settings); mayGrant && s.Phase == Canary && g.Permits > 0 {
+		if s.Phase == Shifting && mayGrant {
+			a.Grants = append(a.Grants, Grant{Service: s.Service, ID: s.ID, Open: true})
+			continue
+		}
+		if g := s.grant(runKey{r.Gateway, r.Run}, o.settings); mayGrant && s.Phase == Canary && g.Permits > 0 {
 			s.runs[runKey{r.Gateway, r.Run}].holds = g.Permits
 			a.Grants = append(a.Grants, g)
 		}
@@ -124,7 +129,7 @@
 	if r.Seq <= g.seq {
 		return false
 	}
-	g.seq, g.heardAt, g.revision, g.otherRunning = r.Seq, at, r.Revision, part.OtherRunning
+	g.seq, g.heardAt, g.revision, g.otherRunning, g.open = r.Seq, at, r.Revision, part.OtherRunning, part.Open
 	g.used, g.holds = max(g.used, part.Used), 0
 	for _, route := range slices.Sorted(maps.Keys(part.Routes)) {
 		total := part.Routes[route]
@@ -170,7 +175,7 @@
 }
 
 // grant returns what a gateway gets.
-func (s *owned) grant(at time.Duration, key runKey, b Settings) Grant {
+func (s *owned) grant(key runKey, b Settings) Grant {
 	available := min(s.budget(b), s.Ceiling) - s.charged()
 	if available <= 0 {
 		return Grant{}
--- a/core/rollout/trust.go
+++ b/core/rollout/trust.go
@@ -1,7 +1,6 @@
 package rollout
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -18,22 +17,20 @@
 // NewSettler returns a settler that has seen nothing.
 func NewSettler(settle time.Duration) *Settler { return &Settler{settle, map[Trust]time.Time{}} }
 
-// Choose returns the versions that become trusted. versions counts the upstreams that have not left, by
+// Choose returns the versions that become trusted: of a service without a trusted version all that are known. versions counts the upstreams that have not left, by
 // service and stated version.
 func (s *Settler) Choose(now time.Time, v View, versions map[string]map[string]int) (out []Command) {
 	seen := map[Trust]time.Time{}
 	for service, counts := range versions {
 		known := v.Services[service]
-		unheard := unheardVersions(known, counts)
-		for i, version := range unheard {
+		for _, version := range unheardVersions(known, counts) {
 			t := Trust{service, version}
 			since, ok := s.seen[t]
 			if !ok {
 				since = now
 			}
 			seen[t] = since
-			first := len(known.Trusted) == 0 && i == 0
-			if first || now.Sub(since) >= s.settle {
+			if len(known.Trusted) == 0 || now.Sub(since) >= s.settle {
 				out = append(out, Command{Trust: &t})
 			}
 		}
@@ -42,8 +39,7 @@
 	return out
 }
 
-// unheardVersions returns the versions that are neither trusted nor denied nor the target of a roll-out, the
-// most common one first.
+// unheardVersions returns the versions that are neither trusted nor denied nor the target of a roll-out.
 func unheardVersions(known Service, counts map[string]int) (out []string) {
 	for version := range counts {
 		r := known.Running()
@@ -51,6 +47,6 @@
 			out = append(out, version)
 		}
 	}
-	slices.SortFunc(out, func(a, b string) int { return cmp.Or(cmp.Compare(counts[b], counts[a]), cmp.Compare(a, b)) })
+	slices.Sort(out)
 	return out
 }
--- a/modules/gateway/rollout.go
+++ b/modules/gateway/rollout.go
@@ -60,7 +60,7 @@
 
 func (g *Gateway) reportRolloutsOnce() {
 	args, due := &registry.RolloutReportArgs{Forward: true}, false
-	g.owner.call(func(s *state) { args.Report, due = s.rollouts.Report(s.fleet.RunningAtOthers) })
+	g.owner.call(func(s *state) { args.Report, due = s.rollouts.Report(time.Now(), s.fleet.RunningAtOthers) })
 	if !due {
 		return
 	}
