--- a/core/rollout/book.go
+++ b/core/rollout/book.go
@@ -121,7 +121,11 @@
 	}
 	r := &Rollout{ID: index, PhaseAt: index, Order: o, AcceptedMS: b.nowMS}
 	if len(s.Trusted) == 0 {
-		s.Trusted = without(c.Present, o.Target)
+		for _, v := range without(c.Present, o.Target) {
+			if !slices.Contains(s.Denied, v) {
+				s.Trusted = with(s.Trusted, v)
+			}
+		}
 	}
 	trusted := without(s.Trusted, o.Target)
 	if len(trusted) == 0 && len(s.Trusted) > 0 {
--- a/core/rollout/gateway.go
+++ b/core/rollout/gateway.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 )
 
@@ -87,7 +86,7 @@
 	s := g.view.Services[service]
 	r := s.Running()
 	if r == nil {
-		return slices.Contains(s.Trusted, version)
+		return s.trusts(version)
 	}
 	target := version == r.Target
 	switch {
@@ -95,20 +94,20 @@
 		c := g.canaries[service]
 		return p == GoOn && c.grant.Permits > 0 && now.Before(c.until)
 	case r.Phase == Canary:
-		return slices.Contains(s.Trusted, version)
+		return s.trusts(version)
 	}
 	open := now.Before(g.canaries[service].openUntil)
 	if target {
 		return open
 	}
-	return (!open || p != Begin) && slices.Contains(s.Trusted, version)
+	return (!open || p != Begin) && s.trusts(version)
 }
 
 // Denies reports whether a version of a service gets no requests until it is ordered or trusted.
 func (g *Gateway) Denies(service, version string) bool {
 	s := g.view.Services[service]
 	r := s.Running()
-	return !slices.Contains(s.Trusted, version) && (r == nil || r.Target != version)
+	return !s.trusts(version) && (r == nil || r.Target != version)
 }
 
 // Draw decides whether a request of a route is to be sent to the target of a roll-out, and returns the version.
--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -118,6 +118,15 @@
 	return s.Rollout
 }
 
+// trusts reports whether a version is trusted. While none is, as the order came before the leader knew the service's
+// upstreams, all are but the target and those that are denied.
+func (s Service) trusts(version string) bool {
+	if r := s.Running(); r != nil && len(s.Trusted) == 0 {
+		return version != r.Target && !slices.Contains(s.Denied, version)
+	}
+	return slices.Contains(s.Trusted, version)
+}
+
 // View is the state of all services as of an index of the log.
 type View struct {
 	Revision uint64
--- a/core/rollout/share_test.go
+++ b/core/rollout/share_test.go
@@ -119,6 +119,16 @@
 	assert.DeepEqual(t, admits("v2"), []bool{false, false, false})
 }
 
+// Guards against a service whose requests are refused since its roll-out was ordered before any version was trusted.
+func TestOrderBeforeAnyVersionIsTrusted(t *testing.T) {
+	w := newWorld(1, 1, 0, time.Minute)
+	g := w.gateways[0]
+	w.apply(Command{Start: &Start{Order: w.order}})
+	g.Adopt(w.book.View())
+	assert.Assert(t, g.Admits(w.now, "s", "v1", Begin) && !g.Denies("s", "v1"))
+	assert.Assert(t, !g.Admits(w.now, "s", "v2", Begin) && !g.Admits(w.now, "s", "v2", GoOn))
+}
+
 // Guards against answers of the leader that are taken in after the permits were given back.
 func TestLateGrantIsIgnored(t *testing.T) {
 	w := newWorld(1, 1, 0, time.Minute)
