--- a/core/dispatch/assign.go
+++ b/core/dispatch/assign.go
@@ -45,6 +45,8 @@
 		return u.State.String()
 	case !f.hasVersion(u, req.Version):
 		return "other software version"
+	case !f.admits(now, u, req):
+		return "version not admitted by a roll-out"
 	case u.Leaving:
 		return "leaving"
 	case !u.acceptsWork(now):
--- a/core/dispatch/estimate.go
+++ b/core/dispatch/estimate.go
@@ -39,6 +39,8 @@
 	firstEventSamples, promptSamples, callSamples float64
 	// retryDelays spreads the retries of refused plain calls.
 	retryDelays retrySpreader
+	// equal is set if the upstreams count as equally fast.
+	equal bool
 	// speeds tells how far each upstream differs from the others.
 	speeds *speed.Estimator
 }
--- a/core/dispatch/slowness.go
+++ b/core/dispatch/slowness.go
@@ -31,6 +31,10 @@
 	pauseCostMS = unreachableCostMS
 )
 
+// TreatAsEqual makes placements take the upstreams of a service for equally fast, whatever is
+// measured. It must be called before upstreams are set.
+func (f *Fleet) TreatAsEqual() { f.equal = true }
+
 // slowness returns how much longer than at the median upstream of the service work takes, by
 // measurements; it is 1 for differences within the tolerance.
 func (u *upstream) slowness(now time.Time) float64 {
@@ -48,6 +52,10 @@
 func (u *upstream) refreshSlowness(now time.Time) {
 	if age := now.Sub(u.slownessAt); age < 0 || age >= slownessInterval || u.slow == 0 {
 		speeds := u.estimate.speeds
+		if u.estimate.equal {
+			u.slow, u.slownessAt = 1, now
+			return
+		}
 		u.unevenShare = countedShare(speeds.Spread(now))
 		u.slow, u.slownessAt = math.Pow(speeds.Relative(now, u.ID), -u.unevenShare), now
 	}
@@ -56,6 +64,9 @@
 // statedSlowness returns how much longer than usual work takes at the moment, by the
 // upstream's own statement.
 func (u *upstream) statedSlowness(now time.Time) float64 {
+	if u.estimate.equal {
+		return 1
+	}
 	slowness := u.estimate.speeds.StatedSlowness(now, u.ID)
 	return math.Pow(slowness, countedShare(slowness))
 }
@@ -101,7 +112,7 @@
 // keepsPauses reports whether the upstream is expected to send the events of one more stream
 // within a gap, also while it prefills a prompt. It is true until events have been measured.
 func (u *upstream) keepsPauses(now time.Time, gap time.Duration) bool {
-	if gap <= 0 {
+	if gap <= 0 || u.estimate.equal {
 		return true
 	}
 	expected := u.estimate.speeds.SpacingMS(now, u.ID, u.decoding(now)+1)
--- a/core/dispatch/zones.go
+++ b/core/dispatch/zones.go
@@ -30,6 +30,9 @@
 // that stands for no wait, because slots are free. It is zero without an upstream there that can
 // take the call, and for upstreams that state no slots.
 func (f *Fleet) homeRoomMS(now time.Time, req *Request, list []*upstream, untriedOnly bool) float64 {
+	if f.equal {
+		return 0
+	}
 	var home *upstream
 	for _, u := range list {
 		if u.Zone == f.zone && f.eligible(now, req, u) && !(untriedOnly && slices.Contains(req.Tried, u.ID)) && (home == nil || u.calls(now) < home.calls(now)) {
--- a/modules/gateway/gateway.go
+++ b/modules/gateway/gateway.go
@@ -76,8 +76,14 @@
 	ObjectiveShare float64 `yaml:"objective_share"`
 	// BufferBytes limits the bytes of request and response bodies and of long response heads held in memory.
 	BufferBytes int64 `yaml:"buffer_bytes"`
+	// UpstreamSpeeds makes placements tell the upstreams of a service apart by their speed, and keeps
+	// plain calls in their availability zone while slots are free there. A dialect may switch it on
+	// for a deployment.
+	UpstreamSpeeds bool `yaml:"upstream_speeds"`
 	// Queue are the settings of the queues of streams.
 	Queue registry.QueueSettings `yaml:"queue"`
+	// Rollouts enables roll-outs that an operator orders. It is the same at all instances.
+	Rollouts registry.RolloutSettings `yaml:"rollouts"`
 	// Dialect is the protocol spoken with callers and upstreams.
 	Dialect settings.Plugin `yaml:"dialect"`
 }
@@ -118,6 +124,8 @@
 	queue         *queueClient
 	pollClients   *peer.Clients
 	queuedStreams atomic.Int64
+	// rolloutOwner is the same for the permits of roll-outs.
+	rolloutOwner atomic.Pointer[string]
 	// trackedRequests is the number of requests with broken runs. While it is zero, the
 	// crash tracker is not told about completed requests and changed upstreams.
 	// suspectRequests and suspectParts are the numbers of requests and of parts of prompts
@@ -157,6 +165,7 @@
 		settings.DurationInRange("drain_delay", g.DrainDelay, 0, 10*time.Minute),
 		settings.InRange("buffer_bytes", g.BufferBytes, 1<<20, 1<<40),
 		settings.InRange("objective_share", g.ObjectiveShare, 0.01, 0.99999),
+		g.Rollouts.Validate(),
 	)
 }
 
@@ -192,6 +201,12 @@
 	g.buffers = buffers.New(g.BufferBytes)
 	g.connections = newConnectionPool(g.metrics, g.handleResponseSignals)
 	g.owner = newStateOwner(g.ctx, g.log, g.zone, g.ObjectiveShare)
+	if g.Rollouts.Enabled() {
+		g.owner.state.enableRollouts(g.id)
+	}
+	if !g.UpstreamSpeeds && !g.dialect.Features().UpstreamSpeeds {
+		g.owner.state.fleet.TreatAsEqual()
+	}
 	g.crashReporter = newCrashReporter(g)
 	g.controlClients, g.pollClients = g.security.NewClients(), g.security.NewClients()
 	g.follower = newFollower(g)
@@ -214,6 +229,9 @@
 	g.log.Info("gateway starts", "address", g.Listen, "seeds", g.Seeds, "grace_ms", g.Grace.Milliseconds())
 	g.spawn(g.owner.run)
 	g.spawn(g.crashReporter.run)
+	if g.Rollouts.Enabled() {
+		g.spawn(g.reportRollouts)
+	}
 	g.follower.start()
 	if g.queue != nil {
 		g.spawn(g.queue.run)
@@ -378,13 +396,16 @@
 	copies, reports, stalledDials                       stats.Counter
 	cutRequests, undelivered                            stats.Counter
 	brokenRuns, suspectsHeld, partsHeld                 stats.Counter
-	grantFailures                                       stats.Counter
+	grantFailures, rolloutReportFailures                stats.Counter
 	answerMS, firstEventMS, resumeMS, grantMS           stats.Histogram
 	queueMetrics
+	// registry registers the metrics whose labels are known at run time only.
+	registry *stats.Registry
 }
 
 func newMetrics(r *stats.Registry) metrics {
 	return metrics{
+		registry: r,
 		requests: r.Counter("gateway_requests_total"), refused: r.Counter("gateway_refused_total"),
 		failed: r.Counter("gateway_failed_total"), aborted: r.Counter("gateway_aborted_total"),
 		retries: r.Counter("gateway_retries_total"), hedges: r.Counter("gateway_hedges_total"),
@@ -398,6 +419,7 @@
 		partsHeld: r.Counter("gateway_parts_held_total"),
 		resumeMS:  r.Histogram("gateway_resume_ms"),
 		grantMS:   r.Histogram("gateway_grant_ms"), grantFailures: r.Counter("gateway_grant_failures_total"),
-		queueMetrics: newQueueMetrics(r),
+		queueMetrics:          newQueueMetrics(r),
+		rolloutReportFailures: r.Counter("gateway_rollout_report_failures_total"),
 	}
 }
--- a/modules/gateway/queue_stream.go
+++ b/modules/gateway/queue_stream.go
@@ -51,6 +51,11 @@
 	var affinity []string
 	s.g.owner.call(func(st *state) {
 		now := time.Now()
+		if version, ok := st.fleet.DrawVersion(now, request); ok {
+			bound := *request
+			bound.Version = version
+			request = &bound
+		}
 		unusable, usable = st.fleet.Unusable(now, request)
 		affinity = st.fleet.AffinityIDs(now, request)
 	})
--- a/modules/registry/registry.go
+++ b/modules/registry/registry.go
@@ -6,9 +6,11 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -37,6 +39,8 @@
 	// group of its own, so that its snapshots do not contain the configuration and a release
 	// that does not know it ignores it.
 	originGroup replica.Group = 1
+	// rolloutGroup is the group of the log that holds the roll-outs. It exists only where they are enabled.
+	rolloutGroup replica.Group = 2
 	// dataFolder is the folder of the log within the instance's data folder.
 	dataFolder = "registry"
 	// compactEntries bounds the log between snapshots: a configuration with
@@ -83,6 +87,8 @@
 	AnnounceInterval time.Duration `yaml:"announce_interval"`
 	// Queue are the settings of the queues of streams.
 	Queue QueueSettings `yaml:"queue"`
+	// Rollouts enables roll-outs that an operator orders. It is the same at all instances.
+	Rollouts RolloutSettings `yaml:"rollouts"`
 	// Dialect selects the protocol of operators and upstreams.
 	Dialect settings.Plugin `yaml:"dialect"`
 }
@@ -118,8 +124,10 @@
 	limits        *limitOwner
 	origins       *originLedger
 	// queues is nil if the queues of streams are off.
-	queues  *queueOwner
-	clients *peer.Clients
+	queues *queueOwner
+	// rollouts is nil if they are not enabled.
+	rollouts *rollouts
+	clients  *peer.Clients
 
 	mu      sync.Mutex
 	replica *replica.Replica
@@ -149,6 +157,7 @@
 		settings.InRange("losses", r.Losses, 0, 4),
 		settings.DurationInRange("catchup", r.Catchup, minCatchup, time.Minute),
 		settings.DurationInRange("announce_interval", r.AnnounceInterval, 100*time.Millisecond, time.Minute),
+		r.Rollouts.Validate(),
 	)
 }
 
@@ -194,8 +203,11 @@
 	if r.Queue.Enabled || r.dialect.Features().SharedQueue {
 		r.queues = newQueueOwner(r)
 	}
+	if r.Rollouts.Enabled() {
+		r.rollouts = newRollouts(r, r.Rollouts)
+	}
 	if r.folder == "" {
-		r.introducer = replica.NewIntroducer(r.PeerListen, []replica.Group{group, originGroup}, replica.Discovery{Seeds: r.seedAddresses(), Bootstrap: r.Bootstrap}, r.clients)
+		r.introducer = replica.NewIntroducer(r.PeerListen, slices.Sorted(maps.Keys(r.machines())), replica.Discovery{Seeds: r.seedAddresses(), Bootstrap: r.Bootstrap}, r.clients)
 	}
 }
 
@@ -219,6 +231,9 @@
 	if r.queues != nil {
 		r.runInBackground(func() { r.queues.run(r.ctx) })
 	}
+	if r.rollouts != nil && r.introducer == nil {
+		r.runInBackground(func() { r.rollouts.run(r.ctx) })
+	}
 	mux := http.NewServeMux()
 	mux.Handle(peer.RPCPath, &peer.Handler{Security: r.security, Services: r.services})
 	r.serve(r.peers, &http.Server{Handler: mux, BaseContext: func(net.Listener) context.Context { return r.ctx }})
@@ -271,10 +286,19 @@
 	}
 }
 
+// machines returns the state machine of each group of the log.
+func (r *Registry) machines() map[replica.Group]replica.StateMachine {
+	m := map[replica.Group]replica.StateMachine{group: r.configuration, originGroup: r.origins}
+	if r.rollouts != nil {
+		m[rolloutGroup] = r.rollouts
+	}
+	return m
+}
+
 func (r *Registry) openLog() (*replica.Replica, error) {
 	rep, err := replica.Open(replica.Options{
 		Self: raft.MemberID(r.PeerListen), Folder: r.folder, Security: r.security, Log: r.log, Stats: r.stats,
-		Machines: map[replica.Group]replica.StateMachine{group: r.configuration, originGroup: r.origins},
+		Machines: r.machines(),
 		Discovery: &replica.Discovery{
 			Seeds: r.seedAddresses(), Bootstrap: r.Bootstrap, MinVoters: 2*r.Losses + 1, Catchup: r.Catchup,
 		},
