queue: large requests without room no longer stop a service

A pass ended after four waiting requests without room, so four large requests kept small ones from idle upstreams until a stream ended. After four searches without a result, later requests are now filtered by the largest room that is free, and the floor of a class puts at most one request without room first in each pass.

TestLargeRequestsWithoutRoomBlockNoSmallOnes failed from four large requests on (0 of 5 small ones placed) and now places all for 0 to 99.

--- a/core/queue/decide.go
+++ b/core/queue/decide.go
@@ -1,15 +1,18 @@
 package queue
 
 import (
+	"math"
 	"slices"
 	"time"
 )
 
 const (
-	// maxAside is the number of waiting requests that others may pass in one call because there
-	// is no room for them.
+	// maxAside is the number of waiting requests without room for which an upstream is searched in
+	// one call before later ones are filtered by their size; each search walks all free upstreams.
 	maxAside = 4
-	// maxUnsuited is the number that others may pass because no free upstream suits them.
+	// maxSearches is the number of searches without a result that end a call.
+	maxSearches = 2 * maxAside
+	// maxUnsuited is the number of waiting requests that others may pass in one call.
 	maxUnsuited = 64
 )
 
@@ -41,12 +44,22 @@
 		return
 	}
 	q.aside = q.aside[:0]
-	blocked := 0
-	for len(q.free) > 0 && blocked < maxAside && len(q.aside) < maxUnsuited {
+	for _, c := range q.classes {
+		c.floorBlocked = false
+	}
+	blocked, free := 0, room{math.MaxInt, math.MaxInt}
+	for len(q.free) > 0 && blocked < maxSearches && len(q.aside) < maxUnsuited {
+		if !q.waitingPrompts.anyWithin(free.prompt) {
+			break
+		}
 		r := q.next(now)
 		if r == nil {
 			break
 		}
+		if !free.takes(r) {
+			q.setAside(now, r)
+			continue
+		}
 		u := q.choose(now, r, q.free)
 		if u == nil && blocked == 0 {
 			u = q.makeRoom(now, r, q.free)
@@ -58,22 +71,59 @@
 			q.place(now, r, u)
 			continue
 		}
-		q.unqueue(r)
-		if !anySuits(q.list, r) {
-			q.stranded = append(q.stranded, r)
-			continue
-		}
-		q.aside = append(q.aside, r)
-		if !anySuits(q.free, r) {
+		if !q.setAside(now, r) || !anySuits(q.free, r) {
 			continue
 		}
 		if blocked++; blocked == 1 {
 			q.hold(now, r)
 		}
+		if blocked >= maxAside {
+			free = q.largestRoom() // placements only make it smaller
+		}
 	}
 	for _, r := range q.aside {
-		q.classes[r.priority()].push(r, r.level)
+		q.push(r, r.level)
+	}
+}
+
+// setAside lets others pass a request for the rest of a call. It reports false for one that no
+// upstream suits.
+func (q *Queue) setAside(now time.Time, r *request) bool {
+	if c := q.classes[r.priority()]; c == q.belowFloor(now) {
+		c.floorBlocked = true
+	}
+	q.unqueue(r)
+	if !anySuits(q.list, r) {
+		q.stranded = append(q.stranded, r)
+		return false
+	}
+	q.aside = append(q.aside, r)
+	return true
+}
+
+// room is what the free upstreams take at most.
+type room struct{ prompt, tokens int }
+
+func (m room) takes(r *request) bool { return r.prompt <= m.prompt && r.tokens <= m.tokens }
+
+// largestRoom returns an upper bound of what any of the free upstreams takes.
+func (q *Queue) largestRoom() (largest room) {
+	for _, u := range q.free {
+		taken := u.requests + len(u.copies)
+		if u.held || u.Slots > 0 && taken >= u.Slots {
+			continue
+		}
+		prompt, tokens := math.MaxInt, math.MaxInt
+		if taken > 0 && u.MemoryTokens > 0 {
+			tokens = q.freeTokens(u)
+		}
+		if len(u.unread) > 0 && !u.parallel() {
+			prompt = q.settings.MaxUnreadTokens - u.unreadTokens
+		}
+		largest.prompt = max(largest.prompt, min(prompt, tokens))
+		largest.tokens = max(largest.tokens, tokens)
 	}
+	return largest
 }
 
 // waiting returns the number of waiting requests that have not sent events.
--- a/core/queue/flow.go
+++ b/core/queue/flow.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"container/heap"
+	"math/bits"
 	"slices"
 	"time"
 )
@@ -135,6 +136,9 @@
 	// share is the class's recent share of starts; waitingFrom is since when it waits.
 	share       float64
 	waitingFrom time.Time
+	// floorBlocked is set for the rest of a call once there was no room for a request that the
+	// floor put first. Its floor must not put all its large requests before those of other classes.
+	floorBlocked bool
 }
 
 func newClass() *class {
@@ -145,6 +149,33 @@
 	return c
 }
 
+// sizeCounts counts waiting requests by the number of bits of their prompts in tokens.
+type sizeCounts [26]int
+
+func sizeIndex(tokens int) int { return bits.Len(uint(tokens)) }
+
+// anyWithin reports whether a prompt of at most a number of tokens may be waiting.
+func (s *sizeCounts) anyWithin(tokens int) bool {
+	for _, n := range s[:min(sizeIndex(max(tokens, 0))+1, len(s))] {
+		if n > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// push adds a request to a level of its class.
+func (q *Queue) push(r *request, l levelIndex) {
+	q.waitingPrompts[sizeIndex(r.prompt)]++
+	q.classes[r.priority()].push(r, l)
+}
+
+// remove takes a request out of its class.
+func (q *Queue) remove(r *request) {
+	q.waitingPrompts[sizeIndex(r.prompt)]--
+	q.classes[r.priority()].remove(r)
+}
+
 // push adds a request to a level.
 func (c *class) push(r *request, l levelIndex) {
 	f := c.flows[r.Organisation]
--- a/core/queue/order.go
+++ b/core/queue/order.go
@@ -25,8 +25,8 @@
 			if r.due.Sub(now) > min(prefill, r.due.Sub(r.arrivedAt)/2) {
 				break
 			}
-			c.remove(r)
-			c.push(r, late)
+			q.remove(r)
+			q.push(r, late)
 		}
 	}
 }
@@ -118,7 +118,7 @@
 func (q *Queue) belowFloor(now time.Time) *class {
 	var lowest *class
 	for _, c := range q.classes {
-		if c.count == 0 || c.share >= q.settings.Floor || now.Sub(c.waitingFrom) < floorWait {
+		if c.count == 0 || c.floorBlocked || c.share >= q.settings.Floor || now.Sub(c.waitingFrom) < floorWait {
 			continue
 		}
 		if lowest == nil || c.share < lowest.share {
--- a/core/queue/owner.go
+++ b/core/queue/owner.go
@@ -17,7 +17,9 @@
 	epoch    time.Time // when the queue was started
 	requests map[Key]*request
 	classes  [priorities]*class
-	resumes  []*request // waiting ones, in order of arrival
+	// waitingPrompts counts the requests in classes.
+	waitingPrompts sizeCounts
+	resumes        []*request // waiting ones, in order of arrival
 	// stranded are waiting requests that no upstream suits.
 	stranded  []*request
 	upstreams map[string]*upstream
@@ -225,7 +227,7 @@
 	if c.count == 0 {
 		c.waitingFrom = now
 	}
-	c.push(r, q.levelOf(now, r))
+	q.push(r, q.levelOf(now, r))
 }
 
 // preferred returns the preferred upstream of a request if it accepts work.
@@ -245,7 +247,7 @@
 		return
 	}
 	if r.flow != nil {
-		q.classes[r.priority()].remove(r)
+		q.remove(r)
 		return
 	}
 	same := func(o *request) bool { return o == r }
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -413,3 +413,29 @@
 	}
 	assert.DeepEqual(t, order, []uint64{11, 14, 10, 12})
 }
+
+// Guards against large requests without room that keep all smaller ones from idle upstreams.
+func TestLargeRequestsWithoutRoomBlockNoSmallOnes(t *testing.T) {
+	for n := range uint64(100) {
+		q := newQueue(fleet(10)...)
+		for i := range uint64(10) {
+			e := stream(1000+i, 0)
+			e.Request.PromptTokens, e.Request.OutputTokens, e.Request.Copy = 40_000, 0, false
+			q.Apply(start, "g", []Event{{Kind: Placed, ID: 1000 + i, Request: e.Request, Upstream: fmt.Sprintf("u%03d", i), HasBegun: true}})
+		}
+		for i := range n {
+			e := stream(100+i, 2)
+			e.Request.PromptTokens, e.Request.Aim, e.Request.Deadline = 60_000, time.Hour, 2*time.Hour
+			q.Apply(start, "g", []Event{e})
+		}
+		q.Decide(start)
+		now := start.Add(floorWait + time.Second)
+		for i := range uint64(5) {
+			e := stream(1+i, 0)
+			e.Request.PromptTokens, e.Request.Copy = 2000, false
+			q.Apply(now, "g", []Event{e})
+		}
+		assert.Equal(t, len(only(q.Decide(now), Place)), 5, "%d large requests", n)
+		checkAccounts(t, q)
+	}
+}
