queue: no moves before the speed of the service is measured

With a model slower than the prior every first request looked overdue and was read twice, at the start and after each change of owner. Nothing is moved now before the first time to a first event is known, and requests placed before it are judged by the measured speed.

TestOverdueRequestIsMovedAtMostTwice assumed a queue that moves unmeasured; it measures its service first and keeps its bounds.

--- a/core/queue/move.go
+++ b/core/queue/move.go
@@ -12,8 +12,12 @@
 )
 
 // moveOverdue moves requests that have not begun long after they were expected to, if another
-// upstream could begin them clearly sooner.
+// upstream could begin them clearly sooner. Before the service has been measured, which a new owner
+// does anew, all requests to a model that is slower than the prior would look overdue.
 func (q *Queue) moveOverdue(now time.Time) {
+	if !q.measured {
+		return
+	}
 	for _, u := range q.list {
 		for _, r := range u.unread {
 			if q.overdue(now, r) {
@@ -23,11 +27,14 @@
 	}
 }
 
+// overdue reports whether a request takes far longer than its upstream needs, by the speed assumed
+// when it was placed or, if that is lower, by the one measured since.
 func (q *Queue) overdue(now time.Time, r *request) bool {
 	if r.moving || r.moves >= q.settings.MaxMoves || len(r.Excluded) > q.settings.MaxMoves {
 		return false
 	}
-	return now.Sub(r.placedAt) >= overdueFactor*r.readyAt.Sub(r.placedAt)+q.settings.Lead
+	expected := float64(r.readyAt.Sub(r.placedAt)) * max(r.at.msPerToken/r.placedMSPerToken, 1)
+	return now.Sub(r.placedAt) >= time.Duration(overdueFactor*expected)+q.settings.Lead
 }
 
 func (q *Queue) move(now time.Time, r *request) {
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -320,9 +320,18 @@
 	checkAccounts(t, q)
 }
 
+// measure has a queue measure its service at the prior's speed.
+func measure(t *testing.T, q *Queue) {
+	before := start.Add(-fromMS(8200.0 / priorTokensPerMS))
+	q.Apply(before, "g", []Event{stream(1000, 0)})
+	assert.Equal(t, len(only(q.Decide(before), Place)), 1)
+	q.Apply(start, "g", []Event{{Kind: Begun, ID: 1000, Took: start.Sub(before)}, completed(1000)})
+}
+
 // Guards against a request that stays at a frozen upstream while others are free.
 func TestOverdueRequestIsMovedAtMostTwice(t *testing.T) {
 	q := newQueue(fleet(4)...)
+	measure(t, q)
 	q.Apply(start, "g", []Event{stream(1, 0)})
 	d := q.Decide(start)
 	now, moves := start, 0
@@ -439,3 +448,28 @@
 		checkAccounts(t, q)
 	}
 }
+
+// Guards against prompts that are read twice because the model is slower than the prior, at the start
+// and after a change of owner.
+func TestNoMoveBeforeTheSpeedIsMeasured(t *testing.T) {
+	for _, slower := range []time.Duration{1, 4, 8} {
+		q := newQueue(fleet(20)...)
+		for i := range uint64(8) {
+			e := stream(i+1, 0)
+			e.Request.PromptTokens, e.Request.Aim, e.Request.Deadline = 8000, time.Minute, time.Minute
+			q.Apply(start, "g", []Event{e})
+		}
+		placed := only(q.Decide(start), Place)
+		assert.Equal(t, len(placed), 8)
+		now, took := start, slower*time.Second
+		for now.Sub(start) < took+500*time.Millisecond {
+			now = now.Add(20 * time.Millisecond)
+			for i, d := range placed { // the first events are spread over 140 ms
+				if at := took + time.Duration(i)*20*time.Millisecond; now.Sub(start) == at {
+					q.Apply(now, "g", []Event{{Kind: Begun, ID: d.ID, Took: at}})
+				}
+			}
+			assert.Equal(t, len(only(q.Decide(now), Move)), 0, "%d times slower, after %v", slower, now.Sub(start))
+		}
+	}
+}
--- a/core/queue/request.go
+++ b/core/queue/request.go
@@ -64,6 +64,8 @@
 	placedAt   time.Time
 	// readyAt is when the first event is expected.
 	readyAt, begunAt time.Time
+	// placedMSPerToken is the reading time that readyAt assumes.
+	placedMSPerToken float64
 }
 
 // priority returns the index of the class of the request.
--- a/core/queue/upstream.go
+++ b/core/queue/upstream.go
@@ -144,7 +144,7 @@
 	}
 	if r.state == placed {
 		q.addUnread(now, u, r)
-		r.readyAt = u.readyAt
+		r.readyAt, r.placedMSPerToken = u.readyAt, u.msPerToken
 	}
 }
 
