queue: requests without an aim keep their deadline

A request with a deadline and no aim, or an aim after its deadline, was in no list by time, so nothing refused it when its deadline had passed, and it could still be placed. Its target is the deadline now.

TestDeadlineWithoutAimIsKept: not refused within 5 s of a deadline of 3 s before, refused between 2 and 3 s now.

--- a/core/queue/order.go
+++ b/core/queue/order.go
@@ -22,7 +22,7 @@
 	for _, c := range q.classes {
 		for lv := &c.levels[onTime]; len(lv.targets) > 0; {
 			r := lv.targets[0]
-			if r.due.Sub(now) > min(prefill, r.due.Sub(r.arrivedAt)/2) {
+			if target := r.target(); target.Sub(now) > min(prefill, target.Sub(r.arrivedAt)/2) {
 				break
 			}
 			q.remove(r)
@@ -101,7 +101,11 @@
 		return 0
 	}
 	r := lv.targets[0]
-	return time.Duration(slackShare * float64(min(limitDuration(r.Aim), r.target().Sub(r.arrivedAt))))
+	period := r.target().Sub(r.arrivedAt)
+	if aim := limitDuration(r.Aim); aim > 0 {
+		period = min(period, aim)
+	}
+	return time.Duration(slackShare * float64(period))
 }
 
 // first returns the first request of a class.
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -473,3 +473,28 @@
 		}
 	}
 }
+
+// Guards against requests that outlive their deadline because they have no aim, or one after it.
+func TestDeadlineWithoutAimIsKept(t *testing.T) {
+	for _, aim := range []time.Duration{0, time.Minute} {
+		list := fleet(1)
+		list[0].Slots = 1
+		q := newQueue(list...)
+		busy := stream(1, 0)
+		busy.Request.Deadline = time.Hour
+		q.Apply(start, "g", []Event{busy})
+		assert.Equal(t, len(only(q.Decide(start), Place)), 1)
+		e := stream(2, 0)
+		e.Request.Aim, e.Request.Deadline = aim, 3*time.Second
+		q.Apply(start, "g", []Event{e})
+		refusedAfter := time.Duration(0)
+		for now := start; now.Sub(start) <= 5*time.Second; now = now.Add(50 * time.Millisecond) {
+			if d := only(q.Decide(now), Refuse); len(d) == 1 && d[0].ID == 2 {
+				refusedAfter = now.Sub(start)
+				break
+			}
+		}
+		assert.Assert(t, refusedAfter >= 2*time.Second && refusedAfter <= 3*time.Second, "aim %v: refused after %v", aim, refusedAfter)
+		checkAccounts(t, q)
+	}
+}
--- a/core/queue/request.go
+++ b/core/queue/request.go
@@ -77,9 +77,10 @@
 
 func limitPriority(p int) int { return min(max(p, 0), priorityLevels-1) }
 
-// target returns the time that decides how urgent the request is within its level.
+// target returns the time that decides how urgent the request is within its level. One without an
+// aim, or with an aim after its deadline, has to begin before its deadline.
 func (r *request) target() time.Time {
-	if r.level == onTime {
+	if r.level == onTime && !r.due.IsZero() && (r.deadline.IsZero() || r.due.Before(r.deadline)) {
 		return r.due
 	}
 	return r.deadline
