queue: placements that are not carried out are not charged

A rejected placement was charged to its organisation, to the share of its class and to the rate of starts, and charged again when it was placed anew. All three are taken back when a request that has not begun returns to those that wait, or its upstream answers that it is full.

TestRejectedPlacementsAreNotCharged: start tag 44,000 after five rejections before, 0 now.

--- a/core/queue/events.go
+++ b/core/queue/events.go
@@ -61,6 +61,7 @@
 
 func (q *Queue) requeue(now time.Time, r *request, e *Event) {
 	q.freeStale = true
+	q.refund(now, r)
 	at := r.at
 	q.detach(now, r)
 	q.dropUnlisted(at)
@@ -188,6 +189,7 @@
 			q.refreshLossRate(now)
 		case Full:
 			u.pausedUntil = now.Add(fullPause)
+			q.refund(now, r)
 		}
 	}
 	q.forget(now, r)
--- a/core/queue/flow.go
+++ b/core/queue/flow.go
@@ -232,6 +232,17 @@
 func (c *class) charge(f *flow, tokens int) {
 	c.virtualTime = max(c.virtualTime, f.startTag)
 	f.startTag += float64(tokens)
+	c.fixFlow(f)
+}
+
+// refund takes back a charge. The virtual time stays, since others may have been served by it.
+func (c *class) refund(f *flow, tokens int) {
+	f.startTag -= float64(tokens)
+	c.fixFlow(f)
+}
+
+// fixFlow restores the order of organisations after a start tag has changed.
+func (c *class) fixFlow(f *flow) {
 	for l := range f.lists {
 		if len(f.lists[l]) > 0 {
 			heap.Fix(&c.levels[l].flows, f.index[l])
--- a/core/queue/order.go
+++ b/core/queue/order.go
@@ -1,6 +1,9 @@
 package queue
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// slackShare is the share of its aim that a request keeps in reserve. One that has less left
@@ -142,3 +145,15 @@
 	}
 	q.rates.started.add(now, startWindow, float64(r.prompt))
 }
+
+// uncountStart takes a start out of the shares of the classes and the rate of starts.
+func (q *Queue) uncountStart(now time.Time, r *request) {
+	for p, c := range q.classes {
+		if p == r.priority() {
+			c.share -= startWeight
+		}
+		c.share = min(max(c.share/(1-startWeight), 0), 1)
+	}
+	decay := math.Exp(-max(now.Sub(r.placedAt).Seconds(), 0) / startWindow.Seconds())
+	q.rates.started.add(now, startWindow, -decay*float64(r.prompt))
+}
--- a/core/queue/place.go
+++ b/core/queue/place.go
@@ -184,6 +184,7 @@
 	q.unqueue(r)
 	if f != nil {
 		q.classes[r.priority()].charge(f, r.tokens)
+		r.charged = f
 	}
 	r.state = placed
 	q.attach(now, u, r)
@@ -191,6 +192,7 @@
 		explanation.Expected = r.readyAt.Sub(now)
 	}
 	q.countStart(now, r)
+	r.counted = true
 	q.usedUp(now, u)
 	d := Decision{Key: r.key, Action: Place, Upstream: u.ID, ExpectedFirstEvent: r.readyAt.Sub(now), Explanation: explanation}
 	if holder := q.chooseCopy(now, r); holder != nil {
@@ -201,6 +203,18 @@
 	q.decisions = append(q.decisions, d)
 }
 
+// refund takes back what a placement that was not carried out has charged. The description of the
+// request must be the one that was placed.
+func (q *Queue) refund(now time.Time, r *request) {
+	if r.state == placed && r.counted {
+		q.uncountStart(now, r)
+		if c := q.classes[r.priority()]; r.charged != nil && c.flows[r.Organisation] == r.charged {
+			c.refund(r.charged, r.tokens)
+		}
+	}
+	r.counted, r.charged = false, nil
+}
+
 func (q *Queue) explain(now time.Time, r *request, u *upstream) Explanation {
 	e := Explanation{Waiting: q.waiting() + len(q.resumes), Ahead: int(float64(r.ahead) / q.meanPrompt), AheadTokens: r.ahead,
 		Waited: now.Sub(r.submittedAt), Expected: r.expected}
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -498,3 +498,23 @@
 		checkAccounts(t, q)
 	}
 }
+
+// Guards against organisations and classes that pay for placements which their gateway could not
+// carry out.
+func TestRejectedPlacementsAreNotCharged(t *testing.T) {
+	q := newQueue(fleet(10)...)
+	q.Apply(start, "g", []Event{stream(1, 1)})
+	c := q.classes[stream(1, 1).Request.Priority*priorityLevels]
+	for range 5 {
+		assert.Equal(t, len(only(q.Decide(start), Place)), 1)
+		e := stream(1, 1)
+		e.Kind = Rejected
+		q.Apply(start, "g", []Event{e})
+	}
+	assert.Equal(t, c.flows["o"].startTag, 0.0)
+	assert.Assert(t, c.share < 1e-9, "%v", c.share)
+	assert.Assert(t, q.rates.started.value(start, startWindow) < 1e-9)
+	assert.Equal(t, len(only(q.Decide(start), Place)), 1)
+	q.Apply(start, "g", []Event{begun(1), completed(1)})
+	assert.Equal(t, c.flows["o"].startTag, 8800.0)
+}
--- a/core/queue/request.go
+++ b/core/queue/request.go
@@ -53,6 +53,9 @@
 	growingCopy bool
 	moves       int
 	moving      bool
+	// counted is set if the start was counted by this owner, charged the organisation that paid.
+	counted bool
+	charged *flow
 	// copyWorth is scratch of the choice of copies to drop.
 	copyWorth float64
 
