queue: an incomplete list of upstreams empties no accounts

An upstream missing from one list lost its requests and copies, and counted as empty when it was listed again. It now gets nothing while it is missing but keeps its account until its last request has ended or it has restarted. Copies at it count as lost when copies are made.

--- a/core/queue/copies.go
+++ b/core/queue/copies.go
@@ -239,6 +239,9 @@
 		if holder == nil {
 			return
 		}
+		lost := r.copyAt
+		q.detachCopy(r)
+		q.dropUnlisted(lost)
 		q.attachCopy(holder, r)
 		q.decisions = append(q.decisions, Decision{Key: r.key, Action: MakeCopy, CopyHolder: holder.ID, Explanation: q.explain(now, r, holder)})
 	}
@@ -259,13 +262,13 @@
 }
 
 // bestWithoutCopy returns the running stream of the classes before one for which a copy is worth
-// most beyond its room.
+// most beyond its room. A copy at an upstream that is not listed any more counts as lost.
 func (q *Queue) bestWithoutCopy(now time.Time, before int) *request {
 	var best *request
 	highest := 0.0
 	hold := q.rates.expectedHoldMS
 	for _, r := range q.requests {
-		if !r.Copy || r.priority() >= before || r.state != running || r.at == nil || r.copyAt != nil {
+		if !r.Copy || r.priority() >= before || r.state != running || r.at == nil || r.copyAt != nil && r.copyAt.listed {
 			continue
 		}
 		rest := q.restMS(now, r)
--- a/core/queue/owner.go
+++ b/core/queue/owner.go
@@ -80,8 +80,9 @@
 	return q
 }
 
-// SetUpstreams replaces the list of upstreams. One that has vanished or restarted loses its
-// accounts; the requests there end by the events of their gateways.
+// SetUpstreams replaces the list of upstreams. One that has restarted loses its account; the
+// requests there end by the events of their gateways. One that is missing gets nothing more but keeps
+// its account until these have ended, since a new or partitioned leader may give an incomplete list.
 func (q *Queue) SetUpstreams(now time.Time, list []Upstream) {
 	named := make(map[string]bool, len(list))
 	for _, in := range list {
@@ -94,9 +95,8 @@
 		case named[id]:
 			q.list = append(q.list, u)
 		case u.listed:
-			q.releaseUpstream(u)
-			delete(q.upstreams, id)
-			q.speeds.Forget(id)
+			u.listed = false
+			q.dropUnlisted(u)
 		}
 	}
 	slices.SortFunc(q.list, func(a, b *upstream) int { return strings.Compare(a.ID, b.ID) })
@@ -106,11 +106,11 @@
 func (q *Queue) setUpstream(now time.Time, in Upstream) {
 	in.Slots, in.MemoryTokens = max(in.Slots, 0), max(in.MemoryTokens, 0)
 	u := q.upstream(in.ID)
-	if u.listed && u.StartedMS != in.StartedMS {
+	if u.known && u.StartedMS != in.StartedMS {
 		q.releaseUpstream(u)
 		u.failures, u.pausedUntil = 0, time.Time{}
 	}
-	u.Upstream, u.listed, u.zone = in, true, q.zone(in.Zone)
+	u.Upstream, u.listed, u.known, u.zone = in, true, true, q.zone(in.Zone)
 	q.refreshSpeed(now, u)
 }
 
@@ -134,7 +134,7 @@
 	return z
 }
 
-// releaseUpstream drops the account of an upstream that is gone; its requests end by the events
+// releaseUpstream drops the account of an upstream that has restarted; its requests end by the events
 // of their gateways.
 func (q *Queue) releaseUpstream(u *upstream) {
 	q.usedTokens -= u.usedTokens
@@ -212,6 +212,7 @@
 func (q *Queue) dropUnlisted(u *upstream) {
 	if u != nil && !u.listed && u.requests == 0 && len(u.copies) == 0 && q.upstreams[u.ID] == u {
 		delete(q.upstreams, u.ID)
+		q.speeds.Forget(u.ID)
 	}
 }
 
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -518,3 +518,38 @@
 	q.Apply(start, "g", []Event{begun(1), completed(1)})
 	assert.Equal(t, c.flows["o"].startTag, 8800.0)
 }
+
+// Guards against upstreams that count as empty after one incomplete list, as a new or partitioned
+// leader gives it.
+func TestIncompleteListKeepsAccounts(t *testing.T) {
+	list := fleet(2)
+	q := newQueue(list...)
+	for i := range uint64(10) {
+		q.Apply(start, "g", []Event{{Kind: Placed, ID: i, Request: stream(i, 0).Request, Upstream: "u001", HasBegun: true}})
+	}
+	q.Apply(start, "g", []Event{{Kind: CopyChanged, ID: 1, CopyHolder: "u000"}})
+	q.SetUpstreams(start, list[:1])
+	q.Apply(start, "g", []Event{stream(50, 0), stream(51, 0)})
+	for _, d := range only(q.Decide(start), Place) {
+		assert.Equal(t, d.Upstream, "u000")
+	}
+	checkAccounts(t, q)
+	q.SetUpstreams(start, list)
+	assert.Equal(t, q.upstreams["u001"].usedTokens, 88_000)
+	assert.Equal(t, q.requests[Key{"g", 1}].copyAt, q.upstreams["u000"])
+	checkAccounts(t, q)
+
+	q.SetUpstreams(start, list[:1])
+	list[1].StartedMS = 1 // restarted while it was not listed
+	q.SetUpstreams(start, list)
+	assert.Equal(t, q.upstreams["u001"].usedTokens, 0)
+	checkAccounts(t, q)
+
+	q.SetUpstreams(start, list[1:])
+	assert.Assert(t, q.upstreams["u000"] != nil)
+	for i := range uint64(100) {
+		q.Apply(start, "g", []Event{completed(i)})
+	}
+	assert.Assert(t, q.upstreams["u000"] == nil, "an upstream that is gone stays for ever")
+	checkAccounts(t, q)
+}
--- a/core/queue/upstream.go
+++ b/core/queue/upstream.go
@@ -9,8 +9,9 @@
 type upstream struct {
 	Upstream
 	zone *zone
-	// listed is unset for an upstream that gateways have named before the list did.
-	listed bool
+	// listed is unset for an upstream that is missing in the list but that requests or copies name,
+	// known is set once it has been listed.
+	listed, known bool
 	// unread are the requests placed and not begun, in the order in which they are read;
 	// unreadTokens is the sum of their prompts.
 	unread       []*request
