--- a/core/queue/order.go
+++ b/core/queue/order.go
@@ -1,6 +1,9 @@
 package queue
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// slackShare is the share of its aim that a request keeps in reserve. One that has less left
@@ -22,11 +25,11 @@
 	for _, c := range q.classes {
 		for lv := &c.levels[onTime]; len(lv.targets) > 0; {
 			r := lv.targets[0]
-			if r.due.Sub(now) > min(prefill, r.due.Sub(r.arrivedAt)/2) {
+			if target := r.target(); target.Sub(now) > min(prefill, target.Sub(r.arrivedAt)/2) {
 				break
 			}
-			c.remove(r)
-			c.push(r, late)
+			q.remove(r)
+			q.push(r, late)
 		}
 	}
 }
@@ -101,7 +104,11 @@
 		return 0
 	}
 	r := lv.targets[0]
-	return time.Duration(slackShare * float64(min(limitDuration(r.Aim), r.target().Sub(r.arrivedAt))))
+	period := r.target().Sub(r.arrivedAt)
+	if aim := limitDuration(r.Aim); aim > 0 {
+		period = min(period, aim)
+	}
+	return time.Duration(slackShare * float64(period))
 }
 
 // first returns the first request of a class.
@@ -118,7 +125,7 @@
 func (q *Queue) belowFloor(now time.Time) *class {
 	var lowest *class
 	for _, c := range q.classes {
-		if c.count == 0 || c.share >= q.settings.Floor || now.Sub(c.waitingFrom) < floorWait {
+		if c.count == 0 || c.floorBlocked || c.share >= q.settings.Floor || now.Sub(c.waitingFrom) < floorWait {
 			continue
 		}
 		if lowest == nil || c.share < lowest.share {
@@ -138,3 +145,15 @@
 	}
 	q.rates.started.add(now, startWindow, float64(r.prompt))
 }
+
+// uncountStart takes a start out of the shares of the classes and the rate of starts.
+func (q *Queue) uncountStart(now time.Time, r *request) {
+	for p, c := range q.classes {
+		if p == r.priority() {
+			c.share -= startWeight
+		}
+		c.share = min(max(c.share/(1-startWeight), 0), 1)
+	}
+	decay := math.Exp(-max(now.Sub(r.placedAt).Seconds(), 0) / startWindow.Seconds())
+	q.rates.started.add(now, startWindow, -decay*float64(r.prompt))
+}
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -320,9 +320,18 @@
 	checkAccounts(t, q)
 }
 
+// measure has a queue measure its service at the prior's speed.
+func measure(t *testing.T, q *Queue) {
+	before := start.Add(-fromMS(8200.0 / priorTokensPerMS))
+	q.Apply(before, "g", []Event{stream(1000, 0)})
+	assert.Equal(t, len(only(q.Decide(before), Place)), 1)
+	q.Apply(start, "g", []Event{{Kind: Begun, ID: 1000, Took: start.Sub(before)}, completed(1000)})
+}
+
 // Guards against a request that stays at a frozen upstream while others are free.
 func TestOverdueRequestIsMovedAtMostTwice(t *testing.T) {
 	q := newQueue(fleet(4)...)
+	measure(t, q)
 	q.Apply(start, "g", []Event{stream(1, 0)})
 	d := q.Decide(start)
 	now, moves := start, 0
@@ -413,3 +422,134 @@
 	}
 	assert.DeepEqual(t, order, []uint64{11, 14, 10, 12})
 }
+
+// Guards against large requests without room that keep all smaller ones from idle upstreams.
+func TestLargeRequestsWithoutRoomBlockNoSmallOnes(t *testing.T) {
+	for n := range uint64(100) {
+		q := newQueue(fleet(10)...)
+		for i := range uint64(10) {
+			e := stream(1000+i, 0)
+			e.Request.PromptTokens, e.Request.OutputTokens, e.Request.Copy = 40_000, 0, false
+			q.Apply(start, "g", []Event{{Kind: Placed, ID: 1000 + i, Request: e.Request, Upstream: fmt.Sprintf("u%03d", i), HasBegun: true}})
+		}
+		for i := range n {
+			e := stream(100+i, 2)
+			e.Request.PromptTokens, e.Request.Aim, e.Request.Deadline = 60_000, time.Hour, 2*time.Hour
+			q.Apply(start, "g", []Event{e})
+		}
+		q.Decide(start)
+		now := start.Add(floorWait + time.Second)
+		for i := range uint64(5) {
+			e := stream(1+i, 0)
+			e.Request.PromptTokens, e.Request.Copy = 2000, false
+			q.Apply(now, "g", []Event{e})
+		}
+		assert.Equal(t, len(only(q.Decide(now), Place)), 5, "%d large requests", n)
+		checkAccounts(t, q)
+	}
+}
+
+// Guards against prompts that are read twice because the model is slower than the prior, at the start
+// and after a change of owner.
+func TestNoMoveBeforeTheSpeedIsMeasured(t *testing.T) {
+	for _, slower := range []time.Duration{1, 4, 8} {
+		q := newQueue(fleet(20)...)
+		for i := range uint64(8) {
+			e := stream(i+1, 0)
+			e.Request.PromptTokens, e.Request.Aim, e.Request.Deadline = 8000, time.Minute, time.Minute
+			q.Apply(start, "g", []Event{e})
+		}
+		placed := only(q.Decide(start), Place)
+		assert.Equal(t, len(placed), 8)
+		now, took := start, slower*time.Second
+		for now.Sub(start) < took+500*time.Millisecond {
+			now = now.Add(20 * time.Millisecond)
+			for i, d := range placed { // the first events are spread over 140 ms
+				if at := took + time.Duration(i)*20*time.Millisecond; now.Sub(start) == at {
+					q.Apply(now, "g", []Event{{Kind: Begun, ID: d.ID, Took: at}})
+				}
+			}
+			assert.Equal(t, len(only(q.Decide(now), Move)), 0, "%d times slower, after %v", slower, now.Sub(start))
+		}
+	}
+}
+
+// Guards against requests that outlive their deadline because they have no aim, or one after it.
+func TestDeadlineWithoutAimIsKept(t *testing.T) {
+	for _, aim := range []time.Duration{0, time.Minute} {
+		list := fleet(1)
+		list[0].Slots = 1
+		q := newQueue(list...)
+		busy := stream(1, 0)
+		busy.Request.Deadline = time.Hour
+		q.Apply(start, "g", []Event{busy})
+		assert.Equal(t, len(only(q.Decide(start), Place)), 1)
+		e := stream(2, 0)
+		e.Request.Aim, e.Request.Deadline = aim, 3*time.Second
+		q.Apply(start, "g", []Event{e})
+		refusedAfter := time.Duration(0)
+		for now := start; now.Sub(start) <= 5*time.Second; now = now.Add(50 * time.Millisecond) {
+			if d := only(q.Decide(now), Refuse); len(d) == 1 && d[0].ID == 2 {
+				refusedAfter = now.Sub(start)
+				break
+			}
+		}
+		assert.Assert(t, refusedAfter >= 2*time.Second && refusedAfter <= 3*time.Second, "aim %v: refused after %v", aim, refusedAfter)
+		checkAccounts(t, q)
+	}
+}
+
+// Guards against organisations and classes that pay for placements which their gateway could not
+// carry out.
+func TestRejectedPlacementsAreNotCharged(t *testing.T) {
+	q := newQueue(fleet(10)...)
+	q.Apply(start, "g", []Event{stream(1, 1)})
+	c := q.classes[stream(1, 1).Request.Priority*priorityLevels]
+	for range 5 {
+		assert.Equal(t, len(only(q.Decide(start), Place)), 1)
+		e := stream(1, 1)
+		e.Kind = Rejected
+		q.Apply(start, "g", []Event{e})
+	}
+	assert.Equal(t, c.flows["o"].startTag, 0.0)
+	assert.Assert(t, c.share < 1e-9, "%v", c.share)
+	assert.Assert(t, q.rates.started.value(start, startWindow) < 1e-9)
+	assert.Equal(t, len(only(q.Decide(start), Place)), 1)
+	q.Apply(start, "g", []Event{begun(1), completed(1)})
+	assert.Equal(t, c.flows["o"].startTag, 8800.0)
+}
+
+// Guards against upstreams that count as empty after one incomplete list, as a new or partitioned
+// leader gives it.
+func TestIncompleteListKeepsAccounts(t *testing.T) {
+	list := fleet(2)
+	q := newQueue(list...)
+	for i := range uint64(10) {
+		q.Apply(start, "g", []Event{{Kind: Placed, ID: i, Request: stream(i, 0).Request, Upstream: "u001", HasBegun: true}})
+	}
+	q.Apply(start, "g", []Event{{Kind: CopyChanged, ID: 1, CopyHolder: "u000"}})
+	q.SetUpstreams(start, list[:1])
+	q.Apply(start, "g", []Event{stream(50, 0), stream(51, 0)})
+	for _, d := range only(q.Decide(start), Place) {
+		assert.Equal(t, d.Upstream, "u000")
+	}
+	checkAccounts(t, q)
+	q.SetUpstreams(start, list)
+	assert.Equal(t, q.upstreams["u001"].usedTokens, 88_000)
+	assert.Equal(t, q.requests[Key{"g", 1}].copyAt, q.upstreams["u000"])
+	checkAccounts(t, q)
+
+	q.SetUpstreams(start, list[:1])
+	list[1].StartedMS = 1 // restarted while it was not listed
+	q.SetUpstreams(start, list)
+	assert.Equal(t, q.upstreams["u001"].usedTokens, 0)
+	checkAccounts(t, q)
+
+	q.SetUpstreams(start, list[1:])
+	assert.Assert(t, q.upstreams["u000"] != nil)
+	for i := range uint64(100) {
+		q.Apply(start, "g", []Event{completed(i)})
+	}
+	assert.Assert(t, q.upstreams["u000"] == nil, "an upstream that is gone stays for ever")
+	checkAccounts(t, q)
+}
--- a/core/queue/request.go
+++ b/core/queue/request.go
@@ -53,6 +53,9 @@
 	growingCopy bool
 	moves       int
 	moving      bool
+	// counted is set if the start was counted by this owner, charged the organisation that paid.
+	counted bool
+	charged *flow
 	// copyWorth is scratch of the choice of copies to drop.
 	copyWorth float64
 
@@ -64,6 +67,8 @@
 	placedAt   time.Time
 	// readyAt is when the first event is expected.
 	readyAt, begunAt time.Time
+	// placedMSPerToken is the reading time that readyAt assumes.
+	placedMSPerToken float64
 }
 
 // priority returns the index of the class of the request.
@@ -75,9 +80,10 @@
 
 func limitPriority(p int) int { return min(max(p, 0), priorityLevels-1) }
 
-// target returns the time that decides how urgent the request is within its level.
+// target returns the time that decides how urgent the request is within its level. One without an
+// aim, or with an aim after its deadline, has to begin before its deadline.
 func (r *request) target() time.Time {
-	if r.level == onTime {
+	if r.level == onTime && !r.due.IsZero() && (r.deadline.IsZero() || r.due.Before(r.deadline)) {
 		return r.due
 	}
 	return r.deadline
