dispatch: floods on equal upstreams do not look like slow ones

The check of pauses multiplies spacing that was measured during prefills by the slowdown of a prefill again, so in a flood it added two seconds to upstreams by chance. And first events behind prompts of other gateways, which reports show late, counted as samples of the speed.

Pauses now count only against an upstream that is slower than the median where the median would keep them, and first events only with a fresh report.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -215,7 +215,9 @@
 	// if its own prompt may have been in the cache.
 	beside int
 	cached bool
-	permit breaker.Permit
+	// besideKnown is set if beside contains the prompts of other gateways.
+	besideKnown bool
+	permit      breaker.Permit
 }
 
 // Fleet is one gateway's view of the upstreams of all services.
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -42,6 +42,7 @@
 	f.lastTicket++
 	p := &placement{id: req.ID, upstream: best, tokens: req.tokens(est), promptTokens: req.PromptTokens, sentAt: now, stream: req.Stream, permit: permit}
 	if req.Stream {
+		p.besideKnown = best.besideKnown(now)
 		p.beside, p.cached = best.beside(now), req.Preferred != "" || req.CachedAt != ""
 		p.uncontended = prefillWait == 0 && !p.cached
 		est.addPrompt(best.limitPrompt(req.PromptTokens))
--- a/core/dispatch/slowness.go
+++ b/core/dispatch/slowness.go
@@ -26,6 +26,8 @@
 	// counts against it. In full, it would fill fast upstreams to their capacity while slow ones
 	// are idle, and the next peak would find no room where prompts are read fast.
 	ownSlownessShare = 0.18
+	// knownBesideAge is the age up to which a report tells what is prefilled before a prompt.
+	knownBesideAge = 100 * time.Millisecond
 	// pauseCostMS is the cost of an upstream that is not expected to keep the longest pause
 	// of a stream, the same as of one that does not answer.
 	pauseCostMS = unreachableCostMS
@@ -99,13 +101,15 @@
 }
 
 // keepsPauses reports whether the upstream is expected to send the events of one more stream
-// within a gap, also while it prefills a prompt. It is true until events have been measured.
+// within a gap, also while it prefills a prompt. It is true until events have been measured, and
+// if an upstream of median speed could not do so either.
 func (u *upstream) keepsPauses(now time.Time, gap time.Duration) bool {
-	if gap <= 0 {
+	slow := u.slowness(now)
+	if gap <= 0 || slow <= 1 {
 		return true
 	}
-	expected := u.estimate.speeds.SpacingMS(now, u.ID, u.decoding(now)+1)
-	return prefillSlowdown*expected <= milliseconds(gap)
+	atMedian := prefillSlowdown * u.estimate.speeds.SpacingMS(now, "", u.decoding(now)+1)
+	return atMedian*slow <= milliseconds(gap) || atMedian > milliseconds(gap)
 }
 
 // decoding returns the number of streams that run at the upstream, as far as known.
@@ -113,6 +117,13 @@
 	return len(u.inFlight) + int(float64(u.others.requests)*u.reportWeight(now))
 }
 
+// besideKnown reports whether the prompts of other gateways at the upstream are known well enough
+// to judge its speed by the next first event: in a flood, most prompts wait for others that
+// reports show only later. Without any reports, no other gateway is assumed.
+func (u *upstream) besideKnown(now time.Time) bool {
+	return u.fullReportAt.IsZero() || now.Sub(u.fullReportAt) <= knownBesideAge
+}
+
 // beside returns the number of prompts that are known to be prefilled before a new one.
 func (u *upstream) beside(now time.Time) int {
 	n := int(math.Ceil(u.reportWeight(now) * u.otherPrefillTokens(now) / u.estimate.meanPrompt))
@@ -131,7 +142,7 @@
 	if p.uncontended {
 		u.estimate.addFirstEvent(p.promptTokens, time.Duration(float64(took)/u.slowness(now)))
 	}
-	if !p.cached {
+	if !p.cached && p.besideKnown {
 		u.estimate.speeds.FirstEvent(now, u.ID, p.promptTokens, took, p.beside)
 	}
 }
