--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -222,8 +222,10 @@
 	// if its own prompt may have been in the cache.
 	beside int
 	cached bool
-	permit breaker.Permit
-	route  string
+	// besideKnown is set if beside contains the prompts of other gateways.
+	besideKnown bool
+	permit      breaker.Permit
+	route       string
 	// warmingUp is set if the upstream announced that it was still warming up.
 	warmingUp bool
 }
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -62,6 +62,7 @@
 	f.lastTicket++
 	p := &placement{id: req.ID, upstream: u, tokens: req.tokens(est), promptTokens: req.PromptTokens, sentAt: now, stream: req.Stream, permit: permit, route: req.Route, warmingUp: u.ColdMS > 0}
 	if req.Stream {
+		p.besideKnown = u.besideKnown(now)
 		p.beside, p.cached = u.beside(now), req.Preferred != "" || req.CachedAt != ""
 		p.uncontended = prefillWait == 0 && !p.cached
 		est.addPrompt(u.limitPrompt(req.PromptTokens))
