queue: no copy is dropped for a request that is not placed

The copies at a slow upstream were dropped before the check whether the request had better wait for a faster one. They are dropped on placement.

TestNoCopyIsDroppedForARequestThatWaits: one DropCopy without a Place before, none now.

--- a/core/queue/copies.go
+++ b/core/queue/copies.go
@@ -138,10 +138,10 @@
 	return best
 }
 
-// makeRoom drops the copies least worth keeping at an upstream, if a request cannot
-// be placed at one of a list for lack of KV cache and the wait of all costs more than these copies are worth. It
-// returns the upstream, or nil.
-func (q *Queue) makeRoom(now time.Time, r *request, list []*upstream) *upstream {
+// chooseByDropping returns the upstream at which the copies that have to go for a request are worth
+// least, if the request cannot be placed at one of a list for lack of KV cache and the wait of all
+// costs more than these copies are worth. Else it returns nil. The caller drops the copies.
+func (q *Queue) chooseByDropping(now time.Time, r *request, list []*upstream) *upstream {
 	if !q.lacksRoom(r, list) {
 		return nil
 	}
@@ -157,9 +157,6 @@
 			best, lowest = u, worth
 		}
 	}
-	if best != nil {
-		q.dropCopies(now, best, r.tokens)
-	}
 	return best
 }
 
@@ -213,7 +210,8 @@
 	})
 }
 
-// dropCopies drops copies at an upstream, whose copies are sorted, until a request fits.
+// dropCopies drops copies at an upstream, whose copies are sorted, until a request fits. It drops none
+// where the request fits already.
 func (q *Queue) dropCopies(now time.Time, u *upstream, tokens int) {
 	for len(u.copies) > 0 && !q.fits(u, tokens) {
 		r := u.copies[0]
--- a/core/queue/decide.go
+++ b/core/queue/decide.go
@@ -62,12 +62,13 @@
 		}
 		u := q.choose(now, r, q.free)
 		if u == nil && blocked == 0 {
-			u = q.makeRoom(now, r, q.free)
+			u = q.chooseByDropping(now, r, q.free)
 		}
 		if u != nil && q.betterToWait(now, r, u) {
 			break
 		}
 		if u != nil {
+			q.dropCopies(now, u, r.tokens)
 			q.place(now, r, u)
 			continue
 		}
@@ -162,6 +163,9 @@
 			i++
 			continue
 		}
+		if u.ID != r.Preferred {
+			q.dropCopies(now, u, r.tokens)
+		}
 		q.place(now, r, u) // removes it from the list
 	}
 }
--- a/core/queue/place.go
+++ b/core/queue/place.go
@@ -163,7 +163,7 @@
 	if u := q.choose(now, r, list); u != nil {
 		return u
 	}
-	return q.makeRoom(now, r, list)
+	return q.chooseByDropping(now, r, list)
 }
 
 // accepting lists the upstreams that accept work, whatever they have to read.
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -553,3 +553,31 @@
 	assert.Assert(t, q.upstreams["u000"] == nil, "an upstream that is gone stays for ever")
 	checkAccounts(t, q)
 }
+
+// Guards against copies that are dropped at a slow upstream for a request that then waits for a faster
+// one.
+func TestNoCopyIsDroppedForARequestThatWaits(t *testing.T) {
+	list := fleet(3)
+	for i := range list {
+		list[i].MemoryTokens = 30_000
+	}
+	q := newQueue(list...)
+	for i := range uint64(3) { // the slow upstream is full of copies
+		q.Apply(start, "g", []Event{{Kind: Placed, ID: 100 + i, Request: stream(0, 3).Request, Upstream: "u001", CopyHolder: "u000", HasBegun: true}})
+	}
+	q.Apply(start, "g", []Event{completed(100), {Kind: Placed, ID: 100, Request: stream(0, 3).Request, Upstream: "u002", CopyHolder: "u000", HasBegun: true}})
+	q.Decide(start)
+	now := start.Add(20 * time.Millisecond)
+	for _, id := range []string{"u001", "u002"} { // both are about to have read a prompt
+		r := stream(0, 0).Request
+		r.PromptTokens, r.OutputTokens = 2000, 100
+		q.Apply(now, "g", []Event{{Kind: Placed, ID: 200 + uint64(id[3]), Request: r, Upstream: id}})
+	}
+	q.upstreams["u000"].msPerToken *= 4
+	e := stream(1, 0)
+	e.Request.PromptTokens = 8000
+	q.Apply(now, "g", []Event{e})
+	d := q.Decide(now)
+	assert.Equal(t, len(only(d, Place)), 0)
+	assert.Equal(t, len(only(d, DropCopy)), 0)
+}
