queue: placed requests whose end is never reported are dropped

Nothing but events and the loss of a gateway ended placed requests, so one lost report kept room until the owner changed. A placed request is dropped 30 s after its deadline, or after 24 h without an event if it has none. Status counts them; the registry does not log them yet.

TestRequestsWhoseEndIsLostAreDropped: 88,000 tokens taken before, 17,600 (those not due) now.

--- a/core/queue/events.go
+++ b/core/queue/events.go
@@ -9,6 +9,9 @@
 		e := &events[i]
 		key := Key{gateway, e.ID}
 		r := q.requests[key]
+		if r != nil {
+			r.heardAt = now
+		}
 		switch e.Kind {
 		case Submitted:
 			q.submitted(now, key, r, e)
--- a/core/queue/owner.go
+++ b/core/queue/owner.go
@@ -29,6 +29,8 @@
 	meanPrompt float64
 	prompts    float64 // number of samples of meanPrompt, bounded
 	nextSweep  time.Time
+	nextLost   time.Time // when requests whose end is lost are searched again
+	lost       int       // dropped ones
 	// measured is set once the time to a first event is known.
 	measured bool
 	rates    rates
@@ -178,6 +180,7 @@
 	q.sweepRates(now)
 	q.noticeOverload(now)
 	q.forgetPledges(now)
+	q.dropLost(now)
 	return true
 }
 
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -581,3 +581,34 @@
 	assert.Equal(t, len(only(d, Place)), 0)
 	assert.Equal(t, len(only(d, DropCopy)), 0)
 }
+
+// Guards against room that stays taken because the end of a request was never reported.
+func TestRequestsWhoseEndIsLostAreDropped(t *testing.T) {
+	q := newQueue(fleet(1)...)
+	at := func(id uint64, deadline time.Duration) {
+		e := stream(id, 0)
+		e.Request.Deadline = deadline
+		q.Apply(start, "g", []Event{{Kind: Placed, ID: id, Request: e.Request, Upstream: "u000", HasBegun: id%2 == 0}})
+	}
+	for i := range uint64(8) {
+		at(i, time.Second)
+	}
+	at(100, 0)
+	at(101, time.Hour)
+	q.Decide(start)
+	assert.Equal(t, q.usedTokens, 88_000)
+	now := start.Add(time.Second + lostAfter - time.Millisecond)
+	q.Decide(now)
+	assert.Equal(t, q.usedTokens, 88_000)
+	now = now.Add(lostInterval + sweepInterval)
+	q.Decide(now)
+	assert.Equal(t, q.usedTokens, 17_600)
+	assert.Equal(t, q.Status(now).Lost, 8)
+	checkAccounts(t, q)
+	q.Apply(start.Add(time.Hour), "g", []Event{{Kind: CopyChanged, ID: 100}})
+	q.Decide(start.Add(silentLimit + time.Minute))
+	assert.Equal(t, q.usedTokens, 8_800, "a request without a deadline is dropped although its gateway tells of it")
+	q.Decide(start.Add(time.Hour + silentLimit + time.Minute))
+	assert.Equal(t, q.usedTokens, 0)
+	checkAccounts(t, q)
+}
--- a/core/queue/request.go
+++ b/core/queue/request.go
@@ -37,6 +37,7 @@
 	toRead      int
 	state       state
 	submittedAt time.Time
+	heardAt     time.Time // of the last event
 	// arrivedAt is when the caller's first attempt arrived, due when its first event is due and
 	// deadline until when the caller waits; zero means none.
 	arrivedAt, due, deadline time.Time
@@ -96,7 +97,7 @@
 // newRequest returns a request as it was submitted.
 func (q *Queue) newRequest(now time.Time, key Key, in *Request) *request {
 	q.seq++
-	r := &request{key: key, seq: q.seq, submittedAt: now}
+	r := &request{key: key, seq: q.seq, submittedAt: now, heardAt: now}
 	r.arrivedAt = now.Add(-limitDuration(in.Waited))
 	q.describe(now, r, in)
 	return r
--- a/core/queue/status.go
+++ b/core/queue/status.go
@@ -12,6 +12,8 @@
 	Upstreams []UpstreamStatus
 	// Resuming is the number of waiting streams that have already sent events.
 	Resuming int
+	// Lost counts the placed requests that were dropped because their end was not reported.
+	Lost int
 	// Requests are the first waiting requests, in their order.
 	Requests []RequestStatus
 }
@@ -46,7 +48,7 @@
 
 // Status returns the state of the queue.
 func (q *Queue) Status(now time.Time) Status {
-	s := Status{Resuming: len(q.resumes)}
+	s := Status{Resuming: len(q.resumes), Lost: q.lost}
 	for p, c := range q.classes {
 		if c.count > 0 {
 			s.Classes = append(s.Classes, q.classStatus(now, p, c))
