queue: the waiting requests of a gateway are bounded

A faulty gateway could fill the memory of the owner with requests. Beyond 20,000 waiting ones of a gateway new ones are refused, streams that go on beyond 40,000. The checks of accounts cover the new counts.

--- a/core/queue/decide.go
+++ b/core/queue/decide.go
@@ -19,6 +19,7 @@
 // Decide returns all decisions that follow now. They are valid until the next call.
 func (q *Queue) Decide(now time.Time) []Decision {
 	q.decisions = q.decisions[:0]
+	q.refuseOverBound()
 	swept := q.sweep(now)
 	if swept {
 		q.requeueStranded(now)
--- a/core/queue/events.go
+++ b/core/queue/events.go
@@ -43,6 +43,10 @@
 		}
 		return
 	}
+	if q.waitingOf[key.Gateway] >= gatewayBound(e.Request) {
+		q.overBound = append(q.overBound, key)
+		return
+	}
 	q.addPrompt(e.Request.PromptTokens)
 	r = q.newRequest(now, key, e.Request)
 	q.requests[key] = r
@@ -55,6 +59,15 @@
 	q.enqueue(now, r)
 }
 
+// gatewayBound returns the number of waiting requests of its gateway from which a request is refused.
+// Streams that go on are refused last.
+func gatewayBound(in *Request) int {
+	if in.Continues {
+		return 2 * maxGatewayWaiting
+	}
+	return maxGatewayWaiting
+}
+
 // rejected returns a placed request to those that wait, with its earlier arrival.
 func (q *Queue) rejected(now time.Time, r *request, e *Event) {
 	if r != nil && r.state != waiting && e.Request != nil {
@@ -113,9 +126,10 @@
 		q.dropUnlisted(at)
 	}
 	q.freeStale = true
-	r.state = placed
+	q.setState(r, placed)
 	if e.HasBegun {
-		r.state, r.begunAt = running, now
+		q.setState(r, running)
+		r.begunAt = now
 	}
 	q.attach(now, q.upstream(e.Upstream), r)
 	q.setCopy(r, e.CopyHolder)
@@ -146,7 +160,8 @@
 	if r == nil || r.state != placed {
 		return
 	}
-	r.state, r.begunAt = running, now
+	q.setState(r, running)
+	r.begunAt = now
 	u := r.at
 	if u == nil {
 		return
--- a/core/queue/owner.go
+++ b/core/queue/owner.go
@@ -17,6 +17,9 @@
 	epoch    time.Time // when the queue was started
 	requests map[Key]*request
 	classes  [priorities]*class
+	// waitingOf counts the waiting requests of each gateway, overBound names those beyond its bound.
+	waitingOf map[string]int
+	overBound []Key
 	// waitingPrompts counts the requests in classes.
 	waitingPrompts sizeCounts
 	resumes        []*request // waiting ones, in order of arrival
@@ -71,7 +74,7 @@
 
 // New returns an empty queue. The random source spreads equal upstreams and RetryAfter.
 func New(now time.Time, s Settings, rng *rand.Rand) *Queue {
-	q := &Queue{epoch: now, settings: s.withDefaults(), rng: rng, speeds: s.Speeds, requests: map[Key]*request{}, upstreams: map[string]*upstream{},
+	q := &Queue{epoch: now, settings: s.withDefaults(), rng: rng, speeds: s.Speeds, requests: map[Key]*request{}, waitingOf: map[string]int{}, upstreams: map[string]*upstream{},
 		zones: map[string]*zone{}, meanPrompt: priorPromptTokens, nextSweep: now, pledges: map[returnKey]pledge{}, rates: rates{holdMS: priorHoldMS, expectedHoldMS: priorHoldMS}}
 	if q.speeds == nil {
 		q.speeds = newSpeeds()
@@ -207,7 +210,7 @@
 	q.detachCopy(r)
 	q.dropUnlisted(at)
 	q.dropUnlisted(copyAt)
-	r.state = ended
+	q.setState(r, ended)
 	delete(q.requests, r.key)
 }
 
@@ -221,7 +224,7 @@
 
 // enqueue adds a request to those that wait.
 func (q *Queue) enqueue(now time.Time, r *request) {
-	r.state = waiting
+	q.setState(r, waiting)
 	if r.Continues || q.preferred(now, r) != nil {
 		at, _ := slices.BinarySearchFunc(q.resumes, r, earlier)
 		q.resumes = slices.Insert(q.resumes, at, r)
--- a/core/queue/place.go
+++ b/core/queue/place.go
@@ -186,7 +186,7 @@
 		q.classes[r.priority()].charge(f, r.tokens)
 		r.charged = f
 	}
-	r.state = placed
+	q.setState(r, placed)
 	q.attach(now, u, r)
 	if r.expected == 0 {
 		explanation.Expected = r.readyAt.Sub(now)
--- a/core/queue/property_test.go
+++ b/core/queue/property_test.go
@@ -53,6 +53,16 @@
 			t.Fatalf("upstream %s: %+v, the requests say %+v", u.ID, got, *a)
 		}
 	}
+	byGateway, prompts := 0, 0
+	for _, n := range q.waitingOf {
+		byGateway += n
+	}
+	for _, n := range q.waitingPrompts {
+		prompts += n
+	}
+	if byGateway != waitingNow || prompts != q.waiting()-len(q.stranded) {
+		t.Fatalf("%d waiting by gateway, %d prompts, of %d", byGateway, prompts, waitingNow)
+	}
 	if used != q.usedTokens || waitingNow != q.waiting()+len(q.resumes) {
 		t.Fatalf("used %d of %d, waiting %d of %d", q.usedTokens, used, q.waiting()+len(q.resumes), waitingNow)
 	}
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -612,3 +612,31 @@
 	assert.Equal(t, q.usedTokens, 0)
 	checkAccounts(t, q)
 }
+
+// Guards against a faulty gateway that fills the memory of the owner with waiting requests.
+func TestWaitingRequestsOfAGatewayAreBounded(t *testing.T) {
+	q := newQueue(fleet(1)...)
+	q.Apply(start, "g", []Event{stream(0, 0)})
+	assert.Equal(t, len(only(q.Decide(start), Place)), 1)
+	for i := range uint64(maxGatewayWaiting + 100) {
+		e := stream(i+1, 0)
+		e.Request.Aim, e.Request.Deadline = 0, 0
+		q.Apply(start, "g", []Event{e})
+	}
+	q.Apply(start, "h", []Event{stream(1, 0)})
+	assert.Equal(t, q.waiting(), maxGatewayWaiting+1)
+	refused := only(q.Decide(start), Refuse)
+	assert.Equal(t, len(refused), 100)
+	for _, d := range refused {
+		assert.Assert(t, d.Gateway == "g" && d.ID > maxGatewayWaiting && d.RetryAfter > 0)
+	}
+	assert.Equal(t, len(only(q.Decide(start), Refuse)), 0)
+	resume := stream(1<<32, 0)
+	resume.Request.Continues = true
+	q.Apply(start, "g", []Event{resume, {Kind: Withdrawn, ID: 1}, stream(1<<33, 0), stream(1<<34, 0)})
+	assert.Equal(t, len(q.resumes), 1)
+	assert.Equal(t, len(only(q.Decide(start), Refuse)), 2, "the resumed stream counts too")
+	q.RemoveGateway(start, "g")
+	q.RemoveGateway(start, "h")
+	assert.Equal(t, len(q.waitingOf), 0)
+}
--- a/core/queue/refuse.go
+++ b/core/queue/refuse.go
@@ -290,6 +290,14 @@
 	q.decisions = append(q.decisions, Decision{Key: r.key, Action: Refuse, RetryAfter: after, Explanation: explanation})
 }
 
+// refuseOverBound refuses the requests beyond the bound of their gateway, which are not remembered.
+func (q *Queue) refuseOverBound() {
+	for _, key := range q.overBound {
+		q.decisions = append(q.decisions, Decision{Key: key, Action: Refuse, RetryAfter: maxRetryAfter})
+	}
+	q.overBound = q.overBound[:0]
+}
+
 func (q *Queue) remember(now time.Time, r *request, after time.Duration) {
 	key := returnKey{r.Organisation, r.PromptKey}
 	if r.PromptKey == "" {
--- a/core/queue/request.go
+++ b/core/queue/request.go
@@ -20,6 +20,9 @@
 	// preferredShare is the assumed part of a prompt that its preferred upstream still has to
 	// read: what a copy lacks.
 	preferredShare = 0.05
+	// maxGatewayWaiting bounds the waiting requests of one gateway, about 1 kB each, so that a faulty
+	// one does not fill the memory. A sound one has connections for far fewer.
+	maxGatewayWaiting = 20_000
 	// maxTokens bounds a stated size; larger ones are nonsense and would distort means.
 	maxTokens = 1 << 24
 	// maxDuration bounds stated times for the same reason.
@@ -94,6 +97,20 @@
 
 func limitDuration(d time.Duration) time.Duration { return min(max(d, 0), maxDuration) }
 
+// setState changes the state of a request and counts those that wait by gateway.
+func (q *Queue) setState(r *request, s state) {
+	gateway := r.key.Gateway
+	if r.state == waiting {
+		if q.waitingOf[gateway]--; q.waitingOf[gateway] == 0 {
+			delete(q.waitingOf, gateway)
+		}
+	}
+	if s == waiting {
+		q.waitingOf[gateway]++
+	}
+	r.state = s
+}
+
 // newRequest returns a request as it was submitted.
 func (q *Queue) newRequest(now time.Time, key Key, in *Request) *request {
 	q.seq++
