queue: a move that is not carried out is decided again

A lost Move left its request at a frozen upstream, since nothing reset the mark that a move is under way. After 2 s without a reply the move is decided again; repeats do not count against MaxMoves.

TestLostMoveIsRepeated: one move in 10 s before, one at least every few seconds now.

--- a/core/queue/decide.go
+++ b/core/queue/decide.go
@@ -16,7 +16,8 @@
 	maxUnsuited = 64
 )
 
-// Decide returns all decisions that follow now. They are valid until the next call.
+// Decide returns all decisions that follow now. The caller repeats what its messages lose; only a Move
+// is decided again if it is not carried out.
 func (q *Queue) Decide(now time.Time) []Decision {
 	q.decisions = q.decisions[:0]
 	q.refuseOverBound()
--- a/core/queue/move.go
+++ b/core/queue/move.go
@@ -9,6 +9,9 @@
 	// rereadShare is the price of reading a prompt a second time, as a share of the time to read
 	// it: others wait for it.
 	rereadShare = 0.5
+	// moveTimeout is the time after which a move that its gateway has not carried out is decided
+	// again. It is longer than the messages of both take, also when one is sent twice.
+	moveTimeout = 2 * time.Second
 )
 
 // moveOverdue moves requests that have not begun long after they were expected to, if another
@@ -30,7 +33,10 @@
 // overdue reports whether a request takes far longer than its upstream needs, by the speed assumed
 // when it was placed or, if that is lower, by the one measured since.
 func (q *Queue) overdue(now time.Time, r *request) bool {
-	if r.moving || r.moves >= q.settings.MaxMoves || len(r.Excluded) > q.settings.MaxMoves {
+	if r.moving {
+		return now.Sub(r.movedAt) >= moveTimeout
+	}
+	if r.moves >= q.settings.MaxMoves || len(r.Excluded) > q.settings.MaxMoves {
 		return false
 	}
 	expected := float64(r.readyAt.Sub(r.placedAt)) * max(r.at.msPerToken/r.placedMSPerToken, 1)
@@ -52,8 +58,10 @@
 	if price := time.Duration(rereadShare * float64(elsewhere)); now.Sub(r.placedAt) <= elsewhere+price {
 		return
 	}
-	r.moving = true
+	if !r.moving {
+		r.moves++
+	}
+	r.moving, r.movedAt = true, now
 	r.at.pause(now, q.settings.BrokenPause)
-	r.moves++
 	q.decisions = append(q.decisions, Decision{Key: r.key, Action: Move, Upstream: r.at.ID, Explanation: q.explain(now, r, r.at)})
 }
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -640,3 +640,22 @@
 	q.RemoveGateway(start, "h")
 	assert.Equal(t, len(q.waitingOf), 0)
 }
+
+// Guards against a request that stays at a frozen upstream because the decision to move it was lost.
+func TestLostMoveIsRepeated(t *testing.T) {
+	q := newQueue(fleet(4)...)
+	measure(t, q)
+	q.Apply(start, "g", []Event{stream(1, 0)})
+	assert.Equal(t, len(only(q.Decide(start), Place)), 1)
+	var moves []time.Time
+	for now := start; now.Sub(start) < 10*time.Second; now = now.Add(20 * time.Millisecond) {
+		for range only(q.Decide(now), Move) {
+			moves = append(moves, now)
+		}
+	}
+	assert.Assert(t, len(moves) >= 3)
+	for i := range moves[1:] {
+		assert.Assert(t, moves[i+1].Sub(moves[i]) >= moveTimeout)
+	}
+	assert.Equal(t, q.requests[Key{"g", 1}].moves, 1, "repeated decisions use up the moves")
+}
--- a/core/queue/request.go
+++ b/core/queue/request.go
@@ -56,7 +56,9 @@
 	// growingCopy is set if the copy can't be dropped before the stream ends.
 	growingCopy bool
 	moves       int
-	moving      bool
+	// moving is set from the decision to move the request, at movedAt, until its gateway has done so.
+	moving  bool
+	movedAt time.Time
 	// counted is set if the start was counted by this owner, charged the organisation that paid.
 	counted bool
 	charged *flow
