queue: a full table of refused callers still renews and is shared

Once the table was full, a known caller that was refused again kept its old time, and one organisation could fill the table. Known callers are renewed always; one organisation has at most a quarter of the table.

--- a/core/queue/owner.go
+++ b/core/queue/owner.go
@@ -44,6 +44,7 @@
 	// not been reviewed once.
 	fresh, unseen []*request
 	pledges       map[returnKey]pledge
+	pledgesOf     map[string]int // number of pledges of each organisation
 	// calmFrom is when copies may be made for running streams.
 	calmFrom time.Time
 	// overloadFrom is since when more arrives than can be started, or zero.
@@ -75,7 +76,7 @@
 // New returns an empty queue. The random source spreads equal upstreams and RetryAfter.
 func New(now time.Time, s Settings, rng *rand.Rand) *Queue {
 	q := &Queue{epoch: now, settings: s.withDefaults(), rng: rng, speeds: s.Speeds, requests: map[Key]*request{}, waitingOf: map[string]int{}, upstreams: map[string]*upstream{},
-		zones: map[string]*zone{}, meanPrompt: priorPromptTokens, nextSweep: now, pledges: map[returnKey]pledge{}, rates: rates{holdMS: priorHoldMS, expectedHoldMS: priorHoldMS}}
+		zones: map[string]*zone{}, meanPrompt: priorPromptTokens, nextSweep: now, pledges: map[returnKey]pledge{}, pledgesOf: map[string]int{}, rates: rates{holdMS: priorHoldMS, expectedHoldMS: priorHoldMS}}
 	if q.speeds == nil {
 		q.speeds = newSpeeds()
 	}
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -659,3 +659,32 @@
 	}
 	assert.Equal(t, q.requests[Key{"g", 1}].moves, 1, "repeated decisions use up the moves")
 }
+
+// Guards against callers that count as new because the table of refused callers is full, and against
+// one organisation that fills it.
+func TestFullTableOfRefusedCallers(t *testing.T) {
+	q := newQueue(fleet(1)...)
+	refuse := func(now time.Time, organisation string, key int) {
+		in := stream(1, 0).Request
+		in.Organisation, in.PromptKey = organisation, fmt.Sprint(key)
+		r := q.newRequest(now, Key{"g", 1}, in)
+		q.recognise(now, r)
+		q.remember(now, r, time.Second)
+	}
+	for i := range maxOrganisationReturns + 10 {
+		refuse(start, "large", i)
+	}
+	assert.Equal(t, len(q.pledges), maxOrganisationReturns)
+	for i := 0; len(q.pledges) < maxReturns; i++ {
+		refuse(start, fmt.Sprint("o", i%100), i)
+	}
+	now := start.Add(2 * time.Second)
+	key := returnKey{"large", "0"}
+	r := &request{Request: Request{Organisation: "large", PromptKey: "0"}, arrivedAt: start}
+	q.remember(now, r, time.Second)
+	assert.Equal(t, q.pledges[key].from, now.Add(time.Second), "the pledge is not renewed")
+	q.forgetPledges(start.Add(time.Second + returnPeriod + time.Millisecond))
+	assert.Equal(t, len(q.pledges), 1)
+	q.forgetPledges(now.Add(time.Second + returnPeriod + time.Millisecond))
+	assert.Equal(t, len(q.pledgesOf), 0)
+}
--- a/core/queue/refuse.go
+++ b/core/queue/refuse.go
@@ -38,6 +38,9 @@
 	returnPeriod = 10 * time.Second
 	// maxReturns bounds the refused callers that are remembered, and with it the memory.
 	maxReturns = 20_000
+	// maxOrganisationReturns bounds those of one organisation, so that its refusals do not keep the
+	// callers of others from being remembered.
+	maxOrganisationReturns = maxReturns / 4
 )
 
 // returnKey identifies a caller that was refused.
@@ -66,7 +69,7 @@
 		r.earlyBy = p.from
 		return
 	}
-	delete(q.pledges, key)
+	q.removePledge(key)
 	r.pledged, r.returned = true, !p.flooded
 	if p.arrivedAt.Before(r.arrivedAt) {
 		r.arrivedAt = p.arrivedAt
@@ -80,11 +83,18 @@
 func (q *Queue) forgetPledges(now time.Time) {
 	for key, p := range q.pledges {
 		if now.Sub(p.from) > returnPeriod {
-			delete(q.pledges, key)
+			q.removePledge(key)
 		}
 	}
 }
 
+func (q *Queue) removePledge(key returnKey) {
+	delete(q.pledges, key)
+	if q.pledgesOf[key.organisation]--; q.pledgesOf[key.organisation] == 0 {
+		delete(q.pledgesOf, key.organisation)
+	}
+}
+
 // reviewNew refuses new requests that cannot be served in time, the least urgent first. Each is
 // reviewed when it is submitted, and with each sweep until an eighth of its aim has passed.
 func (q *Queue) reviewNew(now time.Time, swept bool) {
@@ -298,17 +308,23 @@
 	q.overBound = q.overBound[:0]
 }
 
+// remember records what a refused caller was told. A change of owner loses these records: callers that
+// come back to the new one count as new.
 func (q *Queue) remember(now time.Time, r *request, after time.Duration) {
 	key := returnKey{r.Organisation, r.PromptKey}
 	if r.PromptKey == "" {
 		return
 	}
-	if _, known := q.pledges[key]; known && r.earlyBy.After(now) {
+	_, known := q.pledges[key]
+	switch {
+	case known && r.earlyBy.After(now):
 		return // what it was told before still holds
+	case !known && (len(q.pledges) >= maxReturns || q.pledgesOf[key.organisation] >= maxOrganisationReturns):
+		return
+	case !known:
+		q.pledgesOf[key.organisation]++
 	}
-	if len(q.pledges) < maxReturns {
-		q.pledges[key] = pledge{arrivedAt: r.arrivedAt, from: now.Add(after), flooded: r.flow != nil && q.floods(r)}
-	}
+	q.pledges[key] = pledge{arrivedAt: r.arrivedAt, from: now.Add(after), flooded: r.flow != nil && q.floods(r)}
 }
 
 // refuseExpired refuses waiting requests whose deadline cannot be met any more. There is nothing to
