--- a/core/queue/decide.go
+++ b/core/queue/decide.go
@@ -17,7 +17,8 @@
 )
 
 // Decide returns all decisions that follow now. The caller repeats what its messages lose; only a Move
-// is decided again if it is not carried out.
+// is decided again if it is not carried out. The slice is reused by the next call, so a caller that
+// passes it to another goroutine copies it first.
 func (q *Queue) Decide(now time.Time) []Decision {
 	q.decisions = q.decisions[:0]
 	q.refuseOverBound()
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -133,7 +133,8 @@
 	Move
 )
 
-// Decision is what the owner has decided about one request.
+// Decision is what the owner has decided about one request. The slice that Decide returns is valid
+// until its next call only; a Decision itself may be kept and passed on.
 type Decision struct {
 	Key
 	Action Action
