--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -612,3 +612,79 @@
 	assert.Equal(t, q.usedTokens, 0)
 	checkAccounts(t, q)
 }
+
+// Guards against a faulty gateway that fills the memory of the owner with waiting requests.
+func TestWaitingRequestsOfAGatewayAreBounded(t *testing.T) {
+	q := newQueue(fleet(1)...)
+	q.Apply(start, "g", []Event{stream(0, 0)})
+	assert.Equal(t, len(only(q.Decide(start), Place)), 1)
+	for i := range uint64(maxGatewayWaiting + 100) {
+		e := stream(i+1, 0)
+		e.Request.Aim, e.Request.Deadline = 0, 0
+		q.Apply(start, "g", []Event{e})
+	}
+	q.Apply(start, "h", []Event{stream(1, 0)})
+	assert.Equal(t, q.waiting(), maxGatewayWaiting+1)
+	refused := only(q.Decide(start), Refuse)
+	assert.Equal(t, len(refused), 100)
+	for _, d := range refused {
+		assert.Assert(t, d.Gateway == "g" && d.ID > maxGatewayWaiting && d.RetryAfter > 0)
+	}
+	assert.Equal(t, len(only(q.Decide(start), Refuse)), 0)
+	resume := stream(1<<32, 0)
+	resume.Request.Continues = true
+	q.Apply(start, "g", []Event{resume, {Kind: Withdrawn, ID: 1}, stream(1<<33, 0), stream(1<<34, 0)})
+	assert.Equal(t, len(q.resumes), 1)
+	assert.Equal(t, len(only(q.Decide(start), Refuse)), 2, "the resumed stream counts too")
+	q.RemoveGateway(start, "g")
+	q.RemoveGateway(start, "h")
+	assert.Equal(t, len(q.waitingOf), 0)
+}
+
+// Guards against a request that stays at a frozen upstream because the decision to move it was lost.
+func TestLostMoveIsRepeated(t *testing.T) {
+	q := newQueue(fleet(4)...)
+	measure(t, q)
+	q.Apply(start, "g", []Event{stream(1, 0)})
+	assert.Equal(t, len(only(q.Decide(start), Place)), 1)
+	var moves []time.Time
+	for now := start; now.Sub(start) < 10*time.Second; now = now.Add(20 * time.Millisecond) {
+		for range only(q.Decide(now), Move) {
+			moves = append(moves, now)
+		}
+	}
+	assert.Assert(t, len(moves) >= 3)
+	for i := range moves[1:] {
+		assert.Assert(t, moves[i+1].Sub(moves[i]) >= moveTimeout)
+	}
+	assert.Equal(t, q.requests[Key{"g", 1}].moves, 1, "repeated decisions use up the moves")
+}
+
+// Guards against callers that count as new because the table of refused callers is full, and against
+// one organisation that fills it.
+func TestFullTableOfRefusedCallers(t *testing.T) {
+	q := newQueue(fleet(1)...)
+	refuse := func(now time.Time, organisation string, key int) {
+		in := stream(1, 0).Request
+		in.Organisation, in.PromptKey = organisation, fmt.Sprint(key)
+		r := q.newRequest(now, Key{"g", 1}, in)
+		q.recognise(now, r)
+		q.remember(now, r, time.Second)
+	}
+	for i := range maxOrganisationReturns + 10 {
+		refuse(start, "large", i)
+	}
+	assert.Equal(t, len(q.pledges), maxOrganisationReturns)
+	for i := 0; len(q.pledges) < maxReturns; i++ {
+		refuse(start, fmt.Sprint("o", i%100), i)
+	}
+	now := start.Add(2 * time.Second)
+	key := returnKey{"large", "0"}
+	r := &request{Request: Request{Organisation: "large", PromptKey: "0"}, arrivedAt: start}
+	q.remember(now, r, time.Second)
+	assert.Equal(t, q.pledges[key].from, now.Add(time.Second), "the pledge is not renewed")
+	q.forgetPledges(start.Add(time.Second + returnPeriod + time.Millisecond))
+	assert.Equal(t, len(q.pledges), 1)
+	q.forgetPledges(now.Add(time.Second + returnPeriod + time.Millisecond))
+	assert.Equal(t, len(q.pledgesOf), 0)
+}
