--- a/core/queue/owner.go
+++ b/core/queue/owner.go
@@ -45,6 +45,8 @@
 	fresh, unseen []*request
 	pledges       map[returnKey]pledge
 	pledgesOf     map[string]int // number of pledges of each organisation
+	pledgeOrder   []pledgeEntry
+	pledgeSeq     uint64
 	// calmFrom is when copies may be made for running streams.
 	calmFrom time.Time
 	// overloadFrom is since when more arrives than can be started, or zero.
--- a/core/queue/refuse.go
+++ b/core/queue/refuse.go
@@ -38,6 +38,9 @@
 	returnPeriod = 10 * time.Second
 	// maxReturns bounds the refused callers that are remembered, and with it the memory.
 	maxReturns = 20_000
+	// pledgeWalks is the number of sweeps in which the refused callers are walked once, minPledgeWalk
+	// the number that one sweep walks at least.
+	pledgeWalks, minPledgeWalk = 16, 64
 	// maxOrganisationReturns bounds those of one organisation, so that its refusals do not keep the
 	// callers of others from being remembered.
 	maxOrganisationReturns = maxReturns / 4
@@ -52,6 +55,14 @@
 	// flooded is set if the organisation had far more waiting than others. Its callers go
 	// before its own later ones only, so that others do not pay for its flood.
 	flooded bool
+	// seq tells the pledge from an earlier one of the same caller.
+	seq uint64
+}
+
+// pledgeEntry is a pledge in the order in which they are walked.
+type pledgeEntry struct {
+	key returnKey
+	seq uint64
 }
 
 // recognise gives a caller that was refused its original arrival if it comes back when it was
@@ -79,11 +90,20 @@
 	}
 }
 
-// forgetPledges drops the refused callers that have not come back.
+// forgetPledges drops refused callers that have not come back. It looks at a part of the table in each
+// sweep, since a walk over all of it would delay the decisions of all services.
 func (q *Queue) forgetPledges(now time.Time) {
-	for key, p := range q.pledges {
-		if now.Sub(p.from) > returnPeriod {
-			q.removePledge(key)
+	n := min(max(minPledgeWalk, len(q.pledgeOrder)/pledgeWalks), len(q.pledgeOrder))
+	walk := q.pledgeOrder[:n]
+	q.pledgeOrder = q.pledgeOrder[n:]
+	for _, e := range walk {
+		p, ok := q.pledges[e.key]
+		switch {
+		case !ok || p.seq != e.seq:
+		case now.Sub(p.from) > returnPeriod:
+			q.removePledge(e.key)
+		default:
+			q.pledgeOrder = append(q.pledgeOrder, e)
 		}
 	}
 }
@@ -315,7 +335,7 @@
 	if r.PromptKey == "" {
 		return
 	}
-	_, known := q.pledges[key]
+	old, known := q.pledges[key]
 	switch {
 	case known && r.earlyBy.After(now):
 		return // what it was told before still holds
@@ -323,8 +343,11 @@
 		return
 	case !known:
 		q.pledgesOf[key.organisation]++
+		q.pledgeSeq++
+		old.seq = q.pledgeSeq
+		q.pledgeOrder = append(q.pledgeOrder, pledgeEntry{key, old.seq})
 	}
-	q.pledges[key] = pledge{arrivedAt: r.arrivedAt, from: now.Add(after), flooded: r.flow != nil && q.floods(r)}
+	q.pledges[key] = pledge{seq: old.seq, arrivedAt: r.arrivedAt, from: now.Add(after), flooded: r.flow != nil && q.floods(r)}
 }
 
 // refuseExpired refuses waiting requests whose deadline cannot be met any more. There is nothing to
