--- a/modules/gateway/queue_stream.go
+++ b/modules/gateway/queue_stream.go
@@ -194,7 +194,7 @@
 func (w *queueWait) decisionAttrs(d queue.Decision, waited time.Duration) []any {
 	e := d.Explanation
 	return []any{
-		"service", w.submitted.Service, "priority", w.submitted.Priority, "organisation", w.submitted.Organisation, "upstream", d.Upstream, "copy_holder", d.CopyHolder,
+		"priority", w.submitted.Priority, "route_priority", w.submitted.RoutePriority, "organisation", w.submitted.Organisation, "upstream", d.Upstream, "copy_holder", d.CopyHolder,
 		"waiting", e.Waiting, "ahead", e.Ahead, "ahead_tokens", e.AheadTokens, "waited_ms", waited.Milliseconds(), "expected_wait_ms", e.Expected.Milliseconds(),
 		"expected_first_event_ms", d.ExpectedFirstEvent.Milliseconds(), "unread_tokens", e.Unread, "used_share", e.Used, "aim_ms", w.submitted.Aim.Milliseconds(),
 	}
--- a/test/soak/process_test.go
+++ b/test/soak/process_test.go
@@ -58,14 +58,19 @@
 	catchup time.Duration
 	// rollouts are the settings of roll-outs, also of the gateways; empty for none.
 	rollouts string
+	// queue lets streams wait in a queue across gateways.
+	queue bool
 }
 
-// rolloutsYAML returns the settings of roll-outs as a further setting of a role.
-func (c controlSettings) rolloutsYAML() string {
-	if c.rollouts == "" {
-		return ""
+// sharedYAML returns the further settings that gateways and control instances share.
+func (c controlSettings) sharedYAML() (out string) {
+	if c.rollouts != "" {
+		out += ", rollouts: " + c.rollouts
 	}
-	return ", rollouts: " + c.rollouts
+	if c.queue {
+		out += ", queue: {enabled: true}"
+	}
+	return out
 }
 
 func (c controlSettings) tolerated() int { return max(1, c.losses) }
@@ -106,10 +111,10 @@
 		p.host, zone, filepath.Join(p.folder, "data"), p.memoryMB)
 	list := strings.Join(seeds, ", ")
 	body := fmt.Sprintf("  - gateway: {listen: %s, ready_listen: %s, peer_port: %s, seeds: [%s], grace: 3s, drain_delay: 500ms, dialect: {kartuschenwacht: {}}%s}\n",
-		p.addr(callerPort), p.addr(readyPort), peerPort, list, p.control.rolloutsYAML())
+		p.addr(callerPort), p.addr(readyPort), peerPort, list, p.control.sharedYAML())
 	if p.role == "registry" {
 		body = fmt.Sprintf("  - registry: {listen: %s, peer_listen: %s, seeds: [%s], bootstrap: %v, %s, announce_interval: %v, dialect: {kartuschenwacht: {}}%s}\n",
-			p.addr(operatorPort), p.addr(peerPort), list, bootstrap, p.control.yaml(), heartbeatInterval, p.control.rolloutsYAML())
+			p.addr(operatorPort), p.addr(peerPort), list, bootstrap, p.control.yaml(), heartbeatInterval, p.control.sharedYAML())
 	}
 	p.settings = filepath.Join(p.folder, "settings.yaml")
 	assert.NilError(p.t, os.WriteFile(p.settings, []byte(head+body), 0o600))
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -53,12 +53,21 @@
 		list = append(list, *firstSeed+i)
 	}
 	for _, seed := range list {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { runSeed(t, seed) })
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { runSeed(t, seed, controlSettings{}) })
 	}
 }
 
-func runSeed(t *testing.T, seed uint64) {
-	sys := newTestSystem(t, seed, *registryCount, *gatewayCount, *serverCount)
+// Guards against the same while streams wait in a queue across gateways, whose owner is killed, frozen,
+// stopped and cut off like all others.
+func TestSoakWithQueue(t *testing.T) {
+	for i := range *seedCount {
+		seed := *firstSeed + i
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { runSeed(t, seed, controlSettings{queue: true}) })
+	}
+}
+
+func runSeed(t *testing.T, seed uint64, control controlSettings) {
+	sys := newTestSystemWith(t, seed, control, *registryCount, *gatewayCount, *serverCount)
 	sys.waitUntilReady()
 	sys.startCallers(*callerCount, allPaths...)
 	go sys.runOperator(sys.rng)
