--- a/core/queue/order.go
+++ b/core/queue/order.go
@@ -52,12 +52,13 @@
 	prefill := fromMS(q.typicalMSPerToken() * q.meanPrompt)
 	for _, p := range q.places(now, throughput) {
 		lv := &p.class.levels[p.level]
-		drain := fromMS(float64(ahead) / throughput)
-		slack := lv.slack(now) - prefill
-		reserve := lv.reserve()
-		if first == nil {
+		slack, reserve := lv.slack(now)-prefill, lv.reserve()
+		pressed := slack >= 0 && slack < reserve+fromMS(float64(ahead)/throughput)
+		returnedFirst := p.level == onTime && p.class.levels[returned].count > 0
+		switch {
+		case first == nil:
 			first = p.class.head(p.level)
-		} else if slack >= 0 && slack < reserve+drain && spare > prefill && (p.level != onTime || p.class.levels[returned].count == 0) {
+		case pressed && spare > prefill && !returnedFirst:
 			return p.class.head(p.level)
 		}
 		ahead += lv.tokens
