--- a/test/soak/rollout_test.go
+++ b/test/soak/rollout_test.go
@@ -39,7 +39,9 @@
 	// fault is injected beside the load.
 	fault func(p *rolloutPlay)
 	// streams is set for a roll-out of the model servers.
-	streams     bool
+	streams bool
+	// queue lets streams wait in a queue across gateways, whose owner knows nothing of roll-outs.
+	queue       bool
 	inShortList bool
 }
 
@@ -104,6 +106,8 @@
 			g.start()
 		}
 	}},
+	{name: "good streams in a queue", answer: sound, streams: true, queue: true, inShortList: true},
+	{name: "bad streams in a queue", answer: failsAtOnce, bad: true, streams: true, queue: true},
 }
 
 // rolloutPlay is one run of a case.
@@ -142,7 +146,7 @@
 }
 
 func playRollout(t *testing.T, c rolloutCase, seed uint64) {
-	sys := newTestSystemWith(t, seed, controlSettings{rollouts: rolloutSettings}, 3, 4, 6)
+	sys := newTestSystemWith(t, seed, controlSettings{rollouts: rolloutSettings, queue: c.queue}, 3, 4, 6)
 	sys.waitUntilReady()
 	sys.faultsEnded.Store(true) // servers refuse nothing at random
 	p := &rolloutPlay{rolloutCase: c, sys: sys, runs: map[string][]time.Time{}, statuses: map[int]int{}}
