--- a/modules/adapter/openai/answer_test.go
+++ b/modules/adapter/openai/answer_test.go
@@ -33,7 +33,6 @@
 	stream := fmt.Sprintf(finishedText, 1)
 	for line, valid := range responsetest.StatusLines {
 		t.Run(fmt.Sprintf("%q", line), func(t *testing.T) {
-			t.Parallel()
 			e := newEngine(t, responsetest.Serve(t, func(c net.Conn) {
 				r, err := http.ReadRequest(bufio.NewReader(c))
 				if err != nil {
@@ -74,7 +73,6 @@
 	for name, answer := range responsetest.EarlyAnswers(rand.New(rand.NewPCG(responsetest.Seed, 0))) {
 		for _, size := range responsetest.Sizes {
 			t.Run(fmt.Sprintf("%s/%d KB", name, size>>10), func(t *testing.T) {
-				t.Parallel()
 				body := "data: {\"choices\":[{\"text\":\"1\"}]}\n\n"
 				if answer.Whole {
 					body = fmt.Sprintf(finishedText, 1)
--- a/modules/adapter/plain/answer_test.go
+++ b/modules/adapter/plain/answer_test.go
@@ -36,7 +36,6 @@
 	for line, valid := range responsetest.StatusLines {
 		for _, framing := range []string{"Content-Length: 2\r\n", ""} {
 			t.Run(fmt.Sprintf("%q%q", line, framing), func(t *testing.T) {
-				t.Parallel()
 				var sent atomic.Int64
 				s := newService(t, responsetest.Serve(t, func(c net.Conn) {
 					r, err := http.ReadRequest(bufio.NewReader(c))
@@ -69,7 +68,6 @@
 	for name, answer := range responsetest.EarlyAnswers(rand.New(rand.NewPCG(responsetest.Seed, 0))) {
 		for _, size := range responsetest.Sizes {
 			t.Run(fmt.Sprintf("%s/%d KB", name, size>>10), func(t *testing.T) {
-				t.Parallel()
 				for range earlyAnswerRuns {
 					s := newService(t, responsetest.Serve(t, func(c net.Conn) { answer.AnswerFirst(c, "HTTP/1.1 200 OK\r\n", "part") }))
 					reply, err := s.Call(t.Context(), &wire.CallArgs{Method: "POST", Path: "/x", Body: bytes.Repeat([]byte("u"), size)})
