--- a/core/queue/decide.go
+++ b/core/queue/decide.go
@@ -24,7 +24,7 @@
 	q.refuseOverBound()
 	swept := q.sweep(now)
 	if swept {
-		q.requeueStranded(now)
+		q.requeueUnsuited(now)
 	}
 	q.expire(now)
 	if swept {
@@ -98,7 +98,7 @@
 	}
 	q.unqueue(r)
 	if !anySuits(q.list, r) {
-		q.stranded = append(q.stranded, r)
+		q.unsuited = append(q.unsuited, r)
 		return false
 	}
 	q.aside = append(q.aside, r)
@@ -135,7 +135,7 @@
 	for _, c := range q.classes {
 		n += c.count
 	}
-	return n + len(q.stranded)
+	return n + len(q.unsuited)
 }
 
 // anySuits reports whether any upstream of a list may run a request at all.
@@ -143,10 +143,10 @@
 	return slices.ContainsFunc(list, func(u *upstream) bool { return u.Accepts && u.suits(r) })
 }
 
-// requeueStranded returns the requests that no upstream suited to the order, which may have changed.
-func (q *Queue) requeueStranded(now time.Time) {
-	list := q.stranded
-	q.stranded = nil
+// requeueUnsuited returns the requests that no upstream suited to the order, which may have changed.
+func (q *Queue) requeueUnsuited(now time.Time) {
+	list := q.unsuited
+	q.unsuited = nil
 	for _, r := range list {
 		q.enqueue(now, r)
 	}
--- a/core/queue/owner.go
+++ b/core/queue/owner.go
@@ -23,8 +23,8 @@
 	// waitingPrompts counts the requests in classes.
 	waitingPrompts sizeCounts
 	resumes        []*request // waiting ones, in order of arrival
-	// stranded are waiting requests that no upstream suits.
-	stranded  []*request
+	// unsuited are waiting requests that no upstream suits.
+	unsuited  []*request
 	upstreams map[string]*upstream
 	// list holds the listed upstreams by ID.
 	list       []*upstream
@@ -43,10 +43,10 @@
 	// fresh are the new requests that may still be refused for their aim, unseen those that have
 	// not been reviewed once.
 	fresh, unseen []*request
-	pledges       map[returnKey]pledge
-	pledgesOf     map[string]int // number of pledges of each organisation
-	pledgeOrder   []pledgeEntry
-	pledgeSeq     uint64
+	refusals      map[returnKey]refusal
+	refusalsOf    map[string]int // number of refusals of each organisation
+	refusalOrder  []refusalEntry
+	refusalSeq    uint64
 	// calmFrom is when copies may be made for running streams.
 	calmFrom time.Time
 	// overloadFrom is since when more arrives than can be started, or zero.
@@ -78,7 +78,7 @@
 // New returns an empty queue. The random source spreads equal upstreams and RetryAfter.
 func New(now time.Time, s Settings, rng *rand.Rand) *Queue {
 	q := &Queue{epoch: now, settings: s.withDefaults(), rng: rng, speeds: s.Speeds, requests: map[Key]*request{}, waitingOf: map[string]int{}, upstreams: map[string]*upstream{},
-		zones: map[string]*zone{}, meanPrompt: priorPromptTokens, nextSweep: now, pledges: map[returnKey]pledge{}, pledgesOf: map[string]int{}, rates: rates{holdMS: priorHoldMS, expectedHoldMS: priorHoldMS}}
+		zones: map[string]*zone{}, meanPrompt: priorPromptTokens, nextSweep: now, refusals: map[returnKey]refusal{}, refusalsOf: map[string]int{}, rates: rates{holdMS: priorHoldMS, expectedHoldMS: priorHoldMS}}
 	if q.speeds == nil {
 		q.speeds = newSpeeds()
 	}
@@ -185,7 +185,7 @@
 	}
 	q.sweepRates(now)
 	q.noticeOverload(now)
-	q.forgetPledges(now)
+	q.forgetRefusals(now)
 	q.dropLost(now)
 	return true
 }
@@ -262,7 +262,7 @@
 	}
 	same := func(o *request) bool { return o == r }
 	q.resumes = slices.DeleteFunc(q.resumes, same)
-	q.stranded = slices.DeleteFunc(q.stranded, same)
+	q.unsuited = slices.DeleteFunc(q.unsuited, same)
 }
 
 // levelOf returns the level that a request belongs to now.
--- a/core/queue/property_test.go
+++ b/core/queue/property_test.go
@@ -60,7 +60,7 @@
 	for _, n := range q.waitingPrompts {
 		prompts += n
 	}
-	if byGateway != waitingNow || prompts != q.waiting()-len(q.stranded) {
+	if byGateway != waitingNow || prompts != q.waiting()-len(q.unsuited) {
 		t.Fatalf("%d waiting by gateway, %d prompts, of %d", byGateway, prompts, waitingNow)
 	}
 	if used != q.usedTokens || waitingNow != q.waiting()+len(q.resumes) {
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -674,26 +674,26 @@
 	for i := range maxOrganisationReturns + 10 {
 		refuse(start, "large", i)
 	}
-	assert.Equal(t, len(q.pledges), maxOrganisationReturns)
-	for i := 0; len(q.pledges) < maxReturns; i++ {
+	assert.Equal(t, len(q.refusals), maxOrganisationReturns)
+	for i := 0; len(q.refusals) < maxReturns; i++ {
 		refuse(start, fmt.Sprint("o", i%100), i)
 	}
 	now := start.Add(2 * time.Second)
 	key := returnKey{"large", "0"}
 	r := &request{Request: Request{Organisation: "large", PromptKey: "0"}, arrivedAt: start}
 	q.remember(now, r, time.Second)
-	assert.Equal(t, q.pledges[key].from, now.Add(time.Second), "the pledge is not renewed")
+	assert.Equal(t, q.refusals[key].from, now.Add(time.Second), "the refusal is not renewed")
 	forgetAll(q, start.Add(time.Second+returnPeriod+time.Millisecond))
-	assert.Equal(t, len(q.pledges), 1)
+	assert.Equal(t, len(q.refusals), 1)
 	forgetAll(q, now.Add(time.Second+returnPeriod+time.Millisecond))
-	assert.Equal(t, len(q.pledgesOf), 0)
-	assert.Equal(t, len(q.pledgeOrder), 0)
+	assert.Equal(t, len(q.refusalsOf), 0)
+	assert.Equal(t, len(q.refusalOrder), 0)
 }
 
 // forgetAll walks all refused callers at a time.
 func forgetAll(q *Queue, now time.Time) {
 	for range 200 {
-		q.forgetPledges(now)
+		q.forgetRefusals(now)
 	}
 }
 
@@ -705,17 +705,17 @@
 		r := &request{Request: Request{Organisation: fmt.Sprint(i % 8), PromptKey: fmt.Sprint(i)}, arrivedAt: start}
 		q.remember(start, r, time.Second)
 	}
-	before := len(q.pledges)
+	before := len(q.refusals)
 	assert.Equal(t, before, maxReturns)
-	q.forgetPledges(start.Add(time.Minute))
-	assert.Equal(t, before-len(q.pledges), maxReturns/pledgeWalks)
+	q.forgetRefusals(start.Add(time.Minute))
+	assert.Equal(t, before-len(q.refusals), maxReturns/refusalWalks)
 	forgetAll(q, start.Add(time.Minute))
 	for i := range 1000 {
 		now := start.Add(time.Hour + time.Duration(i)*time.Second)
 		r := &request{Request: Request{Organisation: "o", PromptKey: "k"}, arrivedAt: now}
 		q.remember(now, r, time.Second)
-		q.forgetPledges(now)
+		q.forgetRefusals(now)
 		q.recognise(now.Add(time.Second), r)
 	}
-	assert.Assert(t, len(q.pledgeOrder) <= 2, "%d", len(q.pledgeOrder))
+	assert.Assert(t, len(q.refusalOrder) <= 2, "%d", len(q.refusalOrder))
 }
--- a/core/queue/refuse.go
+++ b/core/queue/refuse.go
@@ -72,7 +72,7 @@
 	case inTime:
 	case q.missesDeadline(now, r):
 		q.refuse(now, r, q.retryAfter(now, r, wait), ahead)
-	case !r.pledged && r.level == onTime && q.floods(r):
+	case !r.wasRefused && r.level == onTime && q.floods(r):
 		q.refuse(now, r, q.retryAfter(now, r, wait), ahead)
 	}
 }
--- a/core/queue/request.go
+++ b/core/queue/request.go
@@ -48,9 +48,9 @@
 	// ahead the prompt tokens that were to go before it.
 	expected time.Duration
 	ahead    int
-	// pledged is set for a caller that was refused and has come back in time, returned if it
+	// wasRefused is set for a caller that was refused and has come back in time, returned if it
 	// also goes before new ones of its class.
-	pledged, returned bool
+	wasRefused, returned bool
 	// earlyBy is until when a caller was told to stay away that has come back before.
 	earlyBy time.Time
 	// growingCopy is set if the copy can't be dropped before the stream ends.
--- a/core/queue/pledge.go
+++ b/core/queue/returns.go
@@ -15,9 +15,9 @@
 	returnPeriod = 10 * time.Second
 	// maxReturns bounds the refused callers that are remembered, and with it the memory.
 	maxReturns = 20_000
-	// pledgeWalks is the number of sweeps in which the refused callers are walked once, minPledgeWalk
+	// refusalWalks is the number of sweeps in which the refused callers are walked once, minRefusalWalk
 	// the number that one sweep walks at least.
-	pledgeWalks, minPledgeWalk = 16, 64
+	refusalWalks, minRefusalWalk = 16, 64
 	// maxOrganisationReturns bounds those of one organisation, so that its refusals do not keep the
 	// callers of others from being remembered.
 	maxOrganisationReturns = maxReturns / 4
@@ -26,18 +26,18 @@
 // returnKey identifies a caller that was refused.
 type returnKey struct{ organisation, promptKey string }
 
-// pledge is what a refused caller was told.
-type pledge struct {
+// refusal is what a refused caller was told.
+type refusal struct {
 	arrivedAt, from time.Time
 	// flooded is set if the organisation had far more waiting than others. Its callers go
 	// before its own later ones only, so that others do not pay for its flood.
 	flooded bool
-	// seq tells the pledge from an earlier one of the same caller.
+	// seq tells the refusal from an earlier one of the same caller.
 	seq uint64
 }
 
-// pledgeEntry is a pledge in the order in which they are walked.
-type pledgeEntry struct {
+// refusalEntry is a refusal in the order in which they are walked.
+type refusalEntry struct {
 	key returnKey
 	seq uint64
 }
@@ -49,7 +49,7 @@
 		return
 	}
 	key := returnKey{r.Organisation, r.PromptKey}
-	p, ok := q.pledges[key]
+	p, ok := q.refusals[key]
 	if !ok || now.Sub(p.from) > returnPeriod {
 		return
 	}
@@ -57,8 +57,8 @@
 		r.earlyBy = p.from
 		return
 	}
-	q.removePledge(key)
-	r.pledged, r.returned = true, !p.flooded
+	q.removeRefusal(key)
+	r.wasRefused, r.returned = true, !p.flooded
 	if p.arrivedAt.Before(r.arrivedAt) {
 		r.arrivedAt = p.arrivedAt
 		if !r.due.IsZero() {
@@ -74,42 +74,42 @@
 	if r.PromptKey == "" {
 		return
 	}
-	old, known := q.pledges[key]
+	old, known := q.refusals[key]
 	switch {
 	case known && r.earlyBy.After(now):
 		return // what it was told before still holds
-	case !known && (len(q.pledges) >= maxReturns || q.pledgesOf[key.organisation] >= maxOrganisationReturns):
+	case !known && (len(q.refusals) >= maxReturns || q.refusalsOf[key.organisation] >= maxOrganisationReturns):
 		return
 	case !known:
-		q.pledgesOf[key.organisation]++
-		q.pledgeSeq++
-		old.seq = q.pledgeSeq
-		q.pledgeOrder = append(q.pledgeOrder, pledgeEntry{key, old.seq})
+		q.refusalsOf[key.organisation]++
+		q.refusalSeq++
+		old.seq = q.refusalSeq
+		q.refusalOrder = append(q.refusalOrder, refusalEntry{key, old.seq})
 	}
-	q.pledges[key] = pledge{seq: old.seq, arrivedAt: r.arrivedAt, from: now.Add(after), flooded: r.flow != nil && q.floods(r)}
+	q.refusals[key] = refusal{seq: old.seq, arrivedAt: r.arrivedAt, from: now.Add(after), flooded: r.flow != nil && q.floods(r)}
 }
 
-// forgetPledges drops refused callers that have not come back. It looks at a part of the table in each
+// forgetRefusals drops refused callers that have not come back. It looks at a part of the table in each
 // sweep, since a walk over all of it would delay the decisions of all services.
-func (q *Queue) forgetPledges(now time.Time) {
-	n := min(max(minPledgeWalk, len(q.pledgeOrder)/pledgeWalks), len(q.pledgeOrder))
-	walk := q.pledgeOrder[:n]
-	q.pledgeOrder = q.pledgeOrder[n:]
+func (q *Queue) forgetRefusals(now time.Time) {
+	n := min(max(minRefusalWalk, len(q.refusalOrder)/refusalWalks), len(q.refusalOrder))
+	walk := q.refusalOrder[:n]
+	q.refusalOrder = q.refusalOrder[n:]
 	for _, e := range walk {
-		p, ok := q.pledges[e.key]
+		p, ok := q.refusals[e.key]
 		switch {
 		case !ok || p.seq != e.seq:
 		case now.Sub(p.from) > returnPeriod:
-			q.removePledge(e.key)
+			q.removeRefusal(e.key)
 		default:
-			q.pledgeOrder = append(q.pledgeOrder, e)
+			q.refusalOrder = append(q.refusalOrder, e)
 		}
 	}
 }
 
-func (q *Queue) removePledge(key returnKey) {
-	delete(q.pledges, key)
-	if q.pledgesOf[key.organisation]--; q.pledgesOf[key.organisation] == 0 {
-		delete(q.pledgesOf, key.organisation)
+func (q *Queue) removeRefusal(key returnKey) {
+	delete(q.refusals, key)
+	if q.refusalsOf[key.organisation]--; q.refusalsOf[key.organisation] == 0 {
+		delete(q.refusalsOf, key.organisation)
 	}
 }
