--- a/review/_cases2/world.go
+++ b/review/_cases2/world.go
@@ -149,6 +149,9 @@
 
 var zones = []string{"by-a", "by-b", "by-c"}
 
+// memoryMB is the memory of each machine.
+var memoryMB = "134"
+
 const contracts = `"base","drain","config","cost","retry","recover","engine","stream","tenants"`
 
 // render fills in a template of the deploy file as the platform does.
@@ -172,7 +175,7 @@
 	}
 	text = strings.NewReplacer(
 		"{{Node}}", p.name, "{{Zone}}", zone, "{{Region}}", "bayern", "{{Bounds.GraceS}}", fmt.Sprint(graceS),
-		"{{Limits.MemoryMb}}", "134", "{{Ip}}:9102", addr(w.ports.metrics), "{{Ip}}:9103", addr(w.ports.metrics),
+		"{{Limits.MemoryMb}}", memoryMB, "{{Ip}}:9102", addr(w.ports.metrics), "{{Ip}}:9103", addr(w.ports.metrics),
 		"{{Ip}}", p.ip, "{{Listen.Front}}", addr(w.ports.front), "{{Listen.Ready}}", addr(w.ports.ready),
 		"{{Listen.Control}}", addr(w.ports.control), "{{PortRange.0}}", fmt.Sprint(w.ports.peer),
 		`{{#Seeds}}"{{.}}"{{,}}{{/Seeds}}`, strings.Join(quoted, ","),
