--- a/review/_cases2/model.go
+++ b/review/_cases2/model.go
@@ -77,9 +77,11 @@
 		ConnState: func(c net.Conn, state http.ConnState) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			if state == http.StateClosed {
+			switch {
+			case s.life != life || !s.up:
+			case state == http.StateClosed:
 				delete(s.conns, c)
-			} else if s.life == life {
+			default:
 				s.conns[c] = struct{}{}
 			}
 		},
@@ -91,19 +93,22 @@
 // end resets all connections and stops the incarnation.
 func (s *modelServer) end() bool {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	if !s.up {
+		s.mu.Unlock()
 		return false
 	}
 	s.up = false
 	close(s.stop)
-	for c := range s.conns {
+	server, conns := s.http, s.conns
+	s.conns = map[net.Conn]struct{}{}
+	s.mu.Unlock()
+	for c := range conns {
 		if t, ok := c.(*net.TCPConn); ok {
 			_ = t.SetLinger(0) // a crash resets its connections
 		}
 		_ = c.Close()
 	}
-	_ = s.http.Close()
+	_ = server.Close() // without the lock, which the hook of a new connection takes
 	return true
 }
 
--- a/review/_cases2/world.go
+++ b/review/_cases2/world.go
@@ -127,9 +127,6 @@
 
 // close ends everything that the case has started.
 func (w *world) close() {
-	for _, f := range w.closers {
-		f()
-	}
 	for _, p := range w.procs {
 		p.signal(syscall.SIGCONT)
 		p.signal(syscall.SIGKILL)
@@ -139,6 +136,9 @@
 			<-p.done
 		}
 	}
+	for _, f := range w.closers {
+		f()
+	}
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(w.folder)
 	} else {
@@ -353,8 +353,10 @@
 		os.Exit(exitNotRun)
 	}
 	time.AfterFunc(110*time.Second, func() {
-		w.note("time limit")
-		w.close()
+		for _, p := range w.procs { // the rest may hang
+			p.signal(syscall.SIGCONT)
+			p.signal(syscall.SIGKILL)
+		}
 		os.Exit(exitNotRun)
 	})
 	status, err := play(w)
