--- a/review/_cases2/deadly.go
+++ b/review/_cases2/deadly.go
@@ -22,8 +22,8 @@
 )
 
 func modelService(name string) map[string]any {
-	return map[string]any{"Name": name, "HealthPath": "/healthz", "MaxConns": 390, "Protocol": "h1", "Tls": false, "Engine": map[string]any{
-		"Slots": 64, "KvCapacity": 88000, "KvTokenBytes": 163840, "LinkMbps": 1100000.0, "Moves": false, "Backups": false, "Stride": 6, "most": 12,
+	return map[string]any{"Name": name, "HealthPath": "/healthz", "MaxConns": 890, "Protocol": "h1", "Tls": false, "Engine": map[string]any{
+		"Slots": 48, "KvCapacity": 88000, "KvTokenBytes": 163840, "LinkMbps": 1100000.0, "Moves": false, "Backups": false, "Stride": 6, "most": 12,
 		"PinMs": 4000.0, "HoldMs": 2000.0, "HandleS": 4.0, "Models": []map[string]any{{"Name": "m"}}}}
 }
 
@@ -32,7 +32,7 @@
 func playDeadly(w *world, crashAfterEvents int) (int, error) {
 	first := newConfiguration(3, []route{{Name: "r-2yhvz3p", Host: hostName, PathPrefix: "/lohu930/", Kind: "stream", TimeoutMs: 25000, SloMs: 4000, Priority: 0,
 		Service: "huvo11a", MaxAttempts: 5, Sticky: true, Resumable: true, GapTargetMs: 700}}, modelService("huvo11a"))
-	if err := w.startSystem(3, 2, first); err != nil {
+	if err := w.startSystem(5, 2, first); err != nil {
 		return exitNotRun, err
 	}
 	var mu sync.Mutex
--- a/review/_cases2/leaving.go
+++ b/review/_cases2/leaving.go
@@ -13,15 +13,21 @@
 // cutLength is how long the leaving server is partitioned from control, the figure in brackets behind for_s.
 const cutLength = 5 * time.Second
 
+// otherServers is the number of model servers beside the two of the service, so that one server is an eighth of all once the first of
+// them has left.
+const otherServers = 7
+
 // playLeaving takes the two servers of a service away one after the other, as planned work. The last one reports
 // draining and serves on for some seconds more. Meanwhile it is partitioned from the control instances, not from the
 // gateways.
 func playLeaving(w *world) (int, error) {
 	first := newConfiguration(3, []route{
-		{Name: "r-book", Host: hostName, PathPrefix: "/puxa403/", Kind: "unsafe", TimeoutMs: 1500, SloMs: 100, Priority: 1, Service: "xano55b", MaxAttempts: 1},
-		{Name: "r-look", Host: hostName, PathPrefix: "/cuti104/", Kind: "safe", TimeoutMs: 1500, SloMs: 100, Priority: 1, Service: "xano55b", MaxAttempts: 2},
-	}, plainService("xano55b"))
-	if err := w.startSystem(3, 2, first); err != nil {
+		{Name: "r-book", Host: hostName, PathPrefix: "/puxa403/", Kind: "unsafe", TimeoutMs: 2500, SloMs: 100, Priority: 1, Service: "xano55b", MaxAttempts: 1},
+		{Name: "r-look", Host: hostName, PathPrefix: "/cuti104/", Kind: "safe", TimeoutMs: 2500, SloMs: 100, Priority: 1, Service: "xano55b", MaxAttempts: 2},
+		{Name: "r-2yhvz3p", Host: hostName, PathPrefix: "/lohu930/", Kind: "stream", TimeoutMs: 25000, SloMs: 4000, Priority: 0,
+			Service: "huvo11a", MaxAttempts: 5, Sticky: true, Resumable: true, GapTargetMs: 700},
+	}, plainService("xano55b"), modelService("huvo11a"))
+	if err := w.startSystem(5, 2, first); err != nil {
 		return exitNotRun, err
 	}
 	var mu sync.Mutex
@@ -48,6 +54,11 @@
 	if err != nil {
 		return exitNotRun, err
 	}
+	for i := range otherServers {
+		if _, err := w.startModelServer(fmt.Sprintf("m%d", i+1), "huvo11a", zones[i%3], func(string) int { return 0 }, nil, nil); err != nil {
+			return exitNotRun, err
+		}
+	}
 	if err := w.eventually("gateways ready", 15*time.Second, func() bool { return w.ready(w.gateways[0]) && w.ready(w.gateways[1]) }); err != nil {
 		return exitNotRun, err
 	}
@@ -67,7 +78,7 @@
 					mu.Lock()
 					sent[id] = time.Now()
 					mu.Unlock()
-					if a := w.call(g, id, method, kind, 1500*time.Millisecond, nil); a.status == http.StatusOK {
+					if a := w.call(g, id, method, kind, 2500*time.Millisecond, nil); a.status == http.StatusOK {
 						served <- struct{}{}
 					}
 				}
--- a/review/_cases2/model.go
+++ b/review/_cases2/model.go
@@ -43,6 +43,8 @@
 	conns map[net.Conn]struct{}
 	stop  chan struct{}
 	ended bool
+	// events counts the events that each running request has made.
+	events map[string]int
 }
 
 func (w *world) startModelServer(name, service, zone string, crashAt func(string) int, onRun func(*modelServer, string, string, time.Time), onCrash func(*modelServer, time.Time)) (*modelServer, error) {
@@ -71,6 +73,7 @@
 	s.life++
 	s.id, s.born = fmt.Sprintf("i-%s-%d", s.name, s.life), time.Now().UnixMilli()
 	s.conns, s.stop, s.up = map[net.Conn]struct{}{}, make(chan struct{}), true
+	s.events = map[string]int{}
 	life := s.life
 	s.http = &http.Server{
 		Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) { s.serve(rw, r, life) }),
@@ -170,13 +173,16 @@
 	switch {
 	case r.URL.Path == "/v1/report":
 		rw.Header().Set("Content-Type", "application/json")
-		fmt.Fprintf(rw, `{"Stage":"mixed","Models":[{"Name":"m","Version":1,"Adapters":[]}],"Busy":false,"Seq":0,"Queued":0,"Running":0,"KvUsed":0,"KvTotal":88000,"Handles":0,"Runs":[],"born":%d}`, born)
+		_ = json.NewEncoder(rw).Encode(s.report(born)) // a caller that has gone needs none
 		return
 	case r.URL.Path == "/v1/kv-list":
 		rw.Header().Set("Content-Type", "application/json")
 		_, _ = io.WriteString(rw, `{"epoch":1,"Next":0,"held":[]}`)
 		return
-	case strings.HasPrefix(r.URL.Path, "/v1/") || r.URL.Path == "/healthz":
+	case strings.HasPrefix(r.URL.Path, "/v1/"):
+		rw.WriteHeader(http.StatusNotFound) // no copies are kept
+		return
+	case r.URL.Path == "/healthz":
 		rw.Header().Set("Instance-Id", id)
 		return
 	}
@@ -199,6 +205,8 @@
 		s.onRun(s, attempt, string(body), time.Now())
 	}
 	crashAfter := s.crashAt(string(body))
+	s.count(life, attempt, 0)
+	defer s.count(life, attempt, -1)
 	pause := func(d time.Duration) bool {
 		select {
 		case <-time.After(d):
@@ -217,6 +225,7 @@
 		if _, err := fmt.Fprintf(rw, "id: %d\ndata: piece %d\n\n", n, n); err != nil {
 			return
 		}
+		s.count(life, attempt, n-first+1)
 		_ = http.NewResponseController(rw).Flush() // the next write shows an error
 		if crashAfter > 0 && n-first+1 >= crashAfter {
 			s.crash(attempt)
@@ -228,6 +237,37 @@
 	}
 }
 
+// count records how many events a request has made, or with a negative number its end.
+func (s *modelServer) count(life int, attempt string, events int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.life != life:
+	case events < 0:
+		delete(s.events, attempt)
+	default:
+		s.events[attempt] = events
+	}
+}
+
+// promptTokens is the size of each prompt, and eventTokens that of an event.
+const promptTokens, eventTokens = 1460, 6
+
+// report is what the server reports: each run from its first event on, as [id, tokens, events, priority].
+func (s *modelServer) report(born int64) map[string]any {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	runs, used := [][]any{}, 0
+	for id, n := range s.events {
+		used += promptTokens + n*eventTokens
+		if n > 0 {
+			runs = append(runs, []any{id, promptTokens + n*eventTokens, n, 0})
+		}
+	}
+	return map[string]any{"Stage": "mixed", "Models": []map[string]any{{"Name": "m", "Version": 1, "Adapters": []string{}}}, "Busy": false, "Seq": 0,
+		"Queued": 0, "Running": len(s.events), "KvUsed": used, "KvTotal": 88000, "Handles": 0, "Pinned": 0, "held": 0, "State": "ready", "Next": 0, "Runs": runs, "born": born}
+}
+
 // stream is what a caller of a stream got.
 type stream struct {
 	status, pieces int
--- a/review/_cases2/server.go
+++ b/review/_cases2/server.go
@@ -65,7 +65,6 @@
 // ServeHTTP runs a request.
 func (s *server) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	at := time.Now()
-	rw.Header().Set("Server-Load", "1,0,6")
 	if r.URL.Path == "/healthz" {
 		rw.Header().Set("Instance-Id", s.id)
 		return
